--- /dev/null
+++ b/src/zinniaspool/core/ids.py
@@ -0,0 +1,59 @@
+"""Identifiers and numbers with a meaning of their own."""
+
+from typing import NewType
+
+__all__ = [
+    "Address",
+    "CustomerId",
+    "Epoch",
+    "FabricDomainId",
+    "FailureDomainId",
+    "GroupId",
+    "IdempotencyKey",
+    "Incarnation",
+    "ModelName",
+    "ModelVersion",
+    "NodeId",
+    "RequestId",
+    "Revision",
+    "ServiceName",
+    "UpstreamId",
+    "VmId",
+]
+
+Address = NewType("Address", str)
+"""An IP number and a port, ``10.0.0.1:8080``."""
+
+CustomerId = NewType("CustomerId", str)
+FabricDomainId = NewType("FabricDomainId", str)
+"""VMs of one fabric domain share a fast interconnect."""
+
+FailureDomainId = NewType("FailureDomainId", str)
+"""VMs of one failure domain may fail together."""
+
+GroupId = NewType("GroupId", str)
+"""A replica group, unique over its fabric domain's whole history."""
+
+IdempotencyKey = NewType("IdempotencyKey", str)
+ModelName = NewType("ModelName", str)
+ModelVersion = NewType("ModelVersion", str)
+NodeId = NewType("NodeId", str)
+"""A process of ours, by the name in its settings."""
+
+RequestId = NewType("RequestId", str)
+ServiceName = NewType("ServiceName", str)
+"""What callers name in a path: a model or a plain service."""
+
+UpstreamId = NewType("UpstreamId", str)
+"""Where a request can be sent: a replica group or a plain service's VM."""
+
+VmId = NewType("VmId", str)
+
+Epoch = NewType("Epoch", int)
+"""Fencing number of a replica group: the store's revision of its plan."""
+
+Incarnation = NewType("Incarnation", int)
+"""Grows with each start of one node."""
+
+Revision = NewType("Revision", int)
+"""The store's modification number of a key; 0 says that it is absent."""
--- /dev/null
+++ b/src/zinniaspool/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over h11, both sides."""
