Serve a request end to end through separate processes

Cause: nothing ran yet. Entry, control and command line are separate processes beside stand-ins of the platform, the engines and a plain service. A group serves only while each of its VMs freshly reports this group, epoch, model and version.

Conclusion: the skeleton stands; every part is thin and to be built out.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: counted work and ratios, never absolute times."""
--- /dev/null
+++ b/src/zinniaspool/cli/__init__.py
@@ -0,0 +1,1 @@
+"""``zinniaspool``: the operators' command line."""
--- /dev/null
+++ b/src/zinniaspool/control/__init__.py
@@ -0,0 +1,1 @@
+"""``zinniaspool-control``: forms and repairs replica groups."""
--- /dev/null
+++ b/src/zinniaspool/control/main.py
@@ -0,0 +1,96 @@
+"""Composition root of ``zinniaspool-control``."""
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import structlog
+import typer
+
+from zinniaspool.control.domain import DomainHolder
+from zinniaspool.core.deployment import Configuration
+from zinniaspool.core.ids import Address, FabricDomainId, Revision
+from zinniaspool.core.messages import Hello, Message
+from zinniaspool.node import ConfigurationFollower, NodeFrame
+from zinniaspool.settings import ControlSettings, SettingsError, load_settings
+from zinniaspool.telemetry import configure_logs
+
+__all__ = ["ControlProcess", "main"]
+
+_log = structlog.get_logger(__name__)
+
+
+class ControlProcess:
+    """Steps the fabric domains that this process holds."""
+
+    def __init__(self, settings: ControlSettings) -> None:
+        self._settings = settings
+        self._frame = NodeFrame(settings)
+        self._configuration: Configuration | None = None
+        self._holders: dict[FabricDomainId, DomainHolder] = {}
+
+    async def run(self) -> None:
+        """Run until the process is told to stop."""
+        await self._frame.start(self._handle_message)
+        follower = ConfigurationFollower(self._frame.store, self._configure)
+        async with asyncio.TaskGroup() as tasks:
+            running = [
+                tasks.create_task(follower.run()),
+                tasks.create_task(self._step_domains()),
+            ]
+            await self._frame.stopping.wait()
+            for task in running:
+                task.cancel()
+        for holder in self._holders.values():
+            await holder.release()
+        self._frame.close()
+
+    async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
+        return None
+
+    def _configure(self, configuration: Configuration, revision: Revision) -> None:
+        self._configuration = configuration
+        domains = sorted({vm.fabric_domain for vm in configuration.inventory.vms})
+        for domain in domains:
+            if domain not in self._holders:
+                self._holders[domain] = DomainHolder(
+                    domain,
+                    self._frame.node,
+                    self._frame.store,
+                    self._frame.http,
+                    self._settings.lease_s,
+                    self._settings.vm_absent_s,
+                )
+
+    async def _step_domains(self) -> None:
+        while True:
+            if self._configuration is not None:
+                for holder in self._holders.values():
+                    if await holder.step(self._configuration):
+                        await self._tell_entries(holder)
+            await asyncio.sleep(self._settings.poll_s)
+
+    async def _tell_entries(self, holder: DomainHolder) -> None:
+        state = holder.state()
+        async with asyncio.TaskGroup() as tasks:
+            for seed in self._settings.seeds:
+                tasks.create_task(self._frame.links.send(Address(seed), state))
+
+
+def _run(settings: Annotated[Path, typer.Option(help="Settings file.")]) -> None:
+    try:
+        loaded = load_settings(settings, ControlSettings)
+    except SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from error
+    configure_logs("control", loaded.node)
+    asyncio.run(_start(loaded))
+
+
+async def _start(settings: ControlSettings) -> None:
+    await ControlProcess(settings).run()
+
+
+def main() -> None:
+    """Run the program."""
+    typer.run(_run)
--- /dev/null
+++ b/src/zinniaspool/entry/__init__.py
@@ -0,0 +1,1 @@
+"""``zinniaspool-entry``: faces callers and upstreams."""
--- a/src/zinniaspool/http/__init__.py
+++ b/src/zinniaspool/http/__init__.py
@@ -1,1 +1,32 @@
 """HTTP/1.1 over h11, both sides."""
+
+from zinniaspool.http.client import ClientResponse, HttpClient
+from zinniaspool.http.messages import (
+    Headers,
+    Request,
+    TransportError,
+    TransportFailure,
+)
+from zinniaspool.http.server import (
+    Exchange,
+    Handler,
+    HttpServer,
+    Refusal,
+    RefusalKind,
+    ServerLimits,
+)
+
+__all__ = [
+    "ClientResponse",
+    "Exchange",
+    "Handler",
+    "Headers",
+    "HttpClient",
+    "HttpServer",
+    "Refusal",
+    "RefusalKind",
+    "Request",
+    "ServerLimits",
+    "TransportError",
+    "TransportFailure",
+]
--- /dev/null
+++ b/src/zinniaspool/http/client.py
@@ -0,0 +1,337 @@
+"""HTTP client: pooled connections, whole or visibly cut answers."""
+
+import asyncio
+import ssl
+from collections import deque
+from collections.abc import AsyncIterator
+from typing import cast
+
+import h11
+
+from zinniaspool.core.ids import Address
+from zinniaspool.http.messages import Headers, Request, TransportError, TransportFailure
+
+__all__ = ["ClientResponse", "HttpClient"]
+
+_MOST_BUFFERED_BYTES = 256 * 1024
+_MOST_IDLE_PER_ADDRESS = 32
+_IDLE_S = 20.0
+
+
+class ClientResponse:
+    """An answer whose head has come and whose body is read as it comes."""
+
+    def __init__(
+        self, status: int, headers: Headers, connection: "_ClientConnection"
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self._connection = connection
+
+    async def read(self, most_bytes: int = 16 * 1024 * 1024) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            TransportError: The body was cut, or larger than ``most_bytes``.
+        """
+        body = bytearray()
+        async for data in self.stream():
+            body += data
+            if len(body) > most_bytes:
+                self.abort()
+                raise TransportError(TransportFailure.MALFORMED, "body too large")
+        return bytes(body)
+
+    async def stream(self) -> AsyncIterator[bytes]:
+        """Yield what each read brought, ending only at the body's real end.
+
+        Raises:
+            TransportError: The body was cut.
+        """
+        while (data := await self.next_part()) is not None:
+            yield data
+
+    async def next_part(self) -> bytes | None:
+        """Return what has come, waiting if nothing has; None at the end.
+
+        Raises:
+            TransportError: The body was cut.
+        """
+        return await self._connection.next_part()
+
+    def abort(self) -> None:
+        """Give the answer up and close its connection."""
+        self._connection.abort()
+
+
+class HttpClient:
+    """Sends requests over connections that it keeps.
+
+    A connection goes back to the pool only after a whole answer; anything
+    else closes it, so that a late or crossed answer has nobody to reach.
+
+    Args:
+        connect_s: Longest wait for a connection.
+        tls: Wraps each connection where given.
+    """
+
+    def __init__(
+        self, connect_s: float = 1.0, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._connect_s = connect_s
+        self._tls = tls
+        self._idle: dict[Address, deque[_ClientConnection]] = {}
+
+    async def send(
+        self,
+        address: Address,
+        request: Request,
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+    ) -> ClientResponse:
+        """Send a request and wait for the answer's head.
+
+        Args:
+            address: Where to.
+            request: What.
+            timeout_s: Longest wait for the head.
+            fresh: Use a new connection. A kept one may be closed by the
+                other side as the request leaves, and then nobody can tell
+                whether it ran.
+
+        Raises:
+            TransportError: No head came; its failure says whether any byte
+                had left.
+        """
+        connection = None if fresh else self._take(address)
+        if connection is None:
+            connection = await self._connect(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await connection.exchange(request)
+        except TimeoutError:
+            connection.abort()
+            raise TransportError(TransportFailure.TIMED_OUT) from None
+        except BaseException:
+            connection.abort()
+            raise
+
+    async def fetch(
+        self, address: Address, request: Request, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Return an answer's status and whole body.
+
+        Raises:
+            TransportError: The answer did not come whole in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self.send(address, request, timeout_s)
+                try:
+                    return response.status, await response.read()
+                except asyncio.CancelledError:
+                    response.abort()
+                    raise
+        except TimeoutError:
+            raise TransportError(TransportFailure.TIMED_OUT) from None
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.abort()
+        self._idle.clear()
+
+    def keep(self, connection: "_ClientConnection") -> None:
+        """Take back a connection whose answer came whole."""
+        idle = self._idle.setdefault(connection.address, deque())
+        if len(idle) >= _MOST_IDLE_PER_ADDRESS:
+            connection.abort()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        idle.append(connection)
+
+    def drop(self, connection: "_ClientConnection") -> None:
+        """Forget a connection that has closed."""
+        idle = self._idle.get(connection.address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+
+    def _take(self, address: Address) -> "_ClientConnection | None":
+        idle = self._idle.get(address)
+        oldest = asyncio.get_running_loop().time() - _IDLE_S
+        while idle:
+            connection = idle.pop()
+            if connection.open and connection.idle_since > oldest:
+                return connection
+            connection.abort()
+        return None
+
+    async def _connect(self, address: Address) -> "_ClientConnection":
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_s):
+                _, protocol = await loop.create_connection(
+                    lambda: _ClientConnection(self, address),
+                    host,
+                    int(port),
+                    ssl=self._tls,
+                    server_hostname=host if self._tls else None,
+                )
+        except (OSError, TimeoutError) as error:
+            raise TransportError(TransportFailure.NOT_SENT, str(error)) from error
+        return protocol
+
+
+class _ClientConnection(asyncio.Protocol):
+    """One connection to another side: h11's state, one request at a time."""
+
+    def __init__(self, client: HttpClient, address: Address) -> None:
+        self.address = address
+        self.idle_since = 0.0
+        self._client = client
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._head: asyncio.Future[h11.Response] | None = None
+        self._parts: list[bytes] = []
+        self._buffered = 0
+        self._ended = False
+        self._failure: TransportError | None = None
+        self._arrived: asyncio.Future[None] | None = None
+        self._in_exchange = False
+
+    @property
+    def open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        if not self._in_exchange:
+            # Bytes that nobody asked for: a late or crossed answer.
+            self.abort()
+            return
+        try:
+            self._h11.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(TransportError(TransportFailure.MALFORMED, str(error)))
+        self._wake()
+
+    def eof_received(self) -> bool:
+        if not self._in_exchange:
+            return False
+        try:
+            self._h11.receive_data(b"")
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(TransportError(TransportFailure.CUT, str(error)))
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._client.drop(self)
+        if self._in_exchange and not self._ended:
+            self._fail(TransportError(TransportFailure.CUT, str(exc or "closed")))
+        self._wake()
+
+    # What the client and the response call.
+
+    async def exchange(self, request: Request) -> ClientResponse:
+        if self._transport is None:
+            raise TransportError(TransportFailure.NOT_SENT, "closed")
+        self._in_exchange = True
+        self._ended = False
+        self._head = asyncio.get_running_loop().create_future()
+        self._transport.write(self._frame(request))
+        head = await self._head
+        return ClientResponse(head.status_code, Headers(head.headers), self)
+
+    async def next_part(self) -> bytes | None:
+        while not self._parts:
+            if self._failure is not None:
+                raise self._failure
+            if self._ended:
+                self._release()
+                return None
+            self._arrived = asyncio.get_running_loop().create_future()
+            await self._arrived
+        data = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        self._parts.clear()
+        if self._buffered > _MOST_BUFFERED_BYTES and self._transport is not None:
+            self._transport.resume_reading()
+        self._buffered = 0
+        return data
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Sending and reading.
+
+    def _frame(self, request: Request) -> bytes:
+        fields = [
+            (b"host", self.address.encode()),
+            *request.headers.raw(),
+            (b"content-length", str(len(request.body)).encode()),
+        ]
+        head = h11.Request(method=request.method, target=request.target, headers=fields)
+        parts = [self._h11.send(head)]
+        if request.body:
+            parts.append(self._h11.send(h11.Data(data=request.body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+    def _read_events(self) -> None:
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                assert self._head is not None
+                if not self._head.done():
+                    self._head.set_result(event)
+            elif isinstance(event, h11.Data):
+                self._add_part(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._ended = True
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _add_part(self, data: bytes) -> None:
+        self._parts.append(data)
+        self._buffered += len(data)
+        if self._buffered > _MOST_BUFFERED_BYTES and self._transport is not None:
+            # Bounds the memory that a slow caller costs: the upstream is
+            # not read further until the caller has taken what is here.
+            self._transport.pause_reading()
+
+    def _release(self) -> None:
+        self._in_exchange = False
+        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+            self.abort()
+            return
+        if self._h11.trailing_data[0]:
+            # More bytes than the answer's length: not a clean end.
+            self.abort()
+            return
+        self._h11.start_next_cycle()
+        if self.open:
+            self._client.keep(self)
+
+    def _fail(self, error: TransportError) -> None:
+        self._failure = self._failure or error
+        if self._head is not None and not self._head.done():
+            self._head.set_exception(error)
+        self.abort()
+
+    def _wake(self) -> None:
+        if self._arrived is not None and not self._arrived.done():
+            self._arrived.set_result(None)
--- /dev/null
+++ b/src/zinniaspool/node/__init__.py
@@ -0,0 +1,7 @@
+"""What the entry and control processes share."""
+
+from zinniaspool.node.follower import ConfigurationFollower
+from zinniaspool.node.frame import NodeFrame
+from zinniaspool.node.operators import OperatorInterface
+
+__all__ = ["ConfigurationFollower", "NodeFrame", "OperatorInterface"]
--- /dev/null
+++ b/src/zinniaspool/peers/__init__.py
@@ -0,0 +1,14 @@
+"""Streams of msgpack messages between processes of ours, over TCP."""
+
+from zinniaspool.peers.frames import FrameError, read_frame, write_frame
+from zinniaspool.peers.links import PeerLinks
+from zinniaspool.peers.listener import PeerHandler, PeerListener
+
+__all__ = [
+    "FrameError",
+    "PeerHandler",
+    "PeerLinks",
+    "PeerListener",
+    "read_frame",
+    "write_frame",
+]
--- /dev/null
+++ b/src/zinniaspool/peers/listener.py
@@ -0,0 +1,89 @@
+"""The side of a peer connection that accepts it."""
+
+import asyncio
+import hmac
+from collections.abc import Awaitable, Callable
+
+import structlog
+
+from zinniaspool.core.ids import Address, NodeId
+from zinniaspool.core.messages import (
+    PROTOCOL_VERSION,
+    Accepted,
+    Hello,
+    Message,
+    Refused,
+)
+from zinniaspool.peers.frames import FrameError, read_frame, write_frame
+
+__all__ = ["PeerHandler", "PeerListener"]
+
+_log = structlog.get_logger(__name__)
+_HELLO_S = 2.0
+
+PeerHandler = Callable[[Hello, Message], Awaitable[Message | None]]
+"""Takes a message of a known peer; a returned message is sent back."""
+
+
+class PeerListener:
+    """Accepts peers' connections and hands on what they say.
+
+    Args:
+        node: This process's name.
+        secret: What a peer must show.
+        handler: Takes each message.
+    """
+
+    def __init__(self, node: NodeId, secret: str, handler: PeerHandler) -> None:
+        self._node = node
+        self._secret = secret
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self, address: Address) -> Address:
+        """Start listening and return the address, its port filled in."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        bound = self._server.sockets[0].getsockname()
+        return Address(f"{host}:{bound[1]}")
+
+    def close(self) -> None:
+        """Stop listening and close the connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await self._serve_messages(reader, writer)
+        except (FrameError, ConnectionError, TimeoutError) as error:
+            _log.warning("peer-dropped", error=str(error) or type(error).__name__)
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_messages(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        async with asyncio.timeout(_HELLO_S):
+            hello = await read_frame(reader)
+        if not isinstance(hello, Hello):
+            return
+        if not hmac.compare_digest(hello.secret.encode(), self._secret.encode()):
+            _log.warning("peer-refused", node=hello.node, reason="secret")
+            write_frame(writer, Refused("secret"))
+            return
+        version = min(hello.protocol, PROTOCOL_VERSION)
+        write_frame(writer, Accepted(version, self._node))
+        while (message := await read_frame(reader)) is not None:
+            answer = await self._handler(hello, message)
+            if answer is not None:
+                write_frame(writer, answer)
+                await writer.drain()
--- /dev/null
+++ b/src/zinniaspool/platform/vmlist.py
@@ -0,0 +1,29 @@
+"""Client of the platform's lagging list of live and leaving VMs."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from zinniaspool.core.ids import Address
+from zinniaspool.core.plans import VmListing
+from zinniaspool.http import HttpClient, Request, TransportError
+from zinniaspool.platform.store import StoreFault
+
+__all__ = ["fetch_vm_list"]
+
+_OK = 200
+
+
+async def fetch_vm_list(
+    client: HttpClient, address: Address, timeout_s: float = 2.0
+) -> Result[tuple[VmListing, ...], StoreFault]:
+    """Return the list as the platform has it now, seconds behind the VMs."""
+    try:
+        status, body = await client.fetch(address, Request("GET", "/vms"), timeout_s)
+    except TransportError:
+        return Err(StoreFault.UNAVAILABLE)
+    if status != _OK:
+        return Err(StoreFault.UNAVAILABLE)
+    try:
+        return Ok(msgspec.json.decode(body, type=tuple[VmListing, ...]))
+    except msgspec.MsgspecError:
+        return Err(StoreFault.UNAVAILABLE)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: small fakes at the interfaces, and processes on loopback."""
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,44 @@
+"""A request goes from a caller through separate processes to an engine."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.processes import Fleet, call, start_fleet, wait_until
+
+_MODEL = "/v1/models/advisory/generate"
+_PROMPT = {"prompt": "warm ward", "max_tokens": 4}
+
+pytestmark = pytest.mark.processes
+
+
+def _serves(fleet: Fleet, entry: str) -> bool:
+    return call(fleet.addresses[entry], _MODEL, _PROMPT, "care-key").status == 200
+
+
+def test_requests_are_answered_through_every_entry(tmp_path: Path) -> None:
+    with start_fleet(tmp_path) as fleet:
+        for entry in ("entry0", "entry1"):
+            wait_until(lambda entry=entry: _serves(fleet, entry))
+            address = fleet.addresses[entry]
+            plain = call(address, _MODEL, _PROMPT, "care-key")
+            assert plain.json()["text"] == "warm0 ward1 warm2 ward3"
+            streamed = call(address, _MODEL, _PROMPT | {"stream": True}, "care-key")
+            assert streamed.body.endswith(b"event: done\ndata: {}\n\n")
+            sent = call(address, "/v1/services/dispatch/send", {"to": 1}, "care-key")
+            assert sent.json()["echo"] == '{"to": 1}'
+            assert call(address, _MODEL, _PROMPT, "wrong").status == 401
+            assert call(address, "/v1/models/other/x", {}, "care-key").status == 404
+
+
+def test_a_killed_vm_stops_its_group_and_the_rest_serve(tmp_path: Path) -> None:
+    """The caller sees answers again within seconds of a VM's death.
+
+    One of two VMs of each group is killed in turn of need: its group must
+    stop, and the VMs left form a whole group that answers.
+    """
+    with start_fleet(tmp_path) as fleet:
+        wait_until(lambda: _serves(fleet, "entry0"))
+        fleet.processes["vm1"].kill()
+        wait_until(lambda: call(fleet.addresses["vm3"], "/report").status == 200)
+        wait_until(lambda: _serves(fleet, "entry0"))
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs of the checks."""
