Add membership and notices by gossip between processes

Entry and control processes learn of each other from seeds and spread small versioned notices: newest per key wins, ages travel, lifetimes end. Members that do not answer are doubted, asked about through others, and held silent only after they had time to contradict. No message needs the store.

frame.board.publish/subscribe and frame.members() are the interface for the other parts. A connection now checks that the meant node listens at the other end, since a replaced VM may reuse an address.

--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -10,6 +10,7 @@
 from zinniaspool.control.domain import DomainHolder
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Address, FabricDomainId, Revision
+from zinniaspool.core.membership import MemberState
 from zinniaspool.core.messages import Hello, Message
 from zinniaspool.node import ConfigurationFollower, NodeFrame
 from zinniaspool.settings import ControlSettings, SettingsError, load_settings
@@ -49,6 +50,7 @@
         return None
 
     def _configure(self, configuration: Configuration, revision: Revision) -> None:
+        self._frame.board.set_state(MemberState.READY)
         self._configuration = configuration
         domains = sorted({vm.fabric_domain for vm in configuration.inventory.vms})
         for domain in domains:
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -3,6 +3,15 @@
 import msgspec
 
 from zinniaspool.core.ids import FailureDomainId, Incarnation, NodeId
+from zinniaspool.core.membership.messages import (
+    Compare,
+    Compared,
+    Join,
+    JoinPage,
+    Probe,
+    Probed,
+    Push,
+)
 from zinniaspool.core.plans import DomainPlan, EngineReport
 
 __all__ = [
@@ -10,6 +19,7 @@
     "Accepted",
     "AgedReport",
     "DomainState",
+    "Gossip",
     "Hello",
     "Message",
     "Refused",
@@ -66,4 +76,6 @@
     reports: tuple[AgedReport, ...]
 
 
-Message = Hello | Accepted | Refused | DomainState
+Gossip = Push | Compare | Compared | Join | JoinPage | Probe | Probed
+
+Message = Hello | Accepted | Refused | DomainState | Gossip
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -10,6 +10,7 @@
 
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Address, Revision
+from zinniaspool.core.membership import MemberState
 from zinniaspool.core.messages import DomainState, Hello, Message
 from zinniaspool.entry.answers import refuse_request
 from zinniaspool.entry.callers import CallerInterface, EntryAddress
@@ -61,6 +62,7 @@
 
     def _configure(self, configuration: Configuration, revision: Revision) -> None:
         self._fleet.configure(configuration)
+        self._frame.board.set_state(MemberState.READY)
 
     async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
         if isinstance(message, DomainState):
--- a/src/zinniaspool/peers/frames.py
+++ b/src/zinniaspool/peers/frames.py
@@ -45,6 +45,8 @@
         raise FrameError(str(error)) from error
 
 
-def write_frame(writer: asyncio.StreamWriter, message: Message) -> None:
-    """Queue a message for sending."""
-    writer.write(encode_frame(message))
+def write_frame(writer: asyncio.StreamWriter, message: Message) -> int:
+    """Queue a message for sending and return its size in bytes."""
+    frame = encode_frame(message)
+    writer.write(frame)
+    return len(frame)
--- a/src/zinniaspool/peers/links.py
+++ b/src/zinniaspool/peers/links.py
@@ -1,4 +1,9 @@
-"""The side of a peer connection that opens it."""
+"""The side of a peer connection that opens it.
+
+A connection is opened when it is first used and then kept. Answers come in
+the order of the questions, so that a question whose answer did not come in
+time ends the connection.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -6,7 +11,7 @@
 
 import structlog
 
-from zinniaspool.core.ids import Address
+from zinniaspool.core.ids import Address, NodeId
 from zinniaspool.core.messages import Accepted, Hello, Message
 from zinniaspool.peers.frames import FrameError, read_frame, write_frame
 
@@ -20,6 +25,7 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     lock: asyncio.Lock
+    node: NodeId
 
 
 class PeerLinks:
@@ -33,33 +39,54 @@
     def __init__(self, say_hello: Callable[[], Hello], timeout_s: float = 1.0) -> None:
         self._say_hello = say_hello
         self._timeout_s = timeout_s
+        self.sent_bytes = 0
         self._links: dict[Address, _Link] = {}
-
-    async def send(self, address: Address, message: Message) -> bool:
-        """Send a message that has no answer; False when it could not leave."""
+        self._opening: dict[Address, asyncio.Lock] = {}
+
+    async def send(
+        self, address: Address, message: Message, node: NodeId | None = None
+    ) -> bool:
+        """Send a message that has no answer; False when it could not leave.
+
+        Args:
+            address: Where the peer listens.
+            message: What to send.
+            node: Who must be listening there; None for whoever does.
+        """
         try:
             async with asyncio.timeout(self._timeout_s):
-                link = await self._get(address)
-                write_frame(link.writer, message)
+                link = await self._get(address, node)
+                self.sent_bytes += write_frame(link.writer, message)
                 await link.writer.drain()
         except (OSError, TimeoutError, FrameError) as error:
             self._drop(address, error)
             return False
         return True
 
-    async def ask(self, address: Address, message: Message) -> Message | None:
-        """Send a message and return its answer; None when none came."""
+    async def ask(
+        self, address: Address, message: Message, node: NodeId | None = None
+    ) -> Message | None:
+        """Send a message and return its answer; None when none came.
+
+        Args:
+            address: Where the peer listens.
+            message: What to send.
+            node: Who must be listening there; None for whoever does.
+        """
         try:
             async with asyncio.timeout(self._timeout_s):
-                link = await self._get(address)
+                link = await self._get(address, node)
                 async with link.lock:
-                    write_frame(link.writer, message)
-                    return await read_frame(link.reader)
+                    self.sent_bytes += write_frame(link.writer, message)
+                    answer = await read_frame(link.reader)
         except (OSError, TimeoutError, FrameError) as error:
             # The answer may still come: on a kept connection the next
             # question would get it as its own.
             self._drop(address, error)
             return None
+        if answer is None:
+            self._drop(address, EOFError("closed by the peer"))
+        return answer
 
     def close(self) -> None:
         """Close all connections."""
@@ -67,18 +94,33 @@
             link.writer.close()
         self._links.clear()
 
-    async def _get(self, address: Address) -> _Link:
-        link = self._links.get(address)
-        if link is not None and not link.writer.is_closing():
-            return link
+    async def _get(self, address: Address, node: NodeId | None) -> _Link:
+        # Two messages to a new peer at once must not open two connections,
+        # of which only one would be known and closed.
+        opening = self._opening.setdefault(address, asyncio.Lock())
+        async with opening:
+            link = self._links.get(address)
+            if link is None or link.writer.is_closing():
+                link = await self._open(address)
+        if node is not None and link.node != node:
+            # Another VM has taken over the address of the one that is
+            # meant: what is meant for that one must not be taken by this.
+            raise FrameError(f"{link.node} listens there, not {node}")
+        return link
+
+    async def _open(self, address: Address) -> _Link:
         host, _, port = address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        write_frame(writer, self._say_hello())
-        accepted = await read_frame(reader)
-        if not isinstance(accepted, Accepted):
+        try:
+            self.sent_bytes += write_frame(writer, self._say_hello())
+            accepted = await read_frame(reader)
+            if not isinstance(accepted, Accepted):
+                raise FrameError(f"not accepted: {accepted}")
+        except BaseException:
             writer.close()
-            raise FrameError(f"not accepted: {accepted}")
-        link = self._links[address] = _Link(reader, writer, asyncio.Lock())
+            raise
+        link = _Link(reader, writer, asyncio.Lock(), accepted.node)
+        self._links[address] = link
         return link
 
     def _drop(self, address: Address, error: Exception) -> None:
