Split the configuration by key and follow it by gossip

One root of part hashes is swapped on the base revision; only parts that changed are written and moved. Two watchers a failure domain hold the watch; what they see is announced as the difference to its base, and the parts are asked from peers by hash, from the store only when peers lack them. A revision never falls: each process takes only higher ones, and a start without the store needs the word of more than half of the members.

--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -12,7 +12,7 @@
 from zinniaspool.core.ids import Address, FabricDomainId, Revision
 from zinniaspool.core.membership import MemberState
 from zinniaspool.core.messages import Hello, Message
-from zinniaspool.node import ConfigurationFollower, NodeFrame
+from zinniaspool.node import NodeFrame
 from zinniaspool.settings import ControlSettings, SettingsError, load_settings
 from zinniaspool.telemetry import configure_logs
 
@@ -33,10 +33,9 @@
     async def run(self) -> None:
         """Run until the process is told to stop."""
         await self._frame.start(self._handle_message)
-        follower = ConfigurationFollower(self._frame.store, self._configure)
         async with asyncio.TaskGroup() as tasks:
             running = [
-                tasks.create_task(follower.run()),
+                tasks.create_task(self._frame.follow(self._configure)),
                 tasks.create_task(self._step_domains()),
             ]
             await self._frame.stopping.wait()
--- a/src/zinniaspool/core/configuration/__init__.py
+++ b/src/zinniaspool/core/configuration/__init__.py
@@ -1,21 +1,61 @@
 """The operators' configuration: its parts, their order, what is in force."""
 
+from zinniaspool.core.configuration.differences import (
+    DifferenceKind,
+    PartDifference,
+    compare_parts,
+)
+from zinniaspool.core.configuration.following import (
+    Announce,
+    AskPeer,
+    FollowAction,
+    FollowLimits,
+    FollowMachine,
+    PutInForce,
+    ReadPart,
+    ReadRoot,
+    WatchRoot,
+)
 from zinniaspool.core.configuration.parts import (
+    HISTORY_PREFIX,
     PART_PREFIX,
     ROOT_KEY,
+    PartHash,
+    PartName,
     Root,
     decode_root,
     encode_root,
+    hash_content,
+    history_key,
     join_parts,
+    name_parts,
     split_parts,
 )
 
 __all__ = [
+    "HISTORY_PREFIX",
     "PART_PREFIX",
     "ROOT_KEY",
+    "Announce",
+    "AskPeer",
+    "DifferenceKind",
+    "FollowAction",
+    "FollowLimits",
+    "FollowMachine",
+    "PartDifference",
+    "PartHash",
+    "PartName",
+    "PutInForce",
+    "ReadPart",
+    "ReadRoot",
     "Root",
+    "WatchRoot",
+    "compare_parts",
     "decode_root",
     "encode_root",
+    "hash_content",
+    "history_key",
     "join_parts",
+    "name_parts",
     "split_parts",
 ]
--- a/src/zinniaspool/core/configuration/parts.py
+++ b/src/zinniaspool/core/configuration/parts.py
@@ -6,25 +6,61 @@
 """
 
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from enum import Enum
+from typing import NewType, TypeVar
 
 import msgspec
 
-from zinniaspool.core.deployment import Configuration
+from zinniaspool.core.deployment import (
+    Configuration,
+    CustomerRule,
+    Inventory,
+    ModelRule,
+    Rules,
+    ServiceRule,
+    Vm,
+)
+from zinniaspool.core.ids import Revision
 
 __all__ = [
+    "HISTORY_PREFIX",
     "PART_PREFIX",
     "ROOT_KEY",
+    "PartHash",
+    "PartName",
     "Root",
     "decode_root",
     "encode_root",
+    "hash_content",
+    "history_key",
     "join_parts",
+    "name_parts",
     "split_parts",
 ]
 
+_T = TypeVar("_T")
+
 ROOT_KEY = "config/root"
 PART_PREFIX = "config/parts/"
+HISTORY_PREFIX = "config/history/"
 _HASH_CHARACTERS = 32
+_REVISION_DIGITS = 16
+
+PartName = NewType("PartName", str)
+"""Kind and key of a part, ``customer/care``."""
+
+PartHash = NewType("PartHash", str)
+"""Hash of a part's content; its name in the store."""
+
+
+class _Kind(Enum):
+    FLEET = "fleet"
+    CUSTOMER = "customer"
+    MODEL = "model"
+    SERVICE = "service"
+    FABRIC = "fabric"
 
 
 class Root(msgspec.Struct, frozen=True):
@@ -33,12 +69,20 @@
     Attributes:
         tag: Unique to the write, so that a lost answer can be settled.
         author: The operator who applied it.
-        parts: Name of each part to the hash of its content.
+        parts: Each part's hash.
+        base: Revision of the root that this one replaced; 0 for none.
+        number: How many changes were accepted up to this one.
+        reason: What the change is, for a person; empty for a plain apply.
+        applied_at: Seconds since the epoch, by the operator's clock.
     """
 
     tag: str
     author: str
-    parts: dict[str, str]
+    parts: dict[PartName, PartHash]
+    base: Revision = Revision(0)
+    number: int = 1
+    reason: str = ""
+    applied_at: float = 0.0
 
 
 def encode_root(root: Root) -> str:
@@ -55,22 +99,84 @@
     return msgspec.json.decode(value, type=Root)
 
 
-def split_parts(configuration: Configuration) -> dict[str, str]:
-    """Return a configuration's parts: the content of each by its hash."""
-    content = msgspec.json.encode(configuration, order="sorted")
-    return {_hash(content): content.decode()}
+def history_key(revision: Revision) -> str:
+    """Return where the root of a past revision is kept."""
+    return f"{HISTORY_PREFIX}{revision:0{_REVISION_DIGITS}}"
+
 
+def hash_content(content: str) -> PartHash:
+    """Return the hash under which a content is kept."""
+    digest = hashlib.sha256(content.encode()).hexdigest()
+    return PartHash(digest[:_HASH_CHARACTERS])
 
-def join_parts(root: Root, contents: Mapping[str, str]) -> Configuration:
-    """Return the configuration that a root's parts make.
+
+def split_parts(configuration: Configuration) -> dict[PartName, str]:
+    """Return the content of each part of a configuration.
+
+    A change to one customer, model, service or fabric domain changes one
+    part; what else the rules hold is one part of its own.
+    """
+    rules = configuration.rules
+    rest = replace(rules, customers=(), models=(), services=())
+    parts = {_make_name(_Kind.FLEET, "rules"): _encode(rest)}
+    for customer in rules.customers:
+        parts[_make_name(_Kind.CUSTOMER, customer.id)] = _encode(customer)
+    for model in rules.models:
+        parts[_make_name(_Kind.MODEL, model.name)] = _encode(model)
+    for service in rules.services:
+        parts[_make_name(_Kind.SERVICE, service.name)] = _encode(service)
+    for domain in {vm.fabric_domain for vm in configuration.inventory.vms}:
+        vms = [vm for vm in configuration.inventory.vms if vm.fabric_domain == domain]
+        vms.sort(key=lambda vm: vm.id)
+        parts[_make_name(_Kind.FABRIC, domain)] = _encode(vms)
+    return parts
+
+
+def name_parts(contents: Mapping[PartName, str]) -> dict[PartName, PartHash]:
+    """Return the hash of each part, as a root names it."""
+    return {name: hash_content(content) for name, content in contents.items()}
+
+
+def join_parts(
+    parts: Mapping[PartName, PartHash], contents: Mapping[PartHash, str]
+) -> Configuration:
+    """Return the configuration that parts make, sorted by name.
 
     Raises:
         KeyError: A part is missing.
         msgspec.MsgspecError: A part does not hold what it should.
     """
-    (name,) = root.parts.values()
-    return msgspec.json.decode(contents[name], type=Configuration)
+    fleet = contents[parts[_make_name(_Kind.FLEET, "rules")]]
+    rules = replace(
+        msgspec.json.decode(fleet, type=Rules),
+        customers=_decode_all(parts, contents, _Kind.CUSTOMER, CustomerRule),
+        models=_decode_all(parts, contents, _Kind.MODEL, ModelRule),
+        services=_decode_all(parts, contents, _Kind.SERVICE, ServiceRule),
+    )
+    domains = _decode_all(parts, contents, _Kind.FABRIC, tuple[Vm, ...])
+    vms = tuple(vm for domain in domains for vm in domain)
+    return Configuration(Inventory(vms), rules)
+
+
+def _decode_all(
+    parts: Mapping[PartName, PartHash],
+    contents: Mapping[PartHash, str],
+    kind: _Kind,
+    content: type[_T],
+) -> tuple[_T, ...]:
+    return tuple(
+        msgspec.json.decode(contents[parts[name]], type=content)
+        for name in _select(parts, kind)
+    )
+
+
+def _select(names: Iterable[PartName], kind: _Kind) -> list[PartName]:
+    return sorted(name for name in names if name.startswith(f"{kind.value}/"))
+
+
+def _make_name(kind: _Kind, key: str) -> PartName:
+    return PartName(f"{kind.value}/{key}")
 
 
-def _hash(content: bytes) -> str:
-    return hashlib.sha256(content).hexdigest()[:_HASH_CHARACTERS]
+def _encode(value: object) -> str:
+    return msgspec.json.encode(value, order="sorted").decode()
--- a/src/zinniaspool/core/membership/gossip.py
+++ b/src/zinniaspool/core/membership/gossip.py
@@ -125,6 +125,8 @@
         self._push_at = now
         self._seed_at = now
         self._join_after: str | None = None
+        self._join_news = 0
+        self._rejoin_s = 0.0
         self._allowance = float(self.limits.bytes_per_s)
         self.joined = not self._seeds
 
@@ -164,7 +166,6 @@
         self.roster.step(now)
         actions: list[Action] = []
         if now >= self._seed_at:
-            self._seed_at = now + self._draw_pause(now)
             actions += self._ask_seed(now)
         if now >= self._round_at:
             self._round_at = now + self.limits.round_s * (0.5 + self._source.random())
@@ -219,7 +220,7 @@
         chosen = self._source.sample(peers, min(1, len(peers)))
         silent = [
             member
-            for member in self.roster.members.list_all()
+            for member in self.roster.members.list_unsorted()
             if member.state is MemberState.SILENT
         ]
         # A partition that heals is noticed by nobody who only asks those
@@ -269,24 +270,38 @@
             for member in self._source.sample(peers, fanout)
         ]
 
-    def _draw_pause(self, now: float) -> float:
-        pause_s = self.limits.reseed_s if self.joined else self.limits.round_s
-        return pause_s * (0.5 + self._source.random())
-
     def _ask_seed(self, now: float) -> list[Action]:
+        """Ask for all notices: a seed at the start, a member afterwards.
+
+        The first peer asked may itself have just started and know little,
+        as when the whole fleet restarts. So a new process asks again, more
+        and more slowly, until an answer held nothing new.
+        """
         if self._join_after is not None:
             return []
-        live = {member.peer_address for member in self.roster.list_peers()}
-        seeds = self._seeds
+        pause_s = self.limits.round_s
         if self.joined:
-            seeds = [seed for seed in seeds if seed not in live]
-        if not seeds:
+            pause_s = max(pause_s, self._rejoin_s or self.limits.reseed_s)
+        self._seed_at = now + pause_s * (0.5 + self._source.random())
+        address = self._choose_to_join()
+        if address is None:
             return []
         own = self._notices.find(Topic.MEMBERS, self.roster.own.node, now)
+        self._join_after = ""
+        self._join_news = 0
         notices = () if own is None else (own,)
-        seed = self._source.choice(seeds)
-        self._join_after = None if self.joined else ""
-        return [Ask(None, seed, Join(notices, ""), now)]
+        return [Ask(None, address, Join(notices, ""), now)]
+
+    def _choose_to_join(self) -> Address | None:
+        addresses = [member.peer_address for member in self.roster.list_peers()]
+        if self._rejoin_s and addresses:
+            return self._source.choice(addresses)
+        # Seeds that no live member listens at: a fleet that was started in
+        # two halves has no other way to meet.
+        unmet = [seed for seed in self._seeds if seed not in addresses]
+        if not self.joined and not unmet:
+            unmet = self._seeds
+        return self._source.choice(unmet) if unmet else None
 
     def _answer_join(self, message: Join, now: float) -> JoinPage:
         page = self._notices.page(message.after, _PAGE_BYTES, now)
@@ -295,16 +310,22 @@
         return JoinPage(tuple(page), last if more else "")
 
     def _take_page(self, ask: Ask, page: JoinPage, now: float) -> list[Action]:
-        self.roster.take(page.notices, now)
+        # What one peer has told of everything, the others know already.
+        self._join_news += self.roster.take(page.notices, now, spread=False)
         if page.after:
+            self._join_after = page.after
             return [Ask(ask.node, ask.address, Join((), page.after), now)]
-        self.joined = True
         self._join_after = None
+        if not self.joined or self._rejoin_s:
+            self._rejoin_s = 2 * self._rejoin_s or self.limits.round_s
+        if self.joined and not self._join_news:
+            self._rejoin_s = 0.0
+        self.joined = True
         return []
 
     def _ask_helpers(self, node: NodeId, now: float) -> list[Action]:
-        record = self.roster.members.find_record(node)
-        if record is None or self._suspicions.is_doubted(node):
+        member = self.roster.members.find(node)
+        if member is None or self._suspicions.is_doubted(node):
             return []
         if self.roster.find_standing(node) is Standing.SILENT:
             return []
@@ -314,7 +335,7 @@
             self.roster.accuse(node, Standing.SUSPECT, now)
             return []
         self._suspicions.doubt(node, len(helpers))
-        probe = Probe(node, record.peer_address)
+        probe = Probe(node, member.peer_address)
         return [Ask(h.node, h.peer_address, probe, now, node) for h in helpers]
 
     def _take_probe(self, ask: Ask, *, alive: bool, now: float) -> list[Action]:
--- a/src/zinniaspool/core/membership/members.py
+++ b/src/zinniaspool/core/membership/members.py
@@ -114,10 +114,10 @@
     return Standing(min(rank, Standing.SILENT.value))
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Known:
-    record: MemberRecord
     version: int
+    member: Member
 
 
 class MemberTable:
@@ -129,22 +129,23 @@
     def __len__(self) -> int:
         return len(self._known)
 
-    def update(self, key: str, version: int, payload: bytes) -> MemberRecord | None:
+    def update(self, key: str, version: int, payload: bytes) -> Member | None:
         """Take a newer notice; None when it can't be read here."""
         record = decode_record(payload)
         if record is None or record.node != key:
             return None
-        self._known[record.node] = _Known(record, version)
-        return record
+        member = _describe(record, version)
+        self._known[record.node] = _Known(version, member)
+        return member
 
     def forget(self, node: NodeId) -> None:
         """Take a member out."""
         self._known.pop(node, None)
 
-    def find_record(self, node: NodeId) -> MemberRecord | None:
-        """Return what a member said last of itself."""
+    def find(self, node: NodeId) -> Member | None:
+        """Return a member."""
         known = self._known.get(node)
-        return None if known is None else known.record
+        return None if known is None else known.member
 
     def find_version(self, node: NodeId) -> int:
         """Return the version of what is known of a member; -1 for nothing."""
@@ -153,12 +154,15 @@
 
     def list_all(self) -> list[Member]:
         """Return all members, by name."""
-        return [_describe(self._known[node]) for node in sorted(self._known)]
+        return [self._known[node].member for node in sorted(self._known)]
+
+    def list_unsorted(self) -> list[Member]:
+        """Return all members."""
+        return [known.member for known in self._known.values()]
 
 
-def _describe(known: _Known) -> Member:
-    record = known.record
-    silent = read_standing(known.version) is Standing.SILENT
+def _describe(record: MemberRecord, version: int) -> Member:
+    silent = read_standing(version) is Standing.SILENT
     return Member(
         record.node,
         record.role,
--- a/src/zinniaspool/core/membership/notices.py
+++ b/src/zinniaspool/core/membership/notices.py
@@ -93,9 +93,16 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def put(self, notice: WireNotice, now: float) -> Notice | None:
+    def put(
+        self, notice: WireNotice, now: float, *, spread: bool = True
+    ) -> Notice | None:
         """Keep a notice if it is newer than what is known.
 
+        Args:
+            notice: What came.
+            now: Seconds.
+            spread: Whether it is to be passed on.
+
         Returns:
             The notice, or None when it is old, expired, too large, or of a
             topic that only a newer version knows.
@@ -123,7 +130,10 @@
             _PUSHES,
             _EXCHANGES,
         )
-        self._entries[name] = self._hot[name] = entry
+        self._entries[name] = entry
+        self._hot.pop(name, None)
+        if spread:
+            self._hot[name] = entry
         return Notice(topic, notice.key, notice.version, notice.payload, age_s)
 
     def find(self, topic: Topic, key: str, now: float) -> WireNotice | None:
--- a/src/zinniaspool/core/membership/roster.py
+++ b/src/zinniaspool/core/membership/roster.py
@@ -74,22 +74,33 @@
         for node in self.suspicions.take_ended(now):
             self.accuse(node, Standing.SILENT, now)
 
-    def take(self, notices: Iterable[WireNotice], now: float) -> None:
-        """Take notices that a peer sent."""
+    def take(
+        self, notices: Iterable[WireNotice], now: float, *, spread: bool = True
+    ) -> int:
+        """Take notices that a peer sent; return how many were news here.
+
+        Args:
+            notices: What was sent.
+            now: Seconds.
+            spread: Whether what is news here is passed on to others.
+        """
+        count = 0
         for notice in notices:
             if notice.topic == Topic.MEMBERS.value and notice.key == self.own.node:
                 self._contradict(notice, now)
             else:
-                self.put(notice, now)
+                count += self.put(notice, now, spread=spread)
+        return count
 
-    def put(self, notice: WireNotice, now: float) -> None:
+    def put(self, notice: WireNotice, now: float, *, spread: bool = True) -> bool:
         """Keep a notice if it is newer than what is known."""
-        fresh = self.notices.put(notice, now)
+        fresh = self.notices.put(notice, now, spread=spread)
         if fresh is None:
-            return
+            return False
         self._fresh.append(fresh)
         if fresh.topic is Topic.MEMBERS:
             self._update_member(fresh, now)
+        return True
 
     def take_fresh(self) -> list[Notice]:
         """Return the notices that became known since the last call."""
@@ -101,7 +112,7 @@
         if self._peers is None:
             self._peers = [
                 member
-                for member in self.members.list_all()
+                for member in self.members.list_unsorted()
                 if member.node != self.own.node
                 and member.state is not MemberState.SILENT
             ]
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+from zinniaspool.core.configuration.messages import (
+    ConfigurationAnswer,
+    ConfigurationAsk,
+)
 from zinniaspool.core.ids import FailureDomainId, Incarnation, NodeId
 from zinniaspool.core.membership.messages import (
     Compare,
@@ -78,4 +82,12 @@
 
 Gossip = Push | Compare | Compared | Join | JoinPage | Probe | Probed
 
-Message = Hello | Accepted | Refused | DomainState | Gossip
+Message = (
+    Hello
+    | Accepted
+    | Refused
+    | DomainState
+    | Gossip
+    | ConfigurationAsk
+    | ConfigurationAnswer
+)
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -18,7 +18,7 @@
 from zinniaspool.entry.fleet import FleetView
 from zinniaspool.entry.relay import Relay
 from zinniaspool.http import HttpServer
-from zinniaspool.node import ConfigurationFollower, NodeFrame
+from zinniaspool.node import NodeFrame
 from zinniaspool.settings import EntrySettings, SettingsError, load_settings
 from zinniaspool.telemetry import configure_logs
 
@@ -51,9 +51,8 @@
         server = HttpServer(self._callers.handle, refuse=refuse_request)
         bound = await server.listen(Address(self._settings.caller_address))
         _log.info("callers-listening", address=bound)
-        follower = ConfigurationFollower(self._frame.store, self._configure)
         async with asyncio.TaskGroup() as tasks:
-            following = tasks.create_task(follower.run())
+            following = tasks.create_task(self._frame.follow(self._configure))
             await self._frame.stopping.wait()
             following.cancel()
         cut = await server.drain(_DRAIN_S)
--- a/src/zinniaspool/node/follower.py
+++ b/src/zinniaspool/node/follower.py
@@ -1,76 +1,218 @@
-"""Follows the accepted configuration in the store."""
+"""Follows the accepted configuration: store, peers and timers round it."""
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Sequence
 
 import msgspec
 import structlog
-from result import Err
+from result import Err, Ok
 
 from zinniaspool.core.configuration import (
     PART_PREFIX,
     ROOT_KEY,
+    Announce,
+    AskPeer,
+    FollowAction,
+    FollowMachine,
+    PartHash,
+    PutInForce,
+    ReadPart,
+    ReadRoot,
+    Root,
+    WatchRoot,
     decode_root,
-    join_parts,
+)
+from zinniaspool.core.configuration.messages import (
+    ConfigurationAnswer,
+    ConfigurationAsk,
+    decode_announcement,
+    encode_announcement,
 )
 from zinniaspool.core.deployment import Configuration
-from zinniaspool.core.ids import Revision
+from zinniaspool.core.ids import Address, NodeId, Revision
+from zinniaspool.core.membership import Notice, Topic
+from zinniaspool.node.board import Board
+from zinniaspool.peers import PeerLinks
 from zinniaspool.platform import Store, StoreFault
 
-__all__ = ["ConfigurationFollower"]
+__all__ = ["ConfigurationFollower", "FollowerState"]
 
 _log = structlog.get_logger(__name__)
+_STEP_S = 0.1
 _WATCH_S = 20.0
-_RETRY_S = 0.5
+_ROOT_NOTICE = "root"
+_KEPT_S = 1e9
+
+
+class FollowerState(msgspec.Struct):
+    """What the state dump says of the configuration.
+
+    Attributes:
+        revision: In force; 0 for none.
+        known_revision: The newest that is known of.
+        missing_parts: Parts that the newest still lacks here.
+        watches: Whether this process watches the store for others.
+        unreadable: A newer revision that this version can't read.
+    """
+
+    revision: Revision
+    known_revision: Revision
+    missing_parts: int
+    watches: bool
+    unreadable: Revision | None
 
 
 class ConfigurationFollower:
-    """Keeps the newest accepted configuration that this process has seen.
+    """Keeps the newest accepted configuration in force in this process.
 
     Args:
+        node: This process.
+        seeds: Peer addresses that the process is told at the start.
         store: The platform's store.
+        board: For notices and members.
+        links: Connections to peers.
         on_change: Called with each newer configuration.
     """
 
     def __init__(
-        self, store: Store, on_change: Callable[[Configuration, Revision], None]
+        self,
+        node: NodeId,
+        seeds: Sequence[Address],
+        store: Store,
+        board: Board,
+        links: PeerLinks,
+        on_change: Callable[[Configuration, Revision], None],
     ) -> None:
-        self.revision = Revision(0)
         self._store = store
+        self._board = board
+        self._links = links
         self._on_change = on_change
+        self._calls: set[asyncio.Task[None]] = set()
+        now = asyncio.get_running_loop().time()
+        self._machine = FollowMachine(node, seeds, random.Random(), now)
+
+    @property
+    def revision(self) -> Revision:
+        """The revision in force; 0 for none."""
+        return self._machine.revision
+
+    def state(self) -> FollowerState:
+        """Return what the state dump shows."""
+        holding = self._machine.holding
+        return FollowerState(
+            holding.revision,
+            holding.known_revision,
+            len(holding.list_missing()),
+            self._machine.watches,
+            holding.unreadable,
+        )
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        while True:
-            fault = await self._read()
-            if fault is None:
-                watched = await self._store.watch(ROOT_KEY, self.revision, _WATCH_S)
-                fault = watched.err()
-            if fault is not None:
-                _log.warning("store-unreachable", fault=fault.value)
-                await asyncio.sleep(_RETRY_S)
-
-    async def _read(self) -> StoreFault | None:
+        self._board.subscribe(Topic.CONFIGURATION, self._take_notice)
+        try:
+            while True:
+                members = self._board.members()
+                joined = self._board.joined
+                self._start(self._machine.step(self._now, members, joined=joined))
+                await asyncio.sleep(_STEP_S)
+        finally:
+            for call in self._calls:
+                call.cancel()
+
+    def answer(self, ask: ConfigurationAsk) -> ConfigurationAnswer:
+        """Return what a peer asks for, as far as it is held here."""
+        return self._machine.holding.answer(ask)
+
+    @property
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _take_notice(self, notice: Notice) -> None:
+        if notice.key != _ROOT_NOTICE:
+            return
+        announcement = decode_announcement(notice.payload)
+        self._start(self._machine.take_notice(announcement, self._now))
+
+    def _start(self, actions: Sequence[FollowAction]) -> None:
+        for action in actions:
+            match action:
+                case Announce():
+                    self._announce(action)
+                case PutInForce():
+                    self._on_change(action.configuration, action.revision)
+                case _:
+                    call = asyncio.create_task(self._call(action))
+                    self._calls.add(call)
+                    call.add_done_callback(self._calls.discard)
+
+    def _announce(self, action: Announce) -> None:
+        payload = encode_announcement(action.announcement)
+        revision = action.announcement.revision
+        self._board.publish(
+            Topic.CONFIGURATION, _ROOT_NOTICE, revision, payload, _KEPT_S
+        )
+
+    async def _call(self, action: FollowAction) -> None:
+        match action:
+            case ReadRoot():
+                await self._read_root()
+            case WatchRoot():
+                await self._watch_root(action.after)
+            case ReadPart():
+                await self._read_part(action.part)
+            case AskPeer():
+                await self._ask_peer(action)
+
+    async def _read_root(self) -> None:
         found = await self._store.get(ROOT_KEY)
         if isinstance(found, Err):
-            return found.err_value
+            self._fail(found.err_value)
+            return
         value = found.ok_value
-        if value is None or value.revision <= self.revision:
-            return None
-        root = decode_root(value.value)
-        contents = {}
-        for name in root.parts.values():
-            part = await self._store.get(PART_PREFIX + name)
-            if isinstance(part, Err):
-                return part.err_value
-            if part.ok_value is not None:
-                contents[name] = part.ok_value.value
-        try:
-            configuration = join_parts(root, contents)
-        except (KeyError, msgspec.MsgspecError) as error:
-            _log.error("configuration-unreadable", error=str(error))
-            return StoreFault.UNKNOWN
-        self.revision = value.revision
-        _log.info("configuration-in-force", revision=value.revision)
-        self._on_change(configuration, value.revision)
+        if value is None:
+            self._start(self._machine.take_root(Revision(0), None, self._now))
+            return
+        self._take_root(value.revision, value.value)
+
+    async def _watch_root(self, after: Revision) -> None:
+        watched = await self._store.watch(ROOT_KEY, after, _WATCH_S)
+        if isinstance(watched, Err):
+            self._fail(watched.err_value)
+            return
+        written = [c for c in watched.ok_value.changes if c.value is not None]
+        if not written or written[-1].value is None:
+            self._start(self._machine.take_root(after, None, self._now))
+            return
+        self._take_root(written[-1].revision, written[-1].value)
+
+    def _take_root(self, revision: Revision, value: str) -> None:
+        root = _read(value)
+        if root is None:
+            _log.error("configuration-unreadable", revision=revision)
+            self._machine.take_store_failure(self._now)
+            return
+        self._start(self._machine.take_root(revision, root, self._now))
+
+    async def _read_part(self, part: PartHash) -> None:
+        found = await self._store.get(PART_PREFIX + part)
+        value = found.ok_value if isinstance(found, Ok) else None
+        content = value.value if value is not None else None
+        self._start(self._machine.take_part(part, content, self._now))
+
+    async def _ask_peer(self, action: AskPeer) -> None:
+        reply = await self._links.ask(action.address, action.message, action.node)
+        answer = reply if isinstance(reply, ConfigurationAnswer) else None
+        self._start(self._machine.take_peer(action, answer, self._now))
+
+    def _fail(self, fault: StoreFault) -> None:
+        _log.warning("store-unreachable", fault=fault.value)
+        self._machine.take_store_failure(self._now)
+
+
+def _read(value: str) -> Root | None:
+    try:
+        return decode_root(value)
+    except msgspec.MsgspecError:
         return None
--- a/src/zinniaspool/node/frame.py
+++ b/src/zinniaspool/node/frame.py
@@ -3,11 +3,20 @@
 import asyncio
 import signal
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import structlog
 
-from zinniaspool.core.ids import Address, FailureDomainId, Incarnation, NodeId
+from zinniaspool.core.configuration.messages import ConfigurationAsk
+from zinniaspool.core.deployment import Configuration
+from zinniaspool.core.ids import (
+    Address,
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    Revision,
+)
 from zinniaspool.core.journal import DecisionKind, Journal
 from zinniaspool.core.membership import (
     Member,
@@ -18,6 +27,8 @@
 from zinniaspool.core.messages import PROTOCOL_VERSION, Gossip, Hello, Message
 from zinniaspool.http import HttpClient, HttpServer
 from zinniaspool.node.board import Board
+from zinniaspool.node.follower import ConfigurationFollower
+from zinniaspool.node.lag import MemberRevision, ask_revisions
 from zinniaspool.node.operators import OperatorInterface
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
 from zinniaspool.platform import HttpStore
@@ -54,6 +65,7 @@
         self._settings = settings
         self._tasks: list[asyncio.Task[None]] = []
         self._handler: PeerHandler | None = None
+        self.follower: ConfigurationFollower | None = None
         self._secret = Path(settings.peer_secret_file).read_text().strip()
         self._listener: PeerListener | None = None
 
@@ -71,12 +83,36 @@
             bound = await server.listen(Address(self._settings.operator_address))
             _log.info("operators-listening", address=bound)
         self.operators.add_section("members", self.members)
+        self.operators.add_answer("/revisions", self._ask_revisions)
         self._tasks = [
             loop.create_task(self.board.run()),
             loop.create_task(self._stop_when_superseded()),
             loop.create_task(self._announce_leaving()),
         ]
 
+    async def follow(
+        self, on_change: Callable[[Configuration, Revision], None]
+    ) -> None:
+        """Keep the accepted configuration in force until cancelled.
+
+        Args:
+            on_change: Called with each newer configuration.
+        """
+        own = Address(self._settings.peer_address)
+        seeds = [Address(s) for s in self._settings.seeds if s != own]
+
+        def change(configuration: Configuration, revision: Revision) -> None:
+            reason = "accepted and whole"
+            subjects = (f"configuration:{revision}",)
+            self.decide(DecisionKind.CONFIGURATION_IN_FORCE, subjects, reason)
+            on_change(configuration, revision)
+
+        self.follower = ConfigurationFollower(
+            self.node, seeds, self.store, self.board, self.links, change
+        )
+        self.operators.add_section("configuration", self.follower.state)
+        await self.follower.run()
+
     def members(self) -> list[Member]:
         """Return the fleet's processes as known here, by name."""
         return self.board.members()
@@ -101,6 +137,8 @@
     async def _handle(self, hello: Hello, message: Message) -> Message | None:
         if isinstance(message, Gossip):
             return await self.board.handle(hello, message)
+        if isinstance(message, ConfigurationAsk):
+            return self.follower.answer(message) if self.follower else None
         if self._handler is None:
             return None
         return await self._handler(hello, message)
@@ -113,6 +151,9 @@
         await self.board.superseded.wait()
         self.stopping.set()
 
+    async def _ask_revisions(self) -> list[MemberRevision]:
+        return await ask_revisions(self.board, self.links)
+
     def _say_hello(self) -> Hello:
         return Hello(
             PROTOCOL_VERSION,
--- a/src/zinniaspool/node/operators.py
+++ b/src/zinniaspool/node/operators.py
@@ -1,6 +1,6 @@
 """The operators' interface of a process: state dump and explanations."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -25,11 +25,16 @@
     def __init__(self, journal: Journal) -> None:
         self._journal = journal
         self._sections: dict[str, Callable[[], Any]] = {}
+        self._answers: dict[str, Callable[[], Awaitable[Any]]] = {}
 
     def add_section(self, name: str, make: Callable[[], Any]) -> None:
         """Add a part of the dump; ``make`` returns what msgspec encodes."""
         self._sections[name] = make
 
+    def add_answer(self, path: str, make: Callable[[], Awaitable[Any]]) -> None:
+        """Add a path; ``make`` returns what msgspec encodes."""
+        self._answers[path] = make
+
     def dump(self) -> bytes:
         """Return the whole state as JSON."""
         state = {name: make() for name, make in sorted(self._sections.items())}
@@ -45,5 +50,8 @@
                 subject = parse_qs(url.query).get("subject", [""])[0]
                 found = self._journal.find(subject)
                 await exchange.respond(200, _JSON, msgspec.json.encode(found))
+            case path if path in self._answers:
+                answer = msgspec.json.encode(await self._answers[path]())
+                await exchange.respond(200, _JSON, answer)
             case _:
                 await exchange.respond(404, _JSON, b"null")
--- a/src/zinniaspool/platform/__init__.py
+++ b/src/zinniaspool/platform/__init__.py
@@ -1,5 +1,11 @@
 """The platform's services as the product meets them: store and VM list."""
 
+from zinniaspool.platform.configurations import (
+    AcceptedRoot,
+    AcceptFault,
+    ConfigurationStore,
+    Proposal,
+)
 from zinniaspool.platform.settled import settle_swap
 from zinniaspool.platform.store import (
     HttpStore,
@@ -13,8 +19,12 @@
 from zinniaspool.platform.vmlist import fetch_vm_list
 
 __all__ = [
+    "AcceptFault",
+    "AcceptedRoot",
+    "ConfigurationStore",
     "HttpStore",
     "LeaseId",
+    "Proposal",
     "Store",
     "StoreChange",
     "StoreFault",
