--- a/src/zinniaspool/core/configuration/following.py
+++ b/src/zinniaspool/core/configuration/following.py
@@ -47,7 +47,9 @@
         retry_s: First pause after a failed call to the store.
         most_retry_s: Longest such pause.
         join_s: Longest wait at the start for peers to be known.
-        fetch_s: Mean pause between two questions to peers for parts.
+        fetch_s: First pause between two questions for parts; it grows with
+            each that brought none.
+        most_fetch_s: Longest such pause.
         peer_tries: Questions to peers before the store is asked for parts.
         store_parts: Parts read from the store at a time.
         asked_in_vote: Peers asked at a time at a start without the store.
@@ -58,8 +60,9 @@
     most_retry_s: float = 15.0
     join_s: float = 2.0
     fetch_s: float = 0.2
+    most_fetch_s: float = 15.0
     peer_tries: int = 6
-    store_parts: int = 8
+    store_parts: int = 16
     asked_in_vote: int = 8
 
 
@@ -212,6 +215,7 @@
         """Take a part that the store answered with, or None."""
         self._fetching -= 1
         if content is not None:
+            self._tries = 0
             self.holding.add_parts((PartContent(part, content),))
         return self._settle(now)
 
@@ -252,7 +256,7 @@
         unknown = self._wanted_from > self.holding.known_revision
         if not (missing or unknown) or self._fetching or now < self._fetch_at:
             return []
-        self._fetch_at = now + self.limits.fetch_s * (0.5 + self._source.random())
+        self._fetch_at = now + self._draw_fetch_pause()
         peers = [
             member
             for member in members
@@ -260,8 +264,9 @@
         ]
         self._tries += 1
         patience = 0 if self.watches else self.limits.peer_tries
-        if missing and (not peers or self._tries > patience):
-            return self._read_parts(missing, now)
+        # While the store fails, peers are the only source, for watchers too.
+        if missing and not self._store_failures and self._tries > patience:
+            return self._read_parts(missing)
         if not peers:
             return []
         peer = self._source.choice(peers)
@@ -270,11 +275,7 @@
         message = ConfigurationAsk(wanted_from, tuple(missing))
         return [AskPeer(peer.node, peer.peer_address, message)]
 
-    def _read_parts(self, missing: list[PartHash], now: float) -> list[FollowAction]:
-        # In an outage the store is asked as rarely for parts as for the root.
-        if self._store_failures and now < self._store_at:
-            self._tries = 0
-            return []
+    def _read_parts(self, missing: list[PartHash]) -> list[FollowAction]:
         chosen = missing[: self.limits.store_parts]
         self._fetching = len(chosen)
         return [ReadPart(part) for part in chosen]
@@ -308,8 +309,15 @@
         self._tries = 0
         self._fetch_at = now
 
+    def _draw_fetch_pause(self) -> float:
+        # Parts that are nowhere to be had must not be asked for by a whole
+        # fleet several times a second.
+        pause_s = self.limits.fetch_s * _FETCH_GROWTH ** min(self._tries, 20)
+        return min(pause_s, self.limits.most_fetch_s) * (0.5 + self._source.random())
+
     def _draw_check_in(self) -> float:
         return self.limits.check_in_s * (0.5 + self._source.random())
 
 
+_FETCH_GROWTH = 1.5
 _VOTE_ASK = ConfigurationAsk()
--- a/src/zinniaspool/core/configuration/parts.py
+++ b/src/zinniaspool/core/configuration/parts.py
@@ -154,8 +154,8 @@
         services=_decode_all(parts, contents, _Kind.SERVICE, ServiceRule),
     )
     domains = _decode_all(parts, contents, _Kind.FABRIC, tuple[Vm, ...])
-    vms = tuple(vm for domain in domains for vm in domain)
-    return Configuration(Inventory(vms), rules)
+    vms = sorted((vm for domain in domains for vm in domain), key=lambda vm: vm.id)
+    return Configuration(Inventory(tuple(vms)), rules)
 
 
 def _decode_all(
--- a/src/zinniaspool/core/membership/__init__.py
+++ b/src/zinniaspool/core/membership/__init__.py
@@ -3,10 +3,10 @@
 from zinniaspool.core.membership.gossip import (
     Action,
     Ask,
-    GossipLimits,
     GossipMachine,
     Tell,
 )
+from zinniaspool.core.membership.limits import GossipLimits
 from zinniaspool.core.membership.members import Member, MemberRecord, MemberState, Role
 from zinniaspool.core.membership.notices import Notice, Topic
 
--- a/src/zinniaspool/core/membership/gossip.py
+++ b/src/zinniaspool/core/membership/gossip.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from zinniaspool.core.ids import Address, NodeId
+from zinniaspool.core.membership.limits import GossipLimits
 from zinniaspool.core.membership.members import (
     Member,
     MemberRecord,
@@ -24,42 +25,12 @@
 from zinniaspool.core.membership.notices import Notice, Topic, measure_notices
 from zinniaspool.core.membership.roster import Roster
 
-__all__ = ["Action", "Ask", "GossipLimits", "GossipMachine", "Tell"]
+__all__ = ["Action", "Ask", "GossipMachine", "Tell"]
 
 _PAGE_BYTES = 16 * 1024
 _SILENT_ROUND_CHANCE = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class GossipLimits:
-    """Rates of gossip; each is of one process, whatever the fleet's size.
-
-    Attributes:
-        round_s: Time between two comparisons with a random peer.
-        push_s: Least time between two pushes.
-        fanout: Peers that get a push.
-        compared: Versions in a comparison beside the configuration's.
-        helpers: Peers that are asked about a member that does not answer.
-        suspicion_s: Time that a suspect has to contradict.
-        silent_kept_s: Time for which a silent member is remembered.
-        stall_s: Time without a step from which this process takes itself
-            to have been frozen.
-        reseed_s: Time between two tries at a seed that is no live member's.
-        bytes_per_s: Most bytes of notices sent a second.
-    """
-
-    round_s: float = 1.0
-    push_s: float = 0.1
-    fanout: int = 3
-    compared: int = 6
-    helpers: int = 2
-    suspicion_s: float = 3.0
-    silent_kept_s: float = 600.0
-    stall_s: float = 2.0
-    reseed_s: float = 10.0
-    bytes_per_s: int = 3000
-
-
 @dataclass(frozen=True, slots=True)
 class Ask:
     """Send a message and hand the answer, or None, to ``take_answer``.
@@ -111,9 +82,7 @@
         limits: GossipLimits | None = None,
     ) -> None:
         self.limits = limits or GossipLimits()
-        self.roster = Roster(
-            own, source, self.limits.suspicion_s, self.limits.silent_kept_s, now
-        )
+        self.roster = Roster(own, source, self.limits, now)
         self._seeds = [seed for seed in seeds if seed != own.peer_address]
         self._source = source
         self._notices = self.roster.notices
--- a/src/zinniaspool/core/membership/roster.py
+++ b/src/zinniaspool/core/membership/roster.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from zinniaspool.core.ids import Incarnation, NodeId
+from zinniaspool.core.membership.limits import GossipLimits
 from zinniaspool.core.membership.members import (
     Member,
     MemberRecord,
@@ -33,8 +34,7 @@
     Args:
         own: What this process says of itself.
         source: The random source.
-        suspicion_s: Time that a suspect has to contradict.
-        silent_kept_s: Time for which a silent member is remembered.
+        limits: Rates and times.
         now: Seconds.
     """
 
@@ -42,16 +42,15 @@
         self,
         own: MemberRecord,
         source: random.Random,
-        suspicion_s: float,
-        silent_kept_s: float,
+        limits: GossipLimits,
         now: float,
     ) -> None:
         self.own = own
         self.superseded_by: Incarnation | None = None
         self.notices = NoticeTable(source)
         self.members = MemberTable()
-        self.suspicions = SuspicionTable(suspicion_s)
-        self._silent_kept_s = silent_kept_s
+        self.suspicions = SuspicionTable(limits.suspicion_s)
+        self._limits = limits
         self._sequence = int(own.incarnation)
         self._fresh: list[Notice] = []
         self._peers: list[Member] | None = None
@@ -144,13 +143,20 @@
         if notice is None or node == self.own.node:
             return
         version = make_version(read_sequence(notice.version), standing)
-        silent = standing is Standing.SILENT
-        lifetime_s = self._silent_kept_s if silent else _LIVE_LIFETIME_S
+        lifetime_s = _LIVE_LIFETIME_S
+        if standing is Standing.SILENT:
+            lifetime_s = self._find_kept_s(node)
         accusation = WireNotice(
             Topic.MEMBERS.value, node, version, notice.payload, 0.0, lifetime_s
         )
         self.put(accusation, now)
 
+    def _find_kept_s(self, node: NodeId) -> float:
+        member = self.members.find(node)
+        if member is not None and member.state is MemberState.LEAVING:
+            return self._limits.leaving_kept_s
+        return self._limits.silent_kept_s
+
     def _contradict(self, notice: WireNotice, now: float) -> None:
         if notice.version <= make_version(self._sequence, Standing.ANSWERS):
             return
--- a/tests/gossip_net.py
+++ b/tests/gossip_net.py
@@ -121,6 +121,10 @@
             self.run(_STEP_S)
         return self.now - began
 
+    def settle(self, node: NodeId) -> None:
+        """Called after each event of a node; hands on what became known."""
+        self.machines[node].take_fresh()
+
     def _after(self, seconds: float, run: Callable[[], None]) -> None:
         event = _Event(self.now + seconds, next(self._numbers), run)
         heapq.heappush(self._events, event)
@@ -135,6 +139,7 @@
             self.steps += 1
             for action in machine.step(self.now):
                 self._carry_out(node, machine, action)
+            self.settle(node)
         self._after(_STEP_S, lambda: self._step(node, machine))
 
     def _carry_out(
@@ -164,6 +169,7 @@
     def _tell(self, node: NodeId, target: NodeId, action: Tell) -> None:
         if target in self.machines and target not in self.frozen:
             self.machines[target].receive(node, action.message, self.now)
+            self.settle(target)
 
     def _ask(
         self, node: NodeId, machine: GossipMachine, target: NodeId, ask: Ask
@@ -179,6 +185,7 @@
                 self._count(target, Compare((), ()))
             else:
                 answer = asked.receive(node, ask.message, self.now)
+                self.settle(target)
             self._count(target, answer)
         lost = not self.reaches(target, node) or self.source.random() < self.loss
         if answer is None or lost:
@@ -196,6 +203,7 @@
             return
         for action in machine.take_answer(ask, answer, self.now):  # type: ignore[arg-type]
             self._carry_out(node, machine, action)
+        self.settle(node)
 
     def _count(self, node: NodeId, message: object) -> None:
         self.messages[node] += 1
