--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -29,6 +29,7 @@
     name_parts,
     split_parts,
 )
+from zinniaspool.core.configuration.votes import StartVote
 from zinniaspool.core.ids import NodeId, Revision
 
 _NODES = [f"n{k}" for k in range(6)]
@@ -185,6 +186,19 @@
     net.run_until(lambda: net.has_everywhere(change), _SETTLE_S)
 
 
+def test_members_that_hold_nothing_do_not_vouch() -> None:
+    """Two of three answer, but one has itself restarted with nothing."""
+    net = _start_net(3, nodes=4)
+    others = [m for m in net.machines[NodeId("n0")].members() if m.node != "n0"]
+    vote = StartVote([])
+    vote.choose(others, 3, 0.0, net.source)
+    vote.take(NodeId("n1"), Revision(1))
+    vote.take(NodeId("n2"), Revision(0))
+    assert vote.decide() is None
+    vote.take(NodeId("n3"), Revision(2))
+    assert vote.decide() == 2
+
+
 def test_a_start_in_an_outage_takes_the_newest_from_its_peers() -> None:
     """Peers hold change 1 and the store is out: the new process has it too."""
     net = _start_net(4)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,8 +9,9 @@
 
 from tests.gossip_net import GossipNet, describe_states
 from zinniaspool.core.ids import NodeId
-from zinniaspool.core.membership import MemberState, Topic
-from zinniaspool.core.membership.messages import Push, WireNotice
+from zinniaspool.core.membership import Ask, MemberState, Topic
+from zinniaspool.core.membership.members import Standing
+from zinniaspool.core.membership.messages import Compare, Compared, Push, WireNotice
 
 _NODES = [f"n{k}" for k in range(6)]
 _SEEDS = _NODES[:2]
@@ -48,6 +49,15 @@
     ]
 
 
+def _find_accused(net: GossipNet) -> set[str]:
+    return {
+        str(member.node)
+        for machine in net.machines.values()
+        for member in machine.members()
+        if machine.roster.find_standing(member.node) is not Standing.ANSWERS
+    }
+
+
 def _is_spread(net: GossipNet) -> bool:
     return set(_find_payloads(net, "key")) == {b"x" * 100}
 
@@ -137,7 +147,7 @@
     net.reaches = lambda a, b: {a, b} != {"n1", "n2"}
     for _ in range(300):
         net.run(0.1)
-        assert _all_hold(net, _NODES, MemberState.READY)
+        assert _find_accused(net) == set()
 
 
 def test_a_frozen_process_accuses_nobody_when_it_wakes() -> None:
@@ -154,11 +164,26 @@
         others = [name for name in _NODES if name != "n4"]
         for _ in range(20):
             net.run(0.1)
-            states = describe_states(net.machines[NodeId("n4")])
-            assert all(states[name] is MemberState.READY for name in others)
+            assert not _find_accused(net) & set(others)
         net.run_until(lambda: _all_hold(net, _NODES, MemberState.READY), 20.0)
 
 
+def test_an_answer_that_timed_out_in_a_freeze_is_no_evidence() -> None:
+    """Its timer is over at the wake-up although the answer lies unread."""
+    net = _start_net()
+    machine = net.machines[NodeId("n4")]
+    asks: list[Ask] = []
+    while not asks:
+        net.now += 0.1
+        asks = [a for a in machine.step(net.now) if isinstance(a, Ask) and a.node]
+    assert machine.take_answer(asks[0], None, net.now + 1.0)
+    assert asks[0].node is not None
+    machine.roster.hear(asks[0].node, net.now)
+    assert machine.take_answer(asks[0], None, net.now + 20.0) == []
+    machine.step(net.now + 20.1)
+    assert machine.take_answer(asks[0], None, net.now + 20.2) == []
+
+
 def test_a_healed_partition_is_noticed_without_seeds() -> None:
     """Both halves held each other silent for minutes and then meet again."""
     net = _start_net()
@@ -212,6 +237,22 @@
     assert new.roster.superseded_by is None
 
 
+def test_a_member_learns_at_once_what_is_held_against_it() -> None:
+    """The answer to its first question tells it, so that it can contradict."""
+    net = _start_net()
+    accuser = net.machines[NodeId("n0")]
+    accuser.roster.accuse(NodeId("n3"), Standing.SILENT, net.now)
+    accuser.roster.notices._hot.clear()  # Told to some others long ago.
+    answer = accuser.receive(NodeId("n3"), Compare((), ()), net.now)
+    assert isinstance(answer, Compared)
+    accused = net.machines[NodeId("n3")]
+    accused.roster.take(answer.notices, net.now)
+    own = accused.roster.notices.find(Topic.MEMBERS, "n3", net.now)
+    assert own is not None
+    accuser.receive(NodeId("n3"), Push((own,)), net.now)
+    assert describe_states(accuser)["n3"] is MemberState.READY
+
+
 @pytest.mark.parametrize("late", [1, 4])
 def test_a_notice_past_its_lifetime_is_forgotten_and_not_taken_again(late: int) -> None:
     net = _start_net()
