Judge attempts in the core; resume streams at the last token passed on

A request could be told "not run" after an attempt whose answer was lost, when a later upstream refused it. The attempts of one request are now one machine that remembers whether any of them may have run; idempotent requests are repeated after a loss within a budget for each customer, others only after a sure refusal. Streams pass on whole events and go on at another upstream after the last id; one that cannot go on is cut, never ended.

Malformed Request-Timeout and Priority headers are refused as malformed.

--- a/src/zinniaspool/entry/callers.py
+++ b/src/zinniaspool/entry/callers.py
@@ -10,6 +10,7 @@
 
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.ids import Address, CustomerId, RequestId
+from zinniaspool.core.requests import CallTerms, parse_timeout, parse_urgency
 from zinniaspool.entry.answers import answer_fault
 from zinniaspool.entry.credentials import Credentials
 from zinniaspool.entry.fleet import FleetView
@@ -102,8 +103,10 @@
             return Err(Fault(ErrorKind.UNKNOWN_SERVICE))
         now = asyncio.get_running_loop().time()
         upstreams = self._fleet.list_groups(model, customer, now)
-        call = self._make_call(exchange, "/generate", idempotent=True)
-        return await self._relay.run(exchange, call, upstreams)
+        made = self._make_call(exchange, customer, "/generate", idempotent=True)
+        if isinstance(made, Err):
+            return made
+        return await self._relay.run(exchange, made.ok_value, upstreams)
 
     async def _call_service(
         self, exchange: Exchange, customer: CustomerId, target: _Target
@@ -114,21 +117,39 @@
         idempotent = not any(
             target.rest.startswith(prefix) for prefix in service.non_idempotent
         )
-        call = self._make_call(exchange, f"/{target.rest}", idempotent=idempotent)
+        made = self._make_call(
+            exchange, customer, f"/{target.rest}", idempotent=idempotent
+        )
+        if isinstance(made, Err):
+            return made
         upstreams = self._fleet.list_service(service)
-        return await self._relay.run(exchange, call, upstreams)
+        return await self._relay.run(exchange, made.ok_value, upstreams)
 
     def _make_call(
-        self, exchange: Exchange, target: str, *, idempotent: bool
-    ) -> RelayedCall:
-        asked = exchange.request.headers.get("request-timeout")
-        left_s = float(asked) if asked else self._default_deadline_s
-        return RelayedCall(
-            RequestId(secrets.token_hex(_ID_BYTES)),
-            target,
-            exchange.request.body,
-            asyncio.get_running_loop().time() + left_s,
-            idempotent,
+        self,
+        exchange: Exchange,
+        customer: CustomerId,
+        target: str,
+        *,
+        idempotent: bool,
+    ) -> Result[RelayedCall, Fault]:
+        headers = exchange.request.headers
+        asked = parse_timeout(headers.get("request-timeout"), self._default_deadline_s)
+        if isinstance(asked, Err):
+            return asked
+        urgency = parse_urgency(headers.get("priority"))
+        if isinstance(urgency, Err):
+            return urgency
+        deadline = asyncio.get_running_loop().time() + asked.ok_value
+        return Ok(
+            RelayedCall(
+                RequestId(secrets.token_hex(_ID_BYTES)),
+                customer,
+                target,
+                exchange.request.body,
+                CallTerms(idempotent, deadline),
+                urgency.ok_value,
+            )
         )
 
 
--- /dev/null
+++ b/src/zinniaspool/entry/sinks.py
@@ -0,0 +1,134 @@
+"""Where an answer goes to."""
+
+from typing import Protocol
+
+from zinniaspool.http import Exchange, Headers, TransportError
+
+__all__ = ["AnswerSink", "KeptAnswer", "KeepingSink"]
+
+MOST_KEPT_BYTES = 256 * 1024
+
+
+class AnswerSink(Protocol):
+    """Takes one answer; an exchange with a caller is one."""
+
+    @property
+    def started(self) -> bool:
+        """Whether any part of the answer has left."""
+        ...
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Take a whole answer."""
+        ...
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Take the head of an answer that comes in parts."""
+        ...
+
+    async def write(self, data: bytes) -> None:
+        """Take one part."""
+        ...
+
+    async def finish(self) -> None:
+        """Take the end of an answer that came in parts."""
+        ...
+
+
+class KeptAnswer:
+    """A whole answer that repeats of its request are given.
+
+    Attributes:
+        status: HTTP status.
+        content_type: Empty where the answer names none.
+        body: All of it, or None where it was too large to keep.
+    """
+
+    __slots__ = ("body", "content_type", "status")
+
+    def __init__(self, status: int, content_type: str, body: bytes | None) -> None:
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+    async def send(self, sink: AnswerSink, request_id: str) -> None:
+        """Give the answer to a caller."""
+        headers = Headers.of(x_request_id=request_id)
+        if self.content_type:
+            headers.add("content-type", self.content_type)
+        await sink.respond(self.status, headers, self.body or b"")
+
+
+class KeepingSink:
+    """Passes an answer on to its caller and keeps it for repeats.
+
+    The caller may go while the answer comes. The request may not be run
+    again, so its answer is still taken to the end and kept: it is all that a
+    caller who comes back with the same key can be given.
+
+    Args:
+        caller: The caller that waits, or None.
+    """
+
+    def __init__(self, caller: Exchange | None) -> None:
+        self.answer: KeptAnswer | None = None
+        self._caller = caller
+        self._status = 0
+        self._content_type = ""
+        self._body: bytearray | None = bytearray()
+
+    @property
+    def started(self) -> bool:
+        """Whether any part of the answer has left."""
+        return self._status != 0
+
+    def leave(self) -> None:
+        """Note that the caller is gone."""
+        self._caller = None
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Keep a whole answer; whoever keeps it passes it on."""
+        await self.start(status, headers, pass_on=False)
+        self._add(body)
+        self.answer = self._make_answer()
+
+    async def start(
+        self, status: int, headers: Headers, *, pass_on: bool = True
+    ) -> None:
+        """Begin to keep an answer that comes in parts, and pass it on."""
+        self._status = status
+        self._content_type = headers.get("content-type") or ""
+        if self._caller is not None and pass_on:
+            try:
+                await self._caller.start(status, headers)
+            except TransportError:
+                self._caller = None
+
+    async def write(self, data: bytes) -> None:
+        """Keep one part and pass it on."""
+        self._add(data)
+        if self._caller is not None:
+            try:
+                await self._caller.write(data)
+            except TransportError:
+                self._caller = None
+
+    async def finish(self) -> None:
+        """Note that the answer is whole."""
+        self.answer = self._make_answer()
+        if self._caller is not None:
+            try:
+                await self._caller.finish()
+            except TransportError:
+                self._caller = None
+
+    def _add(self, data: bytes) -> None:
+        if self._body is None:
+            return
+        if len(self._body) + len(data) > MOST_KEPT_BYTES:
+            self._body = None
+            return
+        self._body += data
+
+    def _make_answer(self) -> KeptAnswer:
+        body = None if self._body is None else bytes(self._body)
+        return KeptAnswer(self._status, self._content_type, body)
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,90 @@
+"""Random orders of attempts: "not run" is true, and once is once."""
+
+from hypothesis import given, strategies as st
+from result import Err
+
+from zinniaspool.core.errors import ANSWERS, ErrorKind, Outcome
+from zinniaspool.core.requests import (
+    AttemptFailure,
+    Attempts,
+    CallTerms,
+    Progress,
+    RetryBudget,
+    parse_timeout,
+    parse_urgency,
+)
+
+_SURE = (AttemptFailure.NOT_SENT, AttemptFailure.REFUSED)
+_steps = st.lists(
+    st.tuples(
+        st.sampled_from(AttemptFailure),
+        st.sampled_from(Progress),
+        st.floats(0, 4),
+    ),
+    max_size=8,
+)
+
+
+@given(_steps, st.booleans(), st.floats(0, 12))
+def test_no_order_of_failures_breaks_a_promise(
+    steps: list[tuple[AttemptFailure, Progress, float]],
+    idempotent: bool,
+    tokens: float,
+) -> None:
+    """The caller reads "not run" only where no attempt can have run.
+
+    Attempts fail in any order. A sure refusal that follows a lost attempt
+    must not turn the answer into "not run", and a non-idempotent request
+    gets no attempt after one that may have run.
+    """
+    budget = RetryBudget(most=tokens)
+    attempts = Attempts(CallTerms(idempotent, 10.0), budget)
+    now, may_have_run, retries = 0.0, False, 0
+    for failure, progress, passed in steps:
+        begun = attempts.begin(now)
+        if isinstance(begun, Err):
+            _check(begun.err_value.kind, may_have_run)
+            return
+        assert idempotent or not may_have_run
+        may_have_run = may_have_run or failure not in _SURE
+        now += passed
+        fault = attempts.judge(failure, progress, now)
+        if fault is not None:
+            _check(fault.kind, may_have_run)
+            return
+        assert progress is not Progress.PARTIAL
+        retries += failure not in _SURE
+        assert retries <= tokens
+    ended = attempts.end_without_upstream(ErrorKind.OVERLOADED)
+    _check(ended.kind, may_have_run)
+
+
+def _check(kind: ErrorKind, may_have_run: bool) -> None:
+    if ANSWERS[kind].outcome is Outcome.NOT_RUN:
+        assert not may_have_run
+
+
+def test_retries_stay_below_a_tenth_of_the_requests() -> None:
+    budget = RetryBudget()
+    granted = 0
+    for _ in range(10_000):
+        budget.deposit()
+        granted += budget.withdraw()
+    assert granted <= 10_000 * 0.1 + 10
+
+
+@given(st.text(max_size=12))
+def test_headers_are_understood_or_refused(text: str) -> None:
+    for parsed in (parse_timeout(text, 5.0), parse_urgency(text)):
+        if isinstance(parsed, Err):
+            assert parsed.err_value.kind is ErrorKind.MALFORMED_REQUEST
+
+
+def test_what_headers_mean() -> None:
+    assert parse_timeout("2.5", 5.0).unwrap() == 2.5
+    assert parse_timeout(None, 5.0).unwrap() == 5.0
+    for wrong in ("soon", "nan", "-1", "0", "1e9", ""):
+        assert parse_timeout(wrong, 5.0).is_err(), wrong
+    assert parse_urgency("u=1, i").unwrap() == 1
+    assert parse_urgency("i").unwrap() == 3
+    assert parse_urgency("u=9").is_err()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,180 @@
+"""The relay between real connections: losses, crossed answers, leaving."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+import pytest
+
+from tests import fakes
+from tests.fakes import FakeUpstream, run_in_loop
+from zinniaspool.core.errors import ErrorKind
+from zinniaspool.core.ids import (
+    Address,
+    CustomerId,
+    FailureDomainId,
+    RequestId,
+    UpstreamId,
+)
+from zinniaspool.core.requests import CallTerms, Upstream
+from zinniaspool.entry.answers import answer_fault
+from zinniaspool.entry.relay import Relay, RelayedCall
+from zinniaspool.http import (
+    Exchange,
+    Headers,
+    HttpClient,
+    HttpServer,
+    Request,
+    TransportError,
+    TransportFailure,
+)
+
+_TOKENS = b"".join(b"id: %d\ndata: t%d\n\n" % (k, k) for k in range(1, 7))
+_WHOLE = _TOKENS + b"event: done\ndata: {}\n\n"
+
+
+class _Entry:
+    """A relay behind a server, as callers meet it."""
+
+    def __init__(self, upstreams: list[FakeUpstream], idempotent: bool) -> None:
+        self.faults: list[ErrorKind] = []
+        self._relay = Relay(HttpClient(), random.Random(0))
+        self._upstreams = [
+            Upstream(UpstreamId(u.address), u.address, FailureDomainId("d"), 8)
+            for u in upstreams
+        ]
+        self._idempotent = idempotent
+
+    async def handle(self, exchange: Exchange) -> None:
+        deadline = asyncio.get_running_loop().time() + 5.0
+        call = RelayedCall(
+            RequestId("r1"),
+            CustomerId("care"),
+            "/generate",
+            exchange.request.body,
+            CallTerms(self._idempotent, deadline),
+        )
+        ended = await self._relay.run(exchange, call, self._upstreams)
+        if ended.is_err():
+            self.faults.append(ended.unwrap_err().kind)
+            await answer_fault(exchange, ended.unwrap_err())
+
+
+async def _ask(
+    upstreams: list[FakeUpstream], idempotent: bool = True
+) -> tuple[_Entry, int, bytes]:
+    for upstream in upstreams:
+        await upstream.listen()
+    entry = _Entry(upstreams, idempotent)
+    server = HttpServer(entry.handle)
+    address = await server.listen(Address("127.0.0.1:0"))
+    request = Request("POST", "/", Headers(), b"{}")
+    try:
+        status, body = await HttpClient().fetch(address, request, 10.0)
+    finally:
+        await server.drain(0.0)
+        for upstream in upstreams:
+            await upstream.close()
+    return entry, status, body
+
+
+async def _wait_for_first(events: Iterable[asyncio.Event]) -> None:
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    _, left = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in left:
+        wait.cancel()
+
+
+@pytest.mark.parametrize("first", [fakes.cut, fakes.cross])
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_lost_answer_is_asked_for_again_only_where_that_is_harmless(
+    first: fakes.Behaviour, idempotent: bool
+) -> None:
+    """The caller of an idempotent request sees one answer, its own.
+
+    The upstream runs the request and its answer is lost, or another's comes
+    in its place. A non-idempotent one must end there: nobody can tell
+    whether it ran.
+    """
+
+    async def trial() -> None:
+        behaviours = [first, fakes.answer("own")]
+        upstream = FakeUpstream(behaviours)
+        other = FakeUpstream(behaviours)
+        entry, status, body = await _ask([upstream, other], idempotent)
+        runs = len(upstream.calls) + len(other.calls)
+        if idempotent:
+            assert (runs, status, body) == (2, 200, b'"own"')
+        else:
+            assert (runs, status) == (1, 502)
+            assert entry.faults == [ErrorKind.UPSTREAM_LOST]
+        assert b"rival" not in body
+
+    run_in_loop(trial)
+
+
+def test_a_refusal_is_taken_elsewhere_also_where_once_is_promised() -> None:
+    async def trial() -> None:
+        refusing = FakeUpstream([fakes.refuse])
+        answering = FakeUpstream([fakes.answer("own")])
+        _, status, body = await _ask([refusing, answering], idempotent=False)
+        assert (status, body) == (200, b'"own"')
+        assert len(answering.calls) == 1
+
+    run_in_loop(trial)
+
+
+def test_a_stream_goes_on_at_another_upstream() -> None:
+    """The caller reads one whole stream.
+
+    Each upstream is lost after two tokens, inside the third; the next is
+    asked to go on after the last whole one.
+    """
+
+    async def trial() -> None:
+        lossy = [fakes.stream(6, lose_after=2)]
+        upstreams = [FakeUpstream(lossy), FakeUpstream(lossy), FakeUpstream(lossy)]
+        _, status, body = await _ask(upstreams)
+        assert (status, body) == (200, _WHOLE)
+
+    run_in_loop(trial)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_stream_that_cannot_go_on_is_cut_and_never_ended(idempotent: bool) -> None:
+    """The caller sees a broken connection in place of a short answer.
+
+    The only upstream is lost in mid-stream. A clean end would make the part
+    that has come look like the whole.
+    """
+
+    async def trial() -> None:
+        with pytest.raises(TransportError) as caught:
+            await _ask([FakeUpstream([fakes.stream(6, lose_after=2)])], idempotent)
+        assert caught.value.failure is TransportFailure.CUT
+
+    run_in_loop(trial)
+
+
+def test_an_upstream_stops_when_the_caller_goes() -> None:
+    """The engine's work ends at once with the caller's connection.
+
+    The caller leaves while the upstream computes; the request must go to no
+    other upstream either.
+    """
+
+    async def trial() -> None:
+        upstreams = [FakeUpstream([fakes.hang]), FakeUpstream([fakes.hang])]
+        for upstream in upstreams:
+            await upstream.listen()
+        server = HttpServer(_Entry(upstreams, idempotent=True).handle)
+        address = await server.listen(Address("127.0.0.1:0"))
+        request = Request("POST", "/", Headers(), b"{}")
+        asking = asyncio.create_task(HttpClient().fetch(address, request, 10.0))
+        await _wait_for_first(upstream.called for upstream in upstreams)
+        asking.cancel()
+        await _wait_for_first(upstream.left for upstream in upstreams)
+        await server.drain(5.0)
+        assert sum(len(upstream.calls) for upstream in upstreams) == 1
+
+    run_in_loop(trial)
