--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -98,6 +98,13 @@
     await asyncio.Event().wait()
 
 
+async def stall(exchange: Exchange, echo: Headers) -> None:
+    """Stream one token, then nothing more."""
+    await exchange.start(200, echo)
+    await exchange.write(b"id: 1\ndata: t1\n\n")
+    await asyncio.Event().wait()
+
+
 def stream(count: int, lose_after: int | None = None) -> Behaviour:
     """Stream tokens from where the request says, or lose the stream."""
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,6 +1,6 @@
 """Random orders of attempts: "not run" is true, and once is once."""
 
-from hypothesis import given, strategies as st
+from hypothesis import example, given, strategies as st
 from result import Err
 
 from zinniaspool.core.errors import ANSWERS, ErrorKind, Outcome
@@ -25,6 +25,9 @@
 )
 
 
+@example([(AttemptFailure.LOST, Progress.NOTHING, 0.0)] * 2, True, 1.0)
+@example([(AttemptFailure.LOST, Progress.NOTHING, 0.0)], False, 9.0)
+@example([(f, Progress.NOTHING, 0.0) for f in AttemptFailure], True, 9.0)
 @given(_steps, st.booleans(), st.floats(0, 12))
 def test_no_order_of_failures_breaks_a_promise(
     steps: list[tuple[AttemptFailure, Progress, float]],
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterable
 
 import pytest
+from result import Result
 
 from tests import fakes
 from tests.fakes import FakeUpstream, run_in_loop
-from zinniaspool.core.errors import ErrorKind
+from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.ids import (
     Address,
     CustomerId,
@@ -19,6 +20,7 @@
 from zinniaspool.core.requests import CallTerms, Upstream
 from zinniaspool.entry.answers import answer_fault
 from zinniaspool.entry.relay import Relay, RelayedCall
+from zinniaspool.entry.sinks import AnswerSink, KeepingSink
 from zinniaspool.http import (
     Exchange,
     Headers,
@@ -45,16 +47,15 @@
         ]
         self._idempotent = idempotent
 
-    async def handle(self, exchange: Exchange) -> None:
+    async def run(self, sink: AnswerSink) -> Result[None, Fault]:
         deadline = asyncio.get_running_loop().time() + 5.0
-        call = RelayedCall(
-            RequestId("r1"),
-            CustomerId("care"),
-            "/generate",
-            exchange.request.body,
-            CallTerms(self._idempotent, deadline),
-        )
-        ended = await self._relay.run(exchange, call, self._upstreams)
+        terms = CallTerms(self._idempotent, deadline)
+        customer = CustomerId("care")
+        call = RelayedCall(RequestId("r1"), customer, "/generate", b"{}", terms)
+        return await self._relay.run(sink, call, self._upstreams)
+
+    async def handle(self, exchange: Exchange) -> None:
+        ended = await self.run(exchange)
         if ended.is_err():
             self.faults.append(ended.unwrap_err().kind)
             await answer_fault(exchange, ended.unwrap_err())
@@ -156,15 +157,16 @@
     run_in_loop(trial)
 
 
-def test_an_upstream_stops_when_the_caller_goes() -> None:
+@pytest.mark.parametrize("act", [fakes.hang, fakes.stall])
+def test_an_upstream_stops_when_the_caller_goes(act: fakes.Behaviour) -> None:
     """The engine's work ends at once with the caller's connection.
 
-    The caller leaves while the upstream computes; the request must go to no
-    other upstream either.
+    The caller leaves before or after the first token; the request must go to
+    no other upstream either.
     """
 
     async def trial() -> None:
-        upstreams = [FakeUpstream([fakes.hang]), FakeUpstream([fakes.hang])]
+        upstreams = [FakeUpstream([act]), FakeUpstream([act])]
         for upstream in upstreams:
             await upstream.listen()
         server = HttpServer(_Entry(upstreams, idempotent=True).handle)
@@ -178,3 +180,31 @@
         assert sum(len(upstream.calls) for upstream in upstreams) == 1
 
     run_in_loop(trial)
+
+
+class _ClosedSink(KeepingSink):
+    """A caller whose connection fails at the first part of the answer."""
+
+    async def write(self, data: bytes) -> None:
+        raise TransportError(TransportFailure.CUT, "the caller is gone")
+
+
+def test_a_caller_that_fails_is_not_taken_for_a_lost_upstream() -> None:
+    """Nothing is sent to another upstream for a caller that has gone.
+
+    Writing to the caller raises just what reading from a lost upstream
+    does, in the middle of a stream that could be resumed.
+    """
+
+    async def trial() -> None:
+        upstreams = [FakeUpstream([fakes.stream(6)]) for _ in range(2)]
+        for upstream in upstreams:
+            await upstream.listen()
+        entry = _Entry(upstreams, idempotent=True)
+        with pytest.raises(TransportError):
+            await entry.run(_ClosedSink(None))
+        assert sum(len(upstream.calls) for upstream in upstreams) == 1
+        for upstream in upstreams:
+            await upstream.close()
+
+    run_in_loop(trial)
