--- a/src/zinniaspool/cli/main.py
+++ b/src/zinniaspool/cli/main.py
@@ -1,70 +1,21 @@
-"""Composition root of ``zinniaspool``."""
+"""Composition root of ``zinniaspool``: one module for each command family."""
 
-import asyncio
-import getpass
-import secrets
-from pathlib import Path
-from typing import Annotated
-
-import json5
-import msgspec
 import typer
-from result import Err
 
-from zinniaspool.core.configuration import (
-    PART_PREFIX,
-    ROOT_KEY,
-    Root,
-    encode_root,
-    split_parts,
-)
-from zinniaspool.core.deployment import Configuration, Inventory, Rules
-from zinniaspool.core.ids import Address, Revision
-from zinniaspool.http import HttpClient
-from zinniaspool.platform import HttpStore, settle_swap
+from zinniaspool.cli import checking, configuration, groups, processes
 
 __all__ = ["main"]
 
 _app = typer.Typer(no_args_is_help=True, add_completion=False)
 
-_Store = Annotated[str, typer.Option("--store", help="Address of the store.")]
-
 
 @_app.callback()
 def _describe() -> None:
     """Drive a zinniaspool fleet."""
 
 
-@_app.command()
-def apply(inventory: Path, rules: Path, store: _Store) -> None:
-    """Make an inventory and rules the accepted configuration."""
-    configuration = Configuration(
-        msgspec.convert(json5.loads(inventory.read_text()), type=Inventory),
-        msgspec.convert(json5.loads(rules.read_text()), type=Rules),
-    )
-    revision = asyncio.run(_apply(configuration, Address(store)))
-    typer.echo(f"accepted revision={revision}")
-
-
-async def _apply(configuration: Configuration, address: Address) -> Revision:
-    http = HttpClient()
-    store = HttpStore(http, (address,))
-    current = (await store.get(ROOT_KEY)).unwrap()
-    parts = split_parts(configuration)
-    for name, content in parts.items():
-        await store.swap(PART_PREFIX + name, content, Revision(0))
-    root = Root(
-        secrets.token_hex(8),
-        getpass.getuser(),
-        {f"part-{k}": name for k, name in enumerate(parts)},
-    )
-    base = current.revision if current else Revision(0)
-    written = await settle_swap(store, ROOT_KEY, encode_root(root), base)
-    http.close()
-    if isinstance(written, Err):
-        typer.echo(f"not accepted: {written.err_value.value}", err=True)
-        raise typer.Exit(1)
-    return written.ok_value
+for _family in (checking, configuration, groups, processes):
+    _app.add_typer(_family.commands)
 
 
 def main() -> None:
