Check settings, inventory and rules whole, with file and line

One parse of comments blanked in place and the standard library's JSON give values and lines; pydantic names all faults of types at once, and a pure validation in core/validation judges references, guarantees, groups that can form, duplicates and fabric domains. `zinniaspool check` and `apply` use the same functions. docs/settings.md, docs/errors.md and docs/log-events.md are made from the code by tools/write_references.py and a test compares them.

--- a/src/zinniaspool/cli/checking.py
+++ b/src/zinniaspool/cli/checking.py
@@ -1,7 +1,70 @@
 """Commands that check files before they are used."""
 
+from pathlib import Path
+from typing import Any
+
 import typer
 
+from zinniaspool.core.deployment import Inventory, Rules
+from zinniaspool.settings import (
+    ControlSettings,
+    Document,
+    EntrySettings,
+    FileFault,
+    Part,
+    SettingsError,
+    check_document,
+    check_parts,
+    list_keys,
+    load_document,
+)
+
 __all__ = ["commands"]
 
 commands = typer.Typer()
+
+_KINDS: tuple[type[Any], ...] = (Inventory, Rules, ControlSettings, EntrySettings)
+
+
+@commands.command()
+def check(files: list[Path]) -> None:
+    """Check settings, inventory and rules; name every fault of every file.
+
+    What a file is shows from its keys. An inventory and rules that are given
+    together are also checked against each other.
+    """
+    faults: list[FileFault] = []
+    parts: dict[type[Any], Part[Any]] = {}
+    for file in files:
+        try:
+            document = load_document(file)
+            kind = _recognize(document)
+            parts[kind] = Part(document, check_document(document, kind))
+        except SettingsError as error:
+            faults += error.faults
+    faults += check_parts(parts.get(Inventory), parts.get(Rules))
+    for fault in faults:
+        typer.echo(str(fault), err=True)
+    if faults:
+        raise typer.Exit(1)
+    typer.echo(f"{len(files)} files, no faults")
+
+
+def _recognize(document: Document) -> type[Any]:
+    """Return the type that shares most keys with a document."""
+    value = document.value
+    found = set(value) if isinstance(value, dict) else set()
+    kind = max(_KINDS, key=lambda kind: len(found & set(list_keys(kind, ()))))
+    if found & set(list_keys(kind, ())):
+        return kind
+    raise SettingsError(
+        [
+            FileFault(
+                document.file,
+                1,
+                "",
+                "no key of any known file",
+                "settings of a process, an inventory or rules",
+            )
+        ]
+    )
--- a/src/zinniaspool/cli/configuration.py
+++ b/src/zinniaspool/cli/configuration.py
@@ -5,8 +5,6 @@
 import secrets
 from pathlib import Path
 
-import json5
-import msgspec
 import typer
 from result import Err
 
@@ -18,10 +16,11 @@
     encode_root,
     split_parts,
 )
-from zinniaspool.core.deployment import Configuration, Inventory, Rules
+from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Address, Revision
 from zinniaspool.http import HttpClient
 from zinniaspool.platform import HttpStore, settle_swap
+from zinniaspool.settings import SettingsError, load_configuration
 
 __all__ = ["commands"]
 
@@ -31,10 +30,11 @@
 @commands.command()
 def apply(inventory: Path, rules: Path, store: StoreOption) -> None:
     """Make an inventory and rules the accepted configuration."""
-    configuration = Configuration(
-        msgspec.convert(json5.loads(inventory.read_text()), type=Inventory),
-        msgspec.convert(json5.loads(rules.read_text()), type=Rules),
-    )
+    try:
+        configuration = load_configuration(inventory, rules)
+    except SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(2) from error
     revision = asyncio.run(_apply(configuration, Address(store)))
     typer.echo(f"accepted revision={revision}")
 
--- a/src/zinniaspool/core/deployment.py
+++ b/src/zinniaspool/core/deployment.py
@@ -60,7 +60,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Inventory:
-    """The VMs as exported by the operators."""
+    """The VMs as exported by the operators.
+
+    Attributes:
+        vms: All VMs that replica groups may be formed of.
+    """
 
     vms: tuple[Vm, ...]
 
@@ -125,7 +129,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceUpstream:
-    """One address of a plain service."""
+    """One address of a plain service.
+
+    Attributes:
+        address: Where it listens.
+        failure_domain: Where it runs.
+    """
 
     address: Address
     failure_domain: FailureDomainId
@@ -169,7 +178,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """What the operators add to the inventory."""
+    """What the operators add to the inventory.
+
+    Attributes:
+        customers: Who shares the fleet, and the VMs that each may use.
+        models: What runs on replica groups.
+        services: Plain services that requests are routed to as well.
+        repair: The weights of the two costs of repair.
+        fencing: What engines do with an order that carries an old epoch.
+        weight_store_gb_per_s: Rate limit of the weight store.
+    """
 
     customers: tuple[CustomerRule, ...]
     models: tuple[ModelRule, ...]
--- a/src/zinniaspool/core/journal.py
+++ b/src/zinniaspool/core/journal.py
@@ -14,13 +14,28 @@
     """What was decided; the value is the name of the log event."""
 
     CONFIGURATION_IN_FORCE = "configuration-in-force"
+    """A newer configuration is in force in this process."""
+
     DOMAIN_HELD = "domain-held"
+    """This process took a fabric domain's lease."""
+
     DOMAIN_RELEASED = "domain-released"
+    """This process no longer holds a fabric domain's lease."""
+
     GROUP_FORMED = "group-formed"
+    """A plan with a new group was accepted."""
+
     GROUP_DISSOLVED = "group-dissolved"
+    """A plan without this group was accepted."""
+
     ORDER_SENT = "order-sent"
+    """An engine was given an order."""
+
     ATTEMPT_FAILED = "attempt-failed"
+    """One attempt upstream failed."""
+
     REQUEST_REFUSED = "request-refused"
+    """A request was not run."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/settings/types.py
+++ b/src/zinniaspool/settings/types.py
@@ -1,8 +1,65 @@
 """What can be set, with its units and defaults."""
 
-from pydantic import BaseModel, ConfigDict, Field
+from pathlib import Path
+from typing import Annotated
 
-__all__ = ["ControlSettings", "EntrySettings", "NodeSettings"]
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationInfo
+
+from zinniaspool.core.validation import is_address
+
+__all__ = [
+    "ControlSettings",
+    "EntrySettings",
+    "NodeSettings",
+    "TlsFiles",
+    "check_address",
+]
+
+
+def check_address(value: str) -> str:
+    """Return an address, once it is an IP number and a port.
+
+    Raises:
+        ValueError: It is not.
+    """
+    if not is_address(value, least_port=0):
+        raise ValueError('an IP number and a port, as "10.0.0.1:8080"')
+    return value
+
+
+def _check_address_or_empty(value: str) -> str:
+    return check_address(value) if value else value
+
+
+def _check_file(value: str, info: ValidationInfo) -> str:
+    if not (info.context or {}).get("on_vm", True):
+        return value
+    try:
+        with Path(value).open("rb"):
+            return value
+    except OSError as error:
+        raise ValueError(f"a readable file ({error.strerror})") from error
+
+
+_Address = Annotated[str, AfterValidator(check_address)]
+_OptionalAddress = Annotated[str, AfterValidator(_check_address_or_empty)]
+_File = Annotated[str, AfterValidator(_check_file)]
+
+
+class TlsFiles(BaseModel):
+    """Files of one side's TLS, in PEM."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    certificate_file: _File = Field(description="Certificate chain.")
+    key_file: _File = Field(description="Private key of the certificate.")
+    authority_file: _File | None = Field(
+        default=None,
+        description=(
+            "Authorities whose certificates the other side must show; required "
+            "for peers, optional for callers."
+        ),
+    )
 
 
 class NodeSettings(BaseModel):
@@ -14,29 +71,47 @@
     failure_domain: str = Field(
         min_length=1, description="The failure domain that its VM is in."
     )
-    peer_address: str = Field(description="IP number and port for its peers.")
-    store_addresses: tuple[str, ...] = Field(
+    peer_address: _Address = Field(description="IP number and port for its peers.")
+    store_addresses: tuple[_Address, ...] = Field(
         min_length=1, description="The platform's key-value service."
     )
-    vm_list_address: str = Field(description="The platform's list of VMs.")
-    peer_secret_file: str = Field(
+    vm_list_address: _Address = Field(description="The platform's list of VMs.")
+    peer_secret_file: _File = Field(
         description="File that holds the secret which shows peers to each other."
     )
-    operator_address: str = Field(
+    operator_address: _OptionalAddress = Field(
         default="", description="IP number and port for operators; empty for none."
     )
-    seeds: tuple[str, ...] = Field(
+    operators_file: _File | None = Field(
+        default=None,
+        description=(
+            "File that names the operator of each credential; without it the "
+            "operator address answers only callers on the loopback interface."
+        ),
+    )
+    seeds: tuple[_Address, ...] = Field(
         default=(), description="Peer addresses to ask at the start."
     )
+    peer_tls: TlsFiles | None = Field(
+        default=None, description="TLS between processes; without it, none."
+    )
+    credentials_reload_s: float = Field(
+        default=2.0,
+        gt=0,
+        description="Seconds between two looks at whether a credential file changed.",
+    )
 
 
 class EntrySettings(NodeSettings):
     """Settings of ``zinniaspool-entry``."""
 
-    caller_address: str = Field(description="IP number and port for callers.")
-    credentials_file: str = Field(
+    caller_address: _Address = Field(description="IP number and port for callers.")
+    credentials_file: _File = Field(
         description="File that names the customer of each credential."
     )
+    caller_tls: TlsFiles | None = Field(
+        default=None, description="TLS towards callers; without it, none."
+    )
     report_stale_s: float = Field(
         default=2.0, gt=0, description="Age from which an engine report is void."
     )
--- /dev/null
+++ b/src/zinniaspool/telemetry/events.py
@@ -0,0 +1,37 @@
+"""The closed list of log events that are no decisions of the journal."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+__all__ = ["LOG_EVENTS"]
+
+LOG_EVENTS: Mapping[str, str] = MappingProxyType(
+    {
+        "answer-foreign": "An upstream's answer named another request; dropped.",
+        "attempt-failed": "One attempt upstream failed.",
+        "callers-listening": "The callers' address is open.",
+        "configuration-unreadable": "The store holds what is no configuration.",
+        "credentials-changed": "A credential file changed and is in use.",
+        "credentials-unreadable": "A changed credential file is not usable; the "
+        "credentials in use stay.",
+        "domain-held": "This process took a fabric domain's lease.",
+        "drained": "The last request ended, or was cut when the time was up.",
+        "dump-written": "A state dump was written, as a signal asked.",
+        "group-planned": "A plan with this group was accepted.",
+        "handler-failed": "A fault of the program in one request; its connection "
+        "was cut.",
+        "operators-listening": "The operators' address is open.",
+        "operator-refused": "An operator's request had no accepted credential.",
+        "order-sent": "An engine answered an order.",
+        "order-unanswered": "An engine did not answer an order.",
+        "peer-dropped": "A peer's connection broke the protocol or was lost.",
+        "peer-refused": "A peer showed a wrong secret or an unknown version.",
+        "peer-unreachable": "A peer could not be reached or did not answer.",
+        "peers-listening": "The peers' address is open.",
+        "connection-failed": "A connection ended in an error of its transport.",
+        "connection-refused": "There were too many connections open.",
+        "request-failed": "A caller's request ended in an error.",
+        "request-refused": "A request broke the server's limits or HTTP.",
+        "store-unreachable": "The store could not be read.",
+    }
+)
