--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -20,6 +20,7 @@
         "group-planned": "A plan with this group was accepted.",
         "handler-failed": "A fault of the program in one request; its connection "
         "was cut.",
+        "notice-unreadable": "A notice of a peer could not be used; dropped.",
         "operators-listening": "The operators' address is open.",
         "operator-refused": "An operator's request had no accepted credential.",
         "order-sent": "An engine answered an order.",
@@ -33,5 +34,6 @@
         "request-failed": "A caller's request ended in an error.",
         "request-refused": "A request broke the server's limits or HTTP.",
         "store-unreachable": "The store could not be read.",
+        "superseded": "A later start of this node is known; this one stops.",
     }
 )
