--- a/src/zinniaspool_standins/kvstore.py
+++ b/src/zinniaspool_standins/kvstore.py
@@ -13,7 +13,7 @@
     WatchBatch,
 )
 
-__all__ = ["KeyValueState", "StoreFaults"]
+__all__ = ["CallBudget", "KeyValueState", "StoreFaults"]
 
 MOST_VALUE_BYTES = 1_000_000
 _KEPT_CHANGES = 100_000
@@ -28,13 +28,38 @@
         delay_s: Every call waits this long before it takes effect.
         lose_answers: How many of the next writes take effect and have their
             answers lost.
+        hang: Every call waits until this is switched off.
         calls_per_s: Most calls a second, a waiting watch counted as one.
+        writes_per_s: Most writes among them a second.
     """
 
     out: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
+    hang: bool = False
     calls_per_s: float = 2000.0
+    writes_per_s: float = 400.0
+
+
+class CallBudget:
+    """How many calls may still be made within a rate, a second's worth.
+
+    Args:
+        per_s: The rate; also the most that can be saved up.
+    """
+
+    def __init__(self, per_s: float) -> None:
+        self._left = per_s
+        self._at = 0.0
+
+    def take(self, per_s: float, now: float) -> bool:
+        """Count a call; False when the rate is used up."""
+        self._left = min(per_s, self._left + (now - self._at) * per_s)
+        self._at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
 
 
 @dataclass(slots=True)
--- a/src/zinniaspool_standins/platform.py
+++ b/src/zinniaspool_standins/platform.py
@@ -1,12 +1,16 @@
 """Stand-in of the platform: key-value service, VM list, over HTTP and JSON.
 
-Run as ``python -m zinniaspool_standins.platform --listen 127.0.0.1:7000``.
-Faults are switched on by ``POST /faults`` and VMs are listed by
-``PUT /vms/ID`` (``live``, ``leaving``) and ``DELETE /vms/ID``.
+Run as ``python -m zinniaspool_standins.platform --listen ADDRESS``, with
+``--listen`` as often as there are addresses: a process that is given one of
+its own can be cut off alone. Faults are switched on by ``POST /faults`` and
+VMs are listed by ``PUT /vms/ID`` (``live``, ``leaving``) and ``DELETE
+/vms/ID``. ``GET /calls`` counts the calls by kind.
 """
 
 import asyncio
 from collections import Counter
+from collections.abc import Sequence
+from functools import partial
 from typing import Annotated, Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -15,15 +19,27 @@
 
 from zinniaspool.core.ids import Address, Revision, VmId
 from zinniaspool.core.plans import VmListing, VmListState
-from zinniaspool.http import Exchange, Headers, HttpServer, ServerLimits
+from zinniaspool.http import Exchange, HttpServer, ServerLimits
 from zinniaspool.platform.store import LeaseId, StoreFault
-from zinniaspool_standins.kvstore import MOST_VALUE_BYTES, KeyValueState, StoreFaults
-from zinniaspool_standins.serving import run_until_stopped
+from zinniaspool_standins.kvstore import (
+    MOST_VALUE_BYTES,
+    CallBudget,
+    KeyValueState,
+    StoreFaults,
+)
+from zinniaspool_standins.serving import answer_json, run_until_stopped
 
 __all__ = ["PlatformStandIn"]
 
-_JSON = Headers.of(content_type="application/json")
 _LAPSE_EVERY_S = 0.02
+_STORE_FAULTS = (
+    "out",
+    "delay_s",
+    "lose_answers",
+    "hang",
+    "calls_per_s",
+    "writes_per_s",
+)
 
 
 class _Swap(msgspec.Struct):
@@ -36,12 +52,15 @@
     ttl_s: float
 
 
-class _Faults(msgspec.Struct):
+class _Faults(msgspec.Struct, forbid_unknown_fields=True):
     out: bool | None = None
     delay_s: float | None = None
     lose_answers: int | None = None
+    hang: bool | None = None
     calls_per_s: float | None = None
+    writes_per_s: float | None = None
     vm_list_lag_s: float | None = None
+    cut_off: list[Address] | None = None
 
 
 class PlatformStandIn:
@@ -54,19 +73,30 @@
         self.calls: Counter[str] = Counter()
         self._vms: dict[VmId, VmListing] = {}
         self._changed = asyncio.Event()
-        self._tokens = self.faults.calls_per_s
-        self._refilled = 0.0
+        self._call_budget = CallBudget(self.faults.calls_per_s)
+        self._write_budget = CallBudget(self.faults.writes_per_s)
+        self._cut_off: frozenset[Address] = frozenset()
 
-    async def serve(self, listen: Address) -> None:
-        """Serve until the process is stopped."""
+    async def serve(self, listen: Sequence[Address]) -> None:
+        """Serve at every address until the process is stopped."""
         limits = ServerLimits(body_bytes=2 * MOST_VALUE_BYTES)
-        server = HttpServer(self.handle, limits)
-        bound = await server.listen(listen)
+        servers = []
+        for address in listen:
+            handler = partial(self._handle_at, address)
+            servers.append(HttpServer(handler, limits))
+            await servers[-1].listen(address)
         async with asyncio.TaskGroup() as tasks:
             lapsing = tasks.create_task(self._lapse_leases())
-            await run_until_stopped("platform", bound)
+            await run_until_stopped("platform", listen[0])
             lapsing.cancel()
-        await server.drain(0.0)
+        for server in servers:
+            await server.drain(0.0)
+
+    async def _handle_at(self, address: Address, exchange: Exchange) -> None:
+        if address not in self._cut_off:
+            await self.handle(exchange)
+        if address in self._cut_off:
+            exchange.abort()
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
@@ -78,7 +108,7 @@
             await self._handle_vms(exchange, url.path)
             return
         if url.path == "/calls":
-            await _answer(exchange, 200, dict(self.calls))
+            await answer_json(exchange, 200, dict(self.calls))
             return
         await self._handle_store(exchange, url.path, parse_qs(url.query))
 
@@ -88,11 +118,13 @@
         method = exchange.request.method
         self.calls[f"{method} {path.split('/')[1]}"] += 1
         if self.faults.out:
-            await _answer(exchange, 503, None)
+            await answer_json(exchange, 503, None)
             return
-        if not self._take_token():
-            await _answer(exchange, 429, None)
+        if not self._admit_call(method):
+            await answer_json(exchange, 429, None)
             return
+        while self.faults.hang:
+            await self._changed.wait()
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
         parts = path.split("/", 2)
@@ -111,21 +143,21 @@
             case "watch", "GET":
                 await self._watch(exchange, query)
             case _:
-                await _answer(exchange, 400, None)
+                await answer_json(exchange, 400, None)
 
     async def _read(
         self, exchange: Exchange, parts: list[str], query: dict[str, list[str]]
     ) -> None:
         if parts[-1] == parts[1]:
-            await _answer(exchange, 200, self.state.list(query["prefix"][0]))
+            await answer_json(exchange, 200, self.state.list(query["prefix"][0]))
             return
         value = self.state.get(unquote(parts[2]))
-        await _answer(exchange, 200 if value else 404, value)
+        await answer_json(exchange, 200 if value else 404, value)
 
     async def _write(self, exchange: Exchange, key: str) -> None:
         body = msgspec.json.decode(exchange.request.body, type=_Swap)
         if len(body.value.encode()) > MOST_VALUE_BYTES:
-            await _answer(exchange, 413, None)
+            await answer_json(exchange, 413, None)
             return
         lease = LeaseId(body.lease) if body.lease else None
         written = self.state.swap(key, body.value, Revision(body.expected), lease)
@@ -166,18 +198,18 @@
             except TimeoutError:
                 break
             batch = self.state.changes(prefix, after)
-        await _answer(exchange, 503 if self.faults.out else 200, batch)
+        await answer_json(exchange, 503 if self.faults.out else 200, batch)
 
     async def _handle_vms(self, exchange: Exchange, path: str) -> None:
         if exchange.request.method == "GET":
-            await _answer(exchange, 200, list(self._vms.values()))
+            await answer_json(exchange, 200, list(self._vms.values()))
             return
         vm = VmId(path.removeprefix("/vms/"))
         state = exchange.request.body.decode()
         listing = VmListing(vm, VmListState(state)) if state else None
         loop = asyncio.get_running_loop()
         loop.call_later(self.vm_list_lag_s, self._list_vm, vm, listing)
-        await _answer(exchange, 200, None)
+        await answer_json(exchange, 200, None)
 
     def _list_vm(self, vm: VmId, listing: VmListing | None) -> None:
         if listing is None:
@@ -187,31 +219,31 @@
 
     async def _switch_faults(self, exchange: Exchange) -> None:
         body = msgspec.json.decode(exchange.request.body, type=_Faults)
-        for name in ("out", "delay_s", "lose_answers", "calls_per_s"):
+        for name in _STORE_FAULTS:
             value = getattr(body, name)
             if value is not None:
                 setattr(self.faults, name, value)
+        if body.cut_off is not None:
+            self._cut_off = frozenset(body.cut_off)
         if body.vm_list_lag_s is not None:
             self.vm_list_lag_s = body.vm_list_lag_s
         self._notify()
-        await _answer(exchange, 200, None)
+        await answer_json(exchange, 200, None)
 
     async def _answer_write(self, exchange: Exchange, status: int, body: Any) -> None:
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             exchange.abort()
             return
-        await _answer(exchange, status, body)
+        await answer_json(exchange, status, body)
 
-    def _take_token(self) -> bool:
+    def _admit_call(self, method: str) -> bool:
         now = asyncio.get_running_loop().time()
-        rate = self.faults.calls_per_s
-        self._tokens = min(rate, self._tokens + (now - self._refilled) * rate)
-        self._refilled = now
-        if self._tokens < 1:
+        if method != "GET" and not self._write_budget.take(
+            self.faults.writes_per_s, now
+        ):
             return False
-        self._tokens -= 1
-        return True
+        return self._call_budget.take(self.faults.calls_per_s, now)
 
     def _notify(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
@@ -227,12 +259,8 @@
                 self._notify()
 
 
-async def _answer(exchange: Exchange, status: int, body: Any) -> None:
-    await exchange.respond(status, _JSON, msgspec.json.encode(body))
-
-
-def _main(listen: Annotated[str, typer.Option()]) -> None:
-    asyncio.run(PlatformStandIn().serve(Address(listen)))
+def _main(listen: Annotated[list[str], typer.Option()]) -> None:
+    asyncio.run(PlatformStandIn().serve([Address(one) for one in listen]))
 
 
 if __name__ == "__main__":
--- a/src/zinniaspool_standins/serving.py
+++ b/src/zinniaspool_standins/serving.py
@@ -1,11 +1,22 @@
-"""What every stand-in's process shares: say the address, wait for a signal."""
+"""What every stand-in's process shares."""
 
 import asyncio
 import signal
+from typing import Any
+
+import msgspec
 
 from zinniaspool.core.ids import Address
+from zinniaspool.http import Exchange, Headers
+
+__all__ = ["answer_json", "run_until_stopped"]
+
+_JSON = Headers.of(content_type="application/json")
+
 
-__all__ = ["run_until_stopped"]
+async def answer_json(exchange: Exchange, status: int, body: Any) -> None:
+    """Answer with what msgspec makes of a value."""
+    await exchange.respond(status, _JSON, msgspec.json.encode(body))
 
 
 async def run_until_stopped(name: str, address: Address) -> None:
