--- a/src/zinniaspool_standins/generation.py
+++ b/src/zinniaspool_standins/generation.py
@@ -196,7 +196,7 @@
 
     def _name_answer(self, run: _Run) -> _Named:
         own = _Named(run.record.request, run.record.attempt, run.call)
-        crossed = self._last or _Named("crossed", "1", GenerateCall("crossed"))
+        crossed = self._last or _Named("crossed", "1", GenerateCall("op-crossed."))
         self._last = own
         return crossed if run.faults.crossed else own
 
--- a/src/zinniaspool_standins/service.py
+++ b/src/zinniaspool_standins/service.py
@@ -137,7 +137,7 @@
     async def _answer(
         self, exchange: Exchange, record: RunRecord, faults: UpstreamFaults
     ) -> None:
-        crossed = self._last or RunRecord("crossed", "1", "crossed")
+        crossed = self._last or RunRecord("crossed", "1", "op-crossed.")
         self._last = record
         named = crossed if faults.crossed else record
         load = self._load.tell(asyncio.get_running_loop().time())
