--- a/src/zinniaspool_standins/fleet.py
+++ b/src/zinniaspool_standins/fleet.py
@@ -7,7 +7,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
@@ -113,6 +113,16 @@
         own += ["--history", str(self._runs_file(name))]
         self.start(name, "zinniaspool_standins.service", *own, *options)
 
+    def start_link(self, name: str, reached: Sequence[Address]) -> list[Address]:
+        """Start a link that can be cut; return what to use instead."""
+        listen = [self.make_address() for _ in reached]
+        control = self.addresses[name] = self.make_address()
+        options = ["--control", control]
+        for near, far in zip(listen, reached, strict=True):
+            options += ["--carry", f"{near}={far}"]
+        self.start(name, "zinniaspool_standins.link", *options)
+        return listen
+
     def start_node(self, kind: str, name: str, settings: dict[str, Any]) -> None:
         """Start an entry or control process with its settings."""
         path = self.write(f"{name}.json", settings)
