--- a/src/zinniaspool_standins/demo.py
+++ b/src/zinniaspool_standins/demo.py
@@ -132,14 +132,12 @@
         vm = victim.vms[0]
         self._fleet.kill(vm)
         self.tell(f"killed {vm}, a VM of group {victim.id}")
+        sizes = sorted(len(group.vms) for group in wanted)
         repaired = await self._wait_for(
-            lambda groups: (
-                all(group.whole and vm not in group.vms for group in groups)
-                and len(groups) == len(wanted)
-            ),
-            _REPAIR_S,
+            lambda groups: sizes == _list_whole_sizes(groups, vm), _REPAIR_S
         )
-        self.tell("the fleet has as many whole groups as before" if repaired else "")
+        outcome = "as many whole groups as before" if repaired else "not repaired yet"
+        self.tell(outcome)
         await self._show_decisions(f"vm:{vm}")
         await self._show_decisions(f"group:{victim.id}")
 
@@ -199,6 +197,12 @@
         return not violations
 
 
+def _list_whole_sizes(groups: list[SeenGroup], without: str) -> list[int]:
+    return sorted(
+        len(group.vms) for group in groups if group.whole and without not in group.vms
+    )
+
+
 def _show_commands(sample: SampleFleet) -> None:
     fleet, customer = sample.fleet, sample.customers[0]
     entry = fleet.addresses[sample.entries[0]]
--- a/src/zinniaspool_standins/watching.py
+++ b/src/zinniaspool_standins/watching.py
@@ -25,7 +25,9 @@
         id: The group's name.
         model: What it runs.
         vms: The VMs that report it, sorted.
-        whole: Whether each of them is ready for the same epoch.
+        whole: Whether each VM that reports it is ready for one epoch. A VM
+            that is gone reports nothing: whether all its VMs are there shows
+            in their number.
     """
 
     id: str
