Run keyed calls at most once, through any entry process

A call whose key is a caller's own is claimed in the store by its slot's owner; a key made of a session is run only by the start of the process that gave the session out, and needs no store. Any other entry process forwards the call to the one that may run it, sends it again until it is answered, and takes the slot over when that one is silent, leaving or out of reach. A repeat waits for the running request, gets the first answer, or is told that the outcome is unknown. Non-idempotent calls without a key are refused.

The work of a keyed call goes on when its caller leaves; cancelling it would leave nobody knowing.

A trailing control character in Request-Timeout passed the pattern and broke the conversion; found by a random text, kept as an example.

--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -2,7 +2,16 @@
 
 import msgspec
 
-from zinniaspool.core.ids import FailureDomainId, Incarnation, NodeId
+from zinniaspool.core.errors import ErrorKind
+from zinniaspool.core.ids import (
+    Address,
+    CustomerId,
+    FailureDomainId,
+    IdempotencyKey,
+    Incarnation,
+    NodeId,
+    RequestId,
+)
 from zinniaspool.core.membership.messages import (
     Compare,
     Compared,
@@ -19,6 +28,9 @@
     "Accepted",
     "AgedReport",
     "DomainState",
+    "Forwarded",
+    "ForwardedAnswer",
+    "ForwardedCall",
     "Gossip",
     "Hello",
     "Message",
@@ -76,6 +88,56 @@
     reports: tuple[AgedReport, ...]
 
 
+class ForwardedCall(msgspec.Struct, frozen=True, tag="forwarded-call"):
+    """A caller's call that only the receiver may run.
+
+    Attributes:
+        id: The request's name; the same when it is sent again.
+        reply_to: Where the answer is to be sent.
+        incarnation: The start of the receiver that may run it.
+        customer: Whose call it is, by the sender's check.
+        path: As the caller wrote it.
+        body: As the caller sent it.
+        timeout_s: What is left until the deadline.
+        urgency: 0 is the most urgent.
+        key: The idempotency key.
+    """
+
+    id: RequestId
+    reply_to: Address
+    incarnation: Incarnation
+    customer: CustomerId
+    path: str
+    body: bytes
+    timeout_s: float
+    urgency: int
+    key: IdempotencyKey
+
+
+class ForwardedAnswer(msgspec.Struct, frozen=True, tag="forwarded-answer"):
+    """How a forwarded call ended.
+
+    Attributes:
+        id: The request's name.
+        owned: Whether the receiver may run it; if not, it has run nothing.
+        status: HTTP status of the answer; 0 for an error.
+        content_type: Of the answer.
+        body: Of the answer.
+        error: The error's kind; None for an answer.
+        retry_after: The error's seconds, where they differ from the table's.
+    """
+
+    id: RequestId
+    owned: bool
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    error: ErrorKind | None = None
+    retry_after: int | None = None
+
+
 Gossip = Push | Compare | Compared | Join | JoinPage | Probe | Probed
 
-Message = Hello | Accepted | Refused | DomainState | Gossip
+Forwarded = ForwardedCall | ForwardedAnswer
+
+Message = Hello | Accepted | Refused | DomainState | Gossip | Forwarded
--- a/src/zinniaspool/core/requests/claims.py
+++ b/src/zinniaspool/core/requests/claims.py
@@ -182,10 +182,17 @@
 
 @dataclass(slots=True)
 class SettledClaim:
-    """A wanted claim that has come to its end."""
+    """A wanted claim that has come to its end.
+
+    Attributes:
+        key: Its key.
+        end: What became of it.
+        known: The claim that stood in the store already.
+    """
 
     key: KeyHash
     end: ClaimEnd
+    known: Claim | None = None
 
 
 @dataclass(slots=True)
@@ -229,6 +236,11 @@
         if self.state is SlotState.OTHERS:
             self.state = SlotState.READING
 
+    @property
+    def wants(self) -> bool:
+        """Whether a claim is not settled."""
+        return bool(self._wanted)
+
     def want(self, claim: Claim) -> None:
         """Have a claim written; ``settled`` tells what became of it."""
         self._wanted[claim.key] = claim
@@ -369,7 +381,7 @@
         self.recalled.extend(known.values())
         for key in [key for key in self._wanted if key in known]:
             del self._wanted[key]
-            self.settled.append(SettledClaim(key, ClaimEnd.KNOWN))
+            self.settled.append(SettledClaim(key, ClaimEnd.KNOWN, known[key]))
 
     def _take_write(self, operation: WriteHead, answer: StoreAnswer) -> None:
         match answer.end:
--- a/src/zinniaspool/core/requests/headers.py
+++ b/src/zinniaspool/core/requests/headers.py
@@ -10,7 +10,7 @@
 
 MOST_TIMEOUT_S = 3600.0
 NORMAL_URGENCY = 3
-_NUMBER = re.compile(r"\d{1,6}(\.\d{1,6})?")
+_NUMBER = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
 _URGENCY = re.compile(r"(?:^|[,\s])u=([^,;\s]*)")
 _URGENCIES = frozenset("01234567")
 
@@ -19,7 +19,7 @@
     """Return the seconds of a ``Request-Timeout`` header."""
     if value is None:
         return Ok(default_s)
-    if _NUMBER.fullmatch(value.strip()) is None or not float(value):
+    if _NUMBER.fullmatch(value) is None or not float(value):
         detail = "Request-Timeout: a number of seconds above 0 is expected"
         return Err(Fault(ErrorKind.MALFORMED_REQUEST, detail))
     return Ok(min(float(value), MOST_TIMEOUT_S))
--- a/src/zinniaspool/core/requests/keys.py
+++ b/src/zinniaspool/core/requests/keys.py
@@ -12,6 +12,7 @@
     "Fingerprint",
     "KeyHash",
     "KeyLimits",
+    "KeyMemory",
     "KeyTable",
     "KeyVerdict",
     "Outcome",
@@ -38,6 +39,18 @@
         ...
 
 
+class KeyMemory(Protocol):
+    """The keys that a process remembers, whatever their outcomes are."""
+
+    def __contains__(self, key: object) -> bool:
+        """Whether a key is remembered."""
+        ...
+
+    def recall(self, key: KeyHash, fingerprint: Fingerprint, now: float) -> None:
+        """Note a key whose request another process has begun."""
+        ...
+
+
 _Outcome = TypeVar("_Outcome", bound=Outcome)
 
 
@@ -106,7 +119,7 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def __contains__(self, key: KeyHash) -> bool:
+    def __contains__(self, key: object) -> bool:
         return key in self._records
 
     def judge(self, key: KeyHash, fingerprint: Fingerprint) -> KeyVerdict:
--- a/src/zinniaspool/entry/callers.py
+++ b/src/zinniaspool/entry/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-from dataclasses import dataclass
 
 import msgspec
 import structlog
@@ -10,11 +9,12 @@
 
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.ids import Address, CustomerId, RequestId
-from zinniaspool.core.requests import CallTerms, parse_timeout, parse_urgency
+from zinniaspool.core.requests import parse_timeout, parse_urgency
 from zinniaspool.entry.answers import answer_fault
+from zinniaspool.entry.calls import CallRunner, WantedCall
 from zinniaspool.entry.credentials import Credentials
 from zinniaspool.entry.fleet import FleetView
-from zinniaspool.entry.relay import Relay, RelayedCall
+from zinniaspool.entry.once import OnceCalls
 from zinniaspool.http import Exchange, Headers
 
 __all__ = ["CallerInterface", "EntryAddress"]
@@ -35,13 +35,7 @@
 class _Entries(msgspec.Struct):
     entries: list[EntryAddress]
     lifetime_s: int
-
-
-@dataclass(frozen=True, slots=True)
-class _Target:
-    kind: str
-    name: str
-    rest: str
+    session: str
 
 
 class CallerInterface:
@@ -49,7 +43,8 @@
 
     Args:
         fleet: What is known of the upstreams.
-        relay: Carries requests.
+        runner: Runs calls.
+        once: Runs those that may run at most once.
         credentials: Whose request it is.
         entries: The addresses to answer with.
         default_deadline_s: For requests that bring none.
@@ -58,13 +53,15 @@
     def __init__(
         self,
         fleet: FleetView,
-        relay: Relay,
+        runner: CallRunner,
+        once: OnceCalls,
         credentials: Credentials,
         entries: list[EntryAddress],
         default_deadline_s: float,
     ) -> None:
         self._fleet = fleet
-        self._relay = relay
+        self._runner = runner
+        self._once = once
         self._credentials = credentials
         self._entries = entries
         self._default_deadline_s = default_deadline_s
@@ -82,81 +79,52 @@
         if self._fleet.configuration is None:
             return Err(Fault(ErrorKind.NOT_READY))
         if (request.method, request.path) == ("GET", "/v1/entries"):
-            body = msgspec.json.encode(_Entries(self._entries, _LIFETIME_S))
+            body = msgspec.json.encode(
+                _Entries(self._entries, _LIFETIME_S, self._once.make_session())
+            )
             await exchange.respond(200, _JSON, body)
             return Ok(None)
         customer = self._credentials.find_customer(request.headers.get("authorization"))
         if customer is None:
             return Err(Fault(ErrorKind.BAD_CREDENTIAL))
-        target = _parse_target(request.path)
-        if target is None or request.method != "POST":
-            return Err(Fault(ErrorKind.UNKNOWN_SERVICE))
-        if target.kind == "models":
-            return await self._call_model(exchange, customer, target)
-        return await self._call_service(exchange, customer, target)
-
-    async def _call_model(
-        self, exchange: Exchange, customer: CustomerId, target: _Target
-    ) -> Result[None, Fault]:
-        model = self._fleet.find_model(target.name, customer)
-        if model is None:
-            return Err(Fault(ErrorKind.UNKNOWN_SERVICE))
-        now = asyncio.get_running_loop().time()
-        upstreams = self._fleet.list_groups(model, customer, now)
-        made = self._make_call(exchange, customer, "/generate", idempotent=True)
-        if isinstance(made, Err):
-            return made
-        return await self._relay.run(exchange, made.ok_value, upstreams)
-
-    async def _call_service(
-        self, exchange: Exchange, customer: CustomerId, target: _Target
-    ) -> Result[None, Fault]:
-        service = self._fleet.find_service(target.name, customer)
-        if service is None:
+        wanted = self._read_call(exchange, customer)
+        if isinstance(wanted, Err):
+            return wanted
+        return await self._run_call(exchange, wanted.ok_value)
+
+    def _read_call(
+        self, exchange: Exchange, customer: CustomerId
+    ) -> Result[WantedCall, Fault]:
+        request = exchange.request
+        if request.method != "POST":
             return Err(Fault(ErrorKind.UNKNOWN_SERVICE))
-        idempotent = not any(
-            target.rest.startswith(prefix) for prefix in service.non_idempotent
-        )
-        made = self._make_call(
-            exchange, customer, f"/{target.rest}", idempotent=idempotent
-        )
-        if isinstance(made, Err):
-            return made
-        upstreams = self._fleet.list_service(service)
-        return await self._relay.run(exchange, made.ok_value, upstreams)
-
-    def _make_call(
-        self,
-        exchange: Exchange,
-        customer: CustomerId,
-        target: str,
-        *,
-        idempotent: bool,
-    ) -> Result[RelayedCall, Fault]:
-        headers = exchange.request.headers
-        asked = parse_timeout(headers.get("request-timeout"), self._default_deadline_s)
-        if isinstance(asked, Err):
-            return asked
-        urgency = parse_urgency(headers.get("priority"))
+        asked = request.headers.get("request-timeout")
+        timeout = parse_timeout(asked, self._default_deadline_s)
+        if isinstance(timeout, Err):
+            return timeout
+        urgency = parse_urgency(request.headers.get("priority"))
         if isinstance(urgency, Err):
             return urgency
-        deadline = asyncio.get_running_loop().time() + asked.ok_value
         return Ok(
-            RelayedCall(
+            WantedCall(
                 RequestId(secrets.token_hex(_ID_BYTES)),
                 customer,
-                target,
-                exchange.request.body,
-                CallTerms(idempotent, deadline),
+                request.path,
+                request.body,
+                asyncio.get_running_loop().time() + timeout.ok_value,
                 urgency.ok_value,
             )
         )
 
-
-def _parse_target(path: str) -> _Target | None:
-    parts = path.split("/", 4)
-    match parts:
-        case ["", "v1", "models" | "services" as kind, name, *rest] if name:
-            return _Target(kind, name, "/".join(rest))
-        case _:
-            return None
+    async def _run_call(
+        self, exchange: Exchange, wanted: WantedCall
+    ) -> Result[None, Fault]:
+        resolved = self._runner.resolve(wanted, asyncio.get_running_loop().time())
+        if isinstance(resolved, Err):
+            return resolved
+        key = exchange.request.headers.get("idempotency-key")
+        if key is not None:
+            return await self._once.answer(exchange, wanted, key)
+        if not resolved.ok_value.idempotent:
+            return Err(Fault(ErrorKind.KEY_REQUIRED))
+        return await self._runner.run(exchange, resolved.ok_value)
--- /dev/null
+++ b/src/zinniaspool/entry/claims.py
@@ -0,0 +1,235 @@
+"""Drives the slots of claims against the platform's store."""
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+from result import Err
+
+from zinniaspool.core.ids import Revision
+from zinniaspool.core.requests.claims import (
+    SLOTS,
+    Claim,
+    ClaimEnd,
+    DeleteArchive,
+    OperationEnd,
+    ReadArchive,
+    ReadHead,
+    SettledClaim,
+    SlotHead,
+    SlotMachine,
+    SlotOperation,
+    SlotOwner,
+    SlotState,
+    StoreAnswer,
+    WriteArchive,
+    WriteHead,
+)
+from zinniaspool.core.requests.keys import KeyHash, KeyMemory
+from zinniaspool.platform import Store, StoreFault
+
+__all__ = ["ClaimKeeper"]
+
+_log = structlog.get_logger(__name__)
+
+_ENDS = {
+    StoreFault.CONFLICT: OperationEnd.CONFLICT,
+    StoreFault.UNKNOWN: OperationEnd.UNKNOWN,
+}
+
+
+@dataclass(slots=True)
+class _Slot:
+    machine: SlotMachine
+    driving: asyncio.Task[None] | None = None
+
+
+class ClaimKeeper:
+    """Writes claims before their requests begin.
+
+    Args:
+        store: The platform's store.
+        own: This process.
+        writes_per_s: Most swaps a second of all slots together.
+        remembered: The keys that this process remembers.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        own: SlotOwner,
+        writes_per_s: float,
+        remembered: KeyMemory,
+    ) -> None:
+        self._store = store
+        self._own = own
+        self._remembered = remembered
+        interval_s = SLOTS / writes_per_s
+        self._slots = [_Slot(SlotMachine(own, interval_s)) for _ in range(SLOTS)]
+        self._waiting: dict[KeyHash, asyncio.Future[SettledClaim]] = {}
+
+    def is_own(self, slot: int) -> bool:
+        """Whether this process drives a slot, as far as it knows."""
+        return not self.is_others(slot)
+
+    def is_others(self, slot: int) -> bool:
+        """Whether this process may claim nothing in a slot."""
+        return self._slots[slot].machine.state is SlotState.OTHERS
+
+    async def find_owner(self, slot: int) -> SlotOwner | None | StoreFault:
+        """Return a slot's owner as last known, asking the store if need be."""
+        machine = self._slots[slot].machine
+        if machine.owner is not None:
+            return machine.owner
+        found = await self._store.get(_head_key(slot))
+        if isinstance(found, Err):
+            return found.err_value
+        head = None if found.ok_value is None else _decode_head(found.ok_value.value)
+        if machine.owner is None and head is not None:
+            machine.owner = head.owner
+        return machine.owner
+
+    def forget_owner(self, slot: int) -> None:
+        """Note that a slot's owner is not who it was taken for."""
+        machine = self._slots[slot].machine
+        if machine.state is SlotState.OTHERS:
+            machine.owner = None
+
+    def take(self, slot: int) -> None:
+        """Take a slot over when a claim is next wanted of it."""
+        self._slots[slot].machine.take()
+
+    async def claim(self, slot: int, claim: Claim, deadline: float) -> SettledClaim:
+        """Return what became of a claim, at the latest at a deadline.
+
+        A claim that is given up counts as refused: its request must not run.
+        """
+        loop = asyncio.get_running_loop()
+        settled: asyncio.Future[SettledClaim] = loop.create_future()
+        self._waiting[claim.key] = settled
+        self._slots[slot].machine.want(claim)
+        self._drive(slot)
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await settled
+        except TimeoutError:
+            return SettledClaim(claim.key, ClaimEnd.REFUSED)
+        finally:
+            del self._waiting[claim.key]
+            self._slots[slot].machine.withdraw(claim.key)
+
+    def forget(self, slot: int, key: KeyHash) -> None:
+        """Drop a claim that need not be remembered."""
+        self._slots[slot].machine.forget(key)
+
+    def drop_archives(self) -> None:
+        """Drop the archives whose keys are all forgotten."""
+        for slot in self._slots:
+            slot.machine.drop_archives(self._remembered)
+
+    def close(self) -> None:
+        """Stop driving the slots."""
+        for slot in self._slots:
+            if slot.driving is not None:
+                slot.driving.cancel()
+
+    def _drive(self, number: int) -> None:
+        slot = self._slots[number]
+        if slot.driving is None:
+            loop = asyncio.get_running_loop()
+            slot.driving = loop.create_task(self._drive_slot(number))
+
+    async def _drive_slot(self, number: int) -> None:
+        slot = self._slots[number]
+        try:
+            while slot.machine.wants:
+                await self._wait_for_turn(slot.machine)
+                await self._take_steps(number)
+        finally:
+            slot.driving = None
+
+    async def _wait_for_turn(self, machine: SlotMachine) -> None:
+        wait_s = machine.next_time() - asyncio.get_running_loop().time()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+
+    async def _take_steps(self, number: int) -> None:
+        machine = self._slots[number].machine
+        loop = asyncio.get_running_loop()
+        while (operation := machine.next_operation(loop.time())) is not None:
+            answer = await self._ask_store(number, operation)
+            machine.take_answer(operation, answer, loop.time())
+            for claim in machine.take_recalled():
+                self._remembered.recall(claim.key, claim.fingerprint, loop.time())
+            for settled in machine.take_settled():
+                waiting = self._waiting.get(settled.key)
+                if waiting is not None and not waiting.done():
+                    waiting.set_result(settled)
+
+    async def _ask_store(self, slot: int, operation: SlotOperation) -> StoreAnswer:
+        match operation:
+            case ReadHead():
+                return await self._read_head(slot)
+            case ReadArchive(number):
+                return await self._read_archive(slot, number)
+            case WriteHead(head, expected):
+                value = msgspec.json.encode(head).decode()
+                return await self._write(_head_key(slot), value, expected)
+            case WriteArchive(number, claims):
+                value = msgspec.json.encode(claims).decode()
+                return await self._write(_archive_key(slot, number), value, Revision(0))
+            case DeleteArchive(number):
+                return await self._delete(_archive_key(slot, number))
+
+    async def _read_head(self, slot: int) -> StoreAnswer:
+        found = await self._store.get(_head_key(slot))
+        if isinstance(found, Err):
+            return StoreAnswer(OperationEnd.FAILED)
+        value = found.ok_value
+        if value is None:
+            return StoreAnswer(OperationEnd.DONE)
+        head = _decode_head(value.value)
+        if head is None:
+            _log.error("claims-unreadable", slot=slot)
+            return StoreAnswer(OperationEnd.FAILED)
+        return StoreAnswer(OperationEnd.DONE, value.revision, head)
+
+    async def _read_archive(self, slot: int, number: int) -> StoreAnswer:
+        found = await self._store.get(_archive_key(slot, number))
+        if isinstance(found, Err) or found.ok_value is None:
+            return StoreAnswer(OperationEnd.FAILED)
+        try:
+            claims = msgspec.json.decode(found.ok_value.value, type=tuple[Claim, ...])
+        except msgspec.MsgspecError:
+            _log.error("claims-unreadable", slot=slot, archive=number)
+            return StoreAnswer(OperationEnd.FAILED)
+        return StoreAnswer(OperationEnd.DONE, claims=claims)
+
+    async def _write(self, key: str, value: str, expected: Revision) -> StoreAnswer:
+        written = await self._store.swap(key, value, expected)
+        if isinstance(written, Err):
+            end = _ENDS.get(written.err_value, OperationEnd.FAILED)
+            return StoreAnswer(end)
+        return StoreAnswer(OperationEnd.DONE, written.ok_value)
+
+    async def _delete(self, key: str) -> StoreAnswer:
+        found = await self._store.get(key)
+        if not isinstance(found, Err) and found.ok_value is not None:
+            await self._store.delete(key, found.ok_value.revision)
+        return StoreAnswer(OperationEnd.DONE)
+
+
+def _head_key(slot: int) -> str:
+    return f"claims/heads/{slot}"
+
+
+def _archive_key(slot: int, number: int) -> str:
+    return f"claims/archives/{slot}/{number}"
+
+
+def _decode_head(value: str) -> SlotHead | None:
+    try:
+        return msgspec.json.decode(value, type=SlotHead)
+    except msgspec.MsgspecError:
+        return None
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -11,12 +11,25 @@
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Address, Revision
 from zinniaspool.core.membership import MemberState
-from zinniaspool.core.messages import DomainState, Hello, Message
+from zinniaspool.core.messages import (
+    DomainState,
+    ForwardedAnswer,
+    ForwardedCall,
+    Hello,
+    Message,
+)
+from zinniaspool.core.requests.claims import SlotOwner
+from zinniaspool.core.requests.keys import KeyLimits, KeyTable
 from zinniaspool.entry.answers import refuse_request
 from zinniaspool.entry.callers import CallerInterface, EntryAddress
+from zinniaspool.entry.calls import CallRunner
+from zinniaspool.entry.claims import ClaimKeeper
 from zinniaspool.entry.credentials import Credentials
 from zinniaspool.entry.fleet import FleetView
+from zinniaspool.entry.forwarding import CallForwarder
+from zinniaspool.entry.once import OnceCalls, OnceLimits
 from zinniaspool.entry.relay import Relay
+from zinniaspool.entry.sinks import EndedCall
 from zinniaspool.http import HttpServer
 from zinniaspool.node import ConfigurationFollower, NodeFrame
 from zinniaspool.settings import EntrySettings, SettingsError, load_settings
@@ -36,10 +49,16 @@
         self._frame = NodeFrame(settings)
         self._fleet = FleetView(settings.report_stale_s)
         relay = Relay(self._frame.http, random.Random())
+        runner = CallRunner(self._fleet, relay)
+        self._forwarder = CallForwarder(
+            self._frame.links, Address(settings.peer_address), self._frame.members
+        )
+        self._once = self._make_once(runner)
         own = EntryAddress(Address(settings.caller_address), settings.failure_domain)
         self._callers = CallerInterface(
             self._fleet,
-            relay,
+            runner,
+            self._once,
             Credentials(Path(settings.credentials_file)),
             [own],
             settings.default_deadline_s,
@@ -54,12 +73,26 @@
         follower = ConfigurationFollower(self._frame.store, self._configure)
         async with asyncio.TaskGroup() as tasks:
             following = tasks.create_task(follower.run())
+            forgetting = tasks.create_task(self._once.run())
             await self._frame.stopping.wait()
             following.cancel()
+            forgetting.cancel()
         cut = await server.drain(_DRAIN_S)
+        await self._once.drain()
+        self._keeper.close()
         _log.info("drained", cut=cut)
         self._frame.close()
 
+    def _make_once(self, runner: CallRunner) -> OnceCalls:
+        settings, frame = self._settings, self._frame
+        own = SlotOwner(frame.node, frame.incarnation, Address(settings.peer_address))
+        table = KeyTable[EndedCall](KeyLimits(retention_s=settings.answer_kept_s))
+        self._keeper = ClaimKeeper(frame.store, own, settings.claim_writes_per_s, table)
+        limits = OnceLimits(session_s=settings.session_s)
+        return OnceCalls(
+            own, runner, self._keeper, self._forwarder, frame.links, table, limits
+        )
+
     def _configure(self, configuration: Configuration, revision: Revision) -> None:
         self._fleet.configure(configuration)
         self._frame.board.set_state(MemberState.READY)
@@ -67,6 +100,10 @@
     async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
         if isinstance(message, DomainState):
             self._fleet.update_domain(message, asyncio.get_running_loop().time())
+        if isinstance(message, ForwardedCall):
+            self._once.take_forwarded(message)
+        if isinstance(message, ForwardedAnswer):
+            self._forwarder.take_answer(message)
         return None
 
 
--- /dev/null
+++ b/src/zinniaspool/entry/once.py
@@ -0,0 +1,438 @@
+"""Calls that run at most once, by their idempotency keys."""
+
+import asyncio
+from dataclasses import dataclass
+
+import structlog
+from result import Err, Ok, Result
+
+from zinniaspool.core.errors import ANSWERS, ErrorKind, Fault, Outcome
+from zinniaspool.core.ids import IdempotencyKey
+from zinniaspool.core.messages import ForwardedAnswer, ForwardedCall
+from zinniaspool.core.requests.claims import Claim, ClaimEnd, SlotOwner, find_slot
+from zinniaspool.core.requests.keys import (
+    Fingerprint,
+    KeyHash,
+    KeyTable,
+    KeyVerdict,
+    hash_key,
+    take_fingerprint,
+)
+from zinniaspool.core.requests.sessions import (
+    Session,
+    SessionAge,
+    judge_age,
+    make_session,
+    parse_key,
+)
+from zinniaspool.entry.calls import CallRunner, ResolvedCall, WantedCall
+from zinniaspool.entry.claims import ClaimKeeper
+from zinniaspool.entry.forwarding import CallForwarder, Owner
+from zinniaspool.entry.sinks import EndedCall, KeepingSink, KeptAnswer
+from zinniaspool.http import Exchange
+from zinniaspool.peers import PeerLinks
+from zinniaspool.platform import StoreFault
+
+__all__ = ["OnceCalls", "OnceLimits"]
+
+_log = structlog.get_logger(__name__)
+_EXPIRE_EVERY_S = 5.0
+_MOST_OWNERS_TRIED = 3
+_FORGED = "Idempotency-Key: its session was not given out by this system"
+_MALFORMED = "Idempotency-Key: up to 255 visible ASCII characters are expected"
+
+_FAULTS = {
+    KeyVerdict.REUSED: ErrorKind.KEY_REUSED,
+    KeyVerdict.UNKNOWN: ErrorKind.KEY_OWNER_GONE,
+    KeyVerdict.DROPPED: ErrorKind.ANSWER_EXPIRED,
+    KeyVerdict.FULL: ErrorKind.OVERLOADED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class OnceLimits:
+    """Times of keyed calls.
+
+    Attributes:
+        session_s: How long a session's keys may be new.
+        repeat_wait_s: Longest wait of a repeat for the running request.
+    """
+
+    session_s: float = 600.0
+    repeat_wait_s: float = 10.0
+
+
+@dataclass(slots=True)
+class _Running:
+    sink: KeepingSink
+    task: asyncio.Task[EndedCall]
+
+
+@dataclass(frozen=True, slots=True)
+class _KeyedCall:
+    """A call, its key, and where the key's claim belongs.
+
+    Attributes:
+        wanted: The call.
+        key: As the caller wrote it.
+        hash: What it is remembered by.
+        fingerprint: Of the request.
+        slot: The slot of a caller's own key; None for a session's key.
+        until: Remember the key at least this long.
+    """
+
+    wanted: WantedCall
+    key: IdempotencyKey
+    hash: KeyHash
+    fingerprint: Fingerprint
+    slot: int | None
+    until: float = 0.0
+
+
+class OnceCalls:
+    """Runs each keyed call at most once and answers its repeats.
+
+    Args:
+        own: This process.
+        runner: Runs calls.
+        keeper: Writes claims.
+        forwarder: Has calls run by other processes.
+        links: Connections to peers.
+        table: The keys remembered here.
+        limits: Times.
+    """
+
+    def __init__(
+        self,
+        own: SlotOwner,
+        runner: CallRunner,
+        keeper: ClaimKeeper,
+        forwarder: CallForwarder,
+        links: PeerLinks,
+        table: KeyTable[EndedCall],
+        limits: OnceLimits,
+    ) -> None:
+        self._own = own
+        self._runner = runner
+        self._keeper = keeper
+        self._forwarder = forwarder
+        self._links = links
+        self._table = table
+        self._limits = limits
+        self._running: dict[KeyHash, _Running] = {}
+        self._forwarded: dict[str, asyncio.Task[None]] = {}
+
+    def make_session(self) -> str:
+        """Return a session of which callers can make keys from now on."""
+        issued = int(asyncio.get_running_loop().time())
+        return make_session(Session(self._own.node, self._own.incarnation, issued))
+
+    async def answer(
+        self, exchange: Exchange, wanted: WantedCall, key: str
+    ) -> Result[None, Fault]:
+        """Answer a call with a key, by whichever process may run it."""
+        parsed = parse_key(key)
+        if parsed is None:
+            return Err(Fault(ErrorKind.MALFORMED_REQUEST, _MALFORMED))
+        if parsed.session is None:
+            return await self._answer_own_key(exchange, self._note(wanted, parsed.key))
+        if self._is_own(parsed.session):
+            return await self._answer_session_key(exchange, wanted, parsed.key)
+        session = parsed.session
+        owner = self._forwarder.find(session.node, session.incarnation)
+        if owner is None:
+            return Err(Fault(ErrorKind.KEY_OWNER_GONE))
+        answer = await self._forwarder.ask(owner, wanted, parsed.key)
+        if answer is not None and answer.owned:
+            return await _give_forwarded(exchange, answer)
+        if _is_late(wanted):
+            return Err(Fault(ErrorKind.DEADLINE_PASSED))
+        return Err(Fault(ErrorKind.KEY_OWNER_GONE))
+
+    def take_forwarded(self, message: ForwardedCall) -> None:
+        """Take a call that another process forwards."""
+        if message.id not in self._forwarded:
+            task = asyncio.create_task(self._run_forwarded(message))
+            self._forwarded[message.id] = task
+            task.add_done_callback(lambda _: self._forwarded.pop(message.id))
+
+    async def run(self) -> None:
+        """Forget keys in their time, until cancelled."""
+        while True:
+            await asyncio.sleep(_EXPIRE_EVERY_S)
+            for key in self._table.expire(asyncio.get_running_loop().time()):
+                self._keeper.forget(find_slot(key), key)
+            self._keeper.drop_archives()
+
+    async def drain(self) -> None:
+        """Wait for the calls that run on without their callers."""
+        tasks = [running.task for running in self._running.values()]
+        await asyncio.gather(*tasks, *self._forwarded.values(), return_exceptions=True)
+
+    # Which process runs it.
+
+    def _is_own(self, session: Session) -> bool:
+        own = (self._own.node, self._own.incarnation)
+        return (session.node, session.incarnation) == own
+
+    def _note(self, wanted: WantedCall, key: IdempotencyKey) -> _KeyedCall:
+        hashed = hash_key(wanted.customer, key)
+        fingerprint = take_fingerprint(wanted.path, wanted.body)
+        return _KeyedCall(wanted, key, hashed, fingerprint, find_slot(hashed))
+
+    async def _answer_session_key(
+        self, exchange: Exchange | None, wanted: WantedCall, key: IdempotencyKey
+    ) -> Result[None, Fault]:
+        ended = await self._end_session_key(exchange, wanted, key)
+        return await _give(exchange, wanted, ended)
+
+    async def _end_session_key(
+        self, exchange: Exchange | None, wanted: WantedCall, key: IdempotencyKey
+    ) -> "_Given":
+        parsed = parse_key(key)
+        assert parsed is not None and parsed.session is not None
+        now = asyncio.get_running_loop().time()
+        age = judge_age(parsed.session, now, self._limits.session_s)
+        if age is SessionAge.FORGED:
+            return _refuse(ErrorKind.MALFORMED_REQUEST, _FORGED)
+        noted = self._note(wanted, key)
+        if age is SessionAge.OVER and noted.hash not in self._table:
+            # Its keys are forgotten from now on, so that this one may have
+            # run: only a fresh session's unknown key is surely new.
+            return _refuse(ErrorKind.ANSWER_EXPIRED)
+        until = parsed.session.issued + self._limits.session_s + 1.0
+        call = _KeyedCall(
+            wanted, key, noted.hash, noted.fingerprint, slot=None, until=until
+        )
+        return await self._end_here(exchange, call)
+
+    async def _answer_own_key(
+        self, exchange: Exchange, call: _KeyedCall
+    ) -> Result[None, Fault]:
+        assert call.slot is not None
+        for _ in range(_MOST_OWNERS_TRIED):
+            owner = await self._choose_owner(call.slot)
+            if isinstance(owner, StoreFault):
+                return Err(Fault(ErrorKind.STORE_UNAVAILABLE))
+            if owner is None:
+                given = await self._end_here(exchange, call)
+                if self._is_elsewhere(given, call.slot):
+                    continue
+                return await _give(exchange, call.wanted, given)
+            answer = await self._forwarder.ask(owner, call.wanted, call.key)
+            if answer is not None and answer.owned:
+                return await _give_forwarded(exchange, answer)
+            if answer is None and _is_late(call.wanted):
+                return Err(Fault(ErrorKind.DEADLINE_PASSED))
+            if answer is None:
+                # Its owner may have claimed it and run it. Taking the slot
+                # over reads the claims and fences that owner off, so this
+                # process then knows, and refuses what was begun.
+                self._keeper.take(call.slot)
+            self._keeper.forget_owner(call.slot)
+        return Err(Fault(ErrorKind.STORE_UNAVAILABLE))
+
+    def _is_elsewhere(self, given: "_Given", slot: int) -> bool:
+        fault = given.ended.fault
+        refused = fault is not None and fault.kind is ErrorKind.STORE_UNAVAILABLE
+        return refused and self._keeper.is_others(slot)
+
+    async def _choose_owner(self, slot: int) -> Owner | None | StoreFault:
+        """Return the process to ask; None for this one."""
+        if self._keeper.is_own(slot):
+            return None
+        found = await self._keeper.find_owner(slot)
+        if isinstance(found, StoreFault):
+            return found
+        if found is None or self._is_own(Session(found.node, found.incarnation, 0)):
+            self._keeper.take(slot)
+            return None
+        owner = Owner(found.node, found.incarnation, found.address)
+        if self._forwarder.is_over(owner):
+            self._keeper.take(slot)
+            return None
+        return owner
+
+    async def _run_forwarded(self, message: ForwardedCall) -> None:
+        answer = await self._end_forwarded(message)
+        await self._links.send(message.reply_to, answer)
+
+    async def _end_forwarded(self, message: ForwardedCall) -> ForwardedAnswer:
+        parsed = parse_key(message.key)
+        now = asyncio.get_running_loop().time()
+        wanted = WantedCall(
+            message.id,
+            message.customer,
+            message.path,
+            message.body,
+            now + message.timeout_s,
+            message.urgency,
+        )
+        if parsed is None or message.incarnation != self._own.incarnation:
+            return ForwardedAnswer(message.id, owned=False)
+        if parsed.session is not None:
+            if not self._is_own(parsed.session):
+                return ForwardedAnswer(message.id, owned=False)
+            given = await self._end_session_key(None, wanted, parsed.key)
+            return _make_forwarded(message, given.ended)
+        call = self._note(wanted, parsed.key)
+        assert call.slot is not None
+        if not self._keeper.is_own(call.slot):
+            return ForwardedAnswer(message.id, owned=False)
+        given = await self._end_here(None, call)
+        if self._is_elsewhere(given, call.slot):
+            return ForwardedAnswer(message.id, owned=False)
+        return _make_forwarded(message, given.ended)
+
+    # Running it here.
+
+    async def _end_here(self, exchange: Exchange | None, call: _KeyedCall) -> "_Given":
+        verdict = self._table.judge(call.hash, call.fingerprint)
+        match verdict:
+            case KeyVerdict.RUN:
+                return await self._begin(exchange, call)
+            case KeyVerdict.WAIT:
+                return await self._wait_for_running(call)
+            case KeyVerdict.REPEAT:
+                ended = self._table.get_outcome(call.hash)
+                assert ended is not None
+                return _Given(ended)
+            case _:
+                return _refuse(_FAULTS[verdict])
+
+    async def _begin(self, exchange: Exchange | None, call: _KeyedCall) -> "_Given":
+        now = asyncio.get_running_loop().time()
+        resolved = self._runner.resolve(call.wanted, now)
+        if isinstance(resolved, Err):
+            return _Given(EndedCall(None, resolved.err_value))
+        sink = KeepingSink(exchange)
+        self._table.begin(call.hash, call.fingerprint)
+        task = asyncio.create_task(self._carry_out(sink, call, resolved.ok_value))
+        self._running[call.hash] = _Running(sink, task)
+        try:
+            ended = await asyncio.shield(task)
+        except asyncio.CancelledError:
+            sink.leave()
+            raise
+        return _Given(ended, sink.passed_on)
+
+    async def _wait_for_running(self, call: _KeyedCall) -> "_Given":
+        running = self._running[call.hash]
+        left_s = call.wanted.deadline - asyncio.get_running_loop().time()
+        wait_s = min(left_s, self._limits.repeat_wait_s)
+        done, _ = await asyncio.wait([running.task], timeout=wait_s)
+        if not done:
+            return _refuse(ErrorKind.KEY_IN_PROGRESS)
+        return _Given(running.task.result())
+
+    async def _carry_out(
+        self, sink: KeepingSink, call: _KeyedCall, resolved: ResolvedCall
+    ) -> EndedCall:
+        async def claim() -> Fault | None:
+            return await self._claim(call)
+
+        try:
+            result = await self._runner.run(sink, resolved, claim)
+            fault = result.err()
+        except Exception:
+            # The key must not stay "running" for ever after a fault of this
+            # process: its repeats would wait for nothing.
+            _log.exception("keyed-call-failed", request=call.wanted.id)
+            fault = Fault(ErrorKind.INTERNAL)
+        finally:
+            del self._running[call.hash]
+        return self._end(call, EndedCall(sink.answer if fault is None else None, fault))
+
+    def _end(self, call: _KeyedCall, ended: EndedCall) -> EndedCall:
+        now = asyncio.get_running_loop().time()
+        if self._table.judge(call.hash, call.fingerprint) is not KeyVerdict.WAIT:
+            return ended
+        if ended.fault is None or not _is_not_run(ended.fault):
+            self._table.finish(call.hash, _shorten(ended), now, call.until)
+            return ended
+        self._table.release(call.hash)
+        if call.slot is not None:
+            self._keeper.forget(call.slot, call.hash)
+        return ended
+
+    async def _claim(self, call: _KeyedCall) -> Fault | None:
+        if call.slot is None:
+            return None
+        claim = Claim(call.hash, call.fingerprint)
+        settled = await self._keeper.claim(call.slot, claim, call.wanted.deadline)
+        match settled.end:
+            case ClaimEnd.WRITTEN:
+                return None
+            case ClaimEnd.REFUSED:
+                return Fault(ErrorKind.STORE_UNAVAILABLE)
+            case ClaimEnd.KNOWN:
+                assert settled.known is not None
+                now = asyncio.get_running_loop().time()
+                self._table.release(call.hash)
+                self._table.recall(call.hash, settled.known.fingerprint, now)
+                verdict = self._table.judge(call.hash, call.fingerprint)
+                return Fault(_FAULTS[verdict])
+
+
+@dataclass(frozen=True, slots=True)
+class _Given:
+    """How a call ended, and whether its caller has the answer already."""
+
+    ended: EndedCall
+    passed_on: bool = False
+
+
+def _refuse(kind: ErrorKind, detail: str = "") -> _Given:
+    return _Given(EndedCall(None, Fault(kind, detail)))
+
+
+def _is_not_run(fault: Fault) -> bool:
+    return ANSWERS[fault.kind].outcome is Outcome.NOT_RUN
+
+
+def _is_late(wanted: WantedCall) -> bool:
+    return asyncio.get_running_loop().time() >= wanted.deadline
+
+
+def _shorten(ended: EndedCall) -> EndedCall:
+    """Return what is kept of a call: a large answer's end, not its bytes."""
+    if ended.answer is None or ended.answer.body is not None:
+        return ended
+    return EndedCall(None, Fault(ErrorKind.ANSWER_EXPIRED))
+
+
+async def _give(
+    exchange: Exchange | None, wanted: WantedCall, given: _Given
+) -> Result[None, Fault]:
+    if given.ended.fault is not None:
+        return Err(given.ended.fault)
+    if exchange is None or given.passed_on:
+        return Ok(None)
+    assert given.ended.answer is not None
+    await given.ended.answer.send(exchange, wanted.id)
+    return Ok(None)
+
+
+def _make_forwarded(message: ForwardedCall, ended: EndedCall) -> ForwardedAnswer:
+    if ended.fault is not None:
+        fault = ended.fault
+        return ForwardedAnswer(
+            message.id, owned=True, error=fault.kind, retry_after=fault.retry_after
+        )
+    answer = ended.answer
+    assert answer is not None
+    if answer.body is None:
+        return ForwardedAnswer(message.id, owned=True, error=ErrorKind.ANSWER_EXPIRED)
+    return ForwardedAnswer(
+        message.id, True, answer.status, answer.content_type, answer.body
+    )
+
+
+async def _give_forwarded(
+    exchange: Exchange, answer: ForwardedAnswer
+) -> Result[None, Fault]:
+    if answer.error is not None:
+        return Err(Fault(answer.error, retry_after=answer.retry_after))
+    kept = KeptAnswer(answer.status, answer.content_type, answer.body)
+    await kept.send(exchange, answer.id)
+    return Ok(None)
--- a/src/zinniaspool/entry/sinks.py
+++ b/src/zinniaspool/entry/sinks.py
@@ -1,12 +1,16 @@
 """Where an answer goes to."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
+from zinniaspool.core.errors import Fault
+from zinniaspool.core.ids import RequestId
 from zinniaspool.http import Exchange, Headers, TransportError
 
-__all__ = ["AnswerSink", "KeptAnswer", "KeepingSink"]
+__all__ = ["AnswerSink", "EndedCall", "KeepingSink", "KeptAnswer"]
 
 MOST_KEPT_BYTES = 256 * 1024
+_OVERHEAD_BYTES = 200
 
 
 class AnswerSink(Protocol):
@@ -34,6 +38,7 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
 class KeptAnswer:
     """A whole answer that repeats of its request are given.
 
@@ -43,14 +48,11 @@
         body: All of it, or None where it was too large to keep.
     """
 
-    __slots__ = ("body", "content_type", "status")
+    status: int
+    content_type: str
+    body: bytes | None
 
-    def __init__(self, status: int, content_type: str, body: bytes | None) -> None:
-        self.status = status
-        self.content_type = content_type
-        self.body = body
-
-    async def send(self, sink: AnswerSink, request_id: str) -> None:
+    async def send(self, sink: AnswerSink, request_id: RequestId) -> None:
         """Give the answer to a caller."""
         headers = Headers.of(x_request_id=request_id)
         if self.content_type:
@@ -58,6 +60,20 @@
         await sink.respond(self.status, headers, self.body or b"")
 
 
+@dataclass(frozen=True, slots=True)
+class EndedCall:
+    """How a request ended: with its answer, or with a fault."""
+
+    answer: KeptAnswer | None
+    fault: Fault | None = None
+
+    @property
+    def size(self) -> int:
+        """Bytes that keeping it takes."""
+        body = self.answer.body if self.answer is not None else None
+        return _OVERHEAD_BYTES + len(body or b"")
+
+
 class KeepingSink:
     """Passes an answer on to its caller and keeps it for repeats.
 
@@ -67,10 +83,16 @@
 
     Args:
         caller: The caller that waits, or None.
+
+    Attributes:
+        answer: The answer, once it is whole.
+        passed_on: Whether the caller has been given the head of an answer
+            that comes in parts.
     """
 
     def __init__(self, caller: Exchange | None) -> None:
         self.answer: KeptAnswer | None = None
+        self.passed_on = False
         self._caller = caller
         self._status = 0
         self._content_type = ""
@@ -98,6 +120,7 @@
         self._status = status
         self._content_type = headers.get("content-type") or ""
         if self._caller is not None and pass_on:
+            self.passed_on = True
             try:
                 await self._caller.start(status, headers)
             except TransportError:
--- a/src/zinniaspool/settings/types.py
+++ b/src/zinniaspool/settings/types.py
@@ -118,6 +118,21 @@
     default_deadline_s: float = Field(
         default=30.0, gt=0, description="Deadline of requests that bring none."
     )
+    answer_kept_s: float = Field(
+        default=600.0,
+        gt=0,
+        description="How long a keyed call's answer is kept for its repeats.",
+    )
+    session_s: float = Field(
+        default=600.0,
+        gt=0,
+        description="How long a session's idempotency keys may be new.",
+    )
+    claim_writes_per_s: float = Field(
+        default=200.0,
+        gt=0,
+        description="Most writes a second of claims, by all entry VMs together.",
+    )
 
 
 class ControlSettings(NodeSettings):
--- /dev/null
+++ b/tests/once_nodes.py
@@ -0,0 +1,184 @@
+"""Entry processes in one loop, with a store and links that can fail."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from tests.fakes import FakeUpstream
+from zinniaspool.core.deployment import (
+    Configuration,
+    CustomerRule,
+    Inventory,
+    RepairWeights,
+    Rules,
+    ServiceRule,
+    ServiceUpstream,
+    Share,
+)
+from zinniaspool.core.ids import (
+    Address,
+    CustomerId,
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    Revision,
+    ServiceName,
+)
+from zinniaspool.core.membership import Member, MemberState, Role
+from zinniaspool.core.messages import ForwardedAnswer, ForwardedCall, Message
+from zinniaspool.core.requests.claims import SlotOwner
+from zinniaspool.core.requests.keys import KeyLimits, KeyTable
+from zinniaspool.entry.calls import CallRunner
+from zinniaspool.entry.claims import ClaimKeeper
+from zinniaspool.entry.fleet import FleetView
+from zinniaspool.entry.forwarding import CallForwarder
+from zinniaspool.entry.once import OnceCalls, OnceLimits
+from zinniaspool.entry.relay import Relay
+from zinniaspool.entry.sinks import EndedCall
+from zinniaspool.http import HttpClient
+from zinniaspool.peers import PeerLinks
+from zinniaspool.platform import HttpStore, LeaseId, StoreFault, StoreValue
+from zinniaspool_standins.kvstore import KeyValueState
+
+__all__ = ["Cluster", "FakeStore", "Node"]
+
+CUSTOMER = CustomerId("care")
+_DOMAIN = FailureDomainId("d")
+
+
+class FakeStore(HttpStore):
+    """The store in memory; counts calls and fails on request."""
+
+    def __init__(self) -> None:
+        super().__init__(HttpClient(), (Address("127.0.0.1:1"),))
+        self.state = KeyValueState()
+        self.out = False
+        self.lose_answers = 0
+        self.writes = 0
+        self.held: asyncio.Event | None = None
+        self.holding = asyncio.Event()
+
+    async def get(self, key: str) -> Result[StoreValue | None, StoreFault]:
+        """See the base class."""
+        self.calls += 1
+        await asyncio.sleep(0)
+        return Err(StoreFault.UNAVAILABLE) if self.out else Ok(self.state.get(key))
+
+    async def swap(
+        self, key: str, value: str, expected: Revision, lease: LeaseId | None = None
+    ) -> Result[Revision, StoreFault]:
+        """See the base class."""
+        self.calls += 1
+        self.writes += 1
+        if self.held is not None:
+            self.holding.set()
+            await self.held.wait()
+        await asyncio.sleep(0.002)
+        if self.out:
+            return Err(StoreFault.UNAVAILABLE)
+        written = self.state.swap(key, value, expected, lease)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return Err(StoreFault.UNKNOWN)
+        return Err(written) if isinstance(written, StoreFault) else Ok(written)
+
+
+@dataclass
+class Node:
+    """One entry process's part that runs keyed calls."""
+
+    name: NodeId
+    incarnation: Incarnation
+    once: OnceCalls
+    forwarder: CallForwarder
+    keeper: ClaimKeeper
+    state: MemberState = MemberState.READY
+
+
+class _Links(PeerLinks):
+    def __init__(self, cluster: "Cluster") -> None:
+        self._cluster = cluster
+
+    async def send(
+        self, address: Address, message: Message, node: NodeId | None = None
+    ) -> bool:
+        await asyncio.sleep(0)
+        return self._cluster.deliver(address, message)
+
+
+@dataclass
+class Cluster:
+    """A store, one plain service, and nodes that come and go."""
+
+    upstream: FakeUpstream
+    store: FakeStore = field(default_factory=FakeStore)
+    nodes: dict[str, Node] = field(default_factory=dict)
+    unreachable: set[str] = field(default_factory=set)
+    starts: int = 0
+
+    def start(self, name: str, **limits: float) -> Node:
+        """Start a node, or start it anew."""
+        self.starts += 1
+        fleet = FleetView(2.0)
+        fleet.configure(self._configure())
+        own = SlotOwner(NodeId(name), Incarnation(self.starts), Address(name))
+        table = KeyTable[EndedCall](KeyLimits())
+        keeper = ClaimKeeper(self.store, own, 10_000.0, table)
+        links = _Links(self)
+        forwarder = CallForwarder(links, Address(name), self.list_members)
+        runner = CallRunner(fleet, Relay(HttpClient(), random.Random(0)))
+        once = OnceCalls(
+            own, runner, keeper, forwarder, links, table, OnceLimits(**limits)
+        )
+        node = Node(own.node, own.incarnation, once, forwarder, keeper)
+        self.nodes[name] = node
+        return node
+
+    def kill(self, name: str) -> None:
+        """End a node; the others know it."""
+        del self.nodes[name]
+
+    def list_members(self) -> list[Member]:
+        """Return the members as all nodes know them."""
+        return [
+            Member(
+                node.name,
+                Role.ENTRY,
+                node.state,
+                Address(name),
+                Address(name),
+                Address(""),
+                _DOMAIN,
+                node.incarnation,
+            )
+            for name, node in self.nodes.items()
+        ]
+
+    def deliver(self, address: Address, message: Message) -> bool:
+        """Hand a message to the node at an address."""
+        node = self.nodes.get(address)
+        if node is None or address in self.unreachable:
+            return False
+        if isinstance(message, ForwardedCall):
+            node.once.take_forwarded(message)
+        if isinstance(message, ForwardedAnswer):
+            node.forwarder.take_answer(message)
+        return True
+
+    def _configure(self) -> Configuration:
+        service = ServiceRule(
+            ServiceName("dispatch"),
+            (ServiceUpstream(self.upstream.address, _DOMAIN),),
+            64,
+            (Share(CUSTOMER, 16),),
+            non_idempotent=("send",),
+        )
+        rules = Rules(
+            (CustomerRule(CUSTOMER, (CUSTOMER,)),),
+            (),
+            (service,),
+            RepairWeights(1.0, 1.0),
+        )
+        return Configuration(Inventory(()), rules)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -76,6 +76,9 @@
     assert granted <= 10_000 * 0.1 + 10
 
 
+@example("1\x1f")
+@example("٣")
+@example("1\n")
 @given(st.text(max_size=12))
 def test_headers_are_understood_or_refused(text: str) -> None:
     for parsed in (parse_timeout(text, 5.0), parse_urgency(text)):
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -26,7 +26,10 @@
             assert plain.json()["text"] == "warm0 ward1 warm2 ward3"
             streamed = call(address, _MODEL, _PROMPT | {"stream": True}, "care-key")
             assert streamed.body.endswith(b"event: done\ndata: {}\n\n")
-            sent = call(address, "/v1/services/dispatch/send", {"to": 1}, "care-key")
+            path = "/v1/services/dispatch/send"
+            assert call(address, path, {"to": 1}, "care-key").status == 400
+            key = {"Idempotency_Key": "first-alert"}
+            sent = call(address, path, {"to": 1}, "care-key", **key)
             assert sent.json()["echo"] == '{"to": 1}'
             assert call(address, _MODEL, _PROMPT, "wrong").status == 401
             assert call(address, "/v1/models/other/x", {}, "care-key").status == 404
