Ask for credentials of operators and peers; add TLS, metrics, dumps

Operators have credentials of their own, each for the whole fleet or bound to one customer, whose dumps and explanations leave all others out. Files of credentials, peer secrets and certificates are read again when they change or on SIGHUP; a file that cannot be used leaves what was loaded in force. TLS for callers, operators and peers (both sides show certificates) by ssl.

Metrics by OpenTelemetry at /metrics on the operator address, with bounded customer labels; state dumps by HTTP, `zinniaspool dump` and SIGUSR1; a process ends gracefully on `zinniaspool drain`. Log values are bounded and kept on one line: an unknown message tag of a peer stood in the log as sent, of any length. A peer that has not shown the secret can send 4 kB, not 4 MB.

Tests: credentials replaced and half-written, bound operators, TLS with a foreign authority, metrics' label bound, a process looked into and drained while its store is away.

--- a/src/zinniaspool/cli/options.py
+++ b/src/zinniaspool/cli/options.py
@@ -5,9 +5,7 @@
 
 import typer
 
-from zinniaspool.http import Headers
-
-__all__ = ["CredentialOption", "NodeOption", "StoreOption", "read_credential"]
+__all__ = ["AuthorityOption", "CredentialOption", "NodeOption", "StoreOption"]
 
 StoreOption = Annotated[
     str,
@@ -36,14 +34,11 @@
     ),
 ]
 
-
-def read_credential(path: Path | None) -> Headers:
-    """Return the headers that show an operator's credential."""
-    if path is None:
-        return Headers()
-    try:
-        credential = path.read_text().strip()
-    except OSError as error:
-        typer.echo(f"{path}: {error.strerror}", err=True)
-        raise typer.Exit(2) from error
-    return Headers.of(authorization=f"Bearer {credential}")
+AuthorityOption = Annotated[
+    Path | None,
+    typer.Option(
+        "--authority-file",
+        envvar="ZINNIASPOOL_AUTHORITY_FILE",
+        help="Authority of the processes' certificates; without it, no TLS.",
+    ),
+]
--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -12,9 +12,8 @@
 from zinniaspool.core.ids import Address, FabricDomainId, Revision
 from zinniaspool.core.membership import MemberState
 from zinniaspool.core.messages import Hello, Message
-from zinniaspool.node import ConfigurationFollower, NodeFrame
-from zinniaspool.settings import ControlSettings, SettingsError, load_settings
-from zinniaspool.telemetry import configure_logs
+from zinniaspool.node import ConfigurationFollower, NodeFrame, run_program
+from zinniaspool.settings import ControlSettings
 
 __all__ = ["ControlProcess", "main"]
 
@@ -80,13 +79,7 @@
 
 
 def _run(settings: Annotated[Path, typer.Option(help="Settings file.")]) -> None:
-    try:
-        loaded = load_settings(settings, ControlSettings)
-    except SettingsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(2) from error
-    configure_logs("control", loaded.node)
-    asyncio.run(_start(loaded))
+    run_program("control", settings, ControlSettings, _start)
 
 
 async def _start(settings: ControlSettings) -> None:
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -15,6 +15,7 @@
 from zinniaspool.core.plans import DomainPlan, EngineReport
 
 __all__ = [
+    "OLDEST_PROTOCOL_VERSION",
     "PROTOCOL_VERSION",
     "Accepted",
     "AgedReport",
@@ -26,6 +27,8 @@
 ]
 
 PROTOCOL_VERSION = 1
+OLDEST_PROTOCOL_VERSION = 1
+"""Processes of two neighbouring versions run side by side in an upgrade."""
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
--- a/src/zinniaspool/entry/credentials.py
+++ b/src/zinniaspool/entry/credentials.py
@@ -1,49 +1,37 @@
 """Whose request it is, by the credential that it brings."""
 
-import hashlib
-import hmac
 from pathlib import Path
 
 import msgspec
 
 from zinniaspool.core.ids import CustomerId
+from zinniaspool.node import CredentialFile
 
 __all__ = ["Credentials"]
 
-_SCHEME = "Bearer "
-
 
 class _CredentialsFile(msgspec.Struct, forbid_unknown_fields=True):
     callers: dict[str, CustomerId]
 
 
-class Credentials:
+class Credentials(CredentialFile[CustomerId]):
     """The customers by credential.
 
     Args:
         path: JSON file: ``{"callers": {"CREDENTIAL": "CUSTOMER"}}``.
+
+    Raises:
+        OSError: The file cannot be read.
+        ValueError: The file holds something else.
     """
 
     def __init__(self, path: Path) -> None:
-        found = msgspec.json.decode(path.read_bytes(), type=_CredentialsFile)
-        self._customers = [
-            (_digest(credential), customer)
-            for credential, customer in found.callers.items()
-        ]
+        super().__init__(path, _decode_callers)
 
     def find_customer(self, authorization: str | None) -> CustomerId | None:
         """Return the customer of an Authorization header, or None."""
-        if authorization is None or not authorization.startswith(_SCHEME):
-            return None
-        asked = _digest(authorization.removeprefix(_SCHEME))
-        customer = None
-        # Every entry is compared, each in constant time, so that the time
-        # taken tells nothing about how close a guess is.
-        for digest, owner in self._customers:
-            if hmac.compare_digest(digest, asked):
-                customer = owner
-        return customer
-
-
-def _digest(credential: str) -> bytes:
-    return hashlib.sha256(credential.encode()).digest()
+        return self.find(authorization)
+
+
+def _decode_callers(content: bytes) -> dict[str, CustomerId]:
+    return msgspec.json.decode(content, type=_CredentialsFile).callers
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -18,9 +18,8 @@
 from zinniaspool.entry.fleet import FleetView
 from zinniaspool.entry.relay import Relay
 from zinniaspool.http import HttpServer
-from zinniaspool.node import ConfigurationFollower, NodeFrame
-from zinniaspool.settings import EntrySettings, SettingsError, load_settings
-from zinniaspool.telemetry import configure_logs
+from zinniaspool.node import ConfigurationFollower, NodeFrame, run_program
+from zinniaspool.settings import EntrySettings
 
 __all__ = ["EntryProcess", "main"]
 
@@ -35,12 +34,15 @@
         self._settings = settings
         self._frame = NodeFrame(settings)
         self._fleet = FleetView(settings.report_stale_s)
+        self._caller_tls = self._frame.access.load_tls(
+            "caller_tls", settings.caller_tls
+        )
         relay = Relay(self._frame.http, random.Random())
         own = EntryAddress(Address(settings.caller_address), settings.failure_domain)
         self._callers = CallerInterface(
             self._fleet,
             relay,
-            Credentials(Path(settings.credentials_file)),
+            self._load_credentials(),
             [own],
             settings.default_deadline_s,
         )
@@ -48,7 +50,12 @@
     async def run(self) -> None:
         """Run until the process is told to stop."""
         await self._frame.start(self._handle_message)
-        server = HttpServer(self._callers.handle, refuse=refuse_request)
+        tls = self._caller_tls
+        server = HttpServer(
+            self._callers.handle,
+            refuse=refuse_request,
+            tls=tls.server if tls else None,
+        )
         bound = await server.listen(Address(self._settings.caller_address))
         _log.info("callers-listening", address=bound)
         follower = ConfigurationFollower(self._frame.store, self._configure)
@@ -60,6 +67,12 @@
         _log.info("drained", cut=cut)
         self._frame.close()
 
+    def _load_credentials(self) -> Credentials:
+        path = Path(self._settings.credentials_file)
+        return self._frame.access.load(
+            "credentials_file", str(path), lambda: Credentials(path)
+        )
+
     def _configure(self, configuration: Configuration, revision: Revision) -> None:
         self._fleet.configure(configuration)
         self._frame.board.set_state(MemberState.READY)
@@ -71,13 +84,7 @@
 
 
 def _run(settings: Annotated[Path, typer.Option(help="Settings file.")]) -> None:
-    try:
-        loaded = load_settings(settings, EntrySettings)
-    except SettingsError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(2) from error
-    configure_logs("entry", loaded.node)
-    asyncio.run(_start(loaded))
+    run_program("entry", settings, EntrySettings, _start)
 
 
 async def _start(settings: EntrySettings) -> None:
--- a/src/zinniaspool/node/frame.py
+++ b/src/zinniaspool/node/frame.py
@@ -3,10 +3,11 @@
 import asyncio
 import signal
 import time
-from pathlib import Path
+from dataclasses import dataclass
 
 import structlog
 
+from zinniaspool import __version__
 from zinniaspool.core.ids import Address, FailureDomainId, Incarnation, NodeId
 from zinniaspool.core.journal import DecisionKind, Journal
 from zinniaspool.core.membership import (
@@ -17,17 +18,33 @@
 )
 from zinniaspool.core.messages import PROTOCOL_VERSION, Gossip, Hello, Message
 from zinniaspool.http import HttpClient, HttpServer
+from zinniaspool.node.access import Access
 from zinniaspool.node.board import Board
 from zinniaspool.node.operators import OperatorInterface
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
 from zinniaspool.platform import HttpStore
 from zinniaspool.settings import EntrySettings, NodeSettings
+from zinniaspool.telemetry import Metrics
 
 __all__ = ["NodeFrame"]
 
 _log = structlog.get_logger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessState:
+    """What a dump says of the process itself."""
+
+    node: NodeId
+    incarnation: Incarnation
+    failure_domain: FailureDomainId
+    version: str
+    protocol: int
+    stopping: bool
+    tasks: int
+    decisions: dict[DecisionKind, int]
+
+
 class NodeFrame:
     """What a process has before it does anything of its own.
 
@@ -42,10 +59,20 @@
         self.store = HttpStore(
             self.http, tuple(Address(a) for a in settings.store_addresses)
         )
-        self.links = PeerLinks(self._say_hello)
+        self.access = Access(settings)
+        peer_tls = self.access.peer_tls
+        self.links = PeerLinks(
+            self._say_hello, tls=peer_tls.client if peer_tls else None
+        )
         self.stopping = asyncio.Event()
         self.journal = Journal()
-        self.operators = OperatorInterface(self.journal)
+        self.metrics = Metrics(self.journal)
+        self.operators = OperatorInterface(
+            self.journal,
+            self.access.operators,
+            self.metrics.render,
+            self.stopping.set,
+        )
         self.board = Board(
             _describe(settings, self.incarnation),
             tuple(Address(seed) for seed in settings.seeds),
@@ -54,7 +81,6 @@
         self._settings = settings
         self._tasks: list[asyncio.Task[None]] = []
         self._handler: PeerHandler | None = None
-        self._secret = Path(settings.peer_secret_file).read_text().strip()
         self._listener: PeerListener | None = None
 
     async def start(self, handler: PeerHandler) -> None:
@@ -62,16 +88,29 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGUSR1, self._write_dump)
+        loop.add_signal_handler(signal.SIGHUP, self.access.files.look_now)
         self._handler = handler
-        self._listener = PeerListener(self.node, self._secret, self._handle)
+        peer_tls, operator_tls = self.access.peer_tls, self.access.operator_tls
+        self._listener = PeerListener(
+            self.node,
+            self.access.peers.accepts,
+            self._handle,
+            tls=peer_tls.server if peer_tls else None,
+        )
         bound = await self._listener.listen(Address(self._settings.peer_address))
         _log.info("peers-listening", address=bound)
         if self._settings.operator_address:
-            server = HttpServer(self.operators.handle)
+            server = HttpServer(
+                self.operators.handle, tls=operator_tls.server if operator_tls else None
+            )
             bound = await server.listen(Address(self._settings.operator_address))
             _log.info("operators-listening", address=bound)
+        self.operators.add_section("process", self._describe_process)
         self.operators.add_section("members", self.members)
+        self._show_gauges()
         self._tasks = [
+            loop.create_task(self.access.files.run()),
             loop.create_task(self.board.run()),
             loop.create_task(self._stop_when_superseded()),
             loop.create_task(self._announce_leaving()),
@@ -113,13 +152,45 @@
         await self.board.superseded.wait()
         self.stopping.set()
 
+    def _show_gauges(self) -> None:
+        for name, description, read in (
+            ("tasks", "Tasks on the loop.", lambda: len(asyncio.all_tasks())),
+            ("members", "Processes known here.", lambda: len(self.members())),
+            (
+                "peer_sent_bytes",
+                "Bytes sent to peers since the start.",
+                lambda: self.links.sent_bytes,
+            ),
+        ):
+            self.metrics.add_gauge(f"zinniaspool_{name}", description, read)
+
+    def _describe_process(self) -> ProcessState:
+        return ProcessState(
+            self.node,
+            self.incarnation,
+            FailureDomainId(self._settings.failure_domain),
+            __version__,
+            PROTOCOL_VERSION,
+            self.stopping.is_set(),
+            len(asyncio.all_tasks()),
+            dict(self.journal.counts),
+        )
+
+    def _write_dump(self) -> None:
+        try:
+            path = self.operators.write_dump(self._settings.dump_folder, self.node)
+        except OSError as error:
+            _log.error("dump-unwritten", error=str(error))
+            return
+        _log.info("dump-written", path=str(path))
+
     def _say_hello(self) -> Hello:
         return Hello(
             PROTOCOL_VERSION,
             self.node,
             self.incarnation,
             FailureDomainId(self._settings.failure_domain),
-            self._secret,
+            self.access.peers.shown,
         )
 
 
--- /dev/null
+++ b/src/zinniaspool/node/program.py
@@ -0,0 +1,48 @@
+"""How a process starts: settings, logs, loop."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import TypeVar
+
+import typer
+
+from zinniaspool.settings import NodeSettings, SettingsError, load_settings
+from zinniaspool.telemetry import configure_logs
+
+__all__ = ["run_program"]
+
+_Settings = TypeVar("_Settings", bound=NodeSettings)
+_BAD_SETTINGS = 2
+
+
+def run_program(
+    program: str,
+    file: Path,
+    kind: type[_Settings],
+    run: Callable[[_Settings], Awaitable[None]],
+) -> None:
+    """Run a process until it stops.
+
+    Args:
+        program: Its name in the log.
+        file: Its settings.
+        kind: The settings' type.
+        run: Runs it; called on the loop.
+
+    Raises:
+        typer.Exit: The settings cannot be used; their faults were printed.
+    """
+    try:
+        settings = load_settings(file, kind)
+        configure_logs(program, settings.node)
+        asyncio.run(_await(run, settings))
+    except SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(_BAD_SETTINGS) from error
+
+
+async def _await(
+    run: Callable[[_Settings], Awaitable[None]], settings: _Settings
+) -> None:
+    await run(settings)
--- a/src/zinniaspool/peers/frames.py
+++ b/src/zinniaspool/peers/frames.py
@@ -25,7 +25,9 @@
     return len(body).to_bytes(_LENGTH_BYTES, "big") + body
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Message | None:
+async def read_frame(
+    reader: asyncio.StreamReader, most_bytes: int = MOST_FRAME_BYTES
+) -> Message | None:
     """Return the next message, or None at the stream's end.
 
     Raises:
@@ -34,7 +36,7 @@
     try:
         head = await reader.readexactly(_LENGTH_BYTES)
         length = int.from_bytes(head, "big")
-        if length > MOST_FRAME_BYTES:
+        if length > most_bytes:
             raise FrameError(f"a frame of {length} bytes")
         body = await reader.readexactly(length)
     except asyncio.IncompleteReadError:
--- a/src/zinniaspool/peers/links.py
+++ b/src/zinniaspool/peers/links.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import ssl
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -34,9 +35,16 @@
     Args:
         say_hello: Makes the first message of a connection.
         timeout_s: Longest wait for a connection or an answer.
+        tls: Wraps each connection where given.
     """
 
-    def __init__(self, say_hello: Callable[[], Hello], timeout_s: float = 1.0) -> None:
+    def __init__(
+        self,
+        say_hello: Callable[[], Hello],
+        timeout_s: float = 1.0,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._tls = tls
         self._say_hello = say_hello
         self._timeout_s = timeout_s
         self.sent_bytes = 0
@@ -110,7 +118,7 @@
 
     async def _open(self, address: Address) -> _Link:
         host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(host, int(port), ssl=self._tls)
         try:
             self.sent_bytes += write_frame(writer, self._say_hello())
             accepted = await read_frame(reader)
--- a/src/zinniaspool/peers/listener.py
+++ b/src/zinniaspool/peers/listener.py
@@ -1,13 +1,14 @@
 """The side of a peer connection that accepts it."""
 
 import asyncio
-import hmac
+import ssl
 from collections.abc import Awaitable, Callable
 
 import structlog
 
 from zinniaspool.core.ids import Address, NodeId
 from zinniaspool.core.messages import (
+    OLDEST_PROTOCOL_VERSION,
     PROTOCOL_VERSION,
     Accepted,
     Hello,
@@ -20,6 +21,8 @@
 
 _log = structlog.get_logger(__name__)
 _HELLO_S = 2.0
+_MOST_HELLO_BYTES = 4096
+"""Whoever has not shown the secret yet cannot have us keep megabytes."""
 
 PeerHandler = Callable[[Hello, Message], Awaitable[Message | None]]
 """Takes a message of a known peer; a returned message is sent back."""
@@ -30,13 +33,21 @@
 
     Args:
         node: This process's name.
-        secret: What a peer must show.
+        accepts: Tells whether a secret that a peer shows is the fleet's.
         handler: Takes each message.
+        tls: Wraps each connection where given.
     """
 
-    def __init__(self, node: NodeId, secret: str, handler: PeerHandler) -> None:
+    def __init__(
+        self,
+        node: NodeId,
+        accepts: Callable[[str], bool],
+        handler: PeerHandler,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         self._node = node
-        self._secret = secret
+        self._accepts = accepts
+        self._tls = tls
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -44,7 +55,9 @@
     async def listen(self, address: Address) -> Address:
         """Start listening and return the address, its port filled in."""
         host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port), ssl=self._tls
+        )
         bound = self._server.sockets[0].getsockname()
         return Address(f"{host}:{bound[1]}")
 
@@ -65,6 +78,10 @@
             _log.warning("peer-dropped", error=str(error) or type(error).__name__)
         except asyncio.CancelledError:
             pass
+        except Exception:
+            # One peer's message must not take the process from the others:
+            # its connection alone ends, and the log names the fault.
+            _log.exception("peer-handler-failed")
         finally:
             self._writers.discard(writer)
             writer.close()
@@ -73,13 +90,20 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         async with asyncio.timeout(_HELLO_S):
-            hello = await read_frame(reader)
+            hello = await read_frame(reader, _MOST_HELLO_BYTES)
+        if hello is None:
+            return
         if not isinstance(hello, Hello):
+            _log.warning("peer-refused", reason="hello")
             return
-        if not hmac.compare_digest(hello.secret.encode(), self._secret.encode()):
+        if not self._accepts(hello.secret):
             _log.warning("peer-refused", node=hello.node, reason="secret")
             write_frame(writer, Refused("secret"))
             return
+        if hello.protocol < OLDEST_PROTOCOL_VERSION:
+            _log.warning("peer-refused", node=hello.node, reason="version")
+            write_frame(writer, Refused("version"))
+            return
         version = min(hello.protocol, PROTOCOL_VERSION)
         write_frame(writer, Accepted(version, self._node))
         while (message := await read_frame(reader)) is not None:
--- a/src/zinniaspool/settings/types.py
+++ b/src/zinniaspool/settings/types.py
@@ -1,9 +1,16 @@
 """What can be set, with its units and defaults."""
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Self
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationInfo
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationInfo,
+    model_validator,
+)
 
 from zinniaspool.core.validation import is_address
 
@@ -92,15 +99,34 @@
     seeds: tuple[_Address, ...] = Field(
         default=(), description="Peer addresses to ask at the start."
     )
+    operator_tls: TlsFiles | None = Field(
+        default=None, description="TLS towards operators; without it, none."
+    )
     peer_tls: TlsFiles | None = Field(
         default=None, description="TLS between processes; without it, none."
     )
+    dump_folder: str | None = Field(
+        default=None,
+        description=(
+            "Where SIGUSR1 writes the state dump; the system's folder for "
+            "temporary files without it."
+        ),
+    )
     credentials_reload_s: float = Field(
         default=2.0,
         gt=0,
-        description="Seconds between two looks at whether a credential file changed.",
+        description=(
+            "Seconds between two looks at whether a file of credentials or TLS "
+            "changed; SIGHUP makes one at once."
+        ),
     )
 
+    @model_validator(mode="after")
+    def _check_peer_authority(self) -> Self:
+        if self.peer_tls is not None and self.peer_tls.authority_file is None:
+            raise ValueError("an authority_file in peer_tls: peers check each other")
+        return self
+
 
 class EntrySettings(NodeSettings):
     """Settings of ``zinniaspool-entry``."""
--- a/src/zinniaspool/telemetry/__init__.py
+++ b/src/zinniaspool/telemetry/__init__.py
@@ -2,5 +2,6 @@
 
 from zinniaspool.telemetry.events import LOG_EVENTS
 from zinniaspool.telemetry.logs import configure_logs
+from zinniaspool.telemetry.metrics import Metrics
 
-__all__ = ["LOG_EVENTS", "configure_logs"]
+__all__ = ["LOG_EVENTS", "Metrics", "configure_logs"]
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -16,15 +16,21 @@
         "credentials in use stay.",
         "domain-held": "This process took a fabric domain's lease.",
         "drained": "The last request ended, or was cut when the time was up.",
+        "drain-asked": "An operator asked the process to leave.",
+        "dump-unwritten": "A state dump could not be written.",
         "dump-written": "A state dump was written, as a signal asked.",
         "group-planned": "A plan with this group was accepted.",
         "handler-failed": "A fault of the program in one request; its connection "
         "was cut.",
+        "library-message": "A library warned of something.",
+        "notice-unreadable": "A notice of another process could not be used.",
         "operators-listening": "The operators' address is open.",
         "operator-refused": "An operator's request had no accepted credential.",
         "order-sent": "An engine answered an order.",
         "order-unanswered": "An engine did not answer an order.",
         "peer-dropped": "A peer's connection broke the protocol or was lost.",
+        "peer-handler-failed": "A fault of the program in one peer's message; its "
+        "connection was closed.",
         "peer-refused": "A peer showed a wrong secret or an unknown version.",
         "peer-unreachable": "A peer could not be reached or did not answer.",
         "peers-listening": "The peers' address is open.",
@@ -32,6 +38,8 @@
         "connection-refused": "There were too many connections open.",
         "request-failed": "A caller's request ended in an error.",
         "request-refused": "A request broke the server's limits or HTTP.",
+        "superseded": "Another process runs under this one's name since; this "
+        "one stops.",
         "store-unreachable": "The store could not be read.",
     }
 )
--- /dev/null
+++ b/tests/test_access.py
@@ -0,0 +1,257 @@
+"""Who may reach a process: credentials, secrets, TLS, all replaceable."""
+
+import asyncio
+import json
+import ssl
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import structlog
+import trustme
+
+from zinniaspool.core.ids import (
+    Address,
+    CustomerId,
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+)
+from zinniaspool.core.journal import DecisionKind, Journal
+from zinniaspool.core.messages import PROTOCOL_VERSION, Accepted, Hello, Message
+from zinniaspool.entry.credentials import Credentials
+from zinniaspool.http import Headers, HttpClient, HttpServer, Request, TransportError
+from zinniaspool.node.files import FileReloader, PeerSecrets
+from zinniaspool.node.operators import OperatorInterface, load_operators
+from zinniaspool.node.tls import TlsSide
+from zinniaspool.peers import PeerLinks, PeerListener
+from zinniaspool.settings import TlsFiles
+
+_ANY = Address("127.0.0.1:0")
+
+
+def _write(path: Path, content: Any) -> Path:
+    path.write_text(content if isinstance(content, str) else json.dumps(content))
+    return path
+
+
+def test_a_replaced_credential_file_is_used_and_a_broken_one_is_not(
+    tmp_path: Path,
+) -> None:
+    """Callers keep their access while an operator replaces the file.
+
+    The file is replaced by a new one, then by half a file as a reader sees
+    one that is being written: the credentials loaded before must stay.
+    """
+    path = _write(tmp_path / "c", {"callers": {"old": "care"}})
+    credentials = Credentials(path)
+    reloader = FileReloader(60.0)
+    reloader.add(credentials)
+    _write(path, {"callers": {"newer": "care"}})
+    reloader.look()
+    assert credentials.find_customer("Bearer newer") == "care"
+    assert credentials.find_customer("Bearer old") is None
+    with structlog.testing.capture_logs() as events:
+        _write(path, '{"callers": {"half')
+        reloader.look()
+        reloader.look()
+        path.unlink()
+        reloader.look()
+    assert [event["event"] for event in events] == ["credentials-unreadable"] * 2
+    assert "half" not in str(events)
+    assert credentials.find_customer("bearer newer") == "care"
+
+
+@pytest.mark.parametrize(
+    "shown", [None, "", "Bearer", "Bearer ", "Basic key", "Bearer k\xe9y", "key"]
+)
+def test_what_is_no_credential_of_the_file_is_nobodys(
+    tmp_path: Path, shown: str | None
+) -> None:
+    credentials = Credentials(_write(tmp_path / "c", {"callers": {"key": "care"}}))
+    assert credentials.find_customer(shown) is None
+
+
+def test_an_empty_credential_is_refused(tmp_path: Path) -> None:
+    with pytest.raises(ValueError, match="empty"):
+        Credentials(_write(tmp_path / "c", {"callers": {"": "care"}}))
+
+
+def test_peers_accept_every_secret_of_the_file_and_show_the_first(
+    tmp_path: Path,
+) -> None:
+    secrets = PeerSecrets(_write(tmp_path / "s", "new\nold\n"))
+    assert secrets.shown == "new"
+    assert [secrets.accepts(s) for s in ("new", "old", "", "x")] == [
+        True,
+        True,
+        False,
+        False,
+    ]
+
+
+def _make_interface(folder: Path) -> OperatorInterface:
+    operators = {
+        "all-key": {"name": "fleet"},
+        "care-key": {"name": "carer", "customer": "care"},
+    }
+    path = _write(folder / "operators", {"operators": operators})
+    journal = Journal()
+    kind = DecisionKind.REQUEST_REFUSED
+    journal.record(1.0, kind, ("customer:care", "request:1"), "limit")
+    journal.record(2.0, kind, ("customer:rival", "request:2"), "limit")
+    interface = OperatorInterface(journal, load_operators(path), lambda: b"metric 1\n")
+    interface.add_section("all", lambda: "secret of rival")
+    interface.add_section("shares", lambda: {"rival": 1}, lambda who: {who: 2})
+    interface.add_view("/who", lambda operator, query: [operator.name, query["q"]])
+    return interface
+
+
+async def _ask(
+    interface: OperatorInterface, asked: list[tuple[str, str, str | None]]
+) -> list[tuple[int, bytes]]:
+    server, client = HttpServer(interface.handle), HttpClient()
+    address = await server.listen(_ANY)
+    answers = []
+    for method, target, credential in asked:
+        headers = Headers()
+        if credential is not None:
+            headers.add("authorization", f"Bearer {credential}")
+        answers.append(
+            await client.fetch(address, Request(method, target, headers), 5.0)
+        )
+    client.close()
+    await server.drain(0.0)
+    return answers
+
+
+def test_an_operator_of_one_customer_sees_no_other_customer(tmp_path: Path) -> None:
+    asked = [
+        ("GET", "/dump", None),
+        ("GET", "/dump", "wrong"),
+        ("GET", "/dump", "all-key"),
+        ("GET", "/dump", "care-key"),
+        ("GET", "/explain?subject=request:2", "all-key"),
+        ("GET", "/explain?subject=request:2", "care-key"),
+        ("GET", "/metrics", "all-key"),
+        ("GET", "/metrics", "care-key"),
+        ("POST", "/drain", "care-key"),
+        ("GET", "/who?q=x", "care-key"),
+    ]
+    answers = asyncio.run(_ask(_make_interface(tmp_path), asked))
+    statuses = [status for status, _ in answers]
+    assert statuses == [401, 401, 200, 200, 200, 200, 200, 403, 403, 200]
+    whole, bound = (msgspec.json.decode(answers[k][1]) for k in (2, 3))
+    assert whole["version"] == bound["version"] == 1
+    assert whole["state"]["all"] == "secret of rival"
+    assert bound["state"]["shares"] == {"care": 2}
+    assert b"rival" not in answers[3][1]
+    assert len(whole["state"]["decisions"]) == 2
+    assert msgspec.json.decode(answers[4][1])[0]["reason"] == "limit"
+    assert answers[5][1] == b"[]"
+    assert answers[9][1] == b'["carer","x"]'
+
+
+@contextmanager
+def _issue_certificates(folder: Path, name: str) -> Iterator[tuple[TlsFiles, Path]]:
+    authority = trustme.CA()
+    issued = authority.issue_cert("127.0.0.1")
+    paths = [folder / f"{name}-{kind}.pem" for kind in ("ca", "chain", "key")]
+    authority.cert_pem.write_to_path(paths[0])
+    paths[1].write_bytes(b"".join(p.bytes() for p in issued.cert_chain_pems))
+    issued.private_key_pem.write_to_path(paths[2])
+    yield (
+        TlsFiles(
+            certificate_file=str(paths[1]),
+            key_file=str(paths[2]),
+            authority_file=str(paths[0]),
+        ),
+        paths[0],
+    )
+
+
+def test_callers_reach_a_server_by_tls_and_not_without(tmp_path: Path) -> None:
+    with _issue_certificates(tmp_path, "a") as (files, authority):
+        side = TlsSide(files.model_copy(update={"authority_file": None}))
+        trusting = ssl.create_default_context(cafile=str(authority))
+        answers = asyncio.run(_fetch_by(side, [trusting, None]))
+    with _issue_certificates(tmp_path, "b") as (_, other):
+        stranger = ssl.create_default_context(cafile=str(other))
+        answers += asyncio.run(_fetch_by(side, [stranger]))
+    assert answers[0] == (200, b"x" * 100_000)
+    assert isinstance(answers[1], TransportError)
+    assert isinstance(answers[2], TransportError)
+
+
+async def _fetch_by(
+    side: TlsSide, contexts: list[ssl.SSLContext | None]
+) -> list[object]:
+    async def answer(exchange: Any) -> None:
+        await exchange.respond(200, Headers(), b"x" * 100_000)
+
+    server = HttpServer(answer, tls=side.server)
+    address = await server.listen(_ANY)
+    found: list[object] = []
+    for context in contexts:
+        client = HttpClient(tls=context)
+        try:
+            found.append(await client.fetch(address, Request("GET", "/"), 5.0))
+        except TransportError as error:
+            found.append(error)
+        client.close()
+    await server.drain(0.0)
+    return found
+
+
+def test_peers_need_a_certificate_of_their_authority(tmp_path: Path) -> None:
+    with (
+        _issue_certificates(tmp_path, "a") as (ours, _),
+        _issue_certificates(tmp_path, "b") as (theirs, _),
+    ):
+        side, stranger = TlsSide(ours, peers=True), TlsSide(theirs, peers=True)
+        heard = asyncio.run(_talk(side, [side.client, stranger.client, None]))
+    assert heard == [True, False, False]
+
+
+async def _talk(side: TlsSide, contexts: list[ssl.SSLContext | None]) -> list[bool]:
+    async def handle(hello: Hello, message: Message) -> Message:
+        return Accepted(1, NodeId("answer"))
+
+    listener = PeerListener(NodeId("b"), lambda s: s == "s", handle, side.server)
+    address = await listener.listen(_ANY)
+    hello = Hello(
+        PROTOCOL_VERSION, NodeId("a"), Incarnation(1), FailureDomainId("d"), "s"
+    )
+    heard = []
+    for context in contexts:
+        links = PeerLinks(lambda: hello, 2.0, context)
+        heard.append(await links.ask(address, hello) is not None)
+        links.close()
+    listener.close()
+    return heard
+
+
+def test_metrics_bound_the_customers_that_have_series() -> None:
+    from zinniaspool.telemetry import Metrics
+
+    journal = Journal()
+    journal.record(1.0, DecisionKind.GROUP_FORMED, (), "")
+    metrics = Metrics(journal, most_customers=2)
+    for name in ("a", "b", "c", "d", "a"):
+        metrics.observe_request(CustomerId(name), "answered", 0.02)
+    metrics.observe_request(None, "bad-credential", 0.001)
+    metrics.add_gauge("zinniaspool_open", "Open.", lambda: 3)
+    text = metrics.render().decode()
+    assert 'zinniaspool_requests_total{customer="a",end="answered"} 2.0' in text
+    assert 'zinniaspool_requests_total{customer="other",end="answered"} 2.0' in text
+    assert 'customer="c"' not in text
+    assert 'zinniaspool_decisions_total{kind="group-formed"} 1.0' in text
+    assert (
+        'zinniaspool_request_duration_seconds_bucket{customer="a",le="0.025"}' in text
+    )
+    assert "zinniaspool_open 3.0" in text
+    other = Metrics(Journal())
+    assert 'customer="a"' not in other.render().decode()
