--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -23,7 +23,7 @@
         "handler-failed": "A fault of the program in one request; its connection "
         "was cut.",
         "library-message": "A library warned of something.",
-        "notice-unreadable": "A notice of another process could not be used.",
+        "notice-unreadable": "A notice of a peer could not be used; dropped.",
         "operators-listening": "The operators' address is open.",
         "operator-refused": "An operator's request had no accepted credential.",
         "order-sent": "An engine answered an order.",
@@ -38,8 +38,7 @@
         "connection-refused": "There were too many connections open.",
         "request-failed": "A caller's request ended in an error.",
         "request-refused": "A request broke the server's limits or HTTP.",
-        "superseded": "Another process runs under this one's name since; this "
-        "one stops.",
         "store-unreachable": "The store could not be read.",
+        "superseded": "A later start of this node is known; this one stops.",
     }
 )
