Route by corrected load, share limits between entry processes, leave late

Routing drew from a list made anew for each request and knew no load but its own.

Requests enter by guarantee, then by weighted share of what is idle, worked out from digests of the other entry processes; those that are not heard keep their part. What cannot begin in time is refused at once. A process that is short of itself sheds the less urgent requests first.

An idempotent request leaves a frozen upstream after a part of its time, and a stream after a silence, unless the caller is the slow one: the first test of that passed with the guard removed, since its stream was no event stream.

A leaving process serves for as long as callers may keep the address answer and until its last request ends; address answers are drawn by load and closeness from those that are ready.

--- a/src/zinniaspool/core/requests/__init__.py
+++ b/src/zinniaspool/core/requests/__init__.py
@@ -1,31 +1,71 @@
 """Requests: where they go, how often, and what their callers are told."""
 
+from zinniaspool.core.requests.admission import (
+    Admission,
+    AdmissionLimits,
+    Ticket,
+    TicketState,
+)
 from zinniaspool.core.requests.attempts import (
     AttemptFailure,
     Attempts,
     CallTerms,
     Progress,
 )
+from zinniaspool.core.requests.brownout import Brownout, BrownoutLimits
 from zinniaspool.core.requests.budget import RetryBudget
 from zinniaspool.core.requests.headers import (
     NORMAL_URGENCY,
     parse_timeout,
     parse_urgency,
 )
-from zinniaspool.core.requests.routing import Router, Upstream
+from zinniaspool.core.requests.routing import (
+    AttemptEnd,
+    RoutingLimits,
+    UpstreamPool,
+    hash_prefix,
+)
+from zinniaspool.core.requests.shares import (
+    CustomerShare,
+    LocalShares,
+    Peers,
+    share_capacity,
+    share_locally,
+)
 from zinniaspool.core.requests.streams import EventCursor, StreamFault
+from zinniaspool.core.requests.upstreams import (
+    FreshUpstream,
+    Upstream,
+    UpstreamState,
+)
 
 __all__ = [
-    "NORMAL_URGENCY",
+    "Admission",
+    "AdmissionLimits",
+    "AttemptEnd",
     "AttemptFailure",
     "Attempts",
+    "Brownout",
+    "BrownoutLimits",
     "CallTerms",
+    "CustomerShare",
     "EventCursor",
+    "FreshUpstream",
+    "LocalShares",
+    "NORMAL_URGENCY",
+    "Peers",
     "Progress",
     "RetryBudget",
-    "Router",
+    "RoutingLimits",
     "StreamFault",
+    "Ticket",
+    "TicketState",
     "Upstream",
+    "UpstreamPool",
+    "UpstreamState",
+    "hash_prefix",
     "parse_timeout",
     "parse_urgency",
+    "share_capacity",
+    "share_locally",
 ]
--- a/src/zinniaspool/entry/callers.py
+++ b/src/zinniaspool/entry/callers.py
@@ -3,67 +3,49 @@
 import asyncio
 import secrets
 
-import msgspec
 import structlog
 from result import Err, Ok, Result
 
 from zinniaspool.core.errors import ErrorKind, Fault
-from zinniaspool.core.ids import Address, CustomerId, RequestId
+from zinniaspool.core.ids import CustomerId, RequestId
 from zinniaspool.core.requests import parse_timeout, parse_urgency
 from zinniaspool.entry.answers import answer_fault
 from zinniaspool.entry.calls import CallRunner, WantedCall
 from zinniaspool.entry.credentials import Credentials
-from zinniaspool.entry.fleet import FleetView
+from zinniaspool.entry.directory import EntryDirectory
 from zinniaspool.entry.once import OnceCalls
-from zinniaspool.http import Exchange, Headers
+from zinniaspool.http import Exchange
 
-__all__ = ["CallerInterface", "EntryAddress"]
+__all__ = ["CallerInterface"]
 
 _log = structlog.get_logger(__name__)
 _ID_BYTES = 12
-_LIFETIME_S = 5
-_JSON = Headers.of(content_type="application/json")
-
-
-class EntryAddress(msgspec.Struct):
-    """One address that callers may use."""
-
-    address: Address
-    failure_domain: str
-
-
-class _Entries(msgspec.Struct):
-    entries: list[EntryAddress]
-    lifetime_s: int
-    session: str
 
 
 class CallerInterface:
     """Answers callers.
 
     Args:
-        fleet: What is known of the upstreams.
+        directory: Names entry VMs.
         runner: Runs calls.
         once: Runs those that may run at most once.
         credentials: Whose request it is.
-        entries: The addresses to answer with.
         default_deadline_s: For requests that bring none.
     """
 
     def __init__(
         self,
-        fleet: FleetView,
+        directory: EntryDirectory,
         runner: CallRunner,
         once: OnceCalls,
         credentials: Credentials,
-        entries: list[EntryAddress],
         default_deadline_s: float,
     ) -> None:
-        self._fleet = fleet
+        self.ready = False
+        self._directory = directory
         self._runner = runner
         self._once = once
         self._credentials = credentials
-        self._entries = entries
         self._default_deadline_s = default_deadline_s
 
     async def handle(self, exchange: Exchange) -> None:
@@ -76,14 +58,10 @@
 
     async def _answer(self, exchange: Exchange) -> Result[None, Fault]:
         request = exchange.request
-        if self._fleet.configuration is None:
+        if not self.ready:
             return Err(Fault(ErrorKind.NOT_READY))
         if (request.method, request.path) == ("GET", "/v1/entries"):
-            body = msgspec.json.encode(
-                _Entries(self._entries, _LIFETIME_S, self._once.make_session())
-            )
-            await exchange.respond(200, _JSON, body)
-            return Ok(None)
+            return await self._directory.answer(exchange)
         customer = self._credentials.find_customer(request.headers.get("authorization"))
         if customer is None:
             return Err(Fault(ErrorKind.BAD_CREDENTIAL))
@@ -119,7 +97,7 @@
     async def _run_call(
         self, exchange: Exchange, wanted: WantedCall
     ) -> Result[None, Fault]:
-        resolved = self._runner.resolve(wanted, asyncio.get_running_loop().time())
+        resolved = self._runner.resolve(wanted)
         if isinstance(resolved, Err):
             return resolved
         key = exchange.request.headers.get("idempotency-key")
--- a/src/zinniaspool/entry/fleet.py
+++ b/src/zinniaspool/entry/fleet.py
@@ -1,28 +1,22 @@
 """What an entry process knows of the fleet's upstreams."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from zinniaspool.core.deployment import (
-    Configuration,
-    ModelRule,
-    ServiceRule,
-    Share,
-    Vm,
-)
+from zinniaspool.core.deployment import Configuration, ModelRule, Vm
 from zinniaspool.core.groups import SeenReport, find_serving
 from zinniaspool.core.ids import (
     CustomerId,
     FabricDomainId,
-    ServiceName,
+    ModelName,
     UpstreamId,
     VmId,
 )
 from zinniaspool.core.messages import DomainState
 from zinniaspool.core.plans import DomainPlan
-from zinniaspool.core.requests import Upstream
+from zinniaspool.core.requests import FreshUpstream, Upstream
 
-__all__ = ["FleetView"]
+__all__ = ["FleetView", "ServingUpstream"]
 
 
 @dataclass(slots=True)
@@ -31,6 +25,21 @@
     reports: dict[VmId, SeenReport] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class ServingUpstream:
+    """A group that may be sent requests now.
+
+    Attributes:
+        model: What it runs.
+        customers: Whose requests it may run.
+        fresh: The group as an upstream, and its newest report.
+    """
+
+    model: ModelName
+    customers: tuple[CustomerId, ...]
+    fresh: FreshUpstream
+
+
 class FleetView:
     """Configuration, plans and engine reports, as known here.
 
@@ -43,11 +52,13 @@
         self._stale_after_s = stale_after_s
         self._domains: dict[FabricDomainId, _DomainView] = {}
         self._vms: Mapping[VmId, Vm] = {}
+        self._models: Mapping[ModelName, ModelRule] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Take a newer configuration."""
         self.configuration = configuration
         self._vms = {vm.id: vm for vm in configuration.inventory.vms}
+        self._models = {model.name: model for model in configuration.rules.models}
 
     def update_domain(self, state: DomainState, now: float) -> None:
         """Take a domain's plan and reports, unless an older plan's."""
@@ -64,63 +75,30 @@
             if known is None or seen.made_at > known.made_at:
                 view.reports[aged.report.vm] = seen
 
-    def find_model(self, name: str, customer: CustomerId) -> ModelRule | None:
-        """Return a model that the customer shares."""
-        if self.configuration is None:
-            return None
-        for model in self.configuration.rules.models:
-            if model.name == name and _shares(model.shares, customer):
-                return model
-        return None
-
-    def find_service(self, name: str, customer: CustomerId) -> ServiceRule | None:
-        """Return a plain service that the customer shares."""
-        if self.configuration is None:
-            return None
-        for service in self.configuration.rules.services:
-            if service.name == ServiceName(name) and _shares(service.shares, customer):
-                return service
-        return None
-
-    def list_groups(
-        self, model: ModelRule, customer: CustomerId, now: float
-    ) -> list[Upstream]:
-        """Return the serving groups that may run a customer's requests."""
-        found = []
+    def list_serving(self, now: float) -> Iterator[ServingUpstream]:
+        """Yield the groups whose every VM freshly reports this very group."""
         for view in self._domains.values():
-            groups = [
-                group
-                for group in view.plan.groups
-                if group.model == model.name and customer in group.customers
-            ]
+            groups = view.plan.groups
             for group in find_serving(groups, view.reports, now, self._stale_after_s):
+                rule = self._models.get(group.model)
                 first = self._vms.get(group.vms[0])
-                if first is None:
+                if rule is None or first is None:
                     continue
-                found.append(
-                    Upstream(
-                        UpstreamId(group.id),
-                        first.address,
-                        first.failure_domain,
-                        model.slots_per_group,
-                        group.id,
-                        group.epoch,
-                    )
+                oldest = min(view.reports[vm].made_at for vm in group.vms)
+                seen = view.reports[group.vms[0]]
+                upstream = Upstream(
+                    UpstreamId(group.id),
+                    first.address,
+                    first.failure_domain,
+                    rule.slots_per_group,
+                    group.id,
+                    group.epoch,
+                    group.version,
+                )
+                fresh = FreshUpstream(
+                    upstream,
+                    oldest + self._stale_after_s,
+                    seen.report.running + seen.report.waiting,
+                    seen.made_at,
                 )
-        return found
-
-    def list_service(self, service: ServiceRule) -> list[Upstream]:
-        """Return a plain service's upstreams."""
-        return [
-            Upstream(
-                UpstreamId(upstream.address),
-                upstream.address,
-                upstream.failure_domain,
-                service.slots_per_upstream,
-            )
-            for upstream in service.upstreams
-        ]
-
-
-def _shares(shares: tuple[Share, ...], customer: CustomerId) -> bool:
-    return any(share.customer == customer for share in shares)
+                yield ServingUpstream(group.model, group.customers, fresh)
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -9,7 +9,8 @@
 import typer
 
 from zinniaspool.core.deployment import Configuration
-from zinniaspool.core.ids import Address, Revision
+from zinniaspool.core.ids import Address, FailureDomainId, Revision
+from zinniaspool.core.journal import DecisionKind
 from zinniaspool.core.membership import MemberState
 from zinniaspool.core.messages import (
     DomainState,
@@ -21,14 +22,18 @@
 from zinniaspool.core.requests.claims import SlotOwner
 from zinniaspool.core.requests.keys import KeyLimits, KeyTable
 from zinniaspool.entry.answers import refuse_request
-from zinniaspool.entry.callers import CallerInterface, EntryAddress
+from zinniaspool.entry.callers import CallerInterface
 from zinniaspool.entry.calls import CallRunner
 from zinniaspool.entry.claims import ClaimKeeper
 from zinniaspool.entry.credentials import Credentials
+from zinniaspool.entry.directory import EntryDirectory
+from zinniaspool.entry.duties import EntryDuties
 from zinniaspool.entry.fleet import FleetView
 from zinniaspool.entry.forwarding import CallForwarder
+from zinniaspool.entry.gate import Gate
 from zinniaspool.entry.once import OnceCalls, OnceLimits
-from zinniaspool.entry.relay import Relay
+from zinniaspool.entry.relay import FailedAttempt, Relay
+from zinniaspool.entry.services import ServiceIndex
 from zinniaspool.entry.sinks import EndedCall
 from zinniaspool.http import HttpServer
 from zinniaspool.node import ConfigurationFollower, NodeFrame, run_program
@@ -37,7 +42,8 @@
 __all__ = ["EntryProcess", "main"]
 
 _log = structlog.get_logger(__name__)
-_DRAIN_S = 30.0
+_HEARD_S = 1.0
+"""Time in which the others hear that this process leaves."""
 
 
 class EntryProcess:
@@ -50,25 +56,35 @@
         self._caller_tls = self._frame.access.load_tls(
             "caller_tls", settings.caller_tls
         )
-        relay = Relay(self._frame.http, random.Random())
-        runner = CallRunner(self._fleet, relay)
+        domain = FailureDomainId(settings.failure_domain)
+        self._index = ServiceIndex(self._fleet, random.Random(), domain)
+        self._gate = Gate()
+        self._duties = EntryDuties(self._frame, self._index, self._gate)
+        relay = Relay(self._frame.http, self._note_failure)
+        runner = CallRunner(self._index, self._gate, relay)
         self._forwarder = CallForwarder(
             self._frame.links, Address(settings.peer_address), self._frame.members
         )
         self._once = self._make_once(runner)
-        own = EntryAddress(Address(settings.caller_address), settings.failure_domain)
+        self._directory = EntryDirectory(
+            self._frame.members,
+            self._duties.list_loads,
+            self._once.make_session,
+            domain,
+            settings.address_lifetime_s,
+        )
         self._callers = CallerInterface(
-            self._fleet,
+            self._directory,
             runner,
             self._once,
             self._load_credentials(),
-            [own],
             settings.default_deadline_s,
         )
 
     async def run(self) -> None:
         """Run until the process is told to stop."""
         await self._frame.start(self._handle_message)
+        self._duties.start()
         tls = self._caller_tls
         server = HttpServer(
             self._callers.handle,
@@ -79,17 +95,32 @@
         _log.info("callers-listening", address=bound)
         follower = ConfigurationFollower(self._frame.store, self._configure)
         async with asyncio.TaskGroup() as tasks:
-            following = tasks.create_task(follower.run())
-            forgetting = tasks.create_task(self._once.run())
+            running = [
+                tasks.create_task(follower.run()),
+                tasks.create_task(self._once.run()),
+                tasks.create_task(self._duties.run()),
+            ]
             await self._frame.stopping.wait()
-            following.cancel()
-            forgetting.cancel()
-        cut = await server.drain(_DRAIN_S)
-        await self._once.drain()
+            cut = await self._leave(server)
+            for task in running:
+                task.cancel()
         self._keeper.close()
         _log.info("drained", cut=cut)
         self._frame.close()
 
+    async def _leave(self, server: HttpServer) -> int:
+        """Serve while callers may come, then until the last request ends.
+
+        Callers keep an address answer for its lifetime. Closing the port
+        before that would refuse their connections, though another entry VM
+        would have taken their requests.
+        """
+        self._directory.leave()
+        await asyncio.sleep(self._settings.address_lifetime_s + _HEARD_S)
+        cut = await server.drain(self._settings.drain_s)
+        await self._once.drain()
+        return cut
+
     def _make_once(self, runner: CallRunner) -> OnceCalls:
         settings, frame = self._settings, self._frame
         own = SlotOwner(frame.node, frame.incarnation, Address(settings.peer_address))
@@ -108,11 +139,25 @@
 
     def _configure(self, configuration: Configuration, revision: Revision) -> None:
         self._fleet.configure(configuration)
+        now = asyncio.get_running_loop().time()
+        self._index.configure(configuration, now)
+        self._duties.share(now)
+        self._callers.ready = True
         self._frame.board.set_state(MemberState.READY)
 
+    def _note_failure(self, failed: FailedAttempt) -> None:
+        self._frame.decide(
+            DecisionKind.ATTEMPT_FAILED,
+            (f"request:{failed.request}", f"upstream:{failed.upstream}"),
+            failed.failure.value,
+            attempt=str(failed.attempt),
+            again=str(failed.again).lower(),
+        )
+
     async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
         if isinstance(message, DomainState):
             self._fleet.update_domain(message, asyncio.get_running_loop().time())
+            self._duties.note_fleet()
         if isinstance(message, ForwardedCall):
             self._once.take_forwarded(message)
         if isinstance(message, ForwardedAnswer):
--- a/src/zinniaspool/entry/once.py
+++ b/src/zinniaspool/entry/once.py
@@ -301,8 +301,7 @@
                 return _refuse(_FAULTS[verdict])
 
     async def _begin(self, exchange: Exchange | None, call: _KeyedCall) -> "_Given":
-        now = asyncio.get_running_loop().time()
-        resolved = self._runner.resolve(call.wanted, now)
+        resolved = self._runner.resolve(call.wanted)
         if isinstance(resolved, Err):
             return _Given(EndedCall(None, resolved.err_value))
         sink = KeepingSink(exchange)
--- a/src/zinniaspool/entry/relay.py
+++ b/src/zinniaspool/entry/relay.py
@@ -1,8 +1,7 @@
 """Sends a request upstream and its answer back."""
 
 import asyncio
-import random
-from collections.abc import Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import TracebackType
 
@@ -10,17 +9,19 @@
 from result import Err, Ok, Result
 
 from zinniaspool.core.errors import ErrorKind, Fault
-from zinniaspool.core.ids import CustomerId, RequestId
+from zinniaspool.core.ids import CustomerId, ModelVersion, RequestId, UpstreamId
 from zinniaspool.core.requests import (
     NORMAL_URGENCY,
+    AttemptEnd,
     AttemptFailure,
     Attempts,
     CallTerms,
     EventCursor,
     Progress,
     RetryBudget,
-    Router,
     Upstream,
+    UpstreamPool,
+    UpstreamState,
 )
 from zinniaspool.entry.sinks import AnswerSink
 from zinniaspool.http import (
@@ -32,12 +33,13 @@
     TransportFailure,
 )
 
-__all__ = ["Relay", "RelayedCall"]
+__all__ = ["FailedAttempt", "Relay", "RelayLimits", "RelayedCall"]
 
 _log = structlog.get_logger(__name__)
 _PASSED_ON = ("content-type",)
 _NOT_RUN = "x-not-run"
 _SERVER_ERRORS = 500
+_LOAD_LAG_S = 0.25
 _EVENT_STREAM = "text/event-stream"
 
 _FAILURES = {
@@ -59,6 +61,8 @@
         body: As the caller sent it.
         terms: Its deadline, and whether it may run more than once.
         urgency: 0 is the most urgent, for upstreams that honour it.
+        affinity: Hash of its prefix, or None.
+        salt: Keeps the customer's cached prefixes apart from others'.
     """
 
     id: RequestId
@@ -67,6 +71,35 @@
     body: bytes
     terms: CallTerms
     urgency: int = NORMAL_URGENCY
+    affinity: int | None = None
+    salt: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class FailedAttempt:
+    """One attempt that failed, for the process's journal."""
+
+    request: RequestId
+    attempt: int
+    upstream: UpstreamId
+    failure: AttemptFailure
+    again: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RelayLimits:
+    """How long an idempotent attempt waits before another is tried.
+
+    Attributes:
+        head_part: Part of the time left that one attempt may take until its
+            answer begins.
+        least_head_s: What it may take in any case.
+        stall_s: Longest silence of a stream.
+    """
+
+    head_part: float = 0.5
+    least_head_s: float = 2.0
+    stall_s: float = 3.0
 
 
 @dataclass(slots=True)
@@ -75,10 +108,16 @@
 
     sink: AnswerSink
     call: RelayedCall
+    pool: UpstreamPool
     attempts: Attempts
     cursor: EventCursor = field(default_factory=EventCursor)
     progress: Progress = Progress.NOTHING
     status: int = 0
+    version: ModelVersion | None = None
+    tried: list[UpstreamId] = field(default_factory=list)
+    state: UpstreamState | None = None
+    began: float = 0.0
+    latency_s: float | None = None
 
 
 class Relay:
@@ -86,72 +125,119 @@
 
     Args:
         http: Connections to upstreams.
-        source: The random source of the routing.
+        on_failure: Told of each attempt that failed.
+        limits: How long attempts wait.
     """
 
-    def __init__(self, http: HttpClient, source: random.Random) -> None:
+    def __init__(
+        self,
+        http: HttpClient,
+        on_failure: Callable[[FailedAttempt], None] = lambda _: None,
+        limits: RelayLimits | None = None,
+    ) -> None:
+        self._limits = limits or RelayLimits()
         self._http = http
-        self._router = Router(source)
+        self._on_failure = on_failure
         self._budgets: dict[CustomerId, RetryBudget] = {}
 
     async def run(
-        self, sink: AnswerSink, call: RelayedCall, upstreams: Sequence[Upstream]
+        self, sink: AnswerSink, call: RelayedCall, pool: UpstreamPool
     ) -> Result[None, Fault]:
         """Run a call and answer it, or return why it has no answer.
 
         Once part of an answer has gone to ``sink``, an error means that the
         rest cannot come; the caller's connection must then be cut.
         """
-        budget = self._budgets.setdefault(call.customer, RetryBudget())
+        budget = self._budgets.get(call.customer)
+        if budget is None:
+            budget = self._budgets[call.customer] = RetryBudget()
         budget.deposit()
-        run = _Run(sink, call, Attempts(call.terms, budget))
-        left = list(upstreams)
-        if not left:
-            return Err(Fault(ErrorKind.NO_UPSTREAM))
-        while (upstream := self._router.choose(left)) is not None:
-            left.remove(upstream)
-            begun = run.attempts.begin(asyncio.get_running_loop().time())
+        run = _Run(sink, call, pool, Attempts(call.terms, budget))
+        loop = asyncio.get_running_loop()
+        while (state := self._choose(run, loop.time())) is not None:
+            begun = run.attempts.begin(loop.time())
             if isinstance(begun, Err):
                 return begun
-            failure = await self._count_attempt(run, upstream)
+            failure = await self._count_attempt(run, state)
             if failure is None:
                 return Ok(None)
-            fault = run.attempts.judge(
-                failure, run.progress, asyncio.get_running_loop().time()
-            )
-            _log.info(
-                "attempt-failed",
-                request=call.id,
-                attempt=run.attempts.number,
-                upstream=upstream.id,
-                failure=failure.value,
-                again=fault is None,
-            )
+            run.tried.append(state.upstream.id)
+            fault = run.attempts.judge(failure, run.progress, loop.time())
+            self._report_failure(run, state, failure, again=fault is None)
             if fault is not None:
                 return Err(fault)
-        return Err(run.attempts.end_without_upstream(ErrorKind.OVERLOADED))
+        return Err(run.attempts.end_without_upstream(ErrorKind.NO_UPSTREAM))
+
+    def _choose(self, run: _Run, now: float) -> UpstreamState | None:
+        call = run.call
+        state = run.pool.choose(
+            now, call.affinity, run.tried, probe=call.terms.idempotent
+        )
+        if run.progress is Progress.NOTHING or state is None:
+            return state
+        if state.upstream.version == run.version:
+            return state
+        # The rest of a stream by another version would not fit its beginning.
+        run.tried.append(state.upstream.id)
+        return self._choose(run, now)
+
+    def _report_failure(
+        self, run: _Run, state: UpstreamState, failure: AttemptFailure, *, again: bool
+    ) -> None:
+        self._on_failure(
+            FailedAttempt(
+                run.call.id, run.attempts.number, state.upstream.id, failure, again
+            )
+        )
 
     async def _count_attempt(
-        self, run: _Run, upstream: Upstream
+        self, run: _Run, state: UpstreamState
     ) -> AttemptFailure | None:
-        self._router.begin(upstream.id)
+        loop = asyncio.get_running_loop()
+        run.began, run.latency_s = loop.time(), None
+        run.state = state
+        run.pool.begin(state, run.began)
+        end = AttemptEnd.ABANDONED
         try:
-            return await self._try_upstream(run, upstream)
+            failure = await self._try_upstream(run, state.upstream)
+            end = self._judge_upstream(run, failure, loop.time())
+            return failure
         finally:
-            self._router.end(upstream.id)
+            run.pool.end(state, loop.time(), end, run.latency_s)
+
+    def _judge_upstream(
+        self, run: _Run, failure: AttemptFailure | None, now: float
+    ) -> AttemptEnd:
+        match failure:
+            case None:
+                return AttemptEnd.ANSWERED
+            case AttemptFailure.REFUSED:
+                return AttemptEnd.REFUSED
+            case AttemptFailure.TIMED_OUT if not run.pool.is_slow(now - run.began):
+                return AttemptEnd.ABANDONED
+            case _:
+                return AttemptEnd.FAILED
 
     async def _try_upstream(
         self, run: _Run, upstream: Upstream
     ) -> AttemptFailure | None:
         terms = run.call.terms
         left_s = terms.deadline - asyncio.get_running_loop().time()
-        request = Request(
-            "POST", run.call.target, _make_headers(run, upstream), run.call.body
-        )
+        headers = _make_headers(run, upstream)
+        request = Request("POST", run.call.target, headers, run.call.body)
+        head_s = left_s
+        if terms.idempotent:
+            # A frozen upstream takes requests and says nothing: part of the
+            # time is kept for another one.
+            limits = self._limits
+            head_s = max(limits.least_head_s, left_s * limits.head_part)
         try:
             async with asyncio.timeout(left_s):
                 response = await self._http.send(
-                    upstream.address, request, left_s, fresh=not terms.idempotent
+                    upstream.address,
+                    request,
+                    min(head_s, left_s),
+                    fresh=not terms.idempotent,
                 )
                 try:
                     return await self._take_answer(run, response)
@@ -167,12 +253,26 @@
         except TransportError as error:
             return _FAILURES[error.failure]
 
+    def _note_head(self, run: _Run, response: ClientResponse) -> None:
+        now = asyncio.get_running_loop().time()
+        run.latency_s = now - run.began
+        assert run.state is not None
+        headers = response.headers
+        running = headers.get("x-load-running")
+        if running is not None and running.isdecimal():
+            waiting = headers.get("x-load-waiting") or "0"
+            load = int(running) + (int(waiting) if waiting.isdecimal() else 0)
+            run.pool.note_load(run.state, load, now - _LOAD_LAG_S, now)
+        if headers.get("x-leaving") is not None:
+            run.pool.note_leaving(run.state, now)
+
     async def _take_answer(
         self, run: _Run, response: ClientResponse
     ) -> AttemptFailure | None:
         headers = response.headers
         echoed = (headers.get("x-request-id"), headers.get("x-attempt"))
         asked = (run.call.id, str(run.attempts.number))
+        self._note_head(run, response)
         if headers.get(_NOT_RUN) is not None and echoed in (asked, (None, None)):
             await response.read()
             return AttemptFailure.REFUSED
@@ -194,7 +294,8 @@
                     response.status, _pass_headers(run, headers), body
                 )
             return None
-        run.status = response.status
+        assert run.state is not None
+        run.status, run.version = response.status, run.state.upstream.version
         run.progress = Progress.PARTIAL
         with _CALLER_SIDE:
             await run.sink.start(response.status, _pass_headers(run, headers))
@@ -220,8 +321,21 @@
 
     async def _pass_events(
         self, run: _Run, response: ClientResponse
+    ) -> AttemptFailure | None:
+        stalls = run.call.terms.idempotent
+        watch = _StallWatch(response, self._limits.stall_s) if stalls else None
+        try:
+            return await self._pass_watched_events(run, response, watch)
+        finally:
+            if watch is not None:
+                watch.cancel()
+
+    async def _pass_watched_events(
+        self, run: _Run, response: ClientResponse, watch: "_StallWatch | None"
     ) -> AttemptFailure | None:
         async for data in response.stream():
+            if watch is not None:
+                watch.waiting = False
             taken = run.cursor.take(data)
             if isinstance(taken, Err):
                 response.abort()
@@ -232,12 +346,56 @@
             if taken.ok_value:
                 with _CALLER_SIDE:
                     await run.sink.write(taken.ok_value)
+            if watch is not None:
+                watch.touch()
         with _CALLER_SIDE:
             await run.sink.write(run.cursor.end())
             await run.sink.finish()
         return None
 
 
+class _StallWatch:
+    """Ends a stream of which nothing comes any more.
+
+    A frozen upstream keeps its connection open. Its stream could go on
+    elsewhere, but nothing else would end it before the caller's deadline.
+    One timer a stream, looked at now and then, costs nothing a token.
+
+    Args:
+        response: The stream.
+        stall_s: Longest silence.
+
+    Attributes:
+        waiting: Whether the upstream's turn it is; while a slow caller is
+            written to, its silence means nothing.
+    """
+
+    __slots__ = ("_last", "_loop", "_response", "_stall_s", "_timer", "waiting")
+
+    def __init__(self, response: ClientResponse, stall_s: float) -> None:
+        self.waiting = True
+        self._loop = asyncio.get_running_loop()
+        self._response = response
+        self._stall_s = stall_s
+        self._last = self._loop.time()
+        self._timer = self._loop.call_later(stall_s, self._look)
+
+    def touch(self) -> None:
+        self._last = self._loop.time()
+        self.waiting = True
+
+    def cancel(self) -> None:
+        self._timer.cancel()
+
+    def _look(self) -> None:
+        left_s = self._last + self._stall_s - self._loop.time()
+        if left_s <= 0 and self.waiting:
+            self._response.abort()
+            return
+        wait_s = left_s if left_s > 0 else self._stall_s
+        self._timer = self._loop.call_later(wait_s, self._look)
+
+
 class _SinkClosedError(Exception):
     """The caller's side failed, which is no failure of the upstream."""
 
@@ -279,6 +437,8 @@
         headers.add("x-group", upstream.group).add("x-epoch", str(upstream.epoch))
     if run.call.urgency != NORMAL_URGENCY:
         headers.add("priority", f"u={run.call.urgency}")
+    if run.call.salt:
+        headers.add("x-cache-salt", run.call.salt)
     if run.progress is Progress.RESUMABLE:
         headers.add("last-event-id", str(run.cursor.last_id))
     return headers
--- a/src/zinniaspool/settings/types.py
+++ b/src/zinniaspool/settings/types.py
@@ -144,6 +144,14 @@
     default_deadline_s: float = Field(
         default=30.0, gt=0, description="Deadline of requests that bring none."
     )
+    address_lifetime_s: float = Field(
+        default=5.0, gt=0, description="How long callers may keep an address answer."
+    )
+    drain_s: float = Field(
+        default=300.0,
+        gt=0,
+        description="Longest wait for the last requests when the process leaves.",
+    )
     answer_kept_s: float = Field(
         default=600.0,
         gt=0,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -100,7 +100,7 @@
 
 async def stall(exchange: Exchange, echo: Headers) -> None:
     """Stream one token, then nothing more."""
-    await exchange.start(200, echo)
+    await exchange.start(200, make_event_headers(echo))
     await exchange.write(b"id: 1\ndata: t1\n\n")
     await asyncio.Event().wait()
 
@@ -110,12 +110,7 @@
 
     async def act(exchange: Exchange, echo: Headers) -> None:
         start = int(exchange.request.headers.get("last-event-id") or 0)
-        events = Headers.of(
-            content_type="text/event-stream",
-            x_request_id=echo.get("x-request-id") or "",
-            x_attempt=echo.get("x-attempt") or "",
-        )
-        await exchange.start(200, events)
+        await exchange.start(200, make_event_headers(echo))
         for k in range(start + 1, count + 1):
             if k - start - 1 == lose_after:
                 await exchange.write(b"id: %d\nda" % k)
@@ -127,3 +122,12 @@
         await exchange.finish()
 
     return act
+
+
+def make_event_headers(echo: Headers) -> Headers:
+    """Return the headers of a stream of events."""
+    return Headers.of(
+        content_type="text/event-stream",
+        x_request_id=echo.get("x-request-id") or "",
+        x_attempt=echo.get("x-attempt") or "",
+    )
--- a/tests/once_nodes.py
+++ b/tests/once_nodes.py
@@ -28,14 +28,17 @@
 )
 from zinniaspool.core.membership import Member, MemberState, Role
 from zinniaspool.core.messages import ForwardedAnswer, ForwardedCall, Message
+from zinniaspool.core.requests import Peers
 from zinniaspool.core.requests.claims import SlotOwner
 from zinniaspool.core.requests.keys import KeyLimits, KeyTable
 from zinniaspool.entry.calls import CallRunner
 from zinniaspool.entry.claims import ClaimKeeper
 from zinniaspool.entry.fleet import FleetView
 from zinniaspool.entry.forwarding import CallForwarder
+from zinniaspool.entry.gate import Gate
 from zinniaspool.entry.once import OnceCalls, OnceLimits
 from zinniaspool.entry.relay import Relay
+from zinniaspool.entry.services import ServiceIndex
 from zinniaspool.entry.sinks import EndedCall
 from zinniaspool.http import HttpClient
 from zinniaspool.peers import PeerLinks
@@ -121,14 +124,16 @@
     def start(self, name: str, **limits: float) -> Node:
         """Start a node, or start it anew."""
         self.starts += 1
-        fleet = FleetView(2.0)
-        fleet.configure(self._configure())
+        configuration = self._configure()
+        index = ServiceIndex(FleetView(2.0), random.Random(0), _DOMAIN)
+        index.configure(configuration, 0.0)
+        index.share({}, Peers(1, 1, 0), 0.0)
         own = SlotOwner(NodeId(name), Incarnation(self.starts), Address(name))
         table = KeyTable[EndedCall](KeyLimits())
         keeper = ClaimKeeper(self.store, own, 10_000.0, table)
         links = _Links(self)
         forwarder = CallForwarder(links, Address(name), self.list_members)
-        runner = CallRunner(fleet, Relay(HttpClient(), random.Random(0)))
+        runner = CallRunner(index, Gate(), Relay(HttpClient()))
         once = OnceCalls(
             own, runner, keeper, forwarder, links, table, OnceLimits(**limits)
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -17,9 +17,9 @@
     RequestId,
     UpstreamId,
 )
-from zinniaspool.core.requests import CallTerms, Upstream
+from zinniaspool.core.requests import CallTerms, FreshUpstream, Upstream, UpstreamPool
 from zinniaspool.entry.answers import answer_fault
-from zinniaspool.entry.relay import Relay, RelayedCall
+from zinniaspool.entry.relay import Relay, RelayedCall, RelayLimits
 from zinniaspool.entry.sinks import AnswerSink, KeepingSink
 from zinniaspool.http import (
     Exchange,
@@ -40,11 +40,15 @@
 
     def __init__(self, upstreams: list[FakeUpstream], idempotent: bool) -> None:
         self.faults: list[ErrorKind] = []
-        self._relay = Relay(HttpClient(), random.Random(0))
-        self._upstreams = [
-            Upstream(UpstreamId(u.address), u.address, FailureDomainId("d"), 8)
+        domain = FailureDomainId("d")
+        limits = RelayLimits(least_head_s=0.3, head_part=0.0, stall_s=0.3)
+        self._relay = Relay(HttpClient(), limits=limits)
+        self._pool = UpstreamPool(random.Random(0), domain)
+        fresh = [
+            FreshUpstream(Upstream(UpstreamId(u.address), u.address, domain, 8))
             for u in upstreams
         ]
+        self._pool.sync(fresh, 0.0)
         self._idempotent = idempotent
 
     async def run(self, sink: AnswerSink) -> Result[None, Fault]:
@@ -52,7 +56,7 @@
         terms = CallTerms(self._idempotent, deadline)
         customer = CustomerId("care")
         call = RelayedCall(RequestId("r1"), customer, "/generate", b"{}", terms)
-        return await self._relay.run(sink, call, self._upstreams)
+        return await self._relay.run(sink, call, self._pool)
 
     async def handle(self, exchange: Exchange) -> None:
         ended = await self.run(exchange)
@@ -182,6 +186,69 @@
     run_in_loop(trial)
 
 
+@pytest.mark.parametrize("act", [fakes.hang, fakes.stall])
+def test_a_frozen_upstream_is_left_for_another_one(act: fakes.Behaviour) -> None:
+    """The caller reads a whole answer well before its deadline.
+
+    The first upstream takes the request and falls silent, before its answer
+    or after one token; its connection stays open.
+    """
+
+    async def trial() -> None:
+        script = [act, fakes.stream(6)]
+        upstreams = [FakeUpstream(script), FakeUpstream(script)]
+        _, status, body = await _ask(upstreams)
+        assert (status, body) == (200, _WHOLE)
+        assert {len(upstream.calls) for upstream in upstreams} == {1}
+
+    run_in_loop(trial)
+
+
+class _SlowSink(KeepingSink):
+    """A caller that takes longer for a read than a stream may be silent."""
+
+    def __init__(self, read: asyncio.Event) -> None:
+        super().__init__(None)
+        self._read = read
+
+    async def write(self, data: bytes) -> None:
+        if not self._read.is_set():
+            await asyncio.sleep(1.0)
+            self._read.set()
+        await super().write(data)
+
+
+def test_a_slow_caller_is_not_taken_for_a_silent_upstream() -> None:
+    """The caller reads slowly, and the upstream has to wait for it.
+
+    The upstream is held back until the caller has read: its silence must
+    not end the stream.
+    """
+
+    async def trial() -> None:
+        read = asyncio.Event()
+
+        async def wait(exchange: Exchange, echo: Headers) -> None:
+            await exchange.start(200, fakes.make_event_headers(echo))
+            await exchange.write(b"id: 1\ndata: t1\n\n")
+            await read.wait()
+            await exchange.write(_WHOLE.partition(b"\n\n")[2])
+            await exchange.finish()
+
+        upstreams = [FakeUpstream([wait]) for _ in range(2)]
+        for upstream in upstreams:
+            await upstream.listen()
+        sink = _SlowSink(read)
+        ended = await _Entry(upstreams, idempotent=True).run(sink)
+        assert ended.is_ok() and sink.answer is not None
+        assert sink.answer.body == _WHOLE
+        assert sum(len(upstream.calls) for upstream in upstreams) == 1
+        for upstream in upstreams:
+            await upstream.close()
+
+    run_in_loop(trial)
+
+
 class _ClosedSink(KeepingSink):
     """A caller whose connection fails at the first part of the answer."""
 
