--- a/src/zinniaspool/cli/configuration.py
+++ b/src/zinniaspool/cli/configuration.py
@@ -3,23 +3,27 @@
 import asyncio
 import getpass
 import secrets
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Annotated, NoReturn, TypeVar
 
-import json5
-import msgspec
 import typer
 from result import Err, Result
 
+from zinniaspool.cli.asking import AskedProcesses
+from zinniaspool.cli.options import (
+    AuthorityOption,
+    CredentialOption,
+    StoreOption,
+)
 from zinniaspool.cli.waiting import wait_for_revision
 from zinniaspool.core.configuration import (
     PartName,
     compare_parts,
     split_parts,
 )
-from zinniaspool.core.deployment import Configuration, Inventory, Rules
 from zinniaspool.core.ids import Address, Revision
 from zinniaspool.http import HttpClient
 from zinniaspool.platform import (
@@ -30,8 +34,9 @@
     Proposal,
     StoreFault,
 )
+from zinniaspool.settings import SettingsError, load_configuration
 
-__all__ = ["add_configuration_commands"]
+__all__ = ["commands"]
 
 _REFUSED = 1
 _UNUSABLE = 2
@@ -39,7 +44,6 @@
 _TAG_BYTES = 16
 _T = TypeVar("_T")
 
-_StoreOption = Annotated[str, typer.Option("--store", help="Address of the store.")]
 _BaseOption = Annotated[
     int | None,
     typer.Option("--base", help="Revision that the files were made from."),
@@ -49,20 +53,25 @@
     typer.Option("--wait", help="Seconds to wait until every live node has it."),
 ]
 _NodeOption = Annotated[
-    str | None,
-    typer.Option("--node", help="Operator address of any node, for --wait."),
+    list[str] | None,
+    typer.Option(
+        "--node",
+        envvar="ZINNIASPOOL_NODES",
+        help="Operator address of any process, for --wait.",
+    ),
 ]
 
+commands = typer.Typer()
+
 
-def add_configuration_commands(app: typer.Typer) -> None:
-    """Add the commands to the program."""
-    app.command()(diff)
-    app.command()(apply)
-    app.command()(history)
-    app.command()(rollback)
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    asked: AskedProcesses
+    longest_s: float
 
 
-def diff(inventory: Path, rules: Path, store: _StoreOption) -> None:
+@commands.command()
+def diff(inventory: Path, rules: Path, store: StoreOption) -> None:
     """Show what applying the files would change."""
     contents = _read_files(inventory, rules)
     current = _run(store, lambda configurations: configurations.read())
@@ -70,28 +79,32 @@
     _show_difference(current.contents if current else {}, contents)
 
 
+@commands.command()
 def apply(
     inventory: Path,
     rules: Path,
-    store: _StoreOption,
+    store: StoreOption,
     base: _BaseOption = None,
     wait: _WaitOption = None,
     node: _NodeOption = None,
+    credential_file: CredentialOption = None,
+    authority_file: AuthorityOption = None,
 ) -> None:
     """Make an inventory and rules the accepted configuration."""
-    _check_wait(wait, node)
+    waiting = _plan_wait(wait, node, credential_file, authority_file)
     contents = _read_files(inventory, rules)
     current = _run(store, lambda configurations: configurations.read())
     if base is not None and base != (current.revision if current else 0):
         _refuse_conflict(store, Revision(base), current)
     if current is not None and current.contents == contents:
         typer.echo(f"unchanged revision={current.revision}")
-        _wait(wait, node, current.revision)
+        _wait(waiting, current.revision)
         return
-    _accept(store, contents, current, "", wait, node)
+    _accept(store, contents, current, "", waiting)
 
 
-def history(store: _StoreOption) -> None:
+@commands.command()
+def history(store: StoreOption) -> None:
     """List the accepted changes that are kept, oldest first."""
     for kept in _run(store, lambda configurations: configurations.list_history()):
         root = kept.root
@@ -101,20 +114,23 @@
         typer.echo(f"{line} author={root.author}{reason}")
 
 
+@commands.command()
 def rollback(
     revision: int,
-    store: _StoreOption,
+    store: StoreOption,
     wait: _WaitOption = None,
     node: _NodeOption = None,
+    credential_file: CredentialOption = None,
+    authority_file: AuthorityOption = None,
 ) -> None:
     """Accept a past revision's configuration anew, as a change of its own."""
-    _check_wait(wait, node)
+    waiting = _plan_wait(wait, node, credential_file, authority_file)
     past = _run(store, lambda c: c.read_past(Revision(revision)))
     if past is None:
         _fail(f"revision {revision} is not kept; see: zinniaspool history", _UNUSABLE)
     current = _run(store, lambda configurations: configurations.read())
     reason = f"rollback to revision {revision}"
-    _accept(store, dict(past.contents), current, reason, wait, node)
+    _accept(store, dict(past.contents), current, reason, waiting)
 
 
 def _accept(
@@ -122,8 +138,7 @@
     contents: dict[PartName, str],
     current: AcceptedRoot | None,
     reason: str,
-    wait: float | None,
-    node: str | None,
+    waiting: _Waiting | None,
 ) -> None:
     tag = secrets.token_hex(_TAG_BYTES)
     proposal = Proposal(tag, getpass.getuser(), contents, reason)
@@ -132,7 +147,7 @@
         _explain(accepted.err_value, current)
     _show_difference(current.contents if current else {}, contents)
     typer.echo(f"accepted revision={accepted.ok_value}")
-    _wait(wait, node, accepted.ok_value)
+    _wait(waiting, accepted.ok_value)
 
 
 async def _accept_once(
@@ -185,19 +200,27 @@
         typer.echo(str(difference), err=err)
 
 
-def _check_wait(wait: float | None, node: str | None) -> None:
-    if wait is not None and node is None:
-        _fail("--wait needs --node, the operator address of any node", _UNUSABLE)
+def _plan_wait(
+    wait_s: float | None,
+    nodes: Sequence[str] | None,
+    credential: Path | None,
+    authority: Path | None,
+) -> _Waiting | None:
+    if wait_s is None:
+        return None
+    if not nodes:
+        _fail("--wait needs --node, the operator address of any process", _UNUSABLE)
+    return _Waiting(AskedProcesses(nodes, credential, authority), wait_s)
 
 
-def _wait(wait: float | None, node: str | None, revision: Revision) -> None:
-    if wait is None or node is None:
+def _wait(waiting: _Waiting | None, revision: Revision) -> None:
+    if waiting is None:
         return
-    lag = asyncio.run(wait_for_revision(Address(node), revision, wait))
+    lag = asyncio.run(wait_for_revision(waiting.asked, revision, waiting.longest_s))
     if lag.silent:
         typer.echo(f"silent: {', '.join(lag.silent)}", err=True)
     if lag.behind is None:
-        _fail(f"{node} does not answer", _LAGGING)
+        _fail("none of the --node addresses answers", _LAGGING)
     if lag.behind:
         _fail(f"not yet in force at: {', '.join(lag.behind)}", _LAGGING)
     # A node that restarts without the store trusts more than half of the
@@ -209,12 +232,9 @@
 
 def _read_files(inventory: Path, rules: Path) -> dict[PartName, str]:
     try:
-        configuration = Configuration(
-            msgspec.convert(json5.loads(inventory.read_text()), type=Inventory),
-            msgspec.convert(json5.loads(rules.read_text()), type=Rules),
-        )
-    except (OSError, ValueError) as error:
-        _fail(f"not usable: {error}", _UNUSABLE)
+        configuration = load_configuration(inventory, rules)
+    except SettingsError as error:
+        _fail(str(error), _UNUSABLE)
     return split_parts(configuration)
 
 
--- a/src/zinniaspool/cli/main.py
+++ b/src/zinniaspool/cli/main.py
@@ -1,22 +1,23 @@
-"""Composition root of ``zinniaspool``."""
+"""Composition root of ``zinniaspool``: one module for each command family."""
 
 import typer
 
-from zinniaspool.cli.configuration import add_configuration_commands
+from zinniaspool.cli import checking, configuration, groups, processes
 
-__all__ = ["main"]
+__all__ = ["app", "main"]
 
-_app = typer.Typer(no_args_is_help=True, add_completion=False)
+app = typer.Typer(no_args_is_help=True, add_completion=False)
 
 
-@_app.callback()
+@app.callback()
 def _describe() -> None:
     """Drive a zinniaspool fleet."""
 
 
-add_configuration_commands(_app)
+for _family in (checking, configuration, groups, processes):
+    app.add_typer(_family.commands)
 
 
 def main() -> None:
     """Run the program."""
-    _app()
+    app()
--- a/src/zinniaspool/cli/waiting.py
+++ b/src/zinniaspool/cli/waiting.py
@@ -4,17 +4,16 @@
 from dataclasses import dataclass
 
 import msgspec
+from result import Err
 
-from zinniaspool.core.ids import Address, NodeId, Revision
+from zinniaspool.cli.asking import AskedProcesses
+from zinniaspool.core.ids import NodeId, Revision
 from zinniaspool.core.membership import MemberState
-from zinniaspool.http import HttpClient, Request, TransportError
 from zinniaspool.node.lag import MemberRevision
 
 __all__ = ["Lag", "wait_for_revision"]
 
 _POLL_S = 0.5
-_ANSWER_S = 10.0
-_OK = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,35 +31,34 @@
     silent: tuple[NodeId, ...]
 
 
-async def wait_for_revision(node: Address, revision: Revision, wait_s: float) -> Lag:
-    """Ask a node until all live ones have a revision or the time is over.
+async def wait_for_revision(
+    asked: AskedProcesses, revision: Revision, longest_s: float
+) -> Lag:
+    """Ask until all live nodes have a revision or the time is over.
 
     Args:
-        node: Operator address of any node.
+        asked: Any processes; the first that answers speaks for the fleet.
         revision: What must be in force.
-        wait_s: Seconds.
+        longest_s: Seconds.
     """
     loop = asyncio.get_running_loop()
-    ends = loop.time() + wait_s
-    http = HttpClient()
-    try:
-        while True:
-            lag = _sum_up(await _fetch(http, node), revision)
-            if lag.behind == () or loop.time() >= ends:
-                return lag
-            await asyncio.sleep(_POLL_S)
-    finally:
-        http.close()
-
-
-async def _fetch(http: HttpClient, node: Address) -> list[MemberRevision] | None:
-    try:
-        status, body = await http.fetch(node, Request("GET", "/revisions"), _ANSWER_S)
-        if status != _OK:
-            return None
-        return msgspec.json.decode(body, type=list[MemberRevision])
-    except (TransportError, msgspec.MsgspecError):
-        return None
+    ends = loop.time() + longest_s
+    while True:
+        lag = _sum_up(await _fetch(asked), revision)
+        if lag.behind == () or loop.time() >= ends:
+            return lag
+        await asyncio.sleep(_POLL_S)
+
+
+async def _fetch(asked: AskedProcesses) -> list[MemberRevision] | None:
+    for each in await asked.ask("GET", "/revisions"):
+        if isinstance(each.answer, Err):
+            continue
+        try:
+            return msgspec.convert(each.answer.ok_value, list[MemberRevision])
+        except msgspec.ValidationError:
+            continue
+    return None
 
 
 def _sum_up(found: list[MemberRevision] | None, revision: Revision) -> Lag:
--- /dev/null
+++ b/tests/test_operating.py
@@ -0,0 +1,89 @@
+"""What an operator does to one process: look into it, stop it."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from tests.processes import Fleet, call, wait_until
+
+pytestmark = pytest.mark.processes
+
+_CALLER_KEY, _OPERATOR_KEY, _SECRET = "caller-key-1", "operator-key-1", "peer-key-1"
+_PROMPT = "text of a caller"
+_LINE = re.compile(r"timestamp=\S+ level=[a-z]+ event=[a-z-]+( [a-z_]+=(\S*|\".*\"))*")
+
+
+@pytest.mark.parametrize("program", ["entry", "control"])
+def test_a_process_shows_its_state_and_drains(tmp_path: Path, program: str) -> None:
+    """An operator looks into a process in three ways and ends it.
+
+    The store cannot be reached meanwhile: none of this may need it. The log
+    holds one key=value line an event, and nothing that is secret.
+    """
+    fleet = Fleet(tmp_path)
+    operators, callers = fleet.make_address(), fleet.make_address()
+    settings = {
+        "node": "it",
+        "failure_domain": "d",
+        "peer_address": fleet.make_address(),
+        "store_addresses": [fleet.make_address()],
+        "vm_list_address": fleet.make_address(),
+        "peer_secret_file": fleet.write("secret", _SECRET),
+        "operator_address": operators,
+        "operators_file": fleet.write(
+            "operators", {"operators": {_OPERATOR_KEY: {"name": "o"}}}
+        ),
+        "dump_folder": str(tmp_path),
+    }
+    if program == "entry":
+        accepted = {"callers": {_CALLER_KEY: "care"}}
+        settings["caller_address"] = callers
+        settings["credentials_file"] = fleet.write("callers", accepted)
+    asked = [
+        "--node",
+        operators,
+        "--credential-file",
+        fleet.write("key", _OPERATOR_KEY),
+    ]
+    try:
+        fleet.start_node(program, "it", settings)
+        wait_until(lambda: call(operators, "/dump").status == 401)
+        by_http = call(operators, "/dump", credential=_OPERATOR_KEY).json()
+        assert by_http["state"]["process"]["node"] == "it"
+        assert b"zinniaspool_" in call(operators, "/metrics", None, _OPERATOR_KEY).body
+        if program == "entry":
+            refused = call(callers, "/v1/models/m/x", {"p": _PROMPT}, _CALLER_KEY)
+            assert refused.json()["error"] == "not-ready"
+        fleet.ask_for_dump("it")
+        wait_until(lambda: "event=dump-written" in fleet.read_log("it"))
+        (dump,) = tmp_path.glob("zinniaspool-*.json")
+        assert json.loads(dump.read_text())["version"] == by_http["version"]
+        assert dump.stat().st_mode & 0o077 == 0
+        shown = fleet.run_tool("dump", *asked)
+        assert json.loads(shown.stdout)[operators]["version"] == by_http["version"]
+        assert fleet.run_tool("dump", "--node", operators).returncode == 1
+        drained = fleet.run_tool("drain", *asked, "--wait", "30")
+        assert drained.stdout.endswith("ended\n"), drained.stderr
+        wait_until(lambda: fleet.has_ended("it"))
+    finally:
+        fleet.stop()
+    log = fleet.read_log("it")
+    assert all(_LINE.fullmatch(line) for line in log.splitlines()), log
+    for private in (_CALLER_KEY, _OPERATOR_KEY, _SECRET, _PROMPT):
+        assert private not in log
+        assert private not in dump.read_text()
+
+
+def test_a_process_with_faulty_settings_names_them_all_and_ends(
+    tmp_path: Path,
+) -> None:
+    fleet = Fleet(tmp_path)
+    try:
+        fleet.start_node("entry", "it", {"node": "", "peer_address": "here"})
+        wait_until(lambda: fleet.has_ended("it"))
+    finally:
+        fleet.stop()
+    for key in ("node", "peer_address", "caller_address", "store_addresses"):
+        assert f"it.json:1: {key}: found" in fleet.read_log("it")
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,5 +1,6 @@
 """A request goes from a caller through separate processes to an engine."""
 
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -19,13 +20,16 @@
 def test_requests_are_answered_through_every_entry(tmp_path: Path) -> None:
     with start_fleet(tmp_path) as fleet:
         for entry in ("entry0", "entry1"):
-            wait_until(lambda entry=entry: _serves(fleet, entry))
+            wait_until(partial(_serves, fleet, entry))
             address = fleet.addresses[entry]
             plain = call(address, _MODEL, _PROMPT, "care-key")
             assert plain.json()["text"] == "warm0 ward1 warm2 ward3"
             streamed = call(address, _MODEL, _PROMPT | {"stream": True}, "care-key")
             assert streamed.body.endswith(b"event: done\ndata: {}\n\n")
-            sent = call(address, "/v1/services/dispatch/send", {"to": 1}, "care-key")
+            path = "/v1/services/dispatch/send"
+            assert call(address, path, {"to": 1}, "care-key").status == 400
+            key = {"Idempotency_Key": "first-alert"}
+            sent = call(address, path, {"to": 1}, "care-key", **key)
             assert sent.json()["echo"] == '{"to": 1}'
             assert call(address, _MODEL, _PROMPT, "wrong").status == 401
             assert call(address, "/v1/models/other/x", {}, "care-key").status == 404
@@ -39,6 +43,6 @@
     """
     with start_fleet(tmp_path) as fleet:
         wait_until(lambda: _serves(fleet, "entry0"))
-        fleet.processes["vm1"].kill()
+        fleet.kill("vm1")
         wait_until(lambda: call(fleet.addresses["vm3"], "/report").status == 200)
         wait_until(lambda: _serves(fleet, "entry0"))
