Add proofs of upstreams that die, freeze or answer wrongly

Each is judged by the history checker; conditions are waited for in the upstreams' own records, so that an engine is killed while it has the call.

--- /dev/null
+++ b/tests/failures.py
@@ -0,0 +1,166 @@
+"""What the proofs under failure share: calls on record, and conditions."""
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+from itertools import count
+
+from tests.processes import CREDENTIALS, Fleet
+from zinniaspool.http import HttpClient, Request
+from zinniaspool_standins.callers import Caller
+from zinniaspool_standins.histories import Ask, Ending, Operation, judge
+from zinniaspool_standins.operations import Traffic, WantedCall, make_call
+from zinniaspool_standins.runs import RunRecord, RunState
+from zinniaspool_standins.watching import SeenGroup, list_groups, read_reports
+
+__all__ = ["Proof", "run_scenario", "until", "until_seen"]
+
+_WAIT_S = 20.0
+_SCENARIO_S = 60.0
+_LOOK_S = 0.02
+_MODEL = "advisory"
+_SERVICE = "dispatch/send"
+_numbers = count()
+
+
+async def until(check: Callable[[], object]) -> None:
+    """Wait until a check holds."""
+
+    async def look() -> object:
+        return check()
+
+    await until_seen(look)
+
+
+async def until_seen(look: Callable[[], Awaitable[object]]) -> None:
+    """Wait until a look at the fleet shows what it looks for."""
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + _WAIT_S
+    for _ in iter(lambda: loop.time() < ends, False):
+        if await look():
+            return
+        await asyncio.sleep(_LOOK_S)
+    raise AssertionError("did not come true in time")
+
+
+class Proof:
+    """Calls of one test and the judgement over them.
+
+    Args:
+        fleet: Where they go.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.http = HttpClient()
+        self.operations: list[Operation] = []
+
+    def make_call(
+        self,
+        traffic: Traffic,
+        customer: str = "care",
+        max_tokens: int = 40,
+        timeout_s: float = 10.0,
+    ) -> WantedCall:
+        """Return a new call, on record from now on."""
+        target = _SERVICE if traffic is Traffic.NON_IDEMPOTENT else _MODEL
+        call = make_call(
+            traffic, next(_numbers), customer, target, max_tokens, timeout_s
+        )
+        self.operations.append(call.operation)
+        return call
+
+    def make_caller(
+        self, customer: str = "care", entries: tuple[str, ...] = ("entry0",)
+    ) -> Caller:
+        """Return a caller that finds entry VMs and asks again by itself."""
+        credential = next(key for key, name in CREDENTIALS.items() if name == customer)
+        known = [self.fleet.addresses[entry] for entry in entries]
+        return Caller(self.http, credential, known, random.Random(1))
+
+    async def ask(self, entry: str, call: WantedCall) -> Ask:
+        """Ask one entry VM once."""
+        caller = self.make_caller(call.operation.customer)
+        asked = await caller.ask_at(self.fleet.addresses[entry], call)
+        call.operation.asks.append(asked.ask)
+        return asked.ask
+
+    async def begin(self, entry: str, call: WantedCall) -> "asyncio.Task[Ask]":
+        """Ask, and wait until an upstream runs the call."""
+        task = asyncio.create_task(self.ask(entry, call))
+        await until(lambda: self.list_runs(call))
+        return task
+
+    def list_runs(self, call: WantedCall) -> list[RunRecord]:
+        """Return what upstreams have run of a call."""
+        marker = call.operation.marker
+        return [run for run in self.fleet.read_runs() if marker in run.sent]
+
+    async def until_finished(self, call: WantedCall) -> None:
+        """Wait until an upstream has run the call to its end."""
+        await until(
+            lambda: any(run.state is RunState.FINISHED for run in self.list_runs(call))
+        )
+
+    async def until_whole(self, groups: int) -> None:
+        """Wait until that many groups of two have both their VMs."""
+
+        async def look() -> bool:
+            return await self.count_whole() >= groups
+
+        await until_seen(look)
+
+    async def count_whole(self) -> int:
+        """Return how many groups have both their VMs."""
+        found = await self._list_groups()
+        return sum(group.whole and len(group.vms) == 2 for group in found)
+
+    async def until_served(self, *entries: str) -> None:
+        """Wait until entry VMs answer the model's callers."""
+
+        async def look() -> bool:
+            asks = [await self._try(entry) for entry in entries]
+            return all(ask.ending is Ending.WHOLE for ask in asks)
+
+        await until_seen(look)
+
+    async def switch(self, name: str, **faults: object) -> None:
+        """Tell a stand-in how to fail."""
+        request = Request("POST", "/faults", body=json.dumps(faults).encode())
+        address = self.fleet.addresses[name]
+        status, _ = await self.http.fetch(address, request, _WAIT_S)
+        assert status == 200
+
+    async def find_group(self, vm: str) -> tuple[str, ...]:
+        """Return the VMs of a VM's group."""
+        return next(group.vms for group in await self._list_groups() if vm in group.vms)
+
+    def check(self) -> None:
+        """Assert that no promise was broken."""
+        assert judge(self.operations, self.fleet.read_runs()) == []
+
+    async def _list_groups(self) -> list[SeenGroup]:
+        vms = [name for name in self.fleet.addresses if name.startswith("vm")]
+        addresses = {vm: self.fleet.addresses[vm] for vm in vms}
+        return list_groups(await read_reports(self.http, addresses))
+
+    async def _try(self, entry: str) -> Ask:
+        call = make_call(Traffic.PLAIN, next(_numbers), "care", _MODEL, 1)
+        caller = self.make_caller()
+        return (await caller.ask_at(self.fleet.addresses[entry], call)).ask
+
+
+def run_scenario(fleet: Fleet, scenario: Callable[[Proof], Awaitable[None]]) -> None:
+    """Run one test's calls and failures, and judge all that was recorded."""
+
+    async def run() -> None:
+        proof = Proof(fleet)
+        try:
+            async with asyncio.timeout(_SCENARIO_S):
+                await scenario(proof)
+        finally:
+            proof.http.close()
+        proof.check()
+
+    asyncio.run(run())
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -81,13 +81,15 @@
     engine_options: tuple[str, ...] = (),
     service_options: tuple[str, ...] = (),
     settings: dict[str, Any] | None = None,
+    link_service: bool = False,
 ) -> Iterator[Fleet]:
     """Run the platform, engines, a service, entry and control processes.
 
     One model, ``advisory``, of customers ``care`` and ``vendors``, on groups
     of two VMs, and one service, ``dispatch``, whose calls below ``send`` may
     not be repeated. Each entry process is in a failure domain of its own, and
-    all VMs are in the first one's.
+    all VMs are in the first one's. With ``link_service``, the service is
+    reached through a link that can be cut, ``link``.
     """
     fleet = Fleet(folder)
     domains = tuple(f"domain{k}" for k in range(entries))
@@ -95,13 +97,14 @@
         fleet.start_platform()
         service = fleet.make_address()
         fleet.start_service("service", service, *service_options)
+        reached = fleet.start_link("link", [service])[0] if link_service else service
         engines = {f"vm{k}": fleet.make_address() for k in range(vms)}
         fleet.start_engines(engines, *engine_options)
         layout = NodeLayout(domains, controls, CREDENTIALS, entry=settings or {})
         start_nodes(fleet, layout)
         wait_until(lambda: call(fleet.store, "/calls").status == 200)
         apply_configuration(
-            fleet, make_inventory(engines, domains[:1]), make_rules(service)
+            fleet, make_inventory(engines, domains[:1]), make_rules(reached)
         )
         yield fleet
     finally:
