--- a/src/zinniaspool_standins/fleet.py
+++ b/src/zinniaspool_standins/fleet.py
@@ -169,6 +169,10 @@
         """Ask a process to end in its own time."""
         self._started[name].process.terminate()
 
+    def ask_for_dump(self, name: str) -> None:
+        """Ask a process to write its state to its dump folder."""
+        self._started[name].process.send_signal(signal.SIGUSR1)
+
     def has_ended(self, name: str) -> bool:
         """Whether a process is gone."""
         return self._started[name].process.poll() is not None
