--- a/src/zinniaspool/node/frame.py
+++ b/src/zinniaspool/node/frame.py
@@ -33,7 +33,7 @@
 from zinniaspool.node.lag import MemberRevision, ask_revisions
 from zinniaspool.node.operators import OperatorInterface
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
-from zinniaspool.platform import HttpStore
+from zinniaspool.platform import BudgetedStore, CallKind, HttpStore
 from zinniaspool.settings import EntrySettings, NodeSettings
 from zinniaspool.telemetry import Metrics
 
@@ -54,6 +54,8 @@
     stopping: bool
     tasks: int
     decisions: dict[DecisionKind, int]
+    store_calls: dict[CallKind, int]
+    store_calls_refused: int
 
 
 class NodeFrame:
@@ -67,8 +69,9 @@
         self.node = NodeId(settings.node)
         self.incarnation = Incarnation(time.time_ns() // 1_000_000)
         self.http = HttpClient()
-        self.store = HttpStore(
-            self.http, tuple(Address(a) for a in settings.store_addresses)
+        addresses = tuple(Address(a) for a in settings.store_addresses)
+        self.store = BudgetedStore(
+            HttpStore(self.http, addresses), settings.store_calls_per_s
         )
         self.access = Access(settings)
         peer_tls = self.access.peer_tls
@@ -215,6 +218,8 @@
             self.stopping.is_set(),
             len(asyncio.all_tasks()),
             dict(self.journal.counts),
+            dict(self.store.calls),
+            self.store.limited,
         )
 
     def _write_dump(self) -> None:
--- a/src/zinniaspool/peers/__init__.py
+++ b/src/zinniaspool/peers/__init__.py
@@ -1,6 +1,6 @@
 """Streams of msgpack messages between processes of ours, over TCP."""
 
-from zinniaspool.peers.frames import FrameError, read_frame, write_frame
+from zinniaspool.peers.frames import FrameError, UnknownMessage, read_frame, write_frame
 from zinniaspool.peers.links import PeerLinks
 from zinniaspool.peers.listener import PeerHandler, PeerListener
 
@@ -9,6 +9,7 @@
     "PeerHandler",
     "PeerLinks",
     "PeerListener",
+    "UnknownMessage",
     "read_frame",
     "write_frame",
 ]
--- a/src/zinniaspool/peers/links.py
+++ b/src/zinniaspool/peers/links.py
@@ -14,7 +14,12 @@
 
 from zinniaspool.core.ids import Address, NodeId
 from zinniaspool.core.messages import Accepted, Hello, Message
-from zinniaspool.peers.frames import FrameError, read_frame, write_frame
+from zinniaspool.peers.frames import (
+    FrameError,
+    UnknownMessage,
+    read_frame,
+    write_frame,
+)
 
 __all__ = ["PeerLinks"]
 
@@ -84,17 +89,11 @@
         try:
             async with asyncio.timeout(self._timeout_s):
                 link = await self._get(address, node)
-                async with link.lock:
-                    self.sent_bytes += write_frame(link.writer, message)
-                    answer = await read_frame(link.reader)
+                answer = await self._exchange(link, message)
         except (OSError, TimeoutError, FrameError) as error:
-            # The answer may still come: on a kept connection the next
-            # question would get it as its own.
-            self._drop(address, error)
+            _log.debug("peer-unreachable", address=address, error=str(error))
             return None
-        if answer is None:
-            self._drop(address, EOFError("closed by the peer"))
-        return answer
+        return None if isinstance(answer, UnknownMessage) else answer
 
     def close(self) -> None:
         """Close all connections."""
@@ -102,6 +101,24 @@
             link.writer.close()
         self._links.clear()
 
+    async def _exchange(
+        self, link: _Link, message: Message
+    ) -> Message | UnknownMessage | None:
+        async with link.lock:
+            if link.writer.is_closing():
+                raise FrameError("closed while waiting for its turn")
+            answer = None
+            try:
+                self.sent_bytes += write_frame(link.writer, message)
+                answer = await read_frame(link.reader)
+            finally:
+                # Without an answer, also when the asking task was cancelled,
+                # it may still come: on a kept connection the next question
+                # would get it as its own.
+                if answer is None:
+                    link.writer.close()
+            return answer
+
     async def _get(self, address: Address, node: NodeId | None) -> _Link:
         # Two messages to a new peer at once must not open two connections,
         # of which only one would be known and closed.
--- a/src/zinniaspool/peers/listener.py
+++ b/src/zinniaspool/peers/listener.py
@@ -15,7 +15,12 @@
     Message,
     Refused,
 )
-from zinniaspool.peers.frames import FrameError, read_frame, write_frame
+from zinniaspool.peers.frames import (
+    FrameError,
+    UnknownMessage,
+    read_frame,
+    write_frame,
+)
 
 __all__ = ["PeerHandler", "PeerListener"]
 
@@ -107,6 +112,9 @@
         version = min(hello.protocol, PROTOCOL_VERSION)
         write_frame(writer, Accepted(version, self._node))
         while (message := await read_frame(reader)) is not None:
+            if isinstance(message, UnknownMessage):
+                _log.debug("message-unknown", node=hello.node, tag=message.tag)
+                continue
             answer = await self._handler(hello, message)
             if answer is not None:
                 write_frame(writer, answer)
--- a/src/zinniaspool/platform/__init__.py
+++ b/src/zinniaspool/platform/__init__.py
@@ -1,5 +1,6 @@
 """The platform's services as the product meets them: store and VM list."""
 
+from zinniaspool.platform.budget import BudgetedStore, CallKind
 from zinniaspool.platform.configurations import (
     AcceptedRoot,
     AcceptFault,
@@ -21,6 +22,8 @@
 __all__ = [
     "AcceptFault",
     "AcceptedRoot",
+    "BudgetedStore",
+    "CallKind",
     "ConfigurationStore",
     "HttpStore",
     "LeaseId",
--- a/src/zinniaspool/settings/types.py
+++ b/src/zinniaspool/settings/types.py
@@ -82,6 +82,11 @@
     store_addresses: tuple[_Address, ...] = Field(
         min_length=1, description="The platform's key-value service."
     )
+    store_calls_per_s: float = Field(
+        default=50.0,
+        gt=0,
+        description="Most calls a second to the key-value service, on average.",
+    )
     vm_list_address: _Address = Field(description="The platform's list of VMs.")
     peer_secret_file: _File = Field(
         description="File that holds the secret which shows peers to each other."
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -34,6 +34,7 @@
         "peer-dropped": "A peer's connection broke the protocol or was lost.",
         "peer-handler-failed": "A fault of the program in one peer's message; its "
         "connection was closed.",
+        "message-unknown": "A peer of a newer version sent a message unknown here.",
         "peer-refused": "A peer showed a wrong secret or an unknown version.",
         "peer-unreachable": "A peer could not be reached or did not answer.",
         "peers-listening": "The peers' address is open.",
