Harden the HTTP server and client; test them with callers that misbehave

Found by reading and shown by tests, each of which fails without its guard: the time for a request's headers began anew with every read, so that a byte now and then held a connection for ever; a caller's Connection: close made the end of its answer be dropped (h11 is then in MUST_CLOSE, and the connection was aborted instead of flushed); pipelined bytes and answers that nobody reads piled up without bound; HEAD and 100-continue failed; a request that had arrived in part was cut by a drain; a refused body's sender saw a reset instead of the answer; a content-length beside transfer-encoding was taken; an upstream's answer without a length passed for whole when cut; a caller that never reads held its upstream for ever; heads above the limit passed if they came in one read; bodies had no common bound.

A handler that fails before its answer is now answered 500 (outcome unknown). HTTP/1.0 is refused: such a caller cannot tell a cut stream from a whole one.

--- a/src/zinniaspool/entry/answers.py
+++ b/src/zinniaspool/entry/answers.py
@@ -12,6 +12,8 @@
     RefusalKind.HEADERS_TOO_LARGE: ErrorKind.HEADERS_TOO_LARGE,
     RefusalKind.BODY_TOO_LARGE: ErrorKind.BODY_TOO_LARGE,
     RefusalKind.SLOW: ErrorKind.SLOW_REQUEST,
+    RefusalKind.BUSY: ErrorKind.OVERLOADED,
+    RefusalKind.FAILED: ErrorKind.INTERNAL,
 }
 
 
--- a/src/zinniaspool/http/__init__.py
+++ b/src/zinniaspool/http/__init__.py
@@ -1,20 +1,16 @@
 """HTTP/1.1 over h11, both sides."""
 
 from zinniaspool.http.client import ClientResponse, HttpClient
+from zinniaspool.http.connection import Handler
+from zinniaspool.http.exchange import Exchange
+from zinniaspool.http.limits import Refusal, RefusalKind, ServerLimits
 from zinniaspool.http.messages import (
     Headers,
     Request,
     TransportError,
     TransportFailure,
 )
-from zinniaspool.http.server import (
-    Exchange,
-    Handler,
-    HttpServer,
-    Refusal,
-    RefusalKind,
-    ServerLimits,
-)
+from zinniaspool.http.server import HttpServer
 
 __all__ = [
     "ClientResponse",
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -9,13 +9,20 @@
 import h11
 
 from zinniaspool.core.ids import Address
-from zinniaspool.http.messages import Headers, Request, TransportError, TransportFailure
+from zinniaspool.http.messages import (
+    Headers,
+    Request,
+    TransportError,
+    TransportFailure,
+    split_address,
+)
 
 __all__ = ["ClientResponse", "HttpClient"]
 
 _MOST_BUFFERED_BYTES = 256 * 1024
 _MOST_IDLE_PER_ADDRESS = 32
 _IDLE_S = 20.0
+_BODILESS = (204, 304)
 
 
 class ClientResponse:
@@ -169,14 +176,14 @@
         return None
 
     async def _connect(self, address: Address) -> "_ClientConnection":
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._connect_s):
                 _, protocol = await loop.create_connection(
                     lambda: _ClientConnection(self, address),
                     host,
-                    int(port),
+                    port,
                     ssl=self._tls,
                     server_hostname=host if self._tls else None,
                 )
@@ -201,6 +208,7 @@
         self._failure: TransportError | None = None
         self._arrived: asyncio.Future[None] | None = None
         self._in_exchange = False
+        self._bodiless = False
 
     @property
     def open(self) -> bool:
@@ -248,6 +256,7 @@
             raise TransportError(TransportFailure.NOT_SENT, "closed")
         self._in_exchange = True
         self._ended = False
+        self._bodiless = request.method == "HEAD"
         self._head = asyncio.get_running_loop().create_future()
         self._transport.write(self._frame(request))
         head = await self._head
@@ -294,9 +303,7 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Response):
-                assert self._head is not None
-                if not self._head.done():
-                    self._head.set_result(event)
+                self._take_head(event)
             elif isinstance(event, h11.Data):
                 self._add_part(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -305,6 +312,15 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
+    def _take_head(self, head: h11.Response) -> None:
+        assert self._head is not None
+        if not self._bodiless and not _has_length(head):
+            # Such an answer ends with its connection, so that a cut one
+            # looks whole.
+            self._fail(TransportError(TransportFailure.MALFORMED, "no length"))
+        if not self._head.done():
+            self._head.set_result(head)
+
     def _add_part(self, data: bytes) -> None:
         self._parts.append(data)
         self._buffered += len(data)
@@ -335,3 +351,11 @@
     def _wake(self) -> None:
         if self._arrived is not None and not self._arrived.done():
             self._arrived.set_result(None)
+
+
+def _has_length(head: h11.Response) -> bool:
+    """Tell whether an answer's end can be told from a cut."""
+    if head.status_code in _BODILESS:
+        return True
+    names = {name for name, _ in head.headers}
+    return len(names & {b"content-length", b"transfer-encoding"}) == 1
--- a/src/zinniaspool/http/messages.py
+++ b/src/zinniaspool/http/messages.py
@@ -5,7 +5,9 @@
 from enum import Enum
 from typing import Self
 
-__all__ = ["Headers", "Request", "TransportError", "TransportFailure"]
+from zinniaspool.core.ids import Address
+
+__all__ = ["Headers", "Request", "TransportError", "TransportFailure", "split_address"]
 
 
 class Headers:
@@ -90,3 +92,9 @@
     def __init__(self, failure: TransportFailure, detail: str = "") -> None:
         super().__init__(f"{failure.value}: {detail}" if detail else failure.value)
         self.failure = failure
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Return an address's IP number and port as sockets take them."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,242 @@
+"""The HTTP client against upstreams that answer late, short or too much."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+from hypothesis import example, given, settings, strategies as st
+
+from tests.fakes import run_in_loop
+from zinniaspool.core.ids import Address
+from zinniaspool.http import (
+    HttpClient,
+    Request,
+    TransportError,
+    TransportFailure,
+)
+
+_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+_HEAD = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class _Scripted:
+    """An upstream that answers each request with the next bytes of a list.
+
+    ``None`` closes the connection instead.
+    """
+
+    def __init__(self, *answers: bytes | None) -> None:
+        self.answers = list(answers)
+        self.connections = 0
+        self.answered = asyncio.Event()
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self.writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while self.answers:
+                await reader.readuntil(b"\r\n\r\n")
+                answer = self.answers.pop(0)
+                if answer is None:
+                    self.answered.set()
+                    break
+                writer.write(answer)
+                self.answered.set()
+                await writer.drain()
+            await reader.read()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def _upstream(scripted: _Scripted) -> AsyncIterator[Address]:
+    server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
+    yield Address(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+    server.close()
+
+
+def _try(
+    scripted: _Scripted, trial: Callable[[HttpClient, Address], Awaitable[None]]
+) -> None:
+    async def run() -> None:
+        async with _upstream(scripted) as address:
+            client = HttpClient()
+            try:
+                await trial(client, address)
+            finally:
+                client.close()
+
+    run_in_loop(run)
+
+
+async def _get(client: HttpClient, address: Address) -> bytes:
+    return (await client.fetch(address, Request("GET", "/"), 5.0))[1]
+
+
+def test_a_connection_is_kept_after_a_clean_end() -> None:
+    scripted = _Scripted(_OK, _CHUNKED + b"2\r\nok\r\n0\r\n\r\n", _OK)
+
+    async def trial(client: HttpClient, address: Address) -> None:
+        assert [await _get(client, address) for _ in range(3)] == [b"ok"] * 3
+        assert scripted.connections == 1
+
+    _try(scripted, trial)
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        _OK + b"extra",
+        _OK + _OK.replace(b"ok", b"no"),
+        _OK.replace(b"Content", b"Connection: close\r\nContent"),
+    ],
+)
+def test_a_connection_with_more_bytes_than_the_answer_is_not_used_again(
+    first: bytes,
+) -> None:
+    """The second caller gets its own answer, not the rest of the first's."""
+    scripted = _Scripted(first, _OK)
+
+    async def trial(client: HttpClient, address: Address) -> None:
+        assert await _get(client, address) == b"ok"
+        assert await _get(client, address) == b"ok"
+        assert scripted.connections == 2
+
+    _try(scripted, trial)
+
+
+def test_bytes_that_nobody_asked_for_close_an_idle_connection() -> None:
+    """An answer that arrives between two requests reaches neither caller."""
+    scripted = _Scripted(_OK, _OK)
+
+    async def trial(client: HttpClient, address: Address) -> None:
+        assert await _get(client, address) == b"ok"
+        scripted.writers[0].write(_OK.replace(b"ok", b"no"))
+        while client._idle[address]:  # noqa: ASYNC110 - nothing tells of it
+            await asyncio.sleep(0.01)
+        assert await _get(client, address) == b"ok"
+        assert scripted.connections == 2
+
+    _try(scripted, trial)
+
+
+@pytest.mark.parametrize(
+    ("answer", "failure"),
+    [
+        (None, TransportFailure.CUT),
+        (_HEAD, TransportFailure.CUT),
+        (_HEAD + b"Content-Length: 3\r\n\r\nok", TransportFailure.CUT),
+        (_CHUNKED + b"2\r\nok\r\n", TransportFailure.CUT),
+        (_CHUNKED + b"zz\r\nok\r\n", TransportFailure.MALFORMED),
+        (_HEAD + b"\r\nok", TransportFailure.MALFORMED),
+        (
+            _HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            TransportFailure.MALFORMED,
+        ),
+        (b"SSH-2.0\r\n\r\n", TransportFailure.MALFORMED),
+    ],
+)
+def test_an_answer_that_is_cut_or_unsound_is_no_answer(
+    answer: bytes | None, failure: TransportFailure
+) -> None:
+    """An answer without a length would end wherever its connection does."""
+    scripted = _Scripted(answer)
+
+    async def trial(client: HttpClient, address: Address) -> None:
+        asking = asyncio.create_task(_get(client, address))
+        await scripted.answered.wait()
+        for writer in scripted.writers:
+            writer.write_eof()
+        with pytest.raises(TransportError) as caught:
+            await asking
+        assert caught.value.failure is failure
+
+    _try(scripted, trial)
+
+
+def test_informational_answers_are_passed_over() -> None:
+    early = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    scripted = _Scripted(early + early + _OK)
+
+    async def trial(client: HttpClient, address: Address) -> None:
+        assert await _get(client, address) == b"ok"
+
+    _try(scripted, trial)
+
+
+def test_an_answer_to_head_ends_with_its_head() -> None:
+    scripted = _Scripted(_HEAD + b"Content-Length: 5\r\n\r\n", _OK)
+
+    async def trial(client: HttpClient, address: Address) -> None:
+        head = await client.fetch(address, Request("HEAD", "/"), 5.0)
+        assert head == (200, b"")
+        assert await _get(client, address) == b"ok"
+        assert scripted.connections == 1
+
+    _try(scripted, trial)
+
+
+def test_a_request_that_found_nobody_was_not_sent() -> None:
+    async def trial(client: HttpClient, address: Address) -> None:
+        nobody = Address("127.0.0.1:1")
+        with pytest.raises(TransportError) as caught:
+            await client.send(nobody, Request("GET", "/"), 5.0)
+        assert caught.value.failure is TransportFailure.NOT_SENT
+
+    _try(_Scripted(), trial)
+
+
+def test_an_unread_answer_stops_the_upstream_and_is_whole_when_read() -> None:
+    """A slow caller costs bounded memory here, whatever the upstream sends."""
+    size = 32 * 1024 * 1024
+    body = b"x" * size
+    scripted = _Scripted(_HEAD + b"Content-Length: %d\r\n\r\n" % size + body)
+
+    async def trial(client: HttpClient, address: Address) -> None:
+        response = await client.send(address, Request("GET", "/"), 5.0)
+        connection = response._connection
+        transport = connection._transport
+        assert transport is not None
+        while transport.is_reading():  # noqa: ASYNC110 - nothing tells of it
+            await asyncio.sleep(0.01)
+        assert connection._buffered < 1024 * 1024
+        assert await response.read(size) == body
+
+    _try(scripted, trial)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.one_of(
+        st.binary(max_size=120),
+        st.text(alphabet="HTP/1. 20OK\r\nContent-Length:0ab;", max_size=120).map(
+            str.encode
+        ),
+        st.tuples(st.just(_CHUNKED), st.binary(max_size=40)).map(b"".join),
+    )
+)
+@example(_OK + b"\r\n")
+@example(_CHUNKED + b"2\r\nok\r\n0\r\n")
+def test_any_bytes_are_a_whole_answer_or_an_error(answer: bytes) -> None:
+    """Nothing hangs, and what counts as whole has an end in the bytes."""
+    scripted = _Scripted(answer)
+
+    async def trial(client: HttpClient, address: Address) -> None:
+        asking = asyncio.create_task(_get(client, address))
+        await scripted.answered.wait()
+        for writer in scripted.writers:
+            if not writer.is_closing():
+                writer.write_eof()
+        try:
+            body = await asking
+        except TransportError:
+            return
+        chunked = b"0\r\n\r\n" in answer
+        assert chunked or b"ontent-" in answer or answer[9:12] in (b"204", b"304")
+        assert body in answer or chunked
+
+    _try(scripted, trial)
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,413 @@
+"""The HTTP server against callers that break rules, dawdle or leave."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+
+import h11
+import pytest
+from hypothesis import example, given, settings, strategies as st
+
+from tests.fakes import run_in_loop
+from zinniaspool.core.ids import Address
+from zinniaspool.http import Exchange, Headers, HttpServer, ServerLimits
+from zinniaspool.http.connection import ServerConnection
+
+_GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+_POST = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+_CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+
+
+@dataclass(slots=True)
+class _Trial:
+    """A server, what its handler saw, and connections to it."""
+
+    server: HttpServer
+    address: Address
+    seen: list[bytes] = field(default_factory=list)
+    cancelled: asyncio.Event = field(default_factory=asyncio.Event)
+    held: asyncio.Event = field(default_factory=asyncio.Event)
+    began: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def send(self, *parts: bytes) -> bytes:
+        """Send parts on one connection and return all that comes back."""
+        reader, writer = await self.connect()
+        for part in parts:
+            writer.write(part)
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+        received = await _read_all(reader)
+        writer.close()
+        return received
+
+
+async def _read_all(reader: asyncio.StreamReader) -> bytes:
+    received = bytearray()
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(65536):
+            received += data
+    return bytes(received)
+
+
+async def _wait_until(check: Callable[[], bool]) -> None:
+    while not check():  # noqa: ASYNC110 - nothing tells of it
+        await asyncio.sleep(0.01)
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> bytes:
+    """Return one answer that has a content-length, head and body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    return head + await reader.readexactly(length)
+
+
+@contextlib.asynccontextmanager
+async def _serve(limits: ServerLimits | None = None) -> AsyncIterator[_Trial]:
+    async def handle(exchange: Exchange) -> None:
+        trial.began.set()
+        trial.seen.append(exchange.request.body)
+        match exchange.request.path:
+            case "/hold":
+                try:
+                    await trial.held.wait()
+                except asyncio.CancelledError:
+                    trial.cancelled.set()
+                    raise
+            case "/raise":
+                raise RuntimeError("boom")
+            case "/cut":
+                await exchange.start(200, Headers())
+                await exchange.write(b"part")
+                return
+            case "/stream":
+                await exchange.start(200, Headers())
+                while True:
+                    await exchange.write(b"x" * 65536)
+        body = exchange.request.body or exchange.request.path.encode()
+        size = int(exchange.request.headers.get("x-size") or 1)
+        await exchange.respond(200, Headers(), body * size)
+
+    server = HttpServer(handle, limits or ServerLimits(idle_s=0.3, linger_s=0.3))
+    trial = _Trial(server, await server.listen(Address("127.0.0.1:0")))
+    yield trial
+    await server.drain(0.0)
+
+
+def _try(
+    trial: Callable[[_Trial], Awaitable[None]], limits: ServerLimits | None = None
+) -> None:
+    async def run() -> None:
+        async with _serve(limits) as served:
+            await trial(served)
+
+    run_in_loop(run)
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"\x00\xff nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"GET / HTTP/1.0\r\nHost: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400),
+        (_CHUNKED_HEAD + b"Content-Length: 3\r\n\r\n0\r\n\r\n", 400),
+        (_CHUNKED_HEAD + b"\r\nzz\r\n", 400),
+        (_CHUNKED_HEAD + b"\r\n" + b"1;" + b"e" * 20_000, 431),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1, 2\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"b" * 17_000 + b"\r\n\r\n", 431),
+        (b"GET /" + b"b" * 17_000, 431),
+        (b"HEAD / HTTP/1.1\r\nHost: x\r\nContent-Length: 9999999\r\n\r\n", 413),
+        (_CHUNKED_HEAD + b"\r\n" + b"20000\r\n" + b"x" * 0x20000, 413),
+    ],
+)
+def test_a_request_that_breaks_a_rule_is_answered_and_closed(
+    sent: bytes, status: int
+) -> None:
+    """No handler sees it, and a caller beside it is answered as ever."""
+
+    async def trial(served: _Trial) -> None:
+        received = await served.send(sent)
+        assert received.startswith(b"HTTP/1.1 %d " % status), received
+        assert received.count(b"HTTP/1.1") == 1
+        assert served.seen == []
+        reader, writer = await served.connect()
+        writer.write(_POST)
+        assert (await _read_answer(reader)).endswith(b"abc")
+        writer.close()
+
+    _try(trial, ServerLimits(body_bytes=0x10000, idle_s=0.3, linger_s=0.3))
+
+
+def test_the_refusal_of_a_large_body_reaches_its_sender() -> None:
+    """The sender is still writing when it is refused.
+
+    Were the connection closed at once, its unread bytes would have it reset,
+    and the reset would throw the answer away on the sender's side.
+    """
+
+    async def trial(served: _Trial) -> None:
+        size = 8 * 1024 * 1024
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % size
+        received = await served.send(head, *[b"x" * 65536] * 64)
+        assert received.startswith(b"HTTP/1.1 413 ")
+
+    _try(trial)
+
+
+def test_bodies_together_stay_within_the_memory_kept_for_them() -> None:
+    async def trial(served: _Trial) -> None:
+        head = b"POST /hold HTTP/1.1\r\nHost: x\r\nContent-Length: 600\r\n\r\n"
+        reader, writer = await served.connect()
+        writer.write(head + b"x" * 600)
+        await served.began.wait()
+        assert (await served.send(head + b"x" * 600)).startswith(b"HTTP/1.1 503 ")
+        served.held.set()
+        assert (await _read_answer(reader)).endswith(b"x" * 600)
+        writer.write(head + b"y" * 600)
+        assert (await _read_answer(reader)).endswith(b"y" * 600)
+        writer.close()
+
+    _try(trial, ServerLimits(buffered_bytes=1000, linger_s=0.3))
+
+
+@pytest.mark.parametrize("head", [b"GET / HTTP/1.1\r\nA: b", _POST[:-3]])
+def test_a_sender_that_dribbles_is_refused_in_time(head: bytes) -> None:
+    """A byte now and then buys no more time than a whole request has.
+
+    The sender goes on until it is answered; it would take three seconds.
+    """
+
+    async def trial(served: _Trial) -> None:
+        reader, writer = await served.connect()
+        answer = asyncio.create_task(_read_all(reader))
+        writer.write(head.replace(b": 3", b": 300"))
+        for _ in range(100):
+            writer.write(b"b")
+            await asyncio.sleep(0.03)
+            if answer.done():
+                break
+        assert answer.done()
+        assert (await answer).startswith(b"HTTP/1.1 408 ")
+        writer.close()
+
+    _try(trial, ServerLimits(receive_s=0.2, idle_s=60, linger_s=0.2))
+
+
+def test_a_caller_that_leaves_has_its_handler_cancelled() -> None:
+    async def trial(served: _Trial) -> None:
+        _, writer = await served.connect()
+        writer.write(b"GET /hold HTTP/1.1\r\nHost: x\r\n\r\n")
+        await served.began.wait()
+        writer.close()
+        await served.cancelled.wait()
+
+    _try(trial)
+
+
+def test_pipelined_requests_are_answered_in_order_and_bounded() -> None:
+    """Of what is sent while an answer is due only so much is read.
+
+    The rest waits in the sockets' buffers until the answer has left.
+    """
+
+    async def trial(served: _Trial) -> None:
+        reader, writer = await served.connect()
+        writer.write(b"GET /hold HTTP/1.1\r\nHost: x\r\n\r\n" + _GET)
+        await served.began.wait()
+        many = 200_000
+        writer.write(_GET * many)
+        (connection,) = served.server._connections
+        transport = connection._transport
+        assert transport is not None
+        await _wait_until(lambda: not transport.is_reading())
+        assert len(connection._h11.trailing_data[0]) < 1024 * 1024
+        served.held.set()
+        assert (await _read_answer(reader)).endswith(b"/hold")
+        for _ in range(200):
+            assert (await _read_answer(reader)).endswith(b"/a")
+        writer.transport.abort()
+
+    _try(trial)
+
+
+def test_answers_that_nobody_reads_stop_the_next_requests() -> None:
+    async def trial(served: _Trial) -> None:
+        _, writer = await served.connect()
+        writer.write(large_request * 20)
+        await served.began.wait()
+        await _wait_until(lambda: not served.server.connections)
+        assert len(served.seen) < 20
+        writer.transport.abort()
+
+    large_request = b"GET /a HTTP/1.1\r\nHost: x\r\nX-Size: 4000000\r\n\r\n"
+    _try(trial, ServerLimits(send_s=0.2))
+
+
+def test_a_stream_that_nobody_reads_is_cut_in_time() -> None:
+    async def trial(served: _Trial) -> None:
+        _, writer = await served.connect()  # The reader's buffer is bounded.
+        writer.write(b"GET /stream HTTP/1.1\r\nHost: x\r\n\r\n")
+        await served.began.wait()
+        await _wait_until(lambda: not served.server.connections)
+        writer.transport.abort()
+
+    _try(trial, ServerLimits(send_s=0.2))
+
+
+class _Transport(asyncio.Transport):
+    """Keeps what is written, as a transport whose sockets are full does."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls: list[str] = []
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.calls.append("write")
+
+    def close(self) -> None:
+        self.calls.append("close")
+
+    def abort(self) -> None:
+        self.calls.append("abort")
+
+    def is_closing(self) -> bool:
+        return bool({"close", "abort"} & set(self.calls))
+
+
+def test_an_answer_is_flushed_though_the_caller_asked_to_close() -> None:
+    """The answer's end is still in the buffer when its handler returns.
+
+    The connection must close behind it; an abort would drop it, and the
+    caller would see a cut answer.
+    """
+
+    async def trial(served: _Trial) -> None:
+        transport = _Transport()
+        connection = ServerConnection(served.server)
+        connection.connection_made(transport)
+        connection.data_received(_GET[:-2] + b"Connection: close\r\n\r\n")
+        await _wait_until(lambda: transport.is_closing())
+        assert transport.calls == ["write", "close"]
+        connection.connection_lost(None)
+
+    _try(trial)
+
+
+def test_a_handler_that_fails_is_answered_and_one_that_stops_is_cut() -> None:
+    async def trial(served: _Trial) -> None:
+        raised = await served.send(b"GET /raise HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert raised.startswith(b"HTTP/1.1 500 ")
+        cut = await served.send(b"GET /cut HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b"part" in cut
+        assert not cut.endswith(b"0\r\n\r\n")
+
+    _try(trial)
+
+
+def test_a_caller_that_waits_for_100_is_told_to_go_on() -> None:
+    async def trial(served: _Trial) -> None:
+        reader, writer = await served.connect()
+        head, body = _POST[:-7], _POST[-3:]
+        writer.write(head + b"\r\nExpect: 100-continue\r\n\r\n")
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100 ")
+        writer.write(body)
+        assert (await _read_answer(reader)).endswith(b"abc")
+        writer.close()
+
+    _try(trial)
+
+
+def test_an_answer_to_head_has_no_body() -> None:
+    async def trial(served: _Trial) -> None:
+        received = await served.send(b"HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n" + _GET)
+        first, second = received.split(b"\r\n\r\n", 1)
+        assert b"content-length: 2" in first.lower()
+        assert second.startswith(b"HTTP/1.1 200 ")
+
+    _try(trial)
+
+
+def test_too_many_connections_are_closed_at_once() -> None:
+    async def trial(served: _Trial) -> None:
+        reader, writer = await served.connect()
+        writer.write(_GET)
+        await _read_answer(reader)
+        assert await served.send(_GET) == b""
+        writer.write(_GET)
+        assert (await _read_answer(reader)).endswith(b"/a")
+        writer.close()
+
+    _try(trial, ServerLimits(connections=1))
+
+
+def test_a_drain_ends_what_has_begun_and_closes_what_is_idle() -> None:
+    """A planned stop cuts no request.
+
+    One connection is idle, one request is being answered, one has arrived
+    in part: the first closes at once, the others get their whole answers,
+    which say that their connections close, and nothing new is accepted.
+    """
+
+    async def trial(served: _Trial) -> None:
+        idle, _ = await served.connect()
+        (reader, writer), (late, slow) = await served.connect(), await served.connect()
+        writer.write(b"GET /hold HTTP/1.1\r\nHost: x\r\n\r\n")
+        slow.write(_POST[:20])
+        await served.began.wait()
+        connections = served.server._connections
+        await _wait_until(lambda: sum(one.busy for one in connections) == 2)
+        draining = asyncio.create_task(served.server.drain(20.0))
+        assert await idle.read() == b""
+        slow.write(_POST[20:])
+        for answered, end in ((late, b"abc"), (reader, b"/hold")):
+            if answered is reader:
+                served.held.set()
+            received = await _read_all(answered)
+            assert received.endswith(end)
+            assert b"connection: close" in received.lower()
+        assert await draining == 0
+        with pytest.raises(ConnectionError):
+            await served.connect()
+
+    _try(trial)
+
+
+_BYTES = st.one_of(
+    st.binary(max_size=200),
+    st.text(alphabet="GETPOS /:1.\r\nHostx0a;,", max_size=200).map(str.encode),
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.one_of(_BYTES, st.sampled_from([_GET, _POST])), max_size=5))
+@example([_POST, _POST, b"GET"])
+@example([_GET[:-2], b"\r\n" * 4])
+def test_any_bytes_get_sound_answers_and_harm_nobody(parts: list[bytes]) -> None:
+    """Whatever is sent, the answers parse and other callers are served.
+
+    No handler sees a request that the bytes do not hold.
+    """
+
+    async def trial(served: _Trial) -> None:
+        received = await served.send(*parts)
+        client = h11.Connection(h11.CLIENT)
+        client.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+        client.send(h11.EndOfMessage())
+        client.receive_data(received)
+        client.receive_data(b"")
+        if received:
+            assert isinstance(client.next_event(), h11.Response)
+        whole = b"".join(parts)
+        assert len(served.seen) <= whole.count(b"HTTP/1.1")
+        reader, writer = await served.connect()
+        writer.write(_POST)
+        assert (await _read_answer(reader)).endswith(b"abc")
+        writer.close()
+
+    _try(trial, ServerLimits(idle_s=0.03, receive_s=0.03, linger_s=0.03))
