Spread the store's calls of a fleet that starts at once

380 processes started together made 3830 store calls within three seconds, 3820 of them in one, against about two thousand a second that the store takes: each knew too few others yet and took itself for a watcher that reads every part.

--- a/src/zinniaspool/core/configuration/following.py
+++ b/src/zinniaspool/core/configuration/following.py
@@ -46,6 +46,8 @@
             watch.
         retry_s: First pause after a failed call to the store.
         most_retry_s: Longest such pause.
+        spread_s: Longest wait of a watcher at the start before it reads
+            parts from the store.
         join_s: Longest wait at the start for peers to be known.
         fetch_s: First pause between two questions for parts; it grows with
             each that brought none.
@@ -58,10 +60,11 @@
     check_in_s: float = 90.0
     retry_s: float = 0.5
     most_retry_s: float = 15.0
+    spread_s: float = 3.0
     join_s: float = 2.0
     fetch_s: float = 0.2
     most_fetch_s: float = 15.0
-    peer_tries: int = 6
+    peer_tries: int = 8
     store_parts: int = 16
     asked_in_vote: int = 8
 
@@ -145,6 +148,7 @@
         self._fetching = 0
         self._fetch_at = now
         self._tries = 0
+        self._parts_at = now + self.limits.spread_s * source.random()
         self._announced = Revision(0)
         self._wanted_from = Revision(0)
         self._read_at_first = True
@@ -268,9 +272,7 @@
             if member.node != self._node and member.state is not MemberState.SILENT
         ]
         self._tries += 1
-        patience = 0 if self.watches else self.limits.peer_tries
-        # While the store fails, peers are the only source, for watchers too.
-        if missing and not self._store_failures and self._tries > patience:
+        if missing and self._may_read_parts(now, alone=not peers):
             return self._read_parts(missing)
         if not peers:
             return []
@@ -280,6 +282,20 @@
         message = ConfigurationAsk(wanted_from, tuple(missing))
         return [AskPeer(peer.node, peer.peer_address, message)]
 
+    def _may_read_parts(self, now: float, *, alone: bool) -> bool:
+        """Return whether the store may be asked for parts.
+
+        When a whole fleet starts at once, each process at first knows too
+        few others and takes itself for a watcher; all of them reading every
+        part exceeds the store's limit several times. So each waits for a
+        time drawn at random, within which the first ones have parts to give.
+        """
+        if self._store_failures:
+            return False
+        if self.watches and (alone or now >= self._parts_at):
+            return True
+        return self._tries > self.limits.peer_tries
+
     def _read_parts(self, missing: list[PartHash]) -> list[FollowAction]:
         chosen = missing[: self.limits.store_parts]
         self._fetching = len(chosen)
--- a/src/zinniaspool/core/membership/gossip.py
+++ b/src/zinniaspool/core/membership/gossip.py
@@ -92,6 +92,7 @@
         self._refilled_at = now
         self._round_at = now + self.limits.round_s * source.random()
         self._push_at = now
+        self._slow_push_at = now
         self._seed_at = now
         self._join_after: str | None = None
         self._join_news = 0
@@ -228,10 +229,13 @@
             return []
         fanout = min(self.limits.fanout, len(peers))
         budget = int(self._allowance) // fanout
-        notices = self._notices.take_pushes(budget, now)
+        slow = now >= self._slow_push_at
+        notices = self._notices.take_pushes(budget, now, all_topics=slow)
         if not notices:
             return []
         self._push_at = now + self.limits.push_s
+        if slow:
+            self._slow_push_at = now + self.limits.slow_push_s
         self._allowance -= measure_notices(notices) * fanout
         message = Push(tuple(notices))
         return [
--- a/src/zinniaspool/core/membership/limits.py
+++ b/src/zinniaspool/core/membership/limits.py
@@ -12,6 +12,9 @@
     Attributes:
         round_s: Time between two comparisons with a random peer.
         push_s: Least time between two pushes.
+        slow_push_s: Least time between two pushes of ``Topic.LIMITS``, which
+            every entry process publishes all the time: each message costs
+            its sender and receiver more than its bytes.
         fanout: Peers that get a push.
         compared: Versions in a comparison beside the configuration's.
         helpers: Peers that are asked about a member that does not answer.
@@ -26,6 +29,7 @@
 
     round_s: float = 1.0
     push_s: float = 0.1
+    slow_push_s: float = 0.5
     fanout: int = 3
     compared: int = 6
     helpers: int = 2
--- a/src/zinniaspool/core/membership/notices.py
+++ b/src/zinniaspool/core/membership/notices.py
@@ -166,11 +166,20 @@
             self._hot.pop(entry.name, None)
         return [_read(entry, now) for entry in ended]
 
-    def take_pushes(self, budget_bytes: int, now: float) -> list[WireNotice]:
-        """Return what is to be pushed now, most urgent topic first."""
-        chosen = list(
-            self._choose(budget_bytes, (e for e in self._hot.values() if e.pushes_left))
-        )
+    def take_pushes(
+        self, budget_bytes: int, now: float, *, all_topics: bool = True
+    ) -> list[WireNotice]:
+        """Return what is to be pushed now, most urgent topic first.
+
+        Args:
+            budget_bytes: Most bytes of notices.
+            now: Seconds.
+            all_topics: Whether those of ``Topic.LIMITS`` are among them.
+        """
+        due = [entry for entry in self._hot.values() if entry.pushes_left]
+        if not all_topics:
+            due = [entry for entry in due if entry.name.topic is not Topic.LIMITS]
+        chosen = list(self._choose(budget_bytes, due))
         for entry in chosen:
             entry.pushes_left -= 1
         self._cool()
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -263,6 +263,26 @@
     assert max(peaks) <= 10
 
 
+@pytest.mark.bounds
+def test_a_whole_fleet_starting_at_once_asks_the_store_little() -> None:
+    """64 processes start with nothing; parts are read by few of them.
+
+    Each knows too few others at first and could take itself for a watcher.
+    Were all to read all 52 parts, there would be over 50 calls a process.
+    """
+    net = ConfigurationNet(1)
+    first = net.accept(make_configuration(0, customers=30, vms=600, domains=20))
+    for k in range(64):
+        net.start(f"n{k}", _SEEDS, domain=f"domain{k % 5}")
+    peaks = []
+    while not net.has_everywhere(first):
+        before = net.calls.total()
+        net.run(1.0)
+        peaks.append(net.calls.total() - before)
+    assert net.calls.total() <= 15 * 64
+    assert max(peaks) <= 8 * 64
+
+
 def test_parts_that_are_nowhere_are_asked_for_less_and_less() -> None:
     """A root names a part that was lost: the old configuration stays.
 
