--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -41,13 +41,15 @@
         Raises:
             TransportError: The body was cut, or larger than ``most_bytes``.
         """
-        body = bytearray()
-        async for data in self.stream():
-            body += data
-            if len(body) > most_bytes:
+        parts: list[bytes] = []
+        size = 0
+        while (data := await self.next_part()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > most_bytes:
                 self.abort()
                 raise TransportError(TransportFailure.MALFORMED, "body too large")
-        return bytes(body)
+        return parts[0] if len(parts) == 1 else b"".join(parts)
 
     async def stream(self) -> AsyncIterator[bytes]:
         """Yield what each read brought, ending only at the body's real end.
@@ -114,15 +116,15 @@
         connection = None if fresh else self._take(address)
         if connection is None:
             connection = await self._connect(address)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(timeout_s, connection.time_out)
         try:
-            async with asyncio.timeout(timeout_s):
-                return await connection.exchange(request)
-        except TimeoutError:
-            connection.abort()
-            raise TransportError(TransportFailure.TIMED_OUT) from None
+            return await connection.exchange(request)
         except BaseException:
             connection.abort()
             raise
+        finally:
+            timer.cancel()
 
     async def fetch(
         self, address: Address, request: Request, timeout_s: float
@@ -202,7 +204,7 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
         self._head: asyncio.Future[h11.Response] | None = None
-        self._parts: list[bytes] = []
+        self._parts: list[bytes | bytearray] = []
         self._buffered = 0
         self._ended = False
         self._failure: TransportError | None = None
@@ -260,7 +262,9 @@
         self._head = asyncio.get_running_loop().create_future()
         self._transport.write(self._frame(request))
         head = await self._head
-        return ClientResponse(head.status_code, Headers(head.headers), self)
+        return ClientResponse(
+            head.status_code, Headers.received(head.headers.raw_items()), self
+        )
 
     async def next_part(self) -> bytes | None:
         while not self._parts:
@@ -271,7 +275,7 @@
                 return None
             self._arrived = asyncio.get_running_loop().create_future()
             await self._arrived
-        data = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        data = b"".join(self._parts)
         self._parts.clear()
         if self._buffered > _MOST_BUFFERED_BYTES and self._transport is not None:
             self._transport.resume_reading()
@@ -282,6 +286,9 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def time_out(self) -> None:
+        self._fail(TransportError(TransportFailure.TIMED_OUT))
+
     # Sending and reading.
 
     def _frame(self, request: Request) -> bytes:
@@ -291,11 +298,12 @@
             (b"content-length", str(len(request.body)).encode()),
         ]
         head = h11.Request(method=request.method, target=request.target, headers=fields)
-        parts = [self._h11.send(head)]
+        send = self._h11.send_with_data_passthrough
+        parts = list(send(head) or ())
         if request.body:
-            parts.append(self._h11.send(h11.Data(data=request.body)))
-        parts.append(self._h11.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+            parts += send(h11.Data(data=request.body)) or ()
+        parts += send(h11.EndOfMessage()) or ()
+        return b"".join(parts)
 
     def _read_events(self) -> None:
         while True:
@@ -305,7 +313,7 @@
             if isinstance(event, h11.Response):
                 self._take_head(event)
             elif isinstance(event, h11.Data):
-                self._add_part(bytes(event.data))
+                self._add_part(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._ended = True
                 return
@@ -321,7 +329,7 @@
         if not self._head.done():
             self._head.set_result(head)
 
-    def _add_part(self, data: bytes) -> None:
+    def _add_part(self, data: bytes | bytearray) -> None:
         self._parts.append(data)
         self._buffered += len(data)
         if self._buffered > _MOST_BUFFERED_BYTES and self._transport is not None:
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -80,9 +80,13 @@
         self._phase = _Phase.IDLE
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
+        self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
+        self._due = 0.0
+        self._act: Callable[[], None] | None = None
         self._head: h11.Request | None = None
-        self._body = bytearray()
+        self._fields = Headers()
+        self._body: list[bytes | bytearray] = []
         self._reserved = 0
         self._ahead = 0
         self._writable = asyncio.Event()
@@ -119,7 +123,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler and give back all that was held."""
-        self._cancel_timer()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._act = None
         self._writable.set()
         self._transport = None
         self._phase = _Phase.CLOSING
@@ -148,8 +154,11 @@
         if self._transport is None or self._transport.is_closing():
             raise TransportError(TransportFailure.CUT, "the caller is gone")
         self.answering = True
-        parts = [self._h11.send(event) for event in events if event is not None]
-        self._transport.write(b"".join(part for part in parts if part))
+        parts: list[bytes] = []
+        for event in events:
+            if event is not None:
+                parts += self._h11.send_with_data_passthrough(event) or ()
+        self._transport.write(b"".join(parts))
 
     async def wait_writable(self) -> None:
         """Wait while the caller reads slowly."""
@@ -230,7 +239,8 @@
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
-        refused = _find_fault(head, self._limits)
+        self._fields = Headers.received(head.headers.raw_items())
+        refused = _find_fault(head, self._fields, self._limits)
         if refused is not None:
             self._refuse(*refused)
             return
@@ -239,21 +249,21 @@
             self.answering = False
 
     def _take_data(self, data: bytes | bytearray) -> None:
-        if len(self._body) + len(data) > self._limits.body_bytes:
+        if self._reserved + len(data) > self._limits.body_bytes:
             self._refuse(RefusalKind.BODY_TOO_LARGE, "")
             return
         if not self._owner.reserve(len(data)):
             self._refuse(RefusalKind.BUSY, "")
             return
         self._reserved += len(data)
-        self._body += data
+        self._body.append(data)
 
     # Answering.
 
     def _start_handler(self) -> None:
         head = self._head
         assert head is not None
-        self._cancel_timer()
+        self._stop_timer()
         self._phase = _Phase.HANDLING
         self.answering = False
         self._ahead = 0
@@ -261,13 +271,11 @@
         request = Request(
             head.method.decode("ascii"),
             head.target.decode("latin-1"),
-            Headers(head.headers),
-            bytes(self._body),
+            self._fields,
+            b"".join(self._body),
         )
         self._body.clear()
-        self._task = asyncio.get_running_loop().create_task(
-            self._run_handler(Exchange(request, self))
-        )
+        self._task = self._loop.create_task(self._run_handler(Exchange(request, self)))
 
     async def _run_handler(self, exchange: Exchange) -> None:
         try:
@@ -370,32 +378,48 @@
             self._start_timer(self._limits.send_s, self.abort)
 
     def _start_timer(self, seconds: float, act: Callable[[], None]) -> None:
-        self._cancel_timer()
-        self._timer = asyncio.get_running_loop().call_later(seconds, act)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
+        self._due = self._loop.time() + seconds
+        self._act = act
+        if self._timer is None:
+            self._timer = self._loop.call_at(self._due, self._check_timer)
+        elif self._timer.when() > self._due:
             self._timer.cancel()
-            self._timer = None
+            self._timer = self._loop.call_at(self._due, self._check_timer)
+
+    def _stop_timer(self) -> None:
+        # The loop's timer stays as it is: one that is set and cancelled for
+        # each request costs more than one that finds nothing due.
+        self._act = None
+
+    def _check_timer(self) -> None:
+        self._timer = None
+        if self._act is None:
+            return
+        if self._loop.time() < self._due:
+            self._timer = self._loop.call_at(self._due, self._check_timer)
+            return
+        self._act()
 
 
 def _find_fault(
-    head: h11.Request, limits: ServerLimits
+    head: h11.Request, fields: Headers, limits: ServerLimits
 ) -> tuple[RefusalKind, str] | None:
     """Return why a head is refused, or None."""
     if head.http_version != _VERSION:
         # Older callers could not tell a cut stream from a whole one.
         return RefusalKind.MALFORMED, "HTTP/1.1 is needed"
     size = len(head.method) + len(head.target)
-    size += sum(len(k) + len(v) + _FIELD_OVERHEAD for k, v in head.headers)
+    for name, value in fields.raw():
+        size += len(name) + len(value) + _FIELD_OVERHEAD
     if size > limits.header_bytes:
         return RefusalKind.HEADERS_TOO_LARGE, ""
-    fields = dict(head.headers)
-    length = fields.get(b"content-length")
-    if length is not None and b"transfer-encoding" in fields:
+    length = fields.get("content-length")
+    if length is None:
+        return None
+    if fields.get("transfer-encoding") is not None:
         # Two framings: another HTTP process on the way may have believed
         # the other one, and taken part of this request for the next.
         return RefusalKind.MALFORMED, "content-length beside transfer-encoding"
-    if length is not None and int(length) > limits.body_bytes:
+    if int(length) > limits.body_bytes:
         return RefusalKind.BODY_TOO_LARGE, ""
     return None
--- a/src/zinniaspool/http/messages.py
+++ b/src/zinniaspool/http/messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import lru_cache
 from typing import Self
 
 from zinniaspool.core.ids import Address
@@ -13,30 +14,35 @@
 class Headers:
     """Header fields in the order of the wire, found by lower-case name."""
 
-    __slots__ = ("_fields",)
+    __slots__ = ("_fields", "_found")
 
     def __init__(self, fields: Iterable[tuple[bytes, bytes]] = ()) -> None:
         self._fields = list(fields)
+        self._found: dict[bytes, bytes] | None = None
 
     @classmethod
     def of(cls, **fields: str) -> Self:
         """Make headers from keywords; ``_`` in a name stands for ``-``."""
-        return cls(
-            (name.replace("_", "-").encode(), value.encode())
-            for name, value in fields.items()
-        )
+        return cls([(_spell_name(k), v.encode("latin-1")) for k, v in fields.items()])
+
+    @classmethod
+    def received(cls, fields: Iterable[tuple[bytes, bytes]]) -> Self:
+        """Make headers from the raw items of an h11 event."""
+        # Iterating over h11's own sequence of them in lower case costs
+        # several times as much.
+        return cls([(name.lower(), value) for name, value in fields])
 
     def get(self, name: str) -> str | None:
         """Return the first value of a lower-case name, or None."""
-        wanted = name.encode()
-        for key, value in self._fields:
-            if key == wanted:
-                return value.decode("latin-1")
-        return None
+        if self._found is None:
+            self._found = dict(reversed(self._fields))
+        value = self._found.get(name.encode())
+        return None if value is None else value.decode("latin-1")
 
     def add(self, name: str, value: str) -> Self:
         """Add one field and return these headers."""
         self._fields.append((name.encode(), value.encode("latin-1")))
+        self._found = None
         return self
 
     def raw(self) -> list[tuple[bytes, bytes]]:
@@ -94,6 +100,11 @@
         self.failure = failure
 
 
+@lru_cache(maxsize=256)
+def _spell_name(keyword: str) -> bytes:
+    return keyword.replace("_", "-").encode()
+
+
 def split_address(address: Address) -> tuple[str, int]:
     """Return an address's IP number and port as sockets take them."""
     host, _, port = address.rpartition(":")
--- a/src/zinniaspool_standins/fleet.py
+++ b/src/zinniaspool_standins/fleet.py
@@ -198,6 +198,10 @@
         files: Iterable[Path] = sorted(self.folder.glob("*.runs"))
         return [run for file in files for run in read_runs(file)]
 
+    def read_pid(self, name: str) -> int:
+        """Return a process's id."""
+        return self._started[name].process.pid
+
     def read_log(self, name: str) -> str:
         """Return what a process has logged."""
         return (self.folder / f"{name}.log").read_text()
