--- a/src/zinniaspool_standins/callers.py
+++ b/src/zinniaspool_standins/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -19,6 +19,7 @@
 _ERRORS = 400
 _ENTRIES_S = 2.0
 _LEAST_PAUSE_S = 0.1
+_MOST_UNKNOWN = 3
 _ENDING_OF = {
     Outcome.NOT_RUN.value: Ending.NOT_RUN,
     Outcome.UNKNOWN.value: Ending.UNKNOWN,
@@ -33,6 +34,7 @@
 class _Entries(msgspec.Struct):
     entries: list[_Entry]
     lifetime_s: float
+    session: str = ""
 
 
 class _Error(msgspec.Struct):
@@ -74,9 +76,12 @@
         self._patience_s = patience_s
         self._entries: list[Address] = []
         self._fresh_until = 0.0
+        self._session = ""
 
     async def run(self, call: WantedCall) -> Operation:
         """Ask until there is a last word, or patience ends."""
+        await self._choose_entry()
+        call = self._choose_key(call)
         operation = call.operation
         loop = asyncio.get_running_loop()
         ends = loop.time() + self._patience_s
@@ -86,6 +91,8 @@
             pause_s = _choose_pause(asked)
             if pause_s is None or loop.time() + pause_s > ends:
                 return operation
+            if _is_settled(operation):
+                return operation
             await asyncio.sleep(pause_s)
 
     async def _ask(self, call: WantedCall) -> _Asked:
@@ -127,6 +134,12 @@
         ask = Ask(ending, body, name, entry, error_body.error)
         return _Asked(ask, error_body.retry_after_s)
 
+    def _choose_key(self, call: WantedCall) -> WantedCall:
+        """Put half of the keys into the session that came with addresses."""
+        if not (call.key and self._session and self._source.random() < 1 / 2):
+            return call
+        return replace(call, key=f"{self._session}.{call.key}")
+
     def _make_headers(self, call: WantedCall) -> Headers:
         headers = Headers.of(
             content_type="application/json",
@@ -162,6 +175,7 @@
                 continue
             answer = msgspec.json.decode(body, type=_Entries)
             self._entries = [entry.address for entry in answer.entries]
+            self._session = answer.session
             now = asyncio.get_running_loop().time()
             self._fresh_until = now + answer.lifetime_s
             return
@@ -183,6 +197,12 @@
     return max(_LEAST_PAUSE_S, asked.retry_after_s)
 
 
+def _is_settled(operation: Operation) -> bool:
+    """Whether asking again has told nothing new often enough."""
+    last = [ask.ending for ask in operation.asks[-_MOST_UNKNOWN:]]
+    return last == [Ending.UNKNOWN] * _MOST_UNKNOWN
+
+
 def _read_error(body: str) -> _Error:
     try:
         return msgspec.json.decode(body, type=_Error)
--- a/src/zinniaspool_standins/runs.py
+++ b/src/zinniaspool_standins/runs.py
@@ -8,6 +8,9 @@
 __all__ = ["RunLog", "RunRecord", "RunState", "read_runs"]
 
 
+_KEPT_CHARACTERS = 2048
+
+
 class RunState(Enum):
     """How far a run came."""
 
@@ -23,7 +26,7 @@
     Attributes:
         request: The entry process's name of the request.
         attempt: Its number of the attempt.
-        sent: The body that ran.
+        sent: The beginning of the body that ran.
         path: Where it was sent.
         first_token: Tokens that the caller already had.
         state: How far it came.
@@ -58,6 +61,7 @@
     def begin(self, run: RunRecord) -> RunRecord:
         """Record that a run starts."""
         run.upstream = self._upstream
+        run.sent = run.sent[:_KEPT_CHARACTERS]
         run.number = len(self.runs)
         self.runs.append(run)
         self._write(run)
