--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -36,7 +36,7 @@
 from zinniaspool.entry.services import ServiceIndex
 from zinniaspool.entry.sinks import EndedCall
 from zinniaspool.http import HttpServer
-from zinniaspool.node import ConfigurationFollower, NodeFrame, run_program
+from zinniaspool.node import NodeFrame, run_program
 from zinniaspool.settings import EntrySettings
 
 __all__ = ["EntryProcess", "main"]
@@ -93,10 +93,9 @@
         )
         bound = await server.listen(Address(self._settings.caller_address))
         _log.info("callers-listening", address=bound)
-        follower = ConfigurationFollower(self._frame.store, self._configure)
         async with asyncio.TaskGroup() as tasks:
             running = [
-                tasks.create_task(follower.run()),
+                tasks.create_task(self._frame.follow(self._configure)),
                 tasks.create_task(self._once.run()),
                 tasks.create_task(self._duties.run()),
             ]
