--- a/src/zinniaspool/entry/callers.py
+++ b/src/zinniaspool/entry/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Callable
 
 import structlog
 from result import Err, Ok, Result
@@ -20,6 +21,14 @@
 
 _log = structlog.get_logger(__name__)
 _ID_BYTES = 12
+_ANSWERED = "answered"
+_LEFT = "caller-left"
+
+RequestObserver = Callable[[CustomerId | None, str, float], None]
+
+
+def _observe_nothing(customer: CustomerId | None, end: str, seconds: float) -> None:
+    pass
 
 
 class CallerInterface:
@@ -31,6 +40,7 @@
         once: Runs those that may run at most once.
         credentials: Whose request it is.
         default_deadline_s: For requests that bring none.
+        observe: Told of each request's customer, end and seconds.
     """
 
     def __init__(
@@ -40,7 +50,9 @@
         once: OnceCalls,
         credentials: Credentials,
         default_deadline_s: float,
+        observe: RequestObserver = _observe_nothing,
     ) -> None:
+        self._observe = observe
         self.ready = False
         self._directory = directory
         self._runner = runner
@@ -50,19 +62,32 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
-        result = await self._answer(exchange)
-        if isinstance(result, Err):
-            fault = result.err_value
-            _log.info("request-failed", kind=fault.kind.value)
-            await answer_fault(exchange, fault)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        customer = self._recognize(exchange)
+        end = _LEFT
+        try:
+            result = await self._answer(exchange, customer)
+            end = _ANSWERED
+            if isinstance(result, Err):
+                end = result.err_value.kind.value
+                _log.info("request-failed", kind=end)
+                await answer_fault(exchange, result.err_value)
+        finally:
+            self._observe(customer, end, loop.time() - began)
 
-    async def _answer(self, exchange: Exchange) -> Result[None, Fault]:
+    def _recognize(self, exchange: Exchange) -> CustomerId | None:
+        shown = exchange.request.headers.get("authorization")
+        return None if shown is None else self._credentials.find_customer(shown)
+
+    async def _answer(
+        self, exchange: Exchange, customer: CustomerId | None
+    ) -> Result[None, Fault]:
         request = exchange.request
         if not self.ready:
             return Err(Fault(ErrorKind.NOT_READY))
         if (request.method, request.path) == ("GET", "/v1/entries"):
             return await self._directory.answer(exchange)
-        customer = self._credentials.find_customer(request.headers.get("authorization"))
         if customer is None:
             return Err(Fault(ErrorKind.BAD_CREDENTIAL))
         wanted = self._read_call(exchange, customer)
--- a/src/zinniaspool/entry/fleet.py
+++ b/src/zinniaspool/entry/fleet.py
@@ -1,5 +1,6 @@
 """What an entry process knows of the fleet's upstreams."""
 
+import asyncio
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
@@ -12,7 +13,7 @@
     UpstreamId,
     VmId,
 )
-from zinniaspool.core.messages import DomainState
+from zinniaspool.core.messages import AgedReport, DomainState
 from zinniaspool.core.plans import DomainPlan
 from zinniaspool.core.requests import FreshUpstream, Upstream
 
@@ -60,6 +61,20 @@
         self._vms = {vm.id: vm for vm in configuration.inventory.vms}
         self._models = {model.name: model for model in configuration.rules.models}
 
+    def list_domains(self) -> list[DomainState]:
+        """Return each fabric domain's plan, and reports as old as they are."""
+        now = asyncio.get_running_loop().time()
+        return [
+            DomainState(
+                view.plan,
+                tuple(
+                    AgedReport(seen.report, now - seen.made_at)
+                    for seen in view.reports.values()
+                ),
+            )
+            for view in self._domains.values()
+        ]
+
     def update_domain(self, state: DomainState, now: float) -> None:
         """Take a domain's plan and reports, unless an older plan's."""
         domain = state.plan.fabric_domain
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -79,7 +79,9 @@
             self._once,
             self._load_credentials(),
             settings.default_deadline_s,
+            self._frame.metrics.observe_request,
         )
+        self._frame.operators.add_section("fleet", self._fleet.list_domains)
 
     async def run(self) -> None:
         """Run until the process is told to stop."""
@@ -91,6 +93,11 @@
             refuse=refuse_request,
             tls=tls.server if tls else None,
         )
+        self._frame.metrics.add_gauge(
+            "zinniaspool_caller_connections",
+            "Connections of callers that are open.",
+            lambda: server.connections,
+        )
         bound = await server.listen(Address(self._settings.caller_address))
         _log.info("callers-listening", address=bound)
         async with asyncio.TaskGroup() as tasks:
