--- a/src/zinniaspool/core/requests/admission.py
+++ b/src/zinniaspool/core/requests/admission.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from itertools import count
-from math import ceil
+from math import ceil, floor
 
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.ids import CustomerId
@@ -123,10 +123,13 @@
         self, shares: LocalShares, weights: Mapping[CustomerId, int], now: float
     ) -> list[Ticket]:
         """Take new limits and return the waiting requests they admit."""
+        # Limits are whole numbers of requests; what rounding takes from each
+        # customer here is lent to all, or it would be idle in every process.
         self._spare = shares.spare
         for customer, limit in shares.limits.items():
             line = self._get_line(customer)
-            line.limit = limit
+            line.limit = floor(limit)
+            self._spare += limit - line.limit
             line.guaranteed = shares.guaranteed.get(customer, 0.0)
             line.weight = weights.get(customer, 1)
         self._over = sum(line.over for line in self._lines.values())
--- a/src/zinniaspool/core/requests/routing.py
+++ b/src/zinniaspool/core/requests/routing.py
@@ -27,13 +27,16 @@
 _RING_STEPS = 8
 _PREFIX_BYTES = 256
 _HASH_BYTES = 8
-_DRAWS = 2
+_DRAWS = 4
 _MOST_SLOWNESS = 8.0
 _SLOW = 2.0
 _LEAST_SLOW_S = 1.0
 _SLOWNESS_DECAY = 0.8
-_LATENCY_WEIGHT = 0.2
-_LATENCY_SAMPLES = 5
+_FIRST_STAY_S = 1.0
+_STAY_WEIGHT = 0.02
+_SMOOTHED_STAYS = 30.0
+_MOST_PASSED_S = 5.0
+_ROOM = 1.5
 
 
 class AttemptEnd(Enum):
@@ -63,7 +66,7 @@
         most_ejected: Part of the upstreams that may be ejected at a time.
     """
 
-    far_cost: float = 0.1
+    far_cost: float = 0.05
     affinity_bound: float = 1.25
     failures: int = 3
     eject_s: float = 1.0
@@ -99,6 +102,8 @@
         self._ring_states: list[UpstreamState] = []
         self._median_s = 0.0
         self._load = 0.0
+        self._reported = 0
+        self._stay_s = _FIRST_STAY_S
 
     def __len__(self) -> int:
         return len(self._states)
@@ -127,7 +132,7 @@
                 changed = True
             state.fresh_until = fresh.fresh_until
             if fresh.load is not None:
-                self._note_load(state, fresh.load, fresh.load_at)
+                self._note_load(state, fresh.load, fresh.load_at, now)
             self._place(state, now)
         if changed:
             self.slots = sum(s.upstream.slots for s in self._states.values())
@@ -148,20 +153,20 @@
             made_at: When the upstream counted them.
             now: Seconds.
         """
-        self._note_load(state, load, made_at)
-        self._place(state, now)
+        if not state.gone:
+            self._note_load(state, load, made_at, now)
+            self._place(state, now)
 
     def note_leaving(self, state: UpstreamState, now: float) -> None:
         """Send an upstream nothing more until it is another one."""
         state.leaving = True
-        self._place(state, now)
+        if not state.gone:
+            self._place(state, now)
 
     def step(self, now: float) -> None:
         """Compare the upstreams' speeds; about once a second."""
         measured = sorted(
-            state.latency_s
-            for state in self._states.values()
-            if state.samples >= _LATENCY_SAMPLES
+            state.latency_s for state in self._states.values() if state.measured
         )
         self._median_s = measured[len(measured) // 2] if measured else 0.0
         for state in self._states.values():
@@ -220,8 +225,10 @@
     def begin(self, state: UpstreamState, now: float) -> None:
         """Count a request that is sent."""
         state.count(1, now)
+        if state.gone:
+            return
         self._load += 1
-        if state.load >= state.upstream.slots:
+        if state.load >= state.upstream.slots * _ROOM:
             self._place(state, now)
 
     def end(
@@ -230,6 +237,7 @@
         now: float,
         end: AttemptEnd,
         latency_s: float | None = None,
+        stay_s: float | None = None,
     ) -> None:
         """Count a request that has ended.
 
@@ -238,11 +246,18 @@
             now: Seconds.
             end: How it ended.
             latency_s: Time to the first byte of the answer.
+            stay_s: Time from its begin, where it was answered.
         """
+        if stay_s is not None:
+            self._stay_s += _STAY_WEIGHT * (stay_s - self._stay_s)
         state.count(-1, now)
+        if state.gone:
+            # Its requests end after it is no longer one of the pool's.
+            # Counting them here would put it among those that get requests.
+            return
         self._load -= 1
         if latency_s is not None:
-            state.measure(latency_s, _LATENCY_WEIGHT, now)
+            state.measure(latency_s, now)
         match end:
             case AttemptEnd.ANSWERED:
                 state.failures = state.ejections = 0
@@ -252,7 +267,7 @@
                     self._eject(state, now)
             case AttemptEnd.REFUSED:
                 # Its report does not show yet that it is full.
-                full = state.upstream.slots - state.own
+                full = state.upstream.slots * _ROOM - state.own
                 self._set_others(state, max(state.others, full))
             case AttemptEnd.ABANDONED:
                 pass
@@ -327,25 +342,42 @@
             cost += self._limits.far_cost
         return cost
 
-    def _note_load(self, state: UpstreamState, load: int, made_at: float) -> None:
-        if made_at > state.reported_at:
-            state.reported_at = made_at
-            self._set_others(state, max(0, load - state.own_at(made_at)))
-
-    def _set_others(self, state: UpstreamState, others: int) -> None:
+    def _note_load(
+        self, state: UpstreamState, load: int, made_at: float, now: float
+    ) -> None:
+        if made_at <= state.reported_at:
+            return
+        passed_s = min(made_at - state.reported_at, _MOST_PASSED_S)
+        state.reported_at = made_at
+        reported = max(0, load - state.own_at(made_at))
+        self._reported += reported - state.reported
+        state.reported = reported
+        # By the time a report is here, what others had there has ended and
+        # they have sent more. Taken at its word, every process would leave
+        # the upstream that was full and crowd the one that was empty, back
+        # and forth. What stays over many requests' times is what counts: an
+        # upstream that is slow, small, or nearer to the others.
+        mean = self._reported / len(self._states)
+        stay_s = self._stay_s
+        weight = passed_s / (passed_s + _SMOOTHED_STAYS * stay_s)
+        weight *= stay_s / (stay_s + max(0.0, now - made_at))
+        state.surplus += weight * (reported - mean - state.surplus)
+        self._set_others(state, max(0.0, mean + state.surplus))
+
+    def _set_others(self, state: UpstreamState, others: float) -> None:
         self._load += others - state.others
         state.others = others
 
     def _judge_speed(self, state: UpstreamState, now: float) -> None:
-        if state.samples < _LATENCY_SAMPLES or not self._median_s:
+        if not state.measured or not self._median_s:
             return
         ratio = state.latency_s / self._median_s
-        measured = min(_MOST_SLOWNESS, max(1.0, ratio))
+        # Small differences are queues that come and go: the load shows them.
+        measured = min(_MOST_SLOWNESS, ratio) if ratio >= _SLOW else 1.0
         if state.measured_at < now - 1.0:
             # A straggler that gets nothing is never measured: it must come
             # back into the draw to show that it has recovered.
             measured = max(1.0, state.slowness * _SLOWNESS_DECAY)
-            state.latency_s = min(state.latency_s, measured * self._median_s)
         state.slowness = measured
 
     def _eject(self, state: UpstreamState, now: float) -> None:
@@ -366,14 +398,16 @@
             self._ejected.remove(state)
         out = state.leaving or state in self._ejected or state.fresh_until < now
         self._usable.set(state, not out)
-        free = not out and state.load < state.upstream.slots
+        free = not out and state.load < state.upstream.slots * _ROOM
         self._free.set(state, free)
         near = state.upstream.failure_domain == self._own_domain
         self._near.set(state, free and near)
 
     def _drop(self, state: UpstreamState) -> None:
+        state.gone = True
         self._drop_from_sets(state)
         self._load -= state.load
+        self._reported -= state.reported
         if state in self._ejected:
             self._ejected.remove(state)
 
--- a/src/zinniaspool/core/requests/upstreams.py
+++ b/src/zinniaspool/core/requests/upstreams.py
@@ -18,6 +18,7 @@
 __all__ = ["DrawSet", "FreshUpstream", "Upstream", "UpstreamState"]
 
 _KEPT_COUNTS = 1024
+LATENCY_SAMPLES = 5
 
 _T = TypeVar("_T")
 
@@ -74,57 +75,65 @@
     Attributes:
         upstream: Which.
         own: Requests that this process has there.
-        others: Requests that others had there at the newest report.
+        others: Requests that others are thought to have there.
+        reported: Requests that others had there at the newest report.
+        surplus: By how many that is above the mean, smoothed.
         reported_at: When that report was made.
         fresh_until: When what shows that it serves is too old.
         leaving: Whether it gets nothing more.
+        gone: Whether it is no longer among the upstreams.
         failures: Failures in a row.
         ejections: Ejections in a row.
         ejected_until: When it may be tried again.
         probing: Whether one request is trying it.
-        latency_s: Smoothed time to an answer's first byte.
-        samples: How often that was measured.
+        latency_s: Least time to the first byte of the last few answers.
         measured_at: When it was last measured.
         slowness: Its latency as a multiple of the median one.
     """
 
     __slots__ = (
         "_counts",
+        "_latencies",
         "ejected_until",
         "ejections",
         "failures",
         "fresh_until",
+        "gone",
         "latency_s",
         "leaving",
         "measured_at",
         "others",
         "own",
         "probing",
+        "reported",
         "reported_at",
-        "samples",
         "slowness",
+        "surplus",
         "upstream",
     )
 
     def __init__(self, upstream: Upstream) -> None:
         self.upstream = upstream
         self.own = 0
-        self.others = 0
+        self.others = 0.0
+        self.reported = 0
+        self.surplus = 0.0
         self.reported_at = float("-inf")
         self.fresh_until = float("inf")
         self.leaving = False
+        self.gone = False
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
         self.probing = False
         self.latency_s = 0.0
-        self.samples = 0
+        self._latencies: deque[float] = deque(maxlen=LATENCY_SAMPLES)
         self.measured_at = 0.0
         self.slowness = 1.0
         self._counts: deque[_Count] = deque(maxlen=_KEPT_COUNTS)
 
     @property
-    def load(self) -> int:
+    def load(self) -> float:
         """Requests that are thought to be there now."""
         return self.own + self.others
 
@@ -143,14 +152,21 @@
         counts.appendleft(_Count(when, own))
         return own
 
-    def measure(self, latency_s: float, weight: float, now: float) -> None:
-        """Take one measurement of the time to a first byte."""
-        if not self.samples:
-            self.latency_s = latency_s
-        self.latency_s += weight * (latency_s - self.latency_s)
-        self.samples += 1
+    def measure(self, latency_s: float, now: float) -> None:
+        """Take one measurement of the time to a first byte.
+
+        The least of a few counts: a queue that comes and goes makes some
+        answers late, a straggler all of them.
+        """
+        self._latencies.append(latency_s)
+        self.latency_s = min(self._latencies)
         self.measured_at = now
 
+    @property
+    def measured(self) -> bool:
+        """Whether enough answers have been measured to judge its speed."""
+        return len(self._latencies) == LATENCY_SAMPLES
+
 
 class DrawSet(Generic[_T]):
     """A set from which members are drawn at random in constant time."""
--- a/src/zinniaspool/entry/relay.py
+++ b/src/zinniaspool/entry/relay.py
@@ -203,7 +203,9 @@
             end = self._judge_upstream(run, failure, loop.time())
             return failure
         finally:
-            run.pool.end(state, loop.time(), end, run.latency_s)
+            now = loop.time()
+            stay_s = now - run.began if end is AttemptEnd.ANSWERED else None
+            run.pool.end(state, now, end, run.latency_s, stay_s)
 
     def _judge_upstream(
         self, run: _Run, failure: AttemptFailure | None, now: float
