--- a/benchmarks/capacity_processes.py
+++ b/benchmarks/capacity_processes.py
@@ -78,7 +78,7 @@
 
 
 def _read(fleet: Fleet, name: str) -> _Reading:
-    pid = fleet.find_pid(name)
+    pid = fleet.read_pid(name)
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
     cpu_s = (int(fields[11]) + int(fields[12])) / _TICKS
     pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
--- a/src/zinniaspool_standins/fleet.py
+++ b/src/zinniaspool_standins/fleet.py
@@ -190,8 +190,8 @@
         files: Iterable[Path] = sorted(self.folder.glob("*.runs"))
         return [run for file in files for run in read_runs(file)]
 
-    def find_pid(self, name: str) -> int:
-        """Return a process's number in the system."""
+    def read_pid(self, name: str) -> int:
+        """Return a process's id."""
         return self._started[name].process.pid
 
     def read_log(self, name: str) -> str:
