--- a/src/zinniaspool/core/membership/notices.py
+++ b/src/zinniaspool/core/membership/notices.py
@@ -13,6 +13,7 @@
 _OVERHEAD_BYTES = 34
 """About what msgpack adds to a notice's key and payload on the wire."""
 
+_RESERVE_BYTES = 256
 _PUSHES = 1
 _EXCHANGES = 4
 _EXCHANGES_OF_FREQUENT = 1
@@ -253,7 +254,11 @@
 
     def _choose(self, budget_bytes: int, entries: Iterable[_Entry]) -> Iterator[_Entry]:
         for entry in sorted(entries, key=lambda entry: entry.name.topic.value):
-            if entry.size <= budget_bytes:
+            # Digests of limits come all the time and would use up whatever
+            # there is: a change of configuration that comes between would
+            # have to wait at every hop.
+            kept = _RESERVE_BYTES if entry.name.topic is Topic.LIMITS else 0
+            if entry.size <= budget_bytes - kept:
                 budget_bytes -= entry.size
                 yield entry
 
--- a/src/zinniaspool/node/board.py
+++ b/src/zinniaspool/node/board.py
@@ -12,6 +12,7 @@
 from zinniaspool.core.membership import (
     Action,
     Ask,
+    GossipLimits,
     GossipMachine,
     Member,
     MemberRecord,
@@ -46,13 +47,20 @@
         own: What this process says of itself.
         seeds: Peer addresses to ask at the start.
         links: Connections to peers.
+        limits: Rates and times.
     """
 
     def __init__(
-        self, own: MemberRecord, seeds: tuple[Address, ...], links: PeerLinks
+        self,
+        own: MemberRecord,
+        seeds: tuple[Address, ...],
+        links: PeerLinks,
+        limits: GossipLimits | None = None,
     ) -> None:
         self._links = links
-        self._machine = GossipMachine(own, seeds, random.Random(), time.monotonic())
+        self._machine = GossipMachine(
+            own, seeds, random.Random(), time.monotonic(), limits
+        )
         self._takers: dict[Topic, list[NoticeTaker]] = defaultdict(list)
         self._sending: set[asyncio.Task[None]] = set()
         self.superseded = asyncio.Event()
--- a/src/zinniaspool/node/frame.py
+++ b/src/zinniaspool/node/frame.py
@@ -20,6 +20,7 @@
 )
 from zinniaspool.core.journal import DecisionKind, Journal
 from zinniaspool.core.membership import (
+    GossipLimits,
     Member,
     MemberRecord,
     MemberState,
@@ -91,6 +92,7 @@
             _describe(settings, self.incarnation),
             tuple(Address(seed) for seed in settings.seeds),
             self.links,
+            GossipLimits(bytes_per_s=settings.gossip_bytes_per_s),
         )
         self._settings = settings
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/zinniaspool/settings/types.py
+++ b/src/zinniaspool/settings/types.py
@@ -87,6 +87,11 @@
         gt=0,
         description="Most calls a second to the key-value service, on average.",
     )
+    gossip_bytes_per_s: int = Field(
+        default=2500,
+        gt=0,
+        description="Most bytes of notices sent to peers a second.",
+    )
     vm_list_address: _Address = Field(description="The platform's list of VMs.")
     peer_secret_file: _File = Field(
         description="File that holds the secret which shows peers to each other."
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -266,6 +266,20 @@
     assert set(_find_payloads(net, "key")) == {None}
 
 
+def test_digests_of_limits_leave_room_for_a_change() -> None:
+    """With little room left, what is urgent goes and digests wait."""
+    machine = GossipNet().start("n0")
+    table = machine.roster.notices
+    table.take_pushes(10_000, 0.0)
+    machine.publish(Topic.LIMITS, "key", 1, b"x" * 50, 60.0, 0.0)
+    assert table.take_pushes(300, 0.0) == []
+    machine.publish(Topic.CONFIGURATION, "root", 1, b"x" * 150, 60.0, 0.0)
+    (pushed,) = table.take_pushes(300, 0.0)
+    assert pushed.topic == Topic.CONFIGURATION.value
+    (later,) = table.take_pushes(600, 0.0)
+    assert later.topic == Topic.LIMITS.value
+
+
 @given(
     versions=st.lists(st.integers(0, 5), min_size=1, max_size=12),
     topic=st.integers(0, 9),
--- a/tools/write_capacity.py
+++ b/tools/write_capacity.py
@@ -7,6 +7,7 @@
 
 import re
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,8 @@
 _VMS = 600
 _CHANGES_A_DAY = 2_900
 _RESTARTS_A_DAY = 340
+_TOKENS_PER_S = 2_600_000
+_FAILURE_DOMAINS = 5
 _DAY_S = 86_400
 _CORE_PERCENT = 1.4
 _MEMORY_MB = 256
@@ -125,81 +128,124 @@
     return _fit([(row["processes"], row[column]) for row in rows])
 
 
-def _judge(value: float, most: float) -> str:
-    return "fits" if value <= most else "**does not fit yet**"
-
-
 def _show_coming() -> str:
+    """Return the lines at the coming size, each of a node: two processes."""
     large = _list_rows("gossip")[-1]
-    peers_s = large["busy_messages"]
-    wire = large["busy_bytes"] + peers_s * _SEGMENT_BYTES
-    state_mb = (_MEMBERS * _find_state("member") + _VMS * _find_state("vm")) / 2**20
-    base_mb = max(row["memory_mb"] for row in _list_rows("processes"))
-    links_mb = (_MEMBERS - 18) * max(0.0, _fit_processes("entry", "memory_mb")[0])
-    memory = base_mb + state_mb + links_mb
-    core_ms = large["core_ms"]
-    per_change = large["calls_a_change"]
-    calls = large["idle_calls"] + per_change * _CHANGES_A_DAY / _DAY_S
-    whole = large["whole_bytes"] * _CHANGES_A_DAY / _DAY_S
-    rows = [
-        [
-            "membership and configuration, bytes a process",
-            f"{wire:.0f} B/s",
-            f"{_BYTES_PER_S} B/s a node",
-            _judge(2 * wire, _BYTES_PER_S),
+    wire = 2 * (large["busy_bytes"] + large["busy_messages"] * _SEGMENT_BYTES)
+    whole = 2 * large["whole_bytes"] * _CHANGES_A_DAY / _DAY_S
+    core = 2 * large["core_ms"] / 10
+    new_parts = _RESTARTS_A_DAY * large["whole_bytes"] / _DAY_S / _NODES
+    calls = large["idle_calls"] + large["calls_a_change"] * _CHANGES_A_DAY / _DAY_S
+    at_rest = [_find_largest(role, "core_percent") for role in ("entry", "control")]
+    lines = [
+        _Line(
+            "gossip and configuration, sent bytes with headers",
+            wire,
+            _BYTES_PER_S,
+            "B/s",
             "fixed fanout; only changed parts move",
-        ],
-        [
-            "the same, first version (whole configuration a change)",
-            f"{whole:.0f} B/s",
-            f"{_BYTES_PER_S} B/s a node",
-            _judge(whole, _BYTES_PER_S),
+        ),
+        _Line(
+            "the same in the first version, whole configuration a change",
+            whole,
+            _BYTES_PER_S,
+            "B/s",
             "replaced by parts under one root",
-        ],
-        [
-            "membership and configuration, core of a process",
-            f"{core_ms / 10:.2f}% and sockets",
-            f"{_CORE_PERCENT}% a node",
-            _judge(core_ms / 10, _CORE_PERCENT),
+        ),
+        _Line(
+            "all notices, digests of demand among them",
+            2 * _find_largest("entry", "sent_bytes"),
+            _BYTES_PER_S,
+            "B/s",
+            "the cap on notices; to come: sums a failure domain",
+        ),
+        _Line(
+            "parts for restarted processes",
+            new_parts,
+            _BYTES_PER_S,
+            "B/s",
+            "parts from a few peers",
+        ),
+        _Line(
+            "gossip and configuration, core without sockets",
+            core,
+            _CORE_PERCENT,
+            "%",
             "one comparison a second",
-        ],
-        [
+        ),
+        _Line(
+            "entry and control process at rest, core",
+            sum(at_rest),
+            _CORE_PERCENT,
+            "%",
+            "to come: fewer polls and timers, one process for both roles",
+        ),
+        _Line(
+            "entry and control process at rest, memory",
+            _sum_memory(),
+            _MEMORY_MB,
+            "MB",
+            "interpreter and libraries; state by the slopes below",
+        ),
+        _Line(
             "a change in force everywhere",
-            f"{large['in_force_s']} s",
-            f"{_IN_FORCE_S} s",
-            _judge(large["in_force_s"], _IN_FORCE_S),
+            large["in_force_s"],
+            _IN_FORCE_S,
+            "s",
             "watch, announcement, parts from peers",
-        ],
-        [
-            "memory of an entry process without requests",
-            f"{memory:.0f} MB",
-            f"{_MEMORY_MB} MB a node",
-            _judge(2 * memory, _MEMORY_MB),
-            "interpreter and libraries; state by the slopes below",
-        ],
-        [
-            "store calls for the configuration",
-            f"{calls:.1f}/s",
-            f"{_READS_PER_S}/s",
-            _judge(calls, _READS_PER_S),
+        ),
+        _Line(
+            "store calls for the configuration, the whole fleet",
+            calls,
+            _READS_PER_S,
+            "calls/s",
             "two watchers a failure domain",
-        ],
-        [
-            "store calls, all started at once, fullest second",
-            f"{large['restart_peak']}/s",
-            f"{_READS_PER_S}/s",
-            _judge(large["restart_peak"], _READS_PER_S),
+        ),
+        _Line(
+            "store calls when all start at once, fullest second",
+            large["restart_peak"],
+            _READS_PER_S,
+            "calls/s",
             "waits drawn at random; parts from peers",
-        ],
-        [
-            "restarts",
-            f"{_RESTARTS_A_DAY * large['whole_bytes'] / _DAY_S / _NODES:.1f} B/s",
-            f"{_BYTES_PER_S} B/s a node",
-            "fits",
-            "a new process takes all parts from a few peers",
-        ],
+        ),
     ]
-    return _make_table(["line", "at the coming size", "limit", "", "carried by"], rows)
+    head = ["line", "at the coming size", "limit", "", "carried by"]
+    return _make_table(head, [line.show() for line in lines])
+
+
+@dataclass(frozen=True, slots=True)
+class _Line:
+    name: str
+    value: float
+    most: float
+    unit: str
+    carried_by: str
+
+    def show(self) -> list[str]:
+        verdict = "fits" if self.value <= self.most else "**does not fit yet**"
+        return [
+            self.name,
+            f"{self.value:.4g} {self.unit}",
+            f"{self.most:g} {self.unit}",
+            verdict,
+            self.carried_by,
+        ]
+
+
+def _find_largest(role: str, column: str) -> float:
+    rows = [row for row in _list_rows("processes") if row["role"] == role]
+    return float(max(row[column] for row in rows))
+
+
+def _sum_memory() -> float:
+    """Return the memory of both processes at the coming size, in MB."""
+    state = _MEMBERS * _find_state("member") + _VMS * _find_state("vm")
+    total = 2 * state / 2**20
+    for role in ("entry", "control"):
+        largest = max(row["processes"] for row in _list_rows("processes"))
+        slope = max(0.0, _fit_processes(role, "memory_mb")[0])
+        total += _find_largest(role, "memory_mb") + slope * (_MEMBERS - largest)
+    return total
 
 
 def _show_slopes() -> str:
@@ -219,12 +265,45 @@
     return _make_table([*head, f"line carried to {_MEMBERS}"], rows)
 
 
+def _show_tokens() -> str:
+    nodes = _NODES * (_FAILURE_DOMAINS - 1) / _FAILURE_DOMAINS
+    rows = []
+    for row in _list_rows("tokens"):
+        cores = [
+            _TOKENS_PER_S / count * row["cpu_us"] / 1e6 for count in (_NODES, nodes)
+        ]
+        rows.append(
+            [
+                row["streams"],
+                row["tokens_a_write"],
+                row["cpu_us"],
+                f"{cores[0]:.2f}",
+                f"{cores[1]:.2f}",
+            ]
+        )
+    head = ["streams", "tokens a write", "us a token", "cores a node"]
+    return _make_table([*head, "with a failure domain lost"], rows)
+
+
+def _show_claims() -> str:
+    return _show(
+        "claims",
+        {
+            "keyed_per_s": "keyed calls/s",
+            "calls_per_s": "store calls/s",
+            "written_kb_per_s": "written kB/s",
+        },
+    )
+
+
 _TABLES: dict[str, Callable[[], str]] = {
     "gossip": _show_gossip,
     "restart": _show_restart,
     "processes": _show_processes,
     "state": _show_state,
     "slopes": _show_slopes,
+    "tokens": _show_tokens,
+    "claims": _show_claims,
     "coming": _show_coming,
 }
 
