Plan groups over the whole fleet and hold domains by lease or as witness

Cause: the first planner knew one domain and one process, so groups wanted over the fleet were formed once a domain, a broken group was dissolved at once, and an outage of the store ended the feed of evidence to entries.

Planning is a pure function now. Every holder works out the whole fleet's allocation from the configuration and the stored plans and changes only its own plan; a group formed twice by holders with different views is found as the same surplus by all. Broken groups are repaired by expected cost; planned moves drain first and take turns; a VM joins only once it reports EMPTY.

Evidence goes as a digest a group over the board, so entries still judge every member's report by their own plan. Who passes it on needs no lease: while the store is out, or its holder just died, a witness goes on.

Ruled out: one allocator for the fleet under a lease of its own (one more thing to lose); reports of every VM to every entry (6-8 kB a domain a second).

--- a/src/zinniaspool/control/domain.py
+++ b/src/zinniaspool/control/domain.py
@@ -1,209 +1,325 @@
-"""One fabric domain in the hands of the control process that leases it."""
+"""One fabric domain as a control process meets it: holder, witness or none."""
 
 import asyncio
-import secrets
+import time
+from collections.abc import Collection
+from dataclasses import dataclass
 
-import msgspec
 import structlog
-from result import Err, Ok
+from result import Err
 
-from zinniaspool.core.deployment import Configuration
-from zinniaspool.core.groups import decide_orders, plan_domain
-from zinniaspool.core.ids import Address, Epoch, FabricDomainId, NodeId, Revision, VmId
-from zinniaspool.core.messages import AgedReport, DomainState
-from zinniaspool.core.plans import DomainPlan, EngineReport, Order
-from zinniaspool.http import Headers, HttpClient, Request, TransportError
-from zinniaspool.platform import LeaseId, Store, settle_swap
+from zinniaspool.control.engines import EngineCalls
+from zinniaspool.control.fleet import FleetBook
+from zinniaspool.control.leases import DomainStore
+from zinniaspool.control.notes import DomainNotes
+from zinniaspool.core.groups import FleetIndex, Holder, HolderLimits, Proposal
+from zinniaspool.core.groups.beats import (
+    BEAT_PREFIX,
+    PLAN_PREFIX,
+    DomainBeat,
+    encode_beat,
+    encode_plan,
+    make_beat,
+)
+from zinniaspool.core.groups.succession import (
+    Duty,
+    Succession,
+    SuccessionLimits,
+    rank_process,
+)
+from zinniaspool.core.groups.tenure import TenureLimits
+from zinniaspool.core.groups.tracking import TrackingLimits
+from zinniaspool.core.ids import Address, FabricDomainId, NodeId, VmId
+from zinniaspool.core.membership import MemberState, Role, Topic
+from zinniaspool.core.plans import EngineReport, Order
+from zinniaspool.node import NodeFrame
+from zinniaspool.settings import ControlSettings
 
-__all__ = ["DomainHolder"]
+__all__ = ["DomainKeeper"]
 
 _log = structlog.get_logger(__name__)
-_CALL_S = 1.0
-_OK = 200
+_CALL_PART = 0.8
+_PLAN_KEPT_S = 3600.0
+_PLAN_AGAIN_S = 600.0
+_REFRESH_PLANS_S = 60.0
+_RENEWALS = 3
+_MS = 1000
+_CLOCK_BITS = 32
 
 
-class _PlanValue(msgspec.Struct):
-    tag: str
-    plan: DomainPlan
+@dataclass(slots=True)
+class _Published:
+    """When what was published last."""
 
+    beat_at: float = float("-inf")
+    plan_at: float = float("-inf")
+    plan_epoch: int = -1
+    version: int = 0
 
-class _HolderValue(msgspec.Struct):
-    tag: str
-    node: NodeId
 
-
-class DomainHolder:
-    """Holds one fabric domain's lease, plans its groups, orders its engines.
+class DomainKeeper:
+    """Does this process's duty for one domain, whatever it is at the time.
 
     Args:
         domain: The fabric domain.
-        node: This process.
-        store: The platform's store.
-        http: For engines.
-        lease_s: Length of the lease.
-        vm_absent_s: Silence after which a VM is absent.
+        frame: The process's frame.
+        settings: The process's settings.
+        fleet: What is known of all domains.
     """
 
     def __init__(
         self,
         domain: FabricDomainId,
-        node: NodeId,
-        store: Store,
-        http: HttpClient,
-        lease_s: float,
-        vm_absent_s: float,
+        frame: NodeFrame,
+        settings: ControlSettings,
+        fleet: FleetBook,
     ) -> None:
         self.domain = domain
-        self._node = node
-        self._store = store
-        self._http = http
-        self._lease_s = lease_s
-        self._vm_absent_s = vm_absent_s
-        self._lease: LeaseId | None = None
-        self._held_until = 0.0
-        self._plan = DomainPlan(domain)
-        self._plan_revision = Revision(0)
-        self._reports: dict[VmId, tuple[float, EngineReport]] = {}
+        self._frame = frame
+        self._settings = settings
+        self._fleet = fleet
+        limits = _make_limits(settings)
+        self.holder = Holder(domain, limits)
+        self._store = DomainStore(frame.store, domain, frame.node, settings.lease_s)
+        self._engines = EngineCalls(frame.http, settings.order_s * _CALL_PART)
+        self._renew_s = limits.tenure.lease_s * limits.tenure.used_part / _RENEWALS
+        self._succession = Succession(_make_succession(settings), self._now)
+        self._notes = DomainNotes(frame, domain)
         self._addresses: dict[VmId, Address] = {}
-        self._began = 0.0
+        self._published = _Published()
+        self._source = f"{frame.node}@{frame.incarnation}"
+        self._plans_read_at = float("-inf")
+        self._trying: asyncio.Task[None] | None = None
+        self._witnesses = False
 
     @property
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def configure(self, index: FleetIndex) -> None:
+        """Take a newer configuration."""
+        self.holder.configure(index, self._now)
+        vms = index.domains.get(self.domain, ())
+        self._addresses = {vm.id: vm.address for vm in vms}
+        self._notes.configure(index)
+
+    def hear(self, beat: DomainBeat) -> None:
+        """Take another process's beat."""
+        if beat.source == self._source:
+            return
+        sender = NodeId(beat.source.rpartition("@")[0])
+        rank = rank_process(sender, self._list_controls(), self.domain)
+        self._succession.hear(beat.holds, beat.ends, rank, self._now)
+
+    def note_leaving(self, leaving: Collection[VmId]) -> None:
+        """Take the VMs that the platform lists as leaving."""
+        self.holder.note_leaving(leaving)
+
+    @property
+    def is_active(self) -> bool:
+        """Whether this process holds the domain or witnesses for it."""
+        return self._store.has_lease or self._witnesses
+
     @property
     def holds(self) -> bool:
-        """Whether this process may act on the domain now."""
-        return self._lease is not None and self._now < self._held_until
+        """Whether this process holds the domain's lease."""
+        return self._store.has_lease
 
-    def state(self) -> DomainState:
-        """Return the plan and the reports, for the entry processes."""
+    async def run(self) -> None:
+        """Do what is due until cancelled."""
+        renewing = asyncio.create_task(self._keep_lease())
+        try:
+            while True:
+                await self._step()
+                await asyncio.sleep(self._settings.poll_s)
+        finally:
+            renewing.cancel()
+            if self._trying is not None:
+                self._trying.cancel()
+
+    async def release(self) -> None:
+        """End: say so, so that another process goes on at once."""
+        active = self.is_active
+        self.holder.lose()
+        # An order that left before the lease is given up must not arrive
+        # after another process has taken it.
+        await self._engines.settle()
+        await self._store.release()
+        self._engines.close()
+        if active:
+            self._publish_beat(ends=True)
+            self._notes.note_released("the process stops")
+
+    async def _step(self) -> None:
+        if not self._store.has_lease:
+            self._choose_duty()
+            if not self._witnesses:
+                return
+        self._engines.ask(self._addresses, self._take_report, self._miss_report)
+        if self._store.has_lease:
+            await self._hold()
         now = self._now
-        reports = tuple(
-            AgedReport(report, now - made_at)
-            for made_at, report in self._reports.values()
-        )
-        return DomainState(self._plan, reports)
+        self._notes.note_ready(self.holder.plan, self.holder.find_ready(now))
+        if now >= self._published.beat_at + self._settings.beat_s:
+            self._publish_beat()
 
-    async def step(self, configuration: Configuration) -> bool:
-        """Keep the lease and do what is due; False without the lease."""
-        if not await self._keep_lease():
-            return False
-        await self._poll_engines(configuration)
-        await self._adjust_plan(configuration)
-        await self._send_orders()
-        return True
+    def _choose_duty(self) -> None:
+        rank = rank_process(self._frame.node, self._list_controls(), self.domain)
+        duty = self._succession.decide(rank, self._now)
+        if duty is Duty.TAKE and self._trying is None:
+            self._succession.note_try(self._now)
+            self._trying = asyncio.create_task(self._try_take())
+        self._witnesses = duty is not Duty.NONE
+        if self._witnesses:
+            self._follow_plan()
 
-    async def release(self) -> None:
-        """Give the lease up."""
-        if self._lease is not None:
-            await self._store.revoke(self._lease)
-            self._lease = None
-
-    async def _keep_lease(self) -> bool:
-        asked = self._now
-        if self._lease is not None:
-            renewed = await self._store.renew(self._lease)
-            if isinstance(renewed, Ok):
-                self._held_until = asked + self._lease_s / 2
-                return True
-            if self.holds:
-                return True
-            self._lease = None
-        return await self._take_lease()
-
-    async def _take_lease(self) -> bool:
-        key = f"holders/{self.domain}"
-        found = await self._store.get(key)
-        if isinstance(found, Err) or found.ok_value is not None:
-            return False
-        asked = self._now
-        granted = await self._store.grant(self._lease_s)
-        if isinstance(granted, Err):
-            return False
-        lease = granted.ok_value
-        value = msgspec.json.encode(_HolderValue(secrets.token_hex(8), self._node))
-        written = await settle_swap(
-            self._store, key, value.decode(), Revision(0), lease
-        )
-        if isinstance(written, Err) or not await self._read_plan():
-            await self._store.revoke(lease)
-            return False
-        self._lease = lease
-        self._held_until = asked + self._lease_s / 2
-        self._began = self._now
-        _log.info("domain-held", fabric_domain=self.domain)
-        return True
+    def _follow_plan(self) -> None:
+        plan = self._fleet.plans.get(self.domain)
+        if plan is not None and plan.epoch > self.holder.plan.epoch:
+            self.holder.plan = plan
+
+    async def _try_take(self) -> None:
+        asked_at = self._now
+        try:
+            if await self._store.take():
+                self.holder.take(asked_at, self._now)
+                self._notes.note_held()
+        finally:
+            self._trying = None
+
+    async def _keep_lease(self) -> None:
+        while True:
+            await asyncio.sleep(self._renew_s)
+            if not self._store.has_lease:
+                continue
+            asked_at = self._now
+            renewed = await self._store.renew()
+            if isinstance(renewed, Err):
+                if not self._store.has_lease:
+                    self.holder.lose()
+                    self._notes.note_released("the lease lapsed")
+                continue
+            self.holder.renew(asked_at)
+
+    async def _hold(self) -> None:
+        self._repeat_plan()
+        if self.holder.needs_plan and not await self._read_plan():
+            return
+        await self._refresh_plans()
+        proposal = self.holder.propose(self._now, self._fleet.knowledge(self.domain))
+        self._notes.note_step(self.holder)
+        if proposal is not None:
+            await self._swap(proposal)
+        self._send_orders()
 
     async def _read_plan(self) -> bool:
-        found = await self._store.get(f"plans/{self.domain}")
+        found = await self._store.read_plan()
         if isinstance(found, Err):
             return False
-        if found.ok_value is not None:
-            value = msgspec.json.decode(found.ok_value.value, type=_PlanValue)
-            self._plan = value.plan
-            self._plan_revision = found.ok_value.revision
+        plan, revision = found.ok_value
+        self.holder.read_plan(plan, revision)
+        self._publish_plan()
         return True
 
-    async def _poll_engines(self, configuration: Configuration) -> None:
-        self._addresses = {
-            vm.id: vm.address
-            for vm in configuration.inventory.vms
-            if vm.fabric_domain == self.domain
-        }
-        async with asyncio.TaskGroup() as tasks:
-            for vm, address in self._addresses.items():
-                tasks.create_task(self._poll_engine(vm, address))
-
-    async def _poll_engine(self, vm: VmId, address: Address) -> None:
-        asked = self._now
-        try:
-            status, body = await self._http.fetch(
-                address, Request("GET", "/report"), _CALL_S
-            )
-            if status != _OK:
-                return
-            report = msgspec.json.decode(body, type=EngineReport)
-        except (TransportError, msgspec.MsgspecError):
+    async def _refresh_plans(self) -> None:
+        """Read the other domains' plans, in case a notice was missed."""
+        if self._now < self._plans_read_at + _REFRESH_PLANS_S:
             return
-        self._reports[vm] = (asked, report)
-
-    async def _adjust_plan(self, configuration: Configuration) -> None:
-        oldest = self._now - self._vm_absent_s
-        present = {vm for vm, (at, _) in self._reports.items() if at >= oldest}
-        epoch = Epoch(self._plan_revision + 1)
-        plan = plan_domain(configuration, self._plan, present, epoch)
-        if plan == self._plan or not self.holds:
-            return
-        value = _PlanValue(secrets.token_hex(8), plan)
-        written = await settle_swap(
-            self._store,
-            f"plans/{self.domain}",
-            msgspec.json.encode(value).decode(),
-            self._plan_revision,
-        )
-        if isinstance(written, Err):
-            await self._read_plan()
+        found = await self._store.list_plans()
+        if isinstance(found, Err):
             return
-        self._plan, self._plan_revision = plan, written.ok_value
-        for group in plan.groups:
-            _log.info("group-planned", group=group.id, vms=",".join(group.vms))
-
-    async def _send_orders(self) -> None:
-        reports = {vm: report for vm, (_, report) in self._reports.items()}
-        for order in decide_orders(self._plan, reports):
-            if not self.holds:
-                return
-            await self._send_order(order)
+        self._plans_read_at = self._now
+        for plan in found.ok_value:
+            self._fleet.take_plan(plan)
 
-    async def _send_order(self, order: Order) -> None:
-        headers = Headers.of(content_type="application/json")
-        request = Request("POST", "/orders", headers, msgspec.json.encode(order))
-        try:
-            status, _ = await self._http.fetch(
-                self._addresses[order.vm], request, _CALL_S
+    async def _swap(self, proposal: Proposal) -> None:
+        if not self.holder.may_change(self._now):
+            return
+        written = await self._store.swap_plan(proposal.plan, proposal.expected)
+        if isinstance(written, Err):
+            _log.warning(
+                "plan-not-swapped", domain=self.domain, fault=written.err_value.value
             )
-        except TransportError as error:
-            _log.warning("order-unanswered", vm=order.vm, error=str(error))
+            self.holder.doubt_plan()
             return
-        _log.info("order-sent", vm=order.vm, kind=order.kind.value, status=status)
+        self.holder.swapped(proposal, written.ok_value)
+        self._notes.note_changes(proposal.plan, proposal.changes)
+        self._publish_plan()
+
+    def _send_orders(self) -> None:
+        for order in self.holder.due_orders(self._now):
+            address = self._addresses.get(order.vm)
+            if address is not None:
+                self._engines.order(order, address, self._may_send, self._note_sent)
+
+    def _may_send(self) -> bool:
+        return self.holder.may_change(self._now)
+
+    def _note_sent(self, order: Order, status: int) -> None:
+        self._notes.note_order(order, status)
+
+    def _take_report(self, report: EngineReport, asked_at: float) -> None:
+        self.holder.note_report(report, asked_at)
+
+    def _miss_report(self, vm: VmId) -> None:
+        self.holder.note_silence(vm, self._now)
+
+    def _repeat_plan(self) -> None:
+        if self._now >= self._published.plan_at + _PLAN_AGAIN_S:
+            self._publish_plan()
+
+    def _publish_plan(self) -> None:
+        plan, last = self.holder.plan, self._published
+        last.plan_epoch, last.plan_at = plan.epoch, self._now
+        self._fleet.take_plan(plan)
+        self._frame.board.publish(
+            Topic.GROUPS,
+            PLAN_PREFIX + self.domain,
+            # Told again, the same plan needs a greater version to live on.
+            (plan.epoch << _CLOCK_BITS) | int(time.time()),
+            encode_plan(plan),
+            _PLAN_KEPT_S,
+        )
+
+    def _publish_beat(self, *, ends: bool = False) -> None:
+        now = self._now
+        self._published.beat_at = now
+        beat = make_beat(
+            self.holder.plan,
+            self.holder.seen(),
+            self._source,
+            now,
+            holds=self._store.has_lease,
+            ends=ends,
+        )
+        self._published.version += 1
+        self._frame.board.publish(
+            Topic.GROUPS,
+            f"{BEAT_PREFIX}{self.domain}/{self._frame.node}",
+            self._frame.incarnation * _MS + self._published.version,
+            encode_beat(beat),
+            self._settings.report_stale_s * 2,
+        )
+
+    def _list_controls(self) -> list[NodeId]:
+        return [
+            member.node
+            for member in self._frame.members()
+            if member.role is Role.CONTROL
+            and member.state in (MemberState.STARTING, MemberState.READY)
+        ]
+
+
+def _make_limits(settings: ControlSettings) -> HolderLimits:
+    return HolderLimits(
+        TenureLimits(settings.lease_s, order_s=settings.order_s),
+        TrackingLimits(settings.vm_absent_s, settings.vm_settle_s),
+        settings.report_stale_s,
+    )
+
+
+def _make_succession(settings: ControlSettings) -> SuccessionLimits:
+    return SuccessionLimits(
+        witness_after_s=settings.report_stale_s / 2,
+        take_after_s=settings.lease_s,
+    )
--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -6,77 +6,117 @@
 
 import structlog
 import typer
+from result import Err
 
-from zinniaspool.control.domain import DomainHolder
+from zinniaspool.control.domain import DomainKeeper
+from zinniaspool.control.fleet import FleetBook
+from zinniaspool.control.report import describe_groups
 from zinniaspool.core.deployment import Configuration
+from zinniaspool.core.groups import FleetIndex
 from zinniaspool.core.ids import Address, FabricDomainId, Revision
-from zinniaspool.core.membership import MemberState
+from zinniaspool.core.membership import MemberState, Notice, Topic
 from zinniaspool.core.messages import Hello, Message
+from zinniaspool.core.plans import VmListState
 from zinniaspool.node import ConfigurationFollower, NodeFrame
+from zinniaspool.platform import fetch_vm_list
 from zinniaspool.settings import ControlSettings, SettingsError, load_settings
 from zinniaspool.telemetry import configure_logs
 
 __all__ = ["ControlProcess", "main"]
 
 _log = structlog.get_logger(__name__)
+_VM_LIST_S = 2.0
+_LAST_WORDS_S = 0.2
 
 
 class ControlProcess:
-    """Steps the fabric domains that this process holds."""
+    """Keeps every fabric domain, as its holder, its witness or neither."""
 
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
         self._frame = NodeFrame(settings)
-        self._configuration: Configuration | None = None
-        self._holders: dict[FabricDomainId, DomainHolder] = {}
+        self._fleet = FleetBook(settings.report_stale_s)
+        self._keepers: dict[FabricDomainId, DomainKeeper] = {}
+        self._running: dict[FabricDomainId, asyncio.Task[None]] = {}
+        self._index: FleetIndex | None = None
 
     async def run(self) -> None:
         """Run until the process is told to stop."""
         await self._frame.start(self._handle_message)
+        self._frame.operators.add_section("groups", self._describe)
+        self._frame.board.subscribe(Topic.GROUPS, self._take_notice)
         follower = ConfigurationFollower(self._frame.store, self._configure)
         async with asyncio.TaskGroup() as tasks:
             running = [
                 tasks.create_task(follower.run()),
-                tasks.create_task(self._step_domains()),
+                tasks.create_task(self._follow_vm_list()),
             ]
             await self._frame.stopping.wait()
-            for task in running:
+            for task in [*running, *self._running.values()]:
                 task.cancel()
-        for holder in self._holders.values():
-            await holder.release()
+        async with asyncio.TaskGroup() as tasks:
+            for keeper in self._keepers.values():
+                tasks.create_task(keeper.release())
+        await asyncio.sleep(_LAST_WORDS_S)
         self._frame.close()
 
     async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
         return None
 
+    def _take_notice(self, notice: Notice) -> None:
+        beat = self._fleet.take_notice(notice)
+        if beat is not None and beat.domain in self._keepers:
+            self._keepers[beat.domain].hear(beat)
+
     def _configure(self, configuration: Configuration, revision: Revision) -> None:
         self._frame.board.set_state(MemberState.READY)
-        self._configuration = configuration
-        domains = sorted({vm.fabric_domain for vm in configuration.inventory.vms})
-        for domain in domains:
-            if domain not in self._holders:
-                self._holders[domain] = DomainHolder(
-                    domain,
-                    self._frame.node,
-                    self._frame.store,
-                    self._frame.http,
-                    self._settings.lease_s,
-                    self._settings.vm_absent_s,
-                )
-
-    async def _step_domains(self) -> None:
+        self._index = FleetIndex(configuration)
+        self._fleet.configure(configuration)
+        for domain in self._index.domains:
+            if domain not in self._keepers:
+                self._keep(domain)
+        for keeper in self._keepers.values():
+            keeper.configure(self._index)
+
+    def _keep(self, domain: FabricDomainId) -> None:
+        keeper = DomainKeeper(domain, self._frame, self._settings, self._fleet)
+        self._keepers[domain] = keeper
+        self._running[domain] = asyncio.create_task(self._run_keeper(keeper))
+
+    async def _run_keeper(self, keeper: DomainKeeper) -> None:
+        try:
+            await keeper.run()
+        except Exception:
+            # One domain's fault must not end the others' care; the process
+            # stops, and another one takes over.
+            _log.exception("keeper-failed", domain=keeper.domain)
+            self._frame.stopping.set()
+
+    async def _follow_vm_list(self) -> None:
+        address = Address(self._settings.vm_list_address)
         while True:
-            if self._configuration is not None:
-                for holder in self._holders.values():
-                    if await holder.step(self._configuration):
-                        await self._tell_entries(holder)
-            await asyncio.sleep(self._settings.poll_s)
-
-    async def _tell_entries(self, holder: DomainHolder) -> None:
-        state = holder.state()
-        async with asyncio.TaskGroup() as tasks:
-            for seed in self._settings.seeds:
-                tasks.create_task(self._frame.links.send(Address(seed), state))
+            await asyncio.sleep(_VM_LIST_S)
+            active = [keeper for keeper in self._keepers.values() if keeper.is_active]
+            if not active:
+                continue
+            found = await fetch_vm_list(self._frame.http, address)
+            if isinstance(found, Err):
+                continue
+            leaving = {
+                listing.vm
+                for listing in found.ok_value
+                if listing.state is VmListState.LEAVING
+            }
+            for keeper in active:
+                keeper.note_leaving(leaving)
+
+    def _describe(self) -> object:
+        now = asyncio.get_running_loop().time()
+        return [
+            describe_groups(keeper.holder, self._index, keeper.holds, now)
+            for keeper in self._keepers.values()
+            if keeper.is_active
+        ]
 
 
 def _run(settings: Annotated[Path, typer.Option(help="Settings file.")]) -> None:
--- a/src/zinniaspool/core/deployment.py
+++ b/src/zinniaspool/core/deployment.py
@@ -15,6 +15,7 @@
 )
 
 __all__ = [
+    "AnnouncedPeak",
     "Configuration",
     "CustomerRule",
     "FencingSupport",
@@ -167,6 +168,21 @@
     stranded_accelerators: float
 
 
+@dataclass(frozen=True, slots=True)
+class AnnouncedPeak:
+    """A time at which a model will be in high demand.
+
+    Attributes:
+        model: Which model.
+        starts_at: Seconds since the epoch.
+        ends_at: Seconds since the epoch.
+    """
+
+    model: ModelName
+    starts_at: float
+    ends_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Rules:
     """What the operators add to the inventory."""
@@ -177,6 +193,7 @@
     repair: RepairWeights
     fencing: FencingSupport = FencingSupport.IGNORED
     weight_store_gb_per_s: float = 10.0
+    peaks: tuple[AnnouncedPeak, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -12,13 +12,10 @@
     Probed,
     Push,
 )
-from zinniaspool.core.plans import DomainPlan, EngineReport
 
 __all__ = [
     "PROTOCOL_VERSION",
     "Accepted",
-    "AgedReport",
-    "DomainState",
     "Gossip",
     "Hello",
     "Message",
@@ -59,23 +56,6 @@
     reason: str
 
 
-class AgedReport(msgspec.Struct, frozen=True):
-    """An engine report and how old it was, in seconds, when this was sent.
-
-    An age, unlike a time of day, needs no common clock.
-    """
-
-    report: EngineReport
-    age_s: float
-
-
-class DomainState(msgspec.Struct, frozen=True, tag="domain-state"):
-    """The plan of a fabric domain and what its engines reported."""
-
-    plan: DomainPlan
-    reports: tuple[AgedReport, ...]
-
-
 Gossip = Push | Compare | Compared | Join | JoinPage | Probe | Probed
 
-Message = Hello | Accepted | Refused | DomainState | Gossip
+Message = Hello | Accepted | Refused | Gossip
--- a/src/zinniaspool/core/plans.py
+++ b/src/zinniaspool/core/plans.py
@@ -15,12 +15,15 @@
 
 __all__ = [
     "DomainPlan",
+    "DrainCause",
     "EngineReport",
     "EngineState",
     "GroupPlan",
     "GroupStage",
     "Order",
     "OrderKind",
+    "OutReason",
+    "OutVm",
     "VmListing",
     "VmListState",
 ]
@@ -35,6 +38,25 @@
     DRAINING = "draining"
     """Take nothing new, finish what runs."""
 
+    RELEASING = "releasing"
+    """Stopped; its VMs are emptied and read back before they are free."""
+
+
+class DrainCause(Enum):
+    """Why a group is drained, and so what follows."""
+
+    ROLLOUT = "rollout"
+    """Its VMs load the model's new version."""
+
+    REPLACE = "replace"
+    """One of its VMs leaves or is slow; the others go on with a spare."""
+
+    TAKEN = "taken"
+    """Its VMs are needed for another model's guarantee."""
+
+    SURPLUS = "surplus"
+    """The configuration no longer asks for it."""
+
 
 @dataclass(frozen=True, slots=True)
 class GroupPlan:
@@ -48,6 +70,9 @@
         vms: Its members; the first one takes the requests.
         epoch: Fencing number; grows with every change of the group.
         stage: What is wanted of it.
+        cause: Why it is drained; None while it serves.
+        follows: The group of the same customers whose VMs it took over;
+            those VMs keep their weights.
     """
 
     id: GroupId
@@ -57,6 +82,24 @@
     vms: tuple[VmId, ...]
     epoch: Epoch
     stage: GroupStage = GroupStage.SERVING
+    cause: DrainCause | None = None
+    follows: GroupId | None = None
+
+
+class OutReason(Enum):
+    """Why a VM may not join a group."""
+
+    ABSENT = "absent"
+    LEAVING = "leaving"
+    STRAGGLING = "straggling"
+
+
+@dataclass(frozen=True, slots=True)
+class OutVm:
+    """A VM that the domain's holder found unfit for new groups."""
+
+    vm: VmId
+    reason: OutReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,12 +107,20 @@
     """All groups of one fabric domain: one value in the store, swapped whole.
 
     A VM stands in at most one group because the whole plan is checked before
-    one compare-and-swap replaces it.
+    one compare-and-swap replaces it. The VMs that are out stand in it as
+    well, so that every process works out the same share for every domain.
+
+    Attributes:
+        fabric_domain: Which domain.
+        groups: Its groups, in the order in which they were formed.
+        epoch: Grows with every swap.
+        out: The VMs that may not join a group, sorted.
     """
 
     fabric_domain: FabricDomainId
     groups: tuple[GroupPlan, ...] = ()
     epoch: Epoch = Epoch(0)
+    out: tuple[OutVm, ...] = ()
 
 
 class EngineState(Enum):
--- a/src/zinniaspool/entry/fleet.py
+++ b/src/zinniaspool/entry/fleet.py
@@ -1,7 +1,8 @@
 """What an entry process knows of the fleet's upstreams."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from zinniaspool.core.deployment import (
     Configuration,
@@ -10,27 +11,25 @@
     Share,
     Vm,
 )
-from zinniaspool.core.groups import SeenReport, find_serving
+from zinniaspool.core.groups import EvidenceBook
+from zinniaspool.core.groups.beats import (
+    BEAT_PREFIX,
+    PLAN_PREFIX,
+    decode_beat,
+    decode_plan,
+)
 from zinniaspool.core.ids import (
     CustomerId,
-    FabricDomainId,
     ServiceName,
     UpstreamId,
     VmId,
 )
-from zinniaspool.core.messages import DomainState
-from zinniaspool.core.plans import DomainPlan
+from zinniaspool.core.membership import Notice
 from zinniaspool.core.requests import Upstream
 
 __all__ = ["FleetView"]
 
 
-@dataclass(slots=True)
-class _DomainView:
-    plan: DomainPlan
-    reports: dict[VmId, SeenReport] = field(default_factory=dict)
-
-
 class FleetView:
     """Configuration, plans and engine reports, as known here.
 
@@ -40,8 +39,7 @@
 
     def __init__(self, stale_after_s: float) -> None:
         self.configuration: Configuration | None = None
-        self._stale_after_s = stale_after_s
-        self._domains: dict[FabricDomainId, _DomainView] = {}
+        self.evidence = EvidenceBook(stale_after_s)
         self._vms: Mapping[VmId, Vm] = {}
 
     def configure(self, configuration: Configuration) -> None:
@@ -49,20 +47,17 @@
         self.configuration = configuration
         self._vms = {vm.id: vm for vm in configuration.inventory.vms}
 
-    def update_domain(self, state: DomainState, now: float) -> None:
-        """Take a domain's plan and reports, unless an older plan's."""
-        domain = state.plan.fabric_domain
-        view = self._domains.get(domain)
-        if view is None:
-            view = self._domains[domain] = _DomainView(state.plan)
-        if state.plan.epoch < view.plan.epoch:
+    def take_notice(self, notice: Notice, now: float) -> None:
+        """Take a domain's plan, or the evidence that its groups are whole."""
+        try:
+            if notice.key.startswith(PLAN_PREFIX):
+                self.evidence.take_plan(decode_plan(notice.payload))
+            elif notice.key.startswith(BEAT_PREFIX):
+                beat = decode_beat(notice.payload)
+                self.evidence.take_beat(beat, notice.age_s, now)
+        except msgspec.MsgspecError:
+            # Of a version not known here: the group counts as absent.
             return
-        view.plan = state.plan
-        for aged in state.reports:
-            seen = SeenReport(aged.report, now - aged.age_s)
-            known = view.reports.get(aged.report.vm)
-            if known is None or seen.made_at > known.made_at:
-                view.reports[aged.report.vm] = seen
 
     def find_model(self, name: str, customer: CustomerId) -> ModelRule | None:
         """Return a model that the customer shares."""
@@ -87,26 +82,23 @@
     ) -> list[Upstream]:
         """Return the serving groups that may run a customer's requests."""
         found = []
-        for view in self._domains.values():
-            groups = [
-                group
-                for group in view.plan.groups
-                if group.model == model.name and customer in group.customers
-            ]
-            for group in find_serving(groups, view.reports, now, self._stale_after_s):
-                first = self._vms.get(group.vms[0])
-                if first is None:
-                    continue
-                found.append(
-                    Upstream(
-                        UpstreamId(group.id),
-                        first.address,
-                        first.failure_domain,
-                        model.slots_per_group,
-                        group.id,
-                        group.epoch,
-                    )
+        for serving in self.evidence.find_serving(now):
+            group = serving.group
+            if group.model != model.name or customer not in group.customers:
+                continue
+            first = self._vms.get(group.vms[0])
+            if first is None:
+                continue
+            found.append(
+                Upstream(
+                    UpstreamId(group.id),
+                    first.address,
+                    first.failure_domain,
+                    model.slots_per_group,
+                    group.id,
+                    group.epoch,
                 )
+            )
         return found
 
     def list_service(self, service: ServiceRule) -> list[Upstream]:
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -10,8 +10,8 @@
 
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Address, Revision
-from zinniaspool.core.membership import MemberState
-from zinniaspool.core.messages import DomainState, Hello, Message
+from zinniaspool.core.membership import MemberState, Notice, Topic
+from zinniaspool.core.messages import Hello, Message
 from zinniaspool.entry.answers import refuse_request
 from zinniaspool.entry.callers import CallerInterface, EntryAddress
 from zinniaspool.entry.credentials import Credentials
@@ -48,6 +48,7 @@
     async def run(self) -> None:
         """Run until the process is told to stop."""
         await self._frame.start(self._handle_message)
+        self._frame.board.subscribe(Topic.GROUPS, self._take_notice)
         server = HttpServer(self._callers.handle, refuse=refuse_request)
         bound = await server.listen(Address(self._settings.caller_address))
         _log.info("callers-listening", address=bound)
@@ -65,10 +66,11 @@
         self._frame.board.set_state(MemberState.READY)
 
     async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
-        if isinstance(message, DomainState):
-            self._fleet.update_domain(message, asyncio.get_running_loop().time())
         return None
 
+    def _take_notice(self, notice: Notice) -> None:
+        self._fleet.take_notice(notice, asyncio.get_running_loop().time())
+
 
 def _run(settings: Annotated[Path, typer.Option(help="Settings file.")]) -> None:
     try:
--- a/src/zinniaspool/settings/types.py
+++ b/src/zinniaspool/settings/types.py
@@ -55,5 +55,22 @@
         default=0.25, gt=0, description="Time between two polls of an engine."
     )
     vm_absent_s: float = Field(
-        default=1.5, gt=0, description="Silence after which a VM is absent."
+        default=2.5,
+        gt=0,
+        description="Silence after which a VM is absent; more than the entry"
+        " processes' report_stale_s.",
+    )
+    vm_settle_s: float = Field(
+        default=3.0,
+        ge=0,
+        description="How long a VM that was absent reports before it may join a group.",
+    )
+    report_stale_s: float = Field(
+        default=2.0, gt=0, description="Age from which an engine report is void."
+    )
+    beat_s: float = Field(
+        default=0.5, gt=0, description="Time between two beats to entry processes."
+    )
+    order_s: float = Field(
+        default=1.0, gt=0, description="Longest time that an order is under way."
     )
