--- a/src/zinniaspool/core/groups/repair.py
+++ b/src/zinniaspool/core/groups/repair.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import exp
 from typing import Protocol
 
 from zinniaspool.core.deployment import RepairWeights
@@ -69,8 +70,8 @@
 
     def chance(self, absent_s: float) -> float:
         """Return the chance that an absence of this length is a restart."""
-        restart = self.restart_share * 2 ** (-absent_s / self.restart_s)
-        failure = (1 - self.restart_share) * 2 ** (-absent_s / self.failure_s)
+        restart = self.restart_share * exp(-absent_s / self.restart_s)
+        failure = (1 - self.restart_share) * exp(-absent_s / self.failure_s)
         total = restart + failure
         return restart / total if total else 0.0
 
@@ -216,11 +217,7 @@
     def _weigh_spare(
         self, group: BrokenGroup, means: RepairMeans, wait_s: float
     ) -> RepairDecision:
-        # Waiting on for a moment gains the whole load time with the chance
-        # that the VM comes back in it, so it pays while that chance times
-        # the load time is above one moment.
-        rate = min(self._returns.rate(absent) for absent in group.absent_s)
-        if rate * means.load_s > 1:
+        if self._waits_on(group, means.load_s):
             return RepairDecision(
                 RepairChoice.WAIT,
                 f"the VM is likely back before a spare has loaded in"
@@ -233,10 +230,20 @@
             f"waiting: expected {wait_s:.0f} s",
         )
 
+    def _waits_on(self, group: BrokenGroup, load_s: float) -> bool:
+        """Whether the VM's return is likelier than worth acting before.
+
+        Waiting on for a moment saves the whole load with the chance that the
+        VM comes back in that moment, so it pays while that chance times the
+        load time is more than the moment.
+        """
+        rate = min(self._returns.rate(absent) for absent in group.absent_s)
+        return rate * load_s > 1
+
     def _merge_pays(
         self, group: BrokenGroup, means: RepairMeans, wait_s: float
     ) -> bool:
-        if means.donor is None:
+        if means.donor is None or self._waits_on(group, means.load_s):
             return False
         donor_wait_s = self._expect_wait(means.donor)
         gain = self.rank(group) * (wait_s - means.load_s)
@@ -247,6 +254,8 @@
     def _take_pays(self, group: BrokenGroup, means: RepairMeans, wait_s: float) -> bool:
         if not means.victim or not group.guaranteed:
             return False
+        if self._waits_on(group, means.load_s):
+            return False
         gain = self.rank(group) * (wait_s - means.load_s)
         idle = self._weights.stranded_accelerators * means.victim_accelerators
         loss = (self._weights.group_downtime + idle) * (wait_s + means.whole_load_s)
@@ -255,6 +264,8 @@
     def _dissolve_pays(
         self, group: BrokenGroup, means: RepairMeans, wait_s: float
     ) -> bool:
+        if self._waits_on(group, means.whole_load_s):
+            return False
         if means.elsewhere:
             return wait_s > _MARGIN * means.whole_load_s
         if not means.freed_groups:
