--- /dev/null
+++ b/benchmarks/groups/__init__.py
@@ -0,0 +1,1 @@
+"""What the benchmarks of groups share."""
--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -10,9 +10,9 @@
 
 from zinniaspool.control.domain import DomainKeeper
 from zinniaspool.control.fleet import FleetBook
-from zinniaspool.control.report import describe_groups
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.groups import FleetIndex
+from zinniaspool.core.groups.descriptions import describe_groups
 from zinniaspool.core.ids import Address, FabricDomainId, Revision
 from zinniaspool.core.membership import MemberState, Notice, Topic
 from zinniaspool.core.messages import Hello, Message
--- a/src/zinniaspool/control/report.py
+++ b/src/zinniaspool/core/groups/descriptions.py
@@ -1,9 +1,10 @@
 """A domain's groups and VMs for operators."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from zinniaspool.core.groups import FleetIndex, Holder
 from zinniaspool.core.groups.accounting import Measures
+from zinniaspool.core.groups.holder import Holder
+from zinniaspool.core.groups.index import FleetIndex
 from zinniaspool.core.ids import (
     CustomerId,
     Epoch,
@@ -15,8 +16,14 @@
 )
 from zinniaspool.core.plans import GroupPlan
 
-__all__ = ["DomainDescription", "GroupDescription", "IdleDescription"]
-__all__ += ["ShortfallDescription", "describe_groups"]
+__all__ = [
+    "DomainDescription",
+    "GroupDescription",
+    "IdleDescription",
+    "ShortfallDescription",
+    "describe_groups",
+    "restrict_domain",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +119,32 @@
     )
 
 
+def restrict_domain(
+    domain: DomainDescription, customer: CustomerId
+) -> DomainDescription:
+    """Return what one customer's operators may see of a domain.
+
+    Groups of the customer stay, without the names of those that share them,
+    and so do its own idle VMs and its models' shortfalls. The measures are
+    of all customers together and go.
+    """
+    return replace(
+        domain,
+        groups=tuple(
+            replace(group, customers=(customer,))
+            for group in domain.groups
+            if customer in group.customers
+        ),
+        idle=tuple(idle for idle in domain.idle if idle.owner == customer),
+        shortfalls=tuple(
+            replace(lack, customers=(customer,))
+            for lack in domain.shortfalls
+            if customer in lack.customers
+        ),
+        measures=Measures(),
+    )
+
+
 def _describe(
     group: GroupPlan, ready: frozenset[GroupId], absent: set[VmId]
 ) -> GroupDescription:
--- a/src/zinniaspool/core/groups/means.py
+++ b/src/zinniaspool/core/groups/means.py
@@ -6,8 +6,8 @@
 from zinniaspool.core.groups.inputs import DomainInput, count_serving
 from zinniaspool.core.groups.repair import BrokenGroup, RepairMeans
 from zinniaspool.core.groups.views import VmCondition
-from zinniaspool.core.ids import ModelName, VmId
-from zinniaspool.core.plans import GroupPlan, GroupStage, OutVm
+from zinniaspool.core.ids import FabricDomainId, ModelName, VmId
+from zinniaspool.core.plans import DomainPlan, GroupPlan, GroupStage, OutVm
 
 __all__ = ["FoundMeans", "MeansFinder"]
 
@@ -40,13 +40,12 @@
     def describe(self, group: GroupPlan) -> BrokenGroup:
         """Return what the policy weighs of a broken group."""
         missing = [vm for vm in group.vms if self._is_absent(vm)]
-        model = self._index.models[group.model]
         return BrokenGroup(
             len(missing),
             tuple(self._now - self._given.view(vm).since for vm in missing),
             sum(self._accelerators(vm) for vm in group.vms if vm not in missing),
             sum(self._accelerators(vm) for vm in group.vms),
-            self._serving[group.model] < model.guaranteed_groups,
+            self._is_guaranteed(group.model),
             group.model in self._given.peaks,
         )
 
@@ -136,22 +135,44 @@
         )
 
     def _has_room_elsewhere(self, group: GroupPlan) -> bool:
-        owners = self._index.owners(group.model)
-        for domain, plan in self._given.plans.items():
-            if domain == self._given.domain or domain not in self._index.domains:
-                continue
-            taken = frozenset(
-                vm for other in plan.groups if is_kept(other) for vm in other.vms
-            )
-            free = self._index.count_free(domain, plan, taken)
-            if sum(free[owner] for owner in owners) >= len(group.vms):
-                return True
-        return False
+        model = self._index.models[group.model]
+        if self._count_kept().get(model.name, 0) < model.wanted_groups:
+            # What room there is, is for a group that is lacking already.
+            return False
+        return any(
+            self._count_room(domain, plan, group) >= len(group.vms)
+            for domain, plan in self._given.plans.items()
+            if domain != self._given.domain and domain in self._index.domains
+        )
+
+    def _count_room(
+        self, domain: FabricDomainId, plan: DomainPlan, group: GroupPlan
+    ) -> int:
+        """Return the VMs that a domain could give the group's successor.
+
+        For a guaranteed group these include the VMs of groups that their
+        models are not guaranteed.
+        """
+        guaranteed = self._is_guaranteed(group.model)
+        stay = [
+            other
+            for other in plan.groups
+            if is_kept(other) and not (guaranteed and self._is_beyond(other))
+        ]
+        taken = frozenset(vm for other in stay for vm in other.vms)
+        free = self._index.count_free(domain, plan, taken)
+        return sum(free[owner] for owner in self._index.owners(group.model))
+
+    def _is_guaranteed(self, model: ModelName) -> bool:
+        return self._serving[model] < self._index.models[model].guaranteed_groups
+
+    def _is_beyond(self, group: GroupPlan) -> bool:
+        model = self._index.models.get(group.model)
+        return model is None or self._serving[model.name] > model.guaranteed_groups
 
     def _find_freed(self, group: GroupPlan) -> tuple[int, int]:
         """Return groups and accelerators that the healthy VMs would make."""
-        guaranteed = self._index.models[group.model].guaranteed_groups
-        if self._serving[group.model] < guaranteed:
+        if self._is_guaranteed(group.model):
             return 0, 0
         have = self._count_kept()
         best = (0, 0)
--- a/src/zinniaspool/core/groups/moves.py
+++ b/src/zinniaspool/core/groups/moves.py
@@ -22,8 +22,6 @@
 
 __all__ = ["PlannedMove", "find_move"]
 
-_MOVING = (DrainCause.ROLLOUT, DrainCause.REPLACE)
-
 
 @dataclass(frozen=True, slots=True)
 class PlannedMove:
@@ -79,8 +77,6 @@
         for group in plans[domain].groups
         if group.model == model.name and is_kept(group)
     ]
-    if any(group.cause in _MOVING for _, group in groups):
-        return None
     if _has_failed_rollout(given, model, [group for _, group in groups]):
         return None
     serving = count_serving(plans, given.ready)[model.name]
--- a/src/zinniaspool/core/groups/repair.py
+++ b/src/zinniaspool/core/groups/repair.py
@@ -33,6 +33,14 @@
 with every small change of its inputs."""
 
 
+_LEAST = 1e-12
+"""Keeps the chances' sum above nothing."""
+
+_CAUTION = 2.0
+"""A group that is given up loses more than its load: it uses up another
+domain's spares, or has to load again when it comes back."""
+
+
 class RepairChoice(Enum):
     """Ways to go on with a broken group."""
 
@@ -54,36 +62,56 @@
 class ReturnModel:
     """How likely an absent VM is to come back, and when.
 
-    Absences are of two kinds: restarts, which are common and short, and
-    failures, which are rare and long. The longer a VM has been away, the
-    likelier it has failed.
+    Absences are of three kinds: pauses, after which the VM still holds its
+    weights, restarts, after which it has to load them again, and failures,
+    which are rare and long. The longer a VM has been away, the likelier it
+    has failed.
 
     Attributes:
-        restart_share: The part of absences that are restarts.
+        pauses: How common pauses are, relative to the other kinds.
+        restarts: How common restarts are.
+        failures: How common failures are.
+        pause_s: Mean length of a pause.
         restart_s: Mean length of a restart.
         failure_s: Mean time until a failed VM is back or replaced.
     """
 
-    restart_share: float = 340 / 347
-    restart_s: float = 90.0
+    pauses: float = 170.0
+    restarts: float = 170.0
+    failures: float = 7.0
+    pause_s: float = 20.0
+    restart_s: float = 120.0
     failure_s: float = 4 * 3600.0
 
-    def chance(self, absent_s: float) -> float:
-        """Return the chance that an absence of this length is a restart."""
-        restart = self.restart_share * exp(-absent_s / self.restart_s)
-        failure = (1 - self.restart_share) * exp(-absent_s / self.failure_s)
-        total = restart + failure
-        return restart / total if total else 0.0
+    def rate_with_weights(self, absent_s: float) -> float:
+        """Return the chance a second of coming back with its weights."""
+        pause, restart, failure = self._weigh(absent_s)
+        return pause / (pause + restart + failure) / self.pause_s
 
     def rate(self, absent_s: float) -> float:
-        """Return the chance of coming back within the next second."""
-        chance = self.chance(absent_s)
-        return chance / self.restart_s + (1 - chance) / self.failure_s
+        """Return the chance a second of coming back at all."""
+        pause, restart, failure = self._weigh(absent_s)
+        ends = (
+            pause / self.pause_s + restart / self.restart_s + failure / self.failure_s
+        )
+        return ends / (pause + restart + failure)
 
     def expected_s(self, absent_s: float) -> float:
         """Return the expected time until the VM is back."""
-        chance = self.chance(absent_s)
-        return chance * self.restart_s + (1 - chance) * self.failure_s
+        pause, restart, failure = self._weigh(absent_s)
+        left = (
+            pause * self.pause_s + restart * self.restart_s + failure * self.failure_s
+        )
+        return left / (pause + restart + failure)
+
+    def _weigh(self, absent_s: float) -> tuple[float, float, float]:
+        """Return how likely each kind is after an absence of this length."""
+        return (
+            self.pauses * exp(-absent_s / self.pause_s),
+            self.restarts * exp(-absent_s / self.restart_s),
+            # Never nothing: a VM that is away for days has failed.
+            self.failures * exp(-absent_s / self.failure_s) + _LEAST,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,7 +245,7 @@
     def _weigh_spare(
         self, group: BrokenGroup, means: RepairMeans, wait_s: float
     ) -> RepairDecision:
-        if self._waits_on(group, means.load_s):
+        if self._waits_for_weights(group, means.load_s):
             return RepairDecision(
                 RepairChoice.WAIT,
                 f"the VM is likely back before a spare has loaded in"
@@ -240,6 +268,11 @@
         rate = min(self._returns.rate(absent) for absent in group.absent_s)
         return rate * load_s > 1
 
+    def _waits_for_weights(self, group: BrokenGroup, load_s: float) -> bool:
+        """The same, against a load that a VM without weights needs as well."""
+        rate = min(self._returns.rate_with_weights(absent) for absent in group.absent_s)
+        return rate * load_s > 1
+
     def _merge_pays(
         self, group: BrokenGroup, means: RepairMeans, wait_s: float
     ) -> bool:
@@ -264,7 +297,7 @@
     def _dissolve_pays(
         self, group: BrokenGroup, means: RepairMeans, wait_s: float
     ) -> bool:
-        if self._waits_on(group, means.whole_load_s):
+        if self._waits_on(group, _CAUTION * means.whole_load_s):
             return False
         if means.elsewhere:
             return wait_s > _MARGIN * means.whole_load_s
