--- a/src/zinniaspool/cli/groups.py
+++ b/src/zinniaspool/cli/groups.py
@@ -1,30 +1,28 @@
 """Commands that show the replica groups and explain what became of them."""
 
 import asyncio
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 from datetime import UTC, datetime
 from enum import Enum
 from pathlib import Path
-from typing import Annotated, Generic, TypeVar
+from typing import Annotated, TypeVar
 from urllib.parse import quote
 
 import msgspec
 import typer
+from result import Err
 
-from zinniaspool.cli.options import CredentialOption, NodeOption, read_credential
+from zinniaspool.cli.asking import AskedProcesses
+from zinniaspool.cli.options import AuthorityOption, CredentialOption, NodeOption
 from zinniaspool.core.explanations import merge_decisions, restrict_decisions
 from zinniaspool.core.groups.descriptions import DomainDescription, restrict_domain
-from zinniaspool.core.ids import Address, CustomerId
+from zinniaspool.core.ids import CustomerId
 from zinniaspool.core.journal import Decision
-from zinniaspool.http import Headers, HttpClient, Request, TransportError
 
 __all__ = ["SubjectKind", "commands"]
 
 commands = typer.Typer()
 
-_TIMEOUT_S = 5.0
-_OK = 200
 _UNREACHED = 1
 
 _T = TypeVar("_T")
@@ -55,26 +53,19 @@
     state: _DumpState
 
 
-@dataclass(slots=True)
-class _Answers(Generic[_T]):
-    """What processes answered, and why others did not."""
-
-    answers: list[_T] = field(default_factory=list)
-    unreached: list[tuple[str, str]] = field(default_factory=list)
-
-
 @commands.command()
 def explain(
     kind: SubjectKind,
     name: str,
     node: NodeOption,
-    credential_file: CredentialOption = None,
+    credential: CredentialOption = None,
+    authority: AuthorityOption = None,
     customer: _CustomerOption = None,
 ) -> None:
     """Tell what happened to a group, VM or request, when and why."""
     subject = f"{kind.value}:{name}"
     path = f"/explain?subject={quote(subject, safe='')}"
-    answers = _ask(node, path, credential_file, list[Decision])
+    answers = _ask(node, path, credential, authority, list[Decision])
     decisions = merge_decisions(answers)
     if customer is not None:
         decisions = restrict_decisions(decisions, CustomerId(customer), subject)
@@ -88,11 +79,12 @@
 @commands.command()
 def show(
     node: NodeOption,
-    credential_file: CredentialOption = None,
+    credential: CredentialOption = None,
+    authority: AuthorityOption = None,
     customer: _CustomerOption = None,
 ) -> None:
     """Show groups, idle VMs and why each is idle, and both measures."""
-    answers = _ask(node, "/dump", credential_file, _Dump)
+    answers = _ask(node, "/dump", credential, authority, _Dump)
     domains = _choose_domains(answers)
     if customer is not None:
         domains = [restrict_domain(d, CustomerId(customer)) for d in domains]
@@ -150,48 +142,23 @@
 
 
 def _ask(
-    nodes: Sequence[str], path: str, credential_file: Path | None, kind: type[_T]
+    nodes: list[str],
+    target: str,
+    credential: Path | None,
+    authority: Path | None,
+    kind: type[_T],
 ) -> list[_T]:
-    headers = read_credential(credential_file)
-    found = asyncio.run(_ask_all(nodes, path, headers, kind))
-    for address, problem in found.unreached:
-        typer.echo(f"{address}: {problem}", err=True)
-    if nodes and not found.answers:
+    """Return what the processes that could be asked answered."""
+    asked = AskedProcesses(nodes, credential, authority)
+    answers = []
+    for one in asyncio.run(asked.ask("GET", target)):
+        if isinstance(one.answer, Err):
+            typer.echo(f"{one.address}: {one.answer.err_value}", err=True)
+            continue
+        try:
+            answers.append(msgspec.convert(one.answer.ok_value, type=kind))
+        except msgspec.ValidationError as error:
+            typer.echo(f"{one.address}: {error}", err=True)
+    if not answers:
         raise typer.Exit(_UNREACHED)
-    return found.answers
-
-
-async def _ask_all(
-    nodes: Sequence[str], path: str, headers: Headers, kind: type[_T]
-) -> _Answers[_T]:
-    http = HttpClient()
-    found: _Answers[_T] = _Answers()
-    try:
-        for address in nodes:
-            await _ask_one(http, address, path, headers, kind, found)
-    finally:
-        http.close()
-    return found
-
-
-async def _ask_one(
-    http: HttpClient,
-    address: str,
-    path: str,
-    headers: Headers,
-    kind: type[_T],
-    found: _Answers[_T],
-) -> None:
-    request = Request("GET", path, headers)
-    try:
-        status, body = await http.fetch(Address(address), request, _TIMEOUT_S)
-    except TransportError as error:
-        found.unreached.append((address, str(error)))
-        return
-    if status != _OK:
-        found.unreached.append((address, f"status {status}"))
-        return
-    try:
-        found.answers.append(msgspec.json.decode(body, type=kind))
-    except msgspec.MsgspecError as error:
-        found.unreached.append((address, str(error)))
+    return answers
--- a/src/zinniaspool/entry/fleet.py
+++ b/src/zinniaspool/entry/fleet.py
@@ -1,16 +1,11 @@
 """What an entry process knows of the fleet's upstreams."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 
 import msgspec
 
-from zinniaspool.core.deployment import (
-    Configuration,
-    ModelRule,
-    ServiceRule,
-    Share,
-    Vm,
-)
+from zinniaspool.core.deployment import Configuration, ModelRule, Vm
 from zinniaspool.core.groups import EvidenceBook
 from zinniaspool.core.groups.beats import (
     BEAT_PREFIX,
@@ -20,14 +15,29 @@
 )
 from zinniaspool.core.ids import (
     CustomerId,
-    ServiceName,
+    ModelName,
     UpstreamId,
     VmId,
 )
 from zinniaspool.core.membership import Notice
-from zinniaspool.core.requests import Upstream
+from zinniaspool.core.requests import FreshUpstream, Upstream
+
+__all__ = ["FleetView", "ServingUpstream"]
+
+
+@dataclass(frozen=True, slots=True)
+class ServingUpstream:
+    """A group that may be sent requests now.
+
+    Attributes:
+        model: What it runs.
+        customers: Whose requests it may run.
+        fresh: The group as an upstream, and its newest report.
+    """
 
-__all__ = ["FleetView"]
+    model: ModelName
+    customers: tuple[CustomerId, ...]
+    fresh: FreshUpstream
 
 
 class FleetView:
@@ -39,13 +49,16 @@
 
     def __init__(self, stale_after_s: float) -> None:
         self.configuration: Configuration | None = None
+        self._stale_after_s = stale_after_s
         self.evidence = EvidenceBook(stale_after_s)
         self._vms: Mapping[VmId, Vm] = {}
+        self._models: Mapping[ModelName, ModelRule] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Take a newer configuration."""
         self.configuration = configuration
         self._vms = {vm.id: vm for vm in configuration.inventory.vms}
+        self._models = {model.name: model for model in configuration.rules.models}
 
     def take_notice(self, notice: Notice, now: float) -> None:
         """Take a domain's plan, or the evidence that its groups are whole."""
@@ -56,63 +69,30 @@
                 beat = decode_beat(notice.payload)
                 self.evidence.take_beat(beat, notice.age_s, now)
         except msgspec.MsgspecError:
-            # Of a version not known here: the group counts as absent.
+            # Of a version not known here: its groups count as absent.
             return
 
-    def find_model(self, name: str, customer: CustomerId) -> ModelRule | None:
-        """Return a model that the customer shares."""
-        if self.configuration is None:
-            return None
-        for model in self.configuration.rules.models:
-            if model.name == name and _shares(model.shares, customer):
-                return model
-        return None
-
-    def find_service(self, name: str, customer: CustomerId) -> ServiceRule | None:
-        """Return a plain service that the customer shares."""
-        if self.configuration is None:
-            return None
-        for service in self.configuration.rules.services:
-            if service.name == ServiceName(name) and _shares(service.shares, customer):
-                return service
-        return None
-
-    def list_groups(
-        self, model: ModelRule, customer: CustomerId, now: float
-    ) -> list[Upstream]:
-        """Return the serving groups that may run a customer's requests."""
-        found = []
+    def list_serving(self, now: float) -> Iterator[ServingUpstream]:
+        """Yield the groups whose every VM freshly reports this very group."""
         for serving in self.evidence.find_serving(now):
             group = serving.group
-            if group.model != model.name or customer not in group.customers:
-                continue
+            rule = self._models.get(group.model)
             first = self._vms.get(group.vms[0])
-            if first is None:
+            if rule is None or first is None:
                 continue
-            found.append(
-                Upstream(
-                    UpstreamId(group.id),
-                    first.address,
-                    first.failure_domain,
-                    model.slots_per_group,
-                    group.id,
-                    group.epoch,
-                )
+            upstream = Upstream(
+                UpstreamId(group.id),
+                first.address,
+                first.failure_domain,
+                rule.slots_per_group,
+                group.id,
+                group.epoch,
+                group.version,
             )
-        return found
-
-    def list_service(self, service: ServiceRule) -> list[Upstream]:
-        """Return a plain service's upstreams."""
-        return [
-            Upstream(
-                UpstreamId(upstream.address),
-                upstream.address,
-                upstream.failure_domain,
-                service.slots_per_upstream,
+            fresh = FreshUpstream(
+                upstream,
+                serving.made_at + self._stale_after_s,
+                serving.running + serving.waiting,
+                serving.made_at,
             )
-            for upstream in service.upstreams
-        ]
-
-
-def _shares(shares: tuple[Share, ...], customer: CustomerId) -> bool:
-    return any(share.customer == customer for share in shares)
+            yield ServingUpstream(group.model, group.customers, fresh)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -8,6 +8,9 @@
 LOG_EVENTS: Mapping[str, str] = MappingProxyType(
     {
         "answer-foreign": "An upstream's answer named another request; dropped.",
+        "brownout": "The process sheds more or fewer of the less urgent requests.",
+        "claims-unreadable": "A value of claims in the store has another form.",
+        "keyed-call-failed": "A fault of this process ended a keyed call.",
         "attempt-failed": "One attempt upstream failed.",
         "callers-listening": "The callers' address is open.",
         "configuration-unreadable": "The store holds what is no configuration.",
@@ -15,9 +18,12 @@
         "credentials-unreadable": "A changed credential file is not usable; the "
         "credentials in use stay.",
         "drained": "The last request ended, or was cut when the time was up.",
+        "drain-asked": "An operator asked the process to leave.",
+        "dump-unwritten": "A state dump could not be written.",
         "dump-written": "A state dump was written, as a signal asked.",
         "handler-failed": "A fault of the program in one request; its connection "
         "was cut.",
+        "library-message": "A library warned of something.",
         "notice-unreadable": "A notice of a peer could not be used; dropped.",
         "keeper-failed": "A fault of the program in one domain's care; the "
         "process stops.",
@@ -27,6 +33,8 @@
         "plan-not-swapped": "The store did not take a plan; it is read again.",
         "plan-unreadable": "The store holds what is no plan.",
         "peer-dropped": "A peer's connection broke the protocol or was lost.",
+        "peer-handler-failed": "A fault of the program in one peer's message; its "
+        "connection was closed.",
         "peer-refused": "A peer showed a wrong secret or an unknown version.",
         "peer-unreachable": "A peer could not be reached or did not answer.",
         "peers-listening": "The peers' address is open.",
