--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -25,14 +25,11 @@
     Probed,
     Push,
 )
-from zinniaspool.core.plans import DomainPlan, EngineReport
 
 __all__ = [
     "OLDEST_PROTOCOL_VERSION",
     "PROTOCOL_VERSION",
     "Accepted",
-    "AgedReport",
-    "DomainState",
     "Forwarded",
     "ForwardedAnswer",
     "ForwardedCall",
@@ -78,23 +75,6 @@
     reason: str
 
 
-class AgedReport(msgspec.Struct, frozen=True):
-    """An engine report and how old it was, in seconds, when this was sent.
-
-    An age, unlike a time of day, needs no common clock.
-    """
-
-    report: EngineReport
-    age_s: float
-
-
-class DomainState(msgspec.Struct, frozen=True, tag="domain-state"):
-    """The plan of a fabric domain and what its engines reported."""
-
-    plan: DomainPlan
-    reports: tuple[AgedReport, ...]
-
-
 class ForwardedCall(msgspec.Struct, frozen=True, tag="forwarded-call"):
     """A caller's call that only the receiver may run.
 
@@ -149,4 +129,4 @@
 
 Configured = ConfigurationAsk | ConfigurationAnswer
 
-Message = Hello | Accepted | Refused | DomainState | Gossip | Configured | Forwarded
+Message = Hello | Accepted | Refused | Gossip | Configured | Forwarded
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -11,9 +11,8 @@
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Address, FailureDomainId, Revision
 from zinniaspool.core.journal import DecisionKind
-from zinniaspool.core.membership import MemberState
+from zinniaspool.core.membership import MemberState, Notice, Topic
 from zinniaspool.core.messages import (
-    DomainState,
     ForwardedAnswer,
     ForwardedCall,
     Hello,
@@ -81,12 +80,13 @@
             settings.default_deadline_s,
             self._frame.metrics.observe_request,
         )
-        self._frame.operators.add_section("fleet", self._fleet.list_domains)
+        self._frame.operators.add_section("fleet", self._describe_fleet)
 
     async def run(self) -> None:
         """Run until the process is told to stop."""
         await self._frame.start(self._handle_message)
         self._duties.start()
+        self._frame.board.subscribe(Topic.GROUPS, self._take_notice)
         tls = self._caller_tls
         server = HttpServer(
             self._callers.handle,
@@ -114,6 +114,9 @@
         _log.info("drained", cut=cut)
         self._frame.close()
 
+    def _describe_fleet(self) -> object:
+        return self._fleet.evidence.describe(asyncio.get_running_loop().time())
+
     async def _leave(self, server: HttpServer) -> int:
         """Serve while callers may come, then until the last request ends.
 
@@ -160,10 +163,11 @@
             again=str(failed.again).lower(),
         )
 
+    def _take_notice(self, notice: Notice) -> None:
+        self._fleet.take_notice(notice, asyncio.get_running_loop().time())
+        self._duties.note_fleet()
+
     async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
-        if isinstance(message, DomainState):
-            self._fleet.update_domain(message, asyncio.get_running_loop().time())
-            self._duties.note_fleet()
         if isinstance(message, ForwardedCall):
             self._once.take_forwarded(message)
         if isinstance(message, ForwardedAnswer):
