Give today's fleet room for its notices; measure the frequent ones

The cap is 30 KB/s by default and a setting. The capacity page marks both as not fitting at the coming size, and names what will carry them.

--- a/src/zinniaspool/settings/types.py
+++ b/src/zinniaspool/settings/types.py
@@ -88,7 +88,7 @@
         description="Most calls a second to the key-value service, on average.",
     )
     gossip_bytes_per_s: int = Field(
-        default=2500,
+        default=30_000,
         gt=0,
         description="Most bytes of notices sent to peers a second.",
     )
--- a/tools/write_capacity.py
+++ b/tools/write_capacity.py
@@ -25,6 +25,15 @@
 _RESTARTS_A_DAY = 340
 _TOKENS_PER_S = 2_600_000
 _FAILURE_DOMAINS = 5
+_DOMAINS = 19
+_NOTICES_PER_S = 2
+"""Beats of a domain and digests of an entry process, by their settings."""
+
+_SENDS = 4
+"""Copies of a frequent notice that each process sends: pushes to three and
+one comparison."""
+
+_WHOLE_FROM = 100
 _DAY_S = 86_400
 _CORE_PERCENT = 1.4
 _MEMORY_MB = 256
@@ -153,8 +162,15 @@
             "replaced by parts under one root",
         ),
         _Line(
-            "all notices, digests of demand among them",
-            2 * _find_largest("entry", "sent_bytes"),
+            "beats of replica groups, each passed on by both processes",
+            2 * _SENDS * _DOMAINS * _NOTICES_PER_S * _find_size("beat of 1 group"),
+            _BYTES_PER_S,
+            "B/s",
+            "a digest a group; to come: fewer beats, each to those who route",
+        ),
+        _Line(
+            "digests of demand, each passed on by both processes",
+            2 * _SENDS * _NODES * _NOTICES_PER_S * _find_size("digest, 2 services"),
             _BYTES_PER_S,
             "B/s",
             "the cap on notices; to come: sums a failure domain",
@@ -225,13 +241,22 @@
         verdict = "fits" if self.value <= self.most else "**does not fit yet**"
         return [
             self.name,
-            f"{self.value:.4g} {self.unit}",
-            f"{self.most:g} {self.unit}",
+            f"{_write(self.value)} {self.unit}",
+            f"{_write(self.most)} {self.unit}",
             verdict,
             self.carried_by,
         ]
 
 
+def _write(value: float) -> str:
+    return f"{value:,.0f}" if value >= _WHOLE_FROM else f"{value:.3g}"
+
+
+def _find_size(notice: str) -> int:
+    rows = _list_rows("messages")
+    return int(next(r["bytes"] for r in rows if r["notice"].startswith(notice)))
+
+
 def _find_largest(role: str, column: str) -> float:
     rows = [row for row in _list_rows("processes") if row["role"] == role]
     return float(max(row[column] for row in rows))
@@ -285,6 +310,10 @@
     return _make_table([*head, "with a failure domain lost"], rows)
 
 
+def _show_messages() -> str:
+    return _show("messages", {"notice": "notice", "bytes": "bytes"})
+
+
 def _show_claims() -> str:
     return _show(
         "claims",
@@ -303,6 +332,7 @@
     "state": _show_state,
     "slopes": _show_slopes,
     "tokens": _show_tokens,
+    "messages": _show_messages,
     "claims": _show_claims,
     "coming": _show_coming,
 }
