--- a/src/zinniaspool/core/requests/admission.py
+++ b/src/zinniaspool/core/requests/admission.py
@@ -169,8 +169,7 @@
     def give_up(self, ticket: Ticket) -> Fault:
         """Take a waiting request out and return what its caller is told."""
         line = self._lines[ticket.customer]
-        if ticket.state is TicketState.WAITING:
-            line.waiting -= 1
+        line.waiting -= 1
         ticket.state = TicketState.ENDED
         return self._refuse(line)
 
--- a/src/zinniaspool/core/requests/shares.py
+++ b/src/zinniaspool/core/requests/shares.py
@@ -113,19 +113,13 @@
     # keeps to its own part below, so that leaving them that part keeps every
     # guarantee, whatever they do.
     heard = peers.heard / peers.count
-    reachable = shares
     known = capacity * heard
     demands = {
         share.customer: here.get(share.customer, 0.0)
         + elsewhere.get(share.customer, 0.0)
         for share in shares
     }
-    if heard < 1.0:
-        reachable = [
-            CustomerShare(s.customer, int(s.guaranteed * heard), s.weight)
-            for s in shares
-        ]
-    given = share_capacity(known, reachable, demands)
+    given = share_capacity(known, shares, demands)
     limits, guaranteed = {}, {}
     for place, share in enumerate(shares):
         customer = share.customer
