--- a/src/zinniaspool/core/requests/__init__.py
+++ b/src/zinniaspool/core/requests/__init__.py
@@ -3,6 +3,7 @@
 from zinniaspool.core.requests.admission import (
     Admission,
     AdmissionLimits,
+    LineState,
     Ticket,
     TicketState,
 )
@@ -51,6 +52,7 @@
     "CustomerShare",
     "EventCursor",
     "FreshUpstream",
+    "LineState",
     "LocalShares",
     "NORMAL_URGENCY",
     "Peers",
--- a/src/zinniaspool/core/requests/admission.py
+++ b/src/zinniaspool/core/requests/admission.py
@@ -11,7 +11,7 @@
 from zinniaspool.core.ids import CustomerId
 from zinniaspool.core.requests.shares import LocalShares
 
-__all__ = ["Admission", "AdmissionLimits", "Ticket", "TicketState"]
+__all__ = ["Admission", "AdmissionLimits", "LineState", "Ticket", "TicketState"]
 
 _RATE_EVERY_S = 0.25
 _RATE_WEIGHT = 0.5
@@ -66,6 +66,25 @@
     began: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class LineState:
+    """One customer's requests here, for the state dump.
+
+    Attributes:
+        in_progress: Those that have begun.
+        waiting: Those that wait.
+        limit: How many may have begun, but for what is lent.
+        guaranteed: How many of those it can always have here.
+        rate: Requests that end in a second.
+    """
+
+    in_progress: int
+    waiting: int
+    limit: float
+    guaranteed: float
+    rate: float
+
+
 @dataclass(slots=True)
 class _Line:
     """One customer's requests here."""
@@ -143,6 +162,19 @@
             if line.in_progress or line.waiting
         }
 
+    def describe(self) -> dict[CustomerId, LineState]:
+        """Return each customer's state."""
+        return {
+            customer: LineState(
+                line.in_progress,
+                line.waiting,
+                line.limit,
+                line.guaranteed,
+                round(line.rate, 2),
+            )
+            for customer, line in self._lines.items()
+        }
+
     def ask(
         self, customer: CustomerId, urgency: int, deadline: float, now: float
     ) -> Ticket | Fault:
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -27,6 +27,7 @@
 from zinniaspool.entry.claims import ClaimKeeper
 from zinniaspool.entry.credentials import Credentials
 from zinniaspool.entry.directory import EntryDirectory
+from zinniaspool.entry.dump import dump_requests
 from zinniaspool.entry.duties import EntryDuties
 from zinniaspool.entry.fleet import FleetView
 from zinniaspool.entry.forwarding import CallForwarder
@@ -81,6 +82,10 @@
             settings.default_deadline_s,
         )
 
+        self._frame.operators.add_section(
+            "requests", lambda: dump_requests(self._index, self._gate, self._once)
+        )
+
     async def run(self) -> None:
         """Run until the process is told to stop."""
         await self._frame.start(self._handle_message)
--- a/src/zinniaspool/entry/once.py
+++ b/src/zinniaspool/entry/once.py
@@ -9,7 +9,13 @@
 from zinniaspool.core.errors import ANSWERS, ErrorKind, Fault, Outcome
 from zinniaspool.core.ids import IdempotencyKey
 from zinniaspool.core.messages import ForwardedAnswer, ForwardedCall
-from zinniaspool.core.requests.claims import Claim, ClaimEnd, SlotOwner, find_slot
+from zinniaspool.core.requests.claims import (
+    SLOTS,
+    Claim,
+    ClaimEnd,
+    SlotOwner,
+    find_slot,
+)
 from zinniaspool.core.requests.keys import (
     Fingerprint,
     KeyHash,
@@ -33,7 +39,7 @@
 from zinniaspool.peers import PeerLinks
 from zinniaspool.platform import StoreFault
 
-__all__ = ["OnceCalls", "OnceLimits"]
+__all__ = ["OnceCalls", "OnceLimits", "OnceState"]
 
 _log = structlog.get_logger(__name__)
 _EXPIRE_EVERY_S = 5.0
@@ -62,6 +68,23 @@
     repeat_wait_s: float = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class OnceState:
+    """Keyed calls here, for the state dump.
+
+    Attributes:
+        remembered: Keys that are remembered.
+        running: Calls that run.
+        forwarded: Calls that run for other processes.
+        slots: Slots of claims that this process owns.
+    """
+
+    remembered: int
+    running: int
+    forwarded: int
+    slots: list[int]
+
+
 @dataclass(slots=True)
 class _Running:
     sink: KeepingSink
@@ -164,6 +187,12 @@
                 self._keeper.forget(find_slot(key), key)
             self._keeper.drop_archives()
 
+    def describe(self) -> OnceState:
+        """Return the state of the keyed calls."""
+        slots = [slot for slot in range(SLOTS) if self._keeper.is_own(slot)]
+        running, forwarded = len(self._running), len(self._forwarded)
+        return OnceState(len(self._table), running, forwarded, slots)
+
     async def drain(self) -> None:
         """Wait for the calls that run on without their callers."""
         tasks = [running.task for running in self._running.values()]
--- a/src/zinniaspool/entry/services.py
+++ b/src/zinniaspool/entry/services.py
@@ -32,6 +32,7 @@
     Attributes:
         name: ``models/NAME`` or ``services/NAME``.
         shares: Its customers' parts.
+        customers: Who may use it.
         admission: Admits its requests.
         non_idempotent: Path prefixes of calls that may run at most once.
         urgent: Whether its calls go on when this process is short of itself.
@@ -41,6 +42,7 @@
 
     name: str
     shares: tuple[CustomerShare, ...] = ()
+    customers: frozenset[CustomerId] = frozenset()
     admission: Admission = field(default_factory=Admission)
     non_idempotent: tuple[str, ...] = ()
     urgent: bool = False
@@ -54,10 +56,16 @@
 
     def find_pool(self, customer: CustomerId) -> UpstreamPool | None:
         """Return the pool for a customer's request, or None without one."""
-        pools = [pool for pool in self.routes.get(customer, ()) if len(pool)]
-        if not pools:
-            return None
-        return min(pools, key=lambda pool: pool.use)
+        pools = self.routes.get(customer, ())
+        if len(pools) == 1:
+            return pools[0] if len(pools[0]) else None
+        filled = [pool for pool in pools if len(pool)]
+        return min(filled, key=lambda pool: pool.use) if filled else None
+
+    def set_shares(self, shares: tuple[CustomerShare, ...]) -> None:
+        """Take the customers' parts."""
+        self.shares = shares
+        self.customers = frozenset(share.customer for share in shares)
 
     def set_pools(
         self,
@@ -107,11 +115,11 @@
         lines = {}
         for model in configuration.rules.models:
             line = self._get_line(f"{MODELS}/{model.name}")
-            line.shares = _read_shares(model.shares)
+            line.set_shares(_read_shares(model.shares))
             lines[line.name] = line
         for service in configuration.rules.services:
             line = self._get_line(f"{SERVICES}/{service.name}")
-            line.shares = _read_shares(service.shares)
+            line.set_shares(_read_shares(service.shares))
             line.non_idempotent = service.non_idempotent
             line.urgent = service.urgent
             customers = tuple(sorted(share.customer for share in service.shares))
@@ -146,11 +154,7 @@
     ) -> ServiceLine | None:
         """Return a model or service, if the customer has a share of it."""
         line = self._lines.get(f"{kind}/{name}")
-        if line is None:
-            return None
-        if not any(share.customer == customer for share in line.shares):
-            return None
-        return line
+        return line if line is not None and customer in line.customers else None
 
     def lines(self) -> Iterable[ServiceLine]:
         """Return all models and services."""
