Leave kept answers in the store on a planned stop

Repeats of calls whose entry process had been restarted were told "outcome unknown" though their answers had been kept until its stop. A leaving process now answers for its slots until it begins nothing more and writes its answers down, one value a slot; the next owner reads it for a repeat of which it knows only the claim. Writing each answer at once was ruled out: it doubles the writes. A crash still leaves "outcome unknown".

--- a/src/zinniaspool/core/requests/keys.py
+++ b/src/zinniaspool/core/requests/keys.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "Fingerprint",
+    "KeptOutcome",
     "KeyHash",
     "KeyLimits",
     "KeyMemory",
@@ -94,6 +95,15 @@
     most_bytes: int = 32 * 1024 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class KeptOutcome(Generic[_Outcome]):
+    """How a remembered key's request ended."""
+
+    key: KeyHash
+    fingerprint: Fingerprint
+    outcome: _Outcome
+
+
 @dataclass(slots=True)
 class _Record(Generic[_Outcome]):
     fingerprint: Fingerprint
@@ -141,6 +151,15 @@
         record = self._records.get(key)
         return None if record is None else record.outcome
 
+    def list_outcomes(self) -> list[KeptOutcome[_Outcome]]:
+        """Return all kept outcomes, oldest first."""
+        kept = []
+        for key in self._kept:
+            record = self._records[key]
+            if record.outcome is not None:
+                kept.append(KeptOutcome(key, record.fingerprint, record.outcome))
+        return kept
+
     def begin(self, key: KeyHash, fingerprint: Fingerprint) -> None:
         """Note that a key's request runs from now."""
         self._records[key] = _Record(fingerprint, True, 0.0)
--- a/src/zinniaspool/entry/claims.py
+++ b/src/zinniaspool/entry/claims.py
@@ -67,6 +67,7 @@
         self._remembered = remembered
         interval_s = SLOTS / writes_per_s
         self._slots = [_Slot(SlotMachine(own, interval_s)) for _ in range(SLOTS)]
+        self._left = False
         self._waiting: dict[KeyHash, asyncio.Future[SettledClaim]] = {}
 
     def is_own(self, slot: int) -> bool:
@@ -75,7 +76,7 @@
 
     def is_others(self, slot: int) -> bool:
         """Whether this process may claim nothing in a slot."""
-        return self._slots[slot].machine.state is SlotState.OTHERS
+        return self._left or self._slots[slot].machine.state is SlotState.OTHERS
 
     async def find_owner(self, slot: int) -> SlotOwner | None | StoreFault:
         """Return a slot's owner as last known, asking the store if need be."""
@@ -90,10 +91,14 @@
             machine.owner = head.owner
         return machine.owner
 
+    def leave(self) -> None:
+        """Begin nothing more; other processes may take the slots over."""
+        self._left = True
+
     def forget_owner(self, slot: int) -> None:
         """Note that a slot's owner is not who it was taken for."""
         machine = self._slots[slot].machine
-        if machine.state is SlotState.OTHERS:
+        if machine.state is SlotState.OTHERS or self._left:
             machine.owner = None
 
     def take(self, slot: int, gone: SlotOwner | None) -> None:
--- a/src/zinniaspool/entry/forwarding.py
+++ b/src/zinniaspool/entry/forwarding.py
@@ -61,13 +61,20 @@
         return None
 
     def is_over(self, owner: Owner) -> bool:
-        """Whether a start of a process is known to be over or leaving."""
+        """Whether a start of a process is known to be over."""
         for member in self._list_members():
             if member.node == owner.node:
-                gone = member.state in (MemberState.SILENT, MemberState.LEAVING)
+                gone = member.state is MemberState.SILENT
                 return gone or member.incarnation != owner.incarnation
         return False
 
+    def is_leaving(self, owner: Owner) -> bool:
+        """Whether a process is known to be leaving."""
+        return any(
+            member.node == owner.node and member.state is MemberState.LEAVING
+            for member in self._list_members()
+        )
+
     async def ask(
         self, owner: Owner, wanted: WantedCall, key: IdempotencyKey
     ) -> ForwardedAnswer | None:
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -32,6 +32,7 @@
 from zinniaspool.entry.fleet import FleetView
 from zinniaspool.entry.forwarding import CallForwarder
 from zinniaspool.entry.gate import Gate
+from zinniaspool.entry.handover import AnswerHandover
 from zinniaspool.entry.once import OnceCalls, OnceLimits
 from zinniaspool.entry.relay import FailedAttempt, Relay
 from zinniaspool.entry.services import ServiceIndex
@@ -121,6 +122,7 @@
         """
         self._directory.leave()
         await asyncio.sleep(self._settings.address_lifetime_s + _HEARD_S)
+        await self._once.leave()
         cut = await server.drain(self._settings.drain_s)
         await self._once.drain()
         return cut
@@ -131,8 +133,16 @@
         table = KeyTable[EndedCall](KeyLimits(retention_s=settings.answer_kept_s))
         self._keeper = ClaimKeeper(frame.store, own, settings.claim_writes_per_s, table)
         limits = OnceLimits(session_s=settings.session_s)
+        handover = AnswerHandover(frame.store, f"{frame.node}:{frame.incarnation}")
         return OnceCalls(
-            own, runner, self._keeper, self._forwarder, frame.links, table, limits
+            own,
+            runner,
+            self._keeper,
+            self._forwarder,
+            frame.links,
+            table,
+            handover,
+            limits,
         )
 
     def _load_credentials(self) -> Credentials:
@@ -152,7 +162,11 @@
     def _note_failure(self, failed: FailedAttempt) -> None:
         self._frame.decide(
             DecisionKind.ATTEMPT_FAILED,
-            (f"request:{failed.request}", f"upstream:{failed.upstream}"),
+            (
+                f"request:{failed.request}",
+                f"upstream:{failed.upstream}",
+                f"customer:{failed.customer}",
+            ),
             failed.failure.value,
             attempt=str(failed.attempt),
             again=str(failed.again).lower(),
--- a/src/zinniaspool/entry/once.py
+++ b/src/zinniaspool/entry/once.py
@@ -34,6 +34,7 @@
 from zinniaspool.entry.calls import CallRunner, ResolvedCall, WantedCall
 from zinniaspool.entry.claims import ClaimKeeper
 from zinniaspool.entry.forwarding import CallForwarder, Owner
+from zinniaspool.entry.handover import AnswerHandover
 from zinniaspool.entry.sinks import EndedCall, KeepingSink, KeptAnswer
 from zinniaspool.http import Exchange
 from zinniaspool.peers import PeerLinks
@@ -122,6 +123,7 @@
         forwarder: Has calls run by other processes.
         links: Connections to peers.
         table: The keys remembered here.
+        handover: Keeps answers beyond a planned stop.
         limits: Times.
     """
 
@@ -133,6 +135,7 @@
         forwarder: CallForwarder,
         links: PeerLinks,
         table: KeyTable[EndedCall],
+        handover: AnswerHandover,
         limits: OnceLimits,
     ) -> None:
         self._own = own
@@ -141,6 +144,7 @@
         self._forwarder = forwarder
         self._links = links
         self._table = table
+        self._handover = handover
         self._limits = limits
         self._running: dict[KeyHash, _Running] = {}
         self._forwarded: dict[str, asyncio.Task[None]] = {}
@@ -193,10 +197,16 @@
         running, forwarded = len(self._running), len(self._forwarded)
         return OnceState(len(self._table), running, forwarded, slots)
 
+    async def leave(self) -> None:
+        """Begin nothing more for others, and leave the answers to them."""
+        self._keeper.leave()
+        await self._handover.leave(self._table.list_outcomes())
+
     async def drain(self) -> None:
         """Wait for the calls that run on without their callers."""
         tasks = [running.task for running in self._running.values()]
         await asyncio.gather(*tasks, *self._forwarded.values(), return_exceptions=True)
+        await self._handover.leave(self._table.list_outcomes())
 
     # Which process runs it.
 
@@ -253,7 +263,7 @@
                 return await _give_forwarded(exchange, answer)
             if answer is None and _is_late(call.wanted):
                 return Err(Fault(ErrorKind.DEADLINE_PASSED))
-            if answer is None:
+            if answer is None or self._forwarder.is_leaving(owner):
                 # Its owner may have claimed it and run it. Taking the slot
                 # over reads the claims and fences that owner off, so this
                 # process then knows, and refuses what was begun.
@@ -327,9 +337,17 @@
                 ended = self._table.get_outcome(call.hash)
                 assert ended is not None
                 return _Given(ended)
+            case KeyVerdict.UNKNOWN if call.slot is not None:
+                return await self._find_left(call, call.slot)
             case _:
                 return _refuse(_FAULTS[verdict])
 
+    async def _find_left(self, call: _KeyedCall, slot: int) -> "_Given":
+        ended = await self._handover.find(slot, call.hash, call.fingerprint)
+        if ended is None:
+            return _refuse(ErrorKind.KEY_OWNER_GONE)
+        return _Given(ended)
+
     async def _begin(self, exchange: Exchange | None, call: _KeyedCall) -> "_Given":
         resolved = self._runner.resolve(call.wanted)
         if isinstance(resolved, Err):
@@ -343,6 +361,9 @@
         except asyncio.CancelledError:
             sink.leave()
             raise
+        unknown = ended.fault and ended.fault.kind is ErrorKind.KEY_OWNER_GONE
+        if unknown and call.slot is not None:
+            return await self._find_left(call, call.slot)
         return _Given(ended, sink.passed_on)
 
     async def _wait_for_running(self, call: _KeyedCall) -> "_Given":
--- a/src/zinniaspool/entry/relay.py
+++ b/src/zinniaspool/entry/relay.py
@@ -80,6 +80,7 @@
     """One attempt that failed, for the process's journal."""
 
     request: RequestId
+    customer: CustomerId
     attempt: int
     upstream: UpstreamId
     failure: AttemptFailure
@@ -186,7 +187,12 @@
     ) -> None:
         self._on_failure(
             FailedAttempt(
-                run.call.id, run.attempts.number, state.upstream.id, failure, again
+                run.call.id,
+                run.call.customer,
+                run.attempts.number,
+                state.upstream.id,
+                failure,
+                again,
             )
         )
 
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -8,6 +8,7 @@
 LOG_EVENTS: Mapping[str, str] = MappingProxyType(
     {
         "answer-foreign": "An upstream's answer named another request; dropped.",
+        "answers-not-left": "A leaving process could not write its answers down.",
         "brownout": "The process sheds more or fewer of the less urgent requests.",
         "claims-unreadable": "A value of claims in the store has another form.",
         "keyed-call-failed": "A fault of this process ended a keyed call.",
--- a/tests/once_nodes.py
+++ b/tests/once_nodes.py
@@ -36,6 +36,7 @@
 from zinniaspool.entry.fleet import FleetView
 from zinniaspool.entry.forwarding import CallForwarder
 from zinniaspool.entry.gate import Gate
+from zinniaspool.entry.handover import AnswerHandover
 from zinniaspool.entry.once import OnceCalls, OnceLimits
 from zinniaspool.entry.relay import Relay
 from zinniaspool.entry.services import ServiceIndex
@@ -134,9 +135,9 @@
         links = _Links(self)
         forwarder = CallForwarder(links, Address(name), self.list_members)
         runner = CallRunner(index, Gate(), Relay(HttpClient()))
-        once = OnceCalls(
-            own, runner, keeper, forwarder, links, table, OnceLimits(**limits)
-        )
+        handover = AnswerHandover(self.store, f"{name}:{self.starts}")
+        times = OnceLimits(**limits)
+        once = OnceCalls(own, runner, keeper, forwarder, links, table, handover, times)
         node = Node(own.node, own.incarnation, once, forwarder, keeper)
         self.nodes[name] = node
         return node
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -284,14 +284,27 @@
 
 
 @_scene
-async def test_a_leaving_owner_hands_its_slots_on() -> None:
+async def test_a_leaving_owner_hands_its_slots_and_answers_on() -> None:
+    """Repeats get the first answer, also when its process has left.
+
+    The owner answers until it begins nothing more. Then it leaves its
+    answers in the store, others take its slots over, and it ends.
+    """
     async with _start() as trial:
         leaving, other = trial.cluster.start("a"), trial.cluster.start("b")
         await trial.ask(leaving, "first")
         leaving.state = MemberState.LEAVING
-        assert await trial.ask(other, "second") == _Asked(_ANSWER)
-        assert await trial.ask(leaving, "third") == _Asked(_ANSWER)
-        assert trial.runs == 3
+        assert await trial.ask(other, "first") == _Asked(_ANSWER)
+        await leaving.once.leave()
+        for node in (other, leaving, other):
+            assert await trial.ask(node, "first") == _Asked(_ANSWER)
+        assert await trial.ask(leaving, "second") == _Asked(_ANSWER)
+        await leaving.once.drain()
+        trial.cluster.kill("a")
+        assert await trial.ask(other, "first") == _Asked(_ANSWER)
+        reused = await trial.ask(other, "first", b"another body")
+        assert reused.fault is ErrorKind.KEY_REUSED
+        assert trial.runs == 2
 
 
 @_scene
