Give a large keyed answer to its caller whole

An answer above what is kept for repeats, with a length, reached the caller of a keyed call as an empty body with status 200: it was kept first and then given from what was kept. It is now passed on as it comes; forwarded answers are carried up to 3 MiB, and a repeat of a larger one reads that it is gone. Found by reading; the test failed before.

--- a/src/zinniaspool/entry/once.py
+++ b/src/zinniaspool/entry/once.py
@@ -35,7 +35,13 @@
 from zinniaspool.entry.claims import ClaimKeeper
 from zinniaspool.entry.forwarding import CallForwarder, Owner
 from zinniaspool.entry.handover import AnswerHandover
-from zinniaspool.entry.sinks import EndedCall, KeepingSink, KeptAnswer
+from zinniaspool.entry.sinks import (
+    MOST_FORWARDED_BYTES,
+    MOST_KEPT_BYTES,
+    EndedCall,
+    KeepingSink,
+    KeptAnswer,
+)
 from zinniaspool.http import Exchange
 from zinniaspool.peers import PeerLinks
 from zinniaspool.platform import StoreFault
@@ -352,7 +358,8 @@
         resolved = self._runner.resolve(call.wanted)
         if isinstance(resolved, Err):
             return _Given(EndedCall(None, resolved.err_value))
-        sink = KeepingSink(exchange)
+        most_bytes = MOST_KEPT_BYTES if exchange else MOST_FORWARDED_BYTES
+        sink = KeepingSink(exchange, most_bytes)
         self._table.begin(call.hash, call.fingerprint)
         task = asyncio.create_task(self._carry_out(sink, call, resolved.ok_value))
         self._running[call.hash] = _Running(sink, task)
@@ -446,7 +453,10 @@
 
 def _shorten(ended: EndedCall) -> EndedCall:
     """Return what is kept of a call: a large answer's end, not its bytes."""
-    if ended.answer is None or ended.answer.body is not None:
+    answer = ended.answer
+    if answer is None:
+        return ended
+    if answer.body is not None and len(answer.body) <= MOST_KEPT_BYTES:
         return ended
     return EndedCall(None, Fault(ErrorKind.ANSWER_EXPIRED))
 
@@ -459,6 +469,10 @@
     if exchange is None or given.passed_on:
         return Ok(None)
     assert given.ended.answer is not None
+    if given.ended.answer.body is None:
+        # The one caller that it was passed on to has it; a repeat that
+        # waited meanwhile must not take an empty body for the answer.
+        return Err(Fault(ErrorKind.ANSWER_EXPIRED))
     await given.ended.answer.send(exchange, wanted.id)
     return Ok(None)
 
--- a/src/zinniaspool/entry/sinks.py
+++ b/src/zinniaspool/entry/sinks.py
@@ -1,5 +1,6 @@
 """Where an answer goes to."""
 
+import contextlib
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 __all__ = ["AnswerSink", "EndedCall", "KeepingSink", "KeptAnswer"]
 
 MOST_KEPT_BYTES = 256 * 1024
+MOST_FORWARDED_BYTES = 3 * 1024 * 1024
 _OVERHEAD_BYTES = 200
 
 
@@ -53,11 +55,12 @@
     body: bytes | None
 
     async def send(self, sink: AnswerSink, request_id: RequestId) -> None:
-        """Give the answer to a caller."""
+        """Give the answer, which must have been kept, to a caller."""
         headers = Headers.of(x_request_id=request_id)
         if self.content_type:
             headers.add("content-type", self.content_type)
-        await sink.respond(self.status, headers, self.body or b"")
+        assert self.body is not None
+        await sink.respond(self.status, headers, self.body)
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,17 +86,20 @@
 
     Args:
         caller: The caller that waits, or None.
+        most_bytes: Largest body that is kept.
 
     Attributes:
         answer: The answer, once it is whole.
-        passed_on: Whether the caller has been given the head of an answer
-            that comes in parts.
+        passed_on: Whether the caller has been given any of it.
     """
 
-    def __init__(self, caller: Exchange | None) -> None:
+    def __init__(
+        self, caller: Exchange | None, most_bytes: int = MOST_KEPT_BYTES
+    ) -> None:
         self.answer: KeptAnswer | None = None
         self.passed_on = False
         self._caller = caller
+        self._most_bytes = most_bytes
         self._status = 0
         self._content_type = ""
         self._body: bytearray | None = bytearray()
@@ -108,18 +114,19 @@
         self._caller = None
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Keep a whole answer; whoever keeps it passes it on."""
-        await self.start(status, headers, pass_on=False)
+        """Keep a whole answer and pass it on."""
+        self._note_head(status, headers)
         self._add(body)
         self.answer = self._make_answer()
+        if self._caller is not None:
+            self.passed_on = True
+            with contextlib.suppress(TransportError):
+                await self._caller.respond(status, headers, body)
 
-    async def start(
-        self, status: int, headers: Headers, *, pass_on: bool = True
-    ) -> None:
+    async def start(self, status: int, headers: Headers) -> None:
         """Begin to keep an answer that comes in parts, and pass it on."""
-        self._status = status
-        self._content_type = headers.get("content-type") or ""
-        if self._caller is not None and pass_on:
+        self._note_head(status, headers)
+        if self._caller is not None:
             self.passed_on = True
             try:
                 await self._caller.start(status, headers)
@@ -144,10 +151,14 @@
             except TransportError:
                 self._caller = None
 
+    def _note_head(self, status: int, headers: Headers) -> None:
+        self._status = status
+        self._content_type = headers.get("content-type") or ""
+
     def _add(self, data: bytes) -> None:
         if self._body is None:
             return
-        if len(self._body) + len(data) > MOST_KEPT_BYTES:
+        if len(self._body) + len(data) > self._most_bytes:
             self._body = None
             return
         self._body += data
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -196,6 +196,30 @@
         assert trial.runs == 2
 
 
+@_scene
+async def test_a_large_answer_reaches_its_caller_and_is_not_kept() -> None:
+    """The first caller reads all of it; a repeat reads that it is gone.
+
+    It is larger than what is kept for repeats, and comes straight from the
+    owner or by way of another process. An empty answer must reach nobody.
+    """
+    large = "x" * 300_000
+    async with _start(fakes.answer(large)) as trial:
+        owner, other = trial.cluster.start("a"), trial.cluster.start("b")
+        session = owner.once.make_session()
+        for number, node in enumerate((owner, other)):
+            first = await trial.ask(node, f"{session}.{number}")
+            assert first.body.decode() == f'"{large}"'
+            repeat = await trial.ask(node, f"{session}.{number}")
+            assert repeat == _Asked(b"", ErrorKind.ANSWER_EXPIRED)
+        both = await asyncio.gather(
+            *(trial.ask(owner, f"{session}.both") for _ in range(2))
+        )
+        assert [asked.body.decode() for asked in both] == [f'"{large}"', ""]
+        assert both[1].fault is ErrorKind.ANSWER_EXPIRED
+        assert trial.runs == 3
+
+
 @_scene
 async def test_a_claim_whose_answer_is_lost_is_read_back() -> None:
     async with _start() as trial:
