--- a/src/zinniaspool/core/journal.py
+++ b/src/zinniaspool/core/journal.py
@@ -25,9 +25,39 @@
     GROUP_FORMED = "group-formed"
     """A plan with a new group was accepted."""
 
+    GROUP_REPAIRED = "group-repaired"
+    """A group goes on with another VM or version, as a new group."""
+
+    GROUP_DRAINING = "group-draining"
+    """A group takes nothing new and finishes what runs."""
+
+    GROUP_RELEASING = "group-releasing"
+    """A group has stopped and its VMs are emptied."""
+
     GROUP_DISSOLVED = "group-dissolved"
     """A plan without this group was accepted."""
 
+    GROUP_WAITS = "group-waits"
+    """A group lacks a VM, and waiting for it costs the least."""
+
+    GROUP_SERVES = "group-serves"
+    """Every VM of a group freshly reports it ready."""
+
+    GROUP_STOPPED = "group-stopped"
+    """A VM of a group no longer reports it ready."""
+
+    VM_OUT = "vm-out"
+    """A VM may not join a group: absent, leaving or slow."""
+
+    VM_BACK = "vm-back"
+    """A VM may join groups again."""
+
+    VM_IDLE = "vm-idle"
+    """A VM serves in no group, for this reason."""
+
+    SHORTFALL = "shortfall"
+    """A model lacks something that the fleet has no room for."""
+
     ORDER_SENT = "order-sent"
     """An engine was given an order."""
 
