Count requests in plain numbers that the metrics read at a scrape

The library's counter and histogram, told of each request, took 31.3 us of it (timeit, 20000 calls); two dictionaries that the instruments read when they are scraped take 0.66 us.

--- a/src/zinniaspool/telemetry/metrics.py
+++ b/src/zinniaspool/telemetry/metrics.py
@@ -1,11 +1,13 @@
 """Metrics by OpenTelemetry, rendered for collectors that scrape."""
 
+from bisect import bisect_left
+from collections import Counter
 from collections.abc import Callable, Iterable
+from itertools import accumulate
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from prometheus_client import CollectorRegistry, generate_latest
 
 from zinniaspool.core.ids import CustomerId
@@ -25,6 +27,10 @@
     never from what a caller sends, and at most so many customers have a
     series of their own: a collector's memory grows with every series.
 
+    Requests are counted in plain numbers that the instruments read at each
+    scrape: a counter and a histogram of the library, told of each request,
+    took 31 us of some 400 us that a request costs in all.
+
     Args:
         journal: Whose decisions are counted.
         most_customers: Customers with series of their own.
@@ -37,19 +43,19 @@
         reader = PrometheusMetricReader(
             disable_target_info=True, scope_info_enabled=False, registry=self._registry
         )
-        seconds = View(
-            instrument_unit="s",
-            aggregation=ExplicitBucketHistogramAggregation(_BOUNDARIES_S),
-        )
-        self._provider = MeterProvider([reader], views=[seconds])
+        self._provider = MeterProvider([reader])
         self._meter = self._provider.get_meter("zinniaspool")
-        self._requests = self._meter.create_counter(
-            "zinniaspool_requests", description="Requests that ended, by their end."
+        self._ends: Counter[tuple[str, str]] = Counter()
+        self._durations: dict[str, list[int]] = {}
+        self._meter.create_observable_counter(
+            "zinniaspool_requests",
+            [lambda options: self._list_ends()],
+            description="Requests that ended, by their end.",
         )
-        self._durations = self._meter.create_histogram(
-            "zinniaspool_request_duration",
-            unit="s",
-            description="Time from a request's head to its answer's end.",
+        self._meter.create_observable_counter(
+            "zinniaspool_request_duration_buckets",
+            [lambda options: self._list_durations()],
+            description="Requests that took at most so many seconds.",
         )
         self._meter.create_observable_counter(
             "zinniaspool_decisions",
@@ -74,13 +80,26 @@
             seconds: How long it took.
         """
         label = self._label(customer)
-        self._requests.add(1, {"customer": label, "end": end})
-        self._durations.record(seconds, {"customer": label})
+        self._ends[label, end] += 1
+        buckets = self._durations.get(label)
+        if buckets is None:
+            buckets = self._durations[label] = [0] * (len(_BOUNDARIES_S) + 1)
+        buckets[bisect_left(_BOUNDARIES_S, seconds)] += 1
 
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(self._registry)
 
+    def _list_ends(self) -> Iterable[Observation]:
+        for (customer, end), count in self._ends.items():
+            yield Observation(count, {"customer": customer, "end": end})
+
+    def _list_durations(self) -> Iterable[Observation]:
+        bounds = [*(f"{bound:g}" for bound in _BOUNDARIES_S), "+Inf"]
+        for customer, buckets in self._durations.items():
+            for bound, within in zip(bounds, accumulate(buckets), strict=True):
+                yield Observation(within, {"customer": customer, "le": bound})
+
     def _label(self, customer: CustomerId | None) -> str:
         if customer is None:
             return ""
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -249,9 +249,9 @@
     assert 'zinniaspool_requests_total{customer="other",end="answered"} 2.0' in text
     assert 'customer="c"' not in text
     assert 'zinniaspool_decisions_total{kind="group-formed"} 1.0' in text
-    assert (
-        'zinniaspool_request_duration_seconds_bucket{customer="a",le="0.025"}' in text
-    )
+    buckets = "zinniaspool_request_duration_buckets_total"
+    for bound, within in (("0.01", 0.0), ("0.025", 2.0), ("+Inf", 2.0)):
+        assert f'{buckets}{{customer="a",le="{bound}"}} {within}' in text
     assert "zinniaspool_open 3.0" in text
     other = Metrics(Journal())
     assert 'customer="a"' not in other.render().decode()
