Keep callers' text in exceptions out of the log; reach IPv6 peers

An exception's message may quote what a caller sent, so an event names its type and where it was raised. Addresses are taken apart in one place, which knows the brackets of IPv6 numbers.

--- a/src/zinniaspool/core/ids.py
+++ b/src/zinniaspool/core/ids.py
@@ -19,6 +19,7 @@
     "ServiceName",
     "UpstreamId",
     "VmId",
+    "split_address",
 ]
 
 Address = NewType("Address", str)
@@ -57,3 +58,9 @@
 
 Revision = NewType("Revision", int)
 """The store's modification number of a key; 0 says that it is absent."""
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Return an address's IP number and port as sockets take them."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -8,13 +8,12 @@
 
 import h11
 
-from zinniaspool.core.ids import Address
+from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http.messages import (
     Headers,
     Request,
     TransportError,
     TransportFailure,
-    split_address,
 )
 
 __all__ = ["ClientResponse", "HttpClient"]
--- a/src/zinniaspool/http/messages.py
+++ b/src/zinniaspool/http/messages.py
@@ -6,9 +6,7 @@
 from functools import lru_cache
 from typing import Self
 
-from zinniaspool.core.ids import Address
-
-__all__ = ["Headers", "Request", "TransportError", "TransportFailure", "split_address"]
+__all__ = ["Headers", "Request", "TransportError", "TransportFailure"]
 
 
 class Headers:
@@ -103,9 +101,3 @@
 @lru_cache(maxsize=256)
 def _spell_name(keyword: str) -> bytes:
     return keyword.replace("_", "-").encode()
-
-
-def split_address(address: Address) -> tuple[str, int]:
-    """Return an address's IP number and port as sockets take them."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -6,10 +6,9 @@
 
 import structlog
 
-from zinniaspool.core.ids import Address
+from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http.connection import Handler, ServerConnection
 from zinniaspool.http.limits import RefuseRequest, ServerLimits, refuse_plainly
-from zinniaspool.http.messages import split_address
 
 __all__ = ["HttpServer"]
 
--- a/src/zinniaspool/peers/links.py
+++ b/src/zinniaspool/peers/links.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from zinniaspool.core.ids import Address, NodeId
+from zinniaspool.core.ids import Address, NodeId, split_address
 from zinniaspool.core.messages import Accepted, Hello, Message
 from zinniaspool.peers.frames import FrameError, read_frame, write_frame
 
@@ -117,8 +117,8 @@
         return link
 
     async def _open(self, address: Address) -> _Link:
-        host, _, port = address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port), ssl=self._tls)
+        host, port = split_address(address)
+        reader, writer = await asyncio.open_connection(host, port, ssl=self._tls)
         try:
             self.sent_bytes += write_frame(writer, self._say_hello())
             accepted = await read_frame(reader)
--- a/src/zinniaspool/peers/listener.py
+++ b/src/zinniaspool/peers/listener.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from zinniaspool.core.ids import Address, NodeId
+from zinniaspool.core.ids import Address, NodeId, split_address
 from zinniaspool.core.messages import (
     OLDEST_PROTOCOL_VERSION,
     PROTOCOL_VERSION,
@@ -54,12 +54,12 @@
 
     async def listen(self, address: Address) -> Address:
         """Start listening and return the address, its port filled in."""
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         self._server = await asyncio.start_server(
-            self._serve, host, int(port), ssl=self._tls
+            self._serve, host, port, ssl=self._tls
         )
         bound = self._server.sockets[0].getsockname()
-        return Address(f"{host}:{bound[1]}")
+        return Address(f"{address.rpartition(':')[0]}:{bound[1]}")
 
     def close(self) -> None:
         """Stop listening and close the connections."""
--- a/src/zinniaspool/telemetry/logs.py
+++ b/src/zinniaspool/telemetry/logs.py
@@ -2,7 +2,9 @@
 
 import logging
 import sys
+import traceback
 from collections.abc import MutableMapping
+from pathlib import Path
 from typing import Any
 
 import structlog
@@ -11,6 +13,7 @@
 
 _log = structlog.get_logger(__name__)
 _LONGEST_VALUE = 400
+_MOST_FRAMES = 8
 
 
 def configure_logs(program: str, node: str) -> None:
@@ -20,7 +23,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
+            _describe_exception,
             _bound_values,
             structlog.processors.LogfmtRenderer(
                 key_order=["timestamp", "level", "event"], bool_as_flag=False
@@ -40,6 +43,26 @@
         _log.warning("library-message", logger=record.name, message=record.getMessage())
 
 
+def _describe_exception(
+    logger: Any, method: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    """Name an exception's type and where it was raised.
+
+    Its message stays out: it may quote what a caller sent.
+    """
+    if not event.pop("exc_info", None):
+        return event
+    error = sys.exc_info()[1]
+    if error is None:
+        return event
+    frames = traceback.extract_tb(error.__traceback__)[-_MOST_FRAMES:]
+    event["exception"] = type(error).__name__
+    event["frames"] = " ".join(
+        f"{Path(frame.filename).name}:{frame.lineno}" for frame in frames
+    )
+    return event
+
+
 def _bound_values(
     logger: Any, method: str, event: MutableMapping[str, Any]
 ) -> MutableMapping[str, Any]:
@@ -49,7 +72,7 @@
     forge a second line or to fill the log with one.
     """
     for key, value in event.items():
-        if not isinstance(value, str) or key == "exception":
+        if not isinstance(value, str):
             continue
         if not value.isprintable():
             value = value.encode("unicode_escape").decode("ascii")
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -1,12 +1,15 @@
 """What an operator does to one process: look into it, stop it."""
 
 import json
+import logging
 import re
 from pathlib import Path
 
 import pytest
+import structlog
 
 from tests.processes import Fleet, call, wait_until
+from zinniaspool.telemetry import configure_logs
 
 pytestmark = pytest.mark.processes
 
@@ -87,3 +90,26 @@
         fleet.stop()
     for key in ("node", "peer_address", "caller_address", "store_addresses"):
         assert f"it.json:1: {key}: found" in fleet.read_log("it")
+
+
+def test_what_a_caller_sent_stays_out_of_the_log(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A fault's message may quote it, and a value may hold a second line."""
+    configure_logs("entry", "n")
+    log = structlog.get_logger()
+    try:
+        raise ValueError(_PROMPT)
+    except ValueError:
+        log.exception("handler-failed")
+    log.warning("peer-dropped", error="x\nlevel=error event=forged " + "y" * 5000)
+    structlog.reset_defaults()
+    logging.getLogger().handlers.clear()
+    structlog.contextvars.clear_contextvars()
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2
+    assert all(_LINE.fullmatch(line) for line in lines), lines
+    assert _PROMPT not in lines[0]
+    assert "exception=ValueError" in lines[0]
+    assert "test_operating.py:" in lines[0]
+    assert len(lines[1]) < 700
