--- a/src/zinniaspool_standins/samples.py
+++ b/src/zinniaspool_standins/samples.py
@@ -4,9 +4,8 @@
 from pathlib import Path
 from typing import Any
 
-import json5
-
 from zinniaspool.core.ids import Address
+from zinniaspool.settings import load_document
 from zinniaspool_standins.fleet import Fleet
 from zinniaspool_standins.layouts import NodeLayout, start_nodes
 
@@ -57,8 +56,8 @@
 
 def start_sample(fleet: Fleet, samples: Path) -> SampleFleet:
     """Start the stand-ins, and an entry and a control process a domain."""
-    inventory = json5.loads((samples / "inventory.json").read_text())
-    rules = json5.loads((samples / "rules.json").read_text())
+    inventory = load_document(samples / "inventory.json").value
+    rules = load_document(samples / "rules.json").value
     fleet.start_platform()
     weights = fleet.start_weights(_WEIGHTS_GB_PER_S)
     engines = _place_vms(fleet, inventory)
