--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -3,16 +3,14 @@
 import asyncio
 import json
 import ssl
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
 import structlog
-import trustme
 
+from tests.certificates import issue_certificates
 from zinniaspool.core.ids import (
     Address,
     CustomerId,
@@ -28,7 +26,6 @@
 from zinniaspool.node.operators import OperatorInterface, load_operators
 from zinniaspool.node.tls import TlsSide
 from zinniaspool.peers import PeerLinks, PeerListener
-from zinniaspool.settings import TlsFiles
 
 _ANY = Address("127.0.0.1:0")
 
@@ -155,32 +152,13 @@
     assert answers[9][1] == b'["carer","x"]'
 
 
-@contextmanager
-def _issue_certificates(folder: Path, name: str) -> Iterator[tuple[TlsFiles, Path]]:
-    authority = trustme.CA()
-    issued = authority.issue_cert("127.0.0.1")
-    paths = [folder / f"{name}-{kind}.pem" for kind in ("ca", "chain", "key")]
-    authority.cert_pem.write_to_path(paths[0])
-    paths[1].write_bytes(b"".join(p.bytes() for p in issued.cert_chain_pems))
-    issued.private_key_pem.write_to_path(paths[2])
-    yield (
-        TlsFiles(
-            certificate_file=str(paths[1]),
-            key_file=str(paths[2]),
-            authority_file=str(paths[0]),
-        ),
-        paths[0],
-    )
-
-
 def test_callers_reach_a_server_by_tls_and_not_without(tmp_path: Path) -> None:
-    with _issue_certificates(tmp_path, "a") as (files, authority):
-        side = TlsSide(files.model_copy(update={"authority_file": None}))
-        trusting = ssl.create_default_context(cafile=str(authority))
-        answers = asyncio.run(_fetch_by(side, [trusting, None]))
-    with _issue_certificates(tmp_path, "b") as (_, other):
-        stranger = ssl.create_default_context(cafile=str(other))
-        answers += asyncio.run(_fetch_by(side, [stranger]))
+    ours = issue_certificates(tmp_path, "a")
+    theirs = issue_certificates(tmp_path, "b")
+    side = TlsSide(ours.files.model_copy(update={"authority_file": None}))
+    trusting = ssl.create_default_context(cafile=str(ours.authority))
+    stranger = ssl.create_default_context(cafile=str(theirs.authority))
+    answers = asyncio.run(_fetch_by(side, [trusting, None, stranger]))
     assert answers[0] == (200, b"x" * 100_000)
     assert isinstance(answers[1], TransportError)
     assert isinstance(answers[2], TransportError)
@@ -207,12 +185,9 @@
 
 
 def test_peers_need_a_certificate_of_their_authority(tmp_path: Path) -> None:
-    with (
-        _issue_certificates(tmp_path, "a") as (ours, _),
-        _issue_certificates(tmp_path, "b") as (theirs, _),
-    ):
-        side, stranger = TlsSide(ours, peers=True), TlsSide(theirs, peers=True)
-        heard = asyncio.run(_talk(side, [side.client, stranger.client, None]))
+    side = TlsSide(issue_certificates(tmp_path, "a").files, peers=True)
+    stranger = TlsSide(issue_certificates(tmp_path, "b").files, peers=True)
+    heard = asyncio.run(_talk(side, [side.client, stranger.client, None]))
     assert heard == [True, False, False]
 
 
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -1,14 +1,19 @@
 """What an operator does to one process: look into it, stop it."""
 
+import asyncio
 import json
 import logging
 import re
+import ssl
 from pathlib import Path
 
 import pytest
 import structlog
 
+from tests.certificates import issue_certificates
 from tests.processes import Fleet, call, wait_until
+from zinniaspool.core.ids import Address
+from zinniaspool.http import HttpClient, Request
 from zinniaspool.telemetry import configure_logs
 
 pytestmark = pytest.mark.processes
@@ -79,6 +84,47 @@
         assert private not in dump.read_text()
 
 
+def test_each_address_of_a_process_takes_tls(tmp_path: Path) -> None:
+    """Operators and callers trust the authority; without TLS nobody enters."""
+    fleet = Fleet(tmp_path)
+    ours = issue_certificates(tmp_path, "ours", fleet.host)
+    plain = ours.files.model_dump(exclude={"authority_file"})
+    operators, callers = fleet.make_address(), fleet.make_address()
+    settings = {
+        "node": "it",
+        "failure_domain": "d",
+        "peer_address": fleet.make_address(),
+        "store_addresses": [fleet.make_address()],
+        "vm_list_address": fleet.make_address(),
+        "peer_secret_file": fleet.write("secret", _SECRET),
+        "operator_address": operators,
+        "caller_address": callers,
+        "credentials_file": fleet.write("callers", {"callers": {_CALLER_KEY: "care"}}),
+        "caller_tls": plain,
+        "operator_tls": plain,
+        "peer_tls": ours.files.model_dump(),
+    }
+    trusted = ("--authority-file", str(ours.authority))
+    asked = ("dump", "--node", operators)
+    try:
+        fleet.start_node("entry", "it", settings)
+        wait_until(lambda: fleet.run_tool(*asked, *trusted).returncode == 0)
+        assert fleet.run_tool(*asked).returncode == 1
+        context = ssl.create_default_context(cafile=str(ours.authority))
+        status, body = asyncio.run(_fetch(callers, context))
+        assert (status, b"not-ready" in body) == (503, True)
+    finally:
+        fleet.stop()
+
+
+async def _fetch(address: Address, context: ssl.SSLContext) -> tuple[int, bytes]:
+    client = HttpClient(tls=context)
+    try:
+        return await client.fetch(address, Request("GET", "/v1/entries"), 10.0)
+    finally:
+        client.close()
+
+
 def test_a_process_with_faulty_settings_names_them_all_and_ends(
     tmp_path: Path,
 ) -> None:
