--- a/tests/failures.py
+++ b/tests/failures.py
@@ -4,6 +4,7 @@
 import json
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from itertools import count
 
 from tests.processes import CREDENTIALS, Fleet
@@ -55,6 +56,7 @@
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.http = HttpClient()
+        self.calls: list[WantedCall] = []
         self.operations: list[Operation] = []
 
     def make_call(
@@ -63,12 +65,24 @@
         customer: str = "care",
         max_tokens: int = 40,
         timeout_s: float = 10.0,
+        session: str = "",
     ) -> WantedCall:
-        """Return a new call, on record from now on."""
+        """Return a new call, on record from now on.
+
+        Args:
+            traffic: Which kind.
+            customer: Whose.
+            max_tokens: Length of a model's answer.
+            timeout_s: Deadline of each ask.
+            session: Puts its key into a session.
+        """
         target = _SERVICE if traffic is Traffic.NON_IDEMPOTENT else _MODEL
         call = make_call(
             traffic, next(_numbers), customer, target, max_tokens, timeout_s
         )
+        if session:
+            call = replace(call, key=f"{session}.{call.key}")
+        self.calls.append(call)
         self.operations.append(call.operation)
         return call
 
@@ -138,6 +152,13 @@
         status, _ = await self.http.fetch(address, request, _WAIT_S)
         assert status == 200
 
+    async def fetch_session(self, entry: str) -> str:
+        """Return a session that an entry process gives out."""
+        address = self.fleet.addresses[entry]
+        request = Request("GET", "/v1/entries")
+        _, body = await self.http.fetch(address, request, _WAIT_S)
+        return str(json.loads(body)["session"])
+
     async def find_group(self, vm: str) -> tuple[str, ...]:
         """Return the VMs of a VM's group."""
         return next(group.vms for group in await self._list_groups() if vm in group.vms)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -82,6 +82,7 @@
     service_options: tuple[str, ...] = (),
     settings: dict[str, Any] | None = None,
     link_service: bool = False,
+    own_stores: bool = False,
 ) -> Iterator[Fleet]:
     """Run the platform, engines, a service, entry and control processes.
 
@@ -89,18 +90,27 @@
     of two VMs, and one service, ``dispatch``, whose calls below ``send`` may
     not be repeated. Each entry process is in a failure domain of its own, and
     all VMs are in the first one's. With ``link_service``, the service is
-    reached through a link that can be cut, ``link``.
+    reached through a link that can be cut, ``link``. With ``own_stores``,
+    each entry process reaches the store at an address of its own,
+    ``platform0`` and so on, which can be cut off.
     """
     fleet = Fleet(folder)
     domains = tuple(f"domain{k}" for k in range(entries))
     try:
-        fleet.start_platform()
+        fleet.start_platform(1 + entries)
         service = fleet.make_address()
         fleet.start_service("service", service, *service_options)
         reached = fleet.start_link("link", [service])[0] if link_service else service
         engines = {f"vm{k}": fleet.make_address() for k in range(vms)}
         fleet.start_engines(engines, *engine_options)
-        layout = NodeLayout(domains, controls, CREDENTIALS, entry=settings or {})
+        stores = tuple(fleet.addresses[f"platform{k}"] for k in range(entries))
+        layout = NodeLayout(
+            domains,
+            controls,
+            CREDENTIALS,
+            entry=settings or {},
+            stores=stores if own_stores else (),
+        )
         start_nodes(fleet, layout)
         wait_until(lambda: call(fleet.store, "/calls").status == 200)
         apply_configuration(
