--- a/src/zinniaspool/node/operators.py
+++ b/src/zinniaspool/node/operators.py
@@ -1,6 +1,6 @@
 """The operators' interface of a process: state, metrics, explanations."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from tempfile import NamedTemporaryFile
@@ -102,6 +102,7 @@
         self._drain = drain
         self._sections: dict[str, _Section] = {}
         self._views: dict[str, View] = {}
+        self._questions: dict[str, Callable[[], Awaitable[Any]]] = {}
 
     def add_section(
         self,
@@ -123,6 +124,13 @@
         """Answer a path."""
         self._views[path] = view
 
+    def add_question(self, path: str, ask: Callable[[], Awaitable[Any]]) -> None:
+        """Answer a path with what is asked from other processes.
+
+        Only operators who see all may ask.
+        """
+        self._questions[path] = ask
+
     def dump(self, customer: CustomerId | None = None) -> bytes:
         """Return the state as JSON, all of it or what one customer may see."""
         state = {}
@@ -171,6 +179,8 @@
                 await _answer(exchange, msgspec.json.encode(shown))
             case ("GET", "/metrics") | ("POST", "/drain") if operator.customer:
                 await exchange.respond(403, Headers(), b"")
+            case "GET", path if path in self._questions:
+                await self._put_question(exchange, operator, path)
             case "GET", "/metrics":
                 kind = Headers.of(content_type="text/plain; version=0.0.4")
                 await exchange.respond(200, kind, self._render_metrics())
@@ -181,6 +191,15 @@
             case _:
                 await exchange.respond(404, Headers(), b"")
 
+    async def _put_question(
+        self, exchange: Exchange, operator: Operator, path: str
+    ) -> None:
+        if operator.customer:
+            await exchange.respond(403, Headers(), b"")
+            return
+        found = await self._questions[path]()
+        await _answer(exchange, msgspec.json.encode(found))
+
     def _recognize(self, exchange: Exchange) -> Operator | None:
         if self._operators is None:
             return Operator("local") if exchange.peer.startswith(_LOOPBACK) else None
