--- a/src/zinniaspool_standins/callers.py
+++ b/src/zinniaspool_standins/callers.py
@@ -222,6 +222,9 @@
         at_once: Calls in progress at a time.
         max_tokens: Length of a model's answers.
         pause_s: Longest pause between two calls of one worker.
+        first_number: Of its calls; a number used before is a key used
+            before.
+        timeout_s: Deadline of each ask.
     """
 
     customer: str
@@ -231,6 +234,8 @@
     at_once: int = 4
     max_tokens: int = 12
     pause_s: float = 0.05
+    first_number: int = 0
+    timeout_s: float = 10.0
 
 
 async def send_traffic(
@@ -252,12 +257,14 @@
     stopped: Callable[[], bool],
     operations: list[Operation],
 ) -> None:
-    number = worker
+    number = mix.first_number + worker
     while not stopped():
         traffic = source.choice(list(Traffic))
         repeated = traffic is not Traffic.NON_IDEMPOTENT
         target = mix.model if repeated else mix.service
-        call = make_call(traffic, number, mix.customer, target, mix.max_tokens)
+        call = make_call(
+            traffic, number, mix.customer, target, mix.max_tokens, mix.timeout_s
+        )
         number += mix.at_once
         operations.append(call.operation)
         await mix.caller.run(call)
--- a/tests/failures.py
+++ b/tests/failures.py
@@ -9,7 +9,7 @@
 
 from tests.processes import CREDENTIALS, Fleet
 from zinniaspool.http import HttpClient, Request
-from zinniaspool_standins.callers import Caller
+from zinniaspool_standins.callers import Caller, Mix, send_traffic
 from zinniaspool_standins.histories import Ask, Ending, Operation, judge
 from zinniaspool_standins.operations import Traffic, WantedCall, make_call
 from zinniaspool_standins.runs import RunRecord, RunState
@@ -20,10 +20,12 @@
 _WAIT_S = 20.0
 _SCENARIO_S = 60.0
 _LOOK_S = 0.02
+_TRAFFIC_S = 3.0
 _MODEL = "advisory"
 _SERVICE = "dispatch/send"
-# Beyond the numbers of mixed traffic, which begin at 0.
-_numbers = count(1_000_000)
+# No number is used twice on one fleet: it would be the same key.
+_numbers = count()
+_traffic_numbers = count(1_000_000, 1_000_000)
 
 
 async def until(check: Callable[[], object]) -> None:
@@ -94,6 +96,31 @@
         known = [self.fleet.addresses[entry] for entry in entries]
         return Caller(self.http, credential, known, random.Random(1))
 
+    def start_traffic(
+        self, entries: tuple[str, ...], stopped: asyncio.Event
+    ) -> "asyncio.Task[list[Operation]]":
+        """Send mixed calls of two customers until told to stop."""
+        mixes = [
+            Mix(
+                customer,
+                self.make_caller(customer, entries),
+                _MODEL,
+                _SERVICE,
+                at_once=2,
+                first_number=next(_traffic_numbers),
+                timeout_s=_TRAFFIC_S,
+            )
+            for customer in CREDENTIALS.values()
+        ]
+        return asyncio.create_task(self._send_traffic(mixes, stopped))
+
+    async def _send_traffic(
+        self, mixes: list[Mix], stopped: asyncio.Event
+    ) -> list[Operation]:
+        sent = await send_traffic(mixes, random.Random(2), stopped.is_set)
+        self.operations += sent
+        return sent
+
     async def ask(self, entry: str, call: WantedCall) -> Ask:
         """Ask one entry VM once."""
         caller = self.make_caller(call.operation.customer)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -83,16 +83,18 @@
     settings: dict[str, Any] | None = None,
     link_service: bool = False,
     own_stores: bool = False,
+    spread: bool = False,
+    groups: int = 2,
 ) -> Iterator[Fleet]:
     """Run the platform, engines, a service, entry and control processes.
 
     One model, ``advisory``, of customers ``care`` and ``vendors``, on groups
     of two VMs, and one service, ``dispatch``, whose calls below ``send`` may
     not be repeated. Each entry process is in a failure domain of its own, and
-    all VMs are in the first one's. With ``link_service``, the service is
-    reached through a link that can be cut, ``link``. With ``own_stores``,
-    each entry process reaches the store at an address of its own,
-    ``platform0`` and so on, which can be cut off.
+    all VMs are in the first one's, or two by two in each with ``spread``.
+    With ``link_service``, the service is reached through a link that can be
+    cut, ``link``. With ``own_stores``, each entry process reaches the store
+    at an address of its own, ``platform0`` and so on, which can be cut off.
     """
     fleet = Fleet(folder)
     domains = tuple(f"domain{k}" for k in range(entries))
@@ -113,9 +115,9 @@
         )
         start_nodes(fleet, layout)
         wait_until(lambda: call(fleet.store, "/calls").status == 200)
-        apply_configuration(
-            fleet, make_inventory(engines, domains[:1]), make_rules(reached)
-        )
+        inventory = make_inventory(engines, domains if spread else domains[:1])
+        rules = make_rules(reached, wanted_groups=groups)
+        apply_configuration(fleet, inventory, rules)
         yield fleet
     finally:
         fleet.stop()
--- a/tests/test_failures_entries.py
+++ b/tests/test_failures_entries.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import random
 import socket
 from collections.abc import Iterator
 from functools import partial
@@ -11,7 +10,6 @@
 
 from tests.failures import Proof, run_scenario, until
 from tests.processes import Fleet, start_fleet
-from zinniaspool_standins.callers import Mix, send_traffic
 from zinniaspool_standins.histories import Ending
 from zinniaspool_standins.operations import Traffic, WantedCall
 from zinniaspool_standins.runs import RunState
@@ -183,26 +181,13 @@
     async def scenario(proof: Proof) -> None:
         await _settle(proof)
         stopped = asyncio.Event()
-        mixes = [
-            Mix(
-                customer,
-                proof.make_caller(customer, _ENTRIES),
-                "advisory",
-                "dispatch/send",
-                at_once=2,
-            )
-            for customer in ("care", "vendors")
-        ]
-        traffic = asyncio.create_task(
-            send_traffic(mixes, random.Random(2), stopped.is_set)
-        )
+        traffic = proof.start_traffic(_ENTRIES, stopped)
         for entry in _ENTRIES:
             fleet.ask_to_stop(entry)
             await until(partial(fleet.has_ended, entry))
             await _revive(proof, entry)
         stopped.set()
         operations = await traffic
-        proof.operations += operations
         asks = [ask for operation in operations for ask in operation.asks]
         assert [ask for ask in asks if ask.ending is Ending.CUT] == []
         assert [one for one in operations if not one.answered] == []
