Give the proofs' plain service two processes, so that a wrong retry shows

With one process, a second attempt of a lost call found nowhere to go: with the guard against it removed, all proofs of upstreams still passed. With two, 2 of the 7 proofs that it concerns fail without it.

--- a/tests/failures.py
+++ b/tests/failures.py
@@ -173,6 +173,12 @@
 
         await until_seen(look)
 
+    async def switch_services(self, **faults: object) -> None:
+        """Tell every process of the plain service how to fail."""
+        for name in self.fleet.addresses:
+            if name.startswith("service"):
+                await self.switch(name, **faults)
+
     async def switch(self, name: str, **faults: object) -> None:
         """Tell a stand-in how to fail."""
         request = Request("POST", "/faults", body=json.dumps(faults).encode())
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -5,7 +5,7 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from http.client import HTTPException
 from pathlib import Path
@@ -81,7 +81,8 @@
     engine_options: tuple[str, ...] = (),
     service_options: tuple[str, ...] = (),
     settings: dict[str, Any] | None = None,
-    link_service: bool = False,
+    services: int = 1,
+    link_services: bool = False,
     own_stores: bool = False,
     spread: bool = False,
     groups: int = 2,
@@ -92,7 +93,7 @@
     of two VMs, and one service, ``dispatch``, whose calls below ``send`` may
     not be repeated. Each entry process is in a failure domain of its own, and
     all VMs are in the first one's, or two by two in each with ``spread``.
-    With ``link_service``, the service is reached through a link that can be
+    With ``link_services``, the service is reached through a link that can be
     cut, ``link``. With ``own_stores``, each entry process reaches the store
     at an address of its own, ``platform0`` and so on, which can be cut off.
     """
@@ -100,9 +101,11 @@
     domains = tuple(f"domain{k}" for k in range(entries))
     try:
         fleet.start_platform(1 + entries)
-        service = fleet.make_address()
-        fleet.start_service("service", service, *service_options)
-        reached = fleet.start_link("link", [service])[0] if link_service else service
+        reached = [fleet.make_address() for _ in range(services)]
+        for k, address in enumerate(reached):
+            fleet.start_service(f"service{k}", address, *service_options)
+        if link_services:
+            reached = fleet.start_link("link", reached)
         engines = {f"vm{k}": fleet.make_address() for k in range(vms)}
         fleet.start_engines(engines, *engine_options)
         stores = tuple(fleet.addresses[f"platform{k}"] for k in range(entries))
@@ -140,7 +143,7 @@
     }
 
 
-def make_rules(service: Address, **changes: Any) -> Any:
+def make_rules(services: Sequence[Address], **changes: Any) -> Any:
     """Return rules for the model and the service of the tests' fleets."""
     shares = [
         {"customer": "care", "guaranteed": 4},
@@ -164,7 +167,10 @@
         "services": [
             {
                 "name": "dispatch",
-                "upstreams": [{"address": service, "failure_domain": "domain0"}],
+                "upstreams": [
+                    {"address": address, "failure_domain": "domain0"}
+                    for address in services
+                ],
                 "slots_per_upstream": 8,
                 "shares": shares,
                 "non_idempotent": ["send"],
--- a/tests/test_failures_entries.py
+++ b/tests/test_failures_entries.py
@@ -81,12 +81,12 @@
 
     async def scenario(proof: Proof) -> None:
         await _settle(proof)
-        await proof.switch("service", straggle=200.0)
+        await proof.switch_services(straggle=200.0)
         call = proof.make_call(Traffic.NON_IDEMPOTENT)
         asking = await proof.begin("entry0", call)
         fleet.kill("entry0")
         assert (await asking).ending is Ending.CUT
-        await proof.switch("service", straggle=1.0)
+        await proof.switch_services(straggle=1.0)
         assert await _ask_until_settled(proof, "entry1", call) is Ending.UNKNOWN
         assert await _ask_until_settled(proof, "entry2", call) is Ending.UNKNOWN
         assert len(proof.list_runs(call)) == 1
@@ -106,11 +106,11 @@
 
     async def scenario(proof: Proof) -> None:
         await _settle(proof)
-        await proof.switch("service", straggle=200.0)
+        await proof.switch_services(straggle=200.0)
         call = proof.make_call(Traffic.NON_IDEMPOTENT, timeout_s=2.0)
         asking = await proof.begin("entry0", call)
         fleet.freeze("entry0")
-        await proof.switch("service", straggle=1.0)
+        await proof.switch_services(straggle=1.0)
         await proof.ask("entry1", call)
         fleet.thaw("entry0")
         await asking
--- a/tests/test_failures_upstreams.py
+++ b/tests/test_failures_upstreams.py
@@ -22,7 +22,7 @@
     folder: Path = tmp_path_factory.mktemp("upstreams")
     options = ("--token-s", str(_TOKEN_S))
     with start_fleet(
-        folder, entries=1, engine_options=options, link_service=True
+        folder, entries=1, engine_options=options, services=2, link_services=True
     ) as started:
         yield started
 
@@ -215,11 +215,11 @@
 
     async def scenario(proof: Proof) -> None:
         await proof.until_served("entry0")
-        await proof.switch("service", requests=1, **_SERVICE_FAULTS[case])
+        await proof.switch_services(requests=1, **_SERVICE_FAULTS[case])
         call = proof.make_call(Traffic.NON_IDEMPOTENT, timeout_s=1.0)
         assert (await proof.ask("entry0", call)).ending is Ending.UNKNOWN
-        await proof.switch(
-            "service", drop=False, cut_after=-1, crossed=False, late_s=0.0, requests=-1
+        await proof.switch_services(
+            drop=False, cut_after=-1, crossed=False, late_s=0.0, requests=-1
         )
         again = await proof.ask("entry0", call)
         assert again.ending is Ending.UNKNOWN
@@ -233,10 +233,10 @@
 
     async def scenario(proof: Proof) -> None:
         await proof.until_served("entry0")
-        await proof.switch("service", refuse=True, requests=-1)
+        await proof.switch_services(refuse=True, requests=-1)
         call = proof.make_call(Traffic.NON_IDEMPOTENT)
         assert (await proof.ask("entry0", call)).ending is Ending.NOT_RUN
-        await proof.switch("service", refuse=False)
+        await proof.switch_services(refuse=False)
         assert (await proof.ask("entry0", call)).ending is Ending.WHOLE
 
     run_scenario(fleet, scenario)
@@ -253,12 +253,12 @@
 
     async def scenario(proof: Proof) -> None:
         await proof.until_served("entry0")
-        await proof.switch("service", straggle=100.0)
+        await proof.switch_services(straggle=100.0)
         call = proof.make_call(Traffic.NON_IDEMPOTENT, timeout_s=1.0)
         asking = await proof.begin("entry0", call)
         await proof.switch("link", state=state)
         assert (await asking).ending is Ending.UNKNOWN
-        await proof.switch("service", straggle=1.0)
+        await proof.switch_services(straggle=1.0)
         await proof.switch("link", state="open")
         assert (await proof.ask("entry0", call)).ending is Ending.UNKNOWN
         other = proof.make_call(Traffic.NON_IDEMPOTENT)
