--- a/src/zinniaspool/entry/fleet.py
+++ b/src/zinniaspool/entry/fleet.py
@@ -1,30 +1,30 @@
 """What an entry process knows of the fleet's upstreams."""
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+import msgspec
 
 from zinniaspool.core.deployment import Configuration, ModelRule, Vm
-from zinniaspool.core.groups import SeenReport, find_serving
+from zinniaspool.core.groups import EvidenceBook
+from zinniaspool.core.groups.beats import (
+    BEAT_PREFIX,
+    PLAN_PREFIX,
+    decode_beat,
+    decode_plan,
+)
 from zinniaspool.core.ids import (
     CustomerId,
-    FabricDomainId,
     ModelName,
     UpstreamId,
     VmId,
 )
-from zinniaspool.core.messages import DomainState
-from zinniaspool.core.plans import DomainPlan
+from zinniaspool.core.membership import Notice
 from zinniaspool.core.requests import FreshUpstream, Upstream
 
 __all__ = ["FleetView", "ServingUpstream"]
 
 
-@dataclass(slots=True)
-class _DomainView:
-    plan: DomainPlan
-    reports: dict[VmId, SeenReport] = field(default_factory=dict)
-
-
 @dataclass(frozen=True, slots=True)
 class ServingUpstream:
     """A group that may be sent requests now.
@@ -50,7 +50,7 @@
     def __init__(self, stale_after_s: float) -> None:
         self.configuration: Configuration | None = None
         self._stale_after_s = stale_after_s
-        self._domains: dict[FabricDomainId, _DomainView] = {}
+        self.evidence = EvidenceBook(stale_after_s)
         self._vms: Mapping[VmId, Vm] = {}
         self._models: Mapping[ModelName, ModelRule] = {}
 
@@ -60,45 +60,39 @@
         self._vms = {vm.id: vm for vm in configuration.inventory.vms}
         self._models = {model.name: model for model in configuration.rules.models}
 
-    def update_domain(self, state: DomainState, now: float) -> None:
-        """Take a domain's plan and reports, unless an older plan's."""
-        domain = state.plan.fabric_domain
-        view = self._domains.get(domain)
-        if view is None:
-            view = self._domains[domain] = _DomainView(state.plan)
-        if state.plan.epoch < view.plan.epoch:
+    def take_notice(self, notice: Notice, now: float) -> None:
+        """Take a domain's plan, or the evidence that its groups are whole."""
+        try:
+            if notice.key.startswith(PLAN_PREFIX):
+                self.evidence.take_plan(decode_plan(notice.payload))
+            elif notice.key.startswith(BEAT_PREFIX):
+                beat = decode_beat(notice.payload)
+                self.evidence.take_beat(beat, notice.age_s, now)
+        except msgspec.MsgspecError:
+            # Of a version not known here: its groups count as absent.
             return
-        view.plan = state.plan
-        for aged in state.reports:
-            seen = SeenReport(aged.report, now - aged.age_s)
-            known = view.reports.get(aged.report.vm)
-            if known is None or seen.made_at > known.made_at:
-                view.reports[aged.report.vm] = seen
 
     def list_serving(self, now: float) -> Iterator[ServingUpstream]:
         """Yield the groups whose every VM freshly reports this very group."""
-        for view in self._domains.values():
-            groups = view.plan.groups
-            for group in find_serving(groups, view.reports, now, self._stale_after_s):
-                rule = self._models.get(group.model)
-                first = self._vms.get(group.vms[0])
-                if rule is None or first is None:
-                    continue
-                oldest = min(view.reports[vm].made_at for vm in group.vms)
-                seen = view.reports[group.vms[0]]
-                upstream = Upstream(
-                    UpstreamId(group.id),
-                    first.address,
-                    first.failure_domain,
-                    rule.slots_per_group,
-                    group.id,
-                    group.epoch,
-                    group.version,
-                )
-                fresh = FreshUpstream(
-                    upstream,
-                    oldest + self._stale_after_s,
-                    seen.report.running + seen.report.waiting,
-                    seen.made_at,
-                )
-                yield ServingUpstream(group.model, group.customers, fresh)
+        for serving in self.evidence.find_serving(now):
+            group = serving.group
+            rule = self._models.get(group.model)
+            first = self._vms.get(group.vms[0])
+            if rule is None or first is None:
+                continue
+            upstream = Upstream(
+                UpstreamId(group.id),
+                first.address,
+                first.failure_domain,
+                rule.slots_per_group,
+                group.id,
+                group.epoch,
+                group.version,
+            )
+            fresh = FreshUpstream(
+                upstream,
+                serving.made_at + self._stale_after_s,
+                serving.running + serving.waiting,
+                serving.made_at,
+            )
+            yield ServingUpstream(group.model, group.customers, fresh)
