Prove for plain answers too that a caller's leaving stops the engine

With streams alone the proof still passed when the handler was no longer cancelled, since the next write failed anyway; with a plain answer it fails.

--- a/tests/test_failures_upstreams.py
+++ b/tests/test_failures_upstreams.py
@@ -177,16 +177,18 @@
     run_scenario(fleet, scenario)
 
 
-def test_a_caller_that_leaves_stops_the_engine(fleet: Fleet) -> None:
+@pytest.mark.parametrize("traffic", [Traffic.PLAIN, Traffic.STREAMED])
+def test_a_caller_that_leaves_stops_the_engine(fleet: Fleet, traffic: Traffic) -> None:
     """The engine works for nobody no longer.
 
-    The caller closes its connection in mid-stream. The entry process closes
-    its own to the engine, which ends the run before its last token.
+    The caller closes its connection while the engine generates. The entry
+    process closes its own to the engine, which ends the run before its last
+    token.
     """
 
     async def scenario(proof: Proof) -> None:
         await _settle(proof)
-        call = proof.make_call(Traffic.STREAMED, max_tokens=500)
+        call = proof.make_call(traffic, max_tokens=500)
         call.operation.abandoned = True
         asking = await proof.begin("entry0", call)
         asking.cancel()
