--- a/tests/failures.py
+++ b/tests/failures.py
@@ -4,11 +4,13 @@
 import json
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from itertools import count
+from typing import Any
 
 from tests.processes import CREDENTIALS, Fleet
 from zinniaspool.http import HttpClient, Request
-from zinniaspool_standins.callers import Caller
+from zinniaspool_standins.callers import Caller, Mix, send_traffic
 from zinniaspool_standins.histories import Ask, Ending, Operation, judge
 from zinniaspool_standins.operations import Traffic, WantedCall, make_call
 from zinniaspool_standins.runs import RunRecord, RunState
@@ -19,10 +21,12 @@
 _WAIT_S = 20.0
 _SCENARIO_S = 60.0
 _LOOK_S = 0.02
+_TRAFFIC_S = 3.0
 _MODEL = "advisory"
 _SERVICE = "dispatch/send"
-# Beyond the numbers of mixed traffic, which begin at 0.
-_numbers = count(1_000_000)
+# No number is used twice on one fleet: it would be the same key.
+_numbers = count()
+_traffic_numbers = count(1_000_000, 1_000_000)
 
 
 async def until(check: Callable[[], object]) -> None:
@@ -55,6 +59,7 @@
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.http = HttpClient()
+        self.calls: list[WantedCall] = []
         self.operations: list[Operation] = []
 
     def make_call(
@@ -63,12 +68,24 @@
         customer: str = "care",
         max_tokens: int = 40,
         timeout_s: float = 10.0,
+        session: str = "",
     ) -> WantedCall:
-        """Return a new call, on record from now on."""
+        """Return a new call, on record from now on.
+
+        Args:
+            traffic: Which kind.
+            customer: Whose.
+            max_tokens: Length of a model's answer.
+            timeout_s: Deadline of each ask.
+            session: Puts its key into a session.
+        """
         target = _SERVICE if traffic is Traffic.NON_IDEMPOTENT else _MODEL
         call = make_call(
             traffic, next(_numbers), customer, target, max_tokens, timeout_s
         )
+        if session:
+            call = replace(call, key=f"{session}.{call.key}")
+        self.calls.append(call)
         self.operations.append(call.operation)
         return call
 
@@ -80,6 +97,31 @@
         known = [self.fleet.addresses[entry] for entry in entries]
         return Caller(self.http, credential, known, random.Random(1))
 
+    def start_traffic(
+        self, entries: tuple[str, ...], stopped: asyncio.Event
+    ) -> "asyncio.Task[list[Operation]]":
+        """Send mixed calls of two customers until told to stop."""
+        mixes = [
+            Mix(
+                customer,
+                self.make_caller(customer, entries),
+                _MODEL,
+                _SERVICE,
+                at_once=2,
+                first_number=next(_traffic_numbers),
+                timeout_s=_TRAFFIC_S,
+            )
+            for customer in CREDENTIALS.values()
+        ]
+        return asyncio.create_task(self._send_traffic(mixes, stopped))
+
+    async def _send_traffic(
+        self, mixes: list[Mix], stopped: asyncio.Event
+    ) -> list[Operation]:
+        sent = await send_traffic(mixes, random.Random(2), stopped.is_set)
+        self.operations += sent
+        return sent
+
     async def ask(self, entry: str, call: WantedCall) -> Ask:
         """Ask one entry VM once."""
         caller = self.make_caller(call.operation.customer)
@@ -131,6 +173,12 @@
 
         await until_seen(look)
 
+    async def switch_services(self, **faults: object) -> None:
+        """Tell every process of the plain service how to fail."""
+        for name in self.fleet.addresses:
+            if name.startswith("service"):
+                await self.switch(name, **faults)
+
     async def switch(self, name: str, **faults: object) -> None:
         """Tell a stand-in how to fail."""
         request = Request("POST", "/faults", body=json.dumps(faults).encode())
@@ -138,6 +186,26 @@
         status, _ = await self.http.fetch(address, request, _WAIT_S)
         assert status == 200
 
+    async def fetch_session(self, entry: str) -> str:
+        """Return a session that an entry process gives out."""
+        return str((await self._fetch_entries(entry))["session"])
+
+    async def until_listed(self, entry: str, by: str, *, listed: bool) -> None:
+        """Wait until an entry process names another one to callers, or not."""
+
+        async def look() -> bool:
+            found = await self._fetch_entries(by)
+            named = [one["address"] for one in found["entries"]]
+            return (self.fleet.addresses[entry] in named) is listed
+
+        await until_seen(look)
+
+    async def _fetch_entries(self, entry: str) -> Any:
+        address = self.fleet.addresses[entry]
+        request = Request("GET", "/v1/entries")
+        _, body = await self.http.fetch(address, request, _WAIT_S)
+        return json.loads(body)
+
     async def find_group(self, vm: str) -> tuple[str, ...]:
         """Return the VMs of a VM's group."""
         return next(group.vms for group in await self._list_groups() if vm in group.vms)
--- a/tests/test_failures_upstreams.py
+++ b/tests/test_failures_upstreams.py
@@ -22,7 +22,7 @@
     folder: Path = tmp_path_factory.mktemp("upstreams")
     options = ("--token-s", str(_TOKEN_S))
     with start_fleet(
-        folder, entries=1, engine_options=options, link_service=True
+        folder, entries=1, engine_options=options, services=2, link_services=True
     ) as started:
         yield started
 
@@ -177,16 +177,18 @@
     run_scenario(fleet, scenario)
 
 
-def test_a_caller_that_leaves_stops_the_engine(fleet: Fleet) -> None:
+@pytest.mark.parametrize("traffic", [Traffic.PLAIN, Traffic.STREAMED])
+def test_a_caller_that_leaves_stops_the_engine(fleet: Fleet, traffic: Traffic) -> None:
     """The engine works for nobody no longer.
 
-    The caller closes its connection in mid-stream. The entry process closes
-    its own to the engine, which ends the run before its last token.
+    The caller closes its connection while the engine generates. The entry
+    process closes its own to the engine, which ends the run before its last
+    token.
     """
 
     async def scenario(proof: Proof) -> None:
         await _settle(proof)
-        call = proof.make_call(Traffic.STREAMED, max_tokens=500)
+        call = proof.make_call(traffic, max_tokens=500)
         call.operation.abandoned = True
         asking = await proof.begin("entry0", call)
         asking.cancel()
@@ -215,11 +217,11 @@
 
     async def scenario(proof: Proof) -> None:
         await proof.until_served("entry0")
-        await proof.switch("service", requests=1, **_SERVICE_FAULTS[case])
+        await proof.switch_services(requests=1, **_SERVICE_FAULTS[case])
         call = proof.make_call(Traffic.NON_IDEMPOTENT, timeout_s=1.0)
         assert (await proof.ask("entry0", call)).ending is Ending.UNKNOWN
-        await proof.switch(
-            "service", drop=False, cut_after=-1, crossed=False, late_s=0.0, requests=-1
+        await proof.switch_services(
+            drop=False, cut_after=-1, crossed=False, late_s=0.0, requests=-1
         )
         again = await proof.ask("entry0", call)
         assert again.ending is Ending.UNKNOWN
@@ -233,10 +235,10 @@
 
     async def scenario(proof: Proof) -> None:
         await proof.until_served("entry0")
-        await proof.switch("service", refuse=True, requests=-1)
+        await proof.switch_services(refuse=True, requests=-1)
         call = proof.make_call(Traffic.NON_IDEMPOTENT)
         assert (await proof.ask("entry0", call)).ending is Ending.NOT_RUN
-        await proof.switch("service", refuse=False)
+        await proof.switch_services(refuse=False)
         assert (await proof.ask("entry0", call)).ending is Ending.WHOLE
 
     run_scenario(fleet, scenario)
@@ -253,12 +255,12 @@
 
     async def scenario(proof: Proof) -> None:
         await proof.until_served("entry0")
-        await proof.switch("service", straggle=100.0)
+        await proof.switch_services(straggle=100.0)
         call = proof.make_call(Traffic.NON_IDEMPOTENT, timeout_s=1.0)
         asking = await proof.begin("entry0", call)
         await proof.switch("link", state=state)
         assert (await asking).ending is Ending.UNKNOWN
-        await proof.switch("service", straggle=1.0)
+        await proof.switch_services(straggle=1.0)
         await proof.switch("link", state="open")
         assert (await proof.ask("entry0", call)).ending is Ending.UNKNOWN
         other = proof.make_call(Traffic.NON_IDEMPOTENT)
