Repair from lesser groups that move on; follow a lost holder at once

Process tests: a holder killed, stopped past its lease and woken, and asked to stop under calls; a VM killed; the store out across a repair; a domain dark.

--- a/src/zinniaspool/control/domain.py
+++ b/src/zinniaspool/control/domain.py
@@ -45,6 +45,7 @@
 _RENEWALS = 3
 _MS = 1000
 _CLOCK_BITS = 32
+_WITNESS_PART = 0.2
 
 
 @dataclass(slots=True)
@@ -90,7 +91,7 @@
         self._source = f"{frame.node}@{frame.incarnation}"
         self._plans_read_at = float("-inf")
         self._trying: asyncio.Task[None] | None = None
-        self._witnesses = False
+        self._duty = Duty.NONE
 
     @property
     def _now(self) -> float:
@@ -118,7 +119,7 @@
     @property
     def is_active(self) -> bool:
         """Whether this process holds the domain or witnesses for it."""
-        return self._store.has_lease or self._witnesses
+        return self._store.has_lease or self._duty in (Duty.WITNESS, Duty.TAKE)
 
     @property
     def holds(self) -> bool:
@@ -153,9 +154,11 @@
     async def _step(self) -> None:
         if not self._store.has_lease:
             self._choose_duty()
-            if not self._witnesses:
+            if self._duty is Duty.NONE:
                 return
         self._engines.ask(self._addresses, self._take_report, self._miss_report)
+        if not self.is_active:
+            return
         if self._store.has_lease:
             await self._hold()
         now = self._now
@@ -169,8 +172,8 @@
         if duty is Duty.TAKE and self._trying is None:
             self._succession.note_try(self._now)
             self._trying = asyncio.create_task(self._try_take())
-        self._witnesses = duty is not Duty.NONE
-        if self._witnesses:
+        self._duty = duty
+        if duty is not Duty.NONE:
             self._follow_plan()
 
     def _follow_plan(self) -> None:
@@ -320,6 +323,6 @@
 
 def _make_succession(settings: ControlSettings) -> SuccessionLimits:
     return SuccessionLimits(
-        witness_after_s=settings.report_stale_s / 2,
+        witness_after_s=settings.beat_s + settings.report_stale_s * _WITNESS_PART,
         take_after_s=settings.lease_s,
     )
--- a/src/zinniaspool/core/groups/allocation.py
+++ b/src/zinniaspool/core/groups/allocation.py
@@ -129,10 +129,10 @@
         plans: The newest plan known of each domain; absent ones are empty.
     """
     spread = _fill(index, plans, spreading=True)
-    if not spread.lacks_guarantee():
+    if spread.lacking == (0, 0):
         return spread.result()
-    # Spreading can leave holes that are each too small for a guaranteed
-    # group; packing tightly may find the room.
+    # Spreading can leave holes that are each too small for a group; packing
+    # tightly may find the room.
     packed = _fill(index, plans, spreading=False)
     best = min(spread, packed, key=lambda work: work.lacking)
     return best.result()
@@ -188,17 +188,14 @@
             self._count(group.model, domain, 1)
 
     @property
-    def lacking(self) -> int:
-        """How many guaranteed groups there is no room for."""
-        return sum(
-            max(0, model.guaranteed_groups - self._have[model.name])
-            for model in self._models()
+    def lacking(self) -> tuple[int, int]:
+        """How many guaranteed and wanted groups there is no room for."""
+        have = [(model, self._have[model.name]) for model in self._models()]
+        return (
+            sum(max(0, model.guaranteed_groups - count) for model, count in have),
+            sum(max(0, model.wanted_groups - count) for model, count in have),
         )
 
-    def lacks_guarantee(self) -> bool:
-        """Whether some guarantee is not met."""
-        return self.lacking > 0
-
     def result(self) -> Allocation:
         """Return what was found."""
         self._find_spread_shortfalls()
@@ -350,7 +347,13 @@
                 continue
             if most_near is not None and near > most_near:
                 continue
-            key = (near if self._spreading else 0, usable, domain)
+            # Of domains that are equally good for the spread, a guaranteed
+            # group takes the fullest, which leaves large holes for other
+            # guarantees; any other takes the emptiest, which leaves each
+            # domain some spares.
+            tight = self._have[model.name] < model.guaranteed_groups
+            fit = usable if tight or not self._spreading else -usable
+            key = (near if self._spreading else 0, fit, domain)
             if best is None or key < best:
                 best = key
         if best is None:
--- a/src/zinniaspool/core/groups/means.py
+++ b/src/zinniaspool/core/groups/means.py
@@ -81,15 +81,19 @@
             whole_s,
             donor=self.describe(donor) if donor else None,
             victim=victim is not None,
-            victim_accelerators=sum(map(self._accelerators, victim.vms))
-            if victim
-            else 0,
+            victim_moves=victim is not None and self._has_room_elsewhere(victim),
+            victim_accelerators=self._count_left_over(victim, missing - spares),
             elsewhere=self._has_room_elsewhere(group),
             freed_groups=freed[0],
             freed_accelerators=freed[1],
         )
         return FoundMeans(means, donor, victim)
 
+    def _count_left_over(self, victim: GroupPlan | None, used: int) -> int:
+        if victim is None:
+            return 0
+        return sum(sorted(map(self._accelerators, victim.vms))[used:])
+
     def _find_donor(
         self, group: GroupPlan, lacking: int, broken: list[GroupPlan]
     ) -> GroupPlan | None:
--- a/src/zinniaspool/core/groups/repair.py
+++ b/src/zinniaspool/core/groups/repair.py
@@ -147,7 +147,8 @@
         donor: The broken group that would be dissolved, or None.
         victim: Whether a group beyond its model's guarantee could be
             drained.
-        victim_accelerators: Of the victim.
+        victim_accelerators: Of the victim's VMs that would be left over.
+        victim_moves: Whether another domain has room for the victim.
         elsewhere: Whether another domain has room for the whole group.
         freed_groups: Groups that other models want and that its healthy VMs
             would form.
@@ -160,6 +161,7 @@
     donor: BrokenGroup | None = None
     victim: bool = False
     victim_accelerators: int = 0
+    victim_moves: bool = False
     elsewhere: bool = False
     freed_groups: int = 0
     freed_accelerators: int = 0
@@ -285,13 +287,17 @@
         return gain > _MARGIN * self.rank(means.donor) * later_s
 
     def _take_pays(self, group: BrokenGroup, means: RepairMeans, wait_s: float) -> bool:
-        if not means.victim or not group.guaranteed:
+        if not means.victim or not (means.victim_moves or group.guaranteed):
+            # One group down in place of another gains too little to load
+            # both anew.
             return False
         if self._waits_on(group, means.load_s):
             return False
         gain = self.rank(group) * (wait_s - means.load_s)
         idle = self._weights.stranded_accelerators * means.victim_accelerators
-        loss = (self._weights.group_downtime + idle) * (wait_s + means.whole_load_s)
+        # The victim forms again elsewhere, or when the missing VM is back.
+        down_s = means.whole_load_s + (0.0 if means.victim_moves else wait_s)
+        loss = self._weights.group_downtime * down_s + idle * wait_s
         return gain > _MARGIN * loss
 
     def _dissolve_pays(
--- a/src/zinniaspool/core/groups/succession.py
+++ b/src/zinniaspool/core/groups/succession.py
@@ -16,10 +16,19 @@
 __all__ = ["Duty", "Succession", "SuccessionLimits", "rank_process"]
 
 
+_STANDBYS = 2
+"""The first places in the order; the holder mostly has one of them."""
+
+
 class Duty(Enum):
     """What a process does for a domain whose lease it does not hold."""
 
     NONE = "none"
+
+    STANDBY = "standby"
+    """Ask the engines and say nothing, so as to know their reports in the
+    moment in which the holder falls silent."""
+
     WITNESS = "witness"
     """Ask the engines and pass on what they report; change nothing. Needs no
     lease: evidence is of use from whoever gives it, and while the store is
@@ -41,10 +50,10 @@
         stagger_s: Added for each place in the order.
     """
 
-    witness_after_s: float = 1.2
+    witness_after_s: float = 0.9
     take_after_s: float = 3.0
     start_s: float = 0.3
-    stagger_s: float = 0.3
+    stagger_s: float = 0.1
 
 
 def rank_process(node: NodeId, nodes: Iterable[NodeId], domain: FabricDomainId) -> int:
@@ -101,7 +110,9 @@
         if now >= max(self._take_from() + stagger_s, self._tried_at + self._retry_s):
             return Duty.TAKE
         self._witnesses = self._is_witness(rank, now - stagger_s)
-        return Duty.WITNESS if self._witnesses else Duty.NONE
+        if self._witnesses:
+            return Duty.WITNESS
+        return Duty.STANDBY if rank < _STANDBYS else Duty.NONE
 
     def _is_witness(self, rank: int, now: float) -> bool:
         heard_at = self.began_at if self._heard_at is None else self._heard_at
