--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -17,7 +17,7 @@
 from zinniaspool.core.membership import MemberState, Notice, Topic
 from zinniaspool.core.messages import Hello, Message
 from zinniaspool.core.plans import VmListState
-from zinniaspool.node import ConfigurationFollower, NodeFrame, run_program
+from zinniaspool.node import NodeFrame, run_program
 from zinniaspool.platform import fetch_vm_list
 from zinniaspool.settings import ControlSettings
 
@@ -44,10 +44,9 @@
         await self._frame.start(self._handle_message)
         self._frame.operators.add_section("groups", self._describe)
         self._frame.board.subscribe(Topic.GROUPS, self._take_notice)
-        follower = ConfigurationFollower(self._frame.store, self._configure)
         async with asyncio.TaskGroup() as tasks:
             running = [
-                tasks.create_task(follower.run()),
+                tasks.create_task(self._frame.follow(self._configure)),
                 tasks.create_task(self._follow_vm_list()),
             ]
             await self._frame.stopping.wait()
--- a/src/zinniaspool/core/groups/__init__.py
+++ b/src/zinniaspool/core/groups/__init__.py
@@ -9,7 +9,12 @@
     allocate_fleet,
     is_kept,
 )
-from zinniaspool.core.groups.evidence import EvidenceBook, ServingGroup
+from zinniaspool.core.groups.evidence import (
+    DomainEvidence,
+    EvidenceBook,
+    GroupEvidence,
+    ServingGroup,
+)
 from zinniaspool.core.groups.holder import (
     FleetKnowledge,
     Holder,
@@ -45,11 +50,13 @@
     "Allocation",
     "BrokenGroup",
     "ChangeKind",
+    "DomainEvidence",
     "DomainInput",
     "EvidenceBook",
     "ExpectedCost",
     "FleetIndex",
     "FleetKnowledge",
+    "GroupEvidence",
     "Holder",
     "HolderLimits",
     "IdleReason",
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+from zinniaspool.core.configuration.messages import (
+    ConfigurationAnswer,
+    ConfigurationAsk,
+)
 from zinniaspool.core.errors import ErrorKind
 from zinniaspool.core.ids import (
     Address,
@@ -123,4 +127,6 @@
 
 Forwarded = ForwardedCall | ForwardedAnswer
 
-Message = Hello | Accepted | Refused | Gossip | Forwarded
+Configured = ConfigurationAsk | ConfigurationAnswer
+
+Message = Hello | Accepted | Refused | Gossip | Configured | Forwarded
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -35,7 +35,7 @@
 from zinniaspool.entry.services import ServiceIndex
 from zinniaspool.entry.sinks import EndedCall
 from zinniaspool.http import HttpServer
-from zinniaspool.node import ConfigurationFollower, NodeFrame, run_program
+from zinniaspool.node import NodeFrame, run_program
 from zinniaspool.settings import EntrySettings
 
 __all__ = ["EntryProcess", "main"]
@@ -78,7 +78,9 @@
             self._once,
             self._load_credentials(),
             settings.default_deadline_s,
+            self._frame.metrics.observe_request,
         )
+        self._frame.operators.add_section("fleet", self._fleet.list_domains)
 
     async def run(self) -> None:
         """Run until the process is told to stop."""
@@ -91,12 +93,16 @@
             refuse=refuse_request,
             tls=tls.server if tls else None,
         )
+        self._frame.metrics.add_gauge(
+            "zinniaspool_caller_connections",
+            "Connections of callers that are open.",
+            lambda: server.connections,
+        )
         bound = await server.listen(Address(self._settings.caller_address))
         _log.info("callers-listening", address=bound)
-        follower = ConfigurationFollower(self._frame.store, self._configure)
         async with asyncio.TaskGroup() as tasks:
             running = [
-                tasks.create_task(follower.run()),
+                tasks.create_task(self._frame.follow(self._configure)),
                 tasks.create_task(self._once.run()),
                 tasks.create_task(self._duties.run()),
             ]
