--- a/benchmarks/groups/replay.py
+++ b/benchmarks/groups/replay.py
@@ -151,6 +151,16 @@
         )
         self._accelerators = configuration.inventory.vms[0].accelerators
 
+    @property
+    def plans(self) -> list[DomainPlan]:
+        """The domains' plans."""
+        return [domain.plan for domain in self._domains.values()]
+
+    @property
+    def reports(self) -> dict[VmId, EngineReport]:
+        """What each VM's engine reports."""
+        return self._reports
+
     def use(self, policy: RepairPolicy) -> None:
         """Choose by another policy, from the start."""
         self._policy = policy
--- a/src/zinniaspool/core/groups/repair.py
+++ b/src/zinniaspool/core/groups/repair.py
@@ -291,14 +291,16 @@
             # One group down in place of another gains too little to load
             # both anew.
             return False
-        if self._waits_on(group, means.load_s):
+        # What goes on for as long as the VM is missing, and what is lost once.
+        lasting = self._weights.stranded_accelerators * means.victim_accelerators
+        if not means.victim_moves:
+            lasting += self._weights.group_downtime
+        once = self._weights.group_downtime * means.whole_load_s
+        saved = self.rank(group) - _MARGIN * lasting
+        if saved <= 0:
             return False
-        gain = self.rank(group) * (wait_s - means.load_s)
-        idle = self._weights.stranded_accelerators * means.victim_accelerators
-        # The victim forms again elsewhere, or when the missing VM is back.
-        down_s = means.whole_load_s + (0.0 if means.victim_moves else wait_s)
-        loss = self._weights.group_downtime * down_s + idle * wait_s
-        return gain > _MARGIN * loss
+        lost_s = means.load_s + (once + lasting * means.load_s) / saved
+        return wait_s > _MARGIN * lost_s and not self._waits_on(group, lost_s)
 
     def _dissolve_pays(
         self, group: BrokenGroup, means: RepairMeans, wait_s: float
--- /dev/null
+++ b/tests/test_explanations.py
@@ -0,0 +1,85 @@
+"""What operators of one customer see names no other customer."""
+
+import msgspec
+
+from zinniaspool.core.explanations import merge_decisions, restrict_decisions
+from zinniaspool.core.groups.accounting import Measures
+from zinniaspool.core.groups.descriptions import (
+    DomainDescription,
+    GroupDescription,
+    IdleDescription,
+    ShortfallDescription,
+    restrict_domain,
+)
+from zinniaspool.core.ids import (
+    CustomerId,
+    Epoch,
+    FabricDomainId,
+    GroupId,
+    ModelName,
+    ModelVersion,
+    VmId,
+)
+from zinniaspool.core.journal import Decision, DecisionKind
+
+_OWN, _RIVAL = CustomerId("care"), CustomerId("rival")
+
+
+def _decide(at: float, number: int, customers: str) -> Decision:
+    return Decision(
+        at,
+        number,
+        DecisionKind.GROUP_FORMED,
+        ("group:g1", "group:rival-g2", "model:rival-model"),
+        "guaranteed 1 groups, has 0",
+        {"customers": customers} if customers else {},
+    )
+
+
+def test_decisions_of_several_processes_stand_in_order() -> None:
+    found = merge_decisions(
+        [[_decide(1.0, 1, ""), _decide(3.0, 2, "")], [_decide(2.0, 9, "")]]
+    )
+    assert [decision.at for decision in found] == [1.0, 2.0, 3.0]
+
+
+def test_decisions_show_nothing_of_rivals() -> None:
+    """A shared group's decision stays without the rival; others go."""
+    shared, foreign = _decide(1.0, 1, "care,rival"), _decide(2.0, 2, "rival")
+    unnamed = _decide(3.0, 3, "")
+    seen = restrict_decisions([shared, foreign, unnamed], _OWN, "group:g1")
+    assert len(seen) == 1
+    assert b"rival" not in msgspec.json.encode(seen)
+
+
+def test_a_domain_shows_nothing_of_rivals() -> None:
+    def group(name: str, *customers: CustomerId) -> GroupDescription:
+        return GroupDescription(
+            GroupId(name),
+            ModelName("m"),
+            ModelVersion("1"),
+            customers,
+            (VmId("vm1"),),
+            Epoch(1),
+            "serving",
+            True,
+            (),
+        )
+
+    domain = DomainDescription(
+        FabricDomainId("d0"),
+        True,
+        Epoch(1),
+        (group("g1", _OWN, _RIVAL), group("rival-g2", _RIVAL)),
+        (
+            IdleDescription(VmId("vm2"), _OWN, "too-few"),
+            IdleDescription(VmId("rival-vm"), _RIVAL, "too-few"),
+        ),
+        (ShortfallDescription(ModelName("rival-model"), (_RIVAL,), "wanted", ""),),
+        Measures(downtime_s=5.0),
+    )
+    seen = restrict_domain(domain, _OWN)
+    assert b"rival" not in msgspec.json.encode(seen)
+    assert [found.id for found in seen.groups] == ["g1"]
+    assert [found.vm for found in seen.idle] == ["vm2"]
+    assert seen.measures == Measures()
