--- a/src/zinniaspool/core/groups/evidence.py
+++ b/src/zinniaspool/core/groups/evidence.py
@@ -12,7 +12,7 @@
 from zinniaspool.core.ids import FabricDomainId, GroupId
 from zinniaspool.core.plans import DomainPlan, GroupPlan, GroupStage
 
-__all__ = ["DomainEvidence", "EvidenceBook", "ServingGroup"]
+__all__ = ["DomainEvidence", "EvidenceBook", "GroupEvidence", "ServingGroup"]
 
 _WINDOW_S = 300.0
 _MS = 1000
@@ -36,12 +36,29 @@
     waiting: int
 
 
+@dataclass(frozen=True, slots=True)
+class GroupEvidence:
+    """What is known of one group, for operators.
+
+    Attributes:
+        group: Which.
+        age_s: Of its oldest member report; None when nothing was heard.
+        matches: Whether the members reported just this group.
+        serves: Whether it may be sent requests.
+    """
+
+    group: GroupId
+    age_s: float | None
+    matches: bool
+    serves: bool
+
+
 @dataclass(frozen=True, slots=True)
 class DomainEvidence:
-    """A domain as it is known here, for the state dump."""
+    """A domain's plan and what is known of its groups."""
 
     plan: DomainPlan
-    serving: tuple[ServingGroup, ...]
+    groups: tuple[GroupEvidence, ...]
 
 
 @dataclass(slots=True)
@@ -150,23 +167,31 @@
             if now >= clock.window_began + 2 * _WINDOW_S:
                 del self._clocks[source]
 
-    def find_serving(self, now: float) -> Iterator[ServingGroup]:
-        """Yield the groups whose every VM freshly reports this very group."""
-        for domain in self._domains.values():
-            yield from self._find_serving(domain, now)
-
     def describe(self, now: float) -> list[DomainEvidence]:
-        """Return each domain's plan and which of its groups serve."""
+        """Return all that is known, by domain."""
         return [
-            DomainEvidence(domain.plan, tuple(self._find_serving(domain, now)))
-            for domain in self._domains.values()
+            DomainEvidence(
+                domain.plan,
+                tuple(self._describe(domain, g, now) for g in domain.plan.groups),
+            )
+            for _, domain in sorted(self._domains.items())
         ]
 
-    def _find_serving(self, domain: _Domain, now: float) -> Iterator[ServingGroup]:
-        for group in domain.plan.groups:
-            found = self._judge(domain, group, now)
-            if found is not None:
-                yield found
+    def _describe(self, domain: _Domain, group: GroupPlan, now: float) -> GroupEvidence:
+        found = domain.evidence.get(group.id)
+        serves = self._judge(domain, group, now) is not None
+        if found is None:
+            return GroupEvidence(group.id, None, False, serves)
+        matches = found.beat.digest == domain.expected[group.id]
+        return GroupEvidence(group.id, now - found.made_at, matches, serves)
+
+    def find_serving(self, now: float) -> Iterator[ServingGroup]:
+        """Yield the groups whose every VM freshly reports this very group."""
+        for domain in self._domains.values():
+            for group in domain.plan.groups:
+                found = self._judge(domain, group, now)
+                if found is not None:
+                    yield found
 
     def _judge(
         self, domain: _Domain, group: GroupPlan, now: float
--- a/src/zinniaspool/entry/fleet.py
+++ b/src/zinniaspool/entry/fleet.py
@@ -1,12 +1,13 @@
 """What an entry process knows of the fleet's upstreams."""
 
+import asyncio
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 import msgspec
 
 from zinniaspool.core.deployment import Configuration, ModelRule, Vm
-from zinniaspool.core.groups import EvidenceBook
+from zinniaspool.core.groups import DomainEvidence, EvidenceBook
 from zinniaspool.core.groups.beats import (
     BEAT_PREFIX,
     PLAN_PREFIX,
@@ -60,6 +61,10 @@
         self._vms = {vm.id: vm for vm in configuration.inventory.vms}
         self._models = {model.name: model for model in configuration.rules.models}
 
+    def list_domains(self) -> list[DomainEvidence]:
+        """Return each domain's plan and what is known of its groups."""
+        return self.evidence.describe(asyncio.get_running_loop().time())
+
     def take_notice(self, notice: Notice, now: float) -> None:
         """Take a domain's plan, or the evidence that its groups are whole."""
         try:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -86,6 +86,7 @@
     own_stores: bool = False,
     spread: bool = False,
     groups: int = 2,
+    control_settings: dict[str, Any] | None = None,
 ) -> Iterator[Fleet]:
     """Run the platform, engines, a service, entry and control processes.
 
@@ -114,6 +115,7 @@
             controls,
             CREDENTIALS,
             entry=settings or {},
+            control=control_settings or {},
             stores=stores if own_stores else (),
         )
         start_nodes(fleet, layout)
