--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -82,7 +82,7 @@
             settings.default_deadline_s,
             self._frame.metrics.observe_request,
         )
-        self._frame.operators.add_section("fleet", self._describe_fleet)
+        self._frame.operators.add_section("fleet", self._fleet.list_domains)
 
         self._frame.operators.add_section(
             "requests", lambda: dump_requests(self._index, self._gate, self._once)
@@ -120,9 +120,6 @@
         _log.info("drained", cut=cut)
         self._frame.close()
 
-    def _describe_fleet(self) -> object:
-        return self._fleet.evidence.describe(asyncio.get_running_loop().time())
-
     async def _leave(self, server: HttpServer) -> int:
         """Serve while callers may come, then until the last request ends.
 
