Merge broken groups only for a guarantee; rank processes seldom

Each domain ranked all control processes four times a second; the ranks are kept until other processes are known.

--- a/src/zinniaspool/control/domain.py
+++ b/src/zinniaspool/control/domain.py
@@ -12,6 +12,7 @@
 from zinniaspool.control.fleet import FleetBook
 from zinniaspool.control.leases import DomainStore
 from zinniaspool.control.notes import DomainNotes
+from zinniaspool.control.ranks import ControlRanks
 from zinniaspool.core.groups import FleetIndex, Holder, HolderLimits, Proposal
 from zinniaspool.core.groups.beats import (
     BEAT_PREFIX,
@@ -25,12 +26,11 @@
     Duty,
     Succession,
     SuccessionLimits,
-    rank_process,
 )
 from zinniaspool.core.groups.tenure import TenureLimits
 from zinniaspool.core.groups.tracking import TrackingLimits
 from zinniaspool.core.ids import Address, FabricDomainId, NodeId, VmId
-from zinniaspool.core.membership import MemberState, Role, Topic
+from zinniaspool.core.membership import Topic
 from zinniaspool.core.plans import EngineReport, Order
 from zinniaspool.node import NodeFrame
 from zinniaspool.settings import ControlSettings
@@ -66,6 +66,7 @@
         frame: The process's frame.
         settings: The process's settings.
         fleet: What is known of all domains.
+        ranks: The order of control processes.
     """
 
     def __init__(
@@ -74,11 +75,13 @@
         frame: NodeFrame,
         settings: ControlSettings,
         fleet: FleetBook,
+        ranks: ControlRanks,
     ) -> None:
         self.domain = domain
         self._frame = frame
         self._settings = settings
         self._fleet = fleet
+        self._ranks = ranks
         limits = _make_limits(settings)
         self.holder = Holder(domain, limits)
         self._store = DomainStore(frame.store, domain, frame.node, settings.lease_s)
@@ -109,7 +112,7 @@
         if beat.source == self._source:
             return
         sender = NodeId(beat.source.rpartition("@")[0])
-        rank = rank_process(sender, self._list_controls(), self.domain)
+        rank = self._ranks.rank(sender, self.domain)
         self._succession.hear(beat.holds, beat.ends, rank, self._now)
 
     def note_leaving(self, leaving: Collection[VmId]) -> None:
@@ -167,7 +170,7 @@
             self._publish_beat()
 
     def _choose_duty(self) -> None:
-        rank = rank_process(self._frame.node, self._list_controls(), self.domain)
+        rank = self._ranks.rank(self._frame.node, self.domain)
         duty = self._succession.decide(rank, self._now)
         if duty is Duty.TAKE and self._trying is None:
             self._succession.note_try(self._now)
@@ -304,14 +307,6 @@
             self._settings.report_stale_s * 2,
         )
 
-    def _list_controls(self) -> list[NodeId]:
-        return [
-            member.node
-            for member in self._frame.members()
-            if member.role is Role.CONTROL
-            and member.state in (MemberState.STARTING, MemberState.READY)
-        ]
-
 
 def _make_limits(settings: ControlSettings) -> HolderLimits:
     return HolderLimits(
--- a/src/zinniaspool/control/fleet.py
+++ b/src/zinniaspool/control/fleet.py
@@ -56,7 +56,7 @@
             if not notice.key.startswith(BEAT_PREFIX):
                 return None
             beat = decode_beat(notice.payload)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, UnicodeDecodeError):
             return None
         now = asyncio.get_running_loop().time()
         self._evidence.take_beat(beat, notice.age_s, now)
--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -10,6 +10,7 @@
 
 from zinniaspool.control.domain import DomainKeeper
 from zinniaspool.control.fleet import FleetBook
+from zinniaspool.control.ranks import ControlRanks
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.groups import FleetIndex
 from zinniaspool.core.groups.descriptions import describe_groups
@@ -34,6 +35,7 @@
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
         self._frame = NodeFrame(settings)
+        self._ranks = ControlRanks(self._frame)
         self._fleet = FleetBook(settings.report_stale_s)
         self._keepers: dict[FabricDomainId, DomainKeeper] = {}
         self._running: dict[FabricDomainId, asyncio.Task[None]] = {}
@@ -77,7 +79,9 @@
             keeper.configure(self._index)
 
     def _keep(self, domain: FabricDomainId) -> None:
-        keeper = DomainKeeper(domain, self._frame, self._settings, self._fleet)
+        keeper = DomainKeeper(
+            domain, self._frame, self._settings, self._fleet, self._ranks
+        )
         self._keepers[domain] = keeper
         self._running[domain] = asyncio.create_task(self._run_keeper(keeper))
 
--- a/src/zinniaspool/core/groups/repair.py
+++ b/src/zinniaspool/core/groups/repair.py
@@ -278,7 +278,11 @@
     def _merge_pays(
         self, group: BrokenGroup, means: RepairMeans, wait_s: float
     ) -> bool:
-        if means.donor is None or self._waits_on(group, means.load_s):
+        if means.donor is None or not group.guaranteed:
+            # The donor's group then waits for two VMs of one domain at once;
+            # replays lost more by that than the merge gained.
+            return False
+        if self._waits_on(group, means.load_s):
             return False
         donor_wait_s = self._expect_wait(means.donor)
         gain = self.rank(group) * (wait_s - means.load_s)
--- a/src/zinniaspool/entry/fleet.py
+++ b/src/zinniaspool/entry/fleet.py
@@ -73,7 +73,7 @@
             elif notice.key.startswith(BEAT_PREFIX):
                 beat = decode_beat(notice.payload)
                 self.evidence.take_beat(beat, notice.age_s, now)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, UnicodeDecodeError):
             # Of a version not known here: its groups count as absent.
             return
 
