--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -8,6 +8,7 @@
 LOG_EVENTS: Mapping[str, str] = MappingProxyType(
     {
         "answer-foreign": "An upstream's answer named another request; dropped.",
+        "answers-not-left": "A leaving process could not write its answers down.",
         "brownout": "The process sheds more or fewer of the less urgent requests.",
         "claims-unreadable": "A value of claims in the store has another form.",
         "keyed-call-failed": "A fault of this process ended a keyed call.",
@@ -35,6 +36,7 @@
         "peer-dropped": "A peer's connection broke the protocol or was lost.",
         "peer-handler-failed": "A fault of the program in one peer's message; its "
         "connection was closed.",
+        "message-unknown": "A peer of a newer version sent a message unknown here.",
         "peer-refused": "A peer showed a wrong secret or an unknown version.",
         "peer-unreachable": "A peer could not be reached or did not answer.",
         "peers-listening": "The peers' address is open.",
