--- a/tests/processes.py
+++ b/tests/processes.py
@@ -81,12 +81,12 @@
     engine_options: tuple[str, ...] = (),
     service_options: tuple[str, ...] = (),
     settings: dict[str, Any] | None = None,
+    control_settings: dict[str, Any] | None = None,
     services: int = 1,
     link_services: bool = False,
     own_stores: bool = False,
     spread: bool = False,
     groups: int = 2,
-    control_settings: dict[str, Any] | None = None,
 ) -> Iterator[Fleet]:
     """Run the platform, engines, a service, entry and control processes.
 
