--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -17,23 +17,25 @@
         "credentials-changed": "A credential file changed and is in use.",
         "credentials-unreadable": "A changed credential file is not usable; the "
         "credentials in use stay.",
-        "domain-held": "This process took a fabric domain's lease.",
         "drained": "The last request ended, or was cut when the time was up.",
         "drain-asked": "An operator asked the process to leave.",
         "dump-unwritten": "A state dump could not be written.",
         "dump-written": "A state dump was written, as a signal asked.",
-        "group-planned": "A plan with this group was accepted.",
         "handler-failed": "A fault of the program in one request; its connection "
         "was cut.",
         "library-message": "A library warned of something.",
         "notice-unreadable": "A notice of a peer could not be used; dropped.",
+        "keeper-failed": "A fault of the program in one domain's care; the "
+        "process stops.",
         "operators-listening": "The operators' address is open.",
         "operator-refused": "An operator's request had no accepted credential.",
-        "order-sent": "An engine answered an order.",
         "order-unanswered": "An engine did not answer an order.",
+        "plan-not-swapped": "The store did not take a plan; it is read again.",
+        "plan-unreadable": "The store holds what is no plan.",
         "peer-dropped": "A peer's connection broke the protocol or was lost.",
         "peer-handler-failed": "A fault of the program in one peer's message; its "
         "connection was closed.",
+        "message-unknown": "A peer of a newer version sent a message unknown here.",
         "peer-refused": "A peer showed a wrong secret or an unknown version.",
         "peer-unreachable": "A peer could not be reached or did not answer.",
         "peers-listening": "The peers' address is open.",
