--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -45,7 +45,7 @@
 def _write_files(fleet: Fleet, name: str, slots: int) -> tuple[str, str]:
     engines = {f"vm{k}": fleet.addresses[f"vm{k}"] for k in range(4)}
     inventory = make_inventory(engines, ("domain0",))
-    rules = make_rules(fleet.addresses["service"], slots_per_group=slots)
+    rules = make_rules([fleet.addresses["service0"]], slots_per_group=slots)
     return (
         fleet.write(f"{name}-inventory.json", inventory),
         fleet.write(f"{name}-rules.json", rules),
