--- a/src/zinniaspool/core/membership/notices.py
+++ b/src/zinniaspool/core/membership/notices.py
@@ -10,11 +10,14 @@
 __all__ = ["Notice", "NoticeTable", "Topic"]
 
 MOST_PAYLOAD_BYTES = 64 * 1024
-_OVERHEAD_BYTES = 24
+_OVERHEAD_BYTES = 34
 """About what msgpack adds to a notice's key and payload on the wire."""
 
+_RESERVE_BYTES = 256
 _PUSHES = 1
 _EXCHANGES = 4
+_EXCHANGES_OF_FREQUENT = 1
+"""For topics whose next version comes within seconds and repairs a loss."""
 
 
 class Topic(Enum):
@@ -27,6 +30,9 @@
     LIMITS = 5
 
 
+_FREQUENT = (Topic.GROUPS, Topic.LIMITS)
+
+
 @dataclass(frozen=True, slots=True)
 class Notice:
     """One value as a subscriber gets it.
@@ -128,7 +134,7 @@
             now - age_s,
             notice.lifetime_s,
             _PUSHES,
-            _EXCHANGES,
+            _EXCHANGES_OF_FREQUENT if topic in _FREQUENT else _EXCHANGES,
         )
         self._entries[name] = entry
         self._hot.pop(name, None)
@@ -161,11 +167,20 @@
             self._hot.pop(entry.name, None)
         return [_read(entry, now) for entry in ended]
 
-    def take_pushes(self, budget_bytes: int, now: float) -> list[WireNotice]:
-        """Return what is to be pushed now, most urgent topic first."""
-        chosen = list(
-            self._choose(budget_bytes, (e for e in self._hot.values() if e.pushes_left))
-        )
+    def take_pushes(
+        self, budget_bytes: int, now: float, *, all_topics: bool = True
+    ) -> list[WireNotice]:
+        """Return what is to be pushed now, most urgent topic first.
+
+        Args:
+            budget_bytes: Most bytes of notices.
+            now: Seconds.
+            all_topics: Whether those of ``Topic.LIMITS`` are among them.
+        """
+        due = [entry for entry in self._hot.values() if entry.pushes_left]
+        if not all_topics:
+            due = [entry for entry in due if entry.name.topic is not Topic.LIMITS]
+        chosen = list(self._choose(budget_bytes, due))
         for entry in chosen:
             entry.pushes_left -= 1
         self._cool()
@@ -239,7 +254,11 @@
 
     def _choose(self, budget_bytes: int, entries: Iterable[_Entry]) -> Iterator[_Entry]:
         for entry in sorted(entries, key=lambda entry: entry.name.topic.value):
-            if entry.size <= budget_bytes:
+            # Digests of limits come all the time and would use up whatever
+            # there is: a change of configuration that comes between would
+            # have to wait at every hop.
+            kept = _RESERVE_BYTES if entry.name.topic is Topic.LIMITS else 0
+            if entry.size <= budget_bytes - kept:
                 budget_bytes -= entry.size
                 yield entry
 
--- a/src/zinniaspool/node/frame.py
+++ b/src/zinniaspool/node/frame.py
@@ -20,6 +20,7 @@
 )
 from zinniaspool.core.journal import DecisionKind, Journal
 from zinniaspool.core.membership import (
+    GossipLimits,
     Member,
     MemberRecord,
     MemberState,
@@ -33,7 +34,7 @@
 from zinniaspool.node.lag import MemberRevision, ask_revisions
 from zinniaspool.node.operators import OperatorInterface
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
-from zinniaspool.platform import HttpStore
+from zinniaspool.platform import BudgetedStore, CallKind, HttpStore
 from zinniaspool.settings import EntrySettings, NodeSettings
 from zinniaspool.telemetry import Metrics
 
@@ -54,6 +55,8 @@
     stopping: bool
     tasks: int
     decisions: dict[DecisionKind, int]
+    store_calls: dict[CallKind, int]
+    store_calls_refused: int
 
 
 class NodeFrame:
@@ -67,8 +70,9 @@
         self.node = NodeId(settings.node)
         self.incarnation = Incarnation(time.time_ns() // 1_000_000)
         self.http = HttpClient()
-        self.store = HttpStore(
-            self.http, tuple(Address(a) for a in settings.store_addresses)
+        addresses = tuple(Address(a) for a in settings.store_addresses)
+        self.store = BudgetedStore(
+            HttpStore(self.http, addresses), settings.store_calls_per_s
         )
         self.access = Access(settings)
         peer_tls = self.access.peer_tls
@@ -88,6 +92,7 @@
             _describe(settings, self.incarnation),
             tuple(Address(seed) for seed in settings.seeds),
             self.links,
+            GossipLimits(bytes_per_s=settings.gossip_bytes_per_s),
         )
         self._settings = settings
         self._tasks: list[asyncio.Task[None]] = []
@@ -154,7 +159,7 @@
 
     def members(self) -> list[Member]:
         """Return the fleet's processes as known here, by name."""
-        return self.board.members()
+        return list(self.board.members())
 
     def decide(
         self, kind: DecisionKind, subjects: tuple[str, ...], reason: str, **fields: str
@@ -215,6 +220,8 @@
             self.stopping.is_set(),
             len(asyncio.all_tasks()),
             dict(self.journal.counts),
+            dict(self.store.calls),
+            self.store.limited,
         )
 
     def _write_dump(self) -> None:
