--- a/src/zinniaspool_standins/demo.py
+++ b/src/zinniaspool_standins/demo.py
@@ -17,6 +17,7 @@
 import typer
 
 from zinniaspool.core.ids import Address
+from zinniaspool.core.journal import DecisionKind
 from zinniaspool.http import HttpClient
 from zinniaspool_standins.callers import Caller, Mix, send_traffic
 from zinniaspool_standins.fleet import Fleet
@@ -90,7 +91,7 @@
                 "apply", *files, "--store", self._fleet.store
             )
             if applied.returncode == 0:
-                self.tell(applied.stdout.strip())
+                self.tell(applied.stdout.strip().splitlines()[-1])
                 return
             if time.monotonic() > ends:
                 raise TimeoutError(applied.stdout + applied.stderr)
@@ -130,6 +131,7 @@
     async def _break_group(self, wanted: list[SeenGroup]) -> None:
         victim = next(group for group in wanted if group.model == "advisory")
         vm = victim.vms[0]
+        killed_at = time.time()
         self._fleet.kill(vm)
         self.tell(f"killed {vm}, a VM of group {victim.id}")
         sizes = sorted(len(group.vms) for group in wanted)
@@ -138,8 +140,8 @@
         )
         outcome = "as many whole groups as before" if repaired else "not repaired yet"
         self.tell(outcome)
-        await self._show_decisions(f"vm:{vm}")
-        await self._show_decisions(f"group:{victim.id}")
+        await self._show_decisions(f"vm:{vm}", killed_at)
+        await self._show_decisions(f"group:{victim.id}", killed_at)
 
     async def _break_entry(self) -> None:
         entry = self._sample.entries[-1]
@@ -173,9 +175,11 @@
         self.tell(f"  in no group: {', '.join(idle) or 'none'}")
         return groups
 
-    async def _show_decisions(self, subject: str) -> None:
+    async def _show_decisions(self, subject: str, since: float) -> None:
         operators = list(self._fleet.operators.values())
         for decision in await find_decisions(self._http, operators, subject):
+            if decision.at < since or decision.kind is DecisionKind.ORDER_SENT:
+                continue
             at = time.strftime("%H:%M:%S", time.gmtime(decision.at))
             self.tell(f"  {subject} {at} {decision.kind.value}: {decision.reason}")
 
@@ -206,7 +210,11 @@
 def _show_commands(sample: SampleFleet) -> None:
     fleet, customer = sample.fleet, sample.customers[0]
     entry = fleet.addresses[sample.entries[0]]
-    control = fleet.operators[sample.controls[0]]
+    nodes = [
+        address
+        for node, address in fleet.operators.items()
+        if not fleet.has_ended(node)
+    ]
     show = f"-H 'Authorization: Bearer {customer.credential}'"
     body = '{"prompt": "how warm is it", "max_tokens": 8, "stream": true}'
     print("Still running; end it with Ctrl-C. To try, from this folder:")
@@ -217,9 +225,12 @@
     print(
         f"  curl {show} {key} -d '{{}}' http://{entry}/v1/services/{customer.service}"
     )
-    print(f"  curl 'http://{control}/explain?subject=vm:{sample.vms[0]}'")
-    print(f"  curl http://{control}/dump")
-    print(f"  .venv/bin/zinniaspool --help  # the store is {fleet.store}", flush=True)
+    tool = ".venv/bin/zinniaspool"
+    print(f'  export ZINNIASPOOL_NODES="{" ".join(nodes)}"')
+    print(f"  {tool} show")
+    print(f"  {tool} explain vm {sample.vms[0]}")
+    print(f"  {tool} dump")
+    print(f"  {tool} history --store {fleet.store}", flush=True)
 
 
 async def _run(sample: SampleFleet, keep: bool) -> bool:
@@ -237,10 +248,11 @@
 
 def _main(
     keep: Annotated[bool, typer.Option(help="Leave the fleet running.")] = False,
+    folder: Annotated[Path, typer.Option(help="Gets logs and records.")] = _FOLDER,
 ) -> None:
-    shutil.rmtree(_FOLDER, ignore_errors=True)
-    _FOLDER.mkdir()
-    fleet = Fleet(_FOLDER)
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir()
+    fleet = Fleet(folder)
     try:
         kept = asyncio.run(_run(start_sample(fleet, _SAMPLES), keep))
     except asyncio.CancelledError:
--- a/tests/failures.py
+++ b/tests/failures.py
@@ -129,6 +129,17 @@
         call.operation.asks.append(asked.ask)
         return asked.ask
 
+    async def ask_until_run(self, entry: str, call: WantedCall) -> Ask:
+        """Ask again, as callers may, while the answer is "not run"."""
+        asks: list[Ask] = []
+
+        async def look() -> bool:
+            asks.append(await self.ask(entry, call))
+            return asks[-1].ending is not Ending.NOT_RUN
+
+        await until_seen(look)
+        return asks[-1]
+
     async def begin(self, entry: str, call: WantedCall) -> "asyncio.Task[Ask]":
         """Ask, and wait until an upstream runs the call."""
         task = asyncio.create_task(self.ask(entry, call))
