Let short requests in again after many long ones

A customer whose requests had taken ten seconds had every later one with a shorter deadline refused, for ever: what is refused is never measured (trial: 0 of 200 half-second requests taken). The bound is now the least of the recent times, rising by a hundredth a request, and one in eight is let through. The wait is worked out from what requests take in place of the rate at which they end, which a pause had made look slow.

--- a/src/zinniaspool/core/requests/admission.py
+++ b/src/zinniaspool/core/requests/admission.py
@@ -13,11 +13,10 @@
 
 __all__ = ["Admission", "AdmissionLimits", "LineState", "Ticket", "TicketState"]
 
-_RATE_EVERY_S = 0.25
-_RATE_WEIGHT = 0.5
-_QUICK_STEP = 0.02
-_QUICK_PART = 0.1
-_LEAST_RATE = 0.1
+_MEAN_WEIGHT = 0.05
+_FIRST_MEAN_S = 1.0
+_LEAST_RISE = 1.01
+_TRIED_ONE_IN = 8
 _AFTER_GUARANTEES = 1e9
 
 
@@ -75,14 +74,16 @@
         waiting: Those that wait.
         limit: How many may have begun, but for what is lent.
         guaranteed: How many of those it can always have here.
-        rate: Requests that end in a second.
+        mean_s: What an answered request takes.
+        least_s: What the quickest of the recent ones took.
     """
 
     in_progress: int
     waiting: int
     limit: float
     guaranteed: float
-    rate: float
+    mean_s: float
+    least_s: float
 
 
 @dataclass(slots=True)
@@ -94,35 +95,44 @@
     limit: float = 0.0
     weight: int = 1
     guaranteed: float = 0.0
-    rate: float = 0.0
-    rated_at: float = 0.0
-    ended: int = 0
-    quick_s: float = 0.0
+    mean_s: float = 0.0
+    least_s: float = 0.0
+    too_short: int = 0
     queue: list[tuple[int, int, Ticket]] = field(default_factory=list)
 
     @property
     def over(self) -> float:
         return max(0.0, self.in_progress - self.limit)
 
-    def measure(self, took_s: float, now: float) -> None:
-        """Follow the rate at which requests end, and the quickest tenth."""
-        if not self.quick_s:
-            self.quick_s = took_s
-        step = _QUICK_PART if took_s > self.quick_s else _QUICK_PART - 1.0
-        self.quick_s *= 1.0 + _QUICK_STEP * step
-        self.ended += 1
-        passed = now - self.rated_at
-        if passed >= _RATE_EVERY_S:
-            measured = self.ended / passed
-            self.rate += (_RATE_WEIGHT if self.rate else 1.0) * (measured - self.rate)
-            self.rated_at, self.ended = now, 0
+    def measure(self, took_s: float) -> None:
+        """Follow what answered requests take."""
+        if not self.mean_s:
+            self.mean_s = self.least_s = took_s
+        self.mean_s += _MEAN_WEIGHT * (took_s - self.mean_s)
+        self.least_s = min(took_s, self.least_s * _LEAST_RISE)
+
+    def is_too_short(self, left_s: float) -> bool:
+        """Whether no request of late was answered in so short a time.
+
+        One in a few is let through all the same. Short requests that come
+        after many long ones would otherwise be refused for ever, since none
+        would be measured.
+        """
+        if left_s >= self.least_s:
+            return False
+        self.too_short += 1
+        return self.too_short % _TRIED_ONE_IN != 0
+
+    def estimate_wait(self, ahead: int) -> float:
+        """Return when so many requests before another one will have begun."""
+        return ahead * (self.mean_s or _FIRST_MEAN_S) / max(1, self.in_progress)
 
 
 class Admission:
     """Admits the requests for one service in one entry process.
 
     A refusal tells a customer about its own requests only: its queue, its
-    rate, its limit. Its Retry-After is worked out from nothing else, so that
+    times, its limit. Its Retry-After is worked out from nothing else, so that
     no answer shows how much of the fleet a rival uses.
 
     Args:
@@ -170,7 +180,8 @@
                 line.waiting,
                 line.limit,
                 line.guaranteed,
-                round(line.rate, 2),
+                round(line.mean_s, 3),
+                round(line.least_s, 3),
             )
             for customer, line in self._lines.items()
         }
@@ -181,7 +192,7 @@
         """Admit a request, let it wait, or refuse it at once."""
         line = self._get_line(customer)
         left_s = deadline - now
-        if line.quick_s and left_s < line.quick_s:
+        if line.is_too_short(left_s):
             return Fault(ErrorKind.DEADLINE_TOO_SHORT, retry_after=1)
         longest = min(self._limits.wait_s, self._limits.wait_part * left_s)
         ticket = Ticket(customer, urgency, TicketState.WAITING, now + longest)
@@ -191,7 +202,7 @@
         wait_s = self._estimate_wait(line, urgency)
         if line.waiting >= self._limits.most_waiting or wait_s > longest:
             return self._refuse(line)
-        if wait_s + line.quick_s > left_s:
+        if wait_s + line.least_s > left_s:
             return Fault(ErrorKind.DEADLINE_TOO_SHORT, retry_after=1)
         heapq.heappush(line.queue, (urgency, next(self._numbers), ticket))
         line.waiting += 1
@@ -221,7 +232,7 @@
         self.in_progress -= 1
         self._over += line.over - before
         if answered:
-            line.measure(now - ticket.began, now)
+            line.measure(now - ticket.began)
         return self._admit_waiting(now) if self._waiting else []
 
     def _get_line(self, customer: CustomerId) -> _Line:
@@ -274,13 +285,11 @@
         return found
 
     def _estimate_wait(self, line: _Line, urgency: int) -> float:
-        if not line.queue:
-            return 0.0
         ahead = sum(1 for waiting in line.queue if waiting[0] <= urgency)
-        return ahead / max(line.rate, _LEAST_RATE)
+        return line.estimate_wait(ahead)
 
     def _refuse(self, line: _Line) -> Fault:
-        wait_s = (line.waiting + 1) / max(line.rate, _LEAST_RATE)
+        wait_s = line.estimate_wait(line.waiting + 1)
         retry_after = min(self._limits.most_retry_after_s, max(1, ceil(wait_s)))
         within = line.in_progress < line.guaranteed
         kind = ErrorKind.OVERLOADED if within else ErrorKind.LIMIT_REACHED
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -135,6 +135,28 @@
     assert asked.kind is ErrorKind.DEADLINE_TOO_SHORT
 
 
+def test_short_requests_after_many_long_ones_are_taken_again() -> None:
+    """Callers with short deadlines are served though long work came before.
+
+    Hundreds of requests took ten seconds; now come some that take half a
+    second and have one. Nothing that is refused is ever measured.
+    """
+    admission = _admission({_A: 4.0})
+    now, taken = 0.0, 0
+    for _ in range(500):
+        ticket = admission.ask(_A, 3, now + 60.0, now)
+        assert isinstance(ticket, Ticket)
+        now += 10.0
+        admission.end(ticket, now, answered=True)
+    for _ in range(200):
+        ticket = admission.ask(_A, 3, now + 1.0, now)
+        if isinstance(ticket, Ticket):
+            taken += 1
+            now += 0.5
+            admission.end(ticket, now, answered=True)
+    assert taken > 150
+
+
 def test_a_refusal_says_nothing_of_other_customers() -> None:
     """One customer reads the same answers, whatever another one does."""
     answers = []
