Count every refusal again in the proof of a customer's share

Cause: refusals for want of an upstream had been left out of the count after one unexplained failure. They fall short of the promise like any other. Ruled out: shares.

--- a/tests/test_failures_fleet.py
+++ b/tests/test_failures_fleet.py
@@ -110,9 +110,7 @@
         found = await asyncio.gather(*(ask_within(k) for k in range(_SHARE - 1)))
         stopped.set()
         await asyncio.gather(*crowd)
-        # Want of an upstream with a fresh report, which a busy machine may
-        # cause, meets all customers alike and says nothing of their shares.
-        asks = [ask for one in found for ask in one if ask.detail != "no-upstream"]
+        asks = [ask for one in found for ask in one]
         refused = [ask for ask in asks if ask.ending is not Ending.WHOLE]
         assert len(refused) <= 0.02 * len(asks), refused
 
