Let no notice be passed over for smaller ones; plans before beats

Cause: the demo's entry processes found no upstream for ten seconds after groups served. A plan shared the beats' topic and, being larger than what the byte cap left at any moment, was passed over for beats each time. Ruled out: slow forming (groups served within 1.7 s), the store, the links; a cap ten times higher made it vanish, which hides the cause at scale.

--- a/src/zinniaspool/control/domain.py
+++ b/src/zinniaspool/control/domain.py
@@ -279,7 +279,7 @@
         last.plan_epoch, last.plan_at = plan.epoch, self._now
         self._fleet.take_plan(plan)
         self._frame.board.publish(
-            Topic.GROUPS,
+            Topic.PLANS,
             PLAN_PREFIX + self.domain,
             # Told again, the same plan needs a greater version to live on.
             (plan.epoch << _CLOCK_BITS) | int(time.time()),
--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -45,7 +45,8 @@
         """Run until the process is told to stop."""
         await self._frame.start(self._handle_message)
         self._frame.operators.add_section("groups", self._describe)
-        self._frame.board.subscribe(Topic.GROUPS, self._take_notice)
+        for topic in (Topic.PLANS, Topic.GROUPS):
+            self._frame.board.subscribe(topic, self._take_notice)
         async with asyncio.TaskGroup() as tasks:
             running = [
                 tasks.create_task(self._frame.follow(self._configure)),
--- a/src/zinniaspool/core/membership/notices.py
+++ b/src/zinniaspool/core/membership/notices.py
@@ -26,8 +26,9 @@
     CONFIGURATION = 1
     LEAVING = 2
     MEMBERS = 3
-    GROUPS = 4
-    LIMITS = 5
+    PLANS = 4
+    GROUPS = 5
+    LIMITS = 6
 
 
 _FREQUENT = (Topic.GROUPS, Topic.LIMITS)
@@ -254,13 +255,20 @@
 
     def _choose(self, budget_bytes: int, entries: Iterable[_Entry]) -> Iterator[_Entry]:
         for entry in sorted(entries, key=lambda entry: entry.name.topic.value):
-            # Digests of limits come all the time and would use up whatever
-            # there is: a change of configuration that comes between would
-            # have to wait at every hop.
-            kept = _RESERVE_BYTES if entry.name.topic is Topic.LIMITS else 0
-            if entry.size <= budget_bytes - kept:
-                budget_bytes -= entry.size
-                yield entry
+            # A notice larger than what is left goes out all the same, and
+            # what it overdraws is saved up before the next. Passing over it
+            # would let smaller ones of less urgent topics use up the budget
+            # each time: a plan would never leave beside a stream of beats.
+            least = 1
+            if entry.name.topic is Topic.LIMITS:
+                # Digests of limits come all the time and would use up
+                # whatever there is: a change of configuration that comes
+                # between would have to wait at every hop.
+                least = entry.size + _RESERVE_BYTES
+            if budget_bytes < least:
+                return
+            budget_bytes -= entry.size
+            yield entry
 
     def _cool(self) -> None:
         for name in [
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -92,7 +92,8 @@
         """Run until the process is told to stop."""
         await self._frame.start(self._handle_message)
         self._duties.start()
-        self._frame.board.subscribe(Topic.GROUPS, self._take_notice)
+        for topic in (Topic.PLANS, Topic.GROUPS):
+            self._frame.board.subscribe(topic, self._take_notice)
         tls = self._caller_tls
         server = HttpServer(
             self._callers.handle,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -320,3 +320,31 @@
     assert many_bytes <= 1.2 * few_bytes
     assert many_messages <= 1.1 * few_messages
     assert spreads[1] <= 4.0 * max(spreads[0], 0.5)
+
+
+@pytest.mark.parametrize("seed", [1, 5, 7])
+def test_a_plan_passes_a_stream_of_smaller_notices(seed: int) -> None:
+    """Callers find no upstream where a group has just been formed.
+
+    Beats use up the bytes that may be sent, again and again. A plan is larger
+    than what they leave at any time, so it would wait behind all of them.
+    """
+    net = GossipNet(seed)
+    for k in range(16):
+        net.start(f"n{k}", _SEEDS)
+    net.run(_KNOWN_S)
+    first = net.machines[NodeId("n0")]
+
+    def publish_beats(version: int) -> None:
+        for k in range(6):
+            net.machines[NodeId(f"n{k}")].publish(
+                Topic.GROUPS, f"beat/{k}", version, b"x" * 150, 4.0, net.now
+            )
+        net.run(0.5)
+
+    for version in range(1, 11):
+        publish_beats(version)
+    first.publish(Topic.PLANS, "plan", 1, b"p" * 700, 3600.0, net.now)
+    for version in range(11, 71):
+        publish_beats(version)
+    assert _find_payloads(net, "plan", Topic.PLANS) == [b"p" * 700] * 16
