Name weights by what they put first; add planning to the capacity page

The benchmark's constants were named after deployments. Proofs are listed in docs/proofs.md, and a test checks that each test named there exists.

--- a/benchmarks/beats.py
+++ b/benchmarks/beats.py
@@ -10,7 +10,7 @@
 
 from benchmarks.groups.histories import FleetSize, make_fleet
 from benchmarks.groups.replay import Replay
-from benchmarks.repair import LANTERN
+from benchmarks.repair import DOWNTIME_FIRST
 from zinniaspool.core.groups import ExpectedCost, SeenReport
 from zinniaspool.core.groups.beats import encode_beat, encode_plan, make_beat
 
@@ -43,8 +43,8 @@
 
 def measure_evidence(size: FleetSize) -> EvidenceCost:
     """Return what evidence costs when all groups serve."""
-    fleet = make_fleet(size, LANTERN)
-    replay = Replay(fleet.configuration, ExpectedCost(LANTERN))
+    fleet = make_fleet(size, DOWNTIME_FIRST)
+    replay = Replay(fleet.configuration, ExpectedCost(DOWNTIME_FIRST))
     replay.run([], 0.1)
     seen = {vm: SeenReport(report, 0.0) for vm, report in replay.reports.items()}
     beats = [make_beat(p, seen, "control-00@1796500000000", 9.9) for p in replay.plans]
--- a/benchmarks/repair.py
+++ b/benchmarks/repair.py
@@ -25,8 +25,8 @@
 from zinniaspool.core.ids import VmId
 
 __all__ = [
-    "ASSOCIATION",
-    "LANTERN",
+    "STRANDED_FIRST",
+    "DOWNTIME_FIRST",
     "Comparison",
     "PlannerWork",
     "compare",
@@ -34,10 +34,10 @@
     "measure_planner",
 ]
 
-LANTERN = RepairWeights(group_downtime=1.0, stranded_accelerators=0.005)
+DOWNTIME_FIRST = RepairWeights(group_downtime=1.0, stranded_accelerators=0.005)
 """A deployment that weighs group downtime more."""
 
-ASSOCIATION = RepairWeights(group_downtime=0.1, stranded_accelerators=0.02)
+STRANDED_FIRST = RepairWeights(group_downtime=0.1, stranded_accelerators=0.02)
 """A deployment that weighs stranded accelerators more."""
 
 _SIZES = (65, 150, 300, 600)
@@ -51,15 +51,15 @@
     Attributes:
         wait: Waiting only.
         spare: First-fit spare.
-        lantern: The product's policy under the first weights.
-        association: The product's policy under the second weights.
+        downtime_first: The product's policy under the first weights.
+        stranded_first: The product's policy under the second weights.
         known: The product's policy with every return known.
     """
 
     wait: Outcome
     spare: Outcome
-    lantern: Outcome
-    association: Outcome
+    downtime_first: Outcome
+    stranded_first: Outcome
     known: Outcome
 
 
@@ -68,8 +68,8 @@
     return Comparison(
         _run(fleet, WaitOnly(), history, days),
         _run(fleet, FirstFitSpare(), history, days),
-        _run(fleet, ExpectedCost(LANTERN), history, days),
-        _run(fleet, ExpectedCost(ASSOCIATION), history, days),
+        _run(fleet, ExpectedCost(DOWNTIME_FIRST), history, days),
+        _run(fleet, ExpectedCost(STRANDED_FIRST), history, days),
         _run_known(fleet, history, days),
     )
 
@@ -83,7 +83,7 @@
 def _run_known(fleet: Fleet, history: list[Absence], days: float) -> Outcome:
     replay = Replay(fleet.configuration, WaitOnly())
     returns = KnownReturns(clock=lambda: replay.now, returns=replay.returns)
-    replay.use(ExpectedCost(LANTERN, returns))
+    replay.use(ExpectedCost(DOWNTIME_FIRST, returns))
     return replay.run(history, days)
 
 
@@ -106,14 +106,14 @@
 
 def measure_planner(vms: int, losses: int = 20) -> PlannerWork:
     """Return the planner's work for losses one after the other."""
-    configuration = make_sized_fleet(vms, LANTERN)
-    replay = Replay(configuration, ExpectedCost(LANTERN))
+    configuration = make_sized_fleet(vms, DOWNTIME_FIRST)
+    replay = Replay(configuration, ExpectedCost(DOWNTIME_FIRST))
     names = [vm.id for vm in configuration.inventory.vms]
     history = [
         Absence(7200.0 + 600.0 * k, VmId(names[k * 7 % len(names)]), 120.0, False)
         for k in range(losses)
     ]
-    idle = Replay(configuration, ExpectedCost(LANTERN)).run([], 1.0)
+    idle = Replay(configuration, ExpectedCost(DOWNTIME_FIRST)).run([], 1.0)
     outcome = replay.run(history, 1.0)
     runs = outcome.plans - idle.plans
     return PlannerWork(
@@ -141,7 +141,7 @@
     )
     print("|" + " --- |" * 9)
     for size in sizes:
-        fleet = make_fleet(size, LANTERN)
+        fleet = make_fleet(size, DOWNTIME_FIRST)
         lasts = days or _DAYS[size]
         found = [
             compare(fleet, make_history(fleet, lasts, seed), lasts)
@@ -150,8 +150,8 @@
         rows = {
             "wait only": [c.wait for c in found],
             "first-fit spare": [c.spare for c in found],
-            "expected cost, downtime first": [c.lantern for c in found],
-            "expected cost, stranded first": [c.association for c in found],
+            "expected cost, downtime first": [c.downtime_first for c in found],
+            "expected cost, stranded first": [c.stranded_first for c in found],
             "returns known": [c.known for c in found],
         }
         for policy, outcomes in rows.items():
@@ -161,7 +161,10 @@
 def _print_outcomes(size: FleetSize, policy: str, outcomes: list[Outcome]) -> None:
     down = sum(o.downtime_s for o in outcomes)
     bound = sum(o.bound_s for o in outcomes)
-    costs = [sum(o.cost(w) for o in outcomes) / 1000 for w in (LANTERN, ASSOCIATION)]
+    costs = [
+        sum(o.cost(w) for o in outcomes) / 1000
+        for w in (DOWNTIME_FIRST, STRANDED_FIRST)
+    ]
     print(
         f"| {size.value} | {policy} | {down / 3600:.2f} | {down / bound:.2f}"
         f" | {sum(o.stranded_s for o in outcomes) / 3600:.0f}"
@@ -190,14 +193,14 @@
     matplotlib.use("svg")
     from matplotlib import pyplot
 
-    fleet = make_fleet(FleetSize.COMING, LANTERN)
+    fleet = make_fleet(FleetSize.COMING, DOWNTIME_FIRST)
     history = make_history(fleet, days, 0)
     found = compare(fleet, history, days)
     figure, axes = pyplot.subplots(2, 1, sharex=True, figsize=(9, 5))
     for name, outcome in (
         ("wait only", found.wait),
         ("first-fit spare", found.spare),
-        ("expected cost", found.lantern),
+        ("expected cost", found.downtime_first),
     ):
         hours = [sample.at / 3600 for sample in outcome.samples]
         down = [sample.groups_down for sample in outcome.samples]
--- a/tests/test_references.py
+++ b/tests/test_references.py
@@ -1,5 +1,6 @@
 """Pages made from the code stay true, and event names are all listed."""
 
+import re
 from pathlib import Path
 
 import pytest
@@ -23,3 +24,19 @@
         f"{p.name}: {name}" for p, name in find_logged_events() if name in listed
     }
     assert not unlisted
+
+
+def test_every_proof_names_a_test_that_exists() -> None:
+    page = (_ROOT / "docs/proofs.md").read_text()
+    named = re.findall(r"`(test_\w+\.py)::(\w+)`", page)
+    assert named
+    missing = [
+        f"{file}::{name}"
+        for file, name in named
+        if not re.search(
+            rf"^(def {name}\(|{name} = |class {name}\b)",
+            (_ROOT / "tests" / file).read_text(),
+            re.MULTILINE,
+        )
+    ]
+    assert not missing
--- a/tests/test_repair_bounds.py
+++ b/tests/test_repair_bounds.py
@@ -4,8 +4,8 @@
 from benchmarks.beats import measure_evidence
 from benchmarks.groups.histories import FleetSize, make_fleet, make_history
 from benchmarks.repair import (
-    ASSOCIATION,
-    LANTERN,
+    DOWNTIME_FIRST,
+    STRANDED_FIRST,
     compare,
     fit_slope,
     measure_planner,
@@ -17,11 +17,11 @@
 
 
 def test_the_policy_costs_less_than_both_baselines_under_both_weights() -> None:
-    fleet = make_fleet(FleetSize.TODAY, LANTERN)
+    fleet = make_fleet(FleetSize.TODAY, DOWNTIME_FIRST)
     found = compare(fleet, make_history(fleet, _DAYS, 1), _DAYS)
     for weights, policy in (
-        (LANTERN, found.lantern),
-        (ASSOCIATION, found.association),
+        (DOWNTIME_FIRST, found.downtime_first),
+        (STRANDED_FIRST, found.stranded_first),
     ):
         assert policy.cost(weights) < 0.5 * found.spare.cost(weights)
         assert policy.cost(weights) < 0.5 * found.wait.cost(weights)
--- a/tools/write_capacity.py
+++ b/tools/write_capacity.py
@@ -35,6 +35,9 @@
 
 _WHOLE_FROM = 100
 _DAY_S = 86_400
+_PLANS_PER_S = 4
+"""Planning runs of a holder: one at each poll, by its setting."""
+
 _CORE_PERCENT = 1.4
 _MEMORY_MB = 256
 _BYTES_PER_S = 4_096
@@ -203,6 +206,13 @@
             "MB",
             "interpreter and libraries; state by the slopes below",
         ),
+        _Line(
+            "planning one fabric domain, core, at its holder",
+            max(row["cpu_ms"] for row in _list_rows("planner")) * _PLANS_PER_S / 10,
+            _CORE_PERCENT,
+            "%",
+            "work grows with the VMs; one domain a node at most",
+        ),
         _Line(
             "a change in force everywhere",
             large["in_force_s"],
@@ -314,6 +324,24 @@
     return _show("messages", {"notice": "notice", "bytes": "bytes"})
 
 
+def _show_planner() -> str:
+    rows = _list_rows("planner")
+    slope, start, rest = _fit([(row["vms"], row["cpu_ms"]) for row in rows])
+    shown = [
+        [
+            row["vms"],
+            f"{row['steps']:.0f}",
+            f"{row['cpu_ms']:.2f}",
+            f"{start + slope * row['vms']:.2f}",
+            f"{row['runs']:.1f}",
+        ]
+        for row in rows
+    ]
+    shown.append(["largest residual", "", f"{rest:.2f}", "", ""])
+    head = ["VMs", "steps a plan", "ms a plan", "by the fitted line", "plans a loss"]
+    return _make_table(head, shown)
+
+
 def _show_claims() -> str:
     return _show(
         "claims",
@@ -334,6 +362,7 @@
     "tokens": _show_tokens,
     "messages": _show_messages,
     "claims": _show_claims,
+    "planner": _show_planner,
     "coming": _show_coming,
 }
 
