Take an idempotency key with quotes and without for the same key

A key in quotes (structured fields' spelling, the one docs/callers.md shows) kept its quotes: "S.1" made of a session S was not known as a session's key and needed the store, and the same text with and without quotes ran twice. Quotes around a key are now taken off once; a quote inside is refused, so that a key handed on to another process parses to itself.

Without the change in sessions.py the new test in tests/test_once.py fails.

--- a/src/zinniaspool/core/requests/sessions.py
+++ b/src/zinniaspool/core/requests/sessions.py
@@ -19,7 +19,9 @@
 __all__ = ["Session", "SessionAge", "judge_age", "make_session", "parse_key"]
 
 _PREFIX = "zs1-"
-_OWN_KEY = re.compile(r"[\x21-\x7e]{1,255}")
+_QUOTED = re.compile(r'"(.*)"')
+_OWN_KEY = re.compile(r"[\x21\x23-\x7e]{1,255}")
+"""Without quotes inside: a key that is parsed again stays what it was."""
 
 
 class Session(msgspec.Struct, frozen=True, array_like=True):
@@ -66,7 +68,15 @@
 
 
 def parse_key(value: str) -> ParsedKey | None:
-    """Return what an ``Idempotency-Key`` header says; None if unusable."""
+    """Return what an ``Idempotency-Key`` header says; None if unusable.
+
+    The key may stand in quotes, as structured fields spell it, or without.
+    Both name the same key: were the quotes part of it, a repeat by a client
+    that spells it otherwise would run again, and a quoted key made of a
+    session would not be known as one.
+    """
+    quoted = _QUOTED.fullmatch(value)
+    value = quoted[1] if quoted else value
     if _OWN_KEY.fullmatch(value) is None:
         return None
     key = IdempotencyKey(value)
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -106,6 +106,28 @@
         assert trial.runs == 2
 
 
+@_scene
+async def test_a_key_is_the_same_with_quotes_and_without() -> None:
+    """A caller repeats its call by a client that spells the key otherwise.
+
+    It gets the first answer. A session's key needs no store in either
+    spelling, also where another process hands it on.
+    """
+    async with _start() as trial:
+        first, second = trial.cluster.start("a"), trial.cluster.start("b")
+        for key in ("own-key", '"own-key"'):
+            assert await trial.ask(first, key) == _Asked(_ANSWER)
+        trial.cluster.store.out = True
+        session_key = first.once.make_session() + ".1"
+        for key in (f'"{session_key}"', session_key):
+            for node in (first, second):
+                assert await trial.ask(node, key) == _Asked(_ANSWER)
+        assert trial.runs == 2
+        for key in ('"', '""', '""own-key""', '"own-key'):
+            refused = await trial.ask(first, key)
+            assert refused.fault is ErrorKind.MALFORMED_REQUEST, key
+
+
 @_scene
 async def test_the_same_key_at_two_entries_at_once_runs_once() -> None:
     """Both callers read the one answer, or that the request is running.
