--- a/src/zinniaspool/entry/once.py
+++ b/src/zinniaspool/entry/once.py
@@ -52,7 +52,7 @@
 _EXPIRE_EVERY_S = 5.0
 _MOST_OWNERS_TRIED = 3
 _FORGED = "Idempotency-Key: its session was not given out by this system"
-_MALFORMED = "Idempotency-Key: 1 to 255 visible ASCII characters, no quotes inside"
+_MALFORMED = "Idempotency-Key: 1-255 visible ASCII, no quotes inside, or SESSION.TEXT"
 
 _FAULTS = {
     KeyVerdict.REUSED: ErrorKind.KEY_REUSED,
