List every metric by its name, labels and program

The page named gauges in words only. The table is what /metrics served on an entry and a control process of the demo; a test compares the page with what each program serves.

--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -20,6 +20,10 @@
 
 _CALLER_KEY, _OPERATOR_KEY, _SECRET = "caller-key-1", "operator-key-1", "peer-key-1"
 _PROMPT = "text of a caller"
+_PAGE = (Path(__file__).parent.parent / "docs/operators.md").read_text()
+_SERVED_LATER = "zinniaspool_decisions_total"
+"""Counts nothing, and is not served, before the first decision."""
+
 _LINE = re.compile(r"timestamp=\S+ level=[a-z]+ event=[a-z-]+( [a-z_]+=(\S*|\".*\"))*")
 
 
@@ -64,6 +68,7 @@
         if program == "entry":
             refused = call(callers, "/v1/models/m/x", {"p": _PROMPT}, _CALLER_KEY)
             assert refused.json()["error"] == "not-ready"
+        wait_until(lambda: _read_metrics(operators) == _list_metrics(program))
         fleet.ask_for_dump("it")
         wait_until(lambda: "event=dump-written" in fleet.read_log("it"))
         (dump,) = tmp_path.glob("zinniaspool-*.json")
@@ -84,6 +89,18 @@
         assert private not in dump.read_text()
 
 
+def _read_metrics(operators: Address) -> set[str]:
+    shown = call(operators, "/metrics", None, _OPERATOR_KEY).body.decode()
+    names = set(re.findall(r"^# TYPE (\S+)", shown, re.MULTILINE))
+    return names | {_SERVED_LATER}
+
+
+def _list_metrics(program: str) -> set[str]:
+    """Return the names that the operators' page lists for a program."""
+    rows = re.findall(r"^\| `(zinniaspool_\w+)` \|[^|]*\| ([^|]*) \|", _PAGE, re.M)
+    return {name for name, programs in rows if program in programs.split(", ")}
+
+
 def test_each_address_of_a_process_takes_tls(tmp_path: Path) -> None:
     """Operators and callers trust the authority; without TLS nobody enters."""
     fleet = Fleet(tmp_path)
