Explain refused requests and name them in their answers

A caller whose request was shed, limited or too late could quote nothing, and explain knew of failed attempts only.

The answered path only draws its id earlier; nothing is recorded there.

--customer left out decisions about requests altogether, since it looked at the field customers and these name a subject customer:ID; it reads both now.

Each safeguard was taken out on trial (the second ring, the rate, the account of each customer, the subject): the tests in tests/test_explanations.py fail.

--- a/src/zinniaspool/core/explanations.py
+++ b/src/zinniaspool/core/explanations.py
@@ -6,11 +6,19 @@
 from zinniaspool.core.ids import CustomerId
 from zinniaspool.core.journal import Decision
 
-__all__ = ["CUSTOMERS_FIELD", "merge_decisions", "restrict_decisions"]
+__all__ = [
+    "CUSTOMERS_FIELD",
+    "CUSTOMER_SUBJECT",
+    "merge_decisions",
+    "restrict_decisions",
+]
 
 CUSTOMERS_FIELD = "customers"
 """Field of a decision that names whom it concerns, separated by commas."""
 
+CUSTOMER_SUBJECT = "customer:"
+"""Begins the subject of a decision about one customer's request."""
+
 
 def merge_decisions(found: Iterable[Iterable[Decision]]) -> list[Decision]:
     """Return the decisions of several processes in the order of their times.
@@ -33,8 +41,7 @@
     """
     kept = []
     for decision in decisions:
-        concerned = decision.fields.get(CUSTOMERS_FIELD, "").split(",")
-        if customer not in concerned:
+        if customer not in _list_concerned(decision):
             continue
         fields = {
             name: value
@@ -43,3 +50,13 @@
         }
         kept.append(replace(decision, subjects=(subject,), fields=fields))
     return kept
+
+
+def _list_concerned(decision: Decision) -> set[str]:
+    named = decision.fields.get(CUSTOMERS_FIELD, "").split(",")
+    about = [
+        subject.removeprefix(CUSTOMER_SUBJECT)
+        for subject in decision.subjects
+        if subject.startswith(CUSTOMER_SUBJECT)
+    ]
+    return {*named, *about}
--- a/src/zinniaspool/core/journal.py
+++ b/src/zinniaspool/core/journal.py
@@ -3,11 +3,13 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import Enum
+from heapq import merge
 from itertools import count
 
 __all__ = ["Decision", "DecisionKind", "Journal"]
 
 _KEPT_DECISIONS = 4096
+_KEPT_OF_REQUESTS = 4096
 
 
 class DecisionKind(Enum):
@@ -65,7 +67,10 @@
     """One attempt upstream failed."""
 
     REQUEST_REFUSED = "request-refused"
-    """A request was not run."""
+    """A request or its key was refused; logged as request-failed."""
+
+
+_OF_REQUESTS = frozenset({DecisionKind.ATTEMPT_FAILED, DecisionKind.REQUEST_REFUSED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,15 +95,23 @@
 
 
 class Journal:
-    """A bounded ring of decisions and a count of each kind.
+    """Bounded rings of decisions and a count of each kind.
+
+    Decisions about single requests have a ring of their own: in an overload
+    or a loss they come by the thousand, and would push out what was decided
+    about VMs and configurations just when an operator asks for it.
 
     Args:
         kept: How many decisions stay.
+        kept_of_requests: How many of those about single requests.
     """
 
-    def __init__(self, kept: int = _KEPT_DECISIONS) -> None:
+    def __init__(
+        self, kept: int = _KEPT_DECISIONS, kept_of_requests: int = _KEPT_OF_REQUESTS
+    ) -> None:
         self.counts: Counter[DecisionKind] = Counter()
         self._ring: deque[Decision] = deque(maxlen=kept)
+        self._of_requests: deque[Decision] = deque(maxlen=kept_of_requests)
         self._numbers = count(1)
 
     def record(
@@ -111,14 +124,16 @@
     ) -> Decision:
         """Keep one decision and return it."""
         decision = Decision(at, next(self._numbers), kind, subjects, reason, fields)
-        self._ring.append(decision)
+        ring = self._of_requests if kind in _OF_REQUESTS else self._ring
+        ring.append(decision)
         self.counts[kind] += 1
         return decision
 
     def find(self, subject: str) -> list[Decision]:
         """Return the kept decisions about a subject, oldest first."""
-        return [decision for decision in self._ring if subject in decision.subjects]
+        return [one for one in self.recent() if subject in one.subjects]
 
     def recent(self) -> list[Decision]:
         """Return all kept decisions, oldest first."""
-        return list(self._ring)
+        kept = merge(self._ring, self._of_requests, key=lambda one: one.number)
+        return list(kept)
--- a/src/zinniaspool/entry/answers.py
+++ b/src/zinniaspool/entry/answers.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from zinniaspool.core.errors import ANSWERS, ErrorKind, Fault
+from zinniaspool.core.ids import RequestId
 from zinniaspool.http import Exchange, Headers, Refusal, RefusalKind
 
 __all__ = ["answer_fault", "refuse_request"]
@@ -44,7 +45,9 @@
     return Refusal(answer.status, headers, msgspec.json.encode(body))
 
 
-async def answer_fault(exchange: Exchange, fault: Fault) -> None:
+async def answer_fault(
+    exchange: Exchange, fault: Fault, request: RequestId | None = None
+) -> None:
     """Send the answer for a fault, or cut an answer that has begun.
 
     An answer whose head has left cannot turn into an error any more; ending
@@ -54,6 +57,8 @@
         exchange.abort()
         return
     answer = make_answer(fault)
+    if request is not None:
+        answer.headers.add("x-request-id", request)
     await exchange.respond(answer.status, answer.headers, answer.body)
 
 
--- a/src/zinniaspool/entry/callers.py
+++ b/src/zinniaspool/entry/callers.py
@@ -7,7 +7,7 @@
 import structlog
 from result import Err, Ok, Result
 
-from zinniaspool.core.errors import ErrorKind, Fault
+from zinniaspool.core.errors import ANSWERS, ErrorKind, Fault, Outcome
 from zinniaspool.core.ids import CustomerId, RequestId
 from zinniaspool.core.requests import parse_timeout, parse_urgency
 from zinniaspool.entry.answers import answer_fault
@@ -24,6 +24,14 @@
 _ANSWERED = "answered"
 _LEFT = "caller-left"
 
+_OF_KEYS = {
+    ErrorKind.KEY_IN_PROGRESS,
+    ErrorKind.KEY_OWNER_GONE,
+    ErrorKind.ANSWER_EXPIRED,
+}
+"""Refused too, though an earlier request with the key may have run."""
+
+RefusalObserver = Callable[[RequestId, CustomerId, ErrorKind], None]
 RequestObserver = Callable[[CustomerId | None, str, float], None]
 
 
@@ -31,6 +39,10 @@
     pass
 
 
+def _note_nothing(request: RequestId, customer: CustomerId, kind: ErrorKind) -> None:
+    pass
+
+
 class CallerInterface:
     """Answers callers.
 
@@ -41,6 +53,8 @@
         credentials: Whose request it is.
         default_deadline_s: For requests that bring none.
         observe: Told of each request's customer, end and seconds.
+        note_refusal: Told of each customer's request that was refused. Those
+            that fail upstream are told of by the relay.
     """
 
     def __init__(
@@ -51,8 +65,10 @@
         credentials: Credentials,
         default_deadline_s: float,
         observe: RequestObserver = _observe_nothing,
+        note_refusal: RefusalObserver = _note_nothing,
     ) -> None:
         self._observe = observe
+        self._note_refusal = note_refusal
         self.ready = False
         self._directory = directory
         self._runner = runner
@@ -65,23 +81,34 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         customer = self._recognize(exchange)
+        request = RequestId(secrets.token_hex(_ID_BYTES))
         end = _LEFT
         try:
-            result = await self._answer(exchange, customer)
+            result = await self._answer(exchange, request, customer)
             end = _ANSWERED
             if isinstance(result, Err):
                 end = result.err_value.kind.value
-                _log.info("request-failed", kind=end)
-                await answer_fault(exchange, result.err_value)
+                self._note_fault(request, customer, result.err_value.kind)
+                await answer_fault(exchange, result.err_value, request)
         finally:
             self._observe(customer, end, loop.time() - began)
 
+    def _note_fault(
+        self, request: RequestId, customer: CustomerId | None, kind: ErrorKind
+    ) -> None:
+        _log.info(
+            "request-failed", kind=kind.value, request=request, customer=customer or ""
+        )
+        refused = kind in _OF_KEYS or ANSWERS[kind].outcome is Outcome.NOT_RUN
+        if customer is not None and refused:
+            self._note_refusal(request, customer, kind)
+
     def _recognize(self, exchange: Exchange) -> CustomerId | None:
         shown = exchange.request.headers.get("authorization")
         return None if shown is None else self._credentials.find_customer(shown)
 
     async def _answer(
-        self, exchange: Exchange, customer: CustomerId | None
+        self, exchange: Exchange, request_id: RequestId, customer: CustomerId | None
     ) -> Result[None, Fault]:
         request = exchange.request
         if not self.ready:
@@ -90,13 +117,13 @@
             return await self._directory.answer(exchange)
         if customer is None:
             return Err(Fault(ErrorKind.BAD_CREDENTIAL))
-        wanted = self._read_call(exchange, customer)
+        wanted = self._read_call(exchange, request_id, customer)
         if isinstance(wanted, Err):
             return wanted
         return await self._run_call(exchange, wanted.ok_value)
 
     def _read_call(
-        self, exchange: Exchange, customer: CustomerId
+        self, exchange: Exchange, request_id: RequestId, customer: CustomerId
     ) -> Result[WantedCall, Fault]:
         request = exchange.request
         if request.method != "POST":
@@ -110,7 +137,7 @@
             return urgency
         return Ok(
             WantedCall(
-                RequestId(secrets.token_hex(_ID_BYTES)),
+                request_id,
                 customer,
                 request.path,
                 request.body,
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from pathlib import Path
 from typing import Annotated
 
@@ -9,7 +10,14 @@
 import typer
 
 from zinniaspool.core.deployment import Configuration
-from zinniaspool.core.ids import Address, FailureDomainId, Revision
+from zinniaspool.core.errors import ANSWERS, ErrorKind
+from zinniaspool.core.ids import (
+    Address,
+    CustomerId,
+    FailureDomainId,
+    RequestId,
+    Revision,
+)
 from zinniaspool.core.journal import DecisionKind
 from zinniaspool.core.membership import MemberState, Notice, Topic
 from zinniaspool.core.messages import (
@@ -20,6 +28,7 @@
 )
 from zinniaspool.core.requests.claims import SlotOwner
 from zinniaspool.core.requests.keys import KeyLimits, KeyTable
+from zinniaspool.core.requests.refusals import RefusalRate
 from zinniaspool.entry.answers import refuse_request
 from zinniaspool.entry.callers import CallerInterface
 from zinniaspool.entry.calls import CallRunner
@@ -60,6 +69,7 @@
         domain = FailureDomainId(settings.failure_domain)
         self._index = ServiceIndex(self._fleet, random.Random(), domain)
         self._gate = Gate()
+        self._refusals = RefusalRate()
         self._duties = EntryDuties(self._frame, self._index, self._gate)
         relay = Relay(self._frame.http, self._note_failure)
         runner = CallRunner(self._index, self._gate, relay)
@@ -81,6 +91,7 @@
             self._load_credentials(),
             settings.default_deadline_s,
             self._frame.metrics.observe_request,
+            self._note_refusal,
         )
         self._frame.operators.add_section("fleet", self._describe_fleet)
 
@@ -182,6 +193,21 @@
             again=str(failed.again).lower(),
         )
 
+    def _note_refusal(
+        self, request: RequestId, customer: CustomerId, kind: ErrorKind
+    ) -> None:
+        left_out = self._refusals.take(customer, asyncio.get_running_loop().time())
+        if left_out is None:
+            return
+        self._frame.journal.record(
+            time.time(),
+            DecisionKind.REQUEST_REFUSED,
+            (f"request:{request}", f"customer:{customer}"),
+            ANSWERS[kind].message,
+            error=kind.value,
+            left_out_before=str(left_out),
+        )
+
     def _take_notice(self, notice: Notice) -> None:
         self._fleet.take_notice(notice, asyncio.get_running_loop().time())
         self._duties.note_fleet()
--- a/src/zinniaspool/node/operators.py
+++ b/src/zinniaspool/node/operators.py
@@ -10,6 +10,7 @@
 import msgspec
 import structlog
 
+from zinniaspool.core.explanations import CUSTOMER_SUBJECT
 from zinniaspool.core.ids import CustomerId
 from zinniaspool.core.journal import Decision, Journal
 from zinniaspool.http import Exchange, Headers
@@ -27,7 +28,6 @@
 
 _log = structlog.get_logger(__name__)
 _LOOPBACK = ("127.", "::1")
-_CUSTOMER_SUBJECT = "customer:"
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,8 +217,8 @@
     """Tell whether a decision concerns this customer and no other."""
     if customer is None:
         return True
-    about = {one for one in decision.subjects if one.startswith(_CUSTOMER_SUBJECT)}
-    return about == {f"{_CUSTOMER_SUBJECT}{customer}"}
+    about = {one for one in decision.subjects if one.startswith(CUSTOMER_SUBJECT)}
+    return about == {f"{CUSTOMER_SUBJECT}{customer}"}
 
 
 async def _answer(exchange: Exchange, body: bytes) -> None:
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -20,7 +20,8 @@
     ModelVersion,
     VmId,
 )
-from zinniaspool.core.journal import Decision, DecisionKind
+from zinniaspool.core.journal import Decision, DecisionKind, Journal
+from zinniaspool.core.requests.refusals import RefusalRate
 
 _OWN, _RIVAL = CustomerId("care"), CustomerId("rival")
 
@@ -52,6 +53,41 @@
     assert b"rival" not in msgspec.json.encode(seen)
 
 
+def test_a_refusal_shows_to_its_customer_alone() -> None:
+    subjects = ("request:r1", "customer:care", "upstream:rival-box")
+    refused = Decision(1.0, 1, DecisionKind.REQUEST_REFUSED, subjects, "no room")
+    (seen,) = restrict_decisions([refused], _OWN, "request:r1")
+    assert seen.subjects == ("request:r1",)
+    assert restrict_decisions([refused], _RIVAL, "request:r1") == []
+
+
+def test_a_flood_of_refusals_pushes_nothing_else_out() -> None:
+    """Operators find another customer's refusal, and a VM's loss, after it.
+
+    One customer is shed ten thousand times in ten seconds. What is kept of
+    it is bounded, and the next one kept says how many are missing.
+    """
+    rate, journal = RefusalRate(per_s=2.0, burst=10), Journal(4, 40)
+    kind = DecisionKind.REQUEST_REFUSED
+    journal.record(0.0, DecisionKind.VM_OUT, ("vm:v1",), "absent")
+    assert rate.take(_RIVAL, 0.0) == 0
+    journal.record(0.0, kind, ("request:rival",), "no room")
+    kept = left_out = 0
+    for number in range(10_000):
+        taken = rate.take(_OWN, number / 1024)
+        if taken is not None:
+            journal.record(0.0, kind, (f"request:{number}",), "no room")
+            kept += 1
+            left_out += taken
+    assert kept == 10 + int(2 * 9_999 / 1024)
+    left_out += rate.take(_OWN, 20.0) or 0
+    assert kept + left_out == 10_000
+    for subject in ("vm:v1", "request:rival", "request:0"):
+        assert len(journal.find(subject)) == 1, subject
+    numbers = [decision.number for decision in journal.recent()]
+    assert numbers == sorted(numbers)
+
+
 def test_a_domain_shows_nothing_of_rivals() -> None:
     def group(name: str, *customers: CustomerId) -> GroupDescription:
         return GroupDescription(
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -5,10 +5,13 @@
 
 import pytest
 
-from tests.processes import Fleet, call, start_fleet, wait_until
+from tests.processes import Fleet, Reply, call, start_fleet, wait_until
+from zinniaspool.core.ids import Incarnation, NodeId
+from zinniaspool.core.requests.sessions import Session, make_session
 
 _MODEL = "/v1/models/advisory/generate"
 _PROMPT = {"prompt": "warm ward", "max_tokens": 4}
+_GONE = Session(NodeId("entry0"), Incarnation(1), 1)
 
 pytestmark = pytest.mark.processes
 
@@ -27,7 +30,12 @@
             streamed = call(address, _MODEL, _PROMPT | {"stream": True}, "care-key")
             assert streamed.body.endswith(b"event: done\ndata: {}\n\n")
             path = "/v1/services/dispatch/send"
-            assert call(address, path, {"to": 1}, "care-key").status == 400
+            refused = call(address, path, {"to": 1}, "care-key")
+            assert refused.status == 400
+            _check_explained(fleet, entry, refused, "key-required")
+            gone = {"Idempotency_Key": make_session(_GONE) + ".1"}
+            refused = call(address, path, {"to": 1}, "care-key", **gone)
+            _check_explained(fleet, entry, refused, "key-owner-gone")
             key = {"Idempotency_Key": "first-alert"}
             sent = call(address, path, {"to": 1}, "care-key", **key)
             assert sent.json()["echo"] == '{"to": 1}'
@@ -35,6 +43,18 @@
             assert call(address, "/v1/models/other/x", {}, "care-key").status == 404
 
 
+def _check_explained(fleet: Fleet, entry: str, refused: Reply, error: str) -> None:
+    assert refused.json()["error"] == error
+    request = refused.headers["x-request-id"]
+    words = ("explain", "request", request, "--node", fleet.operators[entry])
+    for more in ((), ("--customer", "care")):
+        told = fleet.run_tool(*words, *more).stdout
+        assert "request-refused" in told
+        assert f"error={error}" in told
+    told = fleet.run_tool(*words, "--customer", "vendors").stdout
+    assert told.startswith("nothing is kept")
+
+
 def test_a_killed_vm_stops_its_group_and_the_rest_serve(tmp_path: Path) -> None:
     """The caller sees answers again within seconds of a VM's death.
 
