Part running keyed calls from finding who runs them

The second is entry/keyed.py now; behaviour and checks as they were (45 tests of keys, leaving and process failures pass).

--- a/benchmarks/capacity_planner.py
+++ b/benchmarks/capacity_planner.py
@@ -1,7 +1,7 @@
 """The planner's work by the size of the fleet, for the capacity page.
 
-Run as ``python -m benchmarks.capacity_planner [--write]``: losses of single VMs
-replayed one after the other, the work of a fleet without losses taken off.
+Run as ``python -m benchmarks.capacity_planner [--write]``: losses of single
+VMs replayed one after the other, less the work of a fleet without losses.
 """
 
 from benchmarks.measurements import keep_rows
--- a/src/zinniaspool/entry/once.py
+++ b/src/zinniaspool/entry/once.py
@@ -3,24 +3,18 @@
 import asyncio
 from dataclasses import dataclass
 
-import structlog
 from result import Err, Ok, Result
 
-from zinniaspool.core.errors import ANSWERS, ErrorKind, Fault, Outcome
+from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.ids import IdempotencyKey
 from zinniaspool.core.messages import ForwardedAnswer, ForwardedCall
 from zinniaspool.core.requests.claims import (
     SLOTS,
-    Claim,
-    ClaimEnd,
     SlotOwner,
     find_slot,
 )
 from zinniaspool.core.requests.keys import (
-    Fingerprint,
-    KeyHash,
     KeyTable,
-    KeyVerdict,
     hash_key,
     take_fingerprint,
 )
@@ -31,15 +25,13 @@
     make_session,
     parse_key,
 )
-from zinniaspool.entry.calls import CallRunner, ResolvedCall, WantedCall
+from zinniaspool.entry.calls import CallRunner, WantedCall
 from zinniaspool.entry.claims import ClaimKeeper
 from zinniaspool.entry.forwarding import CallForwarder, Owner
 from zinniaspool.entry.handover import AnswerHandover
+from zinniaspool.entry.keyed import KeyedCall, KeyedEnd, KeyedRuns, refuse_keyed
 from zinniaspool.entry.sinks import (
-    MOST_FORWARDED_BYTES,
-    MOST_KEPT_BYTES,
     EndedCall,
-    KeepingSink,
     KeptAnswer,
 )
 from zinniaspool.http import Exchange
@@ -48,19 +40,11 @@
 
 __all__ = ["OnceCalls", "OnceLimits", "OnceState"]
 
-_log = structlog.get_logger(__name__)
 _EXPIRE_EVERY_S = 5.0
 _MOST_OWNERS_TRIED = 3
 _FORGED = "Idempotency-Key: its session was not given out by this system"
 _MALFORMED = "Idempotency-Key: 1-255 visible ASCII, no quotes inside, or SESSION.TEXT"
 
-_FAULTS = {
-    KeyVerdict.REUSED: ErrorKind.KEY_REUSED,
-    KeyVerdict.UNKNOWN: ErrorKind.KEY_OWNER_GONE,
-    KeyVerdict.DROPPED: ErrorKind.ANSWER_EXPIRED,
-    KeyVerdict.FULL: ErrorKind.OVERLOADED,
-}
-
 
 @dataclass(frozen=True, slots=True)
 class OnceLimits:
@@ -92,33 +76,6 @@
     slots: list[int]
 
 
-@dataclass(slots=True)
-class _Running:
-    sink: KeepingSink
-    task: asyncio.Task[EndedCall]
-
-
-@dataclass(frozen=True, slots=True)
-class _KeyedCall:
-    """A call, its key, and where the key's claim belongs.
-
-    Attributes:
-        wanted: The call.
-        key: As the caller wrote it.
-        hash: What it is remembered by.
-        fingerprint: Of the request.
-        slot: The slot of a caller's own key; None for a session's key.
-        until: Remember the key at least this long.
-    """
-
-    wanted: WantedCall
-    key: IdempotencyKey
-    hash: KeyHash
-    fingerprint: Fingerprint
-    slot: int | None
-    until: float = 0.0
-
-
 class OnceCalls:
     """Runs each keyed call at most once and answers its repeats.
 
@@ -145,14 +102,13 @@
         limits: OnceLimits,
     ) -> None:
         self._own = own
-        self._runner = runner
         self._keeper = keeper
         self._forwarder = forwarder
         self._links = links
         self._table = table
         self._handover = handover
         self._limits = limits
-        self._running: dict[KeyHash, _Running] = {}
+        self._runs = KeyedRuns(runner, keeper, table, handover, limits.repeat_wait_s)
         self._forwarded: dict[str, asyncio.Task[None]] = {}
 
     def make_session(self) -> str:
@@ -200,7 +156,7 @@
     def describe(self) -> OnceState:
         """Return the state of the keyed calls."""
         slots = [slot for slot in range(SLOTS) if self._keeper.is_own(slot)]
-        running, forwarded = len(self._running), len(self._forwarded)
+        running, forwarded = len(self._runs), len(self._forwarded)
         return OnceState(len(self._table), running, forwarded, slots)
 
     async def leave(self) -> None:
@@ -210,8 +166,8 @@
 
     async def drain(self) -> None:
         """Wait for the calls that run on without their callers."""
-        tasks = [running.task for running in self._running.values()]
-        await asyncio.gather(*tasks, *self._forwarded.values(), return_exceptions=True)
+        await self._runs.drain()
+        await asyncio.gather(*self._forwarded.values(), return_exceptions=True)
         await self._handover.leave(self._table.list_outcomes())
 
     # Which process runs it.
@@ -220,10 +176,10 @@
         own = (self._own.node, self._own.incarnation)
         return (session.node, session.incarnation) == own
 
-    def _note(self, wanted: WantedCall, key: IdempotencyKey) -> _KeyedCall:
+    def _note(self, wanted: WantedCall, key: IdempotencyKey) -> KeyedCall:
         hashed = hash_key(wanted.customer, key)
         fingerprint = take_fingerprint(wanted.path, wanted.body)
-        return _KeyedCall(wanted, key, hashed, fingerprint, find_slot(hashed))
+        return KeyedCall(wanted, key, hashed, fingerprint, find_slot(hashed))
 
     async def _answer_session_key(
         self, exchange: Exchange | None, wanted: WantedCall, key: IdempotencyKey
@@ -233,26 +189,26 @@
 
     async def _end_session_key(
         self, exchange: Exchange | None, wanted: WantedCall, key: IdempotencyKey
-    ) -> "_Given":
+    ) -> KeyedEnd:
         parsed = parse_key(key)
         assert parsed is not None and parsed.session is not None
         now = asyncio.get_running_loop().time()
         age = judge_age(parsed.session, now, self._limits.session_s)
         if age is SessionAge.FORGED:
-            return _refuse(ErrorKind.MALFORMED_REQUEST, _FORGED)
+            return refuse_keyed(ErrorKind.MALFORMED_REQUEST, _FORGED)
         noted = self._note(wanted, key)
         if age is SessionAge.OVER and noted.hash not in self._table:
             # Its keys are forgotten from now on, so that this one may have
             # run: only a fresh session's unknown key is surely new.
-            return _refuse(ErrorKind.ANSWER_EXPIRED)
+            return refuse_keyed(ErrorKind.ANSWER_EXPIRED)
         until = parsed.session.issued + self._limits.session_s + 1.0
-        call = _KeyedCall(
+        call = KeyedCall(
             wanted, key, noted.hash, noted.fingerprint, slot=None, until=until
         )
-        return await self._end_here(exchange, call)
+        return await self._runs.end(exchange, call)
 
     async def _answer_own_key(
-        self, exchange: Exchange, call: _KeyedCall
+        self, exchange: Exchange, call: KeyedCall
     ) -> Result[None, Fault]:
         assert call.slot is not None
         for _ in range(_MOST_OWNERS_TRIED):
@@ -260,7 +216,7 @@
             if isinstance(owner, StoreFault):
                 return Err(Fault(ErrorKind.STORE_UNAVAILABLE))
             if owner is None:
-                given = await self._end_here(exchange, call)
+                given = await self._runs.end(exchange, call)
                 if self._is_elsewhere(given, call.slot):
                     continue
                 return await _give(exchange, call.wanted, given)
@@ -278,7 +234,7 @@
             self._keeper.forget_owner(call.slot)
         return Err(Fault(ErrorKind.STORE_UNAVAILABLE))
 
-    def _is_elsewhere(self, given: "_Given", slot: int) -> bool:
+    def _is_elsewhere(self, given: KeyedEnd, slot: int) -> bool:
         fault = given.ended.fault
         refused = fault is not None and fault.kind is ErrorKind.STORE_UNAVAILABLE
         return refused and self._keeper.is_others(slot)
@@ -325,144 +281,18 @@
         assert call.slot is not None
         if not self._keeper.is_own(call.slot):
             return ForwardedAnswer(message.id, owned=False)
-        given = await self._end_here(None, call)
+        given = await self._runs.end(None, call)
         if self._is_elsewhere(given, call.slot):
             return ForwardedAnswer(message.id, owned=False)
         return _make_forwarded(message, given.ended)
 
-    # Running it here.
-
-    async def _end_here(self, exchange: Exchange | None, call: _KeyedCall) -> "_Given":
-        verdict = self._table.judge(call.hash, call.fingerprint)
-        match verdict:
-            case KeyVerdict.RUN:
-                return await self._begin(exchange, call)
-            case KeyVerdict.WAIT:
-                return await self._wait_for_running(call)
-            case KeyVerdict.REPEAT:
-                ended = self._table.get_outcome(call.hash)
-                assert ended is not None
-                return _Given(ended)
-            case KeyVerdict.UNKNOWN if call.slot is not None:
-                return await self._find_left(call, call.slot)
-            case _:
-                return _refuse(_FAULTS[verdict])
-
-    async def _find_left(self, call: _KeyedCall, slot: int) -> "_Given":
-        ended = await self._handover.find(slot, call.hash, call.fingerprint)
-        if ended is None:
-            return _refuse(ErrorKind.KEY_OWNER_GONE)
-        return _Given(ended)
-
-    async def _begin(self, exchange: Exchange | None, call: _KeyedCall) -> "_Given":
-        resolved = self._runner.resolve(call.wanted)
-        if isinstance(resolved, Err):
-            return _Given(EndedCall(None, resolved.err_value))
-        most_bytes = MOST_KEPT_BYTES if exchange else MOST_FORWARDED_BYTES
-        sink = KeepingSink(exchange, most_bytes)
-        self._table.begin(call.hash, call.fingerprint)
-        task = asyncio.create_task(self._carry_out(sink, call, resolved.ok_value))
-        self._running[call.hash] = _Running(sink, task)
-        try:
-            ended = await asyncio.shield(task)
-        except asyncio.CancelledError:
-            sink.leave()
-            raise
-        unknown = ended.fault and ended.fault.kind is ErrorKind.KEY_OWNER_GONE
-        if unknown and call.slot is not None:
-            return await self._find_left(call, call.slot)
-        return _Given(ended, sink.passed_on)
-
-    async def _wait_for_running(self, call: _KeyedCall) -> "_Given":
-        running = self._running[call.hash]
-        left_s = call.wanted.deadline - asyncio.get_running_loop().time()
-        wait_s = min(left_s, self._limits.repeat_wait_s)
-        done, _ = await asyncio.wait([running.task], timeout=wait_s)
-        if not done:
-            return _refuse(ErrorKind.KEY_IN_PROGRESS)
-        return _Given(running.task.result())
-
-    async def _carry_out(
-        self, sink: KeepingSink, call: _KeyedCall, resolved: ResolvedCall
-    ) -> EndedCall:
-        async def claim() -> Fault | None:
-            return await self._claim(call)
-
-        try:
-            result = await self._runner.run(sink, resolved, claim)
-            fault = result.err()
-        except Exception:
-            # The key must not stay "running" for ever after a fault of this
-            # process: its repeats would wait for nothing.
-            _log.exception("keyed-call-failed", request=call.wanted.id)
-            fault = Fault(ErrorKind.INTERNAL)
-        finally:
-            del self._running[call.hash]
-        return self._end(call, EndedCall(sink.answer if fault is None else None, fault))
-
-    def _end(self, call: _KeyedCall, ended: EndedCall) -> EndedCall:
-        now = asyncio.get_running_loop().time()
-        if self._table.judge(call.hash, call.fingerprint) is not KeyVerdict.WAIT:
-            return ended
-        if ended.fault is None or not _is_not_run(ended.fault):
-            self._table.finish(call.hash, _shorten(ended), now, call.until)
-            return ended
-        self._table.release(call.hash)
-        if call.slot is not None:
-            self._keeper.forget(call.slot, call.hash)
-        return ended
-
-    async def _claim(self, call: _KeyedCall) -> Fault | None:
-        if call.slot is None:
-            return None
-        claim = Claim(call.hash, call.fingerprint)
-        settled = await self._keeper.claim(call.slot, claim, call.wanted.deadline)
-        match settled.end:
-            case ClaimEnd.WRITTEN:
-                return None
-            case ClaimEnd.REFUSED:
-                return Fault(ErrorKind.STORE_UNAVAILABLE)
-            case ClaimEnd.KNOWN:
-                assert settled.known is not None
-                now = asyncio.get_running_loop().time()
-                self._table.release(call.hash)
-                self._table.recall(call.hash, settled.known.fingerprint, now)
-                verdict = self._table.judge(call.hash, call.fingerprint)
-                return Fault(_FAULTS[verdict])
-
-
-@dataclass(frozen=True, slots=True)
-class _Given:
-    """How a call ended, and whether its caller has the answer already."""
-
-    ended: EndedCall
-    passed_on: bool = False
-
-
-def _refuse(kind: ErrorKind, detail: str = "") -> _Given:
-    return _Given(EndedCall(None, Fault(kind, detail)))
-
-
-def _is_not_run(fault: Fault) -> bool:
-    return ANSWERS[fault.kind].outcome is Outcome.NOT_RUN
-
 
 def _is_late(wanted: WantedCall) -> bool:
     return asyncio.get_running_loop().time() >= wanted.deadline
 
 
-def _shorten(ended: EndedCall) -> EndedCall:
-    """Return what is kept of a call: a large answer's end, not its bytes."""
-    answer = ended.answer
-    if answer is None:
-        return ended
-    if answer.body is not None and len(answer.body) <= MOST_KEPT_BYTES:
-        return ended
-    return EndedCall(None, Fault(ErrorKind.ANSWER_EXPIRED))
-
-
 async def _give(
-    exchange: Exchange | None, wanted: WantedCall, given: _Given
+    exchange: Exchange | None, wanted: WantedCall, given: KeyedEnd
 ) -> Result[None, Fault]:
     if given.ended.fault is not None:
         return Err(given.ended.fault)
