--- a/src/zinniaspool/control/domain.py
+++ b/src/zinniaspool/control/domain.py
@@ -46,6 +46,8 @@
 _MS = 1000
 _CLOCK_BITS = 32
 _WITNESS_PART = 0.2
+_SPREAD_S = 1.0
+"""Time that a notice needs at most, as a rule, to reach every process."""
 
 
 @dataclass(slots=True)
@@ -313,6 +315,7 @@
         TenureLimits(settings.lease_s, order_s=settings.order_s),
         TrackingLimits(settings.vm_absent_s, settings.vm_settle_s),
         settings.report_stale_s,
+        tell_s=settings.beat_s + _SPREAD_S,
     )
 
 
--- a/src/zinniaspool/core/groups/evidence.py
+++ b/src/zinniaspool/core/groups/evidence.py
@@ -99,8 +99,16 @@
 
     def take_plan(self, plan: DomainPlan) -> None:
         self.plan = plan
-        self.evidence.clear()
         self.expected = {group.id: expected_digest(group) for group in plan.groups}
+        # Evidence of a group that the new plan leaves as it is stays true:
+        # its digest is still the expected one. Were it dropped, each change
+        # of one group would leave callers without any group of the domain
+        # until the next beat.
+        self.evidence = {
+            group: found
+            for group, found in self.evidence.items()
+            if group in self.expected
+        }
 
 
 class EvidenceBook:
--- a/src/zinniaspool/core/groups/holder.py
+++ b/src/zinniaspool/core/groups/holder.py
@@ -53,12 +53,14 @@
         tracking: When a VM counts as what.
         evidence_s: Age from which entry processes take a report for void.
         review_s: Longest time between two looks at an unchanged state.
+        tell_s: Time in which entry processes hear that a group serves.
     """
 
     tenure: TenureLimits = TenureLimits()
     tracking: TrackingLimits = TrackingLimits()
     evidence_s: float = 2.0
     review_s: float = 2.0
+    tell_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +100,7 @@
     index: int
     plans: tuple[tuple[FabricDomainId, Epoch], ...]
     ready: frozenset[GroupId]
+    relied_on: frozenset[GroupId]
     peaks: frozenset[ModelName]
     vms: tuple[tuple[VmId, str, str | None, str | None, int, bool], ...]
 
@@ -136,6 +139,7 @@
         self._noted: dict[tuple[str, ...], ChangeKind] = {}
         self._last_key: _Key | None = None
         self._reviewed_at = 0.0
+        self._ready_since: dict[GroupId, float] = {}
 
     # Configuration
 
@@ -262,8 +266,9 @@
         if self._index is None or not self.may_change(now):
             return None
         self._tracker.note_speeds(self.plan.groups, now)
-        given = self._gather(now, fleet)
         ready = self.find_ready(now)
+        self._note_ready(ready, now)
+        given = self._gather(now, fleet)
         self.meter.observe(now, self.plan, ready, self.idle, self._index.vms)
         key = _make_key(given)
         if key == self._last_key and now < self._reviewed_at + self._limits.review_s:
@@ -333,6 +338,16 @@
         # The group that needs the fewest loads serves the soonest.
         return Load((beyond, float(missing), float(order.epoch)), order.vm, gb)
 
+    def _note_ready(self, ready: frozenset[GroupId], now: float) -> None:
+        since = self._ready_since
+        self._ready_since = {group: since.get(group, now) for group in ready}
+
+    def _find_told(self, now: float) -> frozenset[GroupId]:
+        latest = now - self._limits.tell_s
+        return frozenset(
+            group for group, since in self._ready_since.items() if since <= latest
+        )
+
     def _gather(self, now: float, fleet: FleetKnowledge) -> DomainInput:
         assert self._index is not None
         return DomainInput(
@@ -343,6 +358,7 @@
             fleet.ready | self.find_ready(now),
             Epoch(self._plan_revision + 1),
             fleet.peaks,
+            fleet.ready | self._find_told(now),
             self._loads.backlog_gb(now),
             self._loads.gb_per_s,
         )
@@ -353,6 +369,7 @@
         id(given.index),
         tuple(sorted((name, plan.epoch) for name, plan in given.plans.items())),
         given.ready,
+        given.relied_on,
         given.peaks,
         tuple(_key_vm(name, view) for name, view in sorted(given.vms.items())),
     )
--- a/src/zinniaspool/core/groups/inputs.py
+++ b/src/zinniaspool/core/groups/inputs.py
@@ -26,6 +26,8 @@
         ready: The groups of the fleet that serve now.
         epoch: For the groups that this plan forms or changes.
         peaks: Models whose announced peak is on or near.
+        told: Groups that entry processes have had time to hear of; None for
+            all that serve.
         queued_gb: Weights that the domain's VMs are still to load.
         load_gb_per_s: The domain's part of the weight store's rate.
     """
@@ -37,6 +39,7 @@
     ready: frozenset[GroupId]
     epoch: Epoch
     peaks: frozenset[ModelName] = field(default=frozenset())
+    told: frozenset[GroupId] | None = None
     queued_gb: float = 0.0
     load_gb_per_s: float = 10.0
 
@@ -45,6 +48,16 @@
         """The domain's current plan."""
         return self.plans.get(self.domain, DomainPlan(self.domain))
 
+    @property
+    def relied_on(self) -> frozenset[GroupId]:
+        """The groups that may take over from one that is drained.
+
+        A group that has just become ready is not known to entry processes
+        before the next beat. Were another one drained at that moment, their
+        callers would be refused though a group stands ready.
+        """
+        return self.ready if self.told is None else self.ready & self.told
+
     def view(self, vm: VmId) -> VmView:
         """Return what is seen of a VM; one never seen is absent."""
         return self.vms.get(vm, _UNSEEN)
--- a/src/zinniaspool/core/groups/moves.py
+++ b/src/zinniaspool/core/groups/moves.py
@@ -79,14 +79,14 @@
     ]
     if _has_failed_rollout(given, model, [group for _, group in groups]):
         return None
-    serving = count_serving(plans, given.ready)[model.name]
+    serving = count_serving(plans, given.relied_on)[model.name]
     for domain, group in groups:
         move = _find_cause(given, plans[domain], domain, model, group)
         if move is None:
             continue
         if domain != given.domain:
             return None
-        left = serving - (group.id in given.ready)
+        left = serving - (group.id in given.relied_on)
         return move if left >= model.guaranteed_groups else None
     return None
 
--- a/src/zinniaspool/core/groups/planner.py
+++ b/src/zinniaspool/core/groups/planner.py
@@ -332,7 +332,7 @@
         return {**self._given.plans, self._given.domain: own}
 
     def _withdraw(self, withdrawals: tuple[Withdrawal, ...]) -> None:
-        serving = count_serving(self._plans(), self._given.ready)
+        serving = count_serving(self._plans(), self._given.relied_on)
         by_id = {group.id: group for group in self._groups}
         for withdrawal in withdrawals:
             group = by_id.get(withdrawal.group)
--- a/src/zinniaspool_standins/faults.py
+++ b/src/zinniaspool_standins/faults.py
@@ -17,6 +17,7 @@
     Attributes:
         paused: Everything but ``/faults`` and ``/history`` hangs.
         straggle: Factor on every step's time.
+        leaving: A plain service's answers say ``X-Leaving``.
         refuse: Requests are refused as not run.
         drop: Connections are cut before the request runs.
         cut_after: Tokens after which an answer's connection is cut; with as
@@ -33,6 +34,7 @@
 
     paused: bool = False
     straggle: float = 1.0
+    leaving: bool = False
     refuse: bool = False
     drop: bool = False
     cut_after: int = -1
@@ -45,7 +47,9 @@
     def meet(self) -> "UpstreamFaults":
         """Return the faults that the next request meets."""
         if self.requests == 0:
-            return UpstreamFaults(paused=self.paused, straggle=self.straggle)
+            return UpstreamFaults(
+                paused=self.paused, straggle=self.straggle, leaving=self.leaving
+            )
         if self.requests > 0:
             self.requests -= 1
         return msgspec.structs.replace(self)
--- a/src/zinniaspool_standins/generation.py
+++ b/src/zinniaspool_standins/generation.py
@@ -22,7 +22,7 @@
 __all__ = ["Generator", "Speed", "refuse_as_not_run"]
 
 _BATCH_COST = 0.02
-_NOT_RUN = Headers.of(content_type="application/json", x_not_run="1")
+_NAMES = ("x-request-id", "x-attempt")
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,9 +55,17 @@
     call: GenerateCall
 
 
-async def refuse_as_not_run(exchange: Exchange) -> None:
+async def refuse_as_not_run(exchange: Exchange, leaving: bool = False) -> None:
     """Answer that the request was not run and will not be."""
-    await exchange.respond(409, _NOT_RUN, b"null")
+    headers = Headers.of(content_type="application/json", x_not_run="1")
+    for name in _NAMES:
+        # A refusal that names its request cannot be taken for another's.
+        value = exchange.request.headers.get(name)
+        if value is not None:
+            headers.add(name, value)
+    if leaving:
+        headers.add("x-leaving", "1")
+    await exchange.respond(409, headers, b"null")
 
 
 class Generator:
--- a/src/zinniaspool_standins/service.py
+++ b/src/zinniaspool_standins/service.py
@@ -99,7 +99,7 @@
             return
         number = None if faults.refuse else self._batch.submit(_URGENCY)
         if number is None:
-            await refuse_as_not_run(exchange)
+            await refuse_as_not_run(exchange, faults.leaving)
             return
         try:
             self._note_load()
@@ -148,6 +148,8 @@
             x_load_running=str(load.running),
             x_load_waiting=str(load.waiting),
         )
+        if self.faults.leaving:
+            headers.add("x-leaving", "1")
         body = msgspec.json.encode(_Echo(named.request, named.sent))
         await exchange.respond(500 if faults.failing else 200, headers, body)
 
--- a/tests/test_group_guards.py
+++ b/tests/test_group_guards.py
@@ -376,3 +376,19 @@
     ]
     assert sum(first) == 64
     assert max(first) <= 16
+
+
+def test_a_change_of_one_group_leaves_the_others_in_service(book: EvidenceBook) -> None:
+    """A new plan drains another group; this one's evidence is still true.
+
+    Were it dropped with the old plan, callers would be refused until the
+    next beat, each time that any group of the domain changes.
+    """
+    reports = {vm: SeenReport(_ready(vm), 10.0) for vm in (_A, _B)}
+    book.take_beat(make_beat(_PLAN, reports, "c@1", 10.0), 0.0, 10.0)
+    other = replace(_GROUP, id=GroupId("g2"), vms=(_C,), stage=GroupStage.DRAINING)
+    book.take_plan(replace(_PLAN, groups=(other, _GROUP), epoch=Epoch(6)))
+    assert [found.group for found in book.find_serving(10.5)] == [_GROUP]
+    changed = replace(_GROUP, epoch=Epoch(7))
+    book.take_plan(replace(_PLAN, groups=(changed,), epoch=Epoch(7)))
+    assert not list(book.find_serving(10.5))
