Wait for a restarted control process before the next loss is tested

Cause: a proof froze the holder while the other control process, restarted a moment before, had no configuration yet: two losses at once, refused calls, and the frozen process was then never woken, which failed four more tests. Seen in 2 of 4 whole runs; logs show the restarted process configured 4 to 6 s after its start and the freeze before that. Ruled out: a holder that loses its lease, a process that ends by itself. The proof now waits until both control processes have the configuration, and wakes what it froze in any case.

--- a/tests/test_failures_groups.py
+++ b/tests/test_failures_groups.py
@@ -60,8 +60,19 @@
     return sorted(group["id"] for group in groups if group["serves"])
 
 
+def _is_ready(fleet: Fleet, name: str) -> bool:
+    dump = call(fleet.operators[name], "/dump").json()
+    return bool(dump["state"]["configuration"]["revision"])
+
+
 def _settle(fleet: Fleet) -> str:
-    """Wait until both groups serve, and return who holds the domain."""
+    """Wait until both groups serve, and return who holds the domain.
+
+    A control process that has just been restarted has no configuration for
+    some seconds and can stand in for nobody; losing the other one then would
+    be a second failure beside the one that is tested.
+    """
+    wait_until(lambda: all(_is_ready(fleet, name) for name in _CONTROLS))
     holder = _wait_for_holder(fleet)
     wait_until(lambda: len(_list_whole(fleet, holder)) == 2)
     wait_until(lambda: _is_answered(fleet))
@@ -98,12 +109,14 @@
         fleet.kill(holder)
     else:
         fleet.freeze(holder)
-    assert not _count_refusals(fleet, lambda: _look(fleet, other)["holds"])
-    if way == "kill":
-        fleet.restart(holder)
-    else:
-        fleet.thaw(holder)
-        wait_until(lambda: not _look(fleet, holder)["holds"])
+    try:
+        assert not _count_refusals(fleet, lambda: _look(fleet, other)["holds"])
+    finally:
+        if way == "kill":
+            fleet.restart(holder)
+        else:
+            fleet.thaw(holder)
+    wait_until(lambda: not _look(fleet, holder)["holds"])
     wait_until(lambda: _list_whole(fleet, other) == before)
     assert _is_answered(fleet)
 
