Use a plain service again that left and was replaced in place

Ruled out: ejection, limits (the answers were no-upstream for as long as the trial ran). Before: the new process test fails, no answer within 8 s of the restart. After: it passes; a refused connection shows that the process has ended.

--- a/src/zinniaspool/core/requests/routing.py
+++ b/src/zinniaspool/core/requests/routing.py
@@ -163,6 +163,20 @@
         if not state.gone:
             self._place(state, now)
 
+    def list_leaving(self) -> list[UpstreamState]:
+        """Return the plain services' upstreams that say that they leave."""
+        return [
+            state
+            for state in self._states.values()
+            if state.leaving and state.upstream.group is None
+        ]
+
+    def note_ended(self, state: UpstreamState, now: float) -> None:
+        """Take what is at a leaving upstream's address for another one."""
+        state.leaving = False
+        if not state.gone:
+            self._place(state, now)
+
     def step(self, now: float) -> None:
         """Compare the upstreams' speeds; about once a second."""
         measured = sorted(
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -34,6 +34,7 @@
 from zinniaspool.entry.calls import CallRunner
 from zinniaspool.entry.claims import ClaimKeeper
 from zinniaspool.entry.credentials import Credentials
+from zinniaspool.entry.departures import DepartureWatch
 from zinniaspool.entry.directory import EntryDirectory
 from zinniaspool.entry.dump import dump_requests
 from zinniaspool.entry.duties import EntryDuties
@@ -123,6 +124,7 @@
                 tasks.create_task(self._frame.follow(self._configure)),
                 tasks.create_task(self._once.run()),
                 tasks.create_task(self._duties.run()),
+                tasks.create_task(DepartureWatch(self._index).run()),
             ]
             await self._frame.stopping.wait()
             cut = await self._leave(server)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -45,6 +45,7 @@
         "request-failed": "A caller's request ended in an error.",
         "request-refused": "A request broke the server's limits or HTTP.",
         "store-unreachable": "The store could not be read.",
+        "upstream-ended": "A leaving service listens no more; its address may be used.",
         "superseded": "A later start of this node is known; this one stops.",
     }
 )
--- a/tests/test_failures_leaving.py
+++ b/tests/test_failures_leaving.py
@@ -15,6 +15,8 @@
     make_inventory,
     make_rules,
     start_fleet,
+    switch_faults,
+    wait_until,
 )
 from zinniaspool.http import Request
 from zinniaspool_standins.histories import Ending, Operation
@@ -253,3 +255,25 @@
         assert all(len(proof.list_runs(one)) == 1 for one in proof.calls)
 
     run_scenario(fleet, scenario)
+
+
+def test_a_service_replaced_in_place_is_used_again(tmp_path: Path) -> None:
+    """Callers are answered once a service that left is back at its address.
+
+    The only process of a plain service says that it leaves, ends, and is
+    started anew. Nothing tells an entry process so: it sends nothing to what
+    leaves, and so hears nothing from it either.
+    """
+    path = "/v1/services/dispatch/read"
+    with start_fleet(tmp_path, vms=2, entries=1, controls=1) as fleet:
+        entry = fleet.addresses["entry0"]
+
+        def is_answered() -> bool:
+            return call(entry, path, {}, "care-key").status == 200
+
+        wait_until(is_answered)
+        switch_faults(fleet, "service0", leaving=True)
+        wait_until(lambda: not is_answered())
+        fleet.kill("service0")
+        fleet.restart("service0")
+        wait_until(is_answered, timeout_s=8.0)
