--- a/src/zinniaspool/entry/relay.py
+++ b/src/zinniaspool/entry/relay.py
@@ -24,6 +24,7 @@
     UpstreamState,
 )
 from zinniaspool.entry.sinks import AnswerSink
+from zinniaspool.entry.stalls import StallWatch
 from zinniaspool.http import (
     ClientResponse,
     Headers,
@@ -335,7 +336,7 @@
         self, run: _Run, response: ClientResponse
     ) -> AttemptFailure | None:
         stalls = run.call.terms.idempotent
-        watch = _StallWatch(response, self._limits.stall_s) if stalls else None
+        watch = StallWatch(response, self._limits.stall_s) if stalls else None
         try:
             return await self._pass_watched_events(run, response, watch)
         finally:
@@ -343,7 +344,7 @@
                 watch.cancel()
 
     async def _pass_watched_events(
-        self, run: _Run, response: ClientResponse, watch: "_StallWatch | None"
+        self, run: _Run, response: ClientResponse, watch: StallWatch | None
     ) -> AttemptFailure | None:
         async for data in response.stream():
             if watch is not None:
@@ -366,48 +367,6 @@
         return None
 
 
-class _StallWatch:
-    """Ends a stream of which nothing comes any more.
-
-    A frozen upstream keeps its connection open. Its stream could go on
-    elsewhere, but nothing else would end it before the caller's deadline.
-    One timer a stream, looked at now and then, costs nothing a token.
-
-    Args:
-        response: The stream.
-        stall_s: Longest silence.
-
-    Attributes:
-        waiting: Whether the upstream's turn it is; while a slow caller is
-            written to, its silence means nothing.
-    """
-
-    __slots__ = ("_last", "_loop", "_response", "_stall_s", "_timer", "waiting")
-
-    def __init__(self, response: ClientResponse, stall_s: float) -> None:
-        self.waiting = True
-        self._loop = asyncio.get_running_loop()
-        self._response = response
-        self._stall_s = stall_s
-        self._last = self._loop.time()
-        self._timer = self._loop.call_later(stall_s, self._look)
-
-    def touch(self) -> None:
-        self._last = self._loop.time()
-        self.waiting = True
-
-    def cancel(self) -> None:
-        self._timer.cancel()
-
-    def _look(self) -> None:
-        left_s = self._last + self._stall_s - self._loop.time()
-        if left_s <= 0 and self.waiting:
-            self._response.abort()
-            return
-        wait_s = left_s if left_s > 0 else self._stall_s
-        self._timer = self._loop.call_later(wait_s, self._look)
-
-
 class _SinkClosedError(Exception):
     """The caller's side failed, which is no failure of the upstream."""
 
