--- /dev/null
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -0,0 +1,56 @@
+"""What one process knows of the fleet: rules in force, instances, store."""
+
+from zinniaspool.core.fleet.catalog import (
+    CallerLimits,
+    Catalog,
+    CustomerSpec,
+    EngineSpec,
+    ModelSpec,
+    RequestKind,
+    RouteSpec,
+    ServiceShare,
+    ServiceSpec,
+)
+from zinniaspool.core.fleet.instances import (
+    Instance,
+    InstanceId,
+    InstanceState,
+    Membership,
+    MembershipState,
+)
+from zinniaspool.core.fleet.mirror import Change, MirrorEvent, StoredItem, StoreMirror
+from zinniaspool.core.fleet.nodes import (
+    HOLDER_KEY,
+    NODES_PREFIX,
+    PLANS_PREFIX,
+    HolderRecord,
+    NodeRecord,
+    NodeState,
+)
+
+__all__ = [
+    "HOLDER_KEY",
+    "NODES_PREFIX",
+    "PLANS_PREFIX",
+    "CallerLimits",
+    "Catalog",
+    "Change",
+    "CustomerSpec",
+    "EngineSpec",
+    "HolderRecord",
+    "Instance",
+    "InstanceId",
+    "InstanceState",
+    "Membership",
+    "MembershipState",
+    "MirrorEvent",
+    "ModelSpec",
+    "NodeRecord",
+    "NodeState",
+    "RequestKind",
+    "RouteSpec",
+    "ServiceShare",
+    "ServiceSpec",
+    "StoreMirror",
+    "StoredItem",
+]
--- /dev/null
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -0,0 +1,157 @@
+"""A process's copy of the store: what it believes, and how old that is.
+
+The copy only moves forward: an older revision of a key never replaces a newer
+one, whichever way it came. Entries whose owners keep them alive by heartbeats
+need one more care: while the store is away they lapse although their owners
+live, and their owners write them again within seconds of its return. Taking
+such an entry for a death would empty the fleet at each outage, so that for a
+while after a disturbance a removal is only noted, and believed when the entry
+is still missing at the end of it.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from zinniaspool.core.ids import Revision
+
+__all__ = ["Change", "MirrorEvent", "StoreMirror", "StoredItem"]
+
+RETURN_GRACE_S = 2.4
+"""Seconds after the store's return in which entries come back: owners need up
+to two seconds, and the rest covers the way here."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredItem:
+    """One key's value at one revision."""
+
+    key: str
+    value: bytes
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class MirrorEvent:
+    """One change that a source reports; ``value`` is None for a removal."""
+
+    key: str
+    value: bytes | None
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change of the copy."""
+
+    key: str
+    before: StoredItem | None
+    after: StoredItem | None
+
+
+class StoreMirror:
+    """The copy.
+
+    Args:
+        lapses: Tells of a key whether its owner keeps it alive.
+    """
+
+    def __init__(self, lapses: Callable[[str], bool]) -> None:
+        self.as_of = Revision(0)
+        self._lapses = lapses
+        self._items: dict[str, StoredItem] = {}
+        self._removed: dict[str, Revision] = {}
+        self._missing: dict[str, float] = {}
+        self._disturbed_until = float("-inf")
+
+    @property
+    def known(self) -> bool:
+        """Whether the store has been read at all."""
+        return self.as_of > 0
+
+    def get(self, key: str) -> StoredItem | None:
+        """Return a key's item, or None."""
+        return self._items.get(key)
+
+    def list_below(self, prefix: str) -> list[StoredItem]:
+        """Return the items below a prefix."""
+        return [one for key, one in self._items.items() if key.startswith(prefix)]
+
+    def items(self) -> list[StoredItem]:
+        """Return all items."""
+        return list(self._items.values())
+
+    def disturb(self, now: float) -> None:
+        """Note that the store is away: removals are doubted for a while."""
+        self._disturbed_until = now + RETURN_GRACE_S
+
+    def replace(
+        self, items: Iterable[StoredItem], as_of: Revision, now: float
+    ) -> list[Change]:
+        """Take a whole reading of the store.
+
+        Args:
+            items: All keys.
+            as_of: The oldest revision of the store that the reading shows.
+            now: Seconds.
+        """
+        changes: list[Change] = []
+        seen = set()
+        for item in items:
+            seen.add(item.key)
+            changes += self._put(item)
+        for key, item in list(self._items.items()):
+            if key not in seen and item.revision <= as_of:
+                changes += self._remove(key, as_of, now)
+        self.as_of = max(self.as_of, as_of)
+        return changes
+
+    def apply(
+        self, events: Iterable[MirrorEvent], as_of: Revision, now: float
+    ) -> list[Change]:
+        """Take the changes that a watch reports up to a revision."""
+        changes: list[Change] = []
+        for event in events:
+            if event.value is None:
+                changes += self._remove(event.key, event.revision, now)
+            else:
+                changes += self._put(StoredItem(event.key, event.value, event.revision))
+        self.as_of = max(self.as_of, as_of)
+        return changes
+
+    def expire(self, now: float) -> list[Change]:
+        """Believe the removals whose time to come back is over."""
+        if self._disturbed_until > now:
+            return []
+        due = [key for key, until in self._missing.items() if until <= now]
+        changes: list[Change] = []
+        for key in due:
+            del self._missing[key]
+            before = self._items.pop(key, None)
+            if before is not None:
+                changes.append(Change(key, before, None))
+        return changes
+
+    def _put(self, item: StoredItem) -> list[Change]:
+        before = self._items.get(item.key)
+        if before is not None and before.revision > item.revision:
+            return []
+        if self._removed.get(item.key, 0) >= item.revision:
+            return []
+        self._removed.pop(item.key, None)
+        self._missing.pop(item.key, None)
+        if before is not None and before.revision == item.revision:
+            return []
+        self._items[item.key] = item
+        return [Change(item.key, before, item)]
+
+    def _remove(self, key: str, revision: Revision, now: float) -> list[Change]:
+        before = self._items.get(key)
+        if before is None or before.revision > revision:
+            return []
+        self._removed[key] = revision
+        if self._lapses(key) and now < self._disturbed_until:
+            self._missing.setdefault(key, self._disturbed_until)
+            return []
+        self._missing.pop(key, None)
+        del self._items[key]
+        return [Change(key, before, None)]
--- /dev/null
+++ b/src/zinniaspool/core/fleet/nodes.py
@@ -0,0 +1,59 @@
+"""The project's own records in the store, and their keys."""
+
+from enum import Enum
+
+import msgspec
+
+from zinniaspool.core.ids import Address, FailureDomainId, NodeId
+
+__all__ = [
+    "HOLDER_KEY",
+    "NODES_PREFIX",
+    "PLANS_PREFIX",
+    "HolderRecord",
+    "NodeRecord",
+    "NodeState",
+]
+
+HOLDER_KEY = "zinnia/holder"
+"""Who plans groups; the key goes with its holder's lease."""
+
+NODES_PREFIX = "zinnia/nodes/"
+"""Entry processes; each key goes with its process's lease."""
+
+PLANS_PREFIX = "zinnia/plans/"
+"""Replica groups by fabric domain; these last."""
+
+
+class NodeState(Enum):
+    """Whether callers may be sent to an entry process."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class NodeRecord(msgspec.Struct, frozen=True):
+    """An entry process as the others find it.
+
+    Attributes:
+        node: The VM's name.
+        caller_address: Where callers connect.
+        peer_address: Where other processes of ours connect.
+        failure_domain: Where it runs.
+        region: The region of that failure domain.
+        state: Whether callers may be sent there.
+    """
+
+    node: NodeId
+    caller_address: Address
+    peer_address: Address
+    failure_domain: FailureDomainId
+    region: str
+    state: NodeState
+
+
+class HolderRecord(msgspec.Struct, frozen=True):
+    """The process that plans groups."""
+
+    node: NodeId
+    peer_address: Address
--- /dev/null
+++ b/src/zinniaspool/core/formation/loads.py
@@ -0,0 +1,44 @@
+"""How many loads from the weight store may start."""
+
+from collections import deque
+
+__all__ = ["LoadBudget"]
+
+
+class LoadBudget:
+    """Counts loads over a sliding window.
+
+    Beyond its rate the weight store is stopped by its owner, and beyond a
+    number at once each load takes longer, so that all come late.
+
+    Args:
+        per_s: Loads that may start a second.
+        at_once: Loads that may run together.
+        window_s: Over how long the rate is counted.
+    """
+
+    def __init__(self, per_s: float, at_once: int, window_s: float) -> None:
+        self._most = max(1, int(per_s * window_s))
+        self._at_once = max(1, at_once)
+        self._window_s = window_s
+        self._started: deque[float] = deque()
+        self._running: dict[str, float] = {}
+
+    def room(self, now: float) -> int:
+        """Return how many loads may start now."""
+        while self._started and self._started[0] <= now - self._window_s:
+            self._started.popleft()
+        for name, until in list(self._running.items()):
+            if until <= now:
+                del self._running[name]
+        by_rate = self._most - len(self._started)
+        return max(0, min(by_rate, self._at_once - len(self._running)))
+
+    def start(self, instance: str, now: float, load_s: float) -> None:
+        """Count a load that is ordered; it is taken to last ``load_s``."""
+        self._started.append(now)
+        self._running[instance] = now + load_s
+
+    def end(self, instance: str) -> None:
+        """Note that an instance holds its model."""
+        self._running.pop(instance, None)
--- /dev/null
+++ b/src/zinniaspool/core/formation/planner.py
@@ -0,0 +1,348 @@
+"""The holder's decisions: which groups there are, and the orders they need."""
+
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from zinniaspool.core.fleet import (
+    EngineSpec,
+    Instance,
+    InstanceId,
+    InstanceState,
+)
+from zinniaspool.core.formation.allocation import (
+    Candidate,
+    Selection,
+    select_groups,
+)
+from zinniaspool.core.formation.lifecycle import RETRY_S, FleetSight, GroupRun
+from zinniaspool.core.formation.loads import LoadBudget
+from zinniaspool.core.formation.orders import GroupOrder, OrderAction, OrderOutcome
+from zinniaspool.core.formation.records import DomainPlan, GroupPhase, GroupRecord
+from zinniaspool.core.ids import (
+    Epoch,
+    FabricDomainId,
+    GroupId,
+    ModelName,
+    ServiceName,
+)
+
+__all__ = ["FormationPlanner", "GroupMove", "PlanWrite"]
+
+_REMEMBERED = 512
+"""Groups known to be over whose members' entries may still name them, for a
+few tens of milliseconds each; far more than end in that time."""
+
+_SETTLED = frozenset({GroupPhase.SERVING, GroupPhase.FORMING, GroupPhase.STANDBY})
+
+
+@dataclass(frozen=True, slots=True)
+class PlanWrite:
+    """A plan that must be in the store before its orders are given."""
+
+    plan: DomainPlan
+
+
+@dataclass(frozen=True, slots=True)
+class GroupMove:
+    """A group that came to another phase, for the log."""
+
+    record: GroupRecord
+    phase: GroupPhase
+    reason: str
+
+
+@dataclass(slots=True)
+class _Domain:
+    """One fabric domain under this holder's care."""
+
+    id: FabricDomainId
+    runs: dict[GroupId, GroupRun] = field(default_factory=dict)
+    unsaved: bool = False
+    writing: bool = False
+
+
+class FormationPlanner:
+    """Forms groups and keeps them, over all fabric domains.
+
+    Orders about a group leave only after the plan that names it is in the
+    store: whoever takes over reads there what may have been ordered.
+
+    Args:
+        next_epoch: Returns an epoch above all that were ever used.
+        load_window_s: Over how long loads of weights are counted.
+        on_move: Told of each group that comes to another phase.
+    """
+
+    def __init__(
+        self,
+        next_epoch: Callable[[], Epoch],
+        load_window_s: float,
+        on_move: Callable[[GroupMove], None] = lambda _: None,
+    ) -> None:
+        self._next_epoch = next_epoch
+        self._load_window_s = load_window_s
+        self._on_move = on_move
+        self._domains: dict[FabricDomainId, _Domain] = {}
+        self._sight = FleetSight({})
+        self._engines: dict[ServiceName, EngineSpec] = {}
+        self._loads: dict[ServiceName, LoadBudget] = {}
+        self._held: dict[InstanceId, ModelName] = {}
+        self._strays: dict[InstanceId, float] = {}
+        self._ended: deque[GroupId] = deque(maxlen=_REMEMBERED)
+
+    # What the shell tells.
+
+    def configure(self, engines: Mapping[ServiceName, EngineSpec]) -> None:
+        """Take the services whose groups are to be formed."""
+        self._engines = dict(engines)
+        for service, engine in engines.items():
+            if service not in self._loads:
+                self._loads[service] = LoadBudget(
+                    engine.loads_per_s, engine.loads_at_once, self._load_window_s
+                )
+
+    def restore(self, plans: Iterable[DomainPlan]) -> None:
+        """Take the plans that a former holder left."""
+        for plan in plans:
+            domain = self._domains.setdefault(plan.domain, _Domain(plan.domain))
+            domain.runs = {one.group: GroupRun(one) for one in plan.groups}
+            domain.unsaved = domain.writing = False
+
+    def see(self, instances: Mapping[InstanceId, Instance]) -> None:
+        """Take the instances as the store has them now."""
+        self._sight.instances = instances
+        self._sight.lost &= instances.keys()
+        for one in instances.values():
+            if one.membership is not None and one.model is not None:
+                self._held[one.id] = one.model
+        for gone in self._held.keys() - instances.keys():
+            del self._held[gone]
+
+    def lose(self, instance: InstanceId) -> None:
+        """Take an instance for lost that answers nobody."""
+        self._sight.lost.add(instance)
+
+    def regain(self, instance: InstanceId) -> None:
+        """Take back an instance that answers again."""
+        self._sight.lost.discard(instance)
+
+    @property
+    def lost(self) -> frozenset[InstanceId]:
+        """Instances that answer nobody though their entries are there."""
+        return frozenset(self._sight.lost)
+
+    def note(self, order: GroupOrder, outcome: OrderOutcome, now: float) -> None:
+        """Take an order's outcome."""
+        for domain in self._domains.values():
+            run = None if order.group is None else domain.runs.get(order.group)
+            if run is not None:
+                run.note(order, outcome, now)
+
+    def note_saved(self, domain: FabricDomainId) -> None:
+        """Take that a domain's plan is in the store."""
+        self._domains[domain].writing = False
+
+    def note_unsaved(self, domain: FabricDomainId) -> None:
+        """Take that a domain's plan could not be written yet."""
+        kept = self._domains[domain]
+        kept.writing, kept.unsaved = False, True
+
+    def find_group(self, instance: InstanceId) -> GroupRecord | None:
+        """Return the group that an instance is planned in, or None."""
+        for run in self.runs():
+            if instance in run.record.members:
+                return run.record
+        return None
+
+    def runs(self) -> list[GroupRun]:
+        """Return all groups under way."""
+        return [
+            run for domain in self._domains.values() for run in domain.runs.values()
+        ]
+
+    # Deciding.
+
+    def step(self, now: float) -> tuple[list[PlanWrite], list[GroupOrder]]:
+        """Return the plans to write and the orders to give now."""
+        idle_by_domain = self._sort_instances()
+        writes: list[PlanWrite] = []
+        orders = self._release_strays(now)
+        for domain in self._domains.values():
+            self._advance(domain, orders, now)
+        for domain in self._order_domains():
+            if domain.writing:
+                continue
+            self._allocate(domain, idle_by_domain.get(domain.id, []), now)
+            if domain.unsaved:
+                domain.unsaved, domain.writing = False, True
+                writes.append(PlanWrite(_describe(domain)))
+        return writes, orders
+
+    def _order_domains(self) -> list[_Domain]:
+        # The domain with the fewest groups first, so that loads are not all
+        # spent on one.
+        return sorted(self._domains.values(), key=lambda one: (len(one.runs), one.id))
+
+    def _sort_instances(self) -> dict[FabricDomainId, list[Instance]]:
+        found: defaultdict[FabricDomainId, list[Instance]] = defaultdict(list)
+        for one in self._sight.instances.values():
+            if one.fabric_domain is None or one.service not in self._engines:
+                continue
+            found[one.fabric_domain].append(one)
+            if one.fabric_domain not in self._domains:
+                self._domains[one.fabric_domain] = _Domain(one.fabric_domain)
+        return found
+
+    def _advance(self, domain: _Domain, orders: list[GroupOrder], now: float) -> None:
+        if domain.writing:
+            # What is ordered now may belong to a plan that is not there yet.
+            return
+        for group, run in list(domain.runs.items()):
+            before = run.phase
+            due = run.step(self._sight, now)
+            if run.phase is not before:
+                self._on_move(GroupMove(run.record, run.phase, run.reason))
+            if run.phase in (GroupPhase.SERVING, GroupPhase.STANDBY):
+                self._end_loads(run.record)
+            if run.ended:
+                # The plan is written anew with the next group; until then a
+                # successor only asks the head once more to leave.
+                del domain.runs[group]
+                self._ended.append(group)
+                self._end_loads(run.record)
+                continue
+            orders += due
+
+    def _end_loads(self, record: GroupRecord) -> None:
+        budget = self._loads.get(record.service)
+        if budget is not None:
+            for one in record.members:
+                budget.end(one)
+
+    def _allocate(self, domain: _Domain, instances: list[Instance], now: float) -> None:
+        by_service: defaultdict[ServiceName, list[Instance]] = defaultdict(list)
+        for one in instances:
+            by_service[one.service].append(one)
+        for service, members in by_service.items():
+            while self._allocate_one(domain, service, members, now):
+                pass
+
+    def _allocate_one(
+        self,
+        domain: _Domain,
+        service: ServiceName,
+        instances: list[Instance],
+        now: float,
+    ) -> bool:
+        engine = self._engines[service]
+        candidates = self._list_candidates(domain, instances)
+        if not candidates:
+            return False
+        here = Counter(
+            run.record.model
+            for run in domain.runs.values()
+            if not run.record.standby and run.phase in _SETTLED
+        )
+        standing = Counter(
+            run.record.model
+            for run in domain.runs.values()
+            if run.record.standby and run.phase in _SETTLED
+        )
+        chosen = select_groups(
+            candidates, engine, self._count_groups(service), standing, here
+        )
+        if chosen is None or not self._take_loads(service, chosen, now):
+            return False
+        self._add(domain, service, chosen, now)
+        return True
+
+    def _take_loads(self, service: ServiceName, chosen: Selection, now: float) -> bool:
+        if not chosen.loads:
+            return True
+        budget = self._loads[service]
+        if budget.room(now) < len(chosen.loads):
+            return False
+        for one in chosen.loads:
+            budget.start(one, now, chosen.model.load_s)
+        return True
+
+    def _add(
+        self, domain: _Domain, service: ServiceName, chosen: Selection, now: float
+    ) -> None:
+        for one in chosen.members:
+            # A VM that stood by leaves its own group by joining another.
+            for group, run in list(domain.runs.items()):
+                if run.record.standby and one in run.record.members:
+                    del domain.runs[group]
+        epoch = self._next_epoch()
+        group = GroupId(f"g{epoch}")
+        record = GroupRecord(
+            group, epoch, service, chosen.model.name, chosen.members, chosen.standby
+        )
+        domain.runs[group] = GroupRun(record, since=now)
+        domain.unsaved = True
+        self._on_move(GroupMove(record, GroupPhase.FORMING, "planned"))
+
+    def _list_candidates(
+        self, domain: _Domain, instances: list[Instance]
+    ) -> list[Candidate]:
+        planned: dict[InstanceId, GroupRun] = {}
+        for run in domain.runs.values():
+            for member in run.record.members:
+                planned[member] = run
+        found = []
+        for one in instances:
+            if one.state is InstanceState.LEAVING or one.id in self._sight.lost:
+                continue
+            holds = planned.get(one.id)
+            if holds is None:
+                if one.id in self._strays:
+                    continue
+                found.append(Candidate(one, self._held.get(one.id), standby=False))
+            elif holds.record.standby and holds.phase is not GroupPhase.ENDING:
+                held = self._held.get(one.id)
+                ready = holds.phase is GroupPhase.STANDBY
+                found.append(Candidate(one, held if ready else None, standby=True))
+        return found
+
+    def _count_groups(self, service: ServiceName) -> Counter[ModelName]:
+        return Counter(
+            run.record.model
+            for run in self.runs()
+            if run.record.service == service
+            and not run.record.standby
+            and run.phase in _SETTLED
+        )
+
+    def _release_strays(self, now: float) -> list[GroupOrder]:
+        """Return orders that free instances of groups that no plan names.
+
+        Such a one was cut off when its group was given up, or carried out a
+        late order. Its head may still be open: it leaves before any of its
+        VMs is used again.
+        """
+        strays: dict[InstanceId, float] = {}
+        orders = []
+        groups = {run.record.group for run in self.runs()}
+        for one in self._sight.instances.values():
+            held = one.membership
+            if held is None or one.service not in self._engines:
+                continue
+            if held.group in groups or held.group in self._ended:
+                continue
+            if self.find_group(one.id) is not None:
+                continue
+            given = self._strays.get(one.id, float("-inf"))
+            strays[one.id] = given
+            if one.id not in self._sight.lost and now - given >= RETRY_S:
+                strays[one.id] = now
+                orders.append(
+                    GroupOrder(one.id, OrderAction.LEAVE, held.group, held.epoch)
+                )
+        self._strays = strays
+        return orders
+
+
+def _describe(domain: _Domain) -> DomainPlan:
+    return DomainPlan(domain.id, tuple(run.record for run in domain.runs.values()))
--- a/src/zinniaspool/core/requests/attempts.py
+++ b/src/zinniaspool/core/requests/attempts.py
@@ -7,13 +7,13 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Protocol
 
 from result import Err, Ok, Result
 
 from zinniaspool.core.errors import ErrorKind, Fault
-from zinniaspool.core.requests.budget import RetryBudget
 
-__all__ = ["AttemptFailure", "Attempts", "CallTerms", "Progress"]
+__all__ = ["AttemptFailure", "Attempts", "CallTerms", "Progress", "RepeatBudget"]
 
 MOST_ATTEMPTS = 4
 
@@ -36,6 +36,9 @@
     TIMED_OUT = "timed-out"
     """Bytes left, and no answer came in time."""
 
+    STALLED = "stalled"
+    """Bytes left, and its upstream says nothing to anybody any more."""
+
     FAILED = "failed"
     """The upstream ran it and says that it failed."""
 
@@ -61,10 +64,23 @@
     Attributes:
         idempotent: Whether it may run more than once.
         deadline: Seconds on the loop's clock.
+        most_attempts: Upstreams that it may be sent to.
+        counts_refusals: Whether an attempt that an upstream refused is paid
+            for from the budget too.
     """
 
     idempotent: bool
     deadline: float
+    most_attempts: int = MOST_ATTEMPTS
+    counts_refusals: bool = False
+
+
+class RepeatBudget(Protocol):
+    """What repeats are paid from."""
+
+    def withdraw(self) -> bool:
+        """Take one repeat; False when there is none."""
+        ...
 
 
 class Attempts:
@@ -75,10 +91,11 @@
         budget: The customer's budget for repeating what may have run.
     """
 
-    __slots__ = ("_budget", "_may_have_run", "_terms", "number")
+    __slots__ = ("_budget", "_may_have_run", "_terms", "_unsent", "number")
 
-    def __init__(self, terms: CallTerms, budget: RetryBudget) -> None:
+    def __init__(self, terms: CallTerms, budget: RepeatBudget) -> None:
         self.number = 0
+        self._unsent = 0
         self._terms = terms
         self._budget = budget
         self._may_have_run = False
@@ -107,10 +124,15 @@
             return Fault(ErrorKind.UPSTREAM_FAILED)
         if now >= self._terms.deadline:
             return self._make_deadline_fault()
-        if progress is Progress.PARTIAL or self.number >= MOST_ATTEMPTS:
+        if failure is AttemptFailure.NOT_SENT:
+            # No upstream has seen it.
+            self.number -= 1
+            self._unsent += 1
+        spent = self.number >= self._terms.most_attempts
+        if progress is Progress.PARTIAL or spent or self._unsent >= MOST_ATTEMPTS:
             return self._make_fault(ErrorKind.UPSTREAM_REFUSED)
         if certain:
-            return None
+            return self._pay_refusal(failure)
         # A lost attempt may have run to its end, and only its answer is
         # missing: the caller of a non-idempotent request would see its work
         # done twice. Nothing but the upstream's word can tell, so there is
@@ -123,6 +145,15 @@
             return Fault(ErrorKind.UPSTREAM_LOST)
         return None
 
+    def forgive(self) -> None:
+        """Let an attempt not count whose upstream has ended meanwhile."""
+        self.number -= 1
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt so far may have run."""
+        return self._may_have_run
+
     def end_without_upstream(self, kind: ErrorKind) -> Fault:
         """Return the fault when no further upstream can be had.
 
@@ -132,6 +163,12 @@
         """
         return self._make_fault(ErrorKind.UPSTREAM_REFUSED if self.number else kind)
 
+    def _pay_refusal(self, failure: AttemptFailure) -> Fault | None:
+        costs = self._terms.counts_refusals and failure is AttemptFailure.REFUSED
+        if costs and not self._budget.withdraw():
+            return self._make_fault(ErrorKind.UPSTREAM_REFUSED)
+        return None
+
     def _make_fault(self, not_run: ErrorKind) -> Fault:
         # A refusal after a lost attempt says nothing of the lost one.
         return Fault(ErrorKind.UPSTREAM_LOST if self._may_have_run else not_run)
--- /dev/null
+++ b/src/zinniaspool/gateway/calls.py
@@ -0,0 +1,66 @@
+"""One caller's request on its way, and what all its attempts share."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from zinniaspool.core.dispatch import TargetState
+from zinniaspool.core.fleet import CustomerSpec, InstanceId, RouteSpec
+from zinniaspool.core.ids import ServiceName
+from zinniaspool.core.requests import Attempts, EventCursor, Progress
+from zinniaspool.http import ClientResponse, Exchange
+from zinniaspool.platform.wire import CallerTerms
+
+__all__ = ["GatewayCall", "HeldAnswer"]
+
+
+@dataclass(frozen=True, slots=True)
+class HeldAnswer:
+    """An upstream's failure that is passed on if nothing better comes."""
+
+    response: ClientResponse
+    body: bytes
+
+
+@dataclass(eq=False, slots=True)
+class GatewayCall:
+    """One request.
+
+    Attributes:
+        exchange: The caller's side.
+        terms: What the caller says.
+        route: What binds it.
+        service: Which of the route's services got it.
+        customer: Whose it is, if anybody's.
+        received: When it was here whole, in seconds.
+        deadline: When it must have its answer.
+        attempts: Judges whether it may be sent again.
+        cursor: Where its stream stands.
+        progress: What of an answer the caller has.
+        tried: Instances that had it.
+        state: Where it is now.
+        patience: Ends the attempt under way.
+        moved: Whether that was ended because its target is silent.
+        seen_event: Whether the attempt under way has had an event.
+        held: An upstream's failure to pass on if nothing better comes.
+        first_s: Seconds until the first byte went to the caller.
+        longest_pause_s: Longest pause between two events.
+    """
+
+    exchange: Exchange
+    terms: CallerTerms
+    route: RouteSpec
+    service: ServiceName
+    customer: CustomerSpec | None
+    received: float
+    deadline: float
+    attempts: Attempts
+    cursor: EventCursor = field(default_factory=EventCursor)
+    progress: Progress = Progress.NOTHING
+    tried: list[InstanceId] = field(default_factory=list)
+    state: TargetState | None = None
+    patience: asyncio.Timeout | None = None
+    moved: bool = False
+    seen_event: bool = False
+    held: HeldAnswer | None = None
+    first_s: float | None = None
+    longest_pause_s: float = 0.0
--- /dev/null
+++ b/src/zinniaspool/gateway/carrier.py
@@ -0,0 +1,334 @@
+"""Carries a request to a target and its answer back."""
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+
+import structlog
+from result import Err, Ok, Result
+
+from zinniaspool.core.dispatch import RepeatWindow, TargetPool, TargetState
+from zinniaspool.core.errors import ErrorKind, Fault
+from zinniaspool.core.fleet import RequestKind
+from zinniaspool.core.requests import AttemptFailure, Progress
+from zinniaspool.gateway.calls import GatewayCall, HeldAnswer
+from zinniaspool.gateway.sides import CALLER_SIDE, CallerGoneError
+from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.http import (
+    ClientResponse,
+    HttpClient,
+    Request,
+    TransportError,
+    TransportFailure,
+)
+from zinniaspool.platform import wire
+
+__all__ = ["Carrier"]
+
+_log = structlog.get_logger(__name__)
+
+EVENT_STREAM = "text/event-stream"
+SERVER_ERRORS = 500
+
+UNREPEATABLE_IDLE_S = 1.0
+"""Longest time that a kept connection may have been idle, in seconds, for a
+request that may run once only: if the other side closes it just then, nobody
+can tell whether it ran."""
+
+PLAIN_WAIT_S = 0.7
+"""Longest wait for the answer of a plain idempotent request before another
+upstream is asked, in seconds: several times what such a call takes, and time
+is left for the second one."""
+
+MOST_EXTRA_ANSWERS = 3
+"""Foreign answers that are thrown away before a connection is given up."""
+
+_FAILURES = {
+    TransportFailure.NOT_SENT: AttemptFailure.NOT_SENT,
+    TransportFailure.TIMED_OUT: AttemptFailure.TIMED_OUT,
+    TransportFailure.CUT: AttemptFailure.LOST,
+    TransportFailure.MALFORMED: AttemptFailure.LOST,
+}
+
+
+class Carrier:
+    """Sends requests to targets until one answers or none may.
+
+    Args:
+        http: Connections to upstreams.
+        index: The targets.
+        on_refused_connection: Told of a target that nobody listens at.
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        index: TargetIndex,
+        on_refused_connection: Callable[[TargetState], None] = lambda _: None,
+    ) -> None:
+        self._http = http
+        self._index = index
+        self._on_refused_connection = on_refused_connection
+        self._running: dict[TargetState, set[GatewayCall]] = {}
+
+    async def run(self, call: GatewayCall, window: RepeatWindow) -> Result[None, Fault]:
+        """Run a call and answer it, or return why it has no answer.
+
+        Once part of an answer has gone to the caller, an error means that
+        the rest cannot come; its connection must then be cut.
+        """
+        loop = asyncio.get_running_loop()
+        window.add_request(loop.time())
+        pool = self._index.find(call.service, call.terms.model)
+        while (state := pool.choose(loop.time(), call.tried)) is not None:
+            begun = call.attempts.begin(loop.time())
+            if isinstance(begun, Err):
+                return begun
+            failure = await self._count(call, pool, state)
+            if failure is None:
+                return Ok(None)
+            fault = self._judge(call, state, failure, loop.time())
+            if fault is not None:
+                break
+        else:
+            fault = call.attempts.end_without_upstream(ErrorKind.NO_UPSTREAM)
+        if call.held is not None and call.progress is Progress.NOTHING:
+            await self._pass_whole(call, call.held.response, call.held.body)
+            return Ok(None)
+        return Err(fault)
+
+    def move_from(self, state: TargetState) -> None:
+        """End the attempts at a target, so that they go on elsewhere."""
+        now = asyncio.get_running_loop().time()
+        for call in list(self._running.get(state, ())):
+            if call.patience is None or not self._may_move(call):
+                continue
+            pool = self._index.find(call.service, call.terms.model)
+            if pool.choose(now, [*call.tried, state.target.instance]) is None:
+                continue
+            call.moved = True
+            call.patience.reschedule(now)
+            call.patience = None
+
+    def _may_move(self, call: GatewayCall) -> bool:
+        if not call.route.repeatable or call.progress is Progress.PARTIAL:
+            return False
+        return call.attempts.number < call.route.max_attempts
+
+    def _judge(
+        self,
+        call: GatewayCall,
+        state: TargetState,
+        failure: AttemptFailure,
+        now: float,
+    ) -> Fault | None:
+        call.tried.append(state.target.instance)
+        if failure is AttemptFailure.FAILED and call.route.repeatable:
+            # The upstream's failure is kept and passed on if no other one
+            # does better.
+            judged = AttemptFailure.LOST
+        else:
+            judged = failure
+        fault = call.attempts.judge(judged, call.progress, now)
+        _log.info(
+            "attempt-failed",
+            request=call.terms.id,
+            attempt=call.attempts.number,
+            instance=state.target.instance,
+            group=state.target.group or "",
+            failure=failure.value,
+            last_event=call.cursor.last_id or 0,
+            again=fault is None,
+        )
+        return fault
+
+    async def _count(
+        self, call: GatewayCall, pool: TargetPool, state: TargetState
+    ) -> AttemptFailure | None:
+        loop = asyncio.get_running_loop()
+        if not state.own:
+            state.progress_at = loop.time()
+        state.own += 1
+        call.state, call.seen_event, call.moved = state, False, False
+        self._running.setdefault(state, set()).add(call)
+        failed = False
+        try:
+            failure = await self._try(call, state)
+            failed = failure in _TARGET_FAULTS
+            return failure
+        finally:
+            state.own -= 1
+            if call.seen_event:
+                state.writing -= 1
+            call.patience = None
+            running = self._running[state]
+            running.discard(call)
+            if not running:
+                del self._running[state]
+            pool.note_end(state, failed, loop.time())
+
+    async def _try(
+        self, call: GatewayCall, state: TargetState
+    ) -> AttemptFailure | None:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        left_s = call.deadline - now
+        until = call.deadline
+        plain = call.route.kind is RequestKind.IDEMPOTENT
+        if plain and call.attempts.number < call.route.max_attempts:
+            until = min(until, now + max(PLAIN_WAIT_S, left_s / 3))
+        idle_s = 20.0 if call.route.repeatable else UNREPEATABLE_IDLE_S
+        try:
+            async with asyncio.timeout_at(until) as patience:
+                call.patience = patience
+                response = await self._http.send(
+                    state.target.address,
+                    self._make_request(call, state, left_s),
+                    left_s + 1.0,
+                    most_idle_s=idle_s,
+                )
+                try:
+                    response = await self._match(call, response)
+                    return await self._take_answer(call, state, response)
+                except BaseException:
+                    # The caller has gone, or time is over: closing the
+                    # connection is what tells the upstream to stop.
+                    response.abort()
+                    raise
+        except TimeoutError:
+            return AttemptFailure.STALLED if call.moved else AttemptFailure.TIMED_OUT
+        except CallerGoneError as error:
+            raise error.cause from error
+        except TransportError as error:
+            if error.failure is TransportFailure.NOT_SENT:
+                self._on_refused_connection(state)
+            return _FAILURES[error.failure]
+
+    def _make_request(
+        self, call: GatewayCall, state: TargetState, left_s: float
+    ) -> Request:
+        asked = call.exchange.request
+        headers = wire.forward_headers(
+            asked,
+            state.target.instance,
+            left_s,
+            call.customer,
+            None,
+            call.cursor.last_id,
+        )
+        return Request(asked.method, asked.target, headers, asked.body)
+
+    async def _match(
+        self, call: GatewayCall, response: ClientResponse
+    ) -> ClientResponse:
+        """Return the answer to this request, past those to others.
+
+        An answer that came a second time stands where this request's is
+        due. Given on, a caller would read another's.
+        """
+        for _ in range(MOST_EXTRA_ANSWERS):
+            if wire.answered_request(response.headers) in (call.terms.id, None):
+                return response
+            _log.warning(
+                "answer-foreign",
+                request=call.terms.id,
+                echoed=wire.answered_request(response.headers),
+            )
+            response = await response.skip()
+        raise TransportError(TransportFailure.MALFORMED, "too many foreign answers")
+
+    async def _take_answer(
+        self, call: GatewayCall, state: TargetState, response: ClientResponse
+    ) -> AttemptFailure | None:
+        now = asyncio.get_running_loop().time()
+        load = wire.read_load(response.headers)
+        pool = self._index.find(call.service, call.terms.model)
+        if load is not None:
+            pool.note_load(state, load.running + load.waiting, now)
+        if wire.answers_unrun(response.status, response.headers):
+            await response.read()
+            return AttemptFailure.REFUSED
+        if call.route.kind is RequestKind.STREAM and _is_stream(response):
+            return await self._pass_events(call, state, response)
+        body = await response.read()
+        state.progress_at = asyncio.get_running_loop().time()
+        if response.status >= SERVER_ERRORS:
+            call.held = HeldAnswer(response, body)
+            return AttemptFailure.FAILED
+        if call.progress is not Progress.NOTHING:
+            # Not the rest of what the caller has begun to read.
+            call.progress = Progress.PARTIAL
+            return AttemptFailure.LOST
+        await self._pass_whole(call, response, body)
+        return None
+
+    async def _pass_whole(
+        self, call: GatewayCall, response: ClientResponse, body: bytes
+    ) -> None:
+        call.first_s = asyncio.get_running_loop().time() - call.received
+        headers = wire.pass_headers(response.headers)
+        with CALLER_SIDE:
+            await call.exchange.respond(response.status, headers, body)
+
+    async def _pass_events(
+        self, call: GatewayCall, state: TargetState, response: ClientResponse
+    ) -> AttemptFailure | None:
+        loop = asyncio.get_running_loop()
+        call.cursor.resume()
+        last = loop.time()
+        while (data := await response.next_part()) is not None:
+            now = loop.time()
+            state.progress_at, state.silent_until = now, 0.0
+            if not call.seen_event:
+                call.seen_event = True
+                state.writing += 1
+            taken = call.cursor.take(data)
+            if isinstance(taken, Err):
+                response.abort()
+                return AttemptFailure.LOST
+            if not taken.ok_value:
+                continue
+            if call.progress is Progress.NOTHING:
+                await self._start_stream(call, response)
+            else:
+                call.longest_pause_s = max(call.longest_pause_s, now - last)
+            last = now
+            with CALLER_SIDE:
+                await call.exchange.write(taken.ok_value)
+        return await self._end_stream(call, response)
+
+    async def _start_stream(self, call: GatewayCall, response: ClientResponse) -> None:
+        call.first_s = asyncio.get_running_loop().time() - call.received
+        call.progress = Progress.RESUMABLE
+        if not call.route.resumable or not call.cursor.resumable:
+            call.progress = Progress.PARTIAL
+        headers = wire.pass_headers(response.headers)
+        with CALLER_SIDE:
+            await call.exchange.start(response.status, headers)
+
+    async def _end_stream(
+        self, call: GatewayCall, response: ClientResponse
+    ) -> AttemptFailure | None:
+        if call.cursor.end().strip():
+            # It stopped in the middle of an event: no whole answer.
+            return AttemptFailure.LOST
+        if call.progress is Progress.NOTHING:
+            return AttemptFailure.LOST
+        with CALLER_SIDE:
+            await call.exchange.finish()
+        return None
+
+
+_TARGET_FAULTS = frozenset(
+    {
+        AttemptFailure.LOST,
+        AttemptFailure.FAILED,
+        AttemptFailure.TIMED_OUT,
+        AttemptFailure.NOT_SENT,
+    }
+)
+
+
+def _is_stream(response: ClientResponse) -> bool:
+    kind = response.headers.get("content-type") or ""
+    return response.status == HTTPStatus.OK and kind.startswith(EVENT_STREAM)
--- /dev/null
+++ b/src/zinniaspool/gateway/main.py
@@ -0,0 +1,241 @@
+"""Composition root of the entry program on the users' platform."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+
+import msgspec
+import structlog
+from result import Err
+
+from zinniaspool.core.dispatch import RepeatLimits, SilenceLimits, find_silent
+from zinniaspool.core.fleet import NODES_PREFIX, NodeRecord, NodeState
+from zinniaspool.core.ids import Address
+from zinniaspool.fleet import FleetBelief, KeptLease, StoreFollower
+from zinniaspool.gateway.carrier import Carrier
+from zinniaspool.gateway.directory import DirectoryFace
+from zinniaspool.gateway.face import CallerFace, refuse_request
+from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.http import HttpClient, HttpServer, ServerLimits
+from zinniaspool.platform.kvstore import KeyWrite, KvStore
+from zinniaspool.platform.nodefile import NodeFile, NodeFileError, read_node_file
+from zinniaspool.telemetry import configure_logs
+
+__all__ = ["GatewayProcess", "main"]
+
+_log = structlog.get_logger(__name__)
+
+CONNECT_S = 0.3
+"""Longest wait for a connection, in seconds: hundreds of round trips within a
+region, while a VM that is dark never answers."""
+
+SILENCE_CHECK_S = 0.04
+"""Pause between looks for silent targets, in seconds: a small part of what a
+stream may pause."""
+
+NODE_LEASE_S = 4.0
+"""How long the others believe in a process that is gone, in seconds. Callers
+leave out an address that fails them by themselves."""
+
+LAST_BEGIN_S = 4.8
+"""Seconds after the stop signal until which new requests are taken: longer
+ones than the rest of the stop time would be cut."""
+
+LEAST_STAY_S = 6.4
+"""Seconds that a stopping process stays in any case: callers keep an address
+answer for three lifetimes of two seconds."""
+
+END_SPARE_S = 0.25
+"""Part of the stop time, in seconds, that is left for closing."""
+
+
+class GatewayProcess:
+    """Serves callers until it is told to stop, then drains.
+
+    Args:
+        node: The platform's settings.
+    """
+
+    def __init__(self, node: NodeFile) -> None:
+        self._node = node
+        self._belief = FleetBelief()
+        self._stopping: float | None = None
+        self._stop = asyncio.Event()
+        self._store = KvStore(HttpClient(connect_s=CONNECT_S), node.store_address)
+        self._follower = StoreFollower(self._store, self._belief)
+        self._index = TargetIndex(self._belief, node.failure_domain)
+        http = HttpClient(connect_s=CONNECT_S, unframed=True)
+        self._carrier = Carrier(http, self._index)
+        repeats = RepeatLimits(
+            node.repeat_ratio, node.repeat_window_s, node.repeat_slack
+        )
+        self._face = CallerFace(
+            self._belief, self._carrier, repeats, lambda: self._may_begin
+        )
+        self._directory = DirectoryFace(
+            self._belief, self._find_own, node.address_lifetime_s
+        )
+        self._lease = KeptLease(self._store, NODE_LEASE_S)
+        self._silence = SilenceLimits()
+        self._server = HttpServer(self._face.handle, refuse=refuse_request)
+        self._belief.on_catalog.append(self._take_catalog)
+        self._belief.on_instances.append(self._refresh)
+        self._belief.on_nodes.append(self._count_processes)
+
+    async def run(self) -> None:
+        """Run until the process is told to stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
+        _log.info("started", first_start=self._node.first_start)
+        tasks = [
+            asyncio.create_task(self._follower.run()),
+            asyncio.create_task(self._register()),
+            asyncio.create_task(self._watch_silence()),
+        ]
+        for task in tasks:
+            task.add_done_callback(self._note_failure)
+        await self._listen()
+        await self._stop.wait()
+        await self._leave()
+        for task in tasks:
+            task.cancel()
+        await self._lease.end()
+        _log.info("stopped", running=self._face.running)
+
+    async def _listen(self) -> None:
+        node = self._node
+        assert node.caller_address is not None
+        await self._server.listen(node.caller_address)
+        for address in {node.ready_address, node.directory_address} - {None}:
+            assert address is not None
+            await HttpServer(self._directory.handle).listen(address)
+        _log.info("callers-listening", address=node.caller_address)
+
+    def _note_failure(self, task: "asyncio.Task[None]") -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # Without it the process would go on with beliefs that grow old.
+        _log.error("task-failed", error=repr(task.exception()))
+        self._stop.set()
+
+    @property
+    def _may_begin(self) -> bool:
+        if self._stopping is None:
+            return True
+        return asyncio.get_running_loop().time() - self._stopping < LAST_BEGIN_S
+
+    def _find_own(self) -> NodeRecord | None:
+        if self._stopping is not None or self._belief.catalog is None:
+            return None
+        return self._make_record(NodeState.READY)
+
+    def _make_record(self, state: NodeState) -> NodeRecord:
+        node = self._node
+        assert node.caller_address is not None
+        return NodeRecord(
+            node.node,
+            node.caller_address,
+            Address(f"{node.ip}:{node.first_port}"),
+            node.failure_domain,
+            node.region,
+            state,
+        )
+
+    def _take_catalog(self) -> None:
+        catalog = self._belief.catalog
+        assert catalog is not None
+        limits = catalog.limits
+        self._server.limits = ServerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            receive_s=limits.header_timeout_s,
+            idle_s=limits.idle_timeout_s * 1.25,
+        )
+        self._refresh()
+
+    def _refresh(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for state in self._index.refresh(now):
+            self._carrier.move_from(state)
+
+    def _count_processes(self) -> None:
+        self._face.processes = max(1, len(self._belief.nodes))
+
+    async def _watch_silence(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            now = loop.time()
+            for state in find_silent(self._index, self._silence, now):
+                if now >= state.silent_until:
+                    _log.warning(
+                        "target-silent",
+                        instance=state.target.instance,
+                        group=state.target.group or "",
+                        own=state.own,
+                        writing=state.writing,
+                        quiet_ms=int((now - state.progress_at) * 1000),
+                    )
+                    state.silent_until = now + self._silence.resting_s
+                self._carrier.move_from(state)
+
+    async def _register(self) -> None:
+        """Keep this process's record in the store."""
+        written = None
+        while True:
+            if await self._lease.keep():
+                state = NodeState.READY if self._stopping is None else NodeState.LEAVING
+                wanted = (self._lease.number, state)
+                due = written != wanted and self._belief.catalog is not None
+                if due and await self._write_record(state):
+                    written = wanted
+            if self._belief.catalog is None:
+                await asyncio.sleep(0.1)
+            else:
+                await self._lease.pause()
+
+    async def _write_record(self, state: NodeState) -> bool:
+        assert self._lease.number is not None
+        key = NODES_PREFIX + self._node.node
+        value = msgspec.json.encode(self._make_record(state))
+        write = KeyWrite(key, value, self._lease.number)
+        done = await self._store.commit([], [write])
+        return not isinstance(done, Err)
+
+    async def _leave(self) -> None:
+        """Serve while callers may come, then until the last request ends."""
+        loop = asyncio.get_running_loop()
+        self._stopping = loop.time()
+        _log.info("stopping", running=self._face.running)
+        await self._write_leaving()
+        end = self._stopping + self._node.grace_s - END_SPARE_S
+        await asyncio.sleep(max(0.0, min(LEAST_STAY_S, self._node.grace_s - 1.0)))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(end):
+                await self._face.idle.wait()
+
+    async def _write_leaving(self) -> None:
+        if self._lease.number is not None:
+            await self._write_record(NodeState.LEAVING)
+
+
+def main() -> None:
+    """Run the program."""
+    try:
+        node = read_node_file()
+    except NodeFileError as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(2) from error
+    configure_logs("entry", node.node)
+    asyncio.run(_start(node))
+
+
+async def _start(node: NodeFile) -> None:
+    await GatewayProcess(node).run()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -22,6 +22,10 @@
 _MOST_IDLE_PER_ADDRESS = 32
 _IDLE_S = 20.0
 _BODILESS = (204, 304)
+_BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
+_IDLE_PART = 0.6
+"""Part of the time that the other side keeps an idle connection in which it is
+used again: a request must arrive well before the other side closes."""
 
 
 class ClientResponse:
@@ -67,6 +71,17 @@
         """
         return await self._connection.next_part()
 
+    async def skip(self) -> "ClientResponse":
+        """Throw this answer away and wait for the next one.
+
+        An upstream may send one answer too many. It comes where the next
+        request's answer is due, and that one comes after it.
+
+        Raises:
+            TransportError: No further answer came.
+        """
+        return await self._connection.skip_answer()
+
     def abort(self) -> None:
         """Give the answer up and close its connection."""
         self._connection.abort()
@@ -81,11 +96,19 @@
     Args:
         connect_s: Longest wait for a connection.
         tls: Wraps each connection where given.
+        unframed: Take answers without a length. Such an answer is whole where
+            the other side closes its connection in order; a reset cuts it.
     """
 
     def __init__(
-        self, connect_s: float = 1.0, tls: ssl.SSLContext | None = None
+        self,
+        connect_s: float = 1.0,
+        tls: ssl.SSLContext | None = None,
+        *,
+        unframed: bool = False,
     ) -> None:
+        self.opened = 0
+        self.unframed = unframed
         self._connect_s = connect_s
         self._tls = tls
         self._idle: dict[Address, deque[_ClientConnection]] = {}
@@ -97,6 +120,7 @@
         timeout_s: float,
         *,
         fresh: bool = False,
+        most_idle_s: float = _IDLE_S,
     ) -> ClientResponse:
         """Send a request and wait for the answer's head.
 
@@ -107,12 +131,14 @@
             fresh: Use a new connection. A kept one may be closed by the
                 other side as the request leaves, and then nobody can tell
                 whether it ran.
+            most_idle_s: Longest time that a kept connection may have been
+                idle, to make that unlikely.
 
         Raises:
             TransportError: No head came; its failure says whether any byte
                 had left.
         """
-        connection = None if fresh else self._take(address)
+        connection = None if fresh else self._take(address, most_idle_s)
         if connection is None:
             connection = await self._connect(address)
         loop = asyncio.get_running_loop()
@@ -166,12 +192,13 @@
         if idle is not None and connection in idle:
             idle.remove(connection)
 
-    def _take(self, address: Address) -> "_ClientConnection | None":
+    def _take(self, address: Address, most_idle_s: float) -> "_ClientConnection | None":
         idle = self._idle.get(address)
-        oldest = asyncio.get_running_loop().time() - _IDLE_S
+        now = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
-            if connection.open and connection.idle_since > oldest:
+            idle_s = now - connection.idle_since
+            if connection.open and idle_s < min(most_idle_s, connection.most_idle_s):
                 return connection
             connection.abort()
         return None
@@ -179,6 +206,7 @@
     async def _connect(self, address: Address) -> "_ClientConnection":
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
+        self.opened += 1
         try:
             async with asyncio.timeout(self._connect_s):
                 _, protocol = await loop.create_connection(
@@ -199,6 +227,8 @@
     def __init__(self, client: HttpClient, address: Address) -> None:
         self.address = address
         self.idle_since = 0.0
+        self.most_idle_s = _IDLE_S
+        self._request: Request | None = None
         self._client = client
         self._h11 = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
@@ -257,20 +287,44 @@
             raise TransportError(TransportFailure.NOT_SENT, "closed")
         self._in_exchange = True
         self._ended = False
+        self._request = request
         self._bodiless = request.method == "HEAD"
         self._head = asyncio.get_running_loop().create_future()
         self._transport.write(self._frame(request))
+        return await self._wait_for_head()
+
+    async def skip_answer(self) -> ClientResponse:
+        while await self._next_data() is not None:
+            pass
+        if self._transport is None or self._request is None:
+            raise TransportError(TransportFailure.CUT, "closed after an extra answer")
+        rest = self._h11.trailing_data[0]
+        # h11 takes one answer a request: to it, the request is sent anew.
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._frame(self._request)
+        self._ended = False
+        self._head = asyncio.get_running_loop().create_future()
+        self.data_received(rest)
+        return await self._wait_for_head()
+
+    async def _wait_for_head(self) -> ClientResponse:
+        assert self._head is not None
         head = await self._head
-        return ClientResponse(
-            head.status_code, Headers.received(head.headers.raw_items()), self
-        )
+        headers = Headers.received(head.headers.raw_items())
+        self.most_idle_s = _read_keep_alive(headers)
+        return ClientResponse(head.status_code, headers, self)
 
     async def next_part(self) -> bytes | None:
+        data = await self._next_data()
+        if data is None:
+            self._release()
+        return data
+
+    async def _next_data(self) -> bytes | None:
         while not self._parts:
             if self._failure is not None:
                 raise self._failure
             if self._ended:
-                self._release()
                 return None
             self._arrived = asyncio.get_running_loop().create_future()
             await self._arrived
@@ -291,11 +345,11 @@
     # Sending and reading.
 
     def _frame(self, request: Request) -> bytes:
-        fields = [
-            (b"host", self.address.encode()),
-            *request.headers.raw(),
-            (b"content-length", str(len(request.body)).encode()),
-        ]
+        fields = list(request.headers.raw())
+        if request.headers.get("host") is None:
+            fields.insert(0, (b"host", self.address.encode()))
+        if request.body or request.method not in _BODILESS_METHODS:
+            fields.append((b"content-length", str(len(request.body)).encode()))
         head = h11.Request(method=request.method, target=request.target, headers=fields)
         send = self._h11.send_with_data_passthrough
         parts = list(send(head) or ())
@@ -321,7 +375,8 @@
 
     def _take_head(self, head: h11.Response) -> None:
         assert self._head is not None
-        if not self._bodiless and not _has_length(head):
+        framed = self._client.unframed or _has_length(head)
+        if not self._bodiless and not framed:
             # Such an answer ends with its connection, so that a cut one
             # looks whole.
             self._fail(TransportError(TransportFailure.MALFORMED, "no length"))
@@ -366,3 +421,15 @@
         return True
     names = {name for name, _ in head.headers}
     return len(names & {b"content-length", b"transfer-encoding"}) == 1
+
+
+def _read_keep_alive(headers: Headers) -> float:
+    """Return how long a connection may be idle before it is used again."""
+    told = headers.get("keep-alive")
+    if told is None:
+        return _IDLE_S
+    for part in told.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdecimal():
+            return min(_IDLE_S, int(value) * _IDLE_PART)
+    return _IDLE_S
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -73,7 +73,6 @@
         self.answering = False
         self.peer = ""
         self._owner = owner
-        self._limits = owner.limits
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=owner.limits.header_bytes
         )
@@ -102,7 +101,7 @@
         if not self._owner.admit(self):
             self._transport.abort()
             return
-        self._start_timer(self._limits.idle_s, self._close)
+        self._start_timer(self._owner.limits.idle_s, self._close)
 
     def data_received(self, data: bytes) -> None:
         """Take what a read brought."""
@@ -169,7 +168,7 @@
 
     async def _wait_for_reader(self) -> None:
         try:
-            async with asyncio.timeout(self._limits.send_s):
+            async with asyncio.timeout(self._owner.limits.send_s):
                 await self._writable.wait()
         except TimeoutError:
             # A caller that never reads would hold its upstream's slot and
@@ -203,7 +202,7 @@
         # each read, a caller could hold a connection for ever with a byte
         # now and then.
         self._phase = _Phase.RECEIVING
-        self._start_timer(self._limits.receive_s, self._refuse_slow)
+        self._start_timer(self._owner.limits.receive_s, self._refuse_slow)
 
     def _bound_ahead(self, size: int) -> None:
         """Stop reading once enough of the next requests is here.
@@ -212,7 +211,10 @@
         caller has left and that the upstream may stop.
         """
         self._ahead += size
-        if self._ahead > self._limits.header_bytes and self._transport is not None:
+        if (
+            self._ahead > self._owner.limits.header_bytes
+            and self._transport is not None
+        ):
             self._transport.pause_reading()
 
     def _read_events(self) -> None:
@@ -240,7 +242,7 @@
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
         self._fields = Headers.received(head.headers.raw_items())
-        refused = _find_fault(head, self._fields, self._limits)
+        refused = _find_fault(head, self._fields, self._owner.limits)
         if refused is not None:
             self._refuse(*refused)
             return
@@ -249,7 +251,7 @@
             self.answering = False
 
     def _take_data(self, data: bytes | bytearray) -> None:
-        if self._reserved + len(data) > self._limits.body_bytes:
+        if self._reserved + len(data) > self._owner.limits.body_bytes:
             self._refuse(RefusalKind.BODY_TOO_LARGE, "")
             return
         if not self._owner.reserve(len(data)):
@@ -321,7 +323,7 @@
             self._transport.resume_reading()
         if not self._h11.trailing_data[0]:
             self._phase = _Phase.IDLE
-            self._start_timer(self._limits.idle_s, self._close)
+            self._start_timer(self._owner.limits.idle_s, self._close)
             return
         self._begin_receiving()
         self._read_events()
@@ -369,13 +371,13 @@
             self._close()
             return
         self._transport.write_eof()
-        self._start_timer(self._limits.linger_s, self.abort)
+        self._start_timer(self._owner.limits.linger_s, self.abort)
 
     def _close(self) -> None:
         self._phase = _Phase.CLOSING
         if self._transport is not None:
             self._transport.close()
-            self._start_timer(self._limits.send_s, self.abort)
+            self._start_timer(self._owner.limits.send_s, self.abort)
 
     def _start_timer(self, seconds: float, act: Callable[[], None]) -> None:
         self._due = self._loop.time() + seconds
--- /dev/null
+++ b/src/zinniaspool/keeper/holder.py
@@ -0,0 +1,229 @@
+"""The holder's work: sees the fleet, plans, gives orders."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import structlog
+
+from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.formation import (
+    DomainPlan,
+    FormationPlanner,
+    GroupOrder,
+    PlanWrite,
+)
+from zinniaspool.core.formation.planner import GroupMove
+from zinniaspool.core.ids import Epoch
+from zinniaspool.fleet import FleetBelief
+from zinniaspool.keeper.election import HolderElection
+from zinniaspool.keeper.plans import PlanBook
+from zinniaspool.platform.orders import EngineClient
+
+__all__ = ["GroupHolder"]
+
+_log = structlog.get_logger(__name__)
+
+IDLE_S = 0.25
+"""Longest pause between two looks, in seconds; what is seen ends it sooner."""
+
+ASK_S = 0.2
+"""Longest wait for an engine's answer about itself, in seconds: an engine
+answers at once or is not there."""
+
+ASK_TRIES = 2
+"""Questions without an answer after which an engine counts as lost. One can
+be lost on the way."""
+
+CHECK_PAUSE_S = 0.4
+"""Shortest pause between two checks of one group, in seconds: each costs a
+question to each of its VMs."""
+
+REGAIN_S = 1.5
+"""Pause between questions to one that counts as lost, in seconds."""
+
+
+class GroupHolder:
+    """Plans while this process is the holder.
+
+    Args:
+        belief: What is known of the fleet.
+        election: Tells whether this process is the holder.
+        plans: Plans in the store.
+        engines: Gives orders.
+        load_window_s: Over how long loads of weights are counted.
+    """
+
+    def __init__(
+        self,
+        belief: FleetBelief,
+        election: HolderElection,
+        plans: PlanBook,
+        engines: EngineClient,
+        load_window_s: float,
+    ) -> None:
+        self._belief = belief
+        self._election = election
+        self._plans = plans
+        self._engines = engines
+        self._load_window_s = load_window_s
+        self._changed = asyncio.Event()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._planner: FormationPlanner | None = None
+        self._epoch = 0
+        self._checked: dict[str, float] = {}
+        self._regain_at = 0.0
+        belief.on_instances.append(self._changed.set)
+        belief.on_catalog.append(self._changed.set)
+
+    async def run(self) -> None:
+        """Plan whenever this process holds the key, until cancelled."""
+        while True:
+            if self._election.holds and self._belief.catalog is not None:
+                await self._hold()
+            await asyncio.sleep(0.05)
+
+    def suspect(self, instance: InstanceId) -> None:
+        """Check the group of an instance that has fallen silent."""
+        if self._planner is None or not self._election.holds:
+            return
+        record = self._planner.find_group(instance)
+        if record is None:
+            return
+        now = asyncio.get_running_loop().time()
+        if now - self._checked.get(record.group, float("-inf")) < CHECK_PAUSE_S:
+            return
+        self._checked[record.group] = now
+        for one in record.members:
+            self._start(self._check(one))
+
+    async def _hold(self) -> None:
+        loop = asyncio.get_running_loop()
+        planner = FormationPlanner(
+            self._next_epoch, self._load_window_s, self._note_move
+        )
+        self._planner = planner
+        self._restore(planner)
+        while self._election.holds:
+            self._changed.clear()
+            catalog = self._belief.catalog
+            assert catalog is not None
+            planner.configure(
+                {
+                    name: spec.engine
+                    for name, spec in catalog.services.items()
+                    if spec.engine is not None and spec.engine.models
+                }
+            )
+            planner.see(self._belief.instances)
+            writes, orders = planner.step(loop.time())
+            for write in writes:
+                self._start(self._save(planner, write))
+            for order in orders:
+                self._start(self._give(planner, order))
+            self._ask_lost(planner, loop.time())
+            try:
+                async with asyncio.timeout(IDLE_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        self._planner = None
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _restore(self, planner: FormationPlanner) -> None:
+        plans = self._plans.load(self._belief.mirror)
+        for plan in plans:
+            for record in plan.groups:
+                self._epoch = max(self._epoch, record.epoch)
+        planner.restore(plans)
+
+    def _next_epoch(self) -> Epoch:
+        highest = max(
+            (
+                one.membership.epoch
+                for one in self._belief.instances.values()
+                if one.membership is not None
+            ),
+            default=0,
+        )
+        self._epoch = max(self._epoch, highest, self._belief.mirror.as_of) + 1
+        return Epoch(self._epoch)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: "asyncio.Task[Any]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("task-failed", error=repr(task.exception()))
+        self._changed.set()
+
+    async def _save(self, planner: FormationPlanner, write: PlanWrite) -> None:
+        plan: DomainPlan = write.plan
+        fault = await self._plans.save(plan, self._election.revision)
+        if fault is None:
+            planner.note_saved(plan.domain)
+            return
+        _log.warning("plan-unsaved", domain=plan.domain, fault=fault.value)
+        await asyncio.sleep(0.1)
+        planner.note_unsaved(plan.domain)
+
+    async def _give(self, planner: FormationPlanner, order: GroupOrder) -> None:
+        instance = self._belief.instances.get(order.instance)
+        if instance is None or not self._election.holds:
+            return
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        outcome = await self._engines.send(instance.address, order)
+        _log.info(
+            "order-given",
+            instance=order.instance,
+            action=order.action.value,
+            group=order.group or "",
+            model=order.model or "",
+            outcome=outcome.value,
+            took_ms=int((loop.time() - began) * 1000),
+        )
+        planner.note(order, outcome, loop.time())
+
+    async def _check(self, instance: InstanceId) -> None:
+        for _ in range(ASK_TRIES):
+            known = self._belief.instances.get(instance)
+            if known is None or await self._answers(instance):
+                return
+        if self._planner is not None:
+            _log.warning("instance-lost", instance=instance, tries=ASK_TRIES)
+            self._planner.lose(instance)
+
+    async def _answers(self, instance: InstanceId) -> bool:
+        known = self._belief.instances[instance]
+        found = await self._engines.ask(known.address, ASK_S)
+        return found.is_ok()
+
+    def _ask_lost(self, planner: FormationPlanner, now: float) -> None:
+        if not planner.lost or now < self._regain_at:
+            return
+        self._regain_at = now + REGAIN_S
+        for one in planner.lost:
+            if one in self._belief.instances:
+                self._start(self._ask_again(planner, one))
+
+    async def _ask_again(self, planner: FormationPlanner, one: InstanceId) -> None:
+        if await self._answers(one):
+            _log.info("instance-regained", instance=one)
+            planner.regain(one)
+
+    def _note_move(self, move: GroupMove) -> None:
+        record = move.record
+        _log.info(
+            "group-phase",
+            group=record.group,
+            model=record.model,
+            phase=move.phase.value,
+            reason=move.reason,
+            standby=record.standby,
+            members=",".join(record.members),
+        )
--- /dev/null
+++ b/src/zinniaspool/platform/kvstore.py
@@ -0,0 +1,303 @@
+"""The one client of the platform's key-value store."""
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+from collections import Counter
+from collections.abc import Sequence
+from enum import Enum
+from http import HTTPStatus
+from typing import NewType, TypeVar
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from zinniaspool.core.fleet import MirrorEvent, StoredItem
+from zinniaspool.core.ids import Address, Revision
+from zinniaspool.http import (
+    Headers,
+    HttpClient,
+    Request,
+    TransportError,
+    TransportFailure,
+)
+from zinniaspool.platform.store import StoreFault
+
+__all__ = ["KeyWrite", "KvStore", "LeaseNumber", "Reading", "StoreCall", "WatchResult"]
+
+LeaseNumber = NewType("LeaseNumber", int)
+
+CALL_S = 0.8
+"""Longest wait for an answer, in seconds. The store answers in milliseconds;
+a slow one takes some sixty times as long and still answers in this."""
+
+_T = TypeVar("_T")
+
+
+class StoreCall(Enum):
+    """The kinds of calls that are counted."""
+
+    GET = "get"
+    RANGE = "range"
+    WATCH = "watch"
+    COMMIT = "commit"
+    GRANT = "grant"
+    RENEW = "renew"
+    END_LEASE = "end-lease"
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    value: str = ""
+    # Only in a watch's events: the key was removed at this revision.
+    removed: bool = False
+
+
+class _Range(msgspec.Struct, rename="kebab"):
+    items: list[_Item]
+    as_of: int
+    truncated: bool = False
+
+
+class _Watch(msgspec.Struct, rename="kebab"):
+    events: list[_Item]
+    as_of: int
+
+
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class _Granted(msgspec.Struct):
+    lease: int
+
+
+class KeyWrite(msgspec.Struct, frozen=True):
+    """One key of a commit.
+
+    Attributes:
+        key: Which.
+        value: What to write.
+        lease: The lease that the key goes with; 0 for none.
+    """
+
+    key: str
+    value: bytes
+    lease: LeaseNumber = LeaseNumber(0)
+
+
+class Reading(msgspec.Struct, frozen=True):
+    """All items below a prefix, none older than ``as_of``."""
+
+    items: list[StoredItem]
+    as_of: Revision
+
+
+class WatchResult(msgspec.Struct, frozen=True):
+    """What a watch saw; ``complete`` is False where history was dropped."""
+
+    events: list[MirrorEvent]
+    as_of: Revision
+    complete: bool = True
+
+
+class KvStore:
+    """Calls to the store.
+
+    An answer that did not come leaves open whether a write was done, and it
+    may still be done seconds later: such a call ends in ``UNKNOWN``, and its
+    caller reads the key before it believes either.
+
+    Args:
+        client: Sends the requests.
+        address: The store.
+    """
+
+    def __init__(self, client: HttpClient, address: Address) -> None:
+        self.calls: Counter[tuple[StoreCall, str]] = Counter()
+        self._client = client
+        self._address = address
+
+    async def get(self, key: str) -> Result[StoredItem | None, StoreFault]:
+        """Return a key's item, or None when it is absent."""
+        target = f"/v1/kv-key?key={quote(key, safe='')}"
+        answer = await self._call(StoreCall.GET, "GET", target)
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == HTTPStatus.NOT_FOUND:
+            return Ok(None)
+        return _decode(body, _Item).and_then(_read_item)
+
+    async def read(self, prefix: str) -> Result[Reading, StoreFault]:
+        """Return all items below a prefix, from as many pages as it takes.
+
+        The pages are no snapshot. What changed between them is told by a
+        watch that goes on from the first page's revision.
+        """
+        items: list[StoredItem] = []
+        as_of: int | None = None
+        after = ""
+        while True:
+            target = f"/v1/kv-range?path-prefix={quote(prefix, safe='')}"
+            if after:
+                target += f"&after={quote(after, safe='')}"
+            answer = await self._call(StoreCall.RANGE, "GET", target)
+            if isinstance(answer, Err):
+                return answer
+            page = _decode(answer.ok_value[1], _Range)
+            if isinstance(page, Err):
+                return page
+            found = page.ok_value
+            as_of = found.as_of if as_of is None else as_of
+            for raw in found.items:
+                item = _read_item(raw)
+                if isinstance(item, Err):
+                    return item
+                items.append(item.ok_value)
+            if not found.truncated or not found.items:
+                return Ok(Reading(items, Revision(as_of)))
+            after = found.items[-1].key
+
+    async def watch(
+        self, prefix: str, after: Revision, wait_s: float
+    ) -> Result[WatchResult, StoreFault]:
+        """Wait for changes below a prefix later than a revision."""
+        wait_ms = max(1, int(wait_s * 1000))
+        target = (
+            f"/v1/kv-watch?path-prefix={quote(prefix, safe='')}"
+            f"&after={after}&wait-ms={wait_ms}"
+        )
+        answer = await self._call(StoreCall.WATCH, "GET", target, wait_s=wait_s)
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == HTTPStatus.GONE:
+            return Ok(WatchResult([], after, complete=False))
+        return _decode(body, _Watch).and_then(_read_watch)
+
+    async def commit(
+        self,
+        expected: Sequence[tuple[str, Revision]],
+        writes: Sequence[KeyWrite] = (),
+        removals: Sequence[str] = (),
+    ) -> Result[Revision, StoreFault]:
+        """Write and remove keys if all expected ones are as expected.
+
+        Args:
+            expected: Keys and their revisions; 0 for an absent one.
+            writes: What to write.
+            removals: Keys to remove.
+        """
+        body = {
+            "expected": [{"key": key, "revision": rev} for key, rev in expected],
+            "set-keys": [
+                {
+                    "key": one.key,
+                    "value": b64encode(one.value).decode(),
+                    "lease": one.lease,
+                }
+                for one in writes
+            ],
+            "remove": list(removals),
+        }
+        answer = await self._call(StoreCall.COMMIT, "POST", "/v1/kv-txn", body)
+        if isinstance(answer, Err):
+            return answer
+        status, data = answer.ok_value
+        if status == HTTPStatus.NOT_FOUND:
+            return Err(StoreFault.NO_LEASE)
+        return _decode(data, _Written).map(lambda one: Revision(one.revision))
+
+    async def grant(self, ttl_s: float) -> Result[LeaseNumber, StoreFault]:
+        """Return a new lease; keys written under it go when it ends."""
+        body = {"ttl-ms": int(ttl_s * 1000)}
+        answer = await self._call(StoreCall.GRANT, "POST", "/v1/kv-lease", body)
+        if isinstance(answer, Err):
+            return answer
+        granted = _decode(answer.ok_value[1], _Granted)
+        return granted.map(lambda one: LeaseNumber(one.lease))
+
+    async def renew(self, lease: LeaseNumber) -> Result[None, StoreFault]:
+        """Start a lease's time anew."""
+        answer = await self._call(StoreCall.RENEW, "POST", f"/v1/kv-keep/{lease}", {})
+        return _require_lease(answer)
+
+    async def end_lease(self, lease: LeaseNumber) -> Result[None, StoreFault]:
+        """End a lease and remove its keys."""
+        target = f"/v1/kv-lease-end/{lease}"
+        return _require_lease(await self._call(StoreCall.END_LEASE, "DELETE", target))
+
+    async def _call(
+        self,
+        kind: StoreCall,
+        method: str,
+        target: str,
+        body: object = None,
+        wait_s: float = 0.0,
+    ) -> Result[tuple[int, bytes], StoreFault]:
+        data = b"" if body is None else msgspec.json.encode(body)
+        headers = Headers.of(content_type="application/json") if data else Headers()
+        request = Request(method, target, headers, data)
+        try:
+            status, answer = await self._client.fetch(
+                self._address, request, CALL_S + wait_s
+            )
+        except TransportError as error:
+            fault = StoreFault.UNKNOWN
+            if error.failure is TransportFailure.NOT_SENT:
+                fault = StoreFault.UNAVAILABLE
+            self.calls[kind, fault.value] += 1
+            return Err(fault)
+        failed = _FAULTS.get(status)
+        if failed is None and status not in _ANSWERS:
+            failed = StoreFault.UNKNOWN
+        self.calls[kind, "ok" if failed is None else failed.value] += 1
+        if failed is not None:
+            return Err(failed)
+        return Ok((status, answer))
+
+
+_ANSWERS = frozenset({200, 404, 410})
+_FAULTS = {
+    412: StoreFault.CONFLICT,
+    429: StoreFault.LIMITED,
+    503: StoreFault.UNAVAILABLE,
+}
+
+
+def _decode(body: bytes, kind: type[_T]) -> Result[_T, StoreFault]:
+    try:
+        return Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.MsgspecError:
+        return Err(StoreFault.UNKNOWN)
+
+
+def _read_item(raw: _Item) -> Result[StoredItem, StoreFault]:
+    try:
+        value = b64decode(raw.value, validate=True)
+    except Base64Error:
+        return Err(StoreFault.UNKNOWN)
+    return Ok(StoredItem(raw.key, value, Revision(raw.revision)))
+
+
+def _read_watch(watch: _Watch) -> Result[WatchResult, StoreFault]:
+    events = []
+    for raw in watch.events:
+        item = _read_item(raw)
+        if isinstance(item, Err):
+            return item
+        value = None if raw.removed else item.ok_value.value
+        events.append(MirrorEvent(raw.key, value, Revision(raw.revision)))
+    return Ok(WatchResult(events, Revision(watch.as_of)))
+
+
+def _require_lease(
+    answer: Result[tuple[int, bytes], StoreFault],
+) -> Result[None, StoreFault]:
+    if isinstance(answer, Err):
+        return answer
+    if answer.ok_value[0] == HTTPStatus.NOT_FOUND:
+        return Err(StoreFault.NO_LEASE)
+    return Ok(None)
--- /dev/null
+++ b/src/zinniaspool/platform/nodefile.py
@@ -0,0 +1,167 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from zinniaspool.core.ids import Address, FailureDomainId, NodeId
+
+__all__ = ["NodeFile", "NodeFileError", "read_node_file"]
+
+FILE_VARIABLE = "ZINNIASPOOL_NODE_FILE"
+
+
+class NodeFileError(Exception):
+    """The settings file cannot be used; the message names what is wrong."""
+
+
+class _Listen(msgspec.Struct, rename="kebab"):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+    directory: str = ""
+
+
+class _Store(msgspec.Struct, rename="kebab"):
+    address: str
+    writes_per_s: float = 400.0
+    reads_per_s: float = 2000.0
+    # The shortest lease that the store grants, in milliseconds.
+    ttl_min_ms: float = 1000.0
+
+
+class _Bounds(msgspec.Struct):
+    # Seconds that a process has between the stop signal and its end.
+    grace_s: float = msgspec.field(default=8.0, name="grace-s")
+    # Longest lifetime of an address answer that callers honour, in seconds.
+    ttl_max_s: float = 5.0
+    budget_ratio: float = msgspec.field(default=0.2, name="budget-ratio")
+    budget_window_s: float = msgspec.field(default=10.0, name="budget-window-s")
+    budget_slack: float = msgspec.field(default=0.0, name="budget-slack")
+    stall_ms: float = msgspec.field(default=6000.0, name="stall-ms")
+    ceiling_window_s: float = msgspec.field(default=5.0, name="ceiling-window-s")
+
+
+class _File(msgspec.Struct, rename="kebab"):
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    platform: _Store
+    listen_addrs: _Listen
+    internal_ports: tuple[int, int]
+    seeds: tuple[str, ...] = ()
+    bootstrap: bool = False
+    heartbeat_ms: float = 1000.0
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeFile:
+    """What a process learns from its settings file.
+
+    Attributes:
+        node: The VM's name.
+        ip: Its IP number.
+        failure_domain: Where it is.
+        region: The region of that.
+        caller_address: Where callers connect, or None.
+        ready_address: Where the platform asks whether callers may be sent.
+        directory_address: Where callers ask which addresses to use, or None.
+        control_address: Where control processes meet, or None.
+        first_port: First of the ports for traffic of our own.
+        seeds: Control processes that may be reached at the start.
+        store_address: The platform's store.
+        least_lease_s: Shortest lease that the store grants.
+        heartbeat_s: How often an instance writes its entry.
+        first_start: Whether the whole system starts for the first time.
+        grace_s: From the stop signal to the end.
+        address_lifetime_s: Longest lifetime of an address answer.
+        stall_s: How long a group that lacks a VM stands still before it
+            refuses.
+        repeat_ratio: Repeats allowed for each request, all processes
+            together.
+        repeat_window_s: Over how long repeats are counted.
+        repeat_slack: Repeats allowed besides.
+        load_window_s: Over how long loads of weights are counted.
+    """
+
+    node: NodeId
+    ip: str
+    failure_domain: FailureDomainId
+    region: str
+    caller_address: Address | None
+    ready_address: Address | None
+    directory_address: Address | None
+    control_address: Address | None
+    first_port: int
+    seeds: tuple[Address, ...]
+    store_address: Address
+    least_lease_s: float
+    heartbeat_s: float
+    first_start: bool
+    grace_s: float
+    address_lifetime_s: float
+    stall_s: float
+    repeat_ratio: float
+    repeat_window_s: float
+    repeat_slack: float
+    load_window_s: float
+
+
+def read_node_file(path: Path | None = None) -> NodeFile:
+    """Read the settings file; unknown fields are passed over.
+
+    Args:
+        path: Where it is; by default where the platform's variable says.
+
+    Raises:
+        NodeFileError: It is missing, no TOML, or lacks a field.
+    """
+    if path is None:
+        named = os.environ.get(FILE_VARIABLE)
+        if not named:
+            raise NodeFileError(f"{FILE_VARIABLE} does not name a settings file")
+        path = Path(named)
+    try:
+        text = path.read_text(encoding="utf-8")
+        file = msgspec.convert(tomllib.loads(text), _File, strict=False)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise NodeFileError(f"{path}: {error}") from error
+    except msgspec.ValidationError as error:
+        raise NodeFileError(f"{path}: {error}") from error
+    return _translate(file)
+
+
+def _translate(file: _File) -> NodeFile:
+    bounds, listen = file.bounds, file.listen_addrs
+    return NodeFile(
+        NodeId(file.node_name),
+        file.ip,
+        FailureDomainId(file.zone),
+        file.region,
+        _address(listen.front),
+        _address(listen.ready),
+        _address(listen.directory),
+        _address(listen.control),
+        file.internal_ports[0],
+        tuple(Address(one) for one in file.seeds),
+        Address(file.platform.address),
+        file.platform.ttl_min_ms / 1000,
+        file.heartbeat_ms / 1000,
+        file.bootstrap,
+        bounds.grace_s,
+        bounds.ttl_max_s,
+        bounds.stall_ms / 1000,
+        bounds.budget_ratio,
+        bounds.budget_window_s,
+        bounds.budget_slack,
+        bounds.ceiling_window_s,
+    )
+
+
+def _address(text: str) -> Address | None:
+    return Address(text) if text else None
--- /dev/null
+++ b/src/zinniaspool/platform/orders.py
@@ -0,0 +1,95 @@
+"""Orders to engines and questions to them, as the platform spells them."""
+
+from http import HTTPStatus
+
+import msgspec
+from result import Err, Ok, Result
+
+from zinniaspool.core.formation import GroupOrder, OrderAction, OrderOutcome
+from zinniaspool.core.ids import Address
+from zinniaspool.http import (
+    Headers,
+    HttpClient,
+    Request,
+    TransportError,
+    TransportFailure,
+)
+from zinniaspool.platform.entries import EngineStatus, read_status
+
+__all__ = ["EngineClient"]
+
+ORDER_S = 0.4
+"""Longest wait for the answer to an order, in seconds: engines answer within
+milliseconds or not at all, and an order is repeated in either case."""
+
+_OUTCOMES = {
+    200: OrderOutcome.HOLDS,
+    202: OrderOutcome.ACCEPTED,
+    409: OrderOutcome.UNFIT,
+    412: OrderOutcome.STALE,
+    421: OrderOutcome.GONE,
+}
+_ACTIONS = {
+    OrderAction.JOIN: "join",
+    OrderAction.OPEN: "open",
+    OrderAction.CLOSE: "close",
+    OrderAction.LEAVE: "leave",
+    OrderAction.STAGE: "stage",
+}
+
+
+class EngineClient:
+    """Gives orders to engines and asks for their state.
+
+    Args:
+        client: Sends the requests.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def send(self, address: Address, order: GroupOrder) -> OrderOutcome:
+        """Give an order; tell what is known of its outcome."""
+        headers = Headers.of(
+            content_type="application/json",
+            x_zinniaspool_expect_instance=order.instance,
+        )
+        body = msgspec.json.encode(_spell_order(order))
+        request = Request("POST", "/v1/order", headers, body)
+        try:
+            status, _ = await self._client.fetch(address, request, ORDER_S)
+        except TransportError as error:
+            if error.failure is TransportFailure.NOT_SENT:
+                return OrderOutcome.NOT_SENT
+            return OrderOutcome.UNANSWERED
+        return _OUTCOMES.get(status, OrderOutcome.REFUSED)
+
+    async def ask(
+        self, address: Address, timeout_s: float
+    ) -> Result[EngineStatus, TransportFailure]:
+        """Ask an engine for its state."""
+        request = Request("GET", "/v1/report")
+        try:
+            status, body = await self._client.fetch(address, request, timeout_s)
+        except TransportError as error:
+            return Err(error.failure)
+        if status != HTTPStatus.OK:
+            return Err(TransportFailure.MALFORMED)
+        found = read_status(body)
+        if isinstance(found, Err):
+            return Err(TransportFailure.MALFORMED)
+        return Ok(found.ok_value)
+
+
+def _spell_order(order: GroupOrder) -> dict[str, object]:
+    body: dict[str, object] = {"op": _ACTIONS[order.action]}
+    if order.group is not None:
+        body |= {"group": order.group, "epoch": order.epoch}
+    match order.action:
+        case OrderAction.JOIN:
+            body |= {"model": order.model, "members": list(order.members)}
+        case OrderAction.STAGE:
+            body |= {"model": order.model}
+        case OrderAction.CLOSE:
+            body |= {"close-mode": "queue"}
+    return body
--- /dev/null
+++ b/src/zinniaspool/platform/rules.py
@@ -0,0 +1,193 @@
+"""The operator's configuration as the platform spells it."""
+
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from zinniaspool.core.fleet import (
+    CallerLimits,
+    Catalog,
+    CustomerSpec,
+    EngineSpec,
+    ModelSpec,
+    RequestKind,
+    RouteSpec,
+    ServiceShare,
+    ServiceSpec,
+)
+from zinniaspool.core.ids import CustomerId, ModelName, ServiceName
+
+__all__ = ["RULES_KEY", "read_rules"]
+
+RULES_KEY = "op/config"
+
+
+class _Weighted(msgspec.Struct):
+    service: str
+    weight: float = 0.0
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    # The latency objective: to the first event of a stream.
+    target_latency_ms: float = 0.0
+    priority: int = 5
+    service: str = ""
+    # In place of `service` where several share the route's requests.
+    traffic_split: list[_Weighted] = []
+    max_attempts: int = 1
+    allow_anonymous: bool = False
+    # Set on routes whose requests name a model and the parts of a prompt.
+    sticky_sessions: bool = False
+    stream_resume: bool = False
+    # Longest pause between events that is on time.
+    gap_aim_ms: float = 0.0
+
+
+class _Model(msgspec.Struct, rename="kebab"):
+    name: str
+    size: int = 1
+    share: float = 0.0
+    pace: float = 1.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    models: list[_Model] = []
+    stride: int = 1
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    read_per_s: float = 1e6
+    chunk: int = 2048
+    loads_per_s: float = msgspec.field(default=1.0, name="loads-per-s")
+    loads_at_once: int = 1
+    form_ms: float = msgspec.field(default=0.0, name="form-ms")
+    keeps: int = 1
+
+
+class _Service(msgspec.Struct):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="kebab"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Tenant(msgspec.Struct, rename="kebab"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    # Each entry is decoded by itself, so that one bad route costs only itself.
+    routes: list[Any] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+_KINDS = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.NON_IDEMPOTENT,
+    "stream": RequestKind.STREAM,
+}
+
+
+def read_rules(value: bytes) -> Result[Catalog, str]:
+    """Return the rules, or why they cannot be read."""
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+        routes = [
+            _read_route(msgspec.convert(raw, _Route, strict=False))
+            for raw in config.routes
+        ]
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+    by_host: dict[str, list[RouteSpec]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    for found in by_host.values():
+        found.sort(key=lambda one: -len(one.path_prefix))
+    limits = config.limits
+    return Ok(
+        Catalog(
+            config.version,
+            {host: tuple(found) for host, found in by_host.items()},
+            {ServiceName(one.name): _read_service(one) for one in config.services},
+            {
+                key: CustomerSpec(CustomerId(tenant.name), tenant.priority)
+                for tenant in config.tenants or ()
+                for key in tenant.api_keys
+            },
+            CallerLimits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_ms / 1000,
+                limits.idle_timeout_ms / 1000,
+            ),
+            asks_keys=config.tenants is not None,
+        )
+    )
+
+
+def _read_route(raw: _Route) -> RouteSpec:
+    shares = tuple(
+        ServiceShare(ServiceName(one.service), one.weight) for one in raw.traffic_split
+    )
+    # A kind that is not known here is treated as the strictest one.
+    kind = _KINDS.get(raw.kind, RequestKind.NON_IDEMPOTENT)
+    return RouteSpec(
+        raw.name,
+        raw.host.lower(),
+        raw.path_prefix,
+        kind,
+        raw.timeout_ms / 1000,
+        raw.target_latency_ms / 1000,
+        raw.priority,
+        shares or (ServiceShare(ServiceName(raw.service), 1.0),),
+        max(1, raw.max_attempts),
+        raw.allow_anonymous,
+        raw.stream_resume,
+        raw.gap_aim_ms / 1000 if kind is RequestKind.STREAM else None,
+    )
+
+
+def _read_service(raw: _Service) -> ServiceSpec:
+    return ServiceSpec(
+        ServiceName(raw.name), None if raw.engine is None else _read_engine(raw.engine)
+    )
+
+
+def _read_engine(raw: _Engine) -> EngineSpec:
+    models = tuple(
+        ModelSpec(
+            ModelName(one.name), one.size, one.share, one.pace, one.load_s, one.warm_s
+        )
+        for one in raw.models
+    )
+    return EngineSpec(
+        raw.slots,
+        models,
+        raw.stride,
+        raw.step_ms / 1000,
+        raw.per_seq_ms / 1000,
+        raw.read_per_s,
+        raw.chunk,
+        raw.loads_per_s,
+        raw.loads_at_once,
+        raw.form_ms / 1000,
+        raw.keeps,
+    )
--- /dev/null
+++ b/src/zinniaspool/platform/wire.py
@@ -0,0 +1,208 @@
+"""Headers of callers and instances, translated at this boundary."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from zinniaspool.core.fleet import CustomerSpec, InstanceId
+from zinniaspool.core.ids import ModelName, RequestId
+from zinniaspool.http import Headers, Request
+
+__all__ = [
+    "CallerTerms",
+    "InstanceLoad",
+    "answered_request",
+    "answers_unrun",
+    "forward_headers",
+    "name_fault",
+    "pass_headers",
+    "read_key",
+    "read_load",
+    "read_terms",
+]
+
+_PREFIX = "x-zinniaspool-"
+_REQUEST_ID = _PREFIX + "request-id"
+_DEADLINE = _PREFIX + "deadline-ms"
+_EXPECTED = _PREFIX + "expect-instance"
+_TENANT = _PREFIX + "tenant"
+_MODEL = _PREFIX + "model"
+_TOKENS = _PREFIX + "token-count"
+_HINT = _PREFIX + "length-hint"
+_URGENCY = _PREFIX + "request-priority"
+_UNRUN = _PREFIX + "not-executed"
+_LOAD = _PREFIX + "runner-load"
+_RESUME = "last-event-id"
+
+_MISDIRECTED = 421
+
+# What concerns one connection only (RFC 9110, 7.6.1), and the body's framing,
+# which is made anew.
+_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Never believed of a caller: set here, or for nobody upstream to see.
+_OWN = frozenset(
+    name.encode()
+    for name in ("authorization", _DEADLINE, _EXPECTED, _TENANT, _URGENCY, _RESUME)
+)
+_INTERNAL = frozenset(
+    name.encode() for name in (_LOAD, _PREFIX + "instance-id", "at-server")
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerTerms:
+    """What a caller says of its request.
+
+    Attributes:
+        id: Each attempt of a caller has its own.
+        patience_s: How long the caller waits, or None.
+        model: Which model, or None for a plain call.
+        prompt_tokens: Length of the prompt.
+        most_output_tokens: Longest answer.
+        expected_tokens: The caller's estimate of the answer's length.
+        resume_after: The last event that it has, or None.
+    """
+
+    id: RequestId
+    patience_s: float | None
+    model: ModelName | None
+    prompt_tokens: int
+    most_output_tokens: int
+    expected_tokens: int | None
+    resume_after: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceLoad:
+    """What an instance says with an answer: requests there, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+def read_terms(request: Request) -> CallerTerms:
+    """Return what a caller says; what cannot be read counts as unsaid."""
+    headers = request.headers
+    tokens = _numbers(headers.get(_TOKENS))
+    deadline = headers.get(_DEADLINE)
+    model = headers.get(_MODEL)
+    return CallerTerms(
+        RequestId(headers.get(_REQUEST_ID) or ""),
+        None if _number(deadline) is None else (_number(deadline) or 0) / 1000,
+        ModelName(model) if model else None,
+        tokens[0] if tokens else 0,
+        tokens[1] if len(tokens) > 1 else 0,
+        _number(headers.get(_HINT)),
+        _number(headers.get(_RESUME)),
+    )
+
+
+def read_key(request: Request) -> str | None:
+    """Return the key that a request carries, or None."""
+    value = request.headers.get("authorization")
+    if value is None:
+        return None
+    scheme, _, key = value.strip().partition(" ")
+    return key.strip() if scheme.lower() == "token" else None
+
+
+def forward_headers(
+    request: Request,
+    instance: InstanceId,
+    left_s: float,
+    customer: CustomerSpec | None,
+    urgency: int | None,
+    resume_after: int | None,
+) -> Headers:
+    """Return the headers with which a request goes to an instance.
+
+    Args:
+        request: The caller's.
+        instance: Which instance must answer: its address may have become
+            another's.
+        left_s: How long the caller still waits.
+        customer: Whose request it is, if anybody's.
+        urgency: 0 to 9, 0 first; None for the usual.
+        resume_after: The last event passed on, or None for all.
+    """
+    named = _named_by_connection(request.headers)
+    fields = [
+        (name, value)
+        for name, value in request.headers.raw()
+        if name not in _HOP and name not in _OWN and name not in named
+    ]
+    headers = Headers(fields)
+    headers.add(_DEADLINE, str(max(1, int(left_s * 1000))))
+    headers.add(_EXPECTED, instance)
+    if customer is not None:
+        headers.add(_TENANT, customer.name)
+    if urgency is not None:
+        headers.add(_URGENCY, str(urgency))
+    if resume_after is not None:
+        headers.add(_RESUME, str(resume_after))
+    return headers
+
+
+def pass_headers(headers: Headers) -> Headers:
+    """Return an instance's headers as its answer's reader gets them."""
+    named = _named_by_connection(headers)
+    return Headers(
+        (name, value)
+        for name, value in headers.raw()
+        if name not in _HOP and name not in _INTERNAL and name not in named
+    )
+
+
+def answers_unrun(status: int, headers: Headers) -> bool:
+    """Tell whether an instance promises that it has not run the request."""
+    return status == _MISDIRECTED or headers.get(_UNRUN) is not None
+
+
+def answered_request(headers: Headers) -> RequestId | None:
+    """Return the request that an answer belongs to, or None if unsaid."""
+    value = headers.get(_REQUEST_ID)
+    return None if value is None else RequestId(value)
+
+
+def read_load(headers: Headers) -> InstanceLoad | None:
+    """Return an instance's load as an answer tells it, or None."""
+    match _numbers(headers.get(_LOAD)):
+        case [running, waiting, slots]:
+            return InstanceLoad(running, waiting, slots)
+    return None
+
+
+def name_fault(headers: Headers, request: RequestId, code: str) -> None:
+    """Mark an answer of our own with its request and the error's kind."""
+    if request:
+        headers.add(_REQUEST_ID, request)
+    headers.add("x-error-kind", code)
+
+
+def _named_by_connection(headers: Headers) -> frozenset[bytes]:
+    value = headers.get("connection")
+    if value is None:
+        return frozenset()
+    return frozenset(part.strip().lower().encode() for part in value.split(","))
+
+
+def _number(text: str | None) -> int | None:
+    return int(text) if text is not None and text.strip().isdecimal() else None
+
+
+def _numbers(text: str | None) -> list[int]:
+    parts: Iterable[str] = () if text is None else text.split(",")
+    found = [_number(part) for part in parts]
+    return [one for one in found if one is not None]
