--- a/src/zinniaspool/core/dispatch/silence.py
+++ b/src/zinniaspool/core/dispatch/silence.py
@@ -37,7 +37,7 @@
     """Return the targets with requests of ours that have fallen silent."""
     found = []
     for state in states:
-        if not state.own:
+        if not state.own or state.target.group is None:
             continue
         allowed = limits.writing_s if state.writing else limits.waiting_s
         if now - state.progress_at > allowed:
--- /dev/null
+++ b/src/zinniaspool/core/fleet/messages.py
@@ -0,0 +1,85 @@
+"""What processes tell each other of the fleet."""
+
+import msgspec
+
+from zinniaspool.core.fleet.instances import InstanceId
+from zinniaspool.core.ids import ModelName, NodeId, Revision, ServiceName
+
+__all__ = [
+    "DemandNote",
+    "FleetNews",
+    "FleetWatch",
+    "ModelDemandNote",
+    "NewsItem",
+    "SilentTarget",
+]
+
+
+class FleetWatch(msgspec.Struct, frozen=True, tag="fleet-watch"):
+    """Asks a process for what its copy of the store has that ours lacks.
+
+    Attributes:
+        source: Which start of the asked process told ``serial``; empty at
+            first.
+        serial: The last change that it told; 0 for none.
+        wait_s: Longest wait for a change.
+    """
+
+    source: str
+    serial: int
+    wait_s: float
+
+
+class NewsItem(msgspec.Struct, frozen=True):
+    """One key's state; ``value`` is None where the key is gone."""
+
+    key: str
+    value: bytes | None
+    revision: Revision
+
+
+class FleetNews(msgspec.Struct, frozen=True, tag="fleet-news"):
+    """The answer: changes, or the whole copy.
+
+    Attributes:
+        source: Which start of the answering process this is.
+        serial: Its last change.
+        whole: Whether this is its whole copy.
+        items: What changed, or all there is.
+        as_of: The store's revision up to which the copy is complete.
+        age_s: Seconds since the store, or who read it, last confirmed that.
+    """
+
+    source: str
+    serial: int
+    whole: bool
+    items: list[NewsItem]
+    as_of: Revision
+    age_s: float
+
+
+class SilentTarget(msgspec.Struct, frozen=True, tag="silent-target"):
+    """Tells the holder that a group's head says nothing to its callers."""
+
+    instance: InstanceId
+    node: NodeId
+
+
+class DemandNote(msgspec.Struct, frozen=True, tag="demand-note"):
+    """Tells the holder how much each model is asked for at one process.
+
+    Attributes:
+        node: Which process.
+        demands: By service and model.
+    """
+
+    node: NodeId
+    demands: list["ModelDemandNote"]
+
+
+class ModelDemandNote(msgspec.Struct, frozen=True):
+    """Requests of one model that run, wait or were just refused."""
+
+    service: ServiceName
+    model: ModelName
+    busy: float
--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -53,10 +53,16 @@
 
     Args:
         lapses: Tells of a key whether its owner keeps it alive.
+
+    Attributes:
+        as_of: The store's revision up to which the copy is complete.
+        serial: Counts this copy's changes.
     """
 
     def __init__(self, lapses: Callable[[str], bool]) -> None:
         self.as_of = Revision(0)
+        self.serial = 0
+        self._changed: dict[str, tuple[int, Revision]] = {}
         self._lapses = lapses
         self._items: dict[str, StoredItem] = {}
         self._removed: dict[str, Revision] = {}
@@ -80,6 +86,18 @@
         """Return all items."""
         return list(self._items.values())
 
+    def list_since(self, serial: int) -> list[tuple[str, StoredItem | None, Revision]]:
+        """Return the keys that changed after one of this copy's changes."""
+        return [
+            (key, self._items.get(key), revision)
+            for key, (at, revision) in self._changed.items()
+            if at > serial
+        ]
+
+    def _note(self, key: str, revision: Revision) -> None:
+        self.serial += 1
+        self._changed[key] = (self.serial, revision)
+
     def disturb(self, now: float) -> None:
         """Note that the store is away: removals are doubted for a while."""
         self._disturbed_until = now + RETURN_GRACE_S
@@ -128,6 +146,7 @@
             del self._missing[key]
             before = self._items.pop(key, None)
             if before is not None:
+                self._note(key, self._removed.get(key, before.revision))
                 changes.append(Change(key, before, None))
         return changes
 
@@ -142,6 +161,7 @@
         if before is not None and before.revision == item.revision:
             return []
         self._items[item.key] = item
+        self._note(item.key, item.revision)
         return [Change(item.key, before, item)]
 
     def _remove(self, key: str, revision: Revision, now: float) -> list[Change]:
@@ -154,4 +174,5 @@
             return []
         self._missing.pop(key, None)
         del self._items[key]
+        self._note(key, revision)
         return [Change(key, before, None)]
--- a/src/zinniaspool/core/formation/allocation.py
+++ b/src/zinniaspool/core/formation/allocation.py
@@ -60,7 +60,7 @@
 
     Attributes:
         spec: Its figures.
-        supply: Groups for each unit of its share of the work.
+        supply: Its groups by unit of demand.
     """
 
     spec: ModelSpec
@@ -80,7 +80,7 @@
 def select_groups(
     candidates: Sequence[Candidate],
     engine: EngineSpec,
-    groups: Mapping[ModelName, int],
+    supply: Mapping[ModelName, float],
     standing: Counter[ModelName],
     here: Counter[ModelName],
 ) -> Selection | None:
@@ -92,15 +92,12 @@
     Args:
         candidates: Idle VMs of one fabric domain.
         engine: The service's figures.
-        groups: Groups of each model in the whole fleet.
+        supply: Groups of each model by unit of its demand, fleet-wide.
         standing: VMs of this domain that stand by, by model.
         here: Groups of this domain, by model.
     """
     needs = sorted(
-        (
-            ModelNeed(model, groups.get(model.name, 0) / max(model.share, 0.01))
-            for model in engine.models
-        ),
+        (ModelNeed(model, supply.get(model.name, 0.0)) for model in engine.models),
         key=lambda need: need.supply,
     )
     scarcest = needs[0].supply
@@ -108,7 +105,7 @@
         found = _select_members(candidates, need.spec)
         if found is None:
             continue
-        waits = need.supply > WAIT_RATIO * max(scarcest, 1.0)
+        waits = need.supply > WAIT_RATIO * scarcest
         if waits and _breaks_up(found, needs[0].spec, candidates):
             continue
         return found
--- a/src/zinniaspool/core/formation/loads.py
+++ b/src/zinniaspool/core/formation/loads.py
@@ -4,6 +4,8 @@
 
 __all__ = ["LoadBudget"]
 
+_NO_LIMIT = 1 << 30
+
 
 class LoadBudget:
     """Counts loads over a sliding window.
@@ -15,9 +17,13 @@
         per_s: Loads that may start a second.
         at_once: Loads that may run together.
         window_s: Over how long the rate is counted.
+        free_until: Until when loads are not counted, in seconds.
     """
 
-    def __init__(self, per_s: float, at_once: int, window_s: float) -> None:
+    def __init__(
+        self, per_s: float, at_once: int, window_s: float, free_until: float
+    ) -> None:
+        self._free_until = free_until
         self._most = max(1, int(per_s * window_s))
         self._at_once = max(1, at_once)
         self._window_s = window_s
@@ -26,6 +32,8 @@
 
     def room(self, now: float) -> int:
         """Return how many loads may start now."""
+        if self.is_free(now):
+            return _NO_LIMIT
         while self._started and self._started[0] <= now - self._window_s:
             self._started.popleft()
         for name, until in list(self._running.items()):
@@ -34,8 +42,14 @@
         by_rate = self._most - len(self._started)
         return max(0, min(by_rate, self._at_once - len(self._running)))
 
+    def is_free(self, now: float) -> bool:
+        """Tell whether loads are not counted yet."""
+        return now < self._free_until
+
     def start(self, instance: str, now: float, load_s: float) -> None:
         """Count a load that is ordered; it is taken to last ``load_s``."""
+        if self.is_free(now):
+            return
         self._started.append(now)
         self._running[instance] = now + load_s
 
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -15,6 +15,11 @@
     Selection,
     select_groups,
 )
+from zinniaspool.core.formation.balance import (
+    DomainShape,
+    ModelDemand,
+    find_conversion,
+)
 from zinniaspool.core.formation.lifecycle import RETRY_S, FleetSight, GroupRun
 from zinniaspool.core.formation.loads import LoadBudget
 from zinniaspool.core.formation.orders import GroupOrder, OrderAction, OrderOutcome
@@ -33,6 +38,10 @@
 """Groups known to be over whose members' entries may still name them, for a
 few tens of milliseconds each; far more than end in that time."""
 
+BALANCE_S = 3.0
+"""Shortest time between two moves of VMs from one model to another, in
+seconds: a move takes about this long, and its effect must be seen first."""
+
 _SETTLED = frozenset({GroupPhase.SERVING, GroupPhase.FORMING, GroupPhase.STANDBY})
 
 
@@ -71,6 +80,7 @@
     Args:
         next_epoch: Returns an epoch above all that were ever used.
         load_window_s: Over how long loads of weights are counted.
+        free_until: Until when loads are not counted, in seconds.
         on_move: Told of each group that comes to another phase.
     """
 
@@ -78,10 +88,12 @@
         self,
         next_epoch: Callable[[], Epoch],
         load_window_s: float,
+        free_until: float = float("-inf"),
         on_move: Callable[[GroupMove], None] = lambda _: None,
     ) -> None:
         self._next_epoch = next_epoch
         self._load_window_s = load_window_s
+        self._free_until = free_until
         self._on_move = on_move
         self._domains: dict[FabricDomainId, _Domain] = {}
         self._sight = FleetSight({})
@@ -90,6 +102,10 @@
         self._held: dict[InstanceId, ModelName] = {}
         self._strays: dict[InstanceId, float] = {}
         self._ended: deque[GroupId] = deque(maxlen=_REMEMBERED)
+        self._staging: dict[InstanceId, float] = {}
+        self._demand: dict[tuple[ServiceName, ModelName], float] = {}
+        self._balanced_at = float("-inf")
+        self._held_back_until = float("-inf")
 
     # What the shell tells.
 
@@ -99,7 +115,10 @@
         for service, engine in engines.items():
             if service not in self._loads:
                 self._loads[service] = LoadBudget(
-                    engine.loads_per_s, engine.loads_at_once, self._load_window_s
+                    engine.loads_per_s,
+                    engine.loads_at_once,
+                    self._load_window_s,
+                    self._free_until,
                 )
 
     def restore(self, plans: Iterable[DomainPlan]) -> None:
@@ -118,6 +137,12 @@
                 self._held[one.id] = one.model
         for gone in self._held.keys() - instances.keys():
             del self._held[gone]
+        for gone in self._staging.keys() - instances.keys():
+            del self._staging[gone]
+
+    def set_demand(self, demand: Mapping[tuple[ServiceName, ModelName], float]) -> None:
+        """Take how many requests of each model run or wait, on average."""
+        self._demand = dict(demand)
 
     def lose(self, instance: InstanceId) -> None:
         """Take an instance for lost that answers nobody."""
@@ -163,22 +188,130 @@
 
     # Deciding.
 
+    def hold_back(self, until: float) -> None:
+        """Form nothing until then: the VMs that there are still come in."""
+        self._held_back_until = until
+
     def step(self, now: float) -> tuple[list[PlanWrite], list[GroupOrder]]:
         """Return the plans to write and the orders to give now."""
         idle_by_domain = self._sort_instances()
         writes: list[PlanWrite] = []
         orders = self._release_strays(now)
+        self._balance(now)
         for domain in self._domains.values():
             self._advance(domain, orders, now)
         for domain in self._order_domains():
-            if domain.writing:
+            if domain.writing or now < self._held_back_until:
                 continue
             self._allocate(domain, idle_by_domain.get(domain.id, []), now)
             if domain.unsaved:
                 domain.unsaved, domain.writing = False, True
                 writes.append(PlanWrite(_describe(domain)))
+            orders += self._stage(domain, now)
         return writes, orders
 
+    def _balance(self, now: float) -> None:
+        """Close a group whose VMs another model needs more."""
+        if now - self._balanced_at < BALANCE_S:
+            return
+        for service, engine in self._engines.items():
+            demands = self._list_demands(service, engine)
+            if sum(one.busy for one in demands) < engine.slots:
+                continue
+            shapes = [
+                shape
+                for domain in self._domains.values()
+                if (shape := self._find_shape(domain, service)) is not None
+            ]
+            chosen = find_conversion(demands, self._count_groups(service), shapes)
+            if chosen is None:
+                continue
+            self._balanced_at = now
+            for domain in self._domains.values():
+                if chosen in domain.runs:
+                    run = domain.runs[chosen]
+                    run.move(GroupPhase.CLOSING, "balance", now)
+                    self._on_move(GroupMove(run.record, run.phase, run.reason))
+
+    def _list_demands(
+        self, service: ServiceName, engine: EngineSpec
+    ) -> list[ModelDemand]:
+        return [
+            ModelDemand(
+                model, engine.slots, self._demand.get((service, model.name), 0.0)
+            )
+            for model in engine.models
+        ]
+
+    def _find_shape(self, domain: _Domain, service: ServiceName) -> DomainShape | None:
+        """Return a domain's shape, or None while anything happens there."""
+        groups = {}
+        idle = 0
+        for run in domain.runs.values():
+            if run.record.service != service:
+                continue
+            if run.phase not in (GroupPhase.SERVING, GroupPhase.STANDBY):
+                return None
+            if run.record.standby:
+                idle += 1
+            else:
+                groups[run.record.group] = run.record.model
+        return DomainShape(groups, idle)
+
+    def _supply(
+        self, service: ServiceName, engine: EngineSpec
+    ) -> dict[ModelName, float]:
+        """Return for each model its groups by unit of demand."""
+        groups = self._count_groups(service)
+        demands = self._list_demands(service, engine)
+        measured = sum(one.busy for one in demands) >= engine.slots / 2
+        supply = {}
+        for one in demands:
+            wanted = one.busy if measured else one.spec.share * one.spec.pace
+            supply[one.spec.name] = groups[one.spec.name] / max(wanted, 0.01)
+        return supply
+
+    def _stage(self, domain: _Domain, now: float) -> list[GroupOrder]:
+        """Return orders that bring a second model into hosts' memory.
+
+        A VM that holds one model and has the other one at hand can take any
+        lost member's place within seconds. VMs that stand by come first;
+        those that serve follow only while loads cost nothing.
+        """
+        orders = []
+        for run in domain.runs.values():
+            budget = self._loads.get(run.record.service)
+            settled = run.phase in (GroupPhase.STANDBY, GroupPhase.SERVING)
+            if budget is None or not settled:
+                continue
+            if not run.record.standby and not budget.is_free(now):
+                continue
+            for one in run.record.members:
+                orders += self._stage_one(run.record, one, budget, now)
+        return orders
+
+    def _stage_one(
+        self, record: GroupRecord, one: InstanceId, budget: LoadBudget, now: float
+    ) -> list[GroupOrder]:
+        engine = self._engines.get(record.service)
+        found = self._sight.find(one)
+        if engine is None or found is None or self._staging.get(one, 0.0) > now:
+            return []
+        other = next(
+            (
+                model
+                for model in engine.models
+                if model.name != record.model and model.name not in found.staged
+            ),
+            None,
+        )
+        has_another = any(name != record.model for name in found.staged)
+        if other is None or has_another or not budget.room(now):
+            return []
+        budget.start(one, now, other.load_s)
+        self._staging[one] = now + other.load_s + RETRY_S
+        return [GroupOrder(one, OrderAction.STAGE, model=other.name)]
+
     def _order_domains(self) -> list[_Domain]:
         # The domain with the fewest groups first, so that loads are not all
         # spent on one.
@@ -250,7 +383,7 @@
             if run.record.standby and run.phase in _SETTLED
         )
         chosen = select_groups(
-            candidates, engine, self._count_groups(service), standing, here
+            candidates, engine, self._supply(service, engine), standing, here
         )
         if chosen is None or not self._take_loads(service, chosen, now):
             return False
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -7,6 +7,12 @@
     ConfigurationAsk,
 )
 from zinniaspool.core.errors import ErrorKind
+from zinniaspool.core.fleet.messages import (
+    DemandNote,
+    FleetNews,
+    FleetWatch,
+    SilentTarget,
+)
 from zinniaspool.core.ids import (
     Address,
     CustomerId,
@@ -129,4 +135,6 @@
 
 Configured = ConfigurationAsk | ConfigurationAnswer
 
-Message = Hello | Accepted | Refused | Gossip | Configured | Forwarded
+Fleet = FleetWatch | FleetNews | SilentTarget | DemandNote
+
+Message = Hello | Accepted | Refused | Gossip | Configured | Forwarded | Fleet
--- a/src/zinniaspool/fleet/__init__.py
+++ b/src/zinniaspool/fleet/__init__.py
@@ -1,7 +1,8 @@
 """How a process learns of the fleet: the store's copy and what it says."""
 
 from zinniaspool.fleet.belief import FleetBelief
-from zinniaspool.fleet.follower import StoreFollower
+from zinniaspool.fleet.follower import FleetFollower
 from zinniaspool.fleet.leases import KeptLease
+from zinniaspool.fleet.mesh import FleetMesh
 
-__all__ = ["FleetBelief", "KeptLease", "StoreFollower"]
+__all__ = ["FleetBelief", "FleetFollower", "FleetMesh", "KeptLease"]
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -48,6 +48,16 @@
         self.on_catalog: list[Callable[[], None]] = []
         self.on_instances: list[Callable[[], None]] = []
         self.on_nodes: list[Callable[[], None]] = []
+        self.on_change: list[Callable[[], None]] = []
+        self._confirmed = float("-inf")
+
+    def confirm(self, at: float) -> None:
+        """Note that all that is believed was so at a time, in seconds."""
+        self._confirmed = max(self._confirmed, at)
+
+    def age(self, now: float) -> float:
+        """Return for how many seconds nothing has confirmed the belief."""
+        return now - self._confirmed
 
     def take(self, changes: list[Change]) -> None:
         """Take changes of the copy and tell who listens."""
@@ -71,6 +81,9 @@
             if number in listeners:
                 for listener in group:
                     listener()
+        if changes:
+            for listener in self.on_change:
+                listener()
 
     def _take_rules(self, change: Change) -> None:
         if change.after is None:
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -1,23 +1,36 @@
-"""Keeps the store's copy up to date by reading and watching the store."""
+"""Keeps the copy of the store up to date, from the store or from a peer."""
 
 import asyncio
 import random
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import structlog
 from result import Err, Ok, Result
 
+from zinniaspool.core.fleet import MirrorEvent, StoredItem
+from zinniaspool.core.fleet.messages import FleetNews, FleetWatch
+from zinniaspool.core.ids import Address
 from zinniaspool.fleet.belief import FleetBelief
+from zinniaspool.fleet.mesh import FleetMesh
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.store import StoreFault
 
-__all__ = ["StoreFollower"]
+__all__ = ["FleetFollower"]
 
 _log = structlog.get_logger(__name__)
 
-WAIT_S = 2.5
+WAIT_S = 0.6
 """Longest wait of one watch, in seconds. A connection that went silent shows
-only when the answer is overdue, and a configuration must not be missed for
-longer."""
+only when the answer is overdue, and a change must be known within two."""
+
+PEER_WAIT_S = 0.35
+"""Longest wait of a question to a peer, in seconds: one that was frozen or cut
+off shows by an answer overdue, well within the time for a change."""
+
+FRESH_S = 1.1
+"""Age up to which a peer's copy is followed, in seconds: somewhat over what a
+sound peer lets pass between two answers of the store."""
 
 GATHER_S = 0.05
 """Pause between watches, in seconds: an instance that changes several times in
@@ -30,28 +43,124 @@
 """Longest pause: the store's return must be noticed well within the second
 that a change may take from there."""
 
+SHUN_S = 0.7
+"""For how long a peer that gave no fresh answer is not asked, in seconds."""
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What the last answer of the peer that is followed said."""
+
+    address: Address
+    source: str = ""
+    serial: int = 0
+
 
-class StoreFollower:
-    """Follows all keys of the store.
+class FleetFollower:
+    """Follows the store, through the holder wherever it is up to date.
 
     Args:
         store: The store.
         belief: What is kept up to date.
+        mesh: Asks peers.
+        is_holder: Tells whether this process is the one that others follow.
+        list_seeds: Returns peers to ask when neither store nor holder answer.
     """
 
-    def __init__(self, store: KvStore, belief: FleetBelief) -> None:
+    def __init__(
+        self,
+        store: KvStore,
+        belief: FleetBelief,
+        mesh: FleetMesh,
+        is_holder: Callable[[], bool],
+        list_seeds: Callable[[], list[Address]],
+    ) -> None:
         self.reachable = True
         self._store = store
         self._belief = belief
+        self._mesh = mesh
+        self._is_holder = is_holder
+        self._list_seeds = list_seeds
         self._read = False
         self._pause_s = RETRY_S
+        self._peer: _Peer | None = None
+        self._shunned: dict[Address, float] = {}
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            done = await (self._watch() if self._read else self._read_all())
-            self._settle(done)
-            await asyncio.sleep(self._pause_s if isinstance(done, Err) else GATHER_S)
+            holder = self._find_holder()
+            if holder is not None and await self._follow(holder):
+                self._belief.take(self._belief.mirror.expire(self._now()))
+                continue
+            done = await self._follow_store()
+            if isinstance(done, Err):
+                await self._ask_seeds()
+                await asyncio.sleep(self._pause_s)
+            else:
+                await asyncio.sleep(GATHER_S)
+
+    def _find_holder(self) -> Address | None:
+        holder = self._belief.holder
+        if holder is None or self._is_holder() or not self._belief.mirror.known:
+            return None
+        address = holder.peer_address
+        return None if self._shunned.get(address, 0.0) > self._now() else address
+
+    # From peers.
+
+    async def _follow(self, address: Address, wait_s: float = PEER_WAIT_S) -> bool:
+        """Take news of a peer; False where it has none that is fresh."""
+        peer = self._peer
+        if peer is None or peer.address != address:
+            peer = self._peer = _Peer(address)
+        news = await self._mesh.ask(
+            address, FleetWatch(peer.source, peer.serial, wait_s)
+        )
+        if news is None or news.age_s > FRESH_S:
+            self._shunned[address] = self._now() + SHUN_S
+            _log.info(
+                "peer-stale",
+                address=address,
+                age_ms=-1 if news is None else int(news.age_s * 1000),
+            )
+            return False
+        peer.source, peer.serial = news.source, news.serial
+        self._take_news(news)
+        self.reachable = True
+        return True
+
+    def _take_news(self, news: FleetNews) -> None:
+        mirror, now = self._belief.mirror, self._now()
+        if news.whole:
+            items = [
+                StoredItem(one.key, one.value, one.revision)
+                for one in news.items
+                if one.value is not None
+            ]
+            changes = mirror.replace(items, news.as_of, now)
+        else:
+            events = [
+                MirrorEvent(one.key, one.value, one.revision) for one in news.items
+            ]
+            changes = mirror.apply(events, news.as_of, now)
+        self._belief.confirm(now - news.age_s)
+        self._belief.take(changes)
+
+    async def _ask_seeds(self) -> None:
+        """Ask some peer, when neither the store nor the holder answers."""
+        now = self._now()
+        seeds = [one for one in self._list_seeds() if self._shunned.get(one, 0) <= now]
+        if seeds:
+            await self._follow(random.choice(seeds), 0.0)
+
+    # From the store.
+
+    async def _follow_store(self) -> Result[None, StoreFault]:
+        self._peer = None
+        done = await (self._watch() if self._read else self._read_all())
+        self._settle(done)
+        return done
 
     async def _read_all(self) -> Result[None, StoreFault]:
         reading = await self._store.read("")
@@ -85,13 +194,15 @@
             if self.reachable:
                 _log.warning("store-lost", fault=done.err_value.value)
             self.reachable = False
-            self._pause_s = min(MOST_RETRY_S, self._pause_s * 2)
-            self._pause_s *= random.uniform(0.7, 1.0)
+            longest = min(MOST_RETRY_S, self._pause_s * 2)
+            self._pause_s = longest * random.uniform(0.7, 1.0)
             return
         if not self.reachable:
             _log.info("store-regained", as_of=mirror.as_of)
         self.reachable = True
         self._pause_s = RETRY_S
+        if self._read:
+            self._belief.confirm(now)
         self._belief.take(mirror.expire(now))
 
     def _now(self) -> float:
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -92,6 +92,7 @@
                 break
         else:
             fault = call.attempts.end_without_upstream(ErrorKind.NO_UPSTREAM)
+            self._index.note_refused(call.service, call.terms.model)
         if call.held is not None and call.progress is Progress.NOTHING:
             await self._pass_whole(call, call.held.response, call.held.body)
             return Ok(None)
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -9,10 +9,17 @@
 import structlog
 from result import Err
 
-from zinniaspool.core.dispatch import RepeatLimits, SilenceLimits, find_silent
+from zinniaspool.core.dispatch import (
+    RepeatLimits,
+    SilenceLimits,
+    TargetState,
+    find_silent,
+)
 from zinniaspool.core.fleet import NODES_PREFIX, NodeRecord, NodeState
+from zinniaspool.core.fleet.messages import DemandNote, SilentTarget
 from zinniaspool.core.ids import Address
-from zinniaspool.fleet import FleetBelief, KeptLease, StoreFollower
+from zinniaspool.core.messages import Hello, Message
+from zinniaspool.fleet import FleetBelief, FleetFollower, FleetMesh, KeptLease
 from zinniaspool.gateway.carrier import Carrier
 from zinniaspool.gateway.directory import DirectoryFace
 from zinniaspool.gateway.face import CallerFace, refuse_request
@@ -50,6 +57,11 @@
 """Part of the stop time, in seconds, that is left for closing."""
 
 
+DEMAND_S = 0.5
+"""Pause between words to the holder on what is asked for, in seconds: a part
+of the time over which it averages them."""
+
+
 class GatewayProcess:
     """Serves callers until it is told to stop, then drains.
 
@@ -63,7 +75,14 @@
         self._stopping: float | None = None
         self._stop = asyncio.Event()
         self._store = KvStore(HttpClient(connect_s=CONNECT_S), node.store_address)
-        self._follower = StoreFollower(self._store, self._belief)
+        self._mesh = FleetMesh(
+            node.node, node.failure_domain, self._belief, self._take_message
+        )
+        self._address = Address(f"{node.ip}:{node.first_port}")
+        self._follower = FleetFollower(
+            self._store, self._belief, self._mesh, lambda: False, self._list_seeds
+        )
+        self._notes: set[asyncio.Task[bool]] = set()
         self._index = TargetIndex(self._belief, node.failure_domain)
         http = HttpClient(connect_s=CONNECT_S, unframed=True)
         self._carrier = Carrier(http, self._index)
@@ -94,15 +113,18 @@
             asyncio.create_task(self._follower.run()),
             asyncio.create_task(self._register()),
             asyncio.create_task(self._watch_silence()),
+            asyncio.create_task(self._tell_demand()),
         ]
         for task in tasks:
             task.add_done_callback(self._note_failure)
         await self._listen()
+        await self._mesh.listen(self._address)
         await self._stop.wait()
         await self._leave()
         for task in tasks:
             task.cancel()
         await self._lease.end()
+        self._mesh.close()
         _log.info("stopped", running=self._face.running)
 
     async def _listen(self) -> None:
@@ -114,6 +136,33 @@
             await HttpServer(self._directory.handle).listen(address)
         _log.info("callers-listening", address=node.caller_address)
 
+    def _list_seeds(self) -> list[Address]:
+        known = [one.peer_address for one in self._belief.nodes.values()]
+        return [one for one in [*known, *self._node.seeds] if one != self._address]
+
+    async def _take_message(self, hello: Hello, message: Message) -> Message | None:
+        return None
+
+    def _report_silent(self, state: TargetState) -> None:
+        """Tell the holder of a silent head: it can ask the group's VMs."""
+        if state.target.group is not None:
+            self._tell_holder(SilentTarget(state.target.instance, self._node.node))
+
+    def _tell_holder(self, note: Message) -> None:
+        holder = self._belief.holder
+        if holder is None:
+            return
+        task = asyncio.create_task(self._mesh.tell(holder.peer_address, note))
+        self._notes.add(task)
+        task.add_done_callback(self._notes.discard)
+
+    async def _tell_demand(self) -> None:
+        while True:
+            await asyncio.sleep(DEMAND_S)
+            demands = self._index.list_demands()
+            if demands:
+                self._tell_holder(DemandNote(self._node.node, demands))
+
     def _note_failure(self, task: "asyncio.Task[None]") -> None:
         if task.cancelled() or task.exception() is None:
             return
@@ -138,7 +187,7 @@
         return NodeRecord(
             node.node,
             node.caller_address,
-            Address(f"{node.ip}:{node.first_port}"),
+            self._address,
             node.failure_domain,
             node.region,
             state,
@@ -180,7 +229,11 @@
                         quiet_ms=int((now - state.progress_at) * 1000),
                     )
                     state.silent_until = now + self._silence.resting_s
-                self._carrier.move_from(state)
+                    self._report_silent(state)
+                if state.writing:
+                    # Requests that only wait there may wait for others'
+                    # prompts; they move once the holder has asked the VMs.
+                    self._carrier.move_from(state)
 
     async def _register(self) -> None:
         """Keep this process's record in the store."""
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -1,13 +1,14 @@
 """Targets by service and model, kept as the fleet changes."""
 
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 
 import structlog
 
 from zinniaspool.core.dispatch import Target, TargetPool, TargetState
 from zinniaspool.core.fleet import Instance, InstanceState
+from zinniaspool.core.fleet.messages import ModelDemandNote
 from zinniaspool.core.formation import WholeGroup, find_whole_groups
 from zinniaspool.core.ids import FailureDomainId, ModelName, ServiceName
 from zinniaspool.fleet import FleetBelief
@@ -30,7 +31,7 @@
         self._own_domain = own_domain
         self._source = random.Random()
         self._pools: dict[tuple[ServiceName, ModelName | None], TargetPool] = {}
-        self._members: dict[TargetState, frozenset[str]] = {}
+        self._refused: Counter[tuple[ServiceName, ModelName]] = Counter()
 
     def find(self, service: ServiceName, model: ModelName | None) -> TargetPool:
         """Return the pool of a service's model, empty if unknown."""
@@ -45,6 +46,22 @@
         for pool in self._pools.values():
             yield from pool
 
+    def list_demands(self) -> list[ModelDemandNote]:
+        """Return what is asked of each model here, and forget refusals."""
+        found = []
+        for (service, model), pool in self._pools.items():
+            if model is None:
+                continue
+            busy = sum(state.own for state in pool)
+            refused = self._refused.pop((service, model), 0)
+            found.append(ModelDemandNote(service, model, float(busy + refused)))
+        return found
+
+    def note_refused(self, service: ServiceName, model: ModelName | None) -> None:
+        """Count a request that no target could take."""
+        if model is not None:
+            self._refused[service, model] += 1
+
     def refresh(self, now: float) -> list[TargetState]:
         """Take the fleet as it is now; return the targets that are no more."""
         wanted: defaultdict[tuple[ServiceName, ModelName | None], list[Target]]
--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -17,9 +17,9 @@
 
 _log = structlog.get_logger(__name__)
 
-LEASE_S = 1.6
-"""How long a holder that is gone holds up repairs, in seconds: a little over
-the shortest lease that stores grant, with room for two lost renewals."""
+LEASE_S = 1.0
+"""How long a holder that is gone holds up repairs, in seconds: the shortest
+lease that stores grant, with room for one lost renewal."""
 
 STAND_BACK_S = 0.25
 """Candidates wait a random part of this, so that one write decides mostly."""
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -1,12 +1,14 @@
 """The holder's work: sees the fleet, plans, gives orders."""
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Coroutine
 from typing import Any
 
 import structlog
 
 from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.fleet.messages import DemandNote
 from zinniaspool.core.formation import (
     DomainPlan,
     FormationPlanner,
@@ -14,7 +16,7 @@
     PlanWrite,
 )
 from zinniaspool.core.formation.planner import GroupMove
-from zinniaspool.core.ids import Epoch
+from zinniaspool.core.ids import Epoch, ModelName, NodeId, ServiceName
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.keeper.election import HolderElection
 from zinniaspool.keeper.plans import PlanBook
@@ -27,7 +29,7 @@
 IDLE_S = 0.25
 """Longest pause between two looks, in seconds; what is seen ends it sooner."""
 
-ASK_S = 0.2
+ASK_S = 0.12
 """Longest wait for an engine's answer about itself, in seconds: an engine
 answers at once or is not there."""
 
@@ -43,6 +45,19 @@
 """Pause between questions to one that counts as lost, in seconds."""
 
 
+DEMAND_S = 2.0
+"""For how long an entry process's last word on demand counts, in seconds."""
+
+SMOOTH_S = 1.5
+"""Time over which demand is averaged, in seconds: about as long as a request
+takes, so that single ones do not move VMs."""
+
+SETTLE_S = 6.2
+"""For how long before loads begin to count nothing is formed, in seconds: VMs
+that all start at once write their entries over some four seconds, and whoever
+forms groups of the first ones finds too few left for the others."""
+
+
 class GroupHolder:
     """Plans while this process is the holder.
 
@@ -52,6 +67,7 @@
         plans: Plans in the store.
         engines: Gives orders.
         load_window_s: Over how long loads of weights are counted.
+        free_until: Until when they are not, in seconds.
     """
 
     def __init__(
@@ -61,18 +77,23 @@
         plans: PlanBook,
         engines: EngineClient,
         load_window_s: float,
+        free_until: float,
     ) -> None:
         self._belief = belief
         self._election = election
         self._plans = plans
         self._engines = engines
         self._load_window_s = load_window_s
+        self._free_until = free_until
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._planner: FormationPlanner | None = None
         self._epoch = 0
         self._checked: dict[str, float] = {}
         self._regain_at = 0.0
+        self._demands: dict[NodeId, tuple[float, DemandNote]] = {}
+        self._smooth: dict[tuple[ServiceName, ModelName], float] = {}
+        self._smoothed_at = 0.0
         belief.on_instances.append(self._changed.set)
         belief.on_catalog.append(self._changed.set)
 
@@ -83,7 +104,7 @@
                 await self._hold()
             await asyncio.sleep(0.05)
 
-    def suspect(self, instance: InstanceId) -> None:
+    def suspect(self, instance: InstanceId, told_by: NodeId) -> None:
         """Check the group of an instance that has fallen silent."""
         if self._planner is None or not self._election.holds:
             return
@@ -94,16 +115,41 @@
         if now - self._checked.get(record.group, float("-inf")) < CHECK_PAUSE_S:
             return
         self._checked[record.group] = now
+        _log.info("group-suspected", group=record.group, head=instance, told_by=told_by)
         for one in record.members:
             self._start(self._check(one))
 
+    def note_demand(self, note: DemandNote) -> None:
+        """Take how much the models are asked for at one entry process."""
+        self._demands[note.node] = (asyncio.get_running_loop().time(), note)
+
+    def _sum_demand(self, now: float) -> dict[tuple[ServiceName, ModelName], float]:
+        found: defaultdict[tuple[ServiceName, ModelName], float] = defaultdict(float)
+        for node, (at, note) in list(self._demands.items()):
+            if now - at > DEMAND_S:
+                del self._demands[node]
+                continue
+            for one in note.demands:
+                found[one.service, one.model] += one.busy
+        return found
+
+    def _smooth_demand(self, now: float) -> None:
+        passed_s = now - self._smoothed_at
+        self._smoothed_at = now
+        weight = min(1.0, passed_s / SMOOTH_S)
+        fresh = self._sum_demand(now)
+        for key in fresh.keys() | self._smooth.keys():
+            before = self._smooth.get(key, 0.0)
+            self._smooth[key] = before + weight * (fresh.get(key, 0.0) - before)
+
     async def _hold(self) -> None:
         loop = asyncio.get_running_loop()
         planner = FormationPlanner(
-            self._next_epoch, self._load_window_s, self._note_move
+            self._next_epoch, self._load_window_s, self._free_until, self._note_move
         )
         self._planner = planner
         self._restore(planner)
+        planner.hold_back(self._free_until - SETTLE_S)
         while self._election.holds:
             self._changed.clear()
             catalog = self._belief.catalog
@@ -116,6 +162,8 @@
                 }
             )
             planner.see(self._belief.instances)
+            self._smooth_demand(loop.time())
+            planner.set_demand(self._smooth)
             writes, orders = planner.step(loop.time())
             for write in writes:
                 self._start(self._save(planner, write))
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -3,12 +3,15 @@
 import asyncio
 import signal
 import sys
+import time
 
 import structlog
 
 from zinniaspool.core.fleet import HolderRecord
+from zinniaspool.core.fleet.messages import DemandNote, SilentTarget
 from zinniaspool.core.ids import Address
-from zinniaspool.fleet import FleetBelief, StoreFollower
+from zinniaspool.core.messages import Hello, Message
+from zinniaspool.fleet import FleetBelief, FleetFollower, FleetMesh
 from zinniaspool.http import HttpClient
 from zinniaspool.keeper.election import HolderElection
 from zinniaspool.keeper.holder import GroupHolder
@@ -26,6 +29,11 @@
 """Longest wait for a connection to an engine or the store, in seconds."""
 
 
+LEAD_S = 10.0
+"""For how long after the whole system's first start loads are not counted, in
+seconds: callers come some twelve seconds after it."""
+
+
 class KeeperProcess:
     """Stands for holder, and plans groups while it is.
 
@@ -38,20 +46,32 @@
         self._stop = asyncio.Event()
         self._belief = FleetBelief()
         self._store = KvStore(HttpClient(connect_s=CONNECT_S), node.store_address)
-        self._follower = StoreFollower(self._store, self._belief)
-        address = node.control_address or Address(f"{node.ip}:{node.first_port + 1}")
+        self._mesh = FleetMesh(
+            node.node, node.failure_domain, self._belief, self._take_message
+        )
+        self._address = node.control_address or Address(
+            f"{node.ip}:{node.first_port + 1}"
+        )
         self._election = HolderElection(
             self._store,
             self._belief,
-            HolderRecord(node.node, address),
+            HolderRecord(node.node, self._address),
             node.least_lease_s,
         )
+        self._follower = FleetFollower(
+            self._store,
+            self._belief,
+            self._mesh,
+            lambda: self._election.holds,
+            self._list_seeds,
+        )
         self._holder = GroupHolder(
             self._belief,
             self._election,
             PlanBook(self._store),
             EngineClient(HttpClient(connect_s=CONNECT_S)),
             node.load_window_s,
+            time.monotonic() + LEAD_S if node.first_start else 0.0,
         )
 
     async def run(self) -> None:
@@ -61,6 +81,7 @@
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
         _log.info("started", first_start=self._node.first_start)
+        await self._mesh.listen(self._address)
         tasks = [
             asyncio.create_task(self._follower.run()),
             asyncio.create_task(self._election.run()),
@@ -72,8 +93,20 @@
         await self._election.resign()
         for task in tasks:
             task.cancel()
+        self._mesh.close()
         _log.info("stopped")
 
+    def _list_seeds(self) -> list[Address]:
+        known = [one.peer_address for one in self._belief.nodes.values()]
+        return [one for one in [*known, *self._node.seeds] if one != self._address]
+
+    async def _take_message(self, hello: Hello, message: Message) -> Message | None:
+        if isinstance(message, SilentTarget):
+            self._holder.suspect(message.instance, message.node)
+        elif isinstance(message, DemandNote):
+            self._holder.note_demand(message)
+        return None
+
     def _note_failure(self, task: "asyncio.Task[None]") -> None:
         if task.cancelled() or task.exception() is None:
             return
