Free a VM that comes back still holding a given-up group; faults end no process

Only VMs that left count as free now. An age before the first reading was infinite and ended the process.

--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -102,6 +102,7 @@
         self._held: dict[InstanceId, ModelName] = {}
         self._strays: dict[InstanceId, float] = {}
         self._ended: deque[GroupId] = deque(maxlen=_REMEMBERED)
+        self._left: deque[tuple[InstanceId, GroupId]] = deque(maxlen=_REMEMBERED)
         self._staging: dict[InstanceId, float] = {}
         self._demand: dict[tuple[ServiceName, ModelName], float] = {}
         self._balanced_at = float("-inf")
@@ -342,11 +343,22 @@
                 # The plan is written anew with the next group; until then a
                 # successor only asks the head once more to leave.
                 del domain.runs[group]
-                self._ended.append(group)
+                self._remember_end(run)
                 self._end_loads(run.record)
                 continue
             orders += due
 
+    def _remember_end(self, run: GroupRun) -> None:
+        """Note who is known to be out of a group that is given up.
+
+        Where its head did not answer, the head and others that were away may
+        come back and still hold it: only those that left are free.
+        """
+        group = run.record.group
+        if run.record.head in run.released:
+            self._ended.append(group)
+        self._left += [(one, group) for one in run.released]
+
     def _end_loads(self, record: GroupRecord) -> None:
         budget = self._loads.get(record.service)
         if budget is not None:
@@ -464,6 +476,8 @@
                 continue
             if held.group in groups or held.group in self._ended:
                 continue
+            if (one.id, held.group) in self._left:
+                continue
             if self.find_group(one.id) is not None:
                 continue
             given = self._strays.get(one.id, float("-inf"))
--- a/src/zinniaspool/fleet/__init__.py
+++ b/src/zinniaspool/fleet/__init__.py
@@ -1,8 +1,9 @@
 """How a process learns of the fleet: the store's copy and what it says."""
 
 from zinniaspool.fleet.belief import FleetBelief
+from zinniaspool.fleet.duties import run_duty
 from zinniaspool.fleet.follower import FleetFollower
 from zinniaspool.fleet.leases import KeptLease
 from zinniaspool.fleet.mesh import FleetMesh
 
-__all__ = ["FleetBelief", "FleetFollower", "FleetMesh", "KeptLease"]
+__all__ = ["FleetBelief", "FleetFollower", "FleetMesh", "KeptLease", "run_duty"]
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -27,6 +27,9 @@
 _log = structlog.get_logger(__name__)
 _T = TypeVar("_T")
 
+_NEVER_S = -1e6
+"""When what is believed was last confirmed, before it ever was: long ago."""
+
 
 class FleetBelief:
     """Rules, instances and nodes as the store's copy has them.
@@ -49,7 +52,7 @@
         self.on_instances: list[Callable[[], None]] = []
         self.on_nodes: list[Callable[[], None]] = []
         self.on_change: list[Callable[[], None]] = []
-        self._confirmed = float("-inf")
+        self._confirmed = _NEVER_S
 
     def confirm(self, at: float) -> None:
         """Note that all that is believed was so at a time, in seconds."""
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -19,7 +19,13 @@
 from zinniaspool.core.fleet.messages import DemandNote, SilentTarget
 from zinniaspool.core.ids import Address
 from zinniaspool.core.messages import Hello, Message
-from zinniaspool.fleet import FleetBelief, FleetFollower, FleetMesh, KeptLease
+from zinniaspool.fleet import (
+    FleetBelief,
+    FleetFollower,
+    FleetMesh,
+    KeptLease,
+    run_duty,
+)
 from zinniaspool.gateway.carrier import Carrier
 from zinniaspool.gateway.directory import DirectoryFace
 from zinniaspool.gateway.face import CallerFace, refuse_request
@@ -110,13 +116,11 @@
         loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
         _log.info("started", first_start=self._node.first_start)
         tasks = [
-            asyncio.create_task(self._follower.run()),
-            asyncio.create_task(self._register()),
-            asyncio.create_task(self._watch_silence()),
-            asyncio.create_task(self._tell_demand()),
+            asyncio.create_task(run_duty("follower", self._follower.run)),
+            asyncio.create_task(run_duty("register", self._register)),
+            asyncio.create_task(run_duty("watch_silence", self._watch_silence)),
+            asyncio.create_task(run_duty("tell_demand", self._tell_demand)),
         ]
-        for task in tasks:
-            task.add_done_callback(self._note_failure)
         await self._listen()
         await self._mesh.listen(self._address)
         await self._stop.wait()
@@ -163,13 +167,6 @@
             if demands:
                 self._tell_holder(DemandNote(self._node.node, demands))
 
-    def _note_failure(self, task: "asyncio.Task[None]") -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        # Without it the process would go on with beliefs that grow old.
-        _log.error("task-failed", error=repr(task.exception()))
-        self._stop.set()
-
     @property
     def _may_begin(self) -> bool:
         if self._stopping is None:
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -11,7 +11,7 @@
 from zinniaspool.core.fleet.messages import DemandNote, SilentTarget
 from zinniaspool.core.ids import Address
 from zinniaspool.core.messages import Hello, Message
-from zinniaspool.fleet import FleetBelief, FleetFollower, FleetMesh
+from zinniaspool.fleet import FleetBelief, FleetFollower, FleetMesh, run_duty
 from zinniaspool.http import HttpClient
 from zinniaspool.keeper.election import HolderElection
 from zinniaspool.keeper.holder import GroupHolder
@@ -83,12 +83,10 @@
         _log.info("started", first_start=self._node.first_start)
         await self._mesh.listen(self._address)
         tasks = [
-            asyncio.create_task(self._follower.run()),
-            asyncio.create_task(self._election.run()),
-            asyncio.create_task(self._holder.run()),
+            asyncio.create_task(run_duty("follower", self._follower.run)),
+            asyncio.create_task(run_duty("election", self._election.run)),
+            asyncio.create_task(run_duty("holder", self._holder.run)),
         ]
-        for task in tasks:
-            task.add_done_callback(self._note_failure)
         await self._stop.wait()
         await self._election.resign()
         for task in tasks:
@@ -107,12 +105,6 @@
             self._holder.note_demand(message)
         return None
 
-    def _note_failure(self, task: "asyncio.Task[None]") -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        _log.error("task-failed", error=repr(task.exception()))
-        self._stop.set()
-
 
 def main() -> None:
     """Run the program."""
