--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -104,18 +104,20 @@
         self._lease = KeptLease(self._store, NODE_LEASE_S)
         self._silence = SilenceLimits()
         self._server = HttpServer(self._face.handle, refuse=refuse_request)
+        self._servers = [self._server]
+        self._tasks: list[asyncio.Task[None]] = []
         self._belief.on_catalog.append(self._take_catalog)
         self._belief.on_instances.append(self._refresh)
         self._belief.on_nodes.append(self._count_processes)
 
+    def stop(self) -> None:
+        """Tell the process to stop in order."""
+        self._stop.set()
+
     async def run(self) -> None:
         """Run until the process is told to stop."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
         _log.info("started", first_start=self._node.first_start)
-        tasks = [
+        self._tasks = [
             asyncio.create_task(run_duty("follower", self._follower.run)),
             asyncio.create_task(run_duty("register", self._register)),
             asyncio.create_task(run_duty("watch_silence", self._watch_silence)),
@@ -125,19 +127,36 @@
         await self._mesh.listen(self._address)
         await self._stop.wait()
         await self._leave()
-        for task in tasks:
-            task.cancel()
         await self._lease.end()
-        self._mesh.close()
+        await self.abort()
         _log.info("stopped", running=self._face.running)
 
+    @property
+    def running(self) -> int:
+        """How many callers' requests run."""
+        return self._face.running
+
+    def list_addresses(self) -> list[str]:
+        """Return where callers are told to connect."""
+        return self._directory.list_addresses()
+
+    async def abort(self) -> None:
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        self._mesh.close()
+        for server in self._servers:
+            await server.drain(0.0)
+
     async def _listen(self) -> None:
         node = self._node
         assert node.caller_address is not None
         await self._server.listen(node.caller_address)
         for address in {node.ready_address, node.directory_address} - {None}:
             assert address is not None
-            await HttpServer(self._directory.handle).listen(address)
+            server = HttpServer(self._directory.handle)
+            self._servers.append(server)
+            await server.listen(address)
         _log.info("callers-listening", address=node.caller_address)
 
     def _list_seeds(self) -> list[Address]:
@@ -284,7 +303,14 @@
 
 
 async def _start(node: NodeFile) -> None:
-    await GatewayProcess(node).run()
+    process = GatewayProcess(node)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.stop)
+    # What may change in the file while a process runs is nothing that it
+    # keeps; without a handler the signal would end it.
+    loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
+    await process.run()
 
 
 if __name__ == "__main__":
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -44,6 +44,7 @@
     def __init__(self, node: NodeFile) -> None:
         self._node = node
         self._stop = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
         self._belief = FleetBelief()
         self._store = KvStore(HttpClient(connect_s=CONNECT_S), node.store_address)
         self._mesh = FleetMesh(
@@ -74,25 +75,34 @@
             time.monotonic() + LEAD_S if node.first_start else 0.0,
         )
 
+    def stop(self) -> None:
+        """Tell the process to stop in order."""
+        self._stop.set()
+
     async def run(self) -> None:
         """Run until the process is told to stop."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
         _log.info("started", first_start=self._node.first_start)
         await self._mesh.listen(self._address)
-        tasks = [
+        self._tasks = [
             asyncio.create_task(run_duty("follower", self._follower.run)),
             asyncio.create_task(run_duty("election", self._election.run)),
             asyncio.create_task(run_duty("holder", self._holder.run)),
         ]
         await self._stop.wait()
         await self._election.resign()
-        for task in tasks:
+        await self.abort()
+        _log.info("stopped")
+
+    @property
+    def holds(self) -> bool:
+        """Whether this process plans groups now."""
+        return self._election.holds
+
+    async def abort(self) -> None:
+        """Close everything at once."""
+        for task in self._tasks:
             task.cancel()
         self._mesh.close()
-        _log.info("stopped")
 
     def _list_seeds(self) -> list[Address]:
         known = [one.peer_address for one in self._belief.nodes.values()]
@@ -118,7 +128,14 @@
 
 
 async def _start(node: NodeFile) -> None:
-    await KeeperProcess(node).run()
+    process = KeeperProcess(node)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.stop)
+    # What may change in the file while a process runs is nothing that it
+    # keeps; without a handler the signal would end it.
+    loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
+    await process.run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_installation.py
@@ -0,0 +1,349 @@
+"""The whole path over the platform's protocols, under failures."""
+
+import asyncio
+
+from tests.installation import KEY, Installation, eventually, run
+from zinniaspool.http import HttpClient, Request
+
+
+def test_a_stream_is_answered_whole_and_the_key_stays_here() -> None:
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            answer = await made.draft("n0", events=12)
+            assert (answer.status, answer.events) == (200, list(range(1, 13)))
+            assert answer.headers.get("x-zinniaspool-server-seal")
+            runs = [run for one in made.runners.values() for run in one.runs]
+            assert {run.customer for run in runs} == {"care"}
+            assert {run.credential for run in runs} == {""}
+            assert all(0 < run.deadline_ms <= 4000 for run in runs)
+            made.assert_sound()
+
+    run(test)
+
+
+def test_what_the_rules_do_not_allow_is_refused() -> None:
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            assert (await made.ask("n0", "/drafts/one", key="other")).status == 401
+            assert (await made.ask("n0", "/drafts/one", key=None)).status == 401
+            assert (await made.ask("n0", "/nowhere/one")).status == 404
+
+    run(test)
+
+
+def test_callers_are_told_of_ready_processes_only() -> None:
+    """A caller that is sent to a stopping VM would lose its connection."""
+
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            node = made.nodes["n0"]
+            await eventually(lambda: len(node.gateway.list_addresses()) == 2)
+            made.nodes["n1"].gateway.stop()
+            await eventually(lambda: len(node.gateway.list_addresses()) == 1)
+            address = node.file.directory_address
+            assert address is not None
+            client = HttpClient()
+            target = "/v1/resolve?name=care.example&region=north&zone=hall-a"
+            status, body = await client.fetch(address, Request("GET", target), 1.0)
+            assert status == 200
+            assert str(node.file.caller_address).encode() in body
+            client.close()
+
+    run(test)
+
+
+def test_a_stream_goes_on_elsewhere_when_its_group_loses_a_vm() -> None:
+    """The caller sees a short pause and every event once.
+
+    A VM of the group goes dark in the middle of the stream. Its head keeps
+    the connection and says nothing. The entry process notices that all of
+    the head's streams stopped, and goes on at another group of the model.
+    """
+
+    async def test() -> None:
+        async with Installation.running(engines=9) as made:
+            await eventually(lambda: len(made.heads("large")) >= 2)
+            await made.settle()
+            before = {one.id: len(one.runs) for one in made.heads("large")}
+            asking = asyncio.create_task(made.draft("n0", "large", events=40))
+            await asyncio.sleep(0.4)
+            head = next(
+                one for one in made.heads("large") if len(one.runs) > before[one.id]
+            )
+            made.runners[head.members[1]].faults.dark = True
+            answer = await asking
+            assert answer.whole
+            assert answer.events == list(range(1, 41))
+            made.assert_sound()
+
+    run(test)
+
+
+def test_a_group_is_formed_again_after_a_loss() -> None:
+    """New requests are refused for a moment, then served again.
+
+    The head falls silent; the holder asks the group's VMs, one does not
+    answer, and the others form a group with a VM that stood by.
+    """
+
+    async def test() -> None:
+        async with Installation.running(engines=6) as made:
+            await made.settle()
+            head, before = made.heads("large")[0], made.groups("large")
+            asking = asyncio.create_task(made.draft("n0", "large", events=100))
+            await asyncio.sleep(0.3)
+            made.runners[head.members[1]].faults.dark = True
+            await eventually(lambda: made.groups("large") - before, 8.0)
+            asking.cancel()
+            await made.settle()
+            made.assert_sound()
+
+    run(test)
+
+
+def test_a_call_that_may_run_once_is_never_sent_twice() -> None:
+    """The caller is told that the outcome is unknown.
+
+    The upstream takes the request and answers nothing. Another one could
+    answer at once, but nobody knows whether the first has run it.
+    """
+
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            for one in made.runners.values():
+                one.faults.mute = True
+            answer = await made.ask("n0", "/cards/1", request_id="once")
+            assert answer.status == 504
+            assert len(made.runs_of("once")) == 1
+
+    run(test)
+
+
+def test_a_refusal_says_not_run_only_where_that_is_true() -> None:
+    """The caller repeats what was refused; nothing of it may run."""
+
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            for one in made.runners.values():
+                one.faults.refuse = one.service == "cards"
+            answer = await made.ask("n0", "/cards/1", request_id="refused")
+            assert answer.status == 503
+            assert answer.headers.get("retry-after")
+            assert made.runs_of("refused") == []
+
+    run(test)
+
+
+def test_an_idempotent_call_is_tried_at_a_second_upstream() -> None:
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            plain = [one for one in made.runners.values() if one.service == "cards"]
+            plain[0].faults.fail = True
+            answers = [await made.ask("n0", "/receipts/1", "GET") for _ in range(6)]
+            assert {answer.status for answer in answers} == {200}
+
+    run(test)
+
+
+def test_an_answer_too_many_reaches_nobody() -> None:
+    """The next caller on the connection would read another's answer.
+
+    An upstream sends its answer twice. The second one lies on the kept
+    connection, where the next request's answer is due.
+    """
+
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            for one in made.runners.values():
+                one.faults.extra = True
+            for number in range(8):
+                name = f"mine-{number}"
+                answer = await made.ask("n0", "/cards/1", request_id=name)
+                assert answer.body == f"answer to {name}".encode()
+
+    run(test)
+
+
+def test_a_stream_cut_in_an_event_goes_on_without_a_gap() -> None:
+    async def test() -> None:
+        async with Installation.running(engines=9) as made:
+            await eventually(lambda: len(made.heads("large")) >= 2)
+            await made.settle()
+            cut = made.heads("large")[0]
+            cut.faults.cut_after = 5
+            for _ in range(4):
+                answer = await made.draft("n0", "large", events=9)
+                assert answer.events == list(range(1, 10))
+                assert answer.whole
+
+    run(test)
+
+
+def test_requests_are_served_while_the_store_is_down() -> None:
+    """Callers notice nothing.
+
+    The store answers nobody for longer than entries last, and entries lapse
+    meanwhile. Their owners live: nothing is given up until they had time to
+    write their entries again.
+    """
+
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            heads = set(made.heads("large"))
+            made.store.faults.down = "busy"
+            for one in made.runners.values():
+                made.store.remove(f"servers/{one.id}")
+                one._written = ""
+                one.faults.cut = True
+            for _ in range(10):
+                assert (await made.draft("n0", events=2)).status == 200
+                await asyncio.sleep(0.1)
+            made.store.faults.down = ""
+            await asyncio.sleep(0.5)
+            for one in made.runners.values():
+                one.faults.cut = False
+            for _ in range(10):
+                assert (await made.draft("n1", events=2)).status == 200
+                await asyncio.sleep(0.1)
+            assert heads & set(made.heads("large"))
+            made.assert_sound()
+
+    run(test)
+
+
+def test_a_process_that_the_store_turns_away_learns_from_its_peers() -> None:
+    """A caller with a revoked key would be served by one VM for seconds.
+
+    The store turns one VM away and serves the others. A key is revoked
+    meanwhile; the VM hears of it from the process that it follows.
+    """
+
+    async def test() -> None:
+        async with Installation.running(nodes=3) as made:
+            await made.settle()
+            made.store.faults.down = "reset"
+            made.store.faults.only = [made.nodes["n2"].file.store_address]
+            await asyncio.sleep(0.5)
+            made.keys = ["another"]
+            made.configure()
+            await asyncio.sleep(1.5)
+            for node in made.nodes:
+                assert (await made.ask(node, "/cards/1", key=KEY)).status == 401
+                assert (await made.ask(node, "/cards/1", key="another")).status == 200
+
+    run(test)
+
+
+def test_another_process_plans_when_the_holder_is_gone() -> None:
+    """A VM lost just after the holder is replaced all the same."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=3, engines=6) as made:
+            await made.settle()
+            holder = next(
+                name for name, node in made.nodes.items() if node.keeper.holds
+            )
+            await made.kill(holder)
+            head, before = made.heads("large")[0], made.groups("large")
+            made.runners[head.members[2]].faults.dark = True
+            await eventually(lambda: made.groups("large") - before, 12.0)
+            made.assert_sound()
+
+    run(test)
+
+
+def test_orders_without_an_answer_form_groups_all_the_same() -> None:
+    """Orders get lost or are carried out late; groups are whole when open."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=0) as made:
+            for one in made.runners.values():
+                one.faults.unanswered_orders = 2
+            await made.add_node("n0")
+            await made.settle()
+            await asyncio.sleep(1.5)
+            made.assert_sound()
+
+    run(test)
+
+
+def test_a_write_whose_answer_is_lost_is_read_back() -> None:
+    async def test() -> None:
+        async with Installation.running(nodes=0) as made:
+            made.store.faults.lose_answers = 3
+            await made.add_node("n0")
+            await made.settle()
+            made.assert_sound()
+
+    run(test)
+
+
+def test_a_history_that_is_dropped_is_read_anew() -> None:
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            made.store.faults.down = "busy"
+            await asyncio.sleep(0.3)
+            made.keys = ["another"]
+            made.configure()
+            made.store.drop_history()
+            made.store.faults.down = ""
+            await asyncio.sleep(2.0)
+            for node in made.nodes:
+                assert (await made.ask(node, "/cards/1", key="another")).status == 200
+
+    run(test)
+
+
+def test_a_process_without_a_configuration_says_not_ready() -> None:
+    """A 404 would tell the caller not to come back."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=0) as made:
+            made.store.faults.down = "silent"
+            await made.add_node("n0")
+            await asyncio.sleep(0.3)
+            answer = await made.ask("n0", "/drafts/one")
+            assert answer.status == 503
+            assert answer.headers.get("retry-after")
+
+    run(test)
+
+
+def test_a_planned_stop_cuts_nothing() -> None:
+    """A stream that runs when the stop signal comes ends whole."""
+
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            asking = asyncio.create_task(made.draft("n0", events=50))
+            await asyncio.sleep(0.3)
+            made.nodes["n0"].gateway.stop()
+            answer = await asking
+            assert answer.whole
+            assert answer.events == list(range(1, 51))
+
+    run(test)
+
+
+def test_a_caller_that_leaves_ends_the_work() -> None:
+    """Nobody would read what the engine goes on to write."""
+
+    async def test() -> None:
+        async with Installation.running() as made:
+            await made.settle()
+            asking = asyncio.create_task(made.draft("n0", events=100))
+            await asyncio.sleep(0.4)
+            asking.cancel()
+            await asyncio.sleep(0.3)
+            assert made.nodes["n0"].gateway.running == 0
+
+    run(test)
