--- a/src/zinniaspool/core/formation/allocation.py
+++ b/src/zinniaspool/core/formation/allocation.py
@@ -1,11 +1,11 @@
 """Which idle VMs of a fabric domain form which groups."""
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 
-from zinniaspool.core.fleet import EngineSpec, Instance, InstanceId, ModelSpec
+from zinniaspool.core.fleet import Instance, InstanceId, ModelSpec
 from zinniaspool.core.ids import ModelName
 
 __all__ = ["Candidate", "ModelNeed", "Readiness", "Selection", "select_groups"]
@@ -18,6 +18,16 @@
 little from waiting."""
 
 
+EXTRA_USE = 0.45
+"""Use of a model's slots below which another group of it brings little: first
+tokens come as soon as in an empty group up to about half of the slots."""
+
+SPARES = 2
+"""VMs of a domain that stand by before they form such a group: with one lost
+in a domain every few seconds at worst, the second covers the time in which a
+new VM loads a model."""
+
+
 class Readiness(IntEnum):
     """How soon a VM can hold a model, soonest first."""
 
@@ -60,11 +70,15 @@
 
     Attributes:
         spec: Its figures.
-        supply: Its groups by unit of demand.
+        groups: Its groups in the whole fleet.
+        supply: Those by unit of its demand.
+        use: The used part of their slots; None while nothing is measured.
     """
 
     spec: ModelSpec
+    groups: int
     supply: float
+    use: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,8 +93,7 @@
 
 def select_groups(
     candidates: Sequence[Candidate],
-    engine: EngineSpec,
-    supply: Mapping[ModelName, float],
+    needs: Sequence[ModelNeed],
     standing: Counter[ModelName],
     here: Counter[ModelName],
     *,
@@ -93,32 +106,56 @@
 
     Args:
         candidates: Idle VMs of one fabric domain.
-        engine: The service's figures.
-        supply: Groups of each model by unit of its demand, fleet-wide.
+        needs: All models of the service.
         standing: VMs of this domain that stand by, by model.
         here: Groups of this domain, by model.
         more_expected: VMs are coming in one by one, as after a power cut:
             only the scarcest model takes them, lest the first few are gone
             when it could have a group.
     """
-    needs = sorted(
-        (ModelNeed(model, supply.get(model.name, 0.0)) for model in engine.models),
-        key=lambda need: need.supply,
-    )
-    scarcest = needs[0].supply
-    for need in needs:
+    ranked = sorted(needs, key=lambda need: need.supply)
+    for need in ranked:
         found = _select_members(candidates, need.spec)
         if found is None:
             continue
-        if more_expected and need.spec is not needs[0].spec:
+        if more_expected and need is not ranked[0]:
             return None
-        waits = need.supply > WAIT_RATIO * scarcest
-        if waits and _breaks_up(found, needs[0].spec, candidates):
+        if not _is_worthwhile(found, need, ranked[0], candidates):
             continue
         return found
     if more_expected:
         return None
-    return _select_standby(candidates, engine, standing, here)
+    models = [need.spec for need in needs]
+    return _select_standby(candidates, models, standing, here)
+
+
+def _is_worthwhile(
+    found: Selection,
+    need: ModelNeed,
+    scarcest: ModelNeed,
+    candidates: Sequence[Candidate],
+) -> bool:
+    """Tell whether a group brings more than its VMs do standing by.
+
+    A VM that stands by ends the next loss within a second; one more group of
+    a model with free slots only shortens what is short already.
+    """
+    idle_enough = need.use is not None and need.use < EXTRA_USE and need.groups > 0
+    if need is not scarcest and _breaks_up(found, scarcest.spec, candidates):
+        waits = need.supply > WAIT_RATIO * scarcest.supply
+        if idle_enough or (waits and found.loads):
+            return False
+    if not idle_enough or _is_repair(found, candidates):
+        return True
+    return len(candidates) - len(found.members) >= SPARES
+
+
+def _is_repair(found: Selection, candidates: Sequence[Candidate]) -> bool:
+    """Tell whether most members come from a group that was just lost."""
+    by_id = {one.instance.id: one for one in candidates}
+    chosen = [by_id[member] for member in found.members]
+    back = [one for one in chosen if not one.standby and one.held == found.model.name]
+    return len(back) * 2 > len(chosen)
 
 
 def _select_members(
@@ -149,8 +186,6 @@
     found: Selection, scarcest: ModelSpec, candidates: Sequence[Candidate]
 ) -> bool:
     """Tell whether a group would take VMs that hold a scarcer model."""
-    if not found.loads:
-        return False
     holding = {
         one.instance.id
         for one in candidates
@@ -161,7 +196,7 @@
 
 def _select_standby(
     candidates: Sequence[Candidate],
-    engine: EngineSpec,
+    models: Sequence[ModelSpec],
     standing: Counter[ModelName],
     here: Counter[ModelName],
 ) -> Selection | None:
@@ -176,9 +211,10 @@
         exposed = max(1, here[model.name] * model.size)
         return (standing[model.name] + 1) / exposed
 
-    model = min(engine.models, key=cover)
-    if one.held is not None and here[one.held] and standing[one.held] == 0:
-        model = engine.find_model(one.held) or model
+    model = min(models, key=cover)
+    held = next((spec for spec in models if spec.name == one.held), None)
+    if held is not None and not standing[held.name]:
+        model = held
     absent = one.readiness(model.name) is Readiness.ABSENT
     loads = (one.instance.id,) if absent else ()
     return Selection(model, (one.instance.id,), loads, standby=True)
--- a/src/zinniaspool/core/formation/balance.py
+++ b/src/zinniaspool/core/formation/balance.py
@@ -1,18 +1,26 @@
-"""Which group gives its VMs to a model that needs them more.
+"""Which groups give their VMs to a model that needs them more.
 
-Pattern: traffic shifts from one model to another, or the first guess of the
-models' shares was wrong. Groups of one model are then full while others idle.
-A VM that has the other model staged changes within two seconds, so that a move
-is worth its short outage as soon as the fullest model gains clearly.
+Pattern: traffic shifts from one model to another, the first guess of the
+models' shares was wrong, or losses have hit one model more than the others.
+Groups of one model are then full while others idle. A VM that has the other
+model staged changes within two seconds, so that a move is worth its short
+outage as soon as the fullest model gains clearly.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from zinniaspool.core.fleet import ModelSpec
 from zinniaspool.core.ids import GroupId, ModelName
 
-__all__ = ["DomainShape", "ModelDemand", "find_conversion", "measure_use"]
+__all__ = [
+    "Conversion",
+    "DomainShape",
+    "ModelDemand",
+    "ServingGroup",
+    "find_conversion",
+    "measure_use",
+]
 
 WORTHWHILE = 0.85
 """Largest part of the fullest model's use that may be left after a move: the
@@ -23,6 +31,10 @@
 """Use of its slots from which a model's groups are worth adding to. Below,
 requests seldom wait, and a move gains nothing."""
 
+LOAD_USE = 0.85
+"""Use from which VMs may even load the model anew, over ten seconds: what is
+beyond its groups is refused meanwhile."""
+
 
 @dataclass(frozen=True, slots=True)
 class ModelDemand:
@@ -43,17 +55,43 @@
         return self.busy / (max(groups, 0.1) * self.slots)
 
 
+@dataclass(frozen=True, slots=True)
+class ServingGroup:
+    """A group that could be closed.
+
+    Attributes:
+        group: Its name.
+        model: What it serves.
+        ready: How many of its VMs could hold each model within seconds.
+    """
+
+    group: GroupId
+    model: ModelName
+    ready: Mapping[ModelName, int]
+
+
 @dataclass(frozen=True, slots=True)
 class DomainShape:
     """A fabric domain in which nothing is under way.
 
     Attributes:
-        groups: Its serving groups and their models.
+        groups: Its serving groups.
         idle: VMs in no serving group.
+        ready: How many of those could hold each model within seconds.
     """
 
-    groups: Mapping[GroupId, ModelName]
+    groups: Sequence[ServingGroup]
     idle: int
+    ready: Mapping[ModelName, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Conversion:
+    """Groups of one domain to close, and the model that their VMs are for."""
+
+    groups: tuple[GroupId, ...]
+    model: ModelName
+    use: float
 
 
 def measure_use(
@@ -67,33 +105,59 @@
     demands: Sequence[ModelDemand],
     groups: Mapping[ModelName, int],
     domains: Sequence[DomainShape],
-) -> GroupId | None:
-    """Return the group to close so that its VMs serve the fullest model.
+) -> Conversion | None:
+    """Return the groups to close so that their VMs serve the fullest model.
 
     Args:
         demands: All models of one service.
         groups: Groups of each.
-        domains: The fabric domains where a group may be closed.
+        domains: The fabric domains where groups may be closed.
     """
     before = measure_use(demands, groups)
     if before < BUSY_USE:
         return None
-    sizes = {one.spec.name: one.spec.size for one in demands}
     fullest = max(demands, key=lambda one: one.use(groups.get(one.spec.name, 0)))
-    best: tuple[float, GroupId] | None = None
-    for domain in domains:
-        for group, model in domain.groups.items():
-            if model == fullest.spec.name or groups.get(model, 0) <= 1:
-                continue
-            free = sizes.get(model, 0) + domain.idle
-            won = free // fullest.spec.size
-            if not won:
-                continue
-            after = {**groups, model: groups[model] - 1}
-            after[fullest.spec.name] = after.get(fullest.spec.name, 0) + won
-            use = measure_use(demands, after)
-            if best is None or use < best[0]:
-                best = (use, group)
-    if best is None or best[0] > before * WORTHWHILE:
+    found = [
+        conversion
+        for domain in domains
+        for giver in demands
+        if giver is not fullest
+        for conversion in _list_conversions(domain, giver, fullest, demands, groups)
+    ]
+    best = min(found, key=lambda one: one.use, default=None)
+    if best is None or best.use > before * WORTHWHILE:
         return None
-    return best[1]
+    return best
+
+
+def _list_conversions(
+    domain: DomainShape,
+    giver: ModelDemand,
+    taker: ModelDemand,
+    demands: Sequence[ModelDemand],
+    groups: Mapping[ModelName, int],
+) -> Iterable[Conversion]:
+    """Yield what closing one, two and more of a domain's groups brings."""
+    wanted = taker.spec.name
+    closable = sorted(
+        (one for one in domain.groups if one.model == giver.spec.name),
+        key=lambda one: -one.ready.get(wanted, 0),
+    )
+    free, ready = domain.idle, domain.ready.get(wanted, 0)
+    for count, one in enumerate(closable, start=1):
+        left = groups.get(giver.spec.name, 0) - count
+        if left < 1:
+            return
+        free += giver.spec.size
+        ready += one.ready.get(wanted, 0)
+        loads = measure_use(demands, groups) >= LOAD_USE
+        won = (free if loads else ready) // taker.spec.size
+        if not won:
+            continue
+        after = {
+            **groups,
+            giver.spec.name: left,
+            wanted: groups.get(wanted, 0) + won,
+        }
+        closed = tuple(each.group for each in closable[:count])
+        yield Conversion(closed, wanted, measure_use(demands, after))
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -12,12 +12,14 @@
 )
 from zinniaspool.core.formation.allocation import (
     Candidate,
+    ModelNeed,
     Selection,
     select_groups,
 )
 from zinniaspool.core.formation.balance import (
     DomainShape,
     ModelDemand,
+    ServingGroup,
     find_conversion,
 )
 from zinniaspool.core.formation.lifecycle import RETRY_S, FleetSight, GroupRun
@@ -38,7 +40,7 @@
 """Groups known to be over whose members' entries may still name them, for a
 few tens of milliseconds each; far more than end in that time."""
 
-BALANCE_S = 3.0
+BALANCE_S = 2.0
 """Shortest time between two moves of VMs from one model to another, in
 seconds: a move takes about this long, and its effect must be seen first."""
 
@@ -235,10 +237,9 @@
             if chosen is None:
                 continue
             self._balanced_at = now
-            for domain in self._domains.values():
-                if chosen in domain.runs:
-                    run = domain.runs[chosen]
-                    run.move(GroupPhase.CLOSING, "balance", now)
+            for run in self.runs():
+                if run.record.group in chosen.groups:
+                    run.move(GroupPhase.CLOSING, f"balance:{chosen.model}", now)
                     self._on_move(GroupMove(run.record, run.phase, run.reason))
 
     def _list_demands(
@@ -253,31 +254,45 @@
 
     def _find_shape(self, domain: _Domain, service: ServiceName) -> DomainShape | None:
         """Return a domain's shape, or None while anything happens there."""
-        groups = {}
+        groups = []
         idle = 0
+        ready: Counter[ModelName] = Counter()
         for run in domain.runs.values():
             if run.record.service != service:
                 continue
             if run.phase not in (GroupPhase.SERVING, GroupPhase.STANDBY):
                 return None
+            able = self._count_ready(run.record)
             if run.record.standby:
                 idle += 1
+                ready += able
             else:
-                groups[run.record.group] = run.record.model
-        return DomainShape(groups, idle)
-
-    def _supply(
-        self, service: ServiceName, engine: EngineSpec
-    ) -> dict[ModelName, float]:
-        """Return for each model its groups by unit of demand."""
+                record = run.record
+                groups.append(ServingGroup(record.group, record.model, able))
+        return DomainShape(groups, idle, ready)
+
+    def _count_ready(self, record: GroupRecord) -> Counter[ModelName]:
+        """Count the members that could hold each model within seconds."""
+        ready: Counter[ModelName] = Counter()
+        for one in record.members:
+            found = self._sight.find(one)
+            if found is not None:
+                ready.update({record.model, *found.staged})
+        return ready
+
+    def _list_needs(self, service: ServiceName, engine: EngineSpec) -> list[ModelNeed]:
+        """Return for each model how well it is provided for."""
         groups = self._count_groups(service)
         demands = self._list_demands(service, engine)
         measured = sum(one.busy for one in demands) >= engine.slots / 2
-        supply = {}
+        needs = []
         for one in demands:
+            count = groups[one.spec.name]
             wanted = one.busy if measured else one.spec.share * one.spec.pace
-            supply[one.spec.name] = groups[one.spec.name] / max(wanted, 0.01)
-        return supply
+            supply = count / max(wanted, 0.01)
+            use = one.use(count) if measured else None
+            needs.append(ModelNeed(one.spec, count, supply, use))
+        return needs
 
     def _stage(self, domain: _Domain, now: float) -> list[GroupOrder]:
         """Return orders that bring a second model into hosts' memory.
@@ -411,8 +426,7 @@
         )
         chosen = select_groups(
             candidates,
-            engine,
-            self._supply(service, engine),
+            self._list_needs(service, engine),
             standing,
             here,
             more_expected=now - self._arrived_at.get(domain.id, 0.0) < ARRIVAL_S,
