--- a/src/zinniaspool/core/fleet/messages.py
+++ b/src/zinniaspool/core/fleet/messages.py
@@ -12,6 +12,8 @@
     "ModelDemandNote",
     "NewsItem",
     "SilentTarget",
+    "StoreAsk",
+    "StoreWord",
 ]
 
 
@@ -48,6 +50,7 @@
         items: What changed, or all there is.
         as_of: The store's revision up to which the copy is complete.
         age_s: Seconds since the store, or who read it, last confirmed that.
+        leading: Whether the answering process plans groups.
     """
 
     source: str
@@ -56,6 +59,23 @@
     items: list[NewsItem]
     as_of: Revision
     age_s: float
+    leading: bool = False
+
+
+class StoreAsk(msgspec.Struct, frozen=True, tag="store-ask"):
+    """Asks whether a process reaches the store, and hears the holder."""
+
+
+class StoreWord(msgspec.Struct, frozen=True, tag="store-word"):
+    """The answer.
+
+    Attributes:
+        reachable: Whether the store answers it; None while it finds out.
+        holder_unheard_s: For how long it has not heard the holder.
+    """
+
+    reachable: bool | None
+    holder_unheard_s: float
 
 
 class SilentTarget(msgspec.Struct, frozen=True, tag="silent-target"):
--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -98,12 +98,28 @@
         self.serial += 1
         self._changed[key] = (self.serial, revision)
 
+    def amend(self, key: str, value: bytes) -> list[Change]:
+        """Change a key's value to what its owner says by itself.
+
+        While the store is away, an owner's own word is all there is. The
+        revision stays, so that whatever the store tells later replaces it.
+        """
+        before = self._items.get(key)
+        if before is None or before.value == value:
+            return []
+        return self._put(StoredItem(key, value, before.revision), amended=True)
+
     def disturb(self, now: float) -> None:
         """Note that the store is away: removals are doubted for a while."""
         self._disturbed_until = now + RETURN_GRACE_S
 
     def replace(
-        self, items: Iterable[StoredItem], as_of: Revision, now: float
+        self,
+        items: Iterable[StoredItem],
+        as_of: Revision,
+        now: float,
+        *,
+        amended: bool = False,
     ) -> list[Change]:
         """Take a whole reading of the store.
 
@@ -111,12 +127,14 @@
             items: All keys.
             as_of: The oldest revision of the store that the reading shows.
             now: Seconds.
+            amended: Whether values may be newer than their revisions, as in
+                the copy of a peer that amends its own.
         """
         changes: list[Change] = []
         seen = set()
         for item in items:
             seen.add(item.key)
-            changes += self._put(item)
+            changes += self._put(item, amended=amended)
         for key, item in list(self._items.items()):
             if key not in seen and item.revision <= as_of:
                 changes += self._remove(key, as_of, now)
@@ -124,7 +142,12 @@
         return changes
 
     def apply(
-        self, events: Iterable[MirrorEvent], as_of: Revision, now: float
+        self,
+        events: Iterable[MirrorEvent],
+        as_of: Revision,
+        now: float,
+        *,
+        amended: bool = False,
     ) -> list[Change]:
         """Take the changes that a watch reports up to a revision."""
         changes: list[Change] = []
@@ -132,7 +155,8 @@
             if event.value is None:
                 changes += self._remove(event.key, event.revision, now)
             else:
-                changes += self._put(StoredItem(event.key, event.value, event.revision))
+                item = StoredItem(event.key, event.value, event.revision)
+                changes += self._put(item, amended=amended)
         self.as_of = max(self.as_of, as_of)
         return changes
 
@@ -150,7 +174,7 @@
                 changes.append(Change(key, before, None))
         return changes
 
-    def _put(self, item: StoredItem) -> list[Change]:
+    def _put(self, item: StoredItem, *, amended: bool) -> list[Change]:
         before = self._items.get(item.key)
         if before is not None and before.revision > item.revision:
             return []
@@ -158,7 +182,8 @@
             return []
         self._removed.pop(item.key, None)
         self._missing.pop(item.key, None)
-        if before is not None and before.revision == item.revision:
+        same = before is not None and before.revision == item.revision
+        if before is not None and same and (not amended or before == item):
             return []
         self._items[item.key] = item
         self._note(item.key, item.revision)
--- a/src/zinniaspool/core/fleet/nodes.py
+++ b/src/zinniaspool/core/fleet/nodes.py
@@ -16,7 +16,7 @@
 ]
 
 HOLDER_KEY = "zinnia/holder"
-"""Who plans groups; the key goes with its holder's lease."""
+"""Who plans groups."""
 
 NODES_PREFIX = "zinnia/nodes/"
 """Entry processes; each key goes with its process's lease."""
@@ -53,7 +53,14 @@
 
 
 class HolderRecord(msgspec.Struct, frozen=True):
-    """The process that plans groups."""
+    """The process that plans groups.
+
+    Attributes:
+        node: Its VM.
+        peer_address: Where the others reach it.
+        start: Tells its starts apart.
+    """
 
     node: NodeId
     peer_address: Address
+    start: str
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -476,7 +476,7 @@
                 continue
             holds = planned.get(one.id)
             if holds is None:
-                if one.id in self._strays:
+                if not self._is_free(one):
                     continue
                 found.append(Candidate(one, self._held.get(one.id), standby=False))
             elif holds.record.standby and holds.phase is not GroupPhase.ENDING:
@@ -485,6 +485,17 @@
                 found.append(Candidate(one, held if ready else None, standby=True))
         return found
 
+    def _is_free(self, one: Instance) -> bool:
+        """Tell whether a VM that no plan names is in no group any more.
+
+        An engine that is asked to leave a group it is not in says that this
+        is so already; it may well be in another one, whose head serves.
+        """
+        held = one.membership
+        if held is None or held.group in self._ended:
+            return True
+        return (one.id, held.group) in self._left
+
     def _count_groups(self, service: ServiceName) -> Counter[ModelName]:
         return Counter(
             run.record.model
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -12,6 +12,8 @@
     FleetNews,
     FleetWatch,
     SilentTarget,
+    StoreAsk,
+    StoreWord,
 )
 from zinniaspool.core.ids import (
     Address,
@@ -135,6 +137,6 @@
 
 Configured = ConfigurationAsk | ConfigurationAnswer
 
-Fleet = FleetWatch | FleetNews | SilentTarget | DemandNote
+Fleet = FleetWatch | FleetNews | SilentTarget | DemandNote | StoreAsk | StoreWord
 
 Message = Hello | Accepted | Refused | Gossip | Configured | Forwarded | Fleet
--- a/src/zinniaspool/fleet/__init__.py
+++ b/src/zinniaspool/fleet/__init__.py
@@ -5,5 +5,14 @@
 from zinniaspool.fleet.follower import FleetFollower
 from zinniaspool.fleet.leases import KeptLease
 from zinniaspool.fleet.mesh import FleetMesh
+from zinniaspool.fleet.sight import HolderSight, boot_time
 
-__all__ = ["FleetBelief", "FleetFollower", "FleetMesh", "KeptLease", "run_duty"]
+__all__ = [
+    "FleetBelief",
+    "FleetFollower",
+    "FleetMesh",
+    "HolderSight",
+    "KeptLease",
+    "boot_time",
+    "run_duty",
+]
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -19,7 +19,13 @@
     StoreMirror,
 )
 from zinniaspool.core.ids import NodeId
-from zinniaspool.platform.entries import ENTRIES_PREFIX, read_entry
+from zinniaspool.fleet.sight import boot_time
+from zinniaspool.platform.entries import (
+    ENTRIES_PREFIX,
+    EngineStatus,
+    amend_entry,
+    read_entry,
+)
 from zinniaspool.platform.rules import RULES_KEY, read_rules
 
 __all__ = ["FleetBelief"]
@@ -40,6 +46,8 @@
         instances: By their ids.
         nodes: Entry processes, by VM.
         holder: Who plans groups.
+        confirmed_at_boot: When the store last answered this process itself,
+            on the clock that counts standstills.
     """
 
     def __init__(self) -> None:
@@ -52,12 +60,28 @@
         self.on_instances: list[Callable[[], None]] = []
         self.on_nodes: list[Callable[[], None]] = []
         self.on_change: list[Callable[[], None]] = []
+        self.confirmed_at_boot = _NEVER_S
         self._confirmed = _NEVER_S
 
     def confirm(self, at: float) -> None:
         """Note that all that is believed was so at a time, in seconds."""
         self._confirmed = max(self._confirmed, at)
 
+    def confirm_by_store(self, at: float) -> None:
+        """Note that the store itself confirmed it, at a time in seconds."""
+        self.confirm(at)
+        self.confirmed_at_boot = boot_time()
+
+    def amend(self, instance: InstanceId, status: EngineStatus) -> None:
+        """Believe what an engine says of itself, where its entry is behind."""
+        key = ENTRIES_PREFIX + instance
+        item, known = self.mirror.get(key), self.instances.get(instance)
+        if item is None or known is None:
+            return
+        told = (status.membership, status.model, status.staged)
+        if told != (known.membership, known.model, known.staged):
+            self.take(self.mirror.amend(key, amend_entry(item.value, status)))
+
     def age(self, now: float) -> float:
         """Return for how many seconds nothing has confirmed the belief."""
         return now - self._confirmed
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -13,6 +13,7 @@
 from zinniaspool.core.ids import Address
 from zinniaspool.fleet.belief import FleetBelief
 from zinniaspool.fleet.mesh import FleetMesh
+from zinniaspool.fleet.sight import HolderSight
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.store import StoreFault
 
@@ -63,6 +64,7 @@
         store: The store.
         belief: What is kept up to date.
         mesh: Asks peers.
+        sight: When the holder was last heard.
         is_holder: Tells whether this process is the one that others follow.
         list_seeds: Returns peers to ask when neither store nor holder answer.
     """
@@ -72,6 +74,7 @@
         store: KvStore,
         belief: FleetBelief,
         mesh: FleetMesh,
+        sight: HolderSight,
         is_holder: Callable[[], bool],
         list_seeds: Callable[[], list[Address]],
     ) -> None:
@@ -79,6 +82,7 @@
         self._store = store
         self._belief = belief
         self._mesh = mesh
+        self._sight = sight
         self._is_holder = is_holder
         self._list_seeds = list_seeds
         self._read = False
@@ -107,6 +111,22 @@
         address = holder.peer_address
         return None if self._shunned.get(address, 0.0) > self._now() else address
 
+    def _accepts(self, address: Address, news: FleetNews) -> bool:
+        """Tell whether a peer's news are to be followed.
+
+        While the store is down for all, the holder's copy is as old as any,
+        but the holder alone knows what it has changed since.
+        """
+        holder = self._belief.holder
+        if not news.as_of:
+            return False
+        if holder is not None and holder.peer_address == address:
+            if news.leading:
+                self._sight.hear(holder)
+            return news.leading
+        # A process that knows nothing serves nobody: an old copy is better.
+        return news.age_s <= FRESH_S or not self._belief.mirror.known
+
     # From peers.
 
     async def _follow(self, address: Address, wait_s: float = PEER_WAIT_S) -> bool:
@@ -117,12 +137,13 @@
         news = await self._mesh.ask(
             address, FleetWatch(peer.source, peer.serial, wait_s)
         )
-        if news is None or news.age_s > FRESH_S:
+        if news is None or not self._accepts(address, news):
             self._shunned[address] = self._now() + SHUN_S
             _log.info(
                 "peer-stale",
                 address=address,
                 age_ms=-1 if news is None else int(news.age_s * 1000),
+                leading=news is not None and news.leading,
             )
             return False
         peer.source, peer.serial = news.source, news.serial
@@ -138,12 +159,12 @@
                 for one in news.items
                 if one.value is not None
             ]
-            changes = mirror.replace(items, news.as_of, now)
+            changes = mirror.replace(items, news.as_of, now, amended=True)
         else:
             events = [
                 MirrorEvent(one.key, one.value, one.revision) for one in news.items
             ]
-            changes = mirror.apply(events, news.as_of, now)
+            changes = mirror.apply(events, news.as_of, now, amended=True)
         self._belief.confirm(now - news.age_s)
         self._belief.take(changes)
 
@@ -202,7 +223,7 @@
         self.reachable = True
         self._pause_s = RETRY_S
         if self._read:
-            self._belief.confirm(now)
+            self._belief.confirm_by_store(now)
         self._belief.take(mirror.expire(now))
 
     def _now(self) -> float:
--- a/src/zinniaspool/fleet/leases.py
+++ b/src/zinniaspool/fleet/leases.py
@@ -1,11 +1,11 @@
 """A lease that a process keeps, and how long it may trust it."""
 
 import asyncio
-import time
 
 import structlog
 from result import Err
 
+from zinniaspool.fleet.sight import boot_time
 from zinniaspool.platform.kvstore import KvStore, LeaseNumber
 from zinniaspool.platform.store import StoreFault
 
@@ -44,7 +44,7 @@
     @property
     def trusted(self) -> bool:
         """Whether the lease certainly lasts now."""
-        return self.number is not None and _boot_time() < self._trusted_until
+        return self.number is not None and boot_time() < self._trusted_until
 
     async def keep(self) -> bool:
         """Renew the lease, or get a new one; False where neither worked.
@@ -52,7 +52,7 @@
         A lease that was lost is replaced: what was written under it is gone,
         which ``number`` shows by its change.
         """
-        asked = _boot_time()
+        asked = boot_time()
         if self.number is not None:
             renewed = await self._store.renew(self.number)
             if not isinstance(renewed, Err):
@@ -62,7 +62,7 @@
                 return False
             _log.warning("lease-lost", lease=self.number)
             self.number = None
-        asked = _boot_time()
+        asked = boot_time()
         granted = await self._store.grant(self._ttl_s)
         if isinstance(granted, Err):
             return False
@@ -79,7 +79,3 @@
         number, self.number = self.number, None
         if number is not None:
             await self._store.end_lease(number)
-
-
-def _boot_time() -> float:
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -8,15 +8,25 @@
 
 import asyncio
 import secrets
+from collections.abc import Awaitable, Callable
 
 from zinniaspool.core.fleet.messages import (
     FleetNews,
     FleetWatch,
     NewsItem,
+    StoreAsk,
+    StoreWord,
+)
+from zinniaspool.core.ids import (
+    Address,
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    split_address,
 )
-from zinniaspool.core.ids import Address, FailureDomainId, Incarnation, NodeId
 from zinniaspool.core.messages import PROTOCOL_VERSION, Hello, Message
 from zinniaspool.fleet.belief import FleetBelief
+from zinniaspool.fleet.sight import HolderSight, boot_time
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
 
 __all__ = ["FleetMesh"]
@@ -29,6 +39,13 @@
 """Longest wait for a note to leave, in seconds: a later one is worthless."""
 
 
+FRESH_WORD_S = 1.0
+"""For how long a process's own knowledge of the store counts, in seconds."""
+
+WORD_WAIT_S = 0.4
+"""How long an answer waits for such knowledge, in seconds."""
+
+
 class FleetMesh:
     """This process's side of it: answers others, asks others.
 
@@ -36,7 +53,10 @@
         node: This process's VM.
         domain: Its failure domain.
         belief: What it knows.
-        handler: Takes messages that are no questions for news.
+        handler: Takes messages that are no questions.
+        sight: When the holder was last heard.
+        probe_store: Asks the store for anything; tells whether it answered.
+        is_leading: Tells whether this process plans groups.
     """
 
     def __init__(
@@ -45,10 +65,19 @@
         domain: FailureDomainId,
         belief: FleetBelief,
         handler: PeerHandler,
+        sight: HolderSight,
+        probe_store: Callable[[], Awaitable[bool]],
+        is_leading: Callable[[], bool] = lambda: False,
     ) -> None:
         self._node = node
         self._belief = belief
         self._handler = handler
+        self._sight = sight
+        self._probe_store = probe_store
+        self._is_leading = is_leading
+        self._probing: asyncio.Task[None] | None = None
+        self._probed_at = float("-inf")
+        self._reachable: bool | None = None
         self._source = f"{node}-{secrets.token_hex(4)}"
         hello = Hello(PROTOCOL_VERSION, node, Incarnation(0), domain, "")
         self._asking = PeerLinks(lambda: hello, ANSWER_S)
@@ -72,6 +101,21 @@
         answer = await self._asking.ask(address, watch)
         return answer if isinstance(answer, FleetNews) else None
 
+    async def ask_store(self, address: Address) -> bool | None:
+        """Ask whether a process reaches the store; None where unknown.
+
+        One that has ended reaches nothing: its VM refuses connections there.
+        """
+        word = await self._asking.ask(address, StoreAsk())
+        if isinstance(word, StoreWord):
+            return word.reachable
+        return False if await _is_nobody_there(address) else None
+
+    async def ask_holder(self, address: Address) -> float | None:
+        """Ask for how long a process has not heard the holder."""
+        word = await self._asking.ask(address, StoreAsk())
+        return word.holder_unheard_s if isinstance(word, StoreWord) else None
+
     async def tell(self, address: Address, message: Message) -> bool:
         """Send a note that has no answer; False when it could not leave."""
         return await self._telling.send(address, message)
@@ -79,8 +123,30 @@
     async def _take(self, hello: Hello, message: Message) -> Message | None:
         if isinstance(message, FleetWatch):
             return await self._answer(message)
+        if isinstance(message, StoreAsk):
+            return await self._tell_store()
         return await self._handler(hello, message)
 
+    async def _tell_store(self) -> StoreWord:
+        now = boot_time()
+        if now - self._belief.confirmed_at_boot < FRESH_WORD_S:
+            self._reachable, self._probed_at = True, now
+        elif now - self._probed_at > FRESH_WORD_S / 2 and self._probing is None:
+            self._probing = asyncio.create_task(self._probe())
+        if self._probing is not None and now - self._probed_at > FRESH_WORD_S:
+            await asyncio.wait([self._probing], timeout=WORD_WAIT_S)
+        fresh = boot_time() - self._probed_at <= FRESH_WORD_S
+        holder = self._belief.holder
+        unheard_s = float("inf") if holder is None else self._sight.unheard_s(holder)
+        return StoreWord(self._reachable if fresh else None, unheard_s)
+
+    async def _probe(self) -> None:
+        try:
+            self._reachable = await self._probe_store()
+            self._probed_at = boot_time()
+        finally:
+            self._probing = None
+
     async def _answer(self, watch: FleetWatch) -> FleetNews:
         mirror = self._belief.mirror
         known = watch.source == self._source and watch.serial
@@ -99,6 +165,7 @@
             items,
             mirror.as_of,
             self._belief.age(now),
+            self._is_leading(),
         )
 
     async def _wait_for_news(self, wait_s: float) -> None:
@@ -113,3 +180,16 @@
         # A new event for each change, so that whoever waits sees its own.
         self._news.set()
         self._news = asyncio.Event()
+
+
+async def _is_nobody_there(address: Address) -> bool:
+    host, port = split_address(address)
+    try:
+        async with asyncio.timeout(NOTE_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
--- /dev/null
+++ b/src/zinniaspool/fleet/sight.py
@@ -0,0 +1,33 @@
+"""When the holder was last heard, and clocks that count standstills."""
+
+import time
+
+from zinniaspool.core.fleet import HolderRecord
+
+__all__ = ["HolderSight", "boot_time"]
+
+
+def boot_time() -> float:
+    """Return seconds on a clock that goes on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class HolderSight:
+    """When this process last heard the holder say that it plans."""
+
+    def __init__(self) -> None:
+        self._record: HolderRecord | None = None
+        self._at = float("-inf")
+
+    def hear(self, record: HolderRecord) -> None:
+        """Note that the holder said so now."""
+        self._record, self._at = record, boot_time()
+
+    def unheard_s(self, record: HolderRecord) -> float:
+        """Return for how many seconds a holder has not been heard.
+
+        One that this process has just learned of had no time to be heard.
+        """
+        if self._record != record:
+            self._record, self._at = record, boot_time()
+        return boot_time() - self._at
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -24,6 +24,7 @@
     TransportError,
 )
 from zinniaspool.platform import wire
+from zinniaspool.telemetry import RequestTally
 
 __all__ = ["CallerFace", "refuse_request"]
 
@@ -51,7 +52,7 @@
         carrier: Sends requests on.
         limits: What may be repeated.
         may_begin: Tells whether new requests are still taken.
-        on_end: Told of each request's end and how long it took.
+        tally: Counts how requests end.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         carrier: Carrier,
         limits: RepeatLimits,
         may_begin: Callable[[], bool],
-        on_end: Callable[[str, str, float], None] = lambda *_: None,
+        tally: RequestTally,
     ) -> None:
         self.processes = 1
         self.running = 0
@@ -70,7 +71,7 @@
         self._carrier = carrier
         self._limits = limits
         self._may_begin = may_begin
-        self._on_end = on_end
+        self._tally = tally
         self._windows: dict[ServiceName, RepeatWindow] = {}
 
     async def handle(self, exchange: Exchange) -> None:
@@ -98,7 +99,7 @@
                 version=self._version(),
             )
             await self._refuse(exchange, terms, fault)
-            self._on_end("", fault.kind.value, 0.0)
+            self._tally.add("", "", fault.kind.value, 0.0)
             return
         call = admitted.ok_value
         await self._run(call)
@@ -124,7 +125,7 @@
             self._note_end(call, end, took_s)
 
     def _note_end(self, call: GatewayCall, end: str, took_s: float) -> None:
-        self._on_end(call.service, end, took_s)
+        self._tally.add(call.service, call.route.kind.value, end, took_s)
         target = None if call.state is None else call.state.target
         _log.info(
             "request-ended",
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import signal
-import sys
 
 import msgspec
 import structlog
@@ -23,17 +21,20 @@
     FleetBelief,
     FleetFollower,
     FleetMesh,
+    HolderSight,
     KeptLease,
     run_duty,
 )
 from zinniaspool.gateway.carrier import Carrier
 from zinniaspool.gateway.directory import DirectoryFace
 from zinniaspool.gateway.face import CallerFace, refuse_request
+from zinniaspool.gateway.metrics import make_gateway_metrics
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
-from zinniaspool.platform.nodefile import NodeFile, NodeFileError, read_node_file
-from zinniaspool.telemetry import configure_logs
+from zinniaspool.platform.nodefile import NodeFile
+from zinniaspool.platform.program import run_on_platform
+from zinniaspool.telemetry import RequestTally
 
 __all__ = ["GatewayProcess", "main"]
 
@@ -73,20 +74,35 @@
 
     Args:
         node: The platform's settings.
+        metrics_port: Where metrics are served; 0 for nowhere.
     """
 
-    def __init__(self, node: NodeFile) -> None:
+    def __init__(self, node: NodeFile, metrics_port: int = 0) -> None:
         self._node = node
+        self._metrics_address = (
+            Address(f"{node.ip}:{metrics_port}") if metrics_port else None
+        )
         self._belief = FleetBelief()
         self._stopping: float | None = None
         self._stop = asyncio.Event()
         self._store = KvStore(HttpClient(connect_s=CONNECT_S), node.store_address)
+        sight = HolderSight()
         self._mesh = FleetMesh(
-            node.node, node.failure_domain, self._belief, self._take_message
+            node.node,
+            node.failure_domain,
+            self._belief,
+            self._take_message,
+            sight,
+            self._store.probe,
         )
         self._address = Address(f"{node.ip}:{node.first_port}")
         self._follower = FleetFollower(
-            self._store, self._belief, self._mesh, lambda: False, self._list_seeds
+            self._store,
+            self._belief,
+            self._mesh,
+            sight,
+            lambda: False,
+            self._list_seeds,
         )
         self._notes: set[asyncio.Task[bool]] = set()
         self._index = TargetIndex(self._belief, node.failure_domain)
@@ -95,8 +111,12 @@
         repeats = RepeatLimits(
             node.repeat_ratio, node.repeat_window_s, node.repeat_slack
         )
+        tally = RequestTally()
         self._face = CallerFace(
-            self._belief, self._carrier, repeats, lambda: self._may_begin
+            self._belief, self._carrier, repeats, lambda: self._may_begin, tally
+        )
+        self._metrics = make_gateway_metrics(
+            tally, self._belief, self._store, self._index, http
         )
         self._directory = DirectoryFace(
             self._belief, self._find_own, node.address_lifetime_s
@@ -157,6 +177,8 @@
             server = HttpServer(self._directory.handle)
             self._servers.append(server)
             await server.listen(address)
+        if self._metrics_address is not None:
+            self._servers.append(await self._metrics.listen(self._metrics_address))
         _log.info("callers-listening", address=node.caller_address)
 
     def _list_seeds(self) -> list[Address]:
@@ -293,24 +315,7 @@
 
 def main() -> None:
     """Run the program."""
-    try:
-        node = read_node_file()
-    except NodeFileError as error:
-        print(error, file=sys.stderr)
-        raise SystemExit(2) from error
-    configure_logs("entry", node.node)
-    asyncio.run(_start(node))
-
-
-async def _start(node: NodeFile) -> None:
-    process = GatewayProcess(node)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.stop)
-    # What may change in the file while a process runs is nothing that it
-    # keeps; without a handler the signal would end it.
-    loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
-    await process.run()
+    run_on_platform("entry", GatewayProcess)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/zinniaspool/gateway/metrics.py
@@ -0,0 +1,52 @@
+"""Metrics of the entry program on the users' platform."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from zinniaspool.fleet import FleetBelief
+from zinniaspool.fleet.metrics import add_fleet_metrics
+from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.http import HttpClient
+from zinniaspool.platform.kvstore import KvStore
+from zinniaspool.telemetry import RequestTally, Sample
+from zinniaspool.telemetry.page import MetricsPage
+
+__all__ = ["make_gateway_metrics"]
+
+
+def make_gateway_metrics(
+    tally: RequestTally,
+    belief: FleetBelief,
+    store: KvStore,
+    index: TargetIndex,
+    http: HttpClient,
+) -> MetricsPage:
+    """Return the page of an entry process."""
+    page = MetricsPage()
+
+    def list_targets() -> Iterator[Sample]:
+        counts = Counter(state.target.model or "plain" for state in index)
+        for model, count in counts.items():
+            yield Sample({"model": model}, count)
+
+    def list_running() -> Iterator[Sample]:
+        running: Counter[str] = Counter()
+        for state in index:
+            running[state.target.model or "plain"] += state.own
+        for model, count in running.items():
+            yield Sample({"model": model}, count)
+
+    def list_opened() -> Iterator[Sample]:
+        yield Sample({}, http.opened)
+
+    page.count("zinniaspool_requests", "Requests by their end.", tally.list_ends)
+    page.count(
+        "zinniaspool_request_seconds_buckets",
+        "Requests that took at most so many seconds.",
+        tally.list_latencies,
+    )
+    page.gauge("zinniaspool_targets", "Targets by model.", list_targets)
+    page.gauge("zinniaspool_running", "Requests upstream, by model.", list_running)
+    page.count("zinniaspool_connections", "Connections opened.", list_opened)
+    add_fleet_metrics(page, belief, store)
+    return page
--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -1,15 +1,24 @@
-"""Who plans groups: the process whose lease holds the key for it."""
+"""Who plans groups: the process that last wrote the holder's key.
+
+The key has no lease. Whoever finds that the holder plans no more replaces it
+by a compare-and-swap, and plans are written only while the key stands as their
+holder wrote it. So nobody can take over while the store is down for all, and
+losses are still repaired then: a holder that no longer hears from the store
+goes on as long as every other VM says that it hears nothing either. If one of
+them reaches the store, another process may have taken over, and it stops.
+"""
 
 import asyncio
 import random
+import secrets
 
 import msgspec
 import structlog
 from result import Err
 
 from zinniaspool.core.fleet import HOLDER_KEY, HolderRecord
-from zinniaspool.core.ids import Revision
-from zinniaspool.fleet import FleetBelief, KeptLease
+from zinniaspool.core.ids import Address, NodeId, Revision
+from zinniaspool.fleet import FleetBelief, FleetMesh, HolderSight, boot_time
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
 from zinniaspool.platform.store import StoreFault
 
@@ -17,15 +26,24 @@
 
 _log = structlog.get_logger(__name__)
 
-LEASE_S = 1.0
-"""How long a holder that is gone holds up repairs, in seconds: the shortest
-lease that stores grant, with room for one lost renewal."""
+TRUST_S = 1.1
+"""For how long after the store last answered a holder plans on, in seconds:
+somewhat over what passes between two answers. The others wait for longer
+than this before one of them takes over."""
 
-STAND_BACK_S = 0.25
-"""Candidates wait a random part of this, so that one write decides mostly."""
+WORD_S = 0.9
+"""For how long the others' word that the store is down for them too counts,
+in seconds."""
 
 CHECK_S = 0.1
-"""Pause of a process that is no holder between looks at the key's copy."""
+"""Pause between looks, in seconds."""
+
+UNHEARD_S = 0.35
+"""For how long a holder must have been unheard of before others are asked, in
+seconds: a question to it takes about this long when it has no news."""
+
+STAND_BACK_S = 0.15
+"""Candidates wait a random part of this, so that one write decides mostly."""
 
 
 class HolderElection:
@@ -34,81 +52,156 @@
     Args:
         store: The store.
         belief: Its copy.
-        record: This process, as others find it.
-        least_lease_s: Shortest lease that the store grants.
+        mesh: Asks the others.
+        sight: When the holder was last heard.
+        node: This process's VM.
+        address: Where the others reach this process.
     """
 
     def __init__(
         self,
         store: KvStore,
         belief: FleetBelief,
-        record: HolderRecord,
-        least_lease_s: float,
+        mesh: FleetMesh,
+        sight: HolderSight,
+        node: NodeId,
+        address: Address,
     ) -> None:
         self.revision = Revision(0)
         self._store = store
         self._belief = belief
-        self._record = record
-        self._lease = KeptLease(store, max(LEASE_S, least_lease_s))
-        self._held_under: int | None = None
+        self._mesh = mesh
+        self._sight = sight
+        self._record = HolderRecord(node, address, secrets.token_hex(6))
+        self._word_until = float("-inf")
+
+    @property
+    def claims(self) -> bool:
+        """Whether this process wrote the key and knows of no later writer."""
+        if not self.revision:
+            return False
+        item = self._belief.mirror.get(HOLDER_KEY)
+        return item is None or item.revision <= self.revision
 
     @property
     def holds(self) -> bool:
-        """Whether this process certainly is the holder now."""
-        return (
-            self._held_under is not None
-            and self._held_under == self._lease.number
-            and self._lease.trusted
-        )
+        """Whether this process may plan now.
+
+        The time that a VM stands still counts: a process that was frozen
+        wakes up with a clock on which no time has passed.
+        """
+        return self.claims and (self.confirmed or self.provisional)
+
+    @property
+    def provisional(self) -> bool:
+        """Whether it plans on the others' word that the store is down."""
+        return not self.confirmed and boot_time() < self._word_until
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether the store answered this process a moment ago."""
+        return boot_time() - self._belief.confirmed_at_boot < TRUST_S
 
     async def run(self) -> None:
         """Stand for holder until cancelled."""
         while True:
-            if self._held_under is not None:
-                await self._lease.pause()
-                if not await self._lease.keep() or (
-                    self._held_under != self._lease.number
-                ):
-                    self._check_lost()
-                continue
             await asyncio.sleep(CHECK_S)
-            mirror = self._belief.mirror
-            if mirror.known and mirror.get(HOLDER_KEY) is None:
-                await asyncio.sleep(random.random() * STAND_BACK_S)
-                if mirror.get(HOLDER_KEY) is None:
+            if self.revision and not self.claims:
+                _log.warning("holder-lost", reason="another process took over")
+                self.revision = Revision(0)
+            if self.claims:
+                await self._ask_whether_down()
+            elif self.confirmed:
+                if await self._is_vacant():
                     await self._take()
+            else:
+                await self._inherit()
 
     async def resign(self) -> None:
-        """Give the key back, so that another takes over at once."""
-        self._held_under = None
-        await self._lease.end()
+        """Remove the key, so that another takes over at once."""
+        if not self.claims:
+            return
+        revision, self.revision = self.revision, Revision(0)
+        await self._store.commit([(HOLDER_KEY, revision)], [], [HOLDER_KEY])
 
-    def _check_lost(self) -> None:
-        if self._held_under != self._lease.number:
-            _log.warning("holder-lost", reason="lease ended")
-            self._held_under = None
+    async def _ask_whether_down(self) -> None:
+        """Learn whether the store is away for all, or only for this VM."""
+        age_s = boot_time() - self._belief.confirmed_at_boot
+        if age_s < TRUST_S * 0.6 or boot_time() < self._word_until - WORD_S / 2:
+            return
+        asked_at = boot_time()
+        others = [
+            one.peer_address
+            for one in self._belief.nodes.values()
+            if one.node != self._record.node
+        ]
+        words = await asyncio.gather(*map(self._mesh.ask_store, others))
+        if others and all(word is False for word in words):
+            if boot_time() >= self._word_until:
+                _log.warning("holding-provisionally", asked=len(others))
+            self._word_until = asked_at + WORD_S
+
+    async def _inherit(self) -> None:
+        """Go on for an earlier start of this process while the store is down.
+
+        That start is over, since this one has its address, and nobody else
+        can have taken the key while the store is down for all.
+        """
+        holder = self._belief.holder
+        item = self._belief.mirror.get(HOLDER_KEY)
+        if holder is None or item is None or holder.node != self._record.node:
+            return
+        await self._ask_whether_down()
+        if boot_time() < self._word_until and not self.confirmed:
+            self.revision = item.revision
+            _log.info("holder-taken", revision=item.revision, inherited=True)
+
+    async def _is_vacant(self) -> bool:
+        """Tell whether nobody plans, as far as others know too."""
+        holder = self._belief.holder
+        if holder is None:
+            await asyncio.sleep(random.random() * STAND_BACK_S)
+            return self._belief.holder is None
+        if holder.node == self._record.node:
+            # Written by an earlier start of this process.
+            return True
+        if self._sight.unheard_s(holder) < UNHEARD_S:
+            return False
+        await asyncio.sleep(random.random() * STAND_BACK_S)
+        others = [
+            one.peer_address
+            for one in self._belief.nodes.values()
+            if one.node not in (self._record.node, holder.node)
+        ]
+        heard = await asyncio.gather(*map(self._mesh.ask_holder, others))
+        ages = [age for age in heard if age is not None]
+        if others and not ages:
+            # Whom nobody answers is cut off itself.
+            return False
+        if any(age < UNHEARD_S for age in ages):
+            return False
+        return self._belief.holder == holder
 
     async def _take(self) -> None:
-        if not await self._lease.keep() or self._lease.number is None:
-            return
-        number = self._lease.number
+        current = self._belief.mirror.get(HOLDER_KEY)
+        expected = Revision(0) if current is None else current.revision
         value = msgspec.json.encode(self._record)
-        write = KeyWrite(HOLDER_KEY, value, number)
-        done = await self._store.commit([(HOLDER_KEY, Revision(0))], [write])
-        if isinstance(done, Err):
-            if done.err_value is StoreFault.UNKNOWN:
-                await self._settle(value, number)
-            return
-        self._hold(number, done.ok_value)
+        done = await self._store.commit(
+            [(HOLDER_KEY, expected)], [KeyWrite(HOLDER_KEY, value)]
+        )
+        if not isinstance(done, Err):
+            self._hold(done.ok_value)
+        elif done.err_value is StoreFault.UNKNOWN:
+            await self._settle(value)
 
-    async def _settle(self, value: bytes, number: int) -> None:
+    async def _settle(self, value: bytes) -> None:
         """Find out whether a write without an answer was done."""
         found = await self._store.get(HOLDER_KEY)
         if isinstance(found, Err) or found.ok_value is None:
             return
         if found.ok_value.value == value:
-            self._hold(number, found.ok_value.revision)
+            self._hold(found.ok_value.revision)
 
-    def _hold(self, number: int, revision: Revision) -> None:
-        self._held_under, self.revision = number, revision
-        _log.info("holder-taken", revision=revision, lease=number)
+    def _hold(self, revision: Revision) -> None:
+        self.revision = revision
+        _log.info("holder-taken", revision=revision)
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -1,11 +1,12 @@
 """The holder's work: sees the fleet, plans, gives orders."""
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Coroutine
 from typing import Any
 
 import structlog
+from result import Ok
 
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.fleet.messages import DemandNote
@@ -13,10 +14,14 @@
     DomainPlan,
     FormationPlanner,
     GroupOrder,
+    GroupPhase,
+    OrderAction,
+    OrderOutcome,
     PlanWrite,
 )
+from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.planner import GroupMove
-from zinniaspool.core.ids import Epoch, ModelName, NodeId, ServiceName
+from zinniaspool.core.ids import Epoch, FabricDomainId, ModelName, NodeId, ServiceName
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.keeper.election import HolderElection
 from zinniaspool.keeper.plans import PlanBook
@@ -45,6 +50,12 @@
 """Pause between questions to one that counts as lost, in seconds."""
 
 
+OUTAGE_ASK_S = 0.12
+"""Pause between questions to the engines of groups under way while the store
+is down, in seconds: about as late as their entries are otherwise."""
+
+_UNDER_WAY = frozenset({GroupPhase.FORMING, GroupPhase.CLOSING, GroupPhase.ENDING})
+
 DEMAND_S = 2.0
 """For how long an entry process's last word on demand counts, in seconds."""
 
@@ -52,6 +63,9 @@
 """Time over which demand is averaged, in seconds: about as long as a request
 takes, so that single ones do not move VMs."""
 
+SETTLE_CHECK_S = 0.02
+"""Pause between looks whether owed plans are written, in seconds."""
+
 SETTLE_S = 6.2
 """For how long before loads begin to count nothing is formed, in seconds: VMs
 that all start at once write their entries over some four seconds, and whoever
@@ -89,8 +103,12 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._planner: FormationPlanner | None = None
         self._epoch = 0
+        self._saving = 0
+        self._owed: set[FabricDomainId] = set()
+        self._asked_at = float("-inf")
         self._checked: dict[str, float] = {}
         self._regain_at = 0.0
+        self.orders: Counter[tuple[OrderAction, OrderOutcome]] = Counter()
         self._demands: dict[NodeId, tuple[float, DemandNote]] = {}
         self._smooth: dict[tuple[ServiceName, ModelName], float] = {}
         self._smoothed_at = 0.0
@@ -142,6 +160,15 @@
             before = self._smooth.get(key, 0.0)
             self._smooth[key] = before + weight * (fresh.get(key, 0.0) - before)
 
+    @property
+    def holds(self) -> bool:
+        """Whether this process plans groups now."""
+        return self._planner is not None
+
+    def list_runs(self) -> list[GroupRun]:
+        """Return the groups under this process's care."""
+        return [] if self._planner is None else self._planner.runs()
+
     async def _hold(self) -> None:
         loop = asyncio.get_running_loop()
         planner = FormationPlanner(
@@ -149,6 +176,7 @@
         )
         self._planner = planner
         self._restore(planner)
+        await self._verify(planner)
         planner.hold_back(self._free_until - SETTLE_S)
         while self._election.holds:
             self._changed.clear()
@@ -170,6 +198,7 @@
             for order in orders:
                 self._start(self._give(planner, order))
             self._ask_lost(planner, loop.time())
+            self._bridge_outage(planner, loop.time())
             try:
                 async with asyncio.timeout(IDLE_S):
                     await self._changed.wait()
@@ -179,6 +208,64 @@
         for task in list(self._tasks):
             task.cancel()
 
+    async def _verify(self, planner: FormationPlanner) -> None:
+        """Ask every engine what it holds, before anything is ordered.
+
+        Entries may be behind: while the store was down, another holder may
+        have formed groups that no entry shows yet. A VM that does not answer
+        is used only once it has.
+        """
+        catalog = self._belief.catalog
+        engines = [
+            one.id
+            for one in self._belief.instances.values()
+            if catalog is not None
+            and (spec := catalog.services.get(one.service)) is not None
+            and spec.engine is not None
+        ]
+        answered = await asyncio.gather(*map(self._read_status, engines))
+        for one, answer in zip(engines, answered, strict=True):
+            if not answer:
+                planner.lose(one)
+
+    @property
+    def owes(self) -> bool:
+        """Whether any plan in force is not in the store."""
+        return bool(self._owed or self._saving)
+
+    async def settle(self) -> None:
+        """Wait until the plans that are owed to the store are written."""
+        owing = True
+        while owing:
+            await asyncio.sleep(SETTLE_CHECK_S)
+            owing = self.owes
+
+    def _bridge_outage(self, planner: FormationPlanner, now: float) -> None:
+        """Do by other ways what the store does while it is there."""
+        if not self._election.provisional:
+            for domain in self._owed:
+                planner.note_unsaved(domain)
+            self._owed.clear()
+            return
+        if now - self._asked_at < OUTAGE_ASK_S:
+            return
+        self._asked_at = now
+        for run in planner.runs():
+            if run.phase in _UNDER_WAY:
+                for one in run.record.members:
+                    self._start(self._read_status(one))
+
+    async def _read_status(self, instance: InstanceId) -> bool:
+        """Learn from an engine itself what it holds; False if it is silent."""
+        known = self._belief.instances.get(instance)
+        if known is None:
+            return False
+        found = await self._engines.ask(known.address, ASK_S)
+        if not isinstance(found, Ok):
+            return False
+        self._belief.amend(instance, found.ok_value)
+        return True
+
     def _restore(self, planner: FormationPlanner) -> None:
         plans = self._plans.load(self._belief.mirror)
         for plan in plans:
@@ -198,7 +285,7 @@
         self._epoch = max(self._epoch, highest, self._belief.mirror.as_of) + 1
         return Epoch(self._epoch)
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start(self, work: Coroutine[Any, Any, object]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
@@ -211,7 +298,17 @@
 
     async def _save(self, planner: FormationPlanner, write: PlanWrite) -> None:
         plan: DomainPlan = write.plan
-        fault = await self._plans.save(plan, self._election.revision)
+        if self._election.provisional:
+            # Nobody else can plan now. A successor that does not find this
+            # plan frees its VMs before it uses them.
+            self._owed.add(plan.domain)
+            planner.note_saved(plan.domain)
+            return
+        self._saving += 1
+        try:
+            fault = await self._plans.save(plan, self._election.revision)
+        finally:
+            self._saving -= 1
         if fault is None:
             planner.note_saved(plan.domain)
             return
@@ -226,6 +323,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         outcome = await self._engines.send(instance.address, order)
+        self.orders[order.action, outcome] += 1
         _log.info(
             "order-given",
             instance=order.instance,
@@ -236,21 +334,19 @@
             took_ms=int((loop.time() - began) * 1000),
         )
         planner.note(order, outcome, loop.time())
+        if self._election.provisional:
+            # No entry will tell the entry processes what has changed.
+            await self._read_status(order.instance)
 
     async def _check(self, instance: InstanceId) -> None:
         for _ in range(ASK_TRIES):
             known = self._belief.instances.get(instance)
-            if known is None or await self._answers(instance):
+            if known is None or await self._read_status(instance):
                 return
         if self._planner is not None:
             _log.warning("instance-lost", instance=instance, tries=ASK_TRIES)
             self._planner.lose(instance)
 
-    async def _answers(self, instance: InstanceId) -> bool:
-        known = self._belief.instances[instance]
-        found = await self._engines.ask(known.address, ASK_S)
-        return found.is_ok()
-
     def _ask_lost(self, planner: FormationPlanner, now: float) -> None:
         if not planner.lost or now < self._regain_at:
             return
@@ -260,7 +356,7 @@
                 self._start(self._ask_again(planner, one))
 
     async def _ask_again(self, planner: FormationPlanner, one: InstanceId) -> None:
-        if await self._answers(one):
+        if await self._read_status(one):
             _log.info("instance-regained", instance=one)
             planner.regain(one)
 
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -1,25 +1,30 @@
 """Composition root of the control program on the users' platform."""
 
 import asyncio
-import signal
-import sys
+import contextlib
 import time
 
 import structlog
 
-from zinniaspool.core.fleet import HolderRecord
 from zinniaspool.core.fleet.messages import DemandNote, SilentTarget
 from zinniaspool.core.ids import Address
 from zinniaspool.core.messages import Hello, Message
-from zinniaspool.fleet import FleetBelief, FleetFollower, FleetMesh, run_duty
-from zinniaspool.http import HttpClient
+from zinniaspool.fleet import (
+    FleetBelief,
+    FleetFollower,
+    FleetMesh,
+    HolderSight,
+    run_duty,
+)
+from zinniaspool.http import HttpClient, HttpServer
 from zinniaspool.keeper.election import HolderElection
 from zinniaspool.keeper.holder import GroupHolder
+from zinniaspool.keeper.metrics import make_keeper_metrics
 from zinniaspool.keeper.plans import PlanBook
 from zinniaspool.platform.kvstore import KvStore
-from zinniaspool.platform.nodefile import NodeFile, NodeFileError, read_node_file
+from zinniaspool.platform.nodefile import NodeFile
 from zinniaspool.platform.orders import EngineClient
-from zinniaspool.telemetry import configure_logs
+from zinniaspool.platform.program import run_on_platform
 
 __all__ = ["KeeperProcess", "main"]
 
@@ -34,36 +39,53 @@
 seconds: callers come some twelve seconds after it."""
 
 
+END_SPARE_S = 0.5
+"""Part of the stop time, in seconds, that is left for closing."""
+
+STAY_CHECK_S = 0.1
+"""Pause between looks whether the store is back, in seconds."""
+
+
 class KeeperProcess:
     """Stands for holder, and plans groups while it is.
 
     Args:
         node: The platform's settings.
+        metrics_port: Where metrics are served; 0 for nowhere.
     """
 
-    def __init__(self, node: NodeFile) -> None:
+    def __init__(self, node: NodeFile, metrics_port: int = 0) -> None:
         self._node = node
+        self._metrics_address = (
+            Address(f"{node.ip}:{metrics_port}") if metrics_port else None
+        )
         self._stop = asyncio.Event()
+        self._servers: list[HttpServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._belief = FleetBelief()
         self._store = KvStore(HttpClient(connect_s=CONNECT_S), node.store_address)
+        sight = HolderSight()
         self._mesh = FleetMesh(
-            node.node, node.failure_domain, self._belief, self._take_message
+            node.node,
+            node.failure_domain,
+            self._belief,
+            self._take_message,
+            sight,
+            self._store.probe,
+            lambda: self._election.holds,
         )
         self._address = node.control_address or Address(
             f"{node.ip}:{node.first_port + 1}"
         )
         self._election = HolderElection(
-            self._store,
-            self._belief,
-            HolderRecord(node.node, self._address),
-            node.least_lease_s,
+            self._store, self._belief, self._mesh, sight, node.node, self._address
         )
         self._follower = FleetFollower(
             self._store,
             self._belief,
             self._mesh,
-            lambda: self._election.holds,
+            sight,
+            lambda: self._election.claims,
             self._list_seeds,
         )
         self._holder = GroupHolder(
@@ -83,16 +105,34 @@
         """Run until the process is told to stop."""
         _log.info("started", first_start=self._node.first_start)
         await self._mesh.listen(self._address)
+        if self._metrics_address is not None:
+            metrics = make_keeper_metrics(self._belief, self._store, self._holder)
+            self._servers.append(await metrics.listen(self._metrics_address))
         self._tasks = [
             asyncio.create_task(run_duty("follower", self._follower.run)),
             asyncio.create_task(run_duty("election", self._election.run)),
             asyncio.create_task(run_duty("holder", self._holder.run)),
         ]
         await self._stop.wait()
-        await self._election.resign()
+        await self._stay_through_outage()
+        if not self._holder.owes:
+            # With plans that are not written, its successor would know less
+            # than this VM's next start, which takes over from here.
+            await self._election.resign()
         await self.abort()
         _log.info("stopped")
 
+    async def _stay_through_outage(self) -> None:
+        """Plan on while nobody could take over, as long as there is time."""
+        ends = asyncio.get_running_loop().time() + self._node.grace_s - END_SPARE_S
+        while self._election.claims and not self._election.confirmed:
+            if asyncio.get_running_loop().time() > ends:
+                return
+            await asyncio.sleep(STAY_CHECK_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(ends):
+                await self._holder.settle()
+
     @property
     def holds(self) -> bool:
         """Whether this process plans groups now."""
@@ -103,6 +143,8 @@
         for task in self._tasks:
             task.cancel()
         self._mesh.close()
+        for server in self._servers:
+            await server.drain(0.0)
 
     def _list_seeds(self) -> list[Address]:
         known = [one.peer_address for one in self._belief.nodes.values()]
@@ -118,24 +160,7 @@
 
 def main() -> None:
     """Run the program."""
-    try:
-        node = read_node_file()
-    except NodeFileError as error:
-        print(error, file=sys.stderr)
-        raise SystemExit(2) from error
-    configure_logs("control", node.node)
-    asyncio.run(_start(node))
-
-
-async def _start(node: NodeFile) -> None:
-    process = KeeperProcess(node)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.stop)
-    # What may change in the file while a process runs is nothing that it
-    # keeps; without a handler the signal would end it.
-    loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
-    await process.run()
+    run_on_platform("control", KeeperProcess)
 
 
 if __name__ == "__main__":
--- a/src/zinniaspool/node/frame.py
+++ b/src/zinniaspool/node/frame.py
@@ -36,7 +36,7 @@
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
 from zinniaspool.platform import BudgetedStore, CallKind, HttpStore
 from zinniaspool.settings import EntrySettings, NodeSettings
-from zinniaspool.telemetry import Metrics
+from zinniaspool.telemetry.metrics import Metrics
 
 __all__ = ["NodeFrame"]
 
--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -20,7 +20,7 @@
     ServiceName,
 )
 
-__all__ = ["ENTRIES_PREFIX", "EngineStatus", "read_entry", "read_status"]
+__all__ = ["ENTRIES_PREFIX", "EngineStatus", "amend_entry", "read_entry", "read_status"]
 
 ENTRIES_PREFIX = "servers/"
 
@@ -104,6 +104,18 @@
     )
 
 
+def amend_entry(value: bytes, status: EngineStatus) -> bytes:
+    """Return an entry as its engine would write it now."""
+    entry: dict[str, object] = msgspec.json.decode(value)
+    held = status.membership
+    entry["staged"] = list(status.staged)
+    entry["models"] = [] if status.model is None else [{"name": status.model}]
+    entry["group"] = None
+    if held is not None:
+        entry["group"] = _Group(held.group, held.epoch, held.rank, held.state.value)
+    return msgspec.json.encode(entry)
+
+
 def read_status(body: bytes) -> Result[EngineStatus, str]:
     """Return an engine's answer about itself, or why it cannot be read."""
     try:
--- a/src/zinniaspool/platform/kvstore.py
+++ b/src/zinniaspool/platform/kvstore.py
@@ -12,7 +12,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from zinniaspool.core.fleet import MirrorEvent, StoredItem
+from zinniaspool.core.fleet import HOLDER_KEY, MirrorEvent, StoredItem
 from zinniaspool.core.ids import Address, Revision
 from zinniaspool.http import (
     Headers,
@@ -130,6 +130,10 @@
             return Ok(None)
         return _decode(body, _Item).and_then(_read_item)
 
+    async def probe(self) -> bool:
+        """Tell whether the store answers at all."""
+        return not isinstance(await self.get(HOLDER_KEY), Err)
+
     async def read(self, prefix: str) -> Result[Reading, StoreFault]:
         """Return all items below a prefix, from as many pages as it takes.
 
--- /dev/null
+++ b/src/zinniaspool/platform/program.py
@@ -0,0 +1,65 @@
+"""How a program starts on the users' platform: settings, logs, signals."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from typing import Protocol
+
+import structlog
+
+from zinniaspool.platform.nodefile import NodeFile, NodeFileError, read_node_file
+from zinniaspool.telemetry import configure_logs
+
+__all__ = ["PlatformProcess", "run_on_platform"]
+
+_log = structlog.get_logger(__name__)
+
+BAD_SETTINGS = 2
+"""Exit status where the settings cannot be used."""
+
+
+class PlatformProcess(Protocol):
+    """A process that runs until it is told to stop."""
+
+    def stop(self) -> None:
+        """Tell it to stop in order."""
+        ...
+
+    async def run(self) -> None:
+        """Run it."""
+        ...
+
+
+def run_on_platform(
+    program: str, make: Callable[[NodeFile, int], PlatformProcess]
+) -> None:
+    """Run a process with the settings that the platform wrote.
+
+    Args:
+        program: Its name in the log.
+        make: Makes it, given its settings and the port for metrics, which is
+            the command's only argument.
+
+    Raises:
+        SystemExit: The settings or the argument cannot be used.
+    """
+    try:
+        port = int(sys.argv[1]) if len(sys.argv) > 1 else 0
+        node = read_node_file()
+    except (NodeFileError, ValueError) as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(BAD_SETTINGS) from error
+    configure_logs(program, node.node)
+    asyncio.run(_run(lambda: make(node, port)))
+
+
+async def _run(make: Callable[[], PlatformProcess]) -> None:
+    process = make()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.stop)
+    # Nothing that a process keeps changes in the file while it runs; without
+    # a handler the signal would end it.
+    loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
+    await process.run()
--- a/src/zinniaspool/telemetry/__init__.py
+++ b/src/zinniaspool/telemetry/__init__.py
@@ -1,7 +1,19 @@
-"""What operators see of a process: logs, metrics, state dumps."""
+"""What operators see of a process: logs, metrics, state dumps.
+
+The metrics' library takes a third of a process's start, so that whoever needs
+it imports :mod:`zinniaspool.telemetry.metrics` by itself.
+"""
 
 from zinniaspool.telemetry.events import LOG_EVENTS
+from zinniaspool.telemetry.lines import LineClass, LineWriter
 from zinniaspool.telemetry.logs import configure_logs
-from zinniaspool.telemetry.metrics import Metrics
+from zinniaspool.telemetry.tallies import RequestTally, Sample
 
-__all__ = ["LOG_EVENTS", "Metrics", "configure_logs"]
+__all__ = [
+    "LOG_EVENTS",
+    "LineClass",
+    "LineWriter",
+    "RequestTally",
+    "Sample",
+    "configure_logs",
+]
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -65,6 +65,8 @@
         "group-phase": "A replica group came to another phase, for this reason.",
         "history-dropped": "The store dropped changes that were not read; all is read.",
         "holder-changed": "Another process, or none, plans groups.",
+        "holding-provisionally": "The store is down for every VM; this process goes "
+        "on planning.",
         "holder-lost": "This process no longer plans groups.",
         "holder-taken": "This process plans groups from now on.",
         "instance-gone": "An instance's entry is gone from the store.",
--- a/src/zinniaspool/telemetry/metrics.py
+++ b/src/zinniaspool/telemetry/metrics.py
@@ -12,6 +12,7 @@
 
 from zinniaspool.core.ids import CustomerId
 from zinniaspool.core.journal import Journal
+from zinniaspool.telemetry.tallies import Sample
 
 __all__ = ["Metrics"]
 
@@ -69,6 +70,32 @@
             name, [lambda options: [Observation(read())]], description=description
         )
 
+    def add_samples(
+        self,
+        name: str,
+        description: str,
+        read: Callable[[], Iterable[Sample]],
+        *,
+        counts: bool,
+    ) -> None:
+        """Show numbers with labels that are read at each scrape.
+
+        Args:
+            name: Of the metric.
+            description: What it tells.
+            read: Returns its numbers.
+            counts: Whether they only grow.
+        """
+
+        def observe(options: CallbackOptions) -> Iterable[Observation]:
+            for sample in read():
+                yield Observation(sample.value, sample.labels)
+
+        create = self._meter.create_observable_gauge
+        if counts:
+            create = self._meter.create_observable_counter  # type: ignore[assignment]
+        create(name, [observe], description=description)
+
     def observe_request(
         self, customer: CustomerId | None, end: str, seconds: float
     ) -> None:
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -190,7 +190,8 @@
             order["group"],
             order["epoch"],
         ):
-            return 409
+            # Leaving a group that it is not in is done already.
+            return 200 if op == "leave" else 409
         if op == "open":
             if held["state"] != "ready" or held["rank"]:
                 return 200 if held["state"] == "open" else 409
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -241,6 +241,8 @@
                 assert order.model is not None
                 engine.staging = (self.now + 1.0, order.model)
                 return OrderOutcome.ACCEPTED
+            case OrderAction.LEAVE if not mine:
+                return OrderOutcome.HOLDS
             case _ if not mine:
                 return OrderOutcome.UNFIT
             case OrderAction.OPEN:
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -210,7 +210,7 @@
 
 
 def test_metrics_bound_the_customers_that_have_series() -> None:
-    from zinniaspool.telemetry import Metrics
+    from zinniaspool.telemetry.metrics import Metrics
 
     journal = Journal()
     journal.record(1.0, DecisionKind.GROUP_FORMED, (), "")
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -98,6 +98,26 @@
     assert not joins
 
 
+def test_a_new_holder_with_old_plans_frees_vms_before_it_uses_them() -> None:
+    """A group would lose its VMs while its head still answers callers.
+
+    The store was down while a holder formed new groups; its successor finds
+    the old plans. Engines that are asked to leave the old groups say that
+    this is so already: they are in the new ones, and must leave those.
+    """
+    world = make_settled()
+    old = dict(world.plans)
+    for _ in range(2):
+        world.lose(world.members_of(LARGE)[1])
+        world.add(FabricDomainId("d0"))
+        world.advance(20.0)
+    world.plans = old
+    world.take_over()
+    world.advance(20.0)
+    assert not world.broken
+    assert world.serving(LARGE) == 1
+
+
 def test_vms_move_to_the_model_that_is_asked_for() -> None:
     world = FormationWorld(domains=3)
     world.advance(12.0)
--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -347,3 +347,85 @@
             assert made.nodes["n0"].gateway.running == 0
 
     run(test)
+
+
+def test_a_lost_vm_is_replaced_while_the_store_is_down_for_all() -> None:
+    """Callers of the model would be refused for as long as the store is away.
+
+    The store answers nobody, then a VM of a group goes dark. Every VM says
+    that the store is down, so nobody can have taken over: the holder goes on,
+    asks the engines themselves, and tells the others of the new group.
+    """
+
+    async def test() -> None:
+        async with Installation.running(nodes=3, engines=6) as made:
+            await made.settle()
+            await eventually(lambda: any(n.keeper.holds for n in made.nodes.values()))
+            made.store.faults.down = "busy"
+            await asyncio.sleep(2.5)
+            head, before = made.heads("large")[0], made.groups("large")
+            asking = asyncio.create_task(made.draft("n0", "large", events=100))
+            await asyncio.sleep(0.3)
+            made.runners[head.members[1]].faults.dark = True
+            await eventually(lambda: made.groups("large") - before, 6.0)
+            asking.cancel()
+            async with asyncio.timeout(1.5):
+                await made.settle()
+            assert made.store.faults.down
+            made.store.faults.down = ""
+            await asyncio.sleep(1.5)
+            assert (await made.draft("n1", "large", events=3)).status == 200
+            made.assert_sound()
+
+    run(test)
+
+
+def test_a_holder_that_alone_is_cut_from_the_store_is_replaced() -> None:
+    """Two processes must not plan at the same time.
+
+    The store turns the holder's VM away and serves the others. One of them
+    reaches the store, so that the holder stops, and another takes over.
+    """
+
+    async def test() -> None:
+        async with Installation.running(nodes=3) as made:
+            await made.settle()
+            await eventually(lambda: any(n.keeper.holds for n in made.nodes.values()))
+            cut = next(name for name, node in made.nodes.items() if node.keeper.holds)
+            made.store.faults.down = "silent"
+            made.store.faults.only = [made.nodes[cut].file.store_address]
+            seen = []
+
+            def others_hold() -> bool:
+                holding = [n for n, node in made.nodes.items() if node.keeper.holds]
+                seen.append(len(holding))
+                return bool(holding) and cut not in holding
+
+            await eventually(others_hold, 8.0)
+            assert max(seen) <= 1
+            made.assert_sound()
+
+    run(test)
+
+
+def test_a_process_that_starts_in_an_outage_learns_from_its_peers() -> None:
+    """Callers sent to a VM that was just replaced would be refused.
+
+    The store is down, and a VM starts that knows nothing. Any peer's copy,
+    however old, tells it the rules and the fleet.
+    """
+
+    async def test() -> None:
+        async with Installation.running(nodes=2) as made:
+            await made.settle()
+            made.store.faults.down = "silent"
+            await asyncio.sleep(2.0)
+            await made.add_node("late")
+            for _ in range(30):
+                answer = await made.draft("late", events=2)
+                if answer.status == 200:
+                    break
+                await asyncio.sleep(0.1)
+            assert answer.status == 200
+
+    run(test)
