Follow the holder through the VM's own control process; tell only what changed

Entry processes follow their VM's control process now, a new holder tells only what is newer than the asker's copy, large values are compressed, a holder counts as gone after a second unheard by anybody or at once where its VM refuses connections, and its successor takes the rate of loads for used.

--- a/src/zinniaspool/core/fleet/messages.py
+++ b/src/zinniaspool/core/fleet/messages.py
@@ -24,33 +24,46 @@
         source: Which start of the asked process told ``serial``; empty at
             first.
         serial: The last change that it told; 0 for none.
+        as_of: The store's revision up to which our copy is complete; 0 for
+            none, which asks for everything.
         wait_s: Longest wait for a change.
     """
 
     source: str
     serial: int
+    as_of: Revision
     wait_s: float
 
 
 class NewsItem(msgspec.Struct, frozen=True):
-    """One key's state; ``value`` is None where the key is gone."""
+    """One key's state.
+
+    Attributes:
+        key: Which.
+        value: None where the key is gone.
+        revision: Of its last write or of its removal.
+        packed: Whether the value is compressed.
+    """
 
     key: str
     value: bytes | None
     revision: Revision
+    packed: bool = False
 
 
 class FleetNews(msgspec.Struct, frozen=True, tag="fleet-news"):
     """The answer: changes, or the whole copy.
 
     Attributes:
-        source: Which start of the answering process this is.
+        source: Which start of the answering process this is; empty where it
+            does not know what changed since our copy.
         serial: Its last change.
         whole: Whether this is its whole copy.
         items: What changed, or all there is.
         as_of: The store's revision up to which the copy is complete.
         age_s: Seconds since the store, or who read it, last confirmed that.
-        leading: Whether the answering process plans groups.
+        leader: Which start of which process it last heard planning groups.
+        leader_age_s: Seconds since then.
     """
 
     source: str
@@ -59,7 +72,8 @@
     items: list[NewsItem]
     as_of: Revision
     age_s: float
-    leading: bool = False
+    leader: str
+    leader_age_s: float
 
 
 class StoreAsk(msgspec.Struct, frozen=True, tag="store-ask"):
--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -57,11 +57,14 @@
     Attributes:
         as_of: The store's revision up to which the copy is complete.
         serial: Counts this copy's changes.
+        since: The store's revision from which on all removals are known.
     """
 
     def __init__(self, lapses: Callable[[str], bool]) -> None:
         self.as_of = Revision(0)
         self.serial = 0
+        self.since = Revision(0)
+        self._amended: set[str] = set()
         self._changed: dict[str, tuple[int, Revision]] = {}
         self._lapses = lapses
         self._items: dict[str, StoredItem] = {}
@@ -94,6 +97,16 @@
             if at > serial
         ]
 
+    def list_newer(
+        self, as_of: Revision
+    ) -> list[tuple[str, StoredItem | None, Revision]]:
+        """Return the keys that changed after a revision of the store."""
+        return [
+            (key, self._items.get(key), revision)
+            for key, (_, revision) in self._changed.items()
+            if revision > as_of or key in self._amended
+        ]
+
     def _note(self, key: str, revision: Revision) -> None:
         self.serial += 1
         self._changed[key] = (self.serial, revision)
@@ -131,6 +144,7 @@
                 the copy of a peer that amends its own.
         """
         changes: list[Change] = []
+        self.since = self.since or as_of
         seen = set()
         for item in items:
             seen.add(item.key)
@@ -186,6 +200,10 @@
         if before is not None and same and (not amended or before == item):
             return []
         self._items[item.key] = item
+        if same:
+            self._amended.add(item.key)
+        else:
+            self._amended.discard(item.key)
         self._note(item.key, item.revision)
         return [Change(item.key, before, item)]
 
--- a/src/zinniaspool/core/formation/loads.py
+++ b/src/zinniaspool/core/formation/loads.py
@@ -30,6 +30,17 @@
         self._started: deque[float] = deque()
         self._running: dict[str, float] = {}
 
+    def assume_used(self, now: float) -> None:
+        """Take the whole rate for used up to now, by a former holder.
+
+        What it has loaded is not known here; two holders' loads would add up
+        to more than the rate. Room comes back as fast as the rate gives it.
+        """
+        step = self._window_s / self._most
+        self._started.extend(
+            now - self._window_s + step * (number + 1) for number in range(self._most)
+        )
+
     def room(self, now: float) -> int:
         """Return how many loads may start now."""
         if self.is_free(now):
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -118,7 +118,9 @@
 
     # What the shell tells.
 
-    def configure(self, engines: Mapping[ServiceName, EngineSpec]) -> None:
+    def configure(
+        self, engines: Mapping[ServiceName, EngineSpec], now: float = 0.0
+    ) -> None:
         """Take the services whose groups are to be formed."""
         self._engines = dict(engines)
         for service, engine in engines.items():
@@ -129,6 +131,8 @@
                     self._load_window_s,
                     self._free_until,
                 )
+                if self._domains:
+                    self._loads[service].assume_used(now)
 
     def restore(self, plans: Iterable[DomainPlan]) -> None:
         """Take the plans that a former holder left."""
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,9 +11,9 @@
 
 from zinniaspool.core.fleet import MirrorEvent, StoredItem
 from zinniaspool.core.fleet.messages import FleetNews, FleetWatch
-from zinniaspool.core.ids import Address
+from zinniaspool.core.ids import Address, Revision
 from zinniaspool.fleet.belief import FleetBelief
-from zinniaspool.fleet.mesh import FleetMesh
+from zinniaspool.fleet.mesh import FleetMesh, unpack_item
 from zinniaspool.fleet.sight import HolderSight
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.store import StoreFault
@@ -48,6 +49,14 @@
 """For how long a peer that gave no fresh answer is not asked, in seconds."""
 
 
+RELAY_START_S = 0.8
+"""For how long a starting process waits for this VM's other one, in seconds:
+both start together, and reading the store takes some tens of milliseconds."""
+
+RELAY_RETRY_S = 0.04
+"""Pause between two questions to it, in seconds."""
+
+
 @dataclass(slots=True)
 class _Peer:
     """What the last answer of the peer that is followed said."""
@@ -67,6 +76,8 @@
         sight: When the holder was last heard.
         is_holder: Tells whether this process is the one that others follow.
         list_seeds: Returns peers to ask when neither store nor holder answer.
+        relay: A process on this VM that follows the holder, to be followed
+            first: so only one process of a VM is told over the network.
     """
 
     def __init__(
@@ -77,6 +88,7 @@
         sight: HolderSight,
         is_holder: Callable[[], bool],
         list_seeds: Callable[[], list[Address]],
+        relay: Address | None = None,
     ) -> None:
         self.reachable = True
         self._store = store
@@ -85,6 +97,7 @@
         self._sight = sight
         self._is_holder = is_holder
         self._list_seeds = list_seeds
+        self._relay = relay
         self._read = False
         self._pause_s = RETRY_S
         self._peer: _Peer | None = None
@@ -92,9 +105,9 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        await self._begin_with_relay()
         while True:
-            holder = self._find_holder()
-            if holder is not None and await self._follow(holder):
+            if await self._follow_peers():
                 self._belief.take(self._belief.mirror.expire(self._now()))
                 continue
             done = await self._follow_store()
@@ -104,26 +117,38 @@
             else:
                 await asyncio.sleep(GATHER_S)
 
-    def _find_holder(self) -> Address | None:
+    async def _begin_with_relay(self) -> None:
+        """Learn all from this VM's other process, which starts as well."""
+        ends = self._now() + RELAY_START_S
+        while self._relay is not None and self._now() < ends:
+            if await self._follow(self._relay):
+                return
+            await asyncio.sleep(RELAY_RETRY_S)
+
+    async def _follow_peers(self) -> bool:
+        """Take news of the nearest peer that has any; False where none has."""
+        if self._is_holder() or not self._belief.mirror.known:
+            return False
         holder = self._belief.holder
-        if holder is None or self._is_holder() or not self._belief.mirror.known:
-            return None
-        address = holder.peer_address
-        return None if self._shunned.get(address, 0.0) > self._now() else address
+        for address in (self._relay, holder.peer_address if holder else None):
+            if address is None or self._shunned.get(address, 0.0) > self._now():
+                continue
+            if await self._follow(address):
+                return True
+        return False
 
-    def _accepts(self, address: Address, news: FleetNews) -> bool:
+    def _accepts(self, news: FleetNews) -> bool:
         """Tell whether a peer's news are to be followed.
 
         While the store is down for all, the holder's copy is as old as any,
         but the holder alone knows what it has changed since.
         """
-        holder = self._belief.holder
         if not news.as_of:
             return False
-        if holder is not None and holder.peer_address == address:
-            if news.leading:
-                self._sight.hear(holder)
-            return news.leading
+        holder = self._belief.holder
+        led = holder is not None and news.leader == holder.start
+        if led and news.leader_age_s <= FRESH_S:
+            return True
         # A process that knows nothing serves nobody: an old copy is better.
         return news.age_s <= FRESH_S or not self._belief.mirror.known
 
@@ -134,36 +159,59 @@
         peer = self._peer
         if peer is None or peer.address != address:
             peer = self._peer = _Peer(address)
+        as_of = self._belief.mirror.as_of
         news = await self._mesh.ask(
-            address, FleetWatch(peer.source, peer.serial, wait_s)
+            address, FleetWatch(peer.source, peer.serial, as_of, wait_s)
         )
-        if news is None or not self._accepts(address, news):
+        if news is not None and not news.source and news.as_of:
+            news = await self._close_gap(address, news)
+        if news is None or not self._accepts(news):
             self._shunned[address] = self._now() + SHUN_S
             _log.info(
                 "peer-stale",
                 address=address,
                 age_ms=-1 if news is None else int(news.age_s * 1000),
-                leading=news is not None and news.leading,
+                leader_ms=-1 if news is None else int(news.leader_age_s * 1000),
             )
             return False
         peer.source, peer.serial = news.source, news.serial
-        self._take_news(news)
+        try:
+            self._take_news(news)
+        except zlib.error as error:
+            _log.error("news-unreadable", address=address, reason=str(error))
+            return False
+        holder = self._belief.holder
+        if holder is not None and news.leader == holder.start:
+            self._sight.hear(holder, news.leader_age_s)
         self.reachable = True
         return True
 
+    async def _close_gap(self, address: Address, news: FleetNews) -> FleetNews | None:
+        """Learn what a peer cannot tell: changes before it knew the store.
+
+        The store tells it in one call; where it does not answer, the peer's
+        whole copy is asked for.
+        """
+        if not isinstance(await self._follow_store(), Err):
+            return await self._mesh.ask(
+                address, FleetWatch("", 0, self._belief.mirror.as_of, 0.0)
+            )
+        if news.as_of <= self._belief.mirror.as_of and news.leader_age_s > FRESH_S:
+            return None
+        return await self._mesh.ask(address, FleetWatch("", 0, Revision(0), 0.0))
+
     def _take_news(self, news: FleetNews) -> None:
         mirror, now = self._belief.mirror, self._now()
+        told = [(one, unpack_item(one)) for one in news.items]
         if news.whole:
             items = [
-                StoredItem(one.key, one.value, one.revision)
-                for one in news.items
-                if one.value is not None
+                StoredItem(one.key, value, one.revision)
+                for one, value in told
+                if value is not None
             ]
             changes = mirror.replace(items, news.as_of, now, amended=True)
         else:
-            events = [
-                MirrorEvent(one.key, one.value, one.revision) for one in news.items
-            ]
+            events = [MirrorEvent(one.key, value, one.revision) for one, value in told]
             changes = mirror.apply(events, news.as_of, now, amended=True)
         self._belief.confirm(now - news.age_s)
         self._belief.take(changes)
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -8,8 +8,10 @@
 
 import asyncio
 import secrets
+import zlib
 from collections.abc import Awaitable, Callable
 
+from zinniaspool.core.fleet import StoredItem
 from zinniaspool.core.fleet.messages import (
     FleetNews,
     FleetWatch,
@@ -22,6 +24,7 @@
     FailureDomainId,
     Incarnation,
     NodeId,
+    Revision,
     split_address,
 )
 from zinniaspool.core.messages import PROTOCOL_VERSION, Hello, Message
@@ -29,7 +32,7 @@
 from zinniaspool.fleet.sight import HolderSight, boot_time
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
 
-__all__ = ["FleetMesh"]
+__all__ = ["FleetMesh", "is_nobody_there", "unpack_item"]
 
 ANSWER_S = 0.9
 """Longest wait for a peer, in seconds; a question itself waits for under half
@@ -46,6 +49,20 @@
 """How long an answer waits for such knowledge, in seconds."""
 
 
+PACK_BYTES = 2048
+"""Size from which a value is compressed: configurations grow to a hundred
+kilobytes, and the slowest links of ours carry one a second."""
+
+PACK_LEVEL = 1
+"""Least effort: a tenth of the size is left all the same."""
+
+MOST_UNPACKED_BYTES = 4 * 1024 * 1024
+"""Largest value after unpacking; the store holds a megabyte."""
+
+NEVER_S = 1e6
+"""Age of what was never heard."""
+
+
 class FleetMesh:
     """This process's side of it: answers others, asks others.
 
@@ -56,7 +73,7 @@
         handler: Takes messages that are no questions.
         sight: When the holder was last heard.
         probe_store: Asks the store for anything; tells whether it answered.
-        is_leading: Tells whether this process plans groups.
+        find_own_start: Returns which start this is while it plans groups.
     """
 
     def __init__(
@@ -67,14 +84,15 @@
         handler: PeerHandler,
         sight: HolderSight,
         probe_store: Callable[[], Awaitable[bool]],
-        is_leading: Callable[[], bool] = lambda: False,
+        find_own_start: Callable[[], str | None] = lambda: None,
     ) -> None:
         self._node = node
         self._belief = belief
         self._handler = handler
         self._sight = sight
         self._probe_store = probe_store
-        self._is_leading = is_leading
+        self._find_own_start = find_own_start
+        self._packed: dict[str, tuple[bytes, bytes]] = {}
         self._probing: asyncio.Task[None] | None = None
         self._probed_at = float("-inf")
         self._reachable: bool | None = None
@@ -109,7 +127,7 @@
         word = await self._asking.ask(address, StoreAsk())
         if isinstance(word, StoreWord):
             return word.reachable
-        return False if await _is_nobody_there(address) else None
+        return False if await is_nobody_there(address) else None
 
     async def ask_holder(self, address: Address) -> float | None:
         """Ask for how long a process has not heard the holder."""
@@ -137,7 +155,7 @@
             await asyncio.wait([self._probing], timeout=WORD_WAIT_S)
         fresh = boot_time() - self._probed_at <= FRESH_WORD_S
         holder = self._belief.holder
-        unheard_s = float("inf") if holder is None else self._sight.unheard_s(holder)
+        unheard_s = NEVER_S if holder is None else self._sight.unheard_s(holder)
         return StoreWord(self._reachable if fresh else None, unheard_s)
 
     async def _probe(self) -> None:
@@ -149,25 +167,52 @@
 
     async def _answer(self, watch: FleetWatch) -> FleetNews:
         mirror = self._belief.mirror
-        known = watch.source == self._source and watch.serial
+        known = watch.source == self._source and watch.serial > 0
         if known and mirror.serial == watch.serial:
             await self._wait_for_news(min(watch.wait_s, ANSWER_S / 2))
-        serial = watch.serial if known else 0
-        items = [
-            NewsItem(key, None if item is None else item.value, revision)
-            for key, item, revision in mirror.list_since(serial)
-        ]
-        now = asyncio.get_running_loop().time()
+        source, whole = self._source, False
+        if known:
+            changed = mirror.list_since(watch.serial)
+        elif not watch.as_of:
+            changed, whole = mirror.list_since(0), True
+        elif mirror.since and mirror.since <= watch.as_of:
+            # All that a process already has need not go over the link again:
+            # when a new holder is followed, all ask at the same moment.
+            changed = mirror.list_newer(watch.as_of)
+        else:
+            changed, source = [], ""
+        leader, leader_age_s = self._describe_leader()
         return FleetNews(
-            self._source,
-            mirror.serial,
-            not known,
-            items,
+            source,
+            mirror.serial if source else 0,
+            whole,
+            [self._pack(*one) for one in changed],
             mirror.as_of,
-            self._belief.age(now),
-            self._is_leading(),
+            self._belief.age(asyncio.get_running_loop().time()),
+            leader,
+            leader_age_s,
         )
 
+    def _describe_leader(self) -> tuple[str, float]:
+        own = self._find_own_start()
+        if own is not None:
+            return own, 0.0
+        heard = self._sight.heard
+        if heard is None:
+            return "", NEVER_S
+        return heard.start, self._sight.unheard_s(heard)
+
+    def _pack(self, key: str, item: StoredItem | None, revision: Revision) -> NewsItem:
+        if item is None:
+            return NewsItem(key, None, revision)
+        if len(item.value) < PACK_BYTES:
+            return NewsItem(key, item.value, revision)
+        done = self._packed.get(key)
+        if done is None or done[0] is not item.value:
+            done = (item.value, zlib.compress(item.value, PACK_LEVEL))
+            self._packed[key] = done
+        return NewsItem(key, done[1], revision, packed=True)
+
     async def _wait_for_news(self, wait_s: float) -> None:
         news = self._news
         try:
@@ -182,7 +227,23 @@
         self._news = asyncio.Event()
 
 
-async def _is_nobody_there(address: Address) -> bool:
+def unpack_item(item: NewsItem) -> bytes | None:
+    """Return an item's value.
+
+    Raises:
+        zlib.error: It is not what compression makes, or too large.
+    """
+    if item.value is None or not item.packed:
+        return item.value
+    unpacker = zlib.decompressobj()
+    value = unpacker.decompress(item.value, MOST_UNPACKED_BYTES)
+    if not unpacker.eof:
+        raise zlib.error("too large")
+    return value
+
+
+async def is_nobody_there(address: Address) -> bool:
+    """Tell whether a VM is there and refuses connections at an address."""
     host, port = split_address(address)
     try:
         async with asyncio.timeout(NOTE_S):
--- a/src/zinniaspool/fleet/sight.py
+++ b/src/zinniaspool/fleet/sight.py
@@ -19,9 +19,16 @@
         self._record: HolderRecord | None = None
         self._at = float("-inf")
 
-    def hear(self, record: HolderRecord) -> None:
-        """Note that the holder said so now."""
-        self._record, self._at = record, boot_time()
+    def hear(self, record: HolderRecord, age_s: float = 0.0) -> None:
+        """Note that the holder said so, some seconds ago."""
+        at = boot_time() - age_s
+        if self._record != record or at > self._at:
+            self._record, self._at = record, at
+
+    @property
+    def heard(self) -> HolderRecord | None:
+        """The holder that was last heard, or learned of."""
+        return self._record
 
     def unheard_s(self, record: HolderRecord) -> float:
         """Return for how many seconds a holder has not been heard.
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -103,6 +103,7 @@
             sight,
             lambda: False,
             self._list_seeds,
+            node.control_address,
         )
         self._notes: set[asyncio.Task[bool]] = set()
         self._index = TargetIndex(self._belief, node.failure_domain)
--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -19,6 +19,7 @@
 from zinniaspool.core.fleet import HOLDER_KEY, HolderRecord
 from zinniaspool.core.ids import Address, NodeId, Revision
 from zinniaspool.fleet import FleetBelief, FleetMesh, HolderSight, boot_time
+from zinniaspool.fleet.mesh import is_nobody_there
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
 from zinniaspool.platform.store import StoreFault
 
@@ -38,9 +39,17 @@
 CHECK_S = 0.1
 """Pause between looks, in seconds."""
 
-UNHEARD_S = 0.35
-"""For how long a holder must have been unheard of before others are asked, in
-seconds: a question to it takes about this long when it has no news."""
+UNHEARD_S = 1.0
+"""For how long a holder must have been unheard of, by anybody, before another
+takes over, in seconds: some three questions to it, so that one that is busy
+with many is not taken for gone."""
+
+ENDED_S = 0.15
+"""The same where its VM refuses connections: its process has ended."""
+
+MOST_ASKED = 8
+"""How many others are asked whether they hear the holder: enough that a few
+that are cut off themselves do not decide."""
 
 STAND_BACK_S = 0.15
 """Candidates wait a random part of this, so that one write decides mostly."""
@@ -92,6 +101,11 @@
         """
         return self.claims and (self.confirmed or self.provisional)
 
+    @property
+    def start(self) -> str | None:
+        """Which start of this process this is, while it may plan."""
+        return self._record.start if self.holds else None
+
     @property
     def provisional(self) -> bool:
         """Whether it plans on the others' word that the store is down."""
@@ -165,7 +179,11 @@
         if holder.node == self._record.node:
             # Written by an earlier start of this process.
             return True
-        if self._sight.unheard_s(holder) < UNHEARD_S:
+        if self._sight.unheard_s(holder) < ENDED_S:
+            return False
+        ended = await is_nobody_there(holder.peer_address)
+        unheard_s = ENDED_S if ended else UNHEARD_S
+        if self._sight.unheard_s(holder) < unheard_s:
             return False
         await asyncio.sleep(random.random() * STAND_BACK_S)
         others = [
@@ -173,12 +191,13 @@
             for one in self._belief.nodes.values()
             if one.node not in (self._record.node, holder.node)
         ]
+        others = random.sample(others, min(len(others), MOST_ASKED))
         heard = await asyncio.gather(*map(self._mesh.ask_holder, others))
         ages = [age for age in heard if age is not None]
         if others and not ages:
             # Whom nobody answers is cut off itself.
             return False
-        if any(age < UNHEARD_S for age in ages):
+        if any(age < unheard_s for age in ages):
             return False
         return self._belief.holder == holder
 
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -187,7 +187,8 @@
                     name: spec.engine
                     for name, spec in catalog.services.items()
                     if spec.engine is not None and spec.engine.models
-                }
+                },
+                loop.time(),
             )
             planner.see(self._belief.instances)
             self._smooth_demand(loop.time())
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -75,6 +75,7 @@
         "instance-state": "An instance began to leave, or is ready.",
         "lease-lost": "A lease ended before it was renewed.",
         "log-lines-dropped": "So many lines were dropped until now, by class.",
+        "news-unreadable": "What a peer told of the store cannot be unpacked.",
         "order-given": "An engine was given an order, with its outcome.",
         "peer-stale": "A peer's copy of the store was too old, or it did not answer.",
         "plan-unsaved": "The store did not take a plan; it is written again.",
