--- a/src/zinniaspool/core/fleet/messages.py
+++ b/src/zinniaspool/core/fleet/messages.py
@@ -42,13 +42,11 @@
         key: Which.
         value: None where the key is gone.
         revision: Of its last write or of its removal.
-        packed: Whether the value is compressed.
     """
 
     key: str
     value: bytes | None
     revision: Revision
-    packed: bool = False
 
 
 class FleetNews(msgspec.Struct, frozen=True, tag="fleet-news"):
@@ -59,7 +57,7 @@
             does not know what changed since our copy.
         serial: Its last change.
         whole: Whether this is its whole copy.
-        items: What changed, or all there is.
+        items: What changed, or all there is: packed items.
         as_of: The store's revision up to which the copy is complete.
         age_s: Seconds since the store, or who read it, last confirmed that.
         leader: Which start of which process it last heard planning groups.
@@ -69,7 +67,7 @@
     source: str
     serial: int
     whole: bool
-    items: list[NewsItem]
+    items: bytes
     as_of: Revision
     age_s: float
     leader: str
--- a/src/zinniaspool/core/formation/loads.py
+++ b/src/zinniaspool/core/formation/loads.py
@@ -53,6 +53,20 @@
         by_rate = self._most - len(self._started)
         return max(0, min(by_rate, self._at_once - len(self._running)))
 
+    def has_room(self, count: int, now: float) -> bool:
+        """Tell whether so many loads may start together.
+
+        A large group needs more at once than run well together; they then
+        take longer, which is better than never.
+        """
+        room = self.room(now)
+        by_rate = self._most - len(self._started)
+        return count <= room or (not self._running and count <= by_rate)
+
+    def has_spare_room(self, now: float) -> bool:
+        """Tell whether a load may start that nobody waits for."""
+        return self.is_free(now) or self.room(now) * 2 > self._at_once
+
     def is_free(self, now: float) -> bool:
         """Tell whether loads are not counted yet."""
         return now < self._free_until
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -44,6 +44,13 @@
 """Shortest time between two moves of VMs from one model to another, in
 seconds: a move takes about this long, and its effect must be seen first."""
 
+SOON_S = 3.0
+"""Within how many seconds a group that forms without loads serves."""
+
+RESERVED_S = 4.0
+"""For how long VMs are kept for the model that they were freed for, in
+seconds: callers of a closing group are served for a second or two."""
+
 ARRIVAL_S = 0.6
 """For how long after a VM came in more are expected in its domain, in seconds:
 VMs that start together are seen within less than this of each other."""
@@ -75,6 +82,8 @@
     runs: dict[GroupId, GroupRun] = field(default_factory=dict)
     unsaved: bool = False
     writing: bool = False
+    reserved: ModelName | None = None
+    reserved_until: float = 0.0
 
 
 class FormationPlanner:
@@ -237,15 +246,27 @@
                 for domain in self._domains.values()
                 if (shape := self._find_shape(domain, service)) is not None
             ]
-            chosen = find_conversion(demands, self._count_groups(service), shapes)
+            groups = self._count_groups(service, now - SOON_S)
+            chosen = find_conversion(demands, groups, shapes)
             if chosen is None:
                 continue
             self._balanced_at = now
             for run in self.runs():
                 if run.record.group in chosen.groups:
+                    self._reserve(run.record.group, chosen.model, now)
                     run.move(GroupPhase.CLOSING, f"balance:{chosen.model}", now)
                     self._on_move(GroupMove(run.record, run.phase, run.reason))
 
+    def _reserve(self, group: GroupId, model: ModelName, now: float) -> None:
+        """Keep a domain's VMs for the model that they are freed for.
+
+        The closed groups end one after the other; the VMs of the first would
+        go back to the model that gave them before there are enough.
+        """
+        for domain in self._domains.values():
+            if group in domain.runs:
+                domain.reserved, domain.reserved_until = model, now + RESERVED_S
+
     def _list_demands(
         self, service: ServiceName, engine: EngineSpec
     ) -> list[ModelDemand]:
@@ -264,6 +285,10 @@
         for run in domain.runs.values():
             if run.record.service != service:
                 continue
+            if run.record.standby and run.phase is not GroupPhase.STANDBY:
+                # A VM that has come in loads for many seconds; the others
+                # need not wait for it.
+                continue
             if run.phase not in (GroupPhase.SERVING, GroupPhase.STANDBY):
                 return None
             able = self._count_ready(run.record)
@@ -284,6 +309,15 @@
                 ready.update({record.model, *found.staged})
         return ready
 
+    def _list_open_needs(
+        self, domain: _Domain, service: ServiceName, now: float
+    ) -> list[ModelNeed]:
+        """Return the models that a domain's idle VMs may serve now."""
+        needs = self._list_needs(service, self._engines[service])
+        if domain.reserved is None or now >= domain.reserved_until:
+            return needs
+        return [need for need in needs if need.spec.name == domain.reserved]
+
     def _list_needs(self, service: ServiceName, engine: EngineSpec) -> list[ModelNeed]:
         """Return for each model how well it is provided for."""
         groups = self._count_groups(service)
@@ -303,7 +337,7 @@
 
         A VM that holds one model and has the other one at hand can take any
         lost member's place within seconds. VMs that stand by come first;
-        those that serve follow only while loads cost nothing.
+        those that serve follow with the loads that nobody else needs.
         """
         orders = []
         for run in domain.runs.values():
@@ -311,7 +345,7 @@
             settled = run.phase in (GroupPhase.STANDBY, GroupPhase.SERVING)
             if budget is None or not settled:
                 continue
-            if not run.record.standby and not budget.is_free(now):
+            if not run.record.standby and not budget.has_spare_room(now):
                 continue
             for one in run.record.members:
                 orders += self._stage_one(run.record, one, budget, now)
@@ -414,7 +448,6 @@
         instances: list[Instance],
         now: float,
     ) -> bool:
-        engine = self._engines[service]
         candidates = self._list_candidates(domain, instances)
         if not candidates:
             return False
@@ -430,21 +463,29 @@
         )
         chosen = select_groups(
             candidates,
-            self._list_needs(service, engine),
+            self._list_open_needs(domain, service, now),
             standing,
             here,
-            more_expected=now - self._arrived_at.get(domain.id, 0.0) < ARRIVAL_S,
+            more_expected=self._expects_more(domain, now),
         )
         if chosen is None or not self._take_loads(service, chosen, now):
             return False
+        if not chosen.standby:
+            domain.reserved = None
         self._add(domain, service, chosen, now)
         return True
 
+    def _expects_more(self, domain: _Domain, now: float) -> bool:
+        """Tell whether VMs are about to become idle in a domain."""
+        if domain.reserved is not None and now < domain.reserved_until:
+            return True
+        return now - self._arrived_at.get(domain.id, float("-inf")) < ARRIVAL_S
+
     def _take_loads(self, service: ServiceName, chosen: Selection, now: float) -> bool:
         if not chosen.loads:
             return True
         budget = self._loads[service]
-        if budget.room(now) < len(chosen.loads):
+        if not budget.has_room(len(chosen.loads), now):
             return False
         for one in chosen.loads:
             budget.start(one, now, chosen.model.load_s)
@@ -500,13 +541,23 @@
             return True
         return (one.id, held.group) in self._left
 
-    def _count_groups(self, service: ServiceName) -> Counter[ModelName]:
+    def _count_groups(
+        self, service: ServiceName, soon_by: float = float("-inf")
+    ) -> Counter[ModelName]:
+        """Count groups that serve, or form.
+
+        Args:
+            service: Whose.
+            soon_by: Groups that began to form before then do not count: they
+                load, and serve nobody for many seconds yet.
+        """
         return Counter(
             run.record.model
             for run in self.runs()
             if run.record.service == service
             and not run.record.standby
             and run.phase in _SETTLED
+            and (run.phase is not GroupPhase.FORMING or run.since >= soon_by)
         )
 
     def _release_strays(self, now: float) -> list[GroupOrder]:
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
 import structlog
 from result import Err, Ok, Result
 
@@ -13,7 +14,7 @@
 from zinniaspool.core.fleet.messages import FleetNews, FleetWatch
 from zinniaspool.core.ids import Address, Revision
 from zinniaspool.fleet.belief import FleetBelief
-from zinniaspool.fleet.mesh import FleetMesh, unpack_item
+from zinniaspool.fleet.mesh import FleetMesh, unpack_items
 from zinniaspool.fleet.sight import HolderSight
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.store import StoreFault
@@ -49,6 +50,10 @@
 """For how long a peer that gave no fresh answer is not asked, in seconds."""
 
 
+MOST_SEEDS = 3
+"""Peers that are asked in a row: enough that one of them most likely reaches
+the store where only some VMs do not."""
+
 RELAY_START_S = 0.8
 """For how long a starting process waits for this VM's other one, in seconds:
 both start together, and reading the store takes some tens of milliseconds."""
@@ -111,11 +116,12 @@
                 self._belief.take(self._belief.mirror.expire(self._now()))
                 continue
             done = await self._follow_store()
-            if isinstance(done, Err):
-                await self._ask_seeds()
-                await asyncio.sleep(self._pause_s)
-            else:
+            if not isinstance(done, Err):
                 await asyncio.sleep(GATHER_S)
+            elif await self._ask_seeds():
+                await asyncio.sleep(RETRY_S)
+            else:
+                await asyncio.sleep(self._pause_s)
 
     async def _begin_with_relay(self) -> None:
         """Learn all from this VM's other process, which starts as well."""
@@ -177,7 +183,7 @@
         peer.source, peer.serial = news.source, news.serial
         try:
             self._take_news(news)
-        except zlib.error as error:
+        except (zlib.error, msgspec.MsgspecError) as error:
             _log.error("news-unreadable", address=address, reason=str(error))
             return False
         holder = self._belief.holder
@@ -202,26 +208,32 @@
 
     def _take_news(self, news: FleetNews) -> None:
         mirror, now = self._belief.mirror, self._now()
-        told = [(one, unpack_item(one)) for one in news.items]
+        told = unpack_items(news.items)
         if news.whole:
             items = [
-                StoredItem(one.key, value, one.revision)
-                for one, value in told
-                if value is not None
+                StoredItem(one.key, one.value, one.revision)
+                for one in told
+                if one.value is not None
             ]
             changes = mirror.replace(items, news.as_of, now, amended=True)
         else:
-            events = [MirrorEvent(one.key, value, one.revision) for one, value in told]
+            events = [MirrorEvent(one.key, one.value, one.revision) for one in told]
             changes = mirror.apply(events, news.as_of, now, amended=True)
         self._belief.confirm(now - news.age_s)
         self._belief.take(changes)
 
-    async def _ask_seeds(self) -> None:
-        """Ask some peer, when neither the store nor the holder answers."""
+    async def _ask_seeds(self) -> bool:
+        """Ask peers, when neither the store nor the holder answers.
+
+        Returns:
+            Whether one of them had news that are fresh.
+        """
         now = self._now()
         seeds = [one for one in self._list_seeds() if self._shunned.get(one, 0) <= now]
-        if seeds:
-            await self._follow(random.choice(seeds), 0.0)
+        for seed in random.sample(seeds, min(len(seeds), MOST_SEEDS)):
+            if await self._follow(seed, 0.0):
+                return True
+        return False
 
     # From the store.
 
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -11,6 +11,8 @@
 import zlib
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from zinniaspool.core.fleet import StoredItem
 from zinniaspool.core.fleet.messages import (
     FleetNews,
@@ -32,7 +34,7 @@
 from zinniaspool.fleet.sight import HolderSight, boot_time
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
 
-__all__ = ["FleetMesh", "is_nobody_there", "unpack_item"]
+__all__ = ["FleetMesh", "is_nobody_there", "unpack_items"]
 
 ANSWER_S = 0.9
 """Longest wait for a peer, in seconds; a question itself waits for under half
@@ -49,15 +51,13 @@
 """How long an answer waits for such knowledge, in seconds."""
 
 
-PACK_BYTES = 2048
-"""Size from which a value is compressed: configurations grow to a hundred
-kilobytes, and the slowest links of ours carry one a second."""
-
 PACK_LEVEL = 1
-"""Least effort: a tenth of the size is left all the same."""
+"""Least effort. Entries resemble each other, so that a sixth is left all the
+same; each change goes to every VM, over links of a megabyte a second."""
 
-MOST_UNPACKED_BYTES = 4 * 1024 * 1024
-"""Largest value after unpacking; the store holds a megabyte."""
+MOST_UNPACKED_BYTES = 16 * 1024 * 1024
+"""Largest copy after unpacking: a value has a megabyte at most, and a fleet's
+entries come to about as much."""
 
 NEVER_S = 1e6
 """Age of what was never heard."""
@@ -92,7 +92,7 @@
         self._sight = sight
         self._probe_store = probe_store
         self._find_own_start = find_own_start
-        self._packed: dict[str, tuple[bytes, bytes]] = {}
+        self._packed: tuple[object, bytes] | None = None
         self._probing: asyncio.Task[None] | None = None
         self._probed_at = float("-inf")
         self._reachable: bool | None = None
@@ -171,6 +171,7 @@
         if known and mirror.serial == watch.serial:
             await self._wait_for_news(min(watch.wait_s, ANSWER_S / 2))
         source, whole = self._source, False
+        since: object = (known, watch.serial if known else watch.as_of)
         if known:
             changed = mirror.list_since(watch.serial)
         elif not watch.as_of:
@@ -186,7 +187,7 @@
             source,
             mirror.serial if source else 0,
             whole,
-            [self._pack(*one) for one in changed],
+            self._pack(since, changed),
             mirror.as_of,
             self._belief.age(asyncio.get_running_loop().time()),
             leader,
@@ -202,16 +203,17 @@
             return "", NEVER_S
         return heard.start, self._sight.unheard_s(heard)
 
-    def _pack(self, key: str, item: StoredItem | None, revision: Revision) -> NewsItem:
-        if item is None:
-            return NewsItem(key, None, revision)
-        if len(item.value) < PACK_BYTES:
-            return NewsItem(key, item.value, revision)
-        done = self._packed.get(key)
-        if done is None or done[0] is not item.value:
-            done = (item.value, zlib.compress(item.value, PACK_LEVEL))
-            self._packed[key] = done
-        return NewsItem(key, done[1], revision, packed=True)
+    def _pack(
+        self, since: object, changed: list[tuple[str, StoredItem | None, Revision]]
+    ) -> bytes:
+        """Return items as they go over the wire.
+
+        Many ask for the same at the same moment, so that it is kept.
+        """
+        key = (since, self._belief.mirror.serial)
+        if self._packed is None or self._packed[0] != key:
+            self._packed = (key, pack_items(changed))
+        return self._packed[1]
 
     async def _wait_for_news(self, wait_s: float) -> None:
         news = self._news
@@ -227,19 +229,31 @@
         self._news = asyncio.Event()
 
 
-def unpack_item(item: NewsItem) -> bytes | None:
-    """Return an item's value.
+def pack_items(changed: list[tuple[str, StoredItem | None, Revision]]) -> bytes:
+    """Return items as they go over the wire."""
+    items = [
+        NewsItem(key, None if item is None else item.value, revision)
+        for key, item, revision in changed
+    ]
+    if not items:
+        return b""
+    return zlib.compress(msgspec.msgpack.encode(items), PACK_LEVEL)
+
+
+def unpack_items(packed: bytes) -> list[NewsItem]:
+    """Return the items that were packed.
 
     Raises:
-        zlib.error: It is not what compression makes, or too large.
+        zlib.error: They are not what compression makes, or too large.
+        msgspec.MsgspecError: They are no items.
     """
-    if item.value is None or not item.packed:
-        return item.value
+    if not packed:
+        return []
     unpacker = zlib.decompressobj()
-    value = unpacker.decompress(item.value, MOST_UNPACKED_BYTES)
+    data = unpacker.decompress(packed, MOST_UNPACKED_BYTES)
     if not unpacker.eof:
         raise zlib.error("too large")
-    return value
+    return msgspec.msgpack.decode(data, type=list[NewsItem])
 
 
 async def is_nobody_there(address: Address) -> bool:
--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -23,7 +23,7 @@
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
 from zinniaspool.platform.store import StoreFault
 
-__all__ = ["HolderElection"]
+__all__ = ["HolderElection", "find_delay_s"]
 
 _log = structlog.get_logger(__name__)
 
@@ -51,9 +51,23 @@
 """How many others are asked whether they hear the holder: enough that a few
 that are cut off themselves do not decide."""
 
-STAND_BACK_S = 0.15
+STAND_BACK_S = 0.1
 """Candidates wait a random part of this, so that one write decides mostly."""
 
+WEAK_S = 0.4
+"""How much longer the weakest candidate waits, in seconds: a holder tells all
+others of each change, which a slow link or processor makes late for all."""
+
+STRONG_CORES, STRONG_MBPS = 2.0, 100.0
+"""From here on a VM counts as strong: where a whole fleet's changes take a few
+hundredths of its time."""
+
+
+def find_delay_s(cores: float, link_mbps: float) -> float:
+    """Return how long a VM waits before it stands for holder, in seconds."""
+    strength = (min(1.0, cores / STRONG_CORES) + min(1.0, link_mbps / STRONG_MBPS)) / 2
+    return WEAK_S * (1.0 - strength)
+
 
 class HolderElection:
     """Takes and keeps the holder's key while this process lives.
@@ -65,6 +79,7 @@
         sight: When the holder was last heard.
         node: This process's VM.
         address: Where the others reach this process.
+        delay_s: How long it lets stronger VMs go first, in seconds.
     """
 
     def __init__(
@@ -75,6 +90,7 @@
         sight: HolderSight,
         node: NodeId,
         address: Address,
+        delay_s: float = 0.0,
     ) -> None:
         self.revision = Revision(0)
         self._store = store
@@ -82,6 +98,7 @@
         self._mesh = mesh
         self._sight = sight
         self._record = HolderRecord(node, address, secrets.token_hex(6))
+        self._delay_s = delay_s
         self._word_until = float("-inf")
 
     @property
@@ -174,7 +191,7 @@
         """Tell whether nobody plans, as far as others know too."""
         holder = self._belief.holder
         if holder is None:
-            await asyncio.sleep(random.random() * STAND_BACK_S)
+            await asyncio.sleep(self._delay_s + random.random() * STAND_BACK_S)
             return self._belief.holder is None
         if holder.node == self._record.node:
             # Written by an earlier start of this process.
@@ -185,7 +202,7 @@
         unheard_s = ENDED_S if ended else UNHEARD_S
         if self._sight.unheard_s(holder) < unheard_s:
             return False
-        await asyncio.sleep(random.random() * STAND_BACK_S)
+        await asyncio.sleep(self._delay_s + random.random() * STAND_BACK_S)
         others = [
             one.peer_address
             for one in self._belief.nodes.values()
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -38,9 +38,14 @@
 """Longest wait for an engine's answer about itself, in seconds: an engine
 answers at once or is not there."""
 
-ASK_TRIES = 2
-"""Questions without an answer after which an engine counts as lost. One can
-be lost on the way."""
+CHECK_WAITS_S = (0.12, 0.3)
+"""Waits for the answers to two questions, in seconds, after which an engine
+counts as lost. The first can be lost on the way; the second allows for a link
+or a processor of ours that is busy for a moment."""
+
+OWN_LAG_S = 0.06
+"""By how much a wait may end too late before its outcome counts for nothing,
+in seconds: this process itself was held up, and answers may lie unread."""
 
 CHECK_PAUSE_S = 0.4
 """Shortest pause between two checks of one group, in seconds: each costs a
@@ -256,12 +261,12 @@
                 for one in run.record.members:
                     self._start(self._read_status(one))
 
-    async def _read_status(self, instance: InstanceId) -> bool:
+    async def _read_status(self, instance: InstanceId, wait_s: float = ASK_S) -> bool:
         """Learn from an engine itself what it holds; False if it is silent."""
         known = self._belief.instances.get(instance)
         if known is None:
             return False
-        found = await self._engines.ask(known.address, ASK_S)
+        found = await self._engines.ask(known.address, wait_s)
         if not isinstance(found, Ok):
             return False
         self._belief.amend(instance, found.ok_value)
@@ -340,12 +345,16 @@
             await self._read_status(order.instance)
 
     async def _check(self, instance: InstanceId) -> None:
-        for _ in range(ASK_TRIES):
+        loop = asyncio.get_running_loop()
+        for wait_s in CHECK_WAITS_S:
+            began = loop.time()
             known = self._belief.instances.get(instance)
-            if known is None or await self._read_status(instance):
+            if known is None or await self._read_status(instance, wait_s):
+                return
+            if loop.time() - began > wait_s + OWN_LAG_S:
                 return
         if self._planner is not None:
-            _log.warning("instance-lost", instance=instance, tries=ASK_TRIES)
+            _log.warning("instance-lost", instance=instance)
             self._planner.lose(instance)
 
     def _ask_lost(self, planner: FormationPlanner, now: float) -> None:
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -17,7 +17,7 @@
     run_duty,
 )
 from zinniaspool.http import HttpClient, HttpServer
-from zinniaspool.keeper.election import HolderElection
+from zinniaspool.keeper.election import HolderElection, find_delay_s
 from zinniaspool.keeper.holder import GroupHolder
 from zinniaspool.keeper.metrics import make_keeper_metrics
 from zinniaspool.keeper.plans import PlanBook
@@ -78,7 +78,13 @@
             f"{node.ip}:{node.first_port + 1}"
         )
         self._election = HolderElection(
-            self._store, self._belief, self._mesh, sight, node.node, self._address
+            self._store,
+            self._belief,
+            self._mesh,
+            sight,
+            node.node,
+            self._address,
+            find_delay_s(node.cores, node.link_mbps),
         )
         self._follower = FleetFollower(
             self._store,
--- a/src/zinniaspool/platform/nodefile.py
+++ b/src/zinniaspool/platform/nodefile.py
@@ -45,6 +45,13 @@
     ceiling_window_s: float = msgspec.field(default=5.0, name="ceiling-window-s")
 
 
+class _Limits(msgspec.Struct, rename="kebab"):
+    # Part of a core that is this VM's, and how many times as fast it is.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 class _File(msgspec.Struct, rename="kebab"):
     node_name: str
     ip: str
@@ -56,6 +63,7 @@
     seeds: tuple[str, ...] = ()
     bootstrap: bool = False
     heartbeat_ms: float = 1000.0
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -87,6 +95,8 @@
         repeat_window_s: Over how long repeats are counted.
         repeat_slack: Repeats allowed besides.
         load_window_s: Over how long loads of weights are counted.
+        cores: Processor time a second, in seconds.
+        link_mbps: Bandwidth of its link.
     """
 
     node: NodeId
@@ -110,6 +120,8 @@
     repeat_window_s: float
     repeat_slack: float
     load_window_s: float
+    cores: float = 1.0
+    link_mbps: float = 1000.0
 
 
 def read_node_file(path: Path | None = None) -> NodeFile:
@@ -160,6 +172,8 @@
         bounds.budget_window_s,
         bounds.budget_slack,
         bounds.ceiling_window_s,
+        file.limits.cpu_share * file.limits.cores,
+        file.limits.link_mbps,
     )
 
 
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -3,7 +3,7 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from tests.formation_world import LARGE, SMALL, FormationWorld
+from tests.formation_world import LARGE, SERVICE, SMALL, FormationWorld
 from zinniaspool.core.fleet import InstanceId, InstanceState
 from zinniaspool.core.formation import GroupPhase, OrderAction
 from zinniaspool.core.ids import FabricDomainId
@@ -196,3 +196,24 @@
 TestFormation.settings = settings(
     max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
 )
+
+
+def test_a_vm_that_still_loads_does_not_hold_up_a_move() -> None:
+    """Callers of the large model wait while VMs of the small one idle.
+
+    Losses have left the large model without a group. A VM has just come in
+    and loads for many seconds; the groups of the small model must not wait
+    for it before they give their VMs.
+    """
+    world = FormationWorld(domains=2, size=9)
+    world.advance(12.0)
+    for _ in range(2):
+        for member in world.members_of(LARGE)[:2]:
+            world.lose(member)
+        world.advance(0.2)
+    world.add(FabricDomainId("d0"))
+    world.add(FabricDomainId("d1"))
+    world.planner.set_demand({(SERVICE, LARGE): 30.0, (SERVICE, SMALL): 5.0})
+    world.advance(6.0)
+    assert world.serving(LARGE) >= 1
+    assert not world.broken
