Follow a silent or cut holder for less than a second; tell provisional leading

Only one peer is followed, the wait is 0.6 s, and an old copy is taken from a holder only while it says that the store is down for all. Ruled out: load (the test failed alone too).

--- a/src/zinniaspool/core/fleet/messages.py
+++ b/src/zinniaspool/core/fleet/messages.py
@@ -62,6 +62,7 @@
         age_s: Seconds since the store, or who read it, last confirmed that.
         leader: Which start of which process it last heard planning groups.
         leader_age_s: Seconds since then.
+        provisional: Whether that one said that the store is down for all.
     """
 
     source: str
@@ -72,6 +73,7 @@
     age_s: float
     leader: str
     leader_age_s: float
+    provisional: bool
 
 
 class StoreAsk(msgspec.Struct, frozen=True, tag="store-ask"):
--- a/src/zinniaspool/core/formation/loads.py
+++ b/src/zinniaspool/core/formation/loads.py
@@ -63,10 +63,6 @@
         by_rate = self._most - len(self._started)
         return count <= room or (not self._running and count <= by_rate)
 
-    def has_spare_room(self, now: float) -> bool:
-        """Tell whether a load may start that nobody waits for."""
-        return self.is_free(now) or self.room(now) * 2 > self._at_once
-
     def is_free(self, now: float) -> bool:
         """Tell whether loads are not counted yet."""
         return now < self._free_until
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -336,8 +336,9 @@
         """Return orders that bring a second model into hosts' memory.
 
         A VM that holds one model and has the other one at hand can take any
-        lost member's place within seconds. VMs that stand by come first;
-        those that serve follow with the loads that nobody else needs.
+        lost member's place within seconds. Those that serve get theirs only
+        while loads cost nothing: later ones would make the loads slower that
+        callers wait for.
         """
         orders = []
         for run in domain.runs.values():
@@ -345,7 +346,7 @@
             settled = run.phase in (GroupPhase.STANDBY, GroupPhase.SERVING)
             if budget is None or not settled:
                 continue
-            if not run.record.standby and not budget.has_spare_room(now):
+            if not run.record.standby and not budget.is_free(now):
                 continue
             for one in run.record.members:
                 orders += self._stage_one(run.record, one, budget, now)
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -27,7 +27,7 @@
 """Longest wait of one watch, in seconds. A connection that went silent shows
 only when the answer is overdue, and a change must be known within two."""
 
-PEER_WAIT_S = 0.35
+PEER_WAIT_S = 0.25
 """Longest wait of a question to a peer, in seconds: one that was frozen or cut
 off shows by an answer overdue, well within the time for a change."""
 
@@ -132,16 +132,19 @@
             await asyncio.sleep(RELAY_RETRY_S)
 
     async def _follow_peers(self) -> bool:
-        """Take news of the nearest peer that has any; False where none has."""
+        """Take news of the peer that is followed; False where it has none.
+
+        That is this VM's other process where there is one, else the holder.
+        There is no second peer to try: while one is waited for in vain, a
+        change may be missed, and the store tells it at once.
+        """
         if self._is_holder() or not self._belief.mirror.known:
             return False
         holder = self._belief.holder
-        for address in (self._relay, holder.peer_address if holder else None):
-            if address is None or self._shunned.get(address, 0.0) > self._now():
-                continue
-            if await self._follow(address):
-                return True
-        return False
+        address = self._relay or (holder.peer_address if holder else None)
+        if address is None or self._shunned.get(address, 0.0) > self._now():
+            return False
+        return await self._follow(address)
 
     def _accepts(self, news: FleetNews) -> bool:
         """Tell whether a peer's news are to be followed.
@@ -153,7 +156,7 @@
             return False
         holder = self._belief.holder
         led = holder is not None and news.leader == holder.start
-        if led and news.leader_age_s <= FRESH_S:
+        if led and news.provisional and news.leader_age_s <= FRESH_S:
             return True
         # A process that knows nothing serves nobody: an old copy is better.
         return news.age_s <= FRESH_S or not self._belief.mirror.known
@@ -188,7 +191,7 @@
             return False
         holder = self._belief.holder
         if holder is not None and news.leader == holder.start:
-            self._sight.hear(holder, news.leader_age_s)
+            self._sight.hear(holder, news.leader_age_s, provisional=news.provisional)
         self.reachable = True
         return True
 
@@ -230,7 +233,11 @@
         """
         now = self._now()
         seeds = [one for one in self._list_seeds() if self._shunned.get(one, 0) <= now]
-        for seed in random.sample(seeds, min(len(seeds), MOST_SEEDS)):
+        chosen = random.sample(seeds, min(len(seeds), MOST_SEEDS))
+        holder = self._belief.holder
+        if holder is not None and not self._is_holder():
+            chosen.insert(0, holder.peer_address)
+        for seed in chosen:
             if await self._follow(seed, 0.0):
                 return True
         return False
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -10,6 +10,7 @@
 import secrets
 import zlib
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -34,11 +35,12 @@
 from zinniaspool.fleet.sight import HolderSight, boot_time
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
 
-__all__ = ["FleetMesh", "is_nobody_there", "unpack_items"]
+__all__ = ["FleetMesh", "Lead", "is_nobody_there", "unpack_items"]
 
-ANSWER_S = 0.9
+ANSWER_S = 0.6
 """Longest wait for a peer, in seconds; a question itself waits for under half
-of this."""
+of this. One that was cut off is given up in time for a change to be known
+within two seconds, though two processes are asked one after the other."""
 
 NOTE_S = 0.3
 """Longest wait for a note to leave, in seconds: a later one is worthless."""
@@ -63,6 +65,14 @@
 """Age of what was never heard."""
 
 
+class Lead(NamedTuple):
+    """Which start of which process plans groups, and when it said so."""
+
+    start: str
+    age_s: float
+    provisional: bool
+
+
 class FleetMesh:
     """This process's side of it: answers others, asks others.
 
@@ -73,7 +83,7 @@
         handler: Takes messages that are no questions.
         sight: When the holder was last heard.
         probe_store: Asks the store for anything; tells whether it answered.
-        find_own_start: Returns which start this is while it plans groups.
+        find_own_lead: Returns what this process says while it plans groups.
     """
 
     def __init__(
@@ -84,14 +94,14 @@
         handler: PeerHandler,
         sight: HolderSight,
         probe_store: Callable[[], Awaitable[bool]],
-        find_own_start: Callable[[], str | None] = lambda: None,
+        find_own_lead: Callable[[], Lead | None] = lambda: None,
     ) -> None:
         self._node = node
         self._belief = belief
         self._handler = handler
         self._sight = sight
         self._probe_store = probe_store
-        self._find_own_start = find_own_start
+        self._find_own_lead = find_own_lead
         self._packed: tuple[object, bytes] | None = None
         self._probing: asyncio.Task[None] | None = None
         self._probed_at = float("-inf")
@@ -182,7 +192,7 @@
             changed = mirror.list_newer(watch.as_of)
         else:
             changed, source = [], ""
-        leader, leader_age_s = self._describe_leader()
+        lead = self._describe_lead()
         return FleetNews(
             source,
             mirror.serial if source else 0,
@@ -190,18 +200,20 @@
             self._pack(since, changed),
             mirror.as_of,
             self._belief.age(asyncio.get_running_loop().time()),
-            leader,
-            leader_age_s,
+            lead.start,
+            lead.age_s,
+            lead.provisional,
         )
 
-    def _describe_leader(self) -> tuple[str, float]:
-        own = self._find_own_start()
+    def _describe_lead(self) -> Lead:
+        own = self._find_own_lead()
         if own is not None:
-            return own, 0.0
+            return own
         heard = self._sight.heard
         if heard is None:
-            return "", NEVER_S
-        return heard.start, self._sight.unheard_s(heard)
+            return Lead("", NEVER_S, provisional=False)
+        unheard_s = self._sight.unheard_s(heard)
+        return Lead(heard.start, unheard_s, self._sight.provisional)
 
     def _pack(
         self, since: object, changed: list[tuple[str, StoredItem | None, Revision]]
--- a/src/zinniaspool/fleet/sight.py
+++ b/src/zinniaspool/fleet/sight.py
@@ -13,17 +13,30 @@
 
 
 class HolderSight:
-    """When this process last heard the holder say that it plans."""
+    """When this process last heard the holder say that it plans.
+
+    Attributes:
+        provisional: Whether the holder then said that the store is down for
+            all.
+    """
 
     def __init__(self) -> None:
+        self.provisional = False
         self._record: HolderRecord | None = None
         self._at = float("-inf")
 
-    def hear(self, record: HolderRecord, age_s: float = 0.0) -> None:
-        """Note that the holder said so, some seconds ago."""
+    def hear(self, record: HolderRecord, age_s: float, *, provisional: bool) -> None:
+        """Note that the holder said so, some seconds ago.
+
+        Args:
+            record: Who.
+            age_s: How long ago.
+            provisional: Whether it said that the store is down for all.
+        """
         at = boot_time() - age_s
         if self._record != record or at > self._at:
             self._record, self._at = record, at
+            self.provisional = provisional
 
     @property
     def heard(self) -> HolderRecord | None:
@@ -37,4 +50,5 @@
         """
         if self._record != record:
             self._record, self._at = record, boot_time()
+            self.provisional = False
         return boot_time() - self._at
--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -19,7 +19,7 @@
 from zinniaspool.core.fleet import HOLDER_KEY, HolderRecord
 from zinniaspool.core.ids import Address, NodeId, Revision
 from zinniaspool.fleet import FleetBelief, FleetMesh, HolderSight, boot_time
-from zinniaspool.fleet.mesh import is_nobody_there
+from zinniaspool.fleet.mesh import Lead, is_nobody_there
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
 from zinniaspool.platform.store import StoreFault
 
@@ -119,9 +119,11 @@
         return self.claims and (self.confirmed or self.provisional)
 
     @property
-    def start(self) -> str | None:
-        """Which start of this process this is, while it may plan."""
-        return self._record.start if self.holds else None
+    def lead(self) -> Lead | None:
+        """What this process tells others while it may plan."""
+        if not self.holds:
+            return None
+        return Lead(self._record.start, 0.0, self.provisional)
 
     @property
     def provisional(self) -> bool:
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -72,7 +72,7 @@
             self._take_message,
             sight,
             self._store.probe,
-            lambda: self._election.start,
+            lambda: self._election.lead,
         )
         self._address = node.control_address or Address(
             f"{node.ip}:{node.first_port + 1}"
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -175,6 +175,17 @@
             task.cancel()
         await asyncio.gather(*node.tasks, return_exceptions=True)
 
+    def freeze_control(self, name: str) -> None:
+        """Let a VM's control process keep its connections and do nothing."""
+
+        async def say_nothing(*_: object) -> None:
+            await asyncio.sleep(60.0)
+
+        keeper = self.nodes[name].keeper
+        for task in keeper._tasks:
+            task.cancel()
+        keeper._mesh._listener._handler = say_nothing
+
     def heads(self, model: str) -> list[Runner]:
         """Return the open heads of a model's groups."""
         return [
--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -429,3 +429,29 @@
             assert answer.status == 200
 
     run(test)
+
+
+def test_a_change_is_in_force_in_time_though_the_holder_just_went_silent() -> None:
+    """Callers with a revoked key would be served for longer than allowed.
+
+    The holder's VM stands still without a word, right before a key is
+    revoked. The others wait for its answer in vain; each must turn to the
+    store soon enough, also an entry process that follows its VM's control
+    process, which follows the holder.
+    """
+
+    async def test() -> None:
+        async with Installation.running(nodes=3) as made:
+            await made.settle()
+            await eventually(lambda: any(n.keeper.holds for n in made.nodes.values()))
+            holder = next(n for n, node in made.nodes.items() if node.keeper.holds)
+            made.freeze_control(holder)
+            await asyncio.sleep(0.05)
+            made.keys = ["another"]
+            made.configure()
+            await asyncio.sleep(1.7)
+            for node in made.nodes:
+                if node != holder:
+                    assert (await made.ask(node, "/cards/1", key=KEY)).status == 401
+
+    run(test)
