--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -21,6 +21,11 @@
 to two seconds, and the rest covers the way here."""
 
 
+MOST_REMOVED = 8192
+"""Removals that are remembered, far more than come in the seconds for which a
+peer's copy can be behind."""
+
+
 @dataclass(frozen=True, slots=True)
 class StoredItem:
     """One key's value at one revision."""
@@ -207,11 +212,20 @@
         self._note(item.key, item.revision)
         return [Change(item.key, before, item)]
 
+    def _remember_removal(self, key: str, revision: Revision) -> None:
+        known = self._removed.pop(key, Revision(0))
+        self._removed[key] = max(known, revision)
+        if len(self._removed) > MOST_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
     def _remove(self, key: str, revision: Revision, now: float) -> list[Change]:
         before = self._items.get(key)
-        if before is None or before.revision > revision:
+        if before is not None and before.revision > revision:
+            return []
+        # Also for a key that is not known: an older copy may bring it yet.
+        self._remember_removal(key, revision)
+        if before is None:
             return []
-        self._removed[key] = revision
         if self._lapses(key) and now < self._disturbed_until:
             self._missing.setdefault(key, self._disturbed_until)
             return []
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,127 @@
+"""Where requests go: load, failures, silence, and how many repeats."""
+
+import random
+
+import pytest
+
+from zinniaspool.core.dispatch import (
+    RepeatLimits,
+    RepeatWindow,
+    SilenceLimits,
+    Target,
+    TargetPool,
+    TargetState,
+    find_silent,
+)
+from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.ids import Address, FailureDomainId, GroupId, ModelName
+
+
+def make_target(name: str, domain: str = "a", group: str = "g") -> Target:
+    return Target(
+        InstanceId(name),
+        Address(f"10.0.0.1:{len(name)}"),
+        FailureDomainId(domain),
+        8,
+        ModelName("m"),
+        GroupId(group),
+    )
+
+
+def make_pool(*names: str) -> TargetPool:
+    pool = TargetPool(FailureDomainId("a"), random.Random(1))
+    pool.update([make_target(name) for name in names], 0.0)
+    return pool
+
+
+def find(pool: TargetPool, name: str) -> TargetState:
+    return next(one for one in pool if one.target.instance == name)
+
+
+def test_the_least_loaded_target_is_chosen() -> None:
+    pool = make_pool("x", "y")
+    find(pool, "x").own = 3
+    chosen = pool.choose(0.0)
+    assert chosen is not None and chosen.target.instance == "y"
+
+
+def test_what_others_have_there_counts_and_fades() -> None:
+    """All processes would crowd the target that told last of being empty."""
+    pool = make_pool("x", "y")
+    pool.note_load(find(pool, "x"), 6, 0.0)
+    find(pool, "y").own = 2
+    chosen = pool.choose(0.1)
+    assert chosen is not None and chosen.target.instance == "y"
+    later = pool.choose(3.0)
+    assert later is not None and later.target.instance == "x"
+
+
+def test_a_target_that_fails_is_left_alone_but_not_the_last_one() -> None:
+    pool = make_pool("x", "y")
+    bad = find(pool, "x")
+    for _ in range(3):
+        pool.note_end(bad, True, 0.0)
+    assert all(pool.choose(0.5) is not bad for _ in range(20))
+    only = make_pool("z")
+    for _ in range(3):
+        only.note_end(find(only, "z"), True, 0.0)
+    assert only.choose(0.5) is not None
+
+
+def test_a_group_that_is_formed_anew_is_another_target() -> None:
+    pool = make_pool("x")
+    old = find(pool, "x")
+    gone = pool.update([make_target("x", group="h")], 1.0)
+    assert gone == [old] and old.gone
+    assert find(pool, "x") is not old
+
+
+def test_streams_that_all_stop_show_a_silent_head() -> None:
+    """The store tells of a lost VM after seconds; its streams at once."""
+    pool = make_pool("x", "y", "idle")
+    limits = SilenceLimits()
+    for name in ("x", "y"):
+        state = find(pool, name)
+        state.own = state.writing = 2
+    find(pool, "x").progress_at = 10.0
+    find(pool, "y").progress_at = 10.3
+    silent = find_silent(pool, limits, 10.0 + limits.writing_s + 0.01)
+    assert [one.target.instance for one in silent] == ["x"]
+
+
+def test_requests_that_only_wait_are_given_longer() -> None:
+    pool = make_pool("x")
+    state = find(pool, "x")
+    state.own, state.progress_at = 1, 0.0
+    limits = SilenceLimits()
+    assert not find_silent(pool, limits, limits.writing_s + 0.1)
+    assert find_silent(pool, limits, limits.waiting_s + 0.1)
+
+
+@pytest.mark.parametrize("processes", [1, 8])
+def test_repeats_stay_below_what_all_processes_may(processes: int) -> None:
+    """A failing service would be given every request twice.
+
+    Each process counts its own; together they stay below the limit in any
+    window, however the failures come.
+    """
+    limits = RepeatLimits(0.2, 10.0, 134.0)
+    source = random.Random(3)
+    taken: list[float] = []
+    requests: list[float] = []
+    windows = [RepeatWindow(limits) for _ in range(processes)]
+    for window in windows:
+        window.processes = processes
+    now = 0.0
+    while now < 40.0:
+        now += 0.01
+        window = source.choice(windows)
+        window.add_request(now)
+        requests.append(now)
+        if window.take_repeat(now):
+            taken.append(now)
+    for start in range(0, 30):
+        inside = sum(start <= at < start + 10 for at in taken)
+        asked = sum(start <= at < start + 10 for at in requests)
+        assert inside <= limits.ratio * asked + limits.slack
+    assert taken
