--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -8,7 +8,12 @@
     TargetState,
 )
 from zinniaspool.core.dispatch.repeats import RepeatLimits, RepeatWindow
-from zinniaspool.core.dispatch.silence import SilenceLimits, find_silent
+from zinniaspool.core.dispatch.silence import (
+    SilenceLimits,
+    find_silent,
+    note_progress,
+    rest_silent,
+)
 
 __all__ = [
     "PlainPick",
@@ -20,4 +25,6 @@
     "TargetPool",
     "TargetState",
     "find_silent",
+    "note_progress",
+    "rest_silent",
 ]
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -75,6 +75,7 @@
         others_at: When that was.
         progress_at: When anything last came from it, in seconds.
         silent_until: Until when it is not used, since it says nothing.
+        silences: How often in a row it fell silent.
         failures: Failures in a row.
         ejected_until: Until when it is left alone.
         error_part: Smoothed part of its answers that failed.
@@ -89,6 +90,7 @@
     others_at: float = 0.0
     progress_at: float = 0.0
     silent_until: float = 0.0
+    silences: int = 0
     failures: int = 0
     ejected_until: float = 0.0
     error_part: float = 0.0
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -7,7 +7,12 @@
 import structlog
 from result import Err, Ok, Result
 
-from zinniaspool.core.dispatch import RepeatWindow, TargetPool, TargetState
+from zinniaspool.core.dispatch import (
+    RepeatWindow,
+    TargetPool,
+    TargetState,
+    note_progress,
+)
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.fleet import RequestKind
 from zinniaspool.core.requests import AttemptFailure, Progress
@@ -98,14 +103,23 @@
             return Ok(None)
         return Err(fault)
 
-    def move_from(self, state: TargetState) -> None:
-        """End the attempts at a target, so that they go on elsewhere."""
+    def move_from(self, state: TargetState, *, only_to_room: bool = False) -> None:
+        """End the attempts at a target, so that they go on elsewhere.
+
+        Args:
+            state: The target.
+            only_to_room: Whether they go only where a slot is free: where all
+                targets are full, a request that waits is read there twice.
+        """
         now = asyncio.get_running_loop().time()
         for call in list(self._running.get(state, ())):
             if call.patience is None or not self._may_move(call):
                 continue
             pool = self._index.find(call.service, call.terms.model)
-            if pool.choose(now, [*call.tried, state.target.instance]) is None:
+            other = pool.choose(now, [*call.tried, state.target.instance])
+            if other is None:
+                continue
+            if only_to_room and other.load(now) >= other.target.slots:
                 continue
             call.moved = True
             call.patience.reschedule(now)
@@ -279,7 +293,7 @@
         last = loop.time()
         while (data := await response.next_part()) is not None:
             now = loop.time()
-            state.progress_at, state.silent_until = now, 0.0
+            note_progress(state, now)
             if not call.seen_event:
                 call.seen_event = True
                 state.writing += 1
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -12,6 +12,7 @@
     SilenceLimits,
     TargetState,
     find_silent,
+    rest_silent,
 )
 from zinniaspool.core.fleet import NODES_PREFIX, NodeRecord, NodeState
 from zinniaspool.core.fleet.messages import DemandNote, SilentTarget
@@ -267,12 +268,14 @@
                         writing=state.writing,
                         quiet_ms=int((now - state.progress_at) * 1000),
                     )
-                    state.silent_until = now + self._silence.resting_s
+                    rest_silent(state, self._silence, now)
                     self._report_silent(state)
                 if state.writing:
-                    # Requests that only wait there may wait for others'
-                    # prompts; they move once the holder has asked the VMs.
                     self._carrier.move_from(state)
+                elif now - state.progress_at > self._silence.moving_s:
+                    # Requests that only wait there may wait for others'
+                    # prompts, so that they are given longer.
+                    self._carrier.move_from(state, only_to_room=True)
 
     async def _register(self) -> None:
         """Keep this process's record in the store."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -12,6 +12,8 @@
     TargetPool,
     TargetState,
     find_silent,
+    note_progress,
+    rest_silent,
 )
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.ids import Address, FailureDomainId, GroupId, ModelName
@@ -125,3 +127,24 @@
         asked = sum(start <= at < start + 10 for at in requests)
         assert inside <= limits.ratio * asked + limits.slack
     assert taken
+
+
+def test_a_head_that_stays_silent_is_tried_ever_more_seldom() -> None:
+    """Callers' requests would be swallowed by it every other second.
+
+    A head takes requests and answers none, while its VMs answer the holder.
+    Each try that finds it silent doubles the time until the next; one event
+    brings it back.
+    """
+    pool = make_pool("x")
+    state, limits = find(pool, "x"), SilenceLimits()
+    rests = []
+    for _ in range(6):
+        rest_silent(state, limits, 0.0)
+        rests.append(state.silent_until)
+    assert rests[:3] == [2.0, 4.0, 8.0]
+    assert rests[-1] == limits.most_resting_s
+    note_progress(state, 1.0)
+    assert state.usable(1.0)
+    rest_silent(state, limits, 0.0)
+    assert state.silent_until == limits.resting_s
--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -455,3 +455,23 @@
                     assert (await made.ask(node, "/cards/1", key=KEY)).status == 401
 
     run(test)
+
+
+def test_a_head_that_answers_nothing_does_not_keep_its_callers() -> None:
+    """The caller would leave after two seconds without a first event.
+
+    A head takes requests and says nothing, while all VMs of its group answer
+    the holder: no group is given up. The request goes to another group.
+    """
+
+    async def test() -> None:
+        async with Installation.running(engines=9) as made:
+            await eventually(lambda: len(made.heads("large")) >= 2)
+            await made.settle()
+            mute = made.heads("large")[0]
+            mute.faults.mute = True
+            for _ in range(6):
+                answer = await made.draft("n0", "large", events=3)
+                assert (answer.status, answer.events) == (200, [1, 2, 3])
+
+    run(test)
--- a/tools/check_tests.py
+++ b/tools/check_tests.py
@@ -57,7 +57,7 @@
     for test in turned_green:
         print(f"known red passes again, take its line out: {test}")
     deselected = [f"--deselect={red.test}" for red in reds]
-    status = run_pytest("-n", str(WORKERS), *deselected)
+    status = run_pytest("-n", str(WORKERS), "--dist", "loadfile", *deselected)
     return 1 if turned_green else status
 
 
