Use a VM of an unknown group only after its own answer that it left

Cause by construction, with a test that fails first with the same breach: a new holder's VMs in a group that no plan names counted as free as soon as an entry said so, and entries from before they joined come in after an outage.

--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -13,7 +13,7 @@
 from zinniaspool.core.formation.orders import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.formation.records import GroupPhase, GroupRecord
 
-__all__ = ["FleetSight", "GroupRun"]
+__all__ = ["LEFT", "FleetSight", "GroupRun"]
 
 RETRY_S = 0.5
 """Seconds until an order without effect is given again. Answers take
@@ -99,7 +99,7 @@
         if outcome is OrderOutcome.UNFIT:
             self._given[key] = now - RETRY_S + UNFIT_RETRY_S
         if order.action is OrderAction.LEAVE:
-            if outcome in _LEFT:
+            if outcome in LEFT:
                 self.released.add(order.instance)
             if outcome is OrderOutcome.UNFIT:
                 self._not_held.add(order.instance)
@@ -244,5 +244,7 @@
         return [GroupOrder(instance, action, record.group, record.epoch)]
 
 
-_LEFT = frozenset({OrderOutcome.HOLDS, OrderOutcome.ACCEPTED, OrderOutcome.GONE})
+LEFT = frozenset({OrderOutcome.HOLDS, OrderOutcome.ACCEPTED, OrderOutcome.GONE})
+"""Answers to a leave order that show that the instance is not in the group."""
+
 _CLOSED = frozenset({MembershipState.READY, MembershipState.BROKEN})
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -22,7 +22,12 @@
     ServingGroup,
     find_conversion,
 )
-from zinniaspool.core.formation.lifecycle import RETRY_S, FleetSight, GroupRun
+from zinniaspool.core.formation.lifecycle import (
+    LEFT,
+    RETRY_S,
+    FleetSight,
+    GroupRun,
+)
 from zinniaspool.core.formation.loads import LoadBudget
 from zinniaspool.core.formation.orders import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.formation.records import DomainPlan, GroupPhase, GroupRecord
@@ -86,6 +91,15 @@
     reserved_until: float = 0.0
 
 
+@dataclass(slots=True)
+class _Stray:
+    """A group that a VM holds though no plan names it."""
+
+    group: GroupId
+    epoch: Epoch
+    asked_at: float = float("-inf")
+
+
 class FormationPlanner:
     """Forms groups and keeps them, over all fabric domains.
 
@@ -117,7 +131,7 @@
         self._arrived_at: dict[FabricDomainId, float] = {}
         self._known: frozenset[InstanceId] = frozenset()
         self._held: dict[InstanceId, ModelName] = {}
-        self._strays: dict[InstanceId, float] = {}
+        self._strays: dict[InstanceId, _Stray] = {}
         self._ended: deque[GroupId] = deque(maxlen=_REMEMBERED)
         self._left: deque[tuple[InstanceId, GroupId]] = deque(maxlen=_REMEMBERED)
         self._staging: dict[InstanceId, float] = {}
@@ -185,6 +199,7 @@
             run = None if order.group is None else domain.runs.get(order.group)
             if run is not None:
                 run.note(order, outcome, now)
+        self._note_stray(order, outcome)
 
     def note_saved(self, domain: FabricDomainId) -> None:
         """Take that a domain's plan is in the store."""
@@ -537,6 +552,8 @@
         An engine that is asked to leave a group it is not in says that this
         is so already; it may well be in another one, whose head serves.
         """
+        if one.id in self._strays:
+            return False
         held = one.membership
         if held is None or held.group in self._ended:
             return True
@@ -568,29 +585,42 @@
         late order. Its head may still be open: it leaves before any of its
         VMs is used again.
         """
-        strays: dict[InstanceId, float] = {}
-        orders = []
         groups = {run.record.group for run in self.runs()}
         for one in self._sight.instances.values():
             held = one.membership
             if held is None or one.service not in self._engines:
                 continue
-            if held.group in groups or held.group in self._ended:
+            if held.group in groups or self.find_group(one.id) is not None:
                 continue
-            if (one.id, held.group) in self._left:
-                continue
-            if self.find_group(one.id) is not None:
-                continue
-            given = self._strays.get(one.id, float("-inf"))
-            strays[one.id] = given
-            if one.id not in self._sight.lost and now - given >= RETRY_S:
-                strays[one.id] = now
+            if not self._is_free(one):
+                stray = self._strays.get(one.id)
+                if stray is None or stray.group != held.group:
+                    self._strays[one.id] = _Stray(held.group, held.epoch)
+        for gone in self._strays.keys() - self._sight.instances.keys():
+            del self._strays[gone]
+        orders = []
+        for instance, stray in self._strays.items():
+            lost = instance in self._sight.lost
+            if not lost and now - stray.asked_at >= RETRY_S:
+                stray.asked_at = now
                 orders.append(
-                    GroupOrder(one.id, OrderAction.LEAVE, held.group, held.epoch)
+                    GroupOrder(instance, OrderAction.LEAVE, stray.group, stray.epoch)
                 )
-        self._strays = strays
         return orders
 
+    def _note_stray(self, order: GroupOrder, outcome: OrderOutcome) -> None:
+        """Take that a VM has left, by its own answer.
+
+        Its entry may say so earlier without being true: entries from before
+        it joined come in after an outage.
+        """
+        stray = self._strays.get(order.instance)
+        if stray is None or order.action is not OrderAction.LEAVE:
+            return
+        if stray.group == order.group and outcome in LEFT:
+            del self._strays[order.instance]
+            self._left.append((order.instance, stray.group))
+
 
 def _describe(domain: _Domain) -> DomainPlan:
     return DomainPlan(domain.id, tuple(run.record for run in domain.runs.values()))
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -1,5 +1,7 @@
 """Groups of engines that join and open: whole, exclusive, soon repaired."""
 
+from dataclasses import replace
+
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -217,3 +219,25 @@
     world.advance(6.0)
     assert world.serving(LARGE) >= 1
     assert not world.broken
+
+
+def test_an_entry_that_is_behind_does_not_free_a_vm() -> None:
+    """A group would lose its VMs while its head still answers callers.
+
+    A new holder finds VMs in a group that no plan names. Before they have
+    answered that they left it, entries from before they joined come in, as
+    they do after an outage. Only their own answer to the order counts.
+    """
+    world = make_settled()
+    world.plans = {}
+    world.take_over()
+    world.late_part = 1.0
+    world.advance(0.1)
+    for engine in world.engines.values():
+        engine.in_touch = False
+        if engine.entry is not None:
+            engine.entry = replace(engine.entry, membership=None)
+    world.advance(1.0)
+    world.late_part = 0.0
+    world.advance(0.3)
+    assert not world.broken
