--- a/src/zinniaspool/cli/asking.py
+++ b/src/zinniaspool/cli/asking.py
@@ -17,8 +17,11 @@
 __all__ = ["AskedProcesses", "ProcessAnswer"]
 
 _ANSWER_S = 5.0
+"""Seconds that a person waits for a process, which answers in milliseconds."""
 _OK = 200
+"""HTTP status."""
 _USAGE = 2
+"""Exit status for a wrong use, as shells have it."""
 _REFUSALS = {401: "the credential is not accepted", 403: "not allowed", 404: "unknown"}
 
 
--- a/src/zinniaspool/cli/configuration.py
+++ b/src/zinniaspool/cli/configuration.py
@@ -39,9 +39,13 @@
 __all__ = ["commands"]
 
 _REFUSED = 1
+"""Exit status: the change was not accepted."""
 _UNUSABLE = 2
+"""Exit status: the files hold faults."""
 _LAGGING = 3
+"""Exit status: accepted, but not in force everywhere in time."""
 _TAG_BYTES = 16
+"""Random bytes of a write's tag: two are the same in no fleet's life."""
 _T = TypeVar("_T")
 
 _BaseOption = Annotated[
--- a/src/zinniaspool/cli/groups.py
+++ b/src/zinniaspool/cli/groups.py
@@ -24,6 +24,7 @@
 commands = typer.Typer()
 
 _UNREACHED = 1
+"""Exit status: no process answered."""
 
 _T = TypeVar("_T")
 
--- a/src/zinniaspool/cli/processes.py
+++ b/src/zinniaspool/cli/processes.py
@@ -15,6 +15,7 @@
 commands = typer.Typer()
 
 _LOOK_S = 0.2
+"""Seconds between looks whether a process has ended; chosen."""
 
 
 @commands.command()
--- a/src/zinniaspool/cli/waiting.py
+++ b/src/zinniaspool/cli/waiting.py
@@ -14,6 +14,7 @@
 __all__ = ["Lag", "wait_for_revision"]
 
 _POLL_S = 0.5
+"""Seconds between questions to a fleet that is waited for; chosen."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/control/domain.py
+++ b/src/zinniaspool/control/domain.py
@@ -39,13 +39,23 @@
 
 _log = structlog.get_logger(__name__)
 _CALL_PART = 0.8
+"""Part of an order's longest life that its call may take, so that the
+answer is read before the order counts as void."""
 _PLAN_KEPT_S = 3600.0
+"""Seconds that a plan's notice is kept; far above the time between two."""
 _PLAN_AGAIN_S = 600.0
+"""Seconds until an unchanged plan is told again, for who missed it."""
 _REFRESH_PLANS_S = 60.0
+"""Seconds between readings of all plans; repair for lost notices."""
 _RENEWALS = 3
+"""Renewals within a lease's used part: two may be lost."""
 _MS = 1000
+"""Milliseconds in a second."""
 _CLOCK_BITS = 32
+"""Bits below the epoch for the clock: seconds for over a century."""
 _WITNESS_PART = 0.2
+"""Part of a report's staleness after which a witness speaks; chosen, so
+that the holder's own beat comes first."""
 _SPREAD_S = 1.0
 """Time that a notice needs at most, as a rule, to reach every process."""
 
--- a/src/zinniaspool/control/engines.py
+++ b/src/zinniaspool/control/engines.py
@@ -14,6 +14,7 @@
 
 _log = structlog.get_logger(__name__)
 _OK = 200
+"""HTTP status."""
 _JSON = Headers.of(content_type="application/json")
 
 
--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -26,7 +26,9 @@
 
 _log = structlog.get_logger(__name__)
 _VM_LIST_S = 2.0
+"""Seconds between readings of the VM list, which lags by as much."""
 _LAST_WORDS_S = 0.2
+"""Seconds in which the last notices of a stopping process leave; chosen."""
 
 
 class ControlProcess:
--- a/src/zinniaspool/control/ranks.py
+++ b/src/zinniaspool/control/ranks.py
@@ -10,6 +10,7 @@
 __all__ = ["ControlRanks"]
 
 _REFRESH_S = 1.0
+"""Seconds between rankings of the control processes; chosen."""
 
 
 class ControlRanks:
--- a/src/zinniaspool/core/configuration/following.py
+++ b/src/zinniaspool/core/configuration/following.py
@@ -341,4 +341,5 @@
 
 
 _FETCH_GROWTH = 1.5
+"""Factor by which the pause grows with each failed fetch; chosen."""
 _VOTE_ASK = ConfigurationAsk()
--- a/src/zinniaspool/core/configuration/holding.py
+++ b/src/zinniaspool/core/configuration/holding.py
@@ -23,7 +23,9 @@
 __all__ = ["Holding", "Manifest"]
 
 _MOST_CHANGED = 16
+"""Parts that an answer names one by one; more are told as a whole."""
 _MOST_ANSWER_BYTES = 256 * 1024
+"""Bytes of one answer between peers, a few milliseconds of a link."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/configuration/parts.py
+++ b/src/zinniaspool/core/configuration/parts.py
@@ -46,7 +46,9 @@
 PART_PREFIX = "config/parts/"
 HISTORY_PREFIX = "config/history/"
 _HASH_CHARACTERS = 32
+"""Characters of a part's name, 128 bits: no two parts share one."""
 _REVISION_DIGITS = 16
+"""Digits of a revision in a key, so that keys sort by it."""
 
 PartName = NewType("PartName", str)
 """Kind and key of a part, ``customer/care``."""
--- a/src/zinniaspool/core/configuration/votes.py
+++ b/src/zinniaspool/core/configuration/votes.py
@@ -9,6 +9,7 @@
 __all__ = ["StartVote"]
 
 _ASK_AGAIN_S = 2.0
+"""Seconds until a member that did not answer is asked again; chosen."""
 
 
 class StartVote:
--- a/src/zinniaspool/core/formation/loads.py
+++ b/src/zinniaspool/core/formation/loads.py
@@ -5,6 +5,7 @@
 __all__ = ["LoadBudget"]
 
 _NO_LIMIT = 1 << 30
+"""More loads than any fleet starts."""
 
 
 class LoadBudget:
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -1,6 +1,6 @@
 """The holder's decisions: which groups there are, and the orders they need."""
 
-from collections import Counter, defaultdict, deque
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -22,15 +22,11 @@
     ServingGroup,
     find_conversion,
 )
-from zinniaspool.core.formation.lifecycle import (
-    LEFT,
-    RETRY_S,
-    FleetSight,
-    GroupRun,
-)
+from zinniaspool.core.formation.lifecycle import RETRY_S, FleetSight, GroupRun
 from zinniaspool.core.formation.loads import LoadBudget
 from zinniaspool.core.formation.orders import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.formation.records import DomainPlan, GroupPhase, GroupRecord
+from zinniaspool.core.formation.releases import ReleaseBook
 from zinniaspool.core.ids import (
     Epoch,
     FabricDomainId,
@@ -41,10 +37,6 @@
 
 __all__ = ["FormationPlanner", "GroupMove", "PlanWrite"]
 
-_REMEMBERED = 512
-"""Groups known to be over whose members' entries may still name them, for a
-few tens of milliseconds each; far more than end in that time."""
-
 BALANCE_S = 2.0
 """Shortest time between two moves of VMs from one model to another, in
 seconds: a move takes about this long, and its effect must be seen first."""
@@ -91,15 +83,6 @@
     reserved_until: float = 0.0
 
 
-@dataclass(slots=True)
-class _Stray:
-    """A group that a VM holds though no plan names it."""
-
-    group: GroupId
-    epoch: Epoch
-    asked_at: float = float("-inf")
-
-
 class FormationPlanner:
     """Forms groups and keeps them, over all fabric domains.
 
@@ -131,9 +114,7 @@
         self._arrived_at: dict[FabricDomainId, float] = {}
         self._known: frozenset[InstanceId] = frozenset()
         self._held: dict[InstanceId, ModelName] = {}
-        self._strays: dict[InstanceId, _Stray] = {}
-        self._ended: deque[GroupId] = deque(maxlen=_REMEMBERED)
-        self._left: deque[tuple[InstanceId, GroupId]] = deque(maxlen=_REMEMBERED)
+        self._releases = ReleaseBook()
         self._staging: dict[InstanceId, float] = {}
         self._demand: dict[tuple[ServiceName, ModelName], float] = {}
         self._balanced_at = float("-inf")
@@ -199,7 +180,7 @@
             run = None if order.group is None else domain.runs.get(order.group)
             if run is not None:
                 run.note(order, outcome, now)
-        self._note_stray(order, outcome)
+        self._releases.note(order, outcome)
 
     def note_saved(self, domain: FabricDomainId) -> None:
         """Take that a domain's plan is in the store."""
@@ -427,22 +408,11 @@
                 # The plan is written anew with the next group; until then a
                 # successor only asks the head once more to leave.
                 del domain.runs[group]
-                self._remember_end(run)
+                self._releases.remember_end(run)
                 self._end_loads(run.record)
                 continue
             orders += due
 
-    def _remember_end(self, run: GroupRun) -> None:
-        """Note who is known to be out of a group that is given up.
-
-        Where its head did not answer, the head and others that were away may
-        come back and still hold it: only those that left are free.
-        """
-        group = run.record.group
-        if run.record.head in run.released:
-            self._ended.append(group)
-        self._left += [(one, group) for one in run.released]
-
     def _end_loads(self, record: GroupRecord) -> None:
         budget = self._loads.get(record.service)
         if budget is not None:
@@ -537,7 +507,7 @@
                 continue
             holds = planned.get(one.id)
             if holds is None:
-                if not self._is_free(one):
+                if not self._releases.is_free(one):
                     continue
                 found.append(Candidate(one, self._held.get(one.id), standby=False))
             elif holds.record.standby and holds.phase is not GroupPhase.ENDING:
@@ -546,19 +516,6 @@
                 found.append(Candidate(one, held if ready else None, standby=True))
         return found
 
-    def _is_free(self, one: Instance) -> bool:
-        """Tell whether a VM that no plan names is in no group any more.
-
-        An engine that is asked to leave a group it is not in says that this
-        is so already; it may well be in another one, whose head serves.
-        """
-        if one.id in self._strays:
-            return False
-        held = one.membership
-        if held is None or held.group in self._ended:
-            return True
-        return (one.id, held.group) in self._left
-
     def _count_groups(
         self, service: ServiceName, soon_by: float = float("-inf")
     ) -> Counter[ModelName]:
@@ -579,47 +536,15 @@
         )
 
     def _release_strays(self, now: float) -> list[GroupOrder]:
-        """Return orders that free instances of groups that no plan names.
-
-        Such a one was cut off when its group was given up, or carried out a
-        late order. Its head may still be open: it leaves before any of its
-        VMs is used again.
-        """
+        """Return orders that free instances of groups that no plan names."""
         groups = {run.record.group for run in self.runs()}
-        for one in self._sight.instances.values():
-            held = one.membership
-            if held is None or one.service not in self._engines:
-                continue
-            if held.group in groups or self.find_group(one.id) is not None:
-                continue
-            if not self._is_free(one):
-                stray = self._strays.get(one.id)
-                if stray is None or stray.group != held.group:
-                    self._strays[one.id] = _Stray(held.group, held.epoch)
-        for gone in self._strays.keys() - self._sight.instances.keys():
-            del self._strays[gone]
-        orders = []
-        for instance, stray in self._strays.items():
-            lost = instance in self._sight.lost
-            if not lost and now - stray.asked_at >= RETRY_S:
-                stray.asked_at = now
-                orders.append(
-                    GroupOrder(instance, OrderAction.LEAVE, stray.group, stray.epoch)
-                )
-        return orders
-
-    def _note_stray(self, order: GroupOrder, outcome: OrderOutcome) -> None:
-        """Take that a VM has left, by its own answer.
-
-        Its entry may say so earlier without being true: entries from before
-        it joined come in after an outage.
-        """
-        stray = self._strays.get(order.instance)
-        if stray is None or order.action is not OrderAction.LEAVE:
-            return
-        if stray.group == order.group and outcome in LEFT:
-            del self._strays[order.instance]
-            self._left.append((order.instance, stray.group))
+        planned = {one for run in self.runs() for one in run.record.members}
+        unplanned = [
+            one
+            for one in self._sight.instances.values()
+            if one.id not in planned and one.service in self._engines
+        ]
+        return self._releases.find_strays(unplanned, groups, self._sight, now)
 
 
 def _describe(domain: _Domain) -> DomainPlan:
--- a/src/zinniaspool/core/groups/beats.py
+++ b/src/zinniaspool/core/groups/beats.py
@@ -42,8 +42,11 @@
 PLAN_PREFIX = "plan/"
 
 NO_DIGEST = 0
+"""Stands for a group that shows nothing."""
 _MS = 1000
+"""Milliseconds in a second."""
 _DIGEST_BYTES = 8
+"""Bytes of a digest: two states share one by chance in no fleet's life."""
 
 
 class GroupBeat(msgspec.Struct, frozen=True, array_like=True):
--- a/src/zinniaspool/core/groups/evidence.py
+++ b/src/zinniaspool/core/groups/evidence.py
@@ -15,7 +15,10 @@
 __all__ = ["DomainEvidence", "EvidenceBook", "GroupEvidence", "ServingGroup"]
 
 _WINDOW_S = 300.0
+"""Seconds over which clocks of two VMs are compared; drift stays below a
+millisecond in that time."""
 _MS = 1000
+"""Milliseconds in a second."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/groups/tracking.py
+++ b/src/zinniaspool/core/groups/tracking.py
@@ -12,6 +12,7 @@
 __all__ = ["TrackingLimits", "VmTracker"]
 
 _FEWEST_MISSES = 2
+"""Reports in a row that must be missed: one can be lost on the way."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/journal.py
+++ b/src/zinniaspool/core/journal.py
@@ -9,7 +9,9 @@
 __all__ = ["Decision", "DecisionKind", "Journal"]
 
 _KEPT_DECISIONS = 4096
+"""Decisions kept, some megabytes; hours of an ordinary day."""
 _KEPT_OF_REQUESTS = 4096
+"""The same for decisions about single requests: minutes under load."""
 
 
 class DecisionKind(Enum):
--- a/src/zinniaspool/core/membership/gossip.py
+++ b/src/zinniaspool/core/membership/gossip.py
@@ -28,7 +28,10 @@
 __all__ = ["Action", "Ask", "GossipMachine", "Tell"]
 
 _PAGE_BYTES = 16 * 1024
+"""Bytes of one page for a joining process; chosen, ten packets."""
 _SILENT_ROUND_CHANCE = 0.1
+"""Part of the rounds that try a silent member, so that cut halves find
+each other again."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/membership/members.py
+++ b/src/zinniaspool/core/membership/members.py
@@ -10,6 +10,7 @@
 __all__ = ["Member", "MemberRecord", "MemberState", "MemberTable", "Role", "Standing"]
 
 _STANDINGS = 4
+"""Standings that a member can have within one version."""
 
 
 class Role(Enum):
--- a/src/zinniaspool/core/membership/notices.py
+++ b/src/zinniaspool/core/membership/notices.py
@@ -10,12 +10,17 @@
 __all__ = ["Notice", "NoticeTable", "Topic"]
 
 MOST_PAYLOAD_BYTES = 64 * 1024
+"""Bytes of one notice; larger values go by their own way."""
 _OVERHEAD_BYTES = 34
 """About what msgpack adds to a notice's key and payload on the wire."""
 
 _RESERVE_BYTES = 256
+"""Bytes kept for a message's frame."""
 _PUSHES = 1
+"""Times that a notice is pushed at once to each chosen peer."""
 _EXCHANGES = 4
+"""Exchanges in which a notice is told again; measured with
+benchmarks.capacity_gossip."""
 _EXCHANGES_OF_FREQUENT = 1
 """For topics whose next version comes within seconds and repairs a loss."""
 
--- a/src/zinniaspool/core/membership/roster.py
+++ b/src/zinniaspool/core/membership/roster.py
@@ -26,6 +26,7 @@
 __all__ = ["Roster"]
 
 _LIVE_LIFETIME_S = 1e9
+"""Seconds; longer than any process lives."""
 
 
 class Roster:
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -48,6 +48,7 @@
 ]
 
 PROTOCOL_VERSION = 1
+"""Newest version that this program speaks."""
 OLDEST_PROTOCOL_VERSION = 1
 """Processes of two neighbouring versions run side by side in an upgrade."""
 
--- a/src/zinniaspool/core/requests/addresses.py
+++ b/src/zinniaspool/core/requests/addresses.py
@@ -10,7 +10,9 @@
 __all__ = ["choose_entries"]
 
 _MOST_ADDRESSES = 3
+"""Addresses of an answer: one may be dead and one leaving."""
 _FAR_WEIGHT = 0.25
+"""Weight of a VM in another failure domain against a near one; chosen."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/requests/admission.py
+++ b/src/zinniaspool/core/requests/admission.py
@@ -14,10 +14,17 @@
 __all__ = ["Admission", "AdmissionLimits", "LineState", "Ticket", "TicketState"]
 
 _MEAN_WEIGHT = 0.05
+"""Weight of the newest request in the mean time: some twenty count."""
 _FIRST_MEAN_S = 1.0
+"""Seconds taken for a request's time before any was measured."""
 _LEAST_RISE = 1.01
+"""Factor by which the least time rises with each request, so that an old
+low value fades within some seventy."""
 _TRIED_ONE_IN = 8
+"""One of so many requests that seem too short is tried all the same, so
+that the estimate can recover."""
 _AFTER_GUARANTEES = 1e9
+"""A rank behind all within their guarantee."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/requests/attempts.py
+++ b/src/zinniaspool/core/requests/attempts.py
@@ -16,6 +16,7 @@
 __all__ = ["AttemptFailure", "Attempts", "CallTerms", "Progress", "RepeatBudget"]
 
 MOST_ATTEMPTS = 4
+"""Attempts of one request where nothing else bounds them; chosen."""
 
 
 class AttemptFailure(Enum):
--- a/src/zinniaspool/core/requests/budget.py
+++ b/src/zinniaspool/core/requests/budget.py
@@ -3,7 +3,9 @@
 __all__ = ["RetryBudget"]
 
 _DEPOSIT = 0.1
+"""Tokens a request: retries stay below a tenth of the requests."""
 _MOST_TOKENS = 10.0
+"""Tokens kept: a short failure of ten requests is hidden whole."""
 
 
 class RetryBudget:
--- a/src/zinniaspool/core/requests/claims.py
+++ b/src/zinniaspool/core/requests/claims.py
@@ -42,6 +42,7 @@
 ]
 
 SLOTS = 32
+"""Hash slots of claims: writes of a fleet stay below the store's rate."""
 CLAIMS_PER_ARCHIVE = 128
 
 
--- a/src/zinniaspool/core/requests/headers.py
+++ b/src/zinniaspool/core/requests/headers.py
@@ -9,7 +9,9 @@
 __all__ = ["NORMAL_URGENCY", "parse_timeout", "parse_urgency"]
 
 MOST_TIMEOUT_S = 3600.0
+"""Longest deadline that a caller may ask for, in seconds."""
 NORMAL_URGENCY = 3
+"""Urgency of a request that names none, as RFC 9218 has it."""
 _NUMBER = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
 _URGENCY = re.compile(r"(?:^|[,\s])u=([^,;\s]*)")
 _URGENCIES = frozenset("01234567")
--- a/src/zinniaspool/core/requests/keys.py
+++ b/src/zinniaspool/core/requests/keys.py
@@ -28,7 +28,9 @@
 """Tells a repeat of a request from another request under the same key."""
 
 _HASH_BYTES = 16
+"""Bytes of a key's hash: no two keys share one."""
 _FINGERPRINT_BYTES = 8
+"""Bytes of a body's fingerprint, enough to notice another body."""
 
 
 class Outcome(Protocol):
--- a/src/zinniaspool/core/requests/routing.py
+++ b/src/zinniaspool/core/requests/routing.py
@@ -24,19 +24,33 @@
 __all__ = ["AttemptEnd", "RoutingLimits", "UpstreamPool", "hash_prefix"]
 
 _RING_POINTS = 8
+"""Points of one upstream on the ring; chosen, shares differ by a third."""
 _RING_STEPS = 8
+"""Points tried for a prefix before the least loaded is taken."""
 _PREFIX_BYTES = 256
+"""Bytes of a body that make its prefix; shorter ones are not cached."""
 _HASH_BYTES = 8
+"""Bytes of a hash on the ring."""
 _DRAWS = 4
+"""Upstreams drawn for one choice; see docs/design/routing.md."""
 _MOST_SLOWNESS = 8.0
+"""Largest factor that slowness counts for."""
 _SLOW = 2.0
+"""Factor above the median from which an upstream counts as slow."""
 _LEAST_SLOW_S = 1.0
+"""Seconds below which no answer counts as slow."""
 _SLOWNESS_DECAY = 0.8
+"""Factor a second by which slowness fades without a measurement."""
 _FIRST_STAY_S = 1.0
+"""Seconds taken for a request's stay before any was measured."""
 _STAY_WEIGHT = 0.02
+"""Weight of the newest request in the mean stay: some fifty count."""
 _SMOOTHED_STAYS = 30.0
+"""Stays over which others' load is smoothed; docs/design/routing.md."""
 _MOST_PASSED_S = 5.0
+"""Seconds between two reports that count at most."""
 _ROOM = 1.5
+"""Slots in use, as a factor, up to which an upstream still has room."""
 
 
 class AttemptEnd(Enum):
--- a/src/zinniaspool/core/requests/shares.py
+++ b/src/zinniaspool/core/requests/shares.py
@@ -13,6 +13,7 @@
 __all__ = ["CustomerShare", "LocalShares", "Peers", "share_capacity", "share_locally"]
 
 _ROUNDING = 1e-9
+"""Differences of shares below this come from rounding."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/requests/streams.py
+++ b/src/zinniaspool/core/requests/streams.py
@@ -11,6 +11,8 @@
 __all__ = ["EventCursor", "StreamFault"]
 
 MOST_EVENT_BYTES = 1024 * 1024
+"""Bytes of one event; an upstream without an event's end must not fill
+the memory."""
 _ID = b"id:"
 _LINE_ID = b"\nid:"
 
--- a/src/zinniaspool/core/requests/upstreams.py
+++ b/src/zinniaspool/core/requests/upstreams.py
@@ -18,7 +18,9 @@
 __all__ = ["DrawSet", "FreshUpstream", "Upstream", "UpstreamState"]
 
 _KEPT_COUNTS = 1024
+"""Counts kept to find the load at a past report; seconds of them."""
 LATENCY_SAMPLES = 5
+"""Answers whose least latency counts; see :meth:`UpstreamState.measure`."""
 
 _T = TypeVar("_T")
 
--- a/src/zinniaspool/core/validation/problems.py
+++ b/src/zinniaspool/core/validation/problems.py
@@ -7,8 +7,11 @@
 __all__ = ["Problem", "ProblemFile", "find_repeated", "is_address", "is_name"]
 
 _MOST_PORT = 65535
+"""Largest port."""
 _MOST_BYTE = 255
+"""Largest number of an IP address's part."""
 _BYTES_OF_IP = 4
+"""Parts of an IPv4 address."""
 _NAME_CHARACTERS = frozenset("-._~")
 
 
--- a/src/zinniaspool/entry/callers.py
+++ b/src/zinniaspool/entry/callers.py
@@ -21,6 +21,7 @@
 
 _log = structlog.get_logger(__name__)
 _ID_BYTES = 12
+"""Random bytes of a request's name: no two share one."""
 _ANSWERED = "answered"
 _LEFT = "caller-left"
 
--- a/src/zinniaspool/entry/calls.py
+++ b/src/zinniaspool/entry/calls.py
@@ -17,6 +17,7 @@
 __all__ = ["CallRunner", "ResolvedCall", "WantedCall"]
 
 _SALT_BYTES = 16
+"""Random bytes of a customer's salt."""
 
 Permission = Callable[[], Awaitable[Fault | None]]
 """Asked when a request could be sent; a fault keeps it from being sent."""
--- a/src/zinniaspool/entry/departures.py
+++ b/src/zinniaspool/entry/departures.py
@@ -11,7 +11,9 @@
 
 _log = structlog.get_logger(__name__)
 _LOOK_EVERY_S = 0.25
+"""Seconds between looks at a leaving upstream; chosen."""
 _CONNECT_S = 0.5
+"""Seconds that a look waits for a connection."""
 
 
 class DepartureWatch:
--- a/src/zinniaspool/entry/duties.py
+++ b/src/zinniaspool/entry/duties.py
@@ -22,11 +22,17 @@
 
 _log = structlog.get_logger(__name__)
 _STEP_S = 0.1
+"""Seconds between looks at what is due."""
 _SHARE_EVERY_S = 0.2
+"""Seconds between new shares of the limits; chosen."""
 _DIGEST_EVERY_S = 0.5
+"""Seconds between digests of demand to peers; chosen."""
 _SPEED_EVERY_S = 1.0
+"""Seconds between comparisons of upstreams' speeds."""
 _DIGEST_KEPT_S = 5.0
+"""Seconds that a digest counts: ten of them may be lost."""
 _MS = 1000
+"""Milliseconds in a second."""
 
 
 class EntryDuties:
--- a/src/zinniaspool/entry/forwarding.py
+++ b/src/zinniaspool/entry/forwarding.py
@@ -13,8 +13,11 @@
 __all__ = ["CallForwarder", "Owner"]
 
 _REPEAT_S = 1.0
+"""Seconds until a forwarded call without an answer is sent again."""
 _MOST_UNSENT = 2
+"""Sendings that could not leave before a call counts as not run."""
 _UNSENT_S = 0.1
+"""Seconds until one that could not leave is sent again."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/entry/gate.py
+++ b/src/zinniaspool/entry/gate.py
@@ -11,6 +11,7 @@
 __all__ = ["Gate"]
 
 _BROWNOUT_RETRY_S = 5
+"""Seconds that a shed caller is asked to wait; chosen."""
 
 
 class Gate:
--- a/src/zinniaspool/entry/handover.py
+++ b/src/zinniaspool/entry/handover.py
@@ -18,6 +18,7 @@
 
 _log = structlog.get_logger(__name__)
 _MOST_PAGE_BYTES = 400 * 1024
+"""Bytes of one page in the store, below its limit of a megabyte."""
 
 
 class _KeptRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/zinniaspool/entry/once.py
+++ b/src/zinniaspool/entry/once.py
@@ -41,7 +41,9 @@
 __all__ = ["OnceCalls", "OnceLimits", "OnceState"]
 
 _EXPIRE_EVERY_S = 5.0
+"""Seconds between sweeps of expired keys; chosen."""
 _MOST_OWNERS_TRIED = 3
+"""Owners that a key is followed to before the outcome is unknown."""
 _FORGED = "Idempotency-Key: its session was not given out by this system"
 _MALFORMED = "Idempotency-Key: 1-255 visible ASCII, no quotes inside, or SESSION.TEXT"
 
--- a/src/zinniaspool/entry/relay.py
+++ b/src/zinniaspool/entry/relay.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from types import TracebackType
 
 import structlog
 from result import Err, Ok, Result
@@ -33,6 +32,7 @@
     TransportError,
     TransportFailure,
 )
+from zinniaspool.http.sides import CALLER_SIDE, CallerGoneError
 
 __all__ = ["FailedAttempt", "Relay", "RelayLimits", "RelayedCall"]
 
@@ -40,7 +40,9 @@
 _PASSED_ON = ("content-type",)
 _NOT_RUN = "x-not-run"
 _SERVER_ERRORS = 500
+"""HTTP statuses from here on are the upstream's failures."""
 _LOAD_LAG_S = 0.25
+"""Seconds by which an engine's load is behind; the engines' figure."""
 _EVENT_STREAM = "text/event-stream"
 
 _FAILURES = {
@@ -257,7 +259,7 @@
                     raise
         except TimeoutError:
             return AttemptFailure.TIMED_OUT
-        except _SinkClosedError as error:
+        except CallerGoneError as error:
             raise error.cause from error
         except TransportError as error:
             return _FAILURES[error.failure]
@@ -298,7 +300,7 @@
             return await self._resume_stream(run, response)
         if headers.get("content-length") is not None:
             body = await response.read()
-            with _CALLER_SIDE:
+            with CALLER_SIDE:
                 await run.sink.respond(
                     response.status, _pass_headers(run, headers), body
                 )
@@ -310,14 +312,14 @@
         # begins the stream anew completes it. Without this, an upstream lost
         # before its first token costs the caller the whole answer.
         run.progress = Progress.RESUMABLE if events else Progress.PARTIAL
-        with _CALLER_SIDE:
+        with CALLER_SIDE:
             await run.sink.start(response.status, _pass_headers(run, headers))
         if events:
             return await self._pass_events(run, response)
         async for data in response.stream():
-            with _CALLER_SIDE:
+            with CALLER_SIDE:
                 await run.sink.write(data)
-        with _CALLER_SIDE:
+        with CALLER_SIDE:
             await run.sink.finish()
         return None
 
@@ -357,47 +359,16 @@
             if taken.ok_value:
                 resumable = run.cursor.resumable
                 run.progress = Progress.RESUMABLE if resumable else Progress.PARTIAL
-                with _CALLER_SIDE:
+                with CALLER_SIDE:
                     await run.sink.write(taken.ok_value)
             if watch is not None:
                 watch.touch()
-        with _CALLER_SIDE:
+        with CALLER_SIDE:
             await run.sink.write(run.cursor.end())
             await run.sink.finish()
         return None
 
 
-class _SinkClosedError(Exception):
-    """The caller's side failed, which is no failure of the upstream."""
-
-    def __init__(self, cause: TransportError) -> None:
-        super().__init__(str(cause))
-        self.cause = cause
-
-
-class _CallerSide:
-    """Keeps a caller's failure apart from the upstream's.
-
-    Both raise the same error. Taken for a lost upstream, a caller that has
-    gone would have its request sent to another one, for nobody.
-    """
-
-    def __enter__(self) -> None:
-        return None
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        if isinstance(error, TransportError):
-            raise _SinkClosedError(error) from error
-
-
-_CALLER_SIDE = _CallerSide()
-
-
 def _make_headers(run: _Run, upstream: Upstream) -> Headers:
     headers = Headers.of(
         content_type="application/json",
--- a/src/zinniaspool/entry/sinks.py
+++ b/src/zinniaspool/entry/sinks.py
@@ -11,8 +11,11 @@
 __all__ = ["AnswerSink", "EndedCall", "KeepingSink", "KeptAnswer"]
 
 MOST_KEPT_BYTES = 256 * 1024
+"""Bytes of an answer that is kept for a repeat."""
 MOST_FORWARDED_BYTES = 3 * 1024 * 1024
+"""Bytes of a forwarded answer, below the largest frame."""
 _OVERHEAD_BYTES = 200
+"""Bytes counted for what is kept beside a body; estimated."""
 
 
 class AnswerSink(Protocol):
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -17,7 +17,6 @@
 from zinniaspool.core.fleet import RequestKind
 from zinniaspool.core.requests import AttemptFailure, Progress
 from zinniaspool.gateway.calls import GatewayCall, HeldAnswer
-from zinniaspool.gateway.sides import CALLER_SIDE, CallerGoneError
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import (
     ClientResponse,
@@ -26,6 +25,7 @@
     TransportError,
     TransportFailure,
 )
+from zinniaspool.http.sides import CALLER_SIDE, CallerGoneError
 from zinniaspool.platform import wire
 
 __all__ = ["Carrier"]
@@ -34,6 +34,7 @@
 
 EVENT_STREAM = "text/event-stream"
 SERVER_ERRORS = 500
+"""HTTP statuses from here on are the upstream's failures."""
 
 UNREPEATABLE_IDLE_S = 1.0
 """Longest time that a kept connection may have been idle, in seconds, for a
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -19,8 +19,12 @@
 __all__ = ["ClientResponse", "HttpClient"]
 
 _MOST_BUFFERED_BYTES = 256 * 1024
+"""Bytes read ahead of a slow caller: one upstream's socket buffers."""
 _MOST_IDLE_PER_ADDRESS = 32
+"""Idle connections kept to one address; chosen."""
 _IDLE_S = 20.0
+"""Seconds that an idle connection is kept where the other side names no
+time."""
 _BODILESS = (204, 304)
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 _IDLE_PART = 0.6
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -23,8 +23,10 @@
 _log = structlog.get_logger(__name__)
 
 _STATUS_HEADERS_TOO_LARGE = 431
+"""HTTP status."""
 _VERSION = b"1.1"
 _FIELD_OVERHEAD = 4
+"""Bytes of a header field beside name and value."""
 _ENDED = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
 Handler = Callable[[Exchange], Awaitable[None]]
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -14,6 +14,7 @@
 
 _log = structlog.get_logger(__name__)
 _BACKLOG = 1024
+"""Connections that wait to be accepted: a burst of callers."""
 
 
 class HttpServer:
--- a/src/zinniaspool/gateway/sides.py
+++ b/src/zinniaspool/http/sides.py
@@ -2,7 +2,7 @@
 
 from types import TracebackType
 
-from zinniaspool.http import TransportError
+from zinniaspool.http.messages import TransportError
 
 __all__ = ["CALLER_SIDE", "CallerGoneError"]
 
--- a/src/zinniaspool/node/board.py
+++ b/src/zinniaspool/node/board.py
@@ -36,6 +36,7 @@
 
 _log = structlog.get_logger(__name__)
 _STEP_S = 0.1
+"""Seconds between rounds of gossip."""
 
 NoticeTaker = Callable[[Notice], None]
 
--- a/src/zinniaspool/node/follower.py
+++ b/src/zinniaspool/node/follower.py
@@ -40,9 +40,12 @@
 
 _log = structlog.get_logger(__name__)
 _STEP_S = 0.1
+"""Seconds between looks at what is due."""
 _WATCH_S = 20.0
+"""Seconds of one watch."""
 _ROOT_NOTICE = "root"
 _KEPT_S = 1e9
+"""Seconds; longer than any process lives."""
 
 
 class FollowerState(msgspec.Struct):
--- a/src/zinniaspool/node/lag.py
+++ b/src/zinniaspool/node/lag.py
@@ -16,6 +16,7 @@
 __all__ = ["MemberRevision", "ask_revisions"]
 
 _AT_ONCE = 32
+"""Members asked at a time."""
 
 
 class MemberRevision(msgspec.Struct, frozen=True):
--- a/src/zinniaspool/node/operators.py
+++ b/src/zinniaspool/node/operators.py
@@ -25,6 +25,7 @@
 ]
 
 DUMP_VERSION = 1
+"""Version of the dump's form."""
 
 _log = structlog.get_logger(__name__)
 _LOOPBACK = ("127.", "::1")
--- a/src/zinniaspool/node/program.py
+++ b/src/zinniaspool/node/program.py
@@ -14,6 +14,7 @@
 
 _Settings = TypeVar("_Settings", bound=NodeSettings)
 _BAD_SETTINGS = 2
+"""Exit status where the settings cannot be used."""
 
 
 def run_program(
--- a/src/zinniaspool/peers/frames.py
+++ b/src/zinniaspool/peers/frames.py
@@ -18,7 +18,9 @@
 ]
 
 MOST_FRAME_BYTES = 4 * 1024 * 1024
+"""Bytes of one frame, above the largest message."""
 _LENGTH_BYTES = 4
+"""Bytes of a frame's length."""
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
--- a/src/zinniaspool/peers/listener.py
+++ b/src/zinniaspool/peers/listener.py
@@ -26,6 +26,7 @@
 
 _log = structlog.get_logger(__name__)
 _HELLO_S = 2.0
+"""Seconds that a peer has for its first message."""
 _MOST_HELLO_BYTES = 4096
 """Whoever has not shown the secret yet cannot have us keep megabytes."""
 
--- a/src/zinniaspool/platform/budget.py
+++ b/src/zinniaspool/platform/budget.py
@@ -19,7 +19,9 @@
 __all__ = ["BudgetedStore", "CallKind"]
 
 _BURST_S = 2.0
+"""Seconds' worth of calls that may come at once."""
 _LONGEST_WAIT_S = 2.0
+"""Seconds that a call waits for its turn."""
 
 
 class CallKind(Enum):
--- a/src/zinniaspool/platform/configurations.py
+++ b/src/zinniaspool/platform/configurations.py
@@ -32,9 +32,13 @@
 ]
 
 _KEPT_HISTORY = 64
+"""Accepted changes kept for a rollback."""
 _COLLECT_EVERY = 16
+"""Changes between sweeps of parts that nothing names."""
 _TRIES = 4
+"""Tries of a call whose outcome is unknown."""
 _RETRY_S = 0.2
+"""Seconds between them."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/platform/store.py
+++ b/src/zinniaspool/platform/store.py
@@ -30,6 +30,7 @@
 LeaseId = NewType("LeaseId", str)
 
 _NOT_FOUND = 404
+"""HTTP status."""
 
 _T = TypeVar("_T")
 
--- a/src/zinniaspool/platform/vmlist.py
+++ b/src/zinniaspool/platform/vmlist.py
@@ -11,6 +11,7 @@
 __all__ = ["fetch_vm_list"]
 
 _OK = 200
+"""HTTP status."""
 
 
 async def fetch_vm_list(
--- a/src/zinniaspool/platform/wire.py
+++ b/src/zinniaspool/platform/wire.py
@@ -34,6 +34,7 @@
 _RESUME = "last-event-id"
 
 _MISDIRECTED = 421
+"""HTTP status of an instance that is not the expected one."""
 
 # What concerns one connection only (RFC 9110, 7.6.1), and the body's framing,
 # which is made anew.
--- a/src/zinniaspool/settings/documents.py
+++ b/src/zinniaspool/settings/documents.py
@@ -24,6 +24,7 @@
 _NOT_LINE_BREAK = re.compile(r"[^\n]")
 _SPACE = re.compile(r"\s*")
 _MOST_DEPTH = 64
+"""Nesting of a file; deeper ones would exhaust the parser's stack."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/settings/schemas.py
+++ b/src/zinniaspool/settings/schemas.py
@@ -21,6 +21,7 @@
 _MISSING = frozenset({"missing"})
 _PREFIXES = ("Value error, ", "Input should be ")
 _LONGEST_FOUND = 60
+"""Characters of a faulty value that a message quotes."""
 
 
 class _Checked(BaseModel, Generic[_T]):
--- a/src/zinniaspool/telemetry/logs.py
+++ b/src/zinniaspool/telemetry/logs.py
@@ -18,6 +18,7 @@
 _log = structlog.get_logger(__name__)
 _CLASS = "_class"
 _STANDARD_OUTPUT = 1
+"""File descriptor."""
 _LONGEST_VALUE = 400
 """Characters of one value; what callers send may be longer than any use."""
 
--- a/src/zinniaspool/telemetry/metrics.py
+++ b/src/zinniaspool/telemetry/metrics.py
@@ -17,6 +17,7 @@
 __all__ = ["Metrics"]
 
 _MOST_CUSTOMERS = 64
+"""Customers with series of their own; a collector's memory grows with each."""
 _OTHER = "other"
 _BOUNDARIES_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
 
