Take safeguards out one at a time and see a test fail

One was unseen at first: the stand-in's extra answer came too early to lie where the next one is due; it comes there now.

--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -35,7 +35,7 @@
         refuse: It says that it has not run what it is sent.
         fail: It answers 500.
         cut_after: Events after which it resets a stream in mid-event.
-        extra: A second answer follows each one.
+        extra: Each plain answer comes a second time, where the next is due.
         unframed: Its answers have no length and end with the connection.
         mute: It runs requests and answers nothing.
         unanswered_orders: So many of the next orders are carried out a second
@@ -116,6 +116,7 @@
     _epoch: int = 0
     _written: str = ""
     _silent: float = 0.0
+    _last_answers: dict[object, bytes] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Listen and keep the entry, until cancelled."""
@@ -291,15 +292,17 @@
         self, exchange: Exchange, answer: Headers, request: str
     ) -> None:
         body = f"answer to {request}".encode()
+        channel = exchange._channel
+        if self.faults.extra and channel in self._last_answers:
+            # The answer before comes once more, where this one is due.
+            transport = channel._transport  # type: ignore[attr-defined]
+            transport.write(self._last_answers[channel])
+        self._last_answers[channel] = (
+            f"HTTP/1.1 200 OK\r\nx-zinniaspool-request-id: {request}\r\n"
+            f"x-zinniaspool-server-seal: seal-{self.id}\r\n"
+            f"content-length: {len(body)}\r\n\r\n"
+        ).encode() + body
         await exchange.respond(200, answer, body)
-        if self.faults.extra:
-            raw = (
-                f"HTTP/1.1 200 OK\r\nx-zinniaspool-request-id: {request}\r\n"
-                f"content-length: {len(body)}\r\n\r\n"
-            ).encode()
-            # Later than the answer, where the next one is due.
-            transport = exchange._channel._transport  # type: ignore[attr-defined]
-            self._later(0.0, transport.write, raw + body)
 
     async def _stream(
         self, exchange: Exchange, answer: Headers, asked: Headers
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,6 +14,7 @@
     Address,
     CustomerId,
     FailureDomainId,
+    ModelVersion,
     RequestId,
     UpstreamId,
 )
@@ -38,15 +39,23 @@
 class _Entry:
     """A relay behind a server, as callers meet it."""
 
-    def __init__(self, upstreams: list[FakeUpstream], idempotent: bool) -> None:
+    def __init__(
+        self,
+        upstreams: list[FakeUpstream],
+        idempotent: bool,
+        versions: list[ModelVersion] | None = None,
+    ) -> None:
         self.faults: list[ErrorKind] = []
         domain = FailureDomainId("d")
         limits = RelayLimits(least_head_s=0.3, head_part=0.0, stall_s=0.3)
         self._relay = Relay(HttpClient(), limits=limits)
         self._pool = UpstreamPool(random.Random(0), domain)
+        said = versions or [ModelVersion("v1")] * len(upstreams)
         fresh = [
-            FreshUpstream(Upstream(UpstreamId(u.address), u.address, domain, 8))
-            for u in upstreams
+            FreshUpstream(
+                Upstream(UpstreamId(u.address), u.address, domain, 8, version=version)
+            )
+            for u, version in zip(upstreams, said, strict=True)
         ]
         self._pool.sync(fresh, 0.0)
         self._idempotent = idempotent
@@ -145,6 +154,33 @@
     run_in_loop(trial)
 
 
+def test_a_stream_goes_on_only_with_the_version_that_began_it() -> None:
+    """The caller would read a text by two versions of a model.
+
+    Both upstreams lose the stream after two tokens, and they run different
+    versions. The rest of the other one would not fit the beginning: the
+    stream is cut, and the other upstream is not asked.
+    """
+
+    async def trial() -> None:
+        lossy = [fakes.stream(6, lose_after=2)]
+        upstreams = [FakeUpstream(list(lossy)), FakeUpstream(list(lossy))]
+        for upstream in upstreams:
+            await upstream.listen()
+        versions = [ModelVersion("v1"), ModelVersion("v2")]
+        server = HttpServer(_Entry(upstreams, True, versions).handle)
+        address = await server.listen(Address("127.0.0.1:0"))
+        request = Request("POST", "/", Headers(), b"{}")
+        with pytest.raises(TransportError):
+            await HttpClient().fetch(address, request, 10.0)
+        assert sum(len(upstream.calls) for upstream in upstreams) == 1
+        await server.drain(0.0)
+        for upstream in upstreams:
+            await upstream.close()
+
+    run_in_loop(trial)
+
+
 @pytest.mark.parametrize("idempotent", [True, False])
 def test_a_stream_that_cannot_go_on_is_cut_and_never_ended(idempotent: bool) -> None:
     """The caller sees a broken connection in place of a short answer.
--- /dev/null
+++ b/tools/try_safeguards.py
@@ -0,0 +1,182 @@
+"""Take safeguards out, one at a time, and see a test fail for each.
+
+``python -m tools.try_safeguards`` tries all, ``--some N --seed S`` a few. Each
+one's edit is made on a copy of the tree, never here.
+"""
+
+import argparse
+import os
+import random
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+CORE = "src/zinniaspool/core"
+
+
+@dataclass(frozen=True, slots=True)
+class Safeguard:
+    """One safeguard.
+
+    Attributes:
+        name: What it protects.
+        file: Where it stands.
+        old: Its text.
+        new: What is there without it.
+        test: The test that fails then.
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+SAFEGUARDS = (
+    Safeguard(
+        "a stream goes on with the version that began it",
+        "src/zinniaspool/entry/relay.py",
+        "if state.upstream.version == run.version:",
+        "if True:",
+        "tests/test_relay.py::test_a_stream_goes_on_only_with_the_version_that_began_it",
+    ),
+    Safeguard(
+        "the last look at the lease before an order leaves",
+        "src/zinniaspool/control/engines.py",
+        "if not may_send():",
+        "if False:",
+        "tests/test_engine_orders.py",
+    ),
+    Safeguard(
+        "a group opens only once all members say that they are ready",
+        f"{CORE}/formation/lifecycle.py",
+        "if ready == len(self.record.members) and",
+        "if ready and",
+        "tests/test_formation.py",
+    ),
+    Safeguard(
+        "a VM of an unknown group leaves before it joins",
+        f"{CORE}/formation/releases.py",
+        "        if one.id in self._strays:\n            return False\n",
+        "",
+        "tests/test_formation.py::test_an_entry_that_is_behind_does_not_free_a_vm",
+    ),
+    Safeguard(
+        "only VMs that left are free after a head was not reached",
+        f"{CORE}/formation/releases.py",
+        "if run.record.head in run.released:",
+        "if True:",
+        "tests/test_formation.py::"
+        "test_members_cut_from_the_store_are_freed_before_they_join_again",
+    ),
+    Safeguard(
+        "an older revision changes nothing",
+        f"{CORE}/fleet/mirror.py",
+        "        if before is not None and before.revision > item.revision:\n"
+        "            return []\n",
+        "",
+        "tests/test_mirror.py",
+    ),
+    Safeguard(
+        "a removed key does not come back by an old copy",
+        f"{CORE}/fleet/mirror.py",
+        "        if self._removed.get(item.key, 0) >= item.revision:\n"
+        "            return []\n",
+        "",
+        "tests/test_mirror.py",
+    ),
+    Safeguard(
+        "entries that lapse around an outage are doubted",
+        f"{CORE}/fleet/mirror.py",
+        "if self._lapses(key) and now < self._disturbed_until:",
+        "if False:",
+        "tests/test_mirror.py",
+    ),
+    Safeguard(
+        "repeats stay below what all processes may",
+        f"{CORE}/dispatch/repeats.py",
+        "if repeats + 1 > allowed * SAFE_PART:",
+        "if False:",
+        "tests/test_dispatch.py",
+    ),
+    Safeguard(
+        "a call that may run once is not repeated after a loss",
+        f"{CORE}/requests/attempts.py",
+        "        if not self._terms.idempotent:\n"
+        "            return Fault(ErrorKind.UPSTREAM_LOST)\n",
+        "",
+        "tests/test_attempts.py",
+    ),
+    Safeguard(
+        "an answer to another request is thrown away",
+        "src/zinniaspool/gateway/carrier.py",
+        "if wire.answered_request(response.headers) in (call.terms.id, None):",
+        "if True:",
+        "tests/test_installation.py::test_an_answer_too_many_reaches_nobody",
+    ),
+    Safeguard(
+        "the key stays here",
+        "src/zinniaspool/platform/wire.py",
+        'for name in ("authorization", ',
+        "for name in (",
+        "tests/test_platform_adapter.py",
+    ),
+    Safeguard(
+        "a stream that stops inside an event is no whole answer",
+        f"{CORE}/requests/streams.py",
+        "whole, self._tail = data[:end], data[end:]",
+        'whole, self._tail = data, b""',
+        "tests/test_streams.py",
+    ),
+    Safeguard(
+        "log lines of requests leave room for the others",
+        "src/zinniaspool/telemetry/lines.py",
+        "            room -= RESERVED_BYTES\n",
+        "",
+        "tests/test_log_lines.py",
+    ),
+)
+
+
+def try_one(safeguard: Safeguard, folder: Path) -> str:
+    """Take one out and return what is wrong with its proof, or nothing."""
+    for name in ("src", "tests", "tools", "docs"):
+        shutil.copytree(ROOT / name, folder / name, dirs_exist_ok=True)
+    shutil.copy(ROOT / "pyproject.toml", folder)
+    file = folder / safeguard.file
+    text = file.read_text()
+    if text.count(safeguard.old) < 1:
+        return "its text is not there any more"
+    file.write_text(text.replace(safeguard.old, safeguard.new))
+    ran = subprocess.run(
+        [sys.executable, "-m", "pytest", "-x", "-q", safeguard.test],
+        cwd=folder,
+        capture_output=True,
+        env={**os.environ, "PYTHONPATH": str(folder / "src")},
+    )
+    return "" if ran.returncode == 1 else f"no test failed (status {ran.returncode})"
+
+
+def main() -> int:
+    """Try them; return 1 if any can be taken out unseen."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--some", type=int, default=len(SAFEGUARDS))
+    parser.add_argument("--seed", type=int, default=0)
+    options = parser.parse_args()
+    chosen = random.Random(options.seed).sample(SAFEGUARDS, options.some)
+    unseen = 0
+    for safeguard in chosen:
+        with tempfile.TemporaryDirectory() as folder:
+            wrong = try_one(safeguard, Path(folder))
+        unseen += bool(wrong)
+        print(f"{'UNSEEN' if wrong else 'seen'}: {safeguard.name} {wrong}", flush=True)
+    return 1 if unseen else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
