Keep the plans in memory until another process takes over; free standby VMs first

Cause, traced: between the store's outage and its return the holder did not know for a moment whether it might plan; it dropped its plans and read those from before the outage, in which three VMs stood by that were in an open group by then. It keeps its plans now while the key is its own, and a VM that stands by by an older plan is used only if it says so itself. Ruled out: late orders (none was unanswered), a second holder (one throughout).

--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -510,12 +510,24 @@
                 if not self._releases.is_free(one):
                     continue
                 found.append(Candidate(one, self._held.get(one.id), standby=False))
-            elif holds.record.standby and holds.phase is not GroupPhase.ENDING:
+            elif self._stands_by(one, holds):
                 held = self._held.get(one.id)
                 ready = holds.phase is GroupPhase.STANDBY
                 found.append(Candidate(one, held if ready else None, standby=True))
         return found
 
+    def _stands_by(self, one: Instance, run: GroupRun) -> bool:
+        """Tell whether a VM stands by and may be taken for a group.
+
+        A plan may be older than what the VM does: while the store was down,
+        it may have joined a group that the plan does not know.
+        """
+        if not run.record.standby or run.phase is GroupPhase.ENDING:
+            return False
+        held = one.membership
+        own = held is not None and held.group == run.record.group
+        return own or self._releases.is_free(one)
+
     def _count_groups(
         self, service: ServiceName, soon_by: float = float("-inf")
     ) -> Counter[ModelName]:
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -68,6 +68,10 @@
 """Time over which demand is averaged, in seconds: about as long as a request
 takes, so that single ones do not move VMs."""
 
+HELD_UP_S = 0.05
+"""Pause between looks while this process may not plan for a moment, since
+neither the store nor the others have told it that it still may, in seconds."""
+
 SETTLE_CHECK_S = 0.02
 """Pause between looks whether owed plans are written, in seconds."""
 
@@ -183,8 +187,13 @@
         self._restore(planner)
         await self._verify(planner)
         planner.hold_back(self._free_until - SETTLE_S)
-        while self._election.holds:
+        # Until another process takes over, the plans in memory are the newest:
+        # those in the store are from before an outage.
+        while self._election.claims:
             self._changed.clear()
+            if not self._election.holds:
+                await asyncio.sleep(HELD_UP_S)
+                continue
             catalog = self._belief.catalog
             assert catalog is not None
             planner.configure(
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -241,3 +241,29 @@
     world.late_part = 0.0
     world.advance(0.3)
     assert not world.broken
+
+
+def test_a_vm_that_an_old_plan_lets_stand_by_is_not_taken_from_its_group() -> None:
+    """A group would lose its VMs while its head still answers callers.
+
+    Two VMs that stood by formed a group while the store was down. Whoever
+    plans next finds the plan from before, in which they stand by. They are in
+    a group that it does not know, and must leave that first.
+    """
+    world = make_settled()
+    world.planner.set_demand({(SERVICE, LARGE): 8.0, (SERVICE, SMALL): 1.0})
+    for _ in range(2):
+        world.add(FabricDomainId("d0"))
+    world.advance(30.0)
+    assert sum(run.record.standby for run in world.planner.runs()) == 3
+    old = dict(world.plans)
+    busy = {(SERVICE, LARGE): 8.0, (SERVICE, SMALL): 13.0}
+    world.planner.set_demand(busy)
+    world.advance(5.0)
+    assert world.serving(SMALL) >= 2
+    world.plans = old
+    world.take_over()
+    world.planner.set_demand(busy)
+    world.advance(5.0)
+    assert not world.broken
+    assert world.serving(SMALL) >= 2
