Choose ports of the stand-ins below those of opened connections

Cause, from the process's own log: 'address already in use': another soak's connection had the port that was free a moment before.

--- a/src/zinniaspool_standins/installation.py
+++ b/src/zinniaspool_standins/installation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 from base64 import b64encode
 from collections.abc import AsyncIterator
@@ -17,13 +18,21 @@
 
 KEY = "key-of-care"
 SIZES = {"large": 3, "small": 2}
+PORTS = (10_000, 30_000)
 
 
 def free_address() -> Address:
-    """Return an address on loopback that nobody listens at."""
-    with socket.socket() as bound:
-        bound.bind(("127.0.0.1", 0))
-        return Address(f"127.0.0.1:{bound.getsockname()[1]}")
+    """Return an address on loopback that nobody listens at.
+
+    Its port is below those that the system gives to connections that are
+    opened: one of them may take a free port before its listener is started.
+    """
+    source = random.SystemRandom()
+    while True:
+        port = source.randint(*PORTS)
+        with socket.socket() as bound, contextlib.suppress(OSError):
+            bound.bind(("127.0.0.1", port))
+            return Address(f"127.0.0.1:{port}")
 
 
 class Installation:
