--- a/src/zinniaspool/entry/forwarding.py
+++ b/src/zinniaspool/entry/forwarding.py
@@ -18,6 +18,13 @@
 """Sendings that could not leave before a call counts as not run."""
 _UNSENT_S = 0.1
 """Seconds until one that could not leave is sent again."""
+_ANSWER_WAY_S = 0.1
+"""Seconds of a caller's deadline that its call's owner does not get; chosen,
+some round trips between regions. An owner that gives up at the deadline says
+"not run" too late, and the caller reads that the outcome is unknown."""
+_MOST_WAY_PART = 0.25
+"""Largest part of the time left that is kept back; chosen, so that a call with
+little time left keeps most of it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +129,7 @@
             wanted.customer,
             wanted.path,
             wanted.body,
-            left_s,
+            left_s - min(_ANSWER_WAY_S, left_s * _MOST_WAY_PART),
             wanted.urgency,
             key,
         )
--- a/src/zinniaspool_standins/runs.py
+++ b/src/zinniaspool_standins/runs.py
@@ -80,14 +80,18 @@
 
 
 def read_runs(path: Path) -> list[RunRecord]:
-    """Return the runs in a file, each with its last state."""
+    """Return the runs in a file, each with its last state.
+
+    A line that is still being written is left for the next look.
+    """
     if not path.exists():
         return []
     runs: list[RunRecord] = []
     # The file may hold several lives of one upstream, and numbers start anew
     # with each: a first line always says "started".
     current: dict[int, int] = {}
-    for line in path.read_text().splitlines():
+    *lines, _ = path.read_text().split("\n")
+    for line in lines:
         run = msgspec.json.decode(line, type=RunRecord)
         if run.state is RunState.STARTED:
             current[run.number] = len(runs)
--- a/tests/failures.py
+++ b/tests/failures.py
@@ -3,12 +3,17 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Callable
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Container
 from dataclasses import replace
 from itertools import count
+from pathlib import Path
 from typing import Any
 
 from tests.processes import CREDENTIALS, Fleet
+from zinniaspool.core.ids import CustomerId, IdempotencyKey
+from zinniaspool.core.requests.claims import SLOTS, find_slot
+from zinniaspool.core.requests.keys import hash_key
 from zinniaspool.http import HttpClient, Request
 from zinniaspool_standins.callers import Caller, Mix, send_traffic
 from zinniaspool_standins.histories import Ask, Ending, Operation, judge
@@ -16,7 +21,7 @@
 from zinniaspool_standins.runs import RunRecord, RunState
 from zinniaspool_standins.watching import SeenGroup, list_groups, read_reports
 
-__all__ = ["Proof", "run_scenario", "until", "until_seen"]
+__all__ = ["Proof", "find_call_slot", "run_scenario", "until", "until_seen"]
 
 _WAIT_S = 20.0
 _SCENARIO_S = 60.0
@@ -27,6 +32,8 @@
 # No number is used twice on one fleet: it would be the same key.
 _numbers = count()
 _traffic_numbers = count(1_000_000, 1_000_000)
+# Slots of claims that calls of a fleet were in: an entry process may own them.
+_used_slots: defaultdict[Path, set[int]] = defaultdict(set)
 
 
 async def until(check: Callable[[], object]) -> None:
@@ -49,6 +56,12 @@
     raise AssertionError("did not come true in time")
 
 
+def find_call_slot(call: WantedCall) -> int:
+    """Return the slot of claims that a call's key falls into."""
+    customer = CustomerId(call.operation.customer)
+    return find_slot(hash_key(customer, IdempotencyKey(call.key)))
+
+
 class Proof:
     """Calls of one test and the judgement over them.
 
@@ -69,6 +82,7 @@
         max_tokens: int = 40,
         timeout_s: float = 10.0,
         session: str = "",
+        slots: Container[int] = range(SLOTS),
     ) -> WantedCall:
         """Return a new call, on record from now on.
 
@@ -78,17 +92,26 @@
             max_tokens: Length of a model's answer.
             timeout_s: Deadline of each ask.
             session: Puts its key into a session.
+            slots: Slots of claims that its key may fall into.
         """
         target = _SERVICE if traffic is Traffic.NON_IDEMPOTENT else _MODEL
-        call = make_call(
-            traffic, next(_numbers), customer, target, max_tokens, timeout_s
+        made = (
+            make_call(traffic, number, customer, target, max_tokens, timeout_s)
+            for number in _numbers
         )
+        call = next(one for one in made if find_call_slot(one) in slots)
+        if call.key:
+            _used_slots[self.fleet.folder].add(find_call_slot(call))
         if session:
             call = replace(call, key=f"{session}.{call.key}")
         self.calls.append(call)
         self.operations.append(call.operation)
         return call
 
+    def list_free_slots(self) -> set[int]:
+        """Return the slots of claims that no entry process can own yet."""
+        return set(range(SLOTS)) - _used_slots[self.fleet.folder]
+
     def make_caller(
         self, customer: str = "care", entries: tuple[str, ...] = ("entry0",)
     ) -> Caller:
--- a/tests/test_failures_entries.py
+++ b/tests/test_failures_entries.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.failures import Proof, run_scenario, until
+from tests.failures import Proof, find_call_slot, run_scenario, until
 from tests.processes import Fleet, start_fleet
 from zinniaspool_standins.histories import Ending
 from zinniaspool_standins.operations import Traffic, WantedCall
@@ -32,6 +32,16 @@
         yield started
 
 
+@pytest.fixture(autouse=True)
+def _mend_fleet(fleet: Fleet) -> Iterator[None]:
+    """Have every entry process run again: the next test starts with all."""
+    yield
+    for entry in _ENTRIES:
+        fleet.thaw(entry)
+        if fleet.has_ended(entry):
+            fleet.restart(entry)
+
+
 async def _settle(proof: Proof) -> None:
     for entry in _ENTRIES:
         await proof.until_served(entry)
@@ -82,7 +92,8 @@
     async def scenario(proof: Proof) -> None:
         await _settle(proof)
         await proof.switch_services(straggle=200.0)
-        call = proof.make_call(Traffic.NON_IDEMPOTENT)
+        slots = proof.list_free_slots()
+        call = proof.make_call(Traffic.NON_IDEMPOTENT, slots=slots)
         asking = await proof.begin("entry0", call)
         fleet.kill("entry0")
         assert (await asking).ending is Ending.CUT
@@ -95,6 +106,31 @@
     run_scenario(fleet, scenario)
 
 
+def test_an_entry_killed_while_another_one_runs_its_call(fleet: Fleet) -> None:
+    """The caller's repeat gets the whole answer anywhere; one run.
+
+    The key's slot is the other entry process's, so that the killed one had
+    only passed the call on. The run goes on and its answer is kept.
+    """
+
+    async def scenario(proof: Proof) -> None:
+        await _settle(proof)
+        first = proof.make_call(Traffic.NON_IDEMPOTENT, slots=proof.list_free_slots())
+        assert (await proof.ask("entry1", first)).ending is Ending.WHOLE
+        await proof.switch_services(straggle=200.0)
+        call = proof.make_call(Traffic.NON_IDEMPOTENT, slots={find_call_slot(first)})
+        asking = await proof.begin("entry0", call)
+        fleet.kill("entry0")
+        assert (await asking).ending is Ending.CUT
+        await proof.switch_services(straggle=1.0)
+        for entry in ("entry1", "entry2"):
+            assert await _ask_until_settled(proof, entry, call) is Ending.WHOLE
+        assert len(proof.list_runs(call)) == 1
+        await _revive(proof, "entry0")
+
+    run_scenario(fleet, scenario)
+
+
 def test_an_entry_frozen_while_it_has_the_call(fleet: Fleet) -> None:
     """The caller asks elsewhere meanwhile; the call runs once.
 
@@ -107,7 +143,8 @@
     async def scenario(proof: Proof) -> None:
         await _settle(proof)
         await proof.switch_services(straggle=200.0)
-        call = proof.make_call(Traffic.NON_IDEMPOTENT, timeout_s=2.0)
+        slots = proof.list_free_slots()
+        call = proof.make_call(Traffic.NON_IDEMPOTENT, timeout_s=2.0, slots=slots)
         asking = await proof.begin("entry0", call)
         fleet.freeze("entry0")
         await proof.switch_services(straggle=1.0)
--- a/tests/test_failures_store.py
+++ b/tests/test_failures_store.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from tests.failures import Proof, run_scenario
-from tests.processes import Fleet, start_fleet
+from tests.failures import Proof, find_call_slot, run_scenario
+from tests.processes import Fleet, start_fleet, switch_faults
 from zinniaspool_standins.histories import Ending
 from zinniaspool_standins.operations import Traffic
 
@@ -23,6 +23,21 @@
         yield started
 
 
+@pytest.fixture(autouse=True)
+def _mend_store(fleet: Fleet) -> Iterator[None]:
+    """Have the store answer everybody again: the next test starts with it."""
+    yield
+    switch_faults(
+        fleet,
+        "platform",
+        out=False,
+        hang=False,
+        delay_s=0.0,
+        lose_answers=0,
+        cut_off=[],
+    )
+
+
 async def _settle(proof: Proof) -> None:
     for entry in _ENTRIES:
         await proof.until_served(entry)
@@ -110,8 +125,34 @@
     async def scenario(proof: Proof) -> None:
         await _settle(proof)
         await proof.switch("platform", hang=True)
-        call = proof.make_call(Traffic.NON_IDEMPOTENT, timeout_s=1.0)
+        slots = proof.list_free_slots()
+        call = proof.make_call(Traffic.NON_IDEMPOTENT, timeout_s=1.0, slots=slots)
+        assert (await proof.ask("entry0", call)).ending is Ending.NOT_RUN
+        await proof.switch("platform", hang=False)
+        await _expect_whole_again(proof)
+
+    run_scenario(fleet, scenario)
+
+
+def test_the_store_hangs_while_another_entry_writes_the_claim(fleet: Fleet) -> None:
+    """The caller is told "not run" too when its call was only passed on.
+
+    The key's slot is the other entry process's, which gives its claim up.
+    What it says of that must reach the caller before the deadline: after it,
+    the process that was asked can only say that the outcome is unknown.
+    """
+
+    async def scenario(proof: Proof) -> None:
+        await _settle(proof)
+        first = proof.make_call(Traffic.NON_IDEMPOTENT, slots=proof.list_free_slots())
+        for entry in ("entry1", "entry0"):
+            assert (await proof.ask(entry, first)).ending is Ending.WHOLE
+        await proof.switch("platform", hang=True)
+        call = proof.make_call(
+            Traffic.NON_IDEMPOTENT, timeout_s=1.0, slots={find_call_slot(first)}
+        )
         assert (await proof.ask("entry0", call)).ending is Ending.NOT_RUN
+        assert proof.list_runs(call) == []
         await proof.switch("platform", hang=False)
         await _expect_whole_again(proof)
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,5 +1,7 @@
 """The stand-ins keep their own rules, on which the proofs rely."""
 
+from pathlib import Path
+
 import pytest
 from hypothesis import given, strategies as st
 
@@ -11,6 +13,7 @@
 from zinniaspool_standins.kvstore import CallBudget
 from zinniaspool_standins.load import LaggedLoad
 from zinniaspool_standins.prefixes import CacheChange, PrefixCache
+from zinniaspool_standins.runs import RunLog, RunRecord, read_runs
 from zinniaspool_standins.weights import RateSchedule
 
 
@@ -125,3 +128,16 @@
     assert not faults.meet().refuse
     with pytest.raises(ValueError, match="unknown field"):
         switch_faults(faults, b'{"explode": true}')
+
+
+def test_a_run_that_is_still_being_written_is_left_for_the_next_look(
+    tmp_path: Path,
+) -> None:
+    """A test that looks while an upstream writes reads what is whole so far."""
+    path = tmp_path / "service.runs"
+    log = RunLog("service", str(path))
+    first = log.begin(RunRecord("r1", "1", "op-1."))
+    whole = path.read_text()
+    log.begin(RunRecord("r2", "1", "op-2."))
+    path.write_text(path.read_text()[: len(whole) + 20])
+    assert read_runs(path) == [first]
