--- a/src/zinniaspool_standins/fleet.py
+++ b/src/zinniaspool_standins/fleet.py
@@ -198,6 +198,13 @@
         """Return what a process has logged."""
         return (self.folder / f"{name}.log").read_text()
 
+    def read_last_lines(self, most: int) -> dict[str, str]:
+        """Return the end of each process's log."""
+        return {
+            name: "\n".join(self.read_log(name).splitlines()[-most:])
+            for name in self._started
+        }
+
     def _runs_file(self, name: str) -> Path:
         return self.folder / f"{name}.runs"
 
