Let ready VMs stand by while others load; stage second models in the background

Now all stand by while one loads, what a VM holds it keeps, serving VMs stage the other model with a quarter of the load budget, and moves begin at 0.95 of the slots left.

--- a/src/zinniaspool/core/formation/allocation.py
+++ b/src/zinniaspool/core/formation/allocation.py
@@ -112,6 +112,10 @@
     when it is short. Then the scarcest model comes first: a model without a
     group serves nobody, however many groups the others have.
 
+    Where some members are ready and others must load, all stand by until the
+    loads are over. In a group they would be bound to wait for ten seconds and
+    more; standing by, they form it as soon as any other VM takes the place.
+
     Args:
         candidates: Idle VMs of one fabric domain.
         needs: All models of the service.
@@ -133,7 +137,9 @@
             return None
         if not _is_worthwhile(found, need, ranked[0], candidates):
             continue
-        return found
+        if not found.loads or len(found.loads) == need.spec.size:
+            return found
+        return _select_standby(candidates, [need.spec], standing, here)
     if more_expected:
         return None
     models = [need.spec for need in needs]
@@ -244,10 +250,8 @@
         exposed = max(1, here[model.name] * model.size)
         return (standing[model.name] + 1) / exposed
 
-    model = min(models, key=cover)
     held = next((spec for spec in models if spec.name == one.held), None)
-    if held is not None and not standing[held.name]:
-        model = held
+    model = held or min(models, key=cover)
     absent = one.readiness(model.name) is Readiness.ABSENT
     loads = (one.instance.id,) if absent else ()
     return Selection(model, (one.instance.id,), loads, standby=True)
--- a/src/zinniaspool/core/formation/balance.py
+++ b/src/zinniaspool/core/formation/balance.py
@@ -29,9 +29,9 @@
 moved group serves nobody for some seconds, and demand changes by itself by a
 tenth from second to second."""
 
-BUSY_USE = 0.7
+BUSY_USE = 0.95
 """Use of its slots, with one group lost, from which a model's groups are worth
-adding to. Up to about this, measured on days with bursts, three requests in a
+adding to. Up to about this, measured on days with bursts, five requests in a
 thousand waited too long, and a move costs the other model more."""
 
 LOAD_USE = 1.2
--- a/src/zinniaspool/core/formation/loads.py
+++ b/src/zinniaspool/core/formation/loads.py
@@ -4,6 +4,10 @@
 
 __all__ = ["LoadBudget"]
 
+BACKGROUND_PART = 0.25
+"""Part of the loads that run well together, and of the rate, that loads in
+the background may take. The rest stays for groups that callers wait for."""
+
 _NO_LIMIT = 1 << 30
 """More loads than any fleet starts."""
 
@@ -64,6 +68,14 @@
         by_rate = self._most - len(self._started)
         return count <= room or (not self._running and count <= by_rate)
 
+    def has_background_room(self, now: float) -> bool:
+        """Tell whether a load that nobody waits for may start."""
+        if self.is_free(now):
+            return True
+        self.room(now)
+        few = len(self._running) < self._at_once * BACKGROUND_PART
+        return few and len(self._started) < self._most * BACKGROUND_PART
+
     def is_free(self, now: float) -> bool:
         """Tell whether loads are not counted yet."""
         return now < self._free_until
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -343,9 +343,10 @@
         """Return orders that bring a second model into hosts' memory.
 
         A VM that holds one model and has the other one at hand can take any
-        lost member's place within seconds. Those that serve get theirs only
-        while loads cost nothing: later ones would make the loads slower that
-        callers wait for.
+        lost member's place within seconds. One that has changed its model has
+        not, and could not change back for as long as a load takes. Those that
+        serve get theirs in the background: their loads would make those slower
+        that callers wait for.
         """
         orders = []
         for run in domain.runs.values():
@@ -353,10 +354,9 @@
             settled = run.phase in (GroupPhase.STANDBY, GroupPhase.SERVING)
             if budget is None or not settled:
                 continue
-            if not run.record.standby and not budget.is_free(now):
-                continue
             for one in run.record.members:
-                orders += self._stage_one(run.record, one, budget, now)
+                if run.record.standby or budget.has_background_room(now):
+                    orders += self._stage_one(run.record, one, budget, now)
         return orders
 
     def _stage_one(
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -33,7 +33,7 @@
     ServiceName,
 )
 
-__all__ = ["ENGINE", "LARGE", "SERVICE", "SMALL", "FormationWorld"]
+__all__ = ["ENGINE", "LARGE", "SERVICE", "SMALL", "FakeEngine", "FormationWorld"]
 
 SERVICE = ServiceName("drafting")
 LARGE = ModelName("large")
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -1,5 +1,6 @@
 """Groups of engines that join and open: whole, exclusive, soon repaired."""
 
+from collections import Counter
 from dataclasses import replace
 
 from hypothesis import settings, strategies as st
@@ -10,10 +11,16 @@
     LARGE,
     SERVICE,
     SMALL,
+    FakeEngine,
     FormationWorld,
 )
-from zinniaspool.core.fleet import InstanceId, InstanceState
+from zinniaspool.core.fleet import Instance, InstanceId, InstanceState
 from zinniaspool.core.formation import GroupPhase, OrderAction
+from zinniaspool.core.formation.allocation import (
+    Candidate,
+    ModelNeed,
+    select_groups,
+)
 from zinniaspool.core.formation.balance import (
     Conversion,
     DomainShape,
@@ -23,6 +30,13 @@
 )
 from zinniaspool.core.ids import FabricDomainId, GroupId
 
+SMALL_SIZE = 2
+
+
+def make_idle(name: str) -> Instance:
+    """Return a VM in no group."""
+    return FakeEngine(InstanceId(name), FabricDomainId("d0")).describe()
+
 
 def make_settled(size: int = 7) -> FormationWorld:
     world = FormationWorld(size=size)
@@ -205,6 +219,44 @@
     assert not world.broken
 
 
+def test_vms_that_changed_their_model_can_change_back_soon() -> None:
+    """Callers of the large model wait for a load of sixteen seconds.
+
+    A burst has taken VMs to the small model, which replaced the large one in
+    their accelerators. It is staged on their hosts again in the background,
+    so that they are back within seconds once the burst is over.
+    """
+    world = FormationWorld(domains=3)
+    world.advance(12.0)
+    world.planner.set_demand({(SERVICE, LARGE): 4.0, (SERVICE, SMALL): 60.0})
+    world.advance(40.0)
+    changed = [one for one in world.engines.values() if one.model == SMALL]
+    assert len(changed) > 3 * SMALL_SIZE
+    assert all(LARGE in one.staged for one in changed)
+    world.planner.set_demand({(SERVICE, LARGE): 36.0, (SERVICE, SMALL): 4.0})
+    world.advance(4.0)
+    assert world.serving(LARGE) == 3
+    assert not world.broken
+
+
+def test_ready_vms_do_not_wait_in_a_group_for_one_that_loads() -> None:
+    """Callers of the large model wait for seconds, not for a load of sixteen.
+
+    Its group has lost a VM, and the only other idle one holds nothing yet.
+    VMs of the small model could take the place in two seconds; in a group
+    that waits for the load, the others would be bound until it is over.
+    """
+    ready = [
+        Candidate(make_idle(f"i{number}"), LARGE, standby=False) for number in range(3)
+    ]
+    fresh = Candidate(make_idle("i9"), None, standby=False)
+    needs = [ModelNeed(spec, 1, 10.0, 0.6) for spec in ENGINE.models]
+    chosen = select_groups([*ready, fresh], needs, Counter(), Counter())
+    assert chosen is not None
+    assert chosen.standby
+    assert chosen.model.name == LARGE
+
+
 class Formation(RuleBasedStateMachine):
     """No order of events opens a group that is not whole, or shares a VM.
 
