--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -43,6 +43,7 @@
         seen_event: Whether the attempt under way has had an event.
         held: An upstream's failure to pass on if nothing better comes.
         first_s: Seconds until the first byte went to the caller.
+        last_event_at: When the newest event went to the caller, in seconds.
         longest_pause_s: Longest pause between two events.
     """
 
@@ -63,4 +64,5 @@
     seen_event: bool = False
     held: HeldAnswer | None = None
     first_s: float | None = None
+    last_event_at: float = 0.0
     longest_pause_s: float = 0.0
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -291,7 +291,6 @@
     ) -> AttemptFailure | None:
         loop = asyncio.get_running_loop()
         call.cursor.resume()
-        last = loop.time()
         while (data := await response.next_part()) is not None:
             now = loop.time()
             note_progress(state, now)
@@ -307,8 +306,9 @@
             if call.progress is Progress.NOTHING:
                 await self._start_stream(call, response)
             else:
-                call.longest_pause_s = max(call.longest_pause_s, now - last)
-            last = now
+                pause_s = now - call.last_event_at
+                call.longest_pause_s = max(call.longest_pause_s, pause_s)
+            call.last_event_at = now
             with CALLER_SIDE:
                 await call.exchange.write(taken.ok_value)
         return await self._end_stream(call, response)
--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+from structlog.testing import capture_logs
+
 from tests.installation import KEY, Installation, eventually, run
+from zinniaspool.core.dispatch import SilenceLimits
 from zinniaspool.http import HttpClient, Request
 
 
@@ -82,6 +85,35 @@
     run(test)
 
 
+def test_the_pause_of_a_moved_stream_is_logged() -> None:
+    """An engineer finds why the caller calls its answer late.
+
+    The caller had events, then none for as long as it took to notice that the
+    head was silent and to go on elsewhere. That is the longest pause, not one
+    between two events of the same head.
+    """
+
+    async def test() -> None:
+        async with Installation.running(engines=9) as made:
+            await eventually(lambda: len(made.heads("large")) >= 2)
+            await made.settle()
+            before = {one.id: len(one.runs) for one in made.heads("large")}
+            with capture_logs() as lines:
+                asking = asyncio.create_task(made.draft("n0", "large", events=40))
+                await asyncio.sleep(0.4)
+                head = next(
+                    one for one in made.heads("large") if len(one.runs) > before[one.id]
+                )
+                made.runners[head.members[1]].faults.dark = True
+                assert (await asking).whole
+            ended = [one for one in lines if one["event"] == "request-ended"]
+            assert [one["attempts"] for one in ended] == [2]
+            silent_ms = SilenceLimits().writing_s * 1000
+            assert ended[0]["pause_ms"] >= silent_ms
+
+    run(test)
+
+
 def test_a_group_is_formed_again_after_a_loss() -> None:
     """New requests are refused for a moment, then served again.
 
