--- a/src/zinniaspool/core/formation/balance.py
+++ b/src/zinniaspool/core/formation/balance.py
@@ -21,6 +21,7 @@
     "ServingGroup",
     "count_after_loss",
     "find_conversion",
+    "find_conversions",
     "measure_use",
 ]
 
@@ -38,6 +39,11 @@
 """The same from which VMs may even load the model anew, over ten seconds:
 requests wait or are refused then although all groups serve."""
 
+MOST_MOVES = 2
+"""Domains that give VMs at the same moment. A burst or several losses fill a
+model within two seconds, as long as one move takes; more at a time would act
+on a demand that has just been measured once."""
+
 FULL_USE = 0.85
 """Use of its slots from which requests of a model wait, whatever is lost."""
 
@@ -109,12 +115,14 @@
         model: What their VMs serve next.
         use: What is left of the fullest model's use after it.
         loads: Whether some of the VMs load that model's weights first.
+        after: Groups of each model after it.
     """
 
     groups: tuple[GroupId, ...]
     model: ModelName
     use: float
     loads: bool
+    after: Mapping[ModelName, int]
 
 
 def count_after_loss(groups: int) -> float:
@@ -129,6 +137,32 @@
     return max(one.use(groups.get(one.spec.name, 0)) for one in demands)
 
 
+def find_conversions(
+    demands: Sequence[ModelDemand],
+    groups: Mapping[ModelName, int],
+    domains: Sequence[DomainShape],
+    most: int = MOST_MOVES,
+) -> list[Conversion]:
+    """Return the groups to close now, at most one domain's for each move.
+
+    Each move is judged by what the ones before it bring.
+    """
+    found: list[Conversion] = []
+    left = list(domains)
+    while len(found) < most:
+        best = find_conversion(demands, groups, left)
+        if best is None:
+            break
+        found.append(best)
+        groups = best.after
+        left = [
+            one
+            for one in left
+            if not any(group.group in best.groups for group in one.groups)
+        ]
+    return found
+
+
 def find_conversion(
     demands: Sequence[ModelDemand],
     groups: Mapping[ModelName, int],
@@ -188,4 +222,5 @@
             wanted: groups.get(wanted, 0) + won,
         }
         closed = tuple(each.group for each in closable[:count])
-        yield Conversion(closed, wanted, measure_use(demands, after), loads)
+        use = measure_use(demands, after)
+        yield Conversion(closed, wanted, use, loads, after)
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -18,10 +18,11 @@
 )
 from zinniaspool.core.formation.balance import (
     LEFT_OF_FEW,
+    Conversion,
     DomainShape,
     ModelDemand,
     ServingGroup,
-    find_conversion,
+    find_conversions,
 )
 from zinniaspool.core.formation.lifecycle import RETRY_S, FleetSight, GroupRun
 from zinniaspool.core.formation.loads import LoadBudget
@@ -254,15 +255,16 @@
                 if (shape := self._find_shape(domain, service)) is not None
             ]
             groups = self._count_groups(service, now - SOON_S)
-            chosen = find_conversion(demands, groups, shapes)
-            if chosen is None:
-                continue
-            self._balanced_at = now
-            for run in self.runs():
-                if run.record.group in chosen.groups:
-                    self._reserve(run.record.group, chosen.model, now)
-                    run.move(GroupPhase.CLOSING, f"balance:{chosen.model}", now)
-                    self._on_move(GroupMove(run.record, run.phase, run.reason))
+            for chosen in find_conversions(demands, groups, shapes):
+                self._balanced_at = now
+                self._convert(chosen, now)
+
+    def _convert(self, chosen: Conversion, now: float) -> None:
+        for run in self.runs():
+            if run.record.group in chosen.groups:
+                self._reserve(run.record.group, chosen.model, now)
+                run.move(GroupPhase.CLOSING, f"balance:{chosen.model}", now)
+                self._on_move(GroupMove(run.record, run.phase, run.reason))
 
     def _reserve(self, group: GroupId, model: ModelName, now: float) -> None:
         """Keep a domain's VMs for the model that they are freed for.
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -27,6 +27,7 @@
     ModelDemand,
     ServingGroup,
     find_conversion,
+    find_conversions,
 )
 from zinniaspool.core.ids import FabricDomainId, GroupId
 
@@ -122,6 +123,19 @@
     assert _convert(9.0, 20.0) is None
 
 
+def test_a_burst_takes_groups_of_two_domains_at_once() -> None:
+    """Callers of the small model are late for two seconds, not for four."""
+    specs = dict(zip((LARGE, SMALL), ENGINE.models, strict=True))
+    demands = [
+        ModelDemand(specs[LARGE], ENGINE.slots, 12.0),
+        ModelDemand(specs[SMALL], ENGINE.slots, 110.0),
+    ]
+    found = find_conversions(demands, {LARGE: 6, SMALL: 6}, _make_shapes(6, 6))
+    assert [one.model for one in found] == [SMALL, SMALL]
+    assert len({group for one in found for group in one.groups}) == 2
+    assert found[-1].after == {LARGE: 4, SMALL: 10}
+
+
 def test_groups_are_taken_where_the_other_model_is_full() -> None:
     conversion = _convert(6.0, 36.0)
     assert conversion is not None
