Leave entry VMs that cannot be reached out of address answers

Cause by construction, with a test that fails first: a doubted removal was not told, yet the copy was told as complete beyond it. As a second guard each entry process tries the others as a caller would (refused once or silent twice), tells the rest to try too, and names none of those it does not reach; who reaches under half of the others names all. Test fails first: a VM ends while the store is down.

--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -27,6 +27,7 @@
     NodeRecord,
     NodeState,
 )
+from zinniaspool.core.fleet.reachability import Reachability, TryOutcome
 
 __all__ = [
     "HOLDER_KEY",
@@ -47,10 +48,12 @@
     "ModelSpec",
     "NodeRecord",
     "NodeState",
+    "Reachability",
     "RequestKind",
     "RouteSpec",
     "ServiceShare",
     "ServiceSpec",
     "StoreMirror",
     "StoredItem",
+    "TryOutcome",
 ]
--- a/src/zinniaspool/core/fleet/messages.py
+++ b/src/zinniaspool/core/fleet/messages.py
@@ -14,6 +14,7 @@
     "SilentTarget",
     "StoreAsk",
     "StoreWord",
+    "UnreachableNode",
 ]
 
 
@@ -99,6 +100,15 @@
     node: NodeId
 
 
+class UnreachableNode(msgspec.Struct, frozen=True, tag="unreachable-node"):
+    """Tells that an entry VM cannot be reached from another one.
+
+    Whoever hears it tries for itself: the teller may be cut off.
+    """
+
+    node: NodeId
+
+
 class DemandNote(msgspec.Struct, frozen=True, tag="demand-note"):
     """Tells the holder how much each model is asked for at one process.
 
--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -82,6 +82,17 @@
         """Whether the store has been read at all."""
         return self.as_of > 0
 
+    @property
+    def believed_as_of(self) -> Revision:
+        """The store's revision up to which all that is told is believed.
+
+        A removal that is doubted is told to nobody yet. A follower that took
+        the copy for complete beyond it, and went on with another process that
+        believes it already, would keep the key for good.
+        """
+        doubted = [self._removed[key] for key in self._missing if key in self._removed]
+        return Revision(min([self.as_of, *(one - 1 for one in doubted)]))
+
     def get(self, key: str) -> StoredItem | None:
         """Return a key's item, or None."""
         return self._items.get(key)
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages.py
@@ -14,6 +14,7 @@
     SilentTarget,
     StoreAsk,
     StoreWord,
+    UnreachableNode,
 )
 from zinniaspool.core.ids import (
     Address,
@@ -138,6 +139,14 @@
 
 Configured = ConfigurationAsk | ConfigurationAnswer
 
-Fleet = FleetWatch | FleetNews | SilentTarget | DemandNote | StoreAsk | StoreWord
+Fleet = (
+    FleetWatch
+    | FleetNews
+    | SilentTarget
+    | UnreachableNode
+    | DemandNote
+    | StoreAsk
+    | StoreWord
+)
 
 Message = Hello | Accepted | Refused | Gossip | Configured | Forwarded | Fleet
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -198,7 +198,7 @@
             mirror.serial if source else 0,
             whole,
             self._pack(since, changed),
-            mirror.as_of,
+            mirror.believed_as_of,
             self._belief.age(asyncio.get_running_loop().time()),
             lead.start,
             lead.age_s,
--- a/src/zinniaspool/gateway/directory.py
+++ b/src/zinniaspool/gateway/directory.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from zinniaspool.core.fleet import NodeRecord, NodeState
+from zinniaspool.core.fleet import NodeRecord, NodeState, Reachability
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.http import Exchange, Headers
 
@@ -27,6 +27,7 @@
         find_own: Returns this process's record while callers may be sent
             here, else None.
         lifetime_s: Longest lifetime that callers honour.
+        reachability: Which other VMs are reached from here.
     """
 
     def __init__(
@@ -34,7 +35,9 @@
         belief: FleetBelief,
         find_own: Callable[[], NodeRecord | None],
         lifetime_s: float,
+        reachability: Reachability,
     ) -> None:
+        self._reachability = reachability
         self._belief = belief
         self._find_own = find_own
         self._lifetime_s = min(LIFETIME_S, lifetime_s)
@@ -62,12 +65,13 @@
     def list_addresses(self) -> list[str]:
         """Return where callers may connect, in no order."""
         own = self._find_own()
-        ready = [
-            record
+        others = {
+            record.node: record
             for record in self._belief.nodes.values()
             if record.state is NodeState.READY
             and (own is None or record.node != own.node)
-        ]
+        }
+        ready = [others[name] for name in self._reachability.list_usable(others)]
         if own is not None:
             ready.append(own)
         if len(ready) > MOST_ADDRESSES:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 
 import msgspec
 import structlog
@@ -14,9 +15,18 @@
     find_silent,
     rest_silent,
 )
-from zinniaspool.core.fleet import NODES_PREFIX, NodeRecord, NodeState
-from zinniaspool.core.fleet.messages import DemandNote, SilentTarget
-from zinniaspool.core.ids import Address
+from zinniaspool.core.fleet import (
+    NODES_PREFIX,
+    NodeRecord,
+    NodeState,
+    Reachability,
+)
+from zinniaspool.core.fleet.messages import (
+    DemandNote,
+    SilentTarget,
+    UnreachableNode,
+)
+from zinniaspool.core.ids import Address, NodeId
 from zinniaspool.core.messages import Hello, Message
 from zinniaspool.fleet import (
     FleetBelief,
@@ -30,6 +40,7 @@
 from zinniaspool.gateway.directory import DirectoryFace
 from zinniaspool.gateway.face import CallerFace, refuse_request
 from zinniaspool.gateway.metrics import make_gateway_metrics
+from zinniaspool.gateway.probes import NodeProber
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
@@ -120,8 +131,12 @@
         self._metrics = make_gateway_metrics(
             tally, self._belief, self._store, self._index, http
         )
+        self._reachability = Reachability(random.Random())
         self._directory = DirectoryFace(
-            self._belief, self._find_own, node.address_lifetime_s
+            self._belief, self._find_own, node.address_lifetime_s, self._reachability
+        )
+        self._prober = NodeProber(
+            self._belief, node.node, self._reachability, self._tell_unreachable
         )
         self._lease = KeptLease(self._store, NODE_LEASE_S)
         self._silence = SilenceLimits()
@@ -144,6 +159,7 @@
             asyncio.create_task(run_duty("register", self._register)),
             asyncio.create_task(run_duty("watch_silence", self._watch_silence)),
             asyncio.create_task(run_duty("tell_demand", self._tell_demand)),
+            asyncio.create_task(run_duty("prober", self._prober.run)),
         ]
         await self._listen()
         await self._mesh.listen(self._address)
@@ -188,8 +204,16 @@
         return [one for one in [*known, *self._node.seeds] if one != self._address]
 
     async def _take_message(self, hello: Hello, message: Message) -> Message | None:
+        if isinstance(message, UnreachableNode):
+            self._reachability.suspect(message.node)
         return None
 
+    def _tell_unreachable(self, node: NodeId) -> None:
+        """Have the others try a VM that this one does not reach."""
+        for record in self._belief.nodes.values():
+            if record.node not in (node, self._node.node):
+                self._send_note(record.peer_address, UnreachableNode(node))
+
     def _report_silent(self, state: TargetState) -> None:
         """Tell the holder of a silent head: it can ask the group's VMs."""
         if state.target.group is not None:
@@ -197,9 +221,11 @@
 
     def _tell_holder(self, note: Message) -> None:
         holder = self._belief.holder
-        if holder is None:
-            return
-        task = asyncio.create_task(self._mesh.tell(holder.peer_address, note))
+        if holder is not None:
+            self._send_note(holder.peer_address, note)
+
+    def _send_note(self, address: Address, note: Message) -> None:
+        task = asyncio.create_task(self._mesh.tell(address, note))
         self._notes.add(task)
         task.add_done_callback(self._notes.discard)
 
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -77,6 +77,8 @@
         "log-lines-dropped": "So many lines were dropped until now, by class.",
         "news-unreadable": "What a peer told of the store cannot be unpacked.",
         "order-given": "An engine was given an order, with its outcome.",
+        "node-unreachable": "Callers are not sent to an entry VM that this one does "
+        "not reach.",
         "peer-stale": "A peer's copy of the store was too old, or it did not answer.",
         "plan-unsaved": "The store did not take a plan; it is written again.",
         "record-unreadable": "A record of ours in the store cannot be read.",
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -107,3 +107,24 @@
         item = mirror.get(key)
         assert (item is not None) == there
         assert item is None or item.revision == revision
+
+
+def test_a_doubted_removal_is_not_told_as_known() -> None:
+    """Callers would be sent to an entry VM that went long ago.
+
+    A process doubts a removal, and a second one follows it meanwhile. Then
+    the second follows a third, which believes the removal and tells what is
+    newer than the second's copy. The removal must be among that.
+    """
+    doubter, follower, believer = make_mirror(), make_mirror(), make_mirror()
+    for one in (doubter, believer):
+        one.replace([StoredItem("servers/i", b"v", Revision(2))], Revision(2), 0.0)
+    doubter.disturb(10.0)
+    for one in (doubter, believer):
+        one.apply([gone("servers/i", 5), put("a", 7)], Revision(7), 10.5)
+    follower.replace(doubter.items(), doubter.believed_as_of, 10.6)
+    for key, item, revision in believer.list_newer(follower.as_of):
+        value = None if item is None else item.value
+        follower.apply([MirrorEvent(key, value, revision)], Revision(7), 10.7)
+    assert follower.get("servers/i") is None
+    assert follower.get("a") is not None
