--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -21,9 +21,10 @@
 ERROR_COST = 3.0
 """What a target that always fails counts as, in full targets."""
 
-FAR_COST = 0.05
-"""What another failure domain costs, in full targets: enough to break a tie,
-far less than a request of one's own in the queue."""
+FAR_COST = 0.25
+"""What another failure domain costs, in full targets. What is carried between
+them is paid for, and a target that is a quarter fuller answers about as soon
+as long as it has free slots; a full one never wins by being near."""
 
 EJECT_FAILURES = 3
 """Failures in a row after which a target is left alone for a while."""
--- a/src/zinniaspool/core/formation/balance.py
+++ b/src/zinniaspool/core/formation/balance.py
@@ -39,10 +39,10 @@
 """The same from which VMs may even load the model anew, over ten seconds:
 requests wait or are refused then although all groups serve."""
 
-MOST_MOVES = 2
-"""Domains that give VMs at the same moment. A burst or several losses fill a
-model within two seconds, as long as one move takes; more at a time would act
-on a demand that has just been measured once."""
+MOVED_PART = 0.5
+"""Part of the domains that may give VMs at the same moment. A burst or several
+losses fill a model within two seconds, as long as one move takes, and each
+move is judged by what those before it bring."""
 
 FULL_USE = 0.85
 """Use of its slots from which requests of a model wait, whatever is lost."""
@@ -141,7 +141,6 @@
     demands: Sequence[ModelDemand],
     groups: Mapping[ModelName, int],
     domains: Sequence[DomainShape],
-    most: int = MOST_MOVES,
 ) -> list[Conversion]:
     """Return the groups to close now, at most one domain's for each move.
 
@@ -149,7 +148,7 @@
     """
     found: list[Conversion] = []
     left = list(domains)
-    while len(found) < most:
+    while len(found) < MOVED_PART * len(domains):
         best = find_conversion(demands, groups, left)
         if best is None:
             break
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -336,7 +336,8 @@
         needs = []
         for one in demands:
             count = groups[one.spec.name]
-            demand = one.busy if measured else one.spec.share * one.spec.pace
+            # The share is one of the VMs' work, and a group has many of them.
+            demand = one.busy if measured else one.spec.share / one.spec.size
             use = one.busy / (max(count, LEFT_OF_FEW) * one.slots)
             needs.append(ModelNeed(one.spec, count, demand, use if measured else None))
         return needs
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -58,6 +58,23 @@
     assert later is not None and later.target.instance == "x"
 
 
+def test_a_near_target_is_chosen_while_it_has_about_as_much_room() -> None:
+    """What is carried to another failure domain is paid for by operators.
+
+    A near target with one request more answers as soon. A full one does not,
+    and its callers would wait to save a few bytes.
+    """
+    pool = TargetPool(FailureDomainId("a"), random.Random(1))
+    pool.update([make_target("near"), make_target("far", "b")], 0.0)
+    find(pool, "near").own = 1
+    chosen = pool.choose(0.0)
+    assert chosen is not None and chosen.target.instance == "near"
+    find(pool, "near").own = 8
+    find(pool, "far").own = 5
+    chosen = pool.choose(0.0)
+    assert chosen is not None and chosen.target.instance == "far"
+
+
 def test_a_target_that_fails_is_left_alone_but_not_the_last_one() -> None:
     pool = make_pool("x", "y")
     bad = find(pool, "x")
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -54,6 +54,19 @@
     assert len(standing) == 1
 
 
+def test_before_anything_is_measured_groups_follow_the_work_of_their_vms() -> None:
+    """Callers of the small model would be late for the first eight seconds.
+
+    All that is known at the start is which part of the VMs' work each model
+    has. A group of the large one has twice as many of them, so that the same
+    part needs half as many groups.
+    """
+    world = FormationWorld(domains=4, size=9)
+    world.advance(12.0)
+    assert (world.serving(LARGE), world.serving(SMALL)) == (4, 8)
+    assert not world.broken
+
+
 def test_a_lost_member_is_replaced_within_a_second() -> None:
     """The caller's streams of the group stop; others wait for room.
 
