--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -133,6 +133,27 @@
         'whole, self._tail = data, b""',
         "tests/test_streams.py",
     ),
+    Safeguard(
+        "a doubted removal is not told as known",
+        f"{CORE}/fleet/mirror.py",
+        "return Revision(min([self.as_of, *(one - 1 for one in doubted)]))",
+        "return self.as_of",
+        "tests/test_mirror.py",
+    ),
+    Safeguard(
+        "callers are not sent to a VM that is not reached",
+        "src/zinniaspool/gateway/directory.py",
+        "for name in self._reachability.list_usable(others)",
+        "for name in others",
+        "tests/test_reachability.py",
+    ),
+    Safeguard(
+        "ready VMs are not bound in a group while another one loads",
+        f"{CORE}/formation/allocation.py",
+        "if not found.loads or len(found.loads) == need.spec.size:",
+        "if True:",
+        "tests/test_formation.py",
+    ),
     Safeguard(
         "log lines of requests leave room for the others",
         "src/zinniaspool/telemetry/lines.py",
