--- a/src/zinniaspool/cli/main.py
+++ b/src/zinniaspool/cli/main.py
@@ -2,7 +2,7 @@
 
 import typer
 
-from zinniaspool.cli import checking, configuration, groups, processes
+from zinniaspool.cli import checking, configuration, groups, processes, traces
 
 __all__ = ["app", "main"]
 
@@ -14,7 +14,7 @@
     """Drive a zinniaspool fleet."""
 
 
-for _family in (checking, configuration, groups, processes):
+for _family in (checking, configuration, groups, processes, traces):
     app.add_typer(_family.commands)
 
 
