--- a/src/zinniaspool/core/requests/claims.py
+++ b/src/zinniaspool/core/requests/claims.py
@@ -44,6 +44,8 @@
 SLOTS = 32
 """Hash slots of claims: writes of a fleet stay below the store's rate."""
 CLAIMS_PER_ARCHIVE = 128
+"""Claims that a slot's head holds before they move to an archive; chosen, so
+that a head, which is written anew with each swap, stays at a few kilobytes."""
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True):
