Take a runner that starts again for a new one; refuse foreign entries whole

Until now a restart under the same id kept load, suspicion, connections, a planned group's member and a VM's model; an entry that could not be read left the one before it in force, and a deeply nested one ended the process by RecursionError.

Change: `born` goes through entries, reports, targets and the planner; a later start ends the group, and forgets what was known of the VM; what an earlier life wrote is not believed after a later one. An entry is believed only where every field that instances write is there with its type, its states are known and its address and id can be used; one log line a reason.

Ruled out: going by the count of orders (it starts anew, so a lower count may be a late write as well as a restart).

--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.fleet import InstanceId, is_reborn
 from zinniaspool.core.ids import Address, Epoch, FailureDomainId, GroupId, ModelName
 
 __all__ = ["PlainPick", "RequestSize", "Target", "TargetPool", "TargetState"]
@@ -45,6 +45,7 @@
         model: What it serves; None for a plain service.
         group: Its replica group.
         epoch: That group's epoch.
+        born: Unix milliseconds of the instance's start, where it tells.
     """
 
     instance: InstanceId
@@ -54,6 +55,7 @@
     model: ModelName | None = None
     group: GroupId | None = None
     epoch: Epoch = Epoch(0)
+    born: int | None = None
 
 
 class RequestSize(NamedTuple):
@@ -140,11 +142,7 @@
         gone = []
         for name, state in list(self._states.items()):
             new = wanted.get(name)
-            same = new is not None and (new.group, new.epoch) == (
-                state.target.group,
-                state.target.epoch,
-            )
-            if new is None or not same:
+            if new is None or not _is_same(state.target, new):
                 state.gone = True
                 gone.append(self._states.pop(name))
             else:
@@ -214,3 +212,13 @@
 
     def _draw(self) -> float:
         return self._source.random()
+
+
+def _is_same(before: Target, now: Target) -> bool:
+    """Tell whether what is known of a target still holds.
+
+    A group that was formed anew, or an instance that started again, has none
+    of the requests and nothing of the past of the one before.
+    """
+    same_group = (before.group, before.epoch) == (now.group, now.epoch)
+    return same_group and not is_reborn(before.born, now.born)
--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -17,6 +17,7 @@
     InstanceState,
     Membership,
     MembershipState,
+    is_reborn,
 )
 from zinniaspool.core.fleet.mirror import Change, MirrorEvent, StoredItem, StoreMirror
 from zinniaspool.core.fleet.nodes import (
@@ -56,4 +57,5 @@
     "StoreMirror",
     "StoredItem",
     "TryOutcome",
+    "is_reborn",
 ]
--- a/src/zinniaspool/core/fleet/instances.py
+++ b/src/zinniaspool/core/fleet/instances.py
@@ -20,10 +20,11 @@
     "InstanceState",
     "Membership",
     "MembershipState",
+    "is_reborn",
 ]
 
 InstanceId = NewType("InstanceId", str)
-"""One run of an upstream process; a restart has another one."""
+"""One upstream process; one that starts again may keep it."""
 
 
 class InstanceState(Enum):
@@ -76,6 +77,7 @@
         model: The model in its accelerators' memory.
         staged: Models in its host's memory.
         membership: Its replica group.
+        born: Unix milliseconds of its start; None where it does not tell.
     """
 
     id: InstanceId
@@ -88,3 +90,14 @@
     model: ModelName | None = None
     staged: tuple[ModelName, ...] = ()
     membership: Membership | None = None
+    born: int | None = None
+
+
+def is_reborn(before: int | None, now: int | None) -> bool:
+    """Tell from two starts whether a process has started again between them.
+
+    It then holds and knows nothing of before: no group, no requests, and
+    nothing that was found out about it. One that has not told its start yet
+    is taken to be the same.
+    """
+    return before is not None and now is not None and before != now
--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -57,6 +57,7 @@
         released: Members that are known to be out of it.
         reason: Why it came to this phase, for a person.
         stale: Whether an engine has seen a higher epoch than the group's.
+        reborn: Members that have started again since the group was planned.
     """
 
     record: GroupRecord
@@ -65,6 +66,7 @@
     released: set[InstanceId] = field(default_factory=set)
     reason: str = "planned"
     stale: bool = False
+    reborn: set[InstanceId] = field(default_factory=set)
     _must_release: set[InstanceId] = field(default_factory=set)
     _not_held: set[InstanceId] = field(default_factory=set)
     _given: dict[tuple[InstanceId, OrderAction], float] = field(default_factory=dict)
@@ -112,6 +114,12 @@
     def _judge(self, sight: FleetSight, now: float) -> None:
         if self.phase is GroupPhase.ENDING:
             return
+        if self.reborn:
+            # Its entry may still name the group, or name it again by a late
+            # order. What it held for the group is gone all the same, and the
+            # head serves on for nothing.
+            self.move(GroupPhase.ENDING, f"member-reborn:{min(self.reborn)}", now)
+            return
         missing = [one for one in self.record.members if sight.find(one) is None]
         if missing:
             self.move(GroupPhase.ENDING, f"member-lost:{missing[0]}", now)
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -9,6 +9,7 @@
     Instance,
     InstanceId,
     InstanceState,
+    is_reborn,
 )
 from zinniaspool.core.formation.allocation import (
     Candidate,
@@ -126,6 +127,7 @@
         self._arrived_at: dict[FabricDomainId, float] = {}
         self._known: frozenset[InstanceId] = frozenset()
         self._held: dict[InstanceId, ModelName] = {}
+        self._births: dict[InstanceId, int] = {}
         self._releases = ReleaseBook()
         self._staging: dict[InstanceId, float] = {}
         self._demand: dict[tuple[ServiceName, ModelName], float] = {}
@@ -162,12 +164,28 @@
         self._sight.instances = instances
         self._sight.lost &= instances.keys()
         for one in instances.values():
+            if is_reborn(self._births.get(one.id), one.born):
+                self._forget(one.id)
+            if one.born is not None:
+                self._births[one.id] = one.born
             if one.membership is not None and one.model is not None:
                 self._held[one.id] = one.model
         for gone in self._held.keys() - instances.keys():
             del self._held[gone]
         for gone in self._staging.keys() - instances.keys():
             del self._staging[gone]
+        for gone in self._births.keys() - instances.keys():
+            del self._births[gone]
+
+    def _forget(self, instance: InstanceId) -> None:
+        """Forget a VM's earlier life: it is in no group and holds no model."""
+        self._held.pop(instance, None)
+        self._staging.pop(instance, None)
+        self._sight.lost.discard(instance)
+        self._releases.forget(instance)
+        for run in self.runs():
+            if instance in run.record.members:
+                run.reborn.add(instance)
 
     def set_demand(self, demand: Mapping[tuple[ServiceName, ModelName], float]) -> None:
         """Take how many requests of each model run or wait, on average."""
--- a/src/zinniaspool/core/formation/releases.py
+++ b/src/zinniaspool/core/formation/releases.py
@@ -50,6 +50,13 @@
             self._ended.append(group)
         self._left += [(one, group) for one in run.released]
 
+    def forget(self, instance: InstanceId) -> None:
+        """Take that a VM has started again and is in no group of before."""
+        self._strays.pop(instance, None)
+        kept = [one for one in self._left if one[0] != instance]
+        self._left.clear()
+        self._left += kept
+
     def is_free(self, one: Instance) -> bool:
         """Tell whether a VM that no plan names is in no group any more.
 
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -17,6 +17,7 @@
     InstanceId,
     NodeRecord,
     StoreMirror,
+    is_reborn,
 )
 from zinniaspool.core.ids import NodeId
 from zinniaspool.fleet.sight import boot_time
@@ -36,6 +37,10 @@
 _NEVER_S = -1e6
 """When what is believed was last confirmed, before it ever was: long ago."""
 
+MOST_BIRTHS = 4096
+"""Instances whose newest start is remembered, also after their entries are
+gone: several times those of the largest fleet planned for."""
+
 
 class FleetBelief:
     """Rules, instances and nodes as the store's copy has them.
@@ -62,6 +67,8 @@
         self.on_change: list[Callable[[], None]] = []
         self.confirmed_at_boot = _NEVER_S
         self._confirmed = _NEVER_S
+        self._births: dict[InstanceId, int] = {}
+        self._refused: dict[InstanceId, str] = {}
 
     def confirm(self, at: float) -> None:
         """Note that all that is believed was so at a time, in seconds."""
@@ -78,9 +85,22 @@
         item, known = self.mirror.get(key), self.instances.get(instance)
         if item is None or known is None:
             return
+        if self._is_outdated(instance, status.born):
+            return
         told = (status.membership, status.model, status.staged)
-        if told != (known.membership, known.model, known.staged):
-            self.take(self.mirror.amend(key, amend_entry(item.value, status)))
+        same = told == (known.membership, known.model, known.staged)
+        if same and not is_reborn(known.born, status.born):
+            return
+        amended = amend_entry(item.value, status)
+        if isinstance(amended, Err):
+            _log.warning("entry-unreadable", key=key, reason=amended.err_value)
+            return
+        self.take(self.mirror.amend(key, amended.ok_value))
+
+    def is_over(self, instance: InstanceId, born: int | None) -> bool:
+        """Tell whether the life of an instance that began then has ended."""
+        known = self.instances.get(instance)
+        return known is None or is_reborn(born, known.born)
 
     def age(self, now: float) -> float:
         """Return for how many seconds nothing has confirmed the belief."""
@@ -138,19 +158,60 @@
     def _take_entry(self, change: Change) -> None:
         instance = InstanceId(change.key.removeprefix(ENTRIES_PREFIX))
         if change.after is None:
-            if self.instances.pop(instance, None) is not None:
-                _log.info("instance-gone", instance=instance)
+            self._refused.pop(instance, None)
+            self._drop(instance)
             return
         read = read_entry(change.key, change.after.value)
         if isinstance(read, Err):
-            _log.warning("entry-unreadable", key=change.key, reason=read.err_value)
+            self._refuse_entry(instance, change.key, read.err_value)
+            return
+        found = read.ok_value
+        if self._is_outdated(instance, found.born):
+            self._refuse_entry(instance, change.key, "of an earlier life", keep=True)
             return
+        self._refused.pop(instance, None)
+        self._note_birth(instance, found.born)
         before = self.instances.get(instance)
-        self.instances[instance] = read.ok_value
-        if before is not None and before.state is not read.ok_value.state:
-            _log.info(
-                "instance-state", instance=instance, state=read.ok_value.state.value
-            )
+        self.instances[instance] = found
+        if before is not None and before.state is not found.state:
+            _log.info("instance-state", instance=instance, state=found.state.value)
+
+    def _refuse_entry(
+        self, instance: InstanceId, key: str, reason: str, *, keep: bool = False
+    ) -> None:
+        """Take that an entry names no instance to use; the others hold.
+
+        Whoever writes it may do so many times a second: it is logged anew only
+        for another reason.
+        """
+        if self._refused.get(instance) != reason:
+            self._refused[instance] = reason
+            _log.warning("entry-unreadable", key=key, reason=reason)
+        if not keep:
+            self._drop(instance)
+
+    def _drop(self, instance: InstanceId) -> None:
+        if self.instances.pop(instance, None) is not None:
+            _log.info("instance-gone", instance=instance)
+
+    def _is_outdated(self, instance: InstanceId, born: int | None) -> bool:
+        """Tell whether something is of an earlier life than the newest known.
+
+        A write from before a restart can come in after it. Its group and its
+        model are held by nobody any more.
+        """
+        newest = self._births.get(instance)
+        return newest is not None and (born is None or born < newest)
+
+    def _note_birth(self, instance: InstanceId, born: int | None) -> None:
+        if born is None:
+            return
+        before = self._births.pop(instance, None)
+        self._births[instance] = born
+        if is_reborn(before, born):
+            _log.info("instance-reborn", instance=instance, born=born)
+        if len(self._births) > MOST_BIRTHS:
+            del self._births[next(iter(self._births))]
 
     def _take_node(self, change: Change) -> None:
         node = NodeId(change.key.removeprefix(NODES_PREFIX))
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -119,8 +119,8 @@
         )
         self._notes: set[asyncio.Task[bool]] = set()
         self._index = TargetIndex(self._belief, node.failure_domain)
-        http = HttpClient(connect_s=CONNECT_S, unframed=True)
-        self._carrier = Carrier(http, self._index)
+        self._http = HttpClient(connect_s=CONNECT_S, unframed=True)
+        self._carrier = Carrier(self._http, self._index)
         repeats = RepeatLimits(
             node.repeat_ratio, node.repeat_window_s, node.repeat_slack
         )
@@ -129,7 +129,7 @@
             self._belief, self._carrier, repeats, lambda: self._may_begin, tally
         )
         self._metrics = make_gateway_metrics(
-            tally, self._belief, self._store, self._index, http
+            tally, self._belief, self._store, self._index, self._http
         )
         self._reachability = Reachability(random.Random())
         self._directory = DirectoryFace(
@@ -274,6 +274,8 @@
     def _refresh(self) -> None:
         now = asyncio.get_running_loop().time()
         for state in self._index.refresh(now):
+            if self._belief.is_over(state.target.instance, state.target.born):
+                self._http.forget(state.target.address)
             self._carrier.move_from(state)
 
     def _count_processes(self) -> None:
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -74,7 +74,10 @@
             by_service[one.service].append(one)
         for service, instances in by_service.items():
             spec = catalog.services.get(service)
-            if spec is None or spec.engine is None:
+            if spec is None:
+                # No route leads there: the operator names no such service.
+                continue
+            if spec.engine is None:
                 for one in instances:
                     if one.state is InstanceState.READY:
                         wanted[service, None].append(_make_plain(one))
@@ -97,7 +100,9 @@
 
 
 def _make_plain(one: Instance) -> Target:
-    return Target(one.id, one.address, one.failure_domain, max(1, one.slots))
+    return Target(
+        one.id, one.address, one.failure_domain, max(1, one.slots), born=one.born
+    )
 
 
 def _make_group(group: WholeGroup, slots: int) -> Target:
@@ -110,4 +115,5 @@
         group.model,
         group.group,
         group.epoch,
+        head.born,
     )
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -181,6 +181,15 @@
                 connection.abort()
         self._idle.clear()
 
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to an address: another process has it.
+
+        One that is kept from before looks open until it is used, and what is
+        sent on it may then have run or not, for all that anybody can tell.
+        """
+        for connection in self._idle.pop(address, ()):
+            connection.abort()
+
     def keep(self, connection: "_ClientConnection") -> None:
         """Take back a connection whose answer came whole."""
         idle = self._idle.setdefault(connection.address, deque())
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -113,6 +113,7 @@
     group: dict[str, Any] | None = None
     members: list[str] = field(default_factory=list)
     been_ready: set[tuple[str, int, tuple[str, ...]]] = field(default_factory=set)
+    born: int = 1_700_000_000_000
     _epoch: int = 0
     _written: str = ""
     _silent: float = 0.0
@@ -125,6 +126,14 @@
             self._keep_entry()
             await asyncio.sleep(self.times.heartbeat_s / 8)
 
+    def restart(self) -> None:
+        """Start again under the same id, knowing nothing of before."""
+        self.born += 1
+        self.model, self.group, self.members = "", None, []
+        self.orders.clear()
+        self._epoch = 0
+        self._last_answers.clear()
+
     # The entry.
 
     def _keep_entry(self) -> None:
@@ -151,6 +160,7 @@
             "state": "draining" if self.faults.leaving else "ready",
             "cold-left-ms": 0,
             "seq-no": len(self.orders),
+            "born": self.born,
         }
         if self.domain is not None:
             models = [{"name": self.model, "version": 1}] if self.model else []
@@ -238,8 +248,14 @@
             self.been_ready.add((group["name"], group["epoch"], tuple(self.members)))
 
     def _open(self, group: dict[str, Any]) -> None:
-        if self.group is group:
-            group["state"] = "open"
+        if self.group is not group:
+            return
+        group["state"] = "open"
+        key = (group["name"], group["epoch"], tuple(self.members))
+        for one in self.members:
+            member = self.others.get(one)
+            if member is not None and key not in member.been_ready:
+                self.broken.append(f"{group['name']} opens without {one}")
 
     def _finish_staging(self, model: str) -> None:
         self.staged = [model]
--- a/src/zinniaspool_standins/soak.py
+++ b/src/zinniaspool_standins/soak.py
@@ -41,6 +41,9 @@
 END_CALLS, LEAST_SERVED = 8, 6
 """Requests to each VM at the end, and how many of them must be served."""
 
+FOREIGN = ("", "AAAA", "e30=", "/w==", "eyJzZXJ2aWNlIjozfQ==")
+"""Entries that no runner writes, as the store keeps them."""
+
 NOT_RUN = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 GATEWAY, KEEPER = "zinniaspool.gateway.main", "zinniaspool.keeper.main"
 
@@ -177,6 +180,22 @@
             await asyncio.sleep(self.source.uniform(0.1, 1.6))
         await asyncio.gather(*running)
 
+    async def break_instances(self, until: float) -> None:
+        """Restart runners under their ids and write foreign entries.
+
+        Drawn from a source of its own: the other faults of a seed stay what
+        they were when it first failed.
+        """
+        source = random.Random(f"instances-{self.seed}")
+        while asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(source.uniform(0.5, 2.5))
+            one = source.choice(list(self.made.runners.values()))
+            if source.choice((True, True, False)):
+                self.faults.append(f"restart {one.id}")
+                one.restart()
+            else:
+                self.made.store.put("servers/foreign", source.choice(FOREIGN))
+
     def pick(self) -> _Process:
         return self.source.choice(self.source.choice(self.nodes).processes)
 
@@ -280,7 +299,9 @@
         loop = asyncio.get_running_loop()
         ends = loop.time() + TRAFFIC_S
         await asyncio.gather(
-            soak.break_things(ends - CALM_S), soak.send_traffic(ends + 1.0)
+            soak.break_things(ends - CALM_S),
+            soak.break_instances(ends - CALM_S),
+            soak.send_traffic(ends + 1.0),
         )
         await asyncio.sleep(CALM_S)
         await soak.check_end()
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -85,9 +85,14 @@
     ready_at: float = 0.0
     opens_at: float | None = None
     staging: tuple[float, ModelName] | None = None
+    born: int = 1
+    born_at: float = 0.0
     has_been_ready: set[tuple[str, int, tuple[InstanceId, ...]]] = field(
         default_factory=set
     )
+    ready_this_life: set[tuple[str, int, tuple[InstanceId, ...]]] = field(
+        default_factory=set
+    )
 
     def describe(self) -> Instance:
         return Instance(
@@ -101,6 +106,7 @@
             self.model,
             self.staged,
             self.membership,
+            self.born,
         )
 
 
@@ -166,6 +172,15 @@
         fresh.staged = engine.staged
         return fresh
 
+    def rebear(self, engine: FakeEngine) -> None:
+        """Let an engine start again under its id with nothing of before."""
+        engine.born += 1
+        engine.born_at = self.now
+        engine.alive, engine.state = True, InstanceState.READY
+        engine.model, engine.membership, engine.members = None, None, ()
+        engine.seen_epoch, engine.opens_at, engine.staging = 0, None, None
+        engine.ready_this_life.clear()
+
     def _next_epoch(self) -> Epoch:
         self.epoch += 1
         return Epoch(self.epoch)
@@ -197,7 +212,9 @@
         joining = held is not None and held.state is MembershipState.JOINING
         if held is not None and joining and engine.ready_at <= self.now:
             engine.membership = replace(held, state=MembershipState.READY)
-            engine.has_been_ready.add((held.group, held.epoch, engine.members))
+            key = (held.group, held.epoch, engine.members)
+            engine.has_been_ready.add(key)
+            engine.ready_this_life.add(key)
         if engine.opens_at is not None and engine.opens_at <= self.now:
             engine.opens_at = None
             if engine.membership is not None:
@@ -220,6 +237,8 @@
         engine = self.engines.get(order.instance)
         if engine is None or not engine.alive:
             return OrderOutcome.UNANSWERED
+        if order.action is OrderAction.OPEN:
+            self._check_lives(engine)
         if self._source.random() < self.late_part:
             self._late.append((self.now + self._source.uniform(2.0, 12.0), order))
             return OrderOutcome.UNANSWERED
@@ -310,6 +329,24 @@
             if member is not None and key not in member.has_been_ready:
                 self.broken.append(f"{held.group} opens without {one}")
 
+    def _check_lives(self, head: FakeEngine) -> None:
+        """Note an order to open though a member is known to be reborn.
+
+        Only where its entry could tell: it reaches the store, and started
+        before the entries that the order was decided on.
+        """
+        held = head.membership
+        if held is None:
+            return
+        key = (held.group, held.epoch, head.members)
+        for one in head.members:
+            member = self.engines.get(one)
+            if member is None or not member.in_touch or not member.alive:
+                continue
+            told = member.born_at < self.now - TICK_S
+            if told and key in member.has_been_ready - member.ready_this_life:
+                self.broken.append(f"{held.group} is opened with {one} reborn")
+
     def _is_whole(self, head: FakeEngine) -> bool:
         held = head.membership
         if held is None or held.state is not MembershipState.OPEN:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -19,7 +19,9 @@
 from zinniaspool.core.ids import Address, FailureDomainId, GroupId, ModelName
 
 
-def make_target(name: str, domain: str = "a", group: str = "g") -> Target:
+def make_target(
+    name: str, domain: str = "a", group: str = "g", born: int | None = None
+) -> Target:
     return Target(
         InstanceId(name),
         Address(f"10.0.0.1:{len(name)}"),
@@ -27,6 +29,7 @@
         8,
         ModelName("m"),
         GroupId(group),
+        born=born,
     )
 
 
@@ -95,6 +98,25 @@
     assert find(pool, "x") is not old
 
 
+@pytest.mark.parametrize(("before", "now", "same"), [(1, 2, False), (None, 1, True)])
+def test_nothing_is_known_of_a_target_that_started_again(
+    before: int | None, now: int, same: bool
+) -> None:
+    """Callers would be sent past a sound upstream, or into one by its past.
+
+    A process that starts again under its id has none of the requests, the
+    failures and the silence of the one before. One that only now tells when
+    it started is the same.
+    """
+    pool = TargetPool(FailureDomainId("a"), random.Random(1))
+    pool.update([make_target("x", born=before)], 0.0)
+    old = find(pool, "x")
+    old.own, old.others, old.silent_until, old.error_part = 3, 5.0, 9.0, 1.0
+    gone = pool.update([make_target("x", born=now)], 1.0)
+    assert (gone == [], find(pool, "x") is old) == (same, same)
+    assert find(pool, "x").usable(1.0) is not same
+
+
 def test_streams_that_all_stop_show_a_silent_head() -> None:
     """The store tells of a lost VM after seconds; its streams at once."""
     pool = make_pool("x", "y", "idle")
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -82,6 +82,69 @@
     assert not world.broken
 
 
+def test_a_vm_that_starts_again_is_no_member_of_its_old_group() -> None:
+    """Callers of the group would wait until its head breaks, after seconds.
+
+    A VM crashes and starts again under its id before anybody misses it. Its
+    entry still names the group, by an order carried out late. It holds
+    nothing of the model; only its start tells.
+    """
+    world = make_settled()
+    reborn = world.members_of(LARGE)[1]
+    before, members = reborn.membership, reborn.members
+    world.rebear(reborn)
+    reborn.membership, reborn.members, reborn.model = before, members, LARGE
+    assert before is not None
+    world.advance(0.1)
+    old = [run for run in world.planner.runs() if run.record.group == before.group]
+    assert [run.phase for run in old] in ([GroupPhase.ENDING], [])
+    world.advance(3.0)
+    assert world.serving(LARGE) == 1
+    assert world.members_of(LARGE)[0].membership != before
+    assert not world.broken
+
+
+def test_a_group_that_forms_is_given_up_when_a_member_starts_again() -> None:
+    """A request would begin in a group that a member was never ready in.
+
+    All members have joined and one starts again before the head is opened:
+    its word that it is ready is from before.
+    """
+    world = make_settled()
+    world.lose(world.members_of(LARGE)[1])
+    world.advance(0.1)
+    forming = next(
+        run
+        for run in world.planner.runs()
+        if run.phase is GroupPhase.FORMING and not run.record.standby
+    )
+    member = world.engines[forming.record.members[2]]
+    world.rebear(member)
+    world.advance(0.1)
+    assert forming.phase is GroupPhase.ENDING
+    world.advance(4.0)
+    assert not world.broken
+
+
+def test_what_was_known_of_a_vm_ends_with_its_life() -> None:
+    """A VM that starts again would stay out of use, or be taken for ready.
+
+    It counted as lost, had a model in its memory and a group to leave. None
+    of that holds in its next life.
+    """
+    world = make_settled()
+    standing = next(run for run in world.planner.runs() if run.record.standby)
+    engine = world.engines[standing.record.head]
+    world.planner.lose(engine.id)
+    world.advance(0.5)
+    world.rebear(engine)
+    world.advance(0.2)
+    assert engine.id not in world.planner.lost
+    world.advance(6.0)
+    assert engine.membership is not None
+    assert not world.broken
+
+
 def test_a_lost_group_is_formed_again_of_its_own_model() -> None:
     """Callers of the large model wait for seconds, loss after loss.
 
@@ -316,6 +379,10 @@
     def restart(self, number: int) -> None:
         self.world.restart(self.world.engines[self._pick(number)])
 
+    @rule(number=st.integers(0, 20))
+    def rebear(self, number: int) -> None:
+        self.world.rebear(self.world.engines[self._pick(number)])
+
     @rule(number=st.integers(0, 20), in_touch=st.booleans())
     def cut(self, number: int, in_touch: bool) -> None:
         self.world.engines[self._pick(number)].in_touch = in_touch
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,16 +1,17 @@
 """The platform's spelling, decoded once; bad input harms nothing."""
 
 import asyncio
+import json
 from base64 import b64encode
 from pathlib import Path
 
 import msgspec
 import pytest
+from hypothesis import given, strategies as st
 from result import Err, Ok
 
 from zinniaspool.core.fleet import (
     InstanceId,
-    InstanceState,
     MembershipState,
     RequestKind,
 )
@@ -53,14 +54,17 @@
     "service": "drafting",
     "address": "10.128.0.9:8080",
     "zone": "hall-a",
+    "version": "v1",
     "slots": 13,
     "state": "ready",
+    "cold-left-ms": 0,
     "models": [{"name": "large", "version": 1, "adapters": []}],
     "staged": ["small"],
     "domain": "d1",
     "group": {"name": "g7", "epoch": 12, "rank": 0, "state": "open"},
     "seq-no": 4,
 }
+_OPTIONAL = ("models", "staged", "domain", "group")
 
 
 def test_settings_are_read_and_unknown_ones_passed_over(tmp_path: Path) -> None:
@@ -134,23 +138,101 @@
     assert (one.membership.group, one.membership.state) == ("g7", MembershipState.OPEN)
 
 
-def test_a_state_that_is_not_known_takes_no_requests() -> None:
-    odd = {**_ENTRY, "state": "resting", "group": {"name": "g", "state": "odd"}}
-    one = read_entry("servers/i-1", msgspec.json.encode(odd)).unwrap()
-    assert one.state is InstanceState.LEAVING
-    assert one.membership is not None
-    assert one.membership.state is MembershipState.BROKEN
+def _spoil(**changes: object) -> bytes:
+    return msgspec.json.encode({**_ENTRY, **changes})
+
+
+_GROUP = {"name": "g7", "epoch": 12, "rank": 0, "state": "open"}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\x00",
+        b"[]",
+        b'{"service":3}',
+        b'{"x":' + b"[" * 100_000,
+        _spoil(state="resting"),
+        _spoil(state=None),
+        _spoil(slots="13"),
+        _spoil(slots=-1),
+        _spoil(slots=1.5),
+        _spoil(address="nowhere"),
+        _spoil(address="10.0.0.1:http"),
+        _spoil(address="10.0.0.1:0"),
+        _spoil(zone=7),
+        _spoil(staged="small"),
+        _spoil(models={"name": "large"}),
+        _spoil(born="1700000000000"),
+        _spoil(born=1.5),
+        _spoil(born=None),
+        _spoil(group="g7"),
+        _spoil(group={"name": "g7", "state": "open"}),
+        _spoil(group={**_GROUP, "state": "odd"}),
+        _spoil(group={**_GROUP, "epoch": 2**70}),
+    ],
+)
+def test_an_entry_that_is_not_an_instances_names_none(value: bytes) -> None:
+    """Requests would go to an address at which nobody answers for the service.
+
+    Another writer's entry looks like an instance's in part: a state that does
+    not exist, a count that is a text, a field of another shape.
+    """
+    assert isinstance(read_entry("servers/i-1", value), Err)
+
+
+@pytest.mark.parametrize("missing", [one for one in _ENTRY if one not in _OPTIONAL])
+def test_an_entry_without_a_field_that_all_instances_write_names_none(
+    missing: str,
+) -> None:
+    entry = {name: value for name, value in _ENTRY.items() if name != missing}
+    assert isinstance(read_entry("servers/i-1", msgspec.json.encode(entry)), Err)
+
+
+@pytest.mark.parametrize("key", ["servers/", "servers/a b", "servers/a\r\nx: y"])
+def test_an_id_that_no_header_can_carry_names_none(key: str) -> None:
+    assert isinstance(read_entry(key, _spoil()), Err)
+
+
+def test_a_start_is_read_of_entries_and_answers() -> None:
+    entry = read_entry("servers/i-1", _spoil(born=1_700_000_000_123)).unwrap()
+    assert entry.born == 1_700_000_000_123
+    assert read_entry("servers/i-1", _spoil()).unwrap().born is None
+    assert read_status(b'{"born":5}').unwrap().born == 5
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from([*_ENTRY, "born", "name", "x"]), inner)
+    ),
+    max_leaves=12,
+)
+_BYTES = st.binary(max_size=64) | _JSON.map(lambda one: json.dumps(one).encode())
+_CHANGED = st.dictionaries(st.sampled_from([*_ENTRY, "born"]), _JSON, max_size=3).map(
+    lambda changes: json.dumps({**_ENTRY, **changes}).encode()
+)
 
 
-def test_an_entry_that_cannot_be_read_is_refused() -> None:
-    assert isinstance(read_entry("servers/i-1", b'{"service":3}'), Err)
+@given(value=_BYTES | _CHANGED)
+def test_any_entry_is_read_or_refused_and_can_be_amended(value: bytes) -> None:
+    """One entry that stops a process would stop every process of the fleet."""
+    status = EngineStatus(None, None, (), 0, 0, 1.0, 5)
+    amended = amend_entry(value, status)
+    read = read_entry("servers/i-1", value)
+    if isinstance(read, Ok):
+        again = read_entry("servers/i-1", amended.unwrap()).unwrap()
+        assert (again.born, again.membership) == (5, None)
+        assert again.address == read.ok_value.address
 
 
 def test_an_amended_entry_says_what_the_engine_said() -> None:
     report = {**_ENTRY, "group": None, "models": [], "staged": ["large"], "pace": 1.0}
     status = read_status(msgspec.json.encode(report)).unwrap()
     assert isinstance(status, EngineStatus)
-    value = amend_entry(msgspec.json.encode(_ENTRY), status)
+    value = amend_entry(msgspec.json.encode(_ENTRY), status).unwrap()
     one = read_entry("servers/i-1", value).unwrap()
     assert (one.membership, one.model, one.staged) == (None, None, ("large",))
     assert one.address == "10.128.0.9:8080"
