Let requests end at groups that are closed in order

Cause: an entry process took a closing head, or a group with a leaving member, for gone, and moved its streams: a pause of 0.3 to 0.4 s each and their prompts read twice, though nothing was lost.

Change: such a group is a target that keeps what it has and gets nothing new, as is a plain instance that leaves. The stand-in of a runner closes as the platform's do, once its last stream has ended.

Both tests fail on the code before.

--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -59,6 +59,7 @@
         group: Its replica group.
         epoch: That group's epoch.
         born: Unix milliseconds of the instance's start, where it tells.
+        ending: Whether it finishes what it has and is to get nothing new.
     """
 
     instance: InstanceId
@@ -69,6 +70,7 @@
     group: GroupId | None = None
     epoch: Epoch = Epoch(0)
     born: int | None = None
+    ending: bool = False
 
 
 @dataclass(eq=False, slots=True)
@@ -123,7 +125,9 @@
 
     def usable(self, now: float) -> bool:
         """Whether requests may be sent there."""
-        return not self.gone and now >= self.silent_until and now >= self.ejected_until
+        if self.gone or self.target.ending:
+            return False
+        return now >= self.silent_until and now >= self.ejected_until
 
 
 class TargetPool:
@@ -265,7 +269,9 @@
         return [
             state
             for name, state in self._states.items()
-            if name not in tried and now >= state.silent_until
+            if name not in tried
+            and now >= state.silent_until
+            and not state.target.ending
         ]
 
     def _cost(self, state: TargetState, prompt: int, now: float) -> float:
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -129,9 +129,7 @@
                 # No route leads there: the operator names no such service.
                 continue
             if spec.engine is None:
-                for one in instances:
-                    if one.state is InstanceState.READY:
-                        wanted[service, None].append(_make_plain(one))
+                wanted[service, None] += map(_make_plain, instances)
                 continue
             sizes = {model.name: model.size for model in spec.engine.models}
             for group in find_whole_groups(instances, sizes):
@@ -156,7 +154,12 @@
 
 def _make_plain(one: Instance) -> Target:
     return Target(
-        one.id, one.address, one.failure_domain, max(1, one.slots), born=one.born
+        one.id,
+        one.address,
+        one.failure_domain,
+        max(1, one.slots),
+        born=one.born,
+        ending=one.state is InstanceState.LEAVING,
     )
 
 
@@ -171,4 +174,5 @@
         group.group,
         group.epoch,
         head.born,
+        group.ending,
     )
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -114,6 +114,7 @@
     members: list[str] = field(default_factory=list)
     been_ready: set[tuple[str, int, tuple[str, ...]]] = field(default_factory=set)
     born: int = 1_700_000_000_000
+    streams: int = 0
     _epoch: int = 0
     _written: str = ""
     _silent: float = 0.0
@@ -213,7 +214,8 @@
             self._later(self.times.form_s, self._open, held)
             return 202
         if op == "close":
-            held["state"] = "ready"
+            held["state"] = "closing"
+            self._end_closing()
             return 202
         self.group = None
         return 200
@@ -257,6 +259,12 @@
             if member is not None and key not in member.been_ready:
                 self.broken.append(f"{group['name']} opens without {one}")
 
+    def _end_closing(self) -> None:
+        """Be ready again once the last stream of a closing group has ended."""
+        closing = self.group is not None and self.group["state"] == "closing"
+        if closing and not self.streams and self.group is not None:
+            self.group["state"] = "ready"
+
     def _finish_staging(self, model: str) -> None:
         self.staged = [model]
 
@@ -300,7 +308,12 @@
         if self.faults.fail:
             await exchange.respond(500, answer, b"it failed")
         elif is_model:
-            await self._stream(exchange, answer, headers)
+            self.streams += 1
+            try:
+                await self._stream(exchange, answer, headers)
+            finally:
+                self.streams -= 1
+                self._end_closing()
         else:
             await self._answer_plainly(exchange, answer, request)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,6 +1,7 @@
 """Where requests go: load, failures, silence, and how many repeats."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -117,6 +118,16 @@
     assert find(pool, "x").usable(1.0) is not same
 
 
+def test_a_target_that_ends_in_order_keeps_what_it_has_and_gets_nothing() -> None:
+    pool = make_pool("x", "y")
+    ending = find(pool, "x")
+    assert pool.update([replace(ending.target, ending=True), make_target("y")], 1) == []
+    assert find(pool, "x") is ending
+    chosen = [pool.choose(1.0) for _ in range(10)]
+    assert all(one is not ending for one in chosen)
+    assert pool.choose(1.0, [InstanceId("y")]) is None
+
+
 def test_streams_that_all_stop_show_a_silent_head() -> None:
     """The store tells of a lost VM after seconds; its streams at once."""
     pool = make_pool("x", "y", "idle")
--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -85,6 +85,62 @@
     run(test)
 
 
+def test_a_stream_ends_at_a_group_that_is_closed_in_order() -> None:
+    """The caller sees no pause: nothing was lost.
+
+    A VM of the group reports that it leaves, and the group is closed. Its
+    head finishes what it has; moving the stream would cost a pause of several
+    tenths of a second and have its prompt read twice.
+    """
+
+    async def test() -> None:
+        async with Installation.running(engines=9) as made:
+            await eventually(lambda: len(made.heads("large")) >= 2)
+            await made.settle()
+            before = {one.id: len(one.runs) for one in made.heads("large")}
+            with capture_logs() as lines:
+                asking = asyncio.create_task(made.draft("n0", "large", events=60))
+                await asyncio.sleep(0.4)
+                head = next(
+                    one for one in made.heads("large") if len(one.runs) > before[one.id]
+                )
+                made.runners[head.members[1]].faults.leaving = True
+                answer = await asking
+            assert answer.events == list(range(1, 61))
+            ended = [one for one in lines if one["event"] == "request-ended"]
+            assert [one["attempts"] for one in ended] == [1]
+            old = ended[0]["group"]
+            await eventually(lambda: old not in made.groups("large"))
+            made.assert_sound()
+
+    run(test)
+
+
+def test_a_group_that_is_closed_gets_nothing_new() -> None:
+    """A caller would be refused there and sent on, for nothing."""
+
+    async def test() -> None:
+        async with Installation.running(engines=9) as made:
+            await eventually(lambda: len(made.heads("large")) >= 2)
+            await made.settle()
+            before = {one.id: len(one.runs) for one in made.heads("large")}
+            keeping = asyncio.create_task(made.draft("n0", "large", events=90))
+            await asyncio.sleep(0.4)
+            head = next(
+                one for one in made.heads("large") if len(one.runs) > before[one.id]
+            )
+            made.runners[head.members[1]].faults.leaving = True
+            await asyncio.sleep(0.5)
+            runs = len(head.runs)
+            for _ in range(6):
+                assert (await made.draft("n0", "large", events=2)).status == 200
+            assert len(head.runs) == runs
+            assert (await keeping).whole
+            made.assert_sound()
+
+    run(test)
+
+
 def test_the_pause_of_a_moved_stream_is_logged() -> None:
     """An engineer finds why the caller calls its answer late.
 
