Count groups that freed VMs are to form; measure demand by rate and stay

VMs freed for another model load its weights for 12 to 16 s; meanwhile that model was as short as before, and each two seconds another group gave its VMs and served nobody either. What admission refuses counted once a report, so that demand jumped with the pace of the reports.

Change: a domain remembers how many groups its freed VMs are to form, until their loads are over, and these count. Demand is the rate of first tries times the measured stay of a request.

Ruled out: forbidding moves that need loads (they bring groups where a model has none).

--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -27,6 +27,13 @@
 clock, however long its prompt: nothing waits there, and a prediction that is
 wrong must not refuse what there is room for."""
 
+LEAST_SEEN_S = 0.5
+"""Shortest time over which a rate is measured, in seconds: a few requests that
+come together at the start are no rate yet."""
+
+QUIET_S = 10.0
+"""Seconds without a request after which a rate is measured anew."""
+
 LEAST_RATE = 0.01
 """Requests a second below which nothing is left over."""
 
@@ -130,6 +137,8 @@
         self._pool = pool
         self._source = source
         self._limits = limits or AdmissionLimits()
+        self._asked: deque[float] = deque()
+        self._asked_first = float("-inf")
         self._begun: deque[float] = deque()
         self._line: deque[_Waiting] = deque()
         self._allowance = 0.0
@@ -138,11 +147,23 @@
     def ask(self, ask: Ask, now: float) -> Ticket | Refusal:
         """Admit a request, let it wait, or refuse it at once."""
         ticket = Ticket(ask.customer, ask.urgency, TicketState.WAITING, now)
+        if ask.on_time_until > now:
+            self._note_asked(now)
         if self._can_be_on_time(ask, now):
             self._begun.append(now)
             return _admit(ticket, now)
         return self._ask_late(ticket, ask, now) or self.refuse(ask, now)
 
+    def measure_demand(self, now: float) -> float:
+        """Return how many slots all that is asked for here would take.
+
+        What is refused counts as what is taken, by as long as it would have
+        stayed; who comes again counts once.
+        """
+        _drop_before(self._asked, now - RATE_WINDOW_S)
+        seen_s = min(RATE_WINDOW_S, max(LEAST_SEEN_S, now - self._asked_first))
+        return len(self._asked) / seen_s * self._pool.forecast.stay_s
+
     def step(self, now: float) -> list[Ticket]:
         """Let those that wait begin, as far as there is room now.
 
@@ -183,6 +204,11 @@
         )
         return Refusal(round(wait_s, 2), first_s, len(self._line), rate)
 
+    def _note_asked(self, now: float) -> None:
+        if now - (self._asked[-1] if self._asked else self._asked_first) > QUIET_S:
+            self._asked_first = now
+        self._asked.append(now)
+
     def _can_be_on_time(self, ask: Ask, now: float) -> bool:
         left_s = ask.on_time_until - now
         if left_s <= 0:
@@ -224,8 +250,7 @@
 
     def _measure_rest(self, now: float) -> float:
         """Return how many late requests a second this process may begin."""
-        while self._begun and self._begun[0] < now - RATE_WINDOW_S:
-            self._begun.popleft()
+        _drop_before(self._begun, now - RATE_WINDOW_S)
         slots = sum(one.target.slots for one in self._pool.list_usable(now))
         able = slots * (1 - self._limits.kept_part) / self._pool.forecast.stay_s
         own_part = able / self._pool.processes.count
@@ -240,3 +265,8 @@
 def _admit(ticket: Ticket, now: float) -> Ticket:
     ticket.state, ticket.began = TicketState.ADMITTED, now
     return ticket
+
+
+def _drop_before(times: deque[float], oldest: float) -> None:
+    while times and times[0] < oldest:
+        times.popleft()
--- a/src/zinniaspool/core/fleet/messages.py
+++ b/src/zinniaspool/core/fleet/messages.py
@@ -124,7 +124,13 @@
 
 
 class ModelDemandNote(msgspec.Struct, frozen=True):
-    """Requests of one model that run, wait or were just refused."""
+    """How many slots of one model would take what is asked for.
+
+    Attributes:
+        service: Which service's.
+        model: Which model.
+        busy: Slots, by the rate of requests and how long each stays.
+    """
 
     service: ServiceName
     model: ModelName
--- a/src/zinniaspool/core/formation/balance.py
+++ b/src/zinniaspool/core/formation/balance.py
@@ -116,6 +116,7 @@
         use: What is left of the fullest model's use after it.
         loads: Whether some of the VMs load that model's weights first.
         after: Groups of each model after it.
+        won: Groups that their VMs form.
     """
 
     groups: tuple[GroupId, ...]
@@ -123,6 +124,7 @@
     use: float
     loads: bool
     after: Mapping[ModelName, int]
+    won: int = 1
 
 
 def count_after_loss(groups: int) -> float:
@@ -222,4 +224,4 @@
         }
         closed = tuple(each.group for each in closable[:count])
         use = measure_use(demands, after)
-        yield Conversion(closed, wanted, use, loads, after)
+        yield Conversion(closed, wanted, use, loads, after, won)
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -76,7 +76,18 @@
 
 @dataclass(slots=True)
 class _Domain:
-    """One fabric domain under this holder's care."""
+    """One fabric domain under this holder's care.
+
+    Attributes:
+        id: Which.
+        runs: Its groups under way.
+        unsaved: Whether its plan has changed since it was last written.
+        writing: Whether that is being written.
+        reserved: The model that freed VMs are kept for.
+        reserved_until: Until when, in seconds.
+        promised: Groups of it that those VMs are to form.
+        freed: Groups that were closed for it.
+    """
 
     id: FabricDomainId
     runs: dict[GroupId, GroupRun] = field(default_factory=dict)
@@ -84,6 +95,7 @@
     writing: bool = False
     reserved: ModelName | None = None
     reserved_until: float = 0.0
+    promised: int = 0
     freed: set[GroupId] = field(default_factory=set)
 
     def reserves(self, now: float) -> bool:
@@ -273,27 +285,38 @@
                 if (shape := self._find_shape(domain, service)) is not None
             ]
             groups = self._count_groups(service, now - SOON_S)
+            groups += self._count_promised(now)
             for chosen in find_conversions(demands, groups, shapes):
                 self._balanced_at = now
-                self._convert(chosen, now)
+                self._convert(chosen, engine, now)
 
-    def _convert(self, chosen: Conversion, now: float) -> None:
+    def _convert(self, chosen: Conversion, engine: EngineSpec, now: float) -> None:
+        spec = engine.find_model(chosen.model)
+        load_s = spec.load_s if spec is not None and chosen.loads else 0.0
+        for domain in self._domains.values():
+            freed = domain.runs.keys() & set(chosen.groups)
+            if not freed:
+                continue
+            # The closed groups end one after the other; the VMs of the first
+            # would go back to the model that gave them before there are
+            # enough. And while they load, their model is as short as before:
+            # unless the groups they are to form count, another one gives its
+            # VMs every other second, and serves nobody either.
+            domain.reserved, domain.promised = chosen.model, chosen.won
+            domain.reserved_until = now + RESERVED_S + load_s
+            domain.freed |= freed
         for run in self.runs():
             if run.record.group in chosen.groups:
-                self._reserve(run.record.group, chosen.model, now)
                 run.move(GroupPhase.CLOSING, f"balance:{chosen.model}", now)
                 self._on_move(GroupMove(run.record, run.phase, run.reason))
 
-    def _reserve(self, group: GroupId, model: ModelName, now: float) -> None:
-        """Keep a domain's VMs for the model that they are freed for.
-
-        The closed groups end one after the other; the VMs of the first would
-        go back to the model that gave them before there are enough.
-        """
+    def _count_promised(self, now: float) -> Counter[ModelName]:
+        """Count the groups that freed VMs are to form yet."""
+        found: Counter[ModelName] = Counter()
         for domain in self._domains.values():
-            if group in domain.runs:
-                domain.reserved, domain.reserved_until = model, now + RESERVED_S
-                domain.freed.add(group)
+            if domain.reserved is not None and domain.reserves(now):
+                found[domain.reserved] += domain.promised
+        return found
 
     def _list_demands(
         self, service: ServiceName, engine: EngineSpec
@@ -488,7 +511,9 @@
         )
         if chosen is None or not self._take_loads(service, chosen, now):
             return False
-        if not chosen.standby:
+        if not chosen.standby and chosen.model.name == domain.reserved:
+            domain.promised -= 1
+        if domain.promised <= 0:
             domain.reserved = None
             domain.freed.clear()
         self._add(domain, service, chosen, now)
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -90,10 +90,9 @@
         loop = asyncio.get_running_loop()
         window.add_request(loop.time())
         pool = self._index.find(call.service, call.terms.model)
-        if call.terms.model is not None and len(pool):
+        if call.terms.model is not None:
             refused = await self._gate.admit(call, pool)
             if refused is not None:
-                self._index.note_refused(call.service, call.terms.model)
                 return Err(refused)
         while (state := self._choose(call, pool)) is not None:
             begun = call.attempts.begin(loop.time())
@@ -107,7 +106,6 @@
                 break
         else:
             fault = call.attempts.end_without_upstream(ErrorKind.NO_UPSTREAM)
-            self._index.note_refused(call.service, call.terms.model)
         if call.held is not None and call.progress is Progress.NOTHING:
             await self._pass_whole(call, call.held.response, call.held.body)
             return Ok(None)
--- a/src/zinniaspool/gateway/gate.py
+++ b/src/zinniaspool/gateway/gate.py
@@ -63,6 +63,8 @@
             asked = admission.refuse(ask, loop.time())
         if isinstance(asked, Refusal):
             self._note_refusal(call, ask, asked, len(pool))
+            if not len(pool):
+                return Fault(ErrorKind.NO_UPSTREAM)
             return Fault(ErrorKind.OVERLOADED, retry_after=asked.retry_after_s)
         self.tally.add(call.terms.model or "", "late" if asked.late else "on-time")
         call.late = asked.late
@@ -91,6 +93,13 @@
             took_ms=int((now - call.received) * 1000),
         )
 
+    def measure_demand(self, pool: TargetPool) -> float:
+        """Return how many slots what is asked of a model would take."""
+        admission = self._admissions.get(pool)
+        if admission is None:
+            return 0.0
+        return admission.measure_demand(asyncio.get_running_loop().time())
+
     def step(self) -> None:
         """Let those that wait begin, as far as there is room."""
         now = asyncio.get_running_loop().time()
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -254,7 +254,7 @@
     async def _tell_demand(self) -> None:
         while True:
             await asyncio.sleep(DEMAND_S)
-            demands = self._index.list_demands()
+            demands = self._index.list_demands(self._gate.measure_demand)
             if demands:
                 self._tell_holder(DemandNote(self._node.node, demands))
 
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -1,8 +1,8 @@
 """Targets by service and model, kept as the fleet changes."""
 
 import random
-from collections import Counter, defaultdict
-from collections.abc import Collection, Iterator
+from collections import defaultdict
+from collections.abc import Callable, Collection, Iterator
 
 import structlog
 
@@ -39,7 +39,6 @@
         self._own_domain = own_domain
         self._source = random.Random()
         self._pools: dict[tuple[ServiceName, ModelName | None], TargetPool] = {}
-        self._refused: Counter[tuple[ServiceName, ModelName]] = Counter()
         self._processes = Peers(1, 1, 0)
         self._peers = PeerLoads()
         self._changes = LoadChanges()
@@ -64,21 +63,15 @@
         for pool in self._pools.values():
             yield from pool
 
-    def list_demands(self) -> list[ModelDemandNote]:
-        """Return what is asked of each model here, and forget refusals."""
-        found = []
-        for (service, model), pool in self._pools.items():
-            if model is None:
-                continue
-            busy = sum(state.own for state in pool)
-            refused = self._refused.pop((service, model), 0)
-            found.append(ModelDemandNote(service, model, float(busy + refused)))
-        return found
-
-    def note_refused(self, service: ServiceName, model: ModelName | None) -> None:
-        """Count a request that no target could take."""
-        if model is not None:
-            self._refused[service, model] += 1
+    def list_demands(
+        self, measure: Callable[[TargetPool], float]
+    ) -> list[ModelDemandNote]:
+        """Return how many slots would take what is asked of each model."""
+        return [
+            ModelDemandNote(service, model, round(measure(pool), 2))
+            for (service, model), pool in self._pools.items()
+            if model is not None
+        ]
 
     # What processes tell each other of their loads.
 
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -119,6 +119,8 @@
         self.plans: dict[FabricDomainId, DomainPlan] = {}
         self.engines: dict[InstanceId, FakeEngine] = {}
         self.late_part = 0.0
+        self.stages = True
+        self.load_part = 0.1
         self.orders: list[GroupOrder] = []
         self.epoch = 0
         self._late: list[tuple[float, GroupOrder]] = []
@@ -212,6 +214,7 @@
         joining = held is not None and held.state is MembershipState.JOINING
         if held is not None and joining and engine.ready_at <= self.now:
             engine.membership = replace(held, state=MembershipState.READY)
+            engine.staged = () if engine.model is None else (engine.model,)
             key = (held.group, held.epoch, engine.members)
             engine.has_been_ready.add(key)
             engine.ready_this_life.add(key)
@@ -258,7 +261,8 @@
                 return self._join(engine, order)
             case OrderAction.STAGE:
                 assert order.model is not None
-                engine.staging = (self.now + 1.0, order.model)
+                if self.stages:
+                    engine.staging = (self.now + 1.0, order.model)
                 return OrderOutcome.ACCEPTED
             case OrderAction.LEAVE if not mine:
                 return OrderOutcome.HOLDS
@@ -288,12 +292,14 @@
         self._check_free(engine, order)
         engine.seen_epoch = order.epoch
         model = next(one for one in ENGINE.models if one.name == order.model)
-        took = model.load_s / 10
+        took = model.load_s * self.load_part
         if engine.model == order.model:
             took = 0.2
         elif order.model in engine.staged:
             took = model.warm_s
-        engine.staged = (order.model,)
+        if order.model not in engine.staged:
+            # What was in the host's memory is gone, what comes is not there yet.
+            engine.staged = ()
         engine.model, engine.members = order.model, order.members
         engine.ready_at = self.now + took
         engine.opens_at = None
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -226,6 +226,36 @@
     assert admission.step(0.1) == [second]
 
 
+def test_demand_counts_what_is_refused_like_what_is_taken() -> None:
+    """VMs would follow the model that is short only by how much it is used.
+
+    Twenty a second ask for half a second's work each; there is room for a few.
+    """
+    pool = make_pool(0, slots=4)
+    pool.forecast.stay_s = 0.5
+    admission, state = make_admission(pool), next(iter(pool))
+    refused = 0
+    for number in range(100):
+        now = number / 20.0
+        asked = admission.ask(make_ask(now + 0.25, now + 2.0), now)
+        refused += isinstance(asked, Refusal)
+        state.own = min(4, state.own + 1)
+    assert refused > 50
+    assert admission.measure_demand(5.0) == pytest.approx(10.0, rel=0.1)
+    assert admission.measure_demand(9.0) == 0.0
+
+
+def test_demand_at_the_start_is_not_counted_over_time_before_it() -> None:
+    """After a return all processes would say that little is asked for."""
+    pool = make_pool(0, slots=400)
+    pool.forecast.stay_s = 1.0
+    admission = make_admission(pool)
+    for number in range(20):
+        now = 100.0 + number / 20.0
+        admission.ask(make_ask(now + 0.25, now + 2.0), now)
+    assert admission.measure_demand(101.0) == pytest.approx(20.0, rel=0.15)
+
+
 def test_a_long_prompt_goes_where_it_is_read_in_time() -> None:
     """Its first event would come after all prompts that are there already."""
     pool = make_pool(3, 5, slots=16)
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -419,6 +419,32 @@
 )
 
 
+def test_vms_that_were_freed_and_still_load_count_for_their_model() -> None:
+    """Callers of the small model would lose group after group.
+
+    The large model is short, and VMs that are freed for it load its weights
+    for sixteen seconds. It is as short meanwhile; each further group that is
+    closed for it serves nobody either, for as long.
+    """
+    world = FormationWorld(domains=6, size=9)
+    world.stages = False
+    world.advance(12.0)
+    world.load_part = 1.0
+    before = world.serving(SMALL)
+    world.planner.set_demand({(SERVICE, LARGE): 140.0, (SERVICE, SMALL): 30.0})
+    closed = set()
+    for _ in range(140):
+        world.advance(0.1)
+        closed |= {
+            run.record.group
+            for run in world.planner.runs()
+            if run.reason.startswith("balance")
+        }
+    assert 0 < len(closed) <= 4
+    assert world.serving(SMALL) >= before - 4
+    assert not world.broken
+
+
 def test_a_vm_that_still_loads_does_not_hold_up_a_move() -> None:
     """Callers of the large model wait while VMs of the small one idle.
 
