--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -298,7 +298,7 @@
         elif order.model in engine.staged:
             took = model.warm_s
         if order.model not in engine.staged:
-            # What was in the host's memory is gone, what comes is not there yet.
+            # What the host held is gone, what comes is not there yet.
             engine.staged = ()
         engine.model, engine.members = order.model, order.members
         engine.ready_at = self.now + took
