Open the callers' port before the program loads; one home for messages and store

Cause: loading the entry program takes 0.3 to 0.8 s on a VM of one core. After a loss of power of all VMs each caller was refused everywhere until it had no tries left. Change: the socket is opened first, and what lies in it is read when the program runs; a request then waits up to 0.5 s for the first configuration in place of being sent away.

Messages of all kinds move to core/messages, the dispatch pieces of core/requests to core/dispatch, the product's own store client to store/; platform/ keeps the users' adapter and starts the programs.

--- a/benchmarks/capacity_messages.py
+++ b/benchmarks/capacity_messages.py
@@ -14,8 +14,8 @@
     FabricDomainId,
     NodeId,
 )
-from zinniaspool.core.membership.messages import WireNotice
 from zinniaspool.core.membership.notices import Topic
+from zinniaspool.core.messages.membership import WireNotice
 from zinniaspool.core.requests.digests import Digest, ServiceDemand, encode_digest
 
 __all__ = ["MessageRow"]
--- a/benchmarks/capacity_state.py
+++ b/benchmarks/capacity_state.py
@@ -17,7 +17,6 @@
 from benchmarks.measurements import keep_rows
 from zinniaspool.core.configuration import PartHash, name_parts, split_parts
 from zinniaspool.core.configuration.holding import Holding, Manifest
-from zinniaspool.core.configuration.messages import PartContent
 from zinniaspool.core.ids import Address, FailureDomainId, Incarnation, NodeId, Revision
 from zinniaspool.core.membership import (
     GossipMachine,
@@ -26,8 +25,9 @@
     Role,
 )
 from zinniaspool.core.membership.members import Standing, encode_record, make_version
-from zinniaspool.core.membership.messages import WireNotice
 from zinniaspool.core.membership.notices import Topic
+from zinniaspool.core.messages.configuration import PartContent
+from zinniaspool.core.messages.membership import WireNotice
 
 __all__ = ["StateRow", "measure_states"]
 
--- a/src/zinniaspool/cli/configuration.py
+++ b/src/zinniaspool/cli/configuration.py
@@ -26,7 +26,8 @@
 )
 from zinniaspool.core.ids import Address, Revision
 from zinniaspool.http import HttpClient
-from zinniaspool.platform import (
+from zinniaspool.settings import SettingsError, load_configuration
+from zinniaspool.store import (
     AcceptedRoot,
     AcceptFault,
     ConfigurationStore,
@@ -34,7 +35,6 @@
     Proposal,
     StoreFault,
 )
-from zinniaspool.settings import SettingsError, load_configuration
 
 __all__ = ["commands"]
 
--- a/src/zinniaspool/control/leases.py
+++ b/src/zinniaspool/control/leases.py
@@ -8,7 +8,7 @@
 
 from zinniaspool.core.ids import FabricDomainId, NodeId, Revision
 from zinniaspool.core.plans import DomainPlan
-from zinniaspool.platform import LeaseId, Store, StoreFault, settle_swap
+from zinniaspool.store import LeaseId, Store, StoreFault, settle_swap
 
 __all__ = ["DomainStore", "StoredPlan"]
 
--- a/src/zinniaspool/control/main.py
+++ b/src/zinniaspool/control/main.py
@@ -19,8 +19,8 @@
 from zinniaspool.core.messages import Hello, Message
 from zinniaspool.core.plans import VmListState
 from zinniaspool.node import NodeFrame, run_program
-from zinniaspool.platform import fetch_vm_list
 from zinniaspool.settings import ControlSettings
+from zinniaspool.store import fetch_vm_list
 
 __all__ = ["ControlProcess", "main"]
 
--- a/src/zinniaspool/core/configuration/following.py
+++ b/src/zinniaspool/core/configuration/following.py
@@ -11,18 +11,18 @@
 from dataclasses import dataclass
 
 from zinniaspool.core.configuration.holding import Holding, Manifest
-from zinniaspool.core.configuration.messages import (
-    Announcement,
-    ConfigurationAnswer,
-    ConfigurationAsk,
-    PartContent,
-)
 from zinniaspool.core.configuration.parts import PartHash, Root
 from zinniaspool.core.configuration.votes import StartVote
 from zinniaspool.core.configuration.watchers import is_watcher
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Address, NodeId, Revision
 from zinniaspool.core.membership import Member, MemberState
+from zinniaspool.core.messages.configuration import (
+    Announcement,
+    ConfigurationAnswer,
+    ConfigurationAsk,
+    PartContent,
+)
 
 __all__ = [
     "Announce",
--- a/src/zinniaspool/core/configuration/holding.py
+++ b/src/zinniaspool/core/configuration/holding.py
@@ -5,12 +5,6 @@
 
 import msgspec
 
-from zinniaspool.core.configuration.messages import (
-    Announcement,
-    ConfigurationAnswer,
-    ConfigurationAsk,
-    PartContent,
-)
 from zinniaspool.core.configuration.parts import (
     PartHash,
     PartName,
@@ -19,6 +13,12 @@
 )
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Revision
+from zinniaspool.core.messages.configuration import (
+    Announcement,
+    ConfigurationAnswer,
+    ConfigurationAsk,
+    PartContent,
+)
 
 __all__ = ["Holding", "Manifest"]
 
--- a/src/zinniaspool/core/configuration/parts.py
+++ b/src/zinniaspool/core/configuration/parts.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from enum import Enum
-from typing import NewType, TypeVar
+from typing import TypeVar
 
 import msgspec
 
@@ -22,7 +22,7 @@
     ServiceRule,
     Vm,
 )
-from zinniaspool.core.ids import Revision
+from zinniaspool.core.ids import PartHash, PartName, Revision
 
 __all__ = [
     "HISTORY_PREFIX",
@@ -50,12 +50,6 @@
 _REVISION_DIGITS = 16
 """Digits of a revision in a key, so that keys sort by it."""
 
-PartName = NewType("PartName", str)
-"""Kind and key of a part, ``customer/care``."""
-
-PartHash = NewType("PartHash", str)
-"""Hash of a part's content; its name in the store."""
-
 
 class _Kind(Enum):
     FLEET = "fleet"
--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -6,6 +6,12 @@
     Ask,
     Refusal,
 )
+from zinniaspool.core.dispatch.attempts import (
+    AttemptFailure,
+    Attempts,
+    CallTerms,
+    Progress,
+)
 from zinniaspool.core.dispatch.loads import LoadChanges, PeerLoads
 from zinniaspool.core.dispatch.pace import EnginePace, FirstEventForecast
 from zinniaspool.core.dispatch.patience import PatienceWatch
@@ -15,14 +21,26 @@
     TargetState,
 )
 from zinniaspool.core.dispatch.repeats import RepeatLimits, RepeatWindow
+from zinniaspool.core.dispatch.shares import Peers
 from zinniaspool.core.dispatch.silence import (
     SilenceLimits,
     find_silent,
     note_progress,
     rest_silent,
 )
+from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
+from zinniaspool.core.dispatch.tickets import Ticket, TicketState
 
 __all__ = [
+    "AttemptFailure",
+    "Attempts",
+    "CallTerms",
+    "Progress",
+    "Peers",
+    "EventCursor",
+    "StreamFault",
+    "Ticket",
+    "TicketState",
     "Admission",
     "AdmissionLimits",
     "Ask",
--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -17,8 +17,8 @@
 from dataclasses import dataclass
 
 from zinniaspool.core.dispatch.pools import TargetPool, TargetState
+from zinniaspool.core.dispatch.tickets import Ticket, TicketState
 from zinniaspool.core.ids import CustomerId
-from zinniaspool.core.requests.admission import Ticket, TicketState
 
 __all__ = ["Admission", "AdmissionLimits", "Ask", "Refusal"]
 
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -6,9 +6,9 @@
 from zlib import crc32
 
 from zinniaspool.core.dispatch.pace import FirstEventForecast
+from zinniaspool.core.dispatch.shares import Peers, take_part
 from zinniaspool.core.fleet import NO_LOAD, InstanceId, TargetLoad, is_reborn
 from zinniaspool.core.ids import Address, Epoch, FailureDomainId, GroupId, ModelName
-from zinniaspool.core.requests.shares import Peers, take_part
 
 __all__ = ["Target", "TargetPool", "TargetState"]
 
--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -30,6 +30,7 @@
     NodeState,
 )
 from zinniaspool.core.fleet.reachability import Reachability, TryOutcome
+from zinniaspool.core.fleet.wholeness import WholeGroup, find_whole_groups
 
 __all__ = [
     "HOLDER_KEY",
@@ -60,5 +61,7 @@
     "StoredItem",
     "TargetLoad",
     "TryOutcome",
+    "WholeGroup",
+    "find_whole_groups",
     "is_reborn",
 ]
--- a/src/zinniaspool/core/formation/wholeness.py
+++ b/src/zinniaspool/core/fleet/wholeness.py
@@ -4,7 +4,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from zinniaspool.core.fleet import Instance, InstanceState, MembershipState
+from zinniaspool.core.fleet.instances import (
+    Instance,
+    InstanceState,
+    MembershipState,
+)
 from zinniaspool.core.ids import Epoch, GroupId, ModelName
 
 __all__ = ["WholeGroup", "find_whole_groups"]
--- a/src/zinniaspool/core/formation/__init__.py
+++ b/src/zinniaspool/core/formation/__init__.py
@@ -7,7 +7,6 @@
 )
 from zinniaspool.core.formation.planner import FormationPlanner, PlanWrite
 from zinniaspool.core.formation.records import DomainPlan, GroupPhase, GroupRecord
-from zinniaspool.core.formation.wholeness import WholeGroup, find_whole_groups
 
 __all__ = [
     "DomainPlan",
@@ -18,6 +17,4 @@
     "OrderAction",
     "OrderOutcome",
     "PlanWrite",
-    "WholeGroup",
-    "find_whole_groups",
 ]
--- a/src/zinniaspool/core/ids.py
+++ b/src/zinniaspool/core/ids.py
@@ -15,6 +15,8 @@
     "ModelVersion",
     "NodeId",
     "RequestId",
+    "PartHash",
+    "PartName",
     "Revision",
     "ServiceName",
     "UpstreamId",
@@ -56,6 +58,12 @@
 Incarnation = NewType("Incarnation", int)
 """Grows with each start of one node."""
 
+PartName = NewType("PartName", str)
+"""Kind and key of a part, ``customer/care``."""
+
+PartHash = NewType("PartHash", str)
+"""Hash of a part's content; its name in the store."""
+
 Revision = NewType("Revision", int)
 """The store's modification number of a key; 0 says that it is absent."""
 
--- a/src/zinniaspool/core/membership/gossip.py
+++ b/src/zinniaspool/core/membership/gossip.py
@@ -12,7 +12,9 @@
     MemberState,
     Standing,
 )
-from zinniaspool.core.membership.messages import (
+from zinniaspool.core.membership.notices import Notice, Topic, measure_notices
+from zinniaspool.core.membership.roster import Roster
+from zinniaspool.core.messages.membership import (
     Compare,
     Compared,
     Join,
@@ -22,8 +24,6 @@
     Push,
     WireNotice,
 )
-from zinniaspool.core.membership.notices import Notice, Topic, measure_notices
-from zinniaspool.core.membership.roster import Roster
 
 __all__ = ["Action", "Ask", "GossipMachine", "Tell"]
 
--- a/src/zinniaspool/core/membership/notices.py
+++ b/src/zinniaspool/core/membership/notices.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from zinniaspool.core.membership.messages import Known, WireNotice
+from zinniaspool.core.messages.membership import Known, WireNotice
 
 __all__ = ["Notice", "NoticeTable", "Topic"]
 
--- a/src/zinniaspool/core/membership/roster.py
+++ b/src/zinniaspool/core/membership/roster.py
@@ -19,9 +19,9 @@
     read_sequence,
     read_standing,
 )
-from zinniaspool.core.membership.messages import WireNotice
 from zinniaspool.core.membership.notices import Notice, NoticeTable, Topic
 from zinniaspool.core.membership.suspicion import SuspicionTable
+from zinniaspool.core.messages.membership import WireNotice
 
 __all__ = ["Roster"]
 
--- a/src/zinniaspool/core/messages.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -2,12 +2,21 @@
 
 import msgspec
 
-from zinniaspool.core.configuration.messages import (
+from zinniaspool.core.errors import ErrorKind
+from zinniaspool.core.ids import (
+    Address,
+    CustomerId,
+    FailureDomainId,
+    IdempotencyKey,
+    Incarnation,
+    NodeId,
+    RequestId,
+)
+from zinniaspool.core.messages.configuration import (
     ConfigurationAnswer,
     ConfigurationAsk,
 )
-from zinniaspool.core.errors import ErrorKind
-from zinniaspool.core.fleet.messages import (
+from zinniaspool.core.messages.fleet import (
     DemandNote,
     FleetNews,
     FleetWatch,
@@ -17,16 +26,7 @@
     StoreWord,
     UnreachableNode,
 )
-from zinniaspool.core.ids import (
-    Address,
-    CustomerId,
-    FailureDomainId,
-    IdempotencyKey,
-    Incarnation,
-    NodeId,
-    RequestId,
-)
-from zinniaspool.core.membership.messages import (
+from zinniaspool.core.messages.membership import (
     Compare,
     Compared,
     Join,
--- a/src/zinniaspool/core/configuration/messages.py
+++ b/src/zinniaspool/core/messages/configuration.py
@@ -2,8 +2,7 @@
 
 import msgspec
 
-from zinniaspool.core.configuration.parts import PartHash, PartName
-from zinniaspool.core.ids import Revision
+from zinniaspool.core.ids import PartHash, PartName, Revision
 
 __all__ = [
     "Announcement",
--- a/src/zinniaspool/core/requests/__init__.py
+++ b/src/zinniaspool/core/requests/__init__.py
@@ -1,18 +1,25 @@
 """Requests: where they go, how often, and what their callers are told."""
 
-from zinniaspool.core.requests.admission import (
-    Admission,
-    AdmissionLimits,
-    LineState,
-    Ticket,
-    TicketState,
-)
-from zinniaspool.core.requests.attempts import (
+from zinniaspool.core.dispatch.attempts import (
     AttemptFailure,
     Attempts,
     CallTerms,
     Progress,
 )
+from zinniaspool.core.dispatch.shares import (
+    CustomerShare,
+    LocalShares,
+    Peers,
+    share_capacity,
+    share_locally,
+)
+from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
+from zinniaspool.core.dispatch.tickets import Ticket, TicketState
+from zinniaspool.core.requests.admission import (
+    Admission,
+    AdmissionLimits,
+    LineState,
+)
 from zinniaspool.core.requests.brownout import Brownout, BrownoutLimits
 from zinniaspool.core.requests.budget import RetryBudget
 from zinniaspool.core.requests.headers import (
@@ -26,14 +33,6 @@
     UpstreamPool,
     hash_prefix,
 )
-from zinniaspool.core.requests.shares import (
-    CustomerShare,
-    LocalShares,
-    Peers,
-    share_capacity,
-    share_locally,
-)
-from zinniaspool.core.requests.streams import EventCursor, StreamFault
 from zinniaspool.core.requests.upstreams import (
     FreshUpstream,
     Upstream,
--- a/src/zinniaspool/core/requests/admission.py
+++ b/src/zinniaspool/core/requests/admission.py
@@ -3,15 +3,15 @@
 import heapq
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 from itertools import count
 from math import ceil, floor
 
+from zinniaspool.core.dispatch.shares import LocalShares
+from zinniaspool.core.dispatch.tickets import Ticket, TicketState
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.ids import CustomerId
-from zinniaspool.core.requests.shares import LocalShares
 
-__all__ = ["Admission", "AdmissionLimits", "LineState", "Ticket", "TicketState"]
+__all__ = ["Admission", "AdmissionLimits", "LineState"]
 
 _MEAN_WEIGHT = 0.05
 """Weight of the newest request in the mean time: some twenty count."""
@@ -45,35 +45,6 @@
     most_retry_after_s: int = 30
 
 
-class TicketState(Enum):
-    """What became of a request that asked to begin."""
-
-    WAITING = "waiting"
-    ADMITTED = "admitted"
-    ENDED = "ended"
-
-
-@dataclass(slots=True, eq=False)
-class Ticket:
-    """One request's place.
-
-    Attributes:
-        customer: Whose.
-        urgency: 0 is the most urgent.
-        state: What became of it.
-        wait_until: When it is refused if it still waits.
-        began: When it was admitted.
-        late: Whether its answer will be late in any case.
-    """
-
-    customer: CustomerId
-    urgency: int
-    state: TicketState
-    wait_until: float
-    began: float = 0.0
-    late: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class LineState:
     """One customer's requests here, for the state dump.
--- a/src/zinniaspool/core/requests/digests.py
+++ b/src/zinniaspool/core/requests/digests.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
+from zinniaspool.core.dispatch.shares import Peers
 from zinniaspool.core.ids import CustomerId, NodeId
-from zinniaspool.core.requests.shares import Peers
 
 __all__ = ["Digest", "DigestBook", "ServiceDemand", "decode_digest", "encode_digest"]
 
--- a/src/zinniaspool/entry/claims.py
+++ b/src/zinniaspool/entry/claims.py
@@ -27,7 +27,7 @@
     WriteHead,
 )
 from zinniaspool.core.requests.keys import KeyHash, KeyMemory
-from zinniaspool.platform import Store, StoreFault
+from zinniaspool.store import Store, StoreFault
 
 __all__ = ["ClaimKeeper"]
 
--- a/src/zinniaspool/entry/handover.py
+++ b/src/zinniaspool/entry/handover.py
@@ -12,7 +12,7 @@
 from zinniaspool.core.requests.claims import find_slot
 from zinniaspool.core.requests.keys import Fingerprint, KeptOutcome, KeyHash
 from zinniaspool.entry.sinks import EndedCall, KeptAnswer
-from zinniaspool.platform import Store, settle_swap
+from zinniaspool.store import Store, settle_swap
 
 __all__ = ["AnswerHandover"]
 
--- a/src/zinniaspool/entry/once.py
+++ b/src/zinniaspool/entry/once.py
@@ -36,7 +36,7 @@
 )
 from zinniaspool.http import Exchange
 from zinniaspool.peers import PeerLinks
-from zinniaspool.platform import StoreFault
+from zinniaspool.store import StoreFault
 
 __all__ = ["OnceCalls", "OnceLimits", "OnceState"]
 
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -11,13 +11,13 @@
 from result import Err, Ok, Result
 
 from zinniaspool.core.fleet import MirrorEvent, StoredItem
-from zinniaspool.core.fleet.messages import FleetNews, FleetWatch
 from zinniaspool.core.ids import Address, Revision
+from zinniaspool.core.messages.fleet import FleetNews, FleetWatch
+from zinniaspool.core.storage import StoreFault
 from zinniaspool.fleet.belief import FleetBelief
 from zinniaspool.fleet.mesh import FleetMesh, unpack_items
 from zinniaspool.fleet.sight import HolderSight
 from zinniaspool.platform.kvstore import KvStore
-from zinniaspool.platform.store import StoreFault
 
 __all__ = ["FleetFollower"]
 
--- a/src/zinniaspool/fleet/leases.py
+++ b/src/zinniaspool/fleet/leases.py
@@ -5,9 +5,9 @@
 import structlog
 from result import Err
 
+from zinniaspool.core.storage import StoreFault
 from zinniaspool.fleet.sight import boot_time
 from zinniaspool.platform.kvstore import KvStore, LeaseNumber
-from zinniaspool.platform.store import StoreFault
 
 __all__ = ["KeptLease"]
 
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -15,13 +15,6 @@
 import msgspec
 
 from zinniaspool.core.fleet import StoredItem
-from zinniaspool.core.fleet.messages import (
-    FleetNews,
-    FleetWatch,
-    NewsItem,
-    StoreAsk,
-    StoreWord,
-)
 from zinniaspool.core.ids import (
     Address,
     FailureDomainId,
@@ -31,6 +24,13 @@
     split_address,
 )
 from zinniaspool.core.messages import PROTOCOL_VERSION, Hello, Message
+from zinniaspool.core.messages.fleet import (
+    FleetNews,
+    FleetWatch,
+    NewsItem,
+    StoreAsk,
+    StoreWord,
+)
 from zinniaspool.fleet.belief import FleetBelief
 from zinniaspool.fleet.sight import HolderSight, boot_time
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -3,10 +3,9 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from zinniaspool.core.dispatch import TargetState
+from zinniaspool.core.dispatch import Attempts, EventCursor, Progress, TargetState
 from zinniaspool.core.fleet import CustomerSpec, InstanceId, RouteSpec
 from zinniaspool.core.ids import ServiceName
-from zinniaspool.core.requests import Attempts, EventCursor, Progress
 from zinniaspool.http import ClientResponse, Exchange
 from zinniaspool.platform.wire import CallerTerms
 
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -8,6 +8,8 @@
 from result import Err, Ok, Result
 
 from zinniaspool.core.dispatch import (
+    AttemptFailure,
+    Progress,
     RepeatWindow,
     TargetPool,
     TargetState,
@@ -15,7 +17,6 @@
 )
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.fleet import RequestKind
-from zinniaspool.core.requests import AttemptFailure, Progress
 from zinniaspool.gateway.calls import GatewayCall, HeldAnswer
 from zinniaspool.gateway.gate import Gate
 from zinniaspool.gateway.targets import TargetIndex
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -1,17 +1,17 @@
 """Callers' requests: which route, whose, until when; and the final answer."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
 import structlog
 from result import Err, Ok, Result
 
-from zinniaspool.core.dispatch import RepeatLimits, RepeatWindow
+from zinniaspool.core.dispatch import Attempts, CallTerms, RepeatLimits, RepeatWindow
 from zinniaspool.core.errors import ANSWERS, ErrorKind, Fault
 from zinniaspool.core.fleet import Catalog, CustomerSpec, RouteSpec
 from zinniaspool.core.ids import ServiceName
-from zinniaspool.core.requests import Attempts, CallTerms
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.carrier import Carrier
@@ -34,6 +34,13 @@
 """Time kept back of a route's timeout, in seconds, so that the answer that it
 is over still comes within it."""
 
+FIRST_READ_S = 0.05
+"""Seconds after the start in which requests are read that came before."""
+
+FIRST_RULES_S = 0.5
+"""Longest wait of a request for the first configuration, in seconds: the store
+and the others answer within a tenth of that, or are away for longer."""
+
 _REFUSED = {
     RefusalKind.MALFORMED: ErrorKind.MALFORMED_REQUEST,
     RefusalKind.HEADERS_TOO_LARGE: ErrorKind.HEADERS_TOO_LARGE,
@@ -73,6 +80,14 @@
         self._may_begin = may_begin
         self._tally = tally
         self._windows: dict[ServiceName, RepeatWindow] = {}
+        self._opened = self._ready = float("-inf")
+        self._known = asyncio.Event()
+        belief.on_catalog.append(self._known.set)
+
+    def note_opened(self, opened: float) -> None:
+        """Take since when callers could connect, though nobody read them."""
+        self._opened = opened
+        self._ready = asyncio.get_running_loop().time()
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -86,7 +101,9 @@
                 self.idle.set()
 
     async def _handle(self, exchange: Exchange) -> None:
-        received = asyncio.get_running_loop().time()
+        received = self._measure_arrival()
+        if self._belief.catalog is None:
+            await self._await_rules()
         terms = wire.read_terms(exchange.request)
         admitted = self._admit(exchange, terms, received)
         if isinstance(admitted, Err):
@@ -104,6 +121,26 @@
         call = admitted.ok_value
         await self._run(call)
 
+    def _measure_arrival(self) -> float:
+        """Return when a request came here, as far as can be told.
+
+        What is read first lay in an open connection while the program loaded,
+        for half of that time on average.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - self._ready > FIRST_READ_S:
+            return now
+        return now - (self._ready - self._opened) / 2
+
+    async def _await_rules(self) -> None:
+        """Wait for the first configuration, which takes tens of milliseconds.
+
+        A caller sent away for two seconds because of these would be late.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_RULES_S):
+                await self._known.wait()
+
     async def _run(self, call: GatewayCall) -> None:
         end = "caller-left"
         try:
--- a/src/zinniaspool/gateway/gate.py
+++ b/src/zinniaspool/gateway/gate.py
@@ -6,10 +6,17 @@
 
 import structlog
 
-from zinniaspool.core.dispatch import Admission, Ask, PatienceWatch, Refusal, TargetPool
+from zinniaspool.core.dispatch import (
+    Admission,
+    Ask,
+    PatienceWatch,
+    Refusal,
+    TargetPool,
+    Ticket,
+    TicketState,
+)
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.ids import CustomerId
-from zinniaspool.core.requests import Ticket, TicketState
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.telemetry import AdmissionTally
 
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import random
+import socket
 
 import msgspec
 import structlog
 from result import Err
 
 from zinniaspool.core.dispatch import (
+    Peers,
     RepeatLimits,
     SilenceLimits,
     TargetState,
@@ -21,15 +23,14 @@
     NodeState,
     Reachability,
 )
-from zinniaspool.core.fleet.messages import (
+from zinniaspool.core.ids import Address, NodeId
+from zinniaspool.core.messages import Hello, Message
+from zinniaspool.core.messages.fleet import (
     DemandNote,
     LoadNote,
     SilentTarget,
     UnreachableNode,
 )
-from zinniaspool.core.ids import Address, NodeId
-from zinniaspool.core.messages import Hello, Message
-from zinniaspool.core.requests import Peers
 from zinniaspool.fleet import (
     FleetBelief,
     FleetFollower,
@@ -51,7 +52,7 @@
 from zinniaspool.platform.program import run_on_platform
 from zinniaspool.telemetry import RequestTally
 
-__all__ = ["GatewayProcess", "main"]
+__all__ = ["GatewayProcess", "run"]
 
 _log = structlog.get_logger(__name__)
 
@@ -105,10 +106,20 @@
     Args:
         node: The platform's settings.
         metrics_port: Where metrics are served; 0 for nowhere.
+        listener: Listens where callers connect already.
+        opened: Since when, in seconds.
     """
 
-    def __init__(self, node: NodeFile, metrics_port: int = 0) -> None:
+    def __init__(
+        self,
+        node: NodeFile,
+        metrics_port: int = 0,
+        listener: socket.socket | None = None,
+        opened: float | None = None,
+    ) -> None:
         self._node = node
+        self._listener = listener
+        self._opened = opened
         self._metrics_address = (
             Address(f"{node.ip}:{metrics_port}") if metrics_port else None
         )
@@ -209,7 +220,9 @@
     async def _listen(self) -> None:
         node = self._node
         assert node.caller_address is not None
-        await self._server.listen(node.caller_address)
+        await self._server.listen(node.caller_address, self._listener)
+        if self._opened is not None:
+            self._face.note_opened(self._opened)
         for address in {node.ready_address, node.directory_address} - {None}:
             assert address is not None
             server = HttpServer(self._directory.handle)
@@ -392,10 +405,15 @@
             await self._write_record(NodeState.LEAVING)
 
 
-def main() -> None:
-    """Run the program."""
-    run_on_platform("entry", GatewayProcess)
+def run(listener: socket.socket | None, opened: float) -> None:
+    """Run the program.
+
+    Args:
+        listener: Listens where callers connect already, if anything does.
+        opened: Since when, in seconds of the steady clock.
+    """
 
+    def make(node: NodeFile, metrics_port: int) -> GatewayProcess:
+        return GatewayProcess(node, metrics_port, listener, opened)
 
-if __name__ == "__main__":
-    main()
+    run_on_platform("entry", make)
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -10,15 +10,21 @@
     EnginePace,
     LoadChanges,
     PeerLoads,
+    Peers,
     Target,
     TargetPool,
     TargetState,
 )
-from zinniaspool.core.fleet import Instance, InstanceId, InstanceState, TargetLoad
-from zinniaspool.core.fleet.messages import LoadNote, ModelDemandNote
-from zinniaspool.core.formation import WholeGroup, find_whole_groups
+from zinniaspool.core.fleet import (
+    Instance,
+    InstanceId,
+    InstanceState,
+    TargetLoad,
+    WholeGroup,
+    find_whole_groups,
+)
 from zinniaspool.core.ids import FailureDomainId, ModelName, ServiceName
-from zinniaspool.core.requests import Peers
+from zinniaspool.core.messages.fleet import LoadNote, ModelDemandNote
 from zinniaspool.fleet import FleetBelief
 
 __all__ = ["TargetIndex"]
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import functools
+import socket
 import ssl
 
 import structlog
@@ -52,23 +54,31 @@
         """How many connections are open."""
         return len(self._connections)
 
-    async def listen(self, address: Address) -> Address:
+    async def listen(
+        self, address: Address, listener: socket.socket | None = None
+    ) -> Address:
         """Start listening and return the address, its port filled in.
 
+        Args:
+            address: Where.
+            listener: A socket that listens there already.
+
         Raises:
             OSError: The address cannot be used.
         """
-        host, port = split_address(address)
-        loop = asyncio.get_running_loop()
         handshake_s = self.limits.receive_s if self._tls else None
-        self._server = await loop.create_server(
+        create = functools.partial(
+            asyncio.get_running_loop().create_server,
             lambda: ServerConnection(self),
-            host,
-            port,
             ssl=self._tls,
             backlog=_BACKLOG,
             ssl_handshake_timeout=handshake_s,
         )
+        if listener is not None:
+            self._server = await create(sock=listener)
+        else:
+            host, port = split_address(address)
+            self._server = await create(host=host, port=port)
         bound = self._server.sockets[0].getsockname()
         return Address(f"{address.rpartition(':')[0]}:{bound[1]}")
 
--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -18,10 +18,10 @@
 
 from zinniaspool.core.fleet import HOLDER_KEY, HolderRecord
 from zinniaspool.core.ids import Address, NodeId, Revision
+from zinniaspool.core.storage import StoreFault
 from zinniaspool.fleet import FleetBelief, FleetMesh, HolderSight, boot_time
 from zinniaspool.fleet.mesh import Lead, is_nobody_there
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
-from zinniaspool.platform.store import StoreFault
 
 __all__ = ["HolderElection", "find_delay_s"]
 
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -9,7 +9,6 @@
 from result import Ok
 
 from zinniaspool.core.fleet import InstanceId
-from zinniaspool.core.fleet.messages import DemandNote
 from zinniaspool.core.formation import (
     DomainPlan,
     FormationPlanner,
@@ -22,6 +21,7 @@
 from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.planner import GroupMove
 from zinniaspool.core.ids import Epoch, FabricDomainId, ModelName, NodeId, ServiceName
+from zinniaspool.core.messages.fleet import DemandNote
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.keeper.election import HolderElection
 from zinniaspool.keeper.plans import PlanBook
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -6,9 +6,9 @@
 
 import structlog
 
-from zinniaspool.core.fleet.messages import DemandNote, SilentTarget
 from zinniaspool.core.ids import Address
 from zinniaspool.core.messages import Hello, Message
+from zinniaspool.core.messages.fleet import DemandNote, SilentTarget
 from zinniaspool.fleet import (
     FleetBelief,
     FleetFollower,
@@ -167,7 +167,3 @@
 def main() -> None:
     """Run the program."""
     run_on_platform("control", KeeperProcess)
-
-
-if __name__ == "__main__":
-    main()
--- a/src/zinniaspool/keeper/plans.py
+++ b/src/zinniaspool/keeper/plans.py
@@ -7,8 +7,8 @@
 from zinniaspool.core.fleet import HOLDER_KEY, PLANS_PREFIX, StoreMirror
 from zinniaspool.core.formation import DomainPlan
 from zinniaspool.core.ids import FabricDomainId, Revision
+from zinniaspool.core.storage import StoreFault
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
-from zinniaspool.platform.store import StoreFault
 
 __all__ = ["PlanBook"]
 
--- a/src/zinniaspool/node/board.py
+++ b/src/zinniaspool/node/board.py
@@ -20,7 +20,8 @@
     Notice,
     Topic,
 )
-from zinniaspool.core.membership.messages import (
+from zinniaspool.core.messages import Hello, Message
+from zinniaspool.core.messages.membership import (
     Compare,
     Compared,
     Join,
@@ -29,7 +30,6 @@
     Probed,
     Push,
 )
-from zinniaspool.core.messages import Hello, Message
 from zinniaspool.peers import PeerLinks
 
 __all__ = ["Board"]
--- a/src/zinniaspool/node/follower.py
+++ b/src/zinniaspool/node/follower.py
@@ -23,18 +23,18 @@
     WatchRoot,
     decode_root,
 )
-from zinniaspool.core.configuration.messages import (
+from zinniaspool.core.deployment import Configuration
+from zinniaspool.core.ids import Address, NodeId, Revision
+from zinniaspool.core.membership import Notice, Topic
+from zinniaspool.core.messages.configuration import (
     ConfigurationAnswer,
     ConfigurationAsk,
     decode_announcement,
     encode_announcement,
 )
-from zinniaspool.core.deployment import Configuration
-from zinniaspool.core.ids import Address, NodeId, Revision
-from zinniaspool.core.membership import Notice, Topic
 from zinniaspool.node.board import Board
 from zinniaspool.peers import PeerLinks
-from zinniaspool.platform import Store, StoreFault
+from zinniaspool.store import Store, StoreFault
 
 __all__ = ["ConfigurationFollower", "FollowerState"]
 
--- a/src/zinniaspool/node/frame.py
+++ b/src/zinniaspool/node/frame.py
@@ -9,7 +9,6 @@
 import structlog
 
 from zinniaspool import __version__
-from zinniaspool.core.configuration.messages import ConfigurationAsk
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import (
     Address,
@@ -27,6 +26,7 @@
     Role,
 )
 from zinniaspool.core.messages import PROTOCOL_VERSION, Gossip, Hello, Message
+from zinniaspool.core.messages.configuration import ConfigurationAsk
 from zinniaspool.http import HttpClient, HttpServer
 from zinniaspool.node.access import Access
 from zinniaspool.node.board import Board
@@ -34,8 +34,8 @@
 from zinniaspool.node.lag import MemberRevision, ask_revisions
 from zinniaspool.node.operators import OperatorInterface
 from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
-from zinniaspool.platform import BudgetedStore, CallKind, HttpStore
 from zinniaspool.settings import EntrySettings, NodeSettings
+from zinniaspool.store import BudgetedStore, CallKind, HttpStore
 from zinniaspool.telemetry.metrics import Metrics
 
 __all__ = ["NodeFrame"]
--- a/src/zinniaspool/node/lag.py
+++ b/src/zinniaspool/node/lag.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from zinniaspool.core.configuration.messages import (
+from zinniaspool.core.ids import NodeId, Revision
+from zinniaspool.core.membership import Member, MemberState
+from zinniaspool.core.messages.configuration import (
     ConfigurationAnswer,
     ConfigurationAsk,
 )
-from zinniaspool.core.ids import NodeId, Revision
-from zinniaspool.core.membership import Member, MemberState
 from zinniaspool.node.board import Board
 from zinniaspool.peers import PeerLinks
 
--- a/src/zinniaspool/platform/kvstore.py
+++ b/src/zinniaspool/platform/kvstore.py
@@ -14,6 +14,7 @@
 
 from zinniaspool.core.fleet import HOLDER_KEY, MirrorEvent, StoredItem
 from zinniaspool.core.ids import Address, Revision
+from zinniaspool.core.storage import StoreFault
 from zinniaspool.http import (
     Headers,
     HttpClient,
@@ -21,7 +22,6 @@
     TransportError,
     TransportFailure,
 )
-from zinniaspool.platform.store import StoreFault
 
 __all__ = ["KeyWrite", "KvStore", "LeaseNumber", "Reading", "StoreCall", "WatchResult"]
 
--- a/src/zinniaspool/platform/nodefile.py
+++ b/src/zinniaspool/platform/nodefile.py
@@ -8,11 +8,10 @@
 import msgspec
 
 from zinniaspool.core.ids import Address, FailureDomainId, NodeId
+from zinniaspool.platform.variables import FILE_VARIABLE
 
 __all__ = ["NodeFile", "NodeFileError", "read_node_file"]
 
-FILE_VARIABLE = "ZINNIASPOOL_NODE_FILE"
-
 
 class NodeFileError(Exception):
     """The settings file cannot be used; the message names what is wrong."""
--- a/src/zinniaspool/platform/budget.py
+++ b/src/zinniaspool/store/budget.py
@@ -7,7 +7,7 @@
 from result import Err, Result
 
 from zinniaspool.core.ids import Revision
-from zinniaspool.platform.store import (
+from zinniaspool.store.client import (
     LeaseId,
     Store,
     StoreFault,
--- a/src/zinniaspool/platform/store.py
+++ b/src/zinniaspool/store/client.py
@@ -1,7 +1,6 @@
 """Client of the platform's key-value service, over HTTP and JSON."""
 
 from dataclasses import dataclass
-from enum import Enum
 from typing import NewType, Protocol, TypeVar
 from urllib.parse import quote
 
@@ -9,6 +8,7 @@
 from result import Err, Ok, Result
 
 from zinniaspool.core.ids import Address, Revision
+from zinniaspool.core.storage import StoreFault
 from zinniaspool.http import (
     Headers,
     HttpClient,
@@ -35,25 +35,6 @@
 _T = TypeVar("_T")
 
 
-class StoreFault(Enum):
-    """Why a call to the store gave no answer of its own."""
-
-    CONFLICT = "conflict"
-    """The key was at another revision: nothing was written."""
-
-    LIMITED = "limited"
-    """The call limit is reached: nothing was done."""
-
-    UNAVAILABLE = "unavailable"
-    """The store refused or was not reached: nothing was done."""
-
-    UNKNOWN = "unknown"
-    """No answer came: a write may have taken effect."""
-
-    NO_LEASE = "no-lease"
-    """The lease has lapsed."""
-
-
 @dataclass(frozen=True, slots=True)
 class StoreValue:
     """One key's value and the revision of its last write."""
--- a/src/zinniaspool/platform/configurations.py
+++ b/src/zinniaspool/store/configurations.py
@@ -22,7 +22,7 @@
     name_parts,
 )
 from zinniaspool.core.ids import Revision
-from zinniaspool.platform.store import Store, StoreFault, StoreValue
+from zinniaspool.store.client import Store, StoreFault, StoreValue
 
 __all__ = [
     "AcceptFault",
--- a/src/zinniaspool/platform/settled.py
+++ b/src/zinniaspool/store/settled.py
@@ -3,7 +3,7 @@
 from result import Err, Ok, Result
 
 from zinniaspool.core.ids import Revision
-from zinniaspool.platform.store import LeaseId, Store, StoreFault
+from zinniaspool.store.client import LeaseId, Store, StoreFault
 
 __all__ = ["settle_swap"]
 
--- a/src/zinniaspool/platform/vmlist.py
+++ b/src/zinniaspool/store/vmlist.py
@@ -5,8 +5,8 @@
 
 from zinniaspool.core.ids import Address
 from zinniaspool.core.plans import VmListing
+from zinniaspool.core.storage import StoreFault
 from zinniaspool.http import HttpClient, Request, TransportError
-from zinniaspool.platform.store import StoreFault
 
 __all__ = ["fetch_vm_list"]
 
--- a/src/zinniaspool_standins/kvstore.py
+++ b/src/zinniaspool_standins/kvstore.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from zinniaspool.core.ids import Revision
-from zinniaspool.platform.store import (
+from zinniaspool.store.client import (
     LeaseId,
     StoreChange,
     StoreFault,
--- a/src/zinniaspool_standins/platform.py
+++ b/src/zinniaspool_standins/platform.py
@@ -20,7 +20,7 @@
 from zinniaspool.core.ids import Address, Revision, VmId
 from zinniaspool.core.plans import VmListing, VmListState
 from zinniaspool.http import Exchange, HttpServer, ServerLimits
-from zinniaspool.platform.store import LeaseId, StoreFault
+from zinniaspool.store.client import LeaseId, StoreFault
 from zinniaspool_standins.kvstore import (
     MOST_VALUE_BYTES,
     CallBudget,
--- a/src/zinniaspool_standins/soak.py
+++ b/src/zinniaspool_standins/soak.py
@@ -45,7 +45,7 @@
 """Entries that no runner writes, as the store keeps them."""
 
 NOT_RUN = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
-GATEWAY, KEEPER = "zinniaspool.gateway.main", "zinniaspool.keeper.main"
+GATEWAY, KEEPER = "zinniaspool.platform.entry", "zinniaspool.platform.control"
 
 
 class SoakError(AssertionError):
@@ -360,7 +360,7 @@
         f'[platform]\naddress = "{link_address}"\n'
     )
     processes = [
-        _Process(module, settings, folder / f"n{number}-{module.split('.')[1]}.log")
+        _Process(module, settings, folder / f"n{number}-{module.split('.')[2]}.log")
         for module in (GATEWAY, KEEPER)
     ]
     return _Node(f"n{number}", front, link, processes)
--- a/tests/configuration_net.py
+++ b/tests/configuration_net.py
@@ -21,10 +21,6 @@
     name_parts,
     split_parts,
 )
-from zinniaspool.core.configuration.messages import (
-    decode_announcement,
-    encode_announcement,
-)
 from zinniaspool.core.deployment import (
     Configuration,
     CustomerRule,
@@ -43,6 +39,10 @@
     VmId,
 )
 from zinniaspool.core.membership import GossipMachine, Topic
+from zinniaspool.core.messages.configuration import (
+    decode_announcement,
+    encode_announcement,
+)
 from zinniaspool_standins.kvstore import KeyValueState
 
 __all__ = ["ConfigurationNet", "make_configuration"]
--- a/tests/gossip_net.py
+++ b/tests/gossip_net.py
@@ -19,7 +19,7 @@
     Role,
     Tell,
 )
-from zinniaspool.core.membership.messages import (
+from zinniaspool.core.messages.membership import (
     Compare,
     Compared,
     JoinPage,
--- a/tests/holder_fakes.py
+++ b/tests/holder_fakes.py
@@ -31,7 +31,7 @@
     Order,
     OrderKind,
 )
-from zinniaspool.platform.store import (
+from zinniaspool.store.client import (
     LeaseId,
     StoreFault,
     StoreListing,
--- a/tests/load_world.py
+++ b/tests/load_world.py
@@ -21,10 +21,13 @@
     LoadChanges,
     PatienceWatch,
     PeerLoads,
+    Peers,
     Refusal,
     Target,
     TargetPool,
     TargetState,
+    Ticket,
+    TicketState,
 )
 from zinniaspool.core.fleet import InstanceId, TargetLoad
 from zinniaspool.core.ids import (
@@ -35,7 +38,6 @@
     ModelName,
     NodeId,
 )
-from zinniaspool.core.requests import Peers, Ticket, TicketState
 
 __all__ = ["Caller", "Kind", "LoadWorld", "Shape"]
 
--- a/tests/once_nodes.py
+++ b/tests/once_nodes.py
@@ -43,7 +43,7 @@
 from zinniaspool.entry.sinks import EndedCall
 from zinniaspool.http import HttpClient
 from zinniaspool.peers import PeerLinks
-from zinniaspool.platform import HttpStore, LeaseId, StoreFault, StoreValue
+from zinniaspool.store import HttpStore, LeaseId, StoreFault, StoreValue
 from zinniaspool_standins.kvstore import KeyValueState
 
 __all__ = ["Cluster", "FakeStore", "Node"]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -19,13 +19,14 @@
     LoadChanges,
     PatienceWatch,
     PeerLoads,
+    Peers,
     Refusal,
     Target,
     TargetPool,
+    TicketState,
 )
 from zinniaspool.core.fleet import NO_LOAD, InstanceId, TargetLoad
 from zinniaspool.core.ids import Address, CustomerId, FailureDomainId, NodeId
-from zinniaspool.core.requests import Peers, TicketState
 
 USUAL = 43.0
 LARGE_SHAPE = Shape(step_s=0.00645, per_request_s=0.000193, read_s=0.0000178)
--- a/tests/test_configuration_accepting.py
+++ b/tests/test_configuration_accepting.py
@@ -19,7 +19,7 @@
     split_parts,
 )
 from zinniaspool.core.ids import Revision
-from zinniaspool.platform import (
+from zinniaspool.store import (
     AcceptedRoot,
     ConfigurationStore,
     LeaseId,
@@ -28,7 +28,7 @@
     StoreListing,
     StoreValue,
 )
-from zinniaspool.platform.store import WatchBatch
+from zinniaspool.store.client import WatchBatch
 from zinniaspool_standins.kvstore import KeyValueState
 
 Hook = Callable[[str], Awaitable[None]]
--- a/tests/test_configuration_following.py
+++ b/tests/test_configuration_following.py
@@ -13,12 +13,6 @@
 
 from tests.configuration_net import ConfigurationNet, make_configuration
 from zinniaspool.core.configuration.holding import Holding, Manifest
-from zinniaspool.core.configuration.messages import (
-    Announcement,
-    ConfigurationAnswer,
-    ConfigurationAsk,
-    PartContent,
-)
 from zinniaspool.core.configuration.parts import (
     ROOT_KEY,
     PartHash,
@@ -31,6 +25,12 @@
 )
 from zinniaspool.core.configuration.votes import StartVote
 from zinniaspool.core.ids import NodeId, Revision
+from zinniaspool.core.messages.configuration import (
+    Announcement,
+    ConfigurationAnswer,
+    ConfigurationAsk,
+    PartContent,
+)
 
 _NODES = [f"n{k}" for k in range(6)]
 _SEEDS = _NODES[:3]
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -8,8 +8,8 @@
 
 from tests.fakes import run_in_loop
 from zinniaspool.core.ids import Address, FailureDomainId, Incarnation, NodeId
-from zinniaspool.core.membership.messages import Probe, Probed
 from zinniaspool.core.messages import PROTOCOL_VERSION, Accepted, Hello, Message
+from zinniaspool.core.messages.membership import Probe, Probed
 from zinniaspool.peers import (
     FrameError,
     PeerLinks,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,7 +11,7 @@
 from zinniaspool.core.ids import NodeId
 from zinniaspool.core.membership import Ask, MemberState, Topic
 from zinniaspool.core.membership.members import Standing
-from zinniaspool.core.membership.messages import Compare, Compared, Push, WireNotice
+from zinniaspool.core.messages.membership import Compare, Compared, Push, WireNotice
 
 _NODES = [f"n{k}" for k in range(6)]
 _SEEDS = _NODES[:2]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -16,6 +16,7 @@
     RequestKind,
 )
 from zinniaspool.core.ids import Revision
+from zinniaspool.core.storage import StoreFault
 from zinniaspool.http import Headers, HttpClient, Request
 from zinniaspool.platform import wire
 from zinniaspool.platform.entries import (
@@ -27,7 +28,6 @@
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
 from zinniaspool.platform.nodefile import NodeFileError, read_node_file
 from zinniaspool.platform.rules import read_rules
-from zinniaspool.platform.store import StoreFault
 from zinniaspool_standins.installation import free_address, make_rules
 from zinniaspool_standins.pagestore import PageStore
 
--- a/tests/test_store_budget.py
+++ b/tests/test_store_budget.py
@@ -5,8 +5,8 @@
 from result import Err, Ok, Result
 
 from zinniaspool.core.ids import Revision
-from zinniaspool.platform import BudgetedStore, CallKind, LeaseId, StoreFault
-from zinniaspool.platform.store import StoreListing, StoreValue, WatchBatch
+from zinniaspool.store import BudgetedStore, CallKind, LeaseId, StoreFault
+from zinniaspool.store.client import StoreListing, StoreValue, WatchBatch
 
 
 class _Instant:
