Follow the VM's own control process; one copy at a start; note why costs do not grow

Change: the address comes from the seeds' port; a copy of a peer counts as read; a start asks one seed first; where history was dropped, followers wait up to 0.6 s for their relay's copy.

--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -62,16 +62,18 @@
 """Peers that are asked in a row: enough that one of them most likely reaches
 the store where only some VMs do not."""
 
-SOURCE_START_S = 0.8
-"""For how long a starting process waits for its sources, in seconds: they
-start together, and reading the store takes some tens of milliseconds."""
-
 FIRST_START_S = 3.0
-"""The same when the whole system starts: nobody is served yet, and a few
-processes tell a copy of some tens of kilobytes to all others."""
+"""For how long a process asks others for their copy when the whole system
+starts, in seconds: nobody is served yet, and a few processes tell a copy of
+some tens of kilobytes to all others."""
 
 SOURCE_RETRY_S = 0.06
-"""Pause between two questions to one, in seconds."""
+"""Pause between two such questions, in seconds."""
+
+REREAD_S = 0.6
+"""Longest pause before the store is read anew whose history was dropped, in
+seconds, where relays stand between: the one that is followed has read it by
+then for most."""
 
 HOP_S = 0.35
 """How much older a copy may be for each process that it came by, in seconds:
@@ -91,11 +93,13 @@
         node: Its VM.
         domain: That VM's failure domain.
         first_start: Whether the whole system starts for the first time.
+        seeds: Control processes of other VMs that may be reached at the start.
     """
 
     node: NodeId
     domain: FailureDomainId
     first_start: bool = False
+    seeds: tuple[Address, ...] = ()
 
 
 @dataclass(slots=True)
@@ -119,12 +123,10 @@
         list_seeds: Returns peers to ask when neither store nor holder answer.
         list_demands: Returns how much the models are asked for, here and at
             all that follow this process.
-        sources: Processes that learn of the fleet for this one as well, to
-            be asked first: so that not every process reads the store.
         place: Where this process runs.
-        follows_relays: Whether it follows the holder by relays. Otherwise it
-            goes on following its source, a process on the same VM: so only
-            one process of a VM is told over the network.
+        own_control: This VM's control process, which is followed where there
+            is one: so only one process of a VM is told over the network. The
+            control process itself has none, and follows the holder or a relay.
     """
 
     def __init__(
@@ -136,10 +138,8 @@
         is_holder: Callable[[], bool],
         list_seeds: Callable[[], list[Address]],
         list_demands: Callable[[], list[ModelDemandNote]],
-        sources: list[Address],
         place: Place,
-        *,
-        follows_relays: bool = False,
+        own_control: Address | None = None,
     ) -> None:
         self.reachable = True
         self._store = store
@@ -149,9 +149,8 @@
         self._is_holder = is_holder
         self._list_seeds = list_seeds
         self._list_demands = list_demands
-        self._sources = sources
         self._place = place
-        self._follows_relays = follows_relays
+        self._own_control = own_control
         self._relays: list[Address] | None = None
         belief.on_nodes.append(self._forget_relays)
         self._read = False
@@ -175,14 +174,17 @@
                 await asyncio.sleep(self._pause_s)
 
     async def _begin_with_sources(self) -> None:
-        """Learn all from processes that start as well and read the store."""
-        if self._follows_relays and not self._place.first_start:
-            # The others have long started, and any of them may be down.
+        """Learn all from a process that reads the store in any case."""
+        if not self._place.first_start:
+            # The others have long started; any of them may be down, and the
+            # store is there where one is.
+            if self._place.seeds:
+                await self._follow(random.choice(self._place.seeds), 0.0)
             return
-        start_s = FIRST_START_S if self._place.first_start else SOURCE_START_S
-        ends = self._now() + start_s
-        while self._sources and self._now() < ends:
-            if await self._follow(random.choice(self._sources)):
+        ends = self._now() + FIRST_START_S
+        sources = [self._own_control] if self._own_control else self._place.seeds
+        while sources and self._now() < ends:
+            if await self._follow(random.choice(sources)):
                 return
             await asyncio.sleep(SOURCE_RETRY_S)
 
@@ -202,8 +204,8 @@
 
     def _list_leads(self) -> list[Address]:
         """Return whom this process may follow, best first."""
-        if not self._follows_relays and self._sources:
-            return self._sources
+        if self._own_control is not None:
+            return [self._own_control]
         holder = self._belief.holder
         if holder is None:
             return []
@@ -242,7 +244,7 @@
         """
         holder = self._belief.holder
         hops = int(holder is not None and bool(self._find_relays(holder)))
-        hops += int(not self._follows_relays)
+        hops += int(self._own_control is not None)
         return FRESH_S + hops * HOP_S
 
     def _accepts(self, news: FleetNews) -> bool:
@@ -286,13 +288,7 @@
         if news is not None and not news.source and news.as_of:
             news = await self._close_gap(address, news)
         if news is None or not self._accepts(news):
-            self._shunned[address] = self._now() + SHUN_S
-            _log.info(
-                "peer-stale",
-                address=address,
-                age_ms=-1 if news is None else int(news.age_s * 1000),
-                leader_ms=-1 if news is None else int(news.leader_age_s * 1000),
-            )
+            self._shun(address, news)
             return False
         self._shunned.pop(address, None)
         peer.source, peer.serial = news.source, news.serial
@@ -305,10 +301,20 @@
         if holder is not None and news.leader == holder.start:
             self._sight.hear(holder, news.leader_age_s, provisional=news.provisional)
         self.reachable = True
-        if leads and news.items and self._follows_relays and self._has_relays:
+        if leads and news.items and self._own_control is None and self._has_relays:
             await asyncio.sleep(RELAY_GATHER_S)
         return True
 
+    def _shun(self, address: Address, news: FleetNews | None) -> None:
+        if address not in self._shunned:
+            _log.info(
+                "peer-stale",
+                address=address,
+                age_ms=-1 if news is None else int(news.age_s * 1000),
+                leader_ms=-1 if news is None else int(news.leader_age_s * 1000),
+            )
+        self._shunned[address] = self._now() + SHUN_S
+
     def _note_unanswered(self, address: Address) -> None:
         holder = self._belief.holder
         if holder is not None and address == holder.peer_address:
@@ -320,7 +326,7 @@
         The store tells it in one call; where it does not answer, the peer's
         whole copy is asked for.
         """
-        if not isinstance(await self._follow_store(), Err):
+        if self._read and not isinstance(await self._follow_store(), Err):
             return await self._mesh.ask(
                 address, FleetWatch("", 0, self._belief.mirror.as_of, 0.0)
             )
@@ -393,8 +399,13 @@
         batch = seen.ok_value
         if not batch.complete:
             # The history between is gone: only a whole reading tells.
+            # The one that is followed reads it for all; each reading for
+            # itself would be the whole fleet's entries for every VM.
             _log.info("history-dropped", as_of=mirror.as_of)
             self._read = False
+            if self._has_relays and not self._is_holder():
+                await asyncio.sleep(random.uniform(0.0, REREAD_S))
+                self._shunned.clear()
             return Ok(None)
         self._belief.take(mirror.apply(batch.events, batch.as_of, self._now()))
         return Ok(None)
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -145,8 +145,8 @@
             lambda: False,
             self._list_seeds,
             self._list_demands,
-            [] if node.control_address is None else [node.control_address],
-            Place(node.node, node.failure_domain, first_start=node.first_start),
+            Place(node.node, node.failure_domain, node.first_start, node.seeds),
+            node.control_address,
         )
         self._notes: set[asyncio.Task[bool]] = set()
         self._index = TargetIndex(self._belief, node.failure_domain)
@@ -317,7 +317,7 @@
             node.failure_domain,
             node.region,
             state,
-            node.control_address or Address(""),
+            node.control_address,
         )
 
     def _take_catalog(self) -> None:
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -75,9 +75,7 @@
             self._store.probe,
             lambda: self._election.lead,
         )
-        self._address = node.control_address or Address(
-            f"{node.ip}:{node.first_port + 1}"
-        )
+        self._address = node.control_address
         self._election = HolderElection(
             self._store,
             self._belief,
@@ -95,9 +93,12 @@
             lambda: self._election.claims,
             self._list_seeds,
             self._mesh.sum_demands,
-            [one for one in node.seeds if self._address not in node.seeds],
-            Place(node.node, node.failure_domain, first_start=node.first_start),
-            follows_relays=True,
+            Place(
+                node.node,
+                node.failure_domain,
+                node.first_start,
+                () if self._address in node.seeds else node.seeds,
+            ),
         )
         self._holder = GroupHolder(
             self._belief,
--- a/src/zinniaspool/platform/nodefile.py
+++ b/src/zinniaspool/platform/nodefile.py
@@ -78,7 +78,7 @@
         caller_address: Where callers connect, or None.
         ready_address: Where the platform asks whether callers may be sent.
         directory_address: Where callers ask which addresses to use, or None.
-        control_address: Where control processes meet, or None.
+        control_address: Where this VM's control process listens.
         first_port: First of the ports for traffic of our own.
         seeds: Control processes that may be reached at the start.
         store_address: The platform's store.
@@ -105,7 +105,7 @@
     caller_address: Address | None
     ready_address: Address | None
     directory_address: Address | None
-    control_address: Address | None
+    control_address: Address
     first_port: int
     seeds: tuple[Address, ...]
     store_address: Address
@@ -157,7 +157,7 @@
         _address(listen.front),
         _address(listen.ready),
         _address(listen.directory),
-        _address(listen.control),
+        _find_control_address(file),
         file.internal_ports[0],
         tuple(Address(one) for one in file.seeds),
         Address(file.platform.address),
@@ -176,5 +176,18 @@
     )
 
 
+def _find_control_address(file: _File) -> Address:
+    """Return where the control process of the VM listens.
+
+    Its own settings name the address; those of the VM's other process do not.
+    But all VMs use the same ports, so that any seed tells the port.
+    """
+    if file.listen_addrs.control:
+        return Address(file.listen_addrs.control)
+    if file.seeds:
+        return Address(f"{file.ip}:{file.seeds[0].rpartition(':')[2]}")
+    return Address(f"{file.ip}:{file.internal_ports[0] + 1}")
+
+
 def _address(text: str) -> Address | None:
     return Address(text) if text else None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -335,3 +335,25 @@
         assert await store.renew(lease) == Err(StoreFault.NO_LEASE)
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [
+        ('control = "10.1.0.40:8229"', "10.1.0.40:8229"),
+        ("", "10.1.0.40:8469"),
+    ],
+)
+def test_each_process_knows_where_its_vm_s_control_process_listens(
+    tmp_path: Path, line: str, expected: str
+) -> None:
+    """Without it an entry process would follow the holder over the network.
+
+    Only the control process's own settings name its address; the seeds tell
+    the port, which is the same on all VMs.
+    """
+    path = tmp_path / "node.toml"
+    seeds = 'seeds = ["10.3.0.19:8469"]\n'
+    path.write_text(seeds + _FILE.replace("[limits]", f"{line}\n[limits]"))
+    node = read_node_file(path)
+    assert node.control_address == expected
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -167,9 +167,7 @@
         lambda: False,
         list,
         lambda: make_demand(1.0),
-        [],
         Place(own, make_fleet(195)[own]),
-        follows_relays=True,
     )
     follower._read = True
     task = asyncio.create_task(follower.run())
