Try a failed renewal again after a second

Cause, found in reading the change: with leases of 12 s the usual pause is 3.6 s, also after a renewal that failed, so that a lease could lapse though the store was back for seconds, and others would leave a VM out that serves.

--- a/src/zinniaspool/fleet/leases.py
+++ b/src/zinniaspool/fleet/leases.py
@@ -17,6 +17,10 @@
 """Part of a lease's time after which it is renewed, so that two renewals may
 be lost."""
 
+RETRY_S = 1.0
+"""Pause after a renewal that failed, in seconds: once the store is back, what
+is written under the lease must be there again before others believe it gone."""
+
 TRUST_PART = 0.75
 """Part of its time for which a lease is trusted after the last renewal left.
 The store may measure a little faster, and an order needs time to arrive."""
@@ -40,6 +44,7 @@
         self._store = store
         self._ttl_s = ttl_s
         self._trusted_until = 0.0
+        self._kept = True
 
     @property
     def trusted(self) -> bool:
@@ -52,6 +57,10 @@
         A lease that was lost is replaced: what was written under it is gone,
         which ``number`` shows by its change.
         """
+        self._kept = await self._renew_or_grant()
+        return self._kept
+
+    async def _renew_or_grant(self) -> bool:
         asked = boot_time()
         if self.number is not None:
             renewed = await self._store.renew(self.number)
@@ -72,7 +81,8 @@
 
     async def pause(self) -> None:
         """Wait until the next renewal is due."""
-        await asyncio.sleep(self._ttl_s * RENEW_PART)
+        pause_s = self._ttl_s * RENEW_PART
+        await asyncio.sleep(pause_s if self._kept else min(pause_s, RETRY_S))
 
     async def end(self) -> None:
         """Give the lease back, and all keys with it."""
