--- a/src/zinniaspool/fleet/leases.py
+++ b/src/zinniaspool/fleet/leases.py
@@ -19,7 +19,8 @@
 
 RETRY_S = 1.0
 """Pause after a renewal that failed, in seconds: once the store is back, what
-is written under the lease must be there again before others believe it gone."""
+is written under the lease must be there again before others take it for gone.
+"""
 
 TRUST_PART = 0.75
 """Part of its time for which a lease is trusted after the last renewal left.
