--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -95,7 +95,7 @@
 RELAY_HOP_S = 0.8
 """The same for a relay: as long as the holder and the relays need to be served
 again after a second without the store. With the shorter time a fleet of 67 VMs
-asked the store all at once then, 340 calls of the 1,430 of half a minute."""
+asked the store all at once then, and read it whole."""
 
 RELAY_GATHER_S = 0.1
 """Pause after news before more is asked for, in seconds, where relays stand
--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -44,6 +44,7 @@
 """Ids that can stand in a header field."""
 
 _MOST_PORT = 65535
+"""Largest TCP port: ports have sixteen bits."""
 
 
 class _Group(msgspec.Struct):
