Let the first spare hold the model whose groups stop most VMs

Change: a spare goes to the model where it saves most VM-seconds at the next loss: VMs exposed, times the VMs of a group, times the time to warm up.

Ruled out: letting spares that hold a model change it (a host keeps one staged model, so that they would lack the other for a load).

--- a/src/zinniaspool/core/formation/allocation.py
+++ b/src/zinniaspool/core/formation/allocation.py
@@ -244,14 +244,17 @@
         return None
     one = min(idle, key=lambda it: it.instance.id)
 
-    # Per VM that may be lost, so that the model with more VMs in groups of
-    # this domain gets the first of two.
-    def cover(model: ModelSpec) -> float:
+    def saving(model: ModelSpec) -> float:
+        """Return the VM-seconds that one more spare saves at the next loss.
+
+        How likely it hits a group of the model goes by its VMs, and a whole
+        group stands still for as long as the spare would take to warm up.
+        """
         exposed = max(1, here[model.name] * model.size)
-        return (standing[model.name] + 1) / exposed
+        return exposed * model.size * model.warm_s / (standing[model.name] + 1)
 
     held = next((spec for spec in models if spec.name == one.held), None)
-    model = held or min(models, key=cover)
+    model = held or max(models, key=saving)
     absent = one.readiness(model.name) is Readiness.ABSENT
     loads = (one.instance.id,) if absent else ()
     return Selection(model, (one.instance.id,), loads, standby=True)
