Widen what is sent outside the own targets while it is answered on time

Change: a window that grows by one with each first event on time, halves with each late one, and closes for a while as before at one.

--- a/src/zinniaspool/core/dispatch/outside.py
+++ b/src/zinniaspool/core/dispatch/outside.py
@@ -1,21 +1,25 @@
 """How many requests a process sends to targets that others share.
 
-Pattern: circuit breaker. What the others have at those targets is not told to
-this process, so that it sends there by what answers have shown typically. In
-an overload of the whole fleet each process would take the others' targets for
-emptier than its own, send there what its own cannot take, and make everybody
-late: played with thirty processes at 2.2 times the usual load, nobody was
-answered on time any more. So few requests wait there for their first event at
-a time, and none for a while after one that came later than was predicted.
-Where only this process's own targets are short, the others answer as
-predicted.
+Pattern: additive increase, multiplicative decrease (AIMD), as in TCP. What
+the others have at those targets is not told to this process, so that it sends
+there by what answers have shown typically. In an overload of the whole fleet
+each process would take the others' targets for emptier than its own, send
+there what its own cannot take, and make everybody late. Where only this
+process's own targets are short, as after the loss of a fabric domain, the
+others answer as predicted and have room for all that its own had. Which of
+both it is shows by the answers: each first event on time lets one more wait
+there, each late one halves how many may, and a late one while only one may
+closes the window for a while.
 """
 
-__all__ = ["OutsideBreaker"]
+__all__ = ["OutsideWindow"]
 
-MOST_WAITING = 1
-"""Requests that wait for a first event there at a time: at about 0.2 s each,
-as much as one process is asked for in a second."""
+FIRST_WINDOW = 1.0
+"""Requests that may wait there for a first event before any came in time."""
+
+MOST_WINDOW = 16.0
+"""The most that may: several times what one process is asked for in the time
+that a first event takes, so that it never binds where there is room."""
 
 LATE_S = 0.1
 """Seconds by which a first event may come later than predicted: about the time
@@ -29,17 +33,18 @@
 """The longest such time, in seconds: about as long as a burst takes."""
 
 
-class OutsideBreaker:
+class OutsideWindow:
     """Counts this process's requests outside its own targets."""
 
     def __init__(self) -> None:
         self._waiting = 0
+        self._window = FIRST_WINDOW
         self._rest_s = REST_S
         self._closed_until = float("-inf")
 
     def allows(self, now: float) -> bool:
         """Tell whether one more may be sent there."""
-        return now >= self._closed_until and self._waiting < MOST_WAITING
+        return now >= self._closed_until and self._waiting < int(self._window)
 
     def begin(self) -> None:
         """Count one that is sent there."""
@@ -52,18 +57,26 @@
             late_s: How much later it came than predicted, in seconds.
             now: Seconds.
         """
+        # What a window of this size has shown is shown only while it is used.
+        used = self._waiting * 2 >= self._window
         self._waiting -= 1
-        if late_s <= LATE_S:
-            self._rest_s = REST_S
-        else:
-            self._rest(now)
+        if late_s > LATE_S:
+            self._narrow(now)
+            return
+        self._rest_s = REST_S
+        if used:
+            self._window = min(MOST_WINDOW, self._window + 1.0)
 
     def note_none(self, now: float) -> None:
         """Take that one has ended there without a first event."""
         self._waiting -= 1
-        self._rest(now)
+        self._narrow(now)
 
-    def _rest(self, now: float) -> None:
+    def _narrow(self, now: float) -> None:
+        if self._window >= FIRST_WINDOW * 2:
+            self._window /= 2
+            return
+        self._window = FIRST_WINDOW
         if now >= self._closed_until:
             self._closed_until = now + self._rest_s
             self._rest_s = min(MOST_REST_S, self._rest_s * 2)
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from zlib import crc32
 
-from zinniaspool.core.dispatch.outside import OutsideBreaker
+from zinniaspool.core.dispatch.outside import OutsideWindow
 from zinniaspool.core.dispatch.pace import FirstEventForecast
 from zinniaspool.core.dispatch.shares import Peers, take_part
 from zinniaspool.core.dispatch.subsets import Subset
@@ -183,7 +183,7 @@
         self.forecast = FirstEventForecast()
         self.processes = Peers(1, 1, 0)
         self._everybody = 1
-        self._outside = OutsideBreaker()
+        self._outside = OutsideWindow()
 
     def __iter__(self) -> Iterator[TargetState]:
         return iter(list(self._states.values()))
