--- a/src/zinniaspool/core/dispatch/pace.py
+++ b/src/zinniaspool/core/dispatch/pace.py
@@ -30,6 +30,13 @@
 follows within some hundred, a few seconds, and rests within a few
 milliseconds."""
 
+FIRST_STEP_S = 0.016
+HALVED_AFTER = 8
+"""By how much the very first ones move it, in seconds, and after how many that
+is halved, down to the usual step. A process that has one request in three
+seconds for a model would otherwise go on for minutes with what was taken
+before any was measured, and refuse callers who would be answered in time."""
+
 TRUSTED_PART = 0.8
 """Part of the first events that come within the prediction and its spread."""
 
@@ -93,6 +100,8 @@
         self.rest_s = FIRST_REST_S
         self.spread_s = 0.0
         self.stay_s = FIRST_STAY_S
+        self._step_s = FIRST_STEP_S
+        self._noted = 0
 
     def predict(self, load: float, slots: int, unread: int, prompt: int) -> float:
         """Return how long a request's first event would take, in seconds.
@@ -116,16 +125,19 @@
         nothing of the others.
         """
         error_s = took_s - predicted_s
-        self.rest_s = _follow(self.rest_s, error_s > 0, 0.5)
+        self.rest_s = _follow(self.rest_s, error_s > 0, 0.5, self._step_s)
         beyond = error_s > self.spread_s
-        self.spread_s = _follow(self.spread_s, beyond, TRUSTED_PART)
+        self.spread_s = _follow(self.spread_s, beyond, TRUSTED_PART, STEP_S)
+        self._noted += 1
+        if self._noted % HALVED_AFTER == 0:
+            self._step_s = max(STEP_S, self._step_s / 2)
 
     def note_stay(self, took_s: float) -> None:
         """Take how long an answered request was at its engine."""
         self.stay_s += STAY_WEIGHT * (took_s - self.stay_s)
 
 
-def _follow(quantile_s: float, beyond: bool, part: float) -> float:
+def _follow(quantile_s: float, beyond: bool, part: float, step_s: float) -> float:
     """Return a quantile of errors after one more that was beyond it or not."""
-    step_s = 2 * STEP_S * (part if beyond else part - 1)
-    return max(0.0, quantile_s + step_s)
+    moved_s = 2 * step_s * (part if beyond else part - 1)
+    return max(0.0, quantile_s + moved_s)
