Tell peers of silent heads; move requests whose first event is overdue

And a head that answers some requests and never others was not silent, so that those others waited until their callers left.

Change: a process whose streams stopped at a head tells those that share it, unless nothing comes from any other head either; they use it for nothing new for 0.8 s, in which the holder asks its VMs, and move what only waits there to free slots. A first event counts as overdue after its predicted time and the longest excess of late; the request is then moved once, where a slot is free, and counts as a failure there.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -24,8 +24,8 @@
 from zinniaspool.core.dispatch.shares import Peers
 from zinniaspool.core.dispatch.silence import (
     SilenceLimits,
+    doubt,
     find_silent,
-    hear_silent,
     rest_silent,
 )
 from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
@@ -60,6 +60,6 @@
     "TargetPool",
     "TargetState",
     "find_silent",
-    "hear_silent",
+    "doubt",
     "rest_silent",
 ]
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 from zlib import crc32
 
-from zinniaspool.core.dispatch.gaps import GapForecast
 from zinniaspool.core.dispatch.outside import OutsideWindow
 from zinniaspool.core.dispatch.pace import FirstEventForecast
 from zinniaspool.core.dispatch.shares import Peers, take_part
 from zinniaspool.core.dispatch.subsets import Subset
+from zinniaspool.core.dispatch.timeouts import AdaptiveTimeout
 from zinniaspool.core.fleet import NO_LOAD, InstanceId, TargetLoad, is_reborn
 from zinniaspool.core.ids import Address, Epoch, FailureDomainId, GroupId, ModelName
 
@@ -56,6 +56,18 @@
 """Seconds of prompts to be read that count as a full target: as long as a
 first event takes that has not to wait for others' prompts."""
 
+FIRST_GAP_EXCESS_S = 0.06
+MOST_GAP_EXCESS_S = 0.3
+GAP_FADE = 0.0005
+"""How much longer than its pass the gap between two events of a target is
+taken to be at first, and at most, in seconds, and how that fades: a process
+has some hundred gaps a second of a busy model."""
+
+FIRST_LATE_EXCESS_S = 0.08
+MOST_LATE_EXCESS_S = 0.6
+LATE_FADE = 0.005
+"""The same of first events, of which a process has a few a second."""
+
 EJECT_FAILURES = 3
 """Failures in a row after which a target is left alone for a while."""
 
@@ -189,7 +201,12 @@
         self._subset: Subset | None = None
         self._typical = 0.0
         self.forecast = FirstEventForecast()
-        self.gaps = GapForecast()
+        self.gap_timeout = AdaptiveTimeout(
+            FIRST_GAP_EXCESS_S, MOST_GAP_EXCESS_S, GAP_FADE
+        )
+        self.first_timeout = AdaptiveTimeout(
+            FIRST_LATE_EXCESS_S, MOST_LATE_EXCESS_S, LATE_FADE
+        )
         self.processes = Peers(1, 1, 0)
         self._everybody = 1
         self._outside = OutsideWindow()
@@ -368,13 +385,18 @@
     def note_progress(self, state: TargetState, now: float) -> None:
         """Take that an event came from a target."""
         if state.silences:
-            self.gaps.note_false_silence()
+            self.gap_timeout.note_false()
         elif state.writing:
             gap_s = now - state.progress_at
-            self.gaps.note(self.predict_gap(state, now), gap_s)
+            self.gap_timeout.note(self.predict_gap(state, now), gap_s)
         state.progress_at, state.silent_until, state.silences = now, 0.0, 0
         state.unread_since = state.all_unread
 
+    def note_first(self, predicted_s: float, took_s: float) -> None:
+        """Take how long a first event took and was predicted to take."""
+        self.forecast.note_first(predicted_s, took_s)
+        self.first_timeout.note(predicted_s, took_s)
+
     def has_place(self, state: TargetState, now: float) -> bool:
         """Tell whether a request could begin at a target without a wait.
 
--- a/src/zinniaspool/core/dispatch/silence.py
+++ b/src/zinniaspool/core/dispatch/silence.py
@@ -11,8 +11,8 @@
 
 __all__ = [
     "SilenceLimits",
+    "doubt",
     "find_silent",
-    "hear_silent",
     "rest_silent",
 ]
 
@@ -26,23 +26,19 @@
             less where its passes are predicted to be shorter.
         waiting_s: While requests of ours only wait there for a first event,
             which may take as long as the prompts before them.
-        moving_s: After how long also requests that only wait are moved, where
-            another target has room for them.
         resting_s: For how long a silent one is not used before it is tried
             again; doubled each time that it is silent again. It is used at
             once when it says something.
         most_resting_s: The longest such time.
-        hearsay_s: For how long one is not used that another process found
-            silent: the holder has asked its VMs by then, and its verdict is
-            known to all.
+        doubted_s: For how long one is not used that may be silent: the holder
+            has asked its VMs by then, and its verdict is known to all.
     """
 
     writing_s: float = 0.25
     waiting_s: float = 0.6
-    moving_s: float = 0.9
     resting_s: float = 2.0
     most_resting_s: float = 16.0
-    hearsay_s: float = 0.8
+    doubted_s: float = 0.8
 
 
 def find_silent(
@@ -64,7 +60,7 @@
     """Return how long a head may say nothing now."""
     if not state.writing:
         return limits.waiting_s
-    return min(limits.writing_s, pool.gaps.allow(pool.predict_gap(state, now)))
+    return min(limits.writing_s, pool.gap_timeout.allow(pool.predict_gap(state, now)))
 
 
 def rest_silent(state: TargetState, limits: SilenceLimits, now: float) -> None:
@@ -79,13 +75,14 @@
     state.silences += 1
 
 
-def hear_silent(state: TargetState, limits: SilenceLimits, now: float) -> bool:
-    """Take that another process found a target silent; False to ignore it.
+def doubt(state: TargetState, limits: SilenceLimits, now: float) -> bool:
+    """Leave a target alone until more is known; False where that is no news.
 
-    Its streams showed it there. Who has streams of its own at the target sees
-    by itself whether it stands still, and at the same moment.
+    Another process found it silent by its streams, or a first event of ours
+    is overdue there. Who has streams of its own at the target sees by itself
+    whether it stands still, and at the same moment.
     """
     if state.writing or now < state.silent_until:
         return False
-    state.silent_until = now + limits.hearsay_s
+    state.silent_until = now + limits.doubted_s
     return True
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -100,7 +100,10 @@
 
 
 class SilentTarget(msgspec.Struct, frozen=True, tag="silent-target"):
-    """Tells the holder that a group's head says nothing to its callers."""
+    """Tells the holder, and those that share the target, of a silent head.
+
+    Requests and streams of the telling process stand still there.
+    """
 
     instance: InstanceId
     node: NodeId
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -39,6 +39,8 @@
         state: Where it is now.
         patience: Ends the attempt under way.
         moved: Whether that was ended because its target is silent.
+        overdue: Whether it was so because its first event did not come, while
+            the target may have gone on with others.
         seen_event: Whether the attempt under way has had an event.
         unheard_outside: Whether it is at a target that this process does not
             share, and nothing has come back.
@@ -66,6 +68,7 @@
     state: TargetState | None = None
     patience: asyncio.Timeout | None = None
     moved: bool = False
+    overdue: bool = False
     seen_event: bool = False
     unheard_outside: bool = False
     held: HeldAnswer | None = None
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -128,17 +128,52 @@
         """
         now = asyncio.get_running_loop().time()
         for call in list(self._running.get(state, ())):
-            if call.patience is None or not self._may_move(call):
-                continue
-            pool = self._index.find(call.service, call.terms.model)
-            other = pool.choose(now, [*call.tried, state.target.instance])
-            if other is None:
-                continue
-            if only_to_room and other.load(now) >= other.target.slots:
-                continue
-            call.moved = True
-            call.patience.reschedule(now)
-            call.patience = None
+            self._move(call, state, now, only_to_room=only_to_room)
+
+    def _move(
+        self, call: GatewayCall, state: TargetState, now: float, *, only_to_room: bool
+    ) -> bool:
+        """End an attempt so that it goes on elsewhere; False if it may not."""
+        if call.patience is None or not self._may_move(call):
+            return False
+        pool = self._index.find(call.service, call.terms.model)
+        other = pool.choose(now, [*call.tried, state.target.instance])
+        if other is None:
+            return False
+        if only_to_room and other.load(now) >= other.target.slots:
+            return False
+        call.moved = True
+        call.patience.reschedule(now)
+        call.patience = None
+        return True
+
+    def move_overdue(self, now: float) -> list[TargetState]:
+        """End first attempts whose first event is overdue.
+
+        A head may take a request and never answer it while it goes on with
+        others. The caller would wait until it leaves.
+
+        Returns:
+            The targets of such attempts that write nothing for this process
+            either, so that they may stand still altogether.
+        """
+        owing = []
+        for state, calls in list(self._running.items()):
+            overdue = [call for call in calls if self._is_overdue(call, now)]
+            if overdue and not state.writing:
+                owing.append(state)
+            for call in overdue:
+                call.overdue = self._move(call, state, now, only_to_room=True)
+        return owing
+
+    def _is_overdue(self, call: GatewayCall, now: float) -> bool:
+        # One that was taken though it will be late waits behind the others.
+        if call.terms.model is None or call.late or call.seen_event:
+            return False
+        if call.attempts.number > 1:
+            return False
+        pool = self._index.find(call.service, call.terms.model)
+        return now - call.sent_at > pool.first_timeout.allow(call.predicted_s)
 
     def _may_move(self, call: GatewayCall) -> bool:
         if not call.route.repeatable or call.progress is Progress.PARTIAL:
@@ -182,12 +217,13 @@
         prompt = call.terms.prompt_tokens
         call.predicted_s = pool.predict_first(state, prompt, call.sent_at)
         call.unheard_outside = pool.begin(state, prompt)
-        call.state, call.seen_event, call.moved = state, False, False
+        call.state = state
+        call.seen_event = call.moved = call.overdue = False
         self._running.setdefault(state, set()).add(call)
         failed = False
         try:
             failure = await self._try(call, state)
-            failed = failure in _TARGET_FAULTS
+            failed = failure in _TARGET_FAULTS or call.overdue
             if failure is None:
                 pool.forecast.note_stay(loop.time() - call.sent_at)
             return failure
@@ -344,7 +380,7 @@
         state.unread -= call.terms.prompt_tokens
         pool = self._index.find(call.service, call.terms.model)
         took_s = now - call.sent_at
-        pool.forecast.note_first(call.predicted_s, took_s)
+        pool.note_first(call.predicted_s, took_s)
         error_s = took_s - call.predicted_s
         self._note_heard(call, pool, error_s, now)
         self._gate.tally.add_error(call.terms.model or "", error_s)
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -14,6 +14,7 @@
     RepeatLimits,
     SilenceLimits,
     TargetState,
+    doubt,
     find_silent,
     find_subset,
     rest_silent,
@@ -241,6 +242,8 @@
     async def _take_message(self, hello: Hello, message: Message) -> Message | None:
         if isinstance(message, UnreachableNode):
             self._reachability.suspect(message.node)
+        elif isinstance(message, SilentTarget):
+            self._hear_silent(message)
         elif isinstance(message, LoadNote):
             self._index.take_loads(message, asyncio.get_running_loop().time())
         return None
@@ -261,10 +264,39 @@
             if record is not None:
                 self._send_note(record.peer_address, note)
 
-    def _report_silent(self, state: TargetState) -> None:
-        """Tell the holder of a silent head: it can ask the group's VMs."""
-        if state.target.group is not None:
-            self._tell_holder(SilentTarget(state.target.instance, self._node.node))
+    def _note_silent(self, state: TargetState, now: float) -> None:
+        """Tell of a silent head those who can do something about it.
+
+        The holder can ask the group's VMs. Those that share the target have
+        requests that only wait there, and would send more: streams alone show
+        at once that it stands still.
+        """
+        _log.warning(
+            "target-silent",
+            instance=state.target.instance,
+            group=state.target.group or "",
+            own=state.own,
+            writing=state.writing,
+            quiet_ms=int((now - state.progress_at) * 1000),
+        )
+        if state.target.group is None:
+            return
+        note = SilentTarget(state.target.instance, self._node.node)
+        self._tell_holder(note)
+        if state.writing and self._hears_others(state, now):
+            self._tell(self._subset.others, note)
+
+    def _hears_others(self, silent: TargetState, now: float) -> bool:
+        """Tell whether anything comes from other targets.
+
+        A process that hears from none is most likely cut off itself, and
+        would have its peers leave all targets alone.
+        """
+        return any(
+            now - state.progress_at < self._silence.writing_s
+            for state in self._index.list_busy()
+            if state is not silent and state.writing
+        )
 
     def _tell_holder(self, note: Message) -> None:
         holder = self._belief.holder
@@ -363,25 +395,30 @@
             for pool in self._index.list_pools():
                 for state in find_silent(pool, self._silence, due):
                     self._take_silent(state, due)
+            for state in self._carrier.move_overdue(due):
+                if doubt(state, self._silence, due):
+                    self._note_silent(state, due)
 
     def _take_silent(self, state: TargetState, now: float) -> None:
         if now >= state.silent_until:
-            _log.warning(
-                "target-silent",
-                instance=state.target.instance,
-                group=state.target.group or "",
-                own=state.own,
-                writing=state.writing,
-                quiet_ms=int((now - state.progress_at) * 1000),
-            )
             rest_silent(state, self._silence, now)
-            self._report_silent(state)
+            self._note_silent(state, now)
         if state.writing:
             self._carrier.move_from(state)
-        elif now - state.progress_at > self._silence.moving_s:
-            # Requests that only wait there may wait for others' prompts, so
-            # that they are given longer.
-            self._carrier.move_from(state, only_to_room=True)
+
+    def _hear_silent(self, note: SilentTarget) -> None:
+        """Take that another process found a target silent."""
+        now = asyncio.get_running_loop().time()
+        state = self._index.find_state(note.instance)
+        if state is None or not doubt(state, self._silence, now):
+            return
+        _log.info(
+            "target-told-silent",
+            instance=note.instance,
+            told_by=note.node,
+            own=state.own,
+        )
+        self._carrier.move_from(state, only_to_room=True)
 
     async def _register(self) -> None:
         """Keep this process's record in the store."""
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -97,6 +97,14 @@
         """Return the pools of all services and models."""
         return list(self._pools.values())
 
+    def find_state(self, instance: InstanceId) -> TargetState | None:
+        """Return the target at an instance, or None."""
+        for pool in self._pools.values():
+            state = pool.get(instance)
+            if state is not None:
+                return state
+        return None
+
     def list_busy(self) -> list[TargetState]:
         """Return the targets at which this process has requests."""
         return [
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -74,6 +74,8 @@
         "holder-taken": "This process plans groups from now on.",
         "instance-gone": "An instance's entry is gone, or names none any more.",
         "instance-reborn": "An instance has started again under its id.",
+        "target-told-silent": "Another process found a target silent; nothing new is "
+        "sent there for a moment.",
         "instance-lost": "An instance answers nobody, though its entry is there.",
         "instances-lost": "The holder told which instances it takes for lost, or "
         "takes for lost no more.",
--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -169,6 +169,38 @@
     run(test)
 
 
+def test_a_request_that_a_head_never_answers_goes_on_elsewhere() -> None:
+    """The caller would wait until it leaves, though other groups have room.
+
+    A head takes requests and answers none, while it goes on with the streams
+    that it had. Its silence cannot be seen by those. Each request's own first
+    event is overdue after a few tenths of a second, and it is sent to another
+    group.
+    """
+
+    async def test() -> None:
+        async with Installation.running(engines=9) as made:
+            await eventually(lambda: len(made.heads("large")) >= 2)
+            await made.settle()
+            before = {one.id: len(one.runs) for one in made.heads("large")}
+            writing = asyncio.create_task(made.draft("n0", "large", events=120))
+            await asyncio.sleep(0.4)
+            head = next(
+                one for one in made.heads("large") if len(one.runs) > before[one.id]
+            )
+            head.faults.mute = True
+            with capture_logs() as lines:
+                asked = [made.draft("n0", "large", events=2) for _ in range(10)]
+                answers = await asyncio.gather(*asked)
+            assert [one.status for one in answers] == [200] * len(answers)
+            ended = [one for one in lines if one["event"] == "request-ended"]
+            assert {one["attempts"] for one in ended} == {1, 2}
+            assert (await writing).whole
+            made.assert_sound()
+
+    run(test)
+
+
 def test_a_group_is_formed_again_after_a_loss() -> None:
     """New requests are refused for a moment, then served again.
 
@@ -266,7 +298,7 @@
             await made.settle()
             plain = [one for one in made.runners.values() if one.service == "cards"]
             plain[0].faults.fail = True
-            answers = [await made.ask("n0", "/receipts/1", "GET") for _ in range(6)]
+            answers = [await made.ask("n0", "/receipts/1", "GET") for _ in range(10)]
             assert {answer.status for answer in answers} == {200}
 
     run(test)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -10,6 +10,7 @@
     SilenceLimits,
     TargetPool,
     TargetState,
+    doubt,
     find_silent,
 )
 
@@ -104,3 +105,38 @@
     pool.note_progress(state, state.progress_at + 0.3)
     assert state.usable(state.progress_at)
     assert find_silent_after(pool, state) >= before_s * 1.2
+
+
+def test_what_others_found_silent_gets_nothing_new_for_a_moment() -> None:
+    """Each process would send its next callers there until it saw by itself.
+
+    Another process's streams stopped at a head. This one has a request that
+    only waits there. The head is used again at once when it says something.
+    """
+    pool = make_pool("x", "y")
+    state = find(pool, "x")
+    pool.begin(state, 0)
+    assert doubt(state, SilenceLimits(), 1.0)
+    assert not state.usable(1.0)
+    assert not doubt(state, SilenceLimits(), 1.1)
+    assert state.usable(1.0 + SilenceLimits().doubted_s)
+    pool.note_progress(state, 1.2)
+    assert state.usable(1.2)
+
+
+def test_who_has_streams_at_a_target_believes_them_and_not_others() -> None:
+    """A process that is cut off would have its peers use no target."""
+    pool, state = make_writing()
+    assert not doubt(state, SilenceLimits(), 1.0)
+    assert state.usable(1.0)
+
+
+@given(late=st.lists(st.floats(0.0, 0.5), min_size=1, max_size=80))
+def test_a_first_event_as_late_as_a_recent_one_is_not_overdue(
+    late: list[float],
+) -> None:
+    """Requests would be moved, and read twice, whenever much is asked."""
+    pool = make_pool("x")
+    for late_s in sorted(late, reverse=True):
+        pool.note_first(0.1, 0.1 + late_s)
+    assert pool.first_timeout.allow(0.1) >= 0.1 + max(late)
