--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -41,6 +41,9 @@
 """Weight of one answer in what targets have typically: some ten answers tell,
 and a single full target does not."""
 
+OUTSIDE_WEIGHT = 0.3
+"""The same for targets outside, from which a process has few answers."""
+
 LEAST_SPARE = 2.0
 SPARE_PART = 0.15
 """Free slots from which a process takes one beyond its own places: in
@@ -49,8 +52,8 @@
 
 OUTSIDE_SPARE_PART = 0.45
 """The same part outside, where only a typical load is known, and known late:
-at 2.2 times the usual load of thirty processes, 57 requests a second are on
-time with this, 48 with 0.3, 64 where one subset is the whole fleet."""
+at 2.2 times the usual load of thirty processes, fewer requests are on time with
+less."""
 
 FULL_READING_S = 0.2
 """Seconds of prompts to be read that count as a full target: as long as a
@@ -200,6 +203,7 @@
         self._busy: set[TargetState] = set()
         self._subset: Subset | None = None
         self._typical = 0.0
+        self._typical_outside: dict[FailureDomainId, float] = {}
         self.forecast = FirstEventForecast()
         self.gap_timeout = AdaptiveTimeout(
             FIRST_GAP_EXCESS_S, MOST_GAP_EXCESS_S, GAP_FADE
@@ -260,7 +264,13 @@
             self._set_others(state)
 
     def _set_others(self, state: TargetState) -> None:
-        state.others = self._typical * state.target.slots * (1.0 - state.part)
+        typical = self._typical
+        if not state.shared:
+            # Callers, and targets lost, differ by failure domain: one's own
+            # use says little of the others'.
+            domain = state.target.failure_domain
+            typical = self._typical_outside.get(domain, typical)
+        state.others = typical * state.target.slots * (1.0 - state.part)
 
     def list_divided(self, now: float) -> tuple[list[TargetState], int]:
         """Return usable targets whose room is divided, and between how many.
@@ -428,7 +438,13 @@
         state.unnamed = max(0.0, total - state.own - state.peers.requests)
         state.unnamed_at = now
         use = total / state.target.slots
-        self._typical += TYPICAL_WEIGHT * (use - self._typical)
+        if state.shared:
+            self._typical += TYPICAL_WEIGHT * (use - self._typical)
+        else:
+            domain = state.target.failure_domain
+            before = self._typical_outside.get(domain, self._typical)
+            fresh = before + OUTSIDE_WEIGHT * (use - before)
+            self._typical_outside[domain] = fresh
         for one in self._states.values():
             if one.part < 1.0:
                 self._set_others(one)
