Move streams while they can still be on time elsewhere

Change: a stream that was on time until now goes to another head with a free slot at the last moment at which a first event is predicted there in time, if the pass under way should have ended by then. Its head counts as silent no sooner than before.

Costs: a prompt read for nothing where the head only took long; the stream has one move less. Ruled out: two attempts at a time (the answers of both would have to be kept apart until one goes on, for the same reading).

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -24,8 +24,10 @@
 from zinniaspool.core.dispatch.shares import Peers
 from zinniaspool.core.dispatch.silence import (
     SilenceLimits,
+    StreamPause,
     doubt,
     find_silent,
+    must_move,
     rest_silent,
 )
 from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
@@ -56,6 +58,8 @@
     "RepeatLimits",
     "RepeatWindow",
     "SilenceLimits",
+    "StreamPause",
+    "must_move",
     "Target",
     "TargetPool",
     "TargetState",
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -52,7 +52,7 @@
 
 OUTSIDE_SPARE_PART = 0.45
 """The same part outside, where only a typical load is known, and known late:
-at 2.2 times the usual load of thirty processes, fewer requests are on time with
+at 2.2 times the usual load of thirty processes, fewer are on time with
 less."""
 
 FULL_READING_S = 0.2
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -79,3 +79,11 @@
     urgency: int | None = None
     sent_at: float = 0.0
     predicted_s: float = 0.0
+
+    @property
+    def is_on_time(self) -> bool:
+        """Whether all that its caller has seen came in time."""
+        route = self.route
+        if self.first_s is None or self.first_s > route.objective_s:
+            return False
+        return route.pause_s is None or self.longest_pause_s <= route.pause_s
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -11,8 +11,10 @@
     AttemptFailure,
     Progress,
     RepeatWindow,
+    StreamPause,
     TargetPool,
     TargetState,
+    must_move,
 )
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.fleet import RequestKind
@@ -47,6 +49,10 @@
 upstream is asked, in seconds: several times what such a call takes, and time
 is left for the second one."""
 
+LEAST_QUIET_PART = 0.2
+"""Part of its accepted pause before which no stream is looked at: a pass and a
+first event elsewhere take longer than the rest in any case."""
+
 MOST_EXTRA_ANSWERS = 3
 """Foreign answers that are thrown away before a connection is given up."""
 
@@ -166,6 +172,28 @@
                 call.overdue = self._move(call, state, now, only_to_room=True)
         return owing
 
+    def move_at_risk(self, now: float) -> None:
+        """End attempts whose stream would else be late for its pause."""
+        for state, calls in list(self._running.items()):
+            for call in list(calls):
+                if self._is_at_risk(call, state, now):
+                    self._move(call, state, now, only_to_room=True)
+
+    def _is_at_risk(self, call: GatewayCall, state: TargetState, now: float) -> bool:
+        accepted_s = call.route.pause_s
+        if not call.seen_event or accepted_s is None or call.attempts.number > 1:
+            return False
+        quiet_s = now - call.last_event_at
+        if quiet_s < accepted_s * LEAST_QUIET_PART or not call.is_on_time:
+            return False
+        prompt = call.terms.prompt_tokens
+        pool = self._index.find(call.service, call.terms.model)
+        other = pool.choose(now, [*call.tried, state.target.instance], prompt)
+        if other is None or not other.usable(now):
+            return False
+        pause = StreamPause(quiet_s, accepted_s, prompt)
+        return must_move(pool, state, other, pause, now)
+
     def _is_overdue(self, call: GatewayCall, now: float) -> bool:
         # One that was taken though it will be late waits behind the others.
         if call.terms.model is None or call.late or call.seen_event:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -395,6 +395,7 @@
             for pool in self._index.list_pools():
                 for state in find_silent(pool, self._silence, due):
                     self._take_silent(state, due)
+            self._carrier.move_at_risk(due)
             for state in self._carrier.move_overdue(due):
                 if doubt(state, self._silence, due):
                     self._note_silent(state, due)
