Try targets elsewhere whose use is not known, and those that were full again

Its own targets were full, and those elsewhere were taken for as full until one had been tried.

Change: unknown targets are taken for half used; what was learned of a failure domain halves in two seconds. A request that was moved from a head that stands still does not narrow the window.

--- a/src/zinniaspool/core/dispatch/outside.py
+++ b/src/zinniaspool/core/dispatch/outside.py
@@ -12,7 +12,20 @@
 closes the window for a while.
 """
 
-__all__ = ["OutsideWindow"]
+__all__ = ["OutsideUse", "OutsideWindow"]
+
+USUAL_USE = 0.5
+"""Part of its slots that a target is taken to use of which nothing is known,
+about as at usual load. Taken for as full as the own ones, targets elsewhere
+would never be tried when the own ones are full, nor be found to have room."""
+
+USE_WEIGHT = 0.3
+"""Weight of one answer in what a failure domain's targets use: a process has
+few answers from there."""
+
+USE_HALF_LIFE_S = 2.0
+"""Seconds after which half of what was learned counts: about as long as a
+refused caller stays away, so that it is tried again by then."""
 
 FIRST_WINDOW = 1.0
 """Requests that may wait there for a first event before any came in time."""
@@ -33,6 +46,28 @@
 """The longest such time, in seconds: about as long as a burst takes."""
 
 
+class OutsideUse:
+    """The part of their slots that the targets of a failure domain use.
+
+    Callers, and targets lost, differ by failure domain, so that one's own use
+    says little of the others'.
+    """
+
+    def __init__(self) -> None:
+        self._use = USUAL_USE
+        self._at = 0.0
+
+    def estimate(self, now: float) -> float:
+        """Return the part by what answers from there have told."""
+        fresh: float = 0.5 ** (max(0.0, now - self._at) / USE_HALF_LIFE_S)
+        return USUAL_USE + (self._use - USUAL_USE) * fresh
+
+    def note(self, use: float, now: float) -> None:
+        """Take what part of its slots one of the targets uses."""
+        before = self.estimate(now)
+        self._use, self._at = before + USE_WEIGHT * (use - before), now
+
+
 class OutsideWindow:
     """Counts this process's requests outside its own targets."""
 
@@ -67,6 +102,13 @@
         if used:
             self._window = min(MOST_WINDOW, self._window + 1.0)
 
+    def withdraw(self) -> None:
+        """Take that one was moved, since its target stands still.
+
+        That says nothing of how much the others have there.
+        """
+        self._waiting -= 1
+
     def note_none(self, now: float) -> None:
         """Take that one has ended there without a first event."""
         self._waiting -= 1
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from zlib import crc32
 
-from zinniaspool.core.dispatch.outside import OutsideWindow
+from zinniaspool.core.dispatch.outside import OutsideUse, OutsideWindow
 from zinniaspool.core.dispatch.pace import FirstEventForecast
 from zinniaspool.core.dispatch.shares import Peers, take_part
 from zinniaspool.core.dispatch.subsets import Subset
@@ -41,9 +41,6 @@
 """Weight of one answer in what targets have typically: some ten answers tell,
 and a single full target does not."""
 
-OUTSIDE_WEIGHT = 0.3
-"""The same for targets outside, from which a process has few answers."""
-
 LEAST_SPARE = 2.0
 SPARE_PART = 0.15
 """Free slots from which a process takes one beyond its own places: in
@@ -128,6 +125,8 @@
         part: The part of it that is shared by those that tell this process
             their loads; 0 where it is others' altogether.
         others: What those are taken to have there that do not tell.
+        outside: How much the targets of its failure domain are used, where it
+            is others' altogether.
         gone: Whether it is no longer among the targets.
     """
 
@@ -147,6 +146,7 @@
     error_part: float = 0.0
     part: float = 1.0
     others: float = 0.0
+    outside: OutsideUse | None = None
     gone: bool = False
 
     def load(self, now: float) -> float:
@@ -157,6 +157,8 @@
             age = max(0.0, now - self.unnamed_at)
             unnamed = self.unnamed * 0.5 ** (age / REPORT_HALF_LIFE_S)
         others = self.others
+        if self.outside is not None:
+            others = self.outside.estimate(now) * self.target.slots
         if 0.0 < self.part < 1.0:
             # Those that share the rest of it have about as much to do.
             others = max(others, named * (1.0 - self.part) / self.part)
@@ -203,7 +205,7 @@
         self._busy: set[TargetState] = set()
         self._subset: Subset | None = None
         self._typical = 0.0
-        self._typical_outside: dict[FailureDomainId, float] = {}
+        self._outside_uses: dict[FailureDomainId, OutsideUse] = {}
         self.forecast = FirstEventForecast()
         self.gap_timeout = AdaptiveTimeout(
             FIRST_GAP_EXCESS_S, MOST_GAP_EXCESS_S, GAP_FADE
@@ -264,13 +266,11 @@
             self._set_others(state)
 
     def _set_others(self, state: TargetState) -> None:
-        typical = self._typical
+        domain = state.target.failure_domain
+        state.others = self._typical * state.target.slots * (1.0 - state.part)
+        state.outside = None
         if not state.shared:
-            # Callers, and targets lost, differ by failure domain: one's own
-            # use says little of the others'.
-            domain = state.target.failure_domain
-            typical = self._typical_outside.get(domain, typical)
-        state.others = typical * state.target.slots * (1.0 - state.part)
+            state.outside = self._outside_uses.setdefault(domain, OutsideUse())
 
     def list_divided(self, now: float) -> tuple[list[TargetState], int]:
         """Return usable targets whose room is divided, and between how many.
@@ -314,18 +314,30 @@
         """
         self._outside.note_first(late_s, now)
 
-    def end(self, state: TargetState, now: float, *, unheard: bool = False) -> None:
+    def end(
+        self,
+        state: TargetState,
+        now: float,
+        *,
+        unheard: bool = False,
+        moved: bool = False,
+    ) -> None:
         """Count a request that has ended there.
 
         Args:
             state: The target.
             now: Seconds.
             unheard: Whether it was sent outside and nothing came back.
+            moved: Whether it was moved away from a target that stands still.
         """
         state.own -= 1
         if not state.own:
             self._busy.discard(state)
-        if unheard:
+        if not unheard:
+            return
+        if moved:
+            self._outside.withdraw()
+        else:
             self._outside.note_none(now)
 
     def list_open(self, now: float) -> list[TargetState]:
@@ -441,10 +453,8 @@
         if state.shared:
             self._typical += TYPICAL_WEIGHT * (use - self._typical)
         else:
-            domain = state.target.failure_domain
-            before = self._typical_outside.get(domain, self._typical)
-            fresh = before + OUTSIDE_WEIGHT * (use - before)
-            self._typical_outside[domain] = fresh
+            assert state.outside is not None
+            state.outside.note(use, now)
         for one in self._states.values():
             if one.part < 1.0:
                 self._set_others(one)
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -256,7 +256,7 @@
                 pool.forecast.note_stay(loop.time() - call.sent_at)
             return failure
         finally:
-            pool.end(state, loop.time(), unheard=call.unheard_outside)
+            pool.end(state, loop.time(), unheard=call.unheard_outside, moved=call.moved)
             if call.seen_event:
                 state.writing -= 1
             else:
