Use more of what others have where the own targets are fewer than the share

Change: where the slots of the own targets are under 0.85 of the share of the processes that use them, a quarter has to be free.

--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -52,6 +52,13 @@
 at 2.2 times the usual load of thirty processes, fewer are on time with
 less."""
 
+SHORT_SPARE_PART = 0.25
+"""The same where this process's own targets are fewer than its share of all:
+after a fabric domain was lost, what its callers need is elsewhere."""
+
+SHORT_PART = 0.85
+"""Part of its share of all slots below which a process counts as short."""
+
 FULL_READING_S = 0.2
 """Seconds of prompts to be read that count as a full target: as long as a
 first event takes that has not to wait for others' prompts."""
@@ -216,6 +223,7 @@
         self.processes = Peers(1, 1, 0)
         self._everybody = 1
         self._outside = OutsideWindow()
+        self._short = False
 
     def __iter__(self) -> Iterator[TargetState]:
         return iter(list(self._states.values()))
@@ -264,6 +272,14 @@
         for name, state in self._states.items():
             state.part = parts.get(name, 0.0)
             self._set_others(state)
+        self._short = self._is_short()
+
+    def _is_short(self) -> bool:
+        """Tell whether this process's targets are fewer than its share."""
+        everywhere = sum(one.target.slots for one in self._states.values())
+        own = sum(one.slots for one in self._states.values())
+        fair = everywhere * self.processes.count / max(1, self._everybody)
+        return own < SHORT_PART * fair
 
     def _set_others(self, state: TargetState) -> None:
         domain = state.target.failure_domain
@@ -434,7 +450,9 @@
         places = take_part(int(state.slots), self.processes, number)
         if state.own < places:
             return True
-        spare = SPARE_PART if state.shared else OUTSIDE_SPARE_PART
+        spare = SPARE_PART
+        if not state.shared:
+            spare = SHORT_SPARE_PART if self._short else OUTSIDE_SPARE_PART
         return slots - state.load(now) >= max(LEAST_SPARE, spare * slots)
 
     def room(self, now: float) -> float:
