Use a group on whose members are cut off from the store alone

Their entries lapse after 3.6 s, and every group with such a member was ended: of six groups of sixteen one was left in seconds 15 to 17, 117 requests for the large model were refused and 28 of 421 advisories never served.

Change: a member (not the head) whose entry lapsed stays in its group while the holder vouches for it: it asks it each 0.4 s whether it holds the group, and tells the others, beside what it takes for lost. Without the holder's word it counts for 1.5 s. Such a VM is used for nothing else. A head without entry gets nothing new, as before.

The test of the end of a life had a member of a group; it is over now when nobody vouches for it, and one in no group at once as before.

--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -5,6 +5,7 @@
 from zinniaspool.core.fleet.demands import ModelDemandNote
 from zinniaspool.core.fleet.instances import InstanceId
 from zinniaspool.core.fleet.loads import TargetLoad
+from zinniaspool.core.fleet.verdicts import NO_VERDICT, Verdict
 from zinniaspool.core.ids import NodeId, Revision
 
 __all__ = [
@@ -68,7 +69,7 @@
         leader: Which start of which process it last heard planning groups.
         leader_age_s: Seconds since then.
         provisional: Whether that one said that the store is down for all.
-        lost: Instances that it takes for lost though their entries live.
+        verdict: What that one knows of instances better than the store.
     """
 
     source: str
@@ -80,7 +81,7 @@
     leader: str
     leader_age_s: float
     provisional: bool
-    lost: frozenset[InstanceId] = frozenset()
+    verdict: Verdict = NO_VERDICT
 
 
 class StoreAsk(msgspec.Struct, frozen=True, tag="store-ask"):
