Move requests out of the fabric domain where their target stands still

Change: a target in the fabric domain of one that stood still for the same request costs a full target more.

--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -11,7 +11,14 @@
 from zinniaspool.core.dispatch.subsets import Subset
 from zinniaspool.core.dispatch.timeouts import AdaptiveTimeout
 from zinniaspool.core.fleet import NO_LOAD, InstanceId, TargetLoad, is_reborn
-from zinniaspool.core.ids import Address, Epoch, FailureDomainId, GroupId, ModelName
+from zinniaspool.core.ids import (
+    Address,
+    Epoch,
+    FabricDomainId,
+    FailureDomainId,
+    GroupId,
+    ModelName,
+)
 
 __all__ = ["Target", "TargetPool", "TargetState"]
 
@@ -59,6 +66,11 @@
 SHORT_PART = 0.85
 """Part of its share of all slots below which a process counts as short."""
 
+DOUBTED_DOMAIN_COST = 1.0
+"""What a target costs, in full targets, in whose fabric domain another one
+stood still for the same request. Where the whole domain went dark, its other
+heads stand still too, and most requests have one move only."""
+
 FULL_READING_S = 0.2
 """Seconds of prompts to be read that count as a full target: as long as a
 first event takes that has not to wait for others' prompts."""
@@ -96,6 +108,8 @@
         epoch: That group's epoch.
         born: Unix milliseconds of the instance's start, where it tells.
         ending: Whether it finishes what it has and is to get nothing new.
+        fabric_domain: Whose VMs its group is made of; None for a plain
+            service. They may all be lost at one moment.
     """
 
     instance: InstanceId
@@ -107,6 +121,7 @@
     epoch: Epoch = Epoch(0)
     born: int | None = None
     ending: bool = False
+    fabric_domain: FabricDomainId | None = None
 
 
 @dataclass(eq=False, slots=True)
@@ -369,6 +384,7 @@
         tried: Collection[InstanceId] = (),
         prompt: int = 0,
         within_s: float | None = None,
+        doubted: Collection[FabricDomainId | None] = (),
     ) -> TargetState | None:
         """Return the target that will answer soonest, or None.
 
@@ -378,6 +394,7 @@
             prompt: Tokens of its prompt.
             within_s: In how many seconds a first event is wanted; targets
                 that will take longer come last.
+            doubted: Fabric domains where a target stood still for it.
         """
         usable = [
             state for state in self.list_open(now) if state.target.instance not in tried
@@ -388,7 +405,14 @@
             return None
         if within_s is not None:
             usable = self._list_soon(usable, prompt, within_s, now) or usable
-        return min(usable, key=lambda one: (self._cost(one, prompt, now), self._draw()))
+
+        def rank(one: TargetState) -> tuple[float, float]:
+            cost = self._cost(one, prompt, now)
+            if one.target.fabric_domain in doubted:
+                cost += DOUBTED_DOMAIN_COST
+            return cost, self._draw()
+
+        return min(usable, key=rank)
 
     def _list_soon(
         self, states: list[TargetState], prompt: int, within_s: float, now: float
--- a/src/zinniaspool/core/dispatch/silence.py
+++ b/src/zinniaspool/core/dispatch/silence.py
@@ -20,7 +20,7 @@
 ]
 
 
-MOVE_SPARE_S = 0.03
+MOVE_SPARE_S = 0.04
 """What is left of a stream's accepted pause when it is moved in time, in
 seconds: the next look may be that much later, and as often as not the first
 event elsewhere comes somewhat later than predicted."""
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -5,7 +5,7 @@
 
 from zinniaspool.core.dispatch import Attempts, EventCursor, Progress, TargetState
 from zinniaspool.core.fleet import CustomerSpec, InstanceId, RouteSpec
-from zinniaspool.core.ids import ServiceName
+from zinniaspool.core.ids import FabricDomainId, ServiceName
 from zinniaspool.http import ClientResponse, Exchange
 from zinniaspool.platform.wire import CallerTerms
 
@@ -36,6 +36,7 @@
         cursor: Where its stream stands.
         progress: What of an answer the caller has.
         tried: Instances that had it.
+        doubted: Fabric domains where one of those stood still.
         state: Where it is now.
         patience: Ends the attempt under way.
         moved: Whether that was ended because its target is silent.
@@ -65,6 +66,7 @@
     cursor: EventCursor = field(default_factory=EventCursor)
     progress: Progress = Progress.NOTHING
     tried: list[InstanceId] = field(default_factory=list)
+    doubted: set[FabricDomainId | None] = field(default_factory=set)
     state: TargetState | None = None
     patience: asyncio.Timeout | None = None
     moved: bool = False
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -122,7 +122,8 @@
         within_s = None
         if call.terms.model is not None and not call.late:
             within_s = call.received + call.route.objective_s - now
-        return pool.choose(now, call.tried, call.terms.prompt_tokens, within_s)
+        prompt = call.terms.prompt_tokens
+        return pool.choose(now, call.tried, prompt, within_s, call.doubted)
 
     def move_from(self, state: TargetState, *, only_to_room: bool = False) -> None:
         """End the attempts at a target, so that they go on elsewhere.
@@ -142,17 +143,29 @@
         """End an attempt so that it goes on elsewhere; False if it may not."""
         if call.patience is None or not self._may_move(call):
             return False
-        pool = self._index.find(call.service, call.terms.model)
-        other = pool.choose(now, [*call.tried, state.target.instance])
+        other = self._choose_other(call, state, now)
         if other is None:
             return False
         if only_to_room and other.load(now) >= other.target.slots:
             return False
         call.moved = True
+        call.doubted.add(state.target.fabric_domain)
         call.patience.reschedule(now)
         call.patience = None
         return True
 
+    def _choose_other(
+        self, call: GatewayCall, state: TargetState, now: float
+    ) -> TargetState | None:
+        """Return where a request would go on that is moved now, or None."""
+        pool = self._index.find(call.service, call.terms.model)
+        return pool.choose(
+            now,
+            [*call.tried, state.target.instance],
+            call.terms.prompt_tokens,
+            doubted={*call.doubted, state.target.fabric_domain},
+        )
+
     def move_overdue(self, now: float) -> list[TargetState]:
         """End first attempts whose first event is overdue.
 
@@ -188,7 +201,7 @@
             return False
         prompt = call.terms.prompt_tokens
         pool = self._index.find(call.service, call.terms.model)
-        other = pool.choose(now, [*call.tried, state.target.instance], prompt)
+        other = self._choose_other(call, state, now)
         if other is None or not other.usable(now):
             return False
         pause = StreamPause(quiet_s, accepted_s, prompt)
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -256,4 +256,5 @@
         group.epoch,
         head.born,
         group.ending,
+        head.fabric_domain,
     )
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -16,7 +16,13 @@
     rest_silent,
 )
 from zinniaspool.core.fleet import InstanceId
-from zinniaspool.core.ids import Address, FailureDomainId, GroupId, ModelName
+from zinniaspool.core.ids import (
+    Address,
+    FabricDomainId,
+    FailureDomainId,
+    GroupId,
+    ModelName,
+)
 
 
 def make_target(
@@ -78,6 +84,31 @@
     assert chosen is not None and chosen.target.instance == "far"
 
 
+def test_a_request_is_moved_out_of_the_domain_where_its_target_stands_still() -> None:
+    """Its caller leaves: the one move that it has went to another dark head.
+
+    A fabric domain loses its power. All its heads fall silent together, and
+    the nearest and emptiest target of those left is one of them too.
+    """
+    pool = TargetPool(FailureDomainId("a"), random.Random(1))
+    dark, sound = FabricDomainId("d0"), FabricDomainId("d1")
+    pool.update(
+        [
+            replace(make_target("x"), fabric_domain=dark),
+            replace(make_target("y"), fabric_domain=dark),
+            replace(make_target("z", "b"), fabric_domain=sound),
+        ],
+        0.0,
+    )
+    find(pool, "z").own = 3
+    near = pool.choose(0.0, [InstanceId("x")])
+    assert near is not None and near.target.instance == "y"
+    other = pool.choose(0.0, [InstanceId("x")], doubted={dark})
+    assert other is not None and other.target.instance == "z"
+    last = pool.choose(0.0, [InstanceId("x"), InstanceId("z")], doubted={dark})
+    assert last is not None and last.target.instance == "y"
+
+
 def test_a_target_that_fails_is_left_alone_but_not_the_last_one() -> None:
     pool = make_pool("x", "y")
     bad = find(pool, "x")
