--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -15,11 +15,7 @@
 from zinniaspool.core.dispatch.loads import LoadChanges, PeerLoads
 from zinniaspool.core.dispatch.pace import EnginePace, FirstEventForecast
 from zinniaspool.core.dispatch.patience import PatienceWatch
-from zinniaspool.core.dispatch.pools import (
-    Target,
-    TargetPool,
-    TargetState,
-)
+from zinniaspool.core.dispatch.pools import TargetPool
 from zinniaspool.core.dispatch.repeats import RepeatLimits, RepeatWindow
 from zinniaspool.core.dispatch.shares import Peers
 from zinniaspool.core.dispatch.silence import (
@@ -32,6 +28,7 @@
 )
 from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
 from zinniaspool.core.dispatch.subsets import Subset, find_subset
+from zinniaspool.core.dispatch.targets import Target, TargetState
 from zinniaspool.core.dispatch.tickets import Ticket, TicketState
 
 __all__ = [
--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -16,7 +16,8 @@
 from collections import deque
 from dataclasses import dataclass
 
-from zinniaspool.core.dispatch.pools import TargetPool, TargetState
+from zinniaspool.core.dispatch.pools import TargetPool
+from zinniaspool.core.dispatch.targets import TargetState
 from zinniaspool.core.dispatch.tickets import Ticket, TicketState
 from zinniaspool.core.ids import CustomerId
 
--- a/src/zinniaspool/core/dispatch/silence.py
+++ b/src/zinniaspool/core/dispatch/silence.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from zinniaspool.core.dispatch.pools import TargetPool, TargetState
+from zinniaspool.core.dispatch.pools import TargetPool
+from zinniaspool.core.dispatch.targets import TargetState
 
 __all__ = [
     "SilenceLimits",
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -11,15 +11,14 @@
     AttemptFailure,
     Progress,
     RepeatWindow,
-    StreamPause,
     TargetPool,
     TargetState,
-    must_move,
 )
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.fleet import RequestKind
 from zinniaspool.gateway.calls import GatewayCall, HeldAnswer
 from zinniaspool.gateway.gate import Gate
+from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import (
     ClientResponse,
@@ -49,10 +48,6 @@
 upstream is asked, in seconds: several times what such a call takes, and time
 is left for the second one."""
 
-LEAST_QUIET_PART = 0.2
-"""Part of its accepted pause before which no stream is looked at: a pass and a
-first event elsewhere take longer than the rest in any case."""
-
 MOST_EXTRA_ANSWERS = 3
 """Foreign answers that are thrown away before a connection is given up."""
 
@@ -71,6 +66,7 @@
         http: Connections to upstreams.
         index: The targets.
         gate: Decides when a request for a model may begin.
+        moves: Ends attempts that are to go on elsewhere.
         on_refused_connection: Told of a target that nobody listens at.
     """
 
@@ -79,13 +75,14 @@
         http: HttpClient,
         index: TargetIndex,
         gate: Gate,
+        moves: Moves,
         on_refused_connection: Callable[[TargetState], None] = lambda _: None,
     ) -> None:
         self._http = http
         self._index = index
         self._gate = gate
         self._on_refused_connection = on_refused_connection
-        self._running: dict[TargetState, set[GatewayCall]] = {}
+        self._moves = moves
 
     async def run(self, call: GatewayCall, window: RepeatWindow) -> Result[None, Fault]:
         """Run a call and answer it, or return why it has no answer.
@@ -125,102 +122,6 @@
         prompt = call.terms.prompt_tokens
         return pool.choose(now, call.tried, prompt, within_s, call.doubted)
 
-    def move_from(self, state: TargetState, *, only_to_room: bool = False) -> None:
-        """End the attempts at a target, so that they go on elsewhere.
-
-        Args:
-            state: The target.
-            only_to_room: Whether they go only where a slot is free: where all
-                targets are full, a request that waits is read there twice.
-        """
-        now = asyncio.get_running_loop().time()
-        for call in list(self._running.get(state, ())):
-            self._move(call, state, now, only_to_room=only_to_room)
-
-    def _move(
-        self, call: GatewayCall, state: TargetState, now: float, *, only_to_room: bool
-    ) -> bool:
-        """End an attempt so that it goes on elsewhere; False if it may not."""
-        if call.patience is None or not self._may_move(call):
-            return False
-        other = self._choose_other(call, state, now)
-        if other is None:
-            return False
-        if only_to_room and other.load(now) >= other.target.slots:
-            return False
-        call.moved = True
-        call.doubted.add(state.target.fabric_domain)
-        call.patience.reschedule(now)
-        call.patience = None
-        return True
-
-    def _choose_other(
-        self, call: GatewayCall, state: TargetState, now: float
-    ) -> TargetState | None:
-        """Return where a request would go on that is moved now, or None."""
-        pool = self._index.find(call.service, call.terms.model)
-        return pool.choose(
-            now,
-            [*call.tried, state.target.instance],
-            call.terms.prompt_tokens,
-            doubted={*call.doubted, state.target.fabric_domain},
-        )
-
-    def move_overdue(self, now: float) -> list[TargetState]:
-        """End first attempts whose first event is overdue.
-
-        A head may take a request and never answer it while it goes on with
-        others. The caller would wait until it leaves.
-
-        Returns:
-            The targets of such attempts that write nothing for this process
-            either, so that they may stand still altogether.
-        """
-        owing = []
-        for state, calls in list(self._running.items()):
-            overdue = [call for call in calls if self._is_overdue(call, now)]
-            if overdue and not state.writing:
-                owing.append(state)
-            for call in overdue:
-                call.overdue = self._move(call, state, now, only_to_room=True)
-        return owing
-
-    def move_at_risk(self, now: float) -> None:
-        """End attempts whose stream would else be late for its pause."""
-        for state, calls in list(self._running.items()):
-            for call in list(calls):
-                if self._is_at_risk(call, state, now):
-                    self._move(call, state, now, only_to_room=True)
-
-    def _is_at_risk(self, call: GatewayCall, state: TargetState, now: float) -> bool:
-        accepted_s = call.route.pause_s
-        if not call.seen_event or accepted_s is None or call.attempts.number > 1:
-            return False
-        quiet_s = now - call.last_event_at
-        if quiet_s < accepted_s * LEAST_QUIET_PART or not call.is_on_time:
-            return False
-        prompt = call.terms.prompt_tokens
-        pool = self._index.find(call.service, call.terms.model)
-        other = self._choose_other(call, state, now)
-        if other is None or not other.usable(now):
-            return False
-        pause = StreamPause(quiet_s, accepted_s, prompt)
-        return must_move(pool, state, other, pause, now)
-
-    def _is_overdue(self, call: GatewayCall, now: float) -> bool:
-        # One that was taken though it will be late waits behind the others.
-        if call.terms.model is None or call.late or call.seen_event:
-            return False
-        if call.attempts.number > 1:
-            return False
-        pool = self._index.find(call.service, call.terms.model)
-        return now - call.sent_at > pool.first_timeout.allow(call.predicted_s)
-
-    def _may_move(self, call: GatewayCall) -> bool:
-        if not call.route.repeatable or call.progress is Progress.PARTIAL:
-            return False
-        return call.attempts.number < call.route.max_attempts
-
     def _judge(
         self,
         call: GatewayCall,
@@ -260,7 +161,7 @@
         call.unheard_outside = pool.begin(state, prompt)
         call.state = state
         call.seen_event = call.moved = call.overdue = False
-        self._running.setdefault(state, set()).add(call)
+        self._moves.begin(call, state)
         failed = False
         try:
             failure = await self._try(call, state)
@@ -274,11 +175,7 @@
                 state.writing -= 1
             else:
                 state.unread -= prompt
-            call.patience = None
-            running = self._running[state]
-            running.discard(call)
-            if not running:
-                del self._running[state]
+            self._moves.end(call, state)
             pool.note_end(state, failed, loop.time())
 
     async def _try(
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -12,12 +12,7 @@
 
 from zinniaspool.core.dispatch import (
     RepeatLimits,
-    SilenceLimits,
-    TargetState,
-    doubt,
-    find_silent,
     find_subset,
-    rest_silent,
 )
 from zinniaspool.core.fleet import (
     NODES_PREFIX,
@@ -47,7 +42,9 @@
 from zinniaspool.gateway.face import CallerFace, refuse_request
 from zinniaspool.gateway.gate import Gate
 from zinniaspool.gateway.metrics import make_gateway_metrics
+from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.probes import NodeProber
+from zinniaspool.gateway.silence import SilenceWatch
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
@@ -63,10 +60,6 @@
 """Longest wait for a connection, in seconds: hundreds of round trips within a
 region, while a VM that is dark never answers."""
 
-SILENCE_CHECK_S = 0.02
-"""Pause between looks for silent targets, in seconds: a small part of what a
-stream may pause."""
-
 NODE_LEASE_S = 12.0
 """How long the store keeps a process that is gone, in seconds. The others try
 each other and leave it out of address answers within about a second; renewing
@@ -154,7 +147,15 @@
         self._subset = find_subset(node.node, node.failure_domain, {})
         self._http = HttpClient(connect_s=CONNECT_S, unframed=True)
         self._gate = Gate(self._index.measure_age)
-        self._carrier = Carrier(self._http, self._index, self._gate)
+        self._moves = Moves(self._index)
+        self._carrier = Carrier(self._http, self._index, self._gate, self._moves)
+        self._silence = SilenceWatch(
+            node.node,
+            self._index,
+            self._moves,
+            self._tell_holder,
+            lambda note: self._tell(self._subset.others, note),
+        )
         repeats = RepeatLimits(
             node.repeat_ratio, node.repeat_window_s, node.repeat_slack
         )
@@ -173,7 +174,6 @@
             self._belief, node.node, self._reachability, self._tell_unreachable
         )
         self._lease = KeptLease(self._store, NODE_LEASE_S)
-        self._silence = SilenceLimits()
         self._server = HttpServer(self._face.handle, refuse=refuse_request)
         self._servers = [self._server]
         self._tasks: list[asyncio.Task[None]] = []
@@ -191,7 +191,7 @@
         self._tasks = [
             asyncio.create_task(run_duty("follower", self._follower.run)),
             asyncio.create_task(run_duty("register", self._register)),
-            asyncio.create_task(run_duty("watch_silence", self._watch_silence)),
+            asyncio.create_task(run_duty("watch_silence", self._silence.run)),
             asyncio.create_task(run_duty("tell_loads", self._tell_loads)),
             asyncio.create_task(run_duty("prober", self._prober.run)),
         ]
@@ -243,7 +243,7 @@
         if isinstance(message, UnreachableNode):
             self._reachability.suspect(message.node)
         elif isinstance(message, SilentTarget):
-            self._hear_silent(message)
+            self._silence.hear(message)
         elif isinstance(message, LoadNote):
             self._index.take_loads(message, asyncio.get_running_loop().time())
         return None
@@ -264,40 +264,6 @@
             if record is not None:
                 self._send_note(record.peer_address, note)
 
-    def _note_silent(self, state: TargetState, now: float) -> None:
-        """Tell of a silent head those who can do something about it.
-
-        The holder can ask the group's VMs. Those that share the target have
-        requests that only wait there, and would send more: streams alone show
-        at once that it stands still.
-        """
-        _log.warning(
-            "target-silent",
-            instance=state.target.instance,
-            group=state.target.group or "",
-            own=state.own,
-            writing=state.writing,
-            quiet_ms=int((now - state.progress_at) * 1000),
-        )
-        if state.target.group is None:
-            return
-        note = SilentTarget(state.target.instance, self._node.node)
-        self._tell_holder(note)
-        if state.writing and self._hears_others(state, now):
-            self._tell(self._subset.others, note)
-
-    def _hears_others(self, silent: TargetState, now: float) -> bool:
-        """Tell whether anything comes from other targets.
-
-        A process that hears from none is most likely cut off itself, and
-        would have its peers leave all targets alone.
-        """
-        return any(
-            now - state.progress_at < self._silence.writing_s
-            for state in self._index.list_busy()
-            if state is not silent and state.writing
-        )
-
     def _tell_holder(self, note: Message) -> None:
         holder = self._belief.holder
         if holder is not None:
@@ -370,7 +336,7 @@
         for state in self._index.refresh(now):
             if self._belief.is_over(state.target.instance, state.target.born):
                 self._http.forget(state.target.address)
-            self._carrier.move_from(state)
+            self._moves.move_from(state)
 
     def _count_processes(self) -> None:
         node, nodes = self._node, self._belief.nodes
@@ -385,42 +351,6 @@
         self._subset = subset
         self._index.set_subset(subset, everybody)
 
-    async def _watch_silence(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            due = loop.time() + SILENCE_CHECK_S
-            await asyncio.sleep(SILENCE_CHECK_S)
-            # By how much this look is late counts for no silence: the process
-            # was held up itself, and events may lie unread.
-            for pool in self._index.list_pools():
-                for state in find_silent(pool, self._silence, due):
-                    self._take_silent(state, due)
-            self._carrier.move_at_risk(due)
-            for state in self._carrier.move_overdue(due):
-                if doubt(state, self._silence, due):
-                    self._note_silent(state, due)
-
-    def _take_silent(self, state: TargetState, now: float) -> None:
-        if now >= state.silent_until:
-            rest_silent(state, self._silence, now)
-            self._note_silent(state, now)
-        if state.writing:
-            self._carrier.move_from(state)
-
-    def _hear_silent(self, note: SilentTarget) -> None:
-        """Take that another process found a target silent."""
-        now = asyncio.get_running_loop().time()
-        state = self._index.find_state(note.instance)
-        if state is None or not doubt(state, self._silence, now):
-            return
-        _log.info(
-            "target-told-silent",
-            instance=note.instance,
-            told_by=note.node,
-            own=state.own,
-        )
-        self._carrier.move_from(state, only_to_room=True)
-
     async def _register(self) -> None:
         """Keep this process's record in the store."""
         written = None
--- /dev/null
+++ b/src/zinniaspool/gateway/moves.py
@@ -0,0 +1,133 @@
+"""Attempts that end so that their requests go on at another target."""
+
+import asyncio
+
+from zinniaspool.core.dispatch import Progress, StreamPause, TargetState, must_move
+from zinniaspool.gateway.calls import GatewayCall
+from zinniaspool.gateway.targets import TargetIndex
+
+__all__ = ["Moves"]
+
+LEAST_QUIET_PART = 0.2
+"""Part of its accepted pause before which no stream is looked at: a pass and a
+first event elsewhere take longer than the rest in any case."""
+
+
+class Moves:
+    """Requests under way by target, and which of them must leave it.
+
+    Args:
+        index: The targets.
+    """
+
+    def __init__(self, index: TargetIndex) -> None:
+        self._index = index
+        self._running: dict[TargetState, set[GatewayCall]] = {}
+
+    def begin(self, call: GatewayCall, state: TargetState) -> None:
+        """Take that a request has an attempt at a target."""
+        self._running.setdefault(state, set()).add(call)
+
+    def end(self, call: GatewayCall, state: TargetState) -> None:
+        """Take that this attempt has ended."""
+        call.patience = None
+        running = self._running[state]
+        running.discard(call)
+        if not running:
+            del self._running[state]
+
+    def move_from(self, state: TargetState, *, only_to_room: bool = False) -> None:
+        """End the attempts at a target, so that they go on elsewhere.
+
+        Args:
+            state: The target.
+            only_to_room: Whether they go only where a slot is free: where all
+                targets are full, a request that waits is read there twice.
+        """
+        now = asyncio.get_running_loop().time()
+        for call in list(self._running.get(state, ())):
+            self._move(call, state, now, only_to_room=only_to_room)
+
+    def _move(
+        self, call: GatewayCall, state: TargetState, now: float, *, only_to_room: bool
+    ) -> bool:
+        """End an attempt so that it goes on elsewhere; False if it may not."""
+        if call.patience is None or not self._may_move(call):
+            return False
+        other = self._choose_other(call, state, now)
+        if other is None:
+            return False
+        if only_to_room and other.load(now) >= other.target.slots:
+            return False
+        call.moved = True
+        call.doubted.add(state.target.fabric_domain)
+        call.patience.reschedule(now)
+        call.patience = None
+        return True
+
+    def _choose_other(
+        self, call: GatewayCall, state: TargetState, now: float
+    ) -> TargetState | None:
+        """Return where a request would go on that is moved now, or None."""
+        pool = self._index.find(call.service, call.terms.model)
+        return pool.choose(
+            now,
+            [*call.tried, state.target.instance],
+            call.terms.prompt_tokens,
+            doubted={*call.doubted, state.target.fabric_domain},
+        )
+
+    def move_overdue(self, now: float) -> list[TargetState]:
+        """End first attempts whose first event is overdue.
+
+        A head may take a request and never answer it while it goes on with
+        others. The caller would wait until it leaves.
+
+        Returns:
+            The targets of such attempts that write nothing for this process
+            either, so that they may stand still altogether.
+        """
+        owing = []
+        for state, calls in list(self._running.items()):
+            overdue = [call for call in calls if self._is_overdue(call, now)]
+            if overdue and not state.writing:
+                owing.append(state)
+            for call in overdue:
+                call.overdue = self._move(call, state, now, only_to_room=True)
+        return owing
+
+    def move_at_risk(self, now: float) -> None:
+        """End attempts whose stream would else be late for its pause."""
+        for state, calls in list(self._running.items()):
+            for call in list(calls):
+                if self._is_at_risk(call, state, now):
+                    self._move(call, state, now, only_to_room=True)
+
+    def _is_at_risk(self, call: GatewayCall, state: TargetState, now: float) -> bool:
+        accepted_s = call.route.pause_s
+        if not call.seen_event or accepted_s is None or call.attempts.number > 1:
+            return False
+        quiet_s = now - call.last_event_at
+        if quiet_s < accepted_s * LEAST_QUIET_PART or not call.is_on_time:
+            return False
+        prompt = call.terms.prompt_tokens
+        pool = self._index.find(call.service, call.terms.model)
+        other = self._choose_other(call, state, now)
+        if other is None or not other.usable(now):
+            return False
+        pause = StreamPause(quiet_s, accepted_s, prompt)
+        return must_move(pool, state, other, pause, now)
+
+    def _is_overdue(self, call: GatewayCall, now: float) -> bool:
+        # One that was taken though it will be late waits behind the others.
+        if call.terms.model is None or call.late or call.seen_event:
+            return False
+        if call.attempts.number > 1:
+            return False
+        pool = self._index.find(call.service, call.terms.model)
+        return now - call.sent_at > pool.first_timeout.allow(call.predicted_s)
+
+    def _may_move(self, call: GatewayCall) -> bool:
+        if not call.route.repeatable or call.progress is Progress.PARTIAL:
+            return False
+        return call.attempts.number < call.route.max_attempts
--- /dev/null
+++ b/src/zinniaspool/gateway/silence.py
@@ -0,0 +1,125 @@
+"""Looks for heads that say nothing any more, and tells of them."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from zinniaspool.core.dispatch import (
+    SilenceLimits,
+    TargetState,
+    doubt,
+    find_silent,
+    rest_silent,
+)
+from zinniaspool.core.ids import NodeId
+from zinniaspool.core.messages.fleet import SilentTarget
+from zinniaspool.gateway.moves import Moves
+from zinniaspool.gateway.targets import TargetIndex
+
+__all__ = ["SilenceWatch"]
+
+_log = structlog.get_logger(__name__)
+
+SILENCE_CHECK_S = 0.02
+"""Pause between looks for silent targets, in seconds: a small part of what a
+stream may pause."""
+
+
+class SilenceWatch:
+    """Notices targets that stand still, and lets requests leave them.
+
+    Args:
+        node: This process's VM.
+        index: The targets.
+        moves: Ends attempts that are to go on elsewhere.
+        tell_holder: Sends a note to the holder.
+        tell_peers: Sends one to those that share targets with this process.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        index: TargetIndex,
+        moves: Moves,
+        tell_holder: Callable[[SilentTarget], None],
+        tell_peers: Callable[[SilentTarget], None],
+    ) -> None:
+        self._node = node
+        self._index = index
+        self._moves = moves
+        self._tell_holder = tell_holder
+        self._tell_peers = tell_peers
+        self._limits = SilenceLimits()
+
+    async def run(self) -> None:
+        """Look for silent targets until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + SILENCE_CHECK_S
+            await asyncio.sleep(SILENCE_CHECK_S)
+            # By how much this look is late counts for no silence: the process
+            # was held up itself, and events may lie unread.
+            for pool in self._index.list_pools():
+                for state in find_silent(pool, self._limits, due):
+                    self._take_silent(state, due)
+            self._moves.move_at_risk(due)
+            for state in self._moves.move_overdue(due):
+                if doubt(state, self._limits, due):
+                    self._note_silent(state, due)
+
+    def _take_silent(self, state: TargetState, now: float) -> None:
+        if now >= state.silent_until:
+            rest_silent(state, self._limits, now)
+            self._note_silent(state, now)
+        # Where requests only wait, others' prompts may be what they wait for:
+        # where all targets are full, they would be read twice for nothing.
+        self._moves.move_from(state, only_to_room=not state.writing)
+
+    def hear(self, note: SilentTarget) -> None:
+        """Take that another process found a target silent."""
+        now = asyncio.get_running_loop().time()
+        state = self._index.find_state(note.instance)
+        if state is None or not doubt(state, self._limits, now):
+            return
+        _log.info(
+            "target-told-silent",
+            instance=note.instance,
+            told_by=note.node,
+            own=state.own,
+        )
+        self._moves.move_from(state, only_to_room=True)
+
+    def _note_silent(self, state: TargetState, now: float) -> None:
+        """Tell of a silent head those who can do something about it.
+
+        The holder can ask the group's VMs. Those that share the target have
+        requests that only wait there, and would send more: streams alone show
+        at once that it stands still.
+        """
+        _log.warning(
+            "target-silent",
+            instance=state.target.instance,
+            group=state.target.group or "",
+            own=state.own,
+            writing=state.writing,
+            quiet_ms=int((now - state.progress_at) * 1000),
+        )
+        if state.target.group is None:
+            return
+        note = SilentTarget(state.target.instance, self._node)
+        self._tell_holder(note)
+        if state.writing and self._hears_others(state, now):
+            self._tell_peers(note)
+
+    def _hears_others(self, silent: TargetState, now: float) -> bool:
+        """Tell whether anything comes from other targets.
+
+        A process that hears from none is most likely cut off itself, and
+        would have its peers leave all targets alone.
+        """
+        return any(
+            now - state.progress_at < self._limits.writing_s
+            for state in self._index.list_busy()
+            if state is not silent and state.writing
+        )
