--- a/src/zinniaspool/telemetry/traces.py
+++ b/src/zinniaspool/telemetry/traces.py
@@ -31,9 +31,12 @@
         "group-suspected",
         "instance-gone",
         "instance-lost",
+        "instance-orphaned",
         "instance-regained",
         "instance-state",
         "target-silent",
+        "target-told-silent",
+        "verdict-taken",
     }
 )
 """Events about groups and instances, whichever process wrote them."""
--- /dev/null
+++ b/src/zinniaspool_standins/nodes.py
@@ -0,0 +1,125 @@
+"""Entry VMs whose programs run as processes of their own, as deployed."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from zinniaspool.core.ids import Address
+from zinniaspool_standins.installation import Installation, free_address
+from zinniaspool_standins.silencer import LinkProxy
+
+__all__ = ["EntryNode", "NodeProcess", "end_nodes", "make_nodes"]
+
+GATEWAY, KEEPER = "zinniaspool.platform.entry", "zinniaspool.platform.control"
+"""The programs that the deploy file names."""
+
+
+@dataclass
+class NodeProcess:
+    """One program on one entry VM.
+
+    Attributes:
+        module: Which program.
+        settings: Its settings file.
+        log: What it prints.
+        process: The running one, if it was started.
+    """
+
+    module: str
+    settings: Path
+    log: Path
+    process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start it; its output is added to its log."""
+        env = {**os.environ, "ZINNIASPOOL_NODE_FILE": str(self.settings)}
+        with self.log.open("ab") as out:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", self.module, stdout=out, stderr=out, env=env
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone, if it still runs."""
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def end(self) -> None:
+        """Kill it and wait until it is gone."""
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+
+@dataclass
+class EntryNode:
+    """One entry VM.
+
+    Attributes:
+        name: The VM.
+        front: Where callers connect.
+        directory: Where they ask which addresses to use.
+        link: Its way to the store.
+        processes: Its entry process and its control process.
+    """
+
+    name: str
+    front: Address
+    directory: Address
+    link: LinkProxy
+    processes: list[NodeProcess]
+
+
+async def make_nodes(made: Installation, folder: Path, count: int) -> list[EntryNode]:
+    """Write the settings of some entry VMs, and start their processes.
+
+    Args:
+        made: The store and the runners.
+        folder: Gets settings and logs.
+        count: How many VMs.
+    """
+    controls = [free_address() for _ in range(count)]
+    nodes = [await _make_node(made, folder, n, controls) for n in range(count)]
+    for node in nodes:
+        for one in node.processes:
+            await one.start()
+    return nodes
+
+
+async def end_nodes(nodes: list[EntryNode]) -> None:
+    """End all their processes, frozen ones too."""
+    for node in nodes:
+        for one in node.processes:
+            one.send(signal.SIGCONT)
+            await one.end()
+        node.link.close()
+
+
+async def _make_node(
+    made: Installation, folder: Path, number: int, controls: list[Address]
+) -> EntryNode:
+    store, link_address = free_address(), free_address()
+    front, directory = free_address(), free_address()
+    await made.store.listen(store)
+    link = LinkProxy(store)
+    await link.listen(link_address)
+    settings = folder / f"n{number}.toml"
+    port = int(free_address().rpartition(":")[2])
+    seeds = ", ".join(f'"{one}"' for one in controls)
+    settings.write_text(
+        f'node-name = "n{number}"\nip = "127.0.0.1"\nzone = "hall-a"\n'
+        f'region = "north"\ninternal-ports = [{port}, {port}]\nseeds = [{seeds}]\n'
+        f'[listen-addrs]\nfront = "{front}"\nready = "{free_address()}"\n'
+        f'directory = "{directory}"\ncontrol = "{controls[number]}"\n'
+        f"[bounds]\ngrace-s = 4\nbudget-slack = 200\n"
+        f'[platform]\naddress = "{link_address}"\n'
+    )
+    processes = [
+        NodeProcess(module, settings, folder / f"n{number}-{module.split('.')[2]}.log")
+        for module in (GATEWAY, KEEPER)
+    ]
+    return EntryNode(f"n{number}", front, directory, link, processes)
--- a/src/zinniaspool_standins/soak.py
+++ b/src/zinniaspool_standins/soak.py
@@ -9,10 +9,8 @@
 
 import asyncio
 import contextlib
-import os
 import random
 import signal
-import sys
 import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
@@ -22,10 +20,10 @@
 
 import typer
 
-from zinniaspool.core.ids import Address
 from zinniaspool.http import Headers, HttpClient, Request, TransportError
-from zinniaspool_standins.installation import Installation, free_address
-from zinniaspool_standins.silencer import LinkFaults, LinkProxy
+from zinniaspool_standins.installation import Installation
+from zinniaspool_standins.nodes import EntryNode, NodeProcess, end_nodes, make_nodes
+from zinniaspool_standins.silencer import LinkFaults
 
 __all__ = ["SoakError", "run_seed"]
 
@@ -45,54 +43,18 @@
 """Entries that no runner writes, as the store keeps them."""
 
 NOT_RUN = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
-GATEWAY, KEEPER = "zinniaspool.platform.entry", "zinniaspool.platform.control"
 
 
 class SoakError(AssertionError):
     """A promise was broken; the message names the seed and what was seen."""
 
 
-@dataclass
-class _Process:
-    module: str
-    settings: Path
-    log: Path
-    process: asyncio.subprocess.Process | None = None
-    frozen: bool = False
-
-    async def start(self) -> None:
-        env = {**os.environ, "ZINNIASPOOL_NODE_FILE": str(self.settings)}
-        with self.log.open("ab") as out:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", self.module, stdout=out, stderr=out, env=env
-            )
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to this process alone, if it still runs."""
-        if self.process is not None and self.process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self.process.send_signal(number)
-
-    async def end(self) -> None:
-        self.send(signal.SIGKILL)
-        if self.process is not None:
-            await self.process.wait()
-
-
-@dataclass
-class _Node:
-    name: str
-    front: Address
-    link: LinkProxy
-    processes: list[_Process]
-
-
 @dataclass
 class _Soak:
     seed: int
     source: random.Random
     made: Installation
-    nodes: list[_Node]
+    nodes: list[EntryNode]
     faults: list[str] = field(default_factory=list)
     seen: list[str] = field(default_factory=list)
     sent: int = 0
@@ -103,7 +65,7 @@
 
     # Traffic.
 
-    async def call(self, kind: str, node: _Node) -> bool:
+    async def call(self, kind: str, node: EntryNode) -> bool:
         """Send one request and check its answer; True where it was served."""
         self.sent += 1
         name = f"s{self.seed}-{self.sent}"
@@ -196,7 +158,7 @@
             else:
                 self.made.store.put("servers/foreign", source.choice(FOREIGN))
 
-    def pick(self) -> _Process:
+    def pick(self) -> NodeProcess:
         return self.source.choice(self.source.choice(self.nodes).processes)
 
     async def last(self, most_s: float = 3.0) -> None:
@@ -313,23 +275,13 @@
 @contextlib.asynccontextmanager
 async def _start(seed: int, folder: Path) -> AsyncIterator[_Soak]:
     async with Installation.running(nodes=0, engines=9) as made:
-        controls = [free_address() for _ in range(NODES)]
-        nodes = []
-        for number in range(NODES):
-            nodes.append(await _make_node(made, folder, number, controls))
-        processes = [one for node in nodes for one in node.processes]
-        for one in processes:
-            await one.start()
+        nodes = await make_nodes(made, folder, NODES)
         try:
             soak = _Soak(seed, random.Random(seed), made, nodes)
             await _await_served(soak)
             yield soak
         finally:
-            for one in processes:
-                one.send(signal.SIGCONT)
-                await one.end()
-            for node in nodes:
-                node.link.close()
+            await end_nodes(nodes)
 
 
 async def _await_served(soak: _Soak) -> None:
@@ -341,31 +293,6 @@
     raise SoakError(f"seed {soak.seed}: never served at the start")
 
 
-async def _make_node(
-    made: Installation, folder: Path, number: int, controls: list[Address]
-) -> _Node:
-    store, link_address, front = free_address(), free_address(), free_address()
-    await made.store.listen(store)
-    link = LinkProxy(store)
-    await link.listen(link_address)
-    settings = folder / f"n{number}.toml"
-    port = int(free_address().rpartition(":")[2])
-    seeds = ", ".join(f'"{one}"' for one in controls)
-    settings.write_text(
-        f'node-name = "n{number}"\nip = "127.0.0.1"\nzone = "hall-a"\n'
-        f'region = "north"\ninternal-ports = [{port}, {port}]\nseeds = [{seeds}]\n'
-        f'[listen-addrs]\nfront = "{front}"\nready = "{free_address()}"\n'
-        f'directory = "{free_address()}"\ncontrol = "{controls[number]}"\n'
-        f"[bounds]\ngrace-s = 4\nbudget-slack = 200\n"
-        f'[platform]\naddress = "{link_address}"\n'
-    )
-    processes = [
-        _Process(module, settings, folder / f"n{number}-{module.split('.')[2]}.log")
-        for module in (GATEWAY, KEEPER)
-    ]
-    return _Node(f"n{number}", front, link, processes)
-
-
 def _main(
     seeds: Annotated[int, typer.Option(help="How many seeds.")] = 10,
     first: Annotated[int, typer.Option(help="The first one.")] = 1,
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -38,6 +38,34 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "what the holder finds lost is told",
+        "src/zinniaspool/keeper/holder.py",
+        "verdict = Verdict(planner.lost, frozenset(self._kept))",
+        "verdict = Verdict(frozenset(), frozenset(self._kept))",
+        "tests/test_verdicts.py",
+    ),
+    Safeguard(
+        "a member without an entry is used while the holder vouches for it",
+        "src/zinniaspool/fleet/belief.py",
+        "elif until <= now:",
+        "elif False:",
+        "tests/test_verdicts.py",
+    ),
+    Safeguard(
+        "a request leaves the fabric domain where its target stood still",
+        f"{CORE}/dispatch/pools.py",
+        "if one.target.fabric_domain in doubted:",
+        "if False:",
+        "tests/test_dispatch.py",
+    ),
+    Safeguard(
+        "a stream stays while the pass under way may take as long",
+        f"{CORE}/dispatch/silence.py",
+        "return pause.quiet_s >= max(expected_s, latest_s)",
+        "return pause.quiet_s >= latest_s",
+        "tests/test_silence.py",
+    ),
     Safeguard(
         "a stream goes on with the version that began it",
         "src/zinniaspool/entry/relay.py",
