--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -325,6 +325,7 @@
         finally:
             state.held_up -= 1
             call.held_up = False
+            state.progress_at = asyncio.get_running_loop().time()
 
     def _note_first_event(
         self, call: GatewayCall, state: TargetState, now: float
