--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -23,6 +23,7 @@
     StreamPause,
     doubt,
     find_silent,
+    is_beyond_pass,
     must_move,
     rest_silent,
 )
@@ -56,6 +57,7 @@
     "RepeatWindow",
     "SilenceLimits",
     "StreamPause",
+    "is_beyond_pass",
     "must_move",
     "Target",
     "TargetPool",
--- a/src/zinniaspool/core/dispatch/silence.py
+++ b/src/zinniaspool/core/dispatch/silence.py
@@ -16,6 +16,7 @@
     "StreamPause",
     "doubt",
     "find_silent",
+    "is_beyond_pass",
     "must_move",
     "rest_silent",
 ]
@@ -117,6 +118,13 @@
     return True
 
 
+def is_beyond_pass(
+    pool: TargetPool, state: TargetState, quiet_s: float, now: float
+) -> bool:
+    """Tell whether the pass under way should have brought an event by now."""
+    return quiet_s >= pool.predict_gap(state, now) + WITHIN_PASS_S
+
+
 def must_move(
     pool: TargetPool,
     state: TargetState,
@@ -141,7 +149,6 @@
     """
     first_s = pool.predict_first(other, pause.prompt, now)
     latest_s = pause.accepted_s - first_s - MOVE_SPARE_S
-    if pause.quiet_s > pause.accepted_s or latest_s <= 0:
+    if not 0 < latest_s <= pause.quiet_s <= pause.accepted_s:
         return False
-    expected_s = pool.predict_gap(state, now) + WITHIN_PASS_S
-    return pause.quiet_s >= max(expected_s, latest_s)
+    return is_beyond_pass(pool, state, pause.quiet_s, now)
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -2,16 +2,18 @@
 
 import asyncio
 
-from zinniaspool.core.dispatch import Progress, StreamPause, TargetState, must_move
+from zinniaspool.core.dispatch import (
+    Progress,
+    StreamPause,
+    TargetState,
+    is_beyond_pass,
+    must_move,
+)
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.targets import TargetIndex
 
 __all__ = ["Moves"]
 
-LEAST_QUIET_PART = 0.2
-"""Part of its accepted pause before which no stream is looked at: a pass and a
-first event elsewhere take longer than the rest in any case."""
-
 
 class Moves:
     """Requests under way by target, and which of them must leave it.
@@ -110,14 +112,13 @@
         if call.attempts.number > 1:
             return False
         quiet_s = now - call.last_event_at
-        if quiet_s < accepted_s * LEAST_QUIET_PART or not call.is_on_time:
-            return False
-        prompt = call.terms.prompt_tokens
         pool = self._index.find(call.service, call.terms.model)
+        if not is_beyond_pass(pool, state, quiet_s, now) or not call.is_on_time:
+            return False
         other = self._choose_other(call, state, now)
         if other is None or not other.usable(now):
             return False
-        pause = StreamPause(quiet_s, accepted_s, prompt)
+        pause = StreamPause(quiet_s, accepted_s, call.terms.prompt_tokens)
         return must_move(pool, state, other, pause, now)
 
     def _is_overdue(self, call: GatewayCall, now: float) -> bool:
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -62,8 +62,8 @@
     Safeguard(
         "a stream stays while the pass under way may take as long",
         f"{CORE}/dispatch/silence.py",
-        "return pause.quiet_s >= max(expected_s, latest_s)",
-        "return pause.quiet_s >= latest_s",
+        "return is_beyond_pass(pool, state, pause.quiet_s, now)",
+        "return True",
         "tests/test_silence.py",
     ),
     Safeguard(
