Take back moves at the last moment, and members without entries

Change: streams leave a head once it counts as silent, by what its passes have shown; groups end with a member's entry, as before.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -20,10 +20,8 @@
 from zinniaspool.core.dispatch.shares import Peers
 from zinniaspool.core.dispatch.silence import (
     SilenceLimits,
-    StreamPause,
     doubt,
     find_silent,
-    must_move,
     rest_silent,
 )
 from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
@@ -55,8 +53,6 @@
     "RepeatLimits",
     "RepeatWindow",
     "SilenceLimits",
-    "StreamPause",
-    "must_move",
     "Target",
     "TargetPool",
     "TargetState",
--- a/src/zinniaspool/core/dispatch/silence.py
+++ b/src/zinniaspool/core/dispatch/silence.py
@@ -6,41 +6,18 @@
 """
 
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from zinniaspool.core.dispatch.pools import TargetPool
 from zinniaspool.core.dispatch.targets import TargetState
 
 __all__ = [
     "SilenceLimits",
-    "StreamPause",
     "doubt",
     "find_silent",
-    "must_move",
     "rest_silent",
 ]
 
 
-MOVE_SPARE_S = 0.04
-"""What is left of a stream's accepted pause when it is moved in time, in
-seconds: the next look may be that much later, and as often as not the first
-event elsewhere comes somewhat later than predicted."""
-
-
-class StreamPause(NamedTuple):
-    """How a stream that is being written stands.
-
-    Attributes:
-        quiet_s: Since when it has had no event, in seconds.
-        accepted_s: The longest pause that its caller accepts.
-        prompt: Tokens that another target would have to read for it.
-    """
-
-    quiet_s: float
-    accepted_s: float
-    prompt: int
-
-
 @dataclass(frozen=True, slots=True)
 class SilenceLimits:
     """How long a head may say nothing, in seconds.
@@ -111,32 +88,3 @@
         return False
     state.silent_until = now + limits.doubted_s
     return True
-
-
-def must_move(
-    pool: TargetPool,
-    state: TargetState,
-    other: TargetState,
-    pause: StreamPause,
-    now: float,
-) -> bool:
-    """Tell whether a stream must go elsewhere now to be on time.
-
-    A group that has lost a VM is sure to be silent only after a few passes.
-    Moved then, the stream's pause is longer than its caller accepts. So it is
-    moved while there is time for a first event elsewhere: if its head only
-    took long, another one has read a prompt for nothing, and the caller is
-    served in time all the same.
-
-    Args:
-        pool: The targets of its model.
-        state: Where it is written.
-        other: Where it would go on.
-        pause: How it stands.
-        now: Seconds.
-    """
-    first_s = pool.predict_first(other, pause.prompt, now)
-    latest_s = pause.accepted_s - first_s - MOVE_SPARE_S
-    if not 0 < latest_s <= pause.quiet_s <= pause.accepted_s:
-        return False
-    return pool.is_beyond_pass(state, pause.quiet_s, now)
--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -34,7 +34,6 @@
 )
 from zinniaspool.core.fleet.reachability import Reachability, TryOutcome
 from zinniaspool.core.fleet.relays import FANOUT, choose_relays
-from zinniaspool.core.fleet.verdicts import NO_VERDICT, Verdict
 from zinniaspool.core.fleet.wholeness import WholeGroup, find_whole_groups
 
 __all__ = [
@@ -47,8 +46,6 @@
     "HOLDER_KEY",
     "NODES_PREFIX",
     "NO_LOAD",
-    "NO_VERDICT",
-    "Verdict",
     "PLANS_PREFIX",
     "CallerLimits",
     "Catalog",
--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -36,13 +36,10 @@
     Attributes:
         instances: By their entries in the store.
         lost: Those that answer nobody, though their entry may still be there.
-        orphans: Those that hold a group though their entry lapsed. They are
-            used for nothing else: what they do next would show in no entry.
     """
 
     instances: Mapping[InstanceId, Instance]
     lost: set[InstanceId] = field(default_factory=set)
-    orphans: frozenset[InstanceId] = frozenset()
 
     def find(self, instance: InstanceId) -> Instance | None:
         """Return an instance that is there and answers, or None."""
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -1,7 +1,7 @@
 """The holder's decisions: which groups there are, and the orders they need."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from zinniaspool.core.fleet import (
@@ -201,19 +201,9 @@
             domain.unsaved, domain.writing, domain.changed = False, False, True
         self._counts.clear()
 
-    def see(
-        self,
-        instances: Mapping[InstanceId, Instance],
-        orphans: Collection[InstanceId] = (),
-    ) -> None:
-        """Take the instances as they are now.
-
-        Args:
-            instances: As the store has them, and the orphans.
-            orphans: Those that only work on for the group that they hold.
-        """
+    def see(self, instances: Mapping[InstanceId, Instance]) -> None:
+        """Take the instances as the store has them now."""
         self._sight.instances = instances
-        self._sight.orphans = frozenset(orphans)
         gone = [one for name, one in self._seen.items() if name not in instances]
         changed = [
             one for name, one in instances.items() if self._seen.get(name) is not one
@@ -651,8 +641,6 @@
         for one in instances:
             if one.state is InstanceState.LEAVING or one.id in self._sight.lost:
                 continue
-            if one.id in self._sight.orphans:
-                continue
             holds = planned.get(one.id)
             if holds is None:
                 if not self._releases.is_free(one):
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -5,7 +5,6 @@
 from zinniaspool.core.fleet.demands import ModelDemandNote
 from zinniaspool.core.fleet.instances import InstanceId
 from zinniaspool.core.fleet.loads import TargetLoad
-from zinniaspool.core.fleet.verdicts import NO_VERDICT, Verdict
 from zinniaspool.core.ids import NodeId, Revision
 
 __all__ = [
@@ -69,7 +68,7 @@
         leader: Which start of which process it last heard planning groups.
         leader_age_s: Seconds since then.
         provisional: Whether that one said that the store is down for all.
-        verdict: What that one knows of instances better than the store.
+        lost: Instances that it takes for lost though their entries live.
     """
 
     source: str
@@ -81,7 +80,7 @@
     leader: str
     leader_age_s: float
     provisional: bool
-    verdict: Verdict = NO_VERDICT
+    lost: frozenset[InstanceId] = frozenset()
 
 
 class StoreAsk(msgspec.Struct, frozen=True, tag="store-ask"):
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -9,7 +9,6 @@
 
 from zinniaspool.core.fleet import (
     HOLDER_KEY,
-    NO_VERDICT,
     NODES_PREFIX,
     Catalog,
     Change,
@@ -17,10 +16,8 @@
     Instance,
     InstanceBook,
     InstanceId,
-    MembershipState,
     NodeRecord,
     StoreMirror,
-    Verdict,
     is_reborn,
 )
 from zinniaspool.core.ids import NodeId
@@ -43,11 +40,6 @@
 seconds. The entry of one that is gone lapses within that; one that lives would
 be left unused for good if its holder was lost before it took that back."""
 
-KEPT_S = 1.5
-"""For how long an instance without an entry is believed to hold its group, in
-seconds, before the holder has asked it and after it last said so: some three
-questions of the holder's."""
-
 _NEVER_S = -1e6
 """When what is believed was last confirmed, before it ever was: long ago."""
 
@@ -72,13 +64,9 @@
         holder: Who plans groups.
         confirmed_at_boot: When the store last answered this process itself,
             on the clock that counts standstills.
-        verdict: What the holder last told. It finds out that instances are
-            lost seconds before their entries lapse; without its word each
-            process would send requests there until it has noticed by itself.
-        orphans: Members of groups whose entries lapsed, and until when they
-            are believed to hold their group all the same. One that is cut off
-            from the store works on, and its group with it: given up, all
-            groups with such a member would stand still at the same moment.
+        lost: Instances that the holder takes for lost. It finds out seconds
+            before their entries lapse; without its word each process would
+            send requests there until it has noticed by itself.
     """
 
     def __init__(self, *, reads_instances: bool = True) -> None:
@@ -93,9 +81,8 @@
         self.on_nodes: list[Callable[[], None]] = []
         self.on_change: list[Callable[[], None]] = []
         self.confirmed_at_boot = _NEVER_S
-        self.verdict = NO_VERDICT
-        self.orphans: dict[InstanceId, float | None] = {}
-        self._verdict_at = _NEVER_S
+        self.lost: frozenset[InstanceId] = frozenset()
+        self._lost_told_at = _NEVER_S
         self._confirmed = _NEVER_S
         self._births: dict[InstanceId, int] = {}
         self._refused: dict[InstanceId, str] = {}
@@ -114,7 +101,6 @@
     def ignore_instances(self) -> None:
         """Decode no instances from now on, and forget those that are known."""
         self._reads_instances = False
-        self.orphans.clear()
         for one in list(self.instances):
             self.book.drop(one)
 
@@ -145,58 +131,34 @@
             return
         self.take(self.mirror.amend(key, amended.ok_value))
 
-    def take_verdict(self, verdict: Verdict, told_at: float) -> None:
-        """Believe what the holder knows better than the store.
+    def take_lost(self, lost: Collection[InstanceId], told_at: float) -> None:
+        """Believe which instances the holder takes for lost.
 
         Args:
-            verdict: All of it; what it told before is replaced.
+            lost: All of them.
             told_at: When it said so, in seconds.
         """
-        if told_at < self._verdict_at:
+        if told_at < self._lost_told_at:
             return
-        self._verdict_at = told_at
-        orphans = self.orphans.keys()
-        for one in orphans & verdict.kept:
-            self.orphans[one] = told_at + KEPT_S
-        self.drop_orphans(orphans & (verdict.lost | (self.verdict.kept - verdict.kept)))
-        self._set_verdict(verdict)
-
-    def expire(self, now: float) -> None:
+        self._lost_told_at = told_at
+        self._set_lost(frozenset(lost))
+
+    def expire_lost(self, now: float) -> None:
         """Forget what a holder said that has not been heard for long."""
-        if self.verdict != NO_VERDICT and now - self._verdict_at > LOST_TRUST_S:
-            self._set_verdict(NO_VERDICT)
-        over = []
-        for one, until in self.orphans.items():
-            if until is None:
-                self.orphans[one] = now + KEPT_S
-            elif until <= now:
-                over.append(one)
-        self.drop_orphans(over)
-
-    def drop_orphans(self, names: Collection[InstanceId]) -> None:
-        """Forget instances whose entries lapsed."""
-        if not names:
-            return
-        for one in names:
-            del self.orphans[one]
-            self._drop(one)
-        self._tell_instances()
-
-    def _set_verdict(self, verdict: Verdict) -> None:
-        before, self.verdict = self.verdict, verdict
-        if verdict == before:
+        if self.lost and now - self._lost_told_at > LOST_TRUST_S:
+            self._set_lost(frozenset())
+
+    def _set_lost(self, lost: frozenset[InstanceId]) -> None:
+        if lost == self.lost:
             return
         _log.info(
-            "verdict-taken",
-            lost=",".join(sorted(verdict.lost - before.lost)),
-            back=",".join(sorted(before.lost - verdict.lost)),
-            kept=",".join(sorted(verdict.kept - before.kept)),
+            "instances-lost",
+            lost=",".join(sorted(lost - self.lost)),
+            back=",".join(sorted(self.lost - lost)),
         )
+        self.lost = lost
         self.mirror.touch()
-        self.book.set_lost(verdict.lost)
-        self._tell_instances()
-
-    def _tell_instances(self) -> None:
+        self.book.set_lost(lost)
         for listener in (*self.on_instances, *self.on_change):
             listener()
 
@@ -263,11 +225,7 @@
         instance = InstanceId(change.key.removeprefix(ENTRIES_PREFIX))
         if change.after is None:
             self._refused.pop(instance, None)
-            if self._holds_group(instance):
-                self.orphans[instance] = None
-                _log.info("instance-orphaned", instance=instance)
-            else:
-                self._drop(instance)
+            self._drop(instance)
             return
         read = read_entry(change.key, change.after.value)
         if isinstance(read, Err):
@@ -278,7 +236,6 @@
             self._refuse_entry(instance, change.key, "of an earlier life", keep=True)
             return
         self._refused.pop(instance, None)
-        self.orphans.pop(instance, None)
         self._note_birth(instance, found.born)
         before = self.instances.get(instance)
         self.book.put(found)
@@ -299,18 +256,6 @@
         if not keep:
             self._drop(instance)
 
-    def _holds_group(self, instance: InstanceId) -> bool:
-        """Tell whether one may work on for its group without an entry.
-
-        No request is sent to it: one that takes requests must get nothing new
-        once its entry is gone, since it may be leaving.
-        """
-        known = self.instances.get(instance)
-        if known is None or known.membership is None:
-            return False
-        ready = known.membership.state is MembershipState.READY
-        return ready and known.membership.rank > 0
-
     def _drop(self, instance: InstanceId) -> None:
         if self.book.drop(instance) is not None:
             _log.info("instance-gone", instance=instance)
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -197,7 +197,7 @@
         """Follow until cancelled."""
         await self._begin_with_sources()
         while True:
-            self._belief.expire(self._now())
+            self._belief.expire_lost(self._now())
             if await self._follow_peers():
                 self._belief.take(self._belief.mirror.expire(self._now()))
                 continue
@@ -345,7 +345,7 @@
         holder = self._belief.holder
         if holder is not None and news.leader == holder.start:
             self._sight.hear(holder, news.leader_age_s, provisional=news.provisional)
-            self._belief.take_verdict(news.verdict, self._now() - news.leader_age_s)
+            self._belief.take_lost(news.lost, self._now() - news.leader_age_s)
         self.reachable = True
         if leads and news.items and self._own_control is None and self._has_relays:
             await asyncio.sleep(RELAY_GATHER_S)
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -210,7 +210,7 @@
             lead.start,
             lead.age_s,
             lead.provisional,
-            self._belief.verdict,
+            self._belief.lost,
         )
 
     def _describe_lead(self) -> Lead:
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -45,7 +45,6 @@
         seen_event: Whether the attempt under way has had an event.
         unheard_outside: Whether it is at a target that this process does not
             share, and nothing has come back.
-        held_up: Whether its caller reads slowly, so that events lie unread.
         held: An upstream's failure to pass on if nothing better comes.
         first_s: Seconds until the first byte went to the caller.
         last_event_at: When the newest event went to the caller, in seconds.
@@ -74,7 +73,6 @@
     overdue: bool = False
     seen_event: bool = False
     unheard_outside: bool = False
-    held_up: bool = False
     held: HeldAnswer | None = None
     first_s: float | None = None
     last_event_at: float = 0.0
@@ -83,11 +81,3 @@
     urgency: int | None = None
     sent_at: float = 0.0
     predicted_s: float = 0.0
-
-    @property
-    def is_on_time(self) -> bool:
-        """Whether all that its caller has seen came in time."""
-        route = self.route
-        if self.first_s is None or self.first_s > route.objective_s:
-            return False
-        return route.pause_s is None or self.longest_pause_s <= route.pause_s
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -318,13 +318,11 @@
         silent, and its streams moved.
         """
         state.held_up += 1
-        call.held_up = True
         try:
             with CALLER_SIDE:
                 await call.exchange.write(data)
         finally:
             state.held_up -= 1
-            call.held_up = False
             state.progress_at = asyncio.get_running_loop().time()
 
     def _note_first_event(
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -2,12 +2,7 @@
 
 import asyncio
 
-from zinniaspool.core.dispatch import (
-    Progress,
-    StreamPause,
-    TargetState,
-    must_move,
-)
+from zinniaspool.core.dispatch import Progress, TargetState
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.targets import TargetIndex
 
@@ -97,29 +92,6 @@
                 call.overdue = self._move(call, state, now, only_to_room=True)
         return owing
 
-    def move_at_risk(self, now: float) -> None:
-        """End attempts whose stream would else be late for its pause."""
-        for state, calls in list(self._running.items()):
-            for call in list(calls):
-                if self._is_at_risk(call, state, now):
-                    self._move(call, state, now, only_to_room=True)
-
-    def _is_at_risk(self, call: GatewayCall, state: TargetState, now: float) -> bool:
-        accepted_s = call.route.pause_s
-        if not call.seen_event or accepted_s is None or call.held_up:
-            return False
-        if call.attempts.number > 1:
-            return False
-        quiet_s = now - call.last_event_at
-        pool = self._index.find(call.service, call.terms.model)
-        if not pool.is_beyond_pass(state, quiet_s, now) or not call.is_on_time:
-            return False
-        other = self._choose_other(call, state, now)
-        if other is None or not other.usable(now):
-            return False
-        pause = StreamPause(quiet_s, accepted_s, call.terms.prompt_tokens)
-        return must_move(pool, state, other, pause, now)
-
     def _is_overdue(self, call: GatewayCall, now: float) -> bool:
         # One that was taken though it will be late waits behind the others.
         if call.terms.model is None or call.late or call.seen_event:
--- a/src/zinniaspool/gateway/silence.py
+++ b/src/zinniaspool/gateway/silence.py
@@ -63,7 +63,6 @@
             for pool in self._index.list_pools():
                 for state in find_silent(pool, self._limits, due):
                     self._take_silent(state, due)
-            self._moves.move_at_risk(due)
             for state in self._moves.move_overdue(due):
                 if doubt(state, self._limits, due):
                     self._note_silent(state, due)
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -8,7 +8,7 @@
 import structlog
 from result import Ok
 
-from zinniaspool.core.fleet import InstanceId, ModelDemandNote, Verdict
+from zinniaspool.core.fleet import InstanceId, ModelDemandNote
 from zinniaspool.core.formation import (
     DomainPlan,
     FormationPlanner,
@@ -58,10 +58,6 @@
 """Pause between questions to one that counts as lost, in seconds."""
 
 
-ORPHAN_ASK_S = 0.4
-"""Pause between questions to a member whose entry lapsed, in seconds: its end
-shows by its group's streams too, and each question has its price."""
-
 OUTAGE_ASK_S = 0.12
 """Pause between questions to the engines of groups under way while the store
 is down, in seconds: about as late as their entries are otherwise."""
@@ -124,7 +120,6 @@
         self._asked_at = float("-inf")
         self._checked: dict[str, float] = {}
         self._regain_at = 0.0
-        self._kept: dict[InstanceId, float] = {}
         self.orders: Counter[tuple[OrderAction, OrderOutcome]] = Counter()
         self._smooth: dict[tuple[ServiceName, ModelName], float] = {}
         self._smoothed_at = 0.0
@@ -207,12 +202,10 @@
                 },
                 loop.time(),
             )
-            planner.see(self._belief.instances, self._belief.orphans)
+            planner.see(self._belief.instances)
             # A group whose VMs are all dark changes no entry by its end: the
             # others learn of it by this word alone, seconds before the store.
-            self._keep_orphans(planner, loop.time())
-            verdict = Verdict(planner.lost, frozenset(self._kept))
-            self._belief.take_verdict(verdict, loop.time())
+            self._belief.take_lost(planner.lost, loop.time())
             self._smooth_demand(loop.time())
             planner.set_demand(self._smooth)
             writes, orders = planner.step(loop.time())
@@ -391,34 +384,6 @@
             _log.warning("instance-lost", instance=instance)
             self._planner.lose(instance)
 
-    def _keep_orphans(self, planner: FormationPlanner, now: float) -> None:
-        """Keep groups whose members are cut off from the store alone.
-
-        They hold their group as long as they say so when asked. One that is
-        in no group any more is not used: nothing would tell of its end.
-        """
-        orphans = self._belief.orphans
-        over = [one for one in orphans if planner.find_group(one) is None]
-        self._belief.drop_orphans(over)
-        for one in self._kept.keys() - orphans.keys():
-            del self._kept[one]
-        for one in orphans:
-            if now - self._kept.get(one, float("-inf")) >= ORPHAN_ASK_S:
-                self._kept[one] = now
-                self._start(self._check_orphan(one))
-
-    async def _check_orphan(self, instance: InstanceId) -> None:
-        known = self._belief.instances.get(instance)
-        if known is None or instance not in self._belief.orphans:
-            return
-        for wait_s in CHECK_WAITS_S:
-            found = await self._engines.ask(known.address, wait_s)
-            if isinstance(found, Ok) and found.ok_value.membership == known.membership:
-                return
-        if instance in self._belief.orphans and self._planner is not None:
-            _log.warning("instance-lost", instance=instance)
-            self._planner.lose(instance)
-
     def _ask_lost(self, planner: FormationPlanner, now: float) -> None:
         if not planner.lost or now < self._regain_at:
             return
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -77,10 +77,8 @@
         "target-told-silent": "Another process found a target silent; nothing new is "
         "sent there for a moment.",
         "instance-lost": "An instance answers nobody, though its entry is there.",
-        "instance-orphaned": "The entry of a group's member lapsed; the group is "
-        "used until the holder finds that the member is lost.",
-        "verdict-taken": "The holder told which instances are lost though their "
-        "entries live, or hold their group though those lapsed.",
+        "instances-lost": "The holder told which instances it takes for lost, or "
+        "takes for lost no more.",
         "instance-regained": "An instance that had counted as lost answers again.",
         "instance-state": "An instance began to leave, or is ready.",
         "lease-lost": "A lease ended before it was renewed.",
--- a/src/zinniaspool/telemetry/traces.py
+++ b/src/zinniaspool/telemetry/traces.py
@@ -31,12 +31,11 @@
         "group-suspected",
         "instance-gone",
         "instance-lost",
-        "instance-orphaned",
         "instance-regained",
+        "instances-lost",
         "instance-state",
         "target-silent",
         "target-told-silent",
-        "verdict-taken",
     }
 )
 """Events about groups and instances, whichever process wrote them."""
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -41,15 +41,8 @@
     Safeguard(
         "what the holder finds lost is told",
         "src/zinniaspool/keeper/holder.py",
-        "verdict = Verdict(planner.lost, frozenset(self._kept))",
-        "verdict = Verdict(frozenset(), frozenset(self._kept))",
-        "tests/test_verdicts.py",
-    ),
-    Safeguard(
-        "a member without an entry is used while the holder vouches for it",
-        "src/zinniaspool/fleet/belief.py",
-        "elif until <= now:",
-        "elif False:",
+        "self._belief.take_lost(planner.lost, loop.time())",
+        "self._belief.take_lost((), loop.time())",
         "tests/test_verdicts.py",
     ),
     Safeguard(
@@ -59,13 +52,6 @@
         "if False:",
         "tests/test_dispatch.py",
     ),
-    Safeguard(
-        "a stream stays while the pass under way may take as long",
-        f"{CORE}/dispatch/silence.py",
-        "return pool.is_beyond_pass(state, pause.quiet_s, now)",
-        "return True",
-        "tests/test_silence.py",
-    ),
     Safeguard(
         "a stream goes on with the version that began it",
         "src/zinniaspool/entry/relay.py",
