--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -36,7 +36,7 @@
 """Weight of one answer in what targets have typically: some ten answers tell,
 and a single full target does not."""
 
-LEAST_SPARE = 2.0
+LEAST_SPARE = 2.0  # requests
 SPARE_PART = 0.15
 """Free slots from which a process takes one beyond its own places: in
 requests, and as a part of all. About as many begin between two words of the
@@ -73,15 +73,15 @@
 """Seconds of prompts to be read that count as a full target: as long as a
 first event takes that has not to wait for others' prompts."""
 
-FIRST_GAP_EXCESS_S = 0.06
-MOST_GAP_EXCESS_S = 0.3
+FIRST_GAP_EXCESS_S = 0.06  # seconds, one more pass
+MOST_GAP_EXCESS_S = 0.3  # seconds, a pause that callers accept
 GAP_FADE = 0.0005
 """How much longer than its pass the gap between two events of a target is
 taken to be at first, and at most, in seconds, and how that fades: a process
 has some hundred gaps a second of a busy model."""
 
-FIRST_LATE_EXCESS_S = 0.08
-MOST_LATE_EXCESS_S = 0.6
+FIRST_LATE_EXCESS_S = 0.08  # seconds, about one first event
+MOST_LATE_EXCESS_S = 0.6  # seconds, a part of callers' patience
 LATE_FADE = 0.005
 """The same of first events, of which a process has a few a second."""
 
