--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -12,6 +12,7 @@
     CallTerms,
     Progress,
 )
+from zinniaspool.core.dispatch.contents import ContentId, identify_content
 from zinniaspool.core.dispatch.loads import LoadChanges, PeerLoads
 from zinniaspool.core.dispatch.pace import EnginePace, FirstEventForecast
 from zinniaspool.core.dispatch.patience import PatienceWatch
@@ -35,6 +36,7 @@
     "AttemptFailure",
     "Attempts",
     "CallTerms",
+    "ContentId",
     "Progress",
     "Peers",
     "EventCursor",
@@ -57,6 +59,7 @@
     "TargetPool",
     "TargetState",
     "find_silent",
+    "identify_content",
     "doubt",
     "rest_silent",
 ]
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -3,7 +3,13 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from zinniaspool.core.dispatch import Attempts, EventCursor, Progress, TargetState
+from zinniaspool.core.dispatch import (
+    Attempts,
+    ContentId,
+    EventCursor,
+    Progress,
+    TargetState,
+)
 from zinniaspool.core.fleet import CustomerSpec, InstanceId, RouteSpec
 from zinniaspool.core.ids import FabricDomainId, ServiceName
 from zinniaspool.http import ClientResponse, Exchange
@@ -33,6 +39,7 @@
         received: When it was here whole, in seconds.
         deadline: When it must have its answer.
         attempts: Judges whether it may be sent again.
+        content: What it asks; the same when it comes again with another id.
         cursor: Where its stream stands.
         progress: What of an answer the caller has.
         tried: Instances that had it.
@@ -63,6 +70,7 @@
     received: float
     deadline: float
     attempts: Attempts
+    content: ContentId
     cursor: EventCursor = field(default_factory=EventCursor)
     progress: Progress = Progress.NOTHING
     tried: list[InstanceId] = field(default_factory=list)
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -140,6 +140,7 @@
         _log.info(
             "attempt-failed",
             request=call.terms.id,
+            content=call.content,
             attempt=call.attempts.number,
             instance=state.target.instance,
             group=state.target.group or "",
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -8,7 +8,14 @@
 import structlog
 from result import Err, Ok, Result
 
-from zinniaspool.core.dispatch import Attempts, CallTerms, RepeatLimits, RepeatWindow
+from zinniaspool.core.dispatch import (
+    Attempts,
+    CallTerms,
+    ContentId,
+    RepeatLimits,
+    RepeatWindow,
+    identify_content,
+)
 from zinniaspool.core.errors import ANSWERS, ErrorKind, Fault
 from zinniaspool.core.fleet import Catalog, CustomerSpec, RouteSpec
 from zinniaspool.core.ids import ServiceName
@@ -167,6 +174,7 @@
         _log.info(
             "request-ended",
             request=call.terms.id,
+            content=call.content,
             end=end,
             route=call.route.name,
             model=call.terms.model or "",
@@ -221,6 +229,7 @@
             received,
             deadline,
             attempts,
+            _identify(request, found.ok_value),
         )
         call.cursor.last_id = terms.resume_after
         return Ok(call)
@@ -276,6 +285,11 @@
     return Ok(customer)
 
 
+def _identify(request: Request, customer: CustomerSpec | None) -> ContentId:
+    name = None if customer is None else customer.name
+    return identify_content(request.method, request.target, name, request.body)
+
+
 def _choose_service(route: RouteSpec) -> ServiceName:
     shares = route.shares
     if len(shares) == 1:
