--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -41,6 +41,8 @@
         unanswered_orders: So many of the next orders are carried out a second
             later and never answered.
         leaving: It reports that it leaves.
+        crash_on: It ends when it begins to run a request with this in its
+            body; empty for none.
     """
 
     dark: bool = False
@@ -53,6 +55,7 @@
     mute: bool = False
     unanswered_orders: int = 0
     leaving: bool = False
+    crash_on: str = ""
 
 
 class RunnerTimes(msgspec.Struct):
@@ -65,6 +68,7 @@
     form_s: float = 0.05
     pass_s: float = 0.03
     stall_s: float = 2.0
+    back_s: float = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +96,7 @@
         domain: Its fabric domain, or None for a plain service.
         store: Where its entry lies.
         others: All runners by id, for its group's sake.
+        crashes: How often it ended by itself.
     """
 
     id: str
@@ -115,18 +120,38 @@
     been_ready: set[tuple[str, int, tuple[str, ...]]] = field(default_factory=set)
     born: int = 1_700_000_000_000
     streams: int = 0
+    crashes: int = 0
+    _down: bool = False
+    _server: HttpServer | None = None
     _epoch: int = 0
     _written: str = ""
     _silent: float = 0.0
+    _crashing: "asyncio.Task[None] | None" = None
     _last_answers: dict[object, bytes] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Listen and keep the entry, until cancelled."""
-        await HttpServer(self._handle).listen(self.address)
+        await self._listen()
         while True:
-            self._keep_entry()
+            if not self._down:
+                self._keep_entry()
             await asyncio.sleep(self.times.heartbeat_s / 8)
 
+    async def _listen(self) -> None:
+        self._server = HttpServer(self._handle)
+        await self._server.listen(self.address)
+
+    async def _crash(self) -> None:
+        """End at once, and come back as an empty one on the same host."""
+        assert self._server is not None
+        self.crashes += 1
+        self._down = True
+        self.restart()
+        await self._server.drain(0.0)
+        await asyncio.sleep(self.times.back_s)
+        await self._listen()
+        self._down = False
+
     def restart(self) -> None:
         """Start again under the same id, knowing nothing of before."""
         self.born += 1
@@ -298,6 +323,11 @@
             await exchange.respond(503, refusal, b"")
             return
         self._note_run(request, headers, exchange.request.path)
+        marker = self.faults.crash_on.encode()
+        if marker and marker in exchange.request.body and not self._down:
+            await asyncio.sleep(self.times.pass_s)
+            self._crashing = asyncio.create_task(self._crash())
+            await asyncio.sleep(60.0)
         if self.faults.mute:
             await asyncio.sleep(60.0)
         answer = Headers.of(
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -135,6 +135,7 @@
         method: str = "POST",
         key: str | None = KEY,
         deadline_ms: int = 4000,
+        body: bytes = b"",
         **headers: str,
     ) -> Answer:
         """Send one request as a caller would, on a connection of its own."""
@@ -154,7 +155,7 @@
         parts = []
         try:
             response = await client.send(
-                address, Request(method, path, sent), deadline_ms / 1000 + 1.0
+                address, Request(method, path, sent, body), deadline_ms / 1000 + 1.0
             )
         except TransportError:
             return Answer(0, whole=False)
@@ -175,6 +176,7 @@
         model: str = "large",
         events: int = 10,
         request_id: str | None = None,
+        body: bytes = b"",
     ) -> Answer:
         """Ask for a stream."""
         named = {} if request_id is None else {"request_id": request_id}
@@ -184,6 +186,7 @@
             "POST",
             KEY,
             4000,
+            body,
             **named,
             x_zinniaspool_model=model,
             x_zinniaspool_token_count=f"100,{events}",
@@ -194,10 +197,11 @@
         await eventually(lambda: self.heads("large") and self.heads("small"))
         for name in self.nodes:
             for model in SIZES:
-                await self._await_served(name, model)
+                await self.await_served(name, model)
 
-    async def _await_served(self, node: str, model: str) -> None:
-        for _ in range(200):
+    async def await_served(self, node: str, model: str) -> None:
+        """Wait until a VM answers for a model."""
+        for _ in range(600):
             if (await self.draft(node, model, 1)).status == 200:
                 return
             await asyncio.sleep(0.03)
