--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -12,11 +12,17 @@
     CallTerms,
     Progress,
 )
-from zinniaspool.core.dispatch.contents import ContentId, identify_content
+from zinniaspool.core.dispatch.contents import identify_content
 from zinniaspool.core.dispatch.loads import LoadChanges, PeerLoads
 from zinniaspool.core.dispatch.pace import EnginePace, FirstEventForecast
 from zinniaspool.core.dispatch.patience import PatienceWatch
 from zinniaspool.core.dispatch.pools import TargetPool
+from zinniaspool.core.dispatch.quarantine import (
+    HOLD_S,
+    InstanceLife,
+    Quarantine,
+    Verdict,
+)
 from zinniaspool.core.dispatch.repeats import RepeatLimits, RepeatWindow
 from zinniaspool.core.dispatch.shares import Peers
 from zinniaspool.core.dispatch.silence import (
@@ -36,7 +42,10 @@
     "AttemptFailure",
     "Attempts",
     "CallTerms",
-    "ContentId",
+    "HOLD_S",
+    "InstanceLife",
+    "Quarantine",
+    "Verdict",
     "Progress",
     "Peers",
     "EventCursor",
--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -164,6 +164,10 @@
         """
         return self._make_fault(ErrorKind.UPSTREAM_REFUSED if self.number else kind)
 
+    def end_quarantined(self) -> Fault:
+        """Return the fault of a request that is sent to no upstream now."""
+        return self._make_fault(ErrorKind.QUARANTINED)
+
     def _pay_refusal(self, failure: AttemptFailure) -> Fault | None:
         costs = self._terms.counts_refusals and failure is AttemptFailure.REFUSED
         if costs and not self._budget.withdraw():
--- a/src/zinniaspool/core/dispatch/contents.py
+++ b/src/zinniaspool/core/dispatch/contents.py
@@ -1,12 +1,10 @@
 """What a request asks, whichever id a caller gives it."""
 
 from hashlib import blake2b
-from typing import NewType
 
-__all__ = ["ContentId", "identify_content"]
+from zinniaspool.core.ids import ContentId
 
-ContentId = NewType("ContentId", str)
-"""Names a request by its caller, its target and its body."""
+__all__ = ["identify_content"]
 
 DIGEST_BYTES = 12
 """Length of the digest, in bytes: two contents in the same fleet then hardly
--- a/src/zinniaspool/core/errors.py
+++ b/src/zinniaspool/core/errors.py
@@ -47,6 +47,7 @@
     KEY_REQUIRED = "key-required"
     KEY_OWNER_GONE = "key-owner-gone"
     ANSWER_EXPIRED = "answer-expired"
+    QUARANTINED = "quarantined"
     UPSTREAM_REFUSED = "upstream-refused"
     UPSTREAM_LOST = "upstream-lost"
     DEADLINE_PASSED = "deadline-passed"
@@ -148,6 +149,9 @@
         ErrorKind.ANSWER_EXPIRED: Answer(
             410, _UNKNOWN, "The answer for this idempotency key is no longer kept."
         ),
+        ErrorKind.QUARANTINED: Answer(
+            503, _NOT_RUN, "Upstreams crashed under this request before.", 600
+        ),
         ErrorKind.UPSTREAM_REFUSED: Answer(
             503, _NOT_RUN, "Upstreams refused the request before running it.", 1
         ),
--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -25,9 +25,11 @@
 from zinniaspool.core.fleet.loads import NO_LOAD, TargetLoad
 from zinniaspool.core.fleet.mirror import Change, MirrorEvent, StoredItem, StoreMirror
 from zinniaspool.core.fleet.nodes import (
+    HELD_PREFIX,
     HOLDER_KEY,
     NODES_PREFIX,
     PLANS_PREFIX,
+    HeldRecord,
     HolderRecord,
     NodeRecord,
     NodeState,
@@ -37,6 +39,8 @@
 from zinniaspool.core.fleet.wholeness import WholeGroup, find_whole_groups
 
 __all__ = [
+    "HELD_PREFIX",
+    "HeldRecord",
     "InstanceBook",
     "InstancePart",
     "FANOUT",
--- a/src/zinniaspool/core/fleet/nodes.py
+++ b/src/zinniaspool/core/fleet/nodes.py
@@ -4,12 +4,15 @@
 
 import msgspec
 
+from zinniaspool.core.fleet.instances import InstanceId
 from zinniaspool.core.ids import Address, FailureDomainId, NodeId
 
 __all__ = [
+    "HELD_PREFIX",
     "HOLDER_KEY",
     "NODES_PREFIX",
     "PLANS_PREFIX",
+    "HeldRecord",
     "HolderRecord",
     "NodeRecord",
     "NodeState",
@@ -21,6 +24,9 @@
 NODES_PREFIX = "zinnia/nodes/"
 """Entry processes; each key goes with its process's lease."""
 
+HELD_PREFIX = "zinnia/held/"
+"""Contents that are sent to no upstream; each key goes with a lease."""
+
 PLANS_PREFIX = "zinnia/plans/"
 """Replica groups by fabric domain; these last."""
 
@@ -55,6 +61,18 @@
     control_address: Address = Address("")
 
 
+class HeldRecord(msgspec.Struct, frozen=True):
+    """A content under which upstreams crashed.
+
+    Attributes:
+        node: Which VM's entry process found it out.
+        crashed: The instances.
+    """
+
+    node: NodeId
+    crashed: list[InstanceId]
+
+
 class HolderRecord(msgspec.Struct, frozen=True):
     """The process that plans groups.
 
--- a/src/zinniaspool/core/ids.py
+++ b/src/zinniaspool/core/ids.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "Address",
+    "ContentId",
     "CustomerId",
     "Epoch",
     "FabricDomainId",
@@ -27,6 +28,9 @@
 Address = NewType("Address", str)
 """An IP number and a port, ``10.0.0.1:8080``."""
 
+ContentId = NewType("ContentId", str)
+"""Names a request by its caller, its target and its body."""
+
 CustomerId = NewType("CustomerId", str)
 FabricDomainId = NewType("FabricDomainId", str)
 """VMs of one fabric domain share a fast interconnect."""
--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -17,6 +17,8 @@
     ConfigurationAsk,
 )
 from zinniaspool.core.messages.fleet import (
+    ClearedContents,
+    CrashNote,
     FleetNews,
     FleetWatch,
     LoadNote,
@@ -143,6 +145,8 @@
     FleetWatch
     | FleetNews
     | SilentTarget
+    | CrashNote
+    | ClearedContents
     | UnreachableNode
     | LoadNote
     | StoreAsk
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -5,9 +5,11 @@
 from zinniaspool.core.fleet.demands import ModelDemandNote
 from zinniaspool.core.fleet.instances import InstanceId
 from zinniaspool.core.fleet.loads import TargetLoad
-from zinniaspool.core.ids import NodeId, Revision
+from zinniaspool.core.ids import ContentId, NodeId, Revision
 
 __all__ = [
+    "ClearedContents",
+    "CrashNote",
     "FleetNews",
     "FleetWatch",
     "LoadNote",
@@ -109,6 +111,34 @@
     node: NodeId
 
 
+class CrashNote(msgspec.Struct, frozen=True, tag="crash-note"):
+    """Tells all entry processes that an upstream crashed.
+
+    Attributes:
+        instance: Which.
+        born: Unix milliseconds of its start, where it told.
+        contents: What the telling process had there.
+        node: That process's VM.
+    """
+
+    instance: InstanceId
+    born: int | None
+    contents: list[ContentId]
+    node: NodeId
+
+
+class ClearedContents(msgspec.Struct, frozen=True, tag="cleared-contents"):
+    """Tells all entry processes that contents crash no upstream.
+
+    Attributes:
+        contents: Which the telling process has had answered.
+        node: That process's VM.
+    """
+
+    contents: list[ContentId]
+    node: NodeId
+
+
 class UnreachableNode(msgspec.Struct, frozen=True, tag="unreachable-node"):
     """Tells that an entry VM cannot be reached from another one.
 
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from zinniaspool.core.fleet import (
+    HELD_PREFIX,
     HOLDER_KEY,
     NODES_PREFIX,
     Catalog,
@@ -20,7 +21,7 @@
     StoreMirror,
     is_reborn,
 )
-from zinniaspool.core.ids import NodeId
+from zinniaspool.core.ids import ContentId, NodeId
 from zinniaspool.fleet.sight import boot_time
 from zinniaspool.platform.entries import (
     ENTRIES_PREFIX,
@@ -62,6 +63,7 @@
         book: All instances.
         nodes: Entry processes, by VM.
         holder: Who plans groups.
+        held: Contents that are recorded as sent to no upstream.
         confirmed_at_boot: When the store last answered this process itself,
             on the clock that counts standstills.
         lost: Instances that the holder takes for lost. It finds out seconds
@@ -80,6 +82,10 @@
         self.on_instances: list[Callable[[], None]] = []
         self.on_nodes: list[Callable[[], None]] = []
         self.on_change: list[Callable[[], None]] = []
+        self.held: frozenset[ContentId] = frozenset()
+        self.on_held: list[
+            Callable[[frozenset[ContentId], frozenset[ContentId]], None]
+        ] = []
         self.confirmed_at_boot = _NEVER_S
         self.lost: frozenset[InstanceId] = frozenset()
         self._lost_told_at = _NEVER_S
@@ -174,6 +180,7 @@
     def take(self, changes: list[Change]) -> None:
         """Take changes of the copy and tell who listens."""
         listeners: set[int] = set()
+        held = set(self.held)
         for change in changes:
             if change.key == RULES_KEY:
                 self._take_rules(change)
@@ -185,6 +192,9 @@
             elif change.key.startswith(NODES_PREFIX):
                 self._take_node(change)
                 listeners.add(2)
+            elif change.key.startswith(HELD_PREFIX):
+                content = ContentId(change.key.removeprefix(HELD_PREFIX))
+                held.discard(content) if change.after is None else held.add(content)
             elif change.key == HOLDER_KEY:
                 self._take_holder(change)
                 listeners.add(2)
@@ -194,10 +204,18 @@
             if number in listeners:
                 for listener in group:
                     listener()
+        self._set_held(frozenset(held))
         if changes:
             for listener in self.on_change:
                 listener()
 
+    def _set_held(self, held: frozenset[ContentId]) -> None:
+        before, self.held = self.held, held
+        if held == before:
+            return
+        for listener in self.on_held:
+            listener(held - before, before - held)
+
     def _take_rules(self, change: Change) -> None:
         if change.after is None:
             return
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -5,13 +5,12 @@
 
 from zinniaspool.core.dispatch import (
     Attempts,
-    ContentId,
     EventCursor,
     Progress,
     TargetState,
 )
 from zinniaspool.core.fleet import CustomerSpec, InstanceId, RouteSpec
-from zinniaspool.core.ids import FabricDomainId, ServiceName
+from zinniaspool.core.ids import ContentId, FabricDomainId, ServiceName
 from zinniaspool.http import ClientResponse, Exchange
 from zinniaspool.platform.wire import CallerTerms
 
@@ -46,7 +45,7 @@
         doubted: Fabric domains where one of those stood still.
         state: Where it is now.
         patience: Ends the attempt under way.
-        moved: Whether that was ended because its target is silent.
+        moved: Whether that was ended so that its target is left.
         overdue: Whether it was so because its first event did not come, while
             the target may have gone on with others.
         seen_event: Whether the attempt under way has had an event.
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -17,6 +17,7 @@
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.fleet import RequestKind
 from zinniaspool.gateway.calls import GatewayCall, HeldAnswer
+from zinniaspool.gateway.crashes import CrashWatch
 from zinniaspool.gateway.gate import Gate
 from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.targets import TargetIndex
@@ -67,6 +68,7 @@
         index: The targets.
         gate: Decides when a request for a model may begin.
         moves: Ends attempts that are to go on elsewhere.
+        crashes: Knows which requests crash upstreams.
         on_refused_connection: Told of a target that nobody listens at.
     """
 
@@ -76,6 +78,7 @@
         index: TargetIndex,
         gate: Gate,
         moves: Moves,
+        crashes: CrashWatch,
         on_refused_connection: Callable[[TargetState], None] = lambda _: None,
     ) -> None:
         self._http = http
@@ -83,6 +86,7 @@
         self._gate = gate
         self._on_refused_connection = on_refused_connection
         self._moves = moves
+        self._crashes = crashes
 
     async def run(self, call: GatewayCall, window: RepeatWindow) -> Result[None, Fault]:
         """Run a call and answer it, or return why it has no answer.
@@ -93,17 +97,26 @@
         loop = asyncio.get_running_loop()
         window.add_request(loop.time())
         pool = self._index.find(call.service, call.terms.model)
+        if self._crashes.is_held(call):
+            return Err(call.attempts.end_quarantined())
         if call.terms.model is not None:
             refused = await self._gate.admit(call, pool)
             if refused is not None:
                 return Err(refused)
+        fault: Fault | None
         while (state := self._choose(call, pool)) is not None:
+            if self._crashes.is_held(call):
+                fault = call.attempts.end_quarantined()
+                break
             begun = call.attempts.begin(loop.time())
             if isinstance(begun, Err):
                 return begun
             failure = await self._count(call, pool, state)
             if failure is None:
+                self._crashes.note_answer(call)
                 return Ok(None)
+            if failure is AttemptFailure.LOST:
+                await self._crashes.take_lost(call, state)
             fault = self._judge(call, state, failure, loop.time())
             if fault is not None:
                 break
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -11,14 +11,13 @@
 from zinniaspool.core.dispatch import (
     Attempts,
     CallTerms,
-    ContentId,
     RepeatLimits,
     RepeatWindow,
     identify_content,
 )
 from zinniaspool.core.errors import ANSWERS, ErrorKind, Fault
 from zinniaspool.core.fleet import Catalog, CustomerSpec, RouteSpec
-from zinniaspool.core.ids import ServiceName
+from zinniaspool.core.ids import ContentId, ServiceName
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.carrier import Carrier
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from zinniaspool.core.dispatch import (
+    Quarantine,
     RepeatLimits,
     find_subset,
 )
@@ -24,6 +25,8 @@
 from zinniaspool.core.ids import Address, NodeId
 from zinniaspool.core.messages import Hello, Message
 from zinniaspool.core.messages.fleet import (
+    ClearedContents,
+    CrashNote,
     LoadNote,
     SilentTarget,
     UnreachableNode,
@@ -38,6 +41,7 @@
     run_duty,
 )
 from zinniaspool.gateway.carrier import Carrier
+from zinniaspool.gateway.crashes import CrashWatch
 from zinniaspool.gateway.directory import DirectoryFace
 from zinniaspool.gateway.face import CallerFace, refuse_request
 from zinniaspool.gateway.gate import Gate
@@ -148,7 +152,17 @@
         self._http = HttpClient(connect_s=CONNECT_S, unframed=True)
         self._gate = Gate(self._index.measure_age)
         self._moves = Moves(self._index)
-        self._carrier = Carrier(self._http, self._index, self._gate, self._moves)
+        self._crashes = CrashWatch(
+            node.node,
+            self._belief,
+            self._store,
+            Quarantine(),
+            self._moves,
+            self._tell_all,
+        )
+        self._carrier = Carrier(
+            self._http, self._index, self._gate, self._moves, self._crashes
+        )
         self._silence = SilenceWatch(
             node.node,
             self._index,
@@ -164,7 +178,13 @@
             self._belief, self._carrier, repeats, lambda: self._may_begin, tally
         )
         self._metrics = make_gateway_metrics(
-            tally, self._belief, self._store, self._index, self._http, self._gate.tally
+            tally,
+            self._belief,
+            self._store,
+            self._index,
+            self._http,
+            self._gate.tally,
+            self._crashes,
         )
         self._reachability = Reachability(random.Random())
         self._directory = DirectoryFace(
@@ -194,6 +214,7 @@
             asyncio.create_task(run_duty("watch_silence", self._silence.run)),
             asyncio.create_task(run_duty("tell_loads", self._tell_loads)),
             asyncio.create_task(run_duty("prober", self._prober.run)),
+            asyncio.create_task(run_duty("records", self._crashes.keep_records)),
         ]
         await self._listen()
         await self._mesh.listen(self._address)
@@ -244,6 +265,10 @@
             self._reachability.suspect(message.node)
         elif isinstance(message, SilentTarget):
             self._silence.hear(message)
+        elif isinstance(message, CrashNote):
+            self._crashes.hear_crash(message)
+        elif isinstance(message, ClearedContents):
+            self._crashes.hear_cleared(message)
         elif isinstance(message, LoadNote):
             self._index.take_loads(message, asyncio.get_running_loop().time())
         return None
@@ -258,6 +283,9 @@
         told = random.sample(others, min(TOLD_UNREACHABLE, len(others)))
         self._tell(told, UnreachableNode(node))
 
+    def _tell_all(self, note: Message) -> None:
+        self._tell([x for x in self._belief.nodes if x != self._node.node], note)
+
     def _tell(self, nodes: Collection[NodeId], note: Message) -> None:
         for node in nodes:
             record = self._belief.nodes.get(node)
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.fleet.metrics import add_fleet_metrics
+from zinniaspool.gateway.crashes import CrashWatch
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient
 from zinniaspool.platform.kvstore import KvStore
@@ -22,6 +23,7 @@
     index: TargetIndex,
     http: HttpClient,
     admitted: AdmissionTally,
+    crashes: CrashWatch,
 ) -> MetricsPage:
     """Return the page of an entry process."""
     page = MetricsPage()
@@ -68,6 +70,23 @@
         "Age of the oldest word of another entry process on its loads.",
         list_ages,
     )
+
+    def list_crashes() -> Iterator[Sample]:
+        yield Sample({}, crashes.crashes)
+
+    def list_held() -> Iterator[Sample]:
+        yield Sample({}, crashes.quarantine.held)
+
+    page.count(
+        "zinniaspool_upstream_crashes",
+        "Upstreams that ended with requests of this process.",
+        list_crashes,
+    )
+    page.gauge(
+        "zinniaspool_held_contents",
+        "Requests, by what they ask, that are sent to no upstream.",
+        list_held,
+    )
     page.count("zinniaspool_connections", "Connections opened.", list_opened)
     add_fleet_metrics(page, belief, store)
     return page
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from zinniaspool.core.dispatch import Progress, TargetState
+from zinniaspool.core.ids import ContentId
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.targets import TargetIndex
 
@@ -44,6 +45,21 @@
         for call in list(self._running.get(state, ())):
             self._move(call, state, now, only_to_room=only_to_room)
 
+    def withdraw(self, content: ContentId) -> None:
+        """End the attempts of a content that have had no event yet."""
+        now = asyncio.get_running_loop().time()
+        for calls in list(self._running.values()):
+            for call in list(calls):
+                if call.content == content and not call.seen_event:
+                    self._end_attempt(call, now)
+
+    def _end_attempt(self, call: GatewayCall, now: float) -> None:
+        if call.patience is None:
+            return
+        call.moved = True
+        call.patience.reschedule(now)
+        call.patience = None
+
     def _move(
         self, call: GatewayCall, state: TargetState, now: float, *, only_to_room: bool
     ) -> bool:
@@ -55,10 +71,8 @@
             return False
         if only_to_room and other.load(now) >= other.target.slots:
             return False
-        call.moved = True
         call.doubted.add(state.target.fabric_domain)
-        call.patience.reschedule(now)
-        call.patience = None
+        self._end_attempt(call, now)
         return True
 
     def _choose_other(
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -23,6 +23,9 @@
         "answer-foreign": "An upstream's answer named another request; dropped.",
         "answers-not-left": "A leaving process could not write its answers down.",
         "brownout": "The process sheds more or fewer of the less urgent requests.",
+        "content-held": "Upstreams crashed while they had a request; what asks the "
+        "same is sent to none.",
+        "contents-cleared": "Requests held back were answered; all may be sent again.",
         "claims-unreadable": "A value of claims in the store has another form.",
         "keyed-call-failed": "A fault of this process ended a keyed call.",
         "attempt-failed": "One attempt upstream failed.",
@@ -99,6 +102,10 @@
         "store-regained": "The store answers again.",
         "target-gone": "A target of requests is no more.",
         "targets-shared": "Other processes share targets with this one from now on.",
+        "record-not-removed": "The store kept what is no longer held back; its lease "
+        "ends it.",
+        "upstream-crashed": "An upstream ended with requests of ours; what asks the "
+        "same as one of them is suspected.",
         "target-silent": "A group's head with requests of ours says nothing.",
         "upstream-look-failed": "It could not be told whether a leaving upstream has "
         "ended; it is looked at again.",
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
+import pytest
+from structlog.testing import capture_logs
+
 from tests.installation import Answer, Installation, run
+from zinniaspool.core.dispatch import HOLD_S, InstanceLife, Quarantine, Verdict
+from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.ids import ContentId
 
 _MARK = "crash"
 _MOST_RETRIES = 3
@@ -83,3 +89,115 @@
             assert offender.arrivals - before <= _MOST_RETRIES
 
     run(test)
+
+
+def test_a_request_cut_where_no_upstream_ends_is_not_held_back() -> None:
+    """Guards against connections that break being taken for crashes."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, engines=9) as made:
+            await made.settle()
+            for one in made.runners.values():
+                one.faults.cut_after = 1
+            for _ in range(5):
+                await made.draft("n0", "small", 4, body=b"asked again")
+            for one in made.runners.values():
+                one.faults.cut_after = -1
+            await made.await_served("n0", "small")
+            answer = await made.draft("n0", "small", 4, body=b"asked again")
+            assert answer.events == [1, 2, 3, 4]
+
+    run(test)
+
+
+def test_a_request_that_waits_where_another_one_crashes_is_answered() -> None:
+    """Guards against holding back what only shared crashed upstreams."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, engines=9) as made:
+            await made.settle()
+            offender = _Offender(made)
+            first = await made.draft("n0", "small", 4, body=b"beside")
+            assert first.whole
+            with capture_logs() as lines:
+                while offender.crashes < 3:
+                    beside = [
+                        asyncio.create_task(
+                            made.draft("n0", "small", 30, body=b"beside")
+                        )
+                        for _ in range(3)
+                    ]
+                    await offender.ask("n0")
+                    await asyncio.gather(*beside)
+                await made.await_served("n0", "small")
+                answer = await made.draft("n0", "small", 4, body=b"beside")
+            assert answer.events == [1, 2, 3, 4]
+            held = [one for one in lines if one["event"] == "content-held"]
+            assert len(held) == 1
+
+    run(test)
+
+
+_CONTENT = ContentId("c0")
+
+
+def _life(number: int, born: int = 0) -> InstanceLife:
+    return InstanceLife(InstanceId(f"i-{number}"), born)
+
+
+def _crash_three(quarantine: Quarantine, now: float) -> list[Verdict]:
+    return [quarantine.note_crash(_CONTENT, _life(k), now) for k in range(3)]
+
+
+def test_the_third_crash_holds_a_content_back() -> None:
+    quarantine = Quarantine()
+    assert _crash_three(quarantine, 1.0) == [Verdict.OPEN, Verdict.OPEN, Verdict.HELD]
+    assert quarantine.is_held(_CONTENT, 1.0)
+    assert not quarantine.is_held(ContentId("other"), 1.0)
+
+
+def test_one_crash_told_by_several_processes_counts_once() -> None:
+    """Guards against counting a crash once for each VM that tells of it."""
+    quarantine = Quarantine()
+    verdicts = [quarantine.note_crash(_CONTENT, _life(1), 1.0) for _ in range(5)]
+    assert verdicts == [Verdict.OPEN] * 5
+
+
+def test_lives_of_one_instance_count_apart() -> None:
+    """Guards against an upstream that starts again under its id unnoticed."""
+    quarantine = Quarantine()
+    for born in range(3):
+        quarantine.note_crash(_CONTENT, _life(1, born), 1.0)
+    assert quarantine.is_held(_CONTENT, 1.0)
+
+
+@pytest.mark.parametrize("answered_at", [0.5, 2.0])
+def test_an_answer_clears_a_content(answered_at: float) -> None:
+    """Guards against holding back for long what upstreams answer.
+
+    Many upstreams may end at once for another reason while each has a
+    request that comes often.
+    """
+    quarantine = Quarantine()
+    if answered_at < 1.0:
+        quarantine.note_answer(_CONTENT, answered_at)
+        assert _crash_three(quarantine, 1.0)[-1] is Verdict.CLEARED
+    else:
+        _crash_three(quarantine, 1.0)
+        assert quarantine.note_answer(_CONTENT, answered_at)
+    assert not quarantine.is_held(_CONTENT, answered_at + 1.0)
+    assert not quarantine.is_near(_CONTENT)
+
+
+def test_a_content_is_let_go_after_its_time() -> None:
+    quarantine = Quarantine()
+    _crash_three(quarantine, 1.0)
+    assert quarantine.is_held(_CONTENT, HOLD_S)
+    assert not quarantine.is_held(_CONTENT, HOLD_S + 2.0)
+
+
+def test_crashes_long_apart_do_not_add_up() -> None:
+    quarantine = Quarantine()
+    for number in range(5):
+        now = number * (HOLD_S / 1.5)
+        assert quarantine.note_crash(_CONTENT, _life(number), now) is Verdict.OPEN
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -38,6 +38,29 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "only an upstream that has ended counts as crashed",
+        "src/zinniaspool/gateway/crashes.py",
+        "if outcome is not TryOutcome.REFUSED:",
+        "if False:",
+        "tests/test_quarantine.py::"
+        "test_a_request_cut_where_no_upstream_ends_is_not_held_back",
+    ),
+    Safeguard(
+        "what is held back outlasts the processes",
+        "src/zinniaspool/gateway/crashes.py",
+        "self._unrecorded[content] = now + wait_s",
+        "pass",
+        "tests/test_quarantine.py::"
+        "test_such_a_request_is_known_after_all_entry_processes_were_killed",
+    ),
+    Safeguard(
+        "an answer clears a request of crashes",
+        f"{CORE}/dispatch/quarantine.py",
+        "self._answered[content] = now\n",
+        "",
+        "tests/test_quarantine.py::test_an_answer_clears_a_content",
+    ),
     Safeguard(
         "what the holder finds lost is told",
         "src/zinniaspool/keeper/holder.py",
