--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -19,6 +19,7 @@
 from zinniaspool.gateway.calls import GatewayCall, HeldAnswer
 from zinniaspool.gateway.crashes import CrashWatch
 from zinniaspool.gateway.gate import Gate
+from zinniaspool.gateway.limits import AnnouncedLimits
 from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import (
@@ -69,6 +70,7 @@
         gate: Decides when a request for a model may begin.
         moves: Ends attempts that are to go on elsewhere.
         crashes: Knows which requests crash upstreams.
+        limits: What upstreams take a second.
         on_refused_connection: Told of a target that nobody listens at.
     """
 
@@ -79,6 +81,7 @@
         gate: Gate,
         moves: Moves,
         crashes: CrashWatch,
+        limits: AnnouncedLimits,
         on_refused_connection: Callable[[TargetState], None] = lambda _: None,
     ) -> None:
         self._http = http
@@ -87,6 +90,7 @@
         self._on_refused_connection = on_refused_connection
         self._moves = moves
         self._crashes = crashes
+        self._limits = limits
 
     async def run(self, call: GatewayCall, window: RepeatWindow) -> Result[None, Fault]:
         """Run a call and answer it, or return why it has no answer.
@@ -270,6 +274,7 @@
         pool = self._index.find(call.service, call.terms.model)
         if load is not None:
             pool.note_load(state, load.running + load.waiting, now)
+        self._limits.note_answer(state, wire.read_limit(response.headers))
         if wire.answers_unrun(response.status, response.headers):
             await response.read()
             return AttemptFailure.REFUSED
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -45,6 +45,7 @@
 from zinniaspool.gateway.directory import DirectoryFace
 from zinniaspool.gateway.face import CallerFace, refuse_request
 from zinniaspool.gateway.gate import Gate
+from zinniaspool.gateway.limits import AnnouncedLimits
 from zinniaspool.gateway.metrics import make_gateway_metrics
 from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.probes import NodeProber
@@ -160,8 +161,14 @@
             self._moves,
             self._tell_all,
         )
+        self._limits = AnnouncedLimits()
         self._carrier = Carrier(
-            self._http, self._index, self._gate, self._moves, self._crashes
+            self._http,
+            self._index,
+            self._gate,
+            self._moves,
+            self._crashes,
+            self._limits,
         )
         self._silence = SilenceWatch(
             node.node,
@@ -185,6 +192,7 @@
             self._http,
             self._gate.tally,
             self._crashes,
+            self._limits,
         )
         self._reachability = Reachability(random.Random())
         self._directory = DirectoryFace(
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -7,6 +7,7 @@
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.fleet.metrics import add_fleet_metrics
 from zinniaspool.gateway.crashes import CrashWatch
+from zinniaspool.gateway.limits import AnnouncedLimits
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient
 from zinniaspool.platform.kvstore import KvStore
@@ -24,6 +25,7 @@
     http: HttpClient,
     admitted: AdmissionTally,
     crashes: CrashWatch,
+    limits: AnnouncedLimits,
 ) -> MetricsPage:
     """Return the page of an entry process."""
     page = MetricsPage()
@@ -87,6 +89,15 @@
         "Requests, by what they ask, that are sent to no upstream.",
         list_held,
     )
+
+    def list_limited() -> Iterator[Sample]:
+        yield Sample({}, len(limits))
+
+    page.gauge(
+        "zinniaspool_limited_upstreams",
+        "Upstreams that announce how many requests a second they take.",
+        list_limited,
+    )
     page.count("zinniaspool_connections", "Connections opened.", list_opened)
     add_fleet_metrics(page, belief, store)
     return page
--- a/src/zinniaspool/platform/wire.py
+++ b/src/zinniaspool/platform/wire.py
@@ -1,5 +1,6 @@
 """Headers of callers and instances, translated at this boundary."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -16,6 +17,7 @@
     "name_fault",
     "pass_headers",
     "read_key",
+    "read_limit",
     "read_load",
     "read_terms",
 ]
@@ -31,6 +33,7 @@
 _URGENCY = _PREFIX + "request-priority"
 _UNRUN = _PREFIX + "not-executed"
 _LOAD = _PREFIX + "runner-load"
+_LIMIT = "server-limit"
 _RESUME = "last-event-id"
 
 _MISDIRECTED = 421
@@ -185,6 +188,18 @@
     return None
 
 
+def read_limit(headers: Headers) -> float | None:
+    """Return the requests a second that an instance takes, or None if unsaid.
+
+    What is no number of requests counts as unsaid.
+    """
+    try:
+        per_s = float(headers.get(_LIMIT) or "nan")
+    except ValueError:
+        return None
+    return per_s if 0.0 <= per_s < math.inf else None
+
+
 def name_fault(headers: Headers, request: RequestId, code: str) -> None:
     """Mark an answer of our own with its request and the error's kind."""
     if request:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -85,6 +85,8 @@
         "instance-regained": "An instance that had counted as lost answers again.",
         "instance-state": "An instance began to leave, or is ready.",
         "lease-lost": "A lease ended before it was renewed.",
+        "limit-announced": "An upstream named how many requests a second it takes, "
+        "or names no limit any more.",
         "log-lines-dropped": "So many lines were dropped until now, by class.",
         "news-unreadable": "What a peer told of the store cannot be unpacked.",
         "order-given": "An engine was given an order, with its outcome.",
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -41,6 +41,8 @@
         unanswered_orders: So many of the next orders are carried out a second
             later and never answered.
         leaving: It reports that it leaves.
+        limit_per_s: Requests a second that its answers say it takes; negative
+            for no limit.
         crash_on: It ends when it begins to run a request with this in its
             body; empty for none.
     """
@@ -55,6 +57,7 @@
     mute: bool = False
     unanswered_orders: int = 0
     leaving: bool = False
+    limit_per_s: float = -1.0
     crash_on: str = ""
 
 
@@ -96,6 +99,7 @@
         domain: Its fabric domain, or None for a plain service.
         store: Where its entry lies.
         others: All runners by id, for its group's sake.
+        arrived: When requests came, in seconds of the loop's clock.
         crashes: How often it ended by itself.
     """
 
@@ -111,6 +115,7 @@
     faults: RunnerFaults = field(default_factory=RunnerFaults)
     runs: list[SeenRun] = field(default_factory=list)
     arrivals: Counter[str] = field(default_factory=Counter)
+    arrived: list[float] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
     model: str = ""
@@ -313,6 +318,7 @@
         headers = exchange.request.headers
         request = headers.get("x-zinniaspool-request-id") or ""
         self.arrivals[request] += 1
+        self.arrived.append(asyncio.get_running_loop().time())
         if headers.get("x-zinniaspool-expect-instance") not in (self.id, None):
             await exchange.respond(421, Headers(), b"")
             return
@@ -335,6 +341,8 @@
             x_zinniaspool_server_seal=f"seal-{self.id}",
             x_zinniaspool_runner_load="1,0,8",
         )
+        if self.faults.limit_per_s >= 0:
+            answer.add("server-limit", f"{self.faults.limit_per_s:g}")
         if self.faults.fail:
             await exchange.respond(500, answer, b"it failed")
         elif is_model:
