--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -19,10 +19,10 @@
 from zinniaspool.core.dispatch.pools import TargetPool
 from zinniaspool.core.dispatch.quarantine import (
     HOLD_S,
-    InstanceLife,
     Quarantine,
     Verdict,
 )
+from zinniaspool.core.dispatch.rates import AnnouncedRate, InstanceLife
 from zinniaspool.core.dispatch.repeats import RepeatLimits, RepeatWindow
 from zinniaspool.core.dispatch.shares import Peers
 from zinniaspool.core.dispatch.silence import (
@@ -42,6 +42,7 @@
     "AttemptFailure",
     "Attempts",
     "CallTerms",
+    "AnnouncedRate",
     "HOLD_S",
     "InstanceLife",
     "Quarantine",
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -1,11 +1,12 @@
 """The choice among the targets of one service or model."""
 
 import random
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from zlib import crc32
 
 from zinniaspool.core.dispatch.outside import OutsideUse, OutsideWindow
 from zinniaspool.core.dispatch.pace import FirstEventForecast
+from zinniaspool.core.dispatch.rates import AnnouncedRate, InstanceLife
 from zinniaspool.core.dispatch.shares import Peers, take_part
 from zinniaspool.core.dispatch.subsets import Subset
 from zinniaspool.core.dispatch.targets import Target, TargetState, is_same
@@ -98,9 +99,18 @@
     Args:
         own_domain: This process's failure domain.
         source: Breaks ties, so that processes do not all choose the same.
+        rates: What instances have announced to take.
     """
 
-    def __init__(self, own_domain: FailureDomainId, source: random.Random) -> None:
+    def __init__(
+        self,
+        own_domain: FailureDomainId,
+        source: random.Random,
+        rates: Mapping[InstanceLife, AnnouncedRate] | None = None,
+    ) -> None:
+        self._rates: Mapping[InstanceLife, AnnouncedRate] = (
+            {} if rates is None else rates
+        )
         self._own_domain = own_domain
         self._source = source
         self._states: dict[InstanceId, TargetState] = {}
@@ -143,7 +153,8 @@
                 state.target = new
         for name, target in wanted.items():
             if name not in self._states:
-                self._states[name] = TargetState(target, progress_at=now)
+                rate = self._rates.get(InstanceLife(name, target.born))
+                self._states[name] = TargetState(target, progress_at=now, rate=rate)
         self._divide()
         return gone
 
@@ -404,6 +415,10 @@
             state.failures = 0
             state.ejected_until = now + EJECT_S
 
+    def is_limited(self, now: float) -> bool:
+        """Tell whether a target has had all that it announced to take."""
+        return any(not state.is_within_rate(now) for state in self._states.values())
+
     def _last_resort(
         self, now: float, tried: Collection[InstanceId]
     ) -> list[TargetState]:
@@ -415,6 +430,7 @@
             if name not in tried
             and now >= state.silent_until
             and not state.target.ending
+            and state.is_within_rate(now)
         ]
 
     def _cost(self, state: TargetState, prompt: int, now: float) -> float:
--- a/src/zinniaspool/core/dispatch/quarantine.py
+++ b/src/zinniaspool/core/dispatch/quarantine.py
@@ -3,12 +3,12 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NamedTuple
 
+from zinniaspool.core.dispatch.rates import InstanceLife
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.ids import ContentId
 
-__all__ = ["HOLD_S", "InstanceLife", "Quarantine", "Verdict"]
+__all__ = ["HOLD_S", "Quarantine", "Verdict"]
 
 MOST_CRASHES = 3
 """Upstreams that may crash while they have a content. All that one has is lost
@@ -24,18 +24,6 @@
 """Contents of which crashes, or answers, are remembered."""
 
 
-class InstanceLife(NamedTuple):
-    """One life of an instance, which may start again under its id.
-
-    Attributes:
-        instance: Which.
-        born: Unix milliseconds of its start, where it tells.
-    """
-
-    instance: InstanceId
-    born: int | None
-
-
 class Verdict(Enum):
     """What is believed of a content after a crash."""
 
--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from zinniaspool.core.dispatch.outside import OutsideUse
+from zinniaspool.core.dispatch.rates import AnnouncedRate
 from zinniaspool.core.fleet import NO_LOAD, InstanceId, TargetLoad, is_reborn
 from zinniaspool.core.ids import (
     Address,
@@ -78,6 +79,7 @@
         others: What those are taken to have there that do not tell.
         outside: How much the targets of its failure domain are used, where it
             is others' altogether.
+        rate: How often it may be sent a request, where it has announced that.
         gone: Whether it is no longer among the targets.
     """
 
@@ -99,6 +101,7 @@
     part: float = 1.0
     others: float = 0.0
     outside: OutsideUse | None = None
+    rate: AnnouncedRate | None = None
     gone: bool = False
 
     def load(self, now: float) -> float:
@@ -135,9 +138,13 @@
         """Count prompts that have come in for the pass under way."""
         self.unread_since = max(self.unread_since, self.all_unread)
 
+    def is_within_rate(self, now: float) -> bool:
+        """Whether one more request is within what it has announced to take."""
+        return self.rate is None or self.rate.allows(self.part, now)
+
     def usable(self, now: float) -> bool:
         """Whether requests may be sent there."""
-        if self.gone or self.target.ending:
+        if self.gone or self.target.ending or not self.is_within_rate(now):
             return False
         return now >= self.silent_until and now >= self.ejected_until
 
--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -26,6 +26,7 @@
     StoreAsk,
     StoreWord,
     UnreachableNode,
+    UpstreamLimit,
 )
 from zinniaspool.core.messages.membership import (
     Compare,
@@ -148,6 +149,7 @@
     | CrashNote
     | ClearedContents
     | UnreachableNode
+    | UpstreamLimit
     | LoadNote
     | StoreAsk
     | StoreWord
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -18,6 +18,7 @@
     "StoreAsk",
     "StoreWord",
     "UnreachableNode",
+    "UpstreamLimit",
 ]
 
 
@@ -148,6 +149,25 @@
     node: NodeId
 
 
+class UpstreamLimit(msgspec.Struct, frozen=True, tag="upstream-limit"):
+    """Tells those that share a target what it takes, or that it got one more.
+
+    Attributes:
+        instance: Which.
+        born: Unix milliseconds of its start, where it told.
+        per_s: Requests a second from all VMs; None where it names no limit any
+            more.
+        sent: Whether the telling process has sent one.
+        node: That process's VM.
+    """
+
+    instance: InstanceId
+    born: int | None
+    per_s: float | None
+    sent: bool
+    node: NodeId
+
+
 class LoadNote(msgspec.Struct, frozen=True, tag="load-note"):
     """Tells another entry process how many requests this one has where.
 
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -125,7 +125,10 @@
             if fault is not None:
                 break
         else:
-            fault = call.attempts.end_without_upstream(ErrorKind.NO_UPSTREAM)
+            kind = ErrorKind.NO_UPSTREAM
+            if pool.is_limited(loop.time()):
+                kind = ErrorKind.OVERLOADED
+            fault = call.attempts.end_without_upstream(kind)
         if call.held is not None and call.progress is Progress.NOTHING:
             await self._pass_whole(call, call.held.response, call.held.body)
             return Ok(None)
@@ -179,6 +182,7 @@
         call.unheard_outside = pool.begin(state, prompt)
         call.state = state
         call.seen_event = call.moved = call.overdue = False
+        self._limits.note_sent(state)
         self._moves.begin(call, state)
         failed = False
         try:
@@ -274,8 +278,9 @@
         pool = self._index.find(call.service, call.terms.model)
         if load is not None:
             pool.note_load(state, load.running + load.waiting, now)
-        self._limits.note_answer(state, wire.read_limit(response.headers))
-        if wire.answers_unrun(response.status, response.headers):
+        ran = not wire.answers_unrun(response.status, response.headers)
+        self._limits.note_answer(state, wire.read_limit(response.headers), ran=ran)
+        if not ran:
             await response.read()
             return AttemptFailure.REFUSED
         if call.route.kind is RequestKind.STREAM and _is_stream(response):
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -30,6 +30,7 @@
     LoadNote,
     SilentTarget,
     UnreachableNode,
+    UpstreamLimit,
 )
 from zinniaspool.fleet import (
     FleetBelief,
@@ -161,7 +162,9 @@
             self._moves,
             self._tell_all,
         )
-        self._limits = AnnouncedLimits()
+        self._limits = AnnouncedLimits(
+            node.node, self._index, lambda note: self._tell(self._subset.others, note)
+        )
         self._carrier = Carrier(
             self._http,
             self._index,
@@ -192,7 +195,6 @@
             self._http,
             self._gate.tally,
             self._crashes,
-            self._limits,
         )
         self._reachability = Reachability(random.Random())
         self._directory = DirectoryFace(
@@ -277,6 +279,8 @@
             self._crashes.hear_crash(message)
         elif isinstance(message, ClearedContents):
             self._crashes.hear_cleared(message)
+        elif isinstance(message, UpstreamLimit):
+            self._limits.hear(message)
         elif isinstance(message, LoadNote):
             self._index.take_loads(message, asyncio.get_running_loop().time())
         return None
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -7,7 +7,6 @@
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.fleet.metrics import add_fleet_metrics
 from zinniaspool.gateway.crashes import CrashWatch
-from zinniaspool.gateway.limits import AnnouncedLimits
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient
 from zinniaspool.platform.kvstore import KvStore
@@ -25,7 +24,6 @@
     http: HttpClient,
     admitted: AdmissionTally,
     crashes: CrashWatch,
-    limits: AnnouncedLimits,
 ) -> MetricsPage:
     """Return the page of an entry process."""
     page = MetricsPage()
@@ -91,7 +89,7 @@
     )
 
     def list_limited() -> Iterator[Sample]:
-        yield Sample({}, len(limits))
+        yield Sample({}, len(index.rates))
 
     page.gauge(
         "zinniaspool_limited_upstreams",
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -8,7 +8,9 @@
 import structlog
 
 from zinniaspool.core.dispatch import (
+    AnnouncedRate,
     EnginePace,
+    InstanceLife,
     LoadChanges,
     PeerLoads,
     Subset,
@@ -53,12 +55,16 @@
     Args:
         belief: What is known of the fleet.
         own_domain: This process's failure domain.
+
+    Attributes:
+        rates: What instances have announced to take.
     """
 
     def __init__(self, belief: FleetBelief, own_domain: FailureDomainId) -> None:
         self._belief = belief
         self._own_domain = own_domain
         self._source = random.Random()
+        self.rates: dict[InstanceLife, AnnouncedRate] = {}
         self._pools: dict[_PoolKey, TargetPool] = {}
         self._subset: Subset | None = None
         self._everybody = 1
@@ -72,7 +78,7 @@
         key = (service, model)
         pool = self._pools.get(key)
         if pool is None:
-            pool = TargetPool(self._own_domain, self._source)
+            pool = TargetPool(self._own_domain, self._source, self.rates)
             if self._subset is not None:
                 pool.set_subset(self._subset, self._everybody)
             self._pools[key] = pool
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -1,12 +1,17 @@
 """Upstreams that announce how many requests a second they take."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 
 import pytest
 from structlog.testing import capture_logs
 
 from tests.installation import Answer, Installation, run
+from zinniaspool.core.dispatch import AnnouncedRate, InstanceLife, Target, TargetPool
+from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.ids import Address, FailureDomainId, GroupId
 from zinniaspool.http import Headers
 from zinniaspool.platform.wire import read_limit
 
@@ -45,6 +50,55 @@
     run(test)
 
 
+def _count_sent(rates: Sequence[AnnouncedRate], part: float, seconds: float) -> int:
+    """Return what processes send that tell each other, when they may."""
+    sent = 0
+    for tick in range(int(seconds * 100)):
+        now = tick / 100
+        for rate in rates:
+            if rate.allows(part, now):
+                sent += 1
+                for told in rates:
+                    told.count(part, now)
+    return sent
+
+
+@pytest.mark.parametrize("processes", [1, 8])
+@pytest.mark.parametrize("part", [1.0, 0.5])
+def test_processes_together_send_their_part_of_a_limit(
+    processes: int, part: float
+) -> None:
+    """Guards against a rate that grows with the VMs, or leaves much unused."""
+    rates = [AnnouncedRate(2.0, 0.0) for _ in range(processes)]
+    sent = _count_sent(rates, part, 20.0)
+    assert 2.0 * part * 20.0 * 0.9 <= sent <= 2.0 * part * 20.0 + 3
+
+
+def test_a_limited_upstream_that_others_share_gets_nothing() -> None:
+    """Guards against processes beyond those that count its requests."""
+    assert not AnnouncedRate(100.0, 0.0).allows(0.0, 10.0)
+
+
+def test_an_upstream_that_takes_none_is_asked_now_and_then() -> None:
+    """Guards against a limit of none whose end nobody would learn."""
+    assert 1 <= _count_sent([AnnouncedRate(0.0, 0.0)], 1.0, 20.0) <= 7
+
+
+def test_a_limit_outlasts_the_group_of_its_upstream() -> None:
+    """Guards against a group formed anew whose head gets all at once."""
+    head = Target(InstanceId("i"), Address("10.0.0.1:1"), FailureDomainId("a"), 8)
+    rates = {InstanceLife(head.instance, None): AnnouncedRate(1.0, 0.0)}
+    pool = TargetPool(FailureDomainId("a"), random.Random(1), rates)
+    for group in ("g1", "g2"):
+        pool.update([replace(head, group=GroupId(group))], 0.0)
+        (state,) = pool
+        while state.is_within_rate(0.0):
+            assert state.rate is not None
+            state.rate.count(state.part, 0.0)
+        assert pool.choose(0.0) is None
+        assert pool.is_limited(0.0)
+
+
 _Ask = Callable[[str], Awaitable[Answer]]
 
 _PER_S = 1.0
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -38,6 +38,21 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "VMs tell each other what they send to a limited upstream",
+        "src/zinniaspool/gateway/limits.py",
+        "if note.sent and state is not None",
+        "if False and state is not None",
+        "tests/test_announced_limits.py::test_an_upstream_gets_no_more_than_it_announced",
+    ),
+    Safeguard(
+        "a limit holds also where no other upstream is left",
+        f"{CORE}/dispatch/pools.py",
+        "            and state.is_within_rate(now)\n",
+        "",
+        "tests/test_announced_limits.py::"
+        "test_a_service_whose_upstreams_all_announce_limits_refuses_the_rest",
+    ),
     Safeguard(
         "only an upstream that has ended counts as crashed",
         "src/zinniaspool/gateway/crashes.py",
