--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -1,7 +1,6 @@
 """Carries a request to a target and its answer back."""
 
 import asyncio
-from collections.abc import Callable
 from http import HTTPStatus
 
 import structlog
@@ -71,7 +70,6 @@
         moves: Ends attempts that are to go on elsewhere.
         crashes: Knows which requests crash upstreams.
         limits: What upstreams take a second.
-        on_refused_connection: Told of a target that nobody listens at.
     """
 
     def __init__(
@@ -82,12 +80,10 @@
         moves: Moves,
         crashes: CrashWatch,
         limits: AnnouncedLimits,
-        on_refused_connection: Callable[[TargetState], None] = lambda _: None,
     ) -> None:
         self._http = http
         self._index = index
         self._gate = gate
-        self._on_refused_connection = on_refused_connection
         self._moves = moves
         self._crashes = crashes
         self._limits = limits
@@ -234,7 +230,7 @@
             raise error.cause from error
         except TransportError as error:
             if error.failure is TransportFailure.NOT_SENT:
-                self._on_refused_connection(state)
+                self._crashes.take_unsent(state)
             return _FAILURES[error.failure]
 
     def _make_request(
--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -19,12 +19,13 @@
 from zinniaspool.core.fleet import HELD_PREFIX, HeldRecord, TryOutcome
 from zinniaspool.core.ids import Address, ContentId, NodeId, Revision
 from zinniaspool.core.messages import Message
-from zinniaspool.core.messages.fleet import ClearedContents, CrashNote
+from zinniaspool.core.messages.fleet import ClearedContents, CrashNote, SilentTarget
 from zinniaspool.core.storage import StoreFault
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.probes import try_address
+from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.platform.kvstore import KeyWrite, KvStore
 
 __all__ = ["CrashWatch"]
@@ -43,6 +44,10 @@
 """Wait before a process records what another one found out, in seconds: that
 one may be gone, and not all need write it."""
 
+ENDED_REST_S = 4.0
+"""For how long an upstream that has ended is left alone, in seconds: its entry
+lapses by then, or it is there as another one."""
+
 MOST_ENDED = 1024
 """Ended lives of instances that are remembered."""
 
@@ -59,11 +64,13 @@
         belief: What is recorded in the store.
         store: Where contents are recorded.
         quarantine: Counts crashes.
+        index: The targets.
         moves: Ends attempts.
         tell_all: Sends a note to all other entry processes.
+        tell_holder: Sends one to the holder.
 
     Attributes:
-        crashes: How many upstreams this process saw crash.
+        crashes: How often this process found that an upstream had ended.
     """
 
     def __init__(
@@ -72,8 +79,10 @@
         belief: FleetBelief,
         store: KvStore,
         quarantine: Quarantine,
+        index: TargetIndex,
         moves: Moves,
         tell_all: Callable[[Message], None],
+        tell_holder: Callable[[Message], None],
     ) -> None:
         self.crashes = 0
         self.quarantine = quarantine
@@ -81,7 +90,9 @@
         self._belief = belief
         self._store = store
         self._moves = moves
+        self._index = index
         self._tell_all = tell_all
+        self._tell_holder = tell_holder
         self._suspects: defaultdict[InstanceLife, set[ContentId]] = defaultdict(set)
         self._checks: dict[InstanceLife, asyncio.Task[None]] = {}
         self._ended: dict[InstanceLife, float] = {}
@@ -100,12 +111,24 @@
             # It was sent where nobody was any more.
             return
         self._suspects[life].add(call.content)
+        check = self._start_check(life, state)
+        if self.quarantine.is_near(call.content):
+            await asyncio.shield(check)
+
+    def take_unsent(self, state: TargetState) -> None:
+        """Take that no connection to an upstream came about."""
+        life = InstanceLife(state.target.instance, state.target.born)
+        if life not in self._ended:
+            self._start_check(life, state)
+
+    def _start_check(
+        self, life: InstanceLife, state: TargetState
+    ) -> "asyncio.Task[None]":
         check = self._checks.get(life)
         if check is None:
             check = asyncio.create_task(self._check(life, state.target.address))
             self._checks[life] = check
-        if self.quarantine.is_near(call.content):
-            await asyncio.shield(check)
+        return check
 
     def note_answer(self, call: GatewayCall) -> None:
         """Take that a request was answered whole."""
@@ -115,6 +138,7 @@
     def hear_crash(self, note: CrashNote) -> None:
         """Take that another process saw an upstream crash."""
         life = InstanceLife(note.instance, note.born)
+        self._note_ended(life)
         wait_s = random.uniform(LEAST_RECORD_WAIT_S, MOST_RECORD_WAIT_S)
         self._count(life, note.contents, wait_s)
 
@@ -140,22 +164,33 @@
             if outcome is TryOutcome.SILENT:
                 outcome = await try_address(address)
         del self._checks[life]
-        contents = sorted(self._suspects.pop(life))
+        contents = sorted(self._suspects.pop(life, ()))
         if outcome is not TryOutcome.REFUSED:
             return
-        if life not in self._ended:
-            self.crashes += 1
-            self._ended[life] = self._now()
-        if len(self._ended) > MOST_ENDED:
-            del self._ended[next(iter(self._ended))]
+        self.crashes += 1
+        self._note_ended(life)
+        # The holder would learn of it seconds later, when its entry lapses.
+        self._tell_holder(SilentTarget(life.instance, self._node))
         _log.warning(
             "upstream-crashed",
             instance=life.instance,
             contents=",".join(contents),
         )
+        if not contents:
+            return
         self._tell_all(CrashNote(life.instance, life.born, contents, self._node))
         self._count(life, contents, 0.0)
 
+    def _note_ended(self, life: InstanceLife) -> None:
+        """Send nothing to an upstream that has ended."""
+        now = self._now()
+        self._ended.setdefault(life, now)
+        if len(self._ended) > MOST_ENDED:
+            del self._ended[next(iter(self._ended))]
+        state = self._index.find_state(life.instance)
+        if state is not None and state.target.born == life.born:
+            state.silent_until = max(state.silent_until, now + ENDED_REST_S)
+
     def _count(
         self, life: InstanceLife, contents: Iterable[ContentId], wait_s: float
     ) -> None:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -159,8 +159,10 @@
             self._belief,
             self._store,
             Quarantine(),
+            self._index,
             self._moves,
             self._tell_all,
+            self._tell_holder,
         )
         self._limits = AnnouncedLimits(
             node.node, self._index, lambda note: self._tell(self._subset.others, note)
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -79,7 +79,7 @@
 
     page.count(
         "zinniaspool_upstream_crashes",
-        "Upstreams that ended with requests of this process.",
+        "Upstreams that this process found ended.",
         list_crashes,
     )
     page.gauge(
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,7 +5,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from tests.installation import Answer, Installation, run
+from tests.installation import Answer, Installation, eventually, run
 from zinniaspool.core.dispatch import HOLD_S, InstanceLife, Quarantine, Verdict
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.ids import ContentId
@@ -138,6 +138,54 @@
     run(test)
 
 
+def test_all_processes_leave_an_upstream_that_one_saw_crash() -> None:
+    """Guards against each process finding out by requests of its own."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=2, engines=9) as made:
+            await made.settle()
+            offender = _Offender(made)
+            for one in made.runners.values():
+                one.times.back_s = 30.0
+            lives = {one.id: one.born for one in made.heads("small")}
+            await offender.ask("n0")
+            index = made.nodes["n1"].gateway._index
+            states = [
+                index.find_state(InstanceId(name))
+                for name, born in lives.items()
+                if made.runners[name].born != born
+            ]
+            assert states
+
+            def are_left_alone() -> bool:
+                now = asyncio.get_running_loop().time()
+                return not any(one is not None and one.usable(now) for one in states)
+
+            await eventually(are_left_alone, 0.5)
+
+    run(test)
+
+
+def test_the_holder_is_told_of_a_head_that_crashed() -> None:
+    """Guards against a group that stays unrepaired until its entry lapses."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=2, engines=9) as made:
+            await made.settle()
+            offender = _Offender(made)
+            for one in made.runners.values():
+                one.times.back_s, one.times.heartbeat_s = 30.0, 30.0
+            groups = made.groups("small")
+            with capture_logs() as lines:
+                await offender.ask("n0")
+                await made.await_served("n0", "small")
+                await eventually(lambda: made.groups("small") - groups, 3.0)
+            told = [one for one in lines if one["event"] == "group-suspected"]
+            assert told
+
+    run(test)
+
+
 _CONTENT = ContentId("c0")
 
 
