--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -106,8 +106,8 @@
         "targets-shared": "Other processes share targets with this one from now on.",
         "record-not-removed": "The store kept what is no longer held back; its lease "
         "ends it.",
-        "upstream-crashed": "Nobody listens any more at an upstream; what it had of ours "
-        "is suspected.",
+        "upstream-crashed": "Nobody listens any more at an upstream; what it had of "
+        "ours is suspected.",
         "target-silent": "A group's head with requests of ours says nothing.",
         "upstream-look-failed": "It could not be told whether a leaving upstream has "
         "ended; it is looked at again.",
