--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,13 +1,20 @@
 """Requests that crash the upstreams that run them."""
 
 import asyncio
+from base64 import b64encode
 
 import pytest
 from structlog.testing import capture_logs
 
 from tests.installation import Answer, Installation, eventually, run
-from zinniaspool.core.dispatch import HOLD_S, InstanceLife, Quarantine, Verdict
-from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.dispatch import (
+    HOLD_S,
+    InstanceLife,
+    Quarantine,
+    Verdict,
+    identify_content,
+)
+from zinniaspool.core.fleet import HELD_PREFIX, InstanceId
 from zinniaspool.core.ids import ContentId
 
 _MARK = "crash"
@@ -24,12 +31,12 @@
         for one in made.runners.values():
             one.faults.crash_on = _MARK
 
-    async def ask(self, node: str) -> Answer:
+    async def ask(self, node: str, model: str = "small") -> Answer:
         """Come once more, under a new id, when there is an upstream for it."""
-        await self._made.await_served(node, "small")
+        await self._made.await_served(node, model)
         self._ids.append(f"offender-{len(self._ids)}")
         body = _MARK.encode()
-        return await self._made.draft(node, "small", 4, self._ids[-1], body)
+        return await self._made.draft(node, model, 4, self._ids[-1], body)
 
     @property
     def crashes(self) -> int:
@@ -186,6 +193,78 @@
     run(test)
 
 
+def test_crashes_in_an_outage_of_the_store_are_known_after_it() -> None:
+    """Guards against a record that is given up since the store was away."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=2, engines=9) as made:
+            await made.settle()
+            offender = _Offender(made)
+            made.store.faults.down = "busy"
+            await offender.ask("n0", "small")
+            await offender.ask("n1", "large")
+            if offender.crashes < 3:
+                await offender.ask("n0", "large")
+            assert offender.crashes >= 3
+            await asyncio.sleep(0.5)
+            made.store.faults.down = ""
+            await asyncio.sleep(3.0)
+            await made.kill("n0")
+            await made.kill("n1")
+            await made.add_node("n2")
+            before = offender.arrivals
+            for _ in range(3):
+                await offender.ask("n2")
+            assert offender.arrivals - before <= _MOST_RETRIES
+
+    run(test)
+
+
+_ASKED_AGAIN = b"asked again"
+_RECORD = HELD_PREFIX + identify_content("POST", "/drafts/one", "care", _ASKED_AGAIN)
+_RECORDED = b64encode(b'{"node":"n9","crashed":["i-97","i-98","i-99"]}').decode()
+
+
+def test_a_record_holds_a_request_back_until_it_is_removed() -> None:
+    """Guards against an operator who cannot let a request through."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=2) as made:
+            await made.settle()
+            made.store.put(_RECORD, _RECORDED)
+            await asyncio.sleep(1.0)
+            for node in made.nodes:
+                answer = await made.draft(node, "small", 2, body=_ASKED_AGAIN)
+                assert answer.status == 503
+                assert answer.headers.get("x-error-kind") == "quarantined"
+                assert answer.headers.get("retry-after") == "600"
+            made.store.remove(_RECORD)
+            await asyncio.sleep(1.0)
+            for node in made.nodes:
+                answer = await made.draft(node, "small", 2, body=_ASKED_AGAIN)
+                assert answer.status == 200
+
+    run(test)
+
+
+def test_a_record_of_what_was_just_answered_is_removed() -> None:
+    """Guards against holding back what one process knows to be sound."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=2) as made:
+            await made.settle()
+            answer = await made.draft("n0", "small", 2, body=_ASKED_AGAIN)
+            assert answer.status == 200
+            made.store.put(_RECORD, _RECORDED)
+            await asyncio.sleep(1.5)
+            for node in made.nodes:
+                answer = await made.draft(node, "small", 2, body=_ASKED_AGAIN)
+                assert answer.status == 200
+                assert not made.nodes[node].gateway._belief.held
+
+    run(test)
+
+
 _CONTENT = ContentId("c0")
 
 
