--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -22,7 +22,7 @@
     Quarantine,
     Verdict,
 )
-from zinniaspool.core.dispatch.rates import AnnouncedRate, InstanceLife
+from zinniaspool.core.dispatch.rates import AnnouncedRate
 from zinniaspool.core.dispatch.repeats import RepeatLimits, RepeatWindow
 from zinniaspool.core.dispatch.shares import Peers
 from zinniaspool.core.dispatch.silence import (
@@ -44,7 +44,6 @@
     "CallTerms",
     "AnnouncedRate",
     "HOLD_S",
-    "InstanceLife",
     "Quarantine",
     "Verdict",
     "Progress",
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -6,12 +6,12 @@
 
 from zinniaspool.core.dispatch.outside import OutsideUse, OutsideWindow
 from zinniaspool.core.dispatch.pace import FirstEventForecast
-from zinniaspool.core.dispatch.rates import AnnouncedRate, InstanceLife
+from zinniaspool.core.dispatch.rates import AnnouncedRate
 from zinniaspool.core.dispatch.shares import Peers, take_part
 from zinniaspool.core.dispatch.subsets import Subset
 from zinniaspool.core.dispatch.targets import Target, TargetState, is_same
 from zinniaspool.core.dispatch.timeouts import AdaptiveTimeout
-from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.fleet import InstanceId, InstanceLife
 from zinniaspool.core.ids import FabricDomainId, FailureDomainId
 
 __all__ = ["TargetPool"]
--- a/src/zinniaspool/core/dispatch/quarantine.py
+++ b/src/zinniaspool/core/dispatch/quarantine.py
@@ -4,8 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from zinniaspool.core.dispatch.rates import InstanceLife
-from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.fleet import InstanceId, InstanceLife
 from zinniaspool.core.ids import ContentId
 
 __all__ = ["HOLD_S", "Quarantine", "Verdict"]
--- a/src/zinniaspool/core/dispatch/rates.py
+++ b/src/zinniaspool/core/dispatch/rates.py
@@ -1,10 +1,6 @@
 """How often an upstream may be sent a request that has announced a limit."""
 
-from typing import NamedTuple
-
-from zinniaspool.core.fleet import InstanceId
-
-__all__ = ["AnnouncedRate", "InstanceLife"]
+__all__ = ["AnnouncedRate"]
 
 LEAST_PER_S = 0.25
 """Least rate that is used, in requests a second: only an answer tells that a
@@ -14,18 +10,6 @@
 """Requests that may follow each other at once."""
 
 
-class InstanceLife(NamedTuple):
-    """One life of an instance, which may start again under its id.
-
-    Attributes:
-        instance: Which.
-        born: Unix milliseconds of its start, where it tells.
-    """
-
-    instance: InstanceId
-    born: int | None
-
-
 class AnnouncedRate:
     """Spaces the requests that several processes send to one upstream.
 
--- a/src/zinniaspool/core/fleet/instances.py
+++ b/src/zinniaspool/core/fleet/instances.py
@@ -19,6 +19,7 @@
 __all__ = [
     "Instance",
     "InstanceId",
+    "InstanceLife",
     "InstanceState",
     "Membership",
     "MembershipState",
@@ -29,6 +30,18 @@
 """One upstream process; one that starts again may keep it."""
 
 
+class InstanceLife(NamedTuple):
+    """One life of an instance, which may start again under its id.
+
+    Attributes:
+        instance: Which.
+        born: Unix milliseconds of its start, where it tells.
+    """
+
+    instance: InstanceId
+    born: int | None
+
+
 class InstanceState(Enum):
     """Whether an instance takes new work."""
 
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -194,7 +194,10 @@
                 listeners.add(2)
             elif change.key.startswith(HELD_PREFIX):
                 content = ContentId(change.key.removeprefix(HELD_PREFIX))
-                held.discard(content) if change.after is None else held.add(content)
+                if change.after is None:
+                    held.discard(content)
+                else:
+                    held.add(content)
             elif change.key == HOLDER_KEY:
                 self._take_holder(change)
                 listeners.add(2)
--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -1,32 +1,21 @@
 """Learns which requests crash upstreams, and has all processes know them."""
 
 import asyncio
-import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 
-import msgspec
 import structlog
-from result import Err
 
-from zinniaspool.core.dispatch import (
-    HOLD_S,
-    InstanceLife,
-    Quarantine,
-    TargetState,
-    Verdict,
-)
-from zinniaspool.core.fleet import HELD_PREFIX, HeldRecord, TryOutcome
-from zinniaspool.core.ids import Address, ContentId, NodeId, Revision
+from zinniaspool.core.dispatch import Quarantine, TargetState, Verdict
+from zinniaspool.core.fleet import InstanceLife, TryOutcome
+from zinniaspool.core.ids import Address, ContentId, NodeId
 from zinniaspool.core.messages import Message
 from zinniaspool.core.messages.fleet import ClearedContents, CrashNote, SilentTarget
-from zinniaspool.core.storage import StoreFault
-from zinniaspool.fleet import FleetBelief
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.probes import try_address
+from zinniaspool.gateway.records import HeldRecords
 from zinniaspool.gateway.targets import TargetIndex
-from zinniaspool.platform.kvstore import KeyWrite, KvStore
 
 __all__ = ["CrashWatch"]
 
@@ -36,14 +25,6 @@
 """Connections that are tried to learn whether an upstream has ended: the first
 packet of one may be lost."""
 
-RECORD_CHECK_S = 0.2
-"""Pause between looks for contents that are to be recorded, in seconds."""
-
-LEAST_RECORD_WAIT_S = 0.6  # seconds, a change has come round by then
-MOST_RECORD_WAIT_S = 2.0
-"""Wait before a process records what another one found out, in seconds: that
-one may be gone, and not all need write it."""
-
 ENDED_REST_S = 4.0
 """For how long an upstream that has ended is left alone, in seconds: its entry
 lapses by then, or it is there as another one."""
@@ -61,9 +42,8 @@
 
     Args:
         node: This process's VM.
-        belief: What is recorded in the store.
-        store: Where contents are recorded.
         quarantine: Counts crashes.
+        records: Keeps what is held back.
         index: The targets.
         moves: Ends attempts.
         tell_all: Sends a note to all other entry processes.
@@ -76,9 +56,8 @@
     def __init__(
         self,
         node: NodeId,
-        belief: FleetBelief,
-        store: KvStore,
         quarantine: Quarantine,
+        records: HeldRecords,
         index: TargetIndex,
         moves: Moves,
         tell_all: Callable[[Message], None],
@@ -87,8 +66,7 @@
         self.crashes = 0
         self.quarantine = quarantine
         self._node = node
-        self._belief = belief
-        self._store = store
+        self._records = records
         self._moves = moves
         self._index = index
         self._tell_all = tell_all
@@ -96,9 +74,6 @@
         self._suspects: defaultdict[InstanceLife, set[ContentId]] = defaultdict(set)
         self._checks: dict[InstanceLife, asyncio.Task[None]] = {}
         self._ended: dict[InstanceLife, float] = {}
-        self._unrecorded: dict[ContentId, float] = {}
-        self._removals: set[asyncio.Task[None]] = set()
-        belief.on_held.append(self._take_records)
 
     def is_held(self, call: GatewayCall) -> bool:
         """Tell whether a request is to be sent to no upstream."""
@@ -121,15 +96,6 @@
         if life not in self._ended:
             self._start_check(life, state)
 
-    def _start_check(
-        self, life: InstanceLife, state: TargetState
-    ) -> "asyncio.Task[None]":
-        check = self._checks.get(life)
-        if check is None:
-            check = asyncio.create_task(self._check(life, state.target.address))
-            self._checks[life] = check
-        return check
-
     def note_answer(self, call: GatewayCall) -> None:
         """Take that a request was answered whole."""
         if self.quarantine.note_answer(call.content, self._now()):
@@ -139,24 +105,36 @@
         """Take that another process saw an upstream crash."""
         life = InstanceLife(note.instance, note.born)
         self._note_ended(life)
-        wait_s = random.uniform(LEAST_RECORD_WAIT_S, MOST_RECORD_WAIT_S)
-        self._count(life, note.contents, wait_s)
+        self._count(life, note.contents, seen_here=False)
 
     def hear_cleared(self, note: ClearedContents) -> None:
         """Take that another process answered contents."""
+        self._records.drop(note.contents)
         for content in note.contents:
-            self._unrecorded.pop(content, None)
             self.quarantine.release(content)
 
-    async def keep_records(self) -> None:
-        """Record what is held back until cancelled, so that it lasts."""
-        while True:
-            await asyncio.sleep(RECORD_CHECK_S)
-            for content, due in list(self._unrecorded.items()):
-                if content in self._belief.held:
-                    self._unrecorded.pop(content, None)
-                elif due <= self._now():
-                    await self._record(content)
+    def take_records(
+        self, added: frozenset[ContentId], removed: frozenset[ContentId]
+    ) -> None:
+        """Take which contents the store has from now on, and has no more."""
+        for content in removed:
+            self.quarantine.release(content)
+        for content in added:
+            known = self.quarantine.is_held(content, self._now())
+            verdict = self.quarantine.hold(content, self._now())
+            if verdict is Verdict.CLEARED:
+                self._clear([content])
+            elif not known:
+                self._note_held(content)
+
+    def _start_check(
+        self, life: InstanceLife, state: TargetState
+    ) -> "asyncio.Task[None]":
+        check = self._checks.get(life)
+        if check is None:
+            check = asyncio.create_task(self._check(life, state.target.address))
+            self._checks[life] = check
+        return check
 
     async def _check(self, life: InstanceLife, address: Address) -> None:
         outcome = TryOutcome.SILENT
@@ -179,7 +157,7 @@
         if not contents:
             return
         self._tell_all(CrashNote(life.instance, life.born, contents, self._node))
-        self._count(life, contents, 0.0)
+        self._count(life, contents, seen_here=True)
 
     def _note_ended(self, life: InstanceLife) -> None:
         """Send nothing to an upstream that has ended."""
@@ -192,13 +170,13 @@
             state.silent_until = max(state.silent_until, now + ENDED_REST_S)
 
     def _count(
-        self, life: InstanceLife, contents: Iterable[ContentId], wait_s: float
+        self, life: InstanceLife, contents: Iterable[ContentId], *, seen_here: bool
     ) -> None:
         now = self._now()
         for content in contents:
             verdict = self.quarantine.note_crash(content, life, now)
             if verdict is Verdict.HELD:
-                self._unrecorded[content] = now + wait_s
+                self._records.add(content, found_here=seen_here)
                 self._note_held(content)
             elif verdict is Verdict.CLEARED:
                 self._clear([content])
@@ -214,45 +192,8 @@
     def _clear(self, contents: list[ContentId]) -> None:
         """Have all forget crashes that were not these contents' fault."""
         _log.info("contents-cleared", contents=",".join(contents))
-        for content in contents:
-            self._unrecorded.pop(content, None)
+        self._records.remove(contents)
         self._tell_all(ClearedContents(contents, self._node))
-        keys = [HELD_PREFIX + one for one in contents if one in self._belief.held]
-        if keys:
-            removal = asyncio.create_task(self._remove(keys))
-            self._removals.add(removal)
-            removal.add_done_callback(self._removals.discard)
-
-    async def _remove(self, keys: list[str]) -> None:
-        removed = await self._store.commit([], [], keys)
-        if isinstance(removed, Err):
-            # The record ends with its lease; until then it is cleared anew
-            # by whoever answers the content.
-            _log.warning("record-not-removed", fault=removed.err_value.value)
-
-    async def _record(self, content: ContentId) -> None:
-        granted = await self._store.grant(HOLD_S)
-        if isinstance(granted, Err):
-            return
-        key = HELD_PREFIX + content
-        record = HeldRecord(self._node, self.quarantine.list_crashed(content))
-        write = KeyWrite(key, msgspec.json.encode(record), granted.ok_value)
-        written = await self._store.commit([(key, Revision(0))], [write])
-        if not isinstance(written, Err) or written.err_value is StoreFault.CONFLICT:
-            self._unrecorded.pop(content, None)
-
-    def _take_records(
-        self, added: frozenset[ContentId], removed: frozenset[ContentId]
-    ) -> None:
-        for content in removed:
-            self.quarantine.release(content)
-        for content in added:
-            known = self.quarantine.is_held(content, self._now())
-            verdict = self.quarantine.hold(content, self._now())
-            if verdict is Verdict.CLEARED:
-                self._clear([content])
-            elif not known:
-                self._note_held(content)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/src/zinniaspool/gateway/limits.py
+++ b/src/zinniaspool/gateway/limits.py
@@ -5,7 +5,8 @@
 
 import structlog
 
-from zinniaspool.core.dispatch import AnnouncedRate, InstanceLife, TargetState
+from zinniaspool.core.dispatch import AnnouncedRate, TargetState
+from zinniaspool.core.fleet import InstanceLife
 from zinniaspool.core.ids import NodeId
 from zinniaspool.core.messages.fleet import UpstreamLimit
 from zinniaspool.gateway.targets import TargetIndex
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -50,6 +50,7 @@
 from zinniaspool.gateway.metrics import make_gateway_metrics
 from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.probes import NodeProber
+from zinniaspool.gateway.records import HeldRecords
 from zinniaspool.gateway.silence import SilenceWatch
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
@@ -154,11 +155,14 @@
         self._http = HttpClient(connect_s=CONNECT_S, unframed=True)
         self._gate = Gate(self._index.measure_age)
         self._moves = Moves(self._index)
+        quarantine = Quarantine()
+        self._records = HeldRecords(
+            node.node, self._belief, self._store, quarantine.list_crashed
+        )
         self._crashes = CrashWatch(
             node.node,
-            self._belief,
-            self._store,
-            Quarantine(),
+            quarantine,
+            self._records,
             self._index,
             self._moves,
             self._tell_all,
@@ -212,6 +216,7 @@
         self._belief.on_catalog.append(self._take_catalog)
         self._belief.on_instances.append(self._refresh)
         self._belief.on_nodes.append(self._count_processes)
+        self._belief.on_held.append(self._crashes.take_records)
 
     def stop(self) -> None:
         """Tell the process to stop in order."""
@@ -226,7 +231,7 @@
             asyncio.create_task(run_duty("watch_silence", self._silence.run)),
             asyncio.create_task(run_duty("tell_loads", self._tell_loads)),
             asyncio.create_task(run_duty("prober", self._prober.run)),
-            asyncio.create_task(run_duty("records", self._crashes.keep_records)),
+            asyncio.create_task(run_duty("records", self._records.run)),
         ]
         await self._listen()
         await self._mesh.listen(self._address)
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -10,7 +10,6 @@
 from zinniaspool.core.dispatch import (
     AnnouncedRate,
     EnginePace,
-    InstanceLife,
     LoadChanges,
     PeerLoads,
     Subset,
@@ -22,6 +21,7 @@
     Catalog,
     Instance,
     InstanceId,
+    InstanceLife,
     InstancePart,
     InstanceState,
     ModelDemandNote,
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -9,8 +9,8 @@
 from structlog.testing import capture_logs
 
 from tests.installation import Answer, Installation, run
-from zinniaspool.core.dispatch import AnnouncedRate, InstanceLife, Target, TargetPool
-from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.dispatch import AnnouncedRate, Target, TargetPool
+from zinniaspool.core.fleet import InstanceId, InstanceLife
 from zinniaspool.core.ids import Address, FailureDomainId, GroupId
 from zinniaspool.http import Headers
 from zinniaspool.platform.wire import read_limit
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,12 +9,11 @@
 from tests.installation import Answer, Installation, eventually, run
 from zinniaspool.core.dispatch import (
     HOLD_S,
-    InstanceLife,
     Quarantine,
     Verdict,
     identify_content,
 )
-from zinniaspool.core.fleet import HELD_PREFIX, InstanceId
+from zinniaspool.core.fleet import HELD_PREFIX, InstanceId, InstanceLife
 from zinniaspool.core.ids import ContentId
 
 _MARK = "crash"
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -64,7 +64,7 @@
     Safeguard(
         "what is held back outlasts the processes",
         "src/zinniaspool/gateway/crashes.py",
-        "self._unrecorded[content] = now + wait_s",
+        "self._records.add(content, found_here=seen_here)",
         "pass",
         "tests/test_quarantine.py::"
         "test_such_a_request_is_known_after_all_entry_processes_were_killed",
