--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -92,7 +92,7 @@
             for _ in range(4):
                 answer = await offender.ask("n2")
                 assert answer.status != 200
-            assert offender.arrivals - before <= _MOST_RETRIES
+            assert offender.arrivals == before
 
     run(test)
 
@@ -105,8 +105,12 @@
             await made.settle()
             for one in made.runners.values():
                 one.faults.cut_after = 1
-            for _ in range(5):
-                await made.draft("n0", "small", 4, body=b"asked again")
+            names: list[str] = []
+            for model in ("small", "large") * 4:
+                names.append(f"cut-{len(names)}")
+                await made.draft("n0", model, 4, names[-1], b"asked again")
+            cut_at = {one for name in names for one in made.runs_of(name)}
+            assert len(cut_at) >= 3
             for one in made.runners.values():
                 one.faults.cut_after = -1
             await made.await_served("n0", "small")
@@ -214,7 +218,7 @@
             before = offender.arrivals
             for _ in range(3):
                 await offender.ask("n2")
-            assert offender.arrivals - before <= _MOST_RETRIES
+            assert offender.arrivals == before
 
     run(test)
 
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -72,8 +72,8 @@
     Safeguard(
         "an answer clears a request of crashes",
         f"{CORE}/dispatch/quarantine.py",
-        "self._answered[content] = now\n",
-        "",
+        "< SOUND_S:",
+        "< 0.0:",
         "tests/test_quarantine.py::test_an_answer_clears_a_content",
     ),
     Safeguard(
