--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -28,6 +28,7 @@
 from zinniaspool.core.dispatch.silence import (
     SilenceLimits,
     doubt,
+    find_next_silence,
     find_silent,
     rest_silent,
 )
@@ -67,6 +68,7 @@
     "Target",
     "TargetPool",
     "TargetState",
+    "find_next_silence",
     "find_silent",
     "identify_content",
     "doubt",
--- a/src/zinniaspool/core/dispatch/silence.py
+++ b/src/zinniaspool/core/dispatch/silence.py
@@ -5,7 +5,9 @@
 stop at one moment, while those of a sound group go on with each pass.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
+from math import inf
 
 from zinniaspool.core.dispatch.pools import TargetPool
 from zinniaspool.core.dispatch.targets import TargetState
@@ -13,6 +15,7 @@
 __all__ = [
     "SilenceLimits",
     "doubt",
+    "find_next_silence",
     "find_silent",
     "rest_silent",
 ]
@@ -48,14 +51,33 @@
     """Return the targets with requests of ours that have fallen silent."""
     return [
         state
-        for state in pool.busy
-        if not state.gone
-        and state.target.group is not None
-        and not state.held_up
-        and now - state.progress_at > _allow(pool, state, limits, now)
+        for state in _list_watched(pool)
+        if now >= state.progress_at + _allow(pool, state, limits, now)
     ]
 
 
+def find_next_silence(pool: TargetPool, limits: SilenceLimits, now: float) -> float:
+    """Return when a target falls silent next if nothing comes from any.
+
+    Returns:
+        Seconds; infinite where no request of ours is at any.
+    """
+    return min(
+        (
+            state.progress_at + _allow(pool, state, limits, now)
+            for state in _list_watched(pool)
+        ),
+        default=inf,
+    )
+
+
+def _list_watched(pool: TargetPool) -> Iterator[TargetState]:
+    for state in pool.busy:
+        if state.gone or state.target.group is None or state.held_up:
+            continue
+        yield state
+
+
 def _allow(
     pool: TargetPool, state: TargetState, limits: SilenceLimits, now: float
 ) -> float:
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -1,6 +1,7 @@
 """Attempts that end so that their requests go on at another target."""
 
 import asyncio
+from math import inf
 
 from zinniaspool.core.dispatch import Progress, TargetState
 from zinniaspool.core.ids import ContentId
@@ -106,14 +107,30 @@
                 call.overdue = self._move(call, state, now, only_to_room=True)
         return owing
 
+    def find_next_overdue(self) -> float:
+        """Return when a first event is overdue next; infinite for never."""
+        return min(
+            (
+                self._find_due(call)
+                for calls in self._running.values()
+                for call in calls
+                if self._may_be_overdue(call)
+            ),
+            default=inf,
+        )
+
     def _is_overdue(self, call: GatewayCall, now: float) -> bool:
+        return self._may_be_overdue(call) and now >= self._find_due(call)
+
+    def _may_be_overdue(self, call: GatewayCall) -> bool:
         # One that was taken though it will be late waits behind the others.
         if call.terms.model is None or call.late or call.seen_event:
             return False
-        if call.attempts.number > 1:
-            return False
+        return call.attempts.number == 1
+
+    def _find_due(self, call: GatewayCall) -> float:
         pool = self._index.find(call.service, call.terms.model)
-        return now - call.sent_at > pool.first_timeout.allow(call.predicted_s)
+        return call.sent_at + pool.first_timeout.allow(call.predicted_s)
 
     def _may_move(self, call: GatewayCall) -> bool:
         if not call.route.repeatable or call.progress is Progress.PARTIAL:
--- a/src/zinniaspool/gateway/silence.py
+++ b/src/zinniaspool/gateway/silence.py
@@ -9,6 +9,7 @@
     SilenceLimits,
     TargetState,
     doubt,
+    find_next_silence,
     find_silent,
     rest_silent,
 )
@@ -21,9 +22,13 @@
 
 _log = structlog.get_logger(__name__)
 
-SILENCE_CHECK_S = 0.02
-"""Pause between looks for silent targets, in seconds: a small part of what a
-stream may pause."""
+LEAST_PAUSE_S = 0.02
+"""Least time between looks for silent targets, in seconds: a small part of
+what a stream may pause."""
+
+MOST_PAUSE_S = 0.1
+"""Most time between looks, in seconds: what was sent after one may be overdue
+before all that was there then."""
 
 
 class SilenceWatch:
@@ -56,16 +61,31 @@
         """Look for silent targets until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            due = loop.time() + SILENCE_CHECK_S
-            await asyncio.sleep(SILENCE_CHECK_S)
+            now = loop.time()
+            due = max(now + LEAST_PAUSE_S, self._find_due(now))
+            await asyncio.sleep(due - now)
             # By how much this look is late counts for no silence: the process
             # was held up itself, and events may lie unread.
-            for pool in self._index.list_pools():
-                for state in find_silent(pool, self._limits, due):
-                    self._take_silent(state, due)
-            for state in self._moves.move_overdue(due):
-                if doubt(state, self._limits, due):
-                    self._note_silent(state, due)
+            self._look(due)
+
+    def _find_due(self, now: float) -> float:
+        """Return when anything may be silent or overdue next, in seconds."""
+        return min(
+            now + MOST_PAUSE_S,
+            self._moves.find_next_overdue(),
+            *(
+                find_next_silence(pool, self._limits, now)
+                for pool in self._index.list_pools()
+            ),
+        )
+
+    def _look(self, now: float) -> None:
+        for pool in self._index.list_pools():
+            for state in find_silent(pool, self._limits, now):
+                self._take_silent(state, now)
+        for state in self._moves.move_overdue(now):
+            if doubt(state, self._limits, now):
+                self._note_silent(state, now)
 
     def _take_silent(self, state: TargetState, now: float) -> None:
         if now >= state.silent_until:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,18 +1,28 @@
 """When a head's silence is silence, by what its passes have shown."""
 
+import asyncio
+import contextlib
 import random
+from itertools import pairwise
 
 from hypothesis import given, strategies as st
 
 from tests.test_dispatch import find, make_pool, make_target
+from tests.virtual_time import run_virtually
 from zinniaspool.core.dispatch import (
     EnginePace,
     SilenceLimits,
     TargetPool,
     TargetState,
     doubt,
+    find_next_silence,
     find_silent,
 )
+from zinniaspool.core.ids import FailureDomainId, NodeId
+from zinniaspool.fleet import FleetBelief
+from zinniaspool.gateway.moves import Moves
+from zinniaspool.gateway.silence import LEAST_PAUSE_S, MOST_PAUSE_S, SilenceWatch
+from zinniaspool.gateway.targets import TargetIndex
 
 LIMITS = SilenceLimits(writing_s=10.0)
 """Limits that only what was learned undercuts."""
@@ -172,3 +182,41 @@
     sound.progress_at = 0.11
     chosen = pool.choose(0.12, [state.target.instance])
     assert chosen is sound
+
+
+@given(gaps=st.lists(st.floats(0.0, 0.4), min_size=1, max_size=40))
+def test_the_next_silence_is_the_first_moment_at_which_a_target_is_silent(
+    gaps: list[float],
+) -> None:
+    """A watch that sleeps until then would be late, or look for nothing."""
+    pool, state = make_writing()
+    now = 0.0
+    for gap_s in gaps:
+        now += gap_s
+        pool.note_progress(state, now)
+    due = find_next_silence(pool, LIMITS, now)
+    assert find_silent(pool, LIMITS, due) == [state]
+    assert not find_silent(pool, LIMITS, due - 0.0001)
+
+
+def test_a_process_with_nothing_to_watch_hardly_looks() -> None:
+    """Hundreds of idle processes would spend the fleet's processor time."""
+    looks = []
+
+    class CountedMoves(Moves):
+        def move_overdue(self, now: float) -> list[TargetState]:
+            looks.append(now)
+            return super().move_overdue(now)
+
+    async def test() -> None:
+        index = TargetIndex(FleetBelief(), FailureDomainId("z"))
+        watch = SilenceWatch(
+            NodeId("n"), index, CountedMoves(index), lambda _: None, lambda _: None
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(10.0):
+                await watch.run()
+
+    run_virtually(test)
+    assert len(looks) <= 10.0 / MOST_PAUSE_S + 1
+    assert all(b - a >= LEAST_PAUSE_S for a, b in pairwise(looks))
