--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -184,7 +184,7 @@
             await made.settle()
             before = {one.id: len(one.runs) for one in made.heads("large")}
             writing = asyncio.create_task(
-                made.draft("n0", "large", events=120, deadline_ms=20_000)
+                made.draft("n0", "large", events=120, deadline_ms=8000)
             )
             await asyncio.sleep(0.4)
             head = next(
@@ -192,11 +192,15 @@
             )
             head.faults.mute = True
             with capture_logs() as lines:
-                asked = [made.draft("n0", "large", events=2) for _ in range(10)]
+                asked = [
+                    made.draft("n0", "large", events=2, deadline_ms=8000)
+                    for _ in range(10)
+                ]
                 answers = await asyncio.gather(*asked)
             assert [one.status for one in answers] == [200] * len(answers)
             ended = [one for one in lines if one["event"] == "request-ended"]
             assert {one["attempts"] for one in ended} == {1, 2}
+            assert max(one["took_ms"] for one in ended) < 4000
             assert (await writing).whole
             made.assert_sound()
 
