--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -9,7 +9,7 @@
 import asyncio
 import secrets
 import zlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import NamedTuple
 
 import msgspec
@@ -33,7 +33,7 @@
 )
 from zinniaspool.fleet.belief import FleetBelief
 from zinniaspool.fleet.sight import HolderSight, boot_time
-from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener
+from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener, encode_frame
 
 __all__ = ["FleetMesh", "Lead", "is_nobody_there", "unpack_items"]
 
@@ -111,6 +111,7 @@
         hello = Hello(PROTOCOL_VERSION, node, Incarnation(0), domain, "")
         self._asking = PeerLinks(lambda: hello, ANSWER_S)
         self._telling = PeerLinks(lambda: hello, NOTE_S)
+        self._sending: set[asyncio.Task[bool]] = set()
         self._listener = PeerListener(node, lambda _: True, self._take)
         self._news = asyncio.Event()
         belief.on_change.append(self._wake)
@@ -149,9 +150,16 @@
         word = await self._asking.ask(address, StoreAsk())
         return word.holder_unheard_s if isinstance(word, StoreWord) else None
 
-    async def tell(self, address: Address, message: Message) -> bool:
-        """Send a note that has no answer; False when it could not leave."""
-        return await self._telling.send(address, message)
+    def tell(self, addresses: Collection[Address], message: Message) -> None:
+        """Send a note that has no answer; one that cannot leave is lost."""
+        if not addresses:
+            return
+        frame = encode_frame(message)
+        for address in addresses:
+            if not self._telling.post(address, frame):
+                sending = asyncio.create_task(self._telling.send(address, message))
+                self._sending.add(sending)
+                sending.add_done_callback(self._sending.discard)
 
     async def _take(self, hello: Hello, message: Message) -> Message | None:
         if isinstance(message, FleetWatch):
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -149,7 +149,6 @@
             make_place(node),
             node.control_address,
         )
-        self._notes: set[asyncio.Task[bool]] = set()
         self._index = TargetIndex(self._belief, node.failure_domain)
         self._subset = find_subset(node.node, node.failure_domain, {})
         self._http = HttpClient(connect_s=CONNECT_S, unframed=True)
@@ -306,20 +305,13 @@
         self._tell([x for x in self._belief.nodes if x != self._node.node], note)
 
     def _tell(self, nodes: Collection[NodeId], note: Message) -> None:
-        for node in nodes:
-            record = self._belief.nodes.get(node)
-            if record is not None:
-                self._send_note(record.peer_address, note)
+        records = [self._belief.nodes.get(node) for node in nodes]
+        self._mesh.tell([one.peer_address for one in records if one], note)
 
     def _tell_holder(self, note: Message) -> None:
         holder = self._belief.holder
         if holder is not None:
-            self._send_note(holder.peer_address, note)
-
-    def _send_note(self, address: Address, note: Message) -> None:
-        task = asyncio.create_task(self._mesh.tell(address, note))
-        self._notes.add(task)
-        task.add_done_callback(self._notes.discard)
+            self._mesh.tell([holder.peer_address], note)
 
     def _list_demands(self) -> list[ModelDemandNote]:
         return self._index.list_demands(self._gate.measure_demand)
--- a/src/zinniaspool/peers/__init__.py
+++ b/src/zinniaspool/peers/__init__.py
@@ -1,6 +1,12 @@
 """Streams of msgpack messages between processes of ours, over TCP."""
 
-from zinniaspool.peers.frames import FrameError, UnknownMessage, read_frame, write_frame
+from zinniaspool.peers.frames import (
+    FrameError,
+    UnknownMessage,
+    encode_frame,
+    read_frame,
+    write_frame,
+)
 from zinniaspool.peers.links import PeerLinks
 from zinniaspool.peers.listener import PeerHandler, PeerListener
 
@@ -10,6 +16,7 @@
     "PeerLinks",
     "PeerListener",
     "UnknownMessage",
+    "encode_frame",
     "read_frame",
     "write_frame",
 ]
--- a/src/zinniaspool/peers/links.py
+++ b/src/zinniaspool/peers/links.py
@@ -76,6 +76,25 @@
             return False
         return True
 
+    def post(self, address: Address, frame: bytes) -> bool:
+        """Write a message at once; False where nothing of it was written.
+
+        Args:
+            address: Where the peer listens.
+            frame: The message as it goes over the wire.
+
+        Returns:
+            Whether a connection was open and had nothing left to write.
+        """
+        link = self._links.get(address)
+        if link is None or link.writer.is_closing():
+            return False
+        if link.writer.transport.get_write_buffer_size():
+            return False
+        link.writer.write(frame)
+        self.sent_bytes += len(frame)
+        return True
+
     async def ask(
         self, address: Address, message: Message, node: NodeId | None = None
     ) -> Message | None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -139,3 +139,52 @@
             assert message is None or data.startswith(encode_frame(message)[:4])
 
     asyncio.run(read())
+
+
+def test_notes_on_an_open_connection_arrive_in_order_and_whole() -> None:
+    """One that overtakes another would bring an older load back."""
+
+    async def run() -> None:
+        heard: list[int] = []
+        whole = asyncio.Event()
+
+        async def take(hello: Hello, message: Message) -> None:
+            assert isinstance(message, Accepted)
+            heard.append(message.protocol)
+            if len(heard) == 2000:
+                whole.set()
+
+        listener = PeerListener(NodeId("b"), lambda _: True, take)
+        address = await listener.listen(Address("127.0.0.1:0"))
+        links = PeerLinks(lambda: _HELLO, 10.0)
+        first = Accepted(0, NodeId("a"))
+        assert not links.post(address, encode_frame(first))
+        assert await links.send(address, first)
+        for number in range(1, 2000):
+            note = Accepted(number, NodeId("a"))
+            if not links.post(address, encode_frame(note)):
+                assert await links.send(address, note)
+        async with asyncio.timeout(10.0):
+            await whole.wait()
+        assert heard == list(range(2000))
+        links.close()
+        listener.close()
+
+    run_in_loop(run)
+
+
+def test_a_note_is_not_written_to_a_connection_that_has_closed() -> None:
+    """It would count as sent, and its peer would not be tried again."""
+
+    async def run() -> None:
+        listener = PeerListener(NodeId("b"), lambda _: True, _handle)
+        address = await listener.listen(Address("127.0.0.1:0"))
+        links = PeerLinks(lambda: _HELLO, 10.0)
+        assert await links.send(address, Accepted(0, NodeId("a")))
+        links.close()
+        assert not links.post(address, encode_frame(Accepted(1, NodeId("a"))))
+        assert await links.send(address, Accepted(1, NodeId("a")))
+        links.close()
+        listener.close()
+
+    run_in_loop(run)
