--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -18,7 +18,7 @@
     find_next_silence,
     find_silent,
 )
-from zinniaspool.core.ids import FailureDomainId, NodeId
+from zinniaspool.core.ids import FailureDomainId, NodeId, ServiceName
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.silence import LEAST_PAUSE_S, MOST_PAUSE_S, SilenceWatch
@@ -220,3 +220,33 @@
     run_virtually(test)
     assert len(looks) <= 10.0 / MOST_PAUSE_S + 1
     assert all(b - a >= LEAST_PAUSE_S for a, b in pairwise(looks))
+
+
+def test_a_head_that_falls_silent_between_two_looks_is_noticed_in_time() -> None:
+    """Its streams would pause for as long as the watch had meant to sleep."""
+    told: list[float] = []
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        index = TargetIndex(FleetBelief(), FailureDomainId("z"))
+        pool = index.find(ServiceName("s"), None)
+        pool.update([make_target("x")], 0.0)
+        state = find(pool, "x")
+        watch = SilenceWatch(
+            NodeId("n"),
+            index,
+            Moves(index),
+            lambda _: told.append(loop.time()),
+            lambda _: None,
+        )
+        watching = asyncio.create_task(watch.run())
+        await asyncio.sleep(1.0 + MOST_PAUSE_S / 2)
+        pool.begin(state, 0)
+        state.writing, state.progress_at = 1, loop.time()
+        due = find_next_silence(pool, SilenceLimits(), loop.time())
+        await asyncio.sleep(due + LEAST_PAUSE_S - loop.time())
+        watching.cancel()
+        assert len(told) == 1
+        assert due <= told[0]
+
+    run_virtually(test)
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -171,6 +171,13 @@
         "if True:",
         "tests/test_installation.py::test_an_answer_too_many_reaches_nobody",
     ),
+    Safeguard(
+        "silent heads are looked for soon after anything was sent",
+        "src/zinniaspool/gateway/silence.py",
+        "            now + MOST_PAUSE_S,\n",
+        "            now + 10.0,\n",
+        "tests/test_silence.py",
+    ),
     Safeguard(
         "the key stays here",
         "src/zinniaspool/platform/wire.py",
