--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -35,6 +35,7 @@
 from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
 from zinniaspool.core.dispatch.subsets import Subset, find_subset
 from zinniaspool.core.dispatch.targets import Target, TargetState
+from zinniaspool.core.dispatch.terms import CallerTerms, InstanceLoad
 from zinniaspool.core.dispatch.tickets import Ticket, TicketState
 
 __all__ = [
@@ -43,6 +44,8 @@
     "AttemptFailure",
     "Attempts",
     "CallTerms",
+    "CallerTerms",
+    "InstanceLoad",
     "AnnouncedRate",
     "HOLD_S",
     "Quarantine",
--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -37,6 +37,7 @@
 )
 from zinniaspool.core.fleet.reachability import Reachability, TryOutcome
 from zinniaspool.core.fleet.relays import FANOUT, choose_relays
+from zinniaspool.core.fleet.status import EngineStatus
 from zinniaspool.core.fleet.wholeness import WholeGroup, find_whole_groups
 
 __all__ = [
@@ -57,6 +58,7 @@
     "Change",
     "CustomerSpec",
     "EngineSpec",
+    "EngineStatus",
     "HolderRecord",
     "Instance",
     "InstanceId",
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -13,6 +13,7 @@
     NODES_PREFIX,
     Catalog,
     Change,
+    EngineStatus,
     HolderRecord,
     Instance,
     InstanceBook,
@@ -23,13 +24,7 @@
 )
 from zinniaspool.core.ids import ContentId, NodeId
 from zinniaspool.fleet.sight import boot_time
-from zinniaspool.platform.entries import (
-    ENTRIES_PREFIX,
-    EngineStatus,
-    amend_entry,
-    read_entry,
-)
-from zinniaspool.platform.rules import RULES_KEY, read_rules
+from zinniaspool.fleet.spelling import FleetSpelling
 
 __all__ = ["FleetBelief"]
 
@@ -53,6 +48,7 @@
     """Rules, instances and nodes as the store's copy has them.
 
     Args:
+        spelling: Reads what others write.
         reads_instances: Whether instances are decoded as they come. A process
             that only passes the copy on has no use for them, and there are
             more of them, and more changes, than of all else.
@@ -71,9 +67,12 @@
             send requests there until it has noticed by itself.
     """
 
-    def __init__(self, *, reads_instances: bool = True) -> None:
+    def __init__(
+        self, spelling: FleetSpelling, *, reads_instances: bool = True
+    ) -> None:
+        self._spelling = spelling
         self._reads_instances = reads_instances
-        self.mirror = StoreMirror(_lapses)
+        self.mirror = StoreMirror(self._lapses)
         self.catalog: Catalog | None = None
         self.book = InstanceBook()
         self.nodes: dict[NodeId, NodeRecord] = {}
@@ -101,7 +100,7 @@
     def read_instances(self) -> None:
         """Decode all instances now, and from now on as they come."""
         self._reads_instances = True
-        for item in self.mirror.list_below(ENTRIES_PREFIX):
+        for item in self.mirror.list_below(self._spelling.entries_prefix):
             self._take_entry(Change(item.key, None, item))
 
     def ignore_instances(self) -> None:
@@ -121,7 +120,7 @@
 
     def amend(self, instance: InstanceId, status: EngineStatus) -> None:
         """Believe what an engine says of itself, where its entry is behind."""
-        key = ENTRIES_PREFIX + instance
+        key = self._spelling.entries_prefix + instance
         item, known = self.mirror.get(key), self.instances.get(instance)
         if item is None or known is None:
             return
@@ -131,7 +130,7 @@
         same = told == (known.membership, known.model, known.staged)
         if same and not is_reborn(known.born, status.born):
             return
-        amended = amend_entry(item.value, status)
+        amended = self._spelling.amend_entry(item.value, status)
         if isinstance(amended, Err):
             _log.warning("entry-unreadable", key=key, reason=amended.err_value)
             return
@@ -182,10 +181,10 @@
         listeners: set[int] = set()
         held = set(self.held)
         for change in changes:
-            if change.key == RULES_KEY:
+            if change.key == self._spelling.rules_key:
                 self._take_rules(change)
                 listeners.add(0)
-            elif change.key.startswith(ENTRIES_PREFIX):
+            elif change.key.startswith(self._spelling.entries_prefix):
                 if self._reads_instances:
                     self._take_entry(change)
                     listeners.add(1)
@@ -222,7 +221,7 @@
     def _take_rules(self, change: Change) -> None:
         if change.after is None:
             return
-        read = read_rules(change.after.value)
+        read = self._spelling.read_rules(change.after.value)
         if isinstance(read, Err):
             # The store takes valid configurations only; the rules in force
             # stay until one can be read.
@@ -243,12 +242,12 @@
         )
 
     def _take_entry(self, change: Change) -> None:
-        instance = InstanceId(change.key.removeprefix(ENTRIES_PREFIX))
+        instance = InstanceId(change.key.removeprefix(self._spelling.entries_prefix))
         if change.after is None:
             self._refused.pop(instance, None)
             self._drop(instance)
             return
-        read = read_entry(change.key, change.after.value)
+        read = self._spelling.read_entry(change.key, change.after.value)
         if isinstance(read, Err):
             self._refuse_entry(instance, change.key, read.err_value)
             return
@@ -309,6 +308,9 @@
         if record is not None:
             self.nodes[node] = record
 
+    def _lapses(self, key: str) -> bool:
+        return key.startswith((self._spelling.entries_prefix, NODES_PREFIX))
+
     def _take_holder(self, change: Change) -> None:
         value = None if change.after is None else change.after.value
         self.holder = None if value is None else _decode(value, HolderRecord)
@@ -316,10 +318,6 @@
         _log.info("holder-changed", holder=node or "none")
 
 
-def _lapses(key: str) -> bool:
-    return key.startswith((ENTRIES_PREFIX, NODES_PREFIX))
-
-
 def _decode(value: bytes, kind: type[_T]) -> _T | None:
     try:
         return msgspec.json.decode(value, type=kind)
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -24,9 +24,9 @@
 from zinniaspool.core.storage import StoreFault
 from zinniaspool.fleet.belief import FleetBelief
 from zinniaspool.fleet.mesh import FleetMesh, unpack_items
+from zinniaspool.fleet.settings import NodeSettings
 from zinniaspool.fleet.sight import HolderSight
-from zinniaspool.platform.kvstore import KvStore
-from zinniaspool.platform.nodefile import NodeFile
+from zinniaspool.fleet.store import FleetStore
 
 __all__ = ["FleetFollower", "Place", "make_place"]
 
@@ -126,7 +126,7 @@
         return () if self.own_entry is None else (self.own_entry,)
 
 
-def make_place(node: NodeFile) -> Place:
+def make_place(node: NodeSettings) -> Place:
     """Return where a process with these settings runs."""
     return Place(
         node.node,
@@ -166,7 +166,7 @@
 
     def __init__(
         self,
-        store: KvStore,
+        store: FleetStore,
         belief: FleetBelief,
         mesh: FleetMesh,
         sight: HolderSight,
--- a/src/zinniaspool/fleet/leases.py
+++ b/src/zinniaspool/fleet/leases.py
@@ -5,9 +5,9 @@
 import structlog
 from result import Err
 
-from zinniaspool.core.storage import StoreFault
+from zinniaspool.core.storage import LeaseNumber, StoreFault
 from zinniaspool.fleet.sight import boot_time
-from zinniaspool.platform.kvstore import KvStore, LeaseNumber
+from zinniaspool.fleet.store import FleetStore
 
 __all__ = ["KeptLease"]
 
@@ -40,7 +40,7 @@
         ttl_s: How long it lasts without a renewal.
     """
 
-    def __init__(self, store: KvStore, ttl_s: float) -> None:
+    def __init__(self, store: FleetStore, ttl_s: float) -> None:
         self.number: LeaseNumber | None = None
         self._store = store
         self._ttl_s = ttl_s
--- a/src/zinniaspool/fleet/metrics.py
+++ b/src/zinniaspool/fleet/metrics.py
@@ -4,14 +4,16 @@
 from collections.abc import Iterator
 
 from zinniaspool.fleet.belief import FleetBelief
-from zinniaspool.platform.kvstore import KvStore
+from zinniaspool.fleet.store import FleetStore
 from zinniaspool.telemetry import Sample
 from zinniaspool.telemetry.page import MetricsPage
 
 __all__ = ["add_fleet_metrics"]
 
 
-def add_fleet_metrics(page: MetricsPage, belief: FleetBelief, store: KvStore) -> None:
+def add_fleet_metrics(
+    page: MetricsPage, belief: FleetBelief, store: FleetStore
+) -> None:
     """Add what a process believes and how it learned of it."""
 
     def list_calls() -> Iterator[Sample]:
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -5,6 +5,7 @@
 
 from zinniaspool.core.dispatch import (
     Attempts,
+    CallerTerms,
     EventCursor,
     Progress,
     TargetState,
@@ -12,7 +13,6 @@
 from zinniaspool.core.fleet import CustomerSpec, InstanceId, RouteSpec
 from zinniaspool.core.ids import ContentId, FabricDomainId, ServiceName
 from zinniaspool.http import ClientResponse, Exchange
-from zinniaspool.platform.wire import CallerTerms
 
 __all__ = ["GatewayCall", "HeldAnswer"]
 
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -20,6 +20,7 @@
 from zinniaspool.gateway.gate import Gate
 from zinniaspool.gateway.limits import AnnouncedLimits
 from zinniaspool.gateway.moves import Moves
+from zinniaspool.gateway.spelling import CallSpelling
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import (
     ClientResponse,
@@ -29,7 +30,6 @@
     TransportFailure,
 )
 from zinniaspool.http.sides import CALLER_SIDE, CallerGoneError
-from zinniaspool.platform import wire
 
 __all__ = ["Carrier"]
 
@@ -65,6 +65,7 @@
 
     Args:
         http: Connections to upstreams.
+        spelling: Reads and writes their headers.
         index: The targets.
         gate: Decides when a request for a model may begin.
         moves: Ends attempts that are to go on elsewhere.
@@ -75,6 +76,7 @@
     def __init__(
         self,
         http: HttpClient,
+        spelling: CallSpelling,
         index: TargetIndex,
         gate: Gate,
         moves: Moves,
@@ -82,6 +84,7 @@
         limits: AnnouncedLimits,
     ) -> None:
         self._http = http
+        self._spelling = spelling
         self._index = index
         self._gate = gate
         self._moves = moves
@@ -237,7 +240,7 @@
         self, call: GatewayCall, state: TargetState, left_s: float
     ) -> Request:
         asked = call.exchange.request
-        headers = wire.forward_headers(
+        headers = self._spelling.forward_headers(
             asked,
             state.target.instance,
             left_s,
@@ -256,12 +259,13 @@
         due. Given on, a caller would read another's.
         """
         for _ in range(MOST_EXTRA_ANSWERS):
-            if wire.answered_request(response.headers) in (call.terms.id, None):
+            answered = self._spelling.answered_request(response.headers)
+            if answered in (call.terms.id, None):
                 return response
             _log.warning(
                 "answer-foreign",
                 request=call.terms.id,
-                echoed=wire.answered_request(response.headers),
+                echoed=answered,
             )
             response = await response.skip()
         raise TransportError(TransportFailure.MALFORMED, "too many foreign answers")
@@ -270,12 +274,14 @@
         self, call: GatewayCall, state: TargetState, response: ClientResponse
     ) -> AttemptFailure | None:
         now = asyncio.get_running_loop().time()
-        load = wire.read_load(response.headers)
+        load = self._spelling.read_load(response.headers)
         pool = self._index.find(call.service, call.terms.model)
         if load is not None:
             pool.note_load(state, load.running + load.waiting, now)
-        ran = not wire.answers_unrun(response.status, response.headers)
-        self._limits.note_answer(state, wire.read_limit(response.headers), ran=ran)
+        ran = not self._spelling.answers_unrun(response.status, response.headers)
+        self._limits.note_answer(
+            state, self._spelling.read_limit(response.headers), ran=ran
+        )
         if not ran:
             await response.read()
             return AttemptFailure.REFUSED
@@ -299,7 +305,7 @@
         self, call: GatewayCall, response: ClientResponse, body: bytes
     ) -> None:
         call.first_s = asyncio.get_running_loop().time() - call.received
-        headers = wire.pass_headers(response.headers)
+        headers = self._spelling.pass_headers(response.headers)
         with CALLER_SIDE:
             await call.exchange.respond(response.status, headers, body)
 
@@ -370,7 +376,7 @@
         call.progress = Progress.RESUMABLE
         if not call.route.resumable or not call.cursor.resumable:
             call.progress = Progress.PARTIAL
-        headers = wire.pass_headers(response.headers)
+        headers = self._spelling.pass_headers(response.headers)
         with CALLER_SIDE:
             await call.exchange.start(response.status, headers)
 
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -10,6 +10,7 @@
 
 from zinniaspool.core.dispatch import (
     Attempts,
+    CallerTerms,
     CallTerms,
     RepeatLimits,
     RepeatWindow,
@@ -21,6 +22,7 @@
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.carrier import Carrier
+from zinniaspool.gateway.spelling import CallSpelling
 from zinniaspool.http import (
     Exchange,
     Headers,
@@ -29,7 +31,6 @@
     Request,
     TransportError,
 )
-from zinniaspool.platform import wire
 from zinniaspool.telemetry import RequestTally
 
 __all__ = ["CallerFace", "refuse_request"]
@@ -61,6 +62,7 @@
     """Answers callers' requests.
 
     Args:
+        spelling: Reads what callers say.
         belief: Rules in force.
         carrier: Sends requests on.
         limits: What may be repeated.
@@ -70,6 +72,7 @@
 
     def __init__(
         self,
+        spelling: CallSpelling,
         belief: FleetBelief,
         carrier: Carrier,
         limits: RepeatLimits,
@@ -80,6 +83,7 @@
         self.running = 0
         self.idle = asyncio.Event()
         self.idle.set()
+        self._spelling = spelling
         self._belief = belief
         self._carrier = carrier
         self._limits = limits
@@ -110,7 +114,7 @@
         received = self._measure_arrival()
         if self._belief.catalog is None:
             await self._await_rules()
-        terms = wire.read_terms(exchange.request)
+        terms = self._spelling.read_terms(exchange.request)
         admitted = self._admit(exchange, terms, received)
         if isinstance(admitted, Err):
             fault = admitted.err_value
@@ -193,7 +197,7 @@
         return 0 if self._belief.catalog is None else self._belief.catalog.version
 
     def _admit(
-        self, exchange: Exchange, terms: wire.CallerTerms, received: float
+        self, exchange: Exchange, terms: CallerTerms, received: float
     ) -> Result[GatewayCall, Fault]:
         catalog = self._belief.catalog
         if catalog is None:
@@ -205,7 +209,8 @@
         route = catalog.find_route(host, request.path)
         if route is None:
             return Err(Fault(ErrorKind.UNKNOWN_SERVICE))
-        found = _find_customer(catalog, route, request)
+        key = self._spelling.read_key(request)
+        found = _find_customer(catalog, route, key)
         if isinstance(found, Err):
             return found
         patience_s = route.timeout_s - LATEST_S
@@ -241,11 +246,11 @@
         return window
 
     async def _refuse(
-        self, exchange: Exchange, terms: wire.CallerTerms, fault: Fault
+        self, exchange: Exchange, terms: CallerTerms, fault: Fault
     ) -> None:
         answer = ANSWERS[fault.kind]
         headers = Headers.of(content_type="text/plain")
-        wire.name_fault(headers, terms.id, fault.kind.value)
+        self._spelling.name_fault(headers, terms.id, fault.kind.value)
         retry_after = fault.retry_after or answer.retry_after
         if retry_after is not None:
             headers.add("retry-after", f"{retry_after:g}")
@@ -275,9 +280,8 @@
 
 
 def _find_customer(
-    catalog: Catalog, route: RouteSpec, request: Request
+    catalog: Catalog, route: RouteSpec, key: str | None
 ) -> Result[CustomerSpec | None, Fault]:
-    key = wire.read_key(request)
     customer = None if key is None else catalog.customers.get(key)
     if customer is None and catalog.asks_keys and not route.anonymous:
         return Err(Fault(ErrorKind.BAD_CREDENTIAL))
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -1,4 +1,4 @@
-"""Composition root of the entry program on the users' platform."""
+"""An entry process: what it is made of, how it starts and leaves."""
 
 import asyncio
 import contextlib
@@ -32,12 +32,16 @@
     UnreachableNode,
     UpstreamLimit,
 )
+from zinniaspool.core.storage import KeyWrite
 from zinniaspool.fleet import (
     FleetBelief,
     FleetFollower,
     FleetMesh,
+    FleetSpelling,
+    FleetStore,
     HolderSight,
     KeptLease,
+    NodeSettings,
     make_place,
     run_duty,
 )
@@ -52,14 +56,12 @@
 from zinniaspool.gateway.probes import NodeProber
 from zinniaspool.gateway.records import HeldRecords
 from zinniaspool.gateway.silence import SilenceWatch
+from zinniaspool.gateway.spelling import CallSpelling
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
-from zinniaspool.platform.kvstore import KeyWrite, KvStore
-from zinniaspool.platform.nodefile import NodeFile
-from zinniaspool.platform.program import run_on_platform
 from zinniaspool.telemetry import RequestTally
 
-__all__ = ["GatewayProcess", "run"]
+__all__ = ["CONNECT_S", "GatewayProcess"]
 
 _log = structlog.get_logger(__name__)
 
@@ -104,7 +106,10 @@
     """Serves callers until it is told to stop, then drains.
 
     Args:
-        node: The platform's settings.
+        node: What it is told when it starts.
+        store: The store.
+        fleet: Reads what stands there.
+        calls: Reads and writes what callers and upstreams say.
         metrics_port: Where metrics are served; 0 for nowhere.
         listener: Listens where callers connect already.
         opened: Since when, in seconds.
@@ -112,7 +117,10 @@
 
     def __init__(
         self,
-        node: NodeFile,
+        node: NodeSettings,
+        store: FleetStore,
+        fleet: FleetSpelling,
+        calls: CallSpelling,
         metrics_port: int = 0,
         listener: socket.socket | None = None,
         opened: float | None = None,
@@ -123,11 +131,11 @@
         self._metrics_address = (
             Address(f"{node.ip}:{metrics_port}") if metrics_port else None
         )
-        self._belief = FleetBelief()
+        self._belief = FleetBelief(fleet)
         self._stopping: float | None = None
         self._stop = asyncio.Event()
         self._configured = asyncio.Event()
-        self._store = KvStore(HttpClient(connect_s=CONNECT_S), node.store_address)
+        self._store = store
         sight = HolderSight()
         self._mesh = FleetMesh(
             node.node,
@@ -172,6 +180,7 @@
         )
         self._carrier = Carrier(
             self._http,
+            calls,
             self._index,
             self._gate,
             self._moves,
@@ -190,7 +199,7 @@
         )
         tally = RequestTally()
         self._face = CallerFace(
-            self._belief, self._carrier, repeats, lambda: self._may_begin, tally
+            calls, self._belief, self._carrier, repeats, lambda: self._may_begin, tally
         )
         self._metrics = make_gateway_metrics(
             tally,
@@ -425,17 +434,3 @@
     async def _write_leaving(self) -> None:
         if self._lease.number is not None:
             await self._write_record(NodeState.LEAVING)
-
-
-def run(listener: socket.socket | None, opened: float) -> None:
-    """Run the program.
-
-    Args:
-        listener: Listens where callers connect already, if anything does.
-        opened: Since when, in seconds of the steady clock.
-    """
-
-    def make(node: NodeFile, metrics_port: int) -> GatewayProcess:
-        return GatewayProcess(node, metrics_port, listener, opened)
-
-    run_on_platform("entry", make)
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -4,12 +4,11 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from zinniaspool.fleet import FleetBelief
+from zinniaspool.fleet import FleetBelief, FleetStore
 from zinniaspool.fleet.metrics import add_fleet_metrics
 from zinniaspool.gateway.crashes import CrashWatch
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient
-from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.telemetry import AdmissionTally, RequestTally, Sample
 from zinniaspool.telemetry.page import MetricsPage
 
@@ -19,7 +18,7 @@
 def make_gateway_metrics(
     tally: RequestTally,
     belief: FleetBelief,
-    store: KvStore,
+    store: FleetStore,
     index: TargetIndex,
     http: HttpClient,
     admitted: AdmissionTally,
--- a/src/zinniaspool/gateway/records.py
+++ b/src/zinniaspool/gateway/records.py
@@ -11,9 +11,8 @@
 from zinniaspool.core.dispatch import HOLD_S
 from zinniaspool.core.fleet import HELD_PREFIX, HeldRecord, InstanceId
 from zinniaspool.core.ids import ContentId, NodeId, Revision
-from zinniaspool.core.storage import StoreFault
-from zinniaspool.fleet import FleetBelief
-from zinniaspool.platform.kvstore import KeyWrite, KvStore
+from zinniaspool.core.storage import KeyWrite, StoreFault
+from zinniaspool.fleet import FleetBelief, FleetStore
 
 __all__ = ["HeldRecords"]
 
@@ -42,7 +41,7 @@
         self,
         node: NodeId,
         belief: FleetBelief,
-        store: KvStore,
+        store: FleetStore,
         list_crashed: Callable[[ContentId], list[InstanceId]],
     ) -> None:
         self._node = node
--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -18,10 +18,15 @@
 
 from zinniaspool.core.fleet import HOLDER_KEY, HolderRecord
 from zinniaspool.core.ids import Address, NodeId, Revision
-from zinniaspool.core.storage import StoreFault
-from zinniaspool.fleet import FleetBelief, FleetMesh, HolderSight, boot_time
+from zinniaspool.core.storage import KeyWrite, StoreFault
+from zinniaspool.fleet import (
+    FleetBelief,
+    FleetMesh,
+    FleetStore,
+    HolderSight,
+    boot_time,
+)
 from zinniaspool.fleet.mesh import Lead, is_nobody_there
-from zinniaspool.platform.kvstore import KeyWrite, KvStore
 
 __all__ = ["HolderElection", "find_delay_s"]
 
@@ -89,7 +94,7 @@
 
     def __init__(
         self,
-        store: KvStore,
+        store: FleetStore,
         belief: FleetBelief,
         mesh: FleetMesh,
         sight: HolderSight,
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -23,8 +23,8 @@
 from zinniaspool.core.ids import Epoch, FabricDomainId, ModelName, NodeId, ServiceName
 from zinniaspool.fleet import FleetBelief
 from zinniaspool.keeper.election import HolderElection
+from zinniaspool.keeper.engines import Engines
 from zinniaspool.keeper.plans import PlanBook
-from zinniaspool.platform.orders import EngineClient
 
 __all__ = ["GroupHolder"]
 
@@ -99,7 +99,7 @@
         belief: FleetBelief,
         election: HolderElection,
         plans: PlanBook,
-        engines: EngineClient,
+        engines: Engines,
         list_demands: Callable[[], list[ModelDemandNote]],
         load_window_s: float,
         free_until: float,
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -1,4 +1,4 @@
-"""Composition root of the control program on the users' platform."""
+"""A control process: what it is made of, how it starts and leaves."""
 
 import asyncio
 import contextlib
@@ -13,21 +13,21 @@
     FleetBelief,
     FleetFollower,
     FleetMesh,
+    FleetSpelling,
+    FleetStore,
     HolderSight,
+    NodeSettings,
     make_place,
     run_duty,
 )
-from zinniaspool.http import HttpClient, HttpServer
+from zinniaspool.http import HttpServer
 from zinniaspool.keeper.election import HolderElection, find_delay_s
+from zinniaspool.keeper.engines import Engines
 from zinniaspool.keeper.holder import GroupHolder
 from zinniaspool.keeper.metrics import make_keeper_metrics
 from zinniaspool.keeper.plans import PlanBook
-from zinniaspool.platform.kvstore import KvStore
-from zinniaspool.platform.nodefile import NodeFile
-from zinniaspool.platform.orders import EngineClient
-from zinniaspool.platform.program import run_on_platform
 
-__all__ = ["KeeperProcess", "main"]
+__all__ = ["CONNECT_S", "KeeperProcess"]
 
 _log = structlog.get_logger(__name__)
 
@@ -51,11 +51,21 @@
     """Stands for holder, and plans groups while it is.
 
     Args:
-        node: The platform's settings.
+        node: What it is told when it starts.
+        store: The store.
+        fleet: Reads what stands there.
+        engines: Gives orders.
         metrics_port: Where metrics are served; 0 for nowhere.
     """
 
-    def __init__(self, node: NodeFile, metrics_port: int = 0) -> None:
+    def __init__(
+        self,
+        node: NodeSettings,
+        store: FleetStore,
+        fleet: FleetSpelling,
+        engines: Engines,
+        metrics_port: int = 0,
+    ) -> None:
         self._node = node
         self._metrics_address = (
             Address(f"{node.ip}:{metrics_port}") if metrics_port else None
@@ -63,8 +73,8 @@
         self._stop = asyncio.Event()
         self._servers: list[HttpServer] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._belief = FleetBelief(reads_instances=False)
-        self._store = KvStore(HttpClient(connect_s=CONNECT_S), node.store_address)
+        self._belief = FleetBelief(fleet, reads_instances=False)
+        self._store = store
         sight = HolderSight()
         self._mesh = FleetMesh(
             node.node,
@@ -99,7 +109,7 @@
             self._belief,
             self._election,
             PlanBook(self._store),
-            EngineClient(HttpClient(connect_s=CONNECT_S)),
+            engines,
             self._mesh.sum_demands,
             node.load_window_s,
             time.monotonic() + LEAD_S if node.first_start else 0.0,
@@ -162,8 +172,3 @@
         if isinstance(message, SilentTarget):
             self._holder.suspect(message.instance, message.node)
         return None
-
-
-def main() -> None:
-    """Run the program."""
-    run_on_platform("control", KeeperProcess)
--- a/src/zinniaspool/keeper/metrics.py
+++ b/src/zinniaspool/keeper/metrics.py
@@ -3,10 +3,9 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from zinniaspool.fleet import FleetBelief
+from zinniaspool.fleet import FleetBelief, FleetStore
 from zinniaspool.fleet.metrics import add_fleet_metrics
 from zinniaspool.keeper.holder import GroupHolder
-from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.telemetry import Sample
 from zinniaspool.telemetry.page import MetricsPage
 
@@ -14,7 +13,7 @@
 
 
 def make_keeper_metrics(
-    belief: FleetBelief, store: KvStore, holder: GroupHolder
+    belief: FleetBelief, store: FleetStore, holder: GroupHolder
 ) -> MetricsPage:
     """Return the page of a control process."""
     page = MetricsPage()
--- a/src/zinniaspool/keeper/plans.py
+++ b/src/zinniaspool/keeper/plans.py
@@ -7,8 +7,8 @@
 from zinniaspool.core.fleet import HOLDER_KEY, PLANS_PREFIX, StoreMirror
 from zinniaspool.core.formation import DomainPlan
 from zinniaspool.core.ids import FabricDomainId, Revision
-from zinniaspool.core.storage import StoreFault
-from zinniaspool.platform.kvstore import KeyWrite, KvStore
+from zinniaspool.core.storage import KeyWrite, StoreFault
+from zinniaspool.fleet import FleetStore
 
 __all__ = ["PlanBook"]
 
@@ -22,7 +22,7 @@
         store: Where they last.
     """
 
-    def __init__(self, store: KvStore) -> None:
+    def __init__(self, store: FleetStore) -> None:
         self._store = store
         self._revisions: dict[FabricDomainId, Revision] = {}
 
--- a/src/zinniaspool/platform/control.py
+++ b/src/zinniaspool/platform/control.py
@@ -13,7 +13,7 @@
 def main() -> None:
     """Run the program."""
     time.sleep(START_S)
-    from zinniaspool.keeper.main import main as run
+    from zinniaspool.platform.keeper import run
 
     run()
 
--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from zinniaspool.core.fleet import (
+    EngineStatus,
     Instance,
     InstanceId,
     InstanceState,
@@ -30,7 +31,7 @@
     ServiceName,
 )
 
-__all__ = ["ENTRIES_PREFIX", "EngineStatus", "amend_entry", "read_entry", "read_status"]
+__all__ = ["ENTRIES_PREFIX", "amend_entry", "read_entry", "read_status"]
 
 ENTRIES_PREFIX = "servers/"
 
@@ -89,28 +90,6 @@
     pace: float = 1.0
 
 
-class EngineStatus(msgspec.Struct, frozen=True):
-    """What an engine answers about itself when asked.
-
-    Attributes:
-        membership: Its replica group.
-        model: The model in its accelerators' memory.
-        staged: Models in its host's memory.
-        running: Requests that it runs.
-        waiting: Requests that wait there.
-        slowness: How many times as long as usual it takes.
-        born: Unix milliseconds of its start; None where it does not tell.
-    """
-
-    membership: Membership | None
-    model: ModelName | None
-    staged: tuple[ModelName, ...]
-    running: int
-    waiting: int
-    slowness: float
-    born: int | None = None
-
-
 _STATES = {one.value: one for one in MembershipState}
 _INSTANCE_STATES = {
     "ready": InstanceState.READY,
--- a/src/zinniaspool/platform/entry.py
+++ b/src/zinniaspool/platform/entry.py
@@ -63,7 +63,7 @@
     opened = time.monotonic()
     listener = open_callers_port()
     # Only now, with the port open, the libraries are loaded.
-    from zinniaspool.gateway.main import run
+    from zinniaspool.platform.gateway import run
 
     run(listener, opened)
 
--- /dev/null
+++ b/src/zinniaspool/platform/gateway.py
@@ -0,0 +1,47 @@
+"""Composition root of the entry program on the users' platform."""
+
+import socket
+
+from zinniaspool.fleet import NodeSettings
+from zinniaspool.gateway.main import CONNECT_S, GatewayProcess
+from zinniaspool.http import HttpClient
+from zinniaspool.platform import wire
+from zinniaspool.platform.kvstore import KvStore
+from zinniaspool.platform.program import run_on_platform
+from zinniaspool.platform.spelling import PlatformSpelling
+
+__all__ = ["make_gateway", "run"]
+
+
+def make_gateway(
+    node: NodeSettings,
+    metrics_port: int = 0,
+    listener: socket.socket | None = None,
+    opened: float | None = None,
+) -> GatewayProcess:
+    """Return an entry process that speaks the platform's protocols.
+
+    Args:
+        node: The platform's settings.
+        metrics_port: Where metrics are served; 0 for nowhere.
+        listener: Listens where callers connect already, if anything does.
+        opened: Since when, in seconds of the steady clock.
+    """
+    store = KvStore(HttpClient(connect_s=CONNECT_S), node.store_address)
+    return GatewayProcess(
+        node, store, PlatformSpelling(), wire, metrics_port, listener, opened
+    )
+
+
+def run(listener: socket.socket | None, opened: float) -> None:
+    """Run the program.
+
+    Args:
+        listener: Listens where callers connect already, if anything does.
+        opened: Since when, in seconds of the steady clock.
+    """
+
+    def make(node: NodeSettings, metrics_port: int) -> GatewayProcess:
+        return make_gateway(node, metrics_port, listener, opened)
+
+    run_on_platform("entry", make)
--- a/src/zinniaspool/platform/kvstore.py
+++ b/src/zinniaspool/platform/kvstore.py
@@ -4,9 +4,8 @@
 from binascii import Error as Base64Error
 from collections import Counter
 from collections.abc import Sequence
-from enum import Enum
 from http import HTTPStatus
-from typing import NewType, TypeVar
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -14,7 +13,14 @@
 
 from zinniaspool.core.fleet import HOLDER_KEY, MirrorEvent, StoredItem
 from zinniaspool.core.ids import Address, Revision
-from zinniaspool.core.storage import StoreFault
+from zinniaspool.core.storage import (
+    KeyWrite,
+    LeaseNumber,
+    Reading,
+    StoreCall,
+    StoreFault,
+    WatchResult,
+)
 from zinniaspool.http import (
     Headers,
     HttpClient,
@@ -23,9 +29,7 @@
     TransportFailure,
 )
 
-__all__ = ["KeyWrite", "KvStore", "LeaseNumber", "Reading", "StoreCall", "WatchResult"]
-
-LeaseNumber = NewType("LeaseNumber", int)
+__all__ = ["KvStore"]
 
 CALL_S = 0.8
 """Longest wait for an answer, in seconds. The store answers in milliseconds;
@@ -40,18 +44,6 @@
 _T = TypeVar("_T")
 
 
-class StoreCall(Enum):
-    """The kinds of calls that are counted."""
-
-    GET = "get"
-    RANGE = "range"
-    WATCH = "watch"
-    COMMIT = "commit"
-    GRANT = "grant"
-    RENEW = "renew"
-    END_LEASE = "end-lease"
-
-
 class _Item(msgspec.Struct):
     key: str
     revision: int
@@ -79,35 +71,6 @@
     lease: int
 
 
-class KeyWrite(msgspec.Struct, frozen=True):
-    """One key of a commit.
-
-    Attributes:
-        key: Which.
-        value: What to write.
-        lease: The lease that the key goes with; 0 for none.
-    """
-
-    key: str
-    value: bytes
-    lease: LeaseNumber = LeaseNumber(0)
-
-
-class Reading(msgspec.Struct, frozen=True):
-    """All items below a prefix, none older than ``as_of``."""
-
-    items: list[StoredItem]
-    as_of: Revision
-
-
-class WatchResult(msgspec.Struct, frozen=True):
-    """What a watch saw; ``complete`` is False where history was dropped."""
-
-    events: list[MirrorEvent]
-    as_of: Revision
-    complete: bool = True
-
-
 class KvStore:
     """Calls to the store.
 
--- a/src/zinniaspool/platform/orders.py
+++ b/src/zinniaspool/platform/orders.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from zinniaspool.core.fleet import EngineStatus
 from zinniaspool.core.formation import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.ids import Address
 from zinniaspool.http import (
@@ -14,7 +15,7 @@
     TransportError,
     TransportFailure,
 )
-from zinniaspool.platform.entries import EngineStatus, read_status
+from zinniaspool.platform.entries import read_status
 
 __all__ = ["EngineClient"]
 
--- a/src/zinniaspool/platform/program.py
+++ b/src/zinniaspool/platform/program.py
@@ -8,7 +8,8 @@
 
 import structlog
 
-from zinniaspool.platform.nodefile import NodeFile, NodeFileError, read_node_file
+from zinniaspool.fleet import NodeSettings
+from zinniaspool.platform.nodefile import NodeFileError, read_node_file
 from zinniaspool.telemetry import configure_logs
 
 __all__ = ["PlatformProcess", "run_on_platform"]
@@ -32,7 +33,7 @@
 
 
 def run_on_platform(
-    program: str, make: Callable[[NodeFile, int], PlatformProcess]
+    program: str, make: Callable[[NodeSettings, int], PlatformProcess]
 ) -> None:
     """Run a process with the settings that the platform wrote.
 
--- a/src/zinniaspool/platform/wire.py
+++ b/src/zinniaspool/platform/wire.py
@@ -2,15 +2,13 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
 
+from zinniaspool.core.dispatch import CallerTerms, InstanceLoad
 from zinniaspool.core.fleet import CustomerSpec, InstanceId
 from zinniaspool.core.ids import ModelName, RequestId
 from zinniaspool.http import Headers, Request
 
 __all__ = [
-    "CallerTerms",
-    "InstanceLoad",
     "answered_request",
     "answers_unrun",
     "forward_headers",
@@ -64,38 +62,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class CallerTerms:
-    """What a caller says of its request.
-
-    Attributes:
-        id: Each attempt of a caller has its own.
-        patience_s: How long the caller waits, or None.
-        model: Which model, or None for a plain call.
-        prompt_tokens: Length of the prompt.
-        most_output_tokens: Longest answer.
-        expected_tokens: The caller's estimate of the answer's length.
-        resume_after: The last event that it has, or None.
-    """
-
-    id: RequestId
-    patience_s: float | None
-    model: ModelName | None
-    prompt_tokens: int
-    most_output_tokens: int
-    expected_tokens: int | None
-    resume_after: int | None
-
-
-@dataclass(frozen=True, slots=True)
-class InstanceLoad:
-    """What an instance says with an answer: requests there, and its slots."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 def read_terms(request: Request) -> CallerTerms:
     """Return what a caller says; what cannot be read counts as unsaid."""
     headers = request.headers
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, field
 
 from zinniaspool.core.ids import FailureDomainId, NodeId
+from zinniaspool.fleet import NodeSettings
 from zinniaspool.gateway.main import GatewayProcess
 from zinniaspool.http import Headers, HttpClient, Request, TransportError
 from zinniaspool.keeper.main import KeeperProcess
-from zinniaspool.platform.nodefile import NodeFile
+from zinniaspool.platform.gateway import make_gateway
+from zinniaspool.platform.keeper import make_keeper
 from zinniaspool_standins import installation as standins
 from zinniaspool_standins.installation import KEY, SIZES, free_address
 
@@ -45,7 +47,7 @@
 class Node:
     """One entry VM with its two processes."""
 
-    file: NodeFile
+    file: NodeSettings
     gateway: GatewayProcess
     keeper: KeeperProcess
     tasks: list["asyncio.Task[None]"]
@@ -73,7 +75,7 @@
         front, control = free_address(), free_address()
         port = int(free_address().rpartition(":")[2])
         seeds = [node.file.control_address for node in self.nodes.values()]
-        file = NodeFile(
+        file = NodeSettings(
             NodeId(name),
             "127.0.0.1",
             FailureDomainId("hall-a"),
@@ -96,7 +98,7 @@
             100.0,
             5.0,
         )
-        gateway, keeper = GatewayProcess(file), KeeperProcess(file)
+        gateway, keeper = make_gateway(file), make_keeper(file)
         tasks = [
             asyncio.create_task(gateway.run()),
             asyncio.create_task(keeper.run()),
--- a/tests/test_belief.py
+++ b/tests/test_belief.py
@@ -4,10 +4,10 @@
 import pytest
 from structlog.testing import capture_logs
 
-from zinniaspool.core.fleet import Change, InstanceId, MirrorEvent
+from zinniaspool.core.fleet import Change, EngineStatus, InstanceId, MirrorEvent
 from zinniaspool.core.ids import ModelName, Revision
 from zinniaspool.fleet import FleetBelief
-from zinniaspool.platform.entries import EngineStatus
+from zinniaspool.platform.spelling import PlatformSpelling
 
 ENTRY = {
     "service": "drafting",
@@ -31,7 +31,7 @@
     """A belief that is told of one key after the other."""
 
     def __init__(self) -> None:
-        self.belief = FleetBelief()
+        self.belief = FleetBelief(PlatformSpelling())
         self.revision = 0
 
     def write(self, instance: InstanceId, value: bytes | None) -> list[Change]:
--- a/tests/test_kept_lease.py
+++ b/tests/test_kept_lease.py
@@ -4,9 +4,8 @@
 
 from result import Err, Ok, Result
 
-from zinniaspool.core.storage import StoreFault
+from zinniaspool.core.storage import LeaseNumber, StoreFault
 from zinniaspool.fleet import KeptLease
-from zinniaspool.platform.kvstore import LeaseNumber
 
 
 class FailingStore:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -11,21 +11,21 @@
 from result import Err, Ok
 
 from zinniaspool.core.fleet import (
+    EngineStatus,
     InstanceId,
     MembershipState,
     RequestKind,
 )
 from zinniaspool.core.ids import Revision
-from zinniaspool.core.storage import StoreFault
+from zinniaspool.core.storage import KeyWrite, StoreFault
 from zinniaspool.http import Headers, HttpClient, Request
 from zinniaspool.platform import wire
 from zinniaspool.platform.entries import (
-    EngineStatus,
     amend_entry,
     read_entry,
     read_status,
 )
-from zinniaspool.platform.kvstore import KeyWrite, KvStore
+from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.nodefile import NodeFileError, read_node_file
 from zinniaspool.platform.rules import read_rules
 from zinniaspool_standins.installation import free_address, make_rules
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -30,10 +30,10 @@
     ServiceName,
 )
 from zinniaspool.core.messages.fleet import FleetNews, FleetWatch
-from zinniaspool.core.storage import StoreFault
+from zinniaspool.core.storage import StoreFault, WatchResult
 from zinniaspool.fleet import FleetBelief, FleetFollower, HolderSight, Place
 from zinniaspool.fleet.mesh import pack_items
-from zinniaspool.platform.kvstore import WatchResult
+from zinniaspool.platform.spelling import PlatformSpelling
 
 MODEL = (ServiceName("s"), ModelName("m"))
 
@@ -144,7 +144,7 @@
 
 
 def make_belief(size: int) -> FleetBelief:
-    belief = FleetBelief(reads_instances=False)
+    belief = FleetBelief(PlatformSpelling(), reads_instances=False)
     items = []
     for node, domain in make_fleet(size).items():
         number = node.removeprefix("vm-")
@@ -217,7 +217,7 @@
     """
     own, entry = NodeId("vm-20"), Address("10.0.0.20:81")
     mesh, store = FakeMesh(), FakeStore()
-    belief = FleetBelief(reads_instances=False)
+    belief = FleetBelief(PlatformSpelling(), reads_instances=False)
     follower = FleetFollower(
         store,  # type: ignore[arg-type]
         belief,
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -23,6 +23,7 @@
 from zinniaspool.gateway.moves import Moves
 from zinniaspool.gateway.silence import LEAST_PAUSE_S, MOST_PAUSE_S, SilenceWatch
 from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.platform.spelling import PlatformSpelling
 
 LIMITS = SilenceLimits(writing_s=10.0)
 """Limits that only what was learned undercuts."""
@@ -209,7 +210,7 @@
             return super().move_overdue(now)
 
     async def test() -> None:
-        index = TargetIndex(FleetBelief(), FailureDomainId("z"))
+        index = TargetIndex(FleetBelief(PlatformSpelling()), FailureDomainId("z"))
         watch = SilenceWatch(
             NodeId("n"), index, CountedMoves(index), lambda _: None, lambda _: None
         )
@@ -228,7 +229,7 @@
 
     async def test() -> None:
         loop = asyncio.get_running_loop()
-        index = TargetIndex(FleetBelief(), FailureDomainId("z"))
+        index = TargetIndex(FleetBelief(PlatformSpelling()), FailureDomainId("z"))
         pool = index.find(ServiceName("s"), None)
         pool.update([make_target("x")], 0.0)
         state = find(pool, "x")
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -13,6 +13,7 @@
     HOLDER_KEY,
     NODES_PREFIX,
     PLANS_PREFIX,
+    EngineStatus,
     HolderRecord,
     InstanceId,
     MirrorEvent,
@@ -38,7 +39,7 @@
     ServiceName,
 )
 from zinniaspool.core.messages.fleet import FleetNews, FleetWatch
-from zinniaspool.core.storage import StoreFault
+from zinniaspool.core.storage import StoreFault, WatchResult
 from zinniaspool.fleet import (
     FleetBelief,
     FleetFollower,
@@ -50,9 +51,9 @@
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import TransportFailure
 from zinniaspool.keeper.holder import GroupHolder
-from zinniaspool.platform.entries import EngineStatus, read_entry
-from zinniaspool.platform.kvstore import WatchResult
+from zinniaspool.platform.entries import read_entry
 from zinniaspool.platform.rules import RULES_KEY
+from zinniaspool.platform.spelling import PlatformSpelling
 from zinniaspool_standins.installation import make_rules
 
 SERVICE, MODEL, SIZE = ServiceName("drafting"), ModelName("large"), 3
@@ -202,7 +203,7 @@
     def __init__(self, fleet: "Fleet", number: int, *, entry: bool) -> None:
         self.node = NodeId(f"vm-{number}")
         self.domain = FailureDomainId(f"hall-{number % 3}")
-        self.belief = FleetBelief(reads_instances=entry)
+        self.belief = FleetBelief(PlatformSpelling(), reads_instances=entry)
         self.election = Election()
         self.index = TargetIndex(self.belief, self.domain)
         if entry:
@@ -234,7 +235,7 @@
             self.belief,
             self.election,  # type: ignore[arg-type]
             Plans(),  # type: ignore[arg-type]
-            fleet.engines,  # type: ignore[arg-type]
+            fleet.engines,
             list,
             5.0,
             0.0,
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -167,7 +167,7 @@
     Safeguard(
         "an answer to another request is thrown away",
         "src/zinniaspool/gateway/carrier.py",
-        "if wire.answered_request(response.headers) in (call.terms.id, None):",
+        "if answered in (call.terms.id, None):",
         "if True:",
         "tests/test_installation.py::test_an_answer_too_many_reaches_nobody",
     ),
