--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -2,34 +2,31 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from zinniaspool.core.fleet import (
     EngineSpec,
     Instance,
     InstanceId,
-    InstanceState,
-    is_reborn,
 )
 from zinniaspool.core.formation.allocation import (
-    Candidate,
     ModelNeed,
     Selection,
     select_groups,
 )
 from zinniaspool.core.formation.balance import (
-    LEFT_OF_FEW,
     Conversion,
-    DomainShape,
-    ModelDemand,
-    ServingGroup,
     find_conversions,
 )
-from zinniaspool.core.formation.lifecycle import RETRY_S, FleetSight, GroupRun
+from zinniaspool.core.formation.census import Census
+from zinniaspool.core.formation.domains import REST_LOOK_S, SETTLED, PlannedDomain
+from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.loads import LoadBudget
-from zinniaspool.core.formation.orders import GroupOrder, OrderAction, OrderOutcome
+from zinniaspool.core.formation.orders import GroupOrder, OrderOutcome
+from zinniaspool.core.formation.provision import Provision
 from zinniaspool.core.formation.records import DomainPlan, GroupPhase, GroupRecord
 from zinniaspool.core.formation.releases import ReleaseBook
+from zinniaspool.core.formation.staging import Staging
 from zinniaspool.core.ids import (
     Epoch,
     FabricDomainId,
@@ -51,19 +48,6 @@
 """For how long VMs are kept for the model that they were freed for, in
 seconds: callers of a closing group are served for a second or two."""
 
-REST_LOOK_S = 0.25
-"""Pause between looks at a domain where nothing has changed and nothing is
-under way, in seconds. What its VMs are for may still change with demand, with
-the groups of other domains and with the weight store's room. Looked at with
-each change anywhere, 25 such domains cost 12 ms of each look."""
-
-ARRIVAL_S = 0.6
-"""For how long after a VM came in more are expected in its domain, in seconds:
-VMs that start together are seen within less than this of each other."""
-
-_AT_REST = frozenset({GroupPhase.SERVING, GroupPhase.STANDBY})
-_SETTLED = frozenset({GroupPhase.SERVING, GroupPhase.FORMING, GroupPhase.STANDBY})
-
 
 @dataclass(frozen=True, slots=True)
 class PlanWrite:
@@ -81,50 +65,6 @@
     reason: str
 
 
-@dataclass(slots=True)
-class _Domain:
-    """One fabric domain under this holder's care.
-
-    Attributes:
-        id: Which.
-        runs: Its groups under way.
-        unsaved: Whether its plan has changed since it was last written.
-        writing: Whether that is being written.
-        reserved: The model that freed VMs are kept for.
-        reserved_until: Until when, in seconds.
-        promised: Groups of it that those VMs are to form.
-        freed: Groups that were closed for it.
-        changed: Whether anything in it has changed since the last look.
-        looked_at: When that was, in seconds.
-    """
-
-    id: FabricDomainId
-    runs: dict[GroupId, GroupRun] = field(default_factory=dict)
-    unsaved: bool = False
-    writing: bool = False
-    reserved: ModelName | None = None
-    reserved_until: float = 0.0
-    promised: int = 0
-    freed: set[GroupId] = field(default_factory=set)
-    changed: bool = True
-    looked_at: float = float("-inf")
-
-    def is_due(self, now: float) -> bool:
-        """Tell whether it is to be looked at."""
-        if self.changed or now - self.looked_at >= REST_LOOK_S:
-            return True
-        return any(run.phase not in _AT_REST for run in self.runs.values())
-
-    def reserves(self, now: float) -> bool:
-        """Tell whether its VMs are kept for one model.
-
-        As long as a group that gives its VMs still ends, since its callers
-        may be served for seconds, and for a while after that.
-        """
-        awaited = not self.freed.isdisjoint(self.runs)
-        return self.reserved is not None and (awaited or now < self.reserved_until)
-
-
 class FormationPlanner:
     """Forms groups and keeps them, over all fabric domains.
 
@@ -152,20 +92,14 @@
         self._load_window_s = load_window_s
         self._free_until = free_until
         self._on_move = on_move
-        self._domains: dict[FabricDomainId, _Domain] = {}
-        self._sight = FleetSight({})
+        self._domains: dict[FabricDomainId, PlannedDomain] = {}
+        self._census = Census()
+        self._sight = self._census.sight
         self._engines: dict[ServiceName, EngineSpec] = {}
         self._loads: dict[ServiceName, LoadBudget] = {}
-        self._arrived_at: dict[FabricDomainId, float] = {}
-        self._seen: dict[InstanceId, Instance] = {}
-        self._by_domain: dict[FabricDomainId, list[Instance]] = {}
-        self._counts: dict[ServiceName, Counter[ModelName]] = {}
-        self._arrivals: set[InstanceId] = set()
-        self._held: dict[InstanceId, ModelName] = {}
-        self._births: dict[InstanceId, int] = {}
+        self._provision = Provision(self._domains)
         self._releases = ReleaseBook()
-        self._staging: dict[InstanceId, float] = {}
-        self._demand: dict[tuple[ServiceName, ModelName], float] = {}
+        self._staging = Staging(self._sight, self._loads)
         self._balanced_at = float("-inf")
         self._weighed_at = float("-inf")
         self._held_back_until = float("-inf")
@@ -196,48 +130,28 @@
     def restore(self, plans: Iterable[DomainPlan]) -> None:
         """Take the plans that a former holder left."""
         for plan in plans:
-            domain = self._domains.setdefault(plan.domain, _Domain(plan.domain))
+            domain = self._domains.setdefault(plan.domain, PlannedDomain(plan.domain))
             domain.runs = {one.group: GroupRun(one) for one in plan.groups}
             domain.unsaved, domain.writing, domain.changed = False, False, True
-        self._counts.clear()
+        self._provision.note_moved()
 
     def see(self, instances: Mapping[InstanceId, Instance]) -> None:
         """Take the instances as the store has them now."""
-        self._sight.instances = instances
-        gone = [one for name, one in self._seen.items() if name not in instances]
-        changed = [
-            one for name, one in instances.items() if self._seen.get(name) is not one
-        ]
-        if not gone and not changed:
+        change = self._census.see(instances)
+        if change is None:
             return
-        for one in gone:
-            self._drop(one)
-        for one in changed:
-            self._take(one)
+        for one in change.gone:
+            self._staging.forget(one)
+        for one in change.reborn:
+            self._forget(one)
+        for domain in change.domains:
+            self._touch(domain)
         self._sort_instances()
 
-    def _drop(self, gone: Instance) -> None:
-        del self._seen[gone.id]
-        self._sight.lost.discard(gone.id)
-        self._held.pop(gone.id, None)
-        self._staging.pop(gone.id, None)
-        self._births.pop(gone.id, None)
-        self._touch(gone.fabric_domain)
-
-    def _take(self, one: Instance) -> None:
-        before = self._seen.get(one.id)
-        self._seen[one.id] = one
-        if before is None:
-            self._arrivals.add(one.id)
-        elif before.fabric_domain != one.fabric_domain:
-            self._touch(before.fabric_domain)
-        self._touch(one.fabric_domain)
-        if is_reborn(self._births.get(one.id), one.born):
-            self._forget(one.id)
-        if one.born is not None:
-            self._births[one.id] = one.born
-        if one.membership is not None and one.model is not None:
-            self._held[one.id] = one.model
+    def _sort_instances(self) -> None:
+        for domain in self._census.sort(self._engines):
+            if domain not in self._domains:
+                self._domains[domain] = PlannedDomain(domain)
 
     def _touch(self, domain: FabricDomainId | None) -> None:
         """Have a domain looked at next time."""
@@ -246,15 +160,11 @@
             kept.changed = True
 
     def _touch_domain_of(self, instance: InstanceId) -> None:
-        found = self._seen.get(instance)
-        if found is not None:
-            self._touch(found.fabric_domain)
+        self._touch(self._census.find_domain(instance))
 
     def _forget(self, instance: InstanceId) -> None:
         """Forget a VM's earlier life: it is in no group and holds no model."""
-        self._held.pop(instance, None)
-        self._staging.pop(instance, None)
-        self._sight.lost.discard(instance)
+        self._staging.forget(instance)
         self._releases.forget(instance)
         for run in self.runs():
             if instance in run.record.members:
@@ -262,7 +172,7 @@
 
     def set_demand(self, demand: Mapping[tuple[ServiceName, ModelName], float]) -> None:
         """Take how many requests of each model run or wait, on average."""
-        self._demand = dict(demand)
+        self._provision.set_demand(demand)
 
     def lose(self, instance: InstanceId) -> None:
         """Take an instance for lost that answers nobody."""
@@ -287,7 +197,7 @@
             if run is not None:
                 run.note(order, outcome, now)
                 domain.changed = True
-                self._counts.clear()
+                self._provision.note_moved()
         self._releases.note(order, outcome)
 
     def note_saved(self, domain: FabricDomainId) -> None:
@@ -321,7 +231,7 @@
 
     def step(self, now: float) -> tuple[list[PlanWrite], list[GroupOrder]]:
         """Return the plans to write and the orders to give now."""
-        self._note_arrivals(now)
+        self._census.note_arrivals(now)
         writes: list[PlanWrite] = []
         orders = self._release_strays(now)
         self._balance(now)
@@ -333,11 +243,11 @@
         for domain in due:
             if domain.writing or now < self._held_back_until:
                 continue
-            self._allocate(domain, self._by_domain.get(domain.id, []), now)
+            self._allocate(domain, self._census.list_domain(domain.id), now)
             if domain.unsaved:
                 domain.unsaved, domain.writing = False, True
-                writes.append(PlanWrite(_describe(domain)))
-            orders += self._stage(domain, now)
+                writes.append(PlanWrite(domain.make_plan()))
+            orders += self._staging.stage(domain.runs.values(), self._engines, now)
         return writes, orders
 
     def _balance(self, now: float) -> None:
@@ -348,16 +258,16 @@
             return
         self._weighed_at = now
         for service, engine in self._engines.items():
-            demands = self._list_demands(service, engine)
+            demands = self._provision.list_demands(service, engine)
             if sum(one.busy for one in demands) < engine.slots:
                 continue
             shapes = [
                 shape
                 for domain in self._domains.values()
-                if (shape := self._find_shape(domain, service)) is not None
+                if (shape := domain.find_shape(service, self._sight)) is not None
             ]
-            groups = self._count_groups(service, now - SOON_S)
-            groups += self._count_promised(now)
+            groups = self._provision.count_groups(service, now - SOON_S)
+            groups += self._provision.count_promised(now)
             for chosen in find_conversions(demands, groups, shapes):
                 self._balanced_at = now
                 self._convert(chosen, engine, now)
@@ -380,150 +290,26 @@
         for run in self.runs():
             if run.record.group in chosen.groups:
                 run.move(GroupPhase.CLOSING, f"balance:{chosen.model}", now)
-                self._counts.clear()
+                self._provision.note_moved()
                 self._on_move(GroupMove(run.record, run.phase, run.reason))
 
-    def _count_promised(self, now: float) -> Counter[ModelName]:
-        """Count the groups that freed VMs are to form yet."""
-        found: Counter[ModelName] = Counter()
-        for domain in self._domains.values():
-            if domain.reserved is not None and domain.reserves(now):
-                found[domain.reserved] += domain.promised
-        return found
-
-    def _list_demands(
-        self, service: ServiceName, engine: EngineSpec
-    ) -> list[ModelDemand]:
-        return [
-            ModelDemand(
-                model, engine.slots, self._demand.get((service, model.name), 0.0)
-            )
-            for model in engine.models
-        ]
-
-    def _find_shape(self, domain: _Domain, service: ServiceName) -> DomainShape | None:
-        """Return a domain's shape, or None while anything happens there."""
-        groups = []
-        idle = 0
-        ready: Counter[ModelName] = Counter()
-        for run in domain.runs.values():
-            if run.record.service != service:
-                continue
-            if run.record.standby and run.phase is not GroupPhase.STANDBY:
-                # A VM that has come in loads for many seconds; the others
-                # need not wait for it.
-                continue
-            if run.phase not in (GroupPhase.SERVING, GroupPhase.STANDBY):
-                return None
-            able = self._count_ready(run.record)
-            if run.record.standby:
-                idle += 1
-                ready += able
-            else:
-                record = run.record
-                groups.append(ServingGroup(record.group, record.model, able))
-        return DomainShape(groups, idle, ready)
-
-    def _count_ready(self, record: GroupRecord) -> Counter[ModelName]:
-        """Count the members that could hold each model within seconds."""
-        ready: Counter[ModelName] = Counter()
-        for one in record.members:
-            found = self._sight.find(one)
-            if found is not None:
-                ready.update({record.model, *found.staged})
-        return ready
-
     def _list_open_needs(
-        self, domain: _Domain, service: ServiceName, now: float
+        self, domain: PlannedDomain, service: ServiceName, now: float
     ) -> list[ModelNeed]:
         """Return the models that a domain's idle VMs may serve now."""
-        needs = self._list_needs(service, self._engines[service])
+        needs = self._provision.list_needs(service, self._engines[service])
         if not domain.reserves(now):
             return needs
         return [need for need in needs if need.spec.name == domain.reserved]
 
-    def _list_needs(self, service: ServiceName, engine: EngineSpec) -> list[ModelNeed]:
-        """Return for each model how well it is provided for."""
-        groups = self._counts.get(service)
-        if groups is None:
-            groups = self._counts[service] = self._count_groups(service)
-        demands = self._list_demands(service, engine)
-        measured = sum(one.busy for one in demands) >= engine.slots / 2
-        needs = []
-        for one in demands:
-            count = groups[one.spec.name]
-            # The share is one of the VMs' work, and a group has many of them.
-            demand = one.busy if measured else one.spec.share / one.spec.size
-            use = one.busy / (max(count, LEFT_OF_FEW) * one.slots)
-            needs.append(ModelNeed(one.spec, count, demand, use if measured else None))
-        return needs
-
-    def _stage(self, domain: _Domain, now: float) -> list[GroupOrder]:
-        """Return orders that bring a second model into hosts' memory.
-
-        A VM that holds one model and has the other one at hand can take any
-        lost member's place within seconds. One that has changed its model has
-        not, and could not change back for as long as a load takes. Those that
-        serve get theirs in the background: their loads would make those slower
-        that callers wait for.
-        """
-        orders = []
-        for run in domain.runs.values():
-            budget = self._loads.get(run.record.service)
-            settled = run.phase in (GroupPhase.STANDBY, GroupPhase.SERVING)
-            if budget is None or not settled:
-                continue
-            for one in run.record.members:
-                orders += self._stage_one(run.record, one, budget, now)
-        return orders
-
-    def _stage_one(
-        self, record: GroupRecord, one: InstanceId, budget: LoadBudget, now: float
-    ) -> list[GroupOrder]:
-        engine = self._engines.get(record.service)
-        found = self._sight.find(one)
-        if engine is None or found is None or self._staging.get(one, 0.0) > now:
-            return []
-        other = next(
-            (
-                model
-                for model in engine.models
-                if model.name != record.model and model.name not in found.staged
-            ),
-            None,
-        )
-        has_another = any(name != record.model for name in found.staged)
-        if other is None or has_another or not budget.room(now):
-            return []
-        if not record.standby and not budget.has_background_room(now):
-            return []
-        budget.start(one, now, other.load_s)
-        self._staging[one] = now + other.load_s + RETRY_S
-        return [GroupOrder(one, OrderAction.STAGE, model=other.name)]
-
-    def _note_arrivals(self, now: float) -> None:
-        for one in self._arrivals & self._seen.keys():
-            domain = self._seen[one].fabric_domain
-            if domain is not None:
-                self._arrived_at[domain] = now
-        self._arrivals.clear()
-
-    def _order_domains(self) -> list[_Domain]:
+    def _order_domains(self) -> list[PlannedDomain]:
         # The domain with the fewest groups first, so that loads are not all
         # spent on one.
         return sorted(self._domains.values(), key=lambda one: (len(one.runs), one.id))
 
-    def _sort_instances(self) -> None:
-        found: defaultdict[FabricDomainId, list[Instance]] = defaultdict(list)
-        for one in self._seen.values():
-            if one.fabric_domain is None or one.service not in self._engines:
-                continue
-            found[one.fabric_domain].append(one)
-            if one.fabric_domain not in self._domains:
-                self._domains[one.fabric_domain] = _Domain(one.fabric_domain)
-        self._by_domain = dict(found)
-
-    def _advance(self, domain: _Domain, orders: list[GroupOrder], now: float) -> None:
+    def _advance(
+        self, domain: PlannedDomain, orders: list[GroupOrder], now: float
+    ) -> None:
         if domain.writing:
             # What is ordered now may belong to a plan that is not there yet.
             return
@@ -531,7 +317,7 @@
             before = run.phase
             due = run.step(self._sight, now)
             if run.phase is not before:
-                self._counts.clear()
+                self._provision.note_moved()
                 self._on_move(GroupMove(run.record, run.phase, run.reason))
             if run.phase in (GroupPhase.SERVING, GroupPhase.STANDBY):
                 self._end_loads(run.record)
@@ -551,7 +337,9 @@
             for one in record.members:
                 budget.end(one)
 
-    def _allocate(self, domain: _Domain, instances: list[Instance], now: float) -> None:
+    def _allocate(
+        self, domain: PlannedDomain, instances: list[Instance], now: float
+    ) -> None:
         by_service: defaultdict[ServiceName, list[Instance]] = defaultdict(list)
         for one in instances:
             by_service[one.service].append(one)
@@ -561,23 +349,23 @@
 
     def _allocate_one(
         self,
-        domain: _Domain,
+        domain: PlannedDomain,
         service: ServiceName,
         instances: list[Instance],
         now: float,
     ) -> bool:
-        candidates = self._list_candidates(domain, instances)
+        candidates = domain.list_candidates(instances, self._census, self._releases)
         if not candidates:
             return False
         here = Counter(
             run.record.model
             for run in domain.runs.values()
-            if not run.record.standby and run.phase in _SETTLED
+            if not run.record.standby and run.phase in SETTLED
         )
         standing = Counter(
             run.record.model
             for run in domain.runs.values()
-            if run.record.standby and run.phase in _SETTLED
+            if run.record.standby and run.phase in SETTLED
         )
         chosen = select_groups(
             candidates,
@@ -596,11 +384,9 @@
         self._add(domain, service, chosen, now)
         return True
 
-    def _expects_more(self, domain: _Domain, now: float) -> bool:
+    def _expects_more(self, domain: PlannedDomain, now: float) -> bool:
         """Tell whether VMs are about to become idle in a domain."""
-        if domain.reserves(now):
-            return True
-        return now - self._arrived_at.get(domain.id, float("-inf")) < ARRIVAL_S
+        return domain.reserves(now) or self._census.expects_more(domain.id, now)
 
     def _take_loads(self, service: ServiceName, chosen: Selection, now: float) -> bool:
         if not chosen.loads:
@@ -613,7 +399,7 @@
         return True
 
     def _add(
-        self, domain: _Domain, service: ServiceName, chosen: Selection, now: float
+        self, domain: PlannedDomain, service: ServiceName, chosen: Selection, now: float
     ) -> None:
         for one in chosen.members:
             # A VM that stood by leaves its own group by joining another.
@@ -626,63 +412,10 @@
             group, epoch, service, chosen.model.name, chosen.members, chosen.standby
         )
         domain.runs[group] = GroupRun(record, since=now)
-        self._counts.clear()
+        self._provision.note_moved()
         domain.unsaved = True
         self._on_move(GroupMove(record, GroupPhase.FORMING, "planned"))
 
-    def _list_candidates(
-        self, domain: _Domain, instances: list[Instance]
-    ) -> list[Candidate]:
-        planned: dict[InstanceId, GroupRun] = {}
-        for run in domain.runs.values():
-            for member in run.record.members:
-                planned[member] = run
-        found = []
-        for one in instances:
-            if one.state is InstanceState.LEAVING or one.id in self._sight.lost:
-                continue
-            holds = planned.get(one.id)
-            if holds is None:
-                if not self._releases.is_free(one):
-                    continue
-                found.append(Candidate(one, self._held.get(one.id), standby=False))
-            elif self._stands_by(one, holds):
-                held = self._held.get(one.id)
-                ready = holds.phase is GroupPhase.STANDBY
-                found.append(Candidate(one, held if ready else None, standby=True))
-        return found
-
-    def _stands_by(self, one: Instance, run: GroupRun) -> bool:
-        """Tell whether a VM stands by and may be taken for a group.
-
-        A plan may be older than what the VM does: while the store was down,
-        it may have joined a group that the plan does not know.
-        """
-        if not run.record.standby or run.phase is GroupPhase.ENDING:
-            return False
-        held = one.membership
-        own = held is not None and held.group == run.record.group
-        return own or self._releases.is_free(one)
-
-    def _count_groups(
-        self, service: ServiceName, soon_by: float = float("-inf")
-    ) -> Counter[ModelName]:
-        """Count groups that serve, or form.
-
-        Args:
-            service: Whose.
-            soon_by: Groups that began to form before then do not count: they
-                load, and serve nobody for many seconds yet.
-        """
-        return Counter(
-            run.record.model
-            for run in self.runs()
-            if run.record.service == service
-            and not run.record.standby
-            and run.phase in _SETTLED
-            and (run.phase is not GroupPhase.FORMING or run.since >= soon_by)
-        )
-
     def _release_strays(self, now: float) -> list[GroupOrder]:
         """Return orders that free instances of groups that no plan names."""
         groups = {run.record.group for run in self.runs()}
@@ -693,7 +426,3 @@
             if one.id not in planned and one.service in self._engines
         ]
         return self._releases.find_strays(unplanned, groups, self._sight, now)
-
-
-def _describe(domain: _Domain) -> DomainPlan:
-    return DomainPlan(domain.id, tuple(run.record for run in domain.runs.values()))
