--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -33,7 +33,16 @@
     ServiceName,
 )
 
-__all__ = ["ENGINE", "LARGE", "SERVICE", "SMALL", "FakeEngine", "FormationWorld"]
+__all__ = [
+    "ENGINE",
+    "LARGE",
+    "SERVICE",
+    "SMALL",
+    "FakeEngine",
+    "FormationWorld",
+    "make_idle",
+    "make_settled",
+]
 
 SERVICE = ServiceName("drafting")
 LARGE = ModelName("large")
@@ -367,3 +376,15 @@
             if theirs != (held.group, held.epoch):
                 return False
         return True
+
+
+def make_idle(name: str) -> Instance:
+    """Return a VM in no group."""
+    return FakeEngine(InstanceId(name), FabricDomainId("d0")).describe()
+
+
+def make_settled(size: int = 7) -> FormationWorld:
+    world = FormationWorld(size=size)
+    world.advance(12.0)
+    assert not world.broken
+    return world
