--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -1,9 +1,12 @@
 """Tests of upstreams that ask for a pause or announce that they leave."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
+
 import pytest
 from structlog.testing import capture_logs
 
-from tests.installation import Installation, run
+from tests.installation import Answer, Installation, run
 from zinniaspool.core.dispatch import InstanceNotice
 from zinniaspool.http import Headers
 from zinniaspool.platform.wire import list_unknown_headers, parse_notice
@@ -61,3 +64,108 @@
             assert ("leaving-announced", leaving.id) in asked
 
     run(test)
+
+
+_PAUSE_S = 2.0
+_GRACE_S = 0.5
+"""Time after a request for a pause in which requests may still arrive."""
+
+_MAX_IN_PAUSE = 2
+"""Requests of one VM that may arrive in the rest of a pause."""
+
+_DRAIN_S = 2.0
+"""Time after an answer that says so until a leaving upstream gets nothing."""
+
+
+def _count_most_in_pause(runner: Runner) -> int:
+    """Return the most requests that arrived in one pause."""
+    return max(
+        sum(begin + _GRACE_S < time <= begin + _PAUSE_S for time in runner.arrived)
+        for begin in runner.paused
+    )
+
+
+async def _send_for(
+    seconds: float, send: Callable[[], Awaitable[Answer]]
+) -> list[Answer]:
+    """Send a request every 50 ms; return the answers."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds
+    pending: list[asyncio.Future[Answer]] = []
+    while loop.time() < ends_at:
+        pending.append(asyncio.ensure_future(send()))
+        await asyncio.sleep(0.05)
+    return await asyncio.gather(*pending)
+
+
+def test_a_paused_upstream_gets_no_requests() -> None:
+    """Guards against requests at an upstream that has asked for a pause."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, plain=2) as made:
+            paused, _ = await _list_plain(made)
+            paused.faults.pause_s = _PAUSE_S
+            answers = await _send_for(5.0, lambda: made.ask("n0", "/receipts/one"))
+            assert len(paused.paused) >= 2
+            assert _count_most_in_pause(paused) <= _MAX_IN_PAUSE
+            assert {answer.status for answer in answers} == {200}
+
+    run(test)
+
+
+def test_a_service_whose_upstreams_all_pause_refuses_until_then() -> None:
+    """Guards against a pause that ends where no other upstream is left.
+
+    Callers are told when the first pause ends, not to come back sooner.
+    """
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, plain=2) as made:
+            plain = await _list_plain(made)
+            for runner in plain:
+                runner.faults.pause_s = _PAUSE_S
+            answers = await _send_for(4.0, lambda: made.ask("n0", "/receipts/one"))
+            for runner in plain:
+                assert _count_most_in_pause(runner) <= _MAX_IN_PAUSE
+            assert {answer.status for answer in answers} == {503}
+            told_s = [float(one.headers.get("retry-after") or 0) for one in answers[:9]]
+            assert min(told_s) >= _PAUSE_S - 9 * 0.05 - 0.2
+
+    run(test)
+
+
+def test_a_pause_outlasts_the_events_of_streams_that_go_on() -> None:
+    """Guards against a pause that the next event of a running stream ends."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, engines=9) as made:
+            await made.settle()
+            streams = [
+                asyncio.ensure_future(made.draft("n0", "small", 200, deadline_ms=9000))
+                for _ in range(3)
+            ]
+            await asyncio.sleep(0.3)
+            paused = max(made.heads("small"), key=lambda head: head.streams)
+            assert paused.streams
+            paused.faults.pause_s = _PAUSE_S
+            await _send_for(3.0, lambda: made.draft("n0", "small", 2))
+            assert paused.paused
+            assert _count_most_in_pause(paused) <= _MAX_IN_PAUSE
+            assert {answer.status for answer in await asyncio.gather(*streams)} == {200}
+
+    run(test)
+
+
+def test_an_upstream_that_says_it_leaves_gets_nothing_new() -> None:
+    """Guards against requests to a leaving upstream that only answers name."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, plain=2) as made:
+            leaving, _ = await _list_plain(made)
+            leaving.faults.says_leaving = True
+            began = asyncio.get_running_loop().time()
+            answers = await _send_for(4.0, lambda: made.ask("n0", "/receipts/one"))
+            assert [at for at in leaving.arrived if at > began + _DRAIN_S] == []
+            assert {answer.status for answer in answers} == {200}
+
+    run(test)
