--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -13,6 +13,7 @@
 queue, or is refused.
 """
 
+import math
 import random
 from collections import deque
 from dataclasses import dataclass
@@ -175,8 +176,8 @@
         """Admit requests from the queue as far as there is room now.
 
         Returns:
-            The requests that no longer wait: those admitted, and those whose
-            longest wait is over, which are ended.
+            The requests that no longer wait: those admitted, and those that
+            are ended because no target opens within their longest wait.
         """
         room = self._count_local_room(now)
         self._allowance = room + self._allowance % 1.0
@@ -186,8 +187,9 @@
             if not queued.has_left:
                 self._allowance -= 1.0
                 done.append(_admit(queued.ticket, now))
+        next_start = self._find_next_start(now) if self._queue else now
         while self._queue and (
-            self._queue[0].has_left or self._queue[0].wait_until <= now
+            self._queue[0].has_left or self._queue[0].wait_until <= next_start
         ):
             queued = self._queue.popleft()
             if not queued.has_left:
@@ -195,6 +197,14 @@
                 done.append(queued.ticket)
         return done
 
+    def _find_next_start(self, now: float) -> float:
+        """Return when a waiting request may begin at the earliest, in seconds.
+
+        A group may form at any moment where the pool has no target at all.
+        """
+        opening = self._pool.find_opening()
+        return max(now, opening) if opening < math.inf else now
+
     def expects_only_new_callers(self, now: float) -> bool:
         """Tell whether no refused caller can come back now."""
         return now - self._refused_at > RETURN_S
@@ -208,6 +218,7 @@
         )
         # Callers with the same retry time would all come back at once.
         wait_s *= self._random_source.uniform(0.75, 1.25)
+        wait_s = max(wait_s, self._pool.draw_retry_after(now) or 0.0)
         usable = self._pool.list_usable(now)
         first_event_s = min(
             (
--- a/src/zinniaspool/core/dispatch/backpressure.py
+++ b/src/zinniaspool/core/dispatch/backpressure.py
@@ -25,3 +25,14 @@
     rate: AnnouncedRate | None = None
     paused_until: float = float("-inf")
     leaving: bool = False
+
+    def find_opening(self, subset_part: float) -> float:
+        """Return when the instance accepts the next request, in seconds.
+
+        Args:
+            subset_part: The part of the instance that belongs to the processes
+                that report their requests to each other.
+        """
+        if self.rate is None:
+            return self.paused_until
+        return max(self.paused_until, self.rate.find_opening(subset_part))
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -7,6 +7,7 @@
 subsets module); their load is only estimated.
 """
 
+import math
 import random
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from zlib import crc32
@@ -105,6 +106,10 @@
 """Time for which a target is ejected, in seconds. A restart takes about as
 long."""
 
+MAX_RETRY_SPREAD = 1.25
+"""Largest retry time of callers, as a multiple of the time until a target
+opens."""
+
 
 class TargetPool:
     """The targets of one service or of one of its models.
@@ -500,9 +505,35 @@
             state.consecutive_failures = 0
             state.ejected_until = now + EJECT_S
 
-    def is_rate_limited(self, now: float) -> bool:
-        """Tell whether any target has reached the rate that it announced."""
-        return any(not state.is_within_rate(now) for state in self._states.values())
+    def find_opening(self) -> float:
+        """Return when the first target accepts a request by its own statement.
+
+        Returns:
+            Seconds; infinite if no target is going to accept one.
+        """
+        return min(
+            (state.find_opening() for state in self._states.values()), default=math.inf
+        )
+
+    def has_closed_target(self, now: float) -> bool:
+        """Tell whether any target accepts no requests now, but will later."""
+        return any(
+            now < state.find_opening() < math.inf for state in self._states.values()
+        )
+
+    def draw_retry_after(self, now: float) -> float | None:
+        """Return when a caller may come back if no target accepts requests.
+
+        Returns:
+            Time from now, in seconds, at least until the first target opens.
+            It differs by caller, so that they don't all come back at once.
+            None if a target is open, or if none is going to open.
+        """
+        opening = self.find_opening()
+        if not now < opening < math.inf:
+            return None
+        spread = self._random_source.uniform(1.0, MAX_RETRY_SPREAD)
+        return round((opening - now) * spread, 2)
 
     def _list_last_resort(
         self, now: float, tried: Collection[InstanceId]
@@ -512,10 +543,7 @@
         return [
             state
             for name, state in self._states.items()
-            if name not in tried
-            and now >= state.backoff_until
-            and not state.target.draining
-            and state.is_within_rate(now)
+            if name not in tried and now >= state.backoff_until and state.is_open(now)
         ]
 
     def _compute_cost(
--- a/src/zinniaspool/core/dispatch/rates.py
+++ b/src/zinniaspool/core/dispatch/rates.py
@@ -1,5 +1,7 @@
 """Limits requests to an upstream that has announced a rate limit."""
 
+import math
+
 __all__ = ["AnnouncedRate"]
 
 MIN_PER_S = 0.25
@@ -35,9 +37,21 @@
                 that report their requests to each other.
             now: Seconds.
         """
+        return self.find_opening(subset_part) <= now
+
+    def find_opening(self, subset_part: float) -> float:
+        """Return when the next request may be sent, in seconds.
+
+        Args:
+            subset_part: As for ``allows``.
+
+        Returns:
+            Infinite if the processes that report their requests to each other
+            have no part of the upstream.
+        """
         if not subset_part:
-            return False
-        return self._next_due <= now + (BURST_REQUESTS - 1.0) * self._compute_spacing(
+            return math.inf
+        return self._next_due - (BURST_REQUESTS - 1.0) * self._compute_spacing(
             subset_part
         )
 
--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -1,5 +1,6 @@
 """Targets of requests, and the state that a process keeps of each."""
 
+import math
 from dataclasses import dataclass
 
 from zinniaspool.core.dispatch.backpressure import Backpressure
@@ -146,16 +147,25 @@
         """Include newly arrived prompts in the peak of the current pass."""
         self.peak_unread_tokens = max(self.peak_unread_tokens, self.known_unread_tokens)
 
-    def is_within_rate(self, now: float) -> bool:
-        """Whether the announced rate allows one more request."""
-        rate = None if self.backpressure is None else self.backpressure.rate
-        return rate is None or rate.allows(self.subset_part, now)
+    def find_opening(self) -> float:
+        """Return when it accepts the next request by its own statement.
+
+        Returns:
+            Seconds; infinite if it accepts no more.
+        """
+        if self.removed or self.target.draining:
+            return math.inf
+        if self.backpressure is None:
+            return -math.inf
+        return self.backpressure.find_opening(self.subset_part)
+
+    def is_open(self, now: float) -> bool:
+        """Whether it accepts requests now by its own statement."""
+        return self.find_opening() <= now
 
     def is_usable(self, now: float) -> bool:
         """Whether requests may be sent there now."""
-        if self.removed or self.target.draining:
-            return False
-        if not self.is_within_rate(now):
+        if not self.is_open(now):
             return False
         return now >= self.backoff_until and now >= self.ejected_until
 
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 from http import HTTPStatus
 
 import structlog
@@ -17,7 +18,7 @@
     TargetPool,
     TargetState,
 )
-from zinniaspool.core.errors import ErrorKind, Fault
+from zinniaspool.core.errors import ERROR_ANSWERS, ErrorKind, Fault
 from zinniaspool.core.fleet import RequestKind
 from zinniaspool.gateway.backpressure import BackpressureTracker
 from zinniaspool.gateway.calls import FailedAnswer, GatewayCall
@@ -134,7 +135,7 @@
                 break
         else:
             kind = ErrorKind.NO_UPSTREAM
-            if pool.is_rate_limited(loop.time()):
+            if pool.has_closed_target(loop.time()):
                 kind = ErrorKind.OVERLOADED
             fault = call.attempts.make_no_upstream_fault(kind)
         if call.failed_answer is not None and call.progress is Progress.NOTHING:
@@ -142,7 +143,7 @@
                 call, call.failed_answer.response, call.failed_answer.body
             )
             return Ok(None)
-        return Err(fault)
+        return Err(_add_retry_after(fault, pool, loop.time()))
 
     def _choose(self, call: GatewayCall, pool: TargetPool) -> TargetState | None:
         now = asyncio.get_running_loop().time()
@@ -441,6 +442,18 @@
 )
 
 
+def _add_retry_after(fault: Fault, pool: TargetPool, now: float) -> Fault:
+    """Return a fault with the retry time that the pool's targets imply.
+
+    What callers are told by default is too short if all targets have asked for
+    a longer pause.
+    """
+    has_default = ERROR_ANSWERS[fault.kind].retry_after is not None
+    if fault.kind is ErrorKind.QUARANTINED or not has_default:
+        return fault
+    return replace(fault, retry_after=pool.draw_retry_after(now))
+
+
 def _is_stream(response: ClientResponse) -> bool:
     kind = response.headers.get("content-type") or ""
     return response.status == HTTPStatus.OK and kind.startswith(EVENT_STREAM)
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -98,11 +98,11 @@
     for group in ("g1", "g2"):
         pool.update([replace(head, group=GroupId(group))], 0.0)
         (state,) = pool
-        while state.is_within_rate(0.0):
+        while state.is_open(0.0):
             assert state.backpressure is asked and asked.rate is not None
             asked.rate.record_request(state.subset_part, 0.0)
         assert pool.choose(0.0) is None
-        assert pool.is_rate_limited(0.0)
+        assert pool.has_closed_target(0.0)
 
 
 _SendRequest = Callable[[str], Awaitable[Answer]]
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -1,13 +1,26 @@
 """Tests of upstreams that ask for a pause or announce that they leave."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 from structlog.testing import capture_logs
 
 from tests.installation import Answer, Installation, run
-from zinniaspool.core.dispatch import InstanceNotice
+from zinniaspool.core.dispatch import (
+    AdmissionController,
+    AdmissionRequest,
+    Backpressure,
+    InstanceNotice,
+    Refusal,
+    Target,
+    TargetPool,
+    TicketState,
+)
+from zinniaspool.core.fleet import InstanceId, InstanceIncarnation, TargetLoad
+from zinniaspool.core.ids import Address, CustomerId, FailureDomainId, GroupId
 from zinniaspool.http import Headers
 from zinniaspool.platform.wire import list_unknown_headers, parse_notice
 from zinniaspool_standins.runners import Runner
@@ -66,6 +79,49 @@
     run(test)
 
 
+def _make_paused_pool() -> TargetPool:
+    """Return a pool whose only target has asked for a pause until 3.0."""
+    head = Target(InstanceId("i"), Address("10.0.0.1:1"), FailureDomainId("a"), 8)
+    asked = {InstanceIncarnation(head.instance, None): Backpressure(paused_until=3.0)}
+    pool = TargetPool(FailureDomainId("a"), random.Random(1), asked)
+    pool.update([replace(head, group=GroupId("g1"))], 0.0)
+    return pool
+
+
+def test_a_pause_outlasts_the_group_of_its_upstream() -> None:
+    """Guards against a newly formed group whose head gets requests at once."""
+    pool = _make_paused_pool()
+    (state,) = pool
+    pool.update([replace(state.target, group=GroupId("g2"))], 0.0)
+    assert pool.choose(2.9) is None
+    assert pool.choose(3.0) is not None
+
+
+def test_requests_do_not_wait_for_a_pause_that_outlasts_their_wait() -> None:
+    """Guards against callers that wait although the refusal is certain."""
+    pool = _make_paused_pool()
+    (state,) = pool
+    paused, state.backpressure = state.backpressure, None
+    state.peer_load = TargetLoad(state.target.slots)
+    admission = AdmissionController(pool, random.Random(1))
+    request = AdmissionRequest(CustomerId("c"), 1, -1.0, 2.0)
+    admission.admit_waiting(0.0)
+    queued = admission.submit(request, 0.0)
+    assert not isinstance(queued, Refusal)
+    state.backpressure = paused
+    assert admission.admit_waiting(0.1) == [queued]
+    assert queued.state is TicketState.ENDED
+
+
+def test_callers_come_back_after_a_pause_and_not_all_at_once() -> None:
+    """Guards against a retry time before the pause ends, or a rush."""
+    admission = AdmissionController(_make_paused_pool(), random.Random(1))
+    request = AdmissionRequest(CustomerId("c"), 1, -1.0, 2.0)
+    told_s = [admission.refuse(request, 0.0).retry_after_s for _ in range(20)]
+    assert min(told_s) >= 3.0
+    assert len(set(told_s)) > 10
+
+
 _PAUSE_S = 2.0
 _GRACE_S = 0.5
 """Time after a request for a pause in which requests may still arrive."""
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -38,6 +38,13 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "an upstream that has asked for a pause gets no requests",
+        f"{CORE}/dispatch/targets.py",
+        "return self.backpressure.find_opening(self.subset_part)",
+        "return -math.inf",
+        "tests/test_backpressure.py::test_a_paused_upstream_gets_no_requests",
+    ),
     Safeguard(
         "VMs tell each other what they send to a limited upstream",
         "src/zinniaspool/gateway/backpressure.py",
@@ -48,7 +55,7 @@
     Safeguard(
         "a limit holds also where no other upstream is left",
         f"{CORE}/dispatch/pools.py",
-        "            and state.is_within_rate(now)\n",
+        "            and state.is_open(now)\n",
         "",
         "tests/test_announced_limits.py::"
         "test_a_service_whose_upstreams_all_announce_limits_refuses_the_rest",
