--- a/src/zinniaspool/core/dispatch/backpressure.py
+++ b/src/zinniaspool/core/dispatch/backpressure.py
@@ -5,6 +5,7 @@
 incarnation of the instance, whichever group it heads.
 """
 
+import math
 from dataclasses import dataclass
 
 from zinniaspool.core.dispatch.rates import AnnouncedRate
@@ -32,7 +33,12 @@
         Args:
             subset_part: The part of the instance that belongs to the processes
                 that report their requests to each other.
+
+        Returns:
+            Infinite if the instance is leaving.
         """
+        if self.leaving:
+            return math.inf
         if self.rate is None:
             return self.paused_until
         return max(self.paused_until, self.rate.find_opening(subset_part))
