--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -169,6 +169,14 @@
             return []
         return self._put(StoredItem(key, value, before.revision), amended=True)
 
+    def count_outdated(self, items: Iterable[StoredItem]) -> int:
+        """Return how many items are older than what the copy has of them."""
+        return sum(
+            before is not None and item.revision < before.revision
+            for item in items
+            for before in (self._items.get(item.key),)
+        )
+
     def mark_outage(self, now: float) -> None:
         """Record that the store is down, and defer removals for a while."""
         self._grace_ends_at = now + REMOVAL_GRACE_S
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -496,6 +496,14 @@
             return reading
         self._mirror_complete = True
         contents = reading.ok_value
+        outdated = self._view.mirror.count_outdated(contents.items)
+        if outdated:
+            _log.warning(
+                "read-outdated",
+                keys=outdated,
+                read_as_of=contents.as_of,
+                as_of=self._view.mirror.as_of,
+            )
         changes = self._view.mirror.replace(contents.items, contents.as_of, self._now())
         self._view.apply_changes(changes)
         return Ok(None)
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -188,6 +188,17 @@
     ) -> tuple[int, bytes]:
         """Send a request and return the response's status and whole body.
 
+        Raises:
+            TransportError: The whole response did not arrive in time.
+        """
+        status, _, body = await self.fetch_with_headers(address, request, timeout_s)
+        return status, body
+
+    async def fetch_with_headers(
+        self, address: Address, request: Request, timeout_s: float
+    ) -> tuple[int, Headers, bytes]:
+        """Send a request; return its response's status, headers and body.
+
         Raises:
             TransportError: The whole response did not arrive in time.
         """
@@ -195,7 +206,7 @@
             async with asyncio.timeout(timeout_s):
                 response = await self.send(address, request, timeout_s)
                 try:
-                    return response.status, await response.read()
+                    return response.status, response.headers, await response.read()
                 except asyncio.CancelledError:
                     response.abort()
                     raise
--- a/src/zinniaspool/platform/kvstore.py
+++ b/src/zinniaspool/platform/kvstore.py
@@ -9,6 +9,7 @@
 from urllib.parse import quote
 
 import msgspec
+import structlog
 from result import Err, Ok, Result
 
 from zinniaspool.core.fleet import HOLDER_KEY, MirrorEvent, StoredItem
@@ -43,6 +44,9 @@
 pages again, those would fill the link for many seconds and hardly any process
 would get one."""
 
+_GENERATION = "store-era"
+
+_log = structlog.get_logger(__name__)
 _T = TypeVar("_T")
 
 
@@ -83,10 +87,15 @@
     Args:
         client: Sends the requests.
         address: The store's address.
+
+    Attributes:
+        generation: The latest generation of the store that an answer named.
     """
 
     def __init__(self, client: HttpClient, address: Address) -> None:
         self.calls: Counter[tuple[StoreCall, str]] = Counter()
+        self.generation = 0
+        self._knows_generation = False
         self._client = client
         self._address = address
 
@@ -219,6 +228,14 @@
         target = f"/v1/kv-lease-end/{lease}"
         return _require_lease(await self._call(StoreCall.END_LEASE, "DELETE", target))
 
+    def _record_generation(self, generation: int) -> None:
+        if self._knows_generation and generation > self.generation:
+            _log.warning(
+                "store-restored", generation=generation, before=self.generation
+            )
+        self._knows_generation = True
+        self.generation = max(self.generation, generation)
+
     async def _call(
         self,
         kind: StoreCall,
@@ -231,13 +248,18 @@
         headers = Headers.of(content_type="application/json") if data else Headers()
         request = Request(method, target, headers, data)
         try:
-            status, answer = await self._client.fetch(self._address, request, timeout_s)
+            status, fields, answer = await self._client.fetch_with_headers(
+                self._address, request, timeout_s
+            )
         except TransportError as error:
             fault = StoreFault.UNKNOWN
             if error.failure is TransportFailure.NOT_SENT:
                 fault = StoreFault.UNAVAILABLE
             self.calls[kind, fault.value] += 1
             return Err(fault)
+        generation = _parse_generation(fields)
+        if generation is not None:
+            self._record_generation(generation)
         rejection = _FAULTS.get(status)
         if rejection is None and status not in _DECODED_STATUSES:
             rejection = StoreFault.UNKNOWN
@@ -255,6 +277,12 @@
 }
 
 
+def _parse_generation(headers: Headers) -> int | None:
+    """Return the store's generation that an answer names, or None."""
+    text = headers.get(_GENERATION) or ""
+    return int(text) if text.isdecimal() else None
+
+
 def _decode(body: bytes, kind: type[_T]) -> Result[_T, StoreFault]:
     try:
         return Ok(msgspec.json.decode(body, type=kind))
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -117,6 +117,8 @@
         "peer-stale": "A peer's mirror of the store was too old, or the peer did not "
         "answer.",
         "plan-unsaved": "The store did not accept a plan; the plan is written again.",
+        "read-outdated": "A read of the whole store returned keys at older revisions "
+        "than are known.",
         "record-unreadable": "A record that a process wrote to the store cannot be "
         "decoded.",
         "request-ended": "A request ended; the keys give its targets, attempts and "
@@ -127,6 +129,8 @@
         "stopping": "The process was told to stop and finishes its running requests.",
         "store-lost": "The store stopped answering.",
         "store-regained": "The store answers again.",
+        "store-restored": "The store came back from an older copy; its revisions and "
+        "leases of before are void.",
         "target-gone": "A target was removed from this process's targets.",
         "targets-shared": "The peers that share this process's subset of targets have "
         "changed.",
--- a/src/zinniaspool_standins/installation.py
+++ b/src/zinniaspool_standins/installation.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from zinniaspool.core.ids import Address
-from zinniaspool_standins.pagestore import PageStore
+from zinniaspool_standins.pagestore import PageStore, StoreCopy
 from zinniaspool_standins.runners import Runner, RunnerTimes
 
 __all__ = ["KEY", "SIZES", "Installation", "free_address", "make_rules"]
@@ -83,6 +83,22 @@
         value = b64encode(msgspec.json.encode(rules)).decode()
         self.store.put("op/config", value)
 
+    async def restore_store(self, kept: StoreCopy, away_s: float = 0.2) -> None:
+        """Let the store be away for a moment and come back from a copy.
+
+        The operator and the runners then write what they had written.
+        """
+        value = self.store.get("op/config")
+        assert value is not None
+        self.store.faults.down = "reset"
+        await asyncio.sleep(away_s)
+        self.store.restore(kept)
+        self.store.faults.down = ""
+        if self.store.get("op/config") != value:
+            self.store.put("op/config", value)
+        for runner in self.runners.values():
+            runner.write_again()
+
     def add_runner(self, service: str, domain: str | None) -> Runner:
         """Start one more instance."""
         name = f"i-{self._named:02}"
--- a/src/zinniaspool_standins/pagestore.py
+++ b/src/zinniaspool_standins/pagestore.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import copy
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -14,10 +15,9 @@
 import msgspec
 
 from zinniaspool.core.ids import Address
-from zinniaspool.http import Exchange, HttpServer
-from zinniaspool_standins.serving import answer_json
+from zinniaspool.http import Exchange, Headers, HttpServer
 
-__all__ = ["PageStore", "PageStoreFaults"]
+__all__ = ["PageStore", "PageStoreFaults", "StoreCopy"]
 
 PAGE_ITEMS = 50
 """Items of one page: few, so that readers meet more than one page."""
@@ -79,6 +79,17 @@
     body: dict[str, object]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What a copy of the store keeps."""
+
+    revision: int
+    next_lease: int
+    items: dict[str, _Item]
+    leases: dict[int, _Lease]
+    events: deque[_Event]
+
+
 class PageStore:
     """The store, listening on one address for each caller that may be cut."""
 
@@ -86,6 +97,7 @@
         self.faults = PageStoreFaults()
         self.calls: Counter[str] = Counter()
         self.revision = 1
+        self.era = 1
         self._items: dict[str, _Item] = {}
         self._leases: dict[int, _Lease] = {}
         self._events: deque[_Event] = deque()
@@ -140,6 +152,34 @@
         self._events.clear()
         self._dropped = self.revision
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of what the store has now."""
+        return copy.deepcopy(
+            StoreCopy(
+                self.revision,
+                self._next_lease,
+                self._items,
+                self._leases,
+                self._events,
+            )
+        )
+
+    def restore(self, kept: StoreCopy) -> None:
+        """Come back from a copy: all that came after it is gone."""
+        kept = copy.deepcopy(kept)
+        self.era += 1
+        self.revision, self._next_lease = kept.revision, kept.next_lease
+        self._items, self._leases = kept.items, kept.leases
+        self._events = kept.events
+        for lease in self._leases.values():
+            lease.ends = _now() + lease.ttl_s
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _answer(self, exchange: Exchange, status: int, body: object) -> None:
+        headers = Headers.of(content_type="application/json", store_era=str(self.era))
+        await exchange.respond(status, headers, msgspec.json.encode(body))
+
     def get(self, key: str) -> str | None:
         """Return a key's value."""
         item = self._items.get(key)
@@ -172,16 +212,16 @@
                 await self._answer_keep(exchange, int(number))
             case ("DELETE", ["kv-lease-end", number]):
                 found = self._end(int(number))
-                await answer_json(exchange, 200 if found else 404, {})
+                await self._answer(exchange, 200 if found else 404, {})
             case _:
-                await answer_json(exchange, 400, {})
+                await self._answer(exchange, 400, {})
 
     async def _fail(self, exchange: Exchange, how: str) -> None:
         match how:
             case "busy":
-                await answer_json(exchange, 503, {})
+                await self._answer(exchange, 503, {})
             case "many":
-                await answer_json(exchange, 429, {})
+                await self._answer(exchange, 429, {})
             case "reset":
                 exchange.abort()
             case _:
@@ -190,9 +230,9 @@
     async def _answer_key(self, exchange: Exchange, key: str) -> None:
         item = self._items.get(key)
         if item is None:
-            await answer_json(exchange, 404, {"as-of": self.revision})
+            await self._answer(exchange, 404, {"as-of": self.revision})
             return
-        await answer_json(exchange, 200, {**item.describe(), "as-of": self.revision})
+        await self._answer(exchange, 200, {**item.describe(), "as-of": self.revision})
 
     async def _answer_range(self, exchange: Exchange, query: dict[str, str]) -> None:
         prefix, after = query.get("path-prefix", ""), query.get("after", "")
@@ -205,7 +245,7 @@
             "truncated": len(keys) > PAGE_ITEMS,
             "as-of": self.revision,
         }
-        await answer_json(exchange, 200, body)
+        await self._answer(exchange, 200, body)
 
     async def _answer_watch(
         self, exchange: Exchange, query: dict[str, str], address: Address
@@ -213,8 +253,8 @@
         prefix, after = query.get("path-prefix", ""), int(query["after"])
         ends = _now() + int(query["wait-ms"]) / 1000
         while True:
-            if after < self._dropped:
-                await answer_json(exchange, 410, {})
+            if not self._dropped <= after <= self.revision:
+                await self._answer(exchange, 410, {})
                 return
             found = [
                 event.body
@@ -224,7 +264,7 @@
             left = ends - _now()
             if found or left <= 0:
                 body = {"events": found, "as-of": self.revision}
-                await answer_json(exchange, 200, body)
+                await self._answer(exchange, 200, body)
                 return
             changed = self._changed
             try:
@@ -247,7 +287,7 @@
         if status == HTTPStatus.OK and self.faults.lose_answers:
             self.faults.lose_answers -= 1
             await asyncio.sleep(30.0)
-        await answer_json(exchange, status, answer)
+        await self._answer(exchange, status, answer)
 
     def _commit(self, body: dict[str, list[dict[str, object]]]) -> tuple[int, object]:
         expected = body.get("expected", [])
@@ -275,15 +315,15 @@
         ttl_s = max(1.0, ttl_ms / 1000)
         self._leases[self._next_lease] = _Lease(ttl_s, _now() + ttl_s)
         body = {"lease": self._next_lease, "ttl-ms": int(ttl_s * 1000)}
-        await answer_json(exchange, 200, body)
+        await self._answer(exchange, 200, body)
 
     async def _answer_keep(self, exchange: Exchange, number: int) -> None:
         lease = self._leases.get(number)
         if lease is None:
-            await answer_json(exchange, 404, {})
+            await self._answer(exchange, 404, {})
             return
         lease.ends = _now() + lease.ttl_s
-        await answer_json(exchange, 200, {"ttl-ms": int(lease.ttl_s * 1000)})
+        await self._answer(exchange, 200, {"ttl-ms": int(lease.ttl_s * 1000)})
 
     def _end(self, number: int) -> bool:
         lease = self._leases.pop(number, None)
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -173,6 +173,10 @@
 
     # The entry.
 
+    def write_again(self) -> None:
+        """Write the entry anew, since the store may have an older one."""
+        self._written = ""
+
     def _keep_entry(self) -> None:
         if self.faults.dark or self.faults.cut:
             self._silent += self.times.heartbeat_s / 8
