--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,13 +4,38 @@
 given out again.
 """
 
+import asyncio
+from base64 import b64decode, b64encode
+
+from result import Err
 from structlog.testing import capture_logs
 
-from tests.installation import Installation, eventually, run
+from tests.installation import Installation, eventually, free_address, run
+from zinniaspool.core.dispatch import identify_content
+from zinniaspool.core.fleet import HELD_PREFIX, NODES_PREFIX, PLANS_PREFIX
+from zinniaspool.core.storage import KeyWrite, StoreFault
+from zinniaspool.http import HttpClient
+from zinniaspool.platform.kvstore import KvStore
+from zinniaspool_standins.pagestore import PageStore
 
 IN_FORCE_S = 2.0
 """Time after its acknowledgement in which a configuration is in force."""
 
+REPEATED_BODY = b"asked again"
+RECORD = HELD_PREFIX + identify_content("POST", "/drafts/one", "care", REPEATED_BODY)
+RECORDED = b64encode(b'{"node":"n9","crashed":["i-97","i-98","i-99"]}').decode()
+
+
+def count_planning(made: Installation) -> int:
+    """Return how many control processes plan groups now."""
+    return sum(node.keeper.may_plan for node in made.nodes.values())
+
+
+def find_planning(made: Installation) -> str:
+    """Return the VM whose control process plans groups, or an empty name."""
+    planning = [name for name, node in made.nodes.items() if node.keeper.may_plan]
+    return planning[0] if planning else ""
+
 
 def list_versions(made: Installation) -> list[int]:
     """Return the version of the configuration at each entry process."""
@@ -39,3 +64,158 @@
                 )
 
     run(test)
+
+
+def test_a_change_after_a_restored_store_is_in_force_in_time() -> None:
+    """Guards against revisions that are compared across a restore."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=2) as made:
+            await made.settle()
+            kept = made.store.make_copy()
+            await make_changes(made)
+            await made.restore_store(kept)
+            made.keys = ["another-key"]
+            made.configure()
+            await asyncio.sleep(IN_FORCE_S)
+            assert list_versions(made) == [made.version] * 2
+            for node in made.nodes:
+                assert (await made.draft(node, "small", 1)).status == 401
+
+    run(test)
+
+
+def test_an_older_configuration_is_not_put_in_force_by_a_restored_store() -> None:
+    """Guards against a configuration that goes back for a while."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=2) as made:
+            await made.settle()
+            kept = made.store.make_copy()
+            await make_changes(made)
+            made.store.restore(kept)
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                assert list_versions(made) == [made.version] * 2
+
+    run(test)
+
+
+async def repair_group(made: Installation) -> None:
+    """Lose a member of a group, and wait until a plan names a new group."""
+    before = made.groups("large")
+    head = made.heads("large")[0]
+    made.runners[head.members[1]].faults.dark = True
+    await eventually(lambda: made.groups("large") - before, 5.0)
+    (formed,) = list(made.groups("large") - before)[:1]
+    plan = b64decode(made.store.get(PLANS_PREFIX + "d0") or "").decode()
+    assert f'"{formed}"' in plan
+
+
+def test_groups_are_repaired_after_a_restored_store() -> None:
+    """Guards against a holder whose plans the store refuses for good."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=2, engines=12) as made:
+            await made.settle()
+            kept = made.store.make_copy()
+            await repair_group(made)
+            await made.restore_store(kept)
+            await asyncio.sleep(0.5)
+            await repair_group(made)
+            for node in made.nodes:
+                await made.await_served(node, "large")
+            made.assert_sound()
+
+    run(test)
+
+
+def test_a_vm_that_started_after_the_copy_is_listed_again() -> None:
+    """Guards against an entry VM whose record the restore has lost."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=1) as made:
+            await made.settle()
+            kept = made.store.make_copy()
+            await made.add_node("n9")
+            await made.await_served("n9", "small")
+            await eventually(lambda: made.store.get(NODES_PREFIX + "n9"))
+            await made.restore_store(kept)
+            await eventually(lambda: made.store.get(NODES_PREFIX + "n9"), 2.0)
+
+    run(test)
+
+
+def test_a_quarantine_outlasts_a_restored_store() -> None:
+    """Guards against a restore that releases a request that crashes."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=2) as made:
+            await made.settle()
+            kept = made.store.make_copy()
+            made.store.put(RECORD, RECORDED)
+            await asyncio.sleep(1.0)
+            await made.restore_store(kept)
+            await eventually(lambda: made.store.get(RECORD), 4.0)
+            for node in made.nodes:
+                answer = await made.draft(node, "small", 2, body=REPEATED_BODY)
+                assert answer.headers.get("x-error-kind") == "quarantined"
+
+    run(test)
+
+
+def test_one_process_plans_after_a_restore_that_lost_the_holders_key() -> None:
+    """Guards against an earlier holder that plans beside its successor.
+
+    The restored store has the earlier holder's key, and that process runs.
+    """
+
+    async def test() -> None:
+        async with Installation.running(nodes=3, engines=9) as made:
+            await made.settle()
+            first = find_planning(made)
+            kept = made.store.make_copy()
+            cut = made.nodes[first].file.store_address
+            made.store.faults.only, made.store.faults.down = [cut], "reset"
+            await eventually(lambda: find_planning(made) not in ("", first))
+            second = find_planning(made)
+            made.store.faults.only, made.store.faults.down = [], ""
+            await make_changes(made, 2)
+            await made.restore_store(kept)
+            for _ in range(150):
+                assert count_planning(made) <= 1
+                await asyncio.sleep(0.02)
+            assert find_planning(made) == second
+            made.assert_sound()
+
+    run(test)
+
+
+def test_revisions_and_leases_of_before_a_restore_are_void() -> None:
+    """Guards against a call that hits what was given out again."""
+
+    async def test() -> None:
+        server = PageStore()
+        address = free_address()
+        await server.listen(address)
+        store = KvStore(HttpClient(), address)
+        kept = server.make_copy()
+        lease = (await store.grant(60.0)).unwrap()
+        first = (await store.commit([], [KeyWrite("a", b"1", lease)])).unwrap()
+        server.restore(kept)
+        other = KvStore(HttpClient(), address)
+        assert (await other.grant(60.0)).unwrap() != lease
+        second = (await other.commit([], [KeyWrite("a", b"2")])).unwrap()
+        assert second > first
+        renewed = await store.renew(lease)
+        assert isinstance(renewed, Err) and renewed.err_value is StoreFault.NO_LEASE
+        over = await store.commit([("a", first)], [KeyWrite("a", b"3")])
+        assert isinstance(over, Err) and over.err_value is StoreFault.CONFLICT
+        ended = await store.end_lease(lease)
+        assert isinstance(ended, Err) and ended.err_value is StoreFault.NO_LEASE
+        watched = (await store.watch("", first, 0.1)).unwrap()
+        assert not watched.complete
+        item = (await store.get("a")).unwrap()
+        assert item is not None and (item.value, item.revision) == (b"2", second)
+
+    run(test)
