--- a/src/zinniaspool/core/fleet/instances.py
+++ b/src/zinniaspool/core/fleet/instances.py
@@ -102,6 +102,7 @@
         membership: Its replica group.
         started_at_ms: Unix milliseconds of its start; None if it does not
             report that.
+        order_count: Orders that it has accepted since its start.
     """
 
     id: InstanceId
@@ -115,6 +116,16 @@
     staged: tuple[ModelName, ...] = ()
     membership: Membership | None = None
     started_at_ms: int | None = None
+    order_count: int = 0
+
+    def is_overtaken_by(self, other: "Instance") -> bool:
+        """Tell whether another record of this instance is certainly later."""
+        if has_restarted(self.started_at_ms, other.started_at_ms):
+            return False
+        if self.order_count != other.order_count:
+            return self.order_count < other.order_count
+        leaves = other.state is InstanceState.LEAVING
+        return leaves and self.state is not InstanceState.LEAVING
 
 
 def has_restarted(earlier_start_ms: int | None, later_start_ms: int | None) -> bool:
--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -8,12 +8,14 @@
 owners write them again within seconds of the store's return. If each of these
 removals counted as the end of an instance, every outage would empty the
 fleet. So for a while after an outage the copy defers such a removal, and
-applies it only if the key is still missing at the end of that time.
+applies it only if the key is still missing at the end of that time. The same
+holds after the store came back from an older copy.
 """
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from zinniaspool.core.generations import find_generation
 from zinniaspool.core.ids import Revision
 
 __all__ = ["MirrorChange", "MirrorEvent", "StoreMirror", "StoredItem"]
@@ -93,6 +95,11 @@
         """Whether the copy holds any state of the store yet."""
         return self.as_of > 0
 
+    @property
+    def generation(self) -> int:
+        """The store's generation that the copy shows."""
+        return find_generation(self.as_of)
+
     @property
     def confirmed_as_of(self) -> Revision:
         """The store's revision up to which every change has been applied.
@@ -202,6 +209,11 @@
                 the copy of a peer that amends values itself.
         """
         changes: list[MirrorChange] = []
+        if self.is_loaded and find_generation(as_of) > self.generation:
+            # Owners write their keys again as after an outage. What was
+            # removed between the copy and the restore is not known.
+            self.mark_outage(now)
+            self.history_start = as_of
         self.history_start = self.history_start or as_of
         seen = set()
         for item in items:
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -231,6 +231,11 @@
         planned = self._domains[domain]
         planned.writing, planned.unsaved, planned.changed = False, True, True
 
+    def save_all_plans(self) -> None:
+        """Have the plans of all domains written again."""
+        for domain in self._domains:
+            self.on_plan_not_saved(domain)
+
     def find_group(self, instance: InstanceId) -> GroupRecord | None:
         """Return the group whose plan names an instance, or None."""
         for run in self.list_runs():
--- a/src/zinniaspool/core/ids.py
+++ b/src/zinniaspool/core/ids.py
@@ -69,7 +69,8 @@
 """Hash of a part's content; also the part's name in the store."""
 
 Revision = NewType("Revision", int)
-"""The store's modification number of a key; 0 stands for an absent key."""
+"""The store's modification number of a key; 0 stands for an absent key. It
+includes the store's generation (core/generations.py)."""
 
 
 def split_address(address: Address) -> tuple[str, int]:
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -27,6 +27,7 @@
     StoreMirror,
     has_restarted,
 )
+from zinniaspool.core.generations import format_revision
 from zinniaspool.core.ids import ContentId, NodeId
 from zinniaspool.fleet.sight import read_boot_clock
 from zinniaspool.fleet.spelling import FleetCodec
@@ -73,6 +74,10 @@
         quarantined: Contents that are recorded as sent to no upstream.
         on_quarantine: Called with the contents that were added to and removed
             from the quarantine.
+        on_restored: Called after the store came back from an older copy, with
+            the quarantined contents whose records it has lost.
+        restored_at: When this process learned of the last restore, on the
+            clock that goes on while the VM is suspended.
         store_confirmed_at: When the store last answered this process itself,
             on the clock that goes on while the VM is suspended.
         unreachable: Instances that the holder reports as unreachable. It
@@ -96,6 +101,9 @@
         self.on_quarantine: list[
             Callable[[frozenset[ContentId], frozenset[ContentId]], None]
         ] = []
+        self.on_restored: list[Callable[[frozenset[ContentId]], None]] = []
+        self.restored_at = _NEVER_CONFIRMED_S
+        self._generation: int | None = None
         self.store_confirmed_at = _NEVER_CONFIRMED_S
         self.unreachable: frozenset[InstanceId] = frozenset()
         self._unreachable_reported_at = _NEVER_CONFIRMED_S
@@ -204,11 +212,15 @@
         """Apply changes of the mirror to the view and call the listeners."""
         listeners: set[int] = set()
         quarantined = set(self.quarantined)
+        lost_contents: set[ContentId] = set()
+        is_restored = self._update_generation()
         for change in changes:
             if change.key == self._codec.rules_key:
                 self._apply_rules(change)
                 listeners.add(0)
             elif change.key.startswith(self._codec.instances_prefix):
+                if is_restored and self._is_overtaken(change):
+                    continue
                 if self._decodes_instances:
                     self._apply_instance(change)
                     listeners.add(1)
@@ -217,10 +229,12 @@
                 listeners.add(2)
             elif change.key.startswith(HELD_PREFIX):
                 content = ContentId(change.key.removeprefix(HELD_PREFIX))
-                if change.after is None:
-                    quarantined.discard(content)
-                else:
+                if change.after is not None:
                     quarantined.add(content)
+                    continue
+                quarantined.discard(content)
+                if is_restored:
+                    lost_contents.add(content)
             elif change.key == HOLDER_KEY:
                 self._apply_holder(change)
                 listeners.add(2)
@@ -230,17 +244,53 @@
             if number in listeners:
                 for listener in group:
                     listener()
-        self._set_quarantined(frozenset(quarantined))
+        self._set_quarantined(frozenset(quarantined), frozenset(lost_contents))
+        if is_restored:
+            for restore_listener in self.on_restored:
+                restore_listener(frozenset(lost_contents))
         if changes:
             for listener in self.on_change:
                 listener()
 
-    def _set_quarantined(self, quarantined: frozenset[ContentId]) -> None:
+    def _update_generation(self) -> bool:
+        """Return whether the mirror now shows another generation."""
+        before, generation = self._generation, self.mirror.generation
+        if not self.mirror.is_loaded or generation == before:
+            return False
+        self._generation = generation
+        if before is None:
+            return False
+        self.restored_at = read_boot_clock()
+        _log.warning("mirror-restored", generation=generation, before=before)
+        return True
+
+    def _is_overtaken(self, change: MirrorChange) -> bool:
+        """Keep what is known of an instance if the restored record is older.
+
+        The instance writes its record again within seconds. Until then an
+        upstream that is leaving would get requests again.
+        """
+        if change.before is None or change.after is None:
+            return False
+        known = self._codec.decode_instance(change.key, change.before.value)
+        restored = self._codec.decode_instance(change.key, change.after.value)
+        if isinstance(known, Err) or isinstance(restored, Err):
+            return False
+        if not restored.ok_value.is_overtaken_by(known.ok_value):
+            return False
+        self.mirror.amend(change.key, change.before.value)
+        return True
+
+    def _set_quarantined(
+        self, quarantined: frozenset[ContentId], lost: frozenset[ContentId]
+    ) -> None:
+        """Set the recorded contents, of which lost records release nothing."""
         before, self.quarantined = self.quarantined, quarantined
-        if quarantined == before:
+        added, removed = quarantined - before, before - quarantined - lost
+        if not added and not removed:
             return
         for listener in self.on_quarantine:
-            listener(quarantined - before, before - quarantined)
+            listener(added, removed)
 
     def _apply_rules(self, change: MirrorChange) -> None:
         if change.after is None:
@@ -251,18 +301,24 @@
             # one stays in effect until a new one can be decoded.
             _log.error(
                 "configuration-unreadable",
-                revision=change.after.revision,
+                revision=format_revision(change.after.revision),
                 reason=decoded.err_value,
             )
             return
         catalog = decoded.ok_value
         if self.catalog is not None and catalog.version < self.catalog.version:
+            _log.warning(
+                "configuration-outdated",
+                version=catalog.version,
+                in_force=self.catalog.version,
+                revision=format_revision(change.after.revision),
+            )
             return
         self.catalog = catalog
         _log.info(
             "configuration-in-force",
             version=catalog.version,
-            revision=change.after.revision,
+            revision=format_revision(change.after.revision),
         )
 
     def _apply_instance(self, change: MirrorChange) -> None:
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -25,6 +25,7 @@
     StoredItem,
     choose_relays,
 )
+from zinniaspool.core.generations import find_generation, format_revision
 from zinniaspool.core.ids import Address, FailureDomainId, NodeId, Revision
 from zinniaspool.core.messages.fleet import FleetUpdate, FleetWatch
 from zinniaspool.core.storage import StoreFault
@@ -332,6 +333,8 @@
         """
         if not update.as_of:
             return False
+        if find_generation(update.as_of) < self._view.mirror.generation:
+            return False
         holder = self._view.holder
         is_from_term = holder is not None and update.leader == holder.start
         if (
@@ -501,8 +504,8 @@
             _log.warning(
                 "read-outdated",
                 keys=outdated,
-                read_as_of=contents.as_of,
-                as_of=self._view.mirror.as_of,
+                read_as_of=format_revision(contents.as_of),
+                as_of=format_revision(self._view.mirror.as_of),
             )
         changes = self._view.mirror.replace(contents.items, contents.as_of, self._now())
         self._view.apply_changes(changes)
@@ -525,7 +528,7 @@
             # keys must be read again. The process that is followed reads them
             # for its followers; if each VM did so itself, the store would send
             # the records of the whole fleet to every VM.
-            _log.info("history-dropped", as_of=mirror.as_of)
+            _log.info("history-dropped", as_of=format_revision(mirror.as_of))
             self._mirror_complete = False
             if self._uses_relays and not self._is_holder():
                 await asyncio.sleep(random.uniform(0.0, MAX_REREAD_DELAY_S))
@@ -546,7 +549,7 @@
             self._retry_delay_s = delay_s * random.uniform(0.7, 1.0)
             return
         if not self.reachable:
-            _log.info("store-regained", as_of=mirror.as_of)
+            _log.info("store-regained", as_of=format_revision(mirror.as_of))
         self.reachable = True
         self._retry_delay_s = MIN_RETRY_DELAY_S
         if self._mirror_complete:
--- a/src/zinniaspool/fleet/leases.py
+++ b/src/zinniaspool/fleet/leases.py
@@ -1,6 +1,7 @@
 """A store lease that a process renews, and for how long it can trust it."""
 
 import asyncio
+import contextlib
 
 import structlog
 from result import Err
@@ -51,6 +52,7 @@
         self._ttl_s = ttl_s
         self._trusted_until = 0.0
         self._last_succeeded = True
+        self._check_requested = asyncio.Event()
 
     @property
     def trusted(self) -> bool:
@@ -86,11 +88,18 @@
         return True
 
     async def wait_until_due(self) -> None:
-        """Wait until the next renewal is due."""
+        """Wait until the next renewal is due or a check is requested."""
         pause_s = self._ttl_s * RENEW_PART
-        await asyncio.sleep(
-            pause_s if self._last_succeeded else min(pause_s, RETRY_DELAY_S)
-        )
+        if not self._last_succeeded:
+            pause_s = min(pause_s, RETRY_DELAY_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._check_requested.wait()
+        self._check_requested.clear()
+
+    def request_check(self) -> None:
+        """Have the lease renewed or replaced now."""
+        self._check_requested.set()
 
     async def release(self) -> None:
         """End the lease, which removes all keys written under it."""
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from zinniaspool.core.fleet import DemandTotals, ModelDemandReport, StoredItem
+from zinniaspool.core.generations import find_generation
 from zinniaspool.core.ids import (
     Address,
     FailureDomainId,
@@ -214,14 +215,16 @@
 
     async def _create_update(self, watch: FleetWatch) -> FleetUpdate:
         mirror = self._view.mirror
-        known = watch.source == self._source and watch.serial > 0
+        # Only the whole copy shows what the store lost when it was restored.
+        behind = find_generation(watch.as_of) - mirror.generation
+        known = watch.source == self._source and watch.serial > 0 and not behind
         if known and mirror.serial == watch.serial:
             await self._wait_for_change(min(watch.wait_s, ANSWER_TIMEOUT_S / 2))
         source, whole = self._source, False
         since: object = (known, watch.serial if known else watch.as_of)
         if known:
             changed = mirror.list_since_serial(watch.serial)
-        elif not watch.as_of:
+        elif not watch.as_of or behind < 0:
             changed, whole = mirror.list_since_serial(0), True
         elif mirror.history_start and mirror.history_start <= watch.as_of:
             # What the peer already has isn't sent again: when there is a new
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -26,7 +26,7 @@
     NodeState,
     ReachabilityTracker,
 )
-from zinniaspool.core.ids import Address, NodeId
+from zinniaspool.core.ids import Address, ContentId, NodeId
 from zinniaspool.core.messages import Hello, Message
 from zinniaspool.core.messages.fleet import (
     ClearedContents,
@@ -79,6 +79,11 @@
 answers within about a second. The renewals of the processes' leases are most
 of the store's calls in an idle fleet."""
 
+RESTORE_SPREAD_S = 0.02
+"""Time for each VM of the fleet over which the processes replace their leases
+after the store was restored, in seconds. All processes share the rate of calls
+that the store allows."""
+
 ACCEPT_AFTER_STOP_S = 4.8
 """Time after the stop signal in which new requests are accepted, in seconds. A
 later request would be cut if it took longer than the rest of the stop
@@ -250,6 +255,7 @@
         self._fleet_view.on_instances.append(self._refresh_targets)
         self._fleet_view.on_nodes.append(self._update_subset)
         self._fleet_view.on_quarantine.append(self._crash_detector.apply_records)
+        self._fleet_view.on_restored.append(self._write_records_again)
 
     def stop(self) -> None:
         """Make the process stop gracefully."""
@@ -471,6 +477,15 @@
                     written = wanted
             await self._lease.wait_until_due()
 
+    def _write_records_again(self, lost_contents: frozenset[ContentId]) -> None:
+        """Write what the store may have lost when it was restored."""
+        for content in lost_contents:
+            self._quarantine_records.add(content, found_here=False)
+        spread_s = RESTORE_SPREAD_S * len(self._fleet_view.nodes)
+        asyncio.get_running_loop().call_later(
+            random.uniform(0.0, spread_s), self._lease.request_check
+        )
+
     async def _write_record(self, state: NodeState) -> bool:
         assert self._lease.lease_number is not None
         key = NODES_PREFIX + self._settings.node
--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -19,6 +19,7 @@
 from result import Err
 
 from zinniaspool.core.fleet import HOLDER_KEY, HolderRecord
+from zinniaspool.core.generations import find_generation, format_revision
 from zinniaspool.core.ids import Address, NodeId, Revision
 from zinniaspool.core.storage import KeyWrite, StoreFault
 from zinniaspool.fleet import (
@@ -61,6 +62,11 @@
 and how many are asked first whether they reach the store. There are enough of
 them that a few peers that are cut off themselves do not decide the outcome."""
 
+RECLAIM_S = 1.0
+"""Time after a restore of the store in which no process takes over, in
+seconds. The process that planned before gets the key back meanwhile, although
+the store may have lost it."""
+
 MAX_JITTER_S = 0.1
 """Longest random delay of a candidate, in seconds. It spreads the candidates,
 so that mostly a single write decides the election."""
@@ -120,6 +126,7 @@
         self._record = HolderRecord(node, address, secrets.token_hex(6))
         self._candidacy_delay_s = candidacy_delay_s
         self._provisional_until = float("-inf")
+        self._predecessor_start = ""
 
     @property
     def holds_key(self) -> bool:
@@ -127,7 +134,20 @@
         if not self.revision:
             return False
         item = self._fleet_view.mirror.get(HOLDER_KEY)
-        return item is None or item.revision <= self.revision
+        if item is None or item.revision <= self.revision:
+            return True
+        holder = self._fleet_view.holder
+        return (
+            self._is_key_void
+            and holder is not None
+            and holder.start in (self._record.start, self._predecessor_start)
+        )
+
+    @property
+    def _is_key_void(self) -> bool:
+        """Whether the store was restored since this process wrote the key."""
+        generation = self._fleet_view.mirror.generation
+        return find_generation(self.revision) < generation
 
     @property
     def may_plan(self) -> bool:
@@ -167,7 +187,9 @@
             if self.revision and not self.holds_key:
                 _log.warning("holder-lost", reason="another process took over")
                 self.revision = Revision(0)
-            if self.holds_key:
+            if self.holds_key and self._is_key_void:
+                await self._reclaim_key()
+            elif self.holds_key:
                 await self._check_store_outage()
             elif self.store_answers:
                 if await self._is_vacant():
@@ -226,6 +248,8 @@
 
     async def _is_vacant(self) -> bool:
         """Tell whether no process plans, as far as this one and peers know."""
+        if read_boot_clock() - self._fleet_view.restored_at < RECLAIM_S:
+            return False
         holder = self._fleet_view.holder
         if holder is None:
             await asyncio.sleep(
@@ -263,7 +287,31 @@
             return False
         return self._fleet_view.holder == holder
 
+    async def _reclaim_key(self) -> None:
+        """Get the key at its revision in the store's new generation.
+
+        The restored store has the key as this process wrote it, or lost it, or
+        has the one of the process from which this one took over.
+        """
+        item, holder = self._fleet_view.mirror.get(HOLDER_KEY), self._fleet_view.holder
+        is_own = holder is not None and holder.start == self._record.start
+        if item is not None and is_own:
+            self.revision = item.revision
+            return
+        revision = await self._commit_key()
+        if revision is not None:
+            self.revision = revision
+            _log.info("holder-key-rewritten", revision=format_revision(revision))
+
     async def _write_key(self) -> None:
+        before = self._fleet_view.holder
+        revision = await self._commit_key()
+        if revision is not None:
+            self._predecessor_start = "" if before is None else before.start
+            self._on_acquired(revision)
+
+    async def _commit_key(self) -> Revision | None:
+        """Write the key if it is as known; return its revision, or None."""
         current = self._fleet_view.mirror.get(HOLDER_KEY)
         expected = Revision(0) if current is None else current.revision
         value = msgspec.json.encode(self._record)
@@ -271,19 +319,21 @@
             [(HOLDER_KEY, expected)], [KeyWrite(HOLDER_KEY, value)]
         )
         if not isinstance(committed, Err):
-            self._on_acquired(committed.ok_value)
-        elif committed.err_value is StoreFault.UNKNOWN:
-            await self._resolve_unknown_write(value)
+            return committed.ok_value
+        if committed.err_value is StoreFault.UNKNOWN:
+            return await self._resolve_unknown_write(value)
+        return None
 
-    async def _resolve_unknown_write(self, value: bytes) -> None:
-        """Find out whether a write whose answer was lost has been applied."""
+    async def _resolve_unknown_write(self, value: bytes) -> Revision | None:
+        """Return a write's revision if it was applied without an answer."""
         stored = await self._store.get(HOLDER_KEY)
         if isinstance(stored, Err) or stored.ok_value is None:
-            return
-        if stored.ok_value.value == value:
-            self._on_acquired(stored.ok_value.revision)
+            return None
+        return stored.ok_value.revision if stored.ok_value.value == value else None
 
     def _on_acquired(self, revision: Revision, *, inherited: bool = False) -> None:
         self.revision = revision
         self.acquired.set()
-        _log.info("holder-taken", revision=revision, inherited=inherited)
+        _log.info(
+            "holder-taken", revision=format_revision(revision), inherited=inherited
+        )
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -220,11 +220,15 @@
         planner.defer_formation(self._loads_unlimited_until - FORMATION_LEAD_S)
         # Until another process takes over, the plans in memory are the newest;
         # those in the store may be from before an outage.
+        revision = self._election.revision
         while self._election.holds_key:
             self._changed.clear()
             if not self._election.may_plan:
                 await asyncio.sleep(NOT_ALLOWED_PAUSE_S)
                 continue
+            if self._election.revision != revision:
+                revision = self._election.revision
+                self._handle_restored_store(planner)
             catalog = self._fleet_view.catalog
             assert catalog is not None
             planner.configure(
@@ -259,6 +263,16 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def _handle_restored_store(self, planner: FormationPlanner) -> None:
+        """Write all plans again, and query all engines.
+
+        Plans and instance records in the store are those of the older copy
+        from which it came back.
+        """
+        self._plans.update_revisions(self._fleet_view.mirror)
+        planner.save_all_plans()
+        self._start(self._query_all_engines(planner))
+
     async def _query_all_engines(self, planner: FormationPlanner) -> None:
         """Query the status of every engine before any order is sent.
 
--- a/src/zinniaspool/keeper/plans.py
+++ b/src/zinniaspool/keeper/plans.py
@@ -29,16 +29,22 @@
     def load(self, mirror: StoreMirror) -> list[DomainPlan]:
         """Return the plans that are in the store, and keep their revisions."""
         plans = []
-        self._revisions.clear()
+        self.update_revisions(mirror)
         for item in mirror.list_by_prefix(PLANS_PREFIX):
             domain = FabricDomainId(item.key.removeprefix(PLANS_PREFIX))
-            self._revisions[domain] = item.revision
             try:
                 plans.append(msgspec.json.decode(item.value, type=DomainPlan))
             except msgspec.MsgspecError as error:
                 _log.error("plan-unreadable", domain=domain, reason=str(error))
         return plans
 
+    def update_revisions(self, mirror: StoreMirror) -> None:
+        """Keep the revisions at which the plans are in the store now."""
+        self._revisions = {
+            FabricDomainId(item.key.removeprefix(PLANS_PREFIX)): item.revision
+            for item in mirror.list_by_prefix(PLANS_PREFIX)
+        }
+
     async def save(
         self, plan: DomainPlan, holder_revision: Revision
     ) -> StoreFault | None:
--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -129,6 +129,7 @@
             tuple(ModelName(model) for model in raw.staged),
             membership.ok_value,
             _decode_start(raw.born),
+            raw.seq_no,
         )
     )
 
--- a/src/zinniaspool/platform/kvstore.py
+++ b/src/zinniaspool/platform/kvstore.py
@@ -3,7 +3,8 @@
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import quote
@@ -13,6 +14,12 @@
 from result import Err, Ok, Result
 
 from zinniaspool.core.fleet import HOLDER_KEY, MirrorEvent, StoredItem
+from zinniaspool.core.generations import (
+    add_generation,
+    find_generation,
+    find_number,
+    make_revision,
+)
 from zinniaspool.core.ids import Address, Revision
 from zinniaspool.core.storage import (
     KeyWrite,
@@ -77,6 +84,21 @@
     lease: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store.
+
+    Attributes:
+        status: HTTP status.
+        body: Its body.
+        generation: The store's generation that gave it.
+    """
+
+    status: int
+    body: bytes
+    generation: int
+
+
 class KvStore:
     """Implements ``FleetStore`` by calls to the platform's store.
 
@@ -84,6 +106,9 @@
     it, and the store may still apply it seconds later. Such a call returns
     ``UNKNOWN``, and its caller must read the key to find out.
 
+    Revisions and leases of an earlier generation of the store are void: the
+    store has most likely given out their numbers again.
+
     Args:
         client: Sends the requests.
         address: The store's address.
@@ -105,10 +130,12 @@
         answer = await self._call(StoreCall.GET, "GET", target)
         if isinstance(answer, Err):
             return answer
-        status, body = answer.ok_value
-        if status == HTTPStatus.NOT_FOUND:
+        found = answer.ok_value
+        if found.status == HTTPStatus.NOT_FOUND:
             return Ok(None)
-        return _decode(body, _Item).and_then(_decode_item)
+        return _decode(found.body, _Item).and_then(
+            lambda raw: _decode_item(raw, found.generation)
+        )
 
     async def probe(self) -> bool:
         """Return whether the store answers at all."""
@@ -121,7 +148,7 @@
         page returns what changed between them.
         """
         items: list[StoredItem] = []
-        as_of: int | None = None
+        as_of: Revision | None = None
         after = ""
         while True:
             target = f"/v1/kv-range?path-prefix={quote(prefix, safe='')}"
@@ -132,18 +159,22 @@
             )
             if isinstance(answer, Err):
                 return answer
-            page = _decode(answer.ok_value[1], _Range)
+            page = _decode(answer.ok_value.body, _Range)
             if isinstance(page, Err):
                 return page
-            found = page.ok_value
-            as_of = found.as_of if as_of is None else as_of
+            found, generation = page.ok_value, answer.ok_value.generation
+            if as_of is None:
+                as_of = make_revision(generation, found.as_of)
+            elif generation != find_generation(as_of):
+                # The store was restored between two pages.
+                return Err(StoreFault.UNKNOWN)
             for raw in found.items:
-                item = _decode_item(raw)
+                item = _decode_item(raw, generation)
                 if isinstance(item, Err):
                     return item
                 items.append(item.ok_value)
             if not found.truncated or not found.items:
-                return Ok(RangeResult(items, Revision(as_of)))
+                return Ok(RangeResult(items, as_of))
             after = found.items[-1].key
 
     async def watch(
@@ -161,20 +192,26 @@
             wait_s: How long the store may wait for a change, in seconds.
             overdue_s: How much later its answer may arrive, in seconds.
         """
+        if self._is_void(after):
+            return Ok(WatchResult([], after, complete=False))
         wait_ms = max(1, int(wait_s * 1000))
         target = (
             f"/v1/kv-watch?path-prefix={quote(prefix, safe='')}"
-            f"&after={after}&wait-ms={wait_ms}"
+            f"&after={find_number(after)}&wait-ms={wait_ms}"
         )
         answer = await self._call(
             StoreCall.WATCH, "GET", target, timeout_s=wait_s + overdue_s
         )
         if isinstance(answer, Err):
             return answer
-        status, body = answer.ok_value
-        if status == HTTPStatus.GONE:
+        found = answer.ok_value
+        if found.status == HTTPStatus.GONE or not _is_of_generation(
+            [after], found.generation
+        ):
             return Ok(WatchResult([], after, complete=False))
-        return _decode(body, _Watch).and_then(_decode_watch)
+        return _decode(found.body, _Watch).and_then(
+            lambda watch: _decode_watch(watch, found.generation)
+        )
 
     async def commit(
         self,
@@ -189,13 +226,21 @@
             writes: Keys to write, with their values and leases.
             removals: Keys to remove.
         """
+        revisions = [revision for _, revision in expected]
+        leases = [write.lease for write in writes]
+        if any(map(self._is_void, revisions)):
+            return Err(StoreFault.CONFLICT)
+        if any(map(self._is_void, leases)):
+            return Err(StoreFault.NO_LEASE)
         body = {
-            "expected": [{"key": key, "revision": rev} for key, rev in expected],
+            "expected": [
+                {"key": key, "revision": find_number(rev)} for key, rev in expected
+            ],
             "set-keys": [
                 {
                     "key": write.key,
                     "value": b64encode(write.value).decode(),
-                    "lease": write.lease,
+                    "lease": find_number(write.lease),
                 }
                 for write in writes
             ],
@@ -204,10 +249,16 @@
         answer = await self._call(StoreCall.COMMIT, "POST", "/v1/kv-txn", body)
         if isinstance(answer, Err):
             return answer
-        status, data = answer.ok_value
-        if status == HTTPStatus.NOT_FOUND:
+        found = answer.ok_value
+        if found.status == HTTPStatus.NOT_FOUND:
             return Err(StoreFault.NO_LEASE)
-        return _decode(data, _Written).map(lambda written: Revision(written.revision))
+        if not _is_of_generation([*revisions, *leases], found.generation):
+            # The store was restored since, and the write may have hit a
+            # revision or a lease that was given out again.
+            return Err(StoreFault.UNKNOWN)
+        return _decode(found.body, _Written).map(
+            lambda written: make_revision(found.generation, written.revision)
+        )
 
     async def grant(self, ttl_s: float) -> Result[LeaseNumber, StoreFault]:
         """Return a new lease, whose end removes the keys written under it."""
@@ -215,18 +266,30 @@
         answer = await self._call(StoreCall.GRANT, "POST", "/v1/kv-lease", body)
         if isinstance(answer, Err):
             return answer
-        granted = _decode(answer.ok_value[1], _Granted)
-        return granted.map(lambda grant: LeaseNumber(grant.lease))
+        generation = answer.ok_value.generation
+        return _decode(answer.ok_value.body, _Granted).map(
+            lambda grant: LeaseNumber(add_generation(generation, grant.lease))
+        )
 
     async def renew(self, lease: LeaseNumber) -> Result[None, StoreFault]:
         """Renew a lease for its full lifetime."""
-        answer = await self._call(StoreCall.RENEW, "POST", f"/v1/kv-keep/{lease}", {})
-        return _require_lease(answer)
+        if self._is_void(lease):
+            return Err(StoreFault.NO_LEASE)
+        target = f"/v1/kv-keep/{find_number(lease)}"
+        answer = await self._call(StoreCall.RENEW, "POST", target, {})
+        return _require_lease(answer, lease)
 
     async def end_lease(self, lease: LeaseNumber) -> Result[None, StoreFault]:
         """End a lease and remove its keys."""
-        target = f"/v1/kv-lease-end/{lease}"
-        return _require_lease(await self._call(StoreCall.END_LEASE, "DELETE", target))
+        if self._is_void(lease):
+            return Err(StoreFault.NO_LEASE)
+        target = f"/v1/kv-lease-end/{find_number(lease)}"
+        answer = await self._call(StoreCall.END_LEASE, "DELETE", target)
+        return _require_lease(answer, lease)
+
+    def _is_void(self, token: int) -> bool:
+        """Tell whether a revision or a lease is of an earlier generation."""
+        return token != 0 and find_generation(token) < self.generation
 
     def _record_generation(self, generation: int) -> None:
         if self._knows_generation and generation > self.generation:
@@ -243,7 +306,7 @@
         target: str,
         body: object = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Result[tuple[int, bytes], StoreFault]:
+    ) -> Result[_Answer, StoreFault]:
         data = b"" if body is None else msgspec.json.encode(body)
         headers = Headers.of(content_type="application/json") if data else Headers()
         request = Request(method, target, headers, data)
@@ -257,16 +320,16 @@
                 fault = StoreFault.UNAVAILABLE
             self.calls[kind, fault.value] += 1
             return Err(fault)
-        generation = _parse_generation(fields)
-        if generation is not None:
-            self._record_generation(generation)
+        named = _parse_generation(fields)
+        if named is not None:
+            self._record_generation(named)
         rejection = _FAULTS.get(status)
         if rejection is None and status not in _DECODED_STATUSES:
             rejection = StoreFault.UNKNOWN
         self.calls[kind, "ok" if rejection is None else rejection.value] += 1
         if rejection is not None:
             return Err(rejection)
-        return Ok((status, answer))
+        return Ok(_Answer(status, answer, self.generation if named is None else named))
 
 
 _DECODED_STATUSES = frozenset({200, 404, 410})
@@ -290,30 +353,38 @@
         return Err(StoreFault.UNKNOWN)
 
 
-def _decode_item(raw: _Item) -> Result[StoredItem, StoreFault]:
+def _decode_item(raw: _Item, generation: int) -> Result[StoredItem, StoreFault]:
     try:
         value = b64decode(raw.value, validate=True)
     except Base64Error:
         return Err(StoreFault.UNKNOWN)
-    return Ok(StoredItem(raw.key, value, Revision(raw.revision)))
+    return Ok(StoredItem(raw.key, value, make_revision(generation, raw.revision)))
 
 
-def _decode_watch(watch: _Watch) -> Result[WatchResult, StoreFault]:
+def _decode_watch(watch: _Watch, generation: int) -> Result[WatchResult, StoreFault]:
     events = []
     for raw in watch.events:
-        item = _decode_item(raw)
+        item = _decode_item(raw, generation)
         if isinstance(item, Err):
             return item
         value = None if raw.removed else item.ok_value.value
-        events.append(MirrorEvent(raw.key, value, Revision(raw.revision)))
-    return Ok(WatchResult(events, Revision(watch.as_of)))
+        events.append(MirrorEvent(raw.key, value, item.ok_value.revision))
+    return Ok(WatchResult(events, make_revision(generation, watch.as_of)))
+
+
+def _is_of_generation(tokens: Iterable[int], generation: int) -> bool:
+    """Tell whether revisions and leases, where given, are of a generation."""
+    return all(find_generation(token) == generation for token in tokens if token != 0)
 
 
 def _require_lease(
-    answer: Result[tuple[int, bytes], StoreFault],
+    answer: Result[_Answer, StoreFault], lease: LeaseNumber
 ) -> Result[None, StoreFault]:
     if isinstance(answer, Err):
         return answer
-    if answer.ok_value[0] == HTTPStatus.NOT_FOUND:
+    found = answer.ok_value
+    if found.status == HTTPStatus.NOT_FOUND or not _is_of_generation(
+        [lease], found.generation
+    ):
         return Err(StoreFault.NO_LEASE)
     return Ok(None)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -38,6 +38,8 @@
         "keyed-call-failed": "An internal error of this process ended a keyed call.",
         "attempt-failed": "One attempt of a request at an upstream failed.",
         "callers-listening": "The process listens on its address for callers.",
+        "configuration-outdated": "The store holds an older configuration than the one "
+        "in force, which stays.",
         "configuration-unreadable": "The store holds a configuration that cannot be "
         "decoded.",
         "credentials-changed": "A credential file changed and is in use.",
@@ -90,6 +92,8 @@
         "holder-changed": "Another process, or no process, is the holder.",
         "holding-provisionally": "No peer reaches the store; this process goes on "
         "planning.",
+        "holder-key-rewritten": "The holder wrote its key again, which the store had "
+        "lost when it was restored.",
         "holder-lost": "This process is no longer the holder.",
         "holder-taken": "This process is the holder from now on.",
         "instance-gone": "An instance's record was removed or is no longer usable.",
@@ -108,6 +112,8 @@
         "accepts, or that it has no limit any more.",
         "log-lines-dropped": "The number of log lines dropped since the start, by "
         "class.",
+        "mirror-restored": "The mirror shows a store that came back from an older "
+        "copy.",
         "news-unreadable": "A peer's update of the store's contents cannot be decoded.",
         "order-given": "An engine was given an order, with its outcome.",
         "node-unreachable": "This entry VM cannot reach another one and does not "
