--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -224,7 +224,7 @@
             self._view.expire_unreachable(self._now())
             if await self._follow_peers():
                 self._view.apply_changes(
-                    self._view.mirror.apply_due_removals(self._now())
+                    self._view.mirror.apply_due_changes(self._now())
                 )
                 continue
             result = await self._follow_store()
@@ -281,7 +281,8 @@
         if self._local_control is not None:
             return [self._local_control]
         holder = self._view.holder
-        if holder is None:
+        if holder is None or holder.node == self._location.node:
+            # An earlier term of this process is no source of changes.
             return []
         return [*self._find_relays(holder), holder.peer_address]
 
@@ -554,7 +555,7 @@
         self._retry_delay_s = MIN_RETRY_DELAY_S
         if self._mirror_complete:
             self._view.record_store_confirmation(now)
-        self._view.apply_changes(mirror.apply_due_removals(now))
+        self._view.apply_changes(mirror.apply_due_changes(now))
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
