--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -9,7 +9,9 @@
 removals counted as the end of an instance, every outage would empty the
 fleet. So for a while after an outage the copy defers such a removal, and
 applies it only if the key is still missing at the end of that time. The same
-holds after the store came back from an older copy.
+holds after the store came back from an older copy. An ephemeral key that was
+removed since then is in the store again, although its owner may have ended. It
+counts as absent until its owner writes it, or for some seconds.
 """
 
 from collections.abc import Callable, Iterable
@@ -26,6 +28,11 @@
 rest covers the delay until the write arrives here."""
 
 
+RESTORED_KEY_DELAY_S = 5.0
+"""Seconds after a restore of the store for which a removed ephemeral key that
+is back counts as absent. The store removes it within this time if its owner
+has ended."""
+
 MAX_REMEMBERED_REMOVALS = 8192
 """Number of removals that are remembered. A peer's copy can be behind by a few
 seconds, in which far fewer keys are removed."""
@@ -88,6 +95,7 @@
         self._items: dict[str, StoredItem] = {}
         self._removal_revisions: dict[str, Revision] = {}
         self._deferred_until: dict[str, float] = {}
+        self._delayed_items: dict[str, tuple[StoredItem, float]] = {}
         self._grace_ends_at = float("-inf")
 
     @property
@@ -209,7 +217,8 @@
                 the copy of a peer that amends values itself.
         """
         changes: list[MirrorChange] = []
-        if self.is_loaded and find_generation(as_of) > self.generation:
+        is_restored = self.is_loaded and find_generation(as_of) > self.generation
+        if is_restored:
             # Owners write their keys again as after an outage. What was
             # removed between the copy and the restore is not known.
             self.mark_outage(now)
@@ -218,6 +227,9 @@
         seen = set()
         for item in items:
             seen.add(item.key)
+            if is_restored and self._was_removed(item.key):
+                self._delayed_items[item.key] = (item, now + RESTORED_KEY_DELAY_S)
+                continue
             changes += self._put(item, amended=amended)
         for key, item in list(self._items.items()):
             if key not in seen and item.revision <= as_of:
@@ -251,8 +263,15 @@
         self.as_of = max(self.as_of, as_of)
         return changes
 
-    def apply_due_removals(self, now: float) -> list[MirrorChange]:
-        """Apply the deferred removals whose grace period is over."""
+    def apply_due_changes(self, now: float) -> list[MirrorChange]:
+        """Apply the changes that were deferred until now."""
+        changes: list[MirrorChange] = []
+        for item, due_at in list(self._delayed_items.values()):
+            if due_at <= now:
+                changes += self._put(item, amended=False)
+        return changes + self._apply_due_removals(now)
+
+    def _apply_due_removals(self, now: float) -> list[MirrorChange]:
         if self._grace_ends_at > now:
             return []
         due = [key for key, until in self._deferred_until.items() if until <= now]
@@ -267,7 +286,13 @@
                 changes.append(MirrorChange(key, before, None))
         return changes
 
+    def _was_removed(self, key: str) -> bool:
+        """Tell whether an ephemeral key was removed that existed before."""
+        is_known = key in self._removal_revisions and key not in self._items
+        return is_known and self._is_ephemeral(key)
+
     def _put(self, item: StoredItem, *, amended: bool) -> list[MirrorChange]:
+        self._delayed_items.pop(item.key, None)
         before = self._items.get(item.key)
         if before is not None and before.revision > item.revision:
             return []
@@ -296,6 +321,7 @@
         before = self._items.get(key)
         if before is not None and before.revision > revision:
             return []
+        self._delayed_items.pop(key, None)
         # An absent key's removal is remembered too: an older copy of a peer
         # may still contain the key.
         self._remember_removal(key, revision)
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -55,7 +55,7 @@
     expired = [removal("servers/i", 4), removal("servers/j", 5)]
     assert mirror.apply(expired, Revision(5), 10.1) == []
     mirror.apply([put("servers/i", 6)], Revision(6), 11.0)
-    assert [change.key for change in mirror.apply_due_removals(13.0)] == ["servers/j"]
+    assert [change.key for change in mirror.apply_due_changes(13.0)] == ["servers/j"]
     assert mirror.get("servers/i") is not None
 
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -7,15 +7,28 @@
 import asyncio
 from base64 import b64decode, b64encode
 
+import msgspec
+import pytest
 from result import Err
 from structlog.testing import capture_logs
 
 from tests.installation import Installation, eventually, free_address, run
 from zinniaspool.core.dispatch import identify_content
-from zinniaspool.core.fleet import HELD_PREFIX, NODES_PREFIX, PLANS_PREFIX
+from zinniaspool.core.fleet import (
+    HELD_PREFIX,
+    NODES_PREFIX,
+    PLANS_PREFIX,
+    InstanceId,
+    MirrorEvent,
+    StoredItem,
+)
+from zinniaspool.core.generations import make_revision
+from zinniaspool.core.ids import Revision
 from zinniaspool.core.storage import KeyWrite, StoreFault
+from zinniaspool.fleet import FleetView
 from zinniaspool.http import HttpClient
 from zinniaspool.platform.kvstore import KvStore
+from zinniaspool.platform.spelling import PlatformCodec
 from zinniaspool_standins.pagestore import PageStore
 
 IN_FORCE_S = 2.0
@@ -227,3 +240,66 @@
         assert item is not None and (item.value, item.revision) == (b"2", second)
 
     run(test)
+
+
+def make_view() -> FleetView:
+    """Return a view that has read a store of one instance, i-1."""
+    view = FleetView(PlatformCodec())
+    changes = view.mirror.replace(
+        [make_item(make_revision(1, 5))], make_revision(1, 9), 0.0
+    )
+    view.apply_changes(changes)
+    return view
+
+
+def make_item(revision: Revision, state: str = "ready", orders: int = 3) -> StoredItem:
+    """Return the record of i-1 as the store has it."""
+    entry = {
+        "service": "cards",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": state,
+        "cold-left-ms": 0,
+        "seq-no": orders,
+    }
+    return StoredItem("servers/i-1", msgspec.json.encode(entry), revision)
+
+
+@pytest.mark.parametrize(("state", "orders"), [("draining", 3), ("ready", 4)])
+def test_a_restored_record_does_not_take_back_what_is_known(
+    state: str, orders: int
+) -> None:
+    """Guards against requests to an upstream that is known to be leaving."""
+    view = make_view()
+    known = make_item(make_revision(1, 12), state, orders)
+    event = MirrorEvent(known.key, known.value, known.revision)
+    view.apply_changes(view.mirror.apply([event], known.revision, 1.0))
+    before = view.instances[InstanceId("i-1")]
+    restored = make_item(make_revision(2, 5))
+    view.apply_changes(view.mirror.replace([restored], make_revision(2, 9), 2.0))
+    assert view.instances[InstanceId("i-1")] == before
+    item = view.mirror.get("servers/i-1")
+    assert item == StoredItem(known.key, known.value, restored.revision)
+    rewritten = MirrorEvent(restored.key, restored.value, make_revision(2, 10))
+    view.apply_changes(view.mirror.apply([rewritten], rewritten.revision, 3.0))
+    assert view.instances[InstanceId("i-1")] != before
+
+
+def test_a_removed_record_of_the_copy_counts_as_absent_for_a_while() -> None:
+    """Guards against requests to an upstream that has ended since the copy."""
+    for write_again in (False, True):
+        view = make_view()
+        removal = MirrorEvent("servers/i-1", None, make_revision(1, 12))
+        view.apply_changes(view.mirror.apply([removal], removal.revision, 1.0))
+        restored = make_item(make_revision(2, 5))
+        changes = view.mirror.replace([restored], make_revision(2, 9), 2.0)
+        view.apply_changes(changes + view.mirror.apply_due_changes(6.9))
+        assert not view.instances
+        if write_again:
+            event = MirrorEvent(restored.key, restored.value, make_revision(2, 10))
+            view.apply_changes(view.mirror.apply([event], event.revision, 6.9))
+        else:
+            view.apply_changes(view.mirror.apply_due_changes(7.0))
+        assert InstanceId("i-1") in view.instances
