--- a/src/zinniaspool/core/generations.py
+++ b/src/zinniaspool/core/generations.py
@@ -1,46 +1,56 @@
-"""Revisions and leases of a store that may come back from an older copy.
-
-A store that is restored from a copy gives out the numbers of revisions and
-leases again that it had given out since the copy was made. The number alone
-then shows neither which of two writes is newer nor whose lease it is. So the
-store's generation, which increases with each restore, is the upper part of
-each revision and of each lease number. Revisions of different generations are
-in the right order, and no two writes have the same one.
+"""Revisions of a store that may come back from an older copy.
+
+A store that is restored from a copy gives out the numbers of revisions again
+that it had given out since the copy was made. The number alone then doesn't
+show which of two writes is newer. So the store's generation, which increases
+with each restore, is the upper part of each revision. Revisions of different
+generations are in the right order, and no two writes have the same one.
 """
 
-from zinniaspool.core.ids import Revision
+from zinniaspool.core.ids import Epoch, Revision
 
 __all__ = [
-    "add_generation",
+    "MAX_GENERATION",
+    "MAX_NUMBER",
     "find_generation",
+    "find_lowest_epoch",
     "find_number",
     "format_revision",
     "make_revision",
 ]
 
 NUMBER_BITS = 40
-"""Bits of the store's own number. With thirteen more bits for the generation,
-a revision is an integer that every JSON codec preserves."""
+"""Bits of the store's own number."""
+
+MAX_NUMBER = (1 << NUMBER_BITS) - 1
+"""Largest number of the store that a revision can hold."""
 
+MAX_GENERATION = (1 << (63 - NUMBER_BITS)) - 1
+"""Largest generation that a revision of 63 bits can hold."""
 
-def add_generation(generation: int, number: int) -> int:
-    """Return a number of the store with its generation in front."""
-    return generation << NUMBER_BITS | number
+EPOCH_BITS = 52
+"""Bits of a revision that are used in epochs. Engines read them as JSON
+numbers, which are exact up to 53 bits."""
 
 
 def make_revision(generation: int, number: int) -> Revision:
     """Return the revision that a generation of the store gave out."""
-    return Revision(add_generation(generation, number))
+    return Revision(generation << NUMBER_BITS | number)
+
+
+def find_generation(revision: Revision) -> int:
+    """Return the generation of the store that gave out a revision."""
+    return revision >> NUMBER_BITS
 
 
-def find_generation(token: int) -> int:
-    """Return the generation of a revision or of a lease number."""
-    return token >> NUMBER_BITS
+def find_number(revision: Revision) -> int:
+    """Return the store's own number of a revision."""
+    return revision & MAX_NUMBER
 
 
-def find_number(token: int) -> int:
-    """Return the store's own number of a revision or of a lease."""
-    return token & ((1 << NUMBER_BITS) - 1)
+def find_lowest_epoch(revision: Revision) -> Epoch:
+    """Return an epoch that no write before a revision can have used."""
+    return Epoch(revision & ((1 << EPOCH_BITS) - 1))
 
 
 def format_revision(revision: Revision) -> str:
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -25,6 +25,7 @@
 )
 from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.planner import PhaseTransition
+from zinniaspool.core.generations import find_lowest_epoch
 from zinniaspool.core.ids import Epoch, FabricDomainId, ModelName, NodeId, ServiceName
 from zinniaspool.fleet import FleetView
 from zinniaspool.keeper.election import HolderElection
@@ -375,7 +376,8 @@
             ),
             default=0,
         )
-        self._epoch = max(self._epoch, highest, self._fleet_view.mirror.as_of) + 1
+        lowest = find_lowest_epoch(self._fleet_view.mirror.as_of)
+        self._epoch = max(self._epoch, highest, lowest) + 1
         return Epoch(self._epoch)
 
     def _start(self, work: Coroutine[Any, Any, object]) -> None:
--- a/src/zinniaspool/platform/kvstore.py
+++ b/src/zinniaspool/platform/kvstore.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import TypeVar
+from typing import Annotated, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -15,7 +15,8 @@
 
 from zinniaspool.core.fleet import HOLDER_KEY, MirrorEvent, StoredItem
 from zinniaspool.core.generations import (
-    add_generation,
+    MAX_GENERATION,
+    MAX_NUMBER,
     find_generation,
     find_number,
     make_revision,
@@ -53,13 +54,20 @@
 
 _GENERATION = "store-era"
 
+_LEASE_BITS = 64
+"""Bits of the store's own number in a lease, which stays in this process."""
+
 _log = structlog.get_logger(__name__)
 _T = TypeVar("_T")
 
 
+# A larger number would reach into the generation of a revision.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
 class _Item(msgspec.Struct):
     key: str
-    revision: int
+    revision: _Number
     value: str = ""
     # Only in the events of a watch: the key was removed at this revision.
     removed: bool = False
@@ -67,17 +75,17 @@
 
 class _Range(msgspec.Struct, rename="kebab"):
     items: list[_Item]
-    as_of: int
+    as_of: _Number
     truncated: bool = False
 
 
 class _Watch(msgspec.Struct, rename="kebab"):
     events: list[_Item]
-    as_of: int
+    as_of: _Number
 
 
 class _Written(msgspec.Struct):
-    revision: int
+    revision: _Number
 
 
 class _Granted(msgspec.Struct):
@@ -192,7 +200,8 @@
             wait_s: How long the store may wait for a change, in seconds.
             overdue_s: How much later its answer may arrive, in seconds.
         """
-        if self._is_void(after):
+        generations = _list_generations([after])
+        if self._is_void(generations):
             return Ok(WatchResult([], after, complete=False))
         wait_ms = max(1, int(wait_s * 1000))
         target = (
@@ -205,9 +214,7 @@
         if isinstance(answer, Err):
             return answer
         found = answer.ok_value
-        if found.status == HTTPStatus.GONE or not _is_of_generation(
-            [after], found.generation
-        ):
+        if found.status == HTTPStatus.GONE or generations - {found.generation}:
             return Ok(WatchResult([], after, complete=False))
         return _decode(found.body, _Watch).and_then(
             lambda watch: _decode_watch(watch, found.generation)
@@ -226,11 +233,11 @@
             writes: Keys to write, with their values and leases.
             removals: Keys to remove.
         """
-        revisions = [revision for _, revision in expected]
-        leases = [write.lease for write in writes]
-        if any(map(self._is_void, revisions)):
+        expected_in = _list_generations(revision for _, revision in expected)
+        granted_in = _list_lease_generations(write.lease for write in writes)
+        if self._is_void(expected_in):
             return Err(StoreFault.CONFLICT)
-        if any(map(self._is_void, leases)):
+        if self._is_void(granted_in):
             return Err(StoreFault.NO_LEASE)
         body = {
             "expected": [
@@ -240,7 +247,7 @@
                 {
                     "key": write.key,
                     "value": b64encode(write.value).decode(),
-                    "lease": find_number(write.lease),
+                    "lease": _find_lease_number(write.lease),
                 }
                 for write in writes
             ],
@@ -252,7 +259,7 @@
         found = answer.ok_value
         if found.status == HTTPStatus.NOT_FOUND:
             return Err(StoreFault.NO_LEASE)
-        if not _is_of_generation([*revisions, *leases], found.generation):
+        if (expected_in | granted_in) - {found.generation}:
             # The store was restored since, and the write may have hit a
             # revision or a lease that was given out again.
             return Err(StoreFault.UNKNOWN)
@@ -268,28 +275,28 @@
             return answer
         generation = answer.ok_value.generation
         return _decode(answer.ok_value.body, _Granted).map(
-            lambda grant: LeaseNumber(add_generation(generation, grant.lease))
+            lambda grant: _make_lease(generation, grant.lease)
         )
 
     async def renew(self, lease: LeaseNumber) -> Result[None, StoreFault]:
         """Renew a lease for its full lifetime."""
-        if self._is_void(lease):
+        if self._is_void(_list_lease_generations([lease])):
             return Err(StoreFault.NO_LEASE)
-        target = f"/v1/kv-keep/{find_number(lease)}"
+        target = f"/v1/kv-keep/{_find_lease_number(lease)}"
         answer = await self._call(StoreCall.RENEW, "POST", target, {})
         return _require_lease(answer, lease)
 
     async def end_lease(self, lease: LeaseNumber) -> Result[None, StoreFault]:
         """End a lease and remove its keys."""
-        if self._is_void(lease):
+        if self._is_void(_list_lease_generations([lease])):
             return Err(StoreFault.NO_LEASE)
-        target = f"/v1/kv-lease-end/{find_number(lease)}"
+        target = f"/v1/kv-lease-end/{_find_lease_number(lease)}"
         answer = await self._call(StoreCall.END_LEASE, "DELETE", target)
         return _require_lease(answer, lease)
 
-    def _is_void(self, token: int) -> bool:
-        """Tell whether a revision or a lease is of an earlier generation."""
-        return token != 0 and find_generation(token) < self.generation
+    def _is_void(self, generations: set[int]) -> bool:
+        """Tell whether anything is of an earlier generation of the store."""
+        return any(generation < self.generation for generation in generations)
 
     def _record_generation(self, generation: int) -> None:
         if self._knows_generation and generation > self.generation:
@@ -341,9 +348,16 @@
 
 
 def _parse_generation(headers: Headers) -> int | None:
-    """Return the store's generation that an answer names, or None."""
+    """Return the store's generation that an answer names, or None.
+
+    One that a revision can't hold counts as not named.
+    """
     text = headers.get(_GENERATION) or ""
-    return int(text) if text.isdecimal() else None
+    generation = int(text) if text.isdecimal() else None
+    if generation is not None and generation > MAX_GENERATION:
+        _log.error("generation-unusable", generation=generation)
+        return None
+    return generation
 
 
 def _decode(body: bytes, kind: type[_T]) -> Result[_T, StoreFault]:
@@ -372,9 +386,23 @@
     return Ok(WatchResult(events, make_revision(generation, watch.as_of)))
 
 
-def _is_of_generation(tokens: Iterable[int], generation: int) -> bool:
-    """Tell whether revisions and leases, where given, are of a generation."""
-    return all(find_generation(token) == generation for token in tokens if token != 0)
+def _list_generations(revisions: Iterable[Revision]) -> set[int]:
+    """Return the generations of revisions, without those of absent keys."""
+    return {find_generation(revision) for revision in revisions if revision}
+
+
+def _make_lease(generation: int, number: int) -> LeaseNumber:
+    """Return a lease with the generation of the store that granted it."""
+    return LeaseNumber(generation << _LEASE_BITS | number)
+
+
+def _find_lease_number(lease: LeaseNumber) -> int:
+    return lease & ((1 << _LEASE_BITS) - 1)
+
+
+def _list_lease_generations(leases: Iterable[LeaseNumber]) -> set[int]:
+    """Return the generations of leases, without that of no lease."""
+    return {lease >> _LEASE_BITS for lease in leases if lease}
 
 
 def _require_lease(
@@ -383,8 +411,7 @@
     if isinstance(answer, Err):
         return answer
     found = answer.ok_value
-    if found.status == HTTPStatus.NOT_FOUND or not _is_of_generation(
-        [lease], found.generation
-    ):
+    is_other = _list_lease_generations([lease]) != {found.generation}
+    if found.status == HTTPStatus.NOT_FOUND or is_other:
         return Err(StoreFault.NO_LEASE)
     return Ok(None)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -82,6 +82,8 @@
         "duty-failed": "An internal error occurred in a background task; the task "
         "starts again.",
         "entry-unreadable": "An instance record in the store is not usable.",
+        "generation-unusable": "The store names a generation that a revision cannot "
+        "hold; it is ignored.",
         "group-suspected": "A group's head is reported as stalled; its VMs are "
         "checked.",
         "group-phase": "A replica group entered another phase, for the reason given.",
--- a/src/zinniaspool_standins/pagestore.py
+++ b/src/zinniaspool_standins/pagestore.py
@@ -22,6 +22,9 @@
 PAGE_ITEMS = 50
 """Items of one page: few, so that readers meet more than one page."""
 
+FIRST_LEASE = 227_385_101_332_953
+"""As large as leases of the platform are."""
+
 HISTORY_S = 20.0
 LAPSE_S = 0.02
 OPERATORS_PREFIXES = ("op/", "servers/")
@@ -102,7 +105,7 @@
         self._leases: dict[int, _Lease] = {}
         self._events: deque[_Event] = deque()
         self._dropped = 0
-        self._next_lease = 7000
+        self._next_lease = FIRST_LEASE
         self._changed = asyncio.Event()
 
     async def listen(self, address: Address) -> None:
