--- a/src/zinniaspool_standins/soak.py
+++ b/src/zinniaspool_standins/soak.py
@@ -21,7 +21,7 @@
 import typer
 
 from zinniaspool.http import Headers, HttpClient, Request, TransportError
-from zinniaspool_standins.installation import Installation
+from zinniaspool_standins.installation import KEY, Installation
 from zinniaspool_standins.nodes import EntryNode, NodeProcess, end_nodes, make_nodes
 from zinniaspool_standins.silencer import LinkFaults
 
@@ -36,6 +36,10 @@
 PAUSE_S = 0.02
 """Mean pause between two requests, in seconds."""
 
+IN_FORCE_S = 2.0
+"""Time in which an accepted configuration is in force everywhere, in
+seconds."""
+
 END_CALLS, LEAST_SERVED = 8, 6
 """Requests to each VM at the end, and how many of them must be served."""
 
@@ -158,6 +162,31 @@
             else:
                 self.made.store.put("servers/foreign", source.choice(FOREIGN))
 
+    async def restore_store(self, until: float) -> None:
+        """Let the store come back from copies, again and again."""
+        source = random.Random(f"store-{self.seed}")
+        while asyncio.get_running_loop().time() < until:
+            kept = self.made.store.make_copy()
+            await asyncio.sleep(source.uniform(0.5, 3.0))
+            self.faults.append("restore_store")
+            await self.made.restore_store(kept, source.uniform(0.0, 1.5))
+
+    async def announce(self, until: float) -> None:
+        """Let runners ask for pauses, or say that they leave and restart."""
+        source = random.Random(f"announcements-{self.seed}")
+        while asyncio.get_running_loop().time() < until:
+            one = source.choice(list(self.made.runners.values()))
+            self.faults.append(f"announce {one.id}")
+            if source.choice((True, True, False)):
+                one.faults.pause_s = source.uniform(0.5, 2.0)
+                await asyncio.sleep(source.uniform(0.5, 2.0))
+                one.faults.pause_s = 0.0
+            else:
+                one.faults.says_leaving = True
+                await asyncio.sleep(source.uniform(0.5, 2.0))
+                one.faults.says_leaving = False
+                one.restart()
+
     def pick(self) -> NodeProcess:
         return self.source.choice(self.source.choice(self.nodes).processes)
 
@@ -249,21 +278,39 @@
                 served = sum([await self.call(kind, node) for _ in range(END_CALLS)])
                 if served < LEAST_SERVED:
                     self.note(f"{node.name} served {served} {kind} at the end")
+        await self.check_configuration()
+
+    async def check_configuration(self) -> None:
+        """Check that a new version is in force at all VMs in time."""
+        self.made.keys = [f"{KEY}-new"]
+        self.made.configure()
+        await asyncio.sleep(IN_FORCE_S)
+        for node in self.nodes:
+            if not await self.call("receipts", node):
+                self.note(f"{node.name} refuses a key of the newest version")
 
 
-async def run_seed(seed: int, folder: Path) -> _Soak:
+async def run_seed(seed: int, folder: Path, *, with_restores: bool = False) -> _Soak:
     """Play one seed.
 
+    Args:
+        seed: Decides which faults come when.
+        folder: Gets the logs of the processes.
+        with_restores: Whether the store comes back from copies and runners
+            announce pauses and that they leave, beside the other faults.
+
     Raises:
         SoakError: A promise was broken.
     """
     async with _start(seed, folder) as soak:
         loop = asyncio.get_running_loop()
         ends = loop.time() + TRAFFIC_S
+        added = [soak.restore_store, soak.announce] if with_restores else []
         await asyncio.gather(
             soak.break_things(ends - CALM_S),
             soak.break_instances(ends - CALM_S),
             soak.send_traffic(ends + 1.0),
+            *(fault(ends - CALM_S) for fault in added),
         )
         await asyncio.sleep(CALM_S)
         await soak.check_end()
@@ -296,12 +343,15 @@
 def _main(
     seeds: Annotated[int, typer.Option(help="How many seeds.")] = 10,
     first: Annotated[int, typer.Option(help="The first one.")] = 1,
+    with_restores: Annotated[
+        bool, typer.Option(help="Restore the store, announce pauses.")
+    ] = False,
 ) -> None:
     failed = []
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         try:
-            soak = asyncio.run(run_seed(seed, folder))
+            soak = asyncio.run(run_seed(seed, folder, with_restores=with_restores))
             print(f"seed {seed}: sound, {soak.sent} sent, {len(soak.faults)} faults")
         except SoakError as fault:
             failed.append(seed)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,3 +18,9 @@
     seed: int, tmp_path: Path
 ) -> None:
     asyncio.run(run_seed(seed, tmp_path))
+
+
+@pytest.mark.processes
+def test_promises_hold_while_the_store_is_restored(tmp_path: Path) -> None:
+    """Guards against restores of the store among other faults."""
+    asyncio.run(run_seed(1, tmp_path, with_restores=True))
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -45,6 +45,22 @@
         "return -math.inf",
         "tests/test_backpressure.py::test_a_paused_upstream_gets_no_requests",
     ),
+    Safeguard(
+        "revisions of a restored store are newer than all before",
+        f"{CORE}/generations.py",
+        "return Revision(generation << NUMBER_BITS | number)",
+        "return Revision(number)",
+        "tests/test_restored_store.py::"
+        "test_a_change_after_a_restored_store_is_in_force_in_time",
+    ),
+    Safeguard(
+        "a removed record of the copy counts as absent for a while",
+        f"{CORE}/fleet/mirror.py",
+        "if is_restored and self._was_removed(item.key):",
+        "if False:",
+        "tests/test_restored_store.py::"
+        "test_a_removed_record_of_the_copy_counts_as_absent_for_a_while",
+    ),
     Safeguard(
         "VMs tell each other what they send to a limited upstream",
         "src/zinniaspool/gateway/backpressure.py",
