--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -71,8 +71,8 @@
     Safeguard(
         "a limit holds also where no other upstream is left",
         f"{CORE}/dispatch/pools.py",
-        "            and state.is_open(now)\n",
-        "",
+        " and state.is_open(now)\n",
+        "\n",
         "tests/test_announced_limits.py::"
         "test_a_service_whose_upstreams_all_announce_limits_refuses_the_rest",
     ),
