Evacuate failure domains on the operator's order

Cause: nothing read op/evacuate/ZONE.

Change: the fleet view keeps the set of evacuated domains from its mirror. Entry processes close the targets there (no request, retry, resumed stream or last resort; admission counts the capacity as removed) and keep their state. Entry VMs of the domain share the targets of other domains meanwhile. The holder doesn't count groups there and forms, loads and stages nothing there while another domain has VMs for the service.

Requests that wait in admission while all targets are closed by evacuation are ended at once; before, they would have waited up to 1.2 s.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -34,7 +34,7 @@
     suspect,
 )
 from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
-from zinniaspool.core.dispatch.subsets import Subset, find_subset
+from zinniaspool.core.dispatch.subsets import Subset, assign_domains, find_subset
 from zinniaspool.core.dispatch.targets import Target, TargetState
 from zinniaspool.core.dispatch.terms import InstanceLoad, InstanceNotice, RequestTerms
 from zinniaspool.core.dispatch.tickets import Ticket, TicketState
@@ -73,6 +73,7 @@
     "TargetState",
     "Ticket",
     "TicketState",
+    "assign_domains",
     "back_off",
     "find_next_stall",
     "find_stalled",
--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -202,6 +202,8 @@
 
         A group may form at any moment where the pool has no target at all.
         """
+        if self._pool.is_evacuated:
+            return math.inf
         opening = self._pool.find_opening()
         return max(now, opening) if opening < math.inf else now
 
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -156,6 +156,7 @@
         self._process_count = 1
         self._out_of_subset_window = OutOfSubsetWindow()
         self._has_shortage = False
+        self._evacuated: frozenset[FailureDomainId] = frozenset()
 
     def __iter__(self) -> Iterator[TargetState]:
         return iter(list(self._states.values()))
@@ -195,9 +196,30 @@
                 self._states[name] = TargetState(
                     target, last_event_at=now, backpressure=backpressure
                 )
+        self._apply_evacuations()
         self._apply_subset()
         return removed
 
+    def set_evacuated(self, domains: frozenset[FailureDomainId]) -> None:
+        """Set the failure domains whose targets get no new requests.
+
+        The state of those targets is kept: their streams go on, and they serve
+        again at once when their domain is returned to service.
+        """
+        self._evacuated = domains
+        self._apply_evacuations()
+        self._apply_subset()
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether there are targets, all of them in evacuated domains."""
+        states = self._states.values()
+        return bool(states) and all(state.evacuated for state in states)
+
+    def _apply_evacuations(self) -> None:
+        for state in self._states.values():
+            state.evacuated = state.target.failure_domain in self._evacuated
+
     def set_subset(self, subset: Subset, process_count: int) -> None:
         """Set which processes share which targets.
 
@@ -222,8 +244,9 @@
 
     def _is_short_of_targets(self) -> bool:
         """Tell whether this subset has less than its share of all slots."""
-        all_slots = sum(state.target.slots for state in self._states.values())
-        subset_slots = sum(state.subset_slots for state in self._states.values())
+        states = [state for state in self._states.values() if not state.evacuated]
+        all_slots = sum(state.target.slots for state in states)
+        subset_slots = sum(state.subset_slots for state in states)
         fair_slots = all_slots * self.peer_counts.count / max(1, self._process_count)
         return subset_slots < SHORTAGE_PART * fair_slots
 
--- a/src/zinniaspool/core/dispatch/subsets.py
+++ b/src/zinniaspool/core/dispatch/subsets.py
@@ -13,7 +13,7 @@
 moment. They then know its load less well, and nothing else depends on it.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 from zlib import crc32
@@ -22,7 +22,7 @@
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.ids import FailureDomainId, NodeId
 
-__all__ = ["Subset", "find_subset"]
+__all__ = ["Subset", "assign_domains", "find_subset"]
 
 _Name = TypeVar("_Name", NodeId, InstanceId)
 
@@ -129,6 +129,32 @@
     return Subset(members, members.index(local_node), local_domain, index, count)
 
 
+def assign_domains(
+    domains: Mapping[NodeId, FailureDomainId],
+    evacuated: Collection[FailureDomainId],
+) -> dict[NodeId, FailureDomainId]:
+    """Return the failure domain whose targets each entry process shares.
+
+    A process in an evacuated failure domain still serves its callers. It
+    shares the targets of another domain meanwhile; without a subset it would
+    know the load of no target that it may use. These processes are spread
+    evenly over the other domains. If all domains are evacuated, nothing
+    changes.
+
+    Args:
+        domains: The entry processes and their failure domains.
+        evacuated: The failure domains that are evacuated.
+    """
+    left = sorted(set(domains.values()) - set(evacuated))
+    if not left:
+        return dict(domains)
+    moved = _shuffle_by_hash(node for node in domains if domains[node] not in left)
+    return {
+        **domains,
+        **{node: left[rank % len(left)] for rank, node in enumerate(moved)},
+    }
+
+
 def _shuffle_by_hash(names: Iterable[_Name]) -> list[_Name]:
     """Return names in an order that doesn't depend on their origin.
 
--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -88,6 +88,7 @@
         out_of_subset_utilization: Utilization of the targets in its failure
             domain, if it is out of the subset.
         backpressure: What it has asked of this process, if anything.
+        evacuated: Whether its failure domain is evacuated.
         removed: Whether it has been removed from the targets.
     """
 
@@ -110,6 +111,7 @@
     assumed_other_load: float = 0.0
     out_of_subset_utilization: OutOfSubsetUtilization | None = None
     backpressure: Backpressure | None = None
+    evacuated: bool = False
     removed: bool = False
 
     def estimate_load(self, now: float) -> float:
@@ -148,19 +150,23 @@
         self.peak_unread_tokens = max(self.peak_unread_tokens, self.known_unread_tokens)
 
     def find_opening(self) -> float:
-        """Return when it accepts the next request by its own statement.
+        """Return when it may get the next request.
+
+        That is by its own statement, or by the operator's for its failure
+        domain.
 
         Returns:
-            Seconds; infinite if it accepts no more.
+            Seconds; infinite if it gets no more, or none until the operator
+            ends the evacuation.
         """
-        if self.removed or self.target.draining:
+        if self.removed or self.target.draining or self.evacuated:
             return math.inf
         if self.backpressure is None:
             return -math.inf
         return self.backpressure.find_opening(self.subset_part)
 
     def is_open(self, now: float) -> bool:
-        """Whether it accepts requests now by its own statement."""
+        """Whether it may get requests now, by its and the operator's word."""
         return self.find_opening() <= now
 
     def is_usable(self, now: float) -> bool:
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from zinniaspool.core.fleet import (
@@ -21,10 +21,12 @@
 )
 from zinniaspool.core.formation.balance import (
     Reassignment,
+    SettledDomain,
     find_reassignments,
 )
 from zinniaspool.core.formation.census import VmInventory
 from zinniaspool.core.formation.domains import ACTIVE_PHASES, REST_LOOK_S, PlannedDomain
+from zinniaspool.core.formation.evacuation import EvacuationFilter
 from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.loads import LoadBudget
 from zinniaspool.core.formation.orders import GroupOrder, OrderOutcome
@@ -35,6 +37,7 @@
 from zinniaspool.core.ids import (
     Epoch,
     FabricDomainId,
+    FailureDomainId,
     GroupId,
     ModelName,
     ServiceName,
@@ -111,7 +114,8 @@
         self._view = self._inventory.view
         self._engines: dict[ServiceName, EngineSpec] = {}
         self._loads: dict[ServiceName, LoadBudget] = {}
-        self._provisioning = ModelProvisioning(self._domains)
+        self._evacuation = EvacuationFilter(self._view)
+        self._provisioning = ModelProvisioning(self._domains, self._evacuation)
         self._releases = ReleaseTracker()
         self._staging = StagingScheduler(self._view, self._loads)
         self._reassigned_at = float("-inf")
@@ -193,6 +197,16 @@
         """Set how many requests of each model run or wait, on average."""
         self._provisioning.set_demand(demand)
 
+    def set_evacuated(self, evacuated: Collection[FailureDomainId]) -> None:
+        """Set the failure domains whose groups must get no requests."""
+        self._evacuation.set_evacuated(evacuated)
+
+    def _apply_evacuations(self) -> None:
+        if self._evacuation.refresh():
+            self._provisioning.on_groups_changed()
+            for domain in self._domains.values():
+                domain.changed = True
+
     def mark_unreachable(self, instance: InstanceId) -> None:
         """Record that an instance does not answer any process."""
         self._view.unreachable.add(instance)
@@ -258,6 +272,7 @@
     def step(self, now: float) -> tuple[list[PlanWrite], list[GroupOrder]]:
         """Return the plans to write and the orders to send now."""
         self._inventory.record_arrivals(now)
+        self._apply_evacuations()
         writes: list[PlanWrite] = []
         orders = self._list_orphan_releases(now)
         self._reassign_vms(now)
@@ -274,7 +289,7 @@
                 domain.unsaved, domain.writing = False, True
                 writes.append(PlanWrite(domain.make_plan()))
             orders += self._staging.list_staging_orders(
-                domain.runs.values(), self._engines, now
+                domain.runs.values(), self._engines, self._evacuation.allows_loads, now
             )
         return writes, orders
 
@@ -292,8 +307,7 @@
             settled = [
                 found
                 for domain in self._domains.values()
-                if (found := domain.describe_if_settled(service, self._view))
-                is not None
+                if (found := self._describe_if_settled(domain, service)) is not None
             ]
             groups = self._provisioning.count_groups(
                 service, now - FORMING_WITHOUT_LOADS_S
@@ -303,6 +317,14 @@
                 self._reassigned_at = now
                 self._start_reassignment(chosen, engine, now)
 
+    def _describe_if_settled(
+        self, domain: PlannedDomain, service: ServiceName
+    ) -> SettledDomain | None:
+        if not all(self._evacuation.serves(run) for run in domain.runs.values()):
+            # Its groups would not serve the other model either.
+            return None
+        return domain.describe_if_settled(service, self._view)
+
     def _start_reassignment(
         self, chosen: Reassignment, engine: EngineSpec, now: float
     ) -> None:
@@ -380,7 +402,8 @@
     ) -> None:
         by_service: defaultdict[ServiceName, list[Instance]] = defaultdict(list)
         for instance in instances:
-            by_service[instance.service].append(instance)
+            if self._evacuation.allows_use(instance):
+                by_service[instance.service].append(instance)
         for service, of_service in by_service.items():
             while self._allocate_next(domain, service, of_service, now):
                 pass
--- a/src/zinniaspool/core/formation/provision.py
+++ b/src/zinniaspool/core/formation/provision.py
@@ -7,6 +7,7 @@
 from zinniaspool.core.formation.allocation import ModelNeed
 from zinniaspool.core.formation.balance import MIN_REMAINING_GROUPS, ModelDemand
 from zinniaspool.core.formation.domains import ACTIVE_PHASES, PlannedDomain
+from zinniaspool.core.formation.evacuation import EvacuationFilter
 from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.records import GroupPhase
 from zinniaspool.core.ids import FabricDomainId, ModelName, ServiceName
@@ -19,10 +20,16 @@
 
     Args:
         domains: All planned fabric domains, as the planner keeps them.
+        evacuation: Excludes the groups of evacuated failure domains.
     """
 
-    def __init__(self, domains: Mapping[FabricDomainId, PlannedDomain]) -> None:
+    def __init__(
+        self,
+        domains: Mapping[FabricDomainId, PlannedDomain],
+        evacuation: EvacuationFilter,
+    ) -> None:
         self._domains = domains
+        self._evacuation = evacuation
         self._demand: dict[tuple[ServiceName, ModelName], float] = {}
         self._group_counts: dict[ServiceName, Counter[ModelName]] = {}
 
@@ -78,6 +85,8 @@
     ) -> Counter[ModelName]:
         """Count the groups of each model that serve or form.
 
+        Groups in evacuated failure domains do not count.
+
         Args:
             service: The service of the groups.
             forming_since: Groups that began to form before this time do not
@@ -89,6 +98,7 @@
             for run in self._runs()
             if run.record.service == service
             and not run.record.standby
+            and self._evacuation.serves(run)
             and run.phase in ACTIVE_PHASES
             and (run.phase is not GroupPhase.FORMING or run.since >= forming_since)
         )
--- a/src/zinniaspool/core/formation/staging.py
+++ b/src/zinniaspool/core/formation/staging.py
@@ -1,6 +1,6 @@
 """Stages second models in the hosts' memory before they are needed."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from zinniaspool.core.fleet import EngineSpec, InstanceId
 from zinniaspool.core.formation.lifecycle import RETRY_S, GroupRun, InstanceView
@@ -36,6 +36,7 @@
         self,
         runs: Iterable[GroupRun],
         engines: Mapping[ServiceName, EngineSpec],
+        allows_loads: Callable[[InstanceId], bool],
         now: float,
     ) -> list[GroupOrder]:
         """Return orders that stage a second model in hosts' memory.
@@ -49,6 +50,7 @@
         Args:
             runs: The groups of one fabric domain.
             engines: The engines of the services whose groups are formed.
+            allows_loads: Returns whether a VM may load a model.
             now: Current time, in seconds.
         """
         orders = []
@@ -58,7 +60,7 @@
             stable = run.phase in (GroupPhase.STANDBY, GroupPhase.SERVING)
             if budget is None or engine is None or not stable:
                 continue
-            for member in run.record.members:
+            for member in filter(allows_loads, run.record.members):
                 orders += self._order_staging(run.record, member, engine, budget, now)
         return orders
 
--- a/src/zinniaspool/fleet/metrics.py
+++ b/src/zinniaspool/fleet/metrics.py
@@ -29,6 +29,14 @@
     def list_instances() -> Iterator[Sample]:
         yield Sample({}, len(view.instances))
 
+    def list_evacuated() -> Iterator[Sample]:
+        yield Sample({}, len(view.evacuated))
+
+    page.add_gauge(
+        "zinniaspool_evacuated_domains",
+        "Failure domains whose upstreams get no new requests.",
+        list_evacuated,
+    )
     page.add_counter("zinniaspool_store_calls", "Calls to the store.", list_calls)
     page.add_gauge(
         "zinniaspool_belief_age_seconds",
--- a/src/zinniaspool/fleet/settings.py
+++ b/src/zinniaspool/fleet/settings.py
@@ -39,6 +39,9 @@
             seconds.
         cores: Processor time available per second, in seconds.
         link_mbps: Bandwidth of the VM's link, in Mbit/s.
+        evacuation_s: Time after the store's acknowledgement of an evacuation
+            order from which no request may reach an upstream of that failure
+            domain, in seconds.
     """
 
     node: NodeId
@@ -64,3 +67,4 @@
     load_window_s: float
     cores: float = 1.0
     link_mbps: float = 1000.0
+    evacuation_s: float = 5.0
--- a/src/zinniaspool/fleet/spelling.py
+++ b/src/zinniaspool/fleet/spelling.py
@@ -14,10 +14,13 @@
 
     Attributes:
         instances_prefix: Prefix of the keys of instance records.
+        evacuations_prefix: Prefix of the keys of evacuation orders; the rest
+            of a key names the failure domain.
         rules_key: Key of the operator's rules.
     """
 
     instances_prefix: str
+    evacuations_prefix: str
     rules_key: str
 
     def decode_instance(self, key: str, value: bytes) -> Result[Instance, str]:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -17,6 +17,7 @@
 from zinniaspool.core.dispatch import (
     Quarantine,
     RetryLimits,
+    assign_domains,
     find_subset,
 )
 from zinniaspool.core.fleet import (
@@ -26,7 +27,7 @@
     NodeState,
     ReachabilityTracker,
 )
-from zinniaspool.core.ids import Address, ContentId, NodeId
+from zinniaspool.core.ids import Address, ContentId, FailureDomainId, NodeId
 from zinniaspool.core.messages import Hello, Message
 from zinniaspool.core.messages.fleet import (
     ClearedContents,
@@ -53,6 +54,7 @@
 from zinniaspool.gateway.carrier import RequestForwarder
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.directory import DirectoryHandler
+from zinniaspool.gateway.evacuations import EvacuationMonitor
 from zinniaspool.gateway.face import CallerHandler, refuse_request
 from zinniaspool.gateway.gate import AdmissionQueues
 from zinniaspool.gateway.metrics import make_gateway_metrics
@@ -245,6 +247,9 @@
             self._reachability,
             self._report_unreachable,
         )
+        self._evacuation_monitor = EvacuationMonitor(
+            self._fleet_view, settings.evacuation_s
+        )
         self._lease = RenewedLease(self._store, NODE_LEASE_S)
         self._server = HttpServer(
             self._caller_handler.handle, make_refusal=refuse_request
@@ -252,6 +257,7 @@
         self._servers = [self._server]
         self._tasks: list[asyncio.Task[None]] = []
         self._fleet_view.on_catalog.append(self._apply_catalog)
+        self._fleet_view.on_evacuation.append(self._apply_evacuations)
         self._fleet_view.on_instances.append(self._refresh_targets)
         self._fleet_view.on_nodes.append(self._update_subset)
         self._fleet_view.on_quarantine.append(self._crash_detector.apply_records)
@@ -385,6 +391,7 @@
             await asyncio.sleep(LOAD_REPORT_INTERVAL_S)
             now = loop.time()
             self._index.expire_loads(now)
+            self._evacuation_monitor.check(now)
             self._admission_queues.admit_waiting()
             loads, complete = (
                 self._index.collect_load_changes(),
@@ -448,10 +455,16 @@
                 self._http.close_idle_connections(state.target.address)
             self._rerouter.reroute_from(state)
 
+    def _apply_evacuations(self, *_: frozenset[FailureDomainId]) -> None:
+        self._index.apply_evacuations()
+        self._update_subset()
+
     def _update_subset(self) -> None:
         settings, nodes = self._settings, self._fleet_view.nodes
         domains = {record.node: record.failure_domain for record in nodes.values()}
-        subset = find_subset(settings.node, settings.failure_domain, domains)
+        domains.setdefault(settings.node, settings.failure_domain)
+        shared = assign_domains(domains, self._fleet_view.evacuated)
+        subset = find_subset(settings.node, shared[settings.node], shared)
         process_count = len(nodes.keys() | {settings.node})
         self._caller_handler.process_count = process_count
         if subset != self._subset:
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -91,6 +91,15 @@
         list_held,
     )
 
+    def list_evacuated() -> Iterator[Sample]:
+        yield Sample({}, sum(state.evacuated for state in index))
+
+    page.add_gauge(
+        "zinniaspool_evacuated_targets",
+        "Targets that get no new requests since their failure domain is evacuated.",
+        list_evacuated,
+    )
+
     asked = index.backpressure.values
 
     def list_limited() -> Iterator[Sample]:
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -89,6 +89,7 @@
             pool = TargetPool(self._local_domain, self._rng, self.backpressure)
             if self._subset is not None:
                 pool.set_subset(self._subset, self._process_count)
+            pool.set_evacuated(self._fleet_view.evacuated)
             self._pools[key] = pool
         return pool
 
@@ -103,6 +104,11 @@
         for pool in self._pools.values():
             pool.set_subset(subset, process_count)
 
+    def apply_evacuations(self) -> None:
+        """Close the targets in evacuated failure domains, open all others."""
+        for pool in self._pools.values():
+            pool.set_evacuated(self._fleet_view.evacuated)
+
     def __iter__(self) -> Iterator[TargetState]:
         for pool in self._pools.values():
             yield from pool
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -144,6 +144,7 @@
         self._averaged_at = 0.0
         fleet_view.on_instances.append(self._changed.set)
         fleet_view.on_catalog.append(self._changed.set)
+        fleet_view.on_evacuation.append(lambda *_: self._changed.set())
 
     async def run(self) -> None:
         """Plan whenever this process has the holder's key, until cancelled."""
@@ -241,6 +242,7 @@
                 loop.time(),
             )
             planner.update_instances(self._fleet_view.instances)
+            planner.set_evacuated(self._fleet_view.evacuated)
             # If all VMs of a group are unreachable, none of them updates its
             # record when the group ends. Other processes learn of that only
             # from this set, seconds before the records expire in the store.
--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -31,10 +31,20 @@
     ServiceName,
 )
 
-__all__ = ["INSTANCES_PREFIX", "apply_status", "decode_instance", "decode_status"]
+__all__ = [
+    "EVACUATIONS_PREFIX",
+    "INSTANCES_PREFIX",
+    "apply_status",
+    "decode_instance",
+    "decode_status",
+]
 
 INSTANCES_PREFIX = "servers/"
 
+EVACUATIONS_PREFIX = "op/evacuate/"
+"""Prefix of the operator's evacuation orders; the rest of a key names the
+failure domain."""
+
 _MAX_COUNT = 2**53
 """Largest integer that every JSON codec preserves. Epochs and counts are far
 below it, and a larger number could not be passed on to other processes."""
--- a/src/zinniaspool/platform/nodefile.py
+++ b/src/zinniaspool/platform/nodefile.py
@@ -42,6 +42,7 @@
     budget_slack: float = msgspec.field(default=0.0, name="budget-slack")
     stall_ms: float = msgspec.field(default=6000.0, name="stall-ms")
     ceiling_window_s: float = msgspec.field(default=5.0, name="ceiling-window-s")
+    evac_ms: float = msgspec.field(default=5000.0, name="evac-ms")
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -117,6 +118,7 @@
         bounds.ceiling_window_s,
         file.limits.cpu_share * file.limits.cores,
         file.limits.link_mbps,
+        bounds.evac_ms / 1000,
     )
 
 
--- a/src/zinniaspool/platform/spelling.py
+++ b/src/zinniaspool/platform/spelling.py
@@ -3,7 +3,12 @@
 from result import Result
 
 from zinniaspool.core.fleet import Catalog, EngineStatus, Instance
-from zinniaspool.platform.entries import INSTANCES_PREFIX, apply_status, decode_instance
+from zinniaspool.platform.entries import (
+    EVACUATIONS_PREFIX,
+    INSTANCES_PREFIX,
+    apply_status,
+    decode_instance,
+)
 from zinniaspool.platform.rules import RULES_KEY, decode_rules
 
 __all__ = ["PlatformCodec"]
@@ -13,6 +18,7 @@
     """Decodes instance records and rules in the platform's formats."""
 
     instances_prefix = INSTANCES_PREFIX
+    evacuations_prefix = EVACUATIONS_PREFIX
     rules_key = RULES_KEY
 
     def decode_instance(self, key: str, value: bytes) -> Result[Instance, str]:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -81,6 +81,15 @@
         "superseded": "A later start of this node is known; this process stops.",
         "duty-failed": "An internal error occurred in a background task; the task "
         "starts again.",
+        "evacuation-began": "The operator evacuates a failure domain; its upstreams "
+        "get no new requests.",
+        "evacuation-domain-unknown": "The operator evacuates a failure domain in which "
+        "no upstream and no entry VM is known; nothing changes.",
+        "evacuation-ended": "A failure domain is back in service; its upstreams get "
+        "requests again.",
+        "evacuations-unconfirmed": "This process has had no update of the fleet for "
+        "longer than an evacuation may take; it may still send requests to an "
+        "evacuated failure domain.",
         "entry-unreadable": "An instance record in the store is not usable.",
         "generation-unusable": "The store names a generation that a revision cannot "
         "hold; it is ignored.",
--- a/src/zinniaspool_standins/installation.py
+++ b/src/zinniaspool_standins/installation.py
@@ -99,7 +99,17 @@
         for runner in self.runners.values():
             runner.write_again()
 
-    def add_runner(self, service: str, domain: str | None) -> Runner:
+    def evacuate(self, zone: str) -> None:
+        """Order that no request reaches upstreams of a failure domain."""
+        self.store.put(f"op/evacuate/{zone}", b64encode(b"{}").decode())
+
+    def end_evacuation(self, zone: str) -> None:
+        """Return a failure domain to service."""
+        self.store.remove(f"op/evacuate/{zone}")
+
+    def add_runner(
+        self, service: str, domain: str | None, zone: str = "hall-a"
+    ) -> Runner:
         """Start one more instance."""
         name = f"i-{self._named:02}"
         self._named += 1
@@ -107,7 +117,7 @@
             name,
             service,
             free_address(),
-            "hall-a",
+            zone,
             domain,
             self.store,
             self.runners,
@@ -121,7 +131,7 @@
     def replace_runner(self, lost: Runner) -> Runner:
         """Let a lost instance come back as another one on the same host."""
         self.gone.append(lost)
-        fresh = self.add_runner(lost.service, lost.domain)
+        fresh = self.add_runner(lost.service, lost.domain, lost.zone)
         fresh.staged = list(lost.staged)
         return fresh
 
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -79,6 +79,7 @@
     Attributes:
         alive: Whether it runs and answers.
         connected: Whether it reaches the store.
+        failure_domain: The failure domain that its record names.
         record: Its record in the store, or None.
         unreported_since: Time since which it does not reach the store.
         opens_at: Time at which an open order takes effect.
@@ -91,6 +92,7 @@
     domain: FabricDomainId
     alive: bool = True
     connected: bool = True
+    failure_domain: FailureDomainId = FailureDomainId("f")
     state: InstanceState = InstanceState.READY
     record: Instance | None = None
     unreported_since: float | None = None
@@ -116,7 +118,7 @@
             self.id,
             SERVICE,
             Address(f"10.0.0.1:{self.id}"),
-            FailureDomainId("f"),
+            self.failure_domain,
             self.state,
             13,
             self.domain,
