Limit the requests to cold upstreams

Cause: nothing read coldness. A cold upstream crashes well above 26 requests a second from all VMs together, also while these can't communicate.

Change: each entry process has a fixed share of a cold upstream, by rendezvous hashing over the known entry VMs, in a sliding window of a second; a process without a share sends nothing there. The share is one more reason that closes a target (Backpressure), so that choice, admission and Retry-After see it. Coldness comes from the record, from the start of an incarnation during traffic, and from the end of an evacuation. The holder doesn't make a cold VM a group's head where the group has another.

BackpressureTracker's memory of incarnations moved to the target index, which both trackers use.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -13,6 +13,7 @@
     RetryTerms,
 )
 from zinniaspool.core.dispatch.backpressure import Backpressure
+from zinniaspool.core.dispatch.cold import ColdBound, ColdShare, find_cold_share
 from zinniaspool.core.dispatch.contents import identify_content
 from zinniaspool.core.dispatch.loads import LoadChangeTracker, PeerLoads
 from zinniaspool.core.dispatch.pace import EngineTiming, FirstEventForecast
@@ -49,6 +50,8 @@
     "Attempts",
     "Backpressure",
     "CallerTimeoutEstimator",
+    "ColdBound",
+    "ColdShare",
     "EngineTiming",
     "EventCursor",
     "FirstEventForecast",
@@ -75,6 +78,7 @@
     "TicketState",
     "assign_domains",
     "back_off",
+    "find_cold_share",
     "find_next_stall",
     "find_stalled",
     "find_subset",
--- a/src/zinniaspool/core/dispatch/backpressure.py
+++ b/src/zinniaspool/core/dispatch/backpressure.py
@@ -1,4 +1,4 @@
-"""What an instance has asked of this process in its answers.
+"""What an instance has asked of this process, and what a cold one can take.
 
 Answers state how many requests a second an instance accepts, that it wants no
 requests for a while, or that it is leaving. All of it is kept for one
@@ -8,6 +8,7 @@
 import math
 from dataclasses import dataclass
 
+from zinniaspool.core.dispatch.cold import ColdShare
 from zinniaspool.core.dispatch.rates import AnnouncedRate
 
 __all__ = ["Backpressure"]
@@ -21,11 +22,13 @@
         rate: Rate of requests that it accepts from all processes, or None.
         paused_until: Time until which it wants no requests, in seconds.
         leaving: Whether it has announced that it leaves.
+        cold: What this process may send while it is cold, or None.
     """
 
     rate: AnnouncedRate | None = None
     paused_until: float = float("-inf")
     leaving: bool = False
+    cold: ColdShare | None = None
 
     def find_opening(self, subset_part: float) -> float:
         """Return when the instance accepts the next request, in seconds.
@@ -39,6 +42,9 @@
         """
         if self.leaving:
             return math.inf
-        if self.rate is None:
-            return self.paused_until
-        return max(self.paused_until, self.rate.find_opening(subset_part))
+        opening = self.paused_until
+        if self.rate is not None:
+            opening = max(opening, self.rate.find_opening(subset_part))
+        if self.cold is not None:
+            opening = max(opening, self.cold.find_opening())
+        return opening
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -190,9 +190,7 @@
                 state.target = new
         for name, target in wanted.items():
             if name not in self._states:
-                backpressure = self._backpressure.get(
-                    InstanceIncarnation(name, target.started_at_ms)
-                )
+                backpressure = self._backpressure.get(target.incarnation)
                 self._states[name] = TargetState(
                     target, last_event_at=now, backpressure=backpressure
                 )
--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -5,7 +5,13 @@
 
 from zinniaspool.core.dispatch.backpressure import Backpressure
 from zinniaspool.core.dispatch.outside import OutOfSubsetUtilization
-from zinniaspool.core.fleet import NO_LOAD, InstanceId, TargetLoad, has_restarted
+from zinniaspool.core.fleet import (
+    NO_LOAD,
+    InstanceId,
+    InstanceIncarnation,
+    TargetLoad,
+    has_restarted,
+)
 from zinniaspool.core.ids import (
     Address,
     Epoch,
@@ -53,6 +59,11 @@
     draining: bool = False
     fabric_domain: FabricDomainId | None = None
 
+    @property
+    def incarnation(self) -> InstanceIncarnation:
+        """The run of the instance that its upstream is."""
+        return InstanceIncarnation(self.instance, self.started_at_ms)
+
 
 @dataclass(eq=False, slots=True)
 class TargetState:
--- a/src/zinniaspool/core/fleet/catalog.py
+++ b/src/zinniaspool/core/fleet/catalog.py
@@ -94,10 +94,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """A service; ``engine`` is None for a plain service without models."""
+    """A service.
+
+    Attributes:
+        name: Its name.
+        engine: Its engines; None for a plain service without models.
+        cold_start_s: How long its upstreams are cold after a start, in
+            seconds.
+        cold_per_s: Requests a second that a cold one takes; 0 if that is not
+            limited.
+    """
 
     name: ServiceName
     engine: EngineSpec | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/fleet/instances.py
+++ b/src/zinniaspool/core/fleet/instances.py
@@ -103,6 +103,7 @@
         started_at_ms: Unix milliseconds of its start; None if it does not
             report that.
         order_count: Orders that it has accepted since its start.
+        cold_left_s: How long it was still cold when it wrote this, in seconds.
     """
 
     id: InstanceId
@@ -117,6 +118,7 @@
     membership: Membership | None = None
     started_at_ms: int | None = None
     order_count: int = 0
+    cold_left_s: float = 0.0
 
     def is_overtaken_by(self, other: "Instance") -> bool:
         """Tell whether another record of this instance is certainly later."""
--- a/src/zinniaspool/core/formation/allocation.py
+++ b/src/zinniaspool/core/formation/allocation.py
@@ -52,11 +52,13 @@
         loaded_model: The model of its last group, which it has loaded; None
             if there is none.
         standby: Whether it is a standby VM.
+        cold: Whether its upstream is cold.
     """
 
     instance: Instance
     loaded_model: ModelName | None
     standby: bool
+    cold: bool = False
 
     def get_readiness(self, model: ModelName) -> Readiness:
         """Return how soon the VM can serve a model."""
@@ -232,7 +234,9 @@
             it.instance.id,
         ),
     )
-    chosen = ranked[: model.size]
+    # The first member is the head, which receives the requests. A cold one
+    # takes few of them.
+    chosen = sorted(ranked[: model.size], key=lambda it: it.cold)
     loads = tuple(
         candidate.instance.id
         for candidate in chosen
--- a/src/zinniaspool/core/formation/census.py
+++ b/src/zinniaspool/core/formation/census.py
@@ -47,6 +47,8 @@
         self._new_vms: set[InstanceId] = set()
         self._arrived_at: dict[FabricDomainId, float] = {}
         self._by_domain: dict[FabricDomainId, list[Instance]] = {}
+        self._cold_left_s: dict[InstanceId, float] = {}
+        self._cold_until: dict[InstanceId, float] = {}
 
     def update_instances(
         self, instances: Mapping[InstanceId, Instance]
@@ -95,7 +97,10 @@
         return None if found is None else found.fabric_domain
 
     def record_arrivals(self, now: float) -> None:
-        """Record the time at which VMs arrived since the last call."""
+        """Record when VMs and news of coldness arrived since the last call."""
+        for name, left_s in self._cold_left_s.items():
+            self._cold_until[name] = now + left_s
+        self._cold_left_s.clear()
         for name in self._new_vms & self._known.keys():
             domain = self._known[name].fabric_domain
             if domain is not None:
@@ -106,17 +111,25 @@
         """Return whether a VM has just arrived, so that more are expected."""
         return now - self._arrived_at.get(domain, float("-inf")) < ARRIVAL_WINDOW_S
 
+    def is_cold(self, instance: InstanceId, now: float) -> bool:
+        """Return whether a VM's upstream is cold by its last record."""
+        return now < self._cold_until.get(instance, float("-inf"))
+
     def _remove(self, instance: Instance, change: InventoryChange) -> None:
         del self._known[instance.id]
         self.view.unreachable.discard(instance.id)
         self.loaded_models.pop(instance.id, None)
         self._started_at_ms.pop(instance.id, None)
+        self._cold_left_s.pop(instance.id, None)
+        self._cold_until.pop(instance.id, None)
         change.removed.append(instance.id)
         _add_changed_domain(change, instance.fabric_domain)
 
     def _update(self, instance: Instance, change: InventoryChange) -> None:
         before = self._known.get(instance.id)
         self._known[instance.id] = instance
+        if before is None or _is_cold_anew(before, instance):
+            self._cold_left_s[instance.id] = instance.cold_left_s
         if before is None:
             self._new_vms.add(instance.id)
         elif before.fabric_domain != instance.fabric_domain:
@@ -133,6 +146,15 @@
             self.loaded_models[instance.id] = instance.model
 
 
+def _is_cold_anew(before: Instance, now: Instance) -> bool:
+    """Return whether a record says something new of coldness.
+
+    A record that only a status report has amended repeats the time left.
+    """
+    restarted = has_restarted(before.started_at_ms, now.started_at_ms)
+    return restarted or before.cold_left_s != now.cold_left_s
+
+
 def _add_changed_domain(change: InventoryChange, domain: FabricDomainId | None) -> None:
     if domain is not None:
         change.domains.add(domain)
--- a/src/zinniaspool/core/formation/domains.py
+++ b/src/zinniaspool/core/formation/domains.py
@@ -113,6 +113,7 @@
         instances: Iterable[Instance],
         inventory: VmInventory,
         releases: ReleaseTracker,
+        now: float,
     ) -> list[Candidate]:
         """Return the idle and standby VMs that may join a group.
 
@@ -120,6 +121,7 @@
             instances: The instances of this domain.
             inventory: Which instances are unreachable, and their models.
             releases: Knows which VMs have left their groups.
+            now: Current time, in seconds.
         """
         planned: dict[InstanceId, GroupRun] = {}
         for run in self.runs.values():
@@ -133,6 +135,7 @@
             ):
                 continue
             own_run = planned.get(instance.id)
+            cold = inventory.is_cold(instance.id, now)
             if own_run is None:
                 if not releases.is_free(instance):
                     continue
@@ -141,14 +144,13 @@
                         instance,
                         inventory.loaded_models.get(instance.id),
                         standby=False,
+                        cold=cold,
                     )
                 )
             elif _is_available_standby(instance, own_run, releases):
                 model = inventory.loaded_models.get(instance.id)
                 ready = own_run.phase is GroupPhase.STANDBY
-                found.append(
-                    Candidate(instance, model if ready else None, standby=True)
-                )
+                found.append(Candidate(instance, model if ready else None, True, cold))
         return found
 
 
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -415,7 +415,9 @@
         instances: list[Instance],
         now: float,
     ) -> bool:
-        candidates = domain.list_candidates(instances, self._inventory, self._releases)
+        candidates = domain.list_candidates(
+            instances, self._inventory, self._releases, now
+        )
         if not candidates:
             return False
         groups_here = Counter(
--- a/src/zinniaspool/fleet/__init__.py
+++ b/src/zinniaspool/fleet/__init__.py
@@ -1,6 +1,6 @@
 """How a process learns of the fleet: from the store and from its peers."""
 
-from zinniaspool.fleet.belief import FleetView
+from zinniaspool.fleet.belief import FleetView, RecordArrival
 from zinniaspool.fleet.duties import run_supervised
 from zinniaspool.fleet.follower import FleetFollower, ProcessLocation, make_location
 from zinniaspool.fleet.leases import RenewedLease
@@ -19,6 +19,7 @@
     "NodeSettings",
     "PeerExchange",
     "ProcessLocation",
+    "RecordArrival",
     "RenewedLease",
     "make_location",
     "read_boot_clock",
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
@@ -32,7 +33,7 @@
 from zinniaspool.fleet.sight import read_boot_clock
 from zinniaspool.fleet.spelling import FleetCodec
 
-__all__ = ["FleetView"]
+__all__ = ["FleetView", "RecordArrival"]
 
 _log = structlog.get_logger(__name__)
 _T = TypeVar("_T")
@@ -51,6 +52,22 @@
 are removed: several times those of the largest fleet that is planned for."""
 
 
+@dataclass(frozen=True, slots=True)
+class RecordArrival:
+    """An instance's record that has arrived in this process.
+
+    Attributes:
+        instance: What the record says.
+        is_written: Whether the instance has written it since the one before.
+            A record may also be amended by an engine's status.
+        is_new: Whether the record is the first of this incarnation.
+    """
+
+    instance: Instance
+    is_written: bool
+    is_new: bool
+
+
 class FleetView:
     """Configuration, instances and processes, as the mirrored store has them.
 
@@ -68,6 +85,7 @@
         nodes: Entry processes, by VM.
         holder: The process that plans groups.
         on_catalog: Called after the configuration's key changed.
+        on_record: Called with each usable record as it arrives.
         on_instances: Called after instances or their reachability changed.
         on_nodes: Called after an entry process or the holder changed.
         on_change: Called after any change.
@@ -97,6 +115,7 @@
         self.nodes: dict[NodeId, NodeRecord] = {}
         self.holder: HolderRecord | None = None
         self.on_catalog: list[Callable[[], None]] = []
+        self.on_record: list[Callable[[RecordArrival], None]] = []
         self.on_instances: list[Callable[[], None]] = []
         self.on_nodes: list[Callable[[], None]] = []
         self.on_change: list[Callable[[], None]] = []
@@ -376,11 +395,16 @@
             )
             return
         self._rejection_reasons.pop(instance, None)
-        self._record_start(instance, record.started_at_ms)
+        is_new = self._record_start(instance, record.started_at_ms)
         before = self.instances.get(instance)
         self.instance_table.put(record)
         if before is not None and before.state is not record.state:
             _log.info("instance-state", instance=instance, state=record.state.value)
+        written = (
+            change.before is None or change.before.revision < change.after.revision
+        )
+        for listener in self.on_record:
+            listener(RecordArrival(record, written, is_new))
 
     def _reject_record(
         self, instance: InstanceId, key: str, reason: str, *, keep: bool = False
@@ -415,15 +439,17 @@
         newest = self._newest_starts.get(instance)
         return newest is not None and (started_at_ms is None or started_at_ms < newest)
 
-    def _record_start(self, instance: InstanceId, started_at_ms: int | None) -> None:
+    def _record_start(self, instance: InstanceId, started_at_ms: int | None) -> bool:
+        """Record an incarnation's start; return whether it was unknown."""
         if started_at_ms is None:
-            return
+            return False
         before = self._newest_starts.pop(instance, None)
         self._newest_starts[instance] = started_at_ms
         if has_restarted(before, started_at_ms):
             _log.info("instance-reborn", instance=instance, born=started_at_ms)
         if len(self._newest_starts) > MAX_KNOWN_INCARNATIONS:
             del self._newest_starts[next(iter(self._newest_starts))]
+        return before != started_at_ms
 
     def _apply_node(self, change: MirrorChange) -> None:
         node = NodeId(change.key.removeprefix(NODES_PREFIX))
--- a/src/zinniaspool/fleet/settings.py
+++ b/src/zinniaspool/fleet/settings.py
@@ -42,6 +42,8 @@
         evacuation_s: Time after the store's acknowledgement of an evacuation
             order from which no request may reach an upstream of that failure
             domain, in seconds.
+        cold_over: Factor on the rate of requests that a cold upstream takes.
+        cold_slack: Requests that are added to that in any second.
     """
 
     node: NodeId
@@ -68,3 +70,5 @@
     cores: float = 1.0
     link_mbps: float = 1000.0
     evacuation_s: float = 5.0
+    cold_over: float = 1.5
+    cold_slack: float = 5.0
--- a/src/zinniaspool/gateway/backpressure.py
+++ b/src/zinniaspool/gateway/backpressure.py
@@ -14,22 +14,19 @@
 
 from zinniaspool.core.dispatch import (
     AnnouncedRate,
-    Backpressure,
     InstanceNotice,
     TargetState,
 )
 from zinniaspool.core.fleet import InstanceIncarnation
 from zinniaspool.core.ids import NodeId
 from zinniaspool.core.messages.fleet import UpstreamLimit
+from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.targets import TargetIndex
 
 __all__ = ["BackpressureTracker"]
 
 _log = structlog.get_logger(__name__)
 
-MAX_INCARNATIONS = 1024
-"""Incarnations of upstreams whose requests are remembered."""
-
 MAX_UNKNOWN_HEADERS = 64
 """Header names without a known meaning that are logged, once each."""
 
@@ -40,6 +37,7 @@
     Args:
         node: This process's VM.
         index: The targets.
+        cold: Limits the requests to cold upstreams.
         send_to_peers: Sends a report to the processes that share targets with
             this one.
     """
@@ -48,10 +46,12 @@
         self,
         node: NodeId,
         index: TargetIndex,
+        cold: ColdTracker,
         send_to_peers: Callable[[UpstreamLimit], None],
     ) -> None:
         self._node = node
         self._index = index
+        self._cold = cold
         self._send_to_peers = send_to_peers
         self._unknown_headers: set[str] = set()
 
@@ -66,7 +66,7 @@
             has_run: Whether the upstream ran the request. A refusal may lack
                 the limit that other answers announce.
         """
-        incarnation = _identify(state)
+        incarnation = state.target.incarnation
         if notice.pause_s is not None:
             self._record_pause(incarnation, notice.pause_s)
         if notice.leaving:
@@ -87,11 +87,12 @@
 
     def record_request(self, state: TargetState) -> None:
         """Count and report a request of this process at an upstream."""
+        self._cold.record_request(state)
         if state.backpressure is None or state.backpressure.rate is None:
             return
         rate = state.backpressure.rate
         rate.record_request(state.subset_part, self._now())
-        self._send_report(_identify(state), rate.per_s, sent=True)
+        self._send_report(state.target.incarnation, rate.per_s, sent=True)
 
     def handle_peer_report(self, report: UpstreamLimit) -> None:
         """Handle a peer's report of a rate limit or of a request."""
@@ -105,14 +106,14 @@
             )
 
     def _record_pause(self, incarnation: InstanceIncarnation, pause_s: float) -> None:
-        known = self._remember(incarnation)
+        known = self._index.remember_backpressure(incarnation)
         until = self._now() + pause_s
         if self._now() >= known.paused_until:
             _log.info("pause-requested", instance=incarnation.instance, pause_s=pause_s)
         known.paused_until = max(known.paused_until, until)
 
     def _record_leaving(self, incarnation: InstanceIncarnation) -> None:
-        known = self._remember(incarnation)
+        known = self._index.remember_backpressure(incarnation)
         if not known.leaving:
             _log.info("leaving-announced", instance=incarnation.instance)
         known.leaving = True
@@ -142,27 +143,10 @@
         if per_s is not None and rate is not None:
             rate.per_s = per_s
             return True
-        self._remember(incarnation).rate = (
+        self._index.remember_backpressure(incarnation).rate = (
             None if per_s is None else AnnouncedRate(per_s, self._now())
         )
         return True
 
-    def _remember(self, incarnation: InstanceIncarnation) -> Backpressure:
-        """Return what an upstream has asked, from now on if it is new."""
-        known = self._index.backpressure.get(incarnation)
-        if known is not None:
-            return known
-        if len(self._index.backpressure) >= MAX_INCARNATIONS:
-            del self._index.backpressure[next(iter(self._index.backpressure))]
-        known = self._index.backpressure[incarnation] = Backpressure()
-        state = self._index.find_state(incarnation.instance)
-        if state is not None and _identify(state) == incarnation:
-            state.backpressure = known
-        return known
-
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
-
-
-def _identify(state: TargetState) -> InstanceIncarnation:
-    return InstanceIncarnation(state.target.instance, state.target.started_at_ms)
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -15,6 +15,7 @@
 from result import Err
 
 from zinniaspool.core.dispatch import (
+    ColdBound,
     Quarantine,
     RetryLimits,
     assign_domains,
@@ -52,6 +53,7 @@
 )
 from zinniaspool.gateway.backpressure import BackpressureTracker
 from zinniaspool.gateway.carrier import RequestForwarder
+from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.directory import DirectoryHandler
 from zinniaspool.gateway.evacuations import EvacuationMonitor
@@ -192,9 +194,16 @@
             self._send_to_all,
             self._send_to_holder,
         )
+        self._cold = ColdTracker(
+            settings.node,
+            self._fleet_view,
+            self._index,
+            ColdBound(settings.cold_over, settings.cold_slack),
+        )
         self._backpressure = BackpressureTracker(
             settings.node,
             self._index,
+            self._cold,
             lambda report: self._send(self._subset.other_members, report),
         )
         self._forwarder = RequestForwarder(
@@ -233,6 +242,7 @@
             self._http,
             self._admission_queues.tally,
             self._crash_detector,
+            self._cold,
         )
         self._reachability = ReachabilityTracker(random.Random())
         self._directory_handler = DirectoryHandler(
@@ -391,6 +401,7 @@
             await asyncio.sleep(LOAD_REPORT_INTERVAL_S)
             now = loop.time()
             self._index.expire_loads(now)
+            self._cold.expire(now)
             self._evacuation_monitor.check(now)
             self._admission_queues.admit_waiting()
             loads, complete = (
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 from zinniaspool.fleet import FleetStore, FleetView
 from zinniaspool.fleet.metrics import add_fleet_metrics
+from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient
@@ -23,6 +24,7 @@
     http: HttpClient,
     admission_tally: AdmissionTally,
     crashes: CrashDetector,
+    cold: ColdTracker,
 ) -> MetricsPage:
     """Return the metrics page of an entry process."""
     page = MetricsPage()
@@ -100,6 +102,27 @@
         list_evacuated,
     )
 
+    def list_cold() -> Iterator[Sample]:
+        cold_count = sum(
+            state.backpressure is not None and state.backpressure.cold is not None
+            for state in index
+        )
+        yield Sample({}, cold_count)
+
+    def list_cold_requests() -> Iterator[Sample]:
+        yield Sample({}, cold.request_count)
+
+    page.add_gauge(
+        "zinniaspool_cold_targets",
+        "Targets whose requests are limited since they are cold.",
+        list_cold,
+    )
+    page.add_counter(
+        "zinniaspool_cold_requests",
+        "Requests that this process sent to cold targets.",
+        list_cold_requests,
+    )
+
     asked = index.backpressure.values
 
     def list_limited() -> Iterator[Sample]:
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -43,6 +43,9 @@
 _log = structlog.get_logger(__name__)
 
 
+MAX_INCARNATIONS = 1024
+"""Incarnations of upstreams whose backpressure is remembered."""
+
 _PoolKey = tuple[ServiceName, ModelName | None]
 
 
@@ -93,6 +96,19 @@
             self._pools[key] = pool
         return pool
 
+    def remember_backpressure(self, incarnation: InstanceIncarnation) -> Backpressure:
+        """Return what is kept of an upstream, from now on if it is new."""
+        known = self.backpressure.get(incarnation)
+        if known is not None:
+            return known
+        if len(self.backpressure) >= MAX_INCARNATIONS:
+            del self.backpressure[next(iter(self.backpressure))]
+        known = self.backpressure[incarnation] = Backpressure()
+        state = self.find_state(incarnation.instance)
+        if state is not None and state.target.incarnation == incarnation:
+            state.backpressure = known
+        return known
+
     def set_subset(self, subset: Subset, process_count: int) -> None:
         """Set which entry processes share which targets.
 
--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -140,6 +140,7 @@
             membership.ok_value,
             _decode_start(raw.born),
             raw.seq_no,
+            max(0.0, raw.cold_left_ms) / 1000,
         )
     )
 
--- a/src/zinniaspool/platform/nodefile.py
+++ b/src/zinniaspool/platform/nodefile.py
@@ -42,6 +42,8 @@
     budget_slack: float = msgspec.field(default=0.0, name="budget-slack")
     stall_ms: float = msgspec.field(default=6000.0, name="stall-ms")
     ceiling_window_s: float = msgspec.field(default=5.0, name="ceiling-window-s")
+    cold_over: float = msgspec.field(default=1.5, name="cold-over")
+    cold_slack: float = msgspec.field(default=5.0, name="cold-slack")
     evac_ms: float = msgspec.field(default=5000.0, name="evac-ms")
 
 
@@ -119,6 +121,8 @@
         file.limits.cpu_share * file.limits.cores,
         file.limits.link_mbps,
         bounds.evac_ms / 1000,
+        bounds.cold_over,
+        bounds.cold_slack,
     )
 
 
--- a/src/zinniaspool/platform/rules.py
+++ b/src/zinniaspool/platform/rules.py
@@ -1,6 +1,6 @@
 """Decodes the operator's configuration in the platform's format."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -30,6 +30,9 @@
 longest pause that is on time."""
 
 
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _Weighted(msgspec.Struct):
     service: str
     weight: float = 0.0
@@ -82,6 +85,9 @@
 class _Service(msgspec.Struct):
     name: str
     engine: _Engine | None = None
+    cold_start_s: _Amount = msgspec.field(default=0.0, name="cold-start-s")
+    # 0: not limited.
+    cold_per_s: _Amount = msgspec.field(default=0.0, name="cold-per-s")
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -186,6 +192,8 @@
     return ServiceSpec(
         ServiceName(raw.name),
         None if raw.engine is None else _decode_engine(raw.engine),
+        raw.cold_start_s,
+        raw.cold_per_s,
     )
 
 
--- a/src/zinniaspool/platform/wire.py
+++ b/src/zinniaspool/platform/wire.py
@@ -36,6 +36,7 @@
 _URGENCY = _PREFIX + "request-priority"
 _NOT_EXECUTED = _PREFIX + "not-executed"
 _LOAD = _PREFIX + "runner-load"
+_COLD = _PREFIX + "cold-ms"
 _RATE_LIMIT = "server-limit"
 _RETRY_AFTER = "retry-after"
 _LEAVING = "server-leaving"
@@ -69,7 +70,7 @@
     for name in ("authorization", _DEADLINE, _EXPECTED, _CUSTOMER, _URGENCY, _RESUME)
 )
 _INSTANCE_ONLY = frozenset(
-    name.encode() for name in (_LOAD, _PREFIX + "instance-id", "at-server")
+    name.encode() for name in (_LOAD, _COLD, _PREFIX + "instance-id", "at-server")
 )
 # The headers of answers that this module reads or passes on knowingly.
 _KNOWN_IN_ANSWERS = (
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -153,6 +153,9 @@
         "changed.",
         "record-not-removed": "The store did not remove the record of a content that "
         "is no longer quarantined; the record expires with its lease.",
+        "upstream-cold": "An upstream is cold, for the reason given; this process "
+        "sends it only its share of requests, or none.",
+        "upstream-warm": "An upstream is no longer cold.",
         "upstream-crashed": "An upstream with requests of this process no longer "
         "listens; their contents are suspected.",
         "target-silent": "A group's head with requests of this process is stalled.",
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -66,7 +66,13 @@
 
 
 class RunnerTimes(msgspec.Struct):
-    """How long things take, in seconds; short, for tests."""
+    """How long things take, in seconds; short, for tests.
+
+    Attributes:
+        cold_s: How long it is cold after a start during traffic.
+        cold_limit: Requests within a second that it survives while it is cold;
+            0 if any number.
+    """
 
     heartbeat_s: float = 0.4
     load_s: float = 1.0
@@ -76,6 +82,8 @@
     pass_s: float = 0.03
     stall_s: float = 2.0
     back_s: float = 0.6
+    cold_s: float = 0.0
+    cold_limit: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +114,8 @@
         arrived: When requests came, in seconds of the loop's clock.
         paused: When it asked for a pause, in seconds of the loop's clock.
         crashes: How often it ended by itself.
+        most_cold: The most requests that came within a second while it was
+            cold.
     """
 
     id: str
@@ -132,10 +142,14 @@
     born: int = 1_700_000_000_000
     streams: int = 0
     crashes: int = 0
+    most_cold: int = 0
     _down: bool = False
     _server: HttpServer | None = None
     _epoch: int = 0
     _written: str = ""
+    _cold_until: float = 0.0
+    _cold_spells: int = 0
+    _cold_arrivals: list[float] = field(default_factory=list)
     _silent: float = 0.0
     _crashing: "asyncio.Task[None] | None" = None
     _last_answers: dict[object, bytes] = field(default_factory=dict)
@@ -170,6 +184,13 @@
         self.orders.clear()
         self._epoch = 0
         self._last_answers.clear()
+        if self.times.cold_s:
+            self.become_cold(self.times.cold_s)
+
+    def become_cold(self, seconds: float) -> None:
+        """Be cold from now on for some seconds."""
+        self._cold_until = asyncio.get_running_loop().time() + seconds
+        self._cold_spells += 1
 
     # The entry.
 
@@ -185,10 +206,14 @@
                 self.store.remove(f"servers/{self.id}")
             return
         self._silent = 0.0
-        entry = msgspec.json.encode(self._describe()).decode()
-        if entry != self._written:
-            self._written = entry
-            value = b64encode(entry.encode()).decode()
+        described = self._describe()
+        left_ms = described.pop("cold-left-ms")
+        # The time left alone is no reason to write the entry anew.
+        kept = msgspec.json.encode([described, self._cold_spells]).decode()
+        if kept != self._written:
+            self._written = kept
+            entry = msgspec.json.encode({**described, "cold-left-ms": left_ms})
+            value = b64encode(entry).decode()
             self.store.put(f"servers/{self.id}", value)
 
     def _describe(self) -> dict[str, Any]:
@@ -199,7 +224,7 @@
             "version": "v1",
             "slots": 8,
             "state": "draining" if self.faults.leaving else "ready",
-            "cold-left-ms": 0,
+            "cold-left-ms": self._count_cold_ms(),
             "seq-no": len(self.orders),
             "born": self.born,
         }
@@ -210,6 +235,10 @@
                 entry["group"] = self.group
         return entry
 
+    def _count_cold_ms(self) -> int:
+        left_s = self._cold_until - asyncio.get_running_loop().time()
+        return max(0, int(left_s * 1000))
+
     # Calls.
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -332,6 +361,10 @@
         if headers.get("x-zinniaspool-expect-instance") not in (self.id, None):
             await exchange.respond(421, Headers(), b"")
             return
+        if self._exceeds_cold_limit():
+            if self._crashing is None or self._crashing.done():
+                self._crashing = asyncio.create_task(self._crash())
+            await asyncio.sleep(60.0)
         is_model = headers.get("x-zinniaspool-model") is not None
         opened = self.group is not None and self.group["state"] == "open"
         refuses = self.faults.refuse or self.faults.pause_s > 0
@@ -434,6 +467,17 @@
                 return False
         return True
 
+    def _exceeds_cold_limit(self) -> bool:
+        """Count a request to a cold runner; whether it is one too many."""
+        now = asyncio.get_running_loop().time()
+        if now >= self._cold_until:
+            return False
+        recent = [one for one in self._cold_arrivals if one > now - 1.0]
+        self._cold_arrivals = [*recent, now]
+        self.most_cold = max(self.most_cold, len(self._cold_arrivals))
+        limit = self.times.cold_limit
+        return bool(limit) and len(self._cold_arrivals) > limit and not self._down
+
     def _note_run(self, request: str, headers: Headers, path: str) -> None:
         self.runs.append(
             SeenRun(
