Have the safeguards of evacuation and cold upstreams tried

Cause: no tool showed that the tests notice when these safeguards are gone.

Change: six entries in tools/try_safeguards.py; a test that a process takes its subset from another failure domain for as long as its own is evacuated.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -1,5 +1,6 @@
 """Evacuated failure domains: the view, the targets and the planner."""
 
+import asyncio
 import random
 from collections import Counter
 from dataclasses import replace
@@ -20,7 +21,14 @@
     assign_domains,
     find_subset,
 )
-from zinniaspool.core.fleet import InstanceId, MirrorEvent, StoredItem
+from zinniaspool.core.fleet import (
+    NODES_PREFIX,
+    InstanceId,
+    MirrorEvent,
+    NodeRecord,
+    NodeState,
+    StoredItem,
+)
 from zinniaspool.core.formation import OrderAction
 from zinniaspool.core.generations import make_revision
 from zinniaspool.core.ids import (
@@ -31,13 +39,15 @@
     NodeId,
     Revision,
 )
-from zinniaspool.fleet import FleetView
+from zinniaspool.fleet import FleetView, NodeSettings
 from zinniaspool.gateway.evacuations import EvacuationMonitor
+from zinniaspool.platform.gateway import make_gateway
 from zinniaspool.platform.spelling import PlatformCodec
 
 A, B = FailureDomainId("hall-a"), FailureDomainId("hall-b")
 IN_A, IN_B = InstanceId("i-a"), InstanceId("i-b")
 ORDER = "op/evacuate/hall-a"
+READY = NodeState.READY
 
 
 # The view.
@@ -230,6 +240,50 @@
     assert assign_domains(nodes, set(nodes.values())) == nodes
 
 
+def test_a_process_takes_its_subset_from_another_domain_until_the_end() -> None:
+    """Guards against an order that the choice of shared targets ignores."""
+
+    async def test() -> None:
+        settings = NodeSettings(
+            node=NodeId("vm-0"),
+            ip="127.0.0.1",
+            failure_domain=A,
+            region="north",
+            caller_address=None,
+            ready_address=None,
+            directory_address=None,
+            control_address=Address("127.0.0.1:1"),
+            first_port=2,
+            seeds=(),
+            store_address=Address("127.0.0.1:3"),
+            least_lease_s=1.0,
+            heartbeat_s=1.0,
+            first_start=False,
+            grace_s=1.0,
+            address_lifetime_s=1.0,
+            stall_s=1.0,
+            repeat_ratio=0.2,
+            repeat_window_s=10.0,
+            repeat_slack=0.0,
+            load_window_s=5.0,
+        )
+        gateway = make_gateway(settings)
+        view = gateway._fleet_view
+        for number in range(30):
+            node = NodeId(f"vm-{number}")
+            record = NodeRecord(
+                node, Address("x:1"), Address("x:2"), (A, B)[number % 2], "north", READY
+            )
+            _watch(view, NODES_PREFIX + node, msgspec.json.encode(record), number + 1)
+        assert gateway._subset.domain == A
+        _watch(view, ORDER, b"{}", 40)
+        assert gateway._subset.domain == B
+        _watch(view, ORDER, None, 41)
+        assert gateway._subset.domain == A
+
+    asyncio.run(test())
+
+
 # The planner.
 
 
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -38,6 +38,53 @@
 
 
 SAFEGUARDS = (
+    Safeguard(
+        "an evacuated target gets no requests",
+        f"{CORE}/dispatch/targets.py",
+        "if self.removed or self.target.draining or self.evacuated:",
+        "if self.removed or self.target.draining:",
+        "tests/test_evacuation.py::"
+        "test_an_evacuated_target_gets_no_request_not_even_as_a_last_resort",
+    ),
+    Safeguard(
+        "nothing forms in an evacuated domain while others have VMs",
+        f"{CORE}/formation/evacuation.py",
+        "return instance.service not in self._replaceable",
+        "return True",
+        "tests/test_evacuation.py::"
+        "test_groups_in_an_evacuated_domain_stay_open_and_nothing_forms_there",
+    ),
+    Safeguard(
+        "processes of an evacuated domain share the targets of others",
+        "src/zinniaspool/gateway/main.py",
+        "shared = assign_domains(domains, self._fleet_view.evacuated)",
+        "shared = assign_domains(domains, ())",
+        "tests/test_evacuation.py::"
+        "test_a_process_takes_its_subset_from_another_domain_until_the_end",
+    ),
+    Safeguard(
+        "few VMs send to a cold upstream",
+        f"{CORE}/dispatch/cold.py",
+        "return 1 if preceding < shared else 0",
+        "return 1",
+        "tests/test_cold.py::test_the_bound_holds_while_lists_differ_by_a_third",
+    ),
+    Safeguard(
+        "a share counts as used up after a start",
+        f"{CORE}/dispatch/cold.py",
+        "opening = self.opens_at",
+        "opening = -math.inf",
+        "tests/test_cold.py::"
+        "test_a_process_that_has_just_started_has_used_up_its_share",
+    ),
+    Safeguard(
+        "an amended record says nothing of coldness",
+        "src/zinniaspool/gateway/cold.py",
+        "if arrival.is_written and (",
+        "if (",
+        "tests/test_cold.py::"
+        "test_a_record_that_a_status_amends_says_nothing_new_of_coldness",
+    ),
     Safeguard(
         "an upstream that has asked for a pause gets no requests",
         f"{CORE}/dispatch/targets.py",
