Decide which instances without a record are retained

A record that expires ended its group at once, although its upstream may still serve. The store shows an upstream that has lost it and one that leaves without announcing it in the same way; only the upstream's own answers tell them apart.

The platform's modules decode the health path of a service and the contract in the settings, and query the health. The stand-ins answer health queries, leave without announcing it and lose the store in numbers. Nothing uses the decisions yet.

--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -42,6 +42,15 @@
 )
 from zinniaspool.core.fleet.reachability import ProbeOutcome, ReachabilityTracker
 from zinniaspool.core.fleet.relays import FANOUT, choose_relays
+from zinniaspool.core.fleet.removals import RemovedInstances, RetainedStates
+from zinniaspool.core.fleet.retention import (
+    Health,
+    HealthAnswer,
+    RetentionEnd,
+    RetentionTracker,
+    is_same_membership,
+    may_retain,
+)
 from zinniaspool.core.fleet.status import EngineStatus
 from zinniaspool.core.fleet.wholeness import CompleteGroup, find_complete_groups
 
@@ -59,6 +68,8 @@
     "DemandTotals",
     "EngineSpec",
     "EngineStatus",
+    "Health",
+    "HealthAnswer",
     "HolderRecord",
     "Instance",
     "InstanceId",
@@ -77,7 +88,11 @@
     "ProbeOutcome",
     "QuarantineRecord",
     "ReachabilityTracker",
+    "RemovedInstances",
     "RequestKind",
+    "RetainedStates",
+    "RetentionEnd",
+    "RetentionTracker",
     "RouteSpec",
     "ServiceShare",
     "ServiceSpec",
@@ -87,4 +102,6 @@
     "choose_relays",
     "find_complete_groups",
     "has_restarted",
+    "is_same_membership",
+    "may_retain",
 ]
--- a/src/zinniaspool/core/fleet/catalog.py
+++ b/src/zinniaspool/core/fleet/catalog.py
@@ -94,10 +94,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """A service; ``engine`` is None for a plain service without models."""
+    """A service of the configuration.
+
+    Attributes:
+        name: Its name.
+        engine: Its engines; None for a plain service without models.
+        health_path: Path at which its instances answer whether they are
+            healthy and not leaving; None if they don't.
+    """
 
     name: ServiceName
     engine: EngineSpec | None = None
+    health_path: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/fleet/instances.py
+++ b/src/zinniaspool/core/fleet/instances.py
@@ -17,6 +17,7 @@
 )
 
 __all__ = [
+    "LOADED_STATES",
     "Instance",
     "InstanceId",
     "InstanceIncarnation",
@@ -67,6 +68,12 @@
     """A member is missing; it refuses all requests."""
 
 
+LOADED_STATES = frozenset(
+    {MembershipState.READY, MembershipState.OPEN, MembershipState.CLOSING}
+)
+"""States of a member that has its group's model loaded."""
+
+
 @dataclass(frozen=True, slots=True)
 class Membership:
     """The replica group that an instance reports to belong to.
--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -64,11 +64,20 @@
 
 @dataclass(frozen=True, slots=True)
 class MirrorChange:
-    """A change of one key of the copy; None stands for an absent key."""
+    """A change of one key of the copy; None stands for an absent key.
+
+    Attributes:
+        key: The key.
+        before: Its item before the change.
+        after: Its item since the change.
+        was_deferred: Whether it is a removal that was deferred after an
+            outage of the store.
+    """
 
     key: str
     before: StoredItem | None
     after: StoredItem | None
+    was_deferred: bool = False
 
 
 class StoreMirror:
@@ -283,7 +292,7 @@
                 self._record_change(
                     key, self._removal_revisions.get(key, before.revision)
                 )
-                changes.append(MirrorChange(key, before, None))
+                changes.append(MirrorChange(key, before, None, was_deferred=True))
         return changes
 
     def _was_removed(self, key: str) -> bool:
--- a/src/zinniaspool/core/fleet/status.py
+++ b/src/zinniaspool/core/fleet/status.py
@@ -19,6 +19,7 @@
         waiting: Number of requests that wait at the engine.
         slowness: Factor by which it takes longer than usual.
         born: Unix milliseconds of its start; None if it does not report that.
+        is_leaving: Whether it reports that it is leaving.
     """
 
     membership: Membership | None
@@ -28,3 +29,4 @@
     waiting: int
     slowness: float
     born: int | None = None
+    is_leaving: bool = False
--- a/src/zinniaspool/core/fleet/wholeness.py
+++ b/src/zinniaspool/core/fleet/wholeness.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from zinniaspool.core.fleet.instances import (
+    LOADED_STATES,
     Instance,
     InstanceState,
     MembershipState,
@@ -13,9 +14,6 @@
 
 __all__ = ["CompleteGroup", "find_complete_groups"]
 
-_LOADED_STATES = frozenset(
-    {MembershipState.READY, MembershipState.OPEN, MembershipState.CLOSING}
-)
 _SERVING_STATES = frozenset({MembershipState.OPEN, MembershipState.CLOSING})
 
 
@@ -58,7 +56,7 @@
     found: defaultdict[tuple[GroupId, Epoch], list[Instance]] = defaultdict(list)
     for instance in instances:
         membership = instance.membership
-        if membership is None or membership.state not in _LOADED_STATES:
+        if membership is None or membership.state not in LOADED_STATES:
             continue
         found[membership.group, membership.epoch].append(instance)
     complete = []
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from zinniaspool.core.fleet.demands import ModelDemandReport
-from zinniaspool.core.fleet.instances import InstanceId
+from zinniaspool.core.fleet.instances import InstanceId, MembershipState
 from zinniaspool.core.fleet.loads import TargetLoad
 from zinniaspool.core.ids import ContentId, NodeId, Revision
 
@@ -77,6 +77,8 @@
             all processes.
         lost: Instances that are unreachable according to the holder, though
             their records in the store have not expired.
+        retained: Instances that the holder retains although their records
+            were removed, with their states in their groups.
     """
 
     source: str
@@ -89,6 +91,7 @@
     leader_age_s: float
     provisional: bool
     lost: frozenset[InstanceId] = frozenset()
+    retained: dict[InstanceId, MembershipState] = {}
 
 
 class StoreStatusRequest(msgspec.Struct, frozen=True, tag="store-ask"):
--- a/src/zinniaspool/fleet/settings.py
+++ b/src/zinniaspool/fleet/settings.py
@@ -39,6 +39,8 @@
             seconds.
         cores: Processor time available per second, in seconds.
         link_mbps: Bandwidth of the VM's link, in Mbit/s.
+        retains_instances: Whether instances are queried for their health and
+            retained when their records expire.
     """
 
     node: NodeId
@@ -64,3 +66,4 @@
     load_window_s: float
     cores: float = 1.0
     link_mbps: float = 1000.0
+    retains_instances: bool = False
--- a/src/zinniaspool/keeper/engines.py
+++ b/src/zinniaspool/keeper/engines.py
@@ -4,12 +4,23 @@
 
 from result import Result
 
-from zinniaspool.core.fleet import EngineStatus
+from zinniaspool.core.fleet import EngineStatus, HealthAnswer, InstanceId
 from zinniaspool.core.formation import GroupOrder, OrderOutcome
 from zinniaspool.core.ids import Address
 from zinniaspool.http import TransportFailure
 
-__all__ = ["EngineControl"]
+__all__ = ["CHECK_TIMEOUTS_S", "MAX_LOCAL_LAG_S", "EngineControl"]
+
+CHECK_TIMEOUTS_S = (0.12, 0.3)
+"""Timeouts of two consecutive status queries, in seconds. An engine that
+answers neither counts as unreachable. The first query can be lost on the way;
+the second allows for a link or a processor of this VM that is busy for a
+moment."""
+
+MAX_LOCAL_LAG_S = 0.06
+"""How late a query's timeout may fire before its outcome is ignored, in
+seconds. If it fires later, this process itself was delayed, and the answer may
+have arrived without being read."""
 
 
 class EngineControl(Protocol):
@@ -24,3 +35,9 @@
     ) -> Result[EngineStatus, TransportFailure]:
         """Query the status of an engine."""
         ...
+
+    async def query_health(
+        self, address: Address, instance: InstanceId, path: str, timeout_s: float
+    ) -> Result[HealthAnswer, TransportFailure]:
+        """Query whether an instance is healthy and isn't leaving."""
+        ...
--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -88,6 +88,7 @@
     running: int = 0
     # Above 1, the VM takes this many times as long as it should.
     pace: float = 1.0
+    state: str = ""
 
 
 _STATES = {state.value: state for state in MembershipState}
@@ -171,6 +172,7 @@
             raw.waiting,
             raw.pace,
             _decode_start(raw.born),
+            _INSTANCE_STATES.get(raw.state) is InstanceState.LEAVING,
         )
     )
 
--- a/src/zinniaspool/platform/nodefile.py
+++ b/src/zinniaspool/platform/nodefile.py
@@ -13,6 +13,10 @@
 __all__ = ["NodeFileError", "read_node_file"]
 
 
+_HEALTH_CONTRACT = "health"
+"""The contract under which upstreams answer health queries."""
+
+
 class NodeFileError(Exception):
     """The settings file can't be used; the message names the fault."""
 
@@ -64,6 +68,8 @@
     heartbeat_ms: float = 1000.0
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # The parts of the platform's protocol that upstreams and callers follow.
+    contracts: tuple[str, ...] = ()
 
 
 def read_node_file(path: Path | None = None) -> NodeSettings:
@@ -117,6 +123,7 @@
         bounds.ceiling_window_s,
         file.limits.cpu_share * file.limits.cores,
         file.limits.link_mbps,
+        _HEALTH_CONTRACT in file.contracts,
     )
 
 
--- a/src/zinniaspool/platform/orders.py
+++ b/src/zinniaspool/platform/orders.py
@@ -5,7 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from zinniaspool.core.fleet import EngineStatus
+from zinniaspool.core.fleet import EngineStatus, Health, HealthAnswer, InstanceId
 from zinniaspool.core.formation import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.ids import Address
 from zinniaspool.http import (
@@ -16,6 +16,7 @@
     TransportFailure,
 )
 from zinniaspool.platform.entries import decode_status
+from zinniaspool.platform.wire import parse_instance, parse_notice
 
 __all__ = ["EngineClient"]
 
@@ -30,6 +31,11 @@
     412: OrderOutcome.STALE,
     421: OrderOutcome.GONE,
 }
+_HEALTH = {
+    200: Health.HEALTHY,
+    421: Health.MISDIRECTED,
+    503: Health.UNHEALTHY,
+}
 _ACTIONS = {
     OrderAction.JOIN: "join",
     OrderAction.OPEN: "open",
@@ -81,6 +87,24 @@
             return Err(TransportFailure.MALFORMED)
         return Ok(decoded.ok_value)
 
+    async def query_health(
+        self, address: Address, instance: InstanceId, path: str, timeout_s: float
+    ) -> Result[HealthAnswer, TransportFailure]:
+        """Request an instance's health."""
+        headers = Headers.of(x_zinniaspool_expect_instance=instance)
+        request = Request("GET", path, headers)
+        try:
+            status, answered, _ = await self._client.fetch_with_headers(
+                address, request, timeout_s
+            )
+        except TransportError as error:
+            return Err(error.failure)
+        health = _HEALTH.get(status)
+        if health is None:
+            return Err(TransportFailure.MALFORMED)
+        is_leaving = parse_notice(status, answered).leaving
+        return Ok(HealthAnswer(health, parse_instance(answered), is_leaving))
+
 
 def _format_order(order: GroupOrder) -> dict[str, object]:
     body: dict[str, object] = {"op": _ACTIONS[order.action]}
--- a/src/zinniaspool/platform/rules.py
+++ b/src/zinniaspool/platform/rules.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configuration in the platform's format."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -79,9 +80,10 @@
     keeps: int = 1
 
 
-class _Service(msgspec.Struct):
+class _Service(msgspec.Struct, rename="kebab"):
     name: str
     engine: _Engine | None = None
+    health_path: str = ""
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -106,6 +108,8 @@
     tenants: list[_Tenant] | None = None
 
 
+_PATH = re.compile(r"/[!-~]*", re.ASCII)
+
 _KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
@@ -186,6 +190,8 @@
     return ServiceSpec(
         ServiceName(raw.name),
         None if raw.engine is None else _decode_engine(raw.engine),
+        # Any other text can't stand in a request line.
+        raw.health_path if _PATH.fullmatch(raw.health_path) else None,
     )
 
 
--- a/src/zinniaspool/platform/wire.py
+++ b/src/zinniaspool/platform/wire.py
@@ -19,6 +19,7 @@
     "make_caller_headers",
     "make_upstream_headers",
     "parse_answered_request",
+    "parse_instance",
     "parse_key",
     "parse_load",
     "parse_notice",
@@ -29,6 +30,7 @@
 _REQUEST_ID = _PREFIX + "request-id"
 _DEADLINE = _PREFIX + "deadline-ms"
 _EXPECTED = _PREFIX + "expect-instance"
+_INSTANCE = _PREFIX + "instance-id"
 _CUSTOMER = _PREFIX + "tenant"
 _MODEL = _PREFIX + "model"
 _TOKEN_COUNTS = _PREFIX + "token-count"
@@ -68,9 +70,7 @@
     name.encode()
     for name in ("authorization", _DEADLINE, _EXPECTED, _CUSTOMER, _URGENCY, _RESUME)
 )
-_INSTANCE_ONLY = frozenset(
-    name.encode() for name in (_LOAD, _PREFIX + "instance-id", "at-server")
-)
+_INSTANCE_ONLY = frozenset(name.encode() for name in (_LOAD, _INSTANCE, "at-server"))
 # The headers of answers that this module reads or passes on knowingly.
 _KNOWN_IN_ANSWERS = (
     _HOP_BY_HOP
@@ -186,6 +186,12 @@
     return None if value is None else RequestId(value)
 
 
+def parse_instance(headers: Headers) -> InstanceId | None:
+    """Return the instance that an answer names, or None if it names none."""
+    value = headers.get(_INSTANCE)
+    return None if value is None else InstanceId(value)
+
+
 def parse_load(headers: Headers) -> InstanceLoad | None:
     """Return the load report in an instance's answer, or None."""
     match _parse_integers(headers.get(_LOAD)):
--- a/src/zinniaspool_standins/nodes.py
+++ b/src/zinniaspool_standins/nodes.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -74,16 +75,21 @@
     processes: list[NodeProcess]
 
 
-async def make_nodes(made: Installation, folder: Path, count: int) -> list[EntryNode]:
+async def make_nodes(
+    made: Installation, folder: Path, count: int, contracts: Sequence[str] = ()
+) -> list[EntryNode]:
     """Write the settings of some entry VMs, and start their processes.
 
     Args:
         made: The store and the runners.
         folder: Gets settings and logs.
         count: How many VMs.
+        contracts: The platform's contracts that are in force.
     """
     controls = [free_address() for _ in range(count)]
-    nodes = [await _make_node(made, folder, n, controls) for n in range(count)]
+    nodes = [
+        await _make_node(made, folder, n, controls, contracts) for n in range(count)
+    ]
     for node in nodes:
         for one in node.processes:
             await one.start()
@@ -100,7 +106,11 @@
 
 
 async def _make_node(
-    made: Installation, folder: Path, number: int, controls: list[Address]
+    made: Installation,
+    folder: Path,
+    number: int,
+    controls: list[Address],
+    contracts: Sequence[str],
 ) -> EntryNode:
     store, link_address = free_address(), free_address()
     front, directory = free_address(), free_address()
@@ -113,6 +123,7 @@
     settings.write_text(
         f'node-name = "n{number}"\nip = "127.0.0.1"\nzone = "hall-a"\n'
         f'region = "north"\ninternal-ports = [{port}, {port}]\nseeds = [{seeds}]\n'
+        f"contracts = {list(contracts)!r}\n"
         f'[listen-addrs]\nfront = "{front}"\nready = "{free_address()}"\n'
         f'directory = "{directory}"\ncontrol = "{controls[number]}"\n'
         f"[bounds]\ngrace-s = 4\nbudget-slack = 200\n"
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -22,6 +22,9 @@
 
 HEARTBEATS = 3
 
+HEALTH_PATH = "/healthz"
+"""Where runners answer health queries, by the stand-ins' rules."""
+
 RUN_ONCE = "/cards/"
 """Paths whose requests may run once only, by the stand-ins' rules."""
 
@@ -31,7 +34,11 @@
 
     Attributes:
         dark: It answers nobody and writes nothing.
-        cut: It does not reach the store.
+        cut: It does not reach the store, and serves.
+        parts: It leaves without announcing it: it removes its entry, answers
+            health queries with 503, and serves.
+        false_health: It answers health queries as healthy, whatever its state.
+        no_status: It answers no status query.
         refuse: It says that it has not run what it is sent.
         fail: It answers 500.
         cut_after: Events after which it resets a stream in mid-event.
@@ -51,6 +58,9 @@
 
     dark: bool = False
     cut: bool = False
+    parts: bool = False
+    false_health: bool = False
+    no_status: bool = False
     refuse: bool = False
     fail: bool = False
     cut_after: int = -1
@@ -104,6 +114,9 @@
         store: Where its entry lies.
         others: All runners by id, for its group's sake.
         arrived: When requests came, in seconds of the loop's clock.
+        health_queries: How many health queries came.
+        removed_at: When it last removed its entry, in seconds of the loop's
+            clock.
         paused: When it asked for a pause, in seconds of the loop's clock.
         crashes: How often it ended by itself.
     """
@@ -121,6 +134,8 @@
     runs: list[SeenRun] = field(default_factory=list)
     arrivals: Counter[str] = field(default_factory=Counter)
     arrived: list[float] = field(default_factory=list)
+    health_queries: int = 0
+    removed_at: float = 0.0
     paused: list[float] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
@@ -178,11 +193,13 @@
         self._written = ""
 
     def _keep_entry(self) -> None:
+        if self.faults.parts:
+            self._remove_entry()
+            return
         if self.faults.dark or self.faults.cut:
             self._silent += self.times.heartbeat_s / 8
-            if self._silent > HEARTBEATS * self.times.heartbeat_s and self._written:
-                self._written = ""
-                self.store.remove(f"servers/{self.id}")
+            if self._silent > HEARTBEATS * self.times.heartbeat_s:
+                self._remove_entry()
             return
         self._silent = 0.0
         entry = msgspec.json.encode(self._describe()).decode()
@@ -191,6 +208,12 @@
             value = b64encode(entry.encode()).decode()
             self.store.put(f"servers/{self.id}", value)
 
+    def _remove_entry(self) -> None:
+        if self._written:
+            self._written = ""
+            self.removed_at = asyncio.get_running_loop().time()
+            self.store.remove(f"servers/{self.id}")
+
     def _describe(self) -> dict[str, Any]:
         entry: dict[str, Any] = {
             "service": self.service,
@@ -216,7 +239,11 @@
         if self.faults.dark:
             await asyncio.sleep(60.0)
         path = exchange.request.path
-        if path == "/v1/report":
+        if path == HEALTH_PATH:
+            await self._answer_health(exchange)
+        elif path == "/v1/report":
+            if self.faults.no_status:
+                await asyncio.sleep(60.0)
             report = {**self._describe(), "waiting": 0, "running": 0, "pace": 1.0}
             await answer_json(exchange, 200, report)
         elif path == "/v1/order":
@@ -224,6 +251,19 @@
         else:
             await self._serve(exchange)
 
+    async def _answer_health(self, exchange: Exchange) -> None:
+        self.health_queries += 1
+        expected = exchange.request.headers.get("x-zinniaspool-expect-instance")
+        if expected not in (self.id, None):
+            await exchange.respond(421, Headers(), b"")
+            return
+        leaves = self.faults.parts or self.faults.leaving
+        status = 503 if leaves and not self.faults.false_health else 200
+        headers = Headers.of(x_zinniaspool_instance_id=self.id)
+        if self.faults.says_leaving:
+            headers.add("server-leaving", "1")
+        await exchange.respond(status, headers, b"")
+
     async def _take_order(self, exchange: Exchange) -> None:
         order = msgspec.json.decode(exchange.request.body)
         if self.faults.unanswered_orders:
--- a/src/zinniaspool_standins/soak.py
+++ b/src/zinniaspool_standins/soak.py
@@ -12,7 +12,7 @@
 import random
 import signal
 import tempfile
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from pathlib import Path
@@ -187,6 +187,24 @@
                 one.faults.says_leaving = False
                 one.restart()
 
+    async def lose_store(self, until: float) -> None:
+        """Let many runners lose the store, or leave without announcing it."""
+        source = random.Random(f"records-{self.seed}")
+        while asyncio.get_running_loop().time() < until:
+            runners = list(self.made.runners.values())
+            lost = source.sample(runners, len(runners) // 3)
+            self.faults.append(f"lose_store {','.join(one.id for one in lost)}")
+            for one in lost:
+                one.faults.cut = True
+            parting = source.choice(runners)
+            parting.faults.parts = True
+            await asyncio.sleep(source.uniform(1.5, 3.0))
+            for one in lost:
+                one.faults.cut = False
+            parting.restart()
+            parting.faults.parts = False
+            await asyncio.sleep(source.uniform(0.5, 1.5))
+
     def pick(self) -> NodeProcess:
         return self.source.choice(self.source.choice(self.nodes).processes)
 
@@ -290,7 +308,9 @@
                 self.note(f"{node.name} refuses a key of the newest version")
 
 
-async def run_seed(seed: int, folder: Path, *, with_restores: bool = False) -> _Soak:
+async def run_seed(
+    seed: int, folder: Path, *, with_restores: bool = False, with_health: bool = False
+) -> _Soak:
     """Play one seed.
 
     Args:
@@ -298,14 +318,18 @@
         folder: Gets the logs of the processes.
         with_restores: Whether the store comes back from copies and runners
             announce pauses and that they leave, beside the other faults.
+        with_health: Whether runners are queried for their health, and many
+            lose the store or leave without announcing it.
 
     Raises:
         SoakError: A promise was broken.
     """
-    async with _start(seed, folder) as soak:
+    contracts = ("health",) if with_health else ()
+    async with _start(seed, folder, contracts) as soak:
         loop = asyncio.get_running_loop()
         ends = loop.time() + TRAFFIC_S
         added = [soak.restore_store, soak.announce] if with_restores else []
+        added += [soak.lose_store] if with_health else []
         await asyncio.gather(
             soak.break_things(ends - CALM_S),
             soak.break_instances(ends - CALM_S),
@@ -320,9 +344,11 @@
 
 
 @contextlib.asynccontextmanager
-async def _start(seed: int, folder: Path) -> AsyncIterator[_Soak]:
+async def _start(
+    seed: int, folder: Path, contracts: Sequence[str]
+) -> AsyncIterator[_Soak]:
     async with Installation.running(nodes=0, engines=9) as made:
-        nodes = await make_nodes(made, folder, NODES)
+        nodes = await make_nodes(made, folder, NODES, contracts)
         try:
             soak = _Soak(seed, random.Random(seed), made, nodes)
             await _await_served(soak)
@@ -346,12 +372,18 @@
     with_restores: Annotated[
         bool, typer.Option(help="Restore the store, announce pauses.")
     ] = False,
+    with_health: Annotated[
+        bool, typer.Option(help="Query health, let many runners lose the store.")
+    ] = False,
 ) -> None:
     failed = []
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         try:
-            soak = asyncio.run(run_seed(seed, folder, with_restores=with_restores))
+            played = run_seed(
+                seed, folder, with_restores=with_restores, with_health=with_health
+            )
+            soak = asyncio.run(played)
             print(f"seed {seed}: sound, {soak.sent} sent, {len(soak.faults)} faults")
         except SoakError as fault:
             failed.append(seed)
