Retain instances while a new holder queries all engines

A new holder's queries to all engines take seconds if many do not answer. It made no retention queries meanwhile, and its reports aged, so that the other processes dropped what the previous holder retained. The queries now run beside the holder's steps of retention. A group is no longer opened while a member has no record: it may have ended since it was ready.

The random tests of formation run a second time with members that are retained.

--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -221,11 +221,15 @@
             membership = self._find_membership(member, view)
             if membership is None:
                 orders += self._order_if_due(member, OrderAction.JOIN, now)
-            elif membership.state is MembershipState.READY:
+            elif (
+                membership.state is MembershipState.READY
+                and member not in view.unrecorded
+            ):
                 ready += 1
         # An open head accepts requests at once, and no engine checks the other
         # members. A group opened early would run requests that it cannot
-        # finish, so only each member's own report of being ready counts.
+        # finish, so only each member's own report of being ready counts. One
+        # whose record was removed may have ended since it was ready.
         if ready == len(self.record.members) and not self.record.standby:
             orders += self._order_if_due(self.record.head, OrderAction.OPEN, now)
         return orders
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -216,7 +216,7 @@
         )
         self._planner = planner
         self._restore(planner)
-        await self._query_all_engines(planner)
+        await self.retainer.run_beside(self._query_all_engines(planner))
         planner.defer_formation(self._loads_unlimited_until - FORMATION_LEAD_S)
         # Until another process takes over, the plans in memory are the newest;
         # those in the store may be from before an outage.
--- a/src/zinniaspool/keeper/retention.py
+++ b/src/zinniaspool/keeper/retention.py
@@ -46,6 +46,10 @@
 places to the rest within milliseconds."""
 
 
+STEP_PAUSE_S = 0.05
+"""Pause between two steps while a new holder does other work, in seconds."""
+
+
 class InstanceRetainer:
     """Decides for the holder which instances without a record are retained.
 
@@ -100,6 +104,22 @@
             self._start(self._check(self._fleet_view.instances[instance]))
         self._report()
 
+    async def run_beside(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run long work of a new holder, and retain instances meanwhile.
+
+        Its queries to all engines take seconds if many do not answer. Without
+        reports, the other processes would drop what the previous holder
+        retained.
+        """
+        task = asyncio.create_task(work)
+        try:
+            while not task.done():
+                self.step()
+                await asyncio.wait([task], timeout=STEP_PAUSE_S)
+            await task
+        finally:
+            task.cancel()
+
     def list_unrecorded(self) -> Collection[InstanceId]:
         """Return the instances that are kept although they have no record."""
         return self._fleet_view.retention.list_kept().keys()
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -169,6 +169,7 @@
         orders: All orders that were sent.
         running: Queries that are not answered yet.
         peak: The largest number of them.
+        delay_s: Time that an answer takes, in seconds.
     """
 
     def __init__(self) -> None:
@@ -178,6 +179,7 @@
         self.health_queries: list[InstanceId] = []
         self.orders: list[GroupOrder] = []
         self.running = self.peak = 0
+        self.delay_s = LINK_DELAY_S
         self._names = {record["address"]: name for name, record in RECORDS.items()}
 
     async def query_status(
@@ -207,7 +209,7 @@
         is_answered = answers and name not in self.unreachable
         self.running += 1
         self.peak = max(self.peak, self.running)
-        await asyncio.sleep(LINK_DELAY_S if is_answered else timeout_s)
+        await asyncio.sleep(self.delay_s if is_answered else timeout_s)
         self.running -= 1
         return is_answered
 
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -10,13 +10,18 @@
 
 from zinniaspool.core.fleet import (
     EngineSpec,
+    EngineStatus,
+    Health,
+    HealthAnswer,
     Instance,
     InstanceId,
     InstanceState,
     Membership,
     MembershipState,
     ModelSpec,
+    may_retain,
 )
+from zinniaspool.core.fleet.retention import find_objection
 from zinniaspool.core.formation import (
     DomainPlan,
     FormationPlanner,
@@ -81,6 +86,8 @@
         connected: Whether it reaches the store.
         record: Its record in the store, or None.
         unreported_since: Time since which it does not reach the store.
+        retained_until: Time of the holder's next decision on the engine,
+            which has no record; None if it has one.
         opens_at: Time at which an open order takes effect.
         ready_ever: Groups in which it has ever been ready.
         ready_since_start: Groups in which it has been ready since its last
@@ -94,6 +101,7 @@
     state: InstanceState = InstanceState.READY
     record: Instance | None = None
     unreported_since: float | None = None
+    retained_until: float | None = None
     staged: tuple[ModelName, ...] = ()
     model: ModelName | None = None
     membership: Membership | None = None
@@ -135,6 +143,7 @@
         late_order_part: Part of the orders that are carried out late.
         staging_enabled: Whether engines stage models.
         load_time_part: Part of the model's load time that a load takes.
+        retains_instances: Whether engines without a record are retained.
     """
 
     def __init__(self, domains: int = 1, size: int = 7, seed: int = 1) -> None:
@@ -145,6 +154,7 @@
         self.late_order_part = 0.0
         self.staging_enabled = True
         self.load_time_part = 0.1
+        self.retains_instances = False
         self.orders: list[GroupOrder] = []
         self.epoch = 0
         self._late_orders: list[tuple[float, GroupOrder]] = []
@@ -222,7 +232,8 @@
                 self._late_orders.remove((due, order))
                 self._execute(order)
         self.planner.update_instances(
-            {it.id: it.record for it in self.engines.values() if it.record}
+            {it.id: it.record for it in self.engines.values() if it.record},
+            {it.id for it in self.engines.values() if it.retained_until is not None},
         )
         writes, orders = self.planner.step(self.now)
         for write in writes:
@@ -254,7 +265,7 @@
         elif membership is not None and membership.state is MembershipState.CLOSING:
             engine.membership = replace(membership, state=MembershipState.READY)
         if engine.alive and engine.connected:
-            engine.unreported_since = None
+            engine.unreported_since = engine.retained_until = None
             reported = engine.describe()
             if reported != engine.record:
                 engine.record = reported
@@ -262,7 +273,34 @@
         if engine.unreported_since is None:
             engine.unreported_since = self.now
         if self.now - engine.unreported_since > HEARTBEAT_TIMEOUT_S:
+            self._expire_record(engine)
+
+    def _expire_record(self, engine: FakeEngine) -> None:
+        """Remove a record, or keep it as a holder does that retains it.
+
+        The holder decides 0.5 s later, and then once a second.
+        """
+        known = engine.record
+        if known is None:
+            return
+        if engine.retained_until is None:
+            engine.retained_until = self.now + 0.5
+        elif engine.retained_until <= self.now:
+            engine.retained_until = self.now + 1.0
+            status = EngineStatus(
+                engine.membership, engine.model, (), 0, 0, 1.0, engine.incarnation
+            )
+            is_leaving = engine.state is InstanceState.LEAVING
+            health = HealthAnswer(Health.HEALTHY, engine.id, is_leaving)
+            answers = (health, status) if engine.alive else (None, None)
+            if find_objection(known, *answers) is None:
+                engine.record = replace(known, membership=engine.membership)
+            else:
+                engine.record = None
+        if not self.retains_instances or not may_retain(known):
             engine.record = None
+        if engine.record is None:
+            engine.retained_until = None
 
     def _send_order(self, order: GroupOrder) -> OrderOutcome:
         engine = self.engines.get(order.instance)
--- a/tests/test_belief.py
+++ b/tests/test_belief.py
@@ -164,6 +164,10 @@
     kept.writer.write(FIRST, None)
     assert kept.wait(0.7) == [FIRST]
     assert kept.wait(0.2) == []
+    kept.writer.put(FIRST)
+    kept.writer.write(FIRST, None)
+    assert kept.wait(0.2, FIRST) == [FIRST]
+    assert kept.wait(0.1) == []
 
 
 @pytest.mark.parametrize(
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -15,7 +15,7 @@
     make_idle_instance,
     make_settled_fleet,
 )
-from zinniaspool.core.fleet import InstanceId, InstanceState
+from zinniaspool.core.fleet import InstanceId, InstanceState, MembershipState
 from zinniaspool.core.formation import GroupPhase, OrderAction
 from zinniaspool.core.formation.allocation import (
     Candidate,
@@ -304,10 +304,48 @@
             assert not self.fleet.violations
 
 
-TestFormation = Formation.TestCase
-TestFormation.settings = settings(
+class RetainingFormation(Formation):
+    """The same holds if members without a record are retained."""
+
+    @initialize(seed=st.integers(0, 2**16), late=st.sampled_from([0.0, 0.3]))
+    def begin(self, seed: int, late: float) -> None:
+        self.fleet = SimulatedFleet(domains=2, size=7, seed=seed)
+        self.fleet.retains_instances = True
+        self.fleet.late_order_part = late
+        self.fleet.advance(8.0)
+
+
+_SETTINGS = settings(
     max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
 )
+TestFormation = Formation.TestCase
+TestFormation.settings = _SETTINGS
+TestRetainingFormation = RetainingFormation.TestCase
+TestRetainingFormation.settings = _SETTINGS
+
+
+def test_a_group_is_not_opened_while_a_member_has_no_record() -> None:
+    """The member may have ended since it was ready.
+
+    A member becomes ready and loses the store before the others are ready. It
+    is retained, and the group opens once its record is back.
+    """
+    fleet = SimulatedFleet(size=2)
+    fleet.retains_instances = True
+    fleet.load_time_part = 1.0
+    fleet.advance(1.0)
+    first, second = fleet.engines.values()
+    first.ready_at, second.ready_at = fleet.now, fleet.now + 6.0
+    fleet.advance(0.2)
+    first.connected = False
+    fleet.advance(9.0)
+    assert first.retained_until is not None
+    assert second.membership is not None
+    assert second.membership.state is MembershipState.READY
+    assert OrderAction.OPEN not in [order.action for order in fleet.orders]
+    first.connected = True
+    fleet.advance(1.0)
+    assert fleet.count_serving(SMALL) == 1
 
 
 def test_an_outdated_record_does_not_free_a_vm() -> None:
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -14,6 +14,7 @@
     RECORDS,
     VM_COUNT,
     SimulatedFleet,
+    list_engines,
     list_heads,
     wait_until,
 )
@@ -24,6 +25,7 @@
 from zinniaspool.core.ids import Address
 from zinniaspool.fleet import FleetView
 from zinniaspool.http import TransportFailure
+from zinniaspool.keeper import holder
 from zinniaspool.keeper.retention import MAX_CONCURRENT_CHECKS, InstanceRetainer
 from zinniaspool.platform.entries import decode_status
 from zinniaspool.platform.spelling import PlatformCodec
@@ -71,12 +73,20 @@
 
 
 async def watch_use(fleet: SimulatedFleet, seconds: float, least: int) -> None:
-    """Check for some time that entry processes use the head."""
-    loop = asyncio.get_running_loop()
-    ends_at = loop.time() + seconds
-    while loop.time() < ends_at:
-        assert fleet.count_users({HEAD}) >= least
-        await asyncio.sleep(0.02)
+    """Check for some time that entry processes use the head without a gap."""
+    least_seen = fleet.count_users({HEAD})
+
+    def look() -> None:
+        nonlocal least_seen
+        least_seen = min(least_seen, fleet.count_users({HEAD}))
+
+    for entry in fleet.entries:
+        entry.fleet_view.on_instances.append(look)
+    await asyncio.sleep(seconds)
+    look()
+    for entry in fleet.entries:
+        entry.fleet_view.on_instances.remove(look)
+    assert least_seen >= least
 
 
 def test_a_group_goes_on_while_records_of_its_members_are_missing() -> None:
@@ -174,14 +184,14 @@
     async def test(fleet: SimulatedFleet) -> None:
         fleet.remove_record(HEAD)
         await asyncio.sleep(0.5)
-        holder, reporter = fleet.controls[0].holder, fleet.controls[9].node
+        planning, reporter = fleet.controls[0].holder, fleet.controls[9].node
         asked = len(fleet.engines.health_queries)
-        holder.check_group(HEAD, reporter)
+        planning.check_group(HEAD, reporter)
         await asyncio.sleep(0.1)
         assert len(fleet.engines.health_queries) == asked + 1
         assert fleet.count_users({HEAD}) == VM_COUNT
         await asyncio.sleep(0.5)
-        holder.check_group(HEAD, reporter)
+        planning.check_group(HEAD, reporter)
         await asyncio.sleep(KNOWN_S)
         assert not fleet.count_users({HEAD})
 
@@ -200,30 +210,59 @@
     assert list_ends(run(test)) == [(HEAD, "too-long", True)]
 
 
-@pytest.mark.parametrize("removed_s", [3.0, 0.1])
+@pytest.mark.parametrize(
+    ("removed_s", "resigns"), [(3.0, False), (0.1, False), (3.0, True)]
+)
 def test_a_new_holder_goes_on_with_what_its_predecessor_retained(
-    removed_s: float,
+    removed_s: float, resigns: bool
 ) -> None:
     """Otherwise the loss of a VM would end all groups without records.
 
-    The holder ends seconds after a removal, or before the removal's decision
-    has arrived everywhere. Its successor finds the instance in its own memory
-    and queries it itself.
+    The holder ends or resigns seconds after a removal, or ends before the
+    removal's decision has arrived everywhere. Its successor finds the instance
+    in its own memory and queries it itself, which takes a moment.
     """
 
     async def test(fleet: SimulatedFleet) -> None:
         fleet.remove_record(HEAD)
         await asyncio.sleep(removed_s)
-        fleet.kill(fleet.controls[0])
-        await asyncio.sleep(0.3)
+        if resigns:
+            election = fleet.controls[0].election
+            election.holds_key = election.may_plan = False
+        else:
+            fleet.kill(fleet.controls[0])
+            await asyncio.sleep(0.3)
+        fleet.engines.delay_s = 0.1
         fleet.take_over(7)
-        await watch_use(fleet, 4.0, VM_COUNT - 1)
+        await watch_use(fleet, 4.0, len(fleet.entries))
         fleet.write_record(HEAD)
-        await watch_use(fleet, 1.0, VM_COUNT - 1)
+        await watch_use(fleet, 1.0, len(fleet.entries))
 
     assert list_ends(run(test)) == [(HEAD, "record-returned", True)]
 
 
+def test_a_new_holder_reports_what_is_retained_while_it_queries_all_engines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The other processes would drop it before the queries have ended.
+
+    A fabric domain of twelve VMs answers nothing, and the queries of a new
+    holder take 2.5 s in all, as in a larger fleet that has lost more.
+    """
+    monkeypatch.setattr(holder, "MAX_CONCURRENT_QUERIES", 2)
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.remove_record(HEAD)
+        await asyncio.sleep(3.0)
+        fleet.kill(fleet.controls[0])
+        fleet.engines.unreachable = list_engines("d1")
+        await asyncio.sleep(0.3)
+        fleet.take_over(7)
+        await watch_use(fleet, 5.0, VM_COUNT - 1)
+
+    assert list_ends(run(test)) == []
+
+
 def test_without_a_holder_no_instance_is_kept() -> None:
     """Nobody would notice that it is leaving.
 
