--- a/src/zinniaspool/core/fleet/removals.py
+++ b/src/zinniaspool/core/fleet/removals.py
@@ -11,7 +11,7 @@
 
 from zinniaspool.core.fleet.instances import InstanceId, MembershipState
 
-__all__ = ["RemovedInstances", "RetainedStates"]
+__all__ = ["RemovedInstances", "RemovedRecord", "RetainedStates"]
 
 RetainedStates = Mapping[InstanceId, MembershipState]
 """The instances that the holder retains, with the state of each in its group.
--- a/src/zinniaspool/core/fleet/retention.py
+++ b/src/zinniaspool/core/fleet/retention.py
@@ -24,6 +24,7 @@
     "HealthAnswer",
     "RetentionEnd",
     "RetentionTracker",
+    "find_objection",
     "is_same_membership",
     "may_retain",
 ]
--- a/src/zinniaspool/keeper/retention.py
+++ b/src/zinniaspool/keeper/retention.py
@@ -92,12 +92,7 @@
             return
         now = self._fleet_view.retention.clock()
         self._track_kept(())
-        for instance in self._tracker.list_gone(self._fleet_view.retention.list_kept()):
-            has_record = instance in self._fleet_view.instances
-            self._end(
-                instance,
-                RetentionEnd.RECORD_RETURNED if has_record else RetentionEnd.UNDECIDED,
-            )
+        self._end_gone()
         for instance in self._tracker.list_expired(now):
             self._end(instance, RetentionEnd.TOO_LONG)
         for instance in self._tracker.start_due_queries(now, MAX_CONCURRENT_CHECKS):
@@ -145,6 +140,15 @@
                 instance, removed_at, now, inherited=instance in inherited
             )
 
+    def _end_gone(self) -> None:
+        """Stop tracking instances that have a record again, or are dropped."""
+        for instance in self._tracker.list_gone(self._fleet_view.retention.list_kept()):
+            has_record = instance in self._fleet_view.instances
+            self._end(
+                instance,
+                RetentionEnd.RECORD_RETURNED if has_record else RetentionEnd.UNDECIDED,
+            )
+
     def _report(self) -> None:
         instances = self._fleet_view.instances
         retained = {
@@ -171,7 +175,7 @@
         )
         longest_s = max(sum(CHECK_TIMEOUTS_S), sum(HEALTH_TIMEOUTS_S))
         self._decide(
-            known,
+            known.id,
             health,
             status,
             was_delayed=clock() - started_at > longest_s + MAX_LOCAL_LAG_S,
@@ -198,16 +202,19 @@
 
     def _decide(
         self,
-        known: Instance,
+        instance: InstanceId,
         health: HealthAnswer | None,
         status: EngineStatus | None,
         *,
         was_delayed: bool,
     ) -> None:
-        view, instance = self._fleet_view, known.id
+        view = self._fleet_view
         if not view.retention.is_kept(instance):
             # Its record has returned, or it was dropped meanwhile.
+            self._end_gone()
             return
+        # Another record may have come and gone since the queries began.
+        known = view.instances[instance]
         now = view.retention.clock()
         was_retained = self._tracker.is_retained(instance)
         end = self._tracker.apply_answers(
--- a/src/zinniaspool/platform/nodefile.py
+++ b/src/zinniaspool/platform/nodefile.py
@@ -3,6 +3,7 @@
 import os
 import tomllib
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -69,7 +70,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     # The parts of the platform's protocol that upstreams and callers follow.
-    contracts: tuple[str, ...] = ()
+    contracts: list[Any] | dict[str, Any] = []
 
 
 def read_node_file(path: Path | None = None) -> NodeSettings:
--- a/src/zinniaspool/platform/rules.py
+++ b/src/zinniaspool/platform/rules.py
@@ -83,7 +83,7 @@
 class _Service(msgspec.Struct, rename="kebab"):
     name: str
     engine: _Engine | None = None
-    health_path: str = ""
+    health_path: str | None = None
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -191,7 +191,7 @@
         ServiceName(raw.name),
         None if raw.engine is None else _decode_engine(raw.engine),
         # Any other text can't stand in a request line.
-        raw.health_path if _PATH.fullmatch(raw.health_path) else None,
+        raw.health_path if _PATH.fullmatch(raw.health_path or "") else None,
     )
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,13 +12,15 @@
 
 from zinniaspool.core.fleet import (
     EngineStatus,
+    Health,
+    HealthAnswer,
     InstanceId,
     MembershipState,
     RequestKind,
 )
-from zinniaspool.core.ids import Revision
+from zinniaspool.core.ids import Revision, ServiceName
 from zinniaspool.core.storage import KeyWrite, StoreFault
-from zinniaspool.http import Headers, HttpClient, Request
+from zinniaspool.http import Exchange, Headers, HttpClient, HttpServer, Request
 from zinniaspool.platform import wire
 from zinniaspool.platform.entries import (
     apply_status,
@@ -27,6 +29,7 @@
 )
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.nodefile import NodeFileError, read_node_file
+from zinniaspool.platform.orders import EngineClient
 from zinniaspool.platform.rules import decode_rules
 from zinniaspool_standins.installation import free_address, make_rules
 from zinniaspool_standins.pagestore import PageStore
@@ -94,6 +97,79 @@
         read_node_file(path)
 
 
+@pytest.mark.parametrize(
+    ("contracts", "retains"),
+    [
+        ("", False),
+        ('contracts = ["evacuation"]', False),
+        ('contracts = ["health"]', True),
+    ],
+)
+def test_instances_are_retained_where_the_health_contract_is_in_force(
+    contracts: str, retains: bool, tmp_path: Path
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(contracts + _FILE)
+    assert read_node_file(path).retains_instances is retains
+
+
+@pytest.mark.parametrize(
+    ("path", "decoded"),
+    [("/healthz", "/healthz"), (None, None), ("", None), ("/a b", None), ("x", None)],
+)
+def test_only_a_path_that_a_request_line_can_have_is_a_health_path(
+    path: str | None, decoded: str | None
+) -> None:
+    """A wrong path must neither refuse the rules nor break a request."""
+    rules = make_rules(7, ["k"])
+    rules["services"][0]["health-path"] = path
+    catalog = decode_rules(msgspec.json.encode(rules)).unwrap()
+    assert catalog.services[ServiceName("drafting")].health_path == decoded
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "answer"),
+    [
+        (200, {"x_zinniaspool_instance_id": "i-1"}, (Health.HEALTHY, "i-1", False)),
+        (200, {"server_leaving": "1"}, (Health.HEALTHY, None, True)),
+        (503, {}, (Health.UNHEALTHY, None, False)),
+        (421, {"server_leaving": "1"}, (Health.MISDIRECTED, None, False)),
+        (429, {}, None),
+        (404, {}, None),
+    ],
+)
+def test_health_answers_are_decoded(
+    status: int,
+    headers: dict[str, str],
+    answer: tuple[Health, str | None, bool] | None,
+) -> None:
+    """An answer that states nothing about the health counts as missing."""
+
+    async def test() -> None:
+        async def respond(exchange: Exchange) -> None:
+            request = exchange.request
+            assert (request.method, request.path) == ("GET", "/healthz")
+            assert request.headers.get("x-zinniaspool-expect-instance") == "i-1"
+            await exchange.respond(status, Headers.of(**headers), b"")
+
+        server = HttpServer(respond)
+        address = await server.listen(free_address())
+        engines = EngineClient(HttpClient())
+        found = await engines.query_health(address, InstanceId("i-1"), "/healthz", 2.0)
+        expected = None if answer is None else HealthAnswer(*answer)  # type: ignore[arg-type]
+        assert found.ok() == expected
+        await server.drain(0.0)
+
+    asyncio.run(test())
+
+
+def test_a_status_tells_that_its_engine_leaves() -> None:
+    body: dict[str, object] = {"group": None, "models": [], "staged": []}
+    for state, is_leaving in (("draining", True), ("ready", False), ("new", False)):
+        status = decode_status(msgspec.json.encode({**body, "state": state})).unwrap()
+        assert status.is_leaving is is_leaving
+
+
 def test_rules_become_routes_by_longest_prefix() -> None:
     rules = make_rules(7, ["k"])
     rules["routes"].append({**rules["routes"][1], "path-prefix": "/cards/urgent/"})
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,12 @@
     asyncio.run(run_seed(seed, tmp_path))
 
 
+@pytest.mark.processes
+def test_promises_hold_while_records_expire(tmp_path: Path) -> None:
+    """Guards against retained VMs that are in two groups, or in none."""
+    asyncio.run(run_seed(1, tmp_path, with_health=True))
+
+
 @pytest.mark.processes
 def test_promises_hold_while_the_store_is_restored(tmp_path: Path) -> None:
     """Guards against restores of the store among other faults."""
