End a retention before the holder's own view can resume it

The holder's view follows its own last report, which named an instance until the next pass. A timer in between put the instance back after its retention had ended for good. The report is now renewed before the instance is dropped.

--- a/src/zinniaspool/keeper/retention.py
+++ b/src/zinniaspool/keeper/retention.py
@@ -245,7 +245,11 @@
             after_ms=int(self._tracker.get_age_s(instance, now) * 1000),
         )
         self._tracker.end(instance)
-        self._fleet_view.drop_removed(instance)
+        if reason is not RetentionEnd.RECORD_RETURNED:
+            # This process's view follows the last report too, and would put
+            # the instance back as long as that names it.
+            self._report()
+            self._fleet_view.drop_removed(instance)
 
 
 async def _query_twice(
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -430,3 +430,24 @@
         assert engines.peak <= 2 * MAX_CONCURRENT_CHECKS
 
     run_in_virtual_time(test)
+
+
+def test_an_ended_retention_is_not_resumed_by_an_older_report() -> None:
+    """The holder would query and retain an instance again that it had dropped.
+
+    Its own view follows the last report, which named the instance until the
+    moment in which the retention ended.
+    """
+
+    async def test(fleet: SimulatedFleet) -> None:
+        view = fleet.controls[0].fleet_view
+        fleet.remove_record(HEAD)
+        await asyncio.sleep(1.5)
+        view.on_instances.append(view.settle_retained)
+        fleet.engines.health[HEAD] = HealthAnswer(Health.UNHEALTHY, HEAD)
+        await asyncio.sleep(1.0)
+        fleet.engines.health.clear()
+        await asyncio.sleep(2.0)
+        assert HEAD not in view.instances
+
+    assert list_ends(run(test)) == [(HEAD, "unhealthy", True)]
