Use one stand-in of the engines in the tests of retention

The test of many records at once had engines of its own that counted queries as those of the simulated fleet do.

--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -159,6 +159,9 @@
 class FakeEngines:
     """All engines; the unreachable ones answer no query.
 
+    Args:
+        records: Their records, from which their statuses are made.
+
     Attributes:
         unreachable: Those that answer nothing.
         health: Answers to health queries that differ from the usual one; None
@@ -172,7 +175,7 @@
         delay_s: Time that an answer takes, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, records: dict[str, dict[str, Any]] = RECORDS) -> None:
         self.unreachable: set[InstanceId] = set()
         self.health: dict[InstanceId, HealthAnswer | None] = {}
         self.statuses: dict[InstanceId, dict[str, Any] | None] = {}
@@ -180,7 +183,8 @@
         self.orders: list[GroupOrder] = []
         self.running = self.peak = 0
         self.delay_s = LINK_DELAY_S
-        self._names = {record["address"]: name for name, record in RECORDS.items()}
+        self._records = records
+        self._names = {record["address"]: name for name, record in records.items()}
 
     async def query_status(
         self, address: Address, timeout_s: float
@@ -189,7 +193,8 @@
         changes = self.statuses.get(name, {})
         if not await self._transfer(name, timeout_s, answers=changes is not None):
             return Err(TransportFailure.TIMED_OUT)
-        return decode_status(msgspec.json.encode({**RECORDS[name], **(changes or {})}))
+        status = {**self._records[name], **(changes or {})}
+        return decode_status(msgspec.json.encode(status))
 
     async def query_health(
         self, address: Address, instance: InstanceId, path: str, timeout_s: float
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -3,16 +3,16 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
-from typing import Any, TypeVar
+from typing import Any
 
 import msgspec
 import pytest
-from result import Err, Ok, Result
 from structlog.testing import capture_logs
 
 from tests.fleet_simulation import (
     RECORDS,
     VM_COUNT,
+    FakeEngines,
     SimulatedFleet,
     list_engines,
     list_heads,
@@ -20,19 +20,14 @@
 )
 from tests.test_belief import RECORD, ViewWriter
 from tests.virtual_time import run_in_virtual_time
-from zinniaspool.core.fleet import EngineStatus, Health, HealthAnswer, InstanceId
-from zinniaspool.core.formation import GroupOrder, OrderOutcome
-from zinniaspool.core.ids import Address
+from zinniaspool.core.fleet import Health, HealthAnswer, InstanceId
 from zinniaspool.fleet import FleetView
-from zinniaspool.http import TransportFailure
 from zinniaspool.keeper import holder
 from zinniaspool.keeper.retention import MAX_CONCURRENT_CHECKS, InstanceRetainer
-from zinniaspool.platform.entries import decode_status
 from zinniaspool.platform.spelling import PlatformCodec
 from zinniaspool_standins.installation import make_rules
 
 HEAD, MEMBER = InstanceId("i-00"), InstanceId("i-01")
-_T = TypeVar("_T")
 KNOWN_S = 0.3
 """Time in seconds in which a decision of the holder reaches all processes."""
 
@@ -355,46 +350,6 @@
     assert (MEMBER, "no-status", True) in list_ends(run(test))
 
 
-class CountingEngines:
-    """Engines that answer as their records say, and the queries to them.
-
-    Attributes:
-        asked: The instances that were queried for their health.
-        peak: The largest number of queries at a time.
-    """
-
-    def __init__(self, dead: set[InstanceId]) -> None:
-        self.asked: list[InstanceId] = []
-        self.peak = self._running = 0
-        self._dead = dead
-
-    async def _answer(
-        self, name: InstanceId, timeout_s: float, answer: _T
-    ) -> Result[_T, TransportFailure]:
-        self._running += 1
-        self.peak = max(self.peak, self._running)
-        await asyncio.sleep(timeout_s if name in self._dead else 0.01)
-        self._running -= 1
-        return Err(TransportFailure.TIMED_OUT) if name in self._dead else Ok(answer)
-
-    async def query_health(
-        self, address: Address, instance: InstanceId, path: str, timeout_s: float
-    ) -> Result[HealthAnswer, TransportFailure]:
-        self.asked.append(instance)
-        answer = HealthAnswer(Health.HEALTHY, instance)
-        return await self._answer(instance, timeout_s, answer)
-
-    async def query_status(
-        self, address: Address, timeout_s: float
-    ) -> Result[EngineStatus, TransportFailure]:
-        name = InstanceId("i-" + address.removesuffix(":80").rpartition(".")[2])
-        status = decode_status(msgspec.json.encode(RECORD)).unwrap()
-        return await self._answer(name, timeout_s, status)
-
-    async def send_order(self, address: Address, order: GroupOrder) -> OrderOutcome:
-        raise NotImplementedError
-
-
 @pytest.mark.bounds
 @pytest.mark.parametrize("dead", [0, 20])
 def test_many_records_at_once_cost_a_bounded_number_of_queries(dead: int) -> None:
@@ -408,10 +363,15 @@
         view = FleetView(PlatformCodec(), retains_instances=True)
         writer = ViewWriter(view)
         writer.write_key("op/config", msgspec.json.encode(make_rules(1, ["key"])))
-        names = [InstanceId(f"i-{n}") for n in range(162)]
-        for n, name in enumerate(names):
-            writer.put(name, address=f"10.1.0.{n}:80")
-        engines, tasks = CountingEngines(set(names[:dead])), set()
+        records: dict[str, dict[str, Any]] = {
+            f"i-{n}": {**RECORD, "address": f"10.1.0.{n}:80"} for n in range(162)
+        }
+        for name, record in records.items():
+            writer.put(InstanceId(name), **record)
+        lost = [InstanceId(name) for name in list(records)[:33]]
+        engines = FakeEngines(records)
+        engines.unreachable = set(lost[:dead])
+        tasks: set[asyncio.Task[Any]] = set()
         retainer = InstanceRetainer(
             view,
             engines,
@@ -420,13 +380,13 @@
         for _ in range(2):
             view.update_retained({}, 0.0)
             await asyncio.sleep(0.1)
-        for name in names[:33]:
+        for name in lost:
             writer.write(name, None)
         for _ in range(80):
             retainer.step()
             await asyncio.sleep(0.01)
-        assert view.retention.retained.keys() == set(names[dead:33])
-        assert len(engines.asked) == 33 + dead
+        assert view.retention.retained.keys() == set(lost[dead:])
+        assert len(engines.health_queries) == 33 + dead
         assert engines.peak <= 2 * MAX_CONCURRENT_CHECKS
 
     run_in_virtual_time(test)
