--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -4,7 +4,7 @@
 the orders that the phase needs.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from zinniaspool.core.fleet import (
@@ -41,10 +41,14 @@
         instances: The instances by their records in the store.
         unreachable: Instances that do not answer any process, though their
             records may still be in the store.
+        unrecorded: Instances whose records were removed, and that are kept
+            for their groups. They join no other group, since no record would
+            show other processes that they have.
     """
 
     instances: Mapping[InstanceId, Instance]
     unreachable: set[InstanceId] = field(default_factory=set)
+    unrecorded: Collection[InstanceId] = ()
 
     def find_reachable(self, instance: InstanceId) -> Instance | None:
         """Return a known instance that is not unreachable, or None."""
@@ -217,11 +221,15 @@
             membership = self._find_membership(member, view)
             if membership is None:
                 orders += self._order_if_due(member, OrderAction.JOIN, now)
-            elif membership.state is MembershipState.READY:
+            elif (
+                membership.state is MembershipState.READY
+                and member not in view.unrecorded
+            ):
                 ready += 1
         # An open head accepts requests at once, and no engine checks the other
         # members. A group opened early would run requests that it cannot
-        # finish, so only each member's own report of being ready counts.
+        # finish, so only each member's own report of being ready counts. One
+        # whose record was removed may have ended since it was ready.
         if ready == len(self.record.members) and not self.record.standby:
             orders += self._order_if_due(self.record.head, OrderAction.OPEN, now)
         return orders
--- a/src/zinniaspool/platform/nodefile.py
+++ b/src/zinniaspool/platform/nodefile.py
@@ -3,6 +3,7 @@
 import os
 import tomllib
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -13,6 +14,10 @@
 __all__ = ["NodeFileError", "read_node_file"]
 
 
+_HEALTH_CONTRACT = "health"
+"""The contract under which upstreams answer health queries."""
+
+
 class NodeFileError(Exception):
     """The settings file can't be used; the message names the fault."""
 
@@ -67,6 +72,8 @@
     heartbeat_ms: float = 1000.0
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # The parts of the platform's protocol that upstreams and callers follow.
+    contracts: list[Any] | dict[str, Any] = []
 
 
 def read_node_file(path: Path | None = None) -> NodeSettings:
@@ -123,6 +130,7 @@
         bounds.evac_ms / 1000,
         bounds.cold_over,
         bounds.cold_slack,
+        _HEALTH_CONTRACT in file.contracts,
     )
 
 
