--- a/src/zinniaspool/core/fleet/catalog.py
+++ b/src/zinniaspool/core/fleet/catalog.py
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """A service.
+    """A service of the configuration.
 
     Attributes:
         name: Its name.
@@ -103,12 +103,15 @@
             seconds.
         cold_per_s: Requests a second that a cold one takes; 0 if that is not
             limited.
+        health_path: Path at which its instances answer whether they are
+            healthy and not leaving; None if they don't.
     """
 
     name: ServiceName
     engine: EngineSpec | None = None
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    health_path: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/fleet/settings.py
+++ b/src/zinniaspool/fleet/settings.py
@@ -44,6 +44,8 @@
             domain, in seconds.
         cold_over: Factor on the rate of requests that a cold upstream takes.
         cold_slack: Requests that are added to that in any second.
+        retains_instances: Whether instances are queried for their health and
+            retained when their records expire.
     """
 
     node: NodeId
@@ -72,3 +74,4 @@
     evacuation_s: float = 5.0
     cold_over: float = 1.5
     cold_slack: float = 5.0
+    retains_instances: bool = False
--- a/src/zinniaspool/platform/rules.py
+++ b/src/zinniaspool/platform/rules.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configuration in the platform's format."""
 
+import re
 from typing import Annotated, Any
 
 import msgspec
@@ -82,12 +83,13 @@
     keeps: int = 1
 
 
-class _Service(msgspec.Struct):
+class _Service(msgspec.Struct, rename="kebab"):
     name: str
     engine: _Engine | None = None
-    cold_start_s: _Amount = msgspec.field(default=0.0, name="cold-start-s")
+    cold_start_s: _Amount = 0.0
     # 0: not limited.
-    cold_per_s: _Amount = msgspec.field(default=0.0, name="cold-per-s")
+    cold_per_s: _Amount = 0.0
+    health_path: str | None = None
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -112,6 +114,8 @@
     tenants: list[_Tenant] | None = None
 
 
+_PATH = re.compile(r"/[!-~]*", re.ASCII)
+
 _KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
@@ -194,6 +198,8 @@
         None if raw.engine is None else _decode_engine(raw.engine),
         raw.cold_start_s,
         raw.cold_per_s,
+        # Any other text can't stand in a request line.
+        raw.health_path if _PATH.fullmatch(raw.health_path or "") else None,
     )
 
 
