Move evacuation orders and a runner's coldness to modules of their own

Change: fleet/evacuations.py keeps the orders; zinniaspool_standins/coldness.py keeps what a cold runner counts.

--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -32,6 +32,7 @@
 )
 from zinniaspool.core.generations import format_revision
 from zinniaspool.core.ids import ContentId, FailureDomainId, NodeId
+from zinniaspool.fleet.evacuations import EvacuationOrders
 from zinniaspool.fleet.retention import RecordRetention
 from zinniaspool.fleet.sight import read_boot_clock
 from zinniaspool.fleet.spelling import FleetCodec
@@ -96,7 +97,6 @@
         on_instances: Called after instances or their reachability changed.
         on_nodes: Called after an entry process or the holder changed.
         on_change: Called after any change.
-        evacuated: Failure domains whose upstreams must get no requests.
         on_evacuation: Called with the failure domains whose evacuation began
             and those whose evacuation ended, before ``on_instances``.
         quarantined: Contents that are recorded as sent to no upstream.
@@ -137,10 +137,8 @@
         self.on_instances: list[Callable[[], None]] = []
         self.on_nodes: list[Callable[[], None]] = []
         self.on_change: list[Callable[[], None]] = []
-        self.evacuated: frozenset[FailureDomainId] = frozenset()
-        self.on_evacuation: list[
-            Callable[[frozenset[FailureDomainId], frozenset[FailureDomainId]], None]
-        ] = []
+        self._evacuations = EvacuationOrders(codec.evacuations_prefix)
+        self.on_evacuation = self._evacuations.listeners
         self.quarantined: frozenset[ContentId] = frozenset()
         self.on_quarantine: list[
             Callable[[frozenset[ContentId], frozenset[ContentId]], None]
@@ -160,6 +158,11 @@
         """All instances by their ids."""
         return self.instance_table.by_id
 
+    @property
+    def evacuated(self) -> frozenset[FailureDomainId]:
+        """Failure domains whose upstreams must get no requests."""
+        return self._evacuations.domains
+
     def start_decoding_instances(self) -> None:
         """Decode all instances now, and later changes as they arrive."""
         self._decodes_instances = True
@@ -306,7 +309,6 @@
         """Apply changes of the mirror to the view and call the listeners."""
         listeners: set[int] = set()
         quarantined = set(self.quarantined)
-        evacuated = set(self.evacuated)
         lost_contents: set[ContentId] = set()
         is_restored = self._update_generation()
         for change in changes:
@@ -331,18 +333,12 @@
                 quarantined.discard(content)
                 if is_restored:
                     lost_contents.add(content)
-            elif change.key.startswith(self._codec.evacuations_prefix):
-                domain = change.key.removeprefix(self._codec.evacuations_prefix)
-                if change.after is None:
-                    evacuated.discard(FailureDomainId(domain))
-                else:
-                    evacuated.add(FailureDomainId(domain))
             elif change.key == HOLDER_KEY:
                 self._apply_holder(change)
                 listeners.add(2)
         # Before the other listeners: a target that arrives with the same
         # changes must not get a request first.
-        self._set_evacuated(frozenset(evacuated))
+        self._evacuations.apply_changes(changes, self._knows_domain)
         for number, group in enumerate(
             (self.on_catalog, self.on_instances, self.on_nodes)
         ):
@@ -386,22 +382,13 @@
         self.mirror.amend(change.key, change.before.value)
         return True
 
-    def _set_evacuated(self, evacuated: frozenset[FailureDomainId]) -> None:
-        before, self.evacuated = self.evacuated, evacuated
-        began, ended = evacuated - before, before - evacuated
-        if not began and not ended:
-            return
-        for domain in sorted(began):
-            _log.info("evacuation-began", domain=domain)
-            if self._decodes_instances and not self._knows_domain(domain):
-                _log.warning("evacuation-domain-unknown", domain=domain)
-        for domain in sorted(ended):
-            _log.info("evacuation-ended", domain=domain)
-        for listener in self.on_evacuation:
-            listener(began, ended)
-
     def _knows_domain(self, domain: FailureDomainId) -> bool:
-        """Return whether an instance or an entry VM is in a failure domain."""
+        """Return whether an instance or an entry VM is in a failure domain.
+
+        A process that doesn't decode instances can't tell.
+        """
+        if not self._decodes_instances:
+            return True
         domains = {instance.failure_domain for instance in self.instances.values()}
         return domain in domains or any(
             node.failure_domain == domain for node in self.nodes.values()
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -9,12 +9,14 @@
 from base64 import b64encode
 from collections import Counter
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any
 
 import msgspec
 
 from zinniaspool.core.ids import Address
 from zinniaspool.http import Exchange, Headers, HttpServer
+from zinniaspool_standins.coldness import Coldness
 from zinniaspool_standins.pagestore import PageStore
 from zinniaspool_standins.serving import answer_json
 
@@ -127,8 +129,7 @@
             clock.
         paused: When it asked for a pause, in seconds of the loop's clock.
         crashes: How often it ended by itself.
-        most_cold: The most requests that came within a second while it was
-            cold.
+        coldness: Whether it is cold, and what came meanwhile.
     """
 
     id: str
@@ -157,14 +158,11 @@
     born: int = 1_700_000_000_000
     streams: int = 0
     crashes: int = 0
-    most_cold: int = 0
+    coldness: Coldness = field(default_factory=Coldness)
     _down: bool = False
     _server: HttpServer | None = None
     _epoch: int = 0
     _written: str = ""
-    _cold_until: float = 0.0
-    _cold_spells: int = 0
-    _cold_arrivals: list[float] = field(default_factory=list)
     _silent: float = 0.0
     _crashing: "asyncio.Task[None] | None" = None
     _last_answers: dict[object, bytes] = field(default_factory=dict)
@@ -200,12 +198,7 @@
         self._epoch = 0
         self._last_answers.clear()
         if self.times.cold_s:
-            self.become_cold(self.times.cold_s)
-
-    def become_cold(self, seconds: float) -> None:
-        """Be cold from now on for some seconds."""
-        self._cold_until = asyncio.get_running_loop().time() + seconds
-        self._cold_spells += 1
+            self.coldness.begin(self.times.cold_s)
 
     # The entry.
 
@@ -226,7 +219,7 @@
         described = self._describe()
         left_ms = described.pop("cold-left-ms")
         # The time left alone is no reason to write the entry anew.
-        kept = msgspec.json.encode([described, self._cold_spells]).decode()
+        kept = msgspec.json.encode([described, self.coldness.spells]).decode()
         if kept != self._written:
             self._written = kept
             entry = msgspec.json.encode({**described, "cold-left-ms": left_ms})
@@ -247,7 +240,7 @@
             "version": "v1",
             "slots": 8,
             "state": "draining" if self.faults.leaving else "ready",
-            "cold-left-ms": self._count_cold_ms(),
+            "cold-left-ms": self.coldness.count_left_ms(),
             "seq-no": len(self.orders),
             "born": self.born,
         }
@@ -258,10 +251,6 @@
                 entry["group"] = self.group
         return entry
 
-    def _count_cold_ms(self) -> int:
-        left_s = self._cold_until - asyncio.get_running_loop().time()
-        return max(0, int(left_s * 1000))
-
     # Calls.
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -401,7 +390,7 @@
         if headers.get("x-zinniaspool-expect-instance") not in (self.id, None):
             await exchange.respond(421, Headers(), b"")
             return
-        if self._exceeds_cold_limit():
+        if self.coldness.record_request() > (self.times.cold_limit or inf):
             if self._crashing is None or self._crashing.done():
                 self._crashing = asyncio.create_task(self._crash())
             await asyncio.sleep(60.0)
@@ -507,17 +496,6 @@
                 return False
         return True
 
-    def _exceeds_cold_limit(self) -> bool:
-        """Count a request to a cold runner; whether it is one too many."""
-        now = asyncio.get_running_loop().time()
-        if now >= self._cold_until:
-            return False
-        recent = [one for one in self._cold_arrivals if one > now - 1.0]
-        self._cold_arrivals = [*recent, now]
-        self.most_cold = max(self.most_cold, len(self._cold_arrivals))
-        limit = self.times.cold_limit
-        return bool(limit) and len(self._cold_arrivals) > limit and not self._down
-
     def _note_run(self, request: str, headers: Headers, path: str) -> None:
         self.runs.append(
             SeenRun(
--- a/tests/test_installation_cold.py
+++ b/tests/test_installation_cold.py
@@ -59,7 +59,7 @@
 
 def _assert_survived(runner: Runner) -> None:
     assert runner.crashes == 0
-    assert runner.most_cold <= ALLOWED
+    assert runner.coldness.most_requests <= ALLOWED
 
 
 def test_the_stand_in_crashes_above_its_rate() -> None:
@@ -70,7 +70,7 @@
             (runner,) = made.runners.values()
             await _await_served(made, "n0")
             runner.times.cold_limit = 10
-            runner.become_cold(5.0)
+            runner.coldness.begin(5.0)
             pending = [
                 asyncio.ensure_future(made.ask("n0", "/cards/1", deadline_ms=900))
                 for _ in range(20)
@@ -119,9 +119,9 @@
             for _ in range(2):
                 # The record has arrived by the time the limit begins.
                 runner.times.cold_limit = 0
-                runner.become_cold(COLD_S)
+                runner.coldness.begin(COLD_S)
                 await asyncio.sleep(0.3)
-                runner.most_cold, runner._cold_arrivals = 0, []
+                runner.coldness.reset_counts()
                 runner.times.cold_limit = ALLOWED
                 answers = await _send_for(made, COLD_S)
                 assert {answer.status for answer in answers} == {200}
@@ -164,11 +164,11 @@
             runner = next(one for one in made.runners.values() if one.zone == "hall-a")
             made.evacuate("hall-a")
             await _send_for(made, 1.0)
-            runner.become_cold(COLD_S)
+            runner.coldness.begin(COLD_S)
             made.end_evacuation("hall-a")
             answers = await _send_for(made, COLD_S)
             assert {answer.status for answer in answers} == {200}
-            assert runner.most_cold > 0
+            assert runner.coldness.most_requests > 0
             _assert_survived(runner)
 
     run(test)
