Don't count reservations in an evacuated domain as groups to come

Cause: VMs that were freed for a model just before their failure domain was evacuated counted as groups of that model for up to 4 s and a load, although no group forms there, so that other domains gave up no VMs for it meanwhile.

Change: reservations in evacuated domains don't count; one test of whether a domain is evacuated serves both places.

Checked: ruff, mypy, tests of evacuation, formation, standby and moves (63): all passed.

--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -21,7 +21,6 @@
 )
 from zinniaspool.core.formation.balance import (
     Reassignment,
-    SettledDomain,
     find_reassignments,
 )
 from zinniaspool.core.formation.census import VmInventory
@@ -319,7 +318,9 @@
             settled = [
                 found
                 for domain in self._domains.values()
-                if (found := self._describe_if_settled(domain, service)) is not None
+                if not self._provisioning.is_evacuated(domain)
+                and (found := domain.describe_if_settled(service, self._view))
+                is not None
             ]
             groups = self._provisioning.count_groups(
                 service, now - FORMING_WITHOUT_LOADS_S
@@ -329,14 +330,6 @@
                 self._reassigned_at = now
                 self._start_reassignment(chosen, engine, now)
 
-    def _describe_if_settled(
-        self, domain: PlannedDomain, service: ServiceName
-    ) -> SettledDomain | None:
-        if not all(self._evacuation.serves(run) for run in domain.runs.values()):
-            # Its groups would not serve the other model either.
-            return None
-        return domain.describe_if_settled(service, self._view)
-
     def _start_reassignment(
         self, chosen: Reassignment, engine: EngineSpec, now: float
     ) -> None:
--- a/src/zinniaspool/core/formation/provision.py
+++ b/src/zinniaspool/core/formation/provision.py
@@ -104,13 +104,22 @@
         )
 
     def count_reserved_groups(self, now: float) -> Counter[ModelName]:
-        """Count the groups that reserved VMs are still to form."""
+        """Count the groups that reserved VMs are still to form.
+
+        None is formed in an evacuated domain.
+        """
         found: Counter[ModelName] = Counter()
         for domain in self._domains.values():
+            if self.is_evacuated(domain):
+                continue
             if domain.reserved_for is not None and domain.has_reservation(now):
                 found[domain.reserved_for] += domain.reserved_groups
         return found
 
+    def is_evacuated(self, domain: PlannedDomain) -> bool:
+        """Return whether groups of a fabric domain don't count as serving."""
+        return not all(self._evacuation.serves(run) for run in domain.runs.values())
+
     def _runs(self) -> Iterator[GroupRun]:
         for domain in self._domains.values():
             yield from domain.runs.values()
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -361,6 +361,19 @@
     assert not fleet.violations
 
 
+def test_vms_reserved_in_an_evacuated_domain_are_no_groups_to_come() -> None:
+    """Guards against a model that waits for groups that nobody forms."""
+    fleet = _make_fleet()
+    domain = fleet.planner._domains[FabricDomainId("d0")]
+    domain.reserved_for, domain.reserved_groups = SMALL, 2
+    domain.reserved_until = fleet.now + 99.0
+    provisioning = fleet.planner._provisioning
+    assert provisioning.count_reserved_groups(fleet.now) == {SMALL: 2}
+    fleet.planner.set_evacuated({A})
+    fleet.planner.step(fleet.now)
+    assert not provisioning.count_reserved_groups(fleet.now)
+
+
 def test_groups_are_planned_as_usual_where_all_domains_are_evacuated() -> None:
     """Guards against a fleet that must load everything when it is returned."""
     fleet = _make_fleet()
