Send no health query to an instance in an evacuated failure domain

A health query of a retained instance is a request, and none may reach an upstream of an evacuated failure domain. The holder now ends such a retention with the reason 'evacuated'; the instance gets no requests anyway. The new test fails without the change; tests/test_retention.py passes.

--- a/src/zinniaspool/core/fleet/retention.py
+++ b/src/zinniaspool/core/fleet/retention.py
@@ -92,6 +92,9 @@
     UNDECIDED = "undecided"
     """The answers came too late."""
 
+    EVACUATED = "evacuated"
+    """Its failure domain is evacuated, and a health query is a request too."""
+
 
 def may_retain(instance: Instance) -> bool:
     """Return whether an instance may be kept when its record is removed.
--- a/src/zinniaspool/keeper/retention.py
+++ b/src/zinniaspool/keeper/retention.py
@@ -95,6 +95,8 @@
         self._end_gone()
         for instance in self._tracker.list_expired(now):
             self._end(instance, RetentionEnd.TOO_LONG)
+        for instance in self._list_evacuated():
+            self._end(instance, RetentionEnd.EVACUATED)
         for instance in self._tracker.start_due_queries(now, MAX_CONCURRENT_CHECKS):
             self._start(self._check(self._fleet_view.instances[instance]))
         self._report()
@@ -149,6 +151,15 @@
                 RetentionEnd.RECORD_RETURNED if has_record else RetentionEnd.UNDECIDED,
             )
 
+    def _list_evacuated(self) -> list[InstanceId]:
+        """Return the tracked instances in evacuated failure domains."""
+        instances, evacuated = self._fleet_view.instances, self._fleet_view.evacuated
+        return [
+            name
+            for name in self._tracker.list_tracked()
+            if name in instances and instances[name].failure_domain in evacuated
+        ]
+
     def _report(self) -> None:
         instances = self._fleet_view.instances
         retained = {
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -169,6 +169,20 @@
     assert list_ends(run(test)) == [(MEMBER, "no-status", False)]
 
 
+def test_no_health_query_reaches_an_evacuated_failure_domain() -> None:
+    """A health query is a request, and none may reach such an upstream."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.remove_record(MEMBER)
+        await asyncio.sleep(KNOWN_S)
+        assert fleet.engines.health_queries.count(MEMBER) == 1
+        fleet.store.put(f"op/evacuate/{RECORDS[MEMBER]['zone']}", b"{}")
+        await asyncio.sleep(3.0)
+        assert fleet.engines.health_queries.count(MEMBER) == 1
+
+    assert list_ends(run(test)) == [(MEMBER, "evacuated", True)]
+
+
 def test_stalled_streams_end_a_retention_in_spite_of_good_answers() -> None:
     """A head that answers all queries but serves nobody would keep its group.
 
