Try the safeguards of lost heads

Cause: the safeguards against false reroutes and late detection were not among those that tools/try_safeguards.py takes out.

Change: reading before a head counts as stalled, leaving streams that can't be on time elsewhere, and the limit on a pass's prompts.

Checked: each of the three taken out makes a test of test_lost_heads fail.

--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -242,6 +242,27 @@
         "",
         "tests/test_log_lines.py",
     ),
+    Safeguard(
+        "events that lie unread are read before a head counts as stalled",
+        "src/zinniaspool/gateway/silence.py",
+        "            await _read_arrived_events()\n",
+        "",
+        "tests/test_lost_heads.py",
+    ),
+    Safeguard(
+        "a stream that can't be on time elsewhere stays while its head may be slow",
+        "src/zinniaspool/gateway/silence.py",
+        "condition = RerouteCondition.ON_TIME",
+        "condition = RerouteCondition.ANY_TARGET",
+        "tests/test_lost_heads.py",
+    ),
+    Safeguard(
+        "the unread prompts of a lost head don't delay its detection",
+        f"{CORE}/dispatch/pace.py",
+        "min(unread_tokens, self.max_read_tokens)",
+        "unread_tokens",
+        "tests/test_lost_heads.py",
+    ),
 )
 
 
