--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -30,8 +30,10 @@
 from zinniaspool.core.dispatch.silence import (
     StallLimits,
     back_off,
-    find_next_stall,
-    find_stalled,
+    clear_disproved_stall,
+    compute_stall_timeout,
+    find_stall_times,
+    is_lost,
     suspect,
 )
 from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
@@ -78,10 +80,12 @@
     "TicketState",
     "assign_domains",
     "back_off",
+    "clear_disproved_stall",
+    "compute_stall_timeout",
     "find_cold_share",
-    "find_next_stall",
-    "find_stalled",
+    "find_stall_times",
     "find_subset",
     "identify_content",
+    "is_lost",
     "suspect",
 ]
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -10,7 +10,7 @@
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient
-from zinniaspool.telemetry import AdmissionTally, RequestTally, Sample
+from zinniaspool.telemetry import AdmissionTally, RequestTally, Sample, StallTally
 from zinniaspool.telemetry.page import MetricsPage
 
 __all__ = ["make_gateway_metrics"]
@@ -25,6 +25,7 @@
     admission_tally: AdmissionTally,
     crashes: CrashDetector,
     cold: ColdTracker,
+    stalls: StallTally,
 ) -> MetricsPage:
     """Return the metrics page of an entry process."""
     page = MetricsPage()
@@ -122,6 +123,21 @@
         "Requests that this process sent to cold targets.",
         list_cold_requests,
     )
+    page.add_counter(
+        "zinniaspool_stalls",
+        "Targets that this process found stalled, by what showed it.",
+        stalls.list_found,
+    )
+    page.add_counter(
+        "zinniaspool_stall_false_alarms",
+        "Targets that had an event after this process found them stalled.",
+        stalls.list_false_alarms,
+    )
+    page.add_counter(
+        "zinniaspool_stall_detection_seconds_buckets",
+        "Stalls that were found at most this long after the last event.",
+        stalls.list_detections,
+    )
 
     asked = index.backpressure.values
 
