Split the costs and failures of targets from the pool

Change: the cost of a target and the rule for its slots are in choice.py, the record of failures in failures.py. The decisions are the same.

--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -10,12 +10,19 @@
 import math
 import random
 from collections.abc import Collection, Iterable, Iterator, Mapping
-from zlib import crc32
 
 from zinniaspool.core.dispatch.backpressure import Backpressure
+from zinniaspool.core.dispatch.choice import (
+    LATE_EVENT_COST,
+    PASS_TOLERANCE_S,
+    SUSPECTED_DOMAIN_COST,
+    compute_cost,
+    has_slot,
+)
+from zinniaspool.core.dispatch.failures import record_outcome
 from zinniaspool.core.dispatch.outside import OutOfSubsetUtilization, OutOfSubsetWindow
 from zinniaspool.core.dispatch.pace import FirstEventForecast
-from zinniaspool.core.dispatch.shares import PeerCounts, apportion
+from zinniaspool.core.dispatch.shares import PeerCounts
 from zinniaspool.core.dispatch.subsets import Subset
 from zinniaspool.core.dispatch.targets import Target, TargetState, is_same_target
 from zinniaspool.core.dispatch.timeouts import AdaptiveTimeout
@@ -24,68 +31,13 @@
 
 __all__ = ["TargetPool"]
 
-ERROR_WEIGHT = 0.15
-"""Weight of one answer in the part of a target's answers that failed. About
-ten answers count, few enough to notice a fault within a second of usual
-traffic."""
-
-ERROR_COST = 3.0
-"""Cost of a target that always fails, in full targets."""
-
-REMOTE_DOMAIN_COST = 0.25
-"""Cost of a target in another failure domain, in full targets. Operators pay
-for the traffic between domains, and a target that is a quarter fuller answers
-about as soon as long as it has free slots. A full target is never preferred
-because it is near."""
-
-OUT_OF_SUBSET_COST = 0.5
-"""Cost of a target out of this process's subset, in full targets. Other
-processes share that target, count on its slots and don't report its load to
-this one. This process uses it once the targets of its subset are fuller by
-this much."""
-
 TYPICAL_UTILIZATION_WEIGHT = 0.1
 """Weight of one answer in the typical utilization of targets. About ten
 answers change it, a single full target does not."""
 
-MIN_SPARE_SLOTS = 2.0  # requests
-SPARE_PART = 0.15
-"""Free slots from which a process uses a slot beyond its own part: in
-requests, and as a part of the target's slots. About as many requests begin
-between two load reports of the peers."""
-
-OUT_OF_SUBSET_SPARE_PART = 0.45
-"""Spare part for targets out of the subset, where a process only knows a
-typical load, and knows it late. At 2.2 times the usual load of thirty
-processes, fewer requests are on time with a smaller part."""
-
-SHORTAGE_SPARE_PART = 0.25
-"""Spare part for targets out of the subset while this process's targets have
-fewer slots than its share of all slots. After a fabric domain has failed,
-the room that its callers need is elsewhere."""
-
 SHORTAGE_PART = 0.85
 """Part of its share of all slots below which a process has a shortage."""
 
-SUSPECTED_DOMAIN_COST = 1.0
-"""Cost of a target, in full targets, in whose fabric domain another target
-stalled for the same request. If the whole domain lost its power, its other
-heads are stalled too, and most requests can be rerouted only once."""
-
-PASS_TOLERANCE_S = 0.03
-"""Time after the predicted end of a pass in which an event may still come, in
-seconds. Processes learn of each other's prompts late."""
-
-LATE_EVENT_COST = 1.0
-"""Cost of a target, in full targets, whose streams should have had an event by
-now. VMs often fail several at a time, and a head is known to be stalled only
-after some passes. Without this cost, streams would be rerouted from one
-stalled head to the next."""
-
-FULL_TARGET_READING_S = 0.2
-"""Time to read unread prompts that costs as much as a full target, in seconds.
-A first event takes as long if it doesn't wait for other prompts."""
-
 INITIAL_GAP_EXCESS_S = 0.06  # seconds, one more pass
 MAX_GAP_EXCESS_S = 0.3  # seconds, a pause that callers accept
 GAP_EXCESS_DECAY_PART = 0.0005
@@ -99,13 +51,6 @@
 FIRST_EVENT_EXCESS_DECAY_PART = 0.005
 """The same for first events, of which a process sees a few a second."""
 
-EJECT_FAILURES = 3
-"""Consecutive failures after which a target is ejected."""
-
-EJECT_S = 1.0
-"""Time for which a target is ejected, in seconds. A restart takes about as
-long."""
-
 MAX_RETRY_SPREAD = 1.25
 """Largest retry time of callers, as a multiple of the time until a target
 opens."""
@@ -357,7 +302,13 @@
             )
 
         def rank(state: TargetState) -> tuple[float, float]:
-            cost = self._compute_cost(state, prompt_tokens, now)
+            cost = compute_cost(
+                state,
+                self.forecast.timing.read_s,
+                prompt_tokens,
+                now,
+                is_remote=state.target.failure_domain != self._local_domain,
+            )
             if state.target.fabric_domain in suspected_domains:
                 cost += SUSPECTED_DOMAIN_COST
             if state.streaming and self.is_past_pass_end(
@@ -448,19 +399,7 @@
         requests a second began and were on time; without such parts, 51 to 57
         were.
         """
-        slots = state.target.slots
-        position = crc32(state.target.instance.encode())
-        process_slots = apportion(int(state.subset_slots), self.peer_counts, position)
-        if state.local_requests < process_slots:
-            return True
-        spare_part = SPARE_PART
-        if not state.in_subset:
-            spare_part = (
-                SHORTAGE_SPARE_PART if self._has_shortage else OUT_OF_SUBSET_SPARE_PART
-            )
-        return slots - state.estimate_load(now) >= max(
-            MIN_SPARE_SLOTS, spare_part * slots
-        )
+        return has_slot(state, now, self.peer_counts, has_shortage=self._has_shortage)
 
     def count_free_slots(self, now: float) -> float:
         """Return the number of free slots over all usable targets."""
@@ -496,14 +435,7 @@
 
     def record_outcome(self, state: TargetState, failed: bool, now: float) -> None:
         """Record whether a request failed; eject a target that often fails."""
-        state.error_part += ERROR_WEIGHT * (float(failed) - state.error_part)
-        if not failed:
-            state.consecutive_failures = 0
-            return
-        state.consecutive_failures += 1
-        if state.consecutive_failures >= EJECT_FAILURES:
-            state.consecutive_failures = 0
-            state.ejected_until = now + EJECT_S
+        record_outcome(state, now, failed=failed)
 
     def find_opening(self) -> float:
         """Return when the first target accepts a request by its own statement.
@@ -546,22 +478,5 @@
             if name not in tried and now >= state.backoff_until and state.is_open(now)
         ]
 
-    def _compute_cost(
-        self, state: TargetState, prompt_tokens: int, now: float
-    ) -> float:
-        target = state.target
-        cost = (state.estimate_load(now) + 1) / target.slots
-        cost += (
-            self.forecast.timing.read_s
-            * (state.known_unread_tokens + prompt_tokens)
-            / FULL_TARGET_READING_S
-        )
-        cost += ERROR_COST * state.error_part
-        if target.failure_domain != self._local_domain:
-            cost += REMOTE_DOMAIN_COST
-        if not state.in_subset:
-            cost += OUT_OF_SUBSET_COST
-        return cost
-
     def _draw_tie_breaker(self) -> float:
         return self._random_source.random()
