Count refusals as errors, forget errors with time, ramp up new targets

Cause: a target that refuses each request at once kept the lowest cost, since only failures counted. A target whose answers had failed kept its cost for as long as it got no request, and was tried with three requests after each second of ejection. A target that is new or recovers got the next requests of all processes at once.

Change: refusals raise the cost unless the target has asked for a pause. The part of failed answers halves in two seconds. After an ejection one failure ejects again, for twice the time, up to 8 s. A new or recovering target costs half a full target more at first, and no more after 1.5 s.

A cost factor in place of the added cost was tried: it multiplied the differences of load too, and a reroute went to a stalled head (test_a_stream_is_not_rerouted_to_another_stalled_head).

--- a/src/zinniaspool/core/dispatch/choice.py
+++ b/src/zinniaspool/core/dispatch/choice.py
@@ -5,6 +5,10 @@
 
 from zlib import crc32
 
+from zinniaspool.core.dispatch.failures import (
+    compute_ramp_cost,
+    estimate_error_part,
+)
 from zinniaspool.core.dispatch.shares import PeerCounts, apportion
 from zinniaspool.core.dispatch.targets import TargetState
 
@@ -85,6 +89,7 @@
     load: float,
     read_s: float,
     prompt_tokens: int,
+    now: float,
     *,
     is_remote: bool,
 ) -> float:
@@ -95,12 +100,13 @@
         load: Requests at the target.
         read_s: Time to read one prompt token, in seconds.
         prompt_tokens: Length of the request's prompt.
+        now: Seconds.
         is_remote: Whether the target is in another failure domain.
     """
-    cost = (load + 1) / state.effective_slots
+    cost = (load + 1) / state.effective_slots + compute_ramp_cost(state, now)
     unread = state.known_unread_tokens + prompt_tokens
     cost += read_s * unread / FULL_TARGET_READING_S * state.pace
-    cost += ERROR_COST * state.error_part
+    cost += ERROR_COST * estimate_error_part(state, now)
     if is_remote:
         cost += REMOTE_DOMAIN_COST
     if not state.in_subset:
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -108,13 +108,17 @@
                 removed.append(self._states.pop(name))
             else:
                 state.target = new
+        is_first = not self._states and not removed
         for name, target in wanted.items():
             if name not in self._states:
                 backpressure = self._backpressure.get(
                     InstanceIncarnation(name, target.started_at_ms)
                 )
                 self._states[name] = TargetState(
-                    target, last_event_at=now, backpressure=backpressure
+                    target,
+                    last_event_at=now,
+                    backpressure=backpressure,
+                    ramps_from=-math.inf if is_first else now,
                 )
         self._sharing.divide(self._states)
         return removed
@@ -259,6 +263,7 @@
                 self._estimate_cost_load(state, now),
                 self.forecast.timing.read_s,
                 prompt_tokens,
+                now,
                 is_remote=state.target.failure_domain != self._local_domain,
             )
             if state.target.fabric_domain in suspected_domains:
@@ -358,9 +363,11 @@
         """
         self._sharing.record_reported_load(state, total, now, self._states)
 
-    def record_outcome(self, state: TargetState, failed: bool, now: float) -> None:
-        """Record whether a request failed; eject a target that often fails."""
-        record_outcome(state, now, failed=failed)
+    def record_outcome(
+        self, state: TargetState, failed: bool, now: float, *, refused: bool = False
+    ) -> None:
+        """Record how a request ended; eject a target that often fails."""
+        record_outcome(state, now, failed=failed, refused=refused)
 
     def find_opening(self) -> float:
         """Return when the first target accepts a request by its own statement.
--- a/src/zinniaspool/core/dispatch/slow.py
+++ b/src/zinniaspool/core/dispatch/slow.py
@@ -70,7 +70,10 @@
                 state.speed.probe_at = now + PROBE_INTERVAL_S * spread
 
     def _compare(self, state: TargetState, now: float) -> None:
+        was_slow = state.speed.is_slow
         state.speed.compare(self._usual_pace, now)
+        if was_slow and not state.speed.is_slow:
+            state.ramps_from = now
         if state.speed.absolute_pace >= UNNOTICED_PACE:
             self._slowed.add(state)
         else:
--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -80,7 +80,11 @@
         consecutive_failures: Failures since its last answered request.
         ejected_until: Time until which it is avoided after failures, in
             seconds.
-        error_part: Smoothed part of its answers that failed.
+        error_part: Smoothed part of its answers that failed, as of the newest.
+        errors_at: Time of the newest answer or failure, in seconds.
+        ejections: Ejections since its last answered request.
+        ramps_from: Time from which it gets its part of the requests step by
+            step, in seconds.
         subset_part: Part of it that belongs to this process's subset, whose
             processes report their loads to each other; 0 if it is out of the
             subset.
@@ -108,6 +112,9 @@
     consecutive_failures: int = 0
     ejected_until: float = 0.0
     error_part: float = 0.0
+    errors_at: float = 0.0
+    ejections: int = 0
+    ramps_from: float = -math.inf
     subset_part: float = 1.0
     assumed_other_load: float = 0.0
     out_of_subset_utilization: OutOfSubsetUtilization | None = None
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -211,10 +211,11 @@
         call.has_event = call.rerouted = call.first_event_overdue = False
         self._backpressure.record_request(state)
         self._rerouter.begin_attempt(call, state)
-        failed = False
+        failed = refused = False
         try:
             failure = await self._send(call, state)
             failed = failure in _TARGET_FAILURES or call.first_event_overdue
+            refused = failure is AttemptFailure.REFUSED
             if failure is None:
                 pool.forecast.record_request_time(loop.time() - call.sent_at)
             return failure
@@ -230,7 +231,7 @@
             else:
                 state.local_unread_tokens -= prompt
             self._rerouter.end_attempt(call, state)
-            pool.record_outcome(state, failed, loop.time())
+            pool.record_outcome(state, failed, loop.time(), refused=refused)
 
     async def _send(
         self, call: GatewayCall, state: TargetState
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -326,3 +326,72 @@
         )
     least = min(pool, key=lambda state: state.peer_load.requests)
     assert pool.choose(0.0) is least
+
+
+# Failures, refusals and recovery.
+
+
+def count_chosen(pool: TargetPool, state: TargetState, now: float) -> int:
+    """Return how many of forty requests in sequence go to a target."""
+    chosen = [pool.choose(now) for _ in range(40)]
+    return chosen.count(state)
+
+
+def test_a_target_that_refuses_at_once_is_avoided_and_tried_again() -> None:
+    """It has no load, so that all requests would go there to be refused."""
+    pool = make_pool("x", "y")
+    refusing, other = find(pool, "x"), find(pool, "y")
+    other.local_requests = 2
+    assert count_chosen(pool, refusing, 0.0) == 40
+    for _ in range(3):
+        pool.record_outcome(refusing, False, 0.0, refused=True)
+    assert count_chosen(pool, refusing, 0.1) == 0
+    assert refusing.is_usable(0.1), "a full target is still a last resort"
+    assert count_chosen(pool, refusing, 6.0) == 40
+
+
+def test_a_target_that_keeps_failing_is_tried_less_and_less() -> None:
+    """Three requests would fail each second for as long as it is broken."""
+    pool = make_pool("x", "y")
+    failing = find(pool, "x")
+    tries, now = 0, 0.0
+    while now < 20.0:
+        if failing.is_usable(now):
+            tries += 1
+            pool.record_outcome(failing, True, now)
+        now += 0.05
+    assert tries <= 8
+    pool.record_outcome(failing, False, now)
+    assert failing.ejections == failing.consecutive_failures == 0
+
+
+def test_a_new_target_gets_its_part_of_the_requests_step_by_step() -> None:
+    """All processes would send their next requests to it at once."""
+    pool = make_pool("x")
+    pool.update([state.target for state in make_pool("x", "y")], 10.0)
+    old, new = find(pool, "x"), find(pool, "y")
+    old.local_requests, new.local_requests = 4, 2
+    assert count_chosen(pool, new, 10.0) == 0
+    assert count_chosen(pool, new, 12.0) == 40
+
+
+@pytest.mark.parametrize("rate", [83.0, 170.0, 200.0])
+def test_a_black_hole_attracts_few_requests(rate: float) -> None:
+    """An engine that fails each request at once would get all of them.
+
+    One engine in ten does so for eight seconds: less than one request in ten,
+    its share, meets it, none of them twice. After it the engine has the usual
+    load again within seven seconds.
+    """
+    fleet = SimulatedFleet(lambda _: rate, SMALL_SHAPE, SMALL, seed=1)
+    fleet.advance(5.0)
+    hole = fleet.engines[0]
+    hole.fails = True
+    fleet.advance(13.0)
+    callers = fleet.list_callers(5.0, 13.0)
+    assert sum(caller.failures for caller in callers) <= 0.06 * len(callers)
+    assert max(caller.failures for caller in callers) <= 1
+    hole.fails = False
+    fleet.advance(20.0)
+    loads = [engine.load for engine in fleet.engines]
+    assert hole.load >= 0.5 * mean(loads)
