Form a group anew without its slow member

Cause: a slow VM slowed its whole group for as long as the VM was slow, while standby VMs of its domain were idle.

Change: entry processes report a slow head to the holder (SlowTarget), which queries the members as after a stall. Where idle or standby VMs of the domain that have the model in memory can take its place, the group is closed and formed anew: one group of a model at a time, and only if another one serves. A slow VM that has the model is chosen for a group after all others that have it, and before those that would have to load it from the weight store, which takes longer than VMs are slow. Slow VMs are queried again every 1.5 s. Gauge of slow VMs, counter of replaced groups; events instance-slow and instance-recovered.

A pace counts as measured only once the window of samples is full, so that a process with a new stream doesn't outvote its peers, and what peers remember is taken into account also where this process has no requests.

The stand-in runner can be slow (RunnerFaults.pace).

--- a/src/zinniaspool/core/dispatch/slow.py
+++ b/src/zinniaspool/core/dispatch/slow.py
@@ -74,7 +74,8 @@
         state.speed.compare(self._usual_pace, now)
         if was_slow and not state.speed.is_slow:
             state.ramps_from = now
-        if state.speed.absolute_pace >= UNNOTICED_PACE:
+        known_pace = max(state.speed.absolute_pace, state.speed.peers.remembered)
+        if known_pace >= UNNOTICED_PACE:
             self._slowed.add(state)
         else:
             self._slowed.discard(state)
--- a/src/zinniaspool/core/dispatch/speed.py
+++ b/src/zinniaspool/core/dispatch/speed.py
@@ -134,8 +134,12 @@
         weight: float = 0.5 ** (age_s / HALF_LIFE_S)
         return 1.0 + (self._pace - 1.0) * weight
 
+    def is_measured(self, now: float) -> bool:
+        """Tell whether enough recent samples show the pace."""
+        return len(self._samples) == WINDOW and self.is_fresh(now)
+
     def is_fresh(self, now: float) -> bool:
-        """Tell whether this process measures the pace now."""
+        """Tell whether there is a recent sample."""
         return now - self._measured_at <= FRESH_S
 
     def _begin_window(self, pace: float) -> None:
@@ -206,14 +210,16 @@
     def update(self, now: float) -> None:
         """Combine what this process and its peers know now."""
         own, measured = self._own, self.peers.measured
-        if own.is_fresh(now):
+        is_measured = own.is_measured(now)
+        if is_measured:
             self.absolute_pace = median((own.estimate(now), *measured))
         elif measured:
             self.absolute_pace = median(measured)
-            own.adopt(self.absolute_pace, now)
+            if not own.is_fresh(now):
+                own.adopt(self.absolute_pace, now)
         else:
             self.absolute_pace = max(own.estimate(now), self.peers.remembered)
-        if own.is_fresh(now) or measured:
+        if is_measured or measured:
             self.measured_pace, self.measured_at = self.absolute_pace, now
         self.reported = self._compute_reported(now)
 
@@ -229,7 +235,7 @@
     def _compute_reported(self, now: float) -> float:
         own = self._own.estimate(now)
         if own < UNNOTICED_PACE:
-            return 1.0 if self._own.is_fresh(now) else 0.0
+            return 1.0 if self._own.is_measured(now) else 0.0
         return round(own / REPORT_STEP) * REPORT_STEP
 
 
--- a/src/zinniaspool/core/formation/allocation.py
+++ b/src/zinniaspool/core/formation/allocation.py
@@ -52,11 +52,13 @@
         loaded_model: The model of its last group, which it has loaded; None
             if there is none.
         standby: Whether it is a standby VM.
+        is_slow: Whether it works much slower than usual.
     """
 
     instance: Instance
     loaded_model: ModelName | None
     standby: bool
+    is_slow: bool = False
 
     def get_readiness(self, model: ModelName) -> Readiness:
         """Return how soon the VM can serve a model."""
@@ -221,12 +223,15 @@
 ) -> Selection | None:
     if len(candidates) < model.size:
         return None
-    # Among equally ready VMs, those that stand by for another model come
-    # last, since that model would miss them. The order by name makes the
-    # selection the same in each process.
+    # A slow VM slows the whole group. Only a load from the weight store takes
+    # longer than VMs are slow. Among equally ready VMs, those that stand by
+    # for another model come last, since that model would miss them. The order
+    # by name makes the selection the same in each process.
     ranked = sorted(
         candidates,
         key=lambda it: (
+            it.get_readiness(model.name) is Readiness.ABSENT,
+            it.is_slow,
             it.get_readiness(model.name),
             it.standby and it.loaded_model != model.name,
             it.instance.id,
--- a/src/zinniaspool/core/formation/domains.py
+++ b/src/zinniaspool/core/formation/domains.py
@@ -1,7 +1,7 @@
 """One fabric domain that the holder plans: its groups and its idle VMs."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from zinniaspool.core.fleet import Instance, InstanceId, InstanceState
@@ -113,6 +113,7 @@
         instances: Iterable[Instance],
         inventory: VmInventory,
         releases: ReleaseTracker,
+        slow: Collection[InstanceId] = (),
     ) -> list[Candidate]:
         """Return the idle and standby VMs that may join a group.
 
@@ -120,6 +121,7 @@
             instances: The instances of this domain.
             inventory: Which instances are unreachable, and their models.
             releases: Knows which VMs have left their groups.
+            slow: The VMs that work much slower than usual.
         """
         planned: dict[InstanceId, GroupRun] = {}
         for run in self.runs.values():
@@ -141,13 +143,19 @@
                         instance,
                         inventory.loaded_models.get(instance.id),
                         standby=False,
+                        is_slow=instance.id in slow,
                     )
                 )
             elif _is_available_standby(instance, own_run, releases):
                 model = inventory.loaded_models.get(instance.id)
                 ready = own_run.phase is GroupPhase.STANDBY
                 found.append(
-                    Candidate(instance, model if ready else None, standby=True)
+                    Candidate(
+                        instance,
+                        model if ready else None,
+                        standby=True,
+                        is_slow=instance.id in slow,
+                    )
                 )
         return found
 
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -15,6 +15,7 @@
     InstanceId,
 )
 from zinniaspool.core.formation.allocation import (
+    Candidate,
     ModelNeed,
     Selection,
     select_group,
@@ -31,6 +32,7 @@
 from zinniaspool.core.formation.provision import ModelProvisioning
 from zinniaspool.core.formation.records import DomainPlan, GroupPhase, GroupRecord
 from zinniaspool.core.formation.releases import ReleaseTracker
+from zinniaspool.core.formation.slowness import SlowVms
 from zinniaspool.core.formation.staging import StagingScheduler
 from zinniaspool.core.ids import (
     Epoch,
@@ -92,6 +94,7 @@
         on_transition: Called for each group that enters another phase.
 
     Attributes:
+        slow_vms: The VMs that work much slower than usual.
         domains_scanned: Domains that all passes together went through.
     """
 
@@ -114,6 +117,7 @@
         self._provisioning = ModelProvisioning(self._domains)
         self._releases = ReleaseTracker()
         self._staging = StagingScheduler(self._view, self._loads)
+        self.slow_vms = SlowVms()
         self._reassigned_at = float("-inf")
         self._balance_checked_at = float("-inf")
         self._formation_deferred_until = float("-inf")
@@ -161,6 +165,7 @@
             return
         for instance in change.removed:
             self._staging.forget(instance)
+            self.slow_vms.forget(instance)
         for instance in change.restarted:
             self._on_restart(instance)
         for domain in change.domains:
@@ -184,6 +189,7 @@
     def _on_restart(self, instance: InstanceId) -> None:
         """Forget a restarted VM: it is in no group and has no model loaded."""
         self._staging.forget(instance)
+        self.slow_vms.forget(instance)
         self._releases.on_restart(instance)
         for run in self.list_runs():
             if instance in run.record.members:
@@ -261,6 +267,7 @@
         writes: list[PlanWrite] = []
         orders = self._list_orphan_releases(now)
         self._reassign_vms(now)
+        self._replace_slow_members(now)
         due = [planned for planned in self._sort_domains() if planned.is_due(now)]
         self.domains_scanned += len(due)
         for domain in due:
@@ -278,6 +285,26 @@
             )
         return writes, orders
 
+    def _list_candidates(self, domain: PlannedDomain) -> list[Candidate]:
+        return domain.list_candidates(
+            self._inventory.list_instances(domain.id),
+            self._inventory,
+            self._releases,
+            self.slow_vms.instances,
+        )
+
+    def _replace_slow_members(self, now: float) -> None:
+        """Close groups that can be formed again without a slow member."""
+        for chosen in self.slow_vms.choose_replacements(
+            self._domains.values(), self._list_candidates, now
+        ):
+            self._close_group(chosen.run, f"member-slow:{chosen.member}", now)
+
+    def _close_group(self, run: GroupRun, reason: str, now: float) -> None:
+        run.enter_phase(GroupPhase.CLOSING, reason, now)
+        self._provisioning.on_groups_changed()
+        self._on_transition(PhaseTransition(run.record, run.phase, run.reason))
+
     def _reassign_vms(self, now: float) -> None:
         """Close groups whose VMs another model needs more."""
         if now - self._reassigned_at < REASSIGNMENT_INTERVAL_S:
@@ -326,9 +353,7 @@
             domain.donor_groups |= donors
         for run in self.list_runs():
             if run.record.group in chosen.groups:
-                run.enter_phase(GroupPhase.CLOSING, f"balance:{chosen.model}", now)
-                self._provisioning.on_groups_changed()
-                self._on_transition(PhaseTransition(run.record, run.phase, run.reason))
+                self._close_group(run, f"balance:{chosen.model}", now)
 
     def _list_open_needs(
         self, domain: PlannedDomain, service: ServiceName, now: float
@@ -392,7 +417,9 @@
         instances: list[Instance],
         now: float,
     ) -> bool:
-        candidates = domain.list_candidates(instances, self._inventory, self._releases)
+        candidates = domain.list_candidates(
+            instances, self._inventory, self._releases, self.slow_vms.instances
+        )
         if not candidates:
             return False
         groups_here = Counter(
--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -22,6 +22,7 @@
     FleetUpdate,
     FleetWatch,
     LoadReport,
+    SlowTarget,
     StalledTarget,
     StoreStatus,
     StoreStatusRequest,
@@ -171,6 +172,7 @@
     | UnreachableNode
     | UpstreamLimit
     | LoadReport
+    | SlowTarget
     | StoreStatusRequest
     | StoreStatus
 )
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -14,6 +14,7 @@
     "FleetUpdateItem",
     "FleetWatch",
     "LoadReport",
+    "SlowTarget",
     "StalledTarget",
     "StoreStatus",
     "StoreStatusRequest",
@@ -123,6 +124,20 @@
     node: NodeId
 
 
+class SlowTarget(msgspec.Struct, frozen=True, tag="slow-target"):
+    """Reports to the holder that a head is slow.
+
+    Attributes:
+        instance: The head.
+        node: The reporting process's VM.
+        pace: Factor by which it works slower than predicted.
+    """
+
+    instance: InstanceId
+    node: NodeId
+    pace: float
+
+
 class CrashReport(msgspec.Struct, frozen=True, tag="crash-note"):
     """Reports to all entry processes that an upstream crashed.
 
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -212,7 +212,9 @@
             self._send_to_holder,
             lambda report: self._send(self._subset.other_members, report),
         )
-        self._slow_target_watcher = SlowTargetWatcher(self._index, self._rerouter)
+        self._slow_target_watcher = SlowTargetWatcher(
+            settings.node, self._index, self._rerouter, self._send_to_holder
+        )
         retry_limits = RetryLimits(
             settings.repeat_ratio, settings.repeat_window_s, settings.repeat_slack
         )
--- a/src/zinniaspool/gateway/speed.py
+++ b/src/zinniaspool/gateway/speed.py
@@ -1,10 +1,15 @@
 """Follows which heads are slow, and reroutes requests that are late there."""
 
 import asyncio
+from collections.abc import Callable
+from math import inf
 
 import structlog
 
 from zinniaspool.core.dispatch import TargetPool, TargetState
+from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.ids import NodeId
+from zinniaspool.core.messages.fleet import SlowTarget
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.targets import TargetIndex
 
@@ -16,17 +21,32 @@
 """Pause between two checks, in seconds. A stream that has just had an event
 has the most time to get its next one elsewhere."""
 
+REPORT_INTERVAL_S = 1.0
+"""Pause between two reports of one slow head to the holder, in seconds. The
+holder may have changed, and the slow VM may report its slowness late."""
+
 
 class SlowTargetWatcher:
     """Logs which heads are slow and reroutes requests from them.
 
     Args:
+        node: This process's VM.
         index: The targets.
         rerouter: Interrupts attempts whose requests must leave a target.
+        send_to_holder: Sends a message to the holder.
     """
 
-    def __init__(self, index: TargetIndex, rerouter: Rerouter) -> None:
+    def __init__(
+        self,
+        node: NodeId,
+        index: TargetIndex,
+        rerouter: Rerouter,
+        send_to_holder: Callable[[SlowTarget], None],
+    ) -> None:
+        self._node = node
         self._index = index
+        self._send_to_holder = send_to_holder
+        self._reported_at: dict[InstanceId, float] = {}
         self._rerouter = rerouter
         self._slow: set[TargetState] = set()
 
@@ -46,6 +66,7 @@
                     _log_speed("target-slow", state, pool, now)
                 if state.local_requests:
                     self._rerouter.reroute_from_slow(state, pool, now)
+                    self._report(state, now)
         for state in self._slow - slow:
             if not state.removed:
                 _log.info(
@@ -56,6 +77,19 @@
                 )
         self._slow = slow
 
+    def _report(self, state: TargetState, now: float) -> None:
+        """Report a slow head to the holder, which queries the members."""
+        instance = state.target.instance
+        if now < self._reported_at.get(instance, -inf) + REPORT_INTERVAL_S:
+            return
+        self._reported_at = {
+            other: at
+            for other, at in self._reported_at.items()
+            if now < at + REPORT_INTERVAL_S
+        }
+        self._reported_at[instance] = now
+        self._send_to_holder(SlowTarget(instance, self._node, state.pace))
+
 
 def _log_speed(event: str, state: TargetState, pool: TargetPool, now: float) -> None:
     """Log a head's pace and what it was derived from."""
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -25,6 +25,7 @@
 )
 from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.planner import PhaseTransition
+from zinniaspool.core.formation.slowness import SlowVms
 from zinniaspool.core.generations import find_lowest_epoch
 from zinniaspool.core.ids import Epoch, FabricDomainId, ModelName, NodeId, ServiceName
 from zinniaspool.fleet import FleetView
@@ -65,7 +66,8 @@
 a query to each of the group's VMs."""
 
 RECHECK_PAUSE_S = 1.5
-"""Pause between queries to instances that count as unreachable, in seconds."""
+"""Pause between queries to instances that count as unreachable or as slow, in
+seconds."""
 
 OUTAGE_POLL_PAUSE_S = 0.12
 """Pause between queries to the engines of groups in a transitional phase while
@@ -157,10 +159,10 @@
                     await asyncio.sleep(NOT_ALLOWED_PAUSE_S)
 
     def check_group(self, instance: InstanceId, reported_by: NodeId) -> None:
-        """Query all members of the group of an instance that stalled.
+        """Query all members of the group of a head that stalled or is slow.
 
         Args:
-            instance: The head whose requests get no events.
+            instance: The head whose requests get no events, or late ones.
             reported_by: The VM whose process reported it.
         """
         if self._planner is None or not self._election.may_plan:
@@ -202,6 +204,11 @@
         """How many fabric domains the planner's passes scanned in total."""
         return 0 if self._planner is None else self._planner.domains_scanned
 
+    @property
+    def slow_vms(self) -> SlowVms:
+        """The VMs that report to be slow."""
+        return SlowVms() if self._planner is None else self._planner.slow_vms
+
     def list_runs(self) -> list[GroupRun]:
         """Return the groups that this process manages."""
         return [] if self._planner is None else self._planner.list_runs()
@@ -252,7 +259,7 @@
                 self._start(self._save_plan(planner, write))
             for order in orders:
                 self._start(self._send_order(planner, order))
-            self._recheck_unreachable(planner, loop.time())
+            self._recheck_instances(planner, loop.time())
             self._handle_store_outage(planner, loop.time())
             try:
                 async with asyncio.timeout(MAX_PASS_PAUSE_S):
@@ -358,8 +365,20 @@
         if not isinstance(status, Ok):
             return False
         self._fleet_view.apply_status(instance, status.ok_value)
+        self._record_slowness(instance, status.ok_value.slowness)
         return True
 
+    def _record_slowness(self, instance: InstanceId, slowness: float) -> None:
+        now = asyncio.get_running_loop().time()
+        if self._planner is None or not self._planner.slow_vms.record(
+            instance, slowness, now
+        ):
+            return
+        is_slow = instance in self._planner.slow_vms.instances
+        event = "instance-slow" if is_slow else "instance-recovered"
+        _log.info(event, instance=instance, pace=slowness)
+        self._changed.set()
+
     def _restore(self, planner: FormationPlanner) -> None:
         plans = self._plans.load(self._fleet_view.mirror)
         for plan in plans:
@@ -447,18 +466,21 @@
             _log.warning("instance-lost", instance=instance)
             self._planner.mark_unreachable(instance)
 
-    def _recheck_unreachable(self, planner: FormationPlanner, now: float) -> None:
-        if not planner.unreachable or now < self._recheck_at:
+    def _recheck_instances(self, planner: FormationPlanner, now: float) -> None:
+        due = planner.unreachable.union(planner.slow_vms.instances)
+        if not due or now < self._recheck_at:
             return
         self._recheck_at = now + RECHECK_PAUSE_S
-        for instance in planner.unreachable:
+        for instance in due:
             if instance in self._fleet_view.instances:
                 self._start(self._recheck_instance(planner, instance))
 
     async def _recheck_instance(
         self, planner: FormationPlanner, instance: InstanceId
     ) -> None:
-        if await self._refresh_status(instance):
+        if not await self._refresh_status(instance):
+            return
+        if instance in planner.unreachable:
             _log.info("instance-regained", instance=instance)
             planner.mark_reachable(instance)
 
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -8,7 +8,7 @@
 
 from zinniaspool.core.ids import Address
 from zinniaspool.core.messages import Hello, Message
-from zinniaspool.core.messages.fleet import StalledTarget
+from zinniaspool.core.messages.fleet import SlowTarget, StalledTarget
 from zinniaspool.fleet import (
     FleetCodec,
     FleetFollower,
@@ -183,6 +183,6 @@
         ]
 
     async def _on_message(self, hello: Hello, message: Message) -> Message | None:
-        if isinstance(message, StalledTarget):
+        if isinstance(message, StalledTarget | SlowTarget):
             self._holder.check_group(message.instance, message.node)
         return None
--- a/src/zinniaspool/keeper/metrics.py
+++ b/src/zinniaspool/keeper/metrics.py
@@ -36,6 +36,20 @@
     def list_scans() -> Iterator[Sample]:
         yield Sample({}, holder.domains_scanned)
 
+    def list_slow() -> Iterator[Sample]:
+        yield Sample({}, len(holder.slow_vms.instances))
+
+    def list_replaced() -> Iterator[Sample]:
+        yield Sample({}, holder.slow_vms.replaced_count)
+
+    page.add_gauge(
+        "zinniaspool_slow_instances", "VMs that report to be slow.", list_slow
+    )
+    page.add_counter(
+        "zinniaspool_replaced_groups",
+        "Groups that were closed because of a slow member.",
+        list_replaced,
+    )
     page.add_counter(
         "zinniaspool_planner_domain_looks",
         "Fabric domains that the planner scanned, over all its passes.",
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -102,6 +102,9 @@
         "instance-reborn": "An instance has restarted under its id.",
         "target-told-silent": "Another process reported a target as stalled; this "
         "process sends it no new requests for a short time.",
+        "instance-slow": "A VM reports to work much slower than usual; the holder "
+        "forms its group anew without it if another VM can take its place.",
+        "instance-recovered": "A VM no longer reports to be slow.",
         "instance-lost": "An instance is unreachable although its record is in the "
         "store.",
         "instances-lost": "The holder reported which instances are unreachable or "
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -47,6 +47,7 @@
             for no limit.
         crash_on: It ends when it begins to run a request with this in its
             body; empty for none.
+        pace: Its passes take so many times as long, and it reports that.
     """
 
     dark: bool = False
@@ -63,6 +64,7 @@
     says_leaving: bool = False
     limit_per_s: float = -1.0
     crash_on: str = ""
+    pace: float = 1.0
 
 
 class RunnerTimes(msgspec.Struct):
@@ -217,7 +219,8 @@
             await asyncio.sleep(60.0)
         path = exchange.request.path
         if path == "/v1/report":
-            report = {**self._describe(), "waiting": 0, "running": 0, "pace": 1.0}
+            report = {**self._describe(), "waiting": 0, "running": 0}
+            report["pace"] = self.faults.pace
             await answer_json(exchange, 200, report)
         elif path == "/v1/order":
             await self._take_order(exchange)
@@ -345,7 +348,7 @@
         self._note_run(request, headers, exchange.request.path)
         marker = self.faults.crash_on.encode()
         if marker and marker in exchange.request.body and not self._down:
-            await asyncio.sleep(self.times.pass_s)
+            await asyncio.sleep(self.times.pass_s * self.faults.pace)
             self._crashing = asyncio.create_task(self._crash())
             await asyncio.sleep(60.0)
         if self.faults.mute:
@@ -411,7 +414,7 @@
 
     async def _make_pass(self, exchange: Exchange) -> bool:
         """Wait for one pass of the group; False where the work is cut off."""
-        await asyncio.sleep(self.times.pass_s)
+        await asyncio.sleep(self.times.pass_s * self.faults.pace)
         group, stood_s = self.group, 0.0
         while self.faults.dark or not self._is_whole(group):
             if stood_s > self.times.stall_s:
@@ -419,7 +422,7 @@
                     group["state"] = "broken"
                 exchange.abort()
                 return False
-            await asyncio.sleep(self.times.pass_s)
+            await asyncio.sleep(self.times.pass_s * self.faults.pace)
             stood_s += self.times.pass_s
         return True
 
