Report paces in one byte, and intervals only while they are long

Cause: a pace took nine bytes for each target of a load report, and the interval twenty bytes in each report: with four changed targets some 7 KB/s at 20 reports a second to seven peers, where 1 KB/s is allowed.

Change: paces are reported in quarters, the interval is left out as long as reports are about as frequent as they should be.

--- a/src/zinniaspool/core/dispatch/loads.py
+++ b/src/zinniaspool/core/dispatch/loads.py
@@ -106,7 +106,7 @@
             self._sums[instance] = TargetLoad(
                 sum(load.requests for load in loads), sum(load.unread for load in loads)
             )
-            paces = sum_up_paces((load.requests, load.pace) for load in loads)
+            paces = sum_up_paces((load.requests, load.pace_quarters) for load in loads)
             if paces is not NO_PACES:
                 self._paces[instance] = paces
 
--- a/src/zinniaspool/core/dispatch/speed.py
+++ b/src/zinniaspool/core/dispatch/speed.py
@@ -26,6 +26,7 @@
 
 __all__ = [
     "NO_PACES",
+    "REPORTED_STEPS",
     "SLOW_PACE",
     "UNNOTICED_PACE",
     "PaceEstimate",
@@ -74,8 +75,9 @@
 measured, in seconds. Engines are slow for six to nine seconds; a slow target
 also gets probing requests meanwhile."""
 
-REPORT_STEP = 0.25
-"""Rounding of reported paces, so that reports change only now and then."""
+REPORTED_STEPS = 4
+"""Steps of a reported pace between 1 and 2. Reports change only now and then,
+and a pace takes one byte."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +162,8 @@
         is_slow: Whether the target is avoided because of its pace.
         slow_since: Time at which that began, in seconds.
         peers: What the other processes report.
-        reported: What this process reports to them; 0 if it doesn't know.
+        reported: The pace that this process reports to them, in quarters; 0 if
+            it doesn't know.
         probe_at: Time from which a slow target may get a probing request, in
             seconds.
     """
@@ -185,7 +188,7 @@
         self.is_slow = False
         self.slow_since = -math.inf
         self.peers = NO_PACES
-        self.reported = 0.0
+        self.reported = 0
         self.probe_at = -math.inf
 
     def record_pass(
@@ -232,20 +235,25 @@
         if self.is_slow and not was_slow:
             self.slow_since = now
 
-    def _compute_reported(self, now: float) -> float:
+    def _compute_reported(self, now: float) -> int:
         own = self._own.estimate(now)
         if own < UNNOTICED_PACE:
-            return 1.0 if self._own.is_measured(now) else 0.0
-        return round(own / REPORT_STEP) * REPORT_STEP
+            return REPORTED_STEPS if self._own.is_measured(now) else 0
+        return round(own * REPORTED_STEPS)
 
 
-def sum_up_paces(reports: Iterable[tuple[int, float]]) -> PeerPaces:
+def sum_up_paces(reports: Iterable[tuple[int, int]]) -> PeerPaces:
     """Return what peers know of a target's pace.
 
     Args:
-        reports: Requests at the target and reported pace, of each peer.
+        reports: Requests at the target and reported pace in quarters, of each
+            peer.
     """
-    known = [(requests, pace) for requests, pace in reports if pace > 0.0]
+    known = [
+        (requests, quarters / REPORTED_STEPS)
+        for requests, quarters in reports
+        if quarters > 0
+    ]
     if not known:
         return NO_PACES
     measured = tuple(pace for requests, pace in known if requests)
--- a/src/zinniaspool/core/fleet/loads.py
+++ b/src/zinniaspool/core/fleet/loads.py
@@ -11,14 +11,14 @@
     Attributes:
         requests: Requests in progress.
         unread: Prompt tokens of those requests that have had no event yet.
-        pace: Factor by which the target works slower than predicted, as the
-            reporting process measures it, or measured it if it has no request
-            there now; 0 if it doesn't know.
+        pace_quarters: Factor by which the target works slower than predicted,
+            in quarters, as the reporting process measures it, or measured it
+            if it has no request there now; 0 if it doesn't know.
     """
 
     requests: int = 0
     unread: int = 0
-    pace: float = 0.0
+    pace_quarters: int = 0
 
 
 NO_LOAD = TargetLoad()
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -200,7 +200,7 @@
     node: NodeId
 
 
-class LoadReport(msgspec.Struct, frozen=True, tag="load-note"):
+class LoadReport(msgspec.Struct, frozen=True, tag="load-note", omit_defaults=True):
     """Reports an entry process's load at targets to another entry process.
 
     Attributes:
@@ -208,7 +208,7 @@
         loads: Its load by target; 0 for a target where it has none any more.
         whole: Whether it has no load at the targets that are not listed.
         interval_s: Seconds between the last two times at which it reported, or
-            would have reported if its load had changed.
+            would have reported if its load had changed; 0 if that is as usual.
     """
 
     node: NodeId
--- a/src/zinniaspool/gateway/speed.py
+++ b/src/zinniaspool/gateway/speed.py
@@ -7,6 +7,7 @@
 import structlog
 
 from zinniaspool.core.dispatch import TargetPool, TargetState
+from zinniaspool.core.dispatch.speed import REPORTED_STEPS
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.ids import NodeId
 from zinniaspool.core.messages.fleet import SlowTarget
@@ -99,7 +100,7 @@
         instance=state.target.instance,
         group=state.target.group or "",
         pace=round(state.pace, 2),
-        own_pace=state.speed.reported,
+        own_pace=state.speed.reported / REPORTED_STEPS,
         peer_paces=",".join(f"{pace:g}" for pace in peers.measured),
         remembered=peers.remembered,
         own=state.local_requests,
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -65,7 +65,7 @@
     Attributes:
         backpressure: What instances have asked of this process.
         report_interval_s: Time between this process's last two load reports,
-            in seconds.
+            in seconds; 0 if they are about as frequent as they should be.
     """
 
     def __init__(self, fleet_view: FleetView, local_domain: FailureDomainId) -> None:
@@ -194,7 +194,8 @@
         """
         self._update_peer_loads(self._peer_loads.expire(now), now)
         if self._loads_expired_at is not None:
-            self.report_interval_s = now - self._loads_expired_at
+            interval_s = now - self._loads_expired_at
+            self.report_interval_s = interval_s if weigh_own_load(interval_s) else 0.0
         self._loads_expired_at = now
         own_load_weight = weigh_own_load(
             max(self.report_interval_s, self._peer_loads.measure_interval())
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -134,7 +134,7 @@
     pool = make_measured_pool("x", "y")
     run_passes(pool, find(pool, "y"), 9, 1.0)
     peers = PeerLoads()
-    for node, pace in (("a", 4.0), ("b", 4.25), ("c", 1.0)):
+    for node, pace in (("a", 16), ("b", 17), ("c", 4)):
         load = {InstanceId("x"): TargetLoad(1, 0, pace)}
         peers.apply_report(NodeId(node), load, 0.5, complete=True)
     paces = peers.get_paces(InstanceId("x"))
