--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -13,6 +13,7 @@
     RetryTerms,
 )
 from zinniaspool.core.dispatch.backpressure import Backpressure
+from zinniaspool.core.dispatch.choice import weigh_own_load
 from zinniaspool.core.dispatch.cold import ColdBound, ColdShare, find_cold_share
 from zinniaspool.core.dispatch.contents import identify_content
 from zinniaspool.core.dispatch.loads import LoadChangeTracker, PeerLoads
@@ -25,6 +26,10 @@
     QuarantineStatus,
 )
 from zinniaspool.core.dispatch.rates import AnnouncedRate
+from zinniaspool.core.dispatch.relocation import (
+    RunningAttempt,
+    would_be_on_time_elsewhere,
+)
 from zinniaspool.core.dispatch.repeats import RetryLimits, RetryWindow
 from zinniaspool.core.dispatch.shares import PeerCounts
 from zinniaspool.core.dispatch.silence import (
@@ -70,6 +75,7 @@
     "RetryLimits",
     "RetryTerms",
     "RetryWindow",
+    "RunningAttempt",
     "StallLimits",
     "StreamFault",
     "Subset",
@@ -88,4 +94,6 @@
     "identify_content",
     "is_lost",
     "suspect",
+    "weigh_own_load",
+    "would_be_on_time_elsewhere",
 ]
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -10,105 +10,33 @@
 import math
 import random
 from collections.abc import Collection, Iterable, Iterator, Mapping
-from zlib import crc32
 
 from zinniaspool.core.dispatch.backpressure import Backpressure
-from zinniaspool.core.dispatch.outside import OutOfSubsetUtilization, OutOfSubsetWindow
-from zinniaspool.core.dispatch.pace import FirstEventForecast
-from zinniaspool.core.dispatch.shares import PeerCounts, apportion
+from zinniaspool.core.dispatch.choice import (
+    LATE_EVENT_COST,
+    SUSPECTED_DOMAIN_COST,
+    compute_cost,
+    has_slot,
+)
+from zinniaspool.core.dispatch.failures import record_outcome
+from zinniaspool.core.dispatch.outside import OutOfSubsetWindow
+from zinniaspool.core.dispatch.predictions import TargetPredictions
+from zinniaspool.core.dispatch.shares import PeerCounts
+from zinniaspool.core.dispatch.sharing import SubsetSharing
+from zinniaspool.core.dispatch.speed import PeerPaces
 from zinniaspool.core.dispatch.subsets import Subset
 from zinniaspool.core.dispatch.targets import Target, TargetState, is_same_target
-from zinniaspool.core.dispatch.timeouts import AdaptiveTimeout, PassTimeout
-from zinniaspool.core.fleet import InstanceId, InstanceIncarnation
+from zinniaspool.core.fleet import InstanceId, InstanceIncarnation, TargetLoad
 from zinniaspool.core.ids import FabricDomainId, FailureDomainId
 
 __all__ = ["TargetPool"]
 
-ERROR_WEIGHT = 0.15
-"""Weight of one answer in the part of a target's answers that failed. About
-ten answers count, few enough to notice a fault within a second of usual
-traffic."""
-
-ERROR_COST = 3.0
-"""Cost of a target that always fails, in full targets."""
-
-REMOTE_DOMAIN_COST = 0.25
-"""Cost of a target in another failure domain, in full targets. Operators pay
-for the traffic between domains, and a target that is a quarter fuller answers
-about as soon as long as it has free slots. A full target is never preferred
-because it is near."""
-
-OUT_OF_SUBSET_COST = 0.5
-"""Cost of a target out of this process's subset, in full targets. Other
-processes share that target, count on its slots and don't report its load to
-this one. This process uses it once the targets of its subset are fuller by
-this much."""
-
-TYPICAL_UTILIZATION_WEIGHT = 0.1
-"""Weight of one answer in the typical utilization of targets. About ten
-answers change it, a single full target does not."""
-
-MIN_SPARE_SLOTS = 2.0  # requests
-SPARE_PART = 0.15
-"""Free slots from which a process uses a slot beyond its own part: in
-requests, and as a part of the target's slots. About as many requests begin
-between two load reports of the peers."""
-
-OUT_OF_SUBSET_SPARE_PART = 0.45
-"""Spare part for targets out of the subset, where a process only knows a
-typical load, and knows it late. At 2.2 times the usual load of thirty
-processes, fewer requests are on time with a smaller part."""
-
-SHORTAGE_SPARE_PART = 0.25
-"""Spare part for targets out of the subset while this process's targets have
-fewer slots than its share of all slots. After a fabric domain has failed,
-the room that its callers need is elsewhere."""
-
-SHORTAGE_PART = 0.85
-"""Part of its share of all slots below which a process has a shortage."""
-
-SUSPECTED_DOMAIN_COST = 1.0
-"""Cost of a target, in full targets, in whose fabric domain another target
-stalled for the same request. If the whole domain lost its power, its other
-heads are stalled too, and most requests can be rerouted only once."""
-
-PASS_TOLERANCE_S = 0.005
-"""Time after the predicted end of a pass in which an event may still come, in
-seconds: the spread of the network. Heads that fail at the same moment are
-found stalled within a few milliseconds of each other. The tolerance is shorter
-than the margin of ``PassTimeout``, so that the streams of the first one aren't
-rerouted to the others."""
-
-LATE_EVENT_COST = 1.0
-"""Cost of a target, in full targets, whose streams should have had an event by
-now. VMs often fail several at a time, and a head is known to be stalled only
-after some passes. Without this cost, streams would be rerouted from one
-stalled head to the next."""
-
-FULL_TARGET_READING_S = 0.2
-"""Time to read unread prompts that costs as much as a full target, in seconds.
-A first event takes as long if it doesn't wait for other prompts."""
-
-INITIAL_FIRST_EVENT_EXCESS_S = 0.08  # seconds, about one first event
-MAX_FIRST_EVENT_EXCESS_S = 0.6  # seconds, less than callers wait
-FIRST_EVENT_EXCESS_DECAY_PART = 0.005
-"""Learning of first events: the initial and the largest excess over the
-prediction, in seconds, and the part by which the excess decays with each of
-them. A process sees a few a second."""
-
-EJECT_FAILURES = 3
-"""Consecutive failures after which a target is ejected."""
-
-EJECT_S = 1.0
-"""Time for which a target is ejected, in seconds. A restart takes about as
-long."""
-
 MAX_RETRY_SPREAD = 1.25
 """Largest retry time of callers, as a multiple of the time until a target
 opens."""
 
 
-class TargetPool:
+class TargetPool(TargetPredictions):
     """The targets of one service or of one of its models.
 
     Args:
@@ -118,10 +46,8 @@
         backpressure: What instances have asked of this process.
 
     Attributes:
-        forecast: Predicts first events and passes.
-        gap_timeout: Learns how much later than predicted an event may come.
-        first_event_timeout: Learns the same of first events.
-        peer_counts: The processes of this process's subset.
+        own_load_weight: Weight of this process's own load in the cost of
+            targets; above 0 while its peers' reports are old.
     """
 
     def __init__(
@@ -130,6 +56,7 @@
         random_source: random.Random,
         backpressure: Mapping[InstanceIncarnation, Backpressure] | None = None,
     ) -> None:
+        super().__init__(random_source)
         self._backpressure: Mapping[InstanceIncarnation, Backpressure] = (
             {} if backpressure is None else backpressure
         )
@@ -137,22 +64,20 @@
         self._random_source = random_source
         self._states: dict[InstanceId, TargetState] = {}
         self._busy: set[TargetState] = set()
-        self._subset: Subset | None = None
-        self._typical_utilization = 0.0
-        self._domain_utilizations: dict[FailureDomainId, OutOfSubsetUtilization] = {}
-        self.forecast = FirstEventForecast()
-        self.gap_timeout = PassTimeout()
-        self.first_event_timeout = AdaptiveTimeout(
-            INITIAL_FIRST_EVENT_EXCESS_S,
-            MAX_FIRST_EVENT_EXCESS_S,
-            FIRST_EVENT_EXCESS_DECAY_PART,
-        )
-        self.peer_counts = PeerCounts(1, 1, 0)
-        self._process_count = 1
+        self._sharing = SubsetSharing()
+        self.own_load_weight = 0.0
         self._out_of_subset_window = OutOfSubsetWindow()
-        self._has_shortage = False
         self._evacuated: frozenset[FailureDomainId] = frozenset()
 
+    @property
+    def peer_counts(self) -> PeerCounts:
+        """The processes of this process's subset."""
+        return self._sharing.peer_counts
+
+    @peer_counts.setter
+    def peer_counts(self, counts: PeerCounts) -> None:
+        self._sharing.peer_counts = counts
+
     def __iter__(self) -> Iterator[TargetState]:
         return iter(list(self._states.values()))
 
@@ -180,17 +105,22 @@
             new = wanted.get(name)
             if new is None or not is_same_target(state.target, new):
                 state.removed = True
+                self.slow.forget(state)
                 removed.append(self._states.pop(name))
             else:
                 state.target = new
+        is_first = not self._states and not removed
         for name, target in wanted.items():
             if name not in self._states:
                 backpressure = self._backpressure.get(target.incarnation)
                 self._states[name] = TargetState(
-                    target, last_event_at=now, backpressure=backpressure
+                    target,
+                    last_event_at=now,
+                    backpressure=backpressure,
+                    ramps_from=-math.inf if is_first else now,
                 )
         self._apply_evacuations()
-        self._apply_subset()
+        self._sharing.divide(self._states)
         return removed
 
     def set_evacuated(self, domains: frozenset[FailureDomainId]) -> None:
@@ -201,7 +131,7 @@
         """
         self._evacuated = domains
         self._apply_evacuations()
-        self._apply_subset()
+        self._sharing.divide(self._states)
 
     @property
     def is_evacuated(self) -> bool:
@@ -220,39 +150,8 @@
             subset: The processes that share targets with this one.
             process_count: Number of entry processes in the fleet.
         """
-        self._subset, self._process_count = subset, process_count
-        self.peer_counts = subset.peer_counts
-        self._apply_subset()
-
-    def _apply_subset(self) -> None:
-        if self._subset is None:
-            return
-        parts = self._subset.divide(
-            (name, state.target.failure_domain) for name, state in self._states.items()
-        )
-        for name, state in self._states.items():
-            state.subset_part = parts.get(name, 0.0)
-            self._estimate_other_load(state)
-        self._has_shortage = self._is_short_of_targets()
-
-    def _is_short_of_targets(self) -> bool:
-        """Tell whether this subset has less than its share of all slots."""
-        states = [state for state in self._states.values() if not state.evacuated]
-        all_slots = sum(state.target.slots for state in states)
-        subset_slots = sum(state.subset_slots for state in states)
-        fair_slots = all_slots * self.peer_counts.count / max(1, self._process_count)
-        return subset_slots < SHORTAGE_PART * fair_slots
-
-    def _estimate_other_load(self, state: TargetState) -> None:
-        domain = state.target.failure_domain
-        state.assumed_other_load = (
-            self._typical_utilization * state.target.slots * (1.0 - state.subset_part)
-        )
-        state.out_of_subset_utilization = None
-        if not state.in_subset:
-            state.out_of_subset_utilization = self._domain_utilizations.setdefault(
-                domain, OutOfSubsetUtilization()
-            )
+        self._sharing.set_subset(subset, process_count)
+        self._sharing.divide(self._states)
 
     def list_capacity_targets(self, now: float) -> tuple[list[TargetState], int]:
         """Return the usable targets whose capacity is divided among processes.
@@ -267,7 +166,7 @@
         in_subset = [state for state in usable if state.in_subset]
         if in_subset or not usable:
             return in_subset, self.peer_counts.count
-        return usable, self._process_count
+        return usable, self._sharing.process_count
 
     # Requests of this process.
 
@@ -344,6 +243,8 @@
         prompt_tokens: int = 0,
         first_event_within_s: float | None = None,
         suspected_domains: Collection[FabricDomainId | None] = (),
+        *,
+        may_probe: bool = False,
     ) -> TargetState | None:
         """Return the target that is likely to answer soonest, or None.
 
@@ -356,7 +257,11 @@
                 one is left.
             suspected_domains: Fabric domains in which a target stalled for
                 this request.
+            may_probe: Whether the request may show if a slow target has
+                recovered. It can still be sent elsewhere.
         """
+        if may_probe and (probed := self.slow.find_probe(now)) is not None:
+            return probed
         usable = [
             state
             for state in self.list_eligible(now)
@@ -373,17 +278,37 @@
             )
 
         def rank(state: TargetState) -> tuple[float, float]:
-            cost = self._compute_cost(state, prompt_tokens, now)
+            cost = compute_cost(
+                state,
+                self._estimate_cost_load(state, now),
+                self.forecast.timing.read_s,
+                prompt_tokens,
+                now,
+                is_remote=state.target.failure_domain != self._local_domain,
+            )
             if state.target.fabric_domain in suspected_domains:
                 cost += SUSPECTED_DOMAIN_COST
             if state.streaming and self.is_past_pass_end(
                 state, now - state.last_event_at, now
             ):
                 cost += LATE_EVENT_COST
-            return cost, self._draw_tie_breaker()
+            return cost, self._random_source.random()
 
         return min(usable, key=rank)
 
+    def _estimate_cost_load(self, state: TargetState, now: float) -> float:
+        """Return the load that a target's cost is computed from.
+
+        All processes see old reports alike and would send all requests to the
+        targets that had the least load then. The own load is never old: if
+        each process spreads its own requests, the sums are even too.
+        """
+        load = state.estimate_load(now)
+        if not self.own_load_weight or not state.in_subset:
+            return load
+        own = state.local_requests * self.peer_counts.count / state.subset_part
+        return load + self.own_load_weight * (own - load)
+
     def _list_within(
         self, states: list[TargetState], prompt_tokens: int, within_s: float, now: float
     ) -> list[TargetState]:
@@ -401,57 +326,30 @@
 
     def list_usable(self, now: float) -> list[TargetState]:
         """Return the targets that accept requests and are not avoided now."""
-        return [state for state in self._states.values() if state.is_usable(now)]
-
-    def predict_first_event(
-        self, state: TargetState, prompt_tokens: int, now: float
-    ) -> float:
-        """Return the predicted time to a request's first event, in seconds.
-
-        Args:
-            state: The target.
-            prompt_tokens: Length of the request's prompt.
-            now: Seconds.
-        """
-        slots, unread = state.target.slots, state.known_unread_tokens
-        return self.forecast.predict(
-            state.estimate_load(now), slots, unread, prompt_tokens
-        )
+        usable = [state for state in self._states.values() if state.is_usable(now)]
+        return self.slow.filter_usable(usable)
 
-    def predict_gap(self, state: TargetState, now: float) -> float:
-        """Return the predicted time to a target's next event, in seconds."""
-        load = min(state.estimate_load(now), state.target.slots)
-        return self.forecast.timing.predict_pass(load, state.peak_unread_tokens)
+    # The speed of targets.
 
-    def is_past_pass_end(
-        self, state: TargetState, since_event_s: float, now: float
-    ) -> bool:
-        """Tell whether the current pass should have brought an event by now.
+    def apply_peer_load(
+        self, instance: InstanceId, load: TargetLoad, paces: PeerPaces, now: float
+    ) -> None:
+        """Apply what the other processes report of a target.
 
         Args:
-            state: The target.
-            since_event_s: Time since its last event, in seconds.
+            instance: The target.
+            load: Their load there.
+            paces: What they know of its pace.
             now: Seconds.
         """
-        return since_event_s >= self.predict_gap(state, now) + PASS_TOLERANCE_S
-
-    def record_event(self, state: TargetState, now: float) -> None:
-        """Record that an event came from a target.
-
-        If the target was found stalled, the timeout was too short.
-        """
-        if state.consecutive_stalls:
-            self.gap_timeout.record_false_alarm()
-        elif state.streaming:
-            gap_s = now - state.last_event_at
-            self.gap_timeout.record(self.predict_gap(state, now), gap_s)
-        state.last_event_at, state.backoff_until, state.consecutive_stalls = now, 0.0, 0
-        state.peak_unread_tokens = state.known_unread_tokens
-
-    def record_first_event(self, predicted_s: float, took_s: float) -> None:
-        """Record a first event's predicted and actual time, in seconds."""
-        self.forecast.record_first_event(predicted_s, took_s)
-        self.first_event_timeout.record(predicted_s, took_s)
+        state = self._states.get(instance)
+        if state is None:
+            return
+        state.peer_load = load
+        state.update_peak_unread()
+        if paces is not state.speed.peers and paces != state.speed.peers:
+            state.speed.peers = paces
+            self.slow.record(state, now)
 
     def has_slot(self, state: TargetState, now: float) -> bool:
         """Tell whether a request can begin at a target without a wait.
@@ -464,26 +362,15 @@
         requests a second began and were on time; without such parts, 51 to 57
         were.
         """
-        slots = state.target.slots
-        position = crc32(state.target.instance.encode())
-        process_slots = apportion(int(state.subset_slots), self.peer_counts, position)
-        if state.local_requests < process_slots:
-            return True
-        spare_part = SPARE_PART
-        if not state.in_subset:
-            spare_part = (
-                SHORTAGE_SPARE_PART if self._has_shortage else OUT_OF_SUBSET_SPARE_PART
-            )
-        return slots - state.estimate_load(now) >= max(
-            MIN_SPARE_SLOTS, spare_part * slots
+        return has_slot(
+            state, now, self.peer_counts, has_shortage=self._sharing.has_shortage
         )
 
     def count_free_slots(self, now: float) -> float:
         """Return the number of free slots over all usable targets."""
         return sum(
-            max(0.0, state.target.slots - state.estimate_load(now))
-            for state in self._states.values()
-            if state.is_usable(now)
+            max(0.0, state.effective_slots - state.estimate_load(now))
+            for state in self.list_usable(now)
         )
 
     def record_reported_load(self, state: TargetState, total: int, now: float) -> None:
@@ -494,32 +381,13 @@
             total: All requests at the target, from all processes.
             now: Seconds.
         """
-        state.unattributed = max(
-            0.0, total - state.local_requests - state.peer_load.requests
-        )
-        state.unattributed_at = now
-        utilization = total / state.target.slots
-        if state.in_subset:
-            self._typical_utilization += TYPICAL_UTILIZATION_WEIGHT * (
-                utilization - self._typical_utilization
-            )
-        else:
-            assert state.out_of_subset_utilization is not None
-            state.out_of_subset_utilization.record(utilization, now)
-        for other in self._states.values():
-            if other.subset_part < 1.0:
-                self._estimate_other_load(other)
-
-    def record_outcome(self, state: TargetState, failed: bool, now: float) -> None:
-        """Record whether a request failed; eject a target that often fails."""
-        state.error_part += ERROR_WEIGHT * (float(failed) - state.error_part)
-        if not failed:
-            state.consecutive_failures = 0
-            return
-        state.consecutive_failures += 1
-        if state.consecutive_failures >= EJECT_FAILURES:
-            state.consecutive_failures = 0
-            state.ejected_until = now + EJECT_S
+        self._sharing.record_reported_load(state, total, now, self._states)
+
+    def record_outcome(
+        self, state: TargetState, failed: bool, now: float, *, refused: bool = False
+    ) -> None:
+        """Record how a request ended; eject a target that often fails."""
+        record_outcome(state, now, failed=failed, refused=refused)
 
     def find_opening(self) -> float:
         """Return when the first target accepts a request by its own statement.
@@ -561,23 +429,3 @@
             for name, state in self._states.items()
             if name not in tried and now >= state.backoff_until and state.is_open(now)
         ]
-
-    def _compute_cost(
-        self, state: TargetState, prompt_tokens: int, now: float
-    ) -> float:
-        target = state.target
-        cost = (state.estimate_load(now) + 1) / target.slots
-        cost += (
-            self.forecast.timing.read_s
-            * (state.known_unread_tokens + prompt_tokens)
-            / FULL_TARGET_READING_S
-        )
-        cost += ERROR_COST * state.error_part
-        if target.failure_domain != self._local_domain:
-            cost += REMOTE_DOMAIN_COST
-        if not state.in_subset:
-            cost += OUT_OF_SUBSET_COST
-        return cost
-
-    def _draw_tie_breaker(self) -> float:
-        return self._random_source.random()
--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -1,10 +1,11 @@
 """Targets of requests, and the state that a process keeps of each."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from zinniaspool.core.dispatch.backpressure import Backpressure
 from zinniaspool.core.dispatch.outside import OutOfSubsetUtilization
+from zinniaspool.core.dispatch.speed import TargetSpeed
 from zinniaspool.core.fleet import (
     NO_LOAD,
     InstanceId,
@@ -90,7 +91,11 @@
         consecutive_failures: Failures since its last answered request.
         ejected_until: Time until which it is avoided after failures, in
             seconds.
-        error_part: Smoothed part of its answers that failed.
+        error_part: Smoothed part of its answers that failed, as of the newest.
+        errors_at: Time of the newest answer or failure, in seconds.
+        ejections: Ejections since its last answered request.
+        ramps_from: Time from which it gets its part of the requests step by
+            step, in seconds.
         subset_part: Part of it that belongs to this process's subset, whose
             processes report their loads to each other; 0 if it is out of the
             subset.
@@ -101,6 +106,7 @@
         backpressure: What it has asked of this process, if anything.
         evacuated: Whether its failure domain is evacuated.
         removed: Whether it has been removed from the targets.
+        speed: How much slower than predicted it works.
     """
 
     target: Target
@@ -118,12 +124,26 @@
     consecutive_failures: int = 0
     ejected_until: float = 0.0
     error_part: float = 0.0
+    errors_at: float = 0.0
+    ejections: int = 0
+    ramps_from: float = -math.inf
     subset_part: float = 1.0
     assumed_other_load: float = 0.0
     out_of_subset_utilization: OutOfSubsetUtilization | None = None
     backpressure: Backpressure | None = None
     evacuated: bool = False
     removed: bool = False
+    speed: TargetSpeed = field(default_factory=TargetSpeed)
+
+    @property
+    def pace(self) -> float:
+        """The factor by which it works slower than predicted; at least 1."""
+        return self.speed.pace
+
+    @property
+    def effective_slots(self) -> float:
+        """The slots of an engine of the usual speed that does as much."""
+        return max(1.0, self.target.slots / self.speed.pace)
 
     def estimate_load(self, now: float) -> float:
         """Return the estimated number of requests at the target."""
@@ -148,8 +168,8 @@
 
     @property
     def subset_slots(self) -> float:
-        """The slots that belong to this process's subset."""
-        return self.subset_part * self.target.slots
+        """The effective slots that belong to this process's subset."""
+        return self.subset_part * self.effective_slots
 
     @property
     def known_unread_tokens(self) -> int:
--- a/src/zinniaspool/core/formation/domains.py
+++ b/src/zinniaspool/core/formation/domains.py
@@ -1,7 +1,7 @@
 """One fabric domain that the holder plans: its groups and its idle VMs."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from zinniaspool.core.fleet import Instance, InstanceId, InstanceState
@@ -114,6 +114,7 @@
         inventory: VmInventory,
         releases: ReleaseTracker,
         now: float,
+        slow: Collection[InstanceId] = (),
     ) -> list[Candidate]:
         """Return the idle and standby VMs that may join a group.
 
@@ -122,6 +123,7 @@
             inventory: Which instances are unreachable, and their models.
             releases: Knows which VMs have left their groups.
             now: Current time, in seconds.
+            slow: The VMs that work much slower than usual.
         """
         planned: dict[InstanceId, GroupRun] = {}
         for run in self.runs.values():
@@ -146,12 +148,21 @@
                         inventory.loaded_models.get(instance.id),
                         standby=False,
                         cold=cold,
+                        is_slow=instance.id in slow,
                     )
                 )
             elif _is_available_standby(instance, own_run, releases):
                 model = inventory.loaded_models.get(instance.id)
                 ready = own_run.phase is GroupPhase.STANDBY
-                found.append(Candidate(instance, model if ready else None, True, cold))
+                found.append(
+                    Candidate(
+                        instance,
+                        model if ready else None,
+                        standby=True,
+                        cold=cold,
+                        is_slow=instance.id in slow,
+                    )
+                )
         return found
 
 
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -17,6 +17,7 @@
     "FleetWatch",
     "LoadReport",
     "StallEvidence",
+    "SlowTarget",
     "StalledTarget",
     "StoreStatus",
     "StoreStatusRequest",
@@ -153,6 +154,20 @@
     quiet_ms: int | None = None
 
 
+class SlowTarget(msgspec.Struct, frozen=True, tag="slow-target"):
+    """Reports to the holder that a head is slow.
+
+    Attributes:
+        instance: The head.
+        node: The reporting process's VM.
+        pace: Factor by which it works slower than predicted.
+    """
+
+    instance: InstanceId
+    node: NodeId
+    pace: float
+
+
 class CrashReport(msgspec.Struct, frozen=True, tag="crash-note"):
     """Reports to all entry processes that an upstream crashed.
 
@@ -215,15 +230,18 @@
     node: NodeId
 
 
-class LoadReport(msgspec.Struct, frozen=True, tag="load-note"):
+class LoadReport(msgspec.Struct, frozen=True, tag="load-note", omit_defaults=True):
     """Reports an entry process's load at targets to another entry process.
 
     Attributes:
         node: The reporting process's VM.
         loads: Its load by target; 0 for a target where it has none any more.
         whole: Whether it has no load at the targets that are not listed.
+        interval_s: Seconds between the last two times at which it reported, or
+            would have reported if its load had changed; 0 if that is as usual.
     """
 
     node: NodeId
     loads: dict[InstanceId, TargetLoad]
     whole: bool
+    interval_s: float = 0.0
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -149,7 +149,16 @@
         now = asyncio.get_running_loop().time()
         within_s = call.compute_wanted_event_time(now)
         prompt = call.terms.prompt_tokens
-        return pool.choose(now, call.tried, prompt, within_s, call.suspected_domains)
+        return pool.choose(
+            now,
+            call.tried,
+            prompt,
+            within_s,
+            call.suspected_domains,
+            may_probe=not call.tried
+            and call.route.repeatable
+            and call.route.max_attempts > 1,
+        )
 
     def _evaluate_failure(
         self,
@@ -200,10 +209,11 @@
         call.has_event = call.rerouted = call.first_event_overdue = False
         self._backpressure.record_request(state)
         self._rerouter.begin_attempt(call, state)
-        failed = False
+        failed = refused = False
         try:
             failure = await self._send(call, state)
             failed = failure in _TARGET_FAILURES or call.first_event_overdue
+            refused = failure is AttemptFailure.REFUSED
             if failure is None:
                 pool.forecast.record_request_time(loop.time() - call.sent_at)
             return failure
@@ -219,7 +229,7 @@
             else:
                 state.local_unread_tokens -= prompt
             self._rerouter.end_attempt(call, state)
-            pool.record_outcome(state, failed, loop.time())
+            pool.record_outcome(state, failed, loop.time(), refused=refused)
 
     async def _send(
         self, call: GatewayCall, state: TargetState
@@ -396,7 +406,7 @@
         state.local_unread_tokens -= call.terms.prompt_tokens
         pool = self._index.find_pool(call.service, call.terms.model)
         took_s = now - call.sent_at
-        pool.record_first_event(call.predicted_first_event_s, took_s)
+        pool.record_first_event(state, call.predicted_first_event_s, took_s, now)
         error_s = took_s - call.predicted_first_event_s
         self._record_response(call, pool, error_s, now)
         self._admission_queues.tally.add_error(call.terms.model or "", error_s)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -119,6 +119,9 @@
         "instance-reborn": "An instance has restarted under its id.",
         "target-told-silent": "Another process reported a target as stalled; this "
         "process sends it no new requests for a short time.",
+        "instance-slow": "A VM reports to work much slower than usual; the holder "
+        "forms its group anew without it if another VM can take its place.",
+        "instance-recovered": "A VM no longer reports to be slow.",
         "instance-lost": "An instance is unreachable although its record is in the "
         "store.",
         "instances-lost": "The holder reported which instances are unreachable or "
@@ -170,6 +173,9 @@
         "the keys give what was predicted and for how long nothing came.",
         "target-alive": "A head that was found stalled has had an event, here or at "
         "the reporting process.",
+        "target-slow": "A group's head works so much slower than predicted that it "
+        "gets only probing requests.",
+        "target-recovered": "A slow head is fast enough again for all requests.",
         "upstream-look-failed": "A check whether a leaving upstream has ended failed; "
         "it is repeated.",
     }
