Check slow groups less often, and prove the safeguards of slow upstreams

Cause: all processes that share a slow head report it every second, so that the holder would have queried each of its VMs 2.5 times a second.

Change: a group whose head is slow is checked every 1.5 s at most. Four safeguards are listed in tools/try_safeguards.py; a test covers the reserved retry.

--- a/src/zinniaspool/core/formation/slowness.py
+++ b/src/zinniaspool/core/formation/slowness.py
@@ -16,7 +16,7 @@
 from zinniaspool.core.formation.records import GroupPhase
 from zinniaspool.core.ids import GroupId, ModelName, ServiceName
 
-__all__ = ["Replacement", "SlowVms"]
+__all__ = ["SLOW_VM", "Replacement", "SlowVms"]
 
 SLOW_VM = 2.5
 """Factor by which a VM works slower than usual from which it counts as slow.
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -25,7 +25,7 @@
 )
 from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.planner import PhaseTransition
-from zinniaspool.core.formation.slowness import SlowVms
+from zinniaspool.core.formation.slowness import SLOW_VM, SlowVms
 from zinniaspool.core.generations import find_lowest_epoch
 from zinniaspool.core.ids import Epoch, FabricDomainId, ModelName, NodeId, ServiceName
 from zinniaspool.fleet import FleetView
@@ -158,12 +158,15 @@
                 else:
                     await asyncio.sleep(NOT_ALLOWED_PAUSE_S)
 
-    def check_group(self, instance: InstanceId, reported_by: NodeId) -> None:
+    def check_group(
+        self, instance: InstanceId, reported_by: NodeId, pause_s: float = 0.0
+    ) -> None:
         """Query all members of the group of a head that stalled or is slow.
 
         Args:
             instance: The head whose requests get no events, or late ones.
             reported_by: The VM whose process reported it.
+            pause_s: Shortest time since the last check, in seconds.
         """
         if self._planner is None or not self._election.may_plan:
             return
@@ -171,7 +174,8 @@
         if record is None:
             return
         now = asyncio.get_running_loop().time()
-        if now - self._checked_at.get(record.group, float("-inf")) < MIN_CHECK_PAUSE_S:
+        passed_s = now - self._checked_at.get(record.group, float("-inf"))
+        if passed_s < max(pause_s, MIN_CHECK_PAUSE_S):
             return
         self._checked_at[record.group] = now
         _log.info(
@@ -369,15 +373,13 @@
         return True
 
     def _record_slowness(self, instance: InstanceId, slowness: float) -> None:
-        now = asyncio.get_running_loop().time()
-        if self._planner is None or not self._planner.slow_vms.record(
-            instance, slowness, now
-        ):
+        if self._planner is None:
             return
-        is_slow = instance in self._planner.slow_vms.instances
-        event = "instance-slow" if is_slow else "instance-recovered"
-        _log.info(event, instance=instance, pace=slowness)
-        self._changed.set()
+        now = asyncio.get_running_loop().time()
+        if self._planner.slow_vms.record(instance, slowness, now):
+            event = "instance-slow" if slowness >= SLOW_VM else "instance-recovered"
+            _log.info(event, instance=instance, pace=slowness)
+            self._changed.set()
 
     def _restore(self, planner: FormationPlanner) -> None:
         plans = self._plans.load(self._fleet_view.mirror)
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -45,6 +45,11 @@
 """Part of the grace period of a shutdown that is kept for closing, in
 seconds."""
 
+SLOW_CHECK_PAUSE_S = 1.5
+"""Shortest pause between two checks of a group whose head is slow, in seconds.
+All processes that share the head report it every second, and each check costs
+a query to each of the group's VMs."""
+
 OUTAGE_CHECK_PAUSE_S = 0.1
 """Pause between checks whether the store answers again, in seconds."""
 
@@ -183,6 +188,8 @@
         ]
 
     async def _on_message(self, hello: Hello, message: Message) -> Message | None:
-        if isinstance(message, StalledTarget | SlowTarget):
+        if isinstance(message, StalledTarget):
             self._holder.check_group(message.instance, message.node)
+        elif isinstance(message, SlowTarget):
+            self._holder.check_group(message.instance, message.node, SLOW_CHECK_PAUSE_S)
         return None
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -16,8 +16,12 @@
 from tests.load_world import Caller, FleetShape, SimulatedFleet, Workload
 from tests.test_dispatch import find, make_pool
 from zinniaspool.core.dispatch import (
+    AttemptFailure,
+    Attempts,
     EngineTiming,
     PeerLoads,
+    Progress,
+    RetryTerms,
     RunningAttempt,
     TargetPool,
     TargetState,
@@ -215,6 +219,34 @@
     assert report.interval_s == 0.0
 
 
+class Budget:
+    """A retry budget that counts what is withdrawn."""
+
+    def __init__(self, left: int) -> None:
+        self.left = left
+
+    def withdraw(self) -> bool:
+        self.left -= 1
+        return self.left >= 0
+
+
+@pytest.mark.parametrize("left", [0, 1])
+def test_a_stream_is_interrupted_only_if_it_may_be_sent_again(left: int) -> None:
+    """A slow stream would be cut off once the retry budget is used up.
+
+    What is reserved is charged once, when the stream is sent again.
+    """
+    budget = Budget(left)
+    attempts = Attempts(RetryTerms(idempotent=True, deadline=9.0), budget)
+    attempts.begin(0.0)
+    assert attempts.reserve_retry() is bool(left)
+    failure = AttemptFailure.STALLED
+    fault = attempts.evaluate_failure(failure, Progress.RESUMABLE, 1.0)
+    assert (fault is None) is bool(left)
+    if left:
+        assert budget.left == 0
+
+
 # Simulated fleets.
 
 
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -242,6 +242,36 @@
         "",
         "tests/test_log_lines.py",
     ),
+    Safeguard(
+        "one late pass does not make a head slow",
+        f"{CORE}/dispatch/speed.py",
+        "sorted(self._samples)[(len(self._samples) - 1) // 2]",
+        "max(self._samples)",
+        "tests/test_speed.py::test_one_late_pass_changes_nothing",
+    ),
+    Safeguard(
+        "heads that are all slower than configured are all used",
+        f"{CORE}/dispatch/slow.py",
+        "self._usual_pace = paces[len(paces) // 4]",
+        "self._usual_pace = 1.0",
+        "tests/test_speed.py::"
+        "test_heads_that_all_differ_from_the_configuration_are_not_slow",
+    ),
+    Safeguard(
+        "a refused caller's next target is not the one that refuses all",
+        f"{CORE}/dispatch/failures.py",
+        "float(failed or refused)",
+        "float(failed)",
+        "tests/test_speed.py::"
+        "test_a_target_that_refuses_at_once_is_avoided_and_tried_again",
+    ),
+    Safeguard(
+        "a model's only group is not closed because of a slow member",
+        f"{CORE}/formation/slowness.py",
+        "if len(runs) < MIN_GROUPS or self._is_replacing(key, domains, now):",
+        "if self._is_replacing(key, domains, now):",
+        "tests/test_slow_members.py::test_the_only_group_of_a_model_is_not_replaced",
+    ),
 )
 
 
