Test that streams leave a slow head only within the retry budget

Cause: the rerouter's part was covered by its decision alone.

Change: a test drives Rerouter.reroute_from_slow with an attempt at a slow head, with and without budget.

Checked: ruff, mypy, the test.

--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -5,16 +5,19 @@
 large one's times, and a request has 30 events.
 """
 
+import asyncio
 import math
 import random
 from dataclasses import replace
 from statistics import mean, pstdev
+from unittest.mock import Mock
 
 import msgspec
 import pytest
 
 from tests.load_world import Caller, FleetShape, SimulatedFleet, Workload
 from tests.test_dispatch import find, make_pool
+from tests.virtual_time import run_in_virtual_time
 from zinniaspool.core.dispatch import (
     AttemptFailure,
     Attempts,
@@ -29,8 +32,12 @@
 )
 from zinniaspool.core.dispatch.speed import PaceEstimate, PeerPaces
 from zinniaspool.core.fleet import InstanceId, TargetLoad
-from zinniaspool.core.ids import NodeId
+from zinniaspool.core.ids import FailureDomainId, ModelName, NodeId, ServiceName
 from zinniaspool.core.messages.fleet import LoadReport
+from zinniaspool.fleet import FleetView
+from zinniaspool.gateway.moves import Rerouter
+from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.platform.spelling import PlatformCodec
 
 SMALL_SHAPE = FleetShape(
     engines=10,
@@ -247,6 +254,55 @@
         assert budget.left == 0
 
 
+@pytest.mark.parametrize("budget_left", [0, 1])
+def test_streams_leave_a_slow_head_while_the_retry_budget_allows_it(
+    budget_left: int,
+) -> None:
+    """A stream that could go on slowly would be cut off for nothing."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        index = TargetIndex(FleetView(PlatformCodec()), FailureDomainId("a"))
+        pool = index.find_pool(ServiceName("s"), ModelName("m"))
+        pool.forecast.timing = TIMING
+        pool.update([state.target for state in make_pool("x", "y")], 0.0)
+        slow = find(pool, "x")
+        for state in pool:
+            pool.begin_request(state, 0)
+            state.streaming, state.last_event_at = 1, loop.time() - 2.0
+        run_passes(pool, find(pool, "y"), 9, 1.0)
+        run_passes(pool, slow, 4, 12.0)
+        slow.speed.slow_since = loop.time()
+        attempts = Attempts(
+            RetryTerms(idempotent=True, deadline=math.inf), Budget(budget_left)
+        )
+        attempts.begin(0.0)
+        timeout = asyncio.timeout(60.0)
+        route = Mock(repeatable=True, max_attempts=2, max_pause_s=0.2, objective_s=0.3)
+        call = Mock(
+            attempts=attempts,
+            attempt_timeout=timeout,
+            has_event=True,
+            last_event_at=loop.time(),
+            progress=Progress.RESUMABLE,
+            received_at=loop.time() - 2.0,
+            route=route,
+            sent_at=loop.time() - 2.0,
+            service=ServiceName("s"),
+            suspected_domains=set(),
+            terms=Mock(model=ModelName("m"), prompt_tokens=100),
+            tried=[],
+        )
+        rerouter = Rerouter(index)
+        rerouter.begin_attempt(call, slow)
+        async with timeout:
+            rerouter.reroute_from_slow(slow, pool, loop.time())
+            assert (call.attempt_timeout is None) is bool(budget_left)
+            timeout.reschedule(None)
+
+    run_in_virtual_time(test)
+
+
 # Simulated fleets.
 
 
