--- a/src/zinniaspool/core/dispatch/speed.py
+++ b/src/zinniaspool/core/dispatch/speed.py
@@ -25,6 +25,7 @@
 from statistics import median
 
 __all__ = [
+    "CONFIRM_S",
     "NO_PACES",
     "REPORTED_STEPS",
     "SLOW_PACE",
@@ -42,6 +43,12 @@
 that the target is worth as little as a lost one. The distance keeps a target
 whose pace varies around one value from changing back and forth."""
 
+CONFIRM_S = 0.25
+"""Time for which a pace must stay above that of slow targets until the target
+counts as slow, in seconds. Prompts that no process of the subset knows of make
+a healthy target's passes up to three times as long, two or three in a row.
+Without a delay, such a target was avoided for 0.1 to 0.25 s."""
+
 UNNOTICED_PACE = 1.3
 """Pace below which a target counts as working as configured. Loads that are
 known late make predicted passes wrong by up to a fifth."""
@@ -169,6 +176,7 @@
     """
 
     __slots__ = (
+        "_above_since",
         "_own",
         "absolute_pace",
         "is_slow",
@@ -187,6 +195,7 @@
         self.measured_at = -math.inf
         self.is_slow = False
         self.slow_since = -math.inf
+        self._above_since = math.inf
         self.peers = NO_PACES
         self.reported = 0
         self.probe_at = -math.inf
@@ -230,8 +239,14 @@
         """Set the pace in relation to the usual one of the model's targets."""
         pace = self.absolute_pace / usual_pace
         self.pace = 1.0 if pace < UNNOTICED_PACE else pace
+        self._above_since = (
+            min(self._above_since, now) if self.pace >= SLOW_PACE else math.inf
+        )
         was_slow = self.is_slow
-        self.is_slow = self.pace >= (RECOVERED_PACE if was_slow else SLOW_PACE)
+        if was_slow:
+            self.is_slow = self.pace >= RECOVERED_PACE
+        else:
+            self.is_slow = now - self._above_since >= CONFIRM_S
         if self.is_slow and not was_slow:
             self.slow_since = now
 
