--- a/src/zinniaspool/core/formation/domains.py
+++ b/src/zinniaspool/core/formation/domains.py
@@ -99,6 +99,11 @@
                 continue
             if run.phase not in (GroupPhase.SERVING, GroupPhase.STANDBY):
                 return None
+            if not view.not_orderable.isdisjoint(run.record.members):
+                if run.record.standby:
+                    continue
+                # It could not be ordered to close.
+                return None
             able = _count_ready(run.record, view)
             if run.record.standby:
                 idle_vms += 1
@@ -135,6 +140,7 @@
                 instance.state is InstanceState.LEAVING
                 or instance.id in inventory.view.unreachable
                 or instance.id in inventory.view.unrecorded
+                or instance.id in inventory.view.not_orderable
             ):
                 continue
             own_run = planned.get(instance.id)
--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -44,16 +44,25 @@
         unrecorded: Instances whose records were removed, and that are kept
             for their groups. They join no other group, since no record would
             show other processes that they have.
+        not_orderable: Instances that answer only through an entry process, or
+            may. Orders come from the holder alone and don't reach them.
     """
 
     instances: Mapping[InstanceId, Instance]
     unreachable: set[InstanceId] = field(default_factory=set)
     unrecorded: Collection[InstanceId] = ()
+    not_orderable: frozenset[InstanceId] = frozenset()
 
     def find_reachable(self, instance: InstanceId) -> Instance | None:
         """Return a known instance that is not unreachable, or None."""
         return None if instance in self.unreachable else self.instances.get(instance)
 
+    def find_orderable(self, instance: InstanceId) -> Instance | None:
+        """Return a known instance that orders reach, or None."""
+        if instance in self.not_orderable:
+            return None
+        return self.find_reachable(instance)
+
 
 @dataclass(slots=True)
 class GroupRun:
@@ -224,6 +233,7 @@
             elif (
                 membership.state is MembershipState.READY
                 and member not in view.unrecorded
+                and member not in view.not_orderable
             ):
                 ready += 1
         # An open head accepts requests at once, and no engine checks the other
@@ -245,19 +255,19 @@
         """Update which members must leave before the VMs are used again.
 
         An open head may keep serving until it has left, so the group is
-        released once a head that answers has left it. An unreachable head
-        can't be ordered to leave. Each other member must leave then, so that
-        no VM is in two groups while that head still serves.
+        released once a head that answers has left it. A head that orders
+        don't reach can't be ordered to leave. Each other member must leave
+        then, so that no VM is in two groups while that head still serves.
         """
         head = self.record.head
-        found = view.find_reachable(head)
+        found = view.find_orderable(head)
         if found is not None:
             self._must_release = {head}
         else:
             self._must_release = {
                 member
                 for member in self.record.members
-                if view.find_reachable(member) is not None
+                if view.find_orderable(member) is not None
             }
         for member in self._must_release & self._leave_unfit:
             if self._find_membership(member, view) is None:
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -165,16 +165,21 @@
         self,
         instances: Mapping[InstanceId, Instance],
         unrecorded: Collection[InstanceId] = (),
+        not_orderable: frozenset[InstanceId] = frozenset(),
     ) -> None:
         """Replace the known instances by those now in the store.
 
         Args:
             instances: All instances.
             unrecorded: Those of them whose records were removed.
+            not_orderable: Those of them that orders don't reach.
         """
         for instance in set(self._view.unrecorded) - set(unrecorded):
             self._mark_instance_changed(instance)
         self._view.unrecorded = unrecorded
+        for instance in self._view.not_orderable ^ not_orderable:
+            self._mark_instance_changed(instance)
+        self._view.not_orderable = not_orderable
         change = self._inventory.update_instances(instances)
         if change is None:
             return
@@ -309,7 +314,10 @@
             orders += self._staging.list_staging_orders(
                 domain.runs.values(), self._engines, self._evacuation.allows_loads, now
             )
-        return writes, orders
+        # An order that is left out is due again after its usual pause.
+        return writes, [
+            order for order in orders if order.instance not in self._view.not_orderable
+        ]
 
     def _list_candidates(
         self, domain: PlannedDomain, instances: Iterable[Instance], now: float
@@ -330,7 +338,7 @@
             return self._list_candidates(domain, instances, now)
 
         for chosen in self.slow_vms.choose_replacements(
-            self._domains.values(), list_candidates, now
+            self._domains.values(), list_candidates, now, self._view.not_orderable
         ):
             self._close_group(chosen.run, f"member-slow:{chosen.member}", now)
 
--- a/src/zinniaspool/core/formation/slowness.py
+++ b/src/zinniaspool/core/formation/slowness.py
@@ -91,6 +91,7 @@
         domains: Collection[PlannedDomain],
         list_candidates: Callable[[PlannedDomain], Iterable[Candidate]],
         now: float,
+        not_orderable: frozenset[InstanceId] = frozenset(),
     ) -> list[Replacement]:
         """Return the groups to close now, at most one of each model.
 
@@ -98,6 +99,8 @@
             domains: All planned fabric domains.
             list_candidates: Returns a domain's idle and standby VMs.
             now: Seconds.
+            not_orderable: VMs that orders don't reach. A group with one of
+                them can't be ordered to close, or its VMs to join another.
         """
         for instance, (_, reported_at) in list(self._known.items()):
             if now - reported_at > KNOWN_S:
@@ -109,7 +112,12 @@
         for key, runs in serving.items():
             if len(runs) < MIN_GROUPS or self._is_replacing(key, domains, now):
                 continue
-            chosen = self._choose_worst(runs, list_candidates, now)
+            closable = [
+                (domain, run)
+                for domain, run in runs
+                if not_orderable.isdisjoint(run.record.members)
+            ]
+            chosen = self._choose_worst(closable, list_candidates, now)
             if chosen is not None:
                 self._last[key] = _LastReplacement(chosen.run.record.group, now)
                 self.replaced_count += 1
--- a/src/zinniaspool/core/formation/staging.py
+++ b/src/zinniaspool/core/formation/staging.py
@@ -72,7 +72,7 @@
         budget: LoadBudget,
         now: float,
     ) -> list[GroupOrder]:
-        found = self._view.find_reachable(member)
+        found = self._view.find_orderable(member)
         if found is None or self._staging_until.get(member, 0.0) > now:
             return []
         other = next(
--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -21,6 +21,8 @@
     CrashReport,
     FleetUpdate,
     FleetWatch,
+    InstanceAnswer,
+    InstanceQuery,
     LoadReport,
     SlowTarget,
     StalledTarget,
@@ -175,6 +177,8 @@
     | SlowTarget
     | StoreStatusRequest
     | StoreStatus
+    | InstanceQuery
+    | InstanceAnswer
 )
 
 Message = (
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -7,7 +7,7 @@
 from zinniaspool.core.fleet.demands import ModelDemandReport
 from zinniaspool.core.fleet.instances import InstanceId, MembershipState
 from zinniaspool.core.fleet.loads import TargetLoad
-from zinniaspool.core.ids import ContentId, NodeId, Revision
+from zinniaspool.core.ids import Address, ContentId, NodeId, Revision
 
 __all__ = [
     "ClearedContents",
@@ -15,7 +15,10 @@
     "FleetUpdate",
     "FleetUpdateItem",
     "FleetWatch",
+    "InstanceAnswer",
+    "InstanceQuery",
     "LoadReport",
+    "QueryKind",
     "StallEvidence",
     "SlowTarget",
     "StalledTarget",
@@ -116,6 +119,46 @@
     holder_unheard_s: float
 
 
+class QueryKind(Enum):
+    """What an instance is queried for."""
+
+    STATUS = "status"
+    HEALTH = "health"
+
+
+class InstanceQuery(msgspec.Struct, frozen=True, tag="instance-query"):
+    """Has an entry process query an instance and return the answer.
+
+    The holder sends it when the instance does not answer the holder itself.
+
+    Attributes:
+        instance: The instance.
+        address: Where it listens, as the holder knows it.
+        kind: What to query it for.
+    """
+
+    instance: InstanceId
+    address: Address
+    kind: QueryKind
+
+
+class InstanceAnswer(msgspec.Struct, frozen=True, tag="instance-answer"):
+    """What an instance answered to a query, as it was received.
+
+    Attributes:
+        status: HTTP status; None if the instance did not answer.
+        headers: Names and values of the answer's headers.
+        body: The answer's body.
+        is_refused: Whether the entry process sent no query: it does not know
+            the instance at that address, or has too many queries under way.
+    """
+
+    status: int | None = None
+    headers: list[tuple[str, str]] = []
+    body: bytes = b""
+    is_refused: bool = False
+
+
 class StallEvidence(Enum):
     """What shows that a head has stalled, or that it hasn't.
 
--- a/src/zinniaspool/fleet/__init__.py
+++ b/src/zinniaspool/fleet/__init__.py
@@ -5,6 +5,7 @@
 from zinniaspool.fleet.follower import FleetFollower, ProcessLocation, make_location
 from zinniaspool.fleet.leases import RenewedLease
 from zinniaspool.fleet.mesh import PeerExchange
+from zinniaspool.fleet.queries import QueryConnections
 from zinniaspool.fleet.settings import NodeSettings
 from zinniaspool.fleet.sight import HolderHeartbeat, read_boot_clock
 from zinniaspool.fleet.spelling import FleetCodec
@@ -19,6 +20,7 @@
     "NodeSettings",
     "PeerExchange",
     "ProcessLocation",
+    "QueryConnections",
     "RecordArrival",
     "RenewedLease",
     "make_location",
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -120,8 +120,9 @@
         self._store_reachable: bool | None = None
         self._source = f"{node}-{secrets.token_hex(4)}"
         hello = Hello(PROTOCOL_VERSION, node, Incarnation(0), domain, "")
-        self._query_links = PeerLinks(lambda: hello, ANSWER_TIMEOUT_S)
-        self._send_links = PeerLinks(lambda: hello, SEND_TIMEOUT_S)
+        self._hello = hello
+        self._query_links = self.make_links(ANSWER_TIMEOUT_S)
+        self._send_links = self.make_links(SEND_TIMEOUT_S)
         self._pending_sends: set[asyncio.Task[bool]] = set()
         self._listener = PeerListener(node, lambda _: True, self._handle)
         self._changed = asyncio.Event()
@@ -137,6 +138,14 @@
         self._query_links.close()
         self._send_links.close()
 
+    def make_links(self, timeout_s: float) -> PeerLinks:
+        """Return connections to peers of their own, closed by the caller.
+
+        Args:
+            timeout_s: Longest time for one call, in seconds.
+        """
+        return PeerLinks(lambda: self._hello, timeout_s)
+
     async def request_update(
         self, address: Address, watch: FleetWatch
     ) -> FleetUpdate | None:
--- a/src/zinniaspool/fleet/retention.py
+++ b/src/zinniaspool/fleet/retention.py
@@ -68,6 +68,10 @@
         """Return the kept instances, with the times of their removal."""
         return dict(self._removed.kept)
 
+    def find_recent(self, instance: InstanceId) -> Instance | None:
+        """Return an instance that is known or was removed lately, or None."""
+        return self._table.by_id.get(instance) or self._decode(instance)
+
     def remember(self, change: MirrorChange) -> None:
         """Remember the last record of an instance until it has another one.
 
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -33,6 +33,7 @@
 from zinniaspool.core.messages.fleet import (
     ClearedContents,
     CrashReport,
+    InstanceQuery,
     LoadReport,
     StalledTarget,
     UnreachableNode,
@@ -62,6 +63,7 @@
 from zinniaspool.gateway.metrics import make_gateway_metrics
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.probes import NodeProber
+from zinniaspool.gateway.queries import InstanceFetcher, InstanceQueryHandler
 from zinniaspool.gateway.records import QuarantineRecordStore
 from zinniaspool.gateway.silence import StallDetector, StallLinks
 from zinniaspool.gateway.speed import SlowTargetWatcher
@@ -126,6 +128,7 @@
         store: The store.
         fleet_codec: Decodes the contents of the store.
         call_codec: Parses and makes the headers of callers and upstreams.
+        fetcher: Queries instances when the holder requests it.
         metrics_port: Port on which metrics are served; 0 for none.
         listener: Socket that already listens on the callers' address.
         opened_at: Time since when it has listened, in seconds on the event
@@ -138,6 +141,7 @@
         store: FleetStore,
         fleet_codec: FleetCodec,
         call_codec: CallCodec,
+        fetcher: InstanceFetcher,
         metrics_port: int = 0,
         listener: socket.socket | None = None,
         opened_at: float | None = None,
@@ -151,6 +155,7 @@
         self._fleet_view = FleetView(
             fleet_codec, retains_instances=settings.retains_instances
         )
+        self._query_handler = InstanceQueryHandler(self._fleet_view, fetcher)
         self._stopping_at: float | None = None
         self._stop_requested = asyncio.Event()
         self._configured = asyncio.Event()
@@ -356,6 +361,8 @@
         ]
 
     async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
+        if isinstance(message, InstanceQuery):
+            return await self._query_handler.handle(message)
         if isinstance(message, UnreachableNode):
             self._reachability.suspect(message.node)
         elif isinstance(message, StalledTarget):
--- a/src/zinniaspool/keeper/engines.py
+++ b/src/zinniaspool/keeper/engines.py
@@ -7,6 +7,7 @@
 from zinniaspool.core.fleet import EngineStatus, HealthAnswer, InstanceId
 from zinniaspool.core.formation import GroupOrder, OrderOutcome
 from zinniaspool.core.ids import Address
+from zinniaspool.core.messages.fleet import InstanceAnswer
 from zinniaspool.http import TransportFailure
 
 __all__ = ["CHECK_TIMEOUTS_S", "MAX_LOCAL_LAG_S", "EngineControl"]
@@ -41,3 +42,15 @@
     ) -> Result[HealthAnswer, TransportFailure]:
         """Query whether an instance is healthy and isn't leaving."""
         ...
+
+    def decode_status(
+        self, answer: InstanceAnswer
+    ) -> Result[EngineStatus, TransportFailure]:
+        """Decode a status answer that an entry process received."""
+        ...
+
+    def decode_health(
+        self, answer: InstanceAnswer
+    ) -> Result[HealthAnswer, TransportFailure]:
+        """Decode a health answer that an entry process received."""
+        ...
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -7,13 +7,12 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import structlog
-from result import Ok
 
-from zinniaspool.core.fleet import InstanceId, ModelDemandReport
+from zinniaspool.core.fleet import EngineStatus, InstanceId, ModelDemandReport
 from zinniaspool.core.formation import (
     DomainPlan,
     FormationPlanner,
@@ -30,12 +29,10 @@
 from zinniaspool.core.ids import Epoch, FabricDomainId, ModelName, NodeId, ServiceName
 from zinniaspool.fleet import FleetView
 from zinniaspool.keeper.election import HolderElection
-from zinniaspool.keeper.engines import (
-    CHECK_TIMEOUTS_S,
-    MAX_LOCAL_LAG_S,
-    EngineControl,
-)
+from zinniaspool.keeper.engines import CHECK_TIMEOUTS_S, EngineControl
 from zinniaspool.keeper.plans import PlanStore
+from zinniaspool.keeper.queries import InstanceQueries, list_unresponsive
+from zinniaspool.keeper.relays import EntryRelay
 from zinniaspool.keeper.retention import InstanceRetainer
 
 __all__ = ["GroupHolder"]
@@ -47,10 +44,6 @@
 instances or of the catalog, or the end of a task, starts the next one
 sooner."""
 
-STATUS_TIMEOUT_S = 0.12
-"""Longest wait for an engine's status, in seconds. An engine that runs answers
-at once."""
-
 MAX_CONCURRENT_QUERIES = 96
 """How many engines are queried at once. A VM with half a core reads about this
 many answers within the timeout of one query."""
@@ -99,6 +92,7 @@
         election: Decides whether this process is the holder.
         plans: The plans in the store.
         engines: Sends orders to engines and queries their status.
+        relay: Has entry processes query engines; None for no second path.
         list_demands: Returns the current demand for each model.
         load_window_s: Length of the window in which loads of weights are
             counted against their limit, in seconds.
@@ -107,6 +101,7 @@
 
     Attributes:
         order_counts: Number of orders sent, by action and outcome.
+        queries: Queries engines, also through entry processes.
         retainer: Decides which instances without a record are retained.
     """
 
@@ -116,6 +111,7 @@
         election: HolderElection,
         plans: PlanStore,
         engines: EngineControl,
+        relay: EntryRelay | None,
         list_demands: Callable[[], list[ModelDemandReport]],
         load_window_s: float,
         loads_unlimited_until: float,
@@ -137,7 +133,8 @@
         self._checked_at: dict[str, float] = {}
         self._recheck_at = 0.0
         self.order_counts: Counter[tuple[OrderAction, OrderOutcome]] = Counter()
-        self.retainer = InstanceRetainer(fleet_view, engines, self._start)
+        self.queries = InstanceQueries(fleet_view, engines, relay, self._start)
+        self.retainer = InstanceRetainer(fleet_view, self.queries, self._start)
         self._average_demand: dict[tuple[ServiceName, ModelName], float] = {}
         self._averaged_at = 0.0
         fleet_view.on_instances.append(self._changed.set)
@@ -215,6 +212,7 @@
     async def _plan_groups(self) -> None:
         loop = asyncio.get_running_loop()
         self._fleet_view.start_decoding_instances()
+        self.queries.forget_all()
         self.retainer.take_over()
         planner = FormationPlanner(
             self._next_epoch,
@@ -249,8 +247,11 @@
             )
             planner.set_evacuated(self._fleet_view.evacuated)
             self.retainer.step()
+            self.queries.forget_gone()
             planner.update_instances(
-                self._fleet_view.instances, self.retainer.list_unrecorded()
+                self._fleet_view.instances,
+                self.retainer.list_unrecorded(),
+                self.queries.not_orderable,
             )
             # If all VMs of a group are unreachable, none of them updates its
             # record when the group ends. Other processes learn of that only
@@ -300,31 +301,16 @@
             and (spec := catalog.services.get(instance.service)) is not None
             and spec.engine is not None
         ]
-        unresponsive = await self._list_unresponsive(engines, STATUS_TIMEOUT_S)
         # Many answers at once keep this process busy, so that it reads some of
         # them too late. Without a second query a healthy group would count as
         # unreachable.
-        for instance in await self._list_unresponsive(
-            unresponsive, CHECK_TIMEOUTS_S[1]
-        ):
-            planner.mark_unreachable(instance)
-
-    async def _list_unresponsive(
-        self, engines: Sequence[InstanceId], timeout_s: float
-    ) -> list[InstanceId]:
-        """Refresh the status of engines; return those that do not answer."""
-        unresponsive = []
-        for first in range(0, len(engines), MAX_CONCURRENT_QUERIES):
-            batch = engines[first : first + MAX_CONCURRENT_QUERIES]
-            answered = await asyncio.gather(
-                *(self._refresh_status(instance, timeout_s) for instance in batch)
+        unresponsive = engines
+        for refresh in (self._refresh_status, self._refresh_on_both_paths):
+            unresponsive = await list_unresponsive(
+                unresponsive, refresh, MAX_CONCURRENT_QUERIES
             )
-            unresponsive += [
-                instance
-                for instance, answer in zip(batch, answered, strict=True)
-                if not answer
-            ]
-        return unresponsive
+        for instance in unresponsive:
+            planner.mark_unreachable(instance)
 
     @property
     def has_unsaved_plans(self) -> bool:
@@ -358,18 +344,28 @@
                 for member in run.record.members:
                     self._start(self._refresh_status(member))
 
-    async def _refresh_status(
-        self, instance: InstanceId, timeout_s: float = STATUS_TIMEOUT_S
-    ) -> bool:
+    async def _refresh_on_both_paths(self, instance: InstanceId) -> bool:
+        """Query an engine for the second time, on both paths."""
+        known = self._fleet_view.instances.get(instance)
+        if known is None:
+            return False
+        outcome = await self.queries.query_status(known, CHECK_TIMEOUTS_S[1:], None)
+        return self._apply_status(instance, outcome.answer)
+
+    async def _refresh_status(self, instance: InstanceId) -> bool:
         """Query an engine and apply its status; return whether it answered."""
         known = self._fleet_view.instances.get(instance)
         if known is None:
             return False
-        status = await self._engines.query_status(known.address, timeout_s)
-        if not isinstance(status, Ok):
+        status = await self.queries.query_own_status(known, CHECK_TIMEOUTS_S[0])
+        return self._apply_status(instance, status)
+
+    def _apply_status(self, instance: InstanceId, status: EngineStatus | None) -> bool:
+        """Apply an engine's status; return whether there is one."""
+        if status is None:
             return False
-        self._fleet_view.apply_status(instance, status.ok_value)
-        self._record_slowness(instance, status.ok_value.slowness)
+        self._fleet_view.apply_status(instance, status)
+        self._record_slowness(instance, status.slowness)
         return True
 
     def _record_slowness(self, instance: InstanceId, slowness: float) -> None:
@@ -458,20 +454,22 @@
             await self._refresh_status(order.instance)
 
     async def _check_instance(self, instance: InstanceId) -> None:
-        loop = asyncio.get_running_loop()
-        for timeout_s in CHECK_TIMEOUTS_S:
-            started_at = loop.time()
-            known = self._fleet_view.instances.get(instance)
-            if known is None or await self._refresh_status(instance, timeout_s):
-                return
-            if loop.time() - started_at > timeout_s + MAX_LOCAL_LAG_S:
-                return
+        known = self._fleet_view.instances.get(instance)
+        if known is None:
+            return
+        outcome = await self.queries.query_status(known)
+        if self._apply_status(instance, outcome.answer) or outcome.was_delayed:
+            return
+        if instance not in self._fleet_view.instances:
+            return
         if self._planner is not None:
             _log.warning("instance-lost", instance=instance)
             self._planner.mark_unreachable(instance)
 
     def _recheck_instances(self, planner: FormationPlanner, now: float) -> None:
-        due = planner.unreachable.union(planner.slow_vms.instances)
+        due = planner.unreachable.union(
+            planner.slow_vms.instances, self.queries.indirect
+        )
         if not due or now < self._recheck_at:
             return
         self._recheck_at = now + RECHECK_PAUSE_S
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -17,6 +17,7 @@
     HolderHeartbeat,
     NodeSettings,
     PeerExchange,
+    QueryConnections,
     make_location,
     run_supervised,
 )
@@ -26,6 +27,7 @@
 from zinniaspool.keeper.holder import GroupHolder
 from zinniaspool.keeper.metrics import make_controller_metrics
 from zinniaspool.keeper.plans import PlanStore
+from zinniaspool.keeper.relays import EntryRelay
 
 __all__ = ["CONNECT_S", "ControllerProcess"]
 
@@ -111,11 +113,17 @@
             self._peers.sum_demands,
             make_location(node),
         )
+        self._query_connections = QueryConnections(self._peers)
         self._holder = GroupHolder(
             self._fleet_view,
             self._election,
             PlanStore(self._store),
             engines,
+            EntryRelay(
+                self._fleet_view,
+                make_location(node),
+                self._query_connections.request,
+            ),
             self._peers.sum_demands,
             node.load_window_s,
             time.monotonic() + UNLIMITED_LOADS_S if node.first_start else 0.0,
@@ -175,6 +183,7 @@
         for task in self._tasks:
             task.cancel()
         self._peers.close()
+        self._query_connections.close()
         for server in self._servers:
             await server.drain(0.0)
 
--- a/src/zinniaspool/keeper/metrics.py
+++ b/src/zinniaspool/keeper/metrics.py
@@ -38,9 +38,12 @@
             yield Sample({"reason": reason.value}, count)
 
     def list_health_queries() -> Iterator[Sample]:
-        for outcome, count in holder.retainer.query_counts.items():
+        for outcome, count in holder.queries.health_counts.items():
             yield Sample({"outcome": outcome}, count)
 
+    def list_indirect() -> Iterator[Sample]:
+        yield Sample({}, len(holder.queries.indirect))
+
     def list_scans() -> Iterator[Sample]:
         yield Sample({}, holder.domains_scanned)
 
@@ -78,5 +81,10 @@
         "Health queries to instances without a record, by outcome.",
         list_health_queries,
     )
+    page.add_gauge(
+        "zinniaspool_indirect_instances",
+        "Instances that answer the holder only through an entry process.",
+        list_indirect,
+    )
     add_fleet_metrics(page, fleet_view, store)
     return page
--- a/src/zinniaspool/keeper/retention.py
+++ b/src/zinniaspool/keeper/retention.py
@@ -6,11 +6,10 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable, Collection, Coroutine
-from typing import Any, TypeVar
+from collections.abc import Callable, Collection, Coroutine
+from typing import Any
 
 import structlog
-from result import Ok, Result
 
 from zinniaspool.core.fleet import (
     EngineStatus,
@@ -21,23 +20,11 @@
     RetentionTracker,
 )
 from zinniaspool.fleet import FleetView
-from zinniaspool.http import TransportFailure
-from zinniaspool.keeper.engines import (
-    CHECK_TIMEOUTS_S,
-    MAX_LOCAL_LAG_S,
-    EngineControl,
-)
+from zinniaspool.keeper.queries import InstanceQueries
 
 __all__ = ["InstanceRetainer"]
 
 _log = structlog.get_logger(__name__)
-_T = TypeVar("_T")
-
-HEALTH_TIMEOUTS_S = (0.2, 0.3)
-"""Timeouts of two consecutive health queries, in seconds. A health answer
-waits for a slot, so that the first query gets more time than one for the
-status. Both together end well within the 0.8 s for which the other processes
-keep an instance without a decision."""
 
 MAX_CONCURRENT_CHECKS = 24
 """How many instances are queried at once, with two queries each. It is half of
@@ -55,27 +42,25 @@
 
     Args:
         fleet_view: What this process knows of the fleet.
-        engines: Queries instances for their health and status.
+        queries: Queries instances for their health and status.
         start: Starts a task, and has the holder's next pass follow its end.
 
     Attributes:
         end_counts: Number of instances that were not retained, or no longer,
             by reason.
-        query_counts: Number of health queries, by outcome.
     """
 
     def __init__(
         self,
         fleet_view: FleetView,
-        engines: EngineControl,
+        queries: InstanceQueries,
         start: Callable[[Coroutine[Any, Any, object]], None],
     ) -> None:
         self._fleet_view = fleet_view
-        self._engines = engines
+        self._queries = queries
         self._start = start
         self._tracker = RetentionTracker()
         self.end_counts: Counter[RetentionEnd] = Counter()
-        self.query_counts: Counter[str] = Counter()
 
     def take_over(self) -> None:
         """Begin with the instances that the previous holder retained.
@@ -175,42 +160,16 @@
         catalog = self._fleet_view.catalog
         service = None if catalog is None else catalog.services.get(known.service)
         path = None if service is None else service.health_path
-        clock = asyncio.get_running_loop().time
-        started_at = clock()
         status, health = await asyncio.gather(
-            _query_twice(
-                CHECK_TIMEOUTS_S,
-                lambda timeout_s: self._engines.query_status(known.address, timeout_s),
-            ),
-            self._query_health(known, path),
+            self._queries.query_status(known), self._queries.query_health(known, path)
         )
-        longest_s = max(sum(CHECK_TIMEOUTS_S), sum(HEALTH_TIMEOUTS_S))
         self._decide(
             known.id,
-            health,
-            status,
-            was_delayed=clock() - started_at > longest_s + MAX_LOCAL_LAG_S,
+            health.answer,
+            status.answer,
+            was_delayed=health.was_delayed or status.was_delayed,
         )
 
-    async def _query_health(
-        self, known: Instance, path: str | None
-    ) -> HealthAnswer | None:
-        if path is None:
-            # The configuration no longer names a path.
-            return None
-
-        async def query(timeout_s: float) -> Result[HealthAnswer, TransportFailure]:
-            answer = await self._engines.query_health(
-                known.address, known.id, path, timeout_s
-            )
-            outcome = (
-                answer.ok_value.health.value if isinstance(answer, Ok) else "missing"
-            )
-            self.query_counts[outcome] += 1
-            return answer
-
-        return await _query_twice(HEALTH_TIMEOUTS_S, query)
-
     def _decide(
         self,
         instance: InstanceId,
@@ -261,15 +220,3 @@
             # the instance back as long as that names it.
             self._report()
             self._fleet_view.drop_removed(instance)
-
-
-async def _query_twice(
-    timeouts_s: Collection[float],
-    query: Callable[[float], Awaitable[Result[_T, TransportFailure]]],
-) -> _T | None:
-    """Return the first answer of consecutive queries, or None."""
-    for timeout_s in timeouts_s:
-        answer = await query(timeout_s)
-        if isinstance(answer, Ok):
-            return answer.ok_value
-    return None
--- a/src/zinniaspool/platform/gateway.py
+++ b/src/zinniaspool/platform/gateway.py
@@ -7,6 +7,7 @@
 from zinniaspool.http import HttpClient
 from zinniaspool.platform import wire
 from zinniaspool.platform.kvstore import KvStore
+from zinniaspool.platform.orders import EngineClient
 from zinniaspool.platform.program import run_on_platform
 from zinniaspool.platform.spelling import PlatformCodec
 
@@ -29,7 +30,14 @@
     """
     store = KvStore(HttpClient(connect_s=CONNECT_TIMEOUT_S), node.store_address)
     return GatewayProcess(
-        node, store, PlatformCodec(), wire, metrics_port, listener, opened
+        node,
+        store,
+        PlatformCodec(),
+        wire,
+        EngineClient(HttpClient(connect_s=CONNECT_TIMEOUT_S)),
+        metrics_port,
+        listener,
+        opened,
     )
 
 
--- a/src/zinniaspool/platform/orders.py
+++ b/src/zinniaspool/platform/orders.py
@@ -8,6 +8,7 @@
 from zinniaspool.core.fleet import EngineStatus, Health, HealthAnswer, InstanceId
 from zinniaspool.core.formation import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.ids import Address
+from zinniaspool.core.messages.fleet import InstanceAnswer
 from zinniaspool.http import (
     Headers,
     HttpClient,
@@ -75,35 +76,68 @@
         self, address: Address, timeout_s: float
     ) -> Result[EngineStatus, TransportFailure]:
         """Request an engine's status."""
-        request = Request("GET", "/v1/report")
-        try:
-            status, body = await self._client.fetch(address, request, timeout_s)
-        except TransportError as error:
-            return Err(error.failure)
-        if status != HTTPStatus.OK:
-            return Err(TransportFailure.MALFORMED)
-        decoded = decode_status(body)
-        if isinstance(decoded, Err):
-            return Err(TransportFailure.MALFORMED)
-        return Ok(decoded.ok_value)
+        answer = await self.fetch_status(address, timeout_s)
+        return answer.and_then(self.decode_status)
 
     async def query_health(
         self, address: Address, instance: InstanceId, path: str, timeout_s: float
     ) -> Result[HealthAnswer, TransportFailure]:
         """Request an instance's health."""
+        answer = await self.fetch_health(address, instance, path, timeout_s)
+        return answer.and_then(self.decode_health)
+
+    async def fetch_status(
+        self, address: Address, timeout_s: float
+    ) -> Result[InstanceAnswer, TransportFailure]:
+        """Request an engine's status; return its answer as received."""
+        return await self._fetch(address, Request("GET", "/v1/report"), timeout_s)
+
+    async def fetch_health(
+        self, address: Address, instance: InstanceId, path: str, timeout_s: float
+    ) -> Result[InstanceAnswer, TransportFailure]:
+        """Request an instance's health; return its answer as received."""
         headers = Headers.of(x_zinniaspool_expect_instance=instance)
-        request = Request("GET", path, headers)
+        return await self._fetch(address, Request("GET", path, headers), timeout_s)
+
+    def decode_status(
+        self, answer: InstanceAnswer
+    ) -> Result[EngineStatus, TransportFailure]:
+        """Decode the answer to a status query."""
+        if answer.status != HTTPStatus.OK:
+            return Err(TransportFailure.MALFORMED)
+        decoded = decode_status(answer.body)
+        if isinstance(decoded, Err):
+            return Err(TransportFailure.MALFORMED)
+        return Ok(decoded.ok_value)
+
+    def decode_health(
+        self, answer: InstanceAnswer
+    ) -> Result[HealthAnswer, TransportFailure]:
+        """Decode the answer to a health query."""
+        health = None if answer.status is None else _HEALTH.get(answer.status)
+        if answer.status is None or health is None:
+            return Err(TransportFailure.MALFORMED)
+        headers = Headers(
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in answer.headers
+        )
+        is_leaving = parse_notice(answer.status, headers).leaving
+        return Ok(HealthAnswer(health, parse_instance(headers), is_leaving))
+
+    async def _fetch(
+        self, address: Address, request: Request, timeout_s: float
+    ) -> Result[InstanceAnswer, TransportFailure]:
         try:
-            status, answered, _ = await self._client.fetch_with_headers(
+            status, headers, body = await self._client.fetch_with_headers(
                 address, request, timeout_s
             )
         except TransportError as error:
             return Err(error.failure)
-        health = _HEALTH.get(status)
-        if health is None:
-            return Err(TransportFailure.MALFORMED)
-        is_leaving = parse_notice(status, answered).leaving
-        return Ok(HealthAnswer(health, parse_instance(answered), is_leaving))
+        fields = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in headers.raw()
+        ]
+        return Ok(InstanceAnswer(status, fields, body))
 
 
 def _format_order(order: GroupOrder) -> dict[str, object]:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -126,6 +126,10 @@
         "store.",
         "instances-lost": "The holder reported which instances are unreachable or "
         "reachable again.",
+        "instance-indirect": "An instance answers the holder only through an entry "
+        "process; its group goes on, and it gets no orders.",
+        "instance-indirect-ended": "An instance answers the holder itself again, "
+        "nobody any more, or is gone, as the reason says.",
         "instance-regained": "An unreachable instance answers again.",
         "instance-state": "An instance started to leave or is ready.",
         "lease-lost": "A lease ended before it was renewed.",
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -38,7 +38,13 @@
     Revision,
     ServiceName,
 )
-from zinniaspool.core.messages.fleet import FleetUpdate, FleetWatch
+from zinniaspool.core.messages.fleet import (
+    FleetUpdate,
+    FleetWatch,
+    InstanceAnswer,
+    InstanceQuery,
+    QueryKind,
+)
 from zinniaspool.core.storage import StoreFault, WatchResult
 from zinniaspool.fleet import (
     FleetFollower,
@@ -48,10 +54,13 @@
     ProcessLocation,
 )
 from zinniaspool.fleet.mesh import ANSWER_TIMEOUT_S, HolderTerm
+from zinniaspool.fleet.queries import ENTRY_TIMEOUT_S
+from zinniaspool.gateway.queries import InstanceQueryHandler
 from zinniaspool.gateway.targets import TargetIndex
-from zinniaspool.http import TransportFailure
+from zinniaspool.http import HttpClient, TransportFailure
 from zinniaspool.keeper.holder import GroupHolder
-from zinniaspool.platform.entries import decode_status
+from zinniaspool.keeper.relays import EntryRelay
+from zinniaspool.platform.orders import EngineClient
 from zinniaspool.platform.rules import RULES_KEY
 from zinniaspool.platform.spelling import PlatformCodec
 from zinniaspool_standins.installation import make_rules
@@ -65,6 +74,7 @@
     "SimulatedProcess",
     "list_engines",
     "list_heads",
+    "make_entry_address",
     "wait_until",
 ]
 
@@ -73,6 +83,11 @@
 GROUPS_PER_DOMAIN = 4
 VM_COUNT = 100
 LINK_DELAY_S = 0.002
+HEALTH_STATUSES = {
+    Health.HEALTHY: 200,
+    Health.MISDIRECTED: 421,
+    Health.UNHEALTHY: 503,
+}
 
 
 def make_instance_record(number: int) -> tuple[str, dict[str, Any]]:
@@ -164,6 +179,8 @@
 
     Attributes:
         unreachable: Those that answer nothing.
+        cut: Those that answer entry processes, but not the holder.
+        relayed: The kinds of queries that entry processes sent, by engine.
         health: Answers to health queries that differ from the usual one; None
             for a missing answer.
         statuses: What differs from the record in the status of an engine;
@@ -177,12 +194,15 @@
 
     def __init__(self, records: dict[str, dict[str, Any]] = RECORDS) -> None:
         self.unreachable: set[InstanceId] = set()
+        self.cut: set[InstanceId] = set()
+        self.relayed: list[tuple[QueryKind, InstanceId]] = []
         self.health: dict[InstanceId, HealthAnswer | None] = {}
         self.statuses: dict[InstanceId, dict[str, Any] | None] = {}
         self.health_queries: list[InstanceId] = []
         self.orders: list[GroupOrder] = []
         self.running = self.peak = 0
         self.delay_s = LINK_DELAY_S
+        self._codec = EngineClient(HttpClient())
         self._records = records
         self._names = {record["address"]: name for name, record in records.items()}
 
@@ -190,22 +210,66 @@
         self, address: Address, timeout_s: float
     ) -> Result[EngineStatus, Any]:
         name = InstanceId(self._names[address])
+        answer = await self._answer_status(name, timeout_s, name not in self.cut)
+        return answer.and_then(self.decode_status)
+
+    async def fetch_status(
+        self, address: Address, timeout_s: float
+    ) -> Result[InstanceAnswer, TransportFailure]:
+        """Answer a status query of an entry process."""
+        name = InstanceId(self._names[address])
+        self.relayed.append((QueryKind.STATUS, name))
+        return await self._answer_status(name, timeout_s, True)
+
+    def decode_status(
+        self, answer: InstanceAnswer
+    ) -> Result[EngineStatus, TransportFailure]:
+        return self._codec.decode_status(answer)
+
+    async def _answer_status(
+        self, name: InstanceId, timeout_s: float, is_reached: bool
+    ) -> Result[InstanceAnswer, TransportFailure]:
         changes = self.statuses.get(name, {})
-        if not await self._transfer(name, timeout_s, answers=changes is not None):
+        answers = is_reached and changes is not None
+        if not await self._transfer(name, timeout_s, answers=answers):
             return Err(TransportFailure.TIMED_OUT)
         status = {**self._records[name], **(changes or {})}
-        return decode_status(msgspec.json.encode(status))
+        return Ok(InstanceAnswer(200, [], msgspec.json.encode(status)))
 
     async def query_health(
         self, address: Address, instance: InstanceId, path: str, timeout_s: float
     ) -> Result[HealthAnswer, TransportFailure]:
+        is_reached = instance not in self.cut
+        answer = await self._answer_health(instance, timeout_s, is_reached)
+        return answer.and_then(self.decode_health)
+
+    async def fetch_health(
+        self, address: Address, instance: InstanceId, path: str, timeout_s: float
+    ) -> Result[InstanceAnswer, TransportFailure]:
+        """Answer a health query of an entry process."""
+        self.relayed.append((QueryKind.HEALTH, instance))
+        return await self._answer_health(instance, timeout_s, True)
+
+    def decode_health(
+        self, answer: InstanceAnswer
+    ) -> Result[HealthAnswer, TransportFailure]:
+        return self._codec.decode_health(answer)
+
+    async def _answer_health(
+        self, instance: InstanceId, timeout_s: float, is_reached: bool
+    ) -> Result[InstanceAnswer, TransportFailure]:
         self.health_queries.append(instance)
         answer = self.health.get(instance, HealthAnswer(Health.HEALTHY, instance))
-        if not await self._transfer(
-            instance, timeout_s, answers=answer is not None
-        ) or (answer is None):
+        answers = is_reached and answer is not None
+        if not await self._transfer(instance, timeout_s, answers=answers):
             return Err(TransportFailure.TIMED_OUT)
-        return Ok(answer)
+        assert answer is not None
+        headers = []
+        if answer.instance is not None:
+            headers.append(("x-zinniaspool-instance-id", str(answer.instance)))
+        if answer.is_leaving:
+            headers.append(("server-leaving", "1"))
+        return Ok(InstanceAnswer(HEALTH_STATUSES[answer.health], headers))
 
     async def _transfer(
         self, name: InstanceId, timeout_s: float, *, answers: bool
@@ -221,7 +285,7 @@
     async def send_order(self, address: Address, order: GroupOrder) -> OrderOutcome:
         self.orders.append(order)
         await asyncio.sleep(LINK_DELAY_S)
-        if order.instance in self.unreachable:
+        if order.instance in self.unreachable | self.cut:
             return OrderOutcome.UNANSWERED
         return OrderOutcome.ACCEPTED
 
@@ -254,6 +318,7 @@
     """One process of the fleet, without sockets."""
 
     def __init__(self, fleet: "SimulatedFleet", number: int, *, entry: bool) -> None:
+        self.number = number
         self.node = NodeId(f"vm-{number}")
         self.domain = FailureDomainId(f"hall-{number % 3}")
         self.fleet_view = FleetView(
@@ -290,11 +355,19 @@
             ProcessLocation(self.node, self.domain),
             make_control_address(number) if entry else None,
         )
+        self.queries = InstanceQueryHandler(self.fleet_view, fleet.engines)
         self.holder = GroupHolder(
             self.fleet_view,
             self.election,  # type: ignore[arg-type]
             FakePlanStore(),  # type: ignore[arg-type]
             fleet.engines,
+            EntryRelay(
+                self.fleet_view,
+                ProcessLocation(
+                    self.node, self.domain, local_entry=make_entry_address(number)
+                ),
+                fleet.request_answer,
+            ),
             list,
             5.0,
             0.0,
@@ -318,17 +391,28 @@
     return Address(f"10.0.0.{number}:82")
 
 
+def make_entry_address(number: int) -> Address:
+    return Address(f"10.0.0.{number}:81")
+
+
 class SimulatedFleet:
     """Entry and control processes of many VMs in one event loop.
 
     Args:
         retains_instances: Whether the settings of all VMs allow to retain
             instances whose records were removed.
+
+    Attributes:
+        silent_entries: Entry processes that answer no queries of the holder,
+            as those of an older version.
+        requested_entries: The entry processes that it sent queries to.
     """
 
     def __init__(self, *, retains_instances: bool = False) -> None:
         self.retains_instances = retains_instances
         self.store, self.engines = FakeStore(), FakeEngines()
+        self.silent_entries: set[Address] = set()
+        self.requested_entries: list[Address] = []
         self._fill_store()
         self.controls = [
             SimulatedProcess(self, n, entry=False) for n in range(VM_COUNT)
@@ -355,7 +439,7 @@
             record = NodeRecord(
                 NodeId(f"vm-{number}"),
                 Address(f"10.0.0.{number}:80"),
-                Address(f"10.0.0.{number}:81"),
+                make_entry_address(number),
                 FailureDomainId(f"hall-{number % 3}"),
                 "r",
                 NodeState.READY,
@@ -418,6 +502,23 @@
         await asyncio.sleep(LINK_DELAY_S)
         return news
 
+    async def request_answer(
+        self, address: Address, query: InstanceQuery
+    ) -> InstanceAnswer | None:
+        """Deliver the holder's query to an entry process, and its answer."""
+        self.requested_entries.append(address)
+        entry = next(
+            (it for it in self.entries if make_entry_address(it.number) == address),
+            None,
+        )
+        if entry is None or address in self.silent_entries:
+            await asyncio.sleep(ENTRY_TIMEOUT_S)
+            return None
+        await asyncio.sleep(LINK_DELAY_S)
+        answer = await entry.queries.handle(query)
+        await asyncio.sleep(LINK_DELAY_S)
+        return answer
+
     def count_users(self, heads: set[InstanceId]) -> int:
         """Return how many entry processes would use any of the heads."""
         return sum(not heads.isdisjoint(process.targets) for process in self.entries)
--- /dev/null
+++ b/tests/test_entry_queries.py
@@ -0,0 +1,402 @@
+"""Entry processes query instances that do not answer the holder itself."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+import pytest
+
+from tests.fleet_simulation import (
+    VM_COUNT,
+    FakeEngines,
+    SimulatedFleet,
+    make_entry_address,
+    wait_until,
+)
+from tests.test_belief import RECORD, ViewWriter
+from tests.test_retention import KNOWN_S, list_ends, run, watch_use
+from tests.virtual_time import run_in_virtual_time
+from zinniaspool.core.fleet import Health, HealthAnswer, InstanceId
+from zinniaspool.core.ids import Address, FailureDomainId, NodeId
+from zinniaspool.core.messages.fleet import InstanceAnswer, InstanceQuery, QueryKind
+from zinniaspool.fleet import (
+    FleetView,
+    ProcessLocation,
+)
+from zinniaspool.gateway.queries import MAX_CONCURRENT_QUERIES, InstanceQueryHandler
+from zinniaspool.keeper.queries import InstanceQueries, list_unresponsive
+from zinniaspool.keeper.relays import MAX_CONCURRENT_RELAYS, EntryRelay
+from zinniaspool.platform.spelling import PlatformCodec
+from zinniaspool_standins.installation import make_rules
+
+HEAD, MEMBER, OTHER = InstanceId("i-00"), InstanceId("i-01"), InstanceId("i-02")
+MAX_CHECK_S = 0.12 + 0.3 + 0.15
+"""Longest time in seconds until a dead instance is known to be dead: two
+status queries, and what the second path may add."""
+
+
+@pytest.fixture(autouse=True)
+def simulated_boot_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Make the ages of heartbeats follow the simulated time."""
+    monkeypatch.setattr(
+        time, "clock_gettime", lambda _: asyncio.get_running_loop().time()
+    )
+
+
+def list_events(lines: list[Any], event: str) -> list[str]:
+    return [line["instance"] for line in lines if line["event"] == event]
+
+
+async def report_stalls(fleet: SimulatedFleet, seconds: float, pause_s: float) -> None:
+    """Report the streams of the head as stalled again and again."""
+    for _ in range(round(seconds / pause_s)):
+        fleet.controls[0].holder.check_group(HEAD, fleet.controls[9].node)
+        await asyncio.sleep(pause_s)
+
+
+@pytest.mark.parametrize("cut", [{HEAD}, {MEMBER}, {HEAD, MEMBER}])
+def test_a_group_goes_on_while_only_the_holder_reaches_no_member(
+    cut: set[InstanceId],
+) -> None:
+    """Each stall report and each removal would end a group that serves.
+
+    The cut members lose the store too. Streams are reported as stalled while
+    their records are there, and once after they have expired.
+    """
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.engines.cut = cut
+        stalls = asyncio.create_task(report_stalls(fleet, 3.0, 0.5))
+        await watch_use(fleet, 3.6, VM_COUNT)
+        await stalls
+        assert fleet.controls[0].holder.queries.indirect == cut
+        for name in cut:
+            fleet.remove_record(name)
+        await watch_use(fleet, 1.0, VM_COUNT)
+        await report_stalls(fleet, 0.5, 0.5)
+        await watch_use(fleet, 1.5, VM_COUNT)
+        fleet.engines.cut = set()
+        for name in cut:
+            fleet.write_record(name)
+        await watch_use(fleet, 3.0, VM_COUNT)
+        assert not fleet.controls[0].holder.queries.indirect
+
+    lines = run(test)
+    assert sorted(list_ends(lines)) == [
+        (name, "record-returned", True) for name in sorted(cut)
+    ]
+    assert sorted(list_events(lines, "instance-indirect")) == sorted(cut)
+    assert sorted(list_events(lines, "instance-indirect-ended")) == sorted(cut)
+    assert not list_events(lines, "instance-lost")
+    assert "ending" not in [line.get("phase") for line in lines]
+
+
+@pytest.mark.parametrize("entries", ["live", "local silent", "all silent"])
+def test_a_dead_member_is_found_in_time_on_both_paths(entries: str) -> None:
+    """The second path must not delay the end of a group that can't serve."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        if entries == "local silent":
+            fleet.silent_entries = {make_entry_address(0)}
+        if entries == "all silent":
+            fleet.silent_entries = set(map(make_entry_address, range(VM_COUNT)))
+        fleet.engines.unreachable = {MEMBER}
+        planning = fleet.controls[0].holder
+        planning.check_group(HEAD, fleet.controls[9].node)
+        view = fleet.controls[0].fleet_view
+        await wait_until(lambda: MEMBER in view.unreachable, MAX_CHECK_S + 0.02)
+
+    assert list_events(run(test), "instance-lost") == [MEMBER]
+
+
+def test_a_dead_member_without_a_record_is_not_retained() -> None:
+    """Both paths must have been tried before the grace of 0.8 s ends."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.engines.unreachable = {MEMBER}
+        fleet.remove_record(MEMBER)
+        await wait_until(lambda: not fleet.count_users({HEAD}), MAX_CHECK_S + KNOWN_S)
+
+    lines = run(test)
+    assert list_ends(lines) == [(MEMBER, "no-status", False)]
+    (after_ms,) = [
+        line["after_ms"] for line in lines if line["event"] == "retention-ended"
+    ]
+    assert after_ms <= 1000 * MAX_CHECK_S + 50
+
+
+CONTRADICTIONS: dict[str, tuple[HealthAnswer, dict[str, Any]]] = {
+    "unhealthy": (HealthAnswer(Health.UNHEALTHY, HEAD), {}),
+    "misdirected": (HealthAnswer(Health.MISDIRECTED, None), {}),
+    "other-instance": (HealthAnswer(Health.HEALTHY, MEMBER), {}),
+    "leaving": (HealthAnswer(Health.HEALTHY, HEAD, is_leaving=True), {}),
+    "restarted": (HealthAnswer(Health.HEALTHY, HEAD), {"born": 2}),
+    "other-membership": (HealthAnswer(Health.HEALTHY, HEAD), {"group": None}),
+}
+
+
+@pytest.mark.parametrize("reason", CONTRADICTIONS)
+def test_answers_through_an_entry_process_are_checked_like_others(reason: str) -> None:
+    """An upstream that is cut and leaves would get requests until it ends."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.engines.cut = {HEAD}
+        fleet.remove_record(HEAD)
+        await asyncio.sleep(3.3)
+        assert fleet.count_users({HEAD}) == VM_COUNT
+        fleet.engines.health[HEAD], fleet.engines.statuses[HEAD] = CONTRADICTIONS[
+            reason
+        ]
+        await asyncio.sleep(2.0)
+        assert not fleet.count_users({HEAD})
+
+    assert list_ends(run(test)) == [(HEAD, reason, True)]
+
+
+@pytest.mark.parametrize("is_dead", [False, True])
+def test_another_entry_process_is_tried_where_the_local_one_is_silent(
+    is_dead: bool,
+) -> None:
+    """The group would end wherever the holder's VM has an older entry process.
+
+    The silent one is left alone for a while, and the other is in another
+    failure domain.
+    """
+
+    async def test(fleet: SimulatedFleet) -> None:
+        local = make_entry_address(0)
+        if is_dead:
+            fleet.entries = [entry for entry in fleet.entries if entry.number]
+        else:
+            fleet.silent_entries = {local}
+        fleet.engines.cut = {HEAD, MEMBER}
+        users = len(fleet.entries)
+        await report_stalls(fleet, 2.0, 0.5)
+        assert fleet.count_users({HEAD}) == users
+        fleet.remove_record(MEMBER)
+        await asyncio.sleep(3.0)
+        assert fleet.count_users({HEAD}) == users
+        assert fleet.requested_entries.count(local) <= 15
+        others = set(fleet.requested_entries) - {local}
+        domains = {f"hall-{int(entry.split('.')[3][:-3]) % 3}" for entry in others}
+        assert domains and "hall-0" not in domains
+
+    lines = run(test)
+    assert not list_ends(lines) and not list_events(lines, "instance-lost")
+
+
+def test_without_any_entry_process_a_cut_member_counts_as_lost() -> None:
+    """Nobody could tell a group that serves from one that doesn't."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.silent_entries = set(map(make_entry_address, range(VM_COUNT)))
+        fleet.engines.cut = {MEMBER}
+        await report_stalls(fleet, 1.0, 0.5)
+        await asyncio.sleep(KNOWN_S)
+        assert not fleet.count_users({HEAD})
+
+    assert set(list_events(run(test), "instance-lost")) == {MEMBER}
+
+
+def test_an_instance_that_orders_do_not_reach_joins_no_group() -> None:
+    """A group with it would load weights for nothing, and never open.
+
+    Two groups lose a member each, and the others form a new group. One of
+    them is cut, and is used only once it answers the holder again.
+    """
+    dead = {MEMBER, InstanceId("i-04")}
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.engines.unreachable, fleet.engines.cut = dead, {OTHER}
+        holder, reporter = fleet.controls[0].holder, fleet.controls[9].node
+        holder.check_group(HEAD, reporter)
+        await asyncio.sleep(0.2)
+        assert holder.queries.not_orderable == {OTHER}
+        await asyncio.sleep(0.5)
+        holder.check_group(InstanceId("i-03"), reporter)
+        await asyncio.sleep(4.0)
+        joined = {
+            order.instance
+            for order in fleet.engines.orders
+            if order.action.value == "join"
+        }
+        assert joined and OTHER not in joined
+        assert OTHER not in {order.instance for order in fleet.engines.orders}
+        fleet.engines.cut = set()
+        await asyncio.sleep(2.0)
+        assert not holder.queries.not_orderable
+
+    lines = run(test)
+    assert list_events(lines, "instance-indirect") == [OTHER]
+    assert list_events(lines, "instance-indirect-ended") == [OTHER]
+
+
+def test_a_new_holder_ends_no_group_whose_members_only_it_does_not_reach() -> None:
+    """Its queries to all engines would end a ninth of the groups."""
+    cut = {InstanceId(f"i-{number:02}") for number in (1, 6, 12)}
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.engines.cut = cut
+        fleet.kill(fleet.controls[0])
+        await asyncio.sleep(0.3)
+        fleet.take_over(7)
+        await watch_use(fleet, 3.0, len(fleet.entries))
+        assert fleet.controls[7].holder.queries.indirect == cut
+
+    assert "ending" not in [line.get("phase") for line in run(test)]
+
+
+def make_view(count: int) -> tuple[FleetView, ViewWriter, FakeEngines]:
+    """Return a view with a number of instances, and their engines."""
+    view = FleetView(PlatformCodec(), retains_instances=True)
+    writer = ViewWriter(view)
+    writer.write_key("op/config", msgspec.json.encode(make_rules(1, ["key"])))
+    records: dict[str, dict[str, Any]] = {
+        f"i-{n}": {**RECORD, "address": f"10.1.0.{n}:80"} for n in range(count)
+    }
+    for name, record in records.items():
+        writer.put(InstanceId(name), **record)
+    return view, writer, FakeEngines(records)
+
+
+@pytest.mark.bounds
+@pytest.mark.parametrize(("dead", "longest_s"), [(27, 0.6), (90, 1.1), (162, 1.8)])
+def test_queries_to_all_engines_stay_bounded(dead: int, longest_s: float) -> None:
+    """A new holder that waits for each dead engine would order nobody.
+
+    Of 162 engines, some are dead, and a ninth of the rest is cut.
+    """
+
+    async def test() -> None:
+        view, _, engines = make_view(162)
+        names = list(view.instances)
+        engines.unreachable = set(names[:dead])
+        engines.cut = set(names[dead::9])
+        handler = InstanceQueryHandler(view, engines)
+        tasks: set[asyncio.Task[Any]] = set()
+
+        async def request(_: Address, query: InstanceQuery) -> InstanceAnswer:
+            answer = await handler.handle(query)
+            assert not answer.is_refused
+            return answer
+
+        location = ProcessLocation(
+            NodeId("vm"), FailureDomainId("hall-a"), local_entry=Address("10.0.0.1:81")
+        )
+        queries = InstanceQueries(
+            view,
+            engines,
+            EntryRelay(view, location, request),
+            lambda work: tasks.add(asyncio.create_task(work)),
+        )
+
+        async def refresh_own(name: InstanceId) -> bool:
+            return (
+                await queries.query_own_status(view.instances[name], 0.12) is not None
+            )
+
+        async def refresh(name: InstanceId) -> bool:
+            outcome = await queries.query_status(view.instances[name], (0.3,), None)
+            return outcome.answer is not None
+
+        started_at = asyncio.get_running_loop().time()
+        left = await list_unresponsive(names, refresh_own, 96)
+        left = await list_unresponsive(left, refresh, 96)
+        assert set(left) == engines.unreachable
+        assert asyncio.get_running_loop().time() - started_at < longest_s
+        assert engines.peak <= 96 + MAX_CONCURRENT_RELAYS
+        await asyncio.gather(*tasks)
+        assert queries.indirect == engines.cut
+
+    run_in_virtual_time(test)
+
+
+def run_handler(
+    test: Callable[
+        [InstanceQueryHandler, ViewWriter, FakeEngines], Coroutine[Any, Any, None]
+    ],
+) -> None:
+    async def run_test() -> None:
+        view, writer, engines = make_view(40)
+        await test(InstanceQueryHandler(view, engines), writer, engines)
+
+    run_in_virtual_time(run_test)
+
+
+@pytest.mark.parametrize("kind", QueryKind)
+@pytest.mark.parametrize(
+    ("instance", "address"),
+    [
+        ("i-1", "10.1.0.2:80"),
+        ("i-1", "10.9.9.9:22"),
+        ("i-99", "10.1.0.1:80"),
+        ("i-99", "10.9.9.9:22"),
+    ],
+)
+def test_an_entry_process_queries_no_unknown_address(
+    instance: str, address: str, kind: QueryKind
+) -> None:
+    """A peer could make it send requests anywhere."""
+
+    async def test(
+        handler: InstanceQueryHandler, _: ViewWriter, engines: FakeEngines
+    ) -> None:
+        query = InstanceQuery(InstanceId(instance), Address(address), kind)
+        assert await handler.handle(query) == InstanceAnswer(is_refused=True)
+        assert not engines.relayed
+
+    run_handler(test)
+
+
+def test_an_entry_process_queries_an_instance_that_was_removed_lately() -> None:
+    """The holder asks about instances because their records were removed."""
+
+    async def test(
+        handler: InstanceQueryHandler, writer: ViewWriter, engines: FakeEngines
+    ) -> None:
+        name = InstanceId("i-1")
+        writer.write(name, None)
+        query = InstanceQuery(name, Address("10.1.0.1:80"), QueryKind.STATUS)
+        assert (await handler.handle(query)).status == 200
+        engines.unreachable = {name}
+        assert await handler.handle(query) == InstanceAnswer()
+
+    run_handler(test)
+
+
+def test_an_entry_process_sends_no_health_query_to_an_evacuated_domain() -> None:
+    """A health query is a request, and none may reach such an upstream."""
+
+    async def test(
+        handler: InstanceQueryHandler, writer: ViewWriter, engines: FakeEngines
+    ) -> None:
+        writer.write_key(f"op/evacuate/{RECORD['zone']}", b"{}")
+        query = InstanceQuery(
+            InstanceId("i-1"), Address("10.1.0.1:80"), QueryKind.HEALTH
+        )
+        assert (await handler.handle(query)).is_refused
+        assert not engines.relayed
+
+    run_handler(test)
+
+
+def test_an_entry_process_refuses_queries_beyond_its_limit() -> None:
+    """Queries to dead instances would keep a small VM from its callers."""
+
+    async def test(
+        handler: InstanceQueryHandler, _: ViewWriter, engines: FakeEngines
+    ) -> None:
+        queries = [
+            InstanceQuery(
+                InstanceId(f"i-{n}"), Address(f"10.1.0.{n}:80"), QueryKind.STATUS
+            )
+            for n in range(40)
+        ]
+        answers = await asyncio.gather(*map(handler.handle, queries))
+        assert sum(not it.is_refused for it in answers) == MAX_CONCURRENT_QUERIES
+        assert engines.peak == MAX_CONCURRENT_QUERIES
+        assert not (await handler.handle(queries[-1])).is_refused
+
+    run_handler(test)
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -23,6 +23,7 @@
 from zinniaspool.core.fleet import Health, HealthAnswer, InstanceId
 from zinniaspool.fleet import FleetView
 from zinniaspool.keeper import holder
+from zinniaspool.keeper.queries import InstanceQueries
 from zinniaspool.keeper.retention import MAX_CONCURRENT_CHECKS, InstanceRetainer
 from zinniaspool.platform.spelling import PlatformCodec
 from zinniaspool_standins.installation import make_rules
@@ -386,11 +387,12 @@
         engines = FakeEngines(records)
         engines.unreachable = set(lost[:dead])
         tasks: set[asyncio.Task[Any]] = set()
-        retainer = InstanceRetainer(
-            view,
-            engines,
-            lambda work: tasks.add(asyncio.create_task(work)),
-        )
+
+        def start(work: Coroutine[Any, Any, object]) -> None:
+            tasks.add(asyncio.create_task(work))
+
+        queries = InstanceQueries(view, engines, None, start)
+        retainer = InstanceRetainer(view, queries, start)
         for _ in range(2):
             view.update_retained({}, 0.0)
             await asyncio.sleep(0.1)
