Test streams of a slow head of the large model

Cause: the scene of the large model at a pace of 1.5 was left out when the pass model got prompts that no process knows of, and so was the one of 20 streams with late processes.

Change: both are back. The slow head has a test of its own with the same bound on false reroutes, one in 500.

--- a/tests/test_pass_model.py
+++ b/tests/test_pass_model.py
@@ -21,6 +21,7 @@
         (MEASURED["small"], 115),
         (replace(MEASURED["small"], lag_s=0.5), 115),
         (Scene(20, 0.6, 714), 130),
+        (Scene(20, 0.6, 714, lag_s=0.5), 130),
         (MEASURED["large"], 180),
         (replace(MEASURED["large"], lag_s=0.5), 180),
         (Scene(5), 180),
@@ -45,6 +46,12 @@
     assert median_ms < find_quantile_ms(before.waits, 0.5)
 
 
+def test_a_head_slower_by_half_keeps_its_streams() -> None:
+    """Its streams go on in time, and have just one more attempt."""
+    (built,) = simulate(Scene(5, pace=1.5), [LearnedPass], 960.0, 6)
+    assert built.rerouted <= built.streams / 500
+
+
 @pytest.mark.parametrize(
     ("model", "shares"),
     [
