Divide a model's capacity by urgency and customer in a first form

Cause: admission keeps one first-in, first-out queue per model and reads neither urgency nor customer, so that a less urgent kind with a later objective takes the capacity of a more urgent one. Not wired into the entry program yet.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -13,7 +13,9 @@
     RetryTerms,
 )
 from zinniaspool.core.dispatch.backpressure import Backpressure
+from zinniaspool.core.dispatch.contention import CapacityDivision, Claim, Standing
 from zinniaspool.core.dispatch.contents import identify_content
+from zinniaspool.core.dispatch.demand import PeerDigests, identify_model
 from zinniaspool.core.dispatch.loads import LoadChangeTracker, PeerLoads
 from zinniaspool.core.dispatch.pace import EngineTiming, FirstEventForecast
 from zinniaspool.core.dispatch.patience import CallerTimeoutEstimator
@@ -49,6 +51,8 @@
     "Attempts",
     "Backpressure",
     "CallerTimeoutEstimator",
+    "CapacityDivision",
+    "Claim",
     "EngineTiming",
     "EventCursor",
     "FirstEventForecast",
@@ -56,6 +60,7 @@
     "InstanceNotice",
     "LoadChangeTracker",
     "PeerCounts",
+    "PeerDigests",
     "PeerLoads",
     "Progress",
     "Quarantine",
@@ -66,6 +71,7 @@
     "RetryTerms",
     "RetryWindow",
     "StallLimits",
+    "Standing",
     "StreamFault",
     "Subset",
     "Target",
@@ -78,5 +84,6 @@
     "find_stalled",
     "find_subset",
     "identify_content",
+    "identify_model",
     "suspect",
 ]
--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -10,7 +10,12 @@
 So a request begins at once if it can still be on time. A request that will be
 late in any case is worth a quarter of one on time and uses as much of a slot.
 It gets the capacity that on-time requests leave over, after a wait in a short
-queue, or is refused.
+queue, or is refused. The queue is ordered by urgency, then by what each
+customer uses.
+
+Where the targets are nearly full, each class of urgency and each customer is
+admitted the part that the division of the capacity grants it (see the
+contention module), and the others are refused at once.
 """
 
 import math
@@ -18,7 +23,14 @@
 from collections import deque
 from dataclasses import dataclass
 
+from zinniaspool.core.dispatch.contention import (
+    NO_CONTENTION,
+    CapacityDivision,
+    Claim,
+    Standing,
+)
 from zinniaspool.core.dispatch.pools import TargetPool
+from zinniaspool.core.dispatch.returns import ReturnSchedule
 from zinniaspool.core.dispatch.targets import TargetState
 from zinniaspool.core.dispatch.tickets import Ticket, TicketState
 from zinniaspool.core.ids import CustomerId
@@ -87,6 +99,14 @@
         leaves_at: Time at which its caller leaves without a first event, in
             seconds.
         prompt: Prompt tokens.
+        output_tokens: Expected tokens of the answer; 0 if unknown.
+        objective_s: Time within which the first event of a new request of this
+            kind is on time, in seconds.
+        draw: Its place among the requests of its customer, 0 to 1; the same
+            when the request is sent again.
+        deadline: Time until which its caller can come back, in seconds.
+        waited_min_s: How long its caller has waited at least, in seconds.
+        waited_max_s: How long its caller has waited at most, in seconds.
     """
 
     customer: CustomerId
@@ -94,6 +114,24 @@
     on_time_until: float
     leaves_at: float
     prompt: int = 0
+    output_tokens: int = 0
+    objective_s: float = math.inf
+    draw: float = 0.0
+    deadline: float = math.inf
+    waited_min_s: float = 0.0
+    waited_max_s: float = 0.0
+
+    @property
+    def claim(self) -> Claim:
+        """What decides how much of the capacity it may use."""
+        return Claim(
+            self.customer,
+            self.urgency,
+            self.draw,
+            self.objective_s,
+            self.prompt,
+            self.output_tokens,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,12 +144,14 @@
             seconds; None if there is no target.
         queue_length: Late requests that wait in this process.
         leftover_per_s: Late requests that this process may begin a second.
+        standing: What the division of the capacity said about the request.
     """
 
     retry_after_s: float
     first_event_s: float | None
     queue_length: int
     leftover_per_s: float
+    standing: Standing = NO_CONTENTION
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +160,8 @@
 
     ticket: Ticket
     wait_until: float
+    request: AdmissionRequest
+    came_as_told: bool = False
 
     @property
     def has_left(self) -> bool:
@@ -134,6 +176,7 @@
         pool: The model's targets.
         random_source: Spreads the retry times of refused callers.
         limits: Limits for requests that will be late.
+        division: Divides the capacity where it isn't enough.
     """
 
     def __init__(
@@ -141,14 +184,17 @@
         pool: TargetPool,
         random_source: random.Random,
         limits: AdmissionLimits | None = None,
+        division: CapacityDivision | None = None,
     ) -> None:
+        self.division = division or CapacityDivision(pool)
+        self._returns = ReturnSchedule(random_source)
         self._pool = pool
         self._random_source = random_source
         self._limits = limits or AdmissionLimits()
         self._arrivals: deque[float] = deque()
         self._demand_since = float("-inf")
         self._on_time_begun: deque[float] = deque()
-        self._queue: deque[_QueuedRequest] = deque()
+        self._queue: list[_QueuedRequest] = []
         self._allowance = 0.0
         self._refused_at = float("-inf")
 
@@ -157,10 +203,32 @@
         ticket = Ticket(request.customer, request.urgency, TicketState.WAITING, now)
         if request.on_time_until > now:
             self._record_arrival(now)
-        if self._can_be_on_time(request, now):
+        claim = request.claim
+        standing = self.division.assess(claim, now)
+        self.division.record_demand(claim, now)
+        came_as_told = standing.is_contended and self._returns.accept(
+            request.urgency,
+            self.division.estimate_cost(claim),
+            request.waited_min_s,
+            request.waited_max_s,
+            now,
+        )
+        decision: Ticket | Refusal | None = None
+        if came_as_told and self._has_slot(now):
+            ticket.late = request.on_time_until <= now
+            decision = _admit(ticket, now)
+        elif not standing.is_admitted and not came_as_told:
+            return self.refuse(request, now, standing)
+        elif self._can_be_on_time(request, standing, now):
             self._on_time_begun.append(now)
-            return _admit(ticket, now)
-        return self._submit_late(ticket, request, now) or self.refuse(request, now)
+            decision = _admit(ticket, now)
+        else:
+            decision = self._submit_late(ticket, request, came_as_told, now)
+        if decision is None:
+            return self.refuse(request, now, standing)
+        if decision.state is TicketState.ADMITTED:
+            self.division.record_use(claim, now)
+        return decision
 
     def estimate_demand(self, now: float) -> float:
         """Return the number of slots that all requests made here would use.
@@ -181,22 +249,34 @@
         """
         room = self._count_local_room(now)
         self._allowance = room + self._allowance % 1.0
+        if not self._queue:
+            return []
+        self._queue = [queued for queued in self._queue if not queued.has_left]
         done = []
-        while self._queue and (self._queue[0].has_left or self._allowance >= 1.0):
-            queued = self._queue.popleft()
-            if not queued.has_left:
-                self._allowance -= 1.0
-                done.append(_admit(queued.ticket, now))
-        next_start = self._find_next_start(now) if self._queue else now
-        while self._queue and (
-            self._queue[0].has_left or self._queue[0].wait_until <= next_start
-        ):
-            queued = self._queue.popleft()
-            if not queued.has_left:
+        while self._queue and self._allowance >= 1.0:
+            queued = min(self._queue, key=self._rank)
+            self._queue.remove(queued)
+            self._allowance -= 1.0
+            self.division.record_use(queued.request.claim, now)
+            done.append(_admit(queued.ticket, now))
+        next_start = self._find_next_start(now)
+        for queued in list(self._queue):
+            if queued.wait_until <= next_start:
+                self._queue.remove(queued)
                 queued.ticket.state = TicketState.ENDED
                 done.append(queued.ticket)
         return done
 
+    def _rank(self, queued: _QueuedRequest) -> tuple[int, float, bool, float]:
+        """Return the key by which waiting requests are ordered.
+
+        The most urgent come first, then those of the customer that uses least,
+        of these callers that came back as told, then those that came first.
+        """
+        ticket = queued.ticket
+        used = self.division.get_use(queued.request.claim)
+        return ticket.urgency, used, not queued.came_as_told, ticket.wait_until
+
     def _find_next_start(self, now: float) -> float:
         """Return when a waiting request may begin at the earliest, in seconds.
 
@@ -209,15 +289,30 @@
         """Tell whether no refused caller can come back now."""
         return now - self._refused_at > RETURN_S
 
-    def refuse(self, request: AdmissionRequest, now: float) -> Refusal:
-        """Return the answer to a request that can't be admitted."""
+    def refuse(
+        self, request: AdmissionRequest, now: float, standing: Standing | None = None
+    ) -> Refusal:
+        """Return the answer to a request that can't be admitted.
+
+        Args:
+            request: The request.
+            now: Seconds.
+            standing: What the division of the capacity says about it; None to
+                find out.
+        """
         self._refused_at = now
+        if standing is None:
+            standing = self.division.assess(request.claim, now)
         leftover_per_s = self._measure_leftover(now)
-        wait_s = min(
-            self._limits.retry_after_s, self._predict_wait(leftover_per_s, now)
-        )
-        # Callers with the same retry time would all come back at once.
-        wait_s *= self._random_source.uniform(0.75, 1.25)
+        if standing.is_contended:
+            wait_s = self._book_return(request, standing, now)
+        else:
+            wait_s = min(
+                self._limits.retry_after_s,
+                self._predict_wait(leftover_per_s, len(self._queue), now),
+            )
+            # Callers with the same retry time would all come back at once.
+            wait_s *= self._random_source.uniform(0.75, 1.25)
         wait_s = max(wait_s, self._pool.draw_retry_after(now) or 0.0)
         usable = self._pool.list_usable(now)
         first_event_s = min(
@@ -228,7 +323,20 @@
             default=None,
         )
         return Refusal(
-            round(wait_s, 2), first_event_s, len(self._queue), leftover_per_s
+            round(wait_s, 2), first_event_s, len(self._queue), leftover_per_s, standing
+        )
+
+    def _book_return(
+        self, request: AdmissionRequest, standing: Standing, now: float
+    ) -> float:
+        claim = request.claim
+        return self._returns.book(
+            request.urgency,
+            request.customer,
+            self.division.estimate_cost(claim),
+            self.division.get_return_rates(claim, standing),
+            request.deadline,
+            now,
         )
 
     def _record_arrival(self, now: float) -> None:
@@ -239,10 +347,13 @@
             self._demand_since = now
         self._arrivals.append(now)
 
-    def _can_be_on_time(self, request: AdmissionRequest, now: float) -> bool:
+    def _can_be_on_time(
+        self, request: AdmissionRequest, standing: Standing, now: float
+    ) -> bool:
         left_s = request.on_time_until - now
         if left_s <= 0:
             return False
+        left_s = min(left_s, standing.first_event_within_s)
         left_s -= self._pool.forecast.spread_s
         return any(
             self._admits(state, request, left_s, now)
@@ -258,10 +369,15 @@
             return False
         return self._pool.predict_first_event(state, request.prompt, now) <= left_s
 
+    def _has_slot(self, now: float) -> bool:
+        return any(
+            self._pool.has_slot(state, now) for state in self._pool.list_eligible(now)
+        )
+
     # Requests that will be late.
 
     def _submit_late(
-        self, ticket: Ticket, request: AdmissionRequest, now: float
+        self, ticket: Ticket, request: AdmissionRequest, came_as_told: bool, now: float
     ) -> Ticket | None:
         """Admit or queue a late request; return None if there is no room."""
         ticket.late = True
@@ -271,9 +387,13 @@
         wait_until = min(
             now + self._limits.max_wait_s, request.leaves_at - FIRST_EVENT_RESERVE_S
         )
-        if now + self._predict_wait(self._measure_leftover(now), now) > wait_until:
+        queued = _QueuedRequest(ticket, wait_until, request, came_as_told)
+        rank = self._rank(queued)
+        ahead = sum(self._rank(other) <= rank for other in self._queue)
+        leftover_per_s = self._measure_leftover(now)
+        if now + self._predict_wait(leftover_per_s, ahead, now) > wait_until:
             return None
-        self._queue.append(_QueuedRequest(ticket, wait_until))
+        self._queue.append(queued)
         return ticket
 
     def _count_local_room(self, now: float) -> float:
@@ -301,12 +421,10 @@
             0.0, possible_per_s / count - len(self._on_time_begun) / RATE_WINDOW_S
         )
 
-    def _predict_wait(self, leftover_per_s: float, now: float) -> float:
-        """Return how long one more request would be queued, in seconds."""
+    def _predict_wait(self, leftover_per_s: float, ahead: int, now: float) -> float:
+        """Return how long a request is queued behind others, in seconds."""
         room = self._count_local_room(now)
-        return max(0.0, len(self._queue) + 1 - room) / max(
-            leftover_per_s, MIN_LEFTOVER_PER_S
-        )
+        return max(0.0, ahead + 1 - room) / max(leftover_per_s, MIN_LEFTOVER_PER_S)
 
 
 def _admit(ticket: Ticket, now: float) -> Ticket:
--- a/src/zinniaspool/core/dispatch/pace.py
+++ b/src/zinniaspool/core/dispatch/pace.py
@@ -61,11 +61,13 @@
         pass_per_request_s: Additional time of a pass for each running request,
             in seconds.
         read_s: Time to read one prompt token, in seconds.
+        tokens_per_pass: Tokens of each running request that a pass yields.
     """
 
     pass_s: float
     pass_per_request_s: float
     read_s: float
+    tokens_per_pass: int = 1
 
     @classmethod
     def from_specs(cls, engine: EngineSpec, model: ModelSpec) -> "EngineTiming":
@@ -75,6 +77,7 @@
             steps * engine.step_s,
             steps * engine.step_per_request_s,
             model.time_factor / engine.prefill_tokens_per_s,
+            engine.steps_per_pass,
         )
 
     def predict_pass(self, requests: float, unread_tokens: float) -> float:
--- a/src/zinniaspool/core/dispatch/patience.py
+++ b/src/zinniaspool/core/dispatch/patience.py
@@ -42,6 +42,10 @@
         usual_timeout_s = self._longest_s * (self._new_caller_part - MARGIN_PART)
         return max(0.0, usual_timeout_s - timeout_s)
 
+    def estimate_longest_wait(self, timeout_s: float) -> float:
+        """Return how long a caller has waited at most, in seconds."""
+        return max(0.0, self._longest_s - timeout_s)
+
     def record(self, timeout_s: float, *, only_new_callers: bool) -> None:
         """Record how long a caller states that it will wait.
 
--- a/src/zinniaspool/core/dispatch/shares.py
+++ b/src/zinniaspool/core/dispatch/shares.py
@@ -11,14 +11,26 @@
 from zinniaspool.core.ids import CustomerId
 
 __all__ = [
+    "ClassGrant",
     "CustomerShare",
     "LocalShares",
     "PeerCounts",
     "apportion",
     "compute_local_shares",
+    "divide_by_urgency",
     "divide_capacity",
 ]
 
+MIN_CLASS_PART = 0.1
+"""Largest part of the capacity that is reserved for one class of urgency so
+that it doesn't starve. A class that demands more than this is above its share
+and may be served less often than the others."""
+
+MIN_SERVED_RATIO = 0.55
+"""Ratio of a class's reserved part to its demand, relative to what all classes
+are granted on average. No kind of request may be served less than half as
+often as its neighbours; the rest is for rounding."""
+
 _ROUNDING = 1e-9
 """Largest difference of shares that is a rounding error."""
 
@@ -39,6 +51,23 @@
     weight: int
 
 
+@dataclass(frozen=True, slots=True)
+class ClassGrant:
+    """What one class of urgency gets of a capacity.
+
+    Attributes:
+        demand: Capacity that the class asks for.
+        minimum: Capacity that it gets however much the more urgent ask for.
+        total: Capacity that it gets.
+        customers: The parts of its customers.
+    """
+
+    demand: float
+    minimum: float
+    total: float
+    customers: Mapping[CustomerId, float]
+
+
 @dataclass(frozen=True, slots=True)
 class PeerCounts:
     """The entry processes that divide the shares.
@@ -106,6 +135,42 @@
     return granted
 
 
+def divide_by_urgency(
+    capacity: float,
+    shares: Mapping[int, Sequence[CustomerShare]],
+    demands: Mapping[int, Mapping[CustomerId, float]],
+) -> dict[int, ClassGrant]:
+    """Divide capacity between classes of urgency, then between customers.
+
+    The most urgent class (0) is served first. Each class has a small minimum,
+    which is never a larger part of its demand than the more urgent classes
+    get of theirs.
+
+    Args:
+        capacity: The capacity.
+        shares: The customers of each class.
+        demands: Their demands, in the unit of the capacity.
+    """
+    class_demands = {
+        urgency: sum(demands.get(urgency, {}).values()) for urgency in sorted(shares)
+    }
+    total = sum(class_demands.values())
+    served_part = min(1.0, capacity / total) if total else 1.0
+    minimums = {
+        urgency: min(MIN_CLASS_PART * capacity, MIN_SERVED_RATIO * served_part * demand)
+        for urgency, demand in class_demands.items()
+    }
+    remaining = max(0.0, capacity - sum(minimums.values()))
+    grants = {}
+    for urgency, demand in class_demands.items():
+        more = min(remaining, demand - minimums[urgency])
+        remaining -= more
+        granted = minimums[urgency] + more
+        parts = divide_capacity(granted, shares[urgency], demands.get(urgency, {}))
+        grants[urgency] = ClassGrant(demand, minimums[urgency], granted, parts)
+    return grants
+
+
 def compute_local_shares(
     capacity: float,
     shares: Sequence[CustomerShare],
--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -11,7 +11,12 @@
     ServiceShare,
     ServiceSpec,
 )
-from zinniaspool.core.fleet.demands import DemandTotals, ModelDemandReport
+from zinniaspool.core.fleet.demands import (
+    ClassDigest,
+    DemandTotals,
+    ModelDemandReport,
+    ModelDigest,
+)
 from zinniaspool.core.fleet.instances import (
     Instance,
     InstanceId,
@@ -55,6 +60,7 @@
     "CallerLimits",
     "Catalog",
     "CompleteGroup",
+    "ClassDigest",
     "CustomerSpec",
     "DemandTotals",
     "EngineSpec",
@@ -71,6 +77,7 @@
     "MirrorChange",
     "MirrorEvent",
     "ModelDemandReport",
+    "ModelDigest",
     "ModelSpec",
     "NodeRecord",
     "NodeState",
--- a/src/zinniaspool/core/fleet/demands.py
+++ b/src/zinniaspool/core/fleet/demands.py
@@ -6,7 +6,7 @@
 
 from zinniaspool.core.ids import ModelName, NodeId, ServiceName
 
-__all__ = ["DemandTotals", "ModelDemandReport"]
+__all__ = ["ClassDigest", "DemandTotals", "ModelDemandReport", "ModelDigest"]
 
 REPORT_LIFETIME_S = 1.0
 """Seconds for which a follower's last report counts. Followers report several
@@ -29,6 +29,39 @@
     busy: float
 
 
+class ClassDigest(msgspec.Struct, frozen=True, array_like=True):
+    """One process's demand for a model in one class of urgency.
+
+    Amounts are in the coarse units of ``zinniaspool.core.dispatch.digests``.
+
+    Attributes:
+        urgency: 0 is the most urgent.
+        demand: Slots that all requests of the class would use.
+        used: Slots that the admitted ones use.
+        customers: The largest customers, five bytes each: three of the name's
+            hash, the demand and the use.
+        rest: Number of the other customers.
+    """
+
+    urgency: int
+    demand: int
+    used: int
+    customers: bytes = b""
+    rest: int = 0
+
+
+class ModelDigest(msgspec.Struct, frozen=True, array_like=True):
+    """One process's demand for a model, for its peers of the subset.
+
+    Attributes:
+        model: Hash of the names of the service and the model.
+        classes: The demand by urgency.
+    """
+
+    model: int
+    classes: list[ClassDigest]
+
+
 class DemandTotals:
     """The demand that a process's followers report, by model.
 
--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -19,6 +19,7 @@
 from zinniaspool.core.messages.fleet import (
     ClearedContents,
     CrashReport,
+    DemandDigest,
     FleetUpdate,
     FleetWatch,
     LoadReport,
@@ -170,6 +171,7 @@
     | ClearedContents
     | UnreachableNode
     | UpstreamLimit
+    | DemandDigest
     | LoadReport
     | StoreStatusRequest
     | StoreStatus
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from zinniaspool.core.fleet.demands import ModelDemandReport
+from zinniaspool.core.fleet.demands import ModelDemandReport, ModelDigest
 from zinniaspool.core.fleet.instances import InstanceId
 from zinniaspool.core.fleet.loads import TargetLoad
 from zinniaspool.core.ids import ContentId, NodeId, Revision
@@ -10,6 +10,7 @@
 __all__ = [
     "ClearedContents",
     "CrashReport",
+    "DemandDigest",
     "FleetUpdate",
     "FleetUpdateItem",
     "FleetWatch",
@@ -197,3 +198,15 @@
     node: NodeId
     loads: dict[InstanceId, TargetLoad]
     whole: bool
+
+
+class DemandDigest(msgspec.Struct, frozen=True, tag="demand", omit_defaults=True):
+    """Reports a process's demand and use of each model to its subset.
+
+    An empty digest tells that the process is there and asks for nothing.
+
+    Attributes:
+        models: The models that it has requests for.
+    """
+
+    models: list[ModelDigest] = []
