--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -30,7 +30,6 @@
     Standing,
 )
 from zinniaspool.core.dispatch.pools import TargetPool
-from zinniaspool.core.dispatch.returns import ReturnSchedule
 from zinniaspool.core.dispatch.targets import TargetState
 from zinniaspool.core.dispatch.tickets import Ticket, TicketState
 from zinniaspool.core.ids import CustomerId
@@ -186,8 +185,7 @@
         limits: AdmissionLimits | None = None,
         division: CapacityDivision | None = None,
     ) -> None:
-        self.division = division or CapacityDivision(pool)
-        self._returns = ReturnSchedule(random_source)
+        self.division = division or CapacityDivision(pool, random_source=random_source)
         self._pool = pool
         self._random_source = random_source
         self._limits = limits or AdmissionLimits()
@@ -206,15 +204,9 @@
         claim = request.claim
         standing = self.division.assess(claim, now)
         self.division.record_demand(claim, now)
-        came_as_told = standing.is_contended and self._returns.accept(
-            request.urgency,
-            self.division.estimate_cost(claim),
-            request.waited_min_s,
-            request.waited_max_s,
-            now,
-        )
+        came_as_told = self._comes_as_told(request, standing, now)
         decision: Ticket | Refusal | None = None
-        if came_as_told and self._has_slot(now):
+        if came_as_told and self._has_slot(standing, now):
             ticket.late = request.on_time_until <= now
             decision = _admit(ticket, now)
         elif not standing.is_admitted and not came_as_told:
@@ -222,6 +214,9 @@
         elif self._can_be_on_time(request, standing, now):
             self._on_time_begun.append(now)
             decision = _admit(ticket, now)
+        elif standing.is_minimum and self._has_slot(standing, now):
+            ticket.late = True
+            decision = _admit(ticket, now)
         else:
             decision = self._submit_late(ticket, request, came_as_told, now)
         if decision is None:
@@ -247,6 +242,7 @@
             The requests that no longer wait: those admitted, and those that
             are ended because no target opens within their longest wait.
         """
+        self.division.observe(now)
         room = self._count_local_room(now)
         self._allowance = room + self._allowance % 1.0
         if not self._queue:
@@ -259,6 +255,15 @@
             self._allowance -= 1.0
             self.division.record_use(queued.request.claim, now)
             done.append(_admit(queued.ticket, now))
+        told = [queued for queued in self._queue if queued.came_as_told]
+        if told:
+            # One at a time: its target counts it only once it has been sent.
+            queued = min(told, key=self._rank)
+            claim = queued.request.claim
+            if self._has_slot(self.division.assess(claim, now), now):
+                self._queue.remove(queued)
+                self.division.record_use(claim, now)
+                done.append(_admit(queued.ticket, now))
         next_start = self._find_next_start(now)
         for queued in list(self._queue):
             if queued.wait_until <= next_start:
@@ -330,7 +335,7 @@
         self, request: AdmissionRequest, standing: Standing, now: float
     ) -> float:
         claim = request.claim
-        return self._returns.book(
+        return self.division.returns.book(
             request.urgency,
             request.customer,
             self.division.estimate_cost(claim),
@@ -353,11 +358,11 @@
         left_s = request.on_time_until - now
         if left_s <= 0:
             return False
-        left_s = min(left_s, standing.first_event_within_s)
         left_s -= self._pool.forecast.spread_s
         return any(
             self._admits(state, request, left_s, now)
             for state in self._pool.list_eligible(now)
+            if self.division.spares(standing, state, now)
         )
 
     def _admits(
@@ -369,9 +374,26 @@
             return False
         return self._pool.predict_first_event(state, request.prompt, now) <= left_s
 
-    def _has_slot(self, now: float) -> bool:
+    def _comes_as_told(
+        self, request: AdmissionRequest, standing: Standing, now: float
+    ) -> bool:
+        returns, claim = self.division.returns, request.claim
+        if not standing.is_contended and not returns.has_told(request.urgency, now):
+            return False
+        return returns.accept(
+            request.urgency,
+            request.customer,
+            self.division.estimate_cost(claim),
+            request.waited_min_s,
+            request.waited_max_s,
+            now,
+        )
+
+    def _has_slot(self, standing: Standing, now: float) -> bool:
         return any(
-            self._pool.has_slot(state, now) for state in self._pool.list_eligible(now)
+            self._pool.has_slot(state, now)
+            and self.division.spares(standing, state, now)
+            for state in self._pool.list_eligible(now)
         )
 
     # Requests that will be late.
@@ -391,7 +413,8 @@
         rank = self._rank(queued)
         ahead = sum(self._rank(other) <= rank for other in self._queue)
         leftover_per_s = self._measure_leftover(now)
-        if now + self._predict_wait(leftover_per_s, ahead, now) > wait_until:
+        wait_s = self._predict_wait(leftover_per_s, ahead, now)
+        if now + wait_s > wait_until and not came_as_told:
             return None
         self._queue.append(queued)
         return ticket
--- a/src/zinniaspool/core/dispatch/demand.py
+++ b/src/zinniaspool/core/dispatch/demand.py
@@ -124,6 +124,7 @@
     model: int,
     demand: Mapping[int, Mapping[CustomerId, float]],
     use: Mapping[int, Mapping[CustomerId, float]],
+    backlogs_s: Mapping[int, float],
     max_customers: int,
 ) -> ModelDigest:
     """Return the digest of one model.
@@ -132,6 +133,8 @@
         model: The model's number.
         demand: Slots that all requests would use, by urgency and customer.
         use: Slots that the admitted requests use.
+        backlogs_s: Time until the last refused caller comes back, by urgency,
+            in seconds.
         max_customers: Customers to list, over all classes; the largest ones.
     """
     largest = sorted(
@@ -153,6 +156,7 @@
             urgency,
             encode_amount(sum(customers.values())),
             encode_amount(sum(use.get(urgency, {}).values())),
+            encode_amount(backlogs_s.get(urgency, 0.0)),
             listed[urgency],
             len(customers) - len(listed[urgency]) // (HASH_BYTES + 2),
         )
@@ -169,6 +173,7 @@
         demand: Demand by customer, with one entry for all that aren't listed.
         used: Use by customer.
         rest: Number of customers that aren't listed.
+        backlog_s: Times until the last refused callers come back, in seconds.
     """
 
     demand: defaultdict[CustomerId, float] = field(
@@ -178,6 +183,7 @@
         default_factory=lambda: defaultdict(float)
     )
     rest: int = 0
+    backlog_s: float = 0.0
 
 
 def sum_digests(digests: Iterable[ModelDigest]) -> dict[int, DemandSums]:
@@ -191,6 +197,7 @@
 
 def _add_class(sums: DemandSums, one: ClassDigest) -> None:
     demand, used = decode_amount(one.demand), decode_amount(one.used)
+    sums.backlog_s += decode_amount(one.backlog)
     size = HASH_BYTES + 2
     for start in range(0, len(one.customers) - size + 1, size):
         entry = one.customers[start : start + size]
--- a/src/zinniaspool/core/dispatch/patience.py
+++ b/src/zinniaspool/core/dispatch/patience.py
@@ -7,6 +7,8 @@
 in seven was used by such retries.
 """
 
+from collections import deque
+
 __all__ = ["CallerTimeoutEstimator"]
 
 DECAY_FACTOR = 0.999
@@ -30,11 +32,19 @@
 retry."""
 
 
+NEW_CALLERS = 40
+MIN_NEW_CALLERS = 8
+MAX_IMPATIENT = 1
+"""New callers whose timeouts are kept, how many of them are needed, and how
+many of these may be less patient than the rest."""
+
+
 class CallerTimeoutEstimator:
     """Learns the usual timeout of the callers of one route."""
 
     def __init__(self) -> None:
         self._longest_s = 0.0
+        self._new_timeouts_s: deque[float] = deque(maxlen=NEW_CALLERS)
         self._new_caller_part = INITIAL_NEW_CALLER_PART
 
     def estimate_waited(self, timeout_s: float) -> float:
@@ -42,9 +52,25 @@
         usual_timeout_s = self._longest_s * (self._new_caller_part - MARGIN_PART)
         return max(0.0, usual_timeout_s - timeout_s)
 
-    def estimate_longest_wait(self, timeout_s: float) -> float:
-        """Return how long a caller has waited at most, in seconds."""
-        return max(0.0, self._longest_s - timeout_s)
+    def estimate_wait_range(self, timeout_s: float) -> tuple[float, float]:
+        """Return how long a caller has waited at least and at most.
+
+        Unlike ``estimate_waited``, the least time follows from the newest new
+        callers alone, so that it is known soon after the start. It serves
+        only to recognize callers that were told to come back.
+
+        Returns:
+            Seconds; 0 at least for a caller that may be new.
+        """
+        if len(self._new_timeouts_s) < MIN_NEW_CALLERS:
+            shortest_s = 0.0
+        else:
+            shortest_s = sorted(self._new_timeouts_s)[MAX_IMPATIENT]
+        shortest_s -= MARGIN_PART * self._longest_s
+        return (
+            max(0.0, shortest_s - timeout_s),
+            max(0.0, self._longest_s - timeout_s),
+        )
 
     def record(self, timeout_s: float, *, only_new_callers: bool) -> None:
         """Record how long a caller states that it will wait.
@@ -57,6 +83,7 @@
         self._longest_s = max(timeout_s, self._longest_s * DECAY_FACTOR)
         if not only_new_callers:
             return
+        self._new_timeouts_s.append(timeout_s)
         is_below = timeout_s < self._longest_s * self._new_caller_part
         change = LEARNING_STEP_PART * (
             IMPATIENT_PART - 1 if is_below else IMPATIENT_PART
--- a/src/zinniaspool/core/dispatch/shares.py
+++ b/src/zinniaspool/core/dispatch/shares.py
@@ -26,10 +26,13 @@
 that it doesn't starve. A class that demands more than this is above its share
 and may be served less often than the others."""
 
-MIN_SERVED_RATIO = 0.55
+MIN_SERVED_RATIO = 0.95
 """Ratio of a class's reserved part to its demand, relative to what all classes
-are granted on average. No kind of request may be served less than half as
-often as its neighbours; the rest is for rounding."""
+are granted on average. It is below 1, so that a less urgent class is never
+served more often. Callers that retry at once count several times as demand:
+with 0.55, a kind at usual load beside a more urgent one at 2.5 times its load
+was served 0.4 times as often, where a half is required."""
+
 
 _ROUNDING = 1e-9
 """Largest difference of shares that is a rounding error."""
--- a/src/zinniaspool/core/fleet/demands.py
+++ b/src/zinniaspool/core/fleet/demands.py
@@ -38,6 +38,7 @@
         urgency: 0 is the most urgent.
         demand: Slots that all requests of the class would use.
         used: Slots that the admitted ones use.
+        backlog: Time until the last refused caller comes back, in seconds.
         customers: The largest customers, five bytes each: three of the name's
             hash, the demand and the use.
         rest: Number of the other customers.
@@ -46,6 +47,7 @@
     urgency: int
     demand: int
     used: int
+    backlog: int
     customers: bytes = b""
     rest: int = 0
 
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -31,6 +31,7 @@
 from zinniaspool.core.messages.fleet import (
     ClearedContents,
     CrashReport,
+    DemandDigest,
     LoadReport,
     StalledTarget,
     UnreachableNode,
@@ -52,6 +53,7 @@
 from zinniaspool.gateway.backpressure import BackpressureTracker
 from zinniaspool.gateway.carrier import RequestForwarder
 from zinniaspool.gateway.crashes import CrashDetector
+from zinniaspool.gateway.digests import DemandReporter
 from zinniaspool.gateway.directory import DirectoryHandler
 from zinniaspool.gateway.face import CallerHandler, refuse_request
 from zinniaspool.gateway.gate import AdmissionQueues
@@ -173,6 +175,9 @@
         self._subset = find_subset(settings.node, settings.failure_domain, {})
         self._http = HttpClient(connect_s=CONNECT_TIMEOUT_S, allow_unframed=True)
         self._admission_queues = AdmissionQueues(self._index.measure_peer_load_age)
+        self._demand_reporter = DemandReporter(
+            self._admission_queues, lambda: self._subset.other_members, self._send
+        )
         self._rerouter = Rerouter(self._index)
         quarantine = Quarantine()
         self._quarantine_records = QuarantineRecordStore(
@@ -229,7 +234,7 @@
             self._store,
             self._index,
             self._http,
-            self._admission_queues.tally,
+            self._admission_queues,
             self._crash_detector,
         )
         self._reachability = ReachabilityTracker(random.Random())
@@ -271,6 +276,9 @@
                 run_supervised("watch_silence", self._stall_detector.run)
             ),
             asyncio.create_task(run_supervised("tell_loads", self._report_loads)),
+            asyncio.create_task(
+                run_supervised("tell_demand", self._demand_reporter.run)
+            ),
             asyncio.create_task(run_supervised("prober", self._prober.run)),
             asyncio.create_task(
                 run_supervised("records", self._quarantine_records.run)
@@ -337,6 +345,8 @@
             self._backpressure.handle_peer_report(message)
         elif isinstance(message, LoadReport):
             self._index.apply_load_report(message, asyncio.get_running_loop().time())
+        elif isinstance(message, DemandDigest):
+            self._admission_queues.apply_digest(hello.node, message)
         return None
 
     def _report_unreachable(self, node: NodeId) -> None:
@@ -462,6 +472,7 @@
             )
         self._subset = subset
         self._index.set_subset(subset, process_count)
+        self._admission_queues.set_peers(subset.other_members)
 
     async def _register(self) -> None:
         """Keep this process's record in the store up to date."""
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -7,9 +7,10 @@
 from zinniaspool.fleet import FleetStore, FleetView
 from zinniaspool.fleet.metrics import add_fleet_metrics
 from zinniaspool.gateway.crashes import CrashDetector
+from zinniaspool.gateway.gate import AdmissionQueues
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient
-from zinniaspool.telemetry import AdmissionTally, RequestTally, Sample
+from zinniaspool.telemetry import RequestTally, Sample
 from zinniaspool.telemetry.page import MetricsPage
 
 __all__ = ["make_gateway_metrics"]
@@ -21,7 +22,7 @@
     store: FleetStore,
     index: TargetIndex,
     http: HttpClient,
-    admission_tally: AdmissionTally,
+    admission_queues: AdmissionQueues,
     crashes: CrashDetector,
 ) -> MetricsPage:
     """Return the metrics page of an entry process."""
@@ -60,13 +61,23 @@
 
     page.add_counter(
         "zinniaspool_admissions",
-        "Requests for models: admitted on time, admitted late or refused.",
-        admission_tally.list_admissions,
+        "Requests for models: admitted on time, late, refused, or beyond a share.",
+        admission_queues.tally.list_admissions,
     )
     page.add_counter(
         "zinniaspool_first_event_error_seconds_buckets",
         "First events that came at most this much later than predicted.",
-        admission_tally.list_errors,
+        admission_queues.tally.list_errors,
+    )
+    page.add_gauge(
+        "zinniaspool_model_demand_slots",
+        "Slots that all requests of this subset would use, by model and urgency.",
+        admission_queues.list_demands,
+    )
+    page.add_gauge(
+        "zinniaspool_model_slots",
+        "Slots of this subset's targets, by model.",
+        admission_queues.list_capacities,
     )
     page.add_gauge(
         "zinniaspool_peer_loads_age_seconds",
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -30,6 +30,9 @@
         "the store.",
         "brownout": "The process changed how many of the less urgent requests it "
         "sheds.",
+        "contention-began": "Requests for a model exceed its capacity, and some are "
+        "refused so that others get their share.",
+        "contention-ended": "No request for a model was refused by share for a while.",
         "content-held": "Upstreams crashed while they had a request; its content is "
         "quarantined and sent to no upstream.",
         "contents-cleared": "Quarantined contents were answered; they may be sent "
--- a/src/zinniaspool/telemetry/tallies.py
+++ b/src/zinniaspool/telemetry/tallies.py
@@ -76,19 +76,21 @@
     """Counts admissions of requests for models and errors of predictions."""
 
     def __init__(self) -> None:
-        self._admissions: Counter[tuple[str, str]] = Counter()
+        self._admissions: Counter[tuple[str, int, str]] = Counter()
         self._errors: dict[str, list[int]] = {}
 
-    def add(self, model: str, outcome: str) -> None:
+    def add(self, model: str, urgency: int, outcome: str) -> None:
         """Count a request.
 
         Args:
             model: The model that the request is for.
-            outcome: ``on-time``, ``late`` or ``refused``.
+            urgency: Its urgency.
+            outcome: ``on-time``, ``late``, ``refused``, or ``beyond-share``
+                for a request that was refused so that others get their share.
         """
-        key = (model, outcome)
+        key = (model, urgency, outcome)
         if key not in self._admissions and len(self._admissions) >= MAX_SERIES:
-            key = ("other", outcome)
+            key = ("other", urgency, outcome)
         self._admissions[key] += 1
 
     def add_error(self, model: str, error_s: float) -> None:
@@ -99,9 +101,10 @@
         buckets[bisect_left(ERROR_BOUNDARIES_S, error_s)] += 1
 
     def list_admissions(self) -> Iterator[Sample]:
-        """Yield the number of requests by model and outcome of admission."""
-        for (model, outcome), count in self._admissions.items():
-            yield Sample({"model": model, "taken": outcome}, count)
+        """Yield the number of requests by model, urgency and outcome."""
+        for (model, urgency, outcome), count in self._admissions.items():
+            labels = {"model": model, "urgency": str(urgency), "taken": outcome}
+            yield Sample(labels, count)
 
     def list_errors(self) -> Iterator[Sample]:
         """Yield the number of first events within each bound of the error."""
