--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -185,7 +185,7 @@
         limits: AdmissionLimits | None = None,
         division: CapacityDivision | None = None,
     ) -> None:
-        self.division = division or CapacityDivision(pool, random_source=random_source)
+        self.division = division or CapacityDivision(pool)
         self._pool = pool
         self._random_source = random_source
         self._limits = limits or AdmissionLimits()
@@ -339,6 +339,7 @@
             request.urgency,
             request.customer,
             self.division.estimate_cost(claim),
+            request.draw,
             self.division.get_return_rates(claim, standing),
             request.deadline,
             now,
@@ -378,15 +379,19 @@
         self, request: AdmissionRequest, standing: Standing, now: float
     ) -> bool:
         returns, claim = self.division.returns, request.claim
-        if not standing.is_contended and not returns.has_told(request.urgency, now):
+        if request.waited_min_s <= 0.0 or not (
+            standing.is_contended or returns.has_told(request.urgency, now)
+        ):
             return False
         return returns.accept(
             request.urgency,
             request.customer,
             self.division.estimate_cost(claim),
+            request.draw,
             request.waited_min_s,
             request.waited_max_s,
             now,
+            has_subsets=any(state.subset_part < 1.0 for state in self._pool),
         )
 
     def _has_slot(self, standing: Standing, now: float) -> bool:
--- a/src/zinniaspool/core/dispatch/contention.py
+++ b/src/zinniaspool/core/dispatch/contention.py
@@ -17,7 +17,6 @@
 """
 
 import math
-import random
 from dataclasses import dataclass
 
 from zinniaspool.core.dispatch.demand import (
@@ -63,7 +62,7 @@
 DIVISION_S = 0.25
 """Time for which a division is used while nothing else changes, in seconds."""
 
-SMOOTHING_S = 0.1
+SMOOTHING_S = 0.3
 """Time over which the load of the targets is averaged, in seconds. If
 admission followed each request, a caller that retries at once several times
 would find a moment or a process at which there is room, and gain by it."""
@@ -97,7 +96,7 @@
 RETURN_PART = 0.15
 """Part of a grant that is set aside for callers that come back as told. They
 are late in any case. With 0.5, the on-time answers in a burst of 2.2 times the
-usual traffic fell to 0.72 of what the slots allow, with 0.2 to 0.87."""
+usual traffic fell to 0.72 of what the slots allow, with 0.15 to 0.84."""
 
 LISTED_CUSTOMERS = 12
 """Customers of this process that the division tells apart."""
@@ -200,9 +199,9 @@
         pool: The model's targets.
         peers: Digests of the other processes.
         model: The model's number in digests.
-        random_source: Spreads the retry times of refused callers.
 
     Attributes:
+        pool: The model's targets.
         returns: What refused callers were told.
     """
 
@@ -211,10 +210,9 @@
         pool: TargetPool,
         peers: PeerDigests | None = None,
         model: int = 0,
-        random_source: random.Random | None = None,
     ) -> None:
-        self.returns = ReturnSchedule(random_source or random.Random())
-        self._pool = pool
+        self.returns = ReturnSchedule()
+        self.pool = pool
         self._peers = peers or PeerDigests()
         self._model = model
         self._demand = DemandMeter()
@@ -254,7 +252,7 @@
         Reading a prompt stops all requests of the engine, so it costs as much
         as that time of all slots.
         """
-        forecast, slots = self._pool.forecast, self._mean_slots
+        forecast, slots = self.pool.forecast, self._mean_slots
         timing = forecast.timing
         if not claim.output_tokens or not timing.pass_s:
             return forecast.mean_request_s + slots * timing.read_s * claim.prompt
@@ -279,7 +277,7 @@
         grant = self._grants.get(claim.urgency)
         key = self._find_key(claim)
         granted_part, minimum_part = self._find_parts(claim.urgency, key)
-        reserved = self._sum_grants(claim.urgency)
+        reserved = more_urgent = self._sum_grants(claim.urgency)
         satisfied = self._satisfied.get(claim.urgency, 0.0)
         is_above_share = granted_part < 1.0 and satisfied > 0.0
         if is_above_share:
@@ -295,7 +293,7 @@
         part = min(1.0, max(minimum_part, granted_part + room / RAMP_PART))
         if part >= 1.0 and protected is None or self._has_room_outside(now):
             return NO_CONTENTION
-        is_minimum = claim.draw < minimum_part
+        is_minimum = claim.draw < minimum_part and more_urgent > 0.0
         return Standing(
             part,
             claim.draw < part,
@@ -330,7 +328,7 @@
         if grant is not None:
             for_class = max(for_class, grant.total)
         for_customer = standing.share if standing.is_above_share else for_class
-        members = self._pool.peer_counts.count
+        members = self.pool.peer_counts.count
         part = RETURN_PART / members
         sums = self._sums.get(claim.urgency)
         backlog_s = 0.0 if sums is None else sums.backlog_s
@@ -359,12 +357,12 @@
         meter.add(claim.urgency, customer, self.estimate_cost(claim), now)
 
     def _measure_capacity(self, now: float) -> _Capacity:
-        states, count = self._pool.list_capacity_targets(now)
+        states, count = self.pool.list_capacity_targets(now)
         if not states:
             return _Capacity(0.0, 0.0, states)
         all_slots = sum(state.target.slots for state in states)
         self._mean_slots = all_slots / len(states)
-        members = self._pool.peer_counts.count
+        members = self.pool.peer_counts.count
         slots = sum(state.subset_slots or state.target.slots for state in states)
         slots *= members / count
         used_part = sum(state.estimate_load(now) for state in states) / all_slots
@@ -475,14 +473,14 @@
     def _measure_pressure(
         self, protected: UrgentKind, state: TargetState, now: float
     ) -> float:
-        predicted_s = self._pool.predict_first_event(state, int(protected.prompt), now)
-        left_s = protected.objective_s - self._pool.forecast.spread_s
+        predicted_s = self.pool.predict_first_event(state, int(protected.prompt), now)
+        left_s = protected.objective_s - self.pool.forecast.spread_s
         return predicted_s / max(left_s, 0.01)
 
     def _has_room_outside(self, now: float) -> bool:
         """Tell whether targets out of the subset have room for a request."""
         return any(
             state.estimate_load(now) + 1 <= IDLE_OUTSIDE_PART * state.target.slots
-            for state in self._pool.list_eligible(now)
+            for state in self.pool.list_eligible(now)
             if not state.in_subset
         )
--- a/src/zinniaspool/core/dispatch/returns.py
+++ b/src/zinniaspool/core/dispatch/returns.py
@@ -7,7 +7,6 @@
 booked its own part is told a later time, and takes nothing from the others.
 """
 
-import random
 from collections import defaultdict, deque
 from dataclasses import dataclass
 
@@ -23,15 +22,23 @@
 """Longest retry time, in seconds, longer than callers wait for one answer.
 What demand will be later is unknown."""
 
+SPREAD_S = 0.75
+SPREAD_FACTOR = 997.0
+"""Largest difference of the retry times of callers that are refused in the
+same moment, in seconds, and the factor that makes it independent of whether
+they are refused."""
+
 MEMORY_S = MAX_RETRY_AFTER_S + 2.0
 """Time for which retry times are kept, in seconds: until the last caller has
 come back."""
 
-SIMILAR_S = 1.5
-SIMILAR_PART = 0.85
-"""Time within which the processes of a fleet tell similar retry times, in
-seconds, and how similar they are. Each of sixty processes refuses less than
-one request of a kind a second."""
+SIMILAR_S = 1.0
+SIMILAR_PART = 0.75
+SIMILAR_PART_OF_SUBSETS = 0.5
+"""Time within which the processes of a subset tell similar retry times, in
+seconds, and how similar they are; then, the same for processes of different
+subsets, whose capacity differs. Each of sixty processes refuses less than one
+request of a kind a second."""
 
 MAX_FOREIGN_RETURNS = 3.0
 """Callers beyond this process's own bookings that it takes for callers that
@@ -68,7 +75,8 @@
     Attributes:
         customer: Its customer.
         told_at: Time of the refusal, in seconds.
-        due_at: Time at which it may come back, in seconds.
+        due_at: Time from which it may come back, without its own part of the
+            spread, in seconds.
         slot_s: How long its request uses a slot, in seconds; 0 if it can't
             come back so late.
     """
@@ -80,14 +88,9 @@
 
 
 class ReturnSchedule:
-    """The retry times that one process has told callers of one model.
-
-    Args:
-        random_source: Spreads the retry times.
-    """
+    """The retry times that one process has told callers of one model."""
 
-    def __init__(self, random_source: random.Random) -> None:
-        self._random_source = random_source
+    def __init__(self) -> None:
         self._class_ends: dict[int, float] = {}
         self._reported_s: defaultdict[int, float] = defaultdict(float)
         self._customer_ends: dict[tuple[int, CustomerId], float] = {}
@@ -101,6 +104,7 @@
         urgency: int,
         customer: CustomerId,
         slot_s: float,
+        draw: float,
         rates: ReturnRates,
         latest: float,
         now: float,
@@ -111,6 +115,7 @@
             urgency: The request's urgency.
             customer: Its customer.
             slot_s: How long it uses a slot, in seconds.
+            draw: Hash of its content, 0 to 1.
             rates: The capacity that is set aside.
             latest: Time until which the caller can come back, in seconds.
                 A caller that can't is told the time but books nothing.
@@ -119,9 +124,8 @@
         Returns:
             Its retry time, in seconds.
         """
-        spread = self._random_source.uniform
-        earliest = now + MIN_RETRY_AFTER_S * spread(1.0, 1.25)
-        class_step_s = slot_s / max(MIN_RATE, rates.of_class) * spread(0.75, 1.25)
+        earliest = now + MIN_RETRY_AFTER_S
+        class_step_s = slot_s / max(MIN_RATE, rates.of_class)
         class_end = max(now, self._class_ends.get(urgency, 0.0)) + class_step_s
         # The subset tells about the same times: this process's own bookings
         # count in full only in its next digest.
@@ -129,14 +133,15 @@
         mean_s = rates.backlog_s + since_digest_s / rates.members
         key = (urgency, customer)
         customer_start = max(earliest, self._customer_ends.get(key, 0.0))
-        back_at = max(earliest, now + mean_s, customer_start)
+        due_at = max(earliest, now + mean_s, customer_start)
+        back_at = due_at + _find_spread(draw)
         if back_at < latest:
             self._class_ends[urgency] = class_end
             self._customer_ends[key] = customer_start + slot_s / max(
                 MIN_RATE, rates.of_customer
             )
         booked_s = slot_s if back_at < latest else 0.0
-        self._told[urgency].append(_Telling(customer, now, back_at, booked_s))
+        self._told[urgency].append(_Telling(customer, now, due_at, booked_s))
         self._forget_before(now - MEMORY_S)
         return min(MAX_RETRY_AFTER_S, back_at - now)
 
@@ -160,9 +165,12 @@
         urgency: int,
         customer: CustomerId,
         slot_s: float,
+        draw: float,
         waited_min_s: float,
         waited_max_s: float,
         now: float,
+        *,
+        has_subsets: bool = False,
     ) -> bool:
         """Tell whether a caller comes back as told, and use its booking.
 
@@ -174,12 +182,12 @@
             urgency: The request's urgency.
             customer: Its customer.
             slot_s: How long it uses a slot, in seconds.
+            draw: Hash of its content, 0 to 1.
             waited_min_s: How long the caller has waited at least, in seconds.
             waited_max_s: How long it has waited at most, in seconds.
             now: Seconds.
+            has_subsets: Whether processes of other subsets refuse callers.
         """
-        if waited_min_s <= 0.0:
-            return False
         told = self._told[urgency]
         refused_at = now - (waited_min_s + waited_max_s) / 2
         similar = [
@@ -188,11 +196,15 @@
             if abs(telling.told_at - refused_at) <= SIMILAR_S
         ]
         similar = [one for one in similar if one.customer == customer] or similar
-        retry_after_s = MIN_RETRY_AFTER_S
-        if similar:
-            nearest = min(similar, key=lambda one: abs(one.told_at - refused_at))
-            retry_after_s = nearest.due_at - nearest.told_at
-        if waited_max_s < SIMILAR_PART * retry_after_s:
+        # The times grow by seconds within a second when a burst begins.
+        retry_after_s = min(
+            (one.due_at - one.told_at for one in similar), default=MIN_RETRY_AFTER_S
+        )
+        retry_after_s += _find_spread(draw)
+        similar_part = SIMILAR_PART_OF_SUBSETS if has_subsets else SIMILAR_PART
+        if waited_max_s < max(
+            similar_part * retry_after_s, SIMILAR_PART * MIN_RETRY_AFTER_S
+        ):
             return False
         due_s = sum(telling.slot_s for telling in told if telling.due_at <= now)
         used_s = sum(used for _, used in self._accepted[urgency])
@@ -211,3 +223,12 @@
         for key, end in list(self._customer_ends.items()):
             if end < oldest:
                 del self._customer_ends[key]
+
+
+def _find_spread(draw: float) -> float:
+    """Return how much later than others a caller comes back, in seconds.
+
+    Callers that were refused in the same moment must not come back together.
+    Any process finds the same value for the same request.
+    """
+    return SPREAD_S * (draw * SPREAD_FACTOR % 1.0)
--- a/src/zinniaspool/core/dispatch/shares.py
+++ b/src/zinniaspool/core/dispatch/shares.py
@@ -26,14 +26,6 @@
 that it doesn't starve. A class that demands more than this is above its share
 and may be served less often than the others."""
 
-MIN_SERVED_RATIO = 0.95
-"""Ratio of a class's reserved part to its demand, relative to what all classes
-are granted on average. It is below 1, so that a less urgent class is never
-served more often. Callers that retry at once count several times as demand:
-with 0.55, a kind at usual load beside a more urgent one at 2.5 times its load
-was served 0.4 times as often, where a half is required."""
-
-
 _ROUNDING = 1e-9
 """Largest difference of shares that is a rounding error."""
 
@@ -146,8 +138,8 @@
     """Divide capacity between classes of urgency, then between customers.
 
     The most urgent class (0) is served first. Each class has a small minimum,
-    which is never a larger part of its demand than the more urgent classes
-    get of theirs.
+    which is at most the part of its demand that all classes get on average,
+    so that no class gets a larger part of its demand than a more urgent one.
 
     Args:
         capacity: The capacity.
@@ -160,7 +152,7 @@
     total = sum(class_demands.values())
     served_part = min(1.0, capacity / total) if total else 1.0
     minimums = {
-        urgency: min(MIN_CLASS_PART * capacity, MIN_SERVED_RATIO * served_part * demand)
+        urgency: min(MIN_CLASS_PART * capacity, served_part * demand)
         for urgency, demand in class_demands.items()
     }
     remaining = max(0.0, capacity - sum(minimums.values()))
--- a/src/zinniaspool/gateway/digests.py
+++ b/src/zinniaspool/gateway/digests.py
@@ -16,6 +16,9 @@
 """Largest size of the digests that this process sends, to all its peers
 together, in bytes a second."""
 
+FRAME_PREFIX_BYTES = 4
+"""Bytes before each message of a connection between processes."""
+
 MIN_DIGEST_INTERVAL_S = 1.0
 MAX_DIGEST_INTERVAL_S = 1.4
 """Pause between two digests, in seconds. A digest counts for 3 s, so that one
@@ -69,7 +72,8 @@
     customers = MAX_DIGEST_CUSTOMERS
     while True:
         digest = make_digest(customers)
-        pause_s = len(_encoder.encode(digest)) * peers / DIGEST_BYTES_PER_S
+        size = len(_encoder.encode(digest)) + FRAME_PREFIX_BYTES
+        pause_s = size * peers / DIGEST_BYTES_PER_S
         if pause_s <= MAX_DIGEST_INTERVAL_S or not customers:
             return digest, max(MIN_DIGEST_INTERVAL_S, pause_s)
         customers //= 2
--- a/src/zinniaspool/gateway/gate.py
+++ b/src/zinniaspool/gateway/gate.py
@@ -280,7 +280,7 @@
         found = self._controllers.get(pool)
         if found is None:
             model = identify_model(call.service, call.terms.model)
-            division = CapacityDivision(pool, self._digests, model, self._rng)
+            division = CapacityDivision(pool, self._digests, model)
             found = AdmissionController(pool, self._rng, division=division)
             self._controllers[pool] = found
             self._models[pool] = call.terms.model or ModelName("")
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -276,9 +276,7 @@
                 run_supervised("watch_silence", self._stall_detector.run)
             ),
             asyncio.create_task(run_supervised("tell_loads", self._report_loads)),
-            asyncio.create_task(
-                run_supervised("tell_demand", self._demand_reporter.run)
-            ),
+            asyncio.create_task(run_supervised("demand", self._demand_reporter.run)),
             asyncio.create_task(run_supervised("prober", self._prober.run)),
             asyncio.create_task(
                 run_supervised("records", self._quarantine_records.run)
