--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from tests.contention_world import (
@@ -38,6 +39,7 @@
 from zinniaspool.core.dispatch.shares import CustomerShare, divide_by_urgency
 from zinniaspool.core.fleet import InstanceId, ModelDigest, TargetLoad
 from zinniaspool.core.ids import CustomerId, FailureDomainId, NodeId
+from zinniaspool.core.messages import Message
 from zinniaspool.core.messages.fleet import DemandDigest
 from zinniaspool.gateway.digests import fit_digest
 from zinniaspool.peers.frames import encode_frame
@@ -329,7 +331,9 @@
         )
 
     digest, pause_s = fit_digest(make, peers)
-    assert len(encode_frame(digest)) * peers / pause_s <= 1001
+    frame = encode_frame(digest)
+    assert len(frame) * peers / pause_s <= 1001
+    assert msgspec.msgpack.decode(frame[4:], type=Message) == digest
     assert 1.0 <= pause_s <= 2.1
     sums = sum_digests([digest.models[0]])
     for urgency, customer_demands in demands.items():
