--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -33,6 +33,7 @@
 from zinniaspool.core.messages.fleet import (
     ClearedContents,
     CrashReport,
+    DemandDigest,
     LoadReport,
     StalledTarget,
     UnreachableNode,
@@ -55,6 +56,7 @@
 from zinniaspool.gateway.carrier import RequestForwarder
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
+from zinniaspool.gateway.digests import DemandReporter
 from zinniaspool.gateway.directory import DirectoryHandler
 from zinniaspool.gateway.evacuations import EvacuationMonitor
 from zinniaspool.gateway.face import CallerHandler, refuse_request
@@ -180,6 +182,9 @@
         self._subset = find_subset(settings.node, settings.failure_domain, {})
         self._http = HttpClient(connect_s=CONNECT_TIMEOUT_S, allow_unframed=True)
         self._admission_queues = AdmissionQueues(self._index.measure_peer_load_age)
+        self._demand_reporter = DemandReporter(
+            self._admission_queues, lambda: self._subset.other_members, self._send
+        )
         self._rerouter = Rerouter(self._index)
         quarantine = Quarantine()
         self._quarantine_records = QuarantineRecordStore(
@@ -251,7 +256,7 @@
             self._store,
             self._index,
             self._http,
-            self._admission_queues.tally,
+            self._admission_queues,
             self._crash_detector,
             self._cold,
             self._stall_detector.tally,
@@ -302,6 +307,7 @@
                 run_supervised("watch_speed", self._slow_target_watcher.run)
             ),
             asyncio.create_task(run_supervised("tell_loads", self._report_loads)),
+            asyncio.create_task(run_supervised("demand", self._demand_reporter.run)),
             asyncio.create_task(run_supervised("prober", self._prober.run)),
             asyncio.create_task(
                 run_supervised("records", self._quarantine_records.run)
@@ -368,6 +374,8 @@
             self._backpressure.handle_peer_report(message)
         elif isinstance(message, LoadReport):
             self._index.apply_load_report(message, asyncio.get_running_loop().time())
+        elif isinstance(message, DemandDigest):
+            self._admission_queues.apply_digest(hello.node, message)
         return None
 
     def _report_unreachable(self, node: NodeId) -> None:
@@ -503,6 +511,7 @@
             )
         self._subset = subset
         self._index.set_subset(subset, process_count)
+        self._admission_queues.set_peers(subset.other_members)
 
     async def _register(self) -> None:
         """Keep this process's record in the store up to date."""
