--- a/src/zinniaspool/core/dispatch/contention.py
+++ b/src/zinniaspool/core/dispatch/contention.py
@@ -204,6 +204,8 @@
         pool: The model's targets.
         peers: Digests of the other processes.
         model: The model's number in digests.
+        is_enabled: Whether the capacity is divided. If not, every request may
+            use it.
 
     Attributes:
         pool: The model's targets.
@@ -215,8 +217,11 @@
         pool: TargetPool,
         peers: PeerDigests | None = None,
         model: int = 0,
+        *,
+        is_enabled: bool = True,
     ) -> None:
         self.returns = ReturnSchedule()
+        self._is_enabled = is_enabled
         self.pool = pool
         self._peers = peers or PeerDigests()
         self._model = model
@@ -234,6 +239,8 @@
 
     def record_demand(self, claim: Claim, now: float) -> None:
         """Count a request that has arrived."""
+        if not self._is_enabled:
+            return
         known = self._kinds.get(claim.urgency)
         prompt = float(claim.prompt)
         if known is not None:
@@ -243,6 +250,8 @@
 
     def record_use(self, claim: Claim, now: float) -> None:
         """Count a request that was admitted."""
+        if not self._is_enabled:
+            return
         self._add(self._use, claim, now)
 
     def make_digest(self, max_customers: int, now: float) -> ModelDigest:
@@ -268,6 +277,8 @@
 
     def assess(self, claim: Claim, now: float) -> Standing:
         """Return whether a request may use capacity now."""
+        if not self._is_enabled:
+            return NO_CONTENTION
         capacity = self._measure_capacity(now)
         if capacity.slots <= 0.0:
             return NO_CONTENTION
--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -22,6 +22,8 @@
     DemandDigest,
     FleetUpdate,
     FleetWatch,
+    InstanceAnswer,
+    InstanceQuery,
     LoadReport,
     SlowTarget,
     StalledTarget,
@@ -177,6 +179,8 @@
     | SlowTarget
     | StoreStatusRequest
     | StoreStatus
+    | InstanceQuery
+    | InstanceAnswer
 )
 
 Message = (
--- a/src/zinniaspool/gateway/gate.py
+++ b/src/zinniaspool/gateway/gate.py
@@ -60,13 +60,21 @@
     Args:
         measure_peer_load_age: Returns the age of the oldest load report of a
             peer, in seconds.
+        divides_capacity: Whether capacity that isn't enough is divided by
+            urgency and customer.
 
     Attributes:
         tally: Counts requests by model and by whether they were admitted on
             time, admitted late or refused.
     """
 
-    def __init__(self, measure_peer_load_age: Callable[[float], float]) -> None:
+    def __init__(
+        self,
+        measure_peer_load_age: Callable[[float], float],
+        *,
+        divides_capacity: bool = False,
+    ) -> None:
+        self._divides_capacity = divides_capacity
         self.tally = AdmissionTally()
         self._measure_peer_load_age = measure_peer_load_age
         self._rng = random.Random()
@@ -280,7 +288,9 @@
         found = self._controllers.get(pool)
         if found is None:
             model = identify_model(call.service, call.terms.model)
-            division = CapacityDivision(pool, self._digests, model)
+            division = CapacityDivision(
+                pool, self._digests, model, is_enabled=self._divides_capacity
+            )
             found = AdmissionController(pool, self._rng, division=division)
             self._controllers[pool] = found
             self._models[pool] = call.terms.model or ModelName("")
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -34,6 +34,7 @@
     ClearedContents,
     CrashReport,
     DemandDigest,
+    InstanceQuery,
     LoadReport,
     StalledTarget,
     UnreachableNode,
@@ -64,6 +65,7 @@
 from zinniaspool.gateway.metrics import make_gateway_metrics
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.probes import NodeProber
+from zinniaspool.gateway.queries import InstanceFetcher, InstanceQueryHandler
 from zinniaspool.gateway.records import QuarantineRecordStore
 from zinniaspool.gateway.silence import StallDetector, StallLinks
 from zinniaspool.gateway.speed import SlowTargetWatcher
@@ -128,10 +130,13 @@
         store: The store.
         fleet_codec: Decodes the contents of the store.
         call_codec: Parses and makes the headers of callers and upstreams.
+        fetcher: Queries instances when the holder requests it.
         metrics_port: Port on which metrics are served; 0 for none.
         listener: Socket that already listens on the callers' address.
         opened_at: Time since when it has listened, in seconds on the event
             loop's clock.
+        divides_capacity: Whether capacity that isn't enough is divided by
+            urgency and customer.
     """
 
     def __init__(
@@ -140,9 +145,12 @@
         store: FleetStore,
         fleet_codec: FleetCodec,
         call_codec: CallCodec,
+        fetcher: InstanceFetcher,
         metrics_port: int = 0,
         listener: socket.socket | None = None,
         opened_at: float | None = None,
+        *,
+        divides_capacity: bool = False,
     ) -> None:
         self._settings = settings
         self._listener = listener
@@ -153,6 +161,7 @@
         self._fleet_view = FleetView(
             fleet_codec, retains_instances=settings.retains_instances
         )
+        self._query_handler = InstanceQueryHandler(self._fleet_view, fetcher)
         self._stopping_at: float | None = None
         self._stop_requested = asyncio.Event()
         self._configured = asyncio.Event()
@@ -181,7 +190,10 @@
         self._index = TargetIndex(self._fleet_view, settings.failure_domain)
         self._subset = find_subset(settings.node, settings.failure_domain, {})
         self._http = HttpClient(connect_s=CONNECT_TIMEOUT_S, allow_unframed=True)
-        self._admission_queues = AdmissionQueues(self._index.measure_peer_load_age)
+        self._admission_queues = AdmissionQueues(
+            self._index.measure_peer_load_age, divides_capacity=divides_capacity
+        )
+        self._divides_capacity = divides_capacity
         self._demand_reporter = DemandReporter(
             self._admission_queues, lambda: self._subset.other_members, self._send
         )
@@ -307,12 +319,14 @@
                 run_supervised("watch_speed", self._slow_target_watcher.run)
             ),
             asyncio.create_task(run_supervised("tell_loads", self._report_loads)),
-            asyncio.create_task(run_supervised("demand", self._demand_reporter.run)),
             asyncio.create_task(run_supervised("prober", self._prober.run)),
             asyncio.create_task(
                 run_supervised("records", self._quarantine_records.run)
             ),
         ]
+        if self._divides_capacity:
+            reporting = run_supervised("demand", self._demand_reporter.run)
+            self._tasks.append(asyncio.create_task(reporting))
         await self._listen()
         await self._peer_exchange.listen(self._address)
         await self._stop_requested.wait()
@@ -362,6 +376,8 @@
         ]
 
     async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
+        if isinstance(message, InstanceQuery):
+            return await self._query_handler.handle(message)
         if isinstance(message, UnreachableNode):
             self._reachability.suspect(message.node)
         elif isinstance(message, StalledTarget):
--- a/src/zinniaspool/platform/program.py
+++ b/src/zinniaspool/platform/program.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 import structlog
@@ -33,20 +33,27 @@
 
 
 def run_on_platform(
-    program: str, make: Callable[[NodeSettings, int], PlatformProcess]
+    program: str,
+    make: Callable[[NodeSettings, int], PlatformProcess],
+    options: Collection[str] = (),
 ) -> None:
     """Run a process with the settings that the platform wrote.
 
+    The command's first argument is the port for metrics; options follow it.
+
     Args:
         program: The program's name in the log.
-        make: Creates the process from its settings and the port for metrics,
-            which is the command's only argument.
+        make: Creates the process from its settings and the port for metrics.
+        options: The options that the program knows.
 
     Raises:
-        SystemExit: The settings or the argument can't be used.
+        SystemExit: The settings or an argument can't be used.
     """
     try:
         port = int(sys.argv[1]) if len(sys.argv) > 1 else 0
+        unknown = set(sys.argv[2:]) - set(options)
+        if unknown:
+            raise ValueError(f"unknown options: {' '.join(sorted(unknown))}")
         node = read_node_file()
     except (NodeFileError, ValueError) as error:
         print(error, file=sys.stderr)
