--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -15,7 +15,9 @@
 from zinniaspool.core.dispatch.backpressure import Backpressure
 from zinniaspool.core.dispatch.choice import weigh_own_load
 from zinniaspool.core.dispatch.cold import ColdBound, ColdShare, find_cold_share
+from zinniaspool.core.dispatch.contention import CapacityDivision, Claim, Standing
 from zinniaspool.core.dispatch.contents import identify_content
+from zinniaspool.core.dispatch.demand import PeerDigests, identify_model
 from zinniaspool.core.dispatch.loads import LoadChangeTracker, PeerLoads
 from zinniaspool.core.dispatch.pace import EngineTiming, FirstEventForecast
 from zinniaspool.core.dispatch.patience import CallerTimeoutEstimator
@@ -59,6 +61,8 @@
     "CallerTimeoutEstimator",
     "ColdBound",
     "ColdShare",
+    "CapacityDivision",
+    "Claim",
     "EngineTiming",
     "EventCursor",
     "FirstEventForecast",
@@ -66,6 +70,7 @@
     "InstanceNotice",
     "LoadChangeTracker",
     "PeerCounts",
+    "PeerDigests",
     "PeerLoads",
     "Progress",
     "Quarantine",
@@ -77,6 +82,7 @@
     "RetryWindow",
     "RunningAttempt",
     "StallLimits",
+    "Standing",
     "StreamFault",
     "Subset",
     "Target",
@@ -93,6 +99,7 @@
     "find_subset",
     "identify_content",
     "is_lost",
+    "identify_model",
     "suspect",
     "weigh_own_load",
     "would_be_on_time_elsewhere",
--- a/src/zinniaspool/core/dispatch/pace.py
+++ b/src/zinniaspool/core/dispatch/pace.py
@@ -83,12 +83,14 @@
             in seconds.
         read_s: Time to read one prompt token, in seconds.
         max_read_tokens: Most prompt tokens that are read in one pass.
+        tokens_per_pass: Tokens of each running request that a pass yields.
     """
 
     pass_s: float
     pass_per_request_s: float
     read_s: float
     max_read_tokens: float = math.inf
+    tokens_per_pass: int = 1
 
     @classmethod
     def from_specs(cls, engine: EngineSpec, model: ModelSpec) -> "EngineTiming":
@@ -99,6 +101,7 @@
             steps * engine.step_per_request_s,
             model.time_factor / engine.prefill_tokens_per_s,
             engine.steps_per_pass * engine.prefill_chunk_tokens,
+            engine.steps_per_pass,
         )
 
     def predict_pass(self, requests: float, unread_tokens: float) -> float:
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from zinniaspool.core.fleet.demands import ModelDemandReport
+from zinniaspool.core.fleet.demands import ModelDemandReport, ModelDigest
 from zinniaspool.core.fleet.instances import InstanceId, MembershipState
 from zinniaspool.core.fleet.loads import TargetLoad
 from zinniaspool.core.ids import Address, ContentId, NodeId, Revision
@@ -12,6 +12,7 @@
 __all__ = [
     "ClearedContents",
     "CrashReport",
+    "DemandDigest",
     "FleetUpdate",
     "FleetUpdateItem",
     "FleetWatch",
@@ -288,3 +289,15 @@
     loads: dict[InstanceId, TargetLoad]
     whole: bool
     interval_s: float = 0.0
+
+
+class DemandDigest(msgspec.Struct, frozen=True, tag="demand", omit_defaults=True):
+    """Reports a process's demand and use of each model to its subset.
+
+    An empty digest tells that the process is there and asks for nothing.
+
+    Attributes:
+        models: The models that it has requests for.
+    """
+
+    models: list[ModelDigest] = []
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -33,6 +33,7 @@
 from zinniaspool.core.messages.fleet import (
     ClearedContents,
     CrashReport,
+    DemandDigest,
     InstanceQuery,
     LoadReport,
     StalledTarget,
@@ -56,6 +57,7 @@
 from zinniaspool.gateway.carrier import RequestForwarder
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
+from zinniaspool.gateway.digests import DemandReporter
 from zinniaspool.gateway.directory import DirectoryHandler
 from zinniaspool.gateway.evacuations import EvacuationMonitor
 from zinniaspool.gateway.face import CallerHandler, refuse_request
@@ -133,6 +135,8 @@
         listener: Socket that already listens on the callers' address.
         opened_at: Time since when it has listened, in seconds on the event
             loop's clock.
+        divides_capacity: Whether capacity that isn't enough is divided by
+            urgency and customer.
     """
 
     def __init__(
@@ -145,6 +149,8 @@
         metrics_port: int = 0,
         listener: socket.socket | None = None,
         opened_at: float | None = None,
+        *,
+        divides_capacity: bool = False,
     ) -> None:
         self._settings = settings
         self._listener = listener
@@ -184,7 +190,13 @@
         self._index = TargetIndex(self._fleet_view, settings.failure_domain)
         self._subset = find_subset(settings.node, settings.failure_domain, {})
         self._http = HttpClient(connect_s=CONNECT_TIMEOUT_S, allow_unframed=True)
-        self._admission_queues = AdmissionQueues(self._index.measure_peer_load_age)
+        self._admission_queues = AdmissionQueues(
+            self._index.measure_peer_load_age, divides_capacity=divides_capacity
+        )
+        self._divides_capacity = divides_capacity
+        self._demand_reporter = DemandReporter(
+            self._admission_queues, lambda: self._subset.other_members, self._send
+        )
         self._rerouter = Rerouter(self._index)
         quarantine = Quarantine()
         self._quarantine_records = QuarantineRecordStore(
@@ -256,7 +268,7 @@
             self._store,
             self._index,
             self._http,
-            self._admission_queues.tally,
+            self._admission_queues,
             self._crash_detector,
             self._cold,
             self._stall_detector.tally,
@@ -312,6 +324,9 @@
                 run_supervised("records", self._quarantine_records.run)
             ),
         ]
+        if self._divides_capacity:
+            reporting = run_supervised("demand", self._demand_reporter.run)
+            self._tasks.append(asyncio.create_task(reporting))
         await self._listen()
         await self._peer_exchange.listen(self._address)
         await self._stop_requested.wait()
@@ -375,6 +390,8 @@
             self._backpressure.handle_peer_report(message)
         elif isinstance(message, LoadReport):
             self._index.apply_load_report(message, asyncio.get_running_loop().time())
+        elif isinstance(message, DemandDigest):
+            self._admission_queues.apply_digest(hello.node, message)
         return None
 
     def _report_unreachable(self, node: NodeId) -> None:
@@ -510,6 +527,7 @@
             )
         self._subset = subset
         self._index.set_subset(subset, process_count)
+        self._admission_queues.set_peers(subset.other_members)
 
     async def _register(self) -> None:
         """Keep this process's record in the store up to date."""
--- a/src/zinniaspool/platform/gateway.py
+++ b/src/zinniaspool/platform/gateway.py
@@ -1,6 +1,7 @@
 """Composition root of the entry program on the users' platform."""
 
 import socket
+import sys
 
 from zinniaspool.fleet import NodeSettings
 from zinniaspool.gateway.main import CONNECT_TIMEOUT_S, GatewayProcess
@@ -13,12 +14,18 @@
 
 __all__ = ["make_gateway", "run"]
 
+DIVIDE_CAPACITY = "--divide-capacity"
+"""Option with which capacity that isn't enough is divided by urgency and
+customer."""
+
 
 def make_gateway(
     node: NodeSettings,
     metrics_port: int = 0,
     listener: socket.socket | None = None,
     opened: float | None = None,
+    *,
+    divides_capacity: bool = False,
 ) -> GatewayProcess:
     """Return an entry process that uses the platform's protocols.
 
@@ -27,6 +34,8 @@
         metrics_port: Port at which metrics are served; 0 for none.
         listener: Socket that already listens for callers, if there is one.
         opened: When it was opened, in seconds of the monotonic clock.
+        divides_capacity: Whether capacity that isn't enough is divided by
+            urgency and customer.
     """
     store = KvStore(HttpClient(connect_s=CONNECT_TIMEOUT_S), node.store_address)
     return GatewayProcess(
@@ -38,6 +47,7 @@
         metrics_port,
         listener,
         opened,
+        divides_capacity=divides_capacity,
     )
 
 
@@ -50,6 +60,12 @@
     """
 
     def make(node: NodeSettings, metrics_port: int) -> GatewayProcess:
-        return make_gateway(node, metrics_port, listener, opened)
+        return make_gateway(
+            node,
+            metrics_port,
+            listener,
+            opened,
+            divides_capacity=DIVIDE_CAPACITY in sys.argv,
+        )
 
-    run_on_platform("entry", make)
+    run_on_platform("entry", make, [DIVIDE_CAPACITY])
