Test the gauge of indirect instances and the balance of models

Cause: nothing tested that a group with a VM that orders do not reach is not closed to rebalance models, and the gauge kept its last value at a process that was no longer the holder.

Change: two tests; the gauge is 0 at a process that does not plan.

--- a/src/zinniaspool/keeper/metrics.py
+++ b/src/zinniaspool/keeper/metrics.py
@@ -42,7 +42,7 @@
             yield Sample({"outcome": outcome}, count)
 
     def list_indirect() -> Iterator[Sample]:
-        yield Sample({}, len(holder.queries.indirect))
+        yield Sample({}, len(holder.queries.indirect) if holder.is_planning else 0)
 
     def list_scans() -> Iterator[Sample]:
         yield Sample({}, holder.domains_scanned)
--- a/src/zinniaspool/keeper/queries.py
+++ b/src/zinniaspool/keeper/queries.py
@@ -135,7 +135,7 @@
 
         if known.id in self._indirect:
             timeouts_s = timeouts_s[-1:]
-        race = _Race(timeouts_s, max_s, query_own, self._find_relayed_status(known))
+        race = _Race(timeouts_s, max_s, query_own, self._make_relayed_query(known))
         answer, own = await race.run()
         if own is not None:
             # The own query still runs. An order might reach the instance.
@@ -195,7 +195,7 @@
         self.health_counts[answer.ok_value.health.value] += 1
         return answer.ok_value
 
-    def _find_relayed_status(
+    def _make_relayed_query(
         self, known: Instance
     ) -> Callable[[float | None], Awaitable[EngineStatus | None]] | None:
         relay = self._relay
--- a/tests/test_entry_queries.py
+++ b/tests/test_entry_queries.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
@@ -30,6 +31,7 @@
     QueryConnections,
 )
 from zinniaspool.gateway.queries import MAX_CONCURRENT_QUERIES, InstanceQueryHandler
+from zinniaspool.keeper.metrics import make_controller_metrics
 from zinniaspool.keeper.queries import InstanceQueries, list_unresponsive
 from zinniaspool.keeper.relays import MAX_CONCURRENT_RELAYS, EntryRelay
 from zinniaspool.keeper.retention import InstanceRetainer
@@ -61,6 +63,23 @@
         await asyncio.sleep(pause_s)
 
 
+def read_gauge(fleet: SimulatedFleet, number: int) -> float:
+    """Return the number of indirect instances on a control process's page."""
+    control = fleet.controls[number]
+    store = SimpleNamespace(calls={})
+    page = make_controller_metrics(
+        control.fleet_view,
+        store,
+        control.holder,
+    )
+    (line,) = [
+        line
+        for line in page.render().decode().splitlines()
+        if line.startswith("zinniaspool_indirect_instances")
+    ]
+    return float(line.split()[-1])
+
+
 @pytest.mark.parametrize("cut", [{HEAD}, {MEMBER}, {HEAD, MEMBER}])
 def test_a_group_goes_on_while_only_the_holder_reaches_no_member(
     cut: set[InstanceId],
@@ -77,6 +96,8 @@
         await watch_use(fleet, 3.6, VM_COUNT)
         await stalls
         assert fleet.controls[0].holder.queries.indirect == cut
+        assert read_gauge(fleet, 0) == len(cut)
+        assert read_gauge(fleet, 1) == 0
         for name in cut:
             fleet.remove_record(name)
         await watch_use(fleet, 1.0, VM_COUNT)
--- a/tests/test_formation_balance.py
+++ b/tests/test_formation_balance.py
@@ -6,6 +6,7 @@
     SERVICE,
     SMALL,
     SimulatedFleet,
+    make_settled_fleet,
 )
 from zinniaspool.core.formation.balance import (
     ModelDemand,
@@ -33,6 +34,30 @@
     assert not fleet.violations
 
 
+def test_no_group_is_closed_for_balance_while_no_order_reaches_a_member() -> None:
+    """It would stop serving, and its VMs could join no other group.
+
+    A VM that stands by is left out, and the other groups are still described.
+    """
+    fleet = make_settled_fleet()
+    (domain,) = fleet.planner._domains.values()
+    view = fleet.planner._view
+    settled = domain.describe_if_settled(SERVICE, view)
+    assert settled is not None
+    assert settled.idle_vms == 1
+    (standby,) = [
+        run.record.head for run in fleet.planner.list_runs() if run.record.standby
+    ]
+    fleet.not_orderable = {standby}
+    fleet.advance(0.2)
+    settled = domain.describe_if_settled(SERVICE, view)
+    assert settled is not None
+    assert settled.idle_vms == 0
+    fleet.not_orderable = {fleet.find_members(LARGE)[1].id}
+    fleet.advance(0.2)
+    assert domain.describe_if_settled(SERVICE, view) is None
+
+
 def _make_domains(large: int, small: int) -> list[SettledDomain]:
     """Return a domain for each group; its VMs could load either model."""
     groups = [(LARGE, 4)] * large + [(SMALL, 2)] * small
