Split the tests of queries through entry processes

Change: the simulated engines and the tests of the entry process's side are modules of their own. No test is changed.

--- a/tests/test_entry_queries.py
+++ b/tests/test_entry_queries.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from types import SimpleNamespace
 from typing import Any
 
@@ -21,22 +21,18 @@
 from tests.virtual_time import run_in_virtual_time
 from zinniaspool.core.fleet import Health, HealthAnswer, InstanceId
 from zinniaspool.core.ids import Address, FailureDomainId, GroupId, NodeId
-from zinniaspool.core.messages import Hello, Message
-from zinniaspool.core.messages.fleet import InstanceAnswer, InstanceQuery, QueryKind
+from zinniaspool.core.messages.fleet import InstanceAnswer, InstanceQuery
 from zinniaspool.fleet import (
     FleetView,
-    HolderHeartbeat,
-    PeerExchange,
     ProcessLocation,
-    QueryConnections,
 )
-from zinniaspool.gateway.queries import MAX_CONCURRENT_QUERIES, InstanceQueryHandler
+from zinniaspool.gateway.queries import InstanceQueryHandler
 from zinniaspool.keeper.metrics import make_controller_metrics
 from zinniaspool.keeper.queries import InstanceQueries, list_unresponsive
 from zinniaspool.keeper.relays import MAX_CONCURRENT_RELAYS, EntryRelay
 from zinniaspool.keeper.retention import InstanceRetainer
 from zinniaspool.platform.spelling import PlatformCodec
-from zinniaspool_standins.installation import free_address, make_rules
+from zinniaspool_standins.installation import make_rules
 
 HEAD, MEMBER, OTHER = InstanceId("i-00"), InstanceId("i-01"), InstanceId("i-02")
 MAX_CHECK_S = 0.12 + 0.3 + 0.15
@@ -343,161 +339,6 @@
     run_in_virtual_time(test)
 
 
-def run_handler(
-    test: Callable[
-        [InstanceQueryHandler, ViewWriter, FakeEngines], Coroutine[Any, Any, None]
-    ],
-) -> None:
-    async def run_test() -> None:
-        view, writer, engines = make_view(40)
-        await test(InstanceQueryHandler(view, engines), writer, engines)
-
-    run_in_virtual_time(run_test)
-
-
-@pytest.mark.parametrize("kind", QueryKind)
-@pytest.mark.parametrize(
-    ("instance", "address"),
-    [
-        ("i-1", "10.1.0.2:80"),
-        ("i-1", "10.9.9.9:22"),
-        ("i-99", "10.1.0.1:80"),
-        ("i-99", "10.9.9.9:22"),
-    ],
-)
-def test_an_entry_process_queries_no_unknown_address(
-    instance: str, address: str, kind: QueryKind
-) -> None:
-    """A peer could make it send requests anywhere."""
-
-    async def test(
-        handler: InstanceQueryHandler, _: ViewWriter, engines: FakeEngines
-    ) -> None:
-        query = InstanceQuery(InstanceId(instance), Address(address), kind)
-        assert await handler.handle(query) == InstanceAnswer(is_refused=True)
-        assert not engines.relayed
-
-    run_handler(test)
-
-
-def test_an_entry_process_queries_an_instance_that_was_removed_lately() -> None:
-    """The holder asks about instances because their records were removed."""
-
-    async def test(
-        handler: InstanceQueryHandler, writer: ViewWriter, engines: FakeEngines
-    ) -> None:
-        name = InstanceId("i-1")
-        writer.write(name, None)
-        query = InstanceQuery(name, Address("10.1.0.1:80"), QueryKind.STATUS)
-        assert (await handler.handle(query)).status == 200
-        engines.unreachable = {name}
-        assert await handler.handle(query) == InstanceAnswer()
-        await asyncio.sleep(16.0)
-        assert (await handler.handle(query)).is_refused
-
-    run_handler(test)
-
-
-def test_an_entry_process_sends_no_health_query_to_an_evacuated_domain() -> None:
-    """A health query is a request, and none may reach such an upstream."""
-
-    async def test(
-        handler: InstanceQueryHandler, writer: ViewWriter, engines: FakeEngines
-    ) -> None:
-        writer.write_key(f"op/evacuate/{RECORD['zone']}", b"{}")
-        query = InstanceQuery(
-            InstanceId("i-1"), Address("10.1.0.1:80"), QueryKind.HEALTH
-        )
-        assert (await handler.handle(query)).is_refused
-        assert not engines.relayed
-
-    run_handler(test)
-
-
-def test_an_entry_process_refuses_queries_beyond_its_limit() -> None:
-    """Queries to dead instances would keep a small VM from its callers."""
-
-    async def test(
-        handler: InstanceQueryHandler, _: ViewWriter, engines: FakeEngines
-    ) -> None:
-        queries = [
-            InstanceQuery(
-                InstanceId(f"i-{n}"), Address(f"10.1.0.{n}:80"), QueryKind.STATUS
-            )
-            for n in range(40)
-        ]
-        answers = await asyncio.gather(*map(handler.handle, queries))
-        assert sum(not it.is_refused for it in answers) == MAX_CONCURRENT_QUERIES
-        assert engines.peak == MAX_CONCURRENT_QUERIES
-        assert not (await handler.handle(queries[-1])).is_refused
-
-    run_handler(test)
-
-
-def make_exchange(
-    node: str, handler: Callable[[Hello, Message], Coroutine[Any, Any, Message | None]]
-) -> PeerExchange:
-    async def probe() -> bool:
-        return True
-
-    return PeerExchange(
-        NodeId(node),
-        FailureDomainId("hall-a"),
-        FleetView(PlatformCodec()),
-        handler,
-        HolderHeartbeat(),
-        probe,
-    )
-
-
-async def ignore(_: Hello, __: Message) -> None:
-    """Answer nothing, as an entry process of an older version does."""
-
-
-def test_queries_run_side_by_side_on_real_connections() -> None:
-    """A dead instance would delay the answers of all later queries."""
-    count = 0
-
-    async def answer(_: Hello, message: Message) -> Message | None:
-        nonlocal count
-        assert isinstance(message, InstanceQuery)
-        count += 1
-        if message.instance == "dead":
-            await asyncio.sleep(0.1)
-            return InstanceAnswer()
-        return InstanceAnswer(200, [("a", "b")], message.instance.encode())
-
-    async def test() -> None:
-        entry, older = make_exchange("entry", answer), make_exchange("older", ignore)
-        address, other = free_address(), free_address()
-        await entry.listen(address)
-        await older.listen(other)
-        holder = make_exchange("holder", ignore)
-        connections = QueryConnections(holder)
-
-        async def ask(name: str, at: Address) -> InstanceAnswer | None:
-            query = InstanceQuery(
-                InstanceId(name), Address("10.1.0.1:80"), QueryKind.STATUS
-            )
-            return await connections.request(at, query)
-
-        started_at = time.monotonic()
-        names = ["dead"] * 6 + [f"i-{n}" for n in range(6)]
-        answers = await asyncio.gather(*(ask(name, address) for name in names))
-        assert time.monotonic() - started_at < 0.4
-        assert answers[:6] == [InstanceAnswer()] * 6
-        assert [it and it.body.decode() for it in answers[6:]] == names[6:]
-        assert count == len(names)
-        assert await ask("i-1", other) is None
-        assert await ask("i-1", free_address()) is None
-        assert await ask("i-1", address) is not None
-        connections.close()
-        entry.close()
-        older.close()
-
-    asyncio.run(test())
-
-
 @pytest.mark.bounds
 @pytest.mark.parametrize("dead", [0, 10, 20])
 def test_many_cut_instances_are_retained_before_they_are_dropped(dead: int) -> None:
