--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -62,6 +62,7 @@
 from zinniaspool.gateway.evacuations import EvacuationMonitor
 from zinniaspool.gateway.face import CallerHandler, refuse_request
 from zinniaspool.gateway.gate import AdmissionQueues
+from zinniaspool.gateway.loads import LOAD_REPORT_INTERVAL_S, LoadReporter
 from zinniaspool.gateway.metrics import make_gateway_metrics
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.probes import NodeProber
@@ -106,21 +107,11 @@
 CLOSE_RESERVE_S = 0.25
 """Part of the stop time that is reserved for closing, in seconds."""
 
-LOAD_REPORT_INTERVAL_S = 0.05
-"""Pause between load reports to the processes that share targets with this
-one, in seconds. A target of 13 slots begins and ends a request in about twice
-that time. Over a burst, the load that processes assume of a target is wrong by
-1.1 requests with this pause, and by 2.4 with a pause of 0.1 s."""
-
 UNREACHABLE_FANOUT = 6
 """VMs that a process informs of a VM that it can't reach. Each of them informs
 as many others when it can't reach that VM either, so that among hundreds of
 VMs hardly any is uninformed after four rounds."""
 
-COMPLETE_REPORT_INTERVAL_S = 1.0
-"""Pause between complete load reports, in seconds. A complete report makes up
-for a report that was lost on the way."""
-
 
 class GatewayProcess:
     """Serves callers until it is told to stop, then drains.
@@ -286,6 +277,11 @@
             self._reachability,
             self._report_unreachable,
         )
+        self._load_reporter = LoadReporter(
+            settings.node,
+            self._index,
+            lambda report: self._send(self._subset.other_members, report),
+        )
         self._evacuation_monitor = EvacuationMonitor(
             self._fleet_view, settings.evacuation_s
         )
@@ -318,7 +314,7 @@
             asyncio.create_task(
                 run_supervised("watch_speed", self._slow_target_watcher.run)
             ),
-            asyncio.create_task(run_supervised("tell_loads", self._report_loads)),
+            asyncio.create_task(run_supervised("checks", self._run_checks)),
             asyncio.create_task(run_supervised("prober", self._prober.run)),
             asyncio.create_task(
                 run_supervised("records", self._quarantine_records.run)
@@ -429,13 +425,9 @@
     def _list_demands(self) -> list[ModelDemandReport]:
         return self._index.list_demands(self._admission_queues.estimate_demand)
 
-    async def _report_loads(self) -> None:
-        """Report this process's requests at each target to its peers.
-
-        Waiting requests are admitted at the same interval.
-        """
+    async def _run_checks(self) -> None:
+        """Report loads, and do what else is due at short intervals."""
         loop = asyncio.get_running_loop()
-        next_complete_at = loop.time()
         while True:
             await asyncio.sleep(LOAD_REPORT_INTERVAL_S)
             now = loop.time()
@@ -443,21 +435,7 @@
             self._cold.expire(now)
             self._evacuation_monitor.check(now)
             self._admission_queues.admit_waiting()
-            loads, complete = (
-                self._index.collect_load_changes(),
-                now >= next_complete_at,
-            )
-            if complete:
-                loads, next_complete_at = (
-                    self._index.list_local_loads(),
-                    now + COMPLETE_REPORT_INTERVAL_S,
-                )
-            if not loads and not complete:
-                continue
-            report = LoadReport(
-                self._settings.node, loads, complete, self._index.report_interval_s
-            )
-            self._send(self._subset.other_members, report)
+            self._load_reporter.report(now)
 
     @property
     def _accepts_requests(self) -> bool:
