Name retry times and standings in admission by their usual terms

Comments and names spoke of what callers were told and of what records say. They now name the retry time that a caller was given, a request's standing in the division, and reports. No behaviour changes. Checked: ruff, mypy; the tests of contention, retention and cold upstreams below.

--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -143,7 +143,7 @@
             seconds; None if there is no target.
         queue_length: Late requests that wait in this process.
         leftover_per_s: Late requests that this process may begin a second.
-        standing: What the division of the capacity said about the request.
+        standing: The request's standing in the division of the capacity.
     """
 
     retry_after_s: float
@@ -160,7 +160,7 @@
     ticket: Ticket
     wait_until: float
     request: AdmissionRequest
-    came_as_told: bool = False
+    kept_retry_time: bool = False
 
     @property
     def has_left(self) -> bool:
@@ -204,12 +204,12 @@
         claim = request.claim
         standing = self.division.assess(claim, now)
         self.division.record_demand(claim, now)
-        came_as_told = self._comes_as_told(request, standing, now)
+        kept_retry_time = self._kept_retry_time(request, standing, now)
         decision: Ticket | Refusal | None = None
-        if came_as_told and self._has_slot(standing, now):
+        if kept_retry_time and self._has_slot(standing, now):
             ticket.late = request.on_time_until <= now
             decision = _admit(ticket, now)
-        elif not standing.is_admitted and not came_as_told:
+        elif not standing.is_admitted and not kept_retry_time:
             return self.refuse(request, now, standing)
         elif self._can_be_on_time(request, standing, now):
             self._on_time_begun.append(now)
@@ -218,7 +218,7 @@
             ticket.late = True
             decision = _admit(ticket, now)
         else:
-            decision = self._submit_late(ticket, request, came_as_told, now)
+            decision = self._submit_late(ticket, request, kept_retry_time, now)
         if decision is None:
             return self.refuse(request, now, standing)
         if decision.state is TicketState.ADMITTED:
@@ -255,10 +255,10 @@
             self._allowance -= 1.0
             self.division.record_use(queued.request.claim, now)
             done.append(_admit(queued.ticket, now))
-        told = [queued for queued in self._queue if queued.came_as_told]
-        if told:
+        returned = [queued for queued in self._queue if queued.kept_retry_time]
+        if returned:
             # One at a time: its target counts it only once it has been sent.
-            queued = min(told, key=self._rank)
+            queued = min(returned, key=self._rank)
             claim = queued.request.claim
             if self._has_slot(self.division.assess(claim, now), now):
                 self._queue.remove(queued)
@@ -276,11 +276,11 @@
         """Return the key by which waiting requests are ordered.
 
         The most urgent come first, then those of the customer that uses least,
-        of these callers that came back as told, then those that came first.
+        of these callers that kept their retry time, then by arrival.
         """
         ticket = queued.ticket
         used = self.division.get_use(queued.request.claim)
-        return ticket.urgency, used, not queued.came_as_told, ticket.wait_until
+        return ticket.urgency, used, not queued.kept_retry_time, ticket.wait_until
 
     def _find_next_start(self, now: float) -> float:
         """Return when a waiting request may begin at the earliest, in seconds.
@@ -304,7 +304,7 @@
         Args:
             request: The request.
             now: Seconds.
-            standing: What the division of the capacity says about it; None to
+            standing: Its standing in the division of the capacity; None to
                 find out.
         """
         self._refused_at = now
@@ -377,12 +377,12 @@
             return False
         return self._pool.predict_first_event(state, request.prompt, now) <= left_s
 
-    def _comes_as_told(
+    def _kept_retry_time(
         self, request: AdmissionRequest, standing: Standing, now: float
     ) -> bool:
         returns, claim = self.division.returns, request.claim
         if request.waited_min_s <= 0.0 or not (
-            standing.is_contended or returns.has_told(request.urgency, now)
+            standing.is_contended or returns.has_refused(request.urgency, now)
         ):
             return False
         return returns.accept(
@@ -406,7 +406,11 @@
     # Requests that will be late.
 
     def _submit_late(
-        self, ticket: Ticket, request: AdmissionRequest, came_as_told: bool, now: float
+        self,
+        ticket: Ticket,
+        request: AdmissionRequest,
+        kept_retry_time: bool,
+        now: float,
     ) -> Ticket | None:
         """Admit or queue a late request; return None if there is no room."""
         ticket.late = True
@@ -416,12 +420,12 @@
         wait_until = min(
             now + self._limits.max_wait_s, request.leaves_at - FIRST_EVENT_RESERVE_S
         )
-        queued = _QueuedRequest(ticket, wait_until, request, came_as_told)
+        queued = _QueuedRequest(ticket, wait_until, request, kept_retry_time)
         rank = self._rank(queued)
         ahead = sum(self._rank(other) <= rank for other in self._queue)
         leftover_per_s = self._measure_leftover(now)
         wait_s = self._predict_wait(leftover_per_s, ahead, now)
-        if now + wait_s > wait_until and not came_as_told:
+        if now + wait_s > wait_until and not kept_retry_time:
             return None
         self._queue.append(queued)
         return ticket
--- a/src/zinniaspool/core/dispatch/contention.py
+++ b/src/zinniaspool/core/dispatch/contention.py
@@ -94,14 +94,15 @@
 with 0.75 0.9."""
 
 RETURN_PART = 0.15
-"""Part of a grant that is set aside for callers that come back as told. They
-are late in any case. With 0.5, the on-time answers in a burst of 2.2 times the
-usual traffic fell to 0.72 of what the slots allow, with 0.15 to 0.84."""
+"""Part of a grant that is set aside for callers that keep their retry time.
+They are late in any case. With 0.5, the on-time answers in a burst of 2.2
+times the usual traffic fell to 0.72 of what the slots allow, with 0.15 to
+0.84."""
 
 LESS_URGENT_RETURN_PART = 0.5
 """The same for a class below more urgent ones. Most of its requests are
-refused in a burst; with 0.15, callers that came back as told were served less
-often than those that retried at once."""
+refused in a burst; with 0.15, callers that kept their retry time were served
+less often than those that retried at once."""
 
 LISTED_CUSTOMERS = 12
 """Customers of this process that the division tells apart."""
@@ -149,7 +150,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Standing:
-    """What the division says about a request.
+    """The standing of a request in the division.
 
     Attributes:
         part: Part of such requests that is admitted now.
@@ -209,7 +210,7 @@
 
     Attributes:
         pool: The model's targets.
-        returns: What refused callers were told.
+        returns: The retry times of refused callers.
     """
 
     def __init__(
--- a/src/zinniaspool/core/dispatch/patience.py
+++ b/src/zinniaspool/core/dispatch/patience.py
@@ -57,7 +57,7 @@
 
         Unlike ``estimate_waited``, the least time follows from the newest new
         callers alone, so that it is known soon after the start. It serves
-        only to recognize callers that were told to come back.
+        only to recognize callers that were given a retry time.
 
         Returns:
             Seconds; 0 at least for a caller that may be new.
--- a/src/zinniaspool/core/dispatch/returns.py
+++ b/src/zinniaspool/core/dispatch/returns.py
@@ -3,8 +3,8 @@
 A part of the capacity that a class of urgency and each of its customers get is
 set aside for callers that come back. Each refusal books some of it, so that
 the retry times of a burst follow one another instead of all being the same,
-and a caller that comes back when told finds its capacity. A customer that has
-booked its own part is told a later time, and takes nothing from the others.
+and a caller that keeps its retry time finds its capacity. A customer that has
+booked its own part is given a later time, and takes nothing from the others.
 """
 
 from collections import defaultdict, deque
@@ -42,7 +42,7 @@
 
 MAX_FOREIGN_RETURNS = 3.0
 """Callers beyond this process's own bookings that it takes for callers that
-other processes told to come back. The number that comes to each process
+other processes gave retry times to. The number that comes to each process
 varies; without a limit, callers that come back too early would be taken for
 them."""
 
@@ -69,12 +69,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Telling:
-    """What one refused caller was told.
+class _RetryTime:
+    """The retry time that one refused caller was given.
 
     Attributes:
         customer: Its customer.
-        told_at: Time of the refusal, in seconds.
+        given_at: Time of the refusal, in seconds.
         due_at: Time from which it may come back, without its own part of the
             spread, in seconds.
         slot_s: How long its request uses a slot, in seconds; 0 if it can't
@@ -82,19 +82,19 @@
     """
 
     customer: CustomerId
-    told_at: float
+    given_at: float
     due_at: float
     slot_s: float
 
 
 class ReturnSchedule:
-    """The retry times that one process has told callers of one model."""
+    """The retry times that one process has given to callers of one model."""
 
     def __init__(self) -> None:
         self._class_ends: dict[int, float] = {}
         self._reported_s: defaultdict[int, float] = defaultdict(float)
         self._customer_ends: dict[tuple[int, CustomerId], float] = {}
-        self._told: defaultdict[int, deque[_Telling]] = defaultdict(deque)
+        self._given: defaultdict[int, deque[_RetryTime]] = defaultdict(deque)
         self._accepted: defaultdict[int, deque[tuple[float, float]]] = defaultdict(
             deque
         )
@@ -118,7 +118,7 @@
             draw: Hash of its content, 0 to 1.
             rates: The capacity that is set aside.
             latest: Time until which the caller can come back, in seconds.
-                A caller that can't is told the time but books nothing.
+                A caller that can't is given the time but books nothing.
             now: Seconds.
 
         Returns:
@@ -127,8 +127,8 @@
         earliest = now + MIN_RETRY_AFTER_S
         class_step_s = slot_s / max(MIN_RATE, rates.of_class)
         class_end = max(now, self._class_ends.get(urgency, 0.0)) + class_step_s
-        # The subset tells about the same times: this process's own bookings
-        # count in full only in its next digest.
+        # The processes of a subset give about the same times: this process's
+        # own bookings count in full only in its next digest.
         since_digest_s = max(0.0, class_end - now - self._reported_s[urgency])
         mean_s = rates.backlog_s + since_digest_s / rates.members
         key = (urgency, customer)
@@ -141,7 +141,7 @@
                 MIN_RATE, rates.of_customer
             )
         booked_s = slot_s if back_at < latest else 0.0
-        self._told[urgency].append(_Telling(customer, now, due_at, booked_s))
+        self._given[urgency].append(_RetryTime(customer, now, due_at, booked_s))
         self._forget_before(now - MEMORY_S)
         return min(MAX_RETRY_AFTER_S, back_at - now)
 
@@ -155,10 +155,10 @@
         """Count the backlogs as part of the digests that are in use now."""
         self._reported_s = defaultdict(float, self.list_backlogs(now))
 
-    def has_told(self, urgency: int, now: float) -> bool:
-        """Tell whether callers of a class were told to come back of late."""
+    def has_refused(self, urgency: int, now: float) -> bool:
+        """Return whether callers of a class were given retry times lately."""
         self._forget_before(now - MEMORY_S)
-        return bool(self._told.get(urgency))
+        return bool(self._given.get(urgency))
 
     def accept(
         self,
@@ -172,11 +172,11 @@
         *,
         has_subsets: bool = False,
     ) -> bool:
-        """Tell whether a caller comes back as told, and use its booking.
+        """Return whether a caller kept its retry time, and use its booking.
 
-        Callers come back to any process. This one compares with what it told
-        another caller at about that time, since all processes of a subset
-        compute their retry times from the same digests.
+        Callers come back to any process. This one compares with the retry
+        time that it gave another caller at about that moment, since all
+        processes of a subset compute their retry times from the same digests.
 
         Args:
             urgency: The request's urgency.
@@ -188,17 +188,17 @@
             now: Seconds.
             has_subsets: Whether processes of other subsets refuse callers.
         """
-        told = self._told[urgency]
+        given = self._given[urgency]
         refused_at = now - (waited_min_s + waited_max_s) / 2
         similar = [
-            telling
-            for telling in told
-            if abs(telling.told_at - refused_at) <= SIMILAR_S
+            retry_time
+            for retry_time in given
+            if abs(retry_time.given_at - refused_at) <= SIMILAR_S
         ]
         similar = [one for one in similar if one.customer == customer] or similar
         # The times grow by seconds within a second when a burst begins.
         retry_after_s = min(
-            (one.due_at - one.told_at for one in similar), default=MIN_RETRY_AFTER_S
+            (one.due_at - one.given_at for one in similar), default=MIN_RETRY_AFTER_S
         )
         retry_after_s += _find_spread(draw)
         similar_part = SIMILAR_PART_OF_SUBSETS if has_subsets else SIMILAR_PART
@@ -206,7 +206,7 @@
             similar_part * retry_after_s, SIMILAR_PART * MIN_RETRY_AFTER_S
         ):
             return False
-        due_s = sum(telling.slot_s for telling in told if telling.due_at <= now)
+        due_s = sum(one.slot_s for one in given if one.due_at <= now)
         used_s = sum(used for _, used in self._accepted[urgency])
         if used_s > due_s + MAX_FOREIGN_RETURNS * slot_s:
             return False
@@ -214,9 +214,9 @@
         return True
 
     def _forget_before(self, oldest: float) -> None:
-        for told in self._told.values():
-            while told and told[0].told_at < oldest:
-                told.popleft()
+        for given in self._given.values():
+            while given and given[0].given_at < oldest:
+                given.popleft()
         for accepted in self._accepted.values():
             while accepted and accepted[0][0] < oldest:
                 accepted.popleft()
--- a/src/zinniaspool/core/dispatch/speed.py
+++ b/src/zinniaspool/core/dispatch/speed.py
@@ -10,8 +10,8 @@
 of this process or with a prompt that it doesn't know of, changes nothing.
 
 A process has few streams at each target. So the processes that share a target
-report to each other what they measured, and use the median. What nobody
-measures any more decays towards 1, so that the target is tried again.
+report to each other what they measured, and use the median. A pace that
+no process measures decays towards 1, so that the target is tried again.
 
 If the configured times are wrong, all targets differ from them alike. So a
 target is compared with the fastest quarter of its model's targets, where these
--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -197,7 +197,7 @@
         return self.backpressure.find_opening(self.subset_part)
 
     def is_open(self, now: float) -> bool:
-        """Whether it may get requests now, by its and the operator's word."""
+        """Whether it and the operator allow requests to be sent there now."""
         return self.find_opening() <= now
 
     def is_usable(self, now: float) -> bool:
--- a/src/zinniaspool/core/fleet/retention.py
+++ b/src/zinniaspool/core/fleet/retention.py
@@ -65,9 +65,9 @@
     """The answer to a health query.
 
     Attributes:
-        health: What it says.
+        health: The answer.
         instance: The instance that it names; None if it names none.
-        is_leaving: Whether it says that the instance is leaving.
+        is_leaving: Whether it states that the instance is leaving.
     """
 
     health: Health
--- a/src/zinniaspool/core/formation/census.py
+++ b/src/zinniaspool/core/formation/census.py
@@ -97,7 +97,7 @@
         return None if found is None else found.fabric_domain
 
     def record_arrivals(self, now: float) -> None:
-        """Record when VMs and news of coldness arrived since the last call."""
+        """Record when new VMs and reports of coldness arrived."""
         for name, left_s in self._cold_left_s.items():
             self._cold_until[name] = now + left_s
         self._cold_left_s.clear()
@@ -147,7 +147,7 @@
 
 
 def _is_cold_anew(before: Instance, now: Instance) -> bool:
-    """Return whether a record says something new of coldness.
+    """Return whether a record reports another coldness than before.
 
     A record that only a status report has amended repeats the time left.
     """
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -61,7 +61,7 @@
     """An instance's record that has arrived in this process.
 
     Attributes:
-        instance: What the record says.
+        instance: The decoded record.
         is_written: Whether the instance has written it since the one before.
             A record may also be amended by an engine's status.
         is_new: Whether the record is the first of this incarnation.
--- a/src/zinniaspool/gateway/cold.py
+++ b/src/zinniaspool/gateway/cold.py
@@ -3,7 +3,7 @@
 An upstream is cold according to its record; from the start of its incarnation,
 if this process learns of it during traffic; and after its failure domain is
 returned from an evacuation. All times are measured from the arrival of the
-news in this process, so that no VM's clock matters.
+report in this process, so that no VM's clock matters.
 """
 
 import asyncio
@@ -36,7 +36,7 @@
         service: The upstream's service.
         failure_domain: Its failure domain.
         reason: How this process first learned of it, for a person.
-        by_record: Time until which its record says so, in seconds.
+        by_record: Time until which it is cold by its record, in seconds.
         by_start: The same by its start, or by the end of an evacuation.
     """
 
--- a/src/zinniaspool/gateway/gate.py
+++ b/src/zinniaspool/gateway/gate.py
@@ -178,7 +178,7 @@
     # Digests between the processes of the subset.
 
     def make_digest(self, max_customers: int) -> DemandDigest:
-        """Return what the subset is told of this process's demand.
+        """Return the digest of this process's demand for its subset.
 
         Args:
             max_customers: Customers to list for each model.
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -132,7 +132,7 @@
         "instance-indirect": "An instance answers the holder only through an entry "
         "process; its group goes on, and it gets no orders.",
         "instance-indirect-ended": "An instance answers the holder itself again, "
-        "nobody any more, or is gone, as the reason says.",
+        "answers no process, or was removed; the reason tells which.",
         "instance-regained": "An unreachable instance answers again.",
         "instance-state": "An instance started to leave or is ready.",
         "lease-lost": "A lease ended before it was renewed.",
--- a/tests/contention_world.py
+++ b/tests/contention_world.py
@@ -59,13 +59,13 @@
         kind: The name of its kind.
         retries_at_once: Whether it retries immediately, up to three times.
         told: When it was told to come back, for each refusal.
-        came_as_told: Whether it came back when it was told to.
+        kept_retry_time: Whether it came back at its retry time.
     """
 
     kind: str = ""
     retries_at_once: bool = False
     told: list[float] = field(default_factory=list)
-    came_as_told: bool = False
+    kept_retry_time: bool = False
 
 
 class CompetingFleet(SimulatedFleet):
@@ -117,7 +117,7 @@
             if caller.attempts <= 3:
                 self.after(RETRY_AT_ONCE_S, partial(self.send_request, caller))
         elif self.now + refusal.retry_after_s < caller.deadline:
-            caller.came_as_told = True
+            caller.kept_retry_time = True
             self.after(refusal.retry_after_s, partial(self.send_request, caller))
 
     def list_kind(self, kind: str, since: float, until: float) -> list[CompetingCaller]:
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -134,7 +134,7 @@
     """A retry time that isn't kept makes callers retry when they like."""
     fleets = collect(processes, seeds, tags=4.0)
     callers = [caller for fleet in fleets for caller in fleet.competing]
-    told = [caller for caller in callers if caller.came_as_told]
+    told = [caller for caller in callers if caller.kept_retry_time]
     assert len(told) > 50
     assert measure_part(told) >= 0.9
 
