Admit requests at an idle target although it is slow, if no other is usable

test_an_evacuation_reaches_the_entry_processes failed with 503 in two whole checks and in about half of the runs of its file: the only usable target, of the stand-ins' wrong configured times, had a learned pace of 16, so that admission counted half a slot there and refused every request. And effective slots are fewer only at a target that counts as slow, since unknown prompts raise the pace of healthy ones. Checked: ruff, mypy, tests of evacuation and cold upstreams with real programs twice, test_speed, test_admission.

--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -371,7 +371,7 @@
     def _admits(
         self, state: TargetState, request: AdmissionRequest, left_s: float, now: float
     ) -> bool:
-        if state.estimate_load(now) + 1 <= state.effective_slots * ALWAYS_ADMIT_PART:
+        if state.estimate_load(now) + 1 <= state.target.slots * ALWAYS_ADMIT_PART:
             return True
         if not self._pool.has_slot(state, now):
             return False
--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -142,7 +142,14 @@
 
     @property
     def effective_slots(self) -> float:
-        """The slots of an engine of the usual speed that does as much."""
+        """The slots of an engine of the usual speed that does as much.
+
+        Only a slow target has fewer: prompts that this process doesn't know of
+        raise the learned pace of healthy targets, and callers were refused
+        although there were free slots.
+        """
+        if not self.speed.is_slow:
+            return float(self.target.slots)
         return max(1.0, self.target.slots / self.speed.pace)
 
     def estimate_load(self, now: float) -> float:
