Begin docstrings of predicates with 'Return whether'

The new code brought back a word that had been replaced before. Docstrings only; ruff, mypy and the tests of speed, dispatch, stalls and references pass.

--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -293,7 +293,7 @@
         return max(now, opening) if opening < math.inf else now
 
     def expects_only_new_callers(self, now: float) -> bool:
-        """Tell whether no refused caller can come back now."""
+        """Return whether no refused caller can come back now."""
         return now - self._refused_at > RETURN_S
 
     def refuse(
--- a/src/zinniaspool/core/dispatch/choice.py
+++ b/src/zinniaspool/core/dispatch/choice.py
@@ -133,7 +133,7 @@
 def has_slot(
     state: TargetState, now: float, peer_counts: PeerCounts, *, has_shortage: bool
 ) -> bool:
-    """Tell whether a request can begin at a target without a wait.
+    """Return whether a request can begin at a target without a wait.
 
     Args:
         state: The target.
--- a/src/zinniaspool/core/dispatch/contention.py
+++ b/src/zinniaspool/core/dispatch/contention.py
@@ -334,7 +334,7 @@
             self._measure_time_room(capacity, protected, now)
 
     def spares(self, standing: Standing, state: TargetState, now: float) -> bool:
-        """Tell whether more urgent requests can be on time at a target."""
+        """Return whether more urgent requests can be on time at a target."""
         protected = standing.protected
         return protected is None or self._measure_pressure(protected, state, now) <= 1.0
 
@@ -498,7 +498,7 @@
         return predicted_s / max(left_s, 0.01)
 
     def _has_room_outside(self, now: float) -> bool:
-        """Tell whether targets out of the subset have room for a request."""
+        """Return whether targets out of the subset have room for a request."""
         return any(
             state.estimate_load(now) + 1 <= IDLE_OUTSIDE_PART * state.target.slots
             for state in self.pool.list_eligible(now)
--- a/src/zinniaspool/core/dispatch/predictions.py
+++ b/src/zinniaspool/core/dispatch/predictions.py
@@ -79,7 +79,7 @@
     def is_past_pass_end(
         self, state: TargetState, since_event_s: float, now: float
     ) -> bool:
-        """Tell whether the current pass should have brought an event by now.
+        """Return whether the current pass should have brought an event by now.
 
         Args:
             state: The target.
--- a/src/zinniaspool/core/dispatch/relocation.py
+++ b/src/zinniaspool/core/dispatch/relocation.py
@@ -40,7 +40,7 @@
     other: TargetState,
     now: float,
 ) -> bool:
-    """Tell whether a request will be late where it is and not elsewhere.
+    """Return whether a request will be late where it is and not elsewhere.
 
     A request that is late in both places stays: its prompt would be read once
     more, and its second attempt be used, for nothing.
--- a/src/zinniaspool/core/dispatch/silence.py
+++ b/src/zinniaspool/core/dispatch/silence.py
@@ -83,7 +83,7 @@
 
 
 def is_lost(state: TargetState, limits: StallLimits, now: float) -> bool:
-    """Tell whether a stalled head is lost, and not just slow."""
+    """Return whether a stalled head is lost, and not just slow."""
     return bool(state.streaming) and now - state.last_event_at >= limits.lost_s
 
 
--- a/src/zinniaspool/core/dispatch/speed.py
+++ b/src/zinniaspool/core/dispatch/speed.py
@@ -144,11 +144,11 @@
         return 1.0 + (self._pace - 1.0) * weight
 
     def is_measured(self, now: float) -> bool:
-        """Tell whether enough recent samples show the pace."""
+        """Return whether enough recent samples show the pace."""
         return len(self._samples) == WINDOW and self.is_fresh(now)
 
     def is_fresh(self, now: float) -> bool:
-        """Tell whether there is a recent sample."""
+        """Return whether there is a recent sample."""
         return now - self._measured_at <= FRESH_S
 
     def _begin_window(self, pace: float) -> None:
--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -215,7 +215,7 @@
 
 
 def is_same_target(before: Target, now: Target) -> bool:
-    """Tell whether the state of a target is still valid.
+    """Return whether the state of a target is still valid.
 
     A group that was formed anew, or an instance that was restarted, has none
     of the requests, failures or stalls of the one before it.
--- a/src/zinniaspool/core/fleet/mirror.py
+++ b/src/zinniaspool/core/fleet/mirror.py
@@ -296,7 +296,7 @@
         return changes
 
     def _was_removed(self, key: str) -> bool:
-        """Tell whether an ephemeral key was removed that existed before."""
+        """Return whether an ephemeral key was removed that existed before."""
         is_known = key in self._removal_revisions and key not in self._items
         return is_known and self._is_ephemeral(key)
 
--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -85,7 +85,7 @@
         self._ended_at: dict[InstanceIncarnation, float] = {}
 
     def is_quarantined(self, call: GatewayCall) -> bool:
-        """Tell whether the content of a request is quarantined."""
+        """Return whether the content of a request is quarantined."""
         return self.quarantine.is_quarantined(call.content, self._now())
 
     async def handle_lost_attempt(self, call: GatewayCall, state: TargetState) -> None:
--- a/src/zinniaspool/gateway/silence.py
+++ b/src/zinniaspool/gateway/silence.py
@@ -322,7 +322,7 @@
             self._links.send_to_peers(report)
 
     def _has_other_active_stream(self, stalled: TargetState, now: float) -> bool:
-        """Tell whether streams of other targets have recent events.
+        """Return whether streams of other targets have recent events.
 
         A process that receives events from no target is most likely cut off
         itself, and its reports would make its peers avoid all targets.
