Log queries that entry processes could not answer; count failed connections

No decision is changed. Checked: test_entry_queries, test_retention, test_http_client, test_references, test_log_lines pass.

--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -46,6 +46,10 @@
     def list_opened() -> Iterator[Sample]:
         yield Sample({}, http.opened_connections)
 
+    def list_failed_connections() -> Iterator[Sample]:
+        for reason, count in http.failed_connections.items():
+            yield Sample({"reason": reason}, count)
+
     page.add_counter("zinniaspool_requests", "Requests by their end.", tally.list_ends)
     page.add_counter(
         "zinniaspool_request_seconds_buckets",
@@ -191,5 +195,10 @@
     page.add_counter(
         "zinniaspool_connections", "Connections opened to upstreams.", list_opened
     )
+    page.add_counter(
+        "zinniaspool_failed_connections",
+        "Connections to upstreams that could not be opened, by reason.",
+        list_failed_connections,
+    )
     add_fleet_metrics(page, fleet_view, store)
     return page
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import ssl
-from collections import deque
+from collections import Counter, deque
 from collections.abc import AsyncIterator
 from typing import cast
 
@@ -129,6 +129,8 @@
 
     Attributes:
         opened_connections: Number of attempts to open a connection so far.
+        failed_connections: Number of those that failed, by ``refused`` or
+            ``no-answer``.
         allow_unframed: As above.
     """
 
@@ -140,6 +142,7 @@
         allow_unframed: bool = False,
     ) -> None:
         self.opened_connections = 0
+        self.failed_connections: Counter[str] = Counter()
         self.allow_unframed = allow_unframed
         self._connect_s = connect_s
         self._tls = tls
@@ -272,6 +275,8 @@
                     server_hostname=host if self._tls else None,
                 )
         except (OSError, TimeoutError) as error:
+            refused = isinstance(error, ConnectionRefusedError)
+            self.failed_connections["refused" if refused else "no-answer"] += 1
             raise TransportError(TransportFailure.NOT_SENT, str(error)) from error
         return protocol
 
--- a/src/zinniaspool/keeper/relays.py
+++ b/src/zinniaspool/keeper/relays.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Awaitable, Callable, Iterator
 
+import structlog
+
 from zinniaspool.core.fleet import Instance, NodeState
 from zinniaspool.core.ids import Address
 from zinniaspool.core.messages.fleet import InstanceAnswer, InstanceQuery, QueryKind
@@ -11,6 +13,8 @@
 
 __all__ = ["MAX_CONCURRENT_RELAYS", "EntryRelay"]
 
+_log = structlog.get_logger(__name__)
+
 MAX_CONCURRENT_RELAYS = 24
 """How many queries entry processes have under way for this one: as many
 instances as are checked at once when their records are missing."""
@@ -60,16 +64,26 @@
             The instance's answer; None if no entry process received one.
         """
         query = InstanceQuery(known.id, known.address, kind)
+        entries: list[Address] = []
         try:
             async with asyncio.timeout(timeout_s), self._slots:
                 for entry in self._list_entries():
+                    entries.append(entry)
                     answer = await self._request(entry, query)
                     if answer is None:
                         self._record_silence(entry)
                     elif not answer.is_refused:
-                        return None if answer.status is None else answer
+                        if answer.status is not None:
+                            return answer
+                        break
         except TimeoutError:
             pass
+        _log.info(
+            "query-unanswered",
+            instance=known.id,
+            kind=kind.value,
+            entries=",".join(entries),
+        )
         return None
 
     def _list_entries(self) -> Iterator[Address]:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -152,6 +152,8 @@
         "peer-stale": "A peer's mirror of the store was too old, or the peer did not "
         "answer.",
         "plan-unsaved": "The store did not accept a plan; the plan is written again.",
+        "query-unanswered": "An instance did not answer the entry processes that "
+        "queried it for the holder.",
         "read-outdated": "A read of the whole store returned keys at older revisions "
         "than are known.",
         "record-unreadable": "A record that a process wrote to the store cannot be "
