--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -36,6 +36,7 @@
 
     Attributes:
         dark: It answers nobody and writes nothing.
+        silent: It answers nobody until this ends, and then goes on.
         cut: It does not reach the store, and serves.
         parts: It leaves without announcing it: it removes its entry, answers
             health queries with 503, and serves.
@@ -60,6 +61,7 @@
     """
 
     dark: bool = False
+    silent: bool = False
     cut: bool = False
     parts: bool = False
     false_health: bool = False
@@ -258,6 +260,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         if self.faults.dark:
             await asyncio.sleep(60.0)
+        await self._wait_while_silent()
         path = exchange.request.path
         if path == HEALTH_PATH:
             await self._answer_health(exchange)
@@ -477,6 +480,7 @@
     async def _make_pass(self, exchange: Exchange) -> bool:
         """Wait for one pass of the group; False where the work is cut off."""
         await asyncio.sleep(self.times.pass_s * self.faults.pace)
+        await self._wait_while_silent()
         group, stood_s = self.group, 0.0
         while self.faults.dark or not self._is_whole(group):
             if stood_s > self.times.stall_s:
@@ -488,6 +492,12 @@
             stood_s += self.times.pass_s
         return True
 
+    async def _wait_while_silent(self) -> None:
+        silent = self.faults.silent
+        while silent:
+            await asyncio.sleep(self.times.pass_s)
+            silent = self.faults.silent
+
     def _is_whole(self, group: dict[str, Any] | None) -> bool:
         if group is None:
             return False
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -1,6 +1,7 @@
 """The product on the platform's protocols, with stand-ins, in one loop."""
 
 import asyncio
+import contextvars
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -19,9 +20,19 @@
 from zinniaspool.platform.keeper import make_controller
 from zinniaspool.platform.orders import EngineClient
 from zinniaspool_standins import installation as standins
+from zinniaspool_standins.cuts import CURRENT_VM, CutKind, CuttableLoop
 from zinniaspool_standins.installation import KEY, SIZES, free_address
+from zinniaspool_standins.runners import Runner
 
-__all__ = ["KEY", "Answer", "Installation", "eventually", "free_address", "run"]
+__all__ = [
+    "KEY",
+    "Answer",
+    "Installation",
+    "eventually",
+    "free_address",
+    "run",
+    "run_with_cuts",
+]
 
 
 async def eventually(check: Callable[[], object], timeout_s: float = 10.0) -> None:
@@ -97,7 +108,7 @@
         for name in list(self.nodes):
             await self.kill(name)
 
-    async def add_node(self, name: str) -> Node:
+    async def add_node(self, name: str, zone: str = "hall-a") -> Node:
         """Start one more entry VM, with a way to the store of its own."""
         store = free_address()
         await self.store.listen(store)
@@ -107,7 +118,7 @@
         file = NodeSettings(
             NodeId(name),
             "127.0.0.1",
-            FailureDomainId("hall-a"),
+            FailureDomainId(zone),
             "north",
             front,
             free_address(),
@@ -129,9 +140,11 @@
             retains_instances=self.retains_instances,
         )
         gateway, keeper = make_gateway(file), make_controller(file)
+        context = contextvars.copy_context()
+        context.run(CURRENT_VM.set, name)
         tasks = [
-            asyncio.create_task(gateway.run()),
-            asyncio.create_task(keeper.run()),
+            asyncio.create_task(process.run(), context=context.copy())
+            for process in (gateway, keeper)
         ]
         self.nodes[name] = node = Node(file, gateway, keeper, tasks)
         return node
@@ -145,6 +158,33 @@
             task.cancel()
         await asyncio.gather(*node.tasks, return_exceptions=True)
 
+    def add_runner(
+        self, service: str, domain: str | None, zone: str = "hall-a"
+    ) -> Runner:
+        """Start one more instance."""
+        runner = super().add_runner(service, domain, zone)
+        loop = asyncio.get_running_loop()
+        if isinstance(loop, CuttableLoop):
+            loop.upstreams.add(runner.address)
+        return runner
+
+    def cut_upstreams(self, name: str, kind: CutKind) -> None:
+        """Cut a VM off from all upstreams; the loop must be a cuttable one."""
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, CuttableLoop)
+        loop.cut(name, kind)
+
+    def heal_upstreams(self, name: str) -> None:
+        """End the cut of a VM."""
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, CuttableLoop)
+        loop.heal(name)
+
+    def find_holder(self) -> str | None:
+        """Return the VM whose control process plans groups, or None."""
+        planning = [n for n, node in self.nodes.items() if node.keeper.may_plan]
+        return planning[0] if len(planning) == 1 else None
+
     def cut_controls(self, cut: set[Address]) -> None:
         """Let all control processes get no answers from some upstreams."""
         for node in self.nodes.values():
@@ -253,6 +293,12 @@
     asyncio.run(_bounded(test))
 
 
+def run_with_cuts(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test's coroutine on a loop in which VMs can be cut off."""
+    with asyncio.Runner(loop_factory=CuttableLoop) as runner:
+        runner.run(_bounded(test))
+
+
 async def _bounded(test: Callable[[], Awaitable[None]]) -> None:
     async with asyncio.timeout(60):
         await test()
