Connect to upstreams through other VMs when the direct path fails

Callers keep an address answer for up to six seconds, so that a directory alone can't help.

Cause: an entry process had one path to an upstream, its own. Each head that it did not reach backed off, up to 16 s, and with no head left it refused at once. No line told a lost path from upstreams that had ended.

Each connection that does not open directly within 0.08 s, or fails, is now tried through other VMs as well (staggered, three at most); their entry processes pass on bytes, and mark the upstream's orderly close, so that a cut answer never looks whole. An upstream that only another VM reaches shows that the path of this VM is at fault: three of them within 2 s and no direct connection in between, and the path counts as lost. From then on connections go through others first, idle ones are closed, the failures that were counted against targets are forgotten, and stalled requests are sent again. Direct connections are tried every half second until two in a row open. A VM that fails to connect for another one says whether it reaches other upstreams; if not, its result counts for nothing.

--- a/src/zinniaspool/core/dispatch/targets.py
+++ b/src/zinniaspool/core/dispatch/targets.py
@@ -183,6 +183,12 @@
         """Prompt tokens that are still to be read there, as far as known."""
         return self.local_unread_tokens + self.peer_load.unread
 
+    def clear_failures(self) -> None:
+        """Forget failures and stalls, which had another cause."""
+        self.backoff_until = self.ejected_until = 0.0
+        self.consecutive_stalls = self.consecutive_failures = self.ejections = 0
+        self.error_part = 0.0
+
     def update_peak_unread(self) -> None:
         """Include newly arrived prompts in the peak of the current pass."""
         self.peak_unread_tokens = max(self.peak_unread_tokens, self.known_unread_tokens)
--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -45,6 +45,7 @@
     NodeState,
     QuarantineRecord,
 )
+from zinniaspool.core.fleet.paths import PathMonitor
 from zinniaspool.core.fleet.reachability import ProbeOutcome, ReachabilityTracker
 from zinniaspool.core.fleet.relays import FANOUT, choose_relays
 from zinniaspool.core.fleet.removals import RemovedInstances, RetainedStates
@@ -92,6 +93,7 @@
     "ModelSpec",
     "NodeRecord",
     "NodeState",
+    "PathMonitor",
     "ProbeOutcome",
     "QuarantineRecord",
     "ReachabilityTracker",
--- a/src/zinniaspool/core/fleet/nodes.py
+++ b/src/zinniaspool/core/fleet/nodes.py
@@ -53,6 +53,8 @@
         state: Whether callers may be sent there.
         control_address: Where the VM's control process can be followed; empty
             if it has none.
+        has_upstream_path: Whether the VM reaches upstreams by itself, and not
+            only through other VMs.
     """
 
     node: NodeId
@@ -62,6 +64,7 @@
     region: str
     state: NodeState
     control_address: Address = Address("")
+    has_upstream_path: bool = True
 
 
 class QuarantineRecord(msgspec.Struct, frozen=True):
--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -29,6 +29,10 @@
     StalledTarget,
     StoreStatus,
     StoreStatusRequest,
+    TunnelData,
+    TunnelEnd,
+    TunnelOutcome,
+    TunnelRequest,
     UnreachableNode,
     UpstreamLimit,
 )
@@ -181,6 +185,10 @@
     | StoreStatus
     | InstanceQuery
     | InstanceAnswer
+    | TunnelRequest
+    | TunnelOutcome
+    | TunnelData
+    | TunnelEnd
 )
 
 Message = (
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -7,6 +7,7 @@
 from zinniaspool.core.fleet.demands import ModelDemandReport, ModelDigest
 from zinniaspool.core.fleet.instances import InstanceId, MembershipState
 from zinniaspool.core.fleet.loads import TargetLoad
+from zinniaspool.core.fleet.reachability import ProbeOutcome
 from zinniaspool.core.ids import Address, ContentId, NodeId, Revision
 
 __all__ = [
@@ -25,6 +26,10 @@
     "StalledTarget",
     "StoreStatus",
     "StoreStatusRequest",
+    "TunnelData",
+    "TunnelEnd",
+    "TunnelOutcome",
+    "TunnelRequest",
     "UnreachableNode",
     "UpstreamLimit",
 ]
@@ -253,6 +258,46 @@
     node: NodeId
 
 
+class TunnelRequest(msgspec.Struct, frozen=True, tag="tunnel-request"):
+    """Has an entry process connect to an upstream and pass on all bytes.
+
+    It is the last message of its connection: all that follows it are bytes
+    for the upstream.
+
+    Attributes:
+        address: Where the upstream listens.
+    """
+
+    address: Address
+
+
+class TunnelOutcome(msgspec.Struct, frozen=True, tag="tunnel-outcome"):
+    """The answer to a tunnel request.
+
+    Attributes:
+        outcome: Whether the upstream was reached.
+        is_conclusive: Whether the answering process reaches upstreams. If it
+            does not, that it did not reach this one shows nothing.
+    """
+
+    outcome: ProbeOutcome
+    is_conclusive: bool
+
+
+class TunnelData(msgspec.Struct, frozen=True, tag="tunnel-data"):
+    """Bytes that an upstream sent.
+
+    Attributes:
+        data: The bytes.
+    """
+
+    data: bytes
+
+
+class TunnelEnd(msgspec.Struct, frozen=True, tag="tunnel-end"):
+    """Reports that the upstream closed its connection in order."""
+
+
 class UpstreamLimit(msgspec.Struct, frozen=True, tag="upstream-limit"):
     """Reports a target's rate limit, or a request sent under that limit.
 
--- a/src/zinniaspool/fleet/__init__.py
+++ b/src/zinniaspool/fleet/__init__.py
@@ -1,6 +1,7 @@
 """How a process learns of the fleet: from the store and from its peers."""
 
 from zinniaspool.fleet.belief import FleetView, RecordArrival
+from zinniaspool.fleet.connector import UpstreamConnector
 from zinniaspool.fleet.duties import run_supervised
 from zinniaspool.fleet.follower import FleetFollower, ProcessLocation, make_location
 from zinniaspool.fleet.leases import RenewedLease
@@ -10,6 +11,7 @@
 from zinniaspool.fleet.sight import HolderHeartbeat, read_boot_clock
 from zinniaspool.fleet.spelling import FleetCodec
 from zinniaspool.fleet.store import FleetStore
+from zinniaspool.fleet.tunnels import TunnelServer
 
 __all__ = [
     "FleetCodec",
@@ -23,6 +25,8 @@
     "QueryConnections",
     "RecordArrival",
     "RenewedLease",
+    "TunnelServer",
+    "UpstreamConnector",
     "make_location",
     "read_boot_clock",
     "run_supervised",
--- /dev/null
+++ b/src/zinniaspool/fleet/connector.py
@@ -0,0 +1,420 @@
+"""Opens connections to upstreams, directly or through other VMs.
+
+A VM may lose its path to all upstreams while callers, the store and the other
+VMs still reach it. Each connection that does not open directly is therefore
+also tried through another VM. That the other VM reaches the upstream shows
+that the path of this one is at fault, and not the upstream.
+"""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Coroutine, Iterator, Sequence
+from typing import Any, Generic, TypeVar
+
+import structlog
+
+from zinniaspool.core.fleet import NodeRecord, NodeState, PathMonitor, ProbeOutcome
+from zinniaspool.core.ids import (
+    Address,
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    split_address,
+)
+from zinniaspool.core.messages import PROTOCOL_VERSION, Hello
+from zinniaspool.fleet.belief import FleetView
+from zinniaspool.fleet.tunnels import UnreachedError, open_tunnel
+
+__all__ = ["UpstreamConnector"]
+
+_log = structlog.get_logger(__name__)
+
+STAGGER_S = 0.08
+"""Time after which the next path is tried beside those that have not answered,
+in seconds: some tens of round trips within a region."""
+
+MAX_RELAYS = 3
+"""VMs through which one connection is tried."""
+
+RELAY_PAUSE_S = 1.0
+"""Time for which a VM through which no connection came about is tried last, in
+seconds. By its end its record tells whether it has lost its path."""
+
+UNREACHED_S = 0.5
+"""Time for which an upstream that no VM reaches is not tried through others
+again, in seconds."""
+
+CHECKED_UPSTREAMS = 2
+"""Other upstreams that are tried to tell a lost path from an upstream that has
+ended."""
+
+CHECK_TIMEOUT_S = 0.25
+"""Longest wait for one of them, in seconds."""
+
+CONFIRM_PAUSE_S = 0.5
+"""Shortest pause between two such checks, in seconds."""
+
+RETRY_PAUSE_S = 0.5
+"""Pause between direct connections that are tried while the path is lost, in
+seconds."""
+
+ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
+
+
+class UpstreamConnector:
+    """Opens the connections of one process to upstreams.
+
+    Args:
+        node: This process's VM.
+        domain: Its failure domain.
+        fleet_view: Knows the upstreams and the other VMs.
+
+    Attributes:
+        on_change: Called when the path was lost or regained.
+        counts: Number of connections, by path and outcome.
+    """
+
+    def __init__(
+        self, node: NodeId, domain: FailureDomainId, fleet_view: FleetView
+    ) -> None:
+        self.on_change: list[Callable[[], None]] = []
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self._node = node
+        self._domain = domain
+        self._fleet_view = fleet_view
+        self._hello = Hello(PROTOCOL_VERSION, node, Incarnation(0), domain, "")
+        self._monitor = PathMonitor()
+        self._reached_at = float("-inf")
+        self._lost_at = 0.0
+        self._checked_at = float("-inf")
+        self._unreached_until: dict[Address, float] = {}
+        self._relay_pauses: dict[NodeId, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def is_path_lost(self) -> bool:
+        """Whether this VM reaches upstreams only through other VMs."""
+        return self._monitor.is_lost
+
+    @property
+    def is_path_suspected(self) -> bool:
+        """Whether the path is lost, or may be as far as known."""
+        return self._monitor.is_suspected
+
+    def close(self) -> None:
+        """End all checks."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def connect(
+        self,
+        make_protocol: Callable[[], ProtocolT],
+        address: Address,
+        timeout_s: float,
+    ) -> ProtocolT:
+        """Open a connection on the first path that leads to an upstream.
+
+        See ``zinniaspool.http.Connector``.
+        """
+        transport, protocol = await self._open(make_protocol, address, timeout_s)
+        if transport.is_closing():
+            raise ConnectionResetError("closed at once")
+        return protocol
+
+    async def probe(self, address: Address, timeout_s: float) -> ProbeOutcome:
+        """Find out whether an upstream can be connected to on any path."""
+        try:
+            transport, _ = await self._open(asyncio.Protocol, address, timeout_s)
+        except ConnectionRefusedError:
+            return ProbeOutcome.REFUSED
+        except (OSError, TimeoutError):
+            return ProbeOutcome.NO_ANSWER
+        transport.abort()
+        return ProbeOutcome.REACHED
+
+    async def confirm_path(self, since: float, unreached: Address) -> bool:
+        """Return whether this VM has reached an upstream directly since then.
+
+        Args:
+            since: Seconds.
+            unreached: Address of an upstream that it did not reach.
+        """
+        if self._monitor.is_lost:
+            return False
+        addresses = self._sample_upstreams(unreached)
+        if self._monitor.last_direct_at < since and addresses:
+            await asyncio.gather(*map(self._try_directly, addresses))
+        return self._monitor.last_direct_at >= since
+
+    # Opening connections.
+
+    async def _open(
+        self,
+        make_protocol: Callable[[], ProtocolT],
+        address: Address,
+        timeout_s: float,
+    ) -> tuple[asyncio.Transport, ProtocolT]:
+        loop = asyncio.get_running_loop()
+        paths = self._choose_paths(address, loop.time())
+
+        def begin(
+            number: int,
+        ) -> Coroutine[Any, Any, tuple[asyncio.Transport, ProtocolT]]:
+            relay = paths[number]
+            if relay is None:
+                return self._open_directly(make_protocol, address)
+            return self._open_tunnel(make_protocol, address, relay)
+
+        race = _Race(begin, len(paths))
+        try:
+            async with asyncio.timeout(timeout_s):
+                number, opened = await race.run()
+        except TimeoutError:
+            self._pause_relays(paths[: race.begun_count])
+            raise
+        self._pause_relays(paths[:number])
+        self._reached_at = now = loop.time()
+        self._unreached_until.pop(address, None)
+        if paths[number] is None:
+            self._record_direct(now)
+        else:
+            self._record_indirect(address, now)
+        return opened
+
+    async def _open_directly(
+        self, make_protocol: Callable[[], ProtocolT], address: Address
+    ) -> tuple[asyncio.Transport, ProtocolT]:
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        try:
+            transport, protocol = await loop.create_connection(
+                make_protocol, host, port
+            )
+        except OSError as error:
+            refused = isinstance(error, ConnectionRefusedError)
+            self.counts["direct", "refused" if refused else "failed"] += 1
+            raise
+        except asyncio.CancelledError:
+            self.counts["direct", "no-answer"] += 1
+            raise
+        self.counts["direct", "open"] += 1
+        return transport, protocol
+
+    async def _open_tunnel(
+        self,
+        make_protocol: Callable[[], ProtocolT],
+        address: Address,
+        relay: NodeRecord,
+    ) -> tuple[asyncio.Transport, ProtocolT]:
+        try:
+            opened = await open_tunnel(
+                make_protocol, relay.peer_address, self._hello, address
+            )
+        except UnreachedError as error:
+            self.counts["tunnel", error.outcome.value] += 1
+            if error.is_conclusive:
+                now = asyncio.get_running_loop().time()
+                self._unreached_until[address] = now + UNREACHED_S
+            raise
+        except OSError:
+            self.counts["tunnel", "failed"] += 1
+            raise
+        self.counts["tunnel", "open"] += 1
+        return opened
+
+    def _choose_paths(self, address: Address, now: float) -> list[NodeRecord | None]:
+        """Return the VMs to try in turn; None stands for the direct path.
+
+        Raises:
+            OSError: No path is worth a try.
+        """
+        self._unreached_until = {
+            other: until
+            for other, until in self._unreached_until.items()
+            if until > now
+        }
+        is_unreached = address in self._unreached_until
+        if is_unreached and self._monitor.is_lost:
+            raise OSError("no VM reached it a moment ago")
+        relays = [] if is_unreached else self._choose_relays(now)
+        if self._monitor.is_lost and relays:
+            return [*relays]
+        return [None, *relays]
+
+    def _pause_relays(self, relays: Sequence[NodeRecord | None]) -> None:
+        """Try VMs last that did not answer before another path led on."""
+        until = asyncio.get_running_loop().time() + RELAY_PAUSE_S
+        for relay in relays:
+            if relay is not None:
+                self._relay_pauses[relay.node] = until
+
+    def _choose_relays(self, now: float) -> list[NodeRecord]:
+        """Return the VMs to try, the likeliest first."""
+        self._relay_pauses = {
+            node: until for node, until in self._relay_pauses.items() if until > now
+        }
+        usable = [
+            record
+            for record in self._fleet_view.nodes.values()
+            if record.node != self._node
+            and record.state is NodeState.READY
+            and record.has_upstream_path
+        ]
+
+        def rank(record: NodeRecord) -> tuple[bool, bool, float]:
+            is_paused = record.node in self._relay_pauses
+            is_remote = record.failure_domain != self._domain
+            return is_paused, is_remote, random.random()
+
+        return sorted(usable, key=rank)[:MAX_RELAYS]
+
+    # The state of the path.
+
+    def _record_direct(self, now: float) -> None:
+        if not self._monitor.record_direct(now):
+            return
+        _log.info("upstream-path-regained", after_ms=int((now - self._lost_at) * 1000))
+        self._notify()
+
+    def _record_indirect(self, address: Address, now: float) -> None:
+        known = len(self._list_upstreams())
+        if self._monitor.record_indirect(address, now, known):
+            self._lost_at = now
+            _log.warning("upstream-path-lost", upstream=address, known=known)
+            self._start(self._regain_path())
+            self._notify()
+        elif not self._monitor.is_lost and now - self._checked_at > CONFIRM_PAUSE_S:
+            self._checked_at = now
+            for other in self._sample_upstreams(address):
+                self._start(self._probe_quietly(other))
+
+    def _notify(self) -> None:
+        for listener in self.on_change:
+            listener()
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _probe_quietly(self, address: Address) -> None:
+        await self.probe(address, CHECK_TIMEOUT_S)
+
+    async def _regain_path(self) -> None:
+        """Try direct connections until the path is regained."""
+        while self._monitor.is_lost:
+            await asyncio.sleep(RETRY_PAUSE_S)
+            for address in self._sample_upstreams():
+                if not await self._try_directly(address):
+                    self._monitor.record_failed_retry()
+                    break
+
+    async def _try_directly(self, address: Address) -> bool:
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                transport, _ = await self._open_directly(asyncio.Protocol, address)
+        except (OSError, TimeoutError):
+            return False
+        transport.abort()
+        now = asyncio.get_running_loop().time()
+        self._reached_at = now
+        self._record_direct(now)
+        return True
+
+    def _list_upstreams(self) -> list[Address]:
+        return [instance.address for instance in self._fleet_view.instances.values()]
+
+    def _sample_upstreams(self, other_than: Address | None = None) -> list[Address]:
+        known = [one for one in self._list_upstreams() if one != other_than]
+        return random.sample(known, min(CHECKED_UPSTREAMS, len(known)))
+
+
+class _Race(Generic[ProtocolT]):
+    """Opens a connection on several paths, until it is open on one.
+
+    The next path is begun when those before it have failed, or have not led
+    on within some time.
+
+    Args:
+        begin: Opens a connection on the path of a number.
+        count: Number of paths.
+
+    Attributes:
+        begun_count: Number of paths that were begun.
+    """
+
+    def __init__(
+        self,
+        begin: Callable[
+            [int], Coroutine[Any, Any, tuple[asyncio.Transport, ProtocolT]]
+        ],
+        count: int,
+    ) -> None:
+        self._begin = begin
+        self._count = count
+        self._tasks: list[asyncio.Task[tuple[asyncio.Transport, ProtocolT]]] = []
+
+    @property
+    def begun_count(self) -> int:
+        return len(self._tasks)
+
+    async def run(self) -> tuple[int, tuple[asyncio.Transport, ProtocolT]]:
+        """Return the number of the first path that led on, and the connection.
+
+        Raises:
+            OSError: None did. If another VM has found out why, the error tells
+                that; otherwise it tells only that no path did.
+        """
+        kept: int | None = None
+        try:
+            while True:
+                if self.begun_count < self._count:
+                    opening = self._begin(self.begun_count)
+                    self._tasks.append(asyncio.create_task(opening))
+                await self._wait()
+                for number, task in enumerate(self._tasks):
+                    if task.done() and task.exception() is None:
+                        kept = number
+                        return number, task.result()
+                self._raise_failure()
+        finally:
+            for number, task in enumerate(self._tasks):
+                if number != kept:
+                    _discard(task)
+
+    async def _wait(self) -> None:
+        running = [task for task in self._tasks if not task.done()]
+        if running:
+            await asyncio.wait(
+                running,
+                timeout=STAGGER_S if self.begun_count < self._count else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
+    def _raise_failure(self) -> None:
+        """Raise why no connection can be opened, if that is known."""
+        errors = list(self._list_errors())
+        for error in errors:
+            if isinstance(error, UnreachedError) and error.is_conclusive:
+                if error.outcome is ProbeOutcome.REFUSED:
+                    raise ConnectionRefusedError(str(error)) from error
+                raise error
+        if len(errors) < self._count:
+            return
+        if self._count == 1:
+            raise errors[0]
+        raise OSError(f"not reached on {self._count} paths") from errors[0]
+
+    def _list_errors(self) -> Iterator[BaseException]:
+        for task in self._tasks:
+            if task.done() and (error := task.exception()) is not None:
+                yield error
+
+
+def _discard(task: "asyncio.Task[tuple[asyncio.Transport, ProtocolT]]") -> None:
+    """Close a connection that is not used, or will not be."""
+    if not task.done():
+        task.cancel()
+    elif not task.cancelled() and task.exception() is None:
+        task.result()[0].abort()
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -34,7 +34,13 @@
 )
 from zinniaspool.fleet.belief import FleetView
 from zinniaspool.fleet.sight import HolderHeartbeat, read_boot_clock
-from zinniaspool.peers import PeerHandler, PeerLinks, PeerListener, encode_frame
+from zinniaspool.peers import (
+    PeerHandler,
+    PeerLinks,
+    PeerListener,
+    TunnelHandler,
+    encode_frame,
+)
 
 __all__ = ["HolderTerm", "PeerExchange", "is_connection_refused", "unpack_items"]
 
@@ -95,6 +101,8 @@
         probe_store: Queries the store and returns whether it answered.
         find_local_term: Returns this process's term as the holder; None while
             it does not plan groups.
+        serve_tunnel: Serves tunnels to upstreams; None if this process serves
+            none.
     """
 
     def __init__(
@@ -106,6 +114,7 @@
         heartbeat: HolderHeartbeat,
         probe_store: Callable[[], Awaitable[bool]],
         find_local_term: Callable[[], HolderTerm | None] = lambda: None,
+        serve_tunnel: TunnelHandler | None = None,
     ) -> None:
         self._node = node
         self._view = view
@@ -124,7 +133,9 @@
         self._query_links = self.make_links(ANSWER_TIMEOUT_S)
         self._send_links = self.make_links(SEND_TIMEOUT_S)
         self._pending_sends: set[asyncio.Task[bool]] = set()
-        self._listener = PeerListener(node, lambda _: True, self._handle)
+        self._listener = PeerListener(
+            node, lambda _: True, self._handle, serve_tunnel=serve_tunnel
+        )
         self._changed = asyncio.Event()
         view.on_change.append(self._notify_waiting)
 
--- a/src/zinniaspool/fleet/metrics.py
+++ b/src/zinniaspool/fleet/metrics.py
@@ -4,11 +4,12 @@
 from collections.abc import Iterator
 
 from zinniaspool.fleet.belief import FleetView
+from zinniaspool.fleet.connector import UpstreamConnector
 from zinniaspool.fleet.store import FleetStore
 from zinniaspool.telemetry import Sample
 from zinniaspool.telemetry.page import MetricsPage
 
-__all__ = ["add_fleet_metrics"]
+__all__ = ["add_fleet_metrics", "add_path_metrics"]
 
 
 def add_fleet_metrics(page: MetricsPage, view: FleetView, store: FleetStore) -> None:
@@ -58,3 +59,25 @@
         "Instances that the holder retains although their records were removed.",
         list_retained,
     )
+
+
+def add_path_metrics(page: MetricsPage, connector: UpstreamConnector) -> None:
+    """Add metrics of a process's path to the upstreams."""
+
+    def list_lost() -> Iterator[Sample]:
+        yield Sample({}, float(connector.is_path_lost))
+
+    def list_connections() -> Iterator[Sample]:
+        for (path, outcome), count in connector.counts.items():
+            yield Sample({"path": path, "outcome": outcome}, count)
+
+    page.add_gauge(
+        "zinniaspool_upstream_path_lost",
+        "Whether this process reaches upstreams only through other VMs.",
+        list_lost,
+    )
+    page.add_counter(
+        "zinniaspool_upstream_connections",
+        "Connections to upstreams, by path and outcome.",
+        list_connections,
+    )
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -50,6 +50,8 @@
     NodeSettings,
     PeerExchange,
     RenewedLease,
+    TunnelServer,
+    UpstreamConnector,
     make_location,
     run_supervised,
 )
@@ -83,6 +85,10 @@
 """Longest wait for a connection, in seconds: hundreds of round trips within a
 region. A VM without power never answers."""
 
+TUNNEL_CONNECT_S = 0.15
+"""Longest wait for a connection to an upstream for another VM, in seconds. Its
+result must reach that VM before its own wait is over."""
+
 NODE_LEASE_S = 12.0
 """Time for which the store keeps the record of a process that has ended, in
 seconds. The other processes probe each other and leave it out of their address
@@ -158,6 +164,12 @@
         self._configured = asyncio.Event()
         self._store = store
         holder_heartbeat = HolderHeartbeat()
+        self._connector = UpstreamConnector(
+            settings.node, settings.failure_domain, self._fleet_view
+        )
+        self._tunnel_server = TunnelServer(
+            self._is_upstream_address, TUNNEL_CONNECT_S, self._connector.confirm_path
+        )
         self._peer_exchange = PeerExchange(
             settings.node,
             settings.failure_domain,
@@ -165,6 +177,7 @@
             self._handle_message,
             holder_heartbeat,
             self._store.probe,
+            serve_tunnel=self._tunnel_server.serve,
         )
         self._address = Address(f"{settings.ip}:{settings.first_port}")
         self._follower = FleetFollower(
@@ -180,7 +193,11 @@
         )
         self._index = TargetIndex(self._fleet_view, settings.failure_domain)
         self._subset = find_subset(settings.node, settings.failure_domain, {})
-        self._http = HttpClient(connect_s=CONNECT_TIMEOUT_S, allow_unframed=True)
+        self._http = HttpClient(
+            connect_s=CONNECT_TIMEOUT_S,
+            connector=self._connector,
+            allow_unframed=True,
+        )
         self._admission_queues = AdmissionQueues(
             self._index.measure_peer_load_age, divides_capacity=divides_capacity
         )
@@ -238,6 +255,7 @@
             ),
         )
         self._crash_detector.on_refused.append(self._stall_detector.handle_refusal)
+        self._connector.on_change.append(self._stall_detector.handle_path_change)
         self._slow_target_watcher = SlowTargetWatcher(
             settings.node, self._index, self._rerouter, self._send_to_holder
         )
@@ -263,6 +281,8 @@
             self._crash_detector,
             self._cold,
             self._stall_detector.tally,
+            self._connector,
+            self._tunnel_server,
         )
         self._reachability = ReachabilityTracker(random.Random())
         self._directory_handler = DirectoryHandler(
@@ -286,6 +306,7 @@
             self._fleet_view, settings.evacuation_s
         )
         self._lease = RenewedLease(self._store, NODE_LEASE_S)
+        self._connector.on_change.append(self._lease.request_check)
         self._server = HttpServer(
             self._caller_handler.handle, make_refusal=refuse_request
         )
@@ -344,6 +365,7 @@
         """Close all connections and end all tasks at once."""
         for task in self._tasks:
             task.cancel()
+        self._connector.close()
         self._peer_exchange.close()
         for server in self._servers:
             await server.drain(0.0)
@@ -461,8 +483,13 @@
             settings.region,
             state,
             settings.control_address,
+            has_upstream_path=not self._connector.is_path_lost,
         )
 
+    def _is_upstream_address(self, address: Address) -> bool:
+        instances = self._fleet_view.instances.values()
+        return any(instance.address == address for instance in instances)
+
     def _apply_catalog(self) -> None:
         catalog = self._fleet_view.catalog
         assert catalog is not None
@@ -516,7 +543,8 @@
                 state = (
                     NodeState.READY if self._stopping_at is None else NodeState.LEAVING
                 )
-                wanted = (self._lease.lease_number, state)
+                has_path = not self._connector.is_path_lost
+                wanted = (self._lease.lease_number, state, has_path)
                 if written != wanted and await self._write_record(state):
                     written = wanted
             await self._lease.wait_until_due()
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -4,8 +4,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from zinniaspool.fleet import FleetStore, FleetView
-from zinniaspool.fleet.metrics import add_fleet_metrics
+from zinniaspool.fleet import FleetStore, FleetView, TunnelServer, UpstreamConnector
+from zinniaspool.fleet.metrics import add_fleet_metrics, add_path_metrics
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.gate import AdmissionQueues
@@ -27,6 +27,8 @@
     crashes: CrashDetector,
     cold: ColdTracker,
     stalls: StallTally,
+    connector: UpstreamConnector,
+    tunnel_server: TunnelServer,
 ) -> MetricsPage:
     """Return the metrics page of an entry process."""
     page = MetricsPage()
@@ -46,9 +48,8 @@
     def list_opened() -> Iterator[Sample]:
         yield Sample({}, http.opened_connections)
 
-    def list_failed_connections() -> Iterator[Sample]:
-        for reason, count in http.failed_connections.items():
-            yield Sample({"reason": reason}, count)
+    def list_tunnels() -> Iterator[Sample]:
+        yield Sample({}, tunnel_server.open_count)
 
     page.add_counter("zinniaspool_requests", "Requests by their end.", tally.list_ends)
     page.add_counter(
@@ -195,10 +196,11 @@
     page.add_counter(
         "zinniaspool_connections", "Connections opened to upstreams.", list_opened
     )
-    page.add_counter(
-        "zinniaspool_failed_connections",
-        "Connections to upstreams that could not be opened, by reason.",
-        list_failed_connections,
+    page.add_gauge(
+        "zinniaspool_tunnels",
+        "Connections to upstreams that this process keeps open for other VMs.",
+        list_tunnels,
     )
+    add_path_metrics(page, connector)
     add_fleet_metrics(page, fleet_view, store)
     return page
--- a/src/zinniaspool/gateway/silence.py
+++ b/src/zinniaspool/gateway/silence.py
@@ -255,6 +255,19 @@
         elif not state.streaming:
             self._rerouter.reroute_from(state, RerouteCondition.FREE_SLOT)
 
+    def handle_path_change(self) -> None:
+        """Use all targets again when this VM's path to them has changed.
+
+        What showed them as stalled or failing was the path. Requests at
+        stalled targets are sent again on the new one.
+        """
+        for state in self._index:
+            state.clear_failures()
+        stalled, self._stalled = self._stalled, {}
+        self._refused.clear()
+        for state in stalled:
+            self._rerouter.reroute_from(state)
+
     def handle_peer_report(self, report: StalledTarget) -> None:
         """Handle a report that another process found a target stalled."""
         now = asyncio.get_running_loop().time()
--- a/src/zinniaspool/http/__init__.py
+++ b/src/zinniaspool/http/__init__.py
@@ -2,6 +2,7 @@
 
 from zinniaspool.http.client import ClientResponse, HttpClient
 from zinniaspool.http.connection import Handler
+from zinniaspool.http.connector import Connector
 from zinniaspool.http.exchange import Exchange
 from zinniaspool.http.limits import Refusal, RefusalKind, ServerLimits
 from zinniaspool.http.messages import (
@@ -14,6 +15,7 @@
 
 __all__ = [
     "ClientResponse",
+    "Connector",
     "Exchange",
     "Handler",
     "Headers",
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import ssl
-from collections import Counter, deque
+from collections import deque
 from collections.abc import AsyncIterator
 from typing import cast
 
 import h11
 
 from zinniaspool.core.ids import Address, split_address
+from zinniaspool.http.connector import Connector
 from zinniaspool.http.messages import (
     Headers,
     Request,
@@ -123,14 +124,13 @@
     Args:
         connect_s: Longest wait for a connection.
         tls: If given, each connection uses TLS with this context.
+        connector: Opens the connections; None to open each one directly.
         allow_unframed: Accept responses without a length. Such a response is
             whole if the other side closes its connection in order; if the
             connection is reset, the response is cut.
 
     Attributes:
         opened_connections: Number of attempts to open a connection so far.
-        failed_connections: Number of those that failed, by ``refused`` or
-            ``no-answer``.
         allow_unframed: As above.
     """
 
@@ -138,14 +138,17 @@
         self,
         connect_s: float = 1.0,
         tls: ssl.SSLContext | None = None,
+        connector: Connector | None = None,
         *,
         allow_unframed: bool = False,
     ) -> None:
         self.opened_connections = 0
-        self.failed_connections: Counter[str] = Counter()
         self.allow_unframed = allow_unframed
         self._connect_s = connect_s
         self._tls = tls
+        self._connector = connector
+        if connector is not None:
+            connector.on_change.append(self.close)
         self._idle: dict[Address, deque[_ClientConnection]] = {}
 
     async def send(
@@ -262,22 +265,27 @@
         return None
 
     async def _connect(self, address: Address) -> "_ClientConnection":
-        host, port = split_address(address)
-        loop = asyncio.get_running_loop()
         self.opened_connections += 1
         try:
-            async with asyncio.timeout(self._connect_s):
-                _, protocol = await loop.create_connection(
-                    lambda: _ClientConnection(self, address),
-                    host,
-                    port,
-                    ssl=self._tls,
-                    server_hostname=host if self._tls else None,
-                )
+            if self._connector is None:
+                return await self._connect_directly(address)
+            return await self._connector.connect(
+                lambda: _ClientConnection(self, address), address, self._connect_s
+            )
         except (OSError, TimeoutError) as error:
-            refused = isinstance(error, ConnectionRefusedError)
-            self.failed_connections["refused" if refused else "no-answer"] += 1
             raise TransportError(TransportFailure.NOT_SENT, str(error)) from error
+
+    async def _connect_directly(self, address: Address) -> "_ClientConnection":
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(self._connect_s):
+            _, protocol = await loop.create_connection(
+                lambda: _ClientConnection(self, address),
+                host,
+                port,
+                ssl=self._tls,
+                server_hostname=host if self._tls else None,
+            )
         return protocol
 
 
--- /dev/null
+++ b/src/zinniaspool/http/connector.py
@@ -0,0 +1,42 @@
+"""What opens the connections of an HTTP client."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+from zinniaspool.core.ids import Address
+
+__all__ = ["Connector"]
+
+ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
+
+
+class Connector(Protocol):
+    """Opens connections, on whatever path leads to an address.
+
+    Attributes:
+        on_change: Called when connections take another path from now on, so
+            that idle ones are of no use any more.
+    """
+
+    on_change: list[Callable[[], None]]
+
+    async def connect(
+        self,
+        make_protocol: Callable[[], ProtocolT],
+        address: Address,
+        timeout_s: float,
+    ) -> ProtocolT:
+        """Open a connection and return its protocol.
+
+        Args:
+            make_protocol: Returns the protocol of one connection.
+            address: Where to connect.
+            timeout_s: Longest wait, in seconds.
+
+        Raises:
+            ConnectionRefusedError: Nobody listens at the address.
+            OSError: The connection failed for another reason.
+            TimeoutError: No connection was open in time.
+        """
+        ...
--- a/src/zinniaspool/peers/__init__.py
+++ b/src/zinniaspool/peers/__init__.py
@@ -1,6 +1,7 @@
 """Streams of msgpack messages over TCP between processes of the fleet."""
 
 from zinniaspool.peers.frames import (
+    FrameDecoder,
     FrameError,
     UnknownMessage,
     encode_frame,
@@ -8,13 +9,15 @@
     write_frame,
 )
 from zinniaspool.peers.links import PeerLinks
-from zinniaspool.peers.listener import PeerHandler, PeerListener
+from zinniaspool.peers.listener import PeerHandler, PeerListener, TunnelHandler
 
 __all__ = [
+    "FrameDecoder",
     "FrameError",
     "PeerHandler",
     "PeerLinks",
     "PeerListener",
+    "TunnelHandler",
     "UnknownMessage",
     "encode_frame",
     "read_frame",
--- a/src/zinniaspool/peers/frames.py
+++ b/src/zinniaspool/peers/frames.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import get_args
 
@@ -13,6 +14,7 @@
 
 __all__ = [
     "MAX_FRAME_BYTES",
+    "FrameDecoder",
     "FrameError",
     "UnknownMessage",
     "encode_frame",
@@ -79,6 +81,35 @@
         body = await reader.readexactly(length)
     except asyncio.IncompleteReadError:
         return None
+    return _decode(body)
+
+
+class FrameDecoder:
+    """Decodes messages from bytes as they arrive."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Message | UnknownMessage]:
+        """Yield the messages that are complete with these bytes.
+
+        Raises:
+            FrameError: The bytes are not messages of this protocol.
+        """
+        self._buffer += data
+        while len(self._buffer) >= _LENGTH_PREFIX_BYTES:
+            length = int.from_bytes(self._buffer[:_LENGTH_PREFIX_BYTES], "big")
+            if length > MAX_FRAME_BYTES:
+                raise FrameError(f"frame of {length} bytes is too large")
+            end = _LENGTH_PREFIX_BYTES + length
+            if len(self._buffer) < end:
+                return
+            body = bytes(self._buffer[_LENGTH_PREFIX_BYTES:end])
+            del self._buffer[:end]
+            yield _decode(body)
+
+
+def _decode(body: bytes) -> Message | UnknownMessage:
     try:
         return _decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- a/src/zinniaspool/peers/listener.py
+++ b/src/zinniaspool/peers/listener.py
@@ -20,6 +20,7 @@
     Message,
     Refused,
 )
+from zinniaspool.core.messages.fleet import TunnelRequest
 from zinniaspool.peers.frames import (
     FrameError,
     UnknownMessage,
@@ -27,7 +28,7 @@
     write_frame,
 )
 
-__all__ = ["PeerHandler", "PeerListener"]
+__all__ = ["PeerHandler", "PeerListener", "TunnelHandler"]
 
 _log = structlog.get_logger(__name__)
 _HELLO_TIMEOUT_S = 2.0
@@ -42,6 +43,11 @@
 PeerHandler = Callable[[Hello, Message], Awaitable[Message | None]]
 """Handles a message of an accepted peer; its result is the response."""
 
+TunnelHandler = Callable[
+    [TunnelRequest, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+"""Serves a tunnel on the rest of an accepted peer's connection."""
+
 
 class PeerListener:
     """Accepts connections of peers and passes their messages to a handler.
@@ -51,6 +57,7 @@
         check_secret: Returns whether a peer's secret is the fleet's.
         handler: Handles each message.
         tls: TLS context of the connections; None for plain TCP.
+        serve_tunnel: Serves tunnels; None if this process serves none.
     """
 
     def __init__(
@@ -59,7 +66,9 @@
         check_secret: Callable[[str], bool],
         handler: PeerHandler,
         tls: ssl.SSLContext | None = None,
+        serve_tunnel: TunnelHandler | None = None,
     ) -> None:
+        self._serve_tunnel = serve_tunnel
         self._node = node
         self._check_secret = check_secret
         self._tls = tls
@@ -125,6 +134,10 @@
             if isinstance(message, UnknownMessage):
                 _log.debug("message-unknown", node=hello.node, tag=message.tag)
                 continue
+            if isinstance(message, TunnelRequest):
+                if self._serve_tunnel is not None:
+                    await self._serve_tunnel(message, reader, writer)
+                return
             response = await self._handler(hello, message)
             if response is not None:
                 write_frame(writer, response)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -175,6 +175,11 @@
         "is no longer quarantined; the record expires with its lease.",
         "upstream-cold": "An upstream is cold, for the reason given; this process "
         "sends it only its share of requests, or none.",
+        "upstream-path-lost": "This VM reaches upstreams only through other VMs; "
+        "its connections to them take that path.",
+        "upstream-path-regained": "This VM reaches upstreams by itself again.",
+        "tunnel-refused": "Another VM requested a connection to an address where no "
+        "upstream is known, or too many are open.",
         "upstream-warm": "An upstream is no longer cold.",
         "upstream-crashed": "An upstream with requests of this process no longer "
         "listens; their contents are suspected.",
