Query and order engines through other VMs when the holder's path is lost

Callers saw: with the holder on one of five cut VMs, the three healthy VMs served 20 of 202 first attempts; every request for a model was refused everywhere until the cut ended, and again from 47 to 59 s.

Cause: the holder decided for the fleet on what its own VM reaches. Its second path, a query through an entry process, went to the process of the same VM, whose silence counted as the second witness. 0.43 to 0.6 s after the cut it had declared all 54 engines lost, ended all 12 groups and reported that to all processes, which removed all heads.

The control process now connects to engines as entry processes do: through another VM when the direct path fails. So a query is unanswered only if another VM, which reaches upstreams, did not reach the engine either, and orders arrive as well.

Evidence: test_a_holder_on_a_cut_vm_ends_no_group, nine cases, failed on; with entry processes alone connecting through others the cases of hanging connections still failed (2 and 3 VMs); all pass with this.

--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Callable
 
 import structlog
 
@@ -18,10 +19,11 @@
     NodeSettings,
     PeerExchange,
     QueryConnections,
+    UpstreamConnector,
     make_location,
     run_supervised,
 )
-from zinniaspool.http import HttpServer
+from zinniaspool.http import Connector, HttpServer
 from zinniaspool.keeper.election import HolderElection, compute_candidacy_delay_s
 from zinniaspool.keeper.engines import EngineControl
 from zinniaspool.keeper.holder import GroupHolder
@@ -63,7 +65,8 @@
         node: Settings of this process and its VM.
         store: The store.
         codec: Decodes the values in the store.
-        engines: Sends orders to engines and queries their status.
+        make_engines: Returns what sends orders to engines and queries their
+            status, on the connections of a connector.
         metrics_port: Port at which metrics are served; 0 to serve none.
     """
 
@@ -72,7 +75,7 @@
         node: NodeSettings,
         store: FleetStore,
         codec: FleetCodec,
-        engines: EngineControl,
+        make_engines: Callable[[Connector], EngineControl],
         metrics_port: int = 0,
     ) -> None:
         self._node = node
@@ -119,11 +122,14 @@
             make_location(node),
         )
         self._query_connections = QueryConnections(self._peers)
+        self._connector = UpstreamConnector(
+            node.node, node.failure_domain, self._fleet_view
+        )
         self._holder = GroupHolder(
             self._fleet_view,
             self._election,
             PlanStore(self._store),
-            engines,
+            make_engines(self._connector),
             EntryRelay(
                 self._fleet_view,
                 make_location(node),
@@ -144,7 +150,7 @@
         await self._peers.listen(self._address)
         if self._metrics_address is not None:
             metrics = make_controller_metrics(
-                self._fleet_view, self._store, self._holder
+                self._fleet_view, self._store, self._holder, self._connector
             )
             self._servers.append(await metrics.listen(self._metrics_address))
         self._tasks = [
@@ -187,6 +193,7 @@
         """Cancel all tasks and close all connections at once."""
         for task in self._tasks:
             task.cancel()
+        self._connector.close()
         self._peers.close()
         self._query_connections.close()
         for server in self._servers:
--- a/src/zinniaspool/keeper/metrics.py
+++ b/src/zinniaspool/keeper/metrics.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from zinniaspool.fleet import FleetStore, FleetView
-from zinniaspool.fleet.metrics import add_fleet_metrics
+from zinniaspool.fleet import FleetStore, FleetView, UpstreamConnector
+from zinniaspool.fleet.metrics import add_fleet_metrics, add_path_metrics
 from zinniaspool.keeper.holder import GroupHolder
 from zinniaspool.telemetry import Sample
 from zinniaspool.telemetry.page import MetricsPage
@@ -13,7 +13,10 @@
 
 
 def make_controller_metrics(
-    fleet_view: FleetView, store: FleetStore, holder: GroupHolder
+    fleet_view: FleetView,
+    store: FleetStore,
+    holder: GroupHolder,
+    connector: UpstreamConnector,
 ) -> MetricsPage:
     """Return the metrics page of a control process."""
     page = MetricsPage()
@@ -86,5 +89,6 @@
         "Instances that answer the holder only through an entry process.",
         list_indirect,
     )
+    add_path_metrics(page, connector)
     add_fleet_metrics(page, fleet_view, store)
     return page
--- a/src/zinniaspool/platform/keeper.py
+++ b/src/zinniaspool/platform/keeper.py
@@ -22,7 +22,9 @@
         node,
         KvStore(HttpClient(connect_s=CONNECT_S), node.store_address),
         PlatformCodec(),
-        EngineClient(HttpClient(connect_s=CONNECT_S)),
+        lambda connector: EngineClient(
+            HttpClient(connect_s=CONNECT_S, connector=connector)
+        ),
         metrics_port,
     )
 
--- a/tests/test_entry_queries.py
+++ b/tests/test_entry_queries.py
@@ -25,6 +25,7 @@
 from zinniaspool.fleet import (
     FleetView,
     ProcessLocation,
+    UpstreamConnector,
 )
 from zinniaspool.gateway.queries import InstanceQueryHandler
 from zinniaspool.keeper.metrics import make_controller_metrics
@@ -67,6 +68,7 @@
         control.fleet_view,
         store,
         control.holder,
+        UpstreamConnector(control.node, control.domain, control.fleet_view),
     )
     (line,) = [
         line
