Report an upstream as crashed only if another VM is refused there too

Callers saw (own test, not in the record): where a cut resets connections, a cut VM reported every sound upstream with a request of its own as crashed. All VMs avoided those upstreams for 4 s, and the contents of the requests there came one crash nearer to quarantine.

Cause: the crash check connected once more from the same VM and took the refusal for the end of the upstream's process.

The check now goes through the connector: it is a crash if nobody listens by the word of a VM that reaches other upstreams.

Evidence: test_reports_of_cut_vms_take_no_upstream_from_the_others[RESET] failed on (upstream-crashed in the lines) and passes; test_quarantine.py passes unchanged.

--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -6,18 +6,17 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
 
 from zinniaspool.core.dispatch import Quarantine, QuarantineStatus, TargetState
 from zinniaspool.core.fleet import InstanceIncarnation, ProbeOutcome
-from zinniaspool.core.ids import ContentId, NodeId
+from zinniaspool.core.ids import Address, ContentId, NodeId
 from zinniaspool.core.messages import Message
 from zinniaspool.core.messages.fleet import ClearedContents, CrashReport, StalledTarget
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.moves import Rerouter
-from zinniaspool.gateway.probes import probe_address
 from zinniaspool.gateway.records import QuarantineRecordStore
 from zinniaspool.gateway.targets import TargetIndex
 
@@ -52,6 +51,8 @@
         rerouter: Interrupts attempts.
         send_to_all: Sends a message to all other entry processes.
         send_to_holder: Sends a message to the holder.
+        probe: Finds out whether an upstream can be connected to, from this VM
+            or another one. That this VM alone is refused shows no crash.
 
     Attributes:
         on_refused: Called with each target that refuses connections.
@@ -68,6 +69,7 @@
         rerouter: Rerouter,
         send_to_all: Callable[[Message], None],
         send_to_holder: Callable[[Message], None],
+        probe: Callable[[Address], Awaitable[ProbeOutcome]],
     ) -> None:
         self.on_refused: list[Callable[[TargetState], None]] = []
         self.crash_count = 0
@@ -78,6 +80,7 @@
         self._index = index
         self._send_to_all = send_to_all
         self._send_to_holder = send_to_holder
+        self._probe = probe
         self._suspected_contents: defaultdict[InstanceIncarnation, set[ContentId]] = (
             defaultdict(set)
         )
@@ -164,7 +167,7 @@
         outcome = ProbeOutcome.NO_ANSWER
         for _ in range(MAX_PROBES):
             if outcome is ProbeOutcome.NO_ANSWER:
-                outcome = await probe_address(state.target.address)
+                outcome = await self._probe(state.target.address)
         del self._checks[incarnation]
         contents = sorted(self._suspected_contents.pop(incarnation, ()))
         if outcome is not ProbeOutcome.REFUSED:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -221,6 +221,7 @@
             self._rerouter,
             self._send_to_all,
             self._send_to_holder,
+            lambda address: self._connector.probe(address, CONNECT_TIMEOUT_S),
         )
         self._cold = ColdTracker(
             settings.node,
