Take no engine for lost while the holder reaches no upstream at all

Callers saw (own test, not in the record): after a cut of all VMs for two seconds, all groups had been ended and were formed anew, which takes up to 16 s; the cut alone would have been over at once.

Cause: an engine that does not answer the holder is lost, whether the holder reaches any other or not. Another VM's word does not help while all of them are cut off.

An unanswered query now counts only if the holder reaches any upstream, on any path: if none was reached since the query, two others are tried. A new holder waits for that before it queries the engines, since their silence would end groups that serve. If all upstreams are really gone, their records lapse in the store as before.

--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -91,6 +91,7 @@
         self._unreached_until: dict[Address, float] = {}
         self._relay_pauses: dict[NodeId, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._check: asyncio.Task[bool] | None = None
 
     @property
     def is_path_lost(self) -> bool:
@@ -133,6 +134,19 @@
         transport.abort()
         return ProbeOutcome.REACHED
 
+    async def is_online(self) -> bool:
+        """Return whether this VM reaches any upstream now, on any path.
+
+        If it reaches none, an upstream that does not answer it may be sound.
+        """
+        asked_at = asyncio.get_running_loop().time()
+        if not self._list_upstreams():
+            return True
+        if self._check is None or self._check.done():
+            self._check = asyncio.create_task(self._reach_any())
+        reached = await asyncio.shield(self._check)
+        return reached or self._reached_at >= asked_at
+
     async def confirm_path(self, since: float, unreached: Address) -> bool:
         """Return whether this VM has reached an upstream directly since then.
 
@@ -322,6 +336,15 @@
         self._record_direct(now)
         return True
 
+    async def _reach_any(self) -> bool:
+        outcomes = await asyncio.gather(
+            *(
+                self.probe(address, CHECK_TIMEOUT_S)
+                for address in self._sample_upstreams()
+            )
+        )
+        return ProbeOutcome.REACHED in outcomes
+
     def _list_upstreams(self) -> list[Address]:
         return [instance.address for instance in self._fleet_view.instances.values()]
 
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import structlog
@@ -65,6 +65,9 @@
     {GroupPhase.FORMING, GroupPhase.CLOSING, GroupPhase.ENDING}
 )
 
+OFFLINE_PAUSE_S = 0.25
+"""Pause between checks whether any upstream can be reached, in seconds."""
+
 DEMAND_AVERAGING_S = 1.5
 """Time over which demand is averaged, in seconds. It is about as long as a
 request takes, so that single requests do not cause VMs to be reassigned."""
@@ -98,6 +101,7 @@
             counted against their limit, in seconds.
         loads_unlimited_until: Time until which loads are not counted, in
             seconds on the loop's clock.
+        is_online: Finds out whether this process reaches any upstream.
 
     Attributes:
         order_counts: Number of orders sent, by action and outcome.
@@ -115,6 +119,7 @@
         list_demands: Callable[[], list[ModelDemandReport]],
         load_window_s: float,
         loads_unlimited_until: float,
+        is_online: Callable[[], Awaitable[bool]],
     ) -> None:
         self._fleet_view = fleet_view
         self._election = election
@@ -133,7 +138,10 @@
         self._checked_at: dict[str, float] = {}
         self._recheck_at = 0.0
         self.order_counts: Counter[tuple[OrderAction, OrderOutcome]] = Counter()
-        self.queries = InstanceQueries(fleet_view, engines, relay, self._start)
+        self._is_online = is_online
+        self.queries = InstanceQueries(
+            fleet_view, engines, relay, self._start, is_online
+        )
         self.retainer = InstanceRetainer(fleet_view, self.queries, self._start)
         self._average_demand: dict[tuple[ServiceName, ModelName], float] = {}
         self._averaged_at = 0.0
@@ -226,6 +234,7 @@
         )
         self._planner = planner
         self._restore(planner)
+        await self.retainer.run_beside(self._await_upstreams())
         await self.retainer.run_beside(self._query_all_engines(planner))
         planner.defer_formation(self._loads_unlimited_until - FORMATION_LEAD_S)
         # Until another process takes over, the plans in memory are the newest;
@@ -290,6 +299,16 @@
         planner.save_all_plans()
         self._start(self._query_all_engines(planner))
 
+    async def _await_upstreams(self) -> None:
+        """Wait until any upstream can be reached.
+
+        Otherwise the silence of the engines would show nothing, and groups
+        that serve would be ended.
+        """
+        while self._election.holds_key and not await self._is_online():
+            _log.warning("upstreams-unreachable")
+            await asyncio.sleep(OFFLINE_PAUSE_S)
+
     async def _query_all_engines(self, planner: FormationPlanner) -> None:
         """Query the status of every engine before any order is sent.
 
@@ -460,7 +479,7 @@
         if known is None:
             return
         outcome = await self.queries.query_status(known)
-        if self._apply_status(instance, outcome.answer) or outcome.was_delayed:
+        if self._apply_status(instance, outcome.answer) or outcome.is_inconclusive:
             return
         if instance not in self._fleet_view.instances:
             return
--- a/src/zinniaspool/keeper/queries.py
+++ b/src/zinniaspool/keeper/queries.py
@@ -42,11 +42,12 @@
 
     Attributes:
         answer: Its answer; None if none arrived on either path.
-        was_delayed: Whether this process was too busy to read answers in time.
+        is_inconclusive: Whether a missing answer shows nothing, because this
+            process was too busy to read it in time, or reaches no upstream.
     """
 
     answer: _T | None
-    was_delayed: bool
+    is_inconclusive: bool
 
 
 class InstanceQueries:
@@ -60,6 +61,7 @@
         engines: Queries instances, and decodes their answers.
         relay: Has entry processes query instances; None for no second path.
         start: Starts a task.
+        is_online: Finds out whether this process reaches any upstream.
 
     Attributes:
         health_counts: Number of health queries, by outcome.
@@ -71,11 +73,13 @@
         engines: EngineControl,
         relay: EntryRelay | None,
         start: Callable[[Coroutine[Any, Any, object]], None],
+        is_online: Callable[[], Awaitable[bool]],
     ) -> None:
         self._fleet_view = fleet_view
         self._engines = engines
         self._relay = relay
         self._start = start
+        self._is_online = is_online
         self._unconfirmed: set[InstanceId] = set()
         self._indirect: set[InstanceId] = set()
         self.health_counts: Counter[str] = Counter()
@@ -143,9 +147,12 @@
             self._start(self._confirm_indirect(known.id, own))
         elif answer is not None and race.was_relayed:
             self._record_indirect(known.id)
-        elif answer is None and not race.was_delayed:
+        if answer is not None:
+            return QueryOutcome(answer, is_inconclusive=False)
+        is_inconclusive = race.was_delayed or not await self._is_online()
+        if not is_inconclusive:
             self._record_direct(known.id, "unreachable")
-        return QueryOutcome(answer, race.was_delayed)
+        return QueryOutcome(answer, is_inconclusive)
 
     async def query_health(
         self, known: Instance, path: str | None
@@ -157,7 +164,7 @@
             path: Path of the query; None if the configuration names none.
         """
         if path is None:
-            return QueryOutcome(None, was_delayed=False)
+            return QueryOutcome(None, is_inconclusive=False)
 
         async def query_own(timeout_s: float) -> HealthAnswer | None:
             return self._count_health(
@@ -184,7 +191,10 @@
         answer, own = await race.run()
         if own is not None:
             own.cancel()
-        return QueryOutcome(answer, race.was_delayed)
+        is_inconclusive = race.was_delayed
+        if answer is None and not is_inconclusive:
+            is_inconclusive = not await self._is_online()
+        return QueryOutcome(answer, is_inconclusive)
 
     def _count_health(
         self, answer: Result[HealthAnswer, TransportFailure]
--- a/src/zinniaspool/keeper/retention.py
+++ b/src/zinniaspool/keeper/retention.py
@@ -167,7 +167,7 @@
             known.id,
             health.answer,
             status.answer,
-            was_delayed=health.was_delayed or status.was_delayed,
+            is_inconclusive=health.is_inconclusive or status.is_inconclusive,
         )
 
     def _decide(
@@ -176,7 +176,7 @@
         health: HealthAnswer | None,
         status: EngineStatus | None,
         *,
-        was_delayed: bool,
+        is_inconclusive: bool,
     ) -> None:
         view = self._fleet_view
         if not view.retention.is_kept(instance):
@@ -188,7 +188,7 @@
         now = view.retention.clock()
         was_retained = self._tracker.is_retained(instance)
         end = self._tracker.apply_answers(
-            known, health, status, now, was_delayed=was_delayed
+            known, health, status, now, was_delayed=is_inconclusive
         )
         if end is not None:
             self._end(instance, end)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -178,6 +178,8 @@
         "upstream-path-lost": "This VM reaches upstreams only through other VMs; "
         "its connections to them take that path.",
         "upstream-path-regained": "This VM reaches upstreams by itself again.",
+        "upstreams-unreachable": "The new holder reaches no upstream on any path; it "
+        "waits before it plans.",
         "tunnel-refused": "Another VM requested a connection to an address where no "
         "upstream is known, or too many are open.",
         "upstream-warm": "An upstream is no longer cold.",
--- a/tests/fake_engines.py
+++ b/tests/fake_engines.py
@@ -21,6 +21,7 @@
     "RECORDS",
     "SERVICE",
     "FakeEngines",
+    "answer_online",
 ]
 
 SERVICE, MODEL, SIZE = ServiceName("drafting"), ModelName("large"), 3
@@ -181,3 +182,8 @@
         if order.instance in self.unreachable | self.cut:
             return OrderOutcome.UNANSWERED
         return OrderOutcome.ACCEPTED
+
+
+async def answer_online() -> bool:
+    """Stand for a holder that reaches upstreams."""
+    return True
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -14,6 +14,7 @@
     RECORDS,
     SERVICE,
     FakeEngines,
+    answer_online,
 )
 from zinniaspool.core.fleet import (
     HOLDER_KEY,
@@ -211,6 +212,7 @@
             list,
             5.0,
             0.0,
+            answer_online,
         )
 
     def _refresh(self) -> None:
--- a/tests/test_entry_queries.py
+++ b/tests/test_entry_queries.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from tests.fake_engines import answer_online
 from tests.fleet_simulation import (
     VM_COUNT,
     FakeEngines,
@@ -318,6 +319,7 @@
             engines,
             EntryRelay(view, location, request),
             lambda work: tasks.add(asyncio.create_task(work)),
+            answer_online,
         )
 
         async def refresh_own(name: InstanceId) -> bool:
@@ -369,9 +371,8 @@
             NodeId("vm"), FailureDomainId("hall-a"), local_entry=Address("10.0.0.1:81")
         )
         relay = EntryRelay(view, location, request)
-        retainer = InstanceRetainer(
-            view, InstanceQueries(view, engines, relay, start), start
-        )
+        queries = InstanceQueries(view, engines, relay, start, answer_online)
+        retainer = InstanceRetainer(view, queries, start)
         for _ in range(2):
             view.update_retained({}, 0.0)
             await asyncio.sleep(0.1)
