Ask an entry process of another VM if that of the holder's VM has no answer

Cause: the query through an entry process ended with the first one that responded, which is that of the holder's own VM. That it had no answer from the engine counted, although it shares the path that had failed.

Evidence: query-unanswered names that one process alone; test_an_entry_process_is_no_second_witness_if_its_vm_is_cut_off failed before (engines lost, group ended) and passes. The time until a dead member is found stays within its bound (test_a_dead_member_is_found_in_time_on_both_paths).

--- a/src/zinniaspool/keeper/relays.py
+++ b/src/zinniaspool/keeper/relays.py
@@ -51,8 +51,8 @@
     ) -> InstanceAnswer | None:
         """Have an entry process query an instance.
 
-        The entry process of this VM is tried first. If it does not answer, or
-        refuses, one of another failure domain is tried.
+        The entry process of this VM is tried first, then one of another
+        failure domain: this VM may reach no upstream at all.
 
         Args:
             known: The instance.
@@ -72,10 +72,8 @@
                     answer = await self._request(entry, query)
                     if answer is None:
                         self._record_silence(entry)
-                    elif not answer.is_refused:
-                        if answer.status is not None:
-                            return answer
-                        break
+                    elif answer.status is not None and not answer.is_refused:
+                        return answer
         except TimeoutError:
             pass
         _log.info(
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -56,7 +56,7 @@
 )
 from zinniaspool.fleet.mesh import ANSWER_TIMEOUT_S, HolderTerm
 from zinniaspool.fleet.queries import ENTRY_TIMEOUT_S
-from zinniaspool.gateway.queries import InstanceQueryHandler
+from zinniaspool.gateway.queries import STATUS_TIMEOUT_S, InstanceQueryHandler
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.keeper.holder import GroupHolder
 from zinniaspool.keeper.relays import EntryRelay
@@ -247,6 +247,7 @@
     Attributes:
         silent_entries: Entry processes that answer no queries of the holder,
             as those of an older version.
+        cut_entries: Entry processes whose VMs reach no engine.
         requested_entries: The entry processes that it sent queries to.
     """
 
@@ -254,6 +255,7 @@
         self.retains_instances = retains_instances
         self.store, self.engines = FakeStore(), FakeEngines()
         self.silent_entries: set[Address] = set()
+        self.cut_entries: set[Address] = set()
         self.requested_entries: list[Address] = []
         self._fill_store()
         self.controls = [
@@ -357,6 +359,9 @@
             await asyncio.sleep(ENTRY_TIMEOUT_S)
             return None
         await asyncio.sleep(LINK_DELAY_S)
+        if address in self.cut_entries:
+            await asyncio.sleep(STATUS_TIMEOUT_S)
+            return InstanceAnswer()
         answer = await entry.queries.handle(query)
         await asyncio.sleep(LINK_DELAY_S)
         return answer
--- a/tests/test_entry_queries.py
+++ b/tests/test_entry_queries.py
@@ -212,6 +212,22 @@
     assert not list_ends(lines) and not list_events(lines, "instance-lost")
 
 
+def test_an_entry_process_is_no_second_witness_if_its_vm_is_cut_off() -> None:
+    """Guards against groups that end since the holder's VM is cut off.
+
+    Its entry process responds, and receives no answer from an engine either.
+    """
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.engines.cut = {HEAD, MEMBER}
+        fleet.cut_entries = {make_entry_address(0)}
+        await report_stalls(fleet, 2.0, 0.5)
+        assert fleet.count_users({HEAD}) == VM_COUNT
+
+    lines = run(test)
+    assert not list_events(lines, "instance-lost")
+
+
 def test_without_any_entry_process_a_cut_member_counts_as_lost() -> None:
     """Nobody could tell a group that serves from one that doesn't."""
 
