Warn no peer of a stall that begins when the path may be lost

Cause: a process warned its peers of a stalled head if any other stream had had an event within 0.25 s. When a VM is cut off, all streams have had one within a pass of each other, so that five VMs warned all others of all 12 heads within 0.12 s (target-told-silent at healthy VMs, 5.10 to 5.22 s). Each warning closes a head for 0.8 s at a VM without streams there.

Now another head must have had an event after the stalled one's next event was due. On a path that has ended all events end before that.

Evidence: test_a_process_whose_streams_all_end_at_once_warns_no_peer failed before and passes; its other case shows that peers are still warned of one head that stalls alone. test_silence.py and the rest of test_lost_heads.py pass.

--- a/src/zinniaspool/gateway/silence.py
+++ b/src/zinniaspool/gateway/silence.py
@@ -168,11 +168,13 @@
         if now >= state.backoff_until:
             self._record_stall(state, now, evidence)
             back_off(state, self._limits, now)
+            gap_s = pool.predict_gap(state, now)
             self._report_stall(
                 state,
                 now,
                 evidence,
-                predicted_ms=int(pool.predict_gap(state, now) * 1000),
+                gap_s,
+                predicted_ms=int(gap_s * 1000),
                 timeout_ms=int(
                     compute_stall_timeout(pool, state, self._limits, now) * 1000
                 ),
@@ -299,7 +301,12 @@
         self._rerouter.reroute_from(state, RerouteCondition.FREE_SLOT)
 
     def _report_stall(
-        self, state: TargetState, now: float, evidence: StallEvidence, **inputs: int
+        self,
+        state: TargetState,
+        now: float,
+        evidence: StallEvidence,
+        gap_s: float = inf,
+        **inputs: int,
     ) -> None:
         """Report a stalled head to the holder and to peers.
 
@@ -311,6 +318,7 @@
             state: The head.
             now: Seconds.
             evidence: What shows that it has stalled.
+            gap_s: Predicted time between two of its events, in seconds.
             inputs: What else the decision was made from, for the log.
         """
         quiet_ms = int((now - state.last_event_at) * 1000)
@@ -329,19 +337,19 @@
         report = StalledTarget(state.target.instance, self._node, evidence, quiet_ms)
         self._links.send_to_holder(report)
         is_refused = evidence is StallEvidence.REFUSED
-        if is_refused or (
-            state.streaming and self._has_other_active_stream(state, now)
-        ):
+        due_at = state.last_event_at + gap_s
+        if is_refused or (state.streaming and self._has_other_event(state, due_at)):
             self._links.send_to_peers(report)
 
-    def _has_other_active_stream(self, stalled: TargetState, now: float) -> bool:
-        """Return whether streams of other targets have recent events.
+    def _has_other_event(self, stalled: TargetState, since: float) -> bool:
+        """Return whether a stream of another target has had an event since.
 
-        A process that receives events from no target is most likely cut off
-        itself, and its reports would make its peers avoid all targets.
+        If this VM loses its path to the upstreams, all events end at that
+        moment, some time before the stalled target's next one was due. Reports
+        of this process would then make its peers avoid all targets.
         """
         return any(
-            now - state.last_event_at < self._limits.lost_s
+            state.last_event_at > since
             for state in self._index.list_busy_states()
             if state is not stalled and state.streaming
         )
--- a/tests/test_lost_heads.py
+++ b/tests/test_lost_heads.py
@@ -311,6 +311,29 @@
     run_with_process(test)
 
 
+@pytest.mark.parametrize("is_cut", [True, False])
+def test_a_process_whose_streams_all_end_at_once_warns_no_peer(is_cut: bool) -> None:
+    """Guards against peers that avoid all heads since one VM is cut off.
+
+    Its heads have had their last events within one pass of each other.
+    """
+
+    async def test(process: Process) -> None:
+        loop = asyncio.get_running_loop()
+        stalled, other = process.find("x"), process.find("y")
+        process.start_stream(stalled)
+        process.start_stream(other)
+        gap_s = process.pool.predict_gap(stalled, loop.time())
+        last_s = gap_s * (0.9 if is_cut else 1.3)
+        await asyncio.sleep(last_s)
+        process.pool.record_event(other, loop.time())
+        await asyncio.sleep(0.4 - last_s)
+        assert process.to_holder
+        assert bool(process.to_peers) is not is_cut
+
+    run_with_process(test)
+
+
 def test_streams_of_a_head_that_refuses_connections_are_rerouted_at_once() -> None:
     """Its process has ended, so that it is not slow: any target is better."""
 
