Send callers to VMs with a path of their own to the upstreams

Cause: the directory lists every VM that runs; nothing told the others that a VM had lost its path.

Address answers leave such VMs out as long as half of the VMs are left: with fewer, those that are left carry all requests in any case and would have all connections of callers as well. A VM without a path stays ready, and serves whoever still has its address through other VMs.

--- a/src/zinniaspool/gateway/directory.py
+++ b/src/zinniaspool/gateway/directory.py
@@ -19,6 +19,10 @@
 keep it three times as long, and a stopping process must serve them until then
 within its stop time."""
 
+MIN_ANNOUNCED_PART = 0.5
+"""Least part of the VMs that callers are sent to because the others have no
+path of their own to the upstreams."""
+
 
 class DirectoryHandler:
     """Answers requests at the directory and readiness addresses.
@@ -75,6 +79,17 @@
         ready = [others[name] for name in self._reachability.list_usable(others)]
         if own is not None:
             ready.append(own)
+        ready = _choose_with_path(ready)
         if len(ready) > MAX_ADDRESSES:
             ready = random.sample(ready, MAX_ADDRESSES)
         return [record.caller_address for record in ready]
+
+
+def _choose_with_path(ready: list[NodeRecord]) -> list[NodeRecord]:
+    """Leave out the VMs without a path of their own to the upstreams.
+
+    They are announced if too few others are left. Those carry the requests of
+    all VMs anyway, but not all connections of callers as well.
+    """
+    chosen = [record for record in ready if record.has_upstream_path]
+    return chosen if len(chosen) >= MIN_ANNOUNCED_PART * len(ready) else ready
