Judge a silent engine only by a VM that reaches other upstreams

Callers saw (own test, traced): with three of four VMs cut off and the holder on one of them, it sometimes declared two engines lost that were sound, and their groups ended.

Cause: "this VM reaches some upstream" was taken for "the queries to this engine had a sound path". The queries had been tried through VMs that were cut off as well and whose records did not say so yet, while a query to another engine had found the one sound VM.

A VM whose own timeout fired late gives no verdict. Paths are begun 0.05 s after one another, so that a query has time for three.

--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -30,9 +30,9 @@
 
 _log = structlog.get_logger(__name__)
 
-STAGGER_S = 0.08
+STAGGER_S = 0.05
 """Time after which the next path is tried beside those that have not answered,
-in seconds: some tens of round trips within a region."""
+in seconds: some ten round trips within a region."""
 
 READ_TURNS = 4
 """Turns of the event loop in which a connection that has opened meanwhile is
@@ -54,6 +54,13 @@
 """Other upstreams that are tried to tell a lost path from an upstream that has
 ended."""
 
+FORGET_UNREACHED_S = 5.0
+"""Time after which it is forgotten that no VM reached it, in seconds."""
+
+VERDICT_TIMEOUT_S = 0.6
+"""Longest wait for other VMs' word on an upstream, in seconds: their own
+connection, and the check of their path."""
+
 CHECK_TIMEOUT_S = 0.25
 """Longest wait for one of them, in seconds."""
 
@@ -93,7 +100,7 @@
         self._reached_at = float("-inf")
         self._lost_at = 0.0
         self._checked_at = float("-inf")
-        self._unreached_until: dict[Address, float] = {}
+        self._unreached_at: dict[Address, float] = {}
         self._relay_pauses: dict[NodeId, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._check: asyncio.Task[bool] | None = None
@@ -147,6 +154,25 @@
         reached = await asyncio.shield(self._check)
         return reached or self._reached_at >= asked_at
 
+    async def can_judge(self, address: Address, since: float) -> bool:
+        """Return whether the silence of an upstream is its own fault.
+
+        It is if this VM reaches other upstreams directly, or if another VM
+        that does has not reached this one.
+
+        Args:
+            address: The upstream's address.
+            since: When it was queried, in seconds.
+        """
+        if await self.confirm_path(since, address):
+            return True
+        if not self._was_unreached(address, since):
+            await self.probe(address, VERDICT_TIMEOUT_S)
+        return self._was_unreached(address, since)
+
+    def _was_unreached(self, address: Address, since: float) -> bool:
+        return self._unreached_at.get(address, float("-inf")) >= since
+
     async def confirm_path(self, since: float, unreached: Address) -> bool:
         """Return whether this VM has reached an upstream directly since then.
 
@@ -186,12 +212,12 @@
                 number, opened = await race.run()
         except (OSError, TimeoutError):
             self._pause_relays(paths[: race.begun_count])
-            if address not in self._unreached_until:
+            if not self._is_unreached(address, loop.time()):
                 self._record_failure(address, loop.time())
             raise
         self._pause_relays(paths[:number])
-        self._reached_at = now = loop.time()
-        self._unreached_until.pop(address, None)
+        now = loop.time()
+        self._record_reached(address, now)
         if paths[number] is None:
             self._record_direct(now)
         else:
@@ -230,8 +256,7 @@
         except UnreachedError as error:
             self.counts["tunnel", error.outcome.value] += 1
             if error.is_conclusive:
-                now = asyncio.get_running_loop().time()
-                self._unreached_until[address] = now + UNREACHED_S
+                self._record_unreached(address)
             raise
         except OSError:
             self.counts["tunnel", "failed"] += 1
@@ -245,12 +270,7 @@
         Raises:
             OSError: No path is worth a try.
         """
-        self._unreached_until = {
-            other: until
-            for other, until in self._unreached_until.items()
-            if until > now
-        }
-        is_unreached = address in self._unreached_until
+        is_unreached = self._is_unreached(address, now)
         if is_unreached and self._monitor.is_lost:
             raise OSError("no VM reached it a moment ago")
         relays = [] if is_unreached else self._choose_relays(now)
@@ -258,6 +278,23 @@
             return [*relays]
         return [None, *relays]
 
+    def _is_unreached(self, address: Address, now: float) -> bool:
+        """Return whether no VM reached an upstream a moment ago."""
+        return self._was_unreached(address, now - UNREACHED_S)
+
+    def _record_unreached(self, address: Address) -> None:
+        now = asyncio.get_running_loop().time()
+        self._unreached_at[address] = now
+        self._unreached_at = {
+            other: at
+            for other, at in self._unreached_at.items()
+            if now - at <= FORGET_UNREACHED_S
+        }
+
+    def _record_reached(self, address: Address, now: float) -> None:
+        self._reached_at = now
+        self._unreached_at.pop(address, None)
+
     def _pause_relays(self, relays: Sequence[NodeRecord | None]) -> None:
         """Try VMs last that did not answer before another path led on."""
         until = asyncio.get_running_loop().time() + RELAY_PAUSE_S
@@ -334,7 +371,7 @@
             return False
         transport.abort()
         now = asyncio.get_running_loop().time()
-        self._reached_at = now
+        self._record_reached(address, now)
         self._record_direct(now)
         return True
 
--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -31,6 +31,10 @@
 """Tunnels that an entry process serves at a time. Each takes two of its file
 descriptors."""
 
+MAX_LAG_S = 0.06
+"""How late a connection's timeout may fire before it shows nothing, in
+seconds. If it fires later, this process was delayed itself."""
+
 READ_BYTES = 64 * 1024
 """Largest part of an upstream's bytes that is passed on at once."""
 
@@ -222,7 +226,9 @@
         except (OSError, TimeoutError) as error:
             if isinstance(error, ConnectionRefusedError):
                 outcome = ProbeOutcome.REFUSED
-            is_conclusive = await self._confirm_path(since, upstream)
+            took_s = asyncio.get_running_loop().time() - since
+            is_conclusive = took_s <= self._connect_s + MAX_LAG_S
+            is_conclusive &= await self._confirm_path(since, upstream)
             write_frame(writer, TunnelOutcome(outcome, is_conclusive))
             return
         try:
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import structlog
@@ -32,6 +32,7 @@
 from zinniaspool.keeper.engines import CHECK_TIMEOUTS_S, EngineControl
 from zinniaspool.keeper.plans import PlanStore
 from zinniaspool.keeper.queries import InstanceQueries, list_unresponsive
+from zinniaspool.keeper.reach import UpstreamReach
 from zinniaspool.keeper.relays import EntryRelay
 from zinniaspool.keeper.retention import InstanceRetainer
 
@@ -65,6 +66,9 @@
     {GroupPhase.FORMING, GroupPhase.CLOSING, GroupPhase.ENDING}
 )
 
+MAX_START_QUERIES = 3
+"""Queries of a new holder to an engine whose silence may not be its fault."""
+
 OFFLINE_PAUSE_S = 0.25
 """Pause between checks whether any upstream can be reached, in seconds."""
 
@@ -101,7 +105,7 @@
             counted against their limit, in seconds.
         loads_unlimited_until: Time until which loads are not counted, in
             seconds on the loop's clock.
-        is_online: Finds out whether this process reaches any upstream.
+        reach: Tells whether the silence of upstreams is their own fault.
 
     Attributes:
         order_counts: Number of orders sent, by action and outcome.
@@ -119,7 +123,7 @@
         list_demands: Callable[[], list[ModelDemandReport]],
         load_window_s: float,
         loads_unlimited_until: float,
-        is_online: Callable[[], Awaitable[bool]],
+        reach: UpstreamReach,
     ) -> None:
         self._fleet_view = fleet_view
         self._election = election
@@ -138,10 +142,8 @@
         self._checked_at: dict[str, float] = {}
         self._recheck_at = 0.0
         self.order_counts: Counter[tuple[OrderAction, OrderOutcome]] = Counter()
-        self._is_online = is_online
-        self.queries = InstanceQueries(
-            fleet_view, engines, relay, self._start, is_online
-        )
+        self._reach = reach
+        self.queries = InstanceQueries(fleet_view, engines, relay, self._start, reach)
         self.retainer = InstanceRetainer(fleet_view, self.queries, self._start)
         self._average_demand: dict[tuple[ServiceName, ModelName], float] = {}
         self._averaged_at = 0.0
@@ -305,7 +307,7 @@
         Otherwise the silence of the engines would show nothing, and groups
         that serve would be ended.
         """
-        while self._election.holds_key and not await self._is_online():
+        while self._election.holds_key and not await self._reach.is_online():
             _log.warning("upstreams-unreachable")
             await asyncio.sleep(OFFLINE_PAUSE_S)
 
@@ -372,7 +374,10 @@
         known = self._fleet_view.instances.get(instance)
         if known is None:
             return False
-        outcome = await self.queries.query_status(known, CHECK_TIMEOUTS_S[1:], None)
+        for _ in range(MAX_START_QUERIES):
+            outcome = await self.queries.query_status(known, CHECK_TIMEOUTS_S[1:], None)
+            if outcome.answer is not None or not outcome.is_inconclusive:
+                break
         return self._apply_status(instance, outcome.answer)
 
     async def _refresh_status(self, instance: InstanceId) -> bool:
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -138,7 +138,7 @@
             self._peers.sum_demands,
             node.load_window_s,
             time.monotonic() + UNLIMITED_LOADS_S if node.first_start else 0.0,
-            self._connector.is_online,
+            self._connector,
         )
 
     def stop(self) -> None:
--- a/src/zinniaspool/keeper/queries.py
+++ b/src/zinniaspool/keeper/queries.py
@@ -18,6 +18,7 @@
     MAX_LOCAL_LAG_S,
     EngineControl,
 )
+from zinniaspool.keeper.reach import UpstreamReach
 from zinniaspool.keeper.relays import EntryRelay
 
 __all__ = ["InstanceQueries", "QueryOutcome", "list_unresponsive"]
@@ -43,7 +44,8 @@
     Attributes:
         answer: Its answer; None if none arrived on either path.
         is_inconclusive: Whether a missing answer shows nothing, because this
-            process was too busy to read it in time, or reaches no upstream.
+            process was too busy to read it in time, or no VM that reaches
+            upstreams has tried to reach the instance.
     """
 
     answer: _T | None
@@ -61,7 +63,7 @@
         engines: Queries instances, and decodes their answers.
         relay: Has entry processes query instances; None for no second path.
         start: Starts a task.
-        is_online: Finds out whether this process reaches any upstream.
+        reach: Tells whether a missing answer is the instance's fault.
 
     Attributes:
         health_counts: Number of health queries, by outcome.
@@ -73,13 +75,13 @@
         engines: EngineControl,
         relay: EntryRelay | None,
         start: Callable[[Coroutine[Any, Any, object]], None],
-        is_online: Callable[[], Awaitable[bool]],
+        reach: UpstreamReach,
     ) -> None:
         self._fleet_view = fleet_view
         self._engines = engines
         self._relay = relay
         self._start = start
-        self._is_online = is_online
+        self._reach = reach
         self._unconfirmed: set[InstanceId] = set()
         self._indirect: set[InstanceId] = set()
         self.health_counts: Counter[str] = Counter()
@@ -139,6 +141,7 @@
 
         if known.id in self._indirect:
             timeouts_s = timeouts_s[-1:]
+        since = asyncio.get_running_loop().time()
         race = _Race(timeouts_s, max_s, query_own, self._make_relayed_query(known))
         answer, own = await race.run()
         if own is not None:
@@ -149,7 +152,9 @@
             self._record_indirect(known.id)
         if answer is not None:
             return QueryOutcome(answer, is_inconclusive=False)
-        is_inconclusive = race.was_delayed or not await self._is_online()
+        is_inconclusive = race.was_delayed or not await self._reach.can_judge(
+            known.address, since
+        )
         if not is_inconclusive:
             self._record_direct(known.id, "unreachable")
         return QueryOutcome(answer, is_inconclusive)
@@ -182,6 +187,7 @@
                 else self._engines.decode_health(answer)
             )
 
+        since = asyncio.get_running_loop().time()
         race = _Race(
             HEALTH_TIMEOUTS_S[known.id in self._indirect :],
             MAX_CHECK_S,
@@ -193,7 +199,7 @@
             own.cancel()
         is_inconclusive = race.was_delayed
         if answer is None and not is_inconclusive:
-            is_inconclusive = not await self._is_online()
+            is_inconclusive = not await self._reach.can_judge(known.address, since)
         return QueryOutcome(answer, is_inconclusive)
 
     def _count_health(
--- a/tests/fake_engines.py
+++ b/tests/fake_engines.py
@@ -21,7 +21,7 @@
     "RECORDS",
     "SERVICE",
     "FakeEngines",
-    "answer_online",
+    "SoundPaths",
 ]
 
 SERVICE, MODEL, SIZE = ServiceName("drafting"), ModelName("large"), 3
@@ -184,6 +184,11 @@
         return OrderOutcome.ACCEPTED
 
 
-async def answer_online() -> bool:
-    """Stand for a holder that reaches upstreams."""
-    return True
+class SoundPaths:
+    """Paths of a holder that reaches all upstreams that live."""
+
+    async def is_online(self) -> bool:
+        return True
+
+    async def can_judge(self, address: Address, since: float) -> bool:
+        return True
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -14,7 +14,7 @@
     RECORDS,
     SERVICE,
     FakeEngines,
-    answer_online,
+    SoundPaths,
 )
 from zinniaspool.core.fleet import (
     HOLDER_KEY,
@@ -212,7 +212,7 @@
             list,
             5.0,
             0.0,
-            answer_online,
+            SoundPaths(),
         )
 
     def _refresh(self) -> None:
--- a/tests/test_entry_queries.py
+++ b/tests/test_entry_queries.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from tests.fake_engines import answer_online
+from tests.fake_engines import SoundPaths
 from tests.fleet_simulation import (
     VM_COUNT,
     FakeEngines,
@@ -335,7 +335,7 @@
             engines,
             EntryRelay(view, location, request),
             lambda work: tasks.add(asyncio.create_task(work)),
-            answer_online,
+            SoundPaths(),
         )
 
         async def refresh_own(name: InstanceId) -> bool:
@@ -387,7 +387,7 @@
             NodeId("vm"), FailureDomainId("hall-a"), local_entry=Address("10.0.0.1:81")
         )
         relay = EntryRelay(view, location, request)
-        queries = InstanceQueries(view, engines, relay, start, answer_online)
+        queries = InstanceQueries(view, engines, relay, start, SoundPaths())
         retainer = InstanceRetainer(view, queries, start)
         for _ in range(2):
             view.update_retained({}, 0.0)
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -9,7 +9,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from tests.fake_engines import answer_online
+from tests.fake_engines import SoundPaths
 from tests.fleet_simulation import (
     RECORDS,
     VM_COUNT,
@@ -392,7 +392,7 @@
         def start(work: Coroutine[Any, Any, object]) -> None:
             tasks.add(asyncio.create_task(work))
 
-        queries = InstanceQueries(view, engines, None, start, answer_online)
+        queries = InstanceQueries(view, engines, None, start, SoundPaths())
         retainer = InstanceRetainer(view, queries, start)
         for _ in range(2):
             view.update_retained({}, 0.0)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -10,9 +10,17 @@
 
 import pytest
 
-from zinniaspool.core.fleet import PathMonitor, ProbeOutcome
+from tests.test_belief import ViewWriter
+from zinniaspool.core.fleet import (
+    InstanceId,
+    NodeRecord,
+    NodeState,
+    PathMonitor,
+    ProbeOutcome,
+)
 from zinniaspool.core.ids import Address, FailureDomainId, Incarnation, NodeId
 from zinniaspool.core.messages import PROTOCOL_VERSION, Hello
+from zinniaspool.fleet import UpstreamConnector
 from zinniaspool.fleet.tunnels import TunnelServer, UnreachedError, open_tunnel
 from zinniaspool.http import (
     HttpClient,
@@ -21,6 +29,7 @@
     TransportFailure,
 )
 from zinniaspool.peers import PeerListener
+from zinniaspool_standins.cuts import CURRENT_VM, CutKind, CuttableLoop
 from zinniaspool_standins.installation import free_address
 
 HELLO = Hello(PROTOCOL_VERSION, NodeId("n"), Incarnation(0), FailureDomainId("a"), "")
@@ -202,6 +211,52 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("reaches_others", [False, True])
+def test_silence_shows_nothing_while_only_cut_vms_were_tried(
+    reaches_others: bool,
+) -> None:
+    """Guards against engines that count as lost since most VMs are cut off.
+
+    The holder's VM is cut off itself, and so is the one that it asks, or not.
+    """
+
+    async def serve(*_: object) -> None: ...
+
+    async def test() -> None:
+        async with serve_behind_relay(serve, reaches_others=reaches_others) as (
+            client,
+            _,
+            _,
+        ):
+            connector = client._connector
+            assert isinstance(connector, TunnelConnector)
+            writer, gone = ViewWriter(), free_address()
+            for name, address in (("i-0", gone), ("i-1", free_address())):
+                writer.put(InstanceId(name), address=address)
+            record = NodeRecord(
+                NodeId("r"),
+                connector.relay,
+                connector.relay,
+                FailureDomainId("b"),
+                "north",
+                NodeState.READY,
+            )
+            writer.view.nodes[record.node] = record
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, CuttableLoop)
+            loop.upstreams = {
+                instance.address for instance in writer.view.instances.values()
+            }
+            loop.cut("n", CutKind.HANG)
+            CURRENT_VM.set("n")
+            paths = UpstreamConnector(NodeId("n"), FailureDomainId("a"), writer.view)
+            assert await paths.can_judge(gone, loop.time()) is reaches_others
+            paths.close()
+
+    with asyncio.Runner(loop_factory=CuttableLoop) as runner:
+        runner.run(test())
+
+
 def test_a_path_is_lost_only_if_connections_to_several_upstreams_fail() -> None:
     """Guards against VMs that leave their path after a few lost packets."""
     one, other, third = (Address(f"10.0.0.{n}:1") for n in range(3))
--- a/tests/test_upstream_paths.py
+++ b/tests/test_upstream_paths.py
@@ -83,7 +83,7 @@
                 made.ask(node, "/receipts/1", "GET"),
             ):
                 pending.append(asyncio.create_task(count(node, sending)))
-        await asyncio.sleep(0.15)
+        await asyncio.sleep(0.25)
     await asyncio.gather(*pending)
     return counts
 
