Choose other VMs for a connection only when the direct path fails

Cause: each connection ranked all entry VMs before it began, although almost all open directly. That grows with the fleet: 380 VMs for each of some twenty connections a second and VM.

The paths are now drawn one by one. No decision changes.

--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -196,29 +196,27 @@
         timeout_s: float,
     ) -> tuple[asyncio.Transport, ProtocolT]:
         loop = asyncio.get_running_loop()
-        paths = self._choose_paths(address, loop.time())
 
         def begin(
-            number: int,
+            relay: NodeRecord | None,
         ) -> Coroutine[Any, Any, tuple[asyncio.Transport, ProtocolT]]:
-            relay = paths[number]
             if relay is None:
                 return self._open_directly(make_protocol, address)
             return self._open_tunnel(make_protocol, address, relay)
 
-        race = _Race(begin, len(paths))
+        race = _Race(begin, self._list_paths(address))
         try:
             async with asyncio.timeout(timeout_s):
-                number, opened = await race.run()
+                opened = await race.run()
         except (OSError, TimeoutError):
-            self._pause_relays(paths[: race.begun_count])
+            self._pause_relays(race.begun)
             if not self._is_unreached(address, loop.time()):
                 self._record_failure(address, loop.time())
             raise
-        self._pause_relays(paths[:number])
+        self._pause_relays(race.begun[: race.winner])
         now = loop.time()
         self._record_reached(address, now)
-        if paths[number] is None:
+        if race.begun[race.winner] is None:
             self._record_direct(now)
         else:
             self._record_failure(address, now)
@@ -264,19 +262,23 @@
         self.counts["tunnel", "open"] += 1
         return opened
 
-    def _choose_paths(self, address: Address, now: float) -> list[NodeRecord | None]:
-        """Return the VMs to try in turn; None stands for the direct path.
+    def _list_paths(self, address: Address) -> Iterator[NodeRecord | None]:
+        """Yield the VMs to try in turn; None stands for the direct path.
 
-        Raises:
-            OSError: No path is worth a try.
+        The VMs are chosen only when the first of them is needed: almost all
+        connections open directly.
         """
+        now = asyncio.get_running_loop().time()
         is_unreached = self._is_unreached(address, now)
-        if is_unreached and self._monitor.is_lost:
-            raise OSError("no VM reached it a moment ago")
-        relays = [] if is_unreached else self._choose_relays(now)
-        if self._monitor.is_lost and relays:
-            return [*relays]
-        return [None, *relays]
+        if not self._monitor.is_lost:
+            yield None
+            if not is_unreached:
+                yield from self._choose_relays(now)
+        elif not is_unreached:
+            relays = self._choose_relays(now)
+            yield from relays
+            if not relays:
+                yield None
 
     def _is_unreached(self, address: Address, now: float) -> bool:
         """Return whether no VM reached an upstream a moment ago."""
@@ -399,59 +401,65 @@
     on within some time.
 
     Args:
-        begin: Opens a connection on the path of a number.
-        count: Number of paths.
+        begin: Opens a connection on a path.
+        paths: The paths, each drawn when it is needed.
 
     Attributes:
-        begun_count: Number of paths that were begun.
+        begun: The paths that were begun.
+        winner: Index of the one that led on.
     """
 
     def __init__(
         self,
         begin: Callable[
-            [int], Coroutine[Any, Any, tuple[asyncio.Transport, ProtocolT]]
+            [NodeRecord | None],
+            Coroutine[Any, Any, tuple[asyncio.Transport, ProtocolT]],
         ],
-        count: int,
+        paths: Iterator[NodeRecord | None],
     ) -> None:
+        self.begun: list[NodeRecord | None] = []
+        self.winner = 0
         self._begin = begin
-        self._count = count
+        self._paths = paths
+        self._has_more = True
         self._tasks: list[asyncio.Task[tuple[asyncio.Transport, ProtocolT]]] = []
 
-    @property
-    def begun_count(self) -> int:
-        return len(self._tasks)
-
-    async def run(self) -> tuple[int, tuple[asyncio.Transport, ProtocolT]]:
-        """Return the number of the first path that led on, and the connection.
+    async def run(self) -> tuple[asyncio.Transport, ProtocolT]:
+        """Return the connection that was opened first.
 
         Raises:
-            OSError: None did. If another VM has found out why, the error tells
-                that; otherwise it tells only that no path did.
+            OSError: None was. If another VM has found out why, the error tells
+                that; otherwise it tells only that no path led on.
         """
-        kept: int | None = None
+        kept = None
         try:
             while True:
-                if self.begun_count < self._count:
-                    opening = self._begin(self.begun_count)
-                    self._tasks.append(asyncio.create_task(opening))
+                self._begin_next()
                 await self._wait()
                 for number, task in enumerate(self._tasks):
                     if task.done() and task.exception() is None:
-                        kept = number
-                        return number, task.result()
+                        kept, self.winner = task, number
+                        return task.result()
                 self._raise_failure()
         finally:
-            for number, task in enumerate(self._tasks):
-                if number != kept:
+            for task in self._tasks:
+                if task is not kept:
                     _discard(task)
 
+    def _begin_next(self) -> None:
+        for path in self._paths:
+            self.begun.append(path)
+            self._tasks.append(asyncio.create_task(self._begin(path)))
+            return
+        self._has_more = False
+
     async def _wait(self) -> None:
         running = [task for task in self._tasks if not task.done()]
         if not running:
             return
         done, _ = await asyncio.wait(
             running,
-            timeout=STAGGER_S if self.begun_count < self._count else None,
+            timeout=STAGGER_S if self._has_more else None,
             return_when=asyncio.FIRST_COMPLETED,
         )
         if not done:
@@ -466,11 +474,11 @@
                 if error.outcome is ProbeOutcome.REFUSED:
                     raise ConnectionRefusedError(str(error)) from error
                 raise error
-        if len(errors) < self._count:
+        if self._has_more or len(errors) < len(self._tasks):
             return
-        if self._count == 1:
+        if len(errors) == 1:
             raise errors[0]
-        raise OSError(f"not reached on {self._count} paths") from errors[0]
+        raise OSError(f"not reached on {len(errors)} paths")
 
     def _list_errors(self) -> Iterator[BaseException]:
         for task in self._tasks:
