Demo: print the seed and what became of each lost request

A lost request of ./demo was seen three times and could not be traced: the demo printed neither a seed nor which request it was. It now prints its seed, takes one (--seed), and tells for a lost or foreign request which VMs it went to, how each ended and after how long.

--- a/src/zinniaspool_standins/tour.py
+++ b/src/zinniaspool_standins/tour.py
@@ -95,12 +95,16 @@
     Args:
         made: The store and the runners.
         nodes: The entry VMs.
+        seed: Decides which requests are sent, and what is broken.
     """
 
-    def __init__(self, made: Installation, nodes: list[EntryNode]) -> None:
+    def __init__(
+        self, made: Installation, nodes: list[EntryNode], seed: int | None = None
+    ) -> None:
         self._made = made
         self._nodes = nodes
-        self._source = random.Random()
+        self._seed = random.randrange(10**6) if seed is None else seed
+        self._source = random.Random(self._seed)
         self._began = time.monotonic()
         self._stopped = False
         self._sent = 0
@@ -108,6 +112,7 @@
 
     async def run(self) -> bool:
         """Start, break and judge; whether every promise was kept."""
+        self.tell(f"seed {self._seed}")
         await self._wait_for_service()
         self._show_groups()
         self.tell("sending streamed, idempotent and non-idempotent requests")
@@ -156,13 +161,18 @@
     async def _call(self, wanted: Wanted) -> None:
         """Ask as a caller does: elsewhere again, if that may be done."""
         nodes = self._source.sample(self._nodes, len(self._nodes))
-        ending = Ending.LOST
+        ending, asks = Ending.LOST, list[str]()
         for number in range(MOST_ASKS):
-            ending = await self._ask(nodes[number % len(nodes)], wanted, number)
+            node, began = nodes[number % len(nodes)], time.monotonic()
+            ending = await self._ask(node, wanted, number)
+            took_s = time.monotonic() - began
+            asks.append(f"{node.name} {ending.value} after {took_s:.2f} s")
             if ending not in (Ending.REFUSED, Ending.LOST):
                 break
             await asyncio.sleep(LOOK_S)
         self._endings[ending] += 1
+        if ending in (Ending.LOST, Ending.FOREIGN):
+            self.tell(f"  {wanted.name} ({wanted.kind}): {', '.join(asks)}")
 
     async def _ask(self, node: EntryNode, wanted: Wanted, number: int) -> Ending:
         name = f"{wanted.name}-{number}"
@@ -311,7 +321,7 @@
     print(f"  .venv/bin/zinniaspool trace mine {folder}/*.log", flush=True)
 
 
-async def _run(folder: Path, keep: bool) -> bool:
+async def _run(folder: Path, keep: bool, seed: int | None) -> bool:
     task = asyncio.current_task()
     assert task is not None
     loop = asyncio.get_running_loop()
@@ -320,7 +330,7 @@
     async with Installation.running(nodes=0, engines=ENGINES) as made:
         nodes = await make_nodes(made, folder, NODES)
         try:
-            kept = await Tour(made, nodes).run()
+            kept = await Tour(made, nodes, seed).run()
             if keep:
                 _show_commands(nodes, folder)
                 with contextlib.suppress(asyncio.CancelledError):
@@ -333,11 +343,12 @@
 def _main(
     keep: Annotated[bool, typer.Option(help="Leave the fleet running.")] = False,
     folder: Annotated[Path, typer.Option(help="Gets settings and logs.")] = FOLDER,
+    seed: Annotated[int | None, typer.Option(help="Repeats its choices.")] = None,
 ) -> None:
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
     try:
-        kept = asyncio.run(_run(folder.absolute(), keep))
+        kept = asyncio.run(_run(folder.absolute(), keep, seed))
     except asyncio.CancelledError:
         kept = False
     raise typer.Exit(0 if kept else 1)
