Demo: callers come back when they are told to

For 1.9 s there was no large group, and requests were refused with Retry-After of about two seconds. The demo's callers ignored that and came back after 0.1 s, so that r130 used up three of its four asks within 0.4 s at VMs that refused it truly, and its last one met the entry process that the demo kills. Nothing was lost by the programs: a caller that does as it is told comes back when there is a group again.

Callers of the demo now wait for Retry-After, as callers on the platform do. The check stays: no request may be lost.

--- a/src/zinniaspool_standins/tour.py
+++ b/src/zinniaspool_standins/tour.py
@@ -44,7 +44,8 @@
 """Mean pause between two callers' requests, in seconds."""
 
 MOST_ASKS = 4
-"""How often a caller asks at most, each time at another entry VM."""
+"""How often a caller asks at most, each time at another entry VM. A caller
+that is refused comes back when it is told to."""
 
 DEADLINE_MS = 3000
 NOT_RUN = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
@@ -139,7 +140,7 @@
     async def _wait_until_served(self, node: EntryNode, kind: str) -> None:
         ending = Ending.REFUSED
         while ending is not Ending.ANSWERED:
-            ending = await self._ask(node, self._make_wanted(kind), 0)
+            ending, _ = await self._ask(node, self._make_wanted(kind), 0)
             await asyncio.sleep(LOOK_S)
 
     # Callers.
@@ -164,17 +165,20 @@
         ending, asks = Ending.LOST, list[str]()
         for number in range(MOST_ASKS):
             node, began = nodes[number % len(nodes)], time.monotonic()
-            ending = await self._ask(node, wanted, number)
+            ending, pause_s = await self._ask(node, wanted, number)
             took_s = time.monotonic() - began
             asks.append(f"{node.name} {ending.value} after {took_s:.2f} s")
             if ending not in (Ending.REFUSED, Ending.LOST):
                 break
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(pause_s)
         self._endings[ending] += 1
         if ending in (Ending.LOST, Ending.FOREIGN):
             self.tell(f"  {wanted.name} ({wanted.kind}): {', '.join(asks)}")
 
-    async def _ask(self, node: EntryNode, wanted: Wanted, number: int) -> Ending:
+    async def _ask(
+        self, node: EntryNode, wanted: Wanted, number: int
+    ) -> tuple[Ending, float]:
+        """Return how one ask ended, and when the next may come, in seconds."""
         name = f"{wanted.name}-{number}"
         headers = Headers.of(
             host="care.example",
@@ -194,11 +198,12 @@
             body = await response.read()
         except TransportError as error:
             if error.failure is TransportFailure.NOT_SENT:
-                return Ending.REFUSED
-            return Ending.LOST if wanted.repeatable else Ending.UNKNOWN
+                return Ending.REFUSED, LOOK_S
+            return Ending.LOST if wanted.repeatable else Ending.UNKNOWN, LOOK_S
         finally:
             client.close()
-        return _judge_answer(wanted, name, response.status, body)
+        pause_s = float(response.headers.get("retry-after") or LOOK_S)
+        return _judge_answer(wanted, name, response.status, body), pause_s
 
     # What is broken.
 
