Try VMs that take their path for lost too, as the last ones

With no VM to try, and the direct path cut, every connection failed. While its path counted as lost the sound VM itself tried other VMs alone.

A failed connection counts against the path only if its timeout fired on time. VMs whose records say that their path is lost are tried last instead of not at all, and a VM that takes its path for lost tries the direct one last.

--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -24,7 +24,7 @@
 )
 from zinniaspool.core.messages import PROTOCOL_VERSION, Hello
 from zinniaspool.fleet.belief import FleetView
-from zinniaspool.fleet.tunnels import UnreachedError, open_tunnel
+from zinniaspool.fleet.tunnels import MAX_LAG_S, UnreachedError, open_tunnel
 
 __all__ = ["UpstreamConnector"]
 
@@ -196,6 +196,7 @@
         timeout_s: float,
     ) -> tuple[asyncio.Transport, ProtocolT]:
         loop = asyncio.get_running_loop()
+        began_at = loop.time()
 
         def begin(
             relay: NodeRecord | None,
@@ -210,8 +211,10 @@
                 opened = await race.run()
         except (OSError, TimeoutError):
             self._pause_relays(race.begun)
-            if not self._is_unreached(address, loop.time()):
-                self._record_failure(address, loop.time())
+            now = loop.time()
+            was_late = now - began_at > timeout_s + MAX_LAG_S
+            if not was_late and not self._is_unreached(address, now):
+                self._record_failure(address, now)
             raise
         self._pause_relays(race.begun[: race.winner])
         now = loop.time()
@@ -275,10 +278,8 @@
             if not is_unreached:
                 yield from self._choose_relays(now)
         elif not is_unreached:
-            relays = self._choose_relays(now)
-            yield from relays
-            if not relays:
-                yield None
+            yield from self._choose_relays(now)
+            yield None
 
     def _is_unreached(self, address: Address, now: float) -> bool:
         """Return whether no VM reached an upstream a moment ago."""
@@ -312,15 +313,15 @@
         usable = [
             record
             for record in self._fleet_view.nodes.values()
-            if record.node != self._node
-            and record.state is NodeState.READY
-            and record.has_upstream_path
+            if record.node != self._node and record.state is NodeState.READY
         ]
 
-        def rank(record: NodeRecord) -> tuple[bool, bool, float]:
+        def rank(record: NodeRecord) -> tuple[bool, bool, bool, float]:
+            # A VM that takes its path for lost may be wrong, and a paused one
+            # may just have been late.
             is_paused = record.node in self._relay_pauses
             is_remote = record.failure_domain != self._domain
-            return is_paused, is_remote, random.random()
+            return not record.has_upstream_path, is_paused, is_remote, random.random()
 
         return sorted(usable, key=rank)[:MAX_RELAYS]
 
--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -23,7 +23,7 @@
 )
 from zinniaspool.peers import FrameDecoder, FrameError, encode_frame, write_frame
 
-__all__ = ["TunnelServer", "UnreachedError", "open_tunnel"]
+__all__ = ["MAX_LAG_S", "TunnelServer", "UnreachedError", "open_tunnel"]
 
 _log = structlog.get_logger(__name__)
 
@@ -32,8 +32,8 @@
 descriptors."""
 
 MAX_LAG_S = 0.06
-"""How late a connection's timeout may fire before it shows nothing, in
-seconds. If it fires later, this process was delayed itself."""
+"""How late a connection's timeout may fire before its failure shows nothing,
+in seconds. If it fires later, this process was delayed itself."""
 
 READ_BYTES = 64 * 1024
 """Largest part of an upstream's bytes that is passed on at once."""
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -211,6 +211,56 @@
     asyncio.run(test())
 
 
+def add_relay(
+    writer: ViewWriter, relay: Address, *, has_upstream_path: bool = True
+) -> None:
+    """Add another entry VM to a view."""
+    record = NodeRecord(
+        NodeId("r"),
+        relay,
+        relay,
+        FailureDomainId("b"),
+        "north",
+        NodeState.READY,
+        has_upstream_path=has_upstream_path,
+    )
+    writer.view.nodes[record.node] = record
+
+
+def cut_off(writer: ViewWriter) -> None:
+    """Let this VM's connections to all known upstreams hang from now on."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, CuttableLoop)
+    loop.upstreams = {instance.address for instance in writer.view.instances.values()}
+    loop.cut("n", CutKind.HANG)
+    CURRENT_VM.set("n")
+
+
+def test_a_vm_that_takes_its_path_for_lost_is_still_tried() -> None:
+    """Guards against refusals if a sound VM that lacks processor time errs."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read()
+        writer.close()
+
+    async def test() -> None:
+        async with serve_behind_relay(serve) as (client, upstream, _):
+            connector = client._connector
+            assert isinstance(connector, TunnelConnector)
+            writer = ViewWriter()
+            writer.put(InstanceId("i-0"), address=upstream)
+            add_relay(writer, connector.relay, has_upstream_path=False)
+            cut_off(writer)
+            paths = UpstreamConnector(NodeId("n"), FailureDomainId("a"), writer.view)
+            for _ in range(3):
+                assert await paths.probe(upstream, 0.3) is ProbeOutcome.REACHED
+            assert paths.is_path_lost
+            paths.close()
+
+    with asyncio.Runner(loop_factory=CuttableLoop) as runner:
+        runner.run(test())
+
+
 @pytest.mark.parametrize("reaches_others", [False, True])
 def test_silence_shows_nothing_while_only_cut_vms_were_tried(
     reaches_others: bool,
@@ -233,22 +283,9 @@
             writer, gone = ViewWriter(), free_address()
             for name, address in (("i-0", gone), ("i-1", free_address())):
                 writer.put(InstanceId(name), address=address)
-            record = NodeRecord(
-                NodeId("r"),
-                connector.relay,
-                connector.relay,
-                FailureDomainId("b"),
-                "north",
-                NodeState.READY,
-            )
-            writer.view.nodes[record.node] = record
+            add_relay(writer, connector.relay)
+            cut_off(writer)
             loop = asyncio.get_running_loop()
-            assert isinstance(loop, CuttableLoop)
-            loop.upstreams = {
-                instance.address for instance in writer.view.instances.values()
-            }
-            loop.cut("n", CutKind.HANG)
-            CURRENT_VM.set("n")
             paths = UpstreamConnector(NodeId("n"), FailureDomainId("a"), writer.view)
             assert await paths.can_judge(gone, loop.time()) is reaches_others
             paths.close()
