Use no tunnel again through a VM that leaves, and wait for open ones

Callers saw (own test): a VM without a path had requests on tunnels through another VM that was stopped; they were cut when it ended. Streams went on elsewhere, a request that may run once could not.

Cause: a leaving VM gets no new tunnels, but idle connections were used again until it ended, and it waited for its own callers' requests only. A connection that was busy at that moment came back to the pool.

A connector now ends the reuse of all its connections when a VM that it has tunnels through leaves; a leaving VM waits for open tunnels as for requests, within its stop time.

--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -83,14 +83,18 @@
         fleet_view: Knows the upstreams and the other VMs.
 
     Attributes:
-        on_change: Called when the path was lost or regained.
+        on_idle_obsolete: Called when idle connections must not be used any
+            more: the path was lost or regained, or a VM that they lead through
+            leaves.
+        on_path_change: Called when the path was lost or regained.
         counts: Number of connections, by path and outcome.
     """
 
     def __init__(
         self, node: NodeId, domain: FailureDomainId, fleet_view: FleetView
     ) -> None:
-        self.on_change: list[Callable[[], None]] = []
+        self.on_idle_obsolete: list[Callable[[], None]] = []
+        self.on_path_change: list[Callable[[], None]] = []
         self.counts: Counter[tuple[str, str]] = Counter()
         self._node = node
         self._domain = domain
@@ -102,6 +106,8 @@
         self._checked_at = float("-inf")
         self._unreached_at: dict[Address, float] = {}
         self._relay_pauses: dict[NodeId, float] = {}
+        self._used_relays: set[NodeId] = set()
+        fleet_view.on_nodes.append(self._handle_nodes)
         self._tasks: set[asyncio.Task[None]] = set()
         self._check: asyncio.Task[bool] | None = None
 
@@ -263,6 +269,7 @@
             self.counts["tunnel", "failed"] += 1
             raise
         self.counts["tunnel", "open"] += 1
+        self._used_relays.add(relay.node)
         return opened
 
     def _list_paths(self, address: Address) -> Iterator[NodeRecord | None]:
@@ -346,7 +353,25 @@
                 self._start(self._probe_quietly(other))
 
     def _notify(self) -> None:
-        for listener in self.on_change:
+        self._drop_idle()
+        for listener in self.on_path_change:
+            listener()
+
+    def _handle_nodes(self) -> None:
+        """Use no idle tunnels through VMs that leave.
+
+        A leaving VM ends some seconds later, and would cut requests there.
+        """
+        nodes = self._fleet_view.nodes
+        if any(
+            node not in nodes or nodes[node].state is not NodeState.READY
+            for node in self._used_relays
+        ):
+            self._drop_idle()
+
+    def _drop_idle(self) -> None:
+        self._used_relays.clear()
+        for listener in self.on_idle_obsolete:
             listener()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -178,6 +178,7 @@
 
     Attributes:
         open_count: Tunnels that are open now.
+        idle: Set while no tunnel is open.
     """
 
     def __init__(
@@ -187,6 +188,8 @@
         confirm_path: Callable[[float, Address], Awaitable[bool]],
     ) -> None:
         self.open_count = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
         self._is_upstream = is_upstream
         self._connect_s = connect_s
         self._confirm_path = confirm_path
@@ -205,10 +208,13 @@
             )
             return
         self.open_count += 1
+        self.idle.clear()
         try:
             await self._serve(request.address, reader, writer)
         finally:
             self.open_count -= 1
+            if not self.open_count:
+                self.idle.set()
 
     async def _serve(
         self,
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -256,7 +256,7 @@
             ),
         )
         self._crash_detector.on_refused.append(self._stall_detector.handle_refusal)
-        self._connector.on_change.append(self._stall_detector.handle_path_change)
+        self._connector.on_path_change.append(self._stall_detector.handle_path_change)
         self._slow_target_watcher = SlowTargetWatcher(
             settings.node, self._index, self._rerouter, self._send_to_holder
         )
@@ -307,7 +307,7 @@
             self._fleet_view, settings.evacuation_s
         )
         self._lease = RenewedLease(self._store, NODE_LEASE_S)
-        self._connector.on_change.append(self._lease.request_check)
+        self._connector.on_path_change.append(self._lease.request_check)
         self._server = HttpServer(
             self._caller_handler.handle, make_refusal=refuse_request
         )
@@ -578,6 +578,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(end):
                 await self._caller_handler.idle.wait()
+                await self._tunnel_server.idle.wait()
 
     async def _write_leaving_record(self) -> None:
         if self._lease.lease_number is not None:
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -148,7 +148,8 @@
         self._tls = tls
         self._connector = connector
         if connector is not None:
-            connector.on_change.append(self.close)
+            connector.on_idle_obsolete.append(self._end_reuse)
+        self._reuse_from = 0
         self._idle: dict[Address, deque[_ClientConnection]] = {}
 
     async def send(
@@ -226,6 +227,11 @@
                 connection.abort()
         self._idle.clear()
 
+    def _end_reuse(self) -> None:
+        """Use no connection again that is open now, also busy ones."""
+        self._reuse_from = self.opened_connections
+        self.close()
+
     def close_idle_connections(self, address: Address) -> None:
         """Close the idle connections to an address.
 
@@ -239,7 +245,8 @@
     def return_connection(self, connection: "_ClientConnection") -> None:
         """Put a connection back into the pool after a whole response."""
         idle = self._idle.setdefault(connection.address, deque())
-        if len(idle) >= _MAX_IDLE_PER_ADDRESS:
+        is_obsolete = connection.number <= self._reuse_from
+        if is_obsolete or len(idle) >= _MAX_IDLE_PER_ADDRESS:
             connection.abort()
             return
         connection.idle_since = asyncio.get_running_loop().time()
@@ -297,6 +304,7 @@
 
     Attributes:
         address: Address of the other side.
+        number: Number of connections that the client had begun to open.
         idle_since: When the last whole response ended, by the loop's clock.
         max_idle_s: Longest idle time after which the connection is used
             again; the last response's ``keep-alive`` header may shorten it.
@@ -304,6 +312,7 @@
 
     def __init__(self, client: HttpClient, address: Address) -> None:
         self.address = address
+        self.number = client.opened_connections
         self.idle_since = 0.0
         self.max_idle_s = _IDLE_S
         self._request: Request | None = None
--- a/src/zinniaspool/http/connector.py
+++ b/src/zinniaspool/http/connector.py
@@ -15,11 +15,11 @@
     """Opens connections, on whatever path leads to an address.
 
     Attributes:
-        on_change: Called when connections take another path from now on, so
-            that idle ones are of no use any more.
+        on_idle_obsolete: Called when idle connections must not be used any
+            more, since new ones take a better path.
     """
 
-    on_change: list[Callable[[], None]]
+    on_idle_obsolete: list[Callable[[], None]]
 
     async def connect(
         self,
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -45,7 +45,7 @@
     """Connects through one relay."""
 
     relay: Address
-    on_change: list[Callable[[], None]] = field(default_factory=list)
+    on_idle_obsolete: list[Callable[[], None]] = field(default_factory=list)
 
     async def connect(
         self,
--- a/tests/test_upstream_paths.py
+++ b/tests/test_upstream_paths.py
@@ -220,6 +220,33 @@
     run_with_cuts(test)
 
 
+def test_a_planned_stop_cuts_no_request_of_another_vm() -> None:
+    """Guards against requests that a leaving VM passes on to its end.
+
+    A stream that is cut goes on elsewhere; a request that may run once can't.
+    """
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            cut, leaving = "n0", "n1"
+            made.cut_upstreams(cut, CutKind.RESET)
+            await send_first_attempts(made, [cut], FOUND_S)
+            with capture_logs() as lines:
+                pending = []
+                for number in range(30):
+                    draft = made.draft(cut, "small", 12)
+                    pending.append(asyncio.create_task(draft))
+                    await asyncio.sleep(0.15)
+                    if number == 5:
+                        made.nodes[leaving].gateway.stop()
+                answers = await asyncio.gather(*pending)
+            assert {answer.status for answer in answers} == {HTTPStatus.OK}
+            assert not list_names(lines, "attempt-failed")
+            made.assert_sound()
+
+    run_with_cuts(test)
+
+
 def test_groups_outlast_a_cut_of_all_vms() -> None:
     """Guards against groups that are ended when nobody can tell how they are.
 
