--- a/tests/path_soak.py
+++ b/tests/path_soak.py
@@ -55,6 +55,9 @@
 
     async def call(self, node: str, kind: str) -> bool:
         """Send one request and check its answer; True if it was served."""
+        if node not in self.made.nodes:
+            # It was killed since it was chosen.
+            return False
         self.sent += 1
         name, events = f"soak-{self.sent}", self.source.randint(1, 30)
         if kind in ("large", "small"):
