--- a/src/zinniaspool/core/fleet/paths.py
+++ b/src/zinniaspool/core/fleet/paths.py
@@ -1,8 +1,8 @@
 """Whether a VM has lost its own path to the upstreams.
 
 A connection that fails shows little: the upstream may have ended. If another
-VM can connect to the same upstream at that moment, or no VM can tell that the
-upstream is at fault, the fault may be on the path of this VM. Several such
+VM can connect to the same upstream at that moment, or no VM finds the
+upstream at fault, the fault may be on the path of this VM. Several such
 upstreams, and no connection that succeeds meanwhile, mean that this VM reaches
 no upstream directly.
 """
--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -10,7 +10,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator, Sequence
-from typing import Any, Generic, TypeVar
+from typing import Any, TypeVar
 
 import structlog
 
@@ -24,35 +24,27 @@
 )
 from zinniaspool.core.messages import PROTOCOL_VERSION, Hello
 from zinniaspool.fleet.belief import FleetView
+from zinniaspool.fleet.races import PathRace
 from zinniaspool.fleet.tunnels import MAX_LAG_S, UnreachedError, open_tunnel
 
 __all__ = ["UpstreamConnector"]
 
 _log = structlog.get_logger(__name__)
 
-STAGGER_S = 0.05
-"""Time after which the next path is tried beside those that have not answered,
-in seconds: some ten round trips within a region."""
-
-READ_TURNS = 4
-"""Turns of the event loop in which a connection that has opened meanwhile is
-noticed. A process that lacks processor time would otherwise try other paths
-just because it was late."""
-
 MAX_RELAYS = 3
 """VMs through which one connection is tried."""
 
 RELAY_PAUSE_S = 1.0
 """Time for which a VM through which no connection came about is tried last, in
-seconds. By its end its record tells whether it has lost its path."""
+seconds. By its end its record shows whether it has lost its path."""
 
 UNREACHED_S = 0.5
 """Time for which an upstream that no VM reaches is not tried through others
 again, in seconds."""
 
 CHECKED_UPSTREAMS = 2
-"""Other upstreams that are tried to tell a lost path from an upstream that has
-ended."""
+"""Other upstreams that are tried to distinguish a lost path from an upstream
+that has ended."""
 
 FORGET_UNREACHED_S = 5.0
 """Time after which it is forgotten that no VM reached it, in seconds."""
@@ -211,7 +203,7 @@
                 return self._open_directly(make_protocol, address)
             return self._open_tunnel(make_protocol, address, relay)
 
-        race = _Race(begin, self._list_paths(address))
+        race = PathRace(begin, self._list_paths(address))
         try:
             async with asyncio.timeout(timeout_s):
                 opened = await race.run()
@@ -418,103 +410,3 @@
     def _sample_upstreams(self, other_than: Address | None = None) -> list[Address]:
         known = [one for one in self._list_upstreams() if one != other_than]
         return random.sample(known, min(CHECKED_UPSTREAMS, len(known)))
-
-
-class _Race(Generic[ProtocolT]):
-    """Opens a connection on several paths, until it is open on one.
-
-    The next path is begun when those before it have failed, or have not led
-    on within some time.
-
-    Args:
-        begin: Opens a connection on a path.
-        paths: The paths, each drawn when it is needed.
-
-    Attributes:
-        begun: The paths that were begun.
-        winner: Index of the one that led on.
-    """
-
-    def __init__(
-        self,
-        begin: Callable[
-            [NodeRecord | None],
-            Coroutine[Any, Any, tuple[asyncio.Transport, ProtocolT]],
-        ],
-        paths: Iterator[NodeRecord | None],
-    ) -> None:
-        self.begun: list[NodeRecord | None] = []
-        self.winner = 0
-        self._begin = begin
-        self._paths = paths
-        self._has_more = True
-        self._tasks: list[asyncio.Task[tuple[asyncio.Transport, ProtocolT]]] = []
-
-    async def run(self) -> tuple[asyncio.Transport, ProtocolT]:
-        """Return the connection that was opened first.
-
-        Raises:
-            OSError: None was. If another VM has found out why, the error tells
-                that; otherwise it tells only that no path led on.
-        """
-        kept = None
-        try:
-            while True:
-                self._begin_next()
-                await self._wait()
-                for number, task in enumerate(self._tasks):
-                    if task.done() and task.exception() is None:
-                        kept, self.winner = task, number
-                        return task.result()
-                self._raise_failure()
-        finally:
-            for task in self._tasks:
-                if task is not kept:
-                    _discard(task)
-
-    def _begin_next(self) -> None:
-        for path in self._paths:
-            self.begun.append(path)
-            self._tasks.append(asyncio.create_task(self._begin(path)))
-            return
-        self._has_more = False
-
-    async def _wait(self) -> None:
-        running = [task for task in self._tasks if not task.done()]
-        if not running:
-            return
-        done, _ = await asyncio.wait(
-            running,
-            timeout=STAGGER_S if self._has_more else None,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if not done:
-            for _ in range(READ_TURNS):
-                await asyncio.sleep(0)
-
-    def _raise_failure(self) -> None:
-        """Raise why no connection can be opened, if that is known."""
-        errors = list(self._list_errors())
-        for error in errors:
-            if isinstance(error, UnreachedError) and error.is_conclusive:
-                if error.outcome is ProbeOutcome.REFUSED:
-                    raise ConnectionRefusedError(str(error)) from error
-                raise error
-        if self._has_more or len(errors) < len(self._tasks):
-            return
-        if len(errors) == 1:
-            raise errors[0]
-        raise OSError(f"not reached on {len(errors)} paths")
-
-    def _list_errors(self) -> Iterator[BaseException]:
-        for task in self._tasks:
-            if task.done() and (error := task.exception()) is not None:
-                yield error
-
-
-def _discard(task: "asyncio.Task[tuple[asyncio.Transport, ProtocolT]]") -> None:
-    """Close a connection that is not used, or will not be."""
-    if not task.done():
-        task.cancel()
-    elif not task.cancelled() and task.exception() is None:
-        task.result()[0].abort()
--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -2,8 +2,8 @@
 
 A VM that can't connect to an upstream has the entry process of another VM do
 so. Both then pass on bytes: those for the upstream as they are, those from it
-as frames, so that an upstream that closes its connection in order is told
-from one whose connection broke.
+as frames, so that an upstream that closes its connection in order differs from
+one whose connection broke.
 """
 
 import asyncio
@@ -152,7 +152,7 @@
             exc = ConnectionResetError("tunnel cut")
         if not self.opened.done():
             self.opened.set_exception(exc or ConnectionResetError("tunnel cut"))
-            # Nobody waits if the attempt was given up; that is no fault.
+            # An attempt that was given up does not wait for it any more.
             self.opened.exception()
         if self.inner is not None:
             self.inner.connection_lost(exc)
--- a/src/zinniaspool/http/connector.py
+++ b/src/zinniaspool/http/connector.py
@@ -35,7 +35,7 @@
             timeout_s: Longest wait, in seconds.
 
         Raises:
-            ConnectionRefusedError: Nobody listens at the address.
+            ConnectionRefusedError: No process listens at the address.
             OSError: The connection failed for another reason.
             TimeoutError: No connection was open in time.
         """
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -105,7 +105,7 @@
             counted against their limit, in seconds.
         loads_unlimited_until: Time until which loads are not counted, in
             seconds on the loop's clock.
-        reach: Tells whether the silence of upstreams is their own fault.
+        reach: Finds out whether the silence of upstreams is their own fault.
 
     Attributes:
         order_counts: Number of orders sent, by action and outcome.
--- a/src/zinniaspool/keeper/queries.py
+++ b/src/zinniaspool/keeper/queries.py
@@ -63,7 +63,7 @@
         engines: Queries instances, and decodes their answers.
         relay: Has entry processes query instances; None for no second path.
         start: Starts a task.
-        reach: Tells whether a missing answer is the instance's fault.
+        reach: Finds out whether a missing answer is the instance's fault.
 
     Attributes:
         health_counts: Number of health queries, by outcome.
--- a/src/zinniaspool/keeper/reach.py
+++ b/src/zinniaspool/keeper/reach.py
@@ -8,7 +8,7 @@
 
 
 class UpstreamReach(Protocol):
-    """Tells whether the silence of upstreams is their own fault."""
+    """Finds out whether the silence of upstreams is their own fault."""
 
     async def is_online(self) -> bool:
         """Return whether this VM reaches any upstream now, on any path."""
