Try an engine again before a relay says that it does not answer

Cause, found with delays put into the loop: the one sound VM gave up its connection to an engine after 0.15 s and then reached other upstreams in 0.25 to 0.28 s, since it was slow for all of them. Its "no answer" counted as conclusive.

A relay tries the upstream once more beside the others now; its word counts only if they are reached and the upstream is not.

Evidence: test_a_relay_that_was_slow_gives_no_verdict[True] failed before and passes.

--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -223,19 +223,10 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         since = asyncio.get_running_loop().time()
-        outcome = ProbeOutcome.NO_ANSWER
         try:
-            async with asyncio.timeout(self._connect_s):
-                far_reader, far_writer = await asyncio.open_connection(
-                    *split_address(upstream)
-                )
+            far_reader, far_writer = await self._connect(upstream)
         except (OSError, TimeoutError) as error:
-            if isinstance(error, ConnectionRefusedError):
-                outcome = ProbeOutcome.REFUSED
-            took_s = asyncio.get_running_loop().time() - since
-            is_conclusive = took_s <= self._connect_s + MAX_LAG_S
-            is_conclusive &= await self._confirm_path(since, upstream)
-            write_frame(writer, TunnelOutcome(outcome, is_conclusive))
+            write_frame(writer, await self._judge(upstream, error, since))
             return
         try:
             reached = TunnelOutcome(ProbeOutcome.REACHED, is_conclusive=True)
@@ -244,6 +235,39 @@
         finally:
             far_writer.transport.abort()
 
+    async def _connect(
+        self, upstream: Address
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        async with asyncio.timeout(self._connect_s):
+            return await asyncio.open_connection(*split_address(upstream))
+
+    async def _judge(
+        self, upstream: Address, error: Exception, since: float
+    ) -> TunnelOutcome:
+        """Return what a failed connection shows.
+
+        An upstream without an answer is tried again beside the others, since
+        this process may have been too slow to see it.
+        """
+        took_s = asyncio.get_running_loop().time() - since
+        was_late = took_s > self._connect_s + MAX_LAG_S
+        if isinstance(error, ConnectionRefusedError):
+            confirmed = await self._confirm_path(since, upstream)
+            return TunnelOutcome(ProbeOutcome.REFUSED, confirmed)
+        confirmed, is_reached = await asyncio.gather(
+            self._confirm_path(since, upstream), self._can_connect(upstream)
+        )
+        is_conclusive = confirmed and not is_reached and not was_late
+        return TunnelOutcome(ProbeOutcome.NO_ANSWER, is_conclusive)
+
+    async def _can_connect(self, upstream: Address) -> bool:
+        try:
+            _, far_writer = await self._connect(upstream)
+        except (OSError, TimeoutError):
+            return False
+        far_writer.transport.abort()
+        return True
+
 
 async def _pass_on(
     reader: asyncio.StreamReader,
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -194,6 +194,35 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("is_slow", [False, True])
+def test_a_relay_that_was_slow_gives_no_verdict(
+    is_slow: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against engines that count as lost since a relay is slow."""
+    open_connection, attempts = asyncio.open_connection, list[int]()
+
+    async def serve(*_: object) -> None: ...
+
+    async def open_late(
+        host: str, port: int
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        attempts.append(port)
+        if len(attempts) == 1 or not is_slow:
+            raise TimeoutError
+        return await open_connection(host, port)
+
+    async def test() -> None:
+        async with serve_behind_relay(serve) as (client, upstream, _):
+            connector = client._connector
+            assert isinstance(connector, TunnelConnector)
+            monkeypatch.setattr(asyncio, "open_connection", open_late)
+            with pytest.raises(UnreachedError) as caught:
+                await connector.connect(asyncio.Protocol, upstream, 1.0)
+            assert caught.value.is_conclusive is not is_slow
+
+    asyncio.run(test())
+
+
 def test_a_relay_connects_to_known_upstreams_only() -> None:
     """Guards against a relay that opens any address for whoever asks."""
     connected: list[int] = []
