--- a/src/zinniaspool/core/dispatch/terms.py
+++ b/src/zinniaspool/core/dispatch/terms.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from zinniaspool.core.ids import ModelName, RequestId
+from zinniaspool.core.ids import ModelName, PromptPartId, RequestId
 
 __all__ = ["InstanceLoad", "InstanceNotice", "RequestTerms"]
 
@@ -19,6 +19,7 @@
         max_output_tokens: Length of the longest answer.
         expected_tokens: The caller's estimate of the answer's length.
         resume_after: Id of the last event that the caller has, or None.
+        prompt_parts: The parts of the prompt, in order.
     """
 
     id: RequestId
@@ -28,6 +29,7 @@
     max_output_tokens: int
     expected_tokens: int | None
     resume_after: int | None
+    prompt_parts: tuple[PromptPartId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/zinniaspool/core/ids.py
+++ b/src/zinniaspool/core/ids.py
@@ -17,6 +17,7 @@
     "NodeId",
     "PartHash",
     "PartName",
+    "PromptPartId",
     "RequestId",
     "Revision",
     "ServiceName",
@@ -47,6 +48,9 @@
 NodeId = NewType("NodeId", str)
 """A zinniaspool process, by the name in its settings."""
 
+PromptPartId = NewType("PromptPartId", str)
+"""A part of a prompt, which requests of several callers may share."""
+
 RequestId = NewType("RequestId", str)
 ServiceName = NewType("ServiceName", str)
 """A model or a plain service, as callers name it in a path."""
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -179,6 +179,7 @@
             "attempt-failed",
             request=call.terms.id,
             content=call.content,
+            parts=",".join(call.terms.prompt_parts),
             attempt=call.attempts.number,
             instance=state.target.instance,
             group=state.target.group or "",
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -199,6 +199,7 @@
             "request-ended",
             request=call.terms.id,
             content=call.content,
+            parts=",".join(call.terms.prompt_parts),
             end=end,
             route=call.route.name,
             model=call.terms.model or "",
--- a/src/zinniaspool/platform/wire.py
+++ b/src/zinniaspool/platform/wire.py
@@ -9,7 +9,7 @@
 
 from zinniaspool.core.dispatch import InstanceLoad, InstanceNotice, RequestTerms
 from zinniaspool.core.fleet import CustomerSpec, InstanceId
-from zinniaspool.core.ids import ModelName, RequestId
+from zinniaspool.core.ids import ModelName, PromptPartId, RequestId
 from zinniaspool.http import Headers, Request
 
 __all__ = [
@@ -34,6 +34,7 @@
 _CUSTOMER = _PREFIX + "tenant"
 _MODEL = _PREFIX + "model"
 _TOKEN_COUNTS = _PREFIX + "token-count"
+_PROMPT_PARTS = _PREFIX + "prefix-hash"
 _LENGTH_HINT = _PREFIX + "length-hint"
 _URGENCY = _PREFIX + "request-priority"
 _NOT_EXECUTED = _PREFIX + "not-executed"
@@ -115,6 +116,7 @@
         tokens[1] if len(tokens) > 1 else 0,
         _parse_integer(headers.get(_LENGTH_HINT)),
         _parse_integer(headers.get(_RESUME)),
+        _parse_parts(headers.get(_PROMPT_PARTS)),
     )
 
 
@@ -244,6 +246,13 @@
     return frozenset(part.strip().lower().encode() for part in value.split(","))
 
 
+def _parse_parts(text: str | None) -> tuple[PromptPartId, ...]:
+    """Return the parts that entries of the form ``id:tokens`` name."""
+    entries = () if text is None else text.split(",")
+    names = (entry.partition(":")[0].strip() for entry in entries)
+    return tuple(PromptPartId(name) for name in names if name)
+
+
 def _parse_decimal(text: str | None) -> float | None:
     """Return a finite number that is not negative, or None."""
     try:
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextvars
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 
 from zinniaspool.core.ids import Address, FailureDomainId, NodeId
@@ -257,9 +257,13 @@
         request_id: str | None = None,
         body: bytes = b"",
         deadline_ms: int = 4000,
+        parts: Sequence[str] = (),
     ) -> Answer:
         """Ask for a stream."""
         named = {} if request_id is None else {"request_id": request_id}
+        if parts:
+            prompt = ",".join(f"{part}:{100 // len(parts)}" for part in parts)
+            named["x_zinniaspool_prefix_hash"] = prompt
         return await self.ask(
             node,
             "/drafts/one",
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -370,6 +370,20 @@
     assert wire.parse_key(request) == key
 
 
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("5c1e07a2:800,91bd3f06:410", ("5c1e07a2", "91bd3f06")),
+        (" 5c1e07a2:800 , ,:7", ("5c1e07a2",)),
+        ("5c1e07a2", ("5c1e07a2",)),
+        ("", ()),
+    ],
+)
+def test_the_parts_of_a_prompt_are_read(text: str, parts: tuple[str, ...]) -> None:
+    headers = Headers.of(x_zinniaspool_prefix_hash=text)
+    assert wire.parse_terms(Request("POST", "/", headers)).prompt_parts == parts
+
+
 def test_invalid_headers_of_a_caller_are_ignored() -> None:
     request = Request(
         "POST",
