Stand-in of runners: parts that crash it, answers without a length

Its answers and streams can have neither a length nor chunks, ending with their connection, also inside an event. The fault 'unframed' had been declared and did nothing.

--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -44,7 +44,8 @@
         no_status: It answers no status query.
         refuse: It says that it has not run what it is sent.
         fail: It answers 500.
-        cut_after: Events after which it resets a stream in mid-event.
+        cut_after: Events after which it resets a stream in mid-event, or ends
+            an unframed one in order there.
         extra: Each plain answer comes a second time, where the next is due.
         unframed: Its answers have no length and end with the connection.
         mute: It runs requests and answers nothing.
@@ -57,6 +58,8 @@
             for no limit.
         crash_on: It ends when it begins to run a request with this in its
             body; empty for none.
+        crash_on_parts: It ends when it begins to write an answer to a request
+            whose prompt has one of these parts before its last part.
         pace: Its passes take so many times as long, and it reports that.
     """
 
@@ -78,6 +81,7 @@
     says_leaving: bool = False
     limit_per_s: float = -1.0
     crash_on: str = ""
+    crash_on_parts: tuple[str, ...] = ()
     pace: float = 1.0
 
 
@@ -102,6 +106,33 @@
     cold_limit: int = 0
 
 
+class _UnframedAnswer:
+    """An answer that has no length and ends where its connection ends."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self._transport = exchange._channel._transport  # type: ignore[attr-defined]
+
+    async def respond(self, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        await self.start(200, headers)
+        await self.write(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head."""
+        lines = [f"HTTP/1.1 {status} Stand-in".encode()]
+        lines += [name + b": " + value for name, value in headers.raw()]
+        await self.write(b"\r\n".join([*lines, b"connection: close", b"", b""]))
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body."""
+        self._transport.write(data)
+
+    async def finish(self) -> None:
+        """End the connection in order."""
+        self._transport.close()
+
+
 @dataclass(frozen=True, slots=True)
 class SeenRun:
     """A request that began to run, as the runner saw it."""
@@ -183,7 +214,7 @@
         self._server = HttpServer(self._handle)
         await self._server.listen(self.address)
 
-    async def _crash(self) -> None:
+    async def crash(self) -> None:
         """End at once, and come back as an empty one on the same host."""
         assert self._server is not None
         self.crashes += 1
@@ -398,7 +429,7 @@
             return
         if self.coldness.record_request() > (self.times.cold_limit or inf):
             if self._crashing is None or self._crashing.done():
-                self._crashing = asyncio.create_task(self._crash())
+                self._crashing = asyncio.create_task(self.crash())
             await asyncio.sleep(60.0)
         is_model = headers.get("x-zinniaspool-model") is not None
         opened = self.group is not None and self.group["state"] == "open"
@@ -411,10 +442,9 @@
             await exchange.respond(503, refusal, b"")
             return
         self._note_run(request, headers, exchange.request.path)
-        marker = self.faults.crash_on.encode()
-        if marker and marker in exchange.request.body and not self._down:
+        if self._crashes_on(exchange) and not self._down:
             await asyncio.sleep(self.times.pass_s * self.faults.pace)
-            self._crashing = asyncio.create_task(self._crash())
+            self._crashing = asyncio.create_task(self.crash())
             await asyncio.sleep(60.0)
         if self.faults.mute:
             await asyncio.sleep(60.0)
@@ -439,10 +469,21 @@
         else:
             await self._answer_plainly(exchange, answer, request)
 
+    def _crashes_on(self, exchange: Exchange) -> bool:
+        marker = self.faults.crash_on.encode()
+        if marker and marker in exchange.request.body:
+            return True
+        prompt = exchange.request.headers.get("x-zinniaspool-prefix-hash") or ""
+        shared = [entry.partition(":")[0] for entry in prompt.split(",")[:-1]]
+        return not set(shared).isdisjoint(self.faults.crash_on_parts)
+
     async def _answer_plainly(
         self, exchange: Exchange, answer: Headers, request: str
     ) -> None:
         body = f"answer to {request}".encode()
+        if self.faults.unframed:
+            await _UnframedAnswer(exchange).respond(answer, body)
+            return
         channel = exchange._channel
         if self.faults.extra and channel in self._last_answers:
             # The answer before comes once more, where this one is due.
@@ -463,19 +504,24 @@
         first = int(asked.get("last-event-id") or 0) + 1
         answer.add("content-type", "text/event-stream")
         begun = False
+        unframed = self.faults.unframed
+        sent = _UnframedAnswer(exchange) if unframed else exchange
         for number in range(first, last + 1):
             if not await self._make_pass(exchange):
                 return
             if not begun:
-                await exchange.start(200, answer)
+                await sent.start(200, answer)
                 begun = True
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             if number == self.faults.cut_after:
-                await exchange.write(event[:8])
-                exchange.abort()
+                await sent.write(event[:8])
+                if unframed:
+                    await sent.finish()
+                else:
+                    exchange.abort()
                 return
-            await exchange.write(event)
-        await exchange.finish()
+            await sent.write(event)
+        await sent.finish()
 
     async def _make_pass(self, exchange: Exchange) -> bool:
         """Wait for one pass of the group; False where the work is cut off."""
