Failing tests: prompt parts that crash the upstreams that run them

Requests that share one part and nothing else come to each VM in turn, or at once, for either model, with two such parts, while VMs end and join, and with streams that have no length.

--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -159,6 +159,8 @@
         store: Where its entry lies.
         others: All runners by id, for its group's sake.
         arrived: When requests came, in seconds of the loop's clock.
+        arrivals_at: Their ids, each with that time.
+        part_crashes: Parts of prompts on which it ended, each with the time.
         health_queries: How many health queries came.
         removed_at: When it last removed its entry, in seconds of the loop's
             clock.
@@ -180,6 +182,8 @@
     runs: list[SeenRun] = field(default_factory=list)
     arrivals: Counter[str] = field(default_factory=Counter)
     arrived: list[float] = field(default_factory=list)
+    arrivals_at: list[tuple[str, float]] = field(default_factory=list)
+    part_crashes: list[tuple[str, float]] = field(default_factory=list)
     health_queries: int = 0
     removed_at: float = 0.0
     paused: list[float] = field(default_factory=list)
@@ -423,7 +427,9 @@
         headers = exchange.request.headers
         request = headers.get("x-zinniaspool-request-id") or ""
         self.arrivals[request] += 1
-        self.arrived.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.arrived.append(now)
+        self.arrivals_at.append((request, now))
         if headers.get("x-zinniaspool-expect-instance") not in (self.id, None):
             await exchange.respond(421, Headers(), b"")
             return
@@ -444,6 +450,9 @@
         self._note_run(request, headers, exchange.request.path)
         if self._crashes_on(exchange) and not self._down:
             await asyncio.sleep(self.times.pass_s * self.faults.pace)
+            now = asyncio.get_running_loop().time()
+            crashing = self._find_crashing_parts(exchange)
+            self.part_crashes += [(part, now) for part in crashing]
             self._crashing = asyncio.create_task(self.crash())
             await asyncio.sleep(60.0)
         if self.faults.mute:
@@ -473,9 +482,12 @@
         marker = self.faults.crash_on.encode()
         if marker and marker in exchange.request.body:
             return True
+        return bool(self._find_crashing_parts(exchange))
+
+    def _find_crashing_parts(self, exchange: Exchange) -> set[str]:
         prompt = exchange.request.headers.get("x-zinniaspool-prefix-hash") or ""
-        shared = [entry.partition(":")[0] for entry in prompt.split(",")[:-1]]
-        return not set(shared).isdisjoint(self.faults.crash_on_parts)
+        shared = {entry.partition(":")[0] for entry in prompt.split(",")[:-1]}
+        return shared.intersection(self.faults.crash_on_parts)
 
     async def _answer_plainly(
         self, exchange: Exchange, answer: Headers, request: str
