Stand-in of runners: keep the port of a runner that has crashed

While a crashed runner was away, another test could take its port, and the runner's return failed with 'address already in use' (seen once in three runs of test_crashing_parts.py). It keeps the port bound without listening, so that connections are refused as before.

--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from base64 import b64encode
 from collections import Counter
 from dataclasses import dataclass, field
@@ -14,7 +15,7 @@
 
 import msgspec
 
-from zinniaspool.core.ids import Address
+from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http import Exchange, Headers, HttpServer
 from zinniaspool_standins.coldness import Coldness
 from zinniaspool_standins.pagestore import PageStore
@@ -225,7 +226,12 @@
         self._down = True
         self.restart()
         await self._server.drain(0.0)
-        await asyncio.sleep(self.times.back_s)
+        host, port = split_address(self.address)
+        with socket.socket() as kept:
+            # Connections are refused, and the port is free for nobody else.
+            kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            kept.bind((host, port))
+            await asyncio.sleep(self.times.back_s)
         await self._listen()
         self._down = False
 
