--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -23,9 +23,10 @@
 from zinniaspool.core.dispatch.patience import CallerTimeoutEstimator
 from zinniaspool.core.dispatch.pools import TargetPool
 from zinniaspool.core.dispatch.quarantine import (
-    HOLD_S,
+    CrashFindings,
     Quarantine,
-    QuarantineStatus,
+    TraitStatus,
+    Verdict,
 )
 from zinniaspool.core.dispatch.rates import AnnouncedRate
 from zinniaspool.core.dispatch.relocation import (
@@ -48,9 +49,14 @@
 from zinniaspool.core.dispatch.targets import Target, TargetState
 from zinniaspool.core.dispatch.terms import InstanceLoad, InstanceNotice, RequestTerms
 from zinniaspool.core.dispatch.tickets import Ticket, TicketState
+from zinniaspool.core.dispatch.traits import (
+    TraitKind,
+    find_kind,
+    find_terms,
+    identify_traits,
+)
 
 __all__ = [
-    "HOLD_S",
     "AdmissionController",
     "AdmissionLimits",
     "AdmissionRequest",
@@ -59,10 +65,11 @@
     "Attempts",
     "Backpressure",
     "CallerTimeoutEstimator",
-    "ColdBound",
-    "ColdShare",
     "CapacityDivision",
     "Claim",
+    "ColdBound",
+    "ColdShare",
+    "CrashFindings",
     "EngineTiming",
     "EventCursor",
     "FirstEventForecast",
@@ -74,7 +81,6 @@
     "PeerLoads",
     "Progress",
     "Quarantine",
-    "QuarantineStatus",
     "Refusal",
     "RequestTerms",
     "RetryLimits",
@@ -90,16 +96,22 @@
     "TargetState",
     "Ticket",
     "TicketState",
+    "TraitKind",
+    "TraitStatus",
+    "Verdict",
     "assign_domains",
     "back_off",
     "clear_disproved_stall",
     "compute_stall_timeout",
     "find_cold_share",
+    "find_kind",
     "find_stall_times",
     "find_subset",
+    "find_terms",
     "identify_content",
-    "is_lost",
     "identify_model",
+    "identify_traits",
+    "is_lost",
     "suspect",
     "weigh_own_load",
     "would_be_on_time_elsewhere",
--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -4,7 +4,7 @@
 So this is recorded over the whole request, not just for its last attempt.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Protocol
 
@@ -190,9 +190,16 @@
         """
         return self._make_fault(ErrorKind.UPSTREAM_REFUSED if self.number else kind)
 
-    def make_quarantined_fault(self) -> Fault:
-        """Return the fault of a request whose content is quarantined."""
-        return self._make_fault(ErrorKind.QUARANTINED)
+    def make_quarantined_fault(self, hold_s: float) -> Fault:
+        """Return the fault of a request with a quarantined trait.
+
+        Args:
+            hold_s: Time for which the trait is quarantined, in seconds.
+        """
+        fault = self._make_fault(ErrorKind.QUARANTINED)
+        if fault.kind is not ErrorKind.QUARANTINED:
+            return fault
+        return replace(fault, retry_after=hold_s)
 
     def _charge_refusal(self, failure: AttemptFailure) -> Fault | None:
         """Charge a retry after a refusal; return a fault if that fails."""
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -26,8 +26,9 @@
 from zinniaspool.core.dispatch.speed import PeerPaces
 from zinniaspool.core.dispatch.subsets import Subset
 from zinniaspool.core.dispatch.targets import Target, TargetState, is_same_target
+from zinniaspool.core.dispatch.traits import rank_for_trial
 from zinniaspool.core.fleet import InstanceId, InstanceIncarnation, TargetLoad
-from zinniaspool.core.ids import FabricDomainId, FailureDomainId
+from zinniaspool.core.ids import FabricDomainId, FailureDomainId, TraitId
 
 __all__ = ["TargetPool"]
 
@@ -296,6 +297,23 @@
 
         return min(usable, key=rank)
 
+    def choose_for_trial(self, trait: TraitId, now: float) -> TargetState | None:
+        """Return the target that all processes choose for a suspected trait.
+
+        It depends on the trait and the usable targets alone, so that a trait
+        that crashes upstreams ends one of them, whichever processes get its
+        requests.
+
+        Args:
+            trait: The trait.
+            now: Seconds.
+        """
+        return max(
+            self.list_usable(now),
+            key=lambda state: rank_for_trial(trait, state.target.incarnation),
+            default=None,
+        )
+
     def _estimate_cost_load(self, state: TargetState, now: float) -> float:
         """Return the load that a target's cost is computed from.
 
--- a/src/zinniaspool/core/fleet/nodes.py
+++ b/src/zinniaspool/core/fleet/nodes.py
@@ -26,8 +26,8 @@
 lease."""
 
 HELD_PREFIX = "zinnia/held/"
-"""Prefix of the keys of quarantined contents, which are sent to no upstream;
-each expires with a lease."""
+"""Prefix of the keys of quarantined traits, whose requests are sent to no
+upstream; each expires with a lease."""
 
 PLANS_PREFIX = "zinnia/plans/"
 """Prefix of the plans of replica groups, by fabric domain; these keys have no
@@ -68,15 +68,17 @@
 
 
 class QuarantineRecord(msgspec.Struct, frozen=True):
-    """A content that is quarantined because upstreams crashed on it.
+    """A trait that is quarantined because upstreams crashed on it.
 
     Attributes:
         node: The VM whose entry process found this out.
         crashed: The instances that crashed.
+        trials: How many of them crashed in a trial.
     """
 
     node: NodeId
     crashed: list[InstanceId]
+    trials: int = 0
 
 
 class HolderRecord(msgspec.Struct, frozen=True):
--- a/src/zinniaspool/core/ids.py
+++ b/src/zinniaspool/core/ids.py
@@ -21,6 +21,7 @@
     "RequestId",
     "Revision",
     "ServiceName",
+    "TraitId",
     "UpstreamId",
     "VmId",
     "split_address",
@@ -55,6 +56,9 @@
 ServiceName = NewType("ServiceName", str)
 """A model or a plain service, as callers name it in a path."""
 
+TraitId = NewType("TraitId", str)
+"""What requests may have in common: a content, a prompt part or a customer."""
+
 UpstreamId = NewType("UpstreamId", str)
 """A receiver of requests: a replica group or a plain service's VM."""
 
--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -17,7 +17,9 @@
     ConfigurationResponse,
 )
 from zinniaspool.core.messages.fleet import (
-    ClearedContents,
+    AnswerReport,
+    CrashHistory,
+    CrashHistoryRequest,
     CrashReport,
     DemandDigest,
     FleetUpdate,
@@ -175,7 +177,9 @@
     | FleetUpdate
     | StalledTarget
     | CrashReport
-    | ClearedContents
+    | AnswerReport
+    | CrashHistoryRequest
+    | CrashHistory
     | UnreachableNode
     | UpstreamLimit
     | DemandDigest
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -8,10 +8,12 @@
 from zinniaspool.core.fleet.instances import InstanceId, MembershipState
 from zinniaspool.core.fleet.loads import TargetLoad
 from zinniaspool.core.fleet.reachability import ProbeOutcome
-from zinniaspool.core.ids import Address, ContentId, NodeId, Revision
+from zinniaspool.core.ids import Address, NodeId, Revision, TraitId
 
 __all__ = [
-    "ClearedContents",
+    "AnswerReport",
+    "CrashHistory",
+    "CrashHistoryRequest",
     "CrashReport",
     "DemandDigest",
     "FleetUpdate",
@@ -20,6 +22,7 @@
     "InstanceAnswer",
     "InstanceQuery",
     "LoadReport",
+    "PastCrash",
     "QueryKind",
     "StallEvidence",
     "SlowTarget",
@@ -225,25 +228,64 @@
         born: Unix milliseconds of its start; None if it did not report that.
         contents: The contents that the reporting process had sent there.
         node: The reporting process's VM.
+        traits: The other traits of these requests.
+        trials: The traits that were on trial there.
     """
 
     instance: InstanceId
     born: int | None
-    contents: list[ContentId]
+    contents: list[TraitId]
     node: NodeId
+    traits: list[TraitId] = []
+    trials: list[TraitId] = []
 
 
-class ClearedContents(msgspec.Struct, frozen=True, tag="cleared-contents"):
-    """Reports to all entry processes that contents crash no upstream.
+class AnswerReport(msgspec.Struct, frozen=True, tag="cleared-contents"):
+    """Reports to all entry processes that suspected traits were answered.
 
     Attributes:
-        contents: Contents that upstreams have answered for the reporting
-            process.
+        traits: Traits of requests that upstreams have answered completely for
+            the reporting process.
         node: The reporting process's VM.
+        ages_ms: Milliseconds since the latest answer to each of them began;
+            older processes report none.
     """
 
-    contents: list[ContentId]
+    traits: list[TraitId] = msgspec.field(name="contents")
     node: NodeId
+    ages_ms: list[int] = []
+
+
+class CrashHistoryRequest(msgspec.Struct, frozen=True, tag="crash-history-ask"):
+    """Requests the crashes that an entry process remembers."""
+
+
+class PastCrash(msgspec.Struct, frozen=True, array_like=True):
+    """One crash of a history.
+
+    Attributes:
+        instance: The upstream's instance.
+        born: Unix milliseconds of its start; None if it did not report that.
+        age_ms: Milliseconds since the crash.
+        traits: Traits that this crash and others speak against.
+        trials: Those that were on trial there.
+    """
+
+    instance: InstanceId
+    born: int | None
+    age_ms: int
+    traits: list[TraitId]
+    trials: list[TraitId]
+
+
+class CrashHistory(msgspec.Struct, frozen=True, tag="crash-history"):
+    """The answer to a crash history request.
+
+    Attributes:
+        crashes: The crashes, the oldest first.
+    """
+
+    crashes: list[PastCrash] = []
 
 
 class UnreachableNode(msgspec.Struct, frozen=True, tag="unreachable-node"):
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -31,7 +31,7 @@
     has_restarted,
 )
 from zinniaspool.core.generations import format_revision
-from zinniaspool.core.ids import ContentId, FailureDomainId, NodeId
+from zinniaspool.core.ids import FailureDomainId, NodeId, TraitId
 from zinniaspool.fleet.evacuations import EvacuationOrders
 from zinniaspool.fleet.retention import RecordRetention
 from zinniaspool.fleet.sight import read_boot_clock
@@ -99,11 +99,11 @@
         on_change: Called after any change.
         on_evacuation: Called with the failure domains whose evacuation began
             and those whose evacuation ended, before ``on_instances``.
-        quarantined: Contents that are recorded as sent to no upstream.
-        on_quarantine: Called with the contents that were added to and removed
+        quarantined: Traits whose requests are recorded as sent to no upstream.
+        on_quarantine: Called with the traits that were added to and removed
             from the quarantine.
         on_restored: Called after the store came back from an older copy, with
-            the quarantined contents whose records it has lost.
+            the quarantined traits whose records it has lost.
         restored_at: When this process learned of the last restore, on the
             clock that goes on while the VM is suspended.
         store_confirmed_at: When the store last answered this process itself,
@@ -139,11 +139,11 @@
         self.on_change: list[Callable[[], None]] = []
         self._evacuations = EvacuationOrders(codec.evacuations_prefix)
         self.on_evacuation = self._evacuations.listeners
-        self.quarantined: frozenset[ContentId] = frozenset()
+        self.quarantined: frozenset[TraitId] = frozenset()
         self.on_quarantine: list[
-            Callable[[frozenset[ContentId], frozenset[ContentId]], None]
+            Callable[[frozenset[TraitId], frozenset[TraitId]], None]
         ] = []
-        self.on_restored: list[Callable[[frozenset[ContentId]], None]] = []
+        self.on_restored: list[Callable[[frozenset[TraitId]], None]] = []
         self.restored_at = _NEVER_CONFIRMED_S
         self._generation: int | None = None
         self.store_confirmed_at = _NEVER_CONFIRMED_S
@@ -309,7 +309,7 @@
         """Apply changes of the mirror to the view and call the listeners."""
         listeners: set[int] = set()
         quarantined = set(self.quarantined)
-        lost_contents: set[ContentId] = set()
+        lost_traits: set[TraitId] = set()
         is_restored = self._update_generation()
         for change in changes:
             if change.key == self._codec.rules_key:
@@ -326,13 +326,13 @@
                 self._apply_node(change)
                 listeners.add(2)
             elif change.key.startswith(HELD_PREFIX):
-                content = ContentId(change.key.removeprefix(HELD_PREFIX))
+                trait = TraitId(change.key.removeprefix(HELD_PREFIX))
                 if change.after is not None:
-                    quarantined.add(content)
+                    quarantined.add(trait)
                     continue
-                quarantined.discard(content)
+                quarantined.discard(trait)
                 if is_restored:
-                    lost_contents.add(content)
+                    lost_traits.add(trait)
             elif change.key == HOLDER_KEY:
                 self._apply_holder(change)
                 listeners.add(2)
@@ -345,10 +345,10 @@
             if number in listeners:
                 for listener in group:
                     listener()
-        self._set_quarantined(frozenset(quarantined), frozenset(lost_contents))
+        self._set_quarantined(frozenset(quarantined), frozenset(lost_traits))
         if is_restored:
             for restore_listener in self.on_restored:
-                restore_listener(frozenset(lost_contents))
+                restore_listener(frozenset(lost_traits))
         if changes:
             for listener in self.on_change:
                 listener()
@@ -395,9 +395,9 @@
         )
 
     def _set_quarantined(
-        self, quarantined: frozenset[ContentId], lost: frozenset[ContentId]
+        self, quarantined: frozenset[TraitId], lost: frozenset[TraitId]
     ) -> None:
-        """Set the recorded contents, of which lost records release nothing."""
+        """Set the recorded traits, of which lost records release nothing."""
         before, self.quarantined = self.quarantined, quarantined
         added, removed = quarantined - before, before - quarantined - lost
         if not added and not removed:
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -164,6 +164,10 @@
         answer = await self._query_links.request(address, watch)
         return answer if isinstance(answer, FleetUpdate) else None
 
+    async def request(self, address: Address, message: Message) -> Message | None:
+        """Send a request to a process; return None if no answer came."""
+        return await self._query_links.request(address, message)
+
     def sum_demands(self) -> list[ModelDemandReport]:
         """Return the demand for models summed over all followers."""
         return self._demands.sum_by_model(asyncio.get_running_loop().time())
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -11,7 +11,7 @@
     TargetState,
 )
 from zinniaspool.core.fleet import CustomerSpec, InstanceId, RouteSpec
-from zinniaspool.core.ids import ContentId, FabricDomainId, ServiceName
+from zinniaspool.core.ids import ContentId, FabricDomainId, ServiceName, TraitId
 from zinniaspool.http import ClientResponse, Exchange
 
 __all__ = ["FailedAnswer", "GatewayCall"]
@@ -45,6 +45,7 @@
         attempts: Decides whether it may be sent again.
         content: Content id, which stays the same if the caller sends the
             request again with another request id.
+        traits: What it may have in common with other requests.
         cursor: Position in its event stream.
         progress: How much of the answer the caller has received.
         tried: Instances that it was sent to.
@@ -57,7 +58,11 @@
             request leaves its target.
         first_event_overdue: Whether this was done because the first event was
             overdue. The target may still serve other requests.
+        trial: The trait that the current attempt is the trial of, or None.
         has_event: Whether the current attempt has had an event.
+        writing_since: Time of the current attempt's first event.
+        is_answer: Whether the current attempt counts as answered: it is
+            complete, or goes on for long enough.
         unanswered_out_of_subset: Whether the current attempt is at a target
             out of this process's subset and nothing has come back.
         failed_answer: An upstream's failure that the caller gets if no other
@@ -83,6 +88,7 @@
     deadline: float
     attempts: Attempts
     content: ContentId
+    traits: tuple[TraitId, ...] = ()
     cursor: EventCursor = field(default_factory=EventCursor)
     progress: Progress = Progress.NOTHING
     tried: list[InstanceId] = field(default_factory=list)
@@ -91,7 +97,10 @@
     attempt_timeout: asyncio.Timeout | None = None
     rerouted: bool = False
     first_event_overdue: bool = False
+    trial: TraitId | None = None
     has_event: bool = False
+    writing_since: float = 0.0
+    is_answer: bool = False
     unanswered_out_of_subset: bool = False
     failed_answer: FailedAnswer | None = None
     first_byte_s: float | None = None
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -17,6 +17,9 @@
     RetryWindow,
     TargetPool,
     TargetState,
+    TraitStatus,
+    Verdict,
+    find_terms,
 )
 from zinniaspool.core.errors import ERROR_ANSWERS, ErrorKind, Fault
 from zinniaspool.core.fleet import RequestKind
@@ -75,7 +78,7 @@
         index: The targets.
         admission_queues: Decide when a request for a model may begin.
         rerouter: Interrupts attempts whose requests must leave a target.
-        crashes: Detects crashed upstreams and quarantines contents.
+        crashes: Detects crashed upstreams and quarantines what crashes them.
         backpressure: Keeps what upstreams ask in their answers.
     """
 
@@ -110,20 +113,28 @@
         loop = asyncio.get_running_loop()
         window.record_request(loop.time())
         pool = self._index.find_pool(call.service, call.terms.model)
-        if self._crashes.is_quarantined(call):
-            return Err(call.attempts.make_quarantined_fault())
+        verdict = self._crashes.judge(call)
+        if verdict.status is TraitStatus.QUARANTINED:
+            return Err(_make_quarantined_fault(call, verdict))
         if call.terms.model is not None:
             refused = await self._admission_queues.admit(call, pool)
             if refused is not None:
                 return Err(refused)
-        fault: Fault | None
-        while (state := self._choose(call, pool)) is not None:
-            if self._crashes.is_quarantined(call):
-                fault = call.attempts.make_quarantined_fault()
+        fault: Fault | None = None
+        while fault is None:
+            verdict = self._crashes.judge(call)
+            if verdict.status is TraitStatus.QUARANTINED:
+                fault = _make_quarantined_fault(call, verdict)
+                break
+            state = self._choose(call, pool, verdict)
+            if state is None:
+                fault = _make_no_upstream_fault(call, pool, loop.time())
                 break
             begun = call.attempts.begin(loop.time())
             if isinstance(begun, Err):
                 return begun
+            if call.trial is not None:
+                self._crashes.record_trial(call, call.trial, state)
             failure = await self._run_attempt(call, pool, state)
             if failure is None:
                 self._crashes.record_answer(call)
@@ -131,13 +142,6 @@
             if failure is AttemptFailure.LOST:
                 await self._crashes.handle_lost_attempt(call, state)
             fault = self._evaluate_failure(call, state, failure, loop.time())
-            if fault is not None:
-                break
-        else:
-            kind = ErrorKind.NO_UPSTREAM
-            if pool.has_closed_target(loop.time()):
-                kind = ErrorKind.OVERLOADED
-            fault = call.attempts.make_no_upstream_fault(kind)
         if call.failed_answer is not None and call.progress is Progress.NOTHING:
             await self._write_answer(
                 call, call.failed_answer.response, call.failed_answer.body
@@ -145,8 +149,17 @@
             return Ok(None)
         return Err(_add_retry_after(fault, pool, loop.time()))
 
-    def _choose(self, call: GatewayCall, pool: TargetPool) -> TargetState | None:
+    def _choose(
+        self, call: GatewayCall, pool: TargetPool, verdict: Verdict
+    ) -> TargetState | None:
+        """Return the target of the next attempt, or None.
+
+        A suspected request has one attempt, at the target of the trial.
+        """
         now = asyncio.get_running_loop().time()
+        call.trial = verdict.trait
+        if verdict.trait is not None:
+            return None if call.tried else pool.choose_for_trial(verdict.trait, now)
         within_s = call.compute_wanted_event_time(now)
         prompt = call.terms.prompt_tokens
         return pool.choose(
@@ -208,6 +221,7 @@
         call.unanswered_out_of_subset = pool.begin_request(state, prompt)
         call.target_state = state
         call.has_event = call.rerouted = call.first_event_overdue = False
+        call.is_answer = False
         self._backpressure.record_request(state)
         self._rerouter.begin_attempt(call, state)
         failed = refused = False
@@ -367,6 +381,7 @@
             pool.record_event(state, now)
             if not call.has_event:
                 self._record_first_event(call, state, now)
+            self._crashes.record_progress(call, now)
             events = call.cursor.feed(data)
             if isinstance(events, Err):
                 response.abort()
@@ -403,6 +418,7 @@
         self, call: GatewayCall, state: TargetState, now: float
     ) -> None:
         call.has_event = True
+        call.writing_since = now
         state.streaming += 1
         state.local_unread_tokens -= call.terms.prompt_tokens
         pool = self._index.find_pool(call.service, call.terms.model)
@@ -451,6 +467,18 @@
 )
 
 
+def _make_quarantined_fault(call: GatewayCall, verdict: Verdict) -> Fault:
+    assert verdict.trait is not None
+    return call.attempts.make_quarantined_fault(find_terms(verdict.trait).hold_s)
+
+
+def _make_no_upstream_fault(call: GatewayCall, pool: TargetPool, now: float) -> Fault:
+    kind = ErrorKind.NO_UPSTREAM
+    if pool.has_closed_target(now):
+        kind = ErrorKind.OVERLOADED
+    return call.attempts.make_no_upstream_fault(kind)
+
+
 def _add_retry_after(fault: Fault, pool: TargetPool, now: float) -> Fault:
     """Return a fault with the retry time that the pool's targets imply.
 
--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -1,20 +1,32 @@
-"""Detects crashed upstreams and quarantines the contents that crash them.
+"""Detects crashed upstreams and quarantines what crashes them.
 
-All entry processes learn of each crash, so that a request that its caller
-sends again and again can't crash one upstream after another.
+All entry processes learn of each crash, so that requests which have something
+in common can't crash one upstream after another, whichever VMs they come to.
 """
 
 import asyncio
-from collections import defaultdict
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
+from dataclasses import dataclass, field
 
 import structlog
 
-from zinniaspool.core.dispatch import Quarantine, QuarantineStatus, TargetState
+from zinniaspool.core.dispatch import (
+    Quarantine,
+    TargetState,
+    TraitKind,
+    Verdict,
+    find_kind,
+)
 from zinniaspool.core.fleet import InstanceIncarnation, ProbeOutcome
-from zinniaspool.core.ids import Address, ContentId, NodeId
+from zinniaspool.core.ids import Address, NodeId, TraitId
 from zinniaspool.core.messages import Message
-from zinniaspool.core.messages.fleet import ClearedContents, CrashReport, StalledTarget
+from zinniaspool.core.messages.fleet import (
+    AnswerReport,
+    CrashHistory,
+    CrashReport,
+    PastCrash,
+    StalledTarget,
+)
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.records import QuarantineRecordStore
@@ -28,6 +40,9 @@
 """Connections that are tried to find out whether an upstream has ended. The
 first packet of a connection may be lost."""
 
+MAX_CHECK_WAIT_S = 0.7
+"""Longest wait of a request for the result of these, in seconds."""
+
 ENDED_BACKOFF_S = 4.0
 """Backoff of an upstream that has ended, in seconds. By its end the instance
 record has expired, or names another incarnation."""
@@ -35,18 +50,36 @@
 MAX_ENDED_INCARNATIONS = 1024
 """Ended incarnations of instances that are remembered."""
 
+MAX_WRITING_S = 0.5
+"""Time after its first event within which an attempt may have crashed its
+upstream, in seconds. What crashes an upstream does so when the upstream begins
+to write; streams that have gone on for longer were lost with it."""
+
+
+@dataclass(slots=True)
+class _Suspects:
+    """The traits of the attempts that were lost at an upstream.
+
+    Attributes:
+        traits: The traits.
+        trials: Those that were on trial there.
+    """
+
+    traits: set[TraitId] = field(default_factory=set)
+    trials: set[TraitId] = field(default_factory=set)
+
 
 class CrashDetector:
-    """Finds out which contents upstreams have when they crash.
+    """Finds out what the requests have in common that crash upstreams.
 
     A lost attempt alone shows little, since a connection may break by itself.
     If no process listens at the upstream's address any more, the upstream has
-    ended, and the contents of all attempts lost there are suspected.
+    ended, which speaks against all traits of the attempts lost there.
 
     Args:
         node: This process's VM.
-        quarantine: Counts crashes.
-        records: Keeps quarantined contents in the store.
+        quarantine: Decides which traits are quarantined.
+        records: Keeps quarantined traits in the store.
         index: The targets.
         rerouter: Interrupts attempts.
         send_to_all: Sends a message to all other entry processes.
@@ -57,7 +90,8 @@
     Attributes:
         on_refused: Called with each target that refuses connections.
         crash_count: How often this process found that an upstream had ended.
-        quarantine: Counts crashes by content.
+        trial_count: Requests that this process sent to upstreams as trials.
+        quarantine: Decides which traits are quarantined.
     """
 
     def __init__(
@@ -73,6 +107,7 @@
     ) -> None:
         self.on_refused: list[Callable[[TargetState], None]] = []
         self.crash_count = 0
+        self.trial_count = 0
         self.quarantine = quarantine
         self._node = node
         self._records = records
@@ -81,76 +116,135 @@
         self._send_to_all = send_to_all
         self._send_to_holder = send_to_holder
         self._probe = probe
-        self._suspected_contents: defaultdict[InstanceIncarnation, set[ContentId]] = (
-            defaultdict(set)
-        )
+        self._suspects: dict[InstanceIncarnation, _Suspects] = {}
         self._checks: dict[InstanceIncarnation, asyncio.Task[None]] = {}
         self._ended_at: dict[InstanceIncarnation, float] = {}
 
-    def is_quarantined(self, call: GatewayCall) -> bool:
-        """Return whether the content of a request is quarantined."""
-        return self.quarantine.is_quarantined(call.content, self._now())
+    def judge(self, call: GatewayCall) -> Verdict:
+        """Return what is known of a request's traits."""
+        return self.quarantine.judge(call.traits, self._now())
+
+    def record_trial(
+        self, call: GatewayCall, trait: TraitId, state: TargetState
+    ) -> None:
+        """Record that a suspected request is sent to its upstream."""
+        self.trial_count += 1
+        self.quarantine.record_trial(trait, self._now())
+        _log.info(
+            "trial-begun",
+            request=call.terms.id,
+            trait=trait,
+            instance=state.target.instance,
+        )
 
     async def handle_lost_attempt(self, call: GatewayCall, state: TargetState) -> None:
         """Find out whether the upstream of a lost attempt has crashed.
 
-        Waits for the result if one more crash would quarantine the content, so
-        that the request isn't sent to another upstream before that is known.
+        Waits for the result if one more crash may suspect the request, so that
+        it isn't sent to another upstream before that is known.
         """
-        incarnation = InstanceIncarnation(
-            state.target.instance, state.target.started_at_ms
-        )
+        incarnation = state.target.incarnation
         if call.sent_at > self._ended_at.get(incarnation, float("inf")):
             # It was sent after the upstream had ended.
             return
-        self._suspected_contents[incarnation].add(call.content)
+        suspects = self._suspects.setdefault(incarnation, _Suspects())
+        if not call.has_event or self._now() - call.writing_since < MAX_WRITING_S:
+            suspects.traits.update(call.traits)
+            if call.trial is not None:
+                suspects.trials.add(call.trial)
         check = self._start_check(incarnation, state)
-        if self.quarantine.is_near_quarantine(call.content):
-            await asyncio.shield(check)
+        if self.quarantine.is_near_suspicion(call.traits):
+            await asyncio.wait([check], timeout=MAX_CHECK_WAIT_S)
 
     def check_target(self, state: TargetState) -> None:
         """Find out whether an upstream that doesn't answer has ended."""
-        incarnation = InstanceIncarnation(
-            state.target.instance, state.target.started_at_ms
-        )
+        incarnation = state.target.incarnation
         if incarnation not in self._ended_at:
             self._start_check(incarnation, state)
 
+    def record_progress(self, call: GatewayCall, now: float) -> None:
+        """Record that a stream has gone on; after a while it is an answer."""
+        if not call.is_answer and now - call.writing_since >= MAX_WRITING_S:
+            self.record_answer(call)
+
     def record_answer(self, call: GatewayCall) -> None:
-        """Record that a request was answered completely."""
-        if self.quarantine.record_answer(call.content, self._now()):
-            self._clear([call.content])
+        """Record that a request was answered."""
+        if call.is_answer:
+            return
+        call.is_answer = True
+        began_at = call.writing_since if call.has_event else call.sent_at
+        cleared = self.quarantine.record_answer(call.traits, began_at, self._now())
+        if cleared:
+            self._clear(cleared)
 
     def handle_crash_report(self, report: CrashReport) -> None:
         """Handle another process's report that an upstream crashed."""
         incarnation = InstanceIncarnation(report.instance, report.born)
         self._record_ended(incarnation)
-        self._record_crash(incarnation, report.contents, found_here=False)
+        traits = [*report.contents, *report.traits]
+        self._record_crash(incarnation, traits, report.trials, found_here=False)
 
-    def handle_cleared_contents(self, message: ClearedContents) -> None:
-        """Handle another process's message that contents crash no upstream."""
-        self._records.cancel_writes(message.contents)
-        for content in message.contents:
-            self.quarantine.release(content)
+    def handle_answer_report(self, report: AnswerReport) -> None:
+        """Handle another process's report of answers to suspected traits."""
+        now = self._now()
+        ages_ms = report.ages_ms or [0] * len(report.traits)
+        for trait, age_ms in zip(report.traits, ages_ms, strict=False):
+            self.quarantine.record_answer([trait], now - age_ms / 1000, now)
+            if not self.quarantine.is_quarantined(trait, now):
+                self._records.cancel_writes([trait])
+
+    def make_history(self) -> CrashHistory:
+        """Return what a process that has just started needs of the crashes."""
+        now = self._now()
+        return CrashHistory(
+            [
+                PastCrash(
+                    crash.incarnation.instance,
+                    crash.incarnation.started_at_ms,
+                    int((now - crash.at) * 1000),
+                    sorted(crash.traits),
+                    sorted(crash.trials),
+                )
+                for crash in self.quarantine.list_shared_crashes()
+            ]
+        )
+
+    def apply_history(self, history: CrashHistory) -> None:
+        """Apply the crashes of before this process started."""
+        now = self._now()
+        for crash in history.crashes:
+            self._record_crash(
+                InstanceIncarnation(crash.instance, crash.born),
+                crash.traits,
+                crash.trials,
+                found_here=False,
+                crashed_at=now - crash.age_ms / 1000,
+            )
 
     def apply_records(
-        self, added: frozenset[ContentId], removed: frozenset[ContentId]
+        self, added: frozenset[TraitId], removed: frozenset[TraitId]
     ) -> None:
         """Apply changes of the quarantine records in the store.
 
         Args:
-            added: Contents that have a record from now on.
-            removed: Contents that no longer have one.
+            added: Traits that have a record from now on.
+            removed: Traits that no longer have one.
         """
-        for content in removed:
-            self.quarantine.release(content)
-        for content in added:
-            known = self.quarantine.is_quarantined(content, self._now())
-            status = self.quarantine.quarantine(content, self._now())
-            if status is QuarantineStatus.CLEARED:
-                self._clear([content])
-            elif not known:
-                self._enforce_quarantine(content)
+        now = self._now()
+        for trait in removed:
+            self.quarantine.release(trait)
+        for trait in added:
+            record = self._records.find(trait)
+            crashed = [] if record is None else record.crashed
+            trials = 0 if record is None else record.trials
+            known = self.quarantine.is_quarantined(trait, now)
+            if not self.quarantine.apply_record(trait, crashed, trials, now):
+                self._clear([trait])
+                continue
+            if record is not None and record.node == self._node:
+                self.quarantine.schedule_retrials(trait, now)
+            if not known:
+                self._enforce_quarantine(trait)
 
     def _start_check(
         self, incarnation: InstanceIncarnation, state: TargetState
@@ -169,7 +263,7 @@
             if outcome is ProbeOutcome.NO_ANSWER:
                 outcome = await self._probe(state.target.address)
         del self._checks[incarnation]
-        contents = sorted(self._suspected_contents.pop(incarnation, ()))
+        suspects = self._suspects.pop(incarnation, _Suspects())
         if outcome is not ProbeOutcome.REFUSED:
             return
         self.crash_count += 1
@@ -179,19 +273,37 @@
         # Otherwise the holder would learn of the crash seconds later, when the
         # instance record expires.
         self._send_to_holder(StalledTarget(incarnation.instance, self._node))
+        traits = sorted(suspects.traits)
         _log.warning(
             "upstream-crashed",
             instance=incarnation.instance,
-            contents=",".join(contents),
+            traits=",".join(traits),
+            trials=",".join(sorted(suspects.trials)),
         )
-        if not contents:
+        if not traits:
             return
+        self._report_crash(incarnation, traits, sorted(suspects.trials))
+        self._record_crash(incarnation, traits, suspects.trials, found_here=True)
+
+    def _report_crash(
+        self,
+        incarnation: InstanceIncarnation,
+        traits: list[TraitId],
+        trials: list[TraitId],
+    ) -> None:
+        def is_content(trait: TraitId) -> bool:
+            return find_kind(trait) is TraitKind.CONTENT
+
         self._send_to_all(
             CrashReport(
-                incarnation.instance, incarnation.started_at_ms, contents, self._node
+                incarnation.instance,
+                incarnation.started_at_ms,
+                [trait for trait in traits if is_content(trait)],
+                self._node,
+                [trait for trait in traits if not is_content(trait)],
+                trials,
             )
         )
-        self._record_crash(incarnation, contents, found_here=True)
 
     def _record_ended(self, incarnation: InstanceIncarnation) -> None:
         """Record that an upstream has ended, and avoid it for a while."""
@@ -209,36 +321,43 @@
     def _record_crash(
         self,
         incarnation: InstanceIncarnation,
-        contents: Iterable[ContentId],
+        traits: Iterable[TraitId],
+        trials: Collection[TraitId],
         *,
         found_here: bool,
+        crashed_at: float | None = None,
     ) -> None:
-        now = self._now()
-        for content in contents:
-            status = self.quarantine.record_crash(content, incarnation, now)
-            if status is QuarantineStatus.QUARANTINED:
-                self._records.add(content, found_here=found_here)
-                self._enforce_quarantine(content)
-            elif status is QuarantineStatus.CLEARED:
-                self._clear([content])
-
-    def _enforce_quarantine(self, content: ContentId) -> None:
+        findings = self.quarantine.record_crash(
+            incarnation, traits, trials, self._now(), crashed_at
+        )
+        self._records.cancel_writes(findings.doubtful)
+        if findings.explained:
+            _log.info("requests-cleared", traits=",".join(findings.explained))
+            self._records.remove(findings.explained)
+        for trait in findings.quarantined:
+            self._records.add(trait, found_here=found_here)
+            self._enforce_quarantine(trait)
+
+    def _enforce_quarantine(self, trait: TraitId) -> None:
         _log.warning(
-            "content-held",
-            content=content,
-            crashed=",".join(self.quarantine.list_crashed_instances(content)),
+            "requests-held",
+            trait=trait,
+            crashed=",".join(self.quarantine.list_crashed_instances(trait)),
+            trials=self.quarantine.count_trials(trait),
         )
-        self._rerouter.interrupt_content(content)
+        self._rerouter.interrupt_trait(trait)
 
-    def _clear(self, contents: list[ContentId]) -> None:
-        """Make all processes forget the crashes counted for contents.
+    def _clear(self, traits: list[TraitId]) -> None:
+        """Have all processes count no crash against traits any more.
 
-        An upstream has answered the contents, so that the crashes have another
-        cause.
+        They were answered since, or something else explains the crashes.
         """
-        _log.info("contents-cleared", contents=",".join(contents))
-        self._records.remove(contents)
-        self._send_to_all(ClearedContents(contents, self._node))
+        _log.info("requests-cleared", traits=",".join(traits))
+        self._records.remove(traits)
+        now = self._now()
+        answered = [self.quarantine.find_answer_time(trait) for trait in traits]
+        ages_ms = [0 if at is None else int((now - at) * 1000) for at in answered]
+        self._send_to_all(AnswerReport(traits, self._node, ages_ms))
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -20,10 +20,11 @@
     RetryTerms,
     RetryWindow,
     identify_content,
+    identify_traits,
 )
 from zinniaspool.core.errors import ERROR_ANSWERS, ErrorKind, Fault
 from zinniaspool.core.fleet import Catalog, CustomerSpec, RouteSpec
-from zinniaspool.core.ids import ContentId, ServiceName
+from zinniaspool.core.ids import ServiceName
 from zinniaspool.fleet import FleetView
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.carrier import RequestForwarder
@@ -33,7 +34,6 @@
     Headers,
     Refusal,
     RefusalKind,
-    Request,
     TransportError,
 )
 from zinniaspool.telemetry import RequestTally
@@ -248,6 +248,8 @@
             ),
             _RetryBudget(self._find_retry_window(service)),
         )
+        name = None if customer.ok_value is None else customer.ok_value.name
+        content = identify_content(request.method, request.target, name, request.body)
         call = GatewayCall(
             exchange,
             terms,
@@ -257,7 +259,8 @@
             received_at,
             deadline,
             attempts,
-            _identify_request_content(request, customer.ok_value),
+            content,
+            identify_traits(content, terms.prompt_parts, name),
         )
         call.cursor.last_id = terms.resume_after
         return Ok(call)
@@ -316,13 +319,6 @@
     return Ok(customer)
 
 
-def _identify_request_content(
-    request: Request, customer: CustomerSpec | None
-) -> ContentId:
-    name = None if customer is None else customer.name
-    return identify_content(request.method, request.target, name, request.body)
-
-
 def _choose_service(route: RouteSpec) -> ServiceName:
     shares = route.shares
     if len(shares) == 1:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -28,10 +28,12 @@
     NodeState,
     ReachabilityTracker,
 )
-from zinniaspool.core.ids import Address, ContentId, FailureDomainId, NodeId
+from zinniaspool.core.ids import Address, FailureDomainId, NodeId, TraitId
 from zinniaspool.core.messages import Hello, Message
 from zinniaspool.core.messages.fleet import (
-    ClearedContents,
+    AnswerReport,
+    CrashHistory,
+    CrashHistoryRequest,
     CrashReport,
     DemandDigest,
     InstanceQuery,
@@ -113,6 +115,12 @@
 CLOSE_RESERVE_S = 0.25
 """Part of the stop time that is reserved for closing, in seconds."""
 
+HISTORY_PEERS = 2
+"""Processes that a process asks for their crash histories when it starts."""
+
+HISTORY_INTERVAL_S = 0.5
+"""Pause before a process looks again for others to ask, in seconds."""
+
 UNREACHABLE_FANOUT = 6
 """VMs that a process informs of a VM that it can't reach. Each of them informs
 as many others when it can't reach that VM either, so that among hundreds of
@@ -211,7 +219,7 @@
             settings.node,
             self._fleet_view,
             self._store,
-            quarantine.list_crashed_instances,
+            quarantine,
         )
         self._crash_detector = CrashDetector(
             settings.node,
@@ -341,6 +349,9 @@
             asyncio.create_task(
                 run_supervised("records", self._quarantine_records.run)
             ),
+            asyncio.create_task(
+                run_supervised("crash_history", self._request_crash_history)
+            ),
         ]
         if self._divides_capacity:
             reporting = run_supervised("demand", self._demand_reporter.run)
@@ -397,14 +408,16 @@
     async def _handle_message(self, hello: Hello, message: Message) -> Message | None:
         if isinstance(message, InstanceQuery):
             return await self._query_handler.handle(message)
+        if isinstance(message, CrashHistoryRequest):
+            return self._crash_detector.make_history()
         if isinstance(message, UnreachableNode):
             self._reachability.suspect(message.node)
         elif isinstance(message, StalledTarget):
             self._stall_detector.handle_peer_report(message)
         elif isinstance(message, CrashReport):
             self._crash_detector.handle_crash_report(message)
-        elif isinstance(message, ClearedContents):
-            self._crash_detector.handle_cleared_contents(message)
+        elif isinstance(message, AnswerReport):
+            self._crash_detector.handle_answer_report(message)
         elif isinstance(message, UpstreamLimit):
             self._backpressure.handle_peer_report(message)
         elif isinstance(message, LoadReport):
@@ -413,6 +426,26 @@
             self._admission_queues.apply_digest(hello.node, message)
         return None
 
+    async def _request_crash_history(self) -> None:
+        """Learn of the crashes of before this process started.
+
+        Several peers are asked, since one that started just before doesn't
+        know more.
+        """
+        await self._configured.wait()
+        asked: set[NodeId] = set()
+        while len(asked) < HISTORY_PEERS:
+            others = self._fleet_view.nodes.keys() - asked - {self._settings.node}
+            if not others:
+                await asyncio.sleep(HISTORY_INTERVAL_S)
+                continue
+            node = random.choice(sorted(others))
+            asked.add(node)
+            address = self._fleet_view.nodes[node].peer_address
+            answer = await self._peer_exchange.request(address, CrashHistoryRequest())
+            if isinstance(answer, CrashHistory):
+                self._crash_detector.apply_history(answer)
+
     def _report_unreachable(self, node: NodeId) -> None:
         """Have a few other processes probe a VM that this one can't reach.
 
@@ -550,10 +583,10 @@
                     written = wanted
             await self._lease.wait_until_due()
 
-    def _write_records_again(self, lost_contents: frozenset[ContentId]) -> None:
+    def _write_records_again(self, lost_traits: frozenset[TraitId]) -> None:
         """Write what the store may have lost when it was restored."""
-        for content in lost_contents:
-            self._quarantine_records.add(content, found_here=False)
+        for trait in lost_traits:
+            self._quarantine_records.add(trait, found_here=False)
         spread_s = RESTORE_SPREAD_S * len(self._fleet_view.nodes)
         asyncio.get_running_loop().call_later(
             random.uniform(0.0, spread_s), self._lease.request_check
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -125,10 +125,19 @@
     )
     page.add_gauge(
         "zinniaspool_held_contents",
-        "Request contents that are quarantined: sent to no upstream.",
+        "Contents, prompt parts and customers whose requests are sent to no upstream.",
         list_held,
     )
 
+    def list_trials() -> Iterator[Sample]:
+        yield Sample({}, crashes.trial_count)
+
+    page.add_counter(
+        "zinniaspool_trials",
+        "Requests with a suspected trait that were sent to the upstream of its trial.",
+        list_trials,
+    )
+
     def list_evacuated() -> Iterator[Sample]:
         yield Sample({}, sum(state.evacuated for state in index))
 
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -1,7 +1,7 @@
 """Interrupts attempts so that their requests go on at another target.
 
 A request leaves its target if the target has stalled or was removed, if the
-request's first event is overdue, or if its content was quarantined.
+request's first event is overdue, or if one of its traits was quarantined.
 """
 
 import asyncio
@@ -15,7 +15,7 @@
     TargetState,
     would_be_on_time_elsewhere,
 )
-from zinniaspool.core.ids import ContentId
+from zinniaspool.core.ids import TraitId
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.targets import TargetIndex
 
@@ -104,12 +104,12 @@
             if call.attempts.reserve_retry():
                 self._interrupt_attempt(call, now)
 
-    def interrupt_content(self, content: ContentId) -> None:
-        """Interrupt the attempts of a content that have had no event yet."""
+    def interrupt_trait(self, trait: TraitId) -> None:
+        """Interrupt a trait's attempts that have had no event yet."""
         now = asyncio.get_running_loop().time()
         for calls in list(self._calls.values()):
             for call in list(calls):
-                if call.content == content and not call.has_event:
+                if trait in call.traits and not call.has_event:
                     self._interrupt_attempt(call, now)
 
     def _interrupt_attempt(self, call: GatewayCall, now: float) -> None:
--- a/src/zinniaspool/gateway/records.py
+++ b/src/zinniaspool/gateway/records.py
@@ -1,19 +1,19 @@
-"""Records quarantined contents in the store.
+"""Records quarantined traits of requests in the store.
 
 A quarantine thereby outlasts the entry processes that counted the crashes.
 """
 
 import asyncio
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 
 import msgspec
 import structlog
 from result import Err
 
-from zinniaspool.core.dispatch import HOLD_S
-from zinniaspool.core.fleet import HELD_PREFIX, InstanceId, QuarantineRecord
-from zinniaspool.core.ids import ContentId, NodeId, Revision
+from zinniaspool.core.dispatch import Quarantine, find_terms
+from zinniaspool.core.fleet import HELD_PREFIX, QuarantineRecord
+from zinniaspool.core.ids import NodeId, Revision, TraitId
 from zinniaspool.core.storage import KeyWrite, StoreFault
 from zinniaspool.fleet import FleetStore, FleetView
 
@@ -22,7 +22,11 @@
 _log = structlog.get_logger(__name__)
 
 CHECK_INTERVAL_S = 0.2
-"""Pause between checks for contents that are to be recorded, in seconds."""
+"""Pause between checks for traits that are to be recorded, in seconds."""
+
+FIRST_WRITE_DELAY_S = 0.2
+"""Delay before the first process records a quarantine, in seconds. Reports of
+crashes at the same moment may end it until then."""
 
 MIN_WRITE_DELAY_S = 0.6  # seconds, a change is known to all by then
 MAX_WRITE_DELAY_S = 2.0
@@ -32,14 +36,13 @@
 
 
 class QuarantineRecordStore:
-    """Writes and removes the records of quarantined contents.
+    """Reads, writes and removes the records of quarantined traits.
 
     Args:
         node: This process's VM.
-        fleet_view: Has the contents that are recorded.
+        fleet_view: Has the traits that are recorded.
         store: The store that has the records.
-        list_crashed_instances: Returns the instances that crashed while they
-            had a content.
+        quarantine: Has the evidence that is recorded.
     """
 
     def __init__(
@@ -47,41 +50,54 @@
         node: NodeId,
         fleet_view: FleetView,
         store: FleetStore,
-        list_crashed_instances: Callable[[ContentId], list[InstanceId]],
+        quarantine: Quarantine,
     ) -> None:
         self._node = node
         self._fleet_view = fleet_view
         self._store = store
-        self._list_crashed_instances = list_crashed_instances
-        self._write_due_at: dict[ContentId, float] = {}
+        self._quarantine = quarantine
+        self._write_due_at: dict[TraitId, float] = {}
         self._removals: set[asyncio.Task[None]] = set()
 
-    def add(self, content: ContentId, *, found_here: bool) -> None:
-        """Have a content recorded, by this process if no other one does it.
+    def find(self, trait: TraitId) -> QuarantineRecord | None:
+        """Return the record of a trait; None if it can't be read."""
+        item = self._fleet_view.mirror.get(HELD_PREFIX + trait)
+        if item is None:
+            return None
+        try:
+            return msgspec.json.decode(item.value, type=QuarantineRecord)
+        except msgspec.MsgspecError as error:
+            _log.warning("quarantine-record-unreadable", trait=trait, reason=str(error))
+            return None
+
+    def add(self, trait: TraitId, *, found_here: bool) -> None:
+        """Have a trait recorded, by this process if no other one does it.
 
         Args:
-            content: The quarantined content.
+            trait: The quarantined trait.
             found_here: Whether this process found the last crash. If so, it
-                writes the record at once.
+                is the first to write the record.
         """
         now = asyncio.get_running_loop().time()
         delay_s = (
-            0.0 if found_here else random.uniform(MIN_WRITE_DELAY_S, MAX_WRITE_DELAY_S)
+            FIRST_WRITE_DELAY_S
+            if found_here
+            else random.uniform(MIN_WRITE_DELAY_S, MAX_WRITE_DELAY_S)
         )
-        self._write_due_at[content] = now + delay_s
+        self._write_due_at[trait] = now + delay_s
 
-    def cancel_writes(self, contents: Collection[ContentId]) -> None:
-        """Cancel the pending writes of contents that are released."""
-        for content in contents:
-            self._write_due_at.pop(content, None)
+    def cancel_writes(self, traits: Collection[TraitId]) -> None:
+        """Cancel the pending writes of traits that are released."""
+        for trait in traits:
+            self._write_due_at.pop(trait, None)
 
-    def remove(self, contents: Collection[ContentId]) -> None:
-        """Remove the records of contents that crash no upstream."""
-        self.cancel_writes(contents)
+    def remove(self, traits: Collection[TraitId]) -> None:
+        """Remove the records of traits that crash no upstream."""
+        self.cancel_writes(traits)
         keys = [
-            HELD_PREFIX + content
-            for content in contents
-            if content in self._fleet_view.quarantined
+            HELD_PREFIX + trait
+            for trait in traits
+            if trait in self._fleet_view.quarantined
         ]
         if not keys:
             return
@@ -94,26 +110,30 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            for content, due_at in list(self._write_due_at.items()):
-                if content in self._fleet_view.quarantined:
-                    self._write_due_at.pop(content, None)
+            for trait, due_at in list(self._write_due_at.items()):
+                if trait in self._fleet_view.quarantined:
+                    self._write_due_at.pop(trait, None)
                 elif due_at <= loop.time():
-                    await self._write(content)
+                    await self._write(trait)
 
-    async def _write(self, content: ContentId) -> None:
-        granted = await self._store.grant(HOLD_S)
+    async def _write(self, trait: TraitId) -> None:
+        granted = await self._store.grant(find_terms(trait).hold_s)
         if isinstance(granted, Err):
             return
-        key = HELD_PREFIX + content
-        record = QuarantineRecord(self._node, self._list_crashed_instances(content))
+        key = HELD_PREFIX + trait
+        record = QuarantineRecord(
+            self._node,
+            self._quarantine.list_crashed_instances(trait),
+            self._quarantine.count_trials(trait),
+        )
         write = KeyWrite(key, msgspec.json.encode(record), granted.ok_value)
         written = await self._store.commit([(key, Revision(0))], [write])
         if not isinstance(written, Err) or written.err_value is StoreFault.CONFLICT:
-            self._write_due_at.pop(content, None)
+            self._write_due_at.pop(trait, None)
 
     async def _remove(self, keys: list[str]) -> None:
         removed = await self._store.commit([], [], keys)
         if isinstance(removed, Err):
             # The record expires with its lease. Until then, each process that
-            # answers the content clears it again.
+            # answers it clears it again.
             _log.warning("record-not-removed", fault=removed.err_value.value)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -17,6 +17,7 @@
         "request-failed",
         "request-not-admitted",
         "request-refused",
+        "trial-begun",
     }
 )
 """Events about single requests. Their lines are the first to be dropped when
@@ -33,10 +34,6 @@
         "contention-began": "Requests for a model exceed its capacity, and some are "
         "refused so that others get their share.",
         "contention-ended": "No request for a model was refused by share for a while.",
-        "content-held": "Upstreams crashed while they had a request; its content is "
-        "quarantined and sent to no upstream.",
-        "contents-cleared": "Quarantined contents were answered; they may be sent "
-        "again.",
         "claims-unreadable": "A value of claims in the store cannot be decoded.",
         "keyed-call-failed": "An internal error of this process ended a keyed call.",
         "attempt-failed": "One attempt of a request at an upstream failed.",
@@ -158,6 +155,10 @@
         "than are known.",
         "record-unreadable": "A record that a process wrote to the store cannot be "
         "decoded.",
+        "requests-cleared": "Suspected or quarantined traits of requests were "
+        "answered, or explained by another trait; their requests may be sent again.",
+        "requests-held": "Upstreams crashed while they had requests with a trait; such "
+        "requests are quarantined and sent to no upstream.",
         "request-ended": "A request ended; the keys give its targets, attempts and "
         "times.",
         "settings-signal": "A signal announced that the settings file changed.",
@@ -171,8 +172,10 @@
         "target-gone": "A target was removed from this process's targets.",
         "targets-shared": "The peers that share this process's subset of targets have "
         "changed.",
-        "record-not-removed": "The store did not remove the record of a content that "
+        "record-not-removed": "The store did not remove the record of a trait that "
         "is no longer quarantined; the record expires with its lease.",
+        "quarantine-record-unreadable": "The store's record of a quarantined trait "
+        "can't be decoded; the trait is quarantined without its evidence.",
         "upstream-cold": "An upstream is cold, for the reason given; this process "
         "sends it only its share of requests, or none.",
         "upstream-path-lost": "This VM reaches no upstream directly; its "
@@ -183,8 +186,10 @@
         "tunnel-refused": "Another VM requested a connection to an address where no "
         "upstream is known, or too many are open.",
         "upstream-warm": "An upstream is no longer cold.",
+        "trial-begun": "A request with a suspected trait is sent to the one upstream "
+        "that all processes choose for such requests.",
         "upstream-crashed": "An upstream with requests of this process no longer "
-        "listens; their contents are suspected.",
+        "listens; their traits are counted.",
         "target-silent": "A group's head with requests of this process is stalled; "
         "the keys give what was predicted and for how long nothing came.",
         "target-alive": "A head that was found stalled has had an event, here or at "
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.installation import Answer, Installation, run
+from zinniaspool.core.dispatch import quarantine
 from zinniaspool_standins.runners import Runner
 
 _PART, _OTHER_PART = "dead0001", "dead0002"
@@ -256,14 +257,11 @@
                 heads = made.heads("small") + made.heads("large")
                 await _crash_together(heads if at_once else heads[:1])
                 await asyncio.gather(*running)
-            served = []
-            for _ in range(3):
                 for node in made.nodes:
                     for model in ("small", "large"):
                         await made.await_served(node, model)
                         answer = await send(node, model, 3)
-                        served.append(answer.status == 200)
-            assert all(served)
+                        assert answer.events == [1, 2, 3]
 
     run(test)
 
@@ -320,3 +318,30 @@
             crashing.assert_bounded()
 
     run(test)
+
+
+def test_a_part_that_is_sound_again_is_released_by_a_retrial(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a part that stays quarantined though it is sound."""
+    monkeypatch.setattr(quarantine, "UNANSWERED_TRIAL_PAUSE_S", 2.0)
+
+    async def test() -> None:
+        async with Installation.running(nodes=2, engines=12) as made:
+            await made.settle()
+            crashing = _CrashingPart(made)
+            for number in range(8):
+                node = f"n{number % 2}"
+                await made.await_served(node, "small")
+                await crashing.send(node, "small")
+            crashing.assert_bounded()
+            for runner in made.runners.values():
+                runner.faults.crash_on_parts = ()
+            await asyncio.sleep(2.5)
+            for number in range(8):
+                node = f"n{number % 2}"
+                await made.await_served(node, "small")
+                await crashing.send(node, "small")
+            assert crashing.answers[-1].events == [1, 2, 3, 4]
+
+    run(test)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,14 +7,9 @@
 from structlog.testing import capture_logs
 
 from tests.installation import Answer, Installation, eventually, run
-from zinniaspool.core.dispatch import (
-    HOLD_S,
-    Quarantine,
-    QuarantineStatus,
-    identify_content,
-)
+from zinniaspool.core.dispatch import Quarantine, TraitStatus, identify_content
 from zinniaspool.core.fleet import HELD_PREFIX, InstanceId, InstanceIncarnation
-from zinniaspool.core.ids import ContentId
+from zinniaspool.core.ids import TraitId
 
 _CRASH_MARK = "crash"
 _MAX_RETRIES = 3
@@ -142,7 +137,7 @@
                 await made.await_served("n0", "small")
                 answer = await made.draft("n0", "small", 4, body=b"beside")
             assert answer.events == [1, 2, 3, 4]
-            quarantined = [line for line in lines if line["event"] == "content-held"]
+            quarantined = [line for line in lines if line["event"] == "requests-held"]
             assert len(quarantined) == 1
 
     run(test)
@@ -270,44 +265,44 @@
     run(test)
 
 
-_CONTENT = ContentId("c0")
+_CONTENT = TraitId("c0")
+_HOLD_S = 600.0
 
 
 def _make_incarnation(number: int, born: int = 0) -> InstanceIncarnation:
     return InstanceIncarnation(InstanceId(f"i-{number}"), born)
 
 
-def _crash_three(quarantine: Quarantine, now: float) -> list[QuarantineStatus]:
-    return [
-        quarantine.record_crash(_CONTENT, _make_incarnation(k), now) for k in range(3)
-    ]
+def _crash(quarantine: Quarantine, number: int, now: float, born: int = 0) -> bool:
+    """Let an upstream crash; return whether that quarantined the content."""
+    incarnation = _make_incarnation(number, born)
+    findings = quarantine.record_crash(incarnation, [_CONTENT], [], now)
+    return findings.quarantined == [_CONTENT]
+
+
+def _crash_three(quarantine: Quarantine, now: float) -> list[bool]:
+    return [_crash(quarantine, number, now) for number in range(3)]
 
 
 def test_the_third_crash_quarantines_a_content() -> None:
     quarantine = Quarantine()
-    assert _crash_three(quarantine, 1.0) == [
-        QuarantineStatus.OPEN,
-        QuarantineStatus.OPEN,
-        QuarantineStatus.QUARANTINED,
-    ]
+    assert _crash_three(quarantine, 1.0) == [False, False, True]
     assert quarantine.is_quarantined(_CONTENT, 1.0)
-    assert not quarantine.is_quarantined(ContentId("other"), 1.0)
+    assert not quarantine.is_quarantined(TraitId("other"), 1.0)
 
 
 def test_one_crash_reported_by_several_processes_counts_once() -> None:
     """Guards against counting a crash once for each VM that reports it."""
     quarantine = Quarantine()
-    statuses = [
-        quarantine.record_crash(_CONTENT, _make_incarnation(1), 1.0) for _ in range(5)
-    ]
-    assert statuses == [QuarantineStatus.OPEN] * 5
+    assert not any(_crash(quarantine, 1, 1.0) for _ in range(5))
+    assert not quarantine.is_quarantined(_CONTENT, 1.0)
 
 
 def test_incarnations_of_one_instance_count_separately() -> None:
     """Guards against missing an upstream that restarts under its id."""
     quarantine = Quarantine()
     for born in range(3):
-        quarantine.record_crash(_CONTENT, _make_incarnation(1, born), 1.0)
+        _crash(quarantine, 1, 1.0, born)
     assert quarantine.is_quarantined(_CONTENT, 1.0)
 
 
@@ -320,27 +315,27 @@
     """
     quarantine = Quarantine()
     if answered_at < 1.0:
-        quarantine.record_answer(_CONTENT, answered_at)
-        assert _crash_three(quarantine, 1.0)[-1] is QuarantineStatus.CLEARED
+        quarantine.record_answer([_CONTENT], answered_at, answered_at)
+        assert not any(_crash_three(quarantine, 1.0))
     else:
         _crash_three(quarantine, 1.0)
-        assert quarantine.record_answer(_CONTENT, answered_at)
-    assert not quarantine.is_quarantined(_CONTENT, answered_at + 1.0)
-    assert not quarantine.is_near_quarantine(_CONTENT)
+        cleared = quarantine.record_answer([_CONTENT], answered_at, answered_at)
+        assert cleared == [_CONTENT]
+    now = answered_at + 1.0
+    assert not quarantine.is_quarantined(_CONTENT, now)
+    assert quarantine.judge([_CONTENT], now).status is TraitStatus.CLEAR
 
 
 def test_a_quarantine_ends_after_its_time() -> None:
     quarantine = Quarantine()
     _crash_three(quarantine, 1.0)
-    assert quarantine.is_quarantined(_CONTENT, HOLD_S)
-    assert not quarantine.is_quarantined(_CONTENT, HOLD_S + 2.0)
+    assert quarantine.is_quarantined(_CONTENT, _HOLD_S)
+    assert not quarantine.is_quarantined(_CONTENT, _HOLD_S + 2.0)
 
 
 def test_crashes_long_apart_do_not_add_up() -> None:
     quarantine = Quarantine()
     for number in range(5):
-        now = number * (HOLD_S / 1.5)
-        assert (
-            quarantine.record_crash(_CONTENT, _make_incarnation(number), now)
-            is QuarantineStatus.OPEN
-        )
+        now = number * (_HOLD_S / 1.5)
+        assert not _crash(quarantine, number, now)
+        assert not quarantine.is_quarantined(_CONTENT, now)
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -134,17 +134,32 @@
     Safeguard(
         "what is held back outlasts the processes",
         "src/zinniaspool/gateway/crashes.py",
-        "self._records.add(content, found_here=found_here)",
+        "self._records.add(trait, found_here=found_here)",
         "pass",
         "tests/test_quarantine.py::test_a_quarantine_outlasts_all_entry_processes",
     ),
     Safeguard(
         "an answer clears a request of crashes",
-        f"{CORE}/dispatch/quarantine.py",
-        "< CLEARED_S:",
-        "< 0.0:",
+        f"{CORE}/dispatch/evidence.py",
+        "if c.at < began_at",
+        "if False",
         "tests/test_quarantine.py::test_an_answer_clears_a_content",
     ),
+    Safeguard(
+        "a part is tried before it is quarantined",
+        f"{CORE}/dispatch/traits.py",
+        "TraitTerms(3, 1.0, 600.0, min_trials=1)",
+        "TraitTerms(3, 1.0, 600.0, min_trials=0)",
+        "tests/test_traits.py::test_crashes_out_of_a_trial_do_not_quarantine_a_part",
+    ),
+    Safeguard(
+        "answers of before the crashes clear nothing",
+        f"{CORE}/dispatch/evidence.py",
+        "if c.at < began_at",
+        "",
+        "tests/test_traits.py::"
+        "test_an_answer_that_began_before_the_crashes_clears_nothing",
+    ),
     Safeguard(
         "what the holder finds lost is told",
         "src/zinniaspool/keeper/holder.py",
