Judge by reads too whether an attempt goes on

An attempt that had its first event half a second ago counted as one that crashes no upstream. A VM that is frozen or starved between two reads reads late what was sent before a crash: the attempt to blame was left out of the report, or even counted as an answer, which clears its part at all processes. Four reads with events are needed too; what arrived during a freeze is one read.

test_an_attempt_that_is_read_late_is_still_suspected guards against it.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -61,6 +61,7 @@
         trial: The trait that the current attempt is the trial of, or None.
         has_event: Whether the current attempt has had an event.
         writing_since: Time of the current attempt's first event.
+        event_reads: Reads of the current attempt's events.
         is_answer: Whether the current attempt counts as answered: it is
             complete, or goes on for long enough.
         unanswered_out_of_subset: Whether the current attempt is at a target
@@ -100,6 +101,7 @@
     trial: TraitId | None = None
     has_event: bool = False
     writing_since: float = 0.0
+    event_reads: int = 0
     is_answer: bool = False
     unanswered_out_of_subset: bool = False
     failed_answer: FailedAnswer | None = None
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -221,6 +221,7 @@
         call.unanswered_out_of_subset = pool.begin_request(state, prompt)
         call.target_state = state
         call.has_event = call.rerouted = call.first_event_overdue = False
+        call.event_reads = 0
         call.is_answer = False
         self._backpressure.record_request(state)
         self._rerouter.begin_attempt(call, state)
@@ -381,6 +382,7 @@
             pool.record_event(state, now)
             if not call.has_event:
                 self._record_first_event(call, state, now)
+            call.event_reads += 1
             self._crashes.record_progress(call, now)
             events = call.cursor.feed(data)
             if isinstance(events, Err):
--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -50,10 +50,12 @@
 MAX_ENDED_INCARNATIONS = 1024
 """Ended incarnations of instances that are remembered."""
 
-MAX_WRITING_S = 0.5
-"""Time after its first event within which an attempt may have crashed its
-upstream, in seconds. What crashes an upstream does so when the upstream begins
-to write; streams that have gone on for longer were lost with it."""
+MIN_WRITING_S = 0.5  # seconds
+MIN_WRITING_READS = 4
+"""Time since an attempt's first event, and reads with events, after which the
+attempt can't be what crashes its upstream. Upstreams crash when they begin to
+write; streams that have gone on for longer were lost with them. Time alone
+doesn't show that: a VM that was frozen reads late what was sent before."""
 
 
 @dataclass(slots=True)
@@ -148,7 +150,7 @@
             # It was sent after the upstream had ended.
             return
         suspects = self._suspects.setdefault(incarnation, _Suspects())
-        if not call.has_event or self._now() - call.writing_since < MAX_WRITING_S:
+        if not _goes_on(call, self._now()):
             suspects.traits.update(call.traits)
             if call.trial is not None:
                 suspects.trials.add(call.trial)
@@ -164,7 +166,7 @@
 
     def record_progress(self, call: GatewayCall, now: float) -> None:
         """Record that a stream has gone on; after a while it is an answer."""
-        if not call.is_answer and now - call.writing_since >= MAX_WRITING_S:
+        if not call.is_answer and _goes_on(call, now):
             self.record_answer(call)
 
     def record_answer(self, call: GatewayCall) -> None:
@@ -361,3 +363,9 @@
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
+
+
+def _goes_on(call: GatewayCall, now: float) -> bool:
+    """Return whether the current attempt has been written for long enough."""
+    has_reads = call.event_reads >= MIN_WRITING_READS
+    return has_reads and now - call.writing_since >= MIN_WRITING_S
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,9 +7,15 @@
 from structlog.testing import capture_logs
 
 from tests.installation import Answer, Installation, eventually, run
-from zinniaspool.core.dispatch import Quarantine, TraitStatus, identify_content
+from zinniaspool.core.dispatch import (
+    Quarantine,
+    TargetState,
+    TraitStatus,
+    identify_content,
+)
 from zinniaspool.core.fleet import HELD_PREFIX, InstanceId, InstanceIncarnation
 from zinniaspool.core.ids import TraitId
+from zinniaspool.gateway.calls import GatewayCall
 
 _CRASH_MARK = "crash"
 _MAX_RETRIES = 3
@@ -143,6 +149,31 @@
     run(test)
 
 
+def test_an_attempt_that_is_read_late_is_still_suspected() -> None:
+    """Guards against taking an attempt at a frozen VM for one that goes on."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, engines=9) as made:
+            await made.settle()
+            for runner in made.runners.values():
+                runner.faults.cut_after = 2
+            detector = made.nodes["n0"].gateway._crash_detector
+            traits: list[TraitId] = []
+            handle = detector.handle_lost_attempt
+
+            async def handle_late(call: GatewayCall, state: TargetState) -> None:
+                call.writing_since -= 4.0
+                await handle(call, state)
+                for suspects in detector._suspects.values():
+                    traits.extend(suspects.traits)
+
+            detector.handle_lost_attempt = handle_late  # type: ignore[method-assign]
+            await made.draft("n0", "small", 4, parts=("5c1e", "91bd"))
+            assert TraitId("part-5c1e") in traits
+
+    run(test)
+
+
 def test_all_processes_avoid_an_upstream_that_one_saw_crash() -> None:
     """Guards against each process losing requests of its own to find out."""
 
