Keep the crashes of a trait in the order of their times

A process that joins learns of crashes older than those it has seen. They were appended, so that its own first crash passed for the first of the series: the time without an answer was measured from it, and a suspected part stayed unsuspected for a second longer. test_crashes_of_a_history_come_before_the_known_ones fails without it.

--- a/src/zinniaspool/core/dispatch/evidence.py
+++ b/src/zinniaspool/core/dispatch/evidence.py
@@ -5,9 +5,11 @@
 then, there would be no answer.
 """
 
+from bisect import insort
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from zinniaspool.core.fleet import InstanceIncarnation
 from zinniaspool.core.ids import TraitId
@@ -27,6 +29,9 @@
 """Traits whose answers are remembered."""
 
 
+_find_time = attrgetter("at")
+
+
 @dataclass(eq=False, slots=True)
 class Crash:
     """The crash of one upstream.
@@ -91,7 +96,8 @@
                 continue
             if trait not in crash.traits and len(crash.traits) < MAX_TRAITS_PER_CRASH:
                 crash.traits.add(trait)
-                self._by_trait.setdefault(trait, []).append(crash)
+                # A history may bring crashes that are older than known ones.
+                insort(self._by_trait.setdefault(trait, []), crash, key=_find_time)
             if trait in crash.traits and trait in trials:
                 crash.trials.add(trait)
         return crash
--- a/src/zinniaspool/core/dispatch/inference.py
+++ b/src/zinniaspool/core/dispatch/inference.py
@@ -123,7 +123,7 @@
         ]
         if any(trait not in crash.traits for crash in series):
             return False
-        times = [crash.at for crash in series]
+        times = sorted(crash.at for crash in series)
         moments = 1 + sum(
             later - earlier > SAME_MOMENT_S for earlier, later in pairwise(times)
         )
--- a/tests/test_traits.py
+++ b/tests/test_traits.py
@@ -211,6 +211,20 @@
     assert joined.judge([_PART], crashes.now).status is TraitStatus.SUSPECTED
 
 
+def test_crashes_of_a_history_come_before_the_known_ones() -> None:
+    """Guards against taking the first known crash for the first one."""
+    crashes = _Crashes()
+    crashes.answer(_PART)
+    crashes.now += 3.0
+    crashes.add("c0", _PART, after_s=0.0)
+    for number in range(2):
+        incarnation = InstanceIncarnation(InstanceId(f"old-{number}"), 0)
+        crashes.quarantine.record_crash(
+            incarnation, [_PART], [], crashes.now, crashes.now - 2.0
+        )
+    assert crashes.judge(_PART) is TraitStatus.SUSPECTED
+
+
 def test_a_record_of_trials_outweighs_answers_of_before() -> None:
     """Guards against releasing a part because it was sound once."""
     process = Quarantine()
