Count a trial twice for a part that dominates its crashes

A part that was answered before it began to crash upstreams needs two trials. With few upstreams the second one waits until one is back. One is enough where the part has five crashes at four or more moments and no other part is on over three quarters of them.

--- a/src/zinniaspool/core/dispatch/inference.py
+++ b/src/zinniaspool/core/dispatch/inference.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from itertools import pairwise
 
 from zinniaspool.core.dispatch.evidence import MEMORY_S, Crash, CrashEvidence
@@ -26,6 +26,9 @@
 SERIES_CRASHES = 6
 """Crashes of a series that shows its cause without a trial."""
 
+DOMINANT_CRASHES = 5
+"""Crashes of a part after which a trial counts twice if it dominates them."""
+
 SERIES_MOMENTS = 4
 """Different moments at which crashes of such a series happen."""
 
@@ -109,7 +112,17 @@
         """Return how many trials the evidence against a trait is worth."""
         if self._explains_series(trait):
             return find_terms(trait).min_trials + 1
-        return self._count_valid_trials(trait)
+        trials = self._count_valid_trials(trait)
+        return trials + 1 if trials and self._dominates(trait) else trials
+
+    def _dominates(self, trait: TraitId) -> bool:
+        """Return whether a part is on far more crashes than any other part."""
+        crashes = self._evidence.list_crashes(trait)
+        if find_kind(trait) is not TraitKind.PART or len(crashes) < DOMINANT_CRASHES:
+            return False
+        return _count_moments(crashes) >= SERIES_MOMENTS and not _has_rival(
+            trait, crashes
+        )
 
     def _explains_series(self, trait: TraitId) -> bool:
         """Return whether a part alone is common to a series of crashes."""
@@ -123,18 +136,9 @@
         ]
         if any(trait not in crash.traits for crash in series):
             return False
-        times = sorted(crash.at for crash in series)
-        moments = 1 + sum(
-            later - earlier > SAME_MOMENT_S for earlier, later in pairwise(times)
-        )
-        if len(series) < SERIES_CRASHES or moments < SERIES_MOMENTS:
+        if len(series) < SERIES_CRASHES or _count_moments(series) < SERIES_MOMENTS:
             return False
-        shared = Counter(other for crash in series for other in crash.traits)
-        return not any(
-            number > MAX_RIVAL_PART * len(series)
-            for other, number in shared.items()
-            if other != trait and find_kind(other) is TraitKind.PART
-        )
+        return not _has_rival(trait, series)
 
     def _is_explained(self, crash: Crash, trait: TraitId) -> bool:
         """Return whether something as wide as a trait explains a crash."""
@@ -188,3 +192,21 @@
             and (of_other := set(self._evidence.list_crashes(other)))
             and of_other < crashes
         ]
+
+
+def _count_moments(crashes: Iterable[Crash]) -> int:
+    """Return at how many different moments upstreams crashed."""
+    times = sorted(crash.at for crash in crashes)
+    return 1 + sum(
+        later - earlier > SAME_MOMENT_S for earlier, later in pairwise(times)
+    )
+
+
+def _has_rival(trait: TraitId, crashes: Sequence[Crash]) -> bool:
+    """Return whether another part is on nearly as many of some crashes."""
+    shared = Counter(other for crash in crashes for other in crash.traits)
+    return any(
+        number > MAX_RIVAL_PART * len(crashes)
+        for other, number in shared.items()
+        if other != trait and find_kind(other) is TraitKind.PART
+    )
--- a/tests/test_traits.py
+++ b/tests/test_traits.py
@@ -279,3 +279,37 @@
         made = CrashWorld(terms, seed)
         made.run()
         assert made.sound["held"] < 0.01 * made.sound["all"]
+
+
+_SOUND_BEFORE = {
+    "few upstreams": WorldTerms(
+        upstreams=5,
+        per_s=25.0,
+        crashing_per_s=0.5,
+        was_sound=True,
+        unrelated_at=tuple(range(5, 50, 7)),
+        unrelated=2,
+        ends_at=50.0,
+    ),
+    "very often": WorldTerms(was_sound=True, crashing_per_s=5.0),
+}
+
+
+@pytest.mark.parametrize("world", _SOUND_BEFORE)
+def test_a_part_that_was_sound_is_found_in_a_simulated_fleet(world: str) -> None:
+    """Guards against answers of before that protect a part for long."""
+    for seed in range(20):
+        made = CrashWorld(_SOUND_BEFORE[world], seed)
+        made.run()
+        assert made.count_later_arrivals(0) <= 3, seed
+
+
+def test_one_trial_counts_twice_for_a_part_that_dominates_its_crashes() -> None:
+    """Guards against a second trial where there is no other explanation."""
+    crashes = _Crashes()
+    crashes.answer(_PART)
+    crashes.add("before", _OTHER)
+    for number in range(4):
+        crashes.add(f"c{number}", _PART)
+    crashes.add("beside", _OTHER)
+    assert crashes.add("c5", _PART, trial=_PART) == [_PART]
