Stand-in of runners: let a runner crash once at a time

Two requests that crash the same runner at the same moment both let it end: the second one could not listen at its port again ('address already in use', seen twice in test_crashing_parts.py), and the crash was counted twice. That, and not only another test that took the port, is what was about.

--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -220,8 +220,13 @@
         await self._server.listen(self.address)
 
     async def crash(self) -> None:
-        """End at once, and come back as an empty one on the same host."""
+        """End at once, and come back as an empty one on the same host.
+
+        Several requests may let it end at the same moment; it ends once.
+        """
         assert self._server is not None
+        if self._down:
+            return
         self.crashes += 1
         self._down = True
         self.restart()
@@ -456,10 +461,11 @@
         self._note_run(request, headers, exchange.request.path)
         if self._crashes_on(exchange) and not self._down:
             await asyncio.sleep(self.times.pass_s * self.faults.pace)
-            now = asyncio.get_running_loop().time()
-            crashing = self._find_crashing_parts(exchange)
-            self.part_crashes += [(part, now) for part in crashing]
-            self._crashing = asyncio.create_task(self.crash())
+            if self._crashing is None or self._crashing.done():
+                now = asyncio.get_running_loop().time()
+                crashing = self._find_crashing_parts(exchange)
+                self.part_crashes += [(part, now) for part in crashing]
+                self._crashing = asyncio.create_task(self.crash())
             await asyncio.sleep(60.0)
         if self.faults.mute:
             await asyncio.sleep(60.0)
