Let no content explain another one with as many crashes

The lines show it: a content that had been beside the deadly one at the first three upstreams was reported 2 ms earlier, was quarantined, and passed for the explanation of the other's crashes, which so stayed unsuspected until it had more of them.

Now a quarantined trait explains crashes of another one as wide only if it has more of them, as a part has that released contents beside it. Quarantines that end because a trial had another cause are logged, and their records removed.

test_a_content_beside_a_quarantined_one_is_quarantined_too failed before.

--- a/src/zinniaspool/core/dispatch/inference.py
+++ b/src/zinniaspool/core/dispatch/inference.py
@@ -86,8 +86,12 @@
             return True
         # A narrower trait that is quarantined explains all crashes or none: a
         # part of several quarantined contents is a better explanation.
-        holds = [self._list_holds(trait, crash) for crash in crashes]
-        if set.intersection(*holds):
+        rank = find_rank(trait)
+        narrower = [
+            {hold for hold in self._list_holds(trait, crash) if find_rank(hold) < rank}
+            for crash in crashes
+        ]
+        if set.intersection(*narrower):
             return False
         unexplained = sum(not self._is_explained(crash, trait) for crash in crashes)
         return unexplained >= terms.min_crashes
@@ -141,9 +145,16 @@
         return not _has_rival(trait, series)
 
     def _is_explained(self, crash: Crash, trait: TraitId) -> bool:
-        """Return whether something as wide as a trait explains a crash."""
-        rank = find_rank(trait)
-        return any(find_rank(hold) >= rank for hold in self._list_holds(trait, crash))
+        """Return whether something as wide as a trait explains a crash.
+
+        What has as few crashes as the trait may just have been quarantined
+        first.
+        """
+        rank, count = find_rank(trait), self._evidence.count_crashes(trait)
+        return any(
+            find_rank(hold) >= rank and self._evidence.count_crashes(hold) > count
+            for hold in self._list_holds(trait, crash)
+        )
 
     def count_needed_trials(self, trait: TraitId) -> int:
         """Return how many trials quarantine a trait."""
--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -332,10 +332,10 @@
         findings = self.quarantine.record_crash(
             incarnation, traits, trials, self._now(), crashed_at
         )
-        self._records.cancel_writes(findings.doubtful)
-        if findings.explained:
-            _log.info("requests-cleared", traits=",".join(findings.explained))
-            self._records.remove(findings.explained)
+        released = [*findings.doubtful, *findings.explained]
+        if released:
+            _log.info("requests-cleared", traits=",".join(released))
+            self._records.remove(released)
         for trait in findings.quarantined:
             self._records.add(trait, found_here=found_here)
             self._enforce_quarantine(trait)
--- a/tests/test_traits.py
+++ b/tests/test_traits.py
@@ -140,6 +140,19 @@
     assert crashes.judge(_PART, _CUSTOMER) is TraitStatus.CLEAR
 
 
+def test_a_content_beside_a_quarantined_one_is_quarantined_too() -> None:
+    """Guards against a content protected by one that was counted first."""
+    crashes = _Crashes()
+    for _ in range(2):
+        crashes.add("beside", "c0")
+    assert crashes.add("beside") == [TraitId("beside")]
+    incarnation = InstanceIncarnation(InstanceId("i-3"), 0)
+    findings = crashes.quarantine.record_crash(
+        incarnation, [TraitId("c0")], [], crashes.now
+    )
+    assert findings.quarantined == [TraitId("c0")]
+
+
 def test_a_part_of_two_contents_is_suspected_at_the_fourth_crash() -> None:
     """Guards against counting each repeated content anew."""
     crashes = _Crashes()
