--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -10,6 +10,7 @@
     AttemptFailure,
     Attempts,
     Progress,
+    RetryStop,
     RetryTerms,
 )
 from zinniaspool.core.dispatch.backpressure import Backpressure
@@ -80,6 +81,7 @@
     "PeerDigests",
     "PeerLoads",
     "Progress",
+    "RetryStop",
     "Quarantine",
     "Refusal",
     "RequestTerms",
--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -12,7 +12,14 @@
 
 from zinniaspool.core.errors import ErrorKind, Fault
 
-__all__ = ["AttemptFailure", "Attempts", "Progress", "RetryAllowance", "RetryTerms"]
+__all__ = [
+    "AttemptFailure",
+    "Attempts",
+    "Progress",
+    "RetryAllowance",
+    "RetryStop",
+    "RetryTerms",
+]
 
 MAX_ATTEMPTS = 4
 """Attempts of one request if nothing else limits them."""
@@ -46,6 +53,19 @@
 _NOT_RUN_FAILURES = frozenset({AttemptFailure.NOT_SENT, AttemptFailure.REFUSED})
 
 
+class RetryStop(Enum):
+    """Why a request is not sent again after a failed attempt."""
+
+    FAILED = "upstream-failed"
+    DEADLINE = "deadline"
+    ATTEMPTS = "attempts-used"
+    PARTIAL = "not-resumable"
+    NOT_REPEATABLE = "not-repeatable"
+    BUDGET = "budget-used"
+    NO_TARGET = "no-target"
+    QUARANTINED = "quarantined"
+
+
 class Progress(Enum):
     """How much of the answer the caller has received."""
 
@@ -93,6 +113,7 @@
     Attributes:
         number: Number of the current attempt, from 1. Attempts of which
             nothing was sent don't count.
+        stop: Why the request is not sent again; None while it may be.
     """
 
     __slots__ = (
@@ -102,10 +123,12 @@
         "_terms",
         "_unsent",
         "number",
+        "stop",
     )
 
     def __init__(self, terms: RetryTerms, budget: RetryAllowance) -> None:
         self.number = 0
+        self.stop: RetryStop | None = None
         self._unsent = 0
         self._terms = terms
         self._budget = budget
@@ -115,6 +138,7 @@
     def begin(self, now: float) -> Result[int, Fault]:
         """Begin an attempt and return its number, or a deadline fault."""
         if now >= self._terms.deadline:
+            self.stop = RetryStop.DEADLINE
             return Err(self._make_deadline_fault())
         self.number += 1
         return Ok(self.number)
@@ -133,8 +157,10 @@
         if not has_not_run:
             self._may_have_run = True
         if failure is AttemptFailure.FAILED:
+            self.stop = RetryStop.FAILED
             return Fault(ErrorKind.UPSTREAM_FAILED)
         if now >= self._terms.deadline:
+            self.stop = RetryStop.DEADLINE
             return self._make_deadline_fault()
         if failure is AttemptFailure.NOT_SENT:
             # No upstream has received it, so that it is no attempt.
@@ -142,6 +168,8 @@
             self._unsent += 1
         exhausted = self.number >= self._terms.max_attempts
         if progress is Progress.PARTIAL or exhausted or self._unsent >= MAX_ATTEMPTS:
+            is_partial = progress is Progress.PARTIAL
+            self.stop = RetryStop.PARTIAL if is_partial else RetryStop.ATTEMPTS
             return self._make_fault(ErrorKind.UPSTREAM_REFUSED)
         if has_not_run:
             return self._charge_refusal(failure)
@@ -150,12 +178,14 @@
         # non-idempotent request twice, and only the upstream knows whether
         # it ran, so there is no second attempt.
         if not self._terms.idempotent:
+            self.stop = RetryStop.NOT_REPEATABLE
             return Fault(ErrorKind.UPSTREAM_LOST)
         # Without a budget, upstreams that fail under load get every request
         # several times, and the overload outlasts its cause.
         if self._has_reserved:
             self._has_reserved = False
         elif not self._budget.withdraw():
+            self.stop = RetryStop.BUDGET
             return Fault(ErrorKind.UPSTREAM_LOST)
         return None
 
@@ -188,6 +218,7 @@
             kind: The fault if no attempt was made. It must be a kind that
                 promises "not run".
         """
+        self.stop = RetryStop.NO_TARGET
         return self._make_fault(ErrorKind.UPSTREAM_REFUSED if self.number else kind)
 
     def make_quarantined_fault(self, hold_s: float) -> Fault:
@@ -196,6 +227,7 @@
         Args:
             hold_s: Time for which the trait is quarantined, in seconds.
         """
+        self.stop = RetryStop.QUARANTINED
         fault = self._make_fault(ErrorKind.QUARANTINED)
         if fault.kind is not ErrorKind.QUARANTINED:
             return fault
@@ -205,6 +237,7 @@
         """Charge a retry after a refusal; return a fault if that fails."""
         is_charged = self._terms.charges_refusals and failure is AttemptFailure.REFUSED
         if is_charged and not self._budget.withdraw():
+            self.stop = RetryStop.BUDGET
             return self._make_fault(ErrorKind.UPSTREAM_REFUSED)
         return None
 
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -56,6 +56,8 @@
             has ended or was interrupted.
         rerouted: Whether the current attempt was interrupted so that the
             request leaves its target.
+        reroute_cause: Why it was interrupted; empty if it was not.
+        stopped_by: What ended the last failed attempt; empty if none failed.
         first_event_overdue: Whether this was done because the first event was
             overdue. The target may still serve other requests.
         trial: The trait that the current attempt is the trial of, or None.
@@ -97,6 +99,8 @@
     target_state: TargetState | None = None
     attempt_timeout: asyncio.Timeout | None = None
     rerouted: bool = False
+    reroute_cause: str = ""
+    stopped_by: str = ""
     first_event_overdue: bool = False
     trial: TraitId | None = None
     has_event: bool = False
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -188,6 +188,7 @@
         else:
             retried_as = failure
         fault = call.attempts.evaluate_failure(retried_as, call.progress, now)
+        call.stopped_by = _find_stopped_by(call, failure)
         _log.info(
             "attempt-failed",
             request=call.terms.id,
@@ -197,8 +198,11 @@
             instance=state.target.instance,
             group=state.target.group or "",
             failure=failure.value,
+            by=call.stopped_by,
+            cause=call.reroute_cause,
             last_event=call.cursor.last_id or 0,
             again=fault is None,
+            stop="" if call.attempts.stop is None else call.attempts.stop.value,
         )
         return fault
 
@@ -221,6 +225,7 @@
         call.unanswered_out_of_subset = pool.begin_request(state, prompt)
         call.target_state = state
         call.has_event = call.rerouted = call.first_event_overdue = False
+        call.reroute_cause = ""
         call.event_reads = 0
         call.is_answer = False
         self._backpressure.record_request(state)
@@ -469,6 +474,12 @@
 )
 
 
+def _find_stopped_by(call: GatewayCall, failure: AttemptFailure) -> str:
+    if call.rerouted:
+        return "reroute"
+    return "deadline" if failure is AttemptFailure.TIMED_OUT else "upstream"
+
+
 def _make_quarantined_fault(call: GatewayCall, verdict: Verdict) -> Fault:
     assert verdict.trait is not None
     return call.attempts.make_quarantined_fault(find_terms(verdict.trait).hold_s)
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -68,7 +68,7 @@
 from zinniaspool.gateway.gate import AdmissionQueues
 from zinniaspool.gateway.loads import LOAD_REPORT_INTERVAL_S, LoadReporter
 from zinniaspool.gateway.metrics import make_gateway_metrics
-from zinniaspool.gateway.moves import Rerouter
+from zinniaspool.gateway.moves import RerouteCause, Rerouter
 from zinniaspool.gateway.probes import NodeProber
 from zinniaspool.gateway.queries import InstanceFetcher, InstanceQueryHandler
 from zinniaspool.gateway.records import QuarantineRecordStore
@@ -544,7 +544,16 @@
                 state.target.instance, state.target.started_at_ms
             ):
                 self._http.close_idle_connections(state.target.address)
-            self._rerouter.reroute_from(state)
+            is_reachable = (
+                state.target.instance in self._fleet_view.instances
+                and state.target.instance not in self._fleet_view.unreachable
+            )
+            self._rerouter.reroute_from(
+                state,
+                RerouteCause.GROUP_ENDED
+                if is_reachable
+                else RerouteCause.INSTANCE_LOST,
+            )
 
     def _apply_evacuations(self, *_: frozenset[FailureDomainId]) -> None:
         self._index.apply_evacuations()
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -19,7 +19,7 @@
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.targets import TargetIndex
 
-__all__ = ["RerouteCondition", "Rerouter"]
+__all__ = ["RerouteCause", "RerouteCondition", "Rerouter"]
 
 PREDICTION_TOLERANCE_S = 0.05
 """Time by which a stream that is rerouted to be on time may be predicted to be
@@ -28,6 +28,20 @@
 would leave streams at lost heads that could be on time elsewhere."""
 
 
+class RerouteCause(Enum):
+    """Why a request leaves its target."""
+
+    STALLED = "stalled"
+    REFUSED = "connection-refused"
+    PEER_REPORT = "peer-report"
+    OVERDUE = "first-event-overdue"
+    SLOW = "slow"
+    INSTANCE_LOST = "instance-lost"
+    GROUP_ENDED = "group-ended"
+    PATH_CHANGED = "path-changed"
+    QUARANTINED = "quarantined"
+
+
 class RerouteCondition(Enum):
     """Which target a request is rerouted to.
 
@@ -71,17 +85,19 @@
     def reroute_from(
         self,
         state: TargetState,
+        cause: RerouteCause,
         condition: RerouteCondition = RerouteCondition.ANY_TARGET,
     ) -> None:
         """Reroute the requests at a target to other targets.
 
         Args:
             state: The target.
+            cause: Why they leave it.
             condition: Which targets they are rerouted to.
         """
         now = asyncio.get_running_loop().time()
         for call in list(self._calls.get(state, ())):
-            self._reroute(call, state, now, condition)
+            self._reroute(call, state, now, cause, condition)
 
     def reroute_from_slow(
         self, state: TargetState, pool: TargetPool, now: float
@@ -102,7 +118,7 @@
             ):
                 continue
             if call.attempts.reserve_retry():
-                self._interrupt_attempt(call, now)
+                self._interrupt_attempt(call, now, RerouteCause.SLOW)
 
     def interrupt_trait(self, trait: TraitId) -> None:
         """Interrupt a trait's attempts that have had no event yet."""
@@ -110,12 +126,15 @@
         for calls in list(self._calls.values()):
             for call in list(calls):
                 if trait in call.traits and not call.has_event:
-                    self._interrupt_attempt(call, now)
+                    self._interrupt_attempt(call, now, RerouteCause.QUARANTINED)
 
-    def _interrupt_attempt(self, call: GatewayCall, now: float) -> None:
+    def _interrupt_attempt(
+        self, call: GatewayCall, now: float, cause: RerouteCause
+    ) -> None:
         if call.attempt_timeout is None:
             return
         call.rerouted = True
+        call.reroute_cause = cause.value
         call.attempt_timeout.reschedule(now)
         call.attempt_timeout = None
 
@@ -124,6 +143,7 @@
         call: GatewayCall,
         state: TargetState,
         now: float,
+        cause: RerouteCause,
         condition: RerouteCondition,
     ) -> bool:
         """Interrupt an attempt if its request can go on at another target.
@@ -139,7 +159,7 @@
         if not self._fits(call, other, now, condition):
             return False
         call.suspected_domains.add(state.target.fabric_domain)
-        self._interrupt_attempt(call, now)
+        self._interrupt_attempt(call, now, cause)
         return True
 
     def _fits(
@@ -192,7 +212,7 @@
                 suspects.append(state)
             for call in overdue:
                 call.first_event_overdue = self._reroute(
-                    call, state, now, RerouteCondition.FREE_SLOT
+                    call, state, now, RerouteCause.OVERDUE, RerouteCondition.FREE_SLOT
                 )
         return suspects
 
--- a/src/zinniaspool/gateway/silence.py
+++ b/src/zinniaspool/gateway/silence.py
@@ -24,7 +24,7 @@
 )
 from zinniaspool.core.ids import NodeId
 from zinniaspool.core.messages.fleet import StalledTarget, StallEvidence
-from zinniaspool.gateway.moves import RerouteCondition, Rerouter
+from zinniaspool.gateway.moves import RerouteCause, RerouteCondition, Rerouter
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.telemetry import StallTally
 
@@ -188,7 +188,7 @@
             condition = RerouteCondition.ON_TIME
             if state in self._refused or is_lost(state, self._limits, now):
                 condition = RerouteCondition.ANY_TARGET
-        self._rerouter.reroute_from(state, condition)
+        self._rerouter.reroute_from(state, RerouteCause.STALLED, condition)
 
     def _record_stall(
         self, state: TargetState, now: float, evidence: StallEvidence
@@ -253,9 +253,11 @@
         now = asyncio.get_running_loop().time()
         self._report_stall(state, now, StallEvidence.REFUSED)
         if state in self._stalled:
-            self._rerouter.reroute_from(state, RerouteCondition.ANY_TARGET)
+            self._rerouter.reroute_from(state, RerouteCause.REFUSED)
         elif not state.streaming:
-            self._rerouter.reroute_from(state, RerouteCondition.FREE_SLOT)
+            self._rerouter.reroute_from(
+                state, RerouteCause.REFUSED, RerouteCondition.FREE_SLOT
+            )
 
     def handle_path_change(self) -> None:
         """Use all targets again when this VM's path to them has changed.
@@ -268,7 +270,7 @@
         stalled, self._stalled = self._stalled, {}
         self._refused.clear()
         for state in stalled:
-            self._rerouter.reroute_from(state)
+            self._rerouter.reroute_from(state, RerouteCause.PATH_CHANGED)
 
     def handle_peer_report(self, report: StalledTarget) -> None:
         """Handle a report that another process found a target stalled."""
@@ -298,7 +300,9 @@
             quiet_ms=report.quiet_ms or 0,
             own=state.local_requests,
         )
-        self._rerouter.reroute_from(state, RerouteCondition.FREE_SLOT)
+        self._rerouter.reroute_from(
+            state, RerouteCause.PEER_REPORT, RerouteCondition.FREE_SLOT
+        )
 
     def _report_stall(
         self,
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -36,7 +36,8 @@
         "contention-ended": "No request for a model was refused by share for a while.",
         "claims-unreadable": "A value of claims in the store cannot be decoded.",
         "keyed-call-failed": "An internal error of this process ended a keyed call.",
-        "attempt-failed": "One attempt of a request at an upstream failed.",
+        "attempt-failed": "One attempt of a request at an upstream failed; the keys "
+        "say who ended it and why.",
         "callers-listening": "The process listens on its address for callers.",
         "configuration-outdated": "The store holds an older configuration than the one "
         "in force, which stays.",
@@ -160,7 +161,7 @@
         "requests-held": "Upstreams crashed while they had requests with a trait; such "
         "requests are quarantined and sent to no upstream.",
         "request-ended": "A request ended; the keys give its targets, attempts and "
-        "times.",
+        "times, and who ended it and why.",
         "settings-signal": "A signal announced that the settings file changed.",
         "started": "The process has started.",
         "stopped": "The process ends.",
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,6 +3,7 @@
 from hypothesis import example, given, strategies as st
 from result import Err
 
+from zinniaspool.core.dispatch import RetryStop
 from zinniaspool.core.errors import ERROR_ANSWERS, ErrorKind, Outcome
 from zinniaspool.core.requests import (
     AttemptFailure,
@@ -67,6 +68,24 @@
         assert not may_have_run
 
 
+def test_the_reason_why_a_request_is_not_sent_again_is_kept() -> None:
+    """Guards against ends of which no line says whether a retry was left."""
+
+    def stop_after(failure: AttemptFailure, tokens: float, most: int) -> RetryStop:
+        budget = RetryBudget(max_tokens=tokens)
+        attempts = Attempts(RetryTerms(True, 10.0, most), budget)
+        while True:
+            attempts.begin(0.0)
+            if attempts.evaluate_failure(failure, Progress.RESUMABLE, 1.0) is not None:
+                assert attempts.stop is not None
+                return attempts.stop
+            assert attempts.stop is None
+
+    assert stop_after(AttemptFailure.STALLED, 0.0, 3) is RetryStop.BUDGET
+    assert stop_after(AttemptFailure.STALLED, 9.0, 3) is RetryStop.ATTEMPTS
+    assert stop_after(AttemptFailure.FAILED, 9.0, 3) is RetryStop.FAILED
+
+
 def test_retries_stay_below_a_tenth_of_the_requests() -> None:
     budget = RetryBudget()
     granted = 0
