Failing tests: processes of engines that signals stop for a second

Cause: the incident was seen on real processes, and the tests of it run all parts in one event loop, where a silent upstream is only simulated.

Change: runners run in processes of their own, one for each fabric domain, whose entries, runs and faults the process with the store reads from a pipe. A head makes no pass while a member of its group is silent. Entry processes end with the process that started them.

--- a/src/zinniaspool_standins/fleet.py
+++ b/src/zinniaspool_standins/fleet.py
@@ -15,7 +15,7 @@
 from zinniaspool.core.ids import Address
 from zinniaspool_standins.runs import RunRecord, read_runs
 
-__all__ = ["Fleet", "choose_host"]
+__all__ = ["Fleet", "choose_host", "end_with_parent"]
 
 _FIRST_PORT = 20000
 _SET_PARENT_DEATH_SIGNAL = 1
@@ -38,7 +38,7 @@
     return f"127.{64 + pid // 65024 % 128}.{pid // 254 % 256}.{1 + pid % 254}"
 
 
-def _end_with_parent() -> None:
+def end_with_parent() -> None:
     """Have the kernel end this process when its starter is gone."""
     ctypes.CDLL(None).prctl(_SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
 
@@ -212,6 +212,6 @@
         log = self.folder / f"{name}.log"
         with log.open("ab") as out:
             process = subprocess.Popen(
-                command, stdout=out, stderr=out, preexec_fn=_end_with_parent
+                command, stdout=out, stderr=out, preexec_fn=end_with_parent
             )
         self._started[name] = _Started(process, command, log)
--- /dev/null
+++ b/src/zinniaspool_standins/hosts.py
@@ -0,0 +1,232 @@
+"""Runners in processes of their own, which signals can stop and resume.
+
+A process runs the members of whole groups, since they look at each other. It
+writes its runners' entries, runs and faults as lines to its standard output;
+the process that started it keeps the store and applies the lines to it.
+"""
+
+import asyncio
+import contextlib
+import signal
+import sys
+from base64 import b64decode
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from zinniaspool.core.ids import Address
+from zinniaspool.http import Headers
+from zinniaspool_standins.fleet import end_with_parent
+from zinniaspool_standins.installation import SIZES, free_address
+from zinniaspool_standins.pagestore import PageStore
+from zinniaspool_standins.runners import HEARTBEATS, Runner, RunnerTimes, SeenRun
+
+__all__ = ["HostedRunner", "RunnerHost", "make_hosted_runners"]
+
+HEARTBEAT_S = 0.8
+"""Time between heartbeats, in seconds. A runner that is stopped for two
+seconds keeps its entry."""
+
+
+class HostedRunner(msgspec.Struct, frozen=True):
+    """One runner of a process; the fields are those of a runner."""
+
+    id: str
+    service: str
+    address: Address
+    zone: str
+    domain: str | None
+
+
+class _Line(msgspec.Struct, omit_defaults=True):
+    """What a process reports; a line without any of it is a heartbeat.
+
+    Attributes:
+        put: Keys of the store that it writes, with their values.
+        removed: Keys of the store that it removes.
+        run: A request that began to run.
+        broken: All rules that its runners saw broken so far.
+    """
+
+    put: dict[str, str] = {}
+    removed: list[str] = []
+    run: SeenRun | None = None
+    broken: list[str] = []
+
+
+def make_hosted_runners(
+    name: str, service: str, domain: str | None, count: int
+) -> list[HostedRunner]:
+    """Return runners of one process, each with a free address."""
+    return [
+        HostedRunner(f"{name}-{number}", service, free_address(), "hall-a", domain)
+        for number in range(count)
+    ]
+
+
+class RunnerHost:
+    """A process that runs runners, as the process with the store sees it.
+
+    Args:
+        name: Names its log.
+        runners: What it runs.
+        store: Gets the runners' entries.
+        folder: Gets its log.
+
+    Attributes:
+        name: As above.
+        runners: As above.
+        runs: The requests that began to run, in order.
+        broken: The rules that its runners saw broken.
+    """
+
+    def __init__(
+        self, name: str, runners: Sequence[HostedRunner], store: PageStore, folder: Path
+    ) -> None:
+        self.name = name
+        self.runners = tuple(runners)
+        self.runs: list[SeenRun] = []
+        self.broken: list[str] = []
+        self._store = store
+        self._log = folder / f"{name}.log"
+        self._entries: dict[str, str] = {}
+        self._has_expired = False
+        self._process: asyncio.subprocess.Process | None = None
+        self._reading: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start the process and follow what it reports."""
+        described = msgspec.json.encode(self.runners).decode()
+        with self._log.open("ab") as errors:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "zinniaspool_standins.hosts",
+                described,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors,
+                preexec_fn=end_with_parent,
+            )
+        self._reading = asyncio.create_task(self._read_lines())
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self._process is not None and self._process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def pause(self, seconds: float) -> None:
+        """Stop the process for some seconds; its connections stay open."""
+        self.send(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self.send(signal.SIGCONT)
+
+    async def end(self) -> None:
+        """Kill the process, also a stopped one, and wait until it is gone."""
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+        if self._reading is not None:
+            self._reading.cancel()
+            await asyncio.gather(self._reading, return_exceptions=True)
+
+    def list_open_groups(self) -> dict[str, str]:
+        """Return the model of each open group that the process runs."""
+        found = {}
+        for value in self._entries.values():
+            entry = msgspec.json.decode(b64decode(value))
+            group: dict[str, Any] | None = entry.get("group")
+            if group is not None and group["state"] == "open":
+                found[group["name"]] = entry["models"][0]["name"]
+        return found
+
+    async def _read_lines(self) -> None:
+        """Apply the process's lines; its entries expire without heartbeats."""
+        assert self._process is not None and self._process.stdout is not None
+        output = self._process.stdout
+        while True:
+            try:
+                async with asyncio.timeout(HEARTBEATS * HEARTBEAT_S):
+                    line = await output.readline()
+            except TimeoutError:
+                self._expire()
+                line = await output.readline()
+            if not line:
+                await asyncio.sleep(HEARTBEATS * HEARTBEAT_S)
+                self._expire()
+                self._entries.clear()
+                return
+            self._apply(msgspec.json.decode(line, type=_Line))
+
+    def _expire(self) -> None:
+        self._has_expired = True
+        for key in self._entries:
+            self._store.remove(key)
+
+    def _apply(self, line: _Line) -> None:
+        self._entries.update(line.put)
+        for key in line.removed:
+            self._entries.pop(key, None)
+            self._store.remove(key)
+        written = self._entries if self._has_expired else line.put
+        for key, value in written.items():
+            self._store.put(key, value)
+        self._has_expired = False
+        if line.run is not None:
+            self.runs.append(line.run)
+        self.broken = line.broken or self.broken
+
+
+class _LineStore:
+    """The store of the process that reads this one's output."""
+
+    def put(self, key: str, value: str) -> None:
+        """Write a key without condition."""
+        _report(_Line(put={key: value}))
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        _report(_Line(removed=[key]))
+
+
+class _ReportingRunner(Runner):
+    """A runner that reports each request that it begins to run."""
+
+    def _note_run(self, request: str, headers: Headers, path: str) -> None:
+        super()._note_run(request, headers, path)
+        _report(_Line(run=self.runs[-1]))
+
+
+def _report(line: _Line) -> None:
+    print(msgspec.json.encode(line).decode(), flush=True)
+
+
+async def _run(described: Sequence[HostedRunner]) -> None:
+    runners: dict[str, Runner] = {}
+    for one in described:
+        runners[one.id] = _ReportingRunner(
+            one.id,
+            one.service,
+            one.address,
+            one.zone,
+            one.domain,
+            _LineStore(),
+            runners,
+            SIZES,
+            RunnerTimes(heartbeat_s=HEARTBEAT_S),
+        )
+    async with asyncio.TaskGroup() as tasks:
+        for runner in runners.values():
+            tasks.create_task(runner.run())
+        while True:
+            broken = [text for one in runners.values() for text in one.broken]
+            _report(_Line(broken=broken))
+            await asyncio.sleep(HEARTBEAT_S / 4)
+
+
+if __name__ == "__main__":
+    asyncio.run(_run(msgspec.json.decode(sys.argv[1], type=list[HostedRunner])))
--- a/src/zinniaspool_standins/nodes.py
+++ b/src/zinniaspool_standins/nodes.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from zinniaspool.core.ids import Address
+from zinniaspool_standins.fleet import end_with_parent
 from zinniaspool_standins.installation import Installation, free_address
 from zinniaspool_standins.silencer import LinkProxy
 
@@ -40,7 +41,13 @@
         env = {**os.environ, "ZINNIASPOOL_NODE_FILE": str(self.settings)}
         with self.log.open("ab") as out:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", self.module, stdout=out, stderr=out, env=env
+                sys.executable,
+                "-m",
+                self.module,
+                stdout=out,
+                stderr=out,
+                env=env,
+                preexec_fn=end_with_parent,
             )
 
     def send(self, number: signal.Signals) -> None:
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -11,19 +11,26 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from math import inf
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
 from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http import Exchange, Headers, HttpServer
 from zinniaspool_standins.coldness import Coldness
-from zinniaspool_standins.pagestore import PageStore
 from zinniaspool_standins.serving import answer_json
 
-__all__ = ["Runner", "RunnerFaults", "RunnerTimes", "SeenRun"]
+__all__ = [
+    "HEARTBEATS",
+    "EntryStore",
+    "Runner",
+    "RunnerFaults",
+    "RunnerTimes",
+    "SeenRun",
+]
 
 HEARTBEATS = 3
+"""Missed heartbeats after which an entry expires."""
 
 HEALTH_PATH = "/healthz"
 """Where runners answer health queries, by the stand-ins' rules."""
@@ -32,6 +39,16 @@
 """Paths whose requests may run once only, by the stand-ins' rules."""
 
 
+class EntryStore(Protocol):
+    """Where runners keep their entries."""
+
+    def put(self, key: str, value: str) -> object:
+        """Write a key without condition."""
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+
+
 class RunnerFaults(msgspec.Struct, forbid_unknown_fields=True):
     """What a runner does wrong.
 
@@ -158,7 +175,7 @@
         zone: Where it is.
         domain: Its fabric domain, or None for a plain service.
         store: Where its entry lies.
-        others: All runners by id, for its group's sake.
+        others: All runners of its process by id, for its group's sake.
         arrived: When requests came, in seconds of the loop's clock.
         arrivals_at: Their ids, each with that time.
         part_crashes: Parts of prompts on which it ended, each with the time.
@@ -175,7 +192,7 @@
     address: Address
     zone: str
     domain: str | None
-    store: PageStore
+    store: EntryStore
     others: dict[str, "Runner"]
     sizes: dict[str, int]
     times: RunnerTimes = field(default_factory=RunnerTimes)
@@ -550,7 +567,7 @@
     async def _make_pass(self, exchange: Exchange) -> bool:
         """Wait for one pass of the group; False where the work is cut off."""
         await asyncio.sleep(self.times.pass_s * self.faults.pace)
-        await self._wait_while_silent()
+        await self._wait_while_silent(with_members=True)
         group, stood_s = self.group, 0.0
         while self.faults.dark or not self._is_whole(group):
             if stood_s > self.times.stall_s:
@@ -562,11 +579,17 @@
             stood_s += self.times.pass_s
         return True
 
-    async def _wait_while_silent(self) -> None:
-        silent = self.faults.silent
+    async def _wait_while_silent(self, *, with_members: bool = False) -> None:
+        silent = self._is_silent(with_members=with_members)
         while silent:
             await asyncio.sleep(self.times.pass_s)
-            silent = self.faults.silent
+            silent = self._is_silent(with_members=with_members)
+
+    def _is_silent(self, *, with_members: bool) -> bool:
+        if self.faults.silent or not with_members or self.group is None:
+            return self.faults.silent
+        members = [self.others.get(one) for one in self.members]
+        return any(one is not None and one.faults.silent for one in members)
 
     def _is_whole(self, group: dict[str, Any] | None) -> bool:
         if group is None:
