--- a/tests/installation.py
+++ b/tests/installation.py
@@ -95,6 +95,7 @@
     """The stand-ins, and entry VMs of ours in the same loop."""
 
     retains_instances = False
+    grace_s = 3.0
 
     def __init__(self) -> None:
         super().__init__()
@@ -130,7 +131,7 @@
             1.0,
             0.4,
             False,
-            3.0,
+            self.grace_s,
             2.0,
             2.0,
             0.2,
@@ -149,6 +150,13 @@
         self.nodes[name] = node = Node(file, gateway, keeper, tasks)
         return node
 
+    async def stop(self, name: str) -> None:
+        """Stop a VM's processes in order, and wait until they are gone."""
+        node = self.nodes.pop(name)
+        node.gateway.stop()
+        node.keeper.stop()
+        await asyncio.gather(*node.tasks)
+
     async def kill(self, name: str) -> None:
         """End a VM's processes without a word."""
         node = self.nodes.pop(name)
