Keep attempts at silent targets going beside others

What callers saw: streams were closed in mid-answer 0.2 to 0.6 s after their engines had fallen silent, although the engines went on a second later; calls that may be repeated ended with an error after 0.7 s.

Cause: on silence the entry process closed the attempt first and found out afterwards whether the request could go on elsewhere. The retry budget could be used up, the second target could refuse it or be silent too, and the route allows two attempts. The lines of tests/test_silent_upstreams.py show failure=stalled by=reroute and at once stop=budget-used or stop=attempts-used. The same for an overdue first event, a late idempotent call, a slow head and a target that was removed.

Change: whatever casts doubt on a target begins another attempt beside the one there, paid for by the retry budget in advance, at a target that isn't silent itself. The first attempt with the next event, or the whole answer, leads, and the others are closed. If none leads, the first goes on until its connection ends or the deadline passes. The moments at which another target is tried are as before. Attempts.reserve_retry is no longer needed. The streams of a removed target stay there until they are silent or break off. gateway/sending.py holds what runs one attempt; the state of an attempt is a GatewayAttempt.

Why it works: an attempt ends only when another one has shown that it goes on (accepted, paid for, with an event), or by its upstream or the deadline.

--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -49,6 +49,9 @@
     FAILED = "failed"
     """The upstream ran the request and reports that it failed."""
 
+    SUPERSEDED = "superseded"
+    """Another attempt of the request had the next event, or the answer."""
+
 
 _NOT_RUN_FAILURES = frozenset({AttemptFailure.NOT_SENT, AttemptFailure.REFUSED})
 
@@ -189,22 +192,41 @@
             return Fault(ErrorKind.UPSTREAM_LOST)
         return None
 
-    def reserve_retry(self) -> bool:
-        """Charge the next repetition to the budget in advance.
+    @property
+    def may_begin_alternative(self) -> bool:
+        """Whether the number of attempts allows one more now."""
+        is_exhausted = self.number >= self._terms.max_attempts
+        return not is_exhausted and self._unsent < MAX_ATTEMPTS
+
+    def begin_alternative(self, now: float) -> bool:
+        """Begin an attempt beside one that hasn't ended.
 
-        An attempt that still makes progress must be interrupted only if the
-        request may be sent again.
+        It is charged to the budget at once. The other attempt goes on if the
+        budget is used up.
 
         Returns:
-            Whether the budget allows it.
+            Whether it was begun.
         """
-        if not self._has_reserved:
-            self._has_reserved = self._budget.withdraw()
-        return self._has_reserved
+        if now >= self._terms.deadline or not self.may_begin_alternative:
+            return False
+        if self._has_reserved:
+            self._has_reserved = False
+        elif not self._budget.withdraw():
+            return False
+        self.number += 1
+        return True
 
-    def uncount_last(self) -> None:
-        """Exclude the last attempt from the count: its upstream had ended."""
-        self.number -= 1
+    def record_failure(self, failure: AttemptFailure) -> None:
+        """Record the end of an attempt beside which another one goes on."""
+        if failure not in _NOT_RUN_FAILURES:
+            self._may_have_run = True
+            return
+        if failure is AttemptFailure.NOT_SENT:
+            self.number -= 1
+            self._unsent += 1
+        if not self._is_charged(failure):
+            # What was paid for it pays for the next attempt.
+            self._has_reserved = True
 
     @property
     def may_have_run(self) -> bool:
@@ -235,12 +257,14 @@
 
     def _charge_refusal(self, failure: AttemptFailure) -> Fault | None:
         """Charge a retry after a refusal; return a fault if that fails."""
-        is_charged = self._terms.charges_refusals and failure is AttemptFailure.REFUSED
-        if is_charged and not self._budget.withdraw():
+        if self._is_charged(failure) and not self._budget.withdraw():
             self.stop = RetryStop.BUDGET
             return self._make_fault(ErrorKind.UPSTREAM_REFUSED)
         return None
 
+    def _is_charged(self, failure: AttemptFailure) -> bool:
+        return self._terms.charges_refusals and failure is AttemptFailure.REFUSED
+
     def _make_fault(self, not_run: ErrorKind) -> Fault:
         # A refusal after a lost attempt doesn't show whether that one ran.
         return Fault(ErrorKind.UPSTREAM_LOST if self._may_have_run else not_run)
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -268,8 +268,23 @@
             for state in self.list_eligible(now)
             if state.target.instance not in tried
         ]
-        if not usable:
-            usable = self._list_last_resort(now, tried)
+        return self._choose_best(
+            usable or self._list_last_resort(now, tried),
+            now,
+            prompt_tokens,
+            first_event_within_s,
+            suspected_domains,
+        )
+
+    def _choose_best(
+        self,
+        usable: list[TargetState],
+        now: float,
+        prompt_tokens: int,
+        first_event_within_s: float | None,
+        suspected_domains: Collection[FabricDomainId | None],
+    ) -> TargetState | None:
+        """Return the target with the lowest cost, or None if there is none."""
         if not usable:
             return None
         if first_event_within_s is not None:
@@ -289,14 +304,51 @@
             )
             if state.target.fabric_domain in suspected_domains:
                 cost += SUSPECTED_DOMAIN_COST
-            if state.streaming and self.is_past_pass_end(
-                state, now - state.last_event_at, now
-            ):
+            if self._is_silent(state, now):
                 cost += LATE_EVENT_COST
             return cost, self._random_source.random()
 
         return min(usable, key=rank)
 
+    def choose_alternative(
+        self,
+        now: float,
+        tried: Collection[InstanceId],
+        prompt_tokens: int,
+        first_event_within_s: float | None,
+        suspected_domains: Collection[FabricDomainId | None],
+    ) -> TargetState | None:
+        """Return the target of an attempt beside one that goes on, or None.
+
+        Targets that are silent themselves are no alternative: if many fall
+        silent at one moment, a request would only use up its attempts. None of
+        them is chosen as a last resort either.
+
+        Args:
+            now: Seconds.
+            tried: Targets that the request was sent to before.
+            prompt_tokens: Length of its prompt.
+            first_event_within_s: Time within which the first event is wanted,
+                in seconds.
+            suspected_domains: Fabric domains in which a target stalled for
+                this request.
+        """
+        usable = [
+            state
+            for state in self.list_eligible(now)
+            if state.target.instance not in tried and not self._is_silent(state, now)
+        ]
+        return self._choose_best(
+            usable, now, prompt_tokens, first_event_within_s, suspected_domains
+        )
+
+    def _is_silent(self, state: TargetState, now: float) -> bool:
+        """Return whether the streams of a target lack an event."""
+        since_event_s = now - state.last_event_at
+        return bool(state.streaming) and self.is_past_pass_end(
+            state, since_event_s, now
+        )
+
     def choose_for_trial(self, trait: TraitId, now: float) -> TargetState | None:
         """Return the target that all processes choose for a suspected trait.
 
--- a/src/zinniaspool/core/dispatch/silence.py
+++ b/src/zinniaspool/core/dispatch/silence.py
@@ -61,10 +61,11 @@
     """Yield the heads with requests of this process, and when they stall.
 
     A head has stalled if this time has come. It is later after an event, and
-    also if more prompts arrive there.
+    also if more prompts arrive there. Removed heads are among them, since
+    their streams may still go on.
     """
     for state in pool.busy:
-        if state.removed or state.target.group is None or state.blocked_streams:
+        if state.target.group is None or state.blocked_streams:
             continue
         timeout_s = compute_stall_timeout(pool, state, limits, now)
         yield state, state.last_event_at + timeout_s
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -1,9 +1,11 @@
-"""The state of a caller's request that all its attempts share."""
+"""The state of a caller's request in progress, and of its attempts."""
 
 import asyncio
 from dataclasses import dataclass, field
+from enum import Enum
 
 from zinniaspool.core.dispatch import (
+    AttemptFailure,
     Attempts,
     EventCursor,
     Progress,
@@ -14,7 +16,21 @@
 from zinniaspool.core.ids import ContentId, FabricDomainId, ServiceName, TraitId
 from zinniaspool.http import ClientResponse, Exchange
 
-__all__ = ["FailedAnswer", "GatewayCall"]
+__all__ = ["FailedAnswer", "GatewayAttempt", "GatewayCall", "RerouteCause"]
+
+
+class RerouteCause(Enum):
+    """Why a request should leave its target."""
+
+    STALLED = "stalled"
+    REFUSED = "connection-refused"
+    PEER_REPORT = "peer-report"
+    OVERDUE = "first-event-overdue"
+    SLOW = "slow"
+    INSTANCE_LOST = "instance-lost"
+    GROUP_ENDED = "group-ended"
+    PATH_CHANGED = "path-changed"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,10 +44,77 @@
     body: bytes
 
 
+@dataclass(eq=False, slots=True)
+class GatewayAttempt:
+    """One attempt of a caller's request at a target.
+
+    Times are in seconds on the event loop's clock.
+
+    Attributes:
+        call: The request.
+        state: State of the target.
+        cursor: Position in the target's event stream.
+        trial: The trait that the attempt is the trial of, or None.
+        timeout: Its timeout; None before it begins and after it has ended.
+        task: The task that runs it beside another attempt; None for one that
+            runs in the request's own task.
+        reroute_cause: Why another attempt was begun beside it, or why it was
+            interrupted; None if neither happened.
+        first_event_overdue: Whether that was because its first event was
+            overdue. The target may still serve other requests.
+        superseded: Whether another attempt goes on in place of this one.
+        sent_at: Time at which it was sent.
+        predicted_first_event_s: Predicted time from then to its first event,
+            in seconds.
+        has_event: Whether it has had an event.
+        writing_since: Time of its first event.
+        event_reads: Reads of its events.
+        is_answer: Whether it counts as answered: it is complete, or goes on
+            for long enough.
+        unanswered_out_of_subset: Whether its target is out of this process's
+            subset and nothing has come back.
+    """
+
+    call: "GatewayCall"
+    state: TargetState
+    cursor: EventCursor
+    trial: TraitId | None = None
+    timeout: asyncio.Timeout | None = None
+    task: "asyncio.Task[AttemptFailure | None] | None" = None
+    reroute_cause: RerouteCause | None = None
+    first_event_overdue: bool = False
+    superseded: bool = False
+    sent_at: float = 0.0
+    predicted_first_event_s: float = 0.0
+    has_event: bool = False
+    writing_since: float = 0.0
+    event_reads: int = 0
+    is_answer: bool = False
+    unanswered_out_of_subset: bool = False
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether its events and answer go to the caller."""
+        return self.call.leader is self
+
+    def interrupt(self, now: float) -> None:
+        """End this attempt at once."""
+        self.superseded = True
+        timeout, self.timeout = self.timeout, None
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(now)
+
+
 @dataclass(eq=False, slots=True)
 class GatewayCall:
     """A caller's request in progress.
 
+    A request has one attempt, whose events go to the caller. If its target is
+    suspected to have failed, other attempts are begun beside it. The first one
+    that has the next event, or the whole answer, goes on, and the others are
+    ended. Silence alone doesn't show that a target has failed, so no attempt
+    is ended for one that may be refused or be silent too.
+
     Times are in seconds on the event loop's clock.
 
     Attributes:
@@ -46,28 +129,16 @@
         content: Content id, which stays the same if the caller sends the
             request again with another request id.
         traits: What it may have in common with other requests.
-        cursor: Position in its event stream.
+        last_event_id: Id of the last event that went to the caller; None
+            before the first one.
         progress: How much of the answer the caller has received.
         tried: Instances that it was sent to.
         suspected_domains: Fabric domains in which a target stalled while it
             had the request.
-        target_state: State of the target of its latest attempt.
-        attempt_timeout: Timeout of the current attempt; None if the attempt
-            has ended or was interrupted.
-        rerouted: Whether the current attempt was interrupted so that the
-            request leaves its target.
-        reroute_cause: Why it was interrupted; empty if it was not.
+        leader: The attempt whose events go to the caller; None before the
+            first one.
+        alternatives: The attempts beside it, the newest last.
         stopped_by: What ended the last failed attempt; empty if none failed.
-        first_event_overdue: Whether this was done because the first event was
-            overdue. The target may still serve other requests.
-        trial: The trait that the current attempt is the trial of, or None.
-        has_event: Whether the current attempt has had an event.
-        writing_since: Time of the current attempt's first event.
-        event_reads: Reads of the current attempt's events.
-        is_answer: Whether the current attempt counts as answered: it is
-            complete, or goes on for long enough.
-        unanswered_out_of_subset: Whether the current attempt is at a target
-            out of this process's subset and nothing has come back.
         failed_answer: An upstream's failure that the caller gets if no other
             upstream answers.
         first_byte_s: Time from its arrival to the first byte that went to the
@@ -77,9 +148,6 @@
         late: Whether it was admitted although its answer will be late.
         urgency: Urgency that is sent to upstreams, 0 is the most urgent; None
             to send none.
-        sent_at: Time at which the current attempt was sent.
-        predicted_first_event_s: Predicted time from then to the attempt's
-            first event, in seconds.
     """
 
     exchange: Exchange
@@ -92,30 +160,56 @@
     attempts: Attempts
     content: ContentId
     traits: tuple[TraitId, ...] = ()
-    cursor: EventCursor = field(default_factory=EventCursor)
+    last_event_id: int | None = None
     progress: Progress = Progress.NOTHING
     tried: list[InstanceId] = field(default_factory=list)
     suspected_domains: set[FabricDomainId | None] = field(default_factory=set)
-    target_state: TargetState | None = None
-    attempt_timeout: asyncio.Timeout | None = None
-    rerouted: bool = False
-    reroute_cause: str = ""
+    leader: GatewayAttempt | None = None
+    alternatives: list[GatewayAttempt] = field(default_factory=list)
     stopped_by: str = ""
-    first_event_overdue: bool = False
-    trial: TraitId | None = None
-    has_event: bool = False
-    writing_since: float = 0.0
-    event_reads: int = 0
-    is_answer: bool = False
-    unanswered_out_of_subset: bool = False
     failed_answer: FailedAnswer | None = None
     first_byte_s: float | None = None
     last_event_at: float = 0.0
     longest_pause_s: float = 0.0
     late: bool = False
     urgency: int | None = None
-    sent_at: float = 0.0
-    predicted_first_event_s: float = 0.0
+
+    @property
+    def newest_attempt(self) -> GatewayAttempt | None:
+        """The attempt that was begun last."""
+        return self.alternatives[-1] if self.alternatives else self.leader
+
+    def make_attempt(
+        self, state: TargetState, trial: TraitId | None = None
+    ) -> GatewayAttempt:
+        """Return an attempt that goes on after the last event passed on."""
+        self.tried.append(state.target.instance)
+        cursor = EventCursor()
+        cursor.last_id = self.last_event_id
+        cursor.resume()
+        return GatewayAttempt(self, state, cursor, trial)
+
+    def lead(self, attempt: GatewayAttempt, now: float) -> None:
+        """Have an attempt go on alone: it has the next event or the answer."""
+        if self.leader is attempt and not self.alternatives:
+            return
+        others = [self.leader, *self.alternatives]
+        self.leader = attempt
+        self.alternatives.clear()
+        for other in others:
+            if other is not None and other is not attempt:
+                other.interrupt(now)
+
+    def promote_alternative(self) -> GatewayAttempt | None:
+        """Have an alternative go on, since the leader has failed.
+
+        Returns:
+            The new leader; None if there is no alternative.
+        """
+        if not self.alternatives:
+            return None
+        self.leader = self.alternatives.pop(0)
+        return self.leader
 
     def compute_wanted_event_time(self, now: float) -> float | None:
         """Return within which time its next attempt should have an event.
--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -27,7 +27,7 @@
     PastCrash,
     StalledTarget,
 )
-from zinniaspool.gateway.calls import GatewayCall
+from zinniaspool.gateway.calls import GatewayAttempt, GatewayCall
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.records import QuarantineRecordStore
 from zinniaspool.gateway.targets import TargetIndex
@@ -139,21 +139,22 @@
             instance=state.target.instance,
         )
 
-    async def handle_lost_attempt(self, call: GatewayCall, state: TargetState) -> None:
+    async def handle_lost_attempt(self, attempt: GatewayAttempt) -> None:
         """Find out whether the upstream of a lost attempt has crashed.
 
         Waits for the result if one more crash may suspect the request, so that
         it isn't sent to another upstream before that is known.
         """
+        call, state = attempt.call, attempt.state
         incarnation = state.target.incarnation
-        if call.sent_at > self._ended_at.get(incarnation, float("inf")):
+        if attempt.sent_at > self._ended_at.get(incarnation, float("inf")):
             # It was sent after the upstream had ended.
             return
         suspects = self._suspects.setdefault(incarnation, _Suspects())
-        if not _goes_on(call, self._now()):
+        if not _goes_on(attempt, self._now()):
             suspects.traits.update(call.traits)
-            if call.trial is not None:
-                suspects.trials.add(call.trial)
+            if attempt.trial is not None:
+                suspects.trials.add(attempt.trial)
         check = self._start_check(incarnation, state)
         if self.quarantine.is_near_suspicion(call.traits):
             await asyncio.wait([check], timeout=MAX_CHECK_WAIT_S)
@@ -164,18 +165,19 @@
         if incarnation not in self._ended_at:
             self._start_check(incarnation, state)
 
-    def record_progress(self, call: GatewayCall, now: float) -> None:
+    def record_progress(self, attempt: GatewayAttempt, now: float) -> None:
         """Record that a stream has gone on; after a while it is an answer."""
-        if not call.is_answer and _goes_on(call, now):
-            self.record_answer(call)
+        if not attempt.is_answer and _goes_on(attempt, now):
+            self.record_answer(attempt)
 
-    def record_answer(self, call: GatewayCall) -> None:
-        """Record that a request was answered."""
-        if call.is_answer:
+    def record_answer(self, attempt: GatewayAttempt) -> None:
+        """Record that an attempt has answered its request."""
+        if attempt.is_answer:
             return
-        call.is_answer = True
-        began_at = call.writing_since if call.has_event else call.sent_at
-        cleared = self.quarantine.record_answer(call.traits, began_at, self._now())
+        attempt.is_answer = True
+        began_at = attempt.writing_since if attempt.has_event else attempt.sent_at
+        traits = attempt.call.traits
+        cleared = self.quarantine.record_answer(traits, began_at, self._now())
         if cleared:
             self._clear(cleared)
 
@@ -365,7 +367,7 @@
         return asyncio.get_running_loop().time()
 
 
-def _goes_on(call: GatewayCall, now: float) -> bool:
-    """Return whether the current attempt has been written for long enough."""
-    has_reads = call.event_reads >= MIN_WRITING_READS
-    return has_reads and now - call.writing_since >= MIN_WRITING_S
+def _goes_on(attempt: GatewayAttempt, now: float) -> bool:
+    """Return whether an attempt has been written for long enough."""
+    has_reads = attempt.event_reads >= MIN_WRITING_READS
+    return has_reads and now - attempt.writing_since >= MIN_WRITING_S
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -194,7 +194,9 @@
 
     def _record_end(self, call: GatewayCall, end: str, took_s: float) -> None:
         self._tally.add(call.service, call.route.kind.value, end, took_s)
-        target = None if call.target_state is None else call.target_state.target
+        leader, stop = call.leader, call.attempts.stop
+        target = None if leader is None else leader.state.target
+        cause = None if leader is None else leader.reroute_cause
         _log.info(
             "request-ended",
             request=call.terms.id,
@@ -202,19 +204,21 @@
             parts=",".join(call.terms.prompt_parts),
             end=end,
             by="caller" if end == "caller-left" else call.stopped_by,
-            cause=call.reroute_cause,
-            stop="" if call.attempts.stop is None else call.attempts.stop.value,
+            cause="" if cause is None else cause.value,
+            stop="" if stop is None else stop.value,
             route=call.route.name,
             model=call.terms.model or "",
             instance="" if target is None else target.instance,
             group="" if target is None else (target.group or ""),
             attempts=call.attempts.number,
             late=call.late,
-            predicted_ms=int(call.predicted_first_event_s * 1000),
+            predicted_ms=(
+                -1 if leader is None else int(leader.predicted_first_event_s * 1000)
+            ),
             first_ms=-1 if call.first_byte_s is None else int(call.first_byte_s * 1000),
             pause_ms=int(call.longest_pause_s * 1000),
             took_ms=int(took_s * 1000),
-            last_event=call.cursor.last_id or 0,
+            last_event=call.last_event_id or 0,
             version=self._get_version(),
         )
 
@@ -265,7 +269,7 @@
             content,
             identify_traits(content, terms.prompt_parts, name),
         )
-        call.cursor.last_id = terms.resume_after
+        call.last_event_id = terms.resume_after
         return Ok(call)
 
     def _find_retry_window(self, service: ServiceName) -> RetryWindow:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -58,6 +58,7 @@
     run_supervised,
 )
 from zinniaspool.gateway.backpressure import BackpressureTracker
+from zinniaspool.gateway.calls import RerouteCause
 from zinniaspool.gateway.carrier import RequestForwarder
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
@@ -68,10 +69,11 @@
 from zinniaspool.gateway.gate import AdmissionQueues
 from zinniaspool.gateway.loads import LOAD_REPORT_INTERVAL_S, LoadReporter
 from zinniaspool.gateway.metrics import make_gateway_metrics
-from zinniaspool.gateway.moves import RerouteCause, Rerouter
+from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.probes import NodeProber
 from zinniaspool.gateway.queries import InstanceFetcher, InstanceQueryHandler
 from zinniaspool.gateway.records import QuarantineRecordStore
+from zinniaspool.gateway.sending import AttemptSender
 from zinniaspool.gateway.silence import StallDetector, StallLinks
 from zinniaspool.gateway.speed import SlowTargetWatcher
 from zinniaspool.gateway.spelling import CallCodec
@@ -243,7 +245,7 @@
             self._cold,
             lambda report: self._send(self._subset.other_members, report),
         )
-        self._forwarder = RequestForwarder(
+        sender = AttemptSender(
             self._http,
             call_codec,
             self._index,
@@ -252,6 +254,10 @@
             self._crash_detector,
             self._backpressure,
         )
+        self._forwarder = RequestForwarder(
+            sender, self._index, self._admission_queues, self._crash_detector
+        )
+        self._rerouter.starter = self._forwarder
         self._stall_detector = StallDetector(
             settings.node,
             self._index,
@@ -548,7 +554,7 @@
                 state.target.instance in self._fleet_view.instances
                 and state.target.instance not in self._fleet_view.unreachable
             )
-            self._rerouter.reroute_from(
+            self._rerouter.reroute_waiting_from(
                 state,
                 RerouteCause.GROUP_ENDED
                 if is_reachable
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -1,12 +1,14 @@
-"""Interrupts attempts so that their requests go on at another target.
+"""Begins attempts at other targets for requests whose target may have failed.
 
-A request leaves its target if the target has stalled or was removed, if the
-request's first event is overdue, or if one of its traits was quarantined.
+That is so if the target has stalled or was removed, if the request's first
+event is overdue, or if the target is too slow. The attempt at the first target
+goes on until another one has the next event.
 """
 
 import asyncio
 from enum import Enum
 from math import inf
+from typing import Protocol
 
 from zinniaspool.core.dispatch import (
     Progress,
@@ -16,10 +18,10 @@
     would_be_on_time_elsewhere,
 )
 from zinniaspool.core.ids import TraitId
-from zinniaspool.gateway.calls import GatewayCall
+from zinniaspool.gateway.calls import GatewayAttempt, GatewayCall, RerouteCause
 from zinniaspool.gateway.targets import TargetIndex
 
-__all__ = ["RerouteCause", "RerouteCondition", "Rerouter"]
+__all__ = ["AttemptStarter", "RerouteCondition", "Rerouter"]
 
 PREDICTION_TOLERANCE_S = 0.05
 """Time by which a stream that is rerouted to be on time may be predicted to be
@@ -27,19 +29,9 @@
 came at most 38 or 51 ms late (docs/design/shifted-work.md). A stricter limit
 would leave streams at lost heads that could be on time elsewhere."""
 
-
-class RerouteCause(Enum):
-    """Why a request leaves its target."""
-
-    STALLED = "stalled"
-    REFUSED = "connection-refused"
-    PEER_REPORT = "peer-report"
-    OVERDUE = "first-event-overdue"
-    SLOW = "slow"
-    INSTANCE_LOST = "instance-lost"
-    GROUP_ENDED = "group-ended"
-    PATH_CHANGED = "path-changed"
-    QUARANTINED = "quarantined"
+RETRY_INTERVAL_S = 0.1
+"""Pause before a late idempotent request is tried elsewhere again if that
+wasn't possible, in seconds."""
 
 
 class RerouteCondition(Enum):
@@ -59,28 +51,45 @@
     ON_TIME = "on-time"
 
 
+class AttemptStarter(Protocol):
+    """Begins attempts beside those that requests have."""
+
+    def begin_alternative(self, call: GatewayCall, state: TargetState) -> bool:
+        """Begin an attempt at another target.
+
+        Returns:
+            Whether it was begun; False if the request may not be sent again.
+        """
+        ...
+
+
 class Rerouter:
-    """Tracks the current attempts by target, and interrupts them.
+    """Tracks attempts by target, and has requests sent elsewhere.
 
     Args:
         index: The targets.
+
+    Attributes:
+        starter: Begins the attempts at other targets.
     """
 
+    starter: AttemptStarter
+
     def __init__(self, index: TargetIndex) -> None:
         self._index = index
-        self._calls: dict[TargetState, set[GatewayCall]] = {}
+        self._attempts: dict[TargetState, set[GatewayAttempt]] = {}
 
-    def begin_attempt(self, call: GatewayCall, state: TargetState) -> None:
-        """Record that a request has an attempt at a target from now on."""
-        self._calls.setdefault(state, set()).add(call)
+    def begin_attempt(self, attempt: GatewayAttempt) -> None:
+        """Record that an attempt runs at its target from now on."""
+        self._attempts.setdefault(attempt.state, set()).add(attempt)
 
-    def end_attempt(self, call: GatewayCall, state: TargetState) -> None:
-        """Record that this attempt has ended."""
-        call.attempt_timeout = None
-        calls = self._calls[state]
-        calls.discard(call)
-        if not calls:
-            del self._calls[state]
+    def end_attempt(self, attempt: GatewayAttempt) -> None:
+        """Record that an attempt has ended."""
+        attempt.timeout = None
+        attempts = self._attempts[attempt.state]
+        attempts.discard(attempt)
+        if not attempts:
+            del self._attempts[attempt.state]
 
     def reroute_from(
         self,
@@ -88,16 +97,28 @@
         cause: RerouteCause,
         condition: RerouteCondition = RerouteCondition.ANY_TARGET,
     ) -> None:
-        """Reroute the requests at a target to other targets.
+        """Have the requests at a target sent to other targets too.
 
         Args:
             state: The target.
-            cause: Why they leave it.
-            condition: Which targets they are rerouted to.
+            cause: Why they should leave it.
+            condition: Which targets they are sent to.
         """
         now = asyncio.get_running_loop().time()
-        for call in list(self._calls.get(state, ())):
-            self._reroute(call, state, now, cause, condition)
+        for attempt in self._list_attempts(state):
+            self._reroute(attempt, now, cause, condition)
+
+    def reroute_waiting_from(self, state: TargetState, cause: RerouteCause) -> None:
+        """Do the same for those requests that have had no event there.
+
+        Args:
+            state: The target.
+            cause: Why they should leave it.
+        """
+        now = asyncio.get_running_loop().time()
+        for attempt in self._list_attempts(state):
+            if not attempt.has_event:
+                self._reroute(attempt, now, cause, RerouteCondition.ANY_TARGET)
 
     def reroute_from_slow(
         self, state: TargetState, pool: TargetPool, now: float
@@ -109,57 +130,67 @@
             pool: The targets of its model.
             now: Seconds.
         """
-        for call in list(self._calls.get(state, ())):
-            if call.attempt_timeout is None or not self._may_reroute(call):
+        for attempt in self._list_attempts(state):
+            if not _may_reroute(attempt):
                 continue
-            other = self._choose_other(call, state, now)
-            if other is None or not would_be_on_time_elsewhere(
-                pool, _describe_attempt(call), state, other, now
+            other = self._choose_other(attempt, now)
+            if other is not None and would_be_on_time_elsewhere(
+                pool, _describe_attempt(attempt), state, other, now
             ):
-                continue
-            if call.attempts.reserve_retry():
-                self._interrupt_attempt(call, now, RerouteCause.SLOW)
+                self._begin_alternative(attempt, other, RerouteCause.SLOW)
+
+    def reroute_late(self, attempt: GatewayAttempt) -> None:
+        """Have an idempotent request sent elsewhere too: its answer is late.
+
+        If that isn't possible now, it is tried again until the attempt ends.
+        """
+        if attempt.timeout is None:
+            return
+        loop = asyncio.get_running_loop()
+        attempt.first_event_overdue = self._reroute(
+            attempt, loop.time(), RerouteCause.OVERDUE, RerouteCondition.ANY_TARGET
+        )
+        if not attempt.first_event_overdue:
+            loop.call_later(RETRY_INTERVAL_S, self.reroute_late, attempt)
 
     def interrupt_trait(self, trait: TraitId) -> None:
         """Interrupt a trait's attempts that have had no event yet."""
         now = asyncio.get_running_loop().time()
-        for calls in list(self._calls.values()):
-            for call in list(calls):
-                if trait in call.traits and not call.has_event:
-                    self._interrupt_attempt(call, now, RerouteCause.QUARANTINED)
+        for state in list(self._attempts):
+            for attempt in self._list_attempts(state):
+                if trait in attempt.call.traits and not attempt.has_event:
+                    attempt.reroute_cause = RerouteCause.QUARANTINED
+                    attempt.interrupt(now)
 
-    def _interrupt_attempt(
-        self, call: GatewayCall, now: float, cause: RerouteCause
-    ) -> None:
-        if call.attempt_timeout is None:
-            return
-        call.rerouted = True
-        call.reroute_cause = cause.value
-        call.attempt_timeout.reschedule(now)
-        call.attempt_timeout = None
+    def _list_attempts(self, state: TargetState) -> list[GatewayAttempt]:
+        return list(self._attempts.get(state, ()))
 
     def _reroute(
         self,
-        call: GatewayCall,
-        state: TargetState,
+        attempt: GatewayAttempt,
         now: float,
         cause: RerouteCause,
         condition: RerouteCondition,
     ) -> bool:
-        """Interrupt an attempt if its request can go on at another target.
+        """Begin an attempt elsewhere if a request can go on there.
 
         Returns:
-            Whether the attempt was interrupted.
+            Whether an attempt was begun.
         """
-        if call.attempt_timeout is None or not self._may_reroute(call):
+        if not _may_reroute(attempt):
             return False
-        other = self._choose_other(call, state, now)
-        if other is None:
+        other = self._choose_other(attempt, now)
+        if other is None or not self._fits(attempt.call, other, now, condition):
             return False
-        if not self._fits(call, other, now, condition):
+        return self._begin_alternative(attempt, other, cause)
+
+    def _begin_alternative(
+        self, attempt: GatewayAttempt, other: TargetState, cause: RerouteCause
+    ) -> bool:
+        if not self.starter.begin_alternative(attempt.call, other):
             return False
-        call.suspected_domains.add(state.target.fabric_domain)
-        self._interrupt_attempt(call, now, cause)
+        attempt.reroute_cause = cause
+        attempt.call.suspected_domains.add(attempt.state.target.fabric_domain)
         return True
 
     def _fits(
@@ -182,17 +213,16 @@
         predicted_s = pool.predict_first_event(other, call.terms.prompt_tokens, now)
         return predicted_s <= within_s + PREDICTION_TOLERANCE_S
 
-    def _choose_other(
-        self, call: GatewayCall, state: TargetState, now: float
-    ) -> TargetState | None:
-        """Return the target that a request would be rerouted to, or None."""
+    def _choose_other(self, attempt: GatewayAttempt, now: float) -> TargetState | None:
+        """Return the target that a request would be sent to, or None."""
+        call = attempt.call
         pool = self._index.find_pool(call.service, call.terms.model)
-        return pool.choose(
+        return pool.choose_alternative(
             now,
-            [*call.tried, state.target.instance],
+            call.tried,
             call.terms.prompt_tokens,
             call.compute_wanted_event_time(now),
-            suspected_domains={*call.suspected_domains, state.target.fabric_domain},
+            {*call.suspected_domains, attempt.state.target.fabric_domain},
         )
 
     def reroute_overdue(self, now: float) -> list[TargetState]:
@@ -206,13 +236,13 @@
             either, so that they may have stalled for all requests.
         """
         suspects = []
-        for state, calls in list(self._calls.items()):
-            overdue = [call for call in calls if self._is_overdue(call, now)]
+        for state, attempts in list(self._attempts.items()):
+            overdue = [one for one in attempts if self._is_overdue(one, now)]
             if overdue and not state.streaming:
                 suspects.append(state)
-            for call in overdue:
-                call.first_event_overdue = self._reroute(
-                    call, state, now, RerouteCause.OVERDUE, RerouteCondition.FREE_SLOT
+            for attempt in overdue:
+                attempt.first_event_overdue = self._reroute(
+                    attempt, now, RerouteCause.OVERDUE, RerouteCondition.FREE_SLOT
                 )
         return suspects
 
@@ -220,43 +250,56 @@
         """Return when the next first event is overdue, or infinity."""
         return min(
             (
-                self._find_first_event_deadline(call)
-                for calls in self._calls.values()
-                for call in calls
-                if self._may_be_overdue(call)
+                self._find_first_event_deadline(attempt)
+                for attempts in self._attempts.values()
+                for attempt in attempts
+                if _may_be_overdue(attempt)
             ),
             default=inf,
         )
 
-    def _is_overdue(self, call: GatewayCall, now: float) -> bool:
-        return self._may_be_overdue(call) and now >= self._find_first_event_deadline(
-            call
+    def _is_overdue(self, attempt: GatewayAttempt, now: float) -> bool:
+        return _may_be_overdue(attempt) and now >= self._find_first_event_deadline(
+            attempt
         )
 
-    def _may_be_overdue(self, call: GatewayCall) -> bool:
-        # A request that was admitted although it will be late waits behind the
-        # others.
-        if call.terms.model is None or call.late or call.has_event:
-            return False
-        return call.attempts.number == 1
-
-    def _find_first_event_deadline(self, call: GatewayCall) -> float:
+    def _find_first_event_deadline(self, attempt: GatewayAttempt) -> float:
+        call = attempt.call
         pool = self._index.find_pool(call.service, call.terms.model)
-        return call.sent_at + pool.first_event_timeout.compute_timeout(
-            call.predicted_first_event_s
+        return attempt.sent_at + pool.first_event_timeout.compute_timeout(
+            attempt.predicted_first_event_s
         )
 
-    def _may_reroute(self, call: GatewayCall) -> bool:
-        if not call.route.repeatable or call.progress is Progress.PARTIAL:
-            return False
-        return call.attempts.number < call.route.max_attempts
+
+def _may_be_overdue(attempt: GatewayAttempt) -> bool:
+    # A request that was admitted although it will be late waits behind the
+    # others.
+    call = attempt.call
+    if call.terms.model is None or call.late or attempt.has_event:
+        return False
+    return call.attempts.number == 1
+
+
+def _may_reroute(attempt: GatewayAttempt) -> bool:
+    """Return whether another attempt may be begun beside one.
+
+    Only the newest attempt of a request is looked at: while it is not
+    suspected, the request needs no further one.
+    """
+    call = attempt.call
+    if attempt.superseded or attempt is not call.newest_attempt:
+        return False
+    if not call.route.repeatable or call.progress is Progress.PARTIAL:
+        return False
+    return call.attempts.may_begin_alternative
 
 
-def _describe_attempt(call: GatewayCall) -> RunningAttempt:
+def _describe_attempt(attempt: GatewayAttempt) -> RunningAttempt:
+    call = attempt.call
     return RunningAttempt(
         call.terms.prompt_tokens,
-        call.sent_at,
+        attempt.sent_at,
         call.received_at + call.route.objective_s,
         inf if call.route.max_pause_s is None else call.route.max_pause_s,
-        call.last_event_at if call.has_event else None,
+        call.last_event_at if attempt.has_event else None,
     )
--- /dev/null
+++ b/src/zinniaspool/gateway/sending.py
@@ -0,0 +1,389 @@
+"""Sends one attempt of a request to its target and passes on the answer."""
+
+import asyncio
+from http import HTTPStatus
+
+import structlog
+from result import Err
+
+from zinniaspool.core.dispatch import AttemptFailure, Progress, TargetPool
+from zinniaspool.core.fleet import RequestKind
+from zinniaspool.gateway.backpressure import BackpressureTracker
+from zinniaspool.gateway.calls import FailedAnswer, GatewayAttempt, GatewayCall
+from zinniaspool.gateway.crashes import CrashDetector
+from zinniaspool.gateway.gate import AdmissionQueues
+from zinniaspool.gateway.moves import Rerouter
+from zinniaspool.gateway.spelling import CallCodec
+from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.http import (
+    ClientResponse,
+    HttpClient,
+    Request,
+    TransportError,
+    TransportFailure,
+)
+from zinniaspool.http.sides import CALLER_SIDE, CallerGoneError
+
+__all__ = ["AttemptSender"]
+
+_log = structlog.get_logger(__name__)
+
+EVENT_STREAM = "text/event-stream"
+MIN_SERVER_ERROR_STATUS = 500
+"""Smallest HTTP status that counts as a failure of the upstream."""
+
+UNREPEATABLE_MAX_IDLE_S = 1.0
+"""Longest time that a kept connection may have been idle, in seconds, to be
+used for a request that must not run twice. If the upstream closes an idle
+connection at the moment of the request, it is unknown whether the request
+ran."""
+
+MIN_PLAIN_ATTEMPT_S = 0.7
+"""Shortest time that an attempt of a plain idempotent request gets before the
+request is sent to another upstream too, in seconds. It is several times what
+such a call takes, and leaves time for the second attempt."""
+
+MAX_FOREIGN_ANSWERS = 3
+"""Answers to other requests that are skipped before a connection is closed."""
+
+_ATTEMPT_FAILURES = {
+    TransportFailure.NOT_SENT: AttemptFailure.NOT_SENT,
+    TransportFailure.TIMED_OUT: AttemptFailure.TIMED_OUT,
+    TransportFailure.CUT: AttemptFailure.LOST,
+    TransportFailure.MALFORMED: AttemptFailure.LOST,
+}
+
+_TARGET_FAILURES = frozenset(
+    {
+        AttemptFailure.LOST,
+        AttemptFailure.FAILED,
+        AttemptFailure.TIMED_OUT,
+        AttemptFailure.NOT_SENT,
+    }
+)
+
+
+class AttemptSender:
+    """Runs attempts, and keeps the state of their targets up to date.
+
+    Args:
+        http: Connections to upstreams.
+        codec: Parses and makes the headers of requests and answers.
+        index: The targets.
+        admission_queues: Counts the errors of predicted first events.
+        rerouter: Tracks the attempts at each target.
+        crashes: Is informed of the progress of streams.
+        backpressure: Keeps what upstreams ask in their answers.
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        codec: CallCodec,
+        index: TargetIndex,
+        admission_queues: AdmissionQueues,
+        rerouter: Rerouter,
+        crashes: CrashDetector,
+        backpressure: BackpressureTracker,
+    ) -> None:
+        self._http = http
+        self._codec = codec
+        self._index = index
+        self._admission_queues = admission_queues
+        self._rerouter = rerouter
+        self._crashes = crashes
+        self._backpressure = backpressure
+
+    async def run(self, attempt: GatewayAttempt) -> AttemptFailure | None:
+        """Run one attempt.
+
+        If the attempt is an alternative, it goes on alone from its first event
+        or its whole answer on.
+
+        Returns:
+            How it failed; None if the caller has its answer.
+        """
+        if attempt.superseded:
+            return AttemptFailure.SUPERSEDED
+        call, state = attempt.call, attempt.state
+        loop = asyncio.get_running_loop()
+        if not state.local_requests:
+            state.last_event_at = loop.time()
+        attempt.sent_at = loop.time()
+        prompt = call.terms.prompt_tokens
+        pool = self._index.find_pool(call.service, call.terms.model)
+        attempt.predicted_first_event_s = pool.predict_first_event(
+            state, prompt, attempt.sent_at
+        )
+        attempt.unanswered_out_of_subset = pool.begin_request(state, prompt)
+        self._backpressure.record_request(state)
+        self._rerouter.begin_attempt(attempt)
+        failed = refused = False
+        try:
+            failure = await self._send(attempt)
+            failed = failure in _TARGET_FAILURES
+            if attempt.superseded and attempt.first_event_overdue:
+                failed = True
+            refused = failure is AttemptFailure.REFUSED
+            if failure is None:
+                pool.forecast.record_request_time(loop.time() - attempt.sent_at)
+            return failure
+        finally:
+            pool.end_request(
+                state,
+                loop.time(),
+                unanswered_out_of_subset=attempt.unanswered_out_of_subset,
+                rerouted=attempt.superseded,
+            )
+            if attempt.has_event:
+                state.streaming -= 1
+            else:
+                state.local_unread_tokens -= prompt
+            self._rerouter.end_attempt(attempt)
+            pool.record_outcome(state, failed, loop.time(), refused=refused)
+
+    async def _send(self, attempt: GatewayAttempt) -> AttemptFailure | None:
+        """Send a request to a target and pass on the answer.
+
+        The attempt ends early if another one goes on in its place.
+        """
+        call, state = attempt.call, attempt.state
+        left_s = call.deadline - asyncio.get_running_loop().time()
+        idle_s = 20.0 if call.route.repeatable else UNREPEATABLE_MAX_IDLE_S
+        late_timer = self._start_late_timer(attempt, left_s)
+        try:
+            async with asyncio.timeout_at(call.deadline) as attempt.timeout:
+                response = await self._http.send(
+                    state.target.address,
+                    self._make_request(attempt, left_s),
+                    left_s + 1.0,
+                    max_idle_s=idle_s,
+                )
+                try:
+                    response = await self._skip_foreign_answers(call, response)
+                    return await self._handle_answer(attempt, response)
+                except BaseException:
+                    # The caller has left, or the time is over. The upstream
+                    # stops the request when its connection is closed.
+                    response.abort()
+                    raise
+        except TimeoutError:
+            return _find_interruption(attempt)
+        except CallerGoneError as error:
+            raise error.cause from error
+        except TransportError as error:
+            if error.failure is TransportFailure.NOT_SENT:
+                self._crashes.check_target(state)
+            return _ATTEMPT_FAILURES[error.failure]
+        finally:
+            if late_timer is not None:
+                late_timer.cancel()
+
+    def _start_late_timer(
+        self, attempt: GatewayAttempt, left_s: float
+    ) -> asyncio.TimerHandle | None:
+        """Have an idempotent request sent elsewhere if its answer is late."""
+        if attempt.call.route.kind is not RequestKind.IDEMPOTENT:
+            return None
+        return asyncio.get_running_loop().call_later(
+            max(MIN_PLAIN_ATTEMPT_S, left_s / 3), self._rerouter.reroute_late, attempt
+        )
+
+    def _make_request(self, attempt: GatewayAttempt, left_s: float) -> Request:
+        call = attempt.call
+        request = call.exchange.request
+        headers = self._codec.make_upstream_headers(
+            request,
+            attempt.state.target.instance,
+            left_s,
+            call.customer,
+            call.urgency,
+            attempt.cursor.last_id,
+        )
+        return Request(request.method, request.target, headers, request.body)
+
+    async def _skip_foreign_answers(
+        self, call: GatewayCall, response: ClientResponse
+    ) -> ClientResponse:
+        """Return the answer to this request; skip those to other requests.
+
+        If an upstream sends an answer twice, the second one is in the place of
+        the next request's answer on that connection. If it were passed on, a
+        caller would read the answer to another caller's request.
+
+        Raises:
+            TransportError: There were too many answers to other requests.
+        """
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            answered_id = self._codec.parse_answered_request(response.headers)
+            if answered_id in (call.terms.id, None):
+                return response
+            _log.warning(
+                "answer-foreign",
+                request=call.terms.id,
+                echoed=answered_id,
+            )
+            response = await response.skip_to_next()
+        raise TransportError(
+            TransportFailure.MALFORMED, "too many answers to other requests"
+        )
+
+    async def _handle_answer(
+        self, attempt: GatewayAttempt, response: ClientResponse
+    ) -> AttemptFailure | None:
+        call, state = attempt.call, attempt.state
+        loop = asyncio.get_running_loop()
+        load = self._codec.parse_load(response.headers)
+        pool = self._index.find_pool(call.service, call.terms.model)
+        if load is not None:
+            pool.record_reported_load(state, load.running + load.waiting, loop.time())
+        has_run = not self._codec.has_not_run(response.status, response.headers)
+        notice = self._codec.parse_notice(response.status, response.headers)
+        self._backpressure.record_answer(state, notice, has_run=has_run)
+        self._backpressure.record_unknown_headers(
+            self._codec.list_unknown_headers(response.headers)
+        )
+        if not has_run:
+            await response.read()
+            return AttemptFailure.REFUSED
+        if call.route.kind is RequestKind.STREAM and _is_stream(response):
+            return await self._stream_events(attempt, response)
+        body = await response.read()
+        state.last_event_at = loop.time()
+        # The time of a whole answer isn't predicted, so that any such answer
+        # counts as in time.
+        self._record_response(attempt, pool, 0.0, state.last_event_at)
+        if response.status >= MIN_SERVER_ERROR_STATUS:
+            call.failed_answer = FailedAnswer(response, body)
+            return AttemptFailure.FAILED
+        if call.progress is not Progress.NOTHING:
+            # This answer doesn't continue the stream that the caller has
+            # begun to read.
+            if attempt.is_leading:
+                call.progress = Progress.PARTIAL
+            return AttemptFailure.LOST
+        if attempt.superseded:
+            return _find_interruption(attempt)
+        call.lead(attempt, loop.time())
+        await self.write_answer(call, response, body)
+        return None
+
+    async def write_answer(
+        self, call: GatewayCall, response: ClientResponse, body: bytes
+    ) -> None:
+        """Write a whole answer of an upstream to the caller."""
+        call.first_byte_s = asyncio.get_running_loop().time() - call.received_at
+        headers = self._codec.make_caller_headers(response.headers)
+        with CALLER_SIDE:
+            await call.exchange.respond(response.status, headers, body)
+
+    async def _stream_events(
+        self, attempt: GatewayAttempt, response: ClientResponse
+    ) -> AttemptFailure | None:
+        call, state = attempt.call, attempt.state
+        loop = asyncio.get_running_loop()
+        pool = self._index.find_pool(call.service, call.terms.model)
+        while (data := await response.next_part()) is not None:
+            if attempt.superseded:
+                response.abort()
+                return _find_interruption(attempt)
+            now = loop.time()
+            pool.record_event(state, now)
+            if not attempt.has_event:
+                self._record_first_event(attempt, now)
+            attempt.event_reads += 1
+            self._crashes.record_progress(attempt, now)
+            events = attempt.cursor.feed(data)
+            if isinstance(events, Err):
+                response.abort()
+                return AttemptFailure.LOST
+            if not events.ok_value:
+                continue
+            call.lead(attempt, now)
+            if call.progress is Progress.NOTHING:
+                await self._start_stream(attempt, response)
+            else:
+                pause_s = now - call.last_event_at
+                call.longest_pause_s = max(call.longest_pause_s, pause_s)
+            call.last_event_at = now
+            call.last_event_id = attempt.cursor.last_id
+            await self._write_events(attempt, events.ok_value)
+        return await self._end_stream(attempt, response)
+
+    async def _write_events(self, attempt: GatewayAttempt, data: bytes) -> None:
+        """Write events to the caller, which may read slowly.
+
+        The target's next events lie unread until the write has ended. The
+        stream counts as blocked for this time, since the target would
+        otherwise be considered stalled.
+        """
+        state = attempt.state
+        state.blocked_streams += 1
+        try:
+            with CALLER_SIDE:
+                await attempt.call.exchange.write(data)
+        finally:
+            state.blocked_streams -= 1
+            state.last_event_at = asyncio.get_running_loop().time()
+
+    def _record_first_event(self, attempt: GatewayAttempt, now: float) -> None:
+        call, state = attempt.call, attempt.state
+        attempt.has_event, attempt.first_event_overdue = True, False
+        attempt.writing_since = now
+        state.streaming += 1
+        state.local_unread_tokens -= call.terms.prompt_tokens
+        pool = self._index.find_pool(call.service, call.terms.model)
+        took_s = now - attempt.sent_at
+        pool.record_first_event(state, attempt.predicted_first_event_s, took_s, now)
+        error_s = took_s - attempt.predicted_first_event_s
+        self._record_response(attempt, pool, error_s, now)
+        self._admission_queues.tally.add_error(call.terms.model or "", error_s)
+
+    def _record_response(
+        self, attempt: GatewayAttempt, pool: TargetPool, late_s: float, now: float
+    ) -> None:
+        if attempt.unanswered_out_of_subset:
+            attempt.unanswered_out_of_subset = False
+            pool.record_out_of_subset_first_event(late_s, now)
+
+    async def _start_stream(
+        self, attempt: GatewayAttempt, response: ClientResponse
+    ) -> None:
+        call = attempt.call
+        call.first_byte_s = asyncio.get_running_loop().time() - call.received_at
+        call.progress = Progress.RESUMABLE
+        if not call.route.resumable or not attempt.cursor.resumable:
+            call.progress = Progress.PARTIAL
+        headers = self._codec.make_caller_headers(response.headers)
+        with CALLER_SIDE:
+            await call.exchange.start(response.status, headers)
+
+    async def _end_stream(
+        self, attempt: GatewayAttempt, response: ClientResponse
+    ) -> AttemptFailure | None:
+        call = attempt.call
+        if attempt.cursor.finish().strip():
+            # The stream ended in the middle of an event.
+            return AttemptFailure.LOST
+        if call.progress is Progress.NOTHING:
+            return AttemptFailure.LOST
+        if attempt.superseded:
+            return _find_interruption(attempt)
+        call.lead(attempt, asyncio.get_running_loop().time())
+        with CALLER_SIDE:
+            await call.exchange.finish()
+        return None
+
+
+def _find_interruption(attempt: GatewayAttempt) -> AttemptFailure:
+    """Return how an attempt failed that ended before its upstream's answer."""
+    if not attempt.superseded:
+        return AttemptFailure.TIMED_OUT
+    if attempt.reroute_cause is not None:
+        return AttemptFailure.STALLED
+    return AttemptFailure.SUPERSEDED
+
+
+def _is_stream(response: ClientResponse) -> bool:
+    kind = response.headers.get("content-type") or ""
+    return response.status == HTTPStatus.OK and kind.startswith(EVENT_STREAM)
--- a/src/zinniaspool/gateway/silence.py
+++ b/src/zinniaspool/gateway/silence.py
@@ -24,7 +24,8 @@
 )
 from zinniaspool.core.ids import NodeId
 from zinniaspool.core.messages.fleet import StalledTarget, StallEvidence
-from zinniaspool.gateway.moves import RerouteCause, RerouteCondition, Rerouter
+from zinniaspool.gateway.calls import RerouteCause
+from zinniaspool.gateway.moves import RerouteCondition, Rerouter
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.telemetry import StallTally
 
@@ -140,7 +141,10 @@
     async def _check(self, due: float) -> float:
         """Handle stalled targets; return when the next one may stall."""
         times = self._find_stall_times(due)
-        if any(at <= due and state not in self._stalled for _, state, at in times):
+        if any(
+            at <= due and state not in self._stalled and not state.removed
+            for _, state, at in times
+        ):
             await _read_arrived_events()
             times = self._find_stall_times(due)
         self._find_disproved()
@@ -162,6 +166,9 @@
         ]
 
     def _handle_stall(self, pool: TargetPool, state: TargetState, now: float) -> None:
+        if state.removed:
+            self._rerouter.reroute_from(state, RerouteCause.STALLED)
+            return
         evidence = StallEvidence.STREAMS if state.streaming else StallEvidence.WAITING
         if state in self._refused:
             evidence = StallEvidence.REFUSED
