Keep attempts at silent upstreams going in the older entry program

What callers saw: a call at an upstream that paused for longer than the header timeout (2 s at least) or a stream for longer than 3 s ended with an error, although the upstream would have finished it.

Cause: as in the entry process of the platform; the relay gave the attempt up and only then looked at the budget and at the other upstreams.

Change: a timeout marks an attempt as silent and begins another one beside it, at the same moment as before, if all running attempts are silent and the retry budget pays for it. The first attempt with the next event or the whole answer leads. Silence still counts as a failure of its upstream at once, so that new work goes elsewhere. An attempt beside another one doesn't probe an ejected upstream.

Of four changes that break the relay, the tests find three; the condition that all running attempts are silent is found by none.

--- a/src/zinniaspool/core/requests/routing.py
+++ b/src/zinniaspool/core/requests/routing.py
@@ -67,7 +67,8 @@
 
     FAILED = "failed"
     ABANDONED = "abandoned"
-    """The caller left, so the attempt does not reflect on the upstream."""
+    """The attempt does not reflect on the upstream, or it did already: its
+    caller left, another attempt answered, or its silence was recorded."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -307,9 +308,7 @@
             case AttemptOutcome.ANSWERED:
                 state.failures = state.ejections = 0
             case AttemptOutcome.FAILED:
-                state.failures += 1
-                if state.failures >= self._limits.failures_to_eject or state.probing:
-                    self._eject(state, now)
+                self._count_failure(state, now)
             case AttemptOutcome.REFUSED:
                 # The upstream's reports do not show yet that it is full.
                 full = state.upstream.slots * _MAX_LOAD_PER_SLOT - state.local_load
@@ -319,8 +318,23 @@
         state.probing = False
         self._update_sets(state, now)
 
+    def record_silence(self, state: UpstreamState, now: float) -> None:
+        """Count the silence of an upstream whose attempt goes on as a failure.
+
+        After several failures, the upstream gets no new requests until it
+        has answered.
+        """
+        if not state.removed:
+            self._count_failure(state, now)
+            self._update_sets(state, now)
+
     # Internals.
 
+    def _count_failure(self, state: UpstreamState, now: float) -> None:
+        state.failures += 1
+        if state.failures >= self._limits.failures_to_eject or state.probing:
+            self._eject(state, now)
+
     def _draw(
         self,
         states: RandomSet[UpstreamState],
--- a/src/zinniaspool/entry/relay.py
+++ b/src/zinniaspool/entry/relay.py
@@ -2,6 +2,11 @@
 
 A failed attempt is retried at another upstream if the retry terms of the
 request allow it. An interrupted event stream is resumed at another upstream.
+
+The silence of an upstream does not end an attempt, since the upstream may go
+on, and another one may refuse the request or be silent too. A second attempt
+is begun beside the first one if the retry budget allows it. The first attempt
+that has the next event or the whole response leads, and the others are ended.
 """
 
 import asyncio
@@ -22,7 +27,6 @@
     Progress,
     RetryBudget,
     RetryTerms,
-    Upstream,
     UpstreamPool,
     UpstreamState,
 )
@@ -108,7 +112,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayLimits:
-    """Timeouts after which an attempt of an idempotent request has failed.
+    """Timeouts after which an upstream of an idempotent request is silent.
 
     Attributes:
         header_timeout_share: Share of the remaining time that an attempt may
@@ -123,6 +127,38 @@
     stall_timeout_s: float = 3.0
 
 
+@dataclass(slots=True, eq=False)
+class _Attempt:
+    """One attempt of a call.
+
+    Attributes:
+        number: Number of the attempt.
+        state: State of its upstream.
+        cursor: Position of its event stream.
+        began_at: Time at which it began.
+        task: Runs the attempt.
+        latency_s: Seconds until its response headers arrived, or None before
+            that.
+        outcome: How it reflects on its upstream.
+        silent: Whether its upstream is silent.
+        silence_recorded: Whether the silence counts as a failure of its
+            upstream.
+        unfit: Whether its response cannot continue what the caller has
+            received.
+    """
+
+    number: int
+    state: UpstreamState
+    cursor: EventCursor
+    began_at: float
+    task: "asyncio.Task[AttemptFailure | None] | None" = None
+    latency_s: float | None = None
+    outcome: AttemptOutcome = AttemptOutcome.ABANDONED
+    silent: bool = False
+    silence_recorded: bool = False
+    unfit: bool = False
+
+
 @dataclass(slots=True)
 class _CallRun:
     """The state of a call in progress, which its attempts share.
@@ -132,15 +168,14 @@
         call: The call.
         pool: Upstreams that may run the call.
         attempts: Decides whether another attempt is allowed.
-        cursor: Position in the event stream.
+        cursor: Position in the event stream of the attempt that leads.
         progress: How much of the response has gone to the sink.
         status: HTTP status that has gone to the sink.
         version: Model version of the upstream that began the stream.
         tried: Upstreams that are not chosen again for this call.
-        upstream_state: State of the current attempt's upstream.
-        attempt_began_at: Time at which the current attempt began.
-        latency_s: Seconds until the response headers of the current attempt
-            arrived, or None before that.
+        running: The attempts that go on.
+        tasks: The tasks of all attempts so far.
+        ended: The attempts whose tasks have ended.
     """
 
     sink: AnswerSink
@@ -152,9 +187,9 @@
     status: int = 0
     version: ModelVersion | None = None
     tried: list[UpstreamId] = field(default_factory=list)
-    upstream_state: UpstreamState | None = None
-    attempt_began_at: float = 0.0
-    latency_s: float | None = None
+    running: list[_Attempt] = field(default_factory=list)
+    tasks: list["asyncio.Task[AttemptFailure | None]"] = field(default_factory=list)
+    ended: "asyncio.Queue[_Attempt]" = field(default_factory=asyncio.Queue)
 
 
 class RequestRelay:
@@ -189,27 +224,48 @@
         if budget is None:
             budget = self._budgets[call.customer] = RetryBudget()
         budget.deposit()
-        run = _CallRun(sink, call, pool, Attempts(call.retry_terms, budget))
-        loop = asyncio.get_running_loop()
-        while (state := self._choose_upstream(run, loop.time())) is not None:
-            begun = run.attempts.begin(loop.time())
-            if isinstance(begun, Err):
-                return begun
-            failure = await self._run_attempt(run, state)
+        attempts = Attempts(call.retry_terms, budget)
+        run = _CallRun(sink, call, pool, attempts)
+        try:
+            return await self._run_attempts(run)
+        finally:
+            for task in run.tasks:
+                task.cancel()
+            await asyncio.gather(*run.tasks, return_exceptions=True)
+
+    async def _run_attempts(self, run: _CallRun) -> Result[None, Fault]:
+        fault = self._begin_next(run)
+        while fault is None:
+            attempt = await run.ended.get()
+            if attempt not in run.running:
+                continue
+            run.running.remove(attempt)
+            assert attempt.task is not None
+            failure = attempt.task.result()
             if failure is None:
                 return Ok(None)
-            run.tried.append(state.upstream.id)
-            fault = run.attempts.evaluate_failure(failure, run.progress, loop.time())
-            self._report_failure(run, state, failure, retried=fault is None)
-            if fault is not None:
-                return Err(fault)
-        return Err(run.attempts.make_no_upstream_fault(ErrorKind.NO_UPSTREAM))
-
-    def _choose_upstream(self, run: _CallRun, now: float) -> UpstreamState | None:
+            fault = self._handle_failure(run, attempt, failure)
+        return Err(fault)
+
+    def _handle_failure(
+        self, run: _CallRun, attempt: _Attempt, failure: AttemptFailure
+    ) -> Fault | None:
+        if run.running:
+            run.attempts.record_failure(failure)
+            self._report_failure(run, attempt, failure, retried=True)
+            self._begin_beside(run)
+            return None
+        progress = Progress.PARTIAL if attempt.unfit else run.progress
+        now = asyncio.get_running_loop().time()
+        fault = run.attempts.evaluate_failure(failure, progress, now)
+        self._report_failure(run, attempt, failure, retried=fault is None)
+        return fault or self._begin_next(run)
+
+    def _choose_upstream(
+        self, run: _CallRun, now: float, *, allow_probe: bool
+    ) -> UpstreamState | None:
         call = run.call
-        state = run.pool.choose(
-            now, call.affinity, run.tried, allow_probe=call.retry_terms.idempotent
-        )
+        state = run.pool.choose(now, call.affinity, run.tried, allow_probe=allow_probe)
         if run.progress is Progress.NOTHING or state is None:
             return state
         if state.upstream.version == run.version:
@@ -217,12 +273,76 @@
         # Output of another model version would not continue the text that the
         # caller has already received.
         run.tried.append(state.upstream.id)
-        return self._choose_upstream(run, now)
+        return self._choose_upstream(run, now, allow_probe=allow_probe)
+
+    def _begin_next(self, run: _CallRun) -> Fault | None:
+        """Begin an attempt while no other one is running."""
+        now = asyncio.get_running_loop().time()
+        state = self._choose_upstream(
+            run, now, allow_probe=run.call.retry_terms.idempotent
+        )
+        if state is None:
+            return run.attempts.make_no_upstream_fault(ErrorKind.NO_UPSTREAM)
+        begun = run.attempts.begin(now)
+        if isinstance(begun, Err):
+            return begun.err_value
+        self._begin(run, state, now)
+        return None
+
+    def _begin_beside(self, run: _CallRun) -> None:
+        """Begin an attempt beside the running ones if all are silent."""
+        if run.progress is Progress.PARTIAL or not run.attempts.may_begin_alternative:
+            return
+        if not all(attempt.silent for attempt in run.running):
+            return
+        now = asyncio.get_running_loop().time()
+        state = self._choose_upstream(run, now, allow_probe=False)
+        if state is not None and run.attempts.begin_alternative(now):
+            self._begin(run, state, now)
+
+    def _begin(self, run: _CallRun, state: UpstreamState, now: float) -> None:
+        cursor = EventCursor()
+        cursor.last_id = run.cursor.last_id
+        attempt = _Attempt(run.attempts.number, state, cursor, now)
+        attempt.task = asyncio.create_task(self._run_attempt(run, attempt))
+        attempt.task.add_done_callback(lambda _: self._end_attempt(run, attempt))
+        run.tasks.append(attempt.task)
+        run.running.append(attempt)
+        run.tried.append(state.upstream.id)
+        run.pool.begin(state, now)
+
+    def _record_silence(self, run: _CallRun, attempt: _Attempt) -> None:
+        now = asyncio.get_running_loop().time()
+        attempt.silent = True
+        is_late = attempt.latency_s is not None or run.pool.is_slow(
+            now - attempt.began_at
+        )
+        if is_late and not attempt.silence_recorded:
+            attempt.silence_recorded = True
+            run.pool.record_silence(attempt.state, now)
+        self._begin_beside(run)
+
+    def _take_lead(self, run: _CallRun, attempt: _Attempt) -> None:
+        """End the attempts beside one whose response goes on."""
+        attempt.silent = False
+        run.cursor = attempt.cursor
+        if len(run.running) == 1:
+            return
+        for other in run.running:
+            if other is attempt:
+                continue
+            assert other.task is not None
+            other.task.cancel()
+            run.attempts.record_failure(AttemptFailure.TIMED_OUT)
+            if other.silent:
+                failure = AttemptFailure.TIMED_OUT
+                self._report_failure(run, other, failure, retried=True)
+        run.running = [attempt]
 
     def _report_failure(
         self,
         run: _CallRun,
-        state: UpstreamState,
+        attempt: _Attempt,
         failure: AttemptFailure,
         *,
         retried: bool,
@@ -231,77 +351,60 @@
             FailedAttempt(
                 run.call.id,
                 run.call.customer,
-                run.attempts.number,
-                state.upstream.id,
+                attempt.number,
+                attempt.state.upstream.id,
                 failure,
                 retried,
             )
         )
 
     async def _run_attempt(
-        self, run: _CallRun, state: UpstreamState
+        self, run: _CallRun, attempt: _Attempt
     ) -> AttemptFailure | None:
-        loop = asyncio.get_running_loop()
-        run.attempt_began_at, run.latency_s = loop.time(), None
-        run.upstream_state = state
-        run.pool.begin(state, run.attempt_began_at)
-        outcome = AttemptOutcome.ABANDONED
-        try:
-            failure = await self._send_attempt(run, state.upstream)
-            outcome = self._classify_outcome(run, failure, loop.time())
-            return failure
-        finally:
-            now = loop.time()
-            duration_s = (
-                now - run.attempt_began_at
-                if outcome is AttemptOutcome.ANSWERED
-                else None
-            )
-            run.pool.end(state, now, outcome, run.latency_s, duration_s)
+        failure = await self._send_attempt(run, attempt)
+        now = asyncio.get_running_loop().time()
+        attempt.outcome = self._classify_outcome(run, attempt, failure, now)
+        return failure
+
+    def _end_attempt(self, run: _CallRun, attempt: _Attempt) -> None:
+        now = asyncio.get_running_loop().time()
+        answered = attempt.outcome is AttemptOutcome.ANSWERED
+        duration_s = now - attempt.began_at if answered else None
+        run.pool.end(attempt.state, now, attempt.outcome, attempt.latency_s, duration_s)
+        run.ended.put_nowait(attempt)
 
     def _classify_outcome(
-        self, run: _CallRun, failure: AttemptFailure | None, now: float
+        self,
+        run: _CallRun,
+        attempt: _Attempt,
+        failure: AttemptFailure | None,
+        now: float,
     ) -> AttemptOutcome:
         match failure:
             case None:
                 return AttemptOutcome.ANSWERED
             case AttemptFailure.REFUSED:
                 return AttemptOutcome.REFUSED
-            case AttemptFailure.TIMED_OUT if not run.pool.is_slow(
-                now - run.attempt_began_at
+            case AttemptFailure.TIMED_OUT if (
+                attempt.silence_recorded or not run.pool.is_slow(now - attempt.began_at)
             ):
                 return AttemptOutcome.ABANDONED
             case _:
                 return AttemptOutcome.FAILED
 
     async def _send_attempt(
-        self, run: _CallRun, upstream: Upstream
+        self, run: _CallRun, attempt: _Attempt
     ) -> AttemptFailure | None:
-        terms = run.call.retry_terms
-        remaining_s = terms.deadline - asyncio.get_running_loop().time()
-        headers = _make_request_headers(run, upstream)
-        request = Request("POST", run.call.upstream_path, headers, run.call.body)
-        header_timeout_s = remaining_s
-        if terms.idempotent:
-            # A frozen upstream accepts requests and never responds, so part of
-            # the time is reserved for an attempt at another upstream.
-            limits = self._limits
-            header_timeout_s = max(
-                limits.min_header_timeout_s, remaining_s * limits.header_timeout_share
-            )
+        remaining_s = run.call.retry_terms.deadline - asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(remaining_s):
-                response = await self._http.send(
-                    upstream.address,
-                    request,
-                    min(header_timeout_s, remaining_s),
-                    fresh=not terms.idempotent,
-                )
+                response = await self._send_request(run, attempt, remaining_s)
                 try:
-                    return await self._relay_response(run, response)
+                    return await self._relay_response(run, attempt, response)
                 except BaseException:
-                    # The caller has disconnected or the deadline has passed.
-                    # Closing the connection makes the upstream stop.
+                    # The caller has disconnected, the deadline has passed or
+                    # another attempt leads. Closing the connection makes the
+                    # upstream stop.
                     response.abort()
                     raise
         except TimeoutError:
@@ -311,28 +414,48 @@
         except TransportError as error:
             return _ATTEMPT_FAILURES[error.failure]
 
-    def _record_response_head(self, run: _CallRun, response: ClientResponse) -> None:
+    async def _send_request(
+        self, run: _CallRun, attempt: _Attempt, remaining_s: float
+    ) -> ClientResponse:
+        headers = _make_request_headers(run, attempt)
+        request = Request("POST", run.call.upstream_path, headers, run.call.body)
+        address = attempt.state.upstream.address
+        if not run.call.retry_terms.idempotent:
+            return await self._http.send(address, request, remaining_s, fresh=True)
+        # A frozen upstream accepts requests and never responds, so part of
+        # the time is reserved for an attempt at another upstream.
+        limits = self._limits
+        watchdog = StallWatchdog(
+            max(limits.min_header_timeout_s, remaining_s * limits.header_timeout_share),
+            lambda: self._record_silence(run, attempt),
+        )
+        try:
+            return await self._http.send(address, request, remaining_s)
+        finally:
+            watchdog.cancel()
+
+    def _record_response_head(
+        self, run: _CallRun, attempt: _Attempt, response: ClientResponse
+    ) -> None:
         now = asyncio.get_running_loop().time()
-        run.latency_s = now - run.attempt_began_at
-        assert run.upstream_state is not None
+        attempt.latency_s = now - attempt.began_at
         headers = response.headers
         running = headers.get("x-load-running")
         if running is not None and running.isdecimal():
             waiting = headers.get("x-load-waiting") or "0"
             load = int(running) + (int(waiting) if waiting.isdecimal() else 0)
-            run.pool.record_load(
-                run.upstream_state, load, now - _LOAD_REPORT_LAG_S, now
-            )
+            counted_at = now - _LOAD_REPORT_LAG_S
+            run.pool.record_load(attempt.state, load, counted_at, now)
         if headers.get("x-leaving") is not None:
-            run.pool.mark_leaving(run.upstream_state, now)
+            run.pool.mark_leaving(attempt.state, now)
 
     async def _relay_response(
-        self, run: _CallRun, response: ClientResponse
+        self, run: _CallRun, attempt: _Attempt, response: ClientResponse
     ) -> AttemptFailure | None:
         headers = response.headers
         echoed = (headers.get("x-request-id"), headers.get("x-attempt"))
-        expected = (run.call.id, str(run.attempts.number))
-        self._record_response_head(run, response)
+        expected = (run.call.id, str(attempt.number))
+        self._record_response_head(run, attempt, response)
         if headers.get(_NOT_RUN_HEADER) is not None and echoed in (
             expected,
             (None, None),
@@ -349,28 +472,34 @@
             await response.read()
             return AttemptFailure.FAILED
         if run.progress is not Progress.NOTHING:
-            return await self._resume_stream(run, response)
+            return await self._resume_stream(run, attempt, response)
         if headers.get("content-length") is not None:
             body = await response.read()
+            if run.progress is not Progress.NOTHING:
+                return self._reject_response(attempt, response)
+            self._take_lead(run, attempt)
+            # No other attempt can answer, also while the caller reads.
+            run.progress = Progress.PARTIAL
             with CALLER_SIDE:
                 await run.sink.respond(
                     response.status, _filter_response_headers(run, headers), body
                 )
             return None
-        assert run.upstream_state is not None
-        run.status, run.version = response.status, run.upstream_state.upstream.version
+        run.status, run.version = response.status, attempt.state.upstream.version
         is_event_stream = _is_event_stream(response)
         # After the headers of an event stream, no event is missing yet: an
         # upstream that begins the stream anew completes it. Otherwise, an
         # upstream that fails before its first token would cost the caller the
         # whole response.
         run.progress = Progress.RESUMABLE if is_event_stream else Progress.PARTIAL
+        if not is_event_stream:
+            self._take_lead(run, attempt)
         with CALLER_SIDE:
             await run.sink.start(
                 response.status, _filter_response_headers(run, headers)
             )
         if is_event_stream:
-            return await self._relay_events(run, response)
+            return await self._relay_events(run, attempt, response)
         async for data in response.stream():
             with CALLER_SIDE:
                 await run.sink.write(data)
@@ -379,60 +508,75 @@
         return None
 
     async def _resume_stream(
-        self, run: _CallRun, response: ClientResponse
+        self, run: _CallRun, attempt: _Attempt, response: ClientResponse
     ) -> AttemptFailure | None:
-        if response.status != run.status or not _is_event_stream(response):
-            # The response is not the rest of the stream that the caller reads.
-            response.abort()
-            run.progress = Progress.PARTIAL
-            return AttemptFailure.LOST
-        run.cursor.resume()
-        return await self._relay_events(run, response)
+        is_rest = (
+            response.status == run.status
+            and _is_event_stream(response)
+            and attempt.state.upstream.version == run.version
+        )
+        if not is_rest:
+            return self._reject_response(attempt, response)
+        attempt.cursor.resume()
+        return await self._relay_events(run, attempt, response)
+
+    def _reject_response(
+        self, attempt: _Attempt, response: ClientResponse
+    ) -> AttemptFailure:
+        """Reject a response that does not continue what the caller reads."""
+        response.abort()
+        attempt.unfit = True
+        return AttemptFailure.LOST
 
     async def _relay_events(
-        self, run: _CallRun, response: ClientResponse
+        self, run: _CallRun, attempt: _Attempt, response: ClientResponse
     ) -> AttemptFailure | None:
-        may_repeat = run.call.retry_terms.idempotent
-        watchdog = (
-            StallWatchdog(response, self._limits.stall_timeout_s)
-            if may_repeat
-            else None
+        if not run.call.retry_terms.idempotent:
+            return await self._relay_watched_events(run, attempt, response, None)
+        watchdog = StallWatchdog(
+            self._limits.stall_timeout_s, lambda: self._record_silence(run, attempt)
         )
         try:
-            return await self._relay_watched_events(run, response, watchdog)
+            return await self._relay_watched_events(run, attempt, response, watchdog)
         finally:
-            if watchdog is not None:
-                watchdog.cancel()
+            watchdog.cancel()
 
     async def _relay_watched_events(
-        self, run: _CallRun, response: ClientResponse, watchdog: StallWatchdog | None
+        self,
+        run: _CallRun,
+        attempt: _Attempt,
+        response: ClientResponse,
+        watchdog: StallWatchdog | None,
     ) -> AttemptFailure | None:
+        cursor = attempt.cursor
         async for data in response.stream():
             if watchdog is not None:
                 watchdog.awaiting_data = False
-            accepted = run.cursor.feed(data)
+            accepted = cursor.feed(data)
             if isinstance(accepted, Err):
-                response.abort()
-                run.progress = Progress.PARTIAL
-                return AttemptFailure.LOST
+                return self._reject_response(attempt, response)
             if accepted.ok_value:
-                resumable = run.cursor.resumable
-                run.progress = Progress.RESUMABLE if resumable else Progress.PARTIAL
+                self._take_lead(run, attempt)
+                run.progress = (
+                    Progress.RESUMABLE if cursor.resumable else Progress.PARTIAL
+                )
                 with CALLER_SIDE:
                     await run.sink.write(accepted.ok_value)
             if watchdog is not None:
                 watchdog.record_data()
+        self._take_lead(run, attempt)
         with CALLER_SIDE:
-            await run.sink.write(run.cursor.finish())
+            await run.sink.write(cursor.finish())
             await run.sink.finish()
         return None
 
 
-def _make_request_headers(run: _CallRun, upstream: Upstream) -> Headers:
+def _make_request_headers(run: _CallRun, attempt: _Attempt) -> Headers:
+    upstream = attempt.state.upstream
     headers = Headers.of(
         content_type="application/json",
         x_request_id=run.call.id,
-        x_attempt=str(run.attempts.number),
+        x_attempt=str(attempt.number),
     )
     if upstream.group is not None:
         headers.add("x-group", upstream.group).add("x-epoch", str(upstream.epoch))
@@ -440,8 +584,8 @@
         headers.add("priority", f"u={run.call.urgency}")
     if run.call.cache_salt:
         headers.add("x-cache-salt", run.call.cache_salt)
-    if run.cursor.resumable:
-        headers.add("last-event-id", str(run.cursor.last_id))
+    if attempt.cursor.resumable:
+        headers.add("last-event-id", str(attempt.cursor.last_id))
     return headers
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -22,7 +22,13 @@
     RequestId,
     UpstreamId,
 )
-from zinniaspool.core.requests import RetryTerms, Upstream, UpstreamPool, UpstreamReport
+from zinniaspool.core.requests import (
+    RetryBudget,
+    RetryTerms,
+    Upstream,
+    UpstreamPool,
+    UpstreamReport,
+)
 from zinniaspool.entry.answers import answer_fault
 from zinniaspool.entry.relay import RelayedCall, RelayLimits, RequestRelay
 from zinniaspool.entry.sinks import AnswerSink, RecordingSink
@@ -38,6 +44,8 @@
 
 _TOKENS = b"".join(b"id: %d\ndata: t%d\n\n" % (k, k) for k in range(1, 7))
 _WHOLE = _TOKENS + b"event: done\ndata: {}\n\n"
+_PAUSE_S = 1.0
+"""Silence of a sound upstream, longer than all timeouts of the relay."""
 
 
 class _RelayServer:
@@ -48,6 +56,7 @@
         upstreams: list[FakeUpstream],
         idempotent: bool,
         versions: list[ModelVersion] | None = None,
+        retry_tokens: float = 10.0,
     ) -> None:
         self.faults: list[ErrorKind] = []
         domain = FailureDomainId("d")
@@ -55,6 +64,7 @@
             min_header_timeout_s=0.3, header_timeout_share=0.0, stall_timeout_s=0.3
         )
         self._relay = RequestRelay(HttpClient(), limits=limits)
+        self._relay._budgets[CustomerId("care")] = RetryBudget(0.0, retry_tokens)
         self._pool = UpstreamPool(random.Random(0), domain)
         upstream_versions = versions or [ModelVersion("v1")] * len(upstreams)
         reports = [
@@ -81,11 +91,11 @@
 
 
 async def _send_request(
-    upstreams: list[FakeUpstream], idempotent: bool = True
+    upstreams: list[FakeUpstream], idempotent: bool = True, retry_tokens: float = 10.0
 ) -> tuple[_RelayServer, int, bytes]:
     for upstream in upstreams:
         await upstream.listen()
-    relay_server = _RelayServer(upstreams, idempotent)
+    relay_server = _RelayServer(upstreams, idempotent, retry_tokens=retry_tokens)
     server = HttpServer(relay_server.handle)
     address = await server.listen(Address("127.0.0.1:0"))
     request = Request("POST", "/", Headers(), b"{}")
@@ -254,6 +264,147 @@
     run_in_loop(trial)
 
 
+async def _pause_before_stream(exchange: Exchange, echo: Headers) -> None:
+    await asyncio.sleep(_PAUSE_S)
+    await fakes.stream(6)(exchange, echo)
+
+
+async def _pause_within_stream(exchange: Exchange, echo: Headers) -> None:
+    await exchange.start(200, fakes.make_event_headers(echo))
+    await exchange.write(_WHOLE.partition(b"\n\n")[0] + b"\n\n")
+    await asyncio.sleep(_PAUSE_S)
+    await exchange.write(_WHOLE.partition(b"\n\n")[2])
+    await exchange.finish()
+
+
+async def _pause_before_answer(exchange: Exchange, echo: Headers) -> None:
+    await asyncio.sleep(_PAUSE_S)
+    await exchange.respond(200, echo, _WHOLE)
+
+
+_PAUSES = [_pause_before_stream, _pause_within_stream, _pause_before_answer]
+
+
+@pytest.mark.parametrize("pause", _PAUSES)
+@pytest.mark.parametrize("second", [None, fakes.refuse, fakes.cut, fakes.hang])
+def test_a_request_outlasts_a_pause_if_no_other_upstream_answers_it(
+    pause: fakes.Behaviour, second: fakes.Behaviour | None
+) -> None:
+    """Guards against an attempt that is given up for one that fails."""
+
+    async def trial() -> None:
+        script = [pause, *([] if second is None else [second])]
+        upstreams = [FakeUpstream(script) for _ in script]
+        _, status, body = await _send_request(upstreams)
+        assert (status, body) == (200, _WHOLE)
+
+    run_in_loop(trial)
+
+
+def test_a_stream_outlasts_a_pause_if_the_other_upstream_begins_it_anew() -> None:
+    """Guards against an attempt that is given up for one that can't go on."""
+
+    async def trial() -> None:
+        script: list[fakes.Behaviour] = [_pause_within_stream, fakes.stall]
+        upstreams = [FakeUpstream(script) for _ in script]
+        _, status, body = await _send_request(upstreams)
+        assert (status, body) == (200, _WHOLE)
+        assert [len(upstream.calls) for upstream in upstreams] == [1, 1]
+
+    run_in_loop(trial)
+
+
+@pytest.mark.parametrize("pause", _PAUSES)
+def test_a_request_outlasts_a_pause_if_the_retry_budget_is_used_up(
+    pause: fakes.Behaviour,
+) -> None:
+    """Guards against an attempt that is given up for one that is not begun."""
+
+    async def trial() -> None:
+        script = [pause, fakes.stream(6)]
+        upstreams = [FakeUpstream(script) for _ in range(2)]
+        _, status, body = await _send_request(upstreams, retry_tokens=0.0)
+        assert (status, body) == (200, _WHOLE)
+        assert sum(len(upstream.calls) for upstream in upstreams) == 1
+
+    run_in_loop(trial)
+
+
+@pytest.mark.parametrize("silent", [fakes.hang, fakes.stall])
+def test_a_third_upstream_answers_if_two_are_silent(silent: fakes.Behaviour) -> None:
+    """Guards against a request that waits for two dead upstreams."""
+
+    async def trial() -> None:
+        script = [silent, silent, fakes.stream(6)]
+        upstreams = [FakeUpstream(script) for _ in range(3)]
+        begun = asyncio.get_running_loop().time()
+        _, status, body = await _send_request(upstreams)
+        assert (status, body) == (200, _WHOLE)
+        assert asyncio.get_running_loop().time() < begun + _PAUSE_S
+
+    run_in_loop(trial)
+
+
+def test_the_second_attempt_ends_as_soon_as_the_first_goes_on() -> None:
+    """Guards against upstreams that run what another one answers."""
+
+    async def trial() -> None:
+        left = asyncio.Event()
+
+        async def pause_and_wait(exchange: Exchange, echo: Headers) -> None:
+            await exchange.start(200, fakes.make_event_headers(echo))
+            await asyncio.sleep(_PAUSE_S)
+            await exchange.write(_WHOLE.partition(b"\n\n")[0] + b"\n\n")
+            await left.wait()
+            await exchange.write(_WHOLE.partition(b"\n\n")[2])
+            await exchange.finish()
+
+        script: list[fakes.Behaviour] = [pause_and_wait, fakes.hang]
+        upstreams = [FakeUpstream(script, left=left) for _ in script]
+        _, status, body = await _send_request(upstreams)
+        assert (status, body) == (200, _WHOLE)
+        assert [len(upstream.calls) for upstream in upstreams] == [1, 1]
+
+    run_in_loop(trial)
+
+
+def test_a_request_that_is_cancelled_at_once_leaves_no_load() -> None:
+    """Guards against upstreams that count requests which never began."""
+
+    async def trial() -> None:
+        upstream = await FakeUpstream([fakes.hang]).listen()
+        relay_server = _RelayServer([upstream], idempotent=True)
+        running = asyncio.create_task(relay_server.run(RecordingSink(None)))
+        await asyncio.sleep(0)
+        running.cancel()
+        await asyncio.wait([running])
+        assert relay_server._pool.utilization == 0.0
+        await upstream.close()
+
+    run_in_loop(trial)
+
+
+def test_a_lost_request_is_not_reported_as_refused_by_a_second_attempt() -> None:
+    """Guards against "not run" for a request of which one attempt has run."""
+
+    async def lose_late(exchange: Exchange, echo: Headers) -> None:
+        await asyncio.sleep(_PAUSE_S)
+        exchange.abort()
+
+    async def refuse_later(exchange: Exchange, echo: Headers) -> None:
+        await asyncio.sleep(2 * _PAUSE_S)
+        await fakes.refuse(exchange, echo)
+
+    async def trial() -> None:
+        for refuse in (fakes.refuse, refuse_later):
+            script: list[fakes.Behaviour] = [lose_late, refuse]
+            upstreams = [FakeUpstream(script) for _ in script]
+            relay_server, _, _ = await _send_request(upstreams)
+            assert relay_server.faults == [ErrorKind.UPSTREAM_LOST]
+
+    run_in_loop(trial)
+
+
 class _SlowSink(RecordingSink):
     """A caller whose first read takes longer than the stall timeout."""
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -206,3 +206,22 @@
     for second in range(2, 12):
         pool.update_slowness(float(second))
     assert states[0].slowness < 2
+
+
+def test_a_silent_upstream_gets_no_new_requests_until_it_answers() -> None:
+    """Guards against new requests at an upstream whose attempts only wait."""
+    pool = _pool(3)
+    silent = pool.find(UpstreamId("u0"))
+    assert silent is not None
+    for _ in range(3):
+        pool.begin(silent, 0.0)
+        pool.record_silence(silent, 0.0)
+
+    def choose_all() -> set[UpstreamState | None]:
+        return {pool.choose(0.0, allow_probe=False) for _ in range(50)}
+
+    assert silent not in choose_all()
+    assert silent.local_load == 3
+    for _ in range(3):
+        pool.end(silent, 0.0, AttemptOutcome.ANSWERED)
+    assert silent in choose_all()
