Holder: suspect silent instances, end groups only on proof

Cause: an instance that answered neither of two status queries within 0.57 s counted as lost, so that the holder ended its group. A VM that is silent for 1.0 to 1.4 s goes on, and so would its streams. A new holder did the same to all engines after its first queries.

Change: such an instance is suspected. It is in the published list of unreachable instances as before, gets no orders and joins no group, and its last record counts, so that its group goes on with the same epoch. It is queried without a pause until it answers, or is lost: its unanswered queries add up to 2.0 s, or its VM refuses connections while the holder's VM reaches another upstream directly. Removed records and restarts end groups as before. Queries that could not be judged add nothing, nor does time in which the holder stood still.

A new holder suspects an engine also if its queries could not be judged, as it did not use it before, but that counts as no silence.

Tests: two tests of entry queries expect the loss within 2.0 s more, the new bound; that the instance is out of use within 0.59 s stays checked.

--- a/src/zinniaspool/core/formation/census.py
+++ b/src/zinniaspool/core/formation/census.py
@@ -118,6 +118,7 @@
     def _remove(self, instance: Instance, change: InventoryChange) -> None:
         del self._known[instance.id]
         self.view.unreachable.discard(instance.id)
+        self.view.suspected.discard(instance.id)
         self.loaded_models.pop(instance.id, None)
         self._started_at_ms.pop(instance.id, None)
         self._cold_left_s.pop(instance.id, None)
@@ -139,6 +140,7 @@
             # A restarted VM is in no group and has no model loaded.
             self.loaded_models.pop(instance.id, None)
             self.view.unreachable.discard(instance.id)
+            self.view.suspected.discard(instance.id)
             change.restarted.append(instance.id)
         if instance.started_at_ms is not None:
             self._started_at_ms[instance.id] = instance.started_at_ms
--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -39,17 +39,21 @@
 
     Attributes:
         instances: The instances by their records in the store.
-        unreachable: Instances that do not answer any process, though their
-            records may still be in the store.
+        unreachable: Instances that have ended, as far as is known, though
+            their records may still be in the store. Their groups end.
+        suspected: Instances that answer no query, and may still go on. Their
+            last records count for their groups.
         unrecorded: Instances whose records were removed, and that are kept
             for their groups. They join no other group, since no record would
             show other processes that they have.
-        not_orderable: Instances that answer only through an entry process, or
-            may. Orders come from the holder alone and don't reach them.
+        not_orderable: The suspected ones, and those that answer only through
+            an entry process, or may. Orders come from the holder alone and
+            don't reach them.
     """
 
     instances: Mapping[InstanceId, Instance]
     unreachable: set[InstanceId] = field(default_factory=set)
+    suspected: set[InstanceId] = field(default_factory=set)
     unrecorded: Collection[InstanceId] = ()
     not_orderable: frozenset[InstanceId] = frozenset()
 
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -114,6 +114,7 @@
         self._domains: dict[FabricDomainId, PlannedDomain] = {}
         self._inventory = VmInventory()
         self._view = self._inventory.view
+        self._indirect: frozenset[InstanceId] = frozenset()
         self._engines: dict[ServiceName, EngineSpec] = {}
         self._loads: dict[ServiceName, LoadBudget] = {}
         self._evacuation = EvacuationFilter(self._view)
@@ -177,10 +178,9 @@
         for instance in set(self._view.unrecorded) - set(unrecorded):
             self._mark_instance_changed(instance)
         self._view.unrecorded = unrecorded
-        for instance in self._view.not_orderable ^ not_orderable:
-            self._mark_instance_changed(instance)
-        self._view.not_orderable = not_orderable
+        self._indirect = not_orderable
         change = self._inventory.update_instances(instances)
+        self._update_not_orderable()
         if change is None:
             return
         for instance in change.removed:
@@ -192,6 +192,12 @@
             self._mark_domain_changed(domain)
         self._group_instances()
 
+    def _update_not_orderable(self) -> None:
+        not_orderable = self._indirect | self._view.suspected
+        for instance in self._view.not_orderable ^ not_orderable:
+            self._mark_instance_changed(instance)
+        self._view.not_orderable = not_orderable
+
     def _group_instances(self) -> None:
         for domain in self._inventory.group_by_domain(self._engines):
             if domain not in self._domains:
@@ -229,20 +235,40 @@
             for domain in self._domains.values():
                 domain.changed = True
 
+    def mark_suspected(self, instance: InstanceId) -> None:
+        """Record that an instance answers no query, and may still go on.
+
+        It gets no orders and no new work. Its group goes on.
+        """
+        self._view.suspected.add(instance)
+        self._update_not_orderable()
+
     def mark_unreachable(self, instance: InstanceId) -> None:
-        """Record that an instance does not answer any process."""
+        """Record that an instance has ended, so that its group ends."""
+        self._view.suspected.discard(instance)
         self._view.unreachable.add(instance)
+        self._update_not_orderable()
         self._mark_instance_changed(instance)
 
     def mark_reachable(self, instance: InstanceId) -> None:
-        """Record that an unreachable instance answers again."""
+        """Record that a suspected or unreachable instance answers again."""
+        self._view.suspected.discard(instance)
         self._view.unreachable.discard(instance)
+        self._update_not_orderable()
         self._mark_instance_changed(instance)
 
+    @property
+    def suspected(self) -> frozenset[InstanceId]:
+        """Instances that answer no query, and may still go on."""
+        return frozenset(self._view.suspected)
+
     @property
     def unreachable(self) -> frozenset[InstanceId]:
-        """Instances that do not answer though their records are there."""
-        return frozenset(self._view.unreachable)
+        """Instances that do not answer though their records are there.
+
+        The suspected ones are among them.
+        """
+        return frozenset(self._view.unreachable | self._view.suspected)
 
     def on_order_outcome(
         self, order: GroupOrder, outcome: OrderOutcome, now: float
--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -168,6 +168,23 @@
             await self.probe(address, VERDICT_TIMEOUT_S)
         return self._was_unreached(address, since)
 
+    async def is_refused(self, address: Address) -> bool:
+        """Return whether no process listens at an upstream's address.
+
+        A device on this VM's path may refuse connections too. So a refusal
+        counts only if this VM reaches another upstream directly.
+        """
+        since = asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                transport, _ = await self._open_directly(asyncio.Protocol, address)
+        except ConnectionRefusedError:
+            return await self.confirm_path(since, address)
+        except (OSError, TimeoutError):
+            return False
+        transport.abort()
+        return False
+
     def _was_unreached(self, address: Address, since: float) -> bool:
         return self._unreached_at.get(address, float("-inf")) >= since
 
--- a/src/zinniaspool/keeper/engines.py
+++ b/src/zinniaspool/keeper/engines.py
@@ -14,7 +14,7 @@
 
 CHECK_TIMEOUTS_S = (0.12, 0.3)
 """Timeouts of two consecutive status queries, in seconds. An engine that
-answers neither counts as unreachable. The first query can be lost on the way;
+answers neither is suspected. The first query can be lost on the way;
 the second allows for a link or a processor of this VM that is busy for a
 moment."""
 
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -35,6 +35,7 @@
 from zinniaspool.keeper.reach import UpstreamReach
 from zinniaspool.keeper.relays import EntryRelay
 from zinniaspool.keeper.retention import InstanceRetainer
+from zinniaspool.keeper.suspicion import SuspectWatcher
 
 __all__ = ["GroupHolder"]
 
@@ -145,6 +146,9 @@
         self._reach = reach
         self.queries = InstanceQueries(fleet_view, engines, relay, self._start, reach)
         self.retainer = InstanceRetainer(fleet_view, self.queries, self._start)
+        self._suspects = SuspectWatcher(
+            fleet_view, self.queries, reach, self._start, self._apply_status
+        )
         self._average_demand: dict[tuple[ServiceName, ModelName], float] = {}
         self._averaged_at = 0.0
         fleet_view.on_instances.append(self._changed.set)
@@ -187,7 +191,7 @@
         )
         checked = self.retainer.check_stalled(record.members)
         for member in record.members:
-            if member not in checked:
+            if member not in checked and member not in self._planner.suspected:
                 self._start(self._check_instance(member))
 
     def _update_average_demand(self, now: float) -> None:
@@ -219,6 +223,10 @@
         """The VMs that report to be slow."""
         return SlowVms() if self._planner is None else self._planner.slow_vms
 
+    def find_suspects(self) -> frozenset[InstanceId]:
+        """Return the instances that answer no query, and may still go on."""
+        return frozenset() if self._planner is None else self._planner.suspected
+
     def list_runs(self) -> list[GroupRun]:
         """Return the groups that this process manages."""
         return [] if self._planner is None else self._planner.list_runs()
@@ -327,15 +335,12 @@
             and spec.engine is not None
         ]
         # Many answers at once keep this process busy, so that it reads some of
-        # them too late. Without a second query a healthy group would count as
-        # unreachable.
+        # them too late. Without a second query a sound VM would be suspected.
         unresponsive = engines
         for refresh in (self._refresh_status, self._refresh_on_both_paths):
             unresponsive = await list_unresponsive(
                 unresponsive, refresh, MAX_CONCURRENT_QUERIES
             )
-        for instance in unresponsive:
-            planner.mark_unreachable(instance)
 
     @property
     def has_unsaved_plans(self) -> bool:
@@ -378,7 +383,11 @@
             outcome = await self.queries.query_status(known, CHECK_TIMEOUTS_S[1:], None)
             if outcome.answer is not None or not outcome.is_inconclusive:
                 break
-        return self._apply_status(instance, outcome.answer)
+        if self._apply_status(instance, outcome.answer):
+            return True
+        if self._planner is not None:
+            self._suspects.suspect(self._planner, instance, outcome.silent_s)
+        return False
 
     async def _refresh_status(self, instance: InstanceId) -> bool:
         """Query an engine and apply its status; return whether it answered."""
@@ -489,13 +498,12 @@
         if instance not in self._fleet_view.instances:
             return
         if self._planner is not None:
-            _log.warning("instance-lost", instance=instance)
-            self._planner.mark_unreachable(instance)
+            self._suspects.suspect(self._planner, instance, outcome.silent_s)
 
     def _recheck_instances(self, planner: FormationPlanner, now: float) -> None:
         due = planner.unreachable.union(
             planner.slow_vms.instances, self.queries.indirect
-        )
+        ).difference(planner.suspected)
         if not due or now < self._recheck_at:
             return
         self._recheck_at = now + RECHECK_PAUSE_S
@@ -508,7 +516,7 @@
     ) -> None:
         if not await self._refresh_status(instance):
             return
-        if instance in planner.unreachable:
+        if instance in planner.unreachable - planner.suspected:
             _log.info("instance-regained", instance=instance)
             planner.mark_reachable(instance)
 
--- a/src/zinniaspool/keeper/queries.py
+++ b/src/zinniaspool/keeper/queries.py
@@ -46,10 +46,13 @@
         is_inconclusive: Whether a missing answer shows nothing, because this
             process was too busy to read it in time, or no VM that reaches
             upstreams has tried to reach the instance.
+        silent_s: For how long the instance certainly did not answer, in
+            seconds; 0 if that is inconclusive.
     """
 
     answer: _T | None
     is_inconclusive: bool
+    silent_s: float = 0.0
 
 
 class InstanceQueries:
@@ -152,12 +155,11 @@
             self._record_indirect(known.id)
         if answer is not None:
             return QueryOutcome(answer, is_inconclusive=False)
-        is_inconclusive = race.was_delayed or not await self._reach.can_judge(
-            known.address, since
-        )
-        if not is_inconclusive:
-            self._record_direct(known.id, "unreachable")
-        return QueryOutcome(answer, is_inconclusive)
+        silent_s = asyncio.get_running_loop().time() - since
+        if race.was_delayed or not await self._reach.can_judge(known.address, since):
+            return QueryOutcome(answer, is_inconclusive=True)
+        self._record_direct(known.id, "unreachable")
+        return QueryOutcome(answer, is_inconclusive=False, silent_s=silent_s)
 
     async def query_health(
         self, known: Instance, path: str | None
--- a/src/zinniaspool/keeper/reach.py
+++ b/src/zinniaspool/keeper/reach.py
@@ -22,3 +22,10 @@
             since: When it was queried, in seconds.
         """
         ...
+
+    async def is_refused(self, address: Address) -> bool:
+        """Return whether no process listens at an upstream's address.
+
+        Its VM must have answered so itself, while this VM reaches others.
+        """
+        ...
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -123,15 +123,18 @@
         "instance-slow": "A VM reports to work much slower than usual; the holder "
         "forms its group anew without it if another VM can take its place.",
         "instance-recovered": "A VM no longer reports to be slow.",
-        "instance-lost": "An instance is unreachable although its record is in the "
-        "store.",
+        "instance-lost": "An instance refuses connections or has been silent for "
+        "longer than callers wait, although its record is in the store; its group "
+        "ends.",
         "instances-lost": "The holder reported which instances are unreachable or "
         "reachable again.",
         "instance-indirect": "An instance answers the holder only through an entry "
         "process; its group goes on, and it gets no orders.",
         "instance-indirect-ended": "An instance answers the holder itself again, "
         "answers no process, or was removed; the reason tells which.",
-        "instance-regained": "An unreachable instance answers again.",
+        "instance-regained": "A suspected or lost instance answers again.",
+        "instance-suspected": "An instance answers no query; it gets no orders and "
+        "no new requests, and its group goes on.",
         "instance-state": "An instance started to leave or is ready.",
         "lease-lost": "A lease ended before it was renewed.",
         "leaving-announced": "An upstream's answer says that it is leaving.",
--- a/src/zinniaspool/telemetry/traces.py
+++ b/src/zinniaspool/telemetry/traces.py
@@ -40,6 +40,7 @@
         "instance-retained",
         "instances-lost",
         "instance-state",
+        "instance-suspected",
         "retention-ended",
         "target-silent",
         "target-told-silent",
--- a/tests/fake_engines.py
+++ b/tests/fake_engines.py
@@ -1,6 +1,7 @@
 """Engines of a simulated fleet, and their records in the store."""
 
 import asyncio
+from collections.abc import Collection
 from typing import Any
 
 import msgspec
@@ -73,6 +74,7 @@
 
     Attributes:
         unreachable: Those that answer nothing.
+        refusing: Addresses where no process listens.
         cut: Those that answer entry processes, but not the holder.
         relayed: The kinds of queries that entry processes sent, by engine.
         health: Answers to health queries that differ from the usual one; None
@@ -88,6 +90,7 @@
 
     def __init__(self, records: dict[str, dict[str, Any]] = RECORDS) -> None:
         self.unreachable: set[InstanceId] = set()
+        self.refusing: set[Address] = set()
         self.cut: set[InstanceId] = set()
         self.relayed: list[tuple[QueryKind, InstanceId]] = []
         self.health: dict[InstanceId, HealthAnswer | None] = {}
@@ -185,10 +188,21 @@
 
 
 class SoundPaths:
-    """Paths of a holder that reaches all upstreams that live."""
+    """Paths of a holder that reaches all upstreams that live.
+
+    Args:
+        refusing: Addresses where no process listens.
+    """
+
+    def __init__(self, refusing: Collection[Address] = ()) -> None:
+        self._refusing = refusing
 
     async def is_online(self) -> bool:
         return True
 
     async def can_judge(self, address: Address, since: float) -> bool:
         return True
+
+    async def is_refused(self, address: Address) -> bool:
+        await asyncio.sleep(LINK_DELAY_S)
+        return address in self._refusing
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -212,7 +212,7 @@
             list,
             5.0,
             0.0,
-            SoundPaths(),
+            SoundPaths(fleet.engines.refusing),
         )
 
     def _refresh(self) -> None:
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -309,7 +309,7 @@
             engine.retained_until = None
 
     def _send_order(self, order: GroupOrder) -> OrderOutcome:
-        if order.instance in self.not_orderable:
+        if order.instance in self.not_orderable | self.planner.suspected:
             self.violations.append(f"{order.action.value} to {order.instance}")
         engine = self.engines.get(order.instance)
         if engine is None or not engine.alive:
--- a/tests/test_entry_queries.py
+++ b/tests/test_entry_queries.py
@@ -33,6 +33,7 @@
 from zinniaspool.keeper.queries import InstanceQueries, list_unresponsive
 from zinniaspool.keeper.relays import MAX_CONCURRENT_RELAYS, EntryRelay
 from zinniaspool.keeper.retention import InstanceRetainer
+from zinniaspool.keeper.suspicion import MAX_SILENCE_S
 from zinniaspool.platform.spelling import PlatformCodec
 from zinniaspool_standins.installation import make_rules
 
@@ -129,11 +130,17 @@
             fleet.silent_entries = set(map(make_entry_address, range(VM_COUNT)))
         fleet.engines.unreachable = {MEMBER}
         planning = fleet.controls[0].holder
+        lost_by = asyncio.get_running_loop().time() + MAX_SILENCE_S + 0.02
         planning.check_group(HEAD, fleet.controls[9].node)
         view = fleet.controls[0].fleet_view
         await wait_until(lambda: MEMBER in view.unreachable, MAX_CHECK_S + 0.02)
+        left_s = lost_by - asyncio.get_running_loop().time()
+        await wait_until(lambda: not planning.find_suspects(), left_s)
+        assert MEMBER in view.unreachable
 
-    assert list_events(run(test), "instance-lost") == [MEMBER]
+    lines = run(test)
+    assert list_events(lines, "instance-suspected") == [MEMBER]
+    assert list_events(lines, "instance-lost") == [MEMBER]
 
 
 def test_a_dead_member_without_a_record_is_not_retained() -> None:
@@ -237,6 +244,8 @@
         await report_stalls(fleet, 1.0, 0.5)
         await asyncio.sleep(KNOWN_S)
         assert not fleet.count_users({HEAD})
+        await asyncio.sleep(MAX_SILENCE_S - 1.0)
+        assert not fleet.count_users({HEAD})
 
     assert set(list_events(run(test), "instance-lost")) == {MEMBER}
 
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -173,6 +173,76 @@
     assert not fleet.violations
 
 
+def test_a_group_goes_on_while_its_members_are_suspected() -> None:
+    """Guards against groups that end although their members go on."""
+    fleet = make_settled_fleet()
+    before = dict(fleet.plans), [run.record for run in fleet.planner.list_runs()]
+    ordered = len(fleet.orders)
+    for engine in fleet.engines.values():
+        fleet.planner.mark_suspected(engine.id)
+    fleet.advance(1.4)
+    for engine in fleet.engines.values():
+        fleet.planner.mark_reachable(engine.id)
+    fleet.advance(3.0)
+    assert (fleet.plans, [run.record for run in fleet.planner.list_runs()]) == before
+    assert fleet.orders[ordered:] == []
+    assert (fleet.count_serving(LARGE), fleet.count_serving(SMALL)) == (1, 1)
+
+
+def test_a_suspected_member_that_has_ended_is_replaced() -> None:
+    """Guards against groups that stay although a member was lost."""
+    fleet = make_settled_fleet()
+    member = fleet.find_members(LARGE)[1]
+    member.alive = False
+    fleet.planner.mark_suspected(member.id)
+    fleet.advance(1.0)
+    assert fleet.count_serving(LARGE) == 0
+    fleet.planner.mark_unreachable(member.id)
+    fleet.advance(1.0)
+    assert fleet.count_serving(LARGE) == 1
+    assert not fleet.violations
+
+
+def test_no_vm_is_used_again_while_the_head_of_its_group_is_suspected() -> None:
+    """Guards against VMs in two groups when a silent head goes on.
+
+    Another member is lost, so that the group ends. The head can't be ordered
+    to leave; the others leave one by one and only then join again.
+    """
+    fleet = make_settled_fleet()
+    head, lost, *_ = fleet.find_members(LARGE)
+    assert head.membership is not None
+    group = head.membership.group
+    fleet.planner.mark_suspected(head.id)
+    fleet.fail_engine(lost)
+    fleet.advance(1.5)
+    assert head.membership is not None and head.membership.group == group
+    fleet.planner.mark_reachable(head.id)
+    fleet.advance(1.5)
+    assert head.membership is None or head.membership.group != group
+    assert not fleet.violations
+
+
+def test_nothing_is_opened_or_formed_with_a_suspected_member() -> None:
+    """Guards against groups that would begin to serve without a member."""
+    fleet = SimulatedFleet(size=2)
+    fleet.load_time_part = 1.0
+    fleet.advance(1.0)
+    first, second = fleet.engines.values()
+    first.ready_at = second.ready_at = fleet.now + 2.0
+    idle = fleet.add_vm(FabricDomainId("d0"))
+    fleet.advance(0.1)
+    fleet.planner.mark_suspected(second.id)
+    fleet.planner.mark_suspected(idle.id)
+    ordered = len(fleet.orders)
+    fleet.advance(5.0)
+    assert fleet.orders[ordered:] == []
+    fleet.planner.mark_reachable(second.id)
+    fleet.advance(1.0)
+    assert fleet.count_serving(SMALL) == 1
+    assert not fleet.violations
+
+
 def test_a_group_goes_on_while_no_order_reaches_its_members() -> None:
     """It serves, although the holder itself does not reach them."""
     fleet = make_settled_fleet()
@@ -331,6 +401,10 @@
     def suspect_falsely(self, number: int) -> None:
         self.fleet.planner.mark_unreachable(self._pick(number))
 
+    @rule(number=st.integers(0, 20))
+    def fall_silent(self, number: int) -> None:
+        self.fleet.planner.mark_suspected(self._pick(number))
+
     @rule(number=st.integers(0, 20))
     def recover(self, number: int) -> None:
         self.fleet.planner.mark_reachable(self._pick(number))
