Soak of silences: judge by the upstream that wrote last

Cause: with two attempts side by side, the upstream that a request reached last need not be the one that its events come from: a silent one records its arrival when it goes on. Change: runners keep when they wrote to each request, and the soak excuses a loss only if the upstream that wrote last was lost; as strict, and exact.

--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -178,6 +178,8 @@
         others: All runners of its process by id, for its group's sake.
         arrived: When requests came, in seconds of the loop's clock.
         arrivals_at: Their ids, each with that time.
+        wrote_at: When it last wrote an event of each request, in seconds of
+            the loop's clock.
         part_crashes: Parts of prompts on which it ended, each with the time.
         health_queries: How many health queries came.
         removed_at: When it last removed its entry, in seconds of the loop's
@@ -201,6 +203,7 @@
     arrivals: Counter[str] = field(default_factory=Counter)
     arrived: list[float] = field(default_factory=list)
     arrivals_at: list[tuple[str, float]] = field(default_factory=list)
+    wrote_at: dict[str, float] = field(default_factory=dict)
     part_crashes: list[tuple[str, float]] = field(default_factory=list)
     health_queries: int = 0
     removed_at: float = 0.0
@@ -553,6 +556,8 @@
             if not begun:
                 await sent.start(200, answer)
                 begun = True
+            request = asked.get("x-zinniaspool-request-id") or ""
+            self.wrote_at[request] = asyncio.get_running_loop().time()
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             if number == self.faults.cut_after:
                 await sent.write(event[:8])
--- a/tests/silence_soak.py
+++ b/tests/silence_soak.py
@@ -190,14 +190,13 @@
             self.seen.append(f"{name}: lost with {got} events after {took_s:.2f} s")
 
     def _broke_off(self, name: str, began: float) -> bool:
-        """Whether the last upstream of a stream was lost meanwhile."""
-        runs = self.made.runs_of(name)
-        last = max(runs, key=lambda one: self._find_arrival(one, name), default="")
-        return any(last in loss.members and loss.at > began for loss in self.losses)
+        """Whether the upstream that wrote last to a stream was lost."""
+
+        def find_time(runner: str) -> float:
+            return self.made.runners[runner].wrote_at.get(name, 0.0)
 
-    def _find_arrival(self, runner: str, name: str) -> float:
-        arrivals = self.made.runners[runner].arrivals_at
-        return max(at for request, at in arrivals if request == name)
+        last = max(self.made.runs_of(name), key=find_time, default="")
+        return any(last in loss.members and loss.at > began for loss in self.losses)
 
     def _check_plain(self, name: str, kind: str, answer: Answer) -> None:
         if answer.status == HTTPStatus.OK:
