Send a late request elsewhere again if its second attempt fails

Cause: the timer ended with the first alternative, and an overdue first event was looked at for the first attempt only. Change: the timer goes on while the attempt does; a first event is overdue for the newest attempt while another one may be begun. Measured: tests/test_alternatives.py passes with the new case.

--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -30,8 +30,8 @@
 would leave streams at lost heads that could be on time elsewhere."""
 
 RETRY_INTERVAL_S = 0.1
-"""Pause before a late idempotent request is tried elsewhere again if that
-wasn't possible, in seconds."""
+"""Pause before a late idempotent request is tried elsewhere again, in
+seconds."""
 
 
 class RerouteCondition(Enum):
@@ -142,16 +142,17 @@
     def reroute_late(self, attempt: GatewayAttempt) -> None:
         """Have an idempotent request sent elsewhere too: its answer is late.
 
-        If that isn't possible now, it is tried again until the attempt ends.
+        It is tried again until the attempt ends: another attempt may not be
+        possible now, or may be refused.
         """
         if attempt.timeout is None:
             return
         loop = asyncio.get_running_loop()
-        attempt.first_event_overdue = self._reroute(
+        if self._reroute(
             attempt, loop.time(), RerouteCause.OVERDUE, RerouteCondition.ANY_TARGET
-        )
-        if not attempt.first_event_overdue:
-            loop.call_later(RETRY_INTERVAL_S, self.reroute_late, attempt)
+        ):
+            attempt.first_event_overdue = True
+        loop.call_later(RETRY_INTERVAL_S, self.reroute_late, attempt)
 
     def interrupt_trait(self, trait: TraitId) -> None:
         """Interrupt a trait's attempts that have had no event yet."""
@@ -226,7 +227,7 @@
         )
 
     def reroute_overdue(self, now: float) -> list[TargetState]:
-        """Reroute requests whose first attempt has an overdue first event.
+        """Reroute requests whose newest attempt has an overdue first event.
 
         A head may accept a request and never answer it while it serves others.
         The caller would otherwise wait until it gives up.
@@ -241,9 +242,10 @@
             if overdue and not state.streaming:
                 suspects.append(state)
             for attempt in overdue:
-                attempt.first_event_overdue = self._reroute(
+                if self._reroute(
                     attempt, now, RerouteCause.OVERDUE, RerouteCondition.FREE_SLOT
-                )
+                ):
+                    attempt.first_event_overdue = True
         return suspects
 
     def find_next_overdue(self) -> float:
@@ -277,7 +279,7 @@
     call = attempt.call
     if call.terms.model is None or call.late or attempt.has_event:
         return False
-    return call.attempts.number == 1
+    return attempt is call.newest_attempt and call.attempts.may_begin_alternative
 
 
 def _may_reroute(attempt: GatewayAttempt) -> bool:
--- a/tests/test_alternatives.py
+++ b/tests/test_alternatives.py
@@ -9,6 +9,7 @@
 from structlog.testing import capture_logs
 
 from tests.installation import Answer, Installation, eventually, run
+from zinniaspool_standins.installation import make_rules
 from zinniaspool_standins.runners import Runner
 
 EVENTS = 40
@@ -136,6 +137,32 @@
     run_with_stream(test)
 
 
+def test_a_late_call_is_sent_to_a_third_upstream_if_the_second_refuses_it() -> None:
+    """Guards against calls that wait for a dead upstream after a refusal."""
+
+    async def test() -> None:
+        async with run_vm() as made:
+            routes = make_rules(0, [])["routes"]
+            made.configure(routes=[{**one, "max-attempts": 3} for one in routes])
+            await made.settle()
+            plain = [one for one in made.runners.values() if one.domain is None]
+            for one in plain:
+                one.faults.mute = True
+            asked = asyncio.create_task(
+                made.ask("n0", "/receipts/1", "GET", request_id="c")
+            )
+            await eventually(lambda: sum(one.arrivals["c"] for one in plain))
+            others = [one for one in plain if not one.arrivals["c"]]
+            for one in others:
+                one.faults.mute, one.faults.refuse = False, True
+            await eventually(lambda: sum(one.arrivals["c"] for one in others))
+            for one in others:
+                one.faults.refuse = False
+            assert (await asked).status == HTTPStatus.OK
+
+    run(test)
+
+
 def test_a_late_call_has_the_answer_that_comes_first() -> None:
     """Guards against calls that wait for the later one of two answers."""
 
