Count and log superseded attempts once

Cause: an attempt that was beaten counted as a success of its target and ended its ejections; one that had led was logged twice; lines had the request's count of attempts in place of the attempt's number; a leading alternative was not ended with its request if the caller left before it was awaited; an alternative that was ended before it began used up an attempt (all found by review). Change: no outcome for a superseded attempt without a failure, has_led and number in GatewayAttempt, all attempts with a task are ended with the request. Measured: tests of alternatives, silent upstreams, suspicion, lost heads and dispatch pass; a stream with two silent heads logs each attempt once.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -54,6 +54,7 @@
         call: The request.
         state: State of the target.
         cursor: Position in the target's event stream.
+        number: Number of the attempt, from 1.
         trial: The trait that the attempt is the trial of, or None.
         timeout: Its timeout; None before it begins and after it has ended.
         task: The task that runs it beside another attempt; None for one that
@@ -62,6 +63,8 @@
             interrupted; None if neither happened.
         first_event_overdue: Whether that was because its first event was
             overdue. The target may still serve other requests.
+        has_led: Whether its events or answer have gone to the caller, or it
+            took the place of an attempt that failed.
         superseded: Whether another attempt goes on in place of this one.
         sent_at: Time at which it was sent.
         predicted_first_event_s: Predicted time from then to its first event,
@@ -78,11 +81,13 @@
     call: "GatewayCall"
     state: TargetState
     cursor: EventCursor
+    number: int
     trial: TraitId | None = None
     timeout: asyncio.Timeout | None = None
     task: "asyncio.Task[AttemptFailure | None] | None" = None
     reroute_cause: RerouteCause | None = None
     first_event_overdue: bool = False
+    has_led: bool = False
     superseded: bool = False
     sent_at: float = 0.0
     predicted_first_event_s: float = 0.0
@@ -187,14 +192,14 @@
         cursor = EventCursor()
         cursor.last_id = self.last_event_id
         cursor.resume()
-        return GatewayAttempt(self, state, cursor, trial)
+        return GatewayAttempt(self, state, cursor, self.attempts.number, trial)
 
     def lead(self, attempt: GatewayAttempt, now: float) -> None:
         """Have an attempt go on alone: it has the next event or the answer."""
         if self.leader is attempt and not self.alternatives:
             return
         others = [self.leader, *self.alternatives]
-        self.leader = attempt
+        self.leader, attempt.has_led = attempt, True
         self.alternatives.clear()
         for other in others:
             if other is not None and other is not attempt:
@@ -209,6 +214,7 @@
         if not self.alternatives:
             return None
         self.leader = self.alternatives.pop(0)
+        self.leader.has_led = True
         return self.leader
 
     def compute_wanted_event_time(self, now: float) -> float | None:
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -78,8 +78,9 @@
         try:
             fault = await self._run_attempts(call, pool)
         finally:
-            for alternative in call.alternatives:
-                alternative.interrupt(loop.time())
+            for attempt in (call.leader, *call.alternatives):
+                if attempt is not None and attempt.task is not None:
+                    attempt.interrupt(loop.time())
         if fault is None:
             return Ok(None)
         if call.failed_answer is not None and call.progress is Progress.NOTHING:
@@ -157,13 +158,12 @@
             How it failed; None if the caller has its answer.
         """
         call = attempt.call
-        failure: AttemptFailure | None = AttemptFailure.LOST
         try:
             failure = await self._sender.run(attempt)
         finally:
             if attempt in call.alternatives:
                 call.alternatives.remove(attempt)
-        if attempt.is_leading or failure is None:
+        if attempt.has_led or failure is None:
             return failure
         self._record_failure(attempt, failure)
         if failure is AttemptFailure.LOST:
@@ -224,7 +224,7 @@
             request=call.terms.id,
             content=call.content,
             parts=",".join(call.terms.prompt_parts),
-            attempt=call.attempts.number,
+            attempt=attempt.number,
             instance=target.instance,
             group=target.group or "",
             failure=failure.value,
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -203,7 +203,7 @@
             content=call.content,
             parts=",".join(call.terms.prompt_parts),
             end=end,
-            by="caller" if end == "caller-left" else call.stopped_by,
+            by=_find_ended_by(call, end),
             cause="" if cause is None else cause.value,
             stop="" if stop is None else stop.value,
             route=call.route.name,
@@ -303,6 +303,12 @@
         return self._window.try_acquire(asyncio.get_running_loop().time())
 
 
+def _find_ended_by(call: GatewayCall, end: str) -> str:
+    if end == "answered":
+        return ""
+    return "caller" if end == "caller-left" else call.stopped_by
+
+
 def refuse_request(kind: RefusalKind, detail: str) -> Refusal:
     """Return the answer to a request that the HTTP server refuses itself.
 
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -104,7 +104,7 @@
             How it failed; None if the caller has its answer.
         """
         if attempt.superseded:
-            return AttemptFailure.SUPERSEDED
+            return AttemptFailure.NOT_SENT
         call, state = attempt.call, attempt.state
         loop = asyncio.get_running_loop()
         if not state.local_requests:
@@ -140,7 +140,8 @@
             else:
                 state.local_unread_tokens -= prompt
             self._rerouter.end_attempt(attempt)
-            pool.record_outcome(state, failed, loop.time(), refused=refused)
+            if failed or not attempt.superseded:
+                pool.record_outcome(state, failed, loop.time(), refused=refused)
 
     async def _send(self, attempt: GatewayAttempt) -> AttemptFailure | None:
         """Send a request to a target and pass on the answer.
