Safeguards: follow the code that moved

Cause: three edits no longer matched their source, two of them since attempts moved to gateway/sending.py and keep why they stop; one since an earlier change of format. Change: the edits match again.

--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -308,13 +308,14 @@
         "a call that may run once is not repeated after a loss",
         f"{CORE}/dispatch/attempts.py",
         "        if not self._terms.idempotent:\n"
+        "            self.stop = RetryStop.NOT_REPEATABLE\n"
         "            return Fault(ErrorKind.UPSTREAM_LOST)\n",
         "",
         "tests/test_attempts.py",
     ),
     Safeguard(
         "an answer to another request is thrown away",
-        "src/zinniaspool/gateway/carrier.py",
+        "src/zinniaspool/gateway/sending.py",
         "if answered_id in (call.terms.id, None):",
         "if True:",
         "tests/test_installation.py::test_an_answer_too_many_reaches_nobody",
@@ -322,8 +323,8 @@
     Safeguard(
         "silent heads are looked for soon after anything was sent",
         "src/zinniaspool/gateway/silence.py",
-        "            now + MAX_CHECK_INTERVAL_S,\n",
-        "            now + 10.0,\n",
+        "next_at, now + MAX_CHECK_INTERVAL_S, self",
+        "next_at, now + 10.0, self",
         "tests/test_silence.py",
     ),
     Safeguard(
