--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,6 +20,7 @@
     deploy,
     describe_draft,
     list_events,
+    run_case,
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -127,4 +128,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,6 +19,7 @@
     deploy,
     describe_draft,
     list_events,
+    run_case,
 )
 
 from zinniaspool_standins.installation import make_rules
@@ -131,4 +132,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/harness.py
+++ b/review/harness.py
@@ -13,14 +13,18 @@
 import shutil
 import signal
 import tempfile
-from collections.abc import AsyncIterator, Sequence
+import traceback
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
+from weakref import WeakKeyDictionary
 
 from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http import Exchange, Headers
 from zinniaspool_standins.installation import KEY, Installation, free_address
 from zinniaspool_standins.pagestore import PageStore
+from zinniaspool_standins.runners import Runner
 
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -122,6 +126,18 @@
         await exchange.respond(status, headers, json.dumps(body).encode())
 
 
+class GroupRunner(Runner):
+    """A runner whose streams end at once when it is ordered to leave."""
+
+    async def _make_pass(self, exchange: Exchange) -> bool:
+        name = "" if self.group is None else self.group["name"]
+        began_in = self.__dict__.setdefault("began_in", WeakKeyDictionary())
+        if began_in.setdefault(exchange, name) != name and not self.faults.dark:
+            exchange.abort()
+            return False
+        return await super()._make_pass(exchange)
+
+
 class Deployment(Installation):
     """The stand-ins, and entry VMs beside them."""
 
@@ -158,6 +174,14 @@
             *(vm.start(role) for vm in self.vms for role in ("entry", "control"))
         )
 
+    def add_runner(
+        self, service: str, domain: str | None, zone: str = "hall-a"
+    ) -> Runner:
+        """Start one more runner."""
+        runner = super().add_runner(service, domain, zone)
+        runner.__class__ = GroupRunner
+        return runner
+
     def write_settings(self, vm: Vm, *, first: bool) -> None:
         """Write a VM's settings file, as the platform's page shows it."""
         seeds = ", ".join(f'"{one.control}"' for one in self.vms[:3])
@@ -220,6 +244,9 @@
 
     request: str
     sent_at: float
+    front: Address
+    is_kept: bool
+    """Whether an earlier request was answered on its channel."""
     status: int = 0
     body: bytes = b""
     complete: bool = False
@@ -250,7 +277,8 @@
         """Send one request and return its answer."""
         self._number += 1
         request = f"{self._name}-{self._number}"
-        answer = Answer(request, self._record.now())
+        is_kept = self._writer is not None
+        answer = Answer(request, self._record.now(), self.front, is_kept)
         self._record.write(f"sent {request} to {self.front} {method} {path}")
         try:
             await self._exchange(answer, method, path, fields, body)
@@ -306,6 +334,15 @@
             self.close()
 
 
+def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Run a case; return its exit status, which is 2 if it can't run."""
+    try:
+        return asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        return NOT_RUN
+
+
 def describe_draft(model: str, tokens: int, deadline_ms: int) -> dict[str, str]:
     """Return the headers of a request for a draft of so many events."""
     return {
