Review: the processes of a case end with its script

Cause: a script that is killed left its entry VMs running.

Added: the processes ask the kernel to be ended with their starter.

--- a/review/harness.py
+++ b/review/harness.py
@@ -22,6 +22,7 @@
 
 from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http import Exchange, Headers
+from zinniaspool_standins.fleet import end_with_parent
 from zinniaspool_standins.installation import KEY, Installation, free_address
 from zinniaspool_standins.pagestore import PageStore
 from zinniaspool_standins.runners import Runner
@@ -81,7 +82,13 @@
         env["ZINNIASPOOL_NODE_FILE"] = str(self.settings)
         with (self.logs / f"{self.name}-{role}.log").open("ab") as out:
             self.processes[role] = await asyncio.create_subprocess_exec(
-                *command, metrics, stdout=out, stderr=out, env=env, cwd=ROOT
+                *command,
+                metrics,
+                stdout=out,
+                stderr=out,
+                env=env,
+                cwd=ROOT,
+                preexec_fn=end_with_parent,
             )
 
     def send(self, number: signal.Signals) -> None:
