Log lines tell which requests a stop cut, and when they came

A stream that a planned stop cut was logged as one whose caller left (end=caller-left by=caller), and no line said how long after the stop signal a request arrived. So the log could not distinguish a stop that cuts what it accepted from a group that ends or from a caller that leaves.

request-ended and request-refused have after_stop_ms; a request that the stop cuts ends as cut-by-stop, by=stop. stopping has the time left and the open tunnels; stopped counts what was accepted and refused after the signal, and what is cut. The times lie in one object, StopClock. When requests are accepted is unchanged.

--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -28,6 +28,7 @@
 from zinniaspool.gateway.carrier import RequestForwarder
 from zinniaspool.gateway.retries import RetryBudgets
 from zinniaspool.gateway.spelling import CallCodec
+from zinniaspool.gateway.stops import StopClock
 from zinniaspool.http import (
     Exchange,
     Headers,
@@ -71,6 +72,7 @@
         fleet_view: Has the active configuration.
         forwarder: Sends requests to upstreams.
         retry_budgets: Limit how many requests are sent again.
+        stop_clock: Tells whether the process is stopping.
         accepts_requests: Tells whether new requests are still accepted.
         tally: Counts how requests end.
 
@@ -85,6 +87,7 @@
         fleet_view: FleetView,
         forwarder: RequestForwarder,
         retry_budgets: RetryBudgets,
+        stop_clock: StopClock,
         accepts_requests: Callable[[], bool],
         tally: RequestTally,
     ) -> None:
@@ -95,6 +98,7 @@
         self._fleet_view = fleet_view
         self._forwarder = forwarder
         self._retry_budgets = retry_budgets
+        self._stop_clock = stop_clock
         self._accepts_requests = accepts_requests
         self._tally = tally
         self._opened_at = self._ready_at = float("-inf")
@@ -136,12 +140,15 @@
                 request=terms.id,
                 kind=fault.kind.value,
                 detail=fault.detail,
+                after_stop_ms=self._measure_after_stop(received_at),
                 version=self._get_version(),
             )
+            self._stop_clock.refused += fault.kind is ErrorKind.LEAVING
             await self._refuse(exchange, terms, fault)
             self._tally.add("", "", fault.kind.value, 0.0)
             return
         call = made.ok_value
+        self._stop_clock.accepted += self._stop_clock.began_at is not None
         await self._run(call)
 
     def _estimate_arrival(self) -> float:
@@ -185,6 +192,8 @@
             end = "caller-left"
             raise
         finally:
+            if end == "caller-left" and self._stop_clock.is_over:
+                end, call.stopped_by = "cut-by-stop", "stop"
             took_s = asyncio.get_running_loop().time() - call.received_at
             self._record_end(call, end, took_s)
 
@@ -215,9 +224,14 @@
             pause_ms=int(call.longest_pause_s * 1000),
             took_ms=int(took_s * 1000),
             last_event=call.last_event_id or 0,
+            after_stop_ms=self._measure_after_stop(call.received_at),
             version=self._get_version(),
         )
 
+    def _measure_after_stop(self, received_at: float) -> int:
+        after_s = self._stop_clock.measure_since(received_at)
+        return -1 if after_s is None else int(after_s * 1000)
+
     def _get_version(self) -> int:
         return (
             0 if self._fleet_view.catalog is None else self._fleet_view.catalog.version
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -78,6 +78,7 @@
 from zinniaspool.gateway.silence import StallDetector, StallLinks
 from zinniaspool.gateway.speed import SlowTargetWatcher
 from zinniaspool.gateway.spelling import CallCodec
+from zinniaspool.gateway.stops import StopClock
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
 from zinniaspool.telemetry import RequestTally
@@ -115,9 +116,6 @@
 its stop time allows it. Callers keep an address answer for three lifetimes of
 two seconds."""
 
-CLOSE_RESERVE_S = 0.25
-"""Part of the stop time that is reserved for closing, in seconds."""
-
 HISTORY_PEERS = 2
 """Processes that a process asks for their crash histories when it starts."""
 
@@ -170,7 +168,7 @@
             fleet_codec, retains_instances=settings.retains_instances
         )
         self._query_handler = InstanceQueryHandler(self._fleet_view, fetcher)
-        self._stopping_at: float | None = None
+        self._stop_clock = StopClock(settings.grace_s)
         self._stop_requested = asyncio.Event()
         self._configured = asyncio.Event()
         self._store = store
@@ -289,6 +287,7 @@
             self._fleet_view,
             self._forwarder,
             self._retry_budgets,
+            self._stop_clock,
             lambda: self._accepts_requests,
             tally,
         )
@@ -372,9 +371,17 @@
         await self._peer_exchange.listen(self._address)
         await self._stop_requested.wait()
         await self._leave()
+        self._stop_clock.is_over = True
+        running = self._caller_handler.running
         await self._lease.release()
         await self.abort()
-        _log.info("stopped", running=self._caller_handler.running)
+        _log.info(
+            "stopped",
+            running=running,
+            tunnels=self._tunnel_server.open_count,
+            accepted=self._stop_clock.accepted,
+            refused=self._stop_clock.refused,
+        )
 
     @property
     def running(self) -> int:
@@ -509,14 +516,11 @@
 
     @property
     def _accepts_requests(self) -> bool:
-        if self._stopping_at is None:
-            return True
-        return (
-            asyncio.get_running_loop().time() - self._stopping_at < ACCEPT_AFTER_STOP_S
-        )
+        now = asyncio.get_running_loop().time()
+        return (self._stop_clock.measure_since(now) or 0.0) < ACCEPT_AFTER_STOP_S
 
     def _find_own_record(self) -> NodeRecord | None:
-        if self._stopping_at is not None or self._fleet_view.catalog is None:
+        if self._stop_clock.began_at is not None or self._fleet_view.catalog is None:
             return None
         return self._make_record(NodeState.READY)
 
@@ -598,9 +602,9 @@
         await self._configured.wait()
         while True:
             if await self._lease.renew_or_replace():
-                state = (
-                    NodeState.READY if self._stopping_at is None else NodeState.LEAVING
-                )
+                state = NodeState.READY
+                if self._stop_clock.began_at is not None:
+                    state = NodeState.LEAVING
                 has_path = not self._connector.is_path_lost
                 wanted = (self._lease.lease_number, state, has_path)
                 if written != wanted and await self._write_record(state):
@@ -627,13 +631,17 @@
     async def _leave(self) -> None:
         """Serve callers that still have this address, then drain."""
         loop = asyncio.get_running_loop()
-        self._stopping_at = loop.time()
-        _log.info("stopping", running=self._caller_handler.running)
+        self._stop_clock.begin(loop.time())
+        _log.info(
+            "stopping",
+            running=self._caller_handler.running,
+            tunnels=self._tunnel_server.open_count,
+            left_ms=int((self._stop_clock.ends_at - loop.time()) * 1000),
+        )
         await self._write_leaving_record()
-        end = self._stopping_at + self._settings.grace_s - CLOSE_RESERVE_S
         await asyncio.sleep(max(0.0, min(MIN_STOP_S, self._settings.grace_s - 1.0)))
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(end):
+            async with asyncio.timeout_at(self._stop_clock.ends_at):
                 await self._caller_handler.idle.wait()
                 await self._tunnel_server.idle.wait()
 
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -167,11 +167,14 @@
         "that: the service's requests and retries in the last window, the retries that "
         "this process may grant, and the processes that share them.",
         "request-ended": "A request ended; the keys give its targets, attempts and "
-        "times, and who ended it and why.",
+        "times, who ended it and why, and how long after the stop signal it came "
+        "(-1: before it, or without one).",
         "settings-signal": "A signal announced that the settings file changed.",
         "started": "The process has started.",
-        "stopped": "The process ends.",
-        "stopping": "The process was told to stop and finishes its running requests.",
+        "stopped": "The process ends; the keys count the requests and tunnels that are "
+        "cut, and the requests that were accepted and refused since the stop signal.",
+        "stopping": "The process was told to stop and finishes its running requests, "
+        "until ``left_ms`` are over.",
         "store-lost": "The store stopped answering.",
         "store-regained": "The store answers again.",
         "store-restored": "The store came back from an older copy; its revisions and "
