A stopping process takes what ends in time, and refuses the rest at once

Callers saw streams that an entry VM accepted after its stop signal end in the middle when its stop time was over.

Cause: new work was accepted until a fixed time (4.8 s) after the signal, however long it takes; 2.95 s of a stop time of 8 s were left then, while streams may take 8 s. Short requests were refused from then on although most of them would have ended in time. Answers still in the buffers of slow readers were dropped at the end, and a store that didn't answer delayed the whole stop, since the leaving record was written first.

Change: StopGuard compares the time left with the longest time predicted for a request (core/dispatch/durations.py): the tokens that it may have, the longest recent writing time of each, pauses as long as recent ones, and its first event; its own deadline if that is earlier. The check is repeated after a wait and after a refusal of an upstream, as long as nothing has run. Deadlines of requests in progress end with the process, so that one without an answer yet gets a whole error answer. Responses ask callers to close their connection, and a refused one may come back at another VM after 0.1 s instead of 1 s. The process ends when its answers are delivered. Log event request-outlasts-stop.

--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -139,6 +139,14 @@
         self._may_have_run = False
         self._has_reserved = False
 
+    def shorten_deadline(self, deadline: float) -> None:
+        """Have all attempts end earlier than the request allows.
+
+        Args:
+            deadline: Seconds on the event loop's clock.
+        """
+        self._terms = replace(self._terms, deadline=deadline)
+
     def begin(self, now: float) -> Result[int, Fault]:
         """Begin an attempt and return its number, or a deadline fault."""
         if now >= self._terms.deadline:
--- a/src/zinniaspool/core/dispatch/predictions.py
+++ b/src/zinniaspool/core/dispatch/predictions.py
@@ -69,6 +69,15 @@
         unread = state.peak_unread_tokens
         return state.pace * self.forecast.timing.predict_longest_pass(load, unread)
 
+    def predict_token_time(self, slots: int) -> float:
+        """Return the time of a token of a stream at a full target, in seconds.
+
+        Args:
+            slots: Requests that the target runs at a time.
+        """
+        timing = self.forecast.timing
+        return timing.predict_pass(slots, 0.0) / timing.tokens_per_pass
+
     def _predict_pass(
         self, state: TargetState, unread_tokens: float, now: float
     ) -> float:
--- a/src/zinniaspool/core/errors.py
+++ b/src/zinniaspool/core/errors.py
@@ -70,7 +70,7 @@
     status: int
     outcome: Outcome
     message: str
-    retry_after: int | None = None
+    retry_after: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +117,7 @@
             503, _NOT_RUN, "This entry VM has no configuration yet.", 2
         ),
         ErrorKind.LEAVING: ErrorAnswer(
-            503, _NOT_RUN, "This entry VM is leaving; use another one.", 1
+            503, _NOT_RUN, "This entry VM is leaving; use another one.", 0.1
         ),
         ErrorKind.OVERLOADED: ErrorAnswer(
             503, _NOT_RUN, "There is no room for the request now.", 2
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -18,6 +18,9 @@
 
 __all__ = ["FailedAnswer", "GatewayAttempt", "GatewayCall", "RerouteCause"]
 
+MIN_MEASURED_READS = 5
+"""Reads of a stream from which on the time between its events is measured."""
+
 
 class RerouteCause(Enum):
     """Why a request should leave its target."""
@@ -102,6 +105,11 @@
         """Whether its events and answer go to the caller."""
         return self.call.leader is self
 
+    def shorten_timeout(self, at: float) -> None:
+        """Have the attempt time out at an earlier time, in seconds."""
+        if self.timeout is not None and not self.timeout.expired():
+            self.timeout.reschedule(at)
+
     def interrupt(self, now: float) -> None:
         """End this attempt at once."""
         self.superseded = True
@@ -129,7 +137,8 @@
         service: The service of the route that was drawn for the request.
         customer: Customer that sent it; None for an anonymous caller.
         received_at: Time at which it had arrived completely.
-        deadline: Time until which the caller must have its answer.
+        deadline: Time until which the caller must have its answer, or this
+            process ends.
         attempts: Decides whether it may be sent again.
         content: Content id, which stays the same if the caller sends the
             request again with another request id.
@@ -153,6 +162,8 @@
         late: Whether it was admitted although its answer will be late.
         urgency: Urgency that is sent to upstreams, 0 is the most urgent; None
             to send none.
+        outlasts_stop: Whether its own deadline is later than the end of this
+            process.
     """
 
     exchange: Exchange
@@ -178,6 +189,7 @@
     longest_pause_s: float = 0.0
     late: bool = False
     urgency: int | None = None
+    outlasts_stop: bool = False
 
     @property
     def newest_attempt(self) -> GatewayAttempt | None:
@@ -194,6 +206,20 @@
         cursor.resume()
         return GatewayAttempt(self, state, cursor, self.attempts.number, trial)
 
+    def shorten_deadline(self, deadline: float) -> None:
+        """Have the request end when this process does, at the latest.
+
+        Args:
+            deadline: Time until which this process serves requests.
+        """
+        if self.deadline <= deadline:
+            return
+        self.deadline, self.outlasts_stop = deadline, True
+        self.attempts.shorten_deadline(deadline)
+        for attempt in (self.leader, *self.alternatives):
+            if attempt is not None:
+                attempt.shorten_timeout(deadline)
+
     def lead(self, attempt: GatewayAttempt, now: float) -> None:
         """Have an attempt go on alone: it has the next event or the answer."""
         if self.leader is attempt and not self.alternatives:
@@ -217,6 +243,17 @@
         self.leader.has_led = True
         return self.leader
 
+    def measure_event_interval(self) -> float:
+        """Return the mean time between the events of its stream, in seconds.
+
+        Returns:
+            0 if too few have come.
+        """
+        leader = self.leader
+        if leader is None or leader.event_reads < MIN_MEASURED_READS:
+            return 0.0
+        return (self.last_event_at - leader.writing_since) / (leader.event_reads - 1)
+
     def compute_wanted_event_time(self, now: float) -> float | None:
         """Return within which time its next attempt should have an event.
 
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -26,12 +26,16 @@
 from zinniaspool.gateway.gate import AdmissionQueues
 from zinniaspool.gateway.retries import ServiceRetries
 from zinniaspool.gateway.sending import AttemptSender
+from zinniaspool.gateway.stops import StopGuard
 from zinniaspool.gateway.targets import TargetIndex
 
 __all__ = ["RequestForwarder"]
 
 _log = structlog.get_logger(__name__)
 
+_OWN_RETRY_TIMES = frozenset({ErrorKind.QUARANTINED, ErrorKind.LEAVING})
+"""Faults whose retry time doesn't depend on the targets."""
+
 
 class RequestForwarder:
     """Sends each request to targets until one answers or none is left.
@@ -41,6 +45,7 @@
         index: The targets.
         admission_queues: Decide when a request for a model may begin.
         crashes: Detects crashed upstreams and quarantines what crashes them.
+        stop_guard: Tells which requests may outlast this process.
     """
 
     def __init__(
@@ -49,11 +54,13 @@
         index: TargetIndex,
         admission_queues: AdmissionQueues,
         crashes: CrashDetector,
+        stop_guard: StopGuard,
     ) -> None:
         self._sender = sender
         self._index = index
         self._admission_queues = admission_queues
         self._crashes = crashes
+        self._stop_guard = stop_guard
 
     async def run(
         self, call: GatewayCall, retries: ServiceRetries
@@ -73,6 +80,8 @@
         verdict = self._crashes.judge(call)
         if verdict.status is TraitStatus.QUARANTINED:
             return Err(_make_quarantined_fault(call, verdict))
+        if self._stop_guard.refuses(call, pool):
+            return Err(_make_leaving_fault(call))
         if call.terms.model is not None:
             refused = await self._admission_queues.admit(call, pool)
             if refused is not None:
@@ -99,6 +108,9 @@
             verdict = self._crashes.judge(call)
             if verdict.status is TraitStatus.QUARANTINED:
                 return _make_quarantined_fault(call, verdict)
+            if not call.attempts.may_have_run and self._stop_guard.refuses(call, pool):
+                # It has waited, or upstreams have refused it.
+                return _make_leaving_fault(call)
             state = self._choose(call, pool, verdict)
             if state is None:
                 return _make_no_upstream_fault(call, pool, loop.time())
@@ -241,7 +253,14 @@
 def _find_stopped_by(attempt: GatewayAttempt, failure: AttemptFailure) -> str:
     if attempt.superseded:
         return "reroute"
-    return "deadline" if failure is AttemptFailure.TIMED_OUT else "upstream"
+    if failure is not AttemptFailure.TIMED_OUT:
+        return "upstream"
+    return "stop" if attempt.call.outlasts_stop else "deadline"
+
+
+def _make_leaving_fault(call: GatewayCall) -> Fault:
+    call.stopped_by = "stop"
+    return Fault(ErrorKind.LEAVING)
 
 
 def _make_quarantined_fault(call: GatewayCall, verdict: Verdict) -> Fault:
@@ -263,6 +282,6 @@
     a longer pause.
     """
     has_default = ERROR_ANSWERS[fault.kind].retry_after is not None
-    if fault.kind is ErrorKind.QUARANTINED or not has_default:
+    if fault.kind in _OWN_RETRY_TIMES or not has_default:
         return fault
     return replace(fault, retry_after=pool.draw_retry_after(now))
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
 
 import structlog
 from result import Err, Ok, Result
@@ -28,7 +27,7 @@
 from zinniaspool.gateway.carrier import RequestForwarder
 from zinniaspool.gateway.retries import RetryBudgets
 from zinniaspool.gateway.spelling import CallCodec
-from zinniaspool.gateway.stops import StopClock
+from zinniaspool.gateway.stops import StopClock, StopGuard
 from zinniaspool.http import (
     Exchange,
     Headers,
@@ -73,7 +72,7 @@
         forwarder: Sends requests to upstreams.
         retry_budgets: Limit how many requests are sent again.
         stop_clock: Tells whether the process is stopping.
-        accepts_requests: Tells whether new requests are still accepted.
+        stop_guard: Has the requests in progress end in time.
         tally: Counts how requests end.
 
     Attributes:
@@ -88,7 +87,7 @@
         forwarder: RequestForwarder,
         retry_budgets: RetryBudgets,
         stop_clock: StopClock,
-        accepts_requests: Callable[[], bool],
+        stop_guard: StopGuard,
         tally: RequestTally,
     ) -> None:
         self.running = 0
@@ -99,7 +98,7 @@
         self._forwarder = forwarder
         self._retry_budgets = retry_budgets
         self._stop_clock = stop_clock
-        self._accepts_requests = accepts_requests
+        self._stop_guard = stop_guard
         self._tally = tally
         self._opened_at = self._ready_at = float("-inf")
         self._configured = asyncio.Event()
@@ -143,13 +142,16 @@
                 after_stop_ms=self._measure_after_stop(received_at),
                 version=self._get_version(),
             )
-            self._stop_clock.refused += fault.kind is ErrorKind.LEAVING
             await self._refuse(exchange, terms, fault)
             self._tally.add("", "", fault.kind.value, 0.0)
             return
         call = made.ok_value
-        self._stop_clock.accepted += self._stop_clock.began_at is not None
-        await self._run(call)
+        call.shorten_deadline(self._stop_clock.ends_at)
+        self._stop_guard.running.add(call)
+        try:
+            await self._run(call)
+        finally:
+            self._stop_guard.running.remove(call)
 
     def _estimate_arrival(self) -> float:
         """Return the estimated time at which a request arrived.
@@ -180,11 +182,15 @@
             )
             if isinstance(done, Ok):
                 end = "answered"
+                self._stop_guard.record_answer(call)
                 return
             end = done.err_value.kind.value
             if call.exchange.started:
                 # The rest can't follow. If the answer ended cleanly, it would
                 # look complete.
+                if call.stopped_by == "stop":
+                    end = "cut-by-stop"
+                    self._stop_clock.cut += 1
                 call.exchange.abort()
                 return
             await self._refuse(call.exchange, call.terms, done.err_value)
@@ -192,8 +198,10 @@
             end = "caller-left"
             raise
         finally:
-            if end == "caller-left" and self._stop_clock.is_over:
-                end, call.stopped_by = "cut-by-stop", "stop"
+            if self._stop_clock.measure_since(call.received_at) is not None:
+                is_refused = end == ErrorKind.LEAVING.value
+                self._stop_clock.refused += is_refused
+                self._stop_clock.accepted += not is_refused
             took_s = asyncio.get_running_loop().time() - call.received_at
             self._record_end(call, end, took_s)
 
@@ -243,8 +251,6 @@
         catalog = self._fleet_view.catalog
         if catalog is None:
             return Err(Fault(ErrorKind.NOT_READY))
-        if not self._accepts_requests():
-            return Err(Fault(ErrorKind.LEAVING))
         request = exchange.request
         host = (request.headers.get("host") or "").partition(":")[0]
         route = catalog.find_route(host, request.path)
--- a/src/zinniaspool/gateway/gate.py
+++ b/src/zinniaspool/gateway/gate.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Collection, Iterator
 from zlib import crc32
@@ -98,7 +99,7 @@
         )
         decision = controller.submit(request, loop.time())
         if not isinstance(decision, Refusal) and decision.state is TicketState.WAITING:
-            await self._wait(decision)
+            await self._wait(decision, call.deadline)
         if not isinstance(decision, Refusal) and decision.state is TicketState.ENDED:
             decision = controller.refuse(request, loop.time())
         if isinstance(decision, Refusal):
@@ -272,10 +273,12 @@
         estimator.record(call.terms.timeout_s, only_new_callers=only_new_callers)
         return waited_s, waited_range_s
 
-    async def _wait(self, ticket: Ticket) -> None:
+    async def _wait(self, ticket: Ticket, deadline: float) -> None:
         waiting = self._waiting[ticket] = asyncio.get_running_loop().create_future()
         try:
-            await waiting
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(deadline):
+                    await waiting
         finally:
             # If the caller has left, the next request gets its turn.
             self._waiting.pop(ticket, None)
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -78,7 +78,7 @@
 from zinniaspool.gateway.silence import StallDetector, StallLinks
 from zinniaspool.gateway.speed import SlowTargetWatcher
 from zinniaspool.gateway.spelling import CallCodec
-from zinniaspool.gateway.stops import StopClock
+from zinniaspool.gateway.stops import StopClock, StopGuard
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
 from zinniaspool.telemetry import RequestTally
@@ -106,11 +106,6 @@
 after the store was restored, in seconds. All processes share the rate of calls
 that the store allows."""
 
-ACCEPT_AFTER_STOP_S = 4.8
-"""Time after the stop signal in which new requests are accepted, in seconds. A
-later request would be cut if it took longer than the rest of the stop
-time."""
-
 MIN_STOP_S = 6.4
 """Shortest time for which a stopping process goes on serving, in seconds, if
 its stop time allows it. Callers keep an address answer for three lifetimes of
@@ -169,6 +164,7 @@
         )
         self._query_handler = InstanceQueryHandler(self._fleet_view, fetcher)
         self._stop_clock = StopClock(settings.grace_s)
+        self._stop_guard = StopGuard(self._stop_clock)
         self._stop_requested = asyncio.Event()
         self._configured = asyncio.Event()
         self._store = store
@@ -254,7 +250,11 @@
             self._backpressure,
         )
         self._forwarder = RequestForwarder(
-            sender, self._index, self._admission_queues, self._crash_detector
+            sender,
+            self._index,
+            self._admission_queues,
+            self._crash_detector,
+            self._stop_guard,
         )
         self._rerouter.starter = self._forwarder
         self._stall_detector = StallDetector(
@@ -288,7 +288,7 @@
             self._forwarder,
             self._retry_budgets,
             self._stop_clock,
-            lambda: self._accepts_requests,
+            self._stop_guard,
             tally,
         )
         self._metrics = make_gateway_metrics(
@@ -371,13 +371,14 @@
         await self._peer_exchange.listen(self._address)
         await self._stop_requested.wait()
         await self._leave()
-        self._stop_clock.is_over = True
-        running = self._caller_handler.running
-        await self._lease.release()
+        await self._close_callers()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(self._stop_clock.exits_at):
+                await self._lease.release()
         await self.abort()
         _log.info(
             "stopped",
-            running=running,
+            cut=self._stop_clock.cut,
             tunnels=self._tunnel_server.open_count,
             accepted=self._stop_clock.accepted,
             refused=self._stop_clock.refused,
@@ -514,11 +515,6 @@
             self._retry_budgets.refill(now)
             self._retry_budgets.log_changes(now)
 
-    @property
-    def _accepts_requests(self) -> bool:
-        now = asyncio.get_running_loop().time()
-        return (self._stop_clock.measure_since(now) or 0.0) < ACCEPT_AFTER_STOP_S
-
     def _find_own_record(self) -> NodeRecord | None:
         if self._stop_clock.began_at is not None or self._fleet_view.catalog is None:
             return None
@@ -553,6 +549,8 @@
             receive_s=limits.header_timeout_s,
             idle_s=limits.idle_timeout_s * 1.25,
         )
+        routes = [route for host in catalog.routes.values() for route in host]
+        self._stop_guard.keep_routes({route.name for route in routes})
         self._refresh_targets()
 
     def _refresh_targets(self) -> None:
@@ -631,20 +629,27 @@
     async def _leave(self) -> None:
         """Serve callers that still have this address, then drain."""
         loop = asyncio.get_running_loop()
-        self._stop_clock.begin(loop.time())
+        self._stop_guard.begin_stop(loop.time())
+        self._server.retiring = True
         _log.info(
             "stopping",
             running=self._caller_handler.running,
             tunnels=self._tunnel_server.open_count,
             left_ms=int((self._stop_clock.ends_at - loop.time()) * 1000),
         )
-        await self._write_leaving_record()
+        # The store may not answer, and the time that is left goes on.
+        self._tasks.append(asyncio.create_task(self._write_leaving_record()))
         await asyncio.sleep(max(0.0, min(MIN_STOP_S, self._settings.grace_s - 1.0)))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(self._stop_clock.ends_at):
                 await self._caller_handler.idle.wait()
                 await self._tunnel_server.idle.wait()
 
+    async def _close_callers(self) -> None:
+        """Close callers' connections once their answers are delivered."""
+        now = asyncio.get_running_loop().time()
+        await self._server.drain(max(0.0, self._stop_clock.exits_at - now))
+
     async def _write_leaving_record(self) -> None:
         if self._lease.lease_number is not None:
             await self._write_record(NodeState.LEAVING)
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -1,12 +1,31 @@
-"""The time that a process has left once it was told to stop."""
+"""Decides which requests a stopping process still takes.
 
+A process that was told to stop is killed after a fixed time. Until then it
+takes the requests that will have ended, by the longest time that is predicted
+for them, and refuses the others at once, so that their callers can go to
+another VM.
+"""
+
+import asyncio
 import math
+from collections.abc import Collection
+
+import structlog
+
+from zinniaspool.core.dispatch import AnswerTiming, DurationForecast, TargetPool
+from zinniaspool.core.ids import ModelName
+from zinniaspool.gateway.calls import GatewayCall
+
+__all__ = ["StopClock", "StopGuard"]
 
-__all__ = ["StopClock"]
+_log = structlog.get_logger(__name__)
 
 CLOSE_RESERVE_S = 0.25
 """Part of the stop time that is reserved for closing, in seconds."""
 
+EXIT_RESERVE_S = 0.1
+"""Part of it that is reserved for the end of the process itself."""
+
 
 class StopClock:
     """Tells how long a stopping process goes on.
@@ -19,15 +38,16 @@
     Attributes:
         began_at: Time of the stop signal; None before it.
         ends_at: Time until which requests may be in progress.
-        is_over: Whether the requests still in progress are being cut.
+        exits_at: Time at which the last connections are closed.
+        cut: Requests of which a part was answered and the rest was cut.
         accepted: Requests that were accepted after the stop signal.
         refused: Requests that were refused because of it.
     """
 
     def __init__(self, grace_s: float) -> None:
         self.began_at: float | None = None
-        self.ends_at = math.inf
-        self.is_over = False
+        self.ends_at = self.exits_at = math.inf
+        self.cut = 0
         self.accepted = 0
         self.refused = 0
         self._grace_s = grace_s
@@ -36,6 +56,7 @@
         """Start the clock: the process was told to stop."""
         self.began_at = now
         self.ends_at = now + max(0.0, self._grace_s - CLOSE_RESERVE_S)
+        self.exits_at = now + max(0.0, self._grace_s - EXIT_RESERVE_S)
 
     def measure_since(self, at: float) -> float | None:
         """Return how long after the stop signal a time is, in seconds.
@@ -46,3 +67,113 @@
         if self.began_at is None or at < self.began_at:
             return None
         return at - self.began_at
+
+
+class StopGuard:
+    """Tells whether requests will have ended when the process stops.
+
+    Args:
+        clock: The time that is left.
+
+    Attributes:
+        running: The requests in progress.
+    """
+
+    def __init__(self, clock: StopClock) -> None:
+        self.running: set[GatewayCall] = set()
+        self._clock = clock
+        self._forecasts: dict[tuple[str, ModelName | None], DurationForecast] = {}
+
+    def begin_stop(self, now: float) -> None:
+        """Have all requests end in time: the process was told to stop."""
+        self._clock.begin(now)
+        for call in self.running:
+            call.shorten_deadline(self._clock.ends_at)
+
+    def record_answer(self, call: GatewayCall) -> None:
+        """Record a request that was answered whole, now."""
+        now = asyncio.get_running_loop().time()
+        took_s = now - call.received_at
+        first_s = took_s if call.first_byte_s is None else call.first_byte_s
+        self._find_forecast(call).record(
+            AnswerTiming(
+                now,
+                took_s,
+                took_s - first_s,
+                call.longest_pause_s,
+                call.terms.max_output_tokens,
+            )
+        )
+
+    def keep_routes(self, names: Collection[str]) -> None:
+        """Forget the routes that are not in the configuration any more."""
+        for key in [key for key in self._forecasts if key[0] not in names]:
+            del self._forecasts[key]
+
+    def refuses(self, call: GatewayCall, pool: TargetPool) -> bool:
+        """Return whether a request may still be in progress at the end.
+
+        Args:
+            call: The request; nothing of it has been sent to an upstream, or
+                every upstream has refused it.
+            pool: Its targets.
+        """
+        if not call.outlasts_stop:
+            return False
+        now = asyncio.get_running_loop().time()
+        longest_s = self._predict_longest(call, pool, now)
+        if longest_s is not None and now + longest_s <= self._clock.ends_at:
+            return False
+        _log.info(
+            "request-outlasts-stop",
+            request=call.terms.id,
+            route=call.route.name,
+            model=call.terms.model or "",
+            allowed_tokens=call.terms.max_output_tokens,
+            left_ms=int((self._clock.ends_at - now) * 1000),
+            longest_ms=-1 if longest_s is None else int(longest_s * 1000),
+        )
+        return True
+
+    def _predict_longest(
+        self, call: GatewayCall, pool: TargetPool, now: float
+    ) -> float | None:
+        forecast, terms = self._find_forecast(call), call.terms
+        if terms.model is None or not terms.max_output_tokens:
+            return forecast.predict_longest_call(now)
+        states = pool.list_eligible(now)
+        slots = max((state.target.slots for state in states), default=1)
+        writing_s = forecast.predict_longest_stream(
+            terms.max_output_tokens,
+            pool.predict_token_time(slots),
+            self._measure_running_streams(call),
+            now,
+        )
+        if writing_s is None:
+            return None
+        return writing_s + min(
+            (
+                pool.predict_first_event(state, terms.prompt_tokens, now)
+                for state in states
+            ),
+            default=0.0,
+        )
+
+    def _measure_running_streams(self, call: GatewayCall) -> float:
+        """Return the longest mean time between events, in seconds.
+
+        The streams of the same model count.
+        """
+        return max(
+            (
+                other.measure_event_interval()
+                for other in self.running
+                if other.terms.model == call.terms.model
+                and other.service == call.service
+            ),
+            default=0.0,
+        )
+
+    def _find_forecast(self, call: GatewayCall) -> DurationForecast:
+        key = call.route.name, call.terms.model
+        return self._forecasts.setdefault(key, DurationForecast())
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -54,12 +54,14 @@
         limits: Limits on each connection and on all together.
         make_refusal: Makes the server's own responses.
         draining: Whether connections close after their current response.
+        retiring: Whether responses announce that.
     """
 
     handler: Handler
     limits: ServerLimits
     make_refusal: RefusalMaker
     draining: bool
+    retiring: bool
 
     def admit(self, connection: "ServerConnection") -> bool:
         """Count a new connection; return False if too many are open."""
@@ -168,7 +170,7 @@
     @property
     def closes_after_response(self) -> bool:
         """Whether the connection closes after this response."""
-        return self._owner.draining
+        return self._owner.draining or self._owner.retiring
 
     def send_events(self, *events: h11.Event | None) -> None:
         """Send events as one write."""
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -35,6 +35,9 @@
     Attributes:
         draining: Whether the server is stopping. Connections then close
             after their current response.
+        retiring: Whether callers are asked to leave: responses announce that
+            their connection closes after them. Connections whose response
+            began before don't close without that announcement.
     """
 
     def __init__(
@@ -47,7 +50,7 @@
         self.handler = handler
         self.limits = limits or ServerLimits()
         self.make_refusal = make_refusal
-        self.draining = False
+        self.draining = self.retiring = False
         self._tls = tls
         self._buffered = 0
         self._refusing = False
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -16,6 +16,7 @@
         "request-ended",
         "request-failed",
         "request-not-admitted",
+        "request-outlasts-stop",
         "request-refused",
         "trial-begun",
     }
@@ -73,6 +74,8 @@
         "connection-failed": "A connection ended in an error of its transport.",
         "connection-refused": "A connection was refused because too many were open.",
         "request-failed": "A caller's request ended in an error.",
+        "request-outlasts-stop": "A request was refused since it may take longer than "
+        "the stopping process has left.",
         "request-not-admitted": "A request could not be served in time; the keys give "
         "the prediction, its inputs and their age.",
         "request-refused": "A request violated HTTP or the server's limits.",
