--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -23,6 +23,13 @@
 
     deadline_s = GRACE_S
     grace_s = GRACE_S
+    patient_routes = ("drafts", "cards")
+
+
+class EarlyStoppedInstallation(StoppedInstallation):
+    """Routes that wait for longer than a stop lasts."""
+
+    deadline_s = 2 * GRACE_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,3 +136,47 @@
             assert not unserved, unserved
 
     run(check)
+
+
+@pytest.mark.parametrize("down", ["silent", "reset"])
+def test_a_stop_lasts_no_longer_while_the_store_is_down(down: str) -> None:
+    """Guards against a stop that waits for the store and is then killed."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            made.store.faults.down = down
+            node, loop = made.nodes["n0"], asyncio.get_running_loop()
+            began = loop.time()
+            drafting = asyncio.create_task(
+                made.draft("n0", "small", 200, deadline_ms=int(made.deadline_s * 1000))
+            )
+            await asyncio.sleep(0.2)
+            node.gateway.stop()
+            await node.tasks[0]
+            assert loop.time() - began < GRACE_S
+            assert len((await drafting).events) == 200
+
+    run(check)
+
+
+def test_a_request_without_an_answer_at_the_end_gets_a_whole_one() -> None:
+    """Guards against a connection closed without an answer at the end."""
+
+    async def check() -> None:
+        async with EarlyStoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            for runner in made.runners.values():
+                runner.faults.silent = runner.service == "cards"
+            calling = asyncio.create_task(made.ask("n0", "/cards/a", deadline_ms=16000))
+            await asyncio.sleep(0.2)
+            node = made.nodes["n0"]
+            node.gateway.stop()
+            await node.tasks[0]
+            answer = await calling
+            # An upstream may have run it.
+            assert answer.whole and answer.status == 504
+
+    run(check)
