A VM that joins an ended group again isn't free

A join and an open order that stay unanswered may be carried out seconds later. At the idle head of a group that has ended they open the group again. ReleaseTracker.is_free took every VM that names an ended group for free, so that the head, or one of its members, would join another group while the head serves (TWO).

Measured: test_no_vm_is_used_again_while_a_late_open_serves failed before with "i004 joins g3 from g2" and two more (the head reached by orders), and with two of them (not reached). tests/test_formation.py passes with the simulated engines counting their orders.

--- a/src/zinniaspool/core/formation/domains.py
+++ b/src/zinniaspool/core/formation/domains.py
@@ -146,7 +146,7 @@
             own_run = planned.get(instance.id)
             cold = inventory.is_cold(instance.id, now)
             if own_run is None:
-                if not releases.is_free(instance):
+                if not releases.is_free(instance, inventory.view):
                     continue
                 found.append(
                     Candidate(
@@ -157,7 +157,7 @@
                         is_slow=instance.id in slow,
                     )
                 )
-            elif _is_available_standby(instance, own_run, releases):
+            elif _is_available_standby(instance, own_run, releases, inventory.view):
                 model = inventory.loaded_models.get(instance.id)
                 ready = own_run.phase is GroupPhase.STANDBY
                 found.append(
@@ -183,7 +183,7 @@
 
 
 def _is_available_standby(
-    instance: Instance, run: GroupRun, releases: ReleaseTracker
+    instance: Instance, run: GroupRun, releases: ReleaseTracker, view: InstanceView
 ) -> bool:
     """Return whether a planned VM stands by and may join another group.
 
@@ -194,4 +194,4 @@
         return False
     membership = instance.membership
     stands_by = membership is not None and membership.group == run.record.group
-    return stands_by or releases.is_free(instance)
+    return stands_by or releases.is_free(instance, view)
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -281,7 +281,7 @@
                 run.on_order_outcome(order, outcome, now)
                 domain.changed = True
                 self._provisioning.on_groups_changed()
-        self._releases.on_order_outcome(order, outcome)
+        self._releases.on_order_outcome(order, outcome, self._view)
 
     def on_plan_saved(self, domain: FabricDomainId) -> None:
         """Record that a domain's plan is in the store."""
@@ -458,7 +458,7 @@
                 # the head to leave once more.
                 del domain.runs[group]
                 domain.changed = True
-                self._releases.record_group_end(run)
+                self._releases.record_group_end(run, self._view)
                 self._record_loads_ended(run.record)
                 continue
             orders += due
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -90,6 +90,7 @@
         retained_until: Time of the holder's next decision on the engine,
             which has no record; None if it has one.
         opens_at: Time at which an open order takes effect.
+        order_count: Orders accepted since its last start.
         ready_ever: Groups in which it has ever been ready.
         ready_since_start: Groups in which it has been ready since its last
             start.
@@ -111,6 +112,7 @@
     highest_epoch: int = 0
     ready_at: float = 0.0
     opens_at: float | None = None
+    order_count: int = 0
     staging: tuple[float, ModelName] | None = None
     incarnation: int = 1
     started_at: float = 0.0
@@ -134,6 +136,7 @@
             self.staged,
             self.membership,
             self.incarnation,
+            self.order_count,
         )
 
 
@@ -222,8 +225,13 @@
         engine.alive, engine.state = True, InstanceState.READY
         engine.model, engine.membership, engine.members = None, None, ()
         engine.highest_epoch, engine.opens_at, engine.staging = 0, None, None
+        engine.order_count = 0
         engine.ready_since_start.clear()
 
+    def deliver_late(self, order: GroupOrder) -> OrderOutcome:
+        """Have an engine carry out an order that was sent before."""
+        return self._execute(order)
+
     def _next_epoch(self) -> Epoch:
         self.epoch += 1
         return Epoch(self.epoch)
@@ -327,6 +335,11 @@
         engine = self.engines.get(order.instance)
         if engine is None or not engine.alive:
             return OrderOutcome.GONE
+        outcome = self._carry_out(engine, order)
+        engine.order_count += outcome is OrderOutcome.ACCEPTED
+        return outcome
+
+    def _carry_out(self, engine: FakeEngine, order: GroupOrder) -> OrderOutcome:
         membership = engine.membership
         is_own_group = membership is not None and (
             membership.group,
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import replace
 
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -16,7 +17,7 @@
     make_settled_fleet,
 )
 from zinniaspool.core.fleet import InstanceId, InstanceState, MembershipState
-from zinniaspool.core.formation import GroupPhase, OrderAction
+from zinniaspool.core.formation import GroupPhase, OrderAction, OrderOutcome
 from zinniaspool.core.formation.allocation import (
     Candidate,
     ModelNeed,
@@ -507,6 +508,36 @@
     assert not fleet.violations
 
 
+@pytest.mark.parametrize("reaches_head", [True, False])
+def test_no_vm_is_used_again_while_a_late_open_serves(reaches_head: bool) -> None:
+    """A group would lose its VMs while its head answers callers again.
+
+    The group has ended. Late join and open orders put its idle head back into
+    it. The head must leave once more, or each other member if orders don't
+    reach the head.
+    """
+    fleet = make_settled_fleet(size=6)
+    head, *others, last = fleet.find_members(LARGE)
+    sent = [order for order in fleet.orders if order.instance == head.id]
+    late_join = next(order for order in sent if order.action is OrderAction.JOIN)
+    late_open = next(order for order in sent if order.action is OrderAction.OPEN)
+    fleet.planner.defer_formation(fleet.now + 2.0)
+    fleet.fail_engine(last)
+    fleet.advance(0.3)
+    assert head.membership is None
+    if not reaches_head:
+        fleet.not_orderable = {head.id}
+    assert fleet.deliver_late(late_join) is OrderOutcome.ACCEPTED
+    fleet.advance(0.4)
+    fleet.deliver_late(late_open)
+    fleet.advance(6.0)
+    assert not fleet.violations
+    groups = fleet.planner.list_runs()
+    used = {member for run in groups for member in run.record.members}
+    assert used.issuperset(member.id for member in others)
+    assert (head.id in used) == reaches_head
+
+
 def test_a_standby_vm_of_an_old_plan_is_not_taken_from_its_new_group() -> None:
     """A group would lose its VMs while its head still answers callers.
 
