Streams whose event ids only increase are resumed

EventCursor took the first id of a resumed stream only if it was the last one plus one. The protocol says that ids increase, and an event may have several tokens, so another upstream goes on with any higher id. Such a stream was given up as not resumed, and its caller lost the rest.

Any higher id goes on now; an id that isn't higher is still rejected. An id of more digits than a number can have counts as none. It ended the stream with a failed conversion before.

Measured: two of the three new tests in tests/test_streams.py failed before (NOT_RESUMED after the ids 1 and 3; ValueError for an id of 5,000 digits); with tests/test_relay.py, test_request_bounds.py and test_alternatives.py 53 pass.

--- a/src/zinniaspool/core/dispatch/streams.py
+++ b/src/zinniaspool/core/dispatch/streams.py
@@ -13,6 +13,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 """Largest event, in bytes. An upstream that never ends its event must not fill
 the memory."""
+MAX_ID_DIGITS = 18
+"""Longest id of an event that a stream can be resumed after, in digits."""
+
 _ID = b"id:"
 _LINE_ID = b"\nid:"
 
@@ -22,11 +25,11 @@
 
     EVENT_TOO_LARGE = "event-too-large"
     NOT_RESUMED = "not-resumed"
-    """The upstream didn't continue after the last token passed on."""
+    """The upstream didn't continue after the last event passed on."""
 
 
 class EventCursor:
-    """Follows server-sent events whose ids increase by one with each token.
+    """Follows server-sent events whose ids increase.
 
     Only whole events are passed on. If a part of an event were passed on
     before its upstream failed, the next upstream's bytes would complete it,
@@ -70,8 +73,10 @@
             first = _read_id(whole, _find_first_id(whole))
             if first is not None:
                 # An upstream that doesn't support resuming starts from the
-                # beginning, and the caller would read tokens twice.
-                if first != (self.last_id or 0) + 1:
+                # beginning, and the caller would read tokens twice. Another
+                # upstream may put several tokens into an event, so the next id
+                # is any higher one.
+                if first <= (self.last_id or 0):
                     return Err(StreamFault.NOT_RESUMED)
                 self._resumed = False
         last = _read_id(whole, _find_last_id(whole))
@@ -113,4 +118,6 @@
     if start < 0:
         return None
     text = events[start : events.find(b"\n", start)].strip()
-    return int(text) if text.isdigit() else None
+    if len(text) > MAX_ID_DIGITS or not text.isdigit():
+        return None
+    return int(text)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -58,6 +58,63 @@
     assert cursor.feed(_events(1, 5)) == Err(StreamFault.NOT_RESUMED)
 
 
+@given(
+    st.integers(1, 40),
+    st.lists(st.tuples(st.sets(st.integers(1, 39)), st.integers(0, 400)), max_size=4),
+    st.sets(st.integers(1, 39)),
+)
+def test_a_stream_whose_ids_only_increase_is_resumed_without_a_gap(
+    count: int, cuts: list[tuple[set[int], int]], ends: set[int]
+) -> None:
+    """The caller reads every token once and in order.
+
+    An event has several tokens and the id of the last one. Each upstream ends
+    its events at other tokens.
+    """
+    cursor, received = EventCursor(), b""
+    for bounds, length in [*cuts, (ends, None)]:
+        cursor.resume()
+        data = _make_batches(cursor.last_id or 0, count, bounds)[:length]
+        received += cursor.feed(data).unwrap()
+        if cursor.last_id is None:
+            received = b""
+        if cursor.last_id == count:
+            break
+    tokens = [
+        int(token)
+        for line in received.splitlines()
+        if line.startswith(b"data:")
+        for token in line[5:].split()
+    ]
+    assert tokens == list(range(1, count + 1))
+
+
+def _make_batches(after: int, count: int, bounds: set[int]) -> bytes:
+    """Return the events after an id; they end at some tokens and the last."""
+    events = b""
+    for last in sorted({bound for bound in bounds if after < bound < count} | {count}):
+        tokens = b" ".join(b"%d" % token for token in range(after + 1, last + 1))
+        events += b"id: %d\ndata: %s\n\n" % (last, tokens)
+        after = last
+    return events
+
+
+def test_a_stream_that_repeats_its_last_event_is_rejected() -> None:
+    """The caller must not receive an event a second time."""
+    cursor = EventCursor()
+    cursor.feed(_make_batches(0, 9, {4})).unwrap()
+    cursor.resume()
+    assert cursor.feed(_make_batches(4, 12, {9})) == Err(StreamFault.NOT_RESUMED)
+
+
+def test_an_id_that_is_too_long_for_a_number_ends_no_stream() -> None:
+    """The caller's stream would end with the failed conversion."""
+    cursor = EventCursor()
+    events = b"id: %s\ndata: t1\n\n" % (b"9" * 5000)
+    assert cursor.feed(events).unwrap() == events
+    assert not cursor.resumable
+
+
 def test_an_event_without_an_end_is_rejected() -> None:
     cursor = EventCursor()
     taken = cursor.feed(b"data: " + b"x" * (1024 * 1024 + 1))
