A changed limit on headers holds on open connections

h11 takes its limit on an incomplete head at its creation, so a connection kept the limit of its opening. After max-header-bytes was raised, a proper head that came in parts was answered 431 there. A lowered limit was found only with the whole head.

The parser is created anew where the limit has changed since the last request, before anything of the next one is parsed.

--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -94,9 +94,8 @@
         self.response_started = False
         self.peer = ""
         self._owner = owner
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=owner.limits.header_bytes
-        )
+        self._header_bytes = owner.limits.header_bytes
+        self._h11 = _make_parser(self._header_bytes)
         self._phase = _Phase.IDLE
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
@@ -128,12 +127,12 @@
         """Parse received bytes, or buffer them while a handler runs."""
         if self._phase is _Phase.CLOSING:
             return
+        if self._phase is _Phase.IDLE:
+            self._begin_receiving()
         self._h11.receive_data(data)
         if self._phase is _Phase.HANDLING:
             self._limit_read_ahead(len(data))
             return
-        if self._phase is _Phase.IDLE:
-            self._begin_receiving()
         self._read_events()
 
     def eof_received(self) -> bool:
@@ -225,6 +224,20 @@
         # by sending a byte now and then.
         self._phase = _Phase.RECEIVING
         self._start_timer(self._owner.limits.receive_s, self._refuse_slow)
+        self._apply_header_limit()
+
+    def _apply_header_limit(self) -> None:
+        """Apply the present limit on headers to the request that begins."""
+        header_bytes = self._owner.limits.header_bytes
+        if header_bytes == self._header_bytes:
+            return
+        # h11 takes its limit only at its creation. Nothing of the request has
+        # been parsed yet.
+        received, _ = self._h11.trailing_data
+        self._header_bytes = header_bytes
+        self._h11 = _make_parser(header_bytes)
+        if received:
+            self._h11.receive_data(received)
 
     def _limit_read_ahead(self, size: int) -> None:
         """Pause reading once enough bytes of further requests are buffered.
@@ -427,6 +440,10 @@
         self._on_timer()
 
 
+def _make_parser(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+
+
 def _check_head(
     head: h11.Request, fields: Headers, limits: ServerLimits
 ) -> tuple[RefusalKind, str] | None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import h11
 import pytest
@@ -199,6 +199,51 @@
     _run_trial(trial, ServerLimits(receive_s=0.2, idle_s=60, linger_s=0.2))
 
 
+@pytest.mark.parametrize("used", [True, False])
+def test_a_raised_limit_on_headers_holds_on_open_connections(used: bool) -> None:
+    """A proper request whose head comes in parts would be refused."""
+    limits = ServerLimits(header_bytes=1024, idle_s=5.0)
+
+    async def trial(served: _Trial) -> None:
+        reader, writer = await served.connect()
+        if used:
+            writer.write(_GET)
+            await _read_response(reader)
+        served.server.limits = replace(limits, header_bytes=8192)
+        for part in (_GET[:-2], b"X-Large: " + b"x" * 4096, b"\r\n\r\n"):
+            writer.write(part)
+            await asyncio.sleep(0.02)
+        assert (await _read_response(reader)).startswith(b"HTTP/1.1 200")
+        served.server.limits = limits
+        for part in (_GET[:-2], b"X-Large: " + b"x" * 4096):
+            writer.write(part)
+            await asyncio.sleep(0.02)
+        assert (await _read_response(reader)).startswith(b"HTTP/1.1 431")
+        writer.close()
+
+    _run_trial(trial, limits)
+
+
+def test_a_raised_limit_holds_for_a_pipelined_request() -> None:
+    """A proper request behind another one would be refused."""
+    limits = ServerLimits(header_bytes=1024, idle_s=5.0)
+
+    async def trial(served: _Trial) -> None:
+        reader, writer = await served.connect()
+        writer.write(_GET.replace(b"/a", b"/hold") + _GET[:-2])
+        await served.began.wait()
+        served.server.limits = replace(limits, header_bytes=8192)
+        served.held.set()
+        await _read_response(reader)
+        for part in (b"X-Large: " + b"x" * 4096, b"\r\n\r\n"):
+            writer.write(part)
+            await asyncio.sleep(0.02)
+        assert (await _read_response(reader)).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    _run_trial(trial, limits)
+
+
 def test_a_caller_that_leaves_has_its_handler_cancelled() -> None:
     async def trial(served: _Trial) -> None:
         _, writer = await served.connect()
