A raised idle time holds on open connections

The timer of an idle connection kept the limit at which it was set, so that a connection was closed that its caller may still use after idle-timeout-ms was raised. The timer goes on now for what is left of the present limit.

Measured: test_a_raised_idle_time_holds_on_open_connections failed before (the connection was closed) and passes, with all 54 tests of the HTTP server, client and bounds.

--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -102,6 +102,7 @@
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = 0.0
+        self._idle_since = 0.0
         self._on_timer: Callable[[], None] | None = None
         self._head: h11.Request | None = None
         self._fields = Headers()
@@ -121,7 +122,7 @@
         if not self._owner.admit(self):
             self._transport.abort()
             return
-        self._start_timer(self._owner.limits.idle_s, self._close)
+        self._start_idle_timer()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or buffer them while a handler runs."""
@@ -359,7 +360,7 @@
             self._transport.resume_reading()
         if not self._h11.trailing_data[0]:
             self._phase = _Phase.IDLE
-            self._start_timer(self._owner.limits.idle_s, self._close)
+            self._start_idle_timer()
             return
         self._begin_receiving()
         self._read_events()
@@ -416,6 +417,18 @@
             self._transport.close()
             self._start_timer(self._owner.limits.send_s, self.abort)
 
+    def _start_idle_timer(self) -> None:
+        self._idle_since = self._loop.time()
+        self._start_timer(self._owner.limits.idle_s, self._close_if_unused)
+
+    def _close_if_unused(self) -> None:
+        """Close, unless the limit on idle time was raised meanwhile."""
+        left_s = self._idle_since + self._owner.limits.idle_s - self._loop.time()
+        if left_s > 0:
+            self._start_timer(left_s, self._close_if_unused)
+            return
+        self._close()
+
     def _start_timer(self, seconds: float, on_timer: Callable[[], None]) -> None:
         self._timer_due = self._loop.time() + seconds
         self._on_timer = on_timer
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -244,6 +244,23 @@
     _run_trial(trial, limits)
 
 
+def test_a_raised_idle_time_holds_on_open_connections() -> None:
+    """A connection would close that its caller may still use."""
+
+    async def trial(served: _Trial) -> None:
+        reader, writer = await served.connect()
+        writer.write(_GET)
+        await _read_response(reader)
+        served.server.limits = replace(served.server.limits, idle_s=0.6)
+        await asyncio.sleep(0.4)
+        writer.write(_GET)
+        assert (await _read_response(reader)).startswith(b"HTTP/1.1 200")
+        assert await _read_all(reader) == b""
+        writer.close()
+
+    _run_trial(trial, ServerLimits(idle_s=0.2))
+
+
 def test_a_caller_that_leaves_has_its_handler_cancelled() -> None:
     async def trial(served: _Trial) -> None:
         _, writer = await served.connect()
