An unknown key is refused on anonymous routes too

On a route that allows anonymous requests, one with a key that no customer holds ran without a customer. The platform's protocol says that a request with an unknown key receives 401, and exempts a request on such a route from carrying a key only.

Measured: test_an_unknown_key_is_refused_where_requests_need_none failed before (200) and passes; 120 tests with tests/test_access.py, test_platform_adapter.py, test_shares.py and test_references.py pass.

--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -304,8 +304,16 @@
 def _find_customer(
     catalog: Catalog, route: RouteSpec, key: str | None
 ) -> Result[CustomerSpec | None, Fault]:
+    """Return the customer that holds a request's key; None without a key.
+
+    A key that no customer holds is refused on all routes. A caller whose key
+    was revoked would not notice that its requests run for nobody.
+    """
+    if not catalog.requires_keys:
+        return Ok(None)
     customer = None if key is None else catalog.customers.get(key)
-    if customer is None and catalog.requires_keys and not route.allows_anonymous:
+    is_anonymous = key is None and route.allows_anonymous
+    if customer is None and not is_anonymous:
         return Err(Fault(ErrorKind.BAD_CREDENTIAL))
     return Ok(customer)
 
--- a/tests/test_installation.py
+++ b/tests/test_installation.py
@@ -6,6 +6,7 @@
 
 from tests.installation import Installation, eventually, run
 from zinniaspool.http import HttpClient, Request
+from zinniaspool_standins.installation import make_rules
 
 
 def test_a_stream_is_answered_whole_and_the_key_stays_here() -> None:
@@ -35,6 +36,23 @@
     run(test)
 
 
+def test_an_unknown_key_is_refused_where_requests_need_none() -> None:
+    """A revoked key would go on working on routes without a need for keys."""
+
+    async def test() -> None:
+        async with Installation.running() as made:
+            routes = make_rules(made.version, made.keys)["routes"]
+            made.configure(routes=[{**one, "allow-anonymous": True} for one in routes])
+            await made.settle()
+            assert (await made.ask("n0", "/receipts/1", key=None)).status == 200
+            assert (await made.ask("n0", "/receipts/1")).status == 200
+            assert (await made.ask("n0", "/receipts/1", key="other")).status == 401
+            runs = [run for one in made.runners.values() for run in one.runs]
+            assert not [run for run in runs if run.request == f"r-{made.requests}"]
+
+    run(test)
+
+
 def test_callers_are_told_of_ready_processes_only() -> None:
     """A caller that is sent to a stopping VM would lose its connection."""
 
