--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -96,15 +96,15 @@
         self.response_started = False
         self.peer = ""
         self._owner = owner
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=owner.limits.header_bytes
-        )
+        self._header_bytes = owner.limits.header_bytes
+        self._h11 = _make_parser(self._header_bytes)
         self._phase = _Phase.IDLE
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = 0.0
+        self._idle_since = 0.0
         self._on_timer: Callable[[], None] | None = None
         self._head: h11.Request | None = None
         self._fields = Headers()
@@ -124,18 +124,18 @@
         if not self._owner.admit(self):
             self._transport.abort()
             return
-        self._start_timer(self._owner.limits.idle_s, self._close)
+        self._start_idle_timer()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or buffer them while a handler runs."""
         if self._phase is _Phase.CLOSING:
             return
+        if self._phase is _Phase.IDLE:
+            self._begin_receiving()
         self._h11.receive_data(data)
         if self._phase is _Phase.HANDLING:
             self._limit_read_ahead(len(data))
             return
-        if self._phase is _Phase.IDLE:
-            self._begin_receiving()
         self._read_events()
 
     def eof_received(self) -> bool:
@@ -227,6 +227,20 @@
         # by sending a byte now and then.
         self._phase = _Phase.RECEIVING
         self._start_timer(self._owner.limits.receive_s, self._refuse_slow)
+        self._apply_header_limit()
+
+    def _apply_header_limit(self) -> None:
+        """Apply the present limit on headers to the request that begins."""
+        header_bytes = self._owner.limits.header_bytes
+        if header_bytes == self._header_bytes:
+            return
+        # h11 takes its limit only at its creation. Nothing of the request has
+        # been parsed yet.
+        received, _ = self._h11.trailing_data
+        self._header_bytes = header_bytes
+        self._h11 = _make_parser(header_bytes)
+        if received:
+            self._h11.receive_data(received)
 
     def _limit_read_ahead(self, size: int) -> None:
         """Pause reading once enough bytes of further requests are buffered.
@@ -348,7 +362,7 @@
             self._transport.resume_reading()
         if not self._h11.trailing_data[0]:
             self._phase = _Phase.IDLE
-            self._start_timer(self._owner.limits.idle_s, self._close)
+            self._start_idle_timer()
             return
         self._begin_receiving()
         self._read_events()
@@ -405,6 +419,18 @@
             self._transport.close()
             self._start_timer(self._owner.limits.send_s, self.abort)
 
+    def _start_idle_timer(self) -> None:
+        self._idle_since = self._loop.time()
+        self._start_timer(self._owner.limits.idle_s, self._close_if_unused)
+
+    def _close_if_unused(self) -> None:
+        """Close, unless the limit on idle time was raised meanwhile."""
+        left_s = self._idle_since + self._owner.limits.idle_s - self._loop.time()
+        if left_s > 0:
+            self._start_timer(left_s, self._close_if_unused)
+            return
+        self._close()
+
     def _start_timer(self, seconds: float, on_timer: Callable[[], None]) -> None:
         self._timer_due = self._loop.time() + seconds
         self._on_timer = on_timer
@@ -429,6 +455,10 @@
         self._on_timer()
 
 
+def _make_parser(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+
+
 def _check_head(
     head: h11.Request, fields: Headers, limits: ServerLimits
 ) -> tuple[RefusalKind, str] | None:
