Entries: a port of thousands of digits is refused, not raised on

`decode_instance` called `int` on the port of any record, which raises ValueError above 4,300 digits.

A port is now one to five digits.

--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -54,6 +54,9 @@
 _ID = re.compile(r"[\w.:-]{1,128}", re.ASCII)
 """Ids that are valid in a header field."""
 
+_PORT = re.compile(r"[0-9]{1,5}")
+"""``int`` raises on a text of thousands of digits."""
+
 _MAX_PORT = 65535
 """Largest TCP port; ports have sixteen bits."""
 
@@ -207,4 +210,4 @@
         ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT
+    return bool(_PORT.fullmatch(port)) and 0 < int(port) <= _MAX_PORT
--- a/tests/test_belief.py
+++ b/tests/test_belief.py
@@ -76,6 +76,23 @@
     assert sorted(writer.view.instances) == [FIRST, SECOND]
 
 
+def test_a_new_process_gets_the_configuration_beside_a_port_of_5000_digits() -> None:
+    """Otherwise a process that starts with such a record serves no request."""
+    writer = ViewWriter()
+    configured: list[bool] = []
+    writer.view.on_catalog.append(lambda: configured.append(True))
+    record = {**RECORD, "address": "127.0.0.9:" + "8" * 5000}
+    revision = Revision(1)
+    events = [
+        MirrorEvent("op/config", msgspec.json.encode(make_rules(1, ["k"])), revision),
+        MirrorEvent("servers/w-77", msgspec.json.encode(record), revision),
+        MirrorEvent("servers/i-1", msgspec.json.encode(RECORD), revision),
+    ]
+    writer.view.apply_changes(writer.view.mirror.apply(events, revision, 0.0))
+    assert configured == [True]
+    assert list(writer.view.instances) == [FIRST]
+
+
 def test_a_restarted_instance_is_no_longer_in_its_group() -> None:
     """Otherwise callers of its group wait for a VM without a loaded model.
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -250,6 +250,7 @@
         _make_record(address="nowhere"),
         _make_record(address="10.0.0.1:http"),
         _make_record(address="10.0.0.1:0"),
+        _make_record(address="10.0.0.1:" + "8" * 5000),
         _make_record(zone=7),
         _make_record(staged="small"),
         _make_record(models={"name": "large"}),
