Decoders: no value from outside raises anything but its decoder's error

core/decoding.py has what decoders share. Records of VMs and of the holder without usable addresses are refused.

--- a/src/zinniaspool/cli/asking.py
+++ b/src/zinniaspool/cli/asking.py
@@ -14,6 +14,7 @@
 import typer
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.ids import Address
 from zinniaspool.http import Headers, HttpClient, Request, TransportError
 
@@ -111,7 +112,7 @@
         return Err(_ERRORS_BY_STATUS.get(status, f"status {status}"))
     try:
         return Ok(msgspec.json.decode(body))
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return Err("the response is not JSON")
 
 
--- a/src/zinniaspool/control/engines.py
+++ b/src/zinniaspool/control/engines.py
@@ -9,6 +9,7 @@
 import msgspec
 import structlog
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.ids import Address, VmId
 from zinniaspool.core.plans import EngineReport, Order
 from zinniaspool.http import Headers, HttpClient, Request, TransportError
@@ -119,7 +120,7 @@
             if status != _OK:
                 return None
             return msgspec.json.decode(body, type=EngineReport)
-        except (TransportError, msgspec.MsgspecError):
+        except (TransportError, *DECODE_ERRORS):
             return None
 
     async def _send_order(
--- a/src/zinniaspool/control/fleet.py
+++ b/src/zinniaspool/control/fleet.py
@@ -3,8 +3,7 @@
 import asyncio
 import time
 
-import msgspec
-
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.groups import EvidenceTable, OtherDomainsView
 from zinniaspool.core.groups.beats import (
@@ -60,7 +59,7 @@
             if not notice.key.startswith(BEAT_PREFIX):
                 return None
             heartbeat = decode_heartbeat(notice.payload)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             return None
         now = asyncio.get_running_loop().time()
         self._evidence.apply_heartbeat(heartbeat, notice.age_s, now)
--- a/src/zinniaspool/control/leases.py
+++ b/src/zinniaspool/control/leases.py
@@ -6,6 +6,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.ids import FabricDomainId, NodeId, Revision
 from zinniaspool.core.plans import DomainPlan
 from zinniaspool.store import LeaseId, Store, StoreFault, swap_and_confirm
@@ -111,7 +112,7 @@
             return Ok((DomainPlan(self._domain), Revision(0)))
         try:
             stored = msgspec.json.decode(value.value, type=StoredPlan)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             _log.error("plan-unreadable", domain=self._domain, error=str(error))
             return Err(StoreFault.UNKNOWN)
         return Ok((stored.plan, value.revision))
@@ -125,7 +126,7 @@
         for value in read.ok_value.values:
             try:
                 plans.append(msgspec.json.decode(value.value, type=StoredPlan).plan)
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 _log.error("plan-unreadable", key=value.key, error=str(error))
         return Ok(plans)
 
--- a/src/zinniaspool/core/configuration/holding.py
+++ b/src/zinniaspool/core/configuration/holding.py
@@ -11,6 +11,7 @@
     hash_content,
     join_parts,
 )
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Revision
 from zinniaspool.core.messages.configuration import (
@@ -149,7 +150,7 @@
         completed, self.pending = self.pending, None
         try:
             configuration = join_parts(completed.parts, self._contents)
-        except (KeyError, msgspec.MsgspecError):
+        except (KeyError, *DECODE_ERRORS):
             self.unreadable = completed.revision
             return None
         self._previous, self.active = self.active, completed
--- a/src/zinniaspool/core/dispatch/streams.py
+++ b/src/zinniaspool/core/dispatch/streams.py
@@ -8,6 +8,8 @@
 
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import parse_count
+
 __all__ = ["EventCursor", "StreamFault"]
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -113,4 +115,4 @@
     if start < 0:
         return None
     text = events[start : events.find(b"\n", start)].strip()
-    return int(text) if text.isdigit() else None
+    return parse_count(text.decode("latin-1"))
--- a/src/zinniaspool/core/fleet/nodes.py
+++ b/src/zinniaspool/core/fleet/nodes.py
@@ -1,9 +1,11 @@
 """The records that zinniaspool itself writes to the store, and their keys."""
 
+from collections.abc import Iterable
 from enum import Enum
 
 import msgspec
 
+from zinniaspool.core.decoding import is_address, shorten
 from zinniaspool.core.fleet.instances import InstanceId
 from zinniaspool.core.ids import Address, FailureDomainId, NodeId
 
@@ -66,6 +68,13 @@
     control_address: Address = Address("")
     has_upstream_path: bool = True
 
+    def find_fault(self) -> str | None:
+        """Return why other processes can't use the record, or None."""
+        addresses = [self.caller_address, self.peer_address]
+        if self.control_address:
+            addresses.append(self.control_address)
+        return _find_address_fault(addresses)
+
 
 class QuarantineRecord(msgspec.Struct, frozen=True):
     """A trait that is quarantined because upstreams crashed on it.
@@ -93,3 +102,12 @@
     node: NodeId
     peer_address: Address
     start: str
+
+    def find_fault(self) -> str | None:
+        """Return why other processes can't use the record, or None."""
+        return _find_address_fault([self.peer_address])
+
+
+def _find_address_fault(addresses: Iterable[Address]) -> str | None:
+    wrong = [address for address in addresses if not is_address(address)]
+    return f"not an IP address and port: {shorten(wrong[0])!r}" if wrong else None
--- a/src/zinniaspool/core/membership/members.py
+++ b/src/zinniaspool/core/membership/members.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.ids import Address, FailureDomainId, Incarnation, NodeId
 
 __all__ = ["Liveness", "Member", "MemberRecord", "MemberState", "MemberTable", "Role"]
@@ -115,7 +116,7 @@
     """Decode a notice's payload; return None if it is not a known record."""
     try:
         return _record_decoder.decode(payload)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/zinniaspool/core/requests/sessions.py
+++ b/src/zinniaspool/core/requests/sessions.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.ids import IdempotencyKey, Incarnation, NodeId
 
 __all__ = ["Session", "SessionAge", "classify_age", "encode_session", "parse_key"]
@@ -93,7 +94,7 @@
     try:
         padded = encoded + "=" * (-len(encoded) % 4)
         session = _decoder.decode(base64.urlsafe_b64decode(padded))
-    except (binascii.Error, ValueError, msgspec.MsgspecError):
+    except (binascii.Error, ValueError, *DECODE_ERRORS):
         return None
     return ParsedKey(key, session)
 
--- a/src/zinniaspool/entry/claims.py
+++ b/src/zinniaspool/entry/claims.py
@@ -11,6 +11,7 @@
 import structlog
 from result import Err
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.ids import Revision
 from zinniaspool.core.requests.claims import (
     SLOT_COUNT,
@@ -233,7 +234,7 @@
             return StoreResponse(OperationOutcome.FAILED)
         try:
             claims = msgspec.json.decode(found.ok_value.value, type=tuple[Claim, ...])
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             _log.error("claims-unreadable", slot=slot, archive=number)
             return StoreResponse(OperationOutcome.FAILED)
         return StoreResponse(OperationOutcome.DONE, claims=claims)
@@ -263,5 +264,5 @@
 def _decode_head(value: str) -> SlotHead | None:
     try:
         return msgspec.json.decode(value, type=SlotHead)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/src/zinniaspool/entry/fleet.py
+++ b/src/zinniaspool/entry/fleet.py
@@ -3,8 +3,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
-import msgspec
-
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.deployment import Configuration, ModelRule, Vm
 from zinniaspool.core.groups import EvidenceTable
 from zinniaspool.core.groups.beats import (
@@ -72,7 +71,7 @@
             elif notice.key.startswith(BEAT_PREFIX):
                 heartbeat = decode_heartbeat(notice.payload)
                 self.evidence.apply_heartbeat(heartbeat, notice.age_s, now)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             # The notice has an unknown version, so its groups count as absent.
             return
 
--- a/src/zinniaspool/entry/handover.py
+++ b/src/zinniaspool/entry/handover.py
@@ -7,6 +7,7 @@
 import structlog
 from result import Err
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.errors import Fault
 from zinniaspool.core.ids import Revision
 from zinniaspool.core.requests.claims import find_slot
@@ -122,7 +123,7 @@
 def _decode(value: str) -> tuple[_StoredRecord, ...]:
     try:
         return msgspec.json.decode(value, type=_Page).records
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return ()
 
 
--- a/src/zinniaspool/entry/relay.py
+++ b/src/zinniaspool/entry/relay.py
@@ -16,6 +16,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import parse_count
 from zinniaspool.core.errors import ErrorKind, Fault
 from zinniaspool.core.ids import CustomerId, ModelVersion, RequestId, UpstreamId
 from zinniaspool.core.requests import (
@@ -440,10 +441,9 @@
         now = asyncio.get_running_loop().time()
         attempt.latency_s = now - attempt.began_at
         headers = response.headers
-        running = headers.get("x-load-running")
-        if running is not None and running.isdecimal():
-            waiting = headers.get("x-load-waiting") or "0"
-            load = int(running) + (int(waiting) if waiting.isdecimal() else 0)
+        running = parse_count(headers.get("x-load-running") or "")
+        if running is not None:
+            load = running + (parse_count(headers.get("x-load-waiting") or "") or 0)
             counted_at = now - _LOAD_REPORT_LAG_S
             run.pool.record_load(attempt.state, load, counted_at, now)
         if headers.get("x-leaving") is not None:
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-import msgspec
 import structlog
 from result import Err
 
+from zinniaspool.core.decoding import decode_json
 from zinniaspool.core.fleet import (
     HELD_PREFIX,
     HOLDER_KEY,
@@ -40,7 +40,7 @@
 __all__ = ["FleetView", "RecordArrival"]
 
 _log = structlog.get_logger(__name__)
-_T = TypeVar("_T")
+_RecordT = TypeVar("_RecordT", NodeRecord, HolderRecord)
 
 UNREACHABLE_TTL_S = 4.0
 """For how long the holder's last list of unreachable instances is used, in
@@ -522,7 +522,7 @@
         if change.after is None:
             self.nodes.pop(node, None)
             return
-        record = _decode(change.after.value, NodeRecord)
+        record = _decode(change.key, change.after.value, NodeRecord)
         if record is not None:
             self.nodes[node] = record
 
@@ -532,14 +532,20 @@
 
     def _apply_holder(self, change: MirrorChange) -> None:
         value = None if change.after is None else change.after.value
-        self.holder = None if value is None else _decode(value, HolderRecord)
+        self.holder = (
+            None if value is None else _decode(change.key, value, HolderRecord)
+        )
         node = None if self.holder is None else self.holder.node
         _log.info("holder-changed", holder=node or "none")
 
 
-def _decode(value: bytes, kind: type[_T]) -> _T | None:
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
-        _log.error("record-unreadable", kind=kind.__name__, reason=str(error))
+def _decode(key: str, value: bytes, kind: type[_RecordT]) -> _RecordT | None:
+    decoded = decode_json(value, kind)
+    if isinstance(decoded, Err):
+        _log.error("record-unreadable", key=key, reason=decoded.err_value)
+        return None
+    fault = decoded.ok_value.find_fault()
+    if fault is not None:
+        _log.error("record-unreadable", key=key, reason=fault)
         return None
+    return decoded.ok_value
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -12,10 +12,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
 import structlog
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.fleet import (
     FANOUT,
     HolderRecord,
@@ -395,7 +395,7 @@
             self._view.retention.receive_report(update.retained, update.leader_age_s)
         try:
             self._apply_update(update)
-        except (zlib.error, msgspec.MsgspecError) as error:
+        except (zlib.error, *DECODE_ERRORS) as error:
             _log.error("news-unreadable", address=address, reason=str(error))
             return False
         holder = self._view.holder
--- a/src/zinniaspool/gateway/records.py
+++ b/src/zinniaspool/gateway/records.py
@@ -11,6 +11,7 @@
 import structlog
 from result import Err
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.dispatch import Quarantine, find_terms
 from zinniaspool.core.fleet import HELD_PREFIX, QuarantineRecord
 from zinniaspool.core.ids import NodeId, Revision, TraitId
@@ -66,7 +67,7 @@
             return None
         try:
             return msgspec.json.decode(item.value, type=QuarantineRecord)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             _log.warning("quarantine-record-unreadable", trait=trait, reason=str(error))
             return None
 
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -12,6 +12,7 @@
 
 import h11
 
+from zinniaspool.core.decoding import parse_count
 from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http.connector import Connector
 from zinniaspool.http.messages import (
@@ -622,6 +623,7 @@
         return _IDLE_S
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
-            return min(_IDLE_S, int(value) * _KEEP_ALIVE_PART)
+        timeout_s = parse_count(value)
+        if name.lower() == "timeout" and timeout_s is not None:
+            return min(_IDLE_S, timeout_s * _KEEP_ALIVE_PART)
     return _IDLE_S
--- a/src/zinniaspool/keeper/plans.py
+++ b/src/zinniaspool/keeper/plans.py
@@ -4,6 +4,7 @@
 import structlog
 from result import Err
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.fleet import HOLDER_KEY, PLANS_PREFIX, StoreMirror
 from zinniaspool.core.formation import DomainPlan
 from zinniaspool.core.ids import FabricDomainId, Revision
@@ -34,7 +35,7 @@
             domain = FabricDomainId(item.key.removeprefix(PLANS_PREFIX))
             try:
                 plans.append(msgspec.json.decode(item.value, type=DomainPlan))
-            except msgspec.MsgspecError as error:
+            except DECODE_ERRORS as error:
                 _log.error("plan-unreadable", domain=domain, reason=str(error))
         return plans
 
--- a/src/zinniaspool/node/access.py
+++ b/src/zinniaspool/node/access.py
@@ -4,8 +4,7 @@
 from pathlib import Path
 from typing import TypeVar
 
-import msgspec
-
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.node.files import (
     CredentialFile,
     FileReloader,
@@ -63,7 +62,7 @@
         """
         try:
             source = load_source()
-        except (OSError, ValueError, msgspec.MsgspecError) as error:
+        except (OSError, ValueError, *DECODE_ERRORS) as error:
             # Only the type of the error is shown, since its text may quote
             # the file, which holds secrets.
             found = f"nothing usable ({type(error).__name__})"
--- a/src/zinniaspool/node/files.py
+++ b/src/zinniaspool/node/files.py
@@ -8,9 +8,10 @@
 from pathlib import Path
 from typing import Generic, Protocol, TypeVar
 
-import msgspec
 import structlog
 
+from zinniaspool.core.decoding import DECODE_ERRORS
+
 __all__ = ["CredentialFile", "FileReloader", "PeerSecrets", "Reloadable"]
 
 _log = structlog.get_logger(__name__)
@@ -83,7 +84,7 @@
             files = ",".join(path.name for path in source.paths)
             try:
                 source.load()
-            except (OSError, ValueError, msgspec.MsgspecError) as error:
+            except (OSError, ValueError, *DECODE_ERRORS) as error:
                 # Only the type of the error is logged, since its text may
                 # quote the file, which holds secrets.
                 _log.error(
--- a/src/zinniaspool/node/follower.py
+++ b/src/zinniaspool/node/follower.py
@@ -27,6 +27,7 @@
     WatchRoot,
     decode_root,
 )
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.deployment import Configuration
 from zinniaspool.core.ids import Address, NodeId, Revision
 from zinniaspool.core.membership import Notice, Topic
@@ -231,5 +232,5 @@
 def _decode_root_or_none(value: str) -> Root | None:
     try:
         return decode_root(value)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return None
--- a/src/zinniaspool/peers/frames.py
+++ b/src/zinniaspool/peers/frames.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.messages import Message
 
 __all__ = [
@@ -112,7 +113,7 @@
 def _decode(body: bytes) -> Message | UnknownMessage:
     try:
         return _decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         tag = _decode_tag(body)
         if tag is None or tag in _KNOWN_TAGS:
             raise FrameError(str(error)) from error
@@ -122,7 +123,7 @@
 def _decode_tag(body: bytes) -> str | None:
     try:
         return _tag_decoder.decode(body).type
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -7,12 +7,12 @@
 """
 
 import re
-from ipaddress import ip_address
 from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import MAX_COUNT, decode_json, is_address, shorten
 from zinniaspool.core.fleet import (
     EngineStatus,
     Instance,
@@ -45,21 +45,11 @@
 """Prefix of the operator's evacuation orders; the rest of a key names the
 failure domain."""
 
-_MAX_COUNT = 2**53
-"""Largest integer that every JSON codec preserves. Epochs and counts are far
-below it, and a larger number could not be passed on to other processes."""
-
-_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 _ID = re.compile(r"[\w.:-]{1,128}", re.ASCII)
 """Ids that are valid in a header field."""
 
-_PORT = re.compile(r"[0-9]{1,5}")
-"""``int`` raises on a text of thousands of digits."""
-
-_MAX_PORT = 65535
-"""Largest TCP port; ports have sixteen bits."""
-
 
 class _Group(msgspec.Struct):
     name: str
@@ -97,8 +87,8 @@
     models: list[_Model] = []
     staged: list[str] = []
     group: _Group | None = None
-    waiting: int = 0
-    running: int = 0
+    waiting: _Count = 0
+    running: _Count = 0
     # Above 1, the VM takes this many times as long as it should.
     pace: float = 1.0
     state: str = ""
@@ -109,8 +99,6 @@
     "ready": InstanceState.READY,
     "draining": InstanceState.LEAVING,
 }
-# What decoding raises; a deeply nested value exceeds its recursion limit.
-_DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 
 def decode_instance(key: str, value: bytes) -> Result[Instance, str]:
@@ -118,15 +106,15 @@
     instance = key.removeprefix(INSTANCES_PREFIX)
     if not _ID.fullmatch(instance):
         return Err("the id is not valid in a header field")
-    try:
-        raw = msgspec.json.decode(value, type=_InstanceRecord)
-    except _DECODE_ERRORS as error:
-        return Err(str(error))
+    decoded = decode_json(value, _InstanceRecord)
+    if isinstance(decoded, Err):
+        return decoded
+    raw = decoded.ok_value
     state = _INSTANCE_STATES.get(raw.state)
     if state is None:
-        return Err(f"unknown state {raw.state!r}")
-    if not _is_ip_and_port(raw.address):
-        return Err(f"not an IP address and port: {raw.address!r}")
+        return Err(f"unknown state {shorten(raw.state)!r}")
+    if not is_address(raw.address):
+        return Err(f"not an IP address and port: {shorten(raw.address)!r}")
     membership = _decode_membership(raw.group)
     if isinstance(membership, Err):
         return membership
@@ -151,11 +139,10 @@
 
 def apply_status(value: bytes, status: EngineStatus) -> Result[bytes, str]:
     """Return an instance record updated by its engine's status."""
-    try:
-        record = msgspec.json.decode(value, type=dict[str, object])
-    except _DECODE_ERRORS as error:
-        return Err(str(error))
-    membership = status.membership
+    decoded = decode_json(value, dict[str, object])
+    if isinstance(decoded, Err):
+        return decoded
+    record, membership = decoded.ok_value, status.membership
     record["staged"] = list(status.staged)
     record["models"] = [] if status.model is None else [{"name": status.model}]
     record["group"] = None
@@ -170,10 +157,10 @@
 
 def decode_status(body: bytes) -> Result[EngineStatus, str]:
     """Return the status of an engine's answer, or why it is invalid."""
-    try:
-        raw = msgspec.json.decode(body, type=_Report)
-    except _DECODE_ERRORS as error:
-        return Err(str(error))
+    decoded = decode_json(body, _Report)
+    if isinstance(decoded, Err):
+        return decoded
+    raw = decoded.ok_value
     membership = _decode_membership(raw.group)
     if isinstance(membership, Err):
         return membership
@@ -196,18 +183,9 @@
         return Ok(None)
     state = _STATES.get(raw.state)
     if state is None:
-        return Err(f"unknown group state {raw.state!r}")
+        return Err(f"unknown group state {shorten(raw.state)!r}")
     return Ok(Membership(GroupId(raw.name), Epoch(raw.epoch), raw.rank, state))
 
 
 def _decode_start(raw: int | msgspec.UnsetType) -> int | None:
     return None if isinstance(raw, msgspec.UnsetType) else raw
-
-
-def _is_ip_and_port(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    try:
-        ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return bool(_PORT.fullmatch(port)) and 0 < int(port) <= _MAX_PORT
--- a/src/zinniaspool/platform/kvstore.py
+++ b/src/zinniaspool/platform/kvstore.py
@@ -13,6 +13,7 @@
 import structlog
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import DECODE_ERRORS, parse_count
 from zinniaspool.core.fleet import HOLDER_KEY, MirrorEvent, StoredItem
 from zinniaspool.core.generations import (
     MAX_GENERATION,
@@ -353,7 +354,7 @@
     One that a revision can't hold counts as not named.
     """
     text = headers.get(_GENERATION) or ""
-    generation = int(text) if text.isdecimal() else None
+    generation = parse_count(text)
     if generation is not None and generation > MAX_GENERATION:
         _log.error("generation-unusable", generation=generation)
         return None
@@ -363,7 +364,7 @@
 def _decode(body: bytes, kind: type[_T]) -> Result[_T, StoreFault]:
     try:
         return Ok(msgspec.json.decode(body, type=kind))
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return Err(StoreFault.UNKNOWN)
 
 
--- a/src/zinniaspool/platform/rules.py
+++ b/src/zinniaspool/platform/rules.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import DECODE_ERRORS, MAX_COUNT, shorten
 from zinniaspool.core.fleet import (
     CallerLimits,
     Catalog,
@@ -23,6 +24,9 @@
 
 RULES_KEY = "op/config"
 
+MAX_NUMBER = 1e15
+"""Largest amount of a route. A text may also spell an infinite one."""
+
 MIN_CALLER_TIMEOUT_S = 2.0
 CALLER_TIMEOUT_OBJECTIVES = 4.0
 CALLER_TIMEOUT_PAUSES = 8.0
@@ -32,11 +36,13 @@
 
 
 _Amount = Annotated[float, msgspec.Meta(ge=0)]
+_Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 
 
 class _Weighted(msgspec.Struct):
     service: str
-    weight: float = 0.0
+    weight: _Number = 0.0
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -44,25 +50,25 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
+    timeout_ms: _Number
     # The latency objective; of a stream, until its first event.
-    target_latency_ms: float = 0.0
-    priority: int = 5
+    target_latency_ms: _Number = 0.0
+    priority: _Integer = 5
     service: str = ""
     # Replaces `service` where several services share the route's requests.
     traffic_split: list[_Weighted] = []
-    max_attempts: int = 1
+    max_attempts: _Integer = 1
     allow_anonymous: bool = False
     # Set on routes whose requests name a model and the parts of a prompt.
     sticky_sessions: bool = False
     stream_resume: bool = False
     # Longest pause between events that is on time.
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: _Number = 0.0
 
 
 class _Model(msgspec.Struct, rename="kebab"):
     name: str
-    size: int = 1
+    size: _Integer = 1
     share: float = 0.0
     pace: float = 1.0
     load_s: float = 0.0
@@ -70,17 +76,17 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
+    slots: _Integer = 1
     models: list[_Model] = []
-    stride: int = 1
+    stride: _Integer = 1
     step_ms: float = 1.0
     per_seq_ms: float = 0.0
     read_per_s: float = 1e6
-    chunk: int = 2048
+    chunk: _Integer = 2048
     loads_per_s: float = msgspec.field(default=1.0, name="loads-per-s")
-    loads_at_once: int = 1
+    loads_at_once: _Integer = 1
     form_ms: float = msgspec.field(default=0.0, name="form-ms")
-    keeps: int = 1
+    keeps: _Integer = 1
 
 
 class _Service(msgspec.Struct, rename="kebab"):
@@ -93,8 +99,8 @@
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
+    max_header_bytes: _Integer = 16384
+    max_body_bytes: _Integer = 4194304
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15000.0
 
@@ -102,11 +108,11 @@
 class _Tenant(msgspec.Struct, rename="kebab"):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _Integer | None = None
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Integer
     # `decode_rules` converts each route by itself, and not strictly.
     routes: list[Any] = []
     services: list[_Service] = []
@@ -131,8 +137,8 @@
             _decode_route(msgspec.convert(raw, _Route, strict=False))
             for raw in config.routes
         ]
-    except msgspec.MsgspecError as error:
-        return Err(str(error))
+    except DECODE_ERRORS as error:
+        return Err(shorten(str(error)))
     by_host: dict[str, list[RouteSpec]] = {}
     for route in routes:
         by_host.setdefault(route.host, []).append(route)
--- a/src/zinniaspool/platform/wire.py
+++ b/src/zinniaspool/platform/wire.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Iterable
 
+from zinniaspool.core.decoding import parse_count
 from zinniaspool.core.dispatch import InstanceLoad, InstanceNotice, RequestTerms
 from zinniaspool.core.fleet import CustomerSpec, InstanceId
 from zinniaspool.core.ids import ModelName, PromptPartId, RequestId
@@ -263,7 +264,7 @@
 
 
 def _parse_integer(text: str | None) -> int | None:
-    return int(text) if text is not None and text.strip().isdecimal() else None
+    return None if text is None else parse_count(text)
 
 
 def _parse_integers(text: str | None) -> list[int]:
--- a/src/zinniaspool/store/client.py
+++ b/src/zinniaspool/store/client.py
@@ -11,6 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.ids import Address, Revision
 from zinniaspool.core.storage import StoreFault
 from zinniaspool.http import (
@@ -252,7 +253,7 @@
         return Err(StoreFault.NO_LEASE)
     try:
         return Ok(msgspec.json.decode(response.ok_value.body, type=kind))
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return Err(StoreFault.UNKNOWN)
 
 
--- a/src/zinniaspool/store/configurations.py
+++ b/src/zinniaspool/store/configurations.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-import msgspec
 from result import Err, Ok, Result
 
 from zinniaspool.core.configuration import (
@@ -27,6 +26,7 @@
     hash_parts,
     make_history_key,
 )
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.ids import Revision
 from zinniaspool.store.client import Store, StoreFault, StoreValue
 
@@ -358,7 +358,7 @@
         if isinstance(found, Ok) and found.ok_value is not None:
             try:
                 decode_root(found.ok_value.value)
-            except msgspec.MsgspecError:
+            except DECODE_ERRORS:
                 return Err(StoreFault.UNKNOWN)
         return found
 
--- a/src/zinniaspool/store/vmlist.py
+++ b/src/zinniaspool/store/vmlist.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import DECODE_ERRORS
 from zinniaspool.core.ids import Address
 from zinniaspool.core.plans import VmListing
 from zinniaspool.core.storage import StoreFault
@@ -32,5 +33,5 @@
         return Err(StoreFault.UNAVAILABLE)
     try:
         return Ok(msgspec.json.decode(body, type=tuple[VmListing, ...]))
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return Err(StoreFault.UNAVAILABLE)
