Fleet view: a listener that fails keeps no other from being called

An exception of one listener ended `apply_changes`, and with it the follower's task. The change was in the mirror by then and came to no other listener again: an entry process could miss its configuration, a quarantine or an evacuation.

Failures are logged (`listener-failed`) and the next listener is called.

--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -33,6 +33,7 @@
 from zinniaspool.core.generations import format_revision
 from zinniaspool.core.ids import FailureDomainId, NodeId, TraitId
 from zinniaspool.fleet.evacuations import EvacuationOrders
+from zinniaspool.fleet.listeners import call_listeners
 from zinniaspool.fleet.retention import RecordRetention
 from zinniaspool.fleet.sight import read_boot_clock
 from zinniaspool.fleet.spelling import FleetCodec
@@ -285,8 +286,7 @@
             self._notify(self.on_instances)
 
     def _notify(self, listeners: list[Callable[[], None]]) -> None:
-        for listener in (*listeners, *self.on_change):
-            listener()
+        call_listeners((*listeners, *self.on_change))
 
     def _find_service(self, instance: Instance) -> ServiceSpec | None:
         if self.catalog is None:
@@ -343,15 +343,12 @@
             (self.on_catalog, self.on_instances, self.on_nodes)
         ):
             if number in listeners:
-                for listener in group:
-                    listener()
+                call_listeners(group)
         self._set_quarantined(frozenset(quarantined), frozenset(lost_traits))
         if is_restored:
-            for restore_listener in self.on_restored:
-                restore_listener(frozenset(lost_traits))
+            call_listeners(self.on_restored, frozenset(lost_traits))
         if changes:
-            for listener in self.on_change:
-                listener()
+            call_listeners(self.on_change)
 
     def _update_generation(self) -> bool:
         """Return whether the mirror now shows another generation."""
@@ -402,8 +399,7 @@
         added, removed = quarantined - before, before - quarantined - lost
         if not added and not removed:
             return
-        for listener in self.on_quarantine:
-            listener(added, removed)
+        call_listeners(self.on_quarantine, added, removed)
 
     def _apply_rules(self, change: MirrorChange) -> None:
         if change.after is None:
@@ -461,8 +457,7 @@
         written = (
             change.before is None or change.before.revision < change.after.revision
         )
-        for listener in self.on_record:
-            listener(RecordArrival(record, written, is_new))
+        call_listeners(self.on_record, RecordArrival(record, written, is_new))
 
     def _reject_record(
         self, instance: InstanceId, key: str, reason: str, *, keep: bool = False
--- a/src/zinniaspool/fleet/evacuations.py
+++ b/src/zinniaspool/fleet/evacuations.py
@@ -6,6 +6,7 @@
 
 from zinniaspool.core.fleet import MirrorChange
 from zinniaspool.core.ids import FailureDomainId
+from zinniaspool.fleet.listeners import call_listeners
 
 __all__ = ["EvacuationListener", "EvacuationOrders"]
 
@@ -64,5 +65,4 @@
                 _log.warning("evacuation-domain-unknown", domain=domain)
         for domain in sorted(ended):
             _log.info("evacuation-ended", domain=domain)
-        for listener in self.listeners:
-            listener(began, ended)
+        call_listeners(self.listeners, began, ended)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -53,6 +53,8 @@
         "dump-written": "A state dump was written on request of a signal.",
         "handler-failed": "An internal error occurred in one request; its connection "
         "was cut.",
+        "listener-failed": "An internal error occurred in a function that is called "
+        "when the view of the fleet changes; the others are called.",
         "library-message": "A library logged a warning or an error.",
         "notice-unreadable": "A peer's notice could not be decoded and was dropped.",
         "keeper-failed": "An internal error occurred in the control of one domain; "
--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -1,12 +1,15 @@
 """Values from outside that can't be read, among values that can."""
 
 import json
+from collections import Counter
+from collections.abc import Callable
 from functools import partial
 
 import msgspec
 import pytest
 from hypothesis import example, given, strategies as st
 from result import Result
+from structlog.testing import capture_logs
 
 from zinniaspool.core.decoding import is_address, parse_count
 from zinniaspool.core.dispatch.streams import EventCursor
@@ -282,3 +285,47 @@
         assert view.holder is None or is_address(view.holder.peer_address)
         assert "hall-b" in view.evacuated
         assert {"catalog", "nodes", "change"} <= set(called)
+
+
+@given(failing=st.sets(st.integers(0, 13)))
+def test_a_listener_that_fails_keeps_no_other_from_being_called(
+    failing: set[int],
+) -> None:
+    """Guards against a process that never learns of a change."""
+    view = FleetView(PlatformCodec())
+    called: list[str] = []
+    groups: dict[str, list[Callable[..., None]]] = {
+        "catalog": view.on_catalog,
+        "record": view.on_record,
+        "instances": view.on_instances,
+        "nodes": view.on_nodes,
+        "evacuation": view.on_evacuation,
+        "quarantine": view.on_quarantine,
+        "change": view.on_change,
+    }
+
+    def listen(name: str, fails: bool, *_: object) -> None:
+        called.append(name)
+        if fails:
+            raise RuntimeError(name)
+
+    for number, (name, listeners) in enumerate(groups.items()):
+        for place in range(2):
+            fails = number * 2 + place in failing
+            listeners.append(partial(listen, name, fails))
+    events = [
+        MirrorEvent(key, json.dumps(value).encode(), Revision(1))
+        for key, value in (
+            ("op/config", make_rules(1, ["key"])),
+            ("servers/i-1", INSTANCE),
+            ("zinnia/nodes/n7", NODE),
+            ("op/evacuate/hall-b", {}),
+            ("zinnia/held/c:1", QUARANTINE),
+        )
+    ]
+    changes = view.mirror.apply(events, Revision(1), 0.0)
+    with capture_logs() as lines:
+        view.apply_changes(changes)
+    assert Counter(called) == dict.fromkeys(groups, 2)
+    logged = [line for line in lines if line["event"] == "listener-failed"]
+    assert len(logged) == len(failing)
