Holder: a process that fails to plan, or stands still, gives up the key

`run_supervised` began `GroupHolder.run` anew after a failure, which then waited for `acquired` for good: the process had the holder's key, announced itself, and nobody planned groups any more. Planning that waited for something without end had the same effect, and nothing noticed it.

A term now ends when planning fails or makes no progress for four seconds. The process logs it (`duty-failed`, `holder-failed`), stops its tasks and removes the key; for three seconds others go first. While the store is down nobody could take over, so the key is kept and planning begins anew. A process that can't read the configuration waits a second longer as a candidate. A plan whose write raises is handed back to the planner, which waited for its outcome.

--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -159,6 +159,11 @@
         """All instances by their ids."""
         return self.instance_table.by_id
 
+    @property
+    def is_configuration_unreadable(self) -> bool:
+        """Whether the store has a configuration, and this process has none."""
+        return self.catalog is None and bool(self.mirror.get(self._codec.rules_key))
+
     @property
     def evacuated(self) -> frozenset[FailureDomainId]:
         """Failure domains whose upstreams must get no requests."""
--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -67,6 +67,14 @@
 seconds. The process that planned before gets the key back meanwhile, although
 the store may have lost it."""
 
+FAILED_TERM_PAUSE_S = 3.0
+"""How long a process that failed to plan leaves the key to others, in
+seconds. If there are none, it takes the key again."""
+
+UNCONFIGURED_DELAY_S = 1.0
+"""How much longer a process waits that can't read the configuration, in
+seconds. One that has started before still has the last one."""
+
 MAX_JITTER_S = 0.1
 """Longest random delay of a candidate, in seconds. It spreads the candidates,
 so that mostly a single write decides the election."""
@@ -126,6 +134,7 @@
         self._record = HolderRecord(node, address, secrets.token_hex(6))
         self._candidacy_delay_s = candidacy_delay_s
         self._provisional_until = float("-inf")
+        self._candidate_from = float("-inf")
         self._predecessor_start = ""
 
     @property
@@ -192,6 +201,8 @@
             elif self.holds_key:
                 await self._check_store_outage()
             elif self.store_answers:
+                if read_boot_clock() < self._candidate_from:
+                    continue
                 if await self._is_vacant():
                     await self._write_key()
             else:
@@ -204,6 +215,18 @@
         revision, self.revision = self.revision, Revision(0)
         await self._store.commit([(HOLDER_KEY, revision)], [], [HOLDER_KEY])
 
+    async def give_up(self) -> None:
+        """Let another process plan, since this one failed to.
+
+        While the store doesn't answer, no other process could acquire the key,
+        and this one keeps it.
+        """
+        if not self.holds_key or not self.store_answers:
+            return
+        _log.error("holder-failed", node=self._record.node)
+        self._candidate_from = read_boot_clock() + FAILED_TERM_PAUSE_S
+        await self.resign()
+
     async def _check_store_outage(self) -> None:
         """Find out whether the store is down for all or only for this VM."""
         age_s = read_boot_clock() - self._fleet_view.store_confirmed_at
@@ -255,9 +278,7 @@
             return False
         holder = self._fleet_view.holder
         if holder is None:
-            await asyncio.sleep(
-                self._candidacy_delay_s + random.random() * MAX_JITTER_S
-            )
+            await self._wait_as_candidate()
             return self._fleet_view.holder is None
         if holder.node == self._record.node:
             # An earlier start of this process wrote the key.
@@ -274,7 +295,7 @@
         timeout_s = ENDED_HOLDER_TIMEOUT_S if ended else HOLDER_TIMEOUT_S
         if self._heartbeat.compute_age_s(holder) < timeout_s:
             return False
-        await asyncio.sleep(self._candidacy_delay_s + random.random() * MAX_JITTER_S)
+        await self._wait_as_candidate()
         addresses = [
             record.peer_address
             for record in self._fleet_view.nodes.values()
@@ -290,6 +311,13 @@
             return False
         return self._fleet_view.holder == holder
 
+    async def _wait_as_candidate(self) -> None:
+        """Wait for processes that are better placed to plan."""
+        delay_s = self._candidacy_delay_s + random.random() * MAX_JITTER_S
+        if self._fleet_view.is_configuration_unreadable:
+            delay_s += UNCONFIGURED_DELAY_S
+        await asyncio.sleep(delay_s)
+
     async def _reclaim_key(self) -> None:
         """Get the key at its revision in the store's new generation.
 
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -82,6 +82,13 @@
 neither the store nor the other processes have confirmed that it still may, in
 seconds."""
 
+PROGRESS_CHECK_S = 0.5
+"""Pause between two checks whether planning makes progress, in seconds."""
+
+MAX_IDLE_CHECKS = 8
+"""Consecutive checks without progress after which the term ends. A process
+that was suspended counts one check."""
+
 SAVED_CHECK_PAUSE_S = 0.02
 """Pause between checks whether all plans are in the store, in seconds."""
 
@@ -92,6 +99,10 @@
 for the other groups."""
 
 
+class PlanningStalledError(Exception):
+    """Planning has made no progress for seconds."""
+
+
 class GroupHolder:
     """Plans replica groups while this process is the holder.
 
@@ -136,6 +147,7 @@
         self._changed = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._planner: FormationPlanner | None = None
+        self._progress = 0
         self._epoch = 0
         self._saving = 0
         self._unsaved: set[FabricDomainId] = set()
@@ -156,15 +168,57 @@
         fleet_view.on_evacuation.append(lambda *_: self._changed.set())
 
     async def run(self) -> None:
-        """Plan whenever this process has the holder's key, until cancelled."""
+        """Plan whenever this process has the holder's key, until cancelled.
+
+        Raises:
+            PlanningStalledError: Planning made no progress for seconds.
+        """
         while True:
-            await self._election.acquired.wait()
+            if not self._election.holds_key:
+                await self._election.acquired.wait()
             self._election.acquired.clear()
-            while self._election.holds_key:
-                if self._election.may_plan and self._fleet_view.catalog is not None:
-                    await self._plan_groups()
-                else:
-                    await asyncio.sleep(NOT_ALLOWED_PAUSE_S)
+            if self._election.may_plan and self._fleet_view.catalog is not None:
+                await self._run_term()
+            else:
+                await asyncio.sleep(NOT_ALLOWED_PAUSE_S)
+
+    async def _run_term(self) -> None:
+        """Plan until the key is lost; give it up if planning fails.
+
+        A process that keeps the key and doesn't plan would keep all others
+        from planning.
+        """
+        planning = asyncio.create_task(self._plan_groups())
+        try:
+            await self._await_end(planning)
+        except Exception:
+            self._end_term()
+            await self._election.give_up()
+            raise
+        finally:
+            planning.cancel()
+        self._end_term()
+
+    async def _await_end(self, planning: asyncio.Task[None]) -> None:
+        """Wait until planning ends, as long as it makes progress.
+
+        Raises:
+            PlanningStalledError: It made no progress for seconds.
+        """
+        seen, idle_checks = self._progress, 0
+        while not planning.done():
+            await asyncio.wait([planning], timeout=PROGRESS_CHECK_S)
+            idle_checks = 0 if self._progress != seen else idle_checks + 1
+            seen = self._progress
+            if idle_checks > MAX_IDLE_CHECKS and not planning.done():
+                raise PlanningStalledError(f"no progress in {idle_checks} checks")
+        await planning
+
+    def _end_term(self) -> None:
+        self._planner = None
+        self._fleet_view.stop_decoding_instances()
+        for task in list(self._tasks):
+            task.cancel()
 
     def check_group(
         self, instance: InstanceId, reported_by: NodeId, pause_s: float = 0.0
@@ -251,6 +305,7 @@
         # those in the store may be from before an outage.
         revision = self._election.revision
         while self._election.holds_key:
+            self._progress += 1
             self._changed.clear()
             if not self._election.may_plan:
                 await asyncio.sleep(NOT_ALLOWED_PAUSE_S)
@@ -294,10 +349,6 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
-        self._planner = None
-        self._fleet_view.stop_decoding_instances()
-        for task in list(self._tasks):
-            task.cancel()
 
     def _handle_restored_store(self, planner: FormationPlanner) -> None:
         """Write all plans again, and query all engines.
@@ -317,6 +368,7 @@
         """
         while self._election.holds_key and not await self._reach.is_online():
             _log.warning("upstreams-unreachable")
+            self._progress += 1
             await asyncio.sleep(OFFLINE_PAUSE_S)
 
     async def _query_all_engines(self, planner: FormationPlanner) -> None:
@@ -376,6 +428,7 @@
 
     async def _refresh_on_both_paths(self, instance: InstanceId) -> bool:
         """Query an engine for the second time, on both paths."""
+        self._progress += 1
         known = self._fleet_view.instances.get(instance)
         if known is None:
             return False
@@ -391,6 +444,7 @@
 
     async def _refresh_status(self, instance: InstanceId) -> bool:
         """Query an engine and apply its status; return whether it answered."""
+        self._progress += 1
         known = self._fleet_view.instances.get(instance)
         if known is None:
             return False
@@ -456,6 +510,10 @@
         self._saving += 1
         try:
             fault = await self._plans.save(plan, self._election.revision)
+        except Exception:
+            # The planner makes no other change of the domain until it is told.
+            planner.on_plan_not_saved(plan.domain)
+            raise
         finally:
             self._saving -= 1
         if fault is None:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -108,6 +108,8 @@
         "planning.",
         "holder-key-rewritten": "The holder wrote its key again, which the store had "
         "lost when it was restored.",
+        "holder-failed": "The holder failed to plan, or made no progress, and gave up "
+        "its key so that another process plans.",
         "holder-lost": "This process is no longer the holder.",
         "holder-taken": "This process is the holder from now on.",
         "instance-gone": "An instance's record was removed or is no longer usable.",
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -149,6 +149,11 @@
         self.holds_key = self.may_plan = self.store_answers = False
         self.provisional = False
         self.revision = Revision(0)
+        self.given_up = 0
+
+    async def give_up(self) -> None:
+        self.given_up += 1
+        self.holds_key = self.may_plan = False
 
     def acquire(self) -> None:
         self.holds_key = self.may_plan = self.store_answers = True
