--- a/src/zinniaspool/core/dispatch/streams.py
+++ b/src/zinniaspool/core/dispatch/streams.py
@@ -8,13 +8,13 @@
 
 from result import Err, Ok, Result
 
+from zinniaspool.core.decoding import parse_count
+
 __all__ = ["EventCursor", "StreamFault"]
 
 MAX_EVENT_BYTES = 1024 * 1024
 """Largest event, in bytes. An upstream that never ends its event must not fill
 the memory."""
-MAX_ID_DIGITS = 18
-"""Longest id of an event that a stream can be resumed after, in digits."""
 
 _ID = b"id:"
 _LINE_ID = b"\nid:"
@@ -118,6 +118,4 @@
     if start < 0:
         return None
     text = events[start : events.find(b"\n", start)].strip()
-    if len(text) > MAX_ID_DIGITS or not text.isdigit():
-        return None
-    return int(text)
+    return parse_count(text.decode("latin-1"))
