Stops: kinds of requests of which nothing was seen are predicted too

Callers of a process that had just been started were refused from its stop signal on, where it had answered no request of their route: nothing was known of such requests.

Change: what isn't known of a route is taken from its service and model, then from the streams in progress and the engine's configured times, then from what the route states (its pause between events, its objective). A step time that isn't configured counts as unknown. The time of a token doesn't count the first one nor the longest pause, which made short streams seem a tenth faster.

--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -30,19 +30,18 @@
 
 MIN_STREAMS = 16
 """Streams from which on their writing times alone are used. Fewer may all have
-ended early."""
+ended early, or run while their upstreams had little to do."""
 
 MAX_RESERVE_S = 2.0
 """Longest time reserved for them, in seconds. An upstream that is silent for
 longer is considered lost."""
 
-LOAD_FACTOR = 1.1
-"""Longest over recent writing time: upstreams work more slowly the more
-requests they have."""
+FEW_STREAMS_FACTOR = 1.05
+"""Longest over recent time of a token while fewer streams were seen."""
 
-UNKNOWN_WRITING_FACTOR = 1.5
-"""Longest over predicted writing time before any stream was seen: passes also
-read the prompts of other requests."""
+LOAD_FACTOR = 1.05
+"""Longest over recent time of a token in any case: an upstream works more
+slowly the more requests it has."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,17 +64,19 @@
 
     @property
     def s_per_token(self) -> float | None:
-        """Writing time for each allowed token, in seconds; None if unknown."""
+        """Time between two tokens, in seconds; None if unknown.
+
+        It is as if the answer had all tokens that it could have had. The
+        first token and the longest pause don't count.
+        """
         if self.allowed_tokens < MIN_STREAM_TOKENS:
             return None
-        return max(0.0, self.writing_s - self.longest_pause_s) / self.allowed_tokens
+        intervals = self.allowed_tokens - 2
+        return max(0.0, self.writing_s - self.longest_pause_s) / intervals
 
 
 class DurationForecast:
-    """Predicts the longest time of requests of one kind.
-
-    A kind is a route, and the model that is asked for.
-    """
+    """Predicts the longest time of requests of one kind."""
 
     def __init__(self) -> None:
         self._answers: deque[AnswerTiming] = deque(maxlen=RECENT_ANSWERS)
@@ -93,40 +94,45 @@
         recent = self._list_recent(now)
         if not recent:
             return None
-        return max(answer.took_s for answer in recent) + MIN_RESERVE_S
-
-    def predict_longest_stream(
-        self,
-        allowed_tokens: int,
-        configured_token_s: float,
-        running_token_s: float,
-        now: float,
+        return max(answer.took_s for answer in recent)
+
+    def predict_longest_writing(
+        self, allowed_tokens: int, fallback_token_s: float, now: float
     ) -> float | None:
         """Return the longest time from a stream's first event on, in seconds.
 
+        Pauses don't count.
+
         Args:
             allowed_tokens: Tokens that the answer can have.
-            configured_token_s: Time for each token by the engine's
-                configuration, in seconds; 0 if it isn't known.
-            running_token_s: Longest mean time between events of the streams in
-                progress, in seconds; 0 without streams. An event has one token
-                at least.
+            fallback_token_s: Longest time of a token by other evidence, for
+                routes of which few streams were seen; 0 if there is none.
             now: Seconds.
 
         Returns:
             None if nothing is known of such streams.
         """
-        recent = self._list_recent(now)
-        seen = [one.s_per_token for one in recent if one.s_per_token is not None]
-        longest_s = max(seen, default=0.0)
-        if len(seen) < MIN_STREAMS:
-            configured_s = configured_token_s * UNKNOWN_WRITING_FACTOR
-            longest_s = max(longest_s, configured_s, running_token_s)
-        if not longest_s:
-            return None
-        pause_s = max((answer.longest_pause_s for answer in recent), default=0.0)
-        reserve_s = min(MAX_RESERVE_S, max(MIN_RESERVE_S, pause_s))
-        return allowed_tokens * longest_s * LOAD_FACTOR + reserve_s
+        token_s, count = self._measure_token_time(now)
+        if count < MIN_STREAMS:
+            token_s = max(token_s, fallback_token_s) * FEW_STREAMS_FACTOR
+        return allowed_tokens * token_s * LOAD_FACTOR if token_s else None
+
+    def measure_token_time(self, now: float) -> float:
+        """Return the longest time of a token, in seconds; 0 if unknown."""
+        return self._measure_token_time(now)[0]
+
+    def measure_pause(self, now: float) -> float:
+        """Return the time to reserve for pauses of upstreams, in seconds."""
+        pauses = [answer.longest_pause_s for answer in self._list_recent(now)]
+        return min(MAX_RESERVE_S, max(MIN_RESERVE_S, *pauses, 0.0))
+
+    def _measure_token_time(self, now: float) -> tuple[float, int]:
+        seen = [
+            answer.s_per_token
+            for answer in self._list_recent(now)
+            if answer.s_per_token is not None
+        ]
+        return max(seen, default=0.0), len(seen)
 
     def _list_recent(self, now: float) -> list[AnswerTiming]:
         while self._answers and now - self._answers[0].ended_at > RECENT_S:
--- a/src/zinniaspool/core/dispatch/pace.py
+++ b/src/zinniaspool/core/dispatch/pace.py
@@ -84,6 +84,7 @@
         read_s: Time to read one prompt token, in seconds.
         max_read_tokens: Most prompt tokens that are read in one pass.
         tokens_per_pass: Tokens of each running request that a pass yields.
+        is_configured: Whether the operator states these times.
     """
 
     pass_s: float
@@ -91,6 +92,7 @@
     read_s: float
     max_read_tokens: float = math.inf
     tokens_per_pass: int = 1
+    is_configured: bool = True
 
     @classmethod
     def from_specs(cls, engine: EngineSpec, model: ModelSpec) -> "EngineTiming":
@@ -102,6 +104,7 @@
             model.time_factor / engine.prefill_tokens_per_s,
             engine.steps_per_pass * engine.prefill_chunk_tokens,
             engine.steps_per_pass,
+            engine.is_timed,
         )
 
     def predict_pass(self, requests: float, unread_tokens: float) -> float:
--- a/src/zinniaspool/core/dispatch/predictions.py
+++ b/src/zinniaspool/core/dispatch/predictions.py
@@ -74,8 +74,13 @@
 
         Args:
             slots: Requests that the target runs at a time.
+
+        Returns:
+            0 if the operator doesn't state the times of engines.
         """
         timing = self.forecast.timing
+        if not timing.is_configured:
+            return 0.0
         return timing.predict_pass(slots, 0.0) / timing.tokens_per_pass
 
     def _predict_pass(
--- a/src/zinniaspool/core/fleet/catalog.py
+++ b/src/zinniaspool/core/fleet/catalog.py
@@ -73,6 +73,7 @@
             takes longer.
         form_s: Seconds from the order to open a group until it serves.
         max_staged_models: Models that a VM's host keeps in its memory.
+        is_timed: Whether the operator states the time of a step.
     """
 
     slots: int
@@ -86,6 +87,7 @@
     full_speed_loads: int
     form_s: float
     max_staged_models: int
+    is_timed: bool = True
 
     def find_model(self, name: ModelName) -> ModelSpec | None:
         """Return the specification of a model, or None if it is unknown."""
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -555,8 +555,7 @@
             receive_s=limits.header_timeout_s,
             idle_s=limits.idle_timeout_s * 1.25,
         )
-        routes = [route for host in catalog.routes.values() for route in host]
-        self._stop_guard.keep_routes({route.name for route in routes})
+        self._stop_guard.apply_catalog(catalog)
         self._refresh_targets()
 
     def _refresh_targets(self) -> None:
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -8,12 +8,12 @@
 
 import asyncio
 import math
-from collections.abc import Collection
 
 import structlog
 
 from zinniaspool.core.dispatch import AnswerTiming, DurationForecast, TargetPool
-from zinniaspool.core.ids import ModelName
+from zinniaspool.core.fleet import Catalog
+from zinniaspool.core.ids import ModelName, ServiceName
 from zinniaspool.gateway.calls import GatewayCall
 
 __all__ = ["StopClock", "StopGuard"]
@@ -26,6 +26,14 @@
 EXIT_RESERVE_S = 0.1
 """Part of it that is reserved for the end of the process itself."""
 
+CONFIGURED_TIME_FACTOR = 1.5
+"""Longest over configured time of a token: passes also read the prompts of
+other requests."""
+
+UNKNOWN_CALL_FACTOR = 2.0
+"""Longest time of a request without a stream before any was answered, as a
+multiple of the time within which its route wants the answer."""
+
 
 class StopClock:
     """Tells how long a stopping process goes on.
@@ -82,7 +90,10 @@
     def __init__(self, clock: StopClock) -> None:
         self.running: set[GatewayCall] = set()
         self._clock = clock
-        self._forecasts: dict[tuple[str, ModelName | None], DurationForecast] = {}
+        self._of_routes: dict[tuple[str, ModelName | None], DurationForecast] = {}
+        self._of_services: dict[
+            tuple[ServiceName, ModelName | None], DurationForecast
+        ] = {}
 
     def begin_stop(self, now: float) -> None:
         """Have all requests end in time: the process was told to stop."""
@@ -95,20 +106,24 @@
         now = asyncio.get_running_loop().time()
         took_s = now - call.received_at
         first_s = took_s if call.first_byte_s is None else call.first_byte_s
-        self._find_forecast(call).record(
-            AnswerTiming(
-                now,
-                took_s,
-                took_s - first_s,
-                call.longest_pause_s,
-                call.terms.max_output_tokens,
-            )
+        timing = AnswerTiming(
+            now,
+            took_s,
+            took_s - first_s,
+            call.longest_pause_s,
+            call.terms.max_output_tokens,
         )
-
-    def keep_routes(self, names: Collection[str]) -> None:
-        """Forget the routes that are not in the configuration any more."""
-        for key in [key for key in self._forecasts if key[0] not in names]:
-            del self._forecasts[key]
+        for forecast in self._find_forecasts(call):
+            forecast.record(timing)
+
+    def apply_catalog(self, catalog: Catalog) -> None:
+        """Forget the routes and services that the configuration hasn't."""
+        names = {route.name for host in catalog.routes.values() for route in host}
+        for of_route in [key for key in self._of_routes if key[0] not in names]:
+            del self._of_routes[of_route]
+        services = catalog.services
+        for of_service in [key for key in self._of_services if key[0] not in services]:
+            del self._of_services[of_service]
 
     def refuses(self, call: GatewayCall, pool: TargetPool) -> bool:
         """Return whether a request may still be in progress at the end.
@@ -138,26 +153,39 @@
     def _predict_longest(
         self, call: GatewayCall, pool: TargetPool, now: float
     ) -> float | None:
-        forecast, terms = self._find_forecast(call), call.terms
+        terms = call.terms
+        of_route, of_service = self._find_forecasts(call)
+        reserve_s = of_service.measure_pause(now)
         if terms.model is None or not terms.max_output_tokens:
-            return forecast.predict_longest_call(now)
+            longest_s = of_route.predict_longest_call(now)
+            if longest_s is None:
+                longest_s = of_service.predict_longest_call(now)
+            if longest_s is None:
+                longest_s = UNKNOWN_CALL_FACTOR * call.route.objective_s
+            return longest_s + reserve_s
         states = pool.list_eligible(now)
         slots = max((state.target.slots for state in states), default=1)
-        writing_s = forecast.predict_longest_stream(
-            terms.max_output_tokens,
-            pool.predict_token_time(slots),
+        fallback_s = max(
+            of_service.measure_token_time(now),
             self._measure_running_streams(call),
+            pool.predict_token_time(slots) * CONFIGURED_TIME_FACTOR,
+        )
+        writing_s = of_route.predict_longest_writing(
+            terms.max_output_tokens,
+            # An event has one token at least.
+            fallback_s or call.route.max_pause_s or 0.0,
             now,
         )
         if writing_s is None:
             return None
-        return writing_s + min(
+        first_event_s = min(
             (
                 pool.predict_first_event(state, terms.prompt_tokens, now)
                 for state in states
             ),
             default=0.0,
         )
+        return first_event_s + writing_s + reserve_s
 
     def _measure_running_streams(self, call: GatewayCall) -> float:
         """Return the longest mean time between events, in seconds.
@@ -174,6 +202,15 @@
             default=0.0,
         )
 
-    def _find_forecast(self, call: GatewayCall) -> DurationForecast:
-        key = call.route.name, call.terms.model
-        return self._forecasts.setdefault(key, DurationForecast())
+    def _find_forecasts(
+        self, call: GatewayCall
+    ) -> tuple[DurationForecast, DurationForecast]:
+        """Return what is known of a request's route, and of its service.
+
+        Both are of the model that is asked for.
+        """
+        model = call.terms.model
+        return (
+            self._of_routes.setdefault((call.route.name, model), DurationForecast()),
+            self._of_services.setdefault((call.service, model), DurationForecast()),
+        )
--- a/src/zinniaspool/platform/rules.py
+++ b/src/zinniaspool/platform/rules.py
@@ -75,11 +75,15 @@
     warm_s: float = 0.0
 
 
+DEFAULT_STEP_MS = 1.0
+"""Time of an engine's step if it isn't configured, in milliseconds."""
+
+
 class _Engine(msgspec.Struct):
     slots: _Integer = 1
     models: list[_Model] = []
     stride: _Integer = 1
-    step_ms: float = 1.0
+    step_ms: float | None = None
     per_seq_ms: float = 0.0
     read_per_s: float = 1e6
     chunk: _Integer = 2048
@@ -225,7 +229,7 @@
         raw.slots,
         models,
         raw.stride,
-        raw.step_ms / 1000,
+        (DEFAULT_STEP_MS if raw.step_ms is None else raw.step_ms) / 1000,
         raw.per_seq_ms / 1000,
         raw.read_per_s,
         raw.chunk,
@@ -233,4 +237,5 @@
         raw.loads_at_once,
         raw.form_ms / 1000,
         raw.keeps,
+        raw.step_ms is not None,
     )
