A leaving VM opens no tunnels for other VMs

Other VMs choose no VM that leaves for new tunnels, and stop to use idle ones through it, as soon as they know its LEAVING record. While the store is down they don't, and a stopping VM went on opening tunnels for them that it cuts at its end.

A stopping process refuses new tunnels now, so that the other VM takes its next path; what runs through it goes on. Open tunnels are still used for further requests until the other VM knows.

Measured: test_a_leaving_relay_opens_no_tunnels_and_goes_on_with_open_ones fails without the refusal (the second request is served) and passes.

--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -175,6 +175,8 @@
         confirm_path: Finds out whether this VM has reached an upstream
             directly since a time; called with that time and an address that
             it did not reach.
+        is_leaving: Returns whether this process is about to end, and opens no
+            more tunnels.
 
     Attributes:
         open_count: Tunnels that are open now.
@@ -186,6 +188,7 @@
         is_upstream: Callable[[Address], bool],
         connect_s: float,
         confirm_path: Callable[[float, Address], Awaitable[bool]],
+        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self.open_count = 0
         self.idle = asyncio.Event()
@@ -193,6 +196,7 @@
         self._is_upstream = is_upstream
         self._connect_s = connect_s
         self._confirm_path = confirm_path
+        self._is_leaving = is_leaving
 
     async def serve(
         self,
@@ -201,8 +205,10 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve one tunnel until either side closes it."""
-        if self.open_count >= MAX_TUNNELS or not self._is_upstream(request.address):
-            _log.warning("tunnel-refused", address=request.address)
+        if self._refuses(request.address):
+            _log.warning(
+                "tunnel-refused", address=request.address, leaving=self._is_leaving()
+            )
             write_frame(
                 writer, TunnelOutcome(ProbeOutcome.NO_ANSWER, is_conclusive=False)
             )
@@ -216,6 +222,11 @@
             if not self.open_count:
                 self.idle.set()
 
+    def _refuses(self, address: Address) -> bool:
+        if self._is_leaving() or self.open_count >= MAX_TUNNELS:
+            return True
+        return not self._is_upstream(address)
+
     async def _serve(
         self,
         upstream: Address,
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -182,7 +182,10 @@
             settings.node, settings.failure_domain, self._fleet_view
         )
         self._tunnel_server = TunnelServer(
-            self._is_upstream_address, TUNNEL_CONNECT_S, self._connector.confirm_path
+            self._is_upstream_address,
+            TUNNEL_CONNECT_S,
+            self._connector.confirm_path,
+            lambda: self._stopping_at is not None,
         )
         self._peer_exchange = PeerExchange(
             settings.node,
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -191,7 +191,7 @@
         "upstreams-unreachable": "The new holder reaches no upstream on any path; it "
         "waits before it plans.",
         "tunnel-refused": "Another VM requested a connection to an address where no "
-        "upstream is known, or too many are open.",
+        "upstream is known, or too many are open, or this VM leaves.",
         "upstream-warm": "An upstream is no longer cold.",
         "trial-begun": "A request with a suspected trait is sent to the one upstream "
         "that all processes choose for such requests.",
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -60,7 +60,11 @@
 
 @asynccontextmanager
 async def serve_behind_relay(
-    serve: _Serve, *, is_known: bool = True, reaches_others: bool = True
+    serve: _Serve,
+    *,
+    is_known: bool = True,
+    reaches_others: bool = True,
+    is_leaving: Callable[[], bool] = lambda: False,
 ) -> AsyncIterator[tuple[HttpClient, Address, TunnelServer]]:
     """Run an upstream, a relay, and a client that connects through it."""
     upstream, relay = free_address(), free_address()
@@ -73,7 +77,7 @@
     async def handle(*_: object) -> None:
         return None
 
-    tunnels = TunnelServer(lambda _: is_known, 0.2, confirm_path)
+    tunnels = TunnelServer(lambda _: is_known, 0.2, confirm_path, is_leaving)
     listener = PeerListener(
         NodeId("r"), lambda _: True, handle, serve_tunnel=tunnels.serve
     )
@@ -240,6 +244,34 @@
     asyncio.run(test())
 
 
+def test_a_leaving_relay_opens_no_tunnels_and_goes_on_with_open_ones() -> None:
+    """Guards against requests of other VMs that are cut when a relay ends.
+
+    Other VMs may learn late that it leaves, as while the store is down.
+    """
+    leaving = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        await leaving.wait()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+        writer.close()
+
+    async def test() -> None:
+        async with serve_behind_relay(serve, is_leaving=leaving.is_set) as made:
+            client, upstream, tunnels = made
+            begun = asyncio.create_task(client.fetch(upstream, REQUEST, 1.0))
+            await _await(lambda: tunnels.open_count == 1)
+            leaving.set()
+            with pytest.raises(TransportError) as caught:
+                await client.fetch(upstream, REQUEST, 1.0)
+            assert caught.value.failure is TransportFailure.NOT_SENT
+            assert await begun == (200, b"late")
+            await _await(lambda: tunnels.open_count == 0)
+
+    asyncio.run(test())
+
+
 def add_relay(
     writer: ViewWriter, relay: Address, *, has_upstream_path: bool = True
 ) -> None:
