--- a/src/zinniaspool_standins/nodes.py
+++ b/src/zinniaspool_standins/nodes.py
@@ -81,9 +81,45 @@
     link: LinkProxy
     processes: list[NodeProcess]
 
+    async def start(self) -> None:
+        """Start its processes."""
+        for one in self.processes:
+            await one.start()
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to its processes that still run."""
+        for one in self.processes:
+            one.send(number)
+
+    async def stop(self, grace_s: float | None = None) -> list[NodeProcess]:
+        """Stop its processes in order, and wait until they are gone.
+
+        Args:
+            grace_s: Time after which those that still run are killed, in
+                seconds; None to wait for all of them.
+
+        Returns:
+            Those that were killed.
+        """
+        self.send(signal.SIGTERM)
+        ending = {
+            asyncio.create_task(one.process.wait()): one
+            for one in self.processes
+            if one.process is not None
+        }
+        await asyncio.wait(ending, timeout=grace_s)
+        killed = [one for task, one in ending.items() if not task.done()]
+        for one in killed:
+            await one.end()
+        return killed
+
 
 async def make_nodes(
-    made: Installation, folder: Path, count: int, contracts: Sequence[str] = ()
+    made: Installation,
+    folder: Path,
+    count: int,
+    contracts: Sequence[str] = (),
+    grace_s: float = 4,
 ) -> list[EntryNode]:
     """Write the settings of some entry VMs, and start their processes.
 
@@ -92,14 +128,16 @@
         folder: Gets settings and logs.
         count: How many VMs.
         contracts: The platform's contracts that are in force.
+        grace_s: Time for which a process may go on after the stop signal, in
+            seconds.
     """
     controls = [free_address() for _ in range(count)]
     nodes = [
-        await _make_node(made, folder, n, controls, contracts) for n in range(count)
+        await _make_node(made, folder, n, controls, contracts, grace_s)
+        for n in range(count)
     ]
     for node in nodes:
-        for one in node.processes:
-            await one.start()
+        await node.start()
     return nodes
 
 
@@ -118,6 +156,7 @@
     number: int,
     controls: list[Address],
     contracts: Sequence[str],
+    grace_s: float,
 ) -> EntryNode:
     store, link_address = free_address(), free_address()
     front, directory = free_address(), free_address()
@@ -133,7 +172,7 @@
         f"contracts = {list(contracts)!r}\n"
         f'[listen-addrs]\nfront = "{front}"\nready = "{free_address()}"\n'
         f'directory = "{directory}"\ncontrol = "{controls[number]}"\n'
-        f"[bounds]\ngrace-s = 4\nbudget-slack = 200\n"
+        f"[bounds]\ngrace-s = {grace_s:g}\nbudget-slack = 200\n"
         f'[platform]\naddress = "{link_address}"\n'
     )
     processes = [
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -54,6 +54,7 @@
     headers: Headers = field(default_factory=Headers)
     body: bytes = b""
     whole: bool = True
+    sent: bool = True
 
     @property
     def events(self) -> list[int]:
--- a/tests/silent_processes.py
+++ b/tests/silent_processes.py
@@ -12,13 +12,19 @@
 
 from tests.installation import KEY, Answer, eventually
 from zinniaspool.core.ids import Address
-from zinniaspool.http import Headers, HttpClient, Request, TransportError
+from zinniaspool.http import (
+    Headers,
+    HttpClient,
+    Request,
+    TransportError,
+    TransportFailure,
+)
 from zinniaspool.telemetry.traces import LogLine, parse_line
 from zinniaspool_standins.hosts import RunnerHost, make_hosted_runners
 from zinniaspool_standins.installation import SIZES, Installation
 from zinniaspool_standins.nodes import EntryNode, end_nodes, make_nodes
 
-__all__ = ["Caller", "ProcessFleet", "pause_all"]
+__all__ = ["Caller", "ProcessFleet", "find_holder", "pause_all", "read_lines"]
 
 VMS = 3
 ENGINES = (5, 5, 3, 3, 2)
@@ -49,37 +55,64 @@
         self._front = front
         self._client = HttpClient(connect_s=0.5)
 
-    async def draft(self, request_id: str, events: int) -> Answer:
+    async def draft(
+        self,
+        request_id: str,
+        events: int,
+        path: str = "/drafts/1",
+        deadline_s: float = 4.0,
+        read_pause_s: float = 0.0,
+    ) -> Answer:
         """Ask for a stream."""
         return await self.ask(
             request_id,
             "POST",
-            "/drafts/1",
+            path,
+            deadline_s,
+            read_pause_s,
             x_zinniaspool_model=self.model,
             x_zinniaspool_token_count=f"100,{events}",
         )
 
     async def ask(
-        self, request_id: str, method: str, path: str, **headers: str
+        self,
+        request_id: str,
+        method: str,
+        path: str,
+        deadline_s: float = 4.0,
+        read_pause_s: float = 0.0,
+        **headers: str,
     ) -> Answer:
-        """Send one request and read its whole answer."""
+        """Send one request and read its whole answer.
+
+        Args:
+            request_id: Names it.
+            method: HTTP method.
+            path: What it is for.
+            deadline_s: How long the caller waits, in seconds.
+            read_pause_s: Pause after each part of a success, in seconds.
+            headers: Further headers.
+        """
         sent = Headers.of(
             host="care.example",
             authorization=f"Token {KEY}",
             x_zinniaspool_request_id=request_id,
-            x_zinniaspool_deadline_ms="4000",
+            x_zinniaspool_deadline_ms=str(int(deadline_s * 1000)),
             **headers,
         )
         try:
             response = await self._client.send(
-                self._front, Request(method, path, sent), 5.0
+                self._front, Request(method, path, sent), deadline_s + 1.0
             )
-        except TransportError:
-            return Answer(0, whole=False)
+        except TransportError as error:
+            is_sent = error.failure is not TransportFailure.NOT_SENT
+            return Answer(0, whole=False, sent=is_sent)
         parts = []
         try:
             async for part in response.stream():
                 parts.append(part)
+                if response.status == HTTPStatus.OK:
+                    await asyncio.sleep(read_pause_s)
         except TransportError:
             return Answer(response.status, response.headers, b"".join(parts), False)
         return Answer(response.status, response.headers, b"".join(parts))
@@ -191,31 +224,15 @@
 
     async def stop_vm(self, node: EntryNode) -> None:
         """Stop the processes of a VM in order, and wait for their end."""
-        for one in node.processes:
-            one.send(signal.SIGTERM)
-        for one in node.processes:
-            if one.process is not None:
-                await one.process.wait()
+        await node.stop()
 
     async def freeze_holder(self, seconds: float) -> None:
         """Stop the holder's control process, and let it go on."""
-        taken = [line for line in self.read_lines() if line.event == "holder-taken"]
-        holder = max(taken, key=lambda line: line.logged_at).node
-        control = next(one for one in self.nodes if one.name == holder).processes[1]
+        control = find_holder(self.nodes).processes[1]
         control.send(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         control.send(signal.SIGCONT)
 
-    def read_lines(self) -> list[LogLine]:
-        """Return the lines that the VMs' processes have logged."""
-        texts = [
-            one.log.read_text(errors="replace")
-            for node in self.nodes
-            for one in node.processes
-        ]
-        lines = [parse_line(line) for text in texts for line in text.splitlines()]
-        return [line for line in lines if line is not None]
-
     def list_started(self) -> list[str]:
         """Return the streams that began with status 200."""
         return [
@@ -244,7 +261,7 @@
 
     def explain(self, requests: Iterable[str]) -> str:
         """Return what callers and entry processes saw of some streams."""
-        lines = self.read_lines()
+        lines = read_lines(self.nodes)
         found = []
         for request in requests:
             answer = self.answers[request]
@@ -259,6 +276,23 @@
         return "\n".join(found)
 
 
+def read_lines(nodes: Iterable[EntryNode]) -> list[LogLine]:
+    """Return the lines that the processes of some VMs have logged."""
+    texts = [
+        one.log.read_text(errors="replace") for node in nodes for one in node.processes
+    ]
+    lines = [parse_line(line) for text in texts for line in text.splitlines()]
+    return [line for line in lines if line is not None]
+
+
+def find_holder(nodes: Iterable[EntryNode]) -> EntryNode:
+    """Return the VM whose control process last began to plan groups."""
+    known = {node.name: node for node in nodes}
+    lines = read_lines(known.values())
+    taken = [line for line in lines if line.event == "holder-taken"]
+    return known[max(taken, key=lambda line: line.logged_at).node]
+
+
 async def pause_all(
     hosts: Iterable[RunnerHost], source: random.Random, most_s: float = 1.4
 ) -> None:
