--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
 
 import structlog
 from result import Err, Ok, Result
@@ -28,6 +27,7 @@
 from zinniaspool.gateway.carrier import RequestForwarder
 from zinniaspool.gateway.retries import RetryBudgets
 from zinniaspool.gateway.spelling import CallCodec
+from zinniaspool.gateway.stops import StopClock, StopGuard
 from zinniaspool.http import (
     Exchange,
     Headers,
@@ -71,7 +71,8 @@
         fleet_view: Has the active configuration.
         forwarder: Sends requests to upstreams.
         retry_budgets: Limit how many requests are sent again.
-        accepts_requests: Tells whether new requests are still accepted.
+        stop_clock: Tells whether the process is stopping.
+        stop_guard: Has the requests in progress end in time.
         tally: Counts how requests end.
 
     Attributes:
@@ -85,7 +86,8 @@
         fleet_view: FleetView,
         forwarder: RequestForwarder,
         retry_budgets: RetryBudgets,
-        accepts_requests: Callable[[], bool],
+        stop_clock: StopClock,
+        stop_guard: StopGuard,
         tally: RequestTally,
     ) -> None:
         self.running = 0
@@ -95,7 +97,8 @@
         self._fleet_view = fleet_view
         self._forwarder = forwarder
         self._retry_budgets = retry_budgets
-        self._accepts_requests = accepts_requests
+        self._stop_clock = stop_clock
+        self._stop_guard = stop_guard
         self._tally = tally
         self._opened_at = self._ready_at = float("-inf")
         self._configured = asyncio.Event()
@@ -136,13 +139,19 @@
                 request=terms.id,
                 kind=fault.kind.value,
                 detail=fault.detail,
+                after_stop_ms=self._measure_after_stop(received_at),
                 version=self._get_version(),
             )
             await self._refuse(exchange, terms, fault)
             self._tally.add("", "", fault.kind.value, 0.0)
             return
         call = made.ok_value
-        await self._run(call)
+        call.shorten_deadline(self._stop_clock.ends_at)
+        self._stop_guard.running.add(call)
+        try:
+            await self._run(call)
+        finally:
+            self._stop_guard.running.remove(call)
 
     def _estimate_arrival(self) -> float:
         """Return the estimated time at which a request arrived.
@@ -173,11 +182,15 @@
             )
             if isinstance(done, Ok):
                 end = "answered"
+                self._stop_guard.record_answer(call)
                 return
             end = done.err_value.kind.value
             if call.exchange.started:
                 # The rest can't follow. If the answer ended cleanly, it would
                 # look complete.
+                if call.stopped_by == "stop":
+                    end = "cut-by-stop"
+                    self._stop_clock.cut += 1
                 call.exchange.abort()
                 return
             await self._refuse(call.exchange, call.terms, done.err_value)
@@ -185,6 +198,10 @@
             end = "caller-left"
             raise
         finally:
+            if self._stop_clock.measure_since(call.received_at) is not None:
+                is_refused = end == ErrorKind.LEAVING.value
+                self._stop_clock.refused += is_refused
+                self._stop_clock.accepted += not is_refused
             took_s = asyncio.get_running_loop().time() - call.received_at
             self._record_end(call, end, took_s)
 
@@ -215,9 +232,14 @@
             pause_ms=int(call.longest_pause_s * 1000),
             took_ms=int(took_s * 1000),
             last_event=call.last_event_id or 0,
+            after_stop_ms=self._measure_after_stop(call.received_at),
             version=self._get_version(),
         )
 
+    def _measure_after_stop(self, received_at: float) -> int:
+        after_s = self._stop_clock.measure_since(received_at)
+        return -1 if after_s is None else int(after_s * 1000)
+
     def _get_version(self) -> int:
         return (
             0 if self._fleet_view.catalog is None else self._fleet_view.catalog.version
@@ -229,8 +251,6 @@
         catalog = self._fleet_view.catalog
         if catalog is None:
             return Err(Fault(ErrorKind.NOT_READY))
-        if not self._accepts_requests():
-            return Err(Fault(ErrorKind.LEAVING))
         request = exchange.request
         host = (request.headers.get("host") or "").partition(":")[0]
         route = catalog.find_route(host, request.path)
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -78,6 +78,7 @@
 from zinniaspool.gateway.silence import StallDetector, StallLinks
 from zinniaspool.gateway.speed import SlowTargetWatcher
 from zinniaspool.gateway.spelling import CallCodec
+from zinniaspool.gateway.stops import StopClock, StopGuard
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
 from zinniaspool.telemetry import RequestTally
@@ -105,19 +106,11 @@
 after the store was restored, in seconds. All processes share the rate of calls
 that the store allows."""
 
-ACCEPT_AFTER_STOP_S = 4.8
-"""Time after the stop signal in which new requests are accepted, in seconds. A
-later request would be cut if it took longer than the rest of the stop
-time."""
-
 MIN_STOP_S = 6.4
 """Shortest time for which a stopping process goes on serving, in seconds, if
 its stop time allows it. Callers keep an address answer for three lifetimes of
 two seconds."""
 
-CLOSE_RESERVE_S = 0.25
-"""Part of the stop time that is reserved for closing, in seconds."""
-
 HISTORY_PEERS = 2
 """Processes that a process asks for their crash histories when it starts."""
 
@@ -170,7 +163,8 @@
             fleet_codec, retains_instances=settings.retains_instances
         )
         self._query_handler = InstanceQueryHandler(self._fleet_view, fetcher)
-        self._stopping_at: float | None = None
+        self._stop_clock = StopClock(settings.grace_s)
+        self._stop_guard = StopGuard(self._stop_clock)
         self._stop_requested = asyncio.Event()
         self._configured = asyncio.Event()
         self._store = store
@@ -256,7 +250,11 @@
             self._backpressure,
         )
         self._forwarder = RequestForwarder(
-            sender, self._index, self._admission_queues, self._crash_detector
+            sender,
+            self._index,
+            self._admission_queues,
+            self._crash_detector,
+            self._stop_guard,
         )
         self._rerouter.starter = self._forwarder
         self._stall_detector = StallDetector(
@@ -289,7 +287,8 @@
             self._fleet_view,
             self._forwarder,
             self._retry_budgets,
-            lambda: self._accepts_requests,
+            self._stop_clock,
+            self._stop_guard,
             tally,
         )
         self._metrics = make_gateway_metrics(
@@ -372,9 +371,18 @@
         await self._peer_exchange.listen(self._address)
         await self._stop_requested.wait()
         await self._leave()
-        await self._lease.release()
+        await self._close_callers()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(self._stop_clock.exits_at):
+                await self._lease.release()
         await self.abort()
-        _log.info("stopped", running=self._caller_handler.running)
+        _log.info(
+            "stopped",
+            cut=self._stop_clock.cut,
+            tunnels=self._tunnel_server.open_count,
+            accepted=self._stop_clock.accepted,
+            refused=self._stop_clock.refused,
+        )
 
     @property
     def running(self) -> int:
@@ -507,16 +515,8 @@
             self._retry_budgets.refill(now)
             self._retry_budgets.log_changes(now)
 
-    @property
-    def _accepts_requests(self) -> bool:
-        if self._stopping_at is None:
-            return True
-        return (
-            asyncio.get_running_loop().time() - self._stopping_at < ACCEPT_AFTER_STOP_S
-        )
-
     def _find_own_record(self) -> NodeRecord | None:
-        if self._stopping_at is not None or self._fleet_view.catalog is None:
+        if self._stop_clock.began_at is not None or self._fleet_view.catalog is None:
             return None
         return self._make_record(NodeState.READY)
 
@@ -549,6 +549,8 @@
             receive_s=limits.header_timeout_s,
             idle_s=limits.idle_timeout_s * 1.25,
         )
+        routes = [route for host in catalog.routes.values() for route in host]
+        self._stop_guard.keep_routes({route.name for route in routes})
         self._refresh_targets()
 
     def _refresh_targets(self) -> None:
@@ -598,9 +600,9 @@
         await self._configured.wait()
         while True:
             if await self._lease.renew_or_replace():
-                state = (
-                    NodeState.READY if self._stopping_at is None else NodeState.LEAVING
-                )
+                state = NodeState.READY
+                if self._stop_clock.began_at is not None:
+                    state = NodeState.LEAVING
                 has_path = not self._connector.is_path_lost
                 wanted = (self._lease.lease_number, state, has_path)
                 if written != wanted and await self._write_record(state):
@@ -627,16 +629,27 @@
     async def _leave(self) -> None:
         """Serve callers that still have this address, then drain."""
         loop = asyncio.get_running_loop()
-        self._stopping_at = loop.time()
-        _log.info("stopping", running=self._caller_handler.running)
-        await self._write_leaving_record()
-        end = self._stopping_at + self._settings.grace_s - CLOSE_RESERVE_S
+        self._stop_guard.begin_stop(loop.time())
+        self._server.retiring = True
+        _log.info(
+            "stopping",
+            running=self._caller_handler.running,
+            tunnels=self._tunnel_server.open_count,
+            left_ms=int((self._stop_clock.ends_at - loop.time()) * 1000),
+        )
+        # The store may not answer, and the time that is left goes on.
+        self._tasks.append(asyncio.create_task(self._write_leaving_record()))
         await asyncio.sleep(max(0.0, min(MIN_STOP_S, self._settings.grace_s - 1.0)))
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(end):
+            async with asyncio.timeout_at(self._stop_clock.ends_at):
                 await self._caller_handler.idle.wait()
                 await self._tunnel_server.idle.wait()
 
+    async def _close_callers(self) -> None:
+        """Close callers' connections once their answers are delivered."""
+        now = asyncio.get_running_loop().time()
+        await self._server.drain(max(0.0, self._stop_clock.exits_at - now))
+
     async def _write_leaving_record(self) -> None:
         if self._lease.lease_number is not None:
             await self._write_record(NodeState.LEAVING)
