A program that still loads survives SIGHUP

The soak of planned work found a VM without an entry process for the rest of the run: SIGHUP came in the 0.3 to 1.5 s in which the program loads. Its handler is set when all is imported, and the default action ends the process; the control program, which waits before it loads, is ended as well.

--- a/src/zinniaspool/platform/control.py
+++ b/src/zinniaspool/platform/control.py
@@ -1,5 +1,6 @@
 """Starts the control program, shortly after the VM's entry program."""
 
+import signal
 import time
 
 __all__ = ["main"]
@@ -13,6 +14,8 @@
 
 def main() -> None:
     """Run the program."""
+    # Until the program has its own handler, SIGHUP would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     time.sleep(START_DELAY_S)
     from zinniaspool.platform.keeper import run
 
--- a/tests/test_early_port.py
+++ b/tests/test_early_port.py
@@ -1,15 +1,20 @@
-"""The callers' port is open before the entry program has loaded."""
+"""What the programs do while they load: the callers' port, signals."""
 
 import asyncio
+import signal
 import socket
+from pathlib import Path
 
 import pytest
 
+from tests.installation import eventually
 from zinniaspool.core.ids import Address
 from zinniaspool.http import HttpServer
 from zinniaspool.http.exchange import Exchange
 from zinniaspool.http.messages import Headers
 from zinniaspool.platform.entry import listen_early
+from zinniaspool_standins.installation import Installation
+from zinniaspool_standins.nodes import NodeProcess, end_nodes, make_nodes
 
 
 def test_a_caller_that_connects_while_the_program_loads_is_answered() -> None:
@@ -60,6 +65,36 @@
         listen_early("127.0.0.1", other.getsockname()[1])
 
 
+@pytest.mark.processes
+def test_a_program_that_loads_survives_a_change_of_its_settings(
+    tmp_path: Path,
+) -> None:
+    """Guards against a SIGHUP that ends a VM's programs while they load."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=0, engines=0, plain=0) as made:
+            nodes = await make_nodes(made, tmp_path, 1)
+            try:
+                await asyncio.gather(*map(_signal_early, nodes[0].processes))
+            finally:
+                await end_nodes(nodes)
+
+    asyncio.run(test())
+
+
+async def _signal_early(program: NodeProcess) -> None:
+    await eventually(lambda: _ignores(program, signal.SIGHUP))
+    program.send(signal.SIGHUP)
+    await eventually(lambda: "event=started" in program.log.read_text())
+
+
+def _ignores(program: NodeProcess, number: signal.Signals) -> bool:
+    assert program.process is not None
+    status = Path(f"/proc/{program.process.pid}/status").read_text()
+    mask = status.partition("SigIgn:")[2].split()[0]
+    return bool(int(mask, 16) >> (number - 1) & 1)
+
+
 def _read_all(connection: socket.socket) -> bytes:
     found = b""
     with connection:
