--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -98,6 +98,7 @@
     WHOLE = "whole"
     LATE = "at its limit"
     CUT = "cut"
+    FAILED = "failed"
     REFUSED = "refused"
     CROSSED = "crossed a close"
     UNSENT = "unsent"
@@ -111,15 +112,17 @@
 
     def configure(self, **changes: Any) -> None:
         """Write the next version of the rules."""
-        rules = make_rules(self.version, self.keys)["routes"]
-        routes = {
-            rule["name"]: {**rule, "timeout-ms": self.timeout_ms} for rule in rules
-        }
+        made = make_rules(self.version, self.keys)
+        waiting = {"timeout-ms": self.timeout_ms}
+        routes = {route["name"]: {**route, **waiting} for route in made["routes"]}
         once = {"stream-resume": False, "max-attempts": 1}
         routes["notes"] = _rename(routes["drafts"], "notes") | once
         for name in self.added:
             routes[name] = _rename(routes["receipts"], name)
-        super().configure(**{"routes": list(routes.values()), **changes})
+        services = made["services"]
+        services[0]["engine"]["step_ms"] = RunnerTimes().pass_s * 1000
+        rules = {"routes": list(routes.values()), "services": services}
+        super().configure(**{**rules, **changes})
 
 
 def _rename(route: dict[str, Any], name: str) -> dict[str, Any]:
@@ -346,6 +349,8 @@
             return _End.WHOLE
         if took_s >= min(left_s, min(TIMEOUTS_MS) / 1000) - LIMIT_SLACK_S:
             return _End.LATE
+        if answer.whole:
+            return _End.FAILED
         if answer.status or took_s > LOSS_SLACK_S or self._has_arrived(name):
             return _End.CUT
         return _End.CROSSED
@@ -355,7 +360,7 @@
 
     def _check(self, ended: _Ended, answer: Answer) -> None:
         order = ended.order
-        if ended.end is _End.CUT:
+        if ended.end in (_End.CUT, _End.FAILED):
             self.faults.append(ended.describe())
         if ended.end is _End.WHOLE:
             expected = list(range(1, order.events + 1))
