--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-import msgspec
 import structlog
 from result import Err
 
+from zinniaspool.core.decoding import decode_json
 from zinniaspool.core.fleet import (
     HELD_PREFIX,
     HOLDER_KEY,
@@ -33,6 +33,7 @@
 from zinniaspool.core.generations import format_revision
 from zinniaspool.core.ids import FailureDomainId, NodeId, TraitId
 from zinniaspool.fleet.evacuations import EvacuationOrders
+from zinniaspool.fleet.listeners import call_listeners
 from zinniaspool.fleet.retention import RecordRetention
 from zinniaspool.fleet.sight import read_boot_clock
 from zinniaspool.fleet.spelling import FleetCodec
@@ -40,7 +41,7 @@
 __all__ = ["FleetView", "RecordArrival"]
 
 _log = structlog.get_logger(__name__)
-_T = TypeVar("_T")
+_RecordT = TypeVar("_RecordT", NodeRecord, HolderRecord)
 
 UNREACHABLE_TTL_S = 4.0
 """For how long the holder's last list of unreachable instances is used, in
@@ -158,6 +159,11 @@
         """All instances by their ids."""
         return self.instance_table.by_id
 
+    @property
+    def is_configuration_unreadable(self) -> bool:
+        """Whether the store has a configuration, and this process has none."""
+        return self.catalog is None and bool(self.mirror.get(self._codec.rules_key))
+
     @property
     def evacuated(self) -> frozenset[FailureDomainId]:
         """Failure domains whose upstreams must get no requests."""
@@ -285,8 +291,7 @@
             self._notify(self.on_instances)
 
     def _notify(self, listeners: list[Callable[[], None]]) -> None:
-        for listener in (*listeners, *self.on_change):
-            listener()
+        call_listeners((*listeners, *self.on_change))
 
     def _find_service(self, instance: Instance) -> ServiceSpec | None:
         if self.catalog is None:
@@ -343,15 +348,12 @@
             (self.on_catalog, self.on_instances, self.on_nodes)
         ):
             if number in listeners:
-                for listener in group:
-                    listener()
+                call_listeners(group)
         self._set_quarantined(frozenset(quarantined), frozenset(lost_traits))
         if is_restored:
-            for restore_listener in self.on_restored:
-                restore_listener(frozenset(lost_traits))
+            call_listeners(self.on_restored, frozenset(lost_traits))
         if changes:
-            for listener in self.on_change:
-                listener()
+            call_listeners(self.on_change)
 
     def _update_generation(self) -> bool:
         """Return whether the mirror now shows another generation."""
@@ -402,8 +404,7 @@
         added, removed = quarantined - before, before - quarantined - lost
         if not added and not removed:
             return
-        for listener in self.on_quarantine:
-            listener(added, removed)
+        call_listeners(self.on_quarantine, added, removed)
 
     def _apply_rules(self, change: MirrorChange) -> None:
         if change.after is None:
@@ -461,8 +462,7 @@
         written = (
             change.before is None or change.before.revision < change.after.revision
         )
-        for listener in self.on_record:
-            listener(RecordArrival(record, written, is_new))
+        call_listeners(self.on_record, RecordArrival(record, written, is_new))
 
     def _reject_record(
         self, instance: InstanceId, key: str, reason: str, *, keep: bool = False
@@ -522,7 +522,7 @@
         if change.after is None:
             self.nodes.pop(node, None)
             return
-        record = _decode(change.after.value, NodeRecord)
+        record = _decode(change.key, change.after.value, NodeRecord)
         if record is not None:
             self.nodes[node] = record
 
@@ -532,14 +532,20 @@
 
     def _apply_holder(self, change: MirrorChange) -> None:
         value = None if change.after is None else change.after.value
-        self.holder = None if value is None else _decode(value, HolderRecord)
+        self.holder = (
+            None if value is None else _decode(change.key, value, HolderRecord)
+        )
         node = None if self.holder is None else self.holder.node
         _log.info("holder-changed", holder=node or "none")
 
 
-def _decode(value: bytes, kind: type[_T]) -> _T | None:
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
-        _log.error("record-unreadable", kind=kind.__name__, reason=str(error))
+def _decode(key: str, value: bytes, kind: type[_RecordT]) -> _RecordT | None:
+    decoded = decode_json(value, kind)
+    if isinstance(decoded, Err):
+        _log.error("record-unreadable", key=key, reason=decoded.err_value)
+        return None
+    fault = decoded.ok_value.find_fault()
+    if fault is not None:
+        _log.error("record-unreadable", key=key, reason=fault)
         return None
+    return decoded.ok_value
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -54,6 +54,8 @@
         "dump-written": "A state dump was written on request of a signal.",
         "handler-failed": "An internal error occurred in one request; its connection "
         "was cut.",
+        "listener-failed": "An internal error occurred in a function that is called "
+        "when the view of the fleet changes; the others are called.",
         "library-message": "A library logged a warning or an error.",
         "notice-unreadable": "A peer's notice could not be decoded and was dropped.",
         "keeper-failed": "An internal error occurred in the control of one domain; "
@@ -109,6 +111,8 @@
         "planning.",
         "holder-key-rewritten": "The holder wrote its key again, which the store had "
         "lost when it was restored.",
+        "holder-failed": "The holder failed to plan, or made no progress, and gave up "
+        "its key so that another process plans.",
         "holder-lost": "This process is no longer the holder.",
         "holder-taken": "This process is the holder from now on.",
         "instance-gone": "An instance's record was removed or is no longer usable.",
