A new holder lets a closing group end its requests

Cause: a process that takes over starts all groups as forming, and a forming group with a leaving member ended at once, also if its head was open or closing.

Change: such a group is closed if its head has opened, and ends when the head has closed. A group that is still being formed ends at once as before.

--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -179,10 +179,13 @@
     def _update_forming(
         self, view: InstanceView, leaving: list[InstanceId], now: float
     ) -> None:
+        head = self._find_membership(self.record.head, view)
         if leaving:
-            self.enter_phase(GroupPhase.ENDING, f"member-leaving:{leaving[0]}", now)
+            # A process that takes over as holder knows no group's phase yet.
+            has_opened = head is not None and head.state in _OPENED_STATES
+            phase = GroupPhase.CLOSING if has_opened else GroupPhase.ENDING
+            self.enter_phase(phase, f"member-leaving:{leaving[0]}", now)
             return
-        head = self._find_membership(self.record.head, view)
         if head is None:
             return
         if self.record.standby and head.state is MembershipState.READY:
@@ -306,4 +309,7 @@
 )
 """Outcomes of a leave order that show that the VM is in the group no more."""
 
+_OPENED_STATES = frozenset({MembershipState.OPEN, MembershipState.CLOSING})
+"""States of a head that may run requests."""
+
 _CLOSED_STATES = frozenset({MembershipState.READY, MembershipState.BROKEN})
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -84,6 +84,7 @@
     Attributes:
         alive: Whether it runs and answers.
         connected: Whether it reaches the store.
+        busy: Whether it runs requests, so that its group doesn't close.
         failure_domain: The failure domain that its record names.
         record: Its record in the store, or None.
         unreported_since: Time since which it does not reach the store.
@@ -100,6 +101,7 @@
     domain: FabricDomainId
     alive: bool = True
     connected: bool = True
+    busy: bool = False
     failure_domain: FailureDomainId = FailureDomainId("f")
     state: InstanceState = InstanceState.READY
     record: Instance | None = None
@@ -276,7 +278,11 @@
                     engine.membership, state=MembershipState.OPEN
                 )
                 self._check_complete(engine)
-        elif membership is not None and membership.state is MembershipState.CLOSING:
+        elif (
+            membership is not None
+            and membership.state is MembershipState.CLOSING
+            and not engine.busy
+        ):
             engine.membership = replace(membership, state=MembershipState.READY)
         if engine.alive and engine.connected:
             engine.unreported_since = engine.retained_until = None
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -304,6 +304,25 @@
     assert not fleet.violations
 
 
+@pytest.mark.parametrize("closing_s", [0.0, 0.5])
+def test_a_new_holder_lets_a_closing_group_end_its_requests(closing_s: float) -> None:
+    """Guards against streams that are cut when the holder stops meanwhile."""
+    fleet = make_settled_fleet()
+    head = fleet.find_members(LARGE)[0]
+    head.busy, head.state = True, InstanceState.LEAVING
+    fleet.advance(closing_s)
+    before = len(fleet.orders)
+    fleet.take_over()
+    fleet.advance(3.0)
+    actions = [order.action for order in fleet.orders[before:]]
+    assert OrderAction.CLOSE in actions
+    assert OrderAction.LEAVE not in actions
+    head.busy = False
+    fleet.advance(2.0)
+    assert fleet.count_serving(LARGE) == 1
+    assert not fleet.violations
+
+
 def test_a_new_holder_continues_with_the_stored_plans() -> None:
     """Callers notice nothing when the holder fails while all groups serve."""
     fleet = make_settled_fleet()
