Store: a value that is no base64, or a key that is no text, costs itself alone

Text outside ASCII raised ValueError, and a key with a lone surrogate made msgspec refuse the whole answer.

A key that can't be passed on to other processes is left out and logged (`store-row-unreadable`).

--- a/src/zinniaspool/platform/kvstore.py
+++ b/src/zinniaspool/platform/kvstore.py
@@ -1,19 +1,19 @@
 """Client of the platform's key-value store."""
 
+import json
 from base64 import b64decode, b64encode
-from binascii import Error as Base64Error
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Annotated, TypeVar
+from typing import Annotated, Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
 import structlog
 from result import Err, Ok, Result
 
-from zinniaspool.core.decoding import DECODE_ERRORS, parse_count
+from zinniaspool.core.decoding import DECODE_ERRORS, decode_json, parse_count, shorten
 from zinniaspool.core.fleet import HOLDER_KEY, MirrorEvent, StoredItem
 from zinniaspool.core.generations import (
     MAX_GENERATION,
@@ -69,7 +69,8 @@
 class _Item(msgspec.Struct):
     key: str
     revision: _Number
-    value: str = ""
+    # Base64 text, unless another writer's value is of another form.
+    value: Any = ""
     # Only in the events of a watch: the key was removed at this revision.
     removed: bool = False
 
@@ -142,7 +143,7 @@
         found = answer.ok_value
         if found.status == HTTPStatus.NOT_FOUND:
             return Ok(None)
-        return _decode(found.body, _Item).and_then(
+        return _decode(found.body, _Item).map(
             lambda raw: _decode_item(raw, found.generation)
         )
 
@@ -168,7 +169,7 @@
             )
             if isinstance(answer, Err):
                 return answer
-            page = _decode(answer.ok_value.body, _Range)
+            page = _decode_rows(answer.ok_value.body, _Range, "items")
             if isinstance(page, Err):
                 return page
             found, generation = page.ok_value, answer.ok_value.generation
@@ -177,13 +178,11 @@
             elif generation != find_generation(as_of):
                 # The store was restored between two pages.
                 return Err(StoreFault.UNKNOWN)
-            for raw in found.items:
-                item = _decode_item(raw, generation)
-                if isinstance(item, Err):
-                    return item
-                items.append(item.ok_value)
-            if not found.truncated or not found.items:
+            items += [_decode_item(raw, generation) for raw in found.items]
+            if not found.truncated:
                 return Ok(RangeResult(items, as_of))
+            if not found.items:
+                return Err(StoreFault.UNKNOWN)
             after = found.items[-1].key
 
     async def watch(
@@ -217,7 +216,7 @@
         found = answer.ok_value
         if found.status == HTTPStatus.GONE or generations - {found.generation}:
             return Ok(WatchResult([], after, complete=False))
-        return _decode(found.body, _Watch).and_then(
+        return _decode_rows(found.body, _Watch, "events").map(
             lambda watch: _decode_watch(watch, found.generation)
         )
 
@@ -368,23 +367,65 @@
         return Err(StoreFault.UNKNOWN)
 
 
-def _decode_item(raw: _Item, generation: int) -> Result[StoredItem, StoreFault]:
+def _decode_rows(body: bytes, kind: type[_T], field: str) -> Result[_T, StoreFault]:
+    """Decode an answer with rows; leave out those that can't be decoded.
+
+    Any writer chooses keys and values. If one of them failed the whole answer,
+    no process could read any key.
+    """
+    decoded = decode_json(body, kind)
+    if not isinstance(decoded, Err):
+        return Ok(decoded.ok_value)
     try:
-        value = b64decode(raw.value, validate=True)
-    except Base64Error:
+        # Unlike msgspec, the standard library decodes any text of JSON.
+        answer = json.loads(body, parse_int=_parse_json_integer)
+        answer[field] = [row for row in answer[field] if _is_usable(row)]
+        return Ok(msgspec.convert(answer, kind))
+    except (*DECODE_ERRORS, ValueError, TypeError, KeyError):
+        _log.warning("store-answer-unreadable", reason=decoded.err_value)
         return Err(StoreFault.UNKNOWN)
-    return Ok(StoredItem(raw.key, value, make_revision(generation, raw.revision)))
 
 
-def _decode_watch(watch: _Watch, generation: int) -> Result[WatchResult, StoreFault]:
+def _parse_json_integer(text: str) -> int | float:
+    number = parse_count(text)
+    return float(text) if number is None else number
+
+
+def _is_usable(row: object) -> bool:
+    """Return whether a row has a key and a revision that can be passed on."""
+    try:
+        msgspec.convert(row, _Item).key.encode()
+    except DECODE_ERRORS as error:
+        key = row.get("key") if isinstance(row, dict) else None
+        _log.warning(
+            "store-row-unreadable",
+            key=shorten(ascii(key)),
+            reason=shorten(ascii(str(error))),
+        )
+        return False
+    return True
+
+
+def _decode_item(raw: _Item, generation: int) -> StoredItem:
+    """Return an item; its value is empty if the row's is no base64.
+
+    No decoder accepts an empty value, and the key's presence and revision are
+    needed to replace it.
+    """
+    try:
+        value = b64decode(raw.value, validate=True)
+    except (ValueError, TypeError):
+        value = b""
+    return StoredItem(raw.key, value, make_revision(generation, raw.revision))
+
+
+def _decode_watch(watch: _Watch, generation: int) -> WatchResult:
     events = []
     for raw in watch.events:
         item = _decode_item(raw, generation)
-        if isinstance(item, Err):
-            return item
-        value = None if raw.removed else item.ok_value.value
-        events.append(MirrorEvent(raw.key, value, item.ok_value.revision))
-    return Ok(WatchResult(events, make_revision(generation, watch.as_of)))
+        value = None if raw.removed else item.value
+        events.append(MirrorEvent(raw.key, value, item.revision))
+    return WatchResult(events, make_revision(generation, watch.as_of))
 
 
 def _list_generations(revisions: Iterable[Revision]) -> set[int]:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -178,6 +178,9 @@
         "stopping": "The process was told to stop and finishes its running requests.",
         "store-lost": "The store stopped answering.",
         "store-regained": "The store answers again.",
+        "store-answer-unreadable": "An answer of the store cannot be decoded at all.",
+        "store-row-unreadable": "A key in the store, or its revision, cannot be passed "
+        "on, so that the key is ignored.",
         "store-restored": "The store came back from an older copy; its revisions and "
         "leases of before are void.",
         "target-gone": "A target was removed from this process's targets.",
--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -1,9 +1,12 @@
 """Values from outside that can't be read, among values that can."""
 
+import asyncio
 import json
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
+from types import SimpleNamespace
+from typing import cast
 
 import msgspec
 import pytest
@@ -16,10 +19,11 @@
 from zinniaspool.core.fleet import EngineStatus, MirrorEvent
 from zinniaspool.core.ids import Address, Revision, split_address
 from zinniaspool.fleet import FleetView
-from zinniaspool.http import Headers, Request
+from zinniaspool.http import Headers, HttpClient, Request
 from zinniaspool.peers.frames import FrameDecoder, FrameError
 from zinniaspool.platform import wire
 from zinniaspool.platform.entries import apply_status, decode_instance, decode_status
+from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.rules import decode_rules
 from zinniaspool.platform.spelling import PlatformCodec
 from zinniaspool_standins.installation import make_rules
@@ -329,3 +333,53 @@
     assert Counter(called) == dict.fromkeys(groups, 2)
     logged = [line for line in lines if line["event"] == "listener-failed"]
     assert len(logged) == len(failing)
+
+
+ROWS = st.lists(
+    st.builds(
+        lambda key, revision, value: (
+            f'{{"key":{key or 1},"revision":{revision},"value":{value or 1}}}'
+        ),
+        RAW | st.just('"else"'),
+        RAW | st.just("4"),
+        RAW | st.sampled_from(['"e30"', '"%%"', "null", "{}", '"\\u00e9"', '"e30="']),
+    ),
+    max_size=3,
+)
+
+
+@given(rows=ROWS, before=st.booleans())
+@example(rows=['{"key":"else","revision":4,"value":"e30"}'], before=True)
+@example(rows=['{"key":"\\ud800","revision":4,"value":"e30="}'], before=False)
+@example(rows=['{"key":"else","revision":4,"value":"\\u00e9"}'], before=False)
+def test_a_row_that_can_not_be_read_costs_no_other_row(
+    rows: list[str], *, before: bool
+) -> None:
+    """Guards against a store that no process can read any more.
+
+    A writer may choose any key, and a value that is no base64. An answer that
+    is no JSON, or too deep, is a fault of the store and not of a writer.
+    """
+    sound = '{"key":"op/config","revision":3,"value":"e30="}'
+    joined = ",".join([sound, *rows] if before else [*rows, sound])
+    body = f'{{"items":[{joined}],"events":[{joined}],"as-of":9}}'.encode()
+    try:
+        json.loads(body, parse_int=float)
+    except (RecursionError, ValueError):
+        return
+
+    async def test() -> None:
+        async def respond(*_: object) -> tuple[int, Headers, bytes]:
+            return 200, Headers(), body
+
+        client = SimpleNamespace(fetch_with_headers=respond)
+        store = KvStore(cast(HttpClient, client), Address("10.0.0.1:1"))
+        found = (await store.read("")).unwrap()
+        watched = (await store.watch("", Revision(1), 0.1)).unwrap()
+        for items in (found.items, watched.events):
+            values = {item.key: item.value for item in items}
+            assert values["op/config"] == b"{}"
+            assert msgspec.msgpack.encode(values)
+            assert values.get("else", b"") is not None
+
+    asyncio.run(test())
