Unreadable values: logged once with their keys, counted and listed

Each place that decodes had a log line of its own: records of VMs and of the holder were logged without their keys, quarantine records at each look, and no metric showed that a value had no effect.

`UnreadableValues` logs a value once for each reason, counts it by kind (`zinniaspool_unreadable_values`) and names the current ones (`zinniaspool_unreadable_keys`, 50 at most), which `zinniaspool unreadable` prints. Plans are still only logged (keeper/plans.py).

--- a/src/zinniaspool/cli/main.py
+++ b/src/zinniaspool/cli/main.py
@@ -2,7 +2,14 @@
 
 import typer
 
-from zinniaspool.cli import checking, configuration, groups, processes, traces
+from zinniaspool.cli import (
+    checking,
+    configuration,
+    groups,
+    processes,
+    traces,
+    unreadable,
+)
 
 __all__ = ["app", "main"]
 
@@ -14,7 +21,7 @@
     """Operate a zinniaspool fleet."""
 
 
-for _module in (checking, configuration, groups, processes, traces):
+for _module in (checking, configuration, groups, processes, traces, unreadable):
     app.add_typer(_module.commands)
 
 
--- a/src/zinniaspool/fleet/__init__.py
+++ b/src/zinniaspool/fleet/__init__.py
@@ -12,6 +12,7 @@
 from zinniaspool.fleet.spelling import FleetCodec
 from zinniaspool.fleet.store import FleetStore
 from zinniaspool.fleet.tunnels import TunnelServer
+from zinniaspool.fleet.unreadable import UnreadableValues, ValueKind
 
 __all__ = [
     "FleetCodec",
@@ -26,7 +27,9 @@
     "RecordArrival",
     "RenewedLease",
     "TunnelServer",
+    "UnreadableValues",
     "UpstreamConnector",
+    "ValueKind",
     "make_location",
     "read_boot_clock",
     "run_supervised",
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -17,6 +17,7 @@
     HELD_PREFIX,
     HOLDER_KEY,
     NODES_PREFIX,
+    PLANS_PREFIX,
     Catalog,
     EngineStatus,
     HolderRecord,
@@ -27,6 +28,7 @@
     NodeRecord,
     RetainedStates,
     ServiceSpec,
+    StoredItem,
     StoreMirror,
     has_restarted,
 )
@@ -37,6 +39,7 @@
 from zinniaspool.fleet.retention import RecordRetention
 from zinniaspool.fleet.sight import read_boot_clock
 from zinniaspool.fleet.spelling import FleetCodec
+from zinniaspool.fleet.unreadable import UnreadableValues, ValueKind
 
 __all__ = ["FleetView", "RecordArrival"]
 
@@ -113,6 +116,7 @@
             notices seconds before their records lapse; without its report
             each process would send requests there until it notices by itself.
         retention: The instances that are kept without a record.
+        unreadable: The values in the store that can't be used.
     """
 
     def __init__(
@@ -125,6 +129,7 @@
     ) -> None:
         self._codec = codec
         self._decodes_instances = decodes_instances
+        self.unreadable = UnreadableValues()
         self.mirror = StoreMirror(self._is_ephemeral)
         self.catalog: Catalog | None = None
         self.instance_table = InstanceTable()
@@ -152,7 +157,6 @@
         self._unreachable_reported_at = _NEVER_CONFIRMED_S
         self._confirmed_at = _NEVER_CONFIRMED_S
         self._newest_starts: dict[InstanceId, int] = {}
-        self._rejection_reasons: dict[InstanceId, str] = {}
 
     @property
     def instances(self) -> Mapping[InstanceId, Instance]:
@@ -179,6 +183,7 @@
     def stop_decoding_instances(self) -> None:
         """Stop decoding instances and forget the known ones."""
         self._decodes_instances = False
+        self.unreadable.forget(ValueKind.INSTANCE)
         for instance in list(self.instances):
             self.retention.drop(instance)
             self.instance_table.remove(instance)
@@ -218,7 +223,7 @@
             return
         updated = self._codec.apply_status(item.value, status)
         if isinstance(updated, Err):
-            _log.warning("entry-unreadable", key=key, reason=updated.err_value)
+            self.unreadable.reject(ValueKind.INSTANCE, key, updated.err_value)
             return
         self.apply_changes(self.mirror.amend(key, updated.ok_value))
 
@@ -335,9 +340,13 @@
                 if change.after is not None:
                     quarantined.add(trait)
                     continue
+                self.unreadable.accept(change.key)
                 quarantined.discard(trait)
                 if is_restored:
                     lost_traits.add(trait)
+            elif change.key.startswith(PLANS_PREFIX):
+                # The next holder reads the plan that replaces it.
+                self.unreadable.accept(change.key)
             elif change.key == HOLDER_KEY:
                 self._apply_holder(change)
                 listeners.add(2)
@@ -413,12 +422,11 @@
         if isinstance(decoded, Err):
             # Only valid configurations are written to the store; the active
             # one stays in effect until a new one can be decoded.
-            _log.error(
-                "configuration-unreadable",
-                revision=format_revision(change.after.revision),
-                reason=decoded.err_value,
+            self.unreadable.reject(
+                ValueKind.CONFIGURATION, change.key, decoded.err_value
             )
             return
+        self.unreadable.accept(change.key)
         catalog = decoded.ok_value
         if self.catalog is not None and catalog.version < self.catalog.version:
             _log.warning(
@@ -438,7 +446,7 @@
     def _apply_instance(self, change: MirrorChange) -> None:
         instance = InstanceId(change.key.removeprefix(self._codec.instances_prefix))
         if change.after is None:
-            self._rejection_reasons.pop(instance, None)
+            self.unreadable.accept(change.key)
             if not self._keep_removed(instance):
                 self._remove_instance(instance)
             return
@@ -452,7 +460,7 @@
                 instance, change.key, "written by an earlier incarnation", keep=True
             )
             return
-        self._rejection_reasons.pop(instance, None)
+        self.unreadable.accept(change.key)
         is_new = self._record_start(instance, record.started_at_ms)
         before = self.instances.get(instance)
         self.retention.forget(instance)
@@ -469,18 +477,13 @@
     ) -> None:
         """Reject a record; the records of other instances stay in use.
 
-        The record may be written many times a second, so a rejection is logged
-        again only if its reason changes.
-
         Args:
             instance: The instance that the key names.
             key: The record's key.
             reason: Why the record is rejected.
             keep: Whether the known state of the instance stays in use.
         """
-        if self._rejection_reasons.get(instance) != reason:
-            self._rejection_reasons[instance] = reason
-            _log.warning("entry-unreadable", key=key, reason=reason)
+        self.unreadable.reject(ValueKind.INSTANCE, key, reason)
         if not keep:
             self._remove_instance(instance)
 
@@ -520,9 +523,10 @@
     def _apply_node(self, change: MirrorChange) -> None:
         node = NodeId(change.key.removeprefix(NODES_PREFIX))
         if change.after is None:
+            self.unreadable.accept(change.key)
             self.nodes.pop(node, None)
             return
-        record = _decode(change.key, change.after.value, NodeRecord)
+        record = self._decode(change.after, NodeRecord, ValueKind.NODE)
         if record is not None:
             self.nodes[node] = record
 
@@ -531,21 +535,24 @@
         return key.startswith((self._codec.instances_prefix, NODES_PREFIX))
 
     def _apply_holder(self, change: MirrorChange) -> None:
-        value = None if change.after is None else change.after.value
-        self.holder = (
-            None if value is None else _decode(change.key, value, HolderRecord)
-        )
+        if change.after is None:
+            self.unreadable.accept(change.key)
+            self.holder = None
+        else:
+            self.holder = self._decode(change.after, HolderRecord, ValueKind.HOLDER)
         node = None if self.holder is None else self.holder.node
         _log.info("holder-changed", holder=node or "none")
 
-
-def _decode(key: str, value: bytes, kind: type[_RecordT]) -> _RecordT | None:
-    decoded = decode_json(value, kind)
-    if isinstance(decoded, Err):
-        _log.error("record-unreadable", key=key, reason=decoded.err_value)
-        return None
-    fault = decoded.ok_value.find_fault()
-    if fault is not None:
-        _log.error("record-unreadable", key=key, reason=fault)
-        return None
-    return decoded.ok_value
+    def _decode(
+        self, item: StoredItem, record_type: type[_RecordT], kind: ValueKind
+    ) -> _RecordT | None:
+        decoded = decode_json(item.value, record_type)
+        if isinstance(decoded, Err):
+            self.unreadable.reject(kind, item.key, decoded.err_value)
+            return None
+        fault = decoded.ok_value.find_fault()
+        if fault is not None:
+            self.unreadable.reject(kind, item.key, fault)
+            return None
+        self.unreadable.accept(item.key)
+        return decoded.ok_value
--- a/src/zinniaspool/fleet/metrics.py
+++ b/src/zinniaspool/fleet/metrics.py
@@ -3,12 +3,16 @@
 import asyncio
 from collections.abc import Iterator
 
+from zinniaspool.core.decoding import shorten
 from zinniaspool.fleet.belief import FleetView
 from zinniaspool.fleet.connector import UpstreamConnector
 from zinniaspool.fleet.store import FleetStore
 from zinniaspool.telemetry import Sample
 from zinniaspool.telemetry.page import MetricsPage
 
+MAX_LISTED_KEYS = 50
+"""Most keys that the metrics name. Any writer of the store can add more."""
+
 __all__ = ["add_fleet_metrics", "add_path_metrics"]
 
 
@@ -33,6 +37,27 @@
     def list_evacuated() -> Iterator[Sample]:
         yield Sample({}, len(view.evacuated))
 
+    def list_rejected() -> Iterator[Sample]:
+        for kind, count in view.unreadable.counts.items():
+            yield Sample({"kind": kind.value}, count)
+
+    def list_unreadable() -> Iterator[Sample]:
+        current = sorted(view.unreadable.current.items())
+        for key, (kind, reason) in current[:MAX_LISTED_KEYS]:
+            # ``ascii`` also makes characters visible that no page can have.
+            labels = {"kind": kind.value, "key": ascii(shorten(key))[1:-1]}
+            yield Sample({**labels, "reason": ascii(reason)[1:-1]}, 1)
+
+    page.add_counter(
+        "zinniaspool_unreadable_values",
+        "Values of the store that this process could not use, by kind.",
+        list_rejected,
+    )
+    page.add_gauge(
+        "zinniaspool_unreadable_keys",
+        "Keys whose values this process can't use now, and why; the first 50.",
+        list_unreadable,
+    )
     page.add_gauge(
         "zinniaspool_evacuated_domains",
         "Failure domains whose upstreams get no new requests.",
--- a/src/zinniaspool/gateway/records.py
+++ b/src/zinniaspool/gateway/records.py
@@ -11,12 +11,12 @@
 import structlog
 from result import Err
 
-from zinniaspool.core.decoding import DECODE_ERRORS
+from zinniaspool.core.decoding import decode_json
 from zinniaspool.core.dispatch import Quarantine, find_terms
 from zinniaspool.core.fleet import HELD_PREFIX, QuarantineRecord
 from zinniaspool.core.ids import NodeId, Revision, TraitId
 from zinniaspool.core.storage import KeyWrite, StoreFault
-from zinniaspool.fleet import FleetStore, FleetView
+from zinniaspool.fleet import FleetStore, FleetView, ValueKind
 
 __all__ = ["QuarantineRecordStore"]
 
@@ -65,11 +65,14 @@
         item = self._fleet_view.mirror.get(HELD_PREFIX + trait)
         if item is None:
             return None
-        try:
-            return msgspec.json.decode(item.value, type=QuarantineRecord)
-        except DECODE_ERRORS as error:
-            _log.warning("quarantine-record-unreadable", trait=trait, reason=str(error))
+        decoded = decode_json(item.value, QuarantineRecord)
+        if isinstance(decoded, Err):
+            self._fleet_view.unreadable.reject(
+                ValueKind.QUARANTINE, item.key, decoded.err_value
+            )
             return None
+        self._fleet_view.unreadable.accept(item.key)
+        return decoded.ok_value
 
     def add(self, trait: TraitId, *, found_here: bool) -> None:
         """Have a trait recorded, by this process if no other one does it.
--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -13,20 +13,24 @@
 from hypothesis import example, given, strategies as st
 from result import Result
 from structlog.testing import capture_logs
+from typer.testing import CliRunner
 
+from zinniaspool.cli.main import app
 from zinniaspool.core.decoding import is_address, parse_count
 from zinniaspool.core.dispatch.streams import EventCursor
 from zinniaspool.core.fleet import EngineStatus, MirrorEvent
 from zinniaspool.core.ids import Address, Revision, split_address
-from zinniaspool.fleet import FleetView
-from zinniaspool.http import Headers, HttpClient, Request
+from zinniaspool.fleet import FleetStore, FleetView
+from zinniaspool.fleet.metrics import add_fleet_metrics
+from zinniaspool.http import Headers, HttpClient, HttpServer, Request
 from zinniaspool.peers.frames import FrameDecoder, FrameError
 from zinniaspool.platform import wire
 from zinniaspool.platform.entries import apply_status, decode_instance, decode_status
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.rules import decode_rules
 from zinniaspool.platform.spelling import PlatformCodec
-from zinniaspool_standins.installation import make_rules
+from zinniaspool.telemetry.page import MetricsPage
+from zinniaspool_standins.installation import free_address, make_rules
 
 STATUS = EngineStatus(None, None, (), 0, 0, 1.0, 5)
 INSTANCE: dict[str, object] = {
@@ -383,3 +387,49 @@
             assert values.get("else", b"") is not None
 
     asyncio.run(test())
+
+
+def test_unreadable_values_are_logged_once_counted_and_listed() -> None:
+    """Guards against a value that is ignored without anyone's knowledge."""
+    values = {
+        "servers/w-77\n": b"{}",
+        "servers/w-78": b"",
+        "zinnia/nodes/n7": b"[]",
+        "zinnia/holder": json.dumps({**HOLDER, "peer_address": "x"}).encode(),
+        "op/config": b"\xff",
+    }
+    view = FleetView(PlatformCodec())
+
+    def write(revision: int, key: str, value: bytes | None) -> None:
+        event = MirrorEvent(key, value, Revision(revision))
+        view.apply_changes(view.mirror.apply([event], Revision(revision), 0.0))
+
+    with capture_logs() as lines:
+        for revision in range(1, 4):
+            for key, value in values.items():
+                write(revision, key, value)
+    logged = [line["key"] for line in lines if "unreadable" in line["event"]]
+    assert sorted(logged) == sorted(values)
+    assert sum(view.unreadable.counts.values()) == 3 * len(values)
+
+    async def list_keys() -> str:
+        page = MetricsPage()
+        store = SimpleNamespace(calls={})
+        add_fleet_metrics(page, view, cast(FleetStore, store))
+        server = HttpServer(page.handle)
+        address = await server.listen(free_address())
+        arguments = ["unreadable", address]
+        result = await asyncio.to_thread(CliRunner().invoke, app, arguments)
+        await server.drain(0.0)
+        assert result.exit_code == 0, result.output
+        return result.stdout
+
+    listed = asyncio.run(list_keys()).splitlines()
+    assert len(listed) == len(values)
+    assert any(r"instance servers/w-77\n: the id is not valid" in one for one in listed)
+    write(4, "servers/w-78", json.dumps(INSTANCE).encode())
+    write(4, "zinnia/nodes/n7", None)
+    write(4, "zinnia/holder", json.dumps(HOLDER).encode())
+    assert sorted(view.unreadable.current) == ["op/config", "servers/w-77\n"]
+    view.stop_decoding_instances()
+    assert list(view.unreadable.current) == ["op/config"]
