--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -184,6 +184,9 @@
         "until ``left_ms`` are over.",
         "store-lost": "The store stopped answering.",
         "store-regained": "The store answers again.",
+        "store-answer-unreadable": "An answer of the store cannot be decoded at all.",
+        "store-row-unreadable": "A key in the store, or its revision, cannot be passed "
+        "on, so that the key is ignored.",
         "store-restored": "The store came back from an older copy; its revisions and "
         "leases of before are void.",
         "target-gone": "A target was removed from this process's targets.",
