Stall detection: the pace of slow engines counts after one long pass

Cause: where all heads of a model are slower than configured, or there is only one, a target's relative pace is 1, and the timeout learned how much slower from single passes beyond the longest predicted one, 5% at a time. Each of the eight processes rerouted streams meanwhile.

Change: the median pace of the model's passes is learned (MedianPace). It doesn't lengthen the timeout by itself, since passes of healthy heads that read unknown prompts look alike. Once a pass has exceeded the longest predicted one, or after a false alarm, the learned factor is at least it. Rules in the model of passes are given the view for false alarms too.

--- a/src/zinniaspool/core/dispatch/predictions.py
+++ b/src/zinniaspool/core/dispatch/predictions.py
@@ -5,6 +5,7 @@
 from zinniaspool.core.dispatch.choice import PASS_TOLERANCE_S
 from zinniaspool.core.dispatch.pace import FirstEventForecast
 from zinniaspool.core.dispatch.slow import SlowTargets
+from zinniaspool.core.dispatch.speed import MedianPace
 from zinniaspool.core.dispatch.targets import TargetState
 from zinniaspool.core.dispatch.timeouts import AdaptiveTimeout, PassTimeout
 
@@ -32,6 +33,8 @@
         slow: The targets that work slower than predicted.
         forecast: Predicts first events and passes.
         gap_timeout: Learns how much later than predicted an event may come.
+        model_pace: Learns how much slower than configured the model's engines
+            are.
         first_event_timeout: Learns the same of first events.
     """
 
@@ -39,6 +42,7 @@
         self.slow = SlowTargets(random_source)
         self.forecast = FirstEventForecast()
         self.gap_timeout = PassTimeout()
+        self.model_pace = MedianPace()
         self.first_event_timeout = AdaptiveTimeout(
             INITIAL_FIRST_EVENT_EXCESS_S,
             MAX_FIRST_EVENT_EXCESS_S,
@@ -94,10 +98,11 @@
         If the target was found stalled, the timeout was too short.
         """
         if state.consecutive_stalls:
-            self.gap_timeout.record_false_alarm()
+            self.gap_timeout.record_false_alarm(self.model_pace.value)
         elif state.streaming:
             gap_s = now - state.last_event_at
-            self.gap_timeout.record(self.predict_longest_gap(state, now), gap_s)
+            longest_s = self.predict_longest_gap(state, now)
+            self.gap_timeout.record(longest_s, gap_s, self.model_pace.value)
         if state.streaming and not state.blocked_streams:
             self._learn_pace(state, now)
         state.last_event_at, state.backoff_until, state.consecutive_stalls = now, 0.0, 0
@@ -112,6 +117,7 @@
         timing = self.forecast.timing
         read_tokens = min(state.peak_unread_tokens, timing.max_read_tokens)
         longest_s = shortest_s + timing.read_s * read_tokens
+        self.model_pace.record(took_s, state.pace * shortest_s, state.pace * longest_s)
         state.speed.record_pass(took_s, shortest_s, longest_s, now)
         self.slow.record(state, now)
 
--- a/src/zinniaspool/core/dispatch/speed.py
+++ b/src/zinniaspool/core/dispatch/speed.py
@@ -30,6 +30,7 @@
     "REPORTED_STEPS",
     "SLOW_PACE",
     "UNNOTICED_PACE",
+    "MedianPace",
     "PaceEstimate",
     "PeerPaces",
     "TargetSpeed",
@@ -87,6 +88,12 @@
 and a pace takes one byte."""
 
 
+MEDIAN_STEP_PART = 0.02
+"""Part by which one pass changes the learned median of a model's paces. It
+follows a change within some tens of passes, and passes that read prompts of
+other processes don't move it."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerPaces:
     """What the other processes report of a target's pace.
@@ -157,6 +164,39 @@
         self._samples.extend([pace] * INITIAL_SAMPLES)
 
 
+class MedianPace:
+    """The median pace of the passes of all engines of a model.
+
+    A target's own pace is relative to the other targets. This one shows where
+    all of them are slower than configured, or where there is no other one.
+    """
+
+    __slots__ = ("_median",)
+
+    def __init__(self) -> None:
+        self._median = 1.0
+
+    @property
+    def value(self) -> float:
+        """The pace to predict with; 1 if it is nearly as configured."""
+        return 1.0 if self._median < UNNOTICED_PACE else self._median
+
+    def record(self, took_s: float, shortest_s: float, longest_s: float) -> None:
+        """Record the time between two events of a target's streams.
+
+        Args:
+            took_s: The time, in seconds.
+            shortest_s: Predicted time of a pass without prompts, in seconds.
+            longest_s: Predicted time with all known prompts, in seconds.
+        """
+        if took_s < SAME_PASS_PART * shortest_s or shortest_s <= 0.0:
+            return
+        if took_s > self._median * longest_s:
+            self._median = min(MAX_PACE, self._median * (1.0 + MEDIAN_STEP_PART))
+        elif took_s < self._median * shortest_s:
+            self._median = max(1.0, self._median / (1.0 + MEDIAN_STEP_PART))
+
+
 class TargetSpeed:
     """The pace of one target, as measured here and as reported by peers.
 
--- a/src/zinniaspool/core/dispatch/timeouts.py
+++ b/src/zinniaspool/core/dispatch/timeouts.py
@@ -78,6 +78,10 @@
     is relative, since the passes of a slow engine take longer in proportion,
     whatever prompts they read.
 
+    Passes of a healthy engine that read unknown prompts look like those of a
+    slow one, but none exceeds the longest. So the usual pace doesn't count
+    until one has.
+
     Attributes:
         factor: The learned quantile of the actual over the predicted time; at
             least 1.
@@ -107,12 +111,13 @@
             expected_s = max(expected_s, INITIAL_TIMEOUT_S)
         return expected_s + PASS_MARGIN_S + self.widening_s
 
-    def record(self, predicted_s: float, took_s: float) -> None:
+    def record(self, predicted_s: float, took_s: float, pace: float = 1.0) -> None:
         """Record the actual time of a pass.
 
         Args:
             predicted_s: The longest time predicted of it, in seconds.
             took_s: The actual time, in seconds.
+            pace: Usual over predicted time of the model's passes.
         """
         if took_s < min(MIN_MEASURED_S, MIN_MEASURED_PART * predicted_s):
             return
@@ -121,20 +126,26 @@
         factor = (took_s - NETWORK_SPREAD_S) / predicted_s
         self.widening_s *= 1.0 - WIDENING_DECAY_PART
         self._measured += 1
-        if self._measured <= INITIAL_PASSES:
-            learned = max(self.factor, factor)
-        elif factor > self.factor:
-            learned = self.factor * (1.0 + PASS_LEARNING_PART)
+        is_initial = self._measured <= INITIAL_PASSES
+        if factor > self.factor:
+            raised = self.factor * (1.0 + PASS_LEARNING_PART)
+            learned = max(pace, factor if is_initial else raised)
+        elif is_initial:
+            learned = self.factor
         else:
             decrease_part = PASS_LEARNING_PART * (1.0 - PASS_QUANTILE) / PASS_QUANTILE
             learned = self.factor * (1.0 - decrease_part)
         self.factor = max(1.0, learned)
 
-    def record_false_alarm(self) -> None:
+    def record_false_alarm(self, pace: float = 1.0) -> None:
         """Record that an event came that was considered overdue.
 
         Its real excess isn't measured, since the wait for it had ended.
+
+        Args:
+            pace: Usual over predicted time of the model's passes.
         """
+        self.factor = max(self.factor, pace)
         widened_s = self.widening_s * FALSE_ALARM_FACTOR + ALARM_WIDENING_S
         self.widening_s = min(MAX_WIDENING_S, widened_s)
 
--- a/tests/pass_rules.py
+++ b/tests/pass_rules.py
@@ -30,7 +30,7 @@
     def record(self, view: View, gap_s: float, now: float) -> None:
         self._timeout.record(view.pool.predict_gap(view.state, now), gap_s)
 
-    def record_false_alarm(self) -> None:
+    def record_false_alarm(self, view: View) -> None:
         self._timeout.record_false_alarm()
 
 
@@ -54,7 +54,7 @@
         changed_s = self._excess_s[load] + (0.001 if is_longer else -0.00001)
         self._excess_s[load] = max(0.0, changed_s)
 
-    def record_false_alarm(self) -> None:
+    def record_false_alarm(self, view: View) -> None:
         for load in self._excess_s:
             self._excess_s[load] += 0.005
 
@@ -92,7 +92,7 @@
             learned = self._factor * (1.0 + changed)
         self._factor = max(1.0, learned)
 
-    def record_false_alarm(self) -> None:
+    def record_false_alarm(self, view: View) -> None:
         self._widening_s = min(0.1, 1.5 * self._widening_s + 0.01)
 
 
@@ -115,7 +115,7 @@
         self._widening_s *= 0.9998
         self._ratio = max(self._ratio * 0.99995, (gap_s - 0.004) / predicted_s)
 
-    def record_false_alarm(self) -> None:
+    def record_false_alarm(self, view: View) -> None:
         self._widening_s = min(0.1, 1.5 * self._widening_s + 0.025)
 
 
@@ -158,10 +158,11 @@
         return Timeouts(timeout_s + margins.alone_s, timeout_s + margins.confirmed_s)
 
     def record(self, view: View, gap_s: float, now: float) -> None:
-        self._timeout.record(self._predict(view, now), gap_s)
+        pace = view.pool.model_pace.value
+        self._timeout.record(self._predict(view, now), gap_s, pace)
 
-    def record_false_alarm(self) -> None:
-        self._timeout.record_false_alarm()
+    def record_false_alarm(self, view: View) -> None:
+        self._timeout.record_false_alarm(view.pool.model_pace.value)
 
     def _predict(self, view: View, now: float) -> float:
         state = view.state
--- a/tests/pass_world.py
+++ b/tests/pass_world.py
@@ -149,7 +149,7 @@
     def record(self, view: View, gap_s: float, now: float) -> None:
         """Record a gap between two events."""
 
-    def record_false_alarm(self) -> None:
+    def record_false_alarm(self, view: View) -> None:
         """Record that an event came after the timeout."""
 
 
@@ -384,7 +384,7 @@
 
     def record_event(self, gap_s: float) -> None:
         if self.stalled_at is not None:
-            self.rule.record_false_alarm()
+            self.rule.record_false_alarm(self._view)
         elif self._view.state.streaming:
             self.rule.record(self._view, gap_s, self._head.now)
         self.reset()
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -101,6 +101,18 @@
     assert find_stall_timeout(pool, state) >= 0.04 + PASS_MARGIN_S + read_s
 
 
+def test_one_long_pass_of_slow_engines_lengthens_the_timeout_by_their_pace() -> None:
+    """Guards against rerouting streams of a slow head one after another."""
+    pool, state = make_streaming_pool()
+    now, longest_s = 0.0, pool.predict_longest_gap(state, 0.0)
+    for _ in range(300):
+        now += 1.5 * TIMING.predict_pass(2, 0)
+        pool.record_event(state, now)
+    assert find_stall_timeout(pool, state) < 1.2 * longest_s
+    pool.record_event(state, now + 1.1 * longest_s)
+    assert find_stall_timeout(pool, state) > 1.45 * longest_s
+
+
 def test_after_a_false_alarm_the_timeout_is_longer() -> None:
     """Growing gaps are never measured if their streams are always rerouted."""
     pool, state = make_streaming_pool()
