Plans: a write goes on from the revision of an own late write

Cause: two writes of a plan were unanswered, and the first was done after the read that followed the second. From then on PlanStore expected a revision that the store no longer had: each further write was a conflict, the value that was read differed, and its revision was not taken over. No plan of the domain was written again for the rest of the process, and its successor read the old plan.

Change: whenever a write is in doubt or in conflict, the revision that was read is the one that the next write expects. That can't take over another holder's plan: each write also expects the holder's key as this process wrote it, so it fails once another process has taken over.

--- a/src/zinniaspool/keeper/plans.py
+++ b/src/zinniaspool/keeper/plans.py
@@ -69,13 +69,16 @@
             return None
         if committed.err_value not in (StoreFault.UNKNOWN, StoreFault.CONFLICT):
             return committed.err_value
-        # The answer was lost, or an earlier attempt was applied late. The
-        # value that is in the store now decides.
+        # The answer was lost, or an earlier write of this process was applied
+        # late. The value that is in the store now decides.
         stored = await self._store.get(key)
         if isinstance(stored, Err):
             return StoreFault.UNKNOWN
         item = stored.ok_value
+        # The revision may be one of an earlier write of this process, which
+        # the next write must expect. If it is one of a later holder, the next
+        # write fails by the holder's key.
+        self._revisions[plan.domain] = Revision(0) if item is None else item.revision
         if item is not None and item.value == value:
-            self._revisions[plan.domain] = item.revision
             return None
         return committed.err_value
