Formation: no VM joins a group whose plan is not in the store

Cause: FormationPlanner gave no orders while a plan was being written, but went on between a failed write and the next one. So groups formed and served that the store didn't name, and the next holder took them for groups in no plan. In the same step, a join of a standby group was given although its VM had just been chosen for another group.

Change: a group waits for a plan that names it (GroupRun.awaits_plan); its members are ordered to join, and its head to open, only once such a plan was written. If a member is lost meanwhile, the group is dropped without orders. In return, the other groups of the domain no longer wait while a plan is being written, so a group with a lost member is left at once. One write of a domain is under way at a time, also when all plans are requested again. While the store is down for all, groups are formed without it as before.

Tests: the simulated engines note each join or open of a group that the store doesn't name, in all machines of tests/test_formation.py, and LossyFormation loses and delays writes.

--- a/src/zinniaspool/core/formation/domains.py
+++ b/src/zinniaspool/core/formation/domains.py
@@ -37,7 +37,7 @@
         id: The fabric domain.
         runs: Its groups.
         unsaved: Whether its plan has changed since it was last written.
-        writing: Whether its plan is being written.
+        writing: The plan that is being written, or None.
         reserved_for: The model that freed VMs are reserved for, or None.
         reserved_until: Time until which they are reserved, in seconds.
         reserved_groups: Groups of that model that those VMs are to form.
@@ -49,7 +49,7 @@
     id: FabricDomainId
     runs: dict[GroupId, GroupRun] = field(default_factory=dict)
     unsaved: bool = False
-    writing: bool = False
+    writing: DomainPlan | None = None
     reserved_for: ModelName | None = None
     reserved_until: float = 0.0
     reserved_groups: int = 0
--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -81,6 +81,9 @@
         epoch_stale: Whether an engine has seen a higher epoch than the
             group's.
         restarted: Members that have restarted since the group was planned.
+        awaits_plan: Whether the store has no plan yet that names the group.
+            Until then its members are not ordered to join, nor its head to
+            open.
     """
 
     record: GroupRecord
@@ -90,6 +93,7 @@
     reason: str = "planned"
     epoch_stale: bool = False
     restarted: set[InstanceId] = field(default_factory=set)
+    awaits_plan: bool = False
     _must_release: set[InstanceId] = field(default_factory=set)
     _leave_unfit: set[InstanceId] = field(default_factory=set)
     _ordered_at: dict[tuple[InstanceId, OrderAction], float] = field(
@@ -112,7 +116,7 @@
         """Update the phase from the view, and return the orders due now."""
         self._update_phase(view, now)
         match self.phase:
-            case GroupPhase.FORMING:
+            case GroupPhase.FORMING if not self.awaits_plan:
                 return self._list_forming_orders(view, now)
             case GroupPhase.CLOSING:
                 return self._order_if_due(self.record.head, OrderAction.CLOSE, now)
@@ -273,6 +277,13 @@
                 for member in self.record.members
                 if view.find_orderable(member) is not None
             }
+        if self.awaits_plan:
+            # No member was ordered to join.
+            self._must_release = {
+                member
+                for member in self._must_release
+                if self._find_membership(member, view) is not None
+            }
         for member in self._must_release & self._leave_unfit:
             if self._find_membership(member, view) is None:
                 self.released.add(member)
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -29,7 +29,7 @@
 from zinniaspool.core.formation.evacuation import EvacuationFilter
 from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.loads import LoadBudget
-from zinniaspool.core.formation.orders import GroupOrder, OrderOutcome
+from zinniaspool.core.formation.orders import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.formation.provision import ModelProvisioning
 from zinniaspool.core.formation.records import DomainPlan, GroupPhase, GroupRecord
 from zinniaspool.core.formation.releases import ReleaseTracker
@@ -59,6 +59,10 @@
 seconds. A closing group serves its callers for a second or two."""
 
 
+_GROUP_ACTIONS = frozenset({OrderAction.JOIN, OrderAction.OPEN})
+"""Actions that make a VM part of a group, or have the group serve."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlanWrite:
     """A plan that must be in the store before its orders are sent."""
@@ -159,7 +163,7 @@
         for plan in plans:
             domain = self._domains.setdefault(plan.domain, PlannedDomain(plan.domain))
             domain.runs = {record.group: GroupRun(record) for record in plan.groups}
-            domain.unsaved, domain.writing, domain.changed = False, False, True
+            domain.unsaved, domain.writing, domain.changed = False, None, True
         self._provisioning.on_groups_changed()
 
     def update_instances(
@@ -283,20 +287,34 @@
                 self._provisioning.on_groups_changed()
         self._releases.on_order_outcome(order, outcome)
 
-    def on_plan_saved(self, domain: FabricDomainId) -> None:
-        """Record that a domain's plan is in the store."""
-        self._domains[domain].writing = False
-        self._domains[domain].changed = True
-
-    def on_plan_not_saved(self, domain: FabricDomainId) -> None:
-        """Record that writing a domain's plan failed and is due again."""
+    def on_plan_saved(self, plan: DomainPlan) -> None:
+        """Record that a plan is in the store."""
+        planned = self._domains[plan.domain]
+        for record in plan.groups:
+            if record.group in planned.runs:
+                planned.runs[record.group].awaits_plan = False
+        self._end_write(plan)
+
+    def on_plan_not_saved(self, plan: DomainPlan) -> None:
+        """Record that writing a plan failed and is due again."""
+        self.request_save(plan.domain)
+        self._end_write(plan)
+
+    def _end_write(self, plan: DomainPlan) -> None:
+        planned = self._domains[plan.domain]
+        planned.changed = True
+        if planned.writing is plan:
+            planned.writing = None
+
+    def request_save(self, domain: FabricDomainId) -> None:
+        """Have a domain's plan written, also if it has not changed."""
         planned = self._domains[domain]
-        planned.writing, planned.unsaved, planned.changed = False, True, True
+        planned.unsaved = planned.changed = True
 
     def save_all_plans(self) -> None:
         """Have the plans of all domains written again."""
         for domain in self._domains:
-            self.on_plan_not_saved(domain)
+            self.request_save(domain)
 
     def find_group(self, instance: InstanceId) -> GroupRecord | None:
         """Return the group whose plan names an instance, or None."""
@@ -335,14 +353,20 @@
                 continue
             self._allocate(domain, self._inventory.list_instances(domain.id), now)
             if domain.unsaved:
-                domain.unsaved, domain.writing = False, True
-                writes.append(PlanWrite(domain.make_plan()))
+                domain.unsaved, domain.writing = False, domain.make_plan()
+                writes.append(PlanWrite(domain.writing))
             orders += self._staging.list_staging_orders(
                 domain.runs.values(), self._engines, self._evacuation.allows_loads, now
             )
+        # A standby VM that was to join its standby group may have been chosen
+        # for another group since.
+        planned = {group for domain in due for group in domain.runs}
         # An order that is left out is due again after its usual pause.
         return writes, [
-            order for order in orders if order.instance not in self._view.not_orderable
+            order
+            for order in orders
+            if order.instance not in self._view.not_orderable
+            and (order.action not in _GROUP_ACTIONS or order.group in planned)
         ]
 
     def _list_candidates(
@@ -441,9 +465,6 @@
     def _advance_groups(
         self, domain: PlannedDomain, orders: list[GroupOrder], now: float
     ) -> None:
-        if domain.writing:
-            # Orders may belong to a plan that is not in the store yet.
-            return
         for group, run in list(domain.runs.items()):
             before = run.phase
             due = run.step(self._view, now)
@@ -545,7 +566,7 @@
         record = GroupRecord(
             group, epoch, service, chosen.model.name, chosen.members, chosen.standby
         )
-        domain.runs[group] = GroupRun(record, since=now)
+        domain.runs[group] = GroupRun(record, since=now, awaits_plan=True)
         self._provisioning.on_groups_changed()
         domain.unsaved = True
         self._on_transition(PhaseTransition(record, GroupPhase.FORMING, "planned"))
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -363,7 +363,7 @@
         """
         if not self._election.provisional:
             for domain in self._unsaved:
-                planner.on_plan_not_saved(domain)
+                planner.request_save(domain)
             self._unsaved.clear()
             return
         if now - self._outage_polled_at < OUTAGE_POLL_PAUSE_S:
@@ -451,7 +451,7 @@
             # No other process can plan now. A later holder that does not find
             # this plan in the store frees the plan's VMs before it uses them.
             self._unsaved.add(plan.domain)
-            planner.on_plan_saved(plan.domain)
+            planner.on_plan_saved(plan)
             return
         self._saving += 1
         try:
@@ -459,11 +459,11 @@
         finally:
             self._saving -= 1
         if fault is None:
-            planner.on_plan_saved(plan.domain)
+            planner.on_plan_saved(plan)
             return
         _log.warning("plan-unsaved", domain=plan.domain, fault=fault.value)
         await asyncio.sleep(0.1)
-        planner.on_plan_not_saved(plan.domain)
+        planner.on_plan_not_saved(plan)
 
     async def _send_order(self, planner: FormationPlanner, order: GroupOrder) -> None:
         instance = self._fleet_view.instances.get(order.instance)
--- a/tests/formation_world.py
+++ b/tests/formation_world.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
 from zinniaspool.core.fleet import (
@@ -56,6 +57,9 @@
 TICK_S = 0.05
 """Simulated time between two steps of the planner, in seconds."""
 
+WRITE_TIMEOUT_S = 0.8
+"""Time after which a write that is not answered counts as lost, in seconds."""
+
 HEARTBEAT_TIMEOUT_S = 3.6
 """Time without a heartbeat after which a record expires, in seconds."""
 
@@ -143,6 +147,8 @@
     Attributes:
         violations: The violations found so far.
         late_order_part: Part of the orders that are carried out late.
+        lost_write_part: Part of the writes of plans that are not answered.
+        late_write_part: Part of those that are done late.
         staging_enabled: Whether engines stage models.
         load_time_part: Part of the model's load time that a load takes.
         retains_instances: Whether engines without a record are retained.
@@ -156,6 +162,8 @@
         self.plans: dict[FabricDomainId, DomainPlan] = {}
         self.engines: dict[InstanceId, FakeEngine] = {}
         self.late_order_part = 0.0
+        self.lost_write_part = 0.0
+        self.late_write_part = 0.5
         self.staging_enabled = True
         self.load_time_part = 0.1
         self.retains_instances = False
@@ -163,6 +171,9 @@
         self.orders: list[GroupOrder] = []
         self.epoch = 0
         self._late_orders: list[tuple[float, GroupOrder]] = []
+        self._plan_revisions: Counter[FabricDomainId] = Counter()
+        self._late_writes: list[tuple[float, int, DomainPlan]] = []
+        self._unanswered: list[tuple[float, DomainPlan]] = []
         self._random = random.Random(seed)
         self._vm_count = 0
         for number in range(domains):
@@ -178,6 +189,9 @@
 
     def take_over(self) -> None:
         """Replace the planner by one that starts from the stored plans."""
+        # A write expects the key of its holder, also one that is done late.
+        self._late_writes.clear()
+        self._unanswered.clear()
         self.planner = FormationPlanner(
             self._next_epoch, 5.0, loads_unlimited_until=2.0
         )
@@ -241,14 +255,42 @@
             {it.id for it in self.engines.values() if it.retained_until is not None},
             frozenset(self.not_orderable),
         )
+        self._run_writes()
         writes, orders = self.planner.step(self.now)
         for write in writes:
-            self.plans[write.plan.domain] = write.plan
-            self.planner.on_plan_saved(write.plan.domain)
+            self._write_plan(write.plan)
         for order in orders:
             self.orders.append(order)
             self.planner.on_order_outcome(order, self._send_order(order), self.now)
 
+    def _write_plan(self, plan: DomainPlan) -> None:
+        if self._random.random() >= self.lost_write_part:
+            self._store_plan(plan)
+            self.planner.on_plan_saved(plan)
+            return
+        self._unanswered.append((self.now + WRITE_TIMEOUT_S, plan))
+        if self._random.random() < self.late_write_part:
+            due = self.now + self._random.uniform(1.0, 6.0)
+            revision = self._plan_revisions[plan.domain]
+            self._late_writes.append((due, revision, plan))
+
+    def _store_plan(self, plan: DomainPlan) -> None:
+        self.plans[plan.domain] = plan
+        self._plan_revisions[plan.domain] += 1
+
+    def _run_writes(self) -> None:
+        for late in [it for it in self._late_writes if it[0] <= self.now]:
+            self._late_writes.remove(late)
+            if self._plan_revisions[late[2].domain] == late[1]:
+                self._store_plan(late[2])
+        for unanswered in [it for it in self._unanswered if it[0] <= self.now]:
+            self._unanswered.remove(unanswered)
+            plan = unanswered[1]
+            if self.plans.get(plan.domain) == plan:
+                self.planner.on_plan_saved(plan)
+            else:
+                self.planner.on_plan_not_saved(plan)
+
     def _run_engine(self, engine: FakeEngine) -> None:
         membership = engine.membership
         if engine.staging is not None and engine.staging[0] <= self.now:
@@ -311,6 +353,10 @@
     def _send_order(self, order: GroupOrder) -> OrderOutcome:
         if order.instance in self.not_orderable | self.planner.suspected:
             self.violations.append(f"{order.action.value} to {order.instance}")
+        named = {record.group for plan in self.plans.values() for record in plan.groups}
+        follows_plan = order.action in (OrderAction.JOIN, OrderAction.OPEN)
+        if follows_plan and order.group not in named:
+            self.violations.append(f"{order.action.value} of unwritten {order.group}")
         engine = self.engines.get(order.instance)
         if engine is None or not engine.alive:
             return OrderOutcome.UNANSWERED
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -450,6 +450,14 @@
             self.fleet.not_orderable.discard(name)
 
 
+class LossyFormation(Formation):
+    """The same holds, and unwritten groups don't form, if writes are lost."""
+
+    @rule(part=st.sampled_from([0.0, 0.35, 1.0]))
+    def lose_writes(self, part: float) -> None:
+        self.fleet.lost_write_part = part
+
+
 _SETTINGS = settings(
     max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
 )
@@ -459,6 +467,54 @@
 TestRetainingFormation.settings = _SETTINGS
 TestIndirectFormation = IndirectFormation.TestCase
 TestIndirectFormation.settings = _SETTINGS
+TestLossyFormation = LossyFormation.TestCase
+TestLossyFormation.settings = _SETTINGS
+
+
+def test_no_group_forms_whose_plan_is_not_written() -> None:
+    """Guards against serving groups that the next holder doesn't know."""
+    fleet = SimulatedFleet()
+    fleet.lost_write_part, fleet.late_write_part = 1.0, 0.0
+    fleet.advance(12.0)
+    assert not fleet.violations
+    assert not fleet.count_serving(LARGE) + fleet.count_serving(SMALL)
+    fleet.lost_write_part = 0.0
+    fleet.advance(12.0)
+    assert not fleet.violations
+    assert (fleet.count_serving(LARGE), fleet.count_serving(SMALL)) == (1, 1)
+
+
+def test_a_group_goes_on_while_the_plan_of_another_is_not_written() -> None:
+    """Guards against a lost member that isn't left for want of a plan."""
+    fleet = make_settled_fleet()
+    fleet.lost_write_part = 1.0
+    for _ in range(2):
+        fleet.add_vm(FabricDomainId("d0"))
+    fleet.advance(3.0)
+    before = len(fleet.orders)
+    head, lost, *_ = fleet.find_members(LARGE)
+    fleet.fail_engine(lost)
+    fleet.advance(0.1)
+    left = [
+        order.instance
+        for order in fleet.orders[before:]
+        if order.action is OrderAction.LEAVE
+    ]
+    assert left == [head.id]
+
+
+def test_a_group_that_waits_for_its_plan_is_dropped_with_a_lost_member() -> None:
+    """Guards against VMs that are held for a group that can't form."""
+    fleet = make_settled_fleet()
+    fleet.lost_write_part = 1.0
+    fleet.fail_engine(fleet.find_members(LARGE)[1])
+    fleet.advance(1.0)
+    waiting = [run for run in fleet.planner.list_runs() if run.awaits_plan]
+    assert waiting
+    fleet.fail_engine(fleet.engines[waiting[0].record.members[1]])
+    fleet.advance(0.1)
+    assert waiting[0] not in fleet.planner.list_runs()
+    assert not fleet.violations
 
 
 def test_a_group_is_not_opened_while_a_member_has_no_record() -> None:
