Holder: resigns only when its plans as they are now are written

Cause: has_unsaved_plans counted the writes under way, which are none between two tries. So a stopping holder resigned with a plan that had just been refused. Domains that were planned during an outage also stayed listed for the next term of the process, whose planner may not know them. A refused plan was logged ten times a second, without a line at its end.

Change: the planner says whether any domain's plan is due or being written; a plan that is due while groups aren't formed yet is written too. After three failed writes plan-unsaved is logged once, and plan-saved at the end; the metrics zinniaspool_plan_writes and zinniaspool_unsaved_plans count them.

--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -316,6 +316,14 @@
         for domain in self._domains:
             self.request_save(domain)
 
+    @property
+    def has_unsaved_plans(self) -> bool:
+        """Whether any domain's plan as it is now may not be in the store."""
+        return any(
+            domain.unsaved or domain.writing is not None
+            for domain in self._domains.values()
+        )
+
     def find_group(self, instance: InstanceId) -> GroupRecord | None:
         """Return the group whose plan names an instance, or None."""
         for run in self.list_runs():
@@ -349,12 +357,16 @@
             domain.changed, domain.scanned_at = False, now
             self._advance_groups(domain, orders, now)
         for domain in due:
-            if domain.writing or now < self._formation_deferred_until:
+            if domain.writing is not None:
                 continue
-            self._allocate(domain, self._inventory.list_instances(domain.id), now)
+            forms_groups = now >= self._formation_deferred_until
+            if forms_groups:
+                self._allocate(domain, self._inventory.list_instances(domain.id), now)
             if domain.unsaved:
                 domain.unsaved, domain.writing = False, domain.make_plan()
                 writes.append(PlanWrite(domain.writing))
+            if not forms_groups:
+                continue
             orders += self._staging.list_staging_orders(
                 domain.runs.values(), self._engines, self._evacuation.allows_loads, now
             )
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -82,6 +82,9 @@
 neither the store nor the other processes have confirmed that it still may, in
 seconds."""
 
+SAVE_RETRY_PAUSE_S = 0.1
+"""Pause after a failed write of a plan, in seconds."""
+
 SAVED_CHECK_PAUSE_S = 0.02
 """Pause between checks whether all plans are in the store, in seconds."""
 
@@ -109,6 +112,7 @@
         reach: Finds out whether the silence of upstreams is their own fault.
 
     Attributes:
+        plans: The plans in the store.
         order_counts: Number of orders sent, by action and outcome.
         queries: Queries engines, also through entry processes.
         retainer: Decides which instances without a record are retained.
@@ -128,7 +132,7 @@
     ) -> None:
         self._fleet_view = fleet_view
         self._election = election
-        self._plans = plans
+        self.plans = plans
         self._engines = engines
         self._list_demands = list_demands
         self._load_window_s = load_window_s
@@ -137,7 +141,6 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._planner: FormationPlanner | None = None
         self._epoch = 0
-        self._saving = 0
         self._unsaved: set[FabricDomainId] = set()
         self._outage_polled_at = float("-inf")
         self._checked_at: dict[str, float] = {}
@@ -243,6 +246,7 @@
             self._log_transition,
         )
         self._planner = planner
+        self._unsaved.clear()
         self._restore(planner)
         await self.retainer.run_beside(self._await_upstreams())
         await self.retainer.run_beside(self._query_all_engines(planner))
@@ -305,7 +309,7 @@
         Plans and instance records in the store are those of the older copy
         from which it came back.
         """
-        self._plans.update_revisions(self._fleet_view.mirror)
+        self.plans.update_revisions(self._fleet_view.mirror)
         planner.save_all_plans()
         self._start(self._query_all_engines(planner))
 
@@ -345,7 +349,10 @@
     @property
     def has_unsaved_plans(self) -> bool:
         """Whether any plan in effect is not in the store."""
-        return bool(self._unsaved or self._saving)
+        planner = self._planner
+        return planner is not None and (
+            bool(self._unsaved) or planner.has_unsaved_plans
+        )
 
     async def wait_until_saved(self) -> None:
         """Wait until all plans in effect are written to the store."""
@@ -415,7 +422,7 @@
             self._changed.set()
 
     def _restore(self, planner: FormationPlanner) -> None:
-        plans = self._plans.load(self._fleet_view.mirror)
+        plans = self.plans.load(self._fleet_view.mirror)
         for plan in plans:
             for record in plan.groups:
                 self._epoch = max(self._epoch, record.epoch)
@@ -453,16 +460,11 @@
             self._unsaved.add(plan.domain)
             planner.on_plan_saved(plan)
             return
-        self._saving += 1
-        try:
-            fault = await self._plans.save(plan, self._election.revision)
-        finally:
-            self._saving -= 1
+        fault = await self.plans.save(plan, self._election.revision)
         if fault is None:
             planner.on_plan_saved(plan)
             return
-        _log.warning("plan-unsaved", domain=plan.domain, fault=fault.value)
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(SAVE_RETRY_PAUSE_S)
         planner.on_plan_not_saved(plan)
 
     async def _send_order(self, planner: FormationPlanner, order: GroupOrder) -> None:
--- a/src/zinniaspool/keeper/metrics.py
+++ b/src/zinniaspool/keeper/metrics.py
@@ -50,6 +50,13 @@
     def list_scans() -> Iterator[Sample]:
         yield Sample({}, holder.domains_scanned)
 
+    def list_plan_writes() -> Iterator[Sample]:
+        for fault, count in holder.plans.write_counts.items():
+            yield Sample({"outcome": "ok" if fault is None else fault.value}, count)
+
+    def list_unsaved() -> Iterator[Sample]:
+        yield Sample({}, len(holder.plans.unsaved) if holder.is_planning else 0)
+
     def list_slow() -> Iterator[Sample]:
         yield Sample({}, len(holder.slow_vms.instances))
 
@@ -69,6 +76,16 @@
         "Fabric domains that the planner scanned, over all its passes.",
         list_scans,
     )
+    page.add_counter(
+        "zinniaspool_plan_writes",
+        "Writes of plans to the store, by outcome.",
+        list_plan_writes,
+    )
+    page.add_gauge(
+        "zinniaspool_unsaved_plans",
+        "Plans that could not be written for several tries.",
+        list_unsaved,
+    )
     page.add_gauge("zinniaspool_groups", "Groups by model and phase.", list_groups)
     page.add_counter(
         "zinniaspool_orders", "Orders sent, by action and outcome.", list_orders
--- a/src/zinniaspool/keeper/plans.py
+++ b/src/zinniaspool/keeper/plans.py
@@ -1,5 +1,9 @@
 """Plans of replica groups in the store, read by the next holder."""
 
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+
 import msgspec
 import structlog
 from result import Err
@@ -15,20 +19,54 @@
 _log = structlog.get_logger(__name__)
 
 
+MIN_REPORTED_TRIES = 3
+"""Failed writes in a row from which on a plan counts as unsaved. Single writes
+fail whenever an answer is lost."""
+
+
+@dataclass(slots=True)
+class _FailedWrites:
+    """Writes of one domain's plan that failed in a row.
+
+    Attributes:
+        since: When the first of them failed, in seconds on the loop's clock.
+        count: How many there were.
+    """
+
+    since: float
+    count: int = 0
+
+
 class PlanStore:
     """Reads and writes the plans of all fabric domains, one value for each.
 
     Args:
         store: The store that keeps the plans.
+
+    Attributes:
+        write_counts: Number of writes of plans, by their fault; None for
+            those after which the plan was certainly in the store.
     """
 
     def __init__(self, store: FleetStore) -> None:
+        self.write_counts: Counter[StoreFault | None] = Counter()
         self._store = store
         self._revisions: dict[FabricDomainId, Revision] = {}
+        self._failed: dict[FabricDomainId, _FailedWrites] = {}
+
+    @property
+    def unsaved(self) -> list[FabricDomainId]:
+        """Domains whose plans could not be written for several tries."""
+        return [
+            domain
+            for domain, failed in self._failed.items()
+            if failed.count >= MIN_REPORTED_TRIES
+        ]
 
     def load(self, mirror: StoreMirror) -> list[DomainPlan]:
         """Return the plans that are in the store, and keep their revisions."""
         plans = []
+        self._failed.clear()
         self.update_revisions(mirror)
         for item in mirror.list_by_prefix(PLANS_PREFIX):
             domain = FabricDomainId(item.key.removeprefix(PLANS_PREFIX))
@@ -58,6 +96,37 @@
             plan: The plan.
             holder_revision: Revision of the holder's key that is required.
         """
+        fault = await self._write(plan, holder_revision)
+        self.write_counts[fault] += 1
+        self._record_outcome(plan.domain, fault)
+        return fault
+
+    def _record_outcome(self, domain: FabricDomainId, fault: StoreFault | None) -> None:
+        now = asyncio.get_running_loop().time()
+        if fault is not None:
+            failed = self._failed.setdefault(domain, _FailedWrites(now))
+            failed.count += 1
+            if failed.count == MIN_REPORTED_TRIES:
+                _log.warning(
+                    "plan-unsaved",
+                    domain=domain,
+                    fault=fault.value,
+                    tries=failed.count,
+                    for_ms=int((now - failed.since) * 1000),
+                )
+            return
+        ended = self._failed.pop(domain, None)
+        if ended is not None and ended.count >= MIN_REPORTED_TRIES:
+            _log.info(
+                "plan-saved",
+                domain=domain,
+                tries=ended.count,
+                for_ms=int((now - ended.since) * 1000),
+            )
+
+    async def _write(
+        self, plan: DomainPlan, holder_revision: Revision
+    ) -> StoreFault | None:
         key = PLANS_PREFIX + plan.domain
         value = msgspec.json.encode(plan)
         known = self._revisions.get(plan.domain, Revision(0))
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -152,7 +152,10 @@
         "none for some seconds.",
         "peer-stale": "A peer's mirror of the store was too old, or the peer did not "
         "answer.",
-        "plan-unsaved": "The store did not accept a plan; the plan is written again.",
+        "plan-saved": "A plan that could not be written for several tries is in the "
+        "store.",
+        "plan-unsaved": "The store did not accept a plan for several tries; no group "
+        "that it adds is formed, and the plan is written again.",
         "query-unanswered": "An instance did not answer the entry processes that "
         "queried it for the holder.",
         "read-outdated": "A read of the whole store returned keys at older revisions "
--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -1,10 +1,16 @@
 """Tests of plans whose writes are lost, late or in conflict."""
 
+import asyncio
+from typing import Any
+
 import msgspec
 import pytest
+from structlog.testing import capture_logs
 
 from tests.fakes import run_in_loop
+from tests.fleet_simulation import FakePlanStore, SimulatedFleet
 from tests.lossy_store import Fate, LossyStore
+from tests.virtual_time import run_in_virtual_time
 from zinniaspool.core.fleet import HOLDER_KEY, PLANS_PREFIX, InstanceId
 from zinniaspool.core.formation import DomainPlan, GroupRecord
 from zinniaspool.core.ids import (
@@ -89,3 +95,60 @@
         assert read_plan(store) == make_plan(2)
 
     run_in_loop(test)
+
+
+def test_an_unsaved_plan_is_reported_at_its_start_and_end() -> None:
+    """Guards against a line for each try, and none at the end."""
+
+    async def test() -> None:
+        store = LossyStore()
+        plans = PlanStore(store)  # type: ignore[arg-type]
+        holder = await acquire(store, "n1")
+        store.fates = [Fate.DROPPED] * 7
+        with capture_logs() as lines:
+            for number in range(7):
+                await plans.save(make_plan(number), holder)
+                assert bool(plans.unsaved) is (number >= 2)
+            assert await plans.save(make_plan(9), holder) is None
+            store.fates = [Fate.DROPPED]
+            for number in (10, 11):
+                await plans.save(make_plan(number), holder)
+        assert [(line["event"], line["tries"]) for line in lines] == [
+            ("plan-unsaved", 3),
+            ("plan-saved", 7),
+        ]
+        assert not plans.unsaved
+        assert plans.write_counts == {StoreFault.UNKNOWN: 8, None: 2}
+
+    run_in_loop(test)
+
+
+class RefusingPlanStore(FakePlanStore):
+    """Plans that the store doesn't accept for some time."""
+
+    refuses = True
+
+    async def save(self, plan: DomainPlan, holder_revision: Revision) -> Any:
+        await asyncio.sleep(0.01)
+        return StoreFault.CONFLICT if self.refuses else None
+
+
+def test_a_plan_counts_as_unsaved_between_two_tries() -> None:
+    """Guards against a holder that resigns with an unwritten plan."""
+
+    async def test() -> None:
+        fleet = SimulatedFleet()
+        holder = fleet.take_over(0).holder
+        holder.plans = plans = RefusingPlanStore()  # type: ignore[assignment]
+        await asyncio.sleep(2.0)
+        assert holder._planner is not None
+        holder._planner.save_all_plans()
+        for _ in range(50):
+            await asyncio.sleep(0.02)
+            assert holder.has_unsaved_plans
+        plans.refuses = False
+        await asyncio.sleep(0.5)
+        assert not holder.has_unsaved_plans
+        fleet.stop()
+
+    run_in_virtual_time(test)
