Formation: a new holder takes over serving groups that no plan names

Cause: ReleaseTracker.list_orphan_releases ordered all members of each group that the plan didn't name to leave, also those of whole groups that serve. So after a holder that ended with an unwritten plan, or that had formed groups while the store was down, its successor cut the streams of all these groups and formed other ones of the same VMs.

Change: a group whose members all report it, with its epoch and its model, and whose head is open or closing, is taken over (core/formation/adoption.py): it is managed as any other and written to the plan. Groups of the plan that name one of its VMs under a lower epoch are from before and are dropped.

--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -13,7 +13,9 @@
     EngineSpec,
     Instance,
     InstanceId,
+    Membership,
 )
+from zinniaspool.core.formation.adoption import find_serving_groups
 from zinniaspool.core.formation.allocation import (
     Candidate,
     ModelNeed,
@@ -348,6 +350,7 @@
         self._inventory.record_arrivals(now)
         self._apply_evacuations()
         writes: list[PlanWrite] = []
+        self._adopt_serving_groups(now)
         orders = self._list_orphan_releases(now)
         self._reassign_vms(now)
         self._replace_slow_members(now)
@@ -583,6 +586,43 @@
         domain.unsaved = True
         self._on_transition(PhaseTransition(record, GroupPhase.FORMING, "planned"))
 
+    def _adopt_serving_groups(self, now: float) -> None:
+        """Take over whole groups that serve though no plan names them."""
+        planned = {run.record.group for run in self.list_runs()}
+
+        def may_adopt(instance: Instance, membership: Membership) -> bool:
+            return (
+                membership.group not in planned
+                and self._view.find_reachable(instance.id) is not None
+                and not self._releases.is_leaving(instance.id)
+                and not self._releases.is_free(instance)
+            )
+
+        for domain, record in find_serving_groups(
+            self._view.instances.values(), self._engines, may_adopt
+        ):
+            self._adopt_group(domain, record, now)
+
+    def _adopt_group(
+        self, domain: FabricDomainId, record: GroupRecord, now: float
+    ) -> None:
+        planned = self._domains.setdefault(domain, PlannedDomain(domain))
+        replaced = [
+            run.record
+            for run in planned.runs.values()
+            if not set(run.record.members).isdisjoint(record.members)
+        ]
+        if any(older.epoch >= record.epoch for older in replaced):
+            return
+        # The plan is from before the group was formed. Members of the older
+        # groups that are still in them are released as those of no plan.
+        for older in replaced:
+            del planned.runs[older.group]
+        planned.runs[record.group] = GroupRun(record, since=now, awaits_plan=True)
+        planned.unsaved = planned.changed = True
+        self._provisioning.on_groups_changed()
+        self._on_transition(PhaseTransition(record, GroupPhase.FORMING, "taken-over"))
+
     def _list_orphan_releases(self, now: float) -> list[GroupOrder]:
         """Return orders that release instances from groups in no plan."""
         groups = {run.record.group for run in self.list_runs()}
--- a/src/zinniaspool/core/formation/releases.py
+++ b/src/zinniaspool/core/formation/releases.py
@@ -84,6 +84,10 @@
             return True
         return (instance.id, membership.group) in self._released
 
+    def is_leaving(self, instance: InstanceId) -> bool:
+        """Return whether a VM was ordered to leave a group in no plan."""
+        return instance in self._orphans
+
     def list_orphan_releases(
         self,
         unplanned: Iterable[Instance],
@@ -94,7 +98,7 @@
         """Return orders that release VMs from groups that no plan names.
 
         Such a VM was cut off when its group was given up, or carried out a
-        late order.
+        late order. The VMs of whole groups that serve are not among them.
 
         Args:
             unplanned: VMs that no plan names.
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import replace
 
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -607,3 +608,68 @@
     passes, stable_s = int(losses * 0.5 / 0.05), losses * 0.5
     assert scanned <= 25 * stable_s / 0.25 + 3 * passes
     assert scanned <= 0.4 * 25 * passes
+
+
+def list_serving(fleet: SimulatedFleet) -> set[str]:
+    """Return the groups whose heads are open."""
+    return {
+        engine.membership.group
+        for engine in fleet.engines.values()
+        if engine.membership is not None
+        and engine.membership.state is MembershipState.OPEN
+    }
+
+
+@pytest.mark.parametrize("knows_older", [False, True])
+def test_a_new_holder_takes_over_groups_that_no_plan_names(
+    *, knows_older: bool
+) -> None:
+    """Guards against whole groups that end because no plan names them."""
+    fleet = make_settled_fleet()
+    older = dict(fleet.plans) if knows_older else {}
+    for model in (LARGE, SMALL):
+        lost = fleet.find_members(model)[1]
+        fleet.fail_engine(lost)
+        fleet.restart_as_new_instance(lost)
+        fleet.advance(20.0)
+    serving, before = list_serving(fleet), len(fleet.orders)
+    fleet.plans = older
+    fleet.take_over()
+    fleet.advance(6.0)
+    assert list_serving(fleet) == serving
+    named = {record.group for plan in fleet.plans.values() for record in plan.groups}
+    assert serving <= named
+    in_groups = {run.record.group for run in fleet.planner.list_runs()}
+    assert serving <= in_groups
+    assert not {order.group for order in fleet.orders[before:]} & serving
+    assert not fleet.violations
+
+
+def test_a_group_that_was_taken_over_is_repaired() -> None:
+    """Guards against a group that is kept without being managed."""
+    fleet = make_settled_fleet()
+    fleet.plans = {}
+    fleet.lost_write_part = 1.0
+    fleet.take_over()
+    fleet.advance(0.5)
+    fleet.fail_engine(fleet.find_members(LARGE)[1])
+    fleet.lost_write_part = 0.0
+    fleet.advance(5.0)
+    assert fleet.count_serving(LARGE) == 1
+    assert not fleet.violations
+
+
+def test_a_group_that_finishes_its_requests_is_taken_over() -> None:
+    """Guards against running requests that end with a holder."""
+    fleet = make_settled_fleet()
+    head = fleet.find_members(LARGE)[0]
+    assert head.membership is not None
+    fleet.plans = {}
+    fleet.take_over()
+    closing = replace(head.membership, state=MembershipState.CLOSING)
+    assert head.record is not None
+    head.record = replace(head.record, membership=closing)
+    head.connected = False
+    fleet.advance(0.2)
+    leaves = [it for it in fleet.orders if it.action is OrderAction.LEAVE]
+    assert closing.group not in {order.group for order in leaves}
