--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -179,7 +179,7 @@
             self._is_upstream_address,
             TUNNEL_CONNECT_S,
             self._connector.confirm_path,
-            lambda: self._stopping_at is not None,
+            lambda: self._stop_clock.began_at is not None,
         )
         self._peer_exchange = PeerExchange(
             settings.node,
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -470,6 +470,14 @@
             self.fleet.not_orderable.discard(name)
 
 
+class LossyFormation(Formation):
+    """The same holds, and unwritten groups don't form, if writes are lost."""
+
+    @rule(part=st.sampled_from([0.0, 0.35, 1.0]))
+    def lose_writes(self, part: float) -> None:
+        self.fleet.lost_write_part = part
+
+
 _SETTINGS = settings(
     max_examples=40, stateful_step_count=25, deadline=None, derandomize=True
 )
@@ -479,6 +487,54 @@
 TestRetainingFormation.settings = _SETTINGS
 TestIndirectFormation = IndirectFormation.TestCase
 TestIndirectFormation.settings = _SETTINGS
+TestLossyFormation = LossyFormation.TestCase
+TestLossyFormation.settings = _SETTINGS
+
+
+def test_no_group_forms_whose_plan_is_not_written() -> None:
+    """Guards against serving groups that the next holder doesn't know."""
+    fleet = SimulatedFleet()
+    fleet.lost_write_part, fleet.late_write_part = 1.0, 0.0
+    fleet.advance(12.0)
+    assert not fleet.violations
+    assert not fleet.count_serving(LARGE) + fleet.count_serving(SMALL)
+    fleet.lost_write_part = 0.0
+    fleet.advance(12.0)
+    assert not fleet.violations
+    assert (fleet.count_serving(LARGE), fleet.count_serving(SMALL)) == (1, 1)
+
+
+def test_a_group_goes_on_while_the_plan_of_another_is_not_written() -> None:
+    """Guards against a lost member that isn't left for want of a plan."""
+    fleet = make_settled_fleet()
+    fleet.lost_write_part = 1.0
+    for _ in range(2):
+        fleet.add_vm(FabricDomainId("d0"))
+    fleet.advance(3.0)
+    before = len(fleet.orders)
+    head, lost, *_ = fleet.find_members(LARGE)
+    fleet.fail_engine(lost)
+    fleet.advance(0.1)
+    left = [
+        order.instance
+        for order in fleet.orders[before:]
+        if order.action is OrderAction.LEAVE
+    ]
+    assert left == [head.id]
+
+
+def test_a_group_that_waits_for_its_plan_is_dropped_with_a_lost_member() -> None:
+    """Guards against VMs that are held for a group that can't form."""
+    fleet = make_settled_fleet()
+    fleet.lost_write_part = 1.0
+    fleet.fail_engine(fleet.find_members(LARGE)[1])
+    fleet.advance(1.0)
+    waiting = [run for run in fleet.planner.list_runs() if run.awaits_plan]
+    assert waiting
+    fleet.fail_engine(fleet.engines[waiting[0].record.members[1]])
+    fleet.advance(0.1)
+    assert waiting[0] not in fleet.planner.list_runs()
+    assert not fleet.violations
 
 
 def test_a_group_is_not_opened_while_a_member_has_no_record() -> None:
@@ -601,3 +657,68 @@
     passes, stable_s = int(losses * 0.5 / 0.05), losses * 0.5
     assert scanned <= 25 * stable_s / 0.25 + 3 * passes
     assert scanned <= 0.4 * 25 * passes
+
+
+def list_serving(fleet: SimulatedFleet) -> set[str]:
+    """Return the groups whose heads are open."""
+    return {
+        engine.membership.group
+        for engine in fleet.engines.values()
+        if engine.membership is not None
+        and engine.membership.state is MembershipState.OPEN
+    }
+
+
+@pytest.mark.parametrize("knows_older", [False, True])
+def test_a_new_holder_takes_over_groups_that_no_plan_names(
+    *, knows_older: bool
+) -> None:
+    """Guards against whole groups that end because no plan names them."""
+    fleet = make_settled_fleet()
+    older = dict(fleet.plans) if knows_older else {}
+    for model in (LARGE, SMALL):
+        lost = fleet.find_members(model)[1]
+        fleet.fail_engine(lost)
+        fleet.restart_as_new_instance(lost)
+        fleet.advance(20.0)
+    serving, before = list_serving(fleet), len(fleet.orders)
+    fleet.plans = older
+    fleet.take_over()
+    fleet.advance(6.0)
+    assert list_serving(fleet) == serving
+    named = {record.group for plan in fleet.plans.values() for record in plan.groups}
+    assert serving <= named
+    in_groups = {run.record.group for run in fleet.planner.list_runs()}
+    assert serving <= in_groups
+    assert not {order.group for order in fleet.orders[before:]} & serving
+    assert not fleet.violations
+
+
+def test_a_group_that_was_taken_over_is_repaired() -> None:
+    """Guards against a group that is kept without being managed."""
+    fleet = make_settled_fleet()
+    fleet.plans = {}
+    fleet.lost_write_part = 1.0
+    fleet.take_over()
+    fleet.advance(0.5)
+    fleet.fail_engine(fleet.find_members(LARGE)[1])
+    fleet.lost_write_part = 0.0
+    fleet.advance(5.0)
+    assert fleet.count_serving(LARGE) == 1
+    assert not fleet.violations
+
+
+def test_a_group_that_finishes_its_requests_is_taken_over() -> None:
+    """Guards against running requests that end with a holder."""
+    fleet = make_settled_fleet()
+    head = fleet.find_members(LARGE)[0]
+    assert head.membership is not None
+    fleet.plans = {}
+    fleet.take_over()
+    closing = replace(head.membership, state=MembershipState.CLOSING)
+    assert head.record is not None
+    head.record = replace(head.record, membership=closing)
+    head.connected = False
+    fleet.advance(0.2)
+    leaves = [it for it in fleet.orders if it.action is OrderAction.LEAVE]
+    assert closing.group not in {order.group for order in leaves}
