Stops: slower upstreams, failed answers and resumed streams are predicted

A resumed stream was predicted in full and refused.

Change: the time of a token and the part of the allowed tokens that is written are learned apart, the latter from 128 streams on. Streams in progress always count. Only successes are recorded, streams and whole answers apart. High quantiles replace maxima, so that one slow reader doesn't refuse long streams for minutes. A resumed stream needs what is left of it. What is aborted at the end is logged as cut-by-stop, and the search for a crashed upstream ends with the stop.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -19,7 +19,11 @@
 from zinniaspool.core.dispatch.contention import CapacityDivision, Claim, Standing
 from zinniaspool.core.dispatch.contents import identify_content
 from zinniaspool.core.dispatch.demand import PeerDigests, identify_model
-from zinniaspool.core.dispatch.durations import AnswerTiming, DurationForecast
+from zinniaspool.core.dispatch.durations import (
+    AnswerTiming,
+    DurationForecast,
+    StreamTiming,
+)
 from zinniaspool.core.dispatch.loads import LoadChangeTracker, PeerLoads
 from zinniaspool.core.dispatch.pace import EngineTiming, FirstEventForecast
 from zinniaspool.core.dispatch.patience import CallerTimeoutEstimator
@@ -102,6 +106,7 @@
     "SlackSharers",
     "Standing",
     "StreamFault",
+    "StreamTiming",
     "Subset",
     "Target",
     "TargetPool",
--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -5,74 +5,97 @@
 sent elsewhere for nothing. So the longest time is predicted from the longest
 answer that a request allows, and from what recent answers of its kind took.
 
-The longest pause of each stream is kept apart from its writing time. It shows
-how long upstreams are silent at times, whatever the length of the stream.
+The longest pause of each stream is kept apart from the time of its tokens. It
+shows how long upstreams are silent at times, whatever the length of a stream.
 """
 
+import math
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 
-__all__ = ["AnswerTiming", "DurationForecast"]
+__all__ = ["AnswerTiming", "DurationForecast", "StreamTiming"]
 
-RECENT_ANSWERS = 128
+RECENT_ANSWERS = 256
 """Answers of one kind that are kept."""
 
 RECENT_S = 300.0
 """Time for which an answer counts, in seconds."""
 
-MIN_STREAM_TOKENS = 16
-"""Allowed tokens from which a stream shows the time for each of them. The time
-of a shorter one is mostly that of single passes."""
+HIGH_QUANTILE = 0.95
+"""Quantile of recent times that counts as the longest. A few longer ones, of
+callers that read slowly, would have all long streams refused."""
+
+MIN_PASSES = 5
+"""Passes from which on a stream shows the time of a token."""
+
+MIN_LENGTHS = 128
+"""Streams after which their lengths count too. Fewer may all have ended early
+by chance."""
 
 MIN_RESERVE_S = 0.4
 """Least time reserved for pauses, further attempts and delays of the process,
 in seconds."""
 
-MIN_STREAMS = 16
-"""Streams from which on their writing times alone are used. Fewer may all have
-ended early, or run while their upstreams had little to do."""
-
 MAX_RESERVE_S = 2.0
 """Longest time reserved for them, in seconds. An upstream that is silent for
 longer is considered lost."""
 
-FEW_STREAMS_FACTOR = 1.05
-"""Longest over recent time of a token while fewer streams were seen."""
-
-LOAD_FACTOR = 1.05
-"""Longest over recent time of a token in any case: an upstream works more
-slowly the more requests it has."""
+LOAD_FACTOR = 1.1
+"""Longest over recent time of a token: an upstream works more slowly the more
+requests it has."""
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerTiming:
-    """How long one request took, in seconds.
+class StreamTiming:
+    """What one stream showed, whole or in progress.
 
     Attributes:
-        ended_at: When its answer ended, on the event loop's clock.
-        took_s: Time from its arrival to the end of its answer.
-        writing_s: Time from the first byte of its answer to the end.
-        longest_pause_s: Longest pause between two of its events.
-        allowed_tokens: Tokens that its answer could have had; 0 if unknown.
+        passes: Passes of its upstream that yielded tokens.
+        writing_s: Time from the first of them to the last, in seconds.
+        longest_pause_s: Longest pause between two of them, in seconds.
+        tokens_per_pass: Tokens that a pass yields.
+        allowed_tokens: Tokens that the stream could have had; 0 if unknown.
     """
 
-    ended_at: float
-    took_s: float
+    passes: int
     writing_s: float
     longest_pause_s: float
+    tokens_per_pass: int
     allowed_tokens: int
 
     @property
-    def s_per_token(self) -> float | None:
-        """Time between two tokens, in seconds; None if unknown.
+    def token_s(self) -> float | None:
+        """Time of a token, in seconds; None if too few passes were seen.
 
-        It is as if the answer had all tokens that it could have had. The
-        first token and the longest pause don't count.
+        The longest pause doesn't count.
         """
-        if self.allowed_tokens < MIN_STREAM_TOKENS:
+        if self.passes < MIN_PASSES:
             return None
-        intervals = self.allowed_tokens - 2
-        return max(0.0, self.writing_s - self.longest_pause_s) / intervals
+        writing_s = max(0.0, self.writing_s - self.longest_pause_s)
+        return writing_s / (self.passes - 2) / self.tokens_per_pass
+
+    @property
+    def written_part(self) -> float:
+        """Part of the allowed tokens that it had, at most 1."""
+        if not self.allowed_tokens:
+            return 1.0
+        return min(1.0, self.passes * self.tokens_per_pass / self.allowed_tokens)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerTiming:
+    """How long one answered request took.
+
+    Attributes:
+        ended_at: When its answer ended, in seconds on the event loop's clock.
+        took_s: Time from its arrival to the end of its answer, in seconds.
+        stream: Its stream; None for an answer without one.
+    """
+
+    ended_at: float
+    took_s: float
+    stream: StreamTiming | None = None
 
 
 class DurationForecast:
@@ -85,19 +108,28 @@
         """Record an answered request."""
         self._answers.append(timing)
 
-    def predict_longest_call(self, now: float) -> float | None:
-        """Return the longest time of a request without a stream, in seconds.
+    def predict_longest_call(
+        self, now: float, *, with_streams: bool = True
+    ) -> float | None:
+        """Return the longest time of a request of unknown length, in seconds.
+
+        Args:
+            now: Seconds.
+            with_streams: Whether answers that were streams count.
 
         Returns:
             None if no such request was answered recently.
         """
-        recent = self._list_recent(now)
-        if not recent:
-            return None
-        return max(answer.took_s for answer in recent)
+        return _find_high_quantile(
+            [
+                answer.took_s
+                for answer in self._list_recent(now)
+                if with_streams or answer.stream is None
+            ]
+        )
 
     def predict_longest_writing(
-        self, allowed_tokens: int, fallback_token_s: float, now: float
+        self, allowed_tokens: int, other_token_s: float, now: float
     ) -> float | None:
         """Return the longest time from a stream's first event on, in seconds.
 
@@ -105,36 +137,40 @@
 
         Args:
             allowed_tokens: Tokens that the answer can have.
-            fallback_token_s: Longest time of a token by other evidence, for
-                routes of which few streams were seen; 0 if there is none.
+            other_token_s: Longest time of a token by other evidence, in
+                seconds; 0 if there is none.
             now: Seconds.
 
         Returns:
             None if nothing is known of such streams.
         """
-        token_s, count = self._measure_token_time(now)
-        if count < MIN_STREAMS:
-            token_s = max(token_s, fallback_token_s) * FEW_STREAMS_FACTOR
-        return allowed_tokens * token_s * LOAD_FACTOR if token_s else None
+        token_s = max(self.measure_token_time(now), other_token_s)
+        if not token_s:
+            return None
+        parts = [stream.written_part for stream in self._list_streams(now)]
+        part = max(parts) if len(parts) >= MIN_LENGTHS else 1.0
+        return allowed_tokens * part * token_s * LOAD_FACTOR
 
     def measure_token_time(self, now: float) -> float:
         """Return the longest time of a token, in seconds; 0 if unknown."""
-        return self._measure_token_time(now)[0]
+        seen = [stream.token_s for stream in self._list_streams(now)]
+        return _find_high_quantile([one for one in seen if one is not None]) or 0.0
 
     def measure_pause(self, now: float) -> float:
         """Return the time to reserve for pauses of upstreams, in seconds."""
-        pauses = [answer.longest_pause_s for answer in self._list_recent(now)]
+        pauses = [stream.longest_pause_s for stream in self._list_streams(now)]
         return min(MAX_RESERVE_S, max(MIN_RESERVE_S, *pauses, 0.0))
 
-    def _measure_token_time(self, now: float) -> tuple[float, int]:
-        seen = [
-            answer.s_per_token
-            for answer in self._list_recent(now)
-            if answer.s_per_token is not None
-        ]
-        return max(seen, default=0.0), len(seen)
+    def _list_streams(self, now: float) -> list[StreamTiming]:
+        return [one.stream for one in self._list_recent(now) if one.stream is not None]
 
     def _list_recent(self, now: float) -> list[AnswerTiming]:
         while self._answers and now - self._answers[0].ended_at > RECENT_S:
             self._answers.popleft()
         return list(self._answers)
+
+
+def _find_high_quantile(values: Sequence[float]) -> float | None:
+    if not values:
+        return None
+    return sorted(values)[math.ceil(len(values) * HIGH_QUANTILE) - 1]
--- a/src/zinniaspool/core/dispatch/predictions.py
+++ b/src/zinniaspool/core/dispatch/predictions.py
@@ -73,11 +73,8 @@
         unread = state.peak_unread_tokens
         return state.pace * self.forecast.timing.predict_longest_pass(load, unread)
 
-    def predict_token_time(self, slots: int) -> float:
-        """Return the time of a token of a stream at a full target, in seconds.
-
-        Args:
-            slots: Requests that the target runs at a time.
+    def predict_token_time(self, state: TargetState) -> float:
+        """Return the time of a stream's token at a full target, in seconds.
 
         Returns:
             0 if the operator doesn't state the times of engines.
@@ -85,7 +82,8 @@
         timing = self.forecast.timing
         if not timing.is_configured:
             return 0.0
-        return timing.predict_pass(slots, 0.0) / timing.tokens_per_pass
+        pass_s = state.pace * timing.predict_pass(state.target.slots, 0.0)
+        return pass_s / timing.tokens_per_pass
 
     def _predict_pass(
         self, state: TargetState, unread_tokens: float, now: float
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -10,6 +10,7 @@
     EventCursor,
     Progress,
     RequestTerms,
+    StreamTiming,
     TargetState,
 )
 from zinniaspool.core.fleet import CustomerSpec, InstanceId, RouteSpec
@@ -18,9 +19,6 @@
 
 __all__ = ["FailedAnswer", "GatewayAttempt", "GatewayCall", "RerouteCause"]
 
-MIN_MEASURED_READS = 5
-"""Reads of a stream from which on the time between its events is measured."""
-
 
 class RerouteCause(Enum):
     """Why a request should leave its target."""
@@ -153,6 +151,7 @@
             first one.
         alternatives: The attempts beside it, the newest last.
         stopped_by: What ended the last failed attempt; empty if none failed.
+        is_served: Whether its caller gets an upstream's success.
         failed_answer: An upstream's failure that the caller gets if no other
             upstream answers.
         first_byte_s: Time from its arrival to the first byte that went to the
@@ -162,8 +161,8 @@
         late: Whether it was admitted although its answer will be late.
         urgency: Urgency that is sent to upstreams, 0 is the most urgent; None
             to send none.
-        outlasts_stop: Whether its own deadline is later than the end of this
-            process.
+        deadline_after_stop: Whether its own deadline is later than the end of
+            this process.
     """
 
     exchange: Exchange
@@ -183,13 +182,14 @@
     leader: GatewayAttempt | None = None
     alternatives: list[GatewayAttempt] = field(default_factory=list)
     stopped_by: str = ""
+    is_served: bool = False
     failed_answer: FailedAnswer | None = None
     first_byte_s: float | None = None
     last_event_at: float = 0.0
     longest_pause_s: float = 0.0
     late: bool = False
     urgency: int | None = None
-    outlasts_stop: bool = False
+    deadline_after_stop: bool = False
 
     @property
     def newest_attempt(self) -> GatewayAttempt | None:
@@ -214,7 +214,7 @@
         """
         if self.deadline <= deadline:
             return
-        self.deadline, self.outlasts_stop = deadline, True
+        self.deadline, self.deadline_after_stop = deadline, True
         self.attempts.shorten_deadline(deadline)
         for attempt in (self.leader, *self.alternatives):
             if attempt is not None:
@@ -243,16 +243,23 @@
         self.leader.has_led = True
         return self.leader
 
-    def measure_event_interval(self) -> float:
-        """Return the mean time between the events of its stream, in seconds.
+    def measure_stream(self, tokens_per_pass: int) -> StreamTiming | None:
+        """Return what its stream shows so far; None without one.
 
-        Returns:
-            0 if too few have come.
+        Args:
+            tokens_per_pass: Tokens that a pass of its upstream yields. What is
+                read at once is of one pass.
         """
         leader = self.leader
-        if leader is None or leader.event_reads < MIN_MEASURED_READS:
-            return 0.0
-        return (self.last_event_at - leader.writing_since) / (leader.event_reads - 1)
+        if leader is None or not leader.has_event:
+            return None
+        return StreamTiming(
+            leader.event_reads,
+            self.last_event_at - leader.writing_since,
+            self.longest_pause_s,
+            tokens_per_pass,
+            self.terms.max_output_tokens,
+        )
 
     def compute_wanted_event_time(self, now: float) -> float | None:
         """Return within which time its next attempt should have an event.
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 from dataclasses import replace
 
 import structlog
@@ -80,7 +81,7 @@
         verdict = self._crashes.judge(call)
         if verdict.status is TraitStatus.QUARANTINED:
             return Err(_make_quarantined_fault(call, verdict))
-        if self._stop_guard.refuses(call, pool):
+        if self._stop_guard.should_refuse(call, pool):
             return Err(_make_leaving_fault(call))
         if call.terms.model is not None:
             refused = await self._admission_queues.admit(call, pool)
@@ -108,7 +109,9 @@
             verdict = self._crashes.judge(call)
             if verdict.status is TraitStatus.QUARANTINED:
                 return _make_quarantined_fault(call, verdict)
-            if not call.attempts.may_have_run and self._stop_guard.refuses(call, pool):
+            if not call.attempts.may_have_run and self._stop_guard.should_refuse(
+                call, pool
+            ):
                 # It has waited, or upstreams have refused it.
                 return _make_leaving_fault(call)
             state = self._choose(call, pool, verdict)
@@ -140,7 +143,7 @@
                 self._crashes.record_answer(call.leader)
                 return None
             if failure is AttemptFailure.LOST:
-                await self._crashes.handle_lost_attempt(attempt)
+                await self._handle_loss(attempt)
             successor = call.leader
             if successor is attempt:
                 successor = call.promote_alternative()
@@ -150,6 +153,17 @@
             attempt = successor
             failure = await successor.task
 
+    async def _handle_loss(self, attempt: GatewayAttempt) -> None:
+        """Find out whether an attempt's upstream has crashed.
+
+        When the process stops, its caller must have an answer before that.
+        """
+        call = attempt.call
+        until = call.deadline if call.deadline_after_stop else None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until):
+                await self._crashes.handle_lost_attempt(attempt)
+
     def begin_alternative(self, call: GatewayCall, state: TargetState) -> bool:
         """Begin an attempt beside those that a request has.
 
@@ -255,7 +269,7 @@
         return "reroute"
     if failure is not AttemptFailure.TIMED_OUT:
         return "upstream"
-    return "stop" if attempt.call.outlasts_stop else "deadline"
+    return "stop" if attempt.call.deadline_after_stop else "deadline"
 
 
 def _make_leaving_fault(call: GatewayCall) -> Fault:
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -182,7 +182,8 @@
             )
             if isinstance(done, Ok):
                 end = "answered"
-                self._stop_guard.record_answer(call)
+                if call.is_served:
+                    self._stop_guard.record_answer(call)
                 return
             end = done.err_value.kind.value
             if call.exchange.started:
@@ -198,12 +199,15 @@
             end = "caller-left"
             raise
         finally:
+            now = asyncio.get_running_loop().time()
+            if end == "caller-left" and now >= self._stop_clock.exits_at:
+                end, call.stopped_by = "cut-by-stop", "stop"
+                self._stop_clock.cut += 1
             if self._stop_clock.measure_since(call.received_at) is not None:
                 is_refused = end == ErrorKind.LEAVING.value
                 self._stop_clock.refused += is_refused
                 self._stop_clock.accepted += not is_refused
-            took_s = asyncio.get_running_loop().time() - call.received_at
-            self._record_end(call, end, took_s)
+            self._record_end(call, end, now - call.received_at)
 
     def _record_end(self, call: GatewayCall, end: str, took_s: float) -> None:
         self._tally.add(call.service, call.route.kind.value, end, took_s)
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -167,7 +167,6 @@
         )
         self._query_handler = InstanceQueryHandler(self._fleet_view, fetcher)
         self._stop_clock = StopClock(settings.grace_s)
-        self._stop_guard = StopGuard(self._stop_clock)
         self._stop_requested = asyncio.Event()
         self._configured = asyncio.Event()
         self._store = store
@@ -203,6 +202,7 @@
             settings.control_address,
         )
         self._index = TargetIndex(self._fleet_view, settings.failure_domain)
+        self._stop_guard = StopGuard(self._stop_clock, self._index)
         self._subset = find_subset(settings.node, settings.failure_domain, {})
         self._http = HttpClient(
             connect_s=CONNECT_TIMEOUT_S,
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -278,6 +278,7 @@
     ) -> None:
         """Write a whole answer of an upstream to the caller."""
         call.first_byte_s = asyncio.get_running_loop().time() - call.received_at
+        call.is_served = _is_success(response)
         headers = self._codec.make_caller_headers(response.headers)
         with CALLER_SIDE:
             await call.exchange.respond(response.status, headers, body)
@@ -357,7 +358,7 @@
     ) -> None:
         call = attempt.call
         call.first_byte_s = asyncio.get_running_loop().time() - call.received_at
-        call.progress = Progress.RESUMABLE
+        call.progress, call.is_served = Progress.RESUMABLE, True
         if not call.route.resumable or not attempt.cursor.resumable:
             call.progress = Progress.PARTIAL
         headers = self._codec.make_caller_headers(response.headers)
@@ -390,6 +391,10 @@
     return AttemptFailure.SUPERSEDED
 
 
+def _is_success(response: ClientResponse) -> bool:
+    return HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES
+
+
 def _is_stream(response: ClientResponse) -> bool:
     kind = response.headers.get("content-type") or ""
     return response.status == HTTPStatus.OK and kind.startswith(EVENT_STREAM)
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -12,9 +12,10 @@
 import structlog
 
 from zinniaspool.core.dispatch import AnswerTiming, DurationForecast, TargetPool
-from zinniaspool.core.fleet import Catalog
+from zinniaspool.core.fleet import Catalog, RequestKind
 from zinniaspool.core.ids import ModelName, ServiceName
 from zinniaspool.gateway.calls import GatewayCall
+from zinniaspool.gateway.targets import TargetIndex
 
 __all__ = ["StopClock", "StopGuard"]
 
@@ -82,15 +83,19 @@
 
     Args:
         clock: The time that is left.
+        index: The targets.
 
     Attributes:
         running: The requests in progress.
     """
 
-    def __init__(self, clock: StopClock) -> None:
+    def __init__(self, clock: StopClock, index: TargetIndex) -> None:
         self.running: set[GatewayCall] = set()
         self._clock = clock
-        self._of_routes: dict[tuple[str, ModelName | None], DurationForecast] = {}
+        self._index = index
+        self._of_routes: dict[
+            tuple[str, ServiceName, ModelName | None], DurationForecast
+        ] = {}
         self._of_services: dict[
             tuple[ServiceName, ModelName | None], DurationForecast
         ] = {}
@@ -102,17 +107,11 @@
             call.shorten_deadline(self._clock.ends_at)
 
     def record_answer(self, call: GatewayCall) -> None:
-        """Record a request that was answered whole, now."""
+        """Record a request whose caller has its upstream's answer now."""
         now = asyncio.get_running_loop().time()
-        took_s = now - call.received_at
-        first_s = took_s if call.first_byte_s is None else call.first_byte_s
-        timing = AnswerTiming(
-            now,
-            took_s,
-            took_s - first_s,
-            call.longest_pause_s,
-            call.terms.max_output_tokens,
-        )
+        pool = self._index.find_pool(call.service, call.terms.model)
+        stream = call.measure_stream(pool.forecast.timing.tokens_per_pass)
+        timing = AnswerTiming(now, now - call.received_at, stream)
         for forecast in self._find_forecasts(call):
             forecast.record(timing)
 
@@ -125,7 +124,7 @@
         for of_service in [key for key in self._of_services if key[0] not in services]:
             del self._of_services[of_service]
 
-    def refuses(self, call: GatewayCall, pool: TargetPool) -> bool:
+    def should_refuse(self, call: GatewayCall, pool: TargetPool) -> bool:
         """Return whether a request may still be in progress at the end.
 
         Args:
@@ -133,7 +132,7 @@
                 every upstream has refused it.
             pool: Its targets.
         """
-        if not call.outlasts_stop:
+        if not call.deadline_after_stop:
             return False
         now = asyncio.get_running_loop().time()
         longest_s = self._predict_longest(call, pool, now)
@@ -153,28 +152,29 @@
     def _predict_longest(
         self, call: GatewayCall, pool: TargetPool, now: float
     ) -> float | None:
-        terms = call.terms
+        terms, allowed_tokens = call.terms, call.terms.max_output_tokens
         of_route, of_service = self._find_forecasts(call)
         reserve_s = of_service.measure_pause(now)
-        if terms.model is None or not terms.max_output_tokens:
+        if terms.model is None or not allowed_tokens:
             longest_s = of_route.predict_longest_call(now)
             if longest_s is None:
                 longest_s = of_service.predict_longest_call(now)
-            if longest_s is None:
+            if longest_s is None and call.route.kind is not RequestKind.STREAM:
                 longest_s = UNKNOWN_CALL_FACTOR * call.route.objective_s
-            return longest_s + reserve_s
+            return None if longest_s is None else longest_s + reserve_s
+        if terms.resume_after is not None and terms.resume_after < allowed_tokens:
+            # An event has one token at least.
+            allowed_tokens -= terms.resume_after
         states = pool.list_eligible(now)
-        slots = max((state.target.slots for state in states), default=1)
-        fallback_s = max(
-            of_service.measure_token_time(now),
-            self._measure_running_streams(call),
-            pool.predict_token_time(slots) * CONFIGURED_TIME_FACTOR,
+        other_token_s = max(
+            of_service.measure_token_time(now), self._measure_running_streams(call)
         )
+        if not other_token_s:
+            other_token_s = CONFIGURED_TIME_FACTOR * max(
+                (pool.predict_token_time(state) for state in states), default=0.0
+            )
         writing_s = of_route.predict_longest_writing(
-            terms.max_output_tokens,
-            # An event has one token at least.
-            fallback_s or call.route.max_pause_s or 0.0,
-            now,
+            allowed_tokens, other_token_s or call.route.max_pause_s or 0.0, now
         )
         if writing_s is None:
             return None
@@ -185,22 +185,27 @@
             ),
             default=0.0,
         )
-        return first_event_s + writing_s + reserve_s
+        # An upstream may also answer without a stream.
+        whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
+        return max(first_event_s + writing_s, whole_s) + reserve_s
 
     def _measure_running_streams(self, call: GatewayCall) -> float:
-        """Return the longest mean time between events, in seconds.
+        """Return the longest time of a token of streams in progress.
+
+        Those of the same model count.
 
-        The streams of the same model count.
+        Returns:
+            Seconds; 0 if there is none.
         """
-        return max(
-            (
-                other.measure_event_interval()
-                for other in self.running
-                if other.terms.model == call.terms.model
-                and other.service == call.service
-            ),
-            default=0.0,
-        )
+        pool = self._index.find_pool(call.service, call.terms.model)
+        tokens_per_pass = pool.forecast.timing.tokens_per_pass
+        streams = [
+            other.measure_stream(tokens_per_pass)
+            for other in self.running
+            if other.terms.model == call.terms.model and other.service == call.service
+        ]
+        times = [stream.token_s for stream in streams if stream is not None]
+        return max((one for one in times if one is not None), default=0.0)
 
     def _find_forecasts(
         self, call: GatewayCall
@@ -211,6 +216,8 @@
         """
         model = call.terms.model
         return (
-            self._of_routes.setdefault((call.route.name, model), DurationForecast()),
+            self._of_routes.setdefault(
+                (call.route.name, call.service, model), DurationForecast()
+            ),
             self._of_services.setdefault((call.service, model), DurationForecast()),
         )
--- a/tests/test_stop_durations.py
+++ b/tests/test_stop_durations.py
@@ -1,34 +1,58 @@
 """How long requests of a stopping process may take."""
 
-from zinniaspool.core.dispatch import AnswerTiming, DurationForecast
+from zinniaspool.core.dispatch import AnswerTiming, DurationForecast, StreamTiming
 
 _TOKEN_S = 0.03
+_PASS_TOKENS = 5
 
 
 def _answer(
-    tokens: int, *, written: int | None = None, pause_s: float = 0.03, at: float = 0.0
+    tokens: int,
+    *,
+    written: int | None = None,
+    pause_s: float = _TOKEN_S,
+    token_s: float = _TOKEN_S,
+    at: float = 0.0,
 ) -> AnswerTiming:
     """Return the timing of a stream that wrote so many of its tokens."""
-    writing_s = ((written or tokens) - 2) * _TOKEN_S + pause_s
-    return AnswerTiming(at, writing_s + 0.1, writing_s, pause_s, tokens)
+    passes = written or tokens
+    writing_s = (passes - 2) * token_s + pause_s
+    stream = StreamTiming(passes, writing_s, pause_s, 1, tokens)
+    return AnswerTiming(at, writing_s + 0.1, stream)
+
+
+def _predict(
+    forecast: DurationForecast, tokens: int, other_token_s: float = 0.0
+) -> float:
+    longest_s = forecast.predict_longest_writing(tokens, other_token_s, 0.0)
+    assert longest_s is not None
+    return longest_s
 
 
 def test_a_full_stream_after_short_ones_is_not_underestimated() -> None:
     """Guards against a bound from a few streams that all ended early."""
     forecast = DurationForecast()
-    for _ in range(5):
+    for _ in range(40):
         forecast.record(_answer(100, written=10))
-    longest_s = forecast.predict_longest_writing(100, _TOKEN_S, 0.0)
-    assert longest_s is not None and longest_s >= 100 * _TOKEN_S
+    assert _predict(forecast, 100) >= 100 * _TOKEN_S
 
 
 def test_streams_that_end_early_are_expected_to() -> None:
     """Guards against refusals by a length that no stream ever has."""
     forecast = DurationForecast()
-    for _ in range(40):
+    for _ in range(200):
         forecast.record(_answer(1000, written=60))
-    longest_s = forecast.predict_longest_writing(1000, _TOKEN_S, 0.0)
-    assert longest_s is not None and 60 * _TOKEN_S < longest_s < 3.0
+    assert 60 * _TOKEN_S < _predict(forecast, 1000) < 3.0
+
+
+def test_streams_in_progress_count_beside_many_quick_ones() -> None:
+    """Guards against upstreams that have become slower since their streams."""
+    forecast = DurationForecast()
+    for _ in range(200):
+        forecast.record(_answer(140, token_s=0.01))
+    running = StreamTiming(20, 18 * 0.045 + 0.045, 0.045, 1, 140).token_s
+    assert running is not None
+    assert _predict(forecast, 140, running) >= 140 * 0.045
 
 
 def test_a_pause_counts_once_whatever_the_length() -> None:
@@ -37,20 +61,35 @@
     for _ in range(40):
         forecast.record(_answer(20))
     forecast.record(_answer(20, pause_s=1.3))
-    longest_s = forecast.predict_longest_writing(200, _TOKEN_S, 0.0)
-    assert longest_s is not None
-    assert 200 * _TOKEN_S <= longest_s <= 200 * _TOKEN_S * 1.11
+    assert 200 * _TOKEN_S <= _predict(forecast, 200) <= 200 * _TOKEN_S * 1.11
     assert forecast.measure_pause(0.0) == 1.3
 
 
+def test_one_slow_reader_does_not_lengthen_all_streams() -> None:
+    """Guards against long streams refused for minutes for one caller."""
+    forecast = DurationForecast()
+    for _ in range(60):
+        forecast.record(_answer(50))
+    forecast.record(_answer(50, token_s=1.0))
+    assert _predict(forecast, 100) < 100 * _TOKEN_S * 1.2
+
+
+def test_a_pass_of_several_tokens_is_not_taken_for_one() -> None:
+    """Guards against short streams refused as if they had many passes."""
+    stream = StreamTiming(12, 11 * 0.1, 0.1, _PASS_TOKENS, 60)
+    assert stream.token_s is not None
+    assert abs(stream.token_s - 0.1 / _PASS_TOKENS) < 1e-9
+    assert stream.written_part == 1.0
+
+
 def test_what_is_long_ago_is_forgotten() -> None:
     """Guards against refusals because of one outage hours ago."""
     forecast = DurationForecast()
     forecast.record(_answer(20, pause_s=1.9))
-    forecast.record(_answer(20, at=1000.0))
+    forecast.record(AnswerTiming(0.0, 7.0))
+    forecast.record(AnswerTiming(1000.0, 0.1))
     assert forecast.measure_pause(1000.0) < 1.0
-    longest_s = forecast.predict_longest_call(1000.0)
-    assert longest_s is not None and longest_s < 1.0
+    assert forecast.predict_longest_call(1000.0) == 0.1
 
 
 def test_nothing_is_predicted_of_unknown_streams() -> None:
@@ -58,6 +97,6 @@
     forecast = DurationForecast()
     assert forecast.predict_longest_call(0.0) is None
     assert forecast.predict_longest_writing(200, 0.0, 0.0) is None
-    # Streams of a few tokens show the time of passes, not of tokens.
+    # A stream of a few passes doesn't show their time.
     forecast.record(_answer(3))
     assert forecast.predict_longest_writing(200, 0.0, 0.0) is None
