--- a/src/zinniaspool/core/formation/releases.py
+++ b/src/zinniaspool/core/formation/releases.py
@@ -124,6 +124,10 @@
         self._released[(instance, group)] = report
         _drop_oldest(self._released)
 
+    def is_leaving(self, instance: InstanceId) -> bool:
+        """Return whether a VM was ordered to leave a group in no plan."""
+        return instance in self._orphans
+
     def list_orphan_releases(
         self,
         unplanned: Iterable[Instance],
@@ -134,7 +138,7 @@
         """Return orders that release VMs from groups that no plan names.
 
         Such a VM was cut off when its group was given up, or carried out a
-        late order.
+        late order. The VMs of whole groups that serve are not among them.
 
         Args:
             unplanned: VMs that no plan names.
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -176,7 +176,10 @@
             settings.node, settings.failure_domain, self._fleet_view
         )
         self._tunnel_server = TunnelServer(
-            self._is_upstream_address, TUNNEL_CONNECT_S, self._connector.confirm_path
+            self._is_upstream_address,
+            TUNNEL_CONNECT_S,
+            self._connector.confirm_path,
+            lambda: self._stop_clock.began_at is not None,
         )
         self._peer_exchange = PeerExchange(
             settings.node,
@@ -555,8 +558,7 @@
             receive_s=limits.header_timeout_s,
             idle_s=limits.idle_timeout_s * 1.25,
         )
-        routes = [route for host in catalog.routes.values() for route in host]
-        self._stop_guard.keep_routes({route.name for route in routes})
+        self._stop_guard.apply_catalog(catalog)
         self._refresh_targets()
 
     def _refresh_targets(self) -> None:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -159,7 +159,10 @@
         "none for some seconds.",
         "peer-stale": "A peer's mirror of the store was too old, or the peer did not "
         "answer.",
-        "plan-unsaved": "The store did not accept a plan; the plan is written again.",
+        "plan-saved": "A plan that could not be written for several tries is in the "
+        "store.",
+        "plan-unsaved": "The store did not accept a plan for several tries; no group "
+        "that it adds is formed, and the plan is written again.",
         "query-unanswered": "An instance did not answer the entry processes that "
         "queried it for the holder.",
         "read-outdated": "A read of the whole store returned keys at older revisions "
@@ -184,6 +187,9 @@
         "until ``left_ms`` are over.",
         "store-lost": "The store stopped answering.",
         "store-regained": "The store answers again.",
+        "store-answer-unreadable": "An answer of the store cannot be decoded at all.",
+        "store-row-unreadable": "A key in the store, or its revision, cannot be passed "
+        "on, so that the key is ignored.",
         "store-restored": "The store came back from an older copy; its revisions and "
         "leases of before are void.",
         "target-gone": "A target was removed from this process's targets.",
@@ -201,7 +207,7 @@
         "upstreams-unreachable": "The new holder reaches no upstream on any path; it "
         "waits before it plans.",
         "tunnel-refused": "Another VM requested a connection to an address where no "
-        "upstream is known, or too many are open.",
+        "upstream is known, or too many are open, or this VM leaves.",
         "upstream-warm": "An upstream is no longer cold.",
         "trial-begun": "A request with a suspected trait is sent to the one upstream "
         "that all processes choose for such requests.",
