--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -323,6 +324,25 @@
         runner.run(test())
 
 
+def test_a_connection_that_opens_while_the_loop_stands_still_is_used() -> None:
+    """Guards against refusing requests whose only upstream is sound."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
+        upstream = Address(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        paths = UpstreamConnector(NodeId("n"), FailureDomainId("a"), ViewWriter().view)
+        probing = asyncio.create_task(paths.probe(upstream, 0.1))
+        for _ in range(4):
+            await asyncio.sleep(0)
+        loop.call_soon(time.sleep, 0.2)
+        assert await probing is ProbeOutcome.REACHED
+        paths.close()
+        server.close()
+
+    asyncio.run(test())
+
+
 def test_a_path_is_lost_only_if_connections_to_several_upstreams_fail() -> None:
     """Guards against VMs that leave their path after a few lost packets."""
     one, other, third = (Address(f"10.0.0.{n}:1") for n in range(3))
