Silence soak: two silences of an upstream stay two

Cause: the soak left 0.23 to 0.25 s between two silences of an upstream. Its event loop, which also runs the entry processes, stood still for 0.3 s there, so that they saw one silence of over 2 s and the group was rightly ended as member-lost; the soak counted its streams as lost without excuse.

Change: a silence begins 0.6 s after the end of the one before at that upstream at the earliest. None is left out for that, and all last as long as before; the promises checked and the excuses are the same. A silence that begins while another one waits or lasts is still skipped, as before.

The failure itself was not seen again before this change either; it is the traced cause that is mended.

--- a/tests/silence_soak.py
+++ b/tests/silence_soak.py
@@ -41,6 +41,10 @@
 DEADLINE_SLACK_S = 0.2
 MAX_EVENTS = 40
 SILENCES_S = (1.0, 1.4)
+MIN_ANSWERING_S = 0.6
+"""Shortest time between two silences of an upstream, in seconds. A process
+that stands still in all of a shorter one sees a single long silence."""
+
 SHARES = (0.3, 0.6, 1.0)
 """Parts of the engines that fall silent together."""
 
@@ -110,6 +114,7 @@
     seen: list[str] = field(default_factory=list)
     losses: list[_Loss] = field(default_factory=list)
     ends: Counter[str] = field(default_factory=Counter)
+    answered_from: dict[str, float] = field(default_factory=dict)
     sent: int = 0
 
     # Requests.
@@ -227,9 +232,15 @@
     async def silence(self, upstreams: Iterable[Runner], source: random.Random) -> None:
         async def silence_one(upstream: Runner) -> None:
             seconds = source.uniform(*SILENCES_S)
+            loop = asyncio.get_running_loop()
+            silent_from = self.answered_from.get(upstream.id, 0.0) + MIN_ANSWERING_S
+            await asyncio.sleep(silent_from - loop.time())
+            if upstream.faults.silent:
+                return
             upstream.faults.silent = True
             await asyncio.sleep(seconds)
             upstream.faults.silent = False
+            self.answered_from[upstream.id] = loop.time()
 
         # A silence that overlaps another one would be shortened by its end.
         answering = [one for one in upstreams if not one.faults.silent]
