Plans and epochs: a value of another writer can't end all planning

A plan with a group without members raised IndexError in each pass of every holder. An epoch near 2**53 in a record or a plan made all later epochs larger than a record may have, so that the records of all engines became unusable.

Such plans are refused, and epochs from 2**52 on in records of instances don't raise the next one.

--- a/src/zinniaspool/core/formation/records.py
+++ b/src/zinniaspool/core/formation/records.py
@@ -1,9 +1,11 @@
 """Plans of replica groups, as the store keeps them."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
+from zinniaspool.core.decoding import MAX_COUNT
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.ids import Epoch, FabricDomainId, GroupId, ModelName, ServiceName
 
@@ -44,10 +46,10 @@
     """
 
     group: GroupId
-    epoch: Epoch
+    epoch: Annotated[Epoch, msgspec.Meta(ge=0, le=MAX_COUNT)]
     service: ServiceName
     model: ModelName
-    members: tuple[InstanceId, ...]
+    members: Annotated[tuple[InstanceId, ...], msgspec.Meta(min_length=1)]
     standby: bool = False
 
     @property
--- a/src/zinniaspool/core/generations.py
+++ b/src/zinniaspool/core/generations.py
@@ -10,6 +10,7 @@
 from zinniaspool.core.ids import Epoch, Revision
 
 __all__ = [
+    "MAX_EPOCH",
     "MAX_GENERATION",
     "MAX_NUMBER",
     "find_generation",
@@ -32,6 +33,9 @@
 """Bits of a revision that are used in epochs. Engines read them as JSON
 numbers, which are exact up to 53 bits."""
 
+MAX_EPOCH = 1 << EPOCH_BITS
+"""An epoch that no holder begins with; the ones after it remain exact."""
+
 
 def make_revision(generation: int, number: int) -> Revision:
     """Return the revision that a generation of the store gave out."""
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -25,7 +25,7 @@
 from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.planner import PhaseTransition
 from zinniaspool.core.formation.slowness import SLOW_VM, SlowVms
-from zinniaspool.core.generations import find_lowest_epoch
+from zinniaspool.core.generations import MAX_EPOCH, find_lowest_epoch
 from zinniaspool.core.ids import Epoch, FabricDomainId, ModelName, NodeId, ServiceName
 from zinniaspool.fleet import FleetView
 from zinniaspool.keeper.election import HolderElection
@@ -481,6 +481,8 @@
                 instance.membership.epoch
                 for instance in self._fleet_view.instances.values()
                 if instance.membership is not None
+                # Records with any later epoch would be invalid.
+                and instance.membership.epoch < MAX_EPOCH
             ),
             default=0,
         )
--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import json
+from base64 import b64encode
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from types import SimpleNamespace
-from typing import cast
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -15,10 +16,11 @@
 from structlog.testing import capture_logs
 from typer.testing import CliRunner
 
+from tests.installation import Installation, eventually
 from zinniaspool.cli.main import app
 from zinniaspool.core.decoding import is_address, parse_count
 from zinniaspool.core.dispatch.streams import EventCursor
-from zinniaspool.core.fleet import EngineStatus, MirrorEvent
+from zinniaspool.core.fleet import HOLDER_KEY, EngineStatus, MirrorEvent
 from zinniaspool.core.ids import Address, Revision, split_address
 from zinniaspool.fleet import FleetStore, FleetView
 from zinniaspool.fleet.metrics import add_fleet_metrics
@@ -58,7 +60,7 @@
     "control_address": "10.0.0.7:82",
 }
 HOLDER: dict[str, object] = {"node": "n7", "peer_address": "10.0.0.7:82", "start": "a1"}
-PLAN: dict[str, object] = {
+PLAN: dict[str, Any] = {
     "domain": "d1",
     "groups": [
         {
@@ -433,3 +435,48 @@
     assert sorted(view.unreadable.current) == ["op/config", "servers/w-77\n"]
     view.stop_decoding_instances()
     assert list(view.unreadable.current) == ["op/config"]
+
+
+_GROUP = PLAN["groups"][0]
+HOSTILE: dict[str, object] = {
+    "servers/w-70": {**INSTANCE, "address": "127.0.0.9:" + "8" * 5000},
+    "servers/w-71": {
+        **INSTANCE,
+        "group": {"name": "w", "epoch": 2**53, "rank": 0, "state": "open"},
+    },
+    "zinnia/nodes/w-72": {**NODE, "peer_address": "nowhere"},
+    "zinnia/plans/w-73": {"domain": "w-73", "groups": [{**_GROUP, "members": []}]},
+    "zinnia/plans/w-74": {"domain": "w-74", "groups": [{**_GROUP, "epoch": 2**60}]},
+    "zinnia/holder": {"node": "w-75", "peer_address": "nowhere", "start": "w"},
+    "zinnia/held/c:w": [],
+}
+
+
+@pytest.mark.parametrize("key", [*HOSTILE, "op/evacuate/hall-w"])
+def test_a_fleet_starts_among_values_that_can_not_be_read(key: str) -> None:
+    """Guards against groups that no holder forms and requests that all fail.
+
+    The value is there at the start, and when all processes start again.
+    """
+    value = b64encode(json.dumps(HOSTILE.get(key)).encode()).decode()
+    if key not in HOSTILE:
+        value = "no base64"
+
+    async def test() -> None:
+        class Beset(Installation):
+            async def start_node(self, name: str) -> None:
+                if not self.nodes:
+                    self.store.put(key, value)
+                await super().start_node(name)
+
+        async with Beset.running(nodes=2, engines=5) as made:
+            await eventually(lambda: made.heads("small") and made.heads("large"))
+            await made.end_nodes()
+            if key == HOLDER_KEY:
+                made.store.put(key, value)
+            for name in ("n0", "n1"):
+                await made.add_node(name)
+                await made.await_served(name, "small")
+            await eventually(lambda: made.find_holder())
+
+    asyncio.run(test())
