Election: a key that was taken over and removed since is not held

Cause: a holder took an absent key for one that its mirror didn't show yet. If it learned of a successor's key and of its removal at the same moment, it went on as the holder, and the store refused each of its plans until another process wrote the key.

Change: once the mirror is as new as the own key, an absent key is lost. Only after a restore of the store it may be written again, as before.

--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -133,8 +133,12 @@
         """Whether this process wrote the key and knows of no later write."""
         if not self.revision:
             return False
-        item = self._fleet_view.mirror.get(HOLDER_KEY)
-        if item is None or item.revision <= self.revision:
+        mirror = self._fleet_view.mirror
+        item = mirror.get(HOLDER_KEY)
+        if item is None:
+            # A later holder may have written and removed it since.
+            return self._is_key_void or mirror.as_of < self.revision
+        if item.revision <= self.revision:
             return True
         holder = self._fleet_view.holder
         return (
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -77,3 +77,20 @@
         task.cancel()
 
     run_in_virtual_time(test)
+
+
+def test_a_holder_whose_key_was_taken_over_and_removed_does_not_plan() -> None:
+    """Guards against a holder whose every plan the store refuses.
+
+    It learns of its successor's key and of its removal at the same moment.
+    """
+    view = FleetView(PlatformCodec())
+    election = make_election(view)
+    election.revision = make_revision(2, 5)
+    for as_of, is_held in ((4, True), (7, False)):
+        view.apply_changes(
+            view.mirror.replace([make_peer()], make_revision(2, as_of), 0.0)
+        )
+        assert election.holds_key is is_held
+    view.apply_changes(view.mirror.replace([make_peer()], make_revision(3, 1), 0.0))
+    assert election.holds_key
