Entries: a status is applied whatever unknown fields a record has

`apply_status` decoded all fields of a record, `decode_instance` those it knows. With a number of 5,000 digits in an unknown field the record was used and its engine's status could not be applied to it.

--- a/src/zinniaspool/platform/entries.py
+++ b/src/zinniaspool/platform/entries.py
@@ -139,10 +139,12 @@
 
 def apply_status(value: bytes, status: EngineStatus) -> Result[bytes, str]:
     """Return an instance record updated by its engine's status."""
-    decoded = decode_json(value, dict[str, object])
+    # Fields that are not used here may have values that can't be decoded.
+    decoded = decode_json(value, dict[str, msgspec.Raw])
     if isinstance(decoded, Err):
         return decoded
-    record, membership = decoded.ok_value, status.membership
+    record: dict[str, object] = {**decoded.ok_value}
+    membership = status.membership
     record["staged"] = list(status.staged)
     record["models"] = [] if status.model is None else [{"name": status.model}]
     record["group"] = None
--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -143,6 +143,10 @@
     return changed.map(write) | whole
 
 
+def _with_huge_field() -> bytes:
+    return json.dumps({**INSTANCE, "x": "@"}).replace('"@"', "8" * 5000).encode()
+
+
 RULES = alter(make_rules(2, ["key"]))
 _WITHOUT_END = make_rules(2, ["key"])
 _WITHOUT_END["routes"][0]["timeout-ms"] = "nan"
@@ -152,6 +156,8 @@
 
 
 @given(value=alter(INSTANCE))
+@example(value=json.dumps({**INSTANCE, "x": 10**400}).encode())
+@example(value=_with_huge_field())
 def test_any_instance_is_decoded_or_refused(value: bytes) -> None:
     decoded: Result[object, str] = decode_instance("servers/i-1", value)
     assert decoded.is_ok() or len(decoded.unwrap_err()) < 300
