Reroutes: a late request leaves a head that never answers it

Cause: a request that was admitted although it will be late had no overdue first event at all, since it waits behind others. At a head that accepts requests and never answers it waited until its deadline, and got 504.

Change: its first event is overdue after a third of its time, as an idempotent call's answer is, and not earlier than another request's. It goes elsewhere only where a slot is free, and makes no head suspected.

--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -33,6 +33,10 @@
 """Pause before a late idempotent request is tried elsewhere again, in
 seconds."""
 
+LATE_WAIT_PART = 1 / 3
+"""Part of its time that a request which was admitted late waits for its first
+event at one target."""
+
 
 class RerouteCondition(Enum):
     """Which target a request is rerouted to.
@@ -250,7 +254,9 @@
         suspects = []
         for state, attempts in list(self._attempts.items()):
             overdue = [one for one in attempts if self._is_overdue(one, now)]
-            is_suspected = any(one.sent_at >= suspected_since for one in overdue)
+            is_suspected = any(
+                one.sent_at >= suspected_since and not one.call.late for one in overdue
+            )
             if is_suspected and not state.streaming:
                 suspects.append(state)
             for attempt in overdue:
@@ -280,16 +286,19 @@
     def _find_first_event_deadline(self, attempt: GatewayAttempt) -> float:
         call = attempt.call
         pool = self._index.find_pool(call.service, call.terms.model)
-        return attempt.sent_at + pool.first_event_timeout.compute_timeout(
+        timeout_s = pool.first_event_timeout.compute_timeout(
             attempt.predicted_first_event_s
         )
+        if call.late:
+            # It waits behind the others at its target.
+            left_s = call.deadline - attempt.sent_at
+            timeout_s = max(timeout_s, LATE_WAIT_PART * left_s)
+        return attempt.sent_at + timeout_s
 
 
 def _may_be_overdue(attempt: GatewayAttempt) -> bool:
-    # A request that was admitted although it will be late waits behind the
-    # others.
     call = attempt.call
-    if call.terms.model is None or call.late or attempt.has_event:
+    if call.terms.model is None or attempt.has_event:
         return False
     return attempt is call.newest_attempt and call.attempts.may_begin_alternative
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from itertools import pairwise
 from math import inf
+from unittest.mock import Mock
 
 import pytest
 from hypothesis import given, strategies as st
@@ -14,7 +15,9 @@
 from tests.test_dispatch import find, find_stalled, make_pool, make_target
 from tests.virtual_time import run_in_virtual_time
 from zinniaspool.core.dispatch import (
+    Attempts,
     EngineTiming,
+    RetryTerms,
     StallLimits,
     TargetPool,
     TargetState,
@@ -22,9 +25,16 @@
     suspect,
 )
 from zinniaspool.core.dispatch.timeouts import PASS_MARGIN_S
-from zinniaspool.core.ids import FailureDomainId, NodeId, ServiceName
+from zinniaspool.core.ids import (
+    ContentId,
+    FailureDomainId,
+    ModelName,
+    NodeId,
+    ServiceName,
+)
 from zinniaspool.core.messages.fleet import StalledTarget
 from zinniaspool.fleet import FleetView
+from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.silence import (
     MAX_CHECK_INTERVAL_S,
@@ -229,6 +239,43 @@
     return StallLinks(send_to_holder, lambda _: None, lambda *_: None, lambda _: None)
 
 
+def test_a_late_request_that_a_head_never_answers_is_sent_elsewhere_too() -> None:
+    """Guards against late requests that wait at a mute head until they end."""
+
+    async def test() -> None:
+        now = asyncio.get_running_loop().time()
+        index = TargetIndex(FleetView(PlatformCodec()), FailureDomainId("a"))
+        pool = index.find_pool(ServiceName("s"), ModelName("m"))
+        pool.update([make_target("x"), make_target("y")], now)
+        attempts = Attempts(RetryTerms(idempotent=True, deadline=now + 6.0), Mock())
+        attempts.begin(now)
+        call = GatewayCall(
+            Mock(),
+            Mock(model=ModelName("m"), prompt_tokens=100),
+            Mock(repeatable=True, max_attempts=2, objective_s=0.3),
+            ServiceName("s"),
+            None,
+            now,
+            now + 6.0,
+            attempts,
+            ContentId("c"),
+        )
+        call.late = True
+        attempt = call.leader = call.make_attempt(find(pool, "x"))
+        attempt.sent_at = now
+        rerouter = Rerouter(index)
+        rerouter.starter = Mock()
+        rerouter.begin_attempt(attempt)
+        assert rerouter.reroute_overdue(now + 1.9) == []
+        rerouter.starter.begin_alternative.assert_not_called()
+        assert rerouter.reroute_overdue(now + 2.1) == []
+        rerouter.starter.begin_alternative.assert_called_once_with(
+            call, find(pool, "y")
+        )
+
+    run_in_virtual_time(test)
+
+
 def test_a_process_with_no_requests_checks_seldom() -> None:
     """Hundreds of idle processes would use up the fleet's processor time."""
     checks = []
