The settings signal ends no program that loads

Until a program had loaded, SIGHUP had its default effect and ended it. The entry program has the callers' port open meanwhile, so that a signal within the first tenths of a second after a start cut the callers that had connected.

Both programs ignore the signal from their first statement on, until the loop handles it.

--- a/src/zinniaspool/platform/control.py
+++ b/src/zinniaspool/platform/control.py
@@ -1,5 +1,6 @@
 """Starts the control program, shortly after the VM's entry program."""
 
+import signal
 import time
 
 __all__ = ["main"]
@@ -13,6 +14,9 @@
 
 def main() -> None:
     """Run the program."""
+    # The signal tells of changed settings. Its default ends a program that
+    # loads.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     time.sleep(START_DELAY_S)
     from zinniaspool.platform.keeper import run
 
--- a/src/zinniaspool/platform/entry.py
+++ b/src/zinniaspool/platform/entry.py
@@ -8,6 +8,7 @@
 """
 
 import os
+import signal
 import socket
 import sys
 import time
@@ -59,6 +60,9 @@
 
 def main() -> None:
     """Run the program."""
+    # The signal tells of changed settings. Its default ends a program that
+    # loads.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     opened = time.monotonic()
     listener = open_callers_port()
     # The libraries are loaded only now, when the port is open.
