Holder: loads the plans only from a mirror as new as its key

Cause: a new holder read the plans from its mirror right after it had written the key. The holder before may have written a plan just before that, which the mirror didn't show yet, so the new one went on from an older plan.

Change: it waits until the mirror is as new as the key, for as long as the store answers. No write of the holder before can be done after the key's.

Tests: test_a_new_holder_waits_for_plans_written_just_before_its_key fails on the revision before.

--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -82,6 +82,10 @@
 neither the store nor the other processes have confirmed that it still may, in
 seconds."""
 
+MIRROR_CHECK_PAUSE_S = 0.01
+"""Pause between checks whether the mirror is as new as the holder's key, in
+seconds."""
+
 SAVE_RETRY_PAUSE_S = 0.1
 """Pause after a failed write of a plan, in seconds."""
 
@@ -247,6 +251,7 @@
         )
         self._planner = planner
         self._unsaved.clear()
+        await self._await_mirror()
         self._restore(planner)
         await self.retainer.run_beside(self._await_upstreams())
         await self.retainer.run_beside(self._query_all_engines(planner))
@@ -313,6 +318,17 @@
         planner.save_all_plans()
         self._start(self._query_all_engines(planner))
 
+    async def _await_mirror(self) -> None:
+        """Wait until the mirror shows what was written before the key.
+
+        The holder before may have written a plan just before this process
+        wrote the key. None of its writes can be done after that.
+        """
+        is_behind = True
+        while is_behind and self._election.store_answers:
+            await asyncio.sleep(MIRROR_CHECK_PAUSE_S)
+            is_behind = self._fleet_view.mirror.as_of < self._election.revision
+
     async def _await_upstreams(self) -> None:
         """Wait until any upstream can be reached.
 
--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -152,3 +152,33 @@
         fleet.stop()
 
     run_in_virtual_time(test)
+
+
+class RecordingPlanStore(FakePlanStore):
+    """Plans that are loaded at a revision of the mirror that is recorded."""
+
+    loaded_at: Revision | None = None
+
+    def load(self, mirror: Any) -> list[DomainPlan]:
+        self.loaded_at = mirror.as_of
+        return super().load(mirror)
+
+
+def test_a_new_holder_waits_for_plans_written_just_before_its_key() -> None:
+    """Guards against a holder that starts from a mirror older than its key."""
+
+    async def test() -> None:
+        fleet = SimulatedFleet()
+        control = fleet.controls[0]
+        control.holder.plans = plans = RecordingPlanStore()  # type: ignore[assignment]
+        written = Revision(len(fleet.store.events) + 2)
+        control.election.revision = written
+        fleet.take_over(0)
+        await asyncio.sleep(0.5)
+        assert plans.loaded_at is None
+        fleet.store.put(KEY, msgspec.json.encode(make_plan(1)))
+        await asyncio.sleep(0.5)
+        assert plans.loaded_at == written
+        fleet.stop()
+
+    run_in_virtual_time(test)
