--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -33,6 +33,10 @@
 """Streams after which their lengths count too. Fewer may all have ended early
 by chance."""
 
+LENGTH_FACTOR = 1.25
+"""Longest over recent length of a stream. With exponential lengths, one in
+two hundred is longer than all of the 128 before it."""
+
 MIN_RESERVE_S = 0.4
 """Least time reserved for pauses, further attempts and delays of the process,
 in seconds."""
@@ -147,9 +151,7 @@
         token_s = max(self.measure_token_time(now), other_token_s)
         if not token_s:
             return None
-        parts = [stream.written_part for stream in self._list_streams(now)]
-        part = max(parts) if len(parts) >= MIN_LENGTHS else 1.0
-        return allowed_tokens * part * token_s * LOAD_FACTOR
+        return allowed_tokens * self._find_longest_part(now) * token_s * LOAD_FACTOR
 
     def measure_token_time(self, now: float) -> float:
         """Return the longest time of a token, in seconds; 0 if unknown."""
@@ -161,6 +163,13 @@
         pauses = [stream.longest_pause_s for stream in self._list_streams(now)]
         return min(MAX_RESERVE_S, max(MIN_RESERVE_S, *pauses, 0.0))
 
+    def _find_longest_part(self, now: float) -> float:
+        """Return the largest part of the allowed tokens that is written."""
+        parts = [stream.written_part for stream in self._list_streams(now)]
+        if len(parts) < MIN_LENGTHS:
+            return 1.0
+        return min(1.0, max(parts) * LENGTH_FACTOR)
+
     def _list_streams(self, now: float) -> list[StreamTiming]:
         return [one.stream for one in self._list_recent(now) if one.stream is not None]
 
