Tests: servers of tests close their connections

Cause: three servers of tests left connections open when their loop had ended.

Change: the servers close what was opened. Checks are unchanged.

Measured: the six files of tests with servers pass with -W error::pytest.PytestUnraisableExceptionWarning (100 tests).

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -56,8 +56,12 @@
 @contextlib.asynccontextmanager
 async def _serve(scripted: _ScriptedUpstream) -> AsyncIterator[Address]:
     server = await asyncio.start_server(scripted.serve, "127.0.0.1", 0)
-    yield Address(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
-    server.close()
+    try:
+        yield Address(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+    finally:
+        server.close()
+        for writer in scripted.writers:
+            writer.transport.abort()
 
 
 def _run_trial(
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -213,7 +213,8 @@
     """Guards against a device on the way that refuses all connections."""
 
     async def test() -> None:
-        say_nothing: Callable[..., Any] = lambda *_: None  # noqa: E731
+        writers: list[asyncio.StreamWriter] = []
+        say_nothing: Callable[..., Any] = lambda _, opened: writers.append(opened)  # noqa: E731
         writer, address, other = ViewWriter(), free_address(), free_address()
         listening = [address] * is_listening + [other] * reaches_other
         servers = [
@@ -227,5 +228,7 @@
         paths.close()
         for server in servers:
             server.close()
+        for opened in writers:
+            opened.transport.abort()
 
     asyncio.run(test())
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -70,7 +70,15 @@
     """Run an upstream, a relay, and a client that connects through it."""
     upstream, relay = free_address(), free_address()
     host, port = upstream.split(":")
-    server = await asyncio.start_server(serve, host, int(port))
+    writers: list[asyncio.StreamWriter] = []
+
+    async def serve_tracked(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writers.append(writer)
+        await serve(reader, writer)
+
+    server = await asyncio.start_server(serve_tracked, host, int(port))
 
     async def confirm_path(_since: float, _unreached: Address) -> bool:
         return reaches_others
@@ -90,6 +98,8 @@
         client.close()
         listener.close()
         server.close()
+        for writer in writers:
+            writer.transport.abort()
 
 
 async def _await(check: Callable[[], bool]) -> None:
