A test of ports chooses all of them while its processes live

Cause: the test chose its own process's addresses after the pool of processes had ended.

Change: it chooses them while the processes live. The check is unchanged.

--- a/tests/test_free_addresses.py
+++ b/tests/test_free_addresses.py
@@ -16,7 +16,8 @@
     context = multiprocessing.get_context("spawn")
     with context.Pool(3) as pool:
         chosen = pool.map(choose_addresses, [CHOSEN] * 3, chunksize=1)
-    chosen.append(choose_addresses(CHOSEN))
+        # The ports of a process that has ended are free again.
+        chosen.append(choose_addresses(CHOSEN))
     addresses = {address for addresses in chosen for address in addresses}
     # A worker that chose twice has no address twice either.
     assert len(addresses) == CHOSEN * len(chosen)
