--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -1,6 +1,6 @@
 """Predicts until when requests may be in progress at most.
 
-A process that was told to stop has a fixed time left. A request that takes
+A stopping process has a fixed time left. A request that takes
 longer would be cut, and one that is refused although it would end in time is
 sent elsewhere for nothing. So the longest time is predicted from the longest
 answer that a request allows, and from what recent answers of its kind took.
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -46,7 +46,7 @@
         index: The targets.
         admission_queues: Decide when a request for a model may begin.
         crashes: Detects crashed upstreams and quarantines what crashes them.
-        stop_guard: Tells which requests may outlast this process.
+        stop_guard: Decides which requests may outlast this process.
     """
 
     def __init__(
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -71,7 +71,7 @@
         fleet_view: Has the active configuration.
         forwarder: Sends requests to upstreams.
         retry_budgets: Limit how many requests are sent again.
-        stop_clock: Tells whether the process is stopping.
+        stop_clock: The time that a stopping process has left.
         stop_guard: Has the requests in progress end in time.
         tally: Counts how requests end.
 
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -1,6 +1,6 @@
 """Decides which requests a stopping process still takes.
 
-A process that was told to stop is killed after a fixed time. Until then it
+A process is killed a fixed time after its stop signal. Until then it
 takes the requests that will have ended, by the longest time that is predicted
 for them, and refuses the others at once, so that their callers can go to
 another VM.
@@ -37,7 +37,7 @@
 
 
 class StopClock:
-    """Tells how long a stopping process goes on.
+    """Measures how long a stopping process goes on.
 
     Times are in seconds on the event loop's clock.
 
@@ -62,7 +62,7 @@
         self._grace_s = grace_s
 
     def begin(self, now: float) -> None:
-        """Start the clock: the process was told to stop."""
+        """Start the clock at the stop signal."""
         self.began_at = now
         self.ends_at = now + max(0.0, self._grace_s - CLOSE_RESERVE_S)
         self.exits_at = now + max(0.0, self._grace_s - EXIT_RESERVE_S)
@@ -79,7 +79,7 @@
 
 
 class StopGuard:
-    """Tells whether requests will have ended when the process stops.
+    """Finds the requests that may outlast a stopping process.
 
     Args:
         clock: The time that is left.
@@ -101,7 +101,7 @@
         ] = {}
 
     def begin_stop(self, now: float) -> None:
-        """Have all requests end in time: the process was told to stop."""
+        """Have all requests end in time, from the stop signal on."""
         self._clock.begin(now)
         for call in self.running:
             call.shorten_deadline(self._clock.ends_at)
