One copy of a group's serving states and of a test's record

Cause: two modules of the formation had the same set of states, one test of SIGHUP during the start of a program stood in two files, and one record in two. Change: adoption uses the states of the lifecycle; the test that drives both programs stays in tests/test_early_port.py, together with the test of the control program's own handler; the unreadable values use the record of the view's tests. Behaviour and what is checked are as before.

--- a/src/zinniaspool/core/formation/adoption.py
+++ b/src/zinniaspool/core/formation/adoption.py
@@ -14,6 +14,7 @@
     Membership,
     MembershipState,
 )
+from zinniaspool.core.formation.lifecycle import SERVING_STATES
 from zinniaspool.core.formation.records import GroupRecord
 from zinniaspool.core.ids import Epoch, FabricDomainId, GroupId, ServiceName
 
@@ -22,9 +23,6 @@
 _Member = tuple[Instance, Membership]
 _GroupKey = tuple[FabricDomainId, ServiceName, GroupId, Epoch]
 
-_SERVING_STATES = frozenset({MembershipState.OPEN, MembershipState.CLOSING})
-"""States of a head that has running requests, or may get some."""
-
 
 def find_serving_groups(
     instances: Iterable[Instance],
@@ -63,7 +61,7 @@
     """Return whether members, ordered by their ranks, are a whole group."""
     head, membership = members[0]
     model = None if head.model is None else engine.find_model(head.model)
-    if model is None or membership.state not in _SERVING_STATES:
+    if model is None or membership.state not in SERVING_STATES:
         return False
     if [member.rank for _, member in members] != list(range(model.size)):
         return False
--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -17,7 +17,7 @@
 from zinniaspool.core.formation.orders import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.formation.records import GroupPhase, GroupRecord
 
-__all__ = ["LEFT_OUTCOMES", "GroupRun", "InstanceView"]
+__all__ = ["LEFT_OUTCOMES", "SERVING_STATES", "GroupRun", "InstanceView"]
 
 RETRY_S = 0.5
 """Seconds until an order without effect is repeated. Answers take milliseconds
@@ -186,8 +186,8 @@
         head = self._find_membership(self.record.head, view)
         if leaving:
             # A process that takes over as holder knows no group's phase yet.
-            has_opened = head is not None and head.state in _OPENED_STATES
-            phase = GroupPhase.CLOSING if has_opened else GroupPhase.ENDING
+            is_serving = head is not None and head.state in SERVING_STATES
+            phase = GroupPhase.CLOSING if is_serving else GroupPhase.ENDING
             self.enter_phase(phase, f"member-leaving:{leaving[0]}", now)
             return
         if head is None:
@@ -320,7 +320,7 @@
 )
 """Outcomes of a leave order that show that the VM is in the group no more."""
 
-_OPENED_STATES = frozenset({MembershipState.OPEN, MembershipState.CLOSING})
-"""States of a head that may run requests."""
+SERVING_STATES = frozenset({MembershipState.OPEN, MembershipState.CLOSING})
+"""States of a head that has running requests, or may get some."""
 
 _CLOSED_STATES = frozenset({MembershipState.READY, MembershipState.BROKEN})
--- a/tests/test_early_port.py
+++ b/tests/test_early_port.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import socket
+import time
 from pathlib import Path
 
 import pytest
@@ -12,6 +13,7 @@
 from zinniaspool.http import HttpServer
 from zinniaspool.http.exchange import Exchange
 from zinniaspool.http.messages import Headers
+from zinniaspool.platform import control
 from zinniaspool.platform.entry import listen_early
 from zinniaspool_standins.installation import Installation
 from zinniaspool_standins.nodes import NodeProcess, end_nodes, make_nodes
@@ -101,3 +103,23 @@
         while part := connection.recv(4096):
             found += part
     return found
+
+
+def test_the_control_program_ignores_the_settings_signal_while_it_waits(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a control program that ends before it has loaded."""
+    handlers: list[object] = []
+
+    def stop_waiting(_: float) -> None:
+        handlers.append(signal.getsignal(signal.SIGHUP))
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(time, "sleep", stop_waiting)
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        with pytest.raises(KeyboardInterrupt):
+            control.main()
+    finally:
+        signal.signal(signal.SIGHUP, before)
+    assert handlers == [signal.SIG_IGN]
--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -17,6 +17,7 @@
 from typer.testing import CliRunner
 
 from tests.installation import Installation, eventually
+from tests.test_belief import RECORD
 from zinniaspool.cli.main import app
 from zinniaspool.core.decoding import is_address, parse_count
 from zinniaspool.core.dispatch.streams import EventCursor
@@ -35,21 +36,7 @@
 from zinniaspool_standins.installation import free_address, make_rules
 
 STATUS = EngineStatus(None, None, (), 0, 0, 1.0, 5)
-INSTANCE: dict[str, object] = {
-    "service": "drafting",
-    "address": "10.128.0.9:8080",
-    "zone": "hall-a",
-    "version": "v1",
-    "slots": 13,
-    "state": "ready",
-    "cold-left-ms": 0,
-    "seq-no": 4,
-    "born": 1000,
-    "domain": "d1",
-    "models": [{"name": "large"}],
-    "staged": ["small"],
-    "group": {"name": "g7", "epoch": 12, "rank": 1, "state": "ready"},
-}
+INSTANCE: dict[str, object] = {**RECORD, "staged": ["small"]}
 NODE: dict[str, object] = {
     "node": "n7",
     "caller_address": "10.0.0.7:80",
