Log lines tell why a stopping process accepted a request

Cause: request-outlasts-stop has the times of a refused request, but for an accepted one the log only had when it came. Change: request-ended has allowed_ms, the time that the request had, and longest_ms, the longest time that was predicted for it (-1: its own deadline is before the end of the process, or it doesn't stop). Checked: a test of both cases, with the other tests of planned stops.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -163,6 +163,9 @@
             to send none.
         deadline_after_stop: Whether its own deadline is later than the end of
             this process.
+        longest_s: Longest time that was predicted for it when it was accepted
+            while the process stopped, in seconds; None if nothing was, since
+            its own deadline is earlier.
     """
 
     exchange: Exchange
@@ -190,6 +193,7 @@
     late: bool = False
     urgency: int | None = None
     deadline_after_stop: bool = False
+    longest_s: float | None = None
 
     @property
     def newest_attempt(self) -> GatewayAttempt | None:
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -237,6 +237,8 @@
             took_ms=int(took_s * 1000),
             last_event=call.last_event_id or 0,
             after_stop_ms=self._measure_after_stop(call.received_at),
+            allowed_ms=int((call.deadline - call.received_at) * 1000),
+            longest_ms=-1 if call.longest_s is None else int(call.longest_s * 1000),
             version=self._get_version(),
         )
 
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -135,7 +135,7 @@
         if not call.deadline_after_stop:
             return False
         now = asyncio.get_running_loop().time()
-        longest_s = self._predict_longest(call, pool, now)
+        longest_s = call.longest_s = self._predict_longest(call, pool, now)
         if longest_s is not None and now + longest_s <= self._clock.ends_at:
             return False
         _log.info(
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import pytest
+from structlog.testing import capture_logs
 
 from tests.installation import Answer, PatientInstallation, run
 
@@ -205,3 +206,25 @@
             assert answer.status == 503 and answer.whole
 
     run(check)
+
+
+def test_the_log_has_what_a_request_was_given_and_expected_to_need() -> None:
+    """Guards against an accepted request that the log doesn't explain."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(4)))
+            made.nodes["n0"].gateway.stop()
+            with capture_logs() as lines:
+                await made.draft("n0", "small", 30, deadline_ms=8000)
+                await made.draft("n0", "small", 30, deadline_ms=3000)
+            ended = [line for line in lines if line["event"] == "request-ended"]
+            predicted, unpredicted = ended
+            assert 0 <= predicted["after_stop_ms"] < 1000
+            assert 900 < predicted["longest_ms"] < predicted["allowed_ms"] < 7750
+            assert unpredicted["longest_ms"] == -1
+            assert unpredicted["allowed_ms"] == 3000
+
+    run(check)
