Tests: a slow reader, a late retry and a late refusal in a planned stop

Cause: three conditions of a planned stop had no test of their own. Change: a reader that pauses until nothing else is in progress gets the whole 6 MB; a stream whose upstream breaks off five seconds after the signal is resumed and ends whole; what all upstreams refuse then is answered 503 within 0.3 s and runs nowhere.

--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -7,6 +7,8 @@
 from structlog.testing import capture_logs
 
 from tests.installation import Answer, PatientInstallation, run
+from zinniaspool.core.ids import split_address
+from zinniaspool.http import Exchange, Headers
 
 pytestmark = pytest.mark.processes
 
@@ -228,3 +230,82 @@
             assert unpredicted["allowed_ms"] == 3000
 
     run(check)
+
+
+def test_a_retry_late_in_a_stop_still_ends_whole() -> None:
+    """Guards against a stream cut since its first upstream broke off late."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            for _ in range(3):
+                await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(8)))
+            made.nodes["n0"].gateway.stop()
+            await asyncio.sleep(5.0)
+            made.heads("small")[0].faults.cut_after = 10
+            answers = await asyncio.gather(
+                *(
+                    made.draft("n0", "small", 30, f"late-{k}", deadline_ms=8000)
+                    for k in range(4)
+                )
+            )
+            events = list(range(1, 31))
+            assert all(one.whole and one.events == events for one in answers)
+            runs = [run.request for one in made.runners.values() for run in one.runs]
+            assert any(runs.count(f"late-{k}") == 2 for k in range(4))
+
+    run(check)
+
+
+def test_a_refusal_of_all_upstreams_late_in_a_stop_is_true() -> None:
+    """Guards against a 503 for a request that runs, or one that comes late."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            made.nodes["n0"].gateway.stop()
+            await asyncio.sleep(5.0)
+            for head in made.heads("small"):
+                head.faults.refuse = True
+            began = asyncio.get_running_loop().time()
+            answer = await made.draft(
+                "n0", "small", 5, request_id="late", deadline_ms=8000
+            )
+            took_s = asyncio.get_running_loop().time() - began
+            assert answer.whole and answer.status == 503
+            assert took_s < REFUSED_WITHIN_S
+            runs = [run for one in made.runners.values() for run in one.runs]
+            assert "late" not in {run.request for run in runs}
+
+    run(check)
+
+
+def test_a_slow_reader_gets_the_rest_of_its_answer_before_the_end() -> None:
+    """Guards against bytes that are dropped while a reader has still time."""
+
+    async def check() -> None:
+        size = 6 * 1024 * 1024
+
+        async def answer(exchange: Exchange) -> None:
+            await exchange.respond(200, Headers(), bytes(size))
+
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            gateway = made.nodes["n0"].gateway
+            gateway._server.handler = answer
+            address = made.nodes["n0"].file.caller_address
+            assert address is not None
+            reader, writer = await asyncio.open_connection(*split_address(address))
+            writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            gateway.stop()
+            # The process has nothing in progress from now on.
+            await asyncio.sleep(6.8)
+            rest = await reader.readexactly(size)
+            assert b"200" in head and len(rest) == size
+            writer.close()
+
+    run(check)
