--- a/src/zinniaspool/fleet/listeners.py
+++ b/src/zinniaspool/fleet/listeners.py
@@ -14,8 +14,8 @@
 ) -> None:
     """Call all listeners in order; log those that fail.
 
-    The change that they are told of has been applied and isn't told again. A
-    listener that is left out would never learn of it.
+    The change has been applied and isn't announced again. A listener that is
+    left out would never learn of it.
 
     Args:
         listeners: Called one after the other.
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -292,7 +292,7 @@
 def _add_retry_after(fault: Fault, pool: TargetPool, now: float) -> Fault:
     """Return a fault with the retry time that the pool's targets imply.
 
-    What callers are told by default is too short if all targets have asked for
+    The default retry time is too short if all targets have asked for
     a longer pause.
     """
     has_default = ERROR_ANSWERS[fault.kind].retry_after is not None
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -333,7 +333,7 @@
     """Return the customer that holds a request's key; None without a key.
 
     A key that no customer holds is refused on all routes. A caller whose key
-    was revoked would not notice that its requests run for nobody.
+    was revoked would not notice that its requests run without a customer.
     """
     if not catalog.requires_keys:
         return Ok(None)
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -127,7 +127,7 @@
 
 
 class GatewayProcess:
-    """Serves callers until it is told to stop, then drains.
+    """Serves callers until its stop signal, then drains.
 
     Args:
         settings: The settings of this VM.
@@ -353,7 +353,7 @@
         self._stop_requested.set()
 
     async def run(self) -> None:
-        """Run until the process is told to stop."""
+        """Run until the stop signal, and drain."""
         _log.info("started", first_start=self._settings.first_start)
         self._tasks = [
             asyncio.create_task(run_supervised("follower", self._follower.run)),
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -535,7 +535,7 @@
         try:
             fault = await self.plans.save(plan, self._election.revision)
         except Exception:
-            # The planner makes no other change of the domain until it is told.
+            # The planner makes no other change of the domain before that.
             planner.on_plan_not_saved(plan)
             raise
         if fault is None:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -184,7 +184,7 @@
         "started": "The process has started.",
         "stopped": "The process ends; the keys count the requests and tunnels that are "
         "cut, and the requests that were accepted and refused since the stop signal.",
-        "stopping": "The process was told to stop and finishes its running requests, "
+        "stopping": "The process got a stop signal and finishes its running requests, "
         "until ``left_ms`` are over.",
         "store-lost": "The store stopped answering.",
         "store-regained": "The store answers again.",
