Requests that waited while the program loaded are dated each on its own

Now the connections are marked that waited when the server began to accept, and their first request is dated by the kernel's record of when the connection last received data (TCP_INFO, alike on Linux x86-64 and arm64). Where the kernel refuses that, they count as before, and all others as just received. Requests that waited are read in the order in which their callers connected.

--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -45,10 +45,6 @@
 """Part of a route's timeout that is reserved, in seconds, so that the answer
 that the deadline has passed still comes within the timeout."""
 
-STARTUP_READ_S = 0.05
-"""Time after the start in which requests are read that arrived before it, in
-seconds."""
-
 FIRST_CONFIGURATION_WAIT_S = 0.5
 """Longest wait of a request for the first configuration, in seconds. The store
 and the peers answer within a tenth of that, or are unavailable for longer."""
@@ -100,21 +96,9 @@
         self._stop_clock = stop_clock
         self._stop_guard = stop_guard
         self._tally = tally
-        self._opened_at = self._ready_at = float("-inf")
         self._configured = asyncio.Event()
         fleet_view.on_catalog.append(self._configured.set)
 
-    def set_opened_at(self, opened_at: float) -> None:
-        """Set when callers could first connect.
-
-        Requests that arrived since then were not read until now.
-
-        Args:
-            opened_at: Seconds on the event loop's clock.
-        """
-        self._opened_at = opened_at
-        self._ready_at = asyncio.get_running_loop().time()
-
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         self.running += 1
@@ -127,7 +111,7 @@
                 self.idle.set()
 
     async def _handle(self, exchange: Exchange) -> None:
-        received_at = self._estimate_arrival()
+        received_at = exchange.received_at
         if self._fleet_view.catalog is None:
             await self._await_configuration()
         terms = self._codec.parse_terms(exchange.request)
@@ -153,17 +137,6 @@
         finally:
             self._stop_guard.running.remove(call)
 
-    def _estimate_arrival(self) -> float:
-        """Return the estimated time at which a request arrived.
-
-        The first requests lay in open connections while the program loaded,
-        for half of that time on average.
-        """
-        now = asyncio.get_running_loop().time()
-        if now - self._ready_at > STARTUP_READ_S:
-            return now
-        return now - (self._ready_at - self._opened_at) / 2
-
     async def _await_configuration(self) -> None:
         """Wait for the first configuration, which takes tens of milliseconds.
 
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -414,9 +414,9 @@
     async def _listen(self) -> None:
         settings = self._settings
         assert settings.caller_address is not None
-        await self._server.listen(settings.caller_address, self._listener)
-        if self._opened_at is not None:
-            self._caller_handler.set_opened_at(self._opened_at)
+        await self._server.listen(
+            settings.caller_address, self._listener, self._opened_at
+        )
         for address in {settings.ready_address, settings.directory_address} - {None}:
             assert address is not None
             server = HttpServer(self._directory_handler.handle)
--- /dev/null
+++ b/src/zinniaspool/http/backlog.py
@@ -0,0 +1,90 @@
+"""Requests that wait in a listener's backlog until the program reads them.
+
+A listener that is opened before the program has loaded accepts connections,
+and the kernel keeps what callers send. Each request is dated by the kernel's
+record of when its last bytes came.
+"""
+
+import asyncio
+import socket
+import struct
+from typing import Protocol
+
+__all__ = ["Backlog", "measure_unread"]
+
+READ_S = 0.05
+"""Time after the start within which requests are read that arrived before it,
+in seconds."""
+
+_TCP_INFO = struct.Struct("=B51xI")
+"""The state, and the milliseconds since data was last received, in Linux's
+``struct tcp_info``."""
+
+_OPEN_STATES = (1, 8)
+"""TCP states in which a request can be answered: established, close-wait."""
+
+_MS_PER_S = 1000
+
+
+class _Connection(Protocol):
+    def getsockopt(self, level: int, option: int, size: int, /) -> bytes: ...
+
+
+class Backlog:
+    """Dates the requests that arrived before a server began to accept.
+
+    Create it in the turn of the event loop in which the server begins.
+
+    Args:
+        opened_at: Time since when callers could connect, in seconds on the
+            event loop's clock.
+
+    Attributes:
+        is_accepting: Whether connections that are made now were waiting.
+    """
+
+    def __init__(self, opened_at: float) -> None:
+        self.is_accepting = True
+        self._loop = asyncio.get_running_loop()
+        self._opened_at = opened_at
+        self._ready_at = self._loop.time()
+        # asyncio accepts all waiting connections in one turn of its loop, and
+        # makes their protocols in the next one.
+        self._loop.call_soon(self._loop.call_soon, self._end_accepting)
+
+    def estimate_arrival(self, connection: _Connection) -> float:
+        """Return when the request arrived that was just read, in seconds.
+
+        Without the kernel's record, half of the time before the start is the
+        average for what was read at once.
+
+        Args:
+            connection: A connection that was waiting; its first request.
+        """
+        now = self._loop.time()
+        unread_s = measure_unread(connection)
+        if unread_s is not None:
+            return max(min(self._opened_at, now), now - unread_s)
+        if now - self._ready_at > READ_S:
+            return now
+        return now - (self._ready_at - self._opened_at) / 2
+
+    def _end_accepting(self) -> None:
+        self.is_accepting = False
+
+
+def measure_unread(connection: _Connection) -> float | None:
+    """Return how long ago a connection last received data, in seconds.
+
+    None if the platform doesn't record it.
+    """
+    try:
+        info = connection.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size
+        )
+    except (AttributeError, OSError):
+        return None
+    if len(info) < _TCP_INFO.size:
+        return None
+    state, unread_ms = _TCP_INFO.unpack(info)
+    return unread_ms / _MS_PER_S if state in _OPEN_STATES else None
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -14,6 +14,7 @@
 import h11
 import structlog
 
+from zinniaspool.http.backlog import Backlog
 from zinniaspool.http.exchange import Exchange
 from zinniaspool.http.limits import (
     Refusal,
@@ -55,6 +56,7 @@
         make_refusal: Makes the server's own responses.
         draining: Whether connections close after their current response.
         retiring: Whether responses announce that.
+        backlog: Dates requests that arrived before the server began to accept.
     """
 
     handler: Handler
@@ -62,6 +64,7 @@
     make_refusal: RefusalMaker
     draining: bool
     retiring: bool
+    backlog: Backlog | None
 
     def admit(self, connection: "ServerConnection") -> bool:
         """Count a new connection; return False if too many are open."""
@@ -89,13 +92,18 @@
     Attributes:
         response_started: Whether any part of the response to the current
             request has been sent.
+        received_at: When the current request was received, in seconds on the
+            event loop's clock.
         peer: The caller's address; empty if it is unknown.
     """
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.response_started = False
+        self.received_at = 0.0
         self.peer = ""
         self._owner = owner
+        backlog = owner.backlog
+        self._backlog = backlog if backlog and backlog.is_accepting else None
         self._header_bytes = owner.limits.header_bytes
         self._h11 = _make_parser(self._header_bytes)
         self._phase = _Phase.IDLE
@@ -305,6 +313,7 @@
         assert head is not None
         self._stop_timer()
         self._phase = _Phase.HANDLING
+        self.received_at = self._estimate_arrival()
         self.response_started = False
         self._read_ahead = 0
         self._limit_read_ahead(len(self._h11.trailing_data[0]))
@@ -317,6 +326,12 @@
         self._body_parts.clear()
         self._task = self._loop.create_task(self._run_handler(Exchange(request, self)))
 
+    def _estimate_arrival(self) -> float:
+        backlog, self._backlog = self._backlog, None
+        if backlog is None or self._transport is None:
+            return self._loop.time()
+        return backlog.estimate_arrival(self._transport.get_extra_info("socket"))
+
     async def _run_handler(self, exchange: Exchange) -> None:
         try:
             await self._owner.handler(exchange)
--- a/src/zinniaspool/http/exchange.py
+++ b/src/zinniaspool/http/exchange.py
@@ -17,10 +17,13 @@
 
     Attributes:
         response_started: Whether any part of the response has been sent.
+        received_at: When the request was received, in seconds on the event
+            loop's clock.
         peer: The caller's address.
     """
 
     response_started: bool
+    received_at: float
     peer: str
 
     @property
@@ -71,6 +74,14 @@
         """Whether any part of the response has been sent."""
         return self._channel.response_started
 
+    @property
+    def received_at(self) -> float:
+        """When the request was received, in seconds on the event loop's clock.
+
+        A request that the program could not read at once is dated back.
+        """
+        return self._channel.received_at
+
     @property
     def peer(self) -> str:
         """The caller's address."""
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -12,6 +12,7 @@
 import structlog
 
 from zinniaspool.core.ids import Address, split_address
+from zinniaspool.http.backlog import Backlog
 from zinniaspool.http.connection import Handler, ServerConnection
 from zinniaspool.http.limits import RefusalMaker, ServerLimits, make_plain_refusal
 
@@ -38,6 +39,7 @@
         retiring: Whether callers are asked to leave: responses announce that
             their connection closes after them. Connections whose response
             began before don't close without that announcement.
+        backlog: Dates requests that arrived before the server began to accept.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.limits = limits or ServerLimits()
         self.make_refusal = make_refusal
         self.draining = self.retiring = False
+        self.backlog: Backlog | None = None
         self._tls = tls
         self._buffered = 0
         self._refusing = False
@@ -65,13 +68,18 @@
         return len(self._connections)
 
     async def listen(
-        self, address: Address, listener: socket.socket | None = None
+        self,
+        address: Address,
+        listener: socket.socket | None = None,
+        opened_at: float | None = None,
     ) -> Address:
         """Start listening and return the address with its actual port.
 
         Args:
             address: Host and port; port 0 selects a free one.
             listener: A socket that already listens there.
+            opened_at: Time since when it has, in seconds on the event loop's
+                clock.
 
         Raises:
             OSError: The address cannot be used.
@@ -86,6 +94,8 @@
         )
         if listener is not None:
             self._server = await create(sock=listener)
+            if opened_at is not None:
+                self.backlog = Backlog(opened_at)
         else:
             host, port = split_address(address)
             self._server = await create(host=host, port=port)
--- a/tests/test_early_port.py
+++ b/tests/test_early_port.py
@@ -10,7 +10,7 @@
 
 from tests.installation import eventually
 from zinniaspool.core.ids import Address
-from zinniaspool.http import HttpServer
+from zinniaspool.http import HttpServer, backlog
 from zinniaspool.http.exchange import Exchange
 from zinniaspool.http.messages import Headers
 from zinniaspool.platform import control
@@ -43,6 +43,61 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("is_recorded", [True, False])
+def test_requests_are_dated_by_what_waited_while_the_program_loaded(
+    is_recorded: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests of the first moment whose deadlines are early.
+
+    Those that came while the program loaded must not end late either.
+    """
+    if not is_recorded:
+        monkeypatch.setattr(backlog, "measure_unread", lambda _: None)
+    received: dict[str, float] = {}
+
+    async def record(exchange: Exchange) -> None:
+        received[exchange.request.path] = exchange.received_at
+        await exchange.respond(200, Headers(), b"")
+
+    async def test() -> None:
+        now = asyncio.get_running_loop().time
+        listener = listen_early("127.0.0.1", 0)
+        opened_at, sent = now(), {}
+        callers = []
+
+        def send(path: str, caller: socket.socket) -> None:
+            caller.sendall(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+            sent[path] = now()
+
+        for path in ("/first", "/second"):
+            await asyncio.sleep(0.3)
+            callers.append(socket.create_connection(listener.getsockname()))
+            send(path, callers[-1])
+        callers.append(socket.create_connection(listener.getsockname()))
+        await asyncio.sleep(0.3)
+        ready_at, server = now(), HttpServer(record)
+        await server.listen(Address("127.0.0.1:0"), listener, opened_at)
+        await eventually(lambda: len(received) == 2)
+        callers.append(socket.create_connection(listener.getsockname()))
+        send("/new", callers[-1])
+        if is_recorded:
+            send("/late", callers[2])
+        for caller in callers[:2]:
+            await asyncio.to_thread(caller.recv, 4096)
+        send("/again", callers[0])
+        await eventually(lambda: received.keys() == sent.keys())
+        await server.drain(0.0)
+        for caller in callers:
+            caller.close()
+        assert list(received)[:2] == ["/first", "/second"]
+        if not is_recorded:
+            half = (opened_at + ready_at) / 2
+            sent |= {"/first": half, "/second": half}
+        assert received == pytest.approx(sent, abs=0.03)
+
+    asyncio.run(test())
+
+
 def test_small_segments_are_sent_without_delay_on_the_early_port() -> None:
     """Otherwise each event of a stream waits 40 ms for an acknowledgement.
 
