A closing group ends the longest requests of its routes

A group that closes for planned work (its model moves, a member is slow or leaves) was ended after nine seconds, whatever the timeout of its routes. Answers that may take longer were cut by our own order.

The time follows the longest timeout of the routes of its service, with one second more, and is nine seconds at least. Timeouts of former configurations count on while a process is the holder, since requests that began under them run as long. Once a member leaves, the group ends nine seconds later as before: the platform keeps a leaving member for ten seconds.

With the former time, the case of a route of 20 s fails in the new test (it ended before 20.5 s), and passes now; those of 8 s and of a leaving member pass before and after. The tests of formation, balance, slow members, standby, evacuation and holders passed.

--- a/src/zinniaspool/core/fleet/catalog.py
+++ b/src/zinniaspool/core/fleet/catalog.py
@@ -213,3 +213,13 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def find_longest_timeouts(self) -> dict[ServiceName, float]:
+        """Return the longest timeout of each service's routes, in seconds."""
+        longest: dict[ServiceName, float] = {}
+        for routes in self.routes.values():
+            for route in routes:
+                for share in route.shares:
+                    known_s = longest.get(share.service, 0.0)
+                    longest[share.service] = max(known_s, route.timeout_s)
+        return longest
--- a/src/zinniaspool/core/formation/lifecycle.py
+++ b/src/zinniaspool/core/formation/lifecycle.py
@@ -28,9 +28,17 @@
 """Seconds until an order that did not fit the engine's state is repeated. The
 engine is busy with another order that ends in a moment."""
 
-MAX_CLOSING_S = 9.0
-"""Longest time that a group may take to close, in seconds. Callers wait eight
-seconds at most, and a leaving member stays for ten seconds."""
+MIN_CLOSING_S = 9.0
+"""Time that every group may take to close, in seconds. Processes may learn
+seconds late that it closes, and send it requests until then."""
+
+CLOSING_MARGIN_S = 1.0
+"""Time that a group may take to close beyond the longest timeout of its
+service's routes, in seconds."""
+
+MAX_DRAINING_S = 9.0
+"""Longest time that a group may take to close once a member leaves, in
+seconds. The member stays for ten seconds at most."""
 
 
 @dataclass(slots=True)
@@ -94,6 +102,7 @@
     epoch_stale: bool = False
     restarted: set[InstanceId] = field(default_factory=set)
     awaits_plan: bool = False
+    _leaving_since: float | None = None
     _must_release: set[InstanceId] = field(default_factory=set)
     _leave_unfit: set[InstanceId] = field(default_factory=set)
     _ordered_at: dict[tuple[InstanceId, OrderAction], float] = field(
@@ -112,9 +121,18 @@
             self._must_release
         )
 
-    def step(self, view: InstanceView, now: float) -> list[GroupOrder]:
-        """Update the phase from the view, and return the orders due now."""
-        self._update_phase(view, now)
+    def step(
+        self, view: InstanceView, longest_timeout_s: float, now: float
+    ) -> list[GroupOrder]:
+        """Update the phase from the view, and return the orders due now.
+
+        Args:
+            view: The known instances.
+            longest_timeout_s: Longest timeout of a request that the group may
+                run, in seconds.
+            now: Current time, in seconds.
+        """
+        self._update_phase(view, longest_timeout_s, now)
         match self.phase:
             case GroupPhase.FORMING if not self.awaits_plan:
                 return self._list_forming_orders(view, now)
@@ -142,7 +160,9 @@
 
     # Phases.
 
-    def _update_phase(self, view: InstanceView, now: float) -> None:
+    def _update_phase(
+        self, view: InstanceView, longest_timeout_s: float, now: float
+    ) -> None:
         if self.phase is GroupPhase.ENDING:
             return
         if self.restarted:
@@ -165,6 +185,7 @@
         leaving = [
             member for member in self.record.members if self._is_leaving(member, view)
         ]
+        self._update_leaving_since(leaving, now)
         match self.phase:
             case GroupPhase.FORMING:
                 self._update_forming(view, leaving, now)
@@ -177,7 +198,7 @@
             case GroupPhase.CLOSING:
                 membership = self._find_membership(self.record.head, view)
                 closed = membership is None or membership.state in _CLOSED_STATES
-                if closed or now - self.since > MAX_CLOSING_S:
+                if closed or self._closes_too_long(longest_timeout_s, now):
                     self.enter_phase(GroupPhase.ENDING, self.reason, now)
 
     def _update_forming(
@@ -214,6 +235,19 @@
         if head is not None and head.state is MembershipState.READY:
             self.enter_phase(GroupPhase.FORMING, "closed", now)
 
+    def _update_leaving_since(self, leaving: list[InstanceId], now: float) -> None:
+        if not leaving:
+            self._leaving_since = None
+        elif self._leaving_since is None:
+            self._leaving_since = now
+
+    def _closes_too_long(self, longest_timeout_s: float, now: float) -> bool:
+        closing_s = max(MIN_CLOSING_S, longest_timeout_s + CLOSING_MARGIN_S)
+        ends_at = self.since + closing_s
+        if self._leaving_since is not None:
+            ends_at = min(ends_at, self._leaving_since + MAX_DRAINING_S)
+        return now > ends_at
+
     def _is_leaving(self, member: InstanceId, view: InstanceView) -> bool:
         found = view.find_reachable(member)
         return found is not None and found.state is InstanceState.LEAVING
--- a/src/zinniaspool/core/formation/planner.py
+++ b/src/zinniaspool/core/formation/planner.py
@@ -122,6 +122,7 @@
         self._view = self._inventory.view
         self._indirect: frozenset[InstanceId] = frozenset()
         self._engines: dict[ServiceName, EngineSpec] = {}
+        self._longest_timeouts: dict[ServiceName, float] = {}
         self._loads: dict[ServiceName, LoadBudget] = {}
         self._evacuation = EvacuationFilter(self._view)
         self._provisioning = ModelProvisioning(self._domains, self._evacuation)
@@ -136,14 +137,23 @@
     # Input.
 
     def configure(
-        self, engines: Mapping[ServiceName, EngineSpec], now: float = 0.0
+        self,
+        engines: Mapping[ServiceName, EngineSpec],
+        longest_timeouts: Mapping[ServiceName, float],
+        now: float = 0.0,
     ) -> None:
         """Set the services whose groups are formed.
 
         Args:
             engines: The engines of each service.
+            longest_timeouts: The longest timeout of each service's routes, in
+                seconds.
             now: Current time, in seconds.
         """
+        # Requests that began under former rules run as long as they allow.
+        for service, timeout_s in longest_timeouts.items():
+            known_s = self._longest_timeouts.get(service, 0.0)
+            self._longest_timeouts[service] = max(known_s, timeout_s)
         if engines != self._engines:
             self._engines = dict(engines)
             self._group_instances()
@@ -482,7 +492,8 @@
     ) -> None:
         for group, run in list(domain.runs.items()):
             before = run.phase
-            due = run.step(self._view, now)
+            longest_timeout_s = self._longest_timeouts.get(run.record.service, 0.0)
+            due = run.step(self._view, longest_timeout_s, now)
             if run.phase is not before:
                 self._provisioning.on_groups_changed()
                 self._on_transition(PhaseTransition(run.record, run.phase, run.reason))
--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -330,6 +330,7 @@
                     for name, spec in catalog.services.items()
                     if spec.engine is not None and spec.engine.models
                 },
+                catalog.find_longest_timeouts(),
                 loop.time(),
             )
             planner.set_evacuated(self._fleet_view.evacuated)
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -323,6 +323,38 @@
     assert not fleet.violations
 
 
+@pytest.mark.parametrize(
+    ("timeout_s", "is_leaving", "closing_s"),
+    [(8.0, False, 9.0), (20.0, False, 21.0), (20.0, True, 9.0)],
+)
+def test_a_closing_group_ends_the_longest_requests_of_its_routes(
+    timeout_s: float, is_leaving: bool, closing_s: float
+) -> None:
+    """Guards against streams that are cut since their model moves elsewhere.
+
+    A group whose member leaves is released before the member ends.
+    """
+    fleet = make_settled_fleet()
+    fleet.longest_timeout_s = timeout_s
+    fleet.take_over()
+    fleet.planner.configure({SERVICE: ENGINE}, {SERVICE: 2.0})
+    fleet.advance(1.0)
+    head, member = fleet.find_members(LARGE)[:2]
+    head.busy = True
+    if is_leaving:
+        member.state = InstanceState.LEAVING
+    closing = next(
+        run for run in fleet.planner.list_runs() if head.id in run.record.members
+    )
+    closing.enter_phase(GroupPhase.CLOSING, "moved", fleet.now)
+    phases = []
+    for seconds in (closing_s - 0.5, 1.0):
+        fleet.advance(seconds)
+        phases.append(closing.phase)
+    assert phases == [GroupPhase.CLOSING, GroupPhase.ENDING]
+    assert not fleet.violations
+
+
 def test_a_new_holder_continues_with_the_stored_plans() -> None:
     """Callers notice nothing when the holder fails while all groups serve."""
     fleet = make_settled_fleet()
