Stops: a pause of streams in progress is expected of new ones

What comes later can't be known. But a silence that ended just before the request wasn't counted either, as long as no stream that had it had ended.

Change: the longest pause of the streams in progress of the same model counts beside that of answered ones, as their time of a token does already.

Checked: the new test fails on the parent (the stream of 3.3 s is accepted 3.5 s after the signal, 1.2 s of silence before it), and passes with it; the 21 tests of stops and durations pass.

--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -158,7 +158,9 @@
         seen = [stream.token_s for stream in self._list_streams(now)]
         return _find_high_quantile([one for one in seen if one is not None]) or 0.0
 
-    def predict_reserve(self, writing_s: float, now: float) -> float:
+    def predict_reserve(
+        self, writing_s: float, other_pause_s: float, now: float
+    ) -> float:
         """Return the time to reserve beside that of an answer, in seconds.
 
         A long stream has more time to become slower. What is reserved for it
@@ -167,15 +169,17 @@
         Args:
             writing_s: Longest time from its first event on, in seconds; 0 for
                 an answer without a stream.
+            other_pause_s: Longest pause by other evidence, in seconds; 0 if
+                there is none.
             now: Seconds.
         """
-        slowdown_s = SLOWDOWN_PART * writing_s
-        return max(MIN_RESERVE_S, slowdown_s + self.measure_pause(now))
+        pause_s = min(MAX_PAUSE_S, max(self.measure_pause(now), other_pause_s))
+        return max(MIN_RESERVE_S, SLOWDOWN_PART * writing_s + pause_s)
 
     def measure_pause(self, now: float) -> float:
         """Return the longest pause of an upstream, in seconds."""
         pauses = [stream.longest_pause_s for stream in self._list_streams(now)]
-        return min(MAX_PAUSE_S, max(pauses, default=0.0))
+        return max(pauses, default=0.0)
 
     def _find_longest_part(self, now: float) -> float:
         """Return the largest part of the allowed tokens that is written."""
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -11,7 +11,12 @@
 
 import structlog
 
-from zinniaspool.core.dispatch import AnswerTiming, DurationForecast, TargetPool
+from zinniaspool.core.dispatch import (
+    AnswerTiming,
+    DurationForecast,
+    StreamTiming,
+    TargetPool,
+)
 from zinniaspool.core.fleet import Catalog, RequestKind
 from zinniaspool.core.ids import ModelName, ServiceName
 from zinniaspool.gateway.calls import GatewayCall
@@ -154,6 +159,8 @@
     ) -> float | None:
         terms, allowed_tokens = call.terms, call.terms.max_output_tokens
         of_route, of_service = self._find_forecasts(call)
+        running = self._list_running_streams(call)
+        pause_s = max((stream.longest_pause_s for stream in running), default=0.0)
         if terms.model is None or not allowed_tokens:
             longest_s = of_route.predict_longest_call(now)
             if longest_s is None:
@@ -162,14 +169,13 @@
                 longest_s = UNKNOWN_CALL_FACTOR * call.route.objective_s
             if longest_s is None:
                 return None
-            return longest_s + of_service.predict_reserve(0.0, now)
+            return longest_s + of_service.predict_reserve(0.0, pause_s, now)
         if terms.resume_after is not None and terms.resume_after < allowed_tokens:
             # An event has one token at least.
             allowed_tokens -= terms.resume_after
         states = pool.list_eligible(now)
-        other_token_s = max(
-            of_service.measure_token_time(now), self._measure_running_streams(call)
-        )
+        running_token_s = [stream.token_s or 0.0 for stream in running]
+        other_token_s = max(of_service.measure_token_time(now), *running_token_s, 0.0)
         if not other_token_s:
             other_token_s = CONFIGURED_TIME_FACTOR * max(
                 (pool.predict_token_time(state) for state in states), default=0.0
@@ -188,17 +194,11 @@
         )
         # An upstream may also answer without a stream.
         whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
-        reserve_s = of_service.predict_reserve(writing_s, now)
+        reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
         return max(first_event_s + writing_s, whole_s) + reserve_s
 
-    def _measure_running_streams(self, call: GatewayCall) -> float:
-        """Return the longest time of a token of streams in progress.
-
-        Those of the same model count.
-
-        Returns:
-            Seconds; 0 if there is none.
-        """
+    def _list_running_streams(self, call: GatewayCall) -> list[StreamTiming]:
+        """Return what streams in progress of a request's model show."""
         pool = self._index.find_pool(call.service, call.terms.model)
         tokens_per_pass = pool.forecast.timing.tokens_per_pass
         streams = [
@@ -206,8 +206,7 @@
             for other in self.running
             if other.terms.model == call.terms.model and other.service == call.service
         ]
-        times = [stream.token_s for stream in streams if stream is not None]
-        return max((one for one in times if one is not None), default=0.0)
+        return [stream for stream in streams if stream is not None]
 
     def _find_forecasts(
         self, call: GatewayCall
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -258,6 +258,36 @@
     run(check)
 
 
+def test_a_silence_before_the_stop_is_expected_again() -> None:
+    """Guards against a stream cut by a pause that others had just shown."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(8)))
+            running = asyncio.create_task(
+                made.draft("n0", "small", 200, deadline_ms=8000)
+            )
+            await asyncio.sleep(0.3)
+            for runner in made.runners.values():
+                runner.faults.silent = True
+            await asyncio.sleep(1.2)
+            for runner in made.runners.values():
+                runner.faults.silent = False
+            await asyncio.sleep(0.2)
+            made.nodes["n0"].gateway.stop()
+            await asyncio.sleep(3.5)
+            answer = await made.draft("n0", "small", 110, deadline_ms=8000)
+            assert not running.done()
+            assert answer.status == 503 and answer.whole
+            short = await made.draft("n0", "small", 50, deadline_ms=8000)
+            assert short.status == 200 and len(short.events) == 50
+            assert (await running).events == list(range(1, 201))
+
+    run(check)
+
+
 def test_a_refusal_of_all_upstreams_late_in_a_stop_is_true() -> None:
     """Guards against a 503 for a request that runs, or one that comes late."""
 
--- a/tests/test_stop_durations.py
+++ b/tests/test_stop_durations.py
@@ -90,7 +90,7 @@
         forecast.record(_answer(20, token_s=1.02 * _TOKEN_S))
     for tokens in (20, 66, 116, 166):
         longest_s = _predict(forecast, tokens)
-        longest_s += forecast.predict_reserve(longest_s, 0.0)
+        longest_s += forecast.predict_reserve(longest_s, 0.0, 0.0)
         assert 0.4 <= longest_s - tokens * _TOKEN_S < 0.75
 
 
@@ -98,8 +98,8 @@
     """Guards against a stream cut since its upstream was slow and silent."""
     forecast = DurationForecast()
     forecast.record(_answer(20, pause_s=1.3))
-    assert forecast.predict_reserve(5.0, 0.0) >= 1.3 + 0.5
-    assert forecast.predict_reserve(0.0, 0.0) == 1.3
+    assert forecast.predict_reserve(5.0, 0.0, 0.0) >= 1.3 + 0.5
+    assert forecast.predict_reserve(0.0, 0.0, 0.0) == 1.3
 
 
 def test_what_is_long_ago_is_forgotten() -> None:
