Tests: the refusal itself is checked first

Cause: the test of a silence before a stop failed on the parent by its second check, since the stream that was accepted had lasted as long. Change: the order of two checks.

--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -279,8 +279,8 @@
             made.nodes["n0"].gateway.stop()
             await asyncio.sleep(3.5)
             answer = await made.draft("n0", "small", 110, deadline_ms=8000)
-            assert not running.done()
             assert answer.status == 503 and answer.whole
+            assert not running.done()
             short = await made.draft("n0", "small", 50, deadline_ms=8000)
             assert short.status == 200 and len(short.events) == 50
             assert (await running).events == list(range(1, 201))
