A connection's age counts only where received bytes are recorded

The record counts only if it also has received bytes, as Linux's has since 4.1. Otherwise waiting requests are dated back by half of the loading time, as before.

The new test fails on the former code (0.0 instead of None).

--- a/src/zinniaspool/http/backlog.py
+++ b/src/zinniaspool/http/backlog.py
@@ -16,9 +16,9 @@
 """Time after the start within which requests are read that arrived before it,
 in seconds."""
 
-_TCP_INFO = struct.Struct("=B51xI")
-"""The state, and the milliseconds since data was last received, in Linux's
-``struct tcp_info``."""
+_TCP_INFO = struct.Struct("=B51xI72xQ")
+"""The state, the milliseconds since data was last received, and the bytes
+received, in Linux's ``struct tcp_info``."""
 
 _OPEN_STATES = (1, 8)
 """TCP states in which a request can be answered: established, close-wait."""
@@ -86,5 +86,7 @@
         return None
     if len(info) < _TCP_INFO.size:
         return None
-    state, unread_ms = _TCP_INFO.unpack(info)
-    return unread_ms / _MS_PER_S if state in _OPEN_STATES else None
+    state, unread_ms, received_bytes = _TCP_INFO.unpack(info)
+    # A substitute for the kernel may leave all that it doesn't record at zero.
+    is_recorded = state in _OPEN_STATES and received_bytes > 0
+    return unread_ms / _MS_PER_S if is_recorded else None
--- a/tests/test_early_port.py
+++ b/tests/test_early_port.py
@@ -98,6 +98,16 @@
     asyncio.run(test())
 
 
+def test_a_record_without_received_bytes_dates_no_request() -> None:
+    """Guards against late deadlines where the record isn't filled in."""
+
+    class Unfilled:
+        def getsockopt(self, level: int, option: int, size: int, /) -> bytes:
+            return b"\x01".ljust(size, b"\0")
+
+    assert backlog.measure_unread(Unfilled()) is None
+
+
 def test_small_segments_are_sent_without_delay_on_the_early_port() -> None:
     """Otherwise each event of a stream waits 40 ms for an acknowledgement.
 
