Late entry processes aren't taken for silent instances

Cause: the holder queries an instance that it can't reach itself through entry processes. If none of these answered in time, the missing status counted as the instance's own silence: its retention ended as no-status and its group with it, although it served.

Change: EntryRelay.query returns whether an entry process has queried the instance. If none has, the check of an instance that answers only through entry processes is inconclusive, for at most 2 s after its last answer there. Instances that the holder reaches itself are judged as before.

--- a/src/zinniaspool/keeper/queries.py
+++ b/src/zinniaspool/keeper/queries.py
@@ -36,6 +36,11 @@
 """Longest time for one check of an instance on both paths, in seconds: 0.15 s
 more than two status queries without entry processes take."""
 
+MAX_UNTRIED_S = 2.0
+"""For how long after its last answer an instance that answers only through
+entry processes isn't taken for silent because these are, in seconds. An entry
+process that was too busy to answer is tried again after a second."""
+
 
 @dataclass(frozen=True, slots=True)
 class QueryOutcome(Generic[_T]):
@@ -44,8 +49,9 @@
     Attributes:
         answer: Its answer; None if none arrived on either path.
         is_inconclusive: Whether a missing answer shows nothing, because this
-            process was too busy to read it in time, or no VM that reaches
-            upstreams has tried to reach the instance.
+            process was too busy to read it in time, no VM that reaches
+            upstreams has tried to reach the instance, or it answers only
+            through entry processes and none of them has queried it.
         silent_s: For how long the instance certainly did not answer, in
             seconds; 0 if that is inconclusive.
     """
@@ -86,7 +92,8 @@
         self._start = start
         self._reach = reach
         self._unconfirmed: set[InstanceId] = set()
-        self._indirect: set[InstanceId] = set()
+        # When an entry process last had a status of each of them, in seconds.
+        self._indirect: dict[InstanceId, float] = {}
         self.health_counts: Counter[str] = Counter()
 
     @property
@@ -100,7 +107,7 @@
 
         Those are among them that it is querying for the second time.
         """
-        return frozenset(self._indirect | self._unconfirmed)
+        return self.indirect | self._unconfirmed
 
     def forget_all(self) -> None:
         """Forget what was found out in an earlier time as the holder."""
@@ -109,7 +116,7 @@
 
     def forget_gone(self) -> None:
         """Forget instances that are not in the view any more."""
-        for instance in self._indirect - self._fleet_view.instances.keys():
+        for instance in self._indirect.keys() - self._fleet_view.instances.keys():
             self._record_direct(instance, "gone")
 
     async def query_own_status(
@@ -145,7 +152,8 @@
         if known.id in self._indirect:
             timeouts_s = timeouts_s[-1:]
         since = asyncio.get_running_loop().time()
-        race = _Race(timeouts_s, max_s, query_own, self._make_relayed_query(known))
+        relayed = self._make_relayed_query(known, QueryKind.STATUS, self._decode_status)
+        race = _Race(timeouts_s, max_s, query_own, relayed)
         answer, own = await race.run()
         if own is not None:
             # The own query still runs. An order might reach the instance.
@@ -156,7 +164,11 @@
         if answer is not None:
             return QueryOutcome(answer, is_inconclusive=False)
         silent_s = asyncio.get_running_loop().time() - since
-        if race.was_delayed or not await self._reach.can_judge(known.address, since):
+        if (
+            race.was_delayed
+            or self._is_untried(known.id, relayed)
+            or not await self._reach.can_judge(known.address, since)
+        ):
             return QueryOutcome(answer, is_inconclusive=True)
         self._record_direct(known.id, "unreachable")
         return QueryOutcome(answer, is_inconclusive=False, silent_s=silent_s)
@@ -180,30 +192,33 @@
                 )
             )
 
-        async def query_relayed(timeout_s: float | None) -> HealthAnswer | None:
-            assert self._relay is not None
-            answer = await self._relay.query(known, QueryKind.HEALTH, timeout_s)
-            return self._count_health(
+        since = asyncio.get_running_loop().time()
+        relayed = self._make_relayed_query(
+            known,
+            QueryKind.HEALTH,
+            lambda answer: self._count_health(
                 Err(TransportFailure.TIMED_OUT)
                 if answer is None
                 else self._engines.decode_health(answer)
-            )
-
-        since = asyncio.get_running_loop().time()
+            ),
+        )
         race = _Race(
             HEALTH_TIMEOUTS_S[known.id in self._indirect :],
             MAX_CHECK_S,
             query_own,
-            None if self._relay is None else query_relayed,
+            relayed,
         )
         answer, own = await race.run()
         if own is not None:
             own.cancel()
-        is_inconclusive = race.was_delayed
+        is_inconclusive = race.was_delayed or self._is_untried(known.id, relayed)
         if answer is None and not is_inconclusive:
             is_inconclusive = not await self._reach.can_judge(known.address, since)
         return QueryOutcome(answer, is_inconclusive)
 
+    def _decode_status(self, answer: InstanceAnswer | None) -> EngineStatus | None:
+        return None if answer is None else self._engines.decode_status(answer).ok()
+
     def _count_health(
         self, answer: Result[HealthAnswer, TransportFailure]
     ) -> HealthAnswer | None:
@@ -214,19 +229,27 @@
         return answer.ok_value
 
     def _make_relayed_query(
-        self, known: Instance
-    ) -> Callable[[float | None], Awaitable[EngineStatus | None]] | None:
-        relay = self._relay
-        if relay is None:
+        self,
+        known: Instance,
+        kind: QueryKind,
+        decode: Callable[[InstanceAnswer | None], _T | None],
+    ) -> "_RelayedQuery[_T] | None":
+        if self._relay is None:
             return None
+        return _RelayedQuery(self._relay, known, kind, decode)
 
-        async def query_relayed(timeout_s: float | None) -> EngineStatus | None:
-            answer: InstanceAnswer | None = await relay.query(
-                known, QueryKind.STATUS, timeout_s
-            )
-            return None if answer is None else self._engines.decode_status(answer).ok()
+    def _is_untried(
+        self, instance: InstanceId, relayed: "_RelayedQuery[Any] | None"
+    ) -> bool:
+        """Return whether a missing answer is not the instance's own silence.
 
-        return query_relayed
+        The silence of entry processes shows nothing about an instance that
+        answers only through them, unless it lasts.
+        """
+        answered_at = self._indirect.get(instance)
+        if answered_at is None or relayed is None or relayed.was_tried:
+            return False
+        return asyncio.get_running_loop().time() - answered_at < MAX_UNTRIED_S
 
     async def _confirm_indirect(
         self, instance: InstanceId, own: "asyncio.Task[EngineStatus | None]"
@@ -239,18 +262,58 @@
             self._unconfirmed.discard(instance)
 
     def _record_indirect(self, instance: InstanceId) -> None:
-        if instance in self._indirect:
+        is_known = instance in self._indirect
+        self._indirect[instance] = asyncio.get_running_loop().time()
+        if is_known:
             return
-        self._indirect.add(instance)
         _log.warning("instance-indirect", instance=instance)
 
     def _record_direct(self, instance: InstanceId, reason: str) -> None:
         if instance not in self._indirect:
             return
-        self._indirect.discard(instance)
+        del self._indirect[instance]
         _log.info("instance-indirect-ended", instance=instance, reason=reason)
 
 
+class _RelayedQuery(Generic[_T]):
+    """A query to an instance through entry processes.
+
+    Args:
+        relay: Chooses the entry processes.
+        known: The instance.
+        kind: What to query it for.
+        decode: Decodes its answer; gets None if it gave none.
+
+    Attributes:
+        was_tried: Whether an entry process has queried it.
+    """
+
+    def __init__(
+        self,
+        relay: EntryRelay,
+        known: Instance,
+        kind: QueryKind,
+        decode: Callable[[InstanceAnswer | None], _T | None],
+    ) -> None:
+        self._relay = relay
+        self._known = known
+        self._kind = kind
+        self._decode = decode
+        self.was_tried = False
+
+    async def __call__(self, timeout_s: float | None) -> _T | None:
+        """Return the instance's answer, or None.
+
+        Args:
+            timeout_s: Longest time for all of it, in seconds; None for no
+                limit.
+        """
+        answer = await self._relay.query(self._known, self._kind, timeout_s)
+        self.was_tried = answer is not None
+        has_answer = answer is not None and answer.status is not None
+        return self._decode(answer if has_answer else None)
+
+
 class _Race(Generic[_T]):
     """Queries on both paths, of which the first answer counts.
 
--- a/src/zinniaspool/keeper/relays.py
+++ b/src/zinniaspool/keeper/relays.py
@@ -61,10 +61,13 @@
                 other queries; None if it may wait for these.
 
         Returns:
-            The instance's answer; None if no entry process received one.
+            What an entry process received from the instance, with no status
+            if that did not answer; None if no entry process is known to have
+            queried it.
         """
         query = InstanceQuery(known.id, known.address, kind)
         entries: list[Address] = []
+        received = None
         try:
             async with asyncio.timeout(timeout_s), self._slots:
                 for entry in self._list_entries():
@@ -72,8 +75,10 @@
                     answer = await self._request(entry, query)
                     if answer is None:
                         self._record_silence(entry)
-                    elif answer.status is not None and not answer.is_refused:
-                        return answer
+                    elif not answer.is_refused:
+                        received = answer
+                        if answer.status is not None:
+                            return answer
         except TimeoutError:
             pass
         _log.info(
@@ -82,7 +87,7 @@
             kind=kind.value,
             entries=",".join(entries),
         )
-        return None
+        return received
 
     def _list_entries(self) -> Iterator[Address]:
         """Return the entry processes to try, the local one first."""
--- a/tests/test_entry_queries.py
+++ b/tests/test_entry_queries.py
@@ -235,6 +235,26 @@
     assert not list_events(lines, "instance-lost")
 
 
+@pytest.mark.parametrize(("seconds", "is_lost"), [(0.5, False), (9.0, True)])
+def test_late_entry_processes_are_no_witnesses_against_a_cut_member(
+    seconds: float, is_lost: bool
+) -> None:
+    """Guards against groups that end since entry processes answer too late."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        fleet.engines.cut = {MEMBER}
+        await report_stalls(fleet, 1.0, 0.5)
+        fleet.remove_record(MEMBER)
+        await asyncio.sleep(1.0)
+        fleet.silent_entries = set(map(make_entry_address, range(VM_COUNT)))
+        await report_stalls(fleet, seconds, seconds)
+        fleet.silent_entries = set()
+        await asyncio.sleep(2.0)
+        assert fleet.count_users({HEAD}) == (0 if is_lost else VM_COUNT)
+
+    assert bool(list_ends(run(test))) == is_lost
+
+
 def test_without_any_entry_process_a_cut_member_counts_as_lost() -> None:
     """Nobody could tell a group that serves from one that doesn't."""
 
