Quarantine records: late writes and removals change nothing

Cause: a write of a quarantine record that stays without an answer may be applied after the record was removed, and brings it back. The removal had no condition, so that a late one removed the record of a newer quarantine.

Change: a record's lease is ended once its trait is released, until the store confirms it, and no write under it can be applied from then on. A repeated write renews the lease it had instead of granting another one. A trait isn't recorded anew while its earlier lease is being ended. Removals require the revision that this process knows, one key a commit.

Tests: state machines of a process's own record under its lease and of quarantine records, with the writers' own code. Delayed writes were hardly ever applied in the machines, since the rule was mostly chosen with none pending: it has a precondition now. No fault was found in the own record.

Measured: with the lease not ended, the quarantine machine and test_a_late_write_brings_back_no_removed_record fail. With the removal unconditional, test_a_late_removal_keeps_a_newer_record fails; the machine doesn't find that one in 150 examples. tests/test_lossy_writes.py, test_quarantine.py, test_restored_store.py and test_supervised_tasks.py pass.

--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -237,6 +237,7 @@
         now = self._now()
         for trait in removed:
             self.quarantine.release(trait)
+        self._records.cancel_writes(removed)
         for trait in added:
             record = self._records.find(trait)
             crashed = [] if record is None else record.crashed
--- a/src/zinniaspool/gateway/records.py
+++ b/src/zinniaspool/gateway/records.py
@@ -15,7 +15,7 @@
 from zinniaspool.core.dispatch import Quarantine, find_terms
 from zinniaspool.core.fleet import HELD_PREFIX, QuarantineRecord
 from zinniaspool.core.ids import NodeId, Revision, TraitId
-from zinniaspool.core.storage import KeyWrite, StoreFault
+from zinniaspool.core.storage import KeyWrite, LeaseNumber, StoreFault
 from zinniaspool.fleet import FleetStore, FleetView, ValueKind
 
 __all__ = ["QuarantineRecordStore"]
@@ -39,6 +39,10 @@
 class QuarantineRecordStore:
     """Reads, writes and removes the records of quarantined traits.
 
+    A write that stays without an answer may be applied seconds later, also
+    after the record was removed. So the lease of a record is ended once its
+    trait is released, and no write under it can be applied from then on.
+
     Args:
         node: This process's VM.
         fleet_view: Has the traits that are recorded.
@@ -58,6 +62,8 @@
         self._store = store
         self._quarantine = quarantine
         self._write_due_at: dict[TraitId, float] = {}
+        self._leases: dict[TraitId, LeaseNumber] = {}
+        self._ending: dict[LeaseNumber, TraitId] = {}
         self._removals: set[asyncio.Task[None]] = set()
 
     def find(self, trait: TraitId) -> QuarantineRecord | None:
@@ -94,35 +100,42 @@
         """Cancel the pending writes of traits that are released."""
         for trait in traits:
             self._write_due_at.pop(trait, None)
+            lease = self._leases.pop(trait, None)
+            if lease is not None:
+                self._ending[lease] = trait
 
     def remove(self, traits: Collection[TraitId]) -> None:
         """Remove the records of traits that crash no upstream."""
         self.cancel_writes(traits)
-        keys = [
-            HELD_PREFIX + trait
+        known = [
+            (item.key, item.revision)
             for trait in traits
-            if trait in self._fleet_view.quarantined
+            if (item := self._fleet_view.mirror.get(HELD_PREFIX + trait)) is not None
         ]
-        if not keys:
+        if not known:
             return
-        removal = asyncio.create_task(self._remove(keys))
+        removal = asyncio.create_task(self._remove(known))
         self._removals.add(removal)
         removal.add_done_callback(self._removals.discard)
 
     async def run(self) -> None:
         """Write records until cancelled."""
-        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            for trait, due_at in list(self._write_due_at.items()):
-                if trait in self._fleet_view.quarantined:
-                    self._write_due_at.pop(trait, None)
-                elif due_at <= loop.time():
-                    await self._write(trait)
+            await self._end_leases()
+            await self._write_due_records()
+
+    async def _write_due_records(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for trait, due_at in list(self._write_due_at.items()):
+            if trait in self._fleet_view.quarantined:
+                self._write_due_at.pop(trait, None)
+            elif due_at <= now and trait not in self._ending.values():
+                await self._write(trait)
 
     async def _write(self, trait: TraitId) -> None:
-        granted = await self._store.grant(find_terms(trait).hold_s)
-        if isinstance(granted, Err):
+        lease = await self._prepare_lease(trait)
+        if lease is None or trait not in self._write_due_at:
             return
         key = HELD_PREFIX + trait
         record = QuarantineRecord(
@@ -130,14 +143,41 @@
             self._quarantine.list_crashed_instances(trait),
             self._quarantine.count_trials(trait),
         )
-        write = KeyWrite(key, msgspec.json.encode(record), granted.ok_value)
+        write = KeyWrite(key, msgspec.json.encode(record), lease)
+        self._leases[trait] = lease
         written = await self._store.commit([(key, Revision(0))], [write])
-        if not isinstance(written, Err) or written.err_value is StoreFault.CONFLICT:
+        fault = written.err_value if isinstance(written, Err) else None
+        if fault in (None, StoreFault.CONFLICT):
             self._write_due_at.pop(trait, None)
 
-    async def _remove(self, keys: list[str]) -> None:
-        removed = await self._store.commit([], [], keys)
-        if isinstance(removed, Err):
-            # The record expires with its lease. Until then, each process that
-            # answers it clears it again.
-            _log.warning("record-not-removed", fault=removed.err_value.value)
+    async def _prepare_lease(self, trait: TraitId) -> LeaseNumber | None:
+        """Return a lease that lasts as long as a quarantine, or None."""
+        lease = self._leases.get(trait)
+        if lease is not None:
+            renewed = await self._store.renew(lease)
+            if not isinstance(renewed, Err):
+                return lease
+            if renewed.err_value is not StoreFault.NO_LEASE:
+                return None
+            self._leases.pop(trait, None)
+        granted = await self._store.grant(find_terms(trait).hold_s)
+        return None if isinstance(granted, Err) else granted.ok_value
+
+    async def _end_leases(self) -> None:
+        """End the leases under which released traits may still be written."""
+        for lease in list(self._ending):
+            ended = await self._store.end_lease(lease)
+            if not isinstance(ended, Err) or ended.err_value is StoreFault.NO_LEASE:
+                del self._ending[lease]
+
+    async def _remove(self, known: list[tuple[str, Revision]]) -> None:
+        """Remove records that are still as this process knows them.
+
+        A removal that is applied late must not remove a newer record.
+        """
+        for key, revision in known:
+            removed = await self._store.commit([(key, revision)], [], [key])
+            if isinstance(removed, Err):
+                # The record expires with its lease. Until then, each process
+                # that answers it clears it again.
+                _log.warning("record-not-removed", fault=removed.err_value.value)
--- a/tests/lossy_store.py
+++ b/tests/lossy_store.py
@@ -43,7 +43,7 @@
 
     Attributes:
         fates: Fates of the next writes; those beyond them are answered.
-        loses_reads: Whether reads are not answered.
+        loses_reads: Whether reads and ends of leases are not answered.
         pending: The writes that may still be done.
         leases: The keys under each lease that has not ended.
         history: All items that were ever written.
@@ -93,6 +93,15 @@
         """Renew a lease that has not ended."""
         return Ok(None) if lease in self.leases else Err(StoreFault.NO_LEASE)
 
+    async def end_lease(self, lease: LeaseNumber) -> Result[None, StoreFault]:
+        """End a lease, unless the store doesn't answer."""
+        if self.loses_reads:
+            return Err(StoreFault.UNKNOWN)
+        if lease not in self.leases:
+            return Err(StoreFault.NO_LEASE)
+        self.expire(lease)
+        return Ok(None)
+
     def expire(self, lease: LeaseNumber) -> None:
         """End a lease and remove its keys."""
         for key in self.leases.pop(lease, set()):
--- a/tests/test_lossy_writes.py
+++ b/tests/test_lossy_writes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -10,22 +11,33 @@
     RuleBasedStateMachine,
     initialize,
     invariant,
+    precondition,
     rule,
 )
 
 from tests.lossy_store import Fate, LossyStore
 from tests.test_plan_store import KEY, make_plan
-from zinniaspool.core.fleet import HOLDER_KEY
+from zinniaspool.core.dispatch import Quarantine
+from zinniaspool.core.fleet import (
+    HELD_PREFIX,
+    HOLDER_KEY,
+    NODES_PREFIX,
+    StoredItem,
+)
 from zinniaspool.core.formation import DomainPlan
-from zinniaspool.core.ids import Address, NodeId, Revision
+from zinniaspool.core.ids import Address, NodeId, Revision, TraitId
 from zinniaspool.core.storage import KeyWrite
-from zinniaspool.fleet import FleetView, HolderHeartbeat
+from zinniaspool.fleet import FleetView, HolderHeartbeat, OwnRecord, RenewedLease
+from zinniaspool.gateway.records import QuarantineRecordStore
 from zinniaspool.keeper.election import HolderElection
 from zinniaspool.keeper.plans import PlanStore
 from zinniaspool.platform.spelling import PlatformCodec
 
 FATES = st.sampled_from(list(Fate))
 PROCESSES = st.integers(0, 1)
+RECORD_KEY = NODES_PREFIX + "n1"
+TRAIT = TraitId("c:1")
+TRAIT_KEY = HELD_PREFIX + TRAIT
 
 
 class LossyWriters(RuleBasedStateMachine):
@@ -51,10 +63,10 @@
         items, as_of = list(self.store.items.values()), Revision(self.store.revision)
         view.apply_changes(view.mirror.replace(items, as_of, 0.0))
 
+    @precondition(lambda self: self.store.pending)
     @rule(number=st.integers(0, 3))
     def apply_late(self, number: int) -> None:
-        if self.store.pending:
-            self.store.apply_late(-1 - number % len(self.store.pending))
+        self.store.apply_late(-1 - number % len(self.store.pending))
 
     @rule(loses=st.booleans())
     def lose_reads(self, *, loses: bool) -> None:
@@ -185,6 +197,154 @@
             assert key.value == msgspec.json.encode(election._record)
 
 
+class NodeRecordWriters(LossyWriters):
+    """The newest start of a process replaces its record, and keeps it."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.number = 0
+        self.sound: StoredItem | None = None
+        self.crash()
+
+    @rule()
+    def crash(self) -> None:
+        """Start the process anew; its earlier lease goes on for a while."""
+        self.number += 1
+        self.value = b"%d" % self.number
+        self.view = FleetView(PlatformCodec())
+        self.sync(self.view)
+        self.lease = RenewedLease(self.store, 12.0)
+        self.record = OwnRecord(RECORD_KEY, self.store, self.view.mirror)
+        self.sound = None
+
+    @rule()
+    def change(self) -> None:
+        self.number += 1
+        self.value = b"%d" % self.number
+        self.sound = None
+
+    @rule()
+    def follow(self) -> None:
+        self.sync(self.view)
+
+    @rule(number=st.integers(0, 3))
+    def expire(self, number: int) -> None:
+        leases = list(self.store.leases)
+        if leases:
+            ended = leases[number % len(leases)]
+            self.store.expire(ended)
+            if ended == self.lease.lease_number:
+                self.sound = None
+
+    @rule(fate=FATES)
+    def write(self, fate: Fate) -> None:
+        if not self.run_call(self.lease.renew_or_replace(), Fate.ANSWERED):
+            return
+        lease = self.lease.lease_number
+        assert lease is not None
+        if self.record.is_current(self.value, lease):
+            return
+        write = self.record.write(lambda: self.value, lease)
+        if self.run_call(write, fate):
+            self.sound = self.store.items[RECORD_KEY]
+            assert self.sound.value == self.value
+            assert RECORD_KEY in self.store.leases[lease]
+
+    @rule()
+    def write_while_the_store_is_sound(self) -> None:
+        self.store.loses_reads = False
+        for _ in range(2):
+            self.sync(self.view)
+            self.write(Fate.ANSWERED)
+        assert self.store.items[RECORD_KEY].value == self.value
+        assert RECORD_KEY in self.store.leases[self.lease.lease_number]
+
+    @invariant()
+    def no_late_write_replaces_a_written_record(self) -> None:
+        sound = getattr(self, "sound", None)
+        assert sound is None or self.store.items[RECORD_KEY] == sound
+
+
+class QuarantineWriters(LossyWriters):
+    """No late write brings back a removed record or removes a newer one."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.kept: StoredItem | None = None
+        self.is_released = False
+        self.views = [FleetView(PlatformCodec()), FleetView(PlatformCodec())]
+        self.records = [
+            QuarantineRecordStore(NodeId(f"n{number}"), view, self.store, Quarantine())
+            for number, view in enumerate(self.views)
+        ]
+        for view, records in zip(self.views, self.records, strict=True):
+            view.on_quarantine.append(partial(self._cancel, records))
+
+    @staticmethod
+    def _cancel(
+        records: QuarantineRecordStore, _: frozenset[TraitId], gone: frozenset[TraitId]
+    ) -> None:
+        records.cancel_writes(gone)
+
+    @rule(process=PROCESSES, fate=FATES)
+    def add(self, process: int, fate: Fate) -> None:
+        self.is_released = False
+        self.records[process]._write_due_at[TRAIT] = 0.0
+        self.run(process, fate)
+
+    @rule(process=PROCESSES, fate=FATES)
+    def run(self, process: int, fate: Fate) -> None:
+        """Do what is due in a process, once."""
+        records = self.records[process]
+        self.run_call(records._end_leases(), fate)
+        self.run_call(records._write_due_records(), fate)
+
+    @rule(process=PROCESSES, fate=FATES)
+    def remove(self, process: int, fate: Fate) -> None:
+        """Have a process find the trait innocent, and the others know."""
+        self.kept = None
+
+        async def remove() -> None:
+            self.records[1 - process].cancel_writes([TRAIT])
+            self.records[process].remove([TRAIT])
+            await asyncio.gather(*self.records[process]._removals)
+
+        self.run_call(remove(), fate)
+
+    @rule(process=PROCESSES)
+    def follow(self, process: int) -> None:
+        self.sync(self.views[process])
+
+    @rule(process=PROCESSES)
+    def release_while_the_store_is_sound(self, process: int) -> None:
+        """No write of before it may be done from here on."""
+        self.store.loses_reads = False
+        self.follow(0)
+        self.follow(1)
+        self.remove(process, Fate.ANSWERED)
+        self.run(0, Fate.ANSWERED)
+        self.run(1, Fate.ANSWERED)
+        self.is_released = True
+
+    @rule(process=PROCESSES)
+    def record_while_the_store_is_sound(self, process: int) -> None:
+        self.release_while_the_store_is_sound(process)
+        self.follow(0)
+        self.follow(1)
+        self.add(process, Fate.ANSWERED)
+        self.kept = self.store.items[TRAIT_KEY]
+
+    @invariant()
+    def a_released_trait_has_no_record(self) -> None:
+        if getattr(self, "is_released", False):
+            assert TRAIT_KEY not in self.store.items
+
+    @invariant()
+    def a_newer_record_stays(self) -> None:
+        kept = getattr(self, "kept", None)
+        assert kept is None or self.store.items.get(TRAIT_KEY) == kept
+
+
 _SETTINGS = settings(
     max_examples=150, stateful_step_count=30, deadline=None, derandomize=True
 )
@@ -192,3 +352,31 @@
 TestPlanWriters.settings = _SETTINGS
 TestHolderKeyWriters = HolderKeyWriters.TestCase
 TestHolderKeyWriters.settings = _SETTINGS
+TestNodeRecordWriters = NodeRecordWriters.TestCase
+TestNodeRecordWriters.settings = _SETTINGS
+TestQuarantineWriters = QuarantineWriters.TestCase
+TestQuarantineWriters.settings = _SETTINGS
+
+
+def test_a_late_write_brings_back_no_removed_record() -> None:
+    """Guards against refusals of a trait that was released."""
+    writers = QuarantineWriters()
+    writers.begin()
+    writers.add(0, Fate.LATE)
+    writers.release_while_the_store_is_sound(1)
+    writers.apply_late(0)
+    writers.a_released_trait_has_no_record()
+    writers.teardown()
+
+
+def test_a_late_removal_keeps_a_newer_record() -> None:
+    """Guards against a quarantine ended by an earlier removal."""
+    writers = QuarantineWriters()
+    writers.begin()
+    writers.add(0, Fate.ANSWERED)
+    writers.follow(0)
+    writers.remove(0, Fate.LATE)
+    writers.record_while_the_store_is_sound(1)
+    writers.apply_late(0)
+    writers.a_newer_record_stays()
+    writers.teardown()
