A stopping VM informs the others at once, which leave its tunnels

A VM that is cut off from upstreams went on using kept connections through a stopping VM until the record in the store showed that it leaves, which takes seconds while the store is slow or down. Requests on them were cut at its end.

The stopping process sends its leaving to all other entry processes, with the time that it has left. They end the reuse of tunnels through it, and try it last for new ones until then.

The new test fails without the handling (the request goes through the leaving VM), and passes. Streams that already run through a stopping VM and need longer than it has are still cut there.

--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -26,6 +26,7 @@
     FleetWatch,
     InstanceAnswer,
     InstanceQuery,
+    LeavingNode,
     LoadReport,
     SlowTarget,
     StalledTarget,
@@ -181,6 +182,7 @@
     | CrashHistoryRequest
     | CrashHistory
     | UnreachableNode
+    | LeavingNode
     | UpstreamLimit
     | DemandDigest
     | LoadReport
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -21,6 +21,7 @@
     "FleetWatch",
     "InstanceAnswer",
     "InstanceQuery",
+    "LeavingNode",
     "LoadReport",
     "PastCrash",
     "QueryKind",
@@ -300,6 +301,18 @@
     node: NodeId
 
 
+class LeavingNode(msgspec.Struct, frozen=True, tag="leaving-node"):
+    """Reports that an entry VM is being stopped.
+
+    Attributes:
+        node: The VM.
+        left_s: Time until it ends its connections, in seconds.
+    """
+
+    node: NodeId
+    left_s: float
+
+
 class TunnelRequest(msgspec.Struct, frozen=True, tag="tunnel-request"):
     """Has an entry process connect to an upstream and pass on all bytes.
 
--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -102,6 +102,7 @@
         self._checked_at = float("-inf")
         self._unreached_at: dict[Address, float] = {}
         self._relay_pauses: dict[NodeId, float] = {}
+        self._leaving_until: dict[NodeId, float] = {}
         self._used_relays: set[NodeId] = set()
         fleet_view.on_nodes.append(self._handle_nodes)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -283,6 +284,8 @@
             raise
         self.counts["tunnel", "open"] += 1
         self._used_relays.add(relay.node)
+        if self._is_leaving(relay.node):
+            self._drop_idle()
         return opened
 
     def _list_paths(self, address: Address) -> Iterator[NodeRecord | None]:
@@ -336,12 +339,19 @@
             if record.node != self._node and record.state is NodeState.READY
         ]
 
-        def rank(record: NodeRecord) -> tuple[bool, bool, bool, float]:
-            # A VM that takes its path for lost may be wrong, and a paused one
-            # may just have been late.
+        def rank(record: NodeRecord) -> tuple[bool, bool, bool, bool, float]:
+            # A VM that takes its path for lost may be wrong, a paused one may
+            # just have been late, and one that left may have started again.
+            is_leaving = self._is_leaving(record.node)
             is_paused = record.node in self._relay_pauses
             is_remote = record.failure_domain != self._domain
-            return not record.has_upstream_path, is_paused, is_remote, random.random()
+            return (
+                is_leaving,
+                not record.has_upstream_path,
+                is_paused,
+                is_remote,
+                random.random(),
+            )
 
         return sorted(usable, key=rank)[:MAX_RELAYS]
 
@@ -382,6 +392,23 @@
         ):
             self._drop_idle()
 
+    def handle_leaving(self, node: NodeId, left_s: float) -> None:
+        """Use no idle tunnels through a VM that is being stopped.
+
+        Its record may show that much later.
+
+        Args:
+            node: The VM.
+            left_s: Time until it ends its connections, in seconds.
+        """
+        self._leaving_until[node] = asyncio.get_running_loop().time() + left_s
+        if node in self._used_relays:
+            self._drop_idle()
+
+    def _is_leaving(self, node: NodeId) -> bool:
+        ends_at = self._leaving_until.get(node)
+        return ends_at is not None and asyncio.get_running_loop().time() < ends_at
+
     def _drop_idle(self) -> None:
         self._used_relays.clear()
         for listener in self.on_idle_obsolete:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -36,6 +36,7 @@
     CrashReport,
     DemandDigest,
     InstanceQuery,
+    LeavingNode,
     LoadReport,
     StalledTarget,
     UnreachableNode,
@@ -441,6 +442,8 @@
             return self._crash_detector.make_history()
         if isinstance(message, UnreachableNode):
             self._reachability.suspect(message.node)
+        elif isinstance(message, LeavingNode):
+            self._connector.handle_leaving(message.node, message.left_s)
         elif isinstance(message, StalledTarget):
             self._stall_detector.handle_peer_report(message)
         elif isinstance(message, CrashReport):
@@ -639,12 +642,14 @@
         loop = asyncio.get_running_loop()
         self._stop_guard.begin_stop(loop.time())
         self._server.retiring = True
+        left_s = self._stop_clock.ends_at - loop.time()
         _log.info(
             "stopping",
             running=self._caller_handler.running,
             tunnels=self._tunnel_server.open_count,
-            left_ms=int((self._stop_clock.ends_at - loop.time()) * 1000),
+            left_ms=int(left_s * 1000),
         )
+        self._send_to_all(LeavingNode(self._settings.node, left_s))
         # The store may not answer, and the time that is left goes on.
         self._tasks.append(asyncio.create_task(self._write_leaving_record()))
         await asyncio.sleep(max(0.0, min(MIN_STOP_S, self._settings.grace_s - 1.0)))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -283,12 +283,54 @@
     asyncio.run(test())
 
 
+def test_a_kept_tunnel_through_a_leaving_vm_is_not_used_again() -> None:
+    """Guards against requests of a cut-off VM that end with another VM.
+
+    The record of the leaving VM may come late, as while the store is down.
+    """
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nkept")
+
+    async def test() -> None:
+        async with (
+            serve_behind_relay(serve) as (leaving, upstream, tunnels),
+            serve_behind_relay(serve) as (other, _, other_tunnels),
+        ):
+            assert isinstance(leaving._connector, TunnelConnector)
+            assert isinstance(other._connector, TunnelConnector)
+            writer = ViewWriter()
+            writer.put(InstanceId("i-0"), address=upstream)
+            add_relay(writer, leaving._connector.relay)
+            cut_off(writer)
+            paths = UpstreamConnector(NodeId("n"), FailureDomainId("a"), writer.view)
+            client = HttpClient(1.0, connector=paths)
+            assert await client.fetch(upstream, REQUEST, 1.0) == (200, b"kept")
+            add_relay(writer, other._connector.relay, node="r-2")
+            assert tunnels.open_count == 1
+            paths.handle_leaving(NodeId("r"), 8.0)
+            for _ in range(10):
+                assert await client.fetch(upstream, REQUEST, 1.0) == (200, b"kept")
+                assert (tunnels.open_count, other_tunnels.open_count) == (0, 1)
+                client.close()
+                await _await(lambda: other_tunnels.open_count == 0)
+            paths.close()
+
+    with asyncio.Runner(loop_factory=CuttableLoop) as runner:
+        runner.run(test())
+
+
 def add_relay(
-    writer: ViewWriter, relay: Address, *, has_upstream_path: bool = True
+    writer: ViewWriter,
+    relay: Address,
+    *,
+    node: str = "r",
+    has_upstream_path: bool = True,
 ) -> None:
     """Add another entry VM to a view."""
     record = NodeRecord(
-        NodeId("r"),
+        NodeId(node),
         relay,
         relay,
         FailureDomainId("b"),
