Stops: a request that may outlast the process probes no slow target

Callers of a stopping VM could get a cut stream: it was accepted by the time that usual targets need, and then chosen to probe a target that is avoided because it is slow.

Change: requests whose own deadline is after the end of a stopping process are no probes. Others end by their deadlines, as before.

--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -203,7 +203,8 @@
     ) -> TargetState | None:
         """Return the target of the next attempt, or None.
 
-        A suspected request has one attempt, at the target of the trial.
+        A suspected request has one attempt, at the target of the trial. One
+        that may outlast a stopping process probes no slow target.
         """
         now = asyncio.get_running_loop().time()
         if verdict.trait is not None:
@@ -218,7 +219,8 @@
             call.suspected_domains,
             may_probe=not call.tried
             and call.route.repeatable
-            and call.route.max_attempts > 1,
+            and call.route.max_attempts > 1
+            and not call.deadline_after_stop,
         )
 
     def _evaluate_failure(
