Demo: the demand for its models is no longer equal

Cause: callers drew both models alike. Eight VMs are left after the loss, for two large groups and a small one, or for one large and two small ones. With equal demands, chance decides which of them the plan prefers, and whether a group that is closed for the other model is counted as not repaired.

Change: three in four streams ask for the large model, so that two large groups are the plan before and after. The test is unchanged.

--- a/src/zinniaspool_standins/tour.py
+++ b/src/zinniaspool_standins/tour.py
@@ -43,6 +43,10 @@
 PAUSE_S = 0.03
 """Mean pause between two callers' requests, in seconds."""
 
+MODELS = ("large", "large", "large", "small")
+"""Models to draw from. With equal demands both two groups of the large model
+and one are a sound plan for the VMs that are left after a loss."""
+
 MOST_ASKS = 4
 """How often a caller asks at most, each time at another entry VM. A caller
 that is refused comes back when it is told to."""
@@ -187,7 +191,7 @@
             x_zinniaspool_deadline_ms=str(DEADLINE_MS),
         )
         if wanted.kind == "drafts":
-            headers.add("x-zinniaspool-model", self._source.choice(("large", "small")))
+            headers.add("x-zinniaspool-model", self._source.choice(MODELS))
             headers.add("x-zinniaspool-token-count", f"100,{wanted.events}")
         method = "GET" if wanted.kind == "receipts" else "POST"
         client = HttpClient(connect_s=0.5)
