Leaving: the older entry program accepts no request that may outlast it

What callers saw: a stopping zinniaspool-entry took each request for address_lifetime_s and a second, and cut what still ran drain_s later, whatever time the request had been given.

Cause: the class of the incident around planned stops: work is accepted without comparing the time that it may take with the time that is left.

Change: a request whose deadline is later than the end of the process is refused at once as leaving. Requests with an idempotency key run on without their caller, as before.

--- a/src/zinniaspool/entry/callers.py
+++ b/src/zinniaspool/entry/callers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import secrets
 from collections.abc import Callable
 
@@ -69,6 +70,8 @@
     Attributes:
         ready: Whether a configuration is in effect, so that requests can be
             accepted.
+        ends_at: Time at which this process cuts requests, in seconds on the
+            event loop's clock; infinite until it is stopped.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         self._on_request_end = on_request_end
         self._on_refusal = on_refusal
         self.ready = False
+        self.ends_at = math.inf
         self._directory = directory
         self._runner = runner
         self._once = once
@@ -175,4 +179,6 @@
             return await self._once.answer(exchange, caller_request, key)
         if not resolved.ok_value.idempotent:
             return Err(Fault(ErrorKind.KEY_REQUIRED))
+        if caller_request.deadline > self.ends_at:
+            return Err(Fault(ErrorKind.LEAVING))
         return await self._runner.run(exchange, resolved.ok_value)
--- a/src/zinniaspool/entry/main.py
+++ b/src/zinniaspool/entry/main.py
@@ -144,13 +144,18 @@
 
         Callers cache the addresses of entry VMs for their lifetime. Closing
         the port before that would refuse their connections, though another
-        entry VM would have accepted their requests.
+        entry VM would have accepted their requests. A request that may outlast
+        this process is refused; one with an idempotency key runs on without
+        its caller.
 
         Returns:
             The number of requests that were cut.
         """
+        announced_s = self._settings.address_lifetime_s + _LEAVE_ANNOUNCEMENT_S
+        drained_at = asyncio.get_running_loop().time() + announced_s
+        self._callers.ends_at = drained_at + self._settings.drain_s
         self._directory.mark_leaving()
-        await asyncio.sleep(self._settings.address_lifetime_s + _LEAVE_ANNOUNCEMENT_S)
+        await asyncio.sleep(announced_s)
         await self._once.hand_over()
         cut = await server.drain(self._settings.drain_s)
         await self._once.drain()
