--- a/tests/test_stop_attempts.py
+++ b/tests/test_stop_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts of streams at a stopping entry VM: probes."""
+"""Attempts of streams at a stopping entry VM: probes and further attempts."""
 
 import asyncio
 
@@ -7,13 +7,23 @@
 from tests.installation import Answer, run
 from tests.test_planned_stops import StoppedInstallation
 from zinniaspool.core.dispatch import TargetPool, TargetState
-from zinniaspool.core.ids import ModelName, ServiceName
+from zinniaspool.core.fleet import ProbeOutcome
+from zinniaspool.core.ids import Address, ModelName, ServiceName
+from zinniaspool.gateway.main import GatewayProcess
+from zinniaspool.gateway.stops import CLOSE_RESERVE_S
 from zinniaspool_standins.runners import Runner
 
 pytestmark = pytest.mark.processes
 
 EVENTS = 30
 
+SPARE_S = 0.55
+"""Time left beyond that of a stream's events, in seconds: enough for it to be
+accepted, and less than the examination of a lost attempt takes."""
+
+EXAMINED_S = 0.7
+"""Longest examination of a lost attempt, in seconds."""
+
 
 async def _stop(made: StoppedInstallation, left_s: float) -> tuple[Runner, TargetPool]:
     """Stop a VM that knows its streams, and wait for a part of the stop time.
@@ -32,15 +42,37 @@
     return made.heads("small")[0], pool
 
 
-async def _draft(made: StoppedInstallation, count: int) -> list[Answer]:
+async def _draft(
+    made: StoppedInstallation, count: int, events: int = EVENTS
+) -> list[Answer]:
     return await asyncio.gather(
         *(
-            made.draft("n0", "small", EVENTS, f"late-{k}", deadline_ms=8000)
+            made.draft("n0", "small", events, f"late-{k}", deadline_ms=8000)
             for k in range(count)
         )
     )
 
 
+def _count_events(gateway: GatewayProcess, left_s: float) -> int:
+    """Return how many events of a stream can be written in a time."""
+    now = asyncio.get_running_loop().time()
+    forecasts = gateway._stop_guard._of_services
+    forecast = forecasts[ServiceName("drafting"), ModelName("small")]
+    return int(left_s / forecast.measure_token_time(now))
+
+
+def _examine_for_long(gateway: GatewayProcess, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have each lost attempt examined for as long as possible."""
+
+    async def probe(_: Address) -> ProbeOutcome:
+        await asyncio.sleep(EXAMINED_S)
+        return ProbeOutcome.NO_ANSWER
+
+    crashes = gateway._crash_detector
+    monkeypatch.setattr(crashes, "_probe", probe)
+    monkeypatch.setattr(crashes.quarantine, "is_near_suspicion", lambda _: True)
+
+
 def test_a_stopping_vm_probes_no_slow_target(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an accepted stream that a slow head ends too late."""
 
@@ -62,3 +94,34 @@
             assert [len(one.events) for one in answers if one.whole] == [EVENTS] * 4
 
     run(check)
+
+
+@pytest.mark.parametrize("written", [0, 3])
+def test_a_lost_stream_that_can_no_longer_end_is_not_begun_again(
+    monkeypatch: pytest.MonkeyPatch, written: int
+) -> None:
+    """Guards against an attempt that is begun only to be cut by the stop."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            left_s = 2.1
+            gateway = made.nodes["n0"].gateway
+            head, _ = await _stop(made, left_s + CLOSE_RESERVE_S)
+            _examine_for_long(gateway, monkeypatch)
+            head.faults.cut_after = written + 1
+            loop = asyncio.get_running_loop()
+            sent_at = loop.time()
+            answers = await _draft(made, 4, _count_events(gateway, left_s - SPARE_S))
+            took_s = loop.time() - sent_at
+            lost = [int(run.request[-1]) for run in head.runs if "late" in run.request]
+            assert lost and all(len(made.runs_of(f"late-{k}")) == 1 for k in lost)
+            for k, answer in enumerate(answers):
+                if k not in lost:
+                    assert answer.status == 200 and answer.whole
+                elif written:
+                    assert not answer.whole and len(answer.events) == written
+                else:
+                    assert answer.status == 504 and answer.whole
+            assert took_s < left_s, "a caller waits until the end"
+
+    run(check)
