Planned stops: a lost stream that can no longer end is not begun again

Cause: after a lost attempt, gateway/carrier.py began another one at a stopping VM however little time was left. The new attempt was then cut at the end of the stop. Change: StopGuard.can_begin_again compares what is left of the stream with the time that is left, without a reserve. A stream of which nothing was answered needs its longest time, and its caller gets a whole 504 at once. One with a part answered is begun again if its usual time fits; otherwise it is cut at once, and no upstream works for nothing. No retry is charged. Plain requests are sent again as before, since their answers are never cut.

--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -156,7 +156,12 @@
         return Ok(self.number)
 
     def evaluate_failure(
-        self, failure: AttemptFailure, progress: Progress, now: float
+        self,
+        failure: AttemptFailure,
+        progress: Progress,
+        now: float,
+        *,
+        can_end: bool = True,
     ) -> Fault | None:
         """Return the fault that ends the request, or None to try again.
 
@@ -164,6 +169,7 @@
             failure: How the latest attempt ended.
             progress: How much of the answer the caller has received so far.
             now: Seconds on the event loop's clock.
+            can_end: Whether another attempt can end by the deadline.
         """
         has_not_run = failure in _NOT_RUN_FAILURES
         if not has_not_run:
@@ -183,6 +189,9 @@
             is_partial = progress is Progress.PARTIAL
             self.stop = RetryStop.PARTIAL if is_partial else RetryStop.ATTEMPTS
             return self._make_fault(ErrorKind.UPSTREAM_REFUSED)
+        if self._may_have_run and self._terms.idempotent and not can_end:
+            self.stop = RetryStop.DEADLINE
+            return self._make_deadline_fault()
         if has_not_run:
             return self._charge_refusal(failure)
         # The upstream may have run a lost attempt to its end, and only the
--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
+from statistics import median
 
 __all__ = ["AnswerTiming", "DurationForecast", "StreamTiming"]
 
@@ -153,6 +154,26 @@
             return None
         return allowed_tokens * self._find_longest_part(now) * token_s
 
+    def predict_usual_writing(
+        self, allowed_tokens: int, written_tokens: int, now: float
+    ) -> float | None:
+        """Return the usual time that is left of a stream, in seconds.
+
+        Args:
+            allowed_tokens: Tokens that the answer can have.
+            written_tokens: Those that it has already.
+            now: Seconds.
+
+        Returns:
+            None if nothing is known of such streams.
+        """
+        streams = self._list_streams(now)
+        times = [one.token_s for one in streams if one.token_s is not None]
+        if not times:
+            return None
+        usual_tokens = allowed_tokens * median(one.written_part for one in streams)
+        return max(0.0, usual_tokens - written_tokens) * median(times)
+
     def measure_token_time(self, now: float) -> float:
         """Return the longest time of a token, in seconds; 0 if unknown."""
         seen = [stream.token_s for stream in self._list_streams(now)]
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -15,6 +15,7 @@
 from zinniaspool.core.dispatch import (
     AttemptFailure,
     Progress,
+    RetryStop,
     TargetPool,
     TargetState,
     TraitStatus,
@@ -126,7 +127,7 @@
             failure = await self._run_leaders(attempt)
             if failure is None:
                 return None
-            fault = self._evaluate_failure(call, failure)
+            fault = self._evaluate_failure(call, pool, failure)
         return fault
 
     async def _run_leaders(self, attempt: GatewayAttempt) -> AttemptFailure | None:
@@ -224,7 +225,7 @@
         )
 
     def _evaluate_failure(
-        self, call: GatewayCall, failure: AttemptFailure
+        self, call: GatewayCall, pool: TargetPool, failure: AttemptFailure
     ) -> Fault | None:
         assert call.leader is not None
         if failure is AttemptFailure.FAILED and call.route.repeatable:
@@ -234,8 +235,13 @@
         else:
             retried_as = failure
         now = asyncio.get_running_loop().time()
-        fault = call.attempts.evaluate_failure(retried_as, call.progress, now)
+        can_end = self._stop_guard.can_begin_again(call, pool)
+        fault = call.attempts.evaluate_failure(
+            retried_as, call.progress, now, can_end=can_end
+        )
         self._log_failure(call.leader, failure, again=fault is None)
+        if not can_end and call.attempts.stop is RetryStop.DEADLINE:
+            call.stopped_by = "stop"
         return fault
 
     def _record_failure(self, attempt: GatewayAttempt, failure: AttemptFailure) -> None:
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -14,6 +14,7 @@
 from zinniaspool.core.dispatch import (
     AnswerTiming,
     DurationForecast,
+    Progress,
     StreamTiming,
     TargetPool,
 )
@@ -154,14 +155,37 @@
         )
         return True
 
+    def can_begin_again(self, call: GatewayCall, pool: TargetPool) -> bool:
+        """Return whether a request that may have run can still end elsewhere.
+
+        Nothing is reserved any more. A stream of which nothing was answered
+        needs its longest time, since its caller gets a whole error answer
+        otherwise. One that would be cut needs its usual time. An answer
+        without a stream isn't cut.
+
+        Args:
+            call: The request; its newest attempt has failed.
+            pool: Its targets.
+        """
+        if not _may_be_cut(call):
+            return True
+        now = asyncio.get_running_loop().time()
+        if call.progress is Progress.NOTHING:
+            writing_s = self._predict_longest_writing(call, pool, now)
+        else:
+            writing_s = self._predict_usual_writing(call, pool, now)
+        if writing_s is None:
+            return True
+        needed_s = _predict_first_event(call, pool, now) + writing_s
+        return now + needed_s <= self._clock.ends_at
+
     def _predict_longest(
         self, call: GatewayCall, pool: TargetPool, now: float
     ) -> float | None:
-        terms, allowed_tokens = call.terms, call.terms.max_output_tokens
         of_route, of_service = self._find_forecasts(call)
         running = self._list_running_streams(call)
         pause_s = max((stream.longest_pause_s for stream in running), default=0.0)
-        if terms.model is None or not allowed_tokens:
+        if not _has_known_length(call):
             longest_s = of_route.predict_longest_call(now)
             if longest_s is None:
                 longest_s = of_service.predict_longest_call(now)
@@ -170,32 +194,49 @@
             if longest_s is None:
                 return None
             return longest_s + of_service.predict_reserve(0.0, pause_s, now)
-        if terms.resume_after is not None and terms.resume_after < allowed_tokens:
-            # An event has one token at least.
-            allowed_tokens -= terms.resume_after
-        states = pool.list_eligible(now)
+        writing_s = self._predict_longest_writing(call, pool, now)
+        if writing_s is None:
+            return None
+        first_event_s = _predict_first_event(call, pool, now)
+        # An upstream may also answer without a stream.
+        whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
+        reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
+        return max(first_event_s + writing_s, whole_s) + reserve_s
+
+    def _predict_longest_writing(
+        self, call: GatewayCall, pool: TargetPool, now: float
+    ) -> float | None:
+        """Return the longest time of what is left of a stream, in seconds."""
+        if not _has_known_length(call):
+            return None
+        of_route, of_service = self._find_forecasts(call)
+        running = self._list_running_streams(call)
         running_token_s = [stream.token_s or 0.0 for stream in running]
         other_token_s = max(of_service.measure_token_time(now), *running_token_s, 0.0)
         if not other_token_s:
             other_token_s = CONFIGURED_TIME_FACTOR * max(
-                (pool.predict_token_time(state) for state in states), default=0.0
+                (pool.predict_token_time(one) for one in pool.list_eligible(now)),
+                default=0.0,
             )
-        writing_s = of_route.predict_longest_writing(
-            allowed_tokens, other_token_s or call.route.max_pause_s or 0.0, now
+        left_tokens, last_event_id = call.terms.max_output_tokens, call.last_event_id
+        if last_event_id is not None and last_event_id < left_tokens:
+            # An event has one token at least.
+            left_tokens -= last_event_id
+        return of_route.predict_longest_writing(
+            left_tokens, other_token_s or call.route.max_pause_s or 0.0, now
         )
-        if writing_s is None:
+
+    def _predict_usual_writing(
+        self, call: GatewayCall, pool: TargetPool, now: float
+    ) -> float | None:
+        """Return the usual time of what is left of a stream, in seconds."""
+        if not _has_known_length(call):
             return None
-        first_event_s = min(
-            (
-                pool.predict_first_event(state, terms.prompt_tokens, now)
-                for state in states
-            ),
-            default=0.0,
+        written = (call.last_event_id or 0) * pool.forecast.timing.tokens_per_pass
+        of_route, _ = self._find_forecasts(call)
+        return of_route.predict_usual_writing(
+            call.terms.max_output_tokens, written, now
         )
-        # An upstream may also answer without a stream.
-        whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
-        reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
-        return max(first_event_s + writing_s, whole_s) + reserve_s
 
     def _list_running_streams(self, call: GatewayCall) -> list[StreamTiming]:
         """Return what streams in progress of a request's model show."""
@@ -222,3 +263,22 @@
             ),
             self._of_services.setdefault((call.service, model), DurationForecast()),
         )
+
+
+def _may_be_cut(call: GatewayCall) -> bool:
+    """Return whether the end of the process may cut a request's answer."""
+    return call.deadline_after_stop and call.route.kind is RequestKind.STREAM
+
+
+def _has_known_length(call: GatewayCall) -> bool:
+    return call.terms.model is not None and call.terms.max_output_tokens > 0
+
+
+def _predict_first_event(call: GatewayCall, pool: TargetPool, now: float) -> float:
+    """Return the time to a request's first event at the best target."""
+    prompt = call.terms.prompt_tokens
+    states = pool.list_eligible(now)
+    return min(
+        (pool.predict_first_event(state, prompt, now) for state in states),
+        default=0.0,
+    )
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -86,6 +86,26 @@
     assert stop_after(AttemptFailure.FAILED, 9.0, 3) is RetryStop.FAILED
 
 
+def test_a_request_that_cannot_end_elsewhere_uses_no_retry() -> None:
+    """Guards against a retry that is paid for and never made."""
+    budget = RetryBudget(max_tokens=1.0)
+
+    def fail(*failures: AttemptFailure) -> ErrorKind | None:
+        attempts = Attempts(RetryTerms(True, 10.0), budget)
+        fault = None
+        for failure in failures:
+            attempts.begin(0.0)
+            fault = attempts.evaluate_failure(
+                failure, Progress.NOTHING, 1.0, can_end=failure is not failures[-1]
+            )
+        return None if fault is None else fault.kind
+
+    # Another upstream may refuse it for the same reason: nothing has run.
+    assert fail(AttemptFailure.REFUSED) is None
+    assert fail(AttemptFailure.LOST) is ErrorKind.DEADLINE_PASSED
+    assert budget.withdraw(RetryPurpose.AFTER_FAILURE)
+
+
 def test_retries_stay_below_a_tenth_of_the_requests() -> None:
     budget = RetryBudget()
     granted = 0
--- a/tests/test_stop_durations.py
+++ b/tests/test_stop_durations.py
@@ -112,6 +112,19 @@
     assert forecast.predict_longest_call(1000.0) == 0.1
 
 
+def test_the_usual_time_is_that_of_most_streams() -> None:
+    """Guards against streams given up though most of their kind would end."""
+    forecast = DurationForecast()
+    for _ in range(30):
+        forecast.record(_answer(200, written=100))
+    for _ in range(10):
+        forecast.record(_answer(200, token_s=1.0))
+    usual_s = forecast.predict_usual_writing(200, 20, 0.0)
+    assert usual_s is not None and abs(usual_s - 80 * _TOKEN_S) < 0.01
+    assert forecast.predict_usual_writing(200, 150, 0.0) == 0.0
+    assert DurationForecast().predict_usual_writing(200, 0, 0.0) is None
+
+
 def test_nothing_is_predicted_of_unknown_streams() -> None:
     """Guards against a time of nothing for a model without a known timing."""
     forecast = DurationForecast()
