Planned stops: a stream that begins too late gets a whole 504

Cause: a stopping process passed on the first event of a stream however late it came, and cut the stream at the end. Found by reading, and reached by four of four streams whose upstreams were silent for 0.9 s before their first event. Change: before the head of a stream goes to its caller, what is left of it is compared with the time that is left, by the usual time of its kind and without a reserve. If it cannot end, the attempt fails as too-late, and the caller gets a whole 504 at once. Nothing counts against the upstream.

--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -50,6 +50,9 @@
     FAILED = "failed"
     """The upstream ran the request and reports that it failed."""
 
+    TOO_LATE = "too-late"
+    """The upstream began to answer too late for the answer to end in time."""
+
     SUPERSEDED = "superseded"
     """Another attempt of the request had the next event, or the answer."""
 
@@ -177,7 +180,7 @@
         if failure is AttemptFailure.FAILED:
             self.stop = RetryStop.FAILED
             return Fault(ErrorKind.UPSTREAM_FAILED)
-        if now >= self._terms.deadline:
+        if failure is AttemptFailure.TOO_LATE or now >= self._terms.deadline:
             self.stop = RetryStop.DEADLINE
             return self._make_deadline_fault()
         if failure is AttemptFailure.NOT_SENT:
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -275,6 +275,8 @@
 def _find_stopped_by(attempt: GatewayAttempt, failure: AttemptFailure) -> str:
     if attempt.superseded:
         return "reroute"
+    if failure is AttemptFailure.TOO_LATE:
+        return "stop"
     if failure is not AttemptFailure.TIMED_OUT:
         return "upstream"
     return "stop" if attempt.call.deadline_after_stop else "deadline"
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -255,6 +255,7 @@
             self._rerouter,
             self._crash_detector,
             self._backpressure,
+            self._stop_guard,
         )
         self._forwarder = RequestForwarder(
             sender,
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -14,6 +14,7 @@
 from zinniaspool.gateway.gate import AdmissionQueues
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.spelling import CallCodec
+from zinniaspool.gateway.stops import StopGuard
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import (
     ClientResponse,
@@ -78,6 +79,7 @@
         rerouter: Tracks the attempts at each target.
         crashes: Is informed of the progress of streams.
         backpressure: Keeps what upstreams ask in their answers.
+        stop_guard: Finds the streams that begin too late to end in time.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         rerouter: Rerouter,
         crashes: CrashDetector,
         backpressure: BackpressureTracker,
+        stop_guard: StopGuard,
     ) -> None:
         self._http = http
         self._codec = codec
@@ -97,6 +100,7 @@
         self._rerouter = rerouter
         self._crashes = crashes
         self._backpressure = backpressure
+        self._stop_guard = stop_guard
 
     async def run(self, attempt: GatewayAttempt) -> AttemptFailure | None:
         """Run one attempt.
@@ -308,6 +312,10 @@
                 continue
             call.lead(attempt, now)
             if call.progress is Progress.NOTHING:
+                last_event_id = attempt.cursor.last_id
+                if self._stop_guard.begins_too_late(call, last_event_id):
+                    response.abort()
+                    return AttemptFailure.TOO_LATE
                 await self._start_stream(attempt, response)
             else:
                 pause_s = now - call.last_event_at
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -173,12 +173,30 @@
         if call.progress is Progress.NOTHING:
             writing_s = self._predict_longest_writing(call, pool, now)
         else:
-            writing_s = self._predict_usual_writing(call, pool, now)
+            writing_s = self._predict_usual_writing(call, pool, call.last_event_id, now)
         if writing_s is None:
             return True
         needed_s = _predict_first_event(call, pool, now) + writing_s
         return now + needed_s <= self._clock.ends_at
 
+    def begins_too_late(self, call: GatewayCall, last_event_id: int | None) -> bool:
+        """Return whether a stream that has its first event can't end in time.
+
+        Its caller has nothing of it yet, and can have a whole error answer.
+        Its usual time counts, without a reserve: most such streams would be
+        cut.
+
+        Args:
+            call: The request.
+            last_event_id: Id of the last event that has come.
+        """
+        if not _may_be_cut(call):
+            return False
+        pool = self._index.find_pool(call.service, call.terms.model)
+        now = asyncio.get_running_loop().time()
+        writing_s = self._predict_usual_writing(call, pool, last_event_id, now)
+        return writing_s is not None and now + writing_s > self._clock.ends_at
+
     def _predict_longest(
         self, call: GatewayCall, pool: TargetPool, now: float
     ) -> float | None:
@@ -227,12 +245,16 @@
         )
 
     def _predict_usual_writing(
-        self, call: GatewayCall, pool: TargetPool, now: float
+        self,
+        call: GatewayCall,
+        pool: TargetPool,
+        last_event_id: int | None,
+        now: float,
     ) -> float | None:
-        """Return the usual time of what is left of a stream, in seconds."""
+        """Return the usual time of a stream after an event, in seconds."""
         if not _has_known_length(call):
             return None
-        written = (call.last_event_id or 0) * pool.forecast.timing.tokens_per_pass
+        written = (last_event_id or 0) * pool.forecast.timing.tokens_per_pass
         of_route, _ = self._find_forecasts(call)
         return of_route.predict_usual_writing(
             call.terms.max_output_tokens, written, now
--- a/tests/test_stop_attempts.py
+++ b/tests/test_stop_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts of streams at a stopping entry VM: probes and further attempts."""
+"""Attempts of streams at a stopping VM: probes, retries, late first events."""
 
 import asyncio
 
@@ -125,3 +125,31 @@
             assert took_s < left_s, "a caller waits until the end"
 
     run(check)
+
+
+@pytest.mark.parametrize("can_end", [False, True])
+def test_a_stream_that_begins_too_late_gets_a_whole_error(can_end: bool) -> None:
+    """Guards against an answer that is begun only to be cut by the stop."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            left_s, silent_s = 2.5, 0.9
+            gateway = made.nodes["n0"].gateway
+            _, _ = await _stop(made, left_s + CLOSE_RESERVE_S)
+            spare_s = SPARE_S if not can_end else silent_s + SPARE_S
+            events = _count_events(gateway, left_s - spare_s)
+            loop = asyncio.get_running_loop()
+            sent_at = loop.time()
+            drafting = asyncio.create_task(_draft(made, 4, events))
+            for silent in (True, False):
+                for runner in made.runners.values():
+                    runner.faults.silent = silent
+                await asyncio.sleep(silent_s if silent else 0.0)
+            answers = await drafting
+            expected = (200, events) if can_end else (504, 0)
+            for answer in answers:
+                assert answer.whole
+                assert (answer.status, len(answer.events)) == expected
+            assert loop.time() - sent_at < left_s, "a caller waits until the end"
+
+    run(check)
