Planned stops: the stop time begins with the signal

Cause: loop.add_signal_handler calls back in the next turn of the event loop. What holds up the loop at the moment of SIGTERM shifted the clock of the stop by as much, and the process would have been killed with requests in progress. Change: the handler of SIGTERM and SIGINT runs between two instructions and dates the signal; the clock and the time of serving count from then on. The line "stopping" has how late the signal was handled (late_ms). A process that gets no processor time at that moment still learns of the signal late: the system keeps no time of it. Checked: tests/test_stop_signals.py: before, with the loop held up for 0.4 s, the signal was dated 0.40 s late; now both tests pass.

--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -169,6 +169,7 @@
         self._query_handler = InstanceQueryHandler(self._fleet_view, fetcher)
         self._stop_clock = StopClock(settings.grace_s)
         self._stop_requested = asyncio.Event()
+        self._stop_requested_at = 0.0
         self._configured = asyncio.Event()
         self._store = store
         holder_heartbeat = HolderHeartbeat()
@@ -350,8 +351,17 @@
         self._fleet_view.on_quarantine.append(self._crash_detector.apply_records)
         self._fleet_view.on_restored.append(self._write_records_again)
 
-    def stop(self) -> None:
-        """Make the process stop gracefully."""
+    def stop(self, requested_at: float | None = None) -> None:
+        """Make the process stop gracefully.
+
+        Args:
+            requested_at: Time of the signal, in seconds on the event loop's
+                clock; None for now.
+        """
+        if self._stop_requested.is_set():
+            return
+        now = asyncio.get_running_loop().time()
+        self._stop_requested_at = now if requested_at is None else requested_at
         self._stop_requested.set()
 
     async def run(self) -> None:
@@ -640,20 +650,22 @@
 
     async def _leave(self) -> None:
         """Serve callers that still have this address, then drain."""
-        loop = asyncio.get_running_loop()
-        self._stop_guard.begin_stop(loop.time())
+        now, requested_at = asyncio.get_running_loop().time(), self._stop_requested_at
+        self._stop_guard.begin_stop(requested_at)
         self._server.retiring = True
-        left_s = self._stop_clock.ends_at - loop.time()
+        left_s = self._stop_clock.ends_at - now
         _log.info(
             "stopping",
             running=self._caller_handler.running,
             tunnels=self._tunnel_server.open_count,
             left_ms=int(left_s * 1000),
+            late_ms=int((now - requested_at) * 1000),
         )
         self._send_to_all(LeavingNode(self._settings.node, left_s))
         # The store may not answer, and the time that is left goes on.
         self._tasks.append(asyncio.create_task(self._write_leaving_record()))
-        await asyncio.sleep(max(0.0, min(MIN_STOP_S, self._settings.grace_s - 1.0)))
+        serves_until = requested_at + min(MIN_STOP_S, self._settings.grace_s - 1.0)
+        await asyncio.sleep(max(0.0, serves_until - now))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(self._stop_clock.ends_at):
                 await self._caller_handler.idle.wait()
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -141,8 +141,12 @@
             self._connector,
         )
 
-    def stop(self) -> None:
-        """Request an orderly shutdown of the process."""
+    def stop(self, requested_at: float | None = None) -> None:
+        """Request an orderly shutdown of the process.
+
+        Args:
+            requested_at: Time of the signal, which doesn't matter here.
+        """
         self._stop.set()
 
     async def run(self) -> None:
--- a/src/zinniaspool/platform/program.py
+++ b/src/zinniaspool/platform/program.py
@@ -19,12 +19,19 @@
 BAD_SETTINGS_STATUS = 2
 """Exit status when the settings can't be used."""
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class PlatformProcess(Protocol):
     """A process that runs until it is stopped."""
 
-    def stop(self) -> None:
-        """Begin a graceful stop."""
+    def stop(self, requested_at: float | None = None) -> None:
+        """Begin a graceful stop.
+
+        Args:
+            requested_at: Time of the signal, in seconds on the event loop's
+                clock; None for now.
+        """
         ...
 
     async def run(self) -> None:
@@ -65,9 +72,19 @@
 async def _run(make: Callable[[], PlatformProcess]) -> None:
     process = make()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.stop)
+
+    def handle_stop(*_: object) -> None:
+        # This runs between two instructions of whatever holds up the event
+        # loop, so that the stop time begins with the signal.
+        loop.call_soon_threadsafe(process.stop, loop.time())
+
+    for number in STOP_SIGNALS:
+        signal.signal(number, handle_stop)
     # The settings of a running process don't change; without a handler SIGHUP
     # would end it.
     loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
-    await process.run()
+    try:
+        await process.run()
+    finally:
+        for number in STOP_SIGNALS:
+            signal.signal(number, signal.SIG_DFL)
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -185,7 +185,7 @@
         "stopped": "The process ends; the keys count the requests and tunnels that are "
         "cut, and the requests that were accepted and refused since the stop signal.",
         "stopping": "The process got a stop signal and finishes its running requests, "
-        "until ``left_ms`` are over.",
+        "until ``left_ms`` are over; ``late_ms`` is how late it handled the signal.",
         "store-lost": "The store stopped answering.",
         "store-regained": "The store answers again.",
         "store-answer-unreadable": "An answer of the store cannot be decoded at all.",
--- /dev/null
+++ b/tests/test_stop_signals.py
@@ -0,0 +1,85 @@
+"""When a stop signal counts as given."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from tests.installation import run
+from tests.test_planned_stops import GRACE_S, StoppedInstallation
+from zinniaspool.platform import program
+
+HELD_UP_S = 0.4
+
+
+@pytest.fixture
+def handlers() -> Iterator[None]:
+    """Restore the handlers of signals afterwards."""
+    kept = {
+        number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT)
+    }
+    yield
+    for number, handler in kept.items():
+        signal.signal(number, handler)
+
+
+class _HeldUpProcess:
+    """A process that does something long when it gets its stop signal."""
+
+    def __init__(self) -> None:
+        self.stopped = asyncio.Event()
+        self.signalled_at = self.dated_at = 0.0
+
+    def stop(self, requested_at: float | None = None) -> None:
+        now = asyncio.get_running_loop().time()
+        self.dated_at = now if requested_at is None else requested_at
+        self.stopped.set()
+
+    async def run(self) -> None:
+        self.signalled_at = asyncio.get_running_loop().time()
+        signal.raise_signal(signal.SIGTERM)
+        _work(HELD_UP_S)
+        await self.stopped.wait()
+
+
+def _work(seconds: float) -> None:
+    ends = time.monotonic() + seconds
+    while time.monotonic() < ends:
+        pass
+
+
+@pytest.mark.usefixtures("handlers")
+def test_a_signal_is_dated_while_the_event_loop_is_held_up() -> None:
+    """Guards against a stop time that begins late and ends after the kill."""
+    made: list[_HeldUpProcess] = []
+
+    def make() -> _HeldUpProcess:
+        made.append(_HeldUpProcess())
+        return made[0]
+
+    asyncio.run(program._run(make))
+    assert made[0].dated_at - made[0].signalled_at < HELD_UP_S / 4
+
+
+@pytest.mark.processes
+def test_a_stop_ends_in_time_after_a_signal_that_was_handled_late() -> None:
+    """Guards against a process that is killed while it still serves."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            drafting = asyncio.create_task(
+                made.draft("n0", "small", 300, deadline_ms=int(GRACE_S * 1000))
+            )
+            await asyncio.sleep(0.2)
+            loop, node = asyncio.get_running_loop(), made.nodes["n0"]
+            signalled_at = loop.time() - 1.0
+            node.gateway.stop(signalled_at)
+            await node.tasks[0]
+            assert 6.0 < loop.time() - signalled_at < GRACE_S
+            await drafting
+
+    run(check)
