Streams have the whole timeout of their route

Cause: the deadline of each request was 50 ms before its route's timeout, so that the answer that the deadline has passed comes in time. A stream whose head has gone to its caller gets no such answer, and was cut 50 ms early. Its upstream was told the same time. Change: a stream that has begun goes on until the timeout, or until its caller's own deadline or the end of a stopping process, and its upstream is told so. Streams without an event still get their 504 within the timeout.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -103,8 +103,8 @@
         """Whether its events and answer go to the caller."""
         return self.call.leader is self
 
-    def shorten_timeout(self, at: float) -> None:
-        """Have the attempt time out at an earlier time, in seconds."""
+    def reschedule_timeout(self, at: float) -> None:
+        """Have the attempt time out at another time, in seconds."""
         if self.timeout is not None and not self.timeout.expired():
             self.timeout.reschedule(at)
 
@@ -166,6 +166,8 @@
         longest_s: Longest time that was predicted for it when it was accepted
             while the process stopped, in seconds; None if nothing was, since
             its own deadline is earlier.
+        error_reserve_s: Time after its deadline that is reserved for an error
+            answer, in seconds; a stream that has begun needs none.
     """
 
     exchange: Exchange
@@ -194,6 +196,14 @@
     urgency: int | None = None
     deadline_after_stop: bool = False
     longest_s: float | None = None
+    error_reserve_s: float = 0.0
+
+    @property
+    def stream_deadline(self) -> float:
+        """Time until which a stream that has begun may go on, in seconds."""
+        if self.deadline_after_stop:
+            return self.deadline
+        return self.deadline + self.error_reserve_s
 
     @property
     def newest_attempt(self) -> GatewayAttempt | None:
@@ -222,7 +232,13 @@
         self.attempts.shorten_deadline(deadline)
         for attempt in (self.leader, *self.alternatives):
             if attempt is not None:
-                attempt.shorten_timeout(deadline)
+                attempt.reschedule_timeout(deadline)
+
+    def extend_deadline(self) -> None:
+        """Have a stream that has begun go on until its last moment."""
+        self.deadline, self.error_reserve_s = self.stream_deadline, 0.0
+        if self.leader is not None:
+            self.leader.reschedule_timeout(self.deadline)
 
     def lead(self, attempt: GatewayAttempt, now: float) -> None:
         """Have an attempt go on alone: it has the next event or the answer."""
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -239,9 +239,10 @@
         customer = _find_customer(catalog, route, key)
         if isinstance(customer, Err):
             return customer
-        timeout_s = route.timeout_s - RESPONSE_RESERVE_S
+        longest_s = route.timeout_s
         if terms.timeout_s is not None:
-            timeout_s = min(timeout_s, terms.timeout_s)
+            longest_s = min(longest_s, terms.timeout_s)
+        timeout_s = min(longest_s, route.timeout_s - RESPONSE_RESERVE_S)
         deadline = received_at + timeout_s
         service = _choose_service(route)
         attempts = Attempts(
@@ -265,6 +266,7 @@
             identify_traits(content, terms.prompt_parts, name),
         )
         call.last_event_id = terms.resume_after
+        call.error_reserve_s = longest_s - timeout_s
         return Ok(call)
 
     async def _refuse(
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -157,14 +157,17 @@
         The attempt ends early if another one goes on in its place.
         """
         call, state = attempt.call, attempt.state
-        left_s = call.deadline - asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        left_s, allowed_s = call.deadline - now, call.deadline - now
+        if call.route.kind is RequestKind.STREAM:
+            allowed_s = call.stream_deadline - now
         idle_s = 20.0 if call.route.repeatable else UNREPEATABLE_MAX_IDLE_S
         late_timer = self._start_late_timer(attempt, left_s)
         try:
             async with asyncio.timeout_at(call.deadline) as attempt.timeout:
                 response = await self._http.send(
                     state.target.address,
-                    self._make_request(attempt, left_s),
+                    self._make_request(attempt, allowed_s),
                     left_s + 1.0,
                     max_idle_s=idle_s,
                 )
@@ -198,13 +201,13 @@
             max(MIN_PLAIN_ATTEMPT_S, left_s / 3), self._rerouter.reroute_late, attempt
         )
 
-    def _make_request(self, attempt: GatewayAttempt, left_s: float) -> Request:
+    def _make_request(self, attempt: GatewayAttempt, allowed_s: float) -> Request:
         call = attempt.call
         request = call.exchange.request
         headers = self._codec.make_upstream_headers(
             request,
             attempt.state.target.instance,
-            left_s,
+            allowed_s,
             call.customer,
             call.urgency,
             attempt.cursor.last_id,
@@ -369,6 +372,7 @@
         call.progress, call.is_served = Progress.RESUMABLE, True
         if not call.route.resumable or not attempt.cursor.resumable:
             call.progress = Progress.PARTIAL
+        self._stop_guard.extend_deadline(call)
         headers = self._codec.make_caller_headers(response.headers)
         with CALLER_SIDE:
             await call.exchange.start(response.status, headers)
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -112,6 +112,11 @@
         for call in self.running:
             call.shorten_deadline(self._clock.ends_at)
 
+    def extend_deadline(self, call: GatewayCall) -> None:
+        """Give a stream that begins the time reserved for an error answer."""
+        call.extend_deadline()
+        call.shorten_deadline(self._clock.ends_at)
+
     def record_answer(self, call: GatewayCall) -> None:
         """Record a request whose caller has its upstream's answer now."""
         now = asyncio.get_running_loop().time()
