Metrics of planned stops: what was accepted, refused and cut, and why

Cause: the log has for each request at a stopping VM the time that it was given and what it was expected to need; the metrics had nothing of it. Change: zinniaspool_stop_requests by outcome and reason (own deadline, forecast, unknown), zinniaspool_stop_cut_requests, and buckets of the allowed and of the predicted time by outcome. Checked: tests/test_stop_signals.py with a request of each kind; it would fail before, since the metrics did not exist. test_references, test_layers.

--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -164,7 +164,7 @@
                 # look complete.
                 if call.stopped_by == "stop":
                     end = "cut-by-stop"
-                    self._stop_clock.cut += 1
+                    self._stop_clock.tally.cut += 1
                 call.exchange.abort()
                 return
             await self._refuse(call.exchange, call.terms, done.err_value)
@@ -175,11 +175,9 @@
             now = asyncio.get_running_loop().time()
             if end == "caller-left" and now >= self._stop_clock.exits_at:
                 end, call.stopped_by = "cut-by-stop", "stop"
-                self._stop_clock.cut += 1
-            if self._stop_clock.measure_since(call.received_at) is not None:
-                is_refused = end == ErrorKind.LEAVING.value
-                self._stop_clock.refused += is_refused
-                self._stop_clock.accepted += not is_refused
+                self._stop_clock.tally.cut += 1
+            is_refused = end == ErrorKind.LEAVING.value
+            self._stop_guard.record_end(call, is_refused=is_refused)
             self._record_end(call, end, now - call.received_at)
 
     def _record_end(self, call: GatewayCall, end: str, took_s: float) -> None:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -314,6 +314,7 @@
             self._crash_detector,
             self._cold,
             self._stall_detector.tally,
+            self._stop_clock.tally,
             self._connector,
             self._tunnel_server,
         )
@@ -397,12 +398,13 @@
             async with asyncio.timeout_at(self._stop_clock.exits_at):
                 await self._lease.release()
         await self.abort()
+        tally = self._stop_clock.tally
         _log.info(
             "stopped",
-            cut=self._stop_clock.cut,
+            cut=tally.cut,
             tunnels=self._tunnel_server.open_count,
-            accepted=self._stop_clock.accepted,
-            refused=self._stop_clock.refused,
+            accepted=tally.count(is_refused=False),
+            refused=tally.count(is_refused=True),
         )
 
     @property
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -12,7 +12,7 @@
 from zinniaspool.gateway.retries import RetryBudgets
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient
-from zinniaspool.telemetry import RequestTally, Sample, StallTally
+from zinniaspool.telemetry import RequestTally, Sample, StallTally, StopTally
 from zinniaspool.telemetry.page import MetricsPage
 
 __all__ = ["make_gateway_metrics"]
@@ -29,6 +29,7 @@
     crashes: CrashDetector,
     cold: ColdTracker,
     stalls: StallTally,
+    stops: StopTally,
     connector: UpstreamConnector,
     tunnel_server: TunnelServer,
 ) -> MetricsPage:
@@ -200,6 +201,27 @@
         stalls.list_detections,
     )
 
+    page.add_counter(
+        "zinniaspool_stop_requests",
+        "Requests after the stop signal, by whether and why they were accepted.",
+        stops.list_requests,
+    )
+    page.add_counter(
+        "zinniaspool_stop_cut_requests",
+        "Requests that the end of the process cut after a part of their answer.",
+        stops.list_cut,
+    )
+    page.add_counter(
+        "zinniaspool_stop_allowed_seconds_buckets",
+        "Requests after the stop signal that had at most this much time.",
+        stops.list_allowed,
+    )
+    page.add_counter(
+        "zinniaspool_stop_needed_seconds_buckets",
+        "Requests after the stop signal that were predicted to need at most this.",
+        stops.list_needed,
+    )
+
     asked = index.backpressure.values
 
     def list_limited() -> Iterator[Sample]:
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -22,6 +22,7 @@
 from zinniaspool.core.ids import ModelName, ServiceName
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.telemetry import StopReason, StopTally
 
 __all__ = ["StopClock", "StopGuard"]
 
@@ -54,17 +55,13 @@
         began_at: Time of the stop signal; None before it.
         ends_at: Time until which requests may be in progress.
         exits_at: Time at which the last connections are closed.
-        cut: Requests of which a part was answered and the rest was cut.
-        accepted: Requests that were accepted after the stop signal.
-        refused: Requests that were refused because of it.
+        tally: Counts the requests that came after the stop signal.
     """
 
     def __init__(self, grace_s: float) -> None:
         self.began_at: float | None = None
         self.ends_at = self.exits_at = math.inf
-        self.cut = 0
-        self.accepted = 0
-        self.refused = 0
+        self.tally = StopTally()
         self._grace_s = grace_s
 
     def begin(self, now: float) -> None:
@@ -126,6 +123,17 @@
         for forecast in self._find_forecasts(call):
             forecast.record(timing)
 
+    def record_end(self, call: GatewayCall, *, is_refused: bool) -> None:
+        """Count a request that came after the stop signal and has ended."""
+        if self._clock.measure_since(call.received_at) is None:
+            return
+        reason = StopReason.DEADLINE
+        if call.deadline_after_stop:
+            is_predicted = call.longest_s is not None
+            reason = StopReason.FORECAST if is_predicted else StopReason.UNKNOWN
+        allowed_s = call.deadline - call.received_at
+        self._clock.tally.add(reason, allowed_s, call.longest_s, is_refused=is_refused)
+
     def apply_catalog(self, catalog: Catalog) -> None:
         """Forget the routes and services that the configuration hasn't."""
         names = {route.name for host in catalog.routes.values() for route in host}
--- a/src/zinniaspool/telemetry/__init__.py
+++ b/src/zinniaspool/telemetry/__init__.py
@@ -9,6 +9,7 @@
 from zinniaspool.telemetry.lines import LineClass, LineWriter
 from zinniaspool.telemetry.logs import configure_logs
 from zinniaspool.telemetry.stalls import StallTally
+from zinniaspool.telemetry.stops import StopReason, StopTally
 from zinniaspool.telemetry.tallies import AdmissionTally, RequestTally, Sample
 
 __all__ = [
@@ -19,5 +20,7 @@
     "RequestTally",
     "Sample",
     "StallTally",
+    "StopReason",
+    "StopTally",
     "configure_logs",
 ]
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -1,4 +1,4 @@
-"""When a stop signal counts as given."""
+"""What operators see of a planned stop: when it began, and its counts."""
 
 import asyncio
 import signal
@@ -83,3 +83,39 @@
             await drafting
 
     run(check)
+
+
+@pytest.mark.processes
+def test_the_metrics_have_why_a_stopping_vm_accepted_its_requests() -> None:
+    """Guards against requests of a stop that no number explains."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(4)))
+            gateway = made.nodes["n0"].gateway
+            gateway.stop()
+            await asyncio.sleep(0.1)
+            await asyncio.gather(
+                made.draft("n0", "small", 30, deadline_ms=8000),
+                made.draft("n0", "small", 30, deadline_ms=3000),
+                made.draft("n0", "small", 300, deadline_ms=8000),
+            )
+            text = gateway._metrics.render().decode()
+            counts = dict(line.rsplit(" ", 1) for line in text.splitlines())
+            for outcome, reason in (
+                ("accepted", "forecast"),
+                ("accepted", "deadline"),
+                ("refused", "forecast"),
+            ):
+                labels = f'outcome="{outcome}",reason="{reason}"'
+                assert counts[f"zinniaspool_stop_requests_total{{{labels}}}"] == "1.0"
+            assert counts["zinniaspool_stop_cut_requests_total"] == "0.0"
+            allowed = "zinniaspool_stop_allowed_seconds_buckets_total"
+            assert counts[f'{allowed}{{le="3",outcome="accepted"}}'] == "1.0"
+            needed = "zinniaspool_stop_needed_seconds_buckets_total"
+            assert counts[f'{needed}{{le="2",outcome="accepted"}}'] == "1.0"
+            assert counts[f'{needed}{{le="8",outcome="refused"}}'] == "0.0"
+
+    run(check)
