--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -164,7 +164,7 @@
                 # look complete.
                 if call.stopped_by == "stop":
                     end = "cut-by-stop"
-                    self._stop_clock.cut += 1
+                    self._stop_clock.tally.cut += 1
                 call.exchange.abort()
                 return
             await self._refuse(call.exchange, call.terms, done.err_value)
@@ -175,11 +175,9 @@
             now = asyncio.get_running_loop().time()
             if end == "caller-left" and now >= self._stop_clock.exits_at:
                 end, call.stopped_by = "cut-by-stop", "stop"
-                self._stop_clock.cut += 1
-            if self._stop_clock.measure_since(call.received_at) is not None:
-                is_refused = end == ErrorKind.LEAVING.value
-                self._stop_clock.refused += is_refused
-                self._stop_clock.accepted += not is_refused
+                self._stop_clock.tally.cut += 1
+            is_refused = end == ErrorKind.LEAVING.value
+            self._stop_guard.record_end(call, is_refused=is_refused)
             self._record_end(call, end, now - call.received_at)
 
     def _record_end(self, call: GatewayCall, end: str, took_s: float) -> None:
@@ -239,9 +237,10 @@
         customer = _find_customer(catalog, route, key)
         if isinstance(customer, Err):
             return customer
-        timeout_s = route.timeout_s - RESPONSE_RESERVE_S
+        longest_s = route.timeout_s
         if terms.timeout_s is not None:
-            timeout_s = min(timeout_s, terms.timeout_s)
+            longest_s = min(longest_s, terms.timeout_s)
+        timeout_s = min(longest_s, route.timeout_s - RESPONSE_RESERVE_S)
         deadline = received_at + timeout_s
         service = _choose_service(route)
         attempts = Attempts(
@@ -265,6 +264,7 @@
             identify_traits(content, terms.prompt_parts, name),
         )
         call.last_event_id = terms.resume_after
+        call.error_reserve_s = longest_s - timeout_s
         return Ok(call)
 
     async def _refuse(
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -14,6 +14,7 @@
 from zinniaspool.gateway.gate import AdmissionQueues
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.spelling import CallCodec
+from zinniaspool.gateway.stops import StopGuard
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import (
     ClientResponse,
@@ -78,6 +79,7 @@
         rerouter: Tracks the attempts at each target.
         crashes: Is informed of the progress of streams.
         backpressure: Keeps what upstreams ask in their answers.
+        stop_guard: Finds the streams that begin too late to end in time.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         rerouter: Rerouter,
         crashes: CrashDetector,
         backpressure: BackpressureTracker,
+        stop_guard: StopGuard,
     ) -> None:
         self._http = http
         self._codec = codec
@@ -97,6 +100,7 @@
         self._rerouter = rerouter
         self._crashes = crashes
         self._backpressure = backpressure
+        self._stop_guard = stop_guard
 
     async def run(self, attempt: GatewayAttempt) -> AttemptFailure | None:
         """Run one attempt.
@@ -153,14 +157,17 @@
         The attempt ends early if another one goes on in its place.
         """
         call, state = attempt.call, attempt.state
-        left_s = call.deadline - asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        left_s, allowed_s = call.deadline - now, call.deadline - now
+        if call.route.kind is RequestKind.STREAM:
+            allowed_s = call.stream_deadline - now
         idle_s = 20.0 if call.route.repeatable else UNREPEATABLE_MAX_IDLE_S
         late_timer = self._start_late_timer(attempt, left_s)
         try:
             async with asyncio.timeout_at(call.deadline) as attempt.timeout:
                 response = await self._http.send(
                     state.target.address,
-                    self._make_request(attempt, left_s),
+                    self._make_request(attempt, allowed_s),
                     left_s + 1.0,
                     max_idle_s=idle_s,
                 )
@@ -194,13 +201,13 @@
             max(MIN_PLAIN_ATTEMPT_S, left_s / 3), self._rerouter.reroute_late, attempt
         )
 
-    def _make_request(self, attempt: GatewayAttempt, left_s: float) -> Request:
+    def _make_request(self, attempt: GatewayAttempt, allowed_s: float) -> Request:
         call = attempt.call
         request = call.exchange.request
         headers = self._codec.make_upstream_headers(
             request,
             attempt.state.target.instance,
-            left_s,
+            allowed_s,
             call.customer,
             call.urgency,
             attempt.cursor.last_id,
@@ -308,6 +315,10 @@
                 continue
             call.lead(attempt, now)
             if call.progress is Progress.NOTHING:
+                last_event_id = attempt.cursor.last_id
+                if self._stop_guard.begins_too_late(call, last_event_id):
+                    response.abort()
+                    return AttemptFailure.TOO_LATE
                 await self._start_stream(attempt, response)
             else:
                 pause_s = now - call.last_event_at
@@ -361,6 +372,7 @@
         call.progress, call.is_served = Progress.RESUMABLE, True
         if not call.route.resumable or not attempt.cursor.resumable:
             call.progress = Progress.PARTIAL
+        self._stop_guard.extend_deadline(call)
         headers = self._codec.make_caller_headers(response.headers)
         with CALLER_SIDE:
             await call.exchange.start(response.status, headers)
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -14,6 +14,7 @@
 from zinniaspool.core.dispatch import (
     AnswerTiming,
     DurationForecast,
+    Progress,
     StreamTiming,
     TargetPool,
 )
@@ -21,6 +22,7 @@
 from zinniaspool.core.ids import ModelName, ServiceName
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.telemetry import StopReason, StopTally
 
 __all__ = ["StopClock", "StopGuard"]
 
@@ -53,17 +55,13 @@
         began_at: Time of the stop signal; None before it.
         ends_at: Time until which requests may be in progress.
         exits_at: Time at which the last connections are closed.
-        cut: Requests of which a part was answered and the rest was cut.
-        accepted: Requests that were accepted after the stop signal.
-        refused: Requests that were refused because of it.
+        tally: Counts the requests that came after the stop signal.
     """
 
     def __init__(self, grace_s: float) -> None:
         self.began_at: float | None = None
         self.ends_at = self.exits_at = math.inf
-        self.cut = 0
-        self.accepted = 0
-        self.refused = 0
+        self.tally = StopTally()
         self._grace_s = grace_s
 
     def begin(self, now: float) -> None:
@@ -111,6 +109,11 @@
         for call in self.running:
             call.shorten_deadline(self._clock.ends_at)
 
+    def extend_deadline(self, call: GatewayCall) -> None:
+        """Give a stream that begins the time reserved for an error answer."""
+        call.extend_deadline()
+        call.shorten_deadline(self._clock.ends_at)
+
     def record_answer(self, call: GatewayCall) -> None:
         """Record a request whose caller has its upstream's answer now."""
         now = asyncio.get_running_loop().time()
@@ -120,6 +123,17 @@
         for forecast in self._find_forecasts(call):
             forecast.record(timing)
 
+    def record_end(self, call: GatewayCall, *, is_refused: bool) -> None:
+        """Count a request that came after the stop signal and has ended."""
+        if self._clock.measure_since(call.received_at) is None:
+            return
+        reason = StopReason.DEADLINE
+        if call.deadline_after_stop:
+            is_predicted = call.longest_s is not None
+            reason = StopReason.FORECAST if is_predicted else StopReason.UNKNOWN
+        allowed_s = call.deadline - call.received_at
+        self._clock.tally.add(reason, allowed_s, call.longest_s, is_refused=is_refused)
+
     def apply_catalog(self, catalog: Catalog) -> None:
         """Forget the routes and services that the configuration hasn't."""
         names = {route.name for host in catalog.routes.values() for route in host}
@@ -154,14 +168,55 @@
         )
         return True
 
+    def can_begin_again(self, call: GatewayCall, pool: TargetPool) -> bool:
+        """Return whether a request that may have run can still end elsewhere.
+
+        Nothing is reserved any more. A stream of which nothing was answered
+        needs its longest time, since its caller gets a whole error answer
+        otherwise. One that would be cut needs its usual time. An answer
+        without a stream isn't cut.
+
+        Args:
+            call: The request; its newest attempt has failed.
+            pool: Its targets.
+        """
+        if not _may_be_cut(call):
+            return True
+        now = asyncio.get_running_loop().time()
+        if call.progress is Progress.NOTHING:
+            writing_s = self._predict_longest_writing(call, pool, now)
+        else:
+            writing_s = self._predict_usual_writing(call, pool, call.last_event_id, now)
+        if writing_s is None:
+            return True
+        needed_s = _predict_first_event(call, pool, now) + writing_s
+        return now + needed_s <= self._clock.ends_at
+
+    def begins_too_late(self, call: GatewayCall, last_event_id: int | None) -> bool:
+        """Return whether a stream that has its first event can't end in time.
+
+        Its caller has nothing of it yet, and can have a whole error answer.
+        Its usual time counts, without a reserve: most such streams would be
+        cut.
+
+        Args:
+            call: The request.
+            last_event_id: Id of the last event that has come.
+        """
+        if not _may_be_cut(call):
+            return False
+        pool = self._index.find_pool(call.service, call.terms.model)
+        now = asyncio.get_running_loop().time()
+        writing_s = self._predict_usual_writing(call, pool, last_event_id, now)
+        return writing_s is not None and now + writing_s > self._clock.ends_at
+
     def _predict_longest(
         self, call: GatewayCall, pool: TargetPool, now: float
     ) -> float | None:
-        terms, allowed_tokens = call.terms, call.terms.max_output_tokens
         of_route, of_service = self._find_forecasts(call)
         running = self._list_running_streams(call)
         pause_s = max((stream.longest_pause_s for stream in running), default=0.0)
-        if terms.model is None or not allowed_tokens:
+        if not _has_known_length(call):
             longest_s = of_route.predict_longest_call(now)
             if longest_s is None:
                 longest_s = of_service.predict_longest_call(now)
@@ -170,32 +225,53 @@
             if longest_s is None:
                 return None
             return longest_s + of_service.predict_reserve(0.0, pause_s, now)
-        if terms.resume_after is not None and terms.resume_after < allowed_tokens:
-            # An event has one token at least.
-            allowed_tokens -= terms.resume_after
-        states = pool.list_eligible(now)
+        writing_s = self._predict_longest_writing(call, pool, now)
+        if writing_s is None:
+            return None
+        first_event_s = _predict_first_event(call, pool, now)
+        # An upstream may also answer without a stream.
+        whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
+        reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
+        return max(first_event_s + writing_s, whole_s) + reserve_s
+
+    def _predict_longest_writing(
+        self, call: GatewayCall, pool: TargetPool, now: float
+    ) -> float | None:
+        """Return the longest time of what is left of a stream, in seconds."""
+        if not _has_known_length(call):
+            return None
+        of_route, of_service = self._find_forecasts(call)
+        running = self._list_running_streams(call)
         running_token_s = [stream.token_s or 0.0 for stream in running]
         other_token_s = max(of_service.measure_token_time(now), *running_token_s, 0.0)
         if not other_token_s:
             other_token_s = CONFIGURED_TIME_FACTOR * max(
-                (pool.predict_token_time(state) for state in states), default=0.0
+                (pool.predict_token_time(one) for one in pool.list_eligible(now)),
+                default=0.0,
             )
-        writing_s = of_route.predict_longest_writing(
-            allowed_tokens, other_token_s or call.route.max_pause_s or 0.0, now
+        left_tokens, last_event_id = call.terms.max_output_tokens, call.last_event_id
+        if last_event_id is not None and last_event_id < left_tokens:
+            # An event has one token at least.
+            left_tokens -= last_event_id
+        return of_route.predict_longest_writing(
+            left_tokens, other_token_s or call.route.max_pause_s or 0.0, now
         )
-        if writing_s is None:
+
+    def _predict_usual_writing(
+        self,
+        call: GatewayCall,
+        pool: TargetPool,
+        last_event_id: int | None,
+        now: float,
+    ) -> float | None:
+        """Return the usual time of a stream after an event, in seconds."""
+        if not _has_known_length(call):
             return None
-        first_event_s = min(
-            (
-                pool.predict_first_event(state, terms.prompt_tokens, now)
-                for state in states
-            ),
-            default=0.0,
+        written = (last_event_id or 0) * pool.forecast.timing.tokens_per_pass
+        of_route, _ = self._find_forecasts(call)
+        return of_route.predict_usual_writing(
+            call.terms.max_output_tokens, written, now
         )
-        # An upstream may also answer without a stream.
-        whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
-        reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
-        return max(first_event_s + writing_s, whole_s) + reserve_s
 
     def _list_running_streams(self, call: GatewayCall) -> list[StreamTiming]:
         """Return what streams in progress of a request's model show."""
@@ -222,3 +298,22 @@
             ),
             self._of_services.setdefault((call.service, model), DurationForecast()),
         )
+
+
+def _may_be_cut(call: GatewayCall) -> bool:
+    """Return whether the end of the process may cut a request's answer."""
+    return call.deadline_after_stop and call.route.kind is RequestKind.STREAM
+
+
+def _has_known_length(call: GatewayCall) -> bool:
+    return call.terms.model is not None and call.terms.max_output_tokens > 0
+
+
+def _predict_first_event(call: GatewayCall, pool: TargetPool, now: float) -> float:
+    """Return the time to a request's first event at the best target."""
+    prompt = call.terms.prompt_tokens
+    states = pool.list_eligible(now)
+    return min(
+        (pool.predict_first_event(state, prompt, now) for state in states),
+        default=0.0,
+    )
