Plans that can't be read are counted and listed

Cause: the reader of the plans logged such a plan itself, by its domain, at each start of a term. It was neither counted nor listed, though the other values of the store that can't be read are.

Change: PlanStore records it with the view's unreadable values: logged once with its key, counted by kind, in the metrics and in zinniaspool unreadable. It is forgotten when the plan is replaced or removed, as before.

Result: test_unreadable_values_are_logged_once_counted_and_listed has a plan among its values, read three times; on the former reader it fails, as the line has no key. The other tests construct the reader with the new argument. test_unreadable_values.py, test_plan_store.py, test_lossy_writes.py and test_supervised_tasks.py pass.

--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -128,7 +128,7 @@
         self._holder = GroupHolder(
             self._fleet_view,
             self._election,
-            PlanStore(self._store),
+            PlanStore(self._store, self._fleet_view.unreadable),
             make_engines(self._connector),
             EntryRelay(
                 self._fleet_view,
--- a/src/zinniaspool/keeper/plans.py
+++ b/src/zinniaspool/keeper/plans.py
@@ -8,12 +8,12 @@
 import structlog
 from result import Err
 
-from zinniaspool.core.decoding import DECODE_ERRORS
+from zinniaspool.core.decoding import decode_json
 from zinniaspool.core.fleet import HOLDER_KEY, PLANS_PREFIX, StoreMirror
 from zinniaspool.core.formation import DomainPlan
 from zinniaspool.core.ids import FabricDomainId, Revision
 from zinniaspool.core.storage import KeyWrite, StoreFault
-from zinniaspool.fleet import FleetStore
+from zinniaspool.fleet import FleetStore, UnreadableValues, ValueKind
 
 __all__ = ["PlanStore"]
 
@@ -43,15 +43,17 @@
 
     Args:
         store: The store that keeps the plans.
+        unreadable: Records the plans that can't be read.
 
     Attributes:
         write_counts: Number of writes of plans, by their fault; None for
             those after which the plan was certainly in the store.
     """
 
-    def __init__(self, store: FleetStore) -> None:
+    def __init__(self, store: FleetStore, unreadable: UnreadableValues) -> None:
         self.write_counts: Counter[StoreFault | None] = Counter()
         self._store = store
+        self._unreadable = unreadable
         self._revisions: dict[FabricDomainId, Revision] = {}
         self._failed: dict[FabricDomainId, _FailedWrites] = {}
 
@@ -70,11 +72,12 @@
         self._failed.clear()
         self.update_revisions(mirror)
         for item in mirror.list_by_prefix(PLANS_PREFIX):
-            domain = FabricDomainId(item.key.removeprefix(PLANS_PREFIX))
-            try:
-                plans.append(msgspec.json.decode(item.value, type=DomainPlan))
-            except DECODE_ERRORS as error:
-                _log.error("plan-unreadable", domain=domain, reason=str(error))
+            decoded = decode_json(item.value, DomainPlan)
+            if isinstance(decoded, Err):
+                self._unreadable.reject(ValueKind.PLAN, item.key, decoded.err_value)
+                continue
+            self._unreadable.accept(item.key)
+            plans.append(decoded.ok_value)
         return plans
 
     def update_revisions(self, mirror: StoreMirror) -> None:
--- a/tests/test_lossy_writes.py
+++ b/tests/test_lossy_writes.py
@@ -16,7 +16,7 @@
 )
 
 from tests.lossy_store import Fate, LossyStore
-from tests.test_plan_store import KEY, make_plan
+from tests.test_plan_store import KEY, make_plan, open_plans
 from zinniaspool.core.dispatch import Quarantine
 from zinniaspool.core.fleet import (
     HELD_PREFIX,
@@ -30,7 +30,6 @@
 from zinniaspool.fleet import FleetView, HolderHeartbeat, OwnRecord, RenewedLease
 from zinniaspool.gateway.records import QuarantineRecordStore
 from zinniaspool.keeper.election import HolderElection
-from zinniaspool.keeper.plans import PlanStore
 from zinniaspool.platform.spelling import PlatformCodec
 
 FATES = st.sampled_from(list(Fate))
@@ -79,7 +78,7 @@
     @initialize()
     def begin(self) -> None:
         self.number, self.saved, self.checked = 0, 0, 0
-        self.plans = [PlanStore(self.store), PlanStore(self.store)]
+        self.plans = [open_plans(self.store), open_plans(self.store)]
         self.held = [Revision(0), Revision(0)]
         self.take_over(0)
 
--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -1,7 +1,7 @@
 """Tests of plans whose writes are lost, late or in conflict."""
 
 import asyncio
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -22,6 +22,7 @@
     ServiceName,
 )
 from zinniaspool.core.storage import KeyWrite, StoreFault
+from zinniaspool.fleet import FleetStore, UnreadableValues
 from zinniaspool.keeper.plans import PlanStore
 
 DOMAIN = FabricDomainId("d0")
@@ -40,6 +41,11 @@
     return DomainPlan(DOMAIN, (record,))
 
 
+def open_plans(store: LossyStore) -> PlanStore:
+    """Return what reads and writes the plans in a store."""
+    return PlanStore(cast(FleetStore, store), UnreadableValues())
+
+
 async def acquire(store: LossyStore, holder: str) -> Revision:
     """Write the holder's key."""
     item = store.items.get(HOLDER_KEY)
@@ -63,7 +69,7 @@
 
     async def test() -> None:
         store = LossyStore()
-        plans = PlanStore(store)  # type: ignore[arg-type]
+        plans = open_plans(store)
         holder = await acquire(store, "n1")
         assert await plans.save(make_plan(1), holder) is None
         store.fates, store.loses_reads = [Fate.LATE, Fate.LATE], loses_reads
@@ -84,7 +90,7 @@
 
     async def test() -> None:
         store = LossyStore()
-        former, latter = PlanStore(store), PlanStore(store)  # type: ignore[arg-type]
+        former, latter = open_plans(store), open_plans(store)
         before = await acquire(store, "n1")
         assert await former.save(make_plan(1), before) is None
         after = await acquire(store, "n2")
@@ -102,7 +108,7 @@
 
     async def test() -> None:
         store = LossyStore()
-        plans = PlanStore(store)  # type: ignore[arg-type]
+        plans = open_plans(store)
         holder = await acquire(store, "n1")
         store.fates = [Fate.DROPPED] * 7
         with capture_logs() as lines:
--- a/tests/test_unreadable_values.py
+++ b/tests/test_unreadable_values.py
@@ -26,6 +26,7 @@
 from zinniaspool.fleet import FleetStore, FleetView
 from zinniaspool.fleet.metrics import add_fleet_metrics
 from zinniaspool.http import Headers, HttpClient, HttpServer, Request
+from zinniaspool.keeper.plans import PlanStore
 from zinniaspool.peers.frames import FrameDecoder, FrameError
 from zinniaspool.platform import wire
 from zinniaspool.platform.entries import apply_status, decode_instance, decode_status
@@ -391,9 +392,11 @@
         "servers/w-78": b"",
         "zinnia/nodes/n7": b"[]",
         "zinnia/holder": json.dumps({**HOLDER, "peer_address": "x"}).encode(),
+        "zinnia/plans/d1": DEEP,
         "op/config": b"\xff",
     }
     view = FleetView(PlatformCodec())
+    plans = PlanStore(cast(FleetStore, None), view.unreadable)
 
     def write(revision: int, key: str, value: bytes | None) -> None:
         event = MirrorEvent(key, value, Revision(revision))
@@ -403,6 +406,8 @@
         for revision in range(1, 4):
             for key, value in values.items():
                 write(revision, key, value)
+        for _ in range(3):
+            assert plans.load(view.mirror) == []
     logged = [line["key"] for line in lines if "unreadable" in line["event"]]
     assert sorted(logged) == sorted(values)
     assert sum(view.unreadable.counts.values()) == 3 * len(values)
@@ -425,6 +430,7 @@
     write(4, "servers/w-78", json.dumps(INSTANCE).encode())
     write(4, "zinnia/nodes/n7", None)
     write(4, "zinnia/holder", json.dumps(HOLDER).encode())
+    write(4, "zinnia/plans/d1", json.dumps(PLAN).encode())
     assert sorted(view.unreadable.current) == ["op/config", "servers/w-77\n"]
     view.stop_decoding_instances()
     assert list(view.unreadable.current) == ["op/config"]
