A plan under the key of another domain is unreadable

Cause: a plan was adopted for the domain that it names, whatever its key. One of another writer, under any key below the prefix, replaced the holder's plan of that domain at the start of a term.

Change: a plan whose domain isn't its key's can't be used; it is logged, counted and listed as the other unreadable values.

Result: the new test fails before the change (both plans are loaded) and passes after it, as do test_plan_store.py and test_lossy_writes.py.

--- a/src/zinniaspool/keeper/plans.py
+++ b/src/zinniaspool/keeper/plans.py
@@ -6,10 +6,10 @@
 
 import msgspec
 import structlog
-from result import Err
+from result import Err, Result
 
 from zinniaspool.core.decoding import decode_json
-from zinniaspool.core.fleet import HOLDER_KEY, PLANS_PREFIX, StoreMirror
+from zinniaspool.core.fleet import HOLDER_KEY, PLANS_PREFIX, StoredItem, StoreMirror
 from zinniaspool.core.formation import DomainPlan
 from zinniaspool.core.ids import FabricDomainId, Revision
 from zinniaspool.core.storage import KeyWrite, StoreFault
@@ -72,7 +72,7 @@
         self._failed.clear()
         self.update_revisions(mirror)
         for item in mirror.list_by_prefix(PLANS_PREFIX):
-            decoded = decode_json(item.value, DomainPlan)
+            decoded = _decode_plan(item)
             if isinstance(decoded, Err):
                 self._unreadable.reject(ValueKind.PLAN, item.key, decoded.err_value)
                 continue
@@ -155,3 +155,13 @@
         if item is not None and item.value == value:
             return None
         return committed.err_value
+
+
+def _decode_plan(item: StoredItem) -> Result[DomainPlan, str]:
+    """Return the plan of an item, or why it can't be used."""
+    decoded = decode_json(item.value, DomainPlan)
+    if isinstance(decoded, Err):
+        return decoded
+    if PLANS_PREFIX + decoded.ok_value.domain != item.key:
+        return Err("the plan is of another domain than its key")
+    return decoded
--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -9,7 +9,7 @@
 
 from tests.fakes import run_in_loop
 from tests.fleet_simulation import FakePlanStore, SimulatedFleet
-from tests.lossy_store import Fate, LossyStore
+from tests.lossy_store import Fate, LossyStore, PendingWrite
 from tests.virtual_time import run_in_virtual_time
 from zinniaspool.core.fleet import HOLDER_KEY, PLANS_PREFIX, InstanceId
 from zinniaspool.core.formation import DomainPlan, GroupRecord
@@ -22,8 +22,9 @@
     ServiceName,
 )
 from zinniaspool.core.storage import KeyWrite, StoreFault
-from zinniaspool.fleet import FleetStore, UnreadableValues
+from zinniaspool.fleet import FleetStore, FleetView, UnreadableValues
 from zinniaspool.keeper.plans import PlanStore
+from zinniaspool.platform.spelling import PlatformCodec
 
 DOMAIN = FabricDomainId("d0")
 KEY = PLANS_PREFIX + DOMAIN
@@ -85,6 +86,19 @@
     run_in_loop(test)
 
 
+def test_a_plan_under_another_domains_key_is_unreadable() -> None:
+    """Guards against a plan of another writer that replaces the holder's."""
+    store, view = LossyStore(), FleetView(PlatformCodec())
+    plans = PlanStore(cast(FleetStore, store), view.unreadable)
+    foreign = PLANS_PREFIX + "d9"
+    for key, number in ((KEY, 1), (foreign, 2)):
+        value = msgspec.json.encode(make_plan(number))
+        store.apply(PendingWrite((), (KeyWrite(key, value),), ()))
+    view.mirror.replace(list(store.items.values()), Revision(store.revision), 0.0)
+    assert plans.load(view.mirror) == [make_plan(1)]
+    assert list(view.unreadable.current) == [foreign]
+
+
 def test_a_former_holder_does_not_replace_its_successors_plan() -> None:
     """Guards against a revision that is taken over from another holder."""
 
