Rules with numbers that make no sense are refused

Cause: most numbers of the operator's rules were accepted at any size and sign. With no slots, a group of no VMs or no prompt tokens a second, each pass of the planner or each update of the targets raised; a negative time, size or weight made forecasts negative, requests of a route fail, or all requests refused as too slow; with 1e15 loads a second a new holder counted 5e15 loads one by one, which doesn't end.

Change: each number has a range. Rules with one outside it can't be used: they are logged, counted and listed, and the former rules stay in force. A zero that means none or no limit is accepted as before. Loads are counted up to 100,000 in a window, so that a huge rate still means no limit.

--- a/src/zinniaspool/core/formation/loads.py
+++ b/src/zinniaspool/core/formation/loads.py
@@ -8,6 +8,9 @@
 """Part of the concurrent loads, and of the rate, that background loads may
 use. The rest stays for groups that callers wait for."""
 
+MAX_COUNTED_LOADS = 100_000
+"""Most loads that are counted in a window, each by itself."""
+
 _NO_LIMIT = 1 << 30
 """A number of loads greater than any fleet starts."""
 
@@ -33,7 +36,7 @@
         unlimited_until: float,
     ) -> None:
         self._unlimited_until = unlimited_until
-        self._max_started = max(1, int(loads_per_s * window_s))
+        self._max_started = max(1, int(min(MAX_COUNTED_LOADS, loads_per_s * window_s)))
         self._loads_at_once = max(1, loads_at_once)
         self._window_s = window_s
         self._started_at: deque[float] = deque()
--- a/src/zinniaspool/platform/rules.py
+++ b/src/zinniaspool/platform/rules.py
@@ -24,8 +24,13 @@
 
 RULES_KEY = "op/config"
 
+MIN_NUMBER = 1e-9
 MAX_NUMBER = 1e15
-"""Largest amount of a route. A text may also spell an infinite one."""
+"""Smallest and largest amount that isn't zero. Results of those beyond may be
+infinite, and a text may also spell an infinite one."""
+
+MAX_GROUP_SIZE = 10_000
+"""Most VMs of a group: more than any fleet has."""
 
 MIN_CALLER_TIMEOUT_S = 2.0
 CALLER_TIMEOUT_OBJECTIVES = 4.0
@@ -35,14 +40,16 @@
 longest pause that is on time."""
 
 
-_Amount = Annotated[float, msgspec.Meta(ge=0)]
-_Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Positive = Annotated[float, msgspec.Meta(ge=MIN_NUMBER, le=MAX_NUMBER)]
 _Integer = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 
 
 class _Weighted(msgspec.Struct):
     service: str
-    weight: _Number = 0.0
+    weight: _Amount = 0.0
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -50,9 +57,9 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: _Number
+    timeout_ms: _Positive
     # The latency objective; of a stream, until its first event.
-    target_latency_ms: _Number = 0.0
+    target_latency_ms: _Amount = 0.0
     priority: _Integer = 5
     service: str = ""
     # Replaces `service` where several services share the route's requests.
@@ -63,16 +70,16 @@
     sticky_sessions: bool = False
     stream_resume: bool = False
     # Longest pause between events that is on time.
-    gap_aim_ms: _Number = 0.0
+    gap_aim_ms: _Amount = 0.0
 
 
 class _Model(msgspec.Struct, rename="kebab"):
     name: str
-    size: _Integer = 1
-    share: float = 0.0
-    pace: float = 1.0
-    load_s: float = 0.0
-    warm_s: float = 0.0
+    size: Annotated[int, msgspec.Meta(ge=1, le=MAX_GROUP_SIZE)] = 1
+    share: _Amount = 0.0
+    pace: _Positive = 1.0
+    load_s: _Amount = 0.0
+    warm_s: _Amount = 0.0
 
 
 DEFAULT_STEP_MS = 1.0
@@ -80,17 +87,17 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: _Integer = 1
+    slots: _PositiveCount = 1
     models: list[_Model] = []
-    stride: _Integer = 1
-    step_ms: float | None = None
-    per_seq_ms: float = 0.0
-    read_per_s: float = 1e6
-    chunk: _Integer = 2048
-    loads_per_s: float = msgspec.field(default=1.0, name="loads-per-s")
-    loads_at_once: _Integer = 1
-    form_ms: float = msgspec.field(default=0.0, name="form-ms")
-    keeps: _Integer = 1
+    stride: _PositiveCount = 1
+    step_ms: _Amount | None = None
+    per_seq_ms: _Amount = 0.0
+    read_per_s: _Positive = 1e6
+    chunk: _Count = 2048
+    loads_per_s: _Amount = msgspec.field(default=1.0, name="loads-per-s")
+    loads_at_once: _Count = 1
+    form_ms: _Amount = msgspec.field(default=0.0, name="form-ms")
+    keeps: _Count = 1
 
 
 class _Service(msgspec.Struct, rename="kebab"):
@@ -103,10 +110,10 @@
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    max_header_bytes: _Integer = 16384
-    max_body_bytes: _Integer = 4194304
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: _PositiveCount = 16384
+    max_body_bytes: _Count = 4194304
+    header_timeout_ms: _Positive = 3000.0
+    idle_timeout_ms: _Amount = 15000.0
 
 
 class _Tenant(msgspec.Struct, rename="kebab"):
