Tests: the demand task fails once; no supervised task lacks such a test

The demand task runs only where capacity is divided, which no test of failing tasks set. An installation of the tests can divide it now.

A new test compares the names of the supervised tasks in the sources with those that the tests let fail. The cases of the control process name their tasks for that, and are otherwise as before.

Result: with the task not supervised the new case fails; without its line the comparison does. test_supervised_tasks.py passes.

--- a/tests/installation.py
+++ b/tests/installation.py
@@ -105,6 +105,7 @@
     grace_s = 3.0
     retry_window_s = 10.0
     retry_slack = 100.0
+    divides_capacity = False
 
     def __init__(self) -> None:
         super().__init__()
@@ -149,7 +150,8 @@
             5.0,
             retains_instances=self.retains_instances,
         )
-        gateway, keeper = make_gateway(file), make_controller(file)
+        gateway = make_gateway(file, divides_capacity=self.divides_capacity)
+        keeper = make_controller(file)
         context = contextvars.copy_context()
         context.run(CURRENT_VM.set, name)
         tasks = [
--- a/tests/test_supervised_tasks.py
+++ b/tests/test_supervised_tasks.py
@@ -1,12 +1,15 @@
 """Tasks that fail once and are started again: their work goes on."""
 
+import ast
 import asyncio
 from collections.abc import Callable
 from functools import partial
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+import zinniaspool
 from tests.installation import Installation, eventually
 from zinniaspool.core.fleet import HELD_PREFIX, HOLDER_KEY, NODES_PREFIX
 from zinniaspool.keeper import holder
@@ -56,7 +59,15 @@
     "prober": (lambda gateway: gateway._reachability, "choose_probes"),
     "records": (lambda gateway: gateway._quarantine_records, "_write"),
     "crash_history": (lambda gateway: gateway._peer_exchange, "request"),
+    "demand": (lambda gateway: gateway._admission_queues, "make_digest"),
 }
+CONTROL_TASKS: list[tuple[str, Callable[[Any], Any], str]] = [
+    ("follower", lambda keeper: keeper._follower, "_follow_peers"),
+    ("election", lambda keeper: keeper._election, "_is_vacant"),
+    ("holder", lambda keeper: keeper._holder, "_restore"),
+    ("holder", lambda keeper: keeper._holder.retainer, "take_over"),
+    ("holder", lambda keeper: keeper._fleet_view, "start_decoding_instances"),
+]
 
 
 @pytest.mark.parametrize("task", ENTRY_TASKS)
@@ -75,8 +86,11 @@
             if task == "records":
                 node.gateway._quarantine_records.add("c:1", found_here=True)
 
-        SmallInstallation.prepare = staticmethod(prepare)
-        async with SmallInstallation.running(nodes=2, engines=5) as made:
+        class Made(SmallInstallation):
+            divides_capacity = task == "demand"
+
+        Made.prepare = staticmethod(prepare)
+        async with Made.running(nodes=2, engines=5) as made:
             if task == "records":
                 # One of the processes writes the record for both.
                 await eventually(partial(made.store.get, HELD_PREFIX + "c:1"))
@@ -93,18 +107,9 @@
     asyncio.run(test())
 
 
-@pytest.mark.parametrize(
-    "find",
-    [
-        lambda keeper: (keeper._follower, "_follow_peers"),
-        lambda keeper: (keeper._election, "_is_vacant"),
-        lambda keeper: (keeper._holder, "_restore"),
-        lambda keeper: (keeper._holder.retainer, "take_over"),
-        lambda keeper: (keeper._fleet_view, "start_decoding_instances"),
-    ],
-)
+@pytest.mark.parametrize(("task", "find", "method"), CONTROL_TASKS)
 def test_a_control_process_s_task_goes_on_after_a_failure(
-    find: Callable[[Any], tuple[Any, str]],
+    task: str, find: Callable[[Any], Any], method: str
 ) -> None:
     """Guards against a process that keeps the key and doesn't plan."""
 
@@ -112,7 +117,7 @@
         failing: list[FailingOnce] = []
 
         def prepare(node: Any) -> None:
-            failing.append(FailingOnce(*find(node.keeper)))
+            failing.append(FailingOnce(find(node.keeper), method))
 
         SmallInstallation.prepare = staticmethod(prepare)
         async with SmallInstallation.running(nodes=1, engines=5) as made:
@@ -123,6 +128,26 @@
     asyncio.run(test())
 
 
+def list_supervised(program: str) -> set[str]:
+    """Return the names of the tasks that a program's modules supervise."""
+    folder = Path(zinniaspool.__path__[0]) / program
+    calls = [
+        node
+        for path in folder.rglob("*.py")
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8")))
+        if isinstance(node, ast.Call) and "run_supervised" in ast.unparse(node.func)
+    ]
+    return {ast.literal_eval(call.args[0]) for call in calls}
+
+
+def test_each_supervised_task_has_a_test_of_its_failure() -> None:
+    """Guards against a new task that nobody has seen failing."""
+    assert list_supervised("gateway") == set(ENTRY_TASKS)
+    assert list_supervised("keeper") == {task for task, _, _ in CONTROL_TASKS}
+    everywhere = set(ENTRY_TASKS) | {task for task, _, _ in CONTROL_TASKS}
+    assert list_supervised("") == everywhere
+
+
 class FirstHolder:
     """Replaces a method at the process that plans first, and at no other.
 
