--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -1,7 +1,7 @@
 """Tests of plans whose writes are lost, late or in conflict."""
 
 import asyncio
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -9,7 +9,7 @@
 
 from tests.fakes import run_in_loop
 from tests.fleet_simulation import FakePlanStore, SimulatedFleet
-from tests.lossy_store import Fate, LossyStore
+from tests.lossy_store import Fate, LossyStore, PendingWrite
 from tests.virtual_time import run_in_virtual_time
 from zinniaspool.core.fleet import HOLDER_KEY, PLANS_PREFIX, InstanceId
 from zinniaspool.core.formation import DomainPlan, GroupRecord
@@ -22,7 +22,9 @@
     ServiceName,
 )
 from zinniaspool.core.storage import KeyWrite, StoreFault
+from zinniaspool.fleet import FleetStore, FleetView, UnreadableValues
 from zinniaspool.keeper.plans import PlanStore
+from zinniaspool.platform.spelling import PlatformCodec
 
 DOMAIN = FabricDomainId("d0")
 KEY = PLANS_PREFIX + DOMAIN
@@ -40,6 +42,11 @@
     return DomainPlan(DOMAIN, (record,))
 
 
+def open_plans(store: LossyStore) -> PlanStore:
+    """Return what reads and writes the plans in a store."""
+    return PlanStore(cast(FleetStore, store), UnreadableValues())
+
+
 async def acquire(store: LossyStore, holder: str) -> Revision:
     """Write the holder's key."""
     item = store.items.get(HOLDER_KEY)
@@ -63,7 +70,7 @@
 
     async def test() -> None:
         store = LossyStore()
-        plans = PlanStore(store)  # type: ignore[arg-type]
+        plans = open_plans(store)
         holder = await acquire(store, "n1")
         assert await plans.save(make_plan(1), holder) is None
         store.fates, store.loses_reads = [Fate.LATE, Fate.LATE], loses_reads
@@ -79,12 +86,25 @@
     run_in_loop(test)
 
 
+def test_a_plan_under_another_domains_key_is_unreadable() -> None:
+    """Guards against a plan of another writer that replaces the holder's."""
+    store, view = LossyStore(), FleetView(PlatformCodec())
+    plans = PlanStore(cast(FleetStore, store), view.unreadable)
+    foreign = PLANS_PREFIX + "d9"
+    for key, number in ((KEY, 1), (foreign, 2)):
+        value = msgspec.json.encode(make_plan(number))
+        store.apply(PendingWrite((), (KeyWrite(key, value),), ()))
+    view.mirror.replace(list(store.items.values()), Revision(store.revision), 0.0)
+    assert plans.load(view.mirror) == [make_plan(1)]
+    assert list(view.unreadable.current) == [foreign]
+
+
 def test_a_former_holder_does_not_replace_its_successors_plan() -> None:
     """Guards against a revision that is taken over from another holder."""
 
     async def test() -> None:
         store = LossyStore()
-        former, latter = PlanStore(store), PlanStore(store)  # type: ignore[arg-type]
+        former, latter = open_plans(store), open_plans(store)
         before = await acquire(store, "n1")
         assert await former.save(make_plan(1), before) is None
         after = await acquire(store, "n2")
@@ -102,7 +122,7 @@
 
     async def test() -> None:
         store = LossyStore()
-        plans = PlanStore(store)  # type: ignore[arg-type]
+        plans = open_plans(store)
         holder = await acquire(store, "n1")
         store.fates = [Fate.DROPPED] * 7
         with capture_logs() as lines:
