--- /dev/null
+++ b/tests/test_unusual_callers.py
@@ -0,0 +1,87 @@
+"""What a process keeps after callers that aren't like the others."""
+
+import asyncio
+import random
+
+import pytest
+from structlog.testing import capture_logs
+
+from tests.installation import PatientInstallation, run
+from zinniaspool.core.dispatch import AdmissionController, AdmissionRequest, TargetPool
+from zinniaspool.core.dispatch.targets import Target
+from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.ids import (
+    Address,
+    CustomerId,
+    Epoch,
+    FailureDomainId,
+    GroupId,
+    ModelName,
+)
+
+REQUESTS = 10_000
+MODELS = 200
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("deadline_ms", [20_000, 3_600_000])
+def test_a_caller_that_waits_beyond_the_timeout_makes_no_other_late(
+    deadline_ms: int,
+) -> None:
+    """Guards against a route whose callers all count as returned ones."""
+
+    async def check() -> None:
+        async with PatientInstallation.running(nodes=1, engines=5) as made:
+            made.deadline_s = 8.0
+            made.configure()
+            await made.settle()
+            await made.draft("n0", "small", 5, deadline_ms=deadline_ms)
+            with capture_logs() as lines:
+                await asyncio.gather(
+                    *(made.draft("n0", "small", 5, deadline_ms=8000) for _ in range(4))
+                )
+            ended = [line for line in lines if line["event"] == "request-ended"]
+            assert [line["late"] for line in ended] == [False] * 4
+
+    run(check)
+
+
+@pytest.mark.processes
+def test_models_that_no_configuration_names_are_not_kept() -> None:
+    """Guards against checks that take longer with each unknown name."""
+
+    async def check() -> None:
+        async with PatientInstallation.running(nodes=1, engines=5) as made:
+            made.configure()
+            await made.settle()
+            index = made.nodes["n0"].gateway._index
+            before = len(index.list_pools())
+            for number in range(MODELS):
+                answer = await made.draft("n0", f"unknown-{number}", 1)
+                assert answer.status == 503
+            assert len(index.list_pools()) < before + MODELS / 2
+
+    run(check)
+
+
+def test_a_process_that_refuses_nobody_keeps_no_times_of_requests() -> None:
+    """Guards against memory that grows until the first refusal."""
+    pool = TargetPool(FailureDomainId("hall-a"), random.Random(7))
+    head = Target(
+        InstanceId("i-0"),
+        Address("10.0.0.1:80"),
+        FailureDomainId("hall-a"),
+        8,
+        ModelName("small"),
+        GroupId("g1"),
+        Epoch(1),
+    )
+    pool.update([head], 0.0)
+    controller = AdmissionController(pool, random.Random(7))
+    for number in range(REQUESTS):
+        now = number / 10
+        request = AdmissionRequest(CustomerId("care"), 1, now + 0.4, now + 8.0)
+        controller.submit(request, now)
+        controller.admit_waiting(now)
+        controller.estimate_demand(now)
+    assert len(controller._on_time_begun) < REQUESTS / 10
