Stops: a slow reader is not taken for a silent upstream

What callers saw: after one caller had left its stream unread for 2.4 s, a stopping VM refused a stream of 3.1 s with 4.75 s left, for up to 300 s.

Cause: the time of the last event was taken before the events were written, so that the wait for a slow reader counted as a pause of the upstream, which new streams then reserved.

Change: a pause begins when the events have been written, and the time in which they wait for a reader isn't part of the stream's writing time.

Evidence: found by a review; test_a_slow_reader_is_not_taken_for_a_silent_upstream failed before (503) and passes now.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -73,6 +73,8 @@
         has_event: Whether it has had an event.
         writing_since: Time of its first event.
         event_reads: Reads of its events.
+        blocked_s: Time in which events waited for the caller to read, in
+            seconds.
         is_answer: Whether it counts as answered: it is complete, or goes on
             for long enough.
         unanswered_out_of_subset: Whether its target is out of this process's
@@ -95,6 +97,7 @@
     has_event: bool = False
     writing_since: float = 0.0
     event_reads: int = 0
+    blocked_s: float = 0.0
     is_answer: bool = False
     unanswered_out_of_subset: bool = False
 
@@ -157,7 +160,8 @@
         first_byte_s: Time from its arrival to the first byte that went to the
             caller, in seconds.
         last_event_at: Time at which the newest event went to the caller.
-        longest_pause_s: Longest pause between two events, in seconds.
+        last_event_at: Time at which the last events had been written to it.
+        longest_pause_s: Longest pause until the next events, in seconds.
         late: Whether it was admitted although its answer will be late.
         urgency: Urgency that is sent to upstreams, 0 is the most urgent; None
             to send none.
@@ -275,7 +279,7 @@
             return None
         return StreamTiming(
             leader.event_reads,
-            self.last_event_at - leader.writing_since,
+            self.last_event_at - leader.writing_since - leader.blocked_s,
             self.longest_pause_s,
             tokens_per_pass,
             self.terms.max_output_tokens,
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -323,7 +323,6 @@
             else:
                 pause_s = now - call.last_event_at
                 call.longest_pause_s = max(call.longest_pause_s, pause_s)
-            call.last_event_at = now
             call.last_event_id = attempt.cursor.last_id
             await self._write_events(attempt, events.ok_value)
         return await self._end_stream(attempt, response)
@@ -335,14 +334,17 @@
         stream counts as blocked for this time, since the target would
         otherwise be considered stalled.
         """
-        state = attempt.state
+        state, loop = attempt.state, asyncio.get_running_loop()
+        began_at = loop.time()
         state.blocked_streams += 1
         try:
             with CALLER_SIDE:
                 await attempt.call.exchange.write(data)
         finally:
+            now = loop.time()
             state.blocked_streams -= 1
-            state.last_event_at = asyncio.get_running_loop().time()
+            attempt.blocked_s += now - began_at
+            attempt.call.last_event_at = state.last_event_at = now
 
     def _record_first_event(self, attempt: GatewayAttempt, now: float) -> None:
         call, state = attempt.call, attempt.state
