Stops: the length of a stream that states none isn't taken for short

Such a stream was predicted to need what 95 in 100 recent answers of its route took, or of the other routes of its service if its own had none; and the id of the last event was taken for a count of tokens.

Change: the longest length of 128 recent streams of its route or more counts, with a quarter more, at the recent time of a token; before that it is refused unless its deadline ends it. How many tokens an id has is measured on streams that were seen from their start; without any, a resumed stream may need its whole length. A call without a stream is never predicted to take less than twice its route's objective by the answers of other routes alone.

--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -61,6 +61,8 @@
         longest_pause_s: Longest pause between two of them, in seconds.
         tokens_per_pass: Tokens that a pass yields.
         allowed_tokens: Tokens that the stream could have had; 0 if unknown.
+        last_id: Id of its last event; 0 if unknown, or if the ids of the
+            events don't show how many there were.
     """
 
     passes: int
@@ -68,6 +70,7 @@
     longest_pause_s: float
     tokens_per_pass: int
     allowed_tokens: int
+    last_id: int = 0
 
     @property
     def token_s(self) -> float | None:
@@ -80,12 +83,17 @@
         writing_s = max(0.0, self.writing_s - self.longest_pause_s)
         return writing_s / (self.passes - 2) / self.tokens_per_pass
 
+    @property
+    def tokens(self) -> int:
+        """Tokens that it had."""
+        return self.passes * self.tokens_per_pass
+
     @property
     def written_part(self) -> float:
         """Part of the allowed tokens that it had, at most 1."""
         if not self.allowed_tokens:
             return 1.0
-        return min(1.0, self.passes * self.tokens_per_pass / self.allowed_tokens)
+        return min(1.0, self.tokens / self.allowed_tokens)
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +162,22 @@
             return None
         return allowed_tokens * self._find_longest_part(now) * token_s
 
+    def predict_longest_length(self, now: float) -> int | None:
+        """Return the most tokens of a stream that states no length.
+
+        Returns:
+            None if too few streams are known.
+        """
+        lengths = [stream.tokens for stream in self._list_streams(now)]
+        if len(lengths) < MIN_LENGTHS:
+            return None
+        return math.ceil(max(lengths) * LENGTH_FACTOR)
+
+    def measure_id_tokens(self, now: float) -> float:
+        """Return how many tokens an id of an event has; 0 if unknown."""
+        streams = [stream for stream in self._list_streams(now) if stream.last_id]
+        return median([one.tokens / one.last_id for one in streams] or [0.0])
+
     def predict_usual_writing(
         self, allowed_tokens: int, written_tokens: int, now: float
     ) -> float | None:
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -277,12 +277,14 @@
         leader = self.leader
         if leader is None or not leader.has_event:
             return None
+        is_from_start = leader.number == 1 and self.terms.resume_after is None
         return StreamTiming(
             leader.event_reads,
             self.last_event_at - leader.writing_since - leader.blocked_s,
             self.longest_pause_s,
             tokens_per_pass,
             self.terms.max_output_tokens,
+            (self.last_event_id or 0) if is_from_start else 0,
         )
 
     def compute_wanted_event_time(self, now: float) -> float | None:
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -186,7 +186,7 @@
         if call.progress is Progress.NOTHING:
             writing_s = self._predict_longest_writing(call, pool, now)
         else:
-            writing_s = self._predict_usual_writing(call, pool, call.last_event_id, now)
+            writing_s = self._predict_usual_writing(call, call.last_event_id, now)
         if writing_s is None:
             return True
         needed_s = _predict_first_event(call, pool, now) + writing_s
@@ -205,9 +205,8 @@
         """
         if not _may_be_cut(call):
             return False
-        pool = self._index.find_pool(call.service, call.terms.model)
         now = asyncio.get_running_loop().time()
-        writing_s = self._predict_usual_writing(call, pool, last_event_id, now)
+        writing_s = self._predict_usual_writing(call, last_event_id, now)
         return writing_s is not None and now + writing_s > self._clock.ends_at
 
     def _predict_longest(
@@ -216,14 +215,13 @@
         of_route, of_service = self._find_forecasts(call)
         running = self._list_running_streams(call)
         pause_s = max((stream.longest_pause_s for stream in running), default=0.0)
-        if not _has_known_length(call):
+        if call.route.kind is not RequestKind.STREAM and not _has_known_length(call):
             longest_s = of_route.predict_longest_call(now)
             if longest_s is None:
-                longest_s = of_service.predict_longest_call(now)
-            if longest_s is None and call.route.kind is not RequestKind.STREAM:
-                longest_s = UNKNOWN_CALL_FACTOR * call.route.objective_s
-            if longest_s is None:
-                return None
+                longest_s = max(
+                    of_service.predict_longest_call(now) or 0.0,
+                    UNKNOWN_CALL_FACTOR * call.route.objective_s,
+                )
             return longest_s + of_service.predict_reserve(0.0, pause_s, now)
         writing_s = self._predict_longest_writing(call, pool, now)
         if writing_s is None:
@@ -238,9 +236,11 @@
         self, call: GatewayCall, pool: TargetPool, now: float
     ) -> float | None:
         """Return the longest time of what is left of a stream, in seconds."""
-        if not _has_known_length(call):
-            return None
         of_route, of_service = self._find_forecasts(call)
+        allowed_tokens = call.terms.max_output_tokens
+        allowed_tokens = allowed_tokens or of_route.predict_longest_length(now) or 0
+        if not allowed_tokens:
+            return None
         running = self._list_running_streams(call)
         running_token_s = [stream.token_s or 0.0 for stream in running]
         other_token_s = max(of_service.measure_token_time(now), *running_token_s, 0.0)
@@ -249,26 +249,21 @@
                 (pool.predict_token_time(one) for one in pool.list_eligible(now)),
                 default=0.0,
             )
-        left_tokens, last_event_id = call.terms.max_output_tokens, call.last_event_id
-        if last_event_id is not None and last_event_id < left_tokens:
-            # An event has one token at least.
-            left_tokens -= last_event_id
+        written = int((call.last_event_id or 0) * of_route.measure_id_tokens(now))
+        if written < allowed_tokens:
+            allowed_tokens -= written
         return of_route.predict_longest_writing(
-            left_tokens, other_token_s or call.route.max_pause_s or 0.0, now
+            allowed_tokens, other_token_s or call.route.max_pause_s or 0.0, now
         )
 
     def _predict_usual_writing(
-        self,
-        call: GatewayCall,
-        pool: TargetPool,
-        last_event_id: int | None,
-        now: float,
+        self, call: GatewayCall, last_event_id: int | None, now: float
     ) -> float | None:
         """Return the usual time of a stream after an event, in seconds."""
         if not _has_known_length(call):
             return None
-        written = (last_event_id or 0) * pool.forecast.timing.tokens_per_pass
         of_route, _ = self._find_forecasts(call)
+        written = int((last_event_id or 0) * of_route.measure_id_tokens(now))
         return of_route.predict_usual_writing(
             call.terms.max_output_tokens, written, now
         )
--- a/tests/test_stop_durations.py
+++ b/tests/test_stop_durations.py
@@ -55,6 +55,29 @@
     assert _predict(forecast, 140, running) >= 140 * 0.045
 
 
+def test_a_length_that_is_not_stated_is_unknown_after_a_few_streams() -> None:
+    """Guards against a long stream accepted as if it were as short as most."""
+    forecast = DurationForecast()
+    for _ in range(100):
+        forecast.record(_answer(0, written=10))
+    assert forecast.predict_longest_length(0.0) is None
+    forecast.record(_answer(0, written=150))
+    for _ in range(60):
+        forecast.record(_answer(0, written=10))
+    length = forecast.predict_longest_length(0.0)
+    assert length is not None and 150 < length < 200
+
+
+def test_an_id_stands_for_as_many_tokens_as_it_did() -> None:
+    """Guards against ids that rise in steps and are taken for tokens."""
+    forecast = DurationForecast()
+    assert forecast.measure_id_tokens(0.0) == 0.0
+    for last_id in (500, 500, 0, 250):
+        stream = StreamTiming(20, 2.0, 0.1, _PASS_TOKENS, 200, last_id)
+        forecast.record(AnswerTiming(0.0, 2.0, stream))
+    assert forecast.measure_id_tokens(0.0) == 0.2
+
+
 def test_a_pause_counts_once_whatever_the_length() -> None:
     """Guards against a silent second that makes long streams seem endless."""
     forecast = DurationForecast()
