Tests: quarantine records of ended processes; late removals are found

Change: a process of the machine can end without a word. Processes that know of an answer of the last minute remove it earlier, as test_a_record_of_a_just_answered_content_is_removed has shown before. A rule removes a known record without an answer.

--- a/src/zinniaspool/gateway/records.py
+++ b/src/zinniaspool/gateway/records.py
@@ -43,6 +43,10 @@
     after the record was removed. So the lease of a record is ended once its
     trait is released, and no write under it can be applied from then on.
 
+    A process that ends before it has an answer can't do that. A record that it
+    leaves expires with the lease, whose lifetime is that of the quarantine. A
+    process that knows of a recent answer to the trait removes it at once.
+
     Args:
         node: This process's VM.
         fleet_view: Has the traits that are recorded.
--- a/tests/lossy_store.py
+++ b/tests/lossy_store.py
@@ -46,6 +46,7 @@
         loses_reads: Whether reads and ends of leases are not answered.
         pending: The writes that may still be done.
         leases: The keys under each lease that has not ended.
+        lifetimes: The lifetime of each lease, in seconds.
         history: All items that were ever written.
     """
 
@@ -55,6 +56,7 @@
     revision: int = 0
     pending: list[PendingWrite] = field(default_factory=list)
     leases: dict[LeaseNumber, set[str]] = field(default_factory=dict)
+    lifetimes: dict[LeaseNumber, float] = field(default_factory=dict)
     history: list[StoredItem] = field(default_factory=list)
     calls: Counter[tuple[StoreCall, str]] = field(default_factory=Counter)
     _granted: int = 0
@@ -87,6 +89,7 @@
         self._granted += 1
         lease = LeaseNumber(self._granted)
         self.leases[lease] = set()
+        self.lifetimes[lease] = ttl_s
         return Ok(lease)
 
     async def renew(self, lease: LeaseNumber) -> Result[None, StoreFault]:
--- a/tests/test_lossy_writes.py
+++ b/tests/test_lossy_writes.py
@@ -17,7 +17,7 @@
 
 from tests.lossy_store import Fate, LossyStore
 from tests.test_plan_store import KEY, make_plan, open_plans
-from zinniaspool.core.dispatch import Quarantine
+from zinniaspool.core.dispatch import Quarantine, find_terms
 from zinniaspool.core.fleet import (
     HELD_PREFIX,
     HOLDER_KEY,
@@ -26,7 +26,7 @@
 )
 from zinniaspool.core.formation import DomainPlan
 from zinniaspool.core.ids import Address, NodeId, Revision, TraitId
-from zinniaspool.core.storage import KeyWrite
+from zinniaspool.core.storage import KeyWrite, LeaseNumber
 from zinniaspool.fleet import FleetView, HolderHeartbeat, OwnRecord, RenewedLease
 from zinniaspool.gateway.records import QuarantineRecordStore
 from zinniaspool.keeper.election import HolderElection
@@ -265,19 +265,30 @@
 
 
 class QuarantineWriters(LossyWriters):
-    """No late write brings back a removed record or removes a newer one."""
+    """No late write brings back a removed record or removes a newer one.
+
+    A process that ended can't end its leases. A record that it left expires
+    with one of them.
+    """
 
     @initialize()
     def begin(self) -> None:
         self.kept: StoredItem | None = None
         self.is_released = False
-        self.views = [FleetView(PlatformCodec()), FleetView(PlatformCodec())]
-        self.records = [
-            QuarantineRecordStore(NodeId(f"n{number}"), view, self.store, Quarantine())
-            for number, view in enumerate(self.views)
-        ]
-        for view, records in zip(self.views, self.records, strict=True):
-            view.on_quarantine.append(partial(self._cancel, records))
+        self.left: set[LeaseNumber] = set()
+        self.views: dict[int, FleetView] = {}
+        self.records: dict[int, QuarantineRecordStore] = {}
+        for number in range(2):
+            self.start(number)
+
+    def start(self, process: int) -> None:
+        """Start a process, which reads the store."""
+        view = self.views[process] = FleetView(PlatformCodec())
+        records = self.records[process] = QuarantineRecordStore(
+            NodeId(f"n{process}"), view, self.store, Quarantine()
+        )
+        view.on_quarantine.append(partial(self._cancel, records))
+        self.follow(process)
 
     @staticmethod
     def _cancel(
@@ -285,6 +296,21 @@
     ) -> None:
         records.cancel_writes(gone)
 
+    @rule(process=PROCESSES)
+    def crash(self, process: int) -> None:
+        """End a process without a word, and start it anew."""
+        records = self.records[process]
+        self.left.update(records._leases.values(), records._ending)
+        self.start(process)
+
+    @rule()
+    def expire_left(self) -> None:
+        """End the leases that nobody renews."""
+        for lease in self.left & self.store.leases.keys():
+            if TRAIT_KEY in self.store.leases[lease]:
+                self.kept = None
+            self.store.expire(lease)
+
     @rule(process=PROCESSES, fate=FATES)
     def add(self, process: int, fate: Fate) -> None:
         self.is_released = False
@@ -310,6 +336,13 @@
 
         self.run_call(remove(), fate)
 
+    @precondition(lambda self: TRAIT_KEY in self.store.items)
+    @rule(process=PROCESSES)
+    def remove_late(self, process: int) -> None:
+        """Have a process remove a record that it knows, and get no answer."""
+        self.follow(process)
+        self.remove(process, Fate.LATE)
+
     @rule(process=PROCESSES)
     def follow(self, process: int) -> None:
         self.sync(self.views[process])
@@ -335,8 +368,11 @@
 
     @invariant()
     def a_released_trait_has_no_record(self) -> None:
-        if getattr(self, "is_released", False):
-            assert TRAIT_KEY not in self.store.items
+        if getattr(self, "is_released", False) and TRAIT_KEY in self.store.items:
+            found = [
+                lease for lease, keys in self.store.leases.items() if TRAIT_KEY in keys
+            ]
+            assert found and self.left.issuperset(found)
 
     @invariant()
     def a_newer_record_stays(self) -> None:
@@ -379,3 +415,24 @@
     writers.apply_late(0)
     writers.a_newer_record_stays()
     writers.teardown()
+
+
+def test_a_record_that_an_ended_process_left_expires() -> None:
+    """Guards against refusals of a released trait that never end.
+
+    The process ends before it has an answer to its write, which is done after
+    the trait was released. Nobody else can end its lease.
+    """
+    writers = QuarantineWriters()
+    writers.begin()
+    writers.add(0, Fate.LATE)
+    writers.crash(0)
+    writers.release_while_the_store_is_sound(1)
+    writers.apply_late(0)
+    writers.a_released_trait_has_no_record()
+    assert TRAIT_KEY in writers.store.items
+    lifetimes = {writers.store.lifetimes[lease] for lease in writers.left}
+    assert lifetimes == {find_terms(TRAIT).hold_s}
+    writers.expire_left()
+    assert TRAIT_KEY not in writers.store.items
+    writers.teardown()
