A holder that acquires its key again reads the plans again

Cause: a process that is suspended loses the key to another one. If that one ends, the process may acquire the key again before its planner, which looks every 0.25 s and not at all while it queries the engines at its start, has noticed that the key was lost. The planner then took the key's other revision for a restored store: it wrote its own former plans over those of the holder between and gave orders by them.

Change: a key that has another revision of the same generation ends the term, and the next one begins at once with the plans in the store. The revision is known from before the plans are read, so that a change during the start is noticed too.

Result: the new test, with the change during the start and later, fails before (the plans are read once) and passes after it. test_plan_store.py, test_restored_store.py, test_election.py, test_retention.py, test_entry_queries.py, test_installation_store.py, test_suspicion.py and test_verdicts.py pass. Not played with real processes.

--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -25,7 +25,7 @@
 from zinniaspool.core.formation.lifecycle import GroupRun
 from zinniaspool.core.formation.planner import PhaseTransition
 from zinniaspool.core.formation.slowness import SLOW_VM, SlowVms
-from zinniaspool.core.generations import MAX_EPOCH, find_lowest_epoch
+from zinniaspool.core.generations import MAX_EPOCH, find_generation, find_lowest_epoch
 from zinniaspool.core.ids import Epoch, FabricDomainId, ModelName, NodeId, ServiceName
 from zinniaspool.fleet import FleetView
 from zinniaspool.keeper.election import HolderElection
@@ -305,6 +305,7 @@
         )
         self._planner = planner
         self._unsaved.clear()
+        revision = self._election.revision
         await self._await_mirror()
         self._restore(planner)
         await self.retainer.run_beside(self._await_upstreams())
@@ -312,7 +313,6 @@
         planner.defer_formation(self._loads_unlimited_until - FORMATION_LEAD_S)
         # Until another process takes over, the plans in memory are the newest;
         # those in the store may be from before an outage.
-        revision = self._election.revision
         while self._election.holds_key:
             self._progress += 1
             self._changed.clear()
@@ -320,7 +320,11 @@
                 await asyncio.sleep(NOT_ALLOWED_PAUSE_S)
                 continue
             if self._election.revision != revision:
-                revision = self._election.revision
+                former, revision = revision, self._election.revision
+                if find_generation(former) == find_generation(revision):
+                    # The key was lost meanwhile, and the plans in memory may
+                    # have been replaced.
+                    return
                 self._handle_restored_store(planner)
             catalog = self._fleet_view.catalog
             assert catalog is not None
--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -202,3 +202,46 @@
         fleet.stop()
 
     run_in_virtual_time(test)
+
+
+@pytest.mark.parametrize("is_starting", [False, True])
+def test_a_holder_that_acquires_its_key_again_reads_the_plans_again(
+    *, is_starting: bool
+) -> None:
+    """Guards against orders of plans that another holder has replaced.
+
+    A process that is suspended loses the key, and acquires it again before its
+    planner has noticed.
+    """
+
+    async def test() -> None:
+        fleet = SimulatedFleet()
+        control = fleet.controls[0]
+        holder: Any = control.holder
+        holder.plans = plans = RecordingPlanStore()
+        resumed = asyncio.Event()
+
+        async def wait(_: object) -> None:
+            await resumed.wait()
+
+        holder._query_all_engines = wait
+        control.election.revision = Revision(1)
+        fleet.take_over(0)
+        await asyncio.sleep(0.5)
+        if not is_starting:
+            resumed.set()
+            await asyncio.sleep(1.0)
+        first = plans.loaded_at
+        assert first is not None
+        fleet.store.put(KEY, msgspec.json.encode(make_plan(1)))
+        written = Revision(len(fleet.store.events))
+        assert written > first
+        await asyncio.sleep(0.5)
+        control.election.revision = written
+        resumed.set()
+        await asyncio.sleep(1.0)
+        assert plans.loaded_at == written
+        assert holder.is_planning
+        fleet.stop()
+
+    run_in_virtual_time(test)
