Peers: no timeout while the own loop stands still

Cause: calls to peers ended at a time of the clock. A process whose loop stood still over that time dropped the answer that had arrived meanwhile, closed the connection, avoided the peer for 0.7 s and took the holder for unresponsive, so that reports of retained instances grew too old.

Change: PeerLinks uses the timeout of connections to upstreams, of which a standstill takes one third at most. It moves to peers/timeouts.py.

Result: the new test, in which the loop stands still for 0.6 s of a call of 0.3 s, has no answer before the change and has it after it; a silent peer is given up before and after. Tests of peers, frames, access, tunnels, relays, elections, retention and entry queries: passed.

--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -9,8 +9,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import AsyncIterator, Callable, Coroutine, Iterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from typing import Any, TypeVar
 
 import structlog
@@ -27,6 +26,7 @@
 from zinniaspool.fleet.belief import FleetView
 from zinniaspool.fleet.races import PathRace
 from zinniaspool.fleet.tunnels import MAX_LAG_S, UnreachedError, open_tunnel
+from zinniaspool.peers import limit_running_time
 
 __all__ = ["UpstreamConnector"]
 
@@ -64,9 +64,6 @@
 """Pause between direct connections that are tried while the path is lost, in
 seconds."""
 
-TIMEOUT_STEPS = 3
-"""Steps in which the time for a connection passes."""
-
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
 
 
@@ -227,7 +224,7 @@
 
         race = PathRace(begin, self._list_paths(address))
         try:
-            async with _limit_running_time(timeout_s):
+            async with limit_running_time(timeout_s):
                 opened = await race.run()
         except (OSError, TimeoutError):
             self._pause_relays(race.begun)
@@ -458,35 +455,3 @@
     def _sample_upstreams(self, other_than: Address | None = None) -> list[Address]:
         known = [one for one in self._list_upstreams() if one != other_than]
         return random.sample(known, min(CHECKED_UPSTREAMS, len(known)))
-
-
-@asynccontextmanager
-async def _limit_running_time(timeout_s: float) -> AsyncIterator[None]:
-    """Time out once the event loop has run for some time.
-
-    While the loop stands still, a connection that has opened isn't noticed.
-    So that doesn't count for more than one step.
-
-    Args:
-        timeout_s: The time, in seconds.
-
-    Raises:
-        TimeoutError: The time is over.
-    """
-    loop = asyncio.get_running_loop()
-    step_s = timeout_s / TIMEOUT_STEPS
-    timer: asyncio.TimerHandle
-    async with asyncio.timeout(None) as limit:
-
-        def begin_step(left: int) -> None:
-            nonlocal timer
-            if left:
-                timer = loop.call_later(step_s, begin_step, left - 1)
-            else:
-                limit.reschedule(loop.time())
-
-        begin_step(TIMEOUT_STEPS)
-        try:
-            yield
-        finally:
-            timer.cancel()
--- a/src/zinniaspool/peers/__init__.py
+++ b/src/zinniaspool/peers/__init__.py
@@ -10,6 +10,7 @@
 )
 from zinniaspool.peers.links import PeerLinks
 from zinniaspool.peers.listener import PeerHandler, PeerListener, TunnelHandler
+from zinniaspool.peers.timeouts import limit_running_time
 
 __all__ = [
     "FrameDecoder",
@@ -20,6 +21,7 @@
     "TunnelHandler",
     "UnknownMessage",
     "encode_frame",
+    "limit_running_time",
     "read_frame",
     "write_frame",
 ]
--- a/src/zinniaspool/peers/links.py
+++ b/src/zinniaspool/peers/links.py
@@ -20,6 +20,7 @@
     read_frame,
     write_frame,
 )
+from zinniaspool.peers.timeouts import limit_running_time
 
 __all__ = ["PeerLinks"]
 
@@ -43,7 +44,8 @@
     Args:
         make_hello: Returns the first message of a connection.
         timeout_s: Longest time in seconds for one call, from opening the
-            connection to sending the message or receiving the response.
+            connection to sending the message or receiving the response. Time
+            for which the event loop stands still counts in part only.
         tls: TLS context of the connections; None for plain TCP.
     """
 
@@ -74,7 +76,7 @@
             Whether the message was sent; it may still get lost.
         """
         try:
-            async with asyncio.timeout(self._timeout_s):
+            async with limit_running_time(self._timeout_s):
                 link = await self._get_link(address, node)
                 self.sent_bytes += write_frame(link.writer, message)
                 await link.writer.drain()
@@ -120,7 +122,7 @@
             does not know.
         """
         try:
-            async with asyncio.timeout(self._timeout_s):
+            async with limit_running_time(self._timeout_s):
                 link = await self._get_link(address, node)
                 response = await self._exchange(link, message)
         except (OSError, TimeoutError, FrameError) as error:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,10 +1,12 @@
 """Peers that break the protocol, peers of other versions, message order."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
+import pytest
 import structlog
 from hypothesis import example, given, settings, strategies as st
 
@@ -190,3 +192,26 @@
         listener.close()
 
     run_in_loop(run)
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_a_delay_of_the_own_loop_is_no_silence_of_a_peer(answers: bool) -> None:
+    """Guards against a busy process that takes its peers for unresponsive."""
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+
+        async def handle(hello: Hello, message: Message) -> Message:
+            loop.call_later(0.05, time.sleep, 0.6)
+            await asyncio.sleep(0.1 if answers else 5.0)
+            return Accepted(7, NodeId("b"))
+
+        listener = PeerListener(NodeId("b"), lambda _: True, handle)
+        address = await listener.listen(Address("127.0.0.1:0"))
+        links = PeerLinks(lambda: _HELLO, 0.3)
+        response = await links.request(address, _HELLO)
+        assert response == (Accepted(7, NodeId("b")) if answers else None)
+        links.close()
+        listener.close()
+
+    run_in_loop(run, 3.0)
