Tests: callers wait in proportion while engines are silent

Cause: in test_no_stream_is_lost_while_engines_are_silent callers wait for 4 s whatever the machine. Streams take 1.3 s without a silence; where a busy machine gives the loop a part of a processor, they take so much longer that their own deadline ends them, and the test counts them as lost.

Change: the same streams are sent without a silence first, and callers wait three times as long as these took, at least 4 s. On a quiet machine (3 x 1.3 s) that is the 4 s of before; the streams, silences and checks are the same.

--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -10,7 +10,13 @@
 import pytest
 from structlog.testing import capture_logs
 
-from tests.installation import Answer, Installation, eventually, run
+from tests.installation import (
+    Answer,
+    Installation,
+    PatientInstallation,
+    eventually,
+    run,
+)
 from zinniaspool.core.dispatch import RetryLimits
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool_standins.runners import Runner
@@ -19,6 +25,11 @@
 EVENTS = 40
 """Events of each stream. They take over a second, and callers wait four."""
 
+CALLER_S = 4.0
+MAX_SLOWDOWN = 3.0
+"""Time for which callers wait, in seconds, and its least ratio to the time of
+streams that no silence delays: on a busy machine these take longer too."""
+
 SILENCES_S = (1.0, 1.4)
 FOUND_S = 0.5
 """Time within which a lost head is found, in seconds."""
@@ -80,20 +91,34 @@
 
 
 def start_streams(
-    made: Installation, count: int, nodes: Sequence[str] = ()
+    made: Installation,
+    count: int,
+    nodes: Sequence[str] = (),
+    deadline_s: float = CALLER_S,
 ) -> list["asyncio.Task[Answer]"]:
     """Begin streams of both models at all VMs."""
     names = list(nodes or made.nodes)
     return [
         asyncio.create_task(
             made.draft(
-                names[number % len(names)], ("large", "small")[number % 2], EVENTS
+                names[number % len(names)],
+                ("large", "small")[number % 2],
+                EVENTS,
+                deadline_ms=round(deadline_s * 1000),
             )
         )
         for number in range(count)
     ]
 
 
+async def measure_deadline(made: Installation) -> float:
+    """Return how long callers wait, in seconds, by undisturbed streams."""
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    await asyncio.gather(*start_streams(made, STREAMS))
+    return max(CALLER_S, MAX_SLOWDOWN * (loop.time() - began_at))
+
+
 def list_lost(answers: Iterable[Answer]) -> list[tuple[int, int]]:
     """Return status and last event of each stream without its whole answer."""
     whole = list(range(1, EVENTS + 1))
@@ -128,9 +153,10 @@
 
     async def test() -> None:
         source = random.Random(f"{share} {with_changes}")
-        async with run_vms() as made:
+        async with PatientInstallation.running(VMS, ENGINES, 3) as made:
             await settle(made)
-            streams = start_streams(made, STREAMS)
+            deadline_s = await measure_deadline(made)
+            streams = start_streams(made, STREAMS, deadline_s=deadline_s)
             await asyncio.sleep(STARTED_S)
             silent = asyncio.create_task(
                 silence(choose_engines(made, share, source), source)
