Programs: a stop signal while they load is kept and dated

Cause: until program.py installed its handlers, SIGTERM and SIGINT had their default action. A program that was stopped while it loaded died with its callers' port open, and what waited there was reset. The control program died alike.

Change: EarlySignals handles the signals from before the port is opened, and notes when the first stop signal came; once the process is made it is stopped as of that time. A handler was taken instead of a blocked mask, since it keeps the signal's time and no child inherits it.

A control program that is stopped while it loads ends with status 0 and logs "stopped".

The test of the control program's SIGHUP looks at the stop signals too and restores them, hence its new name.

--- a/src/zinniaspool/platform/control.py
+++ b/src/zinniaspool/platform/control.py
@@ -1,8 +1,9 @@
 """Starts the control program, shortly after the VM's entry program."""
 
-import signal
 import time
 
+from zinniaspool.platform.signals import EarlySignals
+
 __all__ = ["main"]
 
 START_DELAY_S = 0.3
@@ -14,12 +15,12 @@
 
 def main() -> None:
     """Run the program."""
-    # Until the program has its own handler, SIGHUP would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    early_signals = EarlySignals()
+    early_signals.install()
     time.sleep(START_DELAY_S)
     from zinniaspool.platform.keeper import run
 
-    run()
+    run(early_signals)
 
 
 if __name__ == "__main__":
--- a/src/zinniaspool/platform/entry.py
+++ b/src/zinniaspool/platform/entry.py
@@ -8,12 +8,12 @@
 """
 
 import os
-import signal
 import socket
 import sys
 import time
 import tomllib
 
+from zinniaspool.platform.signals import EarlySignals
 from zinniaspool.platform.variables import FILE_VARIABLE
 
 __all__ = ["listen_early", "main", "open_callers_port"]
@@ -60,14 +60,14 @@
 
 def main() -> None:
     """Run the program."""
-    # Until the program has its own handler, SIGHUP would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    early_signals = EarlySignals()
+    early_signals.install()
     opened = time.monotonic()
     listener = open_callers_port()
     # The libraries are loaded only now, when the port is open.
     from zinniaspool.platform.gateway import run
 
-    run(listener, opened)
+    run(listener, opened, early_signals)
 
 
 if __name__ == "__main__":
--- a/src/zinniaspool/platform/gateway.py
+++ b/src/zinniaspool/platform/gateway.py
@@ -10,6 +10,7 @@
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.orders import EngineClient
 from zinniaspool.platform.program import run_on_platform
+from zinniaspool.platform.signals import EarlySignals
 from zinniaspool.platform.spelling import PlatformCodec
 
 __all__ = ["make_gateway", "run"]
@@ -51,12 +52,15 @@
     )
 
 
-def run(listener: socket.socket | None, opened: float) -> None:
+def run(
+    listener: socket.socket | None, opened: float, early_signals: EarlySignals
+) -> None:
     """Run the program.
 
     Args:
         listener: Socket that already listens for callers, if there is one.
         opened: When it was opened, in seconds of the monotonic clock.
+        early_signals: Handles signals until the program does.
     """
 
     def make(node: NodeSettings, metrics_port: int) -> GatewayProcess:
@@ -68,4 +72,4 @@
             divides_capacity=DIVIDE_CAPACITY in sys.argv,
         )
 
-    run_on_platform("entry", make, [DIVIDE_CAPACITY])
+    run_on_platform("entry", make, [DIVIDE_CAPACITY], early_signals)
--- a/src/zinniaspool/platform/keeper.py
+++ b/src/zinniaspool/platform/keeper.py
@@ -6,6 +6,7 @@
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.orders import EngineClient
 from zinniaspool.platform.program import run_on_platform
+from zinniaspool.platform.signals import EarlySignals
 from zinniaspool.platform.spelling import PlatformCodec
 
 __all__ = ["make_controller", "run"]
@@ -29,6 +30,10 @@
     )
 
 
-def run() -> None:
-    """Run the program."""
-    run_on_platform("control", make_controller)
+def run(early_signals: EarlySignals) -> None:
+    """Run the program.
+
+    Args:
+        early_signals: Handles signals until the program does.
+    """
+    run_on_platform("control", make_controller, early_signals=early_signals)
--- a/src/zinniaspool/platform/program.py
+++ b/src/zinniaspool/platform/program.py
@@ -10,6 +10,7 @@
 
 from zinniaspool.fleet import NodeSettings
 from zinniaspool.platform.nodefile import NodeFileError, read_node_file
+from zinniaspool.platform.signals import STOP_SIGNALS, EarlySignals
 from zinniaspool.telemetry import configure_logs
 
 __all__ = ["PlatformProcess", "run_on_platform"]
@@ -19,8 +20,6 @@
 BAD_SETTINGS_STATUS = 2
 """Exit status when the settings can't be used."""
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-
 
 class PlatformProcess(Protocol):
     """A process that runs until it is stopped."""
@@ -43,6 +42,7 @@
     program: str,
     make: Callable[[NodeSettings, int], PlatformProcess],
     options: Collection[str] = (),
+    early_signals: EarlySignals | None = None,
 ) -> None:
     """Run a process with the settings that the platform wrote.
 
@@ -52,6 +52,7 @@
         program: The program's name in the log.
         make: Creates the process from its settings and the port for metrics.
         options: The options that the program knows.
+        early_signals: Handles signals until the process does.
 
     Raises:
         SystemExit: The settings or an argument can't be used.
@@ -66,10 +67,12 @@
         print(error, file=sys.stderr)
         raise SystemExit(BAD_SETTINGS_STATUS) from error
     configure_logs(program, node.node)
-    asyncio.run(_run(lambda: make(node, port)))
+    asyncio.run(_run(lambda: make(node, port), early_signals))
 
 
-async def _run(make: Callable[[], PlatformProcess]) -> None:
+async def _run(
+    make: Callable[[], PlatformProcess], early_signals: EarlySignals | None = None
+) -> None:
     process = make()
     loop = asyncio.get_running_loop()
 
@@ -80,6 +83,8 @@
 
     for number in STOP_SIGNALS:
         signal.signal(number, handle_stop)
+    if early_signals is not None and early_signals.requested_at is not None:
+        process.stop(early_signals.requested_at)
     # The settings of a running process don't change; without a handler SIGHUP
     # would end it.
     loop.add_signal_handler(signal.SIGHUP, lambda: _log.info("settings-signal"))
--- a/tests/test_early_port.py
+++ b/tests/test_early_port.py
@@ -15,6 +15,7 @@
 from zinniaspool.http.messages import Headers
 from zinniaspool.platform import control
 from zinniaspool.platform.entry import listen_early
+from zinniaspool.platform.signals import STOP_SIGNALS
 from zinniaspool_standins.installation import Installation
 from zinniaspool_standins.nodes import NodeProcess, end_nodes, make_nodes
 
@@ -150,15 +151,41 @@
 
 
 async def _signal_early(program: NodeProcess) -> None:
-    await eventually(lambda: _ignores(program, signal.SIGHUP))
+    await eventually(lambda: _has(program, "SigIgn", signal.SIGHUP))
     program.send(signal.SIGHUP)
     await eventually(lambda: "event=started" in program.log.read_text())
 
 
-def _ignores(program: NodeProcess, number: signal.Signals) -> bool:
+@pytest.mark.processes
+def test_a_control_program_that_is_stopped_while_it_loads_ends_in_order(
+    tmp_path: Path,
+) -> None:
+    """Guards against a SIGTERM that kills a control program that loads."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=0, engines=0, plain=0) as made:
+            nodes = await make_nodes(made, tmp_path, 1)
+            _, control_program = nodes[0].processes
+            process = control_program.process
+            assert process is not None
+            try:
+                await eventually(
+                    lambda: _has(control_program, "SigCgt", signal.SIGTERM)
+                )
+                control_program.send(signal.SIGTERM)
+                assert await asyncio.wait_for(process.wait(), 10.0) == 0
+                assert "event=stopped" in control_program.log.read_text()
+            finally:
+                await end_nodes(nodes)
+
+    asyncio.run(test())
+
+
+def _has(program: NodeProcess, field: str, number: signal.Signals) -> bool:
+    """Tell whether a mask in the status of a process has a signal."""
     assert program.process is not None
     status = Path(f"/proc/{program.process.pid}/status").read_text()
-    mask = status.partition("SigIgn:")[2].split()[0]
+    mask = status.partition(f"{field}:")[2].split()[0]
     return bool(int(mask, 16) >> (number - 1) & 1)
 
 
@@ -170,21 +197,25 @@
     return found
 
 
-def test_the_control_program_ignores_the_settings_signal_while_it_waits(
+def test_the_control_program_survives_signals_while_it_waits(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a control program that ends before it has loaded."""
     handlers: list[object] = []
+    numbers = (signal.SIGHUP, *STOP_SIGNALS)
 
     def stop_waiting(_: float) -> None:
-        handlers.append(signal.getsignal(signal.SIGHUP))
+        handlers.extend(map(signal.getsignal, numbers))
         raise KeyboardInterrupt
 
     monkeypatch.setattr(time, "sleep", stop_waiting)
-    before = signal.getsignal(signal.SIGHUP)
+    before = {number: signal.getsignal(number) for number in numbers}
     try:
         with pytest.raises(KeyboardInterrupt):
             control.main()
     finally:
-        signal.signal(signal.SIGHUP, before)
-    assert handlers == [signal.SIG_IGN]
+        for number, handler in before.items():
+            signal.signal(number, handler)
+    assert handlers[0] == signal.SIG_IGN
+    assert all(map(callable, handlers[1:]))
+    assert signal.default_int_handler not in handlers
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -10,6 +10,7 @@
 from tests.installation import run
 from tests.test_planned_stops import GRACE_S, StoppedInstallation
 from zinniaspool.platform import program
+from zinniaspool.platform.signals import EarlySignals
 
 HELD_UP_S = 0.4
 
@@ -63,6 +64,33 @@
     assert made[0].dated_at - made[0].signalled_at < HELD_UP_S / 4
 
 
+@pytest.mark.usefixtures("handlers")
+def test_a_signal_is_dated_while_the_program_loads() -> None:
+    """Guards against a signal that kills a program, or is dated by its end."""
+
+    class Loaded(_HeldUpProcess):
+        async def run(self) -> None:
+            await self.stopped.wait()
+
+    made: list[Loaded] = []
+
+    def make() -> Loaded:
+        _work(HELD_UP_S)
+        made.append(Loaded())
+        return made[0]
+
+    hangup = signal.getsignal(signal.SIGHUP)
+    early_signals = EarlySignals()
+    try:
+        early_signals.install()
+        signalled_at = time.monotonic()
+        signal.raise_signal(signal.SIGTERM)
+        asyncio.run(program._run(make, early_signals))
+    finally:
+        signal.signal(signal.SIGHUP, hangup)
+    assert made[0].dated_at - signalled_at < HELD_UP_S / 4
+
+
 @pytest.mark.processes
 def test_a_stop_ends_in_time_after_a_signal_that_was_handled_late() -> None:
     """Guards against a process that is killed while it still serves."""
