Election: a control process that ends stays out once it has resigned

Cause: while resign() waited for the store's answer the election went on. The mirror still named this process, and a key of its own counts as that of an earlier start, so that it took the key again, planned, and ended with it.

Change: a process that ends withdraws: it resigns and is no candidate any more. In the same file, a rewrite of the key after a restore, under way when the process resigns, no longer makes it the holder.

The rewrite after a restore has no test of its own.

--- a/src/zinniaspool/keeper/election.py
+++ b/src/zinniaspool/keeper/election.py
@@ -219,6 +219,15 @@
         revision, self.revision = self.revision, Revision(0)
         await self._store.commit([(HOLDER_KEY, revision)], [], [HOLDER_KEY])
 
+    async def withdraw(self) -> None:
+        """Resign for good, since this process ends.
+
+        If the answer of the store is late or lost, the key names this process
+        meanwhile, and it would take the key again.
+        """
+        self._candidate_from = float("inf")
+        await self.resign()
+
     async def give_up(self) -> None:
         """Let another process plan, since this one failed to.
 
@@ -334,7 +343,8 @@
             self.revision = item.revision
             return
         revision = await self._commit_key()
-        if revision is not None:
+        # This process may have resigned meanwhile.
+        if revision is not None and self.revision:
             self.revision = revision
             _log.info("holder-key-rewritten", revision=format_revision(revision))
 
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -168,7 +168,7 @@
         if not self._holder.has_unsaved_plans:
             # If plans are not in the store, another holder would know less
             # than the next start on this VM, which continues as the holder.
-            await self._election.resign()
+            await self._election.withdraw()
         await self.abort()
         _log.info("stopped")
 
