Directory: a VM that says that it leaves is announced no longer

Cause: a stopping VM informs the others at once, but the message reached only their tunnels. The directory waited for the record, and while the store was down it named the VM until probes found that it had ended.

Change: the directory leaves the VM out from the message on, until its record changes (a restarted VM is announced with its new record at once), at most until 1.5 s after its end.

Tests in virtual time show the return by a new record and by time. test_planned_stops passes.

--- a/src/zinniaspool/gateway/directory.py
+++ b/src/zinniaspool/gateway/directory.py
@@ -1,11 +1,18 @@
 """Tells callers which addresses to use, and whether this process is ready."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
 import msgspec
 
-from zinniaspool.core.fleet import NodeRecord, NodeState, ReachabilityTracker
+from zinniaspool.core.fleet import (
+    NODES_PREFIX,
+    NodeRecord,
+    NodeState,
+    ReachabilityTracker,
+)
+from zinniaspool.core.ids import NodeId, Revision
 from zinniaspool.fleet import FleetView
 from zinniaspool.http import Exchange, Headers
 
@@ -24,6 +31,11 @@
 path of their own to the upstreams."""
 
 
+LEAVING_MARGIN_S = 1.5
+"""How much longer than it serves a leaving VM isn't announced, in seconds. By
+then probes have found that it has ended."""
+
+
 class DirectoryHandler:
     """Answers requests at the directory and readiness addresses.
 
@@ -46,6 +58,26 @@
         self._fleet_view = fleet_view
         self._find_own_record = find_own_record
         self._lifetime_s = min(MAX_LIFETIME_S, lifetime_s)
+        self._leaving: dict[NodeId, tuple[float, Revision]] = {}
+
+    def handle_leaving(self, node: NodeId, left_s: float) -> None:
+        """Announce a VM that is being stopped no longer.
+
+        Its record shows that later, and not before the store answers. The next
+        record is that of the VM's stop or of its next start.
+
+        Args:
+            node: The VM.
+            left_s: Time until it ends its connections, in seconds.
+        """
+        now = asyncio.get_running_loop().time()
+        self._leaving = {
+            other: (ends_at, revision)
+            for other, (ends_at, revision) in self._leaving.items()
+            if now < ends_at
+        }
+        ends_at = now + left_s + LEAVING_MARGIN_S
+        self._leaving[node] = ends_at, self._find_revision(node)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -74,6 +106,7 @@
             record.node: record
             for record in self._fleet_view.nodes.values()
             if record.state is NodeState.READY
+            and not self._is_leaving(record.node)
             and (own is None or record.node != own.node)
         }
         ready = [others[name] for name in self._reachability.list_usable(others)]
@@ -84,6 +117,20 @@
             ready = random.sample(ready, MAX_ADDRESSES)
         return [record.caller_address for record in ready]
 
+    def _is_leaving(self, node: NodeId) -> bool:
+        """Tell whether a VM leaves and has no new record since."""
+        if node not in self._leaving:
+            return False
+        ends_at, revision = self._leaving[node]
+        return (
+            asyncio.get_running_loop().time() < ends_at
+            and self._find_revision(node) == revision
+        )
+
+    def _find_revision(self, node: NodeId) -> Revision:
+        item = self._fleet_view.mirror.get(NODES_PREFIX + node)
+        return Revision(0) if item is None else item.revision
+
 
 def _choose_with_path(ready: list[NodeRecord]) -> list[NodeRecord]:
     """Leave out the VMs without a path of their own to the upstreams.
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -457,6 +457,7 @@
             self._reachability.suspect(message.node)
         elif isinstance(message, LeavingNode):
             self._connector.handle_leaving(message.node, message.left_s)
+            self._directory_handler.handle_leaving(message.node, message.left_s)
         elif isinstance(message, StalledTarget):
             self._stall_detector.handle_peer_report(message)
         elif isinstance(message, CrashReport):
