Holder: a check of a suspected group that shows nothing is repeated

Cause: a report of a stalled group has the holder query the group's VMs once. A holder that lacks processor time reads the answers late, the check counts as inconclusive, and nothing followed it unless the entry process reported again two seconds later, while a stream still waited there. The lost group was not found. This is the listed failure of tests/test_installation_store.py:: test_a_lost_vm_is_replaced_while_the_store_is_down_for_all.

Change: a check without a result is made up to three times, as a new holder's queries are.

--- a/src/zinniaspool/keeper/holder.py
+++ b/src/zinniaspool/keeper/holder.py
@@ -67,8 +67,8 @@
     {GroupPhase.FORMING, GroupPhase.CLOSING, GroupPhase.ENDING}
 )
 
-MAX_START_QUERIES = 3
-"""Queries of a new holder to an engine whose silence may not be its fault."""
+MAX_INCONCLUSIVE_QUERIES = 3
+"""Queries to an engine whose silence may not be its fault."""
 
 OFFLINE_PAUSE_S = 0.25
 """Pause between checks whether any upstream can be reached, in seconds."""
@@ -456,7 +456,7 @@
         known = self._fleet_view.instances.get(instance)
         if known is None:
             return False
-        for _ in range(MAX_START_QUERIES):
+        for _ in range(MAX_INCONCLUSIVE_QUERIES):
             outcome = await self.queries.query_status(known, CHECK_TIMEOUTS_S[1:], None)
             if outcome.answer is not None or not outcome.is_inconclusive:
                 break
@@ -572,7 +572,11 @@
         known = self._fleet_view.instances.get(instance)
         if known is None:
             return
-        outcome = await self.queries.query_status(known)
+        # The report is not repeated unless a stream waits there for longer.
+        for _ in range(MAX_INCONCLUSIVE_QUERIES):
+            outcome = await self.queries.query_status(known)
+            if outcome.answer is not None or not outcome.is_inconclusive:
+                break
         if self._apply_status(instance, outcome.answer) or outcome.is_inconclusive:
             return
         if instance not in self._fleet_view.instances:
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -18,9 +18,10 @@
 from tests.installation import free_address
 from tests.test_belief import ViewWriter
 from tests.test_retention import KNOWN_S, run
-from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.fleet import Instance, InstanceId
 from zinniaspool.core.ids import Address, FailureDomainId, NodeId
 from zinniaspool.fleet import UpstreamConnector
+from zinniaspool.keeper.queries import QueryOutcome
 from zinniaspool.keeper.suspicion import MAX_SILENCE_S
 
 HEAD = InstanceId("i-00")
@@ -99,6 +100,32 @@
     assert {line["silent_ms"] for line in lost} <= {1999, 2000}
 
 
+def test_a_check_that_shows_nothing_is_repeated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against lost groups that a busy holder checks only once."""
+
+    async def test(fleet: SimulatedFleet) -> None:
+        queries = fleet.controls[0].holder.queries
+        query_status = queries.query_status
+        queried: set[InstanceId] = set()
+
+        async def query_late(known: Instance, *limits: Any) -> QueryOutcome[Any]:
+            outcome = await query_status(known, *limits)
+            if known.id in queried:
+                return outcome
+            queried.add(known.id)
+            return QueryOutcome(None, is_inconclusive=True)
+
+        monkeypatch.setattr(queries, "query_status", query_late)
+        fleet.engines.unreachable = GROUP
+        report_stall(fleet, HEAD)
+        await asyncio.sleep(2 * MAX_CHECK_S + KNOWN_S)
+        assert fleet.controls[0].holder.find_suspects() == GROUP
+
+    run(test)
+
+
 def test_queries_to_a_suspect_are_few() -> None:
     """Guards against queries that cost more than they find out."""
 
