--- a/src/zinniaspool/gateway/gate.py
+++ b/src/zinniaspool/gateway/gate.py
@@ -265,12 +265,15 @@
         """
         if call.terms.timeout_s is None:
             return 0.0, (0.0, 0.0)
+        # A caller gets its answer within the route's timeout however long it
+        # would wait, so that a longer one doesn't tell for how long it waited.
+        timeout_s = min(call.terms.timeout_s, call.route.timeout_s)
         estimator = self._timeout_estimators.setdefault(
             call.route.name, CallerTimeoutEstimator()
         )
-        waited_s = estimator.estimate_waited(call.terms.timeout_s)
-        waited_range_s = estimator.estimate_wait_range(call.terms.timeout_s)
-        estimator.record(call.terms.timeout_s, only_new_callers=only_new_callers)
+        waited_s = estimator.estimate_waited(timeout_s)
+        waited_range_s = estimator.estimate_wait_range(timeout_s)
+        estimator.record(timeout_s, only_new_callers=only_new_callers)
         return waited_s, waited_range_s
 
     async def _wait(self, ticket: Ticket, deadline: float) -> None:
