Admission: keep the times of on-time requests for three seconds

Cause: the times at which on-time requests began were dropped only at a refusal or a late request. A process that refuses nobody kept all of them.

Change: each that is added drops those beyond the window of three seconds. The count at a refusal is the same, since it dropped these before.

--- a/src/zinniaspool/core/dispatch/admission.py
+++ b/src/zinniaspool/core/dispatch/admission.py
@@ -216,6 +216,7 @@
             return self.refuse(request, now, standing)
         elif self._can_be_on_time(request, standing, now):
             self._on_time_begun.append(now)
+            _drop_before(self._on_time_begun, now - RATE_WINDOW_S)
             decision = _admit(ticket, now)
         elif standing.is_minimum and self._has_slot(standing, now):
             ticket.late = True
@@ -353,10 +354,8 @@
         )
 
     def _record_arrival(self, now: float) -> None:
-        if (
-            now - (self._arrivals[-1] if self._arrivals else self._demand_since)
-            > RATE_RESET_S
-        ):
+        last = self._arrivals[-1] if self._arrivals else self._demand_since
+        if now - last > RATE_RESET_S:
             self._demand_since = now
         self._arrivals.append(now)
 
