Targets: keep pools and controllers of models that the catalog names

Cause: each model name that a caller made up got a pool and a controller, which stayed until the process ended and were gone through by each round of checks. A new configuration left those of its former models, too.

Change: the pool and the controller for another name serve its one request and aren't kept. After a refresh of the targets, pools that the catalog doesn't name are dropped once no request uses them, and their controllers with them while no request waits. A contention of a dropped model is logged as ended.

--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -85,7 +85,8 @@
         if self._stop_guard.should_refuse(call, pool):
             return Err(_make_leaving_fault(call))
         if call.terms.model is not None:
-            refused = await self._admission_queues.admit(call, pool)
+            is_named = self._index.is_named(call.service, call.terms.model)
+            refused = await self._admission_queues.admit(call, pool, is_named=is_named)
             if refused is not None:
                 return Err(refused)
         try:
--- a/src/zinniaspool/gateway/gate.py
+++ b/src/zinniaspool/gateway/gate.py
@@ -86,14 +86,22 @@
         self._timeout_estimators: dict[str, CallerTimeoutEstimator] = {}
         self._waiting: dict[Ticket, asyncio.Future[None]] = {}
 
-    async def admit(self, call: GatewayCall, pool: TargetPool) -> Fault | None:
+    async def admit(
+        self, call: GatewayCall, pool: TargetPool, *, is_named: bool
+    ) -> Fault | None:
         """Wait until a request may begin, or return why it is refused.
 
         A request is refused before any byte of it was sent to an upstream, so
         that the promise "not run" is true.
+
+        Args:
+            call: The request.
+            pool: The targets of its model.
+            is_named: Whether the catalog names its model; nothing is kept of
+                others.
         """
         loop = asyncio.get_running_loop()
-        controller = self._find_controller(call, pool)
+        controller = self._find_controller(call, pool, is_named=is_named)
         request = self._make_admission_request(
             call, controller.expects_only_new_callers(loop.time())
         )
@@ -129,7 +137,7 @@
             request.urgency,
             "beyond-share" if beyond_share else "refused",
         )
-        if beyond_share:
+        if beyond_share and pool in self._controllers:
             self._record_contention(pool, now)
         _log.info(
             "request-not-admitted",
@@ -176,6 +184,16 @@
                 del self._contended_at[pool]
                 self._log_contention("contention-ended", pool, now)
 
+    def keep_pools(self, pools: Collection[TargetPool]) -> None:
+        """Forget the models of other pools, unless a request waits."""
+        if self._waiting:
+            return
+        now = asyncio.get_running_loop().time()
+        for pool in self._controllers.keys() - set(pools):
+            if self._contended_at.pop(pool, None) is not None:
+                self._log_contention("contention-ended", pool, now)
+            del self._controllers[pool], self._models[pool]
+
     # Digests between the processes of the subset.
 
     def make_digest(self, max_customers: int) -> DemandDigest:
@@ -289,7 +307,7 @@
                 ticket.state = TicketState.ENDED
 
     def _find_controller(
-        self, call: GatewayCall, pool: TargetPool
+        self, call: GatewayCall, pool: TargetPool, *, is_named: bool
     ) -> AdmissionController:
         found = self._controllers.get(pool)
         if found is None:
@@ -298,6 +316,7 @@
                 pool, self._digests, model, is_enabled=self._divides_capacity
             )
             found = AdmissionController(pool, self._rng, division=division)
-            self._controllers[pool] = found
-            self._models[pool] = call.terms.model or ModelName("")
+            if is_named:
+                self._controllers[pool] = found
+                self._models[pool] = call.terms.model or ModelName("")
         return found
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -594,6 +594,7 @@
                 if is_reachable
                 else RerouteCause.INSTANCE_LOST,
             )
+        self._admission_queues.keep_pools(self._index.list_pools())
 
     def _apply_evacuations(self, *_: frozenset[FailureDomainId]) -> None:
         self._index.apply_evacuations()
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -89,7 +89,8 @@
     def find_pool(self, service: ServiceName, model: ModelName | None) -> TargetPool:
         """Return the pool of a service or of one of its models.
 
-        An unknown service or model gets an empty pool.
+        A service or model that the catalog doesn't name gets an empty pool,
+        which isn't kept.
         """
         key = (service, model)
         pool = self._pools.get(key)
@@ -98,9 +99,23 @@
             if self._subset is not None:
                 pool.set_subset(self._subset, self._process_count)
             pool.set_evacuated(self._fleet_view.evacuated)
-            self._pools[key] = pool
+            if self.is_named(service, model):
+                self._pools[key] = pool
         return pool
 
+    def is_named(self, service: ServiceName, model: ModelName | None) -> bool:
+        """Return whether the catalog names a service, and its model if given.
+
+        Anything may be named until a catalog is known.
+        """
+        catalog = self._fleet_view.catalog
+        if catalog is None:
+            return True
+        spec = catalog.services.get(service)
+        if spec is None or model is None:
+            return spec is not None
+        return spec.engine is not None and spec.engine.find_model(model) is not None
+
     def remember_backpressure(self, incarnation: InstanceIncarnation) -> Backpressure:
         """Return what is kept of an upstream, from now on if it is new."""
         known = self.backpressure.get(incarnation)
@@ -272,8 +287,15 @@
                 group=state.target.group or "",
                 own=state.local_requests,
             )
+        self._drop_unnamed_pools()
         return removed
 
+    def _drop_unnamed_pools(self) -> None:
+        """Drop the pools that the catalog no longer names, once unused."""
+        for key, pool in list(self._pools.items()):
+            if not pool.busy and not self.is_named(*key):
+                del self._pools[key]
+
     def _set_engine_timings(self, catalog: Catalog) -> None:
         for service, spec in catalog.services.items():
             if spec.engine is None:
--- a/tests/test_unusual_callers.py
+++ b/tests/test_unusual_callers.py
@@ -6,7 +6,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from tests.installation import PatientInstallation, run
+from tests.installation import PatientInstallation, eventually, run
 from zinniaspool.core.dispatch import AdmissionController, AdmissionRequest, TargetPool
 from zinniaspool.core.dispatch.targets import Target
 from zinniaspool.core.fleet import InstanceId
@@ -17,7 +17,9 @@
     FailureDomainId,
     GroupId,
     ModelName,
+    ServiceName,
 )
+from zinniaspool_standins.installation import make_rules
 
 REQUESTS = 10_000
 MODELS = 200
@@ -64,6 +66,34 @@
     run(check)
 
 
+@pytest.mark.processes
+def test_a_model_that_a_new_configuration_leaves_out_is_not_kept() -> None:
+    """Guards against models that a process keeps until its end."""
+
+    async def check() -> None:
+        async with PatientInstallation.running(nodes=1, engines=5) as made:
+            made.configure()
+            await made.settle()
+            await made.draft("n0", "large", 1)
+            await made.draft("n0", "unknown", 1)
+            gateway = made.nodes["n0"].gateway
+            index, queues = gateway._index, gateway._admission_queues
+            key = (ServiceName("drafting"), ModelName("large"))
+            assert key in index._pools
+            assert sorted(queues._models.values()) == ["large", "small"]
+            services = make_rules(made.version, made.keys)["services"]
+            models = services[0]["engine"]["models"]
+            models[:] = [model for model in models if model["name"] != "large"]
+            made.configure(services=services)
+            await eventually(lambda: key not in index._pools)
+            assert list(queues._models.values()) == ["small"]
+            assert len(queues._controllers) == 1
+            assert (await made.draft("n0", "large", 1)).status == 503
+            assert (await made.draft("n0", "small", 1)).status == 200
+
+    run(check)
+
+
 def test_a_process_that_refuses_nobody_keeps_no_times_of_requests() -> None:
     """Guards against memory that grows until the first refusal."""
     pool = TargetPool(FailureDomainId("hall-a"), random.Random(7))
