Slow targets: a removed target isn't remembered again

Cause: a removed head may stream on. Each of its events recorded its pace, and so put it back among the measured and the slow ones, where it stayed after its last stream had ended.

Change: what is recorded of a removed target is ignored, as by the periodic update.

Result: the new test passes; without the change it finds the removed head among the slow ones after its streams have ended.

--- a/src/zinniaspool/core/dispatch/slow.py
+++ b/src/zinniaspool/core/dispatch/slow.py
@@ -38,7 +38,12 @@
         self._usual_pace = 1.0
 
     def record(self, state: TargetState, now: float) -> None:
-        """Take into account what has become known of a target's pace."""
+        """Take into account what has become known of a target's pace.
+
+        A removed target may still stream, and is forgotten already.
+        """
+        if state.removed:
+            return
         state.speed.update(now)
         self._measured.add(state)
         if state.speed.absolute_pace >= UNNOTICED_PACE:
--- a/tests/test_unusual_callers.py
+++ b/tests/test_unusual_callers.py
@@ -7,6 +7,8 @@
 from structlog.testing import capture_logs
 
 from tests.installation import PatientInstallation, eventually, run
+from tests.test_dispatch import find
+from tests.test_speed import make_measured_pool, run_passes
 from zinniaspool.core.dispatch import AdmissionController, AdmissionRequest, TargetPool
 from zinniaspool.core.dispatch.targets import Target
 from zinniaspool.core.fleet import InstanceId
@@ -115,3 +117,17 @@
         controller.admit_waiting(now)
         controller.estimate_demand(now)
     assert len(controller._on_time_begun) < REQUESTS / 10
+
+
+def test_a_removed_head_that_still_streams_is_not_kept_as_slow() -> None:
+    """Guards against ended groups whose states a process keeps."""
+    pool = make_measured_pool("x", "y")
+    run_passes(pool, find(pool, "y"), 9, 1.0)
+    removed = find(pool, "x")
+    run_passes(pool, removed, 4, 4.0)
+    assert pool.slow.list_avoided() == [removed]
+    now = removed.last_event_at
+    pool.update([find(pool, "y").target], now)
+    run_passes(pool, removed, 4, 4.0)
+    pool.end_request(removed, removed.last_event_at)
+    assert removed not in pool.slow._slowed | pool.slow._measured
