Callers' terms: counts of tokens have a largest value

Cause: a caller may state 18 digits. The prompt counts in the sum of its target's unread tokens, and the sum of 19 such is beyond 64 bits: no load report can be encoded, and the duty that reports loads and admits waiting requests fails and starts anew as long as these requests have no event. With capacity divided, the usual prompt of a class was far off for hundreds of requests.

Change: stated counts of tokens are taken for 2**20 at most. They go on to upstreams as they were stated.

--- a/src/zinniaspool/platform/wire.py
+++ b/src/zinniaspool/platform/wire.py
@@ -46,6 +46,11 @@
 _LEAVING = "server-leaving"
 _RESUME = "last-event-id"
 
+MAX_TOKENS = 2**20
+"""Largest count of tokens that a caller's statement counts for. A body of
+4 MiB, the usual limit, holds about as many, and sums of larger ones would be
+beyond what a message holds."""
+
 _MISDIRECTED_STATUS = 421
 """HTTP status of an instance that is not the expected one."""
 
@@ -102,9 +107,15 @@
 
 
 def parse_terms(request: Request) -> RequestTerms:
-    """Return the terms in a caller's headers; ignore invalid values."""
+    """Return the terms in a caller's headers; ignore invalid values.
+
+    Counts of tokens beyond what a request can be count as the largest.
+    """
     headers = request.headers
-    tokens = _parse_integers(headers.get(_TOKEN_COUNTS))
+    tokens = [
+        min(count, MAX_TOKENS) for count in _parse_integers(headers.get(_TOKEN_COUNTS))
+    ]
+    expected = _parse_integer(headers.get(_LENGTH_HINT))
     deadline = headers.get(_DEADLINE)
     model = headers.get(_MODEL)
     return RequestTerms(
@@ -115,7 +126,7 @@
         ModelName(model) if model else None,
         tokens[0] if tokens else 0,
         tokens[1] if len(tokens) > 1 else 0,
-        _parse_integer(headers.get(_LENGTH_HINT)),
+        None if expected is None else min(expected, MAX_TOKENS),
         _parse_integer(headers.get(_RESUME)),
         _parse_parts(headers.get(_PROMPT_PARTS)),
     )
--- a/tests/test_unusual_callers.py
+++ b/tests/test_unusual_callers.py
@@ -3,11 +3,12 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from structlog.testing import capture_logs
 
 from tests.installation import PatientInstallation, eventually, run
-from tests.test_dispatch import find
+from tests.test_dispatch import find, make_pool
 from tests.test_speed import make_measured_pool, run_passes
 from zinniaspool.core.dispatch import AdmissionController, AdmissionRequest, TargetPool
 from zinniaspool.core.dispatch.targets import Target
@@ -19,8 +20,16 @@
     FailureDomainId,
     GroupId,
     ModelName,
+    NodeId,
     ServiceName,
 )
+from zinniaspool.core.messages.fleet import LoadReport
+from zinniaspool.fleet import FleetView
+from zinniaspool.gateway.loads import LoadReporter
+from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.http import Headers, Request
+from zinniaspool.platform import wire
+from zinniaspool.platform.spelling import PlatformCodec
 from zinniaspool_standins.installation import make_rules
 
 REQUESTS = 10_000
@@ -131,3 +140,22 @@
     run_passes(pool, removed, 4, 4.0)
     pool.end_request(removed, removed.last_event_at)
     assert removed not in pool.slow._slowed | pool.slow._measured
+
+
+def test_loads_of_the_longest_stated_prompts_are_reported() -> None:
+    """Guards against counts whose sum no load report can hold."""
+    index = TargetIndex(FleetView(PlatformCodec()), FailureDomainId("hall-a"))
+    pool = index.find_pool(ServiceName("drafting"), ModelName("small"))
+    pool.update([target.target for target in make_pool("x")], 0.0)
+    digits = "9" * 18
+    headers = Headers.of(
+        x_zinniaspool_token_count=f"{digits},{digits}",
+        x_zinniaspool_length_hint=digits,
+    )
+    terms = wire.parse_terms(Request("POST", "/", headers))
+    assert terms.expected_tokens == terms.max_output_tokens == wire.MAX_TOKENS
+    for _ in range(1000):
+        pool.begin_request(find(pool, "x"), terms.prompt_tokens)
+    reports: list[LoadReport] = []
+    LoadReporter(NodeId("n0"), index, reports.append).report(0.0)
+    assert msgspec.msgpack.encode(reports[0])
