--- a/tests/test_rule_numbers.py
+++ b/tests/test_rule_numbers.py
@@ -6,6 +6,7 @@
 from functools import partial
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given, settings, strategies as st
 from structlog.testing import capture_logs
@@ -17,15 +18,15 @@
 from zinniaspool.core.dispatch.durations import MIN_PASSES, StreamTiming
 from zinniaspool.core.fleet import Catalog, Instance, MirrorEvent
 from zinniaspool.core.formation import DomainPlan, FormationPlanner, OrderOutcome
-from zinniaspool.core.ids import Epoch, Revision, ServiceName
+from zinniaspool.core.ids import Epoch, Revision
 from zinniaspool.fleet import FleetView
 from zinniaspool.gateway.face import _choose_service
+from zinniaspool.platform import rules
 from zinniaspool.platform.entries import decode_instance
 from zinniaspool.platform.rules import decode_rules
 from zinniaspool.platform.spelling import PlatformCodec
 from zinniaspool_standins.installation import make_rules
 
-DRAFTING = ServiceName("drafting")
 NUMBERS = [
     "0",
     "-1",
@@ -191,7 +192,7 @@
 
 
 @given(
-    rules=st.dictionaries(
+    numbers=st.dictionaries(
         st.sampled_from(RULE_PATHS), st.sampled_from(NONSENSE), max_size=3
     ),
     instance=st.dictionaries(
@@ -201,7 +202,7 @@
 )
 @settings(max_examples=150, deadline=None)
 def test_numbers_that_make_no_sense_cost_no_other_value(
-    rules: dict[tuple[str | int, ...], str],
+    numbers: dict[tuple[str | int, ...], str],
     instance: dict[tuple[str | int, ...], str],
     is_first: bool,
 ) -> None:
@@ -213,7 +214,7 @@
     group = {"name": "g7", "epoch": 5, "rank": 0, "state": "ready"}
     hostile = write({**RECORD, "born": 5, "group": group}, instance)
     values = [
-        ("op/config", write(make_numbered_rules(2), rules)),
+        ("op/config", write(make_numbered_rules(2), numbers)),
         ("servers/w-70", hostile),
         ("servers/i-1", json.dumps(RECORD).encode()),
     ]
@@ -244,7 +245,17 @@
     assert "op/config" not in view.unreadable.current
 
 
-def test_no_field_of_the_rules_is_left_out() -> None:
-    """Guards against a number that no test replaces."""
+def test_each_number_of_the_rules_is_tested() -> None:
+    """Guards against a new number whose range nobody has tried."""
+    kinds = (rules._Config, rules._Route)
+    _, components = msgspec.json.schema_components(kinds)
+    numbers = {
+        name
+        for component in components.values()
+        for name, field in component["properties"].items()
+        if {"integer", "number"}
+        & {one.get("type") for one in field.get("anyOf", [field])}
+    }
+    assert numbers == {path[-1] for path in RULE_PATHS}
     for path in RULE_PATHS:
         assert decode_rules(write(make_numbered_rules(), {path: "{}"})).is_err(), path
