HTTP server: a stop answers each request that has been read

Cause: answers of a stopping server announced the close whatever had been read behind their request, and a drain closed over it. A request that had been read already got no answer.

Change: only the answer behind which nothing more has been read announces the close, and a drain goes on with what has been read. A request of which a part has been read counts, as it did on an idle connection.

A request that is read after an answer has announced the close still gets none, as HTTP has it.

--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -54,7 +54,7 @@
         handler: Answers each request.
         limits: Limits on each connection and on all together.
         make_refusal: Makes the server's own responses.
-        draining: Whether connections close after their current response.
+        draining: Whether connections close once what they read is answered.
         retiring: Whether responses announce that.
         backlog: Dates requests that arrived before the server began to accept.
     """
@@ -177,8 +177,9 @@
 
     @property
     def closes_after_response(self) -> bool:
-        """Whether the connection closes after this response."""
-        return self._owner.draining or self._owner.retiring
+        """Whether it closes after this response: no more has been read."""
+        is_ending = self._owner.draining or self._owner.retiring
+        return is_ending and not self._h11.trailing_data[0]
 
     def send_events(self, *events: h11.Event | None) -> None:
         """Send events as one write."""
@@ -363,10 +364,9 @@
             # The response is cut: a clean end would make it look whole.
             self._transport.abort()
             return
-        if self._h11.our_state is not h11.DONE or self._owner.draining:
-            self._close()
-            return
-        if self._h11.their_state is not h11.DONE:
+        states = (self._h11.our_state, self._h11.their_state)
+        is_drained = self._owner.draining and not self._h11.trailing_data[0]
+        if is_drained or states != (h11.DONE, h11.DONE):
             self._close()
             return
         self._begin_next()
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -35,7 +35,8 @@
 
     Attributes:
         draining: Whether the server is stopping. Connections then close
-            after their current response.
+            once each request that they have read is answered. Only the last
+            response announces it.
         retiring: Whether callers are asked to leave: responses announce that
             their connection closes after them. Connections whose response
             began before don't close without that announcement.
--- /dev/null
+++ b/tests/test_http_stops.py
@@ -0,0 +1,109 @@
+"""The HTTP server answers what it has read before it closes."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from tests.fakes import run_in_loop
+from zinniaspool.core.ids import Address, split_address
+from zinniaspool.http import Exchange, Headers, HttpServer
+
+_GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+_TIMEOUT_S = 20.0
+
+
+class _Served:
+    """A server whose handler waits, and a connection to it."""
+
+    def __init__(self) -> None:
+        self.server = HttpServer(self._answer)
+        self.began, self.held = asyncio.Event(), asyncio.Event()
+        self.starts_early = False
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        address = await self.server.listen(Address("127.0.0.1:0"))
+        reader, self._writer = await asyncio.open_connection(*split_address(address))
+        return reader, self._writer
+
+    async def close(self) -> None:
+        self._writer.close()
+        await self.server.drain(0.0)
+
+    def begin_drain(self) -> asyncio.Task[int]:
+        return asyncio.create_task(self.server.drain(_TIMEOUT_S))
+
+    async def wait_until_read_ahead(self) -> None:
+        (connection,) = self.server._connections
+        while not connection._read_ahead:  # noqa: ASYNC110 - no event is set for it
+            await asyncio.sleep(0.01)
+
+    async def _answer(self, exchange: Exchange) -> None:
+        if self.starts_early:
+            await exchange.start(200, Headers())
+        self.began.set()
+        await self.held.wait()
+        if not exchange.started:
+            await exchange.start(200, Headers())
+        await exchange.write(b"whole")
+        await exchange.finish()
+
+
+def _run(trial: Callable[[_Served], Awaitable[None]]) -> None:
+    async def test() -> None:
+        served = _Served()
+        try:
+            await trial(served)
+        finally:
+            await served.close()
+
+    run_in_loop(test)
+
+
+@pytest.mark.parametrize("is_draining", [False, True])
+@pytest.mark.parametrize("read_part", [_GET, _GET[:9]], ids=["whole", "in-part"])
+def test_a_stop_answers_each_request_that_has_been_read(
+    *, is_draining: bool, read_part: bytes
+) -> None:
+    """Guards against a request behind another one that gets no answer."""
+
+    async def trial(served: _Served) -> None:
+        reader, writer = await served.connect()
+        writer.write(_GET + read_part)
+        await served.began.wait()
+        await served.wait_until_read_ahead()
+        served.server.retiring = True
+        draining = served.begin_drain() if is_draining else None
+        await asyncio.sleep(0)
+        served.held.set()
+        first = await reader.readuntil(b"\r\n0\r\n\r\n")
+        assert b"whole" in first
+        assert b"connection: close" not in first.lower()
+        writer.write(_GET[len(read_part) :])
+        second = await reader.read()
+        assert b"whole" in second
+        assert b"connection: close" in second.lower()
+        assert draining is None or await draining == 0
+
+    _run(trial)
+
+
+def test_a_drain_answers_what_was_read_after_the_response_began() -> None:
+    """Guards against a close over a request that came during a response."""
+
+    async def trial(served: _Served) -> None:
+        served.starts_early = True
+        reader, writer = await served.connect()
+        writer.write(_GET)
+        await served.began.wait()
+        writer.write(_GET)
+        await served.wait_until_read_ahead()
+        draining = served.begin_drain()
+        await asyncio.sleep(0)
+        served.held.set()
+        received = await reader.read()
+        assert received.count(b"whole") == 2
+        assert received.lower().count(b"connection: close") == 1
+        assert await draining == 0
+
+    _run(trial)
