--- a/tests/test_stop_forecasts.py
+++ b/tests/test_stop_forecasts.py
@@ -43,6 +43,14 @@
         super().configure(**{"routes": patient, **changes})
 
 
+async def _show_streams(made: StoppedInstallation) -> None:
+    """Have a VM see some short streams."""
+    made.configure()
+    await made.settle()
+    for _ in range(4):
+        await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(6)))
+
+
 async def _ask_without_count(
     made: StoppedInstallation, route: str, events: int
 ) -> Answer:
@@ -115,10 +123,7 @@
 
     async def check() -> None:
         async with StoppedInstallation.running(nodes=2, engines=10) as made:
-            made.configure()
-            await made.settle()
-            for _ in range(4):
-                await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(6)))
+            await _show_streams(made)
             made.nodes["n0"].gateway.stop()
             await asyncio.sleep(4.0)
             answer = await made.ask(
@@ -183,10 +188,7 @@
 
     async def check() -> None:
         async with StoppedInstallation.running(nodes=2, engines=10) as made:
-            made.configure()
-            await made.settle()
-            for _ in range(4):
-                await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(6)))
+            await _show_streams(made)
             await _read_late(made)
             made.nodes["n0"].gateway.stop()
             await asyncio.sleep(3.0)
