Attempts: one expression for the time that an upstream is allowed

Cause: the time was set twice, and an attribute described twice. Change: names alone. Checked: linter, types and tests/test_stream_timeouts.py.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -159,8 +159,7 @@
             upstream answers.
         first_byte_s: Time from its arrival to the first byte that went to the
             caller, in seconds.
-        last_event_at: Time at which the newest event went to the caller.
-        last_event_at: Time at which the last events had been written to it.
+        last_event_at: Time at which the newest events had been written to it.
         longest_pause_s: Longest pause until the next events, in seconds.
         late: Whether it was admitted although its answer will be late.
         urgency: Urgency that is sent to upstreams, 0 is the most urgent; None
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -158,9 +158,9 @@
         """
         call, state = attempt.call, attempt.state
         now = asyncio.get_running_loop().time()
-        left_s, allowed_s = call.deadline - now, call.deadline - now
-        if call.route.kind is RequestKind.STREAM:
-            allowed_s = call.stream_deadline - now
+        is_stream = call.route.kind is RequestKind.STREAM
+        left_s = call.deadline - now
+        allowed_s = call.stream_deadline - now if is_stream else left_s
         idle_s = 20.0 if call.route.repeatable else UNREPEATABLE_MAX_IDLE_S
         late_timer = self._start_late_timer(attempt, left_s)
         try:
