Tests: answers that end within their head

Operators of other systems report upstreams that stop in the middle of an answer's head, whose callers got a 200 with an empty or short body, framed as whole. No test here had a head that is cut.

The stand-in runners can now send part of a head and then end, reset or keep the connection.

--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -19,6 +19,7 @@
 from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http import Exchange, Headers, HttpServer
 from zinniaspool_standins.coldness import Coldness
+from zinniaspool_standins.headcuts import HeadCut, HeadEnd, make_head
 from zinniaspool_standins.noise import Noise, NoiseKind
 from zinniaspool_standins.serving import answer_json
 
@@ -67,6 +68,11 @@
         cut_after: Events after which it resets a stream in mid-event, or ends
             an unframed one in order there.
         cut_part: Part of its streams that it resets in their first event.
+        cut_heads: So many of its next answers end within their head.
+        head_bytes: Bytes of such a head that are sent; negative for a random
+            number.
+        head_end: What becomes of the connection then, as a :class:`HeadEnd`
+            has it.
         noise: What it sends without end instead of an answer, as a
             :class:`NoiseKind` has it; empty for none.
         extra: Each plain answer comes a second time, where the next is due.
@@ -96,6 +102,9 @@
     fail: bool = False
     cut_after: int = -1
     cut_part: float = 0.0
+    cut_heads: int = 0
+    head_bytes: int = -1
+    head_end: str = HeadEnd.END.value
     noise: str = ""
     extra: bool = False
     unframed: bool = False
@@ -145,9 +154,8 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head."""
-        lines = [f"HTTP/1.1 {status} Stand-in".encode()]
-        lines += [name + b": " + value for name, value in headers.raw()]
-        await self.write(b"\r\n".join([*lines, b"connection: close", b"", b""]))
+        closing = Headers([*headers.raw(), (b"connection", b"close")])
+        await self.write(make_head(status, closing))
 
     async def write(self, data: bytes) -> None:
         """Send part of the body."""
@@ -192,6 +200,7 @@
         removed_at: When it last removed its entry, in seconds of the loop's
             clock.
         noises: Its endless answers.
+        cut: Requests whose answers ended within their head, in order.
         paused: When it asked for a pause, in seconds of the loop's clock.
         crashes: How often it ended by itself.
         coldness: Whether it is cold, and what came meanwhile.
@@ -216,6 +225,7 @@
     health_queries: int = 0
     removed_at: float = 0.0
     noises: list[Noise] = field(default_factory=list)
+    cut: list[str] = field(default_factory=list)
     paused: list[float] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
@@ -513,7 +523,12 @@
             answer.add("server-leaving", "1")
         if self.faults.limit_per_s >= 0:
             answer.add("server-limit", f"{self.faults.limit_per_s:g}")
-        if self.faults.fail:
+        if self.faults.cut_heads:
+            self.faults.cut_heads -= 1
+            self.cut.append(request)
+            await asyncio.sleep(self.times.pass_s)
+            await self._cut_head(exchange, answer)
+        elif self.faults.fail:
             await exchange.respond(500, answer, b"it failed")
         elif is_model:
             self.streams += 1
@@ -525,6 +540,14 @@
         else:
             await self._answer_plainly(exchange, answer, request)
 
+    async def _cut_head(self, exchange: Exchange, answer: Headers) -> None:
+        whole = Headers([*answer.raw(), (b"content-length", b"42")])
+        cut = HeadCut(
+            make_head(200, whole), self.faults.head_bytes, HeadEnd(self.faults.head_end)
+        )
+        await cut.send(exchange._channel._transport)  # type: ignore[attr-defined]
+        exchange.abort()
+
     def _crashes_on(self, exchange: Exchange) -> bool:
         marker = self.faults.crash_on.encode()
         if marker and marker in exchange.request.body:
