Gateway: a lost request waits for a target while it has time

A caller whose answer was cut within its head got 502 after 3 to 300 ms, with 3.9 s left and one attempt of two unused. The only other target of its model was not to be used at that moment: it had just failed itself, or was full. A request of a model with one target always ended so.

The forwarder looked for a target once after a lost attempt, and the request ended if there was none (`stop=no-target`). It also took the target that lost the answer as unusable for this request for good, though it answered others.

The request now looks again every 0.1 s, for a third of its time at most, so that its caller can still retry at another VM. After the first pause the target that lost it counts like any other. It doesn't wait if nothing has run (its caller is refused at once, with a time to return), if an upstream's own failure can be passed on, if no target takes requests in that time by its own statement or the operator's, if it is suspected to crash upstreams, or if it can't end before the process does. The same wait serves streams in progress and plain requests; the wait is logged as request-awaits-target.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -171,6 +171,8 @@
             its own deadline is earlier.
         error_reserve_s: Time after its deadline that is reserved for an error
             answer, in seconds; a stream that has begun needs none.
+        waits_until: Time until which it waits for a target, since none was
+            left after a lost attempt; None if it hasn't waited.
     """
 
     exchange: Exchange
@@ -200,6 +202,7 @@
     deadline_after_stop: bool = False
     longest_s: float | None = None
     error_reserve_s: float = 0.0
+    waits_until: float | None = None
 
     @property
     def stream_deadline(self) -> float:
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -26,6 +26,7 @@
 from zinniaspool.gateway.calls import GatewayAttempt, GatewayCall
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.gate import AdmissionQueues
+from zinniaspool.gateway.moves import RETRY_INTERVAL_S
 from zinniaspool.gateway.retries import ServiceRetries
 from zinniaspool.gateway.sending import AttemptSender
 from zinniaspool.gateway.stops import StopGuard
@@ -38,6 +39,10 @@
 _OWN_RETRY_TIMES = frozenset({ErrorKind.QUARANTINED, ErrorKind.LEAVING})
 """Faults whose retry time doesn't depend on the targets."""
 
+TARGET_WAIT_PART = 1 / 3
+"""Part of its time that a request waits for a target after a lost attempt. The
+rest is left to its caller, who may retry at another VM."""
+
 
 class RequestForwarder:
     """Sends each request to targets until one answers or none is left.
@@ -118,7 +123,10 @@
                 return _make_leaving_fault(call)
             state = self._choose(call, pool, verdict)
             if state is None:
-                return _make_no_upstream_fault(call, pool, loop.time())
+                if not self._may_wait(call, pool, verdict):
+                    return _make_no_upstream_fault(call, pool, loop.time())
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                continue
             begun = call.attempts.begin(loop.time())
             if isinstance(begun, Err):
                 return begun.err_value
@@ -206,24 +214,52 @@
         """Return the target of the next attempt, or None.
 
         A suspected request has one attempt, at the target of the trial. One
-        that may outlast a stopping process probes no slow target.
+        that may outlast a stopping process probes no slow target. One that has
+        waited since no other target was left may use the same one again.
         """
         now = asyncio.get_running_loop().time()
         if verdict.trait is not None:
             return None if call.tried else pool.choose_for_trial(verdict.trait, now)
         within_s = call.compute_wanted_event_time(now)
-        prompt = call.terms.prompt_tokens
-        return pool.choose(
-            now,
-            call.tried,
-            prompt,
-            within_s,
-            call.suspected_domains,
-            may_probe=not call.tried
+        prompt, domains = call.terms.prompt_tokens, call.suspected_domains
+        may_probe = (
+            not call.tried
             and call.route.repeatable
             and call.route.max_attempts > 1
-            and not call.deadline_after_stop,
+            and not call.deadline_after_stop
+        )
+        chosen = pool.choose(
+            now, call.tried, prompt, within_s, domains, may_probe=may_probe
         )
+        if chosen is not None or call.waits_until is None:
+            return chosen
+        return pool.choose(now, (), prompt, within_s, domains)
+
+    def _may_wait(self, call: GatewayCall, pool: TargetPool, verdict: Verdict) -> bool:
+        """Return whether a request waits for a target after a lost attempt.
+
+        Its targets may be usable again within moments, and the one that lost
+        it may have lost this answer alone. A request that has not run doesn't
+        wait: its caller is told so at once, and when to come back.
+        """
+        if verdict.trait is not None or not call.attempts.may_have_run:
+            return False
+        if call.failed_answer is not None and call.progress is Progress.NOTHING:
+            return False
+        if not self._stop_guard.can_begin_again(call, pool):
+            return False
+        now = asyncio.get_running_loop().time()
+        if call.waits_until is None:
+            call.waits_until = now + TARGET_WAIT_PART * (call.deadline - now)
+            _log.info(
+                "request-awaits-target",
+                request=call.terms.id,
+                model=call.terms.model or "",
+                targets=len(pool),
+                left_ms=int((call.deadline - now) * 1000),
+            )
+        until = min(call.waits_until, call.deadline)
+        return max(now + RETRY_INTERVAL_S, pool.find_opening()) <= until
 
     def _evaluate_failure(
         self, call: GatewayCall, pool: TargetPool, failure: AttemptFailure
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -13,6 +13,7 @@
     {
         "answer-foreign",
         "attempt-failed",
+        "request-awaits-target",
         "request-ended",
         "request-failed",
         "request-not-admitted",
@@ -75,6 +76,8 @@
         "peers-listening": "The process listens on its address for peers.",
         "connection-failed": "A connection ended in an error of its transport.",
         "connection-refused": "A connection was refused because too many were open.",
+        "request-awaits-target": "No target is left for a request that may be sent "
+        "again; it waits for one, for part of its time.",
         "request-failed": "A caller's request ended in an error.",
         "request-outlasts-stop": "A request was refused since it may take longer than "
         "the stopping process has left.",
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -1,18 +1,26 @@
 """Answers that end within their head."""
 
 import asyncio
+import random
+from collections import Counter
+from pathlib import Path
 
 import pytest
 from result import Err
 
 from tests.fakes import FakeUpstream
-from tests.installation import run
+from tests.installation import Answer, Installation, eventually, run
+from tests.silent_processes import Caller
+from zinniaspool.core.dispatch import TargetPool
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.formation import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.ids import (
+    Address,
     Epoch,
     GroupId,
+    ModelName,
     Revision,
+    ServiceName,
 )
 from zinniaspool.core.storage import KeyWrite, StoreFault
 from zinniaspool.http import (
@@ -26,9 +34,14 @@
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.orders import EngineClient
 from zinniaspool_standins.headcuts import HeadCut, HeadEnd, make_head
+from zinniaspool_standins.installation import SIZES
+from zinniaspool_standins.nodes import end_nodes, make_nodes
+from zinniaspool_standins.runners import Runner
 
 pytestmark = pytest.mark.processes
 
+EVENTS = 10
+
 FRAMED = make_head(200, Headers.of(x_seal="s-1", content_length="12"))
 HEADS = {
     "framed": FRAMED,
@@ -121,3 +134,224 @@
         await upstream.close()
 
     run(test)
+
+
+def find_pool(made: Installation, model: str) -> TargetPool:
+    index = made.nodes["n0"].gateway._index
+    return index.find_pool(ServiceName("drafting"), ModelName(model))
+
+
+async def start_two_heads(made: Installation) -> list[Runner]:
+    """Wait for two groups of the small model; return their heads."""
+    await made.settle()
+    await eventually(lambda: len(find_pool(made, "small")) == 2)
+    return made.heads("small")
+
+
+def is_whole(answer: Answer) -> bool:
+    events = list(range(1, EVENTS + 1))
+    return answer.status == 200 and answer.whole and answer.events == events
+
+
+def test_a_lost_request_waits_for_the_only_other_target() -> None:
+    """Guards against a 502 while seconds are left and a target pauses."""
+
+    async def check() -> None:
+        async with Installation.running(nodes=1, engines=7) as made:
+            cut, other = await start_two_heads(made)
+            state = find_pool(made, "small").get(InstanceId(other.id))
+            assert state is not None
+            cut.faults.cut_heads = 1
+            state.backoff_until = asyncio.get_running_loop().time() + 0.4
+            answer = await made.draft("n0", "small", EVENTS)
+            assert is_whole(answer), answer
+
+    run(check)
+
+
+def test_a_lost_request_is_sent_to_the_only_target_again() -> None:
+    """Guards against a 502 while the only target answers other requests."""
+
+    async def check() -> None:
+        async with Installation.running(nodes=1, engines=5) as made:
+            await made.settle()
+            (only,) = made.heads("small")
+            only.faults.cut_heads = 1
+            assert is_whole(await made.draft("n0", "small", EVENTS, "r-lost"))
+            assert made.runs_of("r-lost") == [only.id, only.id]
+
+    run(check)
+
+
+def test_a_lost_stream_goes_on_at_the_only_target() -> None:
+    """Guards against a stream that is cut while its target answers others."""
+
+    async def check() -> None:
+        async with Installation.running(nodes=1, engines=5) as made:
+            await made.settle()
+            (only,) = made.heads("small")
+            only.faults.cut_after = 4
+            asking = asyncio.create_task(made.draft("n0", "small", EVENTS, "r-part"))
+            await eventually(lambda: "r-part" in only.wrote_at)
+            await asyncio.sleep(3.5 * only.times.pass_s)
+            only.faults.cut_after = -1
+            assert is_whole(await asking)
+            assert made.runs_of("r-part") == [only.id, only.id]
+
+    run(check)
+
+
+@pytest.mark.parametrize("is_open", [True, False])
+def test_a_caller_is_answered_while_it_can_retry(is_open: bool) -> None:
+    """Guards against waiting for targets until no time is left."""
+
+    async def check() -> None:
+        async with Installation.running(nodes=1, engines=5) as made:
+            await made.settle()
+            (only,) = made.heads("small")
+            (state,) = find_pool(made, "small")
+            only.faults.cut_heads = 1
+            loop = asyncio.get_running_loop()
+            sent_at = loop.time()
+            asking = asyncio.create_task(made.draft("n0", "small", EVENTS, "r-lost"))
+            await eventually(lambda: made.runs_of("r-lost"))
+            state.backoff_until = sent_at + 10.0
+            state.evacuated = not is_open
+            answer = await asking
+            took_s = loop.time() - sent_at
+            assert answer.status == 502 and answer.whole
+            assert made.runs_of("r-lost") == [only.id]
+            assert took_s < (2.0 if is_open else 0.5)
+
+    run(check)
+
+
+PLAY_S, CUT_PAUSE_S = 8.0, 0.2
+"""How long callers send requests, and the pause between two cut heads."""
+
+CALLERS, LEAST_CUTS = 8, 8
+MAX_FAILED_S = 1.0
+"""Longest time until a caller learns that its run-once request was lost."""
+
+MAX_ATTEMPTS = 2
+
+
+class _CutFleet:
+    """Entry VMs as processes, of whose upstreams some answers are cut.
+
+    Args:
+        made: The store and the upstreams.
+        source: Chooses requests and cuts.
+    """
+
+    def __init__(self, made: Installation, source: random.Random) -> None:
+        self._made, self._source = made, source
+        self._answers: dict[str, Answer] = {}
+        self._failed_s: dict[str, float] = {}
+
+    async def cut_heads(self) -> None:
+        """Have one answer after the other end within its head."""
+        while True:
+            serving = [*self._made.heads("large"), *self._made.heads("small")]
+            plain = [one for one in self._made.runners.values() if one.domain is None]
+            runner = self._source.choice([*serving, *plain])
+            runner.faults.head_end = self._source.choice(list(HeadEnd)).value
+            runner.faults.cut_heads = 1
+            await asyncio.sleep(CUT_PAUSE_S)
+            runner.faults.cut_heads = 0
+
+    async def send_requests(self, front: Address, name: str) -> None:
+        """Send requests for a while, on new and on kept connections."""
+        loop, source = asyncio.get_running_loop(), self._source
+        caller = Caller(front, source.choice(["large", "small"]))
+        ends, number = loop.time() + PLAY_S, 0
+        while loop.time() < ends:
+            number += 1
+            route = source.choice(["drafts", "receipts", "cards"])
+            request, sent_at = f"{route}-{name}-{number}", loop.time()
+            if route == "drafts":
+                answer = await caller.draft(request, EVENTS)
+            else:
+                method = "POST" if route == "cards" else "GET"
+                answer = await caller.ask(request, method, f"/{route}/1")
+            self._answers[request] = answer
+            if answer.status != 200:
+                self._failed_s[request] = loop.time() - sent_at
+            if source.random() < 1 / 2:
+                caller.close()
+        caller.close()
+
+    def check(self) -> None:
+        """Check all answers, and how often requests ran."""
+        runners = self._made.runners.values()
+        cuts = Counter(request for one in runners for request in one.cut)
+        runs = Counter(run.request for one in runners for run in one.runs)
+        assert sum(cuts.values()) >= LEAST_CUTS
+        for request, answer in self._answers.items():
+            is_once = request.startswith("cards")
+            told = f"{request} cut {cuts[request]} times, ran {runs[request]}: {answer}"
+            assert runs[request] <= (1 if is_once else MAX_ATTEMPTS), told
+            if cuts[request] >= (1 if is_once else MAX_ATTEMPTS):
+                assert answer.status == 502 and answer.whole, told
+                assert not is_once or self._failed_s[request] < MAX_FAILED_S, told
+                continue
+            if answer.status == 503:
+                # The only target may be silent for a moment.
+                assert not runs[request] and answer.headers.get("retry-after"), told
+                continue
+            is_own = answer.body == f"answer to {request}".encode()
+            assert is_own or is_whole(answer), told
+            assert answer.headers.get("x-zinniaspool-server-seal"), told
+
+
+@pytest.mark.parametrize(("seed", "engines"), [(1, 5), (2, 12)])
+def test_cut_heads_cost_callers_no_answer(
+    tmp_path: Path, seed: int, engines: int
+) -> None:
+    """Guards against short answers that look whole, and needless errors.
+
+    Entry VMs run as processes. Now and then the head of an answer is cut at a
+    random byte. With five engines each model has one target.
+    """
+
+    async def check() -> None:
+        source = random.Random(seed)
+        async with Installation.running(nodes=0, engines=engines, plain=3) as made:
+            nodes = await make_nodes(made, tmp_path, 2)
+            try:
+                await await_served([node.front for node in nodes])
+                fleet = _CutFleet(made, source)
+                cutting = asyncio.create_task(fleet.cut_heads())
+                await asyncio.gather(
+                    *(
+                        fleet.send_requests(nodes[number % 2].front, f"c{number}")
+                        for number in range(CALLERS)
+                    )
+                )
+                cutting.cancel()
+            finally:
+                await end_nodes(nodes)
+            made.assert_sound()
+            fleet.check()
+
+    run(check)
+
+
+async def await_served(fronts: list[Address]) -> None:
+    """Wait until all VMs serve each kind of request."""
+
+    async def is_served(caller: Caller) -> bool:
+        answers = [
+            await caller.draft("settle", 1),
+            await caller.ask("settle", "GET", "/receipts/1"),
+        ]
+        return all(answer.status == 200 for answer in answers)
+
+    for front in fronts:
+        for model in SIZES:
+            caller = Caller(front, model)
+            for _ in range(100):
+                if await is_served(caller):
+                    break
+                await asyncio.sleep(0.1)
+            caller.close()
