Tests: a failure says how late the test's own loop was

Several entries of KNOWN-RED.txt failed beside other work only. In these tests the product, the stand-ins and the callers share one loop, and nothing said whether it had stood still, so that neither load nor the product could be ruled out. The soak of planned stops had a measure of its own.

DelayMeter (tests/delays.py) measures the delays of the loop; what a test raises has them as a note. No test passes by it. The soak uses the same one.

--- /dev/null
+++ b/tests/delays.py
@@ -0,0 +1,59 @@
+"""Measures how late a test's own event loop is."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+__all__ = ["DelayMeter", "explain_by_delays"]
+
+CHECK_S = 0.05
+"""Time between two checks, in seconds."""
+
+NOTED_S = 0.1
+"""Delay from which it is noted, in seconds."""
+
+
+class DelayMeter:
+    """Measures delays of the running event loop.
+
+    The product, the stand-ins and the callers of a test share its loop. While
+    it stands still, upstreams are silent and callers wait, for which nothing
+    of the product is the cause.
+
+    Attributes:
+        longest_s: The longest delay, in seconds.
+        total_s: The sum of the noted ones, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.longest_s = self.total_s = 0.0
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + CHECK_S
+            await asyncio.sleep(CHECK_S)
+            delay_s = loop.time() - due
+            self.longest_s = max(self.longest_s, delay_s)
+            self.total_s += delay_s if delay_s >= NOTED_S else 0.0
+
+    def __str__(self) -> str:
+        return (
+            f"the test's own loop was late by {self.longest_s:.2f} s at most, "
+            f"{self.total_s:.2f} s in all"
+        )
+
+
+@contextlib.asynccontextmanager
+async def explain_by_delays() -> AsyncIterator[DelayMeter]:
+    """Measure delays within a block, and note them at what it raises."""
+    meter = DelayMeter()
+    measuring = asyncio.create_task(meter.run())
+    try:
+        yield meter
+    except BaseException as error:
+        error.add_note(str(meter))
+        raise
+    finally:
+        measuring.cancel()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from tests.delays import explain_by_delays
 from zinniaspool.core.ids import Address
 from zinniaspool.http import Exchange, Headers, HttpServer
 
@@ -18,7 +19,7 @@
     """Run a test's coroutine in a loop of its own."""
 
     async def run() -> None:
-        async with asyncio.timeout(timeout_s):
+        async with explain_by_delays(), asyncio.timeout(timeout_s):
             await trial()
 
     asyncio.run(run())
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from tests.delays import explain_by_delays
 from zinniaspool.core.ids import Address, FailureDomainId, NodeId
 from zinniaspool.fleet import NodeSettings
 from zinniaspool.gateway.main import GatewayProcess
@@ -345,5 +346,5 @@
 
 
 async def _bounded(test: Callable[[], Awaitable[None]]) -> None:
-    async with asyncio.timeout(60):
+    async with explain_by_delays(), asyncio.timeout(60):
         await test()
--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -21,6 +21,7 @@
 from pathlib import Path
 from typing import Any
 
+from tests.delays import DelayMeter
 from tests.installation import Answer, eventually
 from tests.silent_processes import Caller, find_holder
 from tests.soak_seeds import begin_overlapping, run_command_line
@@ -73,7 +74,6 @@
 SILENCE_PAUSE_S = 1.0
 """Shortest pause between two silences, in seconds."""
 
-DELAY_CHECK_S = 0.05
 END_S = 20.0
 """Time in which everything must serve at the end, in seconds."""
 
@@ -307,7 +307,7 @@
     ended: list[_Ended] = field(default_factory=list)
     sent: int = 0
     silent_until: float = 0.0
-    longest_delay_s: float = 0.0
+    delays: DelayMeter = field(default_factory=DelayMeter)
     began_at: float = field(default_factory=lambda: _now())
 
     # Requests.
@@ -385,7 +385,7 @@
             return
         if ended.kind != LEAVING:
             return
-        if ended.took_s > MAX_REFUSAL_S + self.longest_delay_s:
+        if ended.took_s > MAX_REFUSAL_S + self.delays.longest_s:
             self.faults.append(f"refused late: {ended.describe()}")
         is_early = ended.after_s is None or ended.after_s < SHORT_SERVED_S
         if is_early and order.length_s < SHORT_S:
@@ -505,13 +505,6 @@
                 break
         one.faults.dark = True
 
-    async def measure_delays(self) -> None:
-        """Measure how late this loop is at most, until cancelled."""
-        while True:
-            due = _now() + DELAY_CHECK_S
-            await asyncio.sleep(DELAY_CHECK_S)
-            self.longest_delay_s = max(self.longest_delay_s, _now() - due)
-
     # Silences, and what the store loses.
 
     async def _silence(self, upstreams: list[Runner]) -> None:
@@ -571,7 +564,7 @@
         lines = [
             f"{accepted} accepted ({shown}; {early} of the cut ones sent up to "
             f"{EXCUSED_S} s after SIGTERM), {len(stopping)} at stopping VMs, loop "
-            f"late by {self.longest_delay_s:.2f} s at most",
+            f"late by {self.delays.longest_s:.2f} s at most",
             f"work: {', '.join(self.works)}",
             *(f"{ended.left_s:.2f} s left: {ended.describe()}" for ended in refused),
         ]
@@ -602,7 +595,7 @@
                 _Consumer(soak, random.Random(f"consumer-{number}-{seed}"))
                 for number in range(CALLERS)
             ]
-            measuring = asyncio.create_task(soak.measure_delays())
+            measuring = asyncio.create_task(soak.delays.run())
             await asyncio.gather(
                 soak.do_planned_work(until),
                 *(consumer.send_traffic(until + GRACE_S) for consumer in consumers),
