Gateway: a trial that an upstream refuses goes on at another one

Callers of a prompt part that was under suspicion got 503 although another upstream was free: the upstream of the trial had refused the request without running it, since its group was not open at that moment.

A suspected request had one attempt, whatever became of it (`attempt-failed failure=refused again=True`, then `end=upstream-refused stop=no-target`). The limit is there so that one request can't end two upstreams; a refused one has run nowhere. It is now sent to the next upstream in the order of the trial, as long as it may not have run. After a lost attempt nothing changes, which a second test holds.

The new test fails on the parent: 503 "Upstreams refused the request before running it", with the same two lines.

--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -361,7 +361,9 @@
             state, since_event_s, now
         )
 
-    def choose_for_trial(self, trait: TraitId, now: float) -> TargetState | None:
+    def choose_for_trial(
+        self, trait: TraitId, now: float, tried: Collection[InstanceId] = ()
+    ) -> TargetState | None:
         """Return the target that all processes choose for a suspected trait.
 
         It depends on the trait and the usable targets alone, so that a trait
@@ -371,9 +373,14 @@
         Args:
             trait: The trait.
             now: Seconds.
+            tried: Targets that refused the request before.
         """
         return max(
-            self.list_usable(now),
+            (
+                state
+                for state in self.list_usable(now)
+                if state.target.instance not in tried
+            ),
             key=lambda state: rank_for_trial(trait, state.target.incarnation),
             default=None,
         )
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -213,13 +213,16 @@
     ) -> TargetState | None:
         """Return the target of the next attempt, or None.
 
-        A suspected request has one attempt, at the target of the trial. One
-        that may outlast a stopping process probes no slow target. One that has
-        waited since no other target was left may use the same one again.
+        A suspected request runs once, at the target of the trial or, if that
+        one refuses it, at the next in order. One that may outlast a stopping
+        process probes no slow target. One that has waited since no other
+        target was left may use the same one again.
         """
         now = asyncio.get_running_loop().time()
         if verdict.trait is not None:
-            return None if call.tried else pool.choose_for_trial(verdict.trait, now)
+            if call.attempts.may_have_run:
+                return None
+            return pool.choose_for_trial(verdict.trait, now, call.tried)
         within_s = call.compute_wanted_event_time(now)
         prompt, domains = call.terms.prompt_tokens, call.suspected_domains
         may_probe = (
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -7,7 +7,14 @@
 from typing import Any
 
 from tests.delays import explain_by_delays
-from zinniaspool.core.ids import Address, FailureDomainId, NodeId
+from zinniaspool.core.dispatch import TargetPool
+from zinniaspool.core.ids import (
+    Address,
+    FailureDomainId,
+    ModelName,
+    NodeId,
+    ServiceName,
+)
 from zinniaspool.fleet import NodeSettings
 from zinniaspool.gateway.main import GatewayProcess
 from zinniaspool.http import (
@@ -223,6 +230,11 @@
             task.cancel()
         keeper._peers._listener._handler = say_nothing
 
+    def find_pool(self, node: str, model: str) -> TargetPool:
+        """Return the targets of a model as a VM's entry process has them."""
+        index = self.nodes[node].gateway._index
+        return index.find_pool(ServiceName("drafting"), ModelName(model))
+
     def assert_sound(self) -> None:
         """Check what the runners saw: whole groups, no VM in two."""
         assert [text for one in self.runners.values() for text in one.broken] == []
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -6,8 +6,11 @@
 
 import pytest
 
-from tests.installation import Answer, Installation, run
+from tests.installation import Answer, Installation, eventually, run
 from zinniaspool.core.dispatch import quarantine
+from zinniaspool.core.fleet import InstanceId
+from zinniaspool.core.ids import TraitId
+from zinniaspool.core.messages.fleet import CrashHistory, PastCrash
 from zinniaspool_standins.runners import Runner
 
 _PART, _OTHER_PART = "dead0001", "dead0002"
@@ -362,3 +365,53 @@
             assert crashing.answers[-1].events == [1, 2, 3, 4]
 
     run(test)
+
+
+async def _await_trial_runner(made: Installation, part: str) -> Runner:
+    """Have a process suspect a part; return where it tries it first.
+
+    Two upstreams serve the model then.
+    """
+    await made.settle()
+    pool = made.find_pool("n0", "small")
+    await eventually(lambda: len(pool) == 2)
+    trait = TraitId(f"part-{part}")
+    crashes = [
+        PastCrash(InstanceId(f"gone-{number}"), number, 4000 - number, [trait], [])
+        for number in range(3)
+    ]
+    made.nodes["n0"].gateway._crash_detector.apply_history(CrashHistory(crashes))
+    now = asyncio.get_running_loop().time()
+    state = pool.choose_for_trial(trait, now)
+    assert state is not None
+    return made.runners[state.target.instance]
+
+
+def test_a_trial_that_an_upstream_refuses_goes_on_at_another_one() -> None:
+    """Guards against a 503 for a sound part since one upstream isn't ready."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, engines=7) as made:
+            first = await _await_trial_runner(made, _PART)
+            first.faults.refuse = True
+            answer = await made.draft("n0", "small", 3, "r-trial", parts=(_PART,))
+            assert answer.events == [1, 2, 3], answer
+            assert first.arrivals["r-trial"] == 1
+            (ran,) = made.runs_of("r-trial")
+            assert ran != first.id
+
+    run(test)
+
+
+def test_a_trial_that_was_lost_is_not_sent_to_another_upstream() -> None:
+    """Guards against one request with a part that crashes two upstreams."""
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, engines=7) as made:
+            first = await _await_trial_runner(made, _PART)
+            first.faults.cut_heads = 1
+            answer = await made.draft("n0", "small", 3, "r-trial", parts=(_PART,))
+            assert answer.status == 502, answer
+            assert made.runs_of("r-trial") == [first.id]
+
+    run(test)
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -11,16 +11,13 @@
 from tests.fakes import FakeUpstream
 from tests.installation import Answer, Installation, eventually, run
 from tests.silent_processes import Caller
-from zinniaspool.core.dispatch import TargetPool
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.formation import GroupOrder, OrderAction, OrderOutcome
 from zinniaspool.core.ids import (
     Address,
     Epoch,
     GroupId,
-    ModelName,
     Revision,
-    ServiceName,
 )
 from zinniaspool.core.storage import KeyWrite, StoreFault
 from zinniaspool.http import (
@@ -138,15 +135,10 @@
     run(test)
 
 
-def find_pool(made: Installation, model: str) -> TargetPool:
-    index = made.nodes["n0"].gateway._index
-    return index.find_pool(ServiceName("drafting"), ModelName(model))
-
-
 async def start_two_heads(made: Installation) -> list[Runner]:
     """Wait for two groups of the small model; return their heads."""
     await made.settle()
-    await eventually(lambda: len(find_pool(made, "small")) == 2)
+    await eventually(lambda: len(made.find_pool("n0", "small")) == 2)
     return made.heads("small")
 
 
@@ -161,7 +153,7 @@
     async def check() -> None:
         async with Installation.running(nodes=1, engines=7) as made:
             cut, other = await start_two_heads(made)
-            state = find_pool(made, "small").get(InstanceId(other.id))
+            state = made.find_pool("n0", "small").get(InstanceId(other.id))
             assert state is not None
             cut.faults.cut_heads = 1
             state.backoff_until = asyncio.get_running_loop().time() + 0.4
@@ -182,7 +174,7 @@
             asking = asyncio.create_task(made.draft("n0", "small", EVENTS, "r-lost"))
             await eventually(lambda: made.runs_of("r-lost"))
             pause_ends = asyncio.get_running_loop().time() + PAUSE_S
-            for state in find_pool(made, "small"):
+            for state in made.find_pool("n0", "small"):
                 state.backoff_until = pause_ends
             for head in heads:
                 head.faults.cut_heads = int(head.id in made.runs_of("r-lost"))
@@ -233,7 +225,7 @@
         async with Installation.running(nodes=1, engines=5) as made:
             await made.settle()
             (only,) = made.heads("small")
-            (state,) = find_pool(made, "small")
+            (state,) = made.find_pool("n0", "small")
             only.faults.cut_heads = 1
             loop = asyncio.get_running_loop()
             sent_at = loop.time()
