Quarantine: a trial that has not run is not used up

A quarantined part of a prompt is tried again by one process, after 20 s if it was answered before, else after 120 s, then six times as late each time. A trial counted when it was sent. If the upstream refused it without running it, nothing was learnt, but sound requests with the part were refused for minutes more, and those of a part held for 600 s to the end of it.

A refused trial, or one of which nothing was sent, is now given back: the pause is as long as before, and the same or the next request is the trial.

With src/ of the parent the new test fails: the request gets 503 "Upstreams crashed under this request before." after `trial-begun` and `attempt-failed failure=refused`. Found by reading, not seen in a run.

--- a/src/zinniaspool/core/dispatch/quarantine.py
+++ b/src/zinniaspool/core/dispatch/quarantine.py
@@ -94,6 +94,7 @@
         next_trial_at: Time from which this process may send one more request
             to an upstream, in seconds.
         trial_pause_s: Time until the trial after that, in seconds.
+        has_trial: Whether a request was sent as a trial that may still run.
     """
 
     until: float
@@ -101,6 +102,7 @@
     decided_at: float | None = None
     next_trial_at: float = inf
     trial_pause_s: float = inf
+    has_trial: bool = False
 
 
 class Quarantine:
@@ -168,6 +170,15 @@
         if hold is not None:
             hold.trial_pause_s *= TRIAL_PAUSE_FACTOR
             hold.next_trial_at = now + hold.trial_pause_s
+            hold.has_trial = True
+
+    def cancel_trial(self, trait: TraitId, now: float) -> None:
+        """Record that a trait's trial has not run, so that another one may."""
+        hold = self._holds.get(trait)
+        if hold is not None and hold.has_trial:
+            hold.trial_pause_s /= TRIAL_PAUSE_FACTOR
+            hold.next_trial_at = now
+            hold.has_trial = False
 
     def count_trials(self, trait: TraitId) -> int:
         """Return how many trials led to a trait's quarantine."""
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -137,6 +137,8 @@
             if failure is None:
                 return None
             fault = self._evaluate_failure(call, pool, failure)
+            if verdict.trait is not None and not call.attempts.may_have_run:
+                self._crashes.cancel_trial(verdict.trait)
         return fault
 
     async def _run_leaders(self, attempt: GatewayAttempt) -> AttemptFailure | None:
--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -139,6 +139,10 @@
             instance=state.target.instance,
         )
 
+    def cancel_trial(self, trait: TraitId) -> None:
+        """Record that no upstream ran a suspected request."""
+        self.quarantine.cancel_trial(trait, self._now())
+
     async def handle_lost_attempt(self, attempt: GatewayAttempt) -> None:
         """Find out whether the upstream of a lost attempt has crashed.
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -415,3 +415,30 @@
             assert made.runs_of("r-trial") == [first.id]
 
     run(test)
+
+
+def test_a_retrial_that_an_upstream_refuses_is_not_used_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a sound part that stays quarantined for minutes more."""
+    monkeypatch.setattr(quarantine, "UNANSWERED_TRIAL_PAUSE_S", 0.5)
+
+    async def test() -> None:
+        async with Installation.running(nodes=1, engines=7) as made:
+            first = await _await_trial_runner(made, _PART)
+            crashes = made.nodes["n0"].gateway._crash_detector
+            trait = TraitId(f"part-{_PART}")
+            tried = PastCrash(InstanceId("gone-3"), 3, 10, [trait], [trait])
+            crashes.apply_history(CrashHistory([tried]))
+            now = asyncio.get_running_loop().time()
+            crashes.quarantine.schedule_retrials(trait, now)
+            held = await made.draft("n0", "small", 3, parts=(_PART,))
+            assert held.headers.get("x-error-kind") == "quarantined"
+            await asyncio.sleep(0.7)
+            first.faults.refuse = True
+            answer = await made.draft("n0", "small", 3, "r-trial", parts=(_PART,))
+            assert answer.events == [1, 2, 3], answer
+            again = await made.draft("n0", "small", 3, parts=(_PART,))
+            assert again.events == [1, 2, 3], again
+
+    run(test)
