Gateway: each attempt at the same target comes after a pause

On routes with more than two attempts, a request whose only target lost its second attempt was sent there a third time in the same moment, as long as the wait after the first loss had not ended; the pause is there because such a state lasts for moments. The end of the first wait stayed on the request and let all later attempts use the same target at once.

The wait now ends as an attempt begins.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -172,7 +172,7 @@
         error_reserve_s: Time after its deadline that is reserved for an error
             answer, in seconds; a stream that has begun needs none.
         waits_until: Time until which it waits for a target, since none was
-            left after a lost attempt; None if it hasn't waited.
+            left after a lost attempt; None if it doesn't wait.
     """
 
     exchange: Exchange
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -130,6 +130,7 @@
             begun = call.attempts.begin(loop.time())
             if isinstance(begun, Err):
                 return begun.err_value
+            call.waits_until = None
             if verdict.trait is not None:
                 self._crashes.record_trial(call, verdict.trait, state)
             attempt = call.leader = call.make_attempt(state, verdict.trait)
@@ -217,7 +218,7 @@
 
         A suspected request runs once, at the target of the trial or, if that
         one refuses it, at the next in order. One that may outlast a stopping
-        process probes no slow target. One that has waited since no other
+        process probes no slow target. One that has just waited since no other
         target was left may use the same one again.
         """
         now = asyncio.get_running_loop().time()
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
@@ -20,6 +21,7 @@
     Revision,
 )
 from zinniaspool.core.storage import KeyWrite, StoreFault
+from zinniaspool.gateway.moves import RETRY_INTERVAL_S
 from zinniaspool.http import (
     Exchange,
     Headers,
@@ -31,7 +33,7 @@
 from zinniaspool.platform.kvstore import KvStore
 from zinniaspool.platform.orders import EngineClient
 from zinniaspool_standins.headcuts import HeadCut, HeadEnd, make_head
-from zinniaspool_standins.installation import SIZES
+from zinniaspool_standins.installation import SIZES, make_rules
 from zinniaspool_standins.nodes import end_nodes, make_nodes
 from zinniaspool_standins.runners import Runner
 
@@ -199,6 +201,24 @@
     run(check)
 
 
+def test_each_attempt_at_the_same_target_comes_after_a_pause() -> None:
+    """Guards against a third attempt in the moment that lost the second."""
+
+    async def check() -> None:
+        async with Installation.running(nodes=1, engines=5) as made:
+            routes = make_rules(0, [])["routes"]
+            made.configure(routes=[{**one, "max-attempts": 3} for one in routes])
+            await made.settle()
+            (only,) = made.heads("small")
+            only.faults.cut_heads = 2
+            assert is_whole(await made.draft("n0", "small", EVENTS, "r-lost"))
+            came = [at for request, at in only.arrivals_at if request == "r-lost"]
+            pauses = [later - at for at, later in pairwise(came)]
+            assert len(pauses) == 2 and min(pauses) >= RETRY_INTERVAL_S, pauses
+
+    run(check)
+
+
 def test_a_lost_stream_goes_on_at_the_only_target() -> None:
     """Guards against a stream that is cut while its target answers others."""
 
