--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -430,10 +430,10 @@
             trait = TraitId(f"part-{_PART}")
             tried = PastCrash(InstanceId("gone-3"), 3, 10, [trait], [trait])
             crashes.apply_history(CrashHistory([tried]))
-            now = asyncio.get_running_loop().time()
-            crashes.quarantine.schedule_retrials(trait, now)
             held = await made.draft("n0", "small", 3, parts=(_PART,))
             assert held.headers.get("x-error-kind") == "quarantined"
+            now = asyncio.get_running_loop().time()
+            crashes.quarantine.schedule_retrials(trait, now)
             await asyncio.sleep(0.7)
             first.faults.refuse = True
             answer = await made.draft("n0", "small", 3, "r-trial", parts=(_PART,))
