Gateway: the log has the attempts of a cut answer and when a stream falls behind

Cause: of a stream that a stop cut, the log had its last target and the number of attempts. It didn't tell which attempts there were, when each began and ended and why, when the stream was first predicted to outlast the process, or what a connection that was cut at the end still had to send.

No decision depends on them yet.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -23,7 +23,9 @@
     AnswerTiming,
     DurationForecast,
     StreamTiming,
+    UsualStream,
 )
+from zinniaspool.core.dispatch.endings import EventPace, RunningStream, predict_end
 from zinniaspool.core.dispatch.loads import LoadChangeTracker, PeerLoads
 from zinniaspool.core.dispatch.pace import EngineTiming, FirstEventForecast
 from zinniaspool.core.dispatch.patience import CallerTimeoutEstimator
@@ -85,6 +87,7 @@
     "DurationForecast",
     "EngineTiming",
     "EventCursor",
+    "EventPace",
     "FirstEventForecast",
     "InstanceLoad",
     "InstanceNotice",
@@ -102,6 +105,7 @@
     "RetryPurpose",
     "RetryTerms",
     "RunningAttempt",
+    "RunningStream",
     "StallLimits",
     "SlackSharers",
     "Standing",
@@ -115,6 +119,7 @@
     "TicketState",
     "TraitKind",
     "TraitStatus",
+    "UsualStream",
     "Verdict",
     "assign_domains",
     "back_off",
@@ -129,6 +134,7 @@
     "identify_model",
     "identify_traits",
     "is_lost",
+    "predict_end",
     "suspect",
     "weigh_own_load",
     "would_be_on_time_elsewhere",
--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from statistics import median
 
-__all__ = ["AnswerTiming", "DurationForecast", "StreamTiming"]
+__all__ = ["AnswerTiming", "DurationForecast", "StreamTiming", "UsualStream"]
 
 RECENT_ANSWERS = 256
 """Answers of one kind that are kept."""
@@ -111,6 +111,26 @@
     stream: StreamTiming | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class UsualStream:
+    """What recent streams of one kind show.
+
+    Attributes:
+        token_s: Their usual time of a token, in seconds; 0 if unknown.
+        id_tokens: Tokens that an id of an event has; 0 if unknown.
+        usual_part: Part of the allowed tokens that is usually written.
+        longest_part: Largest part of them that is written.
+        longest_length: The most tokens of a stream that states no length; None
+            if too few streams are known.
+    """
+
+    token_s: float
+    id_tokens: float
+    usual_part: float
+    longest_part: float
+    longest_length: int | None
+
+
 class DurationForecast:
     """Predicts the longest time of requests of one kind."""
 
@@ -198,6 +218,18 @@
         usual_tokens = allowed_tokens * median(one.written_part for one in streams)
         return max(0.0, usual_tokens - written_tokens) * median(times)
 
+    def sum_up(self, now: float) -> UsualStream:
+        """Return what recent streams show."""
+        streams = self._list_streams(now)
+        times = [one.token_s for one in streams if one.token_s is not None]
+        return UsualStream(
+            median(times or [0.0]),
+            self.measure_id_tokens(now),
+            median([one.written_part for one in streams] or [1.0]),
+            self._find_longest_part(now),
+            self.predict_longest_length(now),
+        )
+
     def measure_token_time(self, now: float) -> float:
         """Return the longest time of a token, in seconds; 0 if unknown."""
         seen = [stream.token_s for stream in self._list_streams(now)]
--- /dev/null
+++ b/src/zinniaspool/core/dispatch/endings.py
@@ -0,0 +1,77 @@
+"""Predicts when streams in progress end, from the pace that they show.
+
+The end of a stream that is accepted by a stopping process is predicted from
+recent streams. Its target may become slower or silent later on, and only its
+own events show that.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from statistics import median
+
+__all__ = ["EventPace", "RunningStream", "predict_end"]
+
+WINDOW = 7
+"""Gaps of which the median is the pace: a single pause doesn't change it."""
+
+MIN_GAPS = 3
+"""Gaps from which on a stream shows its own pace."""
+
+SILENCE_FACTOR = 2.0
+"""Multiple of the usual gap from which on a target counts as silent. A silence
+is expected to last as long again as it has lasted so far."""
+
+
+class EventPace:
+    """The recent time from one event of a stream to the next."""
+
+    __slots__ = ("_gaps",)
+
+    def __init__(self) -> None:
+        self._gaps: deque[float] = deque(maxlen=WINDOW)
+
+    def record(self, gap_s: float, ids: int) -> None:
+        """Record a read of events.
+
+        Args:
+            gap_s: Time since the read before, in seconds.
+            ids: By how much the events' ids have risen.
+        """
+        if ids > 0:
+            self._gaps.append(gap_s / ids)
+
+    def estimate(self) -> float | None:
+        """Return the time by which an id rises by one, in seconds.
+
+        Returns:
+            None if too few events were read.
+        """
+        return median(self._gaps) if len(self._gaps) >= MIN_GAPS else None
+
+
+@dataclass(frozen=True, slots=True)
+class RunningStream:
+    """A stream in progress at one target.
+
+    Attributes:
+        ids_left: By how much its ids still rise, at least 1.
+        id_s: Time by which they rise by one, in seconds.
+        read_at: Time of its last event or, before the first one, of its
+            request, in seconds.
+        next_s: Usual time from then to its next event, in seconds.
+    """
+
+    ids_left: float
+    id_s: float
+    read_at: float
+    next_s: float
+
+
+def predict_end(stream: RunningStream, now: float) -> float:
+    """Return when a stream will end where it is, in seconds."""
+    quiet_s, next_s = now - stream.read_at, stream.next_s
+    if quiet_s > SILENCE_FACTOR * next_s:
+        next_s = 2 * quiet_s
+    # The next event may come at any moment, and not before now.
+    next_at = max(now, stream.read_at + next_s)
+    return next_at + (stream.ids_left - 1) * stream.id_s
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -8,6 +8,7 @@
     AttemptFailure,
     Attempts,
     EventCursor,
+    EventPace,
     Progress,
     RequestTerms,
     StreamTiming,
@@ -67,14 +68,22 @@
         has_led: Whether its events or answer have gone to the caller, or it
             took the place of an attempt that failed.
         superseded: Whether another attempt goes on in place of this one.
+        resumed_after: Id of the last event before it; 0 from the start.
         sent_at: Time at which it was sent.
+        ended_at: Time at which it ended.
+        failure: How it failed; None if it goes on or answered.
         predicted_first_event_s: Predicted time from then to its first event,
             in seconds.
         has_event: Whether it has had an event.
         writing_since: Time of its first event.
         event_reads: Reads of its events.
+        read_at: Time at which the last of them had been passed on, or at which
+            it was sent.
+        pace: The recent time from one event to the next.
+        is_blocked: Whether an event waits for the caller to read.
         blocked_s: Time in which events waited for the caller to read, in
             seconds.
+        is_behind: Whether its stream was found not to end in time there.
         is_answer: Whether it counts as answered: it is complete, or goes on
             for long enough.
         unanswered_out_of_subset: Whether its target is out of this process's
@@ -92,12 +101,19 @@
     first_event_overdue: bool = False
     has_led: bool = False
     superseded: bool = False
+    resumed_after: int = 0
     sent_at: float = 0.0
+    ended_at: float = 0.0
+    failure: AttemptFailure | None = None
     predicted_first_event_s: float = 0.0
     has_event: bool = False
     writing_since: float = 0.0
     event_reads: int = 0
+    read_at: float = 0.0
+    pace: EventPace = field(default_factory=EventPace)
+    is_blocked: bool = False
     blocked_s: float = 0.0
+    is_behind: bool = False
     is_answer: bool = False
     unanswered_out_of_subset: bool = False
 
@@ -106,6 +122,22 @@
         """Whether its events and answer go to the caller."""
         return self.call.leader is self
 
+    def describe(self) -> str:
+        """Return what became of it, for the log.
+
+        Times are in milliseconds since its request arrived.
+        """
+        call = self.call
+        sent_ms = int((self.sent_at - call.received_at) * 1000)
+        ended_ms = int((self.ended_at - call.received_at) * 1000)
+        ended = "answered" if self.failure is None else self.failure.value
+        cause = "" if self.reroute_cause is None else self.reroute_cause.value
+        return (
+            f"{self.number}@{self.state.target.instance}:sent={sent_ms}:"
+            f"ended={ended_ms}:after={self.resumed_after}:reads={self.event_reads}:"
+            f"{ended}:{cause}"
+        )
+
     def reschedule_timeout(self, at: float) -> None:
         """Have the attempt time out at another time, in seconds."""
         if self.timeout is not None and not self.timeout.expired():
@@ -148,6 +180,7 @@
             before the first one.
         progress: How much of the answer the caller has received.
         tried: Instances that it was sent to.
+        history: Its attempts, in the order in which they were made.
         suspected_domains: Fabric domains in which a target stalled while it
             had the request.
         leader: The attempt whose events go to the caller; None before the
@@ -188,6 +221,7 @@
     last_event_id: int | None = None
     progress: Progress = Progress.NOTHING
     tried: list[InstanceId] = field(default_factory=list)
+    history: list[GatewayAttempt] = field(default_factory=list)
     suspected_domains: set[FabricDomainId | None] = field(default_factory=set)
     leader: GatewayAttempt | None = None
     alternatives: list[GatewayAttempt] = field(default_factory=list)
@@ -224,7 +258,10 @@
         cursor = EventCursor()
         cursor.last_id = self.last_event_id
         cursor.resume()
-        return GatewayAttempt(self, state, cursor, self.attempts.number, trial)
+        attempt = GatewayAttempt(self, state, cursor, self.attempts.number, trial)
+        attempt.resumed_after = self.last_event_id or 0
+        self.history.append(attempt)
+        return attempt
 
     def shorten_deadline(self, deadline: float) -> None:
         """Have the request end when this process does, at the latest.
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -165,6 +165,7 @@
                 if call.stopped_by == "stop":
                     end = "cut-by-stop"
                     self._stop_clock.tally.cut += 1
+                _log_cut(call)
                 call.exchange.abort()
                 return
             await self._refuse(call.exchange, call.terms, done.err_value)
@@ -176,6 +177,7 @@
             if end == "caller-left" and now >= self._stop_clock.exits_at:
                 end, call.stopped_by = "cut-by-stop", "stop"
                 self._stop_clock.tally.cut += 1
+                _log_cut(call)
             is_refused = end == ErrorKind.LEAVING.value
             self._stop_guard.record_end(call, is_refused=is_refused)
             self._record_end(call, end, now - call.received_at)
@@ -286,6 +288,20 @@
     return "caller" if end == "caller-left" else call.stopped_by
 
 
+def _log_cut(call: GatewayCall) -> None:
+    """Log what became of the attempts of an answer that is cut."""
+    now = asyncio.get_running_loop().time()
+    _log.warning(
+        "answer-cut",
+        request=call.terms.id,
+        by=call.stopped_by,
+        after_ms=int((now - call.received_at) * 1000),
+        last_event=call.last_event_id or 0,
+        allowed_tokens=call.terms.max_output_tokens,
+        attempts=",".join(attempt.describe() for attempt in call.history),
+    )
+
+
 def refuse_request(kind: RefusalKind, detail: str) -> Refusal:
     """Return the answer to a request that the HTTP server refuses itself.
 
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -64,6 +64,7 @@
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.digests import DemandReporter
 from zinniaspool.gateway.directory import DirectoryHandler
+from zinniaspool.gateway.endings import StreamEndWatcher
 from zinniaspool.gateway.evacuations import EvacuationMonitor
 from zinniaspool.gateway.face import CallerHandler, refuse_request
 from zinniaspool.gateway.gate import AdmissionQueues
@@ -282,6 +283,7 @@
         self._slow_target_watcher = SlowTargetWatcher(
             settings.node, self._index, self._rerouter, self._send_to_holder
         )
+        self._stream_end_watcher = StreamEndWatcher(self._stop_guard, self._index)
         self._lease = RenewedLease(self._store, NODE_LEASE_S)
         self._record = OwnRecord(
             NODES_PREFIX + settings.node, self._store, self._fleet_view.mirror
@@ -377,6 +379,9 @@
             asyncio.create_task(
                 run_supervised("watch_speed", self._slow_target_watcher.run)
             ),
+            asyncio.create_task(
+                run_supervised("watch_endings", self._stream_end_watcher.run)
+            ),
             asyncio.create_task(run_supervised("checks", self._run_checks)),
             asyncio.create_task(run_supervised("prober", self._prober.run)),
             asyncio.create_task(
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -117,7 +117,7 @@
         loop = asyncio.get_running_loop()
         if not state.local_requests:
             state.last_event_at = loop.time()
-        attempt.sent_at = loop.time()
+        attempt.sent_at = attempt.read_at = loop.time()
         prompt = call.terms.prompt_tokens
         pool = self._index.find_pool(call.service, call.terms.model)
         attempt.predicted_first_event_s = pool.predict_first_event(
@@ -128,7 +128,7 @@
         self._rerouter.begin_attempt(attempt)
         failed = refused = False
         try:
-            failure = await self._send(attempt)
+            failure = attempt.failure = await self._send(attempt)
             failed = failure in _TARGET_FAILURES
             if attempt.superseded and attempt.first_event_overdue:
                 failed = True
@@ -137,6 +137,7 @@
                 pool.forecast.record_request_time(loop.time() - attempt.sent_at)
             return failure
         finally:
+            attempt.ended_at = loop.time()
             pool.end_request(
                 state,
                 loop.time(),
@@ -306,7 +307,9 @@
                 self._record_first_event(attempt, now)
             attempt.event_reads += 1
             self._crashes.record_progress(attempt, now)
+            last_id = attempt.cursor.last_id or 0
             events = attempt.cursor.feed(data)
+            self._record_pace(attempt, last_id, now)
             without_id = attempt.cursor.bytes_without_id
             if isinstance(events, Err) or without_id > MAX_BYTES_WITHOUT_ID:
                 response.abort()
@@ -337,15 +340,30 @@
         state, loop = attempt.state, asyncio.get_running_loop()
         began_at = loop.time()
         state.blocked_streams += 1
+        attempt.is_blocked = True
         try:
             with CALLER_SIDE:
                 await attempt.call.exchange.write(data)
         finally:
             now = loop.time()
             state.blocked_streams -= 1
+            attempt.is_blocked, attempt.read_at = False, now
             attempt.blocked_s += now - began_at
             attempt.call.last_event_at = state.last_event_at = now
 
+    def _record_pace(self, attempt: GatewayAttempt, last_id: int, now: float) -> None:
+        """Record the time since the read before.
+
+        Args:
+            attempt: The attempt; it has just read events.
+            last_id: Id of the last event before them; 0 without one.
+            now: Seconds.
+        """
+        if attempt.event_reads > 1:
+            ids = (attempt.cursor.last_id or 0) - last_id
+            attempt.pace.record(now - attempt.read_at, ids)
+        attempt.read_at = now
+
     def _record_first_event(self, attempt: GatewayAttempt, now: float) -> None:
         call, state = attempt.call, attempt.state
         attempt.has_event, attempt.first_event_overdue = True, False
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -17,6 +17,7 @@
     Progress,
     StreamTiming,
     TargetPool,
+    UsualStream,
 )
 from zinniaspool.core.fleet import Catalog, RequestKind
 from zinniaspool.core.ids import ModelName, ServiceName
@@ -209,6 +210,10 @@
         writing_s = self._predict_usual_writing(call, last_event_id, now)
         return writing_s is not None and now + writing_s > self._clock.ends_at
 
+    def sum_up_streams(self, call: GatewayCall, now: float) -> UsualStream:
+        """Return what recent streams of a request's route show."""
+        return self._find_forecasts(call)[0].sum_up(now)
+
     def _predict_longest(
         self, call: GatewayCall, pool: TargetPool, now: float
     ) -> float | None:
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -223,6 +223,22 @@
         """Whether a request is being received or answered."""
         return self._phase in (_Phase.RECEIVING, _Phase.HANDLING)
 
+    def log_cut(self) -> None:
+        """Log what is lost if the connection is cut now."""
+        unsent = 0
+        if self._transport is not None:
+            unsent = self._transport.get_write_buffer_size()
+        if not self.busy and not unsent:
+            return
+        _log.warning(
+            "connection-cut",
+            peer=self.peer,
+            phase=self._phase.name.lower(),
+            has_head=self._head is not None,
+            received=self._reserved,
+            unsent=unsent,
+        )
+
     def close_if_idle(self) -> None:
         """Close, unless a request has begun to arrive."""
         if self._phase is _Phase.IDLE:
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -122,6 +122,7 @@
                 await self._all_closed.wait()
         cut = sum(connection.busy for connection in self._connections)
         for connection in list(self._connections):
+            connection.log_cut()
             connection.abort()
         return cut
 
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -11,6 +11,7 @@
 
 REQUEST_EVENTS = frozenset(
     {
+        "answer-cut",
         "answer-foreign",
         "attempt-failed",
         "request-awaits-target",
@@ -19,6 +20,7 @@
         "request-not-admitted",
         "request-outlasts-stop",
         "request-refused",
+        "stream-behind",
         "trial-begun",
     }
 )
@@ -28,6 +30,10 @@
 
 LOG_EVENTS: Mapping[str, str] = MappingProxyType(
     {
+        "answer-cut": "An answer that had begun was cut; the keys tell who ended it, "
+        "and of each attempt its number and instance, when it was sent and ended after "
+        "the request's arrival, the event that it went on after, its reads, how it "
+        "ended, and why another one was begun beside it.",
         "answer-foreign": "A dropped answer of an upstream named another request.",
         "answers-not-left": "A leaving process could not write its stored answers to "
         "the store.",
@@ -74,6 +80,9 @@
         "peer-refused": "A peer sent a wrong secret or an unknown version.",
         "peer-unreachable": "A peer could not be reached or did not answer.",
         "peers-listening": "The process listens on its address for peers.",
+        "connection-cut": "A connection was cut when the server ended; the keys tell "
+        "what it was doing and how many bytes had been received of a request and not "
+        "been sent of an answer.",
         "connection-failed": "A connection ended in an error of its transport.",
         "connection-refused": "A connection was refused because too many were open.",
         "request-awaits-target": "No target is left for a request that may be sent "
@@ -87,6 +96,9 @@
         "store-unreachable": "The store could not be read.",
         "upstream-ended": "A leaving upstream no longer listens; its address may be "
         "reused.",
+        "stream-behind": "A stream in progress won't end in time where it is, by the "
+        "pace of its events; the keys give that pace, what is left, and the time that "
+        "it has and needs.",
         "superseded": "A later start of this node is known; this process stops.",
         "duty-failed": "An internal error occurred in a background task; the task "
         "starts again.",
--- /dev/null
+++ b/tests/test_outlasting_streams.py
@@ -0,0 +1,134 @@
+"""Streams whose upstream becomes slower or fails after they were accepted."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from structlog.testing import capture_logs
+
+from tests.installation import Answer, eventually, run
+from tests.test_planned_stops import StoppedInstallation
+from zinniaspool.core.dispatch import Progress
+from zinniaspool.gateway.calls import GatewayCall
+from zinniaspool_standins.runners import Runner
+
+pytestmark = pytest.mark.processes
+
+EVENTS = 50
+"""Events of a stream: it takes about 1.6 s."""
+
+LEFT_S = 3.2
+"""Time that a stopping process has left for it, in seconds."""
+
+SLOW = 5.0
+"""Pace of a slow head: a stream there takes about 8 s."""
+
+
+class _ImpatientInstallation(StoppedInstallation):
+    """A route whose timeout ends a stream at a slow head."""
+
+    deadline_s = 4.0
+
+
+class _Stream:
+    """A caller's stream in progress.
+
+    Args:
+        made: The installation.
+        deadline_s: How long its caller waits, in seconds.
+    """
+
+    def __init__(self, made: StoppedInstallation, deadline_s: float) -> None:
+        self._made = made
+        self._gateway = made.nodes["n0"].gateway
+        self._task = asyncio.create_task(
+            made.draft(
+                "n0", "small", EVENTS, "late", deadline_ms=int(deadline_s * 1000)
+            )
+        )
+
+    @property
+    def call(self) -> GatewayCall:
+        """The request at the entry process."""
+        (call,) = self._gateway._stop_guard.running
+        return call
+
+    @property
+    def head(self) -> Runner:
+        """The head whose events its caller gets."""
+        assert self.call.leader is not None
+        return self._made.runners[self.call.leader.state.target.instance]
+
+    async def await_events(self, count: int) -> None:
+        """Wait until its caller has had some events."""
+        await eventually(lambda: self._gateway._stop_guard.running)
+        await eventually(
+            lambda: (
+                self.call.progress is Progress.RESUMABLE
+                and (self.call.last_event_id or 0) >= count
+            )
+        )
+
+    async def use_second_attempt(self) -> None:
+        """Let its head pause until an attempt elsewhere ends as superseded."""
+        first, others = self.head, self._made.heads("small")
+        for one in others:
+            one.faults.silent = True
+        await eventually(lambda: self.call.attempts.number == 2)
+        first.faults.silent = False
+        await eventually(lambda: not self.call.alternatives)
+        for one in others:
+            one.faults.silent = False
+        assert self.head is first
+
+    async def finish(self) -> Answer:
+        """Wait for the end of its answer."""
+        return await self._task
+
+
+@asynccontextmanager
+async def _begin_stream(
+    kind: type[StoppedInstallation] = StoppedInstallation,
+    *,
+    stops: bool = True,
+    engines: int = 12,
+) -> AsyncIterator[tuple[StoppedInstallation, _Stream]]:
+    """Begin a stream at a VM that knows such streams, and may be stopped."""
+    async with kind.running(nodes=2, engines=engines) as made:
+        made.configure()
+        await made.settle()
+        await eventually(lambda: len(made.heads("small")) >= 2)
+        for _ in range(3):
+            await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(8)))
+        if stops:
+            made.nodes["n0"].gateway.stop()
+            await asyncio.sleep(made.grace_s - LEFT_S)
+        stream = _Stream(made, made.deadline_s)
+        await stream.await_events(5)
+        yield made, stream
+
+
+def _assert_whole(answer: Answer) -> None:
+    assert answer.status == 200 and answer.whole, f"{len(answer.events)} events"
+    assert answer.events == list(range(1, EVENTS + 1))
+
+
+def test_the_log_has_the_attempts_of_a_cut_stream() -> None:
+    """Guards against a cut answer that the log doesn't explain."""
+
+    async def check() -> None:
+        with capture_logs() as lines:
+            async with _begin_stream() as (made, stream):
+                for head in made.heads("small"):
+                    head.faults.pace = SLOW
+                answer = await stream.finish()
+        assert not answer.whole
+        behind = next(line for line in lines if line["event"] == "stream-behind")
+        assert behind["needed_ms"] > behind["left_ms"] > 1000
+        cut = next(line for line in lines if line["event"] == "answer-cut")
+        assert cut["by"] == "stop" and cut["last_event"] == len(answer.events)
+        first, *_ = cut["attempts"].split(",")
+        assert first.startswith("1@") and "after=0" in first
+
+    run(check)
--- a/tests/test_supervised_tasks.py
+++ b/tests/test_supervised_tasks.py
@@ -55,6 +55,7 @@
     "register": (lambda gateway: gateway._lease, "renew_or_replace"),
     "watch_silence": (lambda gateway: gateway._stall_detector, "_check"),
     "watch_speed": (lambda gateway: gateway._slow_target_watcher, "_check"),
+    "watch_endings": (lambda gateway: gateway._stream_end_watcher, "_check"),
     "checks": (lambda gateway: gateway._load_reporter, "report"),
     "prober": (lambda gateway: gateway._reachability, "choose_probes"),
     "records": (lambda gateway: gateway._quarantine_records, "_write"),
