--- a/tests/test_outlasting_streams.py
+++ b/tests/test_outlasting_streams.py
@@ -132,3 +132,51 @@
         assert first.startswith("1@") and "after=0" in first
 
     run(check)
+
+
+def test_a_stream_whose_head_becomes_slow_ends_at_another_one() -> None:
+    """Guards against a stream that is cut though another head can end it."""
+
+    async def check() -> None:
+        async with _begin_stream() as (_, stream):
+            stream.head.faults.pace = SLOW
+            _assert_whole(await stream.finish())
+
+    run(check)
+
+
+def test_a_superseded_attempt_leaves_a_stream_its_second_head() -> None:
+    """Guards against a pause that uses up an attempt needed later."""
+
+    async def check() -> None:
+        async with _begin_stream() as (made, stream):
+            await stream.use_second_attempt()
+            stream.head.faults.pace = SLOW
+            _assert_whole(await stream.finish())
+            assert len(set(made.runs_of("late"))) <= 2
+
+    run(check)
+
+
+def test_a_stream_goes_on_at_its_second_head_when_the_first_is_lost() -> None:
+    """Guards against a stream that ends with its head after a pause."""
+
+    async def check() -> None:
+        async with _begin_stream(stops=False) as (made, stream):
+            await stream.use_second_attempt()
+            stream.head.faults.dark = True
+            _assert_whole(await stream.finish())
+            assert len(set(made.runs_of("late"))) <= 2
+
+    run(check)
+
+
+def test_a_stream_at_a_slow_head_ends_within_its_routes_timeout() -> None:
+    """Guards against a stream that its timeout cuts at a slow head."""
+
+    async def check() -> None:
+        async with _begin_stream(_ImpatientInstallation, stops=False) as (_, stream):
+            stream.head.faults.pace = SLOW
+            _assert_whole(await stream.finish())
+
+    run(check)
