Gateway: streams that fall behind go on where they end in time

Seen: streams that a stopping VM accepted are cut at the end of its stop time, and streams of a slow head at their route's timeout, while other heads are free.

Cause: the end of a stream is predicted once, when it is accepted, and nobody compares its own pace with the time that is left. Attempts elsewhere are begun for pauses and for late events alone, and the first head's next event ends them, however slow it is. The class: a promise is checked when it is made, and not while it is kept.

Change: StreamEndWatcher predicts the end of each stream from the pace of its own events (of all streams in a stopping process, else once half of their time is over). If it lies beyond its time, and another head ends it sooner and in time, it is rerouted there; the first head's events are kept back until the other's first one is due, so that the one that ends first goes on.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -25,7 +25,12 @@
     StreamTiming,
     UsualStream,
 )
-from zinniaspool.core.dispatch.endings import EventPace, RunningStream, predict_end
+from zinniaspool.core.dispatch.endings import (
+    EventPace,
+    RunningStream,
+    is_sooner,
+    predict_end,
+)
 from zinniaspool.core.dispatch.loads import LoadChangeTracker, PeerLoads
 from zinniaspool.core.dispatch.pace import EngineTiming, FirstEventForecast
 from zinniaspool.core.dispatch.patience import CallerTimeoutEstimator
@@ -134,6 +139,7 @@
     "identify_model",
     "identify_traits",
     "is_lost",
+    "is_sooner",
     "predict_end",
     "suspect",
     "weigh_own_load",
--- a/src/zinniaspool/core/dispatch/endings.py
+++ b/src/zinniaspool/core/dispatch/endings.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from statistics import median
 
-__all__ = ["EventPace", "RunningStream", "predict_end"]
+__all__ = ["EventPace", "RunningStream", "is_sooner", "predict_end"]
 
 WINDOW = 7
 """Gaps of which the median is the pace: a single pause doesn't change it."""
@@ -22,6 +22,11 @@
 is expected to last as long again as it has lasted so far."""
 
 
+MIN_GAIN_S = 0.1
+"""Time by which a stream must be predicted to end sooner elsewhere to be worth
+another attempt, in seconds: about the error of a predicted first event."""
+
+
 class EventPace:
     """The recent time from one event of a stream to the next."""
 
@@ -75,3 +80,13 @@
     # The next event may come at any moment, and not before now.
     next_at = max(now, stream.read_at + next_s)
     return next_at + (stream.ids_left - 1) * stream.id_s
+
+
+def is_sooner(ends_at: float, other_ends_at: float) -> bool:
+    """Return whether a stream should go on where it ends sooner.
+
+    Args:
+        ends_at: When it ends where it is, in seconds.
+        other_ends_at: When it ends at another target, in seconds.
+    """
+    return other_ends_at + MIN_GAIN_S <= ends_at
--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -345,14 +345,28 @@
             suspected_domains: Fabric domains in which a target stalled for
                 this request.
         """
-        usable = [
+        return self._choose_best(
+            self.list_alternatives(now, tried),
+            now,
+            prompt_tokens,
+            first_event_within_s,
+            suspected_domains,
+        )
+
+    def list_alternatives(
+        self, now: float, tried: Collection[InstanceId]
+    ) -> list[TargetState]:
+        """Return the targets of an attempt beside one that goes on.
+
+        Args:
+            now: Seconds.
+            tried: Targets that it may not be sent to.
+        """
+        return [
             state
             for state in self.list_eligible(now)
             if state.target.instance not in tried and not self._is_silent(state, now)
         ]
-        return self._choose_best(
-            usable, now, prompt_tokens, first_event_within_s, suspected_domains
-        )
 
     def _is_silent(self, state: TargetState, now: float) -> bool:
         """Return whether the streams of a target lack an event."""
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -35,6 +35,7 @@
     GROUP_ENDED = "group-ended"
     PATH_CHANGED = "path-changed"
     QUARANTINED = "quarantined"
+    BEHIND = "behind"
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +88,7 @@
         blocked_s: Time in which events waited for the caller to read, in
             seconds.
         is_behind: Whether its stream was found not to end in time there.
+        held: Events that were kept back while another attempt was to go on.
         is_answer: Whether it counts as answered: it is complete, or goes on
             for long enough.
         unanswered_out_of_subset: Whether its target is out of this process's
@@ -118,6 +120,7 @@
     is_blocked: bool = False
     blocked_s: float = 0.0
     is_behind: bool = False
+    held: bytes = b""
     is_answer: bool = False
     unanswered_out_of_subset: bool = False
 
@@ -210,6 +213,9 @@
             its own deadline is earlier.
         error_reserve_s: Time after its deadline that is reserved for an error
             answer, in seconds; a stream that has begun needs none.
+        holds_until: Time until which the leader's events are kept back while
+            there is an alternative, so that the alternative goes on although
+            it has its event later.
         waits_until: Time until which it waits for a target, since none was
             left after a lost attempt; None if it doesn't wait.
     """
@@ -243,6 +249,7 @@
     deadline_after_stop: bool = False
     longest_s: float | None = None
     error_reserve_s: float = 0.0
+    holds_until: float = 0.0
     waits_until: float | None = None
 
     @property
@@ -324,6 +331,12 @@
                 other.interrupt(now)
                 self.left.add(other.state.target.instance)
 
+    def holds_back(self, attempt: GatewayAttempt, now: float) -> bool:
+        """Return whether an attempt's events wait for another attempt's."""
+        if not self.alternatives or self.leader is not attempt:
+            return False
+        return now < self.holds_until
+
     def promote_alternative(self) -> GatewayAttempt | None:
         """Have an alternative go on, since the leader has failed.
 
--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -1,19 +1,27 @@
-"""Follows when streams in progress will end, by the pace of their events."""
+"""Has streams in progress end in time, although their targets become slower.
+
+The end of each stream is predicted from the pace of its own events. If it lies
+beyond its time, the stream goes on at a target where it ends sooner.
+"""
 
 import asyncio
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 import structlog
 
 from zinniaspool.core.dispatch import (
     RunningStream,
     TargetPool,
+    TargetState,
     UsualStream,
+    is_sooner,
     predict_end,
 )
 from zinniaspool.core.fleet import RequestKind
 from zinniaspool.core.ids import ModelName, ServiceName
 from zinniaspool.gateway.calls import GatewayAttempt, GatewayCall
+from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.stops import StopGuard
 from zinniaspool.gateway.targets import TargetIndex
 
@@ -28,18 +36,73 @@
 """Part of a stream's time after which it is watched, unless the process stops.
 Few streams take so long."""
 
+END_RESERVE_S = 0.15
+"""Time before a stream's limit at which it should end, in seconds. A stream
+that is to end just in time is cut by the next pause."""
+
+FIRST_EVENT_FACTOR = 2.0
+MIN_HOLD_S = 0.2
+"""How long a stream's events are kept back for another target's: a multiple of
+the predicted first event, and at least so many seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Watched:
+    """A stream in progress, and what is known of its kind.
+
+    Attributes:
+        attempt: Its attempt.
+        pool: The targets of its model.
+        usual: Recent streams of its kind.
+        id_tokens: Tokens that an id of its events has.
+        stream: What is left of it, if it is as long as it may be.
+    """
+
+    attempt: GatewayAttempt
+    pool: TargetPool
+    usual: UsualStream
+    id_tokens: float
+    stream: RunningStream
+
+    @property
+    def limit(self) -> float:
+        """Time at which it should have ended, in seconds."""
+        return self.attempt.call.stream_deadline - END_RESERVE_S
+
+    @property
+    def usual_ids_left(self) -> float:
+        """By how much its ids still rise if it is as long as usual."""
+        ratio = self.usual.usual_part / self.usual.longest_part
+        last_id = self.attempt.cursor.last_id or 0
+        return max(1.0, (self.stream.ids_left + last_id) * ratio - last_id)
+
+    def predict_end_elsewhere(
+        self, state: TargetState, ids_left: float, now: float
+    ) -> float:
+        """Return when it would end at another target, in seconds."""
+        call = self.attempt.call
+        written = int((call.last_event_id or 0) * self.id_tokens)
+        prompt = call.terms.prompt_tokens + written
+        first_s = self.pool.predict_first_event(state, prompt, now)
+        id_s = self.usual.token_s * self.id_tokens * state.pace
+        return now + first_s + (ids_left - 1) * id_s
+
 
 class StreamEndWatcher:
-    """Logs which streams won't end in time where they are.
+    """Reroutes streams that won't end in time where they are.
 
     Args:
         stop_guard: Has the requests in progress, and what recent ones took.
         index: The targets.
+        rerouter: Begins attempts at other targets.
     """
 
-    def __init__(self, stop_guard: StopGuard, index: TargetIndex) -> None:
+    def __init__(
+        self, stop_guard: StopGuard, index: TargetIndex, rerouter: Rerouter
+    ) -> None:
         self._stop_guard = stop_guard
         self._index = index
+        self._rerouter = rerouter
 
     async def run(self) -> None:
         """Check the streams in progress until cancelled."""
@@ -49,20 +112,33 @@
             self._check(loop.time())
 
     def _check(self, now: float) -> None:
-        watched = [call for call in self._stop_guard.running if _is_watched(call, now)]
-        usual = self._sum_up(watched, now)
-        for call in watched:
+        calls = [call for call in self._stop_guard.running if _is_watched(call, now)]
+        usual = self._sum_up(calls, now)
+        for call in calls:
             attempt = call.leader
-            if attempt is None or attempt.is_blocked:
+            if attempt is None or not _may_be_rerouted(attempt):
                 continue
             pool = self._index.find_pool(call.service, call.terms.model)
-            stream = _describe_stream(attempt, pool, usual[_find_kind(call)])
-            if stream is None:
-                continue
-            ends_at = predict_end(stream, now)
-            if ends_at > call.stream_deadline and not attempt.is_behind:
-                attempt.is_behind = True
-                _log_behind(attempt, stream, ends_at, now)
+            watched = _describe(attempt, pool, usual[_find_kind(call)])
+            if watched is not None:
+                self._check_stream(watched, now)
+
+    def _check_stream(self, watched: _Watched, now: float) -> None:
+        ends_at = predict_end(watched.stream, now)
+        if ends_at <= watched.limit:
+            return
+        attempt = watched.attempt
+        if not attempt.is_behind:
+            attempt.is_behind = True
+            _log_behind(watched, ends_at, now)
+        other = _find_sooner(watched, ends_at, now)
+        if other is None:
+            return
+        first_s = watched.pool.predict_first_event(
+            other, attempt.call.terms.prompt_tokens, now
+        )
+        holds_until = now + max(MIN_HOLD_S, FIRST_EVENT_FACTOR * first_s)
+        self._rerouter.reroute_behind(attempt, other, holds_until)
 
     def _sum_up(
         self, calls: Iterable[GatewayCall], now: float
@@ -84,13 +160,24 @@
     return now - call.received_at > WATCHED_PART * allowed_s
 
 
+def _may_be_rerouted(attempt: GatewayAttempt) -> bool:
+    """Return whether a stream depends on an attempt and its target alone.
+
+    One that has failed may have crashed its target, which is found out before
+    its request is sent again.
+    """
+    if attempt.is_blocked or attempt.call.alternatives:
+        return False
+    return attempt.failure is None and not attempt.superseded
+
+
 def _find_kind(call: GatewayCall) -> tuple[str, ServiceName, ModelName | None]:
     return call.route.name, call.service, call.terms.model
 
 
-def _describe_stream(
+def _describe(
     attempt: GatewayAttempt, pool: TargetPool, usual: UsualStream
-) -> RunningStream | None:
+) -> _Watched | None:
     """Return what is left of an attempt's stream, and its pace.
 
     Returns:
@@ -103,17 +190,46 @@
         tokens = terms.max_output_tokens * usual.longest_part
     if not tokens:
         return None
-    id_s = attempt.pace.estimate() or usual.token_s * id_tokens * attempt.state.pace
+    id_s = attempt.pace.estimate()
+    if id_s is None:
+        pace = attempt.state.pace if attempt.state.speed.is_slow else 1.0
+        id_s = usual.token_s * id_tokens * pace
     if not id_s:
         return None
     ids_left = max(1.0, tokens / id_tokens - (attempt.cursor.last_id or 0))
     next_s = id_s if attempt.has_event else attempt.predicted_first_event_s
-    return RunningStream(ids_left, id_s, attempt.read_at, next_s)
+    stream = RunningStream(ids_left, id_s, attempt.read_at, next_s)
+    return _Watched(attempt, pool, usual, id_tokens, stream)
+
+
+def _find_sooner(watched: _Watched, ends_at: float, now: float) -> TargetState | None:
+    """Return the target where a stream ends soonest, or None.
+
+    It must end sooner there than where it is and, if it is as long as usual,
+    in time.
+    """
+    if not watched.usual.token_s:
+        return None
+    pool, call = watched.pool, watched.attempt.call
+    excluded = {*call.list_excluded(pool), watched.attempt.state.target.instance}
+    others = [
+        state
+        for state in pool.list_alternatives(now, excluded)
+        if not state.speed.is_slow
+    ]
+    ids_left = watched.stream.ids_left
+    ends = {
+        state: watched.predict_end_elsewhere(state, ids_left, now) for state in others
+    }
+    other = min(others, key=lambda state: ends[state], default=None)
+    if other is None or not is_sooner(ends_at, ends[other]):
+        return None
+    usual_end = watched.predict_end_elsewhere(other, watched.usual_ids_left, now)
+    return other if usual_end <= call.stream_deadline else None
 
 
-def _log_behind(
-    attempt: GatewayAttempt, stream: RunningStream, ends_at: float, now: float
-) -> None:
+def _log_behind(watched: _Watched, ends_at: float, now: float) -> None:
+    attempt, stream = watched.attempt, watched.stream
     call = attempt.call
     _log.info(
         "stream-behind",
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -283,7 +283,9 @@
         self._slow_target_watcher = SlowTargetWatcher(
             settings.node, self._index, self._rerouter, self._send_to_holder
         )
-        self._stream_end_watcher = StreamEndWatcher(self._stop_guard, self._index)
+        self._stream_end_watcher = StreamEndWatcher(
+            self._stop_guard, self._index, self._rerouter
+        )
         self._lease = RenewedLease(self._store, NODE_LEASE_S)
         self._record = OwnRecord(
             NODES_PREFIX + settings.node, self._store, self._fleet_view.mirror
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -2,7 +2,8 @@
 
 That is so if the target has stalled or was removed, if the request's first
 event is overdue, or if the target is too slow. The attempt at the first target
-goes on until another one has the next event.
+goes on until another one has the next event. A stream that won't end in time
+there waits for that event, as its target may have the next one itself.
 """
 
 import asyncio
@@ -143,6 +144,27 @@
             ):
                 self._begin_alternative(attempt, other, RerouteCause.SLOW)
 
+    def reroute_behind(
+        self, attempt: GatewayAttempt, other: TargetState, holds_until: float
+    ) -> bool:
+        """Reroute a stream that won't end in time to a target where it will.
+
+        Args:
+            attempt: The stream's attempt.
+            other: The target.
+            holds_until: Time until which its first event there is awaited, in
+                seconds. The attempt's events are kept back until then.
+
+        Returns:
+            Whether an attempt was begun.
+        """
+        if not _may_reroute(attempt, may_repeat=True):
+            return False
+        if not self._begin_alternative(attempt, other, RerouteCause.BEHIND):
+            return False
+        attempt.call.holds_until = holds_until
+        return True
+
     def reroute_late(self, attempt: GatewayAttempt) -> None:
         """Have an idempotent request sent elsewhere too: its answer is late.
 
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -316,28 +316,44 @@
                 return AttemptFailure.LOST
             if not events.ok_value:
                 continue
-            call.lead(attempt, now)
-            if call.progress is Progress.NOTHING:
-                last_event_id = attempt.cursor.last_id
-                if self._stop_guard.begins_too_late(call, last_event_id):
-                    response.abort()
-                    return AttemptFailure.TOO_LATE
-                await self._start_stream(attempt, response)
-            else:
-                pause_s = now - call.last_event_at
-                call.longest_pause_s = max(call.longest_pause_s, pause_s)
-            call.last_event_id = attempt.cursor.last_id
-            await self._write_events(attempt, events.ok_value)
+            attempt.held += events.ok_value
+            if call.holds_back(attempt, now):
+                continue
+            if failure := await self._pass_on(attempt, response, now):
+                return failure
         return await self._end_stream(attempt, response)
 
-    async def _write_events(self, attempt: GatewayAttempt, data: bytes) -> None:
-        """Write events to the caller, which may read slowly.
+    async def _pass_on(
+        self, attempt: GatewayAttempt, response: ClientResponse, now: float
+    ) -> AttemptFailure | None:
+        """Have an attempt go on alone, and pass on the events that it has.
+
+        Returns:
+            How it failed; None if they were passed on.
+        """
+        call = attempt.call
+        call.lead(attempt, now)
+        if call.progress is Progress.NOTHING:
+            if self._stop_guard.begins_too_late(call, attempt.cursor.last_id):
+                response.abort()
+                return AttemptFailure.TOO_LATE
+            await self._start_stream(attempt, response)
+        else:
+            pause_s = now - call.last_event_at
+            call.longest_pause_s = max(call.longest_pause_s, pause_s)
+        await self._write_events(attempt)
+        return None
+
+    async def _write_events(self, attempt: GatewayAttempt) -> None:
+        """Write an attempt's events to the caller, which may read slowly.
 
         The target's next events lie unread until the write has ended. The
         stream counts as blocked for this time, since the target would
         otherwise be considered stalled.
         """
         state, loop = attempt.state, asyncio.get_running_loop()
+        attempt.call.last_event_id = attempt.cursor.last_id
+        data, attempt.held = attempt.held, b""
         began_at = loop.time()
         state.blocked_streams += 1
         attempt.is_blocked = True
@@ -404,11 +420,14 @@
         if attempt.cursor.finish().strip():
             # The stream ended in the middle of an event.
             return AttemptFailure.LOST
-        if call.progress is Progress.NOTHING:
+        if call.progress is Progress.NOTHING and not attempt.held:
             return AttemptFailure.LOST
         if attempt.superseded:
             return _find_interruption(attempt)
-        call.lead(attempt, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        if attempt.held and (failure := await self._pass_on(attempt, response, now)):
+            return failure
+        call.lead(attempt, now)
         with CALLER_SIDE:
             await call.exchange.finish()
         return None
--- a/tests/test_outlasting_streams.py
+++ b/tests/test_outlasting_streams.py
@@ -180,3 +180,27 @@
             _assert_whole(await stream.finish())
 
     run(check)
+
+
+def test_a_stream_goes_on_where_it_is_if_the_other_head_is_mute() -> None:
+    """Guards against events kept back for an answer that never comes."""
+
+    async def check() -> None:
+        async with _begin_stream(stops=False) as (made, stream):
+            first, call = stream.head, stream.call
+            for one in made.heads("small"):
+                one.faults.mute = one is not first
+            await stream.await_events(10)
+            call.holds_until = asyncio.get_running_loop().time() + 0.3
+            (other,) = [
+                state
+                for state in made.find_pool("n0", "small")
+                if state.target.instance != first.id
+            ][:1]
+            assert made.nodes["n0"].gateway._forwarder.begin_alternative(call, other)
+            await asyncio.sleep(0.25)
+            assert call.leader is not None and call.leader.held
+            _assert_whole(await stream.finish())
+            assert call.longest_pause_s < 0.45
+
+    run(check)
