Tests: load on an installation of real processes while its VMs stop

Heads pause or become slow, engines are lost and plain upstreams hang if asked. The soak of planned stops has slow heads from seed 1000 on; the seeds before play as they did.

--- a/src/zinniaspool_standins/hosts.py
+++ b/src/zinniaspool_standins/hosts.py
@@ -21,9 +21,16 @@
 from zinniaspool_standins.fleet import end_with_parent
 from zinniaspool_standins.installation import SIZES, free_address
 from zinniaspool_standins.pagestore import PageStore
-from zinniaspool_standins.runners import HEARTBEATS, Runner, RunnerTimes, SeenRun
+from zinniaspool_standins.passes import PassingRunner, PassTimes
+from zinniaspool_standins.runners import (
+    HEARTBEATS,
+    Runner,
+    RunnerFaults,
+    RunnerTimes,
+    SeenRun,
+)
 
-__all__ = ["HostedRunner", "RunnerHost", "make_hosted_runners"]
+__all__ = ["HostedRunner", "HostPlan", "RunnerHost", "make_hosted_runners"]
 
 HEARTBEAT_S = 0.8
 """Time between heartbeats, in seconds. A runner that is stopped for two
@@ -40,6 +47,23 @@
     domain: str | None
 
 
+class HostPlan(msgspec.Struct, frozen=True):
+    """What the runners of a process are like.
+
+    Attributes:
+        sizes: Runners of a group, by model.
+        times: How long things take.
+        passes: How long the passes of each model take; empty for passes of the
+            same time.
+    """
+
+    sizes: dict[str, int] = msgspec.field(default_factory=SIZES.copy)
+    times: RunnerTimes = msgspec.field(
+        default_factory=lambda: RunnerTimes(heartbeat_s=HEARTBEAT_S)
+    )
+    passes: dict[str, PassTimes] = {}
+
+
 class _Line(msgspec.Struct, omit_defaults=True):
     """What a process reports; a line without any of it is a heartbeat.
 
@@ -74,6 +98,7 @@
         runners: What it runs.
         store: Gets the runners' entries.
         folder: Gets its log.
+        plan: What they are like.
 
     Attributes:
         name: As above.
@@ -83,9 +108,15 @@
     """
 
     def __init__(
-        self, name: str, runners: Sequence[HostedRunner], store: PageStore, folder: Path
+        self,
+        name: str,
+        runners: Sequence[HostedRunner],
+        store: PageStore,
+        folder: Path,
+        plan: HostPlan | None = None,
     ) -> None:
         self.name = name
+        self._plan = plan or HostPlan()
         self.runners = tuple(runners)
         self.runs: list[SeenRun] = []
         self.broken: list[str] = []
@@ -99,12 +130,15 @@
     async def start(self) -> None:
         """Start the process and follow what it reports."""
         described = msgspec.json.encode(self.runners).decode()
+        plan = msgspec.json.encode(self._plan).decode()
         with self._log.open("ab") as errors:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "zinniaspool_standins.hosts",
                 described,
+                plan,
+                stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=errors,
                 preexec_fn=end_with_parent,
@@ -125,6 +159,13 @@
         finally:
             self.send(signal.SIGCONT)
 
+    async def set_faults(self, runner: str, faults: RunnerFaults) -> None:
+        """Let one of its runners do something wrong from now on."""
+        assert self._process is not None and self._process.stdin is not None
+        line = msgspec.json.encode(_Change(runner, faults))
+        self._process.stdin.write(line + b"\n")
+        await self._process.stdin.drain()
+
     async def end(self) -> None:
         """Kill the process, also a stopped one, and wait until it is gone."""
         self.send(signal.SIGKILL)
@@ -136,13 +177,26 @@
 
     def list_open_groups(self) -> dict[str, str]:
         """Return the model of each open group that the process runs."""
-        found = {}
-        for value in self._entries.values():
-            entry = msgspec.json.decode(b64decode(value))
-            group: dict[str, Any] | None = entry.get("group")
-            if group is not None and group["state"] == "open":
-                found[group["name"]] = entry["models"][0]["name"]
-        return found
+        return {
+            entry["group"]["name"]: entry["models"][0]["name"]
+            for entry in self._list_open().values()
+        }
+
+    def list_heads(self) -> list[str]:
+        """Return the heads of those groups."""
+        return list(self._list_open())
+
+    def _list_open(self) -> dict[str, dict[str, Any]]:
+        """Return the entries of the runners that lead an open group."""
+        entries = {
+            key.rpartition("/")[2]: msgspec.json.decode(b64decode(value))
+            for key, value in self._entries.items()
+        }
+        return {
+            one: entry
+            for one, entry in entries.items()
+            if (entry.get("group") or {}).get("state") == "open"
+        }
 
     async def _read_lines(self) -> None:
         """Apply the process's lines; its entries expire without heartbeats."""
@@ -181,6 +235,13 @@
         self.broken = line.broken or self.broken
 
 
+class _Change(msgspec.Struct):
+    """What the process that reads this one's output asks of a runner."""
+
+    runner: str
+    faults: RunnerFaults
+
+
 class _LineStore:
     """The store of the process that reads this one's output."""
 
@@ -201,14 +262,19 @@
         _report(_Line(run=self.runs[-1]))
 
 
+class _ReportingPassingRunner(_ReportingRunner, PassingRunner):
+    """Such a runner that works in passes."""
+
+
 def _report(line: _Line) -> None:
     print(msgspec.json.encode(line).decode(), flush=True)
 
 
-async def _run(described: Sequence[HostedRunner]) -> None:
+async def _run(described: Sequence[HostedRunner], plan: HostPlan) -> None:
     runners: dict[str, Runner] = {}
+    kind: type[Runner] = _ReportingPassingRunner if plan.passes else _ReportingRunner
     for one in described:
-        runners[one.id] = _ReportingRunner(
+        runners[one.id] = runner = kind(
             one.id,
             one.service,
             one.address,
@@ -216,17 +282,37 @@
             one.domain,
             _LineStore(),
             runners,
-            SIZES,
-            RunnerTimes(heartbeat_s=HEARTBEAT_S),
+            plan.sizes,
+            plan.times,
         )
+        if isinstance(runner, PassingRunner):
+            runner.passes_by_model = plan.passes
     async with asyncio.TaskGroup() as tasks:
         for runner in runners.values():
             tasks.create_task(runner.run())
+        tasks.create_task(_apply_changes(runners))
         while True:
             broken = [text for one in runners.values() for text in one.broken]
             _report(_Line(broken=broken))
             await asyncio.sleep(HEARTBEAT_S / 4)
 
 
+async def _apply_changes(runners: dict[str, Runner]) -> None:
+    """Apply the lines of the standard input until it ends."""
+    reader = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        change = msgspec.json.decode(line, type=_Change)
+        runners[change.runner].faults = change.faults
+
+
 if __name__ == "__main__":
-    asyncio.run(_run(msgspec.json.decode(sys.argv[1], type=list[HostedRunner])))
+    asyncio.run(
+        _run(
+            msgspec.json.decode(sys.argv[1], type=list[HostedRunner]),
+            msgspec.json.decode(sys.argv[2], type=HostPlan),
+        )
+    )
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -30,6 +30,7 @@
     "RunnerFaults",
     "RunnerTimes",
     "SeenRun",
+    "Work",
 ]
 
 HEARTBEATS = 3
@@ -52,6 +53,14 @@
         """Remove a key."""
 
 
+class Work(Protocol):
+    """A stream's request at its head."""
+
+    async def wait_for_pass(self) -> None:
+        """Wait for the end of the next pass that yields tokens of it."""
+        ...
+
+
 class RunnerFaults(msgspec.Struct, forbid_unknown_fields=True):
     """What a runner does wrong.
 
@@ -140,6 +149,21 @@
     cold_limit: int = 0
 
 
+class _SteadyWork:
+    """Has passes of the same time, however many others there are.
+
+    Args:
+        runner: The head.
+    """
+
+    def __init__(self, runner: "Runner") -> None:
+        self._runner = runner
+
+    async def wait_for_pass(self) -> None:
+        """Wait for the end of the next pass."""
+        await asyncio.sleep(self._runner.times.pass_s * self._runner.faults.pace)
+
+
 class _UnframedAnswer:
     """An answer that has no length and ends where its connection ends."""
 
@@ -582,15 +606,16 @@
         self, exchange: Exchange, answer: Headers, asked: Headers
     ) -> None:
         tokens = (asked.get("x-zinniaspool-token-count") or "0,10").split(",")
-        last = int(tokens[1])
+        last = self._count_events(int(tokens[1]))
         first = int(asked.get("last-event-id") or 0) + 1
         answer.add("content-type", "text/event-stream")
         begun = False
         unframed = self.faults.unframed
         is_cut = random.random() < self.faults.cut_part
         sent = _UnframedAnswer(exchange) if unframed else exchange
+        work = self._begin_work(asked)
         for number in range(first, last + 1):
-            if not await self._make_pass(exchange):
+            if not await self._make_pass(exchange, work):
                 return
             if not begun:
                 await sent.start(200, answer)
@@ -608,9 +633,17 @@
             await sent.write(event)
         await sent.finish()
 
-    async def _make_pass(self, exchange: Exchange) -> bool:
+    def _begin_work(self, _: Headers) -> Work:
+        """Take a stream's request; return what waits for its passes."""
+        return _SteadyWork(self)
+
+    def _count_events(self, tokens: int) -> int:
+        """Return how many events a stream of some tokens has."""
+        return tokens
+
+    async def _make_pass(self, exchange: Exchange, work: Work) -> bool:
         """Wait for one pass of the group; False where the work is cut off."""
-        await asyncio.sleep(self.times.pass_s * self.faults.pace)
+        await work.wait_for_pass()
         await self._wait_while_silent(with_members=True)
         group, stood_s = self.group, 0.0
         while self.faults.dark or not self._is_whole(group):
--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -4,8 +4,9 @@
 as processes, and the store, the upstreams and the callers in one loop. Stops
 of VMs, new configurations, SIGHUP and replaced upstreams come in series that
 overlap; on even seeds upstreams also fall silent, and the store loses answers
-and writes late. Callers send streams as long as their route allows, and use
-a VM's address and their open connections to it while it stops.
+and writes late. From seed 1000 on heads also become slow. Callers send
+streams as long as their route allows, and use a VM's address and their open
+connections to it while it stops.
 """
 
 import asyncio
@@ -74,6 +75,11 @@
 SILENCE_PAUSE_S = 1.0
 """Shortest pause between two silences, in seconds."""
 
+FIRST_SLOW_SEED = 1000
+PACES = (3.0, 5.0)
+SLOW_S = (2.0, 6.0)
+"""Pace of a slow head, and for how long it is slow, in seconds."""
+
 END_S = 20.0
 """Time in which everything must serve at the end, in seconds."""
 
@@ -406,6 +412,8 @@
         ]
         if self.seed % 2 == 0:
             choices += [self.silence_engines, self.silence_plain, self.disturb_store]
+        if self.seed >= FIRST_SLOW_SEED:
+            choices += [self.slow_head, self.slow_head]
         await begin_overlapping(choices, self.source, until, (0.3, 2.5))
 
     def _note(self, work: str) -> None:
@@ -519,6 +527,18 @@
         for one in upstreams:
             one.faults.silent = False
 
+    async def slow_head(self) -> None:
+        """Let a head be slow for some seconds, which it reports."""
+        heads = [one for model in SIZES for one in self.made.heads(model)]
+        if not heads:
+            return
+        head, pace = self.source.choice(heads), self.source.uniform(*PACES)
+        seconds = self.source.uniform(*SLOW_S)
+        self._note(f"{head.id} slow by {pace:.1f} for {seconds:.2f} s")
+        head.faults.pace = pace
+        await asyncio.sleep(seconds)
+        head.faults.pace = 1.0
+
     async def silence_engines(self) -> None:
         runners = self.made.runners.values()
         engines = [one for one in runners if one.domain is not None]
