Gateway: a request that arrives too late for a stop gets a whole refusal

Seen: callers whose body comes late, to a stopping VM, have their connection closed without an answer at 7.9 s.

Cause: a request is answered once it has arrived as a whole; the end of the process closes the connections of those that haven't.

Change: at the end of the stop time, before the connections are closed, the server refuses what hasn't arrived (503 leaving, nothing ran).

--- a/src/zinniaspool/entry/answers.py
+++ b/src/zinniaspool/entry/answers.py
@@ -14,6 +14,7 @@
     RefusalKind.BODY_TOO_LARGE: ErrorKind.BODY_TOO_LARGE,
     RefusalKind.SLOW: ErrorKind.SLOW_REQUEST,
     RefusalKind.BUSY: ErrorKind.OVERLOADED,
+    RefusalKind.LEAVING: ErrorKind.LEAVING,
     RefusalKind.FAILED: ErrorKind.INTERNAL,
 }
 
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -55,6 +55,7 @@
     RefusalKind.BODY_TOO_LARGE: ErrorKind.BODY_TOO_LARGE,
     RefusalKind.SLOW: ErrorKind.SLOW_REQUEST,
     RefusalKind.BUSY: ErrorKind.OVERLOADED,
+    RefusalKind.LEAVING: ErrorKind.LEAVING,
     RefusalKind.FAILED: ErrorKind.INTERNAL,
 }
 
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -684,8 +684,9 @@
 
     async def _close_callers(self) -> None:
         """Close callers' connections once their answers are delivered."""
-        now = asyncio.get_running_loop().time()
-        await self._server.drain(max(0.0, self._stop_clock.exits_at - now))
+        loop = asyncio.get_running_loop()
+        loop.call_at(self._stop_clock.ends_at, self._server.refuse_unreceived)
+        await self._server.drain(max(0.0, self._stop_clock.exits_at - loop.time()))
 
     async def _write_leaving_record(self) -> None:
         if self._lease.lease_number is None:
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -239,6 +239,11 @@
             unsent=unsent,
         )
 
+    def refuse_if_receiving(self) -> None:
+        """Refuse a request that has not arrived as a whole."""
+        if self._phase is _Phase.RECEIVING:
+            self._refuse(RefusalKind.LEAVING, "")
+
     def close_if_idle(self) -> None:
         """Close, unless a request has begun to arrive."""
         if self._phase is _Phase.IDLE:
--- a/src/zinniaspool/http/limits.py
+++ b/src/zinniaspool/http/limits.py
@@ -25,6 +25,9 @@
     BUSY = "busy"
     """The bodies being received fill the memory reserved for them."""
 
+    LEAVING = "leaving"
+    """The server ends before the whole request has arrived."""
+
     FAILED = "failed"
     """The handler failed. Only with this kind, the request may have run."""
 
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -126,6 +126,14 @@
             connection.abort()
         return cut
 
+    def refuse_unreceived(self) -> None:
+        """Refuse the requests that have not arrived as a whole.
+
+        Their callers would get no answer if the server ended now.
+        """
+        for connection in list(self._connections):
+            connection.refuse_if_receiving()
+
     # Used by a connection.
 
     def admit(self, connection: ServerConnection) -> bool:
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -343,3 +343,31 @@
             writer.close()
 
     run(check)
+
+
+def test_a_request_whose_body_comes_too_late_gets_a_whole_refusal() -> None:
+    """Guards against a connection that is closed while its request arrives."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            node = made.nodes["n0"]
+            address = node.file.caller_address
+            assert address is not None
+            node.gateway.stop()
+            await asyncio.sleep(6.0)
+            reader, writer = await asyncio.open_connection(*split_address(address))
+            writer.write(
+                b"POST /cards/a HTTP/1.1\r\nhost: care.example\r\n"
+                b"content-length: 100\r\n\r\nbegins"
+            )
+            answer = await reader.read()
+            head, _, body = answer.partition(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 503") and body
+            assert b"x-error-kind: leaving" in head.lower()
+            assert b"retry-after" in head.lower()
+            writer.close()
+            await node.tasks[0]
+
+    run(check)
