Gateway: a slow head's next event doesn't end a stopping VM's other attempt

Seen: in a run of tests/site_load.py, a stream of a head with an event every 0.33 s had three attempts elsewhere, each superseded after some 70 ms by that head's next event; then it was cut.

Cause: the attempt that has the next event goes on, not the one that ends first.

Change: while a VM stops, the first head's events are kept back until the other one's first event is due, for each attempt that is begun beside another one.

--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -40,11 +40,6 @@
 """Time before a stream's limit at which it should end, in seconds. A stream
 that is to end just in time is cut by the next pause."""
 
-FIRST_EVENT_FACTOR = 2.0
-MIN_HOLD_S = 0.2
-"""How long a stream's events are kept back for another target's: a multiple of
-the predicted first event, and at least so many seconds."""
-
 
 @dataclass(frozen=True, slots=True)
 class _Watched:
@@ -132,13 +127,8 @@
             attempt.is_behind = True
             _log_behind(watched, ends_at, now)
         other = _find_sooner(watched, ends_at, now)
-        if other is None:
-            return
-        first_s = watched.pool.predict_first_event(
-            other, attempt.call.terms.prompt_tokens, now
-        )
-        holds_until = now + max(MIN_HOLD_S, FIRST_EVENT_FACTOR * first_s)
-        self._rerouter.reroute_behind(attempt, other, holds_until)
+        if other is not None:
+            self._rerouter.reroute_behind(attempt, other, now)
 
     def _sum_up(
         self, calls: Iterable[GatewayCall], now: float
@@ -237,7 +227,7 @@
         route=call.route.name,
         model=call.terms.model or "",
         instance=attempt.state.target.instance,
-        attempts=call.attempts.number,
+        attempts=call.attempts.sent,
         last_event=attempt.cursor.last_id or 0,
         ids_left=int(stream.ids_left),
         id_ms=int(stream.id_s * 1000),
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -39,6 +39,12 @@
 event at one target."""
 
 
+FIRST_EVENT_FACTOR = 2.0
+MIN_HOLD_S = 0.2
+"""How long a stream's events are kept back for another target's: a multiple of
+the predicted first event, and at least so many seconds."""
+
+
 class RerouteCondition(Enum):
     """Which target a request is rerouted to.
 
@@ -143,28 +149,20 @@
             if other is not None and would_be_on_time_elsewhere(
                 pool, _describe_attempt(attempt), state, other, now
             ):
-                self._begin_alternative(attempt, other, RerouteCause.SLOW)
+                self._begin_alternative(attempt, other, RerouteCause.SLOW, now)
 
     def reroute_behind(
-        self, attempt: GatewayAttempt, other: TargetState, holds_until: float
-    ) -> bool:
+        self, attempt: GatewayAttempt, other: TargetState, now: float
+    ) -> None:
         """Reroute a stream that won't end in time to a target where it will.
 
         Args:
             attempt: The stream's attempt.
             other: The target.
-            holds_until: Time until which its first event there is awaited, in
-                seconds. The attempt's events are kept back until then.
-
-        Returns:
-            Whether an attempt was begun.
+            now: Seconds.
         """
-        if not _may_reroute(attempt, may_repeat=True):
-            return False
-        if not self._begin_alternative(attempt, other, RerouteCause.BEHIND):
-            return False
-        attempt.call.holds_until = holds_until
-        return True
+        if _may_reroute(attempt, may_repeat=True):
+            self._begin_alternative(attempt, other, RerouteCause.BEHIND, now)
 
     def reroute_late(self, attempt: GatewayAttempt) -> None:
         """Have an idempotent request sent elsewhere too: its answer is late.
@@ -216,17 +214,32 @@
         other = self._choose_other(attempt, now)
         if other is None or not self._fits(attempt.call, other, now, condition):
             return False
-        return self._begin_alternative(attempt, other, cause)
+        return self._begin_alternative(attempt, other, cause, now)
 
     def _begin_alternative(
-        self, attempt: GatewayAttempt, other: TargetState, cause: RerouteCause
+        self,
+        attempt: GatewayAttempt,
+        other: TargetState,
+        cause: RerouteCause,
+        now: float,
     ) -> bool:
         if not self.starter.begin_alternative(attempt.call, other):
             return False
+        if cause is RerouteCause.BEHIND or attempt.call.deadline_after_stop:
+            self._hold_events(attempt.call, other, now)
         attempt.reroute_cause = cause
         attempt.call.suspected_domains.add(attempt.state.target.fabric_domain)
         return True
 
+    def _hold_events(self, call: GatewayCall, other: TargetState, now: float) -> None:
+        """Have a request go on at another target once it has an event there.
+
+        Its attempts are few, and a slow target may have the next event first.
+        """
+        pool = self._index.find_pool(call.service, call.terms.model)
+        first_s = pool.predict_first_event(other, call.terms.prompt_tokens, now)
+        call.holds_until = now + max(MIN_HOLD_S, FIRST_EVENT_FACTOR * first_s)
+
     def _fits(
         self,
         call: GatewayCall,
--- a/tests/test_outlasting_streams.py
+++ b/tests/test_outlasting_streams.py
@@ -174,6 +174,24 @@
     run(check)
 
 
+def test_a_stream_leaves_a_head_whose_events_are_far_apart() -> None:
+    """Guards against attempts that a slow head's next events supersede."""
+
+    async def check() -> None:
+        async with _begin_stream(left_s=4.5) as (made, stream):
+            first = stream.head
+            first.faults.pace = 11.0
+            others = [one for one in made.heads("small") if one is not first]
+            for one in others:
+                one.times.pass_s = FIRST_EVENT_S
+            await asyncio.sleep(1.5)
+            for one in others:
+                one.times.pass_s = first.times.pass_s
+            _assert_whole(await stream.finish())
+
+    run(check)
+
+
 def test_a_superseded_attempt_leaves_a_stream_its_second_head() -> None:
     """Guards against a pause that uses up an attempt needed later."""
 
