Gateway: a stream begins one attempt for short pauses, as before

Attempts without an event no longer count, so that a stream could begin up to three attempts for pauses that end at once. After the first of them, only a head that counts as lost is a reason for another one.

--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -54,8 +54,9 @@
             a rerouted request that waits would be read twice.
         ON_TIME: One with a free slot where a stream goes on within the pause
             that callers accept. Otherwise it is left where it is: its head may
-            only be slow, and a stream has just one more attempt. A stream that
-            the end of the process may cut keeps the last one in any case.
+            only be slow, and a stream has just one more attempt. One that the
+            end of the process may cut, or that has had an attempt in vain,
+            keeps the last one in any case.
     """
 
     ANY_TARGET = "any-target"
@@ -254,7 +255,8 @@
         within_s = call.compute_wanted_event_time(now)
         if condition is RerouteCondition.FREE_SLOT:
             return True
-        if call.deadline_after_stop and call.attempts.is_next_last:
+        was_in_vain = call.attempts.uncounted > 0
+        if call.attempts.is_next_last and (call.deadline_after_stop or was_in_vain):
             return False
         if within_s is None:
             return True
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,7 +19,7 @@
 
 
 def test_a_single_pause_leaves_the_pace_as_it_is() -> None:
-    """Guards against a stream that leaves a head which is as fast as before."""
+    """Guards against a stream that leaves a head for one pause."""
     assert _make_pace(*[0.03] * 6, 1.2).estimate() == 0.03
 
 
