Gateway: a stream's events are kept back for a second at most

A first event that is predicted to take long, at a loaded head, kept the other head's events back for twice that time, and callers leave a stream after a pause of two seconds.

--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -40,9 +40,10 @@
 
 
 FIRST_EVENT_FACTOR = 2.0
-MIN_HOLD_S = 0.2
+MIN_HOLD_S, MAX_HOLD_S = 0.2, 1.0
 """How long a stream's events are kept back for another target's: a multiple of
-the predicted first event, and at least so many seconds."""
+the predicted first event, within these bounds in seconds. Callers leave
+a stream after a pause of two seconds."""
 
 
 class RerouteCondition(Enum):
@@ -239,7 +240,8 @@
         """
         pool = self._index.find_pool(call.service, call.terms.model)
         first_s = pool.predict_first_event(other, call.terms.prompt_tokens, now)
-        call.holds_until = now + max(MIN_HOLD_S, FIRST_EVENT_FACTOR * first_s)
+        hold_s = max(MIN_HOLD_S, FIRST_EVENT_FACTOR * first_s)
+        call.holds_until = now + min(MAX_HOLD_S, hold_s)
 
     def _fits(
         self,
