Gateway: only events after the first are kept back

A request of a stopping VM whose first event is overdue would wait for the other head's, although its own has come and nothing shows that head as slow.

--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -227,10 +227,12 @@
     ) -> bool:
         if not self.starter.begin_alternative(attempt.call, other):
             return False
-        if cause is RerouteCause.BEHIND or attempt.call.deadline_after_stop:
-            self._hold_events(attempt.call, other, now)
+        call = attempt.call
+        is_needed = cause is RerouteCause.BEHIND or call.deadline_after_stop
+        if is_needed and call.progress is Progress.RESUMABLE:
+            self._hold_events(call, other, now)
         attempt.reroute_cause = cause
-        attempt.call.suspected_domains.add(attempt.state.target.fabric_domain)
+        call.suspected_domains.add(attempt.state.target.fabric_domain)
         return True
 
     def _hold_events(self, call: GatewayCall, other: TargetState, now: float) -> None:
