Gateway: what was kept back of a stream ends with it

Refactoring of the end of a stream; the tests of streams and of test_outlasting_streams.py pass (52).

--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -420,14 +420,14 @@
         if attempt.cursor.finish().strip():
             # The stream ended in the middle of an event.
             return AttemptFailure.LOST
-        if call.progress is Progress.NOTHING and not attempt.held:
+        if call.progress is Progress.NOTHING:
             return AttemptFailure.LOST
         if attempt.superseded:
             return _find_interruption(attempt)
         now = asyncio.get_running_loop().time()
-        if attempt.held and (failure := await self._pass_on(attempt, response, now)):
-            return failure
         call.lead(attempt, now)
+        if attempt.held:
+            await self._write_events(attempt)
         with CALLER_SIDE:
             await call.exchange.finish()
         return None
