--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -62,8 +62,8 @@
 
 _NOT_RUN_FAILURES = frozenset({AttemptFailure.NOT_SENT, AttemptFailure.REFUSED})
 
-
 _LEFT_FAILURES = frozenset({AttemptFailure.STALLED, AttemptFailure.SUPERSEDED})
+"""Ends of attempts for which another one was enough."""
 
 
 class RetryStop(Enum):
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -38,7 +38,6 @@
 """Part of its time that a request which was admitted late waits for its first
 event at one target."""
 
-
 FIRST_EVENT_FACTOR = 2.0
 MIN_HOLD_S, MAX_HOLD_S = 0.2, 1.0
 """How long a stream's events are kept back for another target's: a multiple of
