--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -56,6 +56,10 @@
 TROUBLE_GAP_S = (1.0, 4.0)
 
 
+SHOWN = ("stream-behind", "answer-cut", "connection-cut", "target-silent")
+"""Events of the logs that are counted."""
+
+
 class Trouble(Enum):
     """What upstreams do wrong meanwhile.
 
@@ -178,8 +182,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Lost:
-    """A request that ended without a whole answer."""
+class _Ended:
+    """How one request ended; ``wanted`` is how many events it asked for."""
 
     name: str
     route: str
@@ -190,9 +194,11 @@
     wanted: int
 
     def describe(self) -> str:
-        after = "" if self.after_stop_s is None else f", {self.after_stop_s:.2f} s"
+        after = ""
+        if self.after_stop_s is not None:
+            after = f", {self.after_stop_s:.2f} s after SIGTERM"
         return (
-            f"{self.name} {self.route} at {self.vm}{after} after SIGTERM, took "
+            f"{self.name} {self.route} at {self.vm}{after}, took "
             f"{self.took_s:.2f} s: status {self.answer.status}, "
             f"{len(self.answer.events)} of {self.wanted} events"
         )
@@ -229,7 +235,7 @@
     vms: list[_Vm]
     source: random.Random
     ends: Counter[str] = field(default_factory=Counter)
-    lost: list[_Lost] = field(default_factory=list)
+    lost: list[_Ended] = field(default_factory=list)
     works: list[str] = field(default_factory=list)
     delays: DelayMeter = field(default_factory=DelayMeter)
     sent: int = 0
@@ -281,14 +287,14 @@
         took_s = _now() - sent_at
         stopped_at = vm.stopped_at if stopped_at is None else stopped_at
         after_s = None if stopped_at is None else sent_at - stopped_at
-        lost = _Lost(name, route.name, vm.node.name, after_s, took_s, answer, wanted)
-        end = self._judge(lost, left_s)
+        ended = _Ended(name, route.name, vm.node.name, after_s, took_s, answer, wanted)
+        end = self._judge(ended, left_s)
         self.ends[end] += 1
         if end == "lost":
-            self.lost.append(lost)
+            self.lost.append(ended)
 
     @staticmethod
-    def _judge(one: _Lost, left_s: float) -> str:
+    def _judge(one: _Ended, left_s: float) -> str:
         answer = one.answer
         if not answer.sent:
             return "unsent"
@@ -382,10 +388,11 @@
     def describe(self) -> str:
         """Return what was counted, and what the logs have of what was lost."""
         lines = read_lines(vm.node for vm in self.vms)
-        cut = {
+        ends = {
             line.fields["request"]: line
+            for event in ("request-ended", "answer-cut")
             for line in lines
-            if line.event in ("answer-cut", "request-ended")
+            if line.event == event
         }
         found = [
             f"{self.sent} sent: {dict(self.ends)}, own loop late by "
@@ -394,15 +401,12 @@
         ]
         found.append(f"work: {', '.join(self.works)}")
         for one in self.lost:
-            line = cut.get(one.name)
+            line = ends.get(one.name)
             shown = "" if line is None else f"\n    {line.event} {line.fields}"
             found.append(one.describe() + shown)
         return "\n  ".join(found)
 
 
-SHOWN = ("stream-behind", "answer-cut", "connection-cut", "target-silent")
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
