--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -268,6 +268,7 @@
     _written: str = ""
     _silent: float = 0.0
     _crashing: "asyncio.Task[None] | None" = None
+    _works: dict[Exchange, Work] = field(default_factory=dict)
     _last_answers: dict[object, bytes] = field(default_factory=dict)
 
     async def run(self) -> None:
@@ -560,6 +561,7 @@
                 await self._stream(exchange, answer, headers)
             finally:
                 self.streams -= 1
+                self._works.pop(exchange, None)
                 self._end_closing()
         else:
             await self._answer_plainly(exchange, answer, request)
@@ -613,9 +615,9 @@
         unframed = self.faults.unframed
         is_cut = random.random() < self.faults.cut_part
         sent = _UnframedAnswer(exchange) if unframed else exchange
-        work = self._begin_work(asked)
+        self._works[exchange] = self._begin_work(asked)
         for number in range(first, last + 1):
-            if not await self._make_pass(exchange, work):
+            if not await self._make_pass(exchange):
                 return
             if not begun:
                 await sent.start(200, answer)
@@ -641,9 +643,9 @@
         """Return how many events a stream of some tokens has."""
         return tokens
 
-    async def _make_pass(self, exchange: Exchange, work: Work) -> bool:
+    async def _make_pass(self, exchange: Exchange) -> bool:
         """Wait for one pass of the group; False where the work is cut off."""
-        await work.wait_for_pass()
+        await (self._works.get(exchange) or _SteadyWork(self)).wait_for_pass()
         await self._wait_while_silent(with_members=True)
         group, stood_s = self.group, 0.0
         while self.faults.dark or not self._is_whole(group):
--- a/tests/test_stop_forecasts.py
+++ b/tests/test_stop_forecasts.py
@@ -111,11 +111,10 @@
     ) -> None:
         last = int((asked.get("x-zinniaspool-token-count") or "").split(",")[1])
         had = int(asked.get("last-event-id") or 0) // ID_STEP
-        work = self._begin_work(asked)
         answer.add("content-type", "text/event-stream")
         await exchange.start(200, answer)
         for number in range(had + 1, last + 1):
-            if not await self._make_pass(exchange, work):
+            if not await self._make_pass(exchange):
                 return
             await exchange.write(f"id: {number * ID_STEP}\ndata: t\n\n".encode())
         await exchange.finish()
@@ -178,10 +177,9 @@
             await write_stream(self, exchange, answer, asked)
             return
         answer.add("content-type", "text/event-stream")
-        work = self._begin_work(asked)
         await exchange.start(200, answer)
         for number in range(1, 31):
-            await self._make_pass(exchange, work)
+            await self._make_pass(exchange)
             await exchange.write(b"id: %d\ndata: " % number)
             await exchange.write(b"x" * EVENT_BYTES + b"\n\n")
         await exchange.finish()
