Gateway: the log has upstreams, their limit and unread time of requests

Why: the log couldn't tell whether a request may have run on more upstreams than its route allows, by the process's own account, nor how long a request lay unread before the process read it.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -7,6 +7,7 @@
     Refusal,
 )
 from zinniaspool.core.dispatch.attempts import (
+    NOT_RUN_FAILURES,
     AttemptFailure,
     Attempts,
     Progress,
@@ -75,6 +76,7 @@
 )
 
 __all__ = [
+    "NOT_RUN_FAILURES",
     "AdmissionController",
     "AdmissionLimits",
     "AdmissionRequest",
--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -14,6 +14,7 @@
 from zinniaspool.core.errors import ErrorKind, Fault
 
 __all__ = [
+    "NOT_RUN_FAILURES",
     "AttemptFailure",
     "Attempts",
     "Progress",
@@ -60,7 +61,8 @@
     """Another attempt of the request had the next event, or the answer."""
 
 
-_NOT_RUN_FAILURES = frozenset({AttemptFailure.NOT_SENT, AttemptFailure.REFUSED})
+NOT_RUN_FAILURES = frozenset({AttemptFailure.NOT_SENT, AttemptFailure.REFUSED})
+"""Ends of attempts that their upstreams have not run."""
 
 _LEFT_FAILURES = frozenset({AttemptFailure.STALLED, AttemptFailure.SUPERSEDED})
 """Ends of attempts for which another one was enough."""
@@ -202,7 +204,7 @@
             can_repeat: Whether an upstream may take the request again.
             is_repeat: Whether the latest attempt was a repeat.
         """
-        has_not_run = failure in _NOT_RUN_FAILURES
+        has_not_run = failure in NOT_RUN_FAILURES
         if not has_not_run:
             self._may_have_run = True
         if failure is AttemptFailure.FAILED:
@@ -300,7 +302,7 @@
             is_repeat: Whether it was a repeat.
             may_have_begun: Whether its upstream may have begun to run it.
         """
-        if failure not in _NOT_RUN_FAILURES:
+        if failure not in NOT_RUN_FAILURES:
             # A caller isn't told that such an attempt has not run: only its
             # upstream knows.
             self._may_have_run = True
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from zinniaspool.core.dispatch import (
+    NOT_RUN_FAILURES,
     AttemptFailure,
     Attempts,
     EventCursor,
@@ -295,6 +296,14 @@
         self.history.append(attempt)
         return attempt
 
+    def list_upstreams(self) -> set[InstanceId]:
+        """Return the instances that may have begun to run it."""
+        return {
+            attempt.state.target.instance
+            for attempt in self.history
+            if attempt.failure not in NOT_RUN_FAILURES
+        }
+
     @property
     def may_repeat(self) -> bool:
         """Whether a target that it left may take it again."""
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -202,6 +202,9 @@
             instance="" if target is None else target.instance,
             group="" if target is None else (target.group or ""),
             attempts=call.attempts.sent,
+            upstreams=len(call.list_upstreams()),
+            max_upstreams=call.route.max_attempts,
+            unread_ms=int(call.exchange.unread_s * 1000),
             late=call.late,
             predicted_ms=(
                 -1 if leader is None else int(leader.predicted_first_event_s * 1000)
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -14,7 +14,7 @@
 import h11
 import structlog
 
-from zinniaspool.http.backlog import Backlog
+from zinniaspool.http.backlog import Backlog, measure_unread
 from zinniaspool.http.exchange import Exchange
 from zinniaspool.http.limits import (
     Refusal,
@@ -94,12 +94,13 @@
             request has been sent.
         received_at: When the current request was received, in seconds on the
             event loop's clock.
+        unread_s: How long its last bytes lay unread, in seconds.
         peer: The caller's address; empty if it is unknown.
     """
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.response_started = False
-        self.received_at = 0.0
+        self.received_at = self.unread_s = 0.0
         self.peer = ""
         self._owner = owner
         backlog = owner.backlog
@@ -336,6 +337,7 @@
         self._stop_timer()
         self._phase = _Phase.HANDLING
         self.received_at = self._estimate_arrival()
+        self.unread_s = self._measure_unread()
         self.response_started = False
         self._read_ahead = 0
         self._limit_read_ahead(len(self._h11.trailing_data[0]))
@@ -354,6 +356,11 @@
             return self._loop.time()
         return backlog.estimate_arrival(self._transport.get_extra_info("socket"))
 
+    def _measure_unread(self) -> float:
+        if self._transport is None:
+            return 0.0
+        return measure_unread(self._transport.get_extra_info("socket")) or 0.0
+
     async def _run_handler(self, exchange: Exchange) -> None:
         try:
             await self._owner.handler(exchange)
--- a/src/zinniaspool/http/exchange.py
+++ b/src/zinniaspool/http/exchange.py
@@ -19,11 +19,13 @@
         response_started: Whether any part of the response has been sent.
         received_at: When the request was received, in seconds on the event
             loop's clock.
+        unread_s: How long its last bytes lay unread, in seconds.
         peer: The caller's address.
     """
 
     response_started: bool
     received_at: float
+    unread_s: float
     peer: str
 
     @property
@@ -82,6 +84,11 @@
         """
         return self._channel.received_at
 
+    @property
+    def unread_s(self) -> float:
+        """How long the request's last bytes lay unread, in seconds."""
+        return self._channel.unread_s
+
     @property
     def peer(self) -> str:
         """The caller's address."""
