--- a/src/zinniaspool_standins/hosts.py
+++ b/src/zinniaspool_standins/hosts.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 from base64 import b64decode
+from collections import defaultdict
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
@@ -71,12 +72,15 @@
         put: Keys of the store that it writes, with their values.
         removed: Keys of the store that it removes.
         run: A request that began to run.
+        begun: A stream of which a runner has made the first event, and the
+            runner.
         broken: All rules that its runners saw broken so far.
     """
 
     put: dict[str, str] = {}
     removed: list[str] = []
     run: SeenRun | None = None
+    begun: tuple[str, str] | None = None
     broken: list[str] = []
 
 
@@ -104,6 +108,7 @@
         name: As above.
         runners: As above.
         runs: The requests that began to run, in order.
+        begun: The runners that have made an event of each stream.
         broken: The rules that its runners saw broken.
     """
 
@@ -119,6 +124,7 @@
         self._plan = plan or HostPlan()
         self.runners = tuple(runners)
         self.runs: list[SeenRun] = []
+        self.begun: defaultdict[str, set[str]] = defaultdict(set)
         self.broken: list[str] = []
         self._store = store
         self._log = folder / f"{name}.log"
@@ -232,6 +238,9 @@
         self._has_expired = False
         if line.run is not None:
             self.runs.append(line.run)
+        if line.begun is not None:
+            request, runner = line.begun
+            self.begun[request].add(runner)
         self.broken = line.broken or self.broken
 
 
@@ -261,6 +270,10 @@
         super()._note_run(request, headers, path)
         _report(_Line(run=self.runs[-1]))
 
+    def _note_begun(self, request: str) -> None:
+        super()._note_begun(request)
+        _report(_Line(begun=(request, self.id)))
+
 
 class _ReportingPassingRunner(_ReportingRunner, PassingRunner):
     """Such a runner that works in passes."""
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -6,10 +6,12 @@
 """
 
 import asyncio
+import contextlib
 import random
 import socket
 from base64 import b64encode
 from collections import Counter
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from math import inf
 from typing import Any, Protocol
@@ -17,7 +19,7 @@
 import msgspec
 
 from zinniaspool.core.ids import Address, split_address
-from zinniaspool.http import Exchange, Headers, HttpServer
+from zinniaspool.http import Exchange, Headers, HttpServer, TransportError
 from zinniaspool_standins.coldness import Coldness
 from zinniaspool_standins.headcuts import HeadCut, HeadEnd, make_head
 from zinniaspool_standins.noise import Noise, NoiseKind
@@ -135,6 +137,8 @@
         cold_s: How long it is cold after a start during traffic.
         cold_limit: Requests within a second that it survives while it is cold;
             0 if any number.
+        lag_s: Shortest and longest time that a stream's answer is on its way;
+            it is drawn for each stream.
     """
 
     heartbeat_s: float = 0.4
@@ -147,6 +151,7 @@
     back_s: float = 0.6
     cold_s: float = 0.0
     cold_limit: int = 0
+    lag_s: tuple[float, float] = (0.0, 0.0)
 
 
 class _SteadyWork:
@@ -190,6 +195,74 @@
         self._transport.close()
 
 
+class _StreamAnswer(Protocol):
+    """An answer that is sent in parts."""
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head."""
+        ...
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body."""
+        ...
+
+    async def finish(self) -> None:
+        """End the answer."""
+        ...
+
+
+class _LaggedAnswer:
+    """An answer whose parts are on their way for some time.
+
+    Args:
+        answer: Sends the parts when they arrive.
+        lag_s: This time, in seconds.
+    """
+
+    def __init__(self, answer: _StreamAnswer, lag_s: float) -> None:
+        self._answer = answer
+        self._lag_s = lag_s
+        self._parts: asyncio.Queue[tuple[float, Coroutine[Any, Any, None]]] = (
+            asyncio.Queue()
+        )
+        self._carrying = asyncio.create_task(self._carry())
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head."""
+        self._send(self._answer.start(status, headers))
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body."""
+        self._send(self._answer.write(data))
+
+    async def finish(self) -> None:
+        """End the answer, and wait until all of it has arrived."""
+        self._send(self._answer.finish())
+        await self._parts.join()
+        self._carrying.cancel()
+
+    def close(self) -> None:
+        """Drop what is still on its way."""
+        self._carrying.cancel()
+        while not self._parts.empty():
+            self._parts.get_nowait()[1].close()
+
+    def _send(self, part: Coroutine[Any, Any, None]) -> None:
+        due = asyncio.get_running_loop().time() + self._lag_s
+        self._parts.put_nowait((due, part))
+
+    async def _carry(self) -> None:
+        while True:
+            due, part = await self._parts.get()
+            try:
+                await asyncio.sleep(due - asyncio.get_running_loop().time())
+                with contextlib.suppress(TransportError):
+                    await part
+            finally:
+                part.close()
+                self._parts.task_done()
+
+
 @dataclass(frozen=True, slots=True)
 class SeenRun:
     """A request that began to run, as the runner saw it."""
@@ -217,6 +290,7 @@
         others: All runners of its process by id, for its group's sake.
         arrived: When requests came, in seconds of the loop's clock.
         arrivals_at: Their ids, each with that time.
+        begun: Streams of which it has made an event, each once.
         wrote_at: When it last wrote an event of each request, in seconds of
             the loop's clock.
         part_crashes: Parts of prompts on which it ended, each with the time.
@@ -244,6 +318,7 @@
     arrivals: Counter[str] = field(default_factory=Counter)
     arrived: list[float] = field(default_factory=list)
     arrivals_at: list[tuple[str, float]] = field(default_factory=list)
+    begun: set[str] = field(default_factory=set)
     wrote_at: dict[str, float] = field(default_factory=dict)
     part_crashes: list[tuple[str, float]] = field(default_factory=list)
     health_queries: int = 0
@@ -269,6 +344,7 @@
     _silent: float = 0.0
     _crashing: "asyncio.Task[None] | None" = None
     _works: dict[Exchange, Work] = field(default_factory=dict)
+    _lagged: dict[Exchange, _LaggedAnswer] = field(default_factory=dict)
     _last_answers: dict[object, bytes] = field(default_factory=dict)
 
     async def run(self) -> None:
@@ -561,6 +637,8 @@
                 await self._stream(exchange, answer, headers)
             finally:
                 self.streams -= 1
+                if exchange in self._lagged:
+                    self._lagged.pop(exchange).close()
                 self._works.pop(exchange, None)
                 self._end_closing()
         else:
@@ -605,7 +683,10 @@
         await exchange.respond(200, answer, body)
 
     async def _stream(
-        self, exchange: Exchange, answer: Headers, asked: Headers
+        self,
+        exchange: Exchange,
+        answer: Headers,
+        asked: Headers,
     ) -> None:
         tokens = (asked.get("x-zinniaspool-token-count") or "0,10").split(",")
         last = self._count_events(int(tokens[1]))
@@ -614,15 +695,20 @@
         begun = False
         unframed = self.faults.unframed
         is_cut = random.random() < self.faults.cut_part
-        sent = _UnframedAnswer(exchange) if unframed else exchange
+        request = asked.get("x-zinniaspool-request-id") or ""
+        sent: _StreamAnswer = _UnframedAnswer(exchange) if unframed else exchange
+        lag_s = random.uniform(*self.times.lag_s)
+        if lag_s:
+            sent = lagged = _LaggedAnswer(sent, lag_s)
+            self._lagged[exchange] = lagged
         self._works[exchange] = self._begin_work(asked)
         for number in range(first, last + 1):
             if not await self._make_pass(exchange):
                 return
             if not begun:
+                self._note_begun(request)
                 await sent.start(200, answer)
                 begun = True
-            request = asked.get("x-zinniaspool-request-id") or ""
             self.wrote_at[request] = asyncio.get_running_loop().time()
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             if is_cut or number == self.faults.cut_after:
@@ -681,6 +767,9 @@
                 return False
         return True
 
+    def _note_begun(self, request: str) -> None:
+        self.begun.add(request)
+
     def _note_run(self, request: str, headers: Headers, path: str) -> None:
         self.runs.append(
             SeenRun(
--- a/tests/test_outlasting_streams.py
+++ b/tests/test_outlasting_streams.py
@@ -10,6 +10,7 @@
 from tests.installation import Answer, eventually, run
 from tests.test_planned_stops import StoppedInstallation
 from zinniaspool.core.dispatch import Progress
+from zinniaspool.core.fleet import InstanceId
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool_standins.runners import Runner
 
@@ -110,12 +111,13 @@
     *,
     stops: bool = True,
     left_s: float = LEFT_S,
+    heads: int = 2,
 ) -> AsyncIterator[tuple[StoppedInstallation, _Stream]]:
     """Begin a stream at a VM that knows such streams, and may be stopped."""
-    async with kind.running(nodes=2, engines=12) as made:
+    async with kind.running(nodes=2, engines=4 + 4 * heads) as made:
         made.configure()
         await made.settle()
-        await eventually(lambda: len(made.heads("small")) >= 2)
+        await eventually(lambda: len(made.heads("small")) >= heads)
         for _ in range(3):
             await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(8)))
         if stops:
@@ -126,6 +128,10 @@
         yield made, stream
 
 
+def _list_began(made: StoppedInstallation) -> list[Runner]:
+    return [one for one in made.runners.values() if "late" in one.begun]
+
+
 def _assert_whole(answer: Answer) -> None:
     assert answer.status == 200 and answer.whole, f"{len(answer.events)} events"
     assert answer.events == list(range(1, EVENTS + 1))
@@ -278,6 +284,54 @@
     run(check)
 
 
+def test_a_head_that_is_left_before_its_first_event_arrives_counts() -> None:
+    """Guards against a stream that runs on more upstreams than allowed."""
+
+    async def check() -> None:
+        async with _begin_stream(stops=False, heads=4) as (made, stream):
+            first = stream.head
+            others = [one for one in made.heads("small") if one is not first]
+            for one in others:
+                one.times.lag_s = (0.5, 0.5)
+            first.faults.silent = True
+            await eventually(lambda: len(_list_began(made)) == 2)
+            first.faults.silent = False
+            await eventually(lambda: not stream.call.alternatives)
+            assert stream.head is first
+            (second,) = [one for one in _list_began(made) if one is not first]
+            # It goes on with what it has, and takes no more.
+            second.faults.leaving = True
+            pool = made.find_pool("n0", "small")
+            target = pool.get(InstanceId(second.id))
+            assert target is not None
+            await eventually(lambda: target.target.draining or target.removed)
+            first.faults.silent = True
+            await asyncio.sleep(1.0)
+            first.faults.silent = False
+            _assert_whole(await stream.finish())
+            assert len(_list_began(made)) == 2
+
+    run(check)
+
+
+def test_a_stream_waits_for_heads_that_may_have_begun_it() -> None:
+    """Guards against a third upstream while two may run a stream."""
+
+    async def check() -> None:
+        async with _begin_stream(stops=False, heads=4) as (made, stream):
+            first, heads = stream.head, made.heads("small")
+            for one in heads:
+                one.times.lag_s = (1.2, 1.2)
+                one.faults.silent = one is first
+            await eventually(lambda: len(_list_began(made)) == 2)
+            await asyncio.sleep(0.9)
+            assert len(set(made.runs_of("late"))) == 2
+            _assert_whole(await stream.finish())
+            assert len(_list_began(made)) == 2
+
+    run(check)
+
+
 def test_a_stream_at_a_slow_head_ends_within_its_routes_timeout() -> None:
     """Guards against a stream that its timeout cuts at a slow head."""
 
