Gateway: an attempt of which nothing arrived counts as one that may run

Seen by the users: requests of routes with two attempts ran on three upstreams.

Cause: left an attempt without an event out of the number of attempts, as one that its upstream never began. Its first event may be on its way: an upstream begins a request with its first token, and only a refusal says that it hasn't. So a request could begin at four upstreams.

Change: an attempt counts until its upstream is known to have ended (connections refused, record removed or replaced); at most two are left out, as before. A request without attempts left waits for a check of its last upstream that is under way. Two targets that may have begun a stream are waited for.

--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -27,7 +27,7 @@
 """Attempts of one request if nothing else limits them."""
 
 MAX_UNCOUNTED = 2
-"""Further attempts of one request that don't count as one more upstream."""
+"""Attempts of one request that are left out of the number at most."""
 
 
 class AttemptFailure(Enum):
@@ -64,9 +64,6 @@
 NOT_RUN_FAILURES = frozenset({AttemptFailure.NOT_SENT, AttemptFailure.REFUSED})
 """Ends of attempts that their upstreams have not run."""
 
-_LEFT_FAILURES = frozenset({AttemptFailure.STALLED, AttemptFailure.SUPERSEDED})
-"""Ends of attempts for which another one was enough."""
-
 
 class RetryStop(Enum):
     """Why a request is not sent again after a failed attempt."""
@@ -124,7 +121,7 @@
     The number of attempts limits the upstreams that run the request. If an
     attempt has ended because another one went on, its upstream may take the
     request again; this is a repeat and doesn't count as one more. Nor does an
-    attempt that its upstream had not begun to run by then.
+    attempt whose upstream has ended since.
 
     Args:
         terms: The limits of the attempts.
@@ -133,7 +130,7 @@
     Attributes:
         number: Number of the current attempt, from 1. Attempts of which
             nothing was sent, and those of ``uncounted``, don't count.
-        uncounted: Repeats, and attempts that no upstream had begun to run.
+        uncounted: Repeats, and attempts whose upstreams have ended since.
         stop: Why the request is not sent again; None while it may be.
     """
 
@@ -192,7 +189,7 @@
         *,
         can_end: bool = True,
         can_repeat: bool = False,
-        is_repeat: bool = False,
+        is_uncounted: bool = False,
     ) -> Fault | None:
         """Return the fault that ends the request, or None to try again.
 
@@ -202,7 +199,7 @@
             now: Seconds on the event loop's clock.
             can_end: Whether another attempt can end by the deadline.
             can_repeat: Whether an upstream may take the request again.
-            is_repeat: Whether the latest attempt was a repeat.
+            is_uncounted: Whether the latest attempt is one of ``uncounted``.
         """
         has_not_run = failure in NOT_RUN_FAILURES
         if not has_not_run:
@@ -215,7 +212,7 @@
             return self._make_deadline_fault()
         if failure is AttemptFailure.NOT_SENT:
             # No upstream has received it, so that it is no attempt.
-            self._count(is_repeat=is_repeat, by=-1)
+            self._count(is_repeat=is_uncounted, by=-1)
             self._unsent += 1
         exhausted = self.number >= self._terms.max_attempts
         exhausted = exhausted and not (can_repeat and self.may_repeat)
@@ -292,32 +289,28 @@
         self,
         failure: AttemptFailure,
         *,
-        is_repeat: bool = False,
-        may_have_begun: bool = True,
+        is_uncounted: bool = False,
     ) -> None:
         """Record the end of an attempt beside which another one goes on.
 
         Args:
             failure: How it ended.
-            is_repeat: Whether it was a repeat.
-            may_have_begun: Whether its upstream may have begun to run it.
+            is_uncounted: Whether it is one of ``uncounted``.
         """
         if failure not in NOT_RUN_FAILURES:
             # A caller isn't told that such an attempt has not run: only its
             # upstream knows.
             self._may_have_run = True
-            if failure in _LEFT_FAILURES and not (may_have_begun or is_repeat):
-                self.uncount()
             return
         if failure is AttemptFailure.NOT_SENT:
-            self._count(is_repeat=is_repeat, by=-1)
+            self._count(is_repeat=is_uncounted, by=-1)
             self._unsent += 1
         if not self._is_charged(failure):
             # What was paid for it pays for the next attempt.
             self._has_reserved = True
 
     def uncount(self) -> bool:
-        """Leave out an attempt that its upstream has not begun to run.
+        """Leave out an attempt whose upstream has ended.
 
         Returns:
             Whether it is left out; False if too many are.
@@ -328,11 +321,6 @@
         self.uncounted += 1
         return True
 
-    def recount(self) -> None:
-        """Count an attempt that was left out, since it has begun."""
-        self.number += 1
-        self.uncounted -= 1
-
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt so far may have run."""
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -1,7 +1,7 @@
 """The state of a caller's request in progress, and of its attempts."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -17,7 +17,12 @@
     TargetPool,
     TargetState,
 )
-from zinniaspool.core.fleet import CustomerSpec, InstanceId, RouteSpec
+from zinniaspool.core.fleet import (
+    CustomerSpec,
+    InstanceId,
+    InstanceIncarnation,
+    RouteSpec,
+)
 from zinniaspool.core.ids import ContentId, FabricDomainId, ServiceName, TraitId
 from zinniaspool.http import ClientResponse, Exchange
 
@@ -62,9 +67,8 @@
         cursor: Position in the target's event stream.
         number: Number of the attempt, from 1.
         trial: The trait that the attempt is the trial of, or None.
-        is_repeat: Whether its target had the request before.
-        is_uncounted: Whether it is left out of the number of attempts, since
-            its target has not begun to run it.
+        is_uncounted: Whether it is left out of the number of attempts: its
+            target had the request before, or has ended since.
         timeout: Its timeout; None before it begins and after it has ended.
         task: The task that runs it beside another attempt; None for one that
             runs in the request's own task.
@@ -103,7 +107,6 @@
     cursor: EventCursor
     number: int
     trial: TraitId | None = None
-    is_repeat: bool = False
     is_uncounted: bool = False
     timeout: asyncio.Timeout | None = None
     task: "asyncio.Task[AttemptFailure | None] | None" = None
@@ -128,14 +131,6 @@
     is_answer: bool = False
     unanswered_out_of_subset: bool = False
 
-    @property
-    def may_have_begun(self) -> bool:
-        """Whether its target may have begun to run its request.
-
-        The head of a group begins with the first event.
-        """
-        return self.has_event or self.call.terms.model is None
-
     @property
     def is_leading(self) -> bool:
         """Whether its events and answer go to the caller."""
@@ -291,7 +286,7 @@
         cursor.last_id = self.last_event_id
         cursor.resume()
         attempt = GatewayAttempt(self, state, cursor, self.attempts.sent, trial)
-        attempt.is_repeat = is_repeat
+        attempt.is_uncounted = is_repeat
         attempt.resumed_after = self.last_event_id or 0
         self.history.append(attempt)
         return attempt
@@ -313,27 +308,24 @@
         """Return whether an attempt at a target is no further upstream."""
         return state.target.instance in self.left and self.attempts.may_repeat
 
-    @property
-    def may_begin_another(self) -> bool:
-        """Whether it may be sent to one more target.
+    def leave_out_ended(self, has_ended: Callable[[InstanceIncarnation], bool]) -> None:
+        """Leave out attempts whose targets have ended, if no other is allowed.
+
+        An attempt of which nothing has arrived may have begun. Only the end of
+        its target shows that it doesn't run there.
 
-        A stream in progress may leave an alternative out that its target has
-        not begun to run.
+        Args:
+            has_ended: Returns whether an incarnation is known to have ended.
         """
         if self.attempts.may_begin_alternative:
-            return True
-        newest = self.newest_attempt
-        if newest is None or newest is self.leader or newest.is_repeat:
-            return False
-        if newest.may_have_begun or newest.is_uncounted:
-            return False
-        return self.progress is Progress.RESUMABLE and self.attempts.may_repeat
-
-    def leave_out_newest(self) -> None:
-        """Leave the newest attempt out if no other one is allowed."""
-        newest = self.newest_attempt
-        if newest is not None and not self.attempts.may_begin_alternative:
-            newest.is_uncounted = self.attempts.uncount()
+            return
+        for attempt in self.history:
+            if attempt.is_uncounted or attempt.failure is AttemptFailure.NOT_SENT:
+                continue
+            target = attempt.state.target
+            if has_ended(target.incarnation):
+                self.left.discard(target.instance)
+                attempt.is_uncounted = self.attempts.uncount()
 
     def list_excluded(self, pool: TargetPool) -> Collection[InstanceId]:
         """Return the instances that its next attempt may not be sent to.
@@ -341,7 +333,7 @@
         Those that it left may take it again. If the number of attempts allows
         no further target, all others are among them.
         """
-        if self.may_begin_another:
+        if self.attempts.may_begin_alternative:
             return [one for one in self.tried if one not in self.left]
         kept = self.left if self.attempts.may_repeat else set()
         return {
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -140,11 +140,26 @@
             failure = await self._run_leaders(attempt)
             if failure is None:
                 return None
+            await self._leave_out_ended(call)
             fault = self._evaluate_failure(call, pool, failure)
             if verdict.trait is not None and not call.attempts.may_have_run:
                 self._crashes.cancel_trial(verdict.trait)
         return fault
 
+    async def _leave_out_ended(self, call: GatewayCall) -> None:
+        """Leave out the attempts of a request whose upstreams have ended.
+
+        If it has no other attempt left, it waits until that is known of the
+        last one.
+        """
+        may_go_on = call.route.repeatable and call.progress is not Progress.PARTIAL
+        if call.attempts.may_begin_alternative or not may_go_on:
+            return
+        assert call.leader is not None
+        incarnation = call.leader.state.target.incarnation
+        await self._crashes.await_check(incarnation, call.deadline)
+        call.leave_out_ended(self._index.has_ended)
+
     async def _run_leaders(self, attempt: GatewayAttempt) -> AttemptFailure | None:
         """Run an attempt, and then each one that goes on in its place.
 
@@ -190,8 +205,6 @@
             return False
         now = asyncio.get_running_loop().time()
         is_repeat = call.is_repeat(state)
-        if call.may_begin_another and not is_repeat:
-            call.leave_out_newest()
         if not call.attempts.begin_alternative(now, is_repeat=is_repeat):
             return False
         alternative = call.make_attempt(state, is_repeat=is_repeat)
@@ -300,7 +313,7 @@
             now,
             can_end=can_end,
             can_repeat=bool(call.left),
-            is_repeat=call.leader.is_repeat,
+            is_uncounted=call.leader.is_uncounted,
         )
         self._log_failure(call.leader, failure, again=fault is None)
         if not can_end and call.attempts.stop is RetryStop.DEADLINE:
@@ -309,11 +322,7 @@
 
     def _record_failure(self, attempt: GatewayAttempt, failure: AttemptFailure) -> None:
         """Record the end of an attempt beside which another one goes on."""
-        attempt.call.attempts.record_failure(
-            failure,
-            is_repeat=attempt.is_repeat,
-            may_have_begun=attempt.may_have_begun or attempt.is_uncounted,
-        )
+        attempt.call.attempts.record_failure(failure, is_uncounted=attempt.is_uncounted)
         self._log_failure(attempt, failure, again=True)
 
     def _log_failure(
--- a/src/zinniaspool/gateway/crashes.py
+++ b/src/zinniaspool/gateway/crashes.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass, field
+from math import inf
 
 import structlog
 
@@ -47,9 +48,6 @@
 """Backoff of an upstream that has ended, in seconds. By its end the instance
 record has expired, or names another incarnation."""
 
-MAX_ENDED_INCARNATIONS = 1024
-"""Ended incarnations of instances that are remembered."""
-
 MIN_WRITING_S = 0.5  # seconds
 MIN_WRITING_READS = 4
 """Time since an attempt's first event, and reads with events, after which the
@@ -120,7 +118,6 @@
         self._probe = probe
         self._suspects: dict[InstanceIncarnation, _Suspects] = {}
         self._checks: dict[InstanceIncarnation, asyncio.Task[None]] = {}
-        self._ended_at: dict[InstanceIncarnation, float] = {}
 
     def judge(self, call: GatewayCall) -> Verdict:
         """Return what is known of a request's traits."""
@@ -151,7 +148,7 @@
         """
         call, state = attempt.call, attempt.state
         incarnation = state.target.incarnation
-        if attempt.sent_at > self._ended_at.get(incarnation, float("inf")):
+        if attempt.sent_at > self._index.ended_at.get(incarnation, inf):
             # It was sent after the upstream had ended.
             return
         suspects = self._suspects.setdefault(incarnation, _Suspects())
@@ -163,10 +160,24 @@
         if self.quarantine.is_near_suspicion(call.traits):
             await asyncio.wait([check], timeout=MAX_CHECK_WAIT_S)
 
+    async def await_check(self, incarnation: InstanceIncarnation, until: float) -> None:
+        """Wait until it is known whether an upstream has ended.
+
+        Args:
+            incarnation: The upstream; nothing is waited for if it isn't being
+                checked.
+            until: Latest end of the wait, in seconds.
+        """
+        check = self._checks.get(incarnation)
+        if check is None:
+            return
+        left_s = max(0.0, until - self._now())
+        await asyncio.wait([check], timeout=min(MAX_CHECK_WAIT_S, left_s))
+
     def check_target(self, state: TargetState) -> None:
         """Find out whether an upstream that doesn't answer has ended."""
         incarnation = state.target.incarnation
-        if incarnation not in self._ended_at:
+        if incarnation not in self._index.ended_at:
             self._start_check(incarnation, state)
 
     def record_progress(self, attempt: GatewayAttempt, now: float) -> None:
@@ -317,9 +328,7 @@
     def _record_ended(self, incarnation: InstanceIncarnation) -> None:
         """Record that an upstream has ended, and avoid it for a while."""
         now = self._now()
-        self._ended_at.setdefault(incarnation, now)
-        if len(self._ended_at) > MAX_ENDED_INCARNATIONS:
-            del self._ended_at[next(iter(self._ended_at))]
+        self._index.record_ended(incarnation, now)
         state = self._index.find_state(incarnation.instance)
         if (
             state is not None
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -144,7 +144,7 @@
             now: Seconds.
         """
         for attempt in self._list_attempts(state):
-            if not _may_reroute(attempt):
+            if not self._may_reroute(attempt):
                 continue
             other = self._choose_other(attempt, now)
             if other is not None and would_be_on_time_elsewhere(
@@ -162,7 +162,7 @@
             other: The target.
             now: Seconds.
         """
-        if _may_reroute(attempt, may_repeat=True):
+        if self._may_reroute(attempt, may_repeat=True):
             self._begin_alternative(attempt, other, RerouteCause.BEHIND, now)
 
     def reroute_late(self, attempt: GatewayAttempt) -> None:
@@ -210,7 +210,7 @@
         """
         # A target that the request left takes it again if it is needed.
         may_repeat = condition is RerouteCondition.ANY_TARGET
-        if not _may_reroute(attempt, may_repeat=may_repeat):
+        if not self._may_reroute(attempt, may_repeat=may_repeat):
             return False
         other = self._choose_other(attempt, now)
         if other is None or not self._fits(attempt.call, other, now, condition):
@@ -320,15 +320,46 @@
                 self._find_first_event_deadline(attempt)
                 for attempts in self._attempts.values()
                 for attempt in attempts
-                if _may_be_overdue(attempt)
+                if self._may_be_overdue(attempt)
             ),
             default=inf,
         )
 
     def _is_overdue(self, attempt: GatewayAttempt, now: float) -> bool:
-        return _may_be_overdue(attempt) and now >= self._find_first_event_deadline(
-            attempt
-        )
+        if not self._may_be_overdue(attempt):
+            return False
+        return now >= self._find_first_event_deadline(attempt)
+
+    def _may_be_overdue(self, attempt: GatewayAttempt) -> bool:
+        call = attempt.call
+        if call.terms.model is None or attempt.has_event:
+            return False
+        return attempt is call.newest_attempt and self._may_begin_another(call)
+
+    def _may_reroute(
+        self, attempt: GatewayAttempt, *, may_repeat: bool = False
+    ) -> bool:
+        """Return whether another attempt may be begun beside one.
+
+        Only the newest attempt of a request is looked at: while it is not
+        suspected, the request needs no further one.
+
+        Args:
+            attempt: The attempt.
+            may_repeat: Whether a target that the request left may take it
+                again.
+        """
+        call = attempt.call
+        if attempt.superseded or attempt is not call.newest_attempt:
+            return False
+        if not call.route.repeatable or call.progress is Progress.PARTIAL:
+            return False
+        return self._may_begin_another(call) or (may_repeat and call.may_repeat)
+
+    def _may_begin_another(self, call: GatewayCall) -> bool:
+        """Return whether a request may be sent to one more target."""
+        call.leave_out_ended(self._index.has_ended)
+        return call.attempts.may_begin_alternative
 
     def _find_first_event_deadline(self, attempt: GatewayAttempt) -> float:
         call = attempt.call
@@ -343,33 +374,6 @@
         return attempt.sent_at + timeout_s
 
 
-def _may_be_overdue(attempt: GatewayAttempt) -> bool:
-    call = attempt.call
-    if call.terms.model is None or attempt.has_event:
-        return False
-    return attempt is call.newest_attempt and call.may_begin_another
-
-
-def _may_reroute(attempt: GatewayAttempt, *, may_repeat: bool = False) -> bool:
-    """Return whether another attempt may be begun beside one.
-
-    Only the newest attempt of a request is looked at: while it is not
-    suspected, the request needs no further one.
-
-    Args:
-        attempt: The attempt.
-        may_repeat: Whether a target that the request left may take it again.
-    """
-    call = attempt.call
-    if attempt.superseded or attempt is not call.newest_attempt:
-        return False
-    if not call.route.repeatable or call.progress is Progress.PARTIAL:
-        return False
-    if call.may_begin_another:
-        return True
-    return may_repeat and call.may_repeat
-
-
 def _describe_attempt(attempt: GatewayAttempt) -> RunningAttempt:
     call = attempt.call
     return RunningAttempt(
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -112,7 +112,8 @@
             How it failed; None if the caller has its answer.
         """
         if attempt.superseded:
-            return AttemptFailure.NOT_SENT
+            attempt.failure = AttemptFailure.NOT_SENT
+            return attempt.failure
         call, state = attempt.call, attempt.state
         loop = asyncio.get_running_loop()
         if not state.local_requests:
@@ -383,9 +384,6 @@
     def _record_first_event(self, attempt: GatewayAttempt, now: float) -> None:
         call, state = attempt.call, attempt.state
         attempt.has_event, attempt.first_event_overdue = True, False
-        if attempt.is_uncounted:
-            attempt.is_uncounted = False
-            call.attempts.recount()
         attempt.writing_since = now
         state.streaming += 1
         state.local_unread_tokens -= call.terms.prompt_tokens
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -45,7 +45,8 @@
 
 
 MAX_INCARNATIONS = 1024
-"""Incarnations of upstreams whose backpressure is remembered."""
+"""Incarnations of upstreams that are remembered: those whose backpressure is
+known, and ended ones."""
 
 _PoolKey = tuple[ServiceName, ModelName | None]
 
@@ -67,6 +68,7 @@
 
     Attributes:
         backpressure: What instances have asked of this process.
+        ended_at: When incarnations were found to have ended, in seconds.
         report_interval_s: Time between this process's last two load reports,
             in seconds; 0 if they are about as frequent as they should be.
     """
@@ -76,6 +78,7 @@
         self._local_domain = local_domain
         self._rng = random.Random()
         self.backpressure: dict[InstanceIncarnation, Backpressure] = {}
+        self.ended_at: dict[InstanceIncarnation, float] = {}
         self._pools: dict[_PoolKey, TargetPool] = {}
         self._subset: Subset | None = None
         self._process_count = 1
@@ -116,6 +119,21 @@
             return spec is not None
         return spec.engine is not None and spec.engine.find_model(model) is not None
 
+    def record_ended(self, incarnation: InstanceIncarnation, now: float) -> None:
+        """Record that an incarnation was found to have ended."""
+        self.ended_at.setdefault(incarnation, now)
+        if len(self.ended_at) > MAX_INCARNATIONS:
+            del self.ended_at[next(iter(self.ended_at))]
+
+    def has_ended(self, incarnation: InstanceIncarnation) -> bool:
+        """Return whether an incarnation is known to have ended.
+
+        It refuses connections, or its record was removed or replaced.
+        """
+        if incarnation in self.ended_at:
+            return True
+        return self._fleet_view.has_ended(*incarnation)
+
     def remember_backpressure(self, incarnation: InstanceIncarnation) -> Backpressure:
         """Return what is kept of an upstream, from now on if it is new."""
         known = self.backpressure.get(incarnation)
