HTTP: a request counts from when it arrived, not from when it was read

Seen: a process that reads a request 0.7 s late gives it all of the time that its caller waits. Upstreams work for longer than the caller does, and requests that their callers gave up are sent on.

Cause: received_at was the time of the read, but for what waited while the program loaded.

Change: the kernel's record of when the connection last received data dates each request, as it did those.

Result: test_a_request_that_lay_unread_has_the_time_that_is_left failed for both cases and passes. A request without time left is refused as not run (503, deadline-too-short; the test had expected 504, which is for those that may have run).

--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -337,7 +337,7 @@
         self._stop_timer()
         self._phase = _Phase.HANDLING
         self.received_at = self._estimate_arrival()
-        self.unread_s = self._measure_unread()
+        self.unread_s = self._loop.time() - self.received_at
         self.response_started = False
         self._read_ahead = 0
         self._limit_read_ahead(len(self._h11.trailing_data[0]))
@@ -351,15 +351,18 @@
         self._task = self._loop.create_task(self._run_handler(Exchange(request, self)))
 
     def _estimate_arrival(self) -> float:
-        backlog, self._backlog = self._backlog, None
-        if backlog is None or self._transport is None:
-            return self._loop.time()
-        return backlog.estimate_arrival(self._transport.get_extra_info("socket"))
+        """Return when the request arrived that was just read, in seconds.
 
-    def _measure_unread(self) -> float:
+        A late process reads it late, and its caller's time counts from then.
+        """
+        now = self._loop.time()
+        backlog, self._backlog = self._backlog, None
         if self._transport is None:
-            return 0.0
-        return measure_unread(self._transport.get_extra_info("socket")) or 0.0
+            return now
+        connection = self._transport.get_extra_info("socket")
+        if backlog is not None:
+            return backlog.estimate_arrival(connection)
+        return now - (measure_unread(connection) or 0.0)
 
     async def _run_handler(self, exchange: Exchange) -> None:
         try:
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -117,7 +117,7 @@
             time.sleep(GIVEN_UP_S)  # noqa: ASYNC251
             answer = await caller.read()
             if left_ms < 0:
-                assert answer.startswith(b"HTTP/1.1 504")
+                assert b"x-error-kind: deadline-too-short" in answer
                 assert _count_arrivals(made, "late") == 0
                 return
             assert answer.startswith(b"HTTP/1.1 200")
