Gateway: a request isn't sent on when its caller has closed

Seen by the users: requests reached upstreams up to 0.7 s after their clients had left.

Cause: a late process finds a request and its caller's end together in the socket. The event loop gives the data first and the end in a later turn; with an idle connection to the upstream at hand the request is written in between.

--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -31,6 +31,7 @@
 from zinniaspool.gateway.sending import AttemptSender
 from zinniaspool.gateway.stops import StopGuard
 from zinniaspool.gateway.targets import TargetIndex
+from zinniaspool.http import TransportError, TransportFailure
 
 __all__ = ["RequestForwarder"]
 
@@ -80,6 +81,9 @@
         Args:
             call: The request.
             retries: Counts the requests and retries of its service.
+
+        Raises:
+            TransportError: The caller has left.
         """
         loop = asyncio.get_running_loop()
         retries.record_request()
@@ -127,6 +131,8 @@
                     return _make_no_upstream_fault(call, pool, loop.time())
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
+            if call.exchange.has_caller_left:
+                raise TransportError(TransportFailure.CUT, "the caller has left")
             is_repeat = call.is_repeat(state)
             begun = call.attempts.begin(loop.time(), is_repeat=is_repeat)
             if isinstance(begun, Err):
@@ -203,6 +209,8 @@
         """
         if self._crashes.judge(call).status is not TraitStatus.CLEAR:
             return False
+        if call.exchange.has_caller_left:
+            return False
         now = asyncio.get_running_loop().time()
         is_repeat = call.is_repeat(state)
         if not call.attempts.begin_alternative(now, is_repeat=is_repeat):
--- a/src/zinniaspool/http/backlog.py
+++ b/src/zinniaspool/http/backlog.py
@@ -1,8 +1,8 @@
-"""Requests that wait in a listener's backlog until the program reads them.
+"""What the kernel has of connections that the program has not read yet.
 
 A listener that is opened before the program has loaded accepts connections,
-and the kernel keeps what callers send. Each request is dated by the kernel's
-record of when its last bytes came.
+and the kernel keeps what callers send. So it does while a program is late.
+Each request is dated by the kernel's record of when its last bytes came.
 """
 
 import asyncio
@@ -10,7 +10,7 @@
 import struct
 from typing import Protocol
 
-__all__ = ["Backlog", "measure_unread"]
+__all__ = ["Backlog", "has_other_side_ended", "measure_unread"]
 
 READ_S = 0.05
 """Time after the start within which requests are read that arrived before it,
@@ -23,6 +23,9 @@
 _OPEN_STATES = (1, 8)
 """TCP states in which a request can be answered: established, close-wait."""
 
+_ENDED_STATES = (7, 8)
+"""TCP states after the other side's end: closed by a reset, close-wait."""
+
 _MS_PER_S = 1000
 
 
@@ -78,15 +81,31 @@
 
     None if the platform doesn't record it.
     """
+    state, unread_ms, received_bytes = _read_tcp_info(connection)
+    # A substitute for the kernel may leave all that it doesn't record at zero.
+    is_recorded = state in _OPEN_STATES and received_bytes > 0
+    return unread_ms / _MS_PER_S if is_recorded else None
+
+
+def has_other_side_ended(connection: _Connection) -> bool:
+    """Return whether the other side has closed, reset or ended its sending.
+
+    The event loop learns of that only in the turn after the one in which it
+    reads what was sent before. False if the platform doesn't record it.
+    """
+    state, _, _ = _read_tcp_info(connection)
+    return state in _ENDED_STATES
+
+
+def _read_tcp_info(connection: _Connection) -> tuple[int, int, int]:
+    """Return the fields of ``_TCP_INFO``; zeros if they aren't recorded."""
     try:
         info = connection.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size
         )
     except (AttributeError, OSError):
-        return None
+        return 0, 0, 0
     if len(info) < _TCP_INFO.size:
-        return None
+        return 0, 0, 0
     state, unread_ms, received_bytes = _TCP_INFO.unpack(info)
-    # A substitute for the kernel may leave all that it doesn't record at zero.
-    is_recorded = state in _OPEN_STATES and received_bytes > 0
-    return unread_ms / _MS_PER_S if is_recorded else None
+    return state, unread_ms, received_bytes
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -14,7 +14,7 @@
 import h11
 import structlog
 
-from zinniaspool.http.backlog import Backlog, measure_unread
+from zinniaspool.http.backlog import Backlog, has_other_side_ended, measure_unread
 from zinniaspool.http.exchange import Exchange
 from zinniaspool.http.limits import (
     Refusal,
@@ -182,6 +182,13 @@
         is_ending = self._owner.draining or self._owner.retiring
         return is_ending and not self._h11.trailing_data[0]
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed its connection or its side of it."""
+        if self._transport is None or self._transport.is_closing():
+            return True
+        return has_other_side_ended(self._transport.get_extra_info("socket"))
+
     def send_events(self, *events: h11.Event | None) -> None:
         """Send events as one write."""
         if self._transport is None or self._transport.is_closing():
--- a/src/zinniaspool/http/exchange.py
+++ b/src/zinniaspool/http/exchange.py
@@ -33,6 +33,11 @@
         """Whether the connection closes after this response."""
         ...
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed its connection or its side of it."""
+        ...
+
     def send_events(self, *events: h11.Event | None) -> None:
         """Send events as one write.
 
@@ -89,6 +94,15 @@
         """How long the request's last bytes lay unread, in seconds."""
         return self._channel.unread_s
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed its connection or its side of it.
+
+        The handler is cancelled then, but not before the next turns of the
+        event loop.
+        """
+        return self._channel.has_caller_left
+
     @property
     def peer(self) -> str:
         """The caller's address."""
