--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -7,7 +7,9 @@
 Upstreams may also fall silent, become slow or hang.
 
 Reported are all requests that ended without a whole answer though the VM had
-read them and they had time left, and what the logs have of them.
+read them and they had time left, those that began at more upstreams than their
+route allows, and what the logs have of them. Answers may be on their way for a
+while.
 """
 
 import asyncio
@@ -130,6 +132,7 @@
     """The store and the operator, who has the rules of a profile."""
 
     profile: _Profile
+    max_attempts: dict[str, int]
 
     def configure(self, **changes: Any) -> None:
         """Write the next version of the rules."""
@@ -148,6 +151,7 @@
                     "gap-aim-ms": route.max_pause_s * 1000,
                 }
             )
+        self.max_attempts = {one["name"]: one["max-attempts"] for one in routes}
         first = next(iter(self.profile.models.values())).passes
         engine = {
             **base["services"][0]["engine"],
@@ -173,6 +177,15 @@
         super().configure(**{"routes": routes, "services": services, **changes})
 
 
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """An upstream that was lost, from one time to another, in seconds."""
+
+    upstream: str
+    began_at: float
+    ended_at: float
+
+
 @dataclass(eq=False)
 class _Vm:
     """One entry VM; ``stopped_at`` is None while it serves."""
@@ -189,6 +202,7 @@
     route: str
     vm: str
     after_stop_s: float | None
+    sent_at: float
     took_s: float
     answer: Answer
     wanted: int
@@ -236,6 +250,8 @@
     source: random.Random
     ends: Counter[str] = field(default_factory=Counter)
     lost: list[_Ended] = field(default_factory=list)
+    ended: list[_Ended] = field(default_factory=list)
+    losses: list[_Loss] = field(default_factory=list)
     works: list[str] = field(default_factory=list)
     delays: DelayMeter = field(default_factory=DelayMeter)
     sent: int = 0
@@ -287,7 +303,10 @@
         took_s = _now() - sent_at
         stopped_at = vm.stopped_at if stopped_at is None else stopped_at
         after_s = None if stopped_at is None else sent_at - stopped_at
-        ended = _Ended(name, route.name, vm.node.name, after_s, took_s, answer, wanted)
+        ended = _Ended(
+            name, route.name, vm.node.name, after_s, sent_at, took_s, answer, wanted
+        )
+        self.ended.append(ended)
         end = self._judge(ended, left_s)
         self.ends[end] += 1
         if end == "lost":
@@ -358,6 +377,8 @@
         self, host: RunnerHost, name: str, faults: RunnerFaults, seconds: float
     ) -> None:
         self.works.append(f"{_now() - self.began_at:.1f} {name} for {seconds:.2f} s")
+        if faults.dark:
+            self.losses.append(_Loss(name, _now(), _now() + seconds))
         await host.set_faults(name, faults)
         await asyncio.sleep(seconds)
         await host.set_faults(name, RunnerFaults())
@@ -385,8 +406,29 @@
         name = self.source.choice(host.runners).id
         await self._disturb(host, name, RunnerFaults(dark=True), 6.0)
 
+    def list_beyond_limits(self) -> list[_Ended]:
+        """Return what began at more upstreams than its route allows.
+
+        Upstreams that were lost meanwhile don't count.
+        """
+        return [
+            one
+            for one in self.ended
+            if len(self._list_began(one)) > self.made.max_attempts[one.route]
+        ]
+
+    def _list_began(self, one: _Ended) -> set[str]:
+        began = {name for host in self.hosts for name in host.begun.get(one.name, ())}
+        return began - {
+            loss.upstream
+            for loss in self.losses
+            if loss.began_at <= one.sent_at + one.took_s
+            and loss.ended_at >= one.sent_at
+        }
+
     def describe(self) -> str:
         """Return what was counted, and what the logs have of what was lost."""
+        beyond = self.list_beyond_limits()
         lines = read_lines(vm.node for vm in self.vms)
         ends = {
             line.fields["request"]: line
@@ -400,10 +442,12 @@
             f"events: {Counter(line.event for line in lines if line.event in SHOWN)}",
         ]
         found.append(f"work: {', '.join(self.works)}")
-        for one in self.lost:
+        found.append(f"{len(beyond)} began at more upstreams than allowed")
+        for one in [*self.lost, *beyond]:
             line = ends.get(one.name)
             shown = "" if line is None else f"\n    {line.event} {line.fields}"
-            found.append(one.describe() + shown)
+            began = ", ".join(sorted(self._list_began(one)))
+            found.append(f"{one.describe()}, begun by {began or 'nobody'}{shown}")
         return "\n  ".join(found)
 
 
@@ -412,13 +456,18 @@
 
 
 async def _play(
-    profile: _Profile, folder: Path, seed: int, seconds: float, trouble: Trouble
+    profile: _Profile,
+    folder: Path,
+    seed: int,
+    seconds: float,
+    trouble: Trouble,
+    lag_s: tuple[float, float],
 ) -> _Load:
     _Installation.profile = profile
     async with _Installation.running(nodes=0, engines=0, plain=0) as made:
         plan = HostPlan(
             {name: model.size for name, model in profile.models.items()},
-            RunnerTimes(heartbeat_s=0.8, stall_s=6.0),
+            RunnerTimes(heartbeat_s=0.8, stall_s=6.0, lag_s=lag_s),
             {name: model.passes for name, model in profile.models.items()},
         )
         hosts = [
@@ -464,17 +513,24 @@
             await asyncio.gather(*(host.end() for host in hosts))
 
 
-def play(path: Path, seed: int, seconds: float, trouble: Trouble) -> tuple[bool, str]:
+def play(
+    path: Path,
+    seed: int,
+    seconds: float,
+    trouble: Trouble,
+    lag_s: tuple[float, float] = (0.0, 0.0),
+) -> tuple[bool, str]:
     """Play a profile once; its logs are kept if a request was lost.
 
     Returns:
-        Whether no request was lost, and what was counted.
+        Whether no request was lost or began at more upstreams than allowed,
+        and what was counted.
     """
     profile = msgspec.toml.decode(path.read_bytes(), type=_Profile)
     folder = Path(tempfile.mkdtemp(prefix="site-load-"))
-    load = asyncio.run(_play(profile, folder, seed, seconds, trouble))
+    load = asyncio.run(_play(profile, folder, seed, seconds, trouble, lag_s))
     text = load.describe()
-    if load.lost:
+    if load.lost or load.list_beyond_limits():
         return False, f"{text}\n  logs in {folder}"
     shutil.rmtree(folder)
     return True, text
@@ -487,14 +543,19 @@
     trouble: Annotated[Trouble, typer.Option(help="What upstreams do wrong.")] = (
         Trouble.NONE
     ),
+    lag_s: Annotated[
+        tuple[float, float],
+        typer.Option(help="How long answers are on their way, at least and at most."),
+    ] = (0.0, 0.0),
 ) -> None:
     """Play a profile and print what became of its requests.
 
     Raises:
-        typer.Exit: Status 1 if a request was lost.
+        typer.Exit: Status 1 if a request was lost, or began at more upstreams
+            than allowed.
     """
-    is_sound, text = play(profile, seed, seconds, trouble)
-    print(f"seed {seed}, {trouble.value}: {text}")
+    is_sound, text = play(profile, seed, seconds, trouble, lag_s)
+    print(f"seed {seed}, {trouble.value}, lag {lag_s}: {text}")
     raise typer.Exit(0 if is_sound else 1)
 
 
