HTTP: endless answers that come at once share a limit of memory

Reported by other operators: an upstream sent bytes without end, and the machine that had called it ran out of memory, with the requests of others.

Cause: each answer without a declared length is limited to 4 MB, but any number of them may be read at once: 60 take 254 MB of the 256 MB that a process may use.

Change: beyond 32 MB for all of a client, those of at least the average size are given up, so that short answers beside them still arrive.

Result: test_many_endless_answers_at_once_leave_memory_for_others failed with 254 MB for chunked bodies and for bodies that end with their connection; passes, and each short answer beside them is whole. Trailers without end are one more kind of noise; they were limited before. Bodies with a declared length, 16 MB each at most, have no common limit.

--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -36,6 +36,9 @@
 """Largest body that is read as a whole."""
 _MAX_UNDECLARED_BYTES = 4 * 1024 * 1024
 """The same for a body whose length isn't declared; it may have no end."""
+_MAX_UNDECLARED_TOTAL_BYTES = 32 * 1024 * 1024
+"""The same for all such bodies that a client reads at a time. Beyond it the
+larger ones are given up."""
 _MAX_DISCARDED_BYTES = 64 * 1024
 """Largest body that is read only to keep its connection."""
 _MAX_INFORMATIONAL = 8
@@ -64,6 +67,34 @@
 """
 
 
+class _UndeclaredBodies:
+    """The bodies without a declared length that are being read.
+
+    An upstream may send many of them at once that have no end.
+    """
+
+    def __init__(self) -> None:
+        self._count = self._bytes = 0
+
+    def begin(self) -> None:
+        """Count one more body."""
+        self._count += 1
+
+    def add(self, size: int) -> None:
+        """Count bytes of a body."""
+        self._bytes += size
+
+    def end(self, size: int) -> None:
+        """Forget a body of some bytes."""
+        self._count -= 1
+        self._bytes -= size
+
+    def is_too_large(self, size: int) -> bool:
+        """Return whether a body is to be given up for the sake of others."""
+        is_full = self._bytes > _MAX_UNDECLARED_TOTAL_BYTES
+        return is_full and size * self._count >= self._bytes
+
+
 class ClientResponse:
     """A response whose head has arrived; its body is read as it arrives.
 
@@ -87,16 +118,26 @@
         """
         declared = self.headers.get("content-length")
         if declared is None:
-            max_bytes = min(max_bytes, _MAX_UNDECLARED_BYTES)
-        elif int(declared) > max_bytes:
+            return await self._read_undeclared(min(max_bytes, _MAX_UNDECLARED_BYTES))
+        if int(declared) > max_bytes:
             self._reject_size()
+        parts = [part async for part in self.stream()]
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    async def _read_undeclared(self, max_bytes: int) -> bytes:
+        bodies = self._connection.undeclared_bodies
         parts: list[bytes] = []
         size = 0
-        while (data := await self.next_part()) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > max_bytes:
-                self._reject_size()
+        bodies.begin()
+        try:
+            async for data in self.stream():
+                parts.append(data)
+                size += len(data)
+                bodies.add(len(data))
+                if size > max_bytes or bodies.is_too_large(size):
+                    self._reject_size()
+        finally:
+            bodies.end(size)
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     async def discard(self) -> None:
@@ -169,6 +210,8 @@
     Attributes:
         opened_connections: Number of attempts to open a connection so far.
         allow_unframed: As above.
+        undeclared_bodies: The bodies without a declared length that are being
+            read.
     """
 
     def __init__(
@@ -188,6 +231,7 @@
             connector.on_idle_obsolete.append(self._end_reuse)
         self._reuse_from = 0
         self._idle: dict[Address, deque[_ClientConnection]] = {}
+        self.undeclared_bodies = _UndeclaredBodies()
 
     async def send(
         self,
@@ -383,6 +427,10 @@
     def open(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def undeclared_bodies(self) -> _UndeclaredBodies:
+        return self._client.undeclared_bodies
+
     # Callbacks of asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/zinniaspool_standins/noise.py
+++ b/src/zinniaspool_standins/noise.py
@@ -35,6 +35,9 @@
     CHUNK_LINE = "chunk-line"
     """The line with a chunk's size doesn't end."""
 
+    TRAILERS = "trailers"
+    """Header lines after the last chunk."""
+
     UNFRAMED_BODY = "unframed-body"
     REFUSAL = "refusal"
     """A refusal whose body doesn't end."""
@@ -64,6 +67,7 @@
     NoiseKind.CHUNKS: (_OK + _CHUNKED, _CHUNK),
     NoiseKind.SMALL_CHUNKS: (_OK + _CHUNKED, b"4\r\nxxxx\r\n" * 1000),
     NoiseKind.CHUNK_LINE: (_OK + _CHUNKED, b"0" * BLOCK_BYTES),
+    NoiseKind.TRAILERS: (_OK + _CHUNKED + b"0\r\n", b"x-noise: n\r\n" * 1000),
     NoiseKind.UNFRAMED_BODY: (_OK + b"connection: close\r\n\r\n", b"x" * BLOCK_BYTES),
     NoiseKind.REFUSAL: (
         b"HTTP/1.1 503 No\r\nx-zinniaspool-not-executed: 1\r\n" + _CHUNKED,
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,17 +1,33 @@
 """Upstreams whose answers have no end, in a head or in a body."""
 
 import asyncio
+import tracemalloc
 from http import HTTPStatus
 
 import pytest
 
-from tests.installation import Installation, eventually, run
-from zinniaspool_standins.noise import NoiseKind
+from tests.installation import Installation, eventually, free_address, run
+from zinniaspool.http import (
+    Exchange,
+    Headers,
+    HttpClient,
+    HttpServer,
+    Request,
+    TransportError,
+)
+from zinniaspool_standins.noise import Noise, NoiseKind
 from zinniaspool_standins.runners import Runner
 
 MAX_TAKEN_BYTES = 6 * 1024 * 1024
 """Most bytes that one endless answer may cost, with what lies in buffers."""
 
+MAX_MEMORY_BYTES = 128 * 1024 * 1024
+"""Most memory that many endless answers may take at once: half of what
+a process may use."""
+
+AT_ONCE = 60
+"""Endless answers at once."""
+
 MAX_PART = 0.9
 """Part of the time that a caller or its route allows, in which it must have an
 answer."""
@@ -120,3 +136,44 @@
     """Return how many plain upstreams the entry VM knows."""
     view = made.nodes["n0"].gateway._fleet_view
     return 0 if view.catalog is None else len(view.instances)
+
+
+@pytest.mark.parametrize("kind", [NoiseKind.CHUNKS, NoiseKind.UNFRAMED_BODY])
+def test_many_endless_answers_at_once_leave_memory_for_others(kind: NoiseKind) -> None:
+    """Guards against a process that endless answers let run out of memory."""
+
+    async def handle(exchange: Exchange) -> None:
+        if exchange.request.path == "/noise":
+            await Noise(kind).send(exchange._channel._transport)  # type: ignore[attr-defined]
+            exchange.abort()
+            return
+        await exchange.start(HTTPStatus.OK, Headers())
+        await exchange.write(b"short")
+        await exchange.finish()
+
+    async def test() -> None:
+        server, address = HttpServer(handle), free_address()
+        await server.listen(address)
+        client = HttpClient(allow_unframed=True)
+
+        async def read_noise() -> None:
+            response = await client.send(address, Request("GET", "/noise"), 5.0)
+            with pytest.raises(TransportError):
+                await response.read()
+
+        tracemalloc.start()
+        try:
+            reading = [asyncio.create_task(read_noise()) for _ in range(AT_ONCE)]
+            while not all(task.done() for task in reading):
+                _, body = await client.fetch(address, Request("GET", "/short"), 20.0)
+                assert body == b"short"
+                await asyncio.sleep(0.05)
+            await asyncio.gather(*reading)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert peak <= MAX_MEMORY_BYTES, f"{peak / 1e6:.0f} MB"
+        client.close()
+        await server.drain(0.0)
+
+    run(test)
