Tests: requests that may run once, up to the end of a stop; safeguards

Reported by other operators: late in a planned stop requests were passed on and cut without an answer, also those that may not be repeated. Not seen here: test_requests_that_may_run_once_get_whole_answers_to_the_end sends one every 0.1 s for the whole stop, in calm and with upstreams that fall silent; each that arrives at an upstream has a whole answer. It passes on the code before too.

--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -189,6 +189,43 @@
     run(check)
 
 
+@pytest.mark.parametrize("is_calm", [True, False])
+def test_requests_that_may_run_once_get_whole_answers_to_the_end(
+    is_calm: bool,
+) -> None:
+    """Guards against a request that is passed on late in a stop, and cut."""
+
+    async def check() -> None:
+        async with EarlyStoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            node = made.nodes["n0"]
+            calls: list[asyncio.Task[Answer]] = []
+            node.gateway.stop()
+            while not node.tasks[0].done():
+                name = f"once-{len(calls)}"
+                calls.append(
+                    asyncio.create_task(
+                        made.ask("n0", "/cards/a", deadline_ms=16000, request_id=name)
+                    )
+                )
+                await asyncio.sleep(0.1)
+                if not is_calm and len(calls) > 40:
+                    for runner in made.runners.values():
+                        runner.faults.silent = runner.service == "cards"
+            answers = await asyncio.gather(*calls)
+            for number, answer in enumerate(answers):
+                name = f"once-{number}"
+                arrived = sum(one.arrivals[name] for one in made.runners.values())
+                assert answer.whole or not (answer.status or arrived), name
+                assert arrived <= 1
+            statuses = {answer.status for answer in answers}
+            assert 200 in statuses and statuses <= {0, 200, 503, 504}
+            assert (504 in statuses) is not is_calm
+
+    run(check)
+
+
 def test_a_process_without_earlier_requests_serves_short_ones_while_it_stops() -> None:
     """Guards against requests refused since nothing of their kind was seen."""
 
--- a/tools/try_safeguards.py
+++ b/tools/try_safeguards.py
@@ -451,6 +451,45 @@
         "if self._is_replacing(key, domains, now):",
         "tests/test_slow_members.py::test_the_only_group_of_a_model_is_not_replaced",
     ),
+    Safeguard(
+        "an attempt counts until its upstream has ended",
+        "src/zinniaspool/gateway/calls.py",
+        "if has_ended(target.incarnation):",
+        "if target.incarnation:",
+        "tests/test_outlasting_streams.py::"
+        "test_a_stream_waits_for_heads_that_may_have_begun_it",
+    ),
+    Safeguard(
+        "a request isn't sent on when its caller has closed",
+        "src/zinniaspool/gateway/carrier.py",
+        "if call.exchange.has_caller_left:\n                raise",
+        "if call.terms.id is None:\n                raise",
+        "tests/test_departed_callers.py::"
+        "test_a_request_that_its_caller_gave_up_unread_is_not_sent_on",
+    ),
+    Safeguard(
+        "a request counts from when it arrived",
+        "src/zinniaspool/http/connection.py",
+        "return now - (measure_unread(connection) or 0.0)",
+        "return now",
+        "tests/test_departed_callers.py::"
+        "test_a_request_that_lay_unread_has_the_time_that_is_left",
+    ),
+    Safeguard(
+        "endless answers that come at once share a limit",
+        "src/zinniaspool/http/client.py",
+        "size > max_bytes or bodies.is_too_large(size)",
+        "size > max_bytes",
+        "tests/test_endless_answers.py::"
+        "test_many_endless_answers_at_once_leave_memory_for_others",
+    ),
+    Safeguard(
+        "a stopping process refuses what may outlast it",
+        "src/zinniaspool/gateway/stops.py",
+        "if not call.deadline_after_stop:\n            return False",
+        "if call.terms.id:\n            return False",
+        "tests/test_stop_forecasts.py::test_a_stream_of_unknown_length_is_not_cut",
+    ),
 )
 
 
