Fleet: a relay passes on nothing that the other VM has given up

A relay that reads a request and the other VM's close together passes the request on, and closes the upstream's connection afterwards.

Change: the relay asks the kernel whether the other side has ended before it passes on what it read.

--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from asyncio.trsock import TransportSocket
 from collections.abc import Awaitable, Callable
 from typing import TypeVar, cast
 
@@ -21,6 +22,7 @@
     TunnelOutcome,
     TunnelRequest,
 )
+from zinniaspool.http import has_other_side_ended
 from zinniaspool.peers import FrameDecoder, FrameError, encode_frame, write_frame
 
 __all__ = ["MAX_LAG_S", "TunnelServer", "UnreachedError", "open_tunnel"]
@@ -287,7 +289,8 @@
     far_writer: asyncio.StreamWriter,
 ) -> None:
     """Pass on bytes both ways until either side closes."""
-    sending = asyncio.create_task(_pass_requests(reader, far_writer))
+    connection = writer.get_extra_info("socket")
+    sending = asyncio.create_task(_pass_requests(reader, far_writer, connection))
     receiving = asyncio.create_task(_pass_answers(far_reader, writer))
     try:
         await asyncio.wait([sending, receiving], return_when=asyncio.FIRST_COMPLETED)
@@ -298,9 +301,14 @@
 
 
 async def _pass_requests(
-    reader: asyncio.StreamReader, far_writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader,
+    far_writer: asyncio.StreamWriter,
+    connection: TransportSocket,
 ) -> None:
     while data := await reader.read(READ_BYTES):
+        if has_other_side_ended(connection):
+            # The other VM has given up what it sent.
+            return
         far_writer.write(data)
         await far_writer.drain()
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -162,6 +162,29 @@
     asyncio.run(test())
 
 
+def test_a_relay_passes_on_no_request_that_was_given_up() -> None:
+    """Guards against requests that are sent on after their callers left."""
+    read: list[bytes] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(1000):
+            read.append(data)
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    async def test() -> None:
+        async with serve_behind_relay(serve) as (client, upstream, tunnels):
+            await client.fetch(upstream, REQUEST, 1.0)
+            sending = asyncio.create_task(client.send(upstream, REQUEST, 1.0))
+            # It is written in one turn and given up in the next, before the
+            # relay reads.
+            await asyncio.sleep(0)
+            sending.cancel()
+            await _await(lambda: tunnels.open_count == 0)
+            assert len(read) == 1
+
+    asyncio.run(test())
+
+
 def test_a_slow_reader_makes_the_relay_read_slowly_too() -> None:
     """Guards against relays that keep a whole long answer in memory."""
     sent: list[int] = []
