Tests: the soak of stops counts upstreams; answers on their way

No soak compared what upstreams began with what routes allow. Now a stream that more than two upstreams began, none of which has ended, is a fault; from seed 2000 on answers are on their way for 0.1 to 0.5 s.

--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -4,7 +4,8 @@
 as processes, and the store, the upstreams and the callers in one loop. Stops
 of VMs, new configurations, SIGHUP and replaced upstreams come in series that
 overlap; on even seeds upstreams also fall silent, and the store loses answers
-and writes late. From seed 1000 on heads also become slow. Callers send
+and writes late. From seed 1000 on heads also become slow, and from seed 2000
+on what streams answer is also on its way for a while. Callers send
 streams as long as their route allows, and use a VM's address and their open
 connections to it while it stops.
 """
@@ -75,7 +76,11 @@
 SILENCE_PAUSE_S = 1.0
 """Shortest pause between two silences, in seconds."""
 
-FIRST_SLOW_SEED = 1000
+FIRST_SLOW_SEED, FIRST_LAGGED_SEED = 1000, 2000
+LAG_S = (0.1, 0.5)
+MAX_UPSTREAMS = 2
+"""Upstreams that may begin a stream, but for those that have ended."""
+
 PACES = (3.0, 5.0)
 SLOW_S = (2.0, 6.0)
 """Pace of a slow head, and for how long it is slow, in seconds."""
@@ -117,6 +122,15 @@
 
     timeout_ms = max(TIMEOUTS_MS)
     added: tuple[str, ...] = ()
+    lag_s = (0.0, 0.0)
+
+    def add_runner(
+        self, service: str, domain: str | None, zone: str = "hall-a"
+    ) -> Runner:
+        """Start one more instance."""
+        runner = super().add_runner(service, domain, zone)
+        runner.times.lag_s = self.lag_s
+        return runner
 
     def configure(self, **changes: Any) -> None:
         """Write the next version of the rules."""
@@ -566,6 +580,13 @@
             count = runs[ended.name]
             if count and ended.end is _End.REFUSED:
                 self.faults.append(f"ran: {ended.describe()}")
+            began = {
+                one.id
+                for one in runners
+                if ended.name in one.begun and not one.faults.dark
+            }
+            if len(began) > MAX_UPSTREAMS:
+                self.faults.append(f"begun by {sorted(began)}: {ended.describe()}")
             if count > 1 and ended.order.route in (_Route.CARDS, _Route.NOTES):
                 self.faults.append(f"ran {count} times: {ended.describe()}")
         for vm in self.vms:
@@ -599,8 +620,13 @@
     return runner.faults.leaving or runner.faults.dark
 
 
+class _LaggedInstallation(_Installation):
+    lag_s = LAG_S
+
+
 async def _play(seed: int, folder: Path) -> _Soak:
-    async with _Installation.running(nodes=0, engines=ENGINES, plain=PLAIN) as made:
+    kind = _LaggedInstallation if seed >= FIRST_LAGGED_SEED else _Installation
+    async with kind.running(nodes=0, engines=ENGINES, plain=PLAIN) as made:
         nodes = await make_nodes(made, folder, VMS, grace_s=GRACE_S)
         try:
             source = random.Random(f"work-{seed}")
