HTTP: bodies are read without a generator, as before

Seen: test_http_bounds.py::test_calls_of_this_project_stay_few_beside_those_of_h11 failed in the whole script: 8,649 calls of this project for 33,510 of h11, over a quarter.

Change: the loop of before.

--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -121,7 +121,9 @@
             return await self._read_undeclared(min(max_bytes, _MAX_UNDECLARED_BYTES))
         if int(declared) > max_bytes:
             self._reject_size()
-        parts = [part async for part in self.stream()]
+        parts: list[bytes] = []
+        while (data := await self.next_part()) is not None:
+            parts.append(data)
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     async def _read_undeclared(self, max_bytes: int) -> bytes:
@@ -130,7 +132,7 @@
         size = 0
         bodies.begin()
         try:
-            async for data in self.stream():
+            while (data := await self.next_part()) is not None:
                 parts.append(data)
                 size += len(data)
                 bodies.add(len(data))
