Gateway: request-ended has what became of several attempts

Why: whether a request that was answered had begun at more than one upstream, and when it reached each, was in the log of cut answers alone.

Change: the same text, made in one place, for requests with several attempts.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -291,6 +291,10 @@
         self.history.append(attempt)
         return attempt
 
+    def describe_attempts(self) -> str:
+        """Return what became of its attempts, for the log."""
+        return ",".join(attempt.describe() for attempt in self.history)
+
     def list_upstreams(self) -> set[InstanceId]:
         """Return the instances that may have begun to run it."""
         return {
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -205,6 +205,7 @@
             upstreams=len(call.list_upstreams()),
             max_upstreams=call.route.max_attempts,
             unread_ms=int(call.exchange.unread_s * 1000),
+            history=call.describe_attempts() if len(call.history) > 1 else "",
             late=call.late,
             predicted_ms=(
                 -1 if leader is None else int(leader.predicted_first_event_s * 1000)
@@ -302,7 +303,7 @@
         after_ms=int((now - call.received_at) * 1000),
         last_event=call.last_event_id or 0,
         allowed_tokens=call.terms.max_output_tokens,
-        attempts=",".join(attempt.describe() for attempt in call.history),
+        attempts=call.describe_attempts(),
     )
 
 
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -193,7 +193,8 @@
         "this process may grant, and the processes that share them.",
         "request-ended": "A request ended; the keys give its targets, attempts and "
         "times, how many upstreams may have begun it and how many its route allows, "
-        "how long it lay unread, who ended it and why, how long after the stop signal "
+        "how long it lay unread, what became of several attempts (as answer-cut has "
+        "them), who ended it and why, how long after the stop signal "
         "it came (-1: before it, or without one), the time that it had, and the "
         "longest time that was predicted for it (-1: none was needed).",
         "settings-signal": "A signal announced that the settings file changed.",
