--- a/src/zinniaspool_standins/hosts.py
+++ b/src/zinniaspool_standins/hosts.py
@@ -108,6 +108,8 @@
         name: As above.
         runners: As above.
         runs: The requests that began to run, in order.
+        ran_at: When that was reported of each request, in seconds of the
+            loop's clock.
         begun: The runners that have made an event of each stream.
         broken: The rules that its runners saw broken.
     """
@@ -124,6 +126,7 @@
         self._plan = plan or HostPlan()
         self.runners = tuple(runners)
         self.runs: list[SeenRun] = []
+        self.ran_at: defaultdict[str, list[float]] = defaultdict(list)
         self.begun: defaultdict[str, set[str]] = defaultdict(set)
         self.broken: list[str] = []
         self._store = store
@@ -238,6 +241,8 @@
         self._has_expired = False
         if line.run is not None:
             self.runs.append(line.run)
+            now = asyncio.get_running_loop().time()
+            self.ran_at[line.run.request].append(now)
         if line.begun is not None:
             request, runner = line.begun
             self.begun[request].add(runner)
--- a/src/zinniaspool_standins/nodes.py
+++ b/src/zinniaspool_standins/nodes.py
@@ -56,6 +56,28 @@
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
+    async def restart(self, grace_s: float, pause_s: float) -> bool:
+        """Wait until it has ended after its stop signal, and start it again.
+
+        Args:
+            grace_s: Time after which it is killed, in seconds.
+            pause_s: Pause before the start, in seconds.
+
+        Returns:
+            Whether it was killed.
+        """
+        is_killed = False
+        if self.process is not None:
+            try:
+                async with asyncio.timeout(grace_s):
+                    await self.process.wait()
+            except TimeoutError:
+                is_killed = True
+                await self.end()
+        await asyncio.sleep(pause_s)
+        await self.start()
+        return is_killed
+
     async def end(self) -> None:
         """Kill it and wait until it is gone."""
         self.send(signal.SIGKILL)
@@ -113,6 +135,29 @@
             await one.end()
         return killed
 
+    async def restart(self, grace_s: float, pause_s: float) -> list[NodeProcess]:
+        """Stop its processes, and start each one again once it has ended.
+
+        One of them loads while another one still serves, as on the platform.
+
+        Args:
+            grace_s: Time after which those that still run are killed, in
+                seconds.
+            pause_s: Pause before a start, in seconds.
+
+        Returns:
+            Those that were killed.
+        """
+        self.send(signal.SIGTERM)
+        are_killed = await asyncio.gather(
+            *(one.restart(grace_s, pause_s) for one in self.processes)
+        )
+        return [
+            one
+            for one, is_killed in zip(self.processes, are_killed, strict=True)
+            if is_killed
+        ]
+
 
 async def make_nodes(
     made: Installation,
--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -3,13 +3,16 @@
 Run as ``python -m tests.site_load samples/load.toml``. The entry VMs and the
 upstreams are processes; the store and the callers are in this one. Requests
 come at the rates of the profile, whatever becomes of those before them. VMs
-get their stop signal in turn, several at a time, and are started again.
-Upstreams may also fall silent, become slow or hang.
+get their stop signal in turn, several at a time, with the holder among them if
+that is wanted; each of their two programs starts again as soon as it has
+ended. Upstreams may also fall silent, become slow or hang, and busy processes
+share the machine.
 
 Reported are all requests that ended without a whole answer though the VM had
 read them and they had time left, those that began at more upstreams than their
-route allows, and what the logs have of them. Answers may be on their way for a
-while.
+route allows, those that ran though their callers were told that they hadn't,
+or after their callers had left, or twice, and what the logs have of them.
+Answers may be on their way for a while.
 """
 
 import asyncio
@@ -18,9 +21,12 @@
 import random
 import shutil
 import signal
+import sys
 import tempfile
+from base64 import b64decode
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import Enum
 from http import HTTPStatus
@@ -31,9 +37,14 @@
 import typer
 
 from tests.delays import DelayMeter
-from tests.installation import Answer, eventually
+from tests.installation import eventually
+from tests.piecemeal_callers import PiecemealCaller, PiecemealRequest
 from tests.silent_processes import Caller, read_lines
+from tests.site_promises import EndedRequest, LostUpstream, RequestEnd, RunLog
 from tests.soak_seeds import begin_overlapping
+from zinniaspool.core.fleet import HOLDER_KEY, HolderRecord
+from zinniaspool.http import Headers
+from zinniaspool_standins.fleet import end_with_parent
 from zinniaspool_standins.hosts import HostPlan, RunnerHost, make_hosted_runners
 from zinniaspool_standins.installation import Installation, make_rules
 from zinniaspool_standins.nodes import EntryNode, end_nodes, make_nodes
@@ -43,13 +54,12 @@
 __all__ = ["Trouble", "play"]
 
 SETTLE_S = 40.0
-LIMIT_SLACK_S = 0.2
-"""An answer that ends so long before its time limit or later isn't cut, in
-seconds."""
+PIECES, PIECE_BYTES, MAX_PIECE_PAUSE_S = (2, 5), 300, 0.08
+"""Pieces of a body that comes in chunks, their size, and the longest pause
+before each of them, in seconds."""
 
-LOSS_SLACK_S = 0.2
-"""A connection that is closed so soon after a request was sent crossed it, in
-seconds."""
+LEAVES_AFTER_S = (0.0, 1.0)
+BUSY_PROGRAM = "while True: pass"
 
 PAUSE_S = (0.3, 1.4)
 PACES = (3.0, 5.0)
@@ -113,7 +123,13 @@
 
 
 class _Profile(msgspec.Struct, frozen=True):
-    """What is played; see samples/load.toml."""
+    """What is played; see samples/load.toml.
+
+    Attributes:
+        restart_pause_s: Pause before a program that has ended starts again.
+        pieces_part: Part of the streams whose requests come in chunks.
+        leaving_part: Part of those whose callers leave early.
+    """
 
     vms: int
     grace_s: float
@@ -126,6 +142,9 @@
     slots: int
     models: dict[str, _Model]
     routes: list[_Route]
+    restart_pause_s: float = 0.3
+    pieces_part: float = 0.0
+    leaving_part: float = 0.0
 
 
 class _Installation(Installation):
@@ -177,15 +196,6 @@
         super().configure(**{"routes": routes, "services": services, **changes})
 
 
-@dataclass(frozen=True, slots=True)
-class _Loss:
-    """An upstream that was lost, from one time to another, in seconds."""
-
-    upstream: str
-    began_at: float
-    ended_at: float
-
-
 @dataclass(eq=False)
 class _Vm:
     """One entry VM; ``stopped_at`` is None while it serves."""
@@ -194,30 +204,6 @@
     stopped_at: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class _Ended:
-    """How one request ended; ``wanted`` is how many events it asked for."""
-
-    name: str
-    route: str
-    vm: str
-    after_stop_s: float | None
-    sent_at: float
-    took_s: float
-    answer: Answer
-    wanted: int
-
-    def describe(self) -> str:
-        after = ""
-        if self.after_stop_s is not None:
-            after = f", {self.after_stop_s:.2f} s after SIGTERM"
-        return (
-            f"{self.name} {self.route} at {self.vm}{after}, took "
-            f"{self.took_s:.2f} s: status {self.answer.status}, "
-            f"{len(self.answer.events)} of {self.wanted} events"
-        )
-
-
 @dataclass
 class _Consumer:
     """Sends requests of its own to a VM whose address it keeps for a while."""
@@ -226,19 +212,21 @@
     source: random.Random
     vm: _Vm | None = None
     caller: Caller | None = None
+    piecemeal: PiecemealCaller | None = None
     leaves_at: float = math.inf
 
-    def choose_caller(self) -> tuple[_Vm, Caller]:
-        """Return the VM for the next request, and connections to it."""
+    def choose_vm(self) -> _Vm:
+        """Return the VM for the next request."""
         now = _now()
         if self.vm is not None and self.vm.stopped_at is not None:
             lifetime_s = self.source.choice(self.load.profile.address_lifetimes_s)
             self.leaves_at = min(self.leaves_at, self.vm.stopped_at + lifetime_s)
-        if self.vm is None or self.caller is None or now >= self.leaves_at:
+        if self.vm is None or now >= self.leaves_at:
             self.vm = self.source.choice(self.load.list_serving())
             self.caller = Caller(self.vm.node.front, "")
+            self.piecemeal = PiecemealCaller(self.vm.node.front)
             self.leaves_at = math.inf
-        return self.vm, self.caller
+        return self.vm
 
 
 @dataclass
@@ -248,10 +236,9 @@
     hosts: list[RunnerHost]
     vms: list[_Vm]
     source: random.Random
-    ends: Counter[str] = field(default_factory=Counter)
-    lost: list[_Ended] = field(default_factory=list)
-    ended: list[_Ended] = field(default_factory=list)
-    losses: list[_Loss] = field(default_factory=list)
+    stops_holders: bool = False
+    ended: list[EndedRequest] = field(default_factory=list)
+    losses: list[LostUpstream] = field(default_factory=list)
     works: list[str] = field(default_factory=list)
     delays: DelayMeter = field(default_factory=DelayMeter)
     sent: int = 0
@@ -280,53 +267,67 @@
         await asyncio.gather(*sending)
 
     async def _send(self, route: _Route, consumer: _Consumer) -> None:
-        vm, caller = consumer.choose_caller()
+        vm = consumer.choose_vm()
+        assert consumer.caller is not None and consumer.piecemeal is not None
         self.sent += 1
-        name, sent_at = f"load-{self.sent}", _now()
-        stopped_at, wanted = vm.stopped_at, 0
-        path, left_s = f"/{route.name}/1", route.timeout_s
+        name, path, began_at = f"load-{self.sent}", f"/{route.name}/1", _now()
+        stopped_at = vm.stopped_at
+        wanted, upload_s, left_at = 0, 0.0, math.inf
+        in_pieces = False
         if route.model:
             wanted = route.events.draw(self.source)
             tokens = wanted * self.profile.models[route.model].passes.stride
             prompt = route.prompt.draw(self.source)
-            answer = await caller.ask(
-                name,
-                "POST",
-                path,
-                left_s,
-                x_zinniaspool_model=route.model,
-                x_zinniaspool_token_count=f"{prompt},{tokens}",
+            headers = {
+                "x_zinniaspool_model": route.model,
+                "x_zinniaspool_token_count": f"{prompt},{tokens}",
+            }
+            in_pieces = self.source.random() < self.profile.pieces_part
+        if in_pieces:
+            request = self._cut_in_pieces(name, path, route, Headers.of(**headers))
+            upload_s = request.pause_s * (len(request.pieces) + 1)
+            left_at = began_at + upload_s + request.leaves_after_s
+            answer = await consumer.piecemeal.ask(request)
+        elif route.model:
+            answer = await consumer.caller.ask(
+                name, "POST", path, route.timeout_s, 0.0, **headers
             )
         else:
             method = "GET" if route.name == "receipts" else "POST"
-            answer = await caller.ask(name, method, path, left_s)
-        took_s = _now() - sent_at
+            answer = await consumer.caller.ask(name, method, path, route.timeout_s)
+        sent_at = began_at + upload_s
         stopped_at = vm.stopped_at if stopped_at is None else stopped_at
-        after_s = None if stopped_at is None else sent_at - stopped_at
-        ended = _Ended(
-            name, route.name, vm.node.name, after_s, sent_at, took_s, answer, wanted
+        self.ended.append(
+            EndedRequest(
+                name,
+                route.name,
+                vm.node.name,
+                None if stopped_at is None else sent_at - stopped_at,
+                sent_at,
+                _now() - sent_at,
+                route.timeout_s,
+                answer,
+                wanted,
+                left_at,
+                in_pieces,
+            )
+        )
+
+    def _cut_in_pieces(
+        self, name: str, path: str, route: _Route, headers: Headers
+    ) -> PiecemealRequest:
+        leaves_after_s = math.inf
+        if self.source.random() < self.profile.leaving_part:
+            leaves_after_s = self.source.uniform(*LEAVES_AFTER_S)
+        return PiecemealRequest(
+            name,
+            path,
+            route.timeout_s,
+            headers,
+            [b"x" * PIECE_BYTES] * self.source.randint(*PIECES),
+            self.source.uniform(0.0, MAX_PIECE_PAUSE_S),
+            leaves_after_s,
         )
-        self.ended.append(ended)
-        end = self._judge(ended, left_s)
-        self.ends[end] += 1
-        if end == "lost":
-            self.lost.append(ended)
-
-    @staticmethod
-    def _judge(one: _Ended, left_s: float) -> str:
-        answer = one.answer
-        if not answer.sent:
-            return "unsent"
-        if answer.whole:
-            if answer.status != HTTPStatus.OK:
-                return f"status {answer.status}"
-            is_whole = answer.events == list(range(1, one.wanted + 1))
-            return "whole" if is_whole else "lost"
-        if one.took_s >= left_s - LIMIT_SLACK_S:
-            return "at its limit"
-        if answer.status or one.took_s > LOSS_SLACK_S:
-            return "lost"
-        return "crossed"
 
     # Planned work.
 
@@ -334,19 +335,37 @@
         """Stop the next VM every now and then, and start it again."""
         stopping: set[asyncio.Task[None]] = set()
         free = asyncio.Semaphore(self.profile.stops_at_once)
-        for vm in itertools.cycle(self.vms):
+        for number, vm in enumerate(itertools.cycle(self.vms)):
             await asyncio.sleep(self.source.uniform(*self.profile.stop_gap_s))
             await free.acquire()
             if _now() > until:
                 break
-            stopping.add(asyncio.create_task(self._restart(vm, free)))
+            chosen = self._find_holder() if self.stops_holders and number % 2 else vm
+            if chosen is None or chosen.stopped_at is not None:
+                free.release()
+                continue
+            stopping.add(asyncio.create_task(self._restart(chosen, free)))
         await asyncio.gather(*stopping)
 
+    def _find_holder(self) -> _Vm | None:
+        """Return the VM whose control process plans groups."""
+        value = self.made.store.get(HOLDER_KEY)
+        if value is None:
+            return None
+        holder = msgspec.json.decode(b64decode(value), type=HolderRecord)
+        return next((vm for vm in self.vms if vm.node.name == holder.node), None)
+
     async def _restart(self, vm: _Vm, free: asyncio.Semaphore) -> None:
         vm.stopped_at = _now()
-        killed = await vm.node.stop(self.profile.grace_s)
+        is_holder = self._find_holder() is vm
+        self.works.append(
+            f"{vm.stopped_at - self.began_at:.1f} {vm.node.name} stops"
+            f"{', the holder' if is_holder else ''}"
+        )
+        killed = await vm.node.restart(
+            self.profile.grace_s, self.profile.restart_pause_s
+        )
         self.works += [f"{one.log.stem} was killed" for one in killed]
-        await vm.node.start()
         caller = Caller(vm.node.front, "")
         for _ in range(200):
             if (
@@ -378,7 +397,7 @@
     ) -> None:
         self.works.append(f"{_now() - self.began_at:.1f} {name} for {seconds:.2f} s")
         if faults.dark:
-            self.losses.append(_Loss(name, _now(), _now() + seconds))
+            self.losses.append(LostUpstream(name, _now(), _now() + seconds))
         await host.set_faults(name, faults)
         await asyncio.sleep(seconds)
         await host.set_faults(name, RunnerFaults())
@@ -406,48 +425,59 @@
         name = self.source.choice(host.runners).id
         await self._disturb(host, name, RunnerFaults(dark=True), 6.0)
 
-    def list_beyond_limits(self) -> list[_Ended]:
-        """Return what began at more upstreams than its route allows.
-
-        Upstreams that were lost meanwhile don't count.
-        """
-        return [
-            one
-            for one in self.ended
-            if len(self._list_began(one)) > self.made.max_attempts[one.route]
-        ]
+    def make_run_log(self) -> RunLog:
+        """Return what upstreams saw of all requests."""
+        return RunLog(
+            [host.ran_at for host in self.hosts],
+            [host.begun for host in self.hosts],
+            self.losses,
+        )
 
-    def _list_began(self, one: _Ended) -> set[str]:
-        began = {name for host in self.hosts for name in host.begun.get(one.name, ())}
-        return began - {
-            loss.upstream
-            for loss in self.losses
-            if loss.began_at <= one.sent_at + one.took_s
-            and loss.ended_at >= one.sent_at
+    def list_broken(self) -> dict[str, list[EndedRequest]]:
+        """Return the requests for which a promise was broken, by promise."""
+        runs = self.make_run_log()
+        late_s = self.delays.longest_s
+        once = set(runs.list_run_twice(self.ended, "cards"))
+        return {
+            "lost": [one for one in self.ended if runs.judge(one) is RequestEnd.LOST],
+            "began at more upstreams than allowed": runs.list_beyond_limits(
+                self.ended, self.made.max_attempts
+            ),
+            "ran though refused": runs.list_run_though_refused(self.ended),
+            "ran after its caller had left": runs.list_run_after_leaving(
+                self.ended, late_s
+            ),
+            "ran twice": [one for one in self.ended if one.name in once],
         }
 
     def describe(self) -> str:
-        """Return what was counted, and what the logs have of what was lost."""
-        beyond = self.list_beyond_limits()
+        """Return what was counted, and the log of what was broken."""
+        runs = self.make_run_log()
+        broken = self.list_broken()
         lines = read_lines(vm.node for vm in self.vms)
-        ends = {
+        logged = {
             line.fields["request"]: line
             for event in ("request-ended", "answer-cut")
             for line in lines
             if line.event == event
         }
+        ends = Counter(runs.judge(one).value for one in self.ended)
         found = [
-            f"{self.sent} sent: {dict(self.ends)}, own loop late by "
+            f"{self.sent} sent: {dict(ends)}, own loop late by "
             f"{self.delays.longest_s:.2f} s at most",
             f"events: {Counter(line.event for line in lines if line.event in SHOWN)}",
+            f"work: {', '.join(self.works)}",
+            f"groups: {[text for host in self.hosts for text in host.broken]}",
+            ", ".join(f"{len(found)} {text}" for text, found in broken.items()),
         ]
-        found.append(f"work: {', '.join(self.works)}")
-        found.append(f"{len(beyond)} began at more upstreams than allowed")
-        for one in [*self.lost, *beyond]:
-            line = ends.get(one.name)
-            shown = "" if line is None else f"\n    {line.event} {line.fields}"
-            began = ", ".join(sorted(self._list_began(one)))
-            found.append(f"{one.describe()}, begun by {began or 'nobody'}{shown}")
+        for text, requests in broken.items():
+            for one in requests:
+                line = logged.get(one.name)
+                shown = "" if line is None else f"\n    {line.event} {line.fields}"
+                began = ", ".join(sorted(runs.list_began(one)))
+                found.append(
+                    f"{text}: {one.describe()}, begun by {began or 'nobody'}{shown}"
+                )
         return "\n  ".join(found)
 
 
@@ -462,6 +492,7 @@
     seconds: float,
     trouble: Trouble,
     lag_s: tuple[float, float],
+    stops_holders: bool,
 ) -> _Load:
     _Installation.profile = profile
     async with _Installation.running(nodes=0, engines=0, plain=0) as made:
@@ -487,7 +518,12 @@
             await asyncio.gather(*(host.start() for host in hosts))
             nodes = await make_nodes(made, folder, profile.vms, grace_s=profile.grace_s)
             load = _Load(
-                profile, made, hosts, [_Vm(node) for node in nodes], random.Random(seed)
+                profile,
+                made,
+                hosts,
+                [_Vm(node) for node in nodes],
+                random.Random(seed),
+                stops_holders,
             )
             await eventually(
                 lambda: (
@@ -513,24 +549,49 @@
             await asyncio.gather(*(host.end() for host in hosts))
 
 
+@asynccontextmanager
+async def _run_busy_processes(count: int) -> AsyncIterator[None]:
+    """Have some processes use the machine's processors within a block."""
+    processes = [
+        await asyncio.create_subprocess_exec(
+            sys.executable, "-c", BUSY_PROGRAM, preexec_fn=end_with_parent
+        )
+        for _ in range(count)
+    ]
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.kill()
+            await process.wait()
+
+
+async def _play_beside(busy: int, playing: Awaitable[_Load]) -> _Load:
+    async with _run_busy_processes(busy):
+        return await playing
+
+
 def play(
     path: Path,
     seed: int,
     seconds: float,
     trouble: Trouble,
     lag_s: tuple[float, float] = (0.0, 0.0),
+    *,
+    stops_holders: bool = False,
+    busy: int = 0,
 ) -> tuple[bool, str]:
-    """Play a profile once; its logs are kept if a request was lost.
+    """Play a profile once; its logs are kept if a promise was broken.
 
     Returns:
-        Whether no request was lost or began at more upstreams than allowed,
-        and what was counted.
+        Whether no promise was broken, and what was counted.
     """
     profile = msgspec.toml.decode(path.read_bytes(), type=_Profile)
     folder = Path(tempfile.mkdtemp(prefix="site-load-"))
-    load = asyncio.run(_play(profile, folder, seed, seconds, trouble, lag_s))
+    playing = _play(profile, folder, seed, seconds, trouble, lag_s, stops_holders)
+    load = asyncio.run(_play_beside(busy, playing))
     text = load.describe()
-    if load.lost or load.list_beyond_limits():
+    if any(load.list_broken().values()):
         return False, f"{text}\n  logs in {folder}"
     shutil.rmtree(folder)
     return True, text
@@ -547,15 +608,25 @@
         tuple[float, float],
         typer.Option(help="How long answers are on their way, at least and at most."),
     ] = (0.0, 0.0),
+    holders: Annotated[
+        bool, typer.Option(help="Whether every other stop is that of the holder.")
+    ] = False,
+    busy: Annotated[
+        int, typer.Option(help="Busy processes that share the machine.")
+    ] = 0,
 ) -> None:
     """Play a profile and print what became of its requests.
 
     Raises:
-        typer.Exit: Status 1 if a request was lost, or began at more upstreams
-            than allowed.
+        typer.Exit: Status 1 if a promise was broken.
     """
-    is_sound, text = play(profile, seed, seconds, trouble, lag_s)
-    print(f"seed {seed}, {trouble.value}, lag {lag_s}: {text}")
+    is_sound, text = play(
+        profile, seed, seconds, trouble, lag_s, stops_holders=holders, busy=busy
+    )
+    print(
+        f"seed {seed}, {trouble.value}, lag {lag_s}, holders {holders}, "
+        f"busy {busy}: {text}"
+    )
     raise typer.Exit(0 if is_sound else 1)
 
 
