--- a/tests/piecemeal_callers.py
+++ b/tests/piecemeal_callers.py
@@ -12,7 +12,7 @@
 from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http import Headers
 
-__all__ = ["PiecemealCaller", "PiecemealRequest"]
+__all__ = ["PiecemealAnswer", "PiecemealCaller", "PiecemealRequest"]
 
 CONNECT_S = 0.5
 READ_BYTES = 64 * 1024
@@ -42,6 +42,23 @@
     leaves_after_s: float = math.inf
 
 
+@dataclass(frozen=True, slots=True)
+class PiecemealAnswer:
+    """What a caller got.
+
+    Times are in seconds of the loop's clock.
+
+    Attributes:
+        answer: The answer; not ``sent`` if the request wasn't sent to its end.
+        sent_at: When the end of the request was sent.
+        left_at: When the caller left; infinite if it didn't.
+    """
+
+    answer: Answer
+    sent_at: float
+    left_at: float
+
+
 @dataclass(eq=False)
 class _Connection:
     reader: asyncio.StreamReader
@@ -68,34 +85,36 @@
         self._front = front
         self._idle: list[_Connection] = []
 
-    async def ask(self, request: PiecemealRequest) -> Answer:
-        """Send a request and read its whole answer.
-
-        Returns:
-            The answer; not ``sent`` if the request wasn't sent to its end.
-        """
+    async def ask(self, request: PiecemealRequest) -> PiecemealAnswer:
+        """Send a request and read its whole answer."""
+        loop = asyncio.get_running_loop()
         try:
             connection = await self._connect()
         except (OSError, TimeoutError):
-            return Answer(0, whole=False, sent=False)
-        received, sent = _Received(), False
+            unsent = Answer(0, whole=False, sent=False)
+            return PiecemealAnswer(unsent, loop.time(), math.inf)
+        received, is_sent = _Received(), False
+        sent_at, has_left = loop.time(), False
         try:
             async with asyncio.timeout(request.timeout_s + 1.0):
                 await _send(connection, request)
-                sent = True
-                await self._read(connection, received, request.leaves_after_s)
+                is_sent, sent_at = True, loop.time()
+                has_left = not await self._read(
+                    connection, received, request.leaves_after_s
+                )
         except (OSError, TimeoutError, h11.ProtocolError):
             pass
         finally:
-            is_kept = received.whole and _may_keep(connection.http)
-            if is_kept:
+            if received.whole and _may_keep(connection.http):
                 connection.http.start_next_cycle()
                 self._idle.append(connection)
             else:
                 connection.writer.transport.abort()
-        return Answer(
-            received.status, received.headers, received.body, received.whole, sent
+        answer = Answer(
+            received.status, received.headers, received.body, received.whole, is_sent
         )
+        left_at = loop.time() if has_left else math.inf
+        return PiecemealAnswer(answer, sent_at, left_at)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -115,12 +134,14 @@
 
     async def _read(
         self, connection: _Connection, received: _Received, leaves_after_s: float
-    ) -> None:
+    ) -> bool:
+        """Read an answer; return False if the caller leaves before its end."""
         within_s = None if math.isinf(leaves_after_s) else leaves_after_s
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(within_s):
                 while not received.whole:
                     await _receive(connection, received)
+        return received.whole
 
 
 async def _send(connection: _Connection, request: PiecemealRequest) -> None:
--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -59,6 +59,7 @@
 before each of them, in seconds."""
 
 LEAVES_AFTER_S = (0.0, 1.0)
+ALLOWANCE_PERIOD_S = 0.1
 BUSY_PROGRAM = "while True: pass"
 
 PAUSE_S = (0.3, 1.4)
@@ -272,7 +273,7 @@
         self.sent += 1
         name, path, began_at = f"load-{self.sent}", f"/{route.name}/1", _now()
         stopped_at = vm.stopped_at
-        wanted, upload_s, left_at = 0, 0.0, math.inf
+        wanted, sent_at, left_at = 0, began_at, math.inf
         in_pieces = False
         if route.model:
             wanted = route.events.draw(self.source)
@@ -285,9 +286,8 @@
             in_pieces = self.source.random() < self.profile.pieces_part
         if in_pieces:
             request = self._cut_in_pieces(name, path, route, Headers.of(**headers))
-            upload_s = request.pause_s * (len(request.pieces) + 1)
-            left_at = began_at + upload_s + request.leaves_after_s
-            answer = await consumer.piecemeal.ask(request)
+            got = await consumer.piecemeal.ask(request)
+            answer, sent_at, left_at = got.answer, got.sent_at, got.left_at
         elif route.model:
             answer = await consumer.caller.ask(
                 name, "POST", path, route.timeout_s, 0.0, **headers
@@ -295,7 +295,6 @@
         else:
             method = "GET" if route.name == "receipts" else "POST"
             answer = await consumer.caller.ask(name, method, path, route.timeout_s)
-        sent_at = began_at + upload_s
         stopped_at = vm.stopped_at if stopped_at is None else stopped_at
         self.ended.append(
             EndedRequest(
@@ -377,6 +376,21 @@
         vm.stopped_at = None
         free.release()
 
+    async def limit_processors(self, share: float) -> None:
+        """Have the programs of each VM run in a part of each period only."""
+
+        async def limit(vm: _Vm) -> None:
+            await asyncio.sleep(self.source.uniform(0.0, ALLOWANCE_PERIOD_S))
+            while True:
+                vm.node.send(signal.SIGSTOP)
+                await asyncio.sleep((1 - share) * ALLOWANCE_PERIOD_S)
+                vm.node.send(signal.SIGCONT)
+                await asyncio.sleep(share * ALLOWANCE_PERIOD_S)
+
+        async with asyncio.TaskGroup() as tasks:
+            for vm in self.vms if share < 1.0 else ():
+                tasks.create_task(limit(vm))
+
     # Trouble.
 
     async def trouble(self, kind: Trouble, until: float) -> None:
@@ -493,6 +507,7 @@
     trouble: Trouble,
     lag_s: tuple[float, float],
     stops_holders: bool,
+    share: float,
 ) -> _Load:
     _Installation.profile = profile
     async with _Installation.running(nodes=0, engines=0, plain=0) as made:
@@ -535,12 +550,14 @@
             await asyncio.sleep(4.0)
             until = _now() + seconds
             measuring = asyncio.create_task(load.delays.run())
+            limiting = asyncio.create_task(load.limit_processors(share))
             await asyncio.gather(
                 load.stop_in_turn(until),
                 load.trouble(trouble, until),
                 *(load.send_requests(route, until) for route in profile.routes),
             )
             measuring.cancel()
+            limiting.cancel()
             return load
         finally:
             for host in hosts:
@@ -580,6 +597,7 @@
     *,
     stops_holders: bool = False,
     busy: int = 0,
+    share: float = 1.0,
 ) -> tuple[bool, str]:
     """Play a profile once; its logs are kept if a promise was broken.
 
@@ -588,7 +606,9 @@
     """
     profile = msgspec.toml.decode(path.read_bytes(), type=_Profile)
     folder = Path(tempfile.mkdtemp(prefix="site-load-"))
-    playing = _play(profile, folder, seed, seconds, trouble, lag_s, stops_holders)
+    playing = _play(
+        profile, folder, seed, seconds, trouble, lag_s, stops_holders, share
+    )
     load = asyncio.run(_play_beside(busy, playing))
     text = load.describe()
     if any(load.list_broken().values()):
@@ -614,6 +634,9 @@
     busy: Annotated[
         int, typer.Option(help="Busy processes that share the machine.")
     ] = 0,
+    share: Annotated[
+        float, typer.Option(help="Part of the time in which a VM's programs run.")
+    ] = 1.0,
 ) -> None:
     """Play a profile and print what became of its requests.
 
@@ -621,11 +644,18 @@
         typer.Exit: Status 1 if a promise was broken.
     """
     is_sound, text = play(
-        profile, seed, seconds, trouble, lag_s, stops_holders=holders, busy=busy
+        profile,
+        seed,
+        seconds,
+        trouble,
+        lag_s,
+        stops_holders=holders,
+        busy=busy,
+        share=share,
     )
     print(
         f"seed {seed}, {trouble.value}, lag {lag_s}, holders {holders}, "
-        f"busy {busy}: {text}"
+        f"busy {busy}, share {share}: {text}"
     )
     raise typer.Exit(0 if is_sound else 1)
 
