--- a/src/zinniaspool/core/dispatch/endings.py
+++ b/src/zinniaspool/core/dispatch/endings.py
@@ -17,6 +17,9 @@
 MIN_GAPS = 3
 """Gaps from which on a stream shows its own pace."""
 
+LATE_FACTOR = 1.3
+"""Multiple of the usual gap from which on events may have been read late."""
+
 SILENCE_FACTOR = 2.0
 """Multiple of the usual gap from which on a target counts as silent. A silence
 is expected to last as long again as it has lasted so far."""
@@ -39,12 +42,22 @@
         """Record a read of events.
 
         Args:
-            gap_s: Time since the read before, in seconds.
+            gap_s: Time since the events before, in seconds.
             ids: By how much the events' ids have risen.
         """
         if ids > 0:
             self._gaps.append(gap_s / ids)
 
+    def may_be_late(self, gap_s: float, ids: int) -> bool:
+        """Return whether a read may be much later than its events.
+
+        Args:
+            gap_s: Time since the read before, in seconds.
+            ids: By how much the events' ids have risen.
+        """
+        usual_s = self.estimate()
+        return usual_s is None or gap_s > LATE_FACTOR * usual_s * ids
+
     def estimate(self) -> float | None:
         """Return the time by which an id rises by one, in seconds.
 
--- a/src/zinniaspool/core/dispatch/streams.py
+++ b/src/zinniaspool/core/dispatch/streams.py
@@ -4,6 +4,7 @@
 each read, however many tokens the read returned.
 """
 
+import math
 from enum import Enum
 
 from result import Err, Ok, Result
@@ -16,6 +17,10 @@
 """Largest event, in bytes. An upstream that never ends its event must not fill
 the memory."""
 
+SINGLE_PASS_PART = 0.1
+"""Part of the reads that are taken to be of one pass each: those with the
+fewest events. A pass that reaches the process in two reads is rarer."""
+
 _ID = b"id:"
 _LINE_ID = b"\nid:"
 
@@ -28,6 +33,40 @@
     """The upstream didn't continue after the last event passed on."""
 
 
+class PassCounter:
+    """Counts an upstream's passes by the events that were read.
+
+    All passes of an upstream yield about the same number of events. Reads
+    aren't passes: a process that is late reads the events of several passes
+    at once. So the smaller reads show how many events a pass yields.
+    """
+
+    __slots__ = ("_events", "_reads", "_sizes")
+
+    def __init__(self) -> None:
+        self._events = self._reads = 0
+        self._sizes: dict[int, int] = {}
+
+    def record(self, events: int) -> None:
+        """Record a read of whole events."""
+        self._events += events
+        self._reads += 1
+        self._sizes[events] = self._sizes.get(events, 0) + 1
+
+    @property
+    def count(self) -> int:
+        """How many passes there were."""
+        if not self._reads:
+            return 0
+        smaller_reads, events_per_pass = 0, 1
+        for events in sorted(self._sizes):
+            smaller_reads += self._sizes[events]
+            events_per_pass = events
+            if smaller_reads >= SINGLE_PASS_PART * self._reads:
+                break
+        return math.ceil(self._events / events_per_pass)
+
+
 class EventCursor:
     """Follows server-sent events whose ids increase.
 
@@ -38,14 +77,16 @@
     Attributes:
         last_id: Id of the last event passed on; None before the first one.
         bytes_without_id: Bytes of whole events since that id.
+        passes: Counts the passes that yielded the events.
     """
 
-    __slots__ = ("_resumed", "_tail", "bytes_without_id", "last_id")
+    __slots__ = ("_resumed", "_tail", "bytes_without_id", "last_id", "passes")
 
     def __init__(self) -> None:
         self.last_id: int | None = None
         self._tail = b""
         self.bytes_without_id = 0
+        self.passes = PassCounter()
         self._resumed = False
 
     @property
@@ -69,6 +110,7 @@
             return Err(StreamFault.EVENT_TOO_LARGE)
         if not whole:
             return Ok(whole)
+        self.passes.record(_count_events(whole))
         if self._resumed:
             first = _read_id(whole, _find_first_id(whole))
             if first is not None:
@@ -93,6 +135,11 @@
         return tail
 
 
+def _count_events(events: bytes) -> int:
+    count = events.count(b"\n\n")
+    return count + events.count(b"\n\r\n") if b"\r" in events else count
+
+
 def _find_events_end(data: bytes) -> int:
     end = data.rfind(b"\n\n") + 2
     if b"\r" in data:
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -88,8 +88,8 @@
         has_event: Whether it has had an event.
         writing_since: Time of its first event.
         event_reads: Reads of its events.
-        read_at: Time at which the last of them had been passed on, or at which
-            it was sent.
+        read_at: Time at which the last of them arrived, or at which it was
+            sent; later by the time that its caller took to read them.
         pace: The recent time from one event to the next.
         is_blocked: Whether an event waits for the caller to read.
         blocked_s: Time in which events waited for the caller to read, in
@@ -400,15 +400,14 @@
         """Return what its stream shows so far; None without one.
 
         Args:
-            tokens_per_pass: Tokens that a pass of its upstream yields. What is
-                read at once is of one pass.
+            tokens_per_pass: Tokens that a pass of its upstream yields.
         """
         leader = self.leader
         if leader is None or not leader.has_event:
             return None
         is_from_start = leader.number == 1 and self.terms.resume_after is None
         return StreamTiming(
-            leader.event_reads,
+            leader.cursor.passes.count,
             self.last_event_at - leader.writing_since - leader.blocked_s,
             self.longest_pause_s,
             tokens_per_pass,
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -310,7 +310,7 @@
             self._crashes.record_progress(attempt, now)
             last_id = attempt.cursor.last_id or 0
             events = attempt.cursor.feed(data)
-            self._record_pace(attempt, last_id, now)
+            self._record_pace(attempt, response, last_id, now)
             without_id = attempt.cursor.bytes_without_id
             if isinstance(events, Err) or without_id > MAX_BYTES_WITHOUT_ID:
                 response.abort()
@@ -364,22 +364,35 @@
         finally:
             now = loop.time()
             state.blocked_streams -= 1
-            attempt.is_blocked, attempt.read_at = False, now
+            attempt.is_blocked = False
+            attempt.read_at += now - began_at
             attempt.blocked_s += now - began_at
             attempt.call.last_event_at = state.last_event_at = now
 
-    def _record_pace(self, attempt: GatewayAttempt, last_id: int, now: float) -> None:
-        """Record the time since the read before.
+    def _record_pace(
+        self,
+        attempt: GatewayAttempt,
+        response: ClientResponse,
+        last_id: int,
+        now: float,
+    ) -> None:
+        """Record the time since the events before.
+
+        The time for which they lay unread says nothing of their upstream.
 
         Args:
             attempt: The attempt; it has just read events.
+            response: Its answer.
             last_id: Id of the last event before them; 0 without one.
             now: Seconds.
         """
+        ids = (attempt.cursor.last_id or 0) - last_id
+        gap_s = now - attempt.read_at
+        if attempt.pace.may_be_late(gap_s, ids):
+            gap_s = max(0.0, gap_s - response.measure_unread())
         if attempt.event_reads > 1:
-            ids = (attempt.cursor.last_id or 0) - last_id
-            attempt.pace.record(now - attempt.read_at, ids)
-        attempt.read_at = now
+            attempt.pace.record(gap_s, ids)
+        attempt.read_at += gap_s
 
     def _record_first_event(self, attempt: GatewayAttempt, now: float) -> None:
         call, state = attempt.call, attempt.state
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -14,6 +14,7 @@
 
 from zinniaspool.core.decoding import parse_count
 from zinniaspool.core.ids import Address, split_address
+from zinniaspool.http.backlog import measure_unread
 from zinniaspool.http.connector import Connector
 from zinniaspool.http.messages import (
     Headers,
@@ -178,6 +179,13 @@
         """
         return await self._connection.next_part()
 
+    def measure_unread(self) -> float:
+        """Return how long ago the last bytes of it arrived, in seconds.
+
+        A process that is late reads them late. 0 if that isn't known.
+        """
+        return self._connection.measure_unread()
+
     async def skip_to_next(self) -> "ClientResponse":
         """Discard this response and wait for the next on the connection.
 
@@ -433,6 +441,12 @@
     def undeclared_bodies(self) -> _UndeclaredBodies:
         return self._client.undeclared_bodies
 
+    def measure_unread(self) -> float:
+        if self._transport is None:
+            return 0.0
+        connection = self._transport.get_extra_info("socket")
+        return 0.0 if connection is None else measure_unread(connection) or 0.0
+
     # Callbacks of asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
