--- a/src/zinniaspool/http/backlog.py
+++ b/src/zinniaspool/http/backlog.py
@@ -28,6 +28,10 @@
 
 _MS_PER_S = 1000
 
+_TICK_MS = 10
+"""Longest tick of the kernel's clock, in milliseconds. The record may be off
+by as much, so that a shorter time is none."""
+
 
 class _Connection(Protocol):
     def getsockopt(self, level: int, option: int, size: int, /) -> bytes: ...
@@ -79,12 +83,14 @@
 def measure_unread(connection: _Connection) -> float | None:
     """Return how long ago a connection last received data, in seconds.
 
-    None if the platform doesn't record it.
+    None if the platform doesn't record it; 0 for up to a tick of its clock.
     """
     state, unread_ms, received_bytes = _read_tcp_info(connection)
     # A substitute for the kernel may leave all that it doesn't record at zero.
     is_recorded = state in _OPEN_STATES and received_bytes > 0
-    return unread_ms / _MS_PER_S if is_recorded else None
+    if not is_recorded:
+        return None
+    return unread_ms / _MS_PER_S if unread_ms > _TICK_MS else 0.0
 
 
 def has_other_side_ended(connection: _Connection) -> bool:
--- a/tests/test_early_port.py
+++ b/tests/test_early_port.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import socket
+import struct
 import time
 from pathlib import Path
 
@@ -109,6 +110,19 @@
     assert backlog.measure_unread(Unfilled()) is None
 
 
+@pytest.mark.parametrize(("recorded_ms", "unread_s"), [(4, 0.0), (10, 0.0), (50, 0.05)])
+def test_a_tick_of_the_kernels_clock_is_no_time_unread(
+    recorded_ms: int, unread_s: float
+) -> None:
+    """Guards against a request that is dated to before a stop that it followed."""
+
+    class Recorded:
+        def getsockopt(self, level: int, option: int, size: int, /) -> bytes:
+            return struct.pack("=B51xI72xQ", 1, recorded_ms, 100)
+
+    assert backlog.measure_unread(Recorded()) == unread_s
+
+
 def test_small_segments_are_sent_without_delay_on_the_early_port() -> None:
     """Otherwise each event of a stream waits 40 ms for an acknowledgement.
 
