--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -74,12 +74,18 @@
     def predict_end_elsewhere(
         self, state: TargetState, ids_left: float, now: float
     ) -> float:
-        """Return when it would end at another target, in seconds."""
+        """Return when it would end at another target, in seconds.
+
+        At one that it left, it is expected to be as slow again.
+        """
         call = self.attempt.call
         written = int((call.last_event_id or 0) * self.id_tokens)
         prompt = call.terms.prompt_tokens + written
         first_s = self.pool.predict_first_event(state, prompt, now)
         id_s = self.usual.token_s * self.id_tokens * state.pace
+        for former in call.history:
+            if former.state is state:
+                id_s = max(id_s, former.pace.estimate() or 0.0)
         return now + first_s + (ids_left - 1) * id_s
 
 
--- a/tests/test_outlasting_streams.py
+++ b/tests/test_outlasting_streams.py
@@ -205,6 +205,19 @@
     run(check)
 
 
+def test_a_stream_does_not_go_back_to_a_head_that_is_as_slow() -> None:
+    """Guards against a stream that is moved between two heads until it is cut."""
+
+    async def check() -> None:
+        async with _begin_stream(left_s=2.6) as (made, stream):
+            for head in made.heads("small"):
+                head.faults.pace = 1.8
+            await stream.finish()
+            assert len(made.runs_of("late")) <= 2
+
+    run(check)
+
+
 def test_a_superseded_attempt_leaves_a_stream_its_second_head() -> None:
     """Guards against a pause that uses up an attempt needed later."""
 
