--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -21,6 +21,7 @@
     CrashHistory,
     CrashHistoryRequest,
     CrashReport,
+    CutAnswer,
     DemandDigest,
     FleetUpdate,
     FleetWatch,
@@ -183,6 +184,7 @@
     | CrashHistory
     | UnreachableNode
     | LeavingNode
+    | CutAnswer
     | UpstreamLimit
     | DemandDigest
     | LoadReport
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -8,13 +8,14 @@
 from zinniaspool.core.fleet.instances import InstanceId, MembershipState
 from zinniaspool.core.fleet.loads import TargetLoad
 from zinniaspool.core.fleet.reachability import ProbeOutcome
-from zinniaspool.core.ids import Address, NodeId, Revision, TraitId
+from zinniaspool.core.ids import Address, NodeId, RequestId, Revision, TraitId
 
 __all__ = [
     "AnswerReport",
     "CrashHistory",
     "CrashHistoryRequest",
     "CrashReport",
+    "CutAnswer",
     "DemandDigest",
     "FleetUpdate",
     "FleetUpdateItem",
@@ -313,6 +314,36 @@
     left_s: float
 
 
+class CutAnswer(msgspec.Struct, frozen=True, tag="cut-answer"):
+    """Reports an answer that an entry process cut.
+
+    Its VM may be gone with its log before anybody reads it.
+
+    Attributes:
+        node: The VM.
+        request: The request.
+        route: Its route.
+        by: What ended it.
+        after_ms: Time from its arrival to the cut, in milliseconds.
+        after_stop_ms: Time from the stop signal to its arrival, in
+            milliseconds; -1 without one.
+        last_event: Id of the last event that went to its caller; 0 if none.
+        loop_late_ms: By how much the process was late meanwhile at most, in
+            milliseconds.
+        attempts: What became of its attempts, as in the log.
+    """
+
+    node: NodeId
+    request: RequestId
+    route: str
+    by: str
+    after_ms: int
+    after_stop_ms: int
+    last_event: int
+    loop_late_ms: int
+    attempts: str
+
+
 class TunnelRequest(msgspec.Struct, frozen=True, tag="tunnel-request"):
     """Has an entry process connect to an upstream and pass on all bytes.
 
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -25,6 +25,7 @@
 from zinniaspool.fleet import FleetView
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.carrier import RequestForwarder
+from zinniaspool.gateway.cuts import CutAnswerReporter
 from zinniaspool.gateway.retries import RetryBudgets
 from zinniaspool.gateway.spelling import CallCodec
 from zinniaspool.gateway.stops import StopClock, StopGuard
@@ -71,6 +72,7 @@
         stop_clock: The time that a stopping process has left.
         stop_guard: Has the requests in progress end in time.
         tally: Counts how requests end.
+        cuts: Reports answers that are cut.
 
     Attributes:
         running: Number of requests in progress.
@@ -86,6 +88,7 @@
         stop_clock: StopClock,
         stop_guard: StopGuard,
         tally: RequestTally,
+        cuts: CutAnswerReporter,
     ) -> None:
         self.running = 0
         self.idle = asyncio.Event()
@@ -97,6 +100,7 @@
         self._stop_clock = stop_clock
         self._stop_guard = stop_guard
         self._tally = tally
+        self._cuts = cuts
         self._configured = asyncio.Event()
         fleet_view.on_catalog.append(self._configured.set)
 
@@ -166,7 +170,7 @@
                 if call.stopped_by == "stop":
                     end = "cut-by-stop"
                     self._stop_clock.tally.cut += 1
-                _log_cut(call)
+                self._cuts.report(call, self._measure_after_stop(call.received_at))
                 call.exchange.abort()
                 return
             await self._refuse(call.exchange, call.terms, done.err_value)
@@ -178,7 +182,7 @@
             if end == "caller-left" and now >= self._stop_clock.exits_at:
                 end, call.stopped_by = "cut-by-stop", "stop"
                 self._stop_clock.tally.cut += 1
-                _log_cut(call)
+                self._cuts.report(call, self._measure_after_stop(call.received_at))
             is_refused = end == ErrorKind.LEAVING.value
             self._stop_guard.record_end(call, is_refused=is_refused)
             self._record_end(call, end, now - call.received_at)
@@ -205,6 +209,7 @@
             upstreams=len(call.list_upstreams()),
             max_upstreams=call.route.max_attempts,
             unread_ms=int(call.exchange.unread_s * 1000),
+            loop_late_ms=self._cuts.measure_lateness(call),
             history=call.describe_attempts() if len(call.history) > 1 else "",
             late=call.late,
             predicted_ms=(
@@ -293,20 +298,6 @@
     return "caller" if end == "caller-left" else call.stopped_by
 
 
-def _log_cut(call: GatewayCall) -> None:
-    """Log what became of the attempts of an answer that is cut."""
-    now = asyncio.get_running_loop().time()
-    _log.warning(
-        "answer-cut",
-        request=call.terms.id,
-        by=call.stopped_by,
-        after_ms=int((now - call.received_at) * 1000),
-        last_event=call.last_event_id or 0,
-        allowed_tokens=call.terms.max_output_tokens,
-        attempts=call.describe_attempts(),
-    )
-
-
 def refuse_request(kind: RefusalKind, detail: str) -> Refusal:
     """Return the answer to a request that the HTTP server refuses itself.
 
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -34,6 +34,7 @@
     CrashHistory,
     CrashHistoryRequest,
     CrashReport,
+    CutAnswer,
     DemandDigest,
     InstanceQuery,
     LeavingNode,
@@ -62,12 +63,14 @@
 from zinniaspool.gateway.carrier import RequestForwarder
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
+from zinniaspool.gateway.cuts import CutAnswerReporter, log_peer_report
 from zinniaspool.gateway.digests import DemandReporter
 from zinniaspool.gateway.directory import DirectoryHandler
 from zinniaspool.gateway.endings import StreamEndWatcher
 from zinniaspool.gateway.evacuations import EvacuationMonitor
 from zinniaspool.gateway.face import CallerHandler, refuse_request
 from zinniaspool.gateway.gate import AdmissionQueues
+from zinniaspool.gateway.lateness import LoopLateness
 from zinniaspool.gateway.loads import LOAD_REPORT_INTERVAL_S, LoadReporter
 from zinniaspool.gateway.metrics import make_gateway_metrics
 from zinniaspool.gateway.moves import Rerouter
@@ -122,6 +125,10 @@
 HISTORY_INTERVAL_S = 0.5
 """Pause before a process looks again for others to ask, in seconds."""
 
+CUT_ANSWER_LOGS = 3
+"""VMs that log an answer that another one cut. They are the same for all VMs,
+so that the log of one of them has the cut answers of the fleet."""
+
 UNREACHABLE_FANOUT = 6
 """VMs that a process informs of a VM that it can't reach. Each of them informs
 as many others when it can't reach that VM either, so that among hundreds of
@@ -169,6 +176,7 @@
         )
         self._query_handler = InstanceQueryHandler(self._fleet_view, fetcher)
         self._stop_clock = StopClock(settings.grace_s)
+        self._lateness = LoopLateness()
         self._stop_requested = asyncio.Event()
         self._stop_requested_at = 0.0
         self._configured = asyncio.Event()
@@ -306,6 +314,7 @@
             self._stop_clock,
             self._stop_guard,
             tally,
+            CutAnswerReporter(settings.node, self._lateness, self._report_cut_answer),
         )
         self._metrics = make_gateway_metrics(
             tally,
@@ -400,15 +409,19 @@
         await self._peer_exchange.listen(self._address)
         await self._stop_requested.wait()
         await self._leave()
-        await self._close_callers()
+        connections_cut = await self._close_callers()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(self._stop_clock.exits_at):
                 await self._lease.release()
         await self.abort()
-        tally = self._stop_clock.tally
+        tally, now = self._stop_clock.tally, asyncio.get_running_loop().time()
+        late_s = self._lateness.measure_longest(self._stop_requested_at)
         _log.info(
             "stopped",
             cut=tally.cut,
+            connections_cut=connections_cut,
+            took_ms=int((now - self._stop_requested_at) * 1000),
+            loop_late_ms=int(late_s * 1000),
             tunnels=self._tunnel_server.open_count,
             accepted=tally.count(is_refused=False),
             refused=tally.count(is_refused=True),
@@ -467,6 +480,8 @@
             self._directory_handler.handle_leaving(message.node, message.left_s)
         elif isinstance(message, StalledTarget):
             self._stall_detector.handle_peer_report(message)
+        elif isinstance(message, CutAnswer):
+            log_peer_report(message)
         elif isinstance(message, CrashReport):
             self._crash_detector.handle_crash_report(message)
         elif isinstance(message, AnswerReport):
@@ -514,6 +529,11 @@
         receivers = random.sample(others, min(UNREACHABLE_FANOUT, len(others)))
         self._send(receivers, UnreachableNode(node))
 
+    def _report_cut_answer(self, report: CutAnswer) -> None:
+        """Have the VMs whose names are first log an answer that was cut."""
+        others = sorted(self._fleet_view.nodes.keys() - {self._settings.node})
+        self._send(others[:CUT_ANSWER_LOGS], report)
+
     def _send_to_all(self, message: Message) -> None:
         self._send(
             [node for node in self._fleet_view.nodes if node != self._settings.node],
@@ -538,7 +558,7 @@
         """Report loads, and do what else is due at short intervals."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(LOAD_REPORT_INTERVAL_S)
+            await self._lateness.sleep(LOAD_REPORT_INTERVAL_S)
             now = loop.time()
             self._index.expire_loads(now)
             self._cold.expire(now)
@@ -682,11 +702,17 @@
                 await self._caller_handler.idle.wait()
                 await self._tunnel_server.idle.wait()
 
-    async def _close_callers(self) -> None:
-        """Close callers' connections once their answers are delivered."""
+    async def _close_callers(self) -> int:
+        """Close callers' connections once their answers are delivered.
+
+        Returns:
+            The number of those that were cut in the middle of a request.
+        """
         loop = asyncio.get_running_loop()
         loop.call_at(self._stop_clock.ends_at, self._server.refuse_unreceived)
-        await self._server.drain(max(0.0, self._stop_clock.exits_at - loop.time()))
+        return await self._server.drain(
+            max(0.0, self._stop_clock.exits_at - loop.time())
+        )
 
     async def _write_leaving_record(self) -> None:
         if self._lease.lease_number is None:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -14,6 +14,7 @@
         "answer-cut",
         "answer-foreign",
         "attempt-failed",
+        "peer-cut-answer",
         "request-awaits-target",
         "request-ended",
         "request-failed",
@@ -31,9 +32,10 @@
 LOG_EVENTS: Mapping[str, str] = MappingProxyType(
     {
         "answer-cut": "An answer that had begun was cut; the keys tell who ended it, "
-        "and of each attempt its number and instance, when it was sent and ended after "
-        "the request's arrival, the event that it went on after, its reads, how it "
-        "ended, and why another one was begun beside it.",
+        "by how much the process was late meanwhile at most, and of each attempt its "
+        "number and instance, when it was sent and ended after the request's arrival, "
+        "the event that it went on after, its reads, how it ended, and why another one "
+        "was begun beside it.",
         "answer-foreign": "A dropped answer of an upstream named another request.",
         "answers-not-left": "A leaving process could not write its stored answers to "
         "the store.",
@@ -75,6 +77,8 @@
         "peer-dropped": "A peer's connection broke the protocol or was lost.",
         "peer-handler-failed": "An internal error occurred in handling a peer's "
         "message; its connection was closed.",
+        "peer-cut-answer": "A peer cut an answer; the keys are those of its own "
+        "answer-cut.",
         "message-unknown": "A peer of a newer version sent a message of an unknown "
         "type.",
         "peer-refused": "A peer sent a wrong secret or an unknown version.",
--- /dev/null
+++ b/tests/test_cut_answers.py
@@ -0,0 +1,81 @@
+"""What the logs have of an answer that was cut, also those of other VMs."""
+
+import asyncio
+import time
+from types import SimpleNamespace
+from typing import cast
+
+import pytest
+from structlog.testing import capture_logs
+
+from tests.installation import eventually, run
+from tests.test_outlasting_streams import SLOW, begin_stream
+from zinniaspool.core.ids import NodeId
+from zinniaspool.core.messages.fleet import CutAnswer
+from zinniaspool.gateway.calls import GatewayCall
+from zinniaspool.gateway.cuts import MAX_REPORTS_PER_S, CutAnswerReporter
+from zinniaspool.gateway.lateness import LoopLateness
+
+HELD_S = 0.3
+
+
+@pytest.mark.processes
+def test_another_vm_logs_an_answer_that_a_stopping_one_cut() -> None:
+    """Guards against a cut answer whose reason is gone with its VM."""
+
+    async def check() -> None:
+        with capture_logs() as lines:
+            async with begin_stream() as (made, stream):
+                for head in made.heads("small"):
+                    head.faults.pace = SLOW
+                await stream.finish()
+
+                def has_report() -> bool:
+                    return any(line["event"] == "peer-cut-answer" for line in lines)
+
+                await eventually(has_report, 2.0)
+        own = next(line for line in lines if line["event"] == "answer-cut")
+        report = next(line for line in lines if line["event"] == "peer-cut-answer")
+        assert report["vm"] == "n0" and report["by"] == "stop"
+        shared = own.keys() & report.keys() - {"event", "log_level"}
+        assert {"request", "attempts", "after_stop_ms", "loop_late_ms"} <= shared
+        assert [own[key] for key in shared] == [report[key] for key in shared]
+
+    run(check)
+
+
+def test_a_held_up_event_loop_counts_as_late_for_a_while() -> None:
+    """Guards against decisions by a late timer that the log doesn't show."""
+
+    async def check() -> None:
+        lateness = LoopLateness()
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        loop.call_later(0.01, time.sleep, HELD_S)
+        await lateness.sleep(0.05)
+        assert HELD_S - 0.05 <= lateness.measure_longest(began_at) < 2 * HELD_S
+        await lateness.sleep(0.05)
+        assert lateness.measure_longest(loop.time()) == 0.0
+
+    asyncio.run(check())
+
+
+def test_the_reports_of_cut_answers_are_limited() -> None:
+    """Guards against a flood of messages while many upstreams fail."""
+
+    async def check() -> None:
+        sent: list[CutAnswer] = []
+        reporter = CutAnswerReporter(NodeId("n0"), LoopLateness(), sent.append)
+        call = SimpleNamespace(
+            terms=SimpleNamespace(id="r", max_output_tokens=1),
+            route=SimpleNamespace(name="drafts"),
+            stopped_by="stop",
+            received_at=0.0,
+            last_event_id=None,
+            describe_attempts=lambda: "",
+        )
+        for _ in range(3 * MAX_REPORTS_PER_S):
+            reporter.report(cast(GatewayCall, call), -1)
+        assert MAX_REPORTS_PER_S <= len(sent) <= 2 * MAX_REPORTS_PER_S
+
+    asyncio.run(check())
--- a/tests/test_early_port.py
+++ b/tests/test_early_port.py
@@ -114,7 +114,7 @@
 def test_a_tick_of_the_kernels_clock_is_no_time_unread(
     recorded_ms: int, unread_s: float
 ) -> None:
-    """Guards against a request that is dated to before the stop it followed."""
+    """Guards against a request that is dated to before a stop it followed."""
 
     class Recorded:
         def getsockopt(self, level: int, option: int, size: int, /) -> bytes:
--- a/tests/test_outlasting_streams.py
+++ b/tests/test_outlasting_streams.py
@@ -14,6 +14,8 @@
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool_standins.runners import Runner
 
+__all__ = ["SLOW", "begin_stream"]
+
 pytestmark = pytest.mark.processes
 
 EVENTS = 50
@@ -106,7 +108,7 @@
 
 
 @asynccontextmanager
-async def _begin_stream(
+async def begin_stream(
     kind: type[StoppedInstallation] = StoppedInstallation,
     *,
     stops: bool = True,
@@ -142,7 +144,7 @@
 
     async def check() -> None:
         with capture_logs() as lines:
-            async with _begin_stream() as (made, stream):
+            async with begin_stream() as (made, stream):
                 for head in made.heads("small"):
                     head.faults.pace = SLOW
                 answer = await stream.finish()
@@ -161,7 +163,7 @@
     """Guards against a stream that is cut though another head can end it."""
 
     async def check() -> None:
-        async with _begin_stream() as (_, stream):
+        async with begin_stream() as (_, stream):
             stream.head.faults.pace = SLOW
             _assert_whole(await stream.finish())
 
@@ -175,7 +177,7 @@
     """Guards against a last attempt used for a pause that ends at once."""
 
     async def check() -> None:
-        async with _begin_stream() as (made, stream):
+        async with begin_stream() as (made, stream):
             head = stream.head
             head.faults.silent = True
             await asyncio.sleep(pause_s)
@@ -191,7 +193,7 @@
     """Guards against attempts that a slow head's next events supersede."""
 
     async def check() -> None:
-        async with _begin_stream(left_s=4.5) as (made, stream):
+        async with begin_stream(left_s=4.5) as (made, stream):
             first = stream.head
             first.faults.pace = 11.0
             others = [one for one in made.heads("small") if one is not first]
@@ -206,10 +208,10 @@
 
 
 def test_a_stream_does_not_go_back_to_a_head_that_is_as_slow() -> None:
-    """Guards against a stream that is moved between two heads until it is cut."""
+    """Guards against streams that are moved between two heads until cut."""
 
     async def check() -> None:
-        async with _begin_stream(left_s=2.6) as (made, stream):
+        async with begin_stream(left_s=2.6) as (made, stream):
             for head in made.heads("small"):
                 head.faults.pace = 1.8
             await stream.finish()
@@ -222,7 +224,7 @@
     """Guards against a pause that uses up an attempt needed later."""
 
     async def check() -> None:
-        async with _begin_stream() as (made, stream):
+        async with begin_stream() as (made, stream):
             await stream.use_second_attempt()
             stream.head.faults.pace = SLOW
             _assert_whole(await stream.finish())
@@ -235,7 +237,7 @@
     """Guards against a stream that ends with its head after a pause."""
 
     async def check() -> None:
-        async with _begin_stream(stops=False) as (made, stream):
+        async with begin_stream(stops=False) as (made, stream):
             await stream.use_second_attempt()
             stream.head.faults.dark = True
             _assert_whole(await stream.finish())
@@ -305,7 +307,7 @@
     """Guards against a stream that runs on more upstreams than allowed."""
 
     async def check() -> None:
-        async with _begin_stream(stops=False, heads=4) as (made, stream):
+        async with begin_stream(stops=False, heads=4) as (made, stream):
             first = stream.head
             others = [one for one in made.heads("small") if one is not first]
             for one in others:
@@ -335,7 +337,7 @@
     """Guards against a third upstream while two may run a stream."""
 
     async def check() -> None:
-        async with _begin_stream(stops=False, heads=4) as (made, stream):
+        async with begin_stream(stops=False, heads=4) as (made, stream):
             first, heads = stream.head, made.heads("small")
             for one in heads:
                 one.times.lag_s = (1.2, 1.2)
@@ -353,7 +355,7 @@
     """Guards against a stream that its timeout cuts at a slow head."""
 
     async def check() -> None:
-        async with _begin_stream(_ImpatientInstallation, stops=False) as (_, stream):
+        async with begin_stream(_ImpatientInstallation, stops=False) as (_, stream):
             stream.head.faults.pace = SLOW
             _assert_whole(await stream.finish())
 
@@ -364,7 +366,7 @@
     """Guards against events kept back for an answer that never comes."""
 
     async def check() -> None:
-        async with _begin_stream(stops=False) as (made, stream):
+        async with begin_stream(stops=False) as (made, stream):
             first, call = stream.head, stream.call
             for one in made.heads("small"):
                 one.faults.mute = one is not first
