--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -464,6 +464,26 @@
             "ran twice": [one for one in self.ended if one.name in once],
         }
 
+    def _count_served(self, runs: RunLog) -> str:
+        """Return how many requests sent to stopping VMs were served.
+
+        Returns:
+            For each second after the stop signal in which they were sent, how
+            many were served and how many there were.
+        """
+        sent: Counter[int] = Counter()
+        served: Counter[int] = Counter()
+        for one in self.ended:
+            if one.after_stop_s is None or one.after_stop_s < 0:
+                continue
+            second = int(one.after_stop_s)
+            end = runs.judge(one)
+            sent[second] += end is not RequestEnd.LEFT
+            served[second] += end is RequestEnd.WHOLE
+        return ", ".join(
+            f"{second}: {served[second]}/{sent[second]}" for second in sorted(sent)
+        )
+
     def describe(self) -> str:
         """Return what was counted, and the log of what was broken."""
         runs = self.make_run_log()
@@ -483,6 +503,7 @@
             f"work: {', '.join(self.works)}",
             f"groups: {[text for host in self.hosts for text in host.broken]}",
             ", ".join(f"{len(found)} {text}" for text, found in broken.items()),
+            f"served by second after SIGTERM: {self._count_served(runs)}",
         ]
         for text, requests in broken.items():
             for one in requests:
