--- a/tests/site_promises.py
+++ b/tests/site_promises.py
@@ -1,7 +1,7 @@
 """What a load run promises, checked by what callers and upstreams saw."""
 
 import math
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -9,7 +9,14 @@
 
 from tests.installation import Answer
 
-__all__ = ["EndedRequest", "LostUpstream", "RequestEnd", "RunLog"]
+__all__ = [
+    "LIMIT_SLACK_S",
+    "LOSS_SLACK_S",
+    "EndedRequest",
+    "LostUpstream",
+    "RequestEnd",
+    "RunLog",
+]
 
 LIMIT_SLACK_S = 0.2
 """An answer that ends so long before its time limit or later isn't cut, in
@@ -189,9 +196,8 @@
 
     def list_run_twice(self, ended: Sequence[EndedRequest], route: str) -> list[str]:
         """Return the requests of a route that ran more than once."""
-        counts = Counter(
-            {one.name: len(self._ran_at.get(one.name, ())) for one in ended}
-        )
         return [
-            one.name for one in ended if one.route == route and counts[one.name] > 1
+            one.name
+            for one in ended
+            if one.route == route and len(self._ran_at.get(one.name, ())) > 1
         ]
--- a/tests/stop_soak.py
+++ b/tests/stop_soak.py
@@ -26,6 +26,7 @@
 from tests.delays import DelayMeter
 from tests.installation import Answer, eventually
 from tests.silent_processes import Caller, find_holder
+from tests.site_promises import LIMIT_SLACK_S, LOSS_SLACK_S
 from tests.soak_seeds import begin_overlapping, run_command_line
 from zinniaspool_standins.installation import SIZES, Installation, make_rules
 from zinniaspool_standins.nodes import EntryNode, end_nodes, make_nodes
@@ -52,14 +53,6 @@
 RETURN_PART = 1 / 3
 """Part of the time left up to which callers wait before they come back."""
 
-LIMIT_SLACK_S = 0.2
-"""An answer that ends so long before its time limit or later isn't cut, in
-seconds."""
-
-LOSS_SLACK_S = 0.2
-"""A connection that is closed so soon after a request was sent crossed it, in
-seconds."""
-
 MAX_REFUSAL_S = 0.3
 """Longest time until a VM refuses a request because it leaves, in seconds. The
 longest delay of this process is added, which the VMs share a machine with."""
