Tests: load whose streams state the most that their route allows

No rig had streams of which an entry VM knows only how long they may be, callers that stay at a stopping VM until it is gone, or load and lengths that change in the run. The load program takes them as values of its profile (--set); a stream's request has its real length in its query, which the stand-in of a runner keeps to.

--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import random
+import re
 import socket
 from base64 import b64encode
 from collections import Counter
@@ -41,6 +42,10 @@
 HEALTH_PATH = "/healthz"
 """Where runners answer health queries, by the stand-ins' rules."""
 
+_WANTED_EVENTS = re.compile(r"[?&]events=([0-9]+)")
+"""Where a stream's request has how many events it will have, by the stand-ins'
+rules; otherwise it has as many as it may."""
+
 RUN_ONCE = "/cards/"
 """Paths whose requests may run once only, by the stand-ins' rules."""
 
@@ -690,6 +695,8 @@
     ) -> None:
         tokens = (asked.get("x-zinniaspool-token-count") or "0,10").split(",")
         last = self._count_events(int(tokens[1]))
+        if wanted := _WANTED_EVENTS.search(exchange.request.target):
+            last = min(last, int(wanted[1]))
         first = int(asked.get("last-event-id") or 0) + 1
         answer.add("content-type", "text/event-stream")
         begun = False
--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -6,7 +6,8 @@
 get their stop signal in turn, several at a time, with the holder among them if
 that is wanted; each of their two programs starts again as soon as it has
 ended. Upstreams may also fall silent, become slow or hang, and busy processes
-share the machine.
+share the machine. Streams may state the most that their route allows, whatever
+they will have, and load and lengths may change halfway (``--set``).
 
 Reported are all requests that ended without a whole answer though the VM had
 read them and they had time left, those that began at more upstreams than their
@@ -25,7 +26,7 @@
 import tempfile
 from base64 import b64decode
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import Enum
@@ -69,7 +70,13 @@
 TROUBLE_GAP_S = (1.0, 4.0)
 
 
-SHOWN = ("stream-behind", "answer-cut", "connection-cut", "target-silent")
+SHOWN = (
+    "stream-behind",
+    "stream-moved",
+    "answer-cut",
+    "connection-cut",
+    "target-silent",
+)
 """Events of the logs that are counted."""
 
 
@@ -100,9 +107,9 @@
     spread: float
     most: float
 
-    def draw(self, source: random.Random) -> int:
-        sigma = self.spread
-        value = source.lognormvariate(math.log(self.mean) - sigma**2 / 2, sigma)
+    def draw(self, source: random.Random, factor: float = 1.0) -> int:
+        sigma, mean = self.spread, self.mean * factor
+        value = source.lognormvariate(math.log(mean) - sigma**2 / 2, sigma)
         return max(1, int(min(self.most, value)))
 
 
@@ -130,6 +137,12 @@
         restart_pause_s: Pause before a program that has ended starts again.
         pieces_part: Part of the streams whose requests come in chunks.
         leaving_part: Part of those whose callers leave early.
+        stating_part: Part of the streams that state the most events that their
+            route allows, in place of those that they will have.
+        longest_part: Part of the streams sent to stopping VMs that have so
+            many events.
+        surge_rate: By how much the rate of requests rises halfway.
+        surge_length: By how much the mean length of streams does.
     """
 
     vms: int
@@ -146,6 +159,10 @@
     restart_pause_s: float = 0.3
     pieces_part: float = 0.0
     leaving_part: float = 0.0
+    stating_part: float = 0.0
+    longest_part: float = 0.0
+    surge_rate: float = 1.0
+    surge_length: float = 1.0
 
 
 class _Installation(Installation):
@@ -244,6 +261,7 @@
     delays: DelayMeter = field(default_factory=DelayMeter)
     sent: int = 0
     began_at: float = field(default_factory=lambda: _now())
+    surges_at: float = math.inf
 
     def list_serving(self) -> list[_Vm]:
         return [vm for vm in self.vms if vm.stopped_at is None] or self.vms
@@ -261,7 +279,9 @@
         sending = []
         due = _now()
         while due < until:
-            due += self.source.expovariate(route.per_s)
+            has_surge = due >= self.surges_at
+            factor = self.profile.surge_rate if has_surge else 1.0
+            due += self.source.expovariate(route.per_s * factor)
             await asyncio.sleep(due - _now())
             consumer = self.source.choice(consumers)
             sending.append(asyncio.create_task(self._send(route, consumer)))
@@ -276,8 +296,12 @@
         wanted, sent_at, left_at = 0, began_at, math.inf
         in_pieces = False
         if route.model:
-            wanted = route.events.draw(self.source)
-            tokens = wanted * self.profile.models[route.model].passes.stride
+            wanted = self._draw_length(route, vm)
+            path += f"?events={wanted}"
+            stated = wanted
+            if self.source.random() < self.profile.stating_part:
+                stated = int(route.events.most)
+            tokens = stated * self.profile.models[route.model].passes.stride
             prompt = route.prompt.draw(self.source)
             headers = {
                 "x_zinniaspool_model": route.model,
@@ -312,6 +336,14 @@
             )
         )
 
+    def _draw_length(self, route: _Route, vm: _Vm) -> int:
+        is_longest = self.source.random() < self.profile.longest_part
+        if vm.stopped_at is not None and is_longest:
+            return int(route.events.most)
+        has_surge = _now() >= self.surges_at
+        factor = self.profile.surge_length if has_surge else 1.0
+        return route.events.draw(self.source, factor)
+
     def _cut_in_pieces(
         self, name: str, path: str, route: _Route, headers: Headers
     ) -> PiecemealRequest:
@@ -570,6 +602,7 @@
             )
             await asyncio.sleep(4.0)
             until = _now() + seconds
+            load.surges_at = until - seconds / 2
             measuring = asyncio.create_task(load.delays.run())
             limiting = asyncio.create_task(load.limit_processors(share))
             await asyncio.gather(
@@ -609,6 +642,13 @@
         return await playing
 
 
+def _read_profile(path: Path, changes: Sequence[str]) -> _Profile:
+    """Read a profile, and replace some of its values."""
+    values = msgspec.toml.decode(path.read_bytes())
+    values |= msgspec.toml.decode("\n".join(changes))
+    return msgspec.convert(values, _Profile)
+
+
 def play(
     path: Path,
     seed: int,
@@ -619,13 +659,14 @@
     stops_holders: bool = False,
     busy: int = 0,
     share: float = 1.0,
+    changes: Sequence[str] = (),
 ) -> tuple[bool, str]:
     """Play a profile once; its logs are kept if a promise was broken.
 
     Returns:
         Whether no promise was broken, and what was counted.
     """
-    profile = msgspec.toml.decode(path.read_bytes(), type=_Profile)
+    profile = _read_profile(path, changes)
     folder = Path(tempfile.mkdtemp(prefix="site-load-"))
     playing = _play(
         profile, folder, seed, seconds, trouble, lag_s, stops_holders, share
@@ -658,6 +699,10 @@
     share: Annotated[
         float, typer.Option(help="Part of the time in which a VM's programs run.")
     ] = 1.0,
+    changes: Annotated[
+        list[str],
+        typer.Option("--set", help="Values of the profile, as lines of TOML."),
+    ] = [],  # noqa: B006
 ) -> None:
     """Play a profile and print what became of its requests.
 
@@ -673,10 +718,11 @@
         stops_holders=holders,
         busy=busy,
         share=share,
+        changes=changes,
     )
     print(
         f"seed {seed}, {trouble.value}, lag {lag_s}, holders {holders}, "
-        f"busy {busy}, share {share}: {text}"
+        f"busy {busy}, share {share}, {changes}: {text}"
     )
     raise typer.Exit(0 if is_sound else 1)
 
