Gateway: the log says why a stop accepts a stream, and what decides first

Collected logs are cut after 200 characters. Nothing said why a stopping process had accepted a stream, or what was expected of a move.

- answer-cut, peer-cut-answer, request-ended and attempt-failed begin with what decides; attempts are described more briefly.
- request-fits-stop (new) has the time left and the parts of the prediction, request-outlasts-stop too; answer-cut repeats the two that decide.
- stream-moved (new) has the predicted ends here and there.
- peer-stale prints -1 for the age of what was never received.
Nothing decides by that age: updates without a holder name none, and their age is beyond each limit.

No decision changes.

--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -30,7 +30,7 @@
 from zinniaspool.core.messages.fleet import FleetUpdate, FleetWatch
 from zinniaspool.core.storage import StoreFault
 from zinniaspool.fleet.belief import FleetView
-from zinniaspool.fleet.mesh import PeerExchange, unpack_items
+from zinniaspool.fleet.mesh import NEVER_RECEIVED_AGE_S, PeerExchange, unpack_items
 from zinniaspool.fleet.retention import RetentionTimer
 from zinniaspool.fleet.settings import NodeSettings
 from zinniaspool.fleet.sight import HolderHeartbeat
@@ -139,6 +139,11 @@
         return () if self.local_entry is None else (self.local_entry,)
 
 
+def _to_ms(age_s: float) -> int:
+    """Return an age in milliseconds for the log; -1 if there is none."""
+    return -1 if age_s >= NEVER_RECEIVED_AGE_S else int(age_s * 1000)
+
+
 def make_location(node: NodeSettings) -> ProcessLocation:
     """Return where a process with these settings runs."""
     return ProcessLocation(
@@ -422,8 +427,9 @@
             _log.info(
                 "peer-stale",
                 address=address,
-                age_ms=-1 if update is None else int(update.age_s * 1000),
-                leader_ms=-1 if update is None else int(update.leader_age_s * 1000),
+                answered=update is not None,
+                age_ms=-1 if update is None else _to_ms(update.age_s),
+                leader_ms=-1 if update is None else _to_ms(update.leader_age_s),
             )
         self._backoff_until[address] = self._now() + PEER_BACKOFF_S
 
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -42,7 +42,13 @@
     encode_frame,
 )
 
-__all__ = ["HolderTerm", "PeerExchange", "is_connection_refused", "unpack_items"]
+__all__ = [
+    "NEVER_RECEIVED_AGE_S",
+    "HolderTerm",
+    "PeerExchange",
+    "is_connection_refused",
+    "unpack_items",
+]
 
 ANSWER_TIMEOUT_S = 0.6
 """Longest wait for a peer's answer, in seconds; a request for updates lets the
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -139,7 +139,9 @@
     def describe(self) -> str:
         """Return what became of it, for the log.
 
-        Times are in milliseconds since its request arrived.
+        Its number and instance, the times when it was sent and ended, in
+        milliseconds since its request arrived, the events before it and up to
+        its end, how it ended, and why another one was begun beside it.
         """
         call = self.call
         sent_ms = int((self.sent_at - call.received_at) * 1000)
@@ -147,9 +149,8 @@
         ended = "answered" if self.failure is None else self.failure.value
         cause = "" if self.reroute_cause is None else self.reroute_cause.value
         return (
-            f"{self.number}@{self.state.target.instance}:sent={sent_ms}:"
-            f"ended={ended_ms}:after={self.resumed_after}:reads={self.event_reads}:"
-            f"{ended}:{cause}"
+            f"{self.number}@{self.state.target.instance}:{sent_ms}-{ended_ms}:"
+            f"e{self.resumed_after}-{self.cursor.last_id or 0}:{ended}/{cause}"
         )
 
     def reschedule_timeout(self, at: float) -> None:
@@ -165,6 +166,39 @@
             timeout.reschedule(now)
 
 
+@dataclass(frozen=True, slots=True)
+class StopForecast:
+    """Why a stopping process expects a request to end in time, or not.
+
+    Attributes:
+        left_s: Time that the process had left, in seconds.
+        longest_s: Longest time of the request, in seconds; None if unknown.
+        first_s: Time to its first event, in seconds.
+        writing_s: Longest time from then on, in seconds.
+        reserve_s: Time that is reserved beside these, in seconds.
+        streams: Streams of its model in progress at this process.
+    """
+
+    left_s: float
+    longest_s: float | None = None
+    first_s: float = 0.0
+    writing_s: float = 0.0
+    reserve_s: float = 0.0
+    streams: int = 0
+
+    def list_keys(self) -> dict[str, int]:
+        """Return it for the log, in milliseconds; -1 for what is unknown."""
+        longest_s = self.longest_s
+        return {
+            "left_ms": int(self.left_s * 1000),
+            "longest_ms": -1 if longest_s is None else int(longest_s * 1000),
+            "first_ms": int(self.first_s * 1000),
+            "writing_ms": int(self.writing_s * 1000),
+            "reserve_ms": int(self.reserve_s * 1000),
+            "streams": self.streams,
+        }
+
+
 @dataclass(eq=False, slots=True)
 class GatewayCall:
     """A caller's request in progress.
@@ -218,6 +252,7 @@
         longest_s: Longest time that was predicted for it when it was accepted
             while the process stopped, in seconds; None if nothing was, since
             its own deadline is earlier.
+        accepted: What it was accepted by then; None likewise.
         error_reserve_s: Time after its deadline that is reserved for an error
             answer, in seconds; a stream that has begun needs none.
         holds_until: Time until which the leader's events are kept back while
@@ -255,6 +290,7 @@
     urgency: int | None = None
     deadline_after_stop: bool = False
     longest_s: float | None = None
+    accepted: StopForecast | None = None
     error_reserve_s: float = 0.0
     holds_until: float = 0.0
     waits_until: float | None = None
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -342,17 +342,17 @@
         _log.info(
             "attempt-failed",
             request=call.terms.id,
-            content=call.content,
-            parts=",".join(call.terms.prompt_parts),
             attempt=attempt.number,
             instance=target.instance,
-            group=target.group or "",
             failure=failure.value,
             by=call.stopped_by,
             cause="" if cause is None else cause.value,
+            stop="" if stop is None else stop.value,
+            group=target.group or "",
             last_event=call.last_event_id or 0,
             again=again,
-            stop="" if stop is None else stop.value,
+            content=call.content,
+            parts=",".join(call.terms.prompt_parts),
         )
 
 
--- a/src/zinniaspool/gateway/cuts.py
+++ b/src/zinniaspool/gateway/cuts.py
@@ -10,7 +10,7 @@
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.lateness import LoopLateness
 
-__all__ = ["CutAnswerReporter", "log_peer_report"]
+__all__ = ["CutAnswerReporter", "list_keys", "log_peer_report"]
 
 _log = structlog.get_logger(__name__)
 
@@ -66,11 +66,13 @@
             call.last_event_id or 0,
             self.measure_lateness(call),
             call.describe_attempts(),
+            -1 if call.accepted is None else int(call.accepted.left_s * 1000),
+            -1 if call.longest_s is None else int(call.longest_s * 1000),
         )
         _log.warning(
             "answer-cut",
+            **list_keys(report),
             allowed_tokens=call.terms.max_output_tokens,
-            **_list_keys(report),
         )
         if self._may_send(now):
             self._send(report)
@@ -84,17 +86,21 @@
 
 def log_peer_report(report: CutAnswer) -> None:
     """Log an answer that another VM cut."""
-    _log.warning("peer-cut-answer", vm=report.node, **_list_keys(report))
+    _log.warning("peer-cut-answer", **list_keys(report), vm=report.node)
 
 
-def _list_keys(report: CutAnswer) -> dict[str, object]:
+def list_keys(report: CutAnswer) -> dict[str, object]:
+    """Return a report's keys in the log, what decides first."""
+    # Collected logs are cut after 200 characters.
     return {
         "request": report.request,
-        "route": report.route,
         "by": report.by,
-        "after_ms": report.after_ms,
-        "after_stop_ms": report.after_stop_ms,
+        "attempts": report.attempts,
+        "left_ms": report.left_ms,
+        "longest_ms": report.longest_ms,
         "last_event": report.last_event,
         "loop_late_ms": report.loop_late_ms,
-        "attempts": report.attempts,
+        "after_ms": report.after_ms,
+        "after_stop_ms": report.after_stop_ms,
+        "route": report.route,
     }
--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -133,8 +133,8 @@
             attempt.is_behind = True
             _log_behind(watched, ends_at, now)
         other = _find_sooner(watched, ends_at, now)
-        if other is not None:
-            self._rerouter.reroute_behind(attempt, other, now)
+        if other is not None and self._rerouter.reroute_behind(attempt, other, now):
+            _log_move(watched, other, ends_at, now)
 
     def _sum_up(
         self, calls: Iterable[GatewayCall], now: float
@@ -230,14 +230,36 @@
     _log.info(
         "stream-behind",
         request=call.terms.id,
-        route=call.route.name,
-        model=call.terms.model or "",
         instance=attempt.state.target.instance,
-        attempts=call.attempts.sent,
-        last_event=attempt.cursor.last_id or 0,
+        left_ms=int((call.stream_deadline - now) * 1000),
+        needed_ms=int((ends_at - now) * 1000),
         ids_left=int(stream.ids_left),
         id_ms=int(stream.id_s * 1000),
         quiet_ms=int((now - stream.read_at) * 1000),
+        attempts=call.attempts.sent,
+        last_event=attempt.cursor.last_id or 0,
+        route=call.route.name,
+        model=call.terms.model or "",
+    )
+
+
+def _log_move(
+    watched: _Watched, other: TargetState, ends_at: float, now: float
+) -> None:
+    """Log where a stream goes on, and its predicted end here and there."""
+    attempt = watched.attempt
+    call = attempt.call
+    there_at = watched.predict_end_elsewhere(other, watched.stream.ids_left, now)
+    _log.info(
+        "stream-moved",
+        request=call.terms.id,
+        instance=attempt.state.target.instance,
+        to=other.target.instance,
         left_ms=int((call.stream_deadline - now) * 1000),
-        needed_ms=int((ends_at - now) * 1000),
+        here_ms=int((ends_at - now) * 1000),
+        there_ms=int((there_at - now) * 1000),
+        ids_left=int(watched.stream.ids_left),
+        attempts=call.attempts.sent,
+        last_event=attempt.cursor.last_id or 0,
+        route=call.route.name,
     )
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -195,10 +195,9 @@
         _log.info(
             "request-ended",
             request=call.terms.id,
-            content=call.content,
-            parts=",".join(call.terms.prompt_parts),
             end=end,
             by=_find_ended_by(call, end),
+            history=call.describe_attempts() if len(call.history) > 1 else "",
             cause="" if cause is None else cause.value,
             stop="" if stop is None else stop.value,
             route=call.route.name,
@@ -210,7 +209,6 @@
             max_upstreams=call.route.max_attempts,
             unread_ms=int(call.exchange.unread_s * 1000),
             loop_late_ms=self._cuts.measure_lateness(call),
-            history=call.describe_attempts() if len(call.history) > 1 else "",
             late=call.late,
             predicted_ms=(
                 -1 if leader is None else int(leader.predicted_first_event_s * 1000)
@@ -223,6 +221,8 @@
             allowed_ms=int((call.deadline - call.received_at) * 1000),
             longest_ms=-1 if call.longest_s is None else int(call.longest_s * 1000),
             version=self._get_version(),
+            content=call.content,
+            parts=",".join(call.terms.prompt_parts),
         )
 
     def _measure_after_stop(self, received_at: float) -> int:
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -154,16 +154,20 @@
 
     def reroute_behind(
         self, attempt: GatewayAttempt, other: TargetState, now: float
-    ) -> None:
+    ) -> bool:
         """Reroute a stream that won't end in time to a target where it will.
 
         Args:
             attempt: The stream's attempt.
             other: The target.
             now: Seconds.
+
+        Returns:
+            Whether an attempt was begun there.
         """
-        if self._may_reroute(attempt, may_repeat=True):
-            self._begin_alternative(attempt, other, RerouteCause.BEHIND, now)
+        return self._may_reroute(attempt, may_repeat=True) and self._begin_alternative(
+            attempt, other, RerouteCause.BEHIND, now
+        )
 
     def reroute_late(self, attempt: GatewayAttempt) -> None:
         """Have an idempotent request sent elsewhere too: its answer is late.
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+from dataclasses import replace
 
 import structlog
 
@@ -21,7 +22,7 @@
 )
 from zinniaspool.core.fleet import Catalog, RequestKind
 from zinniaspool.core.ids import ModelName, ServiceName
-from zinniaspool.gateway.calls import GatewayCall
+from zinniaspool.gateway.calls import GatewayCall, StopForecast
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.telemetry import StopReason, StopTally
 
@@ -155,19 +156,20 @@
         if not call.deadline_after_stop:
             return False
         now = asyncio.get_running_loop().time()
-        longest_s = call.longest_s = self._predict_longest(call, pool, now)
-        if longest_s is not None and now + longest_s <= self._clock.ends_at:
-            return False
-        _log.info(
-            "request-outlasts-stop",
-            request=call.terms.id,
-            route=call.route.name,
-            model=call.terms.model or "",
-            allowed_tokens=call.terms.max_output_tokens,
-            left_ms=int((self._clock.ends_at - now) * 1000),
-            longest_ms=-1 if longest_s is None else int(longest_s * 1000),
-        )
-        return True
+        forecast = self._predict(call, pool, now)
+        longest_s = call.longest_s = forecast.longest_s
+        refuses = longest_s is None or longest_s > forecast.left_s
+        if refuses or call.accepted is None:
+            _log.info(
+                "request-outlasts-stop" if refuses else "request-fits-stop",
+                request=call.terms.id,
+                **forecast.list_keys(),
+                allowed_tokens=call.terms.max_output_tokens,
+                route=call.route.name,
+                model=call.terms.model or "",
+            )
+        call.accepted = None if refuses else forecast
+        return refuses
 
     def can_begin_again(self, call: GatewayCall, pool: TargetPool) -> bool:
         """Return whether a request that may have run can still end elsewhere.
@@ -214,11 +216,11 @@
         """Return what recent streams of a request's route show."""
         return self._find_forecasts(call)[0].sum_up(now)
 
-    def _predict_longest(
-        self, call: GatewayCall, pool: TargetPool, now: float
-    ) -> float | None:
+    def _predict(self, call: GatewayCall, pool: TargetPool, now: float) -> StopForecast:
+        """Return the longest time of a request, and what it consists of."""
         of_route, of_service = self._find_forecasts(call)
         running = self._list_running_streams(call)
+        forecast = StopForecast(self._clock.ends_at - now, streams=len(running))
         pause_s = max((stream.longest_pause_s for stream in running), default=0.0)
         if call.route.kind is not RequestKind.STREAM and not _has_known_length(call):
             longest_s = of_route.predict_longest_call(now)
@@ -227,15 +229,25 @@
                     of_service.predict_longest_call(now) or 0.0,
                     UNKNOWN_CALL_FACTOR * call.route.objective_s,
                 )
-            return longest_s + of_service.predict_reserve(0.0, pause_s, now)
+            reserve_s = of_service.predict_reserve(0.0, pause_s, now)
+            return replace(
+                forecast, longest_s=longest_s + reserve_s, reserve_s=reserve_s
+            )
         writing_s = self._predict_longest_writing(call, pool, now)
         if writing_s is None:
-            return None
+            return forecast
         first_event_s = _predict_first_event(call, pool, now)
         # An upstream may also answer without a stream.
         whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
         reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
-        return max(first_event_s + writing_s, whole_s) + reserve_s
+        longest_s = max(first_event_s + writing_s, whole_s) + reserve_s
+        return replace(
+            forecast,
+            longest_s=longest_s,
+            first_s=first_event_s,
+            writing_s=writing_s,
+            reserve_s=reserve_s,
+        )
 
     def _predict_longest_writing(
         self, call: GatewayCall, pool: TargetPool, now: float
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -19,9 +19,11 @@
         "request-ended",
         "request-failed",
         "request-not-admitted",
+        "request-fits-stop",
         "request-outlasts-stop",
         "request-refused",
         "stream-behind",
+        "stream-moved",
         "trial-begun",
     }
 )
@@ -31,11 +33,13 @@
 
 LOG_EVENTS: Mapping[str, str] = MappingProxyType(
     {
-        "answer-cut": "An answer that had begun was cut; the keys tell who ended it, "
-        "by how much the process was late meanwhile at most, and of each attempt its "
-        "number and instance, when it was sent and ended after the request's arrival, "
-        "the event that it went on after, its reads, how it ended, and why another one "
-        "was begun beside it.",
+        "answer-cut": "An answer that had begun was cut; the keys tell who ended it; "
+        "of each attempt its number and instance, when it was sent and ended after the "
+        "request's arrival, the events before it and up to its end, how it ended, and "
+        "why another one was begun beside it; the time that a stopping process had "
+        "left when it accepted the request, and the longest that it predicted for it "
+        "(-1: its own limit was earlier); and by how much the process was late "
+        "meanwhile at most.",
         "answer-foreign": "A dropped answer of an upstream named another request.",
         "answers-not-left": "A leaving process could not write its stored answers to "
         "the store.",
@@ -92,8 +96,11 @@
         "request-awaits-target": "No target is left for a request that may be sent "
         "again; it waits for one, for part of its time.",
         "request-failed": "A caller's request ended in an error.",
+        "request-fits-stop": "A stopping process accepted a request since it expects "
+        "it to end in time; the keys give the time left, the longest time predicted, "
+        "and what this consists of.",
         "request-outlasts-stop": "A request was refused since it may take longer than "
-        "the stopping process has left.",
+        "the stopping process has left; the keys are as in request-fits-stop.",
         "request-not-admitted": "A request could not be served in time; the keys give "
         "the prediction, its inputs and their age.",
         "request-refused": "A request violated HTTP or the server's limits.",
@@ -103,6 +110,8 @@
         "stream-behind": "A stream in progress won't end in time where it is, by the "
         "pace of its events; the keys give that pace, what is left, and the time that "
         "it has and needs.",
+        "stream-moved": "A stream that is behind was also sent to another target; the "
+        "keys give when it ends where it is and at the other target, as predicted.",
         "superseded": "A later start of this node is known; this process stops.",
         "duty-failed": "An internal error occurred in a background task; the task "
         "starts again.",
@@ -177,7 +186,7 @@
         "pause-requested": "An upstream refused a request and asked this VM to send "
         "none for some seconds.",
         "peer-stale": "A peer's mirror of the store was too old, or the peer did not "
-        "answer.",
+        "answer; an age of -1 is that of nothing.",
         "plan-saved": "A plan that could not be written for several tries is in the "
         "store.",
         "plan-unsaved": "The store did not accept a plan for several tries; no group "
--- a/src/zinniaspool/telemetry/logs.py
+++ b/src/zinniaspool/telemetry/logs.py
@@ -13,7 +13,7 @@
 from zinniaspool.telemetry.events import REQUEST_EVENTS
 from zinniaspool.telemetry.lines import LineClass, LineWriter
 
-__all__ = ["configure_logs"]
+__all__ = ["configure_logs", "render_line"]
 
 _log = structlog.get_logger(__name__)
 _LINE_CLASS_KEY = "_class"
@@ -71,7 +71,7 @@
     debug = info = warning = error = critical = exception = msg
 
 
-_logfmt = structlog.processors.LogfmtRenderer(
+render_line = structlog.processors.LogfmtRenderer(
     key_order=["timestamp", "level", "event"], bool_as_flag=False
 )
 
@@ -89,7 +89,7 @@
     logger: Any, method: str, event: MutableMapping[str, Any]
 ) -> tuple[tuple[str], dict[str, LineClass]]:
     line_class = event.pop(_LINE_CLASS_KEY)
-    return (str(_logfmt(logger, method, event)),), {"line_class": line_class}
+    return (str(render_line(logger, method, event)),), {"line_class": line_class}
 
 
 class _LibraryHandler(logging.Handler):
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -10,14 +10,22 @@
 
 from tests.installation import eventually, run
 from tests.test_outlasting_streams import SLOW, begin_stream
-from zinniaspool.core.ids import NodeId
+from zinniaspool.core.ids import NodeId, RequestId
 from zinniaspool.core.messages.fleet import CutAnswer
 from zinniaspool.gateway.calls import GatewayCall
-from zinniaspool.gateway.cuts import MAX_REPORTS_PER_S, CutAnswerReporter
+from zinniaspool.gateway.cuts import (
+    MAX_REPORTS_PER_S,
+    CutAnswerReporter,
+    list_keys,
+)
 from zinniaspool.gateway.lateness import LoopLateness
+from zinniaspool.telemetry.logs import render_line
 
 HELD_S = 0.3
 
+COLLECTED_CHARS = 200
+"""Characters of a line that a collected log keeps."""
+
 
 @pytest.mark.processes
 def test_another_vm_logs_an_answer_that_a_stopping_one_cut() -> None:
@@ -72,6 +80,8 @@
             stopped_by="stop",
             received_at=0.0,
             last_event_id=None,
+            accepted=None,
+            longest_s=None,
             describe_attempts=lambda: "",
         )
         for _ in range(3 * MAX_REPORTS_PER_S):
@@ -79,3 +89,26 @@
         assert MAX_REPORTS_PER_S <= len(sent) <= 2 * MAX_REPORTS_PER_S
 
     asyncio.run(check())
+
+
+def test_what_decides_stands_first_in_the_line_of_a_cut_answer() -> None:
+    """Guards against collected lines that end before the attempts."""
+    attempts = "1@i-a3047946:26-1370:e0-41:stalled/behind,"
+    attempts += "2@i-753a50c6:1370-2551:e41-74:timed-out/"
+    report = CutAnswer(
+        NodeId("front-banqiao-hall-1"),
+        RequestId("15a328aed395e971"),
+        "r-nmnx4kd",
+        "stop",
+        2553,
+        5201,
+        74,
+        0,
+        attempts,
+        2549,
+        1280,
+    )
+    keys = {"timestamp": "2026-12-06T04:54:14.666465Z", "level": "warning"}
+    for event in ("answer-cut", "peer-cut-answer"):
+        line = render_line(None, "", keys | {"event": event} | list_keys(report))
+        assert attempts in str(line)[:COLLECTED_CHARS], line
