Gateway: a stop passes a stream on once it knows its pace

That shows after a few events; but the first event went to the caller at once, and from then on no whole error was possible.

While a stop leaves less than twice the longest time of a stream that may run again, its first events are kept back until they show the pace there, four events as a rule. One that can't end at that pace, as long as it may be, is sent elsewhere from the start if it can end there, and gets a whole 504 otherwise. An attempt that comes too late no longer ends a better one beside it.

On the new test printed "status 200, 20 of 70 events" (all heads slow from the moment of acceptance); now a whole 504 within two seconds, and the whole answer where only the first head is slow. In test_stop_attempts a stream lost after three events now has a whole error in place of a cut; its check of cut ones moves to eight events.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -21,6 +21,7 @@
 from zinniaspool.core.dispatch.contents import identify_content
 from zinniaspool.core.dispatch.demand import PeerDigests, identify_model
 from zinniaspool.core.dispatch.durations import (
+    SLOWDOWN_PART,
     AnswerTiming,
     DurationForecast,
     StreamTiming,
@@ -76,6 +77,7 @@
 )
 
 __all__ = [
+    "SLOWDOWN_PART",
     "NOT_RUN_FAILURES",
     "AdmissionController",
     "AdmissionLimits",
--- a/src/zinniaspool/core/dispatch/attempts.py
+++ b/src/zinniaspool/core/dispatch/attempts.py
@@ -207,7 +207,7 @@
         if failure is AttemptFailure.FAILED:
             self.stop = RetryStop.FAILED
             return Fault(ErrorKind.UPSTREAM_FAILED)
-        if failure is AttemptFailure.TOO_LATE or now >= self._terms.deadline:
+        if now >= self._terms.deadline:
             self.stop = RetryStop.DEADLINE
             return self._make_deadline_fault()
         if failure is AttemptFailure.NOT_SENT:
@@ -216,6 +216,13 @@
             self._unsent += 1
         exhausted = self.number >= self._terms.max_attempts
         exhausted = exhausted and not (can_repeat and self.may_repeat)
+        if failure is AttemptFailure.TOO_LATE:
+            may_begin = self._terms.idempotent and can_end and not exhausted
+            may_begin = may_begin and progress is Progress.NOTHING
+            if may_begin and self._budget.withdraw(RetryPurpose.AFTER_FAILURE):
+                return None
+            self.stop = RetryStop.DEADLINE
+            return self._make_deadline_fault()
         if progress is Progress.PARTIAL or exhausted or self._unsent >= MAX_ATTEMPTS:
             is_partial = progress is Progress.PARTIAL
             self.stop = RetryStop.PARTIAL if is_partial else RetryStop.ATTEMPTS
--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -16,7 +16,13 @@
 from dataclasses import dataclass
 from statistics import median
 
-__all__ = ["AnswerTiming", "DurationForecast", "StreamTiming", "UsualStream"]
+__all__ = [
+    "SLOWDOWN_PART",
+    "AnswerTiming",
+    "DurationForecast",
+    "StreamTiming",
+    "UsualStream",
+]
 
 RECENT_ANSWERS = 256
 """Answers of one kind that are kept."""
@@ -167,8 +173,8 @@
     ) -> float | None:
         """Return the longest time from a stream's first event on, in seconds.
 
-        Pauses and slower upstreams don't count. The stream may be as long as it
-        states: how long others were doesn't limit it.
+        Pauses and slower upstreams don't count. The stream may be as long as
+        it states: how long others were doesn't limit it.
 
         Args:
             allowed_tokens: Tokens that the answer can have.
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -441,6 +441,8 @@
         leader = self.leader
         if leader is None or not leader.has_event:
             return None
+        if self.progress is Progress.NOTHING:
+            return None
         is_from_start = leader.number == 1 and self.terms.resume_after is None
         return StreamTiming(
             leader.cursor.passes.count,
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -380,10 +380,11 @@
 
 def _describe_attempt(attempt: GatewayAttempt) -> RunningAttempt:
     call = attempt.call
+    has_begun = attempt.has_event and call.progress is not Progress.NOTHING
     return RunningAttempt(
         call.terms.prompt_tokens,
         attempt.sent_at,
         call.received_at + call.route.objective_s,
         inf if call.route.max_pause_s is None else call.route.max_pause_s,
-        call.last_event_at if attempt.has_event else None,
+        call.last_event_at if has_begun else None,
     )
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -320,6 +320,8 @@
             attempt.held += events.ok_value
             if call.holds_back(attempt, now):
                 continue
+            if self._stop_guard.awaits_pace(attempt, pool, now):
+                continue
             if failure := await self._pass_on(attempt, response, now):
                 return failure
         return await self._end_stream(attempt, response)
@@ -333,19 +335,34 @@
             How it failed; None if they were passed on.
         """
         call = attempt.call
+        pool = self._index.find_pool(call.service, call.terms.model)
+        has_nothing = call.progress is Progress.NOTHING
+        if has_nothing and self._stop_guard.begins_too_late(attempt, pool):
+            response.abort()
+            return AttemptFailure.TOO_LATE
         call.lead(attempt, now)
+        await self._write_events(attempt, response, now)
+        return None
+
+    async def _write_events(
+        self, attempt: GatewayAttempt, response: ClientResponse, now: float
+    ) -> None:
+        """Write the events that an attempt has; begin the answer with them.
+
+        Args:
+            attempt: The attempt that goes on.
+            response: Its answer.
+            now: Seconds.
+        """
+        call = attempt.call
         if call.progress is Progress.NOTHING:
-            if self._stop_guard.begins_too_late(call, attempt.cursor.last_id):
-                response.abort()
-                return AttemptFailure.TOO_LATE
             await self._start_stream(attempt, response)
         else:
             pause_s = now - call.last_event_at
             call.longest_pause_s = max(call.longest_pause_s, pause_s)
-        await self._write_events(attempt)
-        return None
+        await self._write_held(attempt)
 
-    async def _write_events(self, attempt: GatewayAttempt) -> None:
+    async def _write_held(self, attempt: GatewayAttempt) -> None:
         """Write an attempt's events to the caller, which may read slowly.
 
         The target's next events lie unread until the write has ended. The
@@ -434,14 +451,14 @@
         if attempt.cursor.finish().strip():
             # The stream ended in the middle of an event.
             return AttemptFailure.LOST
-        if call.progress is Progress.NOTHING:
+        if call.progress is Progress.NOTHING and not attempt.held:
             return AttemptFailure.LOST
         if attempt.superseded:
             return _find_interruption(attempt)
         now = asyncio.get_running_loop().time()
         call.lead(attempt, now)
         if attempt.held:
-            await self._write_events(attempt)
+            await self._write_events(attempt, response, now)
         with CALLER_SIDE:
             await call.exchange.finish()
         return None
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -13,6 +13,7 @@
 import structlog
 
 from zinniaspool.core.dispatch import (
+    SLOWDOWN_PART,
     AnswerTiming,
     DurationForecast,
     Progress,
@@ -22,7 +23,7 @@
 )
 from zinniaspool.core.fleet import Catalog, RequestKind
 from zinniaspool.core.ids import ModelName, ServiceName
-from zinniaspool.gateway.calls import GatewayCall, StopForecast
+from zinniaspool.gateway.calls import GatewayAttempt, GatewayCall, StopForecast
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.telemetry import StopReason, StopTally
 
@@ -40,6 +41,11 @@
 """Longest over configured time of a token: passes also read the prompts of
 other requests."""
 
+PACE_HOLD_FACTOR = 2.0
+"""Multiple of its longest time from which on a stream is passed on before its
+pace is known: there is time to find that its target is slow, and to go on
+elsewhere."""
+
 UNKNOWN_CALL_FACTOR = 2.0
 """Longest time of a request without a stream before any was answered, as a
 multiple of the time within which its route wants the answer."""
@@ -195,21 +201,56 @@
         needed_s = _predict_first_event(call, pool, now) + writing_s
         return now + needed_s <= self._clock.ends_at
 
-    def begins_too_late(self, call: GatewayCall, last_event_id: int | None) -> bool:
-        """Return whether a stream that has its first event can't end in time.
+    def awaits_pace(
+        self, attempt: GatewayAttempt, pool: TargetPool, now: float
+    ) -> bool:
+        """Return whether an attempt's first events are kept back.
+
+        They show whether its target is too slow, while its request can still
+        be sent elsewhere from the start, or get a whole error answer.
+
+        Args:
+            attempt: The attempt; it has an event.
+            pool: The targets of its request.
+            now: Seconds.
+        """
+        call = attempt.call
+        if not _may_be_cut(call) or not call.route.repeatable:
+            return False
+        if call.progress is not Progress.NOTHING:
+            return False
+        if attempt.pace.estimate() is not None:
+            return False
+        writing_s = self._predict_longest_writing(call, pool, now)
+        if writing_s is None:
+            return False
+        return now + PACE_HOLD_FACTOR * writing_s > self._clock.ends_at
+
+    def begins_too_late(self, attempt: GatewayAttempt, pool: TargetPool) -> bool:
+        """Return whether an attempt's stream can't end in time.
 
-        Its caller has nothing of it yet, and can have a whole error answer.
-        Its usual time counts, without a reserve: most such streams would be
-        cut.
+        Its caller has nothing of it yet. If its request may run again and its
+        pace is known, it counts as long as it may be, and as becoming slower
+        as when it was accepted. Otherwise its usual time counts: most such
+        streams would be cut.
 
         Args:
-            call: The request.
-            last_event_id: Id of the last event that has come.
+            attempt: The attempt; it has an event.
+            pool: The targets of its request.
         """
+        call, last_id = attempt.call, attempt.cursor.last_id
         if not _may_be_cut(call):
             return False
         now = asyncio.get_running_loop().time()
-        writing_s = self._predict_usual_writing(call, last_event_id, now)
+        pace_s = attempt.pace.estimate()
+        if pace_s is None or not (call.route.repeatable and _has_known_length(call)):
+            writing_s = self._predict_usual_writing(call, last_id, now)
+        else:
+            of_route, _ = self._find_forecasts(call)
+            id_tokens = of_route.measure_id_tokens(now)
+            id_tokens = id_tokens or pool.forecast.timing.tokens_per_pass
+            tokens = _count_left(call, int((last_id or 0) * id_tokens))
+            writing_s = (1 + SLOWDOWN_PART) * tokens / id_tokens * pace_s
         return writing_s is not None and now + writing_s > self._clock.ends_at
 
     def sum_up_streams(self, call: GatewayCall, now: float) -> UsualStream:
@@ -258,8 +299,7 @@
             None if it states no length, or nothing is known of its model.
         """
         of_route, of_service = self._find_forecasts(call)
-        allowed_tokens = call.terms.max_output_tokens
-        if not allowed_tokens:
+        if not call.terms.max_output_tokens:
             return None
         running = self._list_running_streams(call)
         running_token_s = [stream.token_s or 0.0 for stream in running]
@@ -270,10 +310,10 @@
                 default=0.0,
             )
         written = int((call.last_event_id or 0) * of_route.measure_id_tokens(now))
-        if written < allowed_tokens:
-            allowed_tokens -= written
         return of_route.predict_longest_writing(
-            allowed_tokens, other_token_s or call.route.max_pause_s or 0.0, now
+            _count_left(call, written),
+            other_token_s or call.route.max_pause_s or 0.0,
+            now,
         )
 
     def _predict_usual_writing(
@@ -324,6 +364,18 @@
     return call.terms.model is not None and call.terms.max_output_tokens > 0
 
 
+def _count_left(call: GatewayCall, written: int) -> int:
+    """Return how many tokens a request's stream may still have.
+
+    Args:
+        call: The request.
+        written: Tokens that it has already. If they are more than it states,
+            it states what is left.
+    """
+    allowed = call.terms.max_output_tokens
+    return allowed - written if written < allowed else allowed
+
+
 def _predict_first_event(call: GatewayCall, pool: TargetPool, now: float) -> float:
     """Return the time to a request's first event at the best target."""
     prompt = call.terms.prompt_tokens
