Gateway: a stream is moved where others show that it ends sooner

A stream that waited for its first event was called behind after a third of a second, although all heads were as busy; the other head was taken to be as fast as usual, whatever streams in progress showed of it; and one that was longer than usual already was taken to be at its last event wherever it went.

Now a stream counts as behind from its first event on (before it, overdue first events and silences are looked for, as ever). Streams in progress show how slow their targets are, and stand for targets without any. One that is longer than usual may be as long as it states.

--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Iterable
 from dataclasses import dataclass
+from statistics import median
 
 import structlog
 
@@ -51,6 +52,7 @@
         usual: Recent streams of its kind.
         id_tokens: Tokens that an id of its events has.
         stream: What is left of it, if it is as long as it may be.
+        shown: What streams in progress show of each target.
     """
 
     attempt: GatewayAttempt
@@ -58,37 +60,71 @@
     usual: UsualStream
     id_tokens: float
     stream: RunningStream
-
-    @property
-    def limit(self) -> float:
-        """Time at which it should have ended, in seconds."""
-        return self.attempt.call.stream_deadline - END_RESERVE_S
+    shown: "_ShownPaces"
 
     @property
     def usual_ids_left(self) -> float:
-        """By how much its ids still rise if it is as long as usual."""
+        """By how much its ids still rise if it is as long as usual.
+
+        One that is longer already may be as long as it may be.
+        """
         ratio = self.usual.usual_part / self.usual.longest_part
         last_id = self.attempt.cursor.last_id or 0
-        return max(1.0, (self.stream.ids_left + last_id) * ratio - last_id)
+        usual_left = (self.stream.ids_left + last_id) * ratio - last_id
+        return usual_left if usual_left >= 1.0 else self.stream.ids_left
 
     def predict_end_elsewhere(
         self, state: TargetState, ids_left: float, now: float
     ) -> float:
         """Return when it would end at another target, in seconds.
 
-        At one that it left, it is expected to be as slow again.
+        At one that it left, it is expected to be as slow again, and elsewhere
+        as slow as streams in progress are there.
         """
         call = self.attempt.call
         written = int((call.last_event_id or 0) * self.id_tokens)
         prompt = call.terms.prompt_tokens + written
         first_s = self.pool.predict_first_event(state, prompt, now)
-        id_s = self.usual.token_s * self.id_tokens * state.pace
+        token_s = max(self.usual.token_s * state.pace, self.shown.find(state))
+        id_s = token_s * self.id_tokens
         for former in call.history:
             if former.state is state:
                 id_s = max(id_s, former.pace.estimate() or 0.0)
         return now + first_s + (ids_left - 1) * id_s
 
 
+class _ShownPaces:
+    """The times of a token that streams in progress of one model show.
+
+    Args:
+        streams: The attempts of the streams, and the tokens that an id of
+            their events has.
+        but: The attempt of the stream that is looked at, which doesn't count.
+    """
+
+    def __init__(
+        self, streams: Iterable[tuple[GatewayAttempt, float]], but: GatewayAttempt
+    ) -> None:
+        self._by_target: dict[TargetState, list[float]] = {}
+        for attempt, id_tokens in streams:
+            id_s = attempt.pace.estimate()
+            if id_s is not None and attempt.state is not but.state:
+                times = self._by_target.setdefault(attempt.state, [])
+                times.append(id_s / id_tokens)
+
+    def find(self, state: TargetState) -> float:
+        """Return the time of a token that is shown of a target, in seconds.
+
+        Returns:
+            That of all others, if no stream is in progress there; 0 without
+            any.
+        """
+        times = self._by_target.get(state)
+        if times is None:
+            times = [one for other in self._by_target.values() for one in other]
+        return median(times or [0.0])
+
+
 class StreamEndWatcher:
     """Reroutes streams that won't end in time where they are.
 
@@ -120,14 +156,24 @@
             if attempt is None or not _may_be_rerouted(attempt):
                 continue
             pool = self._index.find_pool(call.service, call.terms.model)
-            watched = _describe(attempt, pool, usual[_find_kind(call)])
-            if watched is not None:
-                self._check_stream(watched, now)
+            stream = _describe(attempt, pool, usual[_find_kind(call)])
+            if stream is None or predict_end(stream, now) <= _find_limit(call):
+                continue
+            self._check_stream(
+                _Watched(
+                    attempt,
+                    pool,
+                    usual[_find_kind(call)],
+                    _find_id_tokens(pool, usual[_find_kind(call)]),
+                    stream,
+                    _ShownPaces(self._list_streams(call, pool, now), attempt),
+                ),
+                now,
+            )
 
     def _check_stream(self, watched: _Watched, now: float) -> None:
+        """Reroute a stream that won't end in time, if it will elsewhere."""
         ends_at = predict_end(watched.stream, now)
-        if ends_at <= watched.limit:
-            return
         attempt = watched.attempt
         if not attempt.is_behind:
             attempt.is_behind = True
@@ -136,6 +182,26 @@
         if other is not None and self._rerouter.reroute_behind(attempt, other, now):
             _log_move(watched, other, ends_at, now)
 
+    def _list_streams(
+        self, call: GatewayCall, pool: TargetPool, now: float
+    ) -> list[tuple[GatewayAttempt, float]]:
+        """Return the streams in progress of a request's model.
+
+        Returns:
+            Their attempts, and the tokens that an id of their events has.
+        """
+        calls = [
+            other
+            for other in self._stop_guard.running
+            if other.service == call.service and other.terms.model == call.terms.model
+        ]
+        usual = self._sum_up(calls, now)
+        return [
+            (other.leader, _find_id_tokens(pool, usual[_find_kind(other)]))
+            for other in calls
+            if other.leader is not None
+        ]
+
     def _sum_up(
         self, calls: Iterable[GatewayCall], now: float
     ) -> dict[tuple[str, ServiceName, ModelName | None], UsualStream]:
@@ -171,16 +237,29 @@
     return call.route.name, call.service, call.terms.model
 
 
+def _find_limit(call: GatewayCall) -> float:
+    """Return when a stream should have ended, in seconds."""
+    return call.stream_deadline - END_RESERVE_S
+
+
+def _find_id_tokens(pool: TargetPool, usual: UsualStream) -> float:
+    """Return the tokens that an id of a stream's events has."""
+    return usual.id_tokens or pool.forecast.timing.tokens_per_pass
+
+
 def _describe(
     attempt: GatewayAttempt, pool: TargetPool, usual: UsualStream
-) -> _Watched | None:
+) -> RunningStream | None:
     """Return what is left of an attempt's stream, and its pace.
 
     Returns:
-        None if nothing is known of its length or its pace.
+        None if nothing is known of its length or its pace. Before its first
+        event it waits for its target's other work, as it would elsewhere.
     """
+    if not attempt.has_event:
+        return None
     terms = attempt.call.terms
-    id_tokens = usual.id_tokens or pool.forecast.timing.tokens_per_pass
+    id_tokens = _find_id_tokens(pool, usual)
     tokens: float = usual.longest_length or 0
     if terms.max_output_tokens:
         tokens = terms.max_output_tokens * usual.longest_part
@@ -193,9 +272,7 @@
     if not id_s:
         return None
     ids_left = max(1.0, tokens / id_tokens - (attempt.cursor.last_id or 0))
-    next_s = id_s if attempt.has_event else attempt.predicted_first_event_s
-    stream = RunningStream(ids_left, id_s, attempt.read_at, next_s)
-    return _Watched(attempt, pool, usual, id_tokens, stream)
+    return RunningStream(ids_left, id_s, attempt.read_at, id_s)
 
 
 def _find_sooner(watched: _Watched, ends_at: float, now: float) -> TargetState | None:
