HTTP: a server accepts and reads what waits before it closes

In load runs whose callers stay at a stopping VM until it is gone, five requests of one VM got a reset 0.3 s after they were sent, without a line in its log: they waited to be accepted, or to be read, when the process closed its sockets, since its event loop was late. The kernel resets such connections.

The new test failed with ConnectionResetError: three requests that were sent while the process did something else, and a drain at once.

--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -22,6 +22,10 @@
 _BACKLOG = 1024
 """Connections that may wait to be accepted: enough for a burst of callers."""
 
+_ACCEPT_TURNS = 6
+"""Turns of the event loop in which a connection that waits is accepted and its
+request is read."""
+
 
 class HttpServer:
     """Listens, and runs a handler for each request.
@@ -113,6 +117,10 @@
             than ``timeout_s``.
         """
         self.draining = True
+        # The kernel resets what waits to be accepted or read when its socket
+        # is closed, and a late process has more of that.
+        for _ in range(_ACCEPT_TURNS):
+            await asyncio.sleep(0)
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
--- a/tests/test_http_stops.py
+++ b/tests/test_http_stops.py
@@ -1,6 +1,7 @@
 """The HTTP server answers what it has read before it closes."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -107,3 +108,21 @@
         assert await draining == 0
 
     _run(trial)
+
+
+def test_a_request_that_waits_to_be_accepted_is_answered() -> None:
+    """Guards against a reset for a request that a late process hasn't read."""
+
+    async def test() -> None:
+        served = _Served()
+        served.held.set()
+        address = await served.server.listen(Address("127.0.0.1:0"))
+        waiting = [socket.create_connection(split_address(address)) for _ in range(3)]
+        for one in waiting:
+            one.sendall(_GET)
+        assert await served.server.drain(_TIMEOUT_S) == 0
+        for one in waiting:
+            with one:
+                assert b"whole" in one.recv(4096)
+
+    run_in_loop(test)
