--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -77,8 +77,8 @@
 )
 
 __all__ = [
-    "SLOWDOWN_PART",
     "NOT_RUN_FAILURES",
+    "SLOWDOWN_PART",
     "AdmissionController",
     "AdmissionLimits",
     "AdmissionRequest",
