Gateway: without an event a stream may be behind from half of its time on

Outside of stops a stream that has waited for its first event for half of its time went on elsewhere, also where no target has a free slot. Since streams count as behind from their first event on this was gone.

--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -34,9 +34,8 @@
 """Pause between two checks, in seconds: about two events of a stream."""
 
 WATCHED_PART = 0.5
-"""Part of a stream's time after which it is watched, unless the process stops.
-Few streams take so long."""
-
+"""Part of a stream's time after which it is watched. Few streams take so long.
+In a process that stops it is watched from its first event on."""
 END_RESERVE_S = 0.15
 """Time before a stream's limit at which it should end, in seconds. A stream
 that is to end just in time is cut by the next pause."""
@@ -216,7 +215,10 @@
 def _is_watched(call: GatewayCall, now: float) -> bool:
     if call.route.kind is not RequestKind.STREAM or call.terms.model is None:
         return False
-    if call.deadline_after_stop:
+    # Before its first event it waits for its target's other work, as it would
+    # elsewhere, unless that takes very long.
+    has_event = call.leader is not None and call.leader.has_event
+    if call.deadline_after_stop and has_event:
         return True
     allowed_s = call.stream_deadline - call.received_at
     return now - call.received_at > WATCHED_PART * allowed_s
@@ -253,11 +255,8 @@
     """Return what is left of an attempt's stream, and its pace.
 
     Returns:
-        None if nothing is known of its length or its pace. Before its first
-        event it waits for its target's other work, as it would elsewhere.
+        None if nothing is known of its length or its pace.
     """
-    if not attempt.has_event:
-        return None
     terms = attempt.call.terms
     id_tokens = _find_id_tokens(pool, usual)
     tokens: float = usual.longest_length or 0
@@ -272,7 +271,8 @@
     if not id_s:
         return None
     ids_left = max(1.0, tokens / id_tokens - (attempt.cursor.last_id or 0))
-    return RunningStream(ids_left, id_s, attempt.read_at, id_s)
+    next_s = id_s if attempt.has_event else attempt.predicted_first_event_s
+    return RunningStream(ids_left, id_s, attempt.read_at, next_s)
 
 
 def _find_sooner(watched: _Watched, ends_at: float, now: float) -> TargetState | None:
