Gateway: streams in progress are summed up once a check

Each stream that was behind had all streams of its model summed up again, 20 times a second: under overload, when many are behind, that is most of the loop's time (by reading; not measured). Now once for each model and check.

--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -324,17 +324,17 @@
         request: The request.
         route: Its route.
         by: What ended it.
-        attempts: What became of its attempts, as in the log.
-        left_ms: Time that a stopping process had left when it accepted it, in
-            milliseconds; -1 if its own limit was earlier.
-        longest_ms: Longest time that was predicted for it then, in
-            milliseconds; -1 if none was.
         after_ms: Time from its arrival to the cut, in milliseconds.
         after_stop_ms: Time from the stop signal to its arrival, in
             milliseconds; -1 without one.
         last_event: Id of the last event that went to its caller; 0 if none.
         loop_late_ms: By how much the process was late meanwhile at most, in
             milliseconds.
+        attempts: What became of its attempts, as in the log.
+        left_ms: Time that a stopping process had left when it accepted it, in
+            milliseconds; -1 if its own limit was earlier.
+        longest_ms: Longest time that was predicted for it then, in
+            milliseconds; -1 if none was.
     """
 
     node: NodeId
--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -36,6 +36,7 @@
 WATCHED_PART = 0.5
 """Part of a stream's time after which it is watched. Few streams take so long.
 In a process that stops it is watched from its first event on."""
+
 END_RESERVE_S = 0.15
 """Time before a stream's limit at which it should end, in seconds. A stream
 that is to end just in time is cut by the next pause."""
@@ -149,26 +150,23 @@
 
     def _check(self, now: float) -> None:
         calls = [call for call in self._stop_guard.running if _is_watched(call, now)]
-        usual = self._sum_up(calls, now)
+        usual_by_kind = self._sum_up(calls, now)
+        streams: dict[TargetPool, list[tuple[GatewayAttempt, float]]] = {}
         for call in calls:
             attempt = call.leader
             if attempt is None or not _may_be_rerouted(attempt):
                 continue
             pool = self._index.find_pool(call.service, call.terms.model)
-            stream = _describe(attempt, pool, usual[_find_kind(call)])
+            usual = usual_by_kind[_find_kind(call)]
+            stream = _describe(attempt, pool, usual)
             if stream is None or predict_end(stream, now) <= _find_limit(call):
                 continue
-            self._check_stream(
-                _Watched(
-                    attempt,
-                    pool,
-                    usual[_find_kind(call)],
-                    _find_id_tokens(pool, usual[_find_kind(call)]),
-                    stream,
-                    _ShownPaces(self._list_streams(call, pool, now), attempt),
-                ),
-                now,
-            )
+            if pool not in streams:
+                streams[pool] = self._list_streams(call, pool, now)
+            shown = _ShownPaces(streams[pool], attempt)
+            id_tokens = _find_id_tokens(pool, usual)
+            watched = _Watched(attempt, pool, usual, id_tokens, stream, shown)
+            self._check_stream(watched, now)
 
     def _check_stream(self, watched: _Watched, now: float) -> None:
         """Reroute a stream that won't end in time, if it will elsewhere."""
