Gateway: a request has one forecast of its stop, and cut lines begin with it

Two fields of a request held what a stop had predicted for it, one of them only if it was accepted; and a collected line of answer-cut ended before the prediction, behind the attempts. Now one forecast is kept; answer-cut and peer-cut-answer begin with fit_ms=longest/left and both attempts, described more briefly, within 200 characters. The test renders the record's longest names and asks for both; it failed with the keys as they were.

Load runs count processes that are killed at the end of their time, how streams ended that were moved as behind, and whether their events came faster.

No decision changes.

--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -331,10 +331,9 @@
         loop_late_ms: By how much the process was late meanwhile at most, in
             milliseconds.
         attempts: What became of its attempts, as in the log.
-        left_ms: Time that a stopping process had left when it accepted it, in
-            milliseconds; -1 if its own limit was earlier.
-        longest_ms: Longest time that was predicted for it then, in
-            milliseconds; -1 if none was.
+        longest_ms: Longest time that a stopping process predicted for it when
+            it accepted it, in milliseconds; -1 if its own limit was earlier.
+        left_ms: Time that the process had left then; -1 likewise.
     """
 
     node: NodeId
@@ -346,8 +345,8 @@
     last_event: int
     loop_late_ms: int
     attempts: str
-    left_ms: int = -1
     longest_ms: int = -1
+    left_ms: int = -1
 
 
 class TunnelRequest(msgspec.Struct, frozen=True, tag="tunnel-request"):
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -141,16 +141,18 @@
 
         Its number and instance, the times when it was sent and ended, in
         milliseconds since its request arrived, the events before it and up to
-        its end, how it ended, and why another one was begun beside it.
+        its end, and how it ended. For one that ended since another one was
+        begun in its place, this is the reason for that.
         """
         call = self.call
         sent_ms = int((self.sent_at - call.received_at) * 1000)
         ended_ms = int((self.ended_at - call.received_at) * 1000)
         ended = "answered" if self.failure is None else self.failure.value
-        cause = "" if self.reroute_cause is None else self.reroute_cause.value
+        if self.failure is AttemptFailure.STALLED and self.reroute_cause is not None:
+            ended = self.reroute_cause.value
         return (
             f"{self.number}@{self.state.target.instance}:{sent_ms}-{ended_ms}:"
-            f"e{self.resumed_after}-{self.cursor.last_id or 0}:{ended}/{cause}"
+            f"{self.resumed_after}-{self.cursor.last_id or 0}:{ended}"
         )
 
     def reschedule_timeout(self, at: float) -> None:
@@ -249,10 +251,8 @@
             to send none.
         deadline_after_stop: Whether its own deadline is later than the end of
             this process.
-        longest_s: Longest time that was predicted for it when it was accepted
-            while the process stopped, in seconds; None if nothing was, since
-            its own deadline is earlier.
-        accepted: What it was accepted by then; None likewise.
+        stop_forecast: By what it was accepted or refused while the process
+            stopped; None if its own deadline is earlier.
         error_reserve_s: Time after its deadline that is reserved for an error
             answer, in seconds; a stream that has begun needs none.
         holds_until: Time until which the leader's events are kept back while
@@ -289,12 +289,16 @@
     late: bool = False
     urgency: int | None = None
     deadline_after_stop: bool = False
-    longest_s: float | None = None
-    accepted: StopForecast | None = None
+    stop_forecast: StopForecast | None = None
     error_reserve_s: float = 0.0
     holds_until: float = 0.0
     waits_until: float | None = None
 
+    @property
+    def longest_s(self) -> float | None:
+        """Longest time that was predicted for it in a stop, in seconds."""
+        return None if self.stop_forecast is None else self.stop_forecast.longest_s
+
     @property
     def stream_deadline(self) -> float:
         """Time until which a stream that has begun may go on, in seconds."""
--- a/src/zinniaspool/gateway/cuts.py
+++ b/src/zinniaspool/gateway/cuts.py
@@ -66,8 +66,8 @@
             call.last_event_id or 0,
             self.measure_lateness(call),
             call.describe_attempts(),
-            -1 if call.accepted is None else int(call.accepted.left_s * 1000),
             -1 if call.longest_s is None else int(call.longest_s * 1000),
+            -1 if call.stop_forecast is None else int(call.stop_forecast.left_s * 1000),
         )
         _log.warning(
             "answer-cut",
@@ -94,10 +94,9 @@
     # Collected logs are cut after 200 characters.
     return {
         "request": report.request,
-        "by": report.by,
+        "fit_ms": f"{report.longest_ms}/{report.left_ms}",
         "attempts": report.attempts,
-        "left_ms": report.left_ms,
-        "longest_ms": report.longest_ms,
+        "by": report.by,
         "last_event": report.last_event,
         "loop_late_ms": report.loop_late_ms,
         "after_ms": report.after_ms,
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -163,9 +163,9 @@
             return False
         now = asyncio.get_running_loop().time()
         forecast = self._predict(call, pool, now)
-        longest_s = call.longest_s = forecast.longest_s
+        longest_s = forecast.longest_s
         refuses = longest_s is None or longest_s > forecast.left_s
-        if refuses or call.accepted is None:
+        if refuses or call.stop_forecast is None:
             _log.info(
                 "request-outlasts-stop" if refuses else "request-fits-stop",
                 request=call.terms.id,
@@ -174,7 +174,7 @@
                 route=call.route.name,
                 model=call.terms.model or "",
             )
-        call.accepted = None if refuses else forecast
+        call.stop_forecast = forecast
         return refuses
 
     def can_begin_again(self, call: GatewayCall, pool: TargetPool) -> bool:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -33,13 +33,13 @@
 
 LOG_EVENTS: Mapping[str, str] = MappingProxyType(
     {
-        "answer-cut": "An answer that had begun was cut; the keys tell who ended it; "
-        "of each attempt its number and instance, when it was sent and ended after the "
-        "request's arrival, the events before it and up to its end, how it ended, and "
-        "why another one was begun beside it; the time that a stopping process had "
-        "left when it accepted the request, and the longest that it predicted for it "
-        "(-1: its own limit was earlier); and by how much the process was late "
-        "meanwhile at most.",
+        "answer-cut": "An answer that had begun was cut; the keys tell the longest "
+        "time that a stopping process predicted for it when it accepted it, and the "
+        "time that it had left then (-1: its own limit was earlier); of each attempt "
+        "its number and instance, when it was sent and ended after the request's "
+        "arrival, the events before it and up to its end, and how it ended or why "
+        "another one took its place; who ended it; and by how much the process was "
+        "late meanwhile at most.",
         "answer-foreign": "A dropped answer of an upstream named another request.",
         "answers-not-left": "A leaving process could not write its stored answers to "
         "the store.",
--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -20,6 +20,7 @@
 import itertools
 import math
 import random
+import re
 import shutil
 import signal
 import sys
@@ -45,6 +46,7 @@
 from tests.soak_seeds import begin_overlapping
 from zinniaspool.core.fleet import HOLDER_KEY, HolderRecord
 from zinniaspool.http import Headers
+from zinniaspool.telemetry.traces import LogLine
 from zinniaspool_standins.fleet import end_with_parent
 from zinniaspool_standins.hosts import HostPlan, RunnerHost, make_hosted_runners
 from zinniaspool_standins.installation import Installation, make_rules
@@ -63,6 +65,12 @@
 ALLOWANCE_PERIOD_S = 0.1
 BUSY_PROGRAM = "while True: pass"
 
+MIN_EVENTS = 5
+"""Events from which on an attempt shows a pace."""
+
+ATTEMPT = re.compile(r"@[^:]*:(\d+)-(\d+):(\d+)-(\d+):")
+"""The times and ids in the log's description of an attempt."""
+
 PAUSE_S = (0.3, 1.4)
 PACES = (3.0, 5.0)
 SLOW_S = (2.0, 6.0)
@@ -258,6 +266,7 @@
     ended: list[EndedRequest] = field(default_factory=list)
     losses: list[LostUpstream] = field(default_factory=list)
     works: list[str] = field(default_factory=list)
+    killed: list[str] = field(default_factory=list)
     delays: DelayMeter = field(default_factory=DelayMeter)
     sent: int = 0
     began_at: float = field(default_factory=lambda: _now())
@@ -396,7 +405,7 @@
         killed = await vm.node.restart(
             self.profile.grace_s, self.profile.restart_pause_s
         )
-        self.works += [f"{one.log.stem} was killed" for one in killed]
+        self.killed += [one.log.stem for one in killed]
         caller = Caller(vm.node.front, "")
         for _ in range(200):
             if (
@@ -516,6 +525,27 @@
             f"{second}: {served[second]}/{sent[second]}" for second in sorted(sent)
         )
 
+    def _describe_moves(self, runs: RunLog, lines: Sequence[LogLine]) -> str:
+        """Return how streams ended that were moved as behind.
+
+        Returns:
+            How many ended in which way, and for how many of those whose
+            attempts show it the events came faster after the move.
+        """
+        names = {
+            line.fields["request"] for line in lines if line.event == "stream-moved"
+        }
+        ends = Counter(runs.judge(one).value for one in self.ended if one.name in names)
+        faster = compared = 0
+        for line in lines:
+            if line.event != "request-ended" or line.fields["request"] not in names:
+                continue
+            paces = _list_paces(line.fields["history"])
+            if len(paces) > 1:
+                compared += 1
+                faster += paces[-1] < paces[0]
+        return f"{dict(ends)}, events came faster for {faster} of {compared}"
+
     def describe(self) -> str:
         """Return what was counted, and the log of what was broken."""
         runs = self.make_run_log()
@@ -535,6 +565,8 @@
             f"work: {', '.join(self.works)}",
             f"groups: {[text for host in self.hosts for text in host.broken]}",
             ", ".join(f"{len(found)} {text}" for text, found in broken.items()),
+            f"killed at the end of their time: {', '.join(self.killed) or 'none'}",
+            f"moved as behind: {self._describe_moves(runs, lines)}",
             f"served by second after SIGTERM: {self._count_served(runs)}",
         ]
         for text, requests in broken.items():
@@ -548,6 +580,16 @@
         return "\n  ".join(found)
 
 
+def _list_paces(history: str) -> list[float]:
+    """Return the milliseconds an event of attempts that had some events."""
+    paces = []
+    for found in ATTEMPT.findall(history):
+        sent, ended, first, last = (int(one) for one in found)
+        if last - first >= MIN_EVENTS:
+            paces.append((ended - sent) / (last - first))
+    return paces
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -80,7 +80,7 @@
             stopped_by="stop",
             received_at=0.0,
             last_event_id=None,
-            accepted=None,
+            stop_forecast=None,
             longest_s=None,
             describe_attempts=lambda: "",
         )
@@ -92,9 +92,9 @@
 
 
 def test_what_decides_stands_first_in_the_line_of_a_cut_answer() -> None:
-    """Guards against collected lines that end before the attempts."""
-    attempts = "1@i-a3047946:26-1370:e0-41:stalled/behind,"
-    attempts += "2@i-753a50c6:1370-2551:e41-74:timed-out/"
+    """Guards against collected lines that end before what decides."""
+    attempts = "1@i-a3047946:26-1370:0-41:behind,"
+    attempts += "2@i-753a50c6:1370-2551:41-74:timed-out"
     report = CutAnswer(
         NodeId("front-banqiao-hall-1"),
         RequestId("15a328aed395e971"),
@@ -105,10 +105,11 @@
         74,
         0,
         attempts,
-        2549,
         1280,
+        2549,
     )
     keys = {"timestamp": "2026-12-06T04:54:14.666465Z", "level": "warning"}
     for event in ("answer-cut", "peer-cut-answer"):
         line = render_line(None, "", keys | {"event": event} | list_keys(report))
-        assert attempts in str(line)[:COLLECTED_CHARS], line
+        collected = str(line)[:COLLECTED_CHARS]
+        assert attempts in collected and "fit_ms=1280/2549" in collected, line
--- a/tests/test_outlasting_streams.py
+++ b/tests/test_outlasting_streams.py
@@ -154,7 +154,7 @@
         cut = next(line for line in lines if line["event"] == "answer-cut")
         assert cut["by"] == "stop" and cut["last_event"] == len(answer.events)
         first, *_ = cut["attempts"].split(",")
-        assert first.startswith("1@") and ":e0-" in first
+        assert first.startswith("1@") and ":0-" in first
 
     run(check)
 
