--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -215,9 +215,7 @@
             now: Seconds.
         """
         call = attempt.call
-        if not _may_be_cut(call) or not call.route.repeatable:
-            return False
-        if call.progress is not Progress.NOTHING:
+        if not _is_bound(call) or call.progress is not Progress.NOTHING:
             return False
         if attempt.pace.estimate() is not None:
             return False
@@ -229,10 +227,10 @@
     def begins_too_late(self, attempt: GatewayAttempt, pool: TargetPool) -> bool:
         """Return whether an attempt's stream can't end in time.
 
-        Its caller has nothing of it yet. If its request may run again and its
-        pace is known, it counts as long as it may be, and as becoming slower
-        as when it was accepted. Otherwise its usual time counts: most such
-        streams would be cut.
+        Its caller has nothing of it yet. If its request was accepted by its
+        longest time and may run again, and its pace is known, it counts as
+        long as it may be, and as becoming slower as then. Otherwise its usual
+        time counts: most such streams would be cut.
 
         Args:
             attempt: The attempt; it has an event.
@@ -243,7 +241,7 @@
             return False
         now = asyncio.get_running_loop().time()
         pace_s = attempt.pace.estimate()
-        if pace_s is None or not (call.route.repeatable and _has_known_length(call)):
+        if pace_s is None or not _is_bound(call):
             writing_s = self._predict_usual_writing(call, last_id, now)
         else:
             of_route, _ = self._find_forecasts(call)
@@ -360,6 +358,17 @@
     return call.deadline_after_stop and call.route.kind is RequestKind.STREAM
 
 
+def _is_bound(call: GatewayCall) -> bool:
+    """Return whether a stream's longest time is still to fit before a stop.
+
+    One that came before the stop signal wasn't accepted by that, and one that
+    may run once has no other attempt.
+    """
+    if not _may_be_cut(call) or call.stop_forecast is None:
+        return False
+    return call.route.repeatable and _has_known_length(call)
+
+
 def _has_known_length(call: GatewayCall) -> bool:
     return call.terms.model is not None and call.terms.max_output_tokens > 0
 
