Log: when and how each process learns that an upstream leaves

Cause: an upstream's word that it leaves was logged by the VM that got it in the answer to a request, without its run; a record by another event, a health answer and a status by none. Nothing was logged when a target closed, or when a request went to an upstream that was known to leave, by itself or through the tunnel of this VM for another one.

Change: a view of the fleet records each run that leaves and by what it was learned (instance-leaving); target-closed; request-to-leaving and tunnel-to-leaving, a second or more after it was learned, with counters. A request for a tunnel names the run and the VM that asks. Nothing is decided by it yet.

--- a/src/zinniaspool/core/fleet/__init__.py
+++ b/src/zinniaspool/core/fleet/__init__.py
@@ -28,6 +28,7 @@
     MembershipState,
     has_restarted,
 )
+from zinniaspool.core.fleet.leaving import LeavingRun, LeavingRuns, LeavingSource
 from zinniaspool.core.fleet.loads import NO_LOAD, TargetLoad
 from zinniaspool.core.fleet.mirror import (
     MirrorChange,
@@ -84,6 +85,9 @@
     "InstancePartition",
     "InstanceState",
     "InstanceTable",
+    "LeavingRun",
+    "LeavingRuns",
+    "LeavingSource",
     "Membership",
     "MembershipState",
     "MirrorChange",
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -357,9 +357,16 @@
 
     Attributes:
         address: Where the upstream listens.
+        node: The requesting process's VM; empty from older processes.
+        instance: The upstream's instance if the connection is for requests of
+            callers; None for queries and orders.
+        born: Unix milliseconds of its start; None if it did not report that.
     """
 
     address: Address
+    node: NodeId = NodeId("")
+    instance: InstanceId | None = None
+    born: int | None = None
 
 
 class TunnelOutcome(msgspec.Struct, frozen=True, tag="tunnel-outcome"):
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -23,7 +23,12 @@
     HolderRecord,
     Instance,
     InstanceId,
+    InstanceIncarnation,
+    InstanceState,
     InstanceTable,
+    LeavingRun,
+    LeavingRuns,
+    LeavingSource,
     MirrorChange,
     NodeRecord,
     RetainedStates,
@@ -116,6 +121,7 @@
             notices seconds before their records lapse; without its report
             each process would send requests there until it notices by itself.
         retention: The instances that are kept without a record.
+        leaving: The runs of instances that have said that they leave.
         unreadable: The values in the store that can't be used.
     """
 
@@ -129,6 +135,8 @@
     ) -> None:
         self._codec = codec
         self._decodes_instances = decodes_instances
+        self._clock = clock
+        self.leaving = LeavingRuns()
         self.unreadable = UnreadableValues()
         self.mirror = StoreMirror(self._is_ephemeral)
         self.catalog: Catalog | None = None
@@ -207,6 +215,10 @@
 
     def apply_status(self, instance: InstanceId, status: EngineStatus) -> None:
         """Apply an engine's status report where its record is out of date."""
+        if status.is_leaving:
+            self.record_leaving(
+                InstanceIncarnation(instance, status.born), LeavingSource.STATUS
+            )
         key = self._codec.instances_prefix + instance
         item, known = self.mirror.get(key), self.instances.get(instance)
         if known is None:
@@ -227,6 +239,34 @@
             return
         self.apply_changes(self.mirror.amend(key, updated.ok_value))
 
+    def record_leaving(
+        self, incarnation: InstanceIncarnation, source: LeavingSource
+    ) -> None:
+        """Record that a run of an instance has said that it leaves.
+
+        Args:
+            incarnation: The run.
+            source: How this process learned it.
+        """
+        if self._is_outdated(*incarnation):
+            return
+        if self.leaving.record(LeavingRun(incarnation, source, self._clock())):
+            _log.info(
+                "instance-leaving",
+                instance=incarnation.instance,
+                born=incarnation.started_at_ms or 0,
+                by=source.value,
+            )
+
+    def measure_leaving(self, incarnation: InstanceIncarnation) -> float | None:
+        """Return for how long a run is known to leave, in seconds.
+
+        Returns:
+            None if it isn't known to leave.
+        """
+        run = self.leaving.find(incarnation)
+        return None if run is None else self._clock() - run.learned_at
+
     def update_unreachable(
         self, unreachable: Collection[InstanceId], reported_at: float
     ) -> None:
@@ -462,6 +502,11 @@
             return
         self.unreadable.accept(change.key)
         is_new = self._record_start(instance, record.started_at_ms)
+        if record.state is InstanceState.LEAVING:
+            self.record_leaving(
+                InstanceIncarnation(instance, record.started_at_ms),
+                LeavingSource.RECORD,
+            )
         before = self.instances.get(instance)
         self.retention.forget(instance)
         self.instance_table.put(record)
--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -14,7 +14,13 @@
 
 import structlog
 
-from zinniaspool.core.fleet import NodeRecord, NodeState, PathMonitor, ProbeOutcome
+from zinniaspool.core.fleet import (
+    Instance,
+    NodeRecord,
+    NodeState,
+    PathMonitor,
+    ProbeOutcome,
+)
 from zinniaspool.core.ids import (
     Address,
     FailureDomainId,
@@ -23,6 +29,7 @@
     split_address,
 )
 from zinniaspool.core.messages import PROTOCOL_VERSION, Hello
+from zinniaspool.core.messages.fleet import TunnelRequest
 from zinniaspool.fleet.belief import FleetView
 from zinniaspool.fleet.races import PathRace
 from zinniaspool.fleet.tunnels import MAX_LAG_S, UnreachedError, open_tunnel
@@ -74,6 +81,8 @@
         node: This process's VM.
         domain: Its failure domain.
         fleet_view: Knows the upstreams and the other VMs.
+        carries_requests: Whether its connections are for requests of callers,
+            which upstreams that leave don't get.
 
     Attributes:
         on_idle_obsolete: Called when idle connections must not be used any
@@ -84,7 +93,12 @@
     """
 
     def __init__(
-        self, node: NodeId, domain: FailureDomainId, fleet_view: FleetView
+        self,
+        node: NodeId,
+        domain: FailureDomainId,
+        fleet_view: FleetView,
+        *,
+        carries_requests: bool = False,
     ) -> None:
         self.on_idle_obsolete: list[Callable[[], None]] = []
         self.on_path_change: list[Callable[[], None]] = []
@@ -92,6 +106,7 @@
         self._node = node
         self._domain = domain
         self._fleet_view = fleet_view
+        self._carries_requests = carries_requests
         self._hello = Hello(PROTOCOL_VERSION, node, Incarnation(0), domain, "")
         self._monitor = PathMonitor()
         self._reached_at = float("-inf")
@@ -125,7 +140,9 @@
 
         See ``zinniaspool.http.Connector``.
         """
-        transport, protocol = await self._open(make_protocol, address, timeout_s)
+        transport, protocol = await self._open(
+            make_protocol, address, timeout_s, for_requests=self._carries_requests
+        )
         if transport.is_closing():
             raise ConnectionResetError("closed at once")
         return protocol
@@ -206,11 +223,27 @@
 
     # Opening connections.
 
+    def _make_tunnel_request(
+        self, address: Address, *, for_requests: bool
+    ) -> TunnelRequest:
+        """Return the request for a tunnel; for requests it names the run."""
+        instance = self._find_instance(address) if for_requests else None
+        if instance is None:
+            return TunnelRequest(address, self._node)
+        return TunnelRequest(address, self._node, instance.id, instance.started_at_ms)
+
+    def _find_instance(self, address: Address) -> Instance | None:
+        """Return the instance that listens at an address, or None."""
+        instances = self._fleet_view.instances.values()
+        return next((one for one in instances if one.address == address), None)
+
     async def _open(
         self,
         make_protocol: Callable[[], ProtocolT],
         address: Address,
         timeout_s: float,
+        *,
+        for_requests: bool = False,
     ) -> tuple[asyncio.Transport, ProtocolT]:
         loop = asyncio.get_running_loop()
         began_at = loop.time()
@@ -220,7 +253,8 @@
         ) -> Coroutine[Any, Any, tuple[asyncio.Transport, ProtocolT]]:
             if relay is None:
                 return self._open_directly(make_protocol, address)
-            return self._open_tunnel(make_protocol, address, relay)
+            request = self._make_tunnel_request(address, for_requests=for_requests)
+            return self._open_tunnel(make_protocol, request, relay)
 
         race = PathRace(begin, self._list_paths(address))
         try:
@@ -264,17 +298,17 @@
     async def _open_tunnel(
         self,
         make_protocol: Callable[[], ProtocolT],
-        address: Address,
+        request: TunnelRequest,
         relay: NodeRecord,
     ) -> tuple[asyncio.Transport, ProtocolT]:
         try:
             opened = await open_tunnel(
-                make_protocol, relay.peer_address, self._hello, address
+                make_protocol, relay.peer_address, self._hello, request
             )
         except UnreachedError as error:
             self.counts["tunnel", error.outcome.value] += 1
             if error.is_conclusive:
-                self._record_unreached(address)
+                self._record_unreached(request.address)
             raise
         except OSError:
             self.counts["tunnel", "failed"] += 1
--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from zinniaspool.core.fleet import ProbeOutcome
+from zinniaspool.core.fleet import InstanceIncarnation, ProbeOutcome
 from zinniaspool.core.ids import Address, split_address
 from zinniaspool.core.messages import Accepted, Hello
 from zinniaspool.core.messages.fleet import (
@@ -25,7 +25,13 @@
 from zinniaspool.http import has_other_side_ended
 from zinniaspool.peers import FrameDecoder, FrameError, encode_frame, write_frame
 
-__all__ = ["MAX_LAG_S", "TunnelServer", "UnreachedError", "open_tunnel"]
+__all__ = [
+    "LEAVING_SPREAD_S",
+    "MAX_LAG_S",
+    "TunnelServer",
+    "UnreachedError",
+    "open_tunnel",
+]
 
 _log = structlog.get_logger(__name__)
 
@@ -37,6 +43,10 @@
 """How late a connection's timeout may fire before its failure shows nothing,
 in seconds. If it fires later, this process was delayed itself."""
 
+LEAVING_SPREAD_S = 1.0
+"""Time within which all processes learn that an upstream leaves, in
+seconds."""
+
 READ_BYTES = 64 * 1024
 """Largest part of an upstream's bytes that is passed on at once."""
 
@@ -61,7 +71,7 @@
     make_protocol: Callable[[], ProtocolT],
     relay: Address,
     hello: Hello,
-    upstream: Address,
+    request: TunnelRequest,
 ) -> tuple[asyncio.Transport, ProtocolT]:
     """Connect to an upstream through another VM.
 
@@ -69,7 +79,7 @@
         make_protocol: Returns the protocol of the connection.
         relay: Where the entry process of the other VM listens for peers.
         hello: First message of the connection to it.
-        upstream: Address of the upstream.
+        request: Names the upstream.
 
     Raises:
         UnreachedError: The other VM could not connect to it.
@@ -81,7 +91,7 @@
         lambda: _Tunnel(make_protocol), host, port
     )
     try:
-        transport.write(encode_frame(hello) + encode_frame(TunnelRequest(upstream)))
+        transport.write(encode_frame(hello) + encode_frame(request))
         outcome = await tunnel.opened
     except BaseException:
         transport.abort()
@@ -179,9 +189,13 @@
             it did not reach.
         is_leaving: Returns whether this process is about to end, and opens no
             more tunnels.
+        measure_leaving: Returns for how long a run of an upstream is known to
+            leave, in seconds; None if it isn't.
 
     Attributes:
         open_count: Tunnels that are open now.
+        leaving_count: Requests that tunnels carried to upstreams that were
+            known to leave for longer than that may take to spread.
         idle: Set while no tunnel is open.
     """
 
@@ -191,14 +205,19 @@
         connect_s: float,
         confirm_path: Callable[[float, Address], Awaitable[bool]],
         is_leaving: Callable[[], bool] = lambda: False,
+        measure_leaving: Callable[[InstanceIncarnation], float | None] = (
+            lambda _: None
+        ),
     ) -> None:
         self.open_count = 0
+        self.leaving_count = 0
         self.idle = asyncio.Event()
         self.idle.set()
         self._is_upstream = is_upstream
         self._connect_s = connect_s
         self._confirm_path = confirm_path
         self._is_leaving = is_leaving
+        self._measure_leaving = measure_leaving
 
     async def serve(
         self,
@@ -218,7 +237,7 @@
         self.open_count += 1
         self.idle.clear()
         try:
-            await self._serve(request.address, reader, writer)
+            await self._serve(request, reader, writer)
         finally:
             self.open_count -= 1
             if not self.open_count:
@@ -231,10 +250,11 @@
 
     async def _serve(
         self,
-        upstream: Address,
+        request: TunnelRequest,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        upstream = request.address
         since = asyncio.get_running_loop().time()
         try:
             far_reader, far_writer = await self._connect(upstream)
@@ -244,10 +264,30 @@
         try:
             reached = TunnelOutcome(ProbeOutcome.REACHED, is_conclusive=True)
             write_frame(writer, reached)
-            await _pass_on(reader, writer, far_reader, far_writer)
+            await _Relay(reader, writer, far_reader, far_writer).run(
+                lambda: self._check_leaving(request)
+            )
         finally:
             far_writer.transport.abort()
 
+    def _check_leaving(self, request: TunnelRequest) -> None:
+        """Log a request that a tunnel carries to an upstream that leaves."""
+        if request.instance is None:
+            return
+        incarnation = InstanceIncarnation(request.instance, request.born)
+        since_s = self._measure_leaving(incarnation)
+        if since_s is None or since_s <= LEAVING_SPREAD_S:
+            return
+        self.leaving_count += 1
+        _log.warning(
+            "tunnel-to-leaving",
+            instance=request.instance,
+            born=request.born or 0,
+            asked_by=request.node,
+            since_ms=int(since_s * 1000),
+            address=request.address,
+        )
+
     async def _connect(
         self, upstream: Address
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -282,41 +322,62 @@
         return True
 
 
-async def _pass_on(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-    far_reader: asyncio.StreamReader,
-    far_writer: asyncio.StreamWriter,
-) -> None:
-    """Pass on bytes both ways until either side closes."""
-    connection = writer.get_extra_info("socket")
-    sending = asyncio.create_task(_pass_requests(reader, far_writer, connection))
-    receiving = asyncio.create_task(_pass_answers(far_reader, writer))
-    try:
-        await asyncio.wait([sending, receiving], return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        for task in (sending, receiving):
-            task.cancel()
-        await asyncio.gather(sending, receiving, return_exceptions=True)
-
-
-async def _pass_requests(
-    reader: asyncio.StreamReader,
-    far_writer: asyncio.StreamWriter,
-    connection: TransportSocket,
-) -> None:
-    while data := await reader.read(READ_BYTES):
-        if has_other_side_ended(connection):
-            # The other VM has given up what it sent.
-            return
-        far_writer.write(data)
-        await far_writer.drain()
+class _Relay:
+    """Passes on the bytes of one tunnel, both ways.
 
+    A connection has one request at a time, so that bytes for the upstream that
+    come after some of it begin the next request.
+
+    Args:
+        reader: Bytes from the other VM.
+        writer: Frames to it.
+        far_reader: Bytes from the upstream.
+        far_writer: Bytes to it.
+    """
 
-async def _pass_answers(
-    far_reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    while data := await far_reader.read(READ_BYTES):
-        write_frame(writer, TunnelData(data))
-        await writer.drain()
-    write_frame(writer, TunnelEnd())
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        far_reader: asyncio.StreamReader,
+        far_writer: asyncio.StreamWriter,
+    ) -> None:
+        self._reader, self._writer = reader, writer
+        self._far_reader, self._far_writer = far_reader, far_writer
+        self._connection: TransportSocket = writer.get_extra_info("socket")
+        self._in_request = False
+
+    async def run(self, check_request: Callable[[], None]) -> None:
+        """Pass on bytes until either side closes.
+
+        Args:
+            check_request: Called at the beginning of each request.
+        """
+        sending = asyncio.create_task(self._pass_requests(check_request))
+        receiving = asyncio.create_task(self._pass_answers())
+        try:
+            await asyncio.wait(
+                [sending, receiving], return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            for task in (sending, receiving):
+                task.cancel()
+            await asyncio.gather(sending, receiving, return_exceptions=True)
+
+    async def _pass_requests(self, check_request: Callable[[], None]) -> None:
+        while data := await self._reader.read(READ_BYTES):
+            if has_other_side_ended(self._connection):
+                # The other VM has given up what it sent.
+                return
+            if not self._in_request:
+                check_request()
+            self._in_request = True
+            self._far_writer.write(data)
+            await self._far_writer.drain()
+
+    async def _pass_answers(self) -> None:
+        while data := await self._far_reader.read(READ_BYTES):
+            self._in_request = False
+            write_frame(self._writer, TunnelData(data))
+            await self._writer.drain()
+        write_frame(self._writer, TunnelEnd())
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -183,13 +183,17 @@
         self._store = store
         holder_heartbeat = HolderHeartbeat()
         self._connector = UpstreamConnector(
-            settings.node, settings.failure_domain, self._fleet_view
+            settings.node,
+            settings.failure_domain,
+            self._fleet_view,
+            carries_requests=True,
         )
         self._tunnel_server = TunnelServer(
             self._is_upstream_address,
             TUNNEL_CONNECT_S,
             self._connector.confirm_path,
             lambda: self._stop_clock.began_at is not None,
+            self._fleet_view.measure_leaving,
         )
         self._peer_exchange = PeerExchange(
             settings.node,
@@ -253,6 +257,7 @@
         )
         self._backpressure = BackpressureTracker(
             settings.node,
+            self._fleet_view,
             self._index,
             self._cold,
             lambda report: self._send(self._subset.other_members, report),
@@ -326,6 +331,7 @@
             self._retry_budgets,
             self._crash_detector,
             self._cold,
+            self._backpressure,
             self._stall_detector.tally,
             self._stop_clock.tally,
             self._connector,
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 from zinniaspool.fleet import FleetStore, FleetView, TunnelServer, UpstreamConnector
 from zinniaspool.fleet.metrics import add_fleet_metrics, add_path_metrics
+from zinniaspool.gateway.backpressure import BackpressureTracker
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.gate import AdmissionQueues
@@ -28,6 +29,7 @@
     retries: RetryBudgets,
     crashes: CrashDetector,
     cold: ColdTracker,
+    backpressure: BackpressureTracker,
     stalls: StallTally,
     stops: StopTally,
     connector: UpstreamConnector,
@@ -241,6 +243,26 @@
         "Upstreams that have asked this VM to pause and whose pause is not over.",
         list_paused,
     )
+
+    def list_leaving() -> Iterator[Sample]:
+        found = Counter(run.source.value for run in fleet_view.leaving)
+        for source, count in found.items():
+            yield Sample({"learned_by": source}, count)
+
+    def list_leaving_requests() -> Iterator[Sample]:
+        yield Sample({"path": "own"}, backpressure.leaving_count)
+        yield Sample({"path": "tunnel"}, tunnel_server.leaving_count)
+
+    page.add_gauge(
+        "zinniaspool_leaving_upstreams",
+        "Upstreams that have said that they leave, by how this process learned it.",
+        list_leaving,
+    )
+    page.add_counter(
+        "zinniaspool_leaving_requests",
+        "Requests to upstreams that were known to leave for longer than a second.",
+        list_leaving_requests,
+    )
     page.add_counter(
         "zinniaspool_connections", "Connections opened to upstreams.", list_opened
     )
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -125,7 +125,7 @@
             state, prompt, attempt.sent_at
         )
         attempt.unanswered_out_of_subset = pool.begin_request(state, prompt)
-        self._backpressure.record_request(state)
+        self._backpressure.record_request(state, call.terms.id)
         self._rerouter.begin_attempt(attempt)
         failed = refused = False
         try:
--- a/src/zinniaspool/gateway/targets.py
+++ b/src/zinniaspool/gateway/targets.py
@@ -296,7 +296,10 @@
                 for part in self._parts.values()
                 for target in part.targets.get(key, ())
             ]
-            removed += self.find_pool(*key).update(wanted, now)
+            pool = self.find_pool(*key)
+            was_draining = {state for state in pool if state.target.draining}
+            removed += pool.update(wanted, now)
+            _log_drained([one for one in pool if one not in was_draining])
             self._update_peer_loads([target.instance for target in wanted], now)
         for state in removed:
             _log.info(
@@ -343,6 +346,19 @@
         return changed
 
 
+def _log_drained(states: Iterable[TargetState]) -> None:
+    """Log those of some targets that get no new requests from now on."""
+    for state in states:
+        if state.target.draining:
+            _log.info(
+                "target-closed",
+                instance=state.target.instance,
+                born=state.target.started_at_ms or 0,
+                group=state.target.group or "",
+                own=state.local_requests,
+            )
+
+
 def _find_targets(
     part: InstancePartition, instances: Iterable[Instance], catalog: Catalog
 ) -> dict[_PoolKey, list[Target]]:
--- a/src/zinniaspool/keeper/retention.py
+++ b/src/zinniaspool/keeper/retention.py
@@ -16,6 +16,8 @@
     HealthAnswer,
     Instance,
     InstanceId,
+    InstanceIncarnation,
+    LeavingSource,
     RetentionEnd,
     RetentionTracker,
 )
@@ -185,6 +187,11 @@
             return
         # Another record may have come and gone since the queries began.
         known = view.instances[instance]
+        if health is not None and health.is_leaving:
+            view.record_leaving(
+                InstanceIncarnation(instance, known.started_at_ms),
+                LeavingSource.HEALTH,
+            )
         now = view.retention.clock()
         was_retained = self._tracker.is_retained(instance)
         end = self._tracker.apply_answers(
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -172,7 +172,15 @@
         "no new requests, and its group goes on.",
         "instance-state": "An instance started to leave or is ready.",
         "lease-lost": "A lease ended before it was renewed.",
-        "leaving-announced": "An upstream's answer says that it is leaving.",
+        "instance-leaving": "An instance has said that it leaves; the keys tell its "
+        "start (0 if unknown) and how this process learned it: by the answer to a "
+        "request, a health answer, a status or its record.",
+        "request-to-leaving": "A request goes to an upstream that is known here to "
+        "leave for longer than that may take to reach all processes.",
+        "target-closed": "A target gets no new requests, since its upstream leaves or "
+        "its group is drained; the keys tell how many of this process it still has.",
+        "tunnel-to-leaving": "A request of another VM is carried to an upstream that "
+        "is known here to leave for longer than that may take to reach all processes.",
         "limit-announced": "An upstream announced how many requests a second it "
         "accepts, or that it has no limit any more.",
         "log-lines-dropped": "The number of log lines dropped since the start, by "
--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -74,7 +74,7 @@
                     await made.ask("n0", "/receipts/one")
             asked = {(line["event"], line.get("instance")) for line in lines}
             assert ("pause-requested", paused.id) in asked
-            assert ("leaving-announced", leaving.id) in asked
+            assert ("instance-leaving", leaving.id) in asked
 
     run(test)
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -21,6 +21,7 @@
 )
 from zinniaspool.core.ids import Address, FailureDomainId, Incarnation, NodeId
 from zinniaspool.core.messages import PROTOCOL_VERSION, Hello
+from zinniaspool.core.messages.fleet import TunnelRequest
 from zinniaspool.fleet import UpstreamConnector
 from zinniaspool.fleet.tunnels import TunnelServer, UnreachedError, open_tunnel
 from zinniaspool.http import (
@@ -55,7 +56,8 @@
         timeout_s: float,
     ) -> ProtocolT:
         async with asyncio.timeout(timeout_s):
-            _, protocol = await open_tunnel(make_protocol, self.relay, HELLO, address)
+            request = TunnelRequest(address)
+            _, protocol = await open_tunnel(make_protocol, self.relay, HELLO, request)
         return protocol
 
 
