Tests: upstreams that leave as announced, and what reaches them, by VM

The stand-in of an upstream left in its record or in its answers, never in both, and never ended. Now it says so in all answers, health and status included, and in its record, goes on with its requests, ends, and comes back under the same id. It notes to which connection it said so and what reached it, and the loop of the tests knows the VM of each connection.

--- a/src/zinniaspool_standins/cuts.py
+++ b/src/zinniaspool_standins/cuts.py
@@ -41,12 +41,14 @@
     Attributes:
         upstreams: Addresses of the upstreams.
         connected: Number of connections that each VM has opened to upstreams.
+        sources: The VMs by the local ports of these connections.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.upstreams: set[Address] = set()
         self.connected: dict[str, int] = {}
+        self.sources: dict[int, str] = {}
         self._cuts: dict[str, CutKind] = {}
         self._transports: dict[str, set[_CuttableTransport]] = {}
 
@@ -91,6 +93,7 @@
         assert isinstance(outer, _CuttableProtocol)
         assert outer.transport is not None
         self.connected[vm] = self.connected.get(vm, 0) + 1
+        self.sources[outer.transport.get_extra_info("sockname")[1]] = vm
         return outer.transport, inner
 
 
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -23,6 +23,7 @@
 from zinniaspool.http import Exchange, Headers, HttpServer, TransportError
 from zinniaspool_standins.coldness import Coldness
 from zinniaspool_standins.headcuts import HeadCut, HeadEnd, make_head
+from zinniaspool_standins.leaving import LeavingLog
 from zinniaspool_standins.noise import Noise, NoiseKind
 from zinniaspool_standins.serving import answer_json
 
@@ -99,6 +100,8 @@
         leaving: It reports that it leaves.
         pause_s: It refuses and asks for a pause of so many seconds; 0: not.
         says_leaving: Its answers say that it leaves; its entry does not.
+        announced: It leaves as announced: all its answers say so, also those
+            to health and status queries, and so does its entry.
         limit_per_s: Requests a second that its answers say it takes; negative
             for no limit.
         crash_on: It ends when it begins to run a request with this in its
@@ -129,6 +132,7 @@
     leaving: bool = False
     pause_s: float = 0.0
     says_leaving: bool = False
+    announced: bool = False
     limit_per_s: float = -1.0
     crash_on: str = ""
     crash_on_parts: tuple[str, ...] = ()
@@ -307,6 +311,8 @@
         paused: When it asked for a pause, in seconds of the loop's clock.
         crashes: How often it ended by itself.
         coldness: Whether it is cold, and what came meanwhile.
+        leaving: What it said of its leaving, and what reached it.
+        runs_before: The same for the runs before under the same id.
     """
 
     id: str
@@ -342,6 +348,8 @@
     streams: int = 0
     crashes: int = 0
     coldness: Coldness = field(default_factory=Coldness)
+    leaving: LeavingLog = field(default_factory=LeavingLog)
+    runs_before: list[LeavingLog] = field(default_factory=list)
     _down: bool = False
     _server: HttpServer | None = None
     _epoch: int = 0
@@ -385,8 +393,32 @@
         await self._listen()
         self._down = False
 
+    async def leave(self, serves_s: float) -> None:
+        """Leave as announced: serve on for a while, end requests, and end.
+
+        Args:
+            serves_s: For how long it serves on, in seconds.
+        """
+        self.faults.announced = True
+        await asyncio.sleep(serves_s)
+        while self.streams:  # noqa: ASYNC110
+            await asyncio.sleep(self.times.pass_s)
+        assert self._server is not None
+        self._down = True
+        self._remove_entry()
+        await self._server.drain(0.5)
+
+    async def come_back(self) -> None:
+        """Start again under the same id and at the same address."""
+        self.faults = RunnerFaults()
+        self.restart()
+        await self._listen()
+        self._down = False
+
     def restart(self) -> None:
         """Start again under the same id, knowing nothing of before."""
+        self.runs_before.append(self.leaving)
+        self.leaving = LeavingLog()
         self.born += 1
         self.model, self.group, self.members = "", None, []
         self.orders.clear()
@@ -420,6 +452,9 @@
             entry = msgspec.json.encode({**described, "cold-left-ms": left_ms})
             value = b64encode(entry).decode()
             self.store.put(f"servers/{self.id}", value)
+            if described["state"] == "draining":
+                now = asyncio.get_running_loop().time()
+                self.leaving.recorded_at = min(self.leaving.recorded_at, now)
 
     def _remove_entry(self) -> None:
         if self._written:
@@ -434,7 +469,7 @@
             "zone": self.zone,
             "version": "v1",
             "slots": 8,
-            "state": "draining" if self.faults.leaving else "ready",
+            "state": "draining" if self._is_leaving() else "ready",
             "cold-left-ms": self.coldness.count_left_ms(),
             "seq-no": len(self.orders),
             "born": self.born,
@@ -446,6 +481,17 @@
                 entry["group"] = self.group
         return entry
 
+    def _is_leaving(self) -> bool:
+        return self.faults.leaving or self.faults.announced
+
+    def _add_notices(self, exchange: Exchange, answer: Headers) -> Headers:
+        """Add to an answer's headers that it leaves, if it does."""
+        if self.faults.says_leaving or self.faults.announced:
+            now = asyncio.get_running_loop().time()
+            self.leaving.note_said(_find_port(exchange), now)
+            answer.add("server-leaving", "1")
+        return answer
+
     # Calls.
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -460,7 +506,9 @@
                 await asyncio.sleep(60.0)
             report = {**self._describe(), "waiting": 0, "running": 0}
             report["pace"] = self.faults.pace
-            await answer_json(exchange, 200, report)
+            await answer_json(
+                exchange, 200, report, self._add_notices(exchange, Headers())
+            )
         elif path == "/v1/order":
             await self._take_order(exchange)
         else:
@@ -472,12 +520,10 @@
         if expected not in (self.id, None):
             await exchange.respond(421, Headers(), b"")
             return
-        leaves = self.faults.parts or self.faults.leaving
+        leaves = self.faults.parts or self._is_leaving()
         status = 503 if leaves and not self.faults.false_health else 200
         headers = Headers.of(x_zinniaspool_instance_id=self.id)
-        if self.faults.says_leaving:
-            headers.add("server-leaving", "1")
-        await exchange.respond(status, headers, b"")
+        await exchange.respond(status, self._add_notices(exchange, headers), b"")
 
     async def _take_order(self, exchange: Exchange) -> None:
         order = msgspec.json.decode(exchange.request.body)
@@ -589,6 +635,7 @@
         if headers.get("x-zinniaspool-expect-instance") not in (self.id, None):
             await exchange.respond(421, Headers(), b"")
             return
+        self.leaving.note_arrival(request, _find_port(exchange), now)
         if self.coldness.record_request() > (self.times.cold_limit or inf):
             if self._crashing is None or self._crashing.done():
                 self._crashing = asyncio.create_task(self.crash())
@@ -598,6 +645,7 @@
         refuses = self.faults.refuse or self.faults.pause_s > 0
         if refuses or (is_model and not opened):
             refusal = Headers.of(x_zinniaspool_not_executed="1")
+            self._add_notices(exchange, refusal)
             if self.faults.pause_s > 0:
                 refusal.add("retry-after", f"{self.faults.pause_s:g}")
                 self.paused.append(asyncio.get_running_loop().time())
@@ -625,8 +673,7 @@
             x_zinniaspool_server_seal=f"seal-{self.id}",
             x_zinniaspool_runner_load="1,0,8",
         )
-        if self.faults.says_leaving:
-            answer.add("server-leaving", "1")
+        self._add_notices(exchange, answer)
         if self.faults.limit_per_s >= 0:
             answer.add("server-limit", f"{self.faults.limit_per_s:g}")
         if self.faults.cut_heads:
@@ -799,3 +846,10 @@
             member = self.others.get(one)
             if member is not None and key not in member.been_ready:
                 self.broken.append(f"{key_of['name']} runs without {one}")
+
+
+def _find_port(exchange: Exchange) -> int:
+    """Return the port at the other end of an exchange's connection."""
+    transport = exchange._channel._transport  # type: ignore[attr-defined]
+    name = None if transport is None else transport.get_extra_info("peername")
+    return 0 if name is None else int(name[1])
--- a/src/zinniaspool_standins/serving.py
+++ b/src/zinniaspool_standins/serving.py
@@ -14,9 +14,13 @@
 _JSON = Headers.of(content_type="application/json")
 
 
-async def answer_json(exchange: Exchange, status: int, body: Any) -> None:
-    """Answer with what msgspec makes of a value."""
-    await exchange.respond(status, _JSON, msgspec.json.encode(body))
+async def answer_json(
+    exchange: Exchange, status: int, body: Any, headers: Headers | None = None
+) -> None:
+    """Answer with what msgspec makes of a value, and with further headers."""
+    extra = () if headers is None else headers.raw()
+    fields = Headers([*_JSON.raw(), *extra])
+    await exchange.respond(status, fields, msgspec.json.encode(body))
 
 
 async def run_until_stopped(name: str, address: Address) -> None:
--- /dev/null
+++ b/tests/test_leaving_upstreams.py
@@ -0,0 +1,243 @@
+"""Upstreams that say that they leave, and what still reaches them."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator, Callable, Iterable
+
+import pytest
+from structlog.testing import capture_logs
+
+from tests.installation import Answer, Installation, eventually, run_with_cuts
+from tests.test_belief import FIRST, ViewWriter
+from zinniaspool.core.dispatch import Backpressure, Target, TargetPool, TargetState
+from zinniaspool.core.fleet import (
+    InstanceIncarnation,
+    InstanceState,
+    LeavingSource,
+)
+from zinniaspool.core.ids import Address, FailureDomainId
+from zinniaspool_standins.cuts import CutKind, CuttableLoop
+from zinniaspool_standins.runners import Runner
+
+ZONES = {"n0": "hall-a", "n1": "hall-a", "n2": "hall-b", "n3": "hall-b"}
+
+DRAIN_S = 2.0
+"""Time after an answer that says so until a leaving upstream gets nothing."""
+
+SPREAD_S = 1.0
+"""Time within which the whole fleet must know that an upstream leaves."""
+
+
+@contextlib.asynccontextmanager
+async def run_four_vms(plain: int = 3) -> AsyncIterator[Installation]:
+    """Run four entry VMs in two failure domains until all serve."""
+    async with Installation.running(nodes=0, engines=10, plain=plain) as made:
+        for name, zone in ZONES.items():
+            await made.add_node(name, zone)
+        await made.settle()
+        await eventually(lambda: made.find_holder() is not None)
+        yield made
+
+
+def list_plain(made: Installation) -> list[Runner]:
+    """Return the upstreams of the plain service."""
+    return [one for one in made.runners.values() if one.service == "cards"]
+
+
+def list_sources() -> dict[int, str]:
+    """Return the VMs by the ports of their connections to upstreams."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, CuttableLoop)
+    return loop.sources
+
+
+async def ask_until(
+    made: Installation, node: str, check: Callable[[], object]
+) -> list[Answer]:
+    """Send requests to a VM one after the other until a check holds."""
+    answers: list[Answer] = []
+    for number in range(200):
+        if check():
+            return answers
+        answers.append(await made.ask(node, f"/receipts/{number}", "GET"))
+    raise AssertionError("did not come true in 200 requests")
+
+
+async def ask_all(
+    made: Installation, nodes: Iterable[str], seconds: float
+) -> list[Answer]:
+    """Send a plain request to each VM every 40 ms."""
+    ends_at = asyncio.get_running_loop().time() + seconds
+    pending = []
+    while asyncio.get_running_loop().time() < ends_at:
+        for node in nodes:
+            pending.append(asyncio.create_task(made.ask(node, "/receipts/1", "GET")))
+            pending.append(asyncio.create_task(made.ask(node, "/cards/1")))
+        await asyncio.sleep(0.04)
+    return await asyncio.gather(*pending)
+
+
+@pytest.mark.parametrize("kind", CutKind)
+def test_no_tunnel_carries_requests_to_an_upstream_that_leaves(kind: CutKind) -> None:
+    """Guards against a VM that carries requests which it wouldn't send."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            leaving = list_plain(made)[0]
+            leaving.faults.says_leaving = True
+            await ask_until(made, "n1", lambda: leaving.leaving.said)
+            for name in ("n0", "n2", "n3"):
+                made.cut_upstreams(name, kind)
+            await asyncio.sleep(DRAIN_S + 0.2)
+            answers = await ask_all(made, ["n0", "n2", "n3"], 1.5)
+            assert leaving.leaving.list_late(list_sources(), DRAIN_S) == []
+            assert {answer.status for answer in answers} == {200}
+
+    run_with_cuts(test)
+
+
+def test_all_vms_know_at_once_that_an_upstream_leaves() -> None:
+    """Guards against a request of each VM to learn what another one knows."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            leaving = list_plain(made)[0]
+            leaving.faults.says_leaving = True
+            await ask_until(made, "n1", lambda: leaving.leaving.said)
+            await asyncio.sleep(SPREAD_S)
+            answers = await ask_all(made, ZONES, 1.0)
+            late = leaving.leaving.list_late_in_fleet(list_sources(), SPREAD_S)
+            assert late == []
+            assert {answer.status for answer in answers} == {200}
+
+    run_with_cuts(test)
+
+
+def test_a_record_that_returns_leaves_its_upstream_closed() -> None:
+    """Guards against what an upstream said being lost with its record."""
+    writer = ViewWriter()
+    incarnation = InstanceIncarnation(FIRST, 5)
+    writer.put(FIRST, born=5)
+    writer.write(FIRST, None)
+    writer.view.record_leaving(incarnation, LeavingSource.ANSWER)
+    writer.put(FIRST, born=5)
+    assert writer.view.instances[FIRST].state is InstanceState.LEAVING
+    writer.put(FIRST, born=6)
+    assert writer.view.instances[FIRST].state is InstanceState.READY
+
+
+def test_a_target_that_returns_has_what_was_asked_meanwhile() -> None:
+    """Guards against a pause that is forgotten when a record returns."""
+    asked: dict[InstanceIncarnation, Backpressure] = {}
+    pool = TargetPool(FailureDomainId("a"), random.Random(1), asked)
+    target = Target(FIRST, Address("10.0.0.1:1"), FailureDomainId("a"), 8)
+    pool.update([target], 0.0)
+    state = pool.choose(0.0)
+    assert isinstance(state, TargetState)
+    pool.begin_request(state, 0)
+    pool.update([], 0.1)
+    asked[target.incarnation] = Backpressure(paused_until=3.0)
+    pool.update([target], 0.2)
+    assert pool.choose(0.2) is None
+
+
+def test_a_process_that_is_started_again_learns_who_leaves() -> None:
+    """Guards against what was said being lost with the VM that knew it."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            leaving = list_plain(made)[0]
+            leaving.faults.says_leaving = True
+            await ask_until(made, "n1", lambda: leaving.leaving.said)
+            await asyncio.sleep(SPREAD_S)
+            await made.kill("n1")
+            await made.kill("n0")
+            await made.add_node("n0", ZONES["n0"])
+            for _ in range(100):
+                if (await made.ask("n0", "/receipts/1", "GET")).status == 200:
+                    break
+                await asyncio.sleep(0.03)
+            await ask_all(made, ["n0", "n2", "n3"], 1.0)
+            late = leaving.leaving.list_late_in_fleet(list_sources(), SPREAD_S)
+            assert late == []
+
+    run_with_cuts(test)
+
+
+def test_the_next_holder_learns_who_leaves() -> None:
+    """Guards against what was said being lost with the holder."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            holder = made.find_holder()
+            assert holder is not None
+            witness, fresh = [name for name in ZONES if name != holder][:2]
+            leaving = list_plain(made)[0]
+            leaving.faults.says_leaving = True
+            await ask_until(made, witness, lambda: leaving.leaving.said)
+            await made.kill(holder)
+            await eventually(lambda: made.find_holder() not in (None, holder))
+            await asyncio.sleep(SPREAD_S)
+            await made.kill(fresh)
+            await made.add_node(fresh, ZONES[fresh])
+            for _ in range(100):
+                if (await made.ask(fresh, "/receipts/1", "GET")).status == 200:
+                    break
+                await asyncio.sleep(0.03)
+            await ask_all(made, made.nodes, 1.0)
+            late = leaving.leaving.list_late_in_fleet(list_sources(), SPREAD_S)
+            assert late == []
+
+    run_with_cuts(test)
+
+
+def test_an_upstream_that_is_replaced_in_place_is_used_at_once() -> None:
+    """Guards against a process avoided for what the one before said."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            leaving = list_plain(made)[0]
+            ending = asyncio.create_task(leaving.leave(0.3))
+            answers = await ask_all(made, ZONES, 1.2)
+            await ending
+            await leaving.come_back()
+            answers += await ask_all(made, ZONES, 1.5)
+            assert {vm for vm in _list_vms(leaving)} == set(ZONES)
+            before = leaving.runs_before[-1]
+            assert before.list_late_in_fleet(list_sources(), SPREAD_S) == []
+            assert {answer.status for answer in answers} == {200}
+
+    run_with_cuts(test)
+
+
+def _list_vms(runner: Runner) -> set[str]:
+    sources = list_sources()
+    return {sources[one.port] for one in runner.leaving.arrivals}
+
+
+def test_streams_at_a_head_that_leaves_end_whole() -> None:
+    """Guards against streams that are cut since their upstream leaves."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            streams = [
+                asyncio.ensure_future(made.draft(node, "small", 40, deadline_ms=9000))
+                for node in ZONES
+            ]
+            await asyncio.sleep(0.3)
+            head = max(made.heads("small"), key=lambda one: one.streams)
+            head.faults.announced = True
+            with capture_logs() as lines:
+                pending = [
+                    asyncio.ensure_future(made.draft(node, "small", 2))
+                    for node in ZONES
+                    for _ in range(8)
+                ]
+                answers = await asyncio.gather(*streams, *pending)
+            assert {answer.status for answer in answers} == {200}
+            assert [len(answer.events) for answer in answers[:4]] == [40] * 4
+            assert not [one for one in lines if one["event"] == "attempt-failed"]
+            made.assert_sound()
+
+    run_with_cuts(test)
