Dispatch: a target that returns has what its upstream asked meanwhile

Callers' requests went to an upstream within a pause that it had asked for. The state of a target whose record lapses while requests run there is kept and given back with the record, with the backpressure of before; what the answers of those requests asked meanwhile was kept elsewhere and not looked up. The state that is given back now has it.

--- a/src/zinniaspool/core/dispatch/pools.py
+++ b/src/zinniaspool/core/dispatch/pools.py
@@ -133,6 +133,7 @@
             is_removed = state.removed and state.target.instance == target.instance
             if is_removed and is_same_target(state.target, target):
                 state.target, state.removed = target, False
+                state.backpressure = self._backpressure.get(target.incarnation)
                 return state
         return None
 
