Fleet: what an upstream says of its leaving is known to all, and asked at each way out

Requests reached an upstream that had said it was leaving: through the tunnel of a VM that had passed that answer on 2.2 s before (three cut VMs, six requests), directly from each other VM (one each), and from any VM once its record had lapsed and returned.

Cause: what an upstream says of itself was kept as a limit that it sets for one process, in the state of a target. Other processes, the tunnels of this one and the record that returns had no way to it. Health and status answers that say it were used for retention only.

Change: the view of the fleet has the runs that leave, by whichever way it was learned. A process that has such an answer reports it to all entry processes and the holder, and to the next holder; the updates that processes follow carry it, once, where the record doesn't show it. The instance is in the leaving state until its run has ended, so that pools, groups and retention need no case of their own. It is asked again where bytes leave a VM: when a connection is open, when a tunnel is requested, and at each request on an open tunnel. A tunnel that ends so says that the request was not passed on, so that it goes elsewhere. What only a record says is still replaced by the next record.

The soak of processes ends an upstream that leaves, as theirs do; it was ready again under the same start.

--- a/src/zinniaspool/core/dispatch/backpressure.py
+++ b/src/zinniaspool/core/dispatch/backpressure.py
@@ -1,11 +1,10 @@
 """What an instance has asked of this process, and what a cold one can take.
 
-Answers state how many requests a second an instance accepts, that it wants no
-requests for a while, or that it is leaving. All of it is kept for one
+Answers state how many requests a second an instance accepts, or that it wants
+no requests for a while. All of it is kept for one
 incarnation of the instance, whichever group it heads.
 """
 
-import math
 from dataclasses import dataclass
 
 from zinniaspool.core.dispatch.cold import ColdShare
@@ -21,13 +20,11 @@
     Attributes:
         rate: Rate of requests that it accepts from all processes, or None.
         paused_until: Time until which it wants no requests, in seconds.
-        leaving: Whether it has announced that it leaves.
         cold: What this process may send while it is cold, or None.
     """
 
     rate: AnnouncedRate | None = None
     paused_until: float = float("-inf")
-    leaving: bool = False
     cold: ColdShare | None = None
 
     def find_opening(self, subset_part: float) -> float:
@@ -36,12 +33,7 @@
         Args:
             subset_part: The part of the instance that belongs to the processes
                 that report their requests to each other.
-
-        Returns:
-            Infinite if the instance is leaving.
         """
-        if self.leaving:
-            return math.inf
         opening = self.paused_until
         if self.rate is not None:
             opening = max(opening, self.rate.find_opening(subset_part))
--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -27,6 +27,7 @@
     FleetWatch,
     InstanceAnswer,
     InstanceQuery,
+    LeavingInstance,
     LeavingNode,
     LoadReport,
     SlowTarget,
@@ -183,6 +184,7 @@
     | CrashHistoryRequest
     | CrashHistory
     | UnreachableNode
+    | LeavingInstance
     | LeavingNode
     | CutAnswer
     | UpstreamLimit
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -22,6 +22,7 @@
     "FleetWatch",
     "InstanceAnswer",
     "InstanceQuery",
+    "LeavingInstance",
     "LeavingNode",
     "LoadReport",
     "PastCrash",
@@ -75,6 +76,25 @@
     revision: Revision
 
 
+class LeavingInstance(
+    msgspec.Struct, frozen=True, tag="leaving-instance", omit_defaults=True
+):
+    """Reports that a run of an instance has said that it leaves.
+
+    An entry process sends it to all others and to the holder. It is also part
+    of the updates that processes get from each other.
+
+    Attributes:
+        instance: The instance.
+        born: Unix milliseconds of its start; None if it did not report that.
+        node: VM of the process to which it said so; None if unknown.
+    """
+
+    instance: InstanceId
+    born: int | None = None
+    node: NodeId | None = None
+
+
 class FleetUpdate(msgspec.Struct, frozen=True, tag="fleet-news"):
     """The answer to a watch: the changes, or the whole copy.
 
@@ -97,6 +117,8 @@
             their records in the store have not expired.
         retained: Instances that the holder retains although their records
             were removed, with their states in their groups.
+        leaving: Runs of instances that leave although their records don't show
+            it, as far as that is new since ``serial`` of the watch.
     """
 
     source: str
@@ -110,6 +132,7 @@
     provisional: bool
     lost: frozenset[InstanceId] = frozenset()
     retained: dict[InstanceId, MembershipState] = {}
+    leaving: list[LeavingInstance] = []
 
 
 class StoreStatusRequest(msgspec.Struct, frozen=True, tag="store-ask"):
@@ -376,10 +399,14 @@
         outcome: Whether the upstream was reached.
         is_conclusive: Whether the answering process reaches upstreams. If it
             does not, that it did not reach this one shows nothing.
+        is_leaving: Whether the upstream has said that it leaves, so that it
+            gets no requests. A tunnel that is open ends with such an outcome,
+            in place of the request that it would have carried.
     """
 
     outcome: ProbeOutcome
     is_conclusive: bool
+    is_leaving: bool = False
 
 
 class TunnelData(msgspec.Struct, frozen=True, tag="tunnel-data"):
--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -39,6 +39,7 @@
 )
 from zinniaspool.core.generations import format_revision
 from zinniaspool.core.ids import FailureDomainId, NodeId, TraitId
+from zinniaspool.core.messages.fleet import LeavingInstance
 from zinniaspool.fleet.evacuations import EvacuationOrders
 from zinniaspool.fleet.listeners import call_listeners
 from zinniaspool.fleet.retention import RecordRetention
@@ -121,7 +122,8 @@
             notices seconds before their records lapse; without its report
             each process would send requests there until it notices by itself.
         retention: The instances that are kept without a record.
-        leaving: The runs of instances that have said that they leave.
+        leaving: The runs of instances that have said that they leave. Their
+            instances are in the leaving state, whatever their records say.
         unreadable: The values in the store that can't be used.
     """
 
@@ -142,7 +144,11 @@
         self.catalog: Catalog | None = None
         self.instance_table = InstanceTable()
         self.retention = RecordRetention(
-            codec, self.instance_table, clock, is_enabled=retains_instances
+            codec,
+            self.instance_table,
+            self.leaving,
+            clock,
+            is_enabled=retains_instances,
         )
         self.nodes: dict[NodeId, NodeRecord] = {}
         self.holder: HolderRecord | None = None
@@ -240,23 +246,58 @@
         self.apply_changes(self.mirror.amend(key, updated.ok_value))
 
     def record_leaving(
-        self, incarnation: InstanceIncarnation, source: LeavingSource
-    ) -> None:
+        self,
+        incarnation: InstanceIncarnation,
+        source: LeavingSource,
+        told_by: NodeId | None = None,
+    ) -> bool:
         """Record that a run of an instance has said that it leaves.
 
         Args:
             incarnation: The run.
             source: How this process learned it.
+            told_by: VM from which it did; None if from the instance itself.
+
+        Returns:
+            Whether that was unknown.
         """
+        if not self._add_leaving(incarnation, source, told_by):
+            return False
+        known = self.instances.get(incarnation.instance)
+        if known is not None:
+            self.instance_table.put(self.leaving.mark(known))
+        self._notify(self.on_instances)
+        return True
+
+    def apply_leaving_report(
+        self, report: LeavingInstance, source: LeavingSource
+    ) -> None:
+        """Apply another process's report of a run that leaves."""
+        incarnation = InstanceIncarnation(report.instance, report.born)
+        self.record_leaving(incarnation, source, report.node)
+
+    def _add_leaving(
+        self,
+        incarnation: InstanceIncarnation,
+        source: LeavingSource,
+        told_by: NodeId | None = None,
+    ) -> bool:
         if self._is_outdated(*incarnation):
-            return
-        if self.leaving.record(LeavingRun(incarnation, source, self._clock())):
-            _log.info(
-                "instance-leaving",
-                instance=incarnation.instance,
-                born=incarnation.started_at_ms or 0,
-                by=source.value,
-            )
+            return False
+        serial = self.mirror.serial + 1
+        run = LeavingRun(incarnation, source, self._clock(), told_by, serial)
+        if not self.leaving.record(run):
+            return False
+        # Followers are sent the run, though no key has changed.
+        self.mirror.bump_serial()
+        _log.info(
+            "instance-leaving",
+            instance=incarnation.instance,
+            born=incarnation.started_at_ms or 0,
+            by=source.value,
+            told_by=told_by or "",
+        )
+        return True
 
     def measure_leaving(self, incarnation: InstanceIncarnation) -> float | None:
         """Return for how long a run is known to leave, in seconds.
@@ -502,11 +543,12 @@
             return
         self.unreadable.accept(change.key)
         is_new = self._record_start(instance, record.started_at_ms)
+        incarnation = InstanceIncarnation(instance, record.started_at_ms)
         if record.state is InstanceState.LEAVING:
-            self.record_leaving(
-                InstanceIncarnation(instance, record.started_at_ms),
-                LeavingSource.RECORD,
-            )
+            self._add_leaving(incarnation, LeavingSource.RECORD)
+        else:
+            self.leaving.withdraw_record(incarnation)
+        record = self.leaving.mark(record)
         before = self.instances.get(instance)
         self.retention.forget(instance)
         self.instance_table.put(record)
--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -16,6 +16,8 @@
 
 from zinniaspool.core.fleet import (
     Instance,
+    InstanceIncarnation,
+    LeavingSource,
     NodeRecord,
     NodeState,
     PathMonitor,
@@ -303,7 +305,11 @@
     ) -> tuple[asyncio.Transport, ProtocolT]:
         try:
             opened = await open_tunnel(
-                make_protocol, relay.peer_address, self._hello, request
+                make_protocol,
+                relay.peer_address,
+                self._hello,
+                request,
+                lambda: self._record_leaving(request, relay.node),
             )
         except UnreachedError as error:
             self.counts["tunnel", error.outcome.value] += 1
@@ -319,6 +325,14 @@
             self._drop_idle()
         return opened
 
+    def _record_leaving(self, request: TunnelRequest, told_by: NodeId) -> None:
+        if request.instance is not None:
+            self._fleet_view.record_leaving(
+                InstanceIncarnation(request.instance, request.born),
+                LeavingSource.TUNNEL,
+                told_by,
+            )
+
     def _list_paths(self, address: Address) -> Iterator[NodeRecord | None]:
         """Yield the VMs to try in turn; None stands for the direct path.
 
--- a/src/zinniaspool/fleet/follower.py
+++ b/src/zinniaspool/fleet/follower.py
@@ -19,6 +19,7 @@
 from zinniaspool.core.fleet import (
     FANOUT,
     HolderRecord,
+    LeavingSource,
     MirrorEvent,
     ModelDemandReport,
     NodeState,
@@ -393,6 +394,8 @@
             return False
         self._backoff_until.pop(address, None)
         peer.source, peer.serial = update.source, update.serial
+        for leaving in update.leaving:
+            self._view.apply_leaving_report(leaving, LeavingSource.UPDATE)
         holder = self._view.holder
         if holder is not None and update.leader == holder.start:
             # A removal that the update contains may be of an instance that
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -29,6 +29,7 @@
     FleetUpdate,
     FleetUpdateItem,
     FleetWatch,
+    LeavingInstance,
     StoreStatus,
     StoreStatusRequest,
 )
@@ -262,6 +263,7 @@
             changed = mirror.list_since_revision(watch.as_of)
         else:
             changed, source = [], ""
+        leaving = self._view.leaving.list_since(watch.serial if known else 0)
         term = self._describe_holder()
         return FleetUpdate(
             source,
@@ -275,6 +277,7 @@
             term.provisional,
             self._view.unreachable,
             dict(self._view.retention.retained),
+            [LeavingInstance(*run.incarnation, run.told_by) for run in leaving],
         )
 
     def _describe_holder(self) -> HolderTerm:
--- a/src/zinniaspool/fleet/retention.py
+++ b/src/zinniaspool/fleet/retention.py
@@ -12,6 +12,7 @@
     Instance,
     InstanceId,
     InstanceTable,
+    LeavingRuns,
     Membership,
     MembershipState,
     MirrorChange,
@@ -39,6 +40,7 @@
     Args:
         codec: Decodes the records of instances.
         table: The instances of the view.
+        leaving: The runs of instances that leave.
         clock: Returns seconds on a clock that goes on while the VM is
             suspended.
         is_enabled: Whether instances may be kept at all.
@@ -48,6 +50,7 @@
         self,
         codec: FleetCodec,
         table: InstanceTable,
+        leaving: LeavingRuns,
         clock: Callable[[], float],
         *,
         is_enabled: bool,
@@ -56,6 +59,7 @@
         self.clock = clock
         self._codec = codec
         self._table = table
+        self._leaving = leaving
         self._removed = RemovedInstances()
         self._report_changed = False
 
@@ -205,7 +209,7 @@
         if isinstance(decoded, Err):
             _log.warning("entry-unreadable", key=key, reason=decoded.err_value)
             return None
-        return decoded.ok_value
+        return self._leaving.mark(decoded.ok_value)
 
     def _find_id(self, key: str) -> InstanceId:
         return InstanceId(key.removeprefix(self._codec.instances_prefix))
--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -22,7 +22,7 @@
     TunnelOutcome,
     TunnelRequest,
 )
-from zinniaspool.http import has_other_side_ended
+from zinniaspool.http import NotForwardedError, has_other_side_ended
 from zinniaspool.peers import FrameDecoder, FrameError, encode_frame, write_frame
 
 __all__ = [
@@ -50,6 +50,10 @@
 READ_BYTES = 64 * 1024
 """Largest part of an upstream's bytes that is passed on at once."""
 
+_LEAVING_OUTCOME = TunnelOutcome(
+    ProbeOutcome.NO_ANSWER, is_conclusive=False, is_leaving=True
+)
+
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
 
 
@@ -72,6 +76,7 @@
     relay: Address,
     hello: Hello,
     request: TunnelRequest,
+    on_leaving: Callable[[], None] = lambda: None,
 ) -> tuple[asyncio.Transport, ProtocolT]:
     """Connect to an upstream through another VM.
 
@@ -80,6 +85,8 @@
         relay: Where the entry process of the other VM listens for peers.
         hello: First message of the connection to it.
         request: Names the upstream.
+        on_leaving: Called if the other VM carries no request there, since the
+            upstream leaves.
 
     Raises:
         UnreachedError: The other VM could not connect to it.
@@ -88,7 +95,7 @@
     loop = asyncio.get_running_loop()
     host, port = split_address(relay)
     transport, tunnel = await loop.create_connection(
-        lambda: _Tunnel(make_protocol), host, port
+        lambda: _Tunnel(make_protocol, on_leaving), host, port
     )
     try:
         transport.write(encode_frame(hello) + encode_frame(request))
@@ -112,12 +119,17 @@
         inner: The protocol that uses the tunnel, once it is open.
     """
 
-    def __init__(self, make_protocol: Callable[[], asyncio.Protocol]) -> None:
+    def __init__(
+        self,
+        make_protocol: Callable[[], asyncio.Protocol],
+        on_leaving: Callable[[], None],
+    ) -> None:
         self.opened: asyncio.Future[TunnelOutcome] = (
             asyncio.get_running_loop().create_future()
         )
         self.inner: asyncio.Protocol | None = None
         self._make_protocol = make_protocol
+        self._on_leaving = on_leaving
         self._decoder = FrameDecoder()
         self._transport: asyncio.Transport | None = None
         self._ended = False
@@ -146,7 +158,10 @@
             raise FrameError(f"unexpected in a tunnel: {message}")
 
     def _handle_outcome(self, outcome: TunnelOutcome) -> None:
+        if outcome.is_leaving:
+            self._on_leaving()
         if self.opened.done():
+            self._end_unforwarded()
             return
         if outcome.outcome is ProbeOutcome.REACHED:
             assert self._transport is not None
@@ -154,6 +169,13 @@
             self.inner.connection_made(self._transport)
         self.opened.set_result(outcome)
 
+    def _end_unforwarded(self) -> None:
+        """End the tunnel in place of a request that it did not carry."""
+        inner, self.inner = self.inner, None
+        if inner is not None:
+            inner.connection_lost(NotForwardedError("not carried by the other VM"))
+        self._abort()
+
     def _abort(self) -> None:
         if self._transport is not None:
             self._transport.abort()
@@ -190,12 +212,13 @@
         is_leaving: Returns whether this process is about to end, and opens no
             more tunnels.
         measure_leaving: Returns for how long a run of an upstream is known to
-            leave, in seconds; None if it isn't.
+            leave, in seconds; None if it isn't. It gets no requests of callers
+            through this VM.
 
     Attributes:
         open_count: Tunnels that are open now.
-        leaving_count: Requests that tunnels carried to upstreams that were
-            known to leave for longer than that may take to spread.
+        leaving_count: Requests that were not carried, since their upstreams
+            leave.
         idle: Set while no tunnel is open.
     """
 
@@ -234,6 +257,9 @@
                 writer, TunnelOutcome(ProbeOutcome.NO_ANSWER, is_conclusive=False)
             )
             return
+        if self._is_upstream_leaving(request):
+            write_frame(writer, _LEAVING_OUTCOME)
+            return
         self.open_count += 1
         self.idle.clear()
         try:
@@ -265,21 +291,23 @@
             reached = TunnelOutcome(ProbeOutcome.REACHED, is_conclusive=True)
             write_frame(writer, reached)
             await _Relay(reader, writer, far_reader, far_writer).run(
-                lambda: self._check_leaving(request)
+                lambda: not self._is_upstream_leaving(request)
             )
         finally:
             far_writer.transport.abort()
 
-    def _check_leaving(self, request: TunnelRequest) -> None:
-        """Log a request that a tunnel carries to an upstream that leaves."""
+    def _is_upstream_leaving(self, request: TunnelRequest) -> bool:
+        """Return whether an upstream gets no requests, since it leaves."""
         if request.instance is None:
-            return
+            return False
         incarnation = InstanceIncarnation(request.instance, request.born)
         since_s = self._measure_leaving(incarnation)
-        if since_s is None or since_s <= LEAVING_SPREAD_S:
-            return
+        if since_s is None:
+            return False
         self.leaving_count += 1
-        _log.warning(
+        # The other VM should have learned it by then.
+        log = _log.info if since_s <= LEAVING_SPREAD_S else _log.warning
+        log(
             "tunnel-to-leaving",
             instance=request.instance,
             born=request.born or 0,
@@ -287,6 +315,7 @@
             since_ms=int(since_s * 1000),
             address=request.address,
         )
+        return True
 
     async def _connect(
         self, upstream: Address
@@ -347,13 +376,14 @@
         self._connection: TransportSocket = writer.get_extra_info("socket")
         self._in_request = False
 
-    async def run(self, check_request: Callable[[], None]) -> None:
+    async def run(self, may_carry: Callable[[], bool]) -> None:
         """Pass on bytes until either side closes.
 
         Args:
-            check_request: Called at the beginning of each request.
+            may_carry: Returns whether the request that begins may be carried.
+                The tunnel ends at the first one that may not.
         """
-        sending = asyncio.create_task(self._pass_requests(check_request))
+        sending = asyncio.create_task(self._pass_requests(may_carry))
         receiving = asyncio.create_task(self._pass_answers())
         try:
             await asyncio.wait(
@@ -364,13 +394,14 @@
                 task.cancel()
             await asyncio.gather(sending, receiving, return_exceptions=True)
 
-    async def _pass_requests(self, check_request: Callable[[], None]) -> None:
+    async def _pass_requests(self, may_carry: Callable[[], bool]) -> None:
         while data := await self._reader.read(READ_BYTES):
             if has_other_side_ended(self._connection):
                 # The other VM has given up what it sent.
                 return
-            if not self._in_request:
-                check_request()
+            if not self._in_request and not may_carry():
+                write_frame(self._writer, _LEAVING_OUTCOME)
+                return
             self._in_request = True
             self._far_writer.write(data)
             await self._far_writer.drain()
--- a/src/zinniaspool/gateway/backpressure.py
+++ b/src/zinniaspool/gateway/backpressure.py
@@ -1,10 +1,9 @@
-"""Keeps what upstreams ask in their answers: a rate, a pause, no requests.
+"""Keeps what upstreams ask in their answers: a rate, or a pause.
 
 An upstream announces how many requests a second it accepts from all VMs
 together. The processes that share it report each request to each other, so
 that together they stay within the rate. A pause concerns only the VM that it
-was asked of. An upstream that is leaving says so in its answers, often before
-its record in the store does.
+was asked of.
 """
 
 import asyncio
@@ -17,11 +16,9 @@
     InstanceNotice,
     TargetState,
 )
-from zinniaspool.core.fleet import InstanceIncarnation, LeavingSource
-from zinniaspool.core.ids import NodeId, RequestId
+from zinniaspool.core.fleet import InstanceIncarnation
+from zinniaspool.core.ids import NodeId
 from zinniaspool.core.messages.fleet import UpstreamLimit
-from zinniaspool.fleet import FleetView
-from zinniaspool.fleet.tunnels import LEAVING_SPREAD_S
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.targets import TargetIndex
 
@@ -38,32 +35,24 @@
 
     Args:
         node: This process's VM.
-        fleet_view: Is told which upstreams leave.
         index: The targets.
         cold: Limits the requests to cold upstreams.
         send_to_peers: Sends a report to the processes that share targets with
             this one.
-
-    Attributes:
-        leaving_count: Requests of this process that went to upstreams known to
-            leave for longer than that may take to spread.
     """
 
     def __init__(
         self,
         node: NodeId,
-        fleet_view: FleetView,
         index: TargetIndex,
         cold: ColdTracker,
         send_to_peers: Callable[[UpstreamLimit], None],
     ) -> None:
         self._node = node
-        self._fleet_view = fleet_view
         self._index = index
         self._cold = cold
         self._send_to_peers = send_to_peers
         self._unknown_headers: set[str] = set()
-        self.leaving_count = 0
 
     def record_answer(
         self, state: TargetState, notice: InstanceNotice, *, has_run: bool
@@ -79,8 +68,6 @@
         incarnation = state.target.incarnation
         if notice.pause_s is not None:
             self._record_pause(incarnation, notice.pause_s)
-        if notice.leaving:
-            self._record_leaving(incarnation)
         if notice.limit_per_s is None and not has_run:
             return
         if self._set_limit(incarnation, notice.limit_per_s, self._node):
@@ -95,9 +82,8 @@
                 self._unknown_headers.add(name)
                 _log.info("header-unknown", header=name)
 
-    def record_request(self, state: TargetState, request: RequestId) -> None:
+    def record_request(self, state: TargetState) -> None:
         """Count and report a request of this process at an upstream."""
-        self._check_leaving(state.target.incarnation, request)
         self._cold.record_request(state)
         if state.backpressure is None or state.backpressure.rate is None:
             return
@@ -116,22 +102,6 @@
                 1.0 if state is None else state.subset_part, self._now()
             )
 
-    def _check_leaving(
-        self, incarnation: InstanceIncarnation, request: RequestId
-    ) -> None:
-        """Log a request that goes to an upstream that is known to leave."""
-        since_s = self._fleet_view.measure_leaving(incarnation)
-        if since_s is None or since_s <= LEAVING_SPREAD_S:
-            return
-        self.leaving_count += 1
-        _log.warning(
-            "request-to-leaving",
-            instance=incarnation.instance,
-            born=incarnation.started_at_ms or 0,
-            request=request,
-            since_ms=int(since_s * 1000),
-        )
-
     def _record_pause(self, incarnation: InstanceIncarnation, pause_s: float) -> None:
         known = self._index.remember_backpressure(incarnation)
         until = self._now() + pause_s
@@ -139,10 +109,6 @@
             _log.info("pause-requested", instance=incarnation.instance, pause_s=pause_s)
         known.paused_until = max(known.paused_until, until)
 
-    def _record_leaving(self, incarnation: InstanceIncarnation) -> None:
-        self._fleet_view.record_leaving(incarnation, LeavingSource.ANSWER)
-        self._index.remember_backpressure(incarnation).leaving = True
-
     def _send_report(
         self, incarnation: InstanceIncarnation, per_s: float | None, *, sent: bool
     ) -> None:
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -37,6 +37,7 @@
     CutAnswer,
     DemandDigest,
     InstanceQuery,
+    LeavingInstance,
     LeavingNode,
     LoadReport,
     StalledTarget,
@@ -71,6 +72,7 @@
 from zinniaspool.gateway.face import CallerHandler, refuse_request
 from zinniaspool.gateway.gate import AdmissionQueues
 from zinniaspool.gateway.lateness import LoopLateness
+from zinniaspool.gateway.leaving import LeavingReporter
 from zinniaspool.gateway.loads import LOAD_REPORT_INTERVAL_S, LoadReporter
 from zinniaspool.gateway.metrics import make_gateway_metrics
 from zinniaspool.gateway.moves import Rerouter
@@ -257,11 +259,13 @@
         )
         self._backpressure = BackpressureTracker(
             settings.node,
-            self._fleet_view,
             self._index,
             self._cold,
             lambda report: self._send(self._subset.other_members, report),
         )
+        self._leaving = LeavingReporter(
+            settings.node, self._fleet_view, self._send_to_all, self._send_to_holder
+        )
         sender = AttemptSender(
             self._http,
             call_codec,
@@ -270,6 +274,7 @@
             self._rerouter,
             self._crash_detector,
             self._backpressure,
+            self._leaving,
             self._stop_guard,
         )
         self._forwarder = RequestForwarder(
@@ -331,7 +336,7 @@
             self._retry_budgets,
             self._crash_detector,
             self._cold,
-            self._backpressure,
+            self._leaving,
             self._stall_detector.tally,
             self._stop_clock.tally,
             self._connector,
@@ -484,6 +489,8 @@
         elif isinstance(message, LeavingNode):
             self._connector.handle_leaving(message.node, message.left_s)
             self._directory_handler.handle_leaving(message.node, message.left_s)
+        elif isinstance(message, LeavingInstance):
+            self._leaving.handle_peer_report(message)
         elif isinstance(message, StalledTarget):
             self._stall_detector.handle_peer_report(message)
         elif isinstance(message, CutAnswer):
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -6,10 +6,10 @@
 
 from zinniaspool.fleet import FleetStore, FleetView, TunnelServer, UpstreamConnector
 from zinniaspool.fleet.metrics import add_fleet_metrics, add_path_metrics
-from zinniaspool.gateway.backpressure import BackpressureTracker
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.gate import AdmissionQueues
+from zinniaspool.gateway.leaving import LeavingReporter
 from zinniaspool.gateway.retries import RetryBudgets
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient
@@ -29,7 +29,7 @@
     retries: RetryBudgets,
     crashes: CrashDetector,
     cold: ColdTracker,
-    backpressure: BackpressureTracker,
+    leaving: LeavingReporter,
     stalls: StallTally,
     stops: StopTally,
     connector: UpstreamConnector,
@@ -250,7 +250,7 @@
             yield Sample({"learned_by": source}, count)
 
     def list_leaving_requests() -> Iterator[Sample]:
-        yield Sample({"path": "own"}, backpressure.leaving_count)
+        yield Sample({"path": "own"}, leaving.withheld_count)
         yield Sample({"path": "tunnel"}, tunnel_server.leaving_count)
 
     page.add_gauge(
@@ -260,7 +260,7 @@
     )
     page.add_counter(
         "zinniaspool_leaving_requests",
-        "Requests to upstreams that were known to leave for longer than a second.",
+        "Requests that were not sent or carried on, since their upstreams leave.",
         list_leaving_requests,
     )
     page.add_counter(
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -12,6 +12,7 @@
 from zinniaspool.gateway.calls import FailedAnswer, GatewayAttempt, GatewayCall
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.gate import AdmissionQueues
+from zinniaspool.gateway.leaving import LeavingReporter
 from zinniaspool.gateway.moves import Rerouter
 from zinniaspool.gateway.spelling import CallCodec
 from zinniaspool.gateway.stops import StopGuard
@@ -79,6 +80,7 @@
         rerouter: Tracks the attempts at each target.
         crashes: Is informed of the progress of streams.
         backpressure: Keeps what upstreams ask in their answers.
+        leaving: Is told which upstreams leave, and knows of others.
         stop_guard: Finds the streams that begin too late to end in time.
     """
 
@@ -91,6 +93,7 @@
         rerouter: Rerouter,
         crashes: CrashDetector,
         backpressure: BackpressureTracker,
+        leaving: LeavingReporter,
         stop_guard: StopGuard,
     ) -> None:
         self._http = http
@@ -100,6 +103,7 @@
         self._rerouter = rerouter
         self._crashes = crashes
         self._backpressure = backpressure
+        self._leaving = leaving
         self._stop_guard = stop_guard
 
     async def run(self, attempt: GatewayAttempt) -> AttemptFailure | None:
@@ -125,7 +129,7 @@
             state, prompt, attempt.sent_at
         )
         attempt.unanswered_out_of_subset = pool.begin_request(state, prompt)
-        self._backpressure.record_request(state, call.terms.id)
+        self._backpressure.record_request(state)
         self._rerouter.begin_attempt(attempt)
         failed = refused = False
         try:
@@ -172,6 +176,9 @@
                     self._make_request(attempt, allowed_s),
                     left_s + 1.0,
                     max_idle_s=idle_s,
+                    may_send=lambda: self._leaving.may_send(
+                        state.target.incarnation, call.terms.id
+                    ),
                 )
                 try:
                     response = await self._skip_foreign_answers(call, response)
@@ -253,6 +260,8 @@
             pool.record_reported_load(state, load.running + load.waiting, loop.time())
         has_run = not self._codec.has_not_run(response.status, response.headers)
         notice = self._codec.parse_notice(response.status, response.headers)
+        if notice.leaving:
+            self._leaving.record_answer(state.target.incarnation)
         self._backpressure.record_answer(state, notice, has_run=has_run)
         self._backpressure.record_unknown_headers(
             self._codec.list_unknown_headers(response.headers)
--- a/src/zinniaspool/http/__init__.py
+++ b/src/zinniaspool/http/__init__.py
@@ -3,7 +3,7 @@
 from zinniaspool.http.backlog import has_other_side_ended
 from zinniaspool.http.client import ClientResponse, HttpClient
 from zinniaspool.http.connection import Handler
-from zinniaspool.http.connector import Connector
+from zinniaspool.http.connector import Connector, NotForwardedError
 from zinniaspool.http.exchange import Exchange
 from zinniaspool.http.limits import Refusal, RefusalKind, ServerLimits
 from zinniaspool.http.messages import (
@@ -22,6 +22,7 @@
     "Headers",
     "HttpClient",
     "HttpServer",
+    "NotForwardedError",
     "Refusal",
     "RefusalKind",
     "Request",
--- a/src/zinniaspool/http/connector.py
+++ b/src/zinniaspool/http/connector.py
@@ -6,11 +6,15 @@
 
 from zinniaspool.core.ids import Address
 
-__all__ = ["Connector"]
+__all__ = ["Connector", "NotForwardedError"]
 
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
 
 
+class NotForwardedError(ConnectionError):
+    """A connection ended, and nothing of its last request was passed on."""
+
+
 class Connector(Protocol):
     """Opens connections, on whatever path leads to an address.
 
--- a/src/zinniaspool/keeper/main.py
+++ b/src/zinniaspool/keeper/main.py
@@ -7,9 +7,10 @@
 
 import structlog
 
+from zinniaspool.core.fleet import LeavingSource
 from zinniaspool.core.ids import Address
 from zinniaspool.core.messages import Hello, Message
-from zinniaspool.core.messages.fleet import SlowTarget, StalledTarget
+from zinniaspool.core.messages.fleet import LeavingInstance, SlowTarget, StalledTarget
 from zinniaspool.fleet import (
     FleetCodec,
     FleetFollower,
@@ -217,4 +218,6 @@
             self._holder.check_group(message.instance, message.node)
         elif isinstance(message, SlowTarget):
             self._holder.check_group(message.instance, message.node, SLOW_CHECK_PAUSE_S)
+        elif isinstance(message, LeavingInstance):
+            self._fleet_view.apply_leaving_report(message, LeavingSource.PEER)
         return None
--- a/src/zinniaspool/platform/orders.py
+++ b/src/zinniaspool/platform/orders.py
@@ -112,7 +112,8 @@
         decoded = decode_status(answer.body)
         if isinstance(decoded, Err):
             return Err(TransportFailure.MALFORMED)
-        return Ok(decoded.ok_value)
+        is_leaving = decoded.ok_value.is_leaving or _parse_leaving(answer)
+        return Ok(msgspec.structs.replace(decoded.ok_value, is_leaving=is_leaving))
 
     def decode_health(
         self, answer: InstanceAnswer
@@ -121,12 +122,8 @@
         health = None if answer.status is None else _HEALTH.get(answer.status)
         if answer.status is None or health is None:
             return Err(TransportFailure.MALFORMED)
-        headers = Headers(
-            (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in answer.headers
-        )
-        is_leaving = parse_notice(answer.status, headers).leaving
-        return Ok(HealthAnswer(health, parse_instance(headers), is_leaving))
+        instance = parse_instance(_read_headers(answer))
+        return Ok(HealthAnswer(health, instance, _parse_leaving(answer)))
 
     async def _fetch(
         self, address: Address, request: Request, timeout_s: float
@@ -144,6 +141,20 @@
         return Ok(InstanceAnswer(status, fields, body))
 
 
+def _read_headers(answer: InstanceAnswer) -> Headers:
+    return Headers(
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in answer.headers
+    )
+
+
+def _parse_leaving(answer: InstanceAnswer) -> bool:
+    """Return whether an answer says that its instance leaves."""
+    if answer.status is None:
+        return False
+    return parse_notice(answer.status, _read_headers(answer)).leaving
+
+
 def _format_order(order: GroupOrder) -> dict[str, object]:
     body: dict[str, object] = {"op": _ACTIONS[order.action]}
     if order.group is not None:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -22,6 +22,7 @@
         "request-fits-stop",
         "request-outlasts-stop",
         "request-refused",
+        "request-withheld",
         "stream-behind",
         "stream-moved",
         "trial-begun",
@@ -173,14 +174,15 @@
         "instance-state": "An instance started to leave or is ready.",
         "lease-lost": "A lease ended before it was renewed.",
         "instance-leaving": "An instance has said that it leaves; the keys tell its "
-        "start (0 if unknown) and how this process learned it: by the answer to a "
-        "request, a health answer, a status or its record.",
-        "request-to-leaving": "A request goes to an upstream that is known here to "
-        "leave for longer than that may take to reach all processes.",
+        "start (0 if unknown), how this process learned it, and from which VM: by the "
+        "answer to a request, a health answer, a status, its record, the report of "
+        "the VM that had the answer, a tunnel, or an update of the store's copy.",
+        "request-withheld": "A request was not sent, since its upstream has begun to "
+        "leave after it was chosen; since_ms is for how long this process knows it.",
         "target-closed": "A target gets no new requests, since its upstream leaves or "
         "its group is drained; the keys tell how many of this process it still has.",
-        "tunnel-to-leaving": "A request of another VM is carried to an upstream that "
-        "is known here to leave for longer than that may take to reach all processes.",
+        "tunnel-to-leaving": "A request of another VM was not carried on, since its "
+        "upstream leaves; a warning if the other VM should have learned it by then.",
         "limit-announced": "An upstream announced how many requests a second it "
         "accepts, or that it has no limit any more.",
         "log-lines-dropped": "The number of log lines dropped since the start, by "
--- a/src/zinniaspool_standins/soak.py
+++ b/src/zinniaspool_standins/soak.py
@@ -265,9 +265,10 @@
 
     async def let_runner_leave(self) -> None:
         one = self.source.choice(list(self.made.runners.values()))
-        one.faults.leaving = True
+        one.faults.announced = True
         await self.last(4.0)
-        one.faults.leaving = False
+        one.faults.announced = False
+        one.restart()
 
     async def spoil_orders(self) -> None:
         for one in self.made.runners.values():
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -266,3 +266,18 @@
         assert body in answer or chunked
 
     _run_trial(scripted, trial)
+
+
+def test_a_request_that_is_unwanted_once_connected_is_not_sent() -> None:
+    """Guards against requests to an upstream that left while they waited."""
+    scripted = _ScriptedUpstream(_OK)
+
+    async def trial(client: HttpClient, address: Address) -> None:
+        request = Request("GET", "/")
+        with pytest.raises(TransportError) as caught:
+            await client.send(address, request, 5.0, may_send=lambda: False)
+        assert caught.value.failure is TransportFailure.NOT_SENT
+        assert scripted.connections <= 1
+        assert not scripted.answered.is_set()
+
+    _run_trial(scripted, trial)
