Tunnels: a pause is asked of the VM whose address the upstream sees

Upstreams got requests in a pause that they had asked for: a VM that had been asked carried those of cut VMs (three to six requests in 1.5 s, by the kind of cut), and a VM was asked through its tunnel, by the answer to another one's request, and sent its own.

A pause was kept by the process whose request had got it, whatever path it had taken; the tunnel that carries requests looked at neither.

Change: who gets a pause through another VM tells that VM, which then keeps it. A VM in a pause carries no request there, at the request for a tunnel or on an open one; the request takes another VM or goes to another upstream.

--- a/src/zinniaspool/core/messages/__init__.py
+++ b/src/zinniaspool/core/messages/__init__.py
@@ -30,6 +30,7 @@
     LeavingInstance,
     LeavingNode,
     LoadReport,
+    PausedInstance,
     SlowTarget,
     StalledTarget,
     StoreStatus,
@@ -186,6 +187,7 @@
     | UnreachableNode
     | LeavingInstance
     | LeavingNode
+    | PausedInstance
     | CutAnswer
     | UpstreamLimit
     | DemandDigest
--- a/src/zinniaspool/core/messages/fleet.py
+++ b/src/zinniaspool/core/messages/fleet.py
@@ -26,6 +26,7 @@
     "LeavingNode",
     "LoadReport",
     "PastCrash",
+    "PausedInstance",
     "QueryKind",
     "StallEvidence",
     "SlowTarget",
@@ -400,13 +401,16 @@
         is_conclusive: Whether the answering process reaches upstreams. If it
             does not, that it did not reach this one shows nothing.
         is_leaving: Whether the upstream has said that it leaves, so that it
-            gets no requests. A tunnel that is open ends with such an outcome,
+            gets no requests.
+        is_paused: Whether it has asked the answering process's VM for a pause
+            that isn't over. A tunnel that is open ends with one of these two,
             in place of the request that it would have carried.
     """
 
     outcome: ProbeOutcome
     is_conclusive: bool
     is_leaving: bool = False
+    is_paused: bool = False
 
 
 class TunnelData(msgspec.Struct, frozen=True, tag="tunnel-data"):
@@ -423,6 +427,22 @@
     """Reports that the upstream closed its connection in order."""
 
 
+class PausedInstance(msgspec.Struct, frozen=True, tag="paused-instance"):
+    """Reports to a VM that an upstream has asked it for a pause.
+
+    The request was another VM's, and came from this one's address.
+
+    Attributes:
+        instance: The upstream's instance.
+        born: Unix milliseconds of its start; None if it did not report that.
+        pause_s: Time for which it wants no requests, in seconds.
+    """
+
+    instance: InstanceId
+    born: int | None
+    pause_s: float
+
+
 class UpstreamLimit(msgspec.Struct, frozen=True, tag="upstream-limit"):
     """Reports a target's rate limit, or a request sent under that limit.
 
--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -437,6 +437,17 @@
         ):
             self._drop_idle()
 
+    def find_relay(self, peer_name: tuple[str, int] | None) -> NodeId | None:
+        """Return the VM that a connection leads through, or None.
+
+        Args:
+            peer_name: Host and port at the connection's other end.
+        """
+        for record in self._fleet_view.nodes.values():
+            if split_address(record.peer_address) == peer_name:
+                return record.node
+        return None
+
     def handle_leaving(self, node: NodeId, left_s: float) -> None:
         """Use no idle tunnels through a VM that is being stopped.
 
--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -53,6 +53,9 @@
 _LEAVING_OUTCOME = TunnelOutcome(
     ProbeOutcome.NO_ANSWER, is_conclusive=False, is_leaving=True
 )
+_PAUSED_OUTCOME = TunnelOutcome(
+    ProbeOutcome.NO_ANSWER, is_conclusive=False, is_paused=True
+)
 
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.Protocol)
 
@@ -214,11 +217,14 @@
         measure_leaving: Returns for how long a run of an upstream is known to
             leave, in seconds; None if it isn't. It gets no requests of callers
             through this VM.
+        is_paused: Returns whether a run of an upstream has asked this VM for a
+            pause. It gets none until the pause is over.
 
     Attributes:
         open_count: Tunnels that are open now.
         leaving_count: Requests that were not carried, since their upstreams
             leave.
+        paused_count: Requests that were not carried in a pause.
         idle: Set while no tunnel is open.
     """
 
@@ -231,9 +237,10 @@
         measure_leaving: Callable[[InstanceIncarnation], float | None] = (
             lambda _: None
         ),
+        is_paused: Callable[[InstanceIncarnation], bool] = lambda _: False,
     ) -> None:
         self.open_count = 0
-        self.leaving_count = 0
+        self.leaving_count = self.paused_count = 0
         self.idle = asyncio.Event()
         self.idle.set()
         self._is_upstream = is_upstream
@@ -241,6 +248,7 @@
         self._confirm_path = confirm_path
         self._is_leaving = is_leaving
         self._measure_leaving = measure_leaving
+        self._is_paused = is_paused
 
     async def serve(
         self,
@@ -257,8 +265,8 @@
                 writer, TunnelOutcome(ProbeOutcome.NO_ANSWER, is_conclusive=False)
             )
             return
-        if self._is_upstream_leaving(request):
-            write_frame(writer, _LEAVING_OUTCOME)
+        if (withheld := self._find_withheld(request)) is not None:
+            write_frame(writer, withheld)
             return
         self.open_count += 1
         self.idle.clear()
@@ -291,19 +299,28 @@
             reached = TunnelOutcome(ProbeOutcome.REACHED, is_conclusive=True)
             write_frame(writer, reached)
             await _Relay(reader, writer, far_reader, far_writer).run(
-                lambda: not self._is_upstream_leaving(request)
+                lambda: self._find_withheld(request)
             )
         finally:
             far_writer.transport.abort()
 
-    def _is_upstream_leaving(self, request: TunnelRequest) -> bool:
-        """Return whether an upstream gets no requests, since it leaves."""
+    def _find_withheld(self, request: TunnelRequest) -> TunnelOutcome | None:
+        """Return why an upstream gets no requests through this VM, if so."""
         if request.instance is None:
-            return False
+            return None
         incarnation = InstanceIncarnation(request.instance, request.born)
+        if self._is_paused(incarnation):
+            self.paused_count += 1
+            _log.info(
+                "tunnel-to-paused",
+                instance=request.instance,
+                born=request.born or 0,
+                asked_by=request.node,
+            )
+            return _PAUSED_OUTCOME
         since_s = self._measure_leaving(incarnation)
         if since_s is None:
-            return False
+            return None
         self.leaving_count += 1
         # The other VM should have learned it by then.
         log = _log.info if since_s <= LEAVING_SPREAD_S else _log.warning
@@ -315,7 +332,7 @@
             since_ms=int(since_s * 1000),
             address=request.address,
         )
-        return True
+        return _LEAVING_OUTCOME
 
     async def _connect(
         self, upstream: Address
@@ -376,14 +393,14 @@
         self._connection: TransportSocket = writer.get_extra_info("socket")
         self._in_request = False
 
-    async def run(self, may_carry: Callable[[], bool]) -> None:
+    async def run(self, find_withheld: Callable[[], TunnelOutcome | None]) -> None:
         """Pass on bytes until either side closes.
 
         Args:
-            may_carry: Returns whether the request that begins may be carried.
-                The tunnel ends at the first one that may not.
+            find_withheld: Returns why the request that begins must not be
+                carried, if so. The tunnel then ends with that.
         """
-        sending = asyncio.create_task(self._pass_requests(may_carry))
+        sending = asyncio.create_task(self._pass_requests(find_withheld))
         receiving = asyncio.create_task(self._pass_answers())
         try:
             await asyncio.wait(
@@ -394,13 +411,16 @@
                 task.cancel()
             await asyncio.gather(sending, receiving, return_exceptions=True)
 
-    async def _pass_requests(self, may_carry: Callable[[], bool]) -> None:
+    async def _pass_requests(
+        self, find_withheld: Callable[[], TunnelOutcome | None]
+    ) -> None:
         while data := await self._reader.read(READ_BYTES):
             if has_other_side_ended(self._connection):
                 # The other VM has given up what it sent.
                 return
-            if not self._in_request and not may_carry():
-                write_frame(self._writer, _LEAVING_OUTCOME)
+            withheld = None if self._in_request else find_withheld()
+            if withheld is not None:
+                write_frame(self._writer, withheld)
                 return
             self._in_request = True
             self._far_writer.write(data)
--- a/src/zinniaspool/gateway/backpressure.py
+++ b/src/zinniaspool/gateway/backpressure.py
@@ -18,7 +18,7 @@
 )
 from zinniaspool.core.fleet import InstanceIncarnation
 from zinniaspool.core.ids import NodeId
-from zinniaspool.core.messages.fleet import UpstreamLimit
+from zinniaspool.core.messages.fleet import PausedInstance, UpstreamLimit
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.targets import TargetIndex
 
@@ -39,6 +39,7 @@
         cold: Limits the requests to cold upstreams.
         send_to_peers: Sends a report to the processes that share targets with
             this one.
+        send_to: Sends a report to the process of one VM.
     """
 
     def __init__(
@@ -47,15 +48,22 @@
         index: TargetIndex,
         cold: ColdTracker,
         send_to_peers: Callable[[UpstreamLimit], None],
+        send_to: Callable[[NodeId, PausedInstance], None],
     ) -> None:
         self._node = node
         self._index = index
         self._cold = cold
         self._send_to_peers = send_to_peers
+        self._send_to = send_to
         self._unknown_headers: set[str] = set()
 
     def record_answer(
-        self, state: TargetState, notice: InstanceNotice, *, has_run: bool
+        self,
+        state: TargetState,
+        notice: InstanceNotice,
+        *,
+        has_run: bool,
+        relay: NodeId | None = None,
     ) -> None:
         """Record what an upstream's answer asks.
 
@@ -64,10 +72,14 @@
             notice: What the answer asks.
             has_run: Whether the upstream ran the request. A refusal may lack
                 the limit that other answers announce.
+            relay: The VM that the answer came through. A pause is asked of it,
+                since the request came from its address.
         """
         incarnation = state.target.incarnation
         if notice.pause_s is not None:
             self._record_pause(incarnation, notice.pause_s)
+            if relay is not None:
+                self._send_to(relay, PausedInstance(*incarnation, notice.pause_s))
         if notice.limit_per_s is None and not has_run:
             return
         if self._set_limit(incarnation, notice.limit_per_s, self._node):
@@ -102,6 +114,16 @@
                 1.0 if state is None else state.subset_part, self._now()
             )
 
+    def handle_pause_report(self, report: PausedInstance) -> None:
+        """Handle a pause asked of this VM for the request of another one."""
+        incarnation = InstanceIncarnation(report.instance, report.born)
+        self._record_pause(incarnation, report.pause_s)
+
+    def is_paused(self, incarnation: InstanceIncarnation) -> bool:
+        """Return whether an upstream has asked this VM for a pause."""
+        known = self._index.backpressure.get(incarnation)
+        return known is not None and self._now() < known.paused_until
+
     def _record_pause(self, incarnation: InstanceIncarnation, pause_s: float) -> None:
         known = self._index.remember_backpressure(incarnation)
         until = self._now() + pause_s
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -40,6 +40,7 @@
     LeavingInstance,
     LeavingNode,
     LoadReport,
+    PausedInstance,
     StalledTarget,
     UnreachableNode,
     UpstreamLimit,
@@ -196,6 +197,7 @@
             self._connector.confirm_path,
             lambda: self._stop_clock.began_at is not None,
             self._fleet_view.measure_leaving,
+            lambda incarnation: self._backpressure.is_paused(incarnation),
         )
         self._peer_exchange = PeerExchange(
             settings.node,
@@ -262,6 +264,7 @@
             self._index,
             self._cold,
             lambda report: self._send(self._subset.other_members, report),
+            lambda node, report: self._send([node], report),
         )
         self._leaving = LeavingReporter(
             settings.node, self._fleet_view, self._send_to_all, self._send_to_holder
@@ -276,6 +279,7 @@
             self._backpressure,
             self._leaving,
             self._stop_guard,
+            self._connector.find_relay,
         )
         self._forwarder = RequestForwarder(
             sender,
@@ -491,6 +495,8 @@
             self._directory_handler.handle_leaving(message.node, message.left_s)
         elif isinstance(message, LeavingInstance):
             self._leaving.handle_peer_report(message)
+        elif isinstance(message, PausedInstance):
+            self._backpressure.handle_pause_report(message)
         elif isinstance(message, StalledTarget):
             self._stall_detector.handle_peer_report(message)
         elif isinstance(message, CutAnswer):
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -263,6 +263,15 @@
         "Requests that were not sent or carried on, since their upstreams leave.",
         list_leaving_requests,
     )
+
+    def list_paused_requests() -> Iterator[Sample]:
+        yield Sample({}, tunnel_server.paused_count)
+
+    page.add_counter(
+        "zinniaspool_paused_requests",
+        "Requests of other VMs that were not carried on, in a pause asked of this VM.",
+        list_paused_requests,
+    )
     page.add_counter(
         "zinniaspool_connections", "Connections opened to upstreams.", list_opened
     )
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -1,6 +1,7 @@
 """Sends one attempt of a request to its target and passes on the answer."""
 
 import asyncio
+from collections.abc import Callable
 from http import HTTPStatus
 
 import structlog
@@ -8,6 +9,7 @@
 
 from zinniaspool.core.dispatch import AttemptFailure, Progress, TargetPool
 from zinniaspool.core.fleet import RequestKind
+from zinniaspool.core.ids import NodeId
 from zinniaspool.gateway.backpressure import BackpressureTracker
 from zinniaspool.gateway.calls import FailedAnswer, GatewayAttempt, GatewayCall
 from zinniaspool.gateway.crashes import CrashDetector
@@ -82,6 +84,8 @@
         backpressure: Keeps what upstreams ask in their answers.
         leaving: Is told which upstreams leave, and knows of others.
         stop_guard: Finds the streams that begin too late to end in time.
+        find_relay: Returns the VM that a connection leads through, by host and
+            port at its other end; None if it leads to the upstream itself.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         backpressure: BackpressureTracker,
         leaving: LeavingReporter,
         stop_guard: StopGuard,
+        find_relay: Callable[[tuple[str, int] | None], NodeId | None],
     ) -> None:
         self._http = http
         self._codec = codec
@@ -105,6 +110,7 @@
         self._backpressure = backpressure
         self._leaving = leaving
         self._stop_guard = stop_guard
+        self._find_relay = find_relay
 
     async def run(self, attempt: GatewayAttempt) -> AttemptFailure | None:
         """Run one attempt.
@@ -262,7 +268,10 @@
         notice = self._codec.parse_notice(response.status, response.headers)
         if notice.leaving:
             self._leaving.record_answer(state.target.incarnation)
-        self._backpressure.record_answer(state, notice, has_run=has_run)
+        relay = None
+        if notice.pause_s is not None:
+            relay = self._find_relay(response.peer_name)
+        self._backpressure.record_answer(state, notice, has_run=has_run, relay=relay)
         self._backpressure.record_unknown_headers(
             self._codec.list_unknown_headers(response.headers)
         )
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -186,6 +186,15 @@
         """
         return self._connection.measure_unread()
 
+    @property
+    def peer_name(self) -> tuple[str, int] | None:
+        """Host and port at the other end of its connection, if known.
+
+        They are another process's than the address that was asked for where
+        a connector has found another path.
+        """
+        return self._connection.peer_name
+
     async def skip_to_next(self) -> "ClientResponse":
         """Discard this response and wait for the next on the connection.
 
@@ -416,6 +425,7 @@
         idle_since: When the last whole response ended, by the loop's clock.
         max_idle_s: Longest idle time after which the connection is used
             again; the last response's ``keep-alive`` header may shorten it.
+        peer_name: Host and port at its other end; None before it is open.
     """
 
     def __init__(self, client: HttpClient, address: Address) -> None:
@@ -423,6 +433,7 @@
         self.number = client.opened_connections
         self.idle_since = 0.0
         self.max_idle_s = _IDLE_S
+        self.peer_name: tuple[str, int] | None = None
         self._request: Request | None = None
         self._client = client
         self._h11 = h11.Connection(h11.CLIENT)
@@ -457,6 +468,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        name = transport.get_extra_info("peername")
+        self.peer_name = None if name is None else (name[0], name[1])
 
     def data_received(self, data: bytes) -> None:
         if not self._in_exchange:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -181,6 +181,8 @@
         "leave after it was chosen; since_ms is for how long this process knows it.",
         "target-closed": "A target gets no new requests, since its upstream leaves or "
         "its group is drained; the keys tell how many of this process it still has.",
+        "tunnel-to-paused": "A request of another VM was not carried on, since its "
+        "upstream has asked this VM for a pause.",
         "tunnel-to-leaving": "A request of another VM was not carried on, since its "
         "upstream leaves; a warning if the other VM should have learned it by then.",
         "limit-announced": "An upstream announced how many requests a second it "
--- a/src/zinniaspool_standins/leaving.py
+++ b/src/zinniaspool_standins/leaving.py
@@ -1,4 +1,4 @@
-"""What reaches an upstream that leaves, by the VM that it comes from."""
+"""What reaches an upstream that leaves or pauses, by the VM it comes from."""
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -34,11 +34,13 @@
         recorded_at: When the store accepted a record that says it; infinite
             before.
         arrivals: The requests that reached it.
+        pauses: When it asked for pauses, with the ports that it asked.
     """
 
     said: dict[int, float] = field(default_factory=dict)
     recorded_at: float = inf
     arrivals: list[Arrival] = field(default_factory=list)
+    pauses: list[tuple[int, float]] = field(default_factory=list)
 
     def note_said(self, port: int, now: float) -> None:
         """Note an answer that says that the upstream leaves."""
@@ -95,6 +97,30 @@
             if one.at > known_at + bound_s
         ]
 
+    def list_in_pauses(
+        self, vms: Mapping[int, str], grace_s: float, pause_s: float
+    ) -> list[tuple[str, Arrival]]:
+        """Return what came from VMs that had been asked for a pause.
+
+        Args:
+            vms: VMs by the ports of their connections.
+            grace_s: Time after that in which requests may still come, in
+                seconds.
+            pause_s: Length of a pause, in seconds.
+
+        Returns:
+            The requests, each with its VM.
+        """
+        asked = [(vms.get(port, ""), at) for port, at in self.pauses]
+        return [
+            (vm, one)
+            for vm, one in _name_vms(self.arrivals, vms)
+            if any(
+                vm == paused and grace_s < one.at - at <= pause_s
+                for paused, at in asked
+            )
+        ]
+
 
 def _name_vms(
     arrivals: Iterable[Arrival], vms: Mapping[int, str]
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -649,6 +649,7 @@
             if self.faults.pause_s > 0:
                 refusal.add("retry-after", f"{self.faults.pause_s:g}")
                 self.paused.append(asyncio.get_running_loop().time())
+                self.leaving.pauses.append((_find_port(exchange), self.paused[-1]))
             await exchange.respond(503, refusal, b"")
             return
         self._note_run(request, headers, exchange.request.path)
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -1,4 +1,4 @@
-"""Upstreams that say that they leave, and what still reaches them."""
+"""Upstreams that say that they leave or pause, and what reaches them."""
 
 import asyncio
 import contextlib
@@ -28,6 +28,10 @@
 SPREAD_S = 1.0
 """Time within which the whole fleet must know that an upstream leaves."""
 
+PAUSE_S = 3.0
+GRACE_S = 0.5
+"""Time after a request for a pause in which requests may still arrive."""
+
 
 @contextlib.asynccontextmanager
 async def run_four_vms(plain: int = 3) -> AsyncIterator[Installation]:
@@ -246,3 +250,44 @@
             made.assert_sound()
 
     run_with_cuts(test)
+
+
+@pytest.mark.parametrize("kind", CutKind)
+def test_a_paused_vm_carries_no_requests_of_others(kind: CutKind) -> None:
+    """Guards against a VM that carries requests in a pause asked of it."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            paused = list_plain(made)[0]
+            paused.faults.pause_s = PAUSE_S
+            await ask_until(made, "n1", lambda: paused.paused)
+            for name in ("n0", "n2", "n3"):
+                made.cut_upstreams(name, kind)
+            await asyncio.sleep(GRACE_S + 0.1)
+            answers = await ask_all(made, ["n0", "n2", "n3"], 1.5)
+            sources = list_sources()
+            assert paused.leaving.list_in_pauses(sources, GRACE_S, PAUSE_S) == []
+            assert {answer.status for answer in answers} == {200}
+
+    run_with_cuts(test)
+
+
+def test_a_vm_keeps_a_pause_that_was_asked_through_it() -> None:
+    """Guards against a pause known only where the request came from."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            paused = list_plain(made)[0]
+            for name in ("n0", "n2", "n3"):
+                made.cut_upstreams(name, CutKind.RESET)
+            await ask_all(made, ["n0", "n2", "n3"], 1.0)
+            paused.faults.pause_s = PAUSE_S
+            await ask_until(made, "n0", lambda: paused.paused)
+            await asyncio.sleep(GRACE_S)
+            answers = await ask_all(made, ["n1"], 1.5)
+            sources = list_sources()
+            assert {sources[port] for port, _ in paused.leaving.pauses} == {"n1"}
+            assert paused.leaving.list_in_pauses(sources, GRACE_S, PAUSE_S) == []
+            assert {answer.status for answer in answers} == {200}
+
+    run_with_cuts(test)
