--- a/src/zinniaspool/fleet/__init__.py
+++ b/src/zinniaspool/fleet/__init__.py
@@ -12,10 +12,11 @@
 from zinniaspool.fleet.sight import HolderHeartbeat, read_boot_clock
 from zinniaspool.fleet.spelling import FleetCodec
 from zinniaspool.fleet.store import FleetStore
-from zinniaspool.fleet.tunnels import TunnelServer
+from zinniaspool.fleet.tunnels import LEAVING_SPREAD_S, TunnelServer
 from zinniaspool.fleet.unreadable import UnreadableValues, ValueKind
 
 __all__ = [
+    "LEAVING_SPREAD_S",
     "FleetCodec",
     "FleetFollower",
     "FleetStore",
--- a/src/zinniaspool/gateway/leaving.py
+++ b/src/zinniaspool/gateway/leaving.py
@@ -13,7 +13,7 @@
 from zinniaspool.core.fleet import InstanceIncarnation, LeavingSource
 from zinniaspool.core.ids import NodeId, RequestId
 from zinniaspool.core.messages.fleet import LeavingInstance
-from zinniaspool.fleet import FleetView
+from zinniaspool.fleet import LEAVING_SPREAD_S, FleetView
 
 __all__ = ["LeavingReporter"]
 
@@ -70,7 +70,9 @@
         if since_s is None:
             return True
         self.withheld_count += 1
-        _log.warning(
+        # Later than that, the upstream should not have been chosen.
+        log = _log.info if since_s <= LEAVING_SPREAD_S else _log.warning
+        log(
             "request-withheld",
             instance=incarnation.instance,
             born=incarnation.started_at_ms or 0,
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -178,7 +178,8 @@
         "answer to a request, a health answer, a status, its record, the report of "
         "the VM that had the answer, a tunnel, or an update of the store's copy.",
         "request-withheld": "A request was not sent, since its upstream has begun to "
-        "leave after it was chosen; since_ms is for how long this process knows it.",
+        "leave after it was chosen; since_ms is for how long this process knows it. A "
+        "warning if the upstream should not have been chosen.",
         "target-closed": "A target gets no new requests, since its upstream leaves or "
         "its group is drained; the keys tell how many of this process it still has.",
         "tunnel-to-paused": "A request of another VM was not carried on, since its "
