--- a/src/zinniaspool_standins/leaving.py
+++ b/src/zinniaspool_standins/leaving.py
@@ -1,8 +1,9 @@
 """What reaches an upstream that leaves or pauses, by the VM it comes from."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import inf
+from types import MappingProxyType
 
 __all__ = ["Arrival", "LeavingLog"]
 
@@ -55,46 +56,68 @@
         return min(self.said.values(), default=inf)
 
     def list_late(
-        self, vms: Mapping[int, str], bound_s: float
+        self,
+        vms: Mapping[int, str],
+        bound_s: float,
+        restarts: Mapping[str, Sequence[float]] = MappingProxyType({}),
     ) -> list[tuple[str, Arrival]]:
         """Return what came from VMs that had passed such an answer on before.
 
         Args:
             vms: VMs by the ports of their connections.
-            bound_s: Time after the first such answer to a VM in which requests
-                may still come from it, in seconds.
+            bound_s: Time after such an answer to a VM in which requests may
+                still come from it, in seconds.
+            restarts: When VMs were started again, which then know nothing.
 
         Returns:
             The requests, each with its VM.
         """
-        told: dict[str, float] = {}
-        for port, at in self.said.items():
-            vm = vms.get(port, "")
-            told[vm] = min(at, told.get(vm, inf))
+        told = [(vms.get(port, ""), at) for port, at in self.said.items()]
         return [
             (vm, one)
             for vm, one in _name_vms(self.arrivals, vms)
-            if one.at > told.get(vm, inf) + bound_s
+            if any(
+                vm == knowing
+                and one.at > at + bound_s
+                and not any(at < again <= one.at for again in restarts.get(vm, ()))
+                for knowing, at in told
+            )
         ]
 
     def list_late_in_fleet(
-        self, vms: Mapping[int, str], bound_s: float
+        self,
+        vms: Mapping[int, str],
+        bound_s: float,
+        restarts: Mapping[str, Sequence[float]] = MappingProxyType({}),
     ) -> list[tuple[str, Arrival]]:
-        """Return what came from any VM after the first answer, or the record.
+        """Return what came from any VM after the first answer.
 
         Args:
             vms: VMs by the ports of their connections.
-            bound_s: Time since then in which requests may still come, in
-                seconds.
+            bound_s: Time since then, or since a VM was started again, in which
+                requests may still come, in seconds.
+            restarts: When VMs were started again.
 
         Returns:
             The requests, each with its VM.
         """
-        known_at = min(self.find_first_said(), self.recorded_at)
+        known_at = self.find_first_said()
         return [
             (vm, one)
             for vm, one in _name_vms(self.arrivals, vms)
-            if one.at > known_at + bound_s
+            if one.at > max([known_at, *restarts.get(vm, ())]) + bound_s
+        ]
+
+    def list_after_record(self, bound_s: float, until: float = inf) -> list[Arrival]:
+        """Return what came after the store had accepted a record that says it.
+
+        Args:
+            bound_s: Time since then in which requests may still come, in
+                seconds.
+            until: When this no longer counts, in seconds.
+        """
+        return [
+            one for one in self.arrivals if self.recorded_at + bound_s < one.at <= until
         ]
 
     def list_in_pauses(
--- a/tests/path_soak.py
+++ b/tests/path_soak.py
@@ -17,7 +17,7 @@
 from tests.soak_seeds import begin_overlapping, run_command_line
 from zinniaspool_standins.cuts import CutKind, CuttableLoop
 
-__all__ = ["PathSoakError", "run_seed"]
+__all__ = ["PathSoak", "PathSoakError", "play_seed", "run_seed"]
 
 ZONES = {"n0": "hall-a", "n1": "hall-a", "n2": "hall-b", "n3": "hall-b"}
 
@@ -43,7 +43,18 @@
 
 
 @dataclass
-class _Soak:
+class PathSoak:
+    """Traffic of one seed, and what breaks meanwhile.
+
+    Attributes:
+        made: The installation.
+        source: Chooses what happens.
+        faults: What was broken.
+        seen: The promises that were broken.
+        sent: Number of requests.
+        ends: Statuses of their answers; 0 for no whole answer.
+    """
+
     made: Installation
     source: random.Random
     faults: list[str] = field(default_factory=list)
@@ -79,6 +90,17 @@
         if kind == "cards" and len(runs) > 1:
             self.seen.append(f"{name}: ran {len(runs)} times")
 
+    def list_faults(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return what may break; each returns when that has ended."""
+        return [
+            self.cut_some,
+            self.cut_some,
+            self.cut_domain,
+            self.replace_vm,
+            self.lose_runner,
+            self.silence_runner,
+        ]
+
     async def send_traffic(self, until: float) -> None:
         calls = set()
         while asyncio.get_running_loop().time() < until:
@@ -88,16 +110,8 @@
         await asyncio.gather(*calls)
 
     async def break_things(self, until: float) -> None:
-        choices: list[Callable[[], Awaitable[None]]] = [
-            self.cut_some,
-            self.cut_some,
-            self.cut_domain,
-            self.replace_vm,
-            self.lose_runner,
-            self.silence_runner,
-        ]
         await begin_overlapping(
-            choices, self.source, until, (0.2, 1.5), self.faults.append
+            self.list_faults(), self.source, until, (0.2, 1.5), self.faults.append
         )
 
     async def cut(self, names: list[str]) -> None:
@@ -149,13 +163,15 @@
                 self.seen.append(f"{node} still takes its path for lost")
 
 
-async def _play(seed: int) -> _Soak:
+async def _play(
+    seed: int, make_soak: Callable[[Installation, random.Random], PathSoak]
+) -> PathSoak:
     async with Installation.running(nodes=0, engines=12, plain=4) as made:
         for name, zone in ZONES.items():
             await made.add_node(name, zone)
         await made.settle()
         await eventually(lambda: made.find_holder() is not None)
-        soak = _Soak(made, random.Random(seed))
+        soak = make_soak(made, random.Random(seed))
         until = asyncio.get_running_loop().time() + TRAFFIC_S
         await asyncio.gather(
             soak.break_things(until), soak.send_traffic(until + CALM_S / 2)
@@ -168,11 +184,22 @@
 def run_seed(seed: int) -> str:
     """Play one seed and return what was counted.
 
+    Raises:
+        PathSoakError: A promise was broken.
+    """
+    return play_seed(seed, PathSoak)
+
+
+def play_seed(
+    seed: int, make_soak: Callable[[Installation, random.Random], PathSoak]
+) -> str:
+    """Play one seed of a soak and return what was counted.
+
     Raises:
         PathSoakError: A promise was broken.
     """
     with asyncio.Runner(loop_factory=CuttableLoop) as runner:
-        soak = runner.run(_play(seed))
+        soak = runner.run(_play(seed, make_soak))
     if soak.seen:
         raise PathSoakError(f"seed {seed}: {soak.seen[:5]} after {soak.faults}")
     ends = ", ".join(f"{count} of {end}" for end, count in sorted(soak.ends.items()))
