Fleet: followers are told of runs that leave until these have most likely ended

Now those that have a record or were learned within a minute. A tunnel names the instance that serves where two records have one address.

--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -61,6 +61,10 @@
 _NEVER_CONFIRMED_S = -1e6
 """Time of the last confirmation while there is none yet: far in the past."""
 
+LEAVING_REPORTED_S = 60.0
+"""For how long followers are told of a run that leaves and has no record, in
+seconds. Its record may return until it has ended."""
+
 MAX_KNOWN_INCARNATIONS = 4096
 """Instances whose newest start time is remembered, also after their records
 are removed: several times those of the largest fleet that is planned for."""
@@ -269,6 +273,20 @@
         self._notify(self.on_instances)
         return True
 
+    def list_leaving_since(self, serial: int) -> list[LeavingRun]:
+        """Return the runs that began to leave after a serial of the mirror.
+
+        Those are left out that the store's records show, and those that have
+        most likely ended: there may be hundreds of them a day.
+        """
+        now, prefix = self._clock(), self._codec.instances_prefix
+        return [
+            run
+            for run in self.leaving.list_since(serial)
+            if now - run.learned_at <= LEAVING_REPORTED_S
+            or self.mirror.get(prefix + run.incarnation.instance) is not None
+        ]
+
     def apply_leaving_report(
         self, report: LeavingInstance, source: LeavingSource
     ) -> None:
--- a/src/zinniaspool/fleet/connector.py
+++ b/src/zinniaspool/fleet/connector.py
@@ -17,6 +17,7 @@
 from zinniaspool.core.fleet import (
     Instance,
     InstanceIncarnation,
+    InstanceState,
     LeavingSource,
     NodeRecord,
     NodeState,
@@ -235,9 +236,16 @@
         return TunnelRequest(address, self._node, instance.id, instance.started_at_ms)
 
     def _find_instance(self, address: Address) -> Instance | None:
-        """Return the instance that listens at an address, or None."""
+        """Return the instance that listens at an address, or None.
+
+        One that leaves may have ended, and another one may have its address.
+        """
         instances = self._fleet_view.instances.values()
-        return next((one for one in instances if one.address == address), None)
+        return max(
+            (one for one in instances if one.address == address),
+            key=lambda one: one.state is InstanceState.READY,
+            default=None,
+        )
 
     async def _open(
         self,
--- a/src/zinniaspool/fleet/mesh.py
+++ b/src/zinniaspool/fleet/mesh.py
@@ -263,7 +263,7 @@
             changed = mirror.list_since_revision(watch.as_of)
         else:
             changed, source = [], ""
-        leaving = self._view.leaving.list_since(watch.serial if known else 0)
+        leaving = self._view.list_leaving_since(watch.serial if known else 0)
         term = self._describe_holder()
         return FleetUpdate(
             source,
