Gateway: requests that the network holds back are given up when their upstream leaves

The kernel and the network are the last place from which bytes leave a VM, and nothing asked there.

Change: a second after a run begins to leave, requests without an answer whose bytes the other side has not acknowledged are given up: own ones, and those carried for other VMs. They count as ones that may have run. requests-undelivered tells how many.

--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -111,6 +111,7 @@
         on_instances: Called after instances or their reachability changed.
         on_nodes: Called after an entry process or the holder changed.
         on_change: Called after any change.
+        on_leaving: Called with each run of an instance that begins to leave.
         on_evacuation: Called with the failure domains whose evacuation began
             and those whose evacuation ended, before ``on_instances``.
         quarantined: Traits whose requests are recorded as sent to no upstream.
@@ -160,6 +161,7 @@
         self.on_record: list[Callable[[RecordArrival], None]] = []
         self.on_instances: list[Callable[[], None]] = []
         self.on_nodes: list[Callable[[], None]] = []
+        self.on_leaving: list[Callable[[InstanceIncarnation], None]] = []
         self.on_change: list[Callable[[], None]] = []
         self._evacuations = EvacuationOrders(codec.evacuations_prefix)
         self.on_evacuation = self._evacuations.listeners
@@ -315,6 +317,7 @@
             by=source.value,
             told_by=told_by or "",
         )
+        call_listeners(self.on_leaving, incarnation)
         return True
 
     def measure_leaving(self, incarnation: InstanceIncarnation) -> float | None:
--- a/src/zinniaspool/fleet/tunnels.py
+++ b/src/zinniaspool/fleet/tunnels.py
@@ -22,7 +22,11 @@
     TunnelOutcome,
     TunnelRequest,
 )
-from zinniaspool.http import NotForwardedError, has_other_side_ended
+from zinniaspool.http import (
+    NotForwardedError,
+    count_undelivered,
+    has_other_side_ended,
+)
 from zinniaspool.peers import FrameDecoder, FrameError, encode_frame, write_frame
 
 __all__ = [
@@ -249,6 +253,7 @@
         self._is_leaving = is_leaving
         self._measure_leaving = measure_leaving
         self._is_paused = is_paused
+        self._relays: dict[_Relay, TunnelRequest] = {}
 
     async def serve(
         self,
@@ -298,12 +303,30 @@
         try:
             reached = TunnelOutcome(ProbeOutcome.REACHED, is_conclusive=True)
             write_frame(writer, reached)
-            await _Relay(reader, writer, far_reader, far_writer).run(
-                lambda: self._find_withheld(request)
-            )
+            relay = _Relay(reader, writer, far_reader, far_writer)
+            self._relays[relay] = request
+            try:
+                await relay.run(lambda: self._find_withheld(request))
+            finally:
+                del self._relays[relay]
         finally:
             far_writer.transport.abort()
 
+    def abort_undelivered(self, incarnation: InstanceIncarnation) -> int:
+        """End the tunnels whose last request has not reached an upstream.
+
+        Returns:
+            The number of these tunnels.
+        """
+        undelivered = [
+            relay
+            for relay, request in self._relays.items()
+            if (request.instance, request.born) == incarnation and relay.is_undelivered
+        ]
+        for relay in undelivered:
+            relay.abort()
+        return len(undelivered)
+
     def _find_withheld(self, request: TunnelRequest) -> TunnelOutcome | None:
         """Return why an upstream gets no requests through this VM, if so."""
         if request.instance is None:
@@ -393,6 +416,16 @@
         self._connection: TransportSocket = writer.get_extra_info("socket")
         self._in_request = False
 
+    @property
+    def is_undelivered(self) -> bool:
+        """Whether bytes of a request have not reached the upstream yet."""
+        return self._in_request and count_undelivered(self._far_writer.transport) > 0
+
+    def abort(self) -> None:
+        """Close both connections at once."""
+        self._far_writer.transport.abort()
+        self._writer.transport.abort()
+
     async def run(self, find_withheld: Callable[[], TunnelOutcome | None]) -> None:
         """Pass on bytes until either side closes.
 
--- a/src/zinniaspool/http/__init__.py
+++ b/src/zinniaspool/http/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client and server on asyncio, with h11 as parser."""
 
-from zinniaspool.http.backlog import has_other_side_ended
+from zinniaspool.http.backlog import count_undelivered, has_other_side_ended
 from zinniaspool.http.client import ClientResponse, HttpClient
 from zinniaspool.http.connection import Handler
 from zinniaspool.http.connector import Connector, NotForwardedError
@@ -29,5 +29,6 @@
     "ServerLimits",
     "TransportError",
     "TransportFailure",
+    "count_undelivered",
     "has_other_side_ended",
 ]
--- a/src/zinniaspool/http/backlog.py
+++ b/src/zinniaspool/http/backlog.py
@@ -1,4 +1,4 @@
-"""What the kernel has of connections that the program has not read yet.
+"""What the kernel has of connections that was not read or delivered yet.
 
 A listener that is opened before the program has loaded accepts connections,
 and the kernel keeps what callers send. So it does while a program is late.
@@ -6,11 +6,18 @@
 """
 
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 from typing import Protocol
 
-__all__ = ["Backlog", "has_other_side_ended", "measure_unread"]
+__all__ = [
+    "Backlog",
+    "count_undelivered",
+    "has_other_side_ended",
+    "measure_unread",
+]
 
 READ_S = 0.05
 """Time after the start within which requests are read that arrived before it,
@@ -20,6 +27,8 @@
 """The state, the milliseconds since data was last received, and the bytes
 received, in Linux's ``struct tcp_info``."""
 
+_INT = struct.Struct("=i")
+
 _OPEN_STATES = (1, 8)
 """TCP states in which a request can be answered: established, close-wait."""
 
@@ -93,6 +102,22 @@
     return unread_ms / _MS_PER_S if unread_ms > _TICK_MS else 0.0
 
 
+def count_undelivered(transport: asyncio.WriteTransport) -> int:
+    """Return how many bytes the other side has not acknowledged yet.
+
+    Those that the kernel has sent count only if it records them.
+    """
+    unwritten = transport.get_write_buffer_size()
+    connection = transport.get_extra_info("socket")
+    if connection is None:
+        return unwritten
+    try:
+        sent = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    except OSError:
+        return unwritten
+    return unwritten + int(_INT.unpack(sent)[0])
+
+
 def has_other_side_ended(connection: _Connection) -> bool:
     """Return whether the other side has closed, reset or ended its sending.
 
--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -14,7 +14,7 @@
 
 from zinniaspool.core.decoding import parse_count
 from zinniaspool.core.ids import Address, split_address
-from zinniaspool.http.backlog import measure_unread
+from zinniaspool.http.backlog import count_undelivered, measure_unread
 from zinniaspool.http.connector import Connector, NotForwardedError
 from zinniaspool.http.messages import (
     Headers,
@@ -250,6 +250,7 @@
             connector.on_idle_obsolete.append(self._end_reuse)
         self._reuse_from = 0
         self._idle: dict[Address, deque[_ClientConnection]] = {}
+        self._unanswered: dict[Address, set[_ClientConnection]] = {}
         self.undeclared_bodies = _UndeclaredBodies()
 
     async def send(
@@ -288,6 +289,8 @@
             raise TransportError(TransportFailure.NOT_SENT, "withheld")
         loop = asyncio.get_running_loop()
         timer = loop.call_later(timeout_s, connection.time_out)
+        unanswered = self._unanswered.setdefault(address, set())
+        unanswered.add(connection)
         try:
             return await connection.exchange(request)
         except BaseException:
@@ -295,6 +298,9 @@
             raise
         finally:
             timer.cancel()
+            unanswered.discard(connection)
+            if not unanswered and self._unanswered.get(address) is unanswered:
+                del self._unanswered[address]
 
     async def fetch(
         self, address: Address, request: Request, timeout_s: float
@@ -359,6 +365,23 @@
         for connection in self._idle.pop(address, ()):
             connection.abort()
 
+    def abort_undelivered(self, address: Address) -> int:
+        """Give up the requests to an address that have not arrived there.
+
+        The network may hold them back and deliver them much later.
+
+        Returns:
+            The number of these requests. Each fails as one that may have run.
+        """
+        undelivered = [
+            connection
+            for connection in self._unanswered.get(address, ())
+            if connection.is_undelivered
+        ]
+        for connection in undelivered:
+            connection.give_up()
+        return len(undelivered)
+
     def return_connection(self, connection: "_ClientConnection") -> None:
         """Put a connection back into the pool after a whole response."""
         idle = self._idle.setdefault(connection.address, deque())
@@ -578,6 +601,13 @@
     def time_out(self) -> None:
         self._fail(TransportError(TransportFailure.TIMED_OUT))
 
+    @property
+    def is_undelivered(self) -> bool:
+        return self._transport is not None and count_undelivered(self._transport) > 0
+
+    def give_up(self) -> None:
+        self._fail(TransportError(TransportFailure.CUT, "not delivered"))
+
     # Sending and reading.
 
     def _encode_request(self, request: Request) -> bytes:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -177,6 +177,9 @@
         "start (0 if unknown), how this process learned it, and from which VM: by the "
         "answer to a request, a health answer, a status, its record, the report of "
         "the VM that had the answer, a tunnel, or an update of the store's copy.",
+        "requests-undelivered": "Requests had not arrived at an upstream a second "
+        "after it began to leave, and were given up: those of this process, and "
+        "those carried for other VMs.",
         "request-withheld": "A request was not sent, since its upstream has begun to "
         "leave after it was chosen; since_ms is for how long this process knows it. A "
         "warning if the upstream should not have been chosen.",
--- a/src/zinniaspool_standins/cuts.py
+++ b/src/zinniaspool_standins/cuts.py
@@ -145,6 +145,7 @@
         self._lost = False
         self._arrived: list[Callable[[], object]] = []
         self._unsent: list[Callable[[], None]] = []
+        self._unsent_bytes = 0
 
     def hold(self) -> None:
         self.held = True
@@ -153,6 +154,7 @@
         self.held = False
         arrived, self._arrived = self._arrived, []
         unsent, self._unsent = self._unsent, []
+        self._unsent_bytes = 0
         for send in unsent:
             send()
         for receive in arrived:
@@ -181,6 +183,7 @@
     def write(self, data: Any) -> None:
         if self.held:
             kept = bytes(data)
+            self._unsent_bytes += len(kept)
             self._unsent.append(lambda: self._real.write(kept))
         else:
             self._real.write(data)
@@ -214,7 +217,7 @@
         self._real.resume_reading()
 
     def get_write_buffer_size(self) -> int:
-        return self._real.get_write_buffer_size()
+        return self._real.get_write_buffer_size() + self._unsent_bytes
 
     def set_write_buffer_limits(
         self, high: int | None = None, low: int | None = None
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -291,3 +291,36 @@
             assert {answer.status for answer in answers} == {200}
 
     run_with_cuts(test)
+
+
+def test_what_the_network_holds_back_is_given_up() -> None:
+    """Guards against requests that arrive long after they were sent.
+
+    The connection hangs, the upstream begins to leave, and the path returns
+    when it may get no requests any more.
+    """
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            leaving = list_plain(made)[0]
+            await ask_all(made, ["n1"], 0.5)
+            made.cut_upstreams("n1", CutKind.HANG)
+            pending = [
+                asyncio.ensure_future(made.ask("n1", "/cards/1", deadline_ms=1500))
+                for _ in range(3)
+            ]
+            await asyncio.sleep(0.05)
+            leaving.faults.announced = True
+            with capture_logs() as lines:
+                await asyncio.sleep(SPREAD_S + 0.25)
+            seen = len(leaving.leaving.arrivals)
+            made.heal_upstreams("n1")
+            await asyncio.gather(*pending)
+            await asyncio.sleep(0.2)
+            assert len(leaving.leaving.arrivals) == seen
+            given_up = [one for one in lines if one["event"] == "requests-undelivered"]
+            assert [(one["instance"], one["own"]) for one in given_up] == [
+                (leaving.id, 1)
+            ]
+
+    run_with_cuts(test)
