HTTP client: what is undelivered is looked up by connection, not kept for each request

The client now has its open connections, and one knows whether its request is unanswered.

Measured: tests/test_http_bounds.py passes; 54 tests of the client, tunnels and leaving upstreams pass.

--- a/src/zinniaspool/http/client.py
+++ b/src/zinniaspool/http/client.py
@@ -250,7 +250,7 @@
             connector.on_idle_obsolete.append(self._end_reuse)
         self._reuse_from = 0
         self._idle: dict[Address, deque[_ClientConnection]] = {}
-        self._unanswered: dict[Address, set[_ClientConnection]] = {}
+        self._open: set[_ClientConnection] = set()
         self.undeclared_bodies = _UndeclaredBodies()
 
     async def send(
@@ -261,7 +261,7 @@
         *,
         fresh: bool = False,
         max_idle_s: float = _IDLE_S,
-        may_send: Callable[[], bool] = lambda: True,
+        may_send: Callable[[], bool] | None = None,
     ) -> ClientResponse:
         """Send a request and wait for the response's head.
 
@@ -284,13 +284,11 @@
         connection = None if fresh else self._take_idle(address, max_idle_s)
         if connection is None:
             connection = await self._connect(address)
-        if not may_send():
+        if may_send is not None and not may_send():
             connection.abort()
             raise TransportError(TransportFailure.NOT_SENT, "withheld")
         loop = asyncio.get_running_loop()
         timer = loop.call_later(timeout_s, connection.time_out)
-        unanswered = self._unanswered.setdefault(address, set())
-        unanswered.add(connection)
         try:
             return await connection.exchange(request)
         except BaseException:
@@ -298,9 +296,6 @@
             raise
         finally:
             timer.cancel()
-            unanswered.discard(connection)
-            if not unanswered and self._unanswered.get(address) is unanswered:
-                del self._unanswered[address]
 
     async def fetch(
         self, address: Address, request: Request, timeout_s: float
@@ -375,8 +370,8 @@
         """
         undelivered = [
             connection
-            for connection in self._unanswered.get(address, ())
-            if connection.is_undelivered
+            for connection in self._open
+            if connection.address == address and connection.is_undelivered
         ]
         for connection in undelivered:
             connection.give_up()
@@ -392,8 +387,13 @@
         connection.idle_since = asyncio.get_running_loop().time()
         idle.append(connection)
 
+    def add_connection(self, connection: "_ClientConnection") -> None:
+        """Track a connection that is open."""
+        self._open.add(connection)
+
     def remove_connection(self, connection: "_ClientConnection") -> None:
         """Remove a closed connection from the pool."""
+        self._open.discard(connection)
         idle = self._idle.get(connection.address)
         if idle is not None and connection in idle:
             idle.remove(connection)
@@ -493,6 +493,7 @@
         self._transport = cast(asyncio.Transport, transport)
         name = transport.get_extra_info("peername")
         self.peer_name = None if name is None else (name[0], name[1])
+        self._client.add_connection(self)
 
     def data_received(self, data: bytes) -> None:
         if not self._in_exchange:
@@ -603,7 +604,9 @@
 
     @property
     def is_undelivered(self) -> bool:
-        return self._transport is not None and count_undelivered(self._transport) > 0
+        if self._transport is None or self._head is None or self._head.done():
+            return False
+        return count_undelivered(self._transport) > 0
 
     def give_up(self) -> None:
         self._fail(TransportError(TransportFailure.CUT, "not delivered"))
