HTTP: undelivered bytes are counted from the buffer alone where the kernel is substituted

Without a file descriptor the call failed with another error than the one that was caught, and the requests that the network holds back were not given up.

--- a/src/zinniaspool/http/backlog.py
+++ b/src/zinniaspool/http/backlog.py
@@ -113,7 +113,8 @@
         return unwritten
     try:
         sent = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
-    except OSError:
+    except (AttributeError, OSError, ValueError):
+        # A substitute for the kernel has no such call.
         return unwritten
     return unwritten + int(_INT.unpack(sent)[0])
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -15,6 +15,7 @@
     Request,
     TransportError,
     TransportFailure,
+    count_undelivered,
 )
 
 _OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -281,3 +282,30 @@
         assert not scripted.answered.is_set()
 
     _run_trial(scripted, trial)
+
+
+def test_bytes_that_the_other_side_does_not_take_are_undelivered() -> None:
+    """Guards against a request in the kernel's queue that counts as sent."""
+
+    async def run() -> None:
+        server = await asyncio.start_server(_read_nothing, "127.0.0.1", 0, limit=1)
+        port = server.sockets[0].getsockname()[1]
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            assert count_undelivered(writer.transport) == 0
+            writer.write(bytes(32 * 1024 * 1024))
+            await asyncio.sleep(0.1)
+            unwritten = writer.transport.get_write_buffer_size()
+            assert count_undelivered(writer.transport) > unwritten
+        finally:
+            writer.transport.abort()
+            server.close()
+
+    run_in_loop(run)
+
+
+async def _read_nothing(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await asyncio.sleep(1.0)
+    writer.transport.abort()
