--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -109,6 +109,32 @@
     run_with_cuts(test)
 
 
+@pytest.mark.parametrize("kind", CutKind)
+def test_no_tunnel_carries_streams_to_a_head_that_leaves(kind: CutKind) -> None:
+    """Guards against the same at the head of a group, whose record is late."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            head = made.heads("small")[0]
+            head.faults.says_leaving = True
+            for _ in range(100):
+                if head.leaving.said:
+                    break
+                await made.draft("n1", "small", 1)
+            cut = [name for name in ZONES if name != "n1"]
+            for name in cut:
+                made.cut_upstreams(name, kind)
+            await asyncio.sleep(DRAIN_S + 0.2)
+            for _ in range(8):
+                drafts = [made.draft(name, "small", 2) for name in cut]
+                await asyncio.gather(*drafts)
+            assert head.leaving.said
+            assert head.leaving.list_late(list_sources(), DRAIN_S) == []
+            made.assert_sound()
+
+    run_with_cuts(test)
+
+
 def test_all_vms_know_at_once_that_an_upstream_leaves() -> None:
     """Guards against a request of each VM to learn what another one knows."""
 
