Tests: a retrial is awaited until the process's own record allows it

Cause: test_a_retrial_that_an_upstream_refuses_is_not_used_up scheduled the retrial by hand and sent 0.7 s later. The process's own record of the quarantine is written after 0.6 to 2.0 s, drawn at random, and schedules the retrial anew when it comes back.

Change: nothing is scheduled by hand; the test waits until the process judges that the part may be tried, which only its record brings about. As strict as before, and the path through the record is part of it.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -8,9 +8,11 @@
 
 from tests.installation import Answer, Installation, eventually, run
 from zinniaspool.core.dispatch import quarantine
+from zinniaspool.core.dispatch.quarantine import TraitStatus
 from zinniaspool.core.fleet import InstanceId
 from zinniaspool.core.ids import TraitId
 from zinniaspool.core.messages.fleet import CrashHistory, PastCrash
+from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool_standins.runners import Runner
 
 _PART, _OTHER_PART = "dead0001", "dead0002"
@@ -417,6 +419,11 @@
     run(test)
 
 
+def _may_be_tried(crashes: CrashDetector, trait: TraitId) -> bool:
+    now = asyncio.get_running_loop().time()
+    return crashes.quarantine.judge([trait], now).status is TraitStatus.SUSPECTED
+
+
 def test_a_retrial_that_an_upstream_refuses_is_not_used_up(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -432,9 +439,8 @@
             crashes.apply_history(CrashHistory([tried]))
             held = await made.draft("n0", "small", 3, parts=(_PART,))
             assert held.headers.get("x-error-kind") == "quarantined"
-            now = asyncio.get_running_loop().time()
-            crashes.quarantine.schedule_retrials(trait, now)
-            await asyncio.sleep(0.7)
+            # The process allows it when its record comes back from the store.
+            await eventually(lambda: _may_be_tried(crashes, trait))
             first.faults.refuse = True
             answer = await made.draft("n0", "small", 3, "r-trial", parts=(_PART,))
             assert answer.events == [1, 2, 3], answer
