Directory: VMs that stay unreachable are left out however many they are

Cause: with more than half of the other VMs unreachable, a VM takes itself for the one that is cut off and announces all of them. One that had been unreachable for six seconds came back into the answers when four others lost their power, and stayed until its lease of 12 s expired.

Change: in that case those are left out that haven't answered eight probes in a row, about 4 s. All are announced only while this VM reaches none of them and has no path of its own to the upstreams. The class is a state that is judged by a share at one moment, where how long it has lasted is known.

Ruled out: a shorter lease, which an outage of the store would end.

--- a/src/zinniaspool/core/fleet/reachability.py
+++ b/src/zinniaspool/core/fleet/reachability.py
@@ -23,9 +23,14 @@
 link that loses packets seldom loses two in a row."""
 
 MAX_UNREACHABLE_PART = 0.5
-"""Part of the other VMs that may be unreachable. With more, this VM is
-probably the one that is cut off, and callers may well reach the VMs that it
-cannot reach."""
+"""Part of the other VMs that may be unreachable. With more, this VM may be
+the one that is cut off, and callers may well reach the VMs that it cannot
+reach."""
+
+FAILURES_UNTIL_GONE = 8
+"""Probes in a row without an answer after which a VM counts as gone, however
+many others can't be reached either: about four seconds. Its record may stay
+three times as long."""
 
 
 class ProbeOutcome(Enum):
@@ -92,12 +97,22 @@
         self._unreachable.add(node)
         return True
 
-    def list_usable(self, vms: Collection[NodeId]) -> set[NodeId]:
+    def list_usable(self, vms: Collection[NodeId], *, has_path: bool) -> set[NodeId]:
         """Return the other VMs that callers may be sent to.
 
-        If this VM cannot reach most of them, it is probably cut off itself,
-        and all of them are returned.
+        If this VM cannot reach most of them, it may be cut off itself, and
+        leaves out only those that it has not reached for long. If it reaches
+        none of them and no upstream either, all are returned.
+
+        Args:
+            vms: The other VMs.
+            has_path: Whether this VM has a path of its own to the upstreams.
         """
-        if len(self._unreachable & set(vms)) > MAX_UNREACHABLE_PART * len(vms):
+        unreachable = self._unreachable & set(vms)
+        if len(unreachable) <= MAX_UNREACHABLE_PART * len(vms):
+            return set(vms) - unreachable
+        if len(unreachable) == len(vms) and not has_path:
             return set(vms)
-        return set(vms) - self._unreachable
+        return {
+            name for name in vms if self._failures.get(name, 0) < FAILURES_UNTIL_GONE
+        }
--- a/src/zinniaspool/gateway/directory.py
+++ b/src/zinniaspool/gateway/directory.py
@@ -109,7 +109,10 @@
             and not self._is_leaving(record.node)
             and (own is None or record.node != own.node)
         }
-        ready = [others[name] for name in self._reachability.list_usable(others)]
+        usable = self._reachability.list_usable(
+            others, has_path=own is not None and own.has_upstream_path
+        )
+        ready = [others[name] for name in usable]
         if own is not None:
             ready.append(own)
         ready = _choose_with_path(ready)
