Stand-ins: a request is counted at the VM that opened its connection

Cause: the rig named a VM by the local port of its connection. The kernel gives one port to connections to several upstreams, and gives it again later, so that requests of one VM were counted at another one.

Change: the loop keeps both ends of each connection, and an upstream asks for the VM as a request arrives. What it logs are VMs. A pause that isn't kept prints when in the pause its requests came.

--- a/src/zinniaspool_standins/cuts.py
+++ b/src/zinniaspool_standins/cuts.py
@@ -41,14 +41,13 @@
     Attributes:
         upstreams: Addresses of the upstreams.
         connected: Number of connections that each VM has opened to upstreams.
-        sources: The VMs by the local ports of these connections.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.upstreams: set[Address] = set()
         self.connected: dict[str, int] = {}
-        self.sources: dict[int, str] = {}
+        self._sources: dict[tuple[Any, Any], str] = {}
         self._cuts: dict[str, CutKind] = {}
         self._transports: dict[str, set[_CuttableTransport]] = {}
 
@@ -67,6 +66,22 @@
         for transport in list(self._transports.get(vm, ())):
             transport.let_go()
 
+    def find_source(self, transport: asyncio.BaseTransport) -> str:
+        """Return the VM that opened a connection to an upstream.
+
+        Connections to several upstreams may have the same local port, and
+        later ones may have it again.
+
+        Args:
+            transport: The connection as the upstream has it, still open.
+
+        Returns:
+            The VM; empty if none opened it.
+        """
+        host, port = transport.get_extra_info("sockname")[:2]
+        ends = transport.get_extra_info("peername"), Address(f"{host}:{port}")
+        return self._sources.get(ends, "")
+
     async def create_connection(  # type: ignore[override]
         self,
         protocol_factory: Callable[[], asyncio.Protocol],
@@ -93,7 +108,8 @@
         assert isinstance(outer, _CuttableProtocol)
         assert outer.transport is not None
         self.connected[vm] = self.connected.get(vm, 0) + 1
-        self.sources[outer.transport.get_extra_info("sockname")[1]] = vm
+        ends = outer.transport.get_extra_info("sockname"), Address(f"{host}:{port}")
+        self._sources[ends] = vm
         return outer.transport, inner
 
 
--- a/src/zinniaspool_standins/leaving.py
+++ b/src/zinniaspool_standins/leaving.py
@@ -1,6 +1,6 @@
 """What reaches an upstream that leaves or pauses, by the VM it comes from."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from math import inf
 from types import MappingProxyType
@@ -14,12 +14,12 @@
 
     Attributes:
         request: Its id.
-        port: Port at the other end of its connection.
+        vm: The VM that its connection came from; empty if it isn't known.
         at: When it arrived, in seconds of the loop's clock.
     """
 
     request: str
-    port: int
+    vm: str
     at: float
 
 
@@ -30,82 +30,71 @@
     Times are in seconds of the loop's clock.
 
     Attributes:
-        said: When it first said in an answer that it leaves, by the port at
-            the other end of the connection.
+        said: When it said in an answer that it leaves, with the VMs that it
+            answered.
         recorded_at: When the store accepted a record that says it; infinite
             before.
         arrivals: The requests that reached it.
-        pauses: When it asked for pauses, with the ports that it asked.
+        pauses: When it asked for pauses, with the VMs that it asked.
     """
 
-    said: dict[int, float] = field(default_factory=dict)
+    said: list[tuple[str, float]] = field(default_factory=list)
     recorded_at: float = inf
     arrivals: list[Arrival] = field(default_factory=list)
-    pauses: list[tuple[int, float]] = field(default_factory=list)
+    pauses: list[tuple[str, float]] = field(default_factory=list)
 
-    def note_said(self, port: int, now: float) -> None:
+    def note_said(self, vm: str, now: float) -> None:
         """Note an answer that says that the upstream leaves."""
-        self.said.setdefault(port, now)
+        self.said.append((vm, now))
 
-    def note_arrival(self, request: str, port: int, now: float) -> None:
+    def note_arrival(self, request: str, vm: str, now: float) -> None:
         """Note a request that reached the upstream."""
-        self.arrivals.append(Arrival(request, port, now))
+        self.arrivals.append(Arrival(request, vm, now))
 
     def find_first_said(self) -> float:
         """Return when it first said it in an answer; infinite if never."""
-        return min(self.said.values(), default=inf)
+        return min((at for _, at in self.said), default=inf)
 
     def list_late(
         self,
-        vms: Mapping[int, str],
         bound_s: float,
         restarts: Mapping[str, Sequence[float]] = MappingProxyType({}),
-    ) -> list[tuple[str, Arrival]]:
+    ) -> list[Arrival]:
         """Return what came from VMs that had passed such an answer on before.
 
         Args:
-            vms: VMs by the ports of their connections.
             bound_s: Time after such an answer to a VM in which requests may
                 still come from it, in seconds.
             restarts: When VMs were started again, which then know nothing.
-
-        Returns:
-            The requests, each with its VM.
         """
-        told = [(vms.get(port, ""), at) for port, at in self.said.items()]
         return [
-            (vm, one)
-            for vm, one in _name_vms(self.arrivals, vms)
+            one
+            for one in self.arrivals
             if any(
-                vm == knowing
+                vm == one.vm
                 and one.at > at + bound_s
                 and not any(at < again <= one.at for again in restarts.get(vm, ()))
-                for knowing, at in told
+                for vm, at in self.said
             )
         ]
 
     def list_late_in_fleet(
         self,
-        vms: Mapping[int, str],
         bound_s: float,
         restarts: Mapping[str, Sequence[float]] = MappingProxyType({}),
-    ) -> list[tuple[str, Arrival]]:
+    ) -> list[Arrival]:
         """Return what came from any VM after the first answer.
 
         Args:
-            vms: VMs by the ports of their connections.
             bound_s: Time since then, or since a VM was started again, in which
                 requests may still come, in seconds.
             restarts: When VMs were started again.
-
-        Returns:
-            The requests, each with its VM.
         """
         known_at = self.find_first_said()
         return [
-            (vm, one)
-            for vm, one in _name_vms(self.arrivals, vms)
-            if one.at > max([known_at, *restarts.get(vm, ())]) + bound_s
+            one
+            for one in self.arrivals
+            if one.at > max([known_at, *restarts.get(one.vm, ())]) + bound_s
         ]
 
     def list_after_record(self, bound_s: float, until: float = inf) -> list[Arrival]:
@@ -120,32 +109,19 @@
             one for one in self.arrivals if self.recorded_at + bound_s < one.at <= until
         ]
 
-    def list_in_pauses(
-        self, vms: Mapping[int, str], grace_s: float, pause_s: float
-    ) -> list[tuple[str, Arrival]]:
+    def list_in_pauses(self, grace_s: float, pause_s: float) -> list[Arrival]:
         """Return what came from VMs that had been asked for a pause.
 
         Args:
-            vms: VMs by the ports of their connections.
             grace_s: Time after that in which requests may still come, in
                 seconds.
             pause_s: Length of a pause, in seconds.
-
-        Returns:
-            The requests, each with its VM.
         """
-        asked = [(vms.get(port, ""), at) for port, at in self.pauses]
         return [
-            (vm, one)
-            for vm, one in _name_vms(self.arrivals, vms)
+            one
+            for one in self.arrivals
             if any(
-                vm == paused and grace_s < one.at - at <= pause_s
-                for paused, at in asked
+                one.vm == vm and grace_s < one.at - at <= pause_s
+                for vm, at in self.pauses
             )
         ]
-
-
-def _name_vms(
-    arrivals: Iterable[Arrival], vms: Mapping[int, str]
-) -> list[tuple[str, Arrival]]:
-    return [(vms.get(one.port, ""), one) for one in arrivals]
--- a/src/zinniaspool_standins/runners.py
+++ b/src/zinniaspool_standins/runners.py
@@ -22,6 +22,7 @@
 from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http import Exchange, Headers, HttpServer, TransportError
 from zinniaspool_standins.coldness import Coldness
+from zinniaspool_standins.cuts import CuttableLoop
 from zinniaspool_standins.headcuts import HeadCut, HeadEnd, make_head
 from zinniaspool_standins.leaving import LeavingLog
 from zinniaspool_standins.noise import Noise, NoiseKind
@@ -488,7 +489,7 @@
         """Add to an answer's headers that it leaves, if it does."""
         if self.faults.says_leaving or self.faults.announced:
             now = asyncio.get_running_loop().time()
-            self.leaving.note_said(_find_port(exchange), now)
+            self.leaving.note_said(_find_vm(exchange), now)
             answer.add("server-leaving", "1")
         return answer
 
@@ -635,7 +636,7 @@
         if headers.get("x-zinniaspool-expect-instance") not in (self.id, None):
             await exchange.respond(421, Headers(), b"")
             return
-        self.leaving.note_arrival(request, _find_port(exchange), now)
+        self.leaving.note_arrival(request, _find_vm(exchange), now)
         if self.coldness.record_request() > (self.times.cold_limit or inf):
             if self._crashing is None or self._crashing.done():
                 self._crashing = asyncio.create_task(self.crash())
@@ -649,7 +650,7 @@
             if self.faults.pause_s > 0:
                 refusal.add("retry-after", f"{self.faults.pause_s:g}")
                 self.paused.append(asyncio.get_running_loop().time())
-                self.leaving.pauses.append((_find_port(exchange), self.paused[-1]))
+                self.leaving.pauses.append((_find_vm(exchange), self.paused[-1]))
             await exchange.respond(503, refusal, b"")
             return
         self._note_run(request, headers, exchange.request.path)
@@ -849,8 +850,10 @@
                 self.broken.append(f"{key_of['name']} runs without {one}")
 
 
-def _find_port(exchange: Exchange) -> int:
-    """Return the port at the other end of an exchange's connection."""
+def _find_vm(exchange: Exchange) -> str:
+    """Return the VM that a connection came from; empty if unknown."""
+    loop = asyncio.get_running_loop()
     transport = exchange._channel._transport  # type: ignore[attr-defined]
-    name = None if transport is None else transport.get_extra_info("peername")
-    return 0 if name is None else int(name[1])
+    if transport is None or not isinstance(loop, CuttableLoop):
+        return ""
+    return loop.find_source(transport)
--- a/tests/leaving_soak.py
+++ b/tests/leaving_soak.py
@@ -18,7 +18,6 @@
 from tests.installation import Installation
 from tests.path_soak import ZONES, PathSoak, play_seed
 from tests.soak_seeds import run_command_line
-from zinniaspool_standins.cuts import CuttableLoop
 from zinniaspool_standins.leaving import LeavingLog
 from zinniaspool_standins.runners import Runner
 
@@ -156,40 +155,39 @@
     async def check_end(self) -> None:
         """Check what must hold, and what reached upstreams that left."""
         await super().check_end()
-        loop = asyncio.get_running_loop()
-        assert isinstance(loop, CuttableLoop)
         for one, log in self._list_logs():
-            late = log.list_late(loop.sources, DRAIN_S, self.restarts)
+            late = log.list_late(DRAIN_S, self.restarts)
             learned = {
                 vm: [at + START_S - SPREAD_S for at in times]
                 for vm, times in self.restarts.items()
             }
-            fleet = log.list_late_in_fleet(loop.sources, SPREAD_S, learned)
-            for vm, arrival in [*late, *fleet]:
+            fleet = log.list_late_in_fleet(SPREAD_S, learned)
+            for arrival in [*late, *fleet]:
                 after_s = arrival.at - log.find_first_said()
                 self.seen.append(
-                    f"{one.id}: {arrival.request} from {vm} {after_s:.2f} s after it "
-                    "had said that it leaves"
+                    f"{one.id}: {arrival.request} from {arrival.vm} {after_s:.2f} s "
+                    "after it had said that it leaves"
                 )
             for arrival in log.list_after_record(DRAIN_S, self._find_stable_end(log)):
                 after_s = arrival.at - log.recorded_at
                 self.seen.append(
-                    f"{one.id}: {arrival.request} from "
-                    f"{loop.sources.get(arrival.port)} {after_s:.2f} s after its record"
+                    f"{one.id}: {arrival.request} from {arrival.vm} {after_s:.2f} s "
+                    "after its record"
                 )
-            self._check_pauses(one, log, loop.sources)
+            self._check_pauses(one, log)
 
-    def _check_pauses(self, one: Runner, log: LeavingLog, vms: dict[int, str]) -> None:
-        for port, at in log.pauses:
-            vm = vms.get(port, "")
-            count = sum(
-                vms.get(arrival.port) == vm
+    def _check_pauses(self, one: Runner, log: LeavingLog) -> None:
+        for vm, at in log.pauses:
+            late = [
+                arrival
+                for arrival in log.arrivals
+                if arrival.vm == vm
                 and GRACE_S < arrival.at - at <= PAUSE_S
                 and not any(at < again <= arrival.at for again in self.restarts[vm])
-                for arrival in log.arrivals
-            )
-            if count > MAX_IN_PAUSE:
-                self.seen.append(f"{one.id}: {count} requests of {vm} in a pause")
+            ]
+            if len(late) > MAX_IN_PAUSE:
+                after = ", ".join(f"{arrival.at - at:.2f}" for arrival in late)
+                self.seen.append(f"{one.id}: requests of {vm} {after} s into a pause")
 
     def _find_stable_end(self, log: LeavingLog) -> float:
         """Return until when the store has answered all VMs since a record."""
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -16,8 +16,9 @@
     InstanceState,
     LeavingSource,
 )
-from zinniaspool.core.ids import Address, FailureDomainId
-from zinniaspool_standins.cuts import CutKind, CuttableLoop
+from zinniaspool.core.ids import Address, FailureDomainId, split_address
+from zinniaspool_standins.cuts import CURRENT_VM, CutKind, CuttableLoop
+from zinniaspool_standins.installation import free_address
 from zinniaspool_standins.runners import Runner
 
 ZONES = {"n0": "hall-a", "n1": "hall-a", "n2": "hall-b", "n3": "hall-b"}
@@ -49,13 +50,6 @@
     return [one for one in made.runners.values() if one.service == "cards"]
 
 
-def list_sources() -> dict[int, str]:
-    """Return the VMs by the ports of their connections to upstreams."""
-    loop = asyncio.get_running_loop()
-    assert isinstance(loop, CuttableLoop)
-    return loop.sources
-
-
 async def ask_until(
     made: Installation, node: str, check: Callable[[], object]
 ) -> list[Answer]:
@@ -103,7 +97,7 @@
             leaving.faults.says_leaving = True
             await ask_until(made, "n1", lambda: leaving.leaving.said)
             answers = await ask_through_n1(made, kind, DRAIN_S + 0.2)
-            assert leaving.leaving.list_late(list_sources(), DRAIN_S) == []
+            assert leaving.leaving.list_late(DRAIN_S) == []
             assert {answer.status for answer in answers} == {200}
 
     run_with_cuts(test)
@@ -129,7 +123,7 @@
                 drafts = [made.draft(name, "small", 2) for name in cut]
                 await asyncio.gather(*drafts)
             assert head.leaving.said
-            assert head.leaving.list_late(list_sources(), DRAIN_S) == []
+            assert head.leaving.list_late(DRAIN_S) == []
             made.assert_sound()
 
     run_with_cuts(test)
@@ -145,7 +139,7 @@
             await ask_until(made, "n1", lambda: leaving.leaving.said)
             await asyncio.sleep(SPREAD_S)
             answers = await ask_all(made, ZONES, 1.0)
-            late = leaving.leaving.list_late_in_fleet(list_sources(), SPREAD_S)
+            late = leaving.leaving.list_late_in_fleet(SPREAD_S)
             assert late == []
             assert {answer.status for answer in answers} == {200}
 
@@ -197,7 +191,7 @@
                     break
                 await asyncio.sleep(0.03)
             await ask_all(made, ["n0", "n2", "n3"], 1.0)
-            late = leaving.leaving.list_late_in_fleet(list_sources(), SPREAD_S)
+            late = leaving.leaving.list_late_in_fleet(SPREAD_S)
             assert late == []
 
     run_with_cuts(test)
@@ -224,7 +218,7 @@
                     break
                 await asyncio.sleep(0.03)
             await ask_all(made, made.nodes, 1.0)
-            late = leaving.leaving.list_late_in_fleet(list_sources(), SPREAD_S)
+            late = leaving.leaving.list_late_in_fleet(SPREAD_S)
             assert late == []
 
     run_with_cuts(test)
@@ -243,15 +237,14 @@
             answers += await ask_all(made, ZONES, 1.5)
             assert {vm for vm in _list_vms(leaving)} == set(ZONES)
             before = leaving.runs_before[-1]
-            assert before.list_late_in_fleet(list_sources(), SPREAD_S) == []
+            assert before.list_late_in_fleet(SPREAD_S) == []
             assert {answer.status for answer in answers} == {200}
 
     run_with_cuts(test)
 
 
 def _list_vms(runner: Runner) -> set[str]:
-    sources = list_sources()
-    return {sources[one.port] for one in runner.leaving.arrivals}
+    return {one.vm for one in runner.leaving.arrivals}
 
 
 def test_streams_at_a_head_that_leaves_end_whole() -> None:
@@ -296,8 +289,7 @@
             paused.faults.pause_s = PAUSE_S
             await ask_until(made, "n1", lambda: paused.paused)
             answers = await ask_through_n1(made, kind, GRACE_S + 0.1)
-            sources = list_sources()
-            assert paused.leaving.list_in_pauses(sources, GRACE_S, PAUSE_S) == []
+            assert paused.leaving.list_in_pauses(GRACE_S, PAUSE_S) == []
             assert {answer.status for answer in answers} == {200}
 
     run_with_cuts(test)
@@ -316,9 +308,8 @@
             await ask_until(made, "n0", lambda: paused.paused)
             await asyncio.sleep(GRACE_S)
             answers = await ask_all(made, ["n1"], 1.5)
-            sources = list_sources()
-            assert {sources[port] for port, _ in paused.leaving.pauses} == {"n1"}
-            assert paused.leaving.list_in_pauses(sources, GRACE_S, PAUSE_S) == []
+            assert {vm for vm, _ in paused.leaving.pauses} == {"n1"}
+            assert paused.leaving.list_in_pauses(GRACE_S, PAUSE_S) == []
             assert {answer.status for answer in answers} == {200}
 
     run_with_cuts(test)
@@ -355,3 +346,36 @@
             ]
 
     run_with_cuts(test)
+
+
+def test_a_request_is_counted_at_the_vm_that_sent_it() -> None:
+    """Guards against a VM that is blamed since it got another one's port."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, CuttableLoop)
+        found = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read(1)
+            found.append(loop.find_source(writer.transport))
+            writer.close()
+
+        upstreams = [free_address() for _ in range(2)]
+        loop.upstreams.update(upstreams)
+        port = int(free_address().rpartition(":")[2])
+        for vm, upstream in zip(("n0", "n1"), upstreams, strict=True):
+            host, far_port = split_address(upstream)
+            CURRENT_VM.set(vm)
+            async with await asyncio.start_server(serve, host, far_port):
+                reader, writer = await asyncio.open_connection(
+                    host, far_port, local_addr=(host, port)
+                )
+                writer.write(b"?")
+                assert await reader.read() == b""
+                writer.close()
+        assert found == ["n0", "n1"]
+
+    run_with_cuts(test)
