Stand-ins, load program: upstreams of processes leave, counted by VM

Cause: the load program of processes had no upstreams that leave, and an upstream could not tell its VMs apart, since all connect from 127.0.0.1.

Change: a program may run placed: its connections to upstreams come from an address of its own VM, and it can be cut off from them. Upstreams in other processes leave as announced, with or without the store, come back at their address, and report what came by VM.

Ruled out as a fault: answers that were cut with their connections while a VM was cut off.

--- a/src/zinniaspool_standins/hosts.py
+++ b/src/zinniaspool_standins/hosts.py
@@ -21,6 +21,7 @@
 from zinniaspool.http import Headers
 from zinniaspool_standins.fleet import end_with_parent
 from zinniaspool_standins.installation import SIZES, free_address
+from zinniaspool_standins.leaving import LeavingLog
 from zinniaspool_standins.pagestore import PageStore
 from zinniaspool_standins.passes import PassingRunner, PassTimes
 from zinniaspool_standins.runners import (
@@ -74,6 +75,7 @@
         run: A request that began to run.
         begun: A stream of which a runner has made the first event, and the
             runner.
+        left: What came at a runner that has left and is back, and the runner.
         broken: All rules that its runners saw broken so far.
     """
 
@@ -81,6 +83,7 @@
     removed: list[str] = []
     run: SeenRun | None = None
     begun: tuple[str, str] | None = None
+    left: tuple[str, LeavingLog] | None = None
     broken: list[str] = []
 
 
@@ -111,6 +114,7 @@
         ran_at: When that was reported of each request, in seconds of the
             loop's clock.
         begun: The runners that have made an event of each stream.
+        left: The runners that have left and are back, with what came.
         broken: The rules that its runners saw broken.
     """
 
@@ -128,6 +132,8 @@
         self.runs: list[SeenRun] = []
         self.ran_at: defaultdict[str, list[float]] = defaultdict(list)
         self.begun: defaultdict[str, set[str]] = defaultdict(set)
+        self.left: list[tuple[str, LeavingLog]] = []
+        self._returns: dict[str, asyncio.Event] = {}
         self.broken: list[str] = []
         self._store = store
         self._log = folder / f"{name}.log"
@@ -171,8 +177,26 @@
     async def set_faults(self, runner: str, faults: RunnerFaults) -> None:
         """Let one of its runners do something wrong from now on."""
         assert self._process is not None and self._process.stdin is not None
-        line = msgspec.json.encode(_Change(runner, faults))
-        self._process.stdin.write(line + b"\n")
+        await self._ask(_Change(runner, faults))
+
+    async def leave(
+        self, runner: str, serves_s: float, *, has_store: bool = True
+    ) -> None:
+        """Have one of its runners leave, end and come back at its address.
+
+        Args:
+            runner: The runner.
+            serves_s: For how long it serves on, in seconds.
+            has_store: Whether its record says that it leaves, too.
+        """
+        is_back = self._returns[runner] = asyncio.Event()
+        faults = RunnerFaults(cut=not has_store)
+        await self._ask(_Change(runner, faults, leaves_after_s=serves_s))
+        await is_back.wait()
+
+    async def _ask(self, change: "_Change") -> None:
+        assert self._process is not None and self._process.stdin is not None
+        self._process.stdin.write(msgspec.json.encode(change) + b"\n")
         await self._process.stdin.drain()
 
     async def end(self) -> None:
@@ -246,14 +270,24 @@
         if line.begun is not None:
             request, runner = line.begun
             self.begun[request].add(runner)
+        if line.left is not None:
+            self.left.append(line.left)
+            self._returns.pop(line.left[0]).set()
         self.broken = line.broken or self.broken
 
 
 class _Change(msgspec.Struct):
-    """What the process that reads this one's output asks of a runner."""
+    """What the process that reads this one's output asks of a runner.
+
+    Attributes:
+        runner: The runner.
+        faults: What it does wrong from now on.
+        leaves_after_s: It leaves then, and serves on for so many seconds.
+    """
 
     runner: str
-    faults: RunnerFaults
+    faults: RunnerFaults = msgspec.field(default_factory=RunnerFaults)
+    leaves_after_s: float | None = None
 
 
 class _LineStore:
@@ -279,6 +313,11 @@
         super()._note_begun(request)
         _report(_Line(begun=(request, self.id)))
 
+    async def come_back(self) -> None:
+        """Report what came while it left, and start again."""
+        _report(_Line(left=(self.id, self.leaving)))
+        await super().come_back()
+
 
 class _ReportingPassingRunner(_ReportingRunner, PassingRunner):
     """Such a runner that works in passes."""
@@ -308,14 +347,14 @@
     async with asyncio.TaskGroup() as tasks:
         for runner in runners.values():
             tasks.create_task(runner.run())
-        tasks.create_task(_apply_changes(runners))
+        tasks.create_task(_apply_changes(runners, tasks))
         while True:
             broken = [text for one in runners.values() for text in one.broken]
             _report(_Line(broken=broken))
             await asyncio.sleep(HEARTBEAT_S / 4)
 
 
-async def _apply_changes(runners: dict[str, Runner]) -> None:
+async def _apply_changes(runners: dict[str, Runner], tasks: asyncio.TaskGroup) -> None:
     """Apply the lines of the standard input until it ends."""
     reader = asyncio.StreamReader()
     loop = asyncio.get_running_loop()
@@ -325,6 +364,13 @@
     while line := await reader.readline():
         change = msgspec.json.decode(line, type=_Change)
         runners[change.runner].faults = change.faults
+        if change.leaves_after_s is not None:
+            tasks.create_task(_leave(runners[change.runner], change.leaves_after_s))
+
+
+async def _leave(runner: Runner, serves_s: float) -> None:
+    await runner.leave(serves_s)
+    await runner.come_back()
 
 
 if __name__ == "__main__":
--- a/src/zinniaspool_standins/nodes.py
+++ b/src/zinniaspool_standins/nodes.py
@@ -5,13 +5,17 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field
 from pathlib import Path
 
+import msgspec
+
 from zinniaspool.core.ids import Address
+from zinniaspool_standins.cuts import CutKind
 from zinniaspool_standins.fleet import end_with_parent
 from zinniaspool_standins.installation import Installation, free_address
+from zinniaspool_standins.placed import Placement
 from zinniaspool_standins.silencer import LinkProxy
 
 __all__ = ["EntryNode", "NodeProcess", "end_nodes", "make_nodes"]
@@ -28,21 +32,33 @@
         module: Which program.
         settings: Its settings file.
         log: What it prints.
+        placement: The file with its placement, if it has one.
         process: The running one, if it was started.
+        started: When it was started, each time, in seconds of the loop's
+            clock.
     """
 
     module: str
     settings: Path
     log: Path
+    placement: Path | None = None
     process: asyncio.subprocess.Process | None = None
+    started: list[float] = field(default_factory=list)
 
     async def start(self) -> None:
         """Start it; its output is added to its log."""
         env = {**os.environ, "ZINNIASPOOL_NODE_FILE": str(self.settings)}
+        placed = (
+            []
+            if self.placement is None
+            else ["zinniaspool_standins.placed", str(self.placement)]
+        )
+        self.started.append(asyncio.get_running_loop().time())
         with self.log.open("ab") as out:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
+                *placed,
                 self.module,
                 stdout=out,
                 stderr=out,
@@ -95,6 +111,7 @@
         directory: Where they ask which addresses to use.
         link: Its way to the store.
         processes: Its entry process and its control process.
+        host: Where its connections to upstreams come from.
     """
 
     name: str
@@ -102,6 +119,7 @@
     directory: Address
     link: LinkProxy
     processes: list[NodeProcess]
+    host: str = "127.0.0.1"
 
     async def start(self) -> None:
         """Start its processes."""
@@ -113,6 +131,13 @@
         for one in self.processes:
             one.send(number)
 
+    def cut(self, kind: CutKind | None) -> None:
+        """Cut it off from the upstreams; None ends that. It must be placed."""
+        path = self.processes[0].placement
+        assert path is not None
+        msgspec.structs.replace(Placement.read(path), cut=kind).write(path)
+        self.send(signal.SIGUSR2)
+
     async def stop(self, grace_s: float | None = None) -> list[NodeProcess]:
         """Stop its processes in order, and wait until they are gone.
 
@@ -165,6 +190,7 @@
     count: int,
     contracts: Sequence[str] = (),
     grace_s: float = 4,
+    upstreams: Collection[Address] = (),
 ) -> list[EntryNode]:
     """Write the settings of some entry VMs, and start their processes.
 
@@ -175,12 +201,18 @@
         contracts: The platform's contracts that are in force.
         grace_s: Time for which a process may go on after the stop signal, in
             seconds.
+        upstreams: The upstreams that the VMs can be cut off from, which then
+            see an address of its own for each VM; none for VMs that aren't
+            placed.
     """
     controls = [free_address() for _ in range(count)]
     nodes = [
         await _make_node(made, folder, n, controls, contracts, grace_s)
         for n in range(count)
     ]
+    if upstreams:
+        for number, node in enumerate(nodes):
+            _place(node, folder, f"127.0.0.{number + 2}", upstreams)
     for node in nodes:
         await node.start()
     return nodes
@@ -225,3 +257,13 @@
         for module in (GATEWAY, KEEPER)
     ]
     return EntryNode(f"n{number}", front, directory, link, processes)
+
+
+def _place(
+    node: EntryNode, folder: Path, host: str, upstreams: Collection[Address]
+) -> None:
+    path = folder / f"{node.name}-placement.json"
+    Placement(node.name, host, sorted(upstreams)).write(path)
+    node.host = host
+    for one in node.processes:
+        one.placement = path
