Fleet: a record without a start closes the instance that it names

What callers would see: requests to an upstream whose record says that it leaves, for as long as it runs, where that record lacks the start that earlier ones had (DRAIN). Found by reading, not seen.

Cause: a record without a start is taken for one of an earlier run as soon as a start is known, and is rejected as a whole.

Change: that it leaves is applied to the known run if it has the same address; all else of the record is still rejected.

Checked: the new test finds the instance ready before and leaving after; one at another address closes nothing, before and after.

--- a/src/zinniaspool/fleet/belief.py
+++ b/src/zinniaspool/fleet/belief.py
@@ -561,6 +561,7 @@
             self._reject_record(
                 instance, change.key, "written by an earlier incarnation", keep=True
             )
+            self._apply_leaving_without_start(record)
             return
         self.unreadable.accept(change.key)
         is_new = self._record_start(instance, record.started_at_ms)
@@ -580,6 +581,22 @@
         )
         call_listeners(self.on_record, RecordArrival(record, written, is_new))
 
+    def _apply_leaving_without_start(self, record: Instance) -> None:
+        """Close an instance at whose address a record says that it leaves.
+
+        The record isn't used otherwise, since it may be of an earlier run.
+        """
+        known = self.instances.get(record.id)
+        if (
+            known is not None
+            and record.started_at_ms is None
+            and record.state is InstanceState.LEAVING
+            and record.address == known.address
+        ):
+            incarnation = InstanceIncarnation(known.id, known.started_at_ms)
+            self._add_leaving(incarnation, LeavingSource.RECORD)
+            self.instance_table.put(self.leaving.mark(known))
+
     def _reject_record(
         self, instance: InstanceId, key: str, reason: str, *, keep: bool = False
     ) -> None:
--- a/tests/test_leaving_runs.py
+++ b/tests/test_leaving_runs.py
@@ -48,6 +48,34 @@
     assert writer.view.instances[FIRST].state is InstanceState.READY
 
 
+def write_without_start(writer: ViewWriter, **changes: object) -> None:
+    """Write a record that lacks the start of its instance."""
+    record = {**RECORD, **changes}
+    del record["born"]
+    writer.write(FIRST, msgspec.json.encode(record))
+
+
+def test_a_record_without_a_start_closes_the_run_that_is_known() -> None:
+    """Guards against requests to one whose last record lacks its start."""
+    writer = ViewWriter()
+    writer.put(FIRST, born=5)
+    write_without_start(writer, state="draining", group=None)
+    known = writer.view.instances[FIRST]
+    assert known.state is InstanceState.LEAVING
+    assert known.started_at_ms == 5
+    assert known.membership is not None
+    writer.put(FIRST, born=5)
+    assert writer.view.instances[FIRST].state is InstanceState.READY
+
+
+def test_a_record_without_a_start_at_another_address_closes_nothing() -> None:
+    """Guards against an earlier process under the same id that leaves late."""
+    writer = ViewWriter()
+    writer.put(FIRST, born=5)
+    write_without_start(writer, state="draining", address="10.128.0.10:8080")
+    assert writer.view.instances[FIRST].state is InstanceState.READY
+
+
 def test_an_answer_counts_more_than_the_next_record() -> None:
     """Guards against a late record that takes back what was answered."""
     writer = ViewWriter()
