Gateway: a request that waits for its connection keeps to a pause

What an upstream sees: a request in a pause that it has asked of a VM, if the request was waiting for its connection when the pause was asked.

Cause: once its connection is open, a request is withheld from an upstream that leaves, but not from one that has asked for a pause.

Change: both are asked there. request-withheld names its reason, and the counter of requests in pauses has those of this process beside the carried ones.

--- a/src/zinniaspool/gateway/backpressure.py
+++ b/src/zinniaspool/gateway/backpressure.py
@@ -17,7 +17,7 @@
     TargetState,
 )
 from zinniaspool.core.fleet import InstanceIncarnation
-from zinniaspool.core.ids import NodeId
+from zinniaspool.core.ids import NodeId, RequestId
 from zinniaspool.core.messages.fleet import PausedInstance, UpstreamLimit
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.targets import TargetIndex
@@ -40,6 +40,10 @@
         send_to_peers: Sends a report to the processes that share targets with
             this one.
         send_to: Sends a report to the process of one VM.
+
+    Attributes:
+        withheld_count: Requests that were not sent, since their upstreams had
+            asked for a pause after they were chosen.
     """
 
     def __init__(
@@ -50,6 +54,7 @@
         send_to_peers: Callable[[UpstreamLimit], None],
         send_to: Callable[[NodeId, PausedInstance], None],
     ) -> None:
+        self.withheld_count = 0
         self._node = node
         self._index = index
         self._cold = cold
@@ -124,6 +129,24 @@
         known = self._index.backpressure.get(incarnation)
         return known is not None and self._now() < known.paused_until
 
+    def may_send(self, incarnation: InstanceIncarnation, request: RequestId) -> bool:
+        """Return whether a request may be sent to an upstream.
+
+        It is asked when the request's bytes would be written, which may be
+        some time after the upstream was chosen.
+        """
+        if not self.is_paused(incarnation):
+            return True
+        self.withheld_count += 1
+        _log.info(
+            "request-withheld",
+            instance=incarnation.instance,
+            born=incarnation.started_at_ms or 0,
+            request=request,
+            reason="pause",
+        )
+        return False
+
     def _record_pause(self, incarnation: InstanceIncarnation, pause_s: float) -> None:
         known = self._index.remember_backpressure(incarnation)
         until = self._now() + pause_s
--- a/src/zinniaspool/gateway/leaving.py
+++ b/src/zinniaspool/gateway/leaving.py
@@ -77,6 +77,7 @@
             instance=incarnation.instance,
             born=incarnation.started_at_ms or 0,
             request=request,
+            reason="leaving",
             since_ms=int(since_s * 1000),
         )
         return False
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -343,6 +343,7 @@
             self._crash_detector,
             self._cold,
             self._leaving,
+            self._backpressure,
             self._stall_detector.tally,
             self._stop_clock.tally,
             self._connector,
--- a/src/zinniaspool/gateway/metrics.py
+++ b/src/zinniaspool/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 from zinniaspool.fleet import FleetStore, FleetView, TunnelServer, UpstreamConnector
 from zinniaspool.fleet.metrics import add_fleet_metrics, add_path_metrics
+from zinniaspool.gateway.backpressure import BackpressureTracker
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.gate import AdmissionQueues
@@ -30,6 +31,7 @@
     crashes: CrashDetector,
     cold: ColdTracker,
     leaving: LeavingReporter,
+    backpressure: BackpressureTracker,
     stalls: StallTally,
     stops: StopTally,
     connector: UpstreamConnector,
@@ -265,11 +267,12 @@
     )
 
     def list_paused_requests() -> Iterator[Sample]:
-        yield Sample({}, tunnel_server.paused_count)
+        yield Sample({"path": "own"}, backpressure.withheld_count)
+        yield Sample({"path": "tunnel"}, tunnel_server.paused_count)
 
     page.add_counter(
         "zinniaspool_paused_requests",
-        "Requests of other VMs that were not carried on, in a pause asked of this VM.",
+        "Requests that were not sent or carried on, in a pause asked of this VM.",
         list_paused_requests,
     )
     page.add_counter(
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -182,9 +182,7 @@
                     self._make_request(attempt, allowed_s),
                     left_s + 1.0,
                     max_idle_s=idle_s,
-                    may_send=lambda: self._leaving.may_send(
-                        state.target.incarnation, call.terms.id
-                    ),
+                    may_send=lambda: self._may_send(attempt),
                 )
                 try:
                     response = await self._skip_foreign_answers(call, response)
@@ -206,6 +204,13 @@
             if late_timer is not None:
                 late_timer.cancel()
 
+    def _may_send(self, attempt: GatewayAttempt) -> bool:
+        """Return whether its upstream still takes an attempt's request."""
+        incarnation, request = attempt.state.target.incarnation, attempt.call.terms.id
+        return self._leaving.may_send(
+            incarnation, request
+        ) and self._backpressure.may_send(incarnation, request)
+
     def _start_late_timer(
         self, attempt: GatewayAttempt, left_s: float
     ) -> asyncio.TimerHandle | None:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -181,8 +181,9 @@
         "after it began to leave, and were given up: those of this process, and "
         "those carried for other VMs.",
         "request-withheld": "A request was not sent, since its upstream has begun to "
-        "leave after it was chosen; since_ms is for how long this process knows it. A "
-        "warning if the upstream should not have been chosen.",
+        "leave after it was chosen, or has asked this VM for a pause; since_ms is for "
+        "how long this process knows that it leaves. A warning if the upstream should "
+        "not have been chosen.",
         "target-closed": "A target gets no new requests, since its upstream leaves or "
         "its group is drained; own is the number of this process's requests there.",
         "tunnel-to-paused": "A request of another VM was not carried on, since its "
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Any
 
 import pytest
 from structlog.testing import capture_logs
@@ -12,11 +13,13 @@
 from tests.test_belief import FIRST, ViewWriter
 from zinniaspool.core.dispatch import Backpressure, Target, TargetPool, TargetState
 from zinniaspool.core.fleet import (
+    InstanceId,
     InstanceIncarnation,
     InstanceState,
     LeavingSource,
 )
 from zinniaspool.core.ids import Address, FailureDomainId, split_address
+from zinniaspool.core.messages.fleet import PausedInstance
 from zinniaspool_standins.cuts import CURRENT_VM, CutKind, CuttableLoop
 from zinniaspool_standins.installation import free_address
 from zinniaspool_standins.runners import Runner
@@ -315,6 +318,44 @@
     run_with_cuts(test)
 
 
+def test_a_request_that_waits_for_its_connection_keeps_to_a_pause(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request in a pause that was asked after its choice."""
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            paused = list_plain(made)[0]
+            gateway = made.nodes["n1"].gateway
+            incarnation = InstanceIncarnation(InstanceId(paused.id), paused.born)
+            connect = gateway._connector.connect
+
+            async def connect_late(
+                make_protocol: Any, address: Address, timeout_s: float
+            ) -> Any:
+                connected = await connect(make_protocol, address, timeout_s)
+                if address == paused.address:
+                    report = PausedInstance(*incarnation, PAUSE_S)
+                    gateway._backpressure.handle_pause_report(report)
+                return connected
+
+            gateway._http.close()
+            monkeypatch.setattr(gateway._connector, "connect", connect_late)
+            began_at = asyncio.get_running_loop().time()
+            answers = await ask_all(made, ["n1"], 1.0)
+            assert gateway._backpressure.is_paused(incarnation)
+            arrivals = [
+                one
+                for one in paused.leaving.arrivals
+                if one.vm == "n1" and one.at > began_at
+            ]
+            assert arrivals == []
+            assert {answer.status for answer in answers} == {200}
+            assert gateway._backpressure.withheld_count > 0
+
+    run_with_cuts(test)
+
+
 def test_what_the_network_holds_back_is_given_up() -> None:
     """Guards against requests that arrive long after they were sent.
 
