Gateway: what gives up undelivered requests stands beside what reports leaving

Cause: the timer and the end of connections stood in the gateway's main module, which only joins parts.

Change: DeliveryGuard in gateway/leaving.py; no behaviour changes.

Checked: the tests of leaving upstreams and of their soak pass (22).

--- a/src/zinniaspool/gateway/leaving.py
+++ b/src/zinniaspool/gateway/leaving.py
@@ -6,16 +6,17 @@
 that start later learn it.
 """
 
+import asyncio
 from collections.abc import Callable
 
 import structlog
 
 from zinniaspool.core.fleet import InstanceIncarnation, LeavingSource
-from zinniaspool.core.ids import NodeId, RequestId
+from zinniaspool.core.ids import Address, NodeId, RequestId
 from zinniaspool.core.messages.fleet import LeavingInstance
 from zinniaspool.fleet import LEAVING_SPREAD_S, FleetView
 
-__all__ = ["LeavingReporter"]
+__all__ = ["DeliveryGuard", "LeavingReporter"]
 
 _log = structlog.get_logger(__name__)
 
@@ -96,3 +97,51 @@
                 continue
             if not self._fleet_view.has_ended(*run.incarnation):
                 self._send_to_holder(LeavingInstance(*run.incarnation, self._node))
+
+
+class DeliveryGuard:
+    """Gives up the requests that don't reach an upstream that leaves.
+
+    No request is sent there any more. What the network still holds back after
+    a while would arrive when the upstream may get none.
+
+    Args:
+        fleet_view: Knows which upstreams leave.
+        abort_own: Ends the connections to an address whose last request has
+            not arrived there, and returns their number.
+        abort_carried: Does so for the tunnels to a run of an upstream.
+    """
+
+    def __init__(
+        self,
+        fleet_view: FleetView,
+        abort_own: Callable[[Address], int],
+        abort_carried: Callable[[InstanceIncarnation], int],
+    ) -> None:
+        self._fleet_view = fleet_view
+        self._abort_own = abort_own
+        self._abort_carried = abort_carried
+        fleet_view.on_leaving.append(self._handle_leaving)
+
+    def _handle_leaving(self, incarnation: InstanceIncarnation) -> None:
+        known = self._fleet_view.instances.get(incarnation.instance)
+        if known is not None:
+            asyncio.get_running_loop().call_later(
+                LEAVING_SPREAD_S, self._abort_undelivered, incarnation, known.address
+            )
+
+    def _abort_undelivered(
+        self, incarnation: InstanceIncarnation, address: Address
+    ) -> None:
+        if self._fleet_view.has_ended(*incarnation):
+            # Another process may have its address.
+            return
+        own, carried = self._abort_own(address), self._abort_carried(incarnation)
+        if own or carried:
+            _log.warning(
+                "requests-undelivered",
+                instance=incarnation.instance,
+                born=incarnation.started_at_ms or 0,
+                own=own,
+                carried=carried,
+            )
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -22,7 +22,6 @@
 )
 from zinniaspool.core.fleet import (
     NODES_PREFIX,
-    InstanceIncarnation,
     ModelDemandReport,
     NodeRecord,
     NodeState,
@@ -47,7 +46,6 @@
     UpstreamLimit,
 )
 from zinniaspool.fleet import (
-    LEAVING_SPREAD_S,
     FleetCodec,
     FleetFollower,
     FleetStore,
@@ -75,7 +73,7 @@
 from zinniaspool.gateway.face import CallerHandler, refuse_request
 from zinniaspool.gateway.gate import AdmissionQueues
 from zinniaspool.gateway.lateness import LoopLateness
-from zinniaspool.gateway.leaving import LeavingReporter
+from zinniaspool.gateway.leaving import DeliveryGuard, LeavingReporter
 from zinniaspool.gateway.loads import LOAD_REPORT_INTERVAL_S, LoadReporter
 from zinniaspool.gateway.metrics import make_gateway_metrics
 from zinniaspool.gateway.moves import Rerouter
@@ -379,7 +377,11 @@
         self._fleet_view.on_catalog.append(self._apply_catalog)
         self._fleet_view.on_evacuation.append(self._apply_evacuations)
         self._fleet_view.on_instances.append(self._refresh_targets)
-        self._fleet_view.on_leaving.append(self._await_delivery)
+        self._delivery_guard = DeliveryGuard(
+            self._fleet_view,
+            self._http.abort_undelivered,
+            self._tunnel_server.abort_undelivered,
+        )
         self._fleet_view.on_nodes.append(self._update_subset)
         self._fleet_view.on_quarantine.append(self._crash_detector.apply_records)
         self._fleet_view.on_restored.append(self._write_records_again)
@@ -647,35 +649,6 @@
             )
         self._admission_queues.keep_pools(self._index.list_pools())
 
-    def _await_delivery(self, incarnation: InstanceIncarnation) -> None:
-        """Give up the requests that don't reach an upstream that leaves.
-
-        No request is sent there any more. What the network still holds back
-        after a while would arrive when the upstream may get none.
-        """
-        known = self._fleet_view.instances.get(incarnation.instance)
-        if known is not None:
-            asyncio.get_running_loop().call_later(
-                LEAVING_SPREAD_S, self._abort_undelivered, incarnation, known.address
-            )
-
-    def _abort_undelivered(
-        self, incarnation: InstanceIncarnation, address: Address
-    ) -> None:
-        if self._fleet_view.has_ended(*incarnation):
-            # Another process may have its address.
-            return
-        own = self._http.abort_undelivered(address)
-        carried = self._tunnel_server.abort_undelivered(incarnation)
-        if own or carried:
-            _log.warning(
-                "requests-undelivered",
-                instance=incarnation.instance,
-                born=incarnation.started_at_ms or 0,
-                own=own,
-                carried=carried,
-            )
-
     def _apply_evacuations(self, *_: frozenset[FailureDomainId]) -> None:
         self._index.apply_evacuations()
         self._update_subset()
