--- a/tests/test_leaving_processes.py
+++ b/tests/test_leaving_processes.py
@@ -13,6 +13,9 @@
 DRAIN_S = 2.0
 SPREAD_S = 1.0
 
+KEPT_CHARACTERS = 200
+"""Length of a log line from which on collectors may cut it."""
+
 
 async def ask_for(nodes: list[EntryNode], seconds: float) -> Counter[int]:
     """Send a plain request to each VM every 40 ms; return their statuses."""
@@ -41,6 +44,16 @@
     }
 
 
+def find_start_of_line(node: EntryNode, event: str) -> set[str]:
+    """Return the fields that collectors keep of the first line of an event."""
+    text = node.processes[0].log.read_text()
+    return next(
+        set(line[:KEPT_CHARACTERS].split())
+        for line in text.splitlines()
+        if f" event={event} " in line
+    )
+
+
 def test_processes_send_nothing_to_an_upstream_that_leaves(tmp_path: Path) -> None:
     """Guards against requests that a VM sends or carries there later.
 
@@ -71,6 +84,15 @@
                 assert list_sources(runners, began_at) == {other.host}
                 assert leaving.leaving.list_late(DRAIN_S) == []
                 assert leaving.leaving.list_late_in_fleet(SPREAD_S) == []
+                for node, sources in (
+                    (other, {"by=answer"}),
+                    (cut, {"by=peer", "by=update"}),
+                ):
+                    run = {f"instance={leaving.id}", f"born={leaving.born}"}
+                    run.add(f"node={node.name}")
+                    begun = find_start_of_line(node, "instance-leaving")
+                    assert begun >= run and begun & sources
+                    assert find_start_of_line(node, "target-closed") >= run
                 cut.cut(None)
                 async with asyncio.timeout(10):
                     while cut.host not in list_sources(runners, began_at):
