Load program: upstreams of processes ask for pauses, and one check for the soaks

Cause: the load program played no pauses, and the check of pauses stood in the soak of one loop.

Change: plain upstreams ask for a pause of two seconds, go on, and leave; both use one check.

--- a/tests/leaving_soak.py
+++ b/tests/leaving_soak.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from tests.installation import Installation
+from tests.leaving_checks import ASKED_PAUSE_S, describe_pauses
 from tests.path_soak import ZONES, PathSoak, play_seed
 from tests.soak_seeds import run_command_line
 from zinniaspool_standins.leaving import LeavingBounds, LeavingLog
@@ -29,10 +30,6 @@
 """Heartbeat of the upstreams, in seconds. The record of one that is cut off
 from the store lapses after three."""
 
-PAUSE_S, GRACE_S = 2.0, 0.5
-MAX_IN_PAUSE = 2
-"""Requests of one VM that may arrive in the rest of a pause."""
-
 SERVES_S = (3.0, 6.0)
 """For how long an upstream serves after it has begun to leave, in seconds."""
 
@@ -111,7 +108,7 @@
         one = self._choose_runner()
         if one is None:
             return
-        one.faults.pause_s = PAUSE_S
+        one.faults.pause_s = ASKED_PAUSE_S
         await asyncio.sleep(self.source.uniform(0.2, 1.5))
         one.faults.pause_s = 0.0
 
@@ -151,20 +148,7 @@
             self.seen += log.describe_broken(
                 one.id, BOUNDS, self.restarts, self.outages
             )
-            self._check_pauses(one, log)
-
-    def _check_pauses(self, one: Runner, log: LeavingLog) -> None:
-        for vm, at in log.pauses:
-            late = [
-                arrival
-                for arrival in log.arrivals
-                if arrival.vm == vm
-                and GRACE_S < arrival.at - at <= PAUSE_S
-                and not any(at < again <= arrival.at for again in self.restarts[vm])
-            ]
-            if len(late) > MAX_IN_PAUSE:
-                after = ", ".join(f"{arrival.at - at:.2f}" for arrival in late)
-                self.seen.append(f"{one.id}: requests of {vm} {after} s into a pause")
+            self.seen += describe_pauses(one.id, log, self.restarts)
 
     def _list_logs(self) -> Iterator[tuple[Runner, LeavingLog]]:
         for one in [*self.made.runners.values(), *self.made.gone]:
--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -43,6 +43,7 @@
 
 from tests.delays import DelayMeter
 from tests.installation import eventually
+from tests.leaving_checks import ASKED_PAUSE_S, describe_pauses
 from tests.piecemeal_callers import PiecemealCaller, PiecemealRequest
 from tests.silent_processes import Caller, read_lines
 from tests.site_promises import EndedRequest, LostUpstream, RequestEnd, RunLog
@@ -514,6 +515,7 @@
             self._leave_plain,
             self._leave_plain,
             self._leave_engine,
+            self._pause_plain,
             self._cut_vm,
             self._cut_vm,
             self._freeze_vm,
@@ -523,12 +525,23 @@
         ]
         await begin_overlapping(chosen, self.source, until, LEAVING_GAP_S)
 
-    async def _leave(self, host: RunnerHost, left: int) -> None:
+    async def _leave(
+        self, host: RunnerHost, left: int, *, pauses: bool = False
+    ) -> None:
+        """Have an upstream leave and come back, if more than some are left."""
         names = [one.id for one in host.runners if one.id not in self.leaving]
         if len(names) <= left:
             return
         name = self.source.choice(names)
         self.leaving.add(name)
+        if pauses:
+            await self._disturb(
+                host,
+                name,
+                RunnerFaults(pause_s=ASKED_PAUSE_S),
+                self.source.uniform(*PAUSE_S),
+            )
+            await asyncio.sleep(ASKED_PAUSE_S)
         has_store = self.source.random() < RECORDED_PART
         self.works.append(
             f"{_now() - self.began_at:.1f} {name} leaves"
@@ -540,6 +553,9 @@
     async def _leave_plain(self) -> None:
         await self._leave(self.hosts[-1], 1)
 
+    async def _pause_plain(self) -> None:
+        await self._leave(self.hosts[-1], 1, pauses=True)
+
     async def _leave_engine(self) -> None:
         host = self.source.choice(self.hosts[:-1])
         await self._leave(host, len(host.runners) - 1)
@@ -617,10 +633,14 @@
         left = [log for host in self.hosts for _, log in host.left]
         said = Counter(names[host] for log in left for host, _ in log.said)
         recorded = sum(log.recorded_at is not None for log in left)
-        return f"{len(left)} left, {recorded} with a record, answers by VM {dict(said)}"
+        pauses = sum(len(log.pauses) for log in left)
+        return (
+            f"{len(left)} left, {recorded} with a record, {pauses} pauses asked, "
+            f"answers by VM {dict(said)}"
+        )
 
     def list_late(self) -> list[str]:
-        """Return the requests that reached upstreams which leave too late."""
+        """Return the requests that came too late, and in pauses."""
         restarts = {
             vm.node.host: [*vm.node.processes[0].started[1:], *vm.thawed]
             for vm in self.vms
@@ -629,7 +649,10 @@
             line
             for host in self.hosts
             for name, log in host.left
-            for line in log.describe_broken(name, BOUNDS, restarts, self.outages)
+            for line in (
+                *log.describe_broken(name, BOUNDS, restarts, self.outages),
+                *describe_pauses(name, log, restarts),
+            )
         ]
 
     def make_run_log(self) -> RunLog:
