Load program: VMs that were killed serve again before they fail anew

Cause: a VM that had just been started again could be cut off before its programs waited for the signal, which would have ended them; and a line of an upstream's process that reports all that came could be longer than its reader takes, which would have ended the reports. Both found by reading.

Change: a killed VM is awaited; lines may be 32 MB long.

Checked: the test of processes passes.

--- a/src/zinniaspool_standins/hosts.py
+++ b/src/zinniaspool_standins/hosts.py
@@ -34,6 +34,9 @@
 
 __all__ = ["HostedRunner", "HostPlan", "RunnerHost", "make_hosted_runners"]
 
+MAX_LINE_BYTES = 32 * 1024 * 1024
+"""Longest line of a process, which may report all that came at a runner."""
+
 HEARTBEAT_S = 0.8
 """Time between heartbeats, in seconds. A runner that is stopped for two
 seconds keeps its entry."""
@@ -156,6 +159,7 @@
                 stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=errors,
+                limit=MAX_LINE_BYTES,
                 preexec_fn=end_with_parent,
             )
         self._reading = asyncio.create_task(self._read_lines())
@@ -176,7 +180,6 @@
 
     async def set_faults(self, runner: str, faults: RunnerFaults) -> None:
         """Let one of its runners do something wrong from now on."""
-        assert self._process is not None and self._process.stdin is not None
         await self._ask(_Change(runner, faults))
 
     async def leave(
--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -253,6 +253,16 @@
     stopped_at: float | None = None
     thawed: list[float] = field(default_factory=list)
 
+    async def await_serving(self) -> None:
+        """Wait until a VM that was started again answers, for up to 20 s."""
+        caller = Caller(self.node.front, "")
+        for _ in range(200):
+            answer = await caller.ask("start", "GET", "/receipts/1")
+            if answer.status == HTTPStatus.OK:
+                break
+            await asyncio.sleep(0.1)
+        caller.close()
+
 
 @dataclass
 class _Consumer:
@@ -433,14 +443,7 @@
             self.profile.grace_s, self.profile.restart_pause_s
         )
         self.killed += [one.log.stem for one in killed]
-        caller = Caller(vm.node.front, "")
-        for _ in range(200):
-            if (
-                await caller.ask("start", "GET", "/receipts/1")
-            ).status == HTTPStatus.OK:
-                break
-            await asyncio.sleep(0.1)
-        caller.close()
+        await vm.await_serving()
         vm.stopped_at = None
         free.release()
 
@@ -615,6 +618,7 @@
         async with self._disturb_vm("killed", holder) as vm:
             vm.node.send(signal.SIGKILL)
             await vm.node.restart(0.0, self.source.uniform(0.1, 1.0))
+            await vm.await_serving()
 
     async def _turn_away(self) -> None:
         vm, began_at = self.source.choice(self.vms), _now()
