Load program: a cut ends only once its VM's programs wait for the signal

Cause: a VM that was killed while it was cut off got the signal at the end of the cut, which could end a program that had just been started.

Change: the end of a cut waits until the VM serves.

--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -585,6 +585,7 @@
         )
 
     def _may_disturb(self) -> bool:
+        """Return whether more than half of the VMs serve."""
         return sum(vm.stopped_at is None for vm in self.vms) > len(self.vms) / 2
 
     async def _cut_vm(self) -> None:
@@ -599,6 +600,9 @@
         began_at = _now()
         vm.node.cut(kind)
         await asyncio.sleep(self.source.uniform(*CUT_S))
+        while vm.stopped_at is not None:  # noqa: ASYNC110
+            # The signal would end a program that has just been started.
+            await asyncio.sleep(0.1)
         vm.node.cut(None)
         self.failures.append((vm.node.name, began_at, _now()))
 
