Tests: a connection that a test leaves open ends with its loop

Cause: a server of test_http_client slept beyond the end of its test, and its writer was closed after the loop: one of two warnings of the whole script.

Change: it ends its connection when it is cancelled.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -307,5 +307,7 @@
 async def _read_nothing(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    await asyncio.sleep(1.0)
-    writer.transport.abort()
+    try:
+        await asyncio.sleep(1.0)
+    finally:
+        writer.transport.abort()
