--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -79,6 +79,15 @@
     return await asyncio.gather(*pending)
 
 
+async def start_again(made: Installation, node: str) -> None:
+    """Start a VM that was killed, and wait until it serves."""
+    await made.add_node(node, ZONES[node])
+    for _ in range(100):
+        if (await made.ask(node, "/receipts/1", "GET")).status == 200:
+            break
+        await asyncio.sleep(0.03)
+
+
 async def ask_through_n1(
     made: Installation, kind: CutKind, wait_s: float
 ) -> list[Answer]:
@@ -188,11 +197,7 @@
             await asyncio.sleep(SPREAD_S)
             await made.kill("n1")
             await made.kill("n0")
-            await made.add_node("n0", ZONES["n0"])
-            for _ in range(100):
-                if (await made.ask("n0", "/receipts/1", "GET")).status == 200:
-                    break
-                await asyncio.sleep(0.03)
+            await start_again(made, "n0")
             await ask_all(made, ["n0", "n2", "n3"], 1.0)
             late = leaving.leaving.list_late_in_fleet(SPREAD_S)
             assert late == []
@@ -215,11 +220,7 @@
             await eventually(lambda: made.find_holder() not in (None, holder))
             await asyncio.sleep(SPREAD_S)
             await made.kill(fresh)
-            await made.add_node(fresh, ZONES[fresh])
-            for _ in range(100):
-                if (await made.ask(fresh, "/receipts/1", "GET")).status == 200:
-                    break
-                await asyncio.sleep(0.03)
+            await start_again(made, fresh)
             await ask_all(made, made.nodes, 1.0)
             late = leaving.leaving.list_late_in_fleet(SPREAD_S)
             assert late == []
