Gateway: the log says why a stream that is behind stays, and what a stop promised it

Callers of a stopping VM saw streams cut 5 to 14 events short. The log had neither why a stream that was behind stayed where it was, nor how long a moved one waited for its next event, nor the pace that an accepted one was promised and had, so that the hypotheses couldn't be told apart.

No decision changes. Both tests fail without the events.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -95,6 +95,9 @@
         blocked_s: Time in which events waited for the caller to read, in
             seconds.
         is_behind: Whether its stream was found not to end in time there.
+        kept_for: Why a stream that is behind was last left there, for the log.
+        moved_from: The attempt whose stream was behind and goes on here; None
+            if there is none.
         held: Events that were kept back while another attempt was to go on.
         is_answer: Whether it counts as answered: it is complete, or goes on
             for long enough.
@@ -127,6 +130,8 @@
     is_blocked: bool = False
     blocked_s: float = 0.0
     is_behind: bool = False
+    kept_for: str = ""
+    moved_from: "GatewayAttempt | None" = None
     held: bytes = b""
     is_answer: bool = False
     unanswered_out_of_subset: bool = False
@@ -178,6 +183,8 @@
         first_s: Time to its first event, in seconds.
         writing_s: Longest time from then on, in seconds.
         reserve_s: Time that is reserved beside these, in seconds.
+        id_s: Longest time from one event to the next, in seconds; 0 if
+            unknown.
         streams: Streams of its model in progress at this process.
     """
 
@@ -186,6 +193,7 @@
     first_s: float = 0.0
     writing_s: float = 0.0
     reserve_s: float = 0.0
+    id_s: float = 0.0
     streams: int = 0
 
     def list_keys(self) -> dict[str, int]:
@@ -197,6 +205,7 @@
             "first_ms": int(self.first_s * 1000),
             "writing_ms": int(self.writing_s * 1000),
             "reserve_ms": int(self.reserve_s * 1000),
+            "id_ms": int(self.id_s * 1000),
             "streams": self.streams,
         }
 
--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -6,7 +6,8 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from enum import Enum
 from statistics import median
 
 import structlog
@@ -93,6 +94,35 @@
         return now + first_s + (ids_left - 1) * id_s
 
 
+class _KeptFor(Enum):
+    """Why a stream that is behind stays where it is."""
+
+    UNKNOWN_PACE = "unknown-pace"
+    NO_TARGET = "no-target"
+    NO_GAIN = "no-gain"
+    BEYOND_TIME = "beyond-time"
+    NOT_ALLOWED = "not-allowed"
+
+
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """What was found for a stream that is behind.
+
+    Attributes:
+        kept_for: Why it stays; None if it should be moved.
+        other: The best other target; None without one.
+        ends_at: When it is predicted to end there, in seconds.
+        targets: How many targets were compared.
+        slow: How many were left out as slow.
+    """
+
+    kept_for: _KeptFor | None
+    other: TargetState | None = None
+    ends_at: float = 0.0
+    targets: int = 0
+    slow: int = 0
+
+
 class _ShownPaces:
     """The times of a token that streams in progress of one model show.
 
@@ -175,9 +205,13 @@
         if not attempt.is_behind:
             attempt.is_behind = True
             _log_behind(watched, ends_at, now)
-        other = _find_sooner(watched, ends_at, now)
-        if other is not None and self._rerouter.reroute_behind(attempt, other, now):
-            _log_move(watched, other, ends_at, now)
+        choice = _find_sooner(watched, ends_at, now)
+        if choice.kept_for is None and choice.other is not None:
+            if self._rerouter.reroute_behind(attempt, choice.other, now):
+                _log_move(watched, choice.other, ends_at, now)
+                return
+            choice = replace(choice, kept_for=_KeptFor.NOT_ALLOWED)
+        _log_kept(watched, choice, ends_at, now)
 
     def _list_streams(
         self, call: GatewayCall, pool: TargetPool, now: float
@@ -273,30 +307,34 @@
     return RunningStream(ids_left, id_s, attempt.read_at, next_s)
 
 
-def _find_sooner(watched: _Watched, ends_at: float, now: float) -> TargetState | None:
-    """Return the target where a stream ends soonest, or None.
+def _find_sooner(watched: _Watched, ends_at: float, now: float) -> _Choice:
+    """Find the target where a stream ends soonest.
 
     It must end sooner there than where it is and, if it is as long as usual,
     in time.
     """
     if not watched.usual.token_s:
-        return None
+        return _Choice(_KeptFor.UNKNOWN_PACE)
     pool, call = watched.pool, watched.attempt.call
     excluded = {*call.list_excluded(pool), watched.attempt.state.target.instance}
-    others = [
-        state
-        for state in pool.list_alternatives(now, excluded)
-        if not state.speed.is_slow
-    ]
+    usable = pool.list_alternatives(now, excluded)
+    others = [state for state in usable if not state.speed.is_slow]
+    slow = len(usable) - len(others)
+    choice = _Choice(_KeptFor.NO_TARGET, targets=len(others), slow=slow)
     ids_left = watched.stream.ids_left
     ends = {
         state: watched.predict_end_elsewhere(state, ids_left, now) for state in others
     }
     other = min(others, key=lambda state: ends[state], default=None)
-    if other is None or not is_sooner(ends_at, ends[other]):
-        return None
+    if other is None:
+        return choice
+    choice = replace(choice, other=other, ends_at=ends[other])
+    if not is_sooner(ends_at, ends[other]):
+        return replace(choice, kept_for=_KeptFor.NO_GAIN)
     usual_end = watched.predict_end_elsewhere(other, watched.usual_ids_left, now)
-    return other if usual_end <= call.stream_deadline else None
+    if usual_end > call.stream_deadline:
+        return replace(choice, kept_for=_KeptFor.BEYOND_TIME)
+    return replace(choice, kept_for=None)
 
 
 def _log_behind(watched: _Watched, ends_at: float, now: float) -> None:
@@ -338,3 +376,29 @@
         last_event=attempt.cursor.last_id or 0,
         route=call.route.name,
     )
+
+
+def _log_kept(watched: _Watched, choice: _Choice, ends_at: float, now: float) -> None:
+    """Log why a stream stays, once for each reason."""
+    attempt, other = watched.attempt, choice.other
+    call, kept_for = attempt.call, choice.kept_for
+    if kept_for is None or attempt.kept_for == kept_for.value:
+        return
+    attempt.kept_for = kept_for.value
+    _log.info(
+        "stream-kept",
+        request=call.terms.id,
+        reason=kept_for.value,
+        left_ms=int((call.stream_deadline - now) * 1000),
+        here_ms=int((ends_at - now) * 1000),
+        there_ms=-1 if other is None else int((choice.ends_at - now) * 1000),
+        to="" if other is None else other.target.instance,
+        targets=choice.targets,
+        slow=choice.slow,
+        instance=attempt.state.target.instance,
+        ids_left=int(watched.stream.ids_left),
+        id_ms=int(watched.stream.id_s * 1000),
+        attempts=call.attempts.sent,
+        last_event=attempt.cursor.last_id or 0,
+        route=call.route.name,
+    )
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -235,6 +235,8 @@
         if is_needed and call.progress is Progress.RESUMABLE:
             self._hold_events(call, other, now)
         attempt.reroute_cause = cause
+        if cause is RerouteCause.BEHIND and call.newest_attempt is not None:
+            call.newest_attempt.moved_from = attempt
         call.suspected_domains.add(attempt.state.target.fabric_domain)
         return True
 
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -445,6 +445,8 @@
         pool.record_first_event(state, attempt.predicted_first_event_s, took_s, now)
         error_s = took_s - attempt.predicted_first_event_s
         self._record_response(attempt, pool, error_s, now)
+        if attempt.moved_from is not None:
+            _log_move(attempt, attempt.moved_from, took_s)
         self._admission_queues.tally.add_error(call.terms.model or "", error_s)
 
     def _record_response(
@@ -487,6 +489,23 @@
         return None
 
 
+def _log_move(attempt: GatewayAttempt, former: GatewayAttempt, took_s: float) -> None:
+    """Log how long a stream that was moved waited for its first event."""
+    call = attempt.call
+    _log.info(
+        "stream-went-on",
+        request=call.terms.id,
+        took_ms=int(took_s * 1000),
+        predicted_ms=int(attempt.predicted_first_event_s * 1000),
+        left_ms=int((call.stream_deadline - attempt.sent_at - took_s) * 1000),
+        instance=former.state.target.instance,
+        to=attempt.state.target.instance,
+        last_event=call.last_event_id or 0,
+        former_last_event=former.cursor.last_id or 0,
+        route=call.route.name,
+    )
+
+
 def _find_interruption(attempt: GatewayAttempt) -> AttemptFailure:
     """Return how an attempt failed that ended before its upstream's answer."""
     if not attempt.superseded:
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -135,6 +135,7 @@
         """Count a request that came after the stop signal and has ended."""
         if self._clock.measure_since(call.received_at) is None:
             return
+        _log_accepted(call, self._clock.ends_at)
         reason = StopReason.DEADLINE
         if call.deadline_after_stop:
             is_predicted = call.longest_s is not None
@@ -280,8 +281,12 @@
         whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
         reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
         longest_s = max(first_event_s + writing_s, whole_s) + reserve_s
+        id_tokens = of_route.measure_id_tokens(now)
+        id_tokens = id_tokens or pool.forecast.timing.tokens_per_pass
+        ids = _count_left(call, 0) / id_tokens
         return replace(
             forecast,
+            id_s=writing_s / max(1.0, ids),
             longest_s=longest_s,
             first_s=first_event_s,
             writing_s=writing_s,
@@ -353,6 +358,30 @@
         )
 
 
+def _log_accepted(call: GatewayCall, ends_at: float) -> None:
+    """Log what an accepted stream was promised, and what it had."""
+    forecast, first_s = call.stop_forecast, call.first_byte_s
+    if forecast is None or first_s is None or not call.last_event_id:
+        return
+    if call.route.kind is not RequestKind.STREAM:
+        return
+    writing_s = call.last_event_at - call.received_at - first_s
+    id_s = writing_s / max(1, call.last_event_id - 1)
+    _log.info(
+        "stop-stream-ended",
+        request=call.terms.id,
+        id_ms=f"{int(forecast.id_s * 1000)}/{int(id_s * 1000)}",
+        first_ms=f"{int(forecast.first_s * 1000)}/{int(first_s * 1000)}",
+        left_ms=f"{int(forecast.left_s * 1000)}/"
+        f"{int((ends_at - call.last_event_at) * 1000)}",
+        reserve_ms=int(forecast.reserve_s * 1000),
+        last_event=call.last_event_id,
+        attempts=call.attempts.sent,
+        pause_ms=int(call.longest_pause_s * 1000),
+        route=call.route.name,
+    )
+
+
 def _may_be_cut(call: GatewayCall) -> bool:
     """Return whether the end of the process may cut a request's answer."""
     return call.deadline_after_stop and call.route.kind is RequestKind.STREAM
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -24,7 +24,10 @@
         "request-refused",
         "request-withheld",
         "stream-behind",
+        "stream-kept",
         "stream-moved",
+        "stream-went-on",
+        "stop-stream-ended",
         "trial-begun",
     }
 )
@@ -113,6 +116,15 @@
         "it has and needs.",
         "stream-moved": "A stream that is behind was also sent to another target; the "
         "keys give when it ends where it is and at the other target, as predicted.",
+        "stream-kept": "A stream that is behind stays where it is; the keys give the "
+        "reason, the best other target with the end predicted there, and how many "
+        "targets there were beside those that are slow or not allowed.",
+        "stream-went-on": "A stream that was moved has its first event at the other "
+        "target; the keys give the time since the move, and the one predicted.",
+        "stop-stream-ended": "A stream that a stopping process accepted by its "
+        "forecast has ended; the keys give what was promised and what it had: the "
+        "time from one event to the next, the time to the first one, and the time "
+        "left at acceptance and at its end.",
         "superseded": "A later start of this node is known; this process stops.",
         "duty-failed": "An internal error occurred in a background task; the task "
         "starts again.",
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -7,9 +7,11 @@
 
 import pytest
 from structlog.testing import capture_logs
+from structlog.typing import EventDict
 
 from tests.installation import eventually, run
 from tests.test_outlasting_streams import SLOW, begin_stream
+from tests.test_planned_stops import StoppedInstallation
 from zinniaspool.core.ids import NodeId, RequestId
 from zinniaspool.core.messages.fleet import CutAnswer
 from zinniaspool.gateway.calls import GatewayCall
@@ -52,6 +54,57 @@
     run(check)
 
 
+@pytest.mark.processes
+def test_the_log_says_why_a_stream_that_was_cut_stayed() -> None:
+    """Guards against streams that are behind and stay for no known reason."""
+
+    async def check() -> None:
+        with capture_logs() as lines:
+            async with begin_stream() as (made, stream):
+                for head in made.heads("small"):
+                    head.faults.pace = SLOW
+                await stream.finish()
+        kept = _collect(lines, "stream-kept")
+        assert all(
+            key in kept for key in ("reason=", "left_ms=", "here_ms=", "there_ms=")
+        ), kept
+
+    run(check)
+
+
+@pytest.mark.processes
+def test_the_log_has_what_an_accepted_stream_was_promised_and_had() -> None:
+    """Guards against a forecast whose error the log doesn't show."""
+
+    async def check() -> None:
+        with capture_logs() as lines:
+            async with StoppedInstallation.running(nodes=2, engines=10) as made:
+                made.configure()
+                await made.settle()
+                await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(8)))
+                made.nodes["n0"].gateway.stop()
+                answer = await made.draft(
+                    "n0", "small", 40, "late", deadline_ms=int(made.deadline_s * 1000)
+                )
+                assert answer.whole
+        ended = _collect(lines, "stop-stream-ended")
+        assert "last_event=40" in ended, ended
+        for key in ("id_ms", "first_ms", "left_ms"):
+            (value,) = [one for one in ended.split() if one.startswith(f"{key}=")]
+            promised, had = (int(one) for one in value.split("=")[1].split("/"))
+            assert promised > 0 and had > 0, ended
+
+    run(check)
+
+
+def _collect(lines: list[EventDict], event: str) -> str:
+    """Return the first line of an event as far as collected logs keep it."""
+    found = next(line for line in lines if line["event"] == event)
+    keys = {"timestamp": "2026-12-06T04:54:14.666465Z", "level": "info"}
+    keys |= {key: value for key, value in found.items() if key != "log_level"}
+    return str(render_line(None, "", keys))[:COLLECTED_CHARS]
+
+
 def test_a_held_up_event_loop_counts_as_late_for_a_while() -> None:
     """Guards against decisions by a late timer that the log doesn't show."""
 
