--- a/tests/installation.py
+++ b/tests/installation.py
@@ -56,13 +56,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """What a caller got; ``status`` is 0 where its connection was cut."""
+    """What a caller got; ``status`` is 0 where its connection was cut.
+
+    ``first_at`` is when the first part of the body came, in seconds of the
+    loop's clock, from callers that note it.
+    """
 
     status: int
     headers: Headers = field(default_factory=Headers)
     body: bytes = b""
     whole: bool = True
     sent: bool = True
+    first_at: float | None = None
 
     @property
     def events(self) -> list[int]:
--- a/tests/piecemeal_callers.py
+++ b/tests/piecemeal_callers.py
@@ -72,6 +72,7 @@
     headers: Headers = field(default_factory=Headers)
     body: bytes = b""
     whole: bool = False
+    first_at: float | None = None
 
 
 class PiecemealCaller:
@@ -111,7 +112,12 @@
             else:
                 connection.writer.transport.abort()
         answer = Answer(
-            received.status, received.headers, received.body, received.whole, is_sent
+            received.status,
+            received.headers,
+            received.body,
+            received.whole,
+            is_sent,
+            received.first_at,
         )
         left_at = loop.time() if has_left else math.inf
         return PiecemealAnswer(answer, sent_at, left_at)
@@ -180,6 +186,8 @@
         received.status = event.status_code
         received.headers = Headers.from_raw(event.headers.raw_items())
     elif isinstance(event, h11.Data):
+        if received.first_at is None:
+            received.first_at = asyncio.get_running_loop().time()
         received.body += bytes(event.data)
     elif isinstance(event, h11.EndOfMessage):
         received.whole = True
--- a/tests/silent_processes.py
+++ b/tests/silent_processes.py
@@ -107,15 +107,21 @@
         except TransportError as error:
             is_sent = error.failure is not TransportFailure.NOT_SENT
             return Answer(0, whole=False, sent=is_sent)
-        parts = []
+        parts: list[bytes] = []
+        first_at, is_whole = None, True
         try:
             async for part in response.stream():
+                if not parts:
+                    first_at = asyncio.get_running_loop().time()
                 parts.append(part)
                 if response.status == HTTPStatus.OK:
                     await asyncio.sleep(read_pause_s)
         except TransportError:
-            return Answer(response.status, response.headers, b"".join(parts), False)
-        return Answer(response.status, response.headers, b"".join(parts))
+            is_whole = False
+        body = b"".join(parts)
+        return Answer(
+            response.status, response.headers, body, is_whole, first_at=first_at
+        )
 
     def close(self) -> None:
         """Close the connections."""
--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -23,7 +23,6 @@
 import itertools
 import math
 import random
-import re
 import shutil
 import signal
 import sys
@@ -46,11 +45,11 @@
 from tests.leaving_checks import ASKED_PAUSE_S, describe_pauses
 from tests.piecemeal_callers import PiecemealCaller, PiecemealRequest
 from tests.silent_processes import Caller, read_lines
+from tests.site_figures import PlayFigures, describe_moves, describe_served
 from tests.site_promises import EndedRequest, LostUpstream, RequestEnd, RunLog
 from tests.soak_seeds import begin_overlapping
 from zinniaspool.core.fleet import HOLDER_KEY, HolderRecord
 from zinniaspool.http import Headers
-from zinniaspool.telemetry.traces import LogLine
 from zinniaspool_standins.cuts import CutKind
 from zinniaspool_standins.fleet import end_with_parent
 from zinniaspool_standins.hosts import HostPlan, RunnerHost, make_hosted_runners
@@ -82,12 +81,6 @@
 ALLOWANCE_PERIOD_S = 0.1
 BUSY_PROGRAM = "while True: pass"
 
-MIN_EVENTS = 5
-"""Events from which on an attempt shows a pace."""
-
-ATTEMPT = re.compile(r"@[^:]*:(\d+)-(\d+):(\d+)-(\d+):")
-"""The times and ids in the log's description of an attempt."""
-
 PAUSE_S = (0.3, 1.4)
 PACES = (3.0, 5.0)
 SLOW_S = (2.0, 6.0)
@@ -239,6 +232,14 @@
         super().configure(**{"routes": routes, "services": services, **changes})
 
 
+@dataclass(frozen=True, slots=True)
+class _Shares:
+    """The part of the time in which the processes of VMs and upstreams run."""
+
+    vms: float = 1.0
+    upstreams: float = 1.0
+
+
 @dataclass(eq=False)
 class _Vm:
     """One entry VM.
@@ -447,20 +448,22 @@
         vm.stopped_at = None
         free.release()
 
-    async def limit_processors(self, share: float) -> None:
-        """Have the programs of each VM run in a part of each period only."""
+    async def limit_processors(self, shares: _Shares) -> None:
+        """Have processes run in a part of each period only."""
 
-        async def limit(vm: _Vm) -> None:
+        async def limit(process: EntryNode | RunnerHost, share: float) -> None:
             await asyncio.sleep(self.source.uniform(0.0, ALLOWANCE_PERIOD_S))
             while True:
-                vm.node.send(signal.SIGSTOP)
+                process.send(signal.SIGSTOP)
                 await asyncio.sleep((1 - share) * ALLOWANCE_PERIOD_S)
-                vm.node.send(signal.SIGCONT)
+                process.send(signal.SIGCONT)
                 await asyncio.sleep(share * ALLOWANCE_PERIOD_S)
 
         async with asyncio.TaskGroup() as tasks:
-            for vm in self.vms if share < 1.0 else ():
-                tasks.create_task(limit(vm))
+            for vm in self.vms if shares.vms < 1.0 else ():
+                tasks.create_task(limit(vm.node, shares.vms))
+            for host in self.hosts if shares.upstreams < 1.0 else ():
+                tasks.create_task(limit(host, shares.upstreams))
 
     # Trouble.
 
@@ -692,46 +695,15 @@
             "ran twice": [one for one in self.ended if one.name in once],
         }
 
-    def _count_served(self, runs: RunLog) -> str:
-        """Return how many requests sent to VMs that stop or fail were served.
-
-        Returns:
-            For each second since then in which they were sent, how
-            many were served and how many there were.
-        """
-        sent: Counter[int] = Counter()
-        served: Counter[int] = Counter()
-        for one in self.ended:
-            if one.after_stop_s is None or one.after_stop_s < 0:
-                continue
-            second = int(one.after_stop_s)
-            end = runs.judge(one)
-            sent[second] += end is not RequestEnd.LEFT
-            served[second] += end is RequestEnd.WHOLE
-        return ", ".join(
-            f"{second}: {served[second]}/{sent[second]}" for second in sorted(sent)
-        )
-
-    def _describe_moves(self, runs: RunLog, lines: Sequence[LogLine]) -> str:
-        """Return how streams ended that were moved as behind.
-
-        Returns:
-            How many ended in which way, and for how many of those whose
-            attempts show it the events came faster after the move.
-        """
-        names = {
-            line.fields["request"] for line in lines if line.event == "stream-moved"
-        }
-        ends = Counter(runs.judge(one).value for one in self.ended if one.name in names)
-        faster = compared = 0
-        for line in lines:
-            if line.event != "request-ended" or line.fields["request"] not in names:
-                continue
-            paces = _list_paces(line.fields["history"])
-            if len(paces) > 1:
-                compared += 1
-                faster += paces[-1] < paces[0]
-        return f"{dict(ends)}, events came faster for {faster} of {compared}"
+    def count(self) -> PlayFigures:
+        """Return the figures of this play."""
+        figures = PlayFigures.count(self.ended, self.make_run_log(), self.list_broken())
+        lines = read_lines(vm.node for vm in self.vms)
+        figures.too_late = len(self.list_late())
+        figures.events = Counter(line.event for line in lines if line.event in SHOWN)
+        figures.killed = self.killed
+        figures.late_s = self.delays.longest_s
+        return figures
 
     def describe(self) -> str:
         """Return what was counted, and the log of what was broken."""
@@ -745,6 +717,7 @@
             if line.event == event
         }
         ends = Counter(runs.judge(one).value for one in self.ended)
+        served = describe_served(PlayFigures.count(self.ended, runs, broken).served)
         found = [
             f"{self.sent} sent: {dict(ends)}, own loop late by "
             f"{self.delays.longest_s:.2f} s at most",
@@ -754,8 +727,8 @@
             ", ".join(f"{len(found)} {text}" for text, found in broken.items()),
             f"upstreams: {self._describe_leaving()}, too late: {self.list_late()}",
             f"killed at the end of their time: {', '.join(self.killed) or 'none'}",
-            f"moved as behind: {self._describe_moves(runs, lines)}",
-            f"served by second after a stop or failure: {self._count_served(runs)}",
+            f"moved as behind: {describe_moves(self.ended, runs, lines)}",
+            f"served by second after a stop or failure: {served}",
         ]
         for text, requests in broken.items():
             for one in requests:
@@ -768,16 +741,6 @@
         return "\n  ".join(found)
 
 
-def _list_paces(history: str) -> list[float]:
-    """Return the milliseconds an event of attempts that had some events."""
-    paces = []
-    for found in ATTEMPT.findall(history):
-        sent, ended, first, last = (int(one) for one in found)
-        if last - first >= MIN_EVENTS:
-            paces.append((ended - sent) / (last - first))
-    return paces
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
 
@@ -791,7 +754,7 @@
     lag_s: tuple[float, float],
     stops_holders: bool,
     leaving: bool,
-    share: float,
+    shares: _Shares,
 ) -> _Load:
     _Installation.profile = profile
     async with _Installation.running(nodes=0, engines=0, plain=0) as made:
@@ -847,7 +810,7 @@
             until = _now() + seconds
             load.surges_at = until - seconds / 2
             measuring = asyncio.create_task(load.delays.run())
-            limiting = asyncio.create_task(load.limit_processors(share))
+            limiting = asyncio.create_task(load.limit_processors(shares))
             breaking = load.let_leave(until) if leaving else load.stop_in_turn(until)
             await asyncio.gather(
                 breaking,
@@ -909,21 +872,35 @@
     leaving: bool = False,
     busy: int = 0,
     share: float = 1.0,
+    share_upstreams: float = 1.0,
     changes: Sequence[str] = (),
+    figures: Path | None = None,
 ) -> tuple[bool, str]:
     """Play a profile once; its logs are kept if a promise was broken.
 
+    What was counted is also written to ``figures``, as JSON.
+
     Returns:
         Whether no promise was broken, and what was counted.
     """
     profile = _read_profile(path, changes)
     folder = Path(tempfile.mkdtemp(prefix="site-load-"))
     playing = _play(
-        profile, folder, seed, seconds, trouble, lag_s, stops_holders, leaving, share
+        profile,
+        folder,
+        seed,
+        seconds,
+        trouble,
+        lag_s,
+        stops_holders,
+        leaving,
+        _Shares(share, share_upstreams),
     )
     load = asyncio.run(_play_beside(busy, playing))
-    text = load.describe()
-    if any(load.list_broken().values()) or load.list_late():
+    text, counted = load.describe(), load.count()
+    if figures is not None:
+        figures.write_bytes(msgspec.json.encode(counted))
+    if not counted.is_sound():
         return False, f"{text}\n  logs in {folder}"
     shutil.rmtree(folder)
     return True, text
@@ -952,10 +929,16 @@
     share: Annotated[
         float, typer.Option(help="Part of the time in which a VM's programs run.")
     ] = 1.0,
+    share_upstreams: Annotated[
+        float, typer.Option(help="The same for the processes of upstreams.")
+    ] = 1.0,
     changes: Annotated[
         list[str],
         typer.Option("--set", help="Values of the profile, as lines of TOML."),
     ] = [],  # noqa: B006
+    figures: Annotated[
+        Path | None, typer.Option(help="Gets what was counted, as JSON.")
+    ] = None,
 ) -> None:
     """Play a profile and print what became of its requests.
 
@@ -972,11 +955,14 @@
         leaving=leaving,
         busy=busy,
         share=share,
+        share_upstreams=share_upstreams,
         changes=changes,
+        figures=figures,
     )
     print(
         f"seed {seed}, {trouble.value}, lag {lag_s}, holders {holders}, "
-        f"leaving {leaving}, busy {busy}, share {share}, {changes}: {text}"
+        f"leaving {leaving}, busy {busy}, share {share}, "
+        f"share of upstreams {share_upstreams}, {changes}: {text}"
     )
     raise typer.Exit(0 if is_sound else 1)
 
