--- a/tests/site_load.py
+++ b/tests/site_load.py
@@ -27,6 +27,7 @@
 import signal
 import sys
 import tempfile
+import time
 from base64 import b64decode
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
@@ -828,24 +829,43 @@
 
 
 @asynccontextmanager
-async def _run_busy_processes(count: int) -> AsyncIterator[None]:
-    """Have some processes use the machine's processors within a block."""
+async def _run_busy_processes(count: int, period_s: float) -> AsyncIterator[None]:
+    """Have some processes use the machine's processors within a block.
+
+    Args:
+        count: How many.
+        period_s: Period in seconds, in whose first half they run; 0 if they
+            always run. All plays at a time have the same periods.
+    """
     processes = [
         await asyncio.create_subprocess_exec(
             sys.executable, "-c", BUSY_PROGRAM, preexec_fn=end_with_parent
         )
         for _ in range(count)
     ]
+
+    async def alternate() -> None:
+        for sent in itertools.cycle([signal.SIGSTOP, signal.SIGCONT]):
+            half_s = period_s / 2
+            await asyncio.sleep(half_s - time.time() % half_s)
+            for process in processes:
+                process.send_signal(sent)
+
+    alternating = asyncio.create_task(alternate()) if period_s else None
     try:
         yield
     finally:
+        if alternating is not None:
+            alternating.cancel()
         for process in processes:
             process.kill()
             await process.wait()
 
 
-async def _play_beside(busy: int, playing: Awaitable[_Load]) -> _Load:
-    async with _run_busy_processes(busy):
+async def _play_beside(
+    busy: int, busy_period_s: float, playing: Awaitable[_Load]
+) -> _Load:
+    async with _run_busy_processes(busy, busy_period_s):
         return await playing
 
 
@@ -871,6 +891,7 @@
     stops_holders: bool = False,
     leaving: bool = False,
     busy: int = 0,
+    busy_period_s: float = 0.0,
     share: float = 1.0,
     share_upstreams: float = 1.0,
     changes: Sequence[str] = (),
@@ -896,7 +917,7 @@
         leaving,
         _Shares(share, share_upstreams),
     )
-    load = asyncio.run(_play_beside(busy, playing))
+    load = asyncio.run(_play_beside(busy, busy_period_s, playing))
     text, counted = load.describe(), load.count()
     if figures is not None:
         figures.write_bytes(msgspec.json.encode(counted))
@@ -926,6 +947,9 @@
     busy: Annotated[
         int, typer.Option(help="Busy processes that share the machine.")
     ] = 0,
+    busy_period_s: Annotated[
+        float, typer.Option(help="Period in whose first half they run; 0 for all.")
+    ] = 0.0,
     share: Annotated[
         float, typer.Option(help="Part of the time in which a VM's programs run.")
     ] = 1.0,
@@ -954,6 +978,7 @@
         stops_holders=holders,
         leaving=leaving,
         busy=busy,
+        busy_period_s=busy_period_s,
         share=share,
         share_upstreams=share_upstreams,
         changes=changes,
@@ -961,7 +986,7 @@
     )
     print(
         f"seed {seed}, {trouble.value}, lag {lag_s}, holders {holders}, "
-        f"leaving {leaving}, busy {busy}, share {share}, "
+        f"leaving {leaving}, busy {busy} each {busy_period_s} s, share {share}, "
         f"share of upstreams {share_upstreams}, {changes}: {text}"
     )
     raise typer.Exit(0 if is_sound else 1)
