Gateway: a stop counts on the paces shown lately, and begins a stream once it can end

Callers saw status 200 and 63 to 76 of 77 events. Cause: the forecast took the mean paces of whole streams for a bound, though single heads showed 33 to 56 ms an event within the same second, and it was asked once. After the first four events a stream went out whatever came, at a second head too, whose time the first one had used.

Change: PaceSpread keeps the paces that streams in progress show, by head, for three seconds; their high quantile counts at acceptance, at a second attempt and when a stream begins. Until a stream's longest end fits, its events are kept back (StopGuard.awaits_end), so that it may end whole, begin elsewhere or get a whole 504; it is given up only where its own pace is too slow for the usual length. That holds for streams that may run once too.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -64,6 +64,7 @@
     is_lost,
     suspect,
 )
+from zinniaspool.core.dispatch.spread import PaceSpread
 from zinniaspool.core.dispatch.streams import EventCursor, StreamFault
 from zinniaspool.core.dispatch.subsets import Subset, assign_domains, find_subset
 from zinniaspool.core.dispatch.targets import Target, TargetState
@@ -97,6 +98,7 @@
     "EngineTiming",
     "EventCursor",
     "EventPace",
+    "PaceSpread",
     "FirstEventForecast",
     "InstanceLoad",
     "InstanceNotice",
--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -12,10 +12,11 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
 from dataclasses import dataclass
 from statistics import median
 
+from zinniaspool.core.dispatch.spread import find_high_quantile
+
 __all__ = [
     "SLOWDOWN_PART",
     "AnswerTiming",
@@ -30,10 +31,6 @@
 RECENT_S = 300.0
 """Time for which an answer counts, in seconds."""
 
-HIGH_QUANTILE = 0.95
-"""Quantile of recent times that counts as the longest. A few longer ones, of
-callers that read slowly, would have all long streams refused."""
-
 MIN_PASSES = 5
 """Passes from which on a stream shows the time of a token."""
 
@@ -160,7 +157,7 @@
         Returns:
             None if no such request was answered recently.
         """
-        return _find_high_quantile(
+        return find_high_quantile(
             [
                 answer.took_s
                 for answer in self._list_recent(now)
@@ -241,7 +238,7 @@
     def measure_token_time(self, now: float) -> float:
         """Return the longest time of a token, in seconds; 0 if unknown."""
         seen = [stream.token_s for stream in self._list_streams(now)]
-        return _find_high_quantile([one for one in seen if one is not None]) or 0.0
+        return find_high_quantile([one for one in seen if one is not None]) or 0.0
 
     def predict_reserve(
         self, writing_s: float, other_pause_s: float, now: float
@@ -280,9 +277,3 @@
         while self._answers and now - self._answers[0].ended_at > RECENT_S:
             self._answers.popleft()
         return list(self._answers)
-
-
-def _find_high_quantile(values: Sequence[float]) -> float | None:
-    if not values:
-        return None
-    return sorted(values)[math.ceil(len(values) * HIGH_QUANTILE) - 1]
--- a/src/zinniaspool/core/dispatch/endings.py
+++ b/src/zinniaspool/core/dispatch/endings.py
@@ -17,6 +17,10 @@
 MIN_GAPS = 3
 """Gaps from which on a stream shows its own pace."""
 
+LONG_WINDOW, MIN_LONG_GAPS = 24, 8
+"""Gaps of which the mean is the pace over a longer time, and how many there
+must be. Some passes read prompts, which the median of a few doesn't show."""
+
 LATE_FACTOR = 1.3
 """Multiple of the usual gap from which on events may have been read late."""
 
@@ -33,10 +37,11 @@
 class EventPace:
     """The recent time from one event of a stream to the next."""
 
-    __slots__ = ("_gaps",)
+    __slots__ = ("_gaps", "_reads")
 
     def __init__(self) -> None:
         self._gaps: deque[float] = deque(maxlen=WINDOW)
+        self._reads: deque[tuple[float, int]] = deque(maxlen=LONG_WINDOW)
 
     def record(self, gap_s: float, ids: int) -> None:
         """Record a read of events.
@@ -47,6 +52,7 @@
         """
         if ids > 0:
             self._gaps.append(gap_s / ids)
+            self._reads.append((gap_s, ids))
 
     def may_be_late(self, gap_s: float, ids: int) -> bool:
         """Return whether a read may be much later than its events.
@@ -66,6 +72,29 @@
         """
         return median(self._gaps) if len(self._gaps) >= MIN_GAPS else None
 
+    def estimate_longest(self) -> float | None:
+        """Return the longer one of the recent pace and that of a longer time.
+
+        Returns:
+            Seconds; None if too few events were read.
+        """
+        pace_s = self.estimate()
+        return None if pace_s is None else max(pace_s, self._measure_mean() or 0.0)
+
+    def _measure_mean(self) -> float | None:
+        """Return the mean time by which an id rises by one, in seconds.
+
+        The longest gap doesn't count: pauses are measured apart.
+
+        Returns:
+            None if too few events were read.
+        """
+        if len(self._reads) < MIN_LONG_GAPS:
+            return None
+        longest_s, its_ids = max(self._reads)
+        gaps_s = sum(gap_s for gap_s, _ in self._reads) - longest_s
+        return gaps_s / (sum(ids for _, ids in self._reads) - its_ids)
+
 
 @dataclass(frozen=True, slots=True)
 class RunningStream:
--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -24,7 +25,7 @@
 from zinniaspool.core.ids import ModelName, ServiceName
 from zinniaspool.gateway.calls import GatewayAttempt, GatewayCall
 from zinniaspool.gateway.moves import Rerouter
-from zinniaspool.gateway.stops import StopGuard
+from zinniaspool.gateway.stops import PACE_INTERVAL_S, StopGuard
 from zinniaspool.gateway.targets import TargetIndex
 
 __all__ = ["StreamEndWatcher"]
@@ -170,6 +171,7 @@
         self._stop_guard = stop_guard
         self._index = index
         self._rerouter = rerouter
+        self._recorded_at = -math.inf
 
     async def run(self) -> None:
         """Check the streams in progress until cancelled."""
@@ -179,6 +181,9 @@
             self._check(loop.time())
 
     def _check(self, now: float) -> None:
+        if now - self._recorded_at >= PACE_INTERVAL_S:
+            self._recorded_at = now
+            self._stop_guard.record_paces(now)
         calls = [call for call in self._stop_guard.running if _is_watched(call, now)]
         usual_by_kind = self._sum_up(calls, now)
         streams: dict[TargetPool, list[tuple[GatewayAttempt, float]]] = {}
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -343,30 +343,16 @@
             attempt.held += events.ok_value
             if call.holds_back(attempt, now):
                 continue
-            if self._stop_guard.awaits_pace(attempt, pool, now):
+            if self._stop_guard.awaits_end(attempt, now):
+                if self._stop_guard.begins_too_late(attempt, now):
+                    self._stop_guard.record_left(attempt, now)
+                    response.abort()
+                    return AttemptFailure.TOO_LATE
                 continue
-            if failure := await self._pass_on(attempt, response, now):
-                return failure
+            call.lead(attempt, now)
+            await self._write_events(attempt, response, now)
         return await self._end_stream(attempt, response)
 
-    async def _pass_on(
-        self, attempt: GatewayAttempt, response: ClientResponse, now: float
-    ) -> AttemptFailure | None:
-        """Have an attempt go on alone, and pass on the events that it has.
-
-        Returns:
-            How it failed; None if they were passed on.
-        """
-        call = attempt.call
-        pool = self._index.find_pool(call.service, call.terms.model)
-        has_nothing = call.progress is Progress.NOTHING
-        if has_nothing and self._stop_guard.begins_too_late(attempt, pool):
-            response.abort()
-            return AttemptFailure.TOO_LATE
-        call.lead(attempt, now)
-        await self._write_events(attempt, response, now)
-        return None
-
     async def _write_events(
         self, attempt: GatewayAttempt, response: ClientResponse, now: float
     ) -> None:
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -16,6 +16,7 @@
     SLOWDOWN_PART,
     AnswerTiming,
     DurationForecast,
+    PaceSpread,
     Progress,
     StreamTiming,
     TargetPool,
@@ -27,7 +28,7 @@
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.telemetry import StopReason, StopTally
 
-__all__ = ["StopClock", "StopGuard"]
+__all__ = ["PACE_INTERVAL_S", "StopClock", "StopGuard"]
 
 _log = structlog.get_logger(__name__)
 
@@ -41,11 +42,21 @@
 """Longest over configured time of a token: passes also read the prompts of
 other requests."""
 
+PACE_INTERVAL_S = 0.25
+"""Pause between two records of the paces that streams show, in seconds."""
+
 PACE_HOLD_FACTOR = 2.0
 """Multiple of its longest time from which on a stream is passed on before its
 pace is known: there is time to find that its target is slow, and to go on
 elsewhere."""
 
+BEGIN_RESERVE_S = 0.15
+"""Time reserved beside a stream's own when it begins, in seconds. There is no
+other attempt and no first event to come."""
+
+MAX_HELD_BYTES = 256 * 1024
+"""Most bytes of a stream's events that are kept back."""
+
 UNKNOWN_CALL_FACTOR = 2.0
 """Longest time of a request without a stream before any was answered, as a
 multiple of the time within which its route wants the answer."""
@@ -110,6 +121,7 @@
         self._of_services: dict[
             tuple[ServiceName, ModelName | None], DurationForecast
         ] = {}
+        self._spreads: dict[tuple[ServiceName, ModelName | None], PaceSpread] = {}
 
     def begin_stop(self, now: float) -> None:
         """Have all requests end in time, from the stop signal on."""
@@ -131,6 +143,35 @@
         for forecast in self._find_forecasts(call):
             forecast.record(timing)
 
+    def record_paces(self, now: float) -> None:
+        """Record the paces that the streams in progress show.
+
+        Args:
+            now: Seconds; this is called each ``PACE_INTERVAL_S``.
+        """
+        id_tokens: dict[DurationForecast, float] = {}
+        for call in self.running:
+            attempt = call.leader
+            if attempt is None or now - attempt.read_at > PACE_INTERVAL_S:
+                continue
+            if attempt.pace.estimate() is None:
+                continue
+            of_route, _ = self._find_forecasts(call)
+            if of_route not in id_tokens:
+                id_tokens[of_route] = self._find_id_tokens(call, now)
+            self._record_pace(attempt, id_tokens[of_route], now)
+
+    def record_left(self, attempt: GatewayAttempt, now: float) -> None:
+        """Record the pace of a stream that leaves its target."""
+        if attempt.pace.estimate() is not None:
+            self._record_pace(attempt, self._find_id_tokens(attempt.call, now), now)
+
+    def _record_pace(
+        self, attempt: GatewayAttempt, id_tokens: float, now: float
+    ) -> None:
+        token_s = (attempt.pace.estimate_longest() or 0.0) / id_tokens
+        self.find_spread(attempt.call).record(attempt.state, token_s, now)
+
     def record_end(self, call: GatewayCall, *, is_refused: bool) -> None:
         """Count a request that came after the stop signal and has ended."""
         if self._clock.measure_since(call.received_at) is None:
@@ -149,8 +190,10 @@
         for of_route in [key for key in self._of_routes if key[0] not in names]:
             del self._of_routes[of_route]
         services = catalog.services
-        for of_service in [key for key in self._of_services if key[0] not in services]:
-            del self._of_services[of_service]
+        by_service = self._of_services, self._spreads
+        for kept in by_service:
+            for key in [one for one in kept if one[0] not in services]:
+                del kept[key]
 
     def should_refuse(self, call: GatewayCall, pool: TargetPool) -> bool:
         """Return whether a request may still be in progress at the end.
@@ -202,55 +245,66 @@
         needed_s = _predict_first_event(call, pool, now) + writing_s
         return now + needed_s <= self._clock.ends_at
 
-    def awaits_pace(
-        self, attempt: GatewayAttempt, pool: TargetPool, now: float
-    ) -> bool:
-        """Return whether an attempt's first events are kept back.
+    def awaits_end(self, attempt: GatewayAttempt, now: float) -> bool:
+        """Return whether an attempt's events are kept back.
 
-        They show whether its target is too slow, while its request can still
-        be sent elsewhere from the start, or get a whole error answer.
+        While its stream may still be cut, it can go on elsewhere from the
+        start, or its caller can get a whole error answer. So it begins once
+        its longest time from then on fits.
 
         Args:
             attempt: The attempt; it has an event.
-            pool: The targets of its request.
             now: Seconds.
         """
         call = attempt.call
-        if not _is_bound(call) or call.progress is not Progress.NOTHING:
-            return False
-        if attempt.pace.estimate() is not None:
+        if not _may_be_cut(call) or call.progress is not Progress.NOTHING:
             return False
-        writing_s = self._predict_longest_writing(call, pool, now)
-        if writing_s is None:
+        if not _has_known_length(call) or len(attempt.held) > MAX_HELD_BYTES:
             return False
-        return now + PACE_HOLD_FACTOR * writing_s > self._clock.ends_at
-
-    def begins_too_late(self, attempt: GatewayAttempt, pool: TargetPool) -> bool:
-        """Return whether an attempt's stream can't end in time.
-
-        Its caller has nothing of it yet. If its request was accepted by its
-        longest time and may run again, and its pace is known, it counts as
-        long as it may be, and as becoming slower as then. Otherwise its usual
-        time counts: most such streams would be cut.
+        pace_s = attempt.pace.estimate()
+        if pace_s is None:
+            pool = self._index.find_pool(call.service, call.terms.model)
+            writing_s = self._predict_longest_writing(call, pool, now)
+            if writing_s is None:
+                return False
+            return now + PACE_HOLD_FACTOR * writing_s > self._clock.ends_at
+        id_tokens = self._find_id_tokens(call, now)
+        shown_s = self.find_spread(call).find_longest(now) * id_tokens
+        longest_s = max(attempt.pace.estimate_longest() or 0.0, shown_s)
+        ids_left = _count_ids_left(attempt, id_tokens)
+        writing_s = (1 + SLOWDOWN_PART) * ids_left * longest_s
+        return now + writing_s + BEGIN_RESERVE_S > self._clock.ends_at
+
+    def begins_too_late(self, attempt: GatewayAttempt, now: float) -> bool:
+        """Return whether an attempt's stream will hardly end in time.
+
+        Its caller has nothing of it yet. If it is as long as usual, it takes
+        longer at its own pace than is left.
 
         Args:
-            attempt: The attempt; it has an event.
-            pool: The targets of its request.
+            attempt: The attempt; it has an event, and its events are kept
+                back.
+            now: Seconds.
         """
-        call, last_id = attempt.call, attempt.cursor.last_id
-        if not _may_be_cut(call):
-            return False
-        now = asyncio.get_running_loop().time()
+        call, last_id = attempt.call, attempt.cursor.last_id or 0
         pace_s = attempt.pace.estimate()
-        if pace_s is None or not _is_bound(call):
-            writing_s = self._predict_usual_writing(call, last_id, now)
-        else:
-            of_route, _ = self._find_forecasts(call)
-            id_tokens = of_route.measure_id_tokens(now)
-            id_tokens = id_tokens or pool.forecast.timing.tokens_per_pass
-            tokens = _count_left(call, int((last_id or 0) * id_tokens))
-            writing_s = (1 + SLOWDOWN_PART) * tokens / id_tokens * pace_s
-        return writing_s is not None and now + writing_s > self._clock.ends_at
+        if pace_s is None:
+            usual_s = self._predict_usual_writing(call, last_id, now)
+            return usual_s is not None and now + usual_s > self._clock.ends_at
+        id_tokens = self._find_id_tokens(call, now)
+        ids_left = _count_ids_left(attempt, id_tokens)
+        if now + ids_left * pace_s <= self._clock.ends_at:
+            return False
+        usual_part = self.sum_up_streams(call, now).usual_part
+        shown_id = max(former.cursor.last_id or 0 for former in call.history)
+        usual_left = usual_part * (ids_left + last_id) - shown_id
+        if usual_left >= 1.0:
+            ids_left = usual_left
+        return now + ids_left * pace_s > self._clock.ends_at
+
+    def find_spread(self, call: GatewayCall) -> PaceSpread:
+        """Return the paces that streams of a request's model show."""
+        return self._spreads.setdefault((call.service, call.terms.model), PaceSpread())
 
     def sum_up_streams(self, call: GatewayCall, now: float) -> UsualStream:
         """Return what recent streams of a request's route show."""
@@ -281,9 +335,7 @@
         whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
         reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
         longest_s = max(first_event_s + writing_s, whole_s) + reserve_s
-        id_tokens = of_route.measure_id_tokens(now)
-        id_tokens = id_tokens or pool.forecast.timing.tokens_per_pass
-        ids = _count_left(call, 0) / id_tokens
+        ids = _count_left(call, 0) / self._find_id_tokens(call, now)
         return replace(
             forecast,
             id_s=writing_s / max(1.0, ids),
@@ -306,7 +358,11 @@
             return None
         running = self._list_running_streams(call)
         running_token_s = [stream.token_s or 0.0 for stream in running]
-        other_token_s = max(of_service.measure_token_time(now), *running_token_s, 0.0)
+        other_token_s = max(
+            of_service.measure_token_time(now),
+            self.find_spread(call).find_longest(now),
+            *running_token_s,
+        )
         if not other_token_s:
             other_token_s = CONFIGURED_TIME_FACTOR * max(
                 (pool.predict_token_time(one) for one in pool.list_eligible(now)),
@@ -342,6 +398,12 @@
         ]
         return [stream for stream in streams if stream is not None]
 
+    def _find_id_tokens(self, call: GatewayCall, now: float) -> float:
+        """Return the tokens that an id of a stream's events has."""
+        of_route, _ = self._find_forecasts(call)
+        pool = self._index.find_pool(call.service, call.terms.model)
+        return of_route.measure_id_tokens(now) or pool.forecast.timing.tokens_per_pass
+
     def _find_forecasts(
         self, call: GatewayCall
     ) -> tuple[DurationForecast, DurationForecast]:
@@ -387,17 +449,6 @@
     return call.deadline_after_stop and call.route.kind is RequestKind.STREAM
 
 
-def _is_bound(call: GatewayCall) -> bool:
-    """Return whether a stream's longest time is still to fit before a stop.
-
-    One that came before the stop signal wasn't accepted by that, and one that
-    may run once has no other attempt.
-    """
-    if not _may_be_cut(call) or call.stop_forecast is None:
-        return False
-    return call.route.repeatable and _has_known_length(call)
-
-
 def _has_known_length(call: GatewayCall) -> bool:
     return call.terms.model is not None and call.terms.max_output_tokens > 0
 
@@ -414,6 +465,17 @@
     return allowed - written if written < allowed else allowed
 
 
+def _count_ids_left(attempt: GatewayAttempt, id_tokens: float) -> float:
+    """Return by how much the ids of an attempt's stream may still rise.
+
+    Args:
+        attempt: The attempt; its request states a length.
+        id_tokens: Tokens that an id has.
+    """
+    written = int((attempt.cursor.last_id or 0) * id_tokens)
+    return _count_left(attempt.call, written) / id_tokens
+
+
 def _predict_first_event(call: GatewayCall, pool: TargetPool, now: float) -> float:
     """Return the time to a request's first event at the best target."""
     prompt = call.terms.prompt_tokens
