Gateway: a stream is moved for more than a move costs, and not back to a slow head

Callers saw status 200 and 63 of 72 events after four attempts at two heads. Cause: the median of seven events decided, against the best of all other heads, so that of heads that are alike another one always looked better; a move's wait for its next event wasn't counted, and a head left after three events counted as fast again. A head without a stream counted as slow as those with one, so that a stream at a slow head stayed beside free ones.

Change: both the last seven gaps and the last 24 must show that a stream is late, and a head that isn't known to be slow counts half by its own pace, half by the usual one; a move must gain more than the last ones waited longer than predicted; it must end in time by its longest length, unless it can't end as usual where it is; a head that was left counts by what it showed then until streams have shown otherwise. Events that are kept back count as to be written again. A free head counts by what it showed in the last three seconds.

--- a/src/zinniaspool/core/dispatch/__init__.py
+++ b/src/zinniaspool/core/dispatch/__init__.py
@@ -29,6 +29,7 @@
 )
 from zinniaspool.core.dispatch.endings import (
     EventPace,
+    MoveCosts,
     RunningStream,
     is_sooner,
     predict_end,
@@ -98,6 +99,7 @@
     "EngineTiming",
     "EventCursor",
     "EventPace",
+    "MoveCosts",
     "PaceSpread",
     "FirstEventForecast",
     "InstanceLoad",
--- a/src/zinniaspool/core/dispatch/endings.py
+++ b/src/zinniaspool/core/dispatch/endings.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from statistics import median
 
-__all__ = ["EventPace", "RunningStream", "is_sooner", "predict_end"]
+__all__ = ["EventPace", "MoveCosts", "RunningStream", "is_sooner", "predict_end"]
 
 WINDOW = 7
 """Gaps of which the median is the pace: a single pause doesn't change it."""
@@ -29,6 +29,9 @@
 is expected to last as long again as it has lasted so far."""
 
 
+RECENT_MOVES, MOVE_MEMORY_S = 5, 10.0
+"""Moved streams whose cost counts, and for how long, in seconds."""
+
 MIN_GAIN_S = 0.1
 """Time by which a stream must be predicted to end sooner elsewhere to be worth
 another attempt, in seconds: about the error of a predicted first event."""
@@ -81,6 +84,15 @@
         pace_s = self.estimate()
         return None if pace_s is None else max(pace_s, self._measure_mean() or 0.0)
 
+    def estimate_shortest(self) -> float | None:
+        """Return the shorter one of the recent pace and that of a longer time.
+
+        Returns:
+            Seconds; None if too few events were read.
+        """
+        pace_s, mean_s = self.estimate(), self._measure_mean()
+        return pace_s if pace_s is None or mean_s is None else min(pace_s, mean_s)
+
     def _measure_mean(self) -> float | None:
         """Return the mean time by which an id rises by one, in seconds.
 
@@ -96,6 +108,27 @@
         return gaps_s / (sum(ids for _, ids in self._reads) - its_ids)
 
 
+class MoveCosts:
+    """By how much moved streams had their next event later than predicted."""
+
+    def __init__(self) -> None:
+        self._costs: deque[tuple[float, float]] = deque(maxlen=RECENT_MOVES)
+
+    def record(self, late_s: float, now: float) -> None:
+        """Record by how much a first event was later than predicted.
+
+        Args:
+            late_s: Seconds, below 0 if it was earlier.
+            now: Seconds.
+        """
+        self._costs.append((now, late_s))
+
+    def estimate(self, now: float) -> float:
+        """Return by how much the next one may be late, in seconds."""
+        recent = [late_s for at, late_s in self._costs if now - at <= MOVE_MEMORY_S]
+        return max(0.0, median(recent or [0.0]))
+
+
 @dataclass(frozen=True, slots=True)
 class RunningStream:
     """A stream in progress at one target.
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -95,6 +95,9 @@
         blocked_s: Time in which events waited for the caller to read, in
             seconds.
         is_behind: Whether its stream was found not to end in time there.
+        left_id_s: Time from one event to the next when its stream was moved as
+            behind, in seconds; None if it wasn't.
+        left_at: When that was.
         kept_for: Why a stream that is behind was last left there, for the log.
         moved_from: The attempt whose stream was behind and goes on here; None
             if there is none.
@@ -130,6 +133,8 @@
     is_blocked: bool = False
     blocked_s: float = 0.0
     is_behind: bool = False
+    left_id_s: float | None = None
+    left_at: float = 0.0
     kept_for: str = ""
     moved_from: "GatewayAttempt | None" = None
     held: bytes = b""
--- a/src/zinniaspool/gateway/carrier.py
+++ b/src/zinniaspool/gateway/carrier.py
@@ -234,6 +234,8 @@
                 call.alternatives.remove(attempt)
         if attempt.has_led or failure is None:
             return failure
+        if attempt.moved_from is not None and not attempt.has_event:
+            self._stop_guard.record_vain_move(attempt)
         self._record_failure(attempt, failure)
         if failure is AttemptFailure.LOST:
             await self._crashes.handle_lost_attempt(attempt)
--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -14,6 +14,7 @@
 import structlog
 
 from zinniaspool.core.dispatch import (
+    PaceSpread,
     RunningStream,
     TargetPool,
     TargetState,
@@ -39,6 +40,10 @@
 """Part of a stream's time after which it is watched. Few streams take so long.
 In a process that stops it is watched from its first event on."""
 
+FASTER = 0.7
+"""Part of the time between two events at a target that a stream left, by which
+it may be less now, so that the stream may go back."""
+
 END_RESERVE_S = 0.15
 """Time before a stream's limit at which it should end, in seconds. A stream
 that is to end just in time is cut by the next pause."""
@@ -55,6 +60,8 @@
         id_tokens: Tokens that an id of its events has.
         stream: What is left of it, if it is as long as it may be.
         shown: What streams in progress show of each target.
+        spread: What streams of its model have shown lately.
+        usual_token_s: Usual time of a token, in seconds; 0 if unknown.
     """
 
     attempt: GatewayAttempt
@@ -63,6 +70,8 @@
     id_tokens: float
     stream: RunningStream
     shown: "_ShownPaces"
+    spread: PaceSpread
+    usual_token_s: float
 
     @property
     def usual_ids_left(self) -> float:
@@ -75,30 +84,60 @@
         usual_left = (self.stream.ids_left + last_id) * ratio - last_id
         return usual_left if usual_left >= 1.0 else self.stream.ids_left
 
+    def predict_end_here(self, ids_left: float, now: float) -> float:
+        """Return when it will end where it is, in seconds.
+
+        A few events don't show that a target is slower than others. Unless it
+        is known to be slow, its pace counts half, and the usual one as much.
+        """
+        stream = replace(self.stream, ids_left=ids_left)
+        usual_s = self.usual_token_s * self.id_tokens
+        if usual_s < stream.id_s and not self.attempt.state.speed.is_slow:
+            stream = replace(stream, id_s=(stream.id_s + usual_s) / 2)
+        return predict_end(stream, now)
+
     def predict_end_elsewhere(
         self, state: TargetState, ids_left: float, now: float
     ) -> float:
         """Return when it would end at another target, in seconds.
 
-        At one that it left, it is expected to be as slow again, and elsewhere
-        as slow as streams in progress are there.
+        It is expected to be as slow there as streams in progress are, and not
+        faster than usual. Events that are kept back are written again.
         """
-        call = self.attempt.call
+        call, attempt = self.attempt.call, self.attempt
         written = int((call.last_event_id or 0) * self.id_tokens)
         prompt = call.terms.prompt_tokens + written
         first_s = self.pool.predict_first_event(state, prompt, now)
-        token_s = max(self.usual.token_s * state.pace, self.shown.find(state))
-        id_s = token_s * self.id_tokens
-        for former in call.history:
-            if former.state is state:
-                id_s = max(id_s, former.pace.estimate() or 0.0)
-        return now + first_s + (ids_left - 1) * id_s
+        token_s = self.shown.find(state) or self.spread.find_at(state, now) or 0.0
+        token_s = max(self.usual_token_s * state.pace, token_s)
+        kept_back = (attempt.cursor.last_id or 0) - (call.last_event_id or 0)
+        ids = ids_left + kept_back
+        return now + first_s + (ids - 1) * token_s * self.id_tokens
+
+    def may_go_to(self, state: TargetState, now: float) -> bool:
+        """Return whether it may go on at a target.
+
+        One that it left as too slow must have been faster since. One where it
+        had no event in time is left out.
+        """
+        for former in self.attempt.call.history:
+            if former.state is not state or former is self.attempt:
+                continue
+            if former.left_id_s is None:
+                if former.moved_from is not None and not former.has_led:
+                    return False
+                continue
+            token_s = self.spread.find_at(state, now, former.left_at)
+            if token_s is None or token_s * self.id_tokens > FASTER * former.left_id_s:
+                return False
+        return True
 
 
 class _KeptFor(Enum):
     """Why a stream that is behind stays where it is."""
 
     UNKNOWN_PACE = "unknown-pace"
+    IN_TIME = "in-time"
     NO_TARGET = "no-target"
     NO_GAIN = "no-gain"
     BEYOND_TIME = "beyond-time"
@@ -147,13 +186,9 @@
         """Return the time of a token that is shown of a target, in seconds.
 
         Returns:
-            That of all others, if no stream is in progress there; 0 without
-            any.
+            0 if no stream is in progress there.
         """
-        times = self._by_target.get(state)
-        if times is None:
-            times = [one for other in self._by_target.values() for one in other]
-        return median(times or [0.0])
+        return median(self._by_target.get(state, [0.0]))
 
 
 class StreamEndWatcher:
@@ -200,7 +235,11 @@
                 streams[pool] = self._list_streams(call, pool, now)
             shown = _ShownPaces(streams[pool], attempt)
             id_tokens = _find_id_tokens(pool, usual)
-            watched = _Watched(attempt, pool, usual, id_tokens, stream, shown)
+            spread = self._stop_guard.find_spread(call)
+            usual_s = spread.find_usual(now) or usual.token_s
+            watched = _Watched(
+                attempt, pool, usual, id_tokens, stream, shown, spread, usual_s
+            )
             self._check_stream(watched, now)
 
     def _check_stream(self, watched: _Watched, now: float) -> None:
@@ -210,9 +249,14 @@
         if not attempt.is_behind:
             attempt.is_behind = True
             _log_behind(watched, ends_at, now)
-        choice = _find_sooner(watched, ends_at, now)
+        ends_at = watched.predict_end_here(watched.stream.ids_left, now)
+        cost_s = max(
+            self._stop_guard.move_costs.estimate(now), watched.pool.forecast.spread_s
+        )
+        choice = _find_sooner(watched, ends_at, cost_s, now)
         if choice.kept_for is None and choice.other is not None:
             if self._rerouter.reroute_behind(attempt, choice.other, now):
+                attempt.left_id_s, attempt.left_at = watched.stream.id_s, now
                 _log_move(watched, choice.other, ends_at, now)
                 return
             choice = replace(choice, kept_for=_KeptFor.NOT_ALLOWED)
@@ -301,7 +345,10 @@
         tokens = terms.max_output_tokens * usual.longest_part
     if not tokens:
         return None
-    id_s = attempt.pace.estimate()
+    if attempt.state.speed.is_slow:
+        id_s = attempt.pace.estimate()
+    else:
+        id_s = attempt.pace.estimate_shortest()
     if id_s is None:
         pace = attempt.state.pace if attempt.state.speed.is_slow else 1.0
         id_s = usual.token_s * id_tokens * pace
@@ -312,19 +359,28 @@
     return RunningStream(ids_left, id_s, attempt.read_at, next_s)
 
 
-def _find_sooner(watched: _Watched, ends_at: float, now: float) -> _Choice:
+def _find_sooner(
+    watched: _Watched, ends_at: float, cost_s: float, now: float
+) -> _Choice:
     """Find the target where a stream ends soonest.
 
-    It must end sooner there than where it is and, if it is as long as usual,
-    in time.
+    Args:
+        watched: The stream.
+        ends_at: When it will end where it is, in seconds.
+        cost_s: By how much its next event may be later than predicted, in
+            seconds.
+        now: Seconds.
     """
-    if not watched.usual.token_s:
+    if not watched.usual_token_s:
         return _Choice(_KeptFor.UNKNOWN_PACE)
+    if ends_at <= _find_limit(watched.attempt.call):
+        return _Choice(_KeptFor.IN_TIME)
     pool, call = watched.pool, watched.attempt.call
     excluded = {*call.list_excluded(pool), watched.attempt.state.target.instance}
     usable = pool.list_alternatives(now, excluded)
     others = [state for state in usable if not state.speed.is_slow]
     slow = len(usable) - len(others)
+    others = [state for state in others if watched.may_go_to(state, now)]
     choice = _Choice(_KeptFor.NO_TARGET, targets=len(others), slow=slow)
     ids_left = watched.stream.ids_left
     ends = {
@@ -334,14 +390,28 @@
     if other is None:
         return choice
     choice = replace(choice, other=other, ends_at=ends[other])
-    if not is_sooner(ends_at, ends[other]):
+    if not is_sooner(ends_at, ends[other] + cost_s):
         return replace(choice, kept_for=_KeptFor.NO_GAIN)
-    usual_end = watched.predict_end_elsewhere(other, watched.usual_ids_left, now)
-    if usual_end > call.stream_deadline:
+    if not _has_time(watched, other, now):
         return replace(choice, kept_for=_KeptFor.BEYOND_TIME)
     return replace(choice, kept_for=None)
 
 
+def _has_time(watched: _Watched, other: TargetState, now: float) -> bool:
+    """Return whether a stream can end in time at another target.
+
+    If it is as long as usual, that is enough where it can't end in time
+    without being moved.
+    """
+    limit, ids_left = watched.attempt.call.stream_deadline, watched.usual_ids_left
+    longest_left = watched.stream.ids_left
+    if watched.predict_end_elsewhere(other, longest_left, now) <= limit:
+        return True
+    if watched.predict_end_here(ids_left, now) <= limit:
+        return False
+    return watched.predict_end_elsewhere(other, ids_left, now) <= limit
+
+
 def _log_behind(watched: _Watched, ends_at: float, now: float) -> None:
     attempt, stream = watched.attempt, watched.stream
     call = attempt.call
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -432,6 +432,7 @@
         error_s = took_s - attempt.predicted_first_event_s
         self._record_response(attempt, pool, error_s, now)
         if attempt.moved_from is not None:
+            self._stop_guard.move_costs.record(error_s, now)
             _log_move(attempt, attempt.moved_from, took_s)
         self._admission_queues.tally.add_error(call.terms.model or "", error_s)
 
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -16,6 +16,7 @@
     SLOWDOWN_PART,
     AnswerTiming,
     DurationForecast,
+    MoveCosts,
     PaceSpread,
     Progress,
     StreamTiming,
@@ -109,10 +110,12 @@
 
     Attributes:
         running: The requests in progress.
+        move_costs: What streams waited that went on at another target.
     """
 
     def __init__(self, clock: StopClock, index: TargetIndex) -> None:
         self.running: set[GatewayCall] = set()
+        self.move_costs = MoveCosts()
         self._clock = clock
         self._index = index
         self._of_routes: dict[
@@ -172,6 +175,13 @@
         token_s = (attempt.pace.estimate_longest() or 0.0) / id_tokens
         self.find_spread(attempt.call).record(attempt.state, token_s, now)
 
+    def record_vain_move(self, attempt: GatewayAttempt) -> None:
+        """Record that a moved stream had its next event at another target."""
+        waited_s = attempt.ended_at - attempt.sent_at
+        self.move_costs.record(
+            waited_s - attempt.predicted_first_event_s, attempt.ended_at
+        )
+
     def record_end(self, call: GatewayCall, *, is_refused: bool) -> None:
         """Count a request that came after the stop signal and has ended."""
         if self._clock.measure_since(call.received_at) is None:
