--- a/src/zinniaspool/core/dispatch/spread.py
+++ b/src/zinniaspool/core/dispatch/spread.py
@@ -7,17 +7,24 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from statistics import median
 
 from zinniaspool.core.dispatch.targets import TargetState
 
-__all__ = ["PaceSpread", "find_high_quantile"]
+__all__ = ["MAX_SPREAD", "PaceSpread", "find_high_quantile"]
 
-RECENT_S = 3.0
-"""Time for which a shown pace counts, in seconds: about that of a long
-stream."""
+RECENT_S = 8.0
+"""Time for which a shown pace counts for the longest one, in seconds: in the
+last ones of a stop few streams are in progress that show it."""
+
+USUAL_S = 3.0
+"""Time for which it counts for the usual one and that of a target, in
+seconds: about that of a long stream."""
+
+SUMMARY_S = 0.25
+"""Time for which a summary of them is used, in seconds."""
 
 HIGH_QUANTILE = 0.95
 """Quantile that counts as the longest. A few longer times, of callers that
@@ -44,6 +51,15 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Summary:
+    """What the samples show at a time; times of a token in seconds."""
+
+    at: float
+    longest_s: float
+    by_target: Mapping[TargetState, Sequence[_Sample]]
+
+
 class PaceSpread:
     """The times of a token that streams of one model have shown lately.
 
@@ -52,7 +68,10 @@
 
     def __init__(self) -> None:
         self._samples: deque[_Sample] = deque()
-        self._longest_s: float | None = None
+        self._summary: _Summary | None = None
+
+    def __len__(self) -> int:
+        return len(self._samples)
 
     def record(self, state: TargetState, token_s: float, now: float) -> None:
         """Record what a stream shows.
@@ -62,21 +81,23 @@
             token_s: Time of a token, in seconds.
             now: Seconds.
         """
+        self._forget(now)
         self._samples.append(_Sample(state, token_s, now))
-        self._longest_s = None
+        self._summary = None
 
-    def find_usual(self, now: float) -> float:
-        """Return the median time of a token, in seconds; 0 if unknown."""
-        return median(self._list_times(now) or [0.0])
+    def find_usual_elsewhere(self, state: TargetState, now: float) -> float:
+        """Return the median time of a token at other targets, in seconds.
+
+        Returns:
+            0 if unknown.
+        """
+        by_target = self._sum_up(now).by_target
+        others = [by_target[one] for one in by_target if one is not state]
+        return median([t for one in others for t in _list_times(one)] or [0.0])
 
     def find_longest(self, now: float) -> float:
         """Return the longest time of a token, in seconds; 0 if unknown."""
-        self._forget(now)
-        if self._longest_s is None:
-            times = self._list_times(now)
-            longest_s = find_high_quantile(times) or 0.0
-            self._longest_s = min(longest_s, MAX_SPREAD * median(times or [0.0]))
-        return self._longest_s
+        return self._sum_up(now).longest_s
 
     def find_at(
         self, state: TargetState, now: float, since: float = -math.inf
@@ -91,19 +112,34 @@
         Returns:
             None if no stream has shown it.
         """
-        self._forget(now)
-        times = [
-            one.token_s
-            for one in self._samples
-            if one.state is state and one.at >= since
-        ]
+        shown = self._sum_up(now).by_target.get(state, ())
+        times = [one.token_s for one in shown if one.at >= since]
         return median(times) if times else None
 
-    def _list_times(self, now: float) -> list[float]:
+    def _sum_up(self, now: float) -> _Summary:
         self._forget(now)
-        return [one.token_s for one in self._samples if not one.state.speed.is_slow]
+        if self._summary is None or now - self._summary.at > SUMMARY_S:
+            late = [one for one in self._samples if now - one.at <= USUAL_S]
+            usual = _list_times(late)
+            longest_s = max(
+                _find_longest(_list_times(self._samples)), _find_longest(usual)
+            )
+            by_target: dict[TargetState, list[_Sample]] = {}
+            for one in late:
+                by_target.setdefault(one.state, []).append(one)
+            self._summary = _Summary(now, longest_s, by_target)
+        return self._summary
 
     def _forget(self, now: float) -> None:
         while self._samples and now - self._samples[0].at > RECENT_S:
             self._samples.popleft()
-            self._longest_s = None
+            self._summary = None
+
+
+def _list_times(samples: Iterable[_Sample]) -> list[float]:
+    return [one.token_s for one in samples if not one.state.speed.is_slow]
+
+
+def _find_longest(times: list[float]) -> float:
+    """Return the high quantile of some times, as far as it is a spread."""
+    return min(find_high_quantile(times) or 0.0, MAX_SPREAD * median(times or [0.0]))
--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -98,10 +98,11 @@
         left_id_s: Time from one event to the next when its stream was moved as
             behind, in seconds; None if it wasn't.
         left_at: When that was.
-        kept_for: Why a stream that is behind was last left there, for the log.
+        kept_for: Why its stream stayed although it was behind, for the log.
         moved_from: The attempt whose stream was behind and goes on here; None
             if there is none.
-        held: Events that were kept back while another attempt was to go on.
+        held: Events that were kept back while another attempt was to go on, or
+            until the stream's end was certain.
         is_answer: Whether it counts as answered: it is complete, or goes on
             for long enough.
         unanswered_out_of_subset: Whether its target is out of this process's
@@ -135,7 +136,7 @@
     is_behind: bool = False
     left_id_s: float | None = None
     left_at: float = 0.0
-    kept_for: str = ""
+    kept_for: set[str] = field(default_factory=set)
     moved_from: "GatewayAttempt | None" = None
     held: bytes = b""
     is_answer: bool = False
--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -14,6 +14,7 @@
 import structlog
 
 from zinniaspool.core.dispatch import (
+    MAX_SPREAD,
     PaceSpread,
     RunningStream,
     TargetPool,
@@ -88,11 +89,11 @@
         """Return when it will end where it is, in seconds.
 
         A few events don't show that a target is slower than others. Unless it
-        is known to be slow, its pace counts half, and the usual one as much.
+        is much slower, its pace counts half, and the usual one as much.
         """
         stream = replace(self.stream, ids_left=ids_left)
         usual_s = self.usual_token_s * self.id_tokens
-        if usual_s < stream.id_s and not self.attempt.state.speed.is_slow:
+        if usual_s < stream.id_s <= MAX_SPREAD * usual_s:
             stream = replace(stream, id_s=(stream.id_s + usual_s) / 2)
         return predict_end(stream, now)
 
@@ -236,7 +237,8 @@
             shown = _ShownPaces(streams[pool], attempt)
             id_tokens = _find_id_tokens(pool, usual)
             spread = self._stop_guard.find_spread(call)
-            usual_s = spread.find_usual(now) or usual.token_s
+            usual_s = spread.find_usual_elsewhere(attempt.state, now)
+            usual_s = usual_s or usual.token_s
             watched = _Watched(
                 attempt, pool, usual, id_tokens, stream, shown, spread, usual_s
             )
@@ -256,7 +258,9 @@
         choice = _find_sooner(watched, ends_at, cost_s, now)
         if choice.kept_for is None and choice.other is not None:
             if self._rerouter.reroute_behind(attempt, choice.other, now):
-                attempt.left_id_s, attempt.left_at = watched.stream.id_s, now
+                shown_s = attempt.pace.estimate_longest()
+                attempt.left_id_s = shown_s or watched.stream.id_s
+                attempt.left_at = now
                 _log_move(watched, choice.other, ends_at, now)
                 return
             choice = replace(choice, kept_for=_KeptFor.NOT_ALLOWED)
@@ -345,9 +349,8 @@
         tokens = terms.max_output_tokens * usual.longest_part
     if not tokens:
         return None
-    if attempt.state.speed.is_slow:
-        id_s = attempt.pace.estimate()
-    else:
+    id_s = attempt.pace.estimate()
+    if id_s is not None and id_s <= MAX_SPREAD * usual.token_s * id_tokens:
         id_s = attempt.pace.estimate_shortest()
     if id_s is None:
         pace = attempt.state.pace if attempt.state.speed.is_slow else 1.0
@@ -457,9 +460,9 @@
     """Log why a stream stays, once for each reason."""
     attempt, other = watched.attempt, choice.other
     call, kept_for = attempt.call, choice.kept_for
-    if kept_for is None or attempt.kept_for == kept_for.value:
+    if kept_for is None or kept_for.value in attempt.kept_for:
         return
-    attempt.kept_for = kept_for.value
+    attempt.kept_for.add(kept_for.value)
     _log.info(
         "stream-kept",
         request=call.terms.id,
--- a/src/zinniaspool/gateway/sending.py
+++ b/src/zinniaspool/gateway/sending.py
@@ -496,7 +496,9 @@
 def _find_interruption(attempt: GatewayAttempt) -> AttemptFailure:
     """Return how an attempt failed that ended before its upstream's answer."""
     if not attempt.superseded:
-        return AttemptFailure.TIMED_OUT
+        # Its target has written what its caller didn't get.
+        is_held = attempt.held and attempt.call.progress is Progress.NOTHING
+        return AttemptFailure.TOO_LATE if is_held else AttemptFailure.TIMED_OUT
     if attempt.reroute_cause is not None:
         return AttemptFailure.STALLED
     return AttemptFailure.SUPERSEDED
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -13,6 +13,7 @@
 import structlog
 
 from zinniaspool.core.dispatch import (
+    NOT_RUN_FAILURES,
     SLOWDOWN_PART,
     AnswerTiming,
     DurationForecast,
@@ -177,10 +178,11 @@
 
     def record_vain_move(self, attempt: GatewayAttempt) -> None:
         """Record that a moved stream had its next event at another target."""
+        if attempt.failure in NOT_RUN_FAILURES:
+            return
         waited_s = attempt.ended_at - attempt.sent_at
-        self.move_costs.record(
-            waited_s - attempt.predicted_first_event_s, attempt.ended_at
-        )
+        late_s = max(waited_s, attempt.predicted_first_event_s)
+        self.move_costs.record(late_s, attempt.ended_at)
 
     def record_end(self, call: GatewayCall, *, is_refused: bool) -> None:
         """Count a request that came after the stop signal and has ended."""
@@ -289,7 +291,8 @@
         """Return whether an attempt's stream will hardly end in time.
 
         Its caller has nothing of it yet. If it is as long as usual, it takes
-        longer at its own pace than is left.
+        longer at its own pace than is left. One that a stop didn't accept, or
+        that may run once, is given up with its first event only.
 
         Args:
             attempt: The attempt; it has an event, and its events are kept
@@ -297,6 +300,9 @@
             now: Seconds.
         """
         call, last_id = attempt.call, attempt.cursor.last_id or 0
+        is_bound = call.stop_forecast is not None and call.route.repeatable
+        if not is_bound and attempt.event_reads > 1:
+            return False
         pace_s = attempt.pace.estimate()
         if pace_s is None:
             usual_s = self._predict_usual_writing(call, last_id, now)
@@ -305,11 +311,12 @@
         ids_left = _count_ids_left(attempt, id_tokens)
         if now + ids_left * pace_s <= self._clock.ends_at:
             return False
-        usual_part = self.sum_up_streams(call, now).usual_part
+        # A stream is longer than what any attempt has shown of it.
         shown_id = max(former.cursor.last_id or 0 for former in call.history)
-        usual_left = usual_part * (ids_left + last_id) - shown_id
-        if usual_left >= 1.0:
-            ids_left = usual_left
+        usual_part = self.sum_up_streams(call, now).usual_part
+        usual_id = usual_part * (ids_left + last_id)
+        if usual_id >= shown_id + 1:
+            ids_left = usual_id - last_id
         return now + ids_left * pace_s > self._clock.ends_at
 
     def find_spread(self, call: GatewayCall) -> PaceSpread:
@@ -432,18 +439,22 @@
 
 def _log_accepted(call: GatewayCall, ends_at: float) -> None:
     """Log what an accepted stream was promised, and what it had."""
-    forecast, first_s = call.stop_forecast, call.first_byte_s
-    if forecast is None or first_s is None or not call.last_event_id:
+    forecast, first_s, leader = call.stop_forecast, call.first_byte_s, call.leader
+    if forecast is None or first_s is None or leader is None:
         return
-    if call.route.kind is not RequestKind.STREAM:
+    ids = (call.last_event_id or 0) - leader.resumed_after
+    if call.route.kind is not RequestKind.STREAM or not ids:
         return
-    writing_s = call.last_event_at - call.received_at - first_s
-    id_s = writing_s / max(1, call.last_event_id - 1)
+    writing_s = leader.read_at - leader.writing_since - leader.blocked_s
+    id_s = writing_s / max(1, ids - 1)
+    begun_at = min(one.writing_since for one in call.history if one.has_event)
+    first_event_s = begun_at - call.received_at
     _log.info(
         "stop-stream-ended",
         request=call.terms.id,
         id_ms=f"{int(forecast.id_s * 1000)}/{int(id_s * 1000)}",
-        first_ms=f"{int(forecast.first_s * 1000)}/{int(first_s * 1000)}",
+        first_ms=f"{int(forecast.first_s * 1000)}/{int(first_event_s * 1000)}",
+        held_ms=int((first_s - first_event_s) * 1000),
         left_ms=f"{int(forecast.left_s * 1000)}/"
         f"{int((ends_at - call.last_event_at) * 1000)}",
         reserve_ms=int(forecast.reserve_s * 1000),
@@ -482,8 +493,9 @@
         attempt: The attempt; its request states a length.
         id_tokens: Tokens that an id has.
     """
-    written = int((attempt.cursor.last_id or 0) * id_tokens)
-    return _count_left(attempt.call, written) / id_tokens
+    first_id = attempt.call.terms.resume_after or 0
+    written = max(0, (attempt.cursor.last_id or 0) - first_id)
+    return max(0.0, attempt.call.terms.max_output_tokens / id_tokens - written)
 
 
 def _predict_first_event(call: GatewayCall, pool: TargetPool, now: float) -> float:
