Gateway: a stream may go back to a head that is no longer slow

Change: a head that was slow for all its streams and no longer counts as slow may take a stream back.

--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -118,8 +118,9 @@
     def may_go_to(self, state: TargetState, now: float) -> bool:
         """Return whether it may go on at a target.
 
-        One that it left as too slow must have been faster since. One where it
-        had no event in time is left out.
+        One that it left as too slow must have been faster since, or have been
+        slow for all its streams and be so no longer. One where it had no event
+        in time is left out.
         """
         for former in self.attempt.call.history:
             if former.state is not state or former is self.attempt:
@@ -128,6 +129,9 @@
                 if former.moved_from is not None and not former.has_led:
                     return False
                 continue
+            has_recovered = former.sent_at < state.speed.slow_since
+            if has_recovered and not state.speed.is_slow:
+                continue
             token_s = self.spread.find_at(state, now, former.left_at)
             if token_s is None or token_s * self.id_tokens > FASTER * former.left_id_s:
                 return False
