--- a/src/zinniaspool/core/dispatch/spread.py
+++ b/src/zinniaspool/core/dispatch/spread.py
@@ -141,5 +141,5 @@
 
 
 def _find_longest(times: list[float]) -> float:
-    """Return the high quantile of some times, as far as it is a spread."""
+    """Return the high quantile of some times, limited by their median."""
     return min(find_high_quantile(times) or 0.0, MAX_SPREAD * median(times or [0.0]))
--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -27,7 +27,7 @@
 from zinniaspool.core.ids import ModelName, ServiceName
 from zinniaspool.gateway.calls import GatewayAttempt, GatewayCall
 from zinniaspool.gateway.moves import Rerouter
-from zinniaspool.gateway.stops import PACE_INTERVAL_S, StopGuard
+from zinniaspool.gateway.stops import END_RESERVE_S, PACE_INTERVAL_S, StopGuard
 from zinniaspool.gateway.targets import TargetIndex
 
 __all__ = ["StreamEndWatcher"]
@@ -45,10 +45,6 @@
 """Part of the time between two events at a target that a stream left, by which
 it may be less now, so that the stream may go back."""
 
-END_RESERVE_S = 0.15
-"""Time before a stream's limit at which it should end, in seconds. A stream
-that is to end just in time is cut by the next pause."""
-
 
 @dataclass(frozen=True, slots=True)
 class _Watched:
@@ -129,8 +125,8 @@
                 if former.moved_from is not None and not former.has_led:
                     return False
                 continue
-            has_recovered = former.sent_at < state.speed.slow_since
-            if has_recovered and not state.speed.is_slow:
+            was_slow = former.sent_at < state.speed.slow_since
+            if was_slow and not state.speed.is_slow:
                 continue
             token_s = self.spread.find_at(state, now, former.left_at)
             if token_s is None or token_s * self.id_tokens > FASTER * former.left_id_s:
--- a/src/zinniaspool/gateway/face.py
+++ b/src/zinniaspool/gateway/face.py
@@ -25,10 +25,11 @@
 from zinniaspool.fleet import FleetView
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool.gateway.carrier import RequestForwarder
+from zinniaspool.gateway.clocks import StopClock
 from zinniaspool.gateway.cuts import CutAnswerReporter
 from zinniaspool.gateway.retries import RetryBudgets
 from zinniaspool.gateway.spelling import CallCodec
-from zinniaspool.gateway.stops import StopClock, StopGuard
+from zinniaspool.gateway.stops import StopGuard
 from zinniaspool.http import (
     Exchange,
     Headers,
--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -63,6 +63,7 @@
 from zinniaspool.gateway.backpressure import BackpressureTracker
 from zinniaspool.gateway.calls import RerouteCause
 from zinniaspool.gateway.carrier import RequestForwarder
+from zinniaspool.gateway.clocks import StopClock
 from zinniaspool.gateway.cold import ColdTracker
 from zinniaspool.gateway.crashes import CrashDetector
 from zinniaspool.gateway.cuts import CutAnswerReporter, log_peer_report
@@ -85,7 +86,7 @@
 from zinniaspool.gateway.silence import StallDetector, StallLinks
 from zinniaspool.gateway.speed import SlowTargetWatcher
 from zinniaspool.gateway.spelling import CallCodec
-from zinniaspool.gateway.stops import StopClock, StopGuard
+from zinniaspool.gateway.stops import StopGuard
 from zinniaspool.gateway.targets import TargetIndex
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
 from zinniaspool.telemetry import RequestTally
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import math
 from dataclasses import replace
 
 import structlog
@@ -27,19 +26,14 @@
 from zinniaspool.core.fleet import Catalog, RequestKind
 from zinniaspool.core.ids import ModelName, ServiceName
 from zinniaspool.gateway.calls import GatewayAttempt, GatewayCall, StopForecast
+from zinniaspool.gateway.clocks import StopClock
 from zinniaspool.gateway.targets import TargetIndex
-from zinniaspool.telemetry import StopReason, StopTally
+from zinniaspool.telemetry import StopReason
 
-__all__ = ["PACE_INTERVAL_S", "StopClock", "StopGuard"]
+__all__ = ["END_RESERVE_S", "PACE_INTERVAL_S", "StopGuard"]
 
 _log = structlog.get_logger(__name__)
 
-CLOSE_RESERVE_S = 0.25
-"""Part of the stop time that is reserved for closing, in seconds."""
-
-EXIT_RESERVE_S = 0.1
-"""Part of it that is reserved for the end of the process itself."""
-
 CONFIGURED_TIME_FACTOR = 1.5
 """Longest over configured time of a token: passes also read the prompts of
 other requests."""
@@ -52,9 +46,9 @@
 pace is known: there is time to find that its target is slow, and to go on
 elsewhere."""
 
-BEGIN_RESERVE_S = 0.15
-"""Time reserved beside a stream's own when it begins, in seconds. There is no
-other attempt and no first event to come."""
+END_RESERVE_S = 0.15
+"""Time before a stream's limit at which it should end, in seconds. A stream
+that is to end just in time is cut by the next pause."""
 
 MAX_HELD_BYTES = 256 * 1024
 """Most bytes of a stream's events that are kept back."""
@@ -64,44 +58,6 @@
 multiple of the time within which its route wants the answer."""
 
 
-class StopClock:
-    """Measures how long a stopping process goes on.
-
-    Times are in seconds on the event loop's clock.
-
-    Args:
-        grace_s: Time from the stop signal until the process is killed.
-
-    Attributes:
-        began_at: Time of the stop signal; None before it.
-        ends_at: Time until which requests may be in progress.
-        exits_at: Time at which the last connections are closed.
-        tally: Counts the requests that came after the stop signal.
-    """
-
-    def __init__(self, grace_s: float) -> None:
-        self.began_at: float | None = None
-        self.ends_at = self.exits_at = math.inf
-        self.tally = StopTally()
-        self._grace_s = grace_s
-
-    def begin(self, now: float) -> None:
-        """Start the clock at the stop signal."""
-        self.began_at = now
-        self.ends_at = now + max(0.0, self._grace_s - CLOSE_RESERVE_S)
-        self.exits_at = now + max(0.0, self._grace_s - EXIT_RESERVE_S)
-
-    def measure_since(self, at: float) -> float | None:
-        """Return how long after the stop signal a time is, in seconds.
-
-        Returns:
-            None without a signal, or if the time is before it.
-        """
-        if self.began_at is None or at < self.began_at:
-            return None
-        return at - self.began_at
-
-
 class StopGuard:
     """Finds the requests that may outlast a stopping process.
 
@@ -111,7 +67,7 @@
 
     Attributes:
         running: The requests in progress.
-        move_costs: What streams waited that went on at another target.
+        move_costs: By how much moved streams had their next event too late.
     """
 
     def __init__(self, clock: StopClock, index: TargetIndex) -> None:
@@ -177,7 +133,7 @@
         self.find_spread(attempt.call).record(attempt.state, token_s, now)
 
     def record_vain_move(self, attempt: GatewayAttempt) -> None:
-        """Record that a moved stream had its next event at another target."""
+        """Record that a stream was moved to a target where it had no event."""
         if attempt.failure in NOT_RUN_FAILURES:
             return
         waited_s = attempt.ended_at - attempt.sent_at
@@ -202,10 +158,9 @@
         for of_route in [key for key in self._of_routes if key[0] not in names]:
             del self._of_routes[of_route]
         services = catalog.services
-        by_service = self._of_services, self._spreads
-        for kept in by_service:
-            for key in [one for one in kept if one[0] not in services]:
-                del kept[key]
+        for by_service in (self._of_services, self._spreads):
+            for key in [one for one in by_service if one[0] not in services]:
+                del by_service[key]
 
     def should_refuse(self, call: GatewayCall, pool: TargetPool) -> bool:
         """Return whether a request may still be in progress at the end.
@@ -273,8 +228,8 @@
             return False
         if not _has_known_length(call) or len(attempt.held) > MAX_HELD_BYTES:
             return False
-        pace_s = attempt.pace.estimate()
-        if pace_s is None:
+        longest_s = attempt.pace.estimate_longest()
+        if longest_s is None:
             pool = self._index.find_pool(call.service, call.terms.model)
             writing_s = self._predict_longest_writing(call, pool, now)
             if writing_s is None:
@@ -282,10 +237,9 @@
             return now + PACE_HOLD_FACTOR * writing_s > self._clock.ends_at
         id_tokens = self._find_id_tokens(call, now)
         shown_s = self.find_spread(call).find_longest(now) * id_tokens
-        longest_s = max(attempt.pace.estimate_longest() or 0.0, shown_s)
         ids_left = _count_ids_left(attempt, id_tokens)
-        writing_s = (1 + SLOWDOWN_PART) * ids_left * longest_s
-        return now + writing_s + BEGIN_RESERVE_S > self._clock.ends_at
+        writing_s = (1 + SLOWDOWN_PART) * ids_left * max(longest_s, shown_s)
+        return now + writing_s + END_RESERVE_S > self._clock.ends_at
 
     def begins_too_late(self, attempt: GatewayAttempt, now: float) -> bool:
         """Return whether an attempt's stream will hardly end in time.
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 from types import SimpleNamespace
 from typing import cast
 
@@ -10,7 +11,7 @@
 from structlog.typing import EventDict
 
 from tests.installation import eventually, run
-from tests.test_outlasting_streams import SLOW, begin_stream
+from tests.test_outlasting_streams import SLOW, Stream, begin_stream
 from tests.test_planned_stops import StoppedInstallation
 from zinniaspool.core.ids import NodeId, RequestId
 from zinniaspool.core.messages.fleet import CutAnswer
@@ -22,6 +23,7 @@
 )
 from zinniaspool.gateway.lateness import LoopLateness
 from zinniaspool.telemetry.logs import render_line
+from zinniaspool_standins.runners import Runner
 
 HELD_S = 0.3
 
@@ -36,9 +38,7 @@
     async def check() -> None:
         with capture_logs() as lines:
             async with begin_stream() as (made, stream):
-                for head in made.heads("small"):
-                    head.faults.pace = SLOW
-                await stream.finish()
+                await _finish_at(made.heads("small"), stream)
 
                 def has_report() -> bool:
                     return any(line["event"] == "peer-cut-answer" for line in lines)
@@ -61,9 +61,7 @@
     async def check() -> None:
         with capture_logs() as lines:
             async with begin_stream() as (made, stream):
-                for head in made.heads("small"):
-                    head.faults.pace = SLOW
-                await stream.finish()
+                await _finish_at(made.heads("small"), stream)
         kept = _collect(lines, "stream-kept")
         assert all(
             key in kept for key in ("reason=", "left_ms=", "here_ms=", "there_ms=")
@@ -97,6 +95,27 @@
     run(check)
 
 
+@pytest.mark.processes
+def test_the_log_has_how_long_a_moved_stream_waited() -> None:
+    """Guards against moves whose cost the log doesn't show."""
+
+    async def check() -> None:
+        with capture_logs() as lines:
+            async with begin_stream() as (_, stream):
+                await _finish_at([stream.head], stream)
+        went_on = _collect(lines, "stream-went-on")
+        assert "took_ms=" in went_on and "predicted_ms=" in went_on, went_on
+
+    run(check)
+
+
+async def _finish_at(heads: Iterable[Runner], stream: Stream) -> None:
+    """Have a stream in progress go on while some heads are slow."""
+    for head in heads:
+        head.faults.pace = SLOW
+    await stream.finish()
+
+
 def _collect(lines: list[EventDict], event: str) -> str:
     """Return the first line of an event as far as collected logs keep it."""
     found = next(line for line in lines if line["event"] == event)
--- a/tests/test_outlasting_streams.py
+++ b/tests/test_outlasting_streams.py
@@ -14,7 +14,7 @@
 from zinniaspool.gateway.calls import GatewayCall
 from zinniaspool_standins.runners import Runner
 
-__all__ = ["SLOW", "begin_stream"]
+__all__ = ["SLOW", "Stream", "begin_stream"]
 
 pytestmark = pytest.mark.processes
 
@@ -38,7 +38,7 @@
     deadline_s = 4.0
 
 
-class _Stream:
+class Stream:
     """A caller's stream in progress.
 
     Args:
@@ -114,7 +114,7 @@
     stops: bool = True,
     left_s: float = LEFT_S,
     heads: int = 2,
-) -> AsyncIterator[tuple[StoppedInstallation, _Stream]]:
+) -> AsyncIterator[tuple[StoppedInstallation, Stream]]:
     """Begin a stream at a VM that knows such streams, and may be stopped."""
     async with kind.running(nodes=2, engines=4 + 4 * heads) as made:
         made.configure()
@@ -125,7 +125,7 @@
         if stops:
             made.nodes["n0"].gateway.stop()
             await asyncio.sleep(made.grace_s - left_s)
-        stream = _Stream(made, made.deadline_s)
+        stream = Stream(made, made.deadline_s)
         await stream.await_events(5)
         yield made, stream
 
@@ -259,7 +259,7 @@
                 await asyncio.gather(*(made.draft("n0", "small", 20) for _ in heads))
             for one in heads:
                 one.faults.silent = True
-            stream = _Stream(made, made.deadline_s)
+            stream = Stream(made, made.deadline_s)
             await eventually(lambda: stream.is_begun)
             first = stream.head
             for one in heads:
@@ -283,7 +283,7 @@
             await eventually(lambda: len(made.heads("small")) >= 3)
             for _ in range(3):
                 await asyncio.gather(*(made.draft("n0", "small", 20) for _ in range(8)))
-            stream = _Stream(made, made.deadline_s)
+            stream = Stream(made, made.deadline_s)
             await stream.await_events(5)
             first, heads = stream.head, made.heads("small")
             for one in heads:
--- a/tests/test_pace_spread.py
+++ b/tests/test_pace_spread.py
@@ -13,7 +13,8 @@
     TargetState,
 )
 from zinniaspool.gateway.calls import GatewayAttempt
-from zinniaspool.gateway.stops import StopClock, StopGuard, _count_ids_left
+from zinniaspool.gateway.clocks import StopClock
+from zinniaspool.gateway.stops import StopGuard, _count_ids_left
 from zinniaspool.gateway.targets import TargetIndex
 
 
--- a/tests/test_stop_attempts.py
+++ b/tests/test_stop_attempts.py
@@ -9,8 +9,8 @@
 from zinniaspool.core.dispatch import TargetPool, TargetState
 from zinniaspool.core.fleet import ProbeOutcome
 from zinniaspool.core.ids import Address, ModelName, ServiceName
+from zinniaspool.gateway.clocks import CLOSE_RESERVE_S
 from zinniaspool.gateway.main import GatewayProcess
-from zinniaspool.gateway.stops import CLOSE_RESERVE_S
 from zinniaspool_standins.runners import Runner
 
 pytestmark = pytest.mark.processes
