HTTP: a server that closes reads what has arrived until the end is sent

A caller whose request had arrived before the server closed got a reset or an end without an answer.

Cause: a drain accepted and read for six turns of the event loop and closed then. asyncio 3.11 drops a connection that it accepted in the turn before its server is closed, the kernel resets those that wait to be accepted, and an idle connection was closed a turn after it was last read, also after a response that hadn't announced the close. With a timeout that had passed, what had just been read was cut unanswered (by reading).

Change: the listener leaves the event loop first; what waits is accepted, and its socket closed, with nothing between. An idle connection is closed only if the kernel has nothing unread of it, and its end is sent in that moment. A drain whose time has passed still reads and answers for some turns, and refuses what has not arrived as a whole.

Measured: in tests/test_http_last_requests.py, requests on three kept-open connections and a new one at each of 24 turns, four cases: 14, 13, 10 and 9 unanswered before, none after; the test of a response's end failed before.

--- a/src/zinniaspool/http/backlog.py
+++ b/src/zinniaspool/http/backlog.py
@@ -15,6 +15,7 @@
 __all__ = [
     "Backlog",
     "count_undelivered",
+    "count_unread",
     "has_other_side_ended",
     "measure_unread",
 ]
@@ -107,16 +108,29 @@
 
     Those that the kernel has sent count only if it records them.
     """
-    unwritten = transport.get_write_buffer_size()
+    return transport.get_write_buffer_size() + _count_queued(
+        transport, termios.TIOCOUTQ
+    )
+
+
+def count_unread(transport: asyncio.BaseTransport) -> int:
+    """Return how many received bytes the event loop has not read yet.
+
+    0 if the platform doesn't record them.
+    """
+    return _count_queued(transport, termios.FIONREAD)
+
+
+def _count_queued(transport: asyncio.BaseTransport, queue: int) -> int:
     connection = transport.get_extra_info("socket")
     if connection is None:
-        return unwritten
+        return 0
     try:
-        sent = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+        count = fcntl.ioctl(connection.fileno(), queue, bytes(_INT.size))
     except (AttributeError, OSError, ValueError):
         # A substitute for the kernel has no such call.
-        return unwritten
-    return unwritten + int(_INT.unpack(sent)[0])
+        return 0
+    return int(_INT.unpack(count)[0])
 
 
 def has_other_side_ended(connection: _Connection) -> bool:
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -14,7 +14,12 @@
 import h11
 import structlog
 
-from zinniaspool.http.backlog import Backlog, has_other_side_ended, measure_unread
+from zinniaspool.http.backlog import (
+    Backlog,
+    count_unread,
+    has_other_side_ended,
+    measure_unread,
+)
 from zinniaspool.http.exchange import Exchange
 from zinniaspool.http.limits import (
     Refusal,
@@ -253,9 +258,20 @@
             self._refuse(RefusalKind.LEAVING, "")
 
     def close_if_idle(self) -> None:
-        """Close, unless a request has begun to arrive."""
-        if self._phase is _Phase.IDLE:
-            self._close()
+        """Close, unless a request has begun to arrive.
+
+        The caller's side sees the end of the connection at once. If it came a
+        turn of the event loop later, what a caller sends meanwhile would be
+        reset unread.
+        """
+        if self._phase is not _Phase.IDLE or self._transport is None:
+            return
+        if count_unread(self._transport):
+            return
+        if self._transport.can_write_eof():
+            with contextlib.suppress(OSError):
+                self._transport.write_eof()
+        self._close()
 
     # Receiving.
 
@@ -403,11 +419,12 @@
             self._transport.abort()
             return
         states = (self._h11.our_state, self._h11.their_state)
-        is_drained = self._owner.draining and not self._h11.trailing_data[0]
-        if is_drained or states != (h11.DONE, h11.DONE):
+        if states != (h11.DONE, h11.DONE):
             self._close()
             return
         self._begin_next()
+        if self._owner.draining:
+            self.close_if_idle()
 
     def _begin_next(self) -> None:
         self._h11.start_next_cycle()
@@ -482,7 +499,7 @@
         if left_s > 0:
             self._start_timer(left_s, self._close_if_unused)
             return
-        self._close()
+        self.close_if_idle()
 
     def _start_timer(self, seconds: float, on_timer: Callable[[], None]) -> None:
         self._timer_due = self._loop.time() + seconds
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -8,6 +8,7 @@
 import functools
 import socket
 import ssl
+from collections.abc import Iterator
 
 import structlog
 
@@ -22,9 +23,9 @@
 _BACKLOG = 1024
 """Connections that may wait to be accepted: enough for a burst of callers."""
 
-_ACCEPT_TURNS = 6
-"""Turns of the event loop in which a connection that waits is accepted and its
-request is read."""
+_READ_TURNS = 6
+"""Turns of the event loop in which a connection that was accepted can be used,
+its request is read, and a refusal of it is sent."""
 
 
 class HttpServer:
@@ -110,30 +111,73 @@
     async def drain(self, timeout_s: float) -> int:
         """Stop accepting, let requests in progress end, and close the rest.
 
-        A request is in progress from its first byte on.
+        A request is in progress from its first byte on. What arrives until the
+        caller's side sees its connection's end is read and answered.
+
+        Args:
+            timeout_s: Time after which requests that have not arrived as a
+                whole are refused, and the others are cut, in seconds.
 
         Returns:
-            The number of requests that were cut because they took longer
-            than ``timeout_s``.
+            The number of requests that were cut.
         """
         self.draining = True
-        # The kernel resets what waits to be accepted or read when its socket
-        # is closed, and a late process has more of that.
-        for _ in range(_ACCEPT_TURNS):
-            await asyncio.sleep(0)
-        if self._server is not None:
-            self._server.close()
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout_s
+        await self._stop_listening(ends_at)
         for connection in list(self._connections):
             connection.close_if_idle()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(ends_at):
                 await self._all_closed.wait()
+        # A late process has not read yet what came before the end.
+        for _ in range(_READ_TURNS):
+            if not self._connections:
+                break
+            for connection in list(self._connections):
+                connection.close_if_idle()
+            await asyncio.sleep(0)
+        self.refuse_unreceived()
         cut = sum(connection.busy for connection in self._connections)
         for connection in list(self._connections):
             connection.log_cut()
             connection.abort()
         return cut
 
+    async def _stop_listening(self, ends_at: float) -> None:
+        """Accept all connections that wait, and close the listening sockets.
+
+        asyncio resets a connection that it accepted in the turn before its
+        server is closed, and the kernel resets those that wait to be accepted
+        when their socket is closed. So nothing may come between.
+        """
+        if self._server is None or not self._server.is_serving():
+            return
+        loop = asyncio.get_running_loop()
+        listeners = [listener.dup() for listener in self._server.sockets]
+        for listener in self._server.sockets:
+            loop.remove_reader(listener)
+        for _ in range(_READ_TURNS):
+            await asyncio.sleep(0)
+        accepted = [one for listener in listeners for one in _accept_all(listener)]
+        self._server.close()
+        for listener in listeners:
+            listener.close()
+        connecting = [
+            asyncio.create_task(self._connect_accepted(one)) for one in accepted
+        ]
+        if connecting:
+            await asyncio.wait(connecting, timeout=max(0.0, ends_at - loop.time()))
+
+    async def _connect_accepted(self, accepted: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: ServerConnection(self),
+                accepted,
+                ssl=self._tls,
+                ssl_handshake_timeout=self.limits.receive_s if self._tls else None,
+            )
+
     def refuse_unreceived(self) -> None:
         """Refuse the requests that have not arrived as a whole.
 
@@ -172,3 +216,10 @@
     def release(self, size: int) -> None:
         """Release reserved memory."""
         self._buffered -= size
+
+
+def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
+    """Accept the connections that wait at a non-blocking socket."""
+    with contextlib.suppress(OSError):
+        while True:
+            yield listener.accept()[0]
