--- a/src/zinniaspool/core/dispatch/spread.py
+++ b/src/zinniaspool/core/dispatch/spread.py
@@ -23,6 +23,10 @@
 """Time for which it counts for the usual one and that of a target, in
 seconds: about that of a long stream."""
 
+LAST_S = 0.2
+"""Time before the last pace that a target has shown in which others count with
+it, in seconds: a single record of the streams in progress there."""
+
 SUMMARY_S = 0.25
 """Time for which a summary of them is used, in seconds."""
 
@@ -112,7 +116,10 @@
     def find_at(
         self, state: TargetState, now: float, since: float = -math.inf
     ) -> float | None:
-        """Return the median time of a token at one target, in seconds.
+        """Return the last time of a token that a target has shown, in seconds.
+
+        It is the median of the streams that were in progress there. What they
+        showed before would hide that the target has become slow or fast.
 
         Args:
             state: The target.
@@ -123,8 +130,10 @@
             None if no stream has shown it.
         """
         shown = self._sum_up(now).by_target.get(state, ())
-        times = [one.token_s for one in shown if one.at >= since]
-        return median(times) if times else None
+        if not shown or shown[-1].at < since:
+            return None
+        since = max(since, shown[-1].at - LAST_S)
+        return median(one.token_s for one in shown if one.at >= since)
 
     def _sum_up(self, now: float) -> _Summary:
         self._forget(now)
--- a/tests/test_pace_spread.py
+++ b/tests/test_pace_spread.py
@@ -59,6 +59,19 @@
     assert spread.find_at(_make_state(), 2.5) is None
 
 
+@pytest.mark.parametrize("last_s", [0.005, 0.015])
+def test_a_target_counts_by_what_it_has_shown_last(last_s: float) -> None:
+    """Guards against streams moved to a head that others leave as slow."""
+    spread, state = PaceSpread(), _make_state()
+    for number in range(10):
+        spread.record(state, 0.010, number * 0.25)
+    # Two streams at one time, one of which reads late.
+    spread.record(state, last_s, 2.5)
+    spread.record(state, last_s + 0.002, 2.5)
+    assert spread.find_at(state, 3.0) == pytest.approx(last_s + 0.001)
+    assert spread.find_at(state, 5.6) is None
+
+
 def test_a_few_slow_events_are_no_slow_pace() -> None:
     """Guards against streams that leave a head after a few late events."""
     pace = EventPace()
