Tests: a replaced upstream's ramp is not taken for avoidance

What callers saw: nothing.

Cause, of the test: a target that is new costs up to half a full target more for RAMP_S, which is 1.5 s too. While the other two have few requests at a time, they are preferred until that ends, so that the test passed only by several requests at once.

Change: two tests in place of one. In both, the upstream has said in an answer that it leaves, which the old test left to chance, and the target of the new process must be open at each VM within SPREAD_S. In the first, the others leave then, and each VM must use the new one within 0.5 s, 1.5 s in all as before. In the second, nothing else changes, and each VM must use it after RAMP_S. What the old test asserted of arrivals at the run before and of answers is asserted in both.

--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -12,6 +12,7 @@
 from tests.installation import Answer, Installation, eventually, run_with_cuts
 from tests.test_belief import FIRST, ViewWriter
 from zinniaspool.core.dispatch import Backpressure, Target, TargetPool, TargetState
+from zinniaspool.core.dispatch.failures import RAMP_S
 from zinniaspool.core.fleet import (
     InstanceId,
     InstanceIncarnation,
@@ -228,18 +229,73 @@
     run_with_cuts(test)
 
 
+async def replace_in_place(made: Installation, leaving: Runner) -> list[Answer]:
+    """End an upstream as announced, and start it again where it was.
+
+    Returns:
+        The answers until all VMs may send requests to the new process.
+    """
+    leaving.faults.says_leaving = True
+    answers = await ask_until(made, "n1", lambda: leaving.leaving.said)
+    ending = asyncio.create_task(leaving.leave(0.3))
+    answers += await ask_all(made, ZONES, 1.2)
+    await ending
+    await leaving.come_back()
+    sending = asyncio.create_task(ask_all(made, ZONES, 0.3))
+    incarnation = InstanceIncarnation(InstanceId(leaving.id), leaving.born)
+    await eventually(
+        lambda: all(_is_open(made, node, incarnation) for node in ZONES), SPREAD_S
+    )
+    return answers + await sending
+
+
+def _is_open(made: Installation, node: str, incarnation: InstanceIncarnation) -> bool:
+    gateway = made.nodes[node].gateway
+    state = gateway._index.find_state(incarnation.instance)
+    return (
+        state is not None
+        and state.target.incarnation == incarnation
+        and not state.target.draining
+        and state.is_open(asyncio.get_running_loop().time())
+    )
+
+
 def test_an_upstream_that_is_replaced_in_place_is_used_at_once() -> None:
-    """Guards against a process avoided for what the one before said."""
+    """Guards against a process avoided for what the one before said.
+
+    The other upstreams begin to leave: while the load is low, they would be
+    preferred to a new one until its ramp ends.
+    """
+
+    async def test() -> None:
+        async with run_four_vms() as made:
+            leaving, *others = list_plain(made)
+            answers = await replace_in_place(made, leaving)
+            for one in others:
+                one.faults.announced = True
+            answers += await ask_all(made, ZONES, 0.5)
+            assert _list_vms(leaving) == set(ZONES)
+            before = leaving.runs_before[-1]
+            assert before.list_late_in_fleet(SPREAD_S) == []
+            assert {answer.status for answer in answers} == {200}
+
+    run_with_cuts(test)
+
+
+def test_an_upstream_that_is_replaced_in_place_gets_its_part() -> None:
+    """Guards against a process that costs more for what the one before did."""
 
     async def test() -> None:
         async with run_four_vms() as made:
             leaving = list_plain(made)[0]
-            ending = asyncio.create_task(leaving.leave(0.3))
-            answers = await ask_all(made, ZONES, 1.2)
-            await ending
-            await leaving.come_back()
-            answers += await ask_all(made, ZONES, 1.5)
-            assert {vm for vm in _list_vms(leaving)} == set(ZONES)
+            answers = await replace_in_place(made, leaving)
+            answers += await ask_all(made, ZONES, RAMP_S)
+            ramped_at = asyncio.get_running_loop().time()
+            answers += await ask_all(made, ZONES, 0.5)
+            used_by = {
+                one.vm for one in leaving.leaving.arrivals if one.at >= ramped_at
+            }
+            assert used_by == set(ZONES)
             before = leaving.runs_before[-1]
             assert before.list_late_in_fleet(SPREAD_S) == []
             assert {answer.status for answer in answers} == {200}
