Gateway: a VM that closes waits for the first request of new connections

Cause: when nothing is in progress any more, the VM closes its idle connections. Among them were ones whose callers had connected and hadn't written their request yet, being late by some tenths of a second.

Change: connections that were never used stay open for up to 1 s, and at most until the end of the time for requests; used ones close as before.

--- a/src/zinniaspool/gateway/main.py
+++ b/src/zinniaspool/gateway/main.py
@@ -91,7 +91,7 @@
 from zinniaspool.http import HttpClient, HttpServer, ServerLimits
 from zinniaspool.telemetry import RequestTally
 
-__all__ = ["CONNECT_TIMEOUT_S", "GatewayProcess"]
+__all__ = ["CONNECT_TIMEOUT_S", "MIN_STOP_S", "GatewayProcess"]
 
 _log = structlog.get_logger(__name__)
 
@@ -123,6 +123,10 @@
 """Time after which a stopping process writes its record anew if the store
 hasn't answered, in seconds."""
 
+FIRST_REQUEST_S = 1.0
+"""Longest time for which a process that closes waits for the first request of
+a caller that has connected, in seconds. Busy callers send it late."""
+
 HISTORY_PEERS = 2
 """Processes that a process asks for their crash histories when it starts."""
 
@@ -736,8 +740,10 @@
         """
         loop = asyncio.get_running_loop()
         loop.call_at(self._stop_clock.ends_at, self._server.refuse_unreceived)
+        now = loop.time()
         return await self._server.drain(
-            max(0.0, self._stop_clock.exits_at - loop.time())
+            max(0.0, self._stop_clock.exits_at - now),
+            max(0.0, min(FIRST_REQUEST_S, self._stop_clock.ends_at - now)),
         )
 
     async def _write_leaving_record(self) -> None:
--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -101,12 +101,14 @@
             event loop's clock.
         unread_s: How long its last bytes lay unread, in seconds.
         peer: The caller's address; empty if it is unknown.
+        was_used: Whether any part of a request has arrived.
     """
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self.response_started = False
         self.received_at = self.unread_s = 0.0
         self.peer = ""
+        self.was_used = False
         self._owner = owner
         backlog = owner.backlog
         self._backlog = backlog if backlog and backlog.is_accepting else None
@@ -280,6 +282,7 @@
         # each read restarted it, a caller could occupy a connection for ever
         # by sending a byte now and then.
         self._phase = _Phase.RECEIVING
+        self.was_used = True
         self._start_timer(self._owner.limits.receive_s, self._refuse_slow)
         self._apply_header_limit()
 
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -108,7 +108,7 @@
         bound = self._server.sockets[0].getsockname()
         return Address(f"{address.rpartition(':')[0]}:{bound[1]}")
 
-    async def drain(self, timeout_s: float) -> int:
+    async def drain(self, timeout_s: float, first_request_s: float = 0.0) -> int:
         """Stop accepting, let requests in progress end, and close the rest.
 
         A request is in progress from its first byte on. What arrives until the
@@ -117,14 +117,24 @@
         Args:
             timeout_s: Time after which requests that have not arrived as a
                 whole are refused, and the others are cut, in seconds.
+            first_request_s: Time for which connections without a request yet
+                stay open, in seconds. Their callers are about to send one,
+                and don't expect a new connection to close.
 
         Returns:
             The number of requests that were cut.
         """
         self.draining = True
         loop = asyncio.get_running_loop()
-        ends_at = loop.time() + timeout_s
+        began_at = loop.time()
+        ends_at = began_at + timeout_s
         await self._stop_listening(ends_at)
+        for connection in list(self._connections):
+            if connection.was_used:
+                connection.close_if_idle()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(min(ends_at, began_at + first_request_s)):
+                await self._all_closed.wait()
         for connection in list(self._connections):
             connection.close_if_idle()
         with contextlib.suppress(TimeoutError):
--- a/tests/test_http_last_requests.py
+++ b/tests/test_http_last_requests.py
@@ -17,6 +17,7 @@
 _TURNS = 24
 _HELD_S = 0.1
 _WAIT_S = 2.0
+_FIRST_REQUEST_S = 0.5
 
 
 @dataclass
@@ -110,6 +111,30 @@
     run_in_loop(test)
 
 
+@pytest.mark.parametrize("is_accepted", [True, False])
+def test_a_drain_answers_the_first_request_of_a_late_caller(
+    *, is_accepted: bool
+) -> None:
+    """Guards against a close between a caller's connection and its request."""
+
+    async def test() -> None:
+        server, sent = HttpServer(_refuse), _Sent()
+        address = split_address(await server.listen(Address("127.0.0.1:0")))
+        callers = [socket.create_connection(address) for _ in range(2)]
+        while is_accepted and server.connections < len(callers):  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        draining = asyncio.create_task(server.drain(_WAIT_S, _FIRST_REQUEST_S))
+        await asyncio.sleep(_FIRST_REQUEST_S / 2)
+        sent.send(callers[0])
+        assert sent.connections, "closed before its first request"
+        assert await sent.count_unanswered() == 0
+        assert await asyncio.to_thread(callers[1].recv, 1) == b""
+        callers[1].close()
+        assert await draining == 0
+
+    run_in_loop(test)
+
+
 def test_a_drain_answers_a_request_that_comes_at_the_end_of_another_answer() -> None:
     """Guards against a close between a request's arrival and its reading."""
     sent = _Sent()
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -8,8 +8,9 @@
 from structlog.testing import capture_logs
 
 from tests.delays import measure_pass
-from tests.installation import Answer, PatientInstallation, run
+from tests.installation import Answer, PatientInstallation, eventually, run
 from zinniaspool.core.ids import split_address
+from zinniaspool.gateway.main import MIN_STOP_S
 from zinniaspool.http import Exchange, Headers
 
 pytestmark = pytest.mark.processes
@@ -408,3 +409,31 @@
             await node.tasks[0]
 
     run(check)
+
+
+def test_a_caller_that_connects_late_is_answered_while_the_vm_closes() -> None:
+    """Guards against a close between a caller's connection and its request."""
+
+    async def check() -> None:
+        async with StoppedInstallation.running(nodes=2, engines=10) as made:
+            made.configure()
+            await made.settle()
+            node = made.nodes["n0"]
+            address = node.file.caller_address
+            assert address is not None
+            node.gateway.stop()
+            await asyncio.sleep(MIN_STOP_S - 0.2)
+            reader, writer = await asyncio.open_connection(*split_address(address))
+            await eventually(lambda: node.gateway._server.draining)
+            await asyncio.sleep(0.3)
+            writer.write(
+                b"POST /cards/a HTTP/1.1\r\nhost: care.example\r\n"
+                b"content-length: 0\r\n\r\n"
+            )
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 ")
+            assert b"connection: close" in answer.lower()
+            writer.close()
+            await node.tasks[0]
+
+    run(check)
