Gateway: one forecast for acceptance, another attempt and a stream's begin

Callers of streams that a stopping VM had accepted got them cut if the first event came late and then a pause that upstreams had shown lately came again.

Cause: acceptance reserved for a pause that had been seen, the moment from which a stream is passed on a fixed 0.15 s. So a stream whose first event took part of its time began with less room than it was accepted with.

Change: StopGuard predicts the longest rest of a stream in one place, with the reserve for slowdown and pauses, for acceptance, for an attempt after a failed one (without the reserve, as before) and for the moment from which events are passed on. There 0.15 s stay the least pause.

--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -241,7 +241,11 @@
         return find_high_quantile([one for one in seen if one is not None]) or 0.0
 
     def predict_reserve(
-        self, writing_s: float, other_pause_s: float, now: float
+        self,
+        writing_s: float,
+        other_pause_s: float,
+        now: float,
+        least_s: float = MIN_RESERVE_S,
     ) -> float:
         """Return the time to reserve beside that of an answer, in seconds.
 
@@ -254,9 +258,10 @@
             other_pause_s: Longest pause by other evidence, in seconds; 0 if
                 there is none.
             now: Seconds.
+            least_s: Least time to reserve, in seconds.
         """
         pause_s = min(MAX_PAUSE_S, max(self.measure_pause(now), other_pause_s))
-        return max(MIN_RESERVE_S, SLOWDOWN_PART * writing_s + pause_s)
+        return max(least_s, SLOWDOWN_PART * writing_s + pause_s)
 
     def measure_pause(self, now: float) -> float:
         """Return the longest pause of an upstream, in seconds."""
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -8,13 +8,12 @@
 
 import asyncio
 from collections.abc import Collection
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import structlog
 
 from zinniaspool.core.dispatch import (
     NOT_RUN_FAILURES,
-    SLOWDOWN_PART,
     AnswerTiming,
     DurationForecast,
     MoveCosts,
@@ -60,6 +59,19 @@
 multiple of the time within which its route wants the answer."""
 
 
+@dataclass(frozen=True, slots=True)
+class _LongestRest:
+    """The longest time that is predicted for what is left of a stream.
+
+    Attributes:
+        writing_s: Time from its next event on, in seconds.
+        reserve_s: Time to reserve beside it, in seconds.
+    """
+
+    writing_s: float
+    reserve_s: float
+
+
 class StopGuard:
     """Finds the requests that may outlast a stopping process.
 
@@ -206,7 +218,8 @@
             return True
         now = asyncio.get_running_loop().time()
         if call.progress is Progress.NOTHING:
-            writing_s = self._predict_longest_writing(call, pool, now)
+            longest = self._predict_longest(call, pool, now)
+            writing_s = None if longest is None else longest.writing_s
         else:
             writing_s = self._predict_usual_writing(call, call.last_event_id, now)
         if writing_s is None:
@@ -230,19 +243,14 @@
             return False
         if not _has_known_length(call) or len(attempt.held) > MAX_HELD_BYTES:
             return False
-        longest_s = attempt.pace.estimate_longest()
-        if longest_s is None:
-            pool = self._index.find_pool(call.service, call.terms.model)
-            writing_s = self._predict_longest_writing(call, pool, now)
-            if writing_s is None:
-                return False
-            return now + PACE_HOLD_FACTOR * writing_s > self._clock.ends_at
-        id_tokens = self._find_id_tokens(call, now)
-        left = _list_left(call, attempt)
-        shown_s = self.find_spread(call).find_longest(now, left) * id_tokens
-        ids_left = _count_ids_left(attempt, id_tokens)
-        writing_s = (1 + SLOWDOWN_PART) * ids_left * max(longest_s, shown_s)
-        return now + writing_s + END_RESERVE_S > self._clock.ends_at
+        pool = self._index.find_pool(call.service, call.terms.model)
+        longest = self._predict_longest(call, pool, now, attempt)
+        if longest is None:
+            return False
+        needed_s = longest.writing_s + longest.reserve_s
+        if attempt.pace.estimate() is None:
+            needed_s = max(needed_s, PACE_HOLD_FACTOR * longest.writing_s)
+        return now + needed_s > self._clock.ends_at
 
     def begins_too_late(self, attempt: GatewayAttempt, now: float) -> bool:
         """Return whether an attempt's stream will hardly end in time.
@@ -289,7 +297,6 @@
         of_route, of_service = self._find_forecasts(call)
         running = self._list_running_streams(call)
         forecast = StopForecast(self._clock.ends_at - now, streams=len(running))
-        pause_s = max((stream.longest_pause_s for stream in running), default=0.0)
         if call.route.kind is not RequestKind.STREAM and not _has_known_length(call):
             longest_s = of_route.predict_longest_call(now)
             if longest_s is None:
@@ -297,17 +304,18 @@
                     of_service.predict_longest_call(now) or 0.0,
                     UNKNOWN_CALL_FACTOR * call.route.objective_s,
                 )
-            reserve_s = of_service.predict_reserve(0.0, pause_s, now)
+            reserve_s = of_service.predict_reserve(0.0, _find_pause(running), now)
             return replace(
                 forecast, longest_s=longest_s + reserve_s, reserve_s=reserve_s
             )
-        writing_s = self._predict_longest_writing(call, pool, now)
-        if writing_s is None:
+        longest = self._predict_longest(call, pool, now)
+        if longest is None:
             return forecast
+        writing_s = longest.writing_s
         first_event_s = _predict_first_event(call, pool, now)
         # An upstream may also answer without a stream.
         whole_s = of_route.predict_longest_call(now, with_streams=False) or 0.0
-        reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
+        reserve_s = longest.reserve_s
         longest_s = max(first_event_s + writing_s, whole_s) + reserve_s
         ids = _count_left(call, 0) / self._find_id_tokens(call, now)
         return replace(
@@ -319,10 +327,57 @@
             reserve_s=reserve_s,
         )
 
+    def _predict_longest(
+        self,
+        call: GatewayCall,
+        pool: TargetPool,
+        now: float,
+        attempt: GatewayAttempt | None = None,
+    ) -> _LongestRest | None:
+        """Return the longest time of what is left of a stream.
+
+        Args:
+            call: The request.
+            pool: Its targets.
+            now: Seconds.
+            attempt: The attempt that goes on; None for one to come.
+
+        Returns:
+            None if it states no length, or nothing is known of its model.
+        """
+        left = _list_left(call, attempt)
+        own_s = None if attempt is None else attempt.pace.estimate_longest()
+        if attempt is None or own_s is None:
+            writing_s = self._predict_longest_writing(call, pool, left, now)
+        else:
+            id_tokens = self._find_id_tokens(call, now)
+            shown_s = self.find_spread(call).find_longest(now, left) * id_tokens
+            writing_s = _count_ids_left(attempt, id_tokens) * max(own_s, shown_s)
+        if writing_s is None:
+            return None
+        _, of_service = self._find_forecasts(call)
+        pause_s = _find_pause(self._list_running_streams(call))
+        if attempt is None:
+            reserve_s = of_service.predict_reserve(writing_s, pause_s, now)
+        else:
+            pause_s = max(END_RESERVE_S, pause_s)
+            reserve_s = of_service.predict_reserve(writing_s, pause_s, now, least_s=0.0)
+        return _LongestRest(writing_s, reserve_s)
+
     def _predict_longest_writing(
-        self, call: GatewayCall, pool: TargetPool, now: float
+        self,
+        call: GatewayCall,
+        pool: TargetPool,
+        left: Collection[TargetState],
+        now: float,
     ) -> float | None:
-        """Return the longest time of what is left of a stream, in seconds.
+        """Return the longest time of a stream of unknown pace, in seconds.
+
+        Args:
+            call: The request.
+            pool: Its targets.
+            left: Those that it left, which don't count.
+            now: Seconds.
 
         Returns:
             None if it states no length, or nothing is known of its model.
@@ -330,7 +385,6 @@
         of_route, of_service = self._find_forecasts(call)
         if not call.terms.max_output_tokens:
             return None
-        left = _list_left(call)
         running = self._list_running_streams(call, left)
         running_token_s = [stream.token_s or 0.0 for stream in running]
         other_token_s = max(
@@ -449,6 +503,11 @@
     return {former.state for former in call.history} - {here}
 
 
+def _find_pause(streams: Collection[StreamTiming]) -> float:
+    """Return the longest pause of some streams, in seconds."""
+    return max((stream.longest_pause_s for stream in streams), default=0.0)
+
+
 def _has_known_length(call: GatewayCall) -> bool:
     return call.terms.model is not None and call.terms.max_output_tokens > 0
 
--- a/tests/test_stop_paces.py
+++ b/tests/test_stop_paces.py
@@ -238,3 +238,31 @@
             assert outcomes == ["whole"], (outcomes, made.runs_of("late-0"))
 
     run(check)
+
+
+def test_a_stream_that_begins_late_has_room_for_a_pause_that_was_seen() -> None:
+    """Guards against a known pause that is counted on at acceptance only."""
+
+    async def check() -> None:
+        async with _stop(left_s=6.0, heads=2, older=4) as made:
+            heads = made.heads("small")
+            await _silence(heads, 0.9)
+            await asyncio.sleep(1.2)
+            asking = asyncio.create_task(_ask_all(made, range(30, 77, 2)))
+            await _silence(heads, 0.5)
+            await asyncio.sleep(0.5)
+            await _silence(heads, 0.9)
+            outcomes = await asking
+            assert not _list_cut(outcomes), outcomes
+            assert "whole" in outcomes, outcomes
+
+    run(check)
+
+
+async def _silence(heads: Iterable[Runner], for_s: float) -> None:
+    """Have heads answer nobody for a time in seconds."""
+    for one in heads:
+        one.faults.silent = True
+    await asyncio.sleep(for_s)
+    for one in heads:
+        one.faults.silent = False
