Gateway: a stream whose end was in doubt is passed on with more room

Callers of streams at a stopping VM got them cut one to three events short: the streams had been given up at a slow head, or their first event was overdue, and were passed on at the moment when they just fit.

Cause: events that are kept back until a stream fits by a tenth are passed on with exactly that tenth, while others are accepted with more in most cases. A head that became a fifth slower then cut them.

Change: a stream that didn't fit when its pace became known, or that was given up at a target before, needs a further 15% of its time; its first event is late already. All shown paces count for that moment again. Another attempt is begun if it fits by all of them, as before, or by those of targets that it didn't leave with the same reserve as at acceptance.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -94,6 +94,8 @@
         is_blocked: Whether an event waits for the caller to read.
         blocked_s: Time in which events waited for the caller to read, in
             seconds.
+        is_doubtful: Whether its events are kept back although its pace is
+            known.
         is_behind: Whether its stream was found not to end in time there.
         left_id_s: Time from one event to the next when its stream was moved as
             behind, in seconds; None if it wasn't.
@@ -133,6 +135,7 @@
     pace: EventPace = field(default_factory=EventPace)
     is_blocked: bool = False
     blocked_s: float = 0.0
+    is_doubtful: bool = False
     is_behind: bool = False
     left_id_s: float | None = None
     left_at: float = 0.0
--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -15,6 +15,7 @@
 from zinniaspool.core.dispatch import (
     NOT_RUN_FAILURES,
     AnswerTiming,
+    AttemptFailure,
     DurationForecast,
     MoveCosts,
     PaceSpread,
@@ -47,6 +48,10 @@
 pace is known: there is time to find that its target is slow, and to go on
 elsewhere."""
 
+DOUBT_PART = 0.15
+"""Further part of its time that a stream needs if it didn't fit when its pace
+became known. Its first event is late already, and more room costs little."""
+
 END_RESERVE_S = 0.15
 """Time before a stream's limit at which it should end, in seconds. A stream
 that is to end just in time is cut by the next pause."""
@@ -205,10 +210,11 @@
     def can_begin_again(self, call: GatewayCall, pool: TargetPool) -> bool:
         """Return whether a request that may have run can still end elsewhere.
 
-        Nothing is reserved any more. A stream of which nothing was answered
-        needs its longest time at a target that it didn't leave, since its
-        caller gets a whole error answer otherwise. One that would be cut needs
-        its usual time. An answer without a stream isn't cut.
+        A stream of which nothing was answered needs its longest time, since
+        its caller gets a whole error answer otherwise: by all paces that were
+        shown, or with a reserve by those of targets that it didn't leave. One
+        that would be cut needs its usual time. An answer without a stream
+        isn't cut.
 
         Args:
             call: The request; its newest attempt has failed.
@@ -217,15 +223,17 @@
         if not _may_be_cut(call):
             return True
         now = asyncio.get_running_loop().time()
-        if call.progress is Progress.NOTHING:
-            longest = self._predict_longest(call, pool, now)
-            writing_s = None if longest is None else longest.writing_s
-        else:
-            writing_s = self._predict_usual_writing(call, call.last_event_id, now)
-        if writing_s is None:
+        first_s = _predict_first_event(call, pool, now)
+        left_s = self._clock.ends_at - now - first_s
+        if call.progress is not Progress.NOTHING:
+            usual_s = self._predict_usual_writing(call, call.last_event_id, now)
+            return usual_s is None or usual_s <= left_s
+        longest = self._predict_longest(call, pool, now)
+        if longest is None or longest.writing_s <= left_s:
             return True
-        needed_s = _predict_first_event(call, pool, now) + writing_s
-        return now + needed_s <= self._clock.ends_at
+        left = {former.state for former in call.history}
+        longest = self._predict_longest(call, pool, now, without=left)
+        return longest is None or longest.writing_s + longest.reserve_s <= left_s
 
     def awaits_end(self, attempt: GatewayAttempt, now: float) -> bool:
         """Return whether an attempt's events are kept back.
@@ -250,7 +258,11 @@
         needed_s = longest.writing_s + longest.reserve_s
         if attempt.pace.estimate() is None:
             needed_s = max(needed_s, PACE_HOLD_FACTOR * longest.writing_s)
-        return now + needed_s > self._clock.ends_at
+            return now + needed_s > self._clock.ends_at
+        if attempt.is_doubtful or _was_too_late(call):
+            needed_s += DOUBT_PART * longest.writing_s
+        attempt.is_doubtful = now + needed_s > self._clock.ends_at
+        return attempt.is_doubtful
 
     def begins_too_late(self, attempt: GatewayAttempt, now: float) -> bool:
         """Return whether an attempt's stream will hardly end in time.
@@ -333,6 +345,7 @@
         pool: TargetPool,
         now: float,
         attempt: GatewayAttempt | None = None,
+        without: Collection[TargetState] = (),
     ) -> _LongestRest | None:
         """Return the longest time of what is left of a stream.
 
@@ -341,17 +354,17 @@
             pool: Its targets.
             now: Seconds.
             attempt: The attempt that goes on; None for one to come.
+            without: Targets whose paces don't count.
 
         Returns:
             None if it states no length, or nothing is known of its model.
         """
-        left = _list_left(call, attempt)
         own_s = None if attempt is None else attempt.pace.estimate_longest()
         if attempt is None or own_s is None:
-            writing_s = self._predict_longest_writing(call, pool, left, now)
+            writing_s = self._predict_longest_writing(call, pool, without, now)
         else:
             id_tokens = self._find_id_tokens(call, now)
-            shown_s = self.find_spread(call).find_longest(now, left) * id_tokens
+            shown_s = self.find_spread(call).find_longest(now, without) * id_tokens
             writing_s = _count_ids_left(attempt, id_tokens) * max(own_s, shown_s)
         if writing_s is None:
             return None
@@ -368,7 +381,7 @@
         self,
         call: GatewayCall,
         pool: TargetPool,
-        left: Collection[TargetState],
+        without: Collection[TargetState],
         now: float,
     ) -> float | None:
         """Return the longest time of a stream of unknown pace, in seconds.
@@ -376,7 +389,7 @@
         Args:
             call: The request.
             pool: Its targets.
-            left: Those that it left, which don't count.
+            without: Those whose paces don't count.
             now: Seconds.
 
         Returns:
@@ -385,11 +398,11 @@
         of_route, of_service = self._find_forecasts(call)
         if not call.terms.max_output_tokens:
             return None
-        running = self._list_running_streams(call, left)
+        running = self._list_running_streams(call, without)
         running_token_s = [stream.token_s or 0.0 for stream in running]
         other_token_s = max(
             of_service.measure_token_time(now),
-            self.find_spread(call).find_longest(now, left),
+            self.find_spread(call).find_longest(now, without),
             *running_token_s,
         )
         if not other_token_s:
@@ -490,17 +503,9 @@
     return call.deadline_after_stop and call.route.kind is RequestKind.STREAM
 
 
-def _list_left(
-    call: GatewayCall, attempt: GatewayAttempt | None = None
-) -> set[TargetState]:
-    """Return the targets at which a request's earlier attempts were.
-
-    Args:
-        call: The request.
-        attempt: The attempt that goes on; None between two attempts.
-    """
-    here = None if attempt is None else attempt.state
-    return {former.state for former in call.history} - {here}
+def _was_too_late(call: GatewayCall) -> bool:
+    """Return whether a request was given up at a target as too slow."""
+    return any(one.failure is AttemptFailure.TOO_LATE for one in call.history)
 
 
 def _find_pause(streams: Collection[StreamTiming]) -> float:
