Gateway: streams leave a closed head that is slow by their events

Callers of a head of an eighth of its speed got an event each 240 ms until their streams ended, and the slow group, which was closed, stayed for as long: "did not come true in time" in tests/test_slow_members.py.

Cause: a stream at a silent head went elsewhere only if the next event was predicted there within the pause that callers accept. Where it went, the slow head's next event often came first and ended the attempt elsewhere, which was the last one that the route allows. Neither compared that one pause with what staying costs with each event.

Its events are kept back meanwhile, and a target that the stream left may take it again. Paces of streams that have ended count for 10 s, since the last ones are those at the slow head. stream-silent has why a stream at a silent head stays.

--- a/src/zinniaspool/gateway/calls.py
+++ b/src/zinniaspool/gateway/calls.py
@@ -99,6 +99,8 @@
             behind, in seconds; None if it wasn't.
         left_at: When that was.
         kept_for: Why its stream stayed although it was behind, for the log.
+        silent_outcomes: What was logged of its stream when its head was
+            silent.
         moved_from: The attempt whose stream was behind and goes on here; None
             if there is none.
         held: Events that were kept back while another attempt was to go on, or
@@ -137,6 +139,7 @@
     left_id_s: float | None = None
     left_at: float = 0.0
     kept_for: set[str] = field(default_factory=set)
+    silent_outcomes: set[str] = field(default_factory=set)
     moved_from: "GatewayAttempt | None" = None
     held: bytes = b""
     is_answer: bool = False
--- a/src/zinniaspool/gateway/moves.py
+++ b/src/zinniaspool/gateway/moves.py
@@ -3,14 +3,20 @@
 That is so if the target has stalled or was removed, if the request's first
 event is overdue, or if the target is too slow. The attempt at the first target
 goes on until another one has the next event. A stream that won't end in time
-there waits for that event, as its target may have the next one itself.
+there waits for that event, as its target may have the next one itself. So does
+a stream at a closed head that has been slow for several events.
 """
 
 import asyncio
+from collections import deque
+from dataclasses import dataclass
 from enum import Enum
 from math import inf
+from statistics import median
 from typing import Protocol
 
+import structlog
+
 from zinniaspool.core.dispatch import (
     Progress,
     RunningAttempt,
@@ -18,12 +24,15 @@
     TargetState,
     would_be_on_time_elsewhere,
 )
-from zinniaspool.core.ids import TraitId
+from zinniaspool.core.dispatch.speed import SLOW_PACE
+from zinniaspool.core.ids import ModelName, ServiceName, TraitId
 from zinniaspool.gateway.calls import GatewayAttempt, GatewayCall, RerouteCause
 from zinniaspool.gateway.targets import TargetIndex
 
 __all__ = ["AttemptStarter", "RerouteCondition", "Rerouter"]
 
+_log = structlog.get_logger(__name__)
+
 PREDICTION_TOLERANCE_S = 0.05
 """Time by which a stream that is rerouted to be on time may be predicted to be
 late, in seconds. It is about the error of predicted first events: 99 of 100
@@ -44,6 +53,33 @@
 the predicted first event, within these bounds in seconds. Callers leave
 a stream after a pause of two seconds."""
 
+CAUGHT_UP_GAPS = 2
+"""Gaps of a slow head within which a stream's next event must come elsewhere.
+The stream is late by about one gap once, where it would be with each event."""
+
+MAX_ENDED, PACE_MEMORY_S = 256, 10.0
+"""Streams that have ended whose paces are known, at most, and for how long, in
+seconds. Of streams that began together, those at a slow head are left."""
+
+
+@dataclass(frozen=True, slots=True)
+class _EndedStream:
+    """The pace that a stream had when it ended.
+
+    Attributes:
+        service: Its service.
+        model: Its model.
+        state: Its target.
+        id_s: Time from one event to the next, in seconds.
+        ended_at: When it ended, in seconds.
+    """
+
+    service: ServiceName
+    model: ModelName | None
+    state: TargetState
+    id_s: float
+    ended_at: float
+
 
 class RerouteCondition(Enum):
     """Which target a request is rerouted to.
@@ -91,6 +127,7 @@
     def __init__(self, index: TargetIndex) -> None:
         self._index = index
         self._attempts: dict[TargetState, set[GatewayAttempt]] = {}
+        self._ended: deque[_EndedStream] = deque(maxlen=MAX_ENDED)
 
     def begin_attempt(self, attempt: GatewayAttempt) -> None:
         """Record that an attempt runs at its target from now on."""
@@ -103,6 +140,18 @@
         attempts.discard(attempt)
         if not attempts:
             del self._attempts[attempt.state]
+        id_s = attempt.pace.estimate()
+        if id_s is not None:
+            call = attempt.call
+            self._ended.append(
+                _EndedStream(
+                    call.service,
+                    call.terms.model,
+                    attempt.state,
+                    id_s,
+                    attempt.ended_at,
+                )
+            )
 
     def reroute_from(
         self,
@@ -152,6 +201,30 @@
             ):
                 self._begin_alternative(attempt, other, RerouteCause.SLOW, now)
 
+    def reroute_from_closed(self, state: TargetState, now: float) -> None:
+        """Reroute the streams at a closed head that is slow by their events.
+
+        A slow group is closed to be formed anew, which waits for its streams.
+
+        Args:
+            state: The head, which takes no new requests.
+            now: Seconds.
+        """
+        for attempt in self._list_attempts(state):
+            if not self._may_reroute(attempt, may_repeat=True):
+                continue
+            other = self._choose_other(attempt, now)
+            if other is None:
+                continue
+            caught_up_at = self._find_catch_up(attempt, other, now)
+            if caught_up_at is not None and self._begin_alternative(
+                attempt, other, RerouteCause.SLOW, now
+            ):
+                # The head's next event would end the attempt elsewhere.
+                call = attempt.call
+                held_until = min(now + MAX_HOLD_S, caught_up_at)
+                call.holds_until = max(call.holds_until, held_until)
+
     def reroute_behind(
         self, attempt: GatewayAttempt, other: TargetState, now: float
     ) -> bool:
@@ -217,9 +290,12 @@
         if not self._may_reroute(attempt, may_repeat=may_repeat):
             return False
         other = self._choose_other(attempt, now)
-        if other is None or not self._fits(attempt.call, other, now, condition):
+        if other is None:
             return False
-        return self._begin_alternative(attempt, other, cause, now)
+        fits = self._fits(attempt.call, other, now, condition)
+        if condition is RerouteCondition.ON_TIME:
+            self._log_silent(attempt, other, now, is_rerouted=fits)
+        return fits and self._begin_alternative(attempt, other, cause, now)
 
     def _begin_alternative(
         self,
@@ -240,6 +316,103 @@
         call.suspected_domains.add(attempt.state.target.fabric_domain)
         return True
 
+    def _find_catch_up(
+        self, attempt: GatewayAttempt, other: TargetState, now: float
+    ) -> float | None:
+        """Return until when a stream must go on elsewhere to gain by it.
+
+        Both its recent events and those of a longer time must show that it is
+        slow where it is: a few late ones don't.
+
+        Args:
+            attempt: The stream's attempt.
+            other: The target that it would go to.
+            now: Seconds.
+
+        Returns:
+            Seconds; None if it should stay.
+        """
+        call = attempt.call
+        if call.progress is not Progress.RESUMABLE or _keeps_last_attempt(call):
+            return None
+        here_s, least_s = attempt.pace.estimate(), attempt.pace.estimate_shortest()
+        if here_s is None or least_s is None:
+            return None
+        pool = self._index.find_pool(call.service, call.terms.model)
+        first_s = pool.predict_first_event(other, call.terms.prompt_tokens, now)
+        caught_up_at = call.last_event_at + CAUGHT_UP_GAPS * here_s
+        if now + first_s > caught_up_at:
+            return None
+        if not self._fits(call, other, now, RerouteCondition.FREE_SLOT):
+            return None
+        there_s = self._find_pace(attempt, other, now)
+        is_slow = there_s is not None and least_s >= SLOW_PACE * there_s
+        return caught_up_at if is_slow else None
+
+    def _find_pace(
+        self, attempt: GatewayAttempt, other: TargetState, now: float
+    ) -> float | None:
+        """Return the time from one event to the next that streams show.
+
+        Args:
+            attempt: The attempt whose target isn't looked at.
+            other: The target; if it has no stream, all others of the model
+                count, and streams that have ended.
+            now: Seconds.
+
+        Returns:
+            Seconds; None if no stream shows it.
+        """
+        paces = self._list_paces(other)
+        if not paces:
+            call = attempt.call
+            pool = self._index.find_pool(call.service, call.terms.model)
+            busy = (state for state in pool.busy if state is not attempt.state)
+            paces = [id_s for state in busy for id_s in self._list_paces(state)]
+            paces += [
+                ended.id_s
+                for ended in self._ended
+                if ended.service == call.service and ended.model == call.terms.model
+                if ended.state is not attempt.state
+                if now - ended.ended_at <= PACE_MEMORY_S
+            ]
+        return median(paces) if paces else None
+
+    def _list_paces(self, state: TargetState) -> list[float]:
+        paces = (attempt.pace.estimate() for attempt in self._list_attempts(state))
+        return [id_s for id_s in paces if id_s is not None]
+
+    def _log_silent(
+        self,
+        attempt: GatewayAttempt,
+        other: TargetState,
+        now: float,
+        *,
+        is_rerouted: bool,
+    ) -> None:
+        """Log once whether a stream at a silent head goes on elsewhere."""
+        outcome = "rerouted" if is_rerouted else "stays"
+        if outcome in attempt.silent_outcomes:
+            return
+        attempt.silent_outcomes.add(outcome)
+        call = attempt.call
+        pool = self._index.find_pool(call.service, call.terms.model)
+        first_s = pool.predict_first_event(other, call.terms.prompt_tokens, now)
+        within_s = call.compute_wanted_event_time(now)
+        there_s = self._find_pace(attempt, other, now)
+        _log.info(
+            "stream-silent",
+            request=call.terms.id,
+            instance=attempt.state.target.instance,
+            to=other.target.instance,
+            outcome=outcome,
+            quiet_ms=int((now - call.last_event_at) * 1000),
+            first_ms=int(first_s * 1000),
+            within_ms=-1 if within_s is None else int(within_s * 1000),
+            id_ms=int((attempt.pace.estimate() or 0.0) * 1000),
+            there_id_ms=int((there_s or 0.0) * 1000),
+        )
+
     def _hold_events(self, call: GatewayCall, other: TargetState, now: float) -> None:
         """Have a request go on at another target once it has an event there.
 
@@ -264,8 +437,7 @@
         within_s = call.compute_wanted_event_time(now)
         if condition is RerouteCondition.FREE_SLOT:
             return True
-        was_in_vain = call.attempts.uncounted > 0
-        if call.attempts.is_next_last and (call.deadline_after_stop or was_in_vain):
+        if _keeps_last_attempt(call):
             return False
         if within_s is None:
             return True
@@ -380,6 +552,13 @@
         return attempt.sent_at + timeout_s
 
 
+def _keeps_last_attempt(call: GatewayCall) -> bool:
+    """Return whether a request has one attempt left that it may need later."""
+    was_in_vain = call.attempts.uncounted > 0
+    is_last = call.attempts.is_next_last
+    return is_last and (call.deadline_after_stop or was_in_vain)
+
+
 def _describe_attempt(attempt: GatewayAttempt) -> RunningAttempt:
     call = attempt.call
     has_begun = attempt.has_event and call.progress is not Progress.NOTHING
--- a/src/zinniaspool/gateway/speed.py
+++ b/src/zinniaspool/gateway/speed.py
@@ -61,6 +61,9 @@
     def _check(self, now: float) -> None:
         slow = set()
         for pool in self._index.list_pools():
+            for state in list(pool.busy):
+                if state.target.draining and state.streaming:
+                    self._rerouter.reroute_from_closed(state, now)
             for state in pool.slow.list_avoided():
                 slow.add(state)
                 if state not in self._slow:
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -26,6 +26,7 @@
         "stream-behind",
         "stream-kept",
         "stream-moved",
+        "stream-silent",
         "stream-went-on",
         "stop-stream-ended",
         "trial-begun",
@@ -119,6 +120,10 @@
         "stream-kept": "A stream that is behind stays where it is; the keys give the "
         "reason, the best other target with the end predicted there, and how many "
         "targets there were beside those that are slow or not allowed.",
+        "stream-silent": "A stream's head is silent, but not yet lost; the keys give "
+        "whether the stream is sent elsewhere too, the next event predicted there, the "
+        "time within which it is wanted, and the time from one event to the next at "
+        "both.",
         "stream-went-on": "A stream that was moved has its first event at the other "
         "target; the keys give the time since the move, and the one predicted.",
         "stop-stream-ended": "A stream that a stopping process accepted by its "
--- a/tests/test_lost_heads.py
+++ b/tests/test_lost_heads.py
@@ -526,3 +526,55 @@
         assert not state.is_usable(loop.time())
 
     run_with_process(test)
+
+
+@pytest.mark.parametrize(
+    ("gaps", "usual_s", "leaves"),
+    [
+        ([0.24] * 12, 0.03, True),
+        ([0.03] * 16 + [0.24] * 8, 0.03, True),
+        ([0.03] * 16 + [0.24] * 3, 0.03, False),
+        ([0.03] * 18 + [0.24] * 5, 0.03, False),
+        ([0.05] * 12, 0.03, False),
+        ([0.24] * 12, 0.2, False),
+    ],
+)
+def test_a_stream_leaves_a_closed_head_that_is_slow_by_its_events(
+    gaps: list[float], usual_s: float, leaves: bool
+) -> None:
+    """Guards against streams that stay slow, and against moves for no gain."""
+
+    async def test(process: Process) -> None:
+        process.fill("z")
+        loop = asyncio.get_running_loop()
+        other = process.start_stream(process.find("y"))
+        attempt = process.start_stream(process.find("x"))
+        for _ in range(12):
+            other.pace.record(usual_s, 1)
+        for gap_s in gaps:
+            attempt.pace.record(gap_s, 1)
+        process.rerouter.reroute_from_closed(process.find("x"), loop.time())
+        assert attempt.superseded is leaves
+        assert (attempt.call.holds_until > loop.time() + 0.4) is leaves
+
+    run_with_process(test)
+
+
+def test_the_pace_elsewhere_is_known_when_the_streams_there_have_ended() -> None:
+    """Guards against streams that stay at a slow head as they are the last."""
+
+    async def test(process: Process) -> None:
+        process.fill("z")
+        loop = asyncio.get_running_loop()
+        other = process.start_stream(process.find("y"))
+        attempt = process.start_stream(process.find("x"))
+        for _ in range(12):
+            other.pace.record(0.03, 1)
+            attempt.pace.record(0.24, 1)
+        other.interrupt(loop.time())
+        other.ended_at = loop.time()
+        await asyncio.sleep(0.01)
+        process.rerouter.reroute_from_closed(process.find("x"), loop.time())
+        assert attempt.superseded
+
+    run_with_process(test)
--- a/tests/test_slow_members.py
+++ b/tests/test_slow_members.py
@@ -3,6 +3,8 @@
 import asyncio
 from functools import partial
 
+import pytest
+
 from tests.delays import measure_slowness
 from tests.formation_world import (
     LARGE,
@@ -163,3 +165,44 @@
             made.assert_sound()
 
     run(test)
+
+
+@pytest.mark.parametrize("is_expected", [True, False])
+def test_streams_leave_a_slow_head_although_others_begin_late(
+    is_expected: bool,
+) -> None:
+    """Guards against streams that stay slow since a move takes one long pause.
+
+    If first events are expected to be late, streams aren't moved to be on
+    time. If not, the slow head's next event ends the attempt elsewhere.
+    """
+
+    async def test() -> None:
+        async with PatientInstallation.running(nodes=1, engines=14) as made:
+            await made.settle()
+            heads = made.heads("large")
+            ask = partial(made.draft, "n0", "large")
+            slowness = await measure_slowness(ask)
+
+            def delay_first_events() -> None:
+                for head in heads:
+                    head.times.lag_s = (0.18, 0.18)
+
+            if is_expected:
+                delay_first_events()
+                for _ in range(4):
+                    await asyncio.gather(*(ask(5) for _ in range(6)))
+            deadline_ms = int(made.deadline_s * 1000)
+            answers = [
+                asyncio.ensure_future(ask(60, deadline_ms=deadline_ms))
+                for _ in range(12)
+            ]
+            await asyncio.sleep(0.7)
+            delay_first_events()
+            slow = max(heads, key=lambda head: head.streams)
+            slow.faults.pace = 8.0
+            await eventually(lambda: slow.streams == 0, 6.0 * slowness)
+            ended = await asyncio.gather(*answers)
+            assert {(one.status, len(one.events)) for one in ended} == {(200, 60)}
+
+    run(test)
