--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -163,6 +163,7 @@
         if now - self._recorded_at >= PACE_INTERVAL_S:
             self._recorded_at = now
             self._stop_guard.record_paces(now)
+            self._check_closed(now)
         calls = [call for call in self._stop_guard.running if _is_watched(call, now)]
         usual_by_kind = self._sum_up(calls, now)
         for call in calls:
@@ -181,6 +182,24 @@
             watched = _Watched(attempt, pool, usual, id_tokens, stream, spread, usual_s)
             self._check_stream(watched, now)
 
+    def _check_closed(self, now: float) -> None:
+        """Reroute the streams that are slow at closed heads."""
+        for call in list(self._stop_guard.running):
+            attempt = call.leader
+            if attempt is None or not attempt.state.target.draining:
+                continue
+            if call.route.kind is not RequestKind.STREAM or call.terms.model is None:
+                continue
+            if not _may_be_rerouted(attempt):
+                continue
+            pool = self._index.find_pool(call.service, call.terms.model)
+            usual = self._stop_guard.sum_up_streams(call, now)
+            spread = self._stop_guard.find_spread(call)
+            token_s = spread.find_usual_elsewhere(attempt.state, now) or usual.token_s
+            if token_s:
+                id_s = token_s * _find_id_tokens(pool, usual)
+                self._rerouter.reroute_from_closed(attempt, id_s, now)
+
     def _check_stream(self, watched: _Watched, now: float) -> None:
         """Reroute a stream that won't end in time, if it will elsewhere."""
         ends_at = predict_end(watched.stream, now)
--- a/tests/test_lost_heads.py
+++ b/tests/test_lost_heads.py
@@ -526,3 +526,32 @@
         assert not state.is_usable(loop.time())
 
     run_with_process(test)
+
+
+@pytest.mark.parametrize(
+    ("gaps", "usual_s", "leaves"),
+    [
+        ([0.24] * 12, 0.03, True),
+        ([0.03] * 16 + [0.24] * 8, 0.03, True),
+        ([0.03] * 16 + [0.24] * 3, 0.03, False),
+        ([0.03] * 18 + [0.24] * 5, 0.03, False),
+        ([0.05] * 12, 0.03, False),
+        ([0.24] * 12, 0.2, False),
+    ],
+)
+def test_a_stream_leaves_a_closed_head_that_is_slow_by_its_events(
+    gaps: list[float], usual_s: float, leaves: bool
+) -> None:
+    """Guards against streams that stay slow, and against moves for no gain."""
+
+    async def test(process: Process) -> None:
+        process.fill("z")
+        loop = asyncio.get_running_loop()
+        attempt = process.start_stream(process.find("x"))
+        for gap_s in gaps:
+            attempt.pace.record(gap_s, 1)
+        process.rerouter.reroute_from_closed(attempt, usual_s, loop.time())
+        assert attempt.superseded is leaves
+        assert (attempt.call.holds_until > loop.time() + 0.4) is leaves
+
+    run_with_process(test)
