Gateway: heads count by the streams in progress at this moment again

Callers of streams at a stopping VM had them moved between heads that had become slow at the same time.

When all heads became slower, a stream saw its own head's new pace and the others' old ones.

Change: the streams in progress show how slow a head is again; what PaceSpread has of it counts for heads without any, by its last record as since then. So there are two keepers of shown paces again.

--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from enum import Enum
+from statistics import median
 
 import structlog
 
@@ -51,6 +52,7 @@
         usual: Recent streams of its kind.
         id_tokens: Tokens that an id of its events has.
         stream: What is left of it, if it is as long as it may be.
+        shown: What streams in progress show of each target.
         spread: What streams of its model have shown lately.
         usual_token_s: Usual time of a token, in seconds; 0 if unknown.
     """
@@ -60,6 +62,7 @@
     usual: UsualStream
     id_tokens: float
     stream: RunningStream
+    shown: "_ShownPaces"
     spread: PaceSpread
     usual_token_s: float
 
@@ -91,14 +94,14 @@
     ) -> float:
         """Return when it would end at another target, in seconds.
 
-        It is expected to be as slow there as streams have shown last, and not
+        It is expected to be as slow there as streams in progress are, and not
         faster than usual. Events that are kept back are written again.
         """
         call, attempt = self.attempt.call, self.attempt
         written = int((call.last_event_id or 0) * self.id_tokens)
         prompt = call.terms.prompt_tokens + written
         first_s = self.pool.predict_first_event(state, prompt, now)
-        token_s = self.spread.find_at(state, now) or 0.0
+        token_s = self.shown.find(state) or self.spread.find_at(state, now) or 0.0
         token_s = max(self.usual_token_s * state.pace, token_s)
         kept_back = (attempt.cursor.last_id or 0) - (call.last_event_id or 0)
         ids = ids_left + kept_back
@@ -135,6 +138,34 @@
     slow: int = 0
 
 
+class _ShownPaces:
+    """The times of a token that streams in progress of one model show.
+
+    Args:
+        streams: The attempts of the streams, and the tokens that an id of
+            their events has.
+        but: The attempt of the stream that is looked at, which doesn't count.
+    """
+
+    def __init__(
+        self, streams: Iterable[tuple[GatewayAttempt, float]], but: GatewayAttempt
+    ) -> None:
+        self._by_target: dict[TargetState, list[float]] = {}
+        for attempt, id_tokens in streams:
+            id_s = attempt.pace.estimate()
+            if id_s is not None and attempt.state is not but.state:
+                times = self._by_target.setdefault(attempt.state, [])
+                times.append(id_s / id_tokens)
+
+    def find(self, state: TargetState) -> float:
+        """Return the time of a token that is shown of a target, in seconds.
+
+        Returns:
+            0 if no stream is in progress there.
+        """
+        return median(self._by_target.get(state, [0.0]))
+
+
 class StreamEndWatcher:
     """Reroutes streams that won't end in time where they are.
 
@@ -166,6 +197,7 @@
             self._check_closed(now)
         calls = [call for call in self._stop_guard.running if _is_watched(call, now)]
         usual_by_kind = self._sum_up(calls, now)
+        streams: dict[TargetPool, list[tuple[GatewayAttempt, float]]] = {}
         for call in calls:
             attempt = call.leader
             if attempt is None or not _may_be_rerouted(attempt):
@@ -175,11 +207,16 @@
             stream = _describe(attempt, pool, usual)
             if stream is None or predict_end(stream, now) <= _find_limit(call):
                 continue
+            if pool not in streams:
+                streams[pool] = self._list_streams(call, pool, now)
+            shown = _ShownPaces(streams[pool], attempt)
             id_tokens = _find_id_tokens(pool, usual)
             spread = self._stop_guard.find_spread(call)
             usual_s = spread.find_usual_elsewhere(attempt.state, now)
             usual_s = usual_s or usual.token_s
-            watched = _Watched(attempt, pool, usual, id_tokens, stream, spread, usual_s)
+            watched = _Watched(
+                attempt, pool, usual, id_tokens, stream, shown, spread, usual_s
+            )
             self._check_stream(watched, now)
 
     def _check_closed(self, now: float) -> None:
@@ -224,6 +261,26 @@
             choice = replace(choice, kept_for=_KeptFor.NOT_ALLOWED)
         _log_kept(watched, choice, ends_at, now)
 
+    def _list_streams(
+        self, call: GatewayCall, pool: TargetPool, now: float
+    ) -> list[tuple[GatewayAttempt, float]]:
+        """Return the streams in progress of a request's model.
+
+        Returns:
+            Their attempts, and the tokens that an id of their events has.
+        """
+        calls = [
+            other
+            for other in self._stop_guard.running
+            if other.service == call.service and other.terms.model == call.terms.model
+        ]
+        usual = self._sum_up(calls, now)
+        return [
+            (other.leader, _find_id_tokens(pool, usual[_find_kind(other)]))
+            for other in calls
+            if other.leader is not None
+        ]
+
     def _sum_up(
         self, calls: Iterable[GatewayCall], now: float
     ) -> dict[tuple[str, ServiceName, ModelName | None], UsualStream]:
--- a/tests/test_stream_targets.py
+++ b/tests/test_stream_targets.py
@@ -34,6 +34,7 @@
     StreamEndWatcher,
     _find_sooner,
     _KeptFor,
+    _ShownPaces,
     _Watched,
 )
 from zinniaspool.gateway.moves import Rerouter
@@ -87,7 +88,10 @@
     assert call.leader is not None
     usual = UsualStream(USUAL_S, 1.0, usual_part, 1.0, None)
     stream = RunningStream(60.0, id_s, 0.0, id_s)
-    watched = _Watched(call.leader, pool, usual, 1.0, stream, PaceSpread(), USUAL_S)
+    shown = _ShownPaces([], call.leader)
+    watched = _Watched(
+        call.leader, pool, usual, 1.0, stream, shown, PaceSpread(), USUAL_S
+    )
     choice = _find_sooner(watched, 60.0 * id_s, 0.0, 0.0)
     assert choice.other is find(pool, "y") and choice.ends_at > call.stream_deadline
     assert choice.kept_for is kept_for
@@ -156,7 +160,10 @@
     assert call.leader is not None
     usual = UsualStream(3 * USUAL_S, 1 / 3, 1.0, 1.0, None)
     stream = RunningStream(60.0, 0.1, 0.0, 0.1)
-    watched = _Watched(call.leader, pool, usual, 1 / 3, stream, spread, 3 * USUAL_S)
+    shown = _ShownPaces([], call.leader)
+    watched = _Watched(
+        call.leader, pool, usual, 1 / 3, stream, shown, spread, 3 * USUAL_S
+    )
     guard = Mock()
     guard.move_costs.estimate.return_value = 0.0
     watcher = StreamEndWatcher(guard, Mock(), Mock())
