--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -8,7 +8,7 @@
 from structlog.testing import capture_logs
 
 from tests.delays import measure_pass
-from tests.installation import Answer, PatientInstallation, eventually, run
+from tests.installation import Answer, Node, PatientInstallation, eventually, run
 from zinniaspool.core.ids import split_address
 from zinniaspool.gateway.main import MIN_STOP_S
 from zinniaspool.http import Exchange, Headers
@@ -383,19 +383,26 @@
     run(check)
 
 
+async def _connect_to_stopping(
+    made: StoppedInstallation, node: Node, after_s: float
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Stop a VM, and connect to it some seconds after its stop signal."""
+    made.configure()
+    await made.settle()
+    address = node.file.caller_address
+    assert address is not None
+    node.gateway.stop()
+    await asyncio.sleep(after_s)
+    return await asyncio.open_connection(*split_address(address))
+
+
 def test_a_request_whose_body_comes_too_late_gets_a_whole_refusal() -> None:
     """Guards against a connection that is closed while its request arrives."""
 
     async def check() -> None:
         async with StoppedInstallation.running(nodes=2, engines=10) as made:
-            made.configure()
-            await made.settle()
             node = made.nodes["n0"]
-            address = node.file.caller_address
-            assert address is not None
-            node.gateway.stop()
-            await asyncio.sleep(6.0)
-            reader, writer = await asyncio.open_connection(*split_address(address))
+            reader, writer = await _connect_to_stopping(made, node, 6.0)
             writer.write(
                 b"POST /cards/a HTTP/1.1\r\nhost: care.example\r\n"
                 b"content-length: 100\r\n\r\nbegins"
@@ -416,14 +423,8 @@
 
     async def check() -> None:
         async with StoppedInstallation.running(nodes=2, engines=10) as made:
-            made.configure()
-            await made.settle()
             node = made.nodes["n0"]
-            address = node.file.caller_address
-            assert address is not None
-            node.gateway.stop()
-            await asyncio.sleep(MIN_STOP_S - 0.2)
-            reader, writer = await asyncio.open_connection(*split_address(address))
+            reader, writer = await _connect_to_stopping(made, node, MIN_STOP_S - 0.2)
             await eventually(lambda: node.gateway._server.draining)
             await asyncio.sleep(0.3)
             writer.write(
