Gateway: a stream that nothing else can take goes on while it may still end

Cause: a stream of which nothing has gone out is given up when it won't end at the pace of its last events, so that another head can begin it. Where no other head could, the caller got an error although the stream had time at the usual pace.

Change: a stream is given up if it may be begun elsewhere, or if it wouldn't end at the usual pace either. Its events are kept back meanwhile, as before, so that it is a whole error answer if the heads stay slow.

--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -272,8 +272,10 @@
         """Return whether an attempt's stream will hardly end in time.
 
         Its caller has nothing of it yet. If it is as long as usual, it takes
-        longer at its own pace than is left. One that a stop didn't accept, or
-        that may run once, is given up with its first event only.
+        longer at its own pace than is left. If it can't be begun elsewhere
+        either, it goes on as long as it would end at the usual pace. One that
+        a stop didn't accept, or that may run once, is given up with its first
+        event only.
 
         Args:
             attempt: The attempt; it has an event, and its events are kept
@@ -294,12 +296,21 @@
             return False
         # A stream is longer than what any attempt has shown of it.
         shown_id = max(former.cursor.last_id or 0 for former in call.history)
-        usual_part = self.sum_up_streams(call, now).usual_part
-        usual_id = usual_part * (ids_left + last_id)
+        usual = self.sum_up_streams(call, now)
+        usual_id = usual.usual_part * (ids_left + last_id)
         if usual_id >= shown_id + 1:
             ids_left = usual_id - last_id
+        if usual.token_s and not self._may_begin_elsewhere(call):
+            pace_s = min(pace_s, usual.token_s * id_tokens)
         return now + ids_left * pace_s > self._clock.ends_at
 
+    def _may_begin_elsewhere(self, call: GatewayCall) -> bool:
+        """Return whether a stream that is given up may be begun once more."""
+        if not call.route.repeatable or not call.attempts.may_begin_alternative:
+            return False
+        pool = self._index.find_pool(call.service, call.terms.model)
+        return self.can_begin_again(call, pool)
+
     def find_spread(self, call: GatewayCall) -> PaceSpread:
         """Return the paces that streams of a request's model show."""
         return self._spreads.setdefault((call.service, call.terms.model), PaceSpread())
--- a/tests/test_stop_paces.py
+++ b/tests/test_stop_paces.py
@@ -240,6 +240,23 @@
     run(check)
 
 
+def test_streams_that_begin_slowly_go_on_where_they_may_still_end() -> None:
+    """Guards against an error answer since heads were slow for a moment."""
+
+    async def check() -> None:
+        async with _stop(left_s=4.2) as made:
+            heads, names = made.heads("small"), [f"late-{n}" for n in range(6)]
+            asking = asyncio.create_task(_ask_all(made, [90] * len(names)))
+            await eventually(lambda: all(made.runs_of(name) for name in names))
+            _set_pace(heads, 3.0)
+            await asyncio.sleep(0.7)
+            _set_pace(heads, 1.0)
+            outcomes = await asking
+            assert set(outcomes) == {"whole"}, outcomes
+
+    run(check)
+
+
 def test_a_stream_that_begins_late_has_room_for_a_pause_that_was_seen() -> None:
     """Guards against a known pause that is counted on at acceptance only."""
 
