Stops: what recent answers show is measured once for all requests that ask

What callers saw: at stopping VMs that are short of processor time, requests are read and refused late; some have no answer when the VM is killed.

Cause: with each request that a stopping VM may refuse, and with each event that it keeps back, the figures of up to 256 recent answers were worked out anew, though few answers come between.

Change: DurationForecast keeps them until the next answer is recorded or one is no longer recent.

--- a/src/zinniaspool/core/dispatch/durations.py
+++ b/src/zinniaspool/core/dispatch/durations.py
@@ -12,7 +12,9 @@
 
 import math
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import cached_property
 from statistics import median
 
 from zinniaspool.core.dispatch.spread import find_high_quantile
@@ -135,15 +137,94 @@
     longest_length: int | None
 
 
+class _Shown:
+    """What some answers show; each part is measured once.
+
+    A stopping process asks for it with each request that it may refuse and
+    with each event that it keeps back.
+
+    Args:
+        answers: The answers.
+    """
+
+    def __init__(self, answers: Iterable[AnswerTiming]) -> None:
+        self._answers = list(answers)
+        self._streams = [one.stream for one in self._answers if one.stream is not None]
+
+    @cached_property
+    def longest_call_s(self) -> float | None:
+        """Longest time of an answer, in seconds."""
+        return find_high_quantile([one.took_s for one in self._answers])
+
+    @cached_property
+    def longest_whole_s(self) -> float | None:
+        """Longest time of an answer without a stream, in seconds."""
+        return find_high_quantile(
+            [one.took_s for one in self._answers if one.stream is None]
+        )
+
+    @cached_property
+    def usual_token_s(self) -> float | None:
+        """Usual time of a token, in seconds."""
+        return median(self._token_times) if self._token_times else None
+
+    @cached_property
+    def longest_token_s(self) -> float:
+        """Longest time of a token, in seconds; 0 if unknown."""
+        return find_high_quantile(self._token_times) or 0.0
+
+    @cached_property
+    def id_tokens(self) -> float:
+        """Tokens that an id of an event has; 0 if unknown."""
+        streams = [one for one in self._streams if one.last_id]
+        return median([one.tokens / one.last_id for one in streams] or [0.0])
+
+    @cached_property
+    def usual_part(self) -> float:
+        """Part of the allowed tokens that is usually written."""
+        return median(self._written_parts or [1.0])
+
+    @cached_property
+    def longest_part(self) -> float:
+        """Largest part of the allowed tokens that is written."""
+        if len(self._written_parts) < MIN_LENGTHS:
+            return 1.0
+        return min(1.0, max(self._written_parts) * LENGTH_FACTOR)
+
+    @cached_property
+    def longest_length(self) -> int | None:
+        """The most tokens of a stream that states no length."""
+        lengths = [stream.tokens for stream in self._streams]
+        if len(lengths) < MIN_LENGTHS:
+            return None
+        return math.ceil(max(lengths) * LENGTH_FACTOR)
+
+    @cached_property
+    def longest_pause_s(self) -> float:
+        """Longest pause of an upstream, in seconds."""
+        return max((one.longest_pause_s for one in self._streams), default=0.0)
+
+    @cached_property
+    def _token_times(self) -> list[float]:
+        times = [stream.token_s for stream in self._streams]
+        return [one for one in times if one is not None]
+
+    @cached_property
+    def _written_parts(self) -> list[float]:
+        return [stream.written_part for stream in self._streams]
+
+
 class DurationForecast:
     """Predicts the longest time of requests of one kind."""
 
     def __init__(self) -> None:
         self._answers: deque[AnswerTiming] = deque(maxlen=RECENT_ANSWERS)
+        self._shown: _Shown | None = None
 
     def record(self, timing: AnswerTiming) -> None:
         """Record an answered request."""
         self._answers.append(timing)
+        self._shown = None
 
     def predict_longest_call(
         self, now: float, *, with_streams: bool = True
@@ -157,13 +238,8 @@
         Returns:
             None if no such request was answered recently.
         """
-        return find_high_quantile(
-            [
-                answer.took_s
-                for answer in self._list_recent(now)
-                if with_streams or answer.stream is None
-            ]
-        )
+        shown = self._sum_up(now)
+        return shown.longest_call_s if with_streams else shown.longest_whole_s
 
     def predict_longest_writing(
         self, allowed_tokens: int, other_token_s: float, now: float
@@ -193,15 +269,11 @@
         Returns:
             None if too few streams are known.
         """
-        lengths = [stream.tokens for stream in self._list_streams(now)]
-        if len(lengths) < MIN_LENGTHS:
-            return None
-        return math.ceil(max(lengths) * LENGTH_FACTOR)
+        return self._sum_up(now).longest_length
 
     def measure_id_tokens(self, now: float) -> float:
         """Return how many tokens an id of an event has; 0 if unknown."""
-        streams = [stream for stream in self._list_streams(now) if stream.last_id]
-        return median([one.tokens / one.last_id for one in streams] or [0.0])
+        return self._sum_up(now).id_tokens
 
     def predict_usual_writing(
         self, allowed_tokens: int, written_tokens: int, now: float
@@ -216,29 +288,26 @@
         Returns:
             None if nothing is known of such streams.
         """
-        streams = self._list_streams(now)
-        times = [one.token_s for one in streams if one.token_s is not None]
-        if not times:
+        shown = self._sum_up(now)
+        if shown.usual_token_s is None:
             return None
-        usual_tokens = allowed_tokens * median(one.written_part for one in streams)
-        return max(0.0, usual_tokens - written_tokens) * median(times)
+        usual_tokens = allowed_tokens * shown.usual_part
+        return max(0.0, usual_tokens - written_tokens) * shown.usual_token_s
 
     def sum_up(self, now: float) -> UsualStream:
         """Return what recent streams show."""
-        streams = self._list_streams(now)
-        times = [one.token_s for one in streams if one.token_s is not None]
+        shown = self._sum_up(now)
         return UsualStream(
-            median(times or [0.0]),
-            self.measure_id_tokens(now),
-            median([one.written_part for one in streams] or [1.0]),
-            self._find_longest_part(now),
-            self.predict_longest_length(now),
+            shown.usual_token_s or 0.0,
+            shown.id_tokens,
+            shown.usual_part,
+            shown.longest_part,
+            shown.longest_length,
         )
 
     def measure_token_time(self, now: float) -> float:
         """Return the longest time of a token, in seconds; 0 if unknown."""
-        seen = [stream.token_s for stream in self._list_streams(now)]
-        return find_high_quantile([one for one in seen if one is not None]) or 0.0
+        return self._sum_up(now).longest_token_s
 
     def predict_reserve(
         self,
@@ -265,20 +334,12 @@
 
     def measure_pause(self, now: float) -> float:
         """Return the longest pause of an upstream, in seconds."""
-        pauses = [stream.longest_pause_s for stream in self._list_streams(now)]
-        return max(pauses, default=0.0)
-
-    def _find_longest_part(self, now: float) -> float:
-        """Return the largest part of the allowed tokens that is written."""
-        parts = [stream.written_part for stream in self._list_streams(now)]
-        if len(parts) < MIN_LENGTHS:
-            return 1.0
-        return min(1.0, max(parts) * LENGTH_FACTOR)
-
-    def _list_streams(self, now: float) -> list[StreamTiming]:
-        return [one.stream for one in self._list_recent(now) if one.stream is not None]
+        return self._sum_up(now).longest_pause_s
 
-    def _list_recent(self, now: float) -> list[AnswerTiming]:
+    def _sum_up(self, now: float) -> _Shown:
         while self._answers and now - self._answers[0].ended_at > RECENT_S:
             self._answers.popleft()
-        return list(self._answers)
+            self._shown = None
+        if self._shown is None:
+            self._shown = _Shown(self._answers)
+        return self._shown
--- a/tests/test_stop_durations.py
+++ b/tests/test_stop_durations.py
@@ -1,5 +1,7 @@
 """How long requests of a stopping process may take."""
 
+from dataclasses import dataclass, field
+
 from zinniaspool.core.dispatch import AnswerTiming, DurationForecast, StreamTiming
 
 _TOKEN_S = 0.03
@@ -156,3 +158,48 @@
     # A stream of a few passes doesn't show their time.
     forecast.record(_answer(3))
     assert forecast.predict_longest_writing(200, 0.0, 0.0) is None
+
+
+@dataclass(frozen=True)
+class _CountedStream(StreamTiming):
+    """Counts how often the time of a token is measured."""
+
+    measured: list[int] = field(default_factory=list)
+
+    @property
+    def token_s(self) -> float | None:
+        self.measured.append(1)
+        return super().token_s
+
+
+def test_an_answer_is_measured_once_for_all_requests_until_the_next_one() -> None:
+    """Guards against a stopping process that is too busy to refuse requests.
+
+    It asks several times for each request and for each event that it keeps
+    back, and few answers come between.
+    """
+    forecast, streams = DurationForecast(), []
+    for at in range(256):
+        stream = _CountedStream(20, 18 * _TOKEN_S, _TOKEN_S, 1, 100, 20)
+        streams.append(stream)
+        forecast.record(AnswerTiming(float(at), 1.0, stream))
+    for _ in range(300):
+        forecast.predict_longest_writing(100, 0.0, 256.0)
+        forecast.predict_usual_writing(100, 10, 256.0)
+        forecast.sum_up(256.0)
+    assert sum(len(one.measured) for one in streams) <= len(streams)
+
+
+def test_what_was_measured_changes_with_the_next_answer_and_with_time() -> None:
+    """Guards against a forecast that keeps what answers showed before."""
+    forecast = DurationForecast()
+    forecast.record(_answer(100, pause_s=0.1, at=0.0))
+    assert forecast.measure_pause(0.0) == 0.1
+    forecast.record(_answer(100, pause_s=0.5, token_s=2 * _TOKEN_S, at=1.0))
+    assert forecast.measure_pause(1.0) == 0.5
+    assert forecast.measure_token_time(1.0) > 1.5 * _TOKEN_S
+    forecast.record(_answer(100, pause_s=0.2, at=200.0))
+    assert forecast.measure_pause(302.0) == 0.2
+    assert forecast.predict_longest_call(302.0) is not None
+    assert forecast.measure_pause(501.0) == 0.0
+    assert forecast.predict_longest_call(501.0) is None
