Gateway: shown paces are compared once in a check of streams in progress

A stopping VM with hundreds of streams that are behind spent more time on each check of them than the pause between two checks, so that its event loop was late for all of them.

Cause: the paces of all streams in progress were summed up anew for each stream that is behind, only to leave out those at its own target, which is never one of the targets that it is compared with.

Change: they are summed up once in a check, with one median for each target.

--- a/src/zinniaspool/gateway/endings.py
+++ b/src/zinniaspool/gateway/endings.py
@@ -144,18 +144,15 @@
     Args:
         streams: The attempts of the streams, and the tokens that an id of
             their events has.
-        but: The attempt of the stream that is looked at, which doesn't count.
     """
 
-    def __init__(
-        self, streams: Iterable[tuple[GatewayAttempt, float]], but: GatewayAttempt
-    ) -> None:
-        self._by_target: dict[TargetState, list[float]] = {}
+    def __init__(self, streams: Iterable[tuple[GatewayAttempt, float]]) -> None:
+        by_target: dict[TargetState, list[float]] = {}
         for attempt, id_tokens in streams:
             id_s = attempt.pace.estimate()
-            if id_s is not None and attempt.state is not but.state:
-                times = self._by_target.setdefault(attempt.state, [])
-                times.append(id_s / id_tokens)
+            if id_s is not None:
+                by_target.setdefault(attempt.state, []).append(id_s / id_tokens)
+        self._by_target = {state: median(by_target[state]) for state in by_target}
 
     def find(self, state: TargetState) -> float:
         """Return the time of a token that is shown of a target, in seconds.
@@ -163,7 +160,7 @@
         Returns:
             0 if no stream is in progress there.
         """
-        return median(self._by_target.get(state, [0.0]))
+        return self._by_target.get(state, 0.0)
 
 
 class StreamEndWatcher:
@@ -197,7 +194,7 @@
             self._check_closed(now)
         calls = [call for call in self._stop_guard.running if _is_watched(call, now)]
         usual_by_kind = self._sum_up(calls, now)
-        streams: dict[TargetPool, list[tuple[GatewayAttempt, float]]] = {}
+        shown: dict[TargetPool, _ShownPaces] = {}
         for call in calls:
             attempt = call.leader
             if attempt is None or not _may_be_rerouted(attempt):
@@ -207,15 +204,14 @@
             stream = _describe(attempt, pool, usual)
             if stream is None or predict_end(stream, now) <= _find_limit(call):
                 continue
-            if pool not in streams:
-                streams[pool] = self._list_streams(call, pool, now)
-            shown = _ShownPaces(streams[pool], attempt)
+            if pool not in shown:
+                shown[pool] = _ShownPaces(self._list_streams(call, pool, now))
             id_tokens = _find_id_tokens(pool, usual)
             spread = self._stop_guard.find_spread(call)
             usual_s = spread.find_usual_elsewhere(attempt.state, now)
             usual_s = usual_s or usual.token_s
             watched = _Watched(
-                attempt, pool, usual, id_tokens, stream, shown, spread, usual_s
+                attempt, pool, usual, id_tokens, stream, shown[pool], spread, usual_s
             )
             self._check_stream(watched, now)
 
--- a/tests/test_stream_targets.py
+++ b/tests/test_stream_targets.py
@@ -88,7 +88,7 @@
     assert call.leader is not None
     usual = UsualStream(USUAL_S, 1.0, usual_part, 1.0, None)
     stream = RunningStream(60.0, id_s, 0.0, id_s)
-    shown = _ShownPaces([], call.leader)
+    shown = _ShownPaces([])
     watched = _Watched(
         call.leader, pool, usual, 1.0, stream, shown, PaceSpread(), USUAL_S
     )
@@ -160,7 +160,7 @@
     assert call.leader is not None
     usual = UsualStream(3 * USUAL_S, 1 / 3, 1.0, 1.0, None)
     stream = RunningStream(60.0, 0.1, 0.0, 0.1)
-    shown = _ShownPaces([], call.leader)
+    shown = _ShownPaces([])
     watched = _Watched(
         call.leader, pool, usual, 1 / 3, stream, shown, spread, 3 * USUAL_S
     )
