Dispatch: the usual pace elsewhere is found once for each target

A stopping VM with hundreds of streams that are behind spent more time on each check of them than the pause between two checks.

Cause: for each stream that is behind, the paces that all streams have shown in the last three seconds were listed and sorted anew. The list grows with the number of streams.

Change: the median of the paces at other targets is kept with the summary that is used for a quarter of a second, once for each target that is asked for. A target that becomes slow or is so no longer changes it as much later, as it does the longest pace.

Streams are checked each 50 ms.

--- a/src/zinniaspool/core/dispatch/spread.py
+++ b/src/zinniaspool/core/dispatch/spread.py
@@ -8,7 +8,7 @@
 import math
 from collections import deque
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from statistics import median
 
 from zinniaspool.core.dispatch.targets import TargetState
@@ -57,11 +57,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Summary:
-    """What the samples show at a time; times of a token in seconds."""
+    """What the samples show at a time; times of a token in seconds.
+
+    Those that are usual elsewhere than at a target are found when asked for.
+    """
 
     at: float
     longest_s: float
     by_target: Mapping[TargetState, Sequence[_Sample]]
+    usual_elsewhere_s: dict[TargetState, float] = field(default_factory=dict)
 
 
 class PaceSpread:
@@ -95,9 +99,14 @@
         Returns:
             0 if unknown.
         """
-        by_target = self._sum_up(now).by_target
-        others = [by_target[one] for one in by_target if one is not state]
-        return median([t for one in others for t in _list_times(one)] or [0.0])
+        summary = self._sum_up(now)
+        usual_s = summary.usual_elsewhere_s.get(state)
+        if usual_s is None:
+            by_target = summary.by_target
+            others = [by_target[one] for one in by_target if one is not state]
+            usual_s = median([t for one in others for t in _list_times(one)] or [0.0])
+            summary.usual_elsewhere_s[state] = usual_s
+        return usual_s
 
     def find_longest(self, now: float, without: Collection[TargetState] = ()) -> float:
         """Return the longest time of a token, in seconds; 0 if unknown.
--- a/tests/test_check_costs.py
+++ b/tests/test_check_costs.py
@@ -15,6 +15,7 @@
     Progress,
     RequestTerms,
     RetryTerms,
+    spread,
 )
 from zinniaspool.core.dispatch.attempts import RetryAllowance
 from zinniaspool.core.ids import ContentId, FailureDomainId, RequestId
@@ -115,3 +116,9 @@
     assert many <= MORE_COST * few
     few, many = (_count(one, endings, "median") for one in (FEW, MANY))
     assert many == few
+
+
+def test_the_usual_pace_is_found_once_for_each_target() -> None:
+    """Guards against all shown paces being sorted anew for each stream."""
+    few, many = (_count(one, spread, "median") for one in (FEW, MANY))
+    assert many <= 1.25 * few
