Tests: the line of a stream at a silent head has what decides in its start

Collected logs keep 200 characters of a line. The new test reads this line as the tests of other lines do, with ids as long as callers and upstreams have them: the target, the outcome, the silence and both times that were compared must be whole.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -118,9 +118,13 @@
 
 def _collect(lines: list[EventDict], event: str) -> str:
     """Return the first line of an event as far as collected logs keep it."""
-    found = next(line for line in lines if line["event"] == event)
+    return collect_line(next(line for line in lines if line["event"] == event))
+
+
+def collect_line(line: EventDict) -> str:
+    """Return a line as far as collected logs keep it."""
     keys = {"timestamp": "2026-12-06T04:54:14.666465Z", "level": "info"}
-    keys |= {key: value for key, value in found.items() if key != "log_level"}
+    keys |= {key: value for key, value in line.items() if key != "log_level"}
     return str(render_line(None, "", keys))[:COLLECTED_CHARS]
 
 
--- a/tests/test_lost_heads.py
+++ b/tests/test_lost_heads.py
@@ -10,6 +10,7 @@
 from hypothesis import given, strategies as st
 from structlog.testing import capture_logs
 
+from tests.test_cut_answers import collect_line
 from tests.test_dispatch import find, make_target
 from tests.virtual_time import run_in_virtual_time
 from zinniaspool.core.dispatch import (
@@ -283,6 +284,37 @@
     run_with_process(test)
 
 
+@pytest.mark.parametrize("is_rerouted", [True, False])
+def test_what_decides_stands_first_in_the_line_of_a_stream_at_a_silent_head(
+    *, is_rerouted: bool
+) -> None:
+    """Guards against collected lines that end before why a stream stayed."""
+
+    async def test(process: Process) -> None:
+        attempt = process.start_stream(process.find("x"))
+        process.fill("z")
+        if not is_rerouted:
+            process.fill("y")
+        with capture_logs() as lines:
+            await asyncio.sleep(0.2)
+        assert attempt.superseded is is_rerouted
+        (found,) = (line for line in lines if line["event"] == "stream-silent")
+        ids = {
+            "request": "15a328aed395e971",
+            "instance": "i-a3047946",
+            "to": "i-753a50c6",
+        }
+        outcome = "rerouted" if is_rerouted else "stays"
+        collected = collect_line({**found, **ids})
+        keys = ("to=i-753a50c6", f"outcome={outcome}", "quiet_ms=", "within_ms=")
+        assert all(key in collected for key in keys), collected
+        # A figure that is cut off looks whole.
+        assert f" first_ms={found['first_ms']} " in collected, collected
+        assert f" within_ms={found['within_ms']} " in collected, collected
+
+    run_with_process(test)
+
+
 def test_a_stream_that_could_not_be_on_time_stays_until_its_head_is_lost() -> None:
     """Its head may only be slow, and a reroute is its last attempt.
 
