Test: a request is refused only after all upstreams that it may be sent to

What callers saw: 503 for requests to a service of three upstreams while one of them was open, after two had asked for a pause. Cause: no fault. A VM learns of a pause by a refusal, and each refusing upstream counts as one of those that the route's max-attempts allows. A request that may be sent to one upstream ends with the first refusal, one that may be sent to two with the second. Change: a test with one and two VMs, both plain routes, requests in turn and at once. A refused request has reached as many upstreams as its route allows, none reaches more, and none is refused once the VM knows the pauses.

--- a/tests/test_backpressure.py
+++ b/tests/test_backpressure.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import pytest
 from structlog.testing import capture_logs
@@ -123,6 +123,7 @@
 
 
 _PAUSE_S = 2.0
+_LONG_PAUSE_S = 8.0
 _GRACE_S = 0.5
 """Time after a request for a pause in which requests may still arrive."""
 
@@ -169,6 +170,69 @@
     run(test)
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """A request, the upstreams that it may be sent to, and its answer."""
+
+    request: str
+    most: int
+    answer: Answer
+
+
+async def _ask_in_turn_and_at_once(made: Installation, node: str) -> list[_Asked]:
+    """Send requests of both plain routes to a VM: six in turn, six at once."""
+
+    async def ask(path: str, method: str, most: int) -> _Asked:
+        made.requests += 1
+        name = f"plain-{made.requests}"
+        answer = await made.ask(node, path, method, request_id=name)
+        return _Asked(name, most, answer)
+
+    routes = (("/cards/1", "POST", 1), ("/receipts/1", "GET", 2))
+    in_turn = [await ask(*route) for _ in range(3) for route in routes]
+    at_once = await asyncio.gather(*(ask(*route) for _ in range(3) for route in routes))
+    return in_turn + at_once
+
+
+def _has_any(runner: Runner, asked: list[_Asked]) -> bool:
+    return any(one.request in runner.arrivals for one in asked)
+
+
+class _ManyRetries(Installation):
+    """Retries that few requests can't use up."""
+
+    retry_slack = 10_000.0
+
+
+@pytest.mark.parametrize("nodes", [1, 2])
+def test_a_request_is_refused_after_all_upstreams_that_it_may_have(nodes: int) -> None:
+    """Guards against a 503 while a request may still go to an open upstream.
+
+    Two of three upstreams pause, which a VM learns by their refusals. Each of
+    them is one of the upstreams that a request may be sent to.
+    """
+
+    async def test() -> None:
+        async with _ManyRetries.running(nodes=nodes, plain=3) as made:
+            *pausing, still_open = await _list_plain(made)
+            for runner in pausing:
+                runner.faults.pause_s = _LONG_PAUSE_S
+            for node in made.nodes:
+                asked = await _ask_in_turn_and_at_once(made, node)
+                while not all(_has_any(runner, asked) for runner in pausing):
+                    asked += await _ask_in_turn_and_at_once(made, node)
+                for one in asked:
+                    refused = sum(one.request in runner.arrivals for runner in pausing)
+                    reached = refused + (one.request in still_open.arrivals)
+                    assert reached <= one.most
+                    if one.answer.status != 200:
+                        assert (one.answer.status, refused) == (503, one.most)
+                known = await _ask_in_turn_and_at_once(made, node)
+                assert {one.answer.status for one in known} == {200}
+
+    run(test)
+
+
 def test_a_service_whose_upstreams_all_pause_refuses_until_then() -> None:
     """Guards against a pause that ends where no other upstream is left.
 
