HTTP: a server that stops waits a second at most for the last TLS handshakes

With TLS, one caller that connected and sent nothing held a stop up for as long as a handshake may take, ten seconds, or as long as the drain if that is shorter.

Cause: connections that wait to be accepted when a server stops are accepted before it closes, and all of their handshakes were waited for, before anything else is closed.

Change: they are waited for as long as a second.

--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -27,6 +27,10 @@
 """Turns of the event loop in which a connection that was accepted can be used,
 its request is read, and a refusal of it is sent."""
 
+_HANDSHAKE_S = 1.0
+"""Time for which a server that stops waits for the TLS handshakes of the last
+connections, in seconds. Their callers may be silent."""
+
 
 class HttpServer:
     """Listens, and runs a handler for each request.
@@ -177,7 +181,8 @@
             asyncio.create_task(self._connect_accepted(one)) for one in accepted
         ]
         if connecting:
-            await asyncio.wait(connecting, timeout=max(0.0, ends_at - loop.time()))
+            wait_s = min(_HANDSHAKE_S, max(0.0, ends_at - loop.time()))
+            await asyncio.wait(connecting, timeout=wait_s)
 
     async def _connect_accepted(self, accepted: socket.socket) -> None:
         with contextlib.suppress(OSError):
--- a/tests/test_http_stops.py
+++ b/tests/test_http_stops.py
@@ -2,16 +2,22 @@
 
 import asyncio
 import socket
+import ssl
+import time
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import pytest
 
+from tests.certificates import issue_certificates
 from tests.fakes import run_in_loop
 from zinniaspool.core.ids import Address, split_address
 from zinniaspool.http import Exchange, Headers, HttpServer
 
 _GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 _TIMEOUT_S = 20.0
+_SOON_S = 4.0
+"""Time within which a drain with nothing to answer ends, in seconds."""
 
 
 class _Served:
@@ -126,3 +132,25 @@
                 assert b"whole" in one.recv(4096)
 
     run_in_loop(test)
+
+
+def test_a_caller_that_never_begins_tls_does_not_hold_up_a_stop(
+    tmp_path: Path,
+) -> None:
+    """Guards against a stop that waits for a handshake that never comes."""
+    files = issue_certificates(tmp_path, "server").files
+    tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    tls.load_cert_chain(files.certificate_file, files.key_file)
+
+    async def answer(exchange: Exchange) -> None:
+        await exchange.respond(200, Headers(), b"whole")
+
+    async def test() -> None:
+        server = HttpServer(answer, tls=tls)
+        address = await server.listen(Address("127.0.0.1:0"))
+        with socket.create_connection(split_address(address)):
+            began_at = time.monotonic()
+            assert await server.drain(_TIMEOUT_S) == 0
+            assert time.monotonic() - began_at < _SOON_S
+
+    run_in_loop(test)
