HTTP: an answer that is cut before it was sent counts as cut

A stopping VM logged connection-cut for an answer that its caller read slowly, and connections_cut=0 in its last line.

Cause: a connection whose handler has ended isn't busy, though a part of the answer may still be in its buffer.

Change: each connection that is logged as cut is counted.

Measured: the new test (one caller that reads nothing) counted 0 before in one run of one, and counts 1 in four of four.

--- a/src/zinniaspool/http/connection.py
+++ b/src/zinniaspool/http/connection.py
@@ -238,13 +238,13 @@
         """Whether a request is being received or answered."""
         return self._phase in (_Phase.RECEIVING, _Phase.HANDLING)
 
-    def log_cut(self) -> None:
-        """Log what is lost if the connection is cut now."""
+    def log_cut(self) -> bool:
+        """Log what is lost if it is cut now; return whether anything is."""
         unsent = 0
         if self._transport is not None:
             unsent = self._transport.get_write_buffer_size()
         if not self.busy and not unsent:
-            return
+            return False
         _log.warning(
             "connection-cut",
             peer=self.peer,
@@ -253,6 +253,7 @@
             received=self._reserved,
             unsent=unsent,
         )
+        return True
 
     def refuse_if_receiving(self) -> None:
         """Refuse a request that has not arrived as a whole."""
--- a/src/zinniaspool/http/server.py
+++ b/src/zinniaspool/http/server.py
@@ -126,7 +126,8 @@
                 and don't expect a new connection to close.
 
         Returns:
-            The number of requests that were cut.
+            The number of requests that were cut, also of those whose answers
+            had not been sent as a whole.
         """
         self.draining = True
         loop = asyncio.get_running_loop()
@@ -152,9 +153,8 @@
                 connection.close_if_idle()
             await asyncio.sleep(0)
         self.refuse_unreceived()
-        cut = sum(connection.busy for connection in self._connections)
+        cut = sum(connection.log_cut() for connection in self._connections)
         for connection in list(self._connections):
-            connection.log_cut()
             connection.abort()
         return cut
 
--- a/tests/test_http_stops.py
+++ b/tests/test_http_stops.py
@@ -154,3 +154,29 @@
             assert time.monotonic() - began_at < _SOON_S
 
     run_in_loop(test)
+
+
+def test_an_answer_that_is_cut_before_it_was_sent_is_counted() -> None:
+    """Guards against a stop that reports no cut though an answer was."""
+    sent = asyncio.Event()
+
+    async def answer(exchange: Exchange) -> None:
+        await exchange.start(200, Headers())
+        (connection,) = server._connections
+        transport = connection._transport
+        assert transport is not None
+        while not transport.get_write_buffer_size():
+            await exchange.write(bytes(8192))
+        await exchange.finish()
+        sent.set()
+
+    server = HttpServer(answer)
+
+    async def test() -> None:
+        address = await server.listen(Address("127.0.0.1:0"))
+        with socket.create_connection(split_address(address)) as caller:
+            caller.sendall(_GET)
+            await sent.wait()
+            assert await server.drain(0.1) == 1
+
+    run_in_loop(test)
