Entry: a service replaced while the entry process stood still is used again

Callers were refused for good once a plain service that had said that it leaves was restarted at its own address while the older entry program stood still. Cause: a check finds a replacement by the end of its held connection and the refusal of a second one tried at once. After a standstill the check's time is over, so the end of the connection was dropped, and a connection tried then reaches the new process. No check was ever refused.

Change: a held connection is looked at every 25 ms. If it ended more than 0.1 s after it was last seen open, another process may be there, and the upstream is used again; if it is the old one, its next answer says again that it leaves, which costs one request. A connection that is still open after a standstill shows the same process, and one that ends while it is watched shows nothing, as before. The second connection has a time of its own, as the first one's may be over.

--- a/src/zinniaspool/entry/departures.py
+++ b/src/zinniaspool/entry/departures.py
@@ -1,6 +1,8 @@
 """Detects that the process of a leaving plain service has ended."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 
 import structlog
 
@@ -16,6 +18,11 @@
 
 The time is short, since a leaving process may wait for its connections to end.
 """
+_LOOK_S = 0.025
+"""Seconds after which a held connection is looked at again."""
+_UNWATCHED_S = 4 * _LOOK_S
+"""Seconds since a connection was seen open after which its end counts as not
+observed in time. Two looks may lie between without a delay."""
 
 
 class DepartureDetector:
@@ -31,7 +38,9 @@
     connection open. The connection ends when the process ends. Its successor
     does not listen yet at that moment, so a second connection that is tried
     at once is refused. The end of a connection shows nothing by itself, since
-    servers close idle connections.
+    servers close idle connections. One that ended while this process stood
+    still shows that another process may listen by now. If it is the same one,
+    its next response says again that it leaves, which costs one request.
 
     Args:
         index: Models and plain services.
@@ -53,33 +62,74 @@
 
     async def _check(self, pool: UpstreamPool, state: UpstreamState) -> None:
         address = state.upstream.address
-        ends_at = asyncio.get_running_loop().time() + _CHECK_S
-        refused = await _probe_connection(address, ends_at)
-        if refused or await _probe_connection(address, ends_at):
+        if await _has_ended(address):
             pool.mark_ended(state, asyncio.get_running_loop().time())
             _log.info("upstream-ended", address=address)
 
 
-async def _probe_connection(address: Address, ends_at: float) -> bool:
-    """Hold a connection open until a time, or until the peer closes it.
+async def _has_ended(address: Address) -> bool:
+    """Check an address for the time of one check.
 
     Returns:
-        Whether the connection was refused.
+        Whether another process may listen there now or later.
     """
-    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + _CHECK_S
     try:
-        async with asyncio.timeout_at(ends_at):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            try:
-                await reader.read(1)
-            finally:
-                writer.close()
+        async with _connect(address) as reader:
+            open_at = await _hold_connection(reader, ends_at)
+        if open_at is None:
+            return False
+        if loop.time() - open_at > _UNWATCHED_S:
+            return True
+        async with _connect(address):
+            return False
     except ConnectionRefusedError:
         return True
     except TimeoutError:
-        # The connection was held for the whole check, or the connection
-        # attempt got no response.
+        # The connection attempt got no response.
         return False
     except OSError as error:
         _log.debug("upstream-look-failed", address=address, reason=str(error))
     return False
+
+
+@contextlib.asynccontextmanager
+async def _connect(address: Address) -> AsyncIterator[asyncio.StreamReader]:
+    """Connect to an address, and close the connection on leaving."""
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(_CHECK_S):
+        reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        yield reader
+    finally:
+        writer.close()
+
+
+async def _hold_connection(
+    reader: asyncio.StreamReader, ends_at: float
+) -> float | None:
+    """Hold a connection open until a time, or until the peer ends it.
+
+    Returns:
+        A time at which the connection had not ended yet, or None if it was
+        held until the end of the check.
+    """
+    loop = asyncio.get_running_loop()
+    open_at = look_at = loop.time()
+    while True:
+        try:
+            async with asyncio.timeout_at(look_at + _LOOK_S):
+                await reader.read(1)
+        except OSError:
+            # The look is over, or the connection was reset.
+            pass
+        else:
+            return open_at
+        if reader.at_eof() or reader.exception() is not None:
+            return open_at
+        # It had not ended when this look began. This process may have stood
+        # still since then.
+        open_at, look_at = look_at, loop.time()
+        if look_at >= ends_at and look_at - open_at <= _UNWATCHED_S:
+            return None
--- a/src/zinniaspool/telemetry/events.py
+++ b/src/zinniaspool/telemetry/events.py
@@ -110,8 +110,8 @@
         "the prediction, its inputs and their age.",
         "request-refused": "A request violated HTTP or the server's limits.",
         "store-unreachable": "The store could not be read.",
-        "upstream-ended": "A leaving upstream no longer listens; its address may be "
-        "reused.",
+        "upstream-ended": "A leaving upstream no longer listens, or may have been "
+        "replaced while this process stood still; its address may be reused.",
         "stream-behind": "A stream in progress won't end in time where it is, by the "
         "pace of its events; the keys give that pace, what is left, and the time that "
         "it has and needs.",
