Dispatch: a target that becomes slow changes the usual pace elsewhere at once

A run of all tests on failed once for test_a_stream_is_moved_where_others_end_sooner[True]: streams were moved between heads that had become slow together.

Measured: the test failed in none of 30 runs without the change and none of 30 on, so no gain can be shown; tests of paces, check costs and stream targets pass.

--- a/src/zinniaspool/core/dispatch/spread.py
+++ b/src/zinniaspool/core/dispatch/spread.py
@@ -59,13 +59,13 @@
 class _Summary:
     """What the samples show at a time; times of a token in seconds.
 
-    Those that are usual elsewhere than at a target are found when asked for.
+    Those that are usual at some targets are found when asked for.
     """
 
     at: float
     longest_s: float
     by_target: Mapping[TargetState, Sequence[_Sample]]
-    usual_elsewhere_s: dict[TargetState, float] = field(default_factory=dict)
+    usual_s: dict[tuple[TargetState, ...], float] = field(default_factory=dict)
 
 
 class PaceSpread:
@@ -100,12 +100,16 @@
             0 if unknown.
         """
         summary = self._sum_up(now)
-        usual_s = summary.usual_elsewhere_s.get(state)
+        others = tuple(
+            one
+            for one in summary.by_target
+            if one is not state and not one.speed.is_slow
+        )
+        usual_s = summary.usual_s.get(others)
         if usual_s is None:
-            by_target = summary.by_target
-            others = [by_target[one] for one in by_target if one is not state]
-            usual_s = median([t for one in others for t in _list_times(one)] or [0.0])
-            summary.usual_elsewhere_s[state] = usual_s
+            samples = [s for one in others for s in summary.by_target[one]]
+            usual_s = median([one.token_s for one in samples] or [0.0])
+            summary.usual_s[others] = usual_s
         return usual_s
 
     def find_longest(self, now: float, without: Collection[TargetState] = ()) -> float:
