Gateway: a stream is given up for another head only if that one will be used

Cause: whether the stream may be begun elsewhere was asked before its pace was recorded, and asked again after that. By the first answer it was given up, by the second it wasn't begun.

Change: both ask what holds once its pace is known: whether it fits by the paces of the heads that it didn't leave.

--- a/src/zinniaspool/gateway/stops.py
+++ b/src/zinniaspool/gateway/stops.py
@@ -235,6 +235,19 @@
         longest = self._predict_longest(call, pool, now)
         if longest is None or longest.writing_s <= left_s:
             return True
+        return self._fits_elsewhere(call, pool, left_s, now)
+
+    def _fits_elsewhere(
+        self, call: GatewayCall, pool: TargetPool, left_s: float, now: float
+    ) -> bool:
+        """Return whether a stream fits at targets that it didn't leave.
+
+        Args:
+            call: The request.
+            pool: Its targets.
+            left_s: Time that is left from its first event on, in seconds.
+            now: Seconds.
+        """
         left = {former.state for former in call.history}
         longest = self._predict_longest(call, pool, now, without=left)
         return longest is None or longest.writing_s + longest.reserve_s <= left_s
@@ -300,16 +313,22 @@
         usual_id = usual.usual_part * (ids_left + last_id)
         if usual_id >= shown_id + 1:
             ids_left = usual_id - last_id
-        if usual.token_s and not self._may_begin_elsewhere(call):
+        if usual.token_s and not self._may_begin_elsewhere(call, now):
             pace_s = min(pace_s, usual.token_s * id_tokens)
         return now + ids_left * pace_s > self._clock.ends_at
 
-    def _may_begin_elsewhere(self, call: GatewayCall) -> bool:
-        """Return whether a stream that is given up may be begun once more."""
+    def _may_begin_elsewhere(self, call: GatewayCall, now: float) -> bool:
+        """Return whether a stream that is given up may be begun once more.
+
+        It is given up for its pace, by which it wouldn't fit anywhere.
+        """
         if not call.route.repeatable or not call.attempts.may_begin_alternative:
             return False
         pool = self._index.find_pool(call.service, call.terms.model)
-        return self.can_begin_again(call, pool)
+        first_s = _predict_first_event(call, pool, now)
+        return self._fits_elsewhere(
+            call, pool, self._clock.ends_at - now - first_s, now
+        )
 
     def find_spread(self, call: GatewayCall) -> PaceSpread:
         """Return the paces that streams of a request's model show."""
